--- a/eslint.config.js
+++ b/eslint.config.js
@@ -7,7 +7,7 @@
 // The verbs that a function may begin with stand in docs/VERBS.md, one a row.
 const VERBS = [
   ...readFileSync(new URL('docs/VERBS.md', import.meta.url), 'utf8').matchAll(
-    /^\| `([a-z]+)` \|/gm,
+    /^\| `([a-z]+)` +\|/gm,
   ),
 ].map((match) => match[1]);
 const VERB_START = `^(${VERBS.join('|')})([A-Z0-9]|$)`;
@@ -19,12 +19,15 @@
   ...tseslint.configs.stylisticTypeChecked,
   {
     languageOptions: {
-      parserOptions: {projectService: true, tsconfigRootDir: import.meta.dirname},
+      parserOptions: {
+        projectService: true,
+        tsconfigRootDir: import.meta.dirname,
+      },
     },
     linterOptions: {reportUnusedDisableDirectives: 'error'},
     rules: {
-      'curly': ['error', 'multi-line'],
-      'eqeqeq': 'error',
+      curly: ['error', 'multi-line'],
+      eqeqeq: 'error',
       'max-depth': ['error', 3],
       'max-lines': ['error', {max: 350, skipBlankLines: true}],
       'max-lines-per-function': [
@@ -34,8 +37,14 @@
       'no-restricted-syntax': [
         'error',
         {selector: 'ExportDefaultDeclaration', message: 'Export by name.'},
-        {selector: 'PropertyDefinition > PrivateIdentifier', message: 'Use private.'},
-        {selector: 'TSEnumDeclaration[const=true]', message: 'Use a plain enum.'},
+        {
+          selector: 'PropertyDefinition > PrivateIdentifier',
+          message: 'Use private.',
+        },
+        {
+          selector: 'TSEnumDeclaration[const=true]',
+          message: 'Use a plain enum.',
+        },
         {
           selector: 'CallExpression[callee.property.name="forEach"]',
           message: 'Use for-of.',
@@ -53,7 +62,7 @@
       '@typescript-eslint/naming-convention': [
         'error',
         {
-          selector: ['function', 'classMethod', 'objectLiteralMethod', 'typeMethod'],
+          selector: ['function', 'classMethod', 'typeMethod'],
           format: ['camelCase'],
           custom: {regex: VERB_START, match: true},
         },
@@ -73,10 +82,27 @@
       // node:test's describe and it return promises that it awaits itself.
       '@typescript-eslint/no-floating-promises': [
         'error',
-        {allowForKnownSafeCalls: [{from: 'package', name: ['describe', 'it', 'test', 'after', 'before'], package: 'node:test'}]},
+        {
+          allowForKnownSafeCalls: [
+            {
+              from: 'package',
+              name: ['describe', 'it', 'test', 'after', 'before'],
+              package: 'node:test',
+            },
+          ],
+        },
       ],
       'max-lines-per-function': 'off',
     },
   },
-  {files: ['**/*.js', '**/*.mjs'], ...tseslint.configs.disableTypeChecked},
+  {
+    files: ['**/*.js', '**/*.mjs'],
+    ...tseslint.configs.disableTypeChecked,
+    languageOptions: {
+      ...tseslint.configs.disableTypeChecked.languageOptions,
+      globals: {console: 'readonly', process: 'readonly', URL: 'readonly'},
+    },
+  },
+  // The linter's own file is read only by its default export.
+  {files: ['eslint.config.js'], rules: {'no-restricted-syntax': 'off'}},
 );
--- /dev/null
+++ b/packages/cli/src/command_table.ts
@@ -0,0 +1,20 @@
+/** All commands. */
+import type {AnyCommand} from './command.js';
+import {APPLY_COMMAND} from './commands/apply.js';
+import {AUDIT_COMMAND} from './commands/audit.js';
+import {DELETE_COMMAND} from './commands/delete.js';
+import {GET_COMMAND} from './commands/get.js';
+import {LIST_COMMAND} from './commands/list.js';
+import {STATUS_COMMAND} from './commands/status.js';
+import {WATCH_COMMAND} from './commands/watch.js';
+
+/** All commands, in the order of help. */
+export const COMMANDS: readonly AnyCommand[] = [
+  GET_COMMAND,
+  LIST_COMMAND,
+  APPLY_COMMAND,
+  DELETE_COMMAND,
+  WATCH_COMMAND,
+  STATUS_COMMAND,
+  AUDIT_COMMAND,
+];
--- a/packages/daemon/src/answer/answer_driver.ts
+++ b/packages/daemon/src/answer/answer_driver.ts
@@ -88,7 +88,7 @@
     fromOffset: number,
     attachTo: EndpointRecord | undefined,
   ): Promise<DriveOutcome> {
-    await this.replay(fromOffset);
+    await this.sendKept(fromOffset);
     if (this.record.state === 'ended') return this.end(this.record.endReason);
     try {
       return await this.runLegs(attachTo);
@@ -97,11 +97,11 @@
     }
   }
 
-  private async replay(fromOffset: number): Promise<void> {
+  private async sendKept(fromOffset: number): Promise<void> {
     const texts = this.record.getTokensFrom(fromOffset);
     if (texts.length === 0 && this.record.state !== 'ended') return;
     const first = Math.max(fromOffset, this.record.firstOffset);
-    this.sink.announce(this.createResume());
+    this.sink.setResume(this.createResume());
     if (texts.length === 0) return;
     const tokens = texts.map((text, at) => ({offset: first + at, text}));
     await this.sink.write(tokens);
@@ -126,7 +126,7 @@
       const result = await this.runLeg(endpoint, attach !== undefined);
       if (result.kind === 'ended') return this.end(result.reason);
       if (result.kind === 'stopped') return 'stopped';
-      const next = this.respond(endpoint, result.loss, attach !== undefined);
+      const next = this.decideNext(endpoint, result.loss, attach !== undefined);
       if (next === 'abandon') return 'superseded';
       if (typeof next !== 'string') return this.fail(next);
       attach = next === 'attach' ? endpoint : undefined;
@@ -136,7 +136,7 @@
   /** Finds an engine: in the queue's order at first, before it after a loss. */
   private async findEndpoint(): Promise<Result<EndpointRecord, KnownError>> {
     if (this.admitted === undefined && !this.record.mayHaveRun) {
-      const admitted = await this.parts.admission.enter(this.createEntry());
+      const admitted = await this.parts.admission.submit(this.createEntry());
       if (admitted.isErr()) return err(admitted.error);
       this.admitted = admitted.value;
       return ok(admitted.value.endpoint);
@@ -169,7 +169,7 @@
     return repeatable || spec.continuation === 'allowed';
   }
 
-  private createEntry(): Parameters<Admission['enter']>[0] {
+  private createEntry(): Parameters<Admission['submit']>[0] {
     const {id, service, team, weight, maxTokens, spec, maxInFlight} =
       this.record.request;
     return {
@@ -205,10 +205,10 @@
       endpoint,
       engine,
       stop: this.stop,
-      onAccepted: () => {
-        this.sink.announce(this.createResume());
+      handleAccepted: () => {
+        this.sink.setResume(this.createResume());
       },
-      onTokens: (tokens) => this.passOn(tokens),
+      handleTokens: (tokens) => this.passOn(tokens),
     });
     const result = await leg.run(order);
     const lost = result.kind === 'lost';
@@ -226,7 +226,10 @@
     const {record} = this;
     const {request} = record;
     record.attempts++;
-    record.generation = createGenerationNumber(record.takeover, record.attempts);
+    record.generation = createGenerationNumber(
+      record.takeover,
+      record.attempts,
+    );
     const fresh = record.mayHaveRun ? 'continue' : 'start';
     return {
       mode: attaching ? 'attach' : fresh,
@@ -261,7 +264,7 @@
   }
 
   /** Decides what follows a loss; an error is the reason to give up. */
-  private respond(
+  private decideNext(
     endpoint: EndpointRecord,
     loss: LossKind,
     attaching: boolean,
--- a/packages/daemon/src/answer/answer_leg.ts
+++ b/packages/daemon/src/answer/answer_leg.ts
@@ -47,9 +47,9 @@
   /** Aborted when the caller is gone or another driver takes over. */
   readonly stop: AbortSignal;
   /** Called once the engine has accepted the order. */
-  onAccepted(): void;
+  handleAccepted(): void;
   /** Passes tokens on; resolves when more can be taken. */
-  onTokens(tokens: readonly PassedToken[]): Promise<void>;
+  handleTokens(tokens: readonly PassedToken[]): Promise<void>;
 }
 
 /** Error kinds that say how an order was lost; the rest is a reset. */
@@ -82,7 +82,7 @@
         const load = await engine.getLoad(options.probeTimeoutMs);
         return load.isOk();
       },
-      onLost: (kind) => {
+      handleLoss: (kind) => {
         this.stall = kind;
         this.abort.abort();
       },
@@ -102,7 +102,7 @@
     try {
       const opened = await engine.openStream(order, this.abort.signal);
       if (opened.isErr()) return this.createLoss(LOSSES[opened.error.kind]);
-      this.parts.onAccepted();
+      this.parts.handleAccepted();
       return await this.read(opened.value);
     } finally {
       this.watch.stop();
@@ -138,7 +138,7 @@
     if (passed.length === 0) return result;
     this.hasToken = true;
     this.watch.pause();
-    await this.parts.onTokens(passed);
+    await this.parts.handleTokens(passed);
     this.watch.resume();
     return result;
   }
@@ -158,7 +158,9 @@
     if (verdict.action === 'pass') {
       passed.push({offset: verdict.offset, text: verdict.text});
     }
-    if (verdict.action === 'drop') metrics.dropped.inc({reason: verdict.reason});
+    if (verdict.action === 'drop') {
+      metrics.dropped.inc({reason: verdict.reason});
+    }
     if (verdict.action === 'lost') return {kind: 'lost', loss: 'gap'};
     if (verdict.action !== 'end') return undefined;
     return {kind: 'ended', reason: verdict.reason};
--- a/packages/daemon/src/answer/answer_sink.ts
+++ b/packages/daemon/src/answer/answer_sink.ts
@@ -19,7 +19,7 @@
   /** Aborted when the caller's connection is gone. */
   readonly signal: AbortSignal;
   /** Tells where the answer can be taken up again from now on. */
-  announce(resumeData: string): void;
+  setResume(resumeData: string): void;
   /** Passes tokens on; resolves when the caller can take more. */
   write(tokens: readonly PassedToken[]): Promise<void>;
   /** Ends a whole answer. */
--- a/packages/daemon/src/answer/body_sink.ts
+++ b/packages/daemon/src/answer/body_sink.ts
@@ -20,7 +20,7 @@
     this.signal = createCallerSignal(response);
   }
 
-  announce(resumeData: string): void {
+  setResume(resumeData: string): void {
     this.resume = resumeData;
   }
 
--- a/packages/daemon/src/answer/event_sink.ts
+++ b/packages/daemon/src/answer/event_sink.ts
@@ -23,7 +23,7 @@
     this.signal = createCallerSignal(response);
   }
 
-  announce(resumeData: string): void {
+  setResume(resumeData: string): void {
     this.resume = resumeData;
     if (this.response.headersSent) return;
     startEvents(this.response, {
--- a/packages/daemon/src/answer/request_record.ts
+++ b/packages/daemon/src/answer/request_record.ts
@@ -42,7 +42,7 @@
   /** Stops the driver that runs it now. */
   controller = new AbortController();
   /** Resolves when the driver that runs it now has stopped. */
-  driven: Promise<void> = Promise.resolve();
+  finished: Promise<void> = Promise.resolve();
   private readonly tokens: string[] = [];
 
   /**
--- a/packages/daemon/src/answer/stall_watch.ts
+++ b/packages/daemon/src/answer/stall_watch.ts
@@ -15,7 +15,7 @@
   getLimits(): StallLimits;
   /** Asks the endpoint; true when it answers. */
   probe(): Promise<boolean>;
-  onLost(kind: StallKind): void;
+  handleLoss(kind: StallKind): void;
 }
 
 // A timer that fires this late says that this process stood still itself.
@@ -81,19 +81,19 @@
       return;
     }
     if (silence >= lostMs) {
-      this.lose('stalled');
+      this.reportLoss('stalled');
       return;
     }
     const {lastAt} = this;
     const answers = await this.parts.probe();
     const stillSilent = this.lastAt === lastAt && !this.paused;
-    if (!answers && stillSilent) this.lose('silent');
+    if (!answers && stillSilent) this.reportLoss('silent');
     else this.plan(Math.min(probeMs, Math.max(1, lostMs - silence)));
   }
 
-  private lose(kind: StallKind): void {
+  private reportLoss(kind: StallKind): void {
     if (this.stopped) return;
     this.stop();
-    this.parts.onLost(kind);
+    this.parts.handleLoss(kind);
   }
 }
--- a/packages/daemon/src/configuration/news_queue.ts
+++ b/packages/daemon/src/configuration/news_queue.ts
@@ -19,7 +19,7 @@
   }
 
   /** Adds what a stream brings, until the signal is aborted. */
-  follow(stream: Stream<T>, signal: AbortSignal): void {
+  readFrom(stream: Stream<T>, signal: AbortSignal): void {
     const subscription = stream.subscribe({
       next: (item) => {
         this.add(item);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -54,10 +54,13 @@
 
 /** The settings of the process itself. */
 export const LOG_SETTINGS = z.object({
-  level: z.enum(LOG_LEVELS).default('info').meta({
-    unit: LOG_LEVELS.join('|'),
-    description: 'The least level of log lines that are written.',
-  }),
+  level: z
+    .enum(LOG_LEVELS)
+    .default('info')
+    .meta({
+      unit: LOG_LEVELS.join('|'),
+      description: 'The least level of log lines that are written.',
+    }),
 });
 
 /** All settings of the daemon. */
@@ -74,7 +77,10 @@
   private readonly kernel: Kernel;
 
   constructor(readonly log: Logger) {
-    collectDefaultMetrics({register: this.metrics, prefix: 'irisdock_process_'});
+    collectDefaultMetrics({
+      register: this.metrics,
+      prefix: 'irisdock_process_',
+    });
     this.kernel = new Kernel(SERVICES, {
       clock: new SystemClock(),
       random: new SeededRandom(createSeed()),
--- a/packages/daemon/src/endpoint/endpoint_poller.ts
+++ b/packages/daemon/src/endpoint/endpoint_poller.ts
@@ -54,7 +54,7 @@
     if (turn === undefined || turn.looking) return;
     clearTimeout(turn.timer);
     turn.looking = true;
-    void this.look(record).finally(() => {
+    void this.pollLoad(record).finally(() => {
       turn.looking = false;
       this.planNext(record);
     });
@@ -69,7 +69,7 @@
     }, this.options.pollMs * spread);
   }
 
-  private async look(record: EndpointRecord): Promise<void> {
+  private async pollLoad(record: EndpointRecord): Promise<void> {
     const {engine, plain} = record.clients;
     const client = engine ?? plain;
     if (client === undefined) return;
@@ -79,10 +79,10 @@
       return;
     }
     record.applyReport(load.value);
-    if (engine !== undefined) await this.lookAtCache(record);
+    if (engine !== undefined) await this.pollCache(record);
   }
 
-  private async lookAtCache(record: EndpointRecord): Promise<void> {
+  private async pollCache(record: EndpointRecord): Promise<void> {
     const {pollTimeoutMs} = this.options;
     const after = record.cacheSequence;
     const page = await record.clients.engine?.getCacheEvents(
--- a/packages/daemon/src/errors.ts
+++ b/packages/daemon/src/errors.ts
@@ -85,7 +85,8 @@
     status: 409,
     outcome: 'unknown',
     message: 'This host has had a call with this request id already.',
-    remedy: 'Look for the answer to the first call; use a new id for a new one.',
+    remedy:
+      'Look for the answer to the first call; use a new id for a new one.',
   },
   owner_elsewhere: {
     status: 307,
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -42,7 +42,7 @@
     const place = await daemon.start(settings.value);
     process.stdout.write(`${JSON.stringify({ready: true, place})}\n`);
   } catch (thrown) {
-    daemon.log.error('The start failed.', {error: getErrorText(thrown)});
+    daemon.log.writeError('The start failed.', {error: getErrorText(thrown)});
     process.exit(EXIT_FAULT);
   }
   handleSignals(daemon);
@@ -52,11 +52,13 @@
   let leaving = false;
   const handle = (signal: string): void => {
     if (leaving) {
-      daemon.log.warn('A second signal: cutting what is in flight.', {signal});
+      daemon.log.writeWarning('A second signal: cutting what is in flight.', {
+        signal,
+      });
       process.exit(EXIT_CUT);
     }
     leaving = true;
-    daemon.log.info('Draining; a second signal cuts what is in flight.', {
+    daemon.log.writeInfo('Draining; a second signal cuts what is in flight.', {
       signal,
     });
     void daemon.stop().then(() => {
--- a/packages/daemon/src/operator/resource_routes.ts
+++ b/packages/daemon/src/operator/resource_routes.ts
@@ -47,10 +47,26 @@
   listRoutes(): Route[] {
     const one = '/v1/resources/:kind/:name';
     return [
-      {method: 'GET', path: '/v1/resources/:kind', handle: (r) => this.sendKind(r)},
-      {method: 'GET', path: one, handle: (r) => this.sendOne(r)},
-      {method: 'PUT', path: one, handle: (r) => this.change(r, 'put')},
-      {method: 'DELETE', path: one, handle: (r) => this.change(r, 'delete')},
+      {
+        method: 'GET',
+        path: '/v1/resources/:kind',
+        handle: (r) => {
+          this.sendKind(r);
+        },
+      },
+      {
+        method: 'GET',
+        path: one,
+        handle: (r) => {
+          this.sendOne(r);
+        },
+      },
+      {method: 'PUT', path: one, handle: (r) => this.submitChange(r, 'put')},
+      {
+        method: 'DELETE',
+        path: one,
+        handle: (r) => this.submitChange(r, 'delete'),
+      },
       {method: 'GET', path: '/v1/watch', handle: (r) => this.watch(r)},
     ];
   }
@@ -82,7 +98,7 @@
     sendError(request.response, DAEMON_ERRORS.create('no_such_resource', data));
   }
 
-  private async change(
+  private async submitChange(
     request: WebRequest,
     action: Change['action'],
   ): Promise<void> {
@@ -122,10 +138,11 @@
     if (spec.isErr()) return err(spec.error);
     const expected = readExpected(request);
     if (expected.isErr()) return err(expected.error);
-    const operationId =
-      request.getHeader(OPERATION_ID_HEADER) ?? randomUUID();
+    const operationId = request.getHeader(OPERATION_ID_HEADER) ?? randomUUID();
     if (!OPERATION_ID_PATTERN.test(operationId)) {
-      return err(createHeaderError(OPERATION_ID_HEADER, 'use 1 to 100 letters'));
+      return err(
+        createHeaderError(OPERATION_ID_HEADER, 'use 1 to 100 letters'),
+      );
     }
     const actor = request.getHeader(ACTOR_HEADER) ?? 'unknown';
     return ok({
@@ -149,7 +166,7 @@
     }
     const signal = createCallerSignal(response);
     const queue = new NewsQueue<readonly Change[]>(MAX_BEHIND);
-    queue.follow(this.configuration.changes, signal);
+    queue.readFrom(this.configuration.changes, signal);
     const missed = this.configuration.reader.getChangesAfter(after.value);
     if (missed === undefined) {
       const data = {after: after.value};
@@ -200,8 +217,7 @@
   fallback: number,
 ): Result<number, KnownError> {
   const text =
-    request.getHeader('last-event-id') ??
-    request.url.searchParams.get('after');
+    request.getHeader('last-event-id') ?? request.url.searchParams.get('after');
   if (text === null || text === '') return ok(fallback);
   if (/^\d{1,15}$/.test(text)) return ok(Number(text));
   return err(createHeaderError('last-event-id', 'send a revision number'));
--- a/packages/daemon/src/services/admission.ts
+++ b/packages/daemon/src/services/admission.ts
@@ -101,7 +101,7 @@
   }
 
   /** Admits a request when an endpoint has room, or says why not. */
-  async enter(entry: AdmissionEntry): Promise<Result<Admitted, KnownError>> {
+  async submit(entry: AdmissionEntry): Promise<Result<Admitted, KnownError>> {
     const refusal = this.findRefusal(entry);
     if (refusal !== undefined) return err(this.count(entry, refusal));
     const gate = this.getGate(entry);
@@ -115,10 +115,10 @@
   }
 
   /** Lets waiting requests of a service run while there is room. */
-  pump(service: string): void {
+  startWaiting(service: string): void {
     const gate = this.gates.get(service);
     if (gate === undefined || gate.queue.size === 0) return;
-    while (this.pumpOne(gate)) continue;
+    while (this.startOne(gate)) continue;
     if (gate.queue.size === 0) gate.estimate.endBusy();
   }
 
@@ -172,7 +172,7 @@
     const {entry} = waiting;
     const {service} = entry;
     const now = waiting.since;
-    const wait = gate.estimate.estimateMs(gate.queue.size + 1, now);
+    const wait = gate.estimate.getWaitMs(gate.queue.size + 1, now);
     if (wait !== undefined && wait > entry.maxQueueMs) {
       const data = {service, waitMs: Math.round(wait)};
       const retry = this.computeRetry(gate, wait);
@@ -210,7 +210,7 @@
   }
 
   /** Lets the first waiting request run for which there is room. */
-  private pumpOne(gate: Gate): boolean {
+  private startOne(gate: Gate): boolean {
     for (const waiter of gate.queue.listHeads(HEADS)) {
       const waiting = gate.waiting.get(waiter.id);
       const endpoint = waiting?.entry.choose();
@@ -257,7 +257,7 @@
 
   private computeRetry(gate: Gate, fallbackMs: number): number {
     const now = this.parts.clock.getNow();
-    const wait = gate.estimate.estimateMs(gate.queue.size + 1, now);
+    const wait = gate.estimate.getWaitMs(gate.queue.size + 1, now);
     return computeRetryAfter(wait ?? fallbackMs, this.getSpread());
   }
 
@@ -319,7 +319,7 @@
       api,
       start() {
         void context.find(ENDPOINTS).room.observe((service) => {
-          api.pump(service);
+          api.startWaiting(service);
         });
         expiry.start();
         return Promise.resolve();
--- a/packages/daemon/src/services/callers.ts
+++ b/packages/daemon/src/services/callers.ts
@@ -110,7 +110,7 @@
   async drain(): Promise<void> {
     const {membership, clock, log, keepSeconds, listeners} = this.parts;
     membership.startLeaving();
-    log.info('Leaving.', {inFlight: this.inFlight});
+    log.writeInfo('Leaving.', {inFlight: this.inFlight});
     await clock.wait(keepSeconds * 1000 * KEEP_FACTOR + KEEP_MARGIN_MS);
     this.parts.admission.startLeaving();
     listeners.callers.closeIdle();
@@ -119,9 +119,9 @@
       await clock.wait(DRAIN_CHECK_MS);
       if (clock.getNow() - loggedAt < DRAIN_LOG_MS) continue;
       loggedAt = clock.getNow();
-      log.info('Waiting for the last answers.', {inFlight: this.inFlight});
+      log.writeInfo('Waiting for the last answers.', {inFlight: this.inFlight});
     }
-    log.info('Drained.');
+    log.writeInfo('Drained.');
   }
 
   private sendAddresses(request: WebRequest): void {
--- a/packages/daemon/src/services/configuration_reader.ts
+++ b/packages/daemon/src/services/configuration_reader.ts
@@ -54,22 +54,23 @@
     const {revision} = this.configuration;
     if (head < revision) {
       // The platform lost what it had accepted; what is in force stays.
-      this.log.error('The table went back.', {head, inForce: revision});
+      this.log.writeError('The table went back.', {head, inForce: revision});
       return;
     }
     const caughtUp =
-      head === revision || (revision === 0 ? await this.load() : await this.follow(head));
+      head === revision ||
+      (revision === 0 ? await this.load() : await this.readChanges(head));
     if (caughtUp) this.configuration.recordTableHeard(this.now() - begunAt);
   }
 
   private async readHeadRevision(): Promise<number | undefined> {
     const rows = await this.table.readRows([HEAD_KEY]);
     if (rows.isOk()) return readHead(rows.value[0]);
-    this.log.debug('The table was not read.', {error: rows.error.message});
+    this.log.writeDebug('The table was not read.', {error: rows.error.message});
     return undefined;
   }
 
-  private async follow(head: number): Promise<boolean> {
+  private async readChanges(head: number): Promise<boolean> {
     while (this.configuration.revision < head) {
       const before = this.configuration.revision;
       const rows = await this.table.scanRows({
--- a/packages/daemon/src/services/configuration_writer.ts
+++ b/packages/daemon/src/services/configuration_writer.ts
@@ -59,7 +59,7 @@
 
 interface ChangeMessage {
   readonly request: ChangeRequest;
-  readonly reply: (result: Result<Change, KnownError>) => void;
+  readonly sendReply: (result: Result<Change, KnownError>) => void;
 }
 
 /** What one attempt came to. */
@@ -84,8 +84,8 @@
   constructor(private readonly parts: WriterParts) {
     this.task = new Task(
       'changes',
-      async ({request, reply}) => {
-        reply(await this.accept(request));
+      async ({request, sendReply}) => {
+        sendReply(await this.accept(request));
       },
       parts.log,
     );
@@ -93,8 +93,8 @@
 
   /** Accepts a change, or says why not. */
   async submit(request: ChangeRequest): Promise<Result<Change, KnownError>> {
-    return new Promise((reply) => {
-      this.task.post({request, reply});
+    return new Promise((sendReply) => {
+      this.task.post({request, sendReply});
     });
   }
 
@@ -113,11 +113,13 @@
     let detail = 'too many changes at once';
     while (clock.getNow() < endAt) {
       const attempt = await this.tryOnce(request);
-      if (attempt.outcome === 'accepted') return ok(this.finish(attempt.change));
+      if (attempt.outcome === 'accepted') {
+        return ok(this.finish(attempt.change));
+      }
       if (attempt.outcome === 'refused') return err(attempt.error);
       if (attempt.error?.outcome === 'unknown') mayBeAccepted = true;
       detail = attempt.error?.message ?? detail;
-      log.debug('A change is tried again.', {detail});
+      log.writeDebug('A change is tried again.', {detail});
       await clock.wait(backoff * (0.5 + this.parts.random.getInt(100) / 100));
       backoff = Math.min(MAX_BACKOFF_MS, backoff * 2);
     }
@@ -133,7 +135,7 @@
     const {configuration, log, accepted} = this.parts;
     configuration.applyChanges([change]);
     accepted.inc({kind: change.kind, action: change.action});
-    log.info('Accepted a change.', {
+    log.writeInfo('Accepted a change.', {
       revision: change.revision,
       actor: change.actor,
       resource: getResourceKey(change.kind, change.name),
@@ -150,7 +152,7 @@
     const {head, operation} = rows.value;
     if (operation !== undefined) return this.findAccepted(operation);
     const revision = readHead(head);
-    await this.catchUp(revision);
+    await this.readUntil(revision);
     if (this.parts.configuration.revision !== revision) {
       return {outcome: 'again'};
     }
@@ -192,11 +194,11 @@
     const row = rows.value[0];
     if (row === undefined) return {outcome: 'again'};
     const change = readChange(row);
-    await this.catchUp(revision);
+    await this.readUntil(revision);
     return {outcome: 'accepted', change};
   }
 
-  private async catchUp(revision: number): Promise<void> {
+  private async readUntil(revision: number): Promise<void> {
     const {configuration, reader} = this.parts;
     if (configuration.revision < revision) await reader.readNews();
   }
--- a/packages/daemon/src/services/endpoint_directory.ts
+++ b/packages/daemon/src/services/endpoint_directory.ts
@@ -12,7 +12,7 @@
 import {chooseSubset, PrefixIndex} from '@irisdock/decisions';
 import {HttpEngine, HttpPlainEndpoint} from '@irisdock/endpoints';
 import type {ListedHost} from '@irisdock/platform';
-import {Counter, Gauge} from 'prom-client';
+import {Counter, Gauge, type Registry} from 'prom-client';
 import type {Stream} from 'most';
 import {z} from 'zod';
 import {EndpointPoller} from '../endpoint/endpoint_poller.js';
@@ -87,15 +87,15 @@
   /** Notes that a request saw an endpoint lost. */
   reportLost(record: EndpointRecord, kind: string): void {
     if (!record.markLost()) return;
-    this.announceLost(record, kind);
+    this.publishLost(record, kind);
     this.poller.poll(record);
   }
 
   /** Tells the log and the other hosts of an endpoint that was lost. */
-  announceLost(record: EndpointRecord, kind: string): void {
+  publishLost(record: EndpointRecord, kind: string): void {
     const {address, service} = record;
     this.parts.lost.inc({service});
-    this.parts.log.warn('Lost an endpoint.', {endpoint: address, kind});
+    this.parts.log.writeWarning('Lost an endpoint.', {endpoint: address, kind});
     this.prefixes.dropEndpoint(address);
     this.parts.links.sendHint({endpoint: address, sign: 'lost'});
   }
@@ -216,7 +216,7 @@
         api.prefixes.dropEndpoint(record.address);
       },
       reportLost: (record) => {
-        api.announceLost(record, 'no answer');
+        api.publishLost(record, 'no answer');
       },
     });
     const api: EndpointDirectory = new EndpointDirectory(
@@ -237,19 +237,7 @@
       poller,
       settings.maxBlocks,
     );
-    new Gauge({
-      name: 'irisdock_endpoints_known',
-      help: 'Endpoints in use, a count, by service and whether they answer.',
-      labelNames: ['service', 'answering'],
-      registers: [context.metrics],
-      collect() {
-        this.reset();
-        for (const record of api.listAll()) {
-          const {service, isAnswering} = record;
-          this.inc({service, answering: String(isAnswering)});
-        }
-      },
-    });
+    createGauge(api, context.metrics);
     return {
       api,
       start() {
@@ -268,3 +256,19 @@
     };
   },
 });
+
+function createGauge(directory: EndpointDirectory, registry: Registry): void {
+  new Gauge({
+    name: 'irisdock_endpoints_known',
+    help: 'Endpoints in use, a count, by service and whether they answer.',
+    labelNames: ['service', 'answering'],
+    registers: [registry],
+    collect() {
+      this.reset();
+      for (const record of directory.listAll()) {
+        const {service, isAnswering} = record;
+        this.inc({service, answering: String(isAnswering)});
+      }
+    },
+  });
+}
--- a/packages/daemon/src/services/host.ts
+++ b/packages/daemon/src/services/host.ts
@@ -33,14 +33,11 @@
     .string()
     .min(1)
     .meta({unit: 'name', description: 'The failure domain of the host.'}),
-  clusterKey: z
-    .string()
-    .min(MIN_KEY_CHARS)
-    .meta({
-      unit: 'secret',
-      description:
-        'Signs what callers carry; the same on all hosts, 16 letters or more.',
-    }),
+  clusterKey: z.string().min(MIN_KEY_CHARS).meta({
+    unit: 'secret',
+    description:
+      'Signs what callers carry; the same on all hosts, 16 letters or more.',
+  }),
 });
 
 const RADIX = 36;
--- a/packages/daemon/src/services/host_list.ts
+++ b/packages/daemon/src/services/host_list.ts
@@ -44,7 +44,7 @@
       async () => {
         const list = await hosts.listHosts();
         if (list.isErr()) {
-          context.log.debug('The list was not read.', {
+          context.log.writeDebug('The list was not read.', {
             error: list.error.message,
           });
           return;
--- a/packages/daemon/src/services/listeners.ts
+++ b/packages/daemon/src/services/listeners.ts
@@ -3,7 +3,11 @@
  * operators and other hosts. It starts first, so that all places are known;
  * the services that answer set their routes later.
  */
-import {createService, createServiceKey, IP_PORT_SCHEMA} from '@irisdock/kernel';
+import {
+  createService,
+  createServiceKey,
+  IP_PORT_SCHEMA,
+} from '@irisdock/kernel';
 import {PeerServer} from '@irisdock/peer';
 import {WebServer} from '@irisdock/web';
 import {z} from 'zod';
@@ -80,7 +84,7 @@
         places.operator = await api.operators.start();
         places.caller = settings.callersAdvertise || caller;
         places.peer = settings.peersAdvertise || peer;
-        context.log.info('Listening.', {...places});
+        context.log.writeInfo('Listening.', {...places});
       },
       async stop() {
         await api.callers.stop();
--- a/packages/daemon/src/services/membership.ts
+++ b/packages/daemon/src/services/membership.ts
@@ -55,8 +55,8 @@
   }
 
   /** Moves on with time. */
-  tick(): void {
-    this.post(this.view.tick(this.clock.getNow()));
+  update(): void {
+    this.post(this.view.update(this.clock.getNow()));
   }
 
   /** Tells the others that this host is leaving. */
@@ -158,7 +158,7 @@
     const ticks = new Repeater(
       (signal) => context.clock.wait(TICK_MS, signal),
       () => {
-        api.tick();
+        api.update();
         return Promise.resolve();
       },
       context.log,
--- a/packages/daemon/src/services/orders.ts
+++ b/packages/daemon/src/services/orders.ts
@@ -84,7 +84,7 @@
     const ranked = membership.view
       .listServing()
       .map((note) => note.hostId)
-      .sort((a, b) => rank(a) - rank(b));
+      .sort((a, b) => getRank(a) - getRank(b));
     return ranked.slice(0, CANDIDATES).includes(host.hostId);
   }
 
@@ -104,7 +104,7 @@
     });
     if (result.isErr() || !result.value.committed) return;
     if (step.step === 'acquire') {
-      this.parts.log.info('Took the lease on orders.', {
+      this.parts.log.writeInfo('Took the lease on orders.', {
         fence: step.row.fence,
       });
     }
@@ -156,7 +156,12 @@
     const result = await engine.sendOrder({fence, action, target});
     const outcome = result.isOk() ? 'done' : result.error.kind;
     sent.inc({action, outcome});
-    log.info('Gave an order.', {endpoint: address, action, target, outcome});
+    log.writeInfo('Gave an order.', {
+      endpoint: address,
+      action,
+      target,
+      outcome,
+    });
     directory.check(address);
   }
 }
@@ -165,7 +170,7 @@
   return `${order.address} ${order.action} ${order.target}`;
 }
 
-function rank(hostId: string): number {
+function getRank(hostId: string): number {
   return hashText(`${LEASE_NAME} ${hostId}`);
 }
 
--- a/packages/daemon/src/services/peer_links.ts
+++ b/packages/daemon/src/services/peer_links.ts
@@ -60,7 +60,7 @@
   /** Hints on endpoints from other hosts. */
   readonly hints: Stream<EndpointHint>;
   /** Counts requests in flight; set by the service that knows. */
-  inFlight: () => number = () => 0;
+  countInFlight: () => number = () => 0;
   private readonly hintChannel = new Channel<EndpointHint>();
   private readonly ownHints = new Channel<Passed>();
   private readonly links = new Map<string, AbortController>();
@@ -71,7 +71,10 @@
     const {membership, configuration} = parts;
     this.hints = this.hintChannel.stream;
     const members = membership.news.map((m) => ({...NOTHING, members: m}));
-    const changes = configuration.changes.map((c) => ({...NOTHING, changes: c}));
+    const changes = configuration.changes.map((c) => ({
+      ...NOTHING,
+      changes: c,
+    }));
     this.outgoing = this.ownHints.stream.merge(members).merge(changes);
   }
 
@@ -91,12 +94,12 @@
   ): AsyncGenerator<PeerNews> {
     const {membership, heartbeatMs} = this.parts;
     const queue = new NewsQueue<Passed>(MAX_QUEUED);
-    queue.follow(this.outgoing, signal);
+    queue.readFrom(this.outgoing, signal);
     membership.applyNotes([watcher]);
     yield this.createNews({...NOTHING, members: membership.view.list()});
     while (!signal.aborted && !queue.isOverflown) {
       const items = await queue.takeAll(heartbeatMs, signal);
-      yield this.createNews(mergePassed(items));
+      yield this.createNews(createJoined(items));
     }
   }
 
@@ -162,7 +165,7 @@
       }
     } catch (thrown) {
       const error = getErrorText(thrown);
-      if (!signal.aborted) log.debug('A link broke.', {address, error});
+      if (!signal.aborted) log.writeDebug('A link broke.', {address, error});
     }
     client.close();
     if (signal.aborted) membership.view.endWatch(hostId);
@@ -185,7 +188,7 @@
     membership.view.recordHeartbeat(hostId, incarnation, clock.getNow());
     await this.correct(client, hostId);
     configuration.applyChanges(news.changes.map(parseChange));
-    if (configuration.revision < revision) await this.fetch(client);
+    if (configuration.revision < revision) await this.loadFrom(client);
     if (configuration.revision >= revision) {
       configuration.recordTableHeard(tableAgeMs);
     }
@@ -200,13 +203,15 @@
     if (better.isOk()) this.parts.membership.applyNotes(better.value);
   }
 
-  private async fetch(client: PeerClient): Promise<void> {
+  private async loadFrom(client: PeerClient): Promise<void> {
     const {configuration} = this.parts;
     const part = await client.getConfiguration(configuration.revision);
     if (part.isErr()) return;
     const {changes, snapshot} = part.value;
     if (snapshot === '') configuration.applyChanges(changes.map(parseChange));
-    else configuration.applySnapshot(SNAPSHOT_SCHEMA.parse(JSON.parse(snapshot)));
+    else {
+      configuration.applySnapshot(SNAPSHOT_SCHEMA.parse(JSON.parse(snapshot)));
+    }
   }
 
   private createNews(passed: Passed): PeerNews {
@@ -217,7 +222,7 @@
         incarnation: host.incarnation,
         revision: configuration.revision,
         tableAgeMs: configuration.tableAgeMs,
-        inFlight: this.inFlight(),
+        inFlight: this.countInFlight(),
       },
       members: passed.members,
       endpoints: passed.endpoints,
@@ -282,7 +287,7 @@
   return CHANGE_SCHEMA.parse(JSON.parse(text));
 }
 
-function mergePassed(items: readonly Passed[]): Passed {
+function createJoined(items: readonly Passed[]): Passed {
   return {
     members: items.flatMap((item) => item.members),
     changes: items.flatMap((item) => item.changes),
--- a/packages/daemon/src/services/plain_calls.ts
+++ b/packages/daemon/src/services/plain_calls.ts
@@ -109,7 +109,7 @@
 
   private async run(ask: PlainAsk): Promise<Result<PlainAnswer, KnownError>> {
     const avoid = new Set<string>();
-    const admitted = await this.parts.admission.enter({
+    const admitted = await this.parts.admission.submit({
       id: ask.id.id,
       service: ask.service,
       team: ask.team,
--- a/packages/daemon/src/services/platform.ts
+++ b/packages/daemon/src/services/platform.ts
@@ -1,5 +1,9 @@
 /** The service `platform`: the clients of the platform's services. */
-import {createService, createServiceKey, IP_PORT_SCHEMA} from '@irisdock/kernel';
+import {
+  createService,
+  createServiceKey,
+  IP_PORT_SCHEMA,
+} from '@irisdock/kernel';
 import {
   HttpPlatform,
   type HostList,
--- a/packages/daemon/src/services/streams.ts
+++ b/packages/daemon/src/services/streams.ts
@@ -85,7 +85,7 @@
     });
   }
 
-  /** Answers that are being driven now. */
+  /** Answers that are being finished now. */
   get inFlight(): number {
     return this.running;
   }
@@ -103,7 +103,7 @@
     this.ledger.dropOld(this.parts.clock.getNow());
     const begin = this.findBegin(ask);
     if (begin.isErr()) return err(begin.error);
-    await this.drive(ask, sink, begin.value);
+    await this.runDriver(ask, sink, begin.value);
     return ok();
   }
 
@@ -170,26 +170,26 @@
     return {record, attachTo: record.endpoint};
   }
 
-  private async drive(
+  private async runDriver(
     ask: StreamAsk,
     sink: AnswerSink,
     begin: Begin,
   ): Promise<void> {
     const {record, attachTo} = begin;
     record.controller.abort();
-    await record.driven;
+    await record.finished;
     record.controller = new AbortController();
     if (record.state === 'dropped') record.state = 'running';
     const driver = this.createDriver(record, sink);
     const endpoint = this.parts.directory.find(attachTo);
     this.running++;
     const drive = driver.run(ask.fromOffset, endpoint);
-    record.driven = drive.then(
+    record.finished = drive.then(
       () => undefined,
       () => undefined,
     );
     try {
-      this.settle(record, sink, await drive);
+      this.finish(record, sink, await drive);
     } finally {
       this.running--;
     }
@@ -209,7 +209,7 @@
     return new AnswerDriver({...parts, chooser, budget}, record, sink);
   }
 
-  private settle(
+  private finish(
     record: RequestRecord,
     sink: AnswerSink,
     outcome: DriveOutcome,
@@ -339,7 +339,7 @@
         this.set(api.remembered);
       },
     });
-    context.find(PEER_LINKS).inFlight = () => api.inFlight;
+    context.find(PEER_LINKS).countInFlight = () => api.inFlight;
     return {api};
   },
 });
--- a/packages/decisions/src/address_answer.ts
+++ b/packages/decisions/src/address_answer.ts
@@ -43,5 +43,8 @@
     addresses[MAX_ADDRESSES - 1] = {address, failureDomain};
   }
   const spread = random.getInt(SPREAD_STEPS) / SPREAD_STEPS;
-  return {addresses, keepForSeconds: Math.ceil(keepSeconds * (0.75 + spread / 2))};
+  return {
+    addresses,
+    keepForSeconds: Math.ceil(keepSeconds * (0.75 + spread / 2)),
+  };
 }
--- a/packages/decisions/src/configuration_state.ts
+++ b/packages/decisions/src/configuration_state.ts
@@ -50,7 +50,10 @@
     if (snapshot.revision <= this.current) return 'old';
     this.resources.clear();
     for (const resource of snapshot.resources) {
-      this.resources.set(getResourceKey(resource.kind, resource.name), resource);
+      this.resources.set(
+        getResourceKey(resource.kind, resource.name),
+        resource,
+      );
     }
     this.current = snapshot.revision;
     this.log.length = 0;
--- a/packages/decisions/src/endpoint_choice.ts
+++ b/packages/decisions/src/endpoint_choice.ts
@@ -55,7 +55,7 @@
 ): EndpointView | undefined {
   const usable = findUsable(endpoints, request);
   const withRoom = usable.filter((e) => getLoad(e) < request.fullAt);
-  const candidates = drawCandidates(withRoom, request, countHits, random);
+  const candidates = chooseCandidates(withRoom, request, countHits, random);
   let best: EndpointView | undefined;
   let bestScore = Infinity;
   for (const candidate of candidates) {
@@ -87,7 +87,7 @@
   return fresh.length > 0 ? fresh : pool;
 }
 
-function drawCandidates(
+function chooseCandidates(
   endpoints: readonly EndpointView[],
   request: ChoiceRequest,
   countHits: CountHits,
@@ -95,8 +95,8 @@
 ): EndpointView[] {
   if (endpoints.length <= 2) return [...endpoints];
   const first = random.getInt(endpoints.length);
-  const second = (first + 1 + random.getInt(endpoints.length - 1)) %
-    endpoints.length;
+  const second =
+    (first + 1 + random.getInt(endpoints.length - 1)) % endpoints.length;
   const drawn = [endpoints[first], endpoints[second]];
   if (request.blockCount > 0) drawn.push(findHolder(endpoints, countHits));
   return drawn.filter((e) => e !== undefined);
--- a/packages/decisions/src/endpoint_subset.ts
+++ b/packages/decisions/src/endpoint_subset.ts
@@ -20,7 +20,7 @@
   size: number,
 ): E[] {
   if (endpoints.length <= size) return [...endpoints];
-  const ranked = rankByDomain(hostId, endpoints);
+  const ranked = sortByDomain(hostId, endpoints);
   const chosen: E[] = [];
   for (let round = 0; chosen.length < size; round++) {
     for (const domain of ranked) {
@@ -31,7 +31,7 @@
   return chosen;
 }
 
-function rankByDomain<E extends ListedEndpoint>(
+function sortByDomain<E extends ListedEndpoint>(
   hostId: string,
   endpoints: readonly E[],
 ): E[][] {
--- a/packages/decisions/src/loss_response.ts
+++ b/packages/decisions/src/loss_response.ts
@@ -42,11 +42,7 @@
 
 /** What to do next. */
 export type LossResponse =
-  | 'abandon'
-  | 'attach'
-  | 'continue'
-  | 'give_up_not_run'
-  | 'give_up_unknown';
+  'abandon' | 'attach' | 'continue' | 'give_up_not_run' | 'give_up_unknown';
 
 const MAX_ATTACHES = 2;
 const MAX_LOSSES = 8;
--- a/packages/decisions/src/membership_view.ts
+++ b/packages/decisions/src/membership_view.ts
@@ -96,7 +96,7 @@
     for (const note of notes) {
       const taken =
         note.hostId === this.own.hostId
-          ? this.contradict(note)
+          ? this.correctSelf(note)
           : this.take(note, now);
       if (taken !== undefined) news.push(taken);
     }
@@ -149,7 +149,7 @@
   }
 
   /** Moves on with time; gives the notes that are news. */
-  tick(now: number): MemberNote[] {
+  update(now: number): MemberNote[] {
     const news: MemberNote[] = [];
     for (const [hostId, member] of [...this.members]) {
       const next = this.findNextState(member, now);
@@ -166,13 +166,15 @@
       return note;
     }
     if (!isNewer(note, member.note)) return undefined;
-    if (note.incarnation !== member.note.incarnation) member.heardAt = undefined;
+    if (note.incarnation !== member.note.incarnation) {
+      member.heardAt = undefined;
+    }
     if (note.state !== member.note.state) member.since = now;
     member.note = note;
     return note;
   }
 
-  private contradict(note: MemberNote): MemberNote | undefined {
+  private correctSelf(note: MemberNote): MemberNote | undefined {
     const ours = this.own;
     if (note.incarnation > ours.incarnation) return undefined;
     if (note.incarnation < ours.incarnation) return ours;
--- a/packages/decisions/src/order_plan.ts
+++ b/packages/decisions/src/order_plan.ts
@@ -26,10 +26,7 @@
 
 /** What an order does. */
 export type OrderAction =
-  | 'drop_adapter'
-  | 'drop_model'
-  | 'load_adapter'
-  | 'load_model';
+  'drop_adapter' | 'drop_model' | 'load_adapter' | 'load_model';
 
 /** An order to give. */
 export interface PlannedOrder {
@@ -44,7 +41,8 @@
   maxLoads: number,
 ): PlannedOrder[] {
   const byNeed = [...wanted].sort(
-    (a, b) => computeNeed(b) - computeNeed(a) || (a.service < b.service ? -1 : 1),
+    (a, b) =>
+      computeNeed(b) - computeNeed(a) || (a.service < b.service ? -1 : 1),
   );
   const loads = byNeed.flatMap(planLoads);
   if (loads.length > 0) return loads.slice(0, maxLoads);
--- a/packages/decisions/src/placement.ts
+++ b/packages/decisions/src/placement.ts
@@ -22,7 +22,7 @@
     if (rule.service !== service) continue;
     if (rule.team !== undefined && rule.team !== team) continue;
     const domains = new Set(rule.failureDomains);
-    if (rule.effect === 'require') required = intersect(required, domains);
+    if (rule.effect === 'require') required = computeCommon(required, domains);
     const sum = rule.effect === 'avoid' ? avoided : preferred;
     if (rule.effect === 'require') continue;
     for (const domain of domains) sum.add(domain);
@@ -36,7 +36,7 @@
   return placement.required?.has(domain) ?? true;
 }
 
-function intersect(
+function computeCommon(
   before: Set<string> | undefined,
   more: Set<string>,
 ): Set<string> {
--- a/packages/decisions/src/retry_budget.ts
+++ b/packages/decisions/src/retry_budget.ts
@@ -37,13 +37,13 @@
 
   /** Takes one retry; false when none is left. */
   takeRetry(nowMs: number): boolean {
-    this.fill(nowMs);
+    this.addElapsed(nowMs);
     if (this.kept < 1) return false;
     this.kept--;
     return true;
   }
 
-  private fill(nowMs: number): void {
+  private addElapsed(nowMs: number): void {
     const elapsed = nowMs - (this.filledAt ?? nowMs);
     this.filledAt = nowMs;
     this.keep((elapsed / 1000) * this.options.floorPerSecond);
--- a/packages/decisions/src/wait_estimate.ts
+++ b/packages/decisions/src/wait_estimate.ts
@@ -38,7 +38,7 @@
    * Estimates the wait of the last of so many requests, in milliseconds;
    * undefined while nothing is known.
    */
-  estimateMs(waiting: number, nowMs: number): number | undefined {
+  getWaitMs(waiting: number, nowMs: number): number | undefined {
     if (this.meanGapMs === undefined) return undefined;
     const pause = nowMs - (this.lastAt ?? nowMs);
     return waiting * Math.max(this.meanGapMs, pause / PAUSE_FACTOR);
--- a/packages/decisions/src/watch_targets.ts
+++ b/packages/decisions/src/watch_targets.ts
@@ -21,8 +21,9 @@
   const root = Math.floor(Math.sqrt(size));
   const steps = [1, 2, root, Math.floor(size / 2)];
   const targets = steps.map((step) => ring[(at + step) % size]);
-  return [...new Set(targets)].filter((t) => t !== undefined && t !== self) as
-    string[];
+  return [...new Set(targets)].filter(
+    (t) => t !== undefined && t !== self,
+  ) as string[];
 }
 
 function compareOnRing(a: string, b: string): number {
--- a/packages/endpoints/src/engine.ts
+++ b/packages/endpoints/src/engine.ts
@@ -83,11 +83,7 @@
 export interface EngineOrder {
   readonly fence: number;
   readonly action:
-    | 'drop_adapter'
-    | 'drop_model'
-    | 'load_adapter'
-    | 'load_model'
-    | 'set_role';
+    'drop_adapter' | 'drop_model' | 'load_adapter' | 'load_model' | 'set_role';
   readonly target: string;
 }
 
@@ -99,10 +95,7 @@
     signal: AbortSignal,
   ): Promise<Result<EngineStream, EndpointError>>;
   /** Stops what a request has running below a generation number. */
-  cancel(
-    request: string,
-    below: number,
-  ): Promise<Result<void, EndpointError>>;
+  cancel(request: string, below: number): Promise<Result<void, EndpointError>>;
   getLoad(timeoutMs: number): Promise<Result<LoadReport, EndpointError>>;
   getCacheEvents(
     after: number,
--- a/packages/endpoints/src/http_client.ts
+++ b/packages/endpoints/src/http_client.ts
@@ -30,7 +30,7 @@
   }
 
   /** Makes a call and checks the answer's shape. */
-  async call<S extends z.ZodType>(
+  async sendJson<S extends z.ZodType>(
     call: JsonCall,
     schema: S,
   ): Promise<Result<z.infer<S>, EndpointError>> {
--- a/packages/endpoints/src/http_engine.ts
+++ b/packages/endpoints/src/http_engine.ts
@@ -69,7 +69,7 @@
     request: string,
     below: number,
   ): Promise<Result<void, EndpointError>> {
-    const answer = await this.client.call(
+    const answer = await this.client.sendJson(
       {
         method: 'POST',
         path: '/v1/cancel',
@@ -83,7 +83,7 @@
 
   async getLoad(timeoutMs: number): Promise<Result<LoadReport, EndpointError>> {
     const call = {method: 'GET' as const, path: '/v1/load', timeoutMs};
-    return this.client.call(call, LOAD_SCHEMA);
+    return this.client.sendJson(call, LOAD_SCHEMA);
   }
 
   async getCacheEvents(
@@ -91,7 +91,7 @@
     timeoutMs: number,
   ): Promise<Result<CachePage, EndpointError>> {
     const path = `/v1/cache?after=${after}`;
-    return this.client.call({method: 'GET', path, timeoutMs}, CACHE_SCHEMA);
+    return this.client.sendJson({method: 'GET', path, timeoutMs}, CACHE_SCHEMA);
   }
 
   async sendOrder(order: EngineOrder): Promise<Result<void, EndpointError>> {
@@ -101,7 +101,7 @@
       body: order,
       timeoutMs: ORDER_MS,
     };
-    const answer = await this.client.call(call, ANY_SCHEMA);
+    const answer = await this.client.sendJson(call, ANY_SCHEMA);
     if (answer.isOk()) return ok();
     if (answer.error.kind !== 'endpoint_superseded') return err(answer.error);
     const {address} = this;
--- a/packages/endpoints/src/http_plain_endpoint.ts
+++ b/packages/endpoints/src/http_plain_endpoint.ts
@@ -17,7 +17,7 @@
   async send(call: PlainCall): Promise<Result<PlainAnswer, EndpointError>> {
     try {
       const response = await this.client.pool.request({
-        method: call.method as 'GET',
+        method: call.method,
         path: call.path,
         body: call.body.length === 0 ? null : call.body,
         headers: call.headers,
@@ -32,7 +32,7 @@
 
   async getLoad(timeoutMs: number): Promise<Result<LoadReport, EndpointError>> {
     const call = {method: 'GET' as const, path: '/v1/load', timeoutMs};
-    return this.client.call(call, LOAD_SCHEMA);
+    return this.client.sendJson(call, LOAD_SCHEMA);
   }
 
   async close(): Promise<void> {
--- a/packages/kernel/src/log.ts
+++ b/packages/kernel/src/log.ts
@@ -17,10 +17,10 @@
 
 /** Writes log lines with one prefix. */
 export interface Logger {
-  debug(sentence: string, fields?: LogFields): void;
-  info(sentence: string, fields?: LogFields): void;
-  warn(sentence: string, fields?: LogFields): void;
-  error(sentence: string, fields?: LogFields): void;
+  writeDebug(sentence: string, fields?: LogFields): void;
+  writeInfo(sentence: string, fields?: LogFields): void;
+  writeWarning(sentence: string, fields?: LogFields): void;
+  writeError(sentence: string, fields?: LogFields): void;
   /** Gives a logger for another part, with the same level and base fields. */
   createPart(part: string): Logger;
 }
@@ -35,19 +35,19 @@
     private readonly base: LogFields = {},
   ) {}
 
-  debug(sentence: string, fields: LogFields = {}): void {
+  writeDebug(sentence: string, fields: LogFields = {}): void {
     this.write('debug', sentence, fields);
   }
 
-  info(sentence: string, fields: LogFields = {}): void {
+  writeInfo(sentence: string, fields: LogFields = {}): void {
     this.write('info', sentence, fields);
   }
 
-  warn(sentence: string, fields: LogFields = {}): void {
+  writeWarning(sentence: string, fields: LogFields = {}): void {
     this.write('warn', sentence, fields);
   }
 
-  error(sentence: string, fields: LogFields = {}): void {
+  writeError(sentence: string, fields: LogFields = {}): void {
     this.write('error', sentence, fields);
   }
 
@@ -55,7 +55,11 @@
     return new RoarrLogger(part, this.least, this.base);
   }
 
-  private write(level: WrittenLevel, sentence: string, fields: LogFields): void {
+  private write(
+    level: WrittenLevel,
+    sentence: string,
+    fields: LogFields,
+  ): void {
     if (LOG_LEVELS.indexOf(level) < LOG_LEVELS.indexOf(this.least)) return;
     const context = {part: this.part, ...this.base, ...fields};
     // The sentence is an argument, so that a per cent sign in it is no format.
--- a/packages/kernel/src/settings.ts
+++ b/packages/kernel/src/settings.ts
@@ -29,8 +29,7 @@
 /** Checked values by group. */
 export type SettingsValues = ReadonlyMap<string, unknown>;
 
-const IP_PORT =
-  /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):(\d{1,5})$/;
+const IP_PORT = /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):(\d{1,5})$/;
 
 /** A listening or remote place as `ip:port`; IPv6 numbers in brackets. */
 export const IP_PORT_SCHEMA = z
--- a/packages/kernel/src/task.ts
+++ b/packages/kernel/src/task.ts
@@ -41,7 +41,10 @@
       await this.handler(message);
     } catch (thrown) {
       const error = getErrorText(thrown);
-      this.log.error('A message was not handled.', {task: this.name, error});
+      this.log.writeError('A message was not handled.', {
+        task: this.name,
+        error,
+      });
     }
   }
 }
@@ -74,7 +77,7 @@
       try {
         await this.work(signal);
       } catch (thrown) {
-        this.log.error('A round failed.', {error: getErrorText(thrown)});
+        this.log.writeError('A round failed.', {error: getErrorText(thrown)});
       }
       await this.wait(signal);
     }
--- a/packages/peer/src/codec.ts
+++ b/packages/peer/src/codec.ts
@@ -92,12 +92,10 @@
           },
         }),
     members: decodeNotes(message.members),
-    endpoints: message.endpoints.map(
-      ({endpoint, sign}): EndpointHint => ({
-        endpoint,
-        sign: sign === EndpointSign.LOST ? 'lost' : 'answering',
-      }),
-    ),
+    endpoints: message.endpoints.map(({endpoint, sign}): EndpointHint => ({
+      endpoint,
+      sign: sign === EndpointSign.LOST ? 'lost' : 'answering',
+    })),
     changes: message.changes,
   };
 }
--- a/packages/peer/src/peer_client.ts
+++ b/packages/peer/src/peer_client.ts
@@ -31,10 +31,7 @@
   }
 
   /** Gives the host's news until the signal is aborted; throws at its loss. */
-  async *watch(
-    own: MemberNote,
-    signal: AbortSignal,
-  ): AsyncGenerator<PeerNews> {
+  async *watch(own: MemberNote, signal: AbortSignal): AsyncGenerator<PeerNews> {
     const request = {note: encodeNote(own)};
     for await (const message of this.client.watch(request, {signal})) {
       yield decodeNews(message);
--- a/packages/peer/src/peer_server.ts
+++ b/packages/peer/src/peer_server.ts
@@ -8,12 +8,7 @@
 import {Code, ConnectError} from '@connectrpc/connect';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 import {splitPlace} from '@irisdock/web';
-import {
-  decodeNote,
-  decodeNotes,
-  encodeNews,
-  encodeNote,
-} from './codec.js';
+import {decodeNote, decodeNotes, encodeNews, encodeNote} from './codec.js';
 import {PeerService, type PeerMessage} from './gen/peer_pb.js';
 import type {PeerHandler} from './peer_news.js';
 
@@ -65,8 +60,7 @@
       this.server.once('error', reject);
       this.server.listen(port, host, resolve);
     });
-    const {address, port: taken, family} =
-      this.server.address() as AddressInfo;
+    const {address, port: taken, family} = this.server.address() as AddressInfo;
     return family === 'IPv6' ? `[${address}]:${taken}` : `${address}:${taken}`;
   }
 
--- a/packages/platform/src/http_platform.ts
+++ b/packages/platform/src/http_platform.ts
@@ -70,7 +70,7 @@
     keys: readonly string[],
   ): Promise<Result<readonly TableRow[], PlatformError>> {
     const body = JSON.stringify({keys});
-    const answer = await this.callJson('/table/read', body, ROWS_SCHEMA);
+    const answer = await this.sendJson('/table/read', body, ROWS_SCHEMA);
     return answer.map((value) => value.rows);
   }
 
@@ -78,7 +78,7 @@
     range: KeyRange,
   ): Promise<Result<readonly TableRow[], PlatformError>> {
     const body = JSON.stringify(range);
-    const answer = await this.callJson('/table/scan', body, ROWS_SCHEMA);
+    const answer = await this.sendJson('/table/scan', body, ROWS_SCHEMA);
     return answer.map((value) => value.rows);
   }
 
@@ -86,13 +86,13 @@
     transaction: Transaction,
   ): Promise<Result<CommitResult, PlatformError>> {
     const body = JSON.stringify(transaction);
-    return this.callJson('/table/commit', body, COMMIT_SCHEMA);
+    return this.sendJson('/table/commit', body, COMMIT_SCHEMA);
   }
 
   async getObject(
     name: string,
   ): Promise<Result<string | undefined, PlatformError>> {
-    const answer = await this.call({method: 'GET', path: `/objects/${name}`});
+    const answer = await this.send({method: 'GET', path: `/objects/${name}`});
     return answer.map(({status, text}) =>
       status === NOT_FOUND ? undefined : text,
     );
@@ -103,12 +103,12 @@
     text: string,
   ): Promise<Result<void, PlatformError>> {
     const path = `/objects/${name}`;
-    const answer = await this.call({method: 'PUT', path, body: text});
+    const answer = await this.send({method: 'PUT', path, body: text});
     return answer.map(() => undefined);
   }
 
   async listHosts(): Promise<Result<readonly ListedHost[], PlatformError>> {
-    const answer = await this.call({method: 'GET', path: '/hosts'});
+    const answer = await this.send({method: 'GET', path: '/hosts'});
     return answer
       .andThen(({text}) => parseAnswer(text, HOSTS_SCHEMA))
       .map((value) => value.hosts);
@@ -119,16 +119,16 @@
     await this.pool.destroy();
   }
 
-  private async callJson<S extends z.ZodType>(
+  private async sendJson<S extends z.ZodType>(
     path: string,
     body: string,
     schema: S,
   ): Promise<Result<z.infer<S>, PlatformError>> {
-    const answer = await this.call({method: 'POST', path, body});
+    const answer = await this.send({method: 'POST', path, body});
     return answer.andThen(({text}) => parseAnswer(text, schema));
   }
 
-  private async call(call: Call): Promise<Result<Answer, PlatformError>> {
+  private async send(call: Call): Promise<Result<Answer, PlatformError>> {
     try {
       const response = await this.pool.request({
         method: call.method,
--- a/packages/standins/src/engine/engine.ts
+++ b/packages/standins/src/engine/engine.ts
@@ -68,7 +68,7 @@
       if (order.offset < held.first) return 'unknown_stream';
       this.bars.set(order.request, order.generation);
       this.count(order.request).attaches++;
-      held.attach(reader, order.generation, order.offset);
+      held.setReader(reader, order.generation, order.offset);
       return undefined;
     }
     if (this.isFull()) return 'full';
@@ -89,7 +89,7 @@
   step(nowMs: number): void {
     this.recordLoad(nowMs);
     this.dropUnread(nowMs);
-    this.fill(nowMs);
+    this.startQueued(nowMs);
     if (this.faults.stall) return;
     for (const generation of [...this.running.values()]) {
       this.stepOne(generation);
@@ -110,18 +110,18 @@
     if (order.mode === 'start') counts.starts++;
     else counts.continues++;
     const generation = new Generation(order, order.generation);
-    generation.attach(reader, order.generation, order.offset);
+    generation.setReader(reader, order.generation, order.offset);
     this.queue.push(generation);
     this.queue.sort((a, b) => b.order.priority - a.order.priority);
-    this.fill(Date.now());
+    this.startQueued(Date.now());
   }
 
-  private fill(nowMs: number): void {
+  private startQueued(nowMs: number): void {
     while (this.running.size < this.options.slots) {
       const next = this.queue.shift();
       if (next === undefined) return;
       const {prompt, received} = next.order;
-      const missing = this.cache.useBlocks(prompt + received, nowMs);
+      const missing = this.cache.addBlocks(prompt + received, nowMs);
       next.prefillLeftMs = missing * this.options.prefillMsPerBlock;
       this.running.set(next.order.request, next);
     }
--- a/packages/standins/src/engine/faults.ts
+++ b/packages/standins/src/engine/faults.ts
@@ -67,7 +67,9 @@
     return this.take('loseEnd');
   }
 
-  private take(name: 'cross' | 'loseEnd' | 'repeat' | 'skip' | 'stale'): boolean {
+  private take(
+    name: 'cross' | 'loseEnd' | 'repeat' | 'skip' | 'stale',
+  ): boolean {
     const left = this.left[name] ?? 0;
     if (left === 0) return false;
     this.left[name] = left - 1;
--- a/packages/standins/src/engine/generation.ts
+++ b/packages/standins/src/engine/generation.ts
@@ -54,7 +54,7 @@
   }
 
   /** Takes over as reader from an offset on; the reader before is cut. */
-  attach(reader: ServerResponse, generation: number, offset: number): void {
+  setReader(reader: ServerResponse, generation: number, offset: number): void {
     this.reader?.end(formatEvent({event: 'superseded', data: '{}'}));
     this.generation = generation;
     this.reader = reader;
--- a/packages/standins/src/engine/main.ts
+++ b/packages/standins/src/engine/main.ts
@@ -47,7 +47,7 @@
     return [
       {method: 'POST', path: '/v1/streams', handle: (r) => this.stream(r)},
       {method: 'POST', path: '/v1/cancel', handle: (r) => this.cancel(r)},
-      {method: 'POST', path: '/v1/orders', handle: (r) => this.order(r)},
+      {method: 'POST', path: '/v1/orders', handle: (r) => this.sendOrder(r)},
       this.createGet('/v1/load', () => this.getLoad()),
       this.createGet('/v1/cache', (request) => {
         const after = Number(request.url.searchParams.get('after') ?? 0);
@@ -57,7 +57,11 @@
         Object.fromEntries(engine.counts),
       ),
       this.createGet('/control/orders', () => orders.history),
-      {method: 'PUT', path: '/control/faults', handle: (r) => this.setFaults(r)},
+      {
+        method: 'PUT',
+        path: '/control/faults',
+        handle: (r) => this.setFaults(r),
+      },
     ];
   }
 
@@ -108,7 +112,7 @@
     sendJson(request.response, body.isOk() ? 200 : 400, {});
   }
 
-  private async order(request: WebRequest): Promise<void> {
+  private async sendOrder(request: WebRequest): Promise<void> {
     const order = await request.readJson(ORDER_SCHEMA);
     if (order.isErr()) {
       sendJson(request.response, 400, {error: order.error});
--- a/packages/standins/src/engine/orders.ts
+++ b/packages/standins/src/engine/orders.ts
@@ -59,6 +59,11 @@
   /** Gives what is loaded now. */
   getLoaded(): Loaded {
     const {role, fence} = this;
-    return {models: [...this.models], adapters: [...this.adapters], role, fence};
+    return {
+      models: [...this.models],
+      adapters: [...this.adapters],
+      role,
+      fence,
+    };
   }
 }
--- a/packages/standins/src/engine/prefix_cache.ts
+++ b/packages/standins/src/engine/prefix_cache.ts
@@ -48,7 +48,7 @@
   ) {}
 
   /** Stores a prompt's blocks; gives how many of them were missing. */
-  useBlocks(prompt: string, nowMs: number): number {
+  addBlocks(prompt: string, nowMs: number): number {
     let missing = 0;
     let hit = true;
     for (const block of listBlocks(prompt)) {
--- a/packages/standins/src/plain/main.ts
+++ b/packages/standins/src/plain/main.ts
@@ -22,7 +22,7 @@
 
   constructor(private readonly workMs: number) {}
 
-  async work(request: WebRequest): Promise<void> {
+  async serve(request: WebRequest): Promise<void> {
     const body = await request.readBody();
     if (body.isErr()) return;
     const id = request.getHeader(REQUEST_ID_HEADER) ?? '';
@@ -93,7 +93,7 @@
       {
         method: '*' as const,
         path: '/*',
-        handle: (r: WebRequest) => service.work(r),
+        handle: (r: WebRequest) => service.serve(r),
       },
     ];
     const {listen} = settings;
--- a/packages/standins/src/platform/main.ts
+++ b/packages/standins/src/platform/main.ts
@@ -57,7 +57,11 @@
       {method: 'PUT', path: '/objects/*', handle: (r) => this.putObject(r)},
       {method: 'GET', path: '/weights/*', handle: (r) => this.getWeights(r)},
       {method: 'PUT', path: '/control/hosts', handle: (r) => this.setHosts(r)},
-      {method: 'PUT', path: '/control/faults', handle: (r) => this.setFaults(r)},
+      {
+        method: 'PUT',
+        path: '/control/faults',
+        handle: (r) => this.setFaults(r),
+      },
       {
         method: 'GET',
         path: '/control/counts',
@@ -71,9 +75,7 @@
   private createRead(
     method: 'GET' | 'POST',
     path: string,
-    answer: (
-      request: WebRequest,
-    ) => Promise<{status?: number; value: unknown}>,
+    answer: (request: WebRequest) => Promise<{status?: number; value: unknown}>,
   ): Route {
     const handle = async (request: WebRequest): Promise<void> => {
       if (!(await this.faults.pass(request))) return;
--- a/packages/testkit/src/deployment.ts
+++ b/packages/testkit/src/deployment.ts
@@ -2,19 +2,18 @@
  * A deployment of processes for one test: the platform, daemons, engines and
  * plain services, each on a port of its own that the system gives.
  */
-import {
-  startProcess,
-  type RunningProcess,
-} from './process.js';
+import {z} from 'zod';
+import {startProcess, type RunningProcess} from './process.js';
 import {getJson, putJson, sendHttp, type HttpAnswer} from './http.js';
 import {waitUntil} from './wait.js';
 
+const PLACES_SCHEMA = z.object({
+  caller: z.string(),
+  operator: z.string(),
+  peer: z.string(),
+});
 /** A daemon's places. */
-export interface DaemonPlaces {
-  readonly caller: string;
-  readonly operator: string;
-  readonly peer: string;
-}
+export type DaemonPlaces = z.infer<typeof PLACES_SCHEMA>;
 
 /** A daemon of the deployment. */
 export interface DaemonNode {
@@ -120,11 +119,26 @@
     return engine;
   }
 
+  /** Starts what the options say, and publishes it. */
+  async addAll(): Promise<void> {
+    const {engines, plains, daemons} = this.options;
+    for (let at = 0; at < engines; at++) await this.addEndpoint('engine');
+    for (let at = 0; at < (plains ?? 0); at++) await this.addEndpoint('plain');
+    for (let at = 0; at < daemons; at++) await this.addDaemon();
+    await this.publishHosts();
+    for (const {places} of this.daemons) {
+      await waitUntil(`${places.operator} is configured`, async () => {
+        const ready = await sendHttp(`http://${places.operator}/readyz`);
+        return ready.status === 200;
+      });
+    }
+  }
+
   /** Starts one more daemon. */
   async addDaemon(args: readonly string[] = []): Promise<DaemonNode> {
-    const failureDomain = this.pickDomain(this.daemons.length);
+    const failureDomain = this.getDomain(this.daemons.length);
     const any = '127.0.0.1:0';
-    const started = await startProcess<DaemonPlaces>(
+    const started = await startProcess(
       'irisdockd',
       [
         ...['--listen-callers', any, '--listen-operators', any],
@@ -134,6 +148,7 @@
         ...(this.options.daemonArgs ?? []),
         ...args,
       ],
+      PLACES_SCHEMA,
       {IRISDOCK_HOST_CLUSTER_KEY: KEY},
     );
     const {process, place: places} = started;
@@ -152,16 +167,16 @@
     const same = this.endpoints.filter((e) => e.service === service).length;
     const name = program === 'engine' ? ['--engine-name', `e${same}`] : [];
     const extra = program === 'engine' ? (this.options.engineArgs ?? []) : [];
-    const started = await startProcess<string>(program, [
-      ...name,
-      ...extra,
-      ...args,
-    ]);
+    const started = await startProcess(
+      program,
+      [...name, ...extra, ...args],
+      z.string(),
+    );
     const node: EndpointNode = {
       process: started.process,
       address: started.place,
       service,
-      failureDomain: this.pickDomain(same),
+      failureDomain: this.getDomain(same),
       state: 'live',
     };
     this.processes.push(started.process);
@@ -236,7 +251,9 @@
     const answer = await sendHttp(`http://${operator}/metrics`);
     let sum = 0;
     for (const line of answer.text.split('\n')) {
-      if (!line.startsWith(`${name} `) && !line.startsWith(`${name}{`)) continue;
+      if (!line.startsWith(`${name} `) && !line.startsWith(`${name}{`)) {
+        continue;
+      }
       sum += Number(line.slice(line.lastIndexOf(' ') + 1));
     }
     return sum;
@@ -275,32 +292,41 @@
     return answering.length >= length && loaded.length >= this.engines.length;
   }
 
-  private pickDomain(at: number): string {
+  private getDomain(at: number): string {
     const domains = this.options.failureDomains ?? ['a', 'b', 'c'];
     return domains[at % domains.length] ?? 'a';
   }
 }
 
+/** Starts a deployment in which nothing is declared yet. */
+export async function createBareDeployment(
+  options: DeploymentOptions,
+): Promise<Deployment> {
+  const {process, place} = await startProcess(
+    'platform',
+    [
+      ...['--platform-host-list-lag-ms', '200'],
+      ...(options.platformArgs ?? []),
+    ],
+    z.string(),
+  );
+  const deployment = new Deployment(options, process, place);
+  try {
+    await deployment.addAll();
+  } catch (thrown) {
+    await deployment.stop();
+    throw thrown;
+  }
+  return deployment;
+}
+
 /** Starts a deployment and waits until it serves. */
 export async function createDeployment(
   options: DeploymentOptions,
 ): Promise<Deployment> {
-  const {process, place} = await startProcess<string>('platform', [
-    ...['--platform-host-list-lag-ms', '200'],
-    ...(options.platformArgs ?? []),
-  ]);
-  const deployment = new Deployment(options, process, place);
+  const deployment = await createBareDeployment(options);
   try {
-    const engines = Array.from({length: options.engines}, () =>
-      deployment.addEndpoint('engine', ['--engine-models', NAMES.model]),
-    );
-    const plains = Array.from({length: options.plains ?? 0}, () =>
-      deployment.addEndpoint('plain'),
-    );
-    await Promise.all([...engines, ...plains]);
-    for (let at = 0; at < options.daemons; at++) await deployment.addDaemon();
-    await deployment.publishHosts();
-    await waitUntil('the first change is accepted', async () => {
+    await waitUntil('the base resources are accepted', async () => {
       const answers = await deployment.declare(BASE_RESOURCES);
       return answers.every((answer) => answer.status === 200);
     });
--- a/packages/testkit/src/http.ts
+++ b/packages/testkit/src/http.ts
@@ -40,6 +40,9 @@
 }
 
 /** Puts JSON. */
-export async function putJson(url: string, value: unknown): Promise<HttpAnswer> {
+export async function putJson(
+  url: string,
+  value: unknown,
+): Promise<HttpAnswer> {
   return sendHttp(url, {method: 'PUT', body: JSON.stringify(value)});
 }
--- a/packages/testkit/src/process.ts
+++ b/packages/testkit/src/process.ts
@@ -2,6 +2,7 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {createInterface} from 'node:readline';
 import {fileURLToPath} from 'node:url';
+import {z} from 'zod';
 
 /** The programs that tests start, by the package path of each. */
 export const PROGRAMS = {
@@ -15,10 +16,7 @@
 export type ProgramName = keyof typeof PROGRAMS;
 
 /** The first line that a started program prints. */
-export interface ReadyLine {
-  readonly ready: true;
-  readonly place: unknown;
-}
+const READY_SCHEMA = z.object({ready: z.literal(true), place: z.unknown()});
 
 /** How a process ended. */
 export interface ExitState {
@@ -82,11 +80,12 @@
 }
 
 /** Starts a program and waits for its ready line. */
-export async function startProcess<T>(
+export async function startProcess<S extends z.ZodType>(
   name: ProgramName,
   args: readonly string[],
+  schema: S,
   env: Readonly<Record<string, string>> = {},
-): Promise<{process: RunningProcess; place: T}> {
+): Promise<{process: RunningProcess; place: z.infer<S>}> {
   const child = spawn(process.execPath, [PROGRAMS[name], ...args], {
     stdio: ['ignore', 'pipe', 'pipe'],
     env: {...process.env, ...env},
@@ -106,8 +105,8 @@
     await running.kill();
     throw new Error(`${name} did not start: ${running.log}`);
   }
-  const ready = JSON.parse(line) as ReadyLine;
-  return {process: running, place: ready.place as T};
+  const ready = READY_SCHEMA.parse(JSON.parse(line));
+  return {process: running, place: schema.parse(ready.place)};
 }
 
 /** Runs a program to its end. */
--- a/packages/web/src/web_server.ts
+++ b/packages/web/src/web_server.ts
@@ -107,7 +107,10 @@
       );
     } catch (thrown) {
       const detail = getErrorText(thrown);
-      this.log.error('A handler failed.', {path: route.path, error: detail});
+      this.log.writeError('A handler failed.', {
+        path: route.path,
+        error: detail,
+      });
       sendError(response, WEB_ERRORS.create('internal', {detail}));
     }
   }
--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -11,7 +11,9 @@
       .filter((line) => line.trim() !== '' && !line.startsWith('#'))
   : [];
 if (known.length > MAX_KNOWN) {
-  console.error(`KNOWN-RED.txt has ${known.length} lines; ${MAX_KNOWN} at most.`);
+  console.error(
+    `KNOWN-RED.txt has ${known.length} lines; ${MAX_KNOWN} at most.`,
+  );
   process.exit(1);
 }
 const run = spawnSync('npm', ['test', '--silent'], {
@@ -24,7 +26,9 @@
 if (known.length === 0) process.exit(run.status ?? 1);
 
 // Names of failing tests that have no failing test below them.
-const failed = [...run.stdout.matchAll(/^\s*(?:✖|not ok \d+ -) (.+?)(?: \(.*ms\))?$/gm)]
+const failed = [
+  ...run.stdout.matchAll(/^\s*(?:✖|not ok \d+ -) (.+?)(?: \(.*ms\))?$/gm),
+]
   .map((match) => match[1])
   .filter((name) => name !== 'failing tests:');
 const names = known.map((line) => line.split(',')[0].trim());
