--- a/packages/daemon/src/services/peer_links.ts
+++ b/packages/daemon/src/services/peer_links.ts
@@ -33,7 +33,7 @@
 
 const MAX_QUEUED = 1000;
 const LINK_CHECK_MS = 250;
-const MAX_SEEDS = 2;
+const MAX_TRIED = 2;
 
 /** What is passed on; each field may be empty. */
 interface Passed {
@@ -124,18 +124,20 @@
   /** Opens and closes links so that they fit the members of now. */
   updateLinks(): void {
     const {view} = this.parts.membership;
+    const now = this.parts.clock.getNow();
     const targets = new Map<string, string>();
     for (const note of view.listWatchTargets()) {
       targets.set(note.peerAddress, note.hostId);
     }
-    for (const seed of view.listUnknownPeers().slice(0, MAX_SEEDS)) {
-      targets.set(seed, '');
+    for (const address of view.listPeersToTry(MAX_TRIED, now)) {
+      targets.set(address, '');
     }
+    const watched = [...targets.values()].filter((hostId) => hostId !== '');
+    view.setWatched(watched, now);
     for (const [address, link] of this.links) {
       if (!targets.has(address)) link.abort();
     }
-    for (const [address, hostId] of targets) {
-      if (hostId !== '') view.startWatch(hostId, this.parts.clock.getNow());
+    for (const address of targets.keys()) {
       if (!this.links.has(address)) this.openLink(address);
     }
   }
@@ -156,11 +158,9 @@
   private async runLink(address: string, signal: AbortSignal): Promise<void> {
     const {membership, log, clock} = this.parts;
     const client = new PeerClient(address);
-    let hostId = '';
     try {
       const own = membership.view.self;
       for await (const news of client.watch(own, signal)) {
-        hostId = news.heartbeat?.hostId ?? hostId;
         await this.apply(client, news);
       }
     } catch (thrown) {
@@ -168,8 +168,7 @@
       if (!signal.aborted) log.writeDebug('A link broke.', {address, error});
     }
     client.close();
-    if (signal.aborted) membership.view.endWatch(hostId);
-    else await clock.wait(LINK_CHECK_MS, signal);
+    await clock.wait(LINK_CHECK_MS, signal);
   }
 
   private async apply(client: PeerClient, news: PeerNews): Promise<void> {
--- a/packages/decisions/src/membership_view.ts
+++ b/packages/decisions/src/membership_view.ts
@@ -23,17 +23,20 @@
   forgetAfterMs: 600_000,
 };
 
+/** How long a peer that is tried has its turn, in milliseconds. */
+const TRY_TURN_MS = 1000;
+
 interface Member {
   note: MemberNote;
   /** When the present state was taken. */
   since: number;
-  /** When a heartbeat was last heard; for watched hosts only. */
-  heardAt: number | undefined;
 }
 
 /** The hosts as one host sees them. */
 export class MembershipView {
   private readonly members = new Map<string, Member>();
+  /** When the watched hosts were last heard. */
+  private heardAt = new Map<string, number>();
   private listed: ReadonlySet<string> = new Set<string>();
 
   constructor(
@@ -103,30 +106,35 @@
     return news;
   }
 
-  /** Gives listed peer addresses of which no host is known yet. */
-  listUnknownPeers(): string[] {
+  /**
+   * Gives peer addresses to try besides the watched hosts: those that the
+   * list shows and nobody spoke of, and those of dead hosts, as two sides of
+   * a partition hold each other for dead. They take turns.
+   */
+  listPeersToTry(count: number, now: number): string[] {
     const known = new Set(this.list().map((note) => note.peerAddress));
-    return [...this.listed].filter((address) => !known.has(address));
-  }
-
-  /** Begins to expect heartbeats from a host. */
-  startWatch(hostId: string, now: number): void {
-    const member = this.members.get(hostId);
-    if (member !== undefined) member.heardAt ??= now;
+    const unknown = [...this.listed].filter((address) => !known.has(address));
+    const dead = this.list().filter((note) => note.state === 'dead');
+    const peers = [...unknown, ...dead.map((note) => note.peerAddress)];
+    const first = Math.floor(now / TRY_TURN_MS) * count;
+    const turns = Array.from({length: Math.min(count, peers.length)});
+    return turns.flatMap((_, at) => peers[(first + at) % peers.length] ?? []);
+  }
+
+  /** Sets the hosts from which heartbeats are expected now. */
+  setWatched(hostIds: Iterable<string>, now: number): void {
+    const heardAt = new Map<string, number>();
+    for (const hostId of hostIds) {
+      heardAt.set(hostId, this.heardAt.get(hostId) ?? now);
+    }
+    this.heardAt = heardAt;
   }
 
-  /** Notes a heartbeat from a watched host. */
+  /** Notes a heartbeat from a host; it counts while the host is watched. */
   recordHeartbeat(hostId: string, incarnation: string, now: number): void {
     const member = this.members.get(hostId);
-    if (member === undefined) return;
-    if (member.note.incarnation !== incarnation) return;
-    member.heardAt = now;
-  }
-
-  /** Notes that a host is no longer watched from here. */
-  endWatch(hostId: string): void {
-    const member = this.members.get(hostId);
-    if (member !== undefined) member.heardAt = undefined;
+    if (member?.note.incarnation !== incarnation) return;
+    if (this.heardAt.has(hostId)) this.heardAt.set(hostId, now);
   }
 
   /**
@@ -162,12 +170,13 @@
   private take(note: MemberNote, now: number): MemberNote | undefined {
     const member = this.members.get(note.hostId);
     if (member === undefined) {
-      this.members.set(note.hostId, {note, since: now, heardAt: undefined});
+      this.members.set(note.hostId, {note, since: now});
       return note;
     }
     if (!isNewer(note, member.note)) return undefined;
+    // A new incarnation is given the whole time to be heard.
     if (note.incarnation !== member.note.incarnation) {
-      member.heardAt = undefined;
+      this.heardAt.delete(note.hostId);
     }
     if (note.state !== member.note.state) member.since = now;
     member.note = note;
@@ -195,7 +204,7 @@
       return inState < forgetAfterMs ? undefined : 'forget';
     }
     if (state === 'suspect') return inState >= deadAfterMs ? 'dead' : undefined;
-    const {heardAt} = member;
+    const heardAt = this.heardAt.get(member.note.hostId);
     if (heardAt === undefined) return undefined;
     return now - heardAt >= suspectAfterMs ? 'suspect' : undefined;
   }
--- /dev/null
+++ b/packages/decisions/tests/configuration_state.test.ts
@@ -0,0 +1,167 @@
+/** Configuration moves forward only, and ends the same on every host. */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  ConfigurationState,
+  decideServingRight,
+  isChangeAllowed,
+  type ContactState,
+  type ServingRight,
+} from '@irisdock/decisions';
+import type {Change} from '@irisdock/resources';
+import fc from 'fast-check';
+import {RUN_OPTIONS} from './run_options.js';
+
+function createChange(revision: number, deletes = false): Change {
+  const name = `t${revision % 4}`;
+  return {
+    revision,
+    operationId: `o${revision}`,
+    actor: 'tests',
+    at: revision,
+    action: deletes ? 'delete' : 'put',
+    kind: 'team',
+    name,
+    fromVersion: 0,
+    toVersion: deletes ? 0 : revision,
+    spec: deletes ? null : {weight: revision},
+  };
+}
+
+const CHANGES = Array.from({length: 12}, (_, at) =>
+  createChange(at + 1, at % 5 === 4),
+);
+
+/** The naive way: keep whatever came last for each name. */
+function applyNaively(deliveries: readonly Change[]): string {
+  const kept = new Map<string, unknown>();
+  for (const change of deliveries) {
+    if (change.action === 'delete') kept.delete(change.name);
+    else kept.set(change.name, change.spec);
+  }
+  return JSON.stringify([...kept].sort());
+}
+
+function formatState(state: ConfigurationState): string {
+  const entries = [...state.list()].map((r) => [r.name, r.spec]);
+  return JSON.stringify(entries.sort());
+}
+
+const IN_ORDER = applyNaively(CHANGES);
+
+describe('ConfigurationState', () => {
+  it('never goes back and ends right, however changes arrive', () => {
+    const deliveries = fc.array(fc.nat(CHANGES.length - 1), {maxLength: 60});
+    let naiveWrong = 0;
+    fc.assert(
+      fc.property(deliveries, (order) => {
+        const state = new ConfigurationState(100);
+        const given = order.flatMap((at) => CHANGES[at] ?? []);
+        for (const change of given) {
+          const before = state.revision;
+          state.applyChange(change);
+          assert.ok(state.revision >= before);
+        }
+        for (const change of CHANGES) state.applyChange(change);
+        assert.equal(formatState(state), IN_ORDER);
+        if (applyNaively([...given, ...CHANGES, ...given]) !== IN_ORDER) {
+          naiveWrong++;
+        }
+      }),
+      RUN_OPTIONS,
+    );
+    assert.ok(naiveWrong > 0, 'the naive way must go back in some run');
+  });
+
+  it('takes no snapshot older than what is in force', () => {
+    const state = new ConfigurationState(100);
+    for (const change of CHANGES) state.applyChange(change);
+    const old = {revision: 3, resources: []};
+    assert.equal(state.applySnapshot(old), 'old');
+    assert.equal(formatState(state), IN_ORDER);
+  });
+
+  it('gives the changes after a revision, or says that they are gone', () => {
+    const state = new ConfigurationState(5);
+    for (const change of CHANGES) state.applyChange(change);
+    const last = state.getChangesAfter(9);
+    assert.deepEqual(
+      last?.map((change) => change.revision),
+      [10, 11, 12],
+    );
+    assert.equal(state.getChangesAfter(3), undefined);
+    assert.deepEqual(state.getChangesAfter(12), []);
+  });
+
+  it('says that a change is missing', () => {
+    const state = new ConfigurationState(5);
+    assert.equal(state.applyChange(createChange(2)), 'gap');
+    assert.equal(state.applyChange(createChange(1)), 'applied');
+    assert.equal(state.applyChange(createChange(1)), 'old');
+  });
+});
+
+describe('decideServingRight', () => {
+  const base: ContactState = {
+    configured: true,
+    tableAgeMs: 100,
+    hostsHeard: 9,
+    hostsKnown: 9,
+    maxTableAgeMs: 8000,
+  };
+  const cases: readonly {
+    name: string;
+    state: Partial<ContactState>;
+    want: ServingRight;
+  }[] = [
+    {name: 'serves in touch with the table', state: {}, want: 'serve'},
+    {
+      name: 'serves on in an outage of the platform',
+      state: {tableAgeMs: 60_000, hostsHeard: 5},
+      want: 'serve_in_outage',
+    },
+    {
+      name: 'refuses when it is cut off',
+      state: {tableAgeMs: 60_000, hostsHeard: 4},
+      want: 'refuse_cut_off',
+    },
+    {
+      name: 'refuses without a configuration',
+      state: {configured: false},
+      want: 'refuse_no_configuration',
+    },
+    {
+      name: 'refuses with exactly half of the hosts',
+      state: {tableAgeMs: 60_000, hostsHeard: 4, hostsKnown: 8},
+      want: 'refuse_cut_off',
+    },
+  ];
+  for (const {name, state, want} of cases) {
+    it(name, () => {
+      assert.equal(decideServingRight({...base, ...state}), want);
+    });
+  }
+
+  it('never serves on one side what the other side changes', () => {
+    fc.assert(
+      fc.property(
+        fc.integer({min: 1, max: 30}),
+        fc.nat(30),
+        fc.nat(30),
+        (hostsKnown, a, b) => {
+          // Two sides of a partition; only side b reaches the table.
+          const sideA = Math.min(a, hostsKnown);
+          const sideB = Math.min(b, hostsKnown - sideA);
+          const cutOff = {...base, hostsKnown, tableAgeMs: 60_000};
+          const right = decideServingRight({...cutOff, hostsHeard: sideA});
+          const reaching = {...base, hostsKnown, hostsHeard: sideB};
+          if (isChangeAllowed(reaching)) assert.notEqual(right, 'serve');
+          if (isChangeAllowed(reaching)) {
+            assert.notEqual(right, 'serve_in_outage');
+          }
+        },
+      ),
+      RUN_OPTIONS,
+    );
+  });
+});
--- /dev/null
+++ b/packages/decisions/tests/limits.test.ts
@@ -0,0 +1,296 @@
+/** Limits in time: stalls, leases, retries, waits; and what is told when. */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {SeededRandom} from '@irisdock/kernel';
+import {
+  chooseAddresses,
+  computeRetryAfter,
+  GapStatistics,
+  LEASE_TIMES,
+  LeaseState,
+  planOrders,
+  RetryBudget,
+  STALL_BOUNDS,
+  WaitEstimate,
+  type LeaseRow,
+  type MemberNote,
+  type WantedLoads,
+} from '@irisdock/decisions';
+import fc from 'fast-check';
+import {RUN_OPTIONS} from './run_options.js';
+
+describe('GapStatistics', () => {
+  it('is at its most patient before it knows anything', () => {
+    const limits = new GapStatistics().getLimits(STALL_BOUNDS);
+    assert.equal(limits.probeMs, STALL_BOUNDS.maxProbeMs);
+    assert.equal(limits.lostMs, STALL_BOUNDS.maxLostMs);
+  });
+
+  it('stays within its bounds for any gaps', () => {
+    const gaps = fc.array(fc.double({min: 0, max: 1e6, noNaN: true}));
+    fc.assert(
+      fc.property(gaps, (list) => {
+        const statistics = new GapStatistics();
+        for (const gap of list) statistics.record(gap);
+        const {probeMs, lostMs} = statistics.getLimits(STALL_BOUNDS);
+        assert.ok(probeMs >= STALL_BOUNDS.minProbeMs);
+        assert.ok(probeMs <= STALL_BOUNDS.maxProbeMs);
+        assert.ok(lostMs > probeMs && lostMs <= STALL_BOUNDS.maxLostMs);
+      }),
+      RUN_OPTIONS,
+    );
+  });
+
+  it('asks fast engines sooner than slow ones', () => {
+    const [fast, slow] = [20, 90].map((usual) => {
+      const statistics = new GapStatistics();
+      for (let at = 0; at < 500; at++) statistics.record(usual + (at % 5));
+      return statistics.getLimits(STALL_BOUNDS).probeMs;
+    });
+    assert.ok((fast ?? 0) <= (slow ?? 0));
+  });
+});
+
+/** Two hosts and one lease row, on clocks that may stand still. */
+class LeasePlay {
+  row: LeaseRow | undefined;
+  readonly hosts = ['a', 'b'].map((name) => ({
+    state: new LeaseState(name, LEASE_TIMES),
+    clock: 0,
+  }));
+
+  takeTurn(at: number, loses: boolean): void {
+    const host = this.hosts[at];
+    if (host === undefined) return;
+    const read = this.row;
+    const step = host.state.decide(read, host.clock);
+    if (step.step === 'wait') return;
+    if (this.row !== read) return;
+    this.row = step.row;
+    if (!loses) host.state.recordWritten(step.row, host.clock);
+  }
+
+  listFences(): number[] {
+    return this.hosts.flatMap((host) => host.state.getFence(host.clock) ?? []);
+  }
+}
+
+describe('LeaseState', () => {
+  const turns = fc.array(
+    fc.record({
+      passes: fc.nat(4000),
+      host: fc.nat(1),
+      loses: fc.boolean(),
+    }),
+    {maxLength: 60},
+  );
+
+  it('has one holder at a time, also when answers are lost', () => {
+    fc.assert(
+      fc.property(turns, (list) => {
+        const play = new LeasePlay();
+        for (const {passes, host, loses} of list) {
+          for (const each of play.hosts) each.clock += passes;
+          play.takeTurn(host, loses);
+          assert.ok(play.listFences().length <= 1);
+        }
+      }),
+      RUN_OPTIONS,
+    );
+  });
+
+  it('gives every holder a higher number', () => {
+    fc.assert(
+      fc.property(turns, (list) => {
+        const play = new LeasePlay();
+        let highest = 0;
+        for (const {passes, host, loses} of list) {
+          for (const each of play.hosts) each.clock += passes;
+          play.takeTurn(host, loses);
+          const fence = play.row?.fence ?? 0;
+          assert.ok(fence >= highest);
+          highest = fence;
+        }
+      }),
+      RUN_OPTIONS,
+    );
+  });
+
+  it('passes from a dead holder to the next', () => {
+    const play = new LeasePlay();
+    play.takeTurn(0, false);
+    for (let at = 0; at < 20; at++) {
+      for (const each of play.hosts) each.clock += 1000;
+      play.takeTurn(1, false);
+    }
+    assert.equal(play.row?.holder, 'b');
+    assert.equal(play.row.fence, 2);
+  });
+});
+
+describe('RetryBudget', () => {
+  it('lets through a part of the tries', () => {
+    const options = {earnedPerTry: 0.2, most: 100, floorPerSecond: 0};
+    const budget = new RetryBudget(options);
+    let retries = 0;
+    for (let at = 0; at < 1000; at++) {
+      budget.addTry();
+      if (budget.takeRetry(0)) retries++;
+    }
+    // A fifth of the tries, and what it has at the start.
+    assert.ok(retries >= 200 && retries <= 211, String(retries));
+  });
+
+  it('lets a quiet host retry', () => {
+    const options = {earnedPerTry: 0, most: 10, floorPerSecond: 2};
+    const budget = new RetryBudget(options);
+    while (budget.takeRetry(0)) continue;
+    assert.equal(budget.takeRetry(400), false);
+    assert.equal(budget.takeRetry(1100), true);
+  });
+});
+
+describe('WaitEstimate', () => {
+  it('knows nothing before the first departure', () => {
+    assert.equal(new WaitEstimate().getWaitMs(5, 0), undefined);
+  });
+
+  it('follows the pace, and a pause', () => {
+    const estimate = new WaitEstimate();
+    estimate.startBusy(0);
+    for (let now = 100; now <= 5000; now += 100) estimate.recordTaken(now);
+    assert.equal(Math.round(estimate.getWaitMs(10, 5000) ?? 0), 1000);
+    assert.ok((estimate.getWaitMs(10, 8000) ?? 0) > 5000);
+  });
+
+  it('does not count time in which nobody waited', () => {
+    const estimate = new WaitEstimate();
+    estimate.startBusy(0);
+    estimate.recordTaken(100);
+    estimate.endBusy();
+    assert.equal(estimate.getWaitMs(1, 60_000), 100);
+  });
+});
+
+describe('computeRetryAfter', () => {
+  it('is a whole number from 1 to 60 for any wait', () => {
+    const waits = fc.oneof(fc.double({min: 0}), fc.constant(Infinity));
+    fc.assert(
+      fc.property(waits, fc.double({min: 0, max: 1, noNaN: true}), (ms, at) => {
+        if (Number.isNaN(ms)) return;
+        const seconds = computeRetryAfter(ms, at);
+        assert.ok(Number.isInteger(seconds));
+        assert.ok(seconds >= 1 && seconds <= 60);
+      }),
+      RUN_OPTIONS,
+    );
+  });
+});
+
+describe('chooseAddresses', () => {
+  const serving = Array.from({length: 9}, (_, at): MemberNote => {
+    const hostId = `h${at}`;
+    return {
+      hostId,
+      incarnation: '1',
+      sequence: 1,
+      state: 'live',
+      callerAddress: `${hostId}:1`,
+      peerAddress: `${hostId}:2`,
+      failureDomain: 'abc'[at % 3] ?? '',
+      revision: 0,
+    };
+  });
+
+  it("begins with the caller's failure domain and ends outside it", () => {
+    const random = new SeededRandom(3);
+    const {addresses} = chooseAddresses(serving, 'b', 10, random);
+    assert.equal(addresses[0]?.failureDomain, 'b');
+    assert.notEqual(addresses.at(-1)?.failureDomain, 'b');
+  });
+
+  it('spreads callers over the hosts', () => {
+    const random = new SeededRandom(3);
+    const first = new Map<string, number>();
+    for (let at = 0; at < 900; at++) {
+      const answer = chooseAddresses(serving, undefined, 10, random);
+      const address = answer.addresses[0]?.address ?? '';
+      first.set(address, (first.get(address) ?? 0) + 1);
+      assert.ok(answer.keepForSeconds >= 7 && answer.keepForSeconds <= 13);
+    }
+    assert.equal(first.size, 9);
+    assert.ok(Math.max(...first.values()) < 150);
+  });
+});
+
+describe('planOrders', () => {
+  function createWanted(change: Partial<WantedLoads> = {}): WantedLoads {
+    const endpoints = ['e1', 'e2', 'e3'].map((address) => ({
+      address,
+      models: [] as string[],
+      adapters: [],
+    }));
+    return {
+      service: 's',
+      models: ['m'],
+      adapters: [],
+      replicas: 0,
+      demand: 0,
+      endpoints,
+      ...change,
+    };
+  }
+
+  it('keeps to the number of loads', () => {
+    assert.equal(planOrders([createWanted()], 2).length, 2);
+  });
+
+  it('serves first what requests wait for', () => {
+    const busy = createWanted({service: 'busy', models: ['n'], demand: 50});
+    const orders = planOrders([createWanted(), busy], 1);
+    assert.equal(orders[0]?.target, 'n');
+  });
+
+  it('loads as many as are wanted, on those that have it first', () => {
+    const endpoints = ['e1', 'e2', 'e3'].map((address) => ({
+      address,
+      models: address === 'e3' ? ['m'] : [],
+      adapters: [],
+    }));
+    const orders = planOrders([createWanted({replicas: 2, endpoints})], 9);
+    assert.deepEqual(
+      orders.map((order) => order.address),
+      ['e1'],
+    );
+  });
+
+  it('comes to rest where everything is as wanted', () => {
+    const start = fc.array(fc.subarray(['m', 'n', 'o']), {maxLength: 5});
+    fc.assert(
+      fc.property(start, fc.nat(5), (models, replicas) => {
+        const loaded = models.map((list) => new Set(list));
+        const createNow = (): WantedLoads =>
+          createWanted({
+            replicas,
+            endpoints: loaded.map((set, at) => ({
+              address: `e${at}`,
+              models: [...set],
+              adapters: [],
+            })),
+          });
+        for (let round = 0; round < 30; round++) {
+          for (const order of planOrders([createNow()], 1)) {
+            const set = loaded[Number(order.address.slice(1))];
+            if (order.action === 'load_model') set?.add(order.target);
+            else set?.delete(order.target);
+          }
+        }
+        const count = replicas === 0 ? loaded.length : replicas;
+        const have = loaded.filter((set) => set.has('m')).length;
+        assert.equal(have, Math.min(count, loaded.length));
+        assert.ok(loaded.every((set) => !set.has('n') && !set.has('o')));
+      }),
+      RUN_OPTIONS,
+    );
+  });
+});
--- /dev/null
+++ b/packages/decisions/tests/signed_texts.test.ts
@@ -0,0 +1,85 @@
+/** Ids and resume data: what was signed comes back, what was not does not. */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  createRequestId,
+  createResumeData,
+  readRequestId,
+  readResumeData,
+  REQUEST_ID_PATTERN,
+  Signer,
+} from '@irisdock/decisions';
+import fc from 'fast-check';
+import {RUN_OPTIONS} from './run_options.js';
+
+const SIGNER = new Signer('a key for tests only');
+const PLAIN = {noNullPrototype: true};
+const MINTED = fc.record(
+  {
+    hostId: fc.stringMatching(/^[a-z0-9.:]{1,20}$/),
+    incarnation: fc.stringMatching(/^[a-z0-9]{13}$/),
+    mintedAt: fc.nat(2 ** 31 - 1),
+    serial: fc.nat(2 ** 31 - 1),
+  },
+  PLAIN,
+);
+const RESUME = fc.record(
+  {
+    request: fc.string({maxLength: 100}),
+    generation: fc.integer({min: 1, max: 2 ** 40}),
+    endpoint: fc.string({maxLength: 40}),
+    digest: fc.string({maxLength: 40}),
+  },
+  PLAIN,
+);
+
+describe('request ids', () => {
+  it('come back as they were minted and fit a header', () => {
+    fc.assert(
+      fc.property(MINTED, (minted) => {
+        const id = createRequestId(minted, SIGNER);
+        assert.match(id, REQUEST_ID_PATTERN);
+        const read = readRequestId(id, SIGNER);
+        assert.deepEqual(read, {origin: 'minted', id, minted});
+      }),
+      RUN_OPTIONS,
+    );
+  });
+
+  it('are forged when one letter differs or the key does', () => {
+    fc.assert(
+      fc.property(MINTED, fc.nat(), (minted, seed) => {
+        const id = createRequestId(minted, SIGNER);
+        const at = 3 + (seed % (id.length - 3));
+        const letter = id[at] === 'q' ? 'r' : 'q';
+        const changed = id.slice(0, at) + letter + id.slice(at + 1);
+        assert.equal(readRequestId(changed, SIGNER).origin, 'forged');
+        const other = new Signer('another key for tests');
+        assert.equal(readRequestId(id, other).origin, 'forged');
+      }),
+      RUN_OPTIONS,
+    );
+  });
+});
+
+describe('resume data', () => {
+  it('comes back as it was given', () => {
+    fc.assert(
+      fc.property(RESUME, (data) => {
+        const text = createResumeData(data, SIGNER);
+        const read = readResumeData(text, SIGNER);
+        assert.deepEqual(read._unsafeUnwrap(), data);
+      }),
+      RUN_OPTIONS,
+    );
+  });
+
+  it('is refused when it is anything else', () => {
+    fc.assert(
+      fc.property(fc.string(), (text) => {
+        assert.ok(readResumeData(text, SIGNER).isErr());
+      }),
+      RUN_OPTIONS,
+    );
+  });
+});
--- a/packages/resources/src/config_file.ts
+++ b/packages/resources/src/config_file.ts
@@ -2,6 +2,7 @@
  * Configuration files: YAML (and so JSON) documents, one resource each. Every
  * fault is reported with its line and column, all of them at once.
  */
+import {getErrorText} from '@irisdock/kernel';
 import {err, ok, type Result} from 'neverthrow';
 import {LineCounter, parseAllDocuments, type Document} from 'yaml';
 import {z} from 'zod';
@@ -55,7 +56,7 @@
       this.addFault(error.pos[0], error.message.split('\n')[0] ?? '');
     }
     if (document.errors.length > 0) return undefined;
-    const value: unknown = document.toJS();
+    const value = this.readValue(document);
     // A document without content, as after a last `---`, declares nothing.
     if (value === null || value === undefined) return undefined;
     const parsed = DECLARATION_SCHEMA.safeParse(value);
@@ -71,6 +72,17 @@
     return undefined;
   }
 
+  /** Gives a document's value; an alias to nothing is a fault. */
+  private readValue(document: Document): unknown {
+    try {
+      return document.toJS() as unknown;
+    } catch (thrown) {
+      const offset = getOffset(document.contents) ?? 0;
+      this.addFault(offset, getErrorText(thrown));
+      return undefined;
+    }
+  }
+
   private checkTwice(document: Document, key: string): void {
     const offset = document.contents?.range?.[0] ?? 0;
     const before = this.places.get(key);
