Test the promises with processes, bad input and the command line

Cause: the promises were proved for the decisions only. Found on the way: roarr writes nothing unless its variable is set before it is loaded, so the daemon logged nothing (test 'end at once at a second signal').

The logger's variable is set in a module that is loaded first.

Conclusion: mended; a kernel test holds the logger to it.

--- a/demo/src/demo.ts
+++ b/demo/src/demo.ts
@@ -7,8 +7,10 @@
 import {
   createCallerState,
   getJson,
+  readEndpoint,
   runProcess,
   streamOnce,
+  type AddressAnswer,
   type CallerState,
   type CompletionAsk,
   type Deployment,
@@ -26,10 +28,6 @@
   readonly tokensRedone: number;
 }
 
-interface AddressAnswer {
-  readonly addresses: readonly {address: string; requestIds: string[]}[];
-}
-
 interface Streamed {
   readonly state: CallerState;
   readonly report: TextReport;
@@ -123,13 +121,6 @@
   };
 }
 
-/** Reads the engine's address out of the resume data. */
-function readEndpoint(state: CallerState): string {
-  const body = state.resume.split('.')[0] ?? '';
-  const json = Buffer.from(body, 'base64url').toString('utf8');
-  return (JSON.parse(json) as {e: string}).e;
-}
-
 /** Tokens that live engines made beyond those of theirs in the answer. */
 async function countRedone(
   deployment: Deployment,
--- a/packages/kernel/src/log.ts
+++ b/packages/kernel/src/log.ts
@@ -3,6 +3,7 @@
  * part of the system has a fixed prefix, given as `part`, and writes short
  * sentences; what varies goes into fields.
  */
+import './roarr_switch.js';
 import {Roarr, ROARR} from 'roarr';
 
 /** Fields of a log line. */
--- a/packages/kernel/tests/kernel.test.ts
+++ b/packages/kernel/tests/kernel.test.ts
@@ -19,6 +19,7 @@
   type ServiceKey,
 } from '@irisdock/kernel';
 import {Registry} from 'prom-client';
+import {ROARR} from 'roarr';
 import {z} from 'zod';
 
 const LOG = new RoarrLogger('tests', 'off');
@@ -237,3 +238,25 @@
     assert.deepEqual([...(one ?? [])].sort(), items);
   });
 });
+
+describe('RoarrLogger', () => {
+  it('writes a line of its level, with its part, and none below', () => {
+    const lines: string[] = [];
+    const {write} = ROARR;
+    ROARR.write = (line) => {
+      lines.push(line);
+    };
+    const log = new RoarrLogger('daemon', 'info').createPart('part');
+    log.writeDebug('Not seen.');
+    log.writeInfo('100 % seen.', {count: 3});
+    ROARR.write = write;
+    assert.equal(lines.length, 1);
+    const line = JSON.parse(lines[0] ?? '') as {
+      message: string;
+      context: {part: string; count: number};
+    };
+    assert.equal(line.message, 'part: 100 % seen.');
+    assert.equal(line.context.part, 'part');
+    assert.equal(line.context.count, 3);
+  });
+});
--- a/packages/testkit/src/deployment.ts
+++ b/packages/testkit/src/deployment.ts
@@ -43,6 +43,16 @@
   readonly failureDomains?: readonly string[];
 }
 
+/** What `GET /v1/addresses` answers. */
+export interface AddressAnswer {
+  readonly addresses: readonly {
+    readonly address: string;
+    readonly failureDomain: string;
+    readonly requestIds: readonly string[];
+  }[];
+  readonly keepForSeconds: number;
+}
+
 /** Counts of one request on an engine. */
 export interface EngineCounts {
   readonly starts: number;
@@ -80,6 +90,7 @@
 export class Deployment {
   readonly daemons: DaemonNode[] = [];
   readonly endpoints: EndpointNode[] = [];
+  private serial = 0;
   private readonly processes: RunningProcess[] = [];
 
   constructor(
@@ -165,7 +176,8 @@
   ): Promise<EndpointNode> {
     const service = program === 'engine' ? NAMES.service : NAMES.plain;
     const same = this.endpoints.filter((e) => e.service === service).length;
-    const name = program === 'engine' ? ['--engine-name', `e${same}`] : [];
+    const name =
+      program === 'engine' ? ['--engine-name', `e${this.serial++}`] : [];
     const extra = program === 'engine' ? (this.options.engineArgs ?? []) : [];
     const started = await startProcess(
       program,
@@ -184,10 +196,24 @@
     return node;
   }
 
+  /** Starts engines until so many live, and waits until all are used. */
+  async addEnginesUntil(count: number): Promise<void> {
+    const live = this.engines.filter((engine) => !engine.process.isExited);
+    for (let at = live.length; at < count; at++) {
+      await this.addEndpoint('engine', ['--engine-models', NAMES.model]);
+    }
+    for (let at = this.endpoints.length - 1; at >= 0; at--) {
+      if (this.endpoints[at]?.process.isExited) this.endpoints.splice(at, 1);
+    }
+    await this.publishHosts();
+    await this.waitReady();
+  }
+
   /** Gives the platform the list of hosts as they are. */
   async publishHosts(): Promise<void> {
+    const running = this.daemons.filter((d) => !d.process.isExited);
     const hosts = [
-      ...this.daemons.map(({places, failureDomain}) => ({
+      ...running.map(({places, failureDomain}) => ({
         address: places.peer,
         role: 'entry',
         failureDomain,
@@ -262,6 +288,7 @@
   /** Waits until every daemon is ready and sees all endpoints answer. */
   async waitReady(): Promise<void> {
     for (const daemon of this.daemons) {
+      if (daemon.process.isExited) continue;
       await waitUntil(`${daemon.places.operator} is ready`, () =>
         this.isReady(daemon),
       );
@@ -284,7 +311,8 @@
       }[];
     }>(`http://${operator}/v1/status`);
     const live = status.hosts.filter((host) => host.state === 'live');
-    if (live.length < this.daemons.length) return false;
+    const running = this.daemons.filter((d) => !d.process.isExited);
+    if (live.length < running.length) return false;
     const seen = status.services.flatMap((service) => service.endpoints);
     const loaded = seen.filter((e) => e.models.includes(NAMES.model));
     const answering = seen.filter((e) => e.answering);
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -3,4 +3,5 @@
 export * from './deployment.js';
 export * from './http.js';
 export * from './process.js';
+export * from './resume_data.js';
 export * from './wait.js';
--- /dev/null
+++ b/packages/testkit/tests/command_line.test.ts
@@ -0,0 +1,196 @@
+/** The operators' command line against a running deployment. */
+import assert from 'node:assert/strict';
+import {after, before, describe, it} from 'node:test';
+import {
+  createDeployment,
+  NAMES,
+  runProcess,
+  type Deployment,
+} from '@irisdock/testkit';
+
+const TEAM_FILE = 'kind: team\nname: press\nspec:\n  weight: 3\n';
+
+interface Case {
+  readonly name: string;
+  readonly args: readonly string[];
+  readonly input?: string;
+  readonly code: number;
+  readonly output?: RegExp;
+  readonly error?: RegExp;
+}
+
+const CASES: readonly Case[] = [
+  {
+    name: 'applies a file',
+    args: ['apply', '-f', '-'],
+    input: TEAM_FILE,
+    code: 0,
+    output: /^team\/press created$/m,
+  },
+  {
+    name: 'leaves alone what is as declared',
+    args: ['apply', '-f', '-'],
+    input: TEAM_FILE,
+    code: 0,
+    output: /^team\/press unchanged$/m,
+  },
+  {
+    name: 'says what a dry run would do',
+    args: ['apply', '-f', '-', '--dry-run'],
+    input: TEAM_FILE.replace('3', '4'),
+    code: 0,
+    output: /^team\/press changed \(dry run\)$/m,
+  },
+  {
+    name: 'gets a resource as JSON',
+    args: ['get', 'team', 'press', '-o', 'json'],
+    code: 0,
+    output: /"weight": 3/,
+  },
+  {
+    name: 'lists a kind as a table',
+    args: ['list', 'team'],
+    code: 0,
+    output: /^KIND +NAME +VERSION\nteam +atlas +\d+\nteam +press +\d+$/m,
+  },
+  {
+    name: 'shows the status',
+    args: ['status'],
+    code: 0,
+    output: /^host +\S+ +a +live +revision \d+$/m,
+  },
+  {
+    name: 'shows the trail',
+    args: ['audit', '--limit', '50'],
+    code: 0,
+    output: /tester +put +team\/press +0 +\d+$/m,
+  },
+  {
+    name: 'watches changes from a revision on',
+    args: ['watch', 'team', '--after', '0', '--count', '1'],
+    code: 0,
+    output: /put team\/atlas 0 -> \d+$/m,
+  },
+  {
+    name: 'gives the place of a fault and sends nothing',
+    args: ['apply', '-f', '-'],
+    input: `${TEAM_FILE}---\nkind: team\nname: x\nspec: {weight: 0}\n`,
+    code: 2,
+    error: /^-:8:16: spec.weight: /m,
+  },
+  {
+    name: 'refuses a delete at another version',
+    args: ['delete', 'team', 'press', '--version', '1'],
+    code: 4,
+    error: /is at version \d+, not 1/,
+  },
+  {
+    name: 'deletes',
+    args: ['delete', 'team', 'press'],
+    code: 0,
+    output: /^team\/press deleted$/m,
+  },
+  {
+    name: 'says that something is not there',
+    args: ['get', 'team', 'press'],
+    code: 1,
+    error: /There is no team\/press/,
+  },
+  {
+    name: 'is refused what others refer to',
+    args: ['delete', 'modelVersion', NAMES.model],
+    code: 1,
+    error: /still referred to by service/,
+  },
+  {
+    name: 'names the kinds',
+    args: ['list', 'teams'],
+    code: 2,
+    error: /one of: service, modelVersion/,
+  },
+  {
+    name: 'does not know a flag',
+    args: ['list', 'team', '--colour'],
+    code: 2,
+    error: /--colour/,
+  },
+  {
+    name: 'does not know a command',
+    args: ['put'],
+    code: 2,
+    error: /There is no command put/,
+  },
+  {
+    name: 'cannot read a file that is not there',
+    args: ['apply', '-f', 'no-such-file.yaml'],
+    code: 2,
+    error: /cannot be read/,
+  },
+  {name: 'shows help', args: ['--help'], code: 0, output: /Exit codes:/},
+  {
+    name: 'shows help on a command',
+    args: ['apply', '--help'],
+    code: 0,
+    output: /--dry-run/,
+  },
+];
+
+describe('irisdock', () => {
+  let deployment: Deployment;
+
+  before(async () => {
+    deployment = await createDeployment({daemons: 1, engines: 1});
+  });
+  after(async () => {
+    await deployment.stop();
+  });
+
+  for (const {name, args, input, code, output, error} of CASES) {
+    it(name, async () => {
+      const {operator} = deployment.getDaemon(0).places;
+      const common = args[0]?.startsWith('-')
+        ? []
+        : ['--server', operator, '--actor', 'tester'];
+      const run = await runProcess('irisdock', [...args, ...common], input);
+      assert.equal(run.code, code, run.stdout + run.stderr);
+      if (output !== undefined) assert.match(run.stdout, output);
+      if (error !== undefined) assert.match(run.stderr, error);
+    });
+  }
+
+  it('tries the next server, and says when none answers', async () => {
+    const {operator} = deployment.getDaemon(0).places;
+    const dead = '127.0.0.1:1';
+    const servers = `${dead},${operator}`;
+    const next = await runProcess('irisdock', ['list', 'team', '-s', servers]);
+    assert.equal(next.code, 0);
+    const none = await runProcess('irisdock', ['list', 'team', '-s', dead]);
+    assert.equal(none.code, 3);
+    assert.match(none.stderr, /--server/);
+  });
+});
+
+describe('irisdockd', () => {
+  it('does not start with wrong settings, and names all faults', async () => {
+    const run = await runProcess('irisdockd', [
+      ...['--listen-callers', 'localhost:80', '--endpoints-poll-ms', '1'],
+      ...['--platform-address', '127.0.0.1:1'],
+    ]);
+    assert.equal(run.code, 2);
+    for (const flag of [
+      '--listen-callers',
+      '--endpoints-poll-ms',
+      '--host-failure-domain',
+      '--host-cluster-key',
+    ]) {
+      assert.match(run.stderr, new RegExp(flag));
+    }
+  });
+
+  it('shows every setting with unit, default and variable', async () => {
+    const run = await runProcess('irisdockd', ['--help']);
+    assert.equal(run.code, 0);
+    assert.match(run.stdout, /--endpoints-poll-ms <ms>/);
+    assert.match(run.stdout, /IRISDOCK_ENDPOINTS_POLL_MS/);
+  });
+});
