Bound the wait for a resumed stream; archive old changes; write the docs

Change: the wait for a first token follows those of the service (three times what is usual, 2 s at least); an engine little known takes the limits of its service; one missed look is enough after another host's hint; a stall counts five times as much against an engine as a loss. Old changes move to the object store in batches. A take-over finds an engine outside the host's subset. Chunks of an answer are formatted from parts made once. Docs, reference pages and their tests.

--- a/bench/src/bench.ts
+++ b/bench/src/bench.ts
@@ -16,7 +16,14 @@
 export interface Bench {
   readonly name: string;
   readonly description: string;
-  run(): Promise<BenchResult>;
+  /**
+   * @param printRow Shows a row as soon as it is there.
+   * @param words What came after the name on the command line.
+   */
+  run(
+    printRow: (row: ResultRow) => void,
+    words: readonly string[],
+  ): Promise<BenchResult>;
 }
 
 /** Declares a measurement; every file under benches/ calls this once. */
@@ -25,9 +32,14 @@
 }
 
 /** Runs a measurement, prints its table and writes it as JSON. */
-export async function runBench(bench: Bench): Promise<void> {
+export async function runBench(
+  bench: Bench,
+  words: readonly string[],
+): Promise<void> {
   process.stdout.write(`${bench.name}: ${bench.description}\n`);
-  const result = await bench.run();
+  const result = await bench.run((row) => {
+    process.stdout.write(`${JSON.stringify(row)}\n`);
+  }, words);
   process.stdout.write(`${formatTable(result.rows)}\n`);
   for (const note of result.notes) process.stdout.write(`note: ${note}\n`);
   const machine = {
--- a/bench/src/bench_table.ts
+++ b/bench/src/bench_table.ts
@@ -1,6 +1,20 @@
 /** All measurements. */
 import type {Bench} from './bench.js';
+import {CONTROL_BENCH} from './benches/control.js';
+import {FAIRNESS_BENCH} from './benches/fairness.js';
 import {OVERHEAD_BENCH} from './benches/overhead.js';
+import {OVERLOAD_BENCH} from './benches/overload.js';
+import {PREFIX_BENCH} from './benches/prefix.js';
+import {RESUME_BENCH} from './benches/resume.js';
+import {STALLS_BENCH} from './benches/stalls.js';
 
 /** All measurements, in the order of help. */
-export const BENCHES: readonly Bench[] = [OVERHEAD_BENCH];
+export const BENCHES: readonly Bench[] = [
+  OVERHEAD_BENCH,
+  RESUME_BENCH,
+  STALLS_BENCH,
+  FAIRNESS_BENCH,
+  OVERLOAD_BENCH,
+  PREFIX_BENCH,
+  CONTROL_BENCH,
+];
--- a/bench/src/benches/overhead.ts
+++ b/bench/src/benches/overhead.ts
@@ -71,8 +71,8 @@
       }),
     });
     let isFirst = true;
-    for await (const part of answer.body) {
-      void part;
+    for await (const part of answer.body as AsyncIterable<Buffer>) {
+      if (part.length === 0) continue;
       if (isFirst) firstMs.push(Date.now() - startedAt);
       isFirst = false;
     }
--- a/bench/src/statistics.ts
+++ b/bench/src/statistics.ts
@@ -35,7 +35,9 @@
 }
 
 /** Fits a line. */
-export function computeLine(points: readonly (readonly [number, number])[]): Line {
+export function computeLine(
+  points: readonly (readonly [number, number])[],
+): Line {
   const count = points.length;
   const meanX = points.reduce((sum, [x]) => sum + x, 0) / count;
   const meanY = points.reduce((sum, [, y]) => sum + y, 0) / count;
--- a/demo/src/demo.ts
+++ b/demo/src/demo.ts
@@ -127,12 +127,12 @@
   state: CallerState,
 ): Promise<number> {
   let redone = 0;
-  for (const [at, engine] of deployment.engines.entries()) {
+  for (const engine of deployment.engines) {
     if (engine.process.isExited) continue;
     const url = `http://${engine.address}/control/counts`;
     const counts = await getJson<Record<string, EngineCounts>>(url);
     const made = counts[state.requestId]?.tokens ?? 0;
-    const passed = state.text.split(`.e${at}.`).length - 1;
+    const passed = state.text.split(`.${engine.name}.`).length - 1;
     redone += made - passed;
   }
   return redone;
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -103,6 +103,10 @@
       globals: {console: 'readonly', process: 'readonly', URL: 'readonly'},
     },
   },
+  {
+    files: ['**/*.js', '**/*.mjs'],
+    rules: {'@typescript-eslint/explicit-function-return-type': 'off'},
+  },
   // The linter's own file is read only by its default export.
   {files: ['eslint.config.js'], rules: {'no-restricted-syntax': 'off'}},
 );
--- a/packages/daemon/src/answer/answer_driver.ts
+++ b/packages/daemon/src/answer/answer_driver.ts
@@ -218,7 +218,9 @@
     if (!unsent) record.mayHaveRun = true;
     const superseded = lost && result.loss === 'superseded';
     const neutral = refused || superseded || result.kind === 'stopped';
-    endpoint.endRequest(neutral ? 'neutral' : lost ? 'lost' : 'done');
+    const stalled = lost && result.loss === 'stalled';
+    const failed = stalled ? 'stalled' : lost ? 'lost' : 'done';
+    endpoint.endRequest(neutral ? 'neutral' : failed);
     return result;
   }
 
--- a/packages/daemon/src/answer/answer_leg.ts
+++ b/packages/daemon/src/answer/answer_leg.ts
@@ -30,7 +30,8 @@
 /** How patient a leg is. */
 export interface LegOptions {
   readonly bounds: StallBounds;
-  /** The longest wait for the first token while the engine answers, in ms. */
+  /** Bounds on the wait for a first token while the engine answers, in ms. */
+  readonly minFirstTokenMs: number;
   readonly firstTokenMs: number;
   /** The longest that an engine may take to answer a probe, in ms. */
   readonly probeTimeoutMs: number;
@@ -68,15 +69,19 @@
   private readonly watch: StallWatch;
   private stall: StallKind | undefined;
   private hasToken = false;
+  private firstTokenMs: number;
+  private promptChars = 0;
 
   constructor(private readonly parts: LegParts) {
     const {clock, engine, options} = parts;
+    this.firstTokenMs = options.firstTokenMs;
     this.watch = new StallWatch({
       clock,
       getLimits: () => {
-        const limits = parts.endpoint.gaps.getLimits(options.bounds);
+        const {gaps, serviceGaps} = parts.endpoint;
+        const limits = serviceGaps.getLimits(gaps, options.bounds);
         if (this.hasToken) return limits;
-        return {...limits, lostMs: options.firstTokenMs};
+        return {...limits, lostMs: this.firstTokenMs};
       },
       probe: async () => {
         const load = await engine.getLoad(options.probeTimeoutMs);
@@ -94,7 +99,7 @@
     const {engine, stop, metrics} = this.parts;
     if (stop.aborted) return STOPPED;
     metrics.orders.inc({mode: order.mode});
-    this.watch.start();
+    this.startWatch(order);
     const cancel = (): void => {
       this.abort.abort();
     };
@@ -110,6 +115,28 @@
     }
   }
 
+  private startWatch(order: StreamOrder): void {
+    const {minFirstTokenMs, firstTokenMs} = this.parts.options;
+    const {serviceGaps} = this.parts.endpoint;
+    this.promptChars = order.prompt.length + order.received.length;
+    this.firstTokenMs = serviceGaps.getFirstTokenLimit(
+      this.promptChars,
+      minFirstTokenMs,
+      firstTokenMs,
+    );
+    this.watch.start();
+  }
+
+  private recordGap(gapMs: number): void {
+    const {gaps, serviceGaps} = this.parts.endpoint;
+    if (!this.hasToken) {
+      serviceGaps.recordFirstToken(gapMs, this.promptChars);
+      return;
+    }
+    gaps.record(gapMs);
+    serviceGaps.recordGap(gapMs);
+  }
+
   private async read(stream: EngineStream): Promise<LegResult> {
     try {
       for await (const batch of stream.batches) {
@@ -128,7 +155,7 @@
     batch: readonly StreamEvent[],
   ): Promise<LegResult | undefined> {
     const gapMs = this.watch.markActive();
-    if (this.hasToken) this.parts.endpoint.gaps.record(gapMs);
+    this.recordGap(gapMs);
     const passed: PassedToken[] = [];
     let result: LegResult | undefined;
     for (const event of batch) {
--- a/packages/daemon/src/answer/completion_format.ts
+++ b/packages/daemon/src/answer/completion_format.ts
@@ -8,17 +8,33 @@
   readonly created: number;
 }
 
-/** Formats one token of a stream; `resume` is new resume data, if any. */
-export function formatChunk(
-  head: CompletionHead,
-  text: string,
-  resume: string | undefined,
-): string {
-  return JSON.stringify({
-    ...createBase(head),
-    choices: [{index: 0, text, logprobs: null, finish_reason: null}],
-    ...(resume === undefined ? {} : {irisdock: {resume}}),
-  });
+// Cannot be in an id or a service's name.
+const MARK = '\u0000';
+
+/** Formats the tokens of one answer; what its chunks share is made once. */
+export class ChunkFormat {
+  private readonly before: string;
+  private readonly after: string;
+
+  constructor(private readonly head: CompletionHead) {
+    const chunk = JSON.stringify(createChunk(head, MARK));
+    const [before, after] = chunk.split(JSON.stringify(MARK));
+    this.before = before ?? '';
+    this.after = after ?? '';
+  }
+
+  /** Formats one token. */
+  formatToken(text: string): string {
+    return this.before + JSON.stringify(text) + this.after;
+  }
+
+  /** Formats one token together with new resume data. */
+  formatWithResume(text: string, resume: string): string {
+    return JSON.stringify({
+      ...createChunk(this.head, text),
+      irisdock: {resume},
+    });
+  }
 }
 
 /** Formats the last event before `[DONE]`. */
@@ -48,6 +64,16 @@
   };
 }
 
+function createChunk(
+  head: CompletionHead,
+  text: string,
+): Record<string, unknown> {
+  return {
+    ...createBase(head),
+    choices: [{index: 0, text, logprobs: null, finish_reason: null}],
+  };
+}
+
 function createBase(head: CompletionHead): Record<string, unknown> {
   const {id, model, created} = head;
   return {id, object: 'text_completion', created, model};
--- a/packages/daemon/src/answer/event_sink.ts
+++ b/packages/daemon/src/answer/event_sink.ts
@@ -5,7 +5,7 @@
 import type {AnswerEnd, AnswerSink, PassedToken} from './answer_sink.js';
 import {createCallerSignal} from './caller_signal.js';
 import {
-  formatChunk,
+  ChunkFormat,
   formatEndChunk,
   type CompletionHead,
 } from './completion_format.js';
@@ -14,6 +14,7 @@
 /** A caller's stream. */
 export class EventSink implements AnswerSink {
   readonly signal: AbortSignal;
+  private readonly format: ChunkFormat;
   private resume: string | undefined;
 
   constructor(
@@ -21,6 +22,7 @@
     private readonly head: CompletionHead,
   ) {
     this.signal = createCallerSignal(response);
+    this.format = new ChunkFormat(head);
   }
 
   setResume(resumeData: string): void {
@@ -35,8 +37,7 @@
   async write(tokens: readonly PassedToken[]): Promise<void> {
     let wire = '';
     for (const {offset, text} of tokens) {
-      const data = formatChunk(this.head, text, this.resume);
-      this.resume = undefined;
+      const data = this.formatToken(text);
       wire += formatEvent({id: offset, data});
     }
     if (this.response.write(wire) || this.signal.aborted) return;
@@ -65,4 +66,11 @@
     const data = JSON.stringify({error: formatError(error)});
     this.response.end(formatEvent({event: 'error', data}));
   }
+
+  private formatToken(text: string): string {
+    const {resume} = this;
+    if (resume === undefined) return this.format.formatToken(text);
+    this.resume = undefined;
+    return this.format.formatWithResume(text, resume);
+  }
 }
--- a/packages/daemon/src/configuration/table_rows.ts
+++ b/packages/daemon/src/configuration/table_rows.ts
@@ -37,6 +37,29 @@
   return `irisdock/lease/${name}`;
 }
 
+/** How many changes an archive object holds; the same on all hosts. */
+export const ARCHIVE_BATCH = 100;
+/** The row that tells how far the archive reaches. */
+export const ARCHIVE_KEY = 'irisdock/archive';
+const ARCHIVE_SCHEMA = z.object({through: z.number().int().min(0)});
+
+/** Gives the name of the object that holds a revision's change. */
+export function getArchiveObjectName(revision: number): string {
+  const first = revision - ((revision - 1) % ARCHIVE_BATCH);
+  return `irisdock/changes/${String(first).padStart(DIGITS, '0')}`;
+}
+
+/** Creates the value of the archive's row. */
+export function createArchiveRow(through: number): string {
+  return JSON.stringify({through});
+}
+
+/** Reads how far the archive reaches; 0 when there is none yet. */
+export function readArchived(row: TableRow | undefined): number {
+  if (row === undefined) return 0;
+  return ARCHIVE_SCHEMA.parse(JSON.parse(row.value)).through;
+}
+
 /** The range of all resources. */
 export const RESOURCE_RANGE = {
   from: 'irisdock/resource/',
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -14,6 +14,7 @@
 import {collectDefaultMetrics, Registry} from 'prom-client';
 import {z} from 'zod';
 import {ADMISSION_SERVICE} from './services/admission.js';
+import {ARCHIVE_SERVICE} from './services/archive.js';
 import {CALLERS_SERVICE} from './services/callers.js';
 import {CONFIGURATION_SERVICE} from './services/configuration.js';
 import {READER_SERVICE} from './services/configuration_reader.js';
@@ -48,6 +49,7 @@
   STREAMS_SERVICE,
   PLAIN_CALLS_SERVICE,
   ORDERS_SERVICE,
+  ARCHIVE_SERVICE,
   CALLERS_SERVICE,
   OPERATORS_SERVICE,
 ];
--- a/packages/daemon/src/endpoint/endpoint_record.ts
+++ b/packages/daemon/src/endpoint/endpoint_record.ts
@@ -3,6 +3,7 @@
  * since, how its streams fared, and the client to speak to it with.
  */
 import type {Clock} from '@irisdock/kernel';
+import type {ServiceGaps} from './service_gaps.js';
 import {GapStatistics, type EndpointView} from '@irisdock/decisions';
 import type {
   Engine,
@@ -18,7 +19,7 @@
 }
 
 /** How a request to an endpoint ended, for its health. */
-export type EndpointOutcome = 'done' | 'lost' | 'neutral';
+export type EndpointOutcome = 'done' | 'lost' | 'neutral' | 'stalled';
 
 interface SentMark {
   readonly at: number;
@@ -26,6 +27,7 @@
 }
 
 const LOSS_WEIGHT = 0.1;
+const STALL_WEIGHT = 0.5;
 const MAX_MISSES = 2;
 
 /** An endpoint of a service. */
@@ -45,6 +47,7 @@
     readonly service: string,
     readonly failureDomain: string,
     readonly clients: EndpointClients,
+    readonly serviceGaps: ServiceGaps,
     private readonly clock: Clock,
     private readonly onRoom: (service: string) => void,
   ) {}
@@ -75,8 +78,10 @@
     this.inFlight--;
     this.marks.push({at: this.clock.getNow(), delta: -1});
     if (outcome !== 'neutral') {
-      const lost = outcome === 'lost' ? 1 : 0;
-      this.lossRate += LOSS_WEIGHT * (lost - this.lossRate);
+      // One that answers but makes no tokens shows it in nothing else.
+      const weight = outcome === 'stalled' ? STALL_WEIGHT : LOSS_WEIGHT;
+      const lost = outcome === 'done' ? 0 : 1;
+      this.lossRate += weight * (lost - this.lossRate);
     }
     this.onRoom(this.service);
   }
@@ -98,6 +103,11 @@
     return wasAnswering && !this.isAnswering;
   }
 
+  /** Notes that another host saw it lost: one missed look is then enough. */
+  markSuspect(): void {
+    this.misses = Math.max(this.misses, MAX_MISSES - 1);
+  }
+
   /** Notes that it certainly does not answer now; tells whether that is new. */
   markLost(): boolean {
     const wasAnswering = this.isAnswering;
--- a/packages/daemon/src/operator/audit_route.ts
+++ b/packages/daemon/src/operator/audit_route.ts
@@ -1,35 +1,73 @@
-/** `GET /v1/audit`: who changed what, read from the platform's table. */
-import type {TableService} from '@irisdock/platform';
+/**
+ * `GET /v1/audit`: who changed what. New changes are read from the platform's
+ * table, old ones from its object store.
+ */
+import type {KnownError} from '@irisdock/kernel';
+import type {ObjectStore, TableService} from '@irisdock/platform';
+import {CHANGE_SCHEMA, type Change} from '@irisdock/resources';
 import {sendError, sendJson, type WebRequest} from '@irisdock/web';
+import {err, ok, type Result} from 'neverthrow';
+import {z} from 'zod';
 import {
   CHANGES_UNTIL,
+  getArchiveObjectName,
   getChangeRowKey,
   readChange,
 } from '../configuration/table_rows.js';
 
 const DEFAULT_LIMIT = 100;
 const MAX_LIMIT = 1000;
+const CHANGES_SCHEMA = z.array(CHANGE_SCHEMA);
+
+/** What the trail is read from. */
+export interface AuditSources {
+  readonly table: TableService;
+  readonly objects: ObjectStore;
+}
 
 /** Sends the changes after a revision, the oldest first. */
 export async function sendAudit(
   request: WebRequest,
-  table: TableService,
+  sources: AuditSources,
 ): Promise<void> {
   const query = request.url.searchParams;
   const after = Math.max(0, Math.floor(Number(query.get('after') ?? 0)) || 0);
   const wanted = Math.floor(Number(query.get('limit') ?? DEFAULT_LIMIT));
   const limit = Math.min(MAX_LIMIT, Math.max(1, wanted || DEFAULT_LIMIT));
-  const rows = await table.scanRows({
-    from: getChangeRowKey(after + 1),
-    until: CHANGES_UNTIL,
-    limit,
-  });
-  if (rows.isErr()) {
-    sendError(request.response, rows.error);
-    return;
+  const changes: Change[] = [];
+  while (changes.length < limit) {
+    const last = changes.at(-1)?.revision ?? after;
+    const page = await readPage(sources, last, limit - changes.length);
+    if (page.isErr()) {
+      sendError(request.response, page.error);
+      return;
+    }
+    if (page.value.length === 0) break;
+    changes.push(...page.value);
   }
-  const changes = rows.value.map(readChange);
   const last = changes.at(-1)?.revision ?? after;
   const more = changes.length === limit;
   sendJson(request.response, 200, {changes, next: last, more});
 }
+
+async function readPage(
+  sources: AuditSources,
+  after: number,
+  limit: number,
+): Promise<Result<readonly Change[], KnownError>> {
+  const from = getChangeRowKey(after + 1);
+  const until = CHANGES_UNTIL;
+  const rows = await sources.table.scanRows({from, until, limit});
+  if (rows.isErr()) return err(rows.error);
+  const changes = rows.value.map(readChange);
+  // A first row that is not the next one says that those before are archived.
+  if (changes[0]?.revision === after + 1) return ok(changes);
+  const object = await sources.objects.getObject(
+    getArchiveObjectName(after + 1),
+  );
+  return object.map((text) => {
+    if (text === undefined) return changes;
+    const batch = CHANGES_SCHEMA.parse(JSON.parse(text));
+    return batch.filter((c) => c.revision > after).slice(0, limit);
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/services/archive.ts
@@ -0,0 +1,169 @@
+/**
+ * The service `archive`: moves old changes from the table to the object store,
+ * so that the table does not grow without end. A batch holds a fixed number
+ * of revisions, so that its object's name follows from any of them. One host
+ * does it at a time; that two do is harmless, as the row that says how far the
+ * archive reaches is changed by compare-and-set in the transaction that
+ * deletes the rows.
+ */
+import {
+  createService,
+  createServiceKey,
+  Repeater,
+  type Logger,
+} from '@irisdock/kernel';
+import {hashText} from '@irisdock/decisions';
+import type {ObjectStore, TableService} from '@irisdock/platform';
+import type {Change} from '@irisdock/resources';
+import {Gauge} from 'prom-client';
+import {z} from 'zod';
+import {
+  ARCHIVE_BATCH,
+  ARCHIVE_KEY,
+  createArchiveRow,
+  getArchiveObjectName,
+  getChangeRowKey,
+  getOperationRowKey,
+  HEAD_KEY,
+  readArchived,
+  readChange,
+  readHead,
+} from '../configuration/table_rows.js';
+import {HOST, type Host} from './host.js';
+import {MEMBERSHIP, type Membership} from './membership.js';
+import {PLATFORM} from './platform.js';
+
+interface ArchiveParts {
+  readonly host: Host;
+  readonly membership: Membership;
+  readonly table: TableService;
+  readonly objects: ObjectStore;
+  readonly log: Logger;
+  readonly keepChanges: number;
+}
+
+/** Moves old changes to the object store. */
+export class Archive {
+  private through = 0;
+
+  constructor(private readonly parts: ArchiveParts) {}
+
+  /** The last revision that this host knows to be archived. */
+  get archivedThrough(): number {
+    return this.through;
+  }
+
+  /** Moves one batch when there is one to move. */
+  async runRound(): Promise<void> {
+    if (!this.isFirst()) return;
+    const {table, keepChanges} = this.parts;
+    const rows = await table.readRows([ARCHIVE_KEY, HEAD_KEY]);
+    if (rows.isErr()) return;
+    const archiveRow = rows.value.find((row) => row.key === ARCHIVE_KEY);
+    const headRow = rows.value.find((row) => row.key === HEAD_KEY);
+    this.through = readArchived(archiveRow);
+    const waiting = readHead(headRow) - this.through;
+    if (waiting < keepChanges + ARCHIVE_BATCH) return;
+    await this.saveBatch(this.through + 1, archiveRow?.version ?? 0);
+  }
+
+  private isFirst(): boolean {
+    const {membership, host} = this.parts;
+    const ranked = membership.view
+      .listServing()
+      .map((note) => note.hostId)
+      .sort((a, b) => getRank(a) - getRank(b));
+    return ranked[0] === host.hostId;
+  }
+
+  private async saveBatch(from: number, version: number): Promise<void> {
+    const {table, objects, log} = this.parts;
+    const through = from + ARCHIVE_BATCH - 1;
+    const rows = await table.scanRows({
+      from: getChangeRowKey(from),
+      until: getChangeRowKey(through + 1),
+      limit: ARCHIVE_BATCH,
+    });
+    if (rows.isErr() || rows.value.length !== ARCHIVE_BATCH) return;
+    const changes = rows.value.map(readChange);
+    // The object is written first: a crash between the two repeats it.
+    const name = getArchiveObjectName(from);
+    const put = await objects.putObject(name, JSON.stringify(changes));
+    if (put.isErr()) return;
+    const done = await table.commit({
+      conditions: [{key: ARCHIVE_KEY, version}],
+      writes: [
+        {key: ARCHIVE_KEY, value: createArchiveRow(through)},
+        ...changes.flatMap(listDeletes),
+      ],
+    });
+    if (done.isErr() || !done.value.committed) return;
+    this.through = through;
+    log.writeInfo('Archived changes.', {from, through});
+  }
+}
+
+function listDeletes(change: Change): {key: string; value: null}[] {
+  const keys = [
+    getChangeRowKey(change.revision),
+    getOperationRowKey(change.operationId),
+  ];
+  return keys.map((key) => ({key, value: null}));
+}
+
+function getRank(hostId: string): number {
+  return hashText(`archive ${hostId}`);
+}
+
+/** The key of the service. */
+export const ARCHIVE = createServiceKey<Archive>('archive');
+
+const SETTINGS = z.object({
+  keepChanges: z.coerce.number().int().min(0).default(20_000).meta({
+    unit: 'changes',
+    description: 'Changes that stay in the table; older ones are archived.',
+  }),
+  roundMs: z.coerce.number().int().min(50).default(5000).meta({
+    unit: 'ms',
+    description: 'The time between two batches.',
+  }),
+});
+
+/** Declares the service. */
+export const ARCHIVE_SERVICE = createService({
+  key: ARCHIVE,
+  settings: SETTINGS,
+  needs: [HOST, MEMBERSHIP, PLATFORM],
+  create(context, settings) {
+    const {table, objects} = context.find(PLATFORM);
+    const api = new Archive({
+      host: context.find(HOST),
+      membership: context.find(MEMBERSHIP),
+      table,
+      objects,
+      log: context.log,
+      keepChanges: settings.keepChanges,
+    });
+    new Gauge({
+      name: 'irisdock_archive_revision',
+      help: 'The last archived revision that this host knows of, a count.',
+      registers: [context.metrics],
+      collect() {
+        this.set(api.archivedThrough);
+      },
+    });
+    const rounds = new Repeater(
+      (signal) => context.clock.wait(settings.roundMs, signal),
+      () => api.runRound(),
+      context.log,
+    );
+    return {
+      api,
+      start() {
+        rounds.start();
+        return Promise.resolve();
+      },
+      stop: () => rounds.stop(),
+    };
+  },
+});
--- a/packages/daemon/src/services/configuration_reader.ts
+++ b/packages/daemon/src/services/configuration_reader.ts
@@ -31,6 +31,7 @@
 /** Reads the table into the configuration. */
 export class ConfigurationReader {
   private reading: Promise<void> | undefined;
+  private isAway = false;
 
   constructor(
     private readonly table: TableService,
@@ -65,9 +66,16 @@
 
   private async readHeadRevision(): Promise<number | undefined> {
     const rows = await this.table.readRows([HEAD_KEY]);
-    if (rows.isOk()) return readHead(rows.value[0]);
-    this.log.writeDebug('The table was not read.', {error: rows.error.message});
-    return undefined;
+    this.reportAway(rows.isErr(), rows.isErr() ? rows.error.message : '');
+    return rows.isOk() ? readHead(rows.value[0]) : undefined;
+  }
+
+  /** Logs when the table goes away and comes back, not each time. */
+  private reportAway(isAway: boolean, error: string): void {
+    if (isAway === this.isAway) return;
+    this.isAway = isAway;
+    if (isAway) this.log.writeWarning('Lost the table.', {error});
+    else this.log.writeInfo('The table answers again.');
   }
 
   private async readChanges(head: number): Promise<boolean> {
--- a/packages/daemon/src/services/endpoint_directory.ts
+++ b/packages/daemon/src/services/endpoint_directory.ts
@@ -17,6 +17,7 @@
 import {z} from 'zod';
 import {EndpointPoller} from '../endpoint/endpoint_poller.js';
 import {EndpointRecord} from '../endpoint/endpoint_record.js';
+import {ServiceGaps} from '../endpoint/service_gaps.js';
 import {CONFIGURATION, type Configuration} from './configuration.js';
 import {HOST} from './host.js';
 import {HOST_LIST} from './host_list.js';
@@ -39,6 +40,7 @@
   readonly room: Stream<string>;
   private readonly roomChannel = new Channel<string>();
   private readonly records = new Map<string, EndpointRecord>();
+  private readonly gaps = new Map<string, ServiceGaps>();
   private list: readonly ListedHost[] = [];
 
   constructor(
@@ -69,6 +71,25 @@
     return this.records.get(address);
   }
 
+  /**
+   * Finds an endpoint by its address, also outside this host's subset: it is
+   * then opened for the answer that runs there, and gets no new work.
+   */
+  open(address: string, service: string): EndpointRecord | undefined {
+    const known = this.records.get(address);
+    if (known !== undefined) return known;
+    const isHere = (host: ListedHost): boolean =>
+      host.address === address && host.service === service;
+    const listed = this.list.find(isHere);
+    if (listed === undefined) return undefined;
+    const record = this.createRecord(listed);
+    if (record === undefined) return undefined;
+    record.isLeaving = true;
+    // The next list finds it outside the subset and removes it once idle.
+    this.records.set(address, record);
+    return record;
+  }
+
   /** Takes the host list: adds, marks as leaving, removes. */
   applyList(list: readonly ListedHost[]): void {
     this.list = list;
@@ -100,10 +121,18 @@
     this.parts.links.sendHint({endpoint: address, sign: 'lost'});
   }
 
+  /** Looks at an endpoint at once. */
+  poll(address: string): void {
+    const record = this.records.get(address);
+    if (record !== undefined) this.poller.poll(record);
+  }
+
   /** Looks at an endpoint at once, as another host saw it lost. */
   check(address: string): void {
     const record = this.records.get(address);
-    if (record !== undefined) this.poller.poll(record);
+    if (record === undefined) return;
+    record.markSuspect();
+    this.poller.poll(record);
   }
 
   /** Stops looking and closes all connections. */
@@ -160,6 +189,7 @@
       service,
       failureDomain,
       clients,
+      this.getGaps(service),
       clock,
       (name) => {
         this.roomChannel.post(name);
@@ -167,6 +197,12 @@
     );
   }
 
+  private getGaps(service: string): ServiceGaps {
+    const gaps = this.gaps.get(service) ?? new ServiceGaps();
+    this.gaps.set(service, gaps);
+    return gaps;
+  }
+
   /** Takes an endpoint out; what runs there goes on to its end. */
   private remove(record: EndpointRecord): void {
     record.isLeaving = true;
--- a/packages/daemon/src/services/operators.ts
+++ b/packages/daemon/src/services/operators.ts
@@ -42,7 +42,7 @@
   create(context) {
     const configuration = context.find(CONFIGURATION);
     const membership = context.find(MEMBERSHIP);
-    const {table} = context.find(PLATFORM);
+    const platform = context.find(PLATFORM);
     const status = {
       host: context.find(HOST),
       configuration,
@@ -60,7 +60,7 @@
     });
     const routes: Route[] = [
       ...resources.listRoutes(),
-      createGet('/v1/audit', (request) => sendAudit(request, table)),
+      createGet('/v1/audit', (request) => sendAudit(request, platform)),
       createGet('/v1/status', (request) => {
         sendStatus(request, status);
       }),
--- a/packages/daemon/src/services/orders.ts
+++ b/packages/daemon/src/services/orders.ts
@@ -162,7 +162,7 @@
       target,
       outcome,
     });
-    directory.check(address);
+    directory.poll(address);
   }
 }
 
--- a/packages/daemon/src/services/streams.ts
+++ b/packages/daemon/src/services/streams.ts
@@ -181,7 +181,8 @@
     record.controller = new AbortController();
     if (record.state === 'dropped') record.state = 'running';
     const driver = this.createDriver(record, sink);
-    const endpoint = this.parts.directory.find(attachTo);
+    const {service} = record.request;
+    const endpoint = this.parts.directory.open(attachTo, service);
     this.running++;
     const drive = driver.run(ask.fromOffset, endpoint);
     record.finished = drive.then(
@@ -287,6 +288,10 @@
     unit: 'ms',
     description: 'The longest that an engine may take to answer a probe.',
   }),
+  minFirstTokenMs: z.coerce.number().int().min(100).default(2000).meta({
+    unit: 'ms',
+    description: 'The least that the wait for a first token is bounded to.',
+  }),
   firstTokenMs: z.coerce.number().int().min(100).default(20_000).meta({
     unit: 'ms',
     description: 'The longest wait for the first token of an engine.',
@@ -308,7 +313,8 @@
   needs: [ADMISSION, CONFIGURATION, ENDPOINTS, HOST, OWNERSHIP, PEER_LINKS],
   create(context, settings) {
     const {minProbeMs, maxProbeMs, maxLostMs} = settings;
-    const {probeTimeoutMs, firstTokenMs, resumeWaitMs, graceMs} = settings;
+    const {probeTimeoutMs, minFirstTokenMs, firstTokenMs} = settings;
+    const {resumeWaitMs, graceMs} = settings;
     const bounds = {minProbeMs, maxProbeMs, maxLostMs};
     const api = new Streams({
       clock: context.clock,
@@ -319,7 +325,7 @@
       configuration: context.find(CONFIGURATION),
       ownership: context.find(OWNERSHIP),
       metrics: new StreamMetrics(context.metrics),
-      legOptions: {bounds, firstTokenMs, probeTimeoutMs},
+      legOptions: {bounds, minFirstTokenMs, firstTokenMs, probeTimeoutMs},
       resumeWaitMs,
       graceMs,
     });
--- a/packages/standins/src/engine/main.ts
+++ b/packages/standins/src/engine/main.ts
@@ -19,6 +19,7 @@
   loadLagMs: z.coerce.number().default(300).meta({unit: 'ms'}),
   keepMs: z.coerce.number().default(10_000).meta({unit: 'ms'}),
   models: z.string().default('').meta({unit: 'names, comma'}),
+  count: z.coerce.number().default(1).meta({unit: 'engines'}),
   checksFence: z.stringbool().default(true).meta({unit: 'true or false'}),
 });
 type Settings = z.infer<typeof SETTINGS>;
@@ -56,6 +57,7 @@
       this.createGet('/control/counts', () =>
         Object.fromEntries(engine.counts),
       ),
+      this.createGet('/control/cache', () => engine.cache.counts),
       this.createGet('/control/orders', () => orders.history),
       {
         method: 'PUT',
@@ -136,9 +138,15 @@
 await runProgram({
   name: 'engine',
   settings: SETTINGS,
-  start: (settings, log) => {
-    const routes = new EngineServer(settings).listRoutes();
-    const {listen} = settings;
-    return new WebServer({listen, limits: LIMITS}, routes, log).start();
+  // Several engines in one process, for measurements of many endpoints.
+  start: async (settings, log) => {
+    const {listen, count} = settings;
+    const places: string[] = [];
+    for (let at = 0; at < count; at++) {
+      const routes = new EngineServer(settings).listRoutes();
+      const server = new WebServer({listen, limits: LIMITS}, routes, log);
+      places.push(await server.start());
+    }
+    return places.join(',');
   },
 });
--- a/packages/standins/src/engine/prefix_cache.ts
+++ b/packages/standins/src/engine/prefix_cache.ts
@@ -40,6 +40,8 @@
   private readonly blocks = new Set<string>();
   private events: CacheEvent[] = [];
   private sequence = 0;
+  /** Blocks that were asked for, and those of them that were missing. */
+  readonly counts = {blocks: 0, missing: 0};
 
   constructor(
     private readonly maxBlocks: number,
@@ -53,6 +55,7 @@
     let hit = true;
     for (const block of listBlocks(prompt)) {
       hit = hit && this.blocks.has(block);
+      this.counts.blocks++;
       if (!hit) missing++;
       if (!this.blocks.delete(block)) this.record(block, true, nowMs);
       this.blocks.add(block);
@@ -62,6 +65,7 @@
       this.blocks.delete(block);
       this.record(block, false, nowMs);
     }
+    this.counts.missing += missing;
     return missing;
   }
 
--- a/packages/testkit/src/deployment.ts
+++ b/packages/testkit/src/deployment.ts
@@ -5,87 +5,18 @@
 import {z} from 'zod';
 import {startProcess, type RunningProcess} from './process.js';
 import {getJson, putJson, sendHttp, type HttpAnswer} from './http.js';
+import {
+  BASE_RESOURCES,
+  KEY,
+  NAMES,
+  PLACES_SCHEMA,
+  type DaemonNode,
+  type DeploymentOptions,
+  type EndpointNode,
+  type EngineCounts,
+} from './deployment_types.js';
 import {waitUntil} from './wait.js';
 
-const PLACES_SCHEMA = z.object({
-  caller: z.string(),
-  operator: z.string(),
-  peer: z.string(),
-});
-/** A daemon's places. */
-export type DaemonPlaces = z.infer<typeof PLACES_SCHEMA>;
-
-/** A daemon of the deployment. */
-export interface DaemonNode {
-  readonly process: RunningProcess;
-  readonly places: DaemonPlaces;
-  readonly failureDomain: string;
-}
-
-/** An endpoint of the deployment. */
-export interface EndpointNode {
-  readonly process: RunningProcess;
-  readonly address: string;
-  readonly service: string;
-  readonly failureDomain: string;
-  state: 'leaving' | 'live';
-}
-
-/** The size and settings of a deployment. */
-export interface DeploymentOptions {
-  readonly daemons: number;
-  readonly engines: number;
-  readonly plains?: number;
-  readonly daemonArgs?: readonly string[];
-  readonly engineArgs?: readonly string[];
-  readonly platformArgs?: readonly string[];
-  /** Failure domains, given to daemons and endpoints in turn. */
-  readonly failureDomains?: readonly string[];
-}
-
-/** What `GET /v1/addresses` answers. */
-export interface AddressAnswer {
-  readonly addresses: readonly {
-    readonly address: string;
-    readonly failureDomain: string;
-    readonly requestIds: readonly string[];
-  }[];
-  readonly keepForSeconds: number;
-}
-
-/** Counts of one request on an engine. */
-export interface EngineCounts {
-  readonly starts: number;
-  readonly continues: number;
-  readonly attaches: number;
-  readonly tokens: number;
-}
-
-const KEY = 'a key for tests only';
-/** The service of the engines, and its team and plain service. */
-export const NAMES = {
-  service: 'captions',
-  plain: 'lookups',
-  model: 'iris-1',
-  team: 'atlas',
-};
-
-/** Resources that make a deployment serve. */
-export const BASE_RESOURCES = [
-  {
-    kind: 'modelVersion',
-    name: NAMES.model,
-    spec: {model: 'iris', version: '1', weights: 'iris/1'},
-  },
-  {
-    kind: 'service',
-    name: NAMES.service,
-    spec: {type: 'generation', modelVersion: NAMES.model},
-  },
-  {kind: 'service', name: NAMES.plain, spec: {type: 'plain'}},
-  {kind: 'team', name: NAMES.team, spec: {}},
-];
-
 /** Processes that serve together. */
 export class Deployment {
   readonly daemons: DaemonNode[] = [];
@@ -135,6 +66,7 @@
     const {engines, plains, daemons} = this.options;
     for (let at = 0; at < engines; at++) await this.addEndpoint('engine');
     for (let at = 0; at < (plains ?? 0); at++) await this.addEndpoint('plain');
+    await this.addManyEngines(this.options.manyEngines ?? 0);
     for (let at = 0; at < daemons; at++) await this.addDaemon();
     await this.publishHosts();
     for (const {places} of this.daemons) {
@@ -176,15 +108,16 @@
   ): Promise<EndpointNode> {
     const service = program === 'engine' ? NAMES.service : NAMES.plain;
     const same = this.endpoints.filter((e) => e.service === service).length;
-    const name =
-      program === 'engine' ? ['--engine-name', `e${this.serial++}`] : [];
+    const name = `e${this.serial++}`;
+    const named = program === 'engine' ? ['--engine-name', name] : [];
     const extra = program === 'engine' ? (this.options.engineArgs ?? []) : [];
     const started = await startProcess(
       program,
-      [...name, ...extra, ...args],
+      [...named, ...extra, ...args],
       z.string(),
     );
     const node: EndpointNode = {
+      name,
       process: started.process,
       address: started.place,
       service,
@@ -196,6 +129,19 @@
     return node;
   }
 
+  /** Starts engines that share one process. */
+  async addManyEngines(count: number): Promise<void> {
+    if (count === 0) return;
+    const first = await this.addEndpoint('engine', [
+      ...['--engine-count', String(count), '--engine-models', NAMES.model],
+      ...['--engine-step-ms', '1000'],
+    ]);
+    this.endpoints.pop();
+    for (const address of first.address.split(',')) {
+      this.endpoints.push({...first, address});
+    }
+  }
+
   /** Starts engines until so many live, and waits until all are used. */
   async addEnginesUntil(count: number): Promise<void> {
     const live = this.engines.filter((engine) => !engine.process.isExited);
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,7 +1,9 @@
 /** Fixtures of processes. */
 export * from './caller.js';
 export * from './deployment.js';
+export * from './deployment_types.js';
 export * from './http.js';
 export * from './process.js';
+export * from './reference.js';
 export * from './resume_data.js';
 export * from './wait.js';
--- a/packages/testkit/tests/configuration.test.ts
+++ b/packages/testkit/tests/configuration.test.ts
@@ -88,7 +88,10 @@
     deployment = await createDeployment({
       daemons: 3,
       engines: 1,
-      daemonArgs: ['--membership-max-table-age-ms', '2500'],
+      daemonArgs: [
+        ...['--membership-max-table-age-ms', '2500'],
+        ...['--archive-keep-changes', '20', '--archive-round-ms', '200'],
+      ],
     });
     hosts = deployment.daemons;
   });
@@ -250,6 +253,26 @@
     );
   });
 
+  it('moves old changes to the object store and still shows them', async () => {
+    for (let at = 0; at < 130; at++) {
+      await putTeam(getHost(at % 3), 'often', 1 + (at % 9));
+    }
+    await waitUntil('a batch is archived', async () => {
+      const reached = await Promise.all(
+        deployment.daemons.map((_, at) =>
+          deployment.readMetric('irisdock_archive_revision', at),
+        ),
+      );
+      return Math.max(...reached) >= 100;
+    });
+    const revisions = (await listAudit()).map((change) => change.revision);
+    assert.deepEqual(
+      revisions,
+      revisions.map((_, at) => at + 1),
+    );
+    assert.ok(revisions.length > 130);
+  });
+
   it('refuses what would break a reference', async () => {
     const {operator} = getHost(0).places;
     const url = `http://${operator}/v1/resources/modelVersion/${NAMES.model}`;
--- /dev/null
+++ b/scripts/check_proofs.mjs
@@ -0,0 +1,222 @@
+// Switches one mechanism off at a time, in the compiled code, and runs the
+// test that is its proof: the test must fail then. Ends with 1 when a proof
+// passes without its mechanism, or a mechanism is not found. It works on
+// dist/ only and puts back what it changed. Run it alone: it takes minutes.
+import {spawnSync} from 'node:child_process';
+import {readFileSync, writeFileSync} from 'node:fs';
+
+const DECISIONS = 'packages/decisions/dist/src';
+const DAEMON = 'packages/daemon/dist/src';
+
+// mechanism; file; what is replaced by what; test file; its name's pattern
+const TRIALS = [
+  [
+    'repeated tokens are dropped',
+    `${DECISIONS}/answer_assembler.js`,
+    'token.offset < this.next',
+    'false',
+    'testkit/streams',
+    'sending tokens twice',
+  ],
+  [
+    'tokens of another request are dropped',
+    `${DECISIONS}/answer_assembler.js`,
+    'item.request !== this.request',
+    'false',
+    'testkit/streams',
+    "another request's",
+  ],
+  [
+    'tokens of another generation are dropped',
+    `${DECISIONS}/answer_assembler.js`,
+    'item.generation !== this.generation',
+    'false',
+    'testkit/streams',
+    'older generation',
+  ],
+  [
+    'a missing token is a loss',
+    `${DECISIONS}/answer_assembler.js`,
+    'token.offset > this.next',
+    'false',
+    'testkit/streams',
+    'leaving a token out',
+  ],
+  [
+    'an answer without its end is a loss',
+    `${DAEMON}/answer/answer_leg.js`,
+    "return { kind: 'lost', loss: loss ?? 'reset' }",
+    "return { kind: 'ended', reason: 'length' }",
+    'testkit/streams',
+    'killed partway',
+  ],
+  [
+    'silence is noticed',
+    `${DAEMON}/answer/stall_watch.js`,
+    'this.plan(this.parts.getLimits().probeMs)',
+    'void 0',
+    'testkit/streams',
+    'frozen partway',
+  ],
+  [
+    'a lost answer goes on from its text',
+    `${DAEMON}/answer/answer_driver.js`,
+    "(record.text ?? '')",
+    "''",
+    'testkit/streams',
+    'killed partway',
+  ],
+  [
+    'an answer is attached to on another host',
+    `${DAEMON}/services/streams.js`,
+    'this.parts.directory.open(attachTo, service)',
+    'undefined',
+    'testkit/hosts',
+    'without a token redone',
+  ],
+  [
+    'a take-over has a higher generation',
+    `${DAEMON}/services/streams.js`,
+    'getTakeover(resumeData?.generation ?? 0) + 1',
+    '0',
+    'testkit/hosts',
+    'when one is killed',
+  ],
+  [
+    'only the owner starts a request',
+    `${DECISIONS}/request_owner.js`,
+    "if (id.origin === 'forged')",
+    "if (true) return 'start';\n    if (id.origin === 'forged')",
+    'testkit/hosts',
+    'sent to all of them',
+  ],
+  [
+    'an owner that is gone makes the outcome unknown',
+    `${DECISIONS}/request_owner.js`,
+    "return state.repeatable ? 'start' : 'refuse_unknown';\n}",
+    "return 'start';\n}",
+    'testkit/hosts',
+    'once the owner is gone',
+  ],
+  [
+    'a call that may have run is not sent again',
+    `${DAEMON}/services/plain_calls.js`,
+    '!unsent && !ask.repeatable',
+    'false',
+    'testkit/endpoints',
+    'not repeatable once',
+  ],
+  [
+    'a call is remembered',
+    `${DAEMON}/services/plain_calls.js`,
+    "this.ledger.add(ask.id.id, 'sent', now)",
+    'void 0',
+    'testkit/endpoints',
+    'an id that was answered',
+  ],
+  [
+    'a leaving endpoint gets no work',
+    `${DAEMON}/services/endpoint_directory.js`,
+    '&& !record.isLeaving',
+    '',
+    'testkit/endpoints',
+    'leaving get no new work',
+  ],
+  [
+    'a planned stop waits for answers',
+    `${DAEMON}/services/callers.js`,
+    'while (this.inFlight > 0)',
+    'while (false)',
+    'testkit/hosts',
+    'leave without cutting',
+  ],
+  [
+    'an operation is recognised',
+    `${DAEMON}/services/configuration_writer.js`,
+    'if (operation !== undefined)',
+    'if (false)',
+    'testkit/configuration',
+    'answer of the write is lost',
+  ],
+  [
+    'the expected version is checked',
+    `${DAEMON}/services/configuration_writer.js`,
+    'expected !== undefined && expected !== current',
+    'false',
+    'testkit/configuration',
+    'operators that race, and',
+  ],
+  [
+    'a host that is cut off refuses',
+    `${DECISIONS}/serving_right.js`,
+    "'refuse_cut_off'",
+    "'serve'",
+    'testkit/configuration',
+    'cut off from all',
+  ],
+  [
+    'changes are passed on by revision',
+    `${DECISIONS}/configuration_state.js`,
+    'change.revision <= this.current',
+    'false',
+    'decisions/configuration_state',
+    'never goes back',
+  ],
+  [
+    'a lease ends by the clock of its holder',
+    `${DECISIONS}/lease.js`,
+    'now >= this.held.until',
+    'false',
+    'decisions/limits',
+    'one holder at a time',
+  ],
+  [
+    'dead hosts are tried again',
+    `${DECISIONS}/membership_view.js`,
+    "note.state === 'dead')",
+    'false)',
+    'decisions/membership_view',
+    'parts and meets',
+  ],
+  [
+    'teams share the queue',
+    `${DECISIONS}/fair_queue.js`,
+    'Math.max(this.virtualTime, queue.lastFinish)',
+    'this.virtualTime',
+    'decisions/fair_queue',
+    'shares by weight',
+  ],
+];
+
+let wrong = 0;
+for (const [mechanism, file, from, to, test, pattern] of TRIALS) {
+  const verdict = runTrial(file, from, to, test, pattern);
+  if (verdict !== 'fails without it') wrong++;
+  console.log(`| ${mechanism} | ${test}: ${pattern} | ${verdict} |`);
+}
+console.log(
+  `${TRIALS.length - wrong} of ${TRIALS.length} proofs fail without their mechanism`,
+);
+process.exit(wrong === 0 ? 0 : 1);
+
+function runTrial(file, from, to, test, pattern) {
+  const text = readFileSync(file, 'utf8');
+  if (!text.includes(from)) return 'mechanism not found';
+  writeFileSync(file, text.replaceAll(from, to));
+  try {
+    const [name, part] = test.split('/');
+    const path = `packages/${name}/dist/tests/${part}.test.js`;
+    const args = [
+      '--test',
+      '--test-timeout=25000',
+      `--test-name-pattern=${pattern}`,
+      path,
+    ];
+    const run = spawnSync(process.execPath, args, {encoding: 'utf8'});
+    const passed = Number(/^# pass (\d+)$/m.exec(run.stdout)?.[1] ?? 0);
+    if (run.status !== 0) return 'fails without it';
+    return passed === 0 ? 'test not found' : 'PASSES WITHOUT IT';
+  } finally {
+    writeFileSync(file, text);
+  }
+}
