Spend less on control: share load reports, look at endpoints less often

Change: a host looks at its endpoints four times a second altogether and shares the reports over its watches, so that with eight hosts each endpoint is still seen every second; cache events every fourth look; heartbeats every second, suspicion after 2.5 s; waiting requests are looked at for age only while there are any; the ring is hashed once a call.

--- a/bench/src/benches/control.ts
+++ b/bench/src/benches/control.ts
@@ -161,26 +161,38 @@
   });
 }
 
+const PARTS: Readonly<Record<string, () => Promise<[ResultRow[], string]>>> = {
+  hosts: () =>
+    measureGrowth('hosts', HOSTS, (daemons) => ({daemons, engines: 1})),
+  endpoints: () =>
+    measureGrowth('endpoints', ENDPOINTS, (count) => ({
+      daemons: 1,
+      engines: 1,
+      manyEngines: count - 1,
+      daemonArgs: ['--endpoints-subset-size', '1000'],
+    })),
+  changes: measureChanges,
+  teams: measureTeams,
+};
+
 /** The measurement. */
 export const CONTROL_BENCH = createBench({
   name: 'control',
   description: 'what control costs a host as the deployment grows',
-  async run() {
-    const parts = [
-      await measureGrowth('hosts', HOSTS, (daemons) => ({daemons, engines: 1})),
-      await measureGrowth('endpoints', ENDPOINTS, (count) => ({
-        daemons: 1,
-        engines: 1,
-        manyEngines: count - 1,
-        daemonArgs: ['--endpoints-subset-size', '1000'],
-      })),
-      await measureChanges(),
-      await measureTeams(),
-    ];
+  async run(printRow, words) {
+    const rows: ResultRow[] = [];
+    const notes: string[] = [];
+    for (const [name, measure] of Object.entries(PARTS)) {
+      if (words.length > 0 && !words.includes(name)) continue;
+      const [more, note] = await measure();
+      rows.push(...more);
+      notes.push(note);
+      for (const row of more) printRow(row);
+    }
     return {
-      rows: parts.flatMap(([rows]) => rows),
+      rows,
       notes: [
-        ...parts.map(([, note]) => note),
+        ...notes,
         'bytes are those of loopback over the number of hosts: what a host sends and what it receives, with TCP/IP headers; calls to platform and endpoints are in them',
         'processor time is counted in steps of 10 ms',
       ],
--- a/bench/src/benches/resume.ts
+++ b/bench/src/benches/resume.ts
@@ -235,7 +235,7 @@
   for (const engine of deployment.engines) {
     engine.process.sendSignal('SIGCONT');
     if (engine.process.isExited) continue;
-    await deployment.setFaults(engine, {stall: false, cutAfter: 0, skip: 0});
+    await deployment.setFaults(engine, {stall: false, skip: 0});
   }
   for (const daemon of deployment.daemons) {
     daemon.process.sendSignal('SIGCONT');
--- a/packages/daemon/src/endpoint/endpoint_poller.ts
+++ b/packages/daemon/src/endpoint/endpoint_poller.ts
@@ -4,11 +4,15 @@
  */
 import type {Random} from '@irisdock/kernel';
 import type {BlockEvent} from '@irisdock/decisions';
+import type {LoadReport} from '@irisdock/endpoints';
 import type {EndpointRecord} from './endpoint_record.js';
 
 /** How often and how long to look. */
 export interface PollOptions {
+  /** The shortest time between two looks at an endpoint. */
   readonly pollMs: number;
+  /** Looks a second at all endpoints together. */
+  readonly looksPerSecond: number;
   readonly pollTimeoutMs: number;
 }
 
@@ -18,13 +22,19 @@
   /** Cache events were missed, so what is remembered may be wrong. */
   dropPrefixes(record: EndpointRecord): void;
   reportLost(record: EndpointRecord): void;
+  /** A report came from the endpoint itself. */
+  sendReport(record: EndpointRecord, report: LoadReport): void;
 }
 
 interface Turn {
   timer: NodeJS.Timeout;
   looking: boolean;
+  looks: number;
 }
 
+// Cache events are late anyway, so they are asked for less often than load.
+const LOOKS_PER_CACHE_LOOK = 4;
+
 /** Looks at endpoints. */
 export class EndpointPoller {
   private readonly turns = new Map<EndpointRecord, Turn>();
@@ -38,7 +48,7 @@
   /** Looks at an endpoint from now on. */
   add(record: EndpointRecord): void {
     const timer = setTimeout(() => undefined, 0);
-    this.turns.set(record, {timer, looking: false});
+    this.turns.set(record, {timer, looking: false, looks: 0});
     this.poll(record);
   }
 
@@ -54,7 +64,7 @@
     if (turn === undefined || turn.looking) return;
     clearTimeout(turn.timer);
     turn.looking = true;
-    void this.pollLoad(record).finally(() => {
+    void this.pollLoad(record, turn).finally(() => {
       turn.looking = false;
       this.planNext(record);
     });
@@ -63,13 +73,18 @@
   private planNext(record: EndpointRecord): void {
     const turn = this.turns.get(record);
     if (turn === undefined) return;
+    const {pollMs, looksPerSecond} = this.options;
+    const shared = (this.turns.size * 1000) / looksPerSecond;
     const spread = 0.75 + this.random.getInt(500) / 1000;
-    turn.timer = setTimeout(() => {
-      this.poll(record);
-    }, this.options.pollMs * spread);
+    turn.timer = setTimeout(
+      () => {
+        this.poll(record);
+      },
+      Math.max(pollMs, shared) * spread,
+    );
   }
 
-  private async pollLoad(record: EndpointRecord): Promise<void> {
+  private async pollLoad(record: EndpointRecord, turn: Turn): Promise<void> {
     const {engine, plain} = record.clients;
     const client = engine ?? plain;
     if (client === undefined) return;
@@ -79,7 +94,11 @@
       return;
     }
     record.applyReport(load.value);
-    if (engine !== undefined) await this.pollCache(record);
+    this.effects.sendReport(record, load.value);
+    turn.looks++;
+    if (engine !== undefined && turn.looks % LOOKS_PER_CACHE_LOOK === 1) {
+      await this.pollCache(record);
+    }
   }
 
   private async pollCache(record: EndpointRecord): Promise<void> {
--- a/packages/daemon/src/endpoint/endpoint_record.ts
+++ b/packages/daemon/src/endpoint/endpoint_record.ts
@@ -37,6 +37,7 @@
   cacheSequence = 0;
   isLeaving = false;
   private report: LoadReport | undefined;
+  private reportTakenAt = -Infinity;
   private marks: SentMark[] = [];
   private inFlight = 0;
   private lossRate = 0;
@@ -86,11 +87,13 @@
     this.onRoom(this.service);
   }
 
-  /** Takes a load report. */
+  /** Takes a load report, unless a newer one is known. */
   applyReport(report: LoadReport): void {
+    const takenAt = this.clock.getNow() - report.ageMs;
+    if (takenAt < this.reportTakenAt) return;
+    this.reportTakenAt = takenAt;
     this.report = report;
     this.misses = 0;
-    const takenAt = this.clock.getNow() - report.ageMs;
     this.marks = this.marks.filter((mark) => mark.at > takenAt);
     this.onRoom(this.service);
   }
--- a/packages/daemon/src/services/admission.ts
+++ b/packages/daemon/src/services/admission.ts
@@ -6,7 +6,6 @@
 import {
   createService,
   createServiceKey,
-  Repeater,
   type Clock,
   type KnownError,
   type Random,
@@ -74,11 +73,13 @@
 }
 
 const HEADS = 16;
+const EXPIRY_MS = 20;
 
 /** The queues of all services on this host. */
 export class Admission {
   private readonly gates = new Map<string, Gate>();
   private readonly teams = new Map<string, number>();
+  private expiry: NodeJS.Timeout | undefined;
   private leaving = false;
 
   constructor(private readonly parts: AdmissionParts) {}
@@ -122,8 +123,23 @@
     if (gate.queue.size === 0) gate.estimate.endBusy();
   }
 
+  /** Refuses new requests from now on. */
+  startLeaving(): void {
+    this.leaving = true;
+  }
+
+  /** Looks for what has waited too long, for as long as anything waits. */
+  private planExpiry(): void {
+    this.expiry ??= setTimeout(() => {
+      this.expiry = undefined;
+      this.dropExpired();
+      const gates = [...this.gates.values()];
+      if (gates.some((gate) => gate.queue.size > 0)) this.planExpiry();
+    }, EXPIRY_MS);
+  }
+
   /** Refuses what has waited too long. */
-  dropExpired(): void {
+  private dropExpired(): void {
     const now = this.parts.clock.getNow();
     for (const [service, gate] of this.gates) {
       for (const waiter of gate.queue.takeExpired(now)) {
@@ -138,11 +154,6 @@
     }
   }
 
-  /** Refuses new requests from now on. */
-  startLeaving(): void {
-    this.leaving = true;
-  }
-
   private findRefusal(entry: AdmissionEntry): KnownError | undefined {
     if (this.leaving) return DAEMON_ERRORS.create('leaving', {}, 1);
     const {team, maxInFlight: limit} = entry;
@@ -199,6 +210,7 @@
   private addWaiting(gate: Gate, waiting: Waiting, now: number): void {
     const {id, signal} = waiting.entry;
     gate.waiting.set(id, waiting);
+    this.planExpiry();
     gate.estimate.startBusy(now);
     signal.addEventListener(
       'abort',
@@ -269,7 +281,6 @@
 /** The key of the service. */
 export const ADMISSION = createServiceKey<Admission>('admission');
 
-const EXPIRY_MS = 20;
 const WAIT_BUCKETS = [0.001, 0.01, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
 
 /** Declares the service. */
@@ -307,24 +318,14 @@
         }
       },
     });
-    const expiry = new Repeater(
-      (signal) => context.clock.wait(EXPIRY_MS, signal),
-      () => {
-        api.dropExpired();
-        return Promise.resolve();
-      },
-      context.log,
-    );
     return {
       api,
       start() {
         void context.find(ENDPOINTS).room.observe((service) => {
           api.startWaiting(service);
         });
-        expiry.start();
         return Promise.resolve();
       },
-      stop: () => expiry.stop(),
     };
   },
 });
--- a/packages/daemon/src/services/endpoint_directory.ts
+++ b/packages/daemon/src/services/endpoint_directory.ts
@@ -11,12 +11,14 @@
 } from '@irisdock/kernel';
 import {chooseSubset, PrefixIndex} from '@irisdock/decisions';
 import {HttpEngine, HttpPlainEndpoint} from '@irisdock/endpoints';
+import type {LoadHint} from '@irisdock/peer';
 import type {ListedHost} from '@irisdock/platform';
 import {Counter, Gauge, type Registry} from 'prom-client';
 import type {Stream} from 'most';
 import {z} from 'zod';
 import {EndpointPoller} from '../endpoint/endpoint_poller.js';
 import {EndpointRecord} from '../endpoint/endpoint_record.js';
+import {LoadSharer} from '../endpoint/load_sharer.js';
 import {ServiceGaps} from '../endpoint/service_gaps.js';
 import {CONFIGURATION, type Configuration} from './configuration.js';
 import {HOST} from './host.js';
@@ -127,6 +129,13 @@
     if (record !== undefined) this.poller.poll(record);
   }
 
+  /** Takes a load report that another host got. */
+  applyLoad(hint: LoadHint): void {
+    const record = this.records.get(hint.endpoint);
+    // One that does not answer this host is not believed to by another's word.
+    if (record?.isAnswering === true) record.applyReport(hint);
+  }
+
   /** Looks at an endpoint at once, as another host saw it lost. */
   check(address: string): void {
     const record = this.records.get(address);
@@ -217,10 +226,16 @@
 /** The key of the service. */
 export const ENDPOINTS = createServiceKey<EndpointDirectory>('endpoints');
 
+const SHARE_MS = 1000;
+
 const SETTINGS = z.object({
   pollMs: z.coerce.number().int().min(50).default(500).meta({
     unit: 'ms',
-    description: 'The time between two looks at an endpoint.',
+    description: 'The shortest time between two looks at an endpoint.',
+  }),
+  looksPerSecond: z.coerce.number().min(1).default(4).meta({
+    unit: 'looks/s',
+    description: 'Looks at all endpoints together; they take longer turns.',
   }),
   pollTimeoutMs: z.coerce.number().int().min(20).default(400).meta({
     unit: 'ms',
@@ -244,6 +259,9 @@
   create(context, settings) {
     const configuration = context.find(CONFIGURATION);
     const links = context.find(PEER_LINKS);
+    const sharer = new LoadSharer(SHARE_MS, context.clock, (loads) => {
+      links.sendLoads(loads);
+    });
     const poller = new EndpointPoller(settings, context.random, {
       applyEvents: (record, events) => {
         api.prefixes.applyEvents(record.address, events);
@@ -251,6 +269,9 @@
       dropPrefixes: (record) => {
         api.prefixes.dropEndpoint(record.address);
       },
+      sendReport: (record, report) => {
+        sharer.add(record.address, report);
+      },
       reportLost: (record) => {
         api.publishLost(record, 'no answer');
       },
@@ -280,15 +301,13 @@
         void context.find(HOST_LIST).lists.observe((list) => {
           api.applyList(list);
         });
-        void configuration.changes.observe(() => {
-          api.applyConfiguration();
-        });
-        void links.hints.observe((hint) => {
-          if (hint.sign === 'lost') api.check(hint.endpoint);
-        });
+        readNews(api, configuration, links);
         return Promise.resolve();
       },
-      stop: () => api.close(),
+      stop() {
+        sharer.stop();
+        return api.close();
+      },
     };
   },
 });
@@ -308,3 +327,20 @@
     },
   });
 }
+
+/** Follows what concerns endpoints: services that change, others' word. */
+function readNews(
+  directory: EndpointDirectory,
+  configuration: Configuration,
+  links: PeerLinks,
+): void {
+  void configuration.changes.observe(() => {
+    directory.applyConfiguration();
+  });
+  void links.hints.observe((hint) => {
+    if (hint.sign === 'lost') directory.check(hint.endpoint);
+  });
+  void links.loads.observe((loads) => {
+    for (const load of loads) directory.applyLoad(load);
+  });
+}
--- a/packages/daemon/src/services/membership.ts
+++ b/packages/daemon/src/services/membership.ts
@@ -93,7 +93,7 @@
 /** The key of the service. */
 export const MEMBERSHIP = createServiceKey<Membership>('membership');
 
-const TICK_MS = 100;
+const TICK_MS = 250;
 
 const SETTINGS = z.object({
   suspectAfterMs: z.coerce
--- a/packages/daemon/src/services/peer_links.ts
+++ b/packages/daemon/src/services/peer_links.ts
@@ -18,6 +18,7 @@
   PeerClient,
   type ConfigurationPart,
   type EndpointHint,
+  type LoadHint,
   type PeerHandler,
   type PeerNews,
 } from '@irisdock/peer';
@@ -40,9 +41,10 @@
   readonly members: readonly MemberNote[];
   readonly changes: readonly Change[];
   readonly endpoints: readonly EndpointHint[];
+  readonly loads: readonly LoadHint[];
 }
 
-const NOTHING: Passed = {members: [], changes: [], endpoints: []};
+const NOTHING: Passed = {members: [], changes: [], endpoints: [], loads: []};
 
 /** What the links need of the rest. */
 interface LinkParts {
@@ -59,9 +61,12 @@
 export class PeerLinks implements PeerHandler {
   /** Hints on endpoints from other hosts. */
   readonly hints: Stream<EndpointHint>;
+  /** Load reports that other hosts got. */
+  readonly loads: Stream<readonly LoadHint[]>;
   /** Counts requests in flight; set by the service that knows. */
   countInFlight: () => number = () => 0;
   private readonly hintChannel = new Channel<EndpointHint>();
+  private readonly loadChannel = new Channel<readonly LoadHint[]>();
   private readonly ownHints = new Channel<Passed>();
   private readonly links = new Map<string, AbortController>();
   private readonly revisions = new Map<string, number>();
@@ -70,6 +75,7 @@
   constructor(private readonly parts: LinkParts) {
     const {membership, configuration} = parts;
     this.hints = this.hintChannel.stream;
+    this.loads = this.loadChannel.stream;
     const members = membership.news.map((m) => ({...NOTHING, members: m}));
     const changes = configuration.changes.map((c) => ({
       ...NOTHING,
@@ -88,6 +94,11 @@
     this.ownHints.post({...NOTHING, endpoints: [hint]});
   }
 
+  /** Tells the watchers of load reports; they are not passed on further. */
+  sendLoads(loads: readonly LoadHint[]): void {
+    this.ownHints.post({...NOTHING, loads});
+  }
+
   async *watch(
     watcher: MemberNote,
     signal: AbortSignal,
@@ -180,6 +191,7 @@
     const contradicts = membership.view.self.sequence !== sequence;
     if (contradicts) await client.sendNotes([membership.view.self]);
     for (const hint of news.endpoints) this.hintChannel.post(hint);
+    if (news.loads.length > 0) this.loadChannel.post(news.loads);
     const {heartbeat} = news;
     if (heartbeat === undefined) return;
     const {hostId, incarnation, revision, tableAgeMs} = heartbeat;
@@ -225,6 +237,7 @@
       },
       members: passed.members,
       endpoints: passed.endpoints,
+      loads: passed.loads,
       changes: passed.changes.map((change) => JSON.stringify(change)),
     };
   }
@@ -234,7 +247,7 @@
 export const PEER_LINKS = createServiceKey<PeerLinks>('peers');
 
 const SETTINGS = z.object({
-  heartbeatMs: z.coerce.number().int().min(50).default(500).meta({
+  heartbeatMs: z.coerce.number().int().min(50).default(1000).meta({
     unit: 'ms',
     description: 'The longest that a host is silent towards its watchers.',
   }),
@@ -291,5 +304,6 @@
     members: items.flatMap((item) => item.members),
     changes: items.flatMap((item) => item.changes),
     endpoints: items.flatMap((item) => item.endpoints),
+    loads: items.flatMap((item) => item.loads),
   };
 }
--- a/packages/decisions/src/membership_view.ts
+++ b/packages/decisions/src/membership_view.ts
@@ -18,7 +18,7 @@
 
 /** The times unless settings say otherwise. */
 export const MEMBERSHIP_TIMES: MembershipTimes = {
-  suspectAfterMs: 1500,
+  suspectAfterMs: 2500,
   deadAfterMs: 3000,
   forgetAfterMs: 600_000,
 };
--- a/packages/decisions/src/watch_targets.ts
+++ b/packages/decisions/src/watch_targets.ts
@@ -14,7 +14,7 @@
   self: string,
   hosts: readonly string[],
 ): string[] {
-  const ring = [...new Set([...hosts, self])].sort(compareOnRing);
+  const ring = sortOnRing(new Set([...hosts, self]));
   const size = ring.length;
   if (size <= ALL_BELOW) return ring.filter((host) => host !== self);
   const at = ring.indexOf(self);
@@ -26,7 +26,9 @@
   ) as string[];
 }
 
-function compareOnRing(a: string, b: string): number {
-  const difference = hashText(a) - hashText(b);
-  return difference !== 0 ? difference : a < b ? -1 : 1;
+/** Sorts by a hash, worked out once for each host. */
+function sortOnRing(hosts: Iterable<string>): string[] {
+  const places = [...hosts].map((host) => ({host, place: hashText(host)}));
+  places.sort((a, b) => a.place - b.place || (a.host < b.host ? -1 : 1));
+  return places.map(({host}) => host);
 }
--- a/packages/peer/src/codec.ts
+++ b/packages/peer/src/codec.ts
@@ -70,6 +70,12 @@
       sign: sign === 'lost' ? EndpointSign.LOST : EndpointSign.ANSWERING,
     })),
     changes: [...news.changes],
+    loads: news.loads.map((load) => ({
+      ...load,
+      models: [...load.models],
+      adapters: [...load.adapters],
+      ageMs: Math.max(0, Math.round(load.ageMs)),
+    })),
   });
 }
 
@@ -97,6 +103,7 @@
       sign: sign === EndpointSign.LOST ? 'lost' : 'answering',
     })),
     changes: message.changes,
+    loads: message.loads,
   };
 }
 
--- a/packages/peer/src/peer_news.ts
+++ b/packages/peer/src/peer_news.ts
@@ -18,6 +18,17 @@
   readonly sign: 'answering' | 'lost';
 }
 
+/** A load report that a host got from an endpoint itself. */
+export interface LoadHint {
+  readonly endpoint: string;
+  readonly running: number;
+  readonly queued: number;
+  readonly slots: number;
+  readonly models: readonly string[];
+  readonly adapters: readonly string[];
+  readonly ageMs: number;
+}
+
 /** One message of a watch. */
 export interface PeerNews {
   readonly heartbeat?: Heartbeat;
@@ -25,6 +36,7 @@
   readonly endpoints: readonly EndpointHint[];
   /** Changes of configuration as JSON. */
   readonly changes: readonly string[];
+  readonly loads: readonly LoadHint[];
 }
 
 /** A host's configuration after a revision. */
