Forget the text of ended answers; slow down the event-loop monitor

The metrics' event-loop monitor woke an idle process a hundred times a second.

Change: text is kept 30 s after the end, that the request ran is kept on; the monitor looks every 500 ms.

--- a/packages/daemon/src/answer/request_record.ts
+++ b/packages/daemon/src/answer/request_record.ts
@@ -43,22 +43,27 @@
   controller = new AbortController();
   /** Resolves when the driver that runs it now has stopped. */
   finished: Promise<void> = Promise.resolve();
-  private readonly tokens: string[] = [];
+  private tokens: string[] = [];
 
   /**
-   * @param firstOffset The offset of the first token kept here.
+   * @param first The offset of the first token kept here.
    * @param textBefore The text before it; undefined when only the caller
    *     has it.
    */
   constructor(
     readonly request: GenerationRequest,
-    readonly firstOffset: number,
-    readonly textBefore: string | undefined,
+    private first: number,
+    private textBefore: string | undefined,
   ) {}
 
+  /** The offset of the first token that is kept. */
+  get firstOffset(): number {
+    return this.first;
+  }
+
   /** The offset of the token that comes next. */
   get nextOffset(): number {
-    return this.firstOffset + this.tokens.length;
+    return this.first + this.tokens.length;
   }
 
   /** The text so far; undefined when a part of it is not known here. */
@@ -74,11 +79,13 @@
 
   /** Gives the tokens from an offset on. */
   getTokensFrom(offset: number): readonly string[] {
-    return this.tokens.slice(Math.max(0, offset - this.firstOffset));
+    return this.tokens.slice(Math.max(0, offset - this.first));
   }
 
   /** Forgets the tokens, when nobody will ask for them any more. */
   dropTokens(): void {
-    this.tokens.length = 0;
+    this.first = this.nextOffset;
+    this.textBefore = undefined;
+    this.tokens = [];
   }
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -73,6 +73,8 @@
   {name: 'log', schema: LOG_SETTINGS},
 ];
 
+const LOOP_PRECISION_MS = 500;
+
 /** A daemon that runs. */
 export class Daemon {
   readonly metrics = new Registry();
@@ -82,6 +84,8 @@
     collectDefaultMetrics({
       register: this.metrics,
       prefix: 'irisdock_process_',
+      // The usual 10 ms wakes an idle process a hundred times a second.
+      eventLoopMonitoringPrecision: LOOP_PRECISION_MS,
     });
     this.kernel = new Kernel(SERVICES, {
       clock: new SystemClock(),
--- a/packages/daemon/src/errors.ts
+++ b/packages/daemon/src/errors.ts
@@ -106,6 +106,12 @@
     message: 'The engine is gone, and only the caller has the text so far.',
     remedy: 'Send the text received as irisdock_received_text in the body.',
   },
+  answer_forgotten: {
+    status: 409,
+    outcome: 'run',
+    message: 'The answer to this request was given and is not kept any more.',
+    remedy: 'Take a new request id for a new answer.',
+  },
   cut_off: {
     status: 503,
     outcome: 'not-run',
--- a/packages/daemon/src/services/streams.ts
+++ b/packages/daemon/src/services/streams.ts
@@ -65,6 +65,7 @@
   readonly legOptions: LegOptions;
   readonly resumeWaitMs: number;
   readonly graceMs: number;
+  readonly keepEndedMs: number;
 }
 
 /** Where a driver begins. */
@@ -143,6 +144,9 @@
       return DAEMON_ERRORS.create('resume_mismatch');
     }
     if (ask.fromOffset >= record.firstOffset) return undefined;
+    if (record.state === 'ended') {
+      return DAEMON_ERRORS.create('answer_forgotten');
+    }
     return DAEMON_ERRORS.create('resume_text_needed');
   }
 
@@ -216,6 +220,7 @@
     outcome: DriveOutcome,
   ): void {
     this.parts.metrics.answers.inc({outcome});
+    if (outcome === 'ended') this.planForget(record);
     if (outcome === 'superseded') {
       const loss = 'another host took it over';
       sink.fail(DAEMON_ERRORS.create('generation_lost', {loss}, 1));
@@ -229,6 +234,14 @@
     if (outcome === 'stopped') this.planDrop(record);
   }
 
+  /** Forgets the text of an answer once its caller has had time for it. */
+  private planForget(record: RequestRecord): void {
+    const timer = setTimeout(() => {
+      record.dropTokens();
+    }, this.parts.keepEndedMs);
+    timer.unref();
+  }
+
   /** Drops a generation whose caller does not come back. */
   private planDrop(record: RequestRecord): void {
     const {controller} = record;
@@ -300,6 +313,10 @@
     unit: 'ms',
     description: 'How long an endpoint is looked for after a loss.',
   }),
+  keepEndedMs: z.coerce.number().int().min(0).default(30_000).meta({
+    unit: 'ms',
+    description: 'How long the text of an ended answer is kept.',
+  }),
   graceMs: z.coerce.number().int().min(0).default(8000).meta({
     unit: 'ms',
     description: 'How long a generation waits for its caller to come back.',
@@ -314,7 +331,7 @@
   create(context, settings) {
     const {minProbeMs, maxProbeMs, maxLostMs} = settings;
     const {probeTimeoutMs, minFirstTokenMs, firstTokenMs} = settings;
-    const {resumeWaitMs, graceMs} = settings;
+    const {resumeWaitMs, graceMs, keepEndedMs} = settings;
     const bounds = {minProbeMs, maxProbeMs, maxLostMs};
     const api = new Streams({
       clock: context.clock,
@@ -328,6 +345,7 @@
       legOptions: {bounds, minFirstTokenMs, firstTokenMs, probeTimeoutMs},
       resumeWaitMs,
       graceMs,
+      keepEndedMs,
     });
     new Gauge({
       name: 'irisdock_streams_in_flight',
--- a/packages/testkit/tests/hosts.test.ts
+++ b/packages/testkit/tests/hosts.test.ts
@@ -4,6 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import {after, before, beforeEach, describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {checkText} from '@irisdock/standins';
 import {
   createCallerState,
@@ -169,6 +170,25 @@
     assert.equal(runs.starts, 1);
   });
 
+  it('forget the text of an ended answer, not that it was given', async () => {
+    const host = await deployment.addDaemon(['--streams-keep-ended-ms', '50']);
+    await deployment.publishHosts();
+    await deployment.waitReady();
+    const {caller} = host.places;
+    const state = await streamWhole([caller], createAsk({repeatable: false}));
+    checkWhole(state);
+    await sleep(300);
+    const again = createCallerState();
+    again.requestId = state.requestId;
+    await streamOnce(caller, createAsk({repeatable: false}), again);
+    assert.equal(again.status, 409);
+    assert.match(again.error, /"kind":"answer_forgotten"/);
+    const runs = await deployment.countRuns(state.requestId);
+    assert.equal(runs.starts, 1);
+    await host.process.kill();
+    await deployment.publishHosts();
+  });
+
   it('start what is not repeatable once, though it is sent to all of them', async () => {
     const owner = getHost(0);
     const requestId = await createId(owner);
