Give an engine that answers 1.5 s before its silence is a loss

Change: the limit for an engine that answers its probe lies within 1.5 and 2.5 s. The probe itself stays at 150 to 700 ms, so a frozen engine is left as soon as before.

--- a/packages/daemon/src/services/streams.ts
+++ b/packages/daemon/src/services/streams.ts
@@ -288,6 +288,15 @@
       unit: 'ms',
       description: 'The longest silence before an engine is asked.',
     }),
+  minLostMs: z.coerce
+    .number()
+    .int()
+    .min(50)
+    .default(STALL_BOUNDS.minLostMs)
+    .meta({
+      unit: 'ms',
+      description: 'The shortest silence that loses an engine that answers.',
+    }),
   maxLostMs: z.coerce
     .number()
     .int()
@@ -329,10 +338,10 @@
   settings: SETTINGS,
   needs: [ADMISSION, CONFIGURATION, ENDPOINTS, HOST, OWNERSHIP, PEER_LINKS],
   create(context, settings) {
-    const {minProbeMs, maxProbeMs, maxLostMs} = settings;
+    const {minProbeMs, maxProbeMs, minLostMs, maxLostMs} = settings;
     const {probeTimeoutMs, minFirstTokenMs, firstTokenMs} = settings;
     const {resumeWaitMs, graceMs, keepEndedMs} = settings;
-    const bounds = {minProbeMs, maxProbeMs, maxLostMs};
+    const bounds = {minProbeMs, maxProbeMs, minLostMs, maxLostMs};
     const api = new Streams({
       clock: context.clock,
       random: context.random,
--- a/packages/decisions/src/stall_limit.ts
+++ b/packages/decisions/src/stall_limit.ts
@@ -15,6 +15,7 @@
 export interface StallBounds {
   readonly minProbeMs: number;
   readonly maxProbeMs: number;
+  readonly minLostMs: number;
   readonly maxLostMs: number;
 }
 
@@ -22,6 +23,7 @@
 export const STALL_BOUNDS: StallBounds = {
   minProbeMs: 150,
   maxProbeMs: 700,
+  minLostMs: 1500,
   maxLostMs: 2500,
 };
 
@@ -67,7 +69,11 @@
     }
     const usual = this.getUsual() ?? 0;
     const probeMs = clamp(usual, bounds.minProbeMs, bounds.maxProbeMs);
-    const lostMs = clamp(usual * LOST_FACTOR, probeMs * 2, bounds.maxLostMs);
+    const lostMs = clamp(
+      usual * LOST_FACTOR,
+      bounds.minLostMs,
+      bounds.maxLostMs,
+    );
     return {probeMs, lostMs};
   }
 }
