Drive an answer by one driver at a time; answer every request that waits

Cause, found by reading the code as a newcomer: - A caller that left while its request waited was never answered inside, so its driver hung and a drain would not have ended. - Several sends of one id at the same moment could start two drivers on one record: tokens kept twice, an engine order too many; and one that waited could be taken off the ledger under another, so that a third send could start it again.

Change: leaving the queue is an answer (caller_left); a record has one driver at a time, later callers wait for it and read where it runs only then; the ledger keeps what a caller waits for.

Tests: admission.test.ts; hosts.test.ts, six sends at once of what is not repeatable: one start, 60 tokens.

--- a/packages/daemon/src/answer/answer_driver.ts
+++ b/packages/daemon/src/answer/answer_driver.ts
@@ -43,6 +43,8 @@
 export type DriveOutcome = 'ended' | 'failed' | 'stopped' | 'superseded';
 
 const CHOOSE_AGAIN_MS = 20;
+// Above every priority that can be declared.
+const RESUMING_PRIORITY = 100;
 /** Losses after which the engine may still be running the generation. */
 const TO_CANCEL: ReadonlySet<LossKind> = new Set<LossKind>([
   'gap',
@@ -241,7 +243,7 @@
       received: attaching ? '' : (record.text ?? ''),
       offset: record.nextOffset,
       maxTokens: request.maxTokens,
-      priority: record.mayHaveRun ? request.priority + 100 : request.priority,
+      priority: request.priority + (record.mayHaveRun ? RESUMING_PRIORITY : 0),
       model: request.spec.modelVersion,
       ...(request.adapter === undefined ? {} : {adapter: request.adapter}),
     };
--- a/packages/daemon/src/answer/request_record.ts
+++ b/packages/daemon/src/answer/request_record.ts
@@ -39,6 +39,10 @@
   mayHaveRun = false;
   /** The endpoint that runs its present generation. */
   endpoint = '';
+  /** Whether a driver runs it now; there is one at a time. */
+  isDriven = false;
+  /** Callers that came back and wait for the driver before theirs. */
+  joiners = 0;
   /** Stops the driver that runs it now. */
   controller = new AbortController();
   /** Resolves when the driver that runs it now has stopped. */
--- a/packages/daemon/src/errors.ts
+++ b/packages/daemon/src/errors.ts
@@ -130,6 +130,12 @@
     message: 'This host is leaving and takes no new work.',
     remedy: 'Ask GET /v1/addresses of another host.',
   },
+  caller_left: {
+    status: 499,
+    outcome: 'not-run',
+    message: 'The caller left while its request waited for {service}.',
+    remedy: 'Nothing; the request was taken out of the queue.',
+  },
   no_endpoint: {
     status: 503,
     outcome: 'not-run',
--- a/packages/daemon/src/services/admission.ts
+++ b/packages/daemon/src/services/admission.ts
@@ -158,7 +158,10 @@
 
   private findRefusal(entry: AdmissionEntry): KnownError | undefined {
     if (this.leaving) return DAEMON_ERRORS.create('leaving', {}, 1);
-    const {team, maxInFlight: limit} = entry;
+    const {team, service, maxInFlight: limit} = entry;
+    if (entry.signal.aborted) {
+      return DAEMON_ERRORS.create('caller_left', {service});
+    }
     const used = this.teams.get(team) ?? 0;
     if (limit === 0 || used < limit) return undefined;
     const retry = computeRetryAfter(1000, this.getSpread());
@@ -210,14 +213,17 @@
   }
 
   private addWaiting(gate: Gate, waiting: Waiting, now: number): void {
-    const {id, signal} = waiting.entry;
+    const {id, service, signal} = waiting.entry;
     gate.waiting.set(id, waiting);
     this.planExpiry();
     gate.estimate.startBusy(now);
     signal.addEventListener(
       'abort',
       () => {
-        if (gate.queue.remove(id)) gate.waiting.delete(id);
+        if (!gate.queue.remove(id)) return;
+        gate.waiting.delete(id);
+        const error = DAEMON_ERRORS.create('caller_left', {service});
+        waiting.reply(err(error));
       },
       {once: true},
     );
--- a/packages/daemon/src/services/streams.ts
+++ b/packages/daemon/src/services/streams.ts
@@ -67,12 +67,6 @@
   readonly keepEndedMs: number;
 }
 
-/** Where a driver begins. */
-interface Begin {
-  readonly record: RequestRecord;
-  readonly attachTo: string;
-}
-
 /** Answers requests for text. */
 export class Streams {
   private readonly ledger: RequestLedger<RequestRecord>;
@@ -101,13 +95,13 @@
     sink: AnswerSink,
   ): Promise<Result<void, OwnerRefusal>> {
     this.ledger.dropOld(this.parts.clock.getNow());
-    const begin = this.findBegin(ask);
-    if (begin.isErr()) return err(begin.error);
-    await this.runDriver(ask, sink, begin.value);
+    const record = this.findRecord(ask);
+    if (record.isErr()) return err(record.error);
+    await this.runDriver(ask, sink, record.value);
     return ok();
   }
 
-  private findBegin(ask: StreamAsk): Result<Begin, OwnerRefusal> {
+  private findRecord(ask: StreamAsk): Result<RequestRecord, OwnerRefusal> {
     const {request, resumeData} = ask;
     const record = this.ledger.find(request.id);
     const permission = this.parts.ownership.check({
@@ -121,7 +115,7 @@
     const refusal = this.findMismatch(ask, record);
     if (refusal !== undefined) return err({error: refusal});
     if (permission.value === 'join' && record !== undefined) {
-      return ok({record, attachTo: record.endpoint});
+      return ok(record);
     }
     return permission.value === 'take_over'
       ? ok(this.createTakeOver(ask))
@@ -149,7 +143,7 @@
     return DAEMON_ERRORS.create('resume_text_needed');
   }
 
-  private createStart(ask: StreamAsk): Result<Begin, OwnerRefusal> {
+  private createStart(ask: StreamAsk): Result<RequestRecord, OwnerRefusal> {
     const {request, fromOffset, receivedText} = ask;
     if (fromOffset > 0 && receivedText === undefined) {
       return err({error: DAEMON_ERRORS.create('resume_text_needed')});
@@ -159,10 +153,10 @@
     if (fromOffset > 0) record.mayHaveRun = true;
     if (fromOffset > 0) record.takeover = 1;
     this.ledger.add(request.id, record, this.parts.clock.getNow());
-    return ok({record, attachTo: ''});
+    return ok(record);
   }
 
-  private createTakeOver(ask: StreamAsk): Begin {
+  private createTakeOver(ask: StreamAsk): RequestRecord {
     const {request, fromOffset, resumeData} = ask;
     const text = fromOffset === 0 ? '' : ask.receivedText;
     const record = new RequestRecord(request, fromOffset, text);
@@ -170,24 +164,28 @@
     record.takeover = getTakeover(resumeData?.generation ?? 0) + 1;
     record.endpoint = resumeData?.endpoint ?? '';
     this.ledger.add(request.id, record, this.parts.clock.getNow());
-    return {record, attachTo: record.endpoint};
+    return record;
   }
 
   private async runDriver(
     ask: StreamAsk,
     sink: AnswerSink,
-    begin: Begin,
+    record: RequestRecord,
   ): Promise<void> {
-    const {record, attachTo} = begin;
-    record.controller.abort();
-    await record.finished;
+    await this.stopDriver(record);
+    record.isDriven = true;
     record.controller = new AbortController();
     if (record.state === 'dropped') record.state = 'running';
     const driver = this.createDriver(record, sink);
+    // Where it runs is known only now that no other driver changes it.
     const {service} = record.request;
-    const endpoint = this.parts.directory.open(attachTo, service);
+    const endpoint = record.mayHaveRun
+      ? this.parts.directory.open(record.endpoint, service)
+      : undefined;
     this.running++;
-    const drive = driver.run(ask.fromOffset, endpoint);
+    const drive = driver.run(ask.fromOffset, endpoint).finally(() => {
+      record.isDriven = false;
+    });
     record.finished = drive.then(
       () => undefined,
       () => undefined,
@@ -199,6 +197,16 @@
     }
   }
 
+  /** Waits until no driver runs a request; several callers may wait. */
+  private async stopDriver(record: RequestRecord): Promise<void> {
+    record.joiners++;
+    while (record.isDriven) {
+      record.controller.abort();
+      await record.finished;
+    }
+    record.joiners--;
+  }
+
   private createDriver(record: RequestRecord, sink: AnswerSink): AnswerDriver {
     const {parts, budget} = this;
     const {directory, configuration, random} = parts;
@@ -224,7 +232,7 @@
       const loss = 'another host took it over';
       sink.fail(DAEMON_ERRORS.create('generation_lost', {loss}, 1));
     }
-    if (outcome === 'failed' && !record.mayHaveRun) {
+    if (outcome === 'failed' && !record.mayHaveRun && record.joiners === 0) {
       this.ledger.remove(record.request.id);
     }
     if (outcome === 'failed' || outcome === 'superseded') {
@@ -247,7 +255,8 @@
     if (!record.mayHaveRun) {
       // The caller left while it waited; nothing ran.
       record.state = 'dropped';
-      this.ledger.remove(record.request.id);
+      // A caller that came back goes on with this very record.
+      if (record.joiners === 0) this.ledger.remove(record.request.id);
       return;
     }
     const timer = setTimeout(() => {
--- /dev/null
+++ b/packages/daemon/tests/admission.test.ts
@@ -0,0 +1,84 @@
+/** The queue of a service answers every request that enters it. */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {SeededRandom, SystemClock} from '@irisdock/kernel';
+import {Counter, Histogram} from 'prom-client';
+import {Admission, type AdmissionEntry} from '../src/services/admission.js';
+
+function createAdmission(): Admission {
+  const registers: [] = [];
+  return new Admission({
+    clock: new SystemClock(),
+    random: new SeededRandom(1),
+    waits: new Histogram({
+      name: 'waits',
+      help: 'Waits.',
+      labelNames: ['service'],
+      registers,
+    }),
+    refusals: new Counter({
+      name: 'refusals',
+      help: 'Refusals.',
+      labelNames: ['service', 'kind'],
+      registers,
+    }),
+  });
+}
+
+function createEntry(change: Partial<AdmissionEntry> = {}): AdmissionEntry {
+  return {
+    id: 'a',
+    service: 's',
+    team: 't',
+    weight: 1,
+    cost: 1,
+    maxQueue: 1,
+    maxQueueMs: 60_000,
+    maxInFlight: 0,
+    signal: new AbortController().signal,
+    choose: () => undefined,
+    ...change,
+  };
+}
+
+describe('Admission', () => {
+  it('answers a request whose caller leaves while it waits', async () => {
+    const admission = createAdmission();
+    const controller = new AbortController();
+    const {signal} = controller;
+    const answer = admission.submit(createEntry({signal}));
+    assert.equal(admission.countWaiting('s'), 1);
+    controller.abort();
+    assert.equal((await answer)._unsafeUnwrapErr().kind, 'caller_left');
+    assert.equal(admission.countWaiting('s'), 0);
+  });
+
+  it('answers a request whose caller left before', async () => {
+    const entry = createEntry({signal: AbortSignal.abort()});
+    const answer = await createAdmission().submit(entry);
+    assert.equal(answer._unsafeUnwrapErr().kind, 'caller_left');
+  });
+
+  it('refuses at once what has waited long enough', async () => {
+    const admission = createAdmission();
+    const answer = await admission.submit(createEntry({maxQueueMs: 30}));
+    const error = answer._unsafeUnwrapErr();
+    assert.equal(error.kind, 'waited_too_long');
+    assert.equal(error.outcome, 'not-run');
+    assert.ok((error.retryAfterSeconds ?? 0) >= 1);
+  });
+
+  it('refuses what does not fit, and new work of a host that leaves', async () => {
+    const admission = createAdmission();
+    const controller = new AbortController();
+    const {signal} = controller;
+    const first = admission.submit(createEntry({signal}));
+    const second = await admission.submit(createEntry({id: 'b'}));
+    assert.equal(second._unsafeUnwrapErr().kind, 'queue_full');
+    admission.startLeaving();
+    const third = await admission.submit(createEntry({id: 'c'}));
+    assert.equal(third._unsafeUnwrapErr().kind, 'leaving');
+    controller.abort();
+    await first;
+  });
+});
--- a/packages/testkit/tests/hosts.test.ts
+++ b/packages/testkit/tests/hosts.test.ts
@@ -182,6 +182,26 @@
     assert.equal(runs.tokens, TOKENS);
   });
 
+  it('start a request once, though it is sent many times at the same moment', async () => {
+    const host = getHost(0);
+    const requestId = await createId(host);
+    const ask = createAsk({requestId, repeatable: false});
+    const {caller} = host.places;
+    const states = await Promise.all(
+      Array.from({length: 6}, () => streamWhole([caller], ask)),
+    );
+    const whole = states.filter((state) => state.done);
+    assert.ok(whole.length >= 1);
+    for (const state of whole) checkWhole(state);
+    for (const {text} of states) {
+      const {repeated, mixed} = checkText(PROMPT, text, TOKENS);
+      assert.equal(repeated + mixed, 0);
+    }
+    const runs = await deployment.countRuns(requestId);
+    assert.equal(runs.starts, 1);
+    assert.equal(runs.tokens, TOKENS);
+  });
+
   it('give an ended answer again to a caller that lost its end', async () => {
     const {caller} = getHost(0).places;
     const state = await streamWhole([caller], createAsk());
--- a/scripts/check_proofs.mjs
+++ b/scripts/check_proofs.mjs
@@ -69,7 +69,7 @@
   [
     'an answer is attached to on another host',
     `${DAEMON}/services/streams.js`,
-    'this.parts.directory.open(attachTo, service)',
+    'this.parts.directory.open(record.endpoint, service)',
     'undefined',
     'testkit/hosts',
     'without a token redone',
