--- a/scripts/check_generated.sh
+++ b/scripts/check_generated.sh
@@ -3,6 +3,7 @@
 # .proto file. Where the generator is not installed, it says so and passes.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+PATH="$PWD/node_modules/.bin:$PATH"
 if ! node_modules/.bin/buf --version >/dev/null 2>&1; then
   echo 'generated code: not checked, the generator is not installed'
   exit 0
