--- a/packages/daemon/src/answer/request_record.ts
+++ b/packages/daemon/src/answer/request_record.ts
@@ -45,7 +45,7 @@
   joiners = 0;
   /** Stops the driver that runs it now. */
   controller = new AbortController();
-  /** Resolves when the driver that runs it now has stopped. */
+  /** Resolves once the driver that runs it now has stopped. */
   finished: Promise<void> = Promise.resolve();
   private tokens: string[] = [];
 
--- a/packages/daemon/src/services/streams.ts
+++ b/packages/daemon/src/services/streams.ts
@@ -79,7 +79,7 @@
     });
   }
 
-  /** Answers that are being finished now. */
+  /** Answers that are being given now. */
   get inFlight(): number {
     return this.running;
   }
