Tell a caller at once that a newer connection took its answer up

(2) An order given up before its connection was made counted as one that may have run, so the next one went out as a continuation: starts 0, where the test wants 1. Ruled out: the ledger (one record, one driver at a time) and the stand-in's count.

Change: a displaced caller gets answer_taken_up (409, unknown, retry after 1 s). The engine client's order body knows whether a connection took it; one that was not taken is unreachable, so not run, whatever ended the call.

--- a/bench/src/hunt_play.ts
+++ b/bench/src/hunt_play.ts
@@ -30,7 +30,8 @@
 export interface PlayReport {
   readonly seed: number;
   readonly whole: number;
-  readonly givenUp: number;
+  /** The last error of each answer that was given up, by its kind. */
+  readonly givenUp: Readonly<Record<string, number>>;
   readonly connections: number;
   readonly failures: string;
   /** Promises that were broken. */
@@ -221,6 +222,11 @@
   }
   const whole = played.filter(({state}) => state.done).length;
   const connections = played.reduce((sum, each) => sum + each.connections, 0);
-  const givenUp = played.length - whole;
+  const givenUp: Record<string, number> = {};
+  for (const {state} of played) {
+    if (state.done) continue;
+    const kind = /"kind":"(\w+)"/.exec(state.error)?.[1] ?? state.error;
+    givenUp[kind] = (givenUp[kind] ?? 0) + 1;
+  }
   return {seed, whole, givenUp, connections, failures, faults};
 }
--- a/packages/daemon/src/answer/answer_driver.ts
+++ b/packages/daemon/src/answer/answer_driver.ts
@@ -14,7 +14,10 @@
 } from '@irisdock/decisions';
 import type {StreamOrder} from '@irisdock/endpoints';
 import {err, ok, type Result} from 'neverthrow';
-import type {EndpointRecord} from '../endpoint/endpoint_record.js';
+import type {
+  EndpointOutcome,
+  EndpointRecord,
+} from '../endpoint/endpoint_record.js';
 import {DAEMON_ERRORS} from '../errors.js';
 import type {Admission, Admitted} from '../services/admission.js';
 import type {EndpointDirectory} from '../services/endpoint_directory.js';
@@ -213,16 +216,8 @@
       handleTokens: (tokens) => this.passOn(tokens),
     });
     const result = await leg.run(order);
-    const lost = result.kind === 'lost';
-    const refused = lost && result.loss === 'refused';
-    // Anything but a refused or failed connection may have reached it.
-    const unsent = lost && (refused || result.loss === 'unreachable');
-    if (!unsent) record.mayHaveRun = true;
-    const superseded = lost && result.loss === 'superseded';
-    const neutral = refused || superseded || result.kind === 'stopped';
-    const stalled = lost && result.loss === 'stalled';
-    const failed = stalled ? 'stalled' : lost ? 'lost' : 'done';
-    endpoint.endRequest(neutral ? 'neutral' : failed);
+    if (hasPerhapsRun(result)) record.mayHaveRun = true;
+    endpoint.endRequest(getEndpointOutcome(result));
     return result;
   }
 
@@ -341,3 +336,19 @@
     return 'failed';
   }
 }
+
+/** Anything but a refusal or a connection never made may have reached it. */
+function hasPerhapsRun(result: LegResult): boolean {
+  if (result.kind === 'stopped') return result.sent;
+  if (result.kind === 'ended') return true;
+  return result.loss !== 'refused' && result.loss !== 'unreachable';
+}
+
+/** Gives what a leg says of its endpoint. */
+function getEndpointOutcome(result: LegResult): EndpointOutcome {
+  if (result.kind === 'ended') return 'done';
+  if (result.kind === 'stopped') return 'neutral';
+  const {loss} = result;
+  if (loss === 'refused' || loss === 'superseded') return 'neutral';
+  return loss === 'stalled' ? 'stalled' : 'lost';
+}
--- a/packages/daemon/src/answer/answer_leg.ts
+++ b/packages/daemon/src/answer/answer_leg.ts
@@ -25,7 +25,8 @@
 export type LegResult =
   | {readonly kind: 'ended'; readonly reason: string}
   | {readonly kind: 'lost'; readonly loss: LossKind}
-  | {readonly kind: 'stopped'};
+  /** `sent` tells whether the order may have reached the engine. */
+  | {readonly kind: 'stopped'; readonly sent: boolean};
 
 /** How patient a leg is. */
 export interface LegOptions {
@@ -61,8 +62,6 @@
   endpoint_unknown_stream: 'gone',
 };
 
-const STOPPED: LegResult = {kind: 'stopped'};
-
 /** Runs one leg. */
 export class AnswerLeg {
   private readonly abort = new AbortController();
@@ -97,7 +96,7 @@
   /** Runs the order to its end. */
   async run(order: StreamOrder): Promise<LegResult> {
     const {engine, stop, metrics} = this.parts;
-    if (stop.aborted) return STOPPED;
+    if (stop.aborted) return {kind: 'stopped', sent: false};
     metrics.orders.inc({mode: order.mode});
     this.startWatch(order);
     const cancel = (): void => {
@@ -106,7 +105,7 @@
     stop.addEventListener('abort', cancel);
     try {
       const opened = await engine.openStream(order, this.abort.signal);
-      if (opened.isErr()) return this.createLoss(LOSSES[opened.error.kind]);
+      if (opened.isErr()) return this.createOpenLoss(opened.error.kind);
       this.parts.handleAccepted();
       return await this.read(opened.value);
     } finally {
@@ -193,9 +192,17 @@
     return {kind: 'ended', reason: verdict.reason};
   }
 
+  /** Creates the result of an order that got no stream. */
+  private createOpenLoss(error: EndpointErrorKind): LegResult {
+    if (error !== 'endpoint_unreachable') return this.createLoss(LOSSES[error]);
+    // Nothing was sent, whoever ended the try.
+    if (this.parts.stop.aborted) return {kind: 'stopped', sent: false};
+    return {kind: 'lost', loss: 'unreachable'};
+  }
+
   private createLoss(loss: LossKind | undefined): LegResult {
     if (this.stall !== undefined) return {kind: 'lost', loss: this.stall};
-    if (this.parts.stop.aborted) return STOPPED;
+    if (this.parts.stop.aborted) return {kind: 'stopped', sent: true};
     return {kind: 'lost', loss: loss ?? 'reset'};
   }
 }
--- a/packages/daemon/src/errors.ts
+++ b/packages/daemon/src/errors.ts
@@ -106,6 +106,12 @@
     message: 'The engine is gone, and only the caller has the text so far.',
     remedy: 'Send the text received as irisdock_received_text in the body.',
   },
+  answer_taken_up: {
+    status: 409,
+    outcome: 'unknown',
+    message: 'A newer connection with this request id took the answer up.',
+    remedy: 'Read the newer one; have you none, send it again with its id.',
+  },
   answer_forgotten: {
     status: 409,
     outcome: 'run',
--- a/packages/daemon/src/services/streams.ts
+++ b/packages/daemon/src/services/streams.ts
@@ -238,7 +238,12 @@
     if (outcome === 'failed' || outcome === 'superseded') {
       record.state = 'dropped';
     }
-    if (outcome === 'stopped') this.planDrop(record);
+    if (outcome !== 'stopped') return;
+    // A newer connection took it up; the one before learns it at once.
+    if (!sink.signal.aborted) {
+      sink.fail(DAEMON_ERRORS.create('answer_taken_up', {}, 1));
+    }
+    this.planDrop(record);
   }
 
   /** Forgets the text of an answer once its caller has had time for it. */
--- a/packages/endpoints/src/http_engine.ts
+++ b/packages/endpoints/src/http_engine.ts
@@ -12,9 +12,14 @@
 } from './engine.js';
 import {ENDPOINT_ERRORS} from './errors.js';
 import {HttpClient} from './http_client.js';
-import {createCallError, createStatusError} from './http_errors.js';
+import {
+  createCallError,
+  createStatusError,
+  createUnsentError,
+} from './http_errors.js';
 import {LOAD_SCHEMA} from './load_schema.js';
 import {listPromptBlocks} from './prompt_blocks.js';
+import {SentBody} from './sent_body.js';
 import {readStream} from './stream_reader.js';
 
 const CACHE_SCHEMA = z.object({
@@ -43,12 +48,13 @@
     order: StreamOrder,
     signal: AbortSignal,
   ): Promise<Result<EngineStream, EndpointError>> {
+    const sent = new SentBody(JSON.stringify(order));
     try {
       const response = await this.client.pool.request({
         method: 'POST',
         path: '/v1/streams',
-        body: JSON.stringify(order),
-        headers: {'content-type': 'application/json'},
+        body: sent.open(),
+        headers: sent.headers,
         signal,
       });
       const {body, statusCode} = response;
@@ -61,7 +67,8 @@
       };
       return ok({batches: readStream(body), close});
     } catch (thrown) {
-      return err(createCallError(this.address, thrown));
+      if (sent.isTaken) return err(createCallError(this.address, thrown));
+      return err(createUnsentError(this.address, thrown));
     }
   }
 
--- a/packages/endpoints/src/http_errors.ts
+++ b/packages/endpoints/src/http_errors.ts
@@ -19,6 +19,15 @@
   return ENDPOINT_ERRORS.create(kind, {address, detail});
 }
 
+/** Creates the error for a call that threw before a byte of it was taken. */
+export function createUnsentError(
+  address: string,
+  thrown: unknown,
+): EndpointError {
+  const detail = getErrorText(thrown);
+  return ENDPOINT_ERRORS.create('endpoint_unreachable', {address, detail});
+}
+
 /** Creates the error for a status that is no success. */
 export function createStatusError(
   address: string,
--- a/packages/testkit/src/caller.ts
+++ b/packages/testkit/src/caller.ts
@@ -33,6 +33,8 @@
   error: string;
   location: string;
   retryAfter: string;
+  /** Connections so far; what comes on an older one is not read. */
+  connections: number;
 }
 
 /** A hook on each token; returns true to cut the connection. */
@@ -52,6 +54,7 @@
     error: '',
     location: '',
     retryAfter: '',
+    connections: 0,
   };
 }
 
@@ -70,6 +73,7 @@
 ): Promise<void> {
   const controller = new AbortController();
   state.error = '';
+  const connection = ++state.connections;
   try {
     const answer = await request(`http://${address}/v1/completions`, {
       method: 'POST',
@@ -79,6 +83,10 @@
       headersTimeout: 60_000,
       bodyTimeout: 60_000,
     });
+    if (state.connections !== connection) {
+      controller.abort();
+      return;
+    }
     const {headers} = answer;
     state.status = answer.statusCode;
     state.requestId = String(headers['x-request-id'] ?? state.requestId);
@@ -91,6 +99,10 @@
     }
     const parser = createParser({
       onEvent: ({id, data}) => {
+        if (state.connections !== connection) {
+          controller.abort();
+          return;
+        }
         if (applyEvent(state, id, data) && onToken?.(state) === true) {
           controller.abort();
         }
@@ -101,6 +113,7 @@
       parser.feed(decoder.decode(part, {stream: true}));
     }
   } catch (thrown) {
+    if (state.connections !== connection) return;
     state.error = thrown instanceof Error ? thrown.message : String(thrown);
   }
 }
--- /dev/null
+++ b/packages/testkit/src/entry_hosts.ts
@@ -0,0 +1,45 @@
+/** What tests of entry hosts share. */
+import type {AddressAnswer, DaemonNode} from './deployment_types.js';
+import type {Deployment} from './deployment.js';
+import {getJson} from './http.js';
+import {waitUntil} from './wait.js';
+
+interface HostStates {
+  readonly hosts: readonly {
+    readonly callerAddress: string;
+    readonly state: string;
+  }[];
+}
+
+/** Creates a request id that is bound to a host. */
+export async function createIdOf(host: DaemonNode): Promise<string> {
+  const url = `http://${host.places.caller}/v1/addresses?ids=1`;
+  const answer = await getJson<AddressAnswer>(url);
+  const own = answer.addresses.find((a) => a.address === host.places.caller);
+  return own?.requestIds[0] ?? '';
+}
+
+/** Waits until one host takes another for dead. */
+export async function waitDead(
+  seenBy: DaemonNode,
+  dead: DaemonNode,
+): Promise<void> {
+  await waitUntil('the host counts as dead', async () => {
+    const url = `http://${seenBy.places.operator}/v1/status`;
+    const {hosts} = await getJson<HostStates>(url);
+    const seen = hosts.find((h) => h.callerAddress === dead.places.caller);
+    return seen?.state === 'dead';
+  });
+}
+
+/** Starts hosts and engines until there are as many as before a failure. */
+export async function addMissingNodes(
+  deployment: Deployment,
+  hosts: number,
+  engines: number,
+): Promise<void> {
+  const live = deployment.daemons.filter((d) => !d.process.isExited);
+  deployment.daemons.splice(0, deployment.daemons.length, ...live);
+  while (deployment.daemons.length < hosts) await deployment.addDaemon();
+  await deployment.addEnginesUntil(engines);
+}
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -1,7 +1,9 @@
 /** Fixtures of processes. */
+export * from './answers.js';
 export * from './caller.js';
 export * from './deployment.js';
 export * from './deployment_types.js';
+export * from './entry_hosts.js';
 export * from './http.js';
 export * from './process.js';
 export * from './reference.js';
--- a/packages/testkit/tests/streams.test.ts
+++ b/packages/testkit/tests/streams.test.ts
@@ -7,42 +7,21 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {checkText} from '@irisdock/standins';
 import {
+  checkWholeAnswer,
+  createAsk,
   createDeployment,
   NAMES,
+  PROMPT,
   readEndpoint,
   sendHttp,
   streamWhole,
+  TOKENS,
   waitUntil,
-  type CallerState,
-  type CompletionAsk,
   type Deployment,
   type EndpointNode,
 } from '@irisdock/testkit';
 
-const TOKENS = 60;
 const STEP_MS = 10;
-const PROMPT = 'A class portrait of the year. '.repeat(12);
-
-function createAsk(change: Partial<CompletionAsk> = {}): CompletionAsk {
-  return {
-    model: NAMES.service,
-    prompt: PROMPT,
-    maxTokens: TOKENS,
-    team: NAMES.team,
-    ...change,
-  };
-}
-
-function checkWhole(state: CallerState, tokens = TOKENS): void {
-  assert.equal(state.error, '');
-  const report = checkText(PROMPT, state.text, tokens);
-  assert.deepEqual(report, {tokens, missing: 0, repeated: 0, mixed: 0});
-  assert.deepEqual(
-    state.ids,
-    Array.from({length: tokens}, (_, at) => at),
-  );
-  assert.ok(state.done);
-}
 
 /** A failure brought about once, when so many tokens have arrived. */
 interface EngineFailure {
@@ -122,7 +101,7 @@
       );
       for (const engine of touched) await engine.process.kill();
       assert.equal(touched.length, at.length);
-      checkWhole(state);
+      checkWholeAnswer(state);
     });
   }
 
@@ -166,7 +145,7 @@
         if (now.ids.length === 30) frozen?.process.sendSignal('SIGCONT');
       },
     );
-    checkWhole(state);
+    checkWholeAnswer(state);
     const runs = await deployment.countRuns(state.requestId);
     assert.equal(runs.starts, 1);
     await frozen?.process.kill();
@@ -182,7 +161,7 @@
         engine.process.sendSignal('SIGKILL');
       },
     );
-    checkWhole(state);
+    checkWholeAnswer(state);
     const runs = await deployment.countRuns(state.requestId);
     assert.equal(runs.continues, 1);
     assert.ok(runs.tokens <= TOKENS - 30, `made ${runs.tokens} again`);
@@ -194,7 +173,7 @@
     );
     await sleep(150);
     deployment.engines[0]?.process.sendSignal('SIGKILL');
-    for (const state of await Promise.all(asks)) checkWhole(state);
+    for (const state of await Promise.all(asks)) checkWholeAnswer(state);
   });
 
   it('unstreamed too', async () => {
--- a/scripts/check_proofs.mjs
+++ b/scripts/check_proofs.mjs
@@ -87,7 +87,7 @@
     `${DECISIONS}/request_owner.js`,
     "if (id.origin === 'forged')",
     "if (true) return 'start';\n    if (id.origin === 'forged')",
-    'testkit/hosts',
+    'testkit/at_most_once',
     'sent to all of them',
   ],
   [
@@ -95,7 +95,7 @@
     `${DECISIONS}/request_owner.js`,
     "return state.repeatable ? 'start' : 'refuse_unknown';\n}",
     "return 'start';\n}",
-    'testkit/hosts',
+    'testkit/at_most_once',
     'once the owner is gone',
   ],
   [
