Answer a caller whole that is still sending its body

Cause: a run of npm test failed with EPIPE in "a body over the limit" (1 of 309). The daemon answered and closed while bytes of the body were unread; the system then resets the connection, and the answer may be lost with it. Change: after an early answer the rest of the body is read and dropped, for 2 s at most, and then the connection closes. Before: a caller that sends 20 MB against a limit of 100 bytes gets EPIPE in place of the 413 (new test, seen to fail).

--- a/packages/web/src/answers.ts
+++ b/packages/web/src/answers.ts
@@ -5,6 +5,9 @@
 /** The header that says what is known of a failed request. */
 export const OUTCOME_HEADER = 'x-irisdock-outcome';
 
+/** How long the rest of a body is read after an early answer. */
+const DROP_REST_MS = 2000;
+
 /** One server-sent event. */
 export interface ServerEvent {
   readonly id?: number;
@@ -44,9 +47,40 @@
     [OUTCOME_HEADER]: error.outcome,
   };
   if (wait !== undefined) extra['retry-after'] = String(wait);
-  // What is left of a body that was not read must not be taken for a request.
-  if (!response.req.complete) extra['connection'] = 'close';
-  sendJson(response, error.status, {error: formatError(error)}, extra);
+  const value = {error: formatError(error)};
+  if (response.req.complete) sendJson(response, error.status, value, extra);
+  else sendEarly(response, error.status, value, extra);
+}
+
+/**
+ * Answers a caller that is still sending. What is left of its body must not be
+ * taken for a request, so the connection closes; but a connection closed with
+ * bytes unread is reset, and the answer lost with it. So the rest is read and
+ * dropped first, within a bound.
+ */
+function sendEarly(
+  response: ServerResponse,
+  status: number,
+  value: unknown,
+  headers: Readonly<Record<string, string>>,
+): void {
+  const {req} = response;
+  const body = JSON.stringify(value);
+  response.writeHead(status, {
+    ...headers,
+    connection: 'close',
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(body),
+  });
+  response.write(body);
+  const end = (): void => {
+    clearTimeout(timer);
+    response.end();
+  };
+  const timer = setTimeout(end, DROP_REST_MS);
+  req.once('end', end);
+  req.once('close', end);
+  req.resume();
 }
 
 /** Gives an error as answers carry it; `type` is for OpenAI clients. */
--- a/packages/web/tests/web_server.test.ts
+++ b/packages/web/tests/web_server.test.ts
@@ -149,6 +149,12 @@
     });
   }
 
+  it('answers a caller whole that is still sending', async () => {
+    const text = formatPost('/echo/a', 'x'.repeat(20_000_000));
+    const answer = await sendRaw(place, text, false);
+    assert.match(answer, /^HTTP\/1.1 413 [\s\S]*"kind":"body_too_large"/);
+  });
+
   it('answers what is no HTTP with 400', async () => {
     assert.match(await sendRaw(place, 'hello\r\n\r\n'), /^HTTP\/1.1 400 /);
   });
