Take a host that refuses connections for gone, not for silent

A killed host was noticed by silence alone: 2.5 s, then 3 s more until its requests could be answered as unknown.

Change: a refused connection at a watched host's address makes it suspect at once and dead after 1 s (--membership-gone-after-ms) unless it contradicts; after a contradiction refusals do not count for 2.5 s.

--- a/bench/src/bench_table.ts
+++ b/bench/src/bench_table.ts
@@ -2,6 +2,7 @@
 import type {Bench} from './bench.js';
 import {CONTROL_BENCH} from './benches/control.js';
 import {FAIRNESS_BENCH} from './benches/fairness.js';
+import {HOST_LOSS_BENCH} from './benches/host_loss.js';
 import {OVERHEAD_BENCH} from './benches/overhead.js';
 import {OVERLOAD_BENCH} from './benches/overload.js';
 import {PREFIX_BENCH} from './benches/prefix.js';
@@ -14,6 +15,7 @@
   RESUME_BENCH,
   STALLS_BENCH,
   FAIRNESS_BENCH,
+  HOST_LOSS_BENCH,
   OVERLOAD_BENCH,
   PREFIX_BENCH,
   CONTROL_BENCH,
--- a/packages/daemon/src/services/membership.ts
+++ b/packages/daemon/src/services/membership.ts
@@ -54,6 +54,11 @@
     this.post(this.view.applyHostList(peers, this.clock.getNow()));
   }
 
+  /** Takes it that a host's address refused a connection. */
+  recordRefusal(hostId: string): void {
+    this.post(this.view.recordRefusal(hostId, this.clock.getNow()));
+  }
+
   /** Moves on with time. */
   update(): void {
     this.post(this.view.update(this.clock.getNow()));
@@ -114,6 +119,15 @@
       unit: 'ms',
       description: 'Suspicion after which a host counts as dead.',
     }),
+  goneAfterMs: z.coerce
+    .number()
+    .int()
+    .min(100)
+    .default(MEMBERSHIP_TIMES.goneAfterMs)
+    .meta({
+      unit: 'ms',
+      description: 'The same for one whose address refuses connections.',
+    }),
   maxTableAgeMs: z.coerce.number().int().min(500).default(8000).meta({
     unit: 'ms',
     description: 'How old the word of the table may be before a host stops.',
--- a/packages/daemon/src/services/peer_links.ts
+++ b/packages/daemon/src/services/peer_links.ts
@@ -9,6 +9,7 @@
   createService,
   createServiceKey,
   getErrorText,
+  isRefused,
   Repeater,
   type Clock,
   type Logger,
@@ -148,8 +149,8 @@
     for (const [address, link] of this.links) {
       if (!targets.has(address)) link.abort();
     }
-    for (const address of targets.keys()) {
-      if (!this.links.has(address)) this.openLink(address);
+    for (const [address, hostId] of targets) {
+      if (!this.links.has(address)) this.openLink(address, hostId);
     }
   }
 
@@ -158,15 +159,20 @@
     for (const link of this.links.values()) link.abort();
   }
 
-  private openLink(address: string): void {
+  private openLink(address: string, hostId: string): void {
     const controller = new AbortController();
     this.links.set(address, controller);
-    void this.runLink(address, controller.signal).finally(() => {
+    void this.runLink(address, hostId, controller.signal).finally(() => {
       this.links.delete(address);
     });
   }
 
-  private async runLink(address: string, signal: AbortSignal): Promise<void> {
+  /** @param hostId The host at the address; empty when it is not known. */
+  private async runLink(
+    address: string,
+    hostId: string,
+    signal: AbortSignal,
+  ): Promise<void> {
     const {membership, log, clock} = this.parts;
     const client = new PeerClient(address);
     try {
@@ -177,6 +183,7 @@
     } catch (thrown) {
       const error = getErrorText(thrown);
       if (!signal.aborted) log.writeDebug('A link broke.', {address, error});
+      if (isRefused(thrown)) membership.recordRefusal(hostId);
     }
     client.close();
     await clock.wait(LINK_CHECK_MS, signal);
--- a/packages/decisions/src/membership_view.ts
+++ b/packages/decisions/src/membership_view.ts
@@ -12,6 +12,8 @@
 export interface MembershipTimes {
   readonly suspectAfterMs: number;
   readonly deadAfterMs: number;
+  /** The same for a suspect whose address refuses connections. */
+  readonly goneAfterMs: number;
   /** When a dead host is forgotten. */
   readonly forgetAfterMs: number;
 }
@@ -20,6 +22,7 @@
 export const MEMBERSHIP_TIMES: MembershipTimes = {
   suspectAfterMs: 2500,
   deadAfterMs: 3000,
+  goneAfterMs: 1000,
   forgetAfterMs: 600_000,
 };
 
@@ -30,6 +33,10 @@
   note: MemberNote;
   /** When the present state was taken. */
   since: number;
+  /** Whether its address refused a connection in the present state. */
+  isRefusing: boolean;
+  /** From when on a refusal counts; it contradicted one before. */
+  refusalsFrom: number;
 }
 
 /** The hosts as one host sees them. */
@@ -137,6 +144,21 @@
     if (this.heardAt.has(hostId)) this.heardAt.set(hostId, now);
   }
 
+  /**
+   * Notes that the address of a host refused a connection: nothing listens
+   * there, which a host that is slow, frozen or cut off cannot bring about.
+   * It is suspect at once, and has less time to contradict.
+   */
+  recordRefusal(hostId: string, now: number): MemberNote[] {
+    const member = this.members.get(hostId);
+    if (member === undefined || member.note.state === 'dead') return [];
+    if (now < member.refusalsFrom) return [];
+    const wasSuspect = member.note.state === 'suspect';
+    const note = wasSuspect ? [] : [this.setState(member, 'suspect', now)];
+    member.isRefusing = true;
+    return note;
+  }
+
   /**
    * Takes the host list; it lags, so it only adds and marks as leaving.
    *
@@ -170,7 +192,8 @@
   private take(note: MemberNote, now: number): MemberNote | undefined {
     const member = this.members.get(note.hostId);
     if (member === undefined) {
-      this.members.set(note.hostId, {note, since: now});
+      const fresh = {since: now, isRefusing: false, refusalsFrom: 0};
+      this.members.set(note.hostId, {note, ...fresh});
       return note;
     }
     if (!isNewer(note, member.note)) return undefined;
@@ -179,10 +202,19 @@
       this.heardAt.delete(note.hostId);
     }
     if (note.state !== member.note.state) member.since = now;
+    if (note.state !== 'suspect') this.endRefusing(member, note, now);
     member.note = note;
     return note;
   }
 
+  /** A host that lives though its address refuses is not doubted on and on. */
+  private endRefusing(member: Member, note: MemberNote, now: number): void {
+    const isSame = note.incarnation === member.note.incarnation;
+    const contradicts = member.isRefusing && isSame && note.state !== 'dead';
+    if (contradicts) member.refusalsFrom = now + this.times.suspectAfterMs;
+    member.isRefusing = false;
+  }
+
   private correctSelf(note: MemberNote): MemberNote | undefined {
     const ours = this.own;
     if (note.incarnation > ours.incarnation) return undefined;
@@ -198,12 +230,16 @@
     now: number,
   ): MemberState | 'forget' | undefined {
     const {state} = member.note;
-    const {suspectAfterMs, deadAfterMs, forgetAfterMs} = this.times;
+    const {suspectAfterMs, forgetAfterMs} = this.times;
     const inState = now - member.since;
     if (state === 'dead') {
       return inState < forgetAfterMs ? undefined : 'forget';
     }
-    if (state === 'suspect') return inState >= deadAfterMs ? 'dead' : undefined;
+    if (state === 'suspect') {
+      const {deadAfterMs, goneAfterMs} = this.times;
+      const limitMs = member.isRefusing ? goneAfterMs : deadAfterMs;
+      return inState >= limitMs ? 'dead' : undefined;
+    }
     const heardAt = this.heardAt.get(member.note.hostId);
     if (heardAt === undefined) return undefined;
     return now - heardAt >= suspectAfterMs ? 'suspect' : undefined;
--- a/packages/decisions/tests/membership_view.test.ts
+++ b/packages/decisions/tests/membership_view.test.ts
@@ -10,7 +10,12 @@
 import fc from 'fast-check';
 import {RUN_OPTIONS} from './run_options.js';
 
-const TIMES = {suspectAfterMs: 1500, deadAfterMs: 3000, forgetAfterMs: 60_000};
+const TIMES = {
+  suspectAfterMs: 1500,
+  deadAfterMs: 3000,
+  goneAfterMs: 1000,
+  forgetAfterMs: 60_000,
+};
 const STEP_MS = 250;
 
 function createNote(at: number, change: Partial<MemberNote> = {}): MemberNote {
@@ -158,6 +163,69 @@
     }
   });
 
+  describe('with a host whose address refuses connections', () => {
+    function createRefused(): MembershipView {
+      const view = new MembershipView(createNote(0), TIMES);
+      view.applyNotes([createNote(1)], 0);
+      const news = view.recordRefusal(createNote(1).hostId, 100);
+      assert.deepEqual(news, [createNote(1, {state: 'suspect'})]);
+      return view;
+    }
+
+    function getState(view: MembershipView): MemberState | undefined {
+      return view.find(createNote(1).hostId)?.state;
+    }
+
+    it('gives it no more callers at once, and takes it for dead sooner', () => {
+      const view = createRefused();
+      assert.deepEqual(view.listServing(), [view.self]);
+      view.update(100 + TIMES.goneAfterMs - 1);
+      assert.equal(getState(view), 'suspect');
+      view.update(100 + TIMES.goneAfterMs);
+      assert.equal(getState(view), 'dead');
+    });
+
+    it('waits longer for one that is merely silent', () => {
+      const view = new MembershipView(createNote(0), TIMES);
+      view.applyNotes([createNote(1, {state: 'suspect'})], 100);
+      view.update(100 + TIMES.goneAfterMs);
+      assert.equal(getState(view), 'suspect');
+    });
+
+    it('shortens the wait for one that was silent before', () => {
+      const view = new MembershipView(createNote(0), TIMES);
+      view.applyNotes([createNote(1, {state: 'suspect'})], 100);
+      assert.deepEqual(view.recordRefusal(createNote(1).hostId, 200), []);
+      view.update(100 + TIMES.goneAfterMs);
+      assert.equal(getState(view), 'dead');
+    });
+
+    it('believes its contradiction, and doubts it not on and on', () => {
+      const view = createRefused();
+      view.applyNotes([createNote(1, {sequence: 2})], 200);
+      assert.equal(getState(view), 'live');
+      const {hostId} = createNote(1);
+      const until = 200 + TIMES.suspectAfterMs;
+      assert.deepEqual(view.recordRefusal(hostId, until - 1), []);
+      assert.equal(getState(view), 'live');
+      view.recordRefusal(hostId, until);
+      assert.equal(getState(view), 'suspect');
+    });
+
+    it('takes its next incarnation back at once', () => {
+      const view = createRefused();
+      view.applyNotes([createNote(1, {incarnation: '2'})], 200);
+      assert.equal(getState(view), 'live');
+      view.update(200 + TIMES.goneAfterMs);
+      assert.equal(getState(view), 'live');
+    });
+
+    it('says nothing of one that is not known', () => {
+      const view = new MembershipView(createNote(0), TIMES);
+      assert.deepEqual(view.recordRefusal('nobody', 0), []);
+    });
+  });
+
   it('marks as leaving what the lagging list shows as leaving', () => {
     const view = new MembershipView(createNote(0), TIMES);
     view.applyNotes([createNote(1)], 0);
--- a/packages/testkit/src/caller.ts
+++ b/packages/testkit/src/caller.ts
@@ -73,6 +73,7 @@
 ): Promise<void> {
   const controller = new AbortController();
   state.error = '';
+  state.status = 0;
   const connection = ++state.connections;
   try {
     const answer = await request(`http://${address}/v1/completions`, {
--- a/packages/testkit/src/entry_hosts.ts
+++ b/packages/testkit/src/entry_hosts.ts
@@ -14,9 +14,26 @@
 /** Creates a request id that is bound to a host. */
 export async function createIdOf(host: DaemonNode): Promise<string> {
   const url = `http://${host.places.caller}/v1/addresses?ids=1`;
-  const answer = await getJson<AddressAnswer>(url);
-  const own = answer.addresses.find((a) => a.address === host.places.caller);
-  return own?.requestIds[0] ?? '';
+  let requestId = '';
+  // An answer names a few hosts in random order, perhaps not this one.
+  await waitUntil('an answer names the host', async () => {
+    const {addresses} = await getJson<AddressAnswer>(url);
+    const own = addresses.find((a) => a.address === host.places.caller);
+    requestId = own?.requestIds[0] ?? '';
+    return requestId !== '';
+  });
+  return requestId;
+}
+
+/** Gives the state in which one host sees another. */
+export async function getStateSeen(
+  seenBy: DaemonNode,
+  of: DaemonNode,
+): Promise<string> {
+  const url = `http://${seenBy.places.operator}/v1/status`;
+  const {hosts} = await getJson<HostStates>(url);
+  const seen = hosts.find((h) => h.callerAddress === of.places.caller);
+  return seen?.state ?? '';
 }
 
 /** Waits until one host takes another for dead. */
@@ -25,10 +42,7 @@
   dead: DaemonNode,
 ): Promise<void> {
   await waitUntil('the host counts as dead', async () => {
-    const url = `http://${seenBy.places.operator}/v1/status`;
-    const {hosts} = await getJson<HostStates>(url);
-    const seen = hosts.find((h) => h.callerAddress === dead.places.caller);
-    return seen?.state === 'dead';
+    return (await getStateSeen(seenBy, dead)) === 'dead';
   });
 }
 
