Keep one driver a request for real; let no old connection hold a newer one

A trace of the orders showed four drivers on one request at once (attach g3 to g6 within 1 ms, none stopped). Those that waited for one driver to stop were all let go by the same promise, and the next took its place only a turn later, when the others had looked. Two more, found by reading on: a request could be taken off the ledger by a driver that ended while the next one had it, so that a third send would start it again; and a driver that wrote to a half-open connection did not stop, so that its caller's newer connection waited for the system's own time-out of minutes. Ruled out: the engine stand-in (its numbers were in order).

Change: a lock of its own (driver_lock.ts), taken in the order of coming, each newcomer stopping the one before; only the last driver settles what becomes of a request; a write is left when its driver is stopped; one that fails while another waits is told answer_taken_up, not that it was not run; an engine that says it runs no such generation is told to refuse the older order, which may still be on its way.

--- a/packages/daemon/src/answer/answer_driver.ts
+++ b/packages/daemon/src/answer/answer_driver.ts
@@ -26,6 +26,7 @@
 import type {EngineChooser} from './engine_chooser.js';
 import type {RequestRecord} from './request_record.js';
 import type {StreamMetrics} from './stream_metrics.js';
+import {waitUnlessAborted} from './abortable_wait.js';
 
 /** What a driver works with. */
 export interface DriverParts {
@@ -51,6 +52,8 @@
 /** Losses after which the engine may still be running the generation. */
 const TO_CANCEL: ReadonlySet<LossKind> = new Set<LossKind>([
   'gap',
+  // The order before may still be on its way to it.
+  'gone',
   'reset',
   'silent',
   'stalled',
@@ -78,7 +81,7 @@
     private readonly record: RequestRecord,
     private readonly sink: AnswerSink,
   ) {
-    this.stop = AbortSignal.any([sink.signal, record.controller.signal]);
+    this.stop = AbortSignal.any([sink.signal, record.lock.signal]);
     this.startedAt = parts.clock.getNow();
     const {request, generation, nextOffset} = record;
     this.assembler = new AnswerAssembler(request.id, generation, nextOffset);
@@ -109,7 +112,7 @@
     this.sink.setResume(this.createResume());
     if (texts.length === 0) return;
     const tokens = texts.map((text, at) => ({offset: first + at, text}));
-    await this.sink.write(tokens);
+    await this.write(tokens);
   }
 
   private async runLegs(
@@ -259,7 +262,15 @@
     this.lastTokenAt = now;
     this.losses = 0;
     this.attaches = 0;
-    await this.sink.write(tokens);
+    await this.write(tokens);
+  }
+
+  /**
+   * Writes to the caller. A caller that reads no more, its connection half
+   * open, must not hold up the newer connection by which it came back.
+   */
+  private async write(tokens: readonly PassedToken[]): Promise<void> {
+    await waitUnlessAborted(this.sink.write(tokens), this.stop);
   }
 
   /** Decides what follows a loss; an error is the reason to give up. */
@@ -332,11 +343,19 @@
   }
 
   private fail(error: KnownError): DriveOutcome {
-    this.sink.fail(error);
+    // Another of the caller's connections goes on with it: then no word of
+    // this one says that it was not run.
+    const isTaken = this.record.lock.isWanted;
+    this.sink.fail(isTaken ? createTakenUp() : error);
     return 'failed';
   }
 }
 
+/** Creates the answer to a caller whose newer connection took over. */
+export function createTakenUp(): KnownError {
+  return DAEMON_ERRORS.create('answer_taken_up', {}, 1);
+}
+
 /** Anything but a refusal or a connection never made may have reached it. */
 function hasPerhapsRun(result: LegResult): boolean {
   if (result.kind === 'stopped') return result.sent;
--- a/packages/daemon/src/answer/request_record.ts
+++ b/packages/daemon/src/answer/request_record.ts
@@ -4,6 +4,7 @@
  * a request that was sent twice is recognised.
  */
 import type {GenerationSpec} from '@irisdock/resources';
+import {DriverLock} from './driver_lock.js';
 
 /** A checked request for text. */
 export interface GenerationRequest {
@@ -39,14 +40,8 @@
   mayHaveRun = false;
   /** The endpoint that runs its present generation. */
   endpoint = '';
-  /** Whether a driver runs it now; there is one at a time. */
-  isDriven = false;
-  /** Callers that came back and wait for the driver before theirs. */
-  joiners = 0;
-  /** Stops the driver that runs it now. */
-  controller = new AbortController();
-  /** Resolves once the driver that runs it now has stopped. */
-  finished: Promise<void> = Promise.resolve();
+  /** Held by the driver that runs it. */
+  readonly lock = new DriverLock();
   private tokens: string[] = [];
 
   /**
--- a/packages/daemon/src/services/streams.ts
+++ b/packages/daemon/src/services/streams.ts
@@ -20,7 +20,11 @@
 } from '@irisdock/decisions';
 import {err, ok, type Result} from 'neverthrow';
 import {Gauge} from 'prom-client';
-import {AnswerDriver, type DriveOutcome} from '../answer/answer_driver.js';
+import {
+  AnswerDriver,
+  createTakenUp,
+  type DriveOutcome,
+} from '../answer/answer_driver.js';
 import type {LegOptions} from '../answer/answer_leg.js';
 import type {AnswerSink} from '../answer/answer_sink.js';
 import {EngineChooser} from '../answer/engine_chooser.js';
@@ -52,7 +56,8 @@
   readonly receivedText: string | undefined;
 }
 
-interface StreamsParts {
+/** What the service works with. */
+export interface StreamsParts {
   readonly clock: Clock;
   readonly random: Random;
   readonly signer: Signer;
@@ -172,39 +177,31 @@
     sink: AnswerSink,
     record: RequestRecord,
   ): Promise<void> {
-    await this.stopDriver(record);
-    record.isDriven = true;
-    record.controller = new AbortController();
-    if (record.state === 'dropped') record.state = 'running';
-    const driver = this.createDriver(record, sink);
-    // Where it runs is known only now that no other driver changes it.
-    const {service} = record.request;
-    const endpoint = record.mayHaveRun
-      ? this.parts.directory.open(record.endpoint, service)
-      : undefined;
+    await record.lock.take();
     this.running++;
-    const drive = driver.run(ask.fromOffset, endpoint).finally(() => {
-      record.isDriven = false;
-    });
-    record.finished = drive.then(
-      () => undefined,
-      () => undefined,
-    );
     try {
-      this.finish(record, sink, await drive);
+      const outcome = await this.drive(ask, sink, record).finally(() => {
+        record.lock.end();
+      });
+      this.finish(record, sink, outcome);
     } finally {
       this.running--;
     }
   }
 
-  /** Waits until no driver runs a request; several callers may wait. */
-  private async stopDriver(record: RequestRecord): Promise<void> {
-    record.joiners++;
-    while (record.isDriven) {
-      record.controller.abort();
-      await record.finished;
-    }
-    record.joiners--;
+  private async drive(
+    ask: StreamAsk,
+    sink: AnswerSink,
+    record: RequestRecord,
+  ): Promise<DriveOutcome> {
+    if (record.state === 'dropped') record.state = 'running';
+    const driver = this.createDriver(record, sink);
+    // Where it runs is known only now that no other driver changes it.
+    const {service} = record.request;
+    const endpoint = record.mayHaveRun
+      ? this.parts.directory.open(record.endpoint, service)
+      : undefined;
+    return driver.run(ask.fromOffset, endpoint);
   }
 
   private createDriver(record: RequestRecord, sink: AnswerSink): AnswerDriver {
@@ -227,23 +224,33 @@
     outcome: DriveOutcome,
   ): void {
     this.parts.metrics.answers.inc({outcome});
-    if (outcome === 'ended') this.planForget(record);
     if (outcome === 'superseded') {
       const loss = 'another host took it over';
       sink.fail(DAEMON_ERRORS.create('generation_lost', {loss}, 1));
     }
-    if (outcome === 'failed' && !record.mayHaveRun && record.joiners === 0) {
-      this.ledger.remove(record.request.id);
+    // A newer connection took it up; the one before learns it at once.
+    if (outcome === 'stopped' && !sink.signal.aborted) {
+      sink.fail(createTakenUp());
     }
-    if (outcome === 'failed' || outcome === 'superseded') {
-      record.state = 'dropped';
+    // What became of the request is settled by its last driver: taken off the
+    // ledger under one that goes on with it, it could be started again.
+    if (record.lock.isFree) this.finishRecord(record, outcome);
+  }
+
+  /** Settles how a request stands that nobody goes on with here. */
+  private finishRecord(record: RequestRecord, outcome: DriveOutcome): void {
+    if (outcome === 'ended') {
+      this.planForget(record);
+      return;
     }
-    if (outcome !== 'stopped') return;
-    // A newer connection took it up; the one before learns it at once.
-    if (!sink.signal.aborted) {
-      sink.fail(DAEMON_ERRORS.create('answer_taken_up', {}, 1));
+    const hasRun = record.mayHaveRun;
+    if (outcome === 'stopped' && hasRun) {
+      this.planDrop(record);
+      return;
     }
-    this.planDrop(record);
+    record.state = 'dropped';
+    // Nothing of it ran, so its id may start anew.
+    if (!hasRun) this.ledger.remove(record.request.id);
   }
 
   /** Forgets the text of an answer once its caller has had time for it. */
@@ -256,16 +263,10 @@
 
   /** Drops a generation whose caller does not come back. */
   private planDrop(record: RequestRecord): void {
-    const {controller} = record;
-    if (!record.mayHaveRun) {
-      // The caller left while it waited; nothing ran.
-      record.state = 'dropped';
-      // A caller that came back goes on with this very record.
-      if (record.joiners === 0) this.ledger.remove(record.request.id);
-      return;
-    }
+    const {lock} = record;
+    const {signal} = lock;
     const timer = setTimeout(() => {
-      const takenUp = record.controller !== controller;
+      const takenUp = !lock.isFree || lock.signal !== signal;
       if (takenUp || record.state !== 'running') return;
       record.state = 'dropped';
       const engine = this.parts.directory.find(record.endpoint)?.clients.engine;
--- a/packages/daemon/tests/admission.test.ts
+++ b/packages/daemon/tests/admission.test.ts
@@ -1,29 +1,8 @@
 /** The queue of a service answers every request that enters it. */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {SeededRandom, SystemClock} from '@irisdock/kernel';
-import {Counter, Histogram} from 'prom-client';
-import {Admission, type AdmissionEntry} from '../src/services/admission.js';
-
-function createAdmission(): Admission {
-  const registers: [] = [];
-  return new Admission({
-    clock: new SystemClock(),
-    random: new SeededRandom(1),
-    waits: new Histogram({
-      name: 'waits',
-      help: 'Waits.',
-      labelNames: ['service'],
-      registers,
-    }),
-    refusals: new Counter({
-      name: 'refusals',
-      help: 'Refusals.',
-      labelNames: ['service', 'kind'],
-      registers,
-    }),
-  });
-}
+import type {AdmissionEntry} from '../src/services/admission.js';
+import {createAdmission} from './fixtures.js';
 
 function createEntry(change: Partial<AdmissionEntry> = {}): AdmissionEntry {
   return {
--- /dev/null
+++ b/packages/daemon/tests/fixtures.ts
@@ -0,0 +1,25 @@
+/** What the daemon's tests build. */
+import {SeededRandom, SystemClock} from '@irisdock/kernel';
+import {Counter, Histogram} from 'prom-client';
+import {Admission} from '../src/services/admission.js';
+
+/** Creates the queues of a host. */
+export function createAdmission(): Admission {
+  const registers: [] = [];
+  return new Admission({
+    clock: new SystemClock(),
+    random: new SeededRandom(1),
+    waits: new Histogram({
+      name: 'waits',
+      help: 'Waits.',
+      labelNames: ['service'],
+      registers,
+    }),
+    refusals: new Counter({
+      name: 'refusals',
+      help: 'Refusals.',
+      labelNames: ['service', 'kind'],
+      registers,
+    }),
+  });
+}
