Go on with what a host keeps only for the caller that it was kept for

A host that was frozen woke and took in tokens that its engine had made meanwhile; the caller had gone on at another host, whose engine made other tokens from the same offset, and came back to the first. The host joined it by its offset alone, and went on with its own text. Ruled out: the assembler and the generation numbers, which hold within one record; the stand-in's check (the text differs from the twelfth token on). A second fault of the same cause: where the host kept fewer tokens than the caller had, it refused the caller for good (resume_mismatch).

Change: each record has a name, which its resume data carries; a caller whose newest data names another record is taken over anew, above both numbers, and the driver it left is stopped. The ledger takes an entry out only for the record that it holds.

Before: hosts.test.ts, "add nothing of their own", failed 3 of 3 (the answer ended with generation_lost after the wrong text).

--- a/packages/daemon/src/answer/answer_driver.ts
+++ b/packages/daemon/src/answer/answer_driver.ts
@@ -328,9 +328,9 @@
   }
 
   private createResume(): string {
-    const {request, generation, endpoint} = this.record;
+    const {request, generation, endpoint, name: record} = this.record;
     const {id, digest} = request;
-    const data = {request: id, generation, endpoint, digest};
+    const data = {request: id, generation, endpoint, digest, record};
     return createResumeData(data, this.parts.signer);
   }
 
--- a/packages/daemon/src/answer/driver_lock.ts
+++ b/packages/daemon/src/answer/driver_lock.ts
@@ -48,6 +48,12 @@
     this.resolveEnded = resolveOwn;
   }
 
+  /** Stops the holder and whoever waits. */
+  stop(): void {
+    this.holder.abort();
+    this.newest.abort();
+  }
+
   /** Gives the lock back. */
   end(): void {
     this.drivers--;
--- a/packages/daemon/src/answer/request_ledger.ts
+++ b/packages/daemon/src/answer/request_ledger.ts
@@ -30,12 +30,14 @@
 
   /** Adds a request. */
   add(id: string, value: T, now: number): void {
+    // Taken out first, so that entries stay in the order of their age.
+    this.entries.delete(id);
     this.entries.set(id, {value, addedAt: now});
   }
 
-  /** Takes out a request of which nothing ran. */
-  remove(id: string): void {
-    this.entries.delete(id);
+  /** Takes out a request of which nothing ran, unless it is another now. */
+  remove(id: string, value: T): void {
+    if (this.find(id) === value) this.entries.delete(id);
   }
 
   /** Forgets what is old, unless `onForget` says that it still runs. */
--- a/packages/daemon/src/answer/request_record.ts
+++ b/packages/daemon/src/answer/request_record.ts
@@ -45,12 +45,14 @@
   private tokens: string[] = [];
 
   /**
+   * @param name Its own, among all records of the request on any host.
    * @param first The offset of the first token kept here.
    * @param textBefore The text before it; undefined when only the caller
    *     has it.
    */
   constructor(
     readonly request: GenerationRequest,
+    readonly name: string,
     private first: number,
     private textBefore: string | undefined,
   ) {}
@@ -71,6 +73,12 @@
     return this.textBefore + this.tokens.join('');
   }
 
+  /** Gives the text before an offset; undefined when it is not known here. */
+  getTextBefore(offset: number): string | undefined {
+    if (this.textBefore === undefined || offset < this.first) return undefined;
+    return this.textBefore + this.tokens.slice(0, offset - this.first).join('');
+  }
+
   /** Keeps a token. */
   addToken(text: string): void {
     this.tokens.push(text);
--- a/packages/daemon/src/services/plain_calls.ts
+++ b/packages/daemon/src/services/plain_calls.ts
@@ -85,7 +85,9 @@
     try {
       const answer = await this.run(ask);
       if (answer.isOk()) return ok(answer.value);
-      if (answer.error.outcome === 'not-run') this.ledger.remove(ask.id.id);
+      if (answer.error.outcome === 'not-run') {
+        this.ledger.remove(ask.id.id, 'sent');
+      }
       return err({error: answer.error});
     } finally {
       this.running--;
--- a/packages/daemon/src/services/streams.ts
+++ b/packages/daemon/src/services/streams.ts
@@ -12,6 +12,7 @@
 } from '@irisdock/kernel';
 import {
   getTakeover,
+  isRecordFit,
   RETRY_BUDGET,
   RetryBudget,
   type ReadId,
@@ -72,6 +73,9 @@
   readonly keepEndedMs: number;
 }
 
+/** Names of records are drawn below this; two of a request never meet. */
+const NAMES = 2 ** 40;
+
 /** Answers requests for text. */
 export class Streams {
   private readonly ledger: RequestLedger<RequestRecord>;
@@ -108,7 +112,9 @@
 
   private findRecord(ask: StreamAsk): Result<RequestRecord, OwnerRefusal> {
     const {request, resumeData} = ask;
-    const record = this.ledger.find(request.id);
+    const kept = this.ledger.find(request.id);
+    // What went on elsewhere is taken over anew, as if nothing were kept.
+    const record = kept && isFit(kept, ask) ? kept : undefined;
     const permission = this.parts.ownership.check({
       id: ask.id,
       repeatable: request.repeatable,
@@ -122,9 +128,8 @@
     if (permission.value === 'join' && record !== undefined) {
       return ok(record);
     }
-    return permission.value === 'take_over'
-      ? ok(this.createTakeOver(ask))
-      : this.createStart(ask);
+    if (permission.value === 'start') return this.createStart(ask);
+    return ok(this.createTakeOver(ask, kept));
   }
 
   private findMismatch(
@@ -153,22 +158,39 @@
     if (fromOffset > 0 && receivedText === undefined) {
       return err({error: DAEMON_ERRORS.create('resume_text_needed')});
     }
-    const record = new RequestRecord(request, fromOffset, receivedText ?? '');
+    const record = this.createRecord(request, fromOffset, receivedText ?? '');
     // What began elsewhere is continued, at a number above what is usual.
     if (fromOffset > 0) record.mayHaveRun = true;
     if (fromOffset > 0) record.takeover = 1;
-    this.ledger.add(request.id, record, this.parts.clock.getNow());
     return ok(record);
   }
 
-  private createTakeOver(ask: StreamAsk): RequestRecord {
+  /** @param kept What is kept of it here, and what the caller left behind. */
+  private createTakeOver(
+    ask: StreamAsk,
+    kept: RequestRecord | undefined,
+  ): RequestRecord {
     const {request, fromOffset, resumeData} = ask;
     const text = fromOffset === 0 ? '' : ask.receivedText;
-    const record = new RequestRecord(request, fromOffset, text);
+    const record = this.createRecord(request, fromOffset, text);
     record.mayHaveRun = true;
-    record.takeover = getTakeover(resumeData?.generation ?? 0) + 1;
+    const before = getTakeover(resumeData?.generation ?? 0);
+    record.takeover = Math.max(before, kept?.takeover ?? 0) + 1;
     record.endpoint = resumeData?.endpoint ?? '';
-    this.ledger.add(request.id, record, this.parts.clock.getNow());
+    // Its driver, should it still run, gives to a connection that was left.
+    kept?.lock.stop();
+    return record;
+  }
+
+  private createRecord(
+    request: GenerationRequest,
+    fromOffset: number,
+    textBefore: string | undefined,
+  ): RequestRecord {
+    const {random, clock} = this.parts;
+    const name = random.getInt(NAMES).toString(36);
+    const record = new RequestRecord(request, name, fromOffset, textBefore);
+    this.ledger.add(request.id, record, clock.getNow());
     return record;
   }
 
@@ -250,7 +272,7 @@
     }
     record.state = 'dropped';
     // Nothing of it ran, so its id may start anew.
-    if (!hasRun) this.ledger.remove(record.request.id);
+    if (!hasRun) this.ledger.remove(record.request.id, record);
   }
 
   /** Forgets the text of an answer once its caller has had time for it. */
@@ -276,6 +298,17 @@
   }
 }
 
+/** Tells whether a caller goes on from what is kept. */
+function isFit(kept: RequestRecord, ask: StreamAsk): boolean {
+  return isRecordFit({
+    fromOffset: ask.fromOffset,
+    callerRecord: ask.resumeData?.record,
+    receivedText: ask.receivedText,
+    ownRecord: kept.name,
+    ownText: kept.getTextBefore(ask.fromOffset),
+  });
+}
+
 function toLedgerState(record: RequestRecord): 'ended' | 'running' {
   return record.state === 'ended' ? 'ended' : 'running';
 }
--- a/packages/daemon/tests/streams.test.ts
+++ b/packages/daemon/tests/streams.test.ts
@@ -122,7 +122,7 @@
   });
 
   it('stops a driver whose caller reads no more', async () => {
-    const record = new RequestRecord(createAsk().request, 0, '');
+    const record = new RequestRecord(createAsk().request, 'n', 0, '');
     record.addToken('a token');
     const sink = new FakeSink();
     // The connection is half open: what is written is never taken.
--- a/packages/decisions/src/resume_data.ts
+++ b/packages/decisions/src/resume_data.ts
@@ -17,6 +17,8 @@
   e: z.string(),
   /** A digest of the request's model, prompt and bounds. */
   d: z.string(),
+  /** The name of the record that its tokens come from. */
+  n: z.string(),
 });
 
 /** What resume data says. */
@@ -25,12 +27,14 @@
   readonly generation: number;
   readonly endpoint: string;
   readonly digest: string;
+  readonly record: string;
 }
 
 /** Formats and signs resume data. */
 export function createResumeData(data: ResumeData, signer: Signer): string {
-  const {request: r, generation: g, endpoint: e, digest: d} = data;
-  const body = Buffer.from(JSON.stringify({r, g, e, d})).toString('base64url');
+  const {request: r, generation: g, endpoint: e, digest: d, record: n} = data;
+  const json = JSON.stringify({r, g, e, d, n});
+  const body = Buffer.from(json).toString('base64url');
   return `${body}.${signer.sign(body)}`;
 }
 
@@ -46,6 +50,7 @@
   const json = Buffer.from(body, 'base64url').toString('utf8');
   const parsed = RESUME_SCHEMA.safeParse(JSON.parse(json));
   if (!parsed.success) return bad;
-  const {r: request, g: generation, e: endpoint, d: digest} = parsed.data;
-  return ok({request, generation, endpoint, digest});
+  const {r: request, g: generation, e: endpoint} = parsed.data;
+  const {d: digest, n: record} = parsed.data;
+  return ok({request, generation, endpoint, digest, record});
 }
--- a/packages/decisions/tests/signed_texts.test.ts
+++ b/packages/decisions/tests/signed_texts.test.ts
@@ -29,6 +29,7 @@
     generation: fc.integer({min: 1, max: 2 ** 40}),
     endpoint: fc.string({maxLength: 40}),
     digest: fc.string({maxLength: 40}),
+    record: fc.string({maxLength: 40}),
   },
   PLAIN,
 );
--- a/packages/testkit/tests/hosts.test.ts
+++ b/packages/testkit/tests/hosts.test.ts
@@ -4,6 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import {after, before, beforeEach, describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {checkText} from '@irisdock/standins';
 import {
   checkWholeAnswer,
@@ -13,10 +14,12 @@
   getJson,
   PROMPT,
   readEndpoint,
+  sendHttp,
   addMissingNodes,
   streamOnce,
   streamWhole,
   TOKENS,
+  waitUntil,
   type AddressAnswer,
   type DaemonNode,
   type Deployment,
@@ -111,6 +114,35 @@
     assert.equal(runs.tokens, TOKENS);
   });
 
+  it('add nothing of their own to an answer that went on elsewhere', async () => {
+    const [one, two] = [getHost(0), getHost(1)];
+    const state = createCallerState();
+    // Held open, as by a caller that does not learn of its host's pause.
+    const held = streamOnce(one.places.caller, createAsk(), state, (now) => {
+      if (now.ids.length === 20) one.process.sendSignal('SIGSTOP');
+      return undefined;
+    });
+    await waitUntil('the host is frozen', () => state.ids.length >= 20);
+    // Its engine makes tokens meanwhile that the host will find when it wakes.
+    await sleep(200);
+    const engine = deployment.findEngine(readEndpoint(state));
+    engine.process.sendSignal('SIGKILL');
+    await streamOnce(
+      two.places.caller,
+      createAsk(),
+      state,
+      (now) => now.ids.length === 30,
+    );
+    one.process.sendSignal('SIGCONT');
+    await held;
+    await waitUntil('the host serves again', async () => {
+      const url = `http://${one.places.operator}/readyz`;
+      return (await sendHttp(url)).status === 200;
+    });
+    await streamOnce(one.places.caller, createAsk(), state);
+    checkWholeAnswer(state);
+  });
+
   it('lose one together with the engine, and the text comes from the caller', async () => {
     const [one, two] = [getHost(0), getHost(1)];
     const state = await streamWhole(
