Keep resumed answers away from engines that stand still too

A host knew an engine as stalled only by its own lost streams. Change: at the probe (150 to 700 ms into the silence), when the engine answers, the host marks it quiet and tells the others over the watches; a quiet engine gets no new work and no resumption for 3 s while others have room. Unknown signs are left out when read, so that hosts of two versions go together.

--- a/bench/src/benches/resume.ts
+++ b/bench/src/benches/resume.ts
@@ -6,14 +6,13 @@
   createCallerState,
   createDeployment,
   NAMES,
-  readEndpoint,
   streamOnce,
   type CallerState,
   type CompletionAsk,
   type Deployment,
-  type EndpointNode,
 } from '@irisdock/testkit';
 import {createBench, type ResultRow} from '../bench.js';
+import {FAILURE_KINDS, type FailureKind} from '../failure_kinds.js';
 import {runNaiveCaller} from '../naive_caller.js';
 import {SHAPES, type Shape} from '../shapes.js';
 import {computeSpread, formatNumber} from '../statistics.js';
@@ -35,81 +34,6 @@
   readonly whole: boolean;
 }
 
-interface FailureKind {
-  readonly name: string;
-  /** Whether the caller must go on at another host. */
-  readonly movesHost?: boolean;
-  start(deployment: Deployment, state: CallerState, host: string): void;
-}
-
-function getEngine(deployment: Deployment, state: CallerState): EndpointNode {
-  return deployment.findEngine(readEndpoint(state));
-}
-
-function getHostProcess(
-  deployment: Deployment,
-  host: string,
-): Deployment['daemons'][number]['process'] | undefined {
-  return deployment.daemons.find((d) => d.places.caller === host)?.process;
-}
-
-const KINDS: readonly FailureKind[] = [
-  {name: 'none', start: () => undefined},
-  {
-    name: 'engine killed',
-    start: (deployment, state) => {
-      getEngine(deployment, state).process.sendSignal('SIGKILL');
-    },
-  },
-  {
-    name: 'engine frozen',
-    start: (deployment, state) => {
-      getEngine(deployment, state).process.sendSignal('SIGSTOP');
-    },
-  },
-  {
-    name: 'stream cut',
-    start: (deployment, state) => {
-      const engine = getEngine(deployment, state);
-      void deployment.setFaults(engine, {cutAfter: 1});
-    },
-  },
-  {
-    name: 'token missing',
-    start: (deployment, state) => {
-      void deployment.setFaults(getEngine(deployment, state), {skip: 1});
-    },
-  },
-  {
-    name: 'engine stalled',
-    start: (deployment, state) => {
-      void deployment.setFaults(getEngine(deployment, state), {stall: true});
-    },
-  },
-  {
-    name: 'host killed',
-    movesHost: true,
-    start: (deployment, _state, host) => {
-      getHostProcess(deployment, host)?.sendSignal('SIGKILL');
-    },
-  },
-  {
-    name: 'host frozen',
-    movesHost: true,
-    start: (deployment, _state, host) => {
-      getHostProcess(deployment, host)?.sendSignal('SIGSTOP');
-    },
-  },
-  {
-    name: 'host and engine killed',
-    movesHost: true,
-    start: (deployment, state, host) => {
-      getEngine(deployment, state).process.sendSignal('SIGKILL');
-      getHostProcess(deployment, host)?.sendSignal('SIGKILL');
-    },
-  },
-];
-
 function createPrompt(at: number): string {
   return STYLE_SHEET.repeat(30) + `Material of student ${at}. `.repeat(10);
 }
@@ -252,9 +176,10 @@
   deployment: Deployment,
   shape: Shape,
   kind: FailureKind,
+  rounds: number,
 ): Promise<ResultRow> {
   const samples: Sample[] = [];
-  for (let round = 0; round < ROUNDS; round++) {
+  for (let round = 0; round < rounds; round++) {
     const runs = Array.from({length: PARALLEL}, (_, at) =>
       runOne(deployment, kind, round * PARALLEL + at),
     );
@@ -324,22 +249,39 @@
   };
 }
 
+/** What is asked for on the command line: shapes, failures, rounds. */
+function readWords(words: readonly string[]): {
+  shapes: readonly Shape[];
+  kinds: readonly FailureKind[];
+  rounds: number;
+} {
+  const shapes = SHAPES.filter((shape) => words.includes(shape.name));
+  const kinds = FAILURE_KINDS.filter((kind) => words.includes(kind.name));
+  const rounds = words.map(Number).find((word) => word > 0);
+  return {
+    shapes: shapes.length > 0 ? shapes : SHAPES,
+    kinds: kinds.length > 0 ? kinds : FAILURE_KINDS,
+    rounds: rounds ?? ROUNDS,
+  };
+}
+
 /** The measurement. */
 export const RESUME_BENCH = createBench({
   name: 'resume',
   description: 'resume latency and extra use per kind of failure',
   async run(printRow, words) {
     const rows: ResultRow[] = [];
-    const isAsked = (shape: Shape): boolean =>
-      words.length === 0 || words.includes(shape.name);
-    for (const shape of SHAPES.filter(isAsked)) {
+    const {shapes, kinds, rounds} = readWords(words);
+    for (const shape of shapes) {
       const deployment = await createDeployment(shape.options);
       try {
-        for (const kind of KINDS) {
-          rows.push(await measureKind(deployment, shape, kind));
+        for (const kind of kinds) {
+          rows.push(await measureKind(deployment, shape, kind, rounds));
           printRow(rows.at(-1) ?? {});
         }
-        for (const signal of ['SIGKILL', 'SIGSTOP'] as const) {
+        const signals = ['SIGKILL', 'SIGSTOP'] as const;
+        // The naive way is run beside all kinds, not beside chosen ones.
+        for (const signal of kinds === FAILURE_KINDS ? signals : []) {
           rows.push(await measureNaive(deployment, shape, signal));
           printRow(rows.at(-1) ?? {});
         }
--- a/packages/daemon/src/answer/answer_driver.ts
+++ b/packages/daemon/src/answer/answer_driver.ts
@@ -14,16 +14,14 @@
 } from '@irisdock/decisions';
 import type {StreamOrder} from '@irisdock/endpoints';
 import {err, ok, type Result} from 'neverthrow';
-import type {
-  EndpointOutcome,
-  EndpointRecord,
-} from '../endpoint/endpoint_record.js';
+import type {EndpointRecord} from '../endpoint/endpoint_record.js';
 import {DAEMON_ERRORS} from '../errors.js';
 import type {Admission, Admitted} from '../services/admission.js';
 import type {EndpointDirectory} from '../services/endpoint_directory.js';
 import {AnswerLeg, type LegOptions, type LegResult} from './answer_leg.js';
 import type {AnswerSink, PassedToken} from './answer_sink.js';
 import type {EngineChooser} from './engine_chooser.js';
+import {getEndpointOutcome, hasPerhapsRun} from './leg_verdict.js';
 import type {RequestRecord} from './request_record.js';
 import type {StreamMetrics} from './stream_metrics.js';
 import {waitUnlessAborted} from './abortable_wait.js';
@@ -213,6 +211,9 @@
       endpoint,
       engine,
       stop: this.stop,
+      handleQuiet: () => {
+        parts.directory.reportQuiet(endpoint);
+      },
       handleAccepted: () => {
         this.sink.setResume(this.createResume());
       },
@@ -355,19 +356,3 @@
 export function createTakenUp(): KnownError {
   return DAEMON_ERRORS.create('answer_taken_up', {}, 1);
 }
-
-/** Anything but a refusal or a connection never made may have reached it. */
-function hasPerhapsRun(result: LegResult): boolean {
-  if (result.kind === 'stopped') return result.sent;
-  if (result.kind === 'ended') return true;
-  return result.loss !== 'refused' && result.loss !== 'unreachable';
-}
-
-/** Gives what a leg says of its endpoint. */
-function getEndpointOutcome(result: LegResult): EndpointOutcome {
-  if (result.kind === 'ended') return 'done';
-  if (result.kind === 'stopped') return 'neutral';
-  const {loss} = result;
-  if (loss === 'refused' || loss === 'superseded') return 'neutral';
-  return loss === 'stalled' ? 'stalled' : 'lost';
-}
--- a/packages/daemon/src/answer/answer_leg.ts
+++ b/packages/daemon/src/answer/answer_leg.ts
@@ -48,6 +48,8 @@
   readonly engine: Engine;
   /** Aborted when the caller is gone or another driver takes over. */
   readonly stop: AbortSignal;
+  /** Called when the engine is silent for long, though it answers. */
+  handleQuiet(): void;
   /** Called once the engine has accepted the order. */
   handleAccepted(): void;
   /** Passes tokens on; resolves when more can be taken. */
@@ -90,6 +92,9 @@
         this.stall = kind;
         this.abort.abort();
       },
+      handleQuiet: () => {
+        parts.handleQuiet();
+      },
     });
   }
 
@@ -154,6 +159,7 @@
     batch: readonly StreamEvent[],
   ): Promise<LegResult | undefined> {
     const gapMs = this.watch.markActive();
+    this.parts.endpoint.markLively();
     this.recordGap(gapMs);
     const passed: PassedToken[] = [];
     let result: LegResult | undefined;
--- a/packages/daemon/src/answer/stall_watch.ts
+++ b/packages/daemon/src/answer/stall_watch.ts
@@ -16,6 +16,8 @@
   /** Asks the endpoint; true when it answers. */
   probe(): Promise<boolean>;
   handleLoss(kind: StallKind): void;
+  /** Called once for a silence in which the endpoint answers. */
+  handleQuiet(): void;
 }
 
 // A timer that fires this late says that this process stood still itself.
@@ -27,6 +29,8 @@
   private timer: NodeJS.Timeout | undefined;
   private paused = false;
   private stopped = false;
+  /** The silence that was told of, by its beginning. */
+  private quietSince: number | undefined;
 
   constructor(private readonly parts: StallWatchParts) {
     this.lastAt = parts.clock.getNow();
@@ -87,10 +91,17 @@
     const {lastAt} = this;
     const answers = await this.parts.probe();
     const stillSilent = this.lastAt === lastAt && !this.paused;
+    if (stillSilent && answers) this.reportQuiet();
     if (!answers && stillSilent) this.reportLoss('silent');
     else this.plan(Math.min(probeMs, Math.max(1, lostMs - silence)));
   }
 
+  private reportQuiet(): void {
+    if (this.stopped || this.quietSince === this.lastAt) return;
+    this.quietSince = this.lastAt;
+    this.parts.handleQuiet();
+  }
+
   private reportLoss(kind: StallKind): void {
     if (this.stopped) return;
     this.stop();
--- a/packages/daemon/src/endpoint/endpoint_record.ts
+++ b/packages/daemon/src/endpoint/endpoint_record.ts
@@ -29,6 +29,8 @@
 const LOSS_WEIGHT = 0.1;
 const STALL_WEIGHT = 0.5;
 const MAX_MISSES = 2;
+/** How long an endpoint counts as quiet, unless it makes a token. */
+const QUIET_MS = 3000;
 
 /** An endpoint of a service. */
 export class EndpointRecord {
@@ -42,6 +44,7 @@
   private inFlight = 0;
   private lossRate = 0;
   private misses = MAX_MISSES;
+  private quietUntil = -Infinity;
 
   constructor(
     readonly address: string,
@@ -118,6 +121,16 @@
     return wasAnswering;
   }
 
+  /** Notes that a stream there is silent, though it answers. */
+  markQuiet(): void {
+    this.quietUntil = this.clock.getNow() + QUIET_MS;
+  }
+
+  /** Notes that a stream there got a token. */
+  markLively(): void {
+    this.quietUntil = -Infinity;
+  }
+
   /** Gives what the choice of an endpoint looks at. */
   getView(): EndpointView {
     const {report} = this;
@@ -127,6 +140,7 @@
       address: this.address,
       failureDomain: this.failureDomain,
       answering: this.isAnswering,
+      isQuiet: this.clock.getNow() < this.quietUntil,
       lossRate: this.lossRate,
       slots: report?.slots ?? 1,
       reported: (report?.running ?? 0) + (report?.queued ?? 0),
--- a/packages/daemon/src/services/endpoint_directory.ts
+++ b/packages/daemon/src/services/endpoint_directory.ts
@@ -11,11 +11,11 @@
 } from '@irisdock/kernel';
 import {chooseSubset, PrefixIndex} from '@irisdock/decisions';
 import {HttpEngine, HttpPlainEndpoint} from '@irisdock/endpoints';
-import type {LoadHint} from '@irisdock/peer';
+import type {EndpointHint, LoadHint} from '@irisdock/peer';
 import type {ListedHost} from '@irisdock/platform';
 import {Counter, Gauge, type Registry} from 'prom-client';
 import type {Stream} from 'most';
-import {z} from 'zod';
+import {ENDPOINTS_SETTINGS} from '../endpoint/endpoints_settings.js';
 import {EndpointPoller} from '../endpoint/endpoint_poller.js';
 import {EndpointRecord} from '../endpoint/endpoint_record.js';
 import {LoadSharer} from '../endpoint/load_sharer.js';
@@ -114,6 +114,25 @@
     this.poller.poll(record);
   }
 
+  /** Notes that a stream is silent at an endpoint that answers. */
+  reportQuiet(record: EndpointRecord): void {
+    record.markQuiet();
+    const {address: endpoint} = record;
+    this.parts.links.sendHint({endpoint, sign: 'quiet'});
+  }
+
+  /** Takes a hint that another host gave. */
+  applyHint(hint: EndpointHint): void {
+    const record = this.records.get(hint.endpoint);
+    if (record === undefined) return;
+    if (hint.sign === 'quiet') {
+      record.markQuiet();
+      return;
+    }
+    record.markSuspect();
+    this.poller.poll(record);
+  }
+
   /** Tells the log and the other hosts of an endpoint that was lost. */
   publishLost(record: EndpointRecord, kind: string): void {
     const {address, service} = record;
@@ -136,14 +155,6 @@
     if (record?.isAnswering === true) record.applyReport(hint);
   }
 
-  /** Looks at an endpoint at once, as another host saw it lost. */
-  check(address: string): void {
-    const record = this.records.get(address);
-    if (record === undefined) return;
-    record.markSuspect();
-    this.poller.poll(record);
-  }
-
   /** Stops looking and closes all connections. */
   async close(): Promise<void> {
     for (const record of this.records.values()) {
@@ -228,33 +239,10 @@
 
 const SHARE_MS = 1000;
 
-const SETTINGS = z.object({
-  pollMs: z.coerce.number().int().min(50).default(500).meta({
-    unit: 'ms',
-    description: 'The shortest time between two looks at an endpoint.',
-  }),
-  looksPerSecond: z.coerce.number().min(1).default(4).meta({
-    unit: 'looks/s',
-    description: 'Looks at all endpoints together; they take longer turns.',
-  }),
-  pollTimeoutMs: z.coerce.number().int().min(20).default(400).meta({
-    unit: 'ms',
-    description: 'The longest that an endpoint may take to answer a look.',
-  }),
-  subsetSize: z.coerce.number().int().min(1).default(128).meta({
-    unit: 'endpoints',
-    description: 'The most endpoints of one service that this host uses.',
-  }),
-  maxBlocks: z.coerce.number().int().min(0).default(20_000).meta({
-    unit: 'blocks',
-    description: 'Prefix blocks remembered for each endpoint.',
-  }),
-});
-
 /** Declares the service. */
 export const ENDPOINTS_SERVICE = createService({
   key: ENDPOINTS,
-  settings: SETTINGS,
+  settings: ENDPOINTS_SETTINGS,
   needs: [CONFIGURATION, HOST, HOST_LIST, PEER_LINKS],
   create(context, settings) {
     const configuration = context.find(CONFIGURATION);
@@ -338,7 +326,7 @@
     directory.applyConfiguration();
   });
   void links.hints.observe((hint) => {
-    if (hint.sign === 'lost') directory.check(hint.endpoint);
+    directory.applyHint(hint);
   });
   void links.loads.observe((loads) => {
     for (const load of loads) directory.applyLoad(load);
--- a/packages/decisions/src/endpoint_choice.ts
+++ b/packages/decisions/src/endpoint_choice.ts
@@ -13,6 +13,8 @@
   readonly failureDomain: string;
   /** Whether the last look found it answering. */
   readonly answering: boolean;
+  /** Whether a stream there was silent of late, though it answers. */
+  readonly isQuiet: boolean;
   /** The part of its recent streams that was lost, from 0 to 1. */
   readonly lossRate: number;
   readonly slots: number;
@@ -54,7 +56,9 @@
   random: Random,
 ): EndpointView | undefined {
   const usable = findUsable(endpoints, request);
-  const withRoom = usable.filter((e) => getLoad(e) < request.fullAt);
+  const withRoom = findLively(
+    usable.filter((e) => getLoad(e) < request.fullAt),
+  );
   const candidates = chooseCandidates(withRoom, request, countHits, random);
   let best: EndpointView | undefined;
   let bestScore = Infinity;
@@ -87,6 +91,12 @@
   return fresh.length > 0 ? fresh : pool;
 }
 
+/** Gives those whose streams go on, or all when there is none such. */
+function findLively(endpoints: readonly EndpointView[]): EndpointView[] {
+  const lively = endpoints.filter((e) => !e.isQuiet);
+  return lively.length > 0 ? lively : [...endpoints];
+}
+
 function chooseCandidates(
   endpoints: readonly EndpointView[],
   request: ChoiceRequest,
--- a/packages/decisions/tests/endpoint_choice.test.ts
+++ b/packages/decisions/tests/endpoint_choice.test.ts
@@ -25,6 +25,7 @@
     address: `e${at}`,
     failureDomain: 'abc'[at % 3] ?? '',
     answering: true,
+    isQuiet: false,
     lossRate: 0,
     slots: 10,
     reported: 0,
@@ -129,6 +130,27 @@
       request: {},
       want: 'e1',
     },
+    {
+      name: 'keeps away from one that makes no tokens, though it answers',
+      views: [createView(0, {isQuiet: true}), createView(1, {reported: 9})],
+      request: {},
+      want: 'e1',
+    },
+    {
+      name: 'uses one that makes no tokens when the others are full',
+      views: [createView(0, {isQuiet: true}), createView(1, {reported: 10})],
+      request: {},
+      want: 'e0',
+    },
+    {
+      name: 'uses one that makes no tokens when none does',
+      views: [
+        createView(0, {isQuiet: true, reported: 5}),
+        createView(1, {isQuiet: true}),
+      ],
+      request: {},
+      want: 'e1',
+    },
     {
       name: 'keeps away from a failure domain that is being lost',
       views: [createView(0), createView(1, {reported: 9})],
--- a/packages/peer/src/codec.ts
+++ b/packages/peer/src/codec.ts
@@ -27,6 +27,16 @@
   [WireState.DEAD, 'dead'],
 ]);
 
+const WIRE_SIGNS: Readonly<Record<EndpointHint['sign'], EndpointSign>> = {
+  lost: EndpointSign.LOST,
+  quiet: EndpointSign.QUIET,
+};
+
+const SIGNS: ReadonlyMap<EndpointSign, EndpointHint['sign']> = new Map([
+  [EndpointSign.LOST, 'lost'],
+  [EndpointSign.QUIET, 'quiet'],
+]);
+
 /** Encodes a note. */
 export function encodeNote(note: MemberNote): WireNote {
   return create(MemberNoteSchema, {
@@ -67,7 +77,7 @@
     members: news.members.map(encodeNote),
     endpoints: news.endpoints.map(({endpoint, sign}) => ({
       endpoint,
-      sign: sign === 'lost' ? EndpointSign.LOST : EndpointSign.ANSWERING,
+      sign: WIRE_SIGNS[sign],
     })),
     changes: [...news.changes],
     loads: news.loads.map((load) => ({
@@ -98,10 +108,10 @@
           },
         }),
     members: decodeNotes(message.members),
-    endpoints: message.endpoints.map(({endpoint, sign}): EndpointHint => ({
-      endpoint,
-      sign: sign === EndpointSign.LOST ? 'lost' : 'answering',
-    })),
+    endpoints: message.endpoints.flatMap(({endpoint, sign}): EndpointHint[] => {
+      const known = SIGNS.get(sign);
+      return known === undefined ? [] : [{endpoint, sign: known}];
+    }),
     changes: message.changes,
     loads: message.loads,
   };
--- a/packages/peer/src/peer_news.ts
+++ b/packages/peer/src/peer_news.ts
@@ -12,10 +12,10 @@
   readonly inFlight: number;
 }
 
-/** A hint that an endpoint was lost or answers again. */
+/** A hint that an endpoint was lost, or answers but makes no tokens. */
 export interface EndpointHint {
   readonly endpoint: string;
-  readonly sign: 'answering' | 'lost';
+  readonly sign: 'lost' | 'quiet';
 }
 
 /** A load report that a host got from an endpoint itself. */
