--- a/packages/daemon/src/answer/answer_leg.ts
+++ b/packages/daemon/src/answer/answer_leg.ts
@@ -123,11 +123,12 @@
     const {minFirstTokenMs, firstTokenMs} = this.parts.options;
     const {serviceGaps} = this.parts.endpoint;
     this.promptChars = order.prompt.length + order.received.length;
-    this.firstTokenMs = serviceGaps.getFirstTokenLimit(
-      this.promptChars,
-      minFirstTokenMs,
-      firstTokenMs,
-    );
+    this.firstTokenMs = serviceGaps.getFirstTokenLimit({
+      promptChars: this.promptChars,
+      isResuming: order.mode !== 'start',
+      leastMs: minFirstTokenMs,
+      mostMs: firstTokenMs,
+    });
     this.watch.start();
   }
 
--- a/packages/daemon/src/endpoint/service_gaps.ts
+++ b/packages/daemon/src/endpoint/service_gaps.ts
@@ -12,8 +12,23 @@
 
 const MIN_GAPS = 32;
 const MIN_FIRST_TOKENS = 8;
+/** The same for an answer that is resumed: its caller waits. */
+const MIN_FIRST_TOKENS_RESUMING = 1;
+/** The wait of a resumed answer while nothing is known, in least waits. */
+const UNKNOWN_LEASTS = 2;
 const CHARS_PER_SIZE = 4000;
 
+/** A wait for the first token of a stream. */
+export interface FirstTokenWait {
+  /** Characters that the engine reads before it. */
+  readonly promptChars: number;
+  /** Whether the answer began before. */
+  readonly isResuming: boolean;
+  /** Bounds on the limit, in milliseconds. */
+  readonly leastMs: number;
+  readonly mostMs: number;
+}
+
 /** The pace of one service's engines. */
 export class ServiceGaps {
   private readonly gaps = new GapStatistics();
@@ -35,17 +50,21 @@
     return known.getLimits(bounds);
   }
 
-  /** Gives the longest wait for a first token, in milliseconds. */
-  getFirstTokenLimit(
-    promptChars: number,
-    leastMs: number,
-    mostMs: number,
-  ): number {
-    const isKnown = this.firstTokens.count >= MIN_FIRST_TOKENS;
+  /**
+   * Gives the longest wait for a first token, in milliseconds. A resumed
+   * answer is given less while little is known: its caller sees a stream that
+   * stands still, and what it had is not lost by going on elsewhere.
+   */
+  getFirstTokenLimit(wait: FirstTokenWait): number {
+    const {promptChars, isResuming, leastMs, mostMs} = wait;
+    const least = isResuming ? MIN_FIRST_TOKENS_RESUMING : MIN_FIRST_TOKENS;
+    const isKnown = this.firstTokens.count >= least;
     const usual = isKnown ? this.firstTokens.getUsual() : undefined;
+    const unknownMs = isResuming ? leastMs * UNKNOWN_LEASTS : mostMs;
+    const longestMs = usual === undefined ? unknownMs : mostMs;
     const sized =
       usual === undefined ? undefined : usual * getSize(promptChars);
-    return computeFirstTokenLimit(sized, leastMs, mostMs);
+    return computeFirstTokenLimit(sized, leastMs, Math.min(mostMs, longestMs));
   }
 }
 
