--- a/packages/daemon/src/answer/answer_driver.ts
+++ b/packages/daemon/src/answer/answer_driver.ts
@@ -271,7 +271,9 @@
    * open, must not hold up the newer connection by which it came back.
    */
   private async write(tokens: readonly PassedToken[]): Promise<void> {
-    await waitUnlessAborted(this.sink.write(tokens), this.stop);
+    const written = this.sink.write(tokens);
+    if (written === undefined) return;
+    await waitUnlessAborted(written, this.stop);
   }
 
   /** Decides what follows a loss; an error is the reason to give up. */
--- a/packages/daemon/src/answer/answer_sink.ts
+++ b/packages/daemon/src/answer/answer_sink.ts
@@ -20,8 +20,11 @@
   readonly signal: AbortSignal;
   /** Tells where the answer can be taken up again from now on. */
   setResume(resumeData: string): void;
-  /** Passes tokens on; resolves when the caller can take more. */
-  write(tokens: readonly PassedToken[]): Promise<void>;
+  /**
+   * Passes tokens on. Gives undefined when the caller can take more at once,
+   * else what resolves when it can.
+   */
+  write(tokens: readonly PassedToken[]): Promise<void> | undefined;
   /** Ends a whole answer. */
   end(end: AnswerEnd): void;
   /** Ends an answer that cannot be made whole here. */
--- a/packages/daemon/src/answer/body_sink.ts
+++ b/packages/daemon/src/answer/body_sink.ts
@@ -24,9 +24,9 @@
     this.resume = resumeData;
   }
 
-  write(tokens: readonly PassedToken[]): Promise<void> {
+  write(tokens: readonly PassedToken[]): undefined {
     for (const {text} of tokens) this.texts.push(text);
-    return Promise.resolve();
+    return undefined;
   }
 
   end(end: AnswerEnd): void {
--- a/packages/daemon/src/answer/event_sink.ts
+++ b/packages/daemon/src/answer/event_sink.ts
@@ -34,13 +34,17 @@
     });
   }
 
-  async write(tokens: readonly PassedToken[]): Promise<void> {
+  write(tokens: readonly PassedToken[]): Promise<void> | undefined {
     let wire = '';
     for (const {offset, text} of tokens) {
       const data = this.formatToken(text);
       wire += formatEvent({id: offset, data});
     }
-    if (this.response.write(wire) || this.signal.aborted) return;
+    if (this.response.write(wire) || this.signal.aborted) return undefined;
+    return this.waitDrained();
+  }
+
+  private async waitDrained(): Promise<void> {
     await new Promise<void>((resolve) => {
       const finish = (): void => {
         this.response.off('drain', finish);
--- a/packages/daemon/src/services/host_list.ts
+++ b/packages/daemon/src/services/host_list.ts
@@ -8,6 +8,7 @@
   createServiceKey,
   Repeater,
 } from '@irisdock/kernel';
+import {LeavingMemory} from '@irisdock/decisions';
 import type {ListedHost} from '@irisdock/platform';
 import type {Stream} from 'most';
 import {z} from 'zod';
@@ -28,6 +29,10 @@
     unit: 'ms',
     description: 'The time between two reads of the host list.',
   }),
+  leavingHoldMs: z.coerce.number().int().min(0).default(5000).meta({
+    unit: 'ms',
+    description: 'How long an endpoint seen leaving counts as leaving.',
+  }),
 });
 
 /** Declares the service. */
@@ -39,6 +44,9 @@
     const membership = context.find(MEMBERSHIP);
     const {hosts} = context.find(PLATFORM);
     const channel = new Channel<readonly ListedHost[]>();
+    // A host that came back at its address speaks for itself at once.
+    const entries = new LeavingMemory<ListedHost>(0);
+    const endpoints = new LeavingMemory<ListedHost>(settings.leavingHoldMs);
     const polls = new Repeater(
       (signal) => context.clock.wait(settings.pollMs, signal),
       async () => {
@@ -49,8 +57,9 @@
           });
           return;
         }
-        membership.applyHostList(getEntryHosts(list.value));
-        channel.post(list.value);
+        const now = context.clock.getNow();
+        membership.applyHostList(getEntryHosts(entries.apply(list.value, now)));
+        channel.post(endpoints.apply(list.value, now));
       },
       context.log,
     );
--- a/packages/daemon/tests/streams.test.ts
+++ b/packages/daemon/tests/streams.test.ts
@@ -30,8 +30,8 @@
     this.told.push('resume');
   }
 
-  write(): Promise<void> {
-    return Promise.resolve();
+  write(): Promise<void> | undefined {
+    return undefined;
   }
 
   end(): void {
--- a/packages/testkit/src/deployment.ts
+++ b/packages/testkit/src/deployment.ts
@@ -155,8 +155,13 @@
     await this.waitReady();
   }
 
-  /** Gives the platform the list of hosts as they are. */
-  async publishHosts(): Promise<void> {
+  /**
+   * Gives the platform the list of hosts as they are.
+   *
+   * @param more Entries that come after them, as in a list that contradicts
+   *     itself.
+   */
+  async publishHosts(more: readonly EndpointNode[] = []): Promise<void> {
     const running = this.daemons.filter((d) => !d.process.isExited);
     const hosts = [
       ...running.map(({places, failureDomain}) => ({
@@ -165,7 +170,7 @@
         failureDomain,
         state: 'live',
       })),
-      ...this.endpoints.map((endpoint) => ({
+      ...[...this.endpoints, ...more].map((endpoint) => ({
         address: endpoint.address,
         role: 'endpoint',
         service: endpoint.service,
--- a/packages/testkit/tests/endpoints.test.ts
+++ b/packages/testkit/tests/endpoints.test.ts
@@ -140,7 +140,8 @@
       return (await countStarts(leaver)) > 0;
     });
     leaver.state = 'leaving';
-    await deployment.publishHosts();
+    // The list contradicts itself: it names the engine again, as live.
+    await deployment.publishHosts([{...leaver, state: 'live'}]);
     await waitUntil('all hosts know', async () => {
       const known = await Promise.all(
         deployment.daemons.map(async ({places}) => {
