--- a/packages/daemon/src/answer/answer_driver.ts
+++ b/packages/daemon/src/answer/answer_driver.ts
@@ -132,7 +132,7 @@
       const result = await this.runLeg(endpoint, attach !== undefined);
       if (result.kind === 'ended') return this.end(result.reason);
       if (result.kind === 'stopped') return 'stopped';
-      const next = this.decideNext(endpoint, result.loss, attach !== undefined);
+      const next = this.decideNext(endpoint, result.loss);
       if (next === 'abandon') return 'superseded';
       if (typeof next !== 'string') return this.fail(next);
       attach = next === 'attach' ? endpoint : undefined;
@@ -280,7 +280,6 @@
   private decideNext(
     endpoint: EndpointRecord,
     loss: LossKind,
-    attaching: boolean,
   ): KnownError | 'abandon' | 'attach' | 'continue' {
     const {metrics, budget, clock, directory} = this.parts;
     const {record} = this;
@@ -291,7 +290,6 @@
     const budgetLeft = this.losses === 0 || budget.takeRetry(clock.getNow());
     const response = decideLossResponse({
       loss,
-      attaching,
       mayHaveRun: record.mayHaveRun,
       mayContinue: this.mayContinue,
       attaches: this.attaches,
--- a/packages/daemon/src/caller/completion_route.ts
+++ b/packages/daemon/src/caller/completion_route.ts
@@ -15,7 +15,8 @@
 import type {Ownership} from '../services/ownership.js';
 import type {StreamAsk, Streams} from '../services/streams.js';
 import {REQUEST_ID_HEADER} from './headers.js';
-import {readRequestHeaders, type RequestHeaders} from './request_headers.js';
+import {readAskParts} from './ask_reader.js';
+import type {RequestHeaders} from './request_headers.js';
 import {sendOwnerRefusal} from './owner_answer.js';
 import {findTeamTerms, type TeamTerms} from './team_terms.js';
 
@@ -54,22 +55,20 @@
   /** Answers one request. */
   async handle(request: WebRequest): Promise<void> {
     const {response} = request;
-    const headers = readRequestHeaders(request);
-    const body = await request.readJson(COMPLETION_SCHEMA);
-    if (headers.isErr()) {
-      sendError(response, headers.error);
+    const parts = await readAskParts(request, () =>
+      request.readJson(COMPLETION_SCHEMA),
+    );
+    if (parts.isErr()) {
+      sendError(response, parts.error);
       return;
     }
-    if (body.isErr()) {
-      sendError(response, body.error);
-      return;
-    }
-    const ask = this.createAsk(headers.value, body.value);
+    const {headers, body} = parts.value;
+    const ask = this.createAsk(headers, body);
     if (ask.isErr()) {
       sendError(response, ask.error);
       return;
     }
-    const sink = this.createSink(request, body.value, ask.value);
+    const sink = this.createSink(request, body, ask.value);
     const served = await this.parts.streams.serve(ask.value, sink);
     if (served.isOk()) return;
     const {id} = ask.value.request;
--- a/packages/daemon/src/caller/plain_route.ts
+++ b/packages/daemon/src/caller/plain_route.ts
@@ -11,7 +11,8 @@
 import type {PlainAsk, PlainCalls} from '../services/plain_calls.js';
 import {REQUEST_ID_HEADER, TEAM_HEADER} from './headers.js';
 import {sendOwnerRefusal} from './owner_answer.js';
-import {readRequestHeaders, type RequestHeaders} from './request_headers.js';
+import {readAskParts} from './ask_reader.js';
+import type {RequestHeaders} from './request_headers.js';
 import {findTeamTerms} from './team_terms.js';
 
 // Headers that concern one connection only, and those set anew.
@@ -46,17 +47,10 @@
   /** Answers one call. */
   async handle(request: WebRequest): Promise<void> {
     const {response} = request;
-    const headers = readRequestHeaders(request);
-    const body = await request.readBody();
-    if (headers.isErr()) {
-      sendError(response, headers.error);
-      return;
-    }
-    if (body.isErr()) {
-      sendError(response, body.error);
-      return;
-    }
-    const ask = this.createAsk(request, headers.value, body.value);
+    const parts = await readAskParts(request, () => request.readBody());
+    const ask = parts.andThen(({headers, body}) =>
+      this.createAsk(request, headers, body),
+    );
     if (ask.isErr()) {
       sendError(response, ask.error);
       return;
--- a/packages/decisions/src/loss_response.ts
+++ b/packages/decisions/src/loss_response.ts
@@ -26,8 +26,6 @@
 /** Where the request stands. */
 export interface LossState {
   readonly loss: LossKind;
-  /** Whether the order was an attach. */
-  readonly attaching: boolean;
   /** Whether the order may have reached the engine. */
   readonly mayHaveRun: boolean;
   /** Whether the request may be run again or continued elsewhere. */
--- a/packages/decisions/tests/loss_response.test.ts
+++ b/packages/decisions/tests/loss_response.test.ts
@@ -24,7 +24,6 @@
 function createState(change: Partial<LossState> = {}): LossState {
   return {
     loss: 'reset',
-    attaching: false,
     mayHaveRun: true,
     mayContinue: true,
     attaches: 0,
@@ -84,7 +83,6 @@
       fc.property(
         fc.record({
           loss: fc.constantFrom(...KINDS),
-          attaching: fc.boolean(),
           mayHaveRun: fc.constant(true),
           mayContinue: fc.constant(false),
           attaches: fc.nat(4),
--- a/packages/testkit/src/entry_hosts.ts
+++ b/packages/testkit/src/entry_hosts.ts
@@ -1,6 +1,6 @@
 /** What tests of entry hosts share. */
 import type {AddressAnswer, DaemonNode} from './deployment_types.js';
-import type {Deployment} from './deployment.js';
+import {createDeployment, type Deployment} from './deployment.js';
 import {getJson} from './http.js';
 import {waitUntil} from './wait.js';
 
@@ -11,6 +11,19 @@
   }[];
 }
 
+const HOSTS = 3;
+const ENGINES = 3;
+
+/** Starts three hosts whose address answers are kept for a moment only. */
+export async function createHostDeployment(): Promise<Deployment> {
+  return createDeployment({
+    daemons: HOSTS,
+    engines: ENGINES,
+    engineArgs: ['--engine-step-ms', '10'],
+    daemonArgs: ['--callers-keep-address-seconds', '0.2'],
+  });
+}
+
 /** Creates a request id that is bound to a host. */
 export async function createIdOf(host: DaemonNode): Promise<string> {
   const url = `http://${host.places.caller}/v1/addresses?ids=1`;
@@ -47,13 +60,9 @@
 }
 
 /** Starts hosts and engines until there are as many as before a failure. */
-export async function addMissingNodes(
-  deployment: Deployment,
-  hosts: number,
-  engines: number,
-): Promise<void> {
+export async function addMissingNodes(deployment: Deployment): Promise<void> {
   const live = deployment.daemons.filter((d) => !d.process.isExited);
   deployment.daemons.splice(0, deployment.daemons.length, ...live);
-  while (deployment.daemons.length < hosts) await deployment.addDaemon();
-  await deployment.addEnginesUntil(engines);
+  while (deployment.daemons.length < HOSTS) await deployment.addDaemon();
+  await deployment.addEnginesUntil(ENGINES);
 }
--- a/packages/testkit/tests/at_most_once.test.ts
+++ b/packages/testkit/tests/at_most_once.test.ts
@@ -11,7 +11,7 @@
   checkWholeAnswer,
   createAsk,
   createCallerState,
-  createDeployment,
+  createHostDeployment,
   createIdOf,
   PROMPT,
   addMissingNodes,
@@ -24,9 +24,6 @@
   type Deployment,
 } from '@irisdock/testkit';
 
-const HOSTS = 3;
-const ENGINES = 3;
-
 /** Splits callers into those with a whole answer and the others. */
 function splitByEnd(
   states: readonly CallerState[],
@@ -40,18 +37,13 @@
   let deployment: Deployment;
 
   before(async () => {
-    deployment = await createDeployment({
-      daemons: HOSTS,
-      engines: ENGINES,
-      engineArgs: ['--engine-step-ms', '10'],
-      daemonArgs: ['--callers-keep-address-seconds', '0.2'],
-    });
+    deployment = await createHostDeployment();
   });
   after(async () => {
     await deployment.stop();
   });
   beforeEach(async () => {
-    await addMissingNodes(deployment, HOSTS, ENGINES);
+    await addMissingNodes(deployment);
   });
 
   function getHost(at: number): DaemonNode {
--- a/packages/testkit/tests/hosts.test.ts
+++ b/packages/testkit/tests/hosts.test.ts
@@ -10,7 +10,7 @@
   checkWholeAnswer,
   createAsk,
   createCallerState,
-  createDeployment,
+  createHostDeployment,
   getJson,
   PROMPT,
   readEndpoint,
@@ -25,25 +25,17 @@
   type Deployment,
 } from '@irisdock/testkit';
 
-const HOSTS = 3;
-const ENGINES = 3;
-
 describe('entry hosts', () => {
   let deployment: Deployment;
 
   before(async () => {
-    deployment = await createDeployment({
-      daemons: HOSTS,
-      engines: ENGINES,
-      engineArgs: ['--engine-step-ms', '10'],
-      daemonArgs: ['--callers-keep-address-seconds', '0.2'],
-    });
+    deployment = await createHostDeployment();
   });
   after(async () => {
     await deployment.stop();
   });
   beforeEach(async () => {
-    await addMissingNodes(deployment, HOSTS, ENGINES);
+    await addMissingNodes(deployment);
   });
 
   function getHost(at: number): DaemonNode {
--- a/scripts/check_proofs.mjs
+++ b/scripts/check_proofs.mjs
@@ -77,7 +77,7 @@
   [
     'a take-over has a higher generation',
     `${DAEMON}/services/streams.js`,
-    'getTakeover(resumeData?.generation ?? 0) + 1',
+    'Math.max(before, kept?.takeover ?? 0) + 1',
     '0',
     'testkit/hosts',
     'number had grown',
