--- a/packages/daemon/src/services/endpoint_directory.ts
+++ b/packages/daemon/src/services/endpoint_directory.ts
@@ -33,6 +33,7 @@
   readonly log: Logger;
   readonly subsetSize: number;
   readonly lost: Counter;
+  readonly quiet: Counter;
 }
 
 /** The endpoints that this host uses. */
@@ -117,7 +118,8 @@
   /** Notes that a stream is silent at an endpoint that answers. */
   reportQuiet(record: EndpointRecord): void {
     record.markQuiet();
-    const {address: endpoint} = record;
+    const {address: endpoint, service} = record;
+    this.parts.quiet.inc({service});
     this.parts.links.sendHint({endpoint, sign: 'quiet'});
   }
 
@@ -272,6 +274,12 @@
         clock: context.clock,
         log: context.log,
         subsetSize: settings.subsetSize,
+        quiet: new Counter({
+          name: 'irisdock_endpoints_quiet_total',
+          help: 'Silences of streams at endpoints that answer, a count, by service.',
+          labelNames: ['service'],
+          registers: [context.metrics],
+        }),
         lost: new Counter({
           name: 'irisdock_endpoints_lost_total',
           help: 'Endpoints seen lost by this host, a count, by service.',
