Keep a request id for its first body also where its text does not fit

Cause, found by reading: with a kept answer that the caller's text does not fit, the check of the body looked at nothing, so that an id could come with another body; and a start over a kept answer could take the same take-over number and left the older driver running. Change: the body is checked against what is kept in any case; the start stops the older driver and counts above it. Test: streams.test.ts of the daemon. Its second case (another body and a text that does not fit) would have been started by the code before; that was not run.

--- a/packages/daemon/src/services/streams.ts
+++ b/packages/daemon/src/services/streams.ts
@@ -123,22 +123,27 @@
       ledger: record === undefined ? undefined : toLedgerState(record),
     });
     if (permission.isErr()) return err(permission.error);
-    const refusal = this.findMismatch(ask, record);
+    const refusal = this.findMismatch(ask, kept, record);
     if (refusal !== undefined) return err({error: refusal});
     if (permission.value === 'join' && record !== undefined) {
       return ok(record);
     }
-    if (permission.value === 'start') return this.createStart(ask);
+    if (permission.value === 'start') return this.createStart(ask, kept);
     return ok(this.createTakeOver(ask, kept));
   }
 
+  /**
+   * @param kept What is kept of the request here.
+   * @param record The same, when the caller may go on with it.
+   */
   private findMismatch(
     ask: StreamAsk,
+    kept: RequestRecord | undefined,
     record: RequestRecord | undefined,
   ): KnownError | undefined {
     const {digest, id} = ask.request;
     const {resumeData} = ask;
-    const others = [record?.request.digest, resumeData?.digest];
+    const others = [kept?.request.digest, resumeData?.digest];
     const sameBody = others.every((other) => (other ?? digest) === digest);
     const sameId = (resumeData?.request ?? id) === id;
     if (!sameBody || !sameId) return DAEMON_ERRORS.create('resume_mismatch');
@@ -153,15 +158,20 @@
     return DAEMON_ERRORS.create('resume_text_needed');
   }
 
-  private createStart(ask: StreamAsk): Result<RequestRecord, OwnerRefusal> {
+  private createStart(
+    ask: StreamAsk,
+    kept: RequestRecord | undefined,
+  ): Result<RequestRecord, OwnerRefusal> {
     const {request, fromOffset, receivedText} = ask;
     if (fromOffset > 0 && receivedText === undefined) {
       return err({error: DAEMON_ERRORS.create('resume_text_needed')});
     }
     const record = this.createRecord(request, fromOffset, receivedText ?? '');
+    if (fromOffset === 0) return ok(record);
     // What began elsewhere is continued, at a number above what is usual.
-    if (fromOffset > 0) record.mayHaveRun = true;
-    if (fromOffset > 0) record.takeover = 1;
+    record.mayHaveRun = true;
+    record.takeover = (kept?.takeover ?? 0) + 1;
+    kept?.lock.stop();
     return ok(record);
   }
 
--- a/packages/daemon/tests/streams.test.ts
+++ b/packages/daemon/tests/streams.test.ts
@@ -121,6 +121,23 @@
     await Promise.all(served);
   });
 
+  it('keeps a request id for the body that it came with first', async () => {
+    const streams = createStreams([]);
+    const sink = new FakeSink();
+    const first = streams.serve(createAsk(), sink);
+    await runDue();
+    const {request, ...ask} = createAsk();
+    // Another body, and a text that is not the one kept: taken for another's.
+    const other = {...ask, request: {...request, digest: 'other'}};
+    const given = {...other, fromOffset: 3, receivedText: 'abc'};
+    for (const sent of [other, given]) {
+      const answer = await streams.serve(sent, new FakeSink());
+      assert.equal(answer._unsafeUnwrapErr().error.kind, 'resume_mismatch');
+    }
+    sink.controller.abort();
+    await first;
+  });
+
   it('stops a driver whose caller reads no more', async () => {
     const record = new RequestRecord(createAsk().request, 'n', 0, '');
     record.addToken('a token');
