End a test's processes also when the test runs out of time

Cause: 25 stand-ins and daemons of check_proofs' trials still ran after it: a test file that runs out of time is ended by SIGTERM, which skips 'exit', where the testkit ended its children. Change: SIGTERM and SIGINT end the process by way of 'exit'.

--- a/packages/testkit/src/process.ts
+++ b/packages/testkit/src/process.ts
@@ -30,6 +30,12 @@
 process.once('exit', () => {
   for (const child of RUNNING) child.kill('SIGKILL');
 });
+// A test that runs out of time is ended by a signal, which skips 'exit'.
+for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+  process.once(signal, () => {
+    process.exit(1);
+  });
+}
 
 /** A process that runs until it is stopped. */
 export class RunningProcess {
