Go on after any number of unreachable engines; wait for one to come

The killed engine of the test before had ended its answer first, so no stream had seen it lost and the daemon still listed it as answering; the fixture counted it for the new engine, which the daemon did not know yet. The test then killed the two that were left. That is the fixture's part. The product's part: with no engine left that answers, a resumption tried the dead ones again and again and used up its eight tries within milliseconds, though a new engine came a second later and streams-resume-wait-ms allows eight seconds. Found with it: each dead engine that refuses a connection was paid for from the retry budget, so one killed engine with more streams than the budget holds (10 and a fifth of the requests) lost the rest of them.

Ruled out: load (six rounds of the process tests, three at once beside each other, on the old code: no failure), the retry budget in the failed test (four losses before it).

Change: an engine that could not be reached costs a resumption nothing; it is tried once and not again before it answers a look; the search is bounded in time from the last order that was taken. Requests that never ran are refused as before. The fixture waits for each endpoint by its address.

When all engines are gone and none comes the caller is told after streams-resume-wait-ms; it was told when eight tries had failed.

--- a/packages/daemon/src/answer/answer_driver.ts
+++ b/packages/daemon/src/answer/answer_driver.ts
@@ -73,6 +73,8 @@
   private attaches = 0;
   private lastTokenAt: number | undefined;
   private lostSince: number | undefined;
+  /** Until when an endpoint is looked for, unless one takes the order. */
+  private searchUntil: number | undefined;
 
   constructor(
     private readonly parts: DriverParts,
@@ -150,8 +152,8 @@
     const bar = this.findBar();
     if (bar !== undefined) return err(bar);
     const {clock, chooser, resumeWaitMs} = this.parts;
-    const endAt = clock.getNow() + resumeWaitMs;
-    while (!this.stop.aborted && clock.getNow() < endAt) {
+    this.searchUntil ??= clock.getNow() + resumeWaitMs;
+    while (!this.stop.aborted && clock.getNow() < this.searchUntil) {
       const resuming = this.record.mayHaveRun;
       const endpoint = chooser.choose({avoid: this.avoid, resuming});
       endpoint?.startRequest();
@@ -215,6 +217,7 @@
         parts.directory.reportQuiet(endpoint);
       },
       handleAccepted: () => {
+        this.searchUntil = undefined;
         this.sink.setResume(this.createResume());
       },
       handleTokens: (tokens) => this.passOn(tokens),
@@ -286,8 +289,11 @@
     metrics.losses.inc({kind: loss});
     this.lostSince ??= this.lastTokenAt ?? clock.getNow();
     if (ENDPOINT_LOST.has(loss)) directory.reportLost(endpoint, loss);
-    // The first try after a loss is always made; more come from the budget.
-    const budgetLeft = this.losses === 0 || budget.takeRetry(clock.getNow());
+    // The first try after a loss is always made, and going on after an engine
+    // that took nothing is bounded in time; more come from the budget.
+    const isFree = loss === 'unreachable' && record.mayHaveRun;
+    const budgetLeft =
+      isFree || this.losses === 0 || budget.takeRetry(clock.getNow());
     const response = decideLossResponse({
       loss,
       mayHaveRun: record.mayHaveRun,
@@ -296,7 +302,7 @@
       losses: this.losses,
       budgetLeft,
     });
-    this.losses++;
+    if (!isFree) this.losses++;
     if (response === 'abandon') return 'abandon';
     if (response === 'attach') {
       this.attaches++;
--- a/packages/daemon/src/answer/engine_chooser.ts
+++ b/packages/daemon/src/answer/engine_chooser.ts
@@ -46,6 +46,7 @@
       {
         blockCount: blocks.length,
         avoid: options.avoid,
+        mayRetryLost: !options.resuming,
         avoidDomains: options.resuming
           ? listLostDomains(records)
           : new Set<string>(),
--- a/packages/daemon/src/services/plain_calls.ts
+++ b/packages/daemon/src/services/plain_calls.ts
@@ -203,6 +203,7 @@
       {
         blockCount: 0,
         avoid,
+        mayRetryLost: true,
         avoidDomains: new Set(),
         preferDomains: placement.preferred,
         fullAt: FULL_AT,
--- a/packages/decisions/src/endpoint_choice.ts
+++ b/packages/decisions/src/endpoint_choice.ts
@@ -32,6 +32,8 @@
   readonly blockCount: number;
   /** Endpoints that just failed this request. */
   readonly avoid: ReadonlySet<string>;
+  /** Whether one that failed it may be tried again before it answers. */
+  readonly mayRetryLost: boolean;
   /** Failure domains to keep away from while others have room. */
   readonly avoidDomains: ReadonlySet<string>;
   /** Failure domains to prefer; empty for none. */
@@ -79,7 +81,8 @@
 
 /**
  * Gives the endpoints that may be tried. When no endpoint seems to answer,
- * what this host believes is worth less than a try: all are usable then.
+ * what this host believes is worth less than a try: all are usable then, but
+ * for a request that waits instead, only those that it did not try yet.
  */
 function findUsable(
   endpoints: readonly EndpointView[],
@@ -88,7 +91,8 @@
   const answering = endpoints.filter((e) => e.answering);
   const pool = answering.length > 0 ? answering : endpoints;
   const fresh = pool.filter((e) => !request.avoid.has(e.address));
-  return fresh.length > 0 ? fresh : pool;
+  if (fresh.length > 0) return fresh;
+  return request.mayRetryLost ? pool : answering;
 }
 
 /** Gives those whose streams go on, or all when there is none such. */
--- a/packages/decisions/tests/endpoint_choice.test.ts
+++ b/packages/decisions/tests/endpoint_choice.test.ts
@@ -39,6 +39,7 @@
   return {
     blockCount: 0,
     avoid: new Set(),
+    mayRetryLost: true,
     avoidDomains: new Set(),
     preferDomains: new Set(),
     fullAt: 1,
@@ -118,6 +119,33 @@
       request: {avoid: new Set(['e0'])},
       want: 'e0',
     },
+    {
+      name: 'tries again one that seems lost when there is nothing else',
+      views: [createView(0, {answering: false})],
+      request: {avoid: new Set(['e0'])},
+      want: 'e0',
+    },
+    {
+      name: 'waits for one that failed to answer, if the request can wait',
+      views: [createView(0, {answering: false})],
+      request: {avoid: new Set(['e0']), mayRetryLost: false},
+      want: undefined,
+    },
+    {
+      name: 'tries again what failed and answers, though it could wait',
+      views: [createView(0), createView(1, {answering: false})],
+      request: {avoid: new Set(['e0', 'e1']), mayRetryLost: false},
+      want: 'e0',
+    },
+    {
+      name: 'tries one that seems lost once, though it could wait',
+      views: [
+        createView(0, {answering: false}),
+        createView(1, {answering: false}),
+      ],
+      request: {avoid: new Set(['e0']), mayRetryLost: false},
+      want: 'e1',
+    },
     {
       name: 'keeps away from what failed the request',
       views: [createView(0), createView(1, {reported: 9})],
--- a/packages/testkit/src/deployment.ts
+++ b/packages/testkit/src/deployment.ts
@@ -17,6 +17,18 @@
 } from './deployment_types.js';
 import {waitUntil} from './wait.js';
 
+/** What of `GET /v1/status` says that a daemon sees what there is. */
+interface HostStatus {
+  readonly hosts: readonly {readonly state: string}[];
+  readonly services: readonly {
+    readonly endpoints: readonly {
+      readonly address: string;
+      readonly answering: boolean;
+      readonly models: readonly string[];
+    }[];
+  }[];
+}
+
 /** Processes that serve together. */
 export class Deployment {
   readonly daemons: DaemonNode[] = [];
@@ -255,20 +267,17 @@
     const {operator} = daemon.places;
     const ready = await sendHttp(`http://${operator}/readyz`);
     if (ready.status !== 200) return false;
-    const status = await getJson<{
-      hosts: readonly {state: string}[];
-      services: readonly {
-        endpoints: readonly {answering: boolean; models: readonly string[]}[];
-      }[];
-    }>(`http://${operator}/v1/status`);
+    const status = await getJson<HostStatus>(`http://${operator}/v1/status`);
     const live = status.hosts.filter((host) => host.state === 'live');
     const running = this.daemons.filter((d) => !d.process.isExited);
     if (live.length < running.length) return false;
     const seen = status.services.flatMap((service) => service.endpoints);
-    const loaded = seen.filter((e) => e.models.includes(NAMES.model));
-    const answering = seen.filter((e) => e.answering);
-    const {length} = this.endpoints;
-    return answering.length >= length && loaded.length >= this.engines.length;
+    // By address: one that just ended may still seem to answer.
+    return this.endpoints.every(({address, service}) => {
+      const found = seen.find((endpoint) => endpoint.address === address);
+      if (found?.answering !== true) return false;
+      return service !== NAMES.service || found.models.includes(NAMES.model);
+    });
   }
 
   private getDomain(at: number): string {
--- a/packages/testkit/tests/streams.test.ts
+++ b/packages/testkit/tests/streams.test.ts
@@ -197,7 +197,7 @@
     assert.equal(checkText(PROMPT, choice.text, TOKENS).tokens, TOKENS);
   });
 
-  it('until all engines are gone, when the caller is told at once', async () => {
+  it('until all engines are gone and none comes', async () => {
     const state = await streamWhole(
       deployment.listAddresses(),
       createAsk({maxTokens: 500}),
@@ -216,3 +216,55 @@
     assert.equal(report.mixed + report.repeated, 0);
   });
 });
+
+describe('an answer goes on though many are lost at once', () => {
+  let deployment: Deployment;
+
+  before(async () => {
+    deployment = await createDeployment({
+      daemons: 1,
+      engines: 2,
+      engineArgs: [
+        ...['--engine-step-ms', String(STEP_MS)],
+        ...['--engine-slots', '64'],
+      ],
+    });
+  });
+  beforeEach(async () => {
+    await deployment.addEnginesUntil(2);
+  });
+  after(async () => {
+    await deployment.stop();
+  });
+
+  it('when an engine comes after all were gone', async () => {
+    let replaced: Promise<void> | undefined;
+    const state = await streamWhole(
+      deployment.listAddresses(),
+      createAsk(),
+      (now) => {
+        if (now.ids.length !== 20 || replaced !== undefined) return;
+        const killed = deployment.engines.map((e) => e.process.kill());
+        replaced = Promise.all(killed).then(() =>
+          deployment.addEnginesUntil(1),
+        );
+      },
+    );
+    checkWholeAnswer(state);
+    await replaced;
+  });
+
+  it('also more of them than there are retries', async () => {
+    const asks = Array.from({length: 110}, () =>
+      streamWhole(deployment.listAddresses(), createAsk()),
+    );
+    await waitUntil('all answers run', async () => {
+      const name = 'irisdock_streams_tokens_total';
+      return (await deployment.readMetric(name)) >= 110 * 5;
+    });
+    const [engine] = deployment.engines;
+    assert.ok(engine !== undefined);
+    kill(deployment, engine);
+    for (const state of await Promise.all(asks)) checkWholeAnswer(state);
+  });
+});
--- a/scripts/check_proofs.mjs
+++ b/scripts/check_proofs.mjs
@@ -242,6 +242,22 @@
     'testkit/streams',
     'until all engines are gone',
   ],
+  [
+    'an engine that took nothing costs no retry',
+    `${DAEMON}/answer/answer_driver.js`,
+    "const isFree = loss === 'unreachable' && record.mayHaveRun",
+    'const isFree = false',
+    'testkit/streams',
+    'more of them than there are retries',
+  ],
+  [
+    'an engine that failed is not tried before it answers',
+    `${DECISIONS}/endpoint_choice.js`,
+    'request.mayRetryLost ? pool : answering',
+    'pool',
+    'decisions/endpoint_choice',
+    'if the request can wait',
+  ],
   [
     'an order that was not taken was not sent',
     'packages/endpoints/dist/src/http_engine.js',
