--- a/bench/src/bench_table.ts
+++ b/bench/src/bench_table.ts
@@ -1,6 +1,7 @@
 /** All measurements. */
 import type {Bench} from './bench.js';
 import {CONTROL_BENCH} from './benches/control.js';
+import {DOMAIN_LOSS_BENCH} from './benches/domain_loss.js';
 import {FAIRNESS_BENCH} from './benches/fairness.js';
 import {HOST_LOSS_BENCH} from './benches/host_loss.js';
 import {OVERHEAD_BENCH} from './benches/overhead.js';
@@ -16,6 +17,7 @@
   STALLS_BENCH,
   FAIRNESS_BENCH,
   HOST_LOSS_BENCH,
+  DOMAIN_LOSS_BENCH,
   OVERLOAD_BENCH,
   PREFIX_BENCH,
   CONTROL_BENCH,
--- /dev/null
+++ b/bench/src/benches/domain_loss.ts
@@ -0,0 +1,303 @@
+/**
+ * A failure domain is lost under load: its engines and its hosts die in one
+ * moment, and all their answers go on elsewhere at once, beside answers that
+ * were not touched, new ones, and small calls.
+ */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+  createCallerState,
+  createDeployment,
+  NAMES,
+  readEndpoint,
+  sendHttp,
+  streamOnce,
+  type CallerState,
+  type CompletionAsk,
+  type Deployment,
+} from '@irisdock/testkit';
+import {createBench, type ResultRow} from '../bench.js';
+import {runNaiveCaller} from '../naive_caller.js';
+import {SHAPES, type Shape} from '../shapes.js';
+import {computeSpread} from '../statistics.js';
+
+const STEP_MS = 40;
+const SLOTS = 16;
+const TOKENS = 150;
+const LOADS = [0.6, 0.9];
+/** Callers begin spread over the length of an answer. */
+const WARM_UP_MS = TOKENS * STEP_MS + 2000;
+const AFTER_MS = 6000;
+const CALLS_PER_SECOND = 40;
+const MAX_CONNECTIONS = 20;
+
+/** What is lost with the domain. */
+type Loss = 'engines' | 'engines and hosts' | 'engines, naive';
+
+const LOSSES: readonly Loss[] = [
+  'engines',
+  'engines and hosts',
+  'engines, naive',
+];
+
+/** One answer, as its caller saw it. */
+interface Played {
+  readonly startedAt: number;
+  readonly times: readonly number[];
+  readonly whole: boolean;
+  readonly wasHit: boolean;
+}
+
+/** A run: when the domain is lost, and what callers saw. */
+interface Run {
+  readonly deployment: Deployment;
+  lostAt: number;
+  endAt: number;
+  readonly played: Played[];
+  readonly calls: {readonly at: number; readonly ms: number}[];
+  failedCalls: number;
+}
+
+function createAsk(caller: number, turn: number): CompletionAsk {
+  return {
+    model: NAMES.service,
+    prompt: `Memorial page ${caller}, part ${turn}. `.repeat(20),
+    maxTokens: TOKENS,
+    team: NAMES.team,
+  };
+}
+
+/** Streams one answer, going on elsewhere as long as it takes. */
+async function playAnswer(
+  run: Run,
+  caller: number,
+  turn: number,
+): Promise<void> {
+  const addresses = run.deployment.listAddresses();
+  const state = createCallerState();
+  const startedAt = Date.now();
+  const seen = {wasHit: false};
+  for (let at = 0; at < MAX_CONNECTIONS && !state.done; at++) {
+    const host = addresses[(caller + turn + at) % addresses.length] ?? '';
+    if (isHostGone(run, host)) continue;
+    const marks = watchLoss(run, state, host, seen);
+    await streamOnce(host, createAsk(caller, turn), state);
+    clearInterval(marks);
+    if (state.done) break;
+    if (isHostGone(run, host)) seen.wasHit = true;
+    await sleep(Number(state.retryAfter) * 1000 || 10);
+  }
+  const {times, done: whole} = state;
+  run.played.push({startedAt, times, whole, wasHit: seen.wasHit});
+}
+
+/** Notes whether the answer ran in what was lost. */
+function watchLoss(
+  run: Run,
+  state: CallerState,
+  host: string,
+  seen: {wasHit: boolean},
+): NodeJS.Timeout {
+  return setInterval(() => {
+    if (run.lostAt === 0 || state.ids.length === 0 || seen.wasHit) return;
+    const last = state.times.at(-1) ?? 0;
+    if (last > run.lostAt) return;
+    const engine = run.deployment.endpoints.find(
+      ({address}) => address === readEndpoint(state),
+    );
+    seen.wasHit = engine?.process.isExited === true || isHostGone(run, host);
+  }, STEP_MS / 2);
+}
+
+function isHostGone(run: Run, host: string): boolean {
+  const daemon = run.deployment.daemons.find((d) => d.places.caller === host);
+  return daemon?.process.isExited === true;
+}
+
+async function playNaive(
+  run: Run,
+  caller: number,
+  turn: number,
+): Promise<void> {
+  const startedAt = Date.now();
+  const {engines} = run.deployment;
+  const seen = {wasHit: false};
+  const naive = await runNaiveCaller(
+    engines,
+    (caller * 7 + turn) % engines.length,
+    NAMES.model,
+    createAsk(caller, turn).prompt,
+    TOKENS,
+    (engine) => {
+      seen.wasHit ||= run.lostAt > 0 && engine.process.isExited;
+    },
+  );
+  const {times, orders} = naive;
+  const whole = times.length === TOKENS;
+  const wasHit = seen.wasHit || (orders > 1 && startedAt < run.lostAt);
+  run.played.push({startedAt, times, whole, wasHit});
+}
+
+async function playCaller(
+  run: Run,
+  caller: number,
+  callers: number,
+  play: typeof playAnswer,
+): Promise<void> {
+  await sleep((caller * TOKENS * STEP_MS) / callers);
+  for (let turn = 0; Date.now() < run.endAt; turn++) {
+    await play(run, caller, turn);
+  }
+}
+
+/** Sends small calls, each to a host that lives. */
+async function playCalls(run: Run): Promise<void> {
+  const sent: Promise<void>[] = [];
+  for (let at = 0; Date.now() < run.endAt; at++) {
+    const live = run.deployment.daemons.filter((d) => !d.process.isExited);
+    const host = live[at % live.length]?.places.caller ?? '';
+    sent.push(sendCall(run, host));
+    await sleep(1000 / CALLS_PER_SECOND);
+  }
+  await Promise.all(sent);
+}
+
+async function sendCall(run: Run, host: string): Promise<void> {
+  const at = Date.now();
+  const url = `http://${host}/s/${NAMES.plain}/status`;
+  const headers = {'x-irisdock-team': NAMES.team};
+  try {
+    const answer = await sendHttp(url, {headers});
+    if (answer.status === 200) run.calls.push({at, ms: Date.now() - at});
+    else run.failedCalls++;
+  } catch {
+    // One that was under way to a host when that died.
+    run.failedCalls++;
+  }
+}
+
+function killDomain(run: Run, loss: Loss): void {
+  const {daemons, engines} = run.deployment;
+  const domain = daemons.at(-1)?.failureDomain;
+  const nodes =
+    loss === 'engines and hosts' ? [...engines, ...daemons] : engines;
+  for (const {failureDomain, process} of nodes) {
+    if (failureDomain === domain) process.sendSignal('SIGKILL');
+  }
+  run.lostAt = Date.now();
+}
+
+function createRow(
+  shape: Shape,
+  loss: Loss,
+  load: number,
+  run: Run,
+): ResultRow {
+  const {lostAt} = run;
+  const under = run.played.filter(
+    (p) => p.startedAt < lostAt && (p.times.at(-1) ?? 0) >= lostAt - STEP_MS,
+  );
+  const hit = under.filter((p) => p.wasHit && p.times.length > 0);
+  const rest = under.filter((p) => !p.wasHit);
+  const fresh = run.played.filter((p) => p.startedAt >= lostAt);
+  const gaps = computeSpread(hit.map((p) => findGap(p.times, lostAt)));
+  const others = computeSpread(rest.map((p) => findGap(p.times, lostAt)));
+  const first = computeSpread(
+    fresh.map((p) => (p.times[0] ?? 0) - p.startedAt),
+  );
+  const before = computeSpread(
+    run.calls.filter((c) => c.at < lostAt).map((c) => c.ms),
+  );
+  const after = computeSpread(
+    run.calls.filter((c) => c.at >= lostAt).map((c) => c.ms),
+  );
+  return {
+    shape: shape.name,
+    loss,
+    load,
+    answers: run.played.length,
+    whole: run.played.filter((p) => p.whole).length,
+    hit: hit.length,
+    hitGapMs: gaps.median,
+    hitGapP95: gaps.p95,
+    hitGapWorst: gaps.worst,
+    hitLate: hit.filter((p) => findGap(p.times, lostAt) > 3000).length,
+    otherGapP95: others.p95,
+    otherGapWorst: others.worst,
+    firstP95: first.p95,
+    callP95Before: before.p95,
+    callP95After: after.p95,
+    callWorstAfter: after.worst,
+    failedCalls: run.failedCalls,
+  };
+}
+
+/** Gives the longest gap that ended after a moment. */
+function findGap(times: readonly number[], after: number): number {
+  let gap = 0;
+  for (let at = 1; at < times.length; at++) {
+    const time = times[at] ?? 0;
+    if (time < after) continue;
+    gap = Math.max(gap, time - (times[at - 1] ?? 0));
+  }
+  return gap;
+}
+
+async function measureLoss(
+  shape: Shape,
+  loss: Loss,
+  load: number,
+): Promise<ResultRow> {
+  const deployment = await createDeployment({
+    ...shape.options,
+    engineArgs: [
+      ...['--engine-step-ms', String(STEP_MS)],
+      ...['--engine-slots', String(SLOTS)],
+    ],
+  });
+  try {
+    const endAt = Date.now() + WARM_UP_MS + AFTER_MS;
+    const run: Run = {
+      ...{deployment, lostAt: 0, endAt, played: [], calls: [], failedCalls: 0},
+    };
+    const callers = Math.round(shape.options.engines * SLOTS * load);
+    const play = loss === 'engines, naive' ? playNaive : playAnswer;
+    const running = Array.from({length: callers}, (_, at) =>
+      playCaller(run, at, callers, play),
+    );
+    const calls = playCalls(run);
+    await sleep(WARM_UP_MS);
+    killDomain(run, loss);
+    await Promise.all([...running, calls]);
+    return createRow(shape, loss, load, run);
+  } finally {
+    await deployment.stop();
+  }
+}
+
+/** The measurement. */
+export const DOMAIN_LOSS_BENCH = createBench({
+  name: 'domain',
+  description: 'a failure domain lost under load, all its answers at once',
+  async run(printRow, words) {
+    const rows: ResultRow[] = [];
+    const named = SHAPES.filter((shape) => words.includes(shape.name));
+    for (const shape of named.length > 0 ? named : SHAPES) {
+      for (const load of LOADS) {
+        for (const loss of LOSSES) {
+          if (words.includes('thin') && loss !== 'engines and hosts') continue;
+          const row = await measureLoss(shape, loss, load);
+          rows.push(row);
+          printRow(row);
+        }
+      }
+    }
+    return {
+      rows,
+      notes: [
+        `load: callers as a part of the slots before the loss; answers of ${TOKENS} tokens of ${STEP_MS} ms, one after the other`,
+        'hit: under way in what was lost; others: under way elsewhere; late: gap over 3 s; first: first token of answers asked for afterwards',
+        'answers given up are asked for again by their callers when the system says so, up to 20 times',
+      ],
+    };
+  },
+});
