--- a/bench/src/benches/domain_loss.ts
+++ b/bench/src/benches/domain_loss.ts
@@ -67,7 +67,7 @@
 }
 
 /** Streams one answer, going on elsewhere as long as it takes. */
-async function playAnswer(
+async function runAnswer(
   run: Run,
   caller: number,
   turn: number,
@@ -76,7 +76,7 @@
   const state = createCallerState();
   const startedAt = Date.now();
   const seen = {wasHit: false};
-  for (let at = 0; at < MAX_CONNECTIONS && !state.done; at++) {
+  for (let at = 0; at < MAX_CONNECTIONS; at++) {
     const host = addresses[(caller + turn + at) % addresses.length] ?? '';
     if (isHostGone(run, host)) continue;
     const marks = watchLoss(run, state, host, seen);
@@ -113,11 +113,7 @@
   return daemon?.process.isExited === true;
 }
 
-async function playNaive(
-  run: Run,
-  caller: number,
-  turn: number,
-): Promise<void> {
+async function runNaive(run: Run, caller: number, turn: number): Promise<void> {
   const startedAt = Date.now();
   const {engines} = run.deployment;
   const seen = {wasHit: false};
@@ -137,11 +133,11 @@
   run.played.push({startedAt, times, whole, wasHit});
 }
 
-async function playCaller(
+async function runCaller(
   run: Run,
   caller: number,
   callers: number,
-  play: typeof playAnswer,
+  play: typeof runAnswer,
 ): Promise<void> {
   await sleep((caller * TOKENS * STEP_MS) / callers);
   for (let turn = 0; Date.now() < run.endAt; turn++) {
@@ -150,7 +146,7 @@
 }
 
 /** Sends small calls, each to a host that lives. */
-async function playCalls(run: Run): Promise<void> {
+async function sendCalls(run: Run): Promise<void> {
   const sent: Promise<void>[] = [];
   for (let at = 0; Date.now() < run.endAt; at++) {
     const live = run.deployment.daemons.filter((d) => !d.process.isExited);
@@ -260,11 +256,11 @@
       ...{deployment, lostAt: 0, endAt, played: [], calls: [], failedCalls: 0},
     };
     const callers = Math.round(shape.options.engines * SLOTS * load);
-    const play = loss === 'engines, naive' ? playNaive : playAnswer;
+    const play = loss === 'engines, naive' ? runNaive : runAnswer;
     const running = Array.from({length: callers}, (_, at) =>
-      playCaller(run, at, callers, play),
+      runCaller(run, at, callers, play),
     );
-    const calls = playCalls(run);
+    const calls = sendCalls(run);
     await sleep(WARM_UP_MS);
     killDomain(run, loss);
     await Promise.all([...running, calls]);
--- a/bench/src/hunt_play.ts
+++ b/bench/src/hunt_play.ts
@@ -17,9 +17,15 @@
   type CompletionAsk,
   type Deployment,
 } from '@irisdock/testkit';
+import {ConfigurationWitness} from './hunt_configuration.js';
+import {
+  ALL_FAILURES,
+  checkDrains,
+  DAEMONS,
+  ENGINES,
+  type FailureKinds,
+} from './hunt_failures.js';
 
-const DAEMONS = 3;
-const ENGINES = 4;
 const ANSWERS = 16;
 const TOKENS = 80;
 const FAILURES = 6;
@@ -34,6 +40,8 @@
   readonly givenUp: Readonly<Record<string, number>>;
   readonly connections: number;
   readonly failures: string;
+  /** Changes of the configuration that were accepted. */
+  readonly changes: number;
   /** Promises that were broken. */
   readonly faults: readonly string[];
 }
@@ -44,49 +52,16 @@
   readonly connections: number;
 }
 
-type Failure = (deployment: Deployment, random: SeededRandom) => Promise<void>;
-
-const FAILURE_KINDS: Readonly<Record<string, Failure>> = {
-  killEngine: async (deployment, random) => {
-    const live = deployment.engines.filter((e) => !e.process.isExited);
-    if (live.length <= 2) return;
-    await live[random.getInt(live.length)]?.process.kill();
-  },
-  freezeEngine: async (deployment, random) => {
-    const engine = deployment.engines[random.getInt(ENGINES)];
-    engine?.process.sendSignal('SIGSTOP');
-    await sleep(200 + random.getInt(2000));
-    engine?.process.sendSignal('SIGCONT');
-  },
-  spoilEngine: async (deployment, random) => {
-    const engine = deployment.engines[random.getInt(ENGINES)];
-    if (engine === undefined || engine.process.isExited) return;
-    const names = ['cutAfter', 'repeat', 'skip', 'cross', 'stale', 'loseEnd'];
-    const name = names[random.getInt(names.length)] ?? 'skip';
-    const faults = {[name]: 1 + random.getInt(5)};
-    // A frozen engine does not answer; the fault is then set when it thaws.
-    await Promise.race([deployment.setFaults(engine, faults), sleep(300)]);
-  },
-  killHost: async (deployment, random) => {
-    const live = deployment.daemons.filter((d) => !d.process.isExited);
-    if (live.length <= 2) return;
-    await live[random.getInt(live.length)]?.process.kill();
-  },
-  freezeHost: async (deployment, random) => {
-    const host = deployment.daemons[random.getInt(DAEMONS)];
-    host?.process.sendSignal('SIGSTOP');
-    await sleep(200 + random.getInt(2500));
-    host?.process.sendSignal('SIGCONT');
-  },
-  stopPlatform: async (deployment, random) => {
-    await deployment.setPlatformFaults({outage: true});
-    await sleep(500 + random.getInt(3000));
-    await deployment.setPlatformFaults({outage: false});
-  },
-};
-
-/** Plays one seed. */
-export async function runSeed(seed: number): Promise<PlayReport> {
+/**
+ * Plays one seed.
+ *
+ * @param kinds The failures to draw from; a seed means another play with
+ *     other ones.
+ */
+export async function runSeed(
+  seed: number,
+  kinds: FailureKinds = ALL_FAILURES,
+): Promise<PlayReport> {
   const random = new SeededRandom(seed);
   const deployment = await createDeployment({
     daemons: DAEMONS,
@@ -94,13 +69,26 @@
     engineArgs: ['--engine-step-ms', '15', '--engine-slots', '8'],
   });
   try {
-    const failures = startFailures(deployment, random);
+    const witness = new ConfigurationWitness(deployment);
+    const witnessed = witness.run();
+    const failures = startFailures(deployment, random, kinds);
     const answers = Array.from({length: ANSWERS}, (_, at) =>
       runAnswer(deployment, at, random.getInt(2000), random.getInt(2) === 0),
     );
     const played = await Promise.all(answers);
     const names = await failures;
-    return await createReport(deployment, seed, played, names.join(' '));
+    witness.stop();
+    await witnessed;
+    const report = await createReport(deployment, seed, played, names);
+    const more = [
+      ...(await witness.finish()),
+      ...(await checkDrains(deployment)),
+    ];
+    return {
+      ...report,
+      changes: witness.accepted,
+      faults: [...report.faults, ...more],
+    };
   } finally {
     for (const {process} of [...deployment.engines, ...deployment.daemons]) {
       process.sendSignal('SIGCONT');
@@ -112,15 +100,16 @@
 async function startFailures(
   deployment: Deployment,
   random: SeededRandom,
+  kinds: FailureKinds,
 ): Promise<string[]> {
-  const names = Object.keys(FAILURE_KINDS);
+  const names = Object.keys(kinds);
   const started: string[] = [];
   const running: Promise<void>[] = [];
   for (let at = 0; at < FAILURES; at++) {
     await sleep(random.getInt(700));
     const name = names[random.getInt(names.length)] ?? '';
     started.push(name);
-    running.push(FAILURE_KINDS[name]?.(deployment, random) ?? sleep(0));
+    running.push(kinds[name]?.(deployment, random) ?? sleep(0));
   }
   await Promise.all(running);
   return started;
@@ -202,8 +191,8 @@
   deployment: Deployment,
   seed: number,
   played: readonly Played[],
-  failures: string,
-): Promise<PlayReport> {
+  failures: readonly string[],
+): Promise<Omit<PlayReport, 'changes'>> {
   const faults: string[] = [];
   for (const {state, ask} of played) {
     const what = `${state.requestId} (${ask.repeatable ? '' : 'not '}repeatable)`;
@@ -228,5 +217,6 @@
     const kind = /"kind":"(\w+)"/.exec(state.error)?.[1] ?? state.error;
     givenUp[kind] = (givenUp[kind] ?? 0) + 1;
   }
-  return {seed, whole, givenUp, connections, failures, faults};
+  const names = failures.join(' ');
+  return {seed, whole, givenUp, connections, failures: names, faults};
 }
--- a/bench/tests/hunt.test.ts
+++ b/bench/tests/hunt.test.ts
@@ -4,6 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import {CRASHES} from '../src/hunt_failures.js';
 import {runSeed} from '../src/hunt_play.js';
 
 const SEEDS: readonly {seed: number; why: string}[] = [
@@ -15,7 +16,7 @@
 describe('failures together break no promise', () => {
   for (const {seed, why} of SEEDS) {
     it(`seed ${seed}: ${why}`, async () => {
-      const {faults, whole} = await runSeed(seed);
+      const {faults, whole} = await runSeed(seed, CRASHES);
       assert.deepEqual(faults, []);
       assert.ok(whole > 0);
     });
