--- a/bench/src/benches/domain_loss.ts
+++ b/bench/src/benches/domain_loss.ts
@@ -47,12 +47,20 @@
   readonly wasHit: boolean;
 }
 
+/** An answer under way. */
+interface Current {
+  readonly state: CallerState;
+  host: string;
+  wasHit: boolean;
+}
+
 /** A run: when the domain is lost, and what callers saw. */
 interface Run {
   readonly deployment: Deployment;
   lostAt: number;
   endAt: number;
   readonly played: Played[];
+  readonly current: Set<Current>;
   readonly calls: {readonly at: number; readonly ms: number}[];
   failedCalls: number;
 }
@@ -74,38 +82,29 @@
 ): Promise<void> {
   const addresses = run.deployment.listAddresses();
   const state = createCallerState();
+  const current: Current = {state, host: '', wasHit: false};
   const startedAt = Date.now();
-  const seen = {wasHit: false};
+  run.current.add(current);
   for (let at = 0; at < MAX_CONNECTIONS; at++) {
     const host = addresses[(caller + turn + at) % addresses.length] ?? '';
     if (isHostGone(run, host)) continue;
-    const marks = watchLoss(run, state, host, seen);
+    current.host = host;
     await streamOnce(host, createAsk(caller, turn), state);
-    clearInterval(marks);
     if (state.done) break;
-    if (isHostGone(run, host)) seen.wasHit = true;
     await sleep(Number(state.retryAfter) * 1000 || 10);
   }
+  run.current.delete(current);
   const {times, done: whole} = state;
-  run.played.push({startedAt, times, whole, wasHit: seen.wasHit});
+  run.played.push({startedAt, times, whole, wasHit: current.wasHit});
 }
 
-/** Notes whether the answer ran in what was lost. */
-function watchLoss(
-  run: Run,
-  state: CallerState,
-  host: string,
-  seen: {wasHit: boolean},
-): NodeJS.Timeout {
-  return setInterval(() => {
-    if (run.lostAt === 0 || state.ids.length === 0 || seen.wasHit) return;
-    const last = state.times.at(-1) ?? 0;
-    if (last > run.lostAt) return;
-    const engine = run.deployment.endpoints.find(
-      ({address}) => address === readEndpoint(state),
-    );
-    seen.wasHit = engine?.process.isExited === true || isHostGone(run, host);
-  }, STEP_MS / 2);
+/** Notes which answers under way run in what is lost. */
+function markHit(run: Run, lost: ReadonlySet<string>): void {
+  for (const current of run.current) {
+    const {state, host} = current;
+    if (state.ids.length === 0) continue;
+    current.wasHit = lost.has(readEndpoint(state)) || lost.has(host);
+  }
 }
 
 function isHostGone(run: Run, host: string): boolean {
@@ -174,12 +173,19 @@
 function killDomain(run: Run, loss: Loss): void {
   const {daemons, engines} = run.deployment;
   const domain = daemons.at(-1)?.failureDomain;
-  const nodes =
-    loss === 'engines and hosts' ? [...engines, ...daemons] : engines;
-  for (const {failureDomain, process} of nodes) {
-    if (failureDomain === domain) process.sendSignal('SIGKILL');
-  }
+  const lostEngines = engines.filter((e) => e.failureDomain === domain);
+  const lostHosts = daemons.filter(
+    (d) => loss === 'engines and hosts' && d.failureDomain === domain,
+  );
   run.lostAt = Date.now();
+  for (const {process} of [...lostEngines, ...lostHosts]) {
+    process.sendSignal('SIGKILL');
+  }
+  const lost = [
+    ...lostEngines.map((engine) => engine.address),
+    ...lostHosts.map((host) => host.places.caller),
+  ];
+  markHit(run, new Set(lost));
 }
 
 function createRow(
@@ -253,7 +259,8 @@
   try {
     const endAt = Date.now() + WARM_UP_MS + AFTER_MS;
     const run: Run = {
-      ...{deployment, lostAt: 0, endAt, played: [], calls: [], failedCalls: 0},
+      ...{deployment, lostAt: 0, endAt, failedCalls: 0},
+      ...{played: [], current: new Set(), calls: []},
     };
     const callers = Math.round(shape.options.engines * SLOTS * load);
     const play = loss === 'engines, naive' ? runNaive : runAnswer;
