--- a/packages/daemon/src/services/streams.ts
+++ b/packages/daemon/src/services/streams.ts
@@ -7,18 +7,9 @@
   createService,
   createServiceKey,
   type Clock,
-  type KnownError,
   type Random,
 } from '@irisdock/kernel';
-import {
-  getTakeover,
-  isRecordFit,
-  RETRY_BUDGET,
-  RetryBudget,
-  type ReadId,
-  type ResumeData,
-  type Signer,
-} from '@irisdock/decisions';
+import {RETRY_BUDGET, RetryBudget, type Signer} from '@irisdock/decisions';
 import {err, ok, type Result} from 'neverthrow';
 import {Gauge} from 'prom-client';
 import {
@@ -29,11 +20,9 @@
 import type {LegOptions} from '../answer/answer_leg.js';
 import type {AnswerSink} from '../answer/answer_sink.js';
 import {EngineChooser} from '../answer/engine_chooser.js';
+import {RecordFinder, type StreamAsk} from '../answer/record_finder.js';
 import {RequestLedger} from '../answer/request_ledger.js';
-import {
-  RequestRecord,
-  type GenerationRequest,
-} from '../answer/request_record.js';
+import type {RequestRecord} from '../answer/request_record.js';
 import {StreamMetrics} from '../answer/stream_metrics.js';
 import {DAEMON_ERRORS} from '../errors.js';
 import {STREAMS_SETTINGS} from '../answer/streams_settings.js';
@@ -44,19 +33,6 @@
 import {OWNERSHIP, type OwnerRefusal, type Ownership} from './ownership.js';
 import {PEER_LINKS} from './peer_links.js';
 
-/** A request as it comes from a caller. */
-export interface StreamAsk {
-  readonly id: ReadId;
-  readonly request: GenerationRequest;
-  /** The offset of the first token that the caller still wants. */
-  readonly fromOffset: number;
-  /** Whether the caller goes on with an answer it began to get. */
-  readonly resuming: boolean;
-  readonly resumeData: ResumeData | undefined;
-  /** The text before `fromOffset`, when the caller sent it. */
-  readonly receivedText: string | undefined;
-}
-
 /** What the service works with. */
 export interface StreamsParts {
   readonly clock: Clock;
@@ -73,12 +49,10 @@
   readonly keepEndedMs: number;
 }
 
-/** Names of records are drawn below this; two of a request never meet. */
-const NAMES = 2 ** 40;
-
 /** Answers requests for text. */
 export class Streams {
   private readonly ledger: RequestLedger<RequestRecord>;
+  private readonly finder: RecordFinder;
   private readonly budget = new RetryBudget(RETRY_BUDGET);
   private running = 0;
 
@@ -86,6 +60,9 @@
     this.ledger = new RequestLedger(parts.ownership.keepMs, (record) => {
       return record.state !== 'running';
     });
+    const {ownership, clock, random} = parts;
+    const {ledger} = this;
+    this.finder = new RecordFinder({ledger, ownership, clock, random});
   }
 
   /** Answers that are being given now. */
@@ -104,106 +81,12 @@
     sink: AnswerSink,
   ): Promise<Result<void, OwnerRefusal>> {
     this.ledger.dropOld(this.parts.clock.getNow());
-    const record = this.findRecord(ask);
+    const record = this.finder.find(ask);
     if (record.isErr()) return err(record.error);
     await this.runDriver(ask, sink, record.value);
     return ok();
   }
 
-  private findRecord(ask: StreamAsk): Result<RequestRecord, OwnerRefusal> {
-    const {request, resumeData} = ask;
-    const kept = this.ledger.find(request.id);
-    // What went on elsewhere is taken over anew, as if nothing were kept.
-    const record = kept && isFit(kept, ask) ? kept : undefined;
-    const permission = this.parts.ownership.check({
-      id: ask.id,
-      repeatable: request.repeatable,
-      resuming: ask.resuming,
-      hasResumeData: resumeData !== undefined,
-      ledger: record === undefined ? undefined : toLedgerState(record),
-    });
-    if (permission.isErr()) return err(permission.error);
-    const refusal = this.findMismatch(ask, kept, record);
-    if (refusal !== undefined) return err({error: refusal});
-    if (permission.value === 'join' && record !== undefined) {
-      return ok(record);
-    }
-    if (permission.value === 'start') return this.createStart(ask, kept);
-    return ok(this.createTakeOver(ask, kept));
-  }
-
-  /**
-   * @param kept What is kept of the request here.
-   * @param record The same, when the caller may go on with it.
-   */
-  private findMismatch(
-    ask: StreamAsk,
-    kept: RequestRecord | undefined,
-    record: RequestRecord | undefined,
-  ): KnownError | undefined {
-    const {digest, id} = ask.request;
-    const {resumeData} = ask;
-    const others = [kept?.request.digest, resumeData?.digest];
-    const sameBody = others.every((other) => (other ?? digest) === digest);
-    const sameId = (resumeData?.request ?? id) === id;
-    if (!sameBody || !sameId) return DAEMON_ERRORS.create('resume_mismatch');
-    if (record === undefined) return undefined;
-    if (ask.fromOffset > record.nextOffset) {
-      return DAEMON_ERRORS.create('resume_mismatch');
-    }
-    if (ask.fromOffset >= record.firstOffset) return undefined;
-    if (record.state === 'ended') {
-      return DAEMON_ERRORS.create('answer_forgotten');
-    }
-    return DAEMON_ERRORS.create('resume_text_needed');
-  }
-
-  private createStart(
-    ask: StreamAsk,
-    kept: RequestRecord | undefined,
-  ): Result<RequestRecord, OwnerRefusal> {
-    const {request, fromOffset, receivedText} = ask;
-    if (fromOffset > 0 && receivedText === undefined) {
-      return err({error: DAEMON_ERRORS.create('resume_text_needed')});
-    }
-    const record = this.createRecord(request, fromOffset, receivedText ?? '');
-    if (fromOffset === 0) return ok(record);
-    // What began elsewhere is continued, at a number above what is usual.
-    record.mayHaveRun = true;
-    record.takeover = (kept?.takeover ?? 0) + 1;
-    kept?.lock.stop();
-    return ok(record);
-  }
-
-  /** @param kept What is kept of it here, and what the caller left behind. */
-  private createTakeOver(
-    ask: StreamAsk,
-    kept: RequestRecord | undefined,
-  ): RequestRecord {
-    const {request, fromOffset, resumeData} = ask;
-    const text = fromOffset === 0 ? '' : ask.receivedText;
-    const record = this.createRecord(request, fromOffset, text);
-    record.mayHaveRun = true;
-    const before = getTakeover(resumeData?.generation ?? 0);
-    record.takeover = Math.max(before, kept?.takeover ?? 0) + 1;
-    record.endpoint = resumeData?.endpoint ?? '';
-    // Its driver, should it still run, gives to a connection that was left.
-    kept?.lock.stop();
-    return record;
-  }
-
-  private createRecord(
-    request: GenerationRequest,
-    fromOffset: number,
-    textBefore: string | undefined,
-  ): RequestRecord {
-    const {random, clock} = this.parts;
-    const name = random.getInt(NAMES).toString(36);
-    const record = new RequestRecord(request, name, fromOffset, textBefore);
-    this.ledger.add(request.id, record, clock.getNow());
-    return record;
-  }
-
   private async runDriver(
     ask: StreamAsk,
     sink: AnswerSink,
@@ -308,21 +191,6 @@
   }
 }
 
-/** Tells whether a caller goes on from what is kept. */
-function isFit(kept: RequestRecord, ask: StreamAsk): boolean {
-  return isRecordFit({
-    fromOffset: ask.fromOffset,
-    callerRecord: ask.resumeData?.record,
-    receivedText: ask.receivedText,
-    ownRecord: kept.name,
-    ownText: kept.getTextBefore(ask.fromOffset),
-  });
-}
-
-function toLedgerState(record: RequestRecord): 'ended' | 'running' {
-  return record.state === 'ended' ? 'ended' : 'running';
-}
-
 /** The key of the service. */
 export const STREAMS = createServiceKey<Streams>('streams');
 
--- a/packages/daemon/tests/streams.test.ts
+++ b/packages/daemon/tests/streams.test.ts
@@ -7,17 +7,14 @@
 import {Registry} from 'prom-client';
 import type {AnswerSink} from '../src/answer/answer_sink.js';
 import {AnswerDriver, type DriverParts} from '../src/answer/answer_driver.js';
+import type {StreamAsk} from '../src/answer/record_finder.js';
 import {
   RequestRecord,
   type GenerationRequest,
 } from '../src/answer/request_record.js';
 import {StreamMetrics} from '../src/answer/stream_metrics.js';
 import type {Arrival} from '../src/services/ownership.js';
-import {
-  Streams,
-  type StreamAsk,
-  type StreamsParts,
-} from '../src/services/streams.js';
+import {Streams, type StreamsParts} from '../src/services/streams.js';
 import {createAdmission} from './fixtures.js';
 
 /** A caller's end that notes what it is told. */
--- a/scripts/check_proofs.mjs
+++ b/scripts/check_proofs.mjs
@@ -76,7 +76,7 @@
   ],
   [
     'a take-over has a higher generation',
-    `${DAEMON}/services/streams.js`,
+    `${DAEMON}/answer/record_finder.js`,
     'Math.max(before, kept?.takeover ?? 0) + 1',
     '0',
     'testkit/hosts',
