--- a/bench/src/hunt_configuration.ts
+++ b/bench/src/hunt_configuration.ts
@@ -4,6 +4,7 @@
  * was accepted last is in force on all in the end.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
+import {CHANGE_SCHEMA} from '@irisdock/resources';
 import {
   getJson,
   sendHttp,
@@ -73,18 +74,15 @@
   }
 
   private async putChange(host: DaemonNode, weight: number): Promise<void> {
-    try {
-      const answer = await sendHttp(getUrl(host), {
-        method: 'PUT',
-        body: JSON.stringify({spec: {weight}}),
-      });
-      if (answer.status !== OK) return;
-      this.accepted++;
-      const {version = 0} = JSON.parse(answer.text) as SeenTeam;
-      this.lastVersion = Math.max(this.lastVersion, version);
-    } catch {
-      // The host died meanwhile: not known to be accepted.
-    }
+    const body = JSON.stringify({spec: {weight}});
+    // A host that died meanwhile: not known to be accepted.
+    const answer = await sendHttp(getUrl(host), {method: 'PUT', body}).catch(
+      () => undefined,
+    );
+    if (answer?.status !== OK) return;
+    this.accepted++;
+    const {toVersion} = CHANGE_SCHEMA.parse(JSON.parse(answer.text));
+    this.lastVersion = Math.max(this.lastVersion, toVersion);
   }
 
   /** Reads the version in force on a host; what it was when it is away. */
@@ -92,11 +90,11 @@
     const before = this.seen.get(daemon) ?? 0;
     try {
       const {version = 0} = await getJson<SeenTeam>(getUrl(daemon));
-      // Looks overlap when a host was frozen, so an older answer may come late.
-      const newest = this.seen.get(daemon) ?? 0;
       if (version < before) {
         this.faults.push(`a host went back from ${before} to ${version}`);
       }
+      // Reads overlap when a host was frozen: an older one may end later.
+      const newest = this.seen.get(daemon) ?? 0;
       this.seen.set(daemon, Math.max(newest, version));
       return version;
     } catch {
