Decide with the other losses which of them count; list what lives once

Cause: read again. That an unreachable engine costs an answer under way nothing stood in the driver, beside the decision it belongs to; the filter for running daemons and engines stood eight times.

Change: isLossCounted in decisions/loss_response.ts, with a table of tests; liveDaemons and liveEngines in the testkit; named bounds in bench domain. Behaviour as before.

--- a/bench/src/benches/domain_loss.ts
+++ b/bench/src/benches/domain_loss.ts
@@ -29,6 +29,8 @@
 const AFTER_MS = 6000;
 const CALLS_PER_SECOND = 40;
 const MAX_CONNECTIONS = 20;
+/** The users' bound on the time until output goes on. */
+const LATE_MS = 3000;
 
 /** What is lost with the domain. */
 type Loss = 'engines' | 'engines and hosts' | 'engines, naive';
@@ -58,7 +60,7 @@
 interface Run {
   readonly deployment: Deployment;
   lostAt: number;
-  endAt: number;
+  readonly endAt: number;
   readonly played: Played[];
   readonly current: Set<Current>;
   readonly calls: {readonly at: number; readonly ms: number}[];
@@ -148,7 +150,7 @@
 async function sendCalls(run: Run): Promise<void> {
   const sent: Promise<void>[] = [];
   for (let at = 0; Date.now() < run.endAt; at++) {
-    const live = run.deployment.daemons.filter((d) => !d.process.isExited);
+    const live = run.deployment.liveDaemons;
     const host = live[at % live.length]?.places.caller ?? '';
     sent.push(sendCall(run, host));
     await sleep(1000 / CALLS_PER_SECOND);
@@ -222,7 +224,7 @@
     hitGapMs: gaps.median,
     hitGapP95: gaps.p95,
     hitGapWorst: gaps.worst,
-    hitLate: hit.filter((p) => findGap(p.times, lostAt) > 3000).length,
+    hitLate: hit.filter((p) => findGap(p.times, lostAt) > LATE_MS).length,
     otherGapP95: others.p95,
     otherGapWorst: others.worst,
     firstP95: first.p95,
@@ -299,8 +301,8 @@
       rows,
       notes: [
         `load: callers as a part of the slots before the loss; answers of ${TOKENS} tokens of ${STEP_MS} ms, one after the other`,
-        'hit: under way in what was lost; others: under way elsewhere; late: gap over 3 s; first: first token of answers asked for afterwards',
-        'answers given up are asked for again by their callers when the system says so, up to 20 times',
+        `hit: under way in what was lost; others: under way elsewhere; late: gap over ${LATE_MS} ms; first: first token of answers asked for afterwards`,
+        `answers given up are asked for again by their callers when the system says so, up to ${MAX_CONNECTIONS} times`,
       ],
     };
   },
--- a/bench/src/benches/resume.ts
+++ b/bench/src/benches/resume.ts
@@ -60,9 +60,7 @@
   kind: FailureKind,
   at: number,
 ): Promise<CallerState> {
-  const addresses = deployment.daemons
-    .filter((daemon) => !daemon.process.isExited)
-    .map((daemon) => daemon.places.caller);
+  const addresses = deployment.liveDaemons.map((d) => d.places.caller);
   const state = createCallerState();
   let hasFailed = false;
   for (let turn = 0; turn < addresses.length && !state.done; turn++) {
@@ -148,8 +146,7 @@
 /** Tokens of the answer that engines made which still run. */
 function countByLive(deployment: Deployment, state: CallerState): number {
   let count = 0;
-  for (const engine of deployment.engines) {
-    if (engine.process.isExited) continue;
+  for (const engine of deployment.liveEngines) {
     count += state.text.split(`.${engine.name}.`).length - 1;
   }
   return count;
@@ -164,7 +161,7 @@
   for (const daemon of deployment.daemons) {
     daemon.process.sendSignal('SIGCONT');
   }
-  const live = deployment.daemons.filter((d) => !d.process.isExited);
+  const live = deployment.liveDaemons;
   deployment.daemons.splice(0, deployment.daemons.length, ...live);
   while (deployment.daemons.length < shape.options.daemons) {
     await deployment.addDaemon();
--- a/bench/src/hunt_configuration.ts
+++ b/bench/src/hunt_configuration.ts
@@ -36,7 +36,7 @@
   /** Changes and watches until it is stopped. */
   async run(): Promise<void> {
     for (let round = 1; !this.isStopped; round++) {
-      const live = this.listLive();
+      const live = this.deployment.liveDaemons;
       const host = live[round % live.length];
       const changes =
         host === undefined ? sleep(0) : this.putChange(host, round);
@@ -57,7 +57,7 @@
     try {
       await waitUntil('the last accepted change is in force', async () => {
         const versions = await Promise.all(
-          this.listLive().map((daemon) => this.readVersion(daemon)),
+          this.deployment.liveDaemons.map((daemon) => this.readVersion(daemon)),
         );
         return versions.every((version) => version >= this.lastVersion);
       });
@@ -69,10 +69,6 @@
     return this.faults;
   }
 
-  private listLive(): DaemonNode[] {
-    return this.deployment.daemons.filter((d) => !d.process.isExited);
-  }
-
   private async putChange(host: DaemonNode, weight: number): Promise<void> {
     const body = JSON.stringify({spec: {weight}});
     // A host that died meanwhile: not known to be accepted.
--- a/bench/src/hunt_failures.ts
+++ b/bench/src/hunt_failures.ts
@@ -20,7 +20,7 @@
 /** Crashes, freezes and outages. */
 export const CRASHES: FailureKinds = {
   killEngine: async (deployment, random) => {
-    const live = deployment.engines.filter((e) => !e.process.isExited);
+    const live = deployment.liveEngines;
     if (live.length <= 2) return;
     await live[random.getInt(live.length)]?.process.kill();
   },
@@ -40,7 +40,7 @@
     await Promise.race([deployment.setFaults(engine, faults), sleep(300)]);
   },
   killHost: async (deployment, random) => {
-    const live = deployment.daemons.filter((d) => !d.process.isExited);
+    const live = deployment.liveDaemons;
     if (live.length <= 2) return;
     await live[random.getInt(live.length)]?.process.kill();
   },
@@ -76,7 +76,7 @@
     await deployment.publishHosts();
   },
   leaveEngine: async (deployment, random) => {
-    const live = deployment.engines.filter((e) => !e.process.isExited);
+    const live = deployment.liveEngines;
     const engine = live[random.getInt(live.length)];
     if (engine === undefined || live.length <= 2) return;
     engine.state = 'leaving';
@@ -91,9 +91,7 @@
 export const ALL_FAILURES: FailureKinds = {...CRASHES, ...PLANNED_WORK};
 
 function listStaying(deployment: Deployment): DaemonNode[] {
-  return deployment.daemons.filter(
-    ({process}) => !process.isExited && !DRAINED.has(process),
-  );
+  return deployment.liveDaemons.filter(({process}) => !DRAINED.has(process));
 }
 
 /** Checks that hosts told to leave have left by themselves, with 0. */
--- a/bench/src/hunt_play.ts
+++ b/bench/src/hunt_play.ts
@@ -145,7 +145,7 @@
 }
 
 async function findId(deployment: Deployment, at: number): Promise<string> {
-  const live = deployment.daemons.filter((d) => !d.process.isExited);
+  const live = deployment.liveDaemons;
   const address = live[at % live.length]?.places.caller ?? '';
   const answer = getJson<AddressAnswer>(`http://${address}/v1/addresses`);
   const found = await Promise.race([
--- a/packages/daemon/src/answer/answer_driver.ts
+++ b/packages/daemon/src/answer/answer_driver.ts
@@ -8,6 +8,7 @@
   createGenerationNumber,
   createResumeData,
   decideLossResponse,
+  isLossCounted,
   type LossKind,
   type RetryBudget,
   type Signer,
@@ -289,11 +290,10 @@
     metrics.losses.inc({kind: loss});
     this.lostSince ??= this.lastTokenAt ?? clock.getNow();
     if (ENDPOINT_LOST.has(loss)) directory.reportLost(endpoint, loss);
-    // The first try after a loss is always made, and going on after an engine
-    // that took nothing is bounded in time; more come from the budget.
-    const isFree = loss === 'unreachable' && record.mayHaveRun;
-    const budgetLeft =
-      isFree || this.losses === 0 || budget.takeRetry(clock.getNow());
+    // The first try after a loss is always made; more come from the budget.
+    const isCounted = isLossCounted(loss, record.mayHaveRun);
+    const isFree = !isCounted || this.losses === 0;
+    const budgetLeft = isFree || budget.takeRetry(clock.getNow());
     const response = decideLossResponse({
       loss,
       mayHaveRun: record.mayHaveRun,
@@ -302,7 +302,7 @@
       losses: this.losses,
       budgetLeft,
     });
-    if (!isFree) this.losses++;
+    if (isCounted) this.losses++;
     if (response === 'abandon') return 'abandon';
     if (response === 'attach') {
       this.attaches++;
--- a/packages/decisions/src/loss_response.ts
+++ b/packages/decisions/src/loss_response.ts
@@ -32,7 +32,7 @@
   readonly mayContinue: boolean;
   /** Attaches to this engine since the last token passed on. */
   readonly attaches: number;
-  /** Losses since the last token passed on. */
+  /** Losses that count since the last token passed on. */
   readonly losses: number;
   /** Whether the retry budget has room. */
   readonly budgetLeft: boolean;
@@ -45,6 +45,15 @@
 const MAX_ATTACHES = 2;
 const MAX_LOSSES = 8;
 
+/**
+ * Tells whether a loss counts against the retry budget and the most losses.
+ * An engine that could not be reached took nothing, so an answer under way
+ * goes on from it freely, bounded in time; a request that never ran does not.
+ */
+export function isLossCounted(loss: LossKind, mayHaveRun: boolean): boolean {
+  return loss !== 'unreachable' || !mayHaveRun;
+}
+
 /** Decides what follows a loss. */
 export function decideLossResponse(state: LossState): LossResponse {
   if (state.loss === 'superseded') return 'abandon';
--- a/packages/decisions/tests/loss_response.test.ts
+++ b/packages/decisions/tests/loss_response.test.ts
@@ -3,6 +3,7 @@
 import {describe, it} from 'node:test';
 import {
   decideLossResponse,
+  isLossCounted,
   type LossKind,
   type LossResponse,
   type LossState,
@@ -115,3 +116,15 @@
     );
   });
 });
+
+describe('isLossCounted', () => {
+  for (const loss of KINDS) {
+    const isFree = loss === 'unreachable';
+    it(`${loss} ${isFree ? 'does not count' : 'counts'} once it may run`, () => {
+      assert.equal(isLossCounted(loss, true), !isFree);
+    });
+    it(`${loss} counts before anything ran`, () => {
+      assert.equal(isLossCounted(loss, false), true);
+    });
+  }
+});
--- a/packages/testkit/src/deployment.ts
+++ b/packages/testkit/src/deployment.ts
@@ -54,6 +54,16 @@
     return this.endpoints.filter((e) => e.service === NAMES.plain);
   }
 
+  /** The daemons whose process runs. */
+  get liveDaemons(): DaemonNode[] {
+    return this.daemons.filter((daemon) => !daemon.process.isExited);
+  }
+
+  /** The engines whose process runs. */
+  get liveEngines(): EndpointNode[] {
+    return this.engines.filter((engine) => !engine.process.isExited);
+  }
+
   /** Gives the caller addresses of all daemons. */
   listAddresses(): string[] {
     return this.daemons.map((daemon) => daemon.places.caller);
@@ -156,8 +166,7 @@
 
   /** Starts engines until so many live, and waits until all are used. */
   async addEnginesUntil(count: number): Promise<void> {
-    const live = this.engines.filter((engine) => !engine.process.isExited);
-    for (let at = live.length; at < count; at++) {
+    for (let at = this.liveEngines.length; at < count; at++) {
       await this.addEndpoint('engine', ['--engine-models', NAMES.model]);
     }
     for (let at = this.endpoints.length - 1; at >= 0; at--) {
@@ -174,9 +183,8 @@
    *     itself.
    */
   async publishHosts(more: readonly EndpointNode[] = []): Promise<void> {
-    const running = this.daemons.filter((d) => !d.process.isExited);
     const hosts = [
-      ...running.map(({places, failureDomain}) => ({
+      ...this.liveDaemons.map(({places, failureDomain}) => ({
         address: places.peer,
         role: 'entry',
         failureDomain,
@@ -269,8 +277,7 @@
     if (ready.status !== 200) return false;
     const status = await getJson<HostStatus>(`http://${operator}/v1/status`);
     const live = status.hosts.filter((host) => host.state === 'live');
-    const running = this.daemons.filter((d) => !d.process.isExited);
-    if (live.length < running.length) return false;
+    if (live.length < this.liveDaemons.length) return false;
     const seen = status.services.flatMap((service) => service.endpoints);
     // By address: one that just ended may still seem to answer.
     return this.endpoints.every(({address, service}) => {
--- a/packages/testkit/src/entry_hosts.ts
+++ b/packages/testkit/src/entry_hosts.ts
@@ -61,7 +61,7 @@
 
 /** Starts hosts and engines until there are as many as before a failure. */
 export async function addMissingNodes(deployment: Deployment): Promise<void> {
-  const live = deployment.daemons.filter((d) => !d.process.isExited);
+  const live = deployment.liveDaemons;
   deployment.daemons.splice(0, deployment.daemons.length, ...live);
   while (deployment.daemons.length < HOSTS) await deployment.addDaemon();
   await deployment.addEnginesUntil(ENGINES);
--- a/scripts/check_proofs.mjs
+++ b/scripts/check_proofs.mjs
@@ -244,9 +244,9 @@
   ],
   [
     'an engine that took nothing costs no retry',
-    `${DAEMON}/answer/answer_driver.js`,
-    "const isFree = loss === 'unreachable' && record.mayHaveRun",
-    'const isFree = false',
+    `${DECISIONS}/loss_response.js`,
+    "loss !== 'unreachable' || !mayHaveRun",
+    'true',
     'testkit/streams',
     'more of them than there are retries',
   ],
