Take an answer without a length as cut when its connection fails

Ruled out: the gateway's own framing (the same answer with a length is found to be cut).

Change: a body without a length counts as whole only when no error came on its connection. Stand-ins of the store and of servers, and tests of plain calls and streams against broken answers; 'an answer without a length that is reset' failed before. An ended send no longer carries an error, which a connection just given back to the pool threw where nobody listened (found by the test 'is lost when the second engine leaves events out').

--- a/packages/gateway/src/channels/endpoint_client.ts
+++ b/packages/gateway/src/channels/endpoint_client.ts
@@ -39,6 +39,11 @@
   readonly lines: HeaderLines;
   readonly isEventStream: boolean;
   readonly message: IncomingMessage;
+  /**
+   * Tells, once the body has ended, whether it is whole. A body without a
+   * length ends with its connection; one whose connection failed is cut.
+   */
+  isWhole(): boolean;
   /** Closes the connection. */
   close(): void;
 }
@@ -64,12 +69,17 @@
   async send(send: EndpointSend): Promise<EndpointAnswer | EndpointLoss> {
     return new Promise((resolve) => {
       let mayHaveRun = false;
+      let endReason: string | undefined;
       const message = this.createRequest(send);
       const connectTimer = setTimeout(() => {
-        message.destroy(new Error('the connection did not open'));
+        endReason = 'the connection did not open';
+        message.destroy();
       }, CONNECT_MS);
       const abort = (): void => {
-        message.destroy(new Error('the send was ended'));
+        // Without an error, as a connection that was just given back to the
+        // pool would throw it where nobody listens.
+        endReason = 'the send was ended';
+        message.destroy();
       };
       message.once('socket', (socket) => {
         const markSent = (): void => {
@@ -84,7 +94,8 @@
         send.signal.removeEventListener('abort', abort);
       });
       message.on('error', (error) => {
-        resolve({kind: 'lost', mayHaveRun, detail: getErrorText(error)});
+        const detail = endReason ?? getErrorText(error);
+        resolve({kind: 'lost', mayHaveRun, detail});
       });
       message.once('response', (answer) => {
         resolve(this.createAnswer(message, answer));
@@ -120,6 +131,14 @@
   ): EndpointAnswer {
     const allLines = readHeaderLines(answer);
     const type = findHeader(allLines, 'content-type') ?? '';
+    const isFramed = hasFraming(answer);
+    let hasFailed = false;
+    message.on('error', () => {
+      hasFailed = true;
+    });
+    // Whoever reads the body may have stopped; the error is not lost, as it
+    // is seen by isWhole.
+    answer.on('error', () => undefined);
     answer.once('end', () => {
       // The endpoint answered before it had read the whole request: what is
       // left of the request must not be taken for the next one.
@@ -132,6 +151,7 @@
       lines: dropConnectionLines(this.codec.encodeAnswer(allLines)),
       isEventStream: type.startsWith('text/event-stream'),
       message: answer,
+      isWhole: () => answer.complete && (isFramed || !hasFailed),
       close: () => {
         message.destroy();
       },
@@ -139,6 +159,14 @@
   }
 }
 
+function hasFraming(answer: IncomingMessage): boolean {
+  const {headers} = answer;
+  return (
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined
+  );
+}
+
 /** Adds the length of the body and asks to keep the connection. */
 function addFraming(lines: HeaderLines, send: EndpointSend): HeaderLines {
   const framed = [...lines, ['Connection', 'keep-alive'] as const];
--- a/packages/gateway/src/serving/answer_body.ts
+++ b/packages/gateway/src/serving/answer_body.ts
@@ -1,13 +1,14 @@
 /** Reads the whole body of an answer. */
-import type {IncomingMessage} from 'node:http';
+import type {EndpointAnswer} from '../channels/endpoint_client.js';
 
 /** Bodies that are longer count as cut; callers never need such ones. */
 const MAX_BODY_BYTES = 8_388_608;
 
 /** Gives the body; undefined when it was cut short or is too long. */
 export async function readAnswerBody(
-  message: IncomingMessage,
+  answer: EndpointAnswer,
 ): Promise<Buffer | undefined> {
+  const {message} = answer;
   const parts: Buffer[] = [];
   let size = 0;
   return new Promise((resolve) => {
@@ -17,7 +18,7 @@
       else resolve(undefined);
     });
     message.once('end', () => {
-      resolve(message.complete ? Buffer.concat(parts) : undefined);
+      resolve(answer.isWhole() ? Buffer.concat(parts) : undefined);
     });
     message.once('error', () => {
       resolve(undefined);
--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -119,7 +119,7 @@
       answer.close();
       return {kind: 'lost', mayHaveRun: true, detail: fault};
     }
-    const body = await readAnswerBody(answer.message);
+    const body = await readAnswerBody(answer);
     if (terms.load !== undefined) endpoint.recordLoad(terms.load);
     if (status === MISDIRECTED_STATUS) {
       this.parts.endpoints.reportReplaced(endpoint);
