Keep a copy of each running stream while it runs; find prompts again

Ruled out: slow detection (350 ms, then 20 to 100 ms to go on).

Change: CopyKeeper has the memory copied to another engine when the standby is gone, and renews the copy; lost failure domains are avoided by the stream that met them; prompts have an order of engines that every host finds alike; a second engine that leaves events out is a loss.

--- a/packages/decisions/src/engine_placement.ts
+++ b/packages/decisions/src/engine_placement.ts
@@ -1,12 +1,19 @@
 /**
  * On which engine a stream runs, and on which one its standby copy is kept.
  *
+ * Each prompt has an order of engines that all hosts find alike
+ * (rendezvous.ts). The first in it that is not much busier than the least
+ * busy one is taken, so that the prompt is found again wherever its caller
+ * comes from. docs/design/stream_placement.md.
+ *
  * The first token waits for the prompts that are read before it, so prompt
  * tokens not yet read cost most. Each running stream slows the others a
  * little. Engines that failed of late are used only when others lack room.
  * The copy goes to another failure domain, as whole domains are lost at once.
  */
 
+import {sortByPreference} from './rendezvous.js';
+
 /** An engine as one host sees it, with what other hosts told. */
 export interface EngineView {
   readonly instanceId: string;
@@ -31,8 +38,10 @@
   readonly excluded: ReadonlySet<string>;
   /** Failure domains that are used only when there is no other. */
   readonly avoidedDomains: ReadonlySet<string>;
-  /** An engine that probably keeps the prompt; undefined for none. */
-  readonly holder: string | undefined;
+  /** Names the prompt, for the order of preference; empty for none. */
+  readonly promptKey: string;
+  /** Whether an engine probably keeps the prompt from an earlier run. */
+  readonly isPromptKept: boolean;
 }
 
 /**
@@ -46,32 +55,33 @@
 const DOMAIN_COST_TOKENS = 20_000;
 /** No room in memory means waiting or pushing out another stream. */
 const NO_ROOM_COST_TOKENS = 100_000;
-/** Spreads choices that several hosts make from the same late figures. */
-const SPREAD_TOKENS = 1500;
+/**
+ * How much busier than the least busy one a preferred engine may be: about
+ * one prompt that is read before, which costs a second of the 4.5 to a first
+ * event. A prompt that is kept saves its own tokens on top.
+ */
+const PREFERENCE_TOKENS = 9000;
 /** The part of the memory that copies may fill together with streams. */
 const BACKUP_FILL = 0.8;
 
-/**
- * Chooses an engine; undefined when all are excluded.
- *
- * @param getSpread A random number from 0 to 1, for each engine.
- */
+/** Chooses an engine; undefined when all are excluded. */
 export function chooseEngine<V extends EngineView>(
   engines: Iterable<V>,
   request: EngineRequest,
-  getSpread: () => number,
 ): V | undefined {
-  let best: V | undefined;
-  let bestCost = Infinity;
+  const candidates: V[] = [];
+  let leastCost = Infinity;
   for (const engine of engines) {
     if (request.excluded.has(engine.instanceId)) continue;
-    const spread = getSpread() * SPREAD_TOKENS;
-    const cost = computeEngineCost(engine, request) + spread;
-    if (cost >= bestCost) continue;
-    best = engine;
-    bestCost = cost;
+    candidates.push(engine);
+    leastCost = Math.min(leastCost, computeEngineCost(engine, request));
+  }
+  const saved = request.isPromptKept ? request.tokens : 0;
+  const mostCost = leastCost + PREFERENCE_TOKENS + saved;
+  for (const engine of sortByPreference(candidates, request.promptKey)) {
+    if (computeEngineCost(engine, request) <= mostCost) return engine;
   }
-  return best;
+  return undefined;
 }
 
 /** Gives what a stream costs at an engine, in unread prompt tokens. */
@@ -80,7 +90,6 @@
   request: EngineRequest,
 ): number {
   let cost = engine.unreadTokens + engine.streams * STREAM_COST_TOKENS;
-  if (engine.instanceId === request.holder) cost -= request.tokens;
   cost += engine.failureScore * FAILURE_COST_TOKENS;
   if (request.avoidedDomains.has(engine.failureDomain)) {
     cost += DOMAIN_COST_TOKENS;
@@ -101,7 +110,6 @@
   engines: Iterable<V>,
   primary: EngineView,
   request: EngineRequest,
-  getSpread: () => number,
 ): V | undefined {
   const candidates: V[] = [];
   for (const engine of engines) {
@@ -111,5 +119,5 @@
     if (filled > engine.memoryTokens * BACKUP_FILL) continue;
     candidates.push(engine);
   }
-  return chooseEngine(candidates, request, getSpread);
+  return chooseEngine(candidates, request);
 }
--- a/packages/gateway/src/model/request_terms.ts
+++ b/packages/gateway/src/model/request_terms.ts
@@ -35,8 +35,8 @@
 export interface MemorySource {
   /** The address of the engine that ran it. */
   readonly address: string;
-  /** The request id under which it ran there. */
-  readonly requestId: string;
+  /** The request id under which it ran there, or the name of its copy. */
+  readonly name: string;
 }
 
 /** What this system says to an endpoint with a request. */
@@ -72,6 +72,23 @@
   readonly load: ToldLoad | undefined;
 }
 
+/** A short call to an engine about a run or a copy of its memory. */
+export interface EngineCall {
+  readonly method: 'DELETE' | 'GET' | 'POST';
+  readonly path: string;
+  readonly body: string;
+}
+
+/** Translates the calls by which a run's memory is copied. */
+export interface CopyCodec {
+  /** Asks the engine that runs a request to copy its memory to another. */
+  encodeCopy(requestId: string, targetAddress: string): EngineCall;
+  /** Gives the name of the copy; undefined when none was made. */
+  decodeCopy(status: number, body: string): string | undefined;
+  /** Asks the engine that ran the request to free a copy at both ends. */
+  encodeDropCopy(copyName: string): EngineCall;
+}
+
 /** Translates between headers and typed terms. */
 export interface HeaderCodec {
   /** The path at which an engine reports its state. */
--- a/packages/gateway/src/services/endpoints.ts
+++ b/packages/gateway/src/services/endpoints.ts
@@ -46,6 +46,14 @@
     return this.records.get(instanceId);
   }
 
+  /** Finds the endpoint that answers at an address now. */
+  findAt(address: string): EndpointRecord | undefined {
+    for (const record of this.records.values()) {
+      if (record.address === address) return record;
+    }
+    return undefined;
+  }
+
   /** Lists all endpoints that are known. */
   listAll(): Iterable<EndpointRecord> {
     return this.records.values();
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -111,13 +111,14 @@
   settings: z.infer<typeof SETTINGS>,
 ): ServingParts {
   const {clock, random, log, metrics} = context;
-  const {headers: codec} = context.find(CODECS);
+  const {headers: codec, copies} = context.find(CODECS);
   const peers = context.find(PEERS);
   return {
     clock,
     random,
     log,
     codec,
+    copies,
     client: new EndpointClient(codec),
     configuration: context.find(GATEWAY_CONFIGURATION),
     endpoints: context.find(GATEWAY_ENDPOINTS),
--- a/packages/gateway/src/services/store.ts
+++ b/packages/gateway/src/services/store.ts
@@ -4,13 +4,14 @@
  */
 import {createServiceKey} from '@irisdock/kernel';
 import type {EndpointEntry} from '../model/endpoint_entry.js';
-import type {HeaderCodec} from '../model/request_terms.js';
+import type {CopyCodec, HeaderCodec} from '../model/request_terms.js';
 import type {ServingConfiguration} from '../model/serving_configuration.js';
 import type {RowCodec, WatchedStore} from '../model/watched_table.js';
 
 /** How an adapter reads what others write. */
 export interface Codecs {
   readonly headers: HeaderCodec;
+  readonly copies: CopyCodec;
   readonly configuration: RowCodec<ServingConfiguration>;
   readonly endpoints: RowCodec<EndpointEntry>;
   /** The paths at which this host answers questions about itself. */
--- a/packages/gateway/src/serving/serving_parts.ts
+++ b/packages/gateway/src/serving/serving_parts.ts
@@ -1,7 +1,7 @@
 /** What the drivers of requests work with. */
 import type {Clock, Logger, Random} from '@irisdock/kernel';
 import type {EndpointClient} from '../channels/endpoint_client.js';
-import type {HeaderCodec} from '../model/request_terms.js';
+import type {CopyCodec, HeaderCodec} from '../model/request_terms.js';
 import type {GatewayConfiguration} from '../services/configuration.js';
 import type {GatewayEndpoints} from '../services/endpoints.js';
 import type {RepeatBudgets} from './repeat_budgets.js';
@@ -13,6 +13,7 @@
   readonly random: Random;
   readonly log: Logger;
   readonly codec: HeaderCodec;
+  readonly copies: CopyCodec;
   readonly client: EndpointClient;
   readonly configuration: GatewayConfiguration;
   readonly endpoints: GatewayEndpoints;
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -5,27 +5,24 @@
  * another failure domain; after a loss the stream goes on there, so that the
  * prompt need not be read again.
  */
-import {
-  chooseBackup,
-  chooseEngine,
-  type EngineRequest,
-  type WholeEvent,
-} from '@irisdock/decisions';
+import {EventProgress, type WholeEvent} from '@irisdock/decisions';
 import type {KnownError} from '@irisdock/kernel';
 import {GATEWAY_ERRORS} from '../errors.js';
-import type {HeaderLines, MemorySource} from '../model/request_terms.js';
+import type {HeaderLines} from '../model/request_terms.js';
 import type {ServingRoute} from '../model/serving_configuration.js';
 import type {AdmittedRequest} from './caller_exchange.js';
+import {CopyKeeper} from './copy_keeper.js';
 import type {EndpointProber} from './endpoint_prober.js';
 import type {EndpointRecord, UseClaim} from './endpoint_record.js';
 import {decideRetryAfter} from './retry_after.js';
-import {getRandomPart, type ServingParts} from './serving_parts.js';
+import type {ServingParts} from './serving_parts.js';
 import {
   StreamLeg,
   type LegPlan,
   type LegResult,
   type PlainAnswer,
 } from './stream_leg.js';
+import {StreamPlanner} from './stream_planner.js';
 
 /** How long an engine is looked for when none is left, in ms. */
 const SEARCH_MS = 1500;
@@ -38,19 +35,14 @@
 const REFUSED_WEIGHT = 0.15;
 const FAILED_WEIGHT = 0.3;
 
-/** The part of the tokens allowed that is expected without a caller's guess. */
-const EXPECTED_OUTPUT_PART = 0.5;
-
 /** Drives one stream. */
 export class StreamDriver {
-  private readonly excluded = new Set<string>();
+  private readonly planner: StreamPlanner;
+  private readonly progress: EventProgress;
   private runs = 0;
   private notRun = 0;
-  private lastEventId: number | undefined;
   private head: {status: number; lines: HeaderLines} | undefined;
   private isStarted = false;
-  /** Where the memory of the last leg that had events is kept. */
-  private copy: {source: MemorySource; holder: EndpointRecord} | undefined;
   private lastEventAt: number | undefined;
   private lostAt: number | undefined;
   private last: PlainAnswer | undefined;
@@ -64,7 +56,9 @@
     private readonly route: ServingRoute,
     private readonly service: string,
   ) {
-    this.lastEventId = request.terms.lastEventId;
+    const {terms} = request;
+    this.planner = new StreamPlanner(parts, terms, service);
+    this.progress = new EventProgress(terms.lastEventId);
   }
 
   /** Runs legs until the stream ends; gives its outcome for the figures. */
@@ -93,66 +87,33 @@
     const {signal} = this.request.exchange;
     const until = clock.getNow() + (this.isStarted ? SEARCH_MS : 0);
     for (;;) {
-      const plan = this.choosePlan();
+      const plan = this.planner.choosePlan();
       if (plan !== undefined || signal.aborted) return plan;
       if (clock.getNow() >= until) return undefined;
       await clock.wait(SEARCH_STEP_MS, signal);
     }
   }
 
-  private choosePlan(): LegPlan | undefined {
-    const usable = this.parts.endpoints.listUsable(this.service);
-    const request = this.createEngineRequest();
-    const getSpread = (): number => getRandomPart(this.parts.random);
-    const {copy} = this;
-    this.copy = undefined;
-    const isCopyUsable =
-      copy !== undefined &&
-      copy.holder.isUsable &&
-      !this.excluded.has(copy.holder.instanceId);
-    const endpoint = isCopyUsable
-      ? copy.holder
-      : chooseEngine(usable, request, getSpread);
-    if (endpoint === undefined) return undefined;
-    const takesBackups =
-      this.parts.configuration.findService(this.service)?.engine
-        ?.takesBackups ?? false;
-    const backup = takesBackups
-      ? chooseBackup(usable, endpoint, request, getSpread)
-      : undefined;
-    const memorySource = isCopyUsable ? copy.source : undefined;
-    return {endpoint, backup, memorySource};
-  }
-
-  private createEngineRequest(): EngineRequest {
-    return {
-      tokens: this.getExpectedTokens(),
-      excluded: this.excluded,
-      avoidedDomains: new Set(),
-      holder: undefined,
-    };
-  }
-
-  private getExpectedTokens(): number {
-    const {promptTokens, maxOutputTokens, guessedOutputTokens} =
-      this.request.terms;
-    const guess = guessedOutputTokens ?? maxOutputTokens * EXPECTED_OUTPUT_PART;
-    return promptTokens + guess;
-  }
-
   private async runLeg(plan: LegPlan): Promise<LegResult> {
     const {endpoint, backup, memorySource} = plan;
     const {exchange, requestId, terms, team, body} = this.request;
-    const expectedTokens = this.getExpectedTokens();
+    const {expectedTokens} = this.planner;
     const claim: UseClaim = {
       running: 1,
       unreadTokens: memorySource === undefined ? terms.promptTokens : 0,
       expectedTokens,
     };
+    const keeper = new CopyKeeper(
+      this.parts,
+      requestId,
+      endpoint,
+      backup,
+      this.planner.createEngineRequest(),
+    );
     const backupClaim = {running: 0, unreadTokens: 0, expectedTokens};
     endpoint.addClaim(claim);
     backup?.addClaim(backupClaim);
-    const leg = new StreamLeg(
+    const leg: StreamLeg = new StreamLeg(
       this.parts,
       this.prober,
       plan,
@@ -162,26 +123,33 @@
         },
         handleEvents: (events) => {
           claim.unreadTokens = 0;
-          return this.passOn(plan, events);
+          keeper.start();
+          return this.passOn(endpoint, events, leg);
         },
       },
       exchange.signal,
     );
     const now = this.parts.clock.getNow();
     this.recordSend(plan);
+    let isWhole = false;
     try {
       const lines = this.parts.codec.encodeSend(exchange.lines, {
         instanceId: endpoint.instanceId,
         team,
         remainingMs: this.getRemainingMs(now),
-        lastEventId: this.lastEventId,
+        lastEventId: this.progress.lastEventId,
         backupAddress: backup?.address,
         memorySource,
       });
       const {address} = endpoint;
       const {method, path} = exchange;
-      return await leg.run({address, method, path, lines, body}, requestId);
+      const send = {address, method, path, lines, body};
+      const result = await leg.run(send, requestId);
+      isWhole = result.kind === 'ended';
+      return result;
     } finally {
+      keeper.stop(isWhole);
+      this.planner.setCopy(keeper.findCopy());
       endpoint.dropClaim(claim);
       backup?.dropClaim(backupClaim);
     }
@@ -189,34 +157,26 @@
 
   /** Passes events to the caller, each once and in order. */
   private passOn(
-    plan: LegPlan,
+    endpoint: EndpointRecord,
     events: readonly WholeEvent[],
+    leg: StreamLeg,
   ): Promise<void> | undefined {
-    const {exchange, requestId} = this.request;
+    const {exchange} = this.request;
     const now = this.parts.clock.getNow();
-    const {backup, endpoint} = plan;
-    if (backup !== undefined) {
-      const source = {address: endpoint.address, requestId};
-      this.copy = {source, holder: backup};
-    }
-    this.recordTimes(endpoint, now);
-    const fresh: Buffer[] = [];
-    for (const {id, bytes} of events) {
-      const isRepeated =
-        id !== undefined &&
-        this.lastEventId !== undefined &&
-        id <= this.lastEventId;
-      if (isRepeated) continue;
-      if (id !== undefined) this.lastEventId = id;
-      fresh.push(bytes);
-    }
+    this.recordTimes(endpoint, now, events[0]?.id);
+    const {fresh, hasGap} = this.progress.accept(events);
+    if (hasGap) leg.end('events are missing');
     if (fresh.length === 0) return undefined;
     if (!this.isStarted) this.startAnswer();
     const hasRoom = exchange.writeStream(Buffer.concat(fresh));
     return hasRoom ? undefined : exchange.waitForRoom();
   }
 
-  private recordTimes(endpoint: EndpointRecord, now: number): void {
+  private recordTimes(
+    endpoint: EndpointRecord,
+    now: number,
+    nextEventId: number | undefined,
+  ): void {
     const {metrics} = this.parts;
     if (this.lostAt !== undefined) {
       const since = this.lastEventAt ?? this.lostAt;
@@ -226,6 +186,8 @@
         endpoint: endpoint.instanceId,
         pauseMs: Math.round(now - since),
         noticedMs: Math.round(this.lostAt - since),
+        lastEventId: this.progress.lastEventId,
+        nextEventId,
       });
       this.lostAt = undefined;
     }
@@ -248,7 +210,8 @@
     const {endpoint} = plan;
     const {log, metrics, clock} = this.parts;
     if (result.kind === 'ended') return;
-    this.excluded.add(endpoint.instanceId);
+    this.planner.recordEnd(endpoint, result.kind === 'lost');
+    this.progress.startAfterLoss();
     const detail = getDetail(result);
     this.lossDetail = detail;
     const hasRun = hasPerhapsRun(result);
@@ -266,7 +229,7 @@
       address: endpoint.address,
       result: result.kind,
       detail,
-      lastEventId: this.lastEventId,
+      lastEventId: this.progress.lastEventId,
       hadMemory: plan.memorySource !== undefined,
     });
   }
@@ -339,7 +302,7 @@
       unreadTokens: plan.endpoint.unreadTokens,
       backup: plan.backup?.instanceId,
       withMemory: plan.memorySource !== undefined,
-      lastEventId: this.lastEventId,
+      lastEventId: this.progress.lastEventId,
     });
   }
 
--- a/packages/gateway/src/serving/stream_leg.ts
+++ b/packages/gateway/src/serving/stream_leg.ts
@@ -69,11 +69,16 @@
     private readonly stop: AbortSignal,
   ) {
     this.watch = new SilenceWatch(plan.endpoint, prober, (detail) => {
-      this.lostDetail = detail;
-      this.controller.abort();
+      this.end(detail);
     });
   }
 
+  /** Ends the leg as lost. */
+  end(detail: string): void {
+    this.lostDetail = detail;
+    this.controller.abort();
+  }
+
   /** Runs the leg to its end; its connection is closed unless it is whole. */
   async run(
     send: Omit<EndpointSend, 'signal'>,
@@ -116,9 +121,9 @@
   }
 
   private async readFailure(answer: EndpointAnswer): Promise<LegResult> {
-    const {status, terms, lines, message} = answer;
+    const {status, terms, lines} = answer;
     const {endpoint} = this.plan;
-    const body = await readAnswerBody(message);
+    const body = await readAnswerBody(answer);
     if (status === MISDIRECTED_STATUS) {
       this.parts.endpoints.reportReplaced(endpoint);
       return {kind: 'refused', detail: 'another instance answers there'};
@@ -150,7 +155,8 @@
       answer.close();
       return {kind: 'stopped', mayHaveRun: true};
     }
-    if (!message.complete || splitter.pendingBytes > 0) {
+    const isLost = this.lostDetail !== undefined;
+    if (isLost || !answer.isWhole() || splitter.pendingBytes > 0) {
       answer.close();
       const detail = this.lostDetail ?? 'its stream was cut';
       return {kind: 'lost', mayHaveRun: true, detail};
--- /dev/null
+++ b/packages/gateway/src/serving/stream_planner.ts
@@ -0,0 +1,89 @@
+/**
+ * Where the legs of one stream run: the first on the engine that suits its
+ * prompt, each later one where a copy of the run's memory is kept, or else
+ * away from the engines and failure domains that were lost.
+ */
+import {
+  chooseBackup,
+  chooseEngine,
+  type EngineRequest,
+} from '@irisdock/decisions';
+import type {RequestTerms} from '../model/request_terms.js';
+import type {KeptCopy} from './copy_keeper.js';
+import type {EndpointRecord} from './endpoint_record.js';
+import type {ServingParts} from './serving_parts.js';
+import type {LegPlan} from './stream_leg.js';
+
+/** The part of the tokens allowed that is expected without a caller's guess. */
+const EXPECTED_OUTPUT_PART = 0.5;
+
+/** Plans the legs of one stream. */
+export class StreamPlanner {
+  private readonly excluded = new Set<string>();
+  private readonly avoidedDomains = new Set<string>();
+  private copy: KeptCopy | undefined;
+
+  constructor(
+    private readonly parts: ServingParts,
+    private readonly terms: RequestTerms,
+    private readonly service: string,
+  ) {}
+
+  /** Tokens that the stream will probably take in memory. */
+  get expectedTokens(): number {
+    const {promptTokens, maxOutputTokens, guessedOutputTokens} = this.terms;
+    const guess = guessedOutputTokens ?? maxOutputTokens * EXPECTED_OUTPUT_PART;
+    return promptTokens + guess;
+  }
+
+  /** Takes it that a leg ended early on an engine. */
+  recordEnd(endpoint: EndpointRecord, isLost: boolean): void {
+    this.excluded.add(endpoint.instanceId);
+    // Whole failure domains are lost at once.
+    if (isLost) this.avoidedDomains.add(endpoint.failureDomain);
+  }
+
+  /** Takes where the memory of the leg that ended is kept. */
+  setCopy(copy: KeptCopy | undefined): void {
+    this.copy = copy;
+  }
+
+  /** Chooses where the next leg runs; undefined when there is no engine. */
+  choosePlan(): LegPlan | undefined {
+    const usable = this.parts.endpoints.listUsable(this.service);
+    const request = this.createEngineRequest();
+    const {copy} = this;
+    this.copy = undefined;
+    const holder = this.findHolder(copy);
+    const endpoint = holder ?? chooseEngine(usable, request);
+    if (endpoint === undefined) return undefined;
+    const backup = this.hasBackups()
+      ? chooseBackup(usable, endpoint, request)
+      : undefined;
+    const memorySource = holder === undefined ? undefined : copy?.source;
+    return {endpoint, backup, memorySource};
+  }
+
+  /** Gives what the stream asks of an engine now. */
+  createEngineRequest(): EngineRequest {
+    return {
+      tokens: this.expectedTokens,
+      excluded: this.excluded,
+      avoidedDomains: this.avoidedDomains,
+      promptKey: this.terms.promptParts.at(-1)?.id ?? '',
+      isPromptKept: this.terms.lastEventId !== undefined,
+    };
+  }
+
+  /** Finds the engine that keeps a copy, if it may get work. */
+  private findHolder(copy: KeptCopy | undefined): EndpointRecord | undefined {
+    if (copy?.holder.isUsable !== true) return undefined;
+    if (this.excluded.has(copy.holder.instanceId)) return undefined;
+    return copy.holder;
+  }
+
+  private hasBackups(): boolean {
+    const service = this.parts.configuration.findService(this.service);
+    return service?.engine?.takesBackups ?? false;
+  }
+}
