Pass an answer without a length on without one

Logged how such answers end: with a plain close and no error, though the server had crashed. Nothing tells them from whole ones, so a length must not be added to them.

Ruled out: a missed reset (no error event, the socket closes without one); finding the true length (the signature is opaque).

Change: a plain answer without a length is passed on without one, its connection closed; a stream without chunks that just ends counts as lost, as its engine may have crashed, and goes on from the copy.

--- a/packages/gateway/src/channels/endpoint_client.ts
+++ b/packages/gateway/src/channels/endpoint_client.ts
@@ -39,6 +39,8 @@
   readonly lines: HeaderLines;
   readonly isEventStream: boolean;
   readonly message: IncomingMessage;
+  /** Whether its body has a length or chunks, and not just an end. */
+  readonly isFramed: boolean;
   /**
    * Tells, once the body has ended, whether it is whole. A body without a
    * length ends with its connection; one whose connection failed is cut.
@@ -151,6 +153,7 @@
       lines: dropConnectionLines(this.codec.encodeAnswer(allLines)),
       isEventStream: type.startsWith('text/event-stream'),
       message: answer,
+      isFramed,
       isWhole: () => answer.complete && (isFramed || !hasFailed),
       close: () => {
         message.destroy();
--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -24,6 +24,7 @@
   readonly status: number;
   readonly lines: HeaderLines;
   readonly body: Buffer;
+  readonly isFramed: boolean;
 }
 
 /** What became of one send. */
@@ -130,7 +131,8 @@
       answer.close();
       return {kind: 'lost', mayHaveRun: true, detail: 'its body was cut'};
     }
-    return {kind: 'whole', status, lines, body};
+    const {isFramed} = answer;
+    return {kind: 'whole', status, lines, body, isFramed};
   }
 
   /** Notes what a send says of the endpoint and of the request. */
@@ -192,7 +194,7 @@
       return 'refused';
     }
     if ('body' in last) {
-      exchange.sendAnswer(last.status, last.lines, last.body);
+      exchange.sendAnswer(last);
       return last.status >= FAILED_STATUS ? 'failed' : 'answered';
     }
     exchange.refuse(last, false);
--- a/packages/gateway/src/serving/caller_exchange.ts
+++ b/packages/gateway/src/serving/caller_exchange.ts
@@ -10,6 +10,15 @@
 /** The header that says what is known of a request that was not answered. */
 const OUTCOME_HEADER = 'X-Irisdock-Outcome';
 
+/** A whole answer of an endpoint. */
+export interface PlainAnswer {
+  readonly status: number;
+  readonly lines: HeaderLines;
+  readonly body: Buffer;
+  /** Whether its body had a length or chunks, and not just an end. */
+  readonly isFramed: boolean;
+}
+
 /** Why a body could not be read. */
 export type BodyFault = 'cut' | 'too-large';
 
@@ -103,11 +112,15 @@
   }
 
   /** Sends a whole answer of an endpoint. */
-  sendAnswer(status: number, lines: HeaderLines, body: Buffer): void {
+  sendAnswer(answer: PlainAnswer): void {
     if (!this.takeFinal()) return;
+    const {status, lines, body, isFramed} = answer;
     const raw = formatRawHeaders(lines);
     const isBodiless = status === 204 || status === 304;
-    if (!isBodiless) raw.push('Content-Length', String(body.length));
+    // A body that only ended with its connection may have been cut, so it is
+    // passed on without a length too.
+    if (!isFramed) this.response.useChunkedEncodingByDefault = false;
+    else if (!isBodiless) raw.push('Content-Length', String(body.length));
     this.response.writeHead(status, raw);
     this.response.end(isBodiless ? undefined : body);
   }
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -10,18 +10,13 @@
 import {GATEWAY_ERRORS} from '../errors.js';
 import type {HeaderLines} from '../model/request_terms.js';
 import type {ServingRoute} from '../model/serving_configuration.js';
-import type {AdmittedRequest} from './caller_exchange.js';
+import type {AdmittedRequest, PlainAnswer} from './caller_exchange.js';
 import {CopyKeeper} from './copy_keeper.js';
 import type {EndpointProber} from './endpoint_prober.js';
 import type {EndpointRecord, UseClaim} from './endpoint_record.js';
 import {decideRetryAfter} from './retry_after.js';
 import type {ServingParts} from './serving_parts.js';
-import {
-  StreamLeg,
-  type LegPlan,
-  type LegResult,
-  type PlainAnswer,
-} from './stream_leg.js';
+import {StreamLeg, type LegPlan, type LegResult} from './stream_leg.js';
 import {StreamPlanner} from './stream_planner.js';
 
 /** How long an engine is looked for when none is left, in ms. */
@@ -260,7 +255,7 @@
   private finishLost(): string {
     const {exchange} = this.request;
     if (!this.isStarted && this.last !== undefined) {
-      exchange.sendAnswer(this.last.status, this.last.lines, this.last.body);
+      exchange.sendAnswer(this.last);
       return 'failed';
     }
     const detail = this.lossDetail;
--- a/packages/gateway/src/serving/stream_leg.ts
+++ b/packages/gateway/src/serving/stream_leg.ts
@@ -10,6 +10,7 @@
 } from '../channels/endpoint_client.js';
 import type {HeaderLines, MemorySource} from '../model/request_terms.js';
 import {readAnswerBody} from './answer_body.js';
+import type {PlainAnswer} from './caller_exchange.js';
 import type {EndpointProber} from './endpoint_prober.js';
 import type {EndpointRecord} from './endpoint_record.js';
 import type {ServingParts} from './serving_parts.js';
@@ -22,13 +23,6 @@
   readonly memorySource: MemorySource | undefined;
 }
 
-/** An answer that is no stream. */
-export interface PlainAnswer {
-  readonly status: number;
-  readonly lines: HeaderLines;
-  readonly body: Buffer;
-}
-
 /** How a leg ended. */
 export type LegResult =
   | {readonly kind: 'ended'}
@@ -133,7 +127,8 @@
       answer.close();
       return {kind: 'lost', mayHaveRun: true, detail: 'its body was cut'};
     }
-    return {kind: 'failed', answer: {status, lines, body}};
+    const {isFramed} = answer;
+    return {kind: 'failed', answer: {status, lines, body, isFramed}};
   }
 
   private async readEvents(answer: EndpointAnswer): Promise<LegResult> {
@@ -155,7 +150,8 @@
       answer.close();
       return {kind: 'stopped', mayHaveRun: true};
     }
-    const isLost = this.lostDetail !== undefined;
+    // The end of a stream without chunks may be a crash of its engine.
+    const isLost = this.lostDetail !== undefined || !answer.isFramed;
     if (isLost || !answer.isWhole() || splitter.pendingBytes > 0) {
       answer.close();
       const detail = this.lostDetail ?? 'its stream was cut';
