Let hosts find each other by seeds and the store; give figures; test decisions

Cause: a host that starts while the store is away knows nobody but its seeds, and one whose seeds are all gone knows nobody at all.

Change: a host without others asks a seed for its tables and place; each host writes its place into the store at its start and takes it out at a planned stop. Figures are given at /metrics.

Ruled out: guessing the port of a seed's datagrams from the own one.

--- /dev/null
+++ b/packages/decisions/tests/engine_placement.test.ts
@@ -0,0 +1,191 @@
+/** Where streams and calls run. */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  chooseBackup,
+  chooseEngine,
+  choosePlainEndpoint,
+  computeEngineCost,
+  sortByPreference,
+  type EngineRequest,
+  type EngineView,
+  type PlainView,
+} from '@irisdock/decisions';
+import fc from 'fast-check';
+import {RUN_OPTIONS} from './run_options.js';
+
+function createEngine(change: Partial<EngineView>): EngineView {
+  return {
+    instanceId: 'e1',
+    failureDomain: 'one',
+    streams: 0,
+    slots: 64,
+    unreadTokens: 0,
+    expectedTokens: 0,
+    memoryTokens: 88_000,
+    failureScore: 0,
+    ...change,
+  };
+}
+
+function createRequest(change: Partial<EngineRequest> = {}): EngineRequest {
+  return {
+    tokens: 9000,
+    excluded: new Set(),
+    avoidedDomains: new Set(),
+    promptKey: 'p',
+    isPromptKept: false,
+    ...change,
+  };
+}
+
+const engines = fc.array(
+  fc.record({
+    failureDomain: fc.constantFrom('one', 'two', 'three'),
+    streams: fc.nat(10),
+    unreadTokens: fc.constantFrom(0, 8000, 16_000, 60_000),
+    expectedTokens: fc.nat(80_000),
+    failureScore: fc.constantFrom(0, 0.3, 1),
+  }),
+  {minLength: 1, maxLength: 12},
+);
+
+function createEngines(list: readonly Partial<EngineView>[]): EngineView[] {
+  return list.map((change, at) =>
+    createEngine({...change, instanceId: `e${at}`}),
+  );
+}
+
+describe('the order of engines for a prompt', () => {
+  it('is the same whatever the order they are given in', () => {
+    const list = createEngines([{}, {}, {}, {}, {}]);
+    const names = sortByPreference(list, 'p').map((e) => e.instanceId);
+    const again = sortByPreference([...list].reverse(), 'p');
+    assert.deepEqual(
+      again.map((e) => e.instanceId),
+      names,
+    );
+  });
+
+  it('moves only the prompts of an engine that goes', () => {
+    const list = createEngines([{}, {}, {}, {}, {}, {}]);
+    for (let at = 0; at < 50; at++) {
+      const before = sortByPreference(list, `p${at}`);
+      const gone = before[1];
+      const after = sortByPreference(
+        list.filter((e) => e !== gone),
+        `p${at}`,
+      );
+      assert.equal(after[0], before[0]);
+    }
+  });
+});
+
+describe('the choice of an engine', () => {
+  it('is never much dearer than the cheapest', () => {
+    fc.assert(
+      fc.property(engines, fc.string(), (list, promptKey) => {
+        const all = createEngines(list);
+        const request = createRequest({promptKey});
+        const chosen = chooseEngine(all, request);
+        assert.ok(chosen !== undefined);
+        const costs = all.map((engine) => computeEngineCost(engine, request));
+        const cost = computeEngineCost(chosen, request);
+        assert.ok(cost <= Math.min(...costs) + 9000);
+      }),
+      RUN_OPTIONS,
+    );
+  });
+
+  it('keeps away from what failed, from full ones and lost domains', () => {
+    const cases: readonly [string, Partial<EngineView>][] = [
+      ['failed', {failureScore: 1}],
+      ['full', {streams: 64}],
+      ['without memory', {expectedTokens: 87_000}],
+      ['in a lost domain', {failureDomain: 'lost'}],
+    ];
+    for (const [what, change] of cases) {
+      for (let at = 0; at < 10; at++) {
+        const request = createRequest({
+          promptKey: `p${at}`,
+          avoidedDomains: new Set(['lost']),
+        });
+        const bad = createEngine({...change, instanceId: 'bad'});
+        const good = createEngine({instanceId: 'good', failureDomain: 'two'});
+        const chosen = chooseEngine([bad, good], request);
+        assert.equal(chosen?.instanceId, 'good', what);
+      }
+    }
+  });
+
+  it('finds nothing only when all are excluded', () => {
+    const one = createEngine({failureScore: 4, streams: 99});
+    assert.equal(chooseEngine([one], createRequest()), one);
+    const request = createRequest({excluded: new Set(['e1'])});
+    assert.equal(chooseEngine([one], request), undefined);
+  });
+
+  it('goes back to a busier engine for a prompt that it keeps', () => {
+    const all = createEngines([{}, {}, {}]);
+    const first = sortByPreference(all, 'p')[0]?.instanceId;
+    const busy = all.map((engine) =>
+      engine.instanceId === first ? {...engine, unreadTokens: 15_000} : engine,
+    );
+    const kept = chooseEngine(busy, createRequest({isPromptKept: true}));
+    assert.equal(kept?.instanceId, first);
+    const fresh = chooseEngine(busy, createRequest());
+    assert.notEqual(fresh?.instanceId, first);
+  });
+});
+
+describe('the choice of a standby', () => {
+  it('is in another domain, sound and with room', () => {
+    fc.assert(
+      fc.property(engines, (list) => {
+        const all = createEngines(list);
+        const [primary] = all;
+        assert.ok(primary !== undefined);
+        const request = createRequest();
+        const backup = chooseBackup(all, primary, request);
+        if (backup === undefined) return;
+        assert.notEqual(backup.failureDomain, primary.failureDomain);
+        assert.equal(backup.failureScore, 0);
+        assert.ok(backup.expectedTokens + 9000 <= 0.8 * 88_000);
+      }),
+      RUN_OPTIONS,
+    );
+  });
+});
+
+function createPlain(change: Partial<PlainView>): PlainView {
+  return {
+    instanceId: 'p1',
+    calls: 0,
+    slots: 6,
+    answerMs: 40,
+    failureScore: 0,
+    ...change,
+  };
+}
+
+describe('the choice of a plain endpoint', () => {
+  const cases: readonly [string, Partial<PlainView>][] = [
+    ['busier', {calls: 12}],
+    ['slower', {answerMs: 300}],
+    ['failed of late', {failureScore: 1}],
+  ];
+  for (const [what, change] of cases) {
+    it(`leaves out one that is ${what}`, () => {
+      const worse = createPlain({...change, instanceId: 'worse'});
+      const better = createPlain({instanceId: 'better'});
+      for (const spread of [0, 0.5, 0.99]) {
+        const chosen = choosePlainEndpoint(
+          [worse, better],
+          new Set(),
+          () => spread,
+        );
+        assert.equal(chosen?.instanceId, 'better');
+      }
+    });
+  }
+});
--- /dev/null
+++ b/packages/decisions/tests/gateway_limits.test.ts
@@ -0,0 +1,105 @@
+/** Budgets of repeated sends, departures, and hosts that are heard. */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  HeardHosts,
+  RETURN_GRACE_MS,
+  StoreContact,
+  WindowedBudget,
+  type HostHeartbeat,
+} from '@irisdock/decisions';
+import fc from 'fast-check';
+import {RUN_OPTIONS} from './run_options.js';
+
+const WINDOW_MS = 1000;
+const BUDGET = {windowMs: WINDOW_MS, ratio: 0.5, allowance: 6, usedPart: 1};
+
+describe('a windowed budget', () => {
+  it('stays within its bound in every window', () => {
+    const steps = fc.array(
+      fc.record({waitMs: fc.nat(300), isRepeat: fc.boolean()}),
+      {maxLength: 80},
+    );
+    fc.assert(
+      fc.property(steps, fc.integer({min: 1, max: 4}), (list, hosts) => {
+        const budget = new WindowedBudget(BUDGET);
+        const requests: number[] = [];
+        const repeats: number[] = [];
+        let now = 0;
+        for (const {waitMs, isRepeat} of list) {
+          now += waitMs;
+          if (isRepeat) {
+            if (budget.takeRepeat(now, hosts)) repeats.push(now);
+          } else {
+            budget.addRequest(now);
+            requests.push(now);
+          }
+          const from = now - WINDOW_MS;
+          const inWindow = repeats.filter((at) => at >= from).length;
+          // Requests of this window and the one before it count.
+          const wide = requests.filter((at) => at >= from - WINDOW_MS).length;
+          assert.ok(inWindow <= 0.5 * wide + 6 / hosts);
+        }
+      }),
+      RUN_OPTIONS,
+    );
+  });
+
+  it('is whole again after a window', () => {
+    const budget = new WindowedBudget(BUDGET);
+    for (let at = 0; at < 6; at++) assert.equal(budget.takeRepeat(0, 1), true);
+    assert.equal(budget.takeRepeat(0, 1), false);
+    assert.equal(budget.takeRepeat(WINDOW_MS + 1, 1), true);
+  });
+});
+
+describe('the contact with the store', () => {
+  it('delays departures while the store is away and a while after', () => {
+    const contact = new StoreContact();
+    contact.recordAnswer(0);
+    assert.equal(contact.getDepartureDelay(10), 0);
+    contact.recordFailure(100);
+    assert.equal(contact.getDepartureDelay(200), Infinity);
+    contact.recordAnswer(500);
+    assert.equal(contact.getDepartureDelay(600), RETURN_GRACE_MS - 100);
+    assert.equal(contact.getDepartureDelay(500 + RETURN_GRACE_MS), 0);
+  });
+});
+
+const TIMES = {silentAfterMs: 100, forgetAfterMs: 1000};
+
+function createBeat(
+  incarnation: number,
+  sequence: number,
+  state: HostHeartbeat['state'] = 'ready',
+): HostHeartbeat {
+  return {incarnation, sequence, state};
+}
+
+describe('heard hosts', () => {
+  it('leave out the silent and the leaving', () => {
+    const hosts = new HeardHosts(TIMES);
+    hosts.accept('a', createBeat(1, 1), 0);
+    hosts.accept('b', createBeat(1, 1), 60);
+    hosts.accept('c', createBeat(1, 1, 'leaving'), 60);
+    assert.equal(hosts.listServing(90).length, 2);
+    assert.equal(hosts.listServing(120).length, 1);
+  });
+
+  it('keep what was known when nobody is heard any more', () => {
+    const hosts = new HeardHosts(TIMES);
+    hosts.accept('a', createBeat(1, 1), 0);
+    hosts.accept('b', createBeat(1, 1, 'leaving'), 0);
+    assert.equal(hosts.listServing(500).length, 1);
+    assert.deepEqual(hosts.dropSilent(1001), ['a', 'b']);
+    assert.equal(hosts.listServing(1002).length, 0);
+  });
+
+  it('do not go back to an older heartbeat', () => {
+    const hosts = new HeardHosts(TIMES);
+    assert.equal(hosts.accept('a', createBeat(2, 5, 'leaving'), 0), true);
+    assert.equal(hosts.accept('a', createBeat(2, 4), 0), false);
+    assert.equal(hosts.accept('a', createBeat(1, 9), 0), false);
+    assert.equal(hosts.accept('a', createBeat(3, 1), 0), true);
+  });
+});
--- /dev/null
+++ b/packages/decisions/tests/table_replica.test.ts
@@ -0,0 +1,99 @@
+/** Copies of tables that are filled from several sources. */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {TableReplica, type ReplicaRow} from '@irisdock/decisions';
+import fc from 'fast-check';
+import {RUN_OPTIONS} from './run_options.js';
+
+function createRow(
+  key: string,
+  revision: number,
+  value: string | undefined = `${key}${revision}`,
+): ReplicaRow {
+  return {key, value, revision};
+}
+
+/** A history of changes, each with the next revision. */
+const histories = fc
+  .array(fc.record({key: fc.constantFrom('a', 'b', 'c'), isPut: fc.boolean()}))
+  .map((changes) =>
+    changes.map(({key, isPut}, at) =>
+      createRow(key, at + 1, isPut ? `${key}${at + 1}` : undefined),
+    ),
+  );
+
+function listNaively(history: readonly ReplicaRow[]): Map<string, string> {
+  const values = new Map<string, string>();
+  for (const {key, value} of history) {
+    if (value === undefined) values.delete(key);
+    else values.set(key, value);
+  }
+  return values;
+}
+
+function listValues(replica: TableReplica): Map<string, string> {
+  return new Map(replica.listAll().map((row) => [row.key, row.value ?? '']));
+}
+
+function sortEntries(values: Map<string, string>): [string, string][] {
+  return [...values].sort(([a], [b]) => (a < b ? -1 : 1));
+}
+
+describe('a replica', () => {
+  it('ends as the history does, whatever is repeated or late', () => {
+    fc.assert(
+      fc.property(histories, fc.array(fc.nat()), (history, extra) => {
+        const replica = new TableReplica();
+        replica.applyAll([], 0);
+        for (const [at, row] of history.entries()) {
+          replica.applyChanges([row], at + 1);
+          const old = history[(extra[at] ?? 0) % (at + 1)];
+          if (old !== undefined) replica.applyChanges([old], old.revision);
+        }
+        const expected = sortEntries(listNaively(history));
+        assert.deepEqual(sortEntries(listValues(replica)), expected);
+        assert.equal(replica.revision, history.length);
+      }),
+      RUN_OPTIONS,
+    );
+  });
+
+  it('brings another one up to date with the changes after a revision', () => {
+    fc.assert(
+      fc.property(histories, fc.nat(), (history, cut) => {
+        const at = history.length === 0 ? 0 : cut % history.length;
+        const one = new TableReplica();
+        const two = new TableReplica();
+        for (const replica of [one, two]) replica.applyAll([], 0);
+        one.applyChanges(history, history.length);
+        two.applyChanges(history.slice(0, at), at);
+        const missing = one.listAfter(two.revision) ?? [];
+        two.applyChanges(missing, one.revision);
+        const expected = sortEntries(listValues(one));
+        assert.deepEqual(sortEntries(listValues(two)), expected);
+      }),
+      RUN_OPTIONS,
+    );
+  });
+
+  it('takes rows that a whole read lacks as deleted', () => {
+    const replica = new TableReplica();
+    replica.applyAll([createRow('a', 1), createRow('b', 2)], 2);
+    const news = replica.applyAll([createRow('b', 2)], 5);
+    assert.deepEqual(news, [{key: 'a', value: undefined, revision: 5}]);
+    assert.equal(replica.lastChange, 5);
+  });
+
+  it('does not go back to an older whole read', () => {
+    const replica = new TableReplica();
+    replica.applyAll([createRow('a', 7)], 9);
+    assert.deepEqual(replica.applyAll([createRow('a', 3)], 4), []);
+    assert.equal(replica.revision, 9);
+  });
+
+  it('knows no changes before it was read whole', () => {
+    const replica = new TableReplica();
+    replica.applyChanges([createRow('a', 3)], 3);
+    assert.equal(replica.listAfter(0), undefined);
+  });
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -29,6 +29,8 @@
 import {FRONT_SERVICE} from './services/front.js';
 import {HOST_PHASE_SERVICE} from './services/host_phase.js';
 import {HOST_IDENTITY_SERVICE} from './services/identity.js';
+import {INTRODUCTION_SERVICE} from './services/introduction.js';
+import {METRICS_PAGE_SERVICE} from './services/metrics_page.js';
 import {PEER_TABLES_SERVICE} from './services/peer_tables.js';
 import {PEERS_SERVICE} from './services/peers.js';
 import {TABLES_SERVICE} from './services/tables.js';
@@ -42,6 +44,8 @@
   HOST_PHASE_SERVICE,
   PEERS_SERVICE,
   PEER_TABLES_SERVICE,
+  INTRODUCTION_SERVICE,
+  METRICS_PAGE_SERVICE,
   FRONT_SERVICE,
   DIRECTORY_SERVICE,
 ];
--- /dev/null
+++ b/packages/gateway/src/model/peer_tables_message.ts
@@ -0,0 +1,31 @@
+/** The call by which a host asks another for its copies of the tables. */
+import {z} from 'zod';
+import {FOLLOWED_TABLES} from './watched_table.js';
+
+/** The path of the call. */
+export const PEER_TABLES_PATH = '/peer/tables';
+
+/** A row; null for one that was deleted. */
+const ROW_SCHEMA = z.object({
+  key: z.string(),
+  value: z.string().nullable(),
+  revision: z.number(),
+});
+
+/** The answer: a part for each table. */
+export const PEER_TABLES_SCHEMA = z.object({
+  /** Where the answering host takes datagrams, as `ip:port`. */
+  datagrams: z.string(),
+  parts: z.array(
+    z.object({
+      table: z.enum(FOLLOWED_TABLES),
+      rows: z.array(ROW_SCHEMA),
+      revision: z.number(),
+      /** Whether the rows are all there are, and not only the changes. */
+      isWhole: z.boolean(),
+    }),
+  ),
+});
+
+/** The answer. */
+export type PeerTables = z.infer<typeof PEER_TABLES_SCHEMA>;
--- a/packages/gateway/src/model/watched_table.ts
+++ b/packages/gateway/src/model/watched_table.ts
@@ -24,6 +24,11 @@
 /** The name of a table. */
 export type TableName = (typeof TABLES)[number];
 
+/** The tables that every host keeps a copy of. */
+export const FOLLOWED_TABLES = ['configuration', 'endpoints'] as const;
+/** The name of a followed table. */
+export type FollowedTable = (typeof FOLLOWED_TABLES)[number];
+
 /** Why a call to the store failed. */
 export type StoreErrorKind =
   | 'store_busy'
--- a/packages/gateway/src/services/directory.ts
+++ b/packages/gateway/src/services/directory.ts
@@ -9,7 +9,7 @@
   IP_PORT_SCHEMA,
 } from '@irisdock/kernel';
 import {z} from 'zod';
-import {startListening} from './front.js';
+import {startListening} from '../channels/listening.js';
 import {HOST_PHASE} from './host_phase.js';
 import {PEERS} from './peers.js';
 import {CODECS} from './store.js';
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -10,6 +10,7 @@
 } from '@irisdock/kernel';
 import {z} from 'zod';
 import {EndpointClient} from '../channels/endpoint_client.js';
+import {startListening} from '../channels/listening.js';
 import {CallerExchange} from '../serving/caller_exchange.js';
 import {EndpointProber} from '../serving/endpoint_prober.js';
 import {RepeatBudgets} from '../serving/repeat_budgets.js';
@@ -136,20 +137,6 @@
   };
 }
 
-/** Starts a server at a place. */
-export async function startListening(
-  server: Server,
-  place: string,
-): Promise<void> {
-  const colon = place.lastIndexOf(':');
-  const ip = place.slice(0, colon);
-  const port = Number(place.slice(colon + 1));
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, ip, resolve);
-  });
-}
-
 /**
  * Serves on while callers may still hold the address, then until the last
  * request has ended or the time is over.
--- a/packages/gateway/src/services/peer_table_loader.ts
+++ b/packages/gateway/src/services/peer_table_loader.ts
@@ -7,8 +7,12 @@
 import {getShuffled, type Logger, type Random} from '@irisdock/kernel';
 import {JsonCaller} from '../channels/json_caller.js';
 import type {PeerMessage} from '../model/peer_message.js';
-import {PEER_TABLES_PATH, PEER_TABLES_SCHEMA} from './peer_tables.js';
-import {FOLLOWED_TABLES, type Tables} from './tables.js';
+import {
+  PEER_TABLES_PATH,
+  PEER_TABLES_SCHEMA,
+} from '../model/peer_tables_message.js';
+import {FOLLOWED_TABLES} from '../model/watched_table.js';
+import type {Tables} from './tables.js';
 
 /** How long the store gets to bring a change before a host is asked, in ms. */
 const OWN_CHANCE_MS = 250;
@@ -37,7 +41,7 @@
     if (source === undefined) return;
     this.isLoading = true;
     try {
-      await this.loadFrom(source);
+      await this.loadFrom(source.place.tables);
     } finally {
       this.isLoading = false;
     }
@@ -65,33 +69,36 @@
     return source;
   }
 
-  private async loadFrom(source: PeerMessage): Promise<void> {
+  /**
+   * Loads what the host at an address knows; gives where it takes datagrams,
+   * undefined when it does not answer.
+   */
+  async loadFrom(address: string): Promise<string | undefined> {
     const {tables, log} = this;
     const {configuration, endpoints} = tables;
     const query = new URLSearchParams({
       configuration: String(getLoadAfter(configuration.replica)),
       endpoints: String(getLoadAfter(endpoints.replica)),
     });
-    const answer = await this.caller.send(source.place.tables, {
+    const answer = await this.caller.send(address, {
       method: 'GET',
       path: `${PEER_TABLES_PATH}?${query.toString()}`,
       timeoutMs: LOAD_TIMEOUT_MS,
     });
-    const host = source.place.name;
     if (answer.isErr()) {
       log.writeInfo('A host did not give its tables.', {
-        host,
+        address,
         fault: answer.error,
       });
-      return;
+      return undefined;
     }
     const parsed = PEER_TABLES_SCHEMA.safeParse(answer.value.body);
     if (!parsed.success) {
       log.writeWarning('The tables of a host cannot be read.', {
-        host,
+        address,
         status: answer.value.status,
       });
-      return;
+      return undefined;
     }
     for (const part of parsed.data.parts) {
       const rows: ReplicaRow[] = part.rows.map((row) => ({
@@ -101,6 +108,7 @@
       }));
       tables[part.table].applyFromHost(rows, part.revision, part.isWhole);
     }
+    return parsed.data.datagrams;
   }
 }
 
--- a/packages/gateway/src/services/peer_tables.ts
+++ b/packages/gateway/src/services/peer_tables.ts
@@ -9,37 +9,19 @@
   IP_PORT_SCHEMA,
 } from '@irisdock/kernel';
 import {z} from 'zod';
-import {FOLLOWED_TABLES, TABLES_KEY, type Tables} from './tables.js';
-
-/** The path of the call. */
-export const PEER_TABLES_PATH = '/peer/tables';
-
-/** A row; null for one that was deleted. */
-const ROW_SCHEMA = z.object({
-  key: z.string(),
-  value: z.string().nullable(),
-  revision: z.number(),
-});
-
-/** The answer: a part for each table. */
-export const PEER_TABLES_SCHEMA = z.object({
-  parts: z.array(
-    z.object({
-      table: z.enum(FOLLOWED_TABLES),
-      rows: z.array(ROW_SCHEMA),
-      revision: z.number(),
-      /** Whether the rows are all there are, and not only the changes. */
-      isWhole: z.boolean(),
-    }),
-  ),
-});
-
-/** The answer. */
-export type PeerTables = z.infer<typeof PEER_TABLES_SCHEMA>;
+import {startListening} from '../channels/listening.js';
+import {
+  PEER_TABLES_PATH,
+  type PeerTables,
+} from '../model/peer_tables_message.js';
+import {FOLLOWED_TABLES} from '../model/watched_table.js';
+import {PEERS} from './peers.js';
+import {TABLES_KEY, type Tables} from './tables.js';
 
 /** Builds the answer to a call. */
 export function createPeerTables(
   tables: Tables,
+  datagrams: string,
   query: URLSearchParams,
 ): PeerTables {
   const parts: PeerTables['parts'] = [];
@@ -56,7 +38,7 @@
       isWhole: changes === undefined,
     });
   }
-  return {parts};
+  return {datagrams, parts};
 }
 
 /** The key of the service. */
@@ -71,28 +53,22 @@
       description: 'Where other hosts ask for the tables.',
     }),
   }),
-  needs: [TABLES_KEY],
+  needs: [TABLES_KEY, PEERS],
   create(context, settings) {
     const tables = context.find(TABLES_KEY);
+    const {datagrams} = context.find(PEERS).place;
     const server = createServer((message, response) => {
       const url = new URL(message.url ?? '/', 'http://localhost');
       if (url.pathname !== PEER_TABLES_PATH) {
         response.writeHead(404).end();
         return;
       }
-      sendJsonText(response, createPeerTables(tables, url.searchParams));
+      const value = createPeerTables(tables, datagrams, url.searchParams);
+      sendJsonText(response, value);
     });
-    const colon = settings.listen.lastIndexOf(':');
-    const ip = settings.listen.slice(0, colon);
-    const port = Number(settings.listen.slice(colon + 1));
     return {
       api: undefined,
-      async start() {
-        await new Promise<void>((resolve, reject) => {
-          server.once('error', reject);
-          server.listen(port, ip, resolve);
-        });
-      },
+      start: () => startListening(server, settings.listen),
       stop() {
         server.close();
         server.closeAllConnections();
--- a/packages/gateway/src/services/peers.ts
+++ b/packages/gateway/src/services/peers.ts
@@ -71,9 +71,6 @@
     this.socket = new DatagramSocket((bytes) => {
       this.handleDatagram(bytes);
     });
-    for (const seed of parts.seeds) {
-      this.addUnheard(createDatagramPlace(seed, parts.place.datagrams));
-    }
   }
 
   /** Starts to listen. */
@@ -81,6 +78,11 @@
     await this.socket.start(this.parts.place.datagrams);
   }
 
+  /** Where this host can be reached. */
+  get place(): PeerPlace {
+    return this.parts.place;
+  }
+
   /** Gives the number of hosts that serve, this one included. */
   countServing(): number {
     const now = this.parts.clock.getNow();
@@ -115,7 +117,10 @@
       this.applyUses(name, {});
     }
     this.dropUsesOfSilent(now);
-    void this.loader.loadNewer(this.heard.listHeard(now), now);
+    const heard = this.heard.listHeard(now);
+    void this.loader.loadNewer(heard, now);
+    const isSeedBeat = this.sequence % UNHEARD_EVERY === 1;
+    if (heard.length === 0 && isSeedBeat) void this.loadFromSeed();
   }
 
   close(): void {
@@ -138,6 +143,16 @@
     return targets;
   }
 
+  /** Asks one seed for what it knows, and for its place. */
+  private async loadFromSeed(): Promise<void> {
+    const {seeds, random, place} = this.parts;
+    const others = seeds.filter((seed) => seed !== place.tables);
+    const [seed] = getShuffled(others, random);
+    if (seed === undefined) return;
+    const datagrams = await this.loader.loadFrom(seed);
+    if (datagrams !== undefined) this.addUnheard(datagrams);
+  }
+
   /** Gives the places to be tried now; each only so many times. */
   private takeUnheard(): string[] {
     const places: string[] = [];
@@ -232,12 +247,6 @@
 /** How often a place that was named is tried before it is dropped. */
 const MAX_TRIES = 20;
 
-/** Gives the place at another host's IP that has the port of this host's. */
-function createDatagramPlace(seed: string, own: string): string {
-  const ip = seed.slice(0, seed.lastIndexOf(':'));
-  return `${ip}${own.slice(own.lastIndexOf(':'))}`;
-}
-
 /** The key of the service. */
 export const PEERS = createServiceKey<Peers>('peers');
 
@@ -260,9 +269,7 @@
     .transform((text) => text.split(',').filter((part) => part !== ''))
     .meta({
       unit: 'ip:port,...',
-      description:
-        'Addresses of some other hosts, which may be old; their datagrams ' +
-        'go to the port that this host takes its own at.',
+      description: 'Where some other hosts answer hosts; may be old.',
     }),
   beatMs: z.coerce.number().int().min(50).default(300).meta({
     unit: 'ms',
--- a/packages/gateway/src/services/tables.ts
+++ b/packages/gateway/src/services/tables.ts
@@ -1,15 +1,10 @@
 /** The service `tables`: this host's copies of the store's tables. */
 import {createService, createServiceKey} from '@irisdock/kernel';
 import {z} from 'zod';
-import type {TableName} from '../model/watched_table.js';
+import {FOLLOWED_TABLES, type TableName} from '../model/watched_table.js';
 import {STORE} from './store.js';
 import {TableFollower, type FollowerOptions} from './table_follower.js';
 
-/** The tables that every host keeps a copy of. */
-export const FOLLOWED_TABLES = ['configuration', 'endpoints'] as const;
-/** The name of a followed table. */
-export type FollowedTable = (typeof FOLLOWED_TABLES)[number];
-
 /** The copies. */
 export interface Tables {
   readonly configuration: TableFollower;
