Let a few hosts read the store and tell the others

Ruled out: a slower pace on every host (an eleventh of it, and still growing).

Change: three hosts, found by a hash of the names alike on all, read; what they read goes to the others at once in a datagram, or is asked for. A host that the store turns away says so and the next takes its place. Vanished entries are kept by the word of whoever reached the store throughout. Where there are many hosts each datagram goes to six drawn at random, with digests of others. A host whose clock went back before its restart is heard again.

--- a/packages/decisions/src/heard_hosts.ts
+++ b/packages/decisions/src/heard_hosts.ts
@@ -31,16 +31,35 @@
 
   constructor(private readonly times: HeardTimes) {}
 
+  /** Gives the last heartbeat of a host. */
+  find(name: string): H | undefined {
+    return this.hosts.get(name)?.heartbeat;
+  }
+
   /** Takes a heartbeat; false when a newer one is known. */
   accept(name: string, heartbeat: H, now: number): boolean {
     const known = this.hosts.get(name);
-    if (known !== undefined && !isNewer(heartbeat, known.heartbeat)) {
+    if (known !== undefined && !this.isNewer(heartbeat, known, now)) {
       return false;
     }
     this.hosts.set(name, {heartbeat, heardAt: now});
     return true;
   }
 
+  /**
+   * Within one life of a host the sequence says what is newer. Lives are told
+   * apart by the time of day, which may have gone back before a restart; then
+   * the new life is taken once the old one is silent.
+   */
+  private isNewer(heartbeat: H, known: HeardHost<H>, now: number): boolean {
+    const {incarnation, sequence} = known.heartbeat;
+    if (heartbeat.incarnation === incarnation) {
+      return heartbeat.sequence > sequence;
+    }
+    if (heartbeat.incarnation > incarnation) return true;
+    return now - known.heardAt > this.times.silentAfterMs / 2;
+  }
+
   /** Lists the hosts heard of late. */
   listHeard(now: number): H[] {
     const heard: H[] = [];
@@ -76,10 +95,3 @@
     return dropped;
   }
 }
-
-function isNewer(one: HostHeartbeat, other: HostHeartbeat): boolean {
-  if (one.incarnation !== other.incarnation) {
-    return one.incarnation > other.incarnation;
-  }
-  return one.sequence > other.sequence;
-}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -41,6 +41,7 @@
 export * from './serving_right.js';
 export * from './signature.js';
 export * from './stall_limit.js';
+export * from './store_readers.js';
 export * from './table_replica.js';
 export * from './wait_estimate.js';
 export * from './watch_targets.js';
--- a/packages/decisions/tests/gateway_limits.test.ts
+++ b/packages/decisions/tests/gateway_limits.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
+  chooseStoreReaders,
   HeardHosts,
   RETURN_GRACE_MS,
   StoreContact,
@@ -76,6 +77,29 @@
   return {incarnation, sequence, state};
 }
 
+describe('the readers of the store', () => {
+  const hosts = ['a', 'b', 'c', 'd', 'e'];
+
+  function choose(away: readonly string[]): string[] {
+    const candidates = hosts.map((name) => ({
+      name,
+      isStoreAway: away.includes(name),
+    }));
+    return chooseStoreReaders(candidates, 2);
+  }
+
+  it('are replaced by the next when the store turns them away', () => {
+    const [one = '', two = ''] = choose([]);
+    const after = choose([one]);
+    assert.equal(after[0], two);
+    assert.notEqual(after[1], one);
+  });
+
+  it('are as many when the store turns all away', () => {
+    assert.deepEqual(choose(hosts), choose([]));
+  });
+});
+
 describe('heard hosts', () => {
   it('leave out the silent and the leaving', () => {
     const hosts = new HeardHosts(TIMES);
@@ -102,4 +126,12 @@
     assert.equal(hosts.accept('a', createBeat(1, 9), 0), false);
     assert.equal(hosts.accept('a', createBeat(3, 1), 0), true);
   });
+
+  it('take a new life whose clock went back, once the old is silent', () => {
+    const hosts = new HeardHosts(TIMES);
+    hosts.accept('a', createBeat(5000, 8), 0);
+    assert.equal(hosts.accept('a', createBeat(3000, 1), 10), false);
+    assert.equal(hosts.accept('a', createBeat(3000, 2), 60), true);
+    assert.equal(hosts.accept('a', createBeat(3000, 1), 70), false);
+  });
 });
--- a/packages/gateway/src/model/peer_tables_message.ts
+++ b/packages/gateway/src/model/peer_tables_message.ts
@@ -1,4 +1,5 @@
 /** The call by which a host asks another for its copies of the tables. */
+import type {ReplicaRow} from '@irisdock/decisions';
 import {z} from 'zod';
 import {FOLLOWED_TABLES} from './watched_table.js';
 
@@ -6,7 +7,7 @@
 export const PEER_TABLES_PATH = '/peer/tables';
 
 /** A row; null for one that was deleted. */
-const ROW_SCHEMA = z.object({
+export const TABLE_ROW_SCHEMA = z.object({
   key: z.string(),
   value: z.string().nullable(),
   revision: z.number(),
@@ -19,7 +20,7 @@
   parts: z.array(
     z.object({
       table: z.enum(FOLLOWED_TABLES),
-      rows: z.array(ROW_SCHEMA),
+      rows: z.array(TABLE_ROW_SCHEMA),
       revision: z.number(),
       /** Whether the rows are all there are, and not only the changes. */
       isWhole: z.boolean(),
@@ -29,3 +30,17 @@
 
 /** The answer. */
 export type PeerTables = z.infer<typeof PEER_TABLES_SCHEMA>;
+
+/** Rows as the copies of tables take them. */
+export function decodeTableRows(
+  rows: readonly z.infer<typeof TABLE_ROW_SCHEMA>[],
+): ReplicaRow[] {
+  return rows.map((row) => ({...row, value: row.value ?? undefined}));
+}
+
+/** Rows as they are sent. */
+export function encodeTableRows(
+  rows: readonly ReplicaRow[],
+): z.infer<typeof TABLE_ROW_SCHEMA>[] {
+  return rows.map((row) => ({...row, value: row.value ?? null}));
+}
--- a/packages/gateway/src/services/endpoints.ts
+++ b/packages/gateway/src/services/endpoints.ts
@@ -17,6 +17,7 @@
 import type {RowCodec} from '../model/watched_table.js';
 import {EndpointRecord} from '../serving/endpoint_record.js';
 import {GATEWAY_CONFIGURATION} from './configuration.js';
+import {PEERS, type HostUses, type UseBoard} from './peers.js';
 import {CODECS} from './store.js';
 import {TABLES_KEY} from './tables.js';
 
@@ -34,7 +35,7 @@
 const CHECK_MS = 200;
 
 /** The endpoints. */
-export class GatewayEndpoints {
+export class GatewayEndpoints implements UseBoard {
   private readonly records = new Map<string, EndpointRecord>();
   /** Instance ids of vanished entries that are still in use. */
   private readonly vanished = new Set<string>();
@@ -59,6 +60,23 @@
     return this.records.values();
   }
 
+  listOwnUses(): HostUses {
+    const uses: HostUses = {};
+    for (const record of this.records.values()) {
+      const use = record.getOwnUse();
+      if (use.running > 0 || use.expectedTokens > 0) {
+        uses[record.instanceId] = use;
+      }
+    }
+    return uses;
+  }
+
+  applyUses(host: string, uses: HostUses): void {
+    for (const record of this.records.values()) {
+      record.setOthersUse(host, uses[record.instanceId]);
+    }
+  }
+
   /** Lists the endpoints of a service that may get new work. */
   listUsable(service: string): EndpointRecord[] {
     const usable: EndpointRecord[] = [];
@@ -172,10 +190,11 @@
 export const GATEWAY_ENDPOINTS_SERVICE = createService({
   key: GATEWAY_ENDPOINTS,
   settings: z.object({}),
-  needs: [CODECS, TABLES_KEY, GATEWAY_CONFIGURATION],
+  needs: [CODECS, TABLES_KEY, GATEWAY_CONFIGURATION, PEERS],
   create(context) {
     const {endpoints: table} = context.find(TABLES_KEY);
     const configuration = context.find(GATEWAY_CONFIGURATION);
+    const peers = context.find(PEERS);
     const {clock, log} = context;
     const api = new GatewayEndpoints({
       codec: context.find(CODECS).endpoints,
@@ -184,8 +203,9 @@
       getMemoryTokens: (service) =>
         configuration.findService(service)?.engine?.memoryTokens ??
         UNKNOWN_MEMORY_TOKENS,
-      getDepartureDelay: () => table.contact.getDepartureDelay(clock.getNow()),
+      getDepartureDelay: () => peers.standing.getDepartureDelay(clock.getNow()),
     });
+    peers.useBoard = api;
     api.applyRows(table.replica.listAll());
     void table.news.observe((rows) => {
       api.applyRows(rows);
--- a/packages/gateway/src/services/host_phase.ts
+++ b/packages/gateway/src/services/host_phase.ts
@@ -6,7 +6,7 @@
 import {z} from 'zod';
 import type {PeerState} from '../model/peer_message.js';
 import {GATEWAY_CONFIGURATION} from './configuration.js';
-import {TABLES_KEY} from './tables.js';
+import {PEERS} from './peers.js';
 
 /** Ages of the configuration from which it may be old, in ms. */
 const MAY_BE_BEHIND_MS = 4500;
@@ -71,14 +71,14 @@
         'How long a planned stop may take before the process is killed.',
     }),
   }),
-  needs: [GATEWAY_CONFIGURATION, TABLES_KEY],
+  needs: [GATEWAY_CONFIGURATION, PEERS],
   create(context, settings) {
     const configuration = context.find(GATEWAY_CONFIGURATION);
-    const {configuration: table} = context.find(TABLES_KEY);
+    const {standing} = context.find(PEERS);
     const api = new HostPhase(
       context.clock,
       () => configuration.isLoaded,
-      (now) => table.getAgeMs(now),
+      (now) => standing.getConfigurationAgeMs(now),
       settings.graceSeconds * MILLI,
     );
     return {api};
--- a/packages/gateway/src/services/introduction.ts
+++ b/packages/gateway/src/services/introduction.ts
@@ -67,7 +67,7 @@
         this.log.writeWarning('A row of a host cannot be read.', {host: key});
         continue;
       }
-      this.peers.addUnheard(datagrams);
+      this.peers.addPlace(datagrams);
     }
   }
 }
--- a/packages/gateway/src/services/peer_table_loader.ts
+++ b/packages/gateway/src/services/peer_table_loader.ts
@@ -3,18 +3,19 @@
  * when another host has told of a newer change for a while, or when this host
  * has no copy at all.
  */
-import type {ReplicaRow} from '@irisdock/decisions';
+import type {TableReplica} from '@irisdock/decisions';
 import {getShuffled, type Logger, type Random} from '@irisdock/kernel';
 import {JsonCaller} from '../channels/json_caller.js';
 import type {PeerMessage} from '../model/peer_message.js';
 import {
+  decodeTableRows,
   PEER_TABLES_PATH,
   PEER_TABLES_SCHEMA,
 } from '../model/peer_tables_message.js';
 import {FOLLOWED_TABLES} from '../model/watched_table.js';
 import type {Tables} from './tables.js';
 
-/** How long the store gets to bring a change before a host is asked, in ms. */
+/** How long a change may take to arrive before a host is asked, in ms. */
 const OWN_CHANCE_MS = 250;
 const LOAD_TIMEOUT_MS = 800;
 
@@ -55,7 +56,7 @@
     for (const name of FOLLOWED_TABLES) {
       const {replica} = this.tables[name];
       const newer = getShuffled(heard, this.random).find(
-        (message) => message.revisions[name] > replica.revision,
+        (message) => message.revisions[name] > replica.lastChange,
       );
       if (newer === undefined) {
         this.behindSince.delete(name);
@@ -101,11 +102,7 @@
       return undefined;
     }
     for (const part of parsed.data.parts) {
-      const rows: ReplicaRow[] = part.rows.map((row) => ({
-        key: row.key,
-        value: row.value ?? undefined,
-        revision: row.revision,
-      }));
+      const rows = decodeTableRows(part.rows);
       tables[part.table].applyFromHost(rows, part.revision, part.isWhole);
     }
     return parsed.data.datagrams;
@@ -113,9 +110,6 @@
 }
 
 /** The revision to ask changes after; -1 asks for the whole table. */
-function getLoadAfter(replica: {
-  readonly isLoaded: boolean;
-  readonly revision: number;
-}): number {
-  return replica.isLoaded ? replica.revision : -1;
+function getLoadAfter(replica: TableReplica): number {
+  return replica.isLoaded ? replica.lastChange : -1;
 }
--- a/packages/gateway/src/services/peer_tables.ts
+++ b/packages/gateway/src/services/peer_tables.ts
@@ -11,6 +11,7 @@
 import {z} from 'zod';
 import {startListening} from '../channels/listening.js';
 import {
+  encodeTableRows,
   PEER_TABLES_PATH,
   type PeerTables,
 } from '../model/peer_tables_message.js';
@@ -33,7 +34,7 @@
     const rows = changes ?? replica.listAll();
     parts.push({
       table,
-      rows: rows.map((row) => ({...row, value: row.value ?? null})),
+      rows: encodeTableRows(rows),
       revision: replica.revision,
       isWhole: changes === undefined,
     });
--- a/packages/gateway/src/services/peers.ts
+++ b/packages/gateway/src/services/peers.ts
@@ -1,8 +1,8 @@
 /**
- * The service `peers`: the other hosts. Each host tells the others a few
- * times a second by datagrams that it is there, which revisions it has, and
- * what it has running. Who sees that another knows a newer change, and does
- * not get it from the store itself, asks that host for it.
+ * The service `peers`: the other hosts. Each host tells others a few times a
+ * second by datagrams that it is there, which changes it knows, how it stands
+ * with the store, and what it has running. A few hosts read the store; what
+ * they read goes to all others at once, and who has missed it asks for it.
  */
 import {HeardHosts} from '@irisdock/decisions';
 import {
@@ -20,22 +20,39 @@
 import {
   decodePeerMessage,
   encodePeerMessage,
+  type HostDigest,
   type PeerMessage,
   type PeerPlace,
   type PeerState,
+  type TableNews,
 } from '../model/peer_message.js';
-import {GATEWAY_ENDPOINTS, type GatewayEndpoints} from './endpoints.js';
+import {
+  decodeTableRows,
+  encodeTableRows,
+} from '../model/peer_tables_message.js';
+import {FOLLOWED_TABLES, type FollowedTable} from '../model/watched_table.js';
 import {HOST_IDENTITY} from './identity.js';
+import {ALL_UP_TO, PeerPlaces} from './peer_places.js';
 import {PeerTableLoader} from './peer_table_loader.js';
+import {StoreStanding} from './store_standing.js';
+import type {StoreNews} from './table_follower.js';
 import {TABLES_KEY, type Tables} from './tables.js';
 
+/** What this host has running, by the instance id of the endpoint. */
+export type HostUses = PeerMessage['uses'];
+
+/** Tells what runs here, and takes what runs elsewhere. */
+export interface UseBoard {
+  listOwnUses(): HostUses;
+  applyUses(host: string, uses: HostUses): void;
+}
+
 /** What the peers need of the rest. */
 interface PeersParts {
   readonly place: PeerPlace;
   readonly incarnation: number;
   readonly seeds: readonly string[];
   readonly tables: Tables;
-  readonly endpoints: GatewayEndpoints;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Logger;
@@ -46,28 +63,35 @@
 /** Silence after which a host is forgotten, in ms. */
 const FORGET_AFTER_MS = 60_000;
 /** How many other hosts a datagram names. */
-const MAX_NAMED = 8;
-/** The most hosts that get a datagram at one beat. */
-const MAX_SENT_TO = 24;
-/** Beats between two tries of places that do not answer. */
-const UNHEARD_EVERY = 5;
+const MAX_NAMED = 6;
+/** How many digests of other hosts a datagram holds where not all hear all. */
+const MAX_DIGESTS = 20;
+/** The largest datagram with news; larger ones may be cut on the way. */
+const MAX_NEWS_BYTES = 1300;
+/** Beats between two tries of a seed. */
+const SEED_EVERY = 5;
 
 /** The other hosts. */
 export class Peers {
   /** Whether this host takes callers; set by the service that knows. */
   getState: () => PeerState = () => 'starting';
+  /** Set by the service that knows what runs. */
+  useBoard: UseBoard | undefined;
+  readonly standing: StoreStanding;
   private readonly heard = new HeardHosts<PeerMessage>({
     silentAfterMs: SILENT_AFTER_MS,
     forgetAfterMs: FORGET_AFTER_MS,
   });
   private readonly socket: DatagramSocket;
   private readonly loader: PeerTableLoader;
-  /** Places that were named but not heard, with the tries left. */
-  private readonly unheard = new Map<string, number>();
+  private readonly places: PeerPlaces;
   private sequence = 0;
 
   constructor(private readonly parts: PeersParts) {
-    this.loader = new PeerTableLoader(parts.tables, parts.random, parts.log);
+    const {place, tables, random, log} = parts;
+    this.loader = new PeerTableLoader(tables, random, log);
+    this.places = new PeerPlaces(place.datagrams, this.heard, random);
+    this.standing = new StoreStanding(place.name, tables, this.heard);
     this.socket = new DatagramSocket((bytes) => {
       this.handleDatagram(bytes);
     });
@@ -76,6 +100,11 @@
   /** Starts to listen. */
   async start(): Promise<void> {
     await this.socket.start(this.parts.place.datagrams);
+    for (const name of FOLLOWED_TABLES) {
+      void this.parts.tables[name].storeNews.observe((news) => {
+        this.sendNews(name, news);
+      });
+    }
   }
 
   /** Where this host can be reached. */
@@ -98,28 +127,23 @@
   }
 
   /** Takes the place of a host that was told of elsewhere. */
-  addUnheard(datagrams: string): void {
-    if (datagrams === this.parts.place.datagrams) return;
-    const isHeard = this.heard
-      .listHeard(this.parts.clock.getNow())
-      .some((message) => message.place.datagrams === datagrams);
-    if (!isHeard) this.unheard.set(datagrams, MAX_TRIES);
+  addPlace(datagrams: string): void {
+    this.places.add(datagrams);
   }
 
   /** Tells the other hosts of this one. */
   sendBeat(): void {
     const now = this.parts.clock.getNow();
+    this.standing.updateReading(now);
     this.sequence++;
-    const bytes = encodePeerMessage(this.createMessage(now));
-    for (const place of this.listTargets(now)) this.socket.send(bytes, place);
-    for (const name of this.heard.dropSilent(now)) {
-      this.parts.log.writeInfo('A host was silent for long.', {host: name});
-      this.applyUses(name, {});
+    const bytes = encodePeerMessage(this.createMessage(now, []));
+    for (const place of this.places.listTargets(now, this.sequence)) {
+      this.socket.send(bytes, place);
     }
-    this.dropUsesOfSilent(now);
+    this.dropSilent(now);
     const heard = this.heard.listHeard(now);
     void this.loader.loadNewer(heard, now);
-    const isSeedBeat = this.sequence % UNHEARD_EVERY === 1;
+    const isSeedBeat = this.sequence % SEED_EVERY === 1;
     if (heard.length === 0 && isSeedBeat) void this.loadFromSeed();
   }
 
@@ -128,47 +152,28 @@
     this.loader.close();
   }
 
-  private listTargets(now: number): string[] {
-    const heard = this.heard.listHeard(now);
-    const known = this.heard.listKnown();
-    const places = heard.map((message) => message.place.datagrams);
-    const {random} = this.parts;
-    const targets = getShuffled(places, random).slice(0, MAX_SENT_TO);
-    if (this.sequence % UNHEARD_EVERY === 1) {
-      for (const message of known) {
-        if (!heard.includes(message)) targets.push(message.place.datagrams);
-      }
-    }
-    targets.push(...this.takeUnheard());
-    return targets;
-  }
-
-  /** Asks one seed for what it knows, and for its place. */
-  private async loadFromSeed(): Promise<void> {
-    const {seeds, random, place} = this.parts;
-    const others = seeds.filter((seed) => seed !== place.tables);
-    const [seed] = getShuffled(others, random);
-    if (seed === undefined) return;
-    const datagrams = await this.loader.loadFrom(seed);
-    if (datagrams !== undefined) this.addUnheard(datagrams);
-  }
-
-  /** Gives the places to be tried now; each only so many times. */
-  private takeUnheard(): string[] {
-    const places: string[] = [];
-    for (const [place, tries] of this.unheard) {
-      places.push(place);
-      if (tries <= 1) this.unheard.delete(place);
-      else this.unheard.set(place, tries - 1);
+  /** Sends what was just read from the store to all that are heard. */
+  private sendNews(table: FollowedTable, news: StoreNews): void {
+    const now = this.parts.clock.getNow();
+    const {after, revision} = news;
+    const rows = encodeTableRows(news.rows);
+    this.sequence++;
+    const message = this.createMessage(now, [{table, after, revision, rows}]);
+    const whole = encodePeerMessage(message);
+    // Who gets no rows sees the revision and asks for them.
+    const bytes =
+      whole.length <= MAX_NEWS_BYTES
+        ? whole
+        : encodePeerMessage({...message, news: []});
+    for (const {place} of this.heard.listHeard(now)) {
+      this.socket.send(bytes, place.datagrams);
     }
-    return places;
   }
 
-  private createMessage(now: number): PeerMessage {
+  private createMessage(now: number, news: TableNews[]): PeerMessage {
     const {place, incarnation, tables, random} = this.parts;
-    const named = this.heard
-      .listHeard(now)
-      .map((message) => message.place.datagrams);
+    const heard = this.heard.listHeard(now);
+    const named = getShuffled(heard, random).slice(0, MAX_NAMED);
     return {
       place,
       incarnation,
@@ -178,74 +183,86 @@
         configuration: tables.configuration.replica.lastChange,
         endpoints: tables.endpoints.replica.lastChange,
       },
-      uses: this.listOwnUses(),
-      heard: getShuffled(named, random).slice(0, MAX_NAMED),
+      store: this.standing.createMessage(now),
+      news,
+      digests: heard.length <= ALL_UP_TO ? [] : this.createDigests(heard),
+      uses: news.length > 0 ? {} : (this.useBoard?.listOwnUses() ?? {}),
+      heard: named.map((message) => message.place.datagrams),
     };
   }
 
-  private listOwnUses(): PeerMessage['uses'] {
-    const uses: PeerMessage['uses'] = {};
-    for (const record of this.parts.endpoints.listAll()) {
-      const use = record.getOwnUse();
-      if (use.running > 0 || use.expectedTokens > 0) {
-        uses[record.instanceId] = use;
-      }
-    }
-    return uses;
+  private createDigests(heard: readonly PeerMessage[]): HostDigest[] {
+    const chosen = getShuffled(heard, this.parts.random);
+    return chosen.slice(0, MAX_DIGESTS).map((message) => ({
+      name: message.place.name,
+      incarnation: message.incarnation,
+      sequence: message.sequence,
+      state: message.state,
+      isStoreAway: message.store.isAway,
+    }));
   }
 
   private handleDatagram(bytes: Buffer): void {
     const decoded = decodePeerMessage(bytes);
     if (decoded.isErr()) {
-      this.parts.log.writeWarning('A datagram cannot be read.', {
-        fault: decoded.error,
-      });
+      const fault = decoded.error;
+      this.parts.log.writeWarning('A datagram cannot be read.', {fault});
       return;
     }
     const message = decoded.value;
     const {place} = message;
     if (place.name === this.parts.place.name) return;
     const now = this.parts.clock.getNow();
-    const wasHeard = this.heard
-      .listHeard(now)
-      .some((other) => other.place.name === place.name);
+    // News are taken also from a datagram that was overtaken.
+    this.applyNews(message.news);
     if (!this.heard.accept(place.name, message, now)) return;
-    this.unheard.delete(place.datagrams);
-    if (!wasHeard) {
-      this.parts.log.writeInfo('A host is heard.', {
-        host: place.name,
-        state: message.state,
-      });
+    this.places.drop(place.datagrams);
+    if (message.news.length === 0) {
+      this.useBoard?.applyUses(place.name, message.uses);
     }
-    this.applyUses(place.name, message.uses);
-    for (const named of message.heard) this.addIfNew(named, now);
+    for (const named of message.heard) this.places.add(named);
+    for (const digest of message.digests) this.applyDigest(digest, now);
   }
 
-  private addIfNew(datagrams: string, now: number): void {
-    if (this.unheard.has(datagrams)) return;
-    const known = this.heard.listKnown();
-    if (known.some(({place}) => place.datagrams === datagrams)) return;
-    if (now >= 0) this.addUnheard(datagrams);
+  private applyNews(news: readonly TableNews[]): void {
+    for (const {table, after, revision, rows} of news) {
+      const decoded = decodeTableRows(rows);
+      this.parts.tables[table].applyNews(decoded, after, revision);
+    }
   }
 
-  private applyUses(host: string, uses: PeerMessage['uses']): void {
-    for (const record of this.parts.endpoints.listAll()) {
-      record.setOthersUse(host, uses[record.instanceId]);
-    }
+  /** Takes what another host knows of a third one that is known here. */
+  private applyDigest(digest: HostDigest, now: number): void {
+    const {name, incarnation, sequence, state, isStoreAway} = digest;
+    const known = this.heard.find(name);
+    if (known === undefined) return;
+    const store = {...known.store, isAway: isStoreAway};
+    const heartbeat = {...known, incarnation, sequence, state, store};
+    this.heard.accept(name, heartbeat, now);
   }
 
-  private dropUsesOfSilent(now: number): void {
+  private dropSilent(now: number): void {
+    for (const name of this.heard.dropSilent(now)) {
+      this.parts.log.writeInfo('A host was silent for long.', {host: name});
+    }
     const heard = new Set(
       this.heard.listHeard(now).map(({place}) => place.name),
     );
     for (const {place} of this.heard.listKnown()) {
-      if (!heard.has(place.name)) this.applyUses(place.name, {});
+      if (!heard.has(place.name)) this.useBoard?.applyUses(place.name, {});
     }
   }
-}
 
-/** How often a place that was named is tried before it is dropped. */
-const MAX_TRIES = 20;
+  /** Asks one seed for what it knows, and for its place. */
+  private async loadFromSeed(): Promise<void> {
+    const {seeds, random, place} = this.parts;
+    const others = seeds.filter((seed) => seed !== place.tables);
+    const [seed] = getShuffled(others, random);
+    if (seed === undefined) return;
+    const datagrams = await this.loader.loadFrom(seed);
+    if (datagrams !== undefined) this.places.add(datagrams);
+  }
+}
 
 /** The key of the service. */
 export const PEERS = createServiceKey<Peers>('peers');
@@ -281,7 +298,7 @@
 export const PEERS_SERVICE = createService({
   key: PEERS,
   settings: SETTINGS,
-  needs: [HOST_IDENTITY, TABLES_KEY, GATEWAY_ENDPOINTS],
+  needs: [HOST_IDENTITY, TABLES_KEY],
   create(context, settings) {
     const {name, incarnation} = context.find(HOST_IDENTITY);
     const api = new Peers({
@@ -294,7 +311,6 @@
       incarnation,
       seeds: settings.seeds,
       tables: context.find(TABLES_KEY),
-      endpoints: context.find(GATEWAY_ENDPOINTS),
       clock: context.clock,
       random: context.random,
       log: context.log,
--- a/packages/gateway/src/services/table_follower.ts
+++ b/packages/gateway/src/services/table_follower.ts
@@ -7,6 +7,17 @@
 import {Channel, type Clock, type Logger} from '@irisdock/kernel';
 import type {TableName, WatchedStore} from '../model/watched_table.js';
 
+/** How long a failure of the store keeps this host from reading, in ms. */
+const AWAY_LATELY_MS = 2500;
+
+/** Rows that were just read, and the change that they follow on. */
+export interface StoreNews {
+  readonly rows: readonly ReplicaRow[];
+  /** The highest revision of a change before these. */
+  readonly after: number;
+  readonly revision: number;
+}
+
 /** How a table is followed. */
 export interface FollowerOptions {
   /** How long the store may wait for a change, in ms. */
@@ -28,6 +39,12 @@
   private running: Promise<void> = Promise.resolve();
   private mustReload = true;
   private readAt = -Infinity;
+  private failedAt = -Infinity;
+  private reading = true;
+  private resumeReading: (() => void) | undefined;
+  private readonly storeChannel = new Channel<StoreNews>();
+  /** Rows that this host has just read from the store itself. */
+  readonly storeNews = this.storeChannel.stream;
 
   constructor(
     readonly table: TableName,
@@ -42,6 +59,27 @@
     return now - this.readAt;
   }
 
+  /** Whether this host reads the store itself. */
+  get isReading(): boolean {
+    return this.reading;
+  }
+
+  /** Whether the store failed this host a moment ago. */
+  isAwayLately(now: number): boolean {
+    return this.contact.isAway && now - this.failedAt < AWAY_LATELY_MS;
+  }
+
+  /** Says whether this host reads the store itself, or only listens. */
+  setReading(isReading: boolean): void {
+    if (isReading === this.reading) return;
+    this.reading = isReading;
+    this.log.writeInfo('Who reads the store has changed.', {
+      table: this.table,
+      isReading,
+    });
+    if (isReading) this.resumeReading?.();
+  }
+
   /** Starts to follow. */
   start(): void {
     this.running = this.run();
@@ -50,7 +88,9 @@
   /** Ends after the call under way, whose answer is not waited for. */
   stop(): void {
     this.controller.abort();
+    this.resumeReading?.();
     this.channel.close();
+    this.storeChannel.close();
   }
 
   /** Resolves when the follower has ended. */
@@ -67,12 +107,24 @@
     const news = isWhole
       ? this.replica.applyAll(rows, revision)
       : this.replica.applyChanges(rows, revision);
+    if (isWhole) this.mustReload = false;
     this.publish(news, 'host');
   }
 
+  /** Takes news that another host has just read; ignores what has a gap. */
+  applyNews(
+    rows: readonly ReplicaRow[],
+    after: number,
+    revision: number,
+  ): void {
+    if (!this.replica.isLoaded || this.replica.lastChange < after) return;
+    this.publish(this.replica.applyChanges(rows, revision), 'news');
+  }
+
   private async run(): Promise<void> {
     const {signal} = this.controller;
     while (!signal.aborted) {
+      await this.waitForTurn();
       const startedAt = this.clock.getNow();
       const pauseMs = await this.step();
       const leftMs = startedAt + pauseMs - this.clock.getNow();
@@ -80,11 +132,20 @@
     }
   }
 
+  /** Waits while other hosts read the store. */
+  private async waitForTurn(): Promise<void> {
+    if (this.reading) return;
+    await new Promise<void>((resolve) => {
+      this.resumeReading = resolve;
+    });
+    this.resumeReading = undefined;
+  }
+
   /** Makes one call; gives the least time from its start to the next. */
   private async step(): Promise<number> {
     const {replica, store, table, options} = this;
-    const isReading = this.mustReload || !replica.isLoaded;
-    const result = isReading
+    const isWhole = this.mustReload || !replica.isLoaded;
+    const result = isWhole
       ? await store.readAll(table)
       : await store.readChanges(table, replica.revision, options.waitMs);
     const now = this.clock.getNow();
@@ -92,9 +153,14 @@
     if (result.isErr()) return this.handleError(result.error.kind, now);
     this.recordContact(now);
     const {rows, revision} = result.value;
-    if (!isReading) {
-      this.publish(replica.applyChanges(rows, revision), 'store');
-      return options.paceMs;
+    if (!isWhole) {
+      const after = replica.lastChange;
+      const news = replica.applyChanges(rows, revision);
+      this.publish(news, 'store');
+      if (news.length > 0) {
+        this.storeChannel.post({rows: news, after, revision});
+      }
+      return news.length > 0 ? options.paceMs : 0;
     }
     // The store may answer from a copy that lags; then it is asked again.
     this.mustReload = replica.isLoaded && revision < replica.revision;
@@ -115,6 +181,7 @@
       this.log.writeWarning('The store is away.', {table: this.table, kind});
     }
     this.contact.recordFailure(now);
+    this.failedAt = now;
     return this.options.retryMs;
   }
 
--- a/packages/gateway/src/services/tables.ts
+++ b/packages/gateway/src/services/tables.ts
@@ -15,7 +15,7 @@
 export const TABLES_KEY = createServiceKey<Tables>('tables');
 
 const SETTINGS = z.object({
-  waitMs: z.coerce.number().int().min(100).default(3000).meta({
+  waitMs: z.coerce.number().int().min(100).default(1500).meta({
     unit: 'ms',
     description: 'How long the store may wait for a change.',
   }),
--- a/packages/gateway/src/serving/endpoint_record.ts
+++ b/packages/gateway/src/serving/endpoint_record.ts
@@ -37,12 +37,20 @@
 /** How long the load that an endpoint told counts, in ms. */
 const TOLD_LOAD_MS = 400;
 
+/** How long what another host told counts, in ms. */
+const TOLD_USE_MS = 1500;
+
+interface ToldUse {
+  readonly use: EndpointUse;
+  readonly toldAt: number;
+}
+
 /** One endpoint. */
 export class EndpointRecord implements EngineView, PlainView {
   /** Whether its entry was withdrawn; what runs there goes on. */
   isGone = false;
   private readonly claims = new Set<UseClaim>();
-  private readonly othersUse = new Map<string, EndpointUse>();
+  private readonly othersUse = new Map<string, ToldUse>();
   private failures = 0;
   private failedAt = 0;
   private usualAnswerMs = FIRST_ANSWER_MS;
@@ -128,7 +136,7 @@
   /** Takes what another host told that it has there. */
   setOthersUse(host: string, use: EndpointUse | undefined): void {
     if (use === undefined) this.othersUse.delete(host);
-    else this.othersUse.set(host, use);
+    else this.othersUse.set(host, {use, toldAt: this.getNow()});
   }
 
   /** Takes the load that the endpoint told. */
@@ -152,7 +160,12 @@
   }
 
   private getUse(): EndpointUse {
-    return computeUse([...this.claims, ...this.othersUse.values()]);
+    const oldest = this.getNow() - TOLD_USE_MS;
+    const uses: EndpointUse[] = [...this.claims];
+    for (const {use, toldAt} of this.othersUse.values()) {
+      if (toldAt >= oldest) uses.push(use);
+    }
+    return computeUse(uses);
   }
 }
 
