Stop what has started when another service does not start

Cause: a run of the tests in platform/ did not end (seen twice, traced in the second): another process took a port between its finding and its use, the start of the kernel failed with EADDRINUSE, and the services that had started went on and kept the process alive.

Ruled out: a request that is never answered (the log of the hung run ends at the failed start).

The line of an ended request names its endpoint and sends; refusals name the request.

--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -43,6 +43,10 @@
 
 /** Drives one call. */
 export class CallDriver {
+  /** The endpoint of the last send; undefined before the first. */
+  lastEndpoint: EndpointRecord | undefined;
+  /** Sends so far. */
+  sends = 0;
   private readonly excluded = new Set<string>();
   private runs = 0;
   private notRun = 0;
@@ -79,6 +83,8 @@
 
   private async send(endpoint: EndpointRecord): Promise<SendResult> {
     const {exchange, requestId, terms, team, body} = this.request;
+    this.lastEndpoint = endpoint;
+    this.sends++;
     const claim: UseClaim = {running: 1, unreadTokens: 0, expectedTokens: 0};
     endpoint.addClaim(claim);
     const sentAt = this.parts.clock.getNow();
--- a/packages/gateway/src/serving/request_handler.ts
+++ b/packages/gateway/src/serving/request_handler.ts
@@ -76,6 +76,7 @@
       ? new StreamDriver(parts, this.prober, request, route, service)
       : new CallDriver(parts, request, route, service);
     const outcome = await driver.run();
+    const {lastEndpoint: endpoint, sends} = driver;
     const {kind} = route;
     parts.metrics.requests.inc({kind, outcome});
     const seconds = (parts.clock.getNow() - startedAt) / 1000;
@@ -85,7 +86,11 @@
     parts.log.writeInfo('A request ended.', {
       request: request.requestId,
       route: route.name,
+      service,
       version: parts.configuration.version,
+      endpoint: endpoint?.instanceId,
+      address: endpoint?.address,
+      sends,
       outcome,
       ms: Math.round(seconds * 1000),
     });
@@ -151,7 +156,9 @@
   private refuse(exchange: CallerExchange, error: KnownError): void {
     exchange.refuse(error, this.host.isLeaving);
     this.parts.metrics.requests.inc({kind: 'none', outcome: error.kind});
+    const {requestId} = this.parts.codec.decodeRequest(exchange.lines);
     this.parts.log.writeInfo('A request was refused.', {
+      request: requestId,
       kind: error.kind,
       path: exchange.path,
       version: this.parts.configuration.version,
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -32,6 +32,10 @@
 
 /** Drives one stream. */
 export class StreamDriver {
+  /** The engine of the last leg; undefined before the first. */
+  lastEndpoint: EndpointRecord | undefined;
+  /** Legs so far. */
+  sends = 0;
   private readonly planner: StreamPlanner;
   private readonly progress: EventProgress;
   private runs = 0;
@@ -93,18 +97,14 @@
     const {endpoint, backup, memorySource} = plan;
     const {exchange, requestId, terms, team, body} = this.request;
     const {expectedTokens} = this.planner;
+    this.lastEndpoint = endpoint;
+    this.sends++;
     const claim: UseClaim = {
       running: 1,
       unreadTokens: memorySource === undefined ? terms.promptTokens : 0,
       expectedTokens,
     };
-    const keeper = new CopyKeeper(
-      this.parts,
-      requestId,
-      endpoint,
-      backup,
-      this.planner.createEngineRequest(),
-    );
+    const keeper = this.createKeeper(endpoint, backup);
     const backupClaim = {running: 0, unreadTokens: 0, expectedTokens};
     endpoint.addClaim(claim);
     backup?.addClaim(backupClaim);
@@ -150,6 +150,21 @@
     }
   }
 
+  private createKeeper(
+    endpoint: EndpointRecord,
+    backup: EndpointRecord | undefined,
+  ): CopyKeeper {
+    const engineRequest = this.planner.createEngineRequest();
+    const {requestId} = this.request;
+    return new CopyKeeper(
+      this.parts,
+      requestId,
+      endpoint,
+      backup,
+      engineRequest,
+    );
+  }
+
   /** Passes events to the caller, each once and in order. */
   private passOn(
     endpoint: EndpointRecord,
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -33,12 +33,24 @@
   ) {}
 
   /**
-   * Makes and starts all services.
+   * Makes and starts all services. When one does not start, those that did
+   * are stopped again, so that nothing goes on behind the error.
    *
    * @param settings Checked settings by service name.
    * @throws Error when a needed service is missing or needs form a circle.
    */
   async start(settings: ReadonlyMap<string, unknown>): Promise<void> {
+    try {
+      await this.startAll(settings);
+    } catch (thrown) {
+      await this.stopStarted();
+      throw thrown;
+    }
+  }
+
+  private async startAll(
+    settings: ReadonlyMap<string, unknown>,
+  ): Promise<void> {
     for (const definition of sortByNeeds(this.definitions)) {
       const {name} = definition.key;
       const service = definition.create(
@@ -56,6 +68,10 @@
     for (const service of [...this.started].reverse()) {
       await service.drain?.();
     }
+    await this.stopStarted();
+  }
+
+  private async stopStarted(): Promise<void> {
     for (const service of this.started.splice(0).reverse()) {
       await service.stop?.();
     }
--- a/packages/kernel/tests/kernel.test.ts
+++ b/packages/kernel/tests/kernel.test.ts
@@ -108,6 +108,24 @@
   }
 });
 
+describe('Kernel, when a service does not start', () => {
+  it('stops those that did and gives the error on', async () => {
+    const notes: string[] = [];
+    const failing = createService({
+      key: createServiceKey<string>('failing'),
+      settings: z.object({}),
+      needs: [A],
+      create: () => ({
+        api: 'failing',
+        start: () => Promise.reject(new Error('the port is taken')),
+      }),
+    });
+    const kernel = createKernel([createNoted('a', [], notes), failing]);
+    await assert.rejects(kernel.start(new Map()), /the port is taken/);
+    assert.deepEqual(notes, ['start a', 'stop a']);
+  });
+});
+
 describe('Task', () => {
   it('handles one message at a time, in order, and goes on after a fault', async () => {
     const handled: number[] = [];
