Explain a request from the logs of all hosts

Cause: the on-call engineers have only logs and figures.

Ruled out: a host name in each line (collectors put it before the line; a file a host does as well).

--- a/packages/cli/src/command_table.ts
+++ b/packages/cli/src/command_table.ts
@@ -3,6 +3,7 @@
 import {APPLY_COMMAND} from './commands/apply.js';
 import {AUDIT_COMMAND} from './commands/audit.js';
 import {DELETE_COMMAND} from './commands/delete.js';
+import {EXPLAIN_COMMAND} from './commands/explain.js';
 import {GET_COMMAND} from './commands/get.js';
 import {LIST_COMMAND} from './commands/list.js';
 import {STATUS_COMMAND} from './commands/status.js';
@@ -17,4 +18,5 @@
   WATCH_COMMAND,
   STATUS_COMMAND,
   AUDIT_COMMAND,
+  EXPLAIN_COMMAND,
 ];
--- a/packages/cli/src/errors.ts
+++ b/packages/cli/src/errors.ts
@@ -33,6 +33,12 @@
     message: 'The file {file} cannot be read: {detail}.',
     remedy: 'Check the name and its permissions.',
   },
+  no_lines: {
+    status: 0,
+    outcome: 'not-run',
+    message: 'No log line names the request {request}.',
+    remedy: 'Give the logs of all hosts, of the time of the request, with -f.',
+  },
   unreachable: {
     status: 0,
     outcome: 'not-run',
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -4,3 +4,4 @@
 export * from './exit_codes.js';
 export * from './help.js';
 export * from './main.js';
+export * from './log_lines.js';
--- /dev/null
+++ b/packages/cli/src/log_lines.ts
@@ -0,0 +1,62 @@
+/**
+ * Log lines as the daemons write them, one JSON object a line; collectors
+ * often put the name of the host before it.
+ */
+import {z} from 'zod';
+
+const LINE_SCHEMA = z.object({
+  message: z.string(),
+  time: z.number(),
+  context: z.record(z.string(), z.unknown()),
+});
+
+/** Fields that every line has and that say nothing of a decision. */
+const PLUMBING: ReadonlySet<string> = new Set(['part', 'request', 'logLevel']);
+
+/** One line about a request. */
+export interface RequestLine {
+  /** What stood before the line, or the file that it is from. */
+  readonly source: string;
+  /** Milliseconds since 1970, by the clock of its host. */
+  readonly time: number;
+  readonly message: string;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+/** Gives the lines of a text that are about a request, in their order. */
+export function parseRequestLines(
+  text: string,
+  request: string,
+  file: string,
+): RequestLine[] {
+  const lines: RequestLine[] = [];
+  for (const line of text.split('\n')) {
+    // Most lines are about other requests and need not be read.
+    if (!line.includes(request)) continue;
+    const found = parseLine(line, file);
+    if (found?.context['request'] !== request) continue;
+    const {source, time, message, context} = found;
+    const fields = Object.fromEntries(
+      Object.entries(context).filter(([name]) => !PLUMBING.has(name)),
+    );
+    lines.push({source, time, message, fields});
+  }
+  return lines;
+}
+
+function parseLine(
+  line: string,
+  file: string,
+): (z.infer<typeof LINE_SCHEMA> & {source: string}) | undefined {
+  const start = line.indexOf('{');
+  if (start === -1) return undefined;
+  try {
+    const parsed = LINE_SCHEMA.safeParse(JSON.parse(line.slice(start)));
+    if (!parsed.success) return undefined;
+    const prefix = line.slice(0, start).trim();
+    return {...parsed.data, source: prefix === '' ? file : prefix};
+  } catch {
+    // A line that was cut, or one of another program.
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/cli/tests/log_lines.test.ts
@@ -0,0 +1,36 @@
+/** Which log lines are about a request. */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {parseRequestLines} from '@irisdock/cli';
+
+function createLine(request: string, time: number, message: string): string {
+  const context = {part: 'front', request, logLevel: 30, sends: 2};
+  return JSON.stringify({context, message, time, version: '2.0.0'});
+}
+
+describe('the log lines of a request', () => {
+  it('are those that name it, with the host before them or their file', () => {
+    const text = [
+      createLine('r1', 5, 'front: A request ended.'),
+      `host-2 | ${createLine('r1', 3, 'front: A stream goes on.')}`,
+      createLine('r11', 4, 'front: A request ended.'),
+      '{"message":"front: cut r1',
+      'r1 without a line',
+      '',
+    ].join('\n');
+    assert.deepEqual(parseRequestLines(text, 'r1', 'a.log'), [
+      {
+        source: 'a.log',
+        time: 5,
+        message: 'front: A request ended.',
+        fields: {sends: 2},
+      },
+      {
+        source: 'host-2 |',
+        time: 3,
+        message: 'front: A stream goes on.',
+        fields: {sends: 2},
+      },
+    ]);
+  });
+});
--- a/packages/testkit/src/reference.ts
+++ b/packages/testkit/src/reference.ts
@@ -2,6 +2,7 @@
 import {DAEMON_ERRORS, SETTINGS_GROUPS} from '@irisdock/daemon';
 import {DECISION_ERRORS} from '@irisdock/decisions';
 import {ENDPOINT_ERRORS} from '@irisdock/endpoints';
+import {GATEWAY_ERRORS, GATEWAY_SERVICES} from '@irisdock/gateway';
 import {listSettings, type ErrorKind} from '@irisdock/kernel';
 import {PEER_ERRORS} from '@irisdock/peer';
 import {PLATFORM_ERRORS} from '@irisdock/platform';
@@ -19,6 +20,7 @@
   ['Platform', PLATFORM_ERRORS.kinds],
   ['Endpoints', ENDPOINT_ERRORS.kinds],
   ['Hosts', PEER_ERRORS.kinds],
+  ['Callers of declared routes', GATEWAY_ERRORS.kinds],
 ];
 
 /** Formats docs/SETTINGS.md. */
@@ -42,6 +44,34 @@
   return `${lines.join('\n')}\n`;
 }
 
+/** Formats docs/GATEWAY_SETTINGS.md. */
+export function formatGatewaySettingsPage(): string {
+  const lines = [
+    '# Settings of the gateway',
+    '',
+    'Made by `scripts/write_reference.mjs` from the schemas; a test holds it to',
+    'them. The settings file has a table for each service and a key for each',
+    'setting; a flag goes before its environment variable, and both before the',
+    'file. The file is read at the start; after SIGHUP it is read and checked',
+    'again, with a line in the log, and takes effect at the next start.',
+    '',
+    '| table | key | flag | unit | default | meaning |',
+    '| --- | --- | --- | --- | --- | --- |',
+  ];
+  const groups = GATEWAY_SERVICES.map(({key, settings}) => ({
+    name: key.name,
+    schema: settings,
+  }));
+  for (const info of listSettings(groups)) {
+    const fallback = info.defaultText ?? 'required';
+    const shown = fallback === '' ? 'empty' : fallback;
+    lines.push(
+      `| \`[${info.group}]\` | \`${info.key}\` | \`--${info.flag}\` | ${info.unit} | ${shown} | ${info.description} |`,
+    );
+  }
+  return `${lines.join('\n')}\n`;
+}
+
 /** Formats docs/ERRORS.md. */
 export function formatErrorPage(): string {
   const lines = [
--- a/packages/testkit/tests/command_line.test.ts
+++ b/packages/testkit/tests/command_line.test.ts
@@ -19,7 +19,33 @@
   readonly error?: RegExp;
 }
 
+const LOG_LINE = JSON.stringify({
+  context: {part: 'front', request: 'r1', logLevel: 30, outcome: 'lost'},
+  message: 'front: A request ended.',
+  time: 1000,
+});
+
 const CASES: readonly Case[] = [
+  {
+    name: 'explains a request from the logs',
+    args: ['explain', 'r1'],
+    input: `host-1 ${LOG_LINE}\n`,
+    code: 0,
+    output: /^0 +host-1 +front: A request ended\. +outcome=lost$/m,
+  },
+  {
+    name: 'says that no log line names a request',
+    args: ['explain', 'r2'],
+    input: `host-1 ${LOG_LINE}\n`,
+    code: 1,
+    error: /No log line names the request r2/,
+  },
+  {
+    name: 'explains one request at a time',
+    args: ['explain'],
+    code: 2,
+    error: /give one request id/,
+  },
   {
     name: 'applies a file',
     args: ['apply', '-f', '-'],
--- a/packages/testkit/tests/docs.test.ts
+++ b/packages/testkit/tests/docs.test.ts
@@ -8,6 +8,7 @@
 import {
   createDeployment,
   formatErrorPage,
+  formatGatewaySettingsPage,
   formatSettingsPage,
   sendHttp,
 } from '@irisdock/testkit';
@@ -32,6 +33,11 @@
     assert.equal(readPage('SETTINGS.md'), formatSettingsPage());
   });
 
+  it('list the settings of the gateway as the schemas declare them', () => {
+    const page = readPage('GATEWAY_SETTINGS.md');
+    assert.equal(page, formatGatewaySettingsPage());
+  });
+
   it('list the errors as the tables declare them', () => {
     assert.equal(readPage('ERRORS.md'), formatErrorPage());
   });
