--- a/packages/daemon/src/configuration/table_rows.ts
+++ b/packages/daemon/src/configuration/table_rows.ts
@@ -5,7 +5,7 @@
   type Change,
   type Resource,
 } from '@irisdock/resources';
-import type {TableRow} from '@irisdock/platform';
+import type {TableRow} from '@irisdock/storage';
 import {z} from 'zod';
 
 const DIGITS = 12;
--- a/packages/daemon/src/operator/audit_route.ts
+++ b/packages/daemon/src/operator/audit_route.ts
@@ -3,7 +3,7 @@
  * table, old ones from its object store.
  */
 import type {KnownError} from '@irisdock/kernel';
-import type {ObjectStore, TableService} from '@irisdock/platform';
+import type {ObjectStore, TableService} from '@irisdock/storage';
 import {CHANGE_SCHEMA, type Change} from '@irisdock/resources';
 import {sendError, sendJson, type WebRequest} from '@irisdock/web';
 import {err, ok, type Result} from 'neverthrow';
--- a/packages/daemon/src/services/archive.ts
+++ b/packages/daemon/src/services/archive.ts
@@ -13,7 +13,7 @@
   type Logger,
 } from '@irisdock/kernel';
 import {chooseDutyHosts} from '@irisdock/decisions';
-import type {ObjectStore, TableService} from '@irisdock/platform';
+import type {ObjectStore, TableService} from '@irisdock/storage';
 import type {Change} from '@irisdock/resources';
 import {Gauge} from 'prom-client';
 import {z} from 'zod';
--- a/packages/daemon/src/services/configuration_reader.ts
+++ b/packages/daemon/src/services/configuration_reader.ts
@@ -9,7 +9,7 @@
   Repeater,
   type Logger,
 } from '@irisdock/kernel';
-import type {TableRow, TableService} from '@irisdock/platform';
+import type {TableRow, TableService} from '@irisdock/storage';
 import type {Resource} from '@irisdock/resources';
 import {z} from 'zod';
 import {
--- a/packages/daemon/src/services/configuration_writer.ts
+++ b/packages/daemon/src/services/configuration_writer.ts
@@ -18,7 +18,7 @@
   TableRow,
   TableService,
   Transaction,
-} from '@irisdock/platform';
+} from '@irisdock/storage';
 import {
   checkDelete,
   checkPut,
--- a/packages/daemon/src/services/endpoint_directory.ts
+++ b/packages/daemon/src/services/endpoint_directory.ts
@@ -12,7 +12,7 @@
 import {chooseSubset, PrefixIndex} from '@irisdock/decisions';
 import {HttpEngine, HttpPlainEndpoint} from '@irisdock/endpoints';
 import type {EndpointHint, LoadHint} from '@irisdock/peer';
-import type {ListedHost} from '@irisdock/platform';
+import type {ListedHost} from '@irisdock/storage';
 import {Counter, Gauge, type Registry} from 'prom-client';
 import type {Stream} from 'most';
 import {ENDPOINTS_SETTINGS} from '../endpoint/endpoints_settings.js';
--- a/packages/daemon/src/services/host_list.ts
+++ b/packages/daemon/src/services/host_list.ts
@@ -9,7 +9,7 @@
   Repeater,
 } from '@irisdock/kernel';
 import {LeavingMemory} from '@irisdock/decisions';
-import type {ListedHost} from '@irisdock/platform';
+import type {ListedHost} from '@irisdock/storage';
 import type {Stream} from 'most';
 import {z} from 'zod';
 import {MEMBERSHIP} from './membership.js';
--- a/packages/daemon/src/services/orders.ts
+++ b/packages/daemon/src/services/orders.ts
@@ -20,7 +20,7 @@
   type PlannedOrder,
   type WantedLoads,
 } from '@irisdock/decisions';
-import type {TableRow, TableService} from '@irisdock/platform';
+import type {TableRow, TableService} from '@irisdock/storage';
 import {Counter, Gauge} from 'prom-client';
 import {z} from 'zod';
 import {getLeaseRowKey} from '../configuration/table_rows.js';
--- a/packages/daemon/src/services/platform.ts
+++ b/packages/daemon/src/services/platform.ts
@@ -9,7 +9,7 @@
   type HostList,
   type ObjectStore,
   type TableService,
-} from '@irisdock/platform';
+} from '@irisdock/storage';
 import {z} from 'zod';
 
 /** The platform. */
--- a/packages/testkit/src/reference.ts
+++ b/packages/testkit/src/reference.ts
@@ -5,7 +5,7 @@
 import {GATEWAY_ERRORS, GATEWAY_SERVICES} from '@irisdock/gateway';
 import {listSettings, type ErrorKind} from '@irisdock/kernel';
 import {PEER_ERRORS} from '@irisdock/peer';
-import {PLATFORM_ERRORS} from '@irisdock/platform';
+import {PLATFORM_ERRORS} from '@irisdock/storage';
 import {RESOURCE_ERRORS} from '@irisdock/resources';
 import {WEB_ERRORS} from '@irisdock/web';
 
