Let the drivers of calls and streams share their rules; split two files

Change: answer_reading, send_rules and stream_report, peer_hosts beside the service. Log lines name their host, which explain shows. A copy that was asked for is freed also when the caller left.

Ruled out: sharing the drivers themselves, a call and a stream end differently.

--- a/packages/cli/src/log_lines.ts
+++ b/packages/cli/src/log_lines.ts
@@ -11,11 +11,16 @@
 });
 
 /** Fields that every line has and that say nothing of a decision. */
-const PLUMBING: ReadonlySet<string> = new Set(['part', 'request', 'logLevel']);
+const PLUMBING: ReadonlySet<string> = new Set([
+  'host',
+  'logLevel',
+  'part',
+  'request',
+]);
 
 /** One line about a request. */
 export interface RequestLine {
-  /** What stood before the line, or the file that it is from. */
+  /** The host: as the line says, or what stood before it, or its file. */
   readonly source: string;
   /** Milliseconds since 1970, by the clock of its host. */
   readonly time: number;
@@ -54,7 +59,10 @@
     const parsed = LINE_SCHEMA.safeParse(JSON.parse(line.slice(start)));
     if (!parsed.success) return undefined;
     const prefix = line.slice(0, start).trim();
-    return {...parsed.data, source: prefix === '' ? file : prefix};
+    const {host} = parsed.data.context;
+    const fallback = prefix === '' ? file : prefix;
+    const source = typeof host === 'string' ? host : fallback;
+    return {...parsed.data, source};
   } catch {
     // A line that was cut, or one of another program.
     return undefined;
--- a/packages/cli/tests/log_lines.test.ts
+++ b/packages/cli/tests/log_lines.test.ts
@@ -9,6 +9,18 @@
 }
 
 describe('the log lines of a request', () => {
+  it('are of the host that they name', () => {
+    const context = {part: 'front', host: 'host-3', request: 'r1'};
+    const line = JSON.stringify({context, message: 'm', time: 1});
+    const [found] = parseRequestLines(`collector: ${line}`, 'r1', 'a.log');
+    assert.deepEqual(found, {
+      source: 'host-3',
+      time: 1,
+      message: 'm',
+      fields: {},
+    });
+  });
+
   it('are those that name it, with the host before them or their file', () => {
     const text = [
       createLine('r1', 5, 'front: A request ended.'),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -28,7 +28,7 @@
 import {GATEWAY_ENDPOINTS_SERVICE} from './services/endpoints.js';
 import {FRONT_SERVICE} from './services/front.js';
 import {HOST_PHASE_SERVICE} from './services/host_phase.js';
-import {HOST_IDENTITY_SERVICE} from './services/identity.js';
+import {HOST_IDENTITY_SERVICE, HOST_SETTINGS} from './services/identity.js';
 import {INTRODUCTION_SERVICE} from './services/introduction.js';
 import {METRICS_PAGE_SERVICE} from './services/metrics_page.js';
 import {PEER_TABLES_SERVICE} from './services/peer_tables.js';
@@ -106,7 +106,8 @@
     () => clock.getNow(),
   );
   startLogsTo(writer);
-  const log = new RoarrLogger('gateway', logSettings.level);
+  const {name: host} = HOST_SETTINGS.parse(settings.get('host'));
+  const log = new RoarrLogger('gateway', logSettings.level, {host});
   const kernel = new Kernel(services, {
     clock,
     random: new SeededRandom(createSeed()),
--- a/packages/gateway/src/services/endpoints.ts
+++ b/packages/gateway/src/services/endpoints.ts
@@ -17,7 +17,8 @@
 import type {RowCodec} from '../model/watched_table.js';
 import {EndpointRecord} from '../serving/endpoint_record.js';
 import {GATEWAY_CONFIGURATION} from './configuration.js';
-import {PEERS, type HostUses, type UseBoard} from './peers.js';
+import type {HostUses, UseBoard} from './peer_hosts.js';
+import {PEERS} from './peers.js';
 import {CODECS} from './store.js';
 import {TABLES_KEY} from './tables.js';
 
--- a/packages/gateway/src/services/identity.ts
+++ b/packages/gateway/src/services/identity.ts
@@ -13,19 +13,22 @@
 /** The key of the service. */
 export const HOST_IDENTITY = createServiceKey<HostIdentity>('host');
 
+/** The settings of the service; log lines carry the name too. */
+export const HOST_SETTINGS = z.object({
+  name: z.string().min(1).meta({
+    unit: 'name',
+    description: 'The name of this host, unlike that of any other.',
+  }),
+  failureDomain: z.string().min(1).meta({
+    unit: 'name',
+    description: 'The failure domain of this host.',
+  }),
+});
+
 /** Declares the service. */
 export const HOST_IDENTITY_SERVICE = createService({
   key: HOST_IDENTITY,
-  settings: z.object({
-    name: z.string().min(1).meta({
-      unit: 'name',
-      description: 'The name of this host, unlike that of any other.',
-    }),
-    failureDomain: z.string().min(1).meta({
-      unit: 'name',
-      description: 'The failure domain of this host.',
-    }),
-  }),
+  settings: HOST_SETTINGS,
   needs: [],
   create(context, settings) {
     return {api: {...settings, incarnation: context.clock.getWallNow()}};
--- a/packages/gateway/src/services/introduction.ts
+++ b/packages/gateway/src/services/introduction.ts
@@ -14,7 +14,8 @@
 import {z} from 'zod';
 import type {WatchedStore} from '../model/watched_table.js';
 import {HOST_IDENTITY} from './identity.js';
-import {PEERS, type Peers} from './peers.js';
+import type {Peers} from './peer_hosts.js';
+import {PEERS} from './peers.js';
 import {STORE} from './store.js';
 
 /** The time between two tries, in ms. */
--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -5,41 +5,22 @@
 import {choosePlainEndpoint} from '@irisdock/decisions';
 import type {KnownError} from '@irisdock/kernel';
 import {findAnswerFault} from '../channels/answer_check.js';
-import type {
-  EndpointAnswer,
-  EndpointLoss,
-} from '../channels/endpoint_client.js';
+import type {EndpointAnswer} from '../channels/endpoint_client.js';
 import {GATEWAY_ERRORS} from '../errors.js';
-import type {HeaderLines} from '../model/request_terms.js';
 import type {ServingRoute} from '../model/serving_configuration.js';
-import {readAnswerBody} from './answer_body.js';
-import type {AdmittedRequest} from './caller_exchange.js';
+import {readPlainAnswer, type AnswerReading} from './answer_reading.js';
+import type {AdmittedRequest, PlainAnswer} from './caller_exchange.js';
 import type {EndpointRecord, UseClaim} from './endpoint_record.js';
-import {decideRetryAfter} from './retry_after.js';
+import {
+  computeRemainingMs,
+  createNotRun,
+  FAILED_STATUS,
+  FAILURE_WEIGHTS,
+} from './send_rules.js';
 import {getRandomPart, type ServingParts} from './serving_parts.js';
 
-/** A whole answer. */
-interface WholeAnswer {
-  readonly kind: 'whole';
-  readonly status: number;
-  readonly lines: HeaderLines;
-  readonly body: Buffer;
-  readonly isFramed: boolean;
-}
-
-/** What became of one send. */
-type SendResult =
-  | EndpointLoss
-  | WholeAnswer
-  | {readonly kind: 'refused'; readonly detail: string};
-
 /** Sends that certainly did not run may be repeated this often. */
 const MAX_NOT_RUN = 3;
-const FAILED_STATUS = 500;
-const MISDIRECTED_STATUS = 421;
-/** How much a refusal counts against an endpoint; a lost connection is 1. */
-const REFUSED_WEIGHT = 0.15;
-const FAILED_WEIGHT = 0.3;
 
 /** Drives one call. */
 export class CallDriver {
@@ -51,7 +32,7 @@
   private runs = 0;
   private notRun = 0;
   /** What is told when no further send is made. */
-  private last: KnownError | WholeAnswer | undefined;
+  private last: KnownError | PlainAnswer | undefined;
   private mayHaveRun = false;
 
   constructor(
@@ -81,7 +62,7 @@
     );
   }
 
-  private async send(endpoint: EndpointRecord): Promise<SendResult> {
+  private async send(endpoint: EndpointRecord): Promise<AnswerReading> {
     const {exchange, requestId, terms, team, body} = this.request;
     this.lastEndpoint = endpoint;
     this.sends++;
@@ -96,7 +77,7 @@
         lines: this.parts.codec.encodeSend(exchange.lines, {
           instanceId: endpoint.instanceId,
           team,
-          remainingMs: this.getRemainingMs(sentAt),
+          remainingMs: computeRemainingMs(this.request, this.route, sentAt),
           lastEventId: terms.lastEventId,
           backupAddress: undefined,
           memorySource: undefined,
@@ -119,41 +100,31 @@
     endpoint: EndpointRecord,
     answer: EndpointAnswer,
     requestId: string,
-  ): Promise<SendResult> {
-    const {status, terms, lines} = answer;
+  ): Promise<AnswerReading> {
     const fault = findAnswerFault(answer, requestId);
     if (fault !== undefined) {
       answer.close();
       return {kind: 'lost', mayHaveRun: true, detail: fault};
     }
-    const body = await readAnswerBody(answer);
-    if (terms.load !== undefined) endpoint.recordLoad(terms.load);
-    if (status === MISDIRECTED_STATUS) {
-      this.parts.endpoints.reportReplaced(endpoint);
-      return {kind: 'refused', detail: 'another instance answers there'};
-    }
-    if (terms.isNotRun) return {kind: 'refused', detail: `status ${status}`};
-    if (body === undefined) {
-      answer.close();
-      return {kind: 'lost', mayHaveRun: true, detail: 'its body was cut'};
-    }
-    const {isFramed} = answer;
-    return {kind: 'whole', status, lines, body, isFramed};
+    if (answer.terms.load !== undefined) endpoint.recordLoad(answer.terms.load);
+    return readPlainAnswer(this.parts.endpoints, endpoint, answer);
   }
 
   /** Notes what a send says of the endpoint and of the request. */
-  private record(endpoint: EndpointRecord, result: SendResult): void {
+  private record(endpoint: EndpointRecord, result: AnswerReading): void {
     const {log, metrics} = this.parts;
     this.excluded.add(endpoint.instanceId);
     if (result.kind === 'whole') {
       this.runs++;
       this.mayHaveRun = true;
-      this.last = result;
-      if (result.status >= FAILED_STATUS) endpoint.recordFailure(FAILED_WEIGHT);
+      this.last = result.answer;
+      if (result.answer.status >= FAILED_STATUS) {
+        endpoint.recordFailure(FAILURE_WEIGHTS.failed);
+      }
       return;
     }
     const mayHaveRun = result.kind === 'lost' && result.mayHaveRun;
-    endpoint.recordFailure(result.kind === 'lost' ? 1 : REFUSED_WEIGHT);
+    endpoint.recordFailure(FAILURE_WEIGHTS[result.kind]);
     if (mayHaveRun) {
       this.runs++;
       this.mayHaveRun = true;
@@ -172,16 +143,18 @@
     });
   }
 
-  private isRepeatAllowed(result: SendResult): boolean {
+  private isRepeatAllowed(result: AnswerReading): boolean {
     const {route} = this;
     if (this.notRun > MAX_NOT_RUN) return false;
-    if (result.kind === 'whole' && result.status < FAILED_STATUS) return false;
-    const hasRun =
-      result.kind === 'whole' || (result.kind === 'lost' && result.mayHaveRun);
+    const isWhole = result.kind === 'whole';
+    if (isWhole && result.answer.status < FAILED_STATUS) return false;
+    const hasRun = isWhole || (result.kind === 'lost' && result.mayHaveRun);
     if (hasRun && route.kind === 'once') return false;
     if (this.runs >= route.maxAttempts) return false;
     const now = this.parts.clock.getNow();
-    if (this.getRemainingMs(now) < MIN_SEND_MS) return false;
+    if (computeRemainingMs(this.request, route, now) < MIN_SEND_MS) {
+      return false;
+    }
     return this.parts.budgets.takeRepeat(this.service);
   }
 
@@ -189,12 +162,8 @@
     const {exchange} = this.request;
     const {last} = this;
     if (last === undefined) {
-      const {service} = this;
-      const error = GATEWAY_ERRORS.create(
-        'no_endpoint',
-        {service},
-        decideRetryAfter(this.parts.random),
-      );
+      const {random} = this.parts;
+      const error = createNotRun('no_endpoint', this.service, random);
       exchange.refuse(error, false);
       this.recordRefusal(error);
       return 'refused';
@@ -209,14 +178,10 @@
   }
 
   private finishExpired(): string {
-    const {service, route} = this;
+    const {service, route, parts} = this;
     const error = this.mayHaveRun
       ? GATEWAY_ERRORS.create('timed_out', {ms: route.timeoutMs})
-      : GATEWAY_ERRORS.create(
-          'not_run_in_time',
-          {service},
-          decideRetryAfter(this.parts.random),
-        );
+      : createNotRun('not_run_in_time', service, parts.random);
     this.request.exchange.refuse(error, false);
     this.recordRefusal(error);
     return 'expired';
@@ -231,12 +196,6 @@
       notRun: this.notRun,
     });
   }
-
-  private getRemainingMs(now: number): number {
-    const {callerUntil, exchange} = this.request;
-    const routeUntil = exchange.startedAt + this.route.timeoutMs;
-    return Math.floor(Math.min(callerUntil, routeUntil) - now);
-  }
 }
 
 /** A send with less time than this would bring nothing, in ms. */
--- a/packages/gateway/src/serving/copy_keeper.ts
+++ b/packages/gateway/src/serving/copy_keeper.ts
@@ -58,12 +58,12 @@
     return this.copy;
   }
 
-  /** Ends; a copy that was asked for is freed when the stream is whole. */
-  stop(isWhole: boolean): void {
+  /** Ends; a copy that was asked for is freed when nobody goes on from it. */
+  stop(isNeeded: boolean): void {
     this.stopped = true;
     clearInterval(this.timer);
     const {copy} = this;
-    if (!isWhole || copy === undefined) return;
+    if (isNeeded || copy === undefined) return;
     if (copy.source.name === this.requestId) return;
     const call = this.parts.copies.encodeDropCopy(copy.source.name);
     void this.send(call);
--- a/packages/gateway/src/serving/request_handler.ts
+++ b/packages/gateway/src/serving/request_handler.ts
@@ -10,6 +10,7 @@
 import type {AdmittedRequest, CallerExchange} from './caller_exchange.js';
 import type {EndpointProber} from './endpoint_prober.js';
 import {decideRetryAfter} from './retry_after.js';
+import {createNotRun} from './send_rules.js';
 import {getRandomPart, type ServingParts} from './serving_parts.js';
 import {StreamDriver} from './stream_driver.js';
 
@@ -47,9 +48,8 @@
     if (request === undefined) return;
     const service = this.chooseService(route);
     if (service === undefined) {
-      const data = {service: route.name};
-      const after = decideRetryAfter(this.parts.random);
-      const error = GATEWAY_ERRORS.create('no_endpoint', data, after);
+      const {random} = this.parts;
+      const error = createNotRun('no_endpoint', route.name, random);
       this.refuse(exchange, error);
       return;
     }
--- /dev/null
+++ b/packages/gateway/src/serving/send_rules.ts
@@ -0,0 +1,35 @@
+/** What the drivers of calls and of streams share about their sends. */
+import type {KnownError, Random} from '@irisdock/kernel';
+import {GATEWAY_ERRORS} from '../errors.js';
+import type {ServingRoute} from '../model/serving_configuration.js';
+import type {AdmittedRequest} from './caller_exchange.js';
+import {decideRetryAfter} from './retry_after.js';
+
+/** From this status on an answer is a failure of the endpoint. */
+export const FAILED_STATUS = 500;
+
+/**
+ * How much what became of a send counts against its endpoint, beside 1 for a
+ * lost connection: a full endpoint is no failed one, and a failure of its own
+ * may be the request's.
+ */
+export const FAILURE_WEIGHTS = {lost: 1, refused: 0.15, failed: 0.3} as const;
+
+/** Gives the time that is left for a send, by caller and route, in ms. */
+export function computeRemainingMs(
+  request: AdmittedRequest,
+  route: ServingRoute,
+  now: number,
+): number {
+  const routeUntil = request.exchange.startedAt + route.timeoutMs;
+  return Math.floor(Math.min(request.callerUntil, routeUntil) - now);
+}
+
+/** Creates the error for a request that no endpoint ran. */
+export function createNotRun(
+  kind: 'no_endpoint' | 'not_run_in_time',
+  service: string,
+  random: Random,
+): KnownError {
+  return GATEWAY_ERRORS.create(kind, {service}, decideRetryAfter(random));
+}
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -14,10 +14,16 @@
 import {CopyKeeper} from './copy_keeper.js';
 import type {EndpointProber} from './endpoint_prober.js';
 import type {EndpointRecord, UseClaim} from './endpoint_record.js';
-import {decideRetryAfter} from './retry_after.js';
+import {
+  computeRemainingMs,
+  createNotRun,
+  FAILED_STATUS,
+  FAILURE_WEIGHTS,
+} from './send_rules.js';
 import type {ServingParts} from './serving_parts.js';
 import {StreamLeg, type LegPlan, type LegResult} from './stream_leg.js';
 import {StreamPlanner} from './stream_planner.js';
+import {StreamReport} from './stream_report.js';
 
 /** How long an engine is looked for when none is left, in ms. */
 const SEARCH_MS = 1500;
@@ -26,9 +32,6 @@
 const MAX_NOT_RUN = 6;
 /** A leg with less time than this would bring nothing, in ms. */
 const MIN_LEG_MS = 200;
-/** How much a refusal counts against an endpoint; a lost connection is 1. */
-const REFUSED_WEIGHT = 0.15;
-const FAILED_WEIGHT = 0.3;
 
 /** Drives one stream. */
 export class StreamDriver {
@@ -42,8 +45,7 @@
   private notRun = 0;
   private head: {status: number; lines: HeaderLines} | undefined;
   private isStarted = false;
-  private lastEventAt: number | undefined;
-  private lostAt: number | undefined;
+  private readonly report: StreamReport;
   private last: PlainAnswer | undefined;
   private mayHaveRun = false;
   private lossDetail = '';
@@ -58,6 +60,8 @@
     const {terms} = request;
     this.planner = new StreamPlanner(parts, terms, service);
     this.progress = new EventProgress(terms.lastEventId);
+    const {startedAt} = request.exchange;
+    this.report = new StreamReport(parts, request.requestId, startedAt);
   }
 
   /** Runs legs until the stream ends; gives its outcome for the figures. */
@@ -119,19 +123,19 @@
         handleEvents: (events) => {
           claim.unreadTokens = 0;
           keeper.start();
-          return this.passOn(endpoint, events, leg);
+          return this.passOn(plan, events, leg);
         },
       },
       exchange.signal,
     );
     const now = this.parts.clock.getNow();
-    this.recordSend(plan);
-    let isWhole = false;
+    this.report.recordSend(plan, this.progress.lastEventId);
+    let isCopyNeeded = true;
     try {
       const lines = this.parts.codec.encodeSend(exchange.lines, {
         instanceId: endpoint.instanceId,
         team,
-        remainingMs: this.getRemainingMs(now),
+        remainingMs: computeRemainingMs(this.request, this.route, now),
         lastEventId: this.progress.lastEventId,
         backupAddress: backup?.address,
         memorySource,
@@ -140,10 +144,10 @@
       const {method, path} = exchange;
       const send = {address, method, path, lines, body};
       const result = await leg.run(send, requestId);
-      isWhole = result.kind === 'ended';
+      isCopyNeeded = result.kind !== 'ended' && result.kind !== 'stopped';
       return result;
     } finally {
-      keeper.stop(isWhole);
+      keeper.stop(isCopyNeeded);
       this.planner.setCopy(keeper.findCopy());
       endpoint.dropClaim(claim);
       backup?.dropClaim(backupClaim);
@@ -167,13 +171,15 @@
 
   /** Passes events to the caller, each once and in order. */
   private passOn(
-    endpoint: EndpointRecord,
+    plan: LegPlan,
     events: readonly WholeEvent[],
     leg: StreamLeg,
   ): Promise<void> | undefined {
     const {exchange} = this.request;
-    const now = this.parts.clock.getNow();
-    this.recordTimes(endpoint, now, events[0]?.id);
+    const {lastEventId} = this.progress;
+    const nextId = events[0]?.id;
+    const isFirst = this.report.recordEvents(plan, lastEventId, nextId);
+    if (isFirst) plan.endpoint.recordSuccess(undefined);
     const {fresh, hasGap} = this.progress.accept(events);
     if (hasGap) leg.end('events are missing');
     if (fresh.length === 0) return undefined;
@@ -182,34 +188,6 @@
     return hasRoom ? undefined : exchange.waitForRoom();
   }
 
-  private recordTimes(
-    endpoint: EndpointRecord,
-    now: number,
-    nextEventId: number | undefined,
-  ): void {
-    const {metrics} = this.parts;
-    if (this.lostAt !== undefined) {
-      const since = this.lastEventAt ?? this.lostAt;
-      metrics.resumeSeconds.observe((now - since) / 1000);
-      this.parts.log.writeInfo('A stream goes on.', {
-        request: this.request.requestId,
-        endpoint: endpoint.instanceId,
-        pauseMs: Math.round(now - since),
-        noticedMs: Math.round(this.lostAt - since),
-        lastEventId: this.progress.lastEventId,
-        nextEventId,
-      });
-      this.lostAt = undefined;
-    }
-    if (this.lastEventAt === undefined) {
-      const {startedAt} = this.request.exchange;
-      const seconds = (now - startedAt) / 1000;
-      metrics.answerSeconds.observe({kind: 'stream'}, seconds);
-      endpoint.recordSuccess(undefined);
-    }
-    this.lastEventAt = now;
-  }
-
   private startAnswer(): void {
     if (this.head === undefined) return;
     this.isStarted = true;
@@ -218,7 +196,6 @@
 
   private record(plan: LegPlan, result: LegResult): void {
     const {endpoint} = plan;
-    const {log, metrics, clock} = this.parts;
     if (result.kind === 'ended') return;
     this.planner.recordEnd(endpoint, result.kind === 'lost');
     this.progress.startAfterLoss();
@@ -230,31 +207,23 @@
     if (hasRun) this.mayHaveRun = true;
     if (result.kind === 'failed') this.last = result.answer;
     if (result.kind === 'stopped') return;
-    this.lostAt ??= clock.getNow();
-    endpoint.recordFailure(getFailureWeight(result));
-    metrics.losses.inc({reason: result.kind});
-    log.writeInfo('A leg of a stream ended early.', {
-      request: this.request.requestId,
-      endpoint: endpoint.instanceId,
-      address: endpoint.address,
-      result: result.kind,
-      detail,
-      lastEventId: this.progress.lastEventId,
-      hadMemory: plan.memorySource !== undefined,
-    });
+    endpoint.recordFailure(FAILURE_WEIGHTS[result.kind]);
+    const {lastEventId} = this.progress;
+    this.report.recordLoss(plan, result, detail, lastEventId);
   }
 
   private isRepeatAllowed(result: LegResult): boolean {
     const {route, request} = this;
     const isRepeatable = route.isResumable || !this.mayHaveRun;
     if (!isRepeatable) return false;
-    if (result.kind === 'failed' && result.answer.status < 500) return false;
+    if (result.kind === 'failed' && result.answer.status < FAILED_STATUS) {
+      return false;
+    }
     if (this.runs >= route.maxAttempts) return false;
     if (this.notRun > MAX_NOT_RUN) return false;
     if (request.exchange.signal.aborted) return false;
-    if (this.getRemainingMs(this.parts.clock.getNow()) < MIN_LEG_MS) {
-      return false;
-    }
+    const now = this.parts.clock.getNow();
+    if (computeRemainingMs(request, route, now) < MIN_LEG_MS) return false;
     return this.parts.budgets.takeRepeat(this.service);
   }
 
@@ -262,7 +231,7 @@
     this.finishWith(
       this.mayHaveRun
         ? GATEWAY_ERRORS.create('timed_out', {ms: this.route.timeoutMs})
-        : this.createNotRun('not_run_in_time'),
+        : createNotRun('not_run_in_time', this.service, this.parts.random),
     );
     return 'expired';
   }
@@ -277,17 +246,11 @@
     this.finishWith(
       this.mayHaveRun
         ? GATEWAY_ERRORS.create('stream_lost', {detail})
-        : this.createNotRun('no_endpoint'),
+        : createNotRun('no_endpoint', this.service, this.parts.random),
     );
     return this.mayHaveRun ? 'lost' : 'refused';
   }
 
-  private createNotRun(kind: 'no_endpoint' | 'not_run_in_time'): KnownError {
-    const {service} = this;
-    const after = decideRetryAfter(this.parts.random);
-    return GATEWAY_ERRORS.create(kind, {service}, after);
-  }
-
   private finishWith(error: KnownError): void {
     const {exchange, requestId} = this.request;
     if (this.isStarted) exchange.failStream();
@@ -302,25 +265,6 @@
       detail: this.lossDetail,
     });
   }
-
-  private recordSend(plan: LegPlan): void {
-    this.parts.log.writeInfo('A stream is sent to an engine.', {
-      request: this.request.requestId,
-      endpoint: plan.endpoint.instanceId,
-      domain: plan.endpoint.failureDomain,
-      streams: plan.endpoint.streams,
-      unreadTokens: plan.endpoint.unreadTokens,
-      backup: plan.backup?.instanceId,
-      withMemory: plan.memorySource !== undefined,
-      lastEventId: this.progress.lastEventId,
-    });
-  }
-
-  private getRemainingMs(now: number): number {
-    const {callerUntil, exchange} = this.request;
-    const routeUntil = exchange.startedAt + this.route.timeoutMs;
-    return Math.floor(Math.min(callerUntil, routeUntil) - now);
-  }
 }
 
 function getDetail(result: LegResult): string {
@@ -337,9 +281,3 @@
   }
   return true;
 }
-
-function getFailureWeight(result: LegResult): number {
-  if (result.kind === 'refused') return REFUSED_WEIGHT;
-  if (result.kind === 'failed') return FAILED_WEIGHT;
-  return 1;
-}
--- a/packages/gateway/src/serving/stream_leg.ts
+++ b/packages/gateway/src/serving/stream_leg.ts
@@ -9,7 +9,7 @@
   EndpointSend,
 } from '../channels/endpoint_client.js';
 import type {HeaderLines, MemorySource} from '../model/request_terms.js';
-import {readAnswerBody} from './answer_body.js';
+import {readPlainAnswer} from './answer_reading.js';
 import type {PlainAnswer} from './caller_exchange.js';
 import type {EndpointProber} from './endpoint_prober.js';
 import type {EndpointRecord} from './endpoint_record.js';
@@ -46,8 +46,8 @@
   handleEvents(events: readonly WholeEvent[]): Promise<void> | undefined;
 }
 
-const MISDIRECTED_STATUS = 421;
-const FAILED_STATUS = 400;
+/** From this status on an answer to a stream is no stream. */
+const NO_STREAM_STATUS = 400;
 
 /** One leg. */
 export class StreamLeg {
@@ -105,7 +105,7 @@
       return {kind: 'lost', mayHaveRun: true, detail: fault};
     }
     if (terms.load !== undefined) this.plan.endpoint.recordLoad(terms.load);
-    if (status >= FAILED_STATUS) return this.readFailure(answer);
+    if (status >= NO_STREAM_STATUS) return this.readFailure(answer);
     if (!answer.isEventStream) {
       answer.close();
       return {kind: 'lost', mayHaveRun: true, detail: 'it is no event stream'};
@@ -115,20 +115,11 @@
   }
 
   private async readFailure(answer: EndpointAnswer): Promise<LegResult> {
-    const {status, terms, lines} = answer;
     const {endpoint} = this.plan;
-    const body = await readAnswerBody(answer);
-    if (status === MISDIRECTED_STATUS) {
-      this.parts.endpoints.reportReplaced(endpoint);
-      return {kind: 'refused', detail: 'another instance answers there'};
-    }
-    if (terms.isNotRun) return {kind: 'refused', detail: `status ${status}`};
-    if (body === undefined) {
-      answer.close();
-      return {kind: 'lost', mayHaveRun: true, detail: 'its body was cut'};
-    }
-    const {isFramed} = answer;
-    return {kind: 'failed', answer: {status, lines, body, isFramed}};
+    const {endpoints} = this.parts;
+    const reading = await readPlainAnswer(endpoints, endpoint, answer);
+    if (reading.kind !== 'whole') return reading;
+    return {kind: 'failed', answer: reading.answer};
   }
 
   private async readEvents(answer: EndpointAnswer): Promise<LegResult> {
--- /dev/null
+++ b/packages/gateway/src/serving/stream_report.ts
@@ -0,0 +1,91 @@
+/** What the logs and figures are told of one stream. */
+import type {ServingParts} from './serving_parts.js';
+import type {LegPlan, LegResult} from './stream_leg.js';
+
+/** Tells of one stream. */
+export class StreamReport {
+  private lastEventAt: number | undefined;
+  private lostAt: number | undefined;
+
+  constructor(
+    private readonly parts: ServingParts,
+    private readonly requestId: string,
+    /** When the request arrived, on the monotonic clock. */
+    private readonly startedAt: number,
+  ) {}
+
+  /** Takes it that a leg begins. */
+  recordSend(plan: LegPlan, lastEventId: number | undefined): void {
+    const {endpoint, backup, memorySource} = plan;
+    this.parts.log.writeInfo('A stream is sent to an engine.', {
+      request: this.requestId,
+      endpoint: endpoint.instanceId,
+      domain: endpoint.failureDomain,
+      streams: endpoint.streams,
+      unreadTokens: endpoint.unreadTokens,
+      backup: backup?.instanceId,
+      withMemory: memorySource !== undefined,
+      lastEventId,
+    });
+  }
+
+  /** Takes it that events arrived; true for the first of the stream. */
+  recordEvents(
+    plan: LegPlan,
+    lastEventId: number | undefined,
+    nextEventId: number | undefined,
+  ): boolean {
+    const now = this.parts.clock.getNow();
+    if (this.lostAt !== undefined) {
+      this.recordResumed(plan, now, this.lostAt, {lastEventId, nextEventId});
+      this.lostAt = undefined;
+    }
+    const isFirst = this.lastEventAt === undefined;
+    this.lastEventAt = now;
+    if (!isFirst) return false;
+    const seconds = (now - this.startedAt) / 1000;
+    this.parts.metrics.answerSeconds.observe({kind: 'stream'}, seconds);
+    return true;
+  }
+
+  /** Takes it that a leg ended early. */
+  recordLoss(
+    plan: LegPlan,
+    result: LegResult,
+    detail: string,
+    lastEventId: number | undefined,
+  ): void {
+    const {log, metrics, clock} = this.parts;
+    this.lostAt ??= clock.getNow();
+    metrics.losses.inc({reason: result.kind});
+    log.writeInfo('A leg of a stream ended early.', {
+      request: this.requestId,
+      endpoint: plan.endpoint.instanceId,
+      address: plan.endpoint.address,
+      result: result.kind,
+      detail,
+      lastEventId,
+      hadMemory: plan.memorySource !== undefined,
+    });
+  }
+
+  private recordResumed(
+    plan: LegPlan,
+    now: number,
+    lostAt: number,
+    ids: {
+      readonly lastEventId: number | undefined;
+      readonly nextEventId: number | undefined;
+    },
+  ): void {
+    const since = this.lastEventAt ?? lostAt;
+    this.parts.metrics.resumeSeconds.observe((now - since) / 1000);
+    this.parts.log.writeInfo('A stream goes on.', {
+      request: this.requestId,
+      endpoint: plan.endpoint.instanceId,
+      pauseMs: Math.round(now - since),
+      noticedMs: Math.round(lostAt - since),
+      ...ids,
+    });
+  }
+}
