--- a/packages/gateway/src/channels/datagram_socket.ts
+++ b/packages/gateway/src/channels/datagram_socket.ts
@@ -1,5 +1,6 @@
 /** A UDP socket at one place. */
 import {createSocket, type Socket} from 'node:dgram';
+import {splitPlace} from '@irisdock/kernel';
 
 /** Takes and sends datagrams. */
 export class DatagramSocket {
@@ -13,31 +14,26 @@
 
   /** Takes the place, as `ip:port`; port 0 takes a free one. */
   async start(place: string): Promise<string> {
-    const {ip, port} = parsePlace(place);
+    const {host, port} = splitPlace(place);
     await new Promise<void>((resolve, reject) => {
       this.socket.once('error', reject);
-      this.socket.bind(port, ip, () => {
+      this.socket.bind(port, host, () => {
         this.socket.removeListener('error', reject);
         // A datagram that could not be sent is like one that was lost.
         this.socket.on('error', () => undefined);
         resolve();
       });
     });
-    return `${ip}:${this.socket.address().port}`;
+    return `${host}:${this.socket.address().port}`;
   }
 
   /** Sends a datagram; whether it arrives is not known. */
   send(bytes: Buffer, place: string): void {
-    const {ip, port} = parsePlace(place);
-    this.socket.send(bytes, port, ip, () => undefined);
+    const {host, port} = splitPlace(place);
+    this.socket.send(bytes, port, host, () => undefined);
   }
 
   close(): void {
     this.socket.close();
   }
 }
-
-function parsePlace(place: string): {ip: string; port: number} {
-  const colon = place.lastIndexOf(':');
-  return {ip: place.slice(0, colon), port: Number(place.slice(colon + 1))};
-}
--- a/packages/gateway/src/channels/endpoint_client.ts
+++ b/packages/gateway/src/channels/endpoint_client.ts
@@ -4,7 +4,7 @@
  * it must not run twice.
  */
 import {request, type ClientRequest, type IncomingMessage} from 'node:http';
-import {getErrorText} from '@irisdock/kernel';
+import {getErrorText, splitPlace} from '@irisdock/kernel';
 import type {
   AnswerTerms,
   HeaderCodec,
@@ -114,11 +114,9 @@
   }
 
   private createRequest(send: EndpointSend): ClientRequest {
-    const colon = send.address.lastIndexOf(':');
     const lines = addFraming(dropConnectionLines(send.lines), send);
     return request({
-      host: send.address.slice(0, colon),
-      port: Number(send.address.slice(colon + 1)),
+      ...splitPlace(send.address),
       method: send.method,
       path: send.path,
       agent: this.agent,
--- a/packages/gateway/src/channels/json_caller.ts
+++ b/packages/gateway/src/channels/json_caller.ts
@@ -3,7 +3,7 @@
  * answer in time gives its connection up, as an answer may still come on it.
  */
 import {Agent, request} from 'node:http';
-import {getErrorText} from '@irisdock/kernel';
+import {getErrorText, splitPlace} from '@irisdock/kernel';
 import {err, ok, type Result} from 'neverthrow';
 
 /** A call. */
@@ -29,12 +29,10 @@
     address: string,
     call: JsonCall,
   ): Promise<Result<JsonAnswer, string>> {
-    const colon = address.lastIndexOf(':');
     const body = call.body === undefined ? '' : JSON.stringify(call.body);
     return new Promise((resolve) => {
       const message = request({
-        host: address.slice(0, colon),
-        port: Number(address.slice(colon + 1)),
+        ...splitPlace(address),
         method: call.method,
         path: call.path,
         agent: this.agent,
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -6,6 +6,7 @@
 export * from './kernel.js';
 export * from './line_writer.js';
 export * from './log.js';
+export * from './place.js';
 export * from './random.js';
 export * from './service.js';
 export * from './settings.js';
--- a/packages/peer/src/peer_server.ts
+++ b/packages/peer/src/peer_server.ts
@@ -7,7 +7,7 @@
 import type {AddressInfo} from 'node:net';
 import {Code, ConnectError} from '@connectrpc/connect';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
-import {splitPlace} from '@irisdock/web';
+import {splitPlace} from '@irisdock/kernel';
 import {decodeNote, decodeNotes, encodeNews, encodeNote} from './codec.js';
 import {PeerService, type PeerMessage} from './gen/peer_pb.js';
 import type {PeerHandler} from './peer_news.js';
--- a/packages/web/src/web_server.ts
+++ b/packages/web/src/web_server.ts
@@ -9,7 +9,7 @@
   type ServerResponse,
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {getErrorText, type Logger} from '@irisdock/kernel';
+import {getErrorText, splitPlace, type Logger} from '@irisdock/kernel';
 import {sendError} from './answers.js';
 import {WEB_ERRORS} from './errors.js';
 import {WebRequest, type BodyLimits} from './web_request.js';
@@ -149,13 +149,6 @@
   }
 }
 
-/** Splits `ip:port`; brackets around an IPv6 number are taken off. */
-export function splitPlace(place: string): {host: string; port: number} {
-  const colon = place.lastIndexOf(':');
-  const host = place.slice(0, colon).replace(/^\[|\]$/g, '');
-  return {host, port: Number(place.slice(colon + 1))};
-}
-
 function formatPlace(info: AddressInfo): string {
   const host = info.family === 'IPv6' ? `[${info.address}]` : info.address;
   return `${host}:${info.port}`;
--- a/packages/web/tests/web_server.test.ts
+++ b/packages/web/tests/web_server.test.ts
@@ -2,14 +2,8 @@
 import assert from 'node:assert/strict';
 import {connect} from 'node:net';
 import {after, before, describe, it} from 'node:test';
-import {RoarrLogger} from '@irisdock/kernel';
-import {
-  sendError,
-  sendJson,
-  splitPlace,
-  WebServer,
-  type Route,
-} from '@irisdock/web';
+import {RoarrLogger, splitPlace} from '@irisdock/kernel';
+import {sendError, sendJson, WebServer, type Route} from '@irisdock/web';
 import {z} from 'zod';
 
 const ROUTES: readonly Route[] = [
