Tell a host's places to others apart from where it listens

Cause: [peers] listen and [peerTables] listen were one place given twice, and a host told others the very place its datagram socket is bound to, so nothing could stand between two hosts. Change: [peers] listen binds; datagramAddress, tableAddress and callerAddress are what others are told.

--- a/packages/gateway/src/services/peer_hosts.ts
+++ b/packages/gateway/src/services/peer_hosts.ts
@@ -43,7 +43,10 @@
 
 /** What the peers need of the rest. */
 interface PeersParts {
+  /** Where others reach this host. */
   readonly place: PeerPlace;
+  /** Where the socket for datagrams is bound, as `ip:port`. */
+  readonly listen: string;
   readonly incarnation: number;
   readonly seeds: readonly string[];
   readonly tables: Tables;
@@ -93,7 +96,7 @@
 
   /** Starts to listen. */
   async start(): Promise<void> {
-    await this.socket.start(this.parts.place.datagrams);
+    await this.socket.start(this.parts.listen);
     for (const name of FOLLOWED_TABLES) {
       void this.parts.tables[name].storeNews.observe((news) => {
         this.sendNews(name, news);
--- a/packages/gateway/src/services/peers.ts
+++ b/packages/gateway/src/services/peers.ts
@@ -14,17 +14,21 @@
 export const PEERS = createServiceKey<Peers>('peers');
 
 const SETTINGS = z.object({
-  datagrams: IP_PORT_SCHEMA.meta({
+  listen: IP_PORT_SCHEMA.meta({
     unit: 'ip:port',
     description: 'Where this host takes datagrams of other hosts.',
   }),
-  listen: IP_PORT_SCHEMA.meta({
+  datagramAddress: IP_PORT_SCHEMA.meta({
+    unit: 'ip:port',
+    description: 'Where other hosts reach `[peers] listen`.',
+  }),
+  tableAddress: IP_PORT_SCHEMA.meta({
     unit: 'ip:port',
-    description: 'Where this host answers other hosts.',
+    description: 'Where other hosts reach `[peerTables] listen`.',
   }),
   callerAddress: IP_PORT_SCHEMA.meta({
     unit: 'ip:port',
-    description: 'Where callers reach this host.',
+    description: 'Where callers reach `[front] listen`.',
   }),
   seeds: z
     .string()
@@ -50,10 +54,11 @@
     const api = new Peers({
       place: {
         name,
-        datagrams: settings.datagrams,
-        tables: settings.listen,
+        datagrams: settings.datagramAddress,
+        tables: settings.tableAddress,
         callers: settings.callerAddress,
       },
+      listen: settings.listen,
       incarnation,
       seeds: settings.seeds,
       tables: context.find(TABLES_KEY),
