Add a fault soak of the real program: hosts, links, store, endpoints

Change: the workspace soak runs the gateway's program as processes on loopback among stand-ins, harms them by seeded faults that overlap and repeat, and holds what callers and endpoints saw against the promises.

Found while it was built, all in the soak or a stand-in: a slow link changed the order of bytes when it got faster; a reset after an end leaves a socket's handle open (libuv refuses it), also in the servers' stand-in; ports of the range for outgoing connections cannot be got back by a host that restarts.

--- /dev/null
+++ b/soak/src/caller.ts
@@ -0,0 +1,211 @@
+/**
+ * A caller: asks which hosts to use, keeps the answer for a while and its
+ * connections for longer, and comes again as the platform's callers do.
+ */
+import {Agent, request, type IncomingMessage} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {splitPlace, type Random} from '@irisdock/kernel';
+import {
+  createAddressPath,
+  createCallerHead,
+} from '@irisdock/users-platform/fixtures';
+import {HOST_NAME, KEY, PATHS} from './configuration.js';
+import type {HostProcess} from './host_process.js';
+import type {Attempt, AttemptEnd, RequestKind, Witness} from './witness.js';
+
+/** Callers keep an answer longer than they are told, in ms. */
+const KEEP_MS = 3000;
+const DIRECTORY_MS = 800;
+const CONNECT_MS = 1000;
+const CALL_MS = 3000;
+const STREAM_MS = 12_000;
+/** Silence after which a caller gives a stream up, in ms. */
+const SILENCE_MS = 4000;
+const PAUSE_MS = 40;
+const PROMPT_TOKENS = 4000;
+const MAX_ATTEMPTS = 4;
+const KINDS: readonly RequestKind[] = ['once', 'repeatable', 'stream'];
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([429, 503]);
+const OK_STATUS = 200;
+
+/** One caller. */
+export class Caller {
+  private readonly agent = new Agent({keepAlive: true, noDelay: true});
+  private readonly controller = new AbortController();
+  private addresses: string[] = [];
+  private askedAt = -Infinity;
+  private count = 0;
+
+  constructor(
+    private readonly name: string,
+    private readonly hosts: readonly HostProcess[],
+    private readonly witness: Witness,
+    private readonly random: Random,
+  ) {}
+
+  /** Sends requests until it is stopped. */
+  async run(): Promise<void> {
+    const {signal} = this.controller;
+    while (!signal.aborted) {
+      const kind = KINDS[this.random.getInt(KINDS.length)] ?? 'repeatable';
+      await this.sendRequest(kind);
+      await sleep(PAUSE_MS);
+    }
+  }
+
+  /** Begins no more requests. */
+  stop(): void {
+    this.controller.abort();
+  }
+
+  /** Closes the connections that are kept. */
+  close(): void {
+    this.agent.destroy();
+  }
+
+  /** Sends one request, again where that is right; true when it is served. */
+  async sendRequest(kind: RequestKind): Promise<boolean> {
+    const body = `${this.name}-${this.count}`;
+    let lastEventId = 0;
+    for (let tries = 0; tries < MAX_ATTEMPTS; tries++) {
+      const address = await this.chooseAddress();
+      if (address === undefined) continue;
+      const attempt = this.createAttempt(kind, address, body, lastEventId);
+      this.witness.recordAttempt(attempt);
+      const end = await this.sendAttempt(attempt, address);
+      this.witness.recordEnd(attempt, end);
+      if (end.kind === 'answer' && end.status === OK_STATUS && end.isWhole) {
+        return true;
+      }
+      if (!isRepeatRight(kind, end)) return false;
+      if (kind === 'stream' && end.kind === 'answer') {
+        lastEventId += countEvents(end);
+      }
+      if (end.kind === 'answer' && end.retryAfter !== undefined) {
+        await sleep(Number(end.retryAfter) * 1000);
+      } else if (end.kind === 'cut') {
+        this.addresses = this.addresses.filter((one) => one !== address);
+      }
+    }
+    return false;
+  }
+
+  private createAttempt(
+    kind: RequestKind,
+    address: string,
+    body: string,
+    lastEventId: number,
+  ): Attempt {
+    this.count++;
+    const host = this.hosts.find((one) => one.callerAddress === address);
+    return {
+      attemptId: `${this.name}-${this.count}`,
+      kind,
+      host: host?.name ?? address,
+      body,
+      startedAt: performance.now(),
+      lastEventId,
+    };
+  }
+
+  /** Chooses a host by chance among those that the system names. */
+  private async chooseAddress(): Promise<string | undefined> {
+    const isOld = performance.now() - this.askedAt > KEEP_MS;
+    if (isOld || this.addresses.length === 0) await this.loadAddresses();
+    return this.addresses[this.random.getInt(this.addresses.length || 1)];
+  }
+
+  private async loadAddresses(): Promise<void> {
+    const at = this.random.getInt(this.hosts.length);
+    const host = this.hosts[at];
+    if (host === undefined) return;
+    const path = createAddressPath(HOST_NAME, 'zone-1');
+    try {
+      const answer = await fetch(`http://${host.directoryAddress}${path}`, {
+        signal: AbortSignal.timeout(DIRECTORY_MS),
+      });
+      if (answer.status !== OK_STATUS) return;
+      const told = (await answer.json()) as {addresses: string[]};
+      this.addresses = told.addresses;
+      this.askedAt = performance.now();
+    } catch {
+      // This host does not answer; the next try asks another one.
+      await sleep(PAUSE_MS);
+    }
+  }
+
+  private async sendAttempt(
+    attempt: Attempt,
+    address: string,
+  ): Promise<AttemptEnd> {
+    const {kind, body, attemptId, lastEventId} = attempt;
+    const isStream = kind === 'stream';
+    const remainingMs = isStream ? STREAM_MS : CALL_MS;
+    const head = createCallerHead({
+      hostName: HOST_NAME,
+      key: KEY,
+      attemptId,
+      remainingMs,
+      ...(isStream ? {promptTokens: PROMPT_TOKENS} : {}),
+      ...(lastEventId > 0 ? {lastEventId} : {}),
+    });
+    return new Promise((resolve) => {
+      let wasSent = false;
+      const message = request({
+        ...splitPlace(address),
+        method: 'POST',
+        path: PATHS[kind],
+        agent: this.agent,
+        headers: {...head, 'Content-Length': Buffer.byteLength(body)},
+        signal: AbortSignal.timeout(remainingMs),
+      });
+      const opening = setTimeout(() => message.destroy(), CONNECT_MS);
+      message.once('socket', (socket) => {
+        const markSent = (): void => {
+          clearTimeout(opening);
+          // A request on a kept connection may cross its close.
+          wasSent = !message.reusedSocket;
+        };
+        if (socket.connecting) socket.once('connect', markSent);
+        else markSent();
+      });
+      message.on('error', () => {
+        clearTimeout(opening);
+        resolve({kind: 'cut', wasSent});
+      });
+      message.on('response', (answer) => {
+        resolve(readAnswer(answer));
+      });
+      message.end(body);
+    });
+  }
+}
+
+async function readAnswer(answer: IncomingMessage): Promise<AttemptEnd> {
+  let body = '';
+  answer.setTimeout(SILENCE_MS, () => answer.destroy());
+  answer.setEncoding('utf8');
+  answer.on('data', (text: string) => {
+    body += text;
+  });
+  answer.on('error', () => undefined);
+  await new Promise((resolve) => answer.once('close', resolve));
+  return {
+    kind: 'answer',
+    status: answer.statusCode ?? 0,
+    body,
+    isWhole: answer.complete,
+    retryAfter: answer.headers['retry-after'],
+  };
+}
+
+/** A request that may run once comes again only when it has not run. */
+function isRepeatRight(kind: RequestKind, end: AttemptEnd): boolean {
+  if (kind !== 'once') return true;
+  return end.kind === 'answer' && NOT_RUN_STATUSES.has(end.status);
+}
+
+function countEvents(end: AttemptEnd & {readonly kind: 'answer'}): number {
+  if (end.status !== OK_STATUS) return 0;
+  return end.body.split('\n\n').length - 1;
+}
--- /dev/null
+++ b/soak/src/endpoint_fleet.ts
@@ -0,0 +1,157 @@
+/**
+ * The endpoints of a play: stand-ins with their entries in the store, which
+ * crash, fall silent, leave and come back as new instances.
+ */
+import {splitPlace} from '@irisdock/kernel';
+import {
+  CopyBoard,
+  createCallScript,
+  createStreamScript,
+  ServerStandin,
+  type ServerRun,
+  type StoreStandin,
+  type StreamShape,
+} from '@irisdock/users-platform/fixtures';
+import {TcpLink} from './tcp_link.js';
+
+/** The services of the play. */
+export const SERVICES = {calls: 'calls', streams: 'streams'} as const;
+/** How the streams of the play go. */
+export const STREAM_SHAPE: StreamShape = {events: 60, stepMs: 25};
+/** How long a plain call works, in ms. */
+const WORK_MS = 20;
+const SLOTS = 32;
+/** The entry of an endpoint that crashed vanishes after so long, in ms. */
+const ENTRY_LAPSES_MS = 1500;
+/** An endpoint that leaves serves for so long after it said so, in ms. */
+export const LEAVE_MS = 2000;
+const LINGER_MS = 1500;
+
+/** One instance of an endpoint. */
+export interface EndpointInstance {
+  readonly id: string;
+  readonly place: number;
+  readonly service: string;
+  readonly failureDomain: string;
+  readonly server: ServerStandin;
+  readonly link: TcpLink;
+  readonly address: string;
+  /** When the store took that it leaves; undefined before. */
+  leavingAt: number | undefined;
+}
+
+/** Takes it that an endpoint began a run. */
+export type RunListener = (instance: EndpointInstance, run: ServerRun) => void;
+
+/** The endpoints. */
+export class EndpointFleet {
+  private readonly instances = new Map<number, EndpointInstance>();
+  private readonly ended: EndpointInstance[] = [];
+  private readonly copies = new CopyBoard();
+  private count = 0;
+
+  constructor(
+    private readonly store: StoreStandin,
+    private readonly failureDomains: readonly string[],
+    private readonly handleRun: RunListener,
+  ) {}
+
+  /** Adds an endpoint of a service in the next failure domain. */
+  async add(service: string, place: number): Promise<void> {
+    const failureDomain =
+      this.failureDomains[place % this.failureDomains.length] ?? '';
+    this.count++;
+    const id = `i-${this.count}`;
+    let target = {host: '127.0.0.1', port: 0};
+    const link = new TcpLink(() => target);
+    const address = await link.start();
+    const parts = {
+      getAddress: () => address,
+      copies: this.copies,
+      recordRun: (run: ServerRun) => {
+        this.handleRun(instance, run);
+      },
+    };
+    const server = new ServerStandin(
+      service === SERVICES.streams
+        ? createStreamScript(parts, STREAM_SHAPE)
+        : createCallScript(parts, WORK_MS),
+    );
+    target = splitPlace(await server.start());
+    const instance: EndpointInstance = {
+      id,
+      place,
+      service,
+      failureDomain,
+      server,
+      link,
+      address,
+      leavingAt: undefined,
+    };
+    this.instances.set(place, instance);
+    this.putEntry(instance, 'ready');
+  }
+
+  /** Gives the instance at a place. */
+  find(place: number): EndpointInstance | undefined {
+    return this.instances.get(place);
+  }
+
+  /** Ends an instance as a crash does; another one comes after a while. */
+  async kill(place: number, downMs: number): Promise<void> {
+    const instance = this.takeOut(place);
+    if (instance === undefined) return;
+    this.end(instance);
+    const lapse = setTimeout(() => {
+      this.store.put('servers', instance.id, undefined);
+    }, ENTRY_LAPSES_MS);
+    await pause(downMs);
+    clearTimeout(lapse);
+    this.store.put('servers', instance.id, undefined);
+    await this.add(instance.service, place);
+  }
+
+  /** Replaces an instance: the new one comes first, the old one leaves. */
+  async drain(place: number): Promise<void> {
+    const old = this.takeOut(place);
+    if (old === undefined) return;
+    await this.add(old.service, place);
+    this.putEntry(old, 'draining');
+    old.leavingAt = performance.now();
+    await pause(LEAVE_MS + LINGER_MS);
+    this.store.put('servers', old.id, undefined);
+    this.end(old);
+  }
+
+  stop(): void {
+    for (const instance of [...this.instances.values(), ...this.ended]) {
+      this.end(instance);
+    }
+  }
+
+  private takeOut(place: number): EndpointInstance | undefined {
+    const instance = this.instances.get(place);
+    if (instance === undefined) return undefined;
+    this.instances.delete(place);
+    this.ended.push(instance);
+    return instance;
+  }
+
+  private end(instance: EndpointInstance): void {
+    instance.server.stop();
+    instance.link.stop();
+  }
+
+  private putEntry(
+    instance: EndpointInstance,
+    state: 'draining' | 'ready',
+  ): void {
+    const {service, address, failureDomain: zone} = instance;
+    const entry = {service, address, zone, state, slots: SLOTS, sequence: 1};
+    this.store.put('servers', instance.id, {...entry, version: 'v1'});
+  }
+}
+
+async function pause(ms: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/soak/src/host_process.ts
@@ -0,0 +1,258 @@
+/**
+ * One entry host: the gateway's program as a process of its own, with links
+ * before its ports that can be harmed, and what became of its lives.
+ */
+import {spawn, type ChildProcess} from 'node:child_process';
+import {randomInt} from 'node:crypto';
+import {createWriteStream, writeFileSync} from 'node:fs';
+import {createServer} from 'node:net';
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {splitPlace} from '@irisdock/kernel';
+import {DatagramLink} from './datagram_link.js';
+import {TcpLink} from './tcp_link.js';
+
+const PROGRAM = fileURLToPath(
+  import.meta.resolve('@irisdock/users-platform/program'),
+);
+/** How long a planned stop may take, in seconds. */
+const GRACE_SECONDS = 4;
+/** What the platform kills after, in ms from the signal. */
+const KILL_AFTER_MS = GRACE_SECONDS * 1000 + 1000;
+/** The pause before an ended process is started again, in ms. */
+const RESTART_MS = 300;
+const PORTS = 6;
+/** Ports of hosts; Linux gives others, from 32,768 on, to connections. */
+const LEAST_PORT = 10_000;
+const PORT_RANGE = 22_000;
+
+/** How a process ended that the soak did not end. */
+export interface UnexpectedExit {
+  readonly host: string;
+  readonly code: number | null;
+  readonly signal: NodeJS.Signals | null;
+}
+
+/** What a host needs of the deployment around it. */
+export interface HostParts {
+  readonly name: string;
+  readonly failureDomain: string;
+  readonly directory: string;
+  readonly storeAddress: string;
+  /** Gives where some other hosts answer hosts. */
+  getSeeds(): readonly string[];
+  /** Takes it that a process ended by itself. */
+  handleUnexpectedExit(exit: UnexpectedExit): void;
+}
+
+/** The host. */
+export class HostProcess {
+  /** Counts the starts of its process. */
+  life = 0;
+  readonly storeLink: TcpLink;
+  readonly callerLink: TcpLink;
+  readonly tableLink: TcpLink;
+  datagramLink: DatagramLink | undefined;
+  private child: ChildProcess | undefined;
+  private isEnding = false;
+  private isClosed = false;
+  private ports: number[] = [];
+  private addresses = {store: '', callers: '', tables: '', datagrams: ''};
+
+  constructor(private readonly parts: HostParts) {
+    this.storeLink = new TcpLink(() => splitPlace(parts.storeAddress));
+    this.callerLink = new TcpLink(() => this.getPort(0));
+    this.tableLink = new TcpLink(() => this.getPort(3));
+  }
+
+  get name(): string {
+    return this.parts.name;
+  }
+
+  /** Where callers reach it, through its link. */
+  get callerAddress(): string {
+    return this.addresses.callers;
+  }
+
+  /** Where it listens for callers, without its link. */
+  get frontAddress(): string {
+    return `127.0.0.1:${this.ports[0] ?? 0}`;
+  }
+
+  /** Where callers ask for addresses. */
+  get directoryAddress(): string {
+    return `127.0.0.1:${this.ports[1] ?? 0}`;
+  }
+
+  /** Where it is asked whether it takes callers. */
+  get readinessAddress(): string {
+    return `127.0.0.1:${this.ports[2] ?? 0}`;
+  }
+
+  /** Where other hosts ask for its tables, through its link. */
+  get seedAddress(): string {
+    return this.addresses.tables;
+  }
+
+  /** Where its datagrams come from. */
+  get datagramPort(): number {
+    return this.ports[4] ?? 0;
+  }
+
+  /** Whether its process runs. */
+  get isRunning(): boolean {
+    return this.child !== undefined;
+  }
+
+  /** Opens its links and starts its process. */
+  async start(): Promise<void> {
+    this.ports = await findFreePorts(PORTS);
+    this.datagramLink = new DatagramLink(this.datagramPort);
+    this.addresses = {
+      store: await this.storeLink.start(),
+      callers: await this.callerLink.start(),
+      tables: await this.tableLink.start(),
+      datagrams: await this.datagramLink.start(),
+    };
+    this.startProcess();
+  }
+
+  /** Sends a signal to the process, if there is one. */
+  sendSignal(signal: NodeJS.Signals): void {
+    this.child?.kill(signal);
+  }
+
+  /** Ends the process at once; it is started again after a pause. */
+  async kill(downMs: number): Promise<void> {
+    const {child} = this;
+    if (child === undefined || this.isEnding) return;
+    this.isEnding = true;
+    child.kill('SIGKILL');
+    await waitExit(child);
+    await pause(downMs);
+    this.startProcess();
+  }
+
+  /** Stops the process as the platform does, and starts it again. */
+  async stopPlanned(): Promise<void> {
+    const {child} = this;
+    if (child === undefined || this.isEnding) return;
+    this.isEnding = true;
+    child.kill('SIGTERM');
+    const timer = setTimeout(() => child.kill('SIGKILL'), KILL_AFTER_MS);
+    await waitExit(child);
+    clearTimeout(timer);
+    await pause(RESTART_MS);
+    this.startProcess();
+  }
+
+  /** Writes the settings file anew, and tells the process so. */
+  sendReload(): void {
+    this.writeSettings();
+    this.sendSignal('SIGHUP');
+  }
+
+  /** Ends the process and its links for good. */
+  async close(): Promise<void> {
+    this.isClosed = true;
+    this.isEnding = true;
+    const {child} = this;
+    if (child !== undefined) {
+      child.kill('SIGKILL');
+      await waitExit(child);
+    }
+    for (const link of [this.storeLink, this.callerLink, this.tableLink]) {
+      link.stop();
+    }
+    this.datagramLink?.stop();
+  }
+
+  private getPort(index: number): {host: string; port: number} {
+    return {host: '127.0.0.1', port: this.ports[index] ?? 0};
+  }
+
+  private startProcess(): void {
+    if (this.isClosed) return;
+    this.life++;
+    this.isEnding = false;
+    const {directory, name} = this.parts;
+    const child = spawn(process.execPath, [PROGRAM], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+      env: {...process.env, IRISDOCK_SETTINGS: this.writeSettings()},
+    });
+    const log = createWriteStream(join(directory, `${name}.log`), {flags: 'a'});
+    child.stdout.pipe(log, {end: false});
+    child.stderr.pipe(log, {end: false});
+    this.child = child;
+    child.once('exit', (code, signal) => {
+      this.child = undefined;
+      if (this.isEnding) return;
+      this.parts.handleUnexpectedExit({host: name, code, signal});
+      setTimeout(() => {
+        this.startProcess();
+      }, RESTART_MS);
+    });
+  }
+
+  private writeSettings(): string {
+    const {name, failureDomain, directory} = this.parts;
+    const [front = 0, addresses = 0, readiness = 0, tables = 0, datagrams = 0] =
+      this.ports;
+    const {store, callers, tables: tableAddress} = this.addresses;
+    const text = [
+      `[host]\nname = "${name}"\nfailureDomain = "${failureDomain}"`,
+      `[store]\naddress = "${store}"\ntimeoutMs = 400`,
+      '[tables]\nwaitMs = 500\nretryMs = 150',
+      `[phase]\ngraceSeconds = ${GRACE_SECONDS}`,
+      `[peers]\nlisten = "127.0.0.1:${datagrams}"`,
+      `datagramAddress = "${this.addresses.datagrams}"`,
+      `tableAddress = "${tableAddress}"\ncallerAddress = "${callers}"`,
+      `seeds = "${this.parts.getSeeds().join(',')}"\nbeatMs = 150`,
+      `[peerTables]\nlisten = "127.0.0.1:${tables}"`,
+      `[front]\nlisten = "127.0.0.1:${front}"`,
+      'retryRatio = 0.8\nretryAllowance = 150',
+      `[metrics]\nlisten = "127.0.0.1:${this.ports[5] ?? 0}"`,
+      `[directory]\nlisten = "127.0.0.1:${addresses}"`,
+      `readinessListen = "127.0.0.1:${readiness}"`,
+    ];
+    const path = join(directory, `${name}.toml`);
+    writeFileSync(path, `${text.join('\n')}\n`);
+    return path;
+  }
+}
+
+async function waitExit(child: ChildProcess): Promise<void> {
+  if (child.exitCode !== null || child.signalCode !== null) return;
+  await new Promise((resolve) => child.once('exit', resolve));
+}
+
+async function pause(ms: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+/**
+ * Finds ports that nobody uses. They lie below those that the kernel gives to
+ * outgoing connections, as a host that is started again needs its own back.
+ */
+async function findFreePorts(count: number): Promise<number[]> {
+  const ports: number[] = [];
+  while (ports.length < count) {
+    const port = LEAST_PORT + randomInt(PORT_RANGE);
+    if (!ports.includes(port) && (await isFree(port))) ports.push(port);
+  }
+  return ports;
+}
+
+async function isFree(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once('error', () => {
+      resolve(false);
+    });
+    server.listen(port, '127.0.0.1', () => {
+      server.close(() => {
+        resolve(true);
+      });
+    });
+  });
+}
--- /dev/null
+++ b/soak/src/index.ts
@@ -0,0 +1,6 @@
+/** The soak, as its tests use it. */
+export * from './disturbances.js';
+export * from './fault_plan.js';
+export * from './play.js';
+export * from './tcp_link.js';
+export * from './witness.js';
--- /dev/null
+++ b/soak/src/play.ts
@@ -0,0 +1,221 @@
+/**
+ * Plays one seed: the deployment, its callers and its faults, then calm in
+ * which everything has to be served again.
+ */
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {SeededRandom} from '@irisdock/kernel';
+import {READINESS_PATH, StoreStandin} from '@irisdock/users-platform/fixtures';
+import {Caller} from './caller.js';
+import {ConfigurationWitness} from './configuration_witness.js';
+import {Disturbances} from './disturbances.js';
+import {EndpointFleet, SERVICES} from './endpoint_fleet.js';
+import {planFaults, type PlannedFault} from './fault_plan.js';
+import {FaultPlayer} from './fault_player.js';
+import {HostProcess} from './host_process.js';
+import {Witness, type RequestKind} from './witness.js';
+
+/** How large a play is. */
+export interface PlayOptions {
+  readonly hosts: number;
+  readonly callers: number;
+  readonly lengthMs: number;
+  readonly faults: number;
+}
+
+/** What a play showed. */
+export interface PlayReport {
+  readonly seed: number;
+  readonly counts: Witness['counts'];
+  readonly versions: number;
+  readonly faults: readonly PlannedFault[];
+  /** Promises that were broken. */
+  readonly broken: readonly string[];
+  /** Where the logs of the hosts are; removed when nothing was broken. */
+  readonly directory: string;
+}
+
+/** The size of a usual play. */
+export const USUAL_PLAY: PlayOptions = {
+  hosts: 4,
+  callers: 12,
+  lengthMs: 9000,
+  faults: 9,
+};
+
+const DOMAINS = ['zone-1', 'zone-2', 'zone-3'];
+const PLACES_A_SERVICE = 6;
+const START_TRIES = 600;
+const START_STEP_MS = 50;
+/** All is to be served again after so long, in ms. */
+const RECOVERY_MS = 6000;
+/** Requests of each kind that must be served in the end. */
+const LAST_REQUESTS = 6;
+const LAST_TRIES = 3;
+
+/** One play. */
+class Play {
+  readonly disturbances = new Disturbances();
+  readonly witness = new Witness(this.disturbances);
+  readonly store = new StoreStandin();
+  readonly hosts: HostProcess[] = [];
+  readonly fleet = new EndpointFleet(this.store, DOMAINS, (instance, run) => {
+    this.witness.recordRun(instance, run);
+  });
+  readonly configuration = new ConfigurationWitness(
+    this.store,
+    this.hosts,
+    this.disturbances,
+    this.witness,
+  );
+  private readonly random: SeededRandom;
+
+  constructor(
+    seed: number,
+    private readonly options: PlayOptions,
+    private readonly directory: string,
+  ) {
+    this.random = new SeededRandom(seed);
+  }
+
+  /** Runs it; gives the faults that were played. */
+  async run(): Promise<PlannedFault[]> {
+    await this.start();
+    const plan = planFaults(this.random, this.options);
+    const callers = this.createCallers();
+    const running = callers.map((caller) => caller.run());
+    const asking = this.configuration.run();
+    await this.runFaults(plan);
+    await sleep(RECOVERY_MS);
+    await this.checkRecovery();
+    for (const caller of callers) caller.stop();
+    this.configuration.stop();
+    await Promise.all([...running, asking]);
+    for (const caller of callers) caller.close();
+    this.witness.checkRefusals();
+    return plan;
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.hosts.map((host) => host.close()));
+    this.fleet.stop();
+    this.store.stop();
+  }
+
+  private async start(): Promise<void> {
+    const door = await this.store.openDoor();
+    this.configuration.commitNext();
+    const services = [SERVICES.calls, SERVICES.streams];
+    for (const [index, service] of services.entries()) {
+      for (let at = 0; at < PLACES_A_SERVICE; at++) {
+        await this.fleet.add(service, index * PLACES_A_SERVICE + at);
+      }
+    }
+    for (let index = 0; index < this.options.hosts; index++) {
+      this.hosts.push(this.createHost(index, door.address));
+    }
+    for (const host of this.hosts) await host.start();
+    await Promise.all(this.hosts.map((host) => this.waitReady(host)));
+  }
+
+  private createHost(index: number, storeAddress: string): HostProcess {
+    return new HostProcess({
+      name: `host-${index + 1}`,
+      failureDomain: DOMAINS[index % DOMAINS.length] ?? '',
+      directory: this.directory,
+      storeAddress,
+      getSeeds: () => this.hosts.slice(0, 3).map((host) => host.seedAddress),
+      handleUnexpectedExit: ({host, code, signal}) => {
+        const how = `code ${code ?? 'none'}, signal ${signal ?? 'none'}`;
+        this.witness.addFault(`${host} ended by itself: ${how}`);
+      },
+    });
+  }
+
+  private createCallers(): Caller[] {
+    return Array.from({length: this.options.callers}, (_, index) =>
+      this.createCaller(`caller-${index + 1}`),
+    );
+  }
+
+  private createCaller(name: string): Caller {
+    const random = new SeededRandom(this.random.getInt(2 ** 30));
+    return new Caller(name, this.hosts, this.witness, random);
+  }
+
+  private async runFaults(plan: readonly PlannedFault[]): Promise<void> {
+    const player = new FaultPlayer({
+      hosts: this.hosts,
+      fleet: this.fleet,
+      places: 2 * PLACES_A_SERVICE,
+      domains: DOMAINS.length,
+      store: this.store,
+      configuration: this.configuration,
+      disturbances: this.disturbances,
+    });
+    const startedAt = performance.now();
+    const played: Promise<void>[] = [];
+    for (const fault of plan) {
+      await sleep(Math.max(0, startedAt + fault.at - performance.now()));
+      played.push(player.run(fault));
+    }
+    await Promise.all(played);
+  }
+
+  /** Everything is served again once the faults are over. */
+  private async checkRecovery(): Promise<void> {
+    const kinds = ['once', 'repeatable', 'stream'] as const;
+    const last: Promise<void>[] = [];
+    for (const kind of kinds) {
+      for (let count = 0; count < LAST_REQUESTS; count++) {
+        last.push(this.checkServed(kind, `last-${kind}-${count}`));
+      }
+    }
+    await Promise.all(last);
+  }
+
+  private async checkServed(kind: RequestKind, name: string): Promise<void> {
+    const caller = this.createCaller(name);
+    let isServed = false;
+    for (let tries = 0; tries < LAST_TRIES && !isServed; tries++) {
+      isServed = await caller.sendRequest(kind);
+    }
+    caller.close();
+    if (!isServed) this.witness.addFault(`no ${kind} is served in the end`);
+  }
+
+  private async waitReady(host: HostProcess): Promise<void> {
+    for (let tries = 0; tries < START_TRIES; tries++) {
+      if (await isReady(host)) return;
+      await sleep(START_STEP_MS);
+    }
+    throw new Error(`${host.name} did not get ready; see ${this.directory}.`);
+  }
+}
+
+/** Plays one seed. */
+export async function runPlay(
+  seed: number,
+  options: PlayOptions,
+): Promise<PlayReport> {
+  const directory = mkdtempSync(join(tmpdir(), `irisdock-soak-${seed}-`));
+  const play = new Play(seed, options, directory);
+  const faults = await play.run().finally(() => play.stop());
+  const {counts, faults: broken} = play.witness;
+  if (broken.length === 0) rmSync(directory, {recursive: true});
+  const versions = play.configuration.version;
+  return {seed, counts, versions, faults, broken, directory};
+}
+
+async function isReady(host: HostProcess): Promise<boolean> {
+  try {
+    const url = `http://${host.readinessAddress}${READINESS_PATH}`;
+    const answer = await fetch(url, {signal: AbortSignal.timeout(1000)});
+    return answer.ok;
+  } catch {
+    // It does not listen yet.
+    return false;
+  }
+}
--- /dev/null
+++ b/soak/src/witness.ts
@@ -0,0 +1,194 @@
+/**
+ * Holds what callers and endpoints saw against what was promised. It knows
+ * nothing of the hosts but their answers.
+ */
+import {
+  formatCallBody,
+  formatEventData,
+  type ServerRun,
+} from '@irisdock/users-platform/fixtures';
+import type {Disturbances} from './disturbances.js';
+import {
+  LEAVE_MS,
+  STREAM_SHAPE,
+  type EndpointInstance,
+} from './endpoint_fleet.js';
+
+/** What a caller asks for. */
+export type RequestKind = 'once' | 'repeatable' | 'stream';
+
+/** One attempt of a caller, and what came back. */
+export interface Attempt {
+  readonly attemptId: string;
+  readonly kind: RequestKind;
+  readonly host: string;
+  readonly body: string;
+  readonly startedAt: number;
+  /** The last event that the caller had before this attempt. */
+  readonly lastEventId: number;
+}
+
+/** How an attempt ended. */
+export type AttemptEnd =
+  | {
+      readonly kind: 'answer';
+      readonly status: number;
+      readonly body: string;
+      /** Whether the answer ended as whole. */
+      readonly isWhole: boolean;
+      readonly retryAfter: string | undefined;
+    }
+  /** The connection did not open, or closed before a whole head. */
+  | {readonly kind: 'cut'; readonly wasSent: boolean};
+
+/** What the witness asks of an instance of an endpoint. */
+export type SeenInstance = Pick<EndpointInstance, 'id' | 'leavingAt'>;
+
+/** How long a host must have been left alone to be in touch, in ms. */
+const CONTACT_MS = 3000;
+/** Beyond a bound, for a busy machine, in ms. */
+const MARGIN_MS = 2500;
+/** Statuses that say that a request has not run and never will. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const OK_STATUS = 200;
+
+/** The witness of one play. */
+export class Witness {
+  readonly faults: string[] = [];
+  readonly counts = {answered: 0, refused: 0, failed: 0, cut: 0};
+  private readonly attempts = new Map<string, Attempt>();
+  private readonly runs = new Map<string, number>();
+  /** Attempts that were told that they have not run. */
+  private readonly notRun = new Map<string, number>();
+
+  constructor(private readonly disturbances: Disturbances) {}
+
+  /** Takes it that a caller begins an attempt. */
+  recordAttempt(attempt: Attempt): void {
+    this.attempts.set(attempt.attemptId, attempt);
+  }
+
+  /** Takes it that an endpoint began a run. */
+  recordRun(instance: SeenInstance, run: ServerRun): void {
+    const attempt = this.attempts.get(run.attemptId);
+    if (attempt?.body !== run.body) {
+      this.addFault(`${instance.id} ran ${formatRun(run)}, which nobody sent`);
+      return;
+    }
+    const count = (this.runs.get(run.attemptId) ?? 0) + 1;
+    this.runs.set(run.attemptId, count);
+    if (attempt.kind === 'once' && count > 1) {
+      this.addFault(`${run.attemptId} ran ${count} times`);
+    }
+    this.checkLeaving(instance, run);
+  }
+
+  /** Takes how an attempt ended. */
+  recordEnd(attempt: Attempt, end: AttemptEnd): void {
+    if (end.kind === 'cut') {
+      this.counts.cut++;
+      if (end.wasSent) this.checkCut(attempt);
+      return;
+    }
+    if (NOT_RUN_STATUSES.has(end.status)) {
+      this.counts.refused++;
+      this.notRun.set(attempt.attemptId, end.status);
+      if (end.retryAfter === undefined) {
+        this.addFault(`${attempt.attemptId} was not told when to come back`);
+      }
+      return;
+    }
+    if (end.status !== OK_STATUS) {
+      this.counts.failed++;
+      return;
+    }
+    this.counts.answered++;
+    if (attempt.kind === 'stream') this.checkStream(attempt, end);
+    else this.checkCall(attempt, end);
+  }
+
+  /** Takes it that a process ended that nobody ended. */
+  addFault(fault: string): void {
+    this.faults.push(fault);
+  }
+
+  /** Holds refusals against runs; called when nothing can run any more. */
+  checkRefusals(): void {
+    for (const [attemptId, status] of this.notRun) {
+      const runs = this.runs.get(attemptId) ?? 0;
+      const kind = this.attempts.get(attemptId)?.kind;
+      if (runs === 0 || kind === 'repeatable') continue;
+      if (kind === 'stream') continue;
+      this.addFault(`${attemptId} got ${status} and ran`);
+    }
+  }
+
+  private checkCall(
+    attempt: Attempt,
+    end: AttemptEnd & {readonly kind: 'answer'},
+  ): void {
+    const wanted = formatCallBody(attempt.attemptId, attempt.body);
+    const hasOwn = end.body === wanted;
+    if (hasOwn && end.isWhole) return;
+    if (!hasOwn && !end.isWhole) return;
+    this.addFault(`${attempt.attemptId} got ${JSON.stringify(end.body)}`);
+  }
+
+  private checkStream(
+    attempt: Attempt,
+    end: AttemptEnd & {readonly kind: 'answer'},
+  ): void {
+    const ids = listEventIds(attempt.body, end.body);
+    let next = attempt.lastEventId + 1;
+    for (const id of ids) {
+      if (id === next) {
+        next++;
+        continue;
+      }
+      this.addFault(`${attempt.attemptId} got event ${id}, not ${next}`);
+      return;
+    }
+    const isAll = next === STREAM_SHAPE.events + 1;
+    if (end.isWhole && !isAll) {
+      this.addFault(`${attempt.attemptId} looks whole, next is ${next}`);
+    }
+    if (!end.isWhole) this.checkCut(attempt);
+  }
+
+  /** Nothing is cut on a host that nothing befell but a planned stop. */
+  private checkCut(attempt: Attempt): void {
+    const {host, startedAt, attemptId} = attempt;
+    const now = performance.now();
+    const befell = this.disturbances
+      .listBetween(host, startedAt - CONTACT_MS, now)
+      .filter((one) => !one.isPlanned);
+    if (befell.length > 0) return;
+    this.addFault(`${attemptId} was cut on ${host}, which was left alone`);
+  }
+
+  private checkLeaving(instance: SeenInstance, run: ServerRun): void {
+    const {leavingAt, id} = instance;
+    if (leavingAt === undefined) return;
+    const now = performance.now();
+    const from = leavingAt - CONTACT_MS;
+    if (now < leavingAt + LEAVE_MS + MARGIN_MS) return;
+    if (!this.disturbances.isCalm(from, now)) return;
+    this.addFault(`${run.attemptId} reached ${id} long after it left`);
+  }
+}
+
+/** Lists the ids of whole events; another text's event counts as id -1. */
+function listEventIds(body: string, text: string): number[] {
+  const ids: number[] = [];
+  const blocks = text.split('\n\n');
+  for (const block of blocks.slice(0, -1)) {
+    const id = Number(/^id: (\d+)$/m.exec(block)?.[1] ?? -1);
+    const data = /^data: (.*)$/m.exec(block)?.[1];
+    ids.push(data === formatEventData(body, id) ? id : -1);
+  }
+  return ids;
+}
+
+function formatRun({attemptId, path, body}: ServerRun): string {
+  return `${attemptId} (${path}, ${JSON.stringify(body)})`;
+}
