Take a changed settings file while a host runs

Change: services say which of their settings they take live (seeds, how long addresses are kept, the bounds on repeated sends); the rest counts at the next start and the log says which. A file with faults changes nothing and all faults are logged, now with the file's own names.

--- a/packages/decisions/src/windowed_budget.ts
+++ b/packages/decisions/src/windowed_budget.ts
@@ -22,7 +22,12 @@
   private readonly requests: number[] = [];
   private readonly repeats: number[] = [];
 
-  constructor(private readonly options: WindowedBudgetOptions) {}
+  constructor(private options: WindowedBudgetOptions) {}
+
+  /** Takes other bounds; what was counted so far stays. */
+  setBounds(options: WindowedBudgetOptions): void {
+    this.options = options;
+  }
 
   /** Counts a request that arrived. */
   addRequest(nowMs: number): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,6 +21,7 @@
   type SettingsGroup,
   type SettingsValues,
 } from '@irisdock/kernel';
+import {err, type Result} from 'neverthrow';
 import {Registry} from 'prom-client';
 import {z} from 'zod';
 import {GATEWAY_CONFIGURATION_SERVICE} from './services/configuration.js';
@@ -34,6 +35,7 @@
 import {PEER_TABLES_SERVICE} from './services/peer_tables.js';
 import {PEERS_SERVICE} from './services/peers.js';
 import {TABLES_SERVICE} from './services/tables.js';
+import {SettingsWatch} from './settings_watch.js';
 
 /** The services of the gateway, without those that an adapter adds. */
 export const GATEWAY_SERVICES: readonly AnyServiceDefinition[] = [
@@ -90,11 +92,13 @@
     process.stdout.write(`${formatSettingsHelp(groups)}\n`);
     return;
   }
-  const settings = readSettings(call, groups);
-  if (settings === undefined) {
+  const read = readSettings(call, groups);
+  if (read.isErr()) {
+    for (const fault of read.error) process.stderr.write(`${fault}\n`);
     process.exitCode = EXIT_USAGE;
     return;
   }
+  const settings = read.value;
   const clock = new SystemClock();
   const logSettings = LOG_SETTINGS.parse(settings.get('log'));
   const writer = new LineWriter(
@@ -114,9 +118,13 @@
     log,
     metrics: new Registry(),
   });
-  handleSignals(kernel, log, writer, call, groups);
+  handleStopSignals(kernel, log, writer);
+  const watch = new SettingsWatch(call.env[call.fileVariable], clock, log, () =>
+    readSettings(call, groups).map((next) => kernel.applySettings(next)),
+  );
   try {
     await kernel.start(settings);
+    watch.start();
     log.writeInfo('Started.', {pid: process.pid});
   } catch (thrown) {
     log.writeError('The start failed.', {error: getErrorText(thrown)});
@@ -136,30 +144,22 @@
   return [...groups, {name: 'log', schema: LOG_SETTINGS}];
 }
 
-/** Reads and checks the settings; prints what is wrong with them. */
+/** Reads and checks the settings; gives all faults as sentences. */
 function readSettings(
   call: ProgramCall,
   groups: readonly SettingsGroup[],
-): SettingsValues | undefined {
+): Result<SettingsValues, string[]> {
   const path = call.env[call.fileVariable];
-  const file = path === undefined ? undefined : readSettingsFile(path);
-  if (file?.isErr() === true) {
-    process.stderr.write(`${file.error}\n`);
-    return undefined;
-  }
-  const values = file?.isOk() === true ? file.value : new Map();
-  const settings = parseSettings(groups, call.args, call.env, values);
-  if (settings.isOk()) return settings.value;
-  for (const fault of settings.error) process.stderr.write(`${fault}\n`);
-  return undefined;
+  if (path === undefined) return parseSettings(groups, call.args, call.env);
+  const file = readSettingsFile(path);
+  if (file.isErr()) return err([file.error]);
+  return parseSettings(groups, call.args, call.env, file.value);
 }
 
-function handleSignals(
+function handleStopSignals(
   kernel: Kernel,
   log: Logger,
   writer: LineWriter,
-  call: ProgramCall,
-  groups: readonly SettingsGroup[],
 ): void {
   let isLeaving = false;
   const handleStop = (signal: string): void => {
@@ -174,8 +174,4 @@
   };
   process.on('SIGTERM', handleStop);
   process.on('SIGINT', handleStop);
-  process.on('SIGHUP', () => {
-    const isValid = readSettings(call, groups) !== undefined;
-    log.writeInfo('The settings were read again.', {isValid});
-  });
 }
--- a/packages/gateway/src/services/directory.ts
+++ b/packages/gateway/src/services/directory.ts
@@ -41,6 +41,7 @@
   settings: SETTINGS,
   needs: [CODECS, HOST_PHASE, PEERS],
   create(context, settings) {
+    let {keepSeconds} = settings;
     const codecs = context.find(CODECS);
     const phase = context.find(HOST_PHASE);
     const peers = context.find(PEERS);
@@ -50,7 +51,7 @@
         endWith(response, 503, '');
         return;
       }
-      const body = codecs.encodeAddresses(addresses, settings.keepSeconds);
+      const body = codecs.encodeAddresses(addresses, keepSeconds);
       endWith(response, 200, body);
     };
     const answerReadiness = (response: ServerResponse): void => {
@@ -69,6 +70,12 @@
     });
     return {
       api: undefined,
+      live: {
+        keys: ['keepSeconds'],
+        apply: (changed) => {
+          keepSeconds = changed.keepSeconds;
+        },
+      },
       async start() {
         await startListening(server, settings.listen);
         await startListening(readiness, settings.readinessListen);
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -1,5 +1,6 @@
 /** The service `front`: takes the requests of callers. */
 import {createServer, type Server} from 'node:http';
+import type {WindowedBudgetOptions} from '@irisdock/decisions';
 import {
   createService,
   createServiceKey,
@@ -91,6 +92,12 @@
     server.on('connection', (socket) => socket.setNoDelay(true));
     return {
       api: undefined,
+      live: {
+        keys: ['retryRatio', 'retryAllowance', 'retryWindowSeconds'],
+        apply: (changed) => {
+          parts.budgets.setBounds(createBudgetOptions(changed));
+        },
+      },
       start: () => startListening(server, settings.listen),
       async drain() {
         phase.startLeaving();
@@ -124,12 +131,7 @@
     configuration: context.find(GATEWAY_CONFIGURATION),
     endpoints: context.find(GATEWAY_ENDPOINTS),
     budgets: new RepeatBudgets(
-      {
-        windowMs: settings.retryWindowSeconds * 1000,
-        ratio: settings.retryRatio,
-        allowance: settings.retryAllowance,
-        usedPart: USED_BUDGET_PART,
-      },
+      createBudgetOptions(settings),
       () => peers.countServing(),
       () => clock.getNow(),
     ),
@@ -137,6 +139,17 @@
   };
 }
 
+function createBudgetOptions(
+  settings: z.infer<typeof SETTINGS>,
+): WindowedBudgetOptions {
+  return {
+    windowMs: settings.retryWindowSeconds * 1000,
+    ratio: settings.retryRatio,
+    allowance: settings.retryAllowance,
+    usedPart: USED_BUDGET_PART,
+  };
+}
+
 /**
  * Serves on while callers may still hold the address, then until the last
  * request has ended or the time is over.
--- a/packages/gateway/src/services/peer_hosts.ts
+++ b/packages/gateway/src/services/peer_hosts.ts
@@ -83,8 +83,10 @@
   private readonly loader: PeerTableLoader;
   private readonly places: PeerPlaces;
   private sequence = 0;
+  private seeds: readonly string[];
 
   constructor(private readonly parts: PeersParts) {
+    this.seeds = parts.seeds;
     const {place, tables, random, log} = parts;
     this.loader = new PeerTableLoader(tables, random, log);
     this.places = new PeerPlaces(place.datagrams, this.heard, random);
@@ -128,6 +130,11 @@
     this.places.add(datagrams);
   }
 
+  /** Takes where some other hosts answer hosts; may be old. */
+  setSeeds(seeds: readonly string[]): void {
+    this.seeds = seeds;
+  }
+
   /** Tells the other hosts of this one. */
   sendBeat(): void {
     const now = this.parts.clock.getNow();
@@ -252,8 +259,8 @@
 
   /** Asks one seed for what it knows, and for its place. */
   private async loadFromSeed(): Promise<void> {
-    const {seeds, random, place} = this.parts;
-    const others = seeds.filter((seed) => seed !== place.tables);
+    const {random, place} = this.parts;
+    const others = this.seeds.filter((seed) => seed !== place.tables);
     const [seed] = getShuffled(others, random);
     if (seed === undefined) return;
     const datagrams = await this.loader.loadFrom(seed);
--- a/packages/gateway/src/services/peers.ts
+++ b/packages/gateway/src/services/peers.ts
@@ -77,6 +77,12 @@
     let timer: NodeJS.Timeout | undefined;
     return {
       api,
+      live: {
+        keys: ['seeds'],
+        apply: ({seeds}) => {
+          api.setSeeds(seeds);
+        },
+      },
       async start() {
         await api.start();
         api.sendBeat();
--- a/packages/gateway/src/serving/repeat_budgets.ts
+++ b/packages/gateway/src/serving/repeat_budgets.ts
@@ -7,11 +7,17 @@
 
   /** @param countHosts Gives the hosts that share each budget. */
   constructor(
-    private readonly options: WindowedBudgetOptions,
+    private options: WindowedBudgetOptions,
     private readonly countHosts: () => number,
     private readonly getNow: () => number,
   ) {}
 
+  /** Takes other bounds; what was sent so far counts against them. */
+  setBounds(options: WindowedBudgetOptions): void {
+    this.options = options;
+    for (const budget of this.budgets.values()) budget.setBounds(options);
+  }
+
   /** Counts a request for a service. */
   addRequest(service: string): void {
     this.getBudget(service).addRequest(this.getNow());
--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -22,8 +22,17 @@
   readonly metrics: Registry;
 }
 
+/** What became of changed settings, each as `[group] key`. */
+export interface SettingsChange {
+  readonly inForce: readonly string[];
+  readonly atNextStart: readonly string[];
+}
+
+type GroupValues = Readonly<Record<string, unknown>>;
+
 /** A set of services that run together. */
 export class Kernel {
+  private settings: ReadonlyMap<string, unknown> = new Map();
   private readonly made = new Map<string, MadeService<unknown>>();
   private readonly started: MadeService<unknown>[] = [];
 
@@ -40,6 +49,7 @@
    * @throws Error when a needed service is missing or needs form a circle.
    */
   async start(settings: ReadonlyMap<string, unknown>): Promise<void> {
+    this.settings = settings;
     try {
       await this.startAll(settings);
     } catch (thrown) {
@@ -63,6 +73,24 @@
     }
   }
 
+  /** Gives changed settings to the services that take them while they run. */
+  applySettings(settings: ReadonlyMap<string, unknown>): SettingsChange {
+    const inForce: string[] = [];
+    const atNextStart: string[] = [];
+    for (const [group, next] of settings) {
+      const changed = listChanged(this.settings.get(group), next);
+      const live = this.made.get(group)?.live;
+      const taken = changed.filter((key) => live?.keys.includes(key) === true);
+      if (taken.length > 0) live?.apply(next as GroupValues);
+      for (const key of changed) {
+        const names = taken.includes(key) ? inForce : atNextStart;
+        names.push(`[${group}] ${key}`);
+      }
+    }
+    this.settings = settings;
+    return {inForce, atNextStart};
+  }
+
   /** Drains, then stops, all services, the last started first. */
   async stop(): Promise<void> {
     for (const service of [...this.started].reverse()) {
@@ -101,6 +129,16 @@
   }
 }
 
+/** Lists the keys of a group whose values differ. */
+function listChanged(before: unknown, next: unknown): string[] {
+  const old = (before ?? {}) as GroupValues;
+  const changed: string[] = [];
+  for (const [key, value] of Object.entries(next as GroupValues)) {
+    if (JSON.stringify(old[key]) !== JSON.stringify(value)) changed.push(key);
+  }
+  return changed;
+}
+
 /** Gives the definitions in an order in which each follows what it needs. */
 export function sortByNeeds(
   definitions: readonly AnyServiceDefinition[],
--- a/packages/kernel/src/service.ts
+++ b/packages/kernel/src/service.ts
@@ -31,9 +31,19 @@
   find<Api>(key: ServiceKey<Api>): Api;
 }
 
+/** Settings that a service takes while it runs. */
+export interface LiveSettings<Settings> {
+  /** All others count at the next start only. */
+  readonly keys: readonly (string & keyof Settings)[];
+  /** Takes checked settings of which some live ones have changed. */
+  apply(settings: Settings): void;
+}
+
 /** A service that was made. */
-export interface MadeService<Api> {
+export interface MadeService<Api, Settings = Record<string, unknown>> {
   readonly api: Api;
+  /** Absent when all its settings count at the next start only. */
+  readonly live?: LiveSettings<Settings>;
   /** Opens what the service needs to run. */
   start?(): Promise<void>;
   /** Refuses new work and resolves when the work in flight has ended. */
@@ -47,7 +57,10 @@
   readonly key: ServiceKey<Api>;
   readonly settings: Schema;
   readonly needs: readonly ServiceKey<unknown>[];
-  create(context: ServiceContext, settings: z.infer<Schema>): MadeService<Api>;
+  create(
+    context: ServiceContext,
+    settings: z.infer<Schema>,
+  ): MadeService<Api, z.infer<Schema>>;
 }
 
 /** A definition with its types forgotten, as the kernel keeps it. */
@@ -66,6 +79,9 @@
     ...definition,
     // The kernel hands over what parseSettings made of this very schema.
     create: (context, settings) =>
-      definition.create(context, settings as z.infer<Schema>),
+      definition.create(
+        context,
+        settings as z.infer<Schema>,
+      ) as MadeService<Api>,
   };
 }
--- a/packages/kernel/src/settings.ts
+++ b/packages/kernel/src/settings.ts
@@ -153,6 +153,7 @@
     const key = String(issue.path[0] ?? '');
     const info = infos.find((i) => i.group === group && i.key === key);
     if (info === undefined) return issue.message;
-    return `--${info.flag} (${info.variable}), in ${info.unit}: ${issue.message}`;
+    const names = `[${group}] ${key}, --${info.flag} or ${info.variable}`;
+    return `${names}, in ${info.unit}: ${issue.message}`;
   });
 }
--- a/packages/kernel/tests/kernel.test.ts
+++ b/packages/kernel/tests/kernel.test.ts
@@ -246,6 +246,34 @@
   });
 });
 
+describe('changed settings', () => {
+  it('go to the services that take them while they run', async () => {
+    const taken: unknown[] = [];
+    const kernel = createKernel([
+      createService({
+        key: createServiceKey<undefined>('door'),
+        settings: z.object({width: z.number(), height: z.number()}),
+        needs: [],
+        create: () => ({
+          api: undefined,
+          live: {keys: ['width'], apply: (next) => taken.push(next)},
+        }),
+      }),
+    ]);
+    await kernel.start(new Map([['door', {width: 1, height: 2}]]));
+    const same = kernel.applySettings(
+      new Map([['door', {width: 1, height: 2}]]),
+    );
+    assert.deepEqual(same, {inForce: [], atNextStart: []});
+    const next = {width: 3, height: 4};
+    assert.deepEqual(kernel.applySettings(new Map([['door', next]])), {
+      inForce: ['[door] width'],
+      atNextStart: ['[door] height'],
+    });
+    assert.deepEqual(taken, [next]);
+  });
+});
+
 describe('getShuffled', () => {
   it('keeps all items and repeats with its seed', () => {
     const items = [1, 2, 3, 4, 5, 6];
--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -1,6 +1,8 @@
 /** The soak, as its tests use it. */
+export * from './configuration.js';
 export * from './disturbances.js';
 export * from './fault_plan.js';
+export * from './host_process.js';
 export * from './play.js';
 export * from './tcp_link.js';
 export * from './witness.js';
