--- a/scripts/prepare.sh
+++ b/scripts/prepare.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Installs when the lock file is newer than what is installed, then builds.
+# Installs when the lock file is newer than what is installed, then builds,
+# and bundles the gateway as it is deployed.
 set -eu
 cd "$(dirname "$0")/.."
 if [ ! node_modules/.package-lock.json -nt package-lock.json ]; then
@@ -7,3 +8,4 @@
   touch node_modules/.package-lock.json
 fi
 node_modules/.bin/tsc -b
+sh scripts/bundle.sh
--- a/soak/src/host_process.ts
+++ b/soak/src/host_process.ts
@@ -12,8 +12,9 @@
 import {DatagramLink} from './datagram_link.js';
 import {TcpLink} from './tcp_link.js';
 
+/** The bundle that is deployed, from soak/dist/src/. */
 const PROGRAM = fileURLToPath(
-  import.meta.resolve('@irisdock/users-platform/program'),
+  new URL('../../../target/irisdock-gateway.mjs', import.meta.url),
 );
 /** How long a planned stop may take, in seconds. */
 const GRACE_SECONDS = 4;
@@ -178,7 +179,7 @@
     const {directory, name} = this.parts;
     const child = spawn(process.execPath, [PROGRAM], {
       stdio: ['ignore', 'pipe', 'pipe'],
-      env: {...process.env, IRISDOCK_SETTINGS: this.writeSettings()},
+      env: createEnvironment(this.writeSettings()),
     });
     const log = createWriteStream(join(directory, `${name}.log`), {flags: 'a'});
     child.stdout.pipe(log, {end: false});
@@ -221,6 +222,12 @@
   }
 }
 
+/** Creates the variables of a host; the platform passes no others on. */
+function createEnvironment(settingsPath: string): NodeJS.ProcessEnv {
+  const {PATH, HOME, LANG} = process.env;
+  return {PATH, HOME, LANG, IRISDOCK_SETTINGS: settingsPath};
+}
+
 async function waitExit(child: ChildProcess): Promise<void> {
   if (child.exitCode !== null || child.signalCode !== null) return;
   await new Promise((resolve) => child.once('exit', resolve));
