--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -81,6 +81,7 @@
           lastEventId: terms.lastEventId,
           backupAddress: undefined,
           memorySource: undefined,
+          urgency: undefined,
         }),
         body,
         signal: exchange.signal,
