Revert the urgency of streams that go on: a failed trial

Conclusion: the order at an engine is not what binds them, its queue is: prompts that are being read are not put off.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -38,7 +38,6 @@
 export * from './resume_data.js';
 export * from './retry_budget.js';
 export * from './route_table.js';
-export * from './send_urgency.js';
 export * from './serving_right.js';
 export * from './signature.js';
 export * from './stall_limit.js';
--- a/packages/gateway/src/model/request_terms.ts
+++ b/packages/gateway/src/model/request_terms.ts
@@ -3,8 +3,6 @@
  * typed values. An adapter decodes them once; nothing else reads header names.
  */
 
-import type {Urgency} from '@irisdock/decisions';
-
 /** A part of a prompt that requests may share. */
 export interface PromptPart {
   readonly id: string;
@@ -54,8 +52,6 @@
   /** Where the engine keeps a copy of the running request. */
   readonly backupAddress: string | undefined;
   readonly memorySource: MemorySource | undefined;
-  /** How soon an engine takes it, 0 first; undefined for plain calls. */
-  readonly urgency: Urgency | undefined;
 }
 
 /** The load that an endpoint told with an answer. */
--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -81,7 +81,6 @@
           lastEventId: terms.lastEventId,
           backupAddress: undefined,
           memorySource: undefined,
-          urgency: undefined,
         }),
         body,
         signal: exchange.signal,
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -5,11 +5,7 @@
  * another failure domain; after a loss the stream goes on there, so that the
  * prompt need not be read again.
  */
-import {
-  decideUrgency,
-  EventProgress,
-  type WholeEvent,
-} from '@irisdock/decisions';
+import {EventProgress, type WholeEvent} from '@irisdock/decisions';
 import type {KnownError} from '@irisdock/kernel';
 import {GATEWAY_ERRORS} from '../errors.js';
 import type {HeaderLines} from '../model/request_terms.js';
@@ -143,7 +139,6 @@
         lastEventId: this.progress.lastEventId,
         backupAddress: backup?.address,
         memorySource,
-        urgency: decideUrgency(this.progress.lastEventId),
       });
       const {address} = endpoint;
       const {method, path} = exchange;
