--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -11,3 +11,4 @@
 export * from './services/host_phase.js';
 export * from './services/identity.js';
 export * from './services/store.js';
+export {TABLES_KEY} from './services/tables.js';
--- a/packages/gateway/src/services/introduction.ts
+++ b/packages/gateway/src/services/introduction.ts
@@ -1,14 +1,16 @@
 /**
- * The service `introduction`: how hosts find each other at first. Each host
- * writes its place into the store at its start and reads the places of the
- * others; from then on the hosts tell each other. A planned stop takes the
- * row out; the row of a host that was lost stays until some host finds that
- * nobody answers there.
+ * The service `introduction`: how hosts find each other when their seeds do not
+ * answer. The few hosts that read the store also write their place into it; a
+ * host that hears nobody for a while after its start reads those places. From
+ * then on the hosts tell each other. Each call to the store costs, so a host
+ * whose seeds answer makes none. A planned stop takes the row out; the row of a
+ * host that was lost stays until the host with that name writes it anew.
  */
 import {
   createService,
   createServiceKey,
   Repeater,
+  type Clock,
   type Logger,
 } from '@irisdock/kernel';
 import {z} from 'zod';
@@ -18,27 +20,41 @@
 import {PEERS} from './peers.js';
 import {STORE} from './store.js';
 
-/** The time between two tries, in ms. */
-const TRY_MS = 2000;
+/** The time between two looks, in ms. */
+const LOOK_MS = 500;
+/**
+ * How long a host listens after its start before it turns to the store, in ms:
+ * seeds answer within some beats.
+ */
+const LISTEN_MS = 1000;
+/** The time between two reads of the places while nobody is heard, in ms. */
+const READ_AGAIN_MS = 2000;
 
 const ROW_SCHEMA = z.object({datagrams: z.string()});
 
 /** Introduces one host. */
 class Introduction {
+  private readonly startedAt: number;
   private isWritten = false;
-  private isRead = false;
+  private readAt = -Infinity;
 
   constructor(
     private readonly store: WatchedStore,
     private readonly peers: Peers,
     private readonly hostName: string,
+    private readonly clock: Clock,
     private readonly log: Logger,
-  ) {}
+  ) {
+    this.startedAt = clock.getNow();
+  }
 
-  /** Does what is not done yet; each call is priced, so it is done once. */
+  /** Does what is due. */
   async step(): Promise<void> {
-    if (!this.isWritten) await this.writeOwn();
-    if (!this.isRead) await this.readOthers();
+    const now = this.clock.getNow();
+    if (now - this.startedAt < LISTEN_MS) return;
+    if (!this.isWritten && this.peers.standing.isReading) await this.writeOwn();
+    const isDue = now - this.readAt >= READ_AGAIN_MS;
+    if (isDue && !this.peers.hasHeardAny(now)) await this.readOthers();
   }
 
   /** Takes the own row out. */
@@ -58,9 +74,9 @@
   }
 
   private async readOthers(): Promise<void> {
+    this.readAt = this.clock.getNow();
     const result = await this.store.readAll('hosts');
     if (result.isErr()) return;
-    this.isRead = true;
     for (const {key, value} of result.value.rows) {
       if (key === this.hostName || value === undefined) continue;
       const datagrams = parseRow(value);
@@ -94,10 +110,11 @@
       context.find(STORE),
       context.find(PEERS),
       context.find(HOST_IDENTITY).name,
+      context.clock,
       context.log,
     );
     const tries = new Repeater(
-      (signal) => context.clock.wait(TRY_MS, signal),
+      (signal) => context.clock.wait(LOOK_MS, signal),
       () => introduction.step(),
       context.log,
     );
--- a/packages/gateway/src/services/store_standing.ts
+++ b/packages/gateway/src/services/store_standing.ts
@@ -5,6 +5,7 @@
 import {chooseStoreReaders, type HeardHosts} from '@irisdock/decisions';
 import type {PeerMessage} from '../model/peer_message.js';
 import {FOLLOWED_TABLES} from '../model/watched_table.js';
+import type {ReaderRole} from './table_follower.js';
 import type {Tables} from './tables.js';
 
 /**
@@ -12,6 +13,8 @@
  * stopped at the same time, and one is left.
  */
 const READERS = 3;
+/** By place among the readers; whoever has none listens. */
+const READER_ROLES: readonly ReaderRole[] = ['reader', 'standby'];
 /** Stands for "while the store is away", as JSON has no Infinity. */
 const MAX_DELAY_MS = 60_000;
 
@@ -33,8 +36,14 @@
       })),
     ];
     const readers = chooseStoreReaders(candidates, READERS);
-    const isReading = readers.includes(this.hostName);
-    for (const name of FOLLOWED_TABLES) this.tables[name].setReading(isReading);
+    const place = readers.indexOf(this.hostName);
+    const role = READER_ROLES[Math.min(place, 1)] ?? 'listener';
+    for (const name of FOLLOWED_TABLES) this.tables[name].setRole(role);
+  }
+
+  /** Whether this host is one of the few that read the store. */
+  get isReading(): boolean {
+    return this.tables.configuration.isReading;
   }
 
   /** Gives what other hosts are told. */
--- a/packages/gateway/src/services/table_follower.ts
+++ b/packages/gateway/src/services/table_follower.ts
@@ -10,6 +10,15 @@
 /** How long a failure of the store keeps this host from reading, in ms. */
 const AWAY_LATELY_MS = 2500;
 
+/**
+ * How a host follows the store: itself, at ease while another one does the
+ * same, or by what others tell.
+ */
+export type ReaderRole = 'listener' | 'reader' | 'standby';
+
+/** A standby makes so much fewer calls; it still sees each change. */
+const STANDBY_FACTOR = 2;
+
 /** Rows that were just read, and the change that they follow on. */
 export interface StoreNews {
   readonly rows: readonly ReplicaRow[];
@@ -40,7 +49,7 @@
   private mustReload = true;
   private readAt = -Infinity;
   private failedAt = -Infinity;
-  private reading = true;
+  private role: ReaderRole = 'reader';
   private resumeReading: (() => void) | undefined;
   private readonly storeChannel = new Channel<StoreNews>();
   /** Rows that this host has just read from the store itself. */
@@ -61,7 +70,7 @@
 
   /** Whether this host reads the store itself. */
   get isReading(): boolean {
-    return this.reading;
+    return this.role !== 'listener';
   }
 
   /** Whether the store failed this host a moment ago. */
@@ -69,15 +78,15 @@
     return this.contact.isAway && now - this.failedAt < AWAY_LATELY_MS;
   }
 
-  /** Says whether this host reads the store itself, or only listens. */
-  setReading(isReading: boolean): void {
-    if (isReading === this.reading) return;
-    this.reading = isReading;
+  /** Says how this host follows the store. */
+  setRole(role: ReaderRole): void {
+    if (role === this.role) return;
+    this.role = role;
     this.log.writeInfo('Who reads the store has changed.', {
       table: this.table,
-      isReading,
+      role,
     });
-    if (isReading) this.resumeReading?.();
+    if (this.isReading) this.resumeReading?.();
   }
 
   /** Starts to follow. */
@@ -134,7 +143,7 @@
 
   /** Waits while other hosts read the store. */
   private async waitForTurn(): Promise<void> {
-    if (this.reading) return;
+    if (this.isReading) return;
     await new Promise<void>((resolve) => {
       this.resumeReading = resolve;
     });
@@ -144,10 +153,11 @@
   /** Makes one call; gives the least time from its start to the next. */
   private async step(): Promise<number> {
     const {replica, store, table, options} = this;
+    const ease = this.role === 'standby' ? STANDBY_FACTOR : 1;
     const isWhole = this.mustReload || !replica.isLoaded;
     const result = isWhole
       ? await store.readAll(table)
-      : await store.readChanges(table, replica.revision, options.waitMs);
+      : await store.readChanges(table, replica.revision, options.waitMs * ease);
     const now = this.clock.getNow();
     if (this.controller.signal.aborted) return 0;
     if (result.isErr()) return this.handleError(result.error.kind, now);
@@ -160,7 +170,7 @@
       if (news.length > 0) {
         this.storeChannel.post({rows: news, after, revision});
       }
-      return news.length > 0 ? options.paceMs : 0;
+      return news.length > 0 ? options.paceMs * ease : 0;
     }
     // The store may answer from a copy that lags; then it is asked again.
     this.mustReload = replica.isLoaded && revision < replica.revision;
