--- a/packages/gateway/src/serving/silence_watch.ts
+++ b/packages/gateway/src/serving/silence_watch.ts
@@ -16,8 +16,15 @@
  * Callers aim at pauses below 700 ms, and going on elsewhere takes some 100.
  */
 const LOST_AFTER_MS = 560;
+/**
+ * The wait for a first event before the endpoint is asked, in ms. Half of the
+ * first events come within 1.5 s; a loss that is noticed then leaves time to
+ * read a prompt anew within the usual aim of 4.5 s. Each question costs, and
+ * mostly a connection too.
+ */
+const FIRST_ASK_MS = 1200;
 /** The time between questions before the first event, in ms. */
-const ASK_EVERY_MS = 300;
+const ASK_EVERY_MS = 600;
 /** Unanswered questions before the first event that make a loss. */
 const MAX_UNANSWERED = 2;
 
@@ -38,7 +45,7 @@
 
   /** Starts with the wait for the first event. */
   start(): void {
-    this.plan(ASK_EVERY_MS, () => this.probeBeforeFirst());
+    this.plan(FIRST_ASK_MS, () => this.probeBeforeFirst());
   }
 
   /** Takes it that events arrived. */
