Let the soak end what it started, share no port, and meet more

Change: children end with the soak, ports are given once, calls last 120 ms and may run at three endpoints when they have not run, endpoints that left stay long enough to be met too late, also in the calm at the end; seeds draw 2 to 12 faults. scripts/check_soak.mjs switches mechanisms off in a copy of the bundle.

--- /dev/null
+++ b/scripts/check_soak.mjs
@@ -0,0 +1,77 @@
+// Switches one mechanism off at a time, in a copy of the deployed bundle, and
+// plays seeds of the soak with it: some seed must find the broken promise.
+// Ends with 1 when none of the seeds does, or a mechanism is not found.
+import {spawnSync} from 'node:child_process';
+import {readFileSync, writeFileSync} from 'node:fs';
+
+const BUNDLE = 'target/irisdock-gateway.mjs';
+const MUTATED = 'target/irisdock-gateway-mutated.mjs';
+const FIRST_SEED = 1;
+const SEEDS = 10;
+
+// mechanism; what is replaced by what
+const ALL_TRIALS = [
+  [
+    'a request that may run once is not sent again',
+    / && route\.kind === "once"/,
+    ' && false',
+  ],
+  [
+    'what may have run is not said to be not run',
+    'clearTimeout(connectTimer), mayHaveRun = !0',
+    'clearTimeout(connectTimer)',
+  ],
+  [
+    'an endpoint that leaves gets no work',
+    /return !this\.isGone && this\.entry\.state === "ready"/,
+    'return true',
+  ],
+  [
+    'a cut answer does not look whole',
+    /isWhole: \(\) => [^\n]*/,
+    'isWhole: () => true,',
+  ],
+  [
+    'an event is passed on once',
+    'let { fresh, hasGap } = this.progress.accept(events);',
+    'this.progress.accept(events); let fresh = events.map((e) => e.bytes), hasGap = !1;',
+  ],
+  ['a planned stop waits for what it has', /await waitDrained\([^\n]*/, ''],
+  [
+    'a refused caller is told when to come back',
+    /retryAfterSeconds !== void 0/,
+    'false',
+  ],
+];
+
+// With a word, only the trials whose mechanism has it.
+const [word = ''] = process.argv.slice(2);
+const trials = ALL_TRIALS.filter(([mechanism]) => mechanism.includes(word));
+let wrong = 0;
+for (const [mechanism, from, to] of trials) {
+  const verdict = runTrial(from, to);
+  if (!verdict.startsWith('found')) wrong++;
+  console.log(`| ${mechanism} | ${verdict} |`);
+}
+process.exit(wrong === 0 ? 0 : 1);
+
+function runTrial(from, to) {
+  const text = readFileSync(BUNDLE, 'utf8');
+  const changed = text.replace(from, to);
+  if (changed === text) return 'mechanism not found';
+  writeFileSync(MUTATED, changed);
+  for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
+    const args = ['--seed', String(seed), '--minutes', '0'];
+    const run = spawnSync(
+      process.execPath,
+      ['soak/dist/src/main.js', ...args, '--program', MUTATED],
+      {encoding: 'utf8'},
+    );
+    if (run.status === 0) continue;
+    const [line = ''] = run.stdout.split('\n');
+    if (!line.startsWith('{')) return `NOT PLAYED: ${run.stderr}`;
+    const [first] = JSON.parse(line).broken;
+    return `found by seed ${seed}: ${first}`;
+  }
+  return `NOT FOUND by ${SEEDS} seeds`;
+}
--- a/soak/src/configuration.ts
+++ b/soak/src/configuration.ts
@@ -19,7 +19,7 @@
 /** Creates a version; each has a route more than the one before. */
 export function createConfiguration(version: number): unknown {
   const routes = [
-    createRoute('once', '/once/', {kind: 'unsafe', attempts: 1}),
+    createRoute('once', '/once/', {kind: 'unsafe', attempts: 3}),
     createRoute('again', '/again/', {kind: 'safe', attempts: 3}),
     createRoute('stream', '/stream/', {
       kind: 'streaming',
--- a/soak/src/endpoint_fleet.ts
+++ b/soak/src/endpoint_fleet.ts
@@ -18,14 +18,15 @@
 export const SERVICES = {calls: 'calls', streams: 'streams'} as const;
 /** How the streams of the play go. */
 export const STREAM_SHAPE: StreamShape = {events: 60, stepMs: 25};
-/** How long a plain call works, in ms. */
-const WORK_MS = 20;
+/** How long a plain call works, in ms; long enough to be met by a fault. */
+const WORK_MS = 120;
 const SLOTS = 32;
 /** The entry of an endpoint that crashed vanishes after so long, in ms. */
 const ENTRY_LAPSES_MS = 1500;
 /** An endpoint that leaves serves for so long after it said so, in ms. */
 export const LEAVE_MS = 2000;
-const LINGER_MS = 1500;
+/** And so much longer: what comes then came too late. */
+const LINGER_MS = 5000;
 
 /** One instance of an endpoint. */
 export interface EndpointInstance {
--- /dev/null
+++ b/soak/src/free_ports.ts
@@ -0,0 +1,39 @@
+/**
+ * Ports for hosts. They lie below those that the kernel gives to outgoing
+ * connections, as a host that is started again needs its own back, and none is
+ * given twice, as a host takes a while to listen at its own.
+ */
+import {randomInt} from 'node:crypto';
+import {createServer} from 'node:net';
+
+/** Linux gives ports from 32,768 on to outgoing connections. */
+const LEAST_PORT = 10_000;
+const PORT_RANGE = 22_000;
+
+const GIVEN = new Set<number>();
+
+/** Takes ports that nobody listens at. */
+export async function takeFreePorts(count: number): Promise<number[]> {
+  const ports: number[] = [];
+  while (ports.length < count) {
+    const port = LEAST_PORT + randomInt(PORT_RANGE);
+    if (GIVEN.has(port)) continue;
+    GIVEN.add(port);
+    if (await isFree(port)) ports.push(port);
+  }
+  return ports;
+}
+
+async function isFree(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once('error', () => {
+      resolve(false);
+    });
+    server.listen(port, '127.0.0.1', () => {
+      server.close(() => {
+        resolve(true);
+      });
+    });
+  });
+}
--- a/soak/src/host_process.ts
+++ b/soak/src/host_process.ts
@@ -3,17 +3,16 @@
  * before its ports that can be harmed, and what became of its lives.
  */
 import {spawn, type ChildProcess} from 'node:child_process';
-import {randomInt} from 'node:crypto';
 import {createWriteStream, writeFileSync} from 'node:fs';
-import {createServer} from 'node:net';
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {splitPlace} from '@irisdock/kernel';
 import {DatagramLink} from './datagram_link.js';
+import {takeFreePorts} from './free_ports.js';
 import {TcpLink} from './tcp_link.js';
 
 /** The bundle that is deployed, from soak/dist/src/. */
-const PROGRAM = fileURLToPath(
+export const DEPLOYED_PROGRAM = fileURLToPath(
   new URL('../../../target/irisdock-gateway.mjs', import.meta.url),
 );
 /** How long a planned stop may take, in seconds. */
@@ -23,9 +22,19 @@
 /** The pause before an ended process is started again, in ms. */
 const RESTART_MS = 300;
 const PORTS = 6;
-/** Ports of hosts; Linux gives others, from 32,768 on, to connections. */
-const LEAST_PORT = 10_000;
-const PORT_RANGE = 22_000;
+
+/** Processes that run; none outlives the soak, however that ends. */
+const RUNNING = new Set<ChildProcess>();
+
+process.once('exit', () => {
+  for (const child of RUNNING) child.kill('SIGKILL');
+});
+// A signal would end the soak without 'exit'.
+for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'] as const) {
+  process.once(signal, () => {
+    process.exit(1);
+  });
+}
 
 /** How a process ended that the soak did not end. */
 export interface UnexpectedExit {
@@ -38,6 +47,9 @@
 export interface HostParts {
   readonly name: string;
   readonly failureDomain: string;
+  /** The program that it runs. */
+  readonly program: string;
+  /** Where its settings file and its log are. */
   readonly directory: string;
   readonly storeAddress: string;
   /** Gives where some other hosts answer hosts. */
@@ -107,7 +119,7 @@
 
   /** Opens its links and starts its process. */
   async start(): Promise<void> {
-    this.ports = await findFreePorts(PORTS);
+    this.ports = await takeFreePorts(PORTS);
     this.datagramLink = new DatagramLink(this.datagramPort);
     this.addresses = {
       store: await this.storeLink.start(),
@@ -176,8 +188,8 @@
     if (this.isClosed) return;
     this.life++;
     this.isEnding = false;
-    const {directory, name} = this.parts;
-    const child = spawn(process.execPath, [PROGRAM], {
+    const {directory, name, program} = this.parts;
+    const child = spawn(process.execPath, [program], {
       stdio: ['ignore', 'pipe', 'pipe'],
       env: createEnvironment(this.writeSettings()),
     });
@@ -185,7 +197,9 @@
     child.stdout.pipe(log, {end: false});
     child.stderr.pipe(log, {end: false});
     this.child = child;
+    RUNNING.add(child);
     child.once('exit', (code, signal) => {
+      RUNNING.delete(child);
       this.child = undefined;
       if (this.isEnding) return;
       this.parts.handleUnexpectedExit({host: name, code, signal});
@@ -236,30 +250,3 @@
 async function pause(ms: number): Promise<void> {
   await new Promise((resolve) => setTimeout(resolve, ms));
 }
-
-/**
- * Finds ports that nobody uses. They lie below those that the kernel gives to
- * outgoing connections, as a host that is started again needs its own back.
- */
-async function findFreePorts(count: number): Promise<number[]> {
-  const ports: number[] = [];
-  while (ports.length < count) {
-    const port = LEAST_PORT + randomInt(PORT_RANGE);
-    if (!ports.includes(port) && (await isFree(port))) ports.push(port);
-  }
-  return ports;
-}
-
-async function isFree(port: number): Promise<boolean> {
-  return new Promise((resolve) => {
-    const server = createServer();
-    server.once('error', () => {
-      resolve(false);
-    });
-    server.listen(port, '127.0.0.1', () => {
-      server.close(() => {
-        resolve(true);
-      });
-    });
-  });
-}
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -35,10 +35,12 @@
       seed: {type: 'string', default: '1'},
       minutes: {type: 'string', default: '3'},
       hosts: {type: 'string', default: String(USUAL_PLAY.hosts)},
+      program: {type: 'string', default: USUAL_PLAY.program},
     },
   });
   const [seed, hosts] = [Number(values.seed), Number(values.hosts)];
   const minutes = Number(values.minutes);
+  const {program} = values;
   const isValid =
     Number.isInteger(seed) &&
     minutes >= 0 &&
@@ -52,7 +54,7 @@
     );
     return EXIT_USAGE;
   }
-  return runSeeds(seed, minutes, {...USUAL_PLAY, hosts});
+  return runSeeds(seed, minutes, {...USUAL_PLAY, hosts, program});
 }
 
 process.exitCode = await runMain();
--- a/soak/src/play.ts
+++ b/soak/src/play.ts
@@ -14,14 +14,17 @@
 import {EndpointFleet, SERVICES} from './endpoint_fleet.js';
 import {planFaults, type PlannedFault} from './fault_plan.js';
 import {FaultPlayer} from './fault_player.js';
-import {HostProcess} from './host_process.js';
+import {DEPLOYED_PROGRAM, HostProcess} from './host_process.js';
 import {Witness, type RequestKind} from './witness.js';
 
 /** How large a play is. */
 export interface PlayOptions {
+  /** The program that the hosts run. */
+  readonly program: string;
   readonly hosts: number;
   readonly callers: number;
   readonly lengthMs: number;
+  /** The most faults that are drawn; two at least. */
   readonly faults: number;
 }
 
@@ -39,10 +42,11 @@
 
 /** The size of a usual play. */
 export const USUAL_PLAY: PlayOptions = {
+  program: DEPLOYED_PROGRAM,
   hosts: 4,
   callers: 12,
   lengthMs: 9000,
-  faults: 9,
+  faults: 12,
 };
 
 const DOMAINS = ['zone-1', 'zone-2', 'zone-3'];
@@ -83,13 +87,15 @@
   /** Runs it; gives the faults that were played. */
   async run(): Promise<PlannedFault[]> {
     await this.start();
-    const plan = planFaults(this.random, this.options);
+    // Fewer faults leave calm in which bounds in time hold.
+    const faults = 2 + this.random.getInt(this.options.faults - 1);
+    const plan = planFaults(this.random, {...this.options, faults});
     const callers = this.createCallers();
     const running = callers.map((caller) => caller.run());
     const asking = this.configuration.run();
     await this.runFaults(plan);
     await sleep(RECOVERY_MS);
-    await this.checkRecovery();
+    await Promise.all([this.checkRecovery(), this.drainInCalm()]);
     for (const caller of callers) caller.stop();
     this.configuration.stop();
     await Promise.all([...running, asking]);
@@ -124,6 +130,7 @@
     return new HostProcess({
       name: `host-${index + 1}`,
       failureDomain: DOMAINS[index % DOMAINS.length] ?? '',
+      program: this.options.program,
       directory: this.directory,
       storeAddress,
       getSeeds: () => this.hosts.slice(0, 3).map((host) => host.seedAddress),
@@ -176,6 +183,14 @@
     await Promise.all(last);
   }
 
+  /** An endpoint of each service leaves while nothing else happens. */
+  private async drainInCalm(): Promise<void> {
+    await Promise.all([
+      this.fleet.drain(0),
+      this.fleet.drain(PLACES_A_SERVICE),
+    ]);
+  }
+
   private async checkServed(kind: RequestKind, name: string): Promise<void> {
     const caller = this.createCaller(name);
     let isServed = false;
--- a/soak/tests/settings.test.ts
+++ b/soak/tests/settings.test.ts
@@ -10,7 +10,12 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {describe, it} from 'node:test';
-import {createConfiguration, HostProcess, HOST_NAME} from '@irisdock/soak';
+import {
+  createConfiguration,
+  DEPLOYED_PROGRAM,
+  HostProcess,
+  HOST_NAME,
+} from '@irisdock/soak';
 import {
   createAddressPath,
   StoreStandin,
@@ -36,6 +41,7 @@
   const host = new HostProcess({
     name: 'host-1',
     failureDomain: 'zone-1',
+    program: DEPLOYED_PROGRAM,
     directory,
     storeAddress: (await store.openDoor()).address,
     getSeeds: () => [],
