Let resumed answers wait in a full engine's queue

Ruled out: a longer bound for all, which leaves answers at engines that stand still; the choice of the engine (there was one left). Change: the probe's load says whether the engine is full with orders waiting; then, unless one of its streams is silent, only the longest wait counts, and the order tells nobody that the engine is quiet. Before: testkit/full_engines failed (60 answers, one engine of two killed).

--- a/packages/daemon/src/answer/answer_leg.ts
+++ b/packages/daemon/src/answer/answer_leg.ts
@@ -70,6 +70,8 @@
   private readonly watch: StallWatch;
   private stall: StallKind | undefined;
   private hasToken = false;
+  /** Whether the engine's last load says that this order may wait there. */
+  private isQueued = false;
   private firstTokenMs: number;
   private promptChars = 0;
 
@@ -82,18 +84,25 @@
         const {gaps, serviceGaps} = parts.endpoint;
         const limits = serviceGaps.getLimits(gaps, options.bounds);
         if (this.hasToken) return limits;
-        return {...limits, lostMs: this.firstTokenMs};
+        const lostMs = this.isQueued ? options.firstTokenMs : this.firstTokenMs;
+        return {...limits, lostMs};
       },
       probe: async () => {
         const load = await engine.getLoad(options.probeTimeoutMs);
-        return load.isOk();
+        if (load.isErr()) return false;
+        // A full engine that makes tokens has not come to this order yet; one
+        // whose streams stand still makes none for those that wait either.
+        const {running, slots, queued} = load.value;
+        const isFull = running >= slots && queued > 0;
+        this.isQueued = isFull && !parts.endpoint.isQuiet;
+        return true;
       },
       handleLoss: (kind) => {
         this.stall = kind;
         this.abort.abort();
       },
       handleQuiet: () => {
-        parts.handleQuiet();
+        if (!this.isQueued) parts.handleQuiet();
       },
     });
   }
--- a/packages/daemon/src/endpoint/endpoint_record.ts
+++ b/packages/daemon/src/endpoint/endpoint_record.ts
@@ -61,6 +61,11 @@
     return this.misses < MAX_MISSES;
   }
 
+  /** Whether a stream there is silent though it answers, by what was told. */
+  get isQuiet(): boolean {
+    return this.clock.getNow() < this.quietUntil;
+  }
+
   /** Whether nothing of this host runs there. */
   get isIdle(): boolean {
     return this.inFlight === 0;
@@ -140,7 +145,7 @@
       address: this.address,
       failureDomain: this.failureDomain,
       answering: this.isAnswering,
-      isQuiet: this.clock.getNow() < this.quietUntil,
+      isQuiet: this.isQuiet,
       lossRate: this.lossRate,
       slots: report?.slots ?? 1,
       reported: (report?.running ?? 0) + (report?.queued ?? 0),
