--- a/eslint.config.js
+++ b/eslint.config.js
@@ -13,7 +13,7 @@
 const VERB_START = `^(${VERBS.join('|')})([A-Z0-9]|$)`;
 
 export default tseslint.config(
-  {ignores: ['**/dist/**', '**/gen/**', 'bench/out/**']},
+  {ignores: ['**/dist/**', '**/gen/**', 'bench/out/**', 'target/**']},
   eslint.configs.recommended,
   ...tseslint.configs.strictTypeChecked,
   ...tseslint.configs.stylisticTypeChecked,
