Take SIGHUP from before the start's first wait again

Cause: with the settings watch SIGHUP was taken only once all services had started; before, as Node does by default, it ended the process. Not covered by a test of its own (the moment is some ms); the soak tells hosts to reread while they start. A signal while Node itself loads still ends the process, as ever.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -122,9 +122,10 @@
   const watch = new SettingsWatch(call.env[call.fileVariable], clock, log, () =>
     readSettings(call, groups).map((next) => kernel.applySettings(next)),
   );
+  // Before anything is waited for: an unhandled SIGHUP would end the process.
+  watch.start();
   try {
     await kernel.start(settings);
-    watch.start();
     log.writeInfo('Started.', {pid: process.pid});
   } catch (thrown) {
     log.writeError('The start failed.', {error: getErrorText(thrown)});
