Keep the platform's names out of the soak, and what nobody uses out of it

They are in platform/tests/fixtures now: rows.ts serves the tests of the adapter and the soak; decodeAddresses reads the address answer. Taken out: a link's refusal, isRunning, an instance's place and a run's first event, which nothing read.

--- a/soak/src/caller.ts
+++ b/soak/src/caller.ts
@@ -8,8 +8,11 @@
 import {
   createAddressPath,
   createCallerHead,
+  decodeAddresses,
+  HOST_NAME,
+  SOAK_KEY,
+  SOAK_PATHS,
 } from '@irisdock/users-platform/fixtures';
-import {HOST_NAME, KEY, PATHS} from './configuration.js';
 import type {HostProcess} from './host_process.js';
 import type {Attempt, AttemptEnd, RequestKind, Witness} from './witness.js';
 
@@ -127,8 +130,8 @@
         signal: AbortSignal.timeout(DIRECTORY_MS),
       });
       if (answer.status !== OK_STATUS) return;
-      const told = (await answer.json()) as {addresses: string[]};
-      this.addresses = told.addresses;
+      const {addresses} = decodeAddresses(await answer.text());
+      this.addresses = [...addresses];
       this.askedAt = performance.now();
     } catch {
       // This host does not answer; the next try asks another one.
@@ -145,7 +148,7 @@
     const remainingMs = isStream ? STREAM_MS : CALL_MS;
     const head = createCallerHead({
       hostName: HOST_NAME,
-      key: KEY,
+      key: SOAK_KEY,
       attemptId,
       remainingMs,
       ...(isStream ? {promptTokens: PROMPT_TOKENS} : {}),
@@ -156,7 +159,7 @@
       const message = request({
         ...splitPlace(address),
         method: 'POST',
-        path: PATHS[kind],
+        path: SOAK_PATHS[kind],
         agent: this.agent,
         headers: {...head, 'Content-Length': Buffer.byteLength(body)},
         signal: AbortSignal.timeout(remainingMs),
--- a/soak/src/configuration_witness.ts
+++ b/soak/src/configuration_witness.ts
@@ -6,8 +6,12 @@
 import {request} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {splitPlace} from '@irisdock/kernel';
-import type {StoreStandin} from '@irisdock/users-platform/fixtures';
-import {createConfiguration, HOST_NAME} from './configuration.js';
+import {
+  createSoakConfiguration,
+  HOST_NAME,
+  putConfiguration,
+  type StoreStandin,
+} from '@irisdock/users-platform/fixtures';
 import type {Disturbances} from './disturbances.js';
 import type {HostProcess} from './host_process.js';
 import type {Witness} from './witness.js';
@@ -60,7 +64,7 @@
   commitNext(): void {
     const version = this.version + 1;
     this.changes.push({version, at: performance.now()});
-    this.store.put('op', 'config', createConfiguration(version));
+    putConfiguration(this.store, createSoakConfiguration(version));
   }
 
   /** Changes the configuration and asks all hosts until it is stopped. */
--- a/soak/src/endpoint_fleet.ts
+++ b/soak/src/endpoint_fleet.ts
@@ -7,16 +7,18 @@
 import {
   CopyBoard,
   createCallScript,
+  createEntry,
   createStreamScript,
+  ENTRY_STATES,
+  putEntry,
   ServerStandin,
+  SOAK_SERVICES,
   type ServerRun,
   type StoreStandin,
   type StreamShape,
 } from '@irisdock/users-platform/fixtures';
 import {TcpLink} from './tcp_link.js';
 
-/** The services of the play. */
-export const SERVICES = {calls: 'calls', streams: 'streams'} as const;
 /** How the streams of the play go. */
 export const STREAM_SHAPE: StreamShape = {events: 60, stepMs: 25};
 /** How long a plain call works, in ms; long enough to be met by a fault. */
@@ -32,7 +34,6 @@
 /** One instance of an endpoint. */
 export interface EndpointInstance {
   readonly id: string;
-  readonly place: number;
   readonly service: string;
   readonly failureDomain: string;
   readonly server: ServerStandin;
@@ -75,14 +76,13 @@
       },
     };
     const server = new ServerStandin(
-      service === SERVICES.streams
+      service === SOAK_SERVICES.streams
         ? createStreamScript(parts, STREAM_SHAPE)
         : createCallScript(parts, WORK_MS),
     );
     target = splitPlace(await server.start());
     const instance: EndpointInstance = {
       id,
-      place,
       service,
       failureDomain,
       server,
@@ -105,11 +105,11 @@
     if (instance === undefined) return;
     this.end(instance);
     const lapse = setTimeout(() => {
-      this.store.put('servers', instance.id, undefined);
+      putEntry(this.store, instance.id, undefined);
     }, ENTRY_LAPSES_MS);
     await sleep(downMs);
     clearTimeout(lapse);
-    this.store.put('servers', instance.id, undefined);
+    putEntry(this.store, instance.id, undefined);
     await this.add(instance.service, place);
   }
 
@@ -118,10 +118,10 @@
     const old = this.takeOut(place);
     if (old === undefined) return;
     await this.add(old.service, place);
-    this.putEntry(old, 'draining');
+    this.putEntry(old, 'leaving');
     old.leavingAt = performance.now();
     await sleep(LEAVE_MS + LINGER_MS);
-    this.store.put('servers', old.id, undefined);
+    putEntry(this.store, old.id, undefined);
     this.end(old);
   }
 
@@ -146,10 +146,16 @@
 
   private putEntry(
     instance: EndpointInstance,
-    state: 'draining' | 'ready',
+    state: keyof typeof ENTRY_STATES,
   ): void {
-    const {service, address, failureDomain: zone} = instance;
-    const entry = {service, address, zone, state, slots: SLOTS, sequence: 1};
-    this.store.put('servers', instance.id, {...entry, version: 'v1'});
+    const {id, service, address, failureDomain} = instance;
+    const entry = createEntry(
+      service,
+      address,
+      failureDomain,
+      ENTRY_STATES[state],
+      SLOTS,
+    );
+    putEntry(this.store, id, entry);
   }
 }
--- a/soak/src/host_process.ts
+++ b/soak/src/host_process.ts
@@ -113,11 +113,6 @@
     return this.ports[4] ?? 0;
   }
 
-  /** Whether its process runs. */
-  get isRunning(): boolean {
-    return this.child !== undefined;
-  }
-
   /** Opens its links and starts its process. */
   async start(): Promise<void> {
     this.ports = await takeFreePorts(PORTS);
--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -1,5 +1,4 @@
 /** The soak, as its tests use it. */
-export * from './configuration.js';
 export * from './disturbances.js';
 export * from './fault_plan.js';
 export * from './host_process.js';
--- a/soak/src/play.ts
+++ b/soak/src/play.ts
@@ -7,11 +7,15 @@
 import {join} from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {SeededRandom} from '@irisdock/kernel';
-import {READINESS_PATH, StoreStandin} from '@irisdock/users-platform/fixtures';
+import {
+  READINESS_PATH,
+  SOAK_SERVICES,
+  StoreStandin,
+} from '@irisdock/users-platform/fixtures';
 import {Caller} from './caller.js';
 import {ConfigurationWitness} from './configuration_witness.js';
 import {Disturbances} from './disturbances.js';
-import {EndpointFleet, SERVICES} from './endpoint_fleet.js';
+import {EndpointFleet} from './endpoint_fleet.js';
 import {planFaults, type PlannedFault} from './fault_plan.js';
 import {FaultPlayer} from './fault_player.js';
 import {DEPLOYED_PROGRAM, HostProcess} from './host_process.js';
@@ -113,7 +117,7 @@
   private async start(): Promise<void> {
     const door = await this.store.openDoor();
     this.configuration.commitNext();
-    const services = [SERVICES.calls, SERVICES.streams];
+    const services = [SOAK_SERVICES.calls, SOAK_SERVICES.streams];
     for (const [index, service] of services.entries()) {
       for (let at = 0; at < PLACES_A_SERVICE; at++) {
         await this.fleet.add(service, index * PLACES_A_SERVICE + at);
--- a/soak/src/tcp_link.ts
+++ b/soak/src/tcp_link.ts
@@ -15,8 +15,6 @@
   readonly holdsBackward?: boolean;
   /** Each piece of data comes so much later, in ms. */
   readonly delayMs?: number;
-  /** New connections are reset. */
-  readonly refuses?: boolean;
 }
 
 /** One connection through the link. */
@@ -78,10 +76,6 @@
   harm: LinkHarm = {};
   private readonly pairs = new Set<LinkedPair>();
   private readonly server = createServer({allowHalfOpen: true}, (near) => {
-    if (this.harm.refuses === true) {
-      near.resetAndDestroy();
-      return;
-    }
     const {host, port} = this.getTarget();
     const far = connect({host, port, allowHalfOpen: true});
     this.pairs.add(new LinkedPair(near, far, this));
--- a/soak/tests/settings.test.ts
+++ b/soak/tests/settings.test.ts
@@ -10,14 +10,13 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {describe, it} from 'node:test';
-import {
-  createConfiguration,
-  DEPLOYED_PROGRAM,
-  HostProcess,
-  HOST_NAME,
-} from '@irisdock/soak';
+import {DEPLOYED_PROGRAM, HostProcess} from '@irisdock/soak';
 import {
   createAddressPath,
+  createSoakConfiguration,
+  decodeAddresses,
+  HOST_NAME,
+  putConfiguration,
   StoreStandin,
 } from '@irisdock/users-platform/fixtures';
 
@@ -36,7 +35,7 @@
 ): Promise<void> {
   const directory = mkdtempSync(join(tmpdir(), 'irisdock-settings-'));
   const store = new StoreStandin();
-  store.put('op', 'config', createConfiguration(1));
+  putConfiguration(store, createSoakConfiguration(1));
   const exits: unknown[] = [];
   const host = new HostProcess({
     name: 'host-1',
@@ -68,8 +67,7 @@
   const path = createAddressPath(HOST_NAME, 'zone-1');
   try {
     const answer = await fetch(`http://${host.directoryAddress}${path}`);
-    const told = (await answer.json()) as {ttl_s?: number};
-    return told.ttl_s;
+    return decodeAddresses(await answer.text()).keepSeconds;
   } catch {
     // It does not listen, or knows no configuration, yet.
     return undefined;
--- a/soak/tests/witness.test.ts
+++ b/soak/tests/witness.test.ts
@@ -57,7 +57,7 @@
   for (const attemptId of runs) {
     witness.recordRun(
       {id: 'i-1', leavingAt: undefined},
-      {attemptId, path: '/', body: BODY, firstEventId: undefined},
+      {attemptId, path: '/', body: BODY},
     );
   }
   witness.recordEnd(attempt, end);
