Find the engine that keeps a returning caller's prompt by asking the engines

Cause: after a host or an engine is lost, callers come again by any host with Last-Event-Id. Which engine still keeps the prompt was guessed by a hash; since fresh prompts go where they hold up least, the guess misses. Ruled out: the price coming from prompts of fresh streams (13 early losses, some tokens each); that the parts had given way (the engines list them as kept).

Change: when a caller comes again, up to 24 engines, the first in the prompt's order, are asked for the parts they keep (120 ms; answers shared for 100 ms), and the choice counts only what an engine still has to read. The guess by the hash is gone.

--- a/packages/decisions/src/engine_placement.ts
+++ b/packages/decisions/src/engine_placement.ts
@@ -44,8 +44,8 @@
   readonly avoidedDomains: ReadonlySet<string>;
   /** Names the prompt, for the order of preference; empty for none. */
   readonly promptKey: string;
-  /** Whether an engine probably keeps the prompt from an earlier run. */
-  readonly isPromptKept: boolean;
+  /** Tokens of the prompt that engines keep from an earlier run, by instance. */
+  readonly keptTokens: ReadonlyMap<string, number>;
 }
 
 /** The size that a prompt of unknown size is taken for, in tokens. */
@@ -77,24 +77,24 @@
     candidates.push(engine);
     leastCost = Math.min(leastCost, computeEngineCost(engine, request));
   }
-  const saved = request.isPromptKept ? request.promptTokens : 0;
-  const mostCost = leastCost + saved;
   for (const engine of sortByPreference(candidates, request.promptKey)) {
-    if (computeEngineCost(engine, request) <= mostCost) return engine;
+    if (computeEngineCost(engine, request) <= leastCost) return engine;
   }
   return undefined;
 }
 
 /**
  * Gives what a stream costs at an engine: the prompt tokens that it waits for,
- * and the tokens of its own that each stream there waits for.
+ * its own among them, and those of its own that each stream there waits for.
  */
 export function computeEngineCost(
   engine: EngineView,
   request: EngineRequest,
 ): number {
   const promptTokens = request.promptTokens || UNKNOWN_PROMPT_TOKENS;
-  let cost = engine.unreadTokens + engine.streams * promptTokens;
+  const keptTokens = request.keptTokens.get(engine.instanceId) ?? 0;
+  const readTokens = Math.max(0, promptTokens - keptTokens);
+  let cost = engine.unreadTokens + (1 + engine.streams) * readTokens;
   cost += engine.failureScore * FAILURE_COST_PROMPTS * promptTokens;
   if (request.avoidedDomains.has(engine.failureDomain)) {
     cost += DOMAIN_COST_PROMPTS * promptTokens;
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -16,6 +16,7 @@
 export * from './generation_number.js';
 export * from './hash.js';
 export * from './lease.js';
+export * from './kept_prompt.js';
 export * from './leaving_memory.js';
 export * from './loss_response.js';
 export * from './member.js';
--- a/packages/decisions/tests/engine_placement.test.ts
+++ b/packages/decisions/tests/engine_placement.test.ts
@@ -35,7 +35,7 @@
     excluded: new Set(),
     avoidedDomains: new Set(),
     promptKey: 'p',
-    isPromptKept: false,
+    keptTokens: new Map(),
     ...change,
   };
 }
@@ -127,15 +127,25 @@
   });
 
   it('goes back to a busier engine for a prompt that it keeps', () => {
-    const all = createEngines([{}, {}, {}]);
-    const first = sortByPreference(all, 'p')[0]?.instanceId;
-    const busy = all.map((engine) =>
-      engine.instanceId === first ? {...engine, unreadTokens: 8000} : engine,
-    );
-    const kept = chooseEngine(busy, createRequest({isPromptKept: true}));
-    assert.equal(kept?.instanceId, first);
-    const fresh = chooseEngine(busy, createRequest());
-    assert.notEqual(fresh?.instanceId, first);
+    const keptTokens = new Map([['e1', 8000]]);
+    const cases: readonly [Partial<EngineView>, boolean][] = [
+      [{unreadTokens: 7000}, true],
+      [{streams: 3}, true],
+      [{unreadTokens: 8300}, false],
+      [{streams: 60}, false],
+      [{failureScore: 1}, false],
+    ];
+    for (const [change, isTaken] of cases) {
+      const all = createEngines([{}, change, {}]);
+      const chosen = chooseEngine(all, createRequest({keptTokens}));
+      assert.equal(
+        chosen?.instanceId === 'e1',
+        isTaken,
+        JSON.stringify(change),
+      );
+      const fresh = chooseEngine(all, createRequest());
+      assert.notEqual(fresh?.instanceId, 'e1');
+    }
   });
 });
 
--- a/packages/gateway/src/model/request_terms.ts
+++ b/packages/gateway/src/model/request_terms.ts
@@ -89,6 +89,20 @@
   encodeDropCopy(copyName: string): EngineCall;
 }
 
+/** Translates the call that tells which prompts an engine keeps. */
+export interface KeptPromptCodec {
+  /** Asks an engine which parts of prompts it keeps. */
+  encodeListKept(): EngineCall;
+  /**
+   * Gives the tokens kept of each part, by the part's id; undefined when the
+   * answer cannot be used.
+   */
+  decodeListKept(
+    status: number,
+    body: string,
+  ): ReadonlyMap<string, number> | undefined;
+}
+
 /** Translates between headers and typed terms. */
 export interface HeaderCodec {
   /** The path at which an engine reports its state. */
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -14,6 +14,7 @@
 import {startListening} from '../channels/listening.js';
 import {CallerExchange} from '../serving/caller_exchange.js';
 import {EndpointProber} from '../serving/endpoint_prober.js';
+import {KeptPromptFinder} from '../serving/kept_prompts.js';
 import {RepeatBudgets} from '../serving/repeat_budgets.js';
 import {RequestHandler} from '../serving/request_handler.js';
 import {ServingMetrics} from '../serving/serving_metrics.js';
@@ -119,15 +120,17 @@
   settings: z.infer<typeof SETTINGS>,
 ): ServingParts {
   const {clock, random, log, metrics} = context;
-  const {headers: codec, copies} = context.find(CODECS);
+  const {headers: codec, copies, keptPrompts} = context.find(CODECS);
   const peers = context.find(PEERS);
+  const client = new EndpointClient(codec);
   return {
     clock,
     random,
     log,
     codec,
     copies,
-    client: new EndpointClient(codec),
+    client,
+    keptPrompts: new KeptPromptFinder(client, keptPrompts, clock, log),
     configuration: context.find(GATEWAY_CONFIGURATION),
     endpoints: context.find(GATEWAY_ENDPOINTS),
     budgets: new RepeatBudgets(
--- a/packages/gateway/src/services/store.ts
+++ b/packages/gateway/src/services/store.ts
@@ -4,7 +4,11 @@
  */
 import {createServiceKey} from '@irisdock/kernel';
 import type {EndpointEntry} from '../model/endpoint_entry.js';
-import type {CopyCodec, HeaderCodec} from '../model/request_terms.js';
+import type {
+  CopyCodec,
+  HeaderCodec,
+  KeptPromptCodec,
+} from '../model/request_terms.js';
 import type {ServingConfiguration} from '../model/serving_configuration.js';
 import type {RowCodec, WatchedStore} from '../model/watched_table.js';
 
@@ -12,6 +16,7 @@
 export interface Codecs {
   readonly headers: HeaderCodec;
   readonly copies: CopyCodec;
+  readonly keptPrompts: KeptPromptCodec;
   readonly configuration: RowCodec<ServingConfiguration>;
   readonly endpoints: RowCodec<EndpointEntry>;
   /** The paths at which this host answers questions about itself. */
--- /dev/null
+++ b/packages/gateway/src/serving/kept_prompts.ts
@@ -0,0 +1,112 @@
+/**
+ * Finds the engines that still keep the prompt of a caller that comes again.
+ * The host that served it before may be gone with all that it knew, so the
+ * engines themselves are asked. Several callers that come again at the same
+ * time, as after the loss of a host, share the answers.
+ */
+import {
+  computeKeptTokens,
+  sortByPreference,
+  type PromptPartView,
+} from '@irisdock/decisions';
+import type {Clock, Logger} from '@irisdock/kernel';
+import type {EndpointClient} from '../channels/endpoint_client.js';
+import type {KeptPromptCodec} from '../model/request_terms.js';
+import {readAnswerBody} from './answer_body.js';
+import type {EndpointRecord} from './endpoint_record.js';
+
+/** Tokens kept of each part, by the part's id. */
+type KeptParts = ReadonlyMap<string, number>;
+
+interface KeptAnswer {
+  readonly askedAt: number;
+  readonly parts: Promise<KeptParts | undefined>;
+}
+
+/**
+ * How many engines are asked, the first in the prompt's own order. With more
+ * engines than this some that keep the prompt are not found; the number bounds
+ * what one caller costs.
+ */
+const MAX_ASKED = 24;
+/** How long an engine may take to answer, in ms; it takes a few mostly. */
+const ANSWER_MS = 120;
+/** How long an answer is used, in ms; callers of a lost host come together. */
+const USE_MS = 100;
+
+/** Asks engines for the prompts that they keep. */
+export class KeptPromptFinder {
+  private readonly answers = new Map<string, KeptAnswer>();
+
+  constructor(
+    private readonly client: EndpointClient,
+    private readonly codec: KeptPromptCodec,
+    private readonly clock: Clock,
+    private readonly log: Logger,
+  ) {}
+
+  /** Gives the tokens that engines keep of a prompt, by instance id. */
+  async findKept(
+    engines: readonly EndpointRecord[],
+    prompt: readonly PromptPartView[],
+  ): Promise<ReadonlyMap<string, number>> {
+    this.dropOld();
+    const kept = new Map<string, number>();
+    const key = prompt.at(-1)?.id;
+    if (key === undefined) return kept;
+    const asked = sortByPreference(engines, key).slice(0, MAX_ASKED);
+    await Promise.all(
+      asked.map(async (engine) => {
+        const parts = await this.poll(engine);
+        const tokens = computeKeptTokens(prompt, parts ?? new Map());
+        if (tokens > 0) kept.set(engine.instanceId, tokens);
+      }),
+    );
+    return kept;
+  }
+
+  private poll(engine: EndpointRecord): Promise<KeptParts | undefined> {
+    const {instanceId} = engine;
+    const known = this.answers.get(instanceId);
+    if (known !== undefined) return known.parts;
+    const parts = this.pollOnce(engine);
+    const askedAt = this.clock.getNow();
+    this.answers.set(instanceId, {askedAt, parts});
+    return parts;
+  }
+
+  private async pollOnce(
+    engine: EndpointRecord,
+  ): Promise<KeptParts | undefined> {
+    const {address} = engine;
+    const {method, path, body} = this.codec.encodeListKept();
+    const answer = await this.client.send({
+      address,
+      method,
+      path,
+      lines: [['Host', address]],
+      body: Buffer.from(body),
+      signal: AbortSignal.timeout(ANSWER_MS),
+    });
+    const text =
+      answer.kind === 'lost' ? undefined : await readAnswerBody(answer);
+    const parts =
+      answer.kind === 'lost' || text === undefined
+        ? undefined
+        : this.codec.decodeListKept(answer.status, text.toString());
+    if (parts === undefined) {
+      this.log.writeDebug('An engine did not tell which prompts it keeps.', {
+        endpoint: engine.instanceId,
+        address,
+      });
+    }
+    return parts;
+  }
+
+  private dropOld(): void {
+    const oldest = this.clock.getNow() - USE_MS;
+    for (const [instanceId, {askedAt}] of this.answers) {
+      if (askedAt < oldest) this.answers.delete(instanceId);
+    }
+  }
+}
--- a/packages/gateway/src/serving/serving_parts.ts
+++ b/packages/gateway/src/serving/serving_parts.ts
@@ -4,6 +4,7 @@
 import type {CopyCodec, HeaderCodec} from '../model/request_terms.js';
 import type {GatewayConfiguration} from '../services/configuration.js';
 import type {GatewayEndpoints} from '../services/endpoints.js';
+import type {KeptPromptFinder} from './kept_prompts.js';
 import type {RepeatBudgets} from './repeat_budgets.js';
 import type {ServingMetrics} from './serving_metrics.js';
 
@@ -15,6 +16,7 @@
   readonly codec: HeaderCodec;
   readonly copies: CopyCodec;
   readonly client: EndpointClient;
+  readonly keptPrompts: KeptPromptFinder;
   readonly configuration: GatewayConfiguration;
   readonly endpoints: GatewayEndpoints;
   readonly budgets: RepeatBudgets;
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -66,6 +66,7 @@
 
   /** Runs legs until the stream ends; gives its outcome for the figures. */
   async run(): Promise<string> {
+    await this.planner.findKeptPrompt();
     for (;;) {
       const plan = await this.findPlan();
       const {exchange} = this.request;
@@ -99,13 +100,14 @@
 
   private async runLeg(plan: LegPlan): Promise<LegResult> {
     const {endpoint, backup, memorySource} = plan;
-    const {exchange, requestId, terms, team, body} = this.request;
+    const {exchange, requestId, team, body} = this.request;
     const {expectedTokens} = this.planner;
     this.lastEndpoint = endpoint;
     this.sends++;
     const claim: UseClaim = {
       running: 1,
-      unreadTokens: memorySource === undefined ? terms.promptTokens : 0,
+      unreadTokens:
+        memorySource === undefined ? this.planner.countUnread(endpoint) : 0,
       expectedTokens,
     };
     const keeper = this.createKeeper(endpoint, backup);
@@ -129,7 +131,8 @@
       exchange.signal,
     );
     const now = this.parts.clock.getNow();
-    this.report.recordSend(plan, this.progress.lastEventId);
+    const keptTokens = this.planner.countKept(endpoint);
+    this.report.recordSend(plan, this.progress.lastEventId, keptTokens);
     let isCopyNeeded = true;
     try {
       const lines = this.parts.codec.encodeSend(exchange.lines, {
--- a/packages/gateway/src/serving/stream_planner.ts
+++ b/packages/gateway/src/serving/stream_planner.ts
@@ -22,6 +22,7 @@
   private readonly excluded = new Set<string>();
   private readonly avoidedDomains = new Set<string>();
   private copy: KeptCopy | undefined;
+  private keptTokens: ReadonlyMap<string, number> = new Map();
 
   constructor(
     private readonly parts: ServingParts,
@@ -48,6 +49,18 @@
     this.copy = copy;
   }
 
+  /**
+   * Looks for engines that keep the prompt of a caller that comes again; for
+   * others there is nothing to find, and no time is spent.
+   */
+  async findKeptPrompt(): Promise<void> {
+    const {lastEventId, promptParts} = this.terms;
+    if (lastEventId === undefined) return;
+    const usable = this.parts.endpoints.listUsable(this.service);
+    const finder = this.parts.keptPrompts;
+    this.keptTokens = await finder.findKept(usable, promptParts);
+  }
+
   /** Chooses where the next leg runs; undefined when there is no engine. */
   choosePlan(): LegPlan | undefined {
     const usable = this.parts.endpoints.listUsable(this.service);
@@ -64,6 +77,16 @@
     return {endpoint, backup, memorySource};
   }
 
+  /** Gives the tokens of the prompt that an engine keeps. */
+  countKept(endpoint: EndpointRecord): number {
+    return this.keptTokens.get(endpoint.instanceId) ?? 0;
+  }
+
+  /** Gives the tokens of the prompt that an engine has to read. */
+  countUnread(endpoint: EndpointRecord): number {
+    return Math.max(0, this.terms.promptTokens - this.countKept(endpoint));
+  }
+
   /** Gives what the stream asks of an engine now. */
   createEngineRequest(): EngineRequest {
     return {
@@ -72,7 +95,7 @@
       excluded: this.excluded,
       avoidedDomains: this.avoidedDomains,
       promptKey: this.terms.promptParts.at(-1)?.id ?? '',
-      isPromptKept: this.terms.lastEventId !== undefined,
+      keptTokens: this.keptTokens,
     };
   }
 
--- a/packages/gateway/src/serving/stream_report.ts
+++ b/packages/gateway/src/serving/stream_report.ts
@@ -15,7 +15,11 @@
   ) {}
 
   /** Takes it that a leg begins. */
-  recordSend(plan: LegPlan, lastEventId: number | undefined): void {
+  recordSend(
+    plan: LegPlan,
+    lastEventId: number | undefined,
+    keptTokens: number,
+  ): void {
     const {endpoint, backup, memorySource} = plan;
     this.parts.log.writeInfo('A stream is sent to an engine.', {
       request: this.requestId,
@@ -25,6 +29,7 @@
       unreadTokens: endpoint.unreadTokens,
       backup: backup?.instanceId,
       withMemory: memorySource !== undefined,
+      keptTokens,
       lastEventId,
     });
   }
