Let groups of hosts that started apart find each other

Cause: a host asks a seed only while it hears nobody. Ruled out: lost or refused datagrams, their order, how long told use counts.

Change: a seed whose host is not heard is tried also while others are heard, after pauses that double up to 80 beats; a host that writes its place into the store reads the places of others then, so that of two groups' readers one finds the other. A place that cannot be written gets a log line.

--- a/packages/gateway/src/services/introduction.ts
+++ b/packages/gateway/src/services/introduction.ts
@@ -52,7 +52,12 @@
   async step(): Promise<void> {
     const now = this.clock.getNow();
     if (now - this.startedAt < LISTEN_MS) return;
-    if (!this.isWritten && this.peers.standing.isReading) await this.writeOwn();
+    if (!this.isWritten && this.peers.standing.isReading) {
+      this.isWritten = await this.writeOwn();
+      // Another group of hosts may have its own readers: of two that each
+      // write and then read, one finds the other.
+      await this.readOthers();
+    }
     const isDue = now - this.readAt >= READ_AGAIN_MS;
     if (isDue && !this.peers.hasHeardAny(now)) await this.readOthers();
   }
@@ -66,11 +71,14 @@
     this.log.writeInfo('The own row could not be taken out.', {kind});
   }
 
-  private async writeOwn(): Promise<void> {
+  private async writeOwn(): Promise<boolean> {
     const {datagrams} = this.peers.place;
     const row = JSON.stringify({datagrams});
     const result = await this.store.write('hosts', this.hostName, row);
-    this.isWritten = result.isOk();
+    if (result.isOk()) return true;
+    const {kind} = result.error;
+    this.log.writeWarning('The own row could not be written.', {kind});
+    return false;
   }
 
   private async readOthers(): Promise<void> {
--- a/packages/gateway/src/services/peer_hosts.ts
+++ b/packages/gateway/src/services/peer_hosts.ts
@@ -69,8 +69,10 @@
 const MAX_DIGESTS = 40;
 /** The largest datagram with news; larger ones may be cut on the way. */
 const MAX_NEWS_BYTES = 1300;
-/** Beats between two tries of a seed. */
+/** Beats between two tries of a seed while nobody is heard. */
 const SEED_EVERY = 5;
+/** The most beats between two tries of seeds that do not answer. */
+const MAX_SEED_PAUSE = 80;
 
 /** The other hosts. */
 export class Peers {
@@ -88,6 +90,9 @@
   private readonly places: PeerPlaces;
   private sequence = 0;
   private seeds: readonly string[];
+  /** The beat at which a seed that is not heard is tried next. */
+  private nextSeedBeat = 1;
+  private seedPause = SEED_EVERY;
 
   constructor(private readonly parts: PeersParts) {
     this.seeds = parts.seeds;
@@ -142,6 +147,8 @@
   /** Takes where some other hosts answer hosts; may be old. */
   setSeeds(seeds: readonly string[]): void {
     this.seeds = seeds;
+    this.seedPause = SEED_EVERY;
+    this.nextSeedBeat = this.sequence;
   }
 
   /** Tells the other hosts of this one. */
@@ -156,8 +163,7 @@
     this.dropSilent(now);
     const heard = this.heard.listHeard(now);
     void this.loader.loadNewer(heard, now);
-    const isSeedBeat = this.sequence % SEED_EVERY === 1;
-    if (heard.length === 0 && isSeedBeat) void this.loadFromSeed();
+    this.trySeed(heard);
   }
 
   close(): void {
@@ -266,12 +272,30 @@
     }
   }
 
-  /** Asks one seed for what it knows, and for its place. */
-  private async loadFromSeed(): Promise<void> {
+  /**
+   * Asks one seed that is not heard for what it knows, and for its place. That
+   * some host is heard is not enough: hosts that start at the same time may
+   * form groups that each hear only themselves.
+   */
+  private trySeed(heard: readonly PeerMessage[]): void {
+    if (heard.length === 0) this.seedPause = SEED_EVERY;
     const {random, place} = this.parts;
-    const others = this.seeds.filter((seed) => seed !== place.tables);
-    const [seed] = getShuffled(others, random);
+    const known = new Set([place, ...heard.map((one) => one.place)]);
+    const tables = new Set([...known].map((one) => one.tables));
+    const [seed] = getShuffled(
+      this.seeds.filter((one) => !tables.has(one)),
+      random,
+    );
     if (seed === undefined) return;
+    const untilMost = this.sequence + this.seedPause;
+    this.nextSeedBeat = Math.min(this.nextSeedBeat, untilMost);
+    if (this.sequence < this.nextSeedBeat) return;
+    this.nextSeedBeat = untilMost;
+    this.seedPause = Math.min(MAX_SEED_PAUSE, this.seedPause * 2);
+    void this.loadFromSeed(seed);
+  }
+
+  private async loadFromSeed(seed: string): Promise<void> {
     const datagrams = await this.loader.loadFrom(seed);
     if (datagrams !== undefined) this.places.add(datagrams);
   }
