--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -1,6 +1,6 @@
 /** The service `front`: takes the requests of callers. */
 import {createServer, type Server} from 'node:http';
-import type {WindowedBudgetOptions} from '@irisdock/decisions';
+import {StreamTimes, type WindowedBudgetOptions} from '@irisdock/decisions';
 import {
   createService,
   createServiceKey,
@@ -27,8 +27,6 @@
 
 /** Callers may still hold this host's address for so long, in ms. */
 const LINGER_MS = 3500;
-/** Stays clear of the moment at which the process is killed, in ms. */
-const GRACE_MARGIN_MS = 600;
 const DRAIN_STEP_MS = 50;
 /** The longest time for a whole request to arrive, in ms. */
 const REQUEST_MS = 60_000;
@@ -131,6 +129,7 @@
     copies,
     client,
     keptPrompts: new KeptPromptFinder(client, keptPrompts, clock, log),
+    streamTimes: new StreamTimes(),
     configuration: context.find(GATEWAY_CONFIGURATION),
     endpoints: context.find(GATEWAY_ENDPOINTS),
     budgets: new RepeatBudgets(
@@ -163,8 +162,7 @@
   clock: Clock,
   countInFlight: () => number,
 ): Promise<void> {
-  const mostMs = phase.graceMs - GRACE_MARGIN_MS;
-  while (phase.leavingMs < mostMs) {
+  while (phase.leftMs > 0) {
     const isOver = phase.leavingMs >= LINGER_MS;
     if (isOver && countInFlight() === 0) return;
     if (isOver) server.closeIdleConnections();
--- a/packages/gateway/src/serving/request_handler.ts
+++ b/packages/gateway/src/serving/request_handler.ts
@@ -14,10 +14,12 @@
 import {getRandomPart, type ServingParts} from './serving_parts.js';
 import {StreamDriver} from './stream_driver.js';
 
+const MILLI = 1000;
+
 /** What the handler asks of its host. */
 export interface HostState {
-  /** Whether a stream that begins now could not be finished here. */
-  readonly isTooLateForStreams: boolean;
+  /** How long what runs here may still take, in ms; Infinity mostly. */
+  readonly leftMs: number;
   readonly isLeaving: boolean;
   /** Whether this host may have missed a change of the configuration. */
   readonly mayBeBehind: boolean;
@@ -66,7 +68,7 @@
     const startedAt = exchange.startedAt;
     parts.budgets.addRequest(service);
     const isStream = route.kind === 'stream';
-    if (isStream && this.host.isTooLateForStreams) {
+    if (isStream && this.isTooLateForStreams()) {
       this.refuse(exchange, this.createRetryable('leaving'));
       return;
     }
@@ -79,9 +81,10 @@
     const {lastEndpoint: endpoint, sends} = driver;
     const {kind} = route;
     parts.metrics.requests.inc({kind, outcome});
-    const seconds = (parts.clock.getNow() - startedAt) / 1000;
-    if (!isStream && outcome === 'answered') {
-      parts.metrics.answerSeconds.observe({kind}, seconds);
+    const seconds = (parts.clock.getNow() - startedAt) / MILLI;
+    if (outcome === 'answered') {
+      if (isStream) this.recordStream(request, seconds);
+      else parts.metrics.answerSeconds.observe({kind}, seconds);
     }
     parts.log.writeInfo('A request ended.', {
       request: request.requestId,
@@ -92,10 +95,27 @@
       address: endpoint?.address,
       sends,
       outcome,
-      ms: Math.round(seconds * 1000),
+      ms: Math.round(seconds * MILLI),
+      ...(driver instanceof StreamDriver ? driver.listFigures() : {}),
     });
   }
 
+  /**
+   * Tells whether a stream that begins now would probably be cut by the end of
+   * the stop. Refused at once it costs its caller one more try; a stream that
+   * is cut is late, and its prompt is read anew.
+   */
+  private isTooLateForStreams(): boolean {
+    if (!this.host.isLeaving) return false;
+    return this.host.leftMs < this.parts.streamTimes.computeMostMs();
+  }
+
+  private recordStream(request: AdmittedRequest, seconds: number): void {
+    // What goes on after an earlier event is shorter than a whole stream.
+    if (request.terms.lastEventId !== undefined) return;
+    this.parts.streamTimes.record(seconds * MILLI);
+  }
+
   /** Checks key, id and body; refuses and gives undefined when one is bad. */
   private async admit(
     exchange: CallerExchange,
--- a/packages/gateway/src/serving/serving_parts.ts
+++ b/packages/gateway/src/serving/serving_parts.ts
@@ -1,4 +1,5 @@
 /** What the drivers of requests work with. */
+import type {StreamTimes} from '@irisdock/decisions';
 import type {Clock, Logger, Random} from '@irisdock/kernel';
 import type {EndpointClient} from '../channels/endpoint_client.js';
 import type {CopyCodec, HeaderCodec} from '../model/request_terms.js';
@@ -20,6 +21,7 @@
   readonly configuration: GatewayConfiguration;
   readonly endpoints: GatewayEndpoints;
   readonly budgets: RepeatBudgets;
+  readonly streamTimes: StreamTimes;
   readonly metrics: ServingMetrics;
 }
 
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -6,7 +6,7 @@
  * prompt need not be read again.
  */
 import {EventProgress, type WholeEvent} from '@irisdock/decisions';
-import type {KnownError} from '@irisdock/kernel';
+import type {KnownError, LogFields} from '@irisdock/kernel';
 import {GATEWAY_ERRORS} from '../errors.js';
 import type {HeaderLines} from '../model/request_terms.js';
 import type {ServingRoute} from '../model/serving_configuration.js';
@@ -85,6 +85,11 @@
     }
   }
 
+  /** Gives what the line of the request's end tells of its events. */
+  listFigures(): LogFields {
+    return this.report.listFigures();
+  }
+
   /** Finds where the next leg runs; waits a while when no engine is left. */
   private async findPlan(): Promise<LegPlan | undefined> {
     const {clock} = this.parts;
--- a/packages/gateway/src/serving/stream_report.ts
+++ b/packages/gateway/src/serving/stream_report.ts
@@ -1,4 +1,5 @@
 /** What the logs and figures are told of one stream. */
+import type {LogFields} from '@irisdock/kernel';
 import type {ServingParts} from './serving_parts.js';
 import type {LegPlan, LegResult} from './stream_leg.js';
 
@@ -6,6 +7,8 @@
 export class StreamReport {
   private lastEventAt: number | undefined;
   private lostAt: number | undefined;
+  private firstEventMs: number | undefined;
+  private longestPauseMs = 0;
 
   constructor(
     private readonly parts: ServingParts,
@@ -45,14 +48,29 @@
       this.recordResumed(plan, now, this.lostAt, {lastEventId, nextEventId});
       this.lostAt = undefined;
     }
-    const isFirst = this.lastEventAt === undefined;
+    const {lastEventAt} = this;
     this.lastEventAt = now;
-    if (!isFirst) return false;
-    const seconds = (now - this.startedAt) / 1000;
+    if (lastEventAt !== undefined) {
+      const pauseMs = now - lastEventAt;
+      this.longestPauseMs = Math.max(this.longestPauseMs, pauseMs);
+      return false;
+    }
+    this.firstEventMs = now - this.startedAt;
+    const seconds = this.firstEventMs / 1000;
     this.parts.metrics.answerSeconds.observe({kind: 'stream'}, seconds);
     return true;
   }
 
+  /** Gives what the line of the request's end tells of its events, in ms. */
+  listFigures(): LogFields {
+    const {firstEventMs, longestPauseMs} = this;
+    if (firstEventMs === undefined) return {};
+    return {
+      firstEventMs: Math.round(firstEventMs),
+      longestPauseMs: Math.round(longestPauseMs),
+    };
+  }
+
   /** Takes it that a leg ended early. */
   recordLoss(
     plan: LegPlan,
