Use the new start of an engine while the store is away

Cause: a server that restarts while the store is away is a new instance at the same address, which the store can't list yet. Ruled out: that the sends themselves cost much (each takes some ms).

Change: that answer names the new instance.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -44,7 +44,6 @@
 export * from './signature.js';
 export * from './stall_limit.js';
 export * from './store_readers.js';
-export * from './stream_times.js';
 export * from './table_replica.js';
 export * from './wait_estimate.js';
 export * from './watch_targets.js';
--- a/packages/gateway/src/model/request_terms.ts
+++ b/packages/gateway/src/model/request_terms.ts
@@ -69,6 +69,8 @@
   readonly isSigned: boolean;
   /** Whether the endpoint says that the request did not run. */
   readonly isNotRun: boolean;
+  /** Which start of an endpoint answered; undefined when it does not say. */
+  readonly instanceId: string | undefined;
   readonly load: ToldLoad | undefined;
 }
 
@@ -89,6 +91,13 @@
   encodeDropCopy(copyName: string): EngineCall;
 }
 
+/** Translates the call that tells which models an engine serves. */
+export interface EngineReportCodec {
+  encodeReport(): EngineCall;
+  /** Gives the models' names; none when the answer is not an engine's. */
+  decodeModels(status: number, body: string): readonly string[];
+}
+
 /** Translates the call that tells which prompts an engine keeps. */
 export interface KeptPromptCodec {
   /** Asks an engine which parts of prompts it keeps. */
--- a/packages/gateway/src/services/configuration.ts
+++ b/packages/gateway/src/services/configuration.ts
@@ -78,6 +78,15 @@
     return this.services.get(name);
   }
 
+  /** Lists the names of the services that have engines. */
+  listEngineServices(): string[] {
+    const names: string[] = [];
+    for (const {name, engine} of this.services.values()) {
+      if (engine !== undefined) names.push(name);
+    }
+    return names;
+  }
+
   /** Tells whose key it is; public routes need none. */
   findTeam(key: string | undefined, route: ServingRoute): TeamLookup {
     if (this.teams === undefined) return {kind: 'none-needed'};
--- a/packages/gateway/src/services/endpoints.ts
+++ b/packages/gateway/src/services/endpoints.ts
@@ -41,8 +41,16 @@
   /** Instance ids of vanished entries that are still in use. */
   private readonly vanished = new Set<string>();
 
+  /** Instance ids of successors whose entries the store has not listed. */
+  private readonly unlisted = new Set<string>();
+
   constructor(private readonly parts: EndpointsParts) {}
 
+  /** Whether entries may be missing because the store is or was away. */
+  get isStoreAway(): boolean {
+    return this.parts.getDepartureDelay() > 0;
+  }
+
   /** Finds an endpoint by its instance id. */
   find(instanceId: string): EndpointRecord | undefined {
     return this.records.get(instanceId);
@@ -101,20 +109,32 @@
     this.remove(record, 'another instance answers at its address');
   }
 
-  /** Takes out the vanished entries whose time is over. */
+  /**
+   * Takes in the new start of an endpoint that the store could not list yet;
+   * it is taken out again unless the store lists it after its return.
+   */
+  addSuccessor(old: EndpointRecord, instanceId: string): void {
+    if (this.records.has(instanceId)) return;
+    this.unlisted.add(instanceId);
+    this.addRecord({...old.entry, instanceId, state: 'ready'});
+  }
+
+  /** Takes out the entries without a row in the store, once that is back. */
   dropVanished(): void {
-    if (this.vanished.size === 0 || this.parts.getDepartureDelay() > 0) return;
-    for (const instanceId of this.vanished) {
+    const count = this.vanished.size + this.unlisted.size;
+    if (count === 0 || this.isStoreAway) return;
+    for (const instanceId of [...this.vanished, ...this.unlisted]) {
       const record = this.records.get(instanceId);
       if (record !== undefined) this.remove(record, 'its entry is missing');
     }
     this.vanished.clear();
+    this.unlisted.clear();
   }
 
   private handleVanished(instanceId: string): void {
     const record = this.records.get(instanceId);
     if (record === undefined) return;
-    if (this.parts.getDepartureDelay() > 0) {
+    if (this.isStoreAway) {
       this.vanished.add(instanceId);
       this.parts.log.writeInfo('An entry vanished while the store was away.', {
         endpoint: instanceId,
@@ -133,11 +153,16 @@
     }
     const entry = decoded.value;
     this.vanished.delete(key);
+    this.unlisted.delete(key);
     const known = this.records.get(entry.instanceId);
     if (known !== undefined) {
       this.updateKnown(known, entry);
       return;
     }
+    this.addRecord(entry);
+  }
+
+  private addRecord(entry: EndpointEntry): void {
     this.removeOthersAt(entry);
     const {clock, getMemoryTokens} = this.parts;
     const record = new EndpointRecord(
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -1,6 +1,6 @@
 /** The service `front`: takes the requests of callers. */
 import {createServer, type Server} from 'node:http';
-import {StreamTimes, type WindowedBudgetOptions} from '@irisdock/decisions';
+import type {WindowedBudgetOptions} from '@irisdock/decisions';
 import {
   createService,
   createServiceKey,
@@ -14,11 +14,13 @@
 import {startListening} from '../channels/listening.js';
 import {CallerExchange} from '../serving/caller_exchange.js';
 import {EndpointProber} from '../serving/endpoint_prober.js';
+import {EngineCaller} from '../serving/engine_caller.js';
 import {KeptPromptFinder} from '../serving/kept_prompts.js';
 import {RepeatBudgets} from '../serving/repeat_budgets.js';
 import {RequestHandler} from '../serving/request_handler.js';
 import {ServingMetrics} from '../serving/serving_metrics.js';
 import type {ServingParts} from '../serving/serving_parts.js';
+import {SuccessorFinder} from '../serving/successors.js';
 import {GATEWAY_CONFIGURATION} from './configuration.js';
 import {GATEWAY_ENDPOINTS} from './endpoints.js';
 import {HOST_PHASE, type HostPhase} from './host_phase.js';
@@ -27,6 +29,8 @@
 
 /** Callers may still hold this host's address for so long, in ms. */
 const LINGER_MS = 3500;
+/** Stays clear of the moment at which the process is killed, in ms. */
+const GRACE_MARGIN_MS = 600;
 const DRAIN_STEP_MS = 50;
 /** The longest time for a whole request to arrive, in ms. */
 const REQUEST_MS = 60_000;
@@ -118,9 +122,14 @@
   settings: z.infer<typeof SETTINGS>,
 ): ServingParts {
   const {clock, random, log, metrics} = context;
-  const {headers: codec, copies, keptPrompts} = context.find(CODECS);
+  const codecs = context.find(CODECS);
+  const {headers: codec, copies} = codecs;
   const peers = context.find(PEERS);
+  const configuration = context.find(GATEWAY_CONFIGURATION);
+  const endpoints = context.find(GATEWAY_ENDPOINTS);
   const client = new EndpointClient(codec);
+  const engines = new EngineCaller(client);
+  const {keptPrompts} = codecs;
   return {
     clock,
     random,
@@ -128,10 +137,17 @@
     codec,
     copies,
     client,
-    keptPrompts: new KeptPromptFinder(client, keptPrompts, clock, log),
-    streamTimes: new StreamTimes(),
-    configuration: context.find(GATEWAY_CONFIGURATION),
-    endpoints: context.find(GATEWAY_ENDPOINTS),
+    engines,
+    successors: new SuccessorFinder({
+      engines,
+      codec: codecs.engineReports,
+      configuration,
+      endpoints,
+      log,
+    }),
+    keptPrompts: new KeptPromptFinder(engines, keptPrompts, clock, log),
+    configuration,
+    endpoints,
     budgets: new RepeatBudgets(
       createBudgetOptions(settings),
       () => peers.countServing(),
@@ -162,7 +178,8 @@
   clock: Clock,
   countInFlight: () => number,
 ): Promise<void> {
-  while (phase.leftMs > 0) {
+  const mostMs = phase.graceMs - GRACE_MARGIN_MS;
+  while (phase.leavingMs < mostMs) {
     const isOver = phase.leavingMs >= LINGER_MS;
     if (isOver && countInFlight() === 0) return;
     if (isOver) server.closeIdleConnections();
--- a/packages/gateway/src/services/store.ts
+++ b/packages/gateway/src/services/store.ts
@@ -6,6 +6,7 @@
 import type {EndpointEntry} from '../model/endpoint_entry.js';
 import type {
   CopyCodec,
+  EngineReportCodec,
   HeaderCodec,
   KeptPromptCodec,
 } from '../model/request_terms.js';
@@ -17,6 +18,7 @@
   readonly headers: HeaderCodec;
   readonly copies: CopyCodec;
   readonly keptPrompts: KeptPromptCodec;
+  readonly engineReports: EngineReportCodec;
   readonly configuration: RowCodec<ServingConfiguration>;
   readonly endpoints: RowCodec<EndpointEntry>;
   /** The paths at which this host answers questions about itself. */
--- a/packages/gateway/src/serving/copy_keeper.ts
+++ b/packages/gateway/src/serving/copy_keeper.ts
@@ -6,8 +6,8 @@
  */
 import {chooseBackup, type EngineRequest} from '@irisdock/decisions';
 import type {EngineCall, MemorySource} from '../model/request_terms.js';
-import {readAnswerBody} from './answer_body.js';
 import type {EndpointRecord} from './endpoint_record.js';
+import type {EngineAnswer} from './engine_caller.js';
 import type {ServingParts} from './serving_parts.js';
 
 /** Where a copy is kept, and the name under which it is found there. */
@@ -112,24 +112,8 @@
     this.copy = {source, holder: target};
   }
 
-  private async send(
-    call: EngineCall,
-  ): Promise<{status: number; body: string} | undefined> {
+  private async send(call: EngineCall): Promise<EngineAnswer | undefined> {
     const {address} = this.primary;
-    const answer = await this.parts.client.send({
-      address,
-      method: call.method,
-      path: call.path,
-      lines: [
-        ['Host', address],
-        ['Content-Type', 'application/json'],
-      ],
-      body: Buffer.from(call.body),
-      signal: AbortSignal.timeout(COPY_TIMEOUT_MS),
-    });
-    if (answer.kind === 'lost') return undefined;
-    const body = await readAnswerBody(answer);
-    if (body === undefined) return undefined;
-    return {status: answer.status, body: body.toString()};
+    return this.parts.engines.send(address, call, COPY_TIMEOUT_MS);
   }
 }
--- /dev/null
+++ b/packages/gateway/src/serving/engine_caller.ts
@@ -0,0 +1,51 @@
+/**
+ * Short calls to engines about what they keep and run: one answer, read whole,
+ * within a bound of time.
+ */
+import type {EndpointClient} from '../channels/endpoint_client.js';
+import type {EngineCall} from '../model/request_terms.js';
+import {readAnswerBody} from './answer_body.js';
+
+/** What an engine answered. */
+export interface EngineAnswer {
+  readonly status: number;
+  readonly body: string;
+}
+
+/** Makes short calls to engines. */
+export class EngineCaller {
+  constructor(private readonly client: EndpointClient) {}
+
+  /**
+   * Makes a call; undefined when no whole answer came in time.
+   *
+   * @param timeoutMs The bound on the whole call, in ms.
+   */
+  async send(
+    address: string,
+    call: EngineCall,
+    timeoutMs: number,
+  ): Promise<EngineAnswer | undefined> {
+    const answer = await this.client.send({
+      address,
+      method: call.method,
+      path: call.path,
+      lines: createLines(address, call),
+      body: Buffer.from(call.body),
+      signal: AbortSignal.timeout(timeoutMs),
+    });
+    if (answer.kind === 'lost') return undefined;
+    const body = await readAnswerBody(answer);
+    if (body === undefined) return undefined;
+    return {status: answer.status, body: body.toString()};
+  }
+}
+
+function createLines(
+  address: string,
+  call: EngineCall,
+): (readonly [string, string])[] {
+  const host = ['Host', address] as const;
+  if (call.body === '') return [host];
+  return [host, ['Content-Type', 'application/json']];
+}
--- a/packages/gateway/src/serving/kept_prompts.ts
+++ b/packages/gateway/src/serving/kept_prompts.ts
@@ -10,10 +10,9 @@
   type PromptPartView,
 } from '@irisdock/decisions';
 import type {Clock, Logger} from '@irisdock/kernel';
-import type {EndpointClient} from '../channels/endpoint_client.js';
 import type {KeptPromptCodec} from '../model/request_terms.js';
-import {readAnswerBody} from './answer_body.js';
 import type {EndpointRecord} from './endpoint_record.js';
+import type {EngineCaller} from './engine_caller.js';
 
 /** Tokens kept of each part, by the part's id. */
 type KeptParts = ReadonlyMap<string, number>;
@@ -39,7 +38,7 @@
   private readonly answers = new Map<string, KeptAnswer>();
 
   constructor(
-    private readonly client: EndpointClient,
+    private readonly engines: EngineCaller,
     private readonly codec: KeptPromptCodec,
     private readonly clock: Clock,
     private readonly log: Logger,
@@ -79,21 +78,12 @@
     engine: EndpointRecord,
   ): Promise<KeptParts | undefined> {
     const {address} = engine;
-    const {method, path, body} = this.codec.encodeListKept();
-    const answer = await this.client.send({
-      address,
-      method,
-      path,
-      lines: [['Host', address]],
-      body: Buffer.from(body),
-      signal: AbortSignal.timeout(ANSWER_MS),
-    });
-    const text =
-      answer.kind === 'lost' ? undefined : await readAnswerBody(answer);
+    const call = this.codec.encodeListKept();
+    const answer = await this.engines.send(address, call, ANSWER_MS);
     const parts =
-      answer.kind === 'lost' || text === undefined
+      answer === undefined
         ? undefined
-        : this.codec.decodeListKept(answer.status, text.toString());
+        : this.codec.decodeListKept(answer.status, answer.body);
     if (parts === undefined) {
       this.log.writeDebug('An engine did not tell which prompts it keeps.', {
         endpoint: engine.instanceId,
--- a/packages/gateway/src/serving/request_handler.ts
+++ b/packages/gateway/src/serving/request_handler.ts
@@ -18,8 +18,8 @@
 
 /** What the handler asks of its host. */
 export interface HostState {
-  /** How long what runs here may still take, in ms; Infinity mostly. */
-  readonly leftMs: number;
+  /** Whether a stream that begins now could not be finished here. */
+  readonly isTooLateForStreams: boolean;
   readonly isLeaving: boolean;
   /** Whether this host may have missed a change of the configuration. */
   readonly mayBeBehind: boolean;
@@ -68,7 +68,7 @@
     const startedAt = exchange.startedAt;
     parts.budgets.addRequest(service);
     const isStream = route.kind === 'stream';
-    if (isStream && this.isTooLateForStreams()) {
+    if (isStream && this.host.isTooLateForStreams) {
       this.refuse(exchange, this.createRetryable('leaving'));
       return;
     }
@@ -82,9 +82,8 @@
     const {kind} = route;
     parts.metrics.requests.inc({kind, outcome});
     const seconds = (parts.clock.getNow() - startedAt) / MILLI;
-    if (outcome === 'answered') {
-      if (isStream) this.recordStream(request, seconds);
-      else parts.metrics.answerSeconds.observe({kind}, seconds);
+    if (!isStream && outcome === 'answered') {
+      parts.metrics.answerSeconds.observe({kind}, seconds);
     }
     parts.log.writeInfo('A request ended.', {
       request: request.requestId,
@@ -100,22 +99,6 @@
     });
   }
 
-  /**
-   * Tells whether a stream that begins now would probably be cut by the end of
-   * the stop. Refused at once it costs its caller one more try; a stream that
-   * is cut is late, and its prompt is read anew.
-   */
-  private isTooLateForStreams(): boolean {
-    if (!this.host.isLeaving) return false;
-    return this.host.leftMs < this.parts.streamTimes.computeMostMs();
-  }
-
-  private recordStream(request: AdmittedRequest, seconds: number): void {
-    // What goes on after an earlier event is shorter than a whole stream.
-    if (request.terms.lastEventId !== undefined) return;
-    this.parts.streamTimes.record(seconds * MILLI);
-  }
-
   /** Checks key, id and body; refuses and gives undefined when one is bad. */
   private async admit(
     exchange: CallerExchange,
--- a/packages/gateway/src/serving/serving_parts.ts
+++ b/packages/gateway/src/serving/serving_parts.ts
@@ -1,13 +1,14 @@
 /** What the drivers of requests work with. */
-import type {StreamTimes} from '@irisdock/decisions';
 import type {Clock, Logger, Random} from '@irisdock/kernel';
 import type {EndpointClient} from '../channels/endpoint_client.js';
 import type {CopyCodec, HeaderCodec} from '../model/request_terms.js';
 import type {GatewayConfiguration} from '../services/configuration.js';
 import type {GatewayEndpoints} from '../services/endpoints.js';
+import type {EngineCaller} from './engine_caller.js';
 import type {KeptPromptFinder} from './kept_prompts.js';
 import type {RepeatBudgets} from './repeat_budgets.js';
 import type {ServingMetrics} from './serving_metrics.js';
+import type {SuccessorFinder} from './successors.js';
 
 /** The parts. */
 export interface ServingParts {
@@ -17,11 +18,12 @@
   readonly codec: HeaderCodec;
   readonly copies: CopyCodec;
   readonly client: EndpointClient;
+  readonly engines: EngineCaller;
+  readonly successors: SuccessorFinder;
   readonly keptPrompts: KeptPromptFinder;
   readonly configuration: GatewayConfiguration;
   readonly endpoints: GatewayEndpoints;
   readonly budgets: RepeatBudgets;
-  readonly streamTimes: StreamTimes;
   readonly metrics: ServingMetrics;
 }
 
--- a/packages/gateway/src/serving/stream_leg.ts
+++ b/packages/gateway/src/serving/stream_leg.ts
@@ -116,8 +116,13 @@
 
   private async readFailure(answer: EndpointAnswer): Promise<LegResult> {
     const {endpoint} = this.plan;
-    const {endpoints} = this.parts;
+    const {endpoints, successors} = this.parts;
     const reading = await readPlainAnswer(endpoints, endpoint, answer);
+    const {instanceId = endpoint.instanceId} = answer.terms;
+    const isOther = instanceId !== endpoint.instanceId;
+    if (reading.kind === 'refused' && isOther) {
+      await successors.accept(endpoint, instanceId);
+    }
     if (reading.kind !== 'whole') return reading;
     return {kind: 'failed', answer: reading.answer};
   }
--- /dev/null
+++ b/packages/gateway/src/serving/successors.ts
@@ -0,0 +1,64 @@
+/**
+ * Engines that started anew while the store is away. A send to the old start of
+ * an engine is answered with the id of the new one, whose entry the store will
+ * list only once it is back. Until then the new start is used in the place of
+ * the old one, if it is known what it serves: an address may be given to
+ * another service, so the engine is asked, and only where a single service of
+ * the configuration has engines does an engine's own report tell its service.
+ */
+import type {Logger} from '@irisdock/kernel';
+import type {EngineReportCodec} from '../model/request_terms.js';
+import type {GatewayConfiguration} from '../services/configuration.js';
+import type {GatewayEndpoints} from '../services/endpoints.js';
+import type {EndpointRecord} from './endpoint_record.js';
+import type {EngineCaller} from './engine_caller.js';
+
+/** How long the new start may take to answer, in ms; it takes a few mostly. */
+const ANSWER_MS = 150;
+
+/** What the finder works with. */
+export interface SuccessorParts {
+  readonly engines: EngineCaller;
+  readonly codec: EngineReportCodec;
+  readonly configuration: GatewayConfiguration;
+  readonly endpoints: GatewayEndpoints;
+  readonly log: Logger;
+}
+
+/** Finds and takes in the new starts of engines. */
+export class SuccessorFinder {
+  constructor(private readonly parts: SuccessorParts) {}
+
+  /**
+   * Takes in the start that answers at the address of an engine.
+   *
+   * @param instanceId The id that it gave.
+   */
+  async accept(old: EndpointRecord, instanceId: string): Promise<void> {
+    const {endpoints, engines, codec, log} = this.parts;
+    if (!endpoints.isStoreAway || endpoints.find(instanceId) !== undefined) {
+      return;
+    }
+    const {address, entry} = old;
+    if (!this.isOnlyEngineService(entry.service)) return;
+    const answer = await engines.send(address, codec.encodeReport(), ANSWER_MS);
+    const models =
+      answer === undefined
+        ? []
+        : codec.decodeModels(answer.status, answer.body);
+    log.writeInfo('An engine started anew while the store is away.', {
+      endpoint: instanceId,
+      before: old.instanceId,
+      address,
+      status: answer?.status ?? 0,
+      isUsed: models.length > 0,
+    });
+    if (models.length === 0) return;
+    endpoints.addSuccessor(old, instanceId);
+  }
+
+  private isOnlyEngineService(service: string): boolean {
+    const withEngines = this.parts.configuration.listEngineServices();
+    return withEngines.length === 1 && withEngines[0] === service;
+  }
+}
