Take the limits of silence from the route's aims and the engine's pauses

Cause: the time until an engine is asked, the wait for its answer and the silence that makes a loss were constants made for pauses of 700 ms and first events in 4.5 s; the aim at pauses that a route declares was decoded and used by nobody. Change: all five follow from the declared aims, and never fire in pauses that are usual at that engine (a moving mean of the pauses of its streams). For the aims of the customers so far they are what they were.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -42,6 +42,7 @@
 export * from './route_table.js';
 export * from './serving_right.js';
 export * from './signature.js';
+export * from './silence_limits.js';
 export * from './stall_limit.js';
 export * from './store_readers.js';
 export * from './table_replica.js';
--- a/packages/gateway/src/serving/endpoint_record.ts
+++ b/packages/gateway/src/serving/endpoint_record.ts
@@ -37,6 +37,9 @@
 /** How long the load that an endpoint told counts, in ms. */
 const TOLD_LOAD_MS = 400;
 
+/** The weight of the newest pause between events in the usual one. */
+const GAP_WEIGHT = 0.05;
+
 /** How long what another host told counts, in ms. */
 const TOLD_USE_MS = 1500;
 
@@ -54,6 +57,7 @@
   private failures = 0;
   private failedAt = 0;
   private usualAnswerMs = FIRST_ANSWER_MS;
+  private gapMs = 0;
   private toldLoad: ToldLoad | undefined;
   private toldAt = -Infinity;
 
@@ -93,6 +97,11 @@
     return this.usualAnswerMs;
   }
 
+  /** The pause between events of its streams of late, in ms; 0 if unknown. */
+  get usualGapMs(): number {
+    return this.gapMs;
+  }
+
   get streams(): number {
     return this.getUse().running;
   }
@@ -145,6 +154,11 @@
     this.toldAt = this.getNow();
   }
 
+  /** Takes the pause between two events of a stream there, in ms. */
+  recordGap(gapMs: number): void {
+    this.gapMs += GAP_WEIGHT * (gapMs - this.gapMs);
+  }
+
   /** Takes an answer that can be used. */
   recordSuccess(answerMs: number | undefined): void {
     this.failures = this.failureScore * SUCCESS_FACTOR;
--- a/packages/gateway/src/serving/silence_watch.ts
+++ b/packages/gateway/src/serving/silence_watch.ts
@@ -2,36 +2,28 @@
  * Watches for the silence of one stream. After a short silence the endpoint
  * is asked whether it answers at all: one that does not is lost at once, one
  * that does gets longer. Before the first event there is only the question,
- * asked again and again, as prompts may take long to read.
+ * asked again and again, as prompts may take long to read. How long each of
+ * it takes follows from the aims of the stream's route (silence_limits.ts).
  */
+import {computeSilenceLimits, type SilenceLimits} from '@irisdock/decisions';
+import type {Clock} from '@irisdock/kernel';
 import type {EndpointProber} from './endpoint_prober.js';
 import type {EndpointRecord} from './endpoint_record.js';
 
-/** Silence between events before the endpoint is asked, in ms. */
-const ASK_AFTER_MS = 200;
-/** How long it may take to answer, in ms; it takes a few when it is well. */
-const ANSWER_MS = 150;
-/**
- * Silence after which a stream is lost though its endpoint answers, in ms.
- * Callers aim at pauses below 700 ms, and going on elsewhere takes some 100.
- */
-const LOST_AFTER_MS = 560;
-/**
- * The wait for a first event before the endpoint is asked, in ms. Half of the
- * first events come within 1.5 s; a loss that is noticed then leaves time to
- * read a prompt anew within the usual aim of 4.5 s. Each question costs, and
- * mostly a connection too.
- */
-const FIRST_ASK_MS = 1200;
-/** The time between questions before the first event, in ms. */
-const ASK_EVERY_MS = 600;
 /** Unanswered questions before the first event that make a loss. */
 const MAX_UNANSWERED = 2;
 
+/** What a stream's route aims at, in ms. */
+export interface StreamAims {
+  readonly targetGapMs?: number | undefined;
+  readonly targetLatencyMs: number;
+}
+
 /** Watches one stream. */
 export class SilenceWatch {
   private timer: NodeJS.Timeout | undefined;
   private hasEvents = false;
+  private eventAt = 0;
   private unanswered = 0;
   /** Changes with each event, so that old answers are told apart. */
   private round = 0;
@@ -40,19 +32,24 @@
   constructor(
     private readonly endpoint: EndpointRecord,
     private readonly prober: EndpointProber,
+    private readonly aims: StreamAims,
+    private readonly clock: Clock,
     private readonly handleLost: (detail: string) => void,
   ) {}
 
   /** Starts with the wait for the first event. */
   start(): void {
-    this.plan(FIRST_ASK_MS, () => this.probeBeforeFirst());
+    this.plan(this.getLimits().firstAskMs, () => this.probeBeforeFirst());
   }
 
   /** Takes it that events arrived. */
   recordEvents(): void {
+    const now = this.clock.getNow();
+    if (this.hasEvents) this.endpoint.recordGap(now - this.eventAt);
+    this.eventAt = now;
     this.hasEvents = true;
     this.round++;
-    this.plan(ASK_AFTER_MS, () => this.probeInStream());
+    this.plan(this.getLimits().askAfterMs, () => this.probeInStream());
   }
 
   stop(): void {
@@ -60,6 +57,12 @@
     clearTimeout(this.timer);
   }
 
+  private getLimits(): SilenceLimits {
+    const {targetGapMs, targetLatencyMs} = this.aims;
+    const {usualGapMs} = this.endpoint;
+    return computeSilenceLimits({targetGapMs, targetLatencyMs, usualGapMs});
+  }
+
   private plan(ms: number, step: () => Promise<void>): void {
     clearTimeout(this.timer);
     if (this.stopped) return;
@@ -67,27 +70,28 @@
   }
 
   private async probeBeforeFirst(): Promise<void> {
-    const answers = await this.prober.probe(this.endpoint, ANSWER_MS);
+    const {answerMs, askEveryMs} = this.getLimits();
+    const answers = await this.prober.probe(this.endpoint, answerMs);
     if (this.hasEvents || this.stopped) return;
     this.unanswered = answers ? 0 : this.unanswered + 1;
     if (this.unanswered >= MAX_UNANSWERED) {
       this.handleLost('no answer before the first event');
       return;
     }
-    const waitMs = answers ? ASK_EVERY_MS : 0;
+    const waitMs = answers ? askEveryMs : 0;
     this.plan(waitMs, () => this.probeBeforeFirst());
   }
 
   private async probeInStream(): Promise<void> {
     const {round} = this;
-    const answers = await this.prober.probe(this.endpoint, ANSWER_MS);
+    const {askAfterMs, answerMs, lostAfterMs} = this.getLimits();
+    const answers = await this.prober.probe(this.endpoint, answerMs);
     if (round !== this.round || this.stopped) return;
     if (!answers) {
       this.handleLost('silent, and no answer to a question');
       return;
     }
-    const leftMs = LOST_AFTER_MS - ASK_AFTER_MS;
-    this.plan(leftMs, () => {
+    this.plan(lostAfterMs - askAfterMs, () => {
       this.handleLost('silent, though the endpoint answers');
       return Promise.resolve();
     });
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -124,6 +124,7 @@
       this.parts,
       this.prober,
       plan,
+      this.route,
       {
         handleHead: (status, lines) => {
           this.head ??= {status, lines};
--- a/packages/gateway/src/serving/stream_leg.ts
+++ b/packages/gateway/src/serving/stream_leg.ts
@@ -14,7 +14,7 @@
 import type {EndpointProber} from './endpoint_prober.js';
 import type {EndpointRecord} from './endpoint_record.js';
 import type {ServingParts} from './serving_parts.js';
-import {SilenceWatch} from './silence_watch.js';
+import {SilenceWatch, type StreamAims} from './silence_watch.js';
 
 /** Where and how a leg runs. */
 export interface LegPlan {
@@ -59,12 +59,16 @@
     private readonly parts: ServingParts,
     prober: EndpointProber,
     private readonly plan: LegPlan,
+    aims: StreamAims,
     private readonly listener: LegListener,
     private readonly stop: AbortSignal,
   ) {
-    this.watch = new SilenceWatch(plan.endpoint, prober, (detail) => {
+    const handleLost = (detail: string): void => {
       this.end(detail);
-    });
+    };
+    const {endpoint} = plan;
+    const {clock} = parts;
+    this.watch = new SilenceWatch(endpoint, prober, aims, clock, handleLost);
   }
 
   /** Ends the leg as lost. */
