Ask the engines that look best before a stream is placed, where hosts are many

Cause: beyond 16 other hosts each heartbeat goes to six, so a host of 74 hears within 1.5 s what some 30 of the others have running. Ruled out: streams placed at the same moment (they are told of at once).

Change: where a host can't hear all others, the four engines that look best are asked for their report, 60 ms at most; what they say counts for 400 ms beside what hosts told, and one that doesn't answer counts as failed. Small deployments ask nothing. Reports are decoded in one place (also for new starts of engines).

Tests: platform/tests/stream_placement, a busy and a silent engine.

--- a/packages/gateway/src/model/request_terms.ts
+++ b/packages/gateway/src/model/request_terms.ts
@@ -91,11 +91,19 @@
   encodeDropCopy(copyName: string): EngineCall;
 }
 
-/** Translates the call that tells which models an engine serves. */
+/** What an engine reports of itself, as it stood a moment before. */
+export interface EngineReport {
+  /** Names of the models that it serves. */
+  readonly models: readonly string[];
+  readonly running: number;
+  readonly waiting: number;
+}
+
+/** Translates the call by which an engine reports its state. */
 export interface EngineReportCodec {
   encodeReport(): EngineCall;
-  /** Gives the models' names; none when the answer is not an engine's. */
-  decodeModels(status: number, body: string): readonly string[];
+  /** Gives the report; undefined when the answer is not an engine's. */
+  decodeReport(status: number, body: string): EngineReport | undefined;
 }
 
 /** Translates the call that tells which prompts an engine keeps. */
--- a/packages/gateway/src/services/endpoints.ts
+++ b/packages/gateway/src/services/endpoints.ts
@@ -32,6 +32,8 @@
   readonly getDepartureDelay: () => number;
   /** Tells the other hosts soon what this one has running. */
   readonly publishUses: () => void;
+  /** Whether every other host tells this one what it has running. */
+  readonly hasAllUses: () => boolean;
 }
 
 /** How often delayed departures are looked at, in ms. */
@@ -66,6 +68,11 @@
     return undefined;
   }
 
+  /** Whether what other hosts have running is known here, all of it. */
+  get hasAllUses(): boolean {
+    return this.parts.hasAllUses();
+  }
+
   /** Lists all endpoints that are known. */
   listAll(): Iterable<EndpointRecord> {
     return this.records.values();
@@ -240,6 +247,7 @@
       publishUses: () => {
         peers.sendUsesSoon();
       },
+      hasAllUses: () => peers.isToldByAll(),
     });
     peers.useBoard = api;
     api.applyRows(table.replica.listAll());
--- a/packages/gateway/src/serving/endpoint_record.ts
+++ b/packages/gateway/src/serving/endpoint_record.ts
@@ -58,6 +58,7 @@
   private failedAt = 0;
   private usualAnswerMs = FIRST_ANSWER_MS;
   private gapMs = 0;
+  private reported: ToldUse | undefined;
   private toldLoad: ToldLoad | undefined;
   private toldAt = -Infinity;
 
@@ -103,7 +104,7 @@
   }
 
   get streams(): number {
-    return this.getUse().running;
+    return Math.max(this.getUse().running, this.getReported()?.running ?? 0);
   }
 
   get calls(): number {
@@ -114,7 +115,8 @@
   }
 
   get unreadTokens(): number {
-    return this.getUse().unreadTokens;
+    const reported = this.getReported()?.unreadTokens ?? 0;
+    return Math.max(this.getUse().unreadTokens, reported);
   }
 
   get expectedTokens(): number {
@@ -154,6 +156,11 @@
     this.toldAt = this.getNow();
   }
 
+  /** Takes what the engine itself reported of all that runs there. */
+  recordReport(use: EndpointUse): void {
+    this.reported = {use, toldAt: this.getNow()};
+  }
+
   /** Takes the pause between two events of a stream there, in ms. */
   recordGap(gapMs: number): void {
     this.gapMs += GAP_WEIGHT * (gapMs - this.gapMs);
@@ -173,6 +180,13 @@
     this.failedAt = this.getNow();
   }
 
+  private getReported(): EndpointUse | undefined {
+    const {reported} = this;
+    if (reported === undefined) return undefined;
+    const isOld = this.getNow() - reported.toldAt > TOLD_LOAD_MS;
+    return isOld ? undefined : reported.use;
+  }
+
   private getUse(): EndpointUse {
     const oldest = this.getNow() - TOLD_USE_MS;
     const uses: EndpointUse[] = [...this.claims];
--- a/packages/gateway/src/serving/successors.ts
+++ b/packages/gateway/src/serving/successors.ts
@@ -42,18 +42,18 @@
     const {address, entry} = old;
     if (!this.isOnlyEngineService(entry.service)) return;
     const answer = await engines.send(address, codec.encodeReport(), ANSWER_MS);
-    const models =
+    const report =
       answer === undefined
-        ? []
-        : codec.decodeModels(answer.status, answer.body);
+        ? undefined
+        : codec.decodeReport(answer.status, answer.body);
     log.writeInfo('An engine started anew while the store is away.', {
       endpoint: instanceId,
       before: old.instanceId,
       address,
       status: answer?.status ?? 0,
-      isUsed: models.length > 0,
+      isUsed: report !== undefined,
     });
-    if (models.length === 0) return;
+    if (report === undefined) return;
     endpoints.addSuccessor(old, instanceId);
   }
 
