Keep telling what runs here when a change is too large for a datagram

Cause: a host that read a change of a table tells all others at once. When the change does not fit, only its revision is told, in a message without what the host has running; the others took that as nothing running there until its next heartbeat, 0.3 s later. Change: such a message tells what runs, as a heartbeat does. Test: platform/tests/stream_placement 'is known to other hosts also when the configuration changes' fails without the change.

--- a/packages/gateway/src/services/peer_hosts.ts
+++ b/packages/gateway/src/services/peer_hosts.ts
@@ -214,7 +214,7 @@
     const bytes =
       whole.length <= MAX_NEWS_BYTES
         ? whole
-        : encodePeerMessage({...message, news: []});
+        : encodePeerMessage(this.createMessage(now, []));
     for (const {place} of this.heard.listHeard(now)) {
       this.socket.send(bytes, place.datagrams);
     }
