Sum streams up from the logs of all hosts: irisdock streams

How long a stream is in flight decides what each fault costs. The command tells time in flight, to the first event and the longest pauses at five quantiles, how many callers came again, and why legs were lost, by reason.

--- a/packages/cli/src/command_table.ts
+++ b/packages/cli/src/command_table.ts
@@ -7,6 +7,7 @@
 import {GET_COMMAND} from './commands/get.js';
 import {LIST_COMMAND} from './commands/list.js';
 import {STATUS_COMMAND} from './commands/status.js';
+import {STREAMS_COMMAND} from './commands/streams.js';
 import {WATCH_COMMAND} from './commands/watch.js';
 
 /** All commands, in the order of help. */
@@ -19,4 +20,5 @@
   STATUS_COMMAND,
   AUDIT_COMMAND,
   EXPLAIN_COMMAND,
+  STREAMS_COMMAND,
 ];
--- a/packages/cli/src/errors.ts
+++ b/packages/cli/src/errors.ts
@@ -39,6 +39,12 @@
     message: 'No log line names the request {request}.',
     remedy: 'Give the logs of all hosts, of the time of the request, with -f.',
   },
+  no_streams: {
+    status: 0,
+    outcome: 'not-run',
+    message: 'No log line tells of a stream.',
+    remedy: 'Give the logs of hosts that served streams, with -f.',
+  },
   unreachable: {
     status: 0,
     outcome: 'not-run',
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -5,3 +5,4 @@
 export * from './help.js';
 export * from './main.js';
 export * from './log_lines.js';
+export * from './stream_summary.js';
--- a/packages/cli/src/log_lines.ts
+++ b/packages/cli/src/log_lines.ts
@@ -40,19 +40,37 @@
     if (!line.includes(request)) continue;
     const found = parseLine(line, file);
     if (found?.context['request'] !== request) continue;
-    const {source, time, message, context} = found;
-    const fields = Object.fromEntries(
-      Object.entries(context).filter(([name]) => !PLUMBING.has(name)),
-    );
-    lines.push({source, time, message, fields});
+    lines.push(createRequestLine(found));
   }
   return lines;
 }
 
-function parseLine(
-  line: string,
+/** Gives the lines of a text that are about any request, in their order. */
+export function parseAllRequestLines(
+  text: string,
   file: string,
-): (z.infer<typeof LINE_SCHEMA> & {source: string}) | undefined {
+): (RequestLine & {readonly request: string})[] {
+  const lines: (RequestLine & {readonly request: string})[] = [];
+  for (const line of text.split('\n')) {
+    const found = parseLine(line, file);
+    const request = found?.context['request'];
+    if (found === undefined || typeof request !== 'string') continue;
+    lines.push({...createRequestLine(found), request});
+  }
+  return lines;
+}
+
+function createRequestLine(found: ParsedLine): RequestLine {
+  const {source, time, message, context} = found;
+  const fields = Object.fromEntries(
+    Object.entries(context).filter(([name]) => !PLUMBING.has(name)),
+  );
+  return {source, time, message, fields};
+}
+
+type ParsedLine = z.infer<typeof LINE_SCHEMA> & {readonly source: string};
+
+function parseLine(line: string, file: string): ParsedLine | undefined {
   const start = line.indexOf('{');
   if (start === -1) return undefined;
   try {
