--- a/packages/decisions/src/engine_placement.ts
+++ b/packages/decisions/src/engine_placement.ts
@@ -74,29 +74,17 @@
   engines: Iterable<V>,
   request: EngineRequest,
 ): V | undefined {
-  return listCheapest(engines, request, 1)[0];
-}
-
-/**
- * Lists the cheapest engines, the cheapest first; those that cost the same in
- * the prompt's own order.
- */
-export function listCheapest<V extends EngineView>(
-  engines: Iterable<V>,
-  request: EngineRequest,
-  count: number,
-): V[] {
-  const candidates = [...engines].filter(
-    ({instanceId}) => !request.excluded.has(instanceId),
-  );
-  const costs = new Map<V, number>();
-  for (const engine of candidates) {
-    costs.set(engine, computeEngineCost(engine, request));
+  const candidates: V[] = [];
+  let leastCost = Infinity;
+  for (const engine of engines) {
+    if (request.excluded.has(engine.instanceId)) continue;
+    candidates.push(engine);
+    leastCost = Math.min(leastCost, computeEngineCost(engine, request));
+  }
+  for (const engine of sortByPreference(candidates, request.promptKey)) {
+    if (computeEngineCost(engine, request) <= leastCost) return engine;
   }
-  const ordered = sortByPreference(candidates, request.promptKey);
-  // The sort is stable: equal costs stay in the prompt's own order.
-  ordered.sort((a, b) => (costs.get(a) ?? 0) - (costs.get(b) ?? 0));
-  return ordered.slice(0, count);
+  return undefined;
 }
 
 /**
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -10,7 +10,6 @@
 export * from './model/watched_table.js';
 export * from './services/host_phase.js';
 export * from './services/identity.js';
-export {GATEWAY_ENDPOINTS} from './services/endpoints.js';
 export {PEERS} from './services/peers.js';
 export * from './services/store.js';
 export {TABLES_KEY} from './services/tables.js';
--- a/packages/gateway/src/model/request_terms.ts
+++ b/packages/gateway/src/model/request_terms.ts
@@ -93,10 +93,8 @@
 
 /** What an engine reports of itself, as it stood a moment before. */
 export interface EngineReport {
-  /** Names of the models that it serves. */
+  /** Names of the models that it serves; at least one. */
   readonly models: readonly string[];
-  readonly running: number;
-  readonly waiting: number;
 }
 
 /** Translates the call by which an engine reports its state. */
--- a/packages/gateway/src/services/endpoints.ts
+++ b/packages/gateway/src/services/endpoints.ts
@@ -32,8 +32,6 @@
   readonly getDepartureDelay: () => number;
   /** Tells the other hosts soon what this one has running. */
   readonly publishUses: () => void;
-  /** Whether every other host tells this one what it has running. */
-  readonly hasAllUses: () => boolean;
 }
 
 /** How often delayed departures are looked at, in ms. */
@@ -68,11 +66,6 @@
     return undefined;
   }
 
-  /** Whether what other hosts have running is known here, all of it. */
-  get hasAllUses(): boolean {
-    return this.parts.hasAllUses();
-  }
-
   /** Lists all endpoints that are known. */
   listAll(): Iterable<EndpointRecord> {
     return this.records.values();
@@ -247,7 +240,6 @@
       publishUses: () => {
         peers.sendUsesSoon();
       },
-      hasAllUses: () => peers.isToldByAll(),
     });
     peers.useBoard = api;
     api.applyRows(table.replica.listAll());
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -16,7 +16,6 @@
 import {EndpointProber} from '../serving/endpoint_prober.js';
 import {EngineCaller} from '../serving/engine_caller.js';
 import {KeptPromptFinder} from '../serving/kept_prompts.js';
-import {LoadReports} from '../serving/load_reports.js';
 import {RepeatBudgets} from '../serving/repeat_budgets.js';
 import {RequestHandler} from '../serving/request_handler.js';
 import {ServingMetrics} from '../serving/serving_metrics.js';
@@ -139,7 +138,6 @@
     copies,
     client,
     engines,
-    loads: new LoadReports(engines, codecs.engineReports),
     successors: new SuccessorFinder({
       engines,
       codec: codecs.engineReports,
--- a/packages/gateway/src/services/peer_hosts.ts
+++ b/packages/gateway/src/services/peer_hosts.ts
@@ -129,11 +129,6 @@
     return this.heard.listServing(now).length + 1;
   }
 
-  /** Whether hosts are few enough that each tells all others directly. */
-  isToldByAll(): boolean {
-    return this.heard.listHeard(this.parts.clock.getNow()).length <= ALL_UP_TO;
-  }
-
   /** Whether any other host was heard of late. */
   hasHeardAny(now: number): boolean {
     return this.heard.listHeard(now).length > 0;
--- a/packages/gateway/src/serving/endpoint_record.ts
+++ b/packages/gateway/src/serving/endpoint_record.ts
@@ -58,7 +58,6 @@
   private failedAt = 0;
   private usualAnswerMs = FIRST_ANSWER_MS;
   private gapMs = 0;
-  private reported: ToldUse | undefined;
   private toldLoad: ToldLoad | undefined;
   private toldAt = -Infinity;
 
@@ -104,7 +103,7 @@
   }
 
   get streams(): number {
-    return Math.max(this.getUse().running, this.getReported()?.running ?? 0);
+    return this.getUse().running;
   }
 
   get calls(): number {
@@ -115,8 +114,7 @@
   }
 
   get unreadTokens(): number {
-    const reported = this.getReported()?.unreadTokens ?? 0;
-    return Math.max(this.getUse().unreadTokens, reported);
+    return this.getUse().unreadTokens;
   }
 
   get expectedTokens(): number {
@@ -156,11 +154,6 @@
     this.toldAt = this.getNow();
   }
 
-  /** Takes what the engine itself reported of all that runs there. */
-  recordReport(use: EndpointUse): void {
-    this.reported = {use, toldAt: this.getNow()};
-  }
-
   /** Takes the pause between two events of a stream there, in ms. */
   recordGap(gapMs: number): void {
     this.gapMs += GAP_WEIGHT * (gapMs - this.gapMs);
@@ -180,13 +173,6 @@
     this.failedAt = this.getNow();
   }
 
-  private getReported(): EndpointUse | undefined {
-    const {reported} = this;
-    if (reported === undefined) return undefined;
-    const isOld = this.getNow() - reported.toldAt > TOLD_LOAD_MS;
-    return isOld ? undefined : reported.use;
-  }
-
   private getUse(): EndpointUse {
     const oldest = this.getNow() - TOLD_USE_MS;
     const uses: EndpointUse[] = [...this.claims];
--- a/packages/gateway/src/serving/serving_parts.ts
+++ b/packages/gateway/src/serving/serving_parts.ts
@@ -6,7 +6,6 @@
 import type {GatewayEndpoints} from '../services/endpoints.js';
 import type {EngineCaller} from './engine_caller.js';
 import type {KeptPromptFinder} from './kept_prompts.js';
-import type {LoadReports} from './load_reports.js';
 import type {RepeatBudgets} from './repeat_budgets.js';
 import type {ServingMetrics} from './serving_metrics.js';
 import type {SuccessorFinder} from './successors.js';
@@ -20,7 +19,6 @@
   readonly copies: CopyCodec;
   readonly client: EndpointClient;
   readonly engines: EngineCaller;
-  readonly loads: LoadReports;
   readonly successors: SuccessorFinder;
   readonly keptPrompts: KeptPromptFinder;
   readonly configuration: GatewayConfiguration;
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -96,7 +96,6 @@
     const {signal} = this.request.exchange;
     const until = clock.getNow() + (this.isStarted ? SEARCH_MS : 0);
     for (;;) {
-      await this.planner.pollCandidates();
       const plan = this.planner.choosePlan();
       if (plan !== undefined || signal.aborted) return plan;
       if (clock.getNow() >= until) return undefined;
--- a/packages/gateway/src/serving/stream_planner.ts
+++ b/packages/gateway/src/serving/stream_planner.ts
@@ -6,7 +6,6 @@
 import {
   chooseBackup,
   chooseEngine,
-  listCheapest,
   type EngineRequest,
 } from '@irisdock/decisions';
 import type {RequestTerms} from '../model/request_terms.js';
@@ -18,12 +17,6 @@
 /** The part of the tokens allowed that is expected without a caller's guess. */
 const EXPECTED_OUTPUT_PART = 0.5;
 
-/**
- * How many engines are asked before a stream is placed. Of a few that are drawn
- * alike the best is nearly as good as the best of all; each question costs.
- */
-const MAX_ASKED = 4;
-
 /** Plans the legs of one stream. */
 export class StreamPlanner {
   private readonly excluded = new Set<string>();
@@ -68,20 +61,6 @@
     this.keptTokens = await finder.findKept(usable, promptParts);
   }
 
-  /**
-   * Asks the engines that look best for this stream how busy they are, where
-   * not all that other hosts have placed is known here. Nothing is asked where
-   * a copy of the run's memory decides.
-   */
-  async pollCandidates(): Promise<void> {
-    const {endpoints, loads} = this.parts;
-    if (endpoints.hasAllUses || this.copy !== undefined) return;
-    const usable = endpoints.listUsable(this.service);
-    const request = this.createEngineRequest();
-    const asked = listCheapest(usable, request, MAX_ASKED);
-    if (asked.length > 1) await loads.update(asked, request.promptTokens);
-  }
-
   /** Chooses where the next leg runs; undefined when there is no engine. */
   choosePlan(): LegPlan | undefined {
     const usable = this.parts.endpoints.listUsable(this.service);
