--- a/packages/cli/src/stream_summary.ts
+++ b/packages/cli/src/stream_summary.ts
@@ -38,7 +38,7 @@
   return QUANTILES.map((part) => `${part * PERCENT} in ${PERCENT}`);
 }
 
-/** Computes the summary from the lines of all hosts, in any order. */
+/** Computes the summary from the lines of all hosts, the oldest first. */
 export function computeStreamSummary(
   lines: readonly NamedLine[],
 ): StreamSummary {
--- a/packages/decisions/src/engine_placement.ts
+++ b/packages/decisions/src/engine_placement.ts
@@ -74,17 +74,17 @@
   engines: Iterable<V>,
   request: EngineRequest,
 ): V | undefined {
-  const candidates: V[] = [];
+  let cheapest: V[] = [];
   let leastCost = Infinity;
   for (const engine of engines) {
     if (request.excluded.has(engine.instanceId)) continue;
-    candidates.push(engine);
-    leastCost = Math.min(leastCost, computeEngineCost(engine, request));
-  }
-  for (const engine of sortByPreference(candidates, request.promptKey)) {
-    if (computeEngineCost(engine, request) <= leastCost) return engine;
+    const cost = computeEngineCost(engine, request);
+    if (cost > leastCost) continue;
+    if (cost < leastCost) cheapest = [];
+    leastCost = cost;
+    cheapest.push(engine);
   }
-  return undefined;
+  return sortByPreference(cheapest, request.promptKey)[0];
 }
 
 /**
--- a/packages/gateway/src/model/request_terms.ts
+++ b/packages/gateway/src/model/request_terms.ts
@@ -91,17 +91,11 @@
   encodeDropCopy(copyName: string): EngineCall;
 }
 
-/** What an engine reports of itself, as it stood a moment before. */
-export interface EngineReport {
-  /** Names of the models that it serves; at least one. */
-  readonly models: readonly string[];
-}
-
 /** Translates the call by which an engine reports its state. */
 export interface EngineReportCodec {
   encodeReport(): EngineCall;
-  /** Gives the report; undefined when the answer is not an engine's. */
-  decodeReport(status: number, body: string): EngineReport | undefined;
+  /** Tells whether an answer is the report of an engine that serves models. */
+  isReport(status: number, body: string): boolean;
 }
 
 /** Translates the call that tells which prompts an engine keeps. */
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -123,13 +123,12 @@
 ): ServingParts {
   const {clock, random, log, metrics} = context;
   const codecs = context.find(CODECS);
-  const {headers: codec, copies} = codecs;
+  const {headers: codec, copies, keptPrompts} = codecs;
   const peers = context.find(PEERS);
   const configuration = context.find(GATEWAY_CONFIGURATION);
   const endpoints = context.find(GATEWAY_ENDPOINTS);
   const client = new EndpointClient(codec);
   const engines = new EngineCaller(client);
-  const {keptPrompts} = codecs;
   return {
     clock,
     random,
--- a/packages/gateway/src/services/peer_hosts.ts
+++ b/packages/gateway/src/services/peer_hosts.ts
@@ -158,8 +158,7 @@
   sendBeat(): void {
     const now = this.parts.clock.getNow();
     this.standing.updateReading(now);
-    this.sequence++;
-    const bytes = encodePeerMessage(this.createMessage(now, []));
+    const bytes = this.encodeNext(now);
     for (const place of this.places.listTargets(now, this.sequence)) {
       this.socket.send(bytes, place);
     }
@@ -190,13 +189,18 @@
 
   private sendUses(): void {
     const now = this.parts.clock.getNow();
-    this.sequence++;
-    const bytes = encodePeerMessage(this.createMessage(now, []));
+    const bytes = this.encodeNext(now);
     for (const place of this.places.listHeardTargets(now)) {
       this.socket.send(bytes, place);
     }
   }
 
+  /** Writes the next message without news. */
+  private encodeNext(now: number): Buffer {
+    this.sequence++;
+    return encodePeerMessage(this.createMessage(now, []));
+  }
+
   /** Sends what was just read from the store to all that are heard. */
   private sendNews(table: FollowedTable, news: StoreNews): void {
     const now = this.parts.clock.getNow();
@@ -305,20 +309,17 @@
    */
   private trySeed(heard: readonly PeerMessage[]): void {
     if (heard.length === 0) this.seedPause = SEED_EVERY;
-    const {random, place} = this.parts;
-    const known = new Set([place, ...heard.map((one) => one.place)]);
-    const tables = new Set([...known].map((one) => one.tables));
-    const [seed] = getShuffled(
-      this.seeds.filter((one) => !tables.has(one)),
-      random,
-    );
-    if (seed === undefined) return;
+    const places = [this.parts.place, ...heard.map(({place}) => place)];
+    const known = new Set(places.map(({tables}) => tables));
+    const unheard = this.seeds.filter((seed) => !known.has(seed));
+    if (unheard.length === 0) return;
     const untilMost = this.sequence + this.seedPause;
     this.nextSeedBeat = Math.min(this.nextSeedBeat, untilMost);
     if (this.sequence < this.nextSeedBeat) return;
     this.nextSeedBeat = untilMost;
     this.seedPause = Math.min(MAX_SEED_PAUSE, this.seedPause * 2);
-    void this.loadFromSeed(seed);
+    const [seed] = getShuffled(unheard, this.parts.random);
+    if (seed !== undefined) void this.loadFromSeed(seed);
   }
 
   private async loadFromSeed(seed: string): Promise<void> {
--- a/packages/gateway/src/services/peer_places.ts
+++ b/packages/gateway/src/services/peer_places.ts
@@ -49,9 +49,9 @@
 
   /** Lists where the datagram of a beat goes. */
   listTargets(now: number, sequence: number): string[] {
-    const heard = this.heard.listHeard(now);
     const targets = this.listHeardTargets(now);
     if (sequence % SILENT_EVERY === 1) {
+      const heard = this.heard.listHeard(now);
       for (const message of this.heard.listKnown()) {
         if (!heard.includes(message)) targets.push(message.place.datagrams);
       }
--- a/packages/gateway/src/serving/successors.ts
+++ b/packages/gateway/src/serving/successors.ts
@@ -44,19 +44,16 @@
     const {address, entry} = old;
     if (!this.isOnlyEngineService(entry.service)) return;
     const answer = await engines.send(address, codec.encodeReport(), ANSWER_MS);
-    const report =
-      answer === undefined
-        ? undefined
-        : codec.decodeReport(answer.status, answer.body);
+    const isUsed =
+      answer !== undefined && codec.isReport(answer.status, answer.body);
     log.writeInfo('An engine started anew while the store is away.', {
       endpoint: instanceId,
       before: old.instanceId,
       address,
       status: answer?.status ?? 0,
-      isUsed: report !== undefined,
+      isUsed,
     });
-    if (report === undefined) return;
-    endpoints.addSuccessor(old, instanceId);
+    if (isUsed) endpoints.addSuccessor(old, instanceId);
   }
 
   private isOnlyEngineService(service: string): boolean {
