--- /dev/null
+++ b/packages/decisions/src/host_watch.ts
@@ -0,0 +1,284 @@
+/**
+ * How hosts keep track of each other: what a host sends in each beat, and what
+ * it makes of what others send. No clock and no socket: the caller says what
+ * time it is and carries the messages.
+ *
+ * Each beat a host asks one or a few others whether they answer
+ * (probe_schedule.ts); what changed of hosts rides along (change_queue.ts) and,
+ * while it is fresh, goes to a few hosts at once. So the messages and bytes of
+ * a host at rest do not grow with the number of hosts, and news reaches all
+ * within some round trips. docs/design/membership.md has the figures.
+ */
+import {getShuffled, type Random} from '@irisdock/kernel';
+import {ChangeQueue} from './change_queue.js';
+import {
+  compareRecords,
+  type HostChange,
+  type HostRecord,
+} from './host_record.js';
+import {
+  HostView,
+  type ChangeOutcome,
+  type HostViewTimes,
+  type KnownHost,
+} from './host_view.js';
+import {ProbeSchedule} from './probe_schedule.js';
+
+/** What a message asks for. */
+export type WatchKind = 'answer' | 'notice' | 'probe' | 'relay';
+
+/** What hosts send each other to keep track. */
+export interface WatchMessage<P> {
+  readonly kind: WatchKind;
+  readonly sender: HostRecord;
+  /** Where the sender is reached; undefined where it is known for sure. */
+  readonly place: P | undefined;
+  /** Who wants to know, when one host asks for another. */
+  readonly asker: string | undefined;
+  /** Whom a relay is to ask; who answered, in an answer passed on. */
+  readonly target: string | undefined;
+  readonly changes: readonly HostChange<P>[];
+  /** Alike only where the same records are known. */
+  readonly recordsHash: number;
+}
+
+/** A message and the host that it goes to. */
+export interface OutgoingWatch<P> {
+  readonly to: KnownHost<P>;
+  readonly message: WatchMessage<P>;
+}
+
+/** The other hosts up to which several are asked in a beat. */
+const FEW_HOSTS = 16;
+/** Hosts asked in a beat, where hosts are few and where they are many. */
+const PROBES = {few: 3, many: 1} as const;
+/**
+ * Hosts asked in a beat after one in which a host was silent: many may have
+ * been lost at once. Of 195 hosts half of which are lost the rest know all
+ * that are lost after 2.4 s, after 5.1 s without this (seeded simulation).
+ */
+const PROBES_AFTER_SILENCE = 6;
+/** Hosts that are asked to ask for this one. */
+const RELAYS = 3;
+/** Hosts that a fresh change is told at once. */
+const FRESH_TO = 3;
+/** Room for changes in one message, in bytes; it stays below 1,300 in all. */
+const CHANGES_BYTES = 800;
+/** What a change takes at most with and without a place, in bytes. */
+const CHANGE_BYTES = {placed: 130, short: 40} as const;
+/** Beats between two questions to a host that is not believed to be alive. */
+const RETRY_EVERY = 2;
+/** Beats without any message after which silence of others says nothing. */
+const TRUST_BEATS = 4;
+/** A beat so many times later than planned was held up with all else here. */
+const LATE_BEATS = 2;
+
+/** Keeps track of the other hosts. */
+export class HostWatch<P> {
+  readonly view: HostView<P>;
+  private readonly queue = new ChangeQueue();
+  private readonly schedule: ProbeSchedule;
+  private beats = 0;
+  private beatAt = -Infinity;
+  private receivedAt = -Infinity;
+  private wasSilent = false;
+  private hasFresh = false;
+
+  constructor(
+    own: HostRecord,
+    private readonly ownPlace: P,
+    times: HostViewTimes,
+    /** The time between two beats, in ms. */
+    private readonly beatMs: number,
+    private readonly random: Random,
+    hashRecord: (record: HostRecord) => number,
+  ) {
+    this.view = new HostView(own, ownPlace, times, hashRecord);
+    this.schedule = new ProbeSchedule(random);
+    this.addFresh(own.name);
+  }
+
+  /** Whether there is news that should not wait for the next beat. */
+  get isFresh(): boolean {
+    return this.hasFresh;
+  }
+
+  /** Whether another host was heard a moment ago. */
+  hasHeardAny(now: number): boolean {
+    return now - this.receivedAt <= TRUST_BEATS * this.beatMs;
+  }
+
+  /** Says what this host tells of itself. */
+  updateOwn(told: Pick<HostRecord, 'isStoreAway' | 'state'>): void {
+    if (this.view.updateOwn(told)) this.addFresh(this.view.ownRecord.name);
+  }
+
+  /**
+   * Takes the whole list of another host. A host that knew nobody before has
+   * nothing to pass on: the others know all that it learns so.
+   */
+  acceptList(changes: readonly HostChange<P>[], now: number): void {
+    const isJoining = this.view.countKnown() === 0;
+    for (const change of changes) {
+      const outcome = this.applyChange(change, now);
+      if (isJoining && outcome === 'fresh') this.queue.drop(change.record.name);
+    }
+  }
+
+  /** Takes the steps of one beat. */
+  startBeat(now: number): OutgoingWatch<P>[] {
+    this.beats++;
+    const isPunctual = now - this.beatAt < LATE_BEATS * this.beatMs;
+    this.beatAt = now;
+    const isTrusted = isPunctual && this.hasHeardAny(now);
+    const alive = this.view.listAlive();
+    const byName = new Map(alive.map((host) => [host.record.name, host]));
+    const count = this.countProbes(alive.length);
+    const plan = this.schedule.planBeat(byName, isTrusted, count);
+    const sent: OutgoingWatch<P>[] = [];
+    for (const name of plan.silent) this.markSilent(name, now);
+    for (const name of plan.relayed) sent.push(...this.createRelays(name));
+    for (const name of plan.probed) sent.push(...this.createProbe(name));
+    this.wasSilent = plan.relayed.length + plan.silent.length > 0;
+    if (this.beats % RETRY_EVERY === 0) sent.push(...this.createRetry());
+    return sent;
+  }
+
+  /** Tells a few hosts what is fresh. */
+  startNotices(): OutgoingWatch<P>[] {
+    this.hasFresh = false;
+    const targets = getShuffled(this.view.listAlive(), this.random);
+    return targets
+      .slice(0, FRESH_TO)
+      .map((to) => this.createMessage(to, 'notice', {}));
+  }
+
+  /** Takes a message; gives what is sent in return. */
+  accept(message: WatchMessage<P>, now: number): OutgoingWatch<P>[] {
+    const {sender, place, asker, target} = message;
+    this.receivedAt = now;
+    // Before its own word lifts a suspicion: the sender has to be told of it.
+    const correction = this.findCorrection(sender);
+    this.applyChange({record: sender, isSuspected: false, place}, now);
+    for (const told of message.changes) this.applyChange(told, now);
+    this.view.markHeard(sender.name, now);
+    this.schedule.markHeard(sender.name);
+    const from = this.view.find(sender.name);
+    if (from === undefined) return [];
+    if (message.kind === 'probe') {
+      return [this.createMessage(from, 'answer', {asker}, correction)];
+    }
+    if (message.kind === 'relay' && target !== undefined) {
+      return this.createProbe(target, sender.name);
+    }
+    if (message.kind === 'answer') return this.acceptAnswer(message);
+    return correction === undefined
+      ? []
+      : [this.createMessage(from, 'notice', {}, correction)];
+  }
+
+  private acceptAnswer(message: WatchMessage<P>): OutgoingWatch<P>[] {
+    const {asker, target, sender} = message;
+    if (target !== undefined) this.schedule.markHeard(target);
+    if (asker === undefined || asker === this.view.ownRecord.name) return [];
+    const to = this.view.find(asker);
+    if (to === undefined) return [];
+    return [this.createMessage(to, 'answer', {asker, target: sender.name})];
+  }
+
+  private countProbes(others: number): number {
+    if (this.wasSilent) return PROBES_AFTER_SILENCE;
+    return others <= FEW_HOSTS ? PROBES.few : PROBES.many;
+  }
+
+  /**
+   * Gives what a sender has to be told of itself, so that it sets all right by
+   * a new record: that it is suspected, or that a newer record of it is known,
+   * as when the time of day has gone back before its start.
+   */
+  private findCorrection(sender: HostRecord): HostChange<P> | undefined {
+    const known = this.view.find(sender.name);
+    if (known === undefined) return undefined;
+    const isSuspected = known.standing !== 'alive';
+    const isOlder = compareRecords(sender, known.record) < 0;
+    if (!isSuspected && !isOlder) return undefined;
+    return {record: known.record, isSuspected, place: undefined};
+  }
+
+  private applyChange(change: HostChange<P>, now: number): ChangeOutcome {
+    const outcome = this.view.accept(change, now);
+    const {name} = change.record;
+    if (outcome === 'fresh') this.addFresh(name);
+    if (outcome === 'refuted') this.addFresh(this.view.ownRecord.name);
+    return outcome;
+  }
+
+  private addFresh(name: string): void {
+    this.queue.add(name);
+    this.hasFresh = true;
+  }
+
+  private markSilent(name: string, now: number): void {
+    if (this.view.markSilent(name, now)) this.addFresh(name);
+  }
+
+  private createProbe(name: string, asker?: string): OutgoingWatch<P>[] {
+    const to = this.view.find(name);
+    return to === undefined ? [] : [this.createMessage(to, 'probe', {asker})];
+  }
+
+  private createRelays(target: string): OutgoingWatch<P>[] {
+    const others = this.view
+      .listAlive()
+      .filter(({record}) => record.name !== target);
+    return getShuffled(others, this.random)
+      .slice(0, RELAYS)
+      .map((to) => this.createMessage(to, 'relay', {target}));
+  }
+
+  /** Asks one host that is not believed to be alive. */
+  private createRetry(): OutgoingWatch<P>[] {
+    const doubted = this.view
+      .listKnown()
+      .filter(({standing}) => standing !== 'alive');
+    const [to] = getShuffled(doubted, this.random);
+    if (to === undefined) return [];
+    const correction = {
+      record: to.record,
+      isSuspected: true,
+      place: undefined,
+    };
+    return [this.createMessage(to, 'probe', {}, correction)];
+  }
+
+  /** @param correction What the receiver has to be told of itself. */
+  private createMessage(
+    to: KnownHost<P>,
+    kind: WatchKind,
+    about: Partial<Pick<WatchMessage<P>, 'asker' | 'target'>>,
+    correction?: HostChange<P>,
+  ): OutgoingWatch<P> {
+    const changes = this.takeChanges();
+    if (correction !== undefined) changes.push(correction);
+    const message: WatchMessage<P> = {
+      kind,
+      sender: this.view.ownRecord,
+      place: kind === 'probe' ? this.ownPlace : undefined,
+      asker: about.asker,
+      target: about.target,
+      changes,
+      recordsHash: this.view.recordsHash,
+    };
+    return {to, message};
+  }
+  private takeChanges(): HostChange<P>[] {
+    const hostCount = this.view.countKnown() + 1;
+    const names = this.queue.take(CHANGES_BYTES, hostCount, (name) =>
+      this.view.createShortChange(name)?.place === undefined
+        ? CHANGE_BYTES.short
+        : CHANGE_BYTES.placed,
+    );
+    const changes = names.map((name) => this.view.createShortChange(name));
+    return changes.filter((change) => change !== undefined);
+  }
+}
--- a/packages/gateway/src/channels/datagram_socket.ts
+++ b/packages/gateway/src/channels/datagram_socket.ts
@@ -28,7 +28,7 @@
   }
 
   /** Sends a datagram; whether it arrives is not known. */
-  send(bytes: Buffer, place: string): void {
+  send(bytes: Uint8Array, place: string): void {
     const {host, port} = splitPlace(place);
     this.socket.send(bytes, port, host, () => undefined);
   }
--- a/packages/gateway/src/services/directory.ts
+++ b/packages/gateway/src/services/directory.ts
@@ -46,7 +46,8 @@
     const phase = context.find(HOST_PHASE);
     const peers = context.find(PEERS);
     const answerAddresses = (response: ServerResponse): void => {
-      const addresses = peers.listCallerAddresses().slice(0, MAX_ADDRESSES);
+      const serving = peers.listServing().slice(0, MAX_ADDRESSES);
+      const addresses = serving.map(({callers}) => callers);
       if (addresses.length === 0) {
         endWith(response, 503, '');
         return;
--- a/packages/gateway/src/services/endpoints.ts
+++ b/packages/gateway/src/services/endpoints.ts
@@ -15,12 +15,12 @@
 import {z} from 'zod';
 import type {EndpointEntry} from '../model/endpoint_entry.js';
 import type {RowCodec} from '../model/watched_table.js';
-import {EndpointRecord} from '../serving/endpoint_record.js';
+import {EndpointRecord, type EndpointUse} from '../serving/endpoint_record.js';
 import {GATEWAY_CONFIGURATION} from './configuration.js';
-import type {HostUses, UseBoard} from './peer_hosts.js';
 import {PEERS} from './peers.js';
 import {CODECS} from './store.js';
 import {TABLES_KEY} from './tables.js';
+import type {HostUses, UseBoard} from './use_notices.js';
 
 /** What the endpoints need of the rest. */
 interface EndpointsParts {
@@ -30,8 +30,10 @@
   readonly getMemoryTokens: (service: string) => number;
   /** For how long a vanished entry stays in use, in ms from now. */
   readonly getDepartureDelay: () => number;
-  /** Tells the other hosts soon what this one has running. */
-  readonly publishUses: () => void;
+  /** Tells other hosts at once that a stream was placed here. */
+  readonly publishPlaced: () => void;
+  /** Tells other hosts soon that something ended here or was read. */
+  readonly publishChanged: () => void;
 }
 
 /** How often delayed departures are looked at, in ms. */
@@ -43,6 +45,9 @@
   /** Instance ids of vanished entries that are still in use. */
   private readonly vanished = new Set<string>();
 
+  /** Instance ids that a host told of last, by the name of the host. */
+  private readonly toldBy = new Map<string, readonly string[]>();
+
   /** Instance ids of successors whose entries the store has not listed. */
   private readonly unlisted = new Set<string>();
 
@@ -72,7 +77,7 @@
   }
 
   listOwnUses(): HostUses {
-    const uses: HostUses = {};
+    const uses: Record<string, EndpointUse> = {};
     for (const record of this.records.values()) {
       const use = record.getOwnUse();
       if (use.running > 0 || use.expectedTokens > 0) {
@@ -82,15 +87,27 @@
     return uses;
   }
 
-  /** Tells the other hosts soon what this one has running. */
-  publishUses(): void {
-    this.parts.publishUses();
+  /** Tells other hosts at once that a stream was placed here. */
+  publishPlaced(): void {
+    this.parts.publishPlaced();
+  }
+
+  /** Tells other hosts soon that something ended here or was read. */
+  publishChanged(): void {
+    this.parts.publishChanged();
   }
 
   applyUses(host: string, uses: HostUses): void {
-    for (const record of this.records.values()) {
-      record.setOthersUse(host, uses[record.instanceId]);
+    for (const instanceId of this.toldBy.get(host) ?? []) {
+      if (uses[instanceId] !== undefined) continue;
+      this.records.get(instanceId)?.setOthersUse(host, undefined);
+    }
+    const told = Object.keys(uses);
+    for (const instanceId of told) {
+      this.records.get(instanceId)?.setOthersUse(host, uses[instanceId]);
     }
+    if (told.length > 0) this.toldBy.set(host, told);
+    else this.toldBy.delete(host);
   }
 
   /** Lists the endpoints of a service that may get new work. */
@@ -237,8 +254,11 @@
         configuration.findService(service)?.engine?.memoryTokens ??
         UNKNOWN_MEMORY_TOKENS,
       getDepartureDelay: () => peers.standing.getDepartureDelay(clock.getNow()),
-      publishUses: () => {
-        peers.sendUsesSoon();
+      publishPlaced: () => {
+        peers.uses.publishPlaced();
+      },
+      publishChanged: () => {
+        peers.uses.publishChanged();
       },
     });
     peers.useBoard = api;
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -104,7 +104,7 @@
       start: () => startListening(server, settings.listen),
       async drain() {
         phase.startLeaving();
-        peers.sendBeat();
+        peers.publishState();
         await waitDrained(server, phase, clock, () => inFlight);
       },
       stop() {
--- a/packages/gateway/src/services/host_phase.ts
+++ b/packages/gateway/src/services/host_phase.ts
@@ -4,8 +4,8 @@
  */
 import {createService, createServiceKey, type Clock} from '@irisdock/kernel';
 import {z} from 'zod';
-import type {PeerState} from '../model/peer_message.js';
 import {GATEWAY_CONFIGURATION} from './configuration.js';
+import type {PeerState} from './peer_hosts.js';
 import {PEERS} from './peers.js';
 
 /** Ages of the configuration from which it may be old, in ms. */
--- a/packages/gateway/src/services/introduction.ts
+++ b/packages/gateway/src/services/introduction.ts
@@ -30,7 +30,7 @@
 /** The time between two reads of the places while nobody is heard, in ms. */
 const READ_AGAIN_MS = 2000;
 
-const ROW_SCHEMA = z.object({datagrams: z.string()});
+const ROW_SCHEMA = z.object({tables: z.string()});
 
 /** Introduces one host. */
 class Introduction {
@@ -72,8 +72,8 @@
   }
 
   private async writeOwn(): Promise<boolean> {
-    const {datagrams} = this.peers.place;
-    const row = JSON.stringify({datagrams});
+    const {tables} = this.peers.place;
+    const row = JSON.stringify({tables});
     const result = await this.store.write('hosts', this.hostName, row);
     if (result.isOk()) return true;
     const {kind} = result.error;
@@ -87,19 +87,19 @@
     if (result.isErr()) return;
     for (const {key, value} of result.value.rows) {
       if (key === this.hostName || value === undefined) continue;
-      const datagrams = parseRow(value);
-      if (datagrams === undefined) {
+      const tables = parseRow(value);
+      if (tables === undefined) {
         this.log.writeWarning('A row of a host cannot be read.', {host: key});
         continue;
       }
-      this.peers.addPlace(datagrams);
+      void this.peers.loadFrom(tables);
     }
   }
 }
 
 function parseRow(value: string): string | undefined {
   try {
-    return ROW_SCHEMA.safeParse(JSON.parse(value)).data?.datagrams;
+    return ROW_SCHEMA.safeParse(JSON.parse(value)).data?.tables;
   } catch {
     return undefined;
   }
--- a/packages/gateway/src/services/peer_hosts.ts
+++ b/packages/gateway/src/services/peer_hosts.ts
@@ -1,53 +1,46 @@
 /**
- * The other hosts as this one hears them. Each host tells others a few times a
- * second by datagrams that it is there, which changes it knows, how it stands
- * with the store, and what it has running. A few hosts read the store; what
- * they read goes to all others at once, and who has missed it asks for it.
+ * The other hosts: how this one keeps track of them, and what hosts tell each
+ * other. Decisions are in `HostWatch`; here are the datagrams. A few hosts read
+ * the store; what they read goes to all others at once (`news_spreader.ts`),
+ * and who has missed it asks for it (`peer_table_loader.ts`).
  */
-import {HeardHosts} from '@irisdock/decisions';
 import {
-  getShuffled,
-  type Clock,
-  type Logger,
-  type Random,
-} from '@irisdock/kernel';
+  hashText,
+  HostWatch,
+  ReaderReports,
+  type HostRecord,
+  type KnownHost,
+  type OutgoingWatch,
+} from '@irisdock/decisions';
+import type {Clock, Logger, Random} from '@irisdock/kernel';
 import {DatagramSocket} from '../channels/datagram_socket.js';
 import {
-  decodePeerMessage,
-  encodePeerMessage,
-  type HostDigest,
-  type PeerMessage,
+  decodePeerDatagram,
+  encodePeerDatagram,
+  type PeerDatagram,
   type PeerPlace,
-  type PeerState,
-  type TableNews,
+  type WatchDatagram,
 } from '../model/peer_message.js';
-import {
-  decodeTableRows,
-  encodeTableRows,
-} from '../model/peer_tables_message.js';
-import {FOLLOWED_TABLES, type FollowedTable} from '../model/watched_table.js';
-import {ALL_UP_TO, PeerPlaces} from './peer_places.js';
+import {NewsSpreader} from './news_spreader.js';
 import {PeerTableLoader} from './peer_table_loader.js';
+import {SeedTries} from './seed_tries.js';
 import {StoreStanding} from './store_standing.js';
-import type {StoreNews} from './table_follower.js';
 import type {Tables} from './tables.js';
+import {UseNotices, type UseBoard} from './use_notices.js';
 
-/** What this host has running, by the instance id of the endpoint. */
-export type HostUses = PeerMessage['uses'];
-
-/** Tells what runs here, and takes what runs elsewhere. */
-export interface UseBoard {
-  listOwnUses(): HostUses;
-  applyUses(host: string, uses: HostUses): void;
-}
+/** Whether a host takes callers. */
+export type PeerState = HostRecord['state'];
 
 /** What the peers need of the rest. */
-interface PeersParts {
+export interface PeersParts {
+  readonly name: string;
+  readonly incarnation: number;
   /** Where others reach this host. */
   readonly place: PeerPlace;
   /** Where the socket for datagrams is bound, as `ip:port`. */
   readonly listen: string;
-  readonly incarnation: number;
+  /** The time between two beats, in ms. */
+  readonly beatMs: number;
   readonly seeds: readonly string[];
   readonly tables: Tables;
   readonly clock: Clock;
@@ -55,67 +48,83 @@
   readonly log: Logger;
 }
 
-/** Silence after which a host is left out of answers, in ms. */
-const SILENT_AFTER_MS = 1300;
-/** Silence after which a host is forgotten, in ms. */
-const FORGET_AFTER_MS = 60_000;
-/** Streams that are placed within this time are told of together, in ms. */
-const USES_DELAY_MS = 10;
-/** How many other hosts a datagram names. */
-const MAX_NAMED = 6;
 /**
- * How many digests of other hosts a datagram holds where not all hear all. With
- * 20 one pair in 250 of 72 hosts takes a live host for silent at any moment,
- * with 40 none does (decisions/tests/heartbeat_targets.test.ts).
+ * From the suspicion until a host counts as lost, and from then until it is
+ * forgotten, in ms. Callers are sent to neither; both are asked now and then.
  */
-const MAX_DIGESTS = 40;
-/** The largest datagram with news; larger ones may be cut on the way. */
-const MAX_NEWS_BYTES = 1300;
-/** Beats between two tries of a seed while nobody is heard. */
-const SEED_EVERY = 5;
-/** The most beats between two tries of seeds that do not answer. */
-const MAX_SEED_PAUSE = 80;
+const TIMES = {lostAfterMs: 3000, forgetAfterMs: 60_000};
+/** Fresh changes of hosts are gathered for so long, in ms. */
+const FRESH_DELAY_MS = 20;
+/**
+ * Messages from hosts that know other records than this one, one after
+ * another, after which a whole list is asked for: one host may be behind.
+ */
+const MAX_UNLIKE = 8;
 
 /** The other hosts. */
 export class Peers {
   /** Whether this host takes callers; set by the service that knows. */
   getState: () => PeerState = () => 'starting';
-  /** Set by the service that knows what runs. */
-  useBoard: UseBoard | undefined;
   readonly standing: StoreStanding;
-  private readonly heard = new HeardHosts<PeerMessage>({
-    silentAfterMs: SILENT_AFTER_MS,
-    forgetAfterMs: FORGET_AFTER_MS,
-  });
+  readonly uses: UseNotices;
+  private readonly watch: HostWatch<PeerPlace>;
+  private readonly reports = new ReaderReports();
   private readonly socket: DatagramSocket;
   private readonly loader: PeerTableLoader;
-  private readonly places: PeerPlaces;
-  private sequence = 0;
-  private seeds: readonly string[];
-  /** The beat at which a seed that is not heard is tried next. */
-  private nextSeedBeat = 1;
-  private seedPause = SEED_EVERY;
-  private soonTimer: NodeJS.Timeout | undefined;
+  private readonly news: NewsSpreader;
+  private readonly seeds: SeedTries;
+  private freshTimer: NodeJS.Timeout | undefined;
+  /** Messages in a row whose sender knows other records. */
+  private unlike = 0;
 
   constructor(private readonly parts: PeersParts) {
-    this.seeds = parts.seeds;
-    const {place, tables, random, log} = parts;
-    this.loader = new PeerTableLoader(tables, random, log);
-    this.places = new PeerPlaces(place, this.heard, random);
-    this.standing = new StoreStanding(place.name, tables, this.heard);
+    const {name, incarnation, place, tables, random, log, clock} = parts;
+    const record = {
+      name,
+      incarnation,
+      version: 1,
+      state: 'starting',
+      isStoreAway: false,
+    } as const;
+    this.watch = new HostWatch(
+      record,
+      place,
+      TIMES,
+      parts.beatMs,
+      random,
+      hashRecord,
+    );
+    this.loader = new PeerTableLoader(tables, log, (changes) => {
+      this.watch.acceptList(changes, clock.getNow());
+      this.planFresh();
+    });
+    this.standing = new StoreStanding(
+      () => this.watch.view,
+      tables,
+      this.reports,
+    );
+    const sendAll = (datagram: PeerDatagram): void => {
+      this.sendTo(this.watch.view.listAlive(), datagram);
+    };
+    this.news = new NewsSpreader(tables, sendAll, log);
+    this.uses = new UseNotices(parts, this.watch.view, (hosts, datagram) => {
+      this.sendTo(hosts, datagram);
+    });
+    this.seeds = new SeedTries(random, parts.seeds);
     this.socket = new DatagramSocket((bytes) => {
       this.handleDatagram(bytes);
     });
   }
 
+  /** Sets who knows what runs here. */
+  set useBoard(board: UseBoard) {
+    this.uses.board = board;
+  }
+
   /** Starts to listen. */
   async start(): Promise<void> {
     await this.socket.start(this.parts.listen);
-    for (const name of FOLLOWED_TABLES) {
-      void this.parts.tables[name].storeNews.observe((news) => {
-        this.sendNews(name, news);
-      });
-    }
+    this.news.start();
   }
 
   /** Where this host can be reached. */
@@ -125,205 +134,155 @@
 
   /** Gives the number of hosts that serve, this one included. */
   countServing(): number {
-    const now = this.parts.clock.getNow();
-    return this.heard.listServing(now).length + 1;
+    return this.watch.view.listServing().length + 1;
   }
 
   /** Whether any other host was heard of late. */
   hasHeardAny(now: number): boolean {
-    return this.heard.listHeard(now).length > 0;
+    return this.watch.hasHeardAny(now);
   }
 
-  /** Lists where callers may be sent, this host last if it takes them. */
-  listCallerAddresses(): string[] {
-    const serving = this.heard.listServing(this.parts.clock.getNow());
-    const addresses = serving.map((message) => message.place.callers);
-    if (this.getState() === 'ready') addresses.push(this.parts.place.callers);
-    return addresses;
+  /** Lists where callers may be sent, this host among them if it takes them. */
+  listServing(): PeerPlace[] {
+    const places = this.watch.view.listServing().map(({place}) => place);
+    if (this.getState() === 'ready') places.push(this.parts.place);
+    return places;
   }
 
-  /** Takes the place of a host that was told of elsewhere. */
-  addPlace(datagrams: string): void {
-    this.places.add(datagrams);
+  /** Lists the hosts that are believed to be alive, this one included. */
+  listAlive(): {record: HostRecord; place: PeerPlace}[] {
+    const {view} = this.watch;
+    const others = view.listAlive().map(({record, place}) => ({record, place}));
+    return [{record: view.ownRecord, place: this.parts.place}, ...others];
+  }
+
+  /** Asks a host of which this one was told elsewhere for all it knows. */
+  async loadFrom(tables: string): Promise<void> {
+    if (tables === this.parts.place.tables) return;
+    const known = this.watch.view.listAlive();
+    if (known.some(({place}) => place.tables === tables)) return;
+    await this.loader.loadAll(tables);
   }
 
   /** Takes where some other hosts answer hosts; may be old. */
   setSeeds(seeds: readonly string[]): void {
-    this.seeds = seeds;
-    this.seedPause = SEED_EVERY;
-    this.nextSeedBeat = this.sequence;
+    this.seeds.setSeeds(seeds);
   }
 
-  /** Tells the other hosts of this one. */
+  /** Does what is due in a beat. */
   sendBeat(): void {
-    const now = this.parts.clock.getNow();
-    this.standing.updateReading(now);
-    const bytes = this.encodeNext(now);
-    for (const place of this.places.listTargets(now, this.sequence)) {
-      this.socket.send(bytes, place);
+    const {clock, log} = this.parts;
+    const now = clock.getNow();
+    this.updateOwn(now);
+    this.standing.updateReading();
+    this.sendWatch(this.watch.startBeat(now), now);
+    for (const host of this.watch.view.dropLost(now)) {
+      log.writeInfo('A host was silent for long.', {host});
     }
-    this.dropSilent(now);
-    const heard = this.heard.listHeard(now);
-    void this.loader.loadNewer(heard, now);
-    this.trySeed(heard);
+    this.planFresh();
+    this.uses.startBeat();
+    void this.loader.loadNewer(now);
+    const alive = this.watch.view.listAlive();
+    const heard = alive.map(({place}) => place.tables);
+    const seed = this.seeds.chooseNext([this.parts.place.tables, ...heard]);
+    if (seed !== undefined) void this.loader.loadAll(seed);
   }
 
-  /**
-   * Tells the other hosts at once that a stream was placed here. Until they
-   * hear of it they take its engine for less busy than it is: with word in the
-   * heartbeats alone, one stream in eight met another that a host had placed
-   * within 0.7 s (some 180 placements by 6 hosts, counted from their logs).
-   */
-  sendUsesSoon(): void {
-    this.soonTimer ??= setTimeout(() => {
-      this.soonTimer = undefined;
-      this.sendUses();
-    }, USES_DELAY_MS);
+  /** Tells some other hosts at once how this one stands now. */
+  publishState(): void {
+    const now = this.parts.clock.getNow();
+    this.updateOwn(now);
+    this.sendWatch(this.watch.startNotices(), now);
   }
 
   close(): void {
-    clearTimeout(this.soonTimer);
+    clearTimeout(this.freshTimer);
+    this.uses.close();
+    this.news.close();
     this.socket.close();
     this.loader.close();
   }
 
-  private sendUses(): void {
-    const now = this.parts.clock.getNow();
-    const bytes = this.encodeNext(now);
-    for (const place of this.places.listHeardTargets(now)) {
-      this.socket.send(bytes, place);
-    }
+  private updateOwn(now: number): void {
+    const isStoreAway = this.standing.isAway(now);
+    this.watch.updateOwn({state: this.getState(), isStoreAway});
   }
 
-  /** Writes the next message without news. */
-  private encodeNext(now: number): Buffer {
-    this.sequence++;
-    return encodePeerMessage(this.createMessage(now, []));
+  /** Tells of fresh changes in a moment. */
+  private planFresh(): void {
+    if (!this.watch.isFresh) return;
+    this.freshTimer ??= setTimeout(() => {
+      this.freshTimer = undefined;
+      const now = this.parts.clock.getNow();
+      this.sendWatch(this.watch.startNotices(), now);
+    }, FRESH_DELAY_MS);
   }
 
-  /** Sends what was just read from the store to all that are heard. */
-  private sendNews(table: FollowedTable, news: StoreNews): void {
-    const now = this.parts.clock.getNow();
-    const {after, revision} = news;
-    const rows = encodeTableRows(news.rows);
-    this.sequence++;
-    const message = this.createMessage(now, [{table, after, revision, rows}]);
-    const whole = encodePeerMessage(message);
-    // Who gets no rows sees the revision and asks for them.
-    const bytes =
-      whole.length <= MAX_NEWS_BYTES
-        ? whole
-        : encodePeerMessage(this.createMessage(now, []));
-    for (const {place} of this.heard.listHeard(now)) {
-      this.socket.send(bytes, place.datagrams);
+  private sendWatch(sent: OutgoingWatch<PeerPlace>[], now: number): void {
+    if (sent.length === 0) return;
+    const revisions = this.loader.listRevisions();
+    const own = this.standing.createReport(this.watch.view.ownRecord, now);
+    if (own !== undefined) this.reports.accept(own, now);
+    const reports = this.reports.list(now);
+    for (const {to, message} of sent) {
+      const datagram: WatchDatagram = {
+        kind: 'watch',
+        watch: message,
+        revisions,
+        reports,
+      };
+      this.sendTo([to], datagram);
     }
   }
 
-  private createMessage(now: number, news: TableNews[]): PeerMessage {
-    const {place, incarnation, tables, random} = this.parts;
-    const heard = this.heard.listHeard(now);
-    const named = getShuffled(heard, random).slice(0, MAX_NAMED);
-    return {
-      place,
-      incarnation,
-      sequence: this.sequence,
-      state: this.getState(),
-      revisions: {
-        configuration: tables.configuration.replica.lastChange,
-        endpoints: tables.endpoints.replica.lastChange,
-      },
-      store: this.standing.createMessage(now),
-      news,
-      digests: heard.length <= ALL_UP_TO ? [] : this.createDigests(heard),
-      uses: news.length > 0 ? {} : (this.useBoard?.listOwnUses() ?? {}),
-      heard: named.map((message) => message.place.datagrams),
-    };
-  }
-
-  private createDigests(heard: readonly PeerMessage[]): HostDigest[] {
-    const chosen = getShuffled(heard, this.parts.random);
-    return chosen.slice(0, MAX_DIGESTS).map((message) => ({
-      name: message.place.name,
-      incarnation: message.incarnation,
-      sequence: message.sequence,
-      state: message.state,
-      isStoreAway: message.store.isAway,
-    }));
+  private sendTo(
+    hosts: readonly KnownHost<PeerPlace>[],
+    datagram: PeerDatagram,
+  ): void {
+    if (hosts.length === 0) return;
+    const bytes = encodePeerDatagram(datagram);
+    for (const {place} of hosts) this.socket.send(bytes, place.datagrams);
   }
 
   private handleDatagram(bytes: Buffer): void {
-    const decoded = decodePeerMessage(bytes);
+    const decoded = decodePeerDatagram(bytes);
     if (decoded.isErr()) {
       const fault = decoded.error;
       this.parts.log.writeWarning('A datagram cannot be read.', {fault});
       return;
     }
-    const message = decoded.value;
-    const {place} = message;
-    if (place.name === this.parts.place.name) return;
-    const now = this.parts.clock.getNow();
-    // News are taken also from a datagram that was overtaken.
-    this.applyNews(message.news);
-    if (!this.heard.accept(place.name, message, now)) return;
-    this.places.drop(place.datagrams);
-    if (message.news.length === 0) {
-      this.useBoard?.applyUses(place.name, message.uses);
-    }
-    for (const named of message.heard) this.places.add(named);
-    for (const digest of message.digests) this.applyDigest(digest, now);
+    const datagram = decoded.value;
+    if (datagram.kind === 'news') this.news.accept(datagram);
+    else if (datagram.kind === 'uses') this.uses.accept(datagram);
+    else this.handleWatch(datagram);
   }
 
-  private applyNews(news: readonly TableNews[]): void {
-    for (const {table, after, revision, rows} of news) {
-      const decoded = decodeTableRows(rows);
-      this.parts.tables[table].applyNews(decoded, after, revision);
-    }
-  }
-
-  /** Takes what another host knows of a third one that is known here. */
-  private applyDigest(digest: HostDigest, now: number): void {
-    const {name, incarnation, sequence, state, isStoreAway} = digest;
-    const known = this.heard.find(name);
-    if (known === undefined) return;
-    const store = {...known.store, isAway: isStoreAway};
-    const heartbeat = {...known, incarnation, sequence, state, store};
-    this.heard.accept(name, heartbeat, now);
-  }
-
-  private dropSilent(now: number): void {
-    for (const name of this.heard.dropSilent(now)) {
-      this.parts.log.writeInfo('A host was silent for long.', {host: name});
-    }
-    const heard = new Set(
-      this.heard.listHeard(now).map(({place}) => place.name),
-    );
-    for (const {place} of this.heard.listKnown()) {
-      if (!heard.has(place.name)) this.useBoard?.applyUses(place.name, {});
+  private handleWatch({watch, revisions, reports}: WatchDatagram): void {
+    const {name} = watch.sender;
+    if (name === this.parts.name) return;
+    const now = this.parts.clock.getNow();
+    const sent = this.watch.accept(watch, now);
+    for (const report of reports) {
+      if (report.name !== this.parts.name) this.reports.accept(report, now);
     }
+    this.sendWatch(sent, now);
+    this.planFresh();
+    const sender = this.watch.view.find(name);
+    if (sender === undefined) return;
+    this.loader.markRevisions(revisions, sender.place.tables, now);
+    this.compareRecords(watch.recordsHash, sender.place.tables);
   }
 
-  /**
-   * Asks one seed that is not heard for what it knows, and for its place. That
-   * some host is heard is not enough: hosts that start at the same time may
-   * form groups that each hear only themselves.
-   */
-  private trySeed(heard: readonly PeerMessage[]): void {
-    if (heard.length === 0) this.seedPause = SEED_EVERY;
-    const places = [this.parts.place, ...heard.map(({place}) => place)];
-    const known = new Set(places.map(({tables}) => tables));
-    const unheard = this.seeds.filter((seed) => !known.has(seed));
-    if (unheard.length === 0) return;
-    const untilMost = this.sequence + this.seedPause;
-    this.nextSeedBeat = Math.min(this.nextSeedBeat, untilMost);
-    if (this.sequence < this.nextSeedBeat) return;
-    this.nextSeedBeat = untilMost;
-    this.seedPause = Math.min(MAX_SEED_PAUSE, this.seedPause * 2);
-    const [seed] = getShuffled(unheard, this.parts.random);
-    if (seed !== undefined) void this.loadFromSeed(seed);
+  /** Asks for a whole list when others have long known other records. */
+  private compareRecords(hash: number, tables: string): void {
+    const isLike = hash === this.watch.view.recordsHash;
+    this.unlike = isLike ? 0 : this.unlike + 1;
+    if (this.unlike < MAX_UNLIKE || this.watch.isFresh) return;
+    this.unlike = 0;
+    void this.loader.loadAll(tables);
   }
+}
 
-  private async loadFromSeed(seed: string): Promise<void> {
-    const datagrams = await this.loader.loadFrom(seed);
-    if (datagrams !== undefined) this.places.add(datagrams);
-  }
+function hashRecord({name, incarnation, version}: HostRecord): number {
+  return hashText(`${name}/${incarnation}/${version}`);
 }
--- a/packages/gateway/src/services/peer_table_loader.ts
+++ b/packages/gateway/src/services/peer_table_loader.ts
@@ -1,85 +1,112 @@
 /**
- * Asks other hosts for changes of the tables that the store does not bring:
- * when another host has told of a newer change for a while, or when this host
- * has no copy at all.
+ * Asks other hosts for what did not come by itself: changes of the tables of
+ * which another host has told for a while, all that a host knows when this one
+ * has just started, and the list of hosts.
  */
-import type {TableReplica} from '@irisdock/decisions';
-import {getShuffled, type Logger, type Random} from '@irisdock/kernel';
+import type {HostChange, TableReplica} from '@irisdock/decisions';
+import type {Logger} from '@irisdock/kernel';
 import {JsonCaller} from '../channels/json_caller.js';
-import type {PeerMessage} from '../model/peer_message.js';
+import type {PeerPlace, TableRevisions} from '../model/peer_message.js';
 import {
   decodeTableRows,
   PEER_TABLES_PATH,
   PEER_TABLES_SCHEMA,
 } from '../model/peer_tables_message.js';
-import {FOLLOWED_TABLES} from '../model/watched_table.js';
+import {FOLLOWED_TABLES, type FollowedTable} from '../model/watched_table.js';
 import type {Tables} from './tables.js';
 
 /** How long a change may take to arrive before a host is asked, in ms. */
 const OWN_CHANCE_MS = 250;
 const LOAD_TIMEOUT_MS = 800;
 
-/** Loads tables from other hosts. */
+/** Another host that knows a newer change. */
+interface NewerSource {
+  /** Where it answers hosts, as `ip:port`. */
+  readonly address: string;
+  readonly revision: number;
+  /** When a newer change was first told of. */
+  readonly since: number;
+}
+
+/** Loads from other hosts. */
 export class PeerTableLoader {
   private readonly caller = new JsonCaller();
-  private readonly behindSince = new Map<string, number>();
+  private readonly newer = new Map<FollowedTable, NewerSource>();
   private isLoading = false;
 
   constructor(
     private readonly tables: Tables,
-    private readonly random: Random,
     private readonly log: Logger,
+    private readonly acceptHosts: (
+      changes: readonly HostChange<PeerPlace>[],
+    ) => void,
   ) {}
 
   close(): void {
     this.caller.close();
   }
 
+  /** Lists the newest changes that this host knows. */
+  listRevisions(): TableRevisions {
+    const {configuration, endpoints} = this.tables;
+    return {
+      configuration: configuration.replica.lastChange,
+      endpoints: endpoints.replica.lastChange,
+    };
+  }
+
+  /** Takes which changes the host at an address knows. */
+  markRevisions(told: TableRevisions, address: string, now: number): void {
+    const own = this.listRevisions();
+    for (const table of FOLLOWED_TABLES) {
+      const revision = told[table];
+      if (revision <= own[table]) continue;
+      const {since = now} = this.newer.get(table) ?? {};
+      this.newer.set(table, {address, revision, since});
+    }
+  }
+
   /** Asks a host that has had a newer change for a while. */
-  async loadNewer(heard: readonly PeerMessage[], now: number): Promise<void> {
+  async loadNewer(now: number): Promise<void> {
     if (this.isLoading) return;
-    const source = this.findNewer(heard, now);
-    if (source === undefined) return;
+    const address = this.findNewer(now);
+    if (address === undefined) return;
     this.isLoading = true;
     try {
-      await this.loadFrom(source.place.tables);
+      await this.loadFrom(address, false);
     } finally {
       this.isLoading = false;
     }
   }
 
-  private findNewer(
-    heard: readonly PeerMessage[],
-    now: number,
-  ): PeerMessage | undefined {
-    let source: PeerMessage | undefined;
-    for (const name of FOLLOWED_TABLES) {
-      const {replica} = this.tables[name];
-      const newer = getShuffled(heard, this.random).find(
-        (message) => message.revisions[name] > replica.lastChange,
-      );
-      if (newer === undefined) {
-        this.behindSince.delete(name);
+  /** Asks the host at an address for all that it knows, hosts included. */
+  async loadAll(address: string): Promise<void> {
+    await this.loadFrom(address, true);
+  }
+
+  private findNewer(now: number): string | undefined {
+    let address: string | undefined;
+    for (const table of FOLLOWED_TABLES) {
+      const {replica} = this.tables[table];
+      const newer = this.newer.get(table);
+      if (newer === undefined) continue;
+      if (newer.revision <= replica.lastChange) {
+        this.newer.delete(table);
         continue;
       }
-      const since = this.behindSince.get(name) ?? now;
-      this.behindSince.set(name, since);
-      const waits = replica.isLoaded && now - since < OWN_CHANCE_MS;
-      if (!waits) source = newer;
+      const waits = replica.isLoaded && now - newer.since < OWN_CHANCE_MS;
+      if (!waits) address = newer.address;
     }
-    return source;
+    return address;
   }
 
-  /**
-   * Loads what the host at an address knows; gives where it takes datagrams,
-   * undefined when it does not answer.
-   */
-  async loadFrom(address: string): Promise<string | undefined> {
+  private async loadFrom(address: string, withHosts: boolean): Promise<void> {
     const {tables, log} = this;
     const {configuration, endpoints} = tables;
     const query = new URLSearchParams({
       configuration: String(getLoadAfter(configuration.replica)),
       endpoints: String(getLoadAfter(endpoints.replica)),
+      ...(withHosts ? {hosts: 'all'} : {}),
     });
     const answer = await this.caller.send(address, {
       method: 'GET',
@@ -87,25 +114,25 @@
       timeoutMs: LOAD_TIMEOUT_MS,
     });
     if (answer.isErr()) {
-      log.writeInfo('A host did not give its tables.', {
-        address,
-        fault: answer.error,
-      });
-      return undefined;
+      const fault = answer.error;
+      log.writeInfo('A host did not give its tables.', {address, fault});
+      return;
     }
     const parsed = PEER_TABLES_SCHEMA.safeParse(answer.value.body);
     if (!parsed.success) {
+      const {status} = answer.value;
       log.writeWarning('The tables of a host cannot be read.', {
         address,
-        status: answer.value.status,
+        status,
       });
-      return undefined;
+      return;
     }
-    for (const part of parsed.data.parts) {
+    const {parts, hosts} = parsed.data;
+    for (const part of parts) {
       const rows = decodeTableRows(part.rows);
       tables[part.table].applyFromHost(rows, part.revision, part.isWhole);
     }
-    return parsed.data.datagrams;
+    this.acceptHosts(hosts.map((host) => ({...host, isSuspected: false})));
   }
 }
 
--- a/packages/gateway/src/services/peer_tables.ts
+++ b/packages/gateway/src/services/peer_tables.ts
@@ -1,6 +1,6 @@
 /**
  * The service `peerTables`: gives other hosts this host's copies of the
- * tables, whole or what changed after a revision.
+ * tables, whole or what changed after a revision, and the hosts that it knows.
  */
 import {createServer, type ServerResponse} from 'node:http';
 import {
@@ -22,7 +22,7 @@
 /** Builds the answer to a call. */
 export function createPeerTables(
   tables: Tables,
-  datagrams: string,
+  hosts: PeerTables['hosts'],
   query: URLSearchParams,
 ): PeerTables {
   const parts: PeerTables['parts'] = [];
@@ -39,7 +39,7 @@
       isWhole: changes === undefined,
     });
   }
-  return {datagrams, parts};
+  return {hosts, parts};
 }
 
 /** The key of the service. */
@@ -57,14 +57,16 @@
   needs: [TABLES_KEY, PEERS],
   create(context, settings) {
     const tables = context.find(TABLES_KEY);
-    const {datagrams} = context.find(PEERS).place;
+    const peers = context.find(PEERS);
     const server = createServer((message, response) => {
       const url = new URL(message.url ?? '/', 'http://localhost');
       if (url.pathname !== PEER_TABLES_PATH) {
         response.writeHead(404).end();
         return;
       }
-      const value = createPeerTables(tables, datagrams, url.searchParams);
+      const query = url.searchParams;
+      const hosts = query.has('hosts') ? peers.listAlive() : [];
+      const value = createPeerTables(tables, hosts, query);
       sendJsonText(response, value);
     });
     return {
--- a/packages/gateway/src/services/peers.ts
+++ b/packages/gateway/src/services/peers.ts
@@ -40,7 +40,7 @@
     }),
   beatMs: z.coerce.number().int().min(50).default(300).meta({
     unit: 'ms',
-    description: 'The time between two datagrams to the other hosts.',
+    description: 'The time between two rounds of questions to other hosts.',
   }),
 });
 
@@ -52,14 +52,15 @@
   create(context, settings) {
     const {name, failureDomain, incarnation} = context.find(HOST_IDENTITY);
     const api = new Peers({
+      name,
       place: {
-        name,
         failureDomain,
         datagrams: settings.datagramAddress,
         tables: settings.tableAddress,
         callers: settings.callerAddress,
       },
       listen: settings.listen,
+      beatMs: settings.beatMs,
       incarnation,
       seeds: settings.seeds,
       tables: context.find(TABLES_KEY),
--- a/packages/gateway/src/serving/endpoint_record.ts
+++ b/packages/gateway/src/serving/endpoint_record.ts
@@ -40,8 +40,8 @@
 /** The weight of the newest pause between events in the usual one. */
 const GAP_WEIGHT = 0.05;
 
-/** How long what another host told counts, in ms. */
-const TOLD_USE_MS = 1500;
+/** How long what another host told counts, in ms; it is told each 900 ms. */
+const TOLD_USE_MS = 2000;
 
 interface ToldUse {
   readonly use: EndpointUse;
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -21,7 +21,13 @@
   FAILURE_WEIGHTS,
 } from './send_rules.js';
 import type {ServingParts} from './serving_parts.js';
-import {StreamLeg, type LegPlan, type LegResult} from './stream_leg.js';
+import {
+  getLegDetail,
+  hasPerhapsRun,
+  StreamLeg,
+  type LegPlan,
+  type LegResult,
+} from './stream_leg.js';
 import {StreamPlanner} from './stream_planner.js';
 import {StreamReport} from './stream_report.js';
 
@@ -119,24 +125,8 @@
     const backupClaim = {running: 0, unreadTokens: 0, expectedTokens};
     endpoint.addClaim(claim);
     backup?.addClaim(backupClaim);
-    this.parts.endpoints.publishUses();
-    const leg: StreamLeg = new StreamLeg(
-      this.parts,
-      this.prober,
-      plan,
-      this.route,
-      {
-        handleHead: (status, lines) => {
-          this.head ??= {status, lines};
-        },
-        handleEvents: (events) => {
-          claim.unreadTokens = 0;
-          keeper.start();
-          return this.passOn(plan, events, leg);
-        },
-      },
-      exchange.signal,
-    );
+    this.parts.endpoints.publishPlaced();
+    const leg = this.createLeg(plan, claim, keeper);
     const now = this.parts.clock.getNow();
     const keptTokens = this.planner.countKept(endpoint);
     this.report.recordSend(plan, this.progress.lastEventId, keptTokens);
@@ -161,9 +151,42 @@
       this.planner.setCopy(keeper.findCopy());
       endpoint.dropClaim(claim);
       backup?.dropClaim(backupClaim);
+      this.parts.endpoints.publishChanged();
     }
   }
 
+  private createLeg(
+    plan: LegPlan,
+    claim: UseClaim,
+    keeper: CopyKeeper,
+  ): StreamLeg {
+    const leg: StreamLeg = new StreamLeg(
+      this.parts,
+      this.prober,
+      plan,
+      this.route,
+      {
+        handleHead: (status, lines) => {
+          this.head ??= {status, lines};
+        },
+        handleEvents: (events) => {
+          this.markPromptRead(claim);
+          keeper.start();
+          return this.passOn(plan, events, leg);
+        },
+      },
+      this.request.exchange.signal,
+    );
+    return leg;
+  }
+
+  /** The first events show that the prompt was read. */
+  private markPromptRead(claim: UseClaim): void {
+    if (claim.unreadTokens === 0) return;
+    claim.unreadTokens = 0;
+    this.parts.endpoints.publishChanged();
+  }
+
   private createKeeper(
     endpoint: EndpointRecord,
     backup: EndpointRecord | undefined,
@@ -209,7 +232,7 @@
     if (result.kind === 'ended') return;
     this.planner.recordEnd(endpoint, result.kind === 'lost');
     this.progress.startAfterLoss();
-    const detail = getDetail(result);
+    const detail = getLegDetail(result);
     this.lossDetail = detail;
     const hasRun = hasPerhapsRun(result);
     if (hasRun) this.runs++;
@@ -276,18 +299,3 @@
     });
   }
 }
-
-function getDetail(result: LegResult): string {
-  if (result.kind === 'ended') return '';
-  if (result.kind === 'stopped') return 'the time was over';
-  if (result.kind === 'failed') return `status ${result.answer.status}`;
-  return result.detail;
-}
-
-function hasPerhapsRun(result: LegResult): boolean {
-  if (result.kind === 'refused') return false;
-  if (result.kind === 'lost' || result.kind === 'stopped') {
-    return result.mayHaveRun;
-  }
-  return true;
-}
--- a/packages/gateway/src/serving/stream_leg.ts
+++ b/packages/gateway/src/serving/stream_leg.ts
@@ -160,3 +160,20 @@
     return {kind: 'ended'};
   }
 }
+
+/** Says how a leg ended. */
+export function getLegDetail(result: LegResult): string {
+  if (result.kind === 'ended') return '';
+  if (result.kind === 'stopped') return 'the time was over';
+  if (result.kind === 'failed') return `status ${result.answer.status}`;
+  return result.detail;
+}
+
+/** Whether the engine may have run what the leg asked for. */
+export function hasPerhapsRun(result: LegResult): boolean {
+  if (result.kind === 'refused') return false;
+  if (result.kind === 'lost' || result.kind === 'stopped') {
+    return result.mayHaveRun;
+  }
+  return true;
+}
--- /dev/null
+++ b/packages/gateway/tests/peer_datagrams.test.ts
@@ -0,0 +1,188 @@
+/** The datagrams between hosts: what is written is read, the rest is refused. */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {encode} from '@msgpack/msgpack';
+import {TableReplica, type ReplicaRow} from '@irisdock/decisions';
+import {
+  createNewsParts,
+  decodePeerDatagram,
+  encodePeerDatagram,
+  decodePackedRows,
+  type PeerDatagram,
+  type WatchDatagram,
+} from '@irisdock/gateway';
+import fc from 'fast-check';
+
+const RUN_OPTIONS = {
+  seed: Number(process.env['IRISDOCK_SEED'] ?? 20261202),
+  numRuns: Number(process.env['IRISDOCK_RUNS'] ?? 200),
+};
+/** Larger datagrams may be cut on the way, in bytes. */
+const MAX_DATAGRAM = 1300;
+
+function createWatch(change: Partial<WatchDatagram['watch']>): WatchDatagram {
+  const record = {
+    name: 'host-1',
+    incarnation: 1_790_000_000_000,
+    version: 3,
+    state: 'ready',
+    isStoreAway: false,
+  } as const;
+  const place = {
+    failureDomain: 'zone-a',
+    datagrams: '10.1.0.40:7340',
+    tables: '10.1.0.40:8229',
+    callers: '10.1.0.40:8227',
+  };
+  return {
+    kind: 'watch',
+    watch: {
+      kind: 'probe',
+      sender: record,
+      place,
+      asker: undefined,
+      target: undefined,
+      changes: [
+        {record, isSuspected: true, place: undefined},
+        {record, isSuspected: false, place},
+      ],
+      recordsHash: 4_000_000_000,
+      ...change,
+    },
+    revisions: {configuration: 7, endpoints: 900},
+    reports: [
+      {
+        name: 'reader',
+        incarnation: 5,
+        sequence: 8,
+        configurationRevision: 7,
+        configurationAgeMs: 240,
+        departureDelayMs: 60_000,
+      },
+    ],
+  };
+}
+
+describe('the datagrams of hosts', () => {
+  const datagrams: readonly PeerDatagram[] = [
+    createWatch({}),
+    createWatch({kind: 'relay', target: 'host-2', place: undefined}),
+    createWatch({kind: 'answer', asker: 'host-3', changes: []}),
+    {
+      kind: 'uses',
+      name: 'host-1',
+      incarnation: 5,
+      sequence: 9,
+      uses: {
+        'i-1': {running: 1, unreadTokens: 8200, expectedTokens: 9000},
+        'i-2': {running: 0, unreadTokens: 0, expectedTokens: 12},
+      },
+    },
+    {
+      kind: 'news',
+      table: 'endpoints',
+      after: 5,
+      revision: 9,
+      packedRows: Uint8Array.from([1, 2, 3]),
+    },
+  ];
+  for (const datagram of datagrams) {
+    it(`are read as they were written: ${datagram.kind}`, () => {
+      const bytes = encodePeerDatagram(datagram);
+      assert.deepEqual(decodePeerDatagram(bytes)._unsafeUnwrap(), datagram);
+    });
+  }
+
+  it('are refused with the field that is wrong', () => {
+    const wrong: readonly [unknown, RegExp][] = [
+      ['text', /no tuple/],
+      [['x'], /field 1/],
+      [['w', 'probe', ['host', 'one']], /field 2 is no number/],
+      [['u', 'host', 1, 2, [['i-1', 1, 'many', 0]]], /field 3 is no number/],
+      [['n', 'endpoints', 1, 2, 'rows'], /field 5 is no bytes/],
+    ];
+    for (const [value, fault] of wrong) {
+      const decoded = decodePeerDatagram(encode(value));
+      assert.match(decoded._unsafeUnwrapErr(), fault);
+    }
+  });
+
+  it('never bring the reader down, whatever arrives', () => {
+    const bytes = fc.uint8Array({maxLength: 80});
+    fc.assert(
+      fc.property(bytes, (list) => {
+        decodePeerDatagram(list);
+      }),
+      RUN_OPTIONS,
+    );
+  });
+});
+
+/** How a row changes; `step` is how far the revision rises. */
+interface RowChange {
+  readonly key: number;
+  readonly step: number;
+  readonly isDeleted: boolean;
+  readonly size: number;
+}
+
+describe('news of a table', () => {
+  const changes = fc.array(
+    fc.record({
+      key: fc.integer({min: 1, max: 60}),
+      step: fc.integer({min: 0, max: 2}),
+      isDeleted: fc.boolean(),
+      size: fc.integer({min: 0, max: 200}),
+    }),
+    {minLength: 1, maxLength: 60},
+  );
+
+  function createRows(list: readonly RowChange[]): ReplicaRow[] {
+    let revision = 10;
+    const rows = new Map<string, ReplicaRow>();
+    for (const {key, step, isDeleted, size} of list) {
+      revision += step;
+      const name = `i-${key}`;
+      const value = isDeleted ? undefined : `${revision}`.padEnd(size, 'abc');
+      rows.delete(name);
+      rows.set(name, {key: name, value, revision});
+    }
+    return [...rows.values()];
+  }
+
+  it('fit into datagrams and lead a copy to the same rows', () => {
+    fc.assert(
+      fc.property(changes, (list) => {
+        const rows = createRows(list);
+        const last = rows.at(-1)?.revision ?? 0;
+        const parts = createNewsParts(rows, 10, last) ?? [];
+        const copy = new TableReplica();
+        copy.applyAll([], 10);
+        for (const part of parts) {
+          const news = {kind: 'news', table: 'endpoints', ...part} as const;
+          assert.ok(encodePeerDatagram(news).length <= MAX_DATAGRAM);
+          assert.ok(part.after <= Math.max(10, copy.lastChange));
+          const unpacked = decodePackedRows(part.packedRows)._unsafeUnwrap();
+          copy.applyChanges(unpacked, part.revision);
+        }
+        assert.equal(copy.revision, Math.max(10, last));
+        const whole = new TableReplica();
+        whole.applyAll([], 10);
+        whole.applyChanges(rows, last);
+        assert.deepEqual(copy.listAll(), whole.listAll());
+      }),
+      RUN_OPTIONS,
+    );
+  });
+
+  it('are not sent when a row is larger than a datagram', () => {
+    let value = '';
+    for (let at = 0; at < 900; at++) value += String((at * 7919) % 9973);
+    const row = {key: 'a', value, revision: 11};
+    assert.equal(createNewsParts([row], 10, 11), undefined);
+  });
+
+  it('are refused when they cannot be unpacked', () => {
+    assert.ok(decodePackedRows(Uint8Array.from([9, 9, 9])).isErr());
+  });
+});
