Tell callers of hosts in their own failure domain, drawn anew each time

Cause: an answer held the first 64 hosts in the order in which they were first heard, the same ones each time, the answering host last; the caller's domain in the query was not read. So most of 195 hosts got no callers from some others, and five of six calls crossed domains, whose bytes cost. Change: one decision for both programs (chooseHosts): near hosts first, at least five far ones, at least sixteen in all, in random order; the adapter reads the domain from the query. Deployments of up to 16 hosts are told whole, as before. Not done: weights by what a host can carry.

--- a/packages/decisions/src/address_answer.ts
+++ b/packages/decisions/src/address_answer.ts
@@ -1,12 +1,22 @@
 /**
- * Which hosts a caller is told to use: live ones, those of the caller's
- * failure domain first, in an order that differs from answer to answer so
- * that callers spread, and for a time that differs too so that they do not
- * all come back at once.
+ * Which hosts a caller is told to use: those of the caller's failure domain,
+ * as calls within a domain are quicker and cost less, and some of others in
+ * case that the domain is lost or has few hosts left. Which they are is drawn
+ * anew for each answer, so that callers spread over all hosts, and for how long
+ * an answer is kept differs too, so that they do not all come back at once.
  */
 import {getShuffled, type Random} from '@irisdock/kernel';
 import type {MemberNote} from './member.js';
 
+/** How many hosts an answer lists. */
+export interface AnswerSize {
+  readonly most: number;
+  /** Hosts of other failure domains that are listed at least. */
+  readonly leastFar: number;
+  /** Hosts that are listed at least, if so many serve. */
+  readonly least: number;
+}
+
 /** One address of the answer. */
 export interface AnsweredAddress {
   readonly address: string;
@@ -19,9 +29,32 @@
   readonly keepForSeconds: number;
 }
 
-const MAX_ADDRESSES = 4;
+const SIZE: AnswerSize = {most: 4, leastFar: 1, least: 4};
 const SPREAD_STEPS = 1000;
 
+/**
+ * Chooses the hosts of an answer: near ones first, in random order.
+ *
+ * @param callerDomain The caller's failure domain; undefined when it is not
+ *     told, and all hosts are alike.
+ */
+export function chooseHosts<H extends {readonly failureDomain: string}>(
+  serving: readonly H[],
+  callerDomain: string | undefined,
+  size: AnswerSize,
+  random: Random,
+): H[] {
+  const shuffled = getShuffled(serving, random);
+  const near = shuffled.filter((host) => host.failureDomain === callerDomain);
+  const far = shuffled.filter((host) => host.failureDomain !== callerDomain);
+  const nearCount = Math.min(
+    near.length,
+    size.most - Math.min(size.leastFar, far.length),
+  );
+  const farCount = Math.max(size.leastFar, size.least - nearCount);
+  return [...near.slice(0, nearCount), ...far.slice(0, farCount)];
+}
+
 /** Builds an answer from the hosts that serve. */
 export function chooseAddresses(
   serving: readonly MemberNote[],
@@ -29,19 +62,11 @@
   keepSeconds: number,
   random: Random,
 ): AddressAnswer {
-  const shuffled = getShuffled(serving, random);
-  const near = shuffled.filter((m) => m.failureDomain === callerDomain);
-  const far = shuffled.filter((m) => m.failureDomain !== callerDomain);
-  const addresses = [...near, ...far].slice(0, MAX_ADDRESSES).map((member) => ({
-    address: member.callerAddress,
-    failureDomain: member.failureDomain,
+  const chosen = chooseHosts(serving, callerDomain, SIZE, random);
+  const addresses = chosen.map(({callerAddress, failureDomain}) => ({
+    address: callerAddress,
+    failureDomain,
   }));
-  // The last one offered is far, in case the whole domain is lost.
-  const last = far[0];
-  if (near.length >= MAX_ADDRESSES && last !== undefined) {
-    const {callerAddress: address, failureDomain} = last;
-    addresses[MAX_ADDRESSES - 1] = {address, failureDomain};
-  }
   const spread = random.getInt(SPREAD_STEPS) / SPREAD_STEPS;
   return {
     addresses,
--- a/packages/decisions/tests/host_group.test.ts
+++ b/packages/decisions/tests/host_group.test.ts
@@ -1,7 +1,11 @@
-/** Which hosts tell each other of their streams. */
+/** Which hosts tell each other of their streams, and whom callers are told. */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {createHostGroups, type GroupedHost} from '@irisdock/decisions';
+import {
+  chooseHosts,
+  createHostGroups,
+  type GroupedHost,
+} from '@irisdock/decisions';
 import {getShuffled, SeededRandom} from '@irisdock/kernel';
 import fc from 'fast-check';
 import {RUN_OPTIONS} from './run_options.js';
@@ -54,3 +58,44 @@
     );
   });
 });
+
+describe('the hosts of an address answer', () => {
+  const size = {most: 64, leastFar: 5, least: 16};
+
+  it('are near ones and some far ones, as many as fit, each once', () => {
+    fc.assert(
+      fc.property(DEPLOYMENTS, ({count, domains, seed}) => {
+        const hosts = createHosts(count, domains);
+        const random = new SeededRandom(seed);
+        const chosen = chooseHosts(hosts, 'domain-0', size, random);
+        assert.equal(new Set(chosen).size, chosen.length);
+        assert.ok(chosen.length <= size.most);
+        assert.ok(chosen.length >= Math.min(count, size.least));
+        const isNear = ({failureDomain}: GroupedHost): boolean =>
+          failureDomain === 'domain-0';
+        const near = hosts.filter(isNear).length;
+        const far = count - near;
+        const chosenNear = chosen.filter(isNear).length;
+        assert.ok(chosenNear >= Math.min(near, size.most - size.leastFar));
+        assert.ok(chosen.length - chosenNear >= Math.min(far, size.leastFar));
+      }),
+      RUN_OPTIONS,
+    );
+  });
+
+  it('are each host as often as another, over many answers', () => {
+    const hosts = createHosts(195, 6);
+    const random = new SeededRandom(3);
+    const told = new Map<string, number>();
+    const answers = 600;
+    for (let at = 0; at < answers; at++) {
+      const domain = `domain-${at % 6}`;
+      for (const {name} of chooseHosts(hosts, domain, size, random)) {
+        told.set(name, (told.get(name) ?? 0) + 1);
+      }
+    }
+    assert.equal(told.size, hosts.length);
+    const counts = [...told.values()];
+    assert.ok(Math.max(...counts) < 1.2 * Math.min(...counts));
+  });
+});
--- a/packages/gateway/src/services/directory.ts
+++ b/packages/gateway/src/services/directory.ts
@@ -3,6 +3,7 @@
  * whether this host takes callers.
  */
 import {createServer, type ServerResponse} from 'node:http';
+import {chooseHosts, type AnswerSize} from '@irisdock/decisions';
 import {
   createService,
   createServiceKey,
@@ -17,8 +18,12 @@
 /** The key of the service. */
 export const DIRECTORY = createServiceKey<undefined>('directory');
 
-/** The most addresses in one answer. */
-const MAX_ADDRESSES = 64;
+/**
+ * How many hosts callers are told of. Callers draw one of them for each
+ * connection, so one in eight or so goes to another failure domain than their
+ * own; a deployment of up to 16 hosts is told whole.
+ */
+const ANSWER_SIZE: AnswerSize = {most: 64, leastFar: 5, least: 16};
 
 const SETTINGS = z.object({
   listen: IP_PORT_SCHEMA.meta({
@@ -45,9 +50,12 @@
     const codecs = context.find(CODECS);
     const phase = context.find(HOST_PHASE);
     const peers = context.find(PEERS);
-    const answerAddresses = (response: ServerResponse): void => {
-      const serving = peers.listServing().slice(0, MAX_ADDRESSES);
-      const addresses = serving.map(({callers}) => callers);
+    const {random} = context;
+    const answerAddresses = (response: ServerResponse, query: string): void => {
+      const domain = codecs.decodeCallerDomain(query);
+      const serving = peers.listServing();
+      const hosts = chooseHosts(serving, domain, ANSWER_SIZE, random);
+      const addresses = hosts.map(({callers}) => callers);
       if (addresses.length === 0) {
         endWith(response, 503, '');
         return;
@@ -59,8 +67,8 @@
       endWith(response, phase.state === 'ready' ? 200 : 503, '');
     };
     const server = createServer((message, response) => {
-      const path = (message.url ?? '/').split('?')[0];
-      if (path === codecs.paths.addresses) answerAddresses(response);
+      const [path, query = ''] = (message.url ?? '/').split('?');
+      if (path === codecs.paths.addresses) answerAddresses(response, query);
       else if (path === codecs.paths.readiness) answerReadiness(response);
       else endWith(response, 404, '');
     });
--- a/packages/gateway/src/services/store.ts
+++ b/packages/gateway/src/services/store.ts
@@ -23,7 +23,12 @@
   readonly endpoints: RowCodec<EndpointEntry>;
   /** The paths at which this host answers questions about itself. */
   readonly paths: {readonly addresses: string; readonly readiness: string};
-  /** Reads which caller asks for addresses, and writes the answer. */
+  /**
+   * Gives the failure domain of the caller that asks for addresses; undefined
+   * when its query does not say.
+   */
+  decodeCallerDomain(query: string): string | undefined;
+  /** Writes the answer to a caller that asks for addresses. */
   encodeAddresses(addresses: readonly string[], keepSeconds: number): string;
 }
 
