--- a/packages/gateway/src/services/news_spreader.ts
+++ b/packages/gateway/src/services/news_spreader.ts
@@ -47,7 +47,8 @@
     const {rows, after, revision} = news;
     const parts = createNewsParts(rows, after, revision);
     // Who gets no rows sees the revision in the next message and asks for them.
-    for (const part of parts ?? [])
+    for (const part of parts ?? []) {
       this.sendAll({kind: 'news', table, ...part});
+    }
   }
 }
