Let a host that starts ask its seeds before the store

Change: a host starts as a listener and asks its seeds; the store is read when they have given no tables within 150 ms or refuse, as after a loss of all, and the first wait for changes comes only once it is known who reads. Ruled out: a delay by place among the hosts that are known (after a loss of all most hosts would serve later).

--- a/packages/gateway/src/services/peer_hosts.ts
+++ b/packages/gateway/src/services/peer_hosts.ts
@@ -55,6 +55,11 @@
  * forgotten, in ms. Callers are sent to neither; both are asked now and then.
  */
 const TIMES = {lostAfterMs: 3000, forgetAfterMs: 60_000};
+/**
+ * How long seeds may take to give their tables before the store is read, in ms;
+ * one that runs takes a few, one that does not refuses at once.
+ */
+const SEEDS_MS = 150;
 /** Fresh changes of hosts are gathered for so long, in ms. */
 const FRESH_DELAY_MS = 20;
 /**
@@ -142,6 +147,7 @@
   async start(): Promise<void> {
     await this.socket.start(this.parts.listen);
     this.news.start();
+    await this.loadFromSeeds();
   }
 
   /** Where this host can be reached. */
@@ -220,6 +226,25 @@
     this.loader.close();
   }
 
+  /**
+   * Asks the seeds for the tables before the store is read: where other hosts
+   * run, a host that starts needs no call to the store.
+   */
+  private async loadFromSeeds(): Promise<void> {
+    const {seeds, place, clock} = this.parts;
+    const others = seeds.filter((seed) => seed !== place.tables);
+    if (others.length === 0) return;
+    const enough = new AbortController();
+    const loads = others.map(async (seed) => {
+      await this.loader.loadAll(seed);
+      if (this.standing.hasTables) enough.abort();
+    });
+    void Promise.all(loads).then(() => {
+      enough.abort();
+    });
+    await clock.wait(SEEDS_MS, enough.signal);
+  }
+
   private updateOwn(now: number): void {
     const isStoreAway = this.standing.isAway(now);
     this.watch.updateOwn({state: this.getState(), isStoreAway});
--- a/packages/gateway/src/services/store_standing.ts
+++ b/packages/gateway/src/services/store_standing.ts
@@ -29,6 +29,7 @@
   private reports = 0;
   /** The records by which the readers were last chosen. */
   private chosenBy: number | undefined;
+  private hadTables = false;
 
   constructor(
     private readonly getView: () => HostView<PeerPlace>,
@@ -36,17 +37,37 @@
     private readonly readerReports: ReaderReports,
   ) {}
 
-  /** Starts or ends reading, as the hosts that are alive make it right. */
+  /** Whether this host has a copy of all tables, however old. */
+  get hasTables(): boolean {
+    return FOLLOWED_TABLES.every((name) => this.tables[name].replica.isLoaded);
+  }
+
+  /**
+   * Starts or ends reading, as the hosts that are alive make it right. Who has
+   * no copy of the tables reads in any case.
+   */
   updateReading(): void {
     const view = this.getView();
     const {ownRecord, recordsHash} = view;
-    if (recordsHash === this.chosenBy) return;
+    const {hasTables} = this;
+    const isSame =
+      recordsHash === this.chosenBy && hasTables === this.hadTables;
+    if (isSame) return;
     this.chosenBy = recordsHash;
+    this.hadTables = hasTables;
+    if (!hasTables) {
+      this.setRoles('reader');
+      return;
+    }
     const candidates = [ownRecord];
     for (const {record} of view.listAlive()) candidates.push(record);
     const readers = chooseStoreReaders(candidates, READERS);
     const place = readers.indexOf(ownRecord.name);
     const role = READER_ROLES[Math.min(place, 1)] ?? 'listener';
+    this.setRoles(role);
+  }
+
+  private setRoles(role: ReaderRole): void {
     for (const name of FOLLOWED_TABLES) this.tables[name].setRole(role);
   }
 
--- a/packages/gateway/src/services/table_follower.ts
+++ b/packages/gateway/src/services/table_follower.ts
@@ -16,6 +16,12 @@
  */
 export type ReaderRole = 'listener' | 'reader' | 'standby';
 
+/**
+ * The pause after a whole table was read, in ms. Within a beat it is known who
+ * reads, so that a host that only listens from then on makes no second call.
+ */
+const AFTER_WHOLE_MS = 400;
+
 /** A standby makes so much fewer calls; it still sees each change. */
 const STANDBY_FACTOR = 2;
 
@@ -49,7 +55,7 @@
   private mustReload = true;
   private readAt = -Infinity;
   private failedAt = -Infinity;
-  private role: ReaderRole = 'reader';
+  private role: ReaderRole = 'listener';
   private resumeReading: (() => void) | undefined;
   private readonly storeChannel = new Channel<StoreNews>();
   /** Rows that this host has just read from the store itself. */
@@ -175,7 +181,7 @@
     // The store may answer from a copy that lags; then it is asked again.
     this.mustReload = replica.isLoaded && revision < replica.revision;
     this.publish(replica.applyAll(rows, revision), 'store');
-    return this.mustReload ? options.retryMs : 0;
+    return this.mustReload ? options.retryMs : AFTER_WHOLE_MS;
   }
 
   private handleError(kind: string, now: number): number {
