--- a/packages/gateway/src/services/endpoints.ts
+++ b/packages/gateway/src/services/endpoints.ts
@@ -57,8 +57,15 @@
   /** Instance ids of successors whose entries the store has not listed. */
   private readonly unlisted = new Set<string>();
 
+  private dropTimer: NodeJS.Timeout | undefined;
+
   constructor(private readonly parts: EndpointsParts) {}
 
+  /** Ends what it waits for. */
+  close(): void {
+    clearTimeout(this.dropTimer);
+  }
+
   /** Whether entries may be missing because the store is or was away. */
   get isStoreAway(): boolean {
     return this.parts.getDepartureDelay() > 0;
@@ -156,13 +163,16 @@
   addSuccessor(old: EndpointRecord, instanceId: string): void {
     if (this.records.has(instanceId)) return;
     this.unlisted.add(instanceId);
+    this.planDrop();
     this.addRecord({...old.entry, instanceId, state: 'ready'});
   }
 
   /** Takes out the entries without a row in the store, once that is back. */
-  dropVanished(): void {
-    const count = this.vanished.size + this.unlisted.size;
-    if (count === 0 || this.isStoreAway) return;
+  private dropVanished(): void {
+    if (this.isStoreAway) {
+      this.planDrop();
+      return;
+    }
     for (const instanceId of [...this.vanished, ...this.unlisted]) {
       const record = this.records.get(instanceId);
       if (record !== undefined) this.remove(record, 'its entry is missing');
@@ -171,11 +181,20 @@
     this.unlisted.clear();
   }
 
+  /** Looks again in a moment; an idle host has no timer for it. */
+  private planDrop(): void {
+    this.dropTimer ??= setTimeout(() => {
+      this.dropTimer = undefined;
+      this.dropVanished();
+    }, CHECK_MS);
+  }
+
   private handleVanished(instanceId: string): void {
     const record = this.records.get(instanceId);
     if (record === undefined) return;
     if (this.isStoreAway) {
       this.vanished.add(instanceId);
+      this.planDrop();
       this.parts.log.writeInfo('An entry vanished while the store was away.', {
         endpoint: instanceId,
       });
@@ -289,17 +308,10 @@
         for (const {entry} of api.listAll()) this.inc({state: entry.state});
       },
     });
-    let timer: NodeJS.Timeout | undefined;
     return {
       api,
-      start() {
-        timer = setInterval(() => {
-          api.dropVanished();
-        }, CHECK_MS);
-        return Promise.resolve();
-      },
       stop() {
-        clearInterval(timer);
+        api.close();
         return Promise.resolve();
       },
     };
--- a/packages/gateway/src/services/introduction.ts
+++ b/packages/gateway/src/services/introduction.ts
@@ -20,8 +20,8 @@
 import {PEERS} from './peers.js';
 import {STORE} from './store.js';
 
-/** The time between two looks, in ms. */
-const LOOK_MS = 500;
+/** The time between two looks, in ms; a host that is known has nothing to do. */
+const LOOK_MS = 1000;
 /**
  * How long a host listens after its start before it turns to the store, in ms:
  * seeds answer within some beats.
--- a/packages/gateway/src/services/metrics_page.ts
+++ b/packages/gateway/src/services/metrics_page.ts
@@ -14,7 +14,7 @@
 export const METRICS_PATH = '/metrics';
 
 /** The usual 10 ms would wake an idle process a hundred times a second. */
-const LOOP_PRECISION_MS = 500;
+const LOOP_PRECISION_MS = 2000;
 
 /** The key of the service. */
 export const METRICS_PAGE = createServiceKey<undefined>('metrics');
