--- a/bench/src/bench_table.ts
+++ b/bench/src/bench_table.ts
@@ -4,6 +4,7 @@
 import {DOMAIN_LOSS_BENCH} from './benches/domain_loss.js';
 import {FAIRNESS_BENCH} from './benches/fairness.js';
 import {HOST_LOSS_BENCH} from './benches/host_loss.js';
+import {IDLE_HOST_BENCH} from './benches/idle_host.js';
 import {OVERHEAD_BENCH} from './benches/overhead.js';
 import {OVERLOAD_BENCH} from './benches/overload.js';
 import {PREFIX_BENCH} from './benches/prefix.js';
@@ -21,4 +22,5 @@
   OVERLOAD_BENCH,
   PREFIX_BENCH,
   CONTROL_BENCH,
+  IDLE_HOST_BENCH,
 ];
