Ask the engines of the own failure domain first for a kept prompt

Cause: 24 engines are asked, the first by a hash that no longer decides where fresh prompts run: of 174, by chance 14 in 100 of those that keep one. Streams run mostly in the domain of their callers now. Change: near engines come first among those asked. Deployments of up to 24 engines ask all, as before.

--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -144,7 +144,13 @@
       endpoints,
       log,
     }),
-    keptPrompts: new KeptPromptFinder(engines, keptPrompts, clock, log),
+    keptPrompts: new KeptPromptFinder(
+      engines,
+      keptPrompts,
+      peers.place.failureDomain,
+      clock,
+      log,
+    ),
     configuration,
     endpoints,
     budgets: new RepeatBudgets(
--- a/packages/gateway/src/serving/kept_prompts.ts
+++ b/packages/gateway/src/serving/kept_prompts.ts
@@ -25,9 +25,10 @@
 }
 
 /**
- * How many engines are asked, the first in the prompt's own order. With more
- * engines than this some that keep the prompt are not found; the number bounds
- * what one caller costs.
+ * How many engines are asked: those of this host's failure domain, where most
+ * callers of a domain run, then others, both in the prompt's own order. With
+ * more engines than this some that keep the prompt are not found; the number
+ * bounds what one caller costs.
  */
 const MAX_ASKED = 24;
 /** How long an engine may take to answer, in ms; it takes a few mostly. */
@@ -42,6 +43,7 @@
   constructor(
     private readonly engines: EngineCaller,
     private readonly codec: KeptPromptCodec,
+    private readonly ownDomain: string,
     private readonly clock: Clock,
     private readonly log: Logger,
   ) {}
@@ -55,7 +57,11 @@
     const kept = new Map<string, number>();
     const key = prompt.at(-1)?.id;
     if (key === undefined) return kept;
-    const asked = sortByPreference(engines, key).slice(0, MAX_ASKED);
+    const sorted = sortByPreference(engines, key);
+    const asked = [
+      ...sorted.filter((engine) => this.isNear(engine)),
+      ...sorted.filter((engine) => !this.isNear(engine)),
+    ].slice(0, MAX_ASKED);
     await Promise.all(
       asked.map(async (engine) => {
         const parts = await this.poll(engine);
@@ -66,6 +72,10 @@
     return kept;
   }
 
+  private isNear({failureDomain}: EndpointRecord): boolean {
+    return failureDomain === this.ownDomain;
+  }
+
   private poll(engine: EndpointRecord): Promise<KeptParts | undefined> {
     const {instanceId} = engine;
     const known = this.answers.get(instanceId);
