--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -4,6 +4,7 @@
 export * from './errors.js';
 export * from './gateway.js';
 export * from './model/endpoint_entry.js';
+export * from './model/peer_codec.js';
 export * from './model/peer_message.js';
 export * from './model/request_terms.js';
 export * from './model/serving_configuration.js';
--- /dev/null
+++ b/packages/gateway/src/model/peer_codec.ts
@@ -0,0 +1,225 @@
+/**
+ * Writes and reads the datagrams between hosts: tuples in MessagePack, as a
+ * host writes and reads some twenty a second.
+ */
+import {decode, encode} from '@msgpack/msgpack';
+import type {HostChange, HostRecord, ReaderReport} from '@irisdock/decisions';
+import {getErrorText} from '@irisdock/kernel';
+import {err, ok, type Result} from 'neverthrow';
+import type {
+  NewsDatagram,
+  PeerDatagram,
+  PeerPlace,
+  PeerUse,
+  ToldUse,
+  UsesDatagram,
+  WatchDatagram,
+} from './peer_message.js';
+import {TupleReader} from './tuple_reader.js';
+import {FOLLOWED_TABLES} from './watched_table.js';
+
+const STATES = ['starting', 'ready', 'leaving'] as const;
+const WATCH_KINDS = ['answer', 'notice', 'probe', 'relay'] as const;
+/** Watch, uses, news, question, answer, loss. */
+const KINDS = ['w', 'u', 'n', 'q', 'a', 'l'] as const;
+
+/** Reads a datagram. */
+export function decodePeerDatagram(
+  bytes: Uint8Array,
+): Result<PeerDatagram, string> {
+  try {
+    return ok(readDatagram(new TupleReader(decode(bytes))));
+  } catch (thrown) {
+    return err(getErrorText(thrown));
+  }
+}
+
+function readDatagram(fields: TupleReader): PeerDatagram {
+  const kind = fields.readOneOf(KINDS);
+  switch (kind) {
+    case 'w':
+      return readWatch(fields);
+    case 'u':
+      return readUses(fields);
+    case 'n':
+      return readNews(fields);
+    case 'q':
+      return {
+        kind: 'question',
+        name: fields.readText(),
+        number: fields.readNumber(),
+        instanceIds: fields.readList((one) => one.readText()),
+      };
+    case 'a':
+      return {
+        kind: 'answer',
+        number: fields.readNumber(),
+        uses: fields.readList(readToldUse),
+      };
+    case 'l':
+      return {kind: 'loss', instanceId: fields.readText()};
+  }
+}
+
+function readNews(fields: TupleReader): NewsDatagram {
+  return {
+    kind: 'news',
+    table: fields.readOneOf(FOLLOWED_TABLES),
+    after: fields.readNumber(),
+    revision: fields.readNumber(),
+    packedRows: fields.readBytes(),
+  };
+}
+
+function readWatch(fields: TupleReader): WatchDatagram {
+  return {
+    kind: 'watch',
+    watch: {
+      kind: fields.readOneOf(WATCH_KINDS),
+      sender: fields.readTuple(readRecord),
+      place: fields.readOptionalTuple(readPlace),
+      asker: fields.readOptionalText(),
+      target: fields.readOptionalText(),
+      changes: fields.readList(readChange),
+      recordsHash: fields.readNumber(),
+    },
+    revisions: fields.readTuple((revisions) => ({
+      configuration: revisions.readNumber(),
+      endpoints: revisions.readNumber(),
+    })),
+    reports: fields.readList(readReport),
+  };
+}
+
+function readRecord(fields: TupleReader): HostRecord {
+  return {
+    name: fields.readText(),
+    incarnation: fields.readNumber(),
+    version: fields.readNumber(),
+    state: fields.readOneOf(STATES),
+    isStoreAway: fields.readFlag(),
+  };
+}
+
+function readPlace(fields: TupleReader): PeerPlace {
+  return {
+    failureDomain: fields.readText(),
+    datagrams: fields.readText(),
+    tables: fields.readText(),
+    callers: fields.readText(),
+  };
+}
+
+function readChange(fields: TupleReader): HostChange<PeerPlace> {
+  return {
+    record: fields.readTuple(readRecord),
+    isSuspected: fields.readFlag(),
+    place: fields.readOptionalTuple(readPlace),
+  };
+}
+
+function readReport(fields: TupleReader): ReaderReport {
+  return {
+    name: fields.readText(),
+    incarnation: fields.readNumber(),
+    sequence: fields.readNumber(),
+    configurationRevision: fields.readNumber(),
+    configurationAgeMs: fields.readNumber(),
+    departureDelayMs: fields.readNumber(),
+  };
+}
+
+function readUses(fields: TupleReader): UsesDatagram {
+  const name = fields.readText();
+  const incarnation = fields.readNumber();
+  const sequence = fields.readNumber();
+  const uses: Record<string, PeerUse> = {};
+  for (const one of fields.readList(readToldUse)) {
+    const {running, unreadTokens, expectedTokens} = one;
+    uses[one.instanceId] = {running, unreadTokens, expectedTokens};
+  }
+  return {kind: 'uses', name, incarnation, sequence, uses};
+}
+
+function readToldUse(fields: TupleReader): ToldUse {
+  return {
+    instanceId: fields.readText(),
+    running: fields.readNumber(),
+    unreadTokens: fields.readNumber(),
+    expectedTokens: fields.readNumber(),
+    failures: fields.readNumber(),
+  };
+}
+
+/** Writes a datagram. */
+export function encodePeerDatagram(datagram: PeerDatagram): Uint8Array {
+  switch (datagram.kind) {
+    case 'watch':
+      return encodeWatch(datagram);
+    case 'uses': {
+      const {name, incarnation, sequence, uses} = datagram;
+      const list = Object.entries(uses).map(([instanceId, use]) =>
+        listToldUse({instanceId, ...use, failures: 0}),
+      );
+      return encode(['u', name, incarnation, sequence, list]);
+    }
+    case 'news': {
+      const {table, after, revision, packedRows} = datagram;
+      return encode(['n', table, after, revision, packedRows]);
+    }
+    case 'question': {
+      const {name, number, instanceIds} = datagram;
+      return encode(['q', name, number, instanceIds.map((id) => [id])]);
+    }
+    case 'answer':
+      return encode(['a', datagram.number, datagram.uses.map(listToldUse)]);
+    case 'loss':
+      return encode(['l', datagram.instanceId]);
+  }
+}
+
+function listToldUse(told: ToldUse): unknown[] {
+  return [
+    told.instanceId,
+    told.running,
+    Math.round(told.unreadTokens),
+    Math.round(told.expectedTokens),
+    told.failures,
+  ];
+}
+
+function encodeWatch({watch, revisions, reports}: WatchDatagram): Uint8Array {
+  return encode([
+    'w',
+    watch.kind,
+    listRecord(watch.sender),
+    listPlace(watch.place),
+    watch.asker,
+    watch.target,
+    watch.changes.map(({record, isSuspected, place}) => [
+      listRecord(record),
+      isSuspected,
+      listPlace(place),
+    ]),
+    watch.recordsHash,
+    [revisions.configuration, revisions.endpoints],
+    reports.map((report) => [
+      report.name,
+      report.incarnation,
+      report.sequence,
+      report.configurationRevision,
+      Math.round(report.configurationAgeMs),
+      Math.round(report.departureDelayMs),
+    ]),
+  ]);
+}
+
+function listRecord(record: HostRecord): unknown[] {
+  const {name, incarnation, version, state, isStoreAway} = record;
+  return [name, incarnation, version, state, isStoreAway];
+}
+
+function listPlace(place: PeerPlace | undefined): string[] | undefined {
+  if (place === undefined) return undefined;
+  return [place.failureDomain, place.datagrams, place.tables, place.callers];
+}
--- a/packages/gateway/src/services/endpoints.ts
+++ b/packages/gateway/src/services/endpoints.ts
@@ -4,7 +4,7 @@
  * same instance id; one whose entry vanished while the store was away is kept
  * until the store had time to list it again.
  */
-import type {HousedEngine, ReplicaRow} from '@irisdock/decisions';
+import type {ReplicaRow} from '@irisdock/decisions';
 import {
   createService,
   createServiceKey,
@@ -14,15 +14,14 @@
 import {Gauge} from 'prom-client';
 import {z} from 'zod';
 import type {EndpointEntry} from '../model/endpoint_entry.js';
-import type {ToldUse} from '../model/peer_message.js';
 import type {RowCodec} from '../model/watched_table.js';
-import {EndpointRecord, type EndpointUse} from '../serving/endpoint_record.js';
+import {EndpointRecord} from '../serving/endpoint_record.js';
 import {GATEWAY_CONFIGURATION} from './configuration.js';
+import {EndpointUses} from './endpoint_uses.js';
 import type {Peers} from './peer_hosts.js';
 import {PEERS} from './peers.js';
 import {CODECS} from './store.js';
 import {TABLES_KEY} from './tables.js';
-import type {HostUses, UseBoard} from './use_notices.js';
 
 /** What the endpoints need of the rest. */
 interface EndpointsParts {
@@ -35,25 +34,17 @@
   readonly peers: Peers;
 }
 
-/**
- * What it counts that an engine took no connection of another host, beside 1
- * for one of this host: the fault may be the other host's.
- */
-const TOLD_LOSS_WEIGHT = 0.5;
 /** How often delayed departures are looked at, in ms. */
 const CHECK_MS = 200;
 
 /** The endpoints. */
-export class GatewayEndpoints implements UseBoard {
+export class GatewayEndpoints {
   /** Differs whenever the endpoints that are known do. */
   version = 0;
   private readonly records = new Map<string, EndpointRecord>();
   /** Instance ids of vanished entries that are still in use. */
   private readonly vanished = new Set<string>();
 
-  /** Instance ids that a host told of last, by the name of the host. */
-  private readonly toldBy = new Map<string, readonly string[]>();
-
   /** Instance ids of successors whose entries the store has not listed. */
   private readonly unlisted = new Set<string>();
 
@@ -89,50 +80,11 @@
     return this.records.values();
   }
 
-  listOwnUses(): HostUses {
-    const uses: Record<string, EndpointUse> = {};
-    for (const record of this.records.values()) {
-      const use = record.getOwnUse();
-      if (use.running > 0 || use.expectedTokens > 0) {
-        uses[record.instanceId] = use;
-      }
-    }
-    return uses;
-  }
-
   /** What other hosts are told and asked of engines. */
   get peers(): Peers {
     return this.parts.peers;
   }
 
-  listHoused(): readonly HousedEngine[] {
-    return [...this.records.values()];
-  }
-
-  findUseBut(instanceId: string, host: string): ToldUse | undefined {
-    const record = this.records.get(instanceId);
-    if (record?.isUsable !== true) return undefined;
-    const use = record.getUseBut(host);
-    return {instanceId, ...use, failures: record.failureScore};
-  }
-
-  applyLoss(instanceId: string): void {
-    this.records.get(instanceId)?.recordFailure(TOLD_LOSS_WEIGHT);
-  }
-
-  applyUses(host: string, uses: HostUses): void {
-    for (const instanceId of this.toldBy.get(host) ?? []) {
-      if (uses[instanceId] !== undefined) continue;
-      this.records.get(instanceId)?.setOthersUse(host, undefined);
-    }
-    const told = Object.keys(uses);
-    for (const instanceId of told) {
-      this.records.get(instanceId)?.setOthersUse(host, uses[instanceId]);
-    }
-    if (told.length > 0) this.toldBy.set(host, told);
-    else this.toldBy.delete(host);
-  }
-
   /** Lists the endpoints of a service that may get new work. */
   listUsable(service: string): EndpointRecord[] {
     const usable: EndpointRecord[] = [];
@@ -293,7 +245,7 @@
       getDepartureDelay: () => peers.standing.getDepartureDelay(clock.getNow()),
       peers,
     });
-    peers.useBoard = api;
+    peers.useBoard = new EndpointUses(api);
     api.applyRows(table.replica.listAll());
     void table.news.observe((rows) => {
       api.applyRows(rows);
--- a/packages/gateway/src/services/host_phase.ts
+++ b/packages/gateway/src/services/host_phase.ts
@@ -5,7 +5,7 @@
 import {createService, createServiceKey, type Clock} from '@irisdock/kernel';
 import {z} from 'zod';
 import {GATEWAY_CONFIGURATION} from './configuration.js';
-import type {PeerState} from './peer_hosts.js';
+import type {PeerState} from './host_tracker.js';
 import {PEERS} from './peers.js';
 
 /** Ages of the configuration from which it may be old, in ms. */
--- /dev/null
+++ b/packages/gateway/src/services/host_tracker.ts
@@ -0,0 +1,192 @@
+/**
+ * Keeps track of the other hosts: carries the messages of `HostWatch`, with
+ * which changes of the tables a host knows and the reports of those that read
+ * the store.
+ */
+import {
+  hashText,
+  HostWatch,
+  ReaderReports,
+  type HostRecord,
+  type HostView,
+  type OutgoingWatch,
+} from '@irisdock/decisions';
+import type {Clock, Logger, Random} from '@irisdock/kernel';
+import type {PeerPlace, WatchDatagram} from '../model/peer_message.js';
+import {PeerTableLoader} from './peer_table_loader.js';
+import {StoreStanding} from './store_standing.js';
+import type {Tables} from './tables.js';
+import type {SendToHosts} from './use_notices.js';
+
+/** Whether a host takes callers. */
+export type PeerState = HostRecord['state'];
+
+/** A host that is believed to be alive. */
+export interface AliveHost {
+  readonly record: HostRecord;
+  readonly place: PeerPlace;
+}
+
+/** What the tracker needs of the rest. */
+export interface HostTrackerParts {
+  readonly name: string;
+  readonly incarnation: number;
+  /** Where others reach this host. */
+  readonly place: PeerPlace;
+  /** The time between two beats, in ms. */
+  readonly beatMs: number;
+  readonly tables: Tables;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Logger;
+}
+
+/**
+ * From the suspicion until a host counts as lost, and from then until it is
+ * forgotten, in ms. Callers are sent to neither; both are asked now and then.
+ */
+const TIMES = {lostAfterMs: 3000, forgetAfterMs: 60_000};
+/** Fresh changes of hosts are gathered for so long, in ms. */
+const FRESH_DELAY_MS = 20;
+/**
+ * Messages from hosts that know other records than this one, one after
+ * another, after which a whole list is asked for: one host may be behind.
+ */
+const MAX_UNLIKE = 8;
+
+/** Keeps track of the other hosts. */
+export class HostTracker {
+  /** Whether this host takes callers; set by the service that knows. */
+  getState: () => PeerState = () => 'starting';
+  readonly standing: StoreStanding;
+  readonly loader: PeerTableLoader;
+  private readonly watch: HostWatch<PeerPlace>;
+  private readonly reports = new ReaderReports();
+  private freshTimer: NodeJS.Timeout | undefined;
+  /** Messages in a row whose sender knows other records. */
+  private unlike = 0;
+
+  constructor(
+    private readonly parts: HostTrackerParts,
+    private readonly send: SendToHosts,
+  ) {
+    const {name, incarnation, place, beatMs, tables, clock, random} = parts;
+    const record: HostRecord = {
+      name,
+      incarnation,
+      version: 1,
+      state: 'starting',
+      isStoreAway: false,
+    };
+    this.watch = new HostWatch(
+      record,
+      place,
+      TIMES,
+      beatMs,
+      random,
+      hashRecord,
+    );
+    this.loader = new PeerTableLoader(tables, parts.log, (changes) => {
+      this.watch.acceptList(changes, clock.getNow());
+      this.planFresh();
+    });
+    this.standing = new StoreStanding(this.view, tables, this.reports);
+  }
+
+  /** The other hosts as this one knows them. */
+  get view(): HostView<PeerPlace> {
+    return this.watch.view;
+  }
+
+  /** Whether any other host was heard of late. */
+  hasHeardAny(now: number): boolean {
+    return this.watch.hasHeardAny(now);
+  }
+
+  /** Lists the hosts that are believed to be alive, this one first. */
+  listAlive(): AliveHost[] {
+    const own = {record: this.view.ownRecord, place: this.parts.place};
+    const others = this.view.listAlive();
+    return [own, ...others.map(({record, place}) => ({record, place}))];
+  }
+
+  /** Does what is due in a beat. */
+  startBeat(now: number): void {
+    this.updateOwn(now);
+    this.standing.updateReading();
+    this.sendWatch(this.watch.startBeat(now), now);
+    for (const host of this.view.dropLost(now)) {
+      this.parts.log.writeInfo('A host was silent for long.', {host});
+    }
+    this.planFresh();
+    void this.loader.loadNewer(now);
+  }
+
+  /** Tells some other hosts at once how this one stands now. */
+  publishState(): void {
+    const now = this.parts.clock.getNow();
+    this.updateOwn(now);
+    this.sendWatch(this.watch.startNotices(), now);
+  }
+
+  /** Takes a message of another host. */
+  accept({watch, revisions, reports}: WatchDatagram): void {
+    const {name} = watch.sender;
+    if (name === this.parts.name) return;
+    const now = this.parts.clock.getNow();
+    const sent = this.watch.accept(watch, now);
+    for (const report of reports) {
+      if (report.name !== this.parts.name) this.reports.accept(report, now);
+    }
+    this.sendWatch(sent, now);
+    this.planFresh();
+    const sender = this.view.find(name);
+    if (sender === undefined) return;
+    this.loader.markRevisions(revisions, sender.place.tables, now);
+    this.compareRecords(watch.recordsHash, sender.place.tables);
+  }
+
+  close(): void {
+    clearTimeout(this.freshTimer);
+    this.loader.close();
+  }
+
+  private updateOwn(now: number): void {
+    const isStoreAway = this.standing.isAway(now);
+    this.watch.updateOwn({state: this.getState(), isStoreAway});
+  }
+
+  /** Tells of fresh changes in a moment. */
+  private planFresh(): void {
+    if (!this.watch.isFresh) return;
+    this.freshTimer ??= setTimeout(() => {
+      this.freshTimer = undefined;
+      const now = this.parts.clock.getNow();
+      this.sendWatch(this.watch.startNotices(), now);
+    }, FRESH_DELAY_MS);
+  }
+
+  private sendWatch(sent: OutgoingWatch<PeerPlace>[], now: number): void {
+    if (sent.length === 0) return;
+    const revisions = this.loader.listRevisions();
+    const own = this.standing.createReport(this.view.ownRecord, now);
+    if (own !== undefined) this.reports.accept(own, now);
+    const reports = this.reports.list(now);
+    for (const {to, message: watch} of sent) {
+      this.send([to], {kind: 'watch', watch, revisions, reports});
+    }
+  }
+
+  /** Asks for a whole list when others have long known other records. */
+  private compareRecords(hash: number, tables: string): void {
+    const isLike = hash === this.view.recordsHash;
+    this.unlike = isLike ? 0 : this.unlike + 1;
+    if (this.unlike < MAX_UNLIKE || this.watch.isFresh) return;
+    this.unlike = 0;
+    void this.loader.loadAll(tables);
+  }
+}
+
+function hashRecord({name, incarnation, version}: HostRecord): number {
+  return hashText(`${name}/${incarnation}/${version}`);
+}
--- a/packages/gateway/src/services/store_standing.ts
+++ b/packages/gateway/src/services/store_standing.ts
@@ -32,7 +32,7 @@
   private hadTables = false;
 
   constructor(
-    private readonly getView: () => HostView<PeerPlace>,
+    private readonly view: HostView<PeerPlace>,
     private readonly tables: Tables,
     private readonly readerReports: ReaderReports,
   ) {}
@@ -47,9 +47,8 @@
    * no copy of the tables reads in any case.
    */
   updateReading(): void {
-    const view = this.getView();
+    const {view, hasTables} = this;
     const {ownRecord, recordsHash} = view;
-    const {hasTables} = this;
     const isSame =
       recordsHash === this.chosenBy && hasTables === this.hadTables;
     if (isSame) return;
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -122,7 +122,7 @@
         memorySource === undefined ? this.planner.countUnread(endpoint) : 0,
       expectedTokens,
     };
-    const keeper = this.createKeeper(endpoint, backup);
+    const keeper = this.createKeeper(plan);
     const backupClaim = {running: 0, unreadTokens: 0, expectedTokens};
     endpoint.addClaim(claim);
     backup?.addClaim(backupClaim);
@@ -141,9 +141,8 @@
         backupAddress: backup?.address,
         memorySource,
       });
-      const {address} = endpoint;
       const {method, path} = exchange;
-      const send = {address, method, path, lines, body};
+      const send = {address: endpoint.address, method, path, lines, body};
       const result = await leg.run(send, requestId);
       isCopyNeeded = result.kind !== 'ended' && result.kind !== 'stopped';
       return result;
@@ -188,10 +187,7 @@
     this.parts.endpoints.peers.uses.publishChanged();
   }
 
-  private createKeeper(
-    endpoint: EndpointRecord,
-    backup: EndpointRecord | undefined,
-  ): CopyKeeper {
+  private createKeeper({endpoint, backup}: LegPlan): CopyKeeper {
     const engineRequest = this.planner.createEngineRequest();
     const {requestId} = this.request;
     return new CopyKeeper(
@@ -233,8 +229,7 @@
     if (result.kind === 'ended') return;
     this.planner.recordEnd(endpoint, result.kind === 'lost');
     this.progress.startAfterLoss();
-    const detail = getLegDetail(result);
-    this.lossDetail = detail;
+    this.lossDetail = getLegDetail(result);
     const hasRun = hasPerhapsRun(result);
     if (hasRun) this.runs++;
     else this.notRun++;
@@ -246,7 +241,7 @@
       this.parts.endpoints.peers.uses.publishLoss(endpoint.instanceId);
     }
     const {lastEventId} = this.progress;
-    this.report.recordLoss(plan, result, detail, lastEventId);
+    this.report.recordLoss(plan, result, this.lossDetail, lastEventId);
   }
 
   private isRepeatAllowed(result: LegResult): boolean {
