Import zod by its namespace, so that the bundle leaves out what is not used

Cause: a start costs as much processor time as 20 s at rest; 1.4 MB of source are read, a third of it zod's messages in other languages and schema converters, which the exported object keeps. Change: import * as z, as zod advises.

--- a/packages/cli/src/api_client.ts
+++ b/packages/cli/src/api_client.ts
@@ -14,7 +14,7 @@
 } from '@irisdock/resources';
 import {err, ok, type Result} from 'neverthrow';
 import {request} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import {CLI_ERRORS} from './errors.js';
 
 const CALL_MS = 15_000;
--- a/packages/cli/src/argument_schemas.ts
+++ b/packages/cli/src/argument_schemas.ts
@@ -1,6 +1,6 @@
 /** Schemas of words and options that several commands take. */
 import {KIND_NAMES} from '@irisdock/resources';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** A resource kind. */
 export const KIND_SCHEMA = z.enum(
--- a/packages/cli/src/command.ts
+++ b/packages/cli/src/command.ts
@@ -1,7 +1,7 @@
 /** The one shape of a command: its name, help, options and what it does. */
 import type {KnownError} from '@irisdock/kernel';
 import type {Result} from 'neverthrow';
-import type {z} from 'zod';
+import type * as z from 'zod';
 import type {ApiClient} from './api_client.js';
 import type {Output} from './output.js';
 
--- a/packages/cli/src/commands/apply.ts
+++ b/packages/cli/src/commands/apply.ts
@@ -11,7 +11,7 @@
   type KindName,
 } from '@irisdock/resources';
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {CLI_ERRORS} from '../errors.js';
 import {createCommand, type CommandContext} from '../command.js';
 
--- a/packages/cli/src/commands/delete.ts
+++ b/packages/cli/src/commands/delete.ts
@@ -1,6 +1,6 @@
 /** `irisdock delete`: takes a resource out. */
 import {err, ok} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {COUNT_SCHEMA, KIND_SCHEMA} from '../argument_schemas.js';
 import {createCommand} from '../command.js';
 
--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -1,6 +1,6 @@
 /** `irisdock explain`: what the logs of all hosts say of one request. */
 import {err, ok} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {createCommand} from '../command.js';
 import {CLI_ERRORS} from '../errors.js';
 import {parseRequestLines, type RequestLine} from '../log_lines.js';
--- a/packages/cli/src/commands/get.ts
+++ b/packages/cli/src/commands/get.ts
@@ -1,6 +1,6 @@
 /** `irisdock get`: one resource. */
 import {err, ok} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {KIND_SCHEMA} from '../argument_schemas.js';
 import {CLI_ERRORS} from '../errors.js';
 import {createCommand} from '../command.js';
--- a/packages/cli/src/commands/list.ts
+++ b/packages/cli/src/commands/list.ts
@@ -1,6 +1,6 @@
 /** `irisdock list`: all resources of a kind. */
 import {err, ok} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {KIND_SCHEMA} from '../argument_schemas.js';
 import {createCommand} from '../command.js';
 
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -1,6 +1,6 @@
 /** `irisdock status`: what a host sees. */
 import {err, ok} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Status} from '../api_client.js';
 import {createCommand} from '../command.js';
 import type {Row} from '../output.js';
--- a/packages/cli/src/commands/streams.ts
+++ b/packages/cli/src/commands/streams.ts
@@ -1,6 +1,6 @@
 /** `irisdock streams`: what the logs of all hosts say of all streams. */
 import {err, ok} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {createCommand} from '../command.js';
 import {CLI_ERRORS} from '../errors.js';
 import {parseAllRequestLines} from '../log_lines.js';
--- a/packages/cli/src/commands/watch.ts
+++ b/packages/cli/src/commands/watch.ts
@@ -5,7 +5,7 @@
 import {createParser} from 'eventsource-parser';
 import {err, ok, type Result} from 'neverthrow';
 import {request} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import {COUNT_SCHEMA, KIND_SCHEMA} from '../argument_schemas.js';
 import {CLI_ERRORS} from '../errors.js';
 import {createCommand, type CommandContext} from '../command.js';
--- a/packages/cli/src/log_lines.ts
+++ b/packages/cli/src/log_lines.ts
@@ -2,7 +2,7 @@
  * Log lines as the daemons write them, one JSON object a line; collectors
  * often put the name of the host before it.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const LINE_SCHEMA = z.object({
   message: z.string(),
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -4,7 +4,7 @@
 import {parseArgs, type ParseArgsConfig} from 'node:util';
 import {getErrorText, type KnownError} from '@irisdock/kernel';
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {ApiClient} from './api_client.js';
 import type {AnyCommand, CommandContext, RawArguments} from './command.js';
 import {COMMANDS} from './command_table.js';
--- a/packages/daemon/src/answer/streams_settings.ts
+++ b/packages/daemon/src/answer/streams_settings.ts
@@ -1,6 +1,6 @@
 /** The settings of the service `streams`: how patient it is, and with whom. */
 import {STALL_BOUNDS} from '@irisdock/decisions';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** The settings. */
 export const STREAMS_SETTINGS = z.object({
--- a/packages/daemon/src/caller/completion_route.ts
+++ b/packages/daemon/src/caller/completion_route.ts
@@ -4,7 +4,7 @@
 import {hashToHex, readResumeData, type Signer} from '@irisdock/decisions';
 import type {GenerationSpec} from '@irisdock/resources';
 import {sendError, type WebRequest} from '@irisdock/web';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {AnswerSink} from '../answer/answer_sink.js';
 import {BodySink} from '../answer/body_sink.js';
 import type {CompletionHead} from '../answer/completion_format.js';
--- a/packages/daemon/src/caller/request_headers.ts
+++ b/packages/daemon/src/caller/request_headers.ts
@@ -3,7 +3,7 @@
 import {REQUEST_ID_PATTERN} from '@irisdock/decisions';
 import type {WebRequest} from '@irisdock/web';
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {DAEMON_ERRORS} from '../errors.js';
 import {
   DEADLINE_HEADER,
--- a/packages/daemon/src/configuration/table_rows.ts
+++ b/packages/daemon/src/configuration/table_rows.ts
@@ -6,7 +6,7 @@
   type Resource,
 } from '@irisdock/resources';
 import type {TableRow} from '@irisdock/storage';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const DIGITS = 12;
 // Sorts after every character that a key may hold.
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -12,7 +12,7 @@
   type SettingsValues,
 } from '@irisdock/kernel';
 import {collectDefaultMetrics, Registry} from 'prom-client';
-import {z} from 'zod';
+import * as z from 'zod';
 import {ADMISSION_SERVICE} from './services/admission.js';
 import {ARCHIVE_SERVICE} from './services/archive.js';
 import {CALLERS_SERVICE} from './services/callers.js';
--- a/packages/daemon/src/endpoint/endpoints_settings.ts
+++ b/packages/daemon/src/endpoint/endpoints_settings.ts
@@ -1,5 +1,5 @@
 /** The settings of the service `endpoints`: how often it looks, and at what. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** The settings. */
 export const ENDPOINTS_SETTINGS = z.object({
--- a/packages/daemon/src/operator/audit_route.ts
+++ b/packages/daemon/src/operator/audit_route.ts
@@ -7,7 +7,7 @@
 import {CHANGE_SCHEMA, type Change} from '@irisdock/resources';
 import {sendError, sendJson, type WebRequest} from '@irisdock/web';
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
   CHANGES_UNTIL,
   getArchiveObjectName,
--- a/packages/daemon/src/operator/resource_routes.ts
+++ b/packages/daemon/src/operator/resource_routes.ts
@@ -17,7 +17,7 @@
   type WebRequest,
 } from '@irisdock/web';
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {ChangeRequest} from '../configuration/change_request.js';
 import {NewsQueue} from '../configuration/news_queue.js';
 import {DAEMON_ERRORS} from '../errors.js';
--- a/packages/daemon/src/services/admission.ts
+++ b/packages/daemon/src/services/admission.ts
@@ -19,7 +19,7 @@
 } from '@irisdock/decisions';
 import {err, ok, type Result} from 'neverthrow';
 import {Counter, Gauge, Histogram} from 'prom-client';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {EndpointRecord} from '../endpoint/endpoint_record.js';
 import {DAEMON_ERRORS} from '../errors.js';
 import {ENDPOINTS} from './endpoint_directory.js';
--- a/packages/daemon/src/services/archive.ts
+++ b/packages/daemon/src/services/archive.ts
@@ -16,7 +16,7 @@
 import type {ObjectStore, TableService} from '@irisdock/storage';
 import type {Change} from '@irisdock/resources';
 import {Gauge} from 'prom-client';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
   ARCHIVE_BATCH,
   ARCHIVE_KEY,
--- a/packages/daemon/src/services/callers.ts
+++ b/packages/daemon/src/services/callers.ts
@@ -13,7 +13,7 @@
 } from '@irisdock/kernel';
 import {chooseAddresses, type MemberNote} from '@irisdock/decisions';
 import {sendJson, type Route, type WebRequest} from '@irisdock/web';
-import {z} from 'zod';
+import * as z from 'zod';
 import {CompletionRoute} from '../caller/completion_route.js';
 import {PlainRoute} from '../caller/plain_route.js';
 import {DAEMON_ERRORS} from '../errors.js';
--- a/packages/daemon/src/services/configuration.ts
+++ b/packages/daemon/src/services/configuration.ts
@@ -24,7 +24,7 @@
 } from '@irisdock/resources';
 import {Gauge} from 'prom-client';
 import type {Stream} from 'most';
-import {z} from 'zod';
+import * as z from 'zod';
 
 interface Specs {
   readonly service: ServiceSpec;
--- a/packages/daemon/src/services/configuration_reader.ts
+++ b/packages/daemon/src/services/configuration_reader.ts
@@ -11,7 +11,7 @@
 } from '@irisdock/kernel';
 import type {TableRow, TableService} from '@irisdock/storage';
 import type {Resource} from '@irisdock/resources';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
   CHANGES_UNTIL,
   getChangeRowKey,
--- a/packages/daemon/src/services/configuration_writer.ts
+++ b/packages/daemon/src/services/configuration_writer.ts
@@ -27,7 +27,7 @@
 } from '@irisdock/resources';
 import {err, ok, type Result} from 'neverthrow';
 import {Counter} from 'prom-client';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {ChangeRequest} from '../configuration/change_request.js';
 import {
   getChangeRowKey,
--- a/packages/daemon/src/services/host.ts
+++ b/packages/daemon/src/services/host.ts
@@ -1,7 +1,7 @@
 /** The service `host`: who this host is, and the key that it signs with. */
 import {createService, createServiceKey, type Random} from '@irisdock/kernel';
 import {Signer} from '@irisdock/decisions';
-import {z} from 'zod';
+import * as z from 'zod';
 import {LISTENERS} from './listeners.js';
 
 /** This host. */
--- a/packages/daemon/src/services/host_list.ts
+++ b/packages/daemon/src/services/host_list.ts
@@ -11,7 +11,7 @@
 import {LeavingMemory} from '@irisdock/decisions';
 import type {ListedHost} from '@irisdock/storage';
 import type {Stream} from 'most';
-import {z} from 'zod';
+import * as z from 'zod';
 import {MEMBERSHIP} from './membership.js';
 import {PLATFORM} from './platform.js';
 
--- a/packages/daemon/src/services/listeners.ts
+++ b/packages/daemon/src/services/listeners.ts
@@ -10,7 +10,7 @@
 } from '@irisdock/kernel';
 import {PeerServer} from '@irisdock/peer';
 import {WebServer} from '@irisdock/web';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** The sockets and the places they took. */
 export interface Listeners {
--- a/packages/daemon/src/services/membership.ts
+++ b/packages/daemon/src/services/membership.ts
@@ -20,7 +20,7 @@
 } from '@irisdock/decisions';
 import type {Stream} from 'most';
 import {Gauge} from 'prom-client';
-import {z} from 'zod';
+import * as z from 'zod';
 import {CONFIGURATION, type Configuration} from './configuration.js';
 import {HOST} from './host.js';
 
--- a/packages/daemon/src/services/operators.ts
+++ b/packages/daemon/src/services/operators.ts
@@ -5,7 +5,7 @@
 import {createService, createServiceKey} from '@irisdock/kernel';
 import {sendJson, type Route, type WebRequest} from '@irisdock/web';
 import type {Registry} from 'prom-client';
-import {z} from 'zod';
+import * as z from 'zod';
 import {sendAudit} from '../operator/audit_route.js';
 import {ResourceRoutes} from '../operator/resource_routes.js';
 import {sendStatus} from '../operator/status_route.js';
--- a/packages/daemon/src/services/orders.ts
+++ b/packages/daemon/src/services/orders.ts
@@ -22,7 +22,7 @@
 } from '@irisdock/decisions';
 import type {TableRow, TableService} from '@irisdock/storage';
 import {Counter, Gauge} from 'prom-client';
-import {z} from 'zod';
+import * as z from 'zod';
 import {getLeaseRowKey} from '../configuration/table_rows.js';
 import {ADMISSION, type Admission} from './admission.js';
 import {CONFIGURATION, type Configuration} from './configuration.js';
--- a/packages/daemon/src/services/ownership.ts
+++ b/packages/daemon/src/services/ownership.ts
@@ -18,7 +18,7 @@
   type ReadId,
 } from '@irisdock/decisions';
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {DAEMON_ERRORS, type DaemonErrorKind} from '../errors.js';
 import {HOST, type Host} from './host.js';
 import {MEMBERSHIP, type Membership} from './membership.js';
--- a/packages/daemon/src/services/peer_links.ts
+++ b/packages/daemon/src/services/peer_links.ts
@@ -26,7 +26,7 @@
 import {CHANGE_SCHEMA, SNAPSHOT_SCHEMA, type Change} from '@irisdock/resources';
 import type {Stream} from 'most';
 import {Counter} from 'prom-client';
-import {z} from 'zod';
+import * as z from 'zod';
 import {NewsQueue} from '../configuration/news_queue.js';
 import {CONFIGURATION, type Configuration} from './configuration.js';
 import {HOST, type Host} from './host.js';
--- a/packages/daemon/src/services/plain_calls.ts
+++ b/packages/daemon/src/services/plain_calls.ts
@@ -21,7 +21,7 @@
 import type {PlainSpec} from '@irisdock/resources';
 import {err, ok, type Result} from 'neverthrow';
 import {Counter} from 'prom-client';
-import {z} from 'zod';
+import * as z from 'zod';
 import {RequestLedger} from '../answer/request_ledger.js';
 import type {EndpointRecord} from '../endpoint/endpoint_record.js';
 import {DAEMON_ERRORS} from '../errors.js';
--- a/packages/daemon/src/services/platform.ts
+++ b/packages/daemon/src/services/platform.ts
@@ -10,7 +10,7 @@
   type ObjectStore,
   type TableService,
 } from '@irisdock/storage';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** The platform. */
 export interface Platform {
--- a/packages/decisions/src/resume_data.ts
+++ b/packages/decisions/src/resume_data.ts
@@ -3,7 +3,7 @@
  * over. It names the engine and the generation, and is signed.
  */
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {DECISION_ERRORS} from './errors.js';
 import type {KnownError} from '@irisdock/kernel';
 import type {Signer} from './signature.js';
--- a/packages/endpoints/src/http_client.ts
+++ b/packages/endpoints/src/http_client.ts
@@ -1,7 +1,7 @@
 /** What the clients of endpoints share: short JSON calls on a pool. */
 import {err, ok, type Result} from 'neverthrow';
 import {Pool} from 'undici';
-import type {z} from 'zod';
+import type * as z from 'zod';
 import type {EndpointError} from './engine.js';
 import {createCallError, createStatusError} from './http_errors.js';
 
--- a/packages/endpoints/src/http_engine.ts
+++ b/packages/endpoints/src/http_engine.ts
@@ -1,6 +1,6 @@
 /** A model engine over HTTP, its streams as server-sent events. */
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {
   CachePage,
   EndpointError,
--- a/packages/endpoints/src/load_schema.ts
+++ b/packages/endpoints/src/load_schema.ts
@@ -1,5 +1,5 @@
 /** The load report as endpoints send it. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** A load report. */
 export const LOAD_SCHEMA = z.object({
--- a/packages/endpoints/src/stream_reader.ts
+++ b/packages/endpoints/src/stream_reader.ts
@@ -1,7 +1,7 @@
 /** Reads an engine's server-sent events into stream events, in batches. */
 import type {Readable} from 'node:stream';
 import {createParser, type EventSourceMessage} from 'eventsource-parser';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {StreamEvent} from './engine.js';
 
 const TOKEN_SCHEMA = z.object({
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,7 +23,7 @@
 } from '@irisdock/kernel';
 import {err, type Result} from 'neverthrow';
 import {Registry} from 'prom-client';
-import {z} from 'zod';
+import * as z from 'zod';
 import {GATEWAY_CONFIGURATION_SERVICE} from './services/configuration.js';
 import {DIRECTORY_SERVICE} from './services/directory.js';
 import {GATEWAY_ENDPOINTS_SERVICE} from './services/endpoints.js';
--- a/packages/gateway/src/model/endpoint_entry.ts
+++ b/packages/gateway/src/model/endpoint_entry.ts
@@ -1,5 +1,5 @@
 /** An endpoint as it announces itself. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** What an endpoint says of itself. */
 export const ENDPOINT_ENTRY_SCHEMA = z.object({
--- a/packages/gateway/src/model/peer_tables_message.ts
+++ b/packages/gateway/src/model/peer_tables_message.ts
@@ -3,7 +3,7 @@
  * the hosts that it knows.
  */
 import type {ReplicaRow} from '@irisdock/decisions';
-import {z} from 'zod';
+import * as z from 'zod';
 import {FOLLOWED_TABLES} from './watched_table.js';
 
 /** The path of the call. */
--- a/packages/gateway/src/model/serving_configuration.ts
+++ b/packages/gateway/src/model/serving_configuration.ts
@@ -2,7 +2,7 @@
  * What operators declare for the routes of a deployment, as one whole with a
  * version. Configurations are never merged: a newer one replaces the older.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /**
  * How often a request may run: `repeatable` any number of times, `once` at
--- a/packages/gateway/src/model/table_news.ts
+++ b/packages/gateway/src/model/table_news.ts
@@ -5,7 +5,7 @@
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import type {ReplicaRow} from '@irisdock/decisions';
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
   decodeTableRows,
   encodeTableRows,
--- a/packages/gateway/src/services/configuration.ts
+++ b/packages/gateway/src/services/configuration.ts
@@ -5,7 +5,7 @@
 import {RouteTable, type ReplicaRow} from '@irisdock/decisions';
 import {createService, createServiceKey, type Logger} from '@irisdock/kernel';
 import {Gauge} from 'prom-client';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {
   CallerLimits,
   ServingConfiguration,
--- a/packages/gateway/src/services/directory.ts
+++ b/packages/gateway/src/services/directory.ts
@@ -9,7 +9,7 @@
   createServiceKey,
   IP_PORT_SCHEMA,
 } from '@irisdock/kernel';
-import {z} from 'zod';
+import * as z from 'zod';
 import {startListening} from '../channels/listening.js';
 import {HOST_PHASE} from './host_phase.js';
 import {PEERS} from './peers.js';
--- a/packages/gateway/src/services/endpoints.ts
+++ b/packages/gateway/src/services/endpoints.ts
@@ -12,7 +12,7 @@
   type Logger,
 } from '@irisdock/kernel';
 import {Gauge} from 'prom-client';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {EndpointEntry} from '../model/endpoint_entry.js';
 import type {RowCodec} from '../model/watched_table.js';
 import {EndpointRecord} from '../serving/endpoint_record.js';
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -9,7 +9,7 @@
   type Clock,
   type ServiceContext,
 } from '@irisdock/kernel';
-import {z} from 'zod';
+import * as z from 'zod';
 import {EndpointClient} from '../channels/endpoint_client.js';
 import {startListening} from '../channels/listening.js';
 import {CallerExchange} from '../serving/caller_exchange.js';
--- a/packages/gateway/src/services/host_phase.ts
+++ b/packages/gateway/src/services/host_phase.ts
@@ -3,7 +3,7 @@
  * knows a configuration, and leaving from the moment it is told to stop.
  */
 import {createService, createServiceKey, type Clock} from '@irisdock/kernel';
-import {z} from 'zod';
+import * as z from 'zod';
 import {GATEWAY_CONFIGURATION} from './configuration.js';
 import type {PeerState} from './host_tracker.js';
 import {PEERS} from './peers.js';
--- a/packages/gateway/src/services/identity.ts
+++ b/packages/gateway/src/services/identity.ts
@@ -1,6 +1,6 @@
 /** The service `host`: who this host is. */
 import {createService, createServiceKey} from '@irisdock/kernel';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** This host. */
 export interface HostIdentity {
--- a/packages/gateway/src/services/introduction.ts
+++ b/packages/gateway/src/services/introduction.ts
@@ -13,7 +13,7 @@
   type Clock,
   type Logger,
 } from '@irisdock/kernel';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {WatchedStore} from '../model/watched_table.js';
 import {HOST_IDENTITY} from './identity.js';
 import type {Peers} from './peer_hosts.js';
--- a/packages/gateway/src/services/metrics_page.ts
+++ b/packages/gateway/src/services/metrics_page.ts
@@ -7,7 +7,7 @@
   IP_PORT_SCHEMA,
 } from '@irisdock/kernel';
 import {collectDefaultMetrics} from 'prom-client';
-import {z} from 'zod';
+import * as z from 'zod';
 import {startListening} from '../channels/listening.js';
 
 /** The path of the page. */
--- a/packages/gateway/src/services/peer_tables.ts
+++ b/packages/gateway/src/services/peer_tables.ts
@@ -8,7 +8,7 @@
   createServiceKey,
   IP_PORT_SCHEMA,
 } from '@irisdock/kernel';
-import {z} from 'zod';
+import * as z from 'zod';
 import {startListening} from '../channels/listening.js';
 import {
   encodeTableRows,
--- a/packages/gateway/src/services/peers.ts
+++ b/packages/gateway/src/services/peers.ts
@@ -5,7 +5,7 @@
   IP_PORT_SCHEMA,
 } from '@irisdock/kernel';
 import {Gauge} from 'prom-client';
-import {z} from 'zod';
+import * as z from 'zod';
 import {HOST_IDENTITY} from './identity.js';
 import {Peers} from './peer_hosts.js';
 import {TABLES_KEY} from './tables.js';
--- a/packages/gateway/src/services/tables.ts
+++ b/packages/gateway/src/services/tables.ts
@@ -1,6 +1,6 @@
 /** The service `tables`: this host's copies of the store's tables. */
 import {createService, createServiceKey} from '@irisdock/kernel';
-import {z} from 'zod';
+import * as z from 'zod';
 import {FOLLOWED_TABLES, type TableName} from '../model/watched_table.js';
 import {STORE} from './store.js';
 import {TableFollower, type FollowerOptions} from './table_follower.js';
--- a/packages/kernel/src/service.ts
+++ b/packages/kernel/src/service.ts
@@ -4,7 +4,7 @@
  * name only; the kernel joins them.
  */
 import type {Registry} from 'prom-client';
-import type {z} from 'zod';
+import type * as z from 'zod';
 import type {Clock} from './clock.js';
 import type {Logger} from './log.js';
 import type {Random} from './random.js';
--- a/packages/kernel/src/settings.ts
+++ b/packages/kernel/src/settings.ts
@@ -6,7 +6,7 @@
  */
 import {parseArgs} from 'node:util';
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {getErrorText} from './errors.js';
 import type {SettingsFile} from './settings_file.js';
 
--- a/packages/kernel/tests/kernel.test.ts
+++ b/packages/kernel/tests/kernel.test.ts
@@ -20,7 +20,7 @@
 } from '@irisdock/kernel';
 import {Registry} from 'prom-client';
 import {ROARR} from 'roarr';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const LOG = new RoarrLogger('tests', 'off');
 
--- a/packages/kernel/tests/settings_file.test.ts
+++ b/packages/kernel/tests/settings_file.test.ts
@@ -10,7 +10,7 @@
   parseSettingsFile,
   readSettingsFile,
 } from '@irisdock/kernel';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const GROUPS = [
   {
--- a/packages/resources/src/checks.ts
+++ b/packages/resources/src/checks.ts
@@ -1,7 +1,7 @@
 /** Checks of a resource on its own and against the others. */
 import type {KnownError} from '@irisdock/kernel';
 import {err, ok, type Result} from 'neverthrow';
-import type {z} from 'zod';
+import type * as z from 'zod';
 import {RESOURCE_ERRORS} from './errors.js';
 import {KIND_NAMES, NAME_SCHEMA, type KindName} from './kind.js';
 import {isKindName, KINDS} from './kind_table.js';
--- a/packages/resources/src/config_file.ts
+++ b/packages/resources/src/config_file.ts
@@ -5,7 +5,7 @@
 import {getErrorText} from '@irisdock/kernel';
 import {err, ok, type Result} from 'neverthrow';
 import {LineCounter, parseAllDocuments, type Document} from 'yaml';
-import {z} from 'zod';
+import * as z from 'zod';
 import {KIND_NAMES, NAME_SCHEMA, type KindName} from './kind.js';
 import {KINDS} from './kind_table.js';
 
--- a/packages/resources/src/kind.ts
+++ b/packages/resources/src/kind.ts
@@ -2,7 +2,7 @@
  * The one shape of a resource kind: its name, what it is for, the schema of
  * its spec, and which other resources a spec refers to.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** The kinds there are, as paths and files name them. */
 export const KIND_NAMES = [
--- a/packages/resources/src/kinds/adapter.ts
+++ b/packages/resources/src/kinds/adapter.ts
@@ -1,5 +1,5 @@
 /** The kind `adapter`: a small change to a model version's weights. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {createKind, NAME_SCHEMA} from '../kind.js';
 
 /** The spec of an adapter. */
--- a/packages/resources/src/kinds/model_version.ts
+++ b/packages/resources/src/kinds/model_version.ts
@@ -1,5 +1,5 @@
 /** The kind `modelVersion`: one version of a model's weights. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {createKind} from '../kind.js';
 
 /** The spec of a model version. */
--- a/packages/resources/src/kinds/placement_rule.ts
+++ b/packages/resources/src/kinds/placement_rule.ts
@@ -1,5 +1,5 @@
 /** The kind `placementRule`: where a service's requests may run. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {createKind, NAME_SCHEMA, type Reference} from '../kind.js';
 
 /** The spec of a placement rule. */
--- a/packages/resources/src/kinds/service.ts
+++ b/packages/resources/src/kinds/service.ts
@@ -1,5 +1,5 @@
 /** The kind `service`: something callers can ask for by name. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {createKind, NAME_SCHEMA, type Reference} from '../kind.js';
 
 const COMMON = {
--- a/packages/resources/src/kinds/team_priority.ts
+++ b/packages/resources/src/kinds/team_priority.ts
@@ -1,5 +1,5 @@
 /** The kind `teamPriority`: how much a team's work matters on a service. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {createKind, NAME_SCHEMA} from '../kind.js';
 
 /** The spec of a team priority. */
--- a/packages/resources/src/resource.ts
+++ b/packages/resources/src/resource.ts
@@ -1,5 +1,5 @@
 /** Resources, and the changes that lead from one revision to the next. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {KIND_NAMES, NAME_SCHEMA} from './kind.js';
 
 /** A resource as it is kept and shown. */
--- a/packages/standins/src/engine/faults.ts
+++ b/packages/standins/src/engine/faults.ts
@@ -1,5 +1,5 @@
 /** The switches by which a test makes the engine stand-in misbehave. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** All switches; each counts down as it is used up. */
 export const ENGINE_FAULTS_SCHEMA = z.object({
--- a/packages/standins/src/engine/generation.ts
+++ b/packages/standins/src/engine/generation.ts
@@ -1,7 +1,7 @@
 /** One generation on the engine stand-in: its tokens and who reads them. */
 import type {ServerResponse} from 'node:http';
 import {formatEvent, startEvents} from '@irisdock/web';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {EngineFaults} from './faults.js';
 import {TextChain} from './text.js';
 
--- a/packages/standins/src/engine/main.ts
+++ b/packages/standins/src/engine/main.ts
@@ -1,6 +1,6 @@
 /** The engine stand-in as a process: HTTP around the engine's core. */
 import {sendJson, WebServer, type Route, type WebRequest} from '@irisdock/web';
-import {z} from 'zod';
+import * as z from 'zod';
 import {runProgram} from '../program.js';
 import {Engine, type StreamRefusal} from './engine.js';
 import {ENGINE_FAULTS_SCHEMA} from './faults.js';
--- a/packages/standins/src/engine/orders.ts
+++ b/packages/standins/src/engine/orders.ts
@@ -3,7 +3,7 @@
  * change role. An engine that checks refuses a fencing number below the
  * highest it has seen; one that does not check carries every order out.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** An order with its fencing number. */
 export const ORDER_SCHEMA = z.object({
--- a/packages/standins/src/plain/main.ts
+++ b/packages/standins/src/plain/main.ts
@@ -4,7 +4,7 @@
  */
 import {setTimeout as wait} from 'node:timers/promises';
 import {sendJson, WebServer, type WebRequest} from '@irisdock/web';
-import {z} from 'zod';
+import * as z from 'zod';
 import {runProgram} from '../program.js';
 
 const SETTINGS = z.object({
--- a/packages/standins/src/platform/faults.ts
+++ b/packages/standins/src/platform/faults.ts
@@ -1,7 +1,7 @@
 /** The switches by which a test brings about the platform's failures. */
 import {setTimeout as wait} from 'node:timers/promises';
 import type {WebRequest} from '@irisdock/web';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** All switches; a switch that is not named stays as it is. */
 export const FAULTS_SCHEMA = z.object({
--- a/packages/standins/src/platform/host_list.ts
+++ b/packages/standins/src/platform/host_list.ts
@@ -1,5 +1,5 @@
 /** The lagging list of live and leaving hosts. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** A host as the list shows it. */
 export const HOST_SCHEMA = z.object({
--- a/packages/standins/src/platform/main.ts
+++ b/packages/standins/src/platform/main.ts
@@ -1,7 +1,7 @@
 /** The platform stand-in: table, object store, host list, weight store. */
 import type {Logger} from '@irisdock/kernel';
 import {sendJson, WebServer, type Route, type WebRequest} from '@irisdock/web';
-import {z} from 'zod';
+import * as z from 'zod';
 import {runProgram} from '../program.js';
 import {Faults, FAULTS_SCHEMA} from './faults.js';
 import {HostList, HOSTS_SCHEMA} from './host_list.js';
--- a/packages/standins/src/platform/table.ts
+++ b/packages/standins/src/platform/table.ts
@@ -3,7 +3,7 @@
  * transactions that apply whole or not at all. Versions come from one counter
  * and never repeat, also after a row was deleted.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** A transaction: conditions on versions (0 is absent), then writes. */
 export const COMMIT_SCHEMA = z.object({
--- a/packages/standins/src/program.ts
+++ b/packages/standins/src/program.ts
@@ -6,7 +6,7 @@
   startLogs,
   type Logger,
 } from '@irisdock/kernel';
-import type {z} from 'zod';
+import type * as z from 'zod';
 
 /** A stand-in that runs in a process of its own. */
 export interface Program<S extends z.ZodObject> {
--- a/packages/storage/src/host_list.ts
+++ b/packages/storage/src/host_list.ts
@@ -1,6 +1,6 @@
 /** The platform's lagging list of live and leaving hosts. */
 import type {Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {PlatformError} from './table_service.js';
 
 /** A host of the list. */
--- a/packages/storage/src/http_platform.ts
+++ b/packages/storage/src/http_platform.ts
@@ -6,7 +6,7 @@
 import {getErrorText, isNeverSent} from '@irisdock/kernel';
 import {err, ok, type Result} from 'neverthrow';
 import {Pool} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import {PLATFORM_ERRORS} from './errors.js';
 import {
   LISTED_HOST_SCHEMA,
--- a/packages/testkit/src/deployment.ts
+++ b/packages/testkit/src/deployment.ts
@@ -2,7 +2,7 @@
  * A deployment of processes for one test: the platform, daemons, engines and
  * plain services, each on a port of its own that the system gives.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {startProcess, type RunningProcess} from './process.js';
 import {getJson, putJson, sendHttp, type HttpAnswer} from './http.js';
 import {
--- a/packages/testkit/src/deployment_types.ts
+++ b/packages/testkit/src/deployment_types.ts
@@ -1,5 +1,5 @@
 /** What a deployment of processes is made of. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {RunningProcess} from './process.js';
 
 /** A daemon's places as its ready line gives them. */
--- a/packages/testkit/src/process.ts
+++ b/packages/testkit/src/process.ts
@@ -2,7 +2,7 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {createInterface} from 'node:readline';
 import {fileURLToPath} from 'node:url';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** The programs that tests start, by the package path of each. */
 export const PROGRAMS = {
--- a/packages/testkit/tests/docs.test.ts
+++ b/packages/testkit/tests/docs.test.ts
@@ -12,7 +12,7 @@
   formatSettingsPage,
   sendHttp,
 } from '@irisdock/testkit';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const DOCS = new URL('../../../../docs/', import.meta.url);
 const OPERATOR_PARTS = [
--- a/packages/web/src/web_request.ts
+++ b/packages/web/src/web_request.ts
@@ -2,7 +2,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {KnownError} from '@irisdock/kernel';
 import {err, ok, type Result} from 'neverthrow';
-import type {z} from 'zod';
+import type * as z from 'zod';
 import {WEB_ERRORS} from './errors.js';
 
 /** Bounds on reading a body. */
--- a/packages/web/tests/web_server.test.ts
+++ b/packages/web/tests/web_server.test.ts
@@ -4,7 +4,7 @@
 import {after, before, describe, it} from 'node:test';
 import {RoarrLogger, splitPlace} from '@irisdock/kernel';
 import {sendError, sendJson, WebServer, type Route} from '@irisdock/web';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const ROUTES: readonly Route[] = [
   {
