Ask seeds one after another at a start

Three seeds gave a starting host the same tables, 60 KB each at 250 endpoints, mostly across failure domains. Now the next is asked when one refuses or takes 50 ms. By reading; the tests of hosts pass, 14 of 14.

--- a/packages/gateway/src/services/peer_hosts.ts
+++ b/packages/gateway/src/services/peer_hosts.ts
@@ -4,6 +4,7 @@
  * what they have running (`use_notices.ts`, `use_questions.ts`).
  */
 import type {KnownHost} from '@irisdock/decisions';
+import {getShuffled} from '@irisdock/kernel';
 import {DatagramSocket} from '../channels/datagram_socket.js';
 import {decodePeerDatagram, encodePeerDatagram} from '../model/peer_codec.js';
 import type {PeerDatagram, PeerPlace} from '../model/peer_message.js';
@@ -28,10 +29,11 @@
 }
 
 /**
- * How long seeds may take to give their tables before the store is read, in ms;
- * one that runs takes a few, one that does not refuses at once.
+ * How long a seed may take to give its tables before the next one is asked, and
+ * after the last the store, in ms. One that runs takes a few; one that does not
+ * refuses at once, unless its machine is gone.
  */
-const SEEDS_MS = 150;
+const SEED_MS = 50;
 
 /** The other hosts. */
 export class Peers {
@@ -155,19 +157,13 @@
    * run, a host that starts needs no call to the store.
    */
   private async loadFromSeeds(): Promise<void> {
-    const {seeds, place, clock} = this.parts;
+    const {seeds, place, clock, random} = this.parts;
     const {loader, standing} = this.tracker;
-    const others = seeds.filter((seed) => seed !== place.tables);
-    if (others.length === 0) return;
-    const enough = new AbortController();
-    const loads = others.map(async (seed) => {
-      await loader.loadAll(seed);
-      if (standing.hasTables) enough.abort();
-    });
-    void Promise.all(loads).then(() => {
-      enough.abort();
-    });
-    await clock.wait(SEEDS_MS, enough.signal);
+    for (const seed of getShuffled(seeds, random)) {
+      if (seed === place.tables) continue;
+      await Promise.race([loader.loadAll(seed), clock.wait(SEED_MS)]);
+      if (standing.hasTables) return;
+    }
   }
 
   private sendTo(
