Let a starting host wait for its role, not for a time, before it follows the store

Change: a host without a copy is a loader: it reads the table once and then has its turn only when it is known who reads; a host without seeds and others reads on at once.

--- a/packages/gateway/src/services/host_tracker.ts
+++ b/packages/gateway/src/services/host_tracker.ts
@@ -35,6 +35,8 @@
   readonly place: PeerPlace;
   /** The time between two beats, in ms. */
   readonly beatMs: number;
+  /** Whether other hosts may run that are not known yet. */
+  readonly hasSeeds: boolean;
   readonly tables: Tables;
   readonly clock: Clock;
   readonly random: Random;
@@ -113,7 +115,7 @@
   /** Does what is due in a beat. */
   startBeat(now: number): void {
     this.updateOwn(now);
-    this.standing.updateReading();
+    this.standing.updateReading(this.isAlone);
     this.sendWatch(this.watch.startBeat(now), now);
     for (const host of this.view.dropLost(now)) {
       this.parts.log.writeInfo('A host was silent for long.', {host});
@@ -151,6 +153,10 @@
     this.loader.close();
   }
 
+  private get isAlone(): boolean {
+    return !this.parts.hasSeeds && this.view.countKnown() === 0;
+  }
+
   private updateOwn(now: number): void {
     const isStoreAway = this.standing.isAway(now);
     this.watch.updateOwn({state: this.getState(), isStoreAway});
--- a/packages/gateway/src/services/peer_hosts.ts
+++ b/packages/gateway/src/services/peer_hosts.ts
@@ -22,7 +22,7 @@
 import {UseQuestions} from './use_questions.js';
 
 /** What the peers need of the rest. */
-export interface PeersParts extends HostTrackerParts {
+export interface PeersParts extends Omit<HostTrackerParts, 'hasSeeds'> {
   /** Where the socket for datagrams is bound, as `ip:port`. */
   readonly listen: string;
   readonly seeds: readonly string[];
@@ -50,7 +50,8 @@
     const send: SendToHosts = (hosts, datagram) => {
       this.sendTo(hosts, datagram);
     };
-    this.tracker = new HostTracker(parts, send);
+    const hasSeeds = parts.seeds.some((seed) => seed !== place.tables);
+    this.tracker = new HostTracker({...parts, hasSeeds}, send);
     const {view} = this.tracker;
     this.groups = new EngineGroups(name, place, view, random);
     this.news = new NewsSpreader(tables, this.groups, send, log);
--- a/packages/gateway/src/services/store_standing.ts
+++ b/packages/gateway/src/services/store_standing.ts
@@ -44,9 +44,11 @@
 
   /**
    * Starts or ends reading, as the hosts that are alive make it right. Who has
-   * no copy of the tables reads in any case.
+   * no copy of the tables reads them in any case.
+   *
+   * @param isAlone Whether this host knows of no other one, and of no seed.
    */
-  updateReading(): void {
+  updateReading(isAlone: boolean): void {
     const {view, hasTables} = this;
     const {ownRecord, recordsHash} = view;
     const isSame =
@@ -55,7 +57,7 @@
     this.chosenBy = recordsHash;
     this.hadTables = hasTables;
     if (!hasTables) {
-      this.setRoles('reader');
+      this.setRoles(isAlone ? 'reader' : 'loader');
       return;
     }
     const candidates = [ownRecord];
--- a/packages/gateway/src/services/table_follower.ts
+++ b/packages/gateway/src/services/table_follower.ts
@@ -12,15 +12,10 @@
 
 /**
  * How a host follows the store: itself, at ease while another one does the
- * same, or by what others tell.
+ * same, or by what others tell. A loader reads the table whole once, as it has
+ * no copy, and then waits until it is known who reads.
  */
-export type ReaderRole = 'listener' | 'reader' | 'standby';
-
-/**
- * The pause after a whole table was read, in ms. Within a beat it is known who
- * reads, so that a host that only listens from then on makes no second call.
- */
-const AFTER_WHOLE_MS = 400;
+export type ReaderRole = 'listener' | 'loader' | 'reader' | 'standby';
 
 /** A standby makes so much fewer calls; it still sees each change. */
 const STANDBY_FACTOR = 2;
@@ -74,9 +69,9 @@
     return now - this.readAt;
   }
 
-  /** Whether this host reads the store itself. */
+  /** Whether this host reads the store for all. */
   get isReading(): boolean {
-    return this.role !== 'listener';
+    return this.role === 'reader' || this.role === 'standby';
   }
 
   /** Whether the store failed this host a moment ago. */
@@ -92,7 +87,7 @@
       table: this.table,
       role,
     });
-    if (this.isReading) this.resumeReading?.();
+    if (this.hasTurn) this.resumeReading?.();
   }
 
   /** Starts to follow. */
@@ -152,9 +147,15 @@
     }
   }
 
+  /** Whether this host makes the next call to the store. */
+  private get hasTurn(): boolean {
+    if (this.role !== 'loader') return this.isReading;
+    return this.mustReload || !this.replica.isLoaded;
+  }
+
   /** Waits while other hosts read the store. */
   private async waitForTurn(): Promise<void> {
-    if (this.isReading) return;
+    if (this.hasTurn) return;
     await new Promise<void>((resolve) => {
       this.resumeReading = resolve;
     });
@@ -186,7 +187,7 @@
     // The store may answer from a copy that lags; then it is asked again.
     this.mustReload = replica.isLoaded && revision < replica.revision;
     this.publish(replica.applyAll(rows, revision), 'store');
-    return this.mustReload ? options.retryMs : AFTER_WHOLE_MS;
+    return this.mustReload ? options.retryMs : 0;
   }
 
   private handleError(kind: string, now: number): number {
