Ask for a whole list of hosts at most each 20 s; log who does not answer

Change: a least time between two lists; a log line for each silent host. What makes the records differ all the time is looked into next.

--- a/packages/decisions/src/host_watch.ts
+++ b/packages/decisions/src/host_watch.ts
@@ -84,6 +84,8 @@
   private receivedAt = -Infinity;
   private wasSilent = false;
   private hasFresh = false;
+  /** Hosts that this one has found silent since they were last taken. */
+  private silent: string[] = [];
 
   constructor(
     own: HostRecord,
@@ -126,6 +128,13 @@
     }
   }
 
+  /** Gives the hosts that this one has found silent since the last call. */
+  takeSilent(): string[] {
+    const {silent} = this;
+    this.silent = [];
+    return silent;
+  }
+
   /** Takes the steps of one beat. */
   startBeat(now: number): OutgoingWatch<P>[] {
     this.beats++;
@@ -220,7 +229,9 @@
   }
 
   private markSilent(name: string, now: number): void {
-    if (this.view.markSilent(name, now)) this.addFresh(name);
+    if (!this.view.markSilent(name, now)) return;
+    this.silent.push(name);
+    this.addFresh(name);
   }
 
   private createProbe(name: string, asker?: string): OutgoingWatch<P>[] {
--- a/packages/gateway/src/services/host_tracker.ts
+++ b/packages/gateway/src/services/host_tracker.ts
@@ -55,6 +55,11 @@
  * another, after which a whole list is asked for: one host may be behind.
  */
 const MAX_UNLIKE = 8;
+/**
+ * The least time between two such lists, in ms. Where hosts come and go all the
+ * time, records are never alike everywhere, and a list is 50 KB with 195 hosts.
+ */
+const LIST_EVERY_MS = 20_000;
 
 /** Keeps track of the other hosts. */
 export class HostTracker {
@@ -67,6 +72,7 @@
   private freshTimer: NodeJS.Timeout | undefined;
   /** Messages in a row whose sender knows other records. */
   private unlike = 0;
+  private listAskedAt = -Infinity;
 
   constructor(
     private readonly parts: HostTrackerParts,
@@ -117,6 +123,9 @@
     this.updateOwn(now);
     this.standing.updateReading(this.isAlone);
     this.sendWatch(this.watch.startBeat(now), now);
+    for (const host of this.watch.takeSilent()) {
+      this.parts.log.writeInfo('A host does not answer.', {host});
+    }
     for (const host of this.view.dropLost(now)) {
       this.parts.log.writeInfo('A host was silent for long.', {host});
     }
@@ -145,7 +154,7 @@
     const sender = this.view.find(name);
     if (sender === undefined) return;
     this.loader.markRevisions(revisions, sender.place.tables, now);
-    this.compareRecords(watch.recordsHash, sender.place.tables);
+    this.compareRecords(watch.recordsHash, sender.place.tables, now);
   }
 
   close(): void {
@@ -184,11 +193,12 @@
   }
 
   /** Asks for a whole list when others have long known other records. */
-  private compareRecords(hash: number, tables: string): void {
+  private compareRecords(hash: number, tables: string, now: number): void {
     const isLike = hash === this.view.recordsHash;
     this.unlike = isLike ? 0 : this.unlike + 1;
     if (this.unlike < MAX_UNLIKE || this.watch.isFresh) return;
-    this.unlike = 0;
+    if (now - this.listAskedAt < LIST_EVERY_MS) return;
+    this.listAskedAt = now;
     void this.loader.loadAll(tables);
   }
 }
