--- a/bench/src/bench_table.ts
+++ b/bench/src/bench_table.ts
@@ -3,6 +3,7 @@
 import {CONTROL_BENCH} from './benches/control.js';
 import {DOMAIN_LOSS_BENCH} from './benches/domain_loss.js';
 import {FAIRNESS_BENCH} from './benches/fairness.js';
+import {HOST_COST_BENCH} from './benches/host_cost.js';
 import {HOST_LOSS_BENCH} from './benches/host_loss.js';
 import {IDLE_HOST_BENCH} from './benches/idle_host.js';
 import {OVERHEAD_BENCH} from './benches/overhead.js';
@@ -23,4 +24,5 @@
   PREFIX_BENCH,
   CONTROL_BENCH,
   IDLE_HOST_BENCH,
+  HOST_COST_BENCH,
 ];
