--- a/packages/decisions/tests/event_stream.test.ts
+++ b/packages/decisions/tests/event_stream.test.ts
@@ -64,6 +64,35 @@
   });
 });
 
+const ID_LINE = /^id: ?(\d{1,15})\r?$/m;
+const eventLines = fc.array(
+  fc.constantFrom(
+    'id: 4',
+    'id:12',
+    'id: ',
+    'id: 7x',
+    'id: 123456789012345',
+    'id: 1234567890123456',
+    'id: 9\r',
+    'data: id: 3',
+  ),
+  {minLength: 1, maxLength: 4},
+);
+
+describe('the id of an event', () => {
+  it('is what the whole event says, wherever its line stands', () => {
+    fc.assert(
+      fc.property(eventLines, (lines) => {
+        const text = `${lines.join('\n')}\n\n`;
+        const [event] = new EventSplitter().add(Buffer.from(text));
+        const id = ID_LINE.exec(text)?.[1];
+        assert.equal(event?.id, id === undefined ? undefined : Number(id));
+      }),
+      RUN_OPTIONS,
+    );
+  });
+});
+
 describe('the progress of a stream', () => {
   it('lets each event through once and in order', () => {
     fc.assert(
--- a/packages/gateway/src/serving/silence_watch.ts
+++ b/packages/gateway/src/serving/silence_watch.ts
@@ -28,6 +28,8 @@
   /** Changes with each event, so that old answers are told apart. */
   private round = 0;
   private stopped = false;
+  /** Whether the timer that is set checks for silence between events. */
+  private isChecking = false;
 
   constructor(
     private readonly endpoint: EndpointRecord,
@@ -49,7 +51,9 @@
     this.eventAt = now;
     this.hasEvents = true;
     this.round++;
-    this.plan(this.getLimits().askAfterMs, () => this.probeInStream());
+    // The timer that runs is left as it is, and checks the last event when it
+    // fires: a timer an event would cost more than all else here.
+    if (!this.isChecking) this.planCheck(this.getLimits().askAfterMs);
   }
 
   stop(): void {
@@ -69,6 +73,23 @@
     this.timer = setTimeout(() => void step(), ms);
   }
 
+  private planCheck(ms: number): void {
+    this.plan(ms, () => this.checkSilence());
+    this.isChecking = true;
+  }
+
+  /** Asks the endpoint, unless events came since the timer was set. */
+  private async checkSilence(): Promise<void> {
+    const dueAt = this.eventAt + this.getLimits().askAfterMs;
+    const leftMs = dueAt - this.clock.getNow();
+    if (leftMs > 0) {
+      this.planCheck(leftMs);
+      return;
+    }
+    this.isChecking = false;
+    await this.probeInStream();
+  }
+
   private async probeBeforeFirst(): Promise<void> {
     const {answerMs, askEveryMs} = this.getLimits();
     const answers = await this.prober.probe(this.endpoint, answerMs);
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -212,9 +212,11 @@
     if (isFirst) plan.endpoint.recordSuccess(undefined);
     const {fresh, hasGap} = this.progress.accept(events);
     if (hasGap) leg.end('events are missing');
-    if (fresh.length === 0) return undefined;
+    const [first] = fresh;
+    if (first === undefined) return undefined;
     if (!this.isStarted) this.startAnswer();
-    const hasRoom = exchange.writeStream(Buffer.concat(fresh));
+    const bytes = fresh.length === 1 ? first : Buffer.concat(fresh);
+    const hasRoom = exchange.writeStream(bytes);
     return hasRoom ? undefined : exchange.waitForRoom();
   }
 
--- a/packages/gateway/src/serving/stream_leg.ts
+++ b/packages/gateway/src/serving/stream_leg.ts
@@ -2,6 +2,7 @@
  * One leg of a stream: one send to one engine, from the request to the end of
  * its events or to its loss. Only whole events leave it, each once.
  */
+import type {IncomingMessage} from 'node:http';
 import {EventSplitter, type WholeEvent} from '@irisdock/decisions';
 import {findAnswerFault} from '../channels/answer_check.js';
 import type {
@@ -133,19 +134,7 @@
 
   private async readEvents(answer: EndpointAnswer): Promise<LegResult> {
     const splitter = new EventSplitter();
-    const {message} = answer;
-    try {
-      for await (const chunk of message as AsyncIterable<Buffer>) {
-        const events = splitter.add(chunk);
-        if (events.length === 0) continue;
-        this.watch.recordEvents();
-        const room = this.listener.handleEvents(events);
-        if (room !== undefined) await room;
-        if (this.stop.aborted || this.lostDetail !== undefined) break;
-      }
-    } catch {
-      // What ended the stream early is told below.
-    }
+    await this.passEvents(answer.message, splitter);
     if (this.stop.aborted) {
       answer.close();
       return {kind: 'stopped', mayHaveRun: true};
@@ -159,6 +148,41 @@
     }
     return {kind: 'ended'};
   }
+
+  /**
+   * Passes events on until the answer ends, whole or not. A listener in place of
+   * an iteration spares two promises and an iterator's turn for each event.
+   */
+  private async passEvents(
+    message: IncomingMessage,
+    splitter: EventSplitter,
+  ): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const handleEnd = (): void => {
+        resolve();
+      };
+      message.on('data', (chunk: Buffer) => {
+        this.acceptChunk(message, splitter, chunk);
+      });
+      message.once('end', handleEnd);
+      message.once('close', handleEnd);
+    });
+  }
+
+  private acceptChunk(
+    message: IncomingMessage,
+    splitter: EventSplitter,
+    chunk: Buffer,
+  ): void {
+    if (this.stop.aborted || this.lostDetail !== undefined) return;
+    const events = splitter.add(chunk);
+    if (events.length === 0) return;
+    this.watch.recordEvents();
+    const room = this.listener.handleEvents(events);
+    if (room === undefined) return;
+    message.pause();
+    void room.then(() => message.resume());
+  }
 }
 
 /** Says how a leg ended. */
