Repeat what runs only when nothing was told for 900 ms

Cause: a host with streams sends 35 datagrams a second (strace), a fifth of them repeats of what it had told within the last 900 ms anyway. Change: the repeat counts from the last word of any kind; who listens still hears something each 900 ms, and what was told counts 2 s as before.

--- a/packages/gateway/src/services/use_notices.ts
+++ b/packages/gateway/src/services/use_notices.ts
@@ -46,8 +46,11 @@
 const PLACED_DELAY_MS = 10;
 /** What else changed may wait so long, in ms. */
 const CHANGED_DELAY_MS = 100;
-/** Beats after which what runs is told again; what was told counts longer. */
-const REPEAT_EVERY = 3;
+/**
+ * Beats after which what runs is told again unless it was told since; what was
+ * told counts twice as long.
+ */
+const REPEAT_AFTER = 3;
 /** Beats after which it is said again that nothing runs any more. */
 const EMPTY_REPEATS = 2;
 
@@ -56,7 +59,8 @@
   /** Set by the service that knows what runs. */
   board: UseBoard | undefined;
   private sequence = 0;
-  private beats = 0;
+  /** Beats since what runs was told last. */
+  private quietBeats = 0;
   private emptyLeft = 0;
   /** The engines that were told of last. */
   private toldLast: readonly string[] = [];
@@ -101,9 +105,9 @@
 
   /** Tells again what runs, when that is due. */
   startBeat(): void {
-    this.beats++;
+    this.quietBeats++;
     this.dropUnheard();
-    if (this.beats % REPEAT_EVERY === 0) this.sendUses(false);
+    if (this.quietBeats >= REPEAT_AFTER) this.sendUses(false);
   }
 
   /** Takes what another host has running. */
@@ -130,6 +134,7 @@
   }
 
   private sendUses(hasChanged: boolean): void {
+    this.quietBeats = 0;
     const uses = this.board?.listOwnUses() ?? {};
     const isEmpty = Object.keys(uses).length === 0;
     if (!isEmpty || hasChanged) this.emptyLeft = EMPTY_REPEATS;
