Copy a stream's memory anew when its holder goes, not by looking each 200 ms

Cause: each running stream had a timer of 200 ms, 17 wakes a second on a host. Change: an endpoint's record tells who watches it that its entry is gone; each stream then draws its own wait of up to 200 ms. A copy that was made after the end of its stream is freed at once; it stayed for 4 s before.

--- a/packages/gateway/src/services/endpoints.ts
+++ b/packages/gateway/src/services/endpoints.ts
@@ -206,9 +206,9 @@
   }
 
   private remove(record: EndpointRecord, reason: string): void {
-    record.isGone = true;
     this.records.delete(record.instanceId);
     this.version++;
+    record.markGone();
     const {instanceId: endpoint, address} = record;
     this.parts.log.writeInfo('An endpoint is gone.', {
       endpoint,
--- a/packages/gateway/src/serving/copy_keeper.ts
+++ b/packages/gateway/src/serving/copy_keeper.ts
@@ -8,7 +8,7 @@
 import type {EngineCall, MemorySource} from '../model/request_terms.js';
 import type {EndpointRecord} from './endpoint_record.js';
 import type {EngineAnswer} from './engine_caller.js';
-import type {ServingParts} from './serving_parts.js';
+import {getRandomPart, type ServingParts} from './serving_parts.js';
 
 /** Where a copy is kept, and the name under which it is found there. */
 export interface KeptCopy {
@@ -16,7 +16,10 @@
   readonly holder: EndpointRecord;
 }
 
-/** How often it is looked whether the standby is still there, in ms. */
+/**
+ * How long a copy that is missing waits at most, in ms. The streams of an engine
+ * lose their standby at the same moment, and each draws its own wait.
+ */
 const CHECK_MS = 200;
 /** Copies lapse after some 4 s and are renewed well before, in ms. */
 const RENEW_MS = 2000;
@@ -29,8 +32,9 @@
 export class CopyKeeper {
   private copy: KeptCopy | undefined;
   private timer: NodeJS.Timeout | undefined;
-  private copiedAt = -Infinity;
+  private ignoreGone: (() => void) | undefined;
   private failed = 0;
+  private isStarted = false;
   private isCopying = false;
   private stopped = false;
 
@@ -44,13 +48,15 @@
 
   /** Takes it that the stream has begun; from now on there is a copy. */
   start(): void {
-    if (this.timer !== undefined || this.stopped) return;
+    if (this.isStarted || this.stopped) return;
+    this.isStarted = true;
     const {standby, primary, requestId} = this;
-    if (standby !== undefined) {
-      const source = {address: primary.address, name: requestId};
-      this.copy = {source, holder: standby};
+    if (standby === undefined) {
+      this.plan(CHECK_MS);
+      return;
     }
-    this.timer = setInterval(() => void this.check(), CHECK_MS);
+    const source = {address: primary.address, name: requestId};
+    this.keep({source, holder: standby});
   }
 
   /** Gives where a copy is kept; undefined when there is none. */
@@ -61,26 +67,40 @@
   /** Ends; a copy that was asked for is freed when nobody goes on from it. */
   stop(isNeeded: boolean): void {
     this.stopped = true;
-    clearInterval(this.timer);
+    clearTimeout(this.timer);
+    this.ignoreGone?.();
     const {copy} = this;
     if (isNeeded || copy === undefined) return;
-    if (copy.source.name === this.requestId) return;
-    const call = this.parts.copies.encodeDropCopy(copy.source.name);
-    void this.send(call);
+    if (copy.source.name !== this.requestId) this.dropCopy(copy.source.name);
+  }
+
+  /** Takes a copy, and looks for another place once its holder is gone. */
+  private keep(copy: KeptCopy): void {
+    this.copy = copy;
+    this.ignoreGone?.();
+    this.ignoreGone = copy.holder.watchGone(() => {
+      this.plan(CHECK_MS * getRandomPart(this.parts.random));
+    });
+    const isOwn = copy.source.name === this.requestId;
+    if (!isOwn) this.plan(RENEW_MS);
+  }
+
+  private plan(ms: number): void {
+    clearTimeout(this.timer);
+    if (this.stopped || this.failed >= MAX_FAILED) return;
+    this.timer = setTimeout(() => void this.sendAnew(), ms);
   }
 
-  private async check(): Promise<void> {
-    if (this.isCopying || this.failed >= MAX_FAILED) return;
-    const isThere = this.copy !== undefined && !this.copy.holder.isGone;
-    const isOwn = this.copy?.source.name === this.requestId;
-    const now = this.parts.clock.getNow();
-    if (isThere && (isOwn || now - this.copiedAt < RENEW_MS)) return;
-    const target = isThere ? this.copy?.holder : this.chooseTarget();
-    if (target === undefined) return;
+  /** Copies to the holder again, or to another when there is none. */
+  private async sendAnew(): Promise<void> {
+    if (this.isCopying) return;
+    const {copy} = this;
+    const isThere = copy !== undefined && !copy.holder.isGone;
+    const target = isThere ? copy.holder : this.chooseTarget();
     this.isCopying = true;
-    this.copiedAt = now;
-    await this.sendCopy(target);
+    const isCopied = target !== undefined && (await this.sendCopy(target));
     this.isCopying = false;
+    if (!isCopied) this.plan(CHECK_MS);
   }
 
   private chooseTarget(): EndpointRecord | undefined {
@@ -89,7 +109,7 @@
     return chooseBackup(usable, this.primary, this.engineRequest);
   }
 
-  private async sendCopy(target: EndpointRecord): Promise<void> {
+  private async sendCopy(target: EndpointRecord): Promise<boolean> {
     const {copies, log} = this.parts;
     const call = copies.encodeCopy(this.requestId, target.address);
     const answer = await this.send(call);
@@ -106,10 +126,23 @@
     });
     if (name === undefined) {
       this.failed++;
-      return;
+      return false;
     }
-    const source = {address: this.primary.address, name};
-    this.copy = {source, holder: target};
+    // Nobody goes on from a copy that was ready only after the end.
+    if (this.stopped) {
+      this.dropCopy(name);
+      return true;
+    }
+
+    this.keep({
+      source: {address: this.primary.address, name},
+      holder: target,
+    });
+    return true;
+  }
+
+  private dropCopy(name: string): void {
+    void this.send(this.parts.copies.encodeDropCopy(name));
   }
 
   private async send(call: EngineCall): Promise<EngineAnswer | undefined> {
--- a/packages/gateway/src/serving/endpoint_record.ts
+++ b/packages/gateway/src/serving/endpoint_record.ts
@@ -52,8 +52,8 @@
 
 /** One endpoint. */
 export class EndpointRecord implements EngineView, PlainView {
-  /** Whether its entry was withdrawn; what runs there goes on. */
-  isGone = false;
+  private gone = false;
+  private readonly goneListeners = new Set<() => void>();
   private readonly claims = new Set<UseClaim>();
   private readonly othersUse = new Map<string, ToldUse>();
   private homeUse: ToldUse | undefined;
@@ -71,6 +71,11 @@
     private readonly getNow: () => number,
   ) {}
 
+  /** Whether its entry was withdrawn; what runs there goes on. */
+  get isGone(): boolean {
+    return this.gone;
+  }
+
   get instanceId(): string {
     return this.entry.instanceId;
   }
@@ -130,6 +135,25 @@
     return score < FAILURE_FORGOTTEN ? 0 : score;
   }
 
+  /** Takes it that its entry was withdrawn. */
+  markGone(): void {
+    this.gone = true;
+    const listeners = [...this.goneListeners];
+    this.goneListeners.clear();
+    for (const listener of listeners) listener();
+  }
+
+  /**
+   * Calls a listener once when the entry is withdrawn, or now if it was.
+   *
+   * @returns Ends the watch.
+   */
+  watchGone(listener: () => void): () => void {
+    if (this.gone) listener();
+    else this.goneListeners.add(listener);
+    return () => this.goneListeners.delete(listener);
+  }
+
   /** Gives what this host alone has there. */
   getOwnUse(): EndpointUse {
     return computeUse(this.claims);
