Know endpoints by their start, and take no harm from rows of other writers

Cause: a server may start again under its id, told apart by the time of its start; state was kept by id alone, so who was once seen leaving never got work again, and streams of the start before were taken for running. Change: the instance id holds the start; records, claims, copies, use told by other hosts and kept prompts go by it. A new start ends the streams of the one before at once, so that they go on elsewhere. Rows that cannot be read name no endpoint; what a host listens at is no endpoint's address; only an entry of a service that the configuration names takes others out, and an endpoint that answers in another's name is used again.

--- a/packages/decisions/src/table_replica.ts
+++ b/packages/decisions/src/table_replica.ts
@@ -77,6 +77,11 @@
     return [...this.rows.values()].filter((row) => row.revision > revision);
   }
 
+  /** Finds a row; a deleted one has no value. */
+  find(key: string): ReplicaRow | undefined {
+    return this.rows.get(key);
+  }
+
   /** Lists the rows that there are. */
   listAll(): ReplicaRow[] {
     return [...this.rows.values()].filter((row) => row.value !== undefined);
--- a/packages/gateway/src/model/endpoint_entry.ts
+++ b/packages/gateway/src/model/endpoint_entry.ts
@@ -3,7 +3,12 @@
 
 /** What an endpoint says of itself. */
 export const ENDPOINT_ENTRY_SCHEMA = z.object({
-  /** One start of one endpoint; a restart has another id. */
+  /** The name that the endpoint answers to; may be kept over its starts. */
+  endpointId: z.string(),
+  /**
+   * One start of one endpoint. All that is remembered of endpoints goes by it,
+   * as a new start holds nothing of what the one before did.
+   */
   instanceId: z.string(),
   service: z.string(),
   /** `ip:port`; may later belong to an endpoint of another service. */
@@ -15,5 +20,19 @@
   state: z.enum(['ready', 'leaving']),
 });
 
+/**
+ * Names one start of an endpoint.
+ *
+ * @param startMs When it started by its own clock, in ms since 1970; it tells
+ *     starts apart and says nothing of their order. Undefined for endpoints
+ *     that take a new id at each start.
+ */
+export function formatInstanceId(
+  endpointId: string,
+  startMs: number | undefined,
+): string {
+  return startMs === undefined ? endpointId : `${endpointId}/${startMs}`;
+}
+
 /** An endpoint's entry. */
 export type EndpointEntry = z.infer<typeof ENDPOINT_ENTRY_SCHEMA>;
--- a/packages/gateway/src/model/request_terms.ts
+++ b/packages/gateway/src/model/request_terms.ts
@@ -41,8 +41,8 @@
 
 /** What this system says to an endpoint with a request. */
 export interface SendTerms {
-  /** Only this start of the endpoint may run it. */
-  readonly instanceId: string;
+  /** Only the endpoint of this name may run it. */
+  readonly endpointId: string;
   /** The team whose key the caller had. */
   readonly team: string | undefined;
   /** How long the endpoint may work, in ms. */
@@ -69,8 +69,8 @@
   readonly isSigned: boolean;
   /** Whether the endpoint says that the request did not run. */
   readonly isNotRun: boolean;
-  /** Which start of an endpoint answered; undefined when it does not say. */
-  readonly instanceId: string | undefined;
+  /** Which endpoint answered; undefined when it does not say. */
+  readonly endpointId: string | undefined;
   readonly load: ToldLoad | undefined;
 }
 
@@ -91,11 +91,17 @@
   encodeDropCopy(copyName: string): EngineCall;
 }
 
+/** What an engine reports of itself. */
+export interface EngineReport {
+  /** When it started by its own clock, in ms since 1970, if it says so. */
+  readonly startMs: number | undefined;
+}
+
 /** Translates the call by which an engine reports its state. */
 export interface EngineReportCodec {
   encodeReport(): EngineCall;
-  /** Tells whether an answer is the report of an engine that serves models. */
-  isReport(status: number, body: string): boolean;
+  /** Reads the report of an engine that serves models; undefined for others. */
+  decodeReport(status: number, body: string): EngineReport | undefined;
 }
 
 /** Translates the call that tells which prompts an engine keeps. */
--- a/packages/gateway/src/services/configuration.ts
+++ b/packages/gateway/src/services/configuration.ts
@@ -78,6 +78,15 @@
     return this.services.get(name);
   }
 
+  /** Whether a service is declared, or any route leads to it. */
+  hasService(name: string): boolean {
+    if (this.services.has(name)) return true;
+    for (const {shares} of this.current?.routes ?? []) {
+      if (shares.some(({service}) => service === name)) return true;
+    }
+    return false;
+  }
+
   /** Lists the names of the services that have engines. */
   listEngineServices(): string[] {
     const names: string[] = [];
--- a/packages/gateway/src/services/endpoints.ts
+++ b/packages/gateway/src/services/endpoints.ts
@@ -1,8 +1,10 @@
 /**
  * The service `endpoints`: the endpoints of all services as this host knows
- * them. An endpoint that was seen leaving never gets new work again under the
- * same instance id; one whose entry vanished while the store was away is kept
- * until the store had time to list it again.
+ * them. What is known of one goes by its start: an endpoint that starts again
+ * under its id is a new one. A start that was seen leaving never gets new work
+ * again; one whose entry vanished while the store was away is kept until the
+ * store had time to list it again. An entry that cannot be read names no
+ * endpoint and changes nothing of the others.
  */
 import type {ReplicaRow} from '@irisdock/decisions';
 import {
@@ -11,11 +13,12 @@
   type Clock,
   type Logger,
 } from '@irisdock/kernel';
-import {Gauge} from 'prom-client';
+import {err, ok, type Result} from 'neverthrow';
+import {Counter, Gauge} from 'prom-client';
 import * as z from 'zod';
-import type {EndpointEntry} from '../model/endpoint_entry.js';
+import {formatInstanceId, type EndpointEntry} from '../model/endpoint_entry.js';
 import type {RowCodec} from '../model/watched_table.js';
-import {EndpointRecord} from '../serving/endpoint_record.js';
+import {EndpointRecord, type GoneCause} from '../serving/endpoint_record.js';
 import {GATEWAY_CONFIGURATION} from './configuration.js';
 import {EndpointUses} from './endpoint_uses.js';
 import type {Peers} from './peer_hosts.js';
@@ -29,6 +32,12 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly getMemoryTokens: (service: string) => number;
+  /** Whether the configuration in force names a service. */
+  readonly isServiceNamed: (service: string) => boolean;
+  /** Finds the row of an endpoint in the table, by the endpoint's id. */
+  readonly findRow: (endpointId: string) => ReplicaRow | undefined;
+  /** Counts entries that cannot be read. */
+  readonly unreadable: Counter;
   /** For how long a vanished entry stays in use, in ms from now. */
   readonly getDepartureDelay: () => number;
   readonly peers: Peers;
@@ -41,12 +50,14 @@
 export class GatewayEndpoints {
   /** Differs whenever the endpoints that are known do. */
   version = 0;
+  /** By the instance id. */
   private readonly records = new Map<string, EndpointRecord>();
-  /** Instance ids of vanished entries that are still in use. */
-  private readonly vanished = new Set<string>();
-
-  /** Instance ids of successors whose entries the store has not listed. */
-  private readonly unlisted = new Set<string>();
+  /** The start that is known of each endpoint, by the endpoint's id. */
+  private readonly starts = new Map<string, EndpointRecord>();
+  /** Starts whose entries vanished, and that are still in use. */
+  private readonly vanished = new Set<EndpointRecord>();
+  /** Starts whose entries the store has not listed. */
+  private readonly unlisted = new Set<EndpointRecord>();
 
   private dropTimer: NodeJS.Timeout | undefined;
 
@@ -67,12 +78,9 @@
     return this.records.get(instanceId);
   }
 
-  /** Finds the endpoint that answers at an address now. */
-  findAt(address: string): EndpointRecord | undefined {
-    for (const record of this.records.values()) {
-      if (record.address === address) return record;
-    }
-    return undefined;
+  /** Whether any start of an endpoint is known, by the endpoint's id. */
+  hasEndpoint(endpointId: string): boolean {
+    return this.starts.has(endpointId);
   }
 
   /** Lists all endpoints that are known. */
@@ -103,20 +111,38 @@
     }
   }
 
-  /** Takes it that another endpoint answers at the address of this one. */
-  reportReplaced(record: EndpointRecord): void {
-    this.remove(record, 'another instance answers at its address');
+  /**
+   * Takes it that another endpoint answers at the address of this one. That one
+   * is used again if an entry without its address had taken it out.
+   *
+   * @param answeredBy The id of the endpoint that answered, if it told it.
+   */
+  reportReplaced(record: EndpointRecord, answeredBy: string | undefined): void {
+    this.remove(record, 'another endpoint answers at its address');
+    if (answeredBy === undefined || this.hasEndpoint(answeredBy)) return;
+    const value = this.parts.findRow(answeredBy)?.value;
+    if (value !== undefined) this.applyEntry(answeredBy, value);
   }
 
   /**
    * Takes in the new start of an endpoint that the store could not list yet;
    * it is taken out again unless the store lists it after its return.
    */
-  addSuccessor(old: EndpointRecord, instanceId: string): void {
-    if (this.records.has(instanceId)) return;
-    this.unlisted.add(instanceId);
+  addSuccessor(
+    old: EndpointRecord,
+    endpointId: string,
+    startMs: number | undefined,
+  ): void {
+    if (this.hasEndpoint(endpointId)) return;
+    const instanceId = formatInstanceId(endpointId, startMs);
+    const entry = {
+      ...old.entry,
+      endpointId,
+      instanceId,
+      state: 'ready',
+    } as const;
+    this.unlisted.add(this.addRecord(entry));
     this.planDrop();
-    this.addRecord({...old.entry, instanceId, state: 'ready'});
   }
 
   /** Takes out the entries without a row in the store, once that is back. */
@@ -125,9 +151,8 @@
       this.planDrop();
       return;
     }
-    for (const instanceId of [...this.vanished, ...this.unlisted]) {
-      const record = this.records.get(instanceId);
-      if (record !== undefined) this.remove(record, 'its entry is missing');
+    for (const record of [...this.vanished, ...this.unlisted]) {
+      this.remove(record, 'its entry is missing');
     }
     this.vanished.clear();
     this.unlisted.clear();
@@ -141,14 +166,14 @@
     }, CHECK_MS);
   }
 
-  private handleVanished(instanceId: string): void {
-    const record = this.records.get(instanceId);
+  private handleVanished(endpointId: string): void {
+    const record = this.starts.get(endpointId);
     if (record === undefined) return;
     if (this.isStoreAway) {
-      this.vanished.add(instanceId);
+      this.vanished.add(record);
       this.planDrop();
       this.parts.log.writeInfo('An entry vanished while the store was away.', {
-        endpoint: instanceId,
+        endpoint: record.instanceId,
       });
       return;
     }
@@ -156,36 +181,55 @@
   }
 
   private applyEntry(key: string, value: string): void {
-    const decoded = this.parts.codec.decode(key, value);
+    const decoded = this.parts.codec
+      .decode(key, value)
+      .andThen((entry) => this.checkAddress(entry));
+    const known = this.starts.get(key);
     if (decoded.isErr()) {
       const fault = decoded.error;
-      this.parts.log.writeError('An entry cannot be read.', {key, fault});
+      this.parts.log.writeWarning('An entry names no endpoint.', {key, fault});
+      this.parts.unreadable.inc();
+      if (known !== undefined) this.remove(known, 'its entry cannot be read');
       return;
     }
     const entry = decoded.value;
-    this.vanished.delete(key);
-    this.unlisted.delete(key);
-    const known = this.records.get(entry.instanceId);
-    if (known !== undefined) {
+    if (known?.instanceId === entry.instanceId) {
       this.updateKnown(known, entry);
       return;
     }
+    if (known !== undefined) {
+      this.remove(known, 'it started anew', 'restarted');
+    }
+    this.removeOthersAt(entry);
     this.addRecord(entry);
   }
 
-  private addRecord(entry: EndpointEntry): void {
-    this.removeOthersAt(entry);
+  /** What is sent to a host would come back to the endpoints from there. */
+  private checkAddress(entry: EndpointEntry): Result<EndpointEntry, string> {
+    for (const {place} of this.parts.peers.listAlive()) {
+      const {callers, tables, datagrams} = place;
+      const isHost = [callers, tables, datagrams].includes(entry.address);
+      if (isHost) return err('its address is that of a host');
+    }
+    return ok(entry);
+  }
+
+  private addRecord(entry: EndpointEntry): EndpointRecord {
     const {clock, getMemoryTokens} = this.parts;
     const record = new EndpointRecord(
       entry,
       () => getMemoryTokens(entry.service),
       () => clock.getNow(),
     );
-    this.records.set(entry.instanceId, record);
+    this.records.set(record.instanceId, record);
+    this.starts.set(record.endpointId, record);
     this.version++;
+    return record;
   }
 
   private updateKnown(record: EndpointRecord, entry: EndpointEntry): void {
+    this.vanished.delete(record);
+    this.unlisted.delete(record);
     const wasLeaving = record.entry.state === 'leaving';
     // Who was seen leaving stays so, whatever an older entry says.
     record.entry = wasLeaving ? {...entry, state: 'leaving'} : entry;
@@ -197,18 +241,31 @@
     });
   }
 
-  /** An address has one endpoint; the newest entry says which. */
+  /**
+   * Takes out who had the address before. Only the entry of a service that the
+   * configuration names does so: another writer's entry must not take a sound
+   * endpoint out. Two that name one address harm nothing, as the endpoint that
+   * answers there refuses what is meant for the other.
+   */
   private removeOthersAt(entry: EndpointEntry): void {
+    if (!this.parts.isServiceNamed(entry.service)) return;
     for (const record of [...this.records.values()]) {
       if (record.address !== entry.address) continue;
       this.remove(record, 'a newer entry has its address');
     }
   }
 
-  private remove(record: EndpointRecord, reason: string): void {
+  private remove(
+    record: EndpointRecord,
+    reason: string,
+    cause: GoneCause = 'withdrawn',
+  ): void {
     this.records.delete(record.instanceId);
+    this.starts.delete(record.endpointId);
+    this.vanished.delete(record);
+    this.unlisted.delete(record);
     this.version++;
-    record.markGone();
+    record.markGone(cause);
     const {instanceId: endpoint, address} = record;
     this.parts.log.writeInfo('An endpoint is gone.', {
       endpoint,
@@ -242,6 +299,13 @@
       getMemoryTokens: (service) =>
         configuration.findService(service)?.engine?.memoryTokens ??
         UNKNOWN_MEMORY_TOKENS,
+      findRow: (endpointId) => table.replica.find(endpointId),
+      isServiceNamed: (service) => configuration.hasService(service),
+      unreadable: new Counter({
+        name: 'irisdock_gateway_unreadable_entries_total',
+        help: 'Entries that named no endpoint, a count.',
+        registers: [context.metrics],
+      }),
       getDepartureDelay: () => peers.standing.getDepartureDelay(clock.getNow()),
       peers,
     });
--- a/packages/gateway/src/serving/answer_reading.ts
+++ b/packages/gateway/src/serving/answer_reading.ts
@@ -28,7 +28,7 @@
   const {status, terms, lines, isFramed} = answer;
   const body = await readAnswerBody(answer);
   if (status === MISDIRECTED_STATUS) {
-    endpoints.reportReplaced(endpoint);
+    endpoints.reportReplaced(endpoint, terms.endpointId);
     return {kind: 'refused', detail: 'another instance answers there'};
   }
   if (terms.isNotRun) return {kind: 'refused', detail: `status ${status}`};
--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -75,7 +75,7 @@
         method: exchange.method,
         path: exchange.path,
         lines: this.parts.codec.encodeSend(exchange.lines, {
-          instanceId: endpoint.instanceId,
+          endpointId: endpoint.endpointId,
           team,
           remainingMs: computeRemainingMs(this.request, this.route, sentAt),
           lastEventId: terms.lastEventId,
--- a/packages/gateway/src/serving/endpoint_record.ts
+++ b/packages/gateway/src/serving/endpoint_record.ts
@@ -45,6 +45,12 @@
 /** How long what another host told counts, in ms; it is told each 900 ms. */
 const TOLD_USE_MS = 2000;
 
+/**
+ * Why an endpoint is not used any more: its entry was withdrawn, and what runs
+ * there goes on; or it started anew, and what ran there is lost.
+ */
+export type GoneCause = 'restarted' | 'withdrawn';
+
 interface ToldUse {
   readonly use: EndpointUse;
   readonly toldAt: number;
@@ -52,8 +58,8 @@
 
 /** One endpoint. */
 export class EndpointRecord implements EngineView, PlainView {
-  private gone = false;
-  private readonly goneListeners = new Set<() => void>();
+  private goneCause: GoneCause | undefined;
+  private readonly goneListeners = new Set<(cause: GoneCause) => void>();
   private readonly claims = new Set<UseClaim>();
   private readonly othersUse = new Map<string, ToldUse>();
   private homeUse: ToldUse | undefined;
@@ -71,9 +77,13 @@
     private readonly getNow: () => number,
   ) {}
 
-  /** Whether its entry was withdrawn; what runs there goes on. */
+  /** Whether it is not to be used any more. */
   get isGone(): boolean {
-    return this.gone;
+    return this.goneCause !== undefined;
+  }
+
+  get endpointId(): string {
+    return this.entry.endpointId;
   }
 
   get instanceId(): string {
@@ -135,22 +145,22 @@
     return score < FAILURE_FORGOTTEN ? 0 : score;
   }
 
-  /** Takes it that its entry was withdrawn. */
-  markGone(): void {
-    this.gone = true;
+  /** Takes it that it is not to be used any more. */
+  markGone(cause: GoneCause): void {
+    this.goneCause = cause;
     const listeners = [...this.goneListeners];
     this.goneListeners.clear();
-    for (const listener of listeners) listener();
+    for (const listener of listeners) listener(cause);
   }
 
   /**
-   * Calls a listener once when the entry is withdrawn, or now if it was.
+   * Calls a listener once when it is gone, or now if it is.
    *
    * @returns Ends the watch.
    */
-  watchGone(listener: () => void): () => void {
-    if (this.gone) listener();
-    else this.goneListeners.add(listener);
+  watchGone(listener: (cause: GoneCause) => void): () => void {
+    if (this.goneCause === undefined) this.goneListeners.add(listener);
+    else listener(this.goneCause);
     return () => this.goneListeners.delete(listener);
   }
 
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -134,7 +134,7 @@
     let isCopyNeeded = true;
     try {
       const lines = this.parts.codec.encodeSend(exchange.lines, {
-        instanceId: endpoint.instanceId,
+        endpointId: endpoint.endpointId,
         team,
         remainingMs: computeRemainingMs(this.request, this.route, now),
         lastEventId: this.progress.lastEventId,
--- a/packages/gateway/src/serving/stream_leg.ts
+++ b/packages/gateway/src/serving/stream_leg.ts
@@ -85,6 +85,9 @@
   ): Promise<LegResult> {
     const signal = AbortSignal.any([this.stop, this.controller.signal]);
     this.watch.start();
+    const ignoreGone = this.plan.endpoint.watchGone((cause) => {
+      if (cause === 'restarted') this.end('its engine started anew');
+    });
     try {
       const answer = await this.parts.client.send({...send, signal});
       if (answer.kind === 'lost') {
@@ -96,6 +99,7 @@
       return await this.readAnswer(answer, requestId);
     } finally {
       this.watch.stop();
+      ignoreGone();
     }
   }
 
@@ -123,10 +127,10 @@
     const {endpoint} = this.plan;
     const {endpoints, successors} = this.parts;
     const reading = await readPlainAnswer(endpoints, endpoint, answer);
-    const {instanceId = endpoint.instanceId} = answer.terms;
-    const isOther = instanceId !== endpoint.instanceId;
+    const {endpointId = endpoint.endpointId} = answer.terms;
+    const isOther = endpointId !== endpoint.endpointId;
     if (reading.kind === 'refused' && isOther) {
-      await successors.accept(endpoint, instanceId);
+      await successors.accept(endpoint, endpointId);
     }
     if (reading.kind !== 'whole') return reading;
     return {kind: 'failed', answer: reading.answer};
--- a/packages/gateway/src/serving/successors.ts
+++ b/packages/gateway/src/serving/successors.ts
@@ -34,26 +34,27 @@
   /**
    * Takes in the start that answers at the address of an engine.
    *
-   * @param instanceId The id that it gave.
+   * @param endpointId The id that it gave.
    */
-  async accept(old: EndpointRecord, instanceId: string): Promise<void> {
+  async accept(old: EndpointRecord, endpointId: string): Promise<void> {
     const {endpoints, engines, codec, log} = this.parts;
-    if (!endpoints.isStoreAway || endpoints.find(instanceId) !== undefined) {
-      return;
-    }
+    if (!endpoints.isStoreAway || endpoints.hasEndpoint(endpointId)) return;
     const {address, entry} = old;
     if (!this.isOnlyEngineService(entry.service)) return;
     const answer = await engines.send(address, codec.encodeReport(), ANSWER_MS);
-    const isUsed =
-      answer !== undefined && codec.isReport(answer.status, answer.body);
+    const report =
+      answer === undefined
+        ? undefined
+        : codec.decodeReport(answer.status, answer.body);
     log.writeInfo('An engine started anew while the store is away.', {
-      endpoint: instanceId,
+      endpoint: endpointId,
       before: old.instanceId,
       address,
       status: answer?.status ?? 0,
-      isUsed,
+      isUsed: report !== undefined,
     });
-    if (isUsed) endpoints.addSuccessor(old, instanceId);
+    if (report === undefined) return;
+    endpoints.addSuccessor(old, endpointId, report.startMs);
   }
 
   private isOnlyEngineService(service: string): boolean {
