--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -7,6 +7,7 @@
 export * from './line_writer.js';
 export * from './log.js';
 export * from './place.js';
+export * from './program_options.js';
 export * from './random.js';
 export * from './service.js';
 export * from './settings.js';
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -2,13 +2,20 @@
  * `npm run soak -- --seed N --minutes M --hosts H`: plays seeds one after the
  * other until the time is over; a broken promise ends it with 1 and its seed.
  */
-import {parseArgs} from 'node:util';
+import {parseProgramOptions} from '@irisdock/kernel';
 import {runPlay, USUAL_PLAY, type PlayOptions} from './play.js';
 
 const MINUTE_MS = 60_000;
 const MAX_HOSTS = 150;
 const EXIT_BROKEN = 1;
 const EXIT_USAGE = 2;
+const USAGE = [
+  'npm run soak -- [--seed N] [--minutes M] [--hosts H] [--program FILE]',
+  '  --seed     the first seed, a whole number (1)',
+  '  --minutes  how long seeds are played, a number (3)',
+  `  --hosts    hosts of the deployment, 1 to ${MAX_HOSTS} (${USUAL_PLAY.hosts})`,
+  '  --program  the bundle that hosts run (the deployed one)',
+].join('\n');
 
 async function runSeeds(
   first: number,
@@ -30,14 +37,27 @@
 }
 
 async function runMain(): Promise<number> {
-  const {values} = parseArgs({
-    options: {
-      seed: {type: 'string', default: '1'},
-      minutes: {type: 'string', default: '3'},
-      hosts: {type: 'string', default: String(USUAL_PLAY.hosts)},
-      program: {type: 'string', default: USUAL_PLAY.program},
+  const parsed = parseProgramOptions(
+    {
+      options: {
+        help: {type: 'boolean', default: false},
+        seed: {type: 'string', default: '1'},
+        minutes: {type: 'string', default: '3'},
+        hosts: {type: 'string', default: String(USUAL_PLAY.hosts)},
+        program: {type: 'string', default: USUAL_PLAY.program},
+      },
     },
-  });
+    USAGE,
+  );
+  if (parsed.isErr()) {
+    process.stderr.write(`${parsed.error}\n`);
+    return EXIT_USAGE;
+  }
+  const {values} = parsed.value;
+  if (values.help) {
+    process.stdout.write(`${USAGE}\n`);
+    return 0;
+  }
   const [seed, hosts] = [Number(values.seed), Number(values.hosts)];
   const minutes = Number(values.minutes);
   const {program} = values;
@@ -50,7 +70,7 @@
   if (!isValid) {
     process.stderr.write(
       'Give --seed a whole number, --minutes a number and --hosts a whole ' +
-        `number from 1 to ${MAX_HOSTS}.\n`,
+        `number from 1 to ${MAX_HOSTS}.\n${USAGE}\n`,
     );
     return EXIT_USAGE;
   }
