--- /dev/null
+++ b/packages/gateway/src/services/address_index.ts
@@ -0,0 +1,26 @@
+/** Finds endpoints by the address that their entries name. */
+import type {EndpointRecord} from '../serving/endpoint_record.js';
+
+/** The index; several endpoints may name one address. */
+export class AddressIndex {
+  private readonly records = new Map<string, Set<EndpointRecord>>();
+
+  add(record: EndpointRecord): void {
+    const {address} = record;
+    const known = this.records.get(address);
+    if (known === undefined) this.records.set(address, new Set([record]));
+    else known.add(record);
+  }
+
+  delete(record: EndpointRecord): void {
+    const {address} = record;
+    const known = this.records.get(address);
+    known?.delete(record);
+    if (known?.size === 0) this.records.delete(address);
+  }
+
+  /** Lists the endpoints that name an address. */
+  list(address: string): EndpointRecord[] {
+    return [...(this.records.get(address) ?? [])];
+  }
+}
--- a/packages/gateway/src/services/endpoints.ts
+++ b/packages/gateway/src/services/endpoints.ts
@@ -19,6 +19,7 @@
 import {formatInstanceId, type EndpointEntry} from '../model/endpoint_entry.js';
 import type {RowCodec} from '../model/watched_table.js';
 import {EndpointRecord, type GoneCause} from '../serving/endpoint_record.js';
+import {AddressIndex} from './address_index.js';
 import {GATEWAY_CONFIGURATION} from './configuration.js';
 import {EndpointUses} from './endpoint_uses.js';
 import type {Peers} from './peer_hosts.js';
@@ -56,8 +57,7 @@
   private readonly records = new Map<string, EndpointRecord>();
   /** The start that is known of each endpoint, by the endpoint's id. */
   private readonly starts = new Map<string, EndpointRecord>();
-  /** The starts that name an address, by the address. */
-  private readonly byAddress = new Map<string, Set<EndpointRecord>>();
+  private readonly addresses = new AddressIndex();
   /** Starts whose entries vanished, and that are still in use. */
   private readonly vanished = new Set<EndpointRecord>();
   /** Starts whose entries the store has not listed. */
@@ -235,7 +235,7 @@
     );
     this.records.set(record.instanceId, record);
     this.starts.set(record.endpointId, record);
-    this.addAddress(record);
+    this.addresses.add(record);
     this.version++;
     this.handleChange?.();
     return record;
@@ -245,10 +245,10 @@
     this.vanished.delete(record);
     this.unlisted.delete(record);
     const wasLeaving = record.entry.state === 'leaving';
-    this.dropAddress(record);
+    this.addresses.delete(record);
     // Who was seen leaving stays so, whatever an older entry says.
     record.entry = wasLeaving ? {...entry, state: 'leaving'} : entry;
-    this.addAddress(record);
+    this.addresses.add(record);
     this.handleChange?.();
     if (wasLeaving || entry.state === 'ready') return;
     const {instanceId, address} = entry;
@@ -266,25 +266,11 @@
    */
   private removeOthersAt(entry: EndpointEntry): void {
     if (!this.parts.isServiceNamed(entry.service)) return;
-    for (const record of [...(this.byAddress.get(entry.address) ?? [])]) {
+    for (const record of this.addresses.list(entry.address)) {
       this.remove(record, 'a newer entry has its address');
     }
   }
 
-  private addAddress(record: EndpointRecord): void {
-    const {address} = record;
-    const known = this.byAddress.get(address);
-    if (known === undefined) this.byAddress.set(address, new Set([record]));
-    else known.add(record);
-  }
-
-  private dropAddress(record: EndpointRecord): void {
-    const {address} = record;
-    const known = this.byAddress.get(address);
-    known?.delete(record);
-    if (known?.size === 0) this.byAddress.delete(address);
-  }
-
   private remove(
     record: EndpointRecord,
     reason: string,
@@ -292,7 +278,7 @@
   ): void {
     this.records.delete(record.instanceId);
     this.starts.delete(record.endpointId);
-    this.dropAddress(record);
+    this.addresses.delete(record);
     this.vanished.delete(record);
     this.unlisted.delete(record);
     this.version++;
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -28,6 +28,7 @@
   type LegPlan,
   type LegResult,
 } from './stream_leg.js';
+import {StreamEvidence} from './stream_evidence.js';
 import {StreamPlanner} from './stream_planner.js';
 import {StreamReport} from './stream_report.js';
 
@@ -55,8 +56,7 @@
   private last: PlainAnswer | undefined;
   private mayHaveRun = false;
   private lossDetail = '';
-  /** When the leg began, on the monotonic clock. */
-  private sentAt = 0;
+  private readonly evidence: StreamEvidence;
 
   constructor(
     private readonly parts: ServingParts,
@@ -70,6 +70,9 @@
     this.progress = new EventProgress(terms.lastEventId);
     const {startedAt} = request.exchange;
     this.report = new StreamReport(parts, request.requestId, startedAt);
+    const {rollouts, clock} = parts;
+    const {report} = this;
+    this.evidence = new StreamEvidence(rollouts, route.name, report, clock);
   }
 
   /** Runs legs until the stream ends; gives its outcome for the figures. */
@@ -86,7 +89,7 @@
       const result = await this.runLeg(plan);
       if (exchange.hasLeft()) return 'left';
       if (result.kind === 'ended') {
-        this.recordPace(plan.endpoint);
+        this.evidence.recordEnd(plan.endpoint);
         if (!this.isStarted) this.startAnswer();
         exchange.endStream();
         return 'answered';
@@ -135,7 +138,7 @@
     this.parts.endpoints.peers.uses.publishPlaced();
     const leg = this.createLeg(plan, claim, keeper);
     const now = this.parts.clock.getNow();
-    this.sentAt = now;
+    this.evidence.recordSend();
     const keptTokens = this.planner.countKept(endpoint);
     this.report.recordSend(plan, this.progress.lastEventId, keptTokens);
     let isCopyNeeded = true;
@@ -216,7 +219,10 @@
     const {lastEventId} = this.progress;
     const nextId = events[0]?.id;
     const isFirst = this.report.recordEvents(plan, lastEventId, nextId);
-    if (isFirst) this.recordFirst(plan);
+    if (isFirst) {
+      plan.endpoint.recordSuccess(undefined);
+      this.evidence.recordFirst(plan.endpoint);
+    }
     const {fresh, hasGap} = this.progress.accept(events);
     if (hasGap) leg.end('events are missing');
     const [first] = fresh;
@@ -227,28 +233,6 @@
     return hasRoom ? undefined : exchange.waitForRoom();
   }
 
-  private recordFirst({endpoint}: LegPlan): void {
-    endpoint.recordSuccess(undefined);
-    const ms = this.parts.clock.getNow() - this.sentAt;
-    this.recordAnswer(endpoint, this.route.name, false, ms);
-  }
-
-  /** The pace of events is judged by itself, beside the time to the first. */
-  private recordPace(endpoint: EndpointRecord): void {
-    const ms = this.report.getPaceMs();
-    if (ms === undefined) return;
-    this.recordAnswer(endpoint, `${this.route.name} pace`, false, ms);
-  }
-
-  private recordAnswer(
-    endpoint: EndpointRecord,
-    route: string,
-    isFailed: boolean,
-    ms: number,
-  ): void {
-    this.parts.rollouts.recordAnswer(endpoint, {route, isFailed, ms});
-  }
-
   private startAnswer(): void {
     if (this.head === undefined) return;
     this.isStarted = true;
@@ -267,7 +251,7 @@
     if (hasRun) this.mayHaveRun = true;
     if (result.kind === 'failed') {
       this.last = result.answer;
-      this.recordAnswer(endpoint, this.route.name, true, 0);
+      this.evidence.recordFailed(endpoint);
     }
     if (result.kind === 'stopped') return;
     endpoint.recordFailure(FAILURE_WEIGHTS[result.kind]);
