--- a/packages/gateway/src/services/endpoint_uses.ts
+++ b/packages/gateway/src/services/endpoint_uses.ts
@@ -5,7 +5,7 @@
 import type {HousedEngine} from '@irisdock/decisions';
 import type {ToldUse} from '../model/peer_message.js';
 import type {EndpointUse} from '../serving/endpoint_record.js';
-import type {GatewayEndpoints} from './endpoints.js';
+import type {GatewayEndpoints} from './gateway_endpoints.js';
 import type {HostUses, UseBoard} from './use_notices.js';
 
 /**
--- a/packages/gateway/src/serving/answer_reading.ts
+++ b/packages/gateway/src/serving/answer_reading.ts
@@ -1,6 +1,6 @@
 /** What an answer that is no event stream says of its request. */
 import type {EndpointAnswer} from '../channels/endpoint_client.js';
-import type {GatewayEndpoints} from '../services/endpoints.js';
+import type {GatewayEndpoints} from '../services/gateway_endpoints.js';
 import {readAnswerBody} from './answer_body.js';
 import type {PlainAnswer} from './caller_exchange.js';
 import type {EndpointRecord} from './endpoint_record.js';
--- a/packages/gateway/src/serving/serving_parts.ts
+++ b/packages/gateway/src/serving/serving_parts.ts
@@ -3,7 +3,7 @@
 import type {EndpointClient} from '../channels/endpoint_client.js';
 import type {CopyCodec, HeaderCodec} from '../model/request_terms.js';
 import type {GatewayConfiguration} from '../services/configuration.js';
-import type {GatewayEndpoints} from '../services/endpoints.js';
+import type {GatewayEndpoints} from '../services/gateway_endpoints.js';
 import type {EngineCaller} from './engine_caller.js';
 import type {KeptPromptFinder} from './kept_prompts.js';
 import type {RepeatBudgets} from './repeat_budgets.js';
--- a/packages/gateway/src/serving/successors.ts
+++ b/packages/gateway/src/serving/successors.ts
@@ -11,7 +11,7 @@
 import type {Logger} from '@irisdock/kernel';
 import type {EngineReportCodec} from '../model/request_terms.js';
 import type {GatewayConfiguration} from '../services/configuration.js';
-import type {GatewayEndpoints} from '../services/endpoints.js';
+import type {GatewayEndpoints} from '../services/gateway_endpoints.js';
 import type {EndpointRecord} from './endpoint_record.js';
 import type {EngineCaller} from './engine_caller.js';
 
