Tell a host of a roll-out's end that it missed, and let it use the only version there is

Cause: by reading the change once more: the end is told for 10 s; a host that starts later would stay at the order's announcement, bar the new endpoints, and have none once the old ones are gone. Change: who takes its report answers with the phase; before that, endpoints of the ordered version are open where no old one is known.

--- a/packages/gateway/src/services/peer_hosts.ts
+++ b/packages/gateway/src/services/peer_hosts.ts
@@ -162,10 +162,15 @@
 
   /** Sends to the hosts that read the store, but for this one. */
   sendToReaders(datagram: PeerDatagram): void {
-    const {view} = this.tracker;
+    const readers = this.standing.listReaders().slice(0, TOLD_READERS);
+    this.sendToNames(readers, datagram);
+  }
+
+  /** Sends to hosts by name, as far as they are known. */
+  sendToNames(names: readonly string[], datagram: PeerDatagram): void {
     const hosts: KnownHost<PeerPlace>[] = [];
-    for (const name of this.standing.listReaders().slice(0, TOLD_READERS)) {
-      const host = view.find(name);
+    for (const name of names) {
+      const host = this.tracker.view.find(name);
       if (host !== undefined) hosts.push(host);
     }
     this.sendTo(hosts, datagram);
--- a/packages/gateway/src/services/rollout_runner.ts
+++ b/packages/gateway/src/services/rollout_runner.ts
@@ -80,6 +80,8 @@
       if (state.setPhase(report.phase)) {
         this.parts.rollouts.handleAdvanced(state);
       }
+      // A host that started after the end would else never hear of it.
+      if (report.phase !== state.phase) this.publishPhase(state, [name]);
     }
   }
 
@@ -90,15 +92,20 @@
     this.parts.rollouts.handleAdvanced(state);
   }
 
-  /** Tells all hosts the phase. */
-  publishPhase({order, revision, phase}: RolloutState): void {
+  /**
+   * Tells hosts the phase.
+   *
+   * @param names The hosts; all when it is left out.
+   */
+  publishPhase(
+    {order, revision, phase}: RolloutState,
+    names?: readonly string[],
+  ): void {
     const {service} = order;
-    this.parts.peers.sendToAll({
-      kind: 'rollout-phase',
-      service,
-      revision,
-      phase,
-    });
+    const {peers} = this.parts;
+    const datagram = {kind: 'rollout-phase', service, revision, phase} as const;
+    if (names === undefined) peers.sendToAll(datagram);
+    else peers.sendToNames(names, datagram);
   }
 
   private async run(): Promise<void> {
--- a/packages/gateway/src/serving/rollout_state.ts
+++ b/packages/gateway/src/serving/rollout_state.ts
@@ -72,10 +72,13 @@
    * Whether endpoints of a side get usual requests.
    *
    * @param hasNew Whether any new endpoint can take requests.
+   * @param hasOld Whether any old endpoint is known.
    */
-  isOpen(side: RolloutSide, hasNew: boolean): boolean {
+  isOpen(side: RolloutSide, hasNew: boolean, hasOld: boolean): boolean {
     const isMoved = this.known === 'moving' || this.known === 'completed';
-    if (side === 'new') return isMoved;
+    // With no old one left it was completed before this host heard of it.
+    const isPast = this.known === 'announced' && !hasOld;
+    if (side === 'new') return isMoved || isPast;
     if (side === 'other' || !isMoved) return true;
     // Before its end old endpoints still run, and stand in for lost new ones.
     return this.known === 'moving' && !hasNew;
--- a/packages/gateway/src/serving/rollouts.ts
+++ b/packages/gateway/src/serving/rollouts.ts
@@ -88,15 +88,18 @@
     for (const {entry} of records) {
       this.states.get(entry.service)?.addVersion(entry.version);
     }
-    const served = new Set<RolloutState>();
+    const withNew = new Set<RolloutState>();
+    const withOld = new Set<RolloutState>();
     for (const state of this.states.values()) {
-      if (this.listNew(state).length > 0) served.add(state);
+      if (this.listNew(state).length > 0) withNew.add(state);
+      if (this.listSide(state, 'old').length > 0) withOld.add(state);
     }
     for (const record of records) {
       const state = this.states.get(record.entry.service);
       if (state === undefined) continue;
       const side = state.getSide(record);
-      record.isBarred = !state.isOpen(side, served.has(state));
+      const hasNew = withNew.has(state);
+      record.isBarred = !state.isOpen(side, hasNew, withOld.has(state));
     }
   }
 
