--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -8,8 +8,9 @@
 /** The command. */
 export const EXPLAIN_COMMAND = createCommand({
   name: 'explain',
-  usage: '<request-id> [-f <log> ...]',
-  description: 'Gathers the log lines of one request over all hosts.',
+  usage: '<request-id | content> [-f <log> ...]',
+  description:
+    'Gathers the log lines of one request, or of one content, over all hosts.',
   options: [
     {
       flag: 'file',
--- a/packages/cli/src/log_lines.ts
+++ b/packages/cli/src/log_lines.ts
@@ -28,18 +28,25 @@
   readonly fields: Readonly<Record<string, unknown>>;
 }
 
-/** Gives the lines of a text that are about a request, in their order. */
+/**
+ * Gives the lines of a text that are about a request, in their order.
+ *
+ * @param name The id of the request, or the name of its content, which is the
+ *   same for each try of its caller.
+ */
 export function parseRequestLines(
   text: string,
-  request: string,
+  name: string,
   file: string,
 ): RequestLine[] {
   const lines: RequestLine[] = [];
   for (const line of text.split('\n')) {
     // Most lines are about other requests and need not be read.
-    if (!line.includes(request)) continue;
+    if (!line.includes(name)) continue;
     const found = parseLine(line, file);
-    if (found?.context['request'] !== request) continue;
+    if (found === undefined) continue;
+    const {request, content} = found.context;
+    if (request !== name && content !== name) continue;
     lines.push(createRequestLine(found));
   }
   return lines;
--- a/packages/gateway/src/channels/endpoint_client.ts
+++ b/packages/gateway/src/channels/endpoint_client.ts
@@ -4,7 +4,7 @@
  * it must not run twice.
  */
 import {request, type ClientRequest, type IncomingMessage} from 'node:http';
-import {getErrorText, splitPlace} from '@irisdock/kernel';
+import {getErrorText, isRefused, splitPlace} from '@irisdock/kernel';
 import type {
   AnswerTerms,
   HeaderCodec,
@@ -56,6 +56,8 @@
   /** Whether the endpoint may have got the request. */
   readonly mayHaveRun: boolean;
   readonly detail: string;
+  /** Whether nothing listens at the address. */
+  readonly isRefused: boolean;
 }
 
 /** How long a connection may take to open, in ms; a live one takes a few. */
@@ -97,7 +99,12 @@
       });
       message.on('error', (error) => {
         const detail = endReason ?? getErrorText(error);
-        resolve({kind: 'lost', mayHaveRun, detail});
+        resolve({
+          kind: 'lost',
+          mayHaveRun,
+          detail,
+          isRefused: isRefused(error),
+        });
       });
       message.once('response', (answer) => {
         resolve(this.createAnswer(message, answer));
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -13,9 +13,11 @@
 import {EndpointClient} from '../channels/endpoint_client.js';
 import {startListening} from '../channels/listening.js';
 import {CallerExchange} from '../serving/caller_exchange.js';
+import {EndpointEndCheck} from '../serving/endpoint_end.js';
 import {EndpointProber} from '../serving/endpoint_prober.js';
 import {EngineCaller} from '../serving/engine_caller.js';
 import {KeptPromptFinder} from '../serving/kept_prompts.js';
+import {LostRuns} from '../serving/lost_runs.js';
 import {RepeatBudgets} from '../serving/repeat_budgets.js';
 import {RequestHandler} from '../serving/request_handler.js';
 import {ServingMetrics} from '../serving/serving_metrics.js';
@@ -137,6 +139,9 @@
   const endpoints = context.find(GATEWAY_ENDPOINTS);
   const client = new EndpointClient(codec);
   const engines = new EngineCaller(client);
+  const servingMetrics = new ServingMetrics(metrics);
+  const {reportPath} = codec;
+  const check = new EndpointEndCheck({client, reportPath, endpoints, random});
   return {
     clock,
     random,
@@ -167,7 +172,8 @@
       () => clock.getNow(),
     ),
     rollouts: context.find(ROLLOUTS),
-    metrics: new ServingMetrics(metrics),
+    lostRuns: new LostRuns({check, metrics: servingMetrics, log}),
+    metrics: servingMetrics,
   };
 }
 
--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -146,12 +146,15 @@
       this.mayHaveRun = true;
       const {detail} = result;
       this.last = GATEWAY_ERRORS.create('answer_lost', {detail});
+      const {requestId, content} = this.request;
+      void this.parts.lostRuns.record({requestId, content, endpoint});
     } else {
       this.notRun++;
     }
     metrics.losses.inc({reason: mayHaveRun ? 'lost' : 'refused'});
     log.writeInfo('A call brought no answer.', {
       request: this.request.requestId,
+      content: this.request.content,
       endpoint: endpoint.instanceId,
       address: endpoint.address,
       mayHaveRun,
--- a/packages/gateway/src/serving/caller_exchange.ts
+++ b/packages/gateway/src/serving/caller_exchange.ts
@@ -202,6 +202,8 @@
   readonly terms: RequestTerms;
   readonly team: string | undefined;
   readonly body: Buffer;
+  /** The name of its content, the same for each try of its caller. */
+  readonly content: string;
   /** When the caller stops waiting, on the monotonic clock; may be Infinity. */
   readonly callerUntil: number;
 }
--- /dev/null
+++ b/packages/gateway/src/serving/endpoint_end.ts
@@ -0,0 +1,103 @@
+/**
+ * Whether an endpoint has ended, asked when a run there was lost. A run is lost
+ * with its endpoint, or by a connection that was reset or a link that was cut;
+ * a whole failure domain may be lost at once. Only an address that refuses
+ * connections says that the process there has ended.
+ */
+import {getSample, type Random} from '@irisdock/kernel';
+import type {EndpointClient} from '../channels/endpoint_client.js';
+import type {GatewayEndpoints} from '../services/gateway_endpoints.js';
+import type {EndpointRecord} from './endpoint_record.js';
+
+/** What became of an endpoint. */
+export type EndpointEnd =
+  /** It answers: only the connection was lost. */
+  | 'answers'
+  /** It has ended, and others of its failure domain answer. */
+  | 'ended'
+  /** It has ended together with others of its failure domain. */
+  | 'ended-with-domain'
+  /** Nothing was heard. */
+  | 'unknown';
+
+/** How long an endpoint may take to answer, in ms; one that runs takes a few. */
+const ANSWER_MS = 200;
+/**
+ * Others of the failure domain that are asked. Where nine in ten are lost at
+ * once, both have ended in four of five cases; one that is lost for a reason of
+ * its own is next to two such in one of a hundred.
+ */
+const ASKED_NEIGHBORS = 2;
+/**
+ * A kept connection to an endpoint that has ended may not have been closed yet
+ * by this side; the next try opens a new one.
+ */
+const MAX_TRIES = 4;
+
+/** What the check works with. */
+export interface EndpointEndParts {
+  readonly client: EndpointClient;
+  readonly reportPath: string;
+  readonly endpoints: GatewayEndpoints;
+  readonly random: Random;
+}
+
+/** Asks endpoints whether they have ended; those that wait share a question. */
+export class EndpointEndCheck {
+  private readonly asked = new Map<string, Promise<EndpointEnd>>();
+
+  constructor(private readonly parts: EndpointEndParts) {}
+
+  /** Finds out what became of an endpoint under whose run a connection was lost. */
+  async check(endpoint: EndpointRecord): Promise<EndpointEnd> {
+    const {instanceId} = endpoint;
+    const asked = this.asked.get(instanceId);
+    if (asked !== undefined) return asked;
+    const question = this.checkOnce(endpoint).finally(() => {
+      this.asked.delete(instanceId);
+    });
+    this.asked.set(instanceId, question);
+    return question;
+  }
+
+  private async checkOnce(endpoint: EndpointRecord): Promise<EndpointEnd> {
+    const state = await this.probe(endpoint);
+    if (state !== 'ended') return state;
+    const neighbors = this.listNeighbors(endpoint);
+    const states = await Promise.all(neighbors.map((one) => this.probe(one)));
+    const isAlone = states.length === 0 || states.includes('answers');
+    return isAlone ? 'ended' : 'ended-with-domain';
+  }
+
+  private listNeighbors(endpoint: EndpointRecord): EndpointRecord[] {
+    const {endpoints, random} = this.parts;
+    const others: EndpointRecord[] = [];
+    for (const other of endpoints.listUsable(endpoint.entry.service)) {
+      if (other === endpoint || other.failureScore > 0) continue;
+      if (other.failureDomain === endpoint.failureDomain) others.push(other);
+    }
+    return getSample(others, ASKED_NEIGHBORS, random);
+  }
+
+  private async probe(
+    endpoint: EndpointRecord,
+  ): Promise<'answers' | 'ended' | 'unknown'> {
+    const signal = AbortSignal.timeout(ANSWER_MS);
+    for (let tries = 0; tries < MAX_TRIES && !signal.aborted; tries++) {
+      const answer = await this.parts.client.send({
+        address: endpoint.address,
+        method: 'GET',
+        path: this.parts.reportPath,
+        lines: [['Host', endpoint.address]],
+        body: Buffer.alloc(0),
+        signal,
+      });
+      if (answer.kind === 'answer') {
+        answer.message.resume();
+        return 'answers';
+      }
+      if (answer.isRefused) return 'ended';
+    }
+    return 'unknown';
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/serving/lost_runs.ts
@@ -0,0 +1,44 @@
+/**
+ * Runs that were lost while an endpoint had them: finds out whether the endpoint
+ * ended under the run, and tells of it.
+ */
+import type {Logger} from '@irisdock/kernel';
+import type {EndpointEndCheck} from './endpoint_end.js';
+import type {EndpointRecord} from './endpoint_record.js';
+import type {ServingMetrics} from './serving_metrics.js';
+
+/** A run that was lost. */
+export interface LostRun {
+  readonly requestId: string;
+  /** The name of the request's content. */
+  readonly content: string;
+  readonly endpoint: EndpointRecord;
+}
+
+/** What the lost runs work with. */
+export interface LostRunsParts {
+  readonly check: EndpointEndCheck;
+  readonly metrics: ServingMetrics;
+  readonly log: Logger;
+}
+
+/** Takes lost runs. */
+export class LostRuns {
+  constructor(private readonly parts: LostRunsParts) {}
+
+  /** Takes a lost run; resolves when it is known what became of its endpoint. */
+  async record({requestId, content, endpoint}: LostRun): Promise<void> {
+    const {check, metrics, log} = this.parts;
+    const ownRuns = endpoint.getOwnUse().running;
+    const end = await check.check(endpoint);
+    metrics.lostRuns.inc({end});
+    log.writeInfo('It was asked what became of the endpoint of a lost run.', {
+      request: requestId,
+      content,
+      endpoint: endpoint.instanceId,
+      domain: endpoint.failureDomain,
+      end,
+      ownRuns,
+    });
+  }
+}
--- a/packages/gateway/src/serving/request_handler.ts
+++ b/packages/gateway/src/serving/request_handler.ts
@@ -9,6 +9,7 @@
 import {CallDriver} from './call_driver.js';
 import type {AdmittedRequest, CallerExchange} from './caller_exchange.js';
 import type {EndpointProber} from './endpoint_prober.js';
+import {hashContent} from './request_content.js';
 import {decideRetryAfter} from './retry_after.js';
 import {createNotRun} from './send_rules.js';
 import {getRandomPart, type ServingParts} from './serving_parts.js';
@@ -88,6 +89,7 @@
     }
     parts.log.writeInfo('A request ended.', {
       request: request.requestId,
+      content: request.content,
       route: route.name,
       service,
       version: parts.configuration.version,
@@ -126,7 +128,8 @@
     }
     const team = found.kind === 'known' ? found.team : undefined;
     const callerUntil = exchange.startedAt + (remainingMs ?? Infinity);
-    return {exchange, requestId, terms, team, body, callerUntil};
+    const content = hashContent(team, exchange.path, body);
+    return {exchange, requestId, terms, team, body, content, callerUntil};
   }
 
   private chooseService(route: ServingRoute): string | undefined {
--- a/packages/gateway/src/serving/serving_metrics.ts
+++ b/packages/gateway/src/serving/serving_metrics.ts
@@ -9,6 +9,7 @@
 export class ServingMetrics {
   readonly requests: Counter;
   readonly losses: Counter;
+  readonly lostRuns: Counter;
   readonly answerSeconds: Histogram;
   readonly resumeSeconds: Histogram;
 
@@ -26,6 +27,12 @@
       labelNames: ['reason'],
       registers,
     });
+    this.lostRuns = new Counter({
+      name: 'irisdock_gateway_lost_runs_total',
+      help: 'Runs that were lost, a count, by what became of their endpoints.',
+      labelNames: ['end'],
+      registers,
+    });
     this.answerSeconds = new Histogram({
       name: 'irisdock_gateway_answer_seconds',
       help: 'Time to a whole answer or a first event, in seconds.',
--- a/packages/gateway/src/serving/serving_parts.ts
+++ b/packages/gateway/src/serving/serving_parts.ts
@@ -6,6 +6,7 @@
 import type {GatewayEndpoints} from '../services/gateway_endpoints.js';
 import type {EngineCaller} from './engine_caller.js';
 import type {KeptPromptFinder} from './kept_prompts.js';
+import type {LostRuns} from './lost_runs.js';
 import type {RepeatBudgets} from './repeat_budgets.js';
 import type {Rollouts} from './rollouts.js';
 import type {ServingMetrics} from './serving_metrics.js';
@@ -26,6 +27,7 @@
   readonly endpoints: GatewayEndpoints;
   readonly budgets: RepeatBudgets;
   readonly rollouts: Rollouts;
+  readonly lostRuns: LostRuns;
   readonly metrics: ServingMetrics;
 }
 
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -260,6 +260,9 @@
     }
     const {lastEventId} = this.progress;
     this.report.recordLoss(plan, result, this.lossDetail, lastEventId);
+    if (result.kind !== 'lost' || !hasRun) return;
+    const {requestId, content} = this.request;
+    void this.parts.lostRuns.record({requestId, content, endpoint});
   }
 
   private isRepeatAllowed(result: LegResult): boolean {
