Refuse a request that ended three endpoints, whatever its id and its host

Cause: every bound on repeats counted one id at one host, so a request that ends its endpoints was a new one each time it came. Ruled out: one host sending too often by itself (runs never exceeded the route's attempts); engines that end for another reason (fifty ends, each 50 to 80 ms after the same content began). Change: crashes are facts by content and start of an endpoint, told to all hosts at once and kept in the store from the second on; from three on a content is refused. What ran beside the cause is told apart by who has more crashes, and placed apart; lost failure domains count for nothing.

--- a/bench/src/standin_hosts.ts
+++ b/bench/src/standin_hosts.ts
@@ -125,7 +125,7 @@
       changes: [],
       recordsHash: (this.hashSum + ownHash) >>> 0,
     };
-    const revisions = {configuration: 1, endpoints: 1};
+    const revisions = {configuration: 1, endpoints: 1, crashes: 0};
     const datagram = {kind: 'watch', watch, revisions, reports: []} as const;
     const {host, port} = splitPlace(this.target);
     socket.send(encodePeerDatagram(datagram), port, host);
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,8 +1,10 @@
 /** Pure decisions, each beside its naive version. */
 export * from './address_answer.js';
 export * from './answer_assembler.js';
+export * from './apart_placement.js';
 export * from './change_queue.js';
 export * from './configuration_state.js';
+export * from './crash_ledger.js';
 export * from './departure_delay.js';
 export * from './duty_hosts.js';
 export * from './endpoint_choice.js';
@@ -26,6 +28,7 @@
 export * from './member.js';
 export * from './membership_view.js';
 export * from './naive/naive_assembler.js';
+export * from './naive/naive_crash_ledger.js';
 export * from './naive/naive_endpoint_choice.js';
 export * from './naive/naive_event_split.js';
 export * from './naive/naive_loss_response.js';
--- a/packages/gateway/src/errors.ts
+++ b/packages/gateway/src/errors.ts
@@ -51,6 +51,22 @@
     message: 'No endpoint of {service} began the request in its time.',
     remedy: 'Come back after the time in Retry-After.',
   },
+  content_refused: {
+    status: 502,
+    outcome: 'not-run',
+    message:
+      'Endpoints ended each time they ran this request (content {content}); it is not run again.',
+    remedy:
+      'Change the request, or ask the operators to look at its content; the same one stays refused for a while.',
+  },
+  endpoints_ended: {
+    status: 502,
+    outcome: 'run',
+    message:
+      'The endpoints that ran this request ended each time (content {content}); it is not run again.',
+    remedy:
+      'Change the request, or ask the operators to look at its content; the same one stays refused for a while.',
+  },
   leaving: {
     status: 503,
     outcome: 'not-run',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,6 +25,7 @@
 import {Registry} from 'prom-client';
 import * as z from 'zod';
 import {GATEWAY_CONFIGURATION_SERVICE} from './services/configuration.js';
+import {CRASHES_SERVICE} from './services/crashes.js';
 import {DIRECTORY_SERVICE} from './services/directory.js';
 import {GATEWAY_ENDPOINTS_SERVICE} from './services/endpoints.js';
 import {FRONT_SERVICE} from './services/front.js';
@@ -50,6 +51,7 @@
   INTRODUCTION_SERVICE,
   METRICS_PAGE_SERVICE,
   ROLLOUTS_SERVICE,
+  CRASHES_SERVICE,
   FRONT_SERVICE,
   DIRECTORY_SERVICE,
 ];
--- a/packages/gateway/src/model/peer_codec.ts
+++ b/packages/gateway/src/model/peer_codec.ts
@@ -3,7 +3,12 @@
  * host writes and reads some twenty a second.
  */
 import {decode, encode} from '@msgpack/msgpack';
-import type {HostChange, HostRecord, ReaderReport} from '@irisdock/decisions';
+import type {
+  Crash,
+  HostChange,
+  HostRecord,
+  ReaderReport,
+} from '@irisdock/decisions';
 import {getErrorText} from '@irisdock/kernel';
 import {err, ok, type Result} from 'neverthrow';
 import type {
@@ -25,8 +30,11 @@
 
 const STATES = ['starting', 'ready', 'leaving'] as const;
 const WATCH_KINDS = ['answer', 'notice', 'probe', 'relay'] as const;
-/** Watch, uses, news, question, answer, loss, report and phase of roll-outs. */
-const KINDS = ['w', 'u', 'n', 'q', 'a', 'l', 'r', 'p'] as const;
+/**
+ * Watch, uses, news, question, answer, loss, report and phase of roll-outs,
+ * crashes, and contents without any.
+ */
+const KINDS = ['w', 'u', 'n', 'q', 'a', 'l', 'r', 'p', 'c', 'd'] as const;
 
 /** Reads a datagram. */
 export function decodePeerDatagram(
@@ -67,9 +75,17 @@
       return readRolloutReport(fields);
     case 'p':
       return readRolloutPhase(fields);
+    case 'c':
+      return {kind: 'crashes', crashes: fields.readList(readCrash)};
+    case 'd':
+      return {kind: 'cleared', content: fields.readText()};
   }
 }
 
+function readCrash(fields: TupleReader): Crash {
+  return {content: fields.readText(), instanceId: fields.readText()};
+}
+
 function readNews(fields: TupleReader): NewsDatagram {
   return {
     kind: 'news',
@@ -96,6 +112,7 @@
     revisions: fields.readTuple((revisions) => ({
       configuration: revisions.readNumber(),
       endpoints: revisions.readNumber(),
+      crashes: revisions.readNumber(),
     })),
     reports: fields.readList(readReport),
   };
@@ -191,6 +208,15 @@
       const {service, revision, phase} = datagram;
       return encode(['p', service, revision, phase]);
     }
+    case 'crashes': {
+      const list = datagram.crashes.map(({content, instanceId}) => [
+        content,
+        instanceId,
+      ]);
+      return encode(['c', list]);
+    }
+    case 'cleared':
+      return encode(['d', datagram.content]);
   }
 }
 
@@ -218,7 +244,7 @@
       listPlace(place),
     ]),
     watch.recordsHash,
-    [revisions.configuration, revisions.endpoints],
+    [revisions.configuration, revisions.endpoints, revisions.crashes],
     reports.map((report) => [
       report.name,
       report.incarnation,
--- a/packages/gateway/src/model/peer_message.ts
+++ b/packages/gateway/src/model/peer_message.ts
@@ -3,6 +3,7 @@
  * tables that were just read, and what they have running.
  */
 import type {
+  Crash,
   ReaderReport,
   RolloutPhase,
   WatchMessage,
@@ -91,6 +92,18 @@
   readonly instanceId: string;
 }
 
+/** Endpoints that ended while they ran some contents. */
+export interface CrashesDatagram {
+  readonly kind: 'crashes';
+  readonly crashes: readonly Crash[];
+}
+
+/** Says that a content ends no endpoints, whatever was told before. */
+export interface ClearedDatagram {
+  readonly kind: 'cleared';
+  readonly content: string;
+}
+
 /** What a host saw of roll-outs, to those that decide on them. */
 export interface RolloutReportDatagram {
   readonly kind: 'rollout-report';
@@ -113,6 +126,8 @@
 /** A datagram. */
 export type PeerDatagram =
   | AnswerDatagram
+  | ClearedDatagram
+  | CrashesDatagram
   | LossDatagram
   | NewsDatagram
   | QuestionDatagram
--- a/packages/gateway/src/model/watched_table.ts
+++ b/packages/gateway/src/model/watched_table.ts
@@ -22,6 +22,7 @@
 /** The names of the tables, as this project uses them. */
 export const TABLES = [
   'configuration',
+  'crashes',
   'endpoints',
   'hosts',
   'rollouts',
@@ -30,10 +31,20 @@
 export type TableName = (typeof TABLES)[number];
 
 /** The tables that every host keeps a copy of. */
-export const FOLLOWED_TABLES = ['configuration', 'endpoints'] as const;
+export const FOLLOWED_TABLES = [
+  'configuration',
+  'endpoints',
+  'crashes',
+] as const;
 /** The name of a followed table. */
 export type FollowedTable = (typeof FOLLOWED_TABLES)[number];
 
+/** What becomes of a row: its new value, or undefined to delete it. */
+export interface RowChange {
+  readonly key: string;
+  readonly value: string | undefined;
+}
+
 /** Why a call to the store failed. */
 export type StoreErrorKind =
   | 'store_busy'
@@ -78,6 +89,11 @@
     value: string,
     expected: number,
   ): Promise<Result<void, StoreError>>;
+  /** Writes and deletes rows, all or none; a hundred at most. */
+  writeAll(
+    table: TableName,
+    changes: readonly RowChange[],
+  ): Promise<Result<void, StoreError>>;
   /** Deletes a row. */
   delete(table: TableName, key: string): Promise<Result<void, StoreError>>;
   close(): void;
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -23,6 +23,7 @@
 import {ServingMetrics} from '../serving/serving_metrics.js';
 import type {ServingParts} from '../serving/serving_parts.js';
 import {SuccessorFinder} from '../serving/successors.js';
+import {CRASHES} from './crashes.js';
 import {GATEWAY_CONFIGURATION} from './configuration.js';
 import {GATEWAY_ENDPOINTS} from './endpoints.js';
 import {HOST_PHASE, type HostPhase} from './host_phase.js';
@@ -68,6 +69,7 @@
   settings: SETTINGS,
   needs: [
     CODECS,
+    CRASHES,
     GATEWAY_CONFIGURATION,
     GATEWAY_ENDPOINTS,
     HOST_PHASE,
@@ -140,6 +142,7 @@
   const client = new EndpointClient(codec);
   const engines = new EngineCaller(client);
   const servingMetrics = new ServingMetrics(metrics);
+  const crashes = context.find(CRASHES);
   const {reportPath} = codec;
   const check = new EndpointEndCheck({client, reportPath, endpoints, random});
   return {
@@ -172,7 +175,8 @@
       () => clock.getNow(),
     ),
     rollouts: context.find(ROLLOUTS),
-    lostRuns: new LostRuns({check, metrics: servingMetrics, log}),
+    crashes,
+    lostRuns: new LostRuns({check, crashes, metrics: servingMetrics, log}),
     metrics: servingMetrics,
   };
 }
--- a/packages/gateway/src/services/peer_hosts.ts
+++ b/packages/gateway/src/services/peer_hosts.ts
@@ -3,7 +3,7 @@
  * there (`host_tracker.ts`), changes of the tables (`news_spreader.ts`), and
  * what they have running (`use_notices.ts`, `use_questions.ts`).
  */
-import type {KnownHost} from '@irisdock/decisions';
+import type {Crash, KnownHost} from '@irisdock/decisions';
 import {getShuffled} from '@irisdock/kernel';
 import {DatagramSocket} from '../channels/datagram_socket.js';
 import {decodePeerDatagram, encodePeerDatagram} from '../model/peer_codec.js';
@@ -49,6 +49,12 @@
   acceptPhase(datagram: RolloutPhaseDatagram): void;
 }
 
+/** Takes what other hosts tell of contents that end endpoints. */
+export interface CrashBoard {
+  acceptCrashes(crashes: readonly Crash[]): void;
+  acceptCleared(content: string): void;
+}
+
 /** The other hosts. */
 export class Peers {
   readonly uses: UseNotices;
@@ -59,6 +65,7 @@
   private readonly news: NewsSpreader;
   private readonly seeds: SeedTries;
   private rollouts: RolloutBoard | undefined;
+  private crashes: CrashBoard | undefined;
 
   constructor(private readonly parts: PeersParts) {
     const {name, place, tables, random, log, clock} = parts;
@@ -102,6 +109,11 @@
     this.rollouts = board;
   }
 
+  /** Sets who takes what other hosts tell of contents that end endpoints. */
+  set crashBoard(board: CrashBoard) {
+    this.crashes = board;
+  }
+
   /** How this host and the others stand with the store. */
   get standing(): StoreStanding {
     return this.tracker.standing;
@@ -266,6 +278,12 @@
         return;
       case 'rollout-phase':
         this.rollouts?.acceptPhase(datagram);
+        return;
+      case 'crashes':
+        this.crashes?.acceptCrashes(datagram.crashes);
+        return;
+      case 'cleared':
+        this.crashes?.acceptCleared(datagram.content);
     }
   }
 }
--- a/packages/gateway/src/services/peer_table_loader.ts
+++ b/packages/gateway/src/services/peer_table_loader.ts
@@ -48,10 +48,11 @@
 
   /** Lists the newest changes that this host knows. */
   listRevisions(): TableRevisions {
-    const {configuration, endpoints} = this.tables;
+    const {configuration, endpoints, crashes} = this.tables;
     return {
       configuration: configuration.replica.lastChange,
       endpoints: endpoints.replica.lastChange,
+      crashes: crashes.replica.lastChange,
     };
   }
 
@@ -102,12 +103,10 @@
 
   private async loadFrom(address: string, withHosts: boolean): Promise<void> {
     const {tables, log} = this;
-    const {configuration, endpoints} = tables;
-    const query = new URLSearchParams({
-      configuration: String(getLoadAfter(configuration.replica)),
-      endpoints: String(getLoadAfter(endpoints.replica)),
-      ...(withHosts ? {hosts: 'all'} : {}),
-    });
+    const query = new URLSearchParams(withHosts ? {hosts: 'all'} : {});
+    for (const table of FOLLOWED_TABLES) {
+      query.set(table, String(getLoadAfter(tables[table].replica)));
+    }
     const answer = await this.caller.send(address, {
       method: 'GET',
       path: `${PEER_TABLES_PATH}?${query.toString()}`,
--- a/packages/gateway/src/services/tables.ts
+++ b/packages/gateway/src/services/tables.ts
@@ -9,6 +9,7 @@
 export interface Tables {
   readonly configuration: TableFollower;
   readonly endpoints: TableFollower;
+  readonly crashes: TableFollower;
 }
 
 /** The key of the service. */
@@ -27,6 +28,10 @@
     unit: 'ms',
     description: 'The least time between two reads of the endpoints.',
   }),
+  crashesWaitMs: z.coerce.number().int().min(100).default(5000).meta({
+    unit: 'ms',
+    description: 'The same for crashes, which change rarely.',
+  }),
   retryMs: z.coerce.number().int().min(10).default(300).meta({
     unit: 'ms',
     description: 'The time between tries while the store is away.',
@@ -40,8 +45,12 @@
   needs: [STORE],
   create(context, settings) {
     const store = context.find(STORE);
-    const createFollower = (name: TableName, paceMs: number): TableFollower => {
-      const {waitMs, retryMs} = settings;
+    const createFollower = (
+      name: TableName,
+      paceMs: number,
+      waitMs = settings.waitMs,
+    ): TableFollower => {
+      const {retryMs} = settings;
       const options: FollowerOptions = {waitMs, paceMs, retryMs};
       return new TableFollower(
         name,
@@ -57,6 +66,11 @@
         settings.configurationPaceMs,
       ),
       endpoints: createFollower('endpoints', settings.endpointsPaceMs),
+      crashes: createFollower(
+        'crashes',
+        settings.configurationPaceMs,
+        settings.crashesWaitMs,
+      ),
     };
     return {
       api,
--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -14,6 +14,7 @@
 import {
   computeRemainingMs,
   createNotRun,
+  createRefused,
   FAILED_STATUS,
   FAILURE_WEIGHTS,
 } from './send_rules.js';
@@ -22,6 +23,9 @@
 /** Sends that certainly did not run may be repeated this often. */
 const MAX_NOT_RUN = 3;
 
+/** The longest wait for what became of an endpoint, in ms; it takes a few. */
+const MAX_END_WAIT_MS = 60;
+
 /** Drives one call. */
 export class CallDriver {
   /** The endpoint of the last send; undefined before the first. */
@@ -50,6 +54,7 @@
       const result = await this.send(endpoint);
       if (this.request.exchange.hasLeft()) return 'left';
       this.record(endpoint, result);
+      await this.checkEnd(endpoint, result);
       if (this.request.exchange.isExpired) return this.finishExpired();
       if (!this.isRepeatAllowed(result)) return this.finish();
     }
@@ -146,8 +151,6 @@
       this.mayHaveRun = true;
       const {detail} = result;
       this.last = GATEWAY_ERRORS.create('answer_lost', {detail});
-      const {requestId, content} = this.request;
-      void this.parts.lostRuns.record({requestId, content, endpoint});
     } else {
       this.notRun++;
     }
@@ -162,6 +165,35 @@
     });
   }
 
+  /**
+   * Finds out whether the endpoint of a lost call ended under it. Only a call
+   * whose content did so before waits for that.
+   */
+  private async checkEnd(
+    endpoint: EndpointRecord,
+    result: AnswerReading,
+  ): Promise<void> {
+    const {clock, crashes, lostRuns} = this.parts;
+    const {requestId, content, exchange} = this.request;
+    if (result.kind === 'whole') {
+      if (result.answer.status < FAILED_STATUS) {
+        crashes.recordEndedWell(content);
+      }
+      return;
+    }
+    if (result.kind !== 'lost' || !result.mayHaveRun) return;
+    // The send was ended by this host, as its time was over.
+    if (exchange.isExpired) return;
+    const known = lostRuns.record({requestId, content, endpoint});
+    if (crashes.countCrashes(content) === 0) return;
+    await Promise.race([known, clock.wait(MAX_END_WAIT_MS, exchange.signal)]);
+  }
+
+  /** Whether the content ended too many endpoints, here or elsewhere. */
+  private get isRefused(): boolean {
+    return this.parts.crashes.decide(this.request.content) === 'refused';
+  }
+
   private isRepeatAllowed(result: AnswerReading): boolean {
     const {route} = this;
     if (this.notRun > MAX_NOT_RUN) return false;
@@ -169,6 +201,7 @@
     if (isWhole && result.answer.status < FAILED_STATUS) return false;
     const hasRun = isWhole || (result.kind === 'lost' && result.mayHaveRun);
     if (hasRun && route.kind === 'once') return false;
+    if (this.isRefused) return false;
     if (this.runs >= route.maxAttempts) return false;
     const now = this.parts.clock.getNow();
     if (computeRemainingMs(this.request, route, now) < MIN_SEND_MS) {
@@ -178,8 +211,15 @@
   }
 
   private finish(): string {
-    const {exchange} = this.request;
+    const {exchange, content} = this.request;
     const {last} = this;
+    const isLost = last === undefined || !('body' in last);
+    if (isLost && this.isRefused) {
+      const error = createRefused(content, this.mayHaveRun);
+      exchange.refuse(error, false);
+      this.recordRefusal(error);
+      return this.mayHaveRun ? 'lost' : 'refused';
+    }
     if (last === undefined) {
       const {random} = this.parts;
       const error = createNotRun('no_endpoint', this.service, random);
--- a/packages/gateway/src/serving/lost_runs.ts
+++ b/packages/gateway/src/serving/lost_runs.ts
@@ -1,8 +1,11 @@
 /**
  * Runs that were lost while an endpoint had them: finds out whether the endpoint
- * ended under the run, and tells of it.
+ * ended under the run, and notes that against the request's content. An endpoint
+ * that had said that it leaves, or was lost with its failure domain, ended for
+ * another reason.
  */
 import type {Logger} from '@irisdock/kernel';
+import type {CrashRecords} from './crash_records.js';
 import type {EndpointEndCheck} from './endpoint_end.js';
 import type {EndpointRecord} from './endpoint_record.js';
 import type {ServingMetrics} from './serving_metrics.js';
@@ -18,6 +21,7 @@
 /** What the lost runs work with. */
 export interface LostRunsParts {
   readonly check: EndpointEndCheck;
+  readonly crashes: CrashRecords;
   readonly metrics: ServingMetrics;
   readonly log: Logger;
 }
@@ -28,17 +32,19 @@
 
   /** Takes a lost run; resolves when it is known what became of its endpoint. */
   async record({requestId, content, endpoint}: LostRun): Promise<void> {
-    const {check, metrics, log} = this.parts;
+    const {check, crashes, metrics, log} = this.parts;
+    const {instanceId, isReady: wasReady} = endpoint;
     const ownRuns = endpoint.getOwnUse().running;
     const end = await check.check(endpoint);
     metrics.lostRuns.inc({end});
     log.writeInfo('It was asked what became of the endpoint of a lost run.', {
       request: requestId,
       content,
-      endpoint: endpoint.instanceId,
+      endpoint: instanceId,
       domain: endpoint.failureDomain,
       end,
       ownRuns,
     });
+    if (end === 'ended' && wasReady) crashes.recordCrash({content, instanceId});
   }
 }
--- a/packages/gateway/src/serving/request_handler.ts
+++ b/packages/gateway/src/serving/request_handler.ts
@@ -11,7 +11,7 @@
 import type {EndpointProber} from './endpoint_prober.js';
 import {hashContent} from './request_content.js';
 import {decideRetryAfter} from './retry_after.js';
-import {createNotRun} from './send_rules.js';
+import {createNotRun, createRefused} from './send_rules.js';
 import {getRandomPart, type ServingParts} from './serving_parts.js';
 import {StreamDriver} from './stream_driver.js';
 
@@ -56,6 +56,13 @@
       this.refuse(exchange, error);
       return;
     }
+    // What ended endpoints under other ids, here or at other hosts, would end
+    // more: no bound on one try of a caller can see that.
+    const {content} = request;
+    if (this.parts.crashes.decide(content) === 'refused') {
+      this.refuse(exchange, createRefused(content, false));
+      return;
+    }
     await this.drive(request, route, service);
   }
 
--- a/packages/gateway/src/serving/send_rules.ts
+++ b/packages/gateway/src/serving/send_rules.ts
@@ -25,6 +25,12 @@
   return Math.floor(Math.min(request.callerUntil, routeUntil) - now);
 }
 
+/** Creates the error for a request whose content ended its endpoints. */
+export function createRefused(content: string, hasRun: boolean): KnownError {
+  const kind = hasRun ? 'endpoints_ended' : 'content_refused';
+  return GATEWAY_ERRORS.create(kind, {content});
+}
+
 /** Creates the error for a request that no endpoint ran. */
 export function createNotRun(
   kind: 'no_endpoint' | 'not_run_in_time',
--- a/packages/gateway/src/serving/serving_parts.ts
+++ b/packages/gateway/src/serving/serving_parts.ts
@@ -4,6 +4,7 @@
 import type {CopyCodec, HeaderCodec} from '../model/request_terms.js';
 import type {GatewayConfiguration} from '../services/configuration.js';
 import type {GatewayEndpoints} from '../services/gateway_endpoints.js';
+import type {CrashRecords} from './crash_records.js';
 import type {EngineCaller} from './engine_caller.js';
 import type {KeptPromptFinder} from './kept_prompts.js';
 import type {LostRuns} from './lost_runs.js';
@@ -27,6 +28,7 @@
   readonly endpoints: GatewayEndpoints;
   readonly budgets: RepeatBudgets;
   readonly rollouts: Rollouts;
+  readonly crashes: CrashRecords;
   readonly lostRuns: LostRuns;
   readonly metrics: ServingMetrics;
 }
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -17,7 +17,7 @@
 import {
   computeRemainingMs,
   createNotRun,
-  FAILED_STATUS,
+  createRefused,
   FAILURE_WEIGHTS,
 } from './send_rules.js';
 import type {ServingParts} from './serving_parts.js';
@@ -30,15 +30,14 @@
 } from './stream_leg.js';
 import {StreamEvidence} from './stream_evidence.js';
 import {StreamPlanner} from './stream_planner.js';
+import {StreamRepeats} from './stream_repeats.js';
 import {StreamReport} from './stream_report.js';
 
 /** How long an engine is looked for when none is left, in ms. */
 const SEARCH_MS = 1500;
 const SEARCH_STEP_MS = 50;
-/** Sends that certainly did not run may be repeated this often. */
-const MAX_NOT_RUN = 6;
-/** A leg with less time than this would bring nothing, in ms. */
-const MIN_LEG_MS = 200;
+/** The longest wait for what became of an engine, in ms; it takes a few. */
+const MAX_END_WAIT_MS = 60;
 
 /** Drives one stream. */
 export class StreamDriver {
@@ -48,13 +47,11 @@
   sends = 0;
   private readonly planner: StreamPlanner;
   private readonly progress: EventProgress;
-  private runs = 0;
-  private notRun = 0;
+  private readonly repeats: StreamRepeats;
   private head: {status: number; lines: HeaderLines} | undefined;
   private isStarted = false;
   private readonly report: StreamReport;
   private last: PlainAnswer | undefined;
-  private mayHaveRun = false;
   private lossDetail = '';
   private readonly evidence: StreamEvidence;
 
@@ -66,7 +63,8 @@
     private readonly service: string,
   ) {
     const {terms} = request;
-    this.planner = new StreamPlanner(parts, terms, service);
+    this.planner = new StreamPlanner(parts, request, service);
+    this.repeats = new StreamRepeats(parts, request, route, service);
     this.progress = new EventProgress(terms.lastEventId);
     const {startedAt} = request.exchange;
     this.report = new StreamReport(parts, request.requestId, startedAt);
@@ -90,13 +88,15 @@
       if (exchange.hasLeft()) return 'left';
       if (result.kind === 'ended') {
         this.evidence.recordEnd(plan.endpoint);
+        this.parts.crashes.recordEndedWell(this.request.content);
         if (!this.isStarted) this.startAnswer();
         exchange.endStream();
         return 'answered';
       }
       this.record(plan, result);
+      await this.checkEnd(plan, result);
       if (exchange.isExpired) return this.finishExpired();
-      if (!this.isRepeatAllowed(result)) return this.finishLost();
+      if (!this.repeats.isAllowed(result)) return this.finishLost();
     }
   }
 
@@ -126,7 +126,7 @@
     this.lastEndpoint = endpoint;
     this.sends++;
     const claim: UseClaim = {
-      running: 1,
+      running: this.planner.countClaimed(endpoint),
       unreadTokens:
         memorySource === undefined ? this.planner.countUnread(endpoint) : 0,
       expectedTokens,
@@ -246,9 +246,7 @@
     this.progress.startAfterLoss();
     this.lossDetail = getLegDetail(result);
     const hasRun = hasPerhapsRun(result);
-    if (hasRun) this.runs++;
-    else this.notRun++;
-    if (hasRun) this.mayHaveRun = true;
+    this.repeats.record(result);
     if (result.kind === 'failed') {
       this.last = result.answer;
       this.evidence.recordFailed(endpoint);
@@ -260,29 +258,27 @@
     }
     const {lastEventId} = this.progress;
     this.report.recordLoss(plan, result, this.lossDetail, lastEventId);
-    if (result.kind !== 'lost' || !hasRun) return;
-    const {requestId, content} = this.request;
-    void this.parts.lostRuns.record({requestId, content, endpoint});
   }
 
-  private isRepeatAllowed(result: LegResult): boolean {
-    const {route, request} = this;
-    const isRepeatable = route.isResumable || !this.mayHaveRun;
-    if (!isRepeatable) return false;
-    if (result.kind === 'failed' && result.answer.status < FAILED_STATUS) {
-      return false;
-    }
-    if (this.runs >= route.maxAttempts) return false;
-    if (this.notRun > MAX_NOT_RUN) return false;
-    if (request.exchange.signal.aborted) return false;
-    const now = this.parts.clock.getNow();
-    if (computeRemainingMs(request, route, now) < MIN_LEG_MS) return false;
-    return this.parts.budgets.takeRepeat(this.service);
+  /**
+   * Finds out whether the engine of a lost leg ended under it. It is waited for
+   * where the next leg reads its prompt anew, which takes far longer; a stream
+   * that goes on from a copy is not held up.
+   */
+  private async checkEnd(plan: LegPlan, result: LegResult): Promise<void> {
+    if (result.kind !== 'lost' || !result.mayHaveRun) return;
+    const {clock, crashes, lostRuns} = this.parts;
+    const {requestId, content, exchange} = this.request;
+    const {endpoint} = plan;
+    const known = lostRuns.record({requestId, content, endpoint});
+    const hasNone = crashes.countCrashes(content) === 0;
+    if (hasNone && this.planner.hasCopy) return;
+    await Promise.race([known, clock.wait(MAX_END_WAIT_MS, exchange.signal)]);
   }
 
   private finishExpired(): string {
     this.finishWith(
-      this.mayHaveRun
+      this.repeats.mayHaveRun
         ? GATEWAY_ERRORS.create('timed_out', {ms: this.route.timeoutMs})
         : createNotRun('not_run_in_time', this.service, this.parts.random),
     );
@@ -295,13 +291,18 @@
       exchange.sendAnswer(this.last);
       return 'failed';
     }
+    const {mayHaveRun} = this.repeats;
+    this.finishWith(this.createLoss());
+    return mayHaveRun ? 'lost' : 'refused';
+  }
+
+  private createLoss(): KnownError {
+    const {mayHaveRun, isRefused} = this.repeats;
+    if (isRefused) return createRefused(this.request.content, mayHaveRun);
     const detail = this.lossDetail;
-    this.finishWith(
-      this.mayHaveRun
-        ? GATEWAY_ERRORS.create('stream_lost', {detail})
-        : createNotRun('no_endpoint', this.service, this.parts.random),
-    );
-    return this.mayHaveRun ? 'lost' : 'refused';
+    return mayHaveRun
+      ? GATEWAY_ERRORS.create('stream_lost', {detail})
+      : createNotRun('no_endpoint', this.service, this.parts.random);
   }
 
   private finishWith(error: KnownError): void {
@@ -313,8 +314,8 @@
       service: this.service,
       kind: error.kind,
       started: this.isStarted,
-      runs: this.runs,
-      notRun: this.notRun,
+      runs: this.repeats.runs,
+      notRun: this.repeats.notRun,
       detail: this.lossDetail,
     });
   }
--- a/packages/gateway/src/serving/stream_planner.ts
+++ b/packages/gateway/src/serving/stream_planner.ts
@@ -4,6 +4,7 @@
  * away from the engines and failure domains that were lost.
  */
 import {
+  chooseApart,
   chooseBackup,
   chooseEngine,
   decideFarCount,
@@ -11,6 +12,7 @@
 } from '@irisdock/decisions';
 import {getSample} from '@irisdock/kernel';
 import type {RequestTerms} from '../model/request_terms.js';
+import type {AdmittedRequest} from './caller_exchange.js';
 import type {KeptCopy} from './copy_keeper.js';
 import type {EndpointRecord} from './endpoint_record.js';
 import type {ServingParts} from './serving_parts.js';
@@ -19,6 +21,12 @@
 /** The part of the tokens allowed that is expected without a caller's guess. */
 const EXPECTED_OUTPUT_PART = 0.5;
 
+/**
+ * Crashes from which on a stream runs alone. One is had by all that ran on an
+ * engine that ended; who has two is probably the cause.
+ */
+const ALONE_FROM = 2;
+
 /** Plans the legs of one stream. */
 export class StreamPlanner {
   private readonly excluded = new Set<string>();
@@ -28,12 +36,22 @@
   private known: readonly EndpointRecord[] | undefined;
   private trial: readonly EndpointRecord[] | undefined;
   private keptTokens: ReadonlyMap<string, number> = new Map();
+  private readonly terms: RequestTerms;
+  private readonly content: string;
 
   constructor(
     private readonly parts: ServingParts,
-    private readonly terms: RequestTerms,
+    {terms, content}: AdmittedRequest,
     private readonly service: string,
-  ) {}
+  ) {
+    this.terms = terms;
+    this.content = content;
+  }
+
+  /** Whether the memory of the leg that ended is kept elsewhere. */
+  get hasCopy(): boolean {
+    return this.findHolder(this.copy) !== undefined;
+  }
 
   /** Tokens that the stream will probably take in memory. */
   get expectedTokens(): number {
@@ -117,6 +135,7 @@
     const holder = this.findHolder(copy);
     const endpoint =
       holder ??
+      this.chooseApart(usable, request) ??
       chooseEngine(this.known ?? usable, request) ??
       chooseEngine(usable, request);
     if (endpoint === undefined) return undefined;
@@ -127,6 +146,26 @@
     return {endpoint, backup, memorySource};
   }
 
+  /** Chooses for a stream under which an engine ended; undefined for others. */
+  private chooseApart(
+    usable: readonly EndpointRecord[],
+    request: EngineRequest,
+  ): EndpointRecord | undefined {
+    const {content, parts} = this;
+    if (parts.crashes.countCrashes(content) === 0) return undefined;
+    return chooseApart(usable, request, content);
+  }
+
+  /**
+   * Gives the slots that the stream takes of an engine by the account of all
+   * hosts: every one if engines ended under it again, so that no other stream is
+   * placed beside it.
+   */
+  countClaimed(endpoint: EndpointRecord): number {
+    const crashes = this.parts.crashes.countCrashes(this.content);
+    return crashes >= ALONE_FROM ? endpoint.slots : 1;
+  }
+
   private chooseTrial(): LegPlan | undefined {
     const {trial} = this;
     this.trial = undefined;
--- a/packages/gateway/tests/peer_datagrams.test.ts
+++ b/packages/gateway/tests/peer_datagrams.test.ts
@@ -49,7 +49,7 @@
       recordsHash: 4_000_000_000,
       ...change,
     },
-    revisions: {configuration: 7, endpoints: 900},
+    revisions: {configuration: 7, endpoints: 900, crashes: 3},
     reports: [
       {
         name: 'reader',
--- a/packages/gateway/tests/table_follower.test.ts
+++ b/packages/gateway/tests/table_follower.test.ts
@@ -47,6 +47,10 @@
     return Promise.resolve(DONE);
   }
 
+  writeAll(): Promise<Result<void, StoreError>> {
+    return Promise.resolve(DONE);
+  }
+
   delete(): Promise<Result<void, StoreError>> {
     return Promise.resolve(DONE);
   }
--- a/scripts/check_proofs.mjs
+++ b/scripts/check_proofs.mjs
@@ -4,12 +4,14 @@
 // dist/ only and puts back what it changed. Run it alone: it takes minutes.
 import {spawnSync} from 'node:child_process';
 import {readFileSync, writeFileSync} from 'node:fs';
+import {CRASH_TRIALS} from './crash_trials.mjs';
 
 const DECISIONS = 'packages/decisions/dist/src';
 const DAEMON = 'packages/daemon/dist/src';
 
 // mechanism; file; what is replaced by what; test file; its name's pattern
 const ALL_TRIALS = [
+  ...CRASH_TRIALS,
   [
     'repeated tokens are dropped',
     `${DECISIONS}/answer_assembler.js`,
@@ -296,7 +298,8 @@
   writeFileSync(file, text.replaceAll(from, to));
   try {
     const [name, part] = test.split('/');
-    const path = `packages/${name}/dist/tests/${part}.test.js`;
+    const folder = name === 'platform' ? name : `packages/${name}`;
+    const path = `${folder}/dist/tests/${part}.test.js`;
     const args = [
       '--test',
       '--test-timeout=25000',
