Notice by the clocks of others that this machine was suspended

Cause: the steady clock leaves a suspension out, so all that a host judges by age woke up as fresh; a request sent again gave its endpoint 5,477 ms where its caller had 3,485 left (test, 2 s suspended). Ruled out: os.uptime (a file that tells another machine's time where time is simulated: 1,906 s beside 1 s), the time of day alone (it is set now and then). Change: hosts tell their steady clock with each message; one that is suddenly further ahead than ever, together with the time of day or a second host, is a gap, which is added to the clock that all decisions read.

--- a/bench/src/standin_hosts.ts
+++ b/bench/src/standin_hosts.ts
@@ -126,7 +126,14 @@
       recordsHash: (this.hashSum + ownHash) >>> 0,
     };
     const revisions = {configuration: 1, endpoints: 1, crashes: 0};
-    const datagram = {kind: 'watch', watch, revisions, reports: []} as const;
+    const sentAt = performance.now();
+    const datagram = {
+      kind: 'watch',
+      watch,
+      revisions,
+      reports: [],
+      sentAt,
+    } as const;
     const {host, port} = splitPlace(this.target);
     socket.send(encodePeerDatagram(datagram), port, host);
   }
--- a/packages/gateway/src/model/peer_codec.ts
+++ b/packages/gateway/src/model/peer_codec.ts
@@ -115,6 +115,7 @@
       crashes: revisions.readNumber(),
     })),
     reports: fields.readList(readReport),
+    sentAt: fields.readNumber(),
   };
 }
 
@@ -230,7 +231,12 @@
   ];
 }
 
-function encodeWatch({watch, revisions, reports}: WatchDatagram): Uint8Array {
+function encodeWatch({
+  watch,
+  revisions,
+  reports,
+  sentAt,
+}: WatchDatagram): Uint8Array {
   return encode([
     'w',
     watch.kind,
@@ -253,6 +259,7 @@
       Math.round(report.configurationAgeMs),
       Math.round(report.departureDelayMs),
     ]),
+    Math.round(sentAt),
   ]);
 }
 
--- a/packages/gateway/src/model/peer_message.ts
+++ b/packages/gateway/src/model/peer_message.ts
@@ -38,6 +38,8 @@
   readonly watch: WatchMessage<PeerPlace>;
   readonly revisions: TableRevisions;
   readonly reports: readonly ReaderReport[];
+  /** The sender's steady clock, in ms. */
+  readonly sentAt: number;
 }
 
 /** Changes of a table that follow on a known one. */
--- a/packages/gateway/src/services/host_tracker.ts
+++ b/packages/gateway/src/services/host_tracker.ts
@@ -7,6 +7,7 @@
   hashText,
   HostWatch,
   ReaderReports,
+  SuspensionWatch,
   type HostRecord,
   type HostView,
   type OutgoingWatch,
@@ -74,6 +75,7 @@
   readonly loader: PeerTableLoader;
   private readonly watch: HostWatch<PeerPlace>;
   private readonly reports = new ReaderReports();
+  private readonly suspension = new SuspensionWatch();
   private freshTimer: NodeJS.Timeout | undefined;
   private freshAt = -Infinity;
   /** Messages in a row whose sender knows other records. */
@@ -133,6 +135,7 @@
       this.parts.log.writeInfo('A host does not answer.', {host});
     }
     for (const host of this.view.dropLost(now)) {
+      this.suspension.drop(host);
       this.parts.log.writeInfo('A host was silent for long.', {host});
     }
     this.planFresh();
@@ -147,9 +150,10 @@
   }
 
   /** Takes a message of another host. */
-  accept({watch, revisions, reports}: WatchDatagram): void {
-    const {name} = watch.sender;
+  accept({watch, revisions, reports, sentAt}: WatchDatagram): void {
+    const {name, incarnation} = watch.sender;
     if (name === this.parts.name) return;
+    this.checkClock(name, incarnation, sentAt);
     const now = this.parts.clock.getNow();
     const sent = this.watch.accept(watch, now);
     for (const report of reports) {
@@ -168,6 +172,18 @@
     this.loader.close();
   }
 
+  /** What is known here is older than it looks if the machine was suspended. */
+  private checkClock(host: string, incarnation: number, theirMs: number): void {
+    const {clock, log} = this.parts;
+    const ownMs = clock.getSteadyNow();
+    const wallMs = clock.getWallNow();
+    const reading = {host, incarnation, theirMs, ownMs, wallMs};
+    const ms = this.suspension.accept(reading);
+    if (ms === 0) return;
+    clock.addSuspension(ms);
+    log.writeWarning('This machine was suspended.', {ms: Math.round(ms)});
+  }
+
   private get isAlone(): boolean {
     return !this.parts.hasSeeds && this.view.countKnown() === 0;
   }
@@ -199,7 +215,8 @@
     if (own !== undefined) this.reports.accept(own, now);
     const reports = this.reports.list(now);
     for (const {to, message: watch} of sent) {
-      this.send([to], {kind: 'watch', watch, revisions, reports});
+      const sentAt = this.parts.clock.getSteadyNow();
+      this.send([to], {kind: 'watch', watch, revisions, reports, sentAt});
     }
   }
 
--- a/packages/gateway/tests/peer_datagrams.test.ts
+++ b/packages/gateway/tests/peer_datagrams.test.ts
@@ -50,6 +50,7 @@
       ...change,
     },
     revisions: {configuration: 7, endpoints: 900, crashes: 3},
+    sentAt: 12_345,
     reports: [
       {
         name: 'reader',
--- a/packages/kernel/src/clock.ts
+++ b/packages/kernel/src/clock.ts
@@ -7,8 +7,15 @@
 
 /** A source of time. */
 export interface Clock {
-  /** Milliseconds on a monotonic clock, with fractions. */
+  /**
+   * Milliseconds on a monotonic clock, with fractions; times during which the
+   * machine was suspended are in it once they are known.
+   */
   getNow(): number;
+  /** Milliseconds on the machine's steady clock, without suspensions. */
+  getSteadyNow(): number;
+  /** Takes it that the machine was suspended, in ms. */
+  addSuspension(ms: number): void;
   /** Milliseconds since 1970 on the wall clock. */
   getWallNow(): number;
   /** Resolves after `ms`, or at once when `signal` is aborted. */
@@ -17,10 +24,20 @@
 
 /** The machine's own clock. */
 export class SystemClock implements Clock {
+  private suspendedMs = 0;
+
   getNow(): number {
+    return this.getSteadyNow() + this.suspendedMs;
+  }
+
+  getSteadyNow(): number {
     return performance.now();
   }
 
+  addSuspension(ms: number): void {
+    this.suspendedMs += ms;
+  }
+
   getWallNow(): number {
     return Date.now();
   }
