Show operators which contents ended endpoints, and let them take one off

The gateway's operators' address lists them at /v1/crashes with verdict and endpoints; DELETE of one lifts it at all hosts and in the store, with a line in the log that names who asked. irisdock crashes does both.

--- a/packages/cli/src/api_client.ts
+++ b/packages/cli/src/api_client.ts
@@ -31,6 +31,18 @@
   next: z.number(),
   more: z.boolean(),
 });
+/** Contents under which endpoints ended. */
+const CRASHES_SCHEMA = z.object({
+  contents: z.array(
+    z.object({
+      content: z.string(),
+      verdict: z.string(),
+      endpoints: z.array(z.string()),
+      lastSecondsAgo: z.number(),
+    }),
+  ),
+});
+const REMOVED_SCHEMA = z.object({content: z.string()});
 /** The status of a host and of what it sees. */
 export const STATUS_SCHEMA = z.object({
   host: z.object({
@@ -164,6 +176,23 @@
     return this.sendChecked({method: 'GET', path: '/v1/status'}, STATUS_SCHEMA);
   }
 
+  /** Lists the contents under which endpoints ended, as a gateway knows them. */
+  async listCrashes(): Promise<
+    Result<z.infer<typeof CRASHES_SCHEMA>, KnownError>
+  > {
+    const path = '/v1/crashes';
+    return this.sendChecked({method: 'GET', path}, CRASHES_SCHEMA);
+  }
+
+  /** Takes a content off that list, at all hosts. */
+  async deleteCrashes(
+    content: string,
+  ): Promise<Result<z.infer<typeof REMOVED_SCHEMA>, KnownError>> {
+    const path = `/v1/crashes/${encodeURIComponent(content)}`;
+    const headers = {'x-irisdock-actor': this.actor};
+    return this.sendChecked({method: 'DELETE', path, headers}, REMOVED_SCHEMA);
+  }
+
   private async submitChange(call: Call): Promise<Result<Change, KnownError>> {
     const headers = {
       ...call.headers,
--- a/packages/cli/src/command_table.ts
+++ b/packages/cli/src/command_table.ts
@@ -2,6 +2,7 @@
 import type {AnyCommand} from './command.js';
 import {APPLY_COMMAND} from './commands/apply.js';
 import {AUDIT_COMMAND} from './commands/audit.js';
+import {CRASHES_COMMAND} from './commands/crashes.js';
 import {DELETE_COMMAND} from './commands/delete.js';
 import {EXPLAIN_COMMAND} from './commands/explain.js';
 import {GET_COMMAND} from './commands/get.js';
@@ -19,6 +20,7 @@
   WATCH_COMMAND,
   STATUS_COMMAND,
   AUDIT_COMMAND,
+  CRASHES_COMMAND,
   EXPLAIN_COMMAND,
   STREAMS_COMMAND,
 ];
--- a/packages/gateway/src/errors.ts
+++ b/packages/gateway/src/errors.ts
@@ -67,6 +67,12 @@
     remedy:
       'Change the request, or ask the operators to look at its content; the same one stays refused for a while.',
   },
+  no_such_content: {
+    status: 404,
+    outcome: 'not-run',
+    message: 'No endpoint is known to have ended under the content {content}.',
+    remedy: 'List the contents; another host may have forgotten it already.',
+  },
   leaving: {
     status: 503,
     outcome: 'not-run',
--- /dev/null
+++ b/packages/gateway/src/services/crash_pages.ts
@@ -0,0 +1,73 @@
+/**
+ * What operators see of contents that end endpoints, and how they take one off
+ * the list: `GET /v1/crashes` and `DELETE /v1/crashes/<content>`.
+ */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Clock, KnownError, Logger} from '@irisdock/kernel';
+import {GATEWAY_ERRORS} from '../errors.js';
+import type {CrashRecords} from '../serving/crash_records.js';
+
+const PATH = '/v1/crashes';
+/** Names who asks, for the log. */
+const ACTOR_HEADER = 'x-irisdock-actor';
+
+/** What the pages show and change. */
+export interface CrashPagesParts {
+  readonly crashes: CrashRecords;
+  readonly clock: Clock;
+  readonly log: Logger;
+}
+
+/** Answers a request for these pages; false when it is for another one. */
+export function handleCrashPages(
+  message: IncomingMessage,
+  response: ServerResponse,
+  parts: CrashPagesParts,
+): boolean {
+  const [path = ''] = (message.url ?? '').split('?');
+  if (path === PATH && message.method === 'GET') {
+    sendJson(response, 200, {contents: listContents(parts)});
+    return true;
+  }
+  if (!path.startsWith(`${PATH}/`) || message.method !== 'DELETE') return false;
+  const content = path.slice(PATH.length + 1);
+  const {crashes, log} = parts;
+  if (crashes.countCrashes(content) === 0) {
+    const error = GATEWAY_ERRORS.create('no_such_content', {content});
+    sendError(response, error);
+    return true;
+  }
+  const actor = String(message.headers[ACTOR_HEADER] ?? 'unknown');
+  log.writeInfo('An operator took a content off the list.', {content, actor});
+  crashes.dropContent(content, `removed by ${actor}`);
+  sendJson(response, 200, {content});
+  return true;
+}
+
+function listContents({crashes, clock}: CrashPagesParts): object[] {
+  const now = clock.getNow();
+  return crashes.listContents().map(({content, instanceIds, lastAt}) => ({
+    content,
+    verdict: crashes.decide(content),
+    endpoints: instanceIds,
+    lastSecondsAgo: Math.round((now - lastAt) / 1000),
+  }));
+}
+
+function sendError(response: ServerResponse, error: KnownError): void {
+  const {kind, message, remedy, outcome, status} = error;
+  sendJson(response, status, {error: {kind, message, remedy, outcome}});
+}
+
+function sendJson(
+  response: ServerResponse,
+  status: number,
+  value: object,
+): void {
+  const text = JSON.stringify(value);
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+  });
+  response.end(text);
+}
--- a/packages/gateway/src/services/metrics_page.ts
+++ b/packages/gateway/src/services/metrics_page.ts
@@ -1,4 +1,7 @@
-/** The service `metrics`: gives the figures of this process as text. */
+/**
+ * The service `metrics`: the operators' address of this process. It gives the
+ * figures as text, and the pages of `crash_pages.ts`.
+ */
 import {createServer} from 'node:http';
 import {
   createService,
@@ -9,6 +12,8 @@
 import {collectDefaultMetrics} from 'prom-client';
 import * as z from 'zod';
 import {startListening} from '../channels/listening.js';
+import {handleCrashPages} from './crash_pages.js';
+import {CRASHES} from './crashes.js';
 
 /** The path of the page. */
 export const METRICS_PATH = '/metrics';
@@ -28,15 +33,17 @@
       description: 'Where the figures are given, at /metrics.',
     }),
   }),
-  needs: [],
+  needs: [CRASHES],
   create(context, settings) {
-    const {metrics, log} = context;
+    const {metrics, log, clock} = context;
+    const crashes = context.find(CRASHES);
     collectDefaultMetrics({
       register: metrics,
       prefix: 'irisdock_process_',
       eventLoopMonitoringPrecision: LOOP_PRECISION_MS,
     });
     const server = createServer((message, response) => {
+      if (handleCrashPages(message, response, {crashes, clock, log})) return;
       if (message.url !== METRICS_PATH) {
         response.writeHead(404).end();
         return;
--- a/packages/testkit/tests/command_line.test.ts
+++ b/packages/testkit/tests/command_line.test.ts
@@ -1,5 +1,7 @@
 /** The operators' command line against a running deployment. */
 import assert from 'node:assert/strict';
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
 import {after, before, describe, it} from 'node:test';
 import {
   createDeployment,
@@ -33,6 +35,19 @@
     code: 0,
     output: /^0 +host-1 +front: A request ended\. +outcome=lost$/m,
   },
+  {
+    name: 'explains a content from the logs',
+    args: ['explain', 'c1'],
+    input: `host-1 ${LOG_LINE.replace('"outcome"', '"content":"c1","outcome"')}\n`,
+    code: 0,
+    output: /content=c1 outcome=lost$/m,
+  },
+  {
+    name: 'removes one content at a time',
+    args: ['crashes', 'remove'],
+    code: 2,
+    error: /give no words, or remove and a content/,
+  },
   {
     name: 'says that no log line names a request',
     args: ['explain', 'r2'],
@@ -196,6 +211,42 @@
   });
 });
 
+describe('irisdock crashes', () => {
+  const asked: string[] = [];
+  const server = createServer((message, response) => {
+    const actor = String(message.headers['x-irisdock-actor']);
+    asked.push(`${message.method} ${message.url} ${actor}`);
+    const content = {
+      content: 'c1',
+      verdict: 'refused',
+      endpoints: ['i-1', 'i-2', 'i-3'],
+      lastSecondsAgo: 7,
+    };
+    const isList = message.method === 'GET';
+    response.end(JSON.stringify(isList ? {contents: [content]} : content));
+  });
+  let address = '';
+
+  before(async () => {
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  });
+  after(() => {
+    server.close();
+  });
+
+  it('lists contents, and takes one off the list', async () => {
+    const list = await runProcess('irisdock', ['crashes', '-s', address]);
+    assert.match(list.stdout, /^c1 +refused +7 s ago +i-1 i-2 i-3$/m);
+    const args = ['crashes', 'remove', 'c1', '-s', address, '--actor', 'ops'];
+    const removed = await runProcess('irisdock', args);
+    assert.match(removed.stdout, /^c1$/m);
+    assert.equal(asked.at(-1), 'DELETE /v1/crashes/c1 ops');
+  });
+});
+
 describe('irisdockd', () => {
   it('does not start with wrong settings, and names all faults', async () => {
     const run = await runProcess('irisdockd', [
