--- a/soak/src/free_ports.ts
+++ b/soak/src/free_ports.ts
@@ -9,15 +9,27 @@
 /** Linux gives ports from 32,768 on to outgoing connections. */
 const LEAST_PORT = 10_000;
 const PORT_RANGE = 22_000;
+/**
+ * Of these ports, the one that `fetch` refuses to ask, as the fetch standard says;
+ * a host that is asked there never looks ready.
+ */
+const BLOCKED_PORT = 10_080;
 
 const GIVEN = new Set<number>();
 
-/** Takes ports that nobody listens at. */
-export async function takeFreePorts(count: number): Promise<number[]> {
+/**
+ * Takes ports that nobody listens at.
+ *
+ * @param draw Gives a random number below a bound.
+ */
+export async function takeFreePorts(
+  count: number,
+  draw: (bound: number) => number = randomInt,
+): Promise<number[]> {
   const ports: number[] = [];
   while (ports.length < count) {
-    const port = LEAST_PORT + randomInt(PORT_RANGE);
-    if (GIVEN.has(port)) continue;
+    const port = LEAST_PORT + draw(PORT_RANGE);
+    if (port === BLOCKED_PORT || GIVEN.has(port)) continue;
     GIVEN.add(port);
     if (await isFree(port)) ports.push(port);
   }
--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -1,6 +1,7 @@
 /** The soak, as its tests use it. */
 export * from './disturbances.js';
 export * from './fault_plan.js';
+export * from './free_ports.js';
 export * from './host_process.js';
 export * from './play.js';
 export * from './tcp_link.js';
--- a/soak/src/play.ts
+++ b/soak/src/play.ts
@@ -6,7 +6,7 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {SeededRandom} from '@irisdock/kernel';
+import {getErrorText, SeededRandom} from '@irisdock/kernel';
 import {
   READINESS_PATH,
   SOAK_SERVICES,
@@ -209,11 +209,15 @@
   }
 
   private async waitReady(host: HostProcess): Promise<void> {
+    let fault: string | undefined;
     for (let tries = 0; tries < START_TRIES; tries++) {
-      if (await isReady(host)) return;
+      fault = await findReadinessFault(host);
+      if (fault === undefined) return;
       await sleep(START_STEP_MS);
     }
-    throw new Error(`${host.name} did not get ready; see ${this.directory}.`);
+    throw new Error(
+      `${host.name} did not get ready (${fault}); see ${this.directory}.`,
+    );
   }
 }
 
@@ -231,13 +235,15 @@
   return {seed, counts, versions, faults, broken, directory};
 }
 
-async function isReady(host: HostProcess): Promise<boolean> {
+/** Says why a host is not ready; undefined when it is. */
+async function findReadinessFault(
+  host: HostProcess,
+): Promise<string | undefined> {
   try {
     const url = `http://${host.readinessAddress}${READINESS_PATH}`;
     const answer = await fetch(url, {signal: AbortSignal.timeout(1000)});
-    return answer.ok;
-  } catch {
-    // It does not listen yet.
-    return false;
+    return answer.ok ? undefined : `status ${answer.status}`;
+  } catch (thrown) {
+    return getErrorText(thrown);
   }
 }
