Let the soak send requests that end their endpoints, and hold them to their bound

Two callers of a play come again and again with a body that ends each endpoint which begins to run it. Held against what endpoints saw: at most three runs by hosts in touch once three endpoints had ended and 3 s had passed. A first form of this did not end: an endpoint that came back after the end of a play was never stopped; it comes back no more.

--- a/scripts/check_soak.mjs
+++ b/scripts/check_soak.mjs
@@ -37,6 +37,11 @@
     /retryAfterSeconds !== void 0/,
     'false',
   ],
+  [
+    'what ended its endpoints is refused',
+    'return this.parts.ledger.decide(content)',
+    'return "clear"',
+  ],
 ];
 
 // With a word, only the trials whose mechanism has it.
--- a/soak/src/caller.ts
+++ b/soak/src/caller.ts
@@ -45,6 +45,8 @@
     private readonly random: Random,
     /** What it sends, each as often as it stands here. */
     private readonly kinds: readonly RequestKind[],
+    /** What each of its requests says; undefined when each says another. */
+    private readonly body?: string,
   ) {}
 
   /** Sends requests until it is stopped. */
@@ -70,7 +72,7 @@
 
   /** Sends one request, again where that is right; true when it is served. */
   async sendRequest(kind: RequestKind): Promise<boolean> {
-    const body = `${this.name}-${this.count}`;
+    const body = this.body ?? `${this.name}-${this.count}`;
     let lastEventId = 0;
     for (let tries = 0; tries < MAX_ATTEMPTS; tries++) {
       const address = await this.chooseAddress();
--- a/soak/src/endpoint_fleet.ts
+++ b/soak/src/endpoint_fleet.ts
@@ -26,6 +26,8 @@
 const SLOTS = 32;
 /** The entry of an endpoint that crashed vanishes after so long, in ms. */
 const ENTRY_LAPSES_MS = 1500;
+/** An endpoint that ended under a run is back after so long, in ms. */
+const BACK_MS = 1200;
 /** An endpoint that leaves serves for so long after it said so, in ms. */
 export const LEAVE_MS = 2000;
 /** And so much longer: what comes then came too late. */
@@ -52,6 +54,7 @@
   private readonly ended: EndpointInstance[] = [];
   private readonly copies = new CopyBoard();
   private count = 0;
+  private isStopped = false;
 
   constructor(
     private readonly store: StoreStandin,
@@ -99,6 +102,13 @@
     return this.instances.get(place);
   }
 
+  /** Ends an instance under a run; another one comes after a while. */
+  async killUnderRun(instance: EndpointInstance): Promise<void> {
+    for (const [place, one] of this.instances) {
+      if (one === instance) await this.kill(place, BACK_MS);
+    }
+  }
+
   /** Ends an instance as a crash does; another one comes after a while. */
   async kill(place: number, downMs: number): Promise<void> {
     const instance = this.takeOut(place);
@@ -109,6 +119,8 @@
     }, ENTRY_LAPSES_MS);
     await sleep(downMs);
     clearTimeout(lapse);
+    // The play may have ended meanwhile; what came now would never end.
+    if (this.isStopped) return;
     putEntry(this.store, instance.id, undefined);
     await this.add(instance.service, place);
   }
@@ -126,6 +138,7 @@
   }
 
   stop(): void {
+    this.isStopped = true;
     for (const instance of [...this.instances.values(), ...this.ended]) {
       this.end(instance);
     }
--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -1,4 +1,5 @@
 /** The soak, as its tests use it. */
+export * from './crash_witness.js';
 export * from './disturbances.js';
 export * from './fault_plan.js';
 export * from './free_ports.js';
--- a/soak/src/play.ts
+++ b/soak/src/play.ts
@@ -11,11 +11,13 @@
   READINESS_PATH,
   SOAK_SERVICES,
   StoreStandin,
+  type ServerRun,
 } from '@irisdock/users-platform/fixtures';
 import {Caller} from './caller.js';
 import {ConfigurationWitness} from './configuration_witness.js';
+import {CRASH_PREFIX, CrashWitness} from './crash_witness.js';
 import {Disturbances} from './disturbances.js';
-import {EndpointFleet} from './endpoint_fleet.js';
+import {EndpointFleet, type EndpointInstance} from './endpoint_fleet.js';
 import {planFaults, type PlannedFault} from './fault_plan.js';
 import {FaultPlayer} from './fault_player.js';
 import {DEPLOYED_PROGRAM, HostProcess} from './host_process.js';
@@ -69,8 +71,10 @@
   readonly witness = new Witness(this.disturbances);
   readonly store = new StoreStandin();
   readonly hosts: HostProcess[] = [];
+  readonly crashes = new CrashWitness(this.disturbances);
   readonly fleet = new EndpointFleet(this.store, DOMAINS, (instance, run) => {
     this.witness.recordRun(instance, run);
+    if (run.body.startsWith(CRASH_PREFIX)) this.endUnderRun(instance, run);
   });
   readonly configuration = new ConfigurationWitness(
     this.store,
@@ -94,7 +98,7 @@
     // Fewer faults leave calm in which bounds in time hold.
     const faults = 2 + this.random.getInt(this.options.faults - 1);
     const plan = planFaults(this.random, {...this.options, faults});
-    const callers = this.createCallers();
+    const callers = [...this.createCallers(), ...this.createCrashCallers()];
     const running = callers.map((caller) => caller.run());
     const asking = this.configuration.run();
     await this.runFaults(plan);
@@ -105,6 +109,7 @@
     await Promise.all([...running, asking]);
     for (const caller of callers) caller.close();
     this.witness.checkRefusals();
+    for (const fault of this.crashes.listFaults()) this.witness.addFault(fault);
     return plan;
   }
 
@@ -154,6 +159,27 @@
     );
   }
 
+  /** Callers of requests that end the endpoints which run them. */
+  private createCrashCallers(): Caller[] {
+    const kinds = ['stream', 'repeatable'] as const;
+    return kinds.map((kind, index) => {
+      // Not from the play's own numbers, which seeds stand for.
+      const random = new SeededRandom(index);
+      const name = `${CRASH_PREFIX}caller-${index}`;
+      const body = `${CRASH_PREFIX}${index}`;
+      const {hosts, witness} = this;
+      return new Caller(name, hosts, witness, random, [kind], body);
+    });
+  }
+
+  private endUnderRun(instance: EndpointInstance, run: ServerRun): void {
+    const {body, attemptId} = run;
+    const host = this.witness.findAttempt(attemptId)?.host ?? '';
+    const at = performance.now();
+    this.crashes.recordRun({body, endpoint: instance.id, host, at});
+    void this.fleet.killUnderRun(instance);
+  }
+
   private createCaller(name: string, kinds: readonly RequestKind[]): Caller {
     const random = new SeededRandom(this.random.getInt(2 ** 30));
     return new Caller(name, this.hosts, this.witness, random, kinds);
--- a/soak/src/witness.ts
+++ b/soak/src/witness.ts
@@ -83,6 +83,11 @@
     this.checkLeaving(instance, run);
   }
 
+  /** Finds an attempt by its id. */
+  findAttempt(attemptId: string): Attempt | undefined {
+    return this.attempts.get(attemptId);
+  }
+
   /** Takes how an attempt ended. */
   recordEnd(attempt: Attempt, end: AttemptEnd): void {
     if (end.kind === 'cut') {
