--- a/soak/src/free_ports.ts
+++ b/soak/src/free_ports.ts
@@ -4,6 +4,7 @@
  * given twice, as a host takes a while to listen at its own.
  */
 import {randomInt} from 'node:crypto';
+import {createSocket} from 'node:dgram';
 import {createServer} from 'node:net';
 
 /** Linux gives ports from 32,768 on to outgoing connections. */
@@ -31,7 +32,10 @@
     const port = LEAST_PORT + draw(PORT_RANGE);
     if (port === BLOCKED_PORT || GIVEN.has(port)) continue;
     GIVEN.add(port);
-    if (await isFree(port)) ports.push(port);
+    // Hosts listen for datagrams too, and other soaks may run beside this one.
+    if ((await isFree(port)) && (await isFreeForDatagrams(port))) {
+      ports.push(port);
+    }
   }
   return ports;
 }
@@ -49,3 +53,18 @@
     });
   });
 }
+
+async function isFreeForDatagrams(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const socket = createSocket('udp4');
+    socket.once('error', () => {
+      socket.close();
+      resolve(false);
+    });
+    socket.bind(port, '127.0.0.1', () => {
+      socket.close(() => {
+        resolve(true);
+      });
+    });
+  });
+}
--- a/soak/tests/free_ports.test.ts
+++ b/soak/tests/free_ports.test.ts
@@ -1,10 +1,13 @@
 /** The ports that hosts of a play get. */
 import assert from 'node:assert/strict';
+import {createSocket} from 'node:dgram';
 import {describe, it} from 'node:test';
 import {takeFreePorts} from '@irisdock/soak';
 
 /** A port that `fetch` refuses, as a number above the least one. */
 const BLOCKED = 80;
+const LEAST_PORT = 10_000;
+const TAKEN_PORT = 14_324;
 
 describe('the ports of hosts', () => {
   it('are ones that fetch asks', async () => {
@@ -21,4 +24,15 @@
       });
     }
   });
+
+  it('are free for datagrams too', async () => {
+    const socket = createSocket('udp4');
+    await new Promise<void>((resolve) => {
+      socket.bind(TAKEN_PORT, '127.0.0.1', resolve);
+    });
+    const draws = [TAKEN_PORT - LEAST_PORT, 4323];
+    const ports = await takeFreePorts(1, () => draws.shift() ?? 0);
+    socket.close();
+    assert.notEqual(ports[0], TAKEN_PORT);
+  });
 });
