Wait until it is known what a content did before it is sent again

Change: a content that ended an endpoint before is waited for until it is known, which its own limits bound to 0.4 s; a first loss is held up 60 ms at most, as before.

--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -23,9 +23,6 @@
 /** Sends that certainly did not run may be repeated this often. */
 const MAX_NOT_RUN = 3;
 
-/** The longest wait for what became of an endpoint, in ms; it takes a few. */
-const MAX_END_WAIT_MS = 60;
-
 /** Drives one call. */
 export class CallDriver {
   /** The endpoint of the last send; undefined before the first. */
@@ -173,7 +170,7 @@
     endpoint: EndpointRecord,
     result: AnswerReading,
   ): Promise<void> {
-    const {clock, crashes, lostRuns} = this.parts;
+    const {crashes, lostRuns} = this.parts;
     const {requestId, content, exchange} = this.request;
     if (result.kind === 'whole') {
       if (result.answer.status < FAILED_STATUS) {
@@ -185,8 +182,7 @@
     // The send was ended by this host, as its time was over.
     if (exchange.isExpired) return;
     const known = lostRuns.record({requestId, content, endpoint});
-    if (crashes.countCrashes(content) === 0) return;
-    await Promise.race([known, clock.wait(MAX_END_WAIT_MS, exchange.signal)]);
+    if (crashes.countCrashes(content) > 0) await known;
   }
 
   /** Whether the content ended too many endpoints, here or elsewhere. */
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -271,8 +271,13 @@
     const {requestId, content, exchange} = this.request;
     const {endpoint} = plan;
     const known = lostRuns.record({requestId, content, endpoint});
-    const hasNone = crashes.countCrashes(content) === 0;
-    if (hasNone && this.planner.hasCopy) return;
+    // On a busy host the answer takes longer; what ended an engine before must
+    // not be sent again until it is known.
+    if (crashes.countCrashes(content) > 0) {
+      await known;
+      return;
+    }
+    if (this.planner.hasCopy) return;
     await Promise.race([known, clock.wait(MAX_END_WAIT_MS, exchange.signal)]);
   }
 
