Let no late word or row bring back what was forgotten of a content

Traced: rows of the crashes were read after the removal, which had found none to delete, and the crashes were told once more after 0.7 s; both brought them back. Change: a crash that was forgotten is remembered as such, by content and start.

--- a/packages/gateway/src/serving/crash_records.ts
+++ b/packages/gateway/src/serving/crash_records.ts
@@ -9,7 +9,7 @@
   KnownContent,
 } from '@irisdock/decisions';
 import type {Clock, Logger} from '@irisdock/kernel';
-import {isCrash} from '../model/crash_row.js';
+import {formatCrashKey, isCrash} from '../model/crash_row.js';
 
 /** Tells other hosts, and keeps what must last. */
 export interface CrashSpreader {
@@ -41,12 +41,20 @@
  */
 const SAVED_FROM = 2;
 
+/** Forgotten crashes that are remembered as such; the oldest give way. */
+const MAX_FORGOTTEN = 2000;
+
 /** The records. */
 export class CrashRecords {
   /** Set by the service that reaches the other hosts and the store. */
   spreader: CrashSpreader | undefined;
   /** Contents of which this host saw a crash itself. */
   private readonly seenHere = new Set<string>();
+  /**
+   * Crashes that were forgotten, by their keys: word of them that is still under
+   * way, or a row that is read later, must not bring them back.
+   */
+  private readonly forgotten = new Set<string>();
 
   constructor(private readonly parts: CrashRecordsParts) {}
 
@@ -118,6 +126,11 @@
   }
 
   private drop(content: string): void {
+    for (const crash of this.parts.ledger.listCrashes(content)) {
+      this.forgotten.add(formatCrashKey(crash));
+      const [oldest = ''] = this.forgotten;
+      if (this.forgotten.size > MAX_FORGOTTEN) this.forgotten.delete(oldest);
+    }
     this.parts.ledger.drop(content);
     this.seenHere.delete(content);
   }
@@ -125,6 +138,7 @@
   private add(crash: Crash): boolean {
     const {ledger, clock, log} = this.parts;
     const {content} = crash;
+    if (this.forgotten.has(formatCrashKey(crash))) return false;
     const before = ledger.decide(content);
     if (!ledger.add(crash, clock.getNow())) return false;
     const verdict = ledger.decide(content);
