Read the limit that an endpoint names, and tell operators of it

Change, no decision among it: the adapter decodes the header once, in both spellings that the users' pages leave open; the client of the endpoints hands it on before any driver decides on the answer; a host keeps what it believes of each start of an endpoint, and writes a line when that changes. An answer without a limit ends one only when its request was sent after the limit was named. All sends to endpoints name the start that they are meant for.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -24,6 +24,7 @@
 export * from './lease.js';
 export * from './kept_prompt.js';
 export * from './leaving_memory.js';
+export * from './limit_belief.js';
 export * from './loss_response.js';
 export * from './member.js';
 export * from './membership_view.js';
--- a/packages/gateway/src/channels/endpoint_client.ts
+++ b/packages/gateway/src/channels/endpoint_client.ts
@@ -4,12 +4,18 @@
  * it must not run twice.
  */
 import {request, type ClientRequest, type IncomingMessage} from 'node:http';
-import {getErrorText, isRefused, splitPlace} from '@irisdock/kernel';
+import {
+  getErrorText,
+  isRefused,
+  splitPlace,
+  type Clock,
+} from '@irisdock/kernel';
 import type {
   AnswerTerms,
   HeaderCodec,
   HeaderLines,
 } from '../model/request_terms.js';
+import type {SendGate, SendTarget} from '../serving/send_gate.js';
 import {EndpointAgent} from './endpoint_agent.js';
 import {
   dropConnectionLines,
@@ -20,7 +26,9 @@
 
 /** A request on its way to an endpoint. */
 export interface EndpointSend {
-  readonly address: string;
+  readonly target: SendTarget;
+  /** The caller's request that is sent; undefined for calls of our own. */
+  readonly requestId: string | undefined;
   readonly method: string;
   /** Path with query, as the caller sent it. */
   readonly path: string;
@@ -60,6 +68,8 @@
   readonly isRefused: boolean;
 }
 
+/** From this status on an answer may be that of a program in its fall. */
+const FAILED_STATUS = 500;
 /** How long a connection may take to open, in ms; a live one takes a few. */
 const CONNECT_MS = 300;
 
@@ -67,7 +77,11 @@
 export class EndpointClient {
   private readonly agent = new EndpointAgent();
 
-  constructor(private readonly codec: HeaderCodec) {}
+  constructor(
+    private readonly codec: HeaderCodec,
+    private readonly gate: SendGate,
+    private readonly clock: Clock,
+  ) {}
 
   /** Sends a request; resolves at the head of its answer. */
   async send(send: EndpointSend): Promise<EndpointAnswer | EndpointLoss> {
@@ -75,6 +89,7 @@
       let mayHaveRun = false;
       let endReason: string | undefined;
       const message = this.createRequest(send);
+      const sentAt = this.clock.getNow();
       const connectTimer = setTimeout(() => {
         endReason = 'the connection did not open';
         message.destroy();
@@ -107,7 +122,9 @@
         });
       });
       message.once('response', (answer) => {
-        resolve(this.createAnswer(message, answer));
+        const created = this.createAnswer(message, answer);
+        this.recordAnswer(send, created, sentAt);
+        resolve(created);
       });
       if (send.signal.aborted) abort();
       else send.signal.addEventListener('abort', abort);
@@ -123,7 +140,7 @@
   private createRequest(send: EndpointSend): ClientRequest {
     const lines = addFraming(dropConnectionLines(send.lines), send);
     return request({
-      ...splitPlace(send.address),
+      ...splitPlace(send.target.address),
       method: send.method,
       path: send.path,
       agent: this.agent,
@@ -132,6 +149,24 @@
     });
   }
 
+  /**
+   * Tells the gate of an answer before anybody decides on its use: the endpoint
+   * has said it, whether or not a caller is still there.
+   */
+  private recordAnswer(
+    {target, requestId}: EndpointSend,
+    {terms, status}: EndpointAnswer,
+    sentAt: number,
+  ): void {
+    const {endpointId = target.endpointId, limit} = terms;
+    // The start that is meant did not answer.
+    if (endpointId !== target.endpointId) return;
+    const isOurs = requestId !== undefined && terms.requestId === requestId;
+    const isWell = terms.isSigned && status < FAILED_STATUS;
+    const isTelling = isOurs && (isWell || terms.isNotRun);
+    this.gate.recordAnswer({target, limit, isTelling, sentAt});
+  }
+
   private createAnswer(
     message: ClientRequest,
     answer: IncomingMessage,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -32,6 +32,7 @@
 import {HOST_PHASE_SERVICE} from './services/host_phase.js';
 import {HOST_IDENTITY_SERVICE, HOST_SETTINGS} from './services/identity.js';
 import {INTRODUCTION_SERVICE} from './services/introduction.js';
+import {LIMITS_SERVICE} from './services/limits.js';
 import {METRICS_PAGE_SERVICE} from './services/metrics_page.js';
 import {PEER_TABLES_SERVICE} from './services/peer_tables.js';
 import {PEERS_SERVICE} from './services/peers.js';
@@ -52,6 +53,7 @@
   METRICS_PAGE_SERVICE,
   ROLLOUTS_SERVICE,
   CRASHES_SERVICE,
+  LIMITS_SERVICE,
   FRONT_SERVICE,
   DIRECTORY_SERVICE,
 ];
--- a/packages/gateway/src/model/request_terms.ts
+++ b/packages/gateway/src/model/request_terms.ts
@@ -3,6 +3,10 @@
  * typed values. An adapter decodes them once; nothing else reads header names.
  */
 
+import type {NamedLimit} from '@irisdock/decisions';
+
+export type {NamedLimit} from '@irisdock/decisions';
+
 /** A part of a prompt that requests may share. */
 export interface PromptPart {
   readonly id: string;
@@ -72,6 +76,8 @@
   /** Which endpoint answered; undefined when it does not say. */
   readonly endpointId: string | undefined;
   readonly load: ToldLoad | undefined;
+  /** The limit on requests that it names; undefined when it names none. */
+  readonly limit: NamedLimit | undefined;
 }
 
 /** A short call to an engine about a run or a copy of its memory. */
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -26,6 +26,7 @@
 import {CRASHES} from './crashes.js';
 import {GATEWAY_CONFIGURATION} from './configuration.js';
 import {GATEWAY_ENDPOINTS} from './endpoints.js';
+import {LIMITS} from './limits.js';
 import {HOST_PHASE, type HostPhase} from './host_phase.js';
 import {PEERS} from './peers.js';
 import {ROLLOUTS} from './rollouts.js';
@@ -73,6 +74,7 @@
     GATEWAY_CONFIGURATION,
     GATEWAY_ENDPOINTS,
     HOST_PHASE,
+    LIMITS,
     PEERS,
     ROLLOUTS,
   ],
@@ -139,7 +141,7 @@
   const peers = context.find(PEERS);
   const configuration = context.find(GATEWAY_CONFIGURATION);
   const endpoints = context.find(GATEWAY_ENDPOINTS);
-  const client = new EndpointClient(codec);
+  const client = new EndpointClient(codec, context.find(LIMITS), clock);
   const engines = new EngineCaller(client);
   const servingMetrics = new ServingMetrics(metrics);
   const crashes = context.find(CRASHES);
--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -76,7 +76,8 @@
     const sentAt = this.parts.clock.getNow();
     try {
       const answer = await this.parts.client.send({
-        address: endpoint.address,
+        target: endpoint,
+        requestId,
         method: exchange.method,
         path: exchange.path,
         lines: this.parts.codec.encodeSend(exchange.lines, {
--- a/packages/gateway/src/serving/copy_keeper.ts
+++ b/packages/gateway/src/serving/copy_keeper.ts
@@ -149,7 +149,6 @@
   }
 
   private async send(call: EngineCall): Promise<EngineAnswer | undefined> {
-    const {address} = this.primary;
-    return this.parts.engines.send(address, call, COPY_TIMEOUT_MS);
+    return this.parts.engines.send(this.primary, call, COPY_TIMEOUT_MS);
   }
 }
--- a/packages/gateway/src/serving/endpoint_end.ts
+++ b/packages/gateway/src/serving/endpoint_end.ts
@@ -85,7 +85,8 @@
     const signal = AbortSignal.timeout(ANSWER_MS);
     for (let tries = 0; tries < MAX_TRIES && !signal.aborted; tries++) {
       const answer = await this.parts.client.send({
-        address: endpoint.address,
+        target: endpoint,
+        requestId: undefined,
         method: 'GET',
         path: this.parts.reportPath,
         lines: [['Host', endpoint.address]],
--- a/packages/gateway/src/serving/endpoint_prober.ts
+++ b/packages/gateway/src/serving/endpoint_prober.ts
@@ -31,7 +31,8 @@
     timeoutMs: number,
   ): Promise<boolean> {
     const answer = await this.client.send({
-      address: endpoint.address,
+      target: endpoint,
+      requestId: undefined,
       method: 'GET',
       path: this.reportPath,
       lines: [['Host', endpoint.address]],
--- a/packages/gateway/src/serving/engine_caller.ts
+++ b/packages/gateway/src/serving/engine_caller.ts
@@ -4,6 +4,7 @@
  */
 import type {EndpointClient} from '../channels/endpoint_client.js';
 import type {EngineCall} from '../model/request_terms.js';
+import type {SendTarget} from './send_gate.js';
 import {readAnswerBody} from './answer_body.js';
 
 /** What an engine answered. */
@@ -22,15 +23,16 @@
    * @param timeoutMs The bound on the whole call, in ms.
    */
   async send(
-    address: string,
+    target: SendTarget,
     call: EngineCall,
     timeoutMs: number,
   ): Promise<EngineAnswer | undefined> {
     const answer = await this.client.send({
-      address,
+      target,
+      requestId: undefined,
       method: call.method,
       path: call.path,
-      lines: createLines(address, call),
+      lines: createLines(target.address, call),
       body: Buffer.from(call.body),
       signal: AbortSignal.timeout(timeoutMs),
     });
--- a/packages/gateway/src/serving/kept_prompts.ts
+++ b/packages/gateway/src/serving/kept_prompts.ts
@@ -89,9 +89,8 @@
   private async pollOnce(
     engine: EndpointRecord,
   ): Promise<KeptParts | undefined> {
-    const {address} = engine;
     const call = this.codec.encodeListKept();
-    const answer = await this.engines.send(address, call, ANSWER_MS);
+    const answer = await this.engines.send(engine, call, ANSWER_MS);
     const parts =
       answer === undefined
         ? undefined
@@ -99,7 +98,7 @@
     if (parts === undefined) {
       this.log.writeDebug('An engine did not tell which prompts it keeps.', {
         endpoint: engine.instanceId,
-        address,
+        address: engine.address,
       });
     }
     return parts;
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -152,8 +152,8 @@
         memorySource,
       });
       const {method, path} = exchange;
-      const send = {address: endpoint.address, method, path, lines, body};
-      const result = await leg.run(send, requestId);
+      const send = {target: endpoint, requestId, method, path, lines, body};
+      const result = await leg.run(send);
       isCopyNeeded = result.kind !== 'ended' && result.kind !== 'stopped';
       return result;
     } finally {
--- a/packages/gateway/src/serving/stream_leg.ts
+++ b/packages/gateway/src/serving/stream_leg.ts
@@ -24,6 +24,11 @@
   readonly memorySource: MemorySource | undefined;
 }
 
+/** What a leg sends. */
+export interface LegSend extends Omit<EndpointSend, 'signal'> {
+  readonly requestId: string;
+}
+
 /** How a leg ended. */
 export type LegResult =
   | {readonly kind: 'ended'}
@@ -79,10 +84,7 @@
   }
 
   /** Runs the leg to its end; its connection is closed unless it is whole. */
-  async run(
-    send: Omit<EndpointSend, 'signal'>,
-    requestId: string,
-  ): Promise<LegResult> {
+  async run(send: LegSend): Promise<LegResult> {
     const signal = AbortSignal.any([this.stop, this.controller.signal]);
     this.watch.start();
     const ignoreGone = this.plan.endpoint.watchGone((cause) => {
@@ -96,7 +98,7 @@
         }
         return {...answer, detail: this.lostDetail ?? answer.detail};
       }
-      return await this.readAnswer(answer, requestId);
+      return await this.readAnswer(answer, send.requestId);
     } finally {
       this.watch.stop();
       ignoreGone();
--- a/packages/gateway/src/serving/successors.ts
+++ b/packages/gateway/src/serving/successors.ts
@@ -41,7 +41,7 @@
     if (!endpoints.isStoreAway || endpoints.hasEndpoint(endpointId)) return;
     const {address, entry} = old;
     if (!this.isOnlyEngineService(entry.service)) return;
-    const answer = await engines.send(address, codec.encodeReport(), ANSWER_MS);
+    const answer = await engines.send(old, codec.encodeReport(), ANSWER_MS);
     const report =
       answer === undefined
         ? undefined
