Keep the limit that an endpoint names, over all hosts together

What callers saw: nothing at first; the endpoint in need was sent ten requests a second where it takes three, by nine hosts that each sent as if it had named nothing.

Cause: nobody read the limit. The class behind it: one party states a bound for all its clients together, and each client would keep it alone. Ruled out: nine hosts that each keep it singly (the share of what went there did not change when the limit was named); repeats alone (first sends were 28 to 30 in four seconds).

Change: a send to an endpoint needs a permit, which only the gate makes, so that first sends, repeats, resumed streams, questions, lists and copies all come by it. While an endpoint names no limit a permit costs nothing and nothing is told. While it does, one host, found by all from the names of those alive, hands out its permits from a bucket at the rate named; the others ask it by datagram. A host that has just become that host waits a second, one that hears less than half of the hosts gives a small part. What finds a limit used up goes to another endpoint; where none has room it is refused at once, truly not run, with a time to come back from the rate and from who was told before. Answers begun go before others.

Why it holds: the sum is counted at one place, so it does not depend on the number of hosts, nor on whose callers are how many.

--- a/packages/gateway/src/channels/endpoint_client.ts
+++ b/packages/gateway/src/channels/endpoint_client.ts
@@ -4,6 +4,7 @@
  * it must not run twice.
  */
 import {request, type ClientRequest, type IncomingMessage} from 'node:http';
+import type {SendUse} from '@irisdock/decisions';
 import {
   getErrorText,
   isRefused,
@@ -15,7 +16,12 @@
   HeaderCodec,
   HeaderLines,
 } from '../model/request_terms.js';
-import type {SendGate, SendTarget} from '../serving/send_gate.js';
+import type {
+  SendAdmission,
+  SendGate,
+  SendPermit,
+  SendTarget,
+} from '../serving/send_gate.js';
 import {EndpointAgent} from './endpoint_agent.js';
 import {
   dropConnectionLines,
@@ -26,7 +32,8 @@
 
 /** A request on its way to an endpoint. */
 export interface EndpointSend {
-  readonly target: SendTarget;
+  /** Given by the gate for this send alone. */
+  readonly permit: SendPermit;
   /** The caller's request that is sent; undefined for calls of our own. */
   readonly requestId: string | undefined;
   readonly method: string;
@@ -83,6 +90,14 @@
     private readonly clock: Clock,
   ) {}
 
+  /** Asks for a permit to send; without one, nothing can be sent. */
+  admit(
+    target: SendTarget,
+    use: SendUse,
+  ): Promise<SendAdmission> | SendAdmission {
+    return this.gate.admit(target, use);
+  }
+
   /** Sends a request; resolves at the head of its answer. */
   async send(send: EndpointSend): Promise<EndpointAnswer | EndpointLoss> {
     return new Promise((resolve) => {
@@ -140,7 +155,7 @@
   private createRequest(send: EndpointSend): ClientRequest {
     const lines = addFraming(dropConnectionLines(send.lines), send);
     return request({
-      ...splitPlace(send.target.address),
+      ...splitPlace(send.permit.target.address),
       method: send.method,
       path: send.path,
       agent: this.agent,
@@ -154,7 +169,7 @@
    * has said it, whether or not a caller is still there.
    */
   private recordAnswer(
-    {target, requestId}: EndpointSend,
+    {permit: {target}, requestId}: EndpointSend,
     {terms, status}: EndpointAnswer,
     sentAt: number,
   ): void {
--- a/packages/gateway/src/errors.ts
+++ b/packages/gateway/src/errors.ts
@@ -45,6 +45,13 @@
     message: 'No endpoint of {service} could take the request.',
     remedy: 'Come back after the time in Retry-After.',
   },
+  limits_used_up: {
+    status: 503,
+    outcome: 'not-run',
+    message:
+      'What the endpoints of {service} take at the moment is used up; the request was not sent to any.',
+    remedy: 'Come back after the time in Retry-After.',
+  },
   not_run_in_time: {
     status: 503,
     outcome: 'not-run',
--- a/packages/gateway/src/model/peer_codec.ts
+++ b/packages/gateway/src/model/peer_codec.ts
@@ -11,6 +11,14 @@
 } from '@irisdock/decisions';
 import {getErrorText} from '@irisdock/kernel';
 import {err, ok, type Result} from 'neverthrow';
+import {
+  listLimits,
+  listPermitAnswer,
+  listPermitAsk,
+  readLimits,
+  readPermitAnswer,
+  readPermitAsk,
+} from './limit_datagram.js';
 import type {
   NewsDatagram,
   PeerDatagram,
@@ -32,9 +40,23 @@
 const WATCH_KINDS = ['answer', 'notice', 'probe', 'relay'] as const;
 /**
  * Watch, uses, news, question, answer, loss, report and phase of roll-outs,
- * crashes, and contents without any.
+ * crashes, contents without any, limits, and permits asked for and given.
  */
-const KINDS = ['w', 'u', 'n', 'q', 'a', 'l', 'r', 'p', 'c', 'd'] as const;
+const KINDS = [
+  'w',
+  'u',
+  'n',
+  'q',
+  'a',
+  'l',
+  'r',
+  'p',
+  'c',
+  'd',
+  'm',
+  'i',
+  'g',
+] as const;
 
 /** Reads a datagram. */
 export function decodePeerDatagram(
@@ -79,6 +101,12 @@
       return {kind: 'crashes', crashes: fields.readList(readCrash)};
     case 'd':
       return {kind: 'cleared', content: fields.readText()};
+    case 'm':
+      return readLimits(fields);
+    case 'i':
+      return readPermitAsk(fields);
+    case 'g':
+      return readPermitAnswer(fields);
   }
 }
 
@@ -218,6 +246,12 @@
     }
     case 'cleared':
       return encode(['d', datagram.content]);
+    case 'limits':
+      return encode(['m', ...listLimits(datagram)]);
+    case 'permit-ask':
+      return encode(['i', ...listPermitAsk(datagram)]);
+    case 'permit-answer':
+      return encode(['g', ...listPermitAnswer(datagram)]);
   }
 }
 
--- a/packages/gateway/src/model/peer_message.ts
+++ b/packages/gateway/src/model/peer_message.ts
@@ -8,6 +8,11 @@
   RolloutPhase,
   WatchMessage,
 } from '@irisdock/decisions';
+import type {
+  LimitsDatagram,
+  PermitAnswerDatagram,
+  PermitAskDatagram,
+} from './limit_datagram.js';
 import type {RolloutReport} from './rollout_order.js';
 import type {FollowedTable} from './watched_table.js';
 
@@ -130,8 +135,11 @@
   | AnswerDatagram
   | ClearedDatagram
   | CrashesDatagram
+  | LimitsDatagram
   | LossDatagram
   | NewsDatagram
+  | PermitAnswerDatagram
+  | PermitAskDatagram
   | QuestionDatagram
   | RolloutPhaseDatagram
   | RolloutReportDatagram
--- a/packages/gateway/src/model/tuple_reader.ts
+++ b/packages/gateway/src/model/tuple_reader.ts
@@ -55,6 +55,11 @@
     return this.isNextAbsent() ? undefined : this.readText();
   }
 
+  /** Reads a number that may be absent. */
+  readOptionalNumber(): number | undefined {
+    return this.isNextAbsent() ? undefined : this.readNumber();
+  }
+
   /** Reads a tuple within this one. */
   readTuple<T>(read: (fields: TupleReader) => T): T {
     return read(new TupleReader(this.readNext()));
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -141,7 +141,8 @@
   const peers = context.find(PEERS);
   const configuration = context.find(GATEWAY_CONFIGURATION);
   const endpoints = context.find(GATEWAY_ENDPOINTS);
-  const client = new EndpointClient(codec, context.find(LIMITS), clock);
+  const gate = context.find(LIMITS);
+  const client = new EndpointClient(codec, gate, clock);
   const engines = new EngineCaller(client);
   const servingMetrics = new ServingMetrics(metrics);
   const crashes = context.find(CRASHES);
@@ -178,6 +179,7 @@
     ),
     rollouts: context.find(ROLLOUTS),
     crashes,
+    gate,
     lostRuns: new LostRuns({check, crashes, metrics: servingMetrics, log}),
     metrics: servingMetrics,
   };
--- /dev/null
+++ b/packages/gateway/src/services/limit_notices.ts
@@ -0,0 +1,81 @@
+/**
+ * Tells other hosts that a limit was named, has changed or has ended. Who sees it
+ * tells the host that hands out the permits, and that one tells all: so each
+ * change is told to all once, however many hosts see it.
+ */
+import type {LimitsDatagram, ToldLimit} from '../model/limit_datagram.js';
+
+/**
+ * Changes are gathered for so long, in ms; several endpoints of a service may come
+ * in need together, and one may change its limit several times.
+ */
+const GATHER_MS = 20;
+/** After so long it is told once more, as a datagram may be lost, in ms. */
+const REPEAT_MS = 700;
+/** Limits in one datagram; one takes some 40 bytes. */
+const MAX_PER_DATAGRAM = 24;
+
+/** What the notices work with. */
+export interface LimitNoticesParts {
+  readonly ownName: string;
+  readonly findIssuer: (instanceId: string) => string | undefined;
+  /** Gives what is believed of an endpoint now. */
+  readonly createTold: (instanceId: string) => ToldLimit;
+  readonly sendToAll: (datagram: LimitsDatagram) => void;
+  readonly sendTo: (host: string, datagram: LimitsDatagram) => void;
+}
+
+/** The notices. */
+export class LimitNotices {
+  private gathered = new Set<string>();
+  private readonly timers = new Set<NodeJS.Timeout>();
+
+  constructor(private readonly parts: LimitNoticesParts) {}
+
+  /** Tells of an endpoint's limit, as it is believed when the word goes out. */
+  publish(instanceId: string): void {
+    this.gathered.add(instanceId);
+    if (this.gathered.size > 1) return;
+    this.plan(GATHER_MS, () => {
+      const instanceIds = [...this.gathered];
+      this.gathered = new Set();
+      this.sendAll(instanceIds);
+      this.plan(REPEAT_MS, () => {
+        this.sendAll(instanceIds);
+      });
+    });
+  }
+
+  close(): void {
+    for (const timer of this.timers) clearTimeout(timer);
+  }
+
+  private sendAll(instanceIds: readonly string[]): void {
+    const {ownName, findIssuer, createTold} = this.parts;
+    const forAll: ToldLimit[] = [];
+    for (const instanceId of instanceIds) {
+      const issuer = findIssuer(instanceId);
+      const told = createTold(instanceId);
+      if (issuer === ownName) forAll.push(told);
+      else if (issuer !== undefined) {
+        this.parts.sendTo(issuer, this.createDatagram([told]));
+      }
+    }
+    for (let from = 0; from < forAll.length; from += MAX_PER_DATAGRAM) {
+      const part = forAll.slice(from, from + MAX_PER_DATAGRAM);
+      this.parts.sendToAll(this.createDatagram(part));
+    }
+  }
+
+  private createDatagram(limits: readonly ToldLimit[]): LimitsDatagram {
+    return {kind: 'limits', name: this.parts.ownName, limits};
+  }
+
+  private plan(ms: number, step: () => void): void {
+    const timer = setTimeout(() => {
+      this.timers.delete(timer);
+      step();
+    }, ms);
+    this.timers.add(timer);
+  }
+}
--- a/packages/gateway/src/services/limits.ts
+++ b/packages/gateway/src/services/limits.ts
@@ -1,44 +1,66 @@
 /**
  * The service `limits`: the requests a second that endpoints in need take from all
- * hosts together. docs/design/endpoint_limits.md.
+ * hosts together (`send_limits.ts`).
  */
 import {createService, createServiceKey} from '@irisdock/kernel';
-import {Gauge} from 'prom-client';
+import {Gauge, type Registry} from 'prom-client';
 import * as z from 'zod';
-import type {LimitAnswer, SendGate} from '../serving/send_gate.js';
-import {LimitBeliefs} from './limit_beliefs.js';
-
-/** What the service offers. */
-export interface Limits extends SendGate {
-  readonly beliefs: LimitBeliefs;
-}
+import {GATEWAY_ENDPOINTS} from './endpoints.js';
+import {HOST_IDENTITY} from './identity.js';
+import {PEERS} from './peers.js';
+import {SendLimits} from './send_limits.js';
 
 /** The key of the service. */
-export const LIMITS = createServiceKey<Limits>('limits');
+export const LIMITS = createServiceKey<SendLimits>('limits');
 
 /** Declares the service. */
 export const LIMITS_SERVICE = createService({
   key: LIMITS,
   settings: z.object({}),
-  needs: [],
-  create({clock, log, metrics}) {
-    const beliefs = new LimitBeliefs(clock, log);
-    const api = {
-      beliefs,
-      recordAnswer({target, limit, isTelling, sentAt}: LimitAnswer): void {
-        const {instanceId} = target;
-        if (limit !== undefined) beliefs.acceptNamed(instanceId, limit);
-        else if (isTelling) beliefs.acceptAbsent(instanceId, sentAt);
+  needs: [GATEWAY_ENDPOINTS, HOST_IDENTITY, PEERS],
+  create(context) {
+    const {clock, log, metrics} = context;
+    const peers = context.find(PEERS);
+    const endpoints = context.find(GATEWAY_ENDPOINTS);
+    const api = new SendLimits({
+      identity: context.find(HOST_IDENTITY),
+      peers,
+      isEndpointKnown: (instanceId) => endpoints.find(instanceId) !== undefined,
+      clock,
+      log,
+    });
+    peers.limitBoard = api;
+    createGauges(api, metrics);
+    return {
+      api,
+      stop() {
+        api.close();
+        return Promise.resolve();
       },
     };
-    new Gauge({
-      name: 'irisdock_gateway_limits',
-      help: 'Endpoints that name a limit on their requests, a count.',
-      registers: [metrics],
-      collect() {
-        this.set(beliefs.count);
-      },
-    });
-    return {api};
   },
 });
+
+function createGauges(limits: SendLimits, registry: Registry): void {
+  new Gauge({
+    name: 'irisdock_gateway_limits',
+    help: 'Endpoints that name a limit on their requests, a count.',
+    registers: [registry],
+    collect() {
+      this.set(limits.beliefs.count);
+    },
+  });
+  new Gauge({
+    name: 'irisdock_gateway_limit_sends',
+    help: 'Sends of this host under limits in force, a count, by outcome.',
+    labelNames: ['outcome'],
+    registers: [registry],
+    collect() {
+      this.reset();
+      for (const {given, held} of limits.listLimits()) {
+        this.inc({outcome: 'given'}, given);
+        this.inc({outcome: 'held'}, held);
+      }
+    },
+  });
+}
--- a/packages/gateway/src/services/peer_hosts.ts
+++ b/packages/gateway/src/services/peer_hosts.ts
@@ -7,6 +7,11 @@
 import {getShuffled} from '@irisdock/kernel';
 import {DatagramSocket} from '../channels/datagram_socket.js';
 import {decodePeerDatagram, encodePeerDatagram} from '../model/peer_codec.js';
+import type {
+  LimitsDatagram,
+  PermitAnswerDatagram,
+  PermitAskDatagram,
+} from '../model/limit_datagram.js';
 import type {
   PeerDatagram,
   PeerPlace,
@@ -55,6 +60,15 @@
   acceptCleared(content: string): void;
 }
 
+/** Takes what other hosts tell and ask of limits that endpoints name. */
+export interface LimitBoard {
+  /** Takes it that a beat has begun. */
+  startBeat(): void;
+  acceptLimits(datagram: LimitsDatagram): void;
+  acceptAsk(datagram: PermitAskDatagram): void;
+  acceptAnswer(datagram: PermitAnswerDatagram): void;
+}
+
 /** The other hosts. */
 export class Peers {
   readonly uses: UseNotices;
@@ -66,6 +80,7 @@
   private readonly seeds: SeedTries;
   private rollouts: RolloutBoard | undefined;
   private crashes: CrashBoard | undefined;
+  private limits: LimitBoard | undefined;
 
   constructor(private readonly parts: PeersParts) {
     const {name, place, tables, random, log, clock} = parts;
@@ -114,6 +129,11 @@
     this.crashes = board;
   }
 
+  /** Sets who takes what other hosts tell and ask of limits. */
+  set limitBoard(board: LimitBoard) {
+    this.limits = board;
+  }
+
   /** How this host and the others stand with the store. */
   get standing(): StoreStanding {
     return this.tracker.standing;
@@ -162,6 +182,29 @@
     return names;
   }
 
+  /** Lists the names of the hosts that take callers and stay, this one too. */
+  listStayingNames(): string[] {
+    const names: string[] = [];
+    for (const {record} of this.listAlive()) {
+      if (record.state === 'ready') names.push(record.name);
+    }
+    return names;
+  }
+
+  /** Counts the hosts that may live and stay, also those not heard of late. */
+  countMayLive(): number {
+    let count = 1;
+    for (const {record} of this.tracker.view.listKnown()) {
+      if (record.state !== 'leaving') count++;
+    }
+    return count;
+  }
+
+  /** Differs whenever what is known of the hosts that are alive does. */
+  get recordsHash(): number {
+    return this.tracker.view.recordsHash;
+  }
+
   /** Whether this host is the first of those that read the store. */
   get isFirstReader(): boolean {
     return this.standing.listReaders()[0] === this.parts.name;
@@ -203,6 +246,7 @@
   sendBeat(): void {
     this.tracker.startBeat(this.parts.clock.getNow());
     this.uses.startBeat();
+    this.limits?.startBeat();
     const known = this.listAlive().map(({place}) => place.tables);
     const seed = this.seeds.chooseNext(known);
     if (seed !== undefined) void this.tracker.loader.loadAll(seed);
@@ -284,6 +328,15 @@
         return;
       case 'cleared':
         this.crashes?.acceptCleared(datagram.content);
+        return;
+      case 'limits':
+        this.limits?.acceptLimits(datagram);
+        return;
+      case 'permit-ask':
+        this.limits?.acceptAsk(datagram);
+        return;
+      case 'permit-answer':
+        this.limits?.acceptAnswer(datagram);
     }
   }
 }
--- /dev/null
+++ b/packages/gateway/src/services/permit_desk.ts
@@ -0,0 +1,113 @@
+/**
+ * Hands out permits to all hosts for the endpoints whose issuer this host is.
+ */
+import {
+  NO_SENDS,
+  PermitBucket,
+  ReturnQueue,
+  type PermitIssuers,
+} from '@irisdock/decisions';
+import type {Clock} from '@irisdock/kernel';
+import type {
+  PermitAnswerDatagram,
+  PermitAskDatagram,
+  ToldLimit,
+} from '../model/limit_datagram.js';
+import type {LimitBeliefs} from './limit_beliefs.js';
+
+/** A question without what only other hosts need to know. */
+export type PermitAsk = Omit<PermitAskDatagram, 'kind' | 'limit'>;
+
+interface GivenAnswer {
+  readonly incarnation: number;
+  readonly answer: PermitAnswerDatagram;
+}
+
+/** What the desk keeps of one endpoint. */
+interface Counter {
+  readonly bucket: PermitBucket;
+  readonly returns: ReturnQueue;
+  /** The last answer to each host, by the host's name. */
+  readonly given: Map<string, GivenAnswer>;
+}
+
+/** When to ask again where this host hands out none, in ms. */
+const NOT_ISSUER_WAIT_MS = 150;
+
+/** The desk. */
+export class PermitDesk {
+  private readonly counters = new Map<string, Counter>();
+
+  constructor(
+    private readonly issuers: PermitIssuers,
+    private readonly beliefs: LimitBeliefs,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Answers a question; the same one again gets the same answer. */
+  decide(instanceId: string, ask: PermitAsk): PermitAnswerDatagram {
+    const now = this.clock.getNow();
+    const perSecond = this.beliefs.findRate(instanceId);
+    const part = this.issuers.computePart(instanceId, now);
+    if (perSecond === undefined || part === 0) {
+      // What it gave before is not known to whoever is the issuer next, nor to
+      // this host once it is that again: it starts with none.
+      this.counters.delete(instanceId);
+      return this.createAnswer(instanceId, ask, part > 0);
+    }
+    const counter = this.getCounter(instanceId, now);
+    const last = counter.given.get(ask.name);
+    const isSame = last?.incarnation === ask.incarnation;
+    if (isSame && last.answer.number === ask.number) return last.answer;
+    const rate = perSecond * part;
+    counter.returns.add(ask.refused, rate, now);
+    const {granted, waitMs} = counter.bucket.take(ask.wanted, rate, now);
+    const answer = {
+      ...this.createAnswer(instanceId, ask, true),
+      granted,
+      waitMs,
+      lastReturnMs: counter.returns.computeLastMs(now),
+    };
+    counter.given.set(ask.name, {incarnation: ask.incarnation, answer});
+    return answer;
+  }
+
+  /** Gives what is believed here of an endpoint's limit. */
+  createTold(instanceId: string): ToldLimit {
+    const word = this.beliefs.findWord(instanceId);
+    const now = this.clock.getNow();
+    const ageMs = word === undefined ? 0 : Math.max(0, now - word.at);
+    return {instanceId, perSecond: word?.perSecond, ageMs};
+  }
+
+  /** Forgets an endpoint. */
+  drop(instanceId: string): void {
+    this.counters.delete(instanceId);
+  }
+
+  private createAnswer(
+    instanceId: string,
+    {number}: PermitAsk,
+    isIssuer: boolean,
+  ): PermitAnswerDatagram {
+    return {
+      kind: 'permit-answer',
+      number,
+      isIssuer,
+      granted: NO_SENDS,
+      waitMs: NOT_ISSUER_WAIT_MS,
+      lastReturnMs: 0,
+      limit: this.createTold(instanceId),
+    };
+  }
+
+  private getCounter(instanceId: string, now: number): Counter {
+    let counter = this.counters.get(instanceId);
+    if (counter === undefined) {
+      const bucket = new PermitBucket(now);
+      counter = {bucket, returns: new ReturnQueue(), given: new Map()};
+      this.counters.set(instanceId, counter);
+    }
+    return counter;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/services/permit_line.ts
@@ -0,0 +1,159 @@
+/**
+ * The sends of this host that wait for permits of one endpoint. They are asked for
+ * together, one question at a time, so that a host asks no more often than its
+ * questions take to be answered, however many sends wait.
+ */
+import {NO_SENDS, type SendCounts, type SendUse} from '@irisdock/decisions';
+import type {Clock} from '@irisdock/kernel';
+import {
+  SendPermit,
+  type HoldReason,
+  type SendAdmission,
+  type SendHold,
+  type SendTarget,
+} from '../serving/send_gate.js';
+
+/** What was answered to a question. */
+export type PermitReply =
+  /** The endpoint has no limit any more. */
+  | {readonly kind: 'free'}
+  /** Nobody hands out permits, or nobody answered in time. */
+  | {readonly kind: 'silent'; readonly waitMs: number}
+  | {
+      readonly kind: 'given';
+      readonly granted: SendCounts;
+      readonly waitMs: number;
+      readonly lastReturnMs: number;
+    };
+
+/** What a line asks. */
+export interface LineQuestion {
+  readonly wanted: SendCounts;
+  readonly refused: number;
+}
+
+/** What a line works with. */
+export interface PermitLineParts {
+  readonly clock: Clock;
+  /** Asks the issuer. */
+  readonly poll: (question: LineQuestion) => Promise<PermitReply>;
+  /** The limit, in requests a second; undefined without one. */
+  readonly findRate: () => number | undefined;
+  readonly findIssuer: () => string | undefined;
+}
+
+interface Waiter {
+  readonly use: SendUse;
+  readonly target: SendTarget;
+  readonly finish: (admission: SendAdmission) => void;
+}
+
+/**
+ * For so long at most nothing is asked after an answer that gave nothing, in ms.
+ * Shorter than the time to the next permit where limits are low, as that may come
+ * earlier: by a higher limit, or the end of it.
+ */
+const MOST_QUIET_MS = 250;
+const MILLI = 1000;
+
+/** The line. */
+export class PermitLine {
+  /** Sends that were let through and held back since the line began. */
+  given = 0;
+  held = 0;
+  private waiting: Waiter[] = [];
+  private isAsking = false;
+  private quietUntil = -Infinity;
+  private nextAt = -Infinity;
+  private reason: HoldReason = 'used-up';
+  private lastReturnAt = -Infinity;
+  private refused = 0;
+
+  constructor(private readonly parts: PermitLineParts) {}
+
+  /** Waits for a permit, as long as one question takes. */
+  async wait(target: SendTarget, use: SendUse): Promise<SendAdmission> {
+    const isQuiet = this.parts.clock.getNow() < this.quietUntil;
+    if (isQuiet && use !== 'begun') return this.createHold(target);
+    return new Promise((finish) => {
+      this.waiting.push({use, target, finish});
+      if (!this.isAsking) void this.pollAll();
+    });
+  }
+
+  /** Gives when one more caller may come back, in ms from now. */
+  computeReturnMs(perSecond: number): number {
+    const now = this.parts.clock.getNow();
+    const lastMs = Math.max(0, this.lastReturnAt - now);
+    const afterMs = ((this.refused + 1) * MILLI) / perSecond;
+    return Math.max(this.nextAt - now, lastMs + afterMs);
+  }
+
+  /** Takes it that a caller was told to come back here. */
+  addReturn(): void {
+    this.refused++;
+  }
+
+  private async pollAll(): Promise<void> {
+    this.isAsking = true;
+    while (this.waiting.length > 0) {
+      const asked = this.waiting;
+      this.waiting = [];
+      const {refused} = this;
+      this.refused = 0;
+      const reply = await this.parts.poll({
+        wanted: countUses(asked),
+        refused,
+      });
+      this.finishAll(asked, reply);
+    }
+    this.isAsking = false;
+  }
+
+  private finishAll(asked: readonly Waiter[], reply: PermitReply): void {
+    if (reply.kind === 'free') {
+      for (const {target, finish} of asked) finish(new SendPermit(target));
+      return;
+    }
+    const now = this.parts.clock.getNow();
+    this.nextAt = now + reply.waitMs;
+    this.reason = reply.kind === 'given' ? 'used-up' : 'no-issuer';
+    if (reply.kind === 'given') this.lastReturnAt = now + reply.lastReturnMs;
+    const left = {...(reply.kind === 'given' ? reply.granted : NO_SENDS)};
+    for (const {use, target, finish} of asked) {
+      if (left[use] > 0) {
+        left[use]--;
+        this.given++;
+        finish(new SendPermit(target));
+        continue;
+      }
+      if (use === 'usual') {
+        this.quietUntil = now + Math.min(MOST_QUIET_MS, reply.waitMs);
+      }
+      finish(this.createHold(target));
+    }
+  }
+
+  private createHold(target: SendTarget): SendAdmission {
+    const {clock, findRate, findIssuer} = this.parts;
+    const perSecond = findRate();
+    // It ended while the question was under way.
+    if (perSecond === undefined) return new SendPermit(target);
+    this.held++;
+    const hold: SendHold = {
+      kind: 'held',
+      target,
+      reason: this.reason,
+      perSecond,
+      issuer: findIssuer(),
+      waitMs: Math.max(0, this.nextAt - clock.getNow()),
+    };
+    return hold;
+  }
+}
+
+function countUses(waiters: readonly Waiter[]): SendCounts {
+  const counts = {...NO_SENDS};
+  for (const {use} of waiters) counts[use]++;
+  return counts;
+}
--- /dev/null
+++ b/packages/gateway/src/services/permit_questions.ts
@@ -0,0 +1,63 @@
+/**
+ * Asks another host for permits, and again when its answer may have been lost.
+ */
+import type {Clock} from '@irisdock/kernel';
+import type {
+  PermitAnswerDatagram,
+  PermitAskDatagram,
+} from '../model/limit_datagram.js';
+
+/**
+ * How long an answer is waited for before the question is sent again, in ms. Ways
+ * between failure domains take about 3 ms there and back; a busy host may take 20.
+ */
+const ANSWER_MS = 25;
+/** All three are lost once in 8,000 questions where 2.5 in 100 datagrams are. */
+const MOST_TRIES = 3;
+
+/** The questions. */
+export class PermitQuestions {
+  private number = 0;
+  private readonly open = new Map<
+    number,
+    (answer: PermitAnswerDatagram) => void
+  >();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly send: (to: string, ask: PermitAskDatagram) => void,
+  ) {}
+
+  /** Asks a host; undefined when it did not answer in time. */
+  async poll(
+    host: string,
+    ask: Omit<PermitAskDatagram, 'kind' | 'number'>,
+  ): Promise<PermitAnswerDatagram | undefined> {
+    this.number++;
+    const {number} = this;
+    const limit = new AbortController();
+    let found: PermitAnswerDatagram | undefined;
+    this.open.set(number, (answer) => {
+      found = answer;
+      limit.abort();
+    });
+    const askedAt = this.clock.getNow();
+    for (let tries = 0; tries < MOST_TRIES; tries++) {
+      this.send(host, {...ask, kind: 'permit-ask', number});
+      await this.clock.wait(ANSWER_MS, limit.signal);
+      if (limit.signal.aborted) break;
+    }
+    this.open.delete(number);
+    // A permit is for now: one that waited beside a frozen process is not used.
+    const isOld = this.clock.getNow() - askedAt > MOST_TRIES * MOST_LATE_MS;
+    return isOld ? undefined : found;
+  }
+
+  /** Takes an answer. */
+  accept(answer: PermitAnswerDatagram): void {
+    this.open.get(answer.number)?.(answer);
+  }
+}
+
+/** The age from which a try's answer is of no use, in ms; a busy host is late. */
+const MOST_LATE_MS = 100;
--- /dev/null
+++ b/packages/gateway/src/services/send_limits.ts
@@ -0,0 +1,275 @@
+/**
+ * Keeps the limits that endpoints name, over all hosts together: the gate before
+ * every connection, and this host's part in handing out permits.
+ * docs/design/endpoint_limits.md.
+ */
+import {
+  decideRate,
+  PermitIssuers,
+  type LimitWord,
+  type SendUse,
+} from '@irisdock/decisions';
+import type {Clock, Logger} from '@irisdock/kernel';
+import type {
+  LimitsDatagram,
+  PermitAnswerDatagram,
+  PermitAskDatagram,
+  ToldLimit,
+} from '../model/limit_datagram.js';
+import {
+  SendPermit,
+  type LimitAnswer,
+  type SendAdmission,
+  type SendGate,
+  type SendHold,
+  type SendTarget,
+} from '../serving/send_gate.js';
+import type {HostIdentity} from './identity.js';
+import {LimitBeliefs, type KnownLimit} from './limit_beliefs.js';
+import {LimitNotices} from './limit_notices.js';
+import type {LimitBoard, Peers} from './peer_hosts.js';
+import {PermitDesk} from './permit_desk.js';
+import {
+  PermitLine,
+  type LineQuestion,
+  type PermitReply,
+} from './permit_line.js';
+import {PermitQuestions} from './permit_questions.js';
+
+/** What the limits work with. */
+export interface SendLimitsParts {
+  readonly identity: HostIdentity;
+  readonly peers: Pick<
+    Peers,
+    | 'countMayLive'
+    | 'listStayingNames'
+    | 'recordsHash'
+    | 'sendToAll'
+    | 'sendToNames'
+  >;
+  readonly isEndpointKnown: (instanceId: string) => boolean;
+  readonly clock: Clock;
+  readonly log: Logger;
+}
+
+/** A limit as operators are shown it. */
+export interface ShownLimit extends KnownLimit {
+  readonly issuer: string | undefined;
+  /** Sends of this host that were let through and held back since it began. */
+  readonly given: number;
+  readonly held: number;
+}
+
+/** Until the next question when nobody answers, in ms; a loss is known by then. */
+const SILENT_WAIT_MS = 200;
+/** Beats between two looks at what is to be forgotten. */
+const SWEEP_BEATS = 16;
+/** A limit that ended is remembered so long against older words, in ms. */
+const ENDED_KEPT_MS = 60_000;
+
+/** The limits. */
+export class SendLimits implements LimitBoard, SendGate {
+  readonly beliefs: LimitBeliefs;
+  private readonly issuers: PermitIssuers;
+  private readonly desk: PermitDesk;
+  private readonly questions: PermitQuestions;
+  private readonly notices: LimitNotices;
+  private readonly lines = new Map<string, PermitLine>();
+  private recordsHash: number | undefined;
+  private mayLive = 0;
+  private beats = 0;
+  private ownAsks = 0;
+
+  constructor(private readonly parts: SendLimitsParts) {
+    const {identity, peers, clock, log} = parts;
+    this.beliefs = new LimitBeliefs(clock, log);
+    this.issuers = new PermitIssuers(identity.name, clock.getNow());
+    this.desk = new PermitDesk(this.issuers, this.beliefs, clock);
+    this.questions = new PermitQuestions(clock, (to, ask) => {
+      peers.sendToNames([to], ask);
+    });
+    this.notices = new LimitNotices({
+      ownName: identity.name,
+      findIssuer: (instanceId) => this.issuers.findIssuer(instanceId),
+      createTold: (instanceId) => this.desk.createTold(instanceId),
+      sendToAll: (datagram) => {
+        peers.sendToAll(datagram);
+      },
+      sendTo: (host, datagram) => {
+        peers.sendToNames([host], datagram);
+      },
+    });
+  }
+
+  /** Lists the limits in force, as this host knows and keeps them. */
+  listLimits(): ShownLimit[] {
+    return this.beliefs.listLimits().map((limit) => {
+      const {instanceId} = limit;
+      const line = this.lines.get(instanceId);
+      return {
+        ...limit,
+        issuer: this.issuers.findIssuer(instanceId),
+        given: line?.given ?? 0,
+        held: line?.held ?? 0,
+      };
+    });
+  }
+
+  admit(
+    target: SendTarget,
+    use: SendUse,
+  ): Promise<SendAdmission> | SendAdmission {
+    const perSecond = this.beliefs.findRate(target.instanceId);
+    if (perSecond === undefined) return new SendPermit(target);
+    return this.getLine(target.instanceId).wait(target, use);
+  }
+
+  recordAnswer({target, limit, isTelling, sentAt}: LimitAnswer): void {
+    const {instanceId} = target;
+    if (limit === undefined) {
+      if (!isTelling) return;
+      const outcome = this.beliefs.acceptAbsent(instanceId, sentAt);
+      if (outcome === 'changed') this.notices.publish(instanceId);
+      return;
+    }
+    const outcome = this.beliefs.acceptNamed(instanceId, limit);
+    if (outcome === 'changed') this.notices.publish(instanceId);
+  }
+
+  decideReturnMs(holds: readonly SendHold[]): number {
+    let best: PermitLine | undefined;
+    let bestMs = Infinity;
+    for (const {target, perSecond} of holds) {
+      const line = this.getLine(target.instanceId);
+      const ms = line.computeReturnMs(perSecond);
+      if (ms >= bestMs) continue;
+      best = line;
+      bestMs = ms;
+    }
+    if (best === undefined) return SILENT_WAIT_MS;
+    best.addReturn();
+    return bestMs;
+  }
+
+  startBeat(): void {
+    this.updateHosts();
+    this.beats++;
+    if (this.beats % SWEEP_BEATS === 0) this.dropOld();
+  }
+
+  acceptLimits({name, limits}: LimitsDatagram): void {
+    for (const limit of limits) {
+      const outcome = this.acceptTold(limit, name);
+      const isIssuer = this.isIssuer(limit.instanceId);
+      if (outcome === 'changed' && isIssuer) {
+        this.notices.publish(limit.instanceId);
+      }
+    }
+  }
+
+  acceptAsk(ask: PermitAskDatagram): void {
+    const {instanceId} = ask.limit;
+    this.updateHosts();
+    const outcome = this.acceptTold(ask.limit, ask.name);
+    if (outcome === 'changed') this.notices.publish(instanceId);
+    const answer = this.desk.decide(instanceId, ask);
+    this.parts.peers.sendToNames([ask.name], answer);
+  }
+
+  acceptAnswer(answer: PermitAnswerDatagram): void {
+    this.questions.accept(answer);
+  }
+
+  close(): void {
+    this.notices.close();
+  }
+
+  private isIssuer(instanceId: string): boolean {
+    return this.issuers.findIssuer(instanceId) === this.parts.identity.name;
+  }
+
+  private getLine(instanceId: string): PermitLine {
+    let line = this.lines.get(instanceId);
+    if (line === undefined) {
+      line = new PermitLine({
+        clock: this.parts.clock,
+        poll: (question) => this.poll(instanceId, question),
+        findRate: () => this.beliefs.findRate(instanceId),
+        findIssuer: () => this.issuers.findIssuer(instanceId),
+      });
+      this.lines.set(instanceId, line);
+    }
+    return line;
+  }
+
+  private async poll(
+    instanceId: string,
+    question: LineQuestion,
+  ): Promise<PermitReply> {
+    this.updateHosts();
+    const {name, incarnation} = this.parts.identity;
+    const issuer = this.issuers.findIssuer(instanceId);
+    if (issuer === undefined) return {kind: 'silent', waitMs: SILENT_WAIT_MS};
+    const limit = this.desk.createTold(instanceId);
+    const ask = {...question, name, incarnation, limit};
+    const answer =
+      issuer === name
+        ? this.desk.decide(instanceId, {...ask, number: this.countOwnAsk()})
+        : await this.questions.poll(issuer, ask);
+    if (answer === undefined) return {kind: 'silent', waitMs: SILENT_WAIT_MS};
+    if (issuer !== name) this.acceptTold(answer.limit, issuer);
+    if (this.beliefs.findRate(instanceId) === undefined) return {kind: 'free'};
+    const {isIssuer, granted, waitMs, lastReturnMs} = answer;
+    if (!isIssuer) return {kind: 'silent', waitMs};
+    return {kind: 'given', granted, waitMs, lastReturnMs};
+  }
+
+  /** Gives each of this host's own questions to itself another number. */
+  private countOwnAsk(): number {
+    this.ownAsks++;
+    return this.ownAsks;
+  }
+
+  private acceptTold(
+    {instanceId, perSecond, ageMs}: ToldLimit,
+    source: string,
+  ): 'changed' | 'known' | 'older' {
+    const at = this.parts.clock.getNow() - ageMs;
+    const isLimited = perSecond !== undefined;
+    // Who knows of no limit has nothing to end.
+    if (!isLimited && this.beliefs.findRate(instanceId) === undefined) {
+      return 'known';
+    }
+    const rate = isLimited
+      ? decideRate({kind: 'rate', perSecond}, undefined)
+      : undefined;
+    const word: LimitWord = {perSecond: rate, at};
+    return this.beliefs.accept(instanceId, word, source);
+  }
+
+  private updateHosts(): void {
+    const {peers, clock} = this.parts;
+    const {recordsHash} = peers;
+    const mayLive = peers.countMayLive();
+    const isSame = recordsHash === this.recordsHash;
+    if (isSame && mayLive === this.mayLive) return;
+    this.recordsHash = recordsHash;
+    this.mayLive = mayLive;
+    const names = peers.listStayingNames();
+    this.issuers.update({names, mayLive}, clock.getNow());
+  }
+
+  /** Forgets endpoints that are gone, and limits that ended long ago. */
+  private dropOld(): void {
+    const oldest = this.parts.clock.getNow() - ENDED_KEPT_MS;
+    for (const instanceId of this.beliefs.listInstanceIds()) {
+      const word = this.beliefs.findWord(instanceId);
+      const isEnded = word?.perSecond === undefined && (word?.at ?? 0) < oldest;
+      if (this.parts.isEndpointKnown(instanceId) && !isEnded) continue;
+      this.beliefs.drop(instanceId);
+      this.issuers.drop(instanceId);
+      this.desk.drop(instanceId);
+      this.lines.delete(instanceId);
+    }
+  }
+}
--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -11,6 +11,8 @@
 import {readPlainAnswer, type AnswerReading} from './answer_reading.js';
 import type {AdmittedRequest, PlainAnswer} from './caller_exchange.js';
 import type {EndpointRecord, UseClaim} from './endpoint_record.js';
+import type {SendPermit} from './send_gate.js';
+import {SendHolds} from './send_holds.js';
 import {
   computeRemainingMs,
   createNotRun,
@@ -35,20 +37,34 @@
   /** What is told when no further send is made. */
   private last: KnownError | PlainAnswer | undefined;
   private mayHaveRun = false;
+  private hasLooked = false;
+  private readonly holds: SendHolds;
 
   constructor(
     private readonly parts: ServingParts,
     private readonly request: AdmittedRequest,
     private readonly route: ServingRoute,
     private readonly service: string,
-  ) {}
+  ) {
+    this.holds = new SendHolds(parts);
+  }
 
   /** Sends until there is a final answer; gives its outcome for the figures. */
   async run(): Promise<string> {
     for (;;) {
       const endpoint = this.chooseEndpoint();
       if (endpoint === undefined) return this.finish();
-      const result = await this.send(endpoint);
+      const ended = this.findEnd();
+      if (ended !== undefined) return ended;
+      const {client} = this.parts;
+      const permit = await client.admit(endpoint, 'usual');
+      if (permit.kind === 'held') {
+        // Another may have room; this one has told that it has none.
+        this.holds.add(permit);
+        this.excluded.add(endpoint.instanceId);
+        continue;
+      }
+      const result = await this.send(endpoint, permit);
       if (this.request.exchange.hasLeft()) return 'left';
       this.record(endpoint, result);
       await this.checkEnd(endpoint, result);
@@ -57,9 +73,17 @@
     }
   }
 
+  /** Gives the outcome of a call whose caller left or whose time is over. */
+  private findEnd(): string | undefined {
+    const {exchange} = this.request;
+    if (exchange.hasLeft()) return 'left';
+    return exchange.isExpired ? this.finishExpired() : undefined;
+  }
+
   private chooseEndpoint(): EndpointRecord | undefined {
     const {endpoints, rollouts} = this.parts;
-    const isFirst = this.sends === 0;
+    const isFirst = !this.hasLooked;
+    this.hasLooked = true;
     const trial = isFirst ? rollouts.takeTrial(this.service) : undefined;
     const usable = trial ?? endpoints.listUsable(this.service);
     return choosePlainEndpoint(usable, this.excluded, () =>
@@ -67,7 +91,10 @@
     );
   }
 
-  private async send(endpoint: EndpointRecord): Promise<AnswerReading> {
+  private async send(
+    endpoint: EndpointRecord,
+    permit: SendPermit,
+  ): Promise<AnswerReading> {
     const {exchange, requestId, terms, team, body} = this.request;
     this.lastEndpoint = endpoint;
     this.sends++;
@@ -76,7 +103,7 @@
     const sentAt = this.parts.clock.getNow();
     try {
       const answer = await this.parts.client.send({
-        target: endpoint,
+        permit,
         requestId,
         method: exchange.method,
         path: exchange.path,
@@ -218,8 +245,10 @@
       return this.mayHaveRun ? 'lost' : 'refused';
     }
     if (last === undefined) {
-      const {random} = this.parts;
-      const error = createNotRun('no_endpoint', this.service, random);
+      const {service, holds} = this;
+      const error = holds.hasAny
+        ? holds.createError(service)
+        : createNotRun('no_endpoint', service, this.parts.random);
       exchange.refuse(error, false);
       this.recordRefusal(error);
       return 'refused';
@@ -250,6 +279,7 @@
       kind: error.kind,
       runs: this.runs,
       notRun: this.notRun,
+      ...this.holds.listFields(),
     });
   }
 }
--- a/packages/gateway/src/serving/endpoint_end.ts
+++ b/packages/gateway/src/serving/endpoint_end.ts
@@ -83,9 +83,12 @@
     endpoint: EndpointRecord,
   ): Promise<'answers' | 'ended' | 'unknown'> {
     const signal = AbortSignal.timeout(ANSWER_MS);
+    const {client} = this.parts;
     for (let tries = 0; tries < MAX_TRIES && !signal.aborted; tries++) {
-      const answer = await this.parts.client.send({
-        target: endpoint,
+      const permit = await client.admit(endpoint, 'aside');
+      if (permit.kind === 'held') return 'unknown';
+      const answer = await client.send({
+        permit,
         requestId: undefined,
         method: 'GET',
         path: this.parts.reportPath,
--- a/packages/gateway/src/serving/endpoint_prober.ts
+++ b/packages/gateway/src/serving/endpoint_prober.ts
@@ -30,14 +30,18 @@
     endpoint: EndpointRecord,
     timeoutMs: number,
   ): Promise<boolean> {
+    const signal = AbortSignal.timeout(timeoutMs);
+    const permit = await this.client.admit(endpoint, 'begun');
+    // What could not be asked is not lost by that.
+    if (permit.kind === 'held' || signal.aborted) return true;
     const answer = await this.client.send({
-      target: endpoint,
+      permit,
       requestId: undefined,
       method: 'GET',
       path: this.reportPath,
       lines: [['Host', endpoint.address]],
       body: Buffer.alloc(0),
-      signal: AbortSignal.timeout(timeoutMs),
+      signal,
     });
     if (answer.kind === 'lost') return false;
     answer.message.on('error', () => undefined);
--- a/packages/gateway/src/serving/engine_caller.ts
+++ b/packages/gateway/src/serving/engine_caller.ts
@@ -27,14 +27,17 @@
     call: EngineCall,
     timeoutMs: number,
   ): Promise<EngineAnswer | undefined> {
+    const signal = AbortSignal.timeout(timeoutMs);
+    const permit = await this.client.admit(target, 'aside');
+    if (permit.kind === 'held') return undefined;
     const answer = await this.client.send({
-      target,
+      permit,
       requestId: undefined,
       method: call.method,
       path: call.path,
       lines: createLines(target.address, call),
       body: Buffer.from(call.body),
-      signal: AbortSignal.timeout(timeoutMs),
+      signal,
     });
     if (answer.kind === 'lost') return undefined;
     const body = await readAnswerBody(answer);
--- a/packages/gateway/src/serving/send_gate.ts
+++ b/packages/gateway/src/serving/send_gate.ts
@@ -1,7 +1,8 @@
 /**
- * What stands before every connection to an endpoint, and sees every answer.
+ * What stands before every connection to an endpoint, and sees every answer. A
+ * send needs a permit, which only the gate makes, so that no way leads past it.
  */
-import type {NamedLimit} from '@irisdock/decisions';
+import type {NamedLimit, SendUse} from '@irisdock/decisions';
 
 /** The start of an endpoint that a send is meant for. */
 export interface SendTarget {
@@ -21,8 +22,50 @@
   readonly sentAt: number;
 }
 
+/** Lets one request through to an endpoint. */
+export class SendPermit {
+  readonly kind = 'permit';
+
+  constructor(readonly target: SendTarget) {}
+}
+
+/** Why a send was held back. */
+export type HoldReason =
+  /** What the endpoint takes is used up for the moment. */
+  | 'used-up'
+  /** Nobody hands out permits for it now, or whoever does is not heard. */
+  | 'no-issuer';
+
+/** Says that an endpoint's limit lets no request through now. */
+export interface SendHold {
+  readonly kind: 'held';
+  readonly target: SendTarget;
+  readonly reason: HoldReason;
+  /** The limit, in requests a second from all hosts together. */
+  readonly perSecond: number;
+  /** The host that hands out the permits; undefined when none is known. */
+  readonly issuer: string | undefined;
+  /** Until there may be a permit, in ms. */
+  readonly waitMs: number;
+}
+
+/** What the gate says. */
+export type SendAdmission = SendHold | SendPermit;
+
 /** The gate. */
 export interface SendGate {
+  /** Asks for a permit; waits only where the endpoint named a limit. */
+  admit(
+    target: SendTarget,
+    use: SendUse,
+  ): Promise<SendAdmission> | SendAdmission;
+
   /** Takes what an answer tells, whatever else becomes of it. */
   recordAnswer(answer: LimitAnswer): void;
+
+  /**
+   * Decides when a caller may come back whose request was held back, in ms; it
+   * counts as one that was told.
+   */
+  decideReturnMs(holds: readonly SendHold[]): number;
 }
--- a/packages/gateway/src/serving/serving_parts.ts
+++ b/packages/gateway/src/serving/serving_parts.ts
@@ -10,6 +10,7 @@
 import type {LostRuns} from './lost_runs.js';
 import type {RepeatBudgets} from './repeat_budgets.js';
 import type {Rollouts} from './rollouts.js';
+import type {SendGate} from './send_gate.js';
 import type {ServingMetrics} from './serving_metrics.js';
 import type {SuccessorFinder} from './successors.js';
 
@@ -29,6 +30,7 @@
   readonly budgets: RepeatBudgets;
   readonly rollouts: Rollouts;
   readonly crashes: CrashRecords;
+  readonly gate: SendGate;
   readonly lostRuns: LostRuns;
   readonly metrics: ServingMetrics;
 }
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -14,6 +14,9 @@
 import {CopyKeeper} from './copy_keeper.js';
 import type {EndpointProber} from './endpoint_prober.js';
 import type {EndpointRecord, UseClaim} from './endpoint_record.js';
+import {admitLeg} from './leg_admission.js';
+import type {SendAdmission, SendPermit} from './send_gate.js';
+import {SendHolds} from './send_holds.js';
 import {
   computeRemainingMs,
   createNotRun,
@@ -53,6 +56,9 @@
   private readonly report: StreamReport;
   private last: PlainAnswer | undefined;
   private lossDetail = '';
+  /** Until when an engine is looked for; undefined while one runs a leg. */
+  private searchUntil: number | undefined;
+  private readonly holds: SendHolds;
   private readonly evidence: StreamEvidence;
 
   constructor(
@@ -63,6 +69,7 @@
     private readonly service: string,
   ) {
     const {terms} = request;
+    this.holds = new SendHolds(parts);
     this.planner = new StreamPlanner(parts, request, service);
     this.repeats = new StreamRepeats(parts, request, route, service);
     this.progress = new EventProgress(terms.lastEventId);
@@ -84,7 +91,14 @@
       const {exchange} = this.request;
       if (exchange.hasLeft()) return 'left';
       if (plan === undefined) return this.finishLost();
-      const result = await this.runLeg(plan);
+      const permit = await this.admit(plan);
+      if (exchange.hasLeft()) return 'left';
+      if (permit.kind === 'held') {
+        this.holds.add(permit);
+        this.planner.recordHold(plan);
+        continue;
+      }
+      const result = await this.runLeg(plan, permit);
       if (exchange.hasLeft()) return 'left';
       if (result.kind === 'ended') {
         this.evidence.recordEnd(plan.endpoint);
@@ -109,21 +123,30 @@
   private async findPlan(): Promise<LegPlan | undefined> {
     const {clock} = this.parts;
     const {signal} = this.request.exchange;
-    const until = clock.getNow() + (this.isStarted ? SEARCH_MS : 0);
+    this.searchUntil ??= clock.getNow() + (this.isStarted ? SEARCH_MS : 0);
+    const until = this.searchUntil;
     for (;;) {
       await this.planner.findFarEngines();
       const plan = this.planner.choosePlan();
       if (plan !== undefined || signal.aborted) return plan;
       if (clock.getNow() >= until) return undefined;
       await clock.wait(SEARCH_STEP_MS, signal);
+      this.planner.dropHolds();
     }
   }
 
-  private async runLeg(plan: LegPlan): Promise<LegResult> {
+  private async admit(plan: LegPlan): Promise<SendAdmission> {
+    const isBegun = this.progress.lastEventId !== undefined;
+    const {signal} = this.request.exchange;
+    return admitLeg(this.parts, plan, isBegun, signal);
+  }
+
+  private async runLeg(plan: LegPlan, permit: SendPermit): Promise<LegResult> {
     const {endpoint, backup, memorySource} = plan;
     const {exchange, requestId, team, body} = this.request;
     const {expectedTokens} = this.planner;
     this.lastEndpoint = endpoint;
+    this.searchUntil = undefined;
     this.sends++;
     const claim: UseClaim = {
       running: this.planner.countClaimed(endpoint),
@@ -152,7 +175,7 @@
         memorySource,
       });
       const {method, path} = exchange;
-      const send = {target: endpoint, requestId, method, path, lines, body};
+      const send = {permit, requestId, method, path, lines, body};
       const result = await leg.run(send);
       isCopyNeeded = result.kind !== 'ended' && result.kind !== 'stopped';
       return result;
@@ -305,9 +328,10 @@
     const {mayHaveRun, isRefused} = this.repeats;
     if (isRefused) return createRefused(this.request.content, mayHaveRun);
     const detail = this.lossDetail;
-    return mayHaveRun
-      ? GATEWAY_ERRORS.create('stream_lost', {detail})
-      : createNotRun('no_endpoint', this.service, this.parts.random);
+    if (mayHaveRun) return GATEWAY_ERRORS.create('stream_lost', {detail});
+    const {service, holds} = this;
+    if (holds.hasAny) return holds.createError(service);
+    return createNotRun('no_endpoint', service, this.parts.random);
   }
 
   private finishWith(error: KnownError): void {
@@ -322,6 +346,7 @@
       runs: this.repeats.runs,
       notRun: this.repeats.notRun,
       detail: this.lossDetail,
+      ...this.holds.listFields(),
     });
   }
 }
--- a/packages/gateway/src/serving/stream_planner.ts
+++ b/packages/gateway/src/serving/stream_planner.ts
@@ -31,6 +31,8 @@
 export class StreamPlanner {
   private readonly excluded = new Set<string>();
   private readonly avoidedDomains = new Set<string>();
+  /** Engines whose limits held this stream back; they may let it through later. */
+  private readonly held = new Set<string>();
   private copy: KeptCopy | undefined;
   /** Engines whose load is known here; undefined when that is all of them. */
   private known: readonly EndpointRecord[] | undefined;
@@ -67,6 +69,18 @@
     if (isLost) this.avoidedDomains.add(endpoint.failureDomain);
   }
 
+  /** Takes it that an engine's limit let no leg through. */
+  recordHold({endpoint, memorySource}: LegPlan): void {
+    this.held.add(endpoint.instanceId);
+    if (memorySource === undefined) return;
+    this.copy = {source: memorySource, holder: endpoint};
+  }
+
+  /** Looks again at engines whose limits held the stream back. */
+  dropHolds(): void {
+    this.held.clear();
+  }
+
   /** Takes where the memory of the leg that ended is kept. */
   setCopy(copy: KeptCopy | undefined): void {
     this.copy = copy;
@@ -190,7 +204,7 @@
     return {
       tokens: this.expectedTokens,
       promptTokens: this.terms.promptTokens,
-      excluded: this.excluded,
+      excluded: this.held.size === 0 ? this.excluded : this.listExcluded(),
       avoidedDomains: this.avoidedDomains,
       promptKey: this.terms.promptParts.at(-1)?.id ?? '',
       keptTokens: this.keptTokens,
@@ -202,14 +216,22 @@
     engine: EndpointRecord,
     isHome: (engine: EndpointRecord) => boolean,
   ): boolean {
-    if (isHome(engine) || this.excluded.has(engine.instanceId)) return false;
+    if (isHome(engine) || this.isExcluded(engine)) return false;
     return !this.avoidedDomains.has(engine.failureDomain);
   }
 
+  private listExcluded(): ReadonlySet<string> {
+    return new Set([...this.excluded, ...this.held]);
+  }
+
+  private isExcluded({instanceId}: EndpointRecord): boolean {
+    return this.excluded.has(instanceId) || this.held.has(instanceId);
+  }
+
   /** Finds the engine that keeps a copy, if it may get work. */
   private findHolder(copy: KeptCopy | undefined): EndpointRecord | undefined {
     if (copy?.holder.isUsable !== true) return undefined;
-    if (this.excluded.has(copy.holder.instanceId)) return undefined;
+    if (this.isExcluded(copy.holder)) return undefined;
     return copy.holder;
   }
 
