--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -2,6 +2,7 @@
 export * from './address_answer.js';
 export * from './answer_assembler.js';
 export * from './apart_placement.js';
+export * from './ask_pace.js';
 export * from './change_queue.js';
 export * from './configuration_state.js';
 export * from './crash_ledger.js';
--- a/packages/decisions/src/permit_issuer.ts
+++ b/packages/decisions/src/permit_issuer.ts
@@ -4,19 +4,20 @@
  * those that are alive, so nothing has to be agreed; each limited endpoint has
  * another, so the work is spread.
  *
- * Hosts may differ for a while on who is alive. A host that has just become the
- * issuer therefore waits until the others can have noticed; and one that hears
- * less than half of the hosts that may live gives a small part only, so that the
- * two sides of a cut do not give the limit twice.
+ * Hosts may differ for a moment on who is alive, and two may hand out permits then.
+ * The bound leaves room for 1.8 s of that in any 4 s, as whoever begins has none
+ * gathered. What would last longer is kept out: a host that has just started may
+ * not know the others yet, and gives none; one that hears less than half of the
+ * hosts that may live gives a small part, so that the two sides of a cut do not
+ * give the limit twice.
  */
 import {hashText} from './hash.js';
 
 /**
- * How long a host was the issuer before it gives permits, in ms. A lost host is
- * told of within some 0.3 s (ten datagrams in a row would have to be lost for
- * longer); what the one before it gave is used by then.
+ * From its start on a host gives no permits for so long, in ms. After a loss of all
+ * hosts at once they find each other within a second; each alone would give all.
  */
-const SETTLE_MS = 1000;
+const START_MS = 2000;
 /**
  * What a side of a cut that hears less than half may give, as a part of its share
  * by hosts. With it both sides together give a quarter over the limit at most.
@@ -31,65 +32,44 @@
   readonly mayLive: number;
 }
 
-interface Term {
-  readonly round: number;
-  readonly issuer: string | undefined;
-  /** Since when it is the issuer as far as is known here. */
-  readonly since: number;
-}
-
 /** Knows the issuer of each endpoint. */
 export class PermitIssuers {
-  private names: readonly string[] = [];
-  private mayLive = 1;
-  private changedAt: number;
-  private round = 0;
-  private readonly terms = new Map<string, Term>();
+  private hosts: IssuerHosts = {names: [], mayLive: 1};
+  /** What was found for these hosts, by instance id. */
+  private found = new Map<string, string | undefined>();
 
   constructor(
     private readonly ownName: string,
-    startedAt: number,
-  ) {
-    this.changedAt = startedAt;
-  }
+    private readonly startedAt: number,
+  ) {}
 
   /** Takes which hosts there are now. */
-  update({names, mayLive}: IssuerHosts, now: number): void {
-    this.mayLive = mayLive;
-    const sorted = [...names].sort();
-    if (sorted.join(' ') === this.names.join(' ')) return;
-    this.names = sorted;
-    this.changedAt = now;
-    this.round++;
+  update(hosts: IssuerHosts): void {
+    this.hosts = hosts;
+    this.found = new Map();
   }
 
   /** Finds the issuer for the start of an endpoint. */
   findIssuer(instanceId: string): string | undefined {
-    return this.getTerm(instanceId).issuer;
+    if (!this.found.has(instanceId)) {
+      const issuer = chooseIssuer(instanceId, this.hosts.names);
+      this.found.set(instanceId, issuer);
+    }
+    return this.found.get(instanceId);
   }
 
   /** Gives the part of the limit that this host may give; 0 for none. */
   computePart(instanceId: string, now: number): number {
-    const {issuer, since} = this.getTerm(instanceId);
-    if (issuer !== this.ownName || now - since < SETTLE_MS) return 0;
-    const part = this.names.length / Math.max(1, this.mayLive);
+    if (this.findIssuer(instanceId) !== this.ownName) return 0;
+    if (now - this.startedAt < START_MS) return 0;
+    const {names, mayLive} = this.hosts;
+    const part = names.length / Math.max(1, mayLive);
     return part > 1 / 2 ? 1 : part * MINOR_SIDE_PART;
   }
 
   /** Forgets an endpoint. */
   drop(instanceId: string): void {
-    this.terms.delete(instanceId);
-  }
-
-  private getTerm(instanceId: string): Term {
-    const known = this.terms.get(instanceId);
-    if (known?.round === this.round) return known;
-    const issuer = chooseIssuer(instanceId, this.names);
-    const isSame = known !== undefined && known.issuer === issuer;
-    const since = isSame ? known.since : this.changedAt;
-    const term = {round: this.round, issuer, since};
-    this.terms.set(instanceId, term);
-    return term;
+    this.found.delete(instanceId);
   }
 }
 
--- a/packages/gateway/src/model/limit_datagram.ts
+++ b/packages/gateway/src/model/limit_datagram.ts
@@ -44,6 +44,8 @@
   readonly granted: SendCounts;
   /** Until the next permit for a usual send, in ms. */
   readonly waitMs: number;
+  /** For how long a host that got none asks for none, in ms. */
+  readonly pauseMs: number;
   /** Until the last caller is back that was told to come back, in ms. */
   readonly lastReturnMs: number;
   readonly limit: ToldLimit;
@@ -91,6 +93,7 @@
     isIssuer: fields.readFlag(),
     granted: fields.readTuple(readCounts),
     waitMs: fields.readNumber(),
+    pauseMs: fields.readNumber(),
     lastReturnMs: fields.readNumber(),
     limit: fields.readTuple(readLimit),
   };
@@ -98,13 +101,14 @@
 
 /** Gives the tuple of an answer, without its kind. */
 export function listPermitAnswer(answer: PermitAnswerDatagram): unknown[] {
-  const {number, isIssuer, granted, waitMs, lastReturnMs, limit} = answer;
+  const {number, isIssuer, granted, waitMs, limit} = answer;
   return [
     number,
     isIssuer,
     listCounts(granted),
     Math.ceil(waitMs),
-    Math.ceil(lastReturnMs),
+    Math.ceil(answer.pauseMs),
+    Math.ceil(answer.lastReturnMs),
     listLimit(limit),
   ];
 }
--- a/packages/gateway/src/services/permit_desk.ts
+++ b/packages/gateway/src/services/permit_desk.ts
@@ -2,6 +2,7 @@
  * Hands out permits to all hosts for the endpoints whose issuer this host is.
  */
 import {
+  computePauseMs,
   NO_SENDS,
   PermitBucket,
   ReturnQueue,
@@ -20,6 +21,7 @@
 
 interface GivenAnswer {
   readonly incarnation: number;
+  readonly at: number;
   readonly answer: PermitAnswerDatagram;
 }
 
@@ -34,6 +36,9 @@
 /** When to ask again where this host hands out none, in ms. */
 const NOT_ISSUER_WAIT_MS = 150;
 
+/** A host that asked within this time is one of those that ask, in ms. */
+const ASKER_MS = 10_000;
+
 /** The desk. */
 export class PermitDesk {
   private readonly counters = new Map<string, Counter>();
@@ -57,7 +62,8 @@
     }
     const counter = this.getCounter(instanceId, now);
     const last = counter.given.get(ask.name);
-    const isSame = last?.incarnation === ask.incarnation;
+    const {incarnation} = ask;
+    const isSame = last?.incarnation === incarnation;
     if (isSame && last.answer.number === ask.number) return last.answer;
     const rate = perSecond * part;
     counter.returns.add(ask.refused, rate, now);
@@ -66,9 +72,10 @@
       ...this.createAnswer(instanceId, ask, true),
       granted,
       waitMs,
+      pauseMs: computePauseMs(countAskers(counter, now), rate, waitMs),
       lastReturnMs: counter.returns.computeLastMs(now),
     };
-    counter.given.set(ask.name, {incarnation: ask.incarnation, answer});
+    counter.given.set(ask.name, {incarnation, at: now, answer});
     return answer;
   }
 
@@ -96,6 +103,7 @@
       isIssuer,
       granted: NO_SENDS,
       waitMs: NOT_ISSUER_WAIT_MS,
+      pauseMs: NOT_ISSUER_WAIT_MS,
       lastReturnMs: 0,
       limit: this.createTold(instanceId),
     };
@@ -111,3 +119,11 @@
     return counter;
   }
 }
+
+/** Counts the hosts that asked of late, and forgets the others. */
+function countAskers({given}: Counter, now: number): number {
+  for (const [name, {at}] of given) {
+    if (now - at > ASKER_MS) given.delete(name);
+  }
+  return given.size;
+}
--- a/packages/gateway/src/services/permit_line.ts
+++ b/packages/gateway/src/services/permit_line.ts
@@ -23,6 +23,7 @@
       readonly kind: 'given';
       readonly granted: SendCounts;
       readonly waitMs: number;
+      readonly pauseMs: number;
       readonly lastReturnMs: number;
     };
 
@@ -48,12 +49,6 @@
   readonly finish: (admission: SendAdmission) => void;
 }
 
-/**
- * For so long at most nothing is asked after an answer that gave nothing, in ms.
- * Shorter than the time to the next permit where limits are low, as that may come
- * earlier: by a higher limit, or the end of it.
- */
-const MOST_QUIET_MS = 250;
 const MILLI = 1000;
 
 /** The line. */
@@ -89,6 +84,11 @@
     return Math.max(this.nextAt - now, lastMs + afterMs);
   }
 
+  /** Takes it that the limit has changed: there may be permits now. */
+  endPause(): void {
+    this.quietUntil = -Infinity;
+  }
+
   /** Takes it that a caller was told to come back here. */
   addReturn(): void {
     this.refused++;
@@ -128,7 +128,9 @@
         continue;
       }
       if (use === 'usual') {
-        this.quietUntil = now + Math.min(MOST_QUIET_MS, reply.waitMs);
+        const {waitMs} = reply;
+        const pauseMs = reply.kind === 'given' ? reply.pauseMs : waitMs;
+        this.quietUntil = now + pauseMs;
       }
       finish(this.createHold(target));
     }
--- a/packages/gateway/src/services/send_limits.ts
+++ b/packages/gateway/src/services/send_limits.ts
@@ -25,7 +25,11 @@
   type SendTarget,
 } from '../serving/send_gate.js';
 import type {HostIdentity} from './identity.js';
-import {LimitBeliefs, type KnownLimit} from './limit_beliefs.js';
+import {
+  LimitBeliefs,
+  type KnownLimit,
+  type WordOutcome,
+} from './limit_beliefs.js';
 import {LimitNotices} from './limit_notices.js';
 import type {LimitBoard, Peers} from './peer_hosts.js';
 import {PermitDesk} from './permit_desk.js';
@@ -129,11 +133,11 @@
     if (limit === undefined) {
       if (!isTelling) return;
       const outcome = this.beliefs.acceptAbsent(instanceId, sentAt);
-      if (outcome === 'changed') this.notices.publish(instanceId);
+      this.handleOutcome(instanceId, outcome, true);
       return;
     }
     const outcome = this.beliefs.acceptNamed(instanceId, limit);
-    if (outcome === 'changed') this.notices.publish(instanceId);
+    this.handleOutcome(instanceId, outcome, true);
   }
 
   decideReturnMs(holds: readonly SendHold[]): number {
@@ -159,11 +163,9 @@
 
   acceptLimits({name, limits}: LimitsDatagram): void {
     for (const limit of limits) {
+      const {instanceId} = limit;
       const outcome = this.acceptTold(limit, name);
-      const isIssuer = this.isIssuer(limit.instanceId);
-      if (outcome === 'changed' && isIssuer) {
-        this.notices.publish(limit.instanceId);
-      }
+      this.handleOutcome(instanceId, outcome, this.isIssuer(instanceId));
     }
   }
 
@@ -171,7 +173,7 @@
     const {instanceId} = ask.limit;
     this.updateHosts();
     const outcome = this.acceptTold(ask.limit, ask.name);
-    if (outcome === 'changed') this.notices.publish(instanceId);
+    this.handleOutcome(instanceId, outcome, this.isIssuer(instanceId));
     const answer = this.desk.decide(instanceId, ask);
     this.parts.peers.sendToNames([ask.name], answer);
   }
@@ -184,6 +186,17 @@
     this.notices.close();
   }
 
+  /** Acts on a limit that has changed. */
+  private handleOutcome(
+    instanceId: string,
+    outcome: WordOutcome,
+    isTold: boolean,
+  ): void {
+    if (outcome !== 'changed') return;
+    this.lines.get(instanceId)?.endPause();
+    if (isTold) this.notices.publish(instanceId);
+  }
+
   private isIssuer(instanceId: string): boolean {
     return this.issuers.findIssuer(instanceId) === this.parts.identity.name;
   }
@@ -217,11 +230,14 @@
         ? this.desk.decide(instanceId, {...ask, number: this.countOwnAsk()})
         : await this.questions.poll(issuer, ask);
     if (answer === undefined) return {kind: 'silent', waitMs: SILENT_WAIT_MS};
-    if (issuer !== name) this.acceptTold(answer.limit, issuer);
+    if (issuer !== name) {
+      const outcome = this.acceptTold(answer.limit, issuer);
+      this.handleOutcome(instanceId, outcome, false);
+    }
     if (this.beliefs.findRate(instanceId) === undefined) return {kind: 'free'};
-    const {isIssuer, granted, waitMs, lastReturnMs} = answer;
+    const {isIssuer, granted, waitMs, pauseMs, lastReturnMs} = answer;
     if (!isIssuer) return {kind: 'silent', waitMs};
-    return {kind: 'given', granted, waitMs, lastReturnMs};
+    return {kind: 'given', granted, waitMs, pauseMs, lastReturnMs};
   }
 
   /** Gives each of this host's own questions to itself another number. */
@@ -233,7 +249,7 @@
   private acceptTold(
     {instanceId, perSecond, ageMs}: ToldLimit,
     source: string,
-  ): 'changed' | 'known' | 'older' {
+  ): WordOutcome {
     const at = this.parts.clock.getNow() - ageMs;
     const isLimited = perSecond !== undefined;
     // Who knows of no limit has nothing to end.
@@ -248,7 +264,7 @@
   }
 
   private updateHosts(): void {
-    const {peers, clock} = this.parts;
+    const {peers} = this.parts;
     const {recordsHash} = peers;
     const mayLive = peers.countMayLive();
     const isSame = recordsHash === this.recordsHash;
@@ -256,7 +272,7 @@
     this.recordsHash = recordsHash;
     this.mayLive = mayLive;
     const names = peers.listStayingNames();
-    this.issuers.update({names, mayLive}, clock.getNow());
+    this.issuers.update({names, mayLive});
   }
 
   /** Forgets endpoints that are gone, and limits that ended long ago. */
