--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -16,6 +16,7 @@
 export * from './services/host_phase.js';
 export * from './services/identity.js';
 export {LIMITS} from './services/limits.js';
+export type {ShownLimit} from './services/send_limits.js';
 export {PEERS} from './services/peers.js';
 export * from './services/seed_tries.js';
 export * from './services/store.js';
