Try an endpoint again whose limit no answer has confirmed for a while

What callers saw: nothing while the others had room; an endpoint without need stayed unused, and operators were shown a limit that was over. Cause: only an answer ends a limit, and an endpoint that looks slower than another that has room gets no request. Change: after 3 s without an answer one request in 3 s and host goes there first, if there is a permit. Why it holds: the permit that is used for it is one that the endpoint has room for.

--- a/packages/gateway/src/services/permit_line.ts
+++ b/packages/gateway/src/services/permit_line.ts
@@ -60,6 +60,7 @@
   private isAsking = false;
   private quietUntil = -Infinity;
   private nextAt = -Infinity;
+  private turnAt = -Infinity;
   private reason: HoldReason = 'used-up';
   private lastReturnAt = -Infinity;
   private refused = 0;
@@ -89,6 +90,14 @@
     this.quietUntil = -Infinity;
   }
 
+  /** Takes the turn to try the endpoint; there is one in a while. */
+  takeTurn(everyMs: number): boolean {
+    const now = this.parts.clock.getNow();
+    if (now < this.turnAt) return false;
+    this.turnAt = now + everyMs;
+    return true;
+  }
+
   /** Takes it that a caller was told to come back here. */
   addReturn(): void {
     this.refused++;
--- a/packages/gateway/src/services/send_limits.ts
+++ b/packages/gateway/src/services/send_limits.ts
@@ -66,6 +66,11 @@
 
 /** Until the next question when nobody answers, in ms; a loss is known by then. */
 const SILENT_WAIT_MS = 200;
+/**
+ * After so long without an answer of the endpoint a limit is looked at again, in
+ * ms. At 350 hosts that have requests it makes 120 questions a second.
+ */
+const CONFIRM_MS = 3000;
 /** Beats between two looks at what is to be forgotten. */
 const SWEEP_BEATS = 16;
 /** A limit that ended is remembered so long against older words, in ms. */
@@ -128,6 +133,23 @@
     return this.getLine(target.instanceId).wait(target, use);
   }
 
+  /**
+   * An endpoint with a limit may look slower than others that have room, and get
+   * nothing; then no answer would ever tell that its limit is over. The permit
+   * that it has free is used for that.
+   */
+  takeUnconfirmed<T extends SendTarget>(targets: Iterable<T>): T | undefined {
+    if (this.beliefs.count === 0) return undefined;
+    const now = this.parts.clock.getNow();
+    for (const target of targets) {
+      const word = this.beliefs.findWord(target.instanceId);
+      if (word?.perSecond === undefined) continue;
+      if (now - word.at < CONFIRM_MS) continue;
+      if (this.getLine(target.instanceId).takeTurn(CONFIRM_MS)) return target;
+    }
+    return undefined;
+  }
+
   recordAnswer({target, limit, isTelling, sentAt}: LimitAnswer): void {
     const {instanceId} = target;
     if (limit === undefined) {
--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -81,11 +81,13 @@
   }
 
   private chooseEndpoint(): EndpointRecord | undefined {
-    const {endpoints, rollouts} = this.parts;
+    const {endpoints, gate, rollouts} = this.parts;
     const isFirst = !this.hasLooked;
     this.hasLooked = true;
     const trial = isFirst ? rollouts.takeTrial(this.service) : undefined;
     const usable = trial ?? endpoints.listUsable(this.service);
+    const unconfirmed = isFirst ? gate.takeUnconfirmed(usable) : undefined;
+    if (unconfirmed !== undefined) return unconfirmed;
     return choosePlainEndpoint(usable, this.excluded, () =>
       getRandomPart(this.parts.random),
     );
--- a/packages/gateway/src/serving/send_gate.ts
+++ b/packages/gateway/src/serving/send_gate.ts
@@ -60,6 +60,12 @@
     use: SendUse,
   ): Promise<SendAdmission> | SendAdmission;
 
+  /**
+   * Takes one of these whose limit no answer has confirmed for a while, to be
+   * tried before others; undefined when there is none.
+   */
+  takeUnconfirmed<T extends SendTarget>(targets: Iterable<T>): T | undefined;
+
   /** Takes what an answer tells, whatever else becomes of it. */
   recordAnswer(answer: LimitAnswer): void;
 
--- a/packages/gateway/src/serving/stream_planner.ts
+++ b/packages/gateway/src/serving/stream_planner.ts
@@ -150,6 +150,7 @@
     const endpoint =
       holder ??
       this.chooseApart(usable, request) ??
+      this.takeUnconfirmed(usable) ??
       chooseEngine(this.known ?? usable, request) ??
       chooseEngine(usable, request);
     if (endpoint === undefined) return undefined;
@@ -170,6 +171,15 @@
     return chooseApart(usable, request, content);
   }
 
+  /** Takes an engine whose limit may be over; only for streams that begin. */
+  private takeUnconfirmed(
+    usable: readonly EndpointRecord[],
+  ): EndpointRecord | undefined {
+    const isFirst = this.excluded.size === 0 && this.held.size === 0;
+    if (!isFirst || this.terms.lastEventId !== undefined) return undefined;
+    return this.parts.gate.takeUnconfirmed(usable);
+  }
+
   /**
    * Gives the slots that the stream takes of an engine by the account of all
    * hosts: every one if engines ended under it again, so that no other stream is
