--- a/packages/cli/src/api_client.ts
+++ b/packages/cli/src/api_client.ts
@@ -32,6 +32,21 @@
   more: z.boolean(),
 });
 /** Contents under which endpoints ended. */
+const LIMITS_SCHEMA = z.object({
+  limits: z.array(
+    z.object({
+      endpoint: z.string(),
+      service: z.string().nullable(),
+      address: z.string().nullable(),
+      perSecond: z.number(),
+      sinceSeconds: z.number(),
+      source: z.string(),
+      issuer: z.string().nullable(),
+      given: z.number(),
+      held: z.number(),
+    }),
+  ),
+});
 const CRASHES_SCHEMA = z.object({
   contents: z.array(
     z.object({
@@ -184,6 +199,14 @@
     return this.sendChecked({method: 'GET', path}, CRASHES_SCHEMA);
   }
 
+  /** Lists the limits that endpoints name, as a gateway believes them. */
+  async listLimits(): Promise<
+    Result<z.infer<typeof LIMITS_SCHEMA>, KnownError>
+  > {
+    const path = '/v1/limits';
+    return this.sendChecked({method: 'GET', path}, LIMITS_SCHEMA);
+  }
+
   /** Takes a content off that list, at all hosts. */
   async deleteCrashes(
     content: string,
--- a/packages/cli/src/command_table.ts
+++ b/packages/cli/src/command_table.ts
@@ -6,6 +6,7 @@
 import {DELETE_COMMAND} from './commands/delete.js';
 import {EXPLAIN_COMMAND} from './commands/explain.js';
 import {GET_COMMAND} from './commands/get.js';
+import {LIMITS_COMMAND} from './commands/limits.js';
 import {LIST_COMMAND} from './commands/list.js';
 import {STATUS_COMMAND} from './commands/status.js';
 import {STREAMS_COMMAND} from './commands/streams.js';
@@ -21,6 +22,7 @@
   STATUS_COMMAND,
   AUDIT_COMMAND,
   CRASHES_COMMAND,
+  LIMITS_COMMAND,
   EXPLAIN_COMMAND,
   STREAMS_COMMAND,
 ];
--- a/packages/gateway/src/services/crash_pages.ts
+++ b/packages/gateway/src/services/crash_pages.ts
@@ -6,6 +6,7 @@
 import type {Clock, KnownError, Logger} from '@irisdock/kernel';
 import {GATEWAY_ERRORS} from '../errors.js';
 import type {CrashRecords} from '../serving/crash_records.js';
+import {sendJson} from './operator_answer.js';
 
 const PATH = '/v1/crashes';
 /** Names who asks, for the log. */
@@ -58,16 +59,3 @@
   const {kind, message, remedy, outcome, status} = error;
   sendJson(response, status, {error: {kind, message, remedy, outcome}});
 }
-
-function sendJson(
-  response: ServerResponse,
-  status: number,
-  value: object,
-): void {
-  const text = JSON.stringify(value);
-  response.writeHead(status, {
-    'content-type': 'application/json',
-    'content-length': Buffer.byteLength(text),
-  });
-  response.end(text);
-}
--- a/packages/gateway/src/services/metrics_page.ts
+++ b/packages/gateway/src/services/metrics_page.ts
@@ -1,6 +1,6 @@
 /**
  * The service `metrics`: the operators' address of this process. It gives the
- * figures as text, and the pages of `crash_pages.ts`.
+ * figures as text, and the pages of `crash_pages.ts` and `limit_pages.ts`.
  */
 import {createServer} from 'node:http';
 import {
@@ -14,6 +14,9 @@
 import {startListening} from '../channels/listening.js';
 import {handleCrashPages} from './crash_pages.js';
 import {CRASHES} from './crashes.js';
+import {GATEWAY_ENDPOINTS} from './endpoints.js';
+import {handleLimitPages} from './limit_pages.js';
+import {LIMITS} from './limits.js';
 
 /** The path of the page. */
 export const METRICS_PATH = '/metrics';
@@ -33,10 +36,12 @@
       description: 'Where the figures are given, at /metrics.',
     }),
   }),
-  needs: [CRASHES],
+  needs: [CRASHES, GATEWAY_ENDPOINTS, LIMITS],
   create(context, settings) {
     const {metrics, log, clock} = context;
     const crashes = context.find(CRASHES);
+    const limits = context.find(LIMITS);
+    const endpoints = context.find(GATEWAY_ENDPOINTS);
     collectDefaultMetrics({
       register: metrics,
       prefix: 'irisdock_process_',
@@ -44,6 +49,8 @@
     });
     const server = createServer((message, response) => {
       if (handleCrashPages(message, response, {crashes, clock, log})) return;
+      const limitParts = {limits, endpoints, clock};
+      if (handleLimitPages(message, response, limitParts)) return;
       if (message.url !== METRICS_PATH) {
         response.writeHead(404).end();
         return;
--- /dev/null
+++ b/packages/gateway/src/services/operator_answer.ts
@@ -0,0 +1,16 @@
+/** Answers on the operators' address. */
+import type {ServerResponse} from 'node:http';
+
+/** Sends a whole answer as JSON. */
+export function sendJson(
+  response: ServerResponse,
+  status: number,
+  value: object,
+): void {
+  const text = JSON.stringify(value);
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+  });
+  response.end(text);
+}
--- a/packages/testkit/tests/command_line.test.ts
+++ b/packages/testkit/tests/command_line.test.ts
@@ -1,6 +1,6 @@
 /** The operators' command line against a running deployment. */
 import assert from 'node:assert/strict';
-import {createServer} from 'node:http';
+import {createServer, type IncomingMessage} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {after, before, describe, it} from 'node:test';
 import {
@@ -211,39 +211,70 @@
   });
 });
 
-describe('irisdock crashes', () => {
-  const asked: string[] = [];
+/** Runs a body while a gateway's operators' address answers like this. */
+async function runWithGateway(
+  answer: (message: IncomingMessage) => object,
+  body: (address: string) => Promise<void>,
+): Promise<void> {
   const server = createServer((message, response) => {
-    const actor = String(message.headers['x-irisdock-actor']);
-    asked.push(`${message.method} ${message.url} ${actor}`);
-    const content = {
-      content: 'c1',
-      verdict: 'refused',
-      endpoints: ['i-1', 'i-2', 'i-3'],
-      lastSecondsAgo: 7,
-    };
-    const isList = message.method === 'GET';
-    response.end(JSON.stringify(isList ? {contents: [content]} : content));
+    response.end(JSON.stringify(answer(message)));
   });
-  let address = '';
-
-  before(async () => {
-    await new Promise<void>((resolve) => {
-      server.listen(0, '127.0.0.1', resolve);
-    });
-    address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
   });
-  after(() => {
+  try {
+    await body(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+  } finally {
     server.close();
-  });
+  }
+}
 
+describe('irisdock crashes', () => {
   it('lists contents, and takes one off the list', async () => {
-    const list = await runProcess('irisdock', ['crashes', '-s', address]);
-    assert.match(list.stdout, /^c1 +refused +7 s ago +i-1 i-2 i-3$/m);
-    const args = ['crashes', 'remove', 'c1', '-s', address, '--actor', 'ops'];
-    const removed = await runProcess('irisdock', args);
-    assert.match(removed.stdout, /^c1$/m);
-    assert.equal(asked.at(-1), 'DELETE /v1/crashes/c1 ops');
+    const asked: string[] = [];
+    const answer = (message: IncomingMessage): object => {
+      const actor = String(message.headers['x-irisdock-actor']);
+      asked.push(`${message.method} ${message.url} ${actor}`);
+      const content = {
+        content: 'c1',
+        verdict: 'refused',
+        endpoints: ['i-1', 'i-2', 'i-3'],
+        lastSecondsAgo: 7,
+      };
+      return message.method === 'GET' ? {contents: [content]} : content;
+    };
+    await runWithGateway(answer, async (address) => {
+      const list = await runProcess('irisdock', ['crashes', '-s', address]);
+      assert.match(list.stdout, /^c1 +refused +7 s ago +i-1 i-2 i-3$/m);
+      const args = ['crashes', 'remove', 'c1', '-s', address, '--actor', 'ops'];
+      const removed = await runProcess('irisdock', args);
+      assert.match(removed.stdout, /^c1$/m);
+      assert.equal(asked.at(-1), 'DELETE /v1/crashes/c1 ops');
+    });
+  });
+});
+
+describe('irisdock limits', () => {
+  it('lists the limits in force', async () => {
+    const limit = {
+      endpoint: 'i-1',
+      service: 'plain',
+      address: '10.0.0.1:80',
+      perSecond: 3.4,
+      sinceSeconds: 12,
+      source: 'host-2',
+      issuer: null,
+      given: 41,
+      held: 7,
+    };
+    const answer = (): object => ({limits: [limit]});
+    await runWithGateway(answer, async (address) => {
+      const list = await runProcess('irisdock', ['limits', '-s', address]);
+      const row = /^i-1 +plain +3\.4 +12 s ago +host-2 +- +41 +7$/m;
+      assert.match(list.stdout, row);
+      const bad = await runProcess('irisdock', ['limits', 'x', '-s', address]);
+      assert.equal(bad.code, 2);
+    });
   });
 });
 
