--- a/scripts/check_soak.mjs
+++ b/scripts/check_soak.mjs
@@ -37,6 +37,11 @@
     /retryAfterSeconds !== void 0/,
     'false',
   ],
+  [
+    'a limit that an endpoint names is kept',
+    /findRate\(instanceId\) \{/,
+    'findRate(instanceId) { return void 0;',
+  ],
   [
     'what ended its endpoints is refused',
     'return this.parts.ledger.decide(content)',
--- a/soak/src/endpoint_fleet.ts
+++ b/soak/src/endpoint_fleet.ts
@@ -10,6 +10,7 @@
   createEntry,
   createStreamScript,
   ENTRY_STATES,
+  getId,
   putEntry,
   ServerStandin,
   SOAK_SERVICES,
@@ -43,8 +44,16 @@
   readonly address: string;
   /** When the store took that it leaves; undefined before. */
   leavingAt: number | undefined;
+  /** Lines with the limit that it names; empty while it names none. */
+  limitLines: readonly string[];
 }
 
+/** Takes it that a request reached an endpoint. */
+export type ArrivalListener = (
+  instance: EndpointInstance,
+  attemptId: string,
+) => void;
+
 /** Takes it that an endpoint began a run. */
 export type RunListener = (instance: EndpointInstance, run: ServerRun) => void;
 
@@ -60,6 +69,7 @@
     private readonly store: StoreStandin,
     private readonly failureDomains: readonly string[],
     private readonly handleRun: RunListener,
+    private readonly handleArrival: ArrivalListener,
   ) {}
 
   /** Adds an endpoint of a service in the next failure domain. */
@@ -74,6 +84,7 @@
     const parts = {
       getAddress: () => address,
       copies: this.copies,
+      listLines: () => instance.limitLines,
       recordRun: (run: ServerRun) => {
         this.handleRun(instance, run);
       },
@@ -92,6 +103,10 @@
       link,
       address,
       leavingAt: undefined,
+      limitLines: [],
+    };
+    server.handleSeen = (request) => {
+      this.handleArrival(instance, getId(request));
     };
     this.instances.set(place, instance);
     this.putEntry(instance, 'ready');
--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -4,6 +4,7 @@
 export * from './fault_plan.js';
 export * from './free_ports.js';
 export * from './host_process.js';
+export * from './limit_witness.js';
 export * from './play.js';
 export * from './tcp_link.js';
 export * from './witness.js';
--- a/soak/src/play.ts
+++ b/soak/src/play.ts
@@ -21,6 +21,8 @@
 import {planFaults, type PlannedFault} from './fault_plan.js';
 import {FaultPlayer} from './fault_player.js';
 import {DEPLOYED_PROGRAM, HostProcess} from './host_process.js';
+import {LimitPlayer} from './limit_player.js';
+import {LimitWitness} from './limit_witness.js';
 import {Witness, type RequestKind} from './witness.js';
 
 /** How large a play is. */
@@ -39,6 +41,8 @@
   readonly seed: number;
   readonly counts: Witness['counts'];
   readonly versions: number;
+  /** Arrivals that were held against a limit. */
+  readonly limited: number;
   readonly faults: readonly PlannedFault[];
   /** Promises that were broken. */
   readonly broken: readonly string[];
@@ -61,6 +65,9 @@
 const START_STEP_MS = 50;
 /** All is to be served again after so long, in ms. */
 const RECOVERY_MS = 6000;
+/** Limits that were named are over so long before that, in ms. */
+const LIMITS_OVER_MS = 2000;
+const SERVICES = 2;
 /** Requests of each kind that must be served in the end. */
 const LAST_REQUESTS = 6;
 const LAST_TRIES = 3;
@@ -72,10 +79,19 @@
   readonly store = new StoreStandin();
   readonly hosts: HostProcess[] = [];
   readonly crashes = new CrashWitness(this.disturbances);
-  readonly fleet = new EndpointFleet(this.store, DOMAINS, (instance, run) => {
-    this.witness.recordRun(instance, run);
-    if (run.body.startsWith(CRASH_PREFIX)) this.endUnderRun(instance, run);
-  });
+  readonly limits = new LimitWitness(this.disturbances);
+  readonly fleet = new EndpointFleet(
+    this.store,
+    DOMAINS,
+    (instance, run) => {
+      this.witness.recordRun(instance, run);
+      if (run.body.startsWith(CRASH_PREFIX)) this.endUnderRun(instance, run);
+    },
+    (instance, attemptId) => {
+      const host = this.witness.findAttempt(attemptId)?.host ?? '';
+      this.limits.recordArrival(instance.id, host, performance.now());
+    },
+  );
   readonly configuration = new ConfigurationWitness(
     this.store,
     this.hosts,
@@ -85,7 +101,7 @@
   private readonly random: SeededRandom;
 
   constructor(
-    seed: number,
+    private readonly seed: number,
     private readonly options: PlayOptions,
     private readonly directory: string,
   ) {
@@ -101,18 +117,31 @@
     const callers = [...this.createCallers(), ...this.createCrashCallers()];
     const running = callers.map((caller) => caller.run());
     const asking = this.configuration.run();
+    const limits = this.startLimits();
     await this.runFaults(plan);
-    await sleep(RECOVERY_MS);
+    await sleep(RECOVERY_MS - LIMITS_OVER_MS);
+    limits.stop();
+    await sleep(LIMITS_OVER_MS);
     await Promise.all([this.checkRecovery(), this.drainInCalm()]);
     for (const caller of callers) caller.stop();
     this.configuration.stop();
     await Promise.all([...running, asking]);
     for (const caller of callers) caller.close();
     this.witness.checkRefusals();
-    for (const fault of this.crashes.listFaults()) this.witness.addFault(fault);
+    const broken = [...this.crashes.listFaults(), ...this.limits.listFaults()];
+    for (const fault of broken) this.witness.addFault(fault);
     return plan;
   }
 
+  /** Lets endpoints of both services name limits while faults are played. */
+  private startLimits(): LimitPlayer {
+    const player = new LimitPlayer(this.seed, this.fleet, this.limits);
+    for (let service = 0; service < SERVICES; service++) {
+      void player.run(service * PLACES_A_SERVICE, PLACES_A_SERVICE);
+    }
+    return player;
+  }
+
   async stop(): Promise<void> {
     await Promise.all(this.hosts.map((host) => host.close()));
     this.fleet.stop();
@@ -189,7 +218,7 @@
     const player = new FaultPlayer({
       hosts: this.hosts,
       fleet: this.fleet,
-      places: 2 * PLACES_A_SERVICE,
+      places: SERVICES * PLACES_A_SERVICE,
       domains: DOMAINS.length,
       store: this.store,
       configuration: this.configuration,
@@ -258,7 +287,8 @@
   const {counts, faults: broken} = play.witness;
   if (broken.length === 0) rmSync(directory, {recursive: true});
   const versions = play.configuration.version;
-  return {seed, counts, versions, faults, broken, directory};
+  const limited = play.limits.countChecked();
+  return {seed, counts, versions, limited, faults, broken, directory};
 }
 
 /** Says why a host is not ready; undefined when it is. */
--- a/soak/tests/soak.test.ts
+++ b/soak/tests/soak.test.ts
@@ -8,7 +8,7 @@
 import {ALL_FAULT_KINDS, planFaults, runPlay, USUAL_PLAY} from '@irisdock/soak';
 
 /** Seeds that are played in CI. */
-const SEEDS: readonly number[] = [1, 3];
+const SEEDS: readonly number[] = [1, 2, 3];
 
 describe('the soak', () => {
   for (const seed of SEEDS) {
