Wait for the end of a lost run's endpoint in one place, and list proofs of limits

No change of what is done: LostRuns holds how long a call or a stream waits until it is known what became of its endpoint, which stood in both drivers; the crash records say whether a content is refused, which stood in three files. Eleven mechanisms by which limits are kept are listed with the tests that must fail without them.

--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -180,7 +180,13 @@
     rollouts: context.find(ROLLOUTS),
     crashes,
     gate,
-    lostRuns: new LostRuns({check, crashes, metrics: servingMetrics, log}),
+    lostRuns: new LostRuns({
+      check,
+      crashes,
+      metrics: servingMetrics,
+      clock,
+      log,
+    }),
     metrics: servingMetrics,
   };
 }
--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -211,13 +211,13 @@
     if (result.kind !== 'lost' || !result.mayHaveRun) return;
     // The send was ended by this host, as its time was over.
     if (exchange.isExpired) return;
-    const known = lostRuns.record({requestId, content, endpoint});
-    if (crashes.countCrashes(content) > 0) await known;
+    const run = {requestId, content, endpoint};
+    await lostRuns.record(run, 0, exchange.signal);
   }
 
   /** Whether the content ended too many endpoints, here or elsewhere. */
   private get isRefused(): boolean {
-    return this.parts.crashes.decide(this.request.content) === 'refused';
+    return this.parts.crashes.isRefused(this.request.content);
   }
 
   private isRepeatAllowed(result: AnswerReading): boolean {
--- a/packages/gateway/src/serving/crash_records.ts
+++ b/packages/gateway/src/serving/crash_records.ts
@@ -63,6 +63,11 @@
     return this.parts.ledger.decide(content);
   }
 
+  /** Whether a content ended too many endpoints, here or elsewhere. */
+  isRefused(content: string): boolean {
+    return this.decide(content) === 'refused';
+  }
+
   /** Gives the number of crashes of a content. */
   countCrashes(content: string): number {
     return this.parts.ledger.countCrashes(content);
--- a/packages/gateway/src/serving/lost_runs.ts
+++ b/packages/gateway/src/serving/lost_runs.ts
@@ -4,7 +4,7 @@
  * that had said that it leaves, or was lost with its failure domain, ended for
  * another reason.
  */
-import type {Logger} from '@irisdock/kernel';
+import type {Clock, Logger} from '@irisdock/kernel';
 import type {CrashRecords} from './crash_records.js';
 import type {EndpointEndCheck} from './endpoint_end.js';
 import type {EndpointRecord} from './endpoint_record.js';
@@ -23,6 +23,7 @@
   readonly check: EndpointEndCheck;
   readonly crashes: CrashRecords;
   readonly metrics: ServingMetrics;
+  readonly clock: Clock;
   readonly log: Logger;
 }
 
@@ -30,8 +31,33 @@
 export class LostRuns {
   constructor(private readonly parts: LostRunsParts) {}
 
-  /** Takes a lost run; resolves when it is known what became of its endpoint. */
-  async record({requestId, content, endpoint}: LostRun): Promise<void> {
+  /**
+   * Takes a lost run, and waits a while until it is known what became of its
+   * endpoint. What ended an endpoint before is not sent again until that is known:
+   * on a busy host the answer takes longer.
+   *
+   * @param mostMs How long a content that ended none is held up.
+   */
+  async record(
+    run: LostRun,
+    mostMs: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const {clock, crashes} = this.parts;
+    const known = this.findEnd(run);
+    if (crashes.countCrashes(run.content) > 0) {
+      await known;
+      return;
+    }
+    if (mostMs === 0) return;
+    await Promise.race([known, clock.wait(mostMs, signal)]);
+  }
+
+  private async findEnd({
+    requestId,
+    content,
+    endpoint,
+  }: LostRun): Promise<void> {
     const {check, crashes, metrics, log} = this.parts;
     const {instanceId, isReady: wasReady} = endpoint;
     const ownRuns = endpoint.getOwnUse().running;
--- a/packages/gateway/src/serving/request_handler.ts
+++ b/packages/gateway/src/serving/request_handler.ts
@@ -59,7 +59,7 @@
     // What ended endpoints under other ids, here or at other hosts, would end
     // more: no bound on one try of a caller can see that.
     const {content} = request;
-    if (this.parts.crashes.decide(content) === 'refused') {
+    if (this.parts.crashes.isRefused(content)) {
       this.refuse(exchange, createRefused(content, false));
       return;
     }
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -290,18 +290,12 @@
    */
   private async checkEnd(plan: LegPlan, result: LegResult): Promise<void> {
     if (result.kind !== 'lost' || !result.mayHaveRun) return;
-    const {clock, crashes, lostRuns} = this.parts;
+    const {lostRuns} = this.parts;
     const {requestId, content, exchange} = this.request;
     const {endpoint} = plan;
-    const known = lostRuns.record({requestId, content, endpoint});
-    // On a busy host the answer takes longer; what ended an engine before must
-    // not be sent again until it is known.
-    if (crashes.countCrashes(content) > 0) {
-      await known;
-      return;
-    }
-    if (this.planner.hasCopy) return;
-    await Promise.race([known, clock.wait(MAX_END_WAIT_MS, exchange.signal)]);
+    const run = {requestId, content, endpoint};
+    const mostMs = this.planner.hasCopy ? 0 : MAX_END_WAIT_MS;
+    await lostRuns.record(run, mostMs, exchange.signal);
   }
 
   private finishExpired(): string {
--- a/packages/gateway/src/serving/stream_repeats.ts
+++ b/packages/gateway/src/serving/stream_repeats.ts
@@ -35,7 +35,7 @@
 
   /** Whether the content ended too many engines, here or elsewhere. */
   get isRefused(): boolean {
-    return this.parts.crashes.decide(this.request.content) === 'refused';
+    return this.parts.crashes.isRefused(this.request.content);
   }
 
   /** Takes a leg that ended early. */
--- a/scripts/check_proofs.mjs
+++ b/scripts/check_proofs.mjs
@@ -5,6 +5,7 @@
 import {spawnSync} from 'node:child_process';
 import {readFileSync, writeFileSync} from 'node:fs';
 import {CRASH_TRIALS} from './crash_trials.mjs';
+import {LIMIT_TRIALS} from './limit_trials.mjs';
 
 const DECISIONS = 'packages/decisions/dist/src';
 const DAEMON = 'packages/daemon/dist/src';
@@ -12,6 +13,7 @@
 // mechanism; file; what is replaced by what; test file; its name's pattern
 const ALL_TRIALS = [
   ...CRASH_TRIALS,
+  ...LIMIT_TRIALS,
   [
     'repeated tokens are dropped',
     `${DECISIONS}/answer_assembler.js`,
--- a/scripts/crash_trials.mjs
+++ b/scripts/crash_trials.mjs
@@ -17,7 +17,7 @@
   [
     'crash: what comes again is refused before it is sent',
     `${GATEWAY}/serving/request_handler.js`,
-    "this.parts.crashes.decide(content) === 'refused'",
+    'this.parts.crashes.isRefused(content)',
     'false',
     TEST,
     'at one host once',
--- /dev/null
+++ b/scripts/limit_trials.mjs
@@ -0,0 +1,98 @@
+// The mechanisms by which the limits that endpoints name are kept, and their
+// proofs; played by check_proofs.mjs.
+const GATEWAY = 'packages/gateway/dist/src';
+const DECISIONS = 'packages/decisions/dist/src';
+const SUM = 'platform/endpoint_limits';
+const PURE = 'decisions/endpoint_limits';
+
+// mechanism; file; what is replaced by what; test file; its name's pattern
+export const LIMIT_TRIALS = [
+  [
+    'limit: a send needs a permit',
+    `${GATEWAY}/services/send_limits.js`,
+    'if (perSecond === undefined)',
+    'if (perSecond !== 0)',
+    SUM,
+    'kept by nine hosts',
+  ],
+  [
+    'limit: one host hands out permits for all',
+    `${GATEWAY}/services/send_limits.js`,
+    'const issuer = this.findIssuer(instanceId, turn);',
+    'const issuer = this.parts.identity.name; this.issuers.update({names: [issuer], mayLive: 1});',
+    SUM,
+    'kept by nine hosts',
+  ],
+  [
+    'limit: permits do not gather',
+    `${DECISIONS}/permit_bucket.js`,
+    'BURST = 2',
+    'BURST = 30',
+    PURE,
+    'keeps the bound whatever',
+  ],
+  [
+    'limit: begun answers go first',
+    `${DECISIONS}/permit_bucket.js`,
+    'begun: -MOST_BORROWED',
+    'begun: 1',
+    PURE,
+    'begun answers first',
+  ],
+  [
+    'limit: an answer asked for before it was named does not end it',
+    `${DECISIONS}/limit_belief.js`,
+    'word.at > known.at',
+    'true',
+    PURE,
+    'once it is asked after',
+  ],
+  [
+    'limit: what cannot be read is bounded',
+    `${DECISIONS}/limit_belief.js`,
+    'UNREADABLE_PER_SECOND = 1',
+    'UNREADABLE_PER_SECOND = 1e6',
+    SUM,
+    'cannot be read',
+  ],
+  [
+    'limit: a small side of a cut gives a small part',
+    `${DECISIONS}/permit_issuer.js`,
+    'heard * MINOR_SIDE_PART',
+    '1',
+    PURE,
+    'both sides of a cut',
+  ],
+  [
+    'limit: a host that has just started gives none',
+    `${DECISIONS}/permit_issuer.js`,
+    'START_MS = 2000',
+    'START_MS = 0',
+    PURE,
+    'while it has just started',
+  ],
+  [
+    'limit: the issuer tells all hosts',
+    `${GATEWAY}/services/limit_notices.js`,
+    'this.parts.sendToAll(this.createDatagram(part))',
+    'void part',
+    SUM,
+    'never heard it from',
+  ],
+  [
+    'limit: who was told to come back counts',
+    `${DECISIONS}/return_queue.js`,
+    'const from = Math.max(now, this.lastAt)',
+    'const from = now',
+    PURE,
+    'come back one by one',
+  ],
+  [
+    'limit: a limit without an answer is looked at again',
+    `${GATEWAY}/services/send_limits.js`,
+    'now - word.at < CONFIRM_MS',
+    'true',
+    SUM,
+    'comes and goes each second',
+  ],
+];
