Let the soak tell a host that is gone from one that cut a request

The soak's link takes the connection in the place of the host and is refused only then, so the caller took it for one that was sent and cut. What a caller without the link sees is a refused connection, which nothing promises against. The link now tells which connections were refused behind it; a connection that a running host cuts counts as before.

--- a/soak/src/caller.ts
+++ b/soak/src/caller.ts
@@ -158,6 +158,7 @@
     });
     return new Promise((resolve) => {
       let wasSent = false;
+      let ownPort = 0;
       const message = request({
         ...splitPlace(address),
         method: 'POST',
@@ -172,13 +173,17 @@
           clearTimeout(opening);
           // A request on a kept connection may cross its close.
           wasSent = !message.reusedSocket;
+          ownPort = socket.localPort ?? 0;
         };
         if (socket.connecting) socket.once('connect', markSent);
         else markSent();
       });
       message.on('error', () => {
         clearTimeout(opening);
-        resolve({kind: 'cut', wasSent});
+        // A link takes connections in the place of a host that is gone.
+        const host = this.hosts.find((one) => one.callerAddress === address);
+        const isGone = host?.callerLink.refusedPorts.has(ownPort) === true;
+        resolve({kind: 'cut', wasSent: wasSent && !isGone});
       });
       message.on('response', (answer) => {
         resolve(readAnswer(answer));
--- a/soak/src/tcp_link.ts
+++ b/soak/src/tcp_link.ts
@@ -3,6 +3,7 @@
  * Each direction can be held back, and all connections can be reset.
  */
 import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
+import {isRefused} from '@irisdock/kernel';
 import {DelayQueue} from './delay_queue.js';
 
 type HeldDirection = 'holdsBackward' | 'holdsForward';
@@ -74,10 +75,19 @@
 /** The link. */
 export class TcpLink {
   harm: LinkHarm = {};
+  /**
+   * Ports of connections that the link took though nobody listens at the target:
+   * without the link they would have been refused.
+   */
+  readonly refusedPorts = new Set<number>();
   private readonly pairs = new Set<LinkedPair>();
   private readonly server = createServer({allowHalfOpen: true}, (near) => {
     const {host, port} = this.getTarget();
     const far = connect({host, port, allowHalfOpen: true});
+    far.once('error', (error) => {
+      const nearPort = near.remotePort ?? 0;
+      if (isRefused(error)) this.refusedPorts.add(nearPort);
+    });
     this.pairs.add(new LinkedPair(near, far, this));
   });
 
--- a/soak/tests/tcp_link.test.ts
+++ b/soak/tests/tcp_link.test.ts
@@ -47,6 +47,21 @@
 }
 
 describe('a link of the soak', () => {
+  // A request to a host that had stopped a second before was held against it: the
+  // link takes the connection in its place, and the caller saw one that was cut.
+  it('tells which connections nobody would have taken', async () => {
+    const link = new TcpLink(() => ({host: '127.0.0.1', port: 1}));
+    const socket = connect(splitPlace(await link.start()));
+    socket.on('error', () => undefined);
+    let ownPort = 0;
+    socket.once('connect', () => {
+      ownPort = socket.localPort ?? 0;
+    });
+    await new Promise((resolve) => socket.once('close', resolve));
+    assert.ok(link.refusedPorts.has(ownPort));
+    link.stop();
+  });
+
   it('passes bytes on in their order, also when it gets faster', async () => {
     await runWithLink(async (link, socket) => {
       link.setHarm({delayMs: 40});
