Refuse rates that are no numbers from other hosts, and never leave a send waiting

Found by reading: a datagram with NaN for a rate would have filled a bucket with NaN and let nothing through for good; a fault while permits are asked for would have left the sends that waited without an answer; and the refusal of another endpoint at the same address would have ended a limit. Each is refused or answered now; tests for the first.

--- a/packages/gateway/src/channels/endpoint_client.ts
+++ b/packages/gateway/src/channels/endpoint_client.ts
@@ -75,6 +75,8 @@
   readonly isRefused: boolean;
 }
 
+/** The status by which another endpoint at the address refuses a send. */
+export const MISDIRECTED_STATUS = 421;
 /** From this status on an answer may be that of a program in its fall. */
 const FAILED_STATUS = 500;
 /** How long a connection may take to open, in ms; a live one takes a few. */
@@ -176,6 +178,7 @@
     const {endpointId = target.endpointId, limit} = terms;
     // The start that is meant did not answer.
     if (endpointId !== target.endpointId) return;
+    if (status === MISDIRECTED_STATUS) return;
     const isOurs = requestId !== undefined && terms.requestId === requestId;
     const isWell = terms.isSigned && status < FAILED_STATUS;
     const isTelling = isOurs && (isWell || terms.isNotRun);
--- a/packages/gateway/src/model/limit_datagram.ts
+++ b/packages/gateway/src/model/limit_datagram.ts
@@ -4,7 +4,7 @@
  * told as ages, as the clocks of hosts differ.
  */
 import type {SendCounts} from '@irisdock/decisions';
-import type {TupleReader} from './tuple_reader.js';
+import {TupleFault, type TupleReader} from './tuple_reader.js';
 
 /** What a host believes of an endpoint's limit. */
 export interface ToldLimit {
@@ -114,11 +114,13 @@
 }
 
 function readLimit(fields: TupleReader): ToldLimit {
-  return {
-    instanceId: fields.readText(),
-    perSecond: fields.readOptionalNumber(),
-    ageMs: Math.max(0, fields.readNumber()),
-  };
+  const instanceId = fields.readText();
+  const perSecond = fields.readOptionalNumber();
+  const ageMs = fields.readNumber();
+  // A rate or an age that is no number would let all through, or nothing for good.
+  const isWhole = Number.isFinite(perSecond ?? 0) && Number.isFinite(ageMs);
+  if (!isWhole) throw new TupleFault('a limit is no number');
+  return {instanceId, perSecond, ageMs: Math.max(0, ageMs)};
 }
 
 function listLimit({instanceId, perSecond, ageMs}: ToldLimit): unknown[] {
--- a/packages/gateway/src/services/send_limits.ts
+++ b/packages/gateway/src/services/send_limits.ts
@@ -10,7 +10,7 @@
   type LimitWord,
   type SendUse,
 } from '@irisdock/decisions';
-import type {Clock, Logger} from '@irisdock/kernel';
+import {getErrorText, type Clock, type Logger} from '@irisdock/kernel';
 import type {
   LimitsDatagram,
   PermitAnswerDatagram,
@@ -239,7 +239,7 @@
     if (line === undefined) {
       line = new PermitLine({
         clock: this.parts.clock,
-        poll: (question) => this.poll(instanceId, question),
+        poll: (question) => this.tryPoll(instanceId, question),
         findRate: () => this.beliefs.findRate(instanceId),
         firstTurn: hashText(this.parts.identity.name),
         findIssuer: (turn) => this.findIssuer(instanceId, turn),
@@ -249,6 +249,20 @@
     return line;
   }
 
+  /** Asks; what waits is answered whatever happens on the way. */
+  private async tryPoll(
+    instanceId: string,
+    question: LineQuestion,
+  ): Promise<PermitReply> {
+    try {
+      return await this.poll(instanceId, question);
+    } catch (thrown) {
+      const error = getErrorText(thrown);
+      this.parts.log.writeError('Permits could not be asked for.', {error});
+      return {kind: 'silent', waitMs: SILENT_WAIT_MS};
+    }
+  }
+
   private async poll(
     instanceId: string,
     question: LineQuestion,
--- a/packages/gateway/src/serving/answer_reading.ts
+++ b/packages/gateway/src/serving/answer_reading.ts
@@ -1,5 +1,8 @@
 /** What an answer that is no event stream says of its request. */
-import type {EndpointAnswer} from '../channels/endpoint_client.js';
+import {
+  MISDIRECTED_STATUS,
+  type EndpointAnswer,
+} from '../channels/endpoint_client.js';
 import type {GatewayEndpoints} from '../services/gateway_endpoints.js';
 import {readAnswerBody} from './answer_body.js';
 import type {PlainAnswer} from './caller_exchange.js';
@@ -17,8 +20,6 @@
     }
   | {readonly kind: 'whole'; readonly answer: PlainAnswer};
 
-const MISDIRECTED_STATUS = 421;
-
 /** Reads an answer to its end. */
 export async function readPlainAnswer(
   endpoints: GatewayEndpoints,
--- a/packages/gateway/tests/peer_datagrams.test.ts
+++ b/packages/gateway/tests/peer_datagrams.test.ts
@@ -94,6 +94,33 @@
       ],
     },
     {kind: 'loss', instanceId: 'i-1'},
+    {
+      kind: 'limits',
+      name: 'host-1',
+      limits: [
+        {instanceId: 'i-1', perSecond: 3.4, ageMs: 12},
+        {instanceId: 'i-2', perSecond: undefined, ageMs: 0},
+      ],
+    },
+    {
+      kind: 'permit-ask',
+      name: 'host-1',
+      incarnation: 1_790_000_000_000,
+      number: 7,
+      wanted: {begun: 1, usual: 4, aside: 0},
+      refused: 2,
+      limit: {instanceId: 'i-1', perSecond: 0.2, ageMs: 900},
+    },
+    {
+      kind: 'permit-answer',
+      number: 7,
+      isIssuer: true,
+      granted: {begun: 1, usual: 2, aside: 0},
+      waitMs: 290,
+      pauseMs: 250,
+      lastReturnMs: 1400,
+      limit: {instanceId: 'i-1', perSecond: 0.2, ageMs: 900},
+    },
     {
       kind: 'news',
       table: 'endpoints',
@@ -117,6 +144,8 @@
       [['w', 'probe', ['host', 'one']], /field 2 is no number/],
       [['u', 'host', 1, 2, [['i-1', 1, 'many', 0]]], /field 3 is no number/],
       [['n', 'endpoints', 1, 2, true, 'rows'], /field 6 is no bytes/],
+      [['m', 'host', [['i-1', NaN, 5]]], /no number/],
+      [['m', 'host', [['i-1', 3, Infinity]]], /no number/],
     ];
     for (const [value, fault] of wrong) {
       const decoded = decodePeerDatagram(encode(value));
