Share what notices, rows of crashes and the bound on limits do twice

No change of what is done. Notices of crashes and of limits plan their steps by one class; the rows of crashes are found by content in an index, in place of parsing all keys twice each time; the tests of limits and the soak count windows by one function.

--- a/packages/gateway/src/services/crash_notices.ts
+++ b/packages/gateway/src/services/crash_notices.ts
@@ -4,6 +4,7 @@
  */
 import type {Crash} from '@irisdock/decisions';
 import type {PeerDatagram} from '../model/peer_message.js';
+import {LaterSteps} from './later_steps.js';
 
 /**
  * Crashes are gathered for so long, in ms: what ran on one endpoint is lost
@@ -18,7 +19,7 @@
 /** Tells hosts. */
 export class CrashNotices {
   private gathered: Crash[] = [];
-  private readonly timers = new Set<NodeJS.Timeout>();
+  private readonly later = new LaterSteps();
 
   constructor(private readonly sendToAll: (datagram: PeerDatagram) => void) {}
 
@@ -34,7 +35,7 @@
     }
     this.gathered.push(crash);
     if (this.gathered.length > 1) return;
-    this.plan(GATHER_MS, () => {
+    this.later.plan(GATHER_MS, () => {
       const crashes = this.gathered;
       this.gathered = [];
       this.sendTwice(crashes);
@@ -44,18 +45,18 @@
   /** Tells that a content ends nothing. */
   publishCleared(content: string): void {
     this.sendToAll({kind: 'cleared', content});
-    this.plan(REPEAT_MS, () => {
+    this.later.plan(REPEAT_MS, () => {
       this.sendToAll({kind: 'cleared', content});
     });
   }
 
   close(): void {
-    for (const timer of this.timers) clearTimeout(timer);
+    this.later.close();
   }
 
   private sendTwice(crashes: readonly Crash[]): void {
     this.sendParts(crashes);
-    this.plan(REPEAT_MS, () => {
+    this.later.plan(REPEAT_MS, () => {
       this.sendParts(crashes);
     });
   }
@@ -66,12 +67,4 @@
       this.sendToAll({kind: 'crashes', crashes: part});
     }
   }
-
-  private plan(ms: number, step: () => void): void {
-    const timer = setTimeout(() => {
-      this.timers.delete(timer);
-      step();
-    }, ms);
-    this.timers.add(timer);
-  }
 }
--- /dev/null
+++ b/packages/gateway/src/services/crash_row_index.ts
@@ -0,0 +1,49 @@
+/** The rows of crashes in the store's table, by content. */
+import type {Crash, ReplicaRow} from '@irisdock/decisions';
+import {parseCrashKey} from '../model/crash_row.js';
+
+/** A row that was written or taken out. */
+export interface CrashRow {
+  readonly crash: Crash;
+  readonly isThere: boolean;
+}
+
+/** Finds rows without a look at all of them. */
+export class CrashRowIndex {
+  private readonly keys = new Map<string, Set<string>>();
+
+  /** Takes rows; gives those that are crashes. */
+  apply(rows: readonly ReplicaRow[]): CrashRow[] {
+    const found: CrashRow[] = [];
+    for (const {key, value} of rows) {
+      const crash = parseCrashKey(key);
+      if (crash === undefined) continue;
+      const isThere = value !== undefined;
+      if (isThere) this.add(crash.content, key);
+      else this.delete(crash.content, key);
+      found.push({crash, isThere});
+    }
+    return found;
+  }
+
+  /** Lists the keys of a content's rows. */
+  listKeys(content: string): string[] {
+    return [...(this.keys.get(content) ?? [])];
+  }
+
+  /** Lists the contents that have rows. */
+  listContents(): string[] {
+    return [...this.keys.keys()];
+  }
+
+  private add(content: string, key: string): void {
+    const keys = this.keys.get(content) ?? new Set<string>();
+    this.keys.set(content, keys.add(key));
+  }
+
+  private delete(content: string, key: string): void {
+    const keys = this.keys.get(content);
+    keys?.delete(key);
+    if (keys?.size === 0) this.keys.delete(content);
+  }
+}
--- a/packages/gateway/src/services/crashes.ts
+++ b/packages/gateway/src/services/crashes.ts
@@ -6,15 +6,13 @@
 import {createService, createServiceKey} from '@irisdock/kernel';
 import {Gauge, type Registry} from 'prom-client';
 import * as z from 'zod';
-import {parseCrashKey} from '../model/crash_row.js';
 import {CrashRecords} from '../serving/crash_records.js';
+import {CrashRowIndex} from './crash_row_index.js';
 import {CrashNotices} from './crash_notices.js';
 import {CrashStore} from './crash_store.js';
 import {HOST_IDENTITY} from './identity.js';
-import type {Peers} from './peer_hosts.js';
 import {PEERS} from './peers.js';
 import {STORE} from './store.js';
-import type {TableFollower} from './table_follower.js';
 import {TABLES_KEY} from './tables.js';
 
 /** The key of the service. */
@@ -48,13 +46,14 @@
     const notices = new CrashNotices((datagram) => {
       peers.sendToAll(datagram);
     });
+    const index = new CrashRowIndex();
     const kept = new CrashStore({
       host: context.find(HOST_IDENTITY).name,
       store: context.find(STORE),
       clock,
       log,
       hasRow: (key) => table.replica.find(key)?.value !== undefined,
-      listKeys: (content) => listKeys(table, content),
+      listKeys: (content) => index.listKeys(content),
     });
     api.spreader = {
       publishCrash: (crash, isUrgent) => {
@@ -71,14 +70,14 @@
       },
     };
     peers.crashBoard = api;
-    applyRows(table.replica.listAll(), api);
+    applyRows(table.replica.listAll(), index, api);
     void table.news.observe((rows) => {
-      applyRows(rows, api);
+      applyRows(rows, index, api);
     });
     createGauge(api, metrics);
     const timer = setInterval(() => {
       api.dropExpired();
-      deleteForgotten(table, api, kept, peers);
+      if (peers.isFirstReader) deleteForgotten(index, api, kept);
     }, SWEEP_MS);
     timer.unref();
     return {
@@ -92,38 +91,26 @@
   },
 });
 
-function applyRows(rows: readonly ReplicaRow[], records: CrashRecords): void {
-  for (const {key, value} of rows) {
-    const crash = parseCrashKey(key);
-    if (crash === undefined) continue;
-    if (value === undefined) records.dropCrash(crash);
-    else records.acceptCrashes([crash]);
-  }
-}
-
-function listKeys(table: TableFollower, content: string): string[] {
-  const keys: string[] = [];
-  for (const {key} of table.replica.listAll()) {
-    if (parseCrashKey(key)?.content === content) keys.push(key);
+function applyRows(
+  rows: readonly ReplicaRow[],
+  index: CrashRowIndex,
+  records: CrashRecords,
+): void {
+  for (const {crash, isThere} of index.apply(rows)) {
+    if (isThere) records.acceptCrashes([crash]);
+    else records.dropCrash(crash);
   }
-  return keys;
 }
 
 /** Deletes what no host remembers; one host does it for all. */
 function deleteForgotten(
-  table: TableFollower,
+  index: CrashRowIndex,
   records: CrashRecords,
   kept: CrashStore,
-  peers: Peers,
 ): void {
-  if (!peers.isFirstReader) return;
-  const forgotten = new Set<string>();
-  for (const {key} of table.replica.listAll()) {
-    const content = parseCrashKey(key)?.content;
-    if (content === undefined || records.countCrashes(content) > 0) continue;
-    forgotten.add(content);
+  for (const content of index.listContents()) {
+    if (records.countCrashes(content) === 0) kept.deleteCrashes(content);
   }
-  for (const content of forgotten) kept.deleteCrashes(content);
 }
 
 function createGauge(records: CrashRecords, registry: Registry): void {
--- a/packages/gateway/src/services/limit_notices.ts
+++ b/packages/gateway/src/services/limit_notices.ts
@@ -4,6 +4,7 @@
  * change is told to all once, however many hosts see it.
  */
 import type {LimitsDatagram, ToldLimit} from '../model/limit_datagram.js';
+import {LaterSteps} from './later_steps.js';
 
 /**
  * Changes are gathered for so long, in ms; several endpoints of a service may come
@@ -28,7 +29,7 @@
 /** The notices. */
 export class LimitNotices {
   private gathered = new Set<string>();
-  private readonly timers = new Set<NodeJS.Timeout>();
+  private readonly later = new LaterSteps();
 
   constructor(private readonly parts: LimitNoticesParts) {}
 
@@ -36,18 +37,18 @@
   publish(instanceId: string): void {
     this.gathered.add(instanceId);
     if (this.gathered.size > 1) return;
-    this.plan(GATHER_MS, () => {
+    this.later.plan(GATHER_MS, () => {
       const instanceIds = [...this.gathered];
       this.gathered = new Set();
       this.sendAll(instanceIds);
-      this.plan(REPEAT_MS, () => {
+      this.later.plan(REPEAT_MS, () => {
         this.sendAll(instanceIds);
       });
     });
   }
 
   close(): void {
-    for (const timer of this.timers) clearTimeout(timer);
+    this.later.close();
   }
 
   private sendAll(instanceIds: readonly string[]): void {
@@ -70,12 +71,4 @@
   private createDatagram(limits: readonly ToldLimit[]): LimitsDatagram {
     return {kind: 'limits', name: this.parts.ownName, limits};
   }
-
-  private plan(ms: number, step: () => void): void {
-    const timer = setTimeout(() => {
-      this.timers.delete(timer);
-      step();
-    }, ms);
-    this.timers.add(timer);
-  }
 }
--- a/soak/src/limit_witness.ts
+++ b/soak/src/limit_witness.ts
@@ -3,14 +3,13 @@
  * endpoints saw: in any four seconds, from when hosts had time to tell each other,
  * no more than half over the limit, and five, by hosts that were left alone.
  */
+import {
+  computeAllowed,
+  CONTACT_MS,
+  countWorst,
+} from '@irisdock/users-platform/fixtures';
 import type {Disturbances} from './disturbances.js';
 
-/** How long hosts have to tell each other, and to be left alone, in ms. */
-const CONTACT_MS = 3000;
-const WINDOW_MS = 4000;
-const EXCESS = 1.5;
-const ALLOWANCE = 5;
-
 /** A time in which one endpoint named a limit. */
 interface NamedSpan {
   readonly endpoint: string;
@@ -64,9 +63,8 @@
     const faults: string[] = [];
     for (const span of this.spans.values()) {
       const {endpoint, perSecond} = span;
-      const allowed = (EXCESS * perSecond * WINDOW_MS) / 1000 + ALLOWANCE;
       const worst = countWorst(this.listTimes(span));
-      if (worst <= allowed) continue;
+      if (worst <= computeAllowed(perSecond)) continue;
       faults.push(`${endpoint}, at most ${perSecond}/s, got ${worst} in 4 s`);
     }
     return faults;
@@ -88,13 +86,3 @@
     return disturbed.every(({part}) => part === 'callers' || part === 'store');
   }
 }
-
-function countWorst(times: readonly number[]): number {
-  let worst = 0;
-  let first = 0;
-  for (const [last, at] of times.entries()) {
-    while ((times[first] ?? 0) < at - WINDOW_MS) first++;
-    worst = Math.max(worst, last - first + 1);
-  }
-  return worst;
-}
