Ask an engine in need about streams only with permits that requests leave

What callers saw: requests refused while the engine answered questions about others. Cause: questions whether an engine still works on a stream went before requests, as if they were begun answers; each stream that waits for its first event asks again and again. Why it holds: a question takes a permit only where one more is left, and what could not be asked is not taken for lost; an engine that has ended answers no request either, so its permits are left and the question gets one.

--- a/packages/decisions/src/permit_bucket.ts
+++ b/packages/decisions/src/permit_bucket.ts
@@ -12,9 +12,9 @@
 /** What a send is for, the most urgent first. */
 export const SEND_USES = ['begun', 'usual', 'aside'] as const;
 /**
- * `begun`: goes on with an answer of which a caller has a part, or asks whether an
- * endpoint still works on one. `usual`: a caller's request. `aside`: what callers
- * can do without, such as a copy of a run's memory.
+ * `begun`: goes on with an answer of which a caller has a part. `usual`: a caller's
+ * request. `aside`: what callers can do without for a while, such as a copy of a
+ * run's memory, or the question whether an endpoint still works on a request.
  */
 export type SendUse = (typeof SEND_USES)[number];
 
--- a/packages/gateway/src/serving/endpoint_prober.ts
+++ b/packages/gateway/src/serving/endpoint_prober.ts
@@ -31,8 +31,9 @@
     timeoutMs: number,
   ): Promise<boolean> {
     const signal = AbortSignal.timeout(timeoutMs);
-    const permit = await this.client.admit(endpoint, 'begun');
-    // What could not be asked is not lost by that.
+    const permit = await this.client.admit(endpoint, 'aside');
+    // What could not be asked is not lost by that. Before requests, questions for
+    // streams that wait would take five of six permits of an engine in need.
     if (permit.kind === 'held' || signal.aborted) return true;
     const answer = await this.client.send({
       permit,
