--- a/bench/src/hunt.ts
+++ b/bench/src/hunt.ts
@@ -3,7 +3,8 @@
  * seed plays answers and failures on a small deployment of processes; the
  * first promise that is broken ends the hunt with 1 and the seed.
  */
-import {parseProgramOptions} from '@irisdock/kernel';
+import {runProgram} from '@irisdock/kernel';
+import {err, ok} from 'neverthrow';
 import {runSeed} from './hunt_play.js';
 
 const MINUTE_MS = 60_000;
@@ -13,8 +14,6 @@
   '  --minutes  how long seeds are played, a number above 0 (5)',
 ].join('\n');
 
-const EXIT_USAGE = 2;
-
 async function runHunt(first: number, minutes: number): Promise<number> {
   const endAt = Date.now() + minutes * MINUTE_MS;
   let seed = first;
@@ -33,33 +32,21 @@
   return 0;
 }
 
-async function runMain(): Promise<number> {
-  const parsed = parseProgramOptions(
-    {
-      options: {
-        help: {type: 'boolean', default: false},
-        seed: {type: 'string', default: '1'},
-        minutes: {type: 'string', default: '5'},
-      },
+process.exitCode = await runProgram(
+  {
+    options: {
+      help: {type: 'boolean', default: false},
+      seed: {type: 'string', default: '1'},
+      minutes: {type: 'string', default: '5'},
     },
-    USAGE,
-  );
-  if (parsed.isErr()) {
-    process.stderr.write(`${parsed.error}\n`);
-    return EXIT_USAGE;
-  }
-  const {values} = parsed.value;
-  if (values.help) {
-    process.stdout.write(`${USAGE}\n`);
-    return 0;
-  }
-  const seed = Number(values.seed);
-  const minutes = Number(values.minutes);
-  if (Number.isInteger(seed) && minutes > 0) return runHunt(seed, minutes);
-  process.stderr.write(
-    `Give --seed a whole number, --minutes a number.\n${USAGE}\n`,
-  );
-  return EXIT_USAGE;
-}
-
-process.exitCode = await runMain();
+  },
+  USAGE,
+  async ({values}) => {
+    const seed = Number(values.seed);
+    const minutes = Number(values.minutes);
+    if (Number.isInteger(seed) && minutes > 0) {
+      return ok(await runHunt(seed, minutes));
+    }
+    return err('Give --seed a whole number, --minutes a number.');
+  },
+);
--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -1,6 +1,7 @@
 /** The soak, as its tests use it. */
 export * from './crash_witness.js';
 export * from './disturbances.js';
+export * from './endpoint_fleet.js';
 export * from './fault_plan.js';
 export * from './free_ports.js';
 export * from './host_process.js';
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -2,13 +2,13 @@
  * `npm run soak -- --seed N --minutes M --hosts H`: plays seeds one after the
  * other until the time is over; a broken promise ends it with 1 and its seed.
  */
-import {parseProgramOptions} from '@irisdock/kernel';
+import {runProgram} from '@irisdock/kernel';
+import {err, ok} from 'neverthrow';
 import {runPlay, USUAL_PLAY, type PlayOptions} from './play.js';
 
 const MINUTE_MS = 60_000;
 const MAX_HOSTS = 150;
 const EXIT_BROKEN = 1;
-const EXIT_USAGE = 2;
 const USAGE = [
   'npm run soak -- [--seed N] [--minutes M] [--hosts H] [--program FILE]',
   '  --seed     the first seed, a whole number (1)',
@@ -36,45 +36,29 @@
   return broken === 0 ? 0 : EXIT_BROKEN;
 }
 
-async function runMain(): Promise<number> {
-  const parsed = parseProgramOptions(
-    {
-      options: {
-        help: {type: 'boolean', default: false},
-        seed: {type: 'string', default: '1'},
-        minutes: {type: 'string', default: '3'},
-        hosts: {type: 'string', default: String(USUAL_PLAY.hosts)},
-        program: {type: 'string', default: USUAL_PLAY.program},
-      },
+process.exitCode = await runProgram(
+  {
+    options: {
+      help: {type: 'boolean', default: false},
+      seed: {type: 'string', default: '1'},
+      minutes: {type: 'string', default: '3'},
+      hosts: {type: 'string', default: String(USUAL_PLAY.hosts)},
+      program: {type: 'string', default: USUAL_PLAY.program},
     },
-    USAGE,
-  );
-  if (parsed.isErr()) {
-    process.stderr.write(`${parsed.error}\n`);
-    return EXIT_USAGE;
-  }
-  const {values} = parsed.value;
-  if (values.help) {
-    process.stdout.write(`${USAGE}\n`);
-    return 0;
-  }
-  const [seed, hosts] = [Number(values.seed), Number(values.hosts)];
-  const minutes = Number(values.minutes);
-  const {program} = values;
-  const isValid =
-    Number.isInteger(seed) &&
-    minutes >= 0 &&
-    Number.isInteger(hosts) &&
-    hosts >= 1 &&
-    hosts <= MAX_HOSTS;
-  if (!isValid) {
-    process.stderr.write(
+  },
+  USAGE,
+  async ({values}) => {
+    const {program} = values;
+    const [seed, hosts] = [Number(values.seed), Number(values.hosts)];
+    const minutes = Number(values.minutes);
+    const isSize = Number.isInteger(hosts) && hosts >= 1 && hosts <= MAX_HOSTS;
+    if (Number.isInteger(seed) && minutes >= 0 && isSize) {
+      const options = {...USUAL_PLAY, hosts, program};
+      return ok(await runSeeds(seed, minutes, options));
+    }
+    return err(
       'Give --seed a whole number, --minutes a number and --hosts a whole ' +
-        `number from 1 to ${MAX_HOSTS}.\n${USAGE}\n`,
+        `number from 1 to ${MAX_HOSTS}.`,
     );
-    return EXIT_USAGE;
-  }
-  return runSeeds(seed, minutes, {...USUAL_PLAY, hosts, program});
-}
-
-process.exitCode = await runMain();
+  },
+);
