--- a/packages/decisions/src/limit_belief.ts
+++ b/packages/decisions/src/limit_belief.ts
@@ -15,7 +15,7 @@
   | {readonly kind: 'unreadable'};
 
 /** What an answer says of its endpoint's limit. */
-export interface LimitWord {
+export interface LimitReport {
   /** Requests a second from all hosts together; undefined without a limit. */
   readonly perSecond: number | undefined;
   /** From when on it holds, in ms by this host's clock. */
@@ -47,10 +47,10 @@
   return Math.min(MOST_PER_SECOND, Math.max(LEAST_PER_SECOND, perSecond));
 }
 
-/** Whether a word is newer than what is believed. */
-export function isNewerWord(
-  word: LimitWord,
-  known: LimitWord | undefined,
+/** Whether a report is newer than what is believed. */
+export function isNewerReport(
+  report: LimitReport,
+  known: LimitReport | undefined,
 ): boolean {
-  return known === undefined || word.at > known.at;
+  return known === undefined || report.at > known.at;
 }
--- a/packages/decisions/tests/endpoint_limits.test.ts
+++ b/packages/decisions/tests/endpoint_limits.test.ts
@@ -5,13 +5,13 @@
 import {
   computePauseMs,
   decideRate,
-  isNewerWord,
+  isNewerReport,
   NO_SENDS,
   PermitBucket,
   PermitIssuers,
   ReturnQueue,
   sortIssuers,
-  type LimitWord,
+  type LimitReport,
 } from '@irisdock/decisions';
 import {RUN_OPTIONS} from './run_options.js';
 
@@ -139,16 +139,16 @@
         const settledAt = Math.max(0, ...changes);
         const ask = 20_000;
         const last = {sentAt: ask, madeAt: ask + 5, arrivedAt: ask + 10};
-        let word: LimitWord | undefined;
+        let word: LimitReport | undefined;
         const all: Answer[] = [...answers, last];
         all.sort((a, b) => a.arrivedAt - b.arrivedAt);
         const isNamed = isNamedAt(settledAt);
         let isTold = false;
         for (const {sentAt, madeAt, arrivedAt} of all) {
-          const next: LimitWord = isNamedAt(madeAt)
+          const next: LimitReport = isNamedAt(madeAt)
             ? {perSecond: 3, at: arrivedAt}
             : {perSecond: undefined, at: sentAt};
-          if (isNewerWord(next, word)) word = next;
+          if (isNewerReport(next, word)) word = next;
           // Once it was named for good, no late answer of before ends it.
           isTold ||= isNamed && madeAt >= settledAt;
           if (isTold) assert.equal(word?.perSecond, 3);
--- a/packages/gateway/src/model/limit_datagram.ts
+++ b/packages/gateway/src/model/limit_datagram.ts
@@ -1,5 +1,5 @@
 /**
- * What hosts tell each other of limits that endpoints name: words that are newer
+ * What hosts tell each other of limits that endpoints name: reports that are newer
  * than what others may know, and permits that are asked for and given. Times are
  * told as ages, as the clocks of hosts differ.
  */
@@ -51,7 +51,7 @@
   readonly limit: ToldLimit;
 }
 
-/** Reads words, without their kind. */
+/** Reads limits, without their kind. */
 export function readLimits(fields: TupleReader): LimitsDatagram {
   return {
     kind: 'limits',
@@ -60,7 +60,7 @@
   };
 }
 
-/** Gives the tuple of words, without their kind. */
+/** Gives the tuple of limits, without their kind. */
 export function listLimits({name, limits}: LimitsDatagram): unknown[] {
   return [name, limits.map(listLimit)];
 }
--- a/packages/gateway/src/services/limit_beliefs.ts
+++ b/packages/gateway/src/services/known_limits.ts
@@ -4,8 +4,8 @@
  */
 import {
   decideRate,
-  isNewerWord,
-  type LimitWord,
+  isNewerReport,
+  type LimitReport,
   type NamedLimit,
 } from '@irisdock/decisions';
 import type {Clock, Logger} from '@irisdock/kernel';
@@ -21,13 +21,13 @@
   readonly source: string;
 }
 
-interface Belief extends LimitWord {
+interface Belief extends LimitReport {
   readonly since: number;
   readonly source: string;
 }
 
-/** What became of a word. */
-export type WordOutcome = 'changed' | 'known' | 'older';
+/** What became of a report. */
+export type ReportOutcome = 'changed' | 'known' | 'older';
 
 /** The source of what this host saw in an answer. */
 export const OWN_SOURCE = 'answer';
@@ -38,7 +38,7 @@
 const MAX_BELIEFS = 20_000;
 
 /** The beliefs. */
-export class LimitBeliefs {
+export class KnownLimits {
   private readonly beliefs = new Map<string, Belief>();
   private inForce = 0;
 
@@ -53,7 +53,7 @@
   }
 
   /** Gives what was told of an endpoint last; also that it has no limit. */
-  findWord(instanceId: string): LimitWord | undefined {
+  findReport(instanceId: string): LimitReport | undefined {
     return this.beliefs.get(instanceId);
   }
 
@@ -75,7 +75,7 @@
   }
 
   /** Takes a limit that an answer named just now. */
-  acceptNamed(instanceId: string, named: NamedLimit): WordOutcome {
+  acceptNamed(instanceId: string, named: NamedLimit): ReportOutcome {
     const before = this.beliefs.get(instanceId)?.perSecond;
     const perSecond = decideRate(named, before);
     if (named.kind === 'unreadable' && before === undefined) {
@@ -84,12 +84,12 @@
         believed: perSecond,
       });
     }
-    const word = {perSecond, at: this.clock.getNow()};
-    return this.accept(instanceId, word, OWN_SOURCE);
+    const report = {perSecond, at: this.clock.getNow()};
+    return this.accept(instanceId, report, OWN_SOURCE);
   }
 
   /** Takes it that an answer to what was sent at a moment named no limit. */
-  acceptAbsent(instanceId: string, sentAt: number): WordOutcome {
+  acceptAbsent(instanceId: string, sentAt: number): ReportOutcome {
     // Who never named one has nothing to end, and is not remembered.
     if (this.findRate(instanceId) === undefined) return 'known';
     return this.accept(
@@ -100,25 +100,29 @@
   }
 
   /** Takes what a host tells, if it is newer than what is believed. */
-  accept(instanceId: string, word: LimitWord, source: string): WordOutcome {
+  accept(
+    instanceId: string,
+    report: LimitReport,
+    source: string,
+  ): ReportOutcome {
     const known = this.beliefs.get(instanceId);
-    if (!isNewerWord(word, known)) return 'older';
-    const isChanged = known?.perSecond !== word.perSecond;
+    if (!isNewerReport(report, known)) return 'older';
+    const isChanged = known?.perSecond !== report.perSecond;
     const isStill = known?.perSecond !== undefined;
     const since =
-      isStill && word.perSecond !== undefined ? known.since : word.at;
-    this.put(instanceId, {...word, since, source});
+      isStill && report.perSecond !== undefined ? known.since : report.at;
+    this.put(instanceId, {...report, since, source});
     if (!isChanged) return 'known';
     this.log.writeInfo(
-      word.perSecond === undefined
+      report.perSecond === undefined
         ? 'An endpoint names no limit any more.'
         : 'An endpoint names a limit.',
       {
         endpoint: instanceId,
-        perSecond: word.perSecond,
+        perSecond: report.perSecond,
         before: known?.perSecond,
         source,
-        ageMs: Math.round(this.clock.getNow() - word.at),
+        ageMs: Math.round(this.clock.getNow() - report.at),
       },
     );
     return 'changed';
--- a/packages/gateway/src/services/limit_notices.ts
+++ b/packages/gateway/src/services/limit_notices.ts
@@ -33,7 +33,7 @@
 
   constructor(private readonly parts: LimitNoticesParts) {}
 
-  /** Tells of an endpoint's limit, as it is believed when the word goes out. */
+  /** Tells of an endpoint's limit, as it is believed when the notice goes out. */
   publish(instanceId: string): void {
     this.gathered.add(instanceId);
     if (this.gathered.size > 1) return;
--- a/packages/gateway/src/services/permit_desk.ts
+++ b/packages/gateway/src/services/permit_grants.ts
@@ -14,7 +14,7 @@
   PermitAskDatagram,
   ToldLimit,
 } from '../model/limit_datagram.js';
-import type {LimitBeliefs} from './limit_beliefs.js';
+import type {KnownLimits} from './known_limits.js';
 
 /** A question without what only other hosts need to know. */
 export type PermitAsk = Omit<PermitAskDatagram, 'kind' | 'limit'>;
@@ -25,8 +25,8 @@
   readonly answer: PermitAnswerDatagram;
 }
 
-/** What the desk keeps of one endpoint. */
-interface Counter {
+/** What is kept of one endpoint. */
+interface IssuedPermits {
   readonly bucket: PermitBucket;
   readonly returns: ReturnQueue;
   /** The last answer to each host, by the host's name. */
@@ -39,13 +39,13 @@
 /** A host that asked within this time is one of those that ask, in ms. */
 const ASKER_MS = 10_000;
 
-/** The desk. */
-export class PermitDesk {
-  private readonly counters = new Map<string, Counter>();
+/** The permits that this host hands out. */
+export class PermitGrants {
+  private readonly issued = new Map<string, IssuedPermits>();
 
   constructor(
     private readonly issuers: PermitIssuers,
-    private readonly beliefs: LimitBeliefs,
+    private readonly beliefs: KnownLimits,
     private readonly clock: Clock,
   ) {}
 
@@ -54,46 +54,46 @@
     const now = this.clock.getNow();
     const perSecond = this.beliefs.findRate(instanceId);
     if (perSecond === undefined) {
-      this.counters.delete(instanceId);
+      this.issued.delete(instanceId);
       return this.createAnswer(instanceId, ask, true);
     }
     const part = this.issuers.computePart(instanceId, perSecond, now);
     if (part === 0) {
       // What it gave before is not known to whoever is the issuer next, nor to
       // this host once it is that again: it starts with none.
-      this.counters.delete(instanceId);
+      this.issued.delete(instanceId);
       return this.createAnswer(instanceId, ask, false);
     }
-    const counter = this.getCounter(instanceId, now);
-    const last = counter.given.get(ask.name);
+    const permits = this.getIssued(instanceId, now);
+    const last = permits.given.get(ask.name);
     const {incarnation} = ask;
     const isSame = last?.incarnation === incarnation;
     if (isSame && last.answer.number === ask.number) return last.answer;
     const rate = perSecond * part;
-    counter.returns.add(ask.refused, rate, now);
-    const {granted, waitMs} = counter.bucket.take(ask.wanted, rate, now);
+    permits.returns.add(ask.refused, rate, now);
+    const {granted, waitMs} = permits.bucket.take(ask.wanted, rate, now);
     const answer = {
       ...this.createAnswer(instanceId, ask, true),
       granted,
       waitMs,
-      pauseMs: computePauseMs(countAskers(counter, now), perSecond, waitMs),
-      lastReturnMs: counter.returns.computeLastMs(now),
+      pauseMs: computePauseMs(countAskers(permits, now), perSecond, waitMs),
+      lastReturnMs: permits.returns.computeLastMs(now),
     };
-    counter.given.set(ask.name, {incarnation, at: now, answer});
+    permits.given.set(ask.name, {incarnation, at: now, answer});
     return answer;
   }
 
   /** Gives what is believed here of an endpoint's limit. */
   createTold(instanceId: string): ToldLimit {
-    const word = this.beliefs.findWord(instanceId);
+    const report = this.beliefs.findReport(instanceId);
     const now = this.clock.getNow();
-    const ageMs = word === undefined ? 0 : Math.max(0, now - word.at);
-    return {instanceId, perSecond: word?.perSecond, ageMs};
+    const ageMs = report === undefined ? 0 : Math.max(0, now - report.at);
+    return {instanceId, perSecond: report?.perSecond, ageMs};
   }
 
   /** Forgets an endpoint. */
   drop(instanceId: string): void {
-    this.counters.delete(instanceId);
+    this.issued.delete(instanceId);
   }
 
   private createAnswer(
@@ -113,19 +113,19 @@
     };
   }
 
-  private getCounter(instanceId: string, now: number): Counter {
-    let counter = this.counters.get(instanceId);
-    if (counter === undefined) {
+  private getIssued(instanceId: string, now: number): IssuedPermits {
+    let permits = this.issued.get(instanceId);
+    if (permits === undefined) {
       const bucket = new PermitBucket(now);
-      counter = {bucket, returns: new ReturnQueue(), given: new Map()};
-      this.counters.set(instanceId, counter);
+      permits = {bucket, returns: new ReturnQueue(), given: new Map()};
+      this.issued.set(instanceId, permits);
     }
-    return counter;
+    return permits;
   }
 }
 
 /** Counts the hosts that asked of late, and forgets the others. */
-function countAskers({given}: Counter, now: number): number {
+function countAskers({given}: IssuedPermits, now: number): number {
   for (const [name, {at}] of given) {
     if (now - at > ASKER_MS) given.delete(name);
   }
--- a/packages/gateway/src/services/permit_line.ts
+++ b/packages/gateway/src/services/permit_queue.ts
@@ -27,21 +27,21 @@
       readonly lastReturnMs: number;
     };
 
-/** What a line asks. */
-export interface LineQuestion {
+/** What a queue asks. */
+export interface QueueQuestion {
   readonly wanted: SendCounts;
   readonly refused: number;
   /** Which of the issuers is asked, where there are several. */
   readonly turn: number;
 }
 
-/** What a line works with. */
-export interface PermitLineParts {
+/** What a queue works with. */
+export interface PermitQueueParts {
   readonly clock: Clock;
   /** Which issuer this host asks first; others begin with others. */
   readonly firstTurn: number;
   /** Asks the issuer. */
-  readonly poll: (question: LineQuestion) => Promise<PermitReply>;
+  readonly poll: (question: QueueQuestion) => Promise<PermitReply>;
   /** The limit, in requests a second; undefined without one. */
   readonly findRate: () => number | undefined;
   readonly findIssuer: (turn: number) => string | undefined;
@@ -55,9 +55,9 @@
 
 const MILLI = 1000;
 
-/** The line. */
-export class PermitLine {
-  /** Sends that were let through and held back since the line began. */
+/** The queue for one endpoint. */
+export class PermitQueue {
+  /** Sends that were let through and held back since the queue began. */
   given = 0;
   held = 0;
   private waiting: Waiter[] = [];
@@ -70,7 +70,7 @@
   private refused = 0;
   private turn: number;
 
-  constructor(private readonly parts: PermitLineParts) {
+  constructor(private readonly parts: PermitQueueParts) {
     this.turn = parts.firstTurn;
   }
 
--- a/packages/gateway/src/services/send_limits.ts
+++ b/packages/gateway/src/services/send_limits.ts
@@ -7,7 +7,7 @@
   decideRate,
   hashText,
   PermitIssuers,
-  type LimitWord,
+  type LimitReport,
   type SendUse,
 } from '@irisdock/decisions';
 import {getErrorText, type Clock, type Logger} from '@irisdock/kernel';
@@ -27,18 +27,18 @@
 } from '../serving/send_gate.js';
 import type {HostIdentity} from './identity.js';
 import {
-  LimitBeliefs,
+  KnownLimits,
   type KnownLimit,
-  type WordOutcome,
-} from './limit_beliefs.js';
+  type ReportOutcome,
+} from './known_limits.js';
 import {LimitNotices} from './limit_notices.js';
 import type {LimitBoard, Peers} from './peer_hosts.js';
-import {PermitDesk} from './permit_desk.js';
+import {PermitGrants} from './permit_grants.js';
 import {
-  PermitLine,
-  type LineQuestion,
+  PermitQueue,
+  type QueueQuestion,
   type PermitReply,
-} from './permit_line.js';
+} from './permit_queue.js';
 import {PermitQuestions} from './permit_questions.js';
 
 /** What the limits work with. */
@@ -74,17 +74,17 @@
 const CONFIRM_MS = 3000;
 /** Beats between two looks at what is to be forgotten. */
 const SWEEP_BEATS = 16;
-/** A limit that ended is remembered so long against older words, in ms. */
+/** A limit that ended is remembered so long against older reports, in ms. */
 const ENDED_KEPT_MS = 60_000;
 
 /** The limits. */
 export class SendLimits implements LimitBoard, SendGate {
-  readonly beliefs: LimitBeliefs;
+  readonly beliefs: KnownLimits;
   private readonly issuers: PermitIssuers;
-  private readonly desk: PermitDesk;
+  private readonly grants: PermitGrants;
   private readonly questions: PermitQuestions;
   private readonly notices: LimitNotices;
-  private readonly lines = new Map<string, PermitLine>();
+  private readonly queues = new Map<string, PermitQueue>();
   private recordsHash: number | undefined;
   private mayLive = 0;
   private beats = 0;
@@ -92,16 +92,16 @@
 
   constructor(private readonly parts: SendLimitsParts) {
     const {identity, peers, clock, log} = parts;
-    this.beliefs = new LimitBeliefs(clock, log);
+    this.beliefs = new KnownLimits(clock, log);
     this.issuers = new PermitIssuers(identity.name, clock.getNow());
-    this.desk = new PermitDesk(this.issuers, this.beliefs, clock);
+    this.grants = new PermitGrants(this.issuers, this.beliefs, clock);
     this.questions = new PermitQuestions(clock, (to, ask) => {
       peers.sendToNames([to], ask);
     });
     this.notices = new LimitNotices({
       ownName: identity.name,
       findIssuer: (instanceId) => this.findFirstIssuer(instanceId),
-      createTold: (instanceId) => this.desk.createTold(instanceId),
+      createTold: (instanceId) => this.grants.createTold(instanceId),
       sendToAll: (datagram) => {
         peers.sendToAll(datagram);
       },
@@ -115,12 +115,12 @@
   listLimits(): ShownLimit[] {
     return this.beliefs.listLimits().map((limit) => {
       const {instanceId} = limit;
-      const line = this.lines.get(instanceId);
+      const queue = this.queues.get(instanceId);
       return {
         ...limit,
         issuer: this.findFirstIssuer(instanceId),
-        given: line?.given ?? 0,
-        held: line?.held ?? 0,
+        given: queue?.given ?? 0,
+        held: queue?.held ?? 0,
       };
     });
   }
@@ -131,7 +131,7 @@
   ): Promise<SendAdmission> | SendAdmission {
     const perSecond = this.beliefs.findRate(target.instanceId);
     if (perSecond === undefined) return new SendPermit(target);
-    return this.getLine(target.instanceId).wait(target, use);
+    return this.getQueue(target.instanceId).wait(target, use);
   }
 
   /**
@@ -143,10 +143,10 @@
     if (this.beliefs.count === 0) return undefined;
     const now = this.parts.clock.getNow();
     for (const target of targets) {
-      const word = this.beliefs.findWord(target.instanceId);
-      if (word?.perSecond === undefined) continue;
-      if (now - word.at < CONFIRM_MS) continue;
-      if (this.getLine(target.instanceId).takeTurn(CONFIRM_MS)) return target;
+      const report = this.beliefs.findReport(target.instanceId);
+      if (report?.perSecond === undefined) continue;
+      if (now - report.at < CONFIRM_MS) continue;
+      if (this.getQueue(target.instanceId).takeTurn(CONFIRM_MS)) return target;
     }
     return undefined;
   }
@@ -164,13 +164,13 @@
   }
 
   decideReturnMs(holds: readonly SendHold[]): number {
-    let best: PermitLine | undefined;
+    let best: PermitQueue | undefined;
     let bestMs = Infinity;
     for (const {target, perSecond} of holds) {
-      const line = this.getLine(target.instanceId);
-      const ms = line.computeReturnMs(perSecond);
+      const queue = this.getQueue(target.instanceId);
+      const ms = queue.computeReturnMs(perSecond);
       if (ms >= bestMs) continue;
-      best = line;
+      best = queue;
       bestMs = ms;
     }
     if (best === undefined) return SILENT_WAIT_MS;
@@ -197,7 +197,7 @@
     this.updateHosts();
     const outcome = this.acceptTold(ask.limit, ask.name);
     this.handleOutcome(instanceId, outcome, this.isIssuer(instanceId));
-    const answer = this.desk.decide(instanceId, ask);
+    const answer = this.grants.decide(instanceId, ask);
     this.parts.peers.sendToNames([ask.name], answer);
   }
 
@@ -212,11 +212,11 @@
   /** Acts on a limit that has changed. */
   private handleOutcome(
     instanceId: string,
-    outcome: WordOutcome,
+    outcome: ReportOutcome,
     isTold: boolean,
   ): void {
     if (outcome !== 'changed') return;
-    this.lines.get(instanceId)?.endPause();
+    this.queues.get(instanceId)?.endPause();
     if (isTold) this.notices.publish(instanceId);
   }
 
@@ -234,25 +234,25 @@
     return this.findFirstIssuer(instanceId) === this.parts.identity.name;
   }
 
-  private getLine(instanceId: string): PermitLine {
-    let line = this.lines.get(instanceId);
-    if (line === undefined) {
-      line = new PermitLine({
+  private getQueue(instanceId: string): PermitQueue {
+    let queue = this.queues.get(instanceId);
+    if (queue === undefined) {
+      queue = new PermitQueue({
         clock: this.parts.clock,
         poll: (question) => this.tryPoll(instanceId, question),
         findRate: () => this.beliefs.findRate(instanceId),
         firstTurn: hashText(this.parts.identity.name),
         findIssuer: (turn) => this.findIssuer(instanceId, turn),
       });
-      this.lines.set(instanceId, line);
+      this.queues.set(instanceId, queue);
     }
-    return line;
+    return queue;
   }
 
   /** Asks; what waits is answered whatever happens on the way. */
   private async tryPoll(
     instanceId: string,
-    question: LineQuestion,
+    question: QueueQuestion,
   ): Promise<PermitReply> {
     try {
       return await this.poll(instanceId, question);
@@ -265,18 +265,18 @@
 
   private async poll(
     instanceId: string,
-    question: LineQuestion,
+    question: QueueQuestion,
   ): Promise<PermitReply> {
     this.updateHosts();
     const {name, incarnation} = this.parts.identity;
     const {turn, ...wanted} = question;
     const issuer = this.findIssuer(instanceId, turn);
     if (issuer === undefined) return {kind: 'silent', waitMs: SILENT_WAIT_MS};
-    const limit = this.desk.createTold(instanceId);
+    const limit = this.grants.createTold(instanceId);
     const ask = {...wanted, name, incarnation, limit};
     const answer =
       issuer === name
-        ? this.desk.decide(instanceId, {...ask, number: this.countOwnAsk()})
+        ? this.grants.decide(instanceId, {...ask, number: this.countOwnAsk()})
         : await this.questions.poll(issuer, ask);
     if (answer === undefined) return {kind: 'silent', waitMs: SILENT_WAIT_MS};
     if (issuer !== name) {
@@ -298,7 +298,7 @@
   private acceptTold(
     {instanceId, perSecond, ageMs}: ToldLimit,
     source: string,
-  ): WordOutcome {
+  ): ReportOutcome {
     const at = this.parts.clock.getNow() - ageMs;
     const isLimited = perSecond !== undefined;
     // Who knows of no limit has nothing to end.
@@ -308,8 +308,8 @@
     const rate = isLimited
       ? decideRate({kind: 'rate', perSecond}, undefined)
       : undefined;
-    const word: LimitWord = {perSecond: rate, at};
-    return this.beliefs.accept(instanceId, word, source);
+    const report: LimitReport = {perSecond: rate, at};
+    return this.beliefs.accept(instanceId, report, source);
   }
 
   private updateHosts(): void {
@@ -328,13 +328,14 @@
   private dropOld(): void {
     const oldest = this.parts.clock.getNow() - ENDED_KEPT_MS;
     for (const instanceId of this.beliefs.listInstanceIds()) {
-      const word = this.beliefs.findWord(instanceId);
-      const isEnded = word?.perSecond === undefined && (word?.at ?? 0) < oldest;
+      const report = this.beliefs.findReport(instanceId);
+      const isEnded =
+        report?.perSecond === undefined && (report?.at ?? 0) < oldest;
       if (this.parts.isEndpointKnown(instanceId) && !isEnded) continue;
       this.beliefs.drop(instanceId);
       this.issuers.drop(instanceId);
-      this.desk.drop(instanceId);
-      this.lines.delete(instanceId);
+      this.grants.drop(instanceId);
+      this.queues.delete(instanceId);
     }
   }
 }
--- a/scripts/limit_trials.mjs
+++ b/scripts/limit_trials.mjs
@@ -42,7 +42,7 @@
   [
     'limit: an answer asked for before it was named does not end it',
     `${DECISIONS}/limit_belief.js`,
-    'word.at > known.at',
+    'report.at > known.at',
     'true',
     PURE,
     'once it is asked after',
@@ -90,7 +90,7 @@
   [
     'limit: a limit without an answer is looked at again',
     `${GATEWAY}/services/send_limits.js`,
-    'now - word.at < CONFIRM_MS',
+    'now - report.at < CONFIRM_MS',
     'true',
     SUM,
     'comes and goes each second',
