Look at the hosts for permits when one is needed, and drop twins of this change

Whoever looks for an issuer has it done now, so no caller can forget it. - The two lists of hosts' names by state share one loop; the status from which an answer is a failure is the one that the drivers use; one outcome of an answer is handled once. - A doc comment stood above the wrong schema; a name was exported for nobody; two tests of the soak's endpoints share their fixture.

--- a/packages/cli/src/api_client.ts
+++ b/packages/cli/src/api_client.ts
@@ -31,7 +31,7 @@
   next: z.number(),
   more: z.boolean(),
 });
-/** Contents under which endpoints ended. */
+/** Limits on requests that endpoints name. */
 const LIMITS_SCHEMA = z.object({
   limits: z.array(
     z.object({
@@ -47,6 +47,7 @@
     }),
   ),
 });
+/** Contents under which endpoints ended. */
 const CRASHES_SCHEMA = z.object({
   contents: z.array(
     z.object({
--- a/packages/gateway/src/channels/endpoint_client.ts
+++ b/packages/gateway/src/channels/endpoint_client.ts
@@ -22,6 +22,7 @@
   SendPermit,
   SendTarget,
 } from '../serving/send_gate.js';
+import {FAILED_STATUS} from '../serving/send_rules.js';
 import {EndpointAgent} from './endpoint_agent.js';
 import {
   dropConnectionLines,
@@ -77,8 +78,6 @@
 
 /** The status by which another endpoint at the address refuses a send. */
 export const MISDIRECTED_STATUS = 421;
-/** From this status on an answer may be that of a program in its fall. */
-const FAILED_STATUS = 500;
 /** How long a connection may take to open, in ms; a live one takes a few. */
 const CONNECT_MS = 300;
 
--- a/packages/gateway/src/services/known_limits.ts
+++ b/packages/gateway/src/services/known_limits.ts
@@ -30,7 +30,7 @@
 export type ReportOutcome = 'changed' | 'known' | 'older';
 
 /** The source of what this host saw in an answer. */
-export const OWN_SOURCE = 'answer';
+const OWN_SOURCE = 'answer';
 /**
  * Endpoints that are remembered; the oldest give way. Far over what one host
  * uses, so that only datagrams of no sense reach it; some 2 MB.
--- a/packages/gateway/src/services/peer_hosts.ts
+++ b/packages/gateway/src/services/peer_hosts.ts
@@ -175,20 +175,12 @@
 
   /** Lists the names of the hosts that take or took requests, this one too. */
   listTakingNames(): string[] {
-    const names: string[] = [];
-    for (const {record} of this.listAlive()) {
-      if (record.state !== 'starting') names.push(record.name);
-    }
-    return names;
+    return this.listNames((state) => state !== 'starting');
   }
 
   /** Lists the names of the hosts that take callers and stay, this one too. */
   listStayingNames(): string[] {
-    const names: string[] = [];
-    for (const {record} of this.listAlive()) {
-      if (record.state === 'ready') names.push(record.name);
-    }
-    return names;
+    return this.listNames((state) => state === 'ready');
   }
 
   /** Counts the hosts that may live and stay, also those not heard of late. */
@@ -278,6 +270,14 @@
     }
   }
 
+  private listNames(isWanted: (state: PeerState) => boolean): string[] {
+    const names: string[] = [];
+    for (const {record} of this.listAlive()) {
+      if (isWanted(record.state)) names.push(record.name);
+    }
+    return names;
+  }
+
   private sendTo(
     hosts: readonly KnownHost<PeerPlace>[],
     datagram: PeerDatagram,
--- a/packages/gateway/src/services/send_limits.ts
+++ b/packages/gateway/src/services/send_limits.ts
@@ -153,13 +153,11 @@
 
   recordAnswer({target, limit, isTelling, sentAt}: LimitAnswer): void {
     const {instanceId} = target;
-    if (limit === undefined) {
-      if (!isTelling) return;
-      const outcome = this.beliefs.acceptAbsent(instanceId, sentAt);
-      this.handleOutcome(instanceId, outcome, true);
-      return;
-    }
-    const outcome = this.beliefs.acceptNamed(instanceId, limit);
+    if (limit === undefined && !isTelling) return;
+    const outcome =
+      limit === undefined
+        ? this.beliefs.acceptAbsent(instanceId, sentAt)
+        : this.beliefs.acceptNamed(instanceId, limit);
     this.handleOutcome(instanceId, outcome, true);
   }
 
@@ -179,7 +177,6 @@
   }
 
   startBeat(): void {
-    this.updateHosts();
     this.beats++;
     if (this.beats % SWEEP_BEATS === 0) this.dropOld();
   }
@@ -194,7 +191,6 @@
 
   acceptAsk(ask: PermitAskDatagram): void {
     const {instanceId} = ask.limit;
-    this.updateHosts();
     const outcome = this.acceptTold(ask.limit, ask.name);
     this.handleOutcome(instanceId, outcome, this.isIssuer(instanceId));
     const answer = this.grants.decide(instanceId, ask);
@@ -220,7 +216,9 @@
     if (isTold) this.notices.publish(instanceId);
   }
 
+  /** Finds an issuer among the hosts that are alive now. */
   private findIssuer(instanceId: string, turn: number): string | undefined {
+    this.updateHosts();
     const perSecond = this.beliefs.findRate(instanceId) ?? 0;
     return this.issuers.findIssuer(instanceId, perSecond, turn);
   }
@@ -267,7 +265,6 @@
     instanceId: string,
     question: QueueQuestion,
   ): Promise<PermitReply> {
-    this.updateHosts();
     const {name, incarnation} = this.parts.identity;
     const {turn, ...wanted} = question;
     const issuer = this.findIssuer(instanceId, turn);
@@ -312,6 +309,7 @@
     return this.beliefs.accept(instanceId, report, source);
   }
 
+  /** Not in each beat: it looks at all hosts, and most have no limit to keep. */
   private updateHosts(): void {
     const {peers} = this.parts;
     const {recordsHash} = peers;
