--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -33,7 +33,7 @@
 } from './stream_leg.js';
 import {StreamEvidence} from './stream_evidence.js';
 import {StreamPlanner} from './stream_planner.js';
-import {StreamRepeats} from './stream_repeats.js';
+import {StreamRepeats, type RepeatBar} from './stream_repeats.js';
 import {StreamReport} from './stream_report.js';
 
 /** How long an engine is looked for when none is left, in ms. */
@@ -56,6 +56,7 @@
   private readonly report: StreamReport;
   private last: PlainAnswer | undefined;
   private lossDetail = '';
+  private repeatBar: RepeatBar | undefined;
   /** Until when an engine is looked for; undefined while one runs a leg. */
   private searchUntil: number | undefined;
   private readonly holds: SendHolds;
@@ -110,7 +111,8 @@
       this.record(plan, result);
       await this.checkEnd(plan, result);
       if (exchange.isExpired) return this.finishExpired();
-      if (!this.repeats.isAllowed(result)) return this.finishLost();
+      this.repeatBar = this.repeats.findBar(result);
+      if (this.repeatBar !== undefined) return this.finishLost();
     }
   }
 
@@ -340,6 +342,9 @@
       runs: this.repeats.runs,
       notRun: this.repeats.notRun,
       detail: this.lossDetail,
+      bar: this.repeatBar ?? 'no_engine',
+      crashes: this.parts.crashes.countCrashes(this.request.content),
+      content: this.request.content,
       ...this.holds.listFields(),
     });
   }
--- a/packages/gateway/src/serving/stream_repeats.ts
+++ b/packages/gateway/src/serving/stream_repeats.ts
@@ -14,6 +14,17 @@
 /** A leg with less time than this would bring nothing, in ms. */
 const MIN_LEG_MS = 200;
 
+/** Why a stream is not sent again. */
+export type RepeatBar =
+  | 'answered'
+  | 'attempts_spent'
+  | 'budget_spent'
+  | 'caller_left'
+  | 'content_refused'
+  | 'never_run'
+  | 'not_resumable'
+  | 'time_spent';
+
 /** Counts the legs of one stream. */
 export class StreamRepeats {
   /** Legs that ran or may have run. */
@@ -44,19 +55,21 @@
     else this.notRun++;
   }
 
-  /** Whether there may be another leg after one that ended like this. */
-  isAllowed(result: LegResult): boolean {
+  /** Finds why there may be no leg after one that ended like this. */
+  findBar(result: LegResult): RepeatBar | undefined {
     const {route, request, parts} = this;
-    if (!route.isResumable && this.mayHaveRun) return false;
-    if (this.isRefused) return false;
+    if (!route.isResumable && this.mayHaveRun) return 'not_resumable';
+    if (this.isRefused) return 'content_refused';
     if (result.kind === 'failed' && result.answer.status < FAILED_STATUS) {
-      return false;
+      return 'answered';
     }
-    if (this.runs >= route.maxAttempts) return false;
-    if (this.notRun > MAX_NOT_RUN) return false;
-    if (request.exchange.signal.aborted) return false;
+    if (this.runs >= route.maxAttempts) return 'attempts_spent';
+    if (this.notRun > MAX_NOT_RUN) return 'never_run';
+    if (request.exchange.signal.aborted) return 'caller_left';
     const now = parts.clock.getNow();
-    if (computeRemainingMs(request, route, now) < MIN_LEG_MS) return false;
-    return parts.budgets.takeRepeat(this.service);
+    if (computeRemainingMs(request, route, now) < MIN_LEG_MS) {
+      return 'time_spent';
+    }
+    return parts.budgets.takeRepeat(this.service) ? undefined : 'budget_spent';
   }
 }
