Add failing tests: a sound content is refused after it met two crashing ones

Two streams of a content that ended no endpoint are cut after events had been sent: the log of the host has kind=endpoints_ended bar=content_refused crashes=4 for the sound content, and 3 for each of the two contents that ended them.

--- a/packages/decisions/tests/crash_ledger.test.ts
+++ b/packages/decisions/tests/crash_ledger.test.ts
@@ -52,6 +52,26 @@
     assert.equal(ledger.decide('sound'), 'suspected');
   });
 
+  // Guards against a content that is refused for having met two bad ones.
+  it('serves what ran beside two bad contents in turn', () => {
+    const ledger = createLedger();
+    addAll(ledger, createCrashes('sound', 'a b c d'));
+    addAll(ledger, createCrashes('bad', 'a b e'));
+    addAll(ledger, createCrashes('bad too', 'c d f'));
+    assert.equal(ledger.decide('sound'), 'suspected');
+    assert.equal(ledger.decide('bad'), 'refused');
+    assert.equal(ledger.decide('bad too'), 'refused');
+  });
+
+  // Guards against a refusal before the second bad content ran alone.
+  it('does not refuse what never ran without another suspect', () => {
+    const ledger = createLedger();
+    addAll(ledger, createCrashes('sound', 'a b c d'));
+    addAll(ledger, createCrashes('bad', 'a b'));
+    addAll(ledger, createCrashes('bad too', 'c d'));
+    assert.equal(ledger.decide('sound'), 'suspected');
+  });
+
   it('refuses two bad contents that met all the time', () => {
     const ledger = createLedger();
     addAll(ledger, createCrashes('one', 'a b c'));
