Refuse a content only on evidence that no other suspect explains

Callers saw the sound streams of two contents cut after 4 to 11 of 12 events, as refused, while two other contents ended engines.

Cause: a crash counted in full for the content with the most crashes of those that ran on the engine. A sound content that ran beside two bad ones has more crashes than either, so it was refused, and the bad ones were not: each of their crashes counted nothing beside it, and they ended further engines.

Evidence: the hosts' log lines of a failed play. The sound content had i-4, i-6, i-3, i-1; the bad ones i-4, i-6, i-2 and i-5, i-7, i-3. At the third crash of the second bad one the sound one had as many, so it was not refused and ended i-1 with two sound streams.

Crashes without another suspect are compared first now, and a content that has none is not refused before its sixth crash. Suspects are placed apart, so the next run decides.

--- a/packages/decisions/src/crash_ledger.ts
+++ b/packages/decisions/src/crash_ledger.ts
@@ -5,11 +5,15 @@
  * ran beside it on the same endpoints must be served all the same.
  *
  * So a crash counts for a content by what else ran there: in full when all the
- * others there have fewer crashes, half beside one that has as many, and not at
- * all beside one that has more. A content and another one that ran beside it
- * all the time look alike; both may run again, apart, and then one of them has
- * more crashes than the other. Whatever else counts, no content ends more than
- * six endpoints.
+ * others there are less suspect, half beside one that is as suspect, and not at
+ * all beside one that is more. Less suspect is what has fewer crashes without
+ * another suspect, then what has fewer crashes. The number of crashes alone does
+ * not decide: a sound content that ran beside two bad ones has more than either.
+ *
+ * A content is refused only if one of its crashes had no other suspect. Suspects
+ * run apart, so the next run of a bad content gives that evidence, and a sound
+ * one is run to its end. Whatever else counts, no content ends more than six
+ * endpoints.
  *
  * Crashes are known by content and start of an endpoint, so those of several
  * hosts add up in any order, and one that is told twice counts once.
@@ -22,7 +26,9 @@
  * runs that the users' rules allow after the third crash.
  */
 export const MOST_CRASHES = 6;
-/** What a crash counts beside a content that has as many. */
+/** Crashes from which on a content is a suspect to what ran beside it. */
+const SUSPECT_FROM = 2;
+/** What a crash counts beside a content that is as suspect. */
 const TIE_WEIGHT = 0.5;
 
 /** An endpoint that ended while it ran a content. */
@@ -59,6 +65,13 @@
   readonly lastAt: number;
 }
 
+/** How suspect a content is; compared in this order. */
+interface Suspicion {
+  /** Crashes without another suspect. */
+  readonly unshared: number;
+  readonly crashes: number;
+}
+
 interface Entry {
   readonly instanceIds: Set<string>;
   lastAt: number;
@@ -104,9 +117,11 @@
     const {size} = entry.instanceIds;
     if (size >= MOST_CRASHES) return 'refused';
     if (size < REFUSED_FROM) return 'suspected';
+    const suspicion = this.computeSuspicion(content);
+    if (suspicion.unshared === 0) return 'suspected';
     let counted = 0;
     for (const instanceId of entry.instanceIds) {
-      counted += this.computeWeight(content, size, instanceId);
+      counted += this.computeWeight(content, suspicion, instanceId);
     }
     return counted >= REFUSED_FROM ? 'refused' : 'suspected';
   }
@@ -166,22 +181,50 @@
 
   private computeWeight(
     content: string,
-    size: number,
+    suspicion: Suspicion,
     instanceId: string,
   ): number {
     let weight = 1;
-    for (const other of this.contentsAt.get(instanceId) ?? []) {
-      if (other === content) continue;
-      const otherSize = this.countCrashes(other);
-      if (otherSize > size) return 0;
-      if (otherSize === size) weight = TIE_WEIGHT;
+    for (const other of this.listOthers(content, instanceId)) {
+      const order = compareSuspicions(this.computeSuspicion(other), suspicion);
+      if (order > 0) return 0;
+      if (order === 0) weight = TIE_WEIGHT;
     }
     return weight;
   }
 
+  private computeSuspicion(content: string): Suspicion {
+    const instanceIds = this.entries.get(content)?.instanceIds ?? [];
+    let unshared = 0;
+    let crashes = 0;
+    for (const instanceId of instanceIds) {
+      crashes++;
+      if (!this.hasOtherSuspect(content, instanceId)) unshared++;
+    }
+    return {unshared, crashes};
+  }
+
+  private hasOtherSuspect(content: string, instanceId: string): boolean {
+    for (const other of this.listOthers(content, instanceId)) {
+      if (this.countCrashes(other) >= SUSPECT_FROM) return true;
+    }
+    return false;
+  }
+
+  /** Lists the other contents that a start ended under. */
+  private listOthers(content: string, instanceId: string): string[] {
+    const contents = this.contentsAt.get(instanceId) ?? [];
+    return [...contents].filter((other) => other !== content);
+  }
+
   private dropBeyond(): void {
     if (this.entries.size <= this.options.maxContents) return;
     const [oldest] = this.entries.keys();
     if (oldest !== undefined) this.drop(oldest);
   }
 }
+
+/** Positive when the first is more suspect. */
+function compareSuspicions(one: Suspicion, two: Suspicion): number {
+  return one.unshared - two.unshared || one.crashes - two.crashes;
+}
--- a/packages/decisions/src/naive/naive_crash_ledger.ts
+++ b/packages/decisions/src/naive/naive_crash_ledger.ts
@@ -15,18 +15,46 @@
   if (own.length === 0) return 'clear';
   if (own.length >= MOST_CRASHES) return 'refused';
   if (own.length < REFUSED_FROM) return 'suspected';
+  const rank = computeRank(crashes, content);
+  if (rank < UNSHARED_RANK) return 'suspected';
   let counted = 0;
   for (const start of own) {
-    const others = crashes
-      .filter((one) => one.instanceId === start && one.content !== content)
-      .map((one) => listStarts(crashes, one.content).length);
-    const most = Math.max(0, ...others);
-    if (most < own.length) counted += 1;
-    else if (most === own.length) counted += 0.5;
+    const others = listOthers(crashes, content, start);
+    const ranks = others.map((other) => computeRank(crashes, other));
+    const most = Math.max(0, ...ranks);
+    if (most < rank) counted += 1;
+    else if (most === rank) counted += 0.5;
   }
   return counted >= REFUSED_FROM ? 'refused' : 'suspected';
 }
 
+/** What a crash without another suspect adds to a rank. */
+const UNSHARED_RANK = 100;
+
+/** Ranks by crashes without another suspect, then by all crashes. */
+function computeRank(crashes: readonly Crash[], content: string): number {
+  const starts = listStarts(crashes, content);
+  const unshared = starts.filter((start) =>
+    listOthers(crashes, content, start).every(
+      (other) => listStarts(crashes, other).length < 2,
+    ),
+  );
+  return unshared.length * UNSHARED_RANK + starts.length;
+}
+
+/** Lists the other contents that a start ended under. */
+function listOthers(
+  crashes: readonly Crash[],
+  content: string,
+  start: string,
+): string[] {
+  const contents = new Set(crashes.map((one) => one.content));
+  contents.delete(content);
+  return [...contents].filter((other) =>
+    listStarts(crashes, other).includes(start),
+  );
+}
+
 /** Lists the starts that ended under a content, each once. */
 function listStarts(crashes: readonly Crash[], content: string): string[] {
   const starts: string[] = [];
