Wait for other hosts' reports before a lost run is refused

Callers saw a sound stream cut as refused after its third lost engine.

Cause: what ran on a lost engine from another host is reported a few ms after the loss. Until then a crash looks unshared, and a sound content with three of them was refused and its streams ended, 1 ms before the first report of the content that had ended two of these engines.

A lost run that would be refused waits 50 ms and is judged again; nothing is sent meanwhile.

--- a/packages/gateway/src/serving/lost_runs.ts
+++ b/packages/gateway/src/serving/lost_runs.ts
@@ -10,6 +10,12 @@
 import type {EndpointRecord} from './endpoint_record.js';
 import type {ServingMetrics} from './serving_metrics.js';
 
+/**
+ * How long reports of other hosts on a lost endpoint may take, in ms. What ran
+ * there from another host is lost at the same moment and reported a little later.
+ */
+const REPORTS_MS = 50;
+
 /** A run that was lost. */
 export interface LostRun {
   readonly requestId: string;
@@ -20,7 +26,7 @@
 
 /** What the lost runs work with. */
 export interface LostRunsParts {
-  readonly check: EndpointEndCheck;
+  readonly check: Pick<EndpointEndCheck, 'check'>;
   readonly crashes: CrashRecords;
   readonly metrics: ServingMetrics;
   readonly clock: Clock;
@@ -34,7 +40,8 @@
   /**
    * Takes a lost run, and waits a while until it is known what became of its
    * endpoint. What ended an endpoint before is not sent again until that is known:
-   * on a busy host the answer takes longer.
+   * on a busy host the answer takes longer. What would be refused waits for the
+   * reports of other hosts.
    *
    * @param mostMs How long a content that ended none is held up.
    */
@@ -44,13 +51,14 @@
     signal: AbortSignal,
   ): Promise<void> {
     const {clock, crashes} = this.parts;
+    const {content} = run;
     const known = this.findEnd(run);
-    if (crashes.countCrashes(run.content) > 0) {
-      await known;
-      return;
+    if (crashes.countCrashes(content) > 0) await known;
+    else if (mostMs > 0) {
+      await Promise.race([known, clock.wait(mostMs, signal)]);
     }
-    if (mostMs === 0) return;
-    await Promise.race([known, clock.wait(mostMs, signal)]);
+    // A content that seems to be the cause may be cleared by what others report.
+    if (crashes.isRefused(content)) await clock.wait(REPORTS_MS, signal);
   }
 
   private async findEnd({
