Ignore hosts of another deployment

Callers of a deployment got 404 for a route that it had added, for good, after one host of another deployment had been given an old seed. Requests were answered by endpoints of the other deployment.

Cause: nothing in a datagram or a table request named the deployment. Host names and table revisions of two deployments are alike, so a stranger that asked, or that was probed at the address of a lost host, became a known host; its tables hid the own ones, as their revisions were higher.

Weighed: a row of the store written once, by compare-and-set. A host knows that only after its first call to the store, and hosts that start make none where others run.

Hosts of the version before send no frame, so during an update hosts of the two versions do not hear each other; each serves from the store.

--- a/bench/src/deployed_host.ts
+++ b/bench/src/deployed_host.ts
@@ -36,6 +36,9 @@
   };
 }
 
+/** The deployment of the measured host and its stand-in peers. */
+export const DEPLOYMENT = 'measured';
+
 /** Writes the settings of a host. */
 export function formatHostSettings(
   places: HostPlaces,
@@ -45,6 +48,7 @@
   const {front, directory, readiness, tables, datagrams, metrics} = places;
   return [
     '[host]\nname = "measured-host"\nfailureDomain = "domain-0"',
+    `deployment = "${DEPLOYMENT}"`,
     `[store]\naddress = "${store}"`,
     '[phase]\ngraceSeconds = 1',
     `[peers]\nlisten = "${datagrams}"`,
--- a/bench/src/standin_hosts.ts
+++ b/bench/src/standin_hosts.ts
@@ -13,13 +13,16 @@
 import {
   decodePeerDatagram,
   encodePeerDatagram,
+  PeerFrame,
   type PeerPlace,
 } from '@irisdock/gateway';
 import {splitPlace} from '@irisdock/kernel';
+import {DEPLOYMENT} from './deployed_host.js';
 
 const LOOPBACK = '127.0.0.1';
 const BEAT_MS = 300;
 const DOMAINS = 6;
+const FRAME = new PeerFrame(DEPLOYMENT);
 
 interface StandinHost {
   readonly socket: Socket;
@@ -103,7 +106,9 @@
   private handleDatagram(host: StandinHost, bytes: Buffer): void {
     this.count.received++;
     this.count.receivedBytes += bytes.length;
-    const datagram = decodePeerDatagram(bytes).unwrapOr(undefined);
+    const datagram = FRAME.decode(bytes)
+      .andThen((payload) => decodePeerDatagram(payload))
+      .unwrapOr(undefined);
     if (datagram?.kind !== 'watch') return;
     const {sender, kind, asker} = datagram.watch;
     this.own = sender;
@@ -135,7 +140,7 @@
       sentAt,
     } as const;
     const {host, port} = splitPlace(this.target);
-    socket.send(encodePeerDatagram(datagram), port, host);
+    socket.send(FRAME.encode(encodePeerDatagram(datagram)), port, host);
   }
 }
 
--- a/packages/gateway/src/channels/datagram_socket.ts
+++ b/packages/gateway/src/channels/datagram_socket.ts
@@ -11,18 +11,19 @@
   close(): void;
 }
 
+/** Takes a datagram and its sender's address, as `ip:port`. */
+export type HandleDatagram = (bytes: Uint8Array, sender: string) => void;
+
 /** Opens a port whose datagrams go to `handle`. */
-export type OpenDatagramPort = (
-  handle: (bytes: Uint8Array) => void,
-) => DatagramPort;
+export type OpenDatagramPort = (handle: HandleDatagram) => DatagramPort;
 
 /** A UDP socket as a port for datagrams. */
 export class DatagramSocket implements DatagramPort {
   private readonly socket: Socket = createSocket('udp4');
 
-  constructor(private readonly handle: (bytes: Uint8Array) => void) {
-    this.socket.on('message', (bytes) => {
-      this.handle(bytes);
+  constructor(private readonly handle: HandleDatagram) {
+    this.socket.on('message', (bytes, {address, port}) => {
+      this.handle(bytes, `${address}:${port}`);
     });
   }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,6 +5,7 @@
 export * from './gateway.js';
 export * from './model/endpoint_entry.js';
 export * from './model/peer_codec.js';
+export * from './model/peer_frame.js';
 export * from './model/peer_message.js';
 export * from './model/request_terms.js';
 export * from './model/rollout_order.js';
--- /dev/null
+++ b/packages/gateway/src/model/peer_frame.ts
@@ -0,0 +1,44 @@
+/**
+ * The frame of a datagram between hosts: a version and the deployment of the
+ * sender. Host names, incarnations and table revisions mean nothing outside the
+ * deployment, so nothing else of a foreign datagram is decoded.
+ */
+import {createHash} from 'node:crypto';
+import {err, ok, type Result} from 'neverthrow';
+
+/** Why a datagram is dropped. */
+export type DropReason = 'malformed' | 'other_deployment' | 'other_version';
+
+const VERSION = 1;
+const VERSION_BYTES = 1;
+const TAG_BYTES = 8;
+const HEADER_BYTES = VERSION_BYTES + TAG_BYTES;
+
+/** Frames the datagrams of one deployment. */
+export class PeerFrame {
+  /** Names the deployment in calls between hosts; hexadecimal. */
+  readonly tag: string;
+  private readonly header: Buffer;
+
+  /** @param deployment The name of the deployment. */
+  constructor(deployment: string) {
+    const digest = createHash('sha256').update(deployment).digest();
+    const tag = digest.subarray(0, TAG_BYTES);
+    this.tag = tag.toString('hex');
+    this.header = Buffer.concat([Buffer.of(VERSION), tag]);
+  }
+
+  /** Frames a payload. */
+  encode(payload: Uint8Array): Uint8Array {
+    return Buffer.concat([this.header, payload]);
+  }
+
+  /** Gives the payload of a datagram of the same deployment. */
+  decode(datagram: Uint8Array): Result<Uint8Array, DropReason> {
+    if (datagram.length < HEADER_BYTES) return err('malformed');
+    if (datagram[0] !== VERSION) return err('other_version');
+    const header = datagram.subarray(0, HEADER_BYTES);
+    if (!this.header.equals(header)) return err('other_deployment');
+    return ok(datagram.subarray(HEADER_BYTES));
+  }
+}
--- a/packages/gateway/src/model/peer_tables_message.ts
+++ b/packages/gateway/src/model/peer_tables_message.ts
@@ -9,6 +9,9 @@
 /** The path of the call. */
 export const PEER_TABLES_PATH = '/peer/tables';
 
+/** Answers a host of another deployment. */
+export const OTHER_DEPLOYMENT_STATUS = 421;
+
 /** Stands for any longer time, and for an age that nobody knows. */
 export const UNKNOWN_AGE_MS = 60_000;
 
@@ -52,6 +55,11 @@
   ),
 });
 
+/** The answer with the tag of the deployment that it comes from. */
+export const PEER_TABLES_ANSWER_SCHEMA = PEER_TABLES_SCHEMA.extend({
+  deployment: z.string(),
+});
+
 /** The answer. */
 export type PeerTables = z.infer<typeof PEER_TABLES_SCHEMA>;
 
--- a/packages/gateway/src/services/peer_hosts.ts
+++ b/packages/gateway/src/services/peer_hosts.ts
@@ -9,7 +9,9 @@
   DatagramPort,
   OpenDatagramPort,
 } from '../channels/datagram_socket.js';
+import {FramedPort} from '../channels/framed_port.js';
 import {decodePeerDatagram, encodePeerDatagram} from '../model/peer_codec.js';
+import type {DropReason} from '../model/peer_frame.js';
 import type {
   LimitsDatagram,
   PermitAnswerDatagram,
@@ -41,7 +43,11 @@
   /** Where the socket for datagrams is bound, as `ip:port`. */
   readonly listen: string;
   readonly seeds: readonly string[];
+  /** The name of the deployment. */
+  readonly deployment: string;
   readonly openDatagrams: OpenDatagramPort;
+  /** Counts a datagram that was dropped. */
+  readonly recordDrop: (reason: DropReason) => void;
 }
 
 /**
@@ -127,8 +133,8 @@
       send,
     );
     this.seeds = new SeedTries(random, parts.seeds);
-    this.socket = parts.openDatagrams((bytes) => {
-      this.handleDatagram(bytes);
+    this.socket = new FramedPort(parts, (payload) => {
+      this.handleDatagram(payload);
     });
   }
 
@@ -324,8 +330,8 @@
     for (const {place} of hosts) this.socket.send(bytes, place.datagrams);
   }
 
-  private handleDatagram(bytes: Uint8Array): void {
-    const decoded = decodePeerDatagram(bytes);
+  private handleDatagram(payload: Uint8Array): void {
+    const decoded = decodePeerDatagram(payload);
     if (decoded.isErr()) {
       const fault = decoded.error;
       this.parts.log.writeWarning('A datagram cannot be read.', {fault});
--- a/packages/gateway/src/services/peers.ts
+++ b/packages/gateway/src/services/peers.ts
@@ -5,9 +5,10 @@
   IP_PORT_SCHEMA,
   type Clock,
 } from '@irisdock/kernel';
-import {Gauge, type Registry} from 'prom-client';
+import {Counter, Gauge, type Registry} from 'prom-client';
 import * as z from 'zod';
 import {DatagramSocket} from '../channels/datagram_socket.js';
+import {PeerFrame} from '../model/peer_frame.js';
 import {PeerTableCaller} from '../tables/peer_table_source.js';
 import {HOST_IDENTITY} from './identity.js';
 import {Peers} from './peer_hosts.js';
@@ -69,15 +70,27 @@
   });
 }
 
+function createDropCounter(metrics: Registry): Counter {
+  return new Counter({
+    name: 'irisdock_gateway_peer_datagrams_dropped_total',
+    help: 'Datagrams that are of no host of this deployment, a count.',
+    labelNames: ['reason'],
+    registers: [metrics],
+  });
+}
+
 /** Declares the service. */
 export const PEERS_SERVICE = createService({
   key: PEERS,
   settings: SETTINGS,
   needs: [HOST_IDENTITY, TABLES_KEY],
   create(context, settings) {
-    const {name, failureDomain, incarnation} = context.find(HOST_IDENTITY);
+    const {name, deployment, failureDomain, incarnation} =
+      context.find(HOST_IDENTITY);
+    const drops = createDropCounter(context.metrics);
     const api = new Peers({
       name,
+      deployment,
       place: {
         failureDomain,
         datagrams: settings.datagramAddress,
@@ -89,8 +102,11 @@
       incarnation,
       seeds: settings.seeds,
       openDatagrams: (handle) => new DatagramSocket(handle),
+      recordDrop: (reason) => {
+        drops.inc({reason});
+      },
       tables: context.find(TABLES_KEY),
-      tableSource: new PeerTableCaller(),
+      tableSource: new PeerTableCaller(new PeerFrame(deployment).tag),
       clock: context.clock,
       random: context.random,
       log: context.log,
--- a/packages/gateway/src/tables/peer_table_source.ts
+++ b/packages/gateway/src/tables/peer_table_source.ts
@@ -2,13 +2,15 @@
 import {err, ok, type Result} from 'neverthrow';
 import type {TableRevisions} from '../model/peer_message.js';
 import {
+  OTHER_DEPLOYMENT_STATUS,
   PEER_TABLES_PATH,
-  PEER_TABLES_SCHEMA,
+  PEER_TABLES_ANSWER_SCHEMA,
   type PeerTables,
 } from '../model/peer_tables_message.js';
 import {JsonCaller} from '../channels/json_caller.js';
 
 const LOAD_TIMEOUT_MS = 800;
+const OTHER_DEPLOYMENT = 'it belongs to another deployment';
 
 /** What is asked for. */
 export interface PeerTablesQuestion {
@@ -32,11 +34,16 @@
 export class PeerTableCaller implements PeerTableSource {
   private readonly caller = new JsonCaller();
 
+  /** @param deployment The tag of the deployment (`PeerFrame`). */
+  constructor(private readonly deployment: string) {}
+
   async load(
     address: string,
     question: PeerTablesQuestion,
   ): Promise<Result<PeerTables, string>> {
-    const query = new URLSearchParams(question.withHosts ? {hosts: 'all'} : {});
+    const {deployment} = this;
+    const query = new URLSearchParams({deployment});
+    if (question.withHosts) query.set('hosts', 'all');
     for (const [table, after] of Object.entries(question.after)) {
       query.set(table, String(after));
     }
@@ -47,9 +54,13 @@
     });
     if (answer.isErr()) return err(answer.error);
     const {status, body} = answer.value;
-    const parsed = PEER_TABLES_SCHEMA.safeParse(body);
-    if (parsed.success) return ok(parsed.data);
-    return err(`its answer of status ${status} cannot be read`);
+    if (status === OTHER_DEPLOYMENT_STATUS) return err(OTHER_DEPLOYMENT);
+    const parsed = PEER_TABLES_ANSWER_SCHEMA.safeParse(body);
+    if (!parsed.success) {
+      return err(`its answer of status ${status} cannot be read`);
+    }
+    if (parsed.data.deployment !== deployment) return err(OTHER_DEPLOYMENT);
+    return ok(parsed.data);
   }
 
   close(): void {
--- a/packages/gateway/src/tables/peer_tables.ts
+++ b/packages/gateway/src/tables/peer_tables.ts
@@ -12,11 +12,14 @@
 import {startListening} from '../channels/listening.js';
 import {
   encodeTableRows,
+  OTHER_DEPLOYMENT_STATUS,
   PEER_TABLES_PATH,
   UNKNOWN_AGE_MS,
   type PeerTables,
 } from '../model/peer_tables_message.js';
 import {FOLLOWED_TABLES} from '../model/watched_table.js';
+import {PeerFrame} from '../model/peer_frame.js';
+import {HOST_IDENTITY} from '../services/identity.js';
 import {PEERS} from '../services/peers.js';
 import {TABLES_KEY, type Tables} from './tables.js';
 
@@ -59,10 +62,11 @@
       description: 'Where other hosts ask for the tables.',
     }),
   }),
-  needs: [TABLES_KEY, PEERS],
+  needs: [HOST_IDENTITY, TABLES_KEY, PEERS],
   create(context, settings) {
     const tables = context.find(TABLES_KEY);
     const peers = context.find(PEERS);
+    const {tag} = new PeerFrame(context.find(HOST_IDENTITY).deployment);
     const server = createServer((message, response) => {
       const url = new URL(message.url ?? '/', 'http://localhost');
       if (url.pathname !== PEER_TABLES_PATH) {
@@ -70,6 +74,10 @@
         return;
       }
       const query = url.searchParams;
+      if (query.get('deployment') !== tag) {
+        response.writeHead(OTHER_DEPLOYMENT_STATUS).end();
+        return;
+      }
       const hosts = query.has('hosts') ? peers.listAlive() : [];
       const value = createPeerTables(
         tables,
@@ -77,7 +85,7 @@
         query,
         context.clock.getNow(),
       );
-      sendJsonText(response, value);
+      sendJsonText(response, {...value, deployment: tag});
     });
     return {
       api: undefined,
--- a/soak/src/host_process.ts
+++ b/soak/src/host_process.ts
@@ -4,7 +4,7 @@
  */
 import {spawn, type ChildProcess} from 'node:child_process';
 import {createWriteStream, writeFileSync} from 'node:fs';
-import {join} from 'node:path';
+import {basename, join} from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {splitPlace} from '@irisdock/kernel';
@@ -212,6 +212,7 @@
     const {store, callers, tables: tableAddress} = this.addresses;
     const text = [
       `[host]\nname = "${name}"\nfailureDomain = "${failureDomain}"`,
+      `deployment = "${basename(directory)}"`,
       `[store]\naddress = "${store}"\ntimeoutMs = 400`,
       '[tables]\nwaitMs = 500\nretryMs = 150',
       `[phase]\ngraceSeconds = ${GRACE_SECONDS}`,
