--- a/packages/decisions/tests/gateway_limits.test.ts
+++ b/packages/decisions/tests/gateway_limits.test.ts
@@ -71,6 +71,7 @@
   function choose(away: readonly string[]): string[] {
     const candidates = hosts.map((name) => ({
       name,
+      incarnation: 1,
       state: 'ready' as const,
       isStoreAway: away.includes(name),
     }));
@@ -94,6 +95,7 @@
     ] as const;
     const candidates = hosts.map((name, at) => ({
       name,
+      incarnation: 1,
       state: states[at] ?? 'ready',
       isStoreAway: false,
     }));
@@ -106,6 +108,23 @@
     assert.equal(chooseStoreReaders(away, 1)[0], 'e');
   });
 
+  // Guards against reads of the store by each host that starts in turn.
+  it('are not replaced by hosts that start later', () => {
+    const candidates = hosts.map((name, at) => ({
+      name,
+      incarnation: hosts.length - at,
+      state: 'ready' as const,
+      isStoreAway: false,
+    }));
+    assert.deepEqual(chooseStoreReaders(candidates, 2), ['e', 'd']);
+    for (let incarnation = 6; incarnation < 50; incarnation++) {
+      const name = `late-${incarnation}`;
+      const late = {state: 'ready' as const, isStoreAway: false};
+      candidates.push({name, incarnation, ...late});
+      assert.deepEqual(chooseStoreReaders(candidates, 2), ['e', 'd']);
+    }
+  });
+
   it('are as many when the store turns all away', () => {
     assert.deepEqual(choose(hosts), choose([]));
   });
