Let a begun answer wait for its turn at a limited engine

Callers saw answers cut after four events though an engine was left that would have taken them in time.

Cause: a stream that lost its engine looks for another one for 1.5 s.

Evidence: the log of `goes on before others where an engine is lost`, failed in one of ten whole suites of platform beside each other: bar=no_engine and 27 holds `i-2 used-up 4/s`, six others lost with it had resumed on i-2 meanwhile.

A hold starts the search again, so a begun answer waits until its request's time is over; sends that wait at one host share a question, so waiting costs no more datagrams. The test failed before, two of two.

--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -97,6 +97,8 @@
       if (permit.kind === 'held') {
         this.holds.add(permit);
         this.planner.recordHold(plan);
+        // There is an engine, and its limit lets streams through in turn.
+        this.searchUntil = undefined;
         continue;
       }
       const result = await this.runLeg(plan, permit);
