Tell crashes of neighbors from the loss of a failure domain

A content ended further engines, and sound streams were cut as none was left.

Cause: whether an engine was lost with its failure domain is found by asking two others of the domain. Those that had just ended under another content still stood in the table, so the end passed for that of the domain and was not counted against the content.

Neighbors that are known to have crashed are not asked. The test failed before; that of a lost domain passed before and passes now.

--- a/packages/decisions/src/crash_ledger.ts
+++ b/packages/decisions/src/crash_ledger.ts
@@ -126,6 +126,11 @@
     return counted >= REFUSED_FROM ? 'refused' : 'suspected';
   }
 
+  /** Whether a start of an endpoint ended while it ran a known content. */
+  hasCrashed(instanceId: string): boolean {
+    return this.contentsAt.has(instanceId);
+  }
+
   /** Gives the number of crashes of a content. */
   countCrashes(content: string): number {
     return this.entries.get(content)?.instanceIds.size ?? 0;
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -147,7 +147,7 @@
   const servingMetrics = new ServingMetrics(metrics);
   const crashes = context.find(CRASHES);
   const {reportPath} = codec;
-  const check = new EndpointEndCheck({client, reportPath, endpoints, random});
+  const check = createEndCheck(context, client, reportPath);
   return {
     clock,
     random,
@@ -191,6 +191,20 @@
   };
 }
 
+function createEndCheck(
+  context: ServiceContext,
+  client: EndpointClient,
+  reportPath: string,
+): EndpointEndCheck {
+  return new EndpointEndCheck({
+    client,
+    reportPath,
+    endpoints: context.find(GATEWAY_ENDPOINTS),
+    crashes: context.find(CRASHES),
+    random: context.random,
+  });
+}
+
 function createBudgetOptions(
   settings: z.infer<typeof SETTINGS>,
 ): WindowedBudgetOptions {
--- a/packages/gateway/src/serving/endpoint_end.ts
+++ b/packages/gateway/src/serving/endpoint_end.ts
@@ -7,6 +7,7 @@
 import {getSample, type Random} from '@irisdock/kernel';
 import type {EndpointClient} from '../channels/endpoint_client.js';
 import type {GatewayEndpoints} from '../services/gateway_endpoints.js';
+import type {CrashRecords} from './crash_records.js';
 import type {EndpointRecord} from './endpoint_record.js';
 
 /** What became of an endpoint. */
@@ -36,9 +37,10 @@
 
 /** What the check works with. */
 export interface EndpointEndParts {
-  readonly client: EndpointClient;
+  readonly client: Pick<EndpointClient, 'admit' | 'send'>;
   readonly reportPath: string;
-  readonly endpoints: GatewayEndpoints;
+  readonly endpoints: Pick<GatewayEndpoints, 'listUsable'>;
+  readonly crashes: Pick<CrashRecords, 'hasCrashed'>;
   readonly random: Random;
 }
 
@@ -70,10 +72,12 @@
   }
 
   private listNeighbors(endpoint: EndpointRecord): EndpointRecord[] {
-    const {endpoints, random} = this.parts;
+    const {endpoints, crashes, random} = this.parts;
     const others: EndpointRecord[] = [];
     for (const other of endpoints.listUsable(endpoint.entry.service)) {
       if (other === endpoint || other.failureScore > 0) continue;
+      // It ended for a reason of its own, which says nothing of the domain.
+      if (crashes.hasCrashed(other.instanceId)) continue;
       if (other.failureDomain === endpoint.failureDomain) others.push(other);
     }
     return getSample(others, ASKED_NEIGHBORS, random);
--- /dev/null
+++ b/packages/gateway/tests/endpoint_end.test.ts
@@ -0,0 +1,78 @@
+/** What became of an endpoint, by what it and its neighbors answer. */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {SeededRandom} from '@irisdock/kernel';
+import {EndpointEndCheck} from '../src/serving/endpoint_end.js';
+import {EndpointRecord} from '../src/serving/endpoint_record.js';
+import {SendPermit} from '../src/serving/send_gate.js';
+
+const SEEDS = 30;
+
+function createEndpoint(instanceId: string): EndpointRecord {
+  const entry = {
+    endpointId: instanceId,
+    instanceId,
+    service: 's',
+    address: instanceId,
+    failureDomain: 'd',
+    version: 'v1',
+    slots: 4,
+    state: 'ready',
+  } as const;
+  return new EndpointRecord(
+    entry,
+    () => 1000,
+    () => 0,
+  );
+}
+
+/**
+ * Creates a check of endpoints of one failure domain that have all ended.
+ *
+ * @param crashed The endpoints that are known to have ended under a run.
+ */
+function createCheck(
+  all: readonly EndpointRecord[],
+  crashed: readonly string[],
+  seed: number,
+): EndpointEndCheck {
+  return new EndpointEndCheck({
+    client: {
+      admit: (target) => new SendPermit(target),
+      send: () =>
+        Promise.resolve({
+          kind: 'lost',
+          mayHaveRun: false,
+          isRefused: true,
+          detail: 'connect ECONNREFUSED',
+        }),
+    },
+    reportPath: '/report',
+    endpoints: {listUsable: () => [...all]},
+    crashes: {hasCrashed: (instanceId) => crashed.includes(instanceId)},
+    random: new SeededRandom(seed),
+  });
+}
+
+describe('an endpoint that has ended', () => {
+  // Guards against crashes of neighbors that pass for the loss of their domain.
+  it('is not lost with its domain when its neighbors crashed before', async () => {
+    const all = ['a', 'b', 'c'].map(createEndpoint);
+    const [ended] = all;
+    assert.ok(ended);
+    for (let seed = 0; seed < SEEDS; seed++) {
+      const check = createCheck(all, ['b', 'c'], seed);
+      assert.equal(await check.check(ended), 'ended');
+    }
+  });
+
+  it('is lost with its domain when its neighbors have ended too', async () => {
+    const all = ['a', 'b', 'c', 'x', 'y'].map(createEndpoint);
+    const [ended] = all;
+    assert.ok(ended);
+    for (let seed = 0; seed < SEEDS; seed++) {
+      const check = createCheck(all, ['x', 'y'], seed);
+      assert.equal(await check.check(ended), 'ended-with-domain');
+    }
+  });
+});
