--- a/packages/gateway/tests/endpoint_end.test.ts
+++ b/packages/gateway/tests/endpoint_end.test.ts
@@ -3,29 +3,12 @@
 import {describe, it} from 'node:test';
 import {SeededRandom} from '@irisdock/kernel';
 import {EndpointEndCheck} from '../src/serving/endpoint_end.js';
-import {EndpointRecord} from '../src/serving/endpoint_record.js';
+import type {EndpointRecord} from '../src/serving/endpoint_record.js';
 import {SendPermit} from '../src/serving/send_gate.js';
+import {createEndpoint} from './fixtures/endpoints.js';
 
 const SEEDS = 30;
 
-function createEndpoint(instanceId: string): EndpointRecord {
-  const entry = {
-    endpointId: instanceId,
-    instanceId,
-    service: 's',
-    address: instanceId,
-    failureDomain: 'd',
-    version: 'v1',
-    slots: 4,
-    state: 'ready',
-  } as const;
-  return new EndpointRecord(
-    entry,
-    () => 1000,
-    () => 0,
-  );
-}
-
 /**
  * Creates a check of endpoints of one failure domain that have all ended.
  *
@@ -57,7 +40,7 @@
 describe('an endpoint that has ended', () => {
   // Guards against crashes of neighbors that pass for the loss of their domain.
   it('is not lost with its domain when its neighbors crashed before', async () => {
-    const all = ['a', 'b', 'c'].map(createEndpoint);
+    const all = ['a', 'b', 'c'].map((name) => createEndpoint(name));
     const [ended] = all;
     assert.ok(ended);
     for (let seed = 0; seed < SEEDS; seed++) {
@@ -67,7 +50,7 @@
   });
 
   it('is lost with its domain when its neighbors have ended too', async () => {
-    const all = ['a', 'b', 'c', 'x', 'y'].map(createEndpoint);
+    const all = ['a', 'b', 'c', 'x', 'y'].map((name) => createEndpoint(name));
     const [ended] = all;
     assert.ok(ended);
     for (let seed = 0; seed < SEEDS; seed++) {
--- a/packages/gateway/tests/endpoint_record.test.ts
+++ b/packages/gateway/tests/endpoint_record.test.ts
@@ -2,31 +2,18 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
-import {
+import type {
   EndpointRecord,
-  type EndpointUse,
-  type UseClaim,
+  EndpointUse,
+  UseClaim,
 } from '../src/serving/endpoint_record.js';
+import {createEndpoint} from './fixtures/endpoints.js';
 
 const RUNS = {numRuns: 300, seed: 20_261_203};
 /** How long what hosts told counts, in ms, as the record has it. */
 const TOLD_MS = 2000;
 const HOSTS = ['host-a', 'host-b'];
 
-function createRecord(getNow: () => number): EndpointRecord {
-  const entry = {
-    endpointId: 'e',
-    instanceId: 'e/1',
-    service: 's',
-    address: '127.0.0.1:1',
-    failureDomain: 'd',
-    version: 'v1',
-    slots: 4,
-    state: 'ready',
-  } as const;
-  return new EndpointRecord(entry, () => 1000, getNow);
-}
-
 function createUse(running: number): EndpointUse {
   return {running, unreadTokens: 10 * running, expectedTokens: 20 * running};
 }
@@ -65,7 +52,7 @@
     fc.assert(
       fc.property(steps, (list) => {
         let now = 0;
-        const record = createRecord(() => now);
+        const record = createEndpoint('e', () => now);
         const naive = new NaiveUse();
         for (const {what, size, waitMs} of list) {
           applyStep(record, naive, what, size, now);
@@ -82,7 +69,7 @@
   });
 
   it('is told as gone once, to whoever watches and to whoever comes later', () => {
-    const record = createRecord(() => 0);
+    const record = createEndpoint('e', () => 0);
     const heard: string[] = [];
     record.watchGone((cause) => heard.push(`first ${cause}`));
     const ignore = record.watchGone(() => heard.push('ignored'));
--- a/packages/gateway/tests/lost_runs.test.ts
+++ b/packages/gateway/tests/lost_runs.test.ts
@@ -5,9 +5,9 @@
 import {RoarrLogger} from '@irisdock/kernel';
 import {Registry} from 'prom-client';
 import {CrashRecords} from '../src/serving/crash_records.js';
-import {EndpointRecord} from '../src/serving/endpoint_record.js';
 import {LostRuns} from '../src/serving/lost_runs.js';
 import {ServingMetrics} from '../src/serving/serving_metrics.js';
+import {createEndpoint} from './fixtures/endpoints.js';
 import {VirtualClock} from './fixtures/virtual_clock.js';
 
 const SOUND = 'a'.repeat(32);
@@ -33,24 +33,6 @@
   return {clock, crashes, lostRuns};
 }
 
-function createEndpoint(clock: VirtualClock, id: string): EndpointRecord {
-  const entry = {
-    endpointId: id,
-    instanceId: id,
-    service: 's',
-    address: '127.0.0.1:1',
-    failureDomain: 'd',
-    version: 'v1',
-    slots: 4,
-    state: 'ready',
-  } as const;
-  return new EndpointRecord(
-    entry,
-    () => 1000,
-    () => clock.getNow(),
-  );
-}
-
 function createCrashes(content: string, ids: string): Crash[] {
   return ids.split('').map((instanceId) => ({content, instanceId}));
 }
@@ -58,7 +40,7 @@
 /** Loses a run of the sound content on its third endpoint; true if refused. */
 async function endThird({clock, crashes, lostRuns}: Bed): Promise<boolean> {
   crashes.acceptCrashes(createCrashes(SOUND, 'xy'));
-  const endpoint = createEndpoint(clock, 'z');
+  const endpoint = createEndpoint('z', () => clock.getNow());
   const run = {requestId: 'r', content: SOUND, endpoint};
   const decided = lostRuns
     .record(run, 0, new AbortController().signal)
