Log what endpoints announce in their answers

Leaving and pauses are decoded once, in the adapter, and seen by the gate before every connection, which logs and counts them. No decision changes.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -45,6 +45,7 @@
 export * from './naive/naive_record_fit.js';
 export * from './naive/naive_route.js';
 export * from './order_plan.js';
+export * from './pause_request.js';
 export * from './placement.js';
 export * from './plain_placement.js';
 export * from './prefix_index.js';
--- a/packages/gateway/src/channels/endpoint_client.ts
+++ b/packages/gateway/src/channels/endpoint_client.ts
@@ -78,6 +78,8 @@
 
 /** The status by which another endpoint at the address refuses a send. */
 export const MISDIRECTED_STATUS = 421;
+/** With these an endpoint that rejects a request may ask for a pause. */
+const PAUSE_STATUSES: ReadonlySet<number> = new Set([429, 503]);
 /** How long a connection may take to open, in ms; a live one takes a few. */
 const CONNECT_MS = 300;
 
@@ -174,14 +176,22 @@
     {terms, status}: EndpointAnswer,
     sentAt: number,
   ): void {
-    const {endpointId = target.endpointId, limit} = terms;
+    const {endpointId = target.endpointId, limit, isLeaving} = terms;
     // The start that is meant did not answer.
     if (endpointId !== target.endpointId) return;
     if (status === MISDIRECTED_STATUS) return;
     const isOurs = requestId !== undefined && terms.requestId === requestId;
     const isWell = terms.isSigned && status < FAILED_STATUS;
     const isTelling = isOurs && (isWell || terms.isNotRun);
-    this.gate.recordAnswer({target, limit, isTelling, sentAt});
+    const pause = PAUSE_STATUSES.has(status) ? terms.pause : undefined;
+    this.gate.recordAnswer({
+      target,
+      limit,
+      isTelling,
+      sentAt,
+      isLeaving,
+      pause,
+    });
   }
 
   private createAnswer(
--- a/packages/gateway/src/model/request_terms.ts
+++ b/packages/gateway/src/model/request_terms.ts
@@ -3,9 +3,9 @@
  * typed values. An adapter decodes them once; nothing else reads header names.
  */
 
-import type {NamedLimit} from '@irisdock/decisions';
+import type {NamedLimit, PauseRequest} from '@irisdock/decisions';
 
-export type {NamedLimit} from '@irisdock/decisions';
+export type {NamedLimit, PauseRequest} from '@irisdock/decisions';
 
 /** A part of a prompt that requests may share. */
 export interface PromptPart {
@@ -78,6 +78,10 @@
   readonly load: ToldLoad | undefined;
   /** The limit on requests that it names; undefined when it names none. */
   readonly limit: NamedLimit | undefined;
+  /** Whether the endpoint announces that it is leaving. */
+  readonly isLeaving: boolean;
+  /** The pause that it asks for; undefined when it asks for none. */
+  readonly pause: PauseRequest | undefined;
 }
 
 /** A short call to an engine about a run or a copy of its memory. */
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -25,6 +25,8 @@
 import {SuccessorFinder} from '../serving/successors.js';
 import {CRASHES} from './crashes.js';
 import {GATEWAY_CONFIGURATION} from './configuration.js';
+import {EndpointGate} from './endpoint_gate.js';
+import {EndpointPauses} from './endpoint_pauses.js';
 import {GATEWAY_ENDPOINTS} from './endpoints.js';
 import {LIMITS} from './limits.js';
 import {HOST_PHASE, type HostPhase} from './host_phase.js';
@@ -141,7 +143,7 @@
   const peers = context.find(PEERS);
   const configuration = context.find(GATEWAY_CONFIGURATION);
   const endpoints = context.find(GATEWAY_ENDPOINTS);
-  const gate = context.find(LIMITS);
+  const gate = createGate(context);
   const client = new EndpointClient(codec, gate, clock);
   const engines = new EngineCaller(client);
   const servingMetrics = new ServingMetrics(metrics);
@@ -191,6 +193,16 @@
   };
 }
 
+function createGate(context: ServiceContext): EndpointGate {
+  const {clock, log, metrics} = context;
+  return new EndpointGate({
+    limits: context.find(LIMITS),
+    pauses: new EndpointPauses(clock, log),
+    log,
+    metrics,
+  });
+}
+
 function createEndCheck(
   context: ServiceContext,
   client: EndpointClient,
--- a/packages/gateway/src/serving/send_gate.ts
+++ b/packages/gateway/src/serving/send_gate.ts
@@ -2,7 +2,7 @@
  * What stands before every connection to an endpoint, and sees every answer. A
  * send needs a permit, which only the gate makes, so that no way leads past it.
  */
-import type {NamedLimit, SendUse} from '@irisdock/decisions';
+import type {NamedLimit, PauseRequest, SendUse} from '@irisdock/decisions';
 
 /** The start of an endpoint that a send is meant for. */
 export interface SendTarget {
@@ -22,6 +22,14 @@
   readonly sentAt: number;
 }
 
+/** What an answer tells of its endpoint. */
+export interface AnswerReport extends LimitAnswer {
+  /** Whether the endpoint announces that it is leaving. */
+  readonly isLeaving: boolean;
+  /** The pause that it asks for; undefined when it asks for none. */
+  readonly pause: PauseRequest | undefined;
+}
+
 /** Lets one request through to an endpoint. */
 export class SendPermit {
   readonly kind = 'permit';
@@ -67,7 +75,7 @@
   takeUnconfirmed<T extends SendTarget>(targets: Iterable<T>): T | undefined;
 
   /** Takes what an answer tells, whatever else becomes of it. */
-  recordAnswer(answer: LimitAnswer): void;
+  recordAnswer(report: AnswerReport): void;
 
   /**
    * Decides when a caller may come back whose request was held back, in ms; it
