Send nothing to endpoints that announced their leaving

Callers' requests reached endpoints up to 2.7 s after these had announced in an answer that they were leaving, while the store could not take their entry; what a host sends late may be cut by the endpoint's end.

Cause: hosts learned of a leaving endpoint from its entry only. Evidence: with the store up and the entry ready, five hosts kept sending to an endpoint whose answers carried Server-Leaving; no log line named it. An override by the table was ruled out: nothing decoded the header before.

The gate sees each answer, whatever its status or use, and marks that start as leaving; its later entries do not undo that. Calls about runs and copies still reach it.

--- a/packages/gateway/src/services/endpoint_gate.ts
+++ b/packages/gateway/src/services/endpoint_gate.ts
@@ -3,29 +3,29 @@
  * itself, then the limit that it names for all hosts together.
  */
 import type {SendUse} from '@irisdock/decisions';
-import type {Logger} from '@irisdock/kernel';
 import {Counter, Gauge, type Registry} from 'prom-client';
 import type {
   AnswerReport,
+  LimitHold,
   SendAdmission,
   SendGate,
   SendHold,
   SendTarget,
 } from '../serving/send_gate.js';
+import type {GatewayEndpoints} from './gateway_endpoints.js';
 import type {EndpointPauses} from './endpoint_pauses.js';
 
 /** What the gate works with. */
 export interface EndpointGateParts {
   readonly limits: SendGate;
   readonly pauses: EndpointPauses;
-  readonly log: Logger;
+  readonly endpoints: Pick<GatewayEndpoints, 'find' | 'markLeaving'>;
   readonly metrics: Registry;
 }
 
 /** The gate. */
 export class EndpointGate implements SendGate {
   private readonly announcements: Counter;
-  private readonly announced = new Set<string>();
 
   constructor(private readonly parts: EndpointGateParts) {
     const {pauses, metrics} = parts;
@@ -49,7 +49,8 @@
     target: SendTarget,
     use: SendUse,
   ): Promise<SendAdmission> | SendAdmission {
-    return this.parts.limits.admit(target, use);
+    const {limits} = this.parts;
+    return this.findHold(target, use) ?? limits.admit(target, use);
   }
 
   takeUnconfirmed<T extends SendTarget>(targets: Iterable<T>): T | undefined {
@@ -57,9 +58,12 @@
   }
 
   recordAnswer(report: AnswerReport): void {
-    const {limits, pauses} = this.parts;
+    const {limits, pauses, endpoints} = this.parts;
     const {target, isLeaving, pause} = report;
-    if (isLeaving) this.recordLeaving(target);
+    if (isLeaving) {
+      this.announcements.inc({kind: 'leaving'});
+      endpoints.markLeaving(target.instanceId, 'answer');
+    }
     if (pause !== undefined) {
       this.announcements.inc({kind: 'pause'});
       pauses.record(target, pause);
@@ -67,17 +71,15 @@
     limits.recordAnswer(report);
   }
 
-  decideReturnMs(holds: readonly SendHold[]): number {
+  decideReturnMs(holds: readonly LimitHold[]): number {
     return this.parts.limits.decideReturnMs(holds);
   }
 
-  private recordLeaving({instanceId, address}: SendTarget): void {
-    this.announcements.inc({kind: 'leaving'});
-    if (this.announced.has(instanceId)) return;
-    this.announced.add(instanceId);
-    this.parts.log.writeInfo('An endpoint announced that it is leaving.', {
-      endpoint: instanceId,
-      address,
-    });
+  /** Calls about what runs there still reach an endpoint that is leaving. */
+  private findHold(target: SendTarget, use: SendUse): SendHold | undefined {
+    if (use === 'aside') return undefined;
+    const endpoint = this.parts.endpoints.find(target.instanceId);
+    if (endpoint?.entry.state !== 'leaving') return undefined;
+    return {kind: 'held', target, reason: 'leaving', waitMs: Infinity};
   }
 }
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -198,7 +198,7 @@
   return new EndpointGate({
     limits: context.find(LIMITS),
     pauses: new EndpointPauses(clock, log),
-    log,
+    endpoints: context.find(GATEWAY_ENDPOINTS),
     metrics,
   });
 }
--- a/packages/gateway/src/services/gateway_endpoints.ts
+++ b/packages/gateway/src/services/gateway_endpoints.ts
@@ -32,6 +32,9 @@
   readonly peers: Peers;
 }
 
+/** What says that an endpoint is leaving: its entry, or one of its answers. */
+export type LeavingSource = 'answer' | 'entry';
+
 /** How often delayed departures are looked at, in ms. */
 const CHECK_MS = 200;
 
@@ -118,6 +121,15 @@
     this.applyEntry(answeredBy, value, this.listHostAddresses());
   }
 
+  /** Takes it that a start is leaving; it never gets new work again. */
+  markLeaving(instanceId: string, source: LeavingSource): void {
+    const record = this.records.get(instanceId);
+    if (record?.entry.state !== 'ready') return;
+    record.entry = {...record.entry, state: 'leaving'};
+    this.handleChange?.();
+    this.writeLeaving(record, source);
+  }
+
   /**
    * Takes in the new start of an endpoint that the store could not list yet;
    * it is taken out again unless the store lists it after its return.
@@ -239,10 +251,17 @@
     this.addresses.add(record);
     this.handleChange?.();
     if (wasLeaving || entry.state === 'ready') return;
-    const {instanceId, address} = entry;
+    this.writeLeaving(record, 'entry');
+  }
+
+  private writeLeaving(
+    {instanceId, address}: EndpointRecord,
+    source: LeavingSource,
+  ): void {
     this.parts.log.writeInfo('An endpoint is leaving.', {
       endpoint: instanceId,
       address,
+      source,
     });
   }
 
--- a/packages/gateway/src/services/permit_queue.ts
+++ b/packages/gateway/src/services/permit_queue.ts
@@ -7,9 +7,9 @@
 import type {Clock} from '@irisdock/kernel';
 import {
   SendPermit,
-  type HoldReason,
+  type LimitHold,
+  type LimitHoldReason,
   type SendAdmission,
-  type SendHold,
   type SendTarget,
 } from '../serving/send_gate.js';
 
@@ -65,7 +65,7 @@
   private quietUntil = -Infinity;
   private nextAt = -Infinity;
   private turnAt = -Infinity;
-  private reason: HoldReason = 'used-up';
+  private reason: LimitHoldReason = 'used-up';
   private lastReturnAt = -Infinity;
   private refused = 0;
   private turn: number;
@@ -161,7 +161,7 @@
     // It ended while the question was under way.
     if (perSecond === undefined) return new SendPermit(target);
     this.held++;
-    const hold: SendHold = {
+    const hold: LimitHold = {
       kind: 'held',
       target,
       reason: this.reason,
--- a/packages/gateway/src/services/send_limits.ts
+++ b/packages/gateway/src/services/send_limits.ts
@@ -20,9 +20,9 @@
 import {
   SendPermit,
   type LimitAnswer,
+  type LimitHold,
   type SendAdmission,
   type SendGate,
-  type SendHold,
   type SendTarget,
 } from '../serving/send_gate.js';
 import type {HostIdentity} from './identity.js';
@@ -161,7 +161,7 @@
     this.handleOutcome(instanceId, outcome, true);
   }
 
-  decideReturnMs(holds: readonly SendHold[]): number {
+  decideReturnMs(holds: readonly LimitHold[]): number {
     let best: PermitQueue | undefined;
     let bestMs = Infinity;
     for (const {target, perSecond} of holds) {
--- a/packages/gateway/src/serving/send_gate.ts
+++ b/packages/gateway/src/serving/send_gate.ts
@@ -37,24 +37,40 @@
   constructor(readonly target: SendTarget) {}
 }
 
-/** Why a send was held back. */
-export type HoldReason =
+/** Why the limit of an endpoint held a send back. */
+export type LimitHoldReason =
   /** What the endpoint takes is used up for the moment. */
   | 'used-up'
   /** Nobody hands out permits for it now, or whoever does is not heard. */
   | 'no-issuer';
 
-/** Says that an endpoint's limit lets no request through now. */
-export interface SendHold {
+interface AnyHold {
   readonly kind: 'held';
   readonly target: SendTarget;
-  readonly reason: HoldReason;
+  /** Until there may be a permit, in ms; infinite if there will be none. */
+  readonly waitMs: number;
+}
+
+/** Says that an endpoint's limit lets no request through now. */
+export interface LimitHold extends AnyHold {
+  readonly reason: LimitHoldReason;
   /** The limit, in requests a second from all hosts together. */
   readonly perSecond: number;
   /** The host that hands out the permits; undefined when none is known. */
   readonly issuer: string | undefined;
-  /** Until there may be a permit, in ms. */
-  readonly waitMs: number;
+}
+
+/** Says that an endpoint is leaving and gets no more requests of callers. */
+export interface LeavingHold extends AnyHold {
+  readonly reason: 'leaving';
+}
+
+/** Says that a send is held back. */
+export type SendHold = LeavingHold | LimitHold;
+
+/** Whether a limit is the reason of a hold. */
+export function isLimitHold(hold: SendHold): hold is LimitHold {
+  return hold.reason === 'used-up' || hold.reason === 'no-issuer';
 }
 
 /** What the gate says. */
@@ -81,5 +97,5 @@
    * Decides when a caller may come back whose request was held back, in ms; it
    * counts as one that was told.
    */
-  decideReturnMs(holds: readonly SendHold[]): number;
+  decideReturnMs(holds: readonly LimitHold[]): number;
 }
