Keep the pause that an endpoint asks for as it rejects a request

Endpoints that rejected requests with 503 and Retry-After got up to seven more from one host within the pause, each of which cost its caller a round trip and the service a repeat.

Evidence: a host at 150 requests a second sent 260 within 2.5 s of a pause. The score alone was ruled out as a remedy: with two endpoints the sound one costs more as soon as its queue is longer.

The gate notes the pause from each 503 or 429, whatever becomes of the answer; a pause is extended, never shortened, and bounded. Choices leave paused endpoints out, and the gate holds back all that would still reach them, questions too, also what waited for a permit. A rejection with a pause is no failure of the endpoint. Where all are paused, requests are refused at once with the end of the first pause as their Retry-After; only a begun stream waits.

--- a/packages/decisions/src/pause_request.ts
+++ b/packages/decisions/src/pause_request.ts
@@ -30,3 +30,19 @@
   const end = receivedAt + Math.min(askedMs, MAX_PAUSE_MS);
   return Math.max(end, knownEnd ?? end);
 }
+
+/** Callers that were refused come back over so long after the pause, in ms. */
+const RETURN_SPREAD_MS = 500;
+
+/**
+ * Gives when a caller may come back that was refused in a pause, in ms from now.
+ *
+ * @param part A random part, from 0 to 1.
+ */
+export function computePauseReturnMs(
+  end: number,
+  now: number,
+  part: number,
+): number {
+  return Math.max(0, end - now) + RETURN_SPREAD_MS * part;
+}
--- a/packages/gateway/src/errors.ts
+++ b/packages/gateway/src/errors.ts
@@ -52,6 +52,13 @@
       'What the endpoints of {service} take at the moment is used up; the request was not sent to any.',
     remedy: 'Come back after the time in Retry-After.',
   },
+  endpoints_paused: {
+    status: 503,
+    outcome: 'not-run',
+    message:
+      'The endpoints of {service} that could take the request are overloaded and asked for a pause; it was not run.',
+    remedy: 'Come back after the time in Retry-After.',
+  },
   not_run_in_time: {
     status: 503,
     outcome: 'not-run',
--- a/packages/gateway/src/services/endpoint_gate.ts
+++ b/packages/gateway/src/services/endpoint_gate.ts
@@ -3,6 +3,7 @@
  * itself, then the limit that it names for all hosts together.
  */
 import type {SendUse} from '@irisdock/decisions';
+import type {Clock} from '@irisdock/kernel';
 import {Counter, Gauge, type Registry} from 'prom-client';
 import type {
   AnswerReport,
@@ -13,13 +14,12 @@
   SendTarget,
 } from '../serving/send_gate.js';
 import type {GatewayEndpoints} from './gateway_endpoints.js';
-import type {EndpointPauses} from './endpoint_pauses.js';
 
 /** What the gate works with. */
 export interface EndpointGateParts {
   readonly limits: SendGate;
-  readonly pauses: EndpointPauses;
-  readonly endpoints: Pick<GatewayEndpoints, 'find' | 'markLeaving'>;
+  readonly endpoints: Pick<GatewayEndpoints, 'find' | 'markLeaving' | 'pauses'>;
+  readonly clock: Clock;
   readonly metrics: Registry;
 }
 
@@ -28,7 +28,7 @@
   private readonly announcements: Counter;
 
   constructor(private readonly parts: EndpointGateParts) {
-    const {pauses, metrics} = parts;
+    const {endpoints, metrics} = parts;
     this.announcements = new Counter({
       name: 'irisdock_gateway_announcements_total',
       help: 'Answers by which endpoints announced something, a count, by kind.',
@@ -40,7 +40,7 @@
       help: 'Endpoints that asked this host for a pause in force, a count.',
       registers: [metrics],
       collect() {
-        this.set(pauses.countPaused());
+        this.set(endpoints.pauses.countPaused());
       },
     });
   }
@@ -50,7 +50,12 @@
     use: SendUse,
   ): Promise<SendAdmission> | SendAdmission {
     const {limits} = this.parts;
-    return this.findHold(target, use) ?? limits.admit(target, use);
+    const hold = this.findHold(target, use);
+    if (hold !== undefined) return hold;
+    const admission = limits.admit(target, use);
+    if (!(admission instanceof Promise)) return admission;
+    // The endpoint may have announced something while the send waited.
+    return admission.then((later) => this.findHold(target, use) ?? later);
   }
 
   takeUnconfirmed<T extends SendTarget>(targets: Iterable<T>): T | undefined {
@@ -58,7 +63,7 @@
   }
 
   recordAnswer(report: AnswerReport): void {
-    const {limits, pauses, endpoints} = this.parts;
+    const {limits, endpoints} = this.parts;
     const {target, isLeaving, pause} = report;
     if (isLeaving) {
       this.announcements.inc({kind: 'leaving'});
@@ -66,7 +71,7 @@
     }
     if (pause !== undefined) {
       this.announcements.inc({kind: 'pause'});
-      pauses.record(target, pause);
+      endpoints.pauses.record(target, pause);
     }
     limits.recordAnswer(report);
   }
@@ -75,11 +80,17 @@
     return this.parts.limits.decideReturnMs(holds);
   }
 
-  /** Calls about what runs there still reach an endpoint that is leaving. */
   private findHold(target: SendTarget, use: SendUse): SendHold | undefined {
+    const {endpoints, clock} = this.parts;
+    const {instanceId} = target;
+    const end = endpoints.pauses.findEnd(instanceId);
+    if (end !== undefined) {
+      const waitMs = Math.max(0, end - clock.getNow());
+      return {kind: 'held', target, reason: 'paused', waitMs};
+    }
+    // Calls about what runs there still reach an endpoint that is leaving.
     if (use === 'aside') return undefined;
-    const endpoint = this.parts.endpoints.find(target.instanceId);
-    if (endpoint?.entry.state !== 'leaving') return undefined;
+    if (endpoints.find(instanceId)?.entry.state !== 'leaving') return undefined;
     return {kind: 'held', target, reason: 'leaving', waitMs: Infinity};
   }
 }
--- a/packages/gateway/src/services/endpoints.ts
+++ b/packages/gateway/src/services/endpoints.ts
@@ -3,6 +3,7 @@
 import {Counter, Gauge} from 'prom-client';
 import * as z from 'zod';
 import {GATEWAY_CONFIGURATION} from './configuration.js';
+import {EndpointPauses} from './endpoint_pauses.js';
 import {EndpointUses} from './endpoint_uses.js';
 import {GatewayEndpoints} from './gateway_endpoints.js';
 import {PEERS} from './peers.js';
@@ -42,6 +43,7 @@
       }),
       getDepartureDelay: () => peers.standing.getDepartureDelay(clock.getNow()),
       peers,
+      pauses: new EndpointPauses(clock, log),
     });
     peers.useBoard = new EndpointUses(api);
     api.applyRows(table.replica.listAll());
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -26,7 +26,6 @@
 import {CRASHES} from './crashes.js';
 import {GATEWAY_CONFIGURATION} from './configuration.js';
 import {EndpointGate} from './endpoint_gate.js';
-import {EndpointPauses} from './endpoint_pauses.js';
 import {GATEWAY_ENDPOINTS} from './endpoints.js';
 import {LIMITS} from './limits.js';
 import {HOST_PHASE, type HostPhase} from './host_phase.js';
@@ -194,11 +193,11 @@
 }
 
 function createGate(context: ServiceContext): EndpointGate {
-  const {clock, log, metrics} = context;
+  const {clock, metrics} = context;
   return new EndpointGate({
     limits: context.find(LIMITS),
-    pauses: new EndpointPauses(clock, log),
     endpoints: context.find(GATEWAY_ENDPOINTS),
+    clock,
     metrics,
   });
 }
--- a/packages/gateway/src/services/gateway_endpoints.ts
+++ b/packages/gateway/src/services/gateway_endpoints.ts
@@ -13,6 +13,7 @@
 import type {RowCodec} from '../model/watched_table.js';
 import {EndpointRecord, type GoneCause} from '../serving/endpoint_record.js';
 import {AddressIndex} from './address_index.js';
+import type {EndpointPauses} from './endpoint_pauses.js';
 import type {Peers} from './peer_hosts.js';
 
 /** What the endpoints need of the rest. */
@@ -30,6 +31,7 @@
   /** For how long a vanished entry stays in use, in ms from now. */
   readonly getDepartureDelay: () => number;
   readonly peers: Peers;
+  readonly pauses: EndpointPauses;
 }
 
 /** What says that an endpoint is leaving: its entry, or one of its answers. */
@@ -93,11 +95,32 @@
     const usable: EndpointRecord[] = [];
     for (const record of this.records.values()) {
       if (record.entry.service !== service || !record.isUsable) continue;
-      usable.push(record);
+      if (!this.isPaused(record)) usable.push(record);
     }
     return usable;
   }
 
+  /** The pauses that endpoints asked this host for. */
+  get pauses(): EndpointPauses {
+    return this.parts.pauses;
+  }
+
+  /** Whether an endpoint asked this host for a pause in force. */
+  isPaused({instanceId}: EndpointRecord): boolean {
+    return this.pauses.findEnd(instanceId) !== undefined;
+  }
+
+  /** Gives the first end of a pause among the endpoints of a service, in ms. */
+  findFirstPauseEnd(service: string): number | undefined {
+    let first: number | undefined;
+    for (const record of this.records.values()) {
+      if (record.entry.service !== service || !record.isUsable) continue;
+      const end = this.pauses.findEnd(record.instanceId);
+      if (end !== undefined) first = Math.min(first ?? end, end);
+    }
+    return first;
+  }
+
   /** Takes the rows of the table. */
   applyRows(rows: readonly ReplicaRow[]): void {
     const hostAddresses = this.listHostAddresses();
--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -19,6 +19,7 @@
   createRefused,
   FAILED_STATUS,
   FAILURE_WEIGHTS,
+  recordLoss,
 } from './send_rules.js';
 import {getRandomPart, type ServingParts} from './serving_parts.js';
 
@@ -172,7 +173,7 @@
       return;
     }
     const mayHaveRun = result.kind === 'lost' && result.mayHaveRun;
-    endpoint.recordFailure(FAILURE_WEIGHTS[result.kind]);
+    recordLoss(this.parts.endpoints, endpoint, result.kind);
     if (mayHaveRun) {
       this.runs++;
       this.mayHaveRun = true;
@@ -247,10 +248,7 @@
       return this.mayHaveRun ? 'lost' : 'refused';
     }
     if (last === undefined) {
-      const {service, holds} = this;
-      const error = holds.hasAny
-        ? holds.createError(service)
-        : createNotRun('no_endpoint', service, this.parts.random);
+      const error = this.holds.createError(this.service);
       exchange.refuse(error, false);
       this.recordRefusal(error);
       return 'refused';
--- a/packages/gateway/src/serving/send_gate.ts
+++ b/packages/gateway/src/serving/send_gate.ts
@@ -65,8 +65,13 @@
   readonly reason: 'leaving';
 }
 
+/** Says that an endpoint asked this host for a pause. */
+export interface PauseHold extends AnyHold {
+  readonly reason: 'paused';
+}
+
 /** Says that a send is held back. */
-export type SendHold = LeavingHold | LimitHold;
+export type SendHold = LeavingHold | LimitHold | PauseHold;
 
 /** Whether a limit is the reason of a hold. */
 export function isLimitHold(hold: SendHold): hold is LimitHold {
--- a/packages/gateway/src/serving/send_holds.ts
+++ b/packages/gateway/src/serving/send_holds.ts
@@ -1,39 +1,50 @@
 /** What held one request back from endpoints, and what its caller is told. */
-import type {KnownError, LogFields, Random} from '@irisdock/kernel';
+import {computePauseReturnMs} from '@irisdock/decisions';
+import type {Clock, KnownError, LogFields, Random} from '@irisdock/kernel';
 import {GATEWAY_ERRORS} from '../errors.js';
+import type {GatewayEndpoints} from '../services/gateway_endpoints.js';
 import {formatRetryAfter} from './retry_after.js';
 import {isLimitHold, type SendGate, type SendHold} from './send_gate.js';
 import {createNotRun} from './send_rules.js';
+import {getRandomPart} from './serving_parts.js';
+
+/** What the holds work with. */
+export interface SendHoldsParts {
+  readonly gate: SendGate;
+  readonly endpoints: Pick<GatewayEndpoints, 'findFirstPauseEnd'>;
+  readonly clock: Clock;
+  readonly random: Random;
+}
 
 /** The holds of one request. */
 export class SendHolds {
   private readonly holds: SendHold[] = [];
 
-  constructor(private readonly parts: {gate: SendGate; random: Random}) {}
-
-  /** Whether the request was held back from any endpoint. */
-  get hasAny(): boolean {
-    return this.holds.length > 0;
-  }
+  constructor(private readonly parts: SendHoldsParts) {}
 
   add(hold: SendHold): void {
     this.holds.push(hold);
   }
 
-  /** Creates the error of a request that was sent to no endpoint. */
+  /** Creates the error of a request that no endpoint ran. */
   createError(service: string): KnownError {
-    const {gate, random} = this.parts;
+    const {gate, endpoints, clock, random} = this.parts;
     const limited = this.holds.filter(isLimitHold);
-    if (limited.length === 0) {
-      return createNotRun('no_endpoint', service, random);
+    if (limited.length > 0) {
+      const seconds = formatRetryAfter(gate.decideReturnMs(limited), random);
+      return GATEWAY_ERRORS.create('limits_used_up', {service}, seconds);
     }
-    const seconds = formatRetryAfter(gate.decideReturnMs(limited), random);
-    return GATEWAY_ERRORS.create('limits_used_up', {service}, seconds);
+    const end = endpoints.findFirstPauseEnd(service);
+    if (end === undefined) return createNotRun('no_endpoint', service, random);
+    const part = getRandomPart(random);
+    const returnMs = computePauseReturnMs(end, clock.getNow(), part);
+    const seconds = formatRetryAfter(returnMs, random);
+    return GATEWAY_ERRORS.create('endpoints_paused', {service}, seconds);
   }
 
   /** Lists the holds behind a refusal, for its line in the log. */
   listFields(): LogFields {
-    if (!this.hasAny) return {};
+    if (this.holds.length === 0) return {};
     return {held: this.holds.map(formatHold).join(', ')};
   }
 }
--- a/packages/gateway/src/serving/send_rules.ts
+++ b/packages/gateway/src/serving/send_rules.ts
@@ -2,7 +2,9 @@
 import type {KnownError, Random} from '@irisdock/kernel';
 import {GATEWAY_ERRORS} from '../errors.js';
 import type {ServingRoute} from '../model/serving_configuration.js';
+import type {GatewayEndpoints} from '../services/gateway_endpoints.js';
 import type {AdmittedRequest} from './caller_exchange.js';
+import type {EndpointRecord} from './endpoint_record.js';
 import {decideRetryAfter} from './retry_after.js';
 
 /** From this status on an answer is a failure of the endpoint. */
@@ -15,6 +17,19 @@
  */
 export const FAILURE_WEIGHTS = {lost: 1, refused: 0.15, failed: 0.3} as const;
 
+/**
+ * Counts a send without an answer that can be used against its endpoint. One that
+ * asked for a pause is overloaded; it has not failed.
+ */
+export function recordLoss(
+  endpoints: Pick<GatewayEndpoints, 'isPaused'>,
+  endpoint: EndpointRecord,
+  kind: keyof typeof FAILURE_WEIGHTS,
+): void {
+  if (kind === 'refused' && endpoints.isPaused(endpoint)) return;
+  endpoint.recordFailure(FAILURE_WEIGHTS[kind]);
+}
+
 /** Gives the time that is left for a send, by caller and route, in ms. */
 export function computeRemainingMs(
   request: AdmittedRequest,
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -21,7 +21,7 @@
   computeRemainingMs,
   createNotRun,
   createRefused,
-  FAILURE_WEIGHTS,
+  recordLoss,
 } from './send_rules.js';
 import type {ServingParts} from './serving_parts.js';
 import {
@@ -127,7 +127,7 @@
   private async findPlan(): Promise<AttemptPlan | undefined> {
     const {clock} = this.parts;
     const {signal} = this.request.exchange;
-    this.searchUntil ??= clock.getNow() + (this.isStarted ? SEARCH_MS : 0);
+    this.searchUntil ??= this.decideSearchEnd();
     const until = this.searchUntil;
     for (;;) {
       await this.planner.findFarEngines();
@@ -139,6 +139,15 @@
     }
   }
 
+  /** A begun answer also waits for an engine that asked for a pause. */
+  private decideSearchEnd(): number {
+    const {clock, endpoints} = this.parts;
+    const now = clock.getNow();
+    if (!this.isStarted) return now;
+    const pauseEnd = endpoints.findFirstPauseEnd(this.service) ?? now;
+    return Math.max(now, pauseEnd) + SEARCH_MS;
+  }
+
   private async admit(plan: AttemptPlan): Promise<SendAdmission> {
     const isBegun = this.progress.lastEventId !== undefined;
     const {signal} = this.request.exchange;
@@ -282,7 +291,7 @@
       this.evidence.recordFailed(endpoint);
     }
     if (result.kind === 'stopped') return;
-    endpoint.recordFailure(FAILURE_WEIGHTS[result.kind]);
+    recordLoss(this.parts.endpoints, endpoint, result.kind);
     if (!hasRun && result.kind === 'lost') {
       this.parts.endpoints.peers.uses.publishLoss(endpoint.instanceId);
     }
@@ -333,9 +342,7 @@
     if (isRefused) return createRefused(this.request.content, mayHaveRun);
     const detail = this.lossDetail;
     if (mayHaveRun) return GATEWAY_ERRORS.create('stream_lost', {detail});
-    const {service, holds} = this;
-    if (holds.hasAny) return holds.createError(service);
-    return createNotRun('no_endpoint', service, this.parts.random);
+    return this.holds.createError(this.service);
   }
 
   private finishWith(error: KnownError): void {
