--- a/packages/gateway/src/tables/table_follower.ts
+++ b/packages/gateway/src/tables/table_follower.ts
@@ -268,12 +268,20 @@
     // because changes came while it was read: with 3,000 rows over 10 Mbit/s that
     // takes a second, and where changes keep coming it would never end.
     const lags = replica.isLoaded && revision < replica.revision;
-    if (!lags) this.mustReload = false;
+    if (lags) this.writeLag(revision);
+    else this.mustReload = false;
     this.publish(replica.applyAll(rows, revision), 'store');
     if (!lags) this.age.recordRead(this.clock.getNow());
     return this.mustReload ? this.options.retryMs : 0;
   }
 
+  private writeLag(revision: number): void {
+    const {table, replica} = this;
+    const held = replica.revision;
+    const fields = {table, revision, held};
+    this.log.writeInfo('The store showed an older table; kept.', fields);
+  }
+
   private handleError(kind: string, now: number): number {
     if (kind === 'store_history_lost') {
       this.recordContact(now);
