--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -13,6 +13,7 @@
 export * from './model/table_news.js';
 export * from './model/watched_table.js';
 export {CRASHES} from './services/crashes.js';
+export {GATEWAY_CONFIGURATION} from './services/configuration.js';
 export {GATEWAY_ENDPOINTS} from './services/endpoints.js';
 export * from './services/engine_groups.js';
 export * from './services/host_phase.js';
