Order revisions of the store by its era

After the store came back from an older copy, changes that it had confirmed came into force 2.3 s late or not at all: a key that was taken away was still served, endpoints that were leaving got requests.

Cause: the store gives revisions out again, and copies of tables, feeds and hosts compared bare revisions. A copy that held 53 took a whole read at 50 for one that lags, read again at once, and ignored each change up to 53. Evidence: in the logs the first change that all hosts take after a drill is the first beyond the revision held; with 1 to 41 changes lost, none of five hosts ever took the next one, a host that starts then neither. Readers that are too busy were ruled out: hosts that polled out of turn got answers all the time.

The adapter puts the store's era before the number of the change, so that every comparison of two revisions is right wherever it is made: in copies, deltas, pulls, reader reports and conditional writes. A feed of another era is a lost history, a whole read over two eras starts again, an answer of an older era is dropped. What a restored store lacks is kept for the time in which writers register again, and deleted rows stay deleted as long; then the table is read once more.

--- a/packages/decisions/src/departure_delay.ts
+++ b/packages/decisions/src/departure_delay.ts
@@ -26,6 +26,12 @@
     this.returnedAt = now;
   }
 
+  /** Takes it that the store came back from an older copy. */
+  recordRestored(now: number): void {
+    this.awaySince = undefined;
+    this.returnedAt = now;
+  }
+
   /** Takes a call that failed. */
   recordFailure(now: number): void {
     this.awaySince ??= now;
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -66,6 +66,7 @@
 export * from './silence_limits.js';
 export * from './stall_limit.js';
 export * from './store_readers.js';
+export * from './store_revision.js';
 export * from './suspension_watch.js';
 export * from './table_replica.js';
 export * from './wait_estimate.js';
--- a/packages/decisions/src/table_replica.ts
+++ b/packages/decisions/src/table_replica.ts
@@ -5,6 +5,8 @@
  * are remembered for a while, as another source may still give the old row.
  */
 
+import {getSettledRevision, getEra} from './store_revision.js';
+
 /** A row; without a value it was deleted at that revision. */
 export interface ReplicaRow {
   readonly key: string;
@@ -50,7 +52,7 @@
     for (const change of changes) {
       // Later pages of a whole read hold changes beyond its revision, and may
       // lack others before them: up to those the copy is not whole yet.
-      if (change.revision <= this.known) {
+      if (Math.floor(change.revision) <= this.known) {
         this.newestRow = Math.max(this.newestRow, change.revision);
       }
       if (this.take(change)) news.push(change);
@@ -65,15 +67,50 @@
    */
   applyAll(rows: readonly ReplicaRow[], revision: number): ReplicaRow[] {
     if (this.loaded && revision < this.known) return [];
-    const present = new Set(rows.map((row) => row.key));
-    const changes = [...rows];
-    for (const {key, value, revision: before} of this.rows.values()) {
-      if (value === undefined || present.has(key)) continue;
-      if (before > revision) continue;
-      changes.push({key, value: undefined, revision});
-    }
+    const deletions = this.listMissing(rows, revision).map((row) => {
+      return {...row, value: undefined, revision};
+    });
     this.loaded = true;
-    return this.applyChanges(changes, revision);
+    return this.applyChanges([...rows, ...deletions], revision);
+  }
+
+  /**
+   * Takes the whole table once the writers of a restored store had the time to
+   * write again: rows that it lacks are gone, and those that it has are there.
+   */
+  applySettled(rows: readonly ReplicaRow[], revision: number): ReplicaRow[] {
+    const settledAt = getSettledRevision(revision);
+    const deletions = this.listMissing(rows, revision).map((row) => {
+      return {...row, value: undefined, revision: settledAt};
+    });
+    const present = rows.map((row) => {
+      const known = this.rows.get(row.key);
+      const wasKeptDeleted = known !== undefined && known.value === undefined;
+      return wasKeptDeleted ? {...row, revision: settledAt} : row;
+    });
+    return this.applyChanges([...present, ...deletions], revision);
+  }
+
+  /**
+   * Takes the whole table as a restored store shows it. Rows that it lacks are
+   * kept, and rows that were deleted stay so: their writers may not have written
+   * again yet. `applySettled` decides on them later.
+   */
+  applyRestored(rows: readonly ReplicaRow[], revision: number): ReplicaRow[] {
+    const taken = rows.filter(({key}) => {
+      const known = this.rows.get(key);
+      return known === undefined || known.value !== undefined;
+    });
+    // Who has a copy of an older era is given the whole table.
+    this.forgottenUpTo = Math.max(this.forgottenUpTo, revision);
+    return this.applyChanges(taken, revision);
+  }
+
+  /** Whether a row was there in the era of the copy. */
+  hasCurrent(key: string): boolean {
+    const row = this.rows.get(key);
+    if (row?.value === undefined) return false;
+    return getEra(row.revision) === getEra(this.known);
   }
 
   /**
@@ -95,6 +132,17 @@
     return [...this.rows.values()].filter((row) => row.value !== undefined);
   }
 
+  /** Lists the rows that a whole read as of a revision lacks. */
+  private listMissing(
+    rows: readonly ReplicaRow[],
+    revision: number,
+  ): ReplicaRow[] {
+    const present = new Set(rows.map(({key}) => key));
+    return this.listAll().filter(
+      (row) => !present.has(row.key) && row.revision <= revision,
+    );
+  }
+
   private take(change: ReplicaRow): boolean {
     const before = this.rows.get(change.key);
     if (before !== undefined && before.revision >= change.revision) {
--- a/packages/gateway/src/channels/json_caller.ts
+++ b/packages/gateway/src/channels/json_caller.ts
@@ -2,7 +2,7 @@
  * Short calls that carry JSON, over kept connections. A call that gets no
  * answer in time gives its connection up, as an answer may still come on it.
  */
-import {Agent, request} from 'node:http';
+import {Agent, request, type IncomingHttpHeaders} from 'node:http';
 import {getErrorText, splitPlace} from '@irisdock/kernel';
 import {err, ok, type Result} from 'neverthrow';
 
@@ -18,6 +18,7 @@
 export interface JsonAnswer {
   readonly status: number;
   readonly body: unknown;
+  readonly headers: IncomingHttpHeaders;
 }
 
 /** Makes calls to any address. */
@@ -59,7 +60,8 @@
         });
         response.on('end', () => {
           const text = Buffer.concat(parts).toString();
-          finish(ok({status: response.statusCode ?? 0, body: parseBody(text)}));
+          const {statusCode: status = 0, headers} = response;
+          finish(ok({status, body: parseBody(text), headers}));
         });
       });
       message.end(body);
--- a/packages/gateway/src/tables/peer_table_loader.ts
+++ b/packages/gateway/src/tables/peer_table_loader.ts
@@ -4,6 +4,7 @@
  * started, and the list of hosts.
  */
 import {
+  formatRevision,
   NewerSources,
   type HostChange,
   type TableReplica,
@@ -115,8 +116,12 @@
     if (pull.behindSince !== undefined) return;
     pull.behindSince = now;
     if (table !== 'configuration') return;
-    const fields = {table, revision, own, address};
-    this.log.writeInfo('A newer change was told of.', fields);
+    this.log.writeInfo('A newer change was told of.', {
+      table,
+      revision: formatRevision(revision),
+      own: formatRevision(own),
+      address,
+    });
   }
 
   private async loadTable(table: FollowedTable): Promise<void> {
--- a/packages/gateway/src/tables/table_follower.ts
+++ b/packages/gateway/src/tables/table_follower.ts
@@ -5,6 +5,8 @@
  */
 import {
   CopyAge,
+  formatRevision,
+  getEra,
   ReaderTurns,
   StoreContact,
   TableReplica,
@@ -12,6 +14,8 @@
   type ReplicaRow,
 } from '@irisdock/decisions';
 import {Channel, type Clock, type Logger} from '@irisdock/kernel';
+import type {FollowerOptions} from './follower_options.js';
+import {RestoreSettling} from './restore_settling.js';
 import {
   isSameRole,
   type ReaderRole,
@@ -32,18 +36,6 @@
 /** Stands for a host that reads for nobody else. */
 const ALONE: ReaderPlace = {place: 0, count: 1};
 
-/** How a table is followed. */
-export interface FollowerOptions {
-  /** The time between two answers to readers of the store while it is calm, in ms. */
-  readonly waitMs: number;
-  /** The age from which this host asks the store itself, in ms. */
-  readonly maxAgeMs: number;
-  /** The least time between two calls, in ms. */
-  readonly paceMs: number;
-  /** The time after a failed call, in ms. */
-  readonly retryMs: number;
-}
-
 /** Follows one table. */
 export class TableFollower {
   readonly replica = new TableReplica();
@@ -56,6 +48,7 @@
   private running: Promise<void> = Promise.resolve();
   private mustReload = true;
   private failedAt = -Infinity;
+  private readonly settling: RestoreSettling;
   private role: ReaderRole = 'listener';
   private resumeReading: (() => void) | undefined;
   private readonly turns: ReaderTurns;
@@ -63,6 +56,10 @@
   /** What this host has just read from the store itself. */
   readonly storeNews = this.storeChannel.stream;
 
+  private readonly restoredChannel = new Channel<undefined>();
+  /** Tells that the store came back from an older copy. */
+  readonly restored = this.restoredChannel.stream;
+
   constructor(
     readonly table: TableName,
     private readonly store: WatchedStore,
@@ -71,6 +68,12 @@
     private readonly log: Logger,
   ) {
     this.turns = new ReaderTurns(options.waitMs);
+    this.settling = new RestoreSettling({
+      clock,
+      signal: this.controller.signal,
+      retryMs: options.retryMs,
+      readWhole: () => this.readSettled(),
+    });
   }
 
   /** How long ago the copy was certainly the newest, in ms. */
@@ -116,11 +119,13 @@
     this.resumeReading?.();
     this.channel.close();
     this.storeChannel.close();
+    this.restoredChannel.close();
   }
 
   /** Resolves when the follower has ended. */
   async waitStopped(): Promise<void> {
     await this.running;
+    await this.settling.waitStopped();
   }
 
   /** Takes changes that another host told. */
@@ -270,16 +275,67 @@
     const lags = replica.isLoaded && revision < replica.revision;
     if (lags) this.writeLag(revision);
     else this.mustReload = false;
-    this.publish(replica.applyAll(rows, revision), 'store');
-    if (!lags) this.age.recordRead(this.clock.getNow());
+    const now = this.clock.getNow();
+    const isRestored =
+      replica.isLoaded && getEra(revision) > getEra(replica.revision);
+    if (isRestored) this.startSettling(revision, now);
+    const isSettling = !lags && this.settling.isUnderWay(now);
+    const news = isSettling
+      ? replica.applyRestored(rows, revision)
+      : replica.applyAll(rows, revision);
+    this.publish(news, 'store');
+    if (!lags) this.age.recordRead(now);
+    if (isRestored) this.publishRestored();
     return this.mustReload ? this.options.retryMs : 0;
   }
 
+  private startSettling(revision: number, now: number): void {
+    const {table, replica} = this;
+    this.log.writeWarning('The store was restored from an older copy.', {
+      table,
+      revision: formatRevision(revision),
+      held: formatRevision(replica.revision),
+    });
+    this.contact.recordRestored(now);
+    this.settling.start(now);
+  }
+
+  /** Reads the table whole; false when the store did not answer. */
+  private async readSettled(): Promise<boolean> {
+    const {replica, store, table} = this;
+    const whole = await store.readAll(table);
+    if (whole.isErr() || this.controller.signal.aborted) return false;
+    const {rows, revision} = whole.value;
+    // The store may lag, or have been restored once more.
+    const isSame = getEra(revision) === getEra(replica.revision);
+    if (!isSame || revision < replica.revision) {
+      this.applyWhole(whole.value);
+      return false;
+    }
+    this.publish(replica.applySettled(rows, revision), 'store');
+    this.publishNewest();
+    return true;
+  }
+
+  private publishRestored(): void {
+    this.restoredChannel.post(undefined);
+    this.publishNewest();
+  }
+
+  /** Tells other hosts which change is the newest; they ask for what they lack. */
+  private publishNewest(): void {
+    const {lastChange: newest, revision} = this.replica;
+    this.storeChannel.post({rows: [], after: newest, newest, revision});
+  }
+
   private writeLag(revision: number): void {
     const {table, replica} = this;
     const held = replica.revision;
-    const fields = {table, revision, held};
-    this.log.writeInfo('The store showed an older table; kept.', fields);
+    this.log.writeInfo('The store showed an older table; kept.', {
+      table,
+      revision: formatRevision(revision),
+      held: formatRevision(held),
+    });
   }
 
   private handleError(kind: string, now: number): number {
@@ -313,7 +369,7 @@
     this.log.writeInfo('The table changed.', {
       table: this.table,
       rows: news.length,
-      revision: this.replica.revision,
+      revision: formatRevision(this.replica.revision),
       source,
     });
     this.channel.post(news);
--- a/packages/gateway/src/tables/tables.ts
+++ b/packages/gateway/src/tables/tables.ts
@@ -12,7 +12,8 @@
   type WatchedStore,
 } from '../model/watched_table.js';
 import {STORE} from '../services/store.js';
-import {TableFollower, type FollowerOptions} from './table_follower.js';
+import type {FollowerOptions} from './follower_options.js';
+import {TableFollower} from './table_follower.js';
 
 /** The copies. */
 export interface Tables {
