Remember endpoints that were leaving when their entries are gone

An endpoint that had left got requests again when an older entry of it came back: the state was kept with the record, which went with the entry.

--- a/packages/gateway/src/services/gateway_endpoints.ts
+++ b/packages/gateway/src/services/gateway_endpoints.ts
@@ -14,6 +14,7 @@
 import {EndpointRecord, type GoneCause} from '../serving/endpoint_record.js';
 import {AddressIndex} from './address_index.js';
 import type {EndpointPauses} from './endpoint_pauses.js';
+import {LeavingStarts} from './leaving_starts.js';
 import type {Peers} from './peer_hosts.js';
 
 /** What the endpoints need of the rest. */
@@ -56,6 +57,7 @@
   /** Starts whose entries the store has not listed. */
   private readonly unlisted = new Set<EndpointRecord>();
 
+  private readonly leavingStarts = new LeavingStarts();
   private dropTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly parts: GatewayEndpointsParts) {}
@@ -146,6 +148,7 @@
 
   /** Takes it that a start is leaving; it never gets new work again. */
   markLeaving(instanceId: string, source: LeavingSource): void {
+    this.leavingStarts.add(instanceId);
     const record = this.records.get(instanceId);
     if (record?.entry.state !== 'ready') return;
     record.entry = {...record.entry, state: 'leaving'};
@@ -251,8 +254,11 @@
 
   private addRecord(entry: EndpointEntry): EndpointRecord {
     const {clock, getMemoryTokens} = this.parts;
+    const {instanceId} = entry;
+    if (entry.state === 'leaving') this.leavingStarts.add(instanceId);
+    const isLeaving = this.leavingStarts.has(instanceId);
     const record = new EndpointRecord(
-      entry,
+      isLeaving ? {...entry, state: 'leaving'} : entry,
       () => getMemoryTokens(entry.service),
       () => clock.getNow(),
     );
@@ -267,7 +273,9 @@
   private updateKnown(record: EndpointRecord, entry: EndpointEntry): void {
     this.vanished.delete(record);
     this.unlisted.delete(record);
+    const {instanceId} = entry;
     const wasLeaving = record.entry.state === 'leaving';
+    if (entry.state === 'leaving') this.leavingStarts.add(instanceId);
     this.addresses.delete(record);
     // Who was seen leaving stays so, whatever an older entry says.
     record.entry = wasLeaving ? {...entry, state: 'leaving'} : entry;
