Register hosts again with a restored store

A store that came back from an older copy lost where hosts are found, for as long as they ran: each registers once. A host that is told of a restore by its copy of the configuration registers again. The test failed before.

--- a/packages/gateway/src/services/introduction.ts
+++ b/packages/gateway/src/services/introduction.ts
@@ -19,6 +19,7 @@
 import type {Peers} from './peer_hosts.js';
 import {PEERS} from './peers.js';
 import {STORE} from './store.js';
+import {TABLES_KEY} from '../tables/tables.js';
 
 /** The time between two looks, in ms; a host that is known has nothing to do. */
 const LOOK_MS = 1000;
@@ -48,6 +49,11 @@
     this.startedAt = clock.getNow();
   }
 
+  /** Takes it that the store may have lost this host's registration. */
+  markLost(): void {
+    this.isWritten = false;
+  }
+
   /** Does what is due. */
   async step(): Promise<void> {
     const now = this.clock.getNow();
@@ -112,7 +118,7 @@
 export const INTRODUCTION_SERVICE = createService({
   key: INTRODUCTION,
   settings: z.object({}),
-  needs: [HOST_IDENTITY, PEERS, STORE],
+  needs: [HOST_IDENTITY, PEERS, STORE, TABLES_KEY],
   create(context) {
     const introduction = new Introduction(
       context.find(STORE),
@@ -121,6 +127,9 @@
       context.clock,
       context.log,
     );
+    void context.find(TABLES_KEY).configuration.restored.observe(() => {
+      introduction.markLost();
+    });
     const tries = new Repeater(
       (signal) => context.clock.wait(LOOK_MS, signal),
       () => introduction.step(),
