--- a/packages/gateway/src/services/introduction.ts
+++ b/packages/gateway/src/services/introduction.ts
@@ -4,7 +4,7 @@
  * host that hears nobody for a while after its start reads those places. From
  * then on the hosts tell each other. Each call to the store costs, so a host
  * whose seeds answer makes none. A planned stop takes the row out; the row of a
- * host that was lost stays until the host with that name writes it anew.
+ * host that was lost stays until the host with that name writes it again.
  */
 import {
   createService,
@@ -59,7 +59,7 @@
     const now = this.clock.getNow();
     if (now - this.startedAt < LISTEN_MS) return;
     if (!this.isWritten && this.peers.standing.isReading) {
-      this.isWritten = await this.writeOwn();
+      this.isWritten = await this.registerHost();
       // Another group of hosts may have its own readers: of two that each
       // write and then read, one finds the other.
       await this.readOthers();
@@ -68,22 +68,22 @@
     if (isDue && !this.peers.hasHeardAny(now)) await this.readOthers();
   }
 
-  /** Takes the own row out. */
+  /** Deletes this host's registration. */
   async remove(): Promise<void> {
     if (!this.isWritten) return;
     const result = await this.store.delete('hosts', this.hostName);
     if (result.isOk()) return;
     const {kind} = result.error;
-    this.log.writeInfo('The own row could not be taken out.', {kind});
+    this.log.writeInfo("Failed to delete this host's registration.", {kind});
   }
 
-  private async writeOwn(): Promise<boolean> {
+  private async registerHost(): Promise<boolean> {
     const {tables} = this.peers.place;
     const row = JSON.stringify({tables});
     const result = await this.store.write('hosts', this.hostName, row);
     if (result.isOk()) return true;
     const {kind} = result.error;
-    this.log.writeWarning('The own row could not be written.', {kind});
+    this.log.writeWarning("Failed to write this host's registration.", {kind});
     return false;
   }
 
