Write crashes again that a restored store lost

A content that ended endpoints was run again by every host once the store had come back from a copy that lacked its crashes: rows that a table read lacks count as deleted by an operator. The first reader writes again what it knows, while such rows are still kept; rows count as there only in the store's era. The test failed before.

--- a/packages/gateway/src/services/crash_row_index.ts
+++ b/packages/gateway/src/services/crash_row_index.ts
@@ -31,6 +31,18 @@
     return [...(this.keys.get(content) ?? [])];
   }
 
+  /** Lists the crashes that have rows. */
+  listCrashes(): Crash[] {
+    const crashes: Crash[] = [];
+    for (const keys of this.keys.values()) {
+      for (const key of keys) {
+        const crash = parseCrashKey(key);
+        if (crash !== undefined) crashes.push(crash);
+      }
+    }
+    return crashes;
+  }
+
   /** Lists the contents that have rows. */
   listContents(): string[] {
     return [...this.keys.keys()];
--- a/packages/gateway/src/services/crashes.ts
+++ b/packages/gateway/src/services/crashes.ts
@@ -52,7 +52,7 @@
       store: context.find(STORE),
       clock,
       log,
-      hasRow: (key) => table.replica.find(key)?.value !== undefined,
+      hasRow: (key) => table.replica.hasCurrent(key),
       listKeys: (content) => index.listKeys(content),
     });
     api.spreader = {
@@ -74,6 +74,9 @@
     void table.news.observe((rows) => {
       applyRows(rows, index, api);
     });
+    void table.restored.observe(() => {
+      if (peers.isFirstReader) kept.saveCrashes(index.listCrashes());
+    });
     createGauge(api, metrics);
     const timer = setInterval(() => {
       api.dropExpired();
