Write the end of a roll-out again that a restored store lost

An operator read of a roll-out as running for good, whose end the store had lost: the host that decides took it that its status was written. After a restore it reads the status again and writes what is missing, also of roll-outs that have ended.

--- a/packages/gateway/src/services/rollout_decider.ts
+++ b/packages/gateway/src/services/rollout_decider.ts
@@ -45,6 +45,11 @@
 
   constructor(private readonly parts: RolloutDeciderParts) {}
 
+  /** Takes it that the store may have lost what was written. */
+  markLost(): void {
+    this.written.clear();
+  }
+
   /** Does what is due for one roll-out. */
   async step(state: RolloutState): Promise<void> {
     const written = this.written.get(state) ?? (await this.readStatus(state));
@@ -60,8 +65,9 @@
     const isEnd = next === 'completed' && state.phase !== 'completed';
     if (isEnd && !(await this.writeStatus(state, 'completed'))) return;
     if (next !== state.phase) this.applyPhase(state, next);
-    if (state.phase === 'rolled-back') {
-      await this.writeStatus(state, 'rolled-back');
+    // Also once it is over, as a restored store may have lost it.
+    if (state.phase === 'completed' || state.phase === 'rolled-back') {
+      await this.writeStatus(state, state.phase);
     }
   }
 
--- a/packages/gateway/src/services/rollout_runner.ts
+++ b/packages/gateway/src/services/rollout_runner.ts
@@ -61,6 +61,13 @@
     await this.running;
   }
 
+  /** Takes it that the store may have lost how roll-outs ended. */
+  handleRestored(): void {
+    this.parts.decider.markLost();
+    this.overAt.clear();
+    this.start();
+  }
+
   /** Tells at once what changed here. */
   handleChange(): void {
     this.reportedAt = -Infinity;
--- a/packages/gateway/src/services/rollouts.ts
+++ b/packages/gateway/src/services/rollouts.ts
@@ -86,6 +86,9 @@
       for (const row of rows) applyRow(row, {codec, rollouts: api, log});
       if (!api.isEmpty) runner.start();
     };
+    void table.restored.observe(() => {
+      runner.handleRestored();
+    });
     applyRows(table.replica.listAll());
     void table.news.observe(applyRows);
     createGauge(api, context.metrics);
