Give the whole table to who may hold rows deleted before it was read

A copy that was read whole at some revision answered hosts that lacked older changes with the changes after theirs: rows deleted before its first read are in no list, so such a host kept them for good, an endpoint that is gone among them. Found by reading, as restores made it likely; the test failed before. A copy now names its first revision as forgotten, and such a host is given all.

--- a/packages/decisions/src/table_replica.ts
+++ b/packages/decisions/src/table_replica.ts
@@ -70,6 +70,8 @@
     const deletions = this.listMissing(rows, revision).map((row) => {
       return {...row, value: undefined, revision};
     });
+    // What was deleted before the first read is not known.
+    if (!this.loaded) this.forgottenUpTo = revision;
     this.loaded = true;
     return this.applyChanges([...rows, ...deletions], revision);
   }
--- a/packages/decisions/tests/table_replica.test.ts
+++ b/packages/decisions/tests/table_replica.test.ts
@@ -116,6 +116,14 @@
     assert.equal(replica.revision, 9);
   });
 
+  it('brings no one up to date who has rows deleted before it was read', () => {
+    const other = new TableReplica();
+    other.applyAll([createRow('a', 1), createRow('b', 2)], 2);
+    const replica = new TableReplica();
+    replica.applyAll([createRow('b', 2)], 5);
+    assert.equal(replica.listAfter(other.lastChange), undefined);
+  });
+
   it('knows no changes before it was read whole', () => {
     const replica = new TableReplica();
     replica.applyChanges([createRow('a', 3)], 3);
