--- a/scripts/check_soak.mjs
+++ b/scripts/check_soak.mjs
@@ -47,6 +47,16 @@
     'return this.parts.ledger.decide(content)',
     'return "clear"',
   ],
+  [
+    'revisions of a restored store are ordered by its era',
+    /return era % \d+ \* \d+ \+ change;/,
+    'return change;',
+  ],
+  [
+    'a pause that an endpoint asks for is kept',
+    /findEnd\(instanceId\) \{/,
+    'findEnd(instanceId) { return void 0;',
+  ],
 ];
 
 // With a word, only the trials whose mechanism has it.
--- a/soak/src/configuration_witness.ts
+++ b/soak/src/configuration_witness.ts
@@ -73,6 +73,11 @@
     putConfiguration(this.store, createSoakConfiguration(version));
   }
 
+  /** Puts the newest version again, as after a restore of the store. */
+  commitAgain(): void {
+    putConfiguration(this.store, createSoakConfiguration(this.version));
+  }
+
   /** Changes the configuration and asks all hosts until it is stopped. */
   async run(): Promise<void> {
     for (let round = 1; !this.isStopped; round++) {
--- a/soak/src/endpoint_fleet.ts
+++ b/soak/src/endpoint_fleet.ts
@@ -34,6 +34,8 @@
 /** And so much longer: what comes then came too late. */
 const LINGER_MS = 5000;
 
+const LEAVING_LINE = 'Server-Leaving: 1';
+
 /** One instance of an endpoint. */
 export interface EndpointInstance {
   readonly id: string;
@@ -46,6 +48,8 @@
   leavingAt: number | undefined;
   /** Lines with the limit that it names; empty while it names none. */
   limitLines: readonly string[];
+  /** Lines of its rejections while it rejects requests; undefined else. */
+  rejectionLines: readonly string[] | undefined;
 }
 
 /** Takes it that a request reached an endpoint. */
@@ -61,6 +65,11 @@
 export class EndpointFleet {
   private readonly instances = new Map<number, EndpointInstance>();
   private readonly ended: EndpointInstance[] = [];
+  /** What was written of each; undefined for what was taken out. */
+  private readonly entries = new Map<
+    string,
+    Readonly<Record<string, unknown>> | undefined
+  >();
   private readonly copies = new CopyBoard();
   private count = 0;
   private isStopped = false;
@@ -84,7 +93,8 @@
     const parts = {
       getAddress: () => address,
       copies: this.copies,
-      listLines: () => instance.limitLines,
+      listLines: () => listLines(instance),
+      findRejection: () => instance.rejectionLines,
       recordRun: (run: ServerRun) => {
         this.handleRun(instance, run);
       },
@@ -104,6 +114,7 @@
       address,
       leavingAt: undefined,
       limitLines: [],
+      rejectionLines: undefined,
     };
     server.handleSeen = (request) => {
       this.handleArrival(instance, getId(request));
@@ -130,13 +141,13 @@
     if (instance === undefined) return;
     this.end(instance);
     const lapse = setTimeout(() => {
-      putEntry(this.store, instance.id, undefined);
+      this.writeEntry(instance.id, undefined);
     }, ENTRY_LAPSES_MS);
     await sleep(downMs);
     clearTimeout(lapse);
     // The play may have ended meanwhile; what came now would never end.
     if (this.isStopped) return;
-    putEntry(this.store, instance.id, undefined);
+    this.writeEntry(instance.id, undefined);
     await this.add(instance.service, place);
   }
 
@@ -148,10 +159,15 @@
     this.putEntry(old, 'leaving');
     old.leavingAt = performance.now();
     await sleep(LEAVE_MS + LINGER_MS);
-    putEntry(this.store, old.id, undefined);
+    this.writeEntry(old.id, undefined);
     this.end(old);
   }
 
+  /** Writes the entries again, as after a restore of the store. */
+  putEntriesAgain(): void {
+    for (const [id, entry] of this.entries) putEntry(this.store, id, entry);
+  }
+
   stop(): void {
     this.isStopped = true;
     for (const instance of [...this.instances.values(), ...this.ended]) {
@@ -184,6 +200,19 @@
       ENTRY_STATES[state],
       SLOTS,
     );
+    this.writeEntry(id, entry);
+  }
+
+  private writeEntry(
+    id: string,
+    entry: Readonly<Record<string, unknown>> | undefined,
+  ): void {
+    this.entries.set(id, entry);
     putEntry(this.store, id, entry);
   }
 }
+
+function listLines({limitLines, leavingAt}: EndpointInstance): string[] {
+  if (leavingAt === undefined) return [...limitLines];
+  return [...limitLines, LEAVING_LINE];
+}
--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -6,6 +6,7 @@
 export * from './free_ports.js';
 export * from './host_process.js';
 export * from './limit_witness.js';
+export * from './pause_witness.js';
 export * from './play.js';
 export * from './tcp_link.js';
 export * from './witness.js';
--- a/soak/src/play.ts
+++ b/soak/src/play.ts
@@ -23,6 +23,9 @@
 import {DEPLOYED_PROGRAM, HostProcess} from './host_process.js';
 import {LimitPlayer} from './limit_player.js';
 import {LimitWitness} from './limit_witness.js';
+import {PAUSE_MS, PausePlayer} from './pause_player.js';
+import {PauseWitness} from './pause_witness.js';
+import {StoreDrills} from './store_drills.js';
 import {Witness, type RequestKind} from './witness.js';
 
 /** How large a play is. */
@@ -82,6 +85,7 @@
   readonly hosts: HostProcess[] = [];
   readonly crashes = new CrashWitness(this.disturbances);
   readonly limits = new LimitWitness(this.disturbances);
+  readonly pauses = new PauseWitness(this.disturbances);
   readonly fleet = new EndpointFleet(
     this.store,
     DOMAINS,
@@ -91,7 +95,10 @@
     },
     (instance, attemptId) => {
       const host = this.witness.findAttempt(attemptId)?.host ?? '';
-      this.limits.recordArrival(instance.id, host, performance.now());
+      const at = performance.now();
+      this.limits.recordArrival(instance.id, host, at);
+      if (instance.rejectionLines === undefined) return;
+      this.pauses.recordRejected(instance.id, host, at, PAUSE_MS);
     },
   );
   readonly configuration = new ConfigurationWitness(
@@ -120,7 +127,9 @@
     const running = callers.map((caller) => caller.run());
     const asking = this.configuration.run();
     const limits = this.startLimits();
+    const others = [this.startDrills(), ...this.startPauses()];
     await this.runFaults(plan);
+    await Promise.all(others);
     await sleep(RECOVERY_MS - LIMITS_OVER_MS);
     limits.stop();
     await sleep(LIMITS_OVER_MS);
@@ -130,7 +139,11 @@
     await Promise.all([...running, asking]);
     for (const caller of callers) caller.close();
     this.witness.checkRefusals();
-    const broken = [...this.crashes.listFaults(), ...this.limits.listFaults()];
+    const broken = [
+      ...this.crashes.listFaults(),
+      ...this.limits.listFaults(),
+      ...this.pauses.listFaults(),
+    ];
     for (const fault of broken) this.witness.addFault(fault);
     return plan;
   }
@@ -144,6 +157,21 @@
     return player;
   }
 
+  private startDrills(): Promise<void> {
+    const {store, fleet, configuration, disturbances} = this;
+    const parts = {store, fleet, configuration, disturbances};
+    return new StoreDrills(this.seed, parts).run();
+  }
+
+  private startPauses(): Promise<void>[] {
+    const player = new PausePlayer(this.seed, this.fleet);
+    const pauses: Promise<void>[] = [];
+    for (let service = 0; service < SERVICES; service++) {
+      pauses.push(player.run(service * PLACES_A_SERVICE, PLACES_A_SERVICE));
+    }
+    return pauses;
+  }
+
   async stop(): Promise<void> {
     await Promise.all(this.hosts.map((host) => host.close()));
     this.fleet.stop();
