--- a/scripts/check_proofs.mjs
+++ b/scripts/check_proofs.mjs
@@ -4,18 +4,22 @@
 // dist/ only and puts back what it changed. Run it alone: it takes minutes.
 import {spawnSync} from 'node:child_process';
 import {readFileSync, writeFileSync} from 'node:fs';
+import {ANNOUNCEMENT_TRIALS} from './announcement_trials.mjs';
 import {CHANGE_TRIALS} from './change_trials.mjs';
 import {CRASH_TRIALS} from './crash_trials.mjs';
 import {LIMIT_TRIALS} from './limit_trials.mjs';
+import {RESTORE_TRIALS} from './restore_trials.mjs';
 
 const DECISIONS = 'packages/decisions/dist/src';
 const DAEMON = 'packages/daemon/dist/src';
 
 // mechanism; file; what is replaced by what; test file; its name's pattern
 const ALL_TRIALS = [
+  ...ANNOUNCEMENT_TRIALS,
   ...CHANGE_TRIALS,
   ...CRASH_TRIALS,
   ...LIMIT_TRIALS,
+  ...RESTORE_TRIALS,
   [
     'repeated tokens are dropped',
     `${DECISIONS}/answer_assembler.js`,
