Settle a restored table while changes come

A table whose whole read takes longer than the time between two changes was never settled after a restore: each read was older than the copy by its end, taken for one that lags and repeated, so rows that the store had lost stayed. Found by reading. The read decides on rows up to its revision, whatever was taken since, and what it settles gets a revision after all that is held, so that other hosts fetch it. The test of a read that later changes have overtaken failed before.

--- a/packages/decisions/src/table_replica.ts
+++ b/packages/decisions/src/table_replica.ts
@@ -79,16 +79,20 @@
   /**
    * Takes the whole table once the writers of a restored store had the time to
    * write again: rows that it lacks are gone, and those that it has are there.
+   * Changes after the read may have been taken already; they stand.
    */
   applySettled(rows: readonly ReplicaRow[], revision: number): ReplicaRow[] {
-    const settledAt = getSettledRevision(revision);
+    const settledAt = getSettledRevision(Math.max(revision, this.known));
     const deletions = this.listMissing(rows, revision).map((row) => {
       return {...row, value: undefined, revision: settledAt};
     });
     const present = rows.map((row) => {
       const known = this.rows.get(row.key);
-      const wasKeptDeleted = known !== undefined && known.value === undefined;
-      return wasKeptDeleted ? {...row, revision: settledAt} : row;
+      const isBack =
+        known !== undefined &&
+        known.value === undefined &&
+        known.revision <= revision;
+      return isBack ? {...row, revision: settledAt} : row;
     });
     return this.applyChanges([...present, ...deletions], revision);
   }
--- a/packages/decisions/tests/store_revision.test.ts
+++ b/packages/decisions/tests/store_revision.test.ts
@@ -115,6 +115,31 @@
     assert.deepEqual(given?.sort(), ['b', 'c']);
   });
 
+  it('is settled by a read that later changes have overtaken', () => {
+    const replica = createCopy();
+    const restored = [createRow('a', 2, 1), createRow('c', 2, 3)];
+    const revision = createRevision(2, 3);
+    replica.applyRestored(restored, revision);
+    const later = [createRow('d', 2, 8), createRow('e', 2, 9)];
+    replica.applyChanges(later, createRevision(2, 9));
+    const held = replica.lastChange;
+    replica.applySettled(restored, revision);
+    assert.deepEqual(listKeys(replica), ['a', 'c', 'd', 'e']);
+    const given = replica.listAfter(held)?.map(({key}) => key);
+    assert.deepEqual(given?.sort(), ['b', 'c']);
+  });
+
+  it('keeps what was deleted after the read that settles it', () => {
+    const replica = createCopy();
+    const restored = [createRow('a', 2, 1)];
+    const revision = createRevision(2, 3);
+    replica.applyRestored(restored, revision);
+    const deletion = {...createRow('a', 2, 8), value: undefined};
+    replica.applyChanges([deletion], createRevision(2, 8));
+    replica.applySettled(restored, revision);
+    assert.deepEqual(listKeys(replica), []);
+  });
+
   it('leaves no row at who has one that it never had itself', () => {
     const other = createCopy();
     other.applyChanges([createRow('d', 1, 8)], createRevision(1, 8));
--- a/packages/gateway/src/tables/table_follower.ts
+++ b/packages/gateway/src/tables/table_follower.ts
@@ -306,9 +306,7 @@
     const whole = await store.readAll(table);
     if (whole.isErr() || this.controller.signal.aborted) return false;
     const {rows, revision} = whole.value;
-    // The store may lag, or have been restored once more.
-    const isSame = getEra(revision) === getEra(replica.revision);
-    if (!isSame || revision < replica.revision) {
+    if (getEra(revision) !== getEra(replica.revision)) {
       this.applyWhole(whole.value);
       return false;
     }
--- a/packages/gateway/tests/restored_in_time.test.ts
+++ b/packages/gateway/tests/restored_in_time.test.ts
@@ -12,6 +12,9 @@
 const SETTLE_MS = 8000;
 const LONG_MS = 8000;
 const RESTORES = 3;
+/** Less than a read of a table takes, in simulated ms. */
+const CHANGE_MS = 4;
+const CHANGES = 1500;
 const SIZES = [
   {hosts: 3, domains: 3, seeds: [1, 2, 3, 4, 5, 6]},
   {hosts: 8, domains: 4, seeds: [1, 2, 3, 4, 5, 6]},
@@ -72,4 +75,23 @@
       }
     });
   }
+
+  it('loses what is not written again though other rows keep changing', async () => {
+    const fleet = new TableFleet({hosts: 8, domains: 4, seed: 1});
+    await fleet.start(SETTLE_MS);
+    const {store, clock} = fleet;
+    const snapshot = store.takeSnapshot();
+    store.put('endpoints', 'i-lost', 'entry');
+    await clock.run(LONG_MS);
+    store.loadSnapshot(snapshot);
+    for (let change = 0; change < CHANGES; change++) {
+      store.put('endpoints', `i-${change % 9}`, `entry ${change}`);
+      await clock.run(CHANGE_MS);
+    }
+    for (const {name, tables} of fleet.hosts) {
+      const row = tables.endpoints.replica.find('i-lost');
+      assert.equal(row?.value, undefined, name);
+    }
+    fleet.stop();
+  });
 });
