--- a/packages/decisions/src/departure_delay.ts
+++ b/packages/decisions/src/departure_delay.ts
@@ -26,7 +26,7 @@
     this.returnedAt = now;
   }
 
-  /** Takes it that the store came back from an older copy. */
+  /** Records that the store was restored from an older copy. */
   recordRestored(now: number): void {
     this.awaySince = undefined;
     this.returnedAt = now;
--- a/packages/decisions/src/pause_request.ts
+++ b/packages/decisions/src/pause_request.ts
@@ -1,18 +1,18 @@
 /**
- * The pause that an overloaded endpoint asks for when it rejects a request:
- * until when a host sends it nothing. A later request extends a pause and never
- * shortens it, as answers may arrive out of order.
+ * The pause that an overloaded endpoint requests when it rejects a request
+ * (`Retry-After`): until when a host sends it nothing. A later answer extends a
+ * pause and never shortens it, as answers may arrive out of order.
  */
 
-/** A pause as an endpoint asked for it. */
+/** A pause as an endpoint requested it. */
 export type PauseRequest =
   | {readonly kind: 'delay'; readonly ms: number}
-  /** What it asked for is no time. */
+  /** The requested value is not a time. */
   | {readonly kind: 'unreadable'};
 
-/** The longest pause, in ms; an endpoint that is lost for longer is replaced. */
+/** Upper bound of a pause, in ms; limits the harm of a wrong value. */
 export const MAX_PAUSE_MS = 600_000;
-/** The pause of an endpoint whose request cannot be read, in ms. */
+/** The pause for a value that is not a time, in ms. */
 export const UNREADABLE_PAUSE_MS = 1000;
 
 /**
@@ -31,11 +31,11 @@
   return Math.max(end, knownEnd ?? end);
 }
 
-/** Callers that were refused come back over so long after the pause, in ms. */
+/** Spreads the retries of rejected callers after the pause, in ms. */
 const RETURN_SPREAD_MS = 500;
 
 /**
- * Gives when a caller may come back that was refused in a pause, in ms from now.
+ * Gives the retry delay of a caller that was rejected during a pause, in ms.
  *
  * @param part A random part, from 0 to 1.
  */
--- a/packages/decisions/src/store_revision.ts
+++ b/packages/decisions/src/store_revision.ts
@@ -1,13 +1,12 @@
 /**
- * Revisions of a store that may come back from an older copy. It then gives out
- * the numbers of changes again, and says so by a higher era. A revision holds
- * the era before the number of the change, so that revisions of all eras have
- * one order and every comparison of two is right.
+ * Revisions of a store that may be restored from an older copy. After a restore
+ * it reuses change numbers and reports a higher era. A revision has the era in
+ * its upper bits, so revisions of all eras have one total order.
  */
 
-/** Changes that an era can hold; 29 years at 1,200 a second. */
+/** Changes per era; 29 years at 1,200 a second. */
 const CHANGES_PER_ERA = 2 ** 40;
-/** Eras that are told apart; the next one counts as 0 again. */
+/** Distinct eras; the era wraps around. */
 const ERAS = 2 ** 12;
 /** Less than one change; exact for every era. */
 const HALF_CHANGE = 0.5;
@@ -28,15 +27,15 @@
 }
 
 /**
- * Gives the revision of what a whole read shows and no change did, as rows that
- * are gone: after the last change that was read, and before the next one. Who
- * holds that change lacks it.
+ * Gives the revision of rows whose state only a whole read shows, such as
+ * deleted ones: after the last change and before the next, so that holders of
+ * the last change fetch them.
  */
 export function getSettledRevision(revision: number): number {
   return revision + HALF_CHANGE;
 }
 
-/** Formats a revision for people: the era, if there is one, and the change. */
+/** Formats a revision for logs: the era, unless it is 0, and the change. */
 export function formatRevision(revision: number): string {
   const era = getEra(revision);
   const change = String(getChangeNumber(revision));
--- a/packages/decisions/src/table_replica.ts
+++ b/packages/decisions/src/table_replica.ts
@@ -70,16 +70,16 @@
     const deletions = this.listMissing(rows, revision).map((row) => {
       return {...row, value: undefined, revision};
     });
-    // What was deleted before the first read is not known.
+    // Rows deleted before the first read are unknown.
     if (!this.loaded) this.forgottenUpTo = revision;
     this.loaded = true;
     return this.applyChanges([...rows, ...deletions], revision);
   }
 
   /**
-   * Takes the whole table once the writers of a restored store had the time to
-   * write again: rows that it lacks are gone, and those that it has are there.
-   * Changes after the read may have been taken already; they stand.
+   * Applies a whole read after the writers of a restored store had time to write
+   * again: missing rows are deleted, rows present in the store come back. Changes
+   * after the read may have been applied already and are kept.
    */
   applySettled(rows: readonly ReplicaRow[], revision: number): ReplicaRow[] {
     const settledAt = getSettledRevision(Math.max(revision, this.known));
@@ -98,21 +98,21 @@
   }
 
   /**
-   * Takes the whole table as a restored store shows it. Rows that it lacks are
-   * kept, and rows that were deleted stay so: their writers may not have written
-   * again yet. `applySettled` decides on them later.
+   * Applies the first whole read of a restored store. Missing rows are kept and
+   * deleted rows stay deleted, as their writers may not have written again yet;
+   * `applySettled` decides on them.
    */
   applyRestored(rows: readonly ReplicaRow[], revision: number): ReplicaRow[] {
     const taken = rows.filter(({key}) => {
       const known = this.rows.get(key);
       return known === undefined || known.value !== undefined;
     });
-    // Who has a copy of an older era is given the whole table.
+    // Copies of an older era get the whole table.
     this.forgottenUpTo = Math.max(this.forgottenUpTo, revision);
     return this.applyChanges(taken, revision);
   }
 
-  /** Whether a row was there in the era of the copy. */
+  /** Whether a row exists in the current era of the store. */
   hasCurrent(key: string): boolean {
     const row = this.rows.get(key);
     if (row?.value === undefined) return false;
--- a/packages/gateway/src/services/endpoint_gate.ts
+++ b/packages/gateway/src/services/endpoint_gate.ts
@@ -1,6 +1,6 @@
 /**
- * The gate before every connection to an endpoint: what the endpoint announced of
- * itself, then the limit that it names for all hosts together.
+ * The gate before every connection to an endpoint: checks what the endpoint
+ * announced (leaving, a pause), then its limit over all hosts.
  */
 import type {SendUse} from '@irisdock/decisions';
 import type {Clock} from '@irisdock/kernel';
--- a/packages/gateway/src/services/endpoint_pauses.ts
+++ b/packages/gateway/src/services/endpoint_pauses.ts
@@ -1,12 +1,12 @@
 /**
- * The pauses that endpoints asked this host for, by their start. A pause binds
- * the host that was asked, not others.
+ * The pauses that endpoints requested from this host, by instance id. A pause
+ * binds only the host that received the rejection.
  */
 import {computePauseEnd, type PauseRequest} from '@irisdock/decisions';
 import type {Clock, Logger} from '@irisdock/kernel';
 import type {SendTarget} from '../serving/send_gate.js';
 
-/** Pauses from which on those that are over are dropped. */
+/** Expired pauses are dropped from this many entries on. */
 const SWEEP_FROM = 1000;
 
 /** The pauses. */
@@ -30,7 +30,7 @@
     return end === undefined || end <= this.clock.getNow() ? undefined : end;
   }
 
-  /** Takes the pause that an answer asked for. */
+  /** Applies the pause that an answer requested. */
   record({instanceId, address}: SendTarget, request: PauseRequest): void {
     const now = this.clock.getNow();
     const known = this.findEnd(instanceId);
--- a/packages/gateway/src/services/gateway_endpoints.ts
+++ b/packages/gateway/src/services/gateway_endpoints.ts
@@ -35,7 +35,7 @@
   readonly pauses: EndpointPauses;
 }
 
-/** What says that an endpoint is leaving: its entry, or one of its answers. */
+/** Where the leaving state of an endpoint came from. */
 export type LeavingSource = 'answer' | 'entry';
 
 /** How often delayed departures are looked at, in ms. */
@@ -102,17 +102,17 @@
     return usable;
   }
 
-  /** The pauses that endpoints asked this host for. */
+  /** The pauses that endpoints requested from this host. */
   get pauses(): EndpointPauses {
     return this.parts.pauses;
   }
 
-  /** Whether an endpoint asked this host for a pause in force. */
+  /** Whether a pause of the endpoint is in force on this host. */
   isPaused({instanceId}: EndpointRecord): boolean {
     return this.pauses.findEnd(instanceId) !== undefined;
   }
 
-  /** Gives the first end of a pause among the endpoints of a service, in ms. */
+  /** Gives the earliest end of a pause among a service's endpoints, in ms. */
   findFirstPauseEnd(service: string): number | undefined {
     let first: number | undefined;
     for (const record of this.records.values()) {
@@ -146,7 +146,7 @@
     this.applyEntry(answeredBy, value, this.listHostAddresses());
   }
 
-  /** Takes it that a start is leaving; it never gets new work again. */
+  /** Marks an instance as leaving for good; it gets no new work. */
   markLeaving(instanceId: string, source: LeavingSource): void {
     this.leavingStarts.add(instanceId);
     const record = this.records.get(instanceId);
--- a/packages/gateway/src/services/introduction.ts
+++ b/packages/gateway/src/services/introduction.ts
@@ -49,7 +49,7 @@
     this.startedAt = clock.getNow();
   }
 
-  /** Takes it that the store may have lost this host's registration. */
+  /** Makes this host register again: the store may have lost the row. */
   markLost(): void {
     this.isWritten = false;
   }
--- a/packages/gateway/src/services/leaving_starts.ts
+++ b/packages/gateway/src/services/leaving_starts.ts
@@ -1,12 +1,12 @@
 /**
- * Starts of endpoints that are or were leaving. They never get new work again,
- * also when their entries are gone and an older one comes back.
+ * Instances of endpoints that are or were leaving. They get no new work even if
+ * a restored store lists them as ready again.
  */
 
-/** Starts that are remembered; the oldest give way. Some 2 MB. */
+/** Instances kept; the oldest are evicted. Some 2 MB. */
 const MAX_STARTS = 20_000;
 
-/** The starts, by their instance ids. */
+/** A bounded set of instance ids. */
 export class LeavingStarts {
   private readonly instanceIds = new Set<string>();
 
--- a/packages/gateway/src/services/rollout_decider.ts
+++ b/packages/gateway/src/services/rollout_decider.ts
@@ -45,7 +45,7 @@
 
   constructor(private readonly parts: RolloutDeciderParts) {}
 
-  /** Takes it that the store may have lost what was written. */
+  /** Forgets which statuses are written: the store may have lost them. */
   markLost(): void {
     this.written.clear();
   }
@@ -65,7 +65,7 @@
     const isEnd = next === 'completed' && state.phase !== 'completed';
     if (isEnd && !(await this.writeStatus(state, 'completed'))) return;
     if (next !== state.phase) this.applyPhase(state, next);
-    // Also once it is over, as a restored store may have lost it.
+    // Repeated after the end, as a restored store may have lost it.
     if (state.phase === 'completed' || state.phase === 'rolled-back') {
       await this.writeStatus(state, state.phase);
     }
--- a/packages/gateway/src/services/rollout_runner.ts
+++ b/packages/gateway/src/services/rollout_runner.ts
@@ -61,7 +61,7 @@
     await this.running;
   }
 
-  /** Takes it that the store may have lost how roll-outs ended. */
+  /** Writes the status of ended roll-outs again after a restore. */
   handleRestored(): void {
     this.parts.decider.markLost();
     this.overAt.clear();
--- a/packages/gateway/src/tables/restore_settling.ts
+++ b/packages/gateway/src/tables/restore_settling.ts
@@ -1,15 +1,15 @@
 /**
- * After the store came back from an older copy, its writers need a while to
- * write again what it lost. Until then a row that it lacks is no deleted one;
- * then the table is read once more.
+ * Grace period after a restore of the store: its writers need time to write lost
+ * rows again, so missing rows do not count as deleted until the table is read
+ * once more at the end.
  */
 import {RETURN_GRACE_MS} from '@irisdock/decisions';
 import type {Clock} from '@irisdock/kernel';
 
-/** What settling works with. */
+/** Dependencies of the grace period. */
 export interface RestoreSettlingParts {
   readonly clock: Clock;
-  /** Ends it. */
+  /** Aborts it. */
   readonly signal: AbortSignal;
   /** The time after a failed read, in ms. */
   readonly retryMs: number;
@@ -17,19 +17,19 @@
   readonly readWhole: () => Promise<boolean>;
 }
 
-/** The settling of one table. */
+/** The grace period of one table. */
 export class RestoreSettling {
   private settlesAt = -Infinity;
   private running: Promise<void> | undefined;
 
   constructor(private readonly parts: RestoreSettlingParts) {}
 
-  /** Whether rows may still be missing that are about to be written again. */
+  /** Whether the grace period is under way. */
   isUnderWay(now: number): boolean {
     return now < this.settlesAt;
   }
 
-  /** Starts, or starts again when the store was restored once more. */
+  /** Starts it; restarts it on another restore. */
   start(now: number): void {
     this.settlesAt = now + RETURN_GRACE_MS;
     this.running ??= this.run().finally(() => {
--- a/packages/gateway/src/tables/table_follower.ts
+++ b/packages/gateway/src/tables/table_follower.ts
@@ -57,7 +57,7 @@
   readonly storeNews = this.storeChannel.stream;
 
   private readonly restoredChannel = new Channel<undefined>();
-  /** Tells that the store came back from an older copy. */
+  /** Emits when a read shows that the store was restored. */
   readonly restored = this.restoredChannel.stream;
 
   constructor(
@@ -320,7 +320,7 @@
     this.publishNewest();
   }
 
-  /** Tells other hosts which change is the newest; they ask for what they lack. */
+  /** Announces the newest change to other hosts, which fetch what they lack. */
   private publishNewest(): void {
     const {lastChange: newest, revision} = this.replica;
     this.storeChannel.post({rows: [], after: newest, newest, revision});
