--- a/packages/gateway/tests/table_follower.test.ts
+++ b/packages/gateway/tests/table_follower.test.ts
@@ -10,18 +10,18 @@
 } from '../src/model/watched_table.js';
 import {TableFollower} from '../src/tables/table_follower.js';
 import {createTables, createTableSettings} from '../src/tables/tables.js';
+import {UnwrittenStore} from './fixtures/unwritten_store.js';
 import {VirtualClock} from './fixtures/virtual_clock.js';
 import {StoreDoor, VirtualStore} from './fixtures/virtual_store.js';
 
 const OPTIONS = {waitMs: 20, maxAgeMs: 1000, paceMs: 0, retryMs: 10};
-const DONE: Result<void, StoreError> = ok(undefined);
 
 function createRows(revision: number): TablePart {
   return {rows: [{key: 'a', value: 'x', revision}], revision};
 }
 
 /** A store whose whole reads wait until they are let go, as of `revision`. */
-class SlowStore implements WatchedStore {
+class SlowStore extends UnwrittenStore {
   reads = 0;
   revision = 5;
   private readonly waiting: (() => void)[] = [];
@@ -42,22 +42,6 @@
     return ok({rows: [], revision: Math.max(after, this.revision)});
   }
 
-  write(): Promise<Result<void, StoreError>> {
-    return Promise.resolve(DONE);
-  }
-
-  writeIf(): Promise<Result<void, StoreError>> {
-    return Promise.resolve(DONE);
-  }
-
-  writeAll(): Promise<Result<void, StoreError>> {
-    return Promise.resolve(DONE);
-  }
-
-  delete(): Promise<Result<void, StoreError>> {
-    return Promise.resolve(DONE);
-  }
-
   close(): void {
     this.resume();
   }
