Do not take silent neighbors for ended ones

Callers saw sound streams cut: with two crashing contents at once all engines ended, as crashes were not counted.

Change: only neighbors that refuse connections speak for the loss of the domain; one that gives no answer does not. What the neighbors said is logged.

--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -213,6 +213,7 @@
     endpoints: context.find(GATEWAY_ENDPOINTS),
     crashes: context.find(CRASHES),
     random: context.random,
+    log: context.log,
   });
 }
 
--- a/packages/gateway/src/serving/endpoint_end.ts
+++ b/packages/gateway/src/serving/endpoint_end.ts
@@ -4,7 +4,7 @@
  * a whole failure domain may be lost at once. Only an address that refuses
  * connections says that the process there has ended.
  */
-import {getSample, type Random} from '@irisdock/kernel';
+import {getSample, type Logger, type Random} from '@irisdock/kernel';
 import type {EndpointClient} from '../channels/endpoint_client.js';
 import type {GatewayEndpoints} from '../services/gateway_endpoints.js';
 import type {CrashRecords} from './crash_records.js';
@@ -14,7 +14,7 @@
 export type EndpointEnd =
   /** It answers: only the connection was lost. */
   | 'answers'
-  /** It has ended, and others of its failure domain answer. */
+  /** It has ended, and not all others of its failure domain have. */
   | 'ended'
   /** It has ended together with others of its failure domain. */
   | 'ended-with-domain'
@@ -42,6 +42,7 @@
   readonly endpoints: Pick<GatewayEndpoints, 'listUsable'>;
   readonly crashes: Pick<CrashRecords, 'hasCrashed'>;
   readonly random: Random;
+  readonly log: Logger;
 }
 
 /** Asks endpoints whether they have ended; those that wait share a question. */
@@ -67,8 +68,17 @@
     if (state !== 'ended') return state;
     const neighbors = this.listNeighbors(endpoint);
     const states = await Promise.all(neighbors.map((one) => this.probe(one)));
-    const isAlone = states.length === 0 || states.includes('answers');
-    return isAlone ? 'ended' : 'ended-with-domain';
+    const shown = neighbors.map(({instanceId}, place) => {
+      return `${instanceId} ${states[place] ?? ''}`;
+    });
+    this.parts.log.writeInfo('Probed the neighbors of an ended endpoint.', {
+      endpoint: endpoint.instanceId,
+      neighbors: shown.join(', '),
+    });
+    if (states.length === 0) return 'ended';
+    // A neighbor that is too busy to answer in time is no evidence of a loss.
+    const isDomainLost = states.every((state) => state === 'ended');
+    return isDomainLost ? 'ended-with-domain' : 'ended';
   }
 
   private listNeighbors(endpoint: EndpointRecord): EndpointRecord[] {
--- a/packages/gateway/tests/endpoint_end.test.ts
+++ b/packages/gateway/tests/endpoint_end.test.ts
@@ -1,7 +1,7 @@
 /** What became of an endpoint, by what it and its neighbors answer. */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {SeededRandom} from '@irisdock/kernel';
+import {RoarrLogger, SeededRandom} from '@irisdock/kernel';
 import {EndpointEndCheck} from '../src/serving/endpoint_end.js';
 import type {EndpointRecord} from '../src/serving/endpoint_record.js';
 import {SendPermit} from '../src/serving/send_gate.js';
@@ -13,27 +13,30 @@
  * Creates a check of endpoints of one failure domain that have all ended.
  *
  * @param crashed The endpoints that are known to have ended under a run.
+ * @param silent Endpoints that run and do not answer in time.
  */
 function createCheck(
   all: readonly EndpointRecord[],
   crashed: readonly string[],
   seed: number,
+  silent: readonly string[] = [],
 ): EndpointEndCheck {
   return new EndpointEndCheck({
     client: {
       admit: (target) => new SendPermit(target),
-      send: () =>
+      send: ({permit}) =>
         Promise.resolve({
           kind: 'lost',
           mayHaveRun: false,
-          isRefused: true,
-          detail: 'connect ECONNREFUSED',
+          isRefused: !silent.includes(permit.target.instanceId),
+          detail: 'no answer',
         }),
     },
     reportPath: '/report',
     endpoints: {listUsable: () => [...all]},
     crashes: {hasCrashed: (instanceId) => crashed.includes(instanceId)},
     random: new SeededRandom(seed),
+    log: new RoarrLogger('test', 'off'),
   });
 }
 
@@ -58,4 +61,16 @@
       assert.equal(await check.check(ended), 'ended-with-domain');
     }
   });
+
+  // Guards against busy neighbors that pass for ended ones: the crash is not
+  // counted then, and the content ends further endpoints.
+  it('is not lost with its domain when its neighbors are silent', async () => {
+    const all = ['a', 'b', 'c', 'd'].map((name) => createEndpoint(name));
+    const [ended] = all;
+    assert.ok(ended);
+    for (let seed = 0; seed < SEEDS; seed++) {
+      const check = createCheck(all, [], seed, ['b', 'c']);
+      assert.equal(await check.check(ended), 'ended');
+    }
+  });
 });
