Run a suspected content once at a time over all hosts

Callers saw sound streams cut: a content that ends its engines came to two hosts at once, and each sent it on after each end. Runs that were under way when the third end became known ended up to three more engines; two such contents ended all eight.

Cause: what ended is told to other hosts within milliseconds, but nothing told that a suspected content is being run. A retry also started before the check of the first lost engine had answered (60 ms), with no crash known. Logs: runs of one content 113 to 150 ms apart on two engines, four ends where three may.

Ruled out: late reports of crashes (published at once from the second on).

Change: from the first loss on a run needs the lease of its content, granted by one host found by hashing, renewed, with the crashes that host knows. Contents that lost no run are not delayed. A request that waits 5 s gets 503 content_busy.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -61,6 +61,7 @@
 export * from './rollout_plan.js';
 export * from './rollout_verdict.js';
 export * from './route_table.js';
+export * from './run_lease_table.js';
 export * from './serving_right.js';
 export * from './signature.js';
 export * from './silence_limits.js';
--- a/packages/gateway/src/errors.ts
+++ b/packages/gateway/src/errors.ts
@@ -65,6 +65,13 @@
     message: 'No endpoint of {service} began the request in its time.',
     remedy: 'Come back after the time in Retry-After.',
   },
+  content_busy: {
+    status: 503,
+    outcome: 'not-run',
+    message:
+      'An endpoint ended while it ran this request (content {content}); it is run one at a time, and another run of it is under way.',
+    remedy: 'Come back after the time in Retry-After.',
+  },
   content_refused: {
     status: 502,
     outcome: 'not-run',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -37,6 +37,7 @@
 import {PEER_TABLES_SERVICE} from './tables/peer_tables.js';
 import {PEERS_SERVICE} from './services/peers.js';
 import {ROLLOUTS_SERVICE} from './services/rollouts.js';
+import {RUN_LEASES_SERVICE} from './services/run_leases.js';
 import {TABLES_SERVICE} from './tables/tables.js';
 import {SettingsWatch} from './settings_watch.js';
 
@@ -53,6 +54,7 @@
   METRICS_PAGE_SERVICE,
   ROLLOUTS_SERVICE,
   CRASHES_SERVICE,
+  RUN_LEASES_SERVICE,
   LIMITS_SERVICE,
   FRONT_SERVICE,
   DIRECTORY_SERVICE,
--- a/packages/gateway/src/model/peer_codec.ts
+++ b/packages/gateway/src/model/peer_codec.ts
@@ -20,6 +20,7 @@
   readPermitAsk,
 } from './limit_datagram.js';
 import type {
+  GrantDatagram,
   NewsDatagram,
   PeerDatagram,
   PeerPlace,
@@ -33,6 +34,14 @@
   readRolloutPhase,
   readRolloutReport,
 } from './rollout_datagram.js';
+import {
+  listLeaseAnswer,
+  listLeaseAsk,
+  listLeaseEnd,
+  readLeaseAnswer,
+  readLeaseAsk,
+  readLeaseEnd,
+} from './run_lease_datagram.js';
 import {TupleReader} from './tuple_reader.js';
 import {FOLLOWED_TABLES} from './watched_table.js';
 
@@ -40,7 +49,8 @@
 const WATCH_KINDS = ['answer', 'notice', 'probe', 'relay'] as const;
 /**
  * Watch, uses, news, question, answer, loss, report and phase of roll-outs,
- * crashes, contents without any, limits, and permits asked for and given.
+ * crashes, contents without any, limits, permits asked for and given, and leases
+ * requested, granted and ended.
  */
 const KINDS = [
   'w',
@@ -56,6 +66,9 @@
   'm',
   'i',
   'g',
+  's',
+  't',
+  'e',
 ] as const;
 
 /** Reads a datagram. */
@@ -107,6 +120,12 @@
       return readPermitAsk(fields);
     case 'g':
       return readPermitAnswer(fields);
+    case 's':
+      return readLeaseAsk(fields);
+    case 't':
+      return readLeaseAnswer(fields);
+    case 'e':
+      return readLeaseEnd(fields);
   }
 }
 
@@ -263,12 +282,25 @@
     }
     case 'cleared':
       return encode(['d', datagram.content]);
+    default:
+      return encodeGrant(datagram);
+  }
+}
+
+function encodeGrant(datagram: GrantDatagram): Uint8Array {
+  switch (datagram.kind) {
     case 'limits':
       return encode(['m', ...listLimits(datagram)]);
     case 'permit-ask':
       return encode(['i', ...listPermitAsk(datagram)]);
     case 'permit-answer':
       return encode(['g', ...listPermitAnswer(datagram)]);
+    case 'lease-ask':
+      return encode(['s', ...listLeaseAsk(datagram)]);
+    case 'lease-answer':
+      return encode(['t', ...listLeaseAnswer(datagram)]);
+    case 'lease-end':
+      return encode(['e', ...listLeaseEnd(datagram)]);
   }
 }
 
--- a/packages/gateway/src/model/peer_message.ts
+++ b/packages/gateway/src/model/peer_message.ts
@@ -13,6 +13,11 @@
   PermitAnswerDatagram,
   PermitAskDatagram,
 } from './limit_datagram.js';
+import type {
+  LeaseAnswerDatagram,
+  LeaseAskDatagram,
+  LeaseEndDatagram,
+} from './run_lease_datagram.js';
 import type {RolloutReport} from './rollout_order.js';
 import type {FollowedTable} from './watched_table.js';
 
@@ -141,16 +146,23 @@
   readonly phase: RolloutPhase;
 }
 
+/** A datagram about what one host grants to the others. */
+export type GrantDatagram =
+  | LeaseAnswerDatagram
+  | LeaseAskDatagram
+  | LeaseEndDatagram
+  | LimitsDatagram
+  | PermitAnswerDatagram
+  | PermitAskDatagram;
+
 /** A datagram. */
 export type PeerDatagram =
   | AnswerDatagram
   | ClearedDatagram
   | CrashesDatagram
-  | LimitsDatagram
+  | GrantDatagram
   | LossDatagram
   | NewsDatagram
-  | PermitAnswerDatagram
-  | PermitAskDatagram
   | QuestionDatagram
   | RolloutPhaseDatagram
   | RolloutReportDatagram
--- a/packages/gateway/src/services/crashes.ts
+++ b/packages/gateway/src/services/crashes.ts
@@ -69,7 +69,7 @@
         kept.deleteCrashes(content);
       },
     };
-    peers.crashBoard = api;
+    peers.boards.crashes = api;
     applyRows(table.replica.listAll(), index, api);
     void table.news.observe((rows) => {
       applyRows(rows, index, api);
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -31,6 +31,7 @@
 import {HOST_PHASE, type HostPhase} from './host_phase.js';
 import {PEERS} from './peers.js';
 import {ROLLOUTS} from './rollouts.js';
+import {RUN_LEASES} from './run_leases.js';
 import {CODECS} from './store.js';
 
 /** Callers may still hold this host's address for so long, in ms. */
@@ -78,6 +79,7 @@
     LIMITS,
     PEERS,
     ROLLOUTS,
+    RUN_LEASES,
   ],
   create(context, settings) {
     const {clock, log} = context;
@@ -180,6 +182,7 @@
     ),
     rollouts: context.find(ROLLOUTS),
     crashes,
+    runLeases: context.find(RUN_LEASES),
     gate,
     lostRuns: new LostRuns({
       check,
--- a/packages/gateway/src/services/limits.ts
+++ b/packages/gateway/src/services/limits.ts
@@ -29,7 +29,7 @@
       clock,
       log,
     });
-    peers.limitBoard = api;
+    peers.boards.limits = api;
     createGauges(api, metrics);
     return {
       api,
--- a/packages/gateway/src/services/peer_hosts.ts
+++ b/packages/gateway/src/services/peer_hosts.ts
@@ -3,7 +3,7 @@
  * there (`host_tracker.ts`), changes of the tables (`news_spreader.ts`), and
  * what they have running (`use_notices.ts`, `use_questions.ts`).
  */
-import type {Crash, KnownHost} from '@irisdock/decisions';
+import type {KnownHost} from '@irisdock/decisions';
 import {getShuffled} from '@irisdock/kernel';
 import type {
   DatagramPort,
@@ -12,17 +12,7 @@
 import {FramedPort} from '../channels/framed_port.js';
 import {decodePeerDatagram, encodePeerDatagram} from '../model/peer_codec.js';
 import type {DropReason} from '../model/peer_frame.js';
-import type {
-  LimitsDatagram,
-  PermitAnswerDatagram,
-  PermitAskDatagram,
-} from '../model/limit_datagram.js';
-import type {
-  PeerDatagram,
-  PeerPlace,
-  RolloutPhaseDatagram,
-  RolloutReportDatagram,
-} from '../model/peer_message.js';
+import type {PeerDatagram, PeerPlace} from '../model/peer_message.js';
 import {CopyChecks} from '../tables/copy_checks.js';
 import {EngineGroups} from './engine_groups.js';
 import {
@@ -31,6 +21,7 @@
   type HostTrackerParts,
   type PeerState,
 } from './host_tracker.js';
+import {PeerBoards} from './peer_boards.js';
 import {NewsSpreader} from '../tables/news_spreader.js';
 import type {ShownHost} from './shown_hosts.js';
 import {SeedTries} from './seed_tries.js';
@@ -60,40 +51,18 @@
 /** Readers of the store that are told of roll-outs; the first may be lost. */
 const TOLD_READERS = 2;
 
-/** Takes what other hosts tell of roll-outs. */
-export interface RolloutBoard {
-  acceptReport(datagram: RolloutReportDatagram): void;
-  acceptPhase(datagram: RolloutPhaseDatagram): void;
-}
-
-/** Takes what other hosts tell of contents that end endpoints. */
-export interface CrashBoard {
-  acceptCrashes(crashes: readonly Crash[]): void;
-  acceptCleared(content: string): void;
-}
-
-/** Takes what other hosts tell and ask of limits that endpoints name. */
-export interface LimitBoard {
-  /** Takes it that a beat has begun. */
-  startBeat(): void;
-  acceptLimits(datagram: LimitsDatagram): void;
-  acceptAsk(datagram: PermitAskDatagram): void;
-  acceptAnswer(datagram: PermitAnswerDatagram): void;
-}
-
 /** The other hosts. */
 export class Peers {
   readonly uses: UseNotices;
   readonly questions: UseQuestions;
   readonly groups: EngineGroups;
+  /** Who takes what other hosts say of roll-outs, crashes, limits and leases. */
+  readonly boards = new PeerBoards();
   private readonly tracker: HostTracker;
   private readonly socket: DatagramPort;
   private readonly news: NewsSpreader;
   private readonly seeds: SeedTries;
   private readonly checks: CopyChecks;
-  private rollouts: RolloutBoard | undefined;
-  private crashes: CrashBoard | undefined;
-  private limits: LimitBoard | undefined;
 
   constructor(private readonly parts: PeersParts) {
     const {name, place, tables, random, log, clock} = parts;
@@ -150,21 +119,6 @@
     this.groups.engines = board;
   }
 
-  /** Sets who takes what other hosts tell of roll-outs. */
-  set rolloutBoard(board: RolloutBoard) {
-    this.rollouts = board;
-  }
-
-  /** Sets who takes what other hosts tell of contents that end endpoints. */
-  set crashBoard(board: CrashBoard) {
-    this.crashes = board;
-  }
-
-  /** Sets who takes what other hosts tell and ask of limits. */
-  set limitBoard(board: LimitBoard) {
-    this.limits = board;
-  }
-
   /** How this host and the others stand with the store. */
   get standing(): StoreStanding {
     return this.tracker.standing;
@@ -280,7 +234,7 @@
   sendBeat(): void {
     this.tracker.startBeat(this.parts.clock.getNow());
     this.uses.startBeat();
-    this.limits?.startBeat();
+    this.boards.limits?.startBeat();
     const known = this.listAlive().map(({place}) => place.tables);
     const seed = this.seeds.chooseNext(known);
     if (seed !== undefined) void this.tracker.loader.loadAll(seed);
@@ -360,26 +314,8 @@
       case 'answer':
         this.questions.acceptAnswer(datagram);
         return;
-      case 'rollout-report':
-        this.rollouts?.acceptReport(datagram);
-        return;
-      case 'rollout-phase':
-        this.rollouts?.acceptPhase(datagram);
-        return;
-      case 'crashes':
-        this.crashes?.acceptCrashes(datagram.crashes);
-        return;
-      case 'cleared':
-        this.crashes?.acceptCleared(datagram.content);
-        return;
-      case 'limits':
-        this.limits?.acceptLimits(datagram);
-        return;
-      case 'permit-ask':
-        this.limits?.acceptAsk(datagram);
-        return;
-      case 'permit-answer':
-        this.limits?.acceptAnswer(datagram);
+      default:
+        this.boards.accept(datagram);
     }
   }
 }
--- a/packages/gateway/src/services/permit_questions.ts
+++ b/packages/gateway/src/services/peer_questions.ts
@@ -1,49 +1,51 @@
 /**
- * Asks another host for permits, and again when its answer may have been lost.
+ * Requests to one other host by datagram, sent again when the answer may have
+ * been lost.
  */
 import type {Clock} from '@irisdock/kernel';
-import type {
-  PermitAnswerDatagram,
-  PermitAskDatagram,
-} from '../model/limit_datagram.js';
 
 /**
- * How long an answer is waited for before the question is sent again, in ms. Ways
+ * How long an answer is waited for before the request is sent again, in ms. Ways
  * between failure domains take about 3 ms there and back; a busy host may take 20.
  */
 const ANSWER_MS = 25;
-/** All three are lost once in 8,000 questions where 2.5 in 100 datagrams are. */
+/** All three are lost once in 8,000 requests where 2.5 in 100 datagrams are. */
 const MOST_TRIES = 3;
+/** The age from which a try's answer is of no use, in ms; a busy host is late. */
+const MOST_LATE_MS = 100;
+
+/** What requests and answers are matched by. */
+export interface Numbered {
+  readonly number: number;
+}
 
-/** The questions. */
-export class PermitQuestions {
+/** Sends requests and matches answers. */
+export class PeerQuestions<Ask extends Numbered, Answer extends Numbered> {
   private number = 0;
-  private readonly open = new Map<
-    number,
-    (answer: PermitAnswerDatagram) => void
-  >();
+  private readonly open = new Map<number, (answer: Answer) => void>();
 
   constructor(
     private readonly clock: Clock,
-    private readonly send: (to: string, ask: PermitAskDatagram) => void,
+    private readonly send: (to: string, ask: Ask) => void,
   ) {}
 
   /** Asks a host; undefined when it did not answer in time. */
   async poll(
     host: string,
-    ask: Omit<PermitAskDatagram, 'kind' | 'number'>,
-  ): Promise<PermitAnswerDatagram | undefined> {
+    createAsk: (number: number) => Ask,
+  ): Promise<Answer | undefined> {
     this.number++;
     const {number} = this;
+    const ask = createAsk(number);
     const limit = new AbortController();
-    let found: PermitAnswerDatagram | undefined;
+    let found: Answer | undefined;
     this.open.set(number, (answer) => {
       found = answer;
       limit.abort();
     });
     const askedAt = this.clock.getNow();
     for (let tries = 0; tries < MOST_TRIES; tries++) {
-      this.send(host, {...ask, kind: 'permit-ask', number});
+      this.send(host, ask);
       await this.clock.wait(ANSWER_MS, limit.signal);
       if (limit.signal.aborted) break;
     }
@@ -54,10 +56,7 @@
   }
 
   /** Takes an answer. */
-  accept(answer: PermitAnswerDatagram): void {
+  accept(answer: Answer): void {
     this.open.get(answer.number)?.(answer);
   }
 }
-
-/** The age from which a try's answer is of no use, in ms; a busy host is late. */
-const MOST_LATE_MS = 100;
--- a/packages/gateway/src/services/rollouts.ts
+++ b/packages/gateway/src/services/rollouts.ts
@@ -78,7 +78,7 @@
       clock,
       log,
     });
-    peers.rolloutBoard = runner;
+    peers.boards.rollouts = runner;
     endpoints.handleChange = () => {
       api.updateEndpoints();
     };
--- a/packages/gateway/src/services/send_limits.ts
+++ b/packages/gateway/src/services/send_limits.ts
@@ -32,14 +32,15 @@
   type ReportOutcome,
 } from './known_limits.js';
 import {LimitNotices} from './limit_notices.js';
-import type {LimitBoard, Peers} from './peer_hosts.js';
+import type {LimitBoard} from './peer_boards.js';
+import type {Peers} from './peer_hosts.js';
+import {PeerQuestions} from './peer_questions.js';
 import {PermitGrants} from './permit_grants.js';
 import {
   PermitQueue,
   type QueueQuestion,
   type PermitReply,
 } from './permit_queue.js';
-import {PermitQuestions} from './permit_questions.js';
 
 /** What the limits work with. */
 export interface SendLimitsParts {
@@ -82,7 +83,10 @@
   readonly beliefs: KnownLimits;
   private readonly issuers: PermitIssuers;
   private readonly grants: PermitGrants;
-  private readonly questions: PermitQuestions;
+  private readonly questions: PeerQuestions<
+    PermitAskDatagram,
+    PermitAnswerDatagram
+  >;
   private readonly notices: LimitNotices;
   private readonly queues = new Map<string, PermitQueue>();
   private recordsHash: number | undefined;
@@ -95,7 +99,7 @@
     this.beliefs = new KnownLimits(clock, log);
     this.issuers = new PermitIssuers(identity.name, clock.getNow());
     this.grants = new PermitGrants(this.issuers, this.beliefs, clock);
-    this.questions = new PermitQuestions(clock, (to, ask) => {
+    this.questions = new PeerQuestions(clock, (to, ask) => {
       peers.sendToNames([to], ask);
     });
     this.notices = new LimitNotices({
@@ -274,7 +278,9 @@
     const answer =
       issuer === name
         ? this.grants.decide(instanceId, {...ask, number: this.countOwnAsk()})
-        : await this.questions.poll(issuer, ask);
+        : await this.questions.poll(issuer, (number) => {
+            return {...ask, kind: 'permit-ask', number};
+          });
     if (answer === undefined) return {kind: 'silent', waitMs: SILENT_WAIT_MS};
     if (issuer !== name) {
       const outcome = this.acceptTold(answer.limit, issuer);
--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -15,13 +15,16 @@
 import {SendHolds} from './send_holds.js';
 import {
   computeRemainingMs,
+  createBusy,
   createNotRun,
   createRefused,
   FAILED_STATUS,
   FAILURE_WEIGHTS,
+  MAX_BUSY_WAIT_MS,
   recordLoss,
 } from './send_rules.js';
 import {getRandomPart, type ServingParts} from './serving_parts.js';
+import {SuspectRun} from './suspect_run.js';
 
 /** Sends that certainly did not run may be repeated this often. */
 const MAX_NOT_RUN = 3;
@@ -40,6 +43,8 @@
   private mayHaveRun = false;
   private hasLooked = false;
   private readonly holds: SendHolds;
+  private readonly suspect: SuspectRun;
+  private isBusy = false;
 
   constructor(
     private readonly parts: ServingParts,
@@ -48,11 +53,24 @@
     private readonly service: string,
   ) {
     this.holds = new SendHolds(parts);
+    this.suspect = new SuspectRun(parts, request);
   }
 
   /** Sends until there is a final answer; gives its outcome for the figures. */
   async run(): Promise<string> {
+    try {
+      return await this.runSends();
+    } finally {
+      this.suspect.close();
+    }
+  }
+
+  private async runSends(): Promise<string> {
+    const {signal} = this.request.exchange;
     for (;;) {
+      const admission = await this.suspect.admit(signal, MAX_BUSY_WAIT_MS);
+      this.isBusy = admission === 'busy';
+      if (admission !== 'admitted') return this.findEnd() ?? this.finish();
       const endpoint = this.chooseEndpoint();
       if (endpoint === undefined) return this.finish();
       const ended = this.findEnd();
@@ -248,7 +266,7 @@
       return this.mayHaveRun ? 'lost' : 'refused';
     }
     if (last === undefined) {
-      const error = this.holds.createError(this.service);
+      const error = this.createNotSent();
       exchange.refuse(error, false);
       this.recordRefusal(error);
       return 'refused';
@@ -262,6 +280,12 @@
     return 'lost';
   }
 
+  private createNotSent(): KnownError {
+    const {content} = this.request;
+    if (this.isBusy) return createBusy(content, this.parts.random);
+    return this.holds.createError(this.service);
+  }
+
   private finishExpired(): string {
     const {service, route, parts} = this;
     const error = this.mayHaveRun
--- a/packages/gateway/src/serving/crash_records.ts
+++ b/packages/gateway/src/serving/crash_records.ts
@@ -73,6 +73,11 @@
     return this.parts.ledger.countCrashes(content);
   }
 
+  /** Lists the crashes of a content. */
+  listCrashes(content: string): Crash[] {
+    return this.parts.ledger.listCrashes(content);
+  }
+
   /** Whether a start of an endpoint is known to have ended under a content. */
   hasCrashed(instanceId: string): boolean {
     return this.parts.ledger.hasCrashed(instanceId);
--- a/packages/gateway/src/serving/lost_runs.ts
+++ b/packages/gateway/src/serving/lost_runs.ts
@@ -14,7 +14,7 @@
  * How long reports of other hosts on a lost endpoint may take, in ms. What ran
  * there from another host is lost at the same moment and reported a little later.
  */
-const REPORTS_MS = 50;
+export const REPORTS_MS = 50;
 
 /** A run that was lost. */
 export interface LostRun {
@@ -35,8 +35,17 @@
 
 /** Takes lost runs. */
 export class LostRuns {
+  /** Runs whose endpoint is being checked, by content. */
+  private readonly checking = new Map<string, number>();
+
   constructor(private readonly parts: LostRunsParts) {}
 
+  /** Whether a content ended an endpoint, or perhaps did just now. */
+  isSuspected(content: string): boolean {
+    if (this.checking.has(content)) return true;
+    return this.parts.crashes.countCrashes(content) > 0;
+  }
+
   /**
    * Takes a lost run, and waits a while until it is known what became of its
    * endpoint. What ended an endpoint before is not sent again until that is known:
@@ -52,7 +61,7 @@
   ): Promise<void> {
     const {clock, crashes} = this.parts;
     const {content} = run;
-    const known = this.findEnd(run);
+    const known = this.checkEnd(run);
     if (crashes.countCrashes(content) > 0) await known;
     else if (mostMs > 0) {
       await Promise.race([known, clock.wait(mostMs, signal)]);
@@ -61,7 +70,16 @@
     if (crashes.isRefused(content)) await clock.wait(REPORTS_MS, signal);
   }
 
-  private async findEnd({
+  private async checkEnd(run: LostRun): Promise<void> {
+    this.addChecking(run.content, 1);
+    try {
+      await this.recordEnd(run);
+    } finally {
+      this.addChecking(run.content, -1);
+    }
+  }
+
+  private async recordEnd({
     requestId,
     content,
     endpoint,
@@ -81,4 +99,10 @@
     });
     if (end === 'ended' && wasReady) crashes.recordCrash({content, instanceId});
   }
+
+  private addChecking(content: string, change: number): void {
+    const count = (this.checking.get(content) ?? 0) + change;
+    if (count > 0) this.checking.set(content, count);
+    else this.checking.delete(content);
+  }
 }
--- a/packages/gateway/src/serving/send_rules.ts
+++ b/packages/gateway/src/serving/send_rules.ts
@@ -30,6 +30,12 @@
   endpoint.recordFailure(FAILURE_WEIGHTS[kind]);
 }
 
+/**
+ * The longest wait of a request for another run of its suspected content, in ms.
+ * The caller of a longer one is served better by an answer and a time to return.
+ */
+export const MAX_BUSY_WAIT_MS = 5000;
+
 /** Gives the time that is left for a send, by caller and route, in ms. */
 export function computeRemainingMs(
   request: AdmittedRequest,
@@ -46,6 +52,12 @@
   return GATEWAY_ERRORS.create(kind, {content});
 }
 
+/** Creates the error for a request whose content runs elsewhere. */
+export function createBusy(content: string, random: Random): KnownError {
+  const returnTime = decideRetryAfter(random);
+  return GATEWAY_ERRORS.create('content_busy', {content}, returnTime);
+}
+
 /** Creates the error for a request that no endpoint ran. */
 export function createNotRun(
   kind: 'no_endpoint' | 'not_run_in_time',
--- a/packages/gateway/src/serving/serving_parts.ts
+++ b/packages/gateway/src/serving/serving_parts.ts
@@ -13,6 +13,7 @@
 import type {SendGate} from './send_gate.js';
 import type {ServingMetrics} from './serving_metrics.js';
 import type {SuccessorFinder} from './successors.js';
+import type {RunLeases} from './suspect_run.js';
 
 /** The parts. */
 export interface ServingParts {
@@ -30,6 +31,7 @@
   readonly budgets: RepeatBudgets;
   readonly rollouts: Rollouts;
   readonly crashes: CrashRecords;
+  readonly runLeases: RunLeases;
   readonly gate: SendGate;
   readonly lostRuns: LostRuns;
   readonly metrics: ServingMetrics;
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -15,12 +15,15 @@
 import type {EndpointProber} from './endpoint_prober.js';
 import type {EndpointRecord, UseClaim} from './endpoint_record.js';
 import {admitAttempt} from './attempt_admission.js';
+import {PlanSearch} from './plan_search.js';
 import type {SendAdmission, SendPermit} from './send_gate.js';
 import {SendHolds} from './send_holds.js';
 import {
   computeRemainingMs,
+  createBusy,
   createNotRun,
   createRefused,
+  MAX_BUSY_WAIT_MS,
   recordLoss,
 } from './send_rules.js';
 import type {ServingParts} from './serving_parts.js';
@@ -35,10 +38,8 @@
 import {StreamPlanner} from './stream_planner.js';
 import {StreamRepeats, type RepeatBar} from './stream_repeats.js';
 import {StreamReport} from './stream_report.js';
+import {SuspectRun} from './suspect_run.js';
 
-/** How long an engine is looked for when none is left, in ms. */
-const SEARCH_MS = 1500;
-const SEARCH_STEP_MS = 50;
 /** The longest wait for what became of an engine, in ms; it takes a few. */
 const MAX_END_WAIT_MS = 60;
 
@@ -57,10 +58,10 @@
   private last: PlainAnswer | undefined;
   private lossDetail = '';
   private repeatBar: RepeatBar | undefined;
-  /** Until when an engine is looked for; undefined while one runs an attempt. */
-  private searchUntil: number | undefined;
+  private readonly search: PlanSearch;
   private readonly holds: SendHolds;
   private readonly evidence: StreamEvidence;
+  private readonly suspect: SuspectRun;
 
   constructor(
     private readonly parts: ServingParts,
@@ -71,7 +72,10 @@
   ) {
     const {terms} = request;
     this.holds = new SendHolds(parts);
+    this.suspect = new SuspectRun(parts, request);
     this.planner = new StreamPlanner(parts, request, service);
+    const {signal} = request.exchange;
+    this.search = new PlanSearch(parts, this.planner, service, signal);
     this.repeats = new StreamRepeats(parts, request, route, service);
     this.progress = new EventProgress(terms.lastEventId);
     const {startedAt} = request.exchange;
@@ -87,8 +91,18 @@
       this.planner.setTrial(this.parts.rollouts.takeTrial(this.service));
     }
     await this.planner.findKeptPrompt();
+    try {
+      return await this.runAttempts();
+    } finally {
+      this.suspect.close();
+    }
+  }
+
+  private async runAttempts(): Promise<string> {
     for (;;) {
-      const plan = await this.findPlan();
+      const barred = await this.waitAdmitted();
+      if (barred !== undefined) return barred;
+      const plan = await this.search.find(this.isStarted);
       const {exchange} = this.request;
       if (exchange.hasLeft()) return 'left';
       if (plan === undefined) return this.finishLost();
@@ -98,7 +112,7 @@
         this.holds.add(permit);
         this.planner.recordHold(plan);
         // There is an engine, and its limit lets streams through in turn.
-        this.searchUntil = undefined;
+        this.search.end();
         continue;
       }
       const result = await this.runAttempt(plan, permit);
@@ -118,36 +132,23 @@
     }
   }
 
+  /** Waits until the next attempt may run; gives the outcome if it may not. */
+  private async waitAdmitted(): Promise<string | undefined> {
+    const {exchange} = this.request;
+    const mostMs = this.isStarted ? Infinity : MAX_BUSY_WAIT_MS;
+    const admission = await this.suspect.admit(exchange.signal, mostMs);
+    if (exchange.hasLeft()) return 'left';
+    if (exchange.isExpired) return this.finishExpired();
+    if (admission === 'admitted') return undefined;
+    this.repeatBar = admission === 'busy' ? 'content_busy' : 'content_refused';
+    return this.finishLost();
+  }
+
   /** Gives what the line of the request's end tells of its events. */
   listFigures(): LogFields {
     return this.report.listFigures();
   }
 
-  /** Finds where the next attempt runs; waits a while when no engine is left. */
-  private async findPlan(): Promise<AttemptPlan | undefined> {
-    const {clock} = this.parts;
-    const {signal} = this.request.exchange;
-    this.searchUntil ??= this.decideSearchEnd();
-    const until = this.searchUntil;
-    for (;;) {
-      await this.planner.findFarEngines();
-      const plan = this.planner.choosePlan();
-      if (plan !== undefined || signal.aborted) return plan;
-      if (clock.getNow() >= until) return undefined;
-      await clock.wait(SEARCH_STEP_MS, signal);
-      this.planner.dropHolds();
-    }
-  }
-
-  /** A begun answer also waits for an engine that asked for a pause. */
-  private decideSearchEnd(): number {
-    const {clock, endpoints} = this.parts;
-    const now = clock.getNow();
-    if (!this.isStarted) return now;
-    const pauseEnd = endpoints.findFirstPauseEnd(this.service) ?? now;
-    return Math.max(now, pauseEnd) + SEARCH_MS;
-  }
-
   private async admit(plan: AttemptPlan): Promise<SendAdmission> {
     const isBegun = this.progress.lastEventId !== undefined;
     const {signal} = this.request.exchange;
@@ -162,7 +163,7 @@
     const {exchange, requestId, team, body} = this.request;
     const {expectedTokens} = this.planner;
     this.lastEndpoint = endpoint;
-    this.searchUntil = undefined;
+    this.search.end();
     this.sends++;
     const claim: UseClaim = {
       running: this.planner.countClaimed(endpoint),
@@ -342,6 +343,9 @@
     if (isRefused) return createRefused(this.request.content, mayHaveRun);
     const detail = this.lossDetail;
     if (mayHaveRun) return GATEWAY_ERRORS.create('stream_lost', {detail});
+    if (this.repeatBar === 'content_busy') {
+      return createBusy(this.request.content, this.parts.random);
+    }
     return this.holds.createError(this.service);
   }
 
--- a/packages/gateway/src/serving/stream_repeats.ts
+++ b/packages/gateway/src/serving/stream_repeats.ts
@@ -20,6 +20,7 @@
   | 'attempts_spent'
   | 'budget_spent'
   | 'caller_left'
+  | 'content_busy'
   | 'content_refused'
   | 'never_run'
   | 'not_resumable'
--- /dev/null
+++ b/packages/gateway/tests/run_leases.test.ts
@@ -0,0 +1,187 @@
+/** Leases on runs over several hosts, some of which are lost or silent. */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {sortIssuers} from '@irisdock/decisions';
+import type {PeerDatagram} from '../src/model/peer_message.js';
+import type {LeaseOutcome} from '../src/serving/suspect_run.js';
+import {RunLeaseClient} from '../src/services/run_lease_client.js';
+import {RunLeaseIssuer} from '../src/services/run_lease_issuer.js';
+import {VirtualClock} from './fixtures/virtual_clock.js';
+
+const CONTENT = 'a'.repeat(32);
+/** The way of a datagram, in ms. */
+const WAY_MS = 2;
+/** Time for requests to be answered, in ms. */
+const SHORT_MS = 200;
+/** Time in which any lease without renewals has expired, in ms. */
+const LONG_MS = 5000;
+
+interface FleetHost {
+  readonly name: string;
+  readonly client: RunLeaseClient;
+}
+
+/** Hosts that request and grant leases in simulated time. */
+class LeaseFleet {
+  readonly clock = new VirtualClock();
+  readonly hosts = new Map<string, FleetHost>();
+  /** The hosts that all take for alive. */
+  alive: string[] = [];
+  private recordsHash = 0;
+
+  constructor(names: readonly string[]) {
+    for (const name of names) this.add(name);
+  }
+
+  /** The host that grants the leases of the content. */
+  get issuer(): string {
+    return sortIssuers(CONTENT, this.alive)[0] ?? '';
+  }
+
+  /** A host that does not grant the leases of the content. */
+  listOthers(): FleetHost[] {
+    return [...this.hosts.values()].filter(({name}) => name !== this.issuer);
+  }
+
+  /** A host is lost at once; the others may not know it yet. */
+  kill(name: string, isKnown: boolean): void {
+    this.hosts.delete(name);
+    if (!isKnown) return;
+    this.alive = this.alive.filter((other) => other !== name);
+    this.recordsHash++;
+  }
+
+  acquire(
+    {client}: FleetHost,
+    mostMs = LONG_MS,
+    signal = new AbortController().signal,
+  ): Promise<LeaseOutcome> {
+    const isNeeded = (): boolean => true;
+    return client.acquire({content: CONTENT, signal, mostMs, isNeeded});
+  }
+
+  /** Runs the clock until a request for a lease has its outcome. */
+  async waitFor(outcome: Promise<LeaseOutcome>): Promise<LeaseOutcome> {
+    await this.clock.run(SHORT_MS);
+    return outcome;
+  }
+
+  private add(name: string): void {
+    const {clock} = this;
+    const peers = {
+      listStayingNames: () => [...this.alive],
+      sendToNames: (names: readonly string[], datagram: PeerDatagram) => {
+        if (!this.hosts.has(name)) return;
+        for (const to of names) this.send(to, datagram);
+      },
+    };
+    Object.defineProperty(peers, 'recordsHash', {get: () => this.recordsHash});
+    const board = peers as typeof peers & {readonly recordsHash: number};
+    const crashes = {
+      listCrashes: (content: string) => [{content, instanceId: 'i-1'}],
+    };
+    const issuer = new RunLeaseIssuer({
+      ownName: name,
+      peers: board,
+      crashes,
+      clock,
+    });
+    const identity = {
+      name,
+      incarnation: 1,
+      deployment: '',
+      failureDomain: 'zone-a',
+    };
+    const client = new RunLeaseClient({identity, peers, issuer, clock});
+    this.hosts.set(name, {name, client});
+    this.alive.push(name);
+    this.recordsHash++;
+  }
+
+  private send(to: string, datagram: PeerDatagram): void {
+    this.clock.plan(WAY_MS, () => {
+      const client = this.hosts.get(to)?.client;
+      if (datagram.kind === 'lease-ask') client?.acceptLeaseAsk(datagram);
+      if (datagram.kind === 'lease-end') client?.acceptLeaseEnd(datagram);
+      if (datagram.kind === 'lease-answer') client?.acceptLeaseAnswer(datagram);
+    });
+  }
+}
+
+/** Creates a fleet whose first lease may be granted at once. */
+async function createFleet(): Promise<LeaseFleet> {
+  const fleet = new LeaseFleet(['h-1', 'h-2', 'h-3', 'h-4']);
+  for (const {client} of fleet.hosts.values()) client.dropExpired();
+  await fleet.clock.run(LONG_MS);
+  return fleet;
+}
+
+function release(outcome: LeaseOutcome): void {
+  assert.ok(outcome.kind === 'granted');
+  outcome.lease.release();
+}
+
+describe('the lease on a suspected content', () => {
+  it('is granted to one host at a time, with the crashes known', async () => {
+    const fleet = await createFleet();
+    const [one, two] = fleet.listOthers();
+    assert.ok(one && two);
+    const first = await fleet.waitFor(fleet.acquire(one));
+    assert.ok(first.kind === 'granted');
+    assert.deepEqual(first.instanceIds, ['i-1']);
+    const second = fleet.acquire(two);
+    let isSettled = false;
+    void second.then(() => (isSettled = true));
+    await fleet.clock.run(LONG_MS / 2);
+    assert.equal(isSettled, false);
+    release(first);
+    assert.equal((await fleet.waitFor(second)).kind, 'granted');
+  });
+
+  it('is not waited for longer than the request says', async () => {
+    const fleet = await createFleet();
+    const [one, two] = fleet.listOthers();
+    assert.ok(one && two);
+    await fleet.waitFor(fleet.acquire(one));
+    const second = await fleet.waitFor(fleet.acquire(two, SHORT_MS / 2));
+    assert.equal(second.kind, 'held');
+  });
+
+  it('expires when its holder is lost', async () => {
+    const fleet = await createFleet();
+    const [one, two] = fleet.listOthers();
+    assert.ok(one && two);
+    await fleet.waitFor(fleet.acquire(one));
+    fleet.kill(one.name, true);
+    const second = fleet.acquire(two);
+    await fleet.clock.run(LONG_MS / 2);
+    assert.equal((await second).kind, 'granted');
+  });
+
+  // Guards against a new issuer that does not know of a lease in force.
+  it('is kept when its issuer is lost', async () => {
+    const fleet = await createFleet();
+    const [one, two] = fleet.listOthers();
+    assert.ok(one && two);
+    const first = await fleet.waitFor(fleet.acquire(one));
+    fleet.kill(fleet.issuer, true);
+    const second = fleet.acquire(two);
+    let isSettled = false;
+    void second.then(() => (isSettled = true));
+    await fleet.clock.run(LONG_MS / 2);
+    assert.equal(isSettled, false);
+    release(first);
+    assert.equal((await fleet.waitFor(second)).kind, 'granted');
+  });
+
+  // Guards against sound streams that wait for a lost host.
+  it('is not waited for when its issuer is silent', async () => {
+    const fleet = await createFleet();
+    const [one] = fleet.listOthers();
+    assert.ok(one);
+    fleet.kill(fleet.issuer, false);
+    const outcome = fleet.acquire(one);
+    await fleet.clock.run(1000);
+    assert.equal((await outcome).kind, 'not-needed');
+  });
+});
