Need two ended neighbors for a lost domain where others crashed

Callers saw sound streams cut as two crashing contents ended all engines.

Cause: of a failure domain in which others had crashed, one neighbor was left to ask, and it had just ended under the other content. One ended neighbor passed for the loss of the domain, at both hosts and for both contents, so neither crash was counted.

Change: where neighbors crashed before, fewer than two left to ask are no evidence of a lost domain.

--- a/packages/gateway/src/serving/endpoint_end.ts
+++ b/packages/gateway/src/serving/endpoint_end.ts
@@ -66,7 +66,7 @@
   private async checkOnce(endpoint: EndpointRecord): Promise<EndpointEnd> {
     const state = await this.probe(endpoint);
     if (state !== 'ended') return state;
-    const neighbors = this.listNeighbors(endpoint);
+    const {neighbors, hasCrashed} = this.chooseNeighbors(endpoint);
     const states = await Promise.all(neighbors.map((one) => this.probe(one)));
     const shown = neighbors.map(({instanceId}, place) => {
       return `${instanceId} ${states[place] ?? ''}`;
@@ -75,22 +75,32 @@
       endpoint: endpoint.instanceId,
       neighbors: shown.join(', '),
     });
-    if (states.length === 0) return 'ended';
+    // Where others crashed, the last one may have crashed just now as well.
+    const isTooFew = hasCrashed && states.length < ASKED_NEIGHBORS;
+    if (states.length === 0 || isTooFew) return 'ended';
     // A neighbor that is too busy to answer in time is no evidence of a loss.
     const isDomainLost = states.every((state) => state === 'ended');
     return isDomainLost ? 'ended-with-domain' : 'ended';
   }
 
-  private listNeighbors(endpoint: EndpointRecord): EndpointRecord[] {
+  /** Chooses whom to ask, and says whether others of the domain crashed. */
+  private chooseNeighbors(endpoint: EndpointRecord): {
+    readonly neighbors: readonly EndpointRecord[];
+    readonly hasCrashed: boolean;
+  } {
     const {endpoints, crashes, random} = this.parts;
     const others: EndpointRecord[] = [];
+    let hasCrashed = false;
     for (const other of endpoints.listUsable(endpoint.entry.service)) {
-      if (other === endpoint || other.failureScore > 0) continue;
+      if (other === endpoint) continue;
+      if (other.failureDomain !== endpoint.failureDomain) continue;
       // It ended for a reason of its own, which says nothing of the domain.
-      if (crashes.hasCrashed(other.instanceId)) continue;
-      if (other.failureDomain === endpoint.failureDomain) others.push(other);
+      const isCrashed = crashes.hasCrashed(other.instanceId);
+      hasCrashed ||= isCrashed;
+      if (!isCrashed && other.failureScore === 0) others.push(other);
     }
-    return getSample(others, ASKED_NEIGHBORS, random);
+    const neighbors = getSample(others, ASKED_NEIGHBORS, random);
+    return {neighbors, hasCrashed};
   }
 
   private async probe(
--- a/packages/gateway/tests/endpoint_end.test.ts
+++ b/packages/gateway/tests/endpoint_end.test.ts
@@ -73,4 +73,15 @@
       assert.equal(await check.check(ended), 'ended');
     }
   });
+
+  // Guards against two contents that end two endpoints at the same moment.
+  it('is not lost with its domain when one neighbor is left to ask', async () => {
+    const all = ['a', 'b', 'c', 'd'].map((name) => createEndpoint(name));
+    const [ended] = all;
+    assert.ok(ended);
+    for (let seed = 0; seed < SEEDS; seed++) {
+      const check = createCheck(all, ['b', 'c'], seed);
+      assert.equal(await check.check(ended), 'ended');
+    }
+  });
 });
