Send nothing to engines that are known to have ended

Callers saw a begun stream cut: it was to go on at the engine that kept its memory, which had ended under another request 200 ms before. Its entry was still listed, another process had its port, and that one's 404 passed for the engine's answer (bar 'answered', detail 'status 404').

Change: placement, standbys and the holder of a copy leave out starts that are recorded as ended under a run, unless no other endpoint is left.

--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -11,6 +11,7 @@
 import {readPlainAnswer, type AnswerReading} from './answer_reading.js';
 import type {AdmittedRequest, PlainAnswer} from './caller_exchange.js';
 import type {EndpointRecord, UseClaim} from './endpoint_record.js';
+import {listLive} from './live_endpoints.js';
 import type {SendPermit} from './send_gate.js';
 import {SendHolds} from './send_holds.js';
 import {
@@ -100,11 +101,11 @@
   }
 
   private chooseEndpoint(): EndpointRecord | undefined {
-    const {endpoints, gate, rollouts} = this.parts;
+    const {gate, rollouts} = this.parts;
     const isFirst = !this.hasLooked;
     this.hasLooked = true;
     const trial = isFirst ? rollouts.takeTrial(this.service) : undefined;
-    const usable = trial ?? endpoints.listUsable(this.service);
+    const usable = trial ?? listLive(this.parts, this.service);
     const unconfirmed = isFirst ? gate.takeUnconfirmed(usable) : undefined;
     if (unconfirmed !== undefined) return unconfirmed;
     return choosePlainEndpoint(usable, this.excluded, () =>
--- a/packages/gateway/src/serving/copy_keeper.ts
+++ b/packages/gateway/src/serving/copy_keeper.ts
@@ -8,6 +8,7 @@
 import type {EngineCall, MemorySource} from '../model/request_terms.js';
 import type {EndpointRecord} from './endpoint_record.js';
 import type {EngineAnswer} from './engine_caller.js';
+import {listLive} from './live_endpoints.js';
 import {getRandomPart, type ServingParts} from './serving_parts.js';
 
 /** Where a copy is kept, and the name under which it is found there. */
@@ -104,11 +105,11 @@
   }
 
   private chooseTarget(): EndpointRecord | undefined {
-    const {endpoints, rollouts} = this.parts;
+    const {rollouts} = this.parts;
     const {service} = this.primary.entry;
-    const usable = endpoints
-      .listUsable(service)
-      .filter((engine) => rollouts.isSameSide(engine, this.primary));
+    const usable = listLive(this.parts, service).filter((engine) =>
+      rollouts.isSameSide(engine, this.primary),
+    );
     return chooseBackup(usable, this.primary, this.engineRequest);
   }
 
--- a/packages/gateway/src/serving/crash_records.ts
+++ b/packages/gateway/src/serving/crash_records.ts
@@ -78,6 +78,11 @@
     return this.parts.ledger.listCrashes(content);
   }
 
+  /** Whether any crash is remembered. */
+  get hasAny(): boolean {
+    return this.parts.ledger.size > 0;
+  }
+
   /** Whether a start of an endpoint is known to have ended under a content. */
   hasCrashed(instanceId: string): boolean {
     return this.parts.ledger.hasCrashed(instanceId);
--- a/packages/gateway/src/serving/stream_planner.ts
+++ b/packages/gateway/src/serving/stream_planner.ts
@@ -15,6 +15,7 @@
 import type {AdmittedRequest} from './caller_exchange.js';
 import type {KeptCopy} from './copy_keeper.js';
 import type {EndpointRecord} from './endpoint_record.js';
+import {listLive} from './live_endpoints.js';
 import type {ServingParts} from './serving_parts.js';
 import type {AttemptPlan} from './stream_attempt.js';
 
@@ -93,7 +94,7 @@
   async findKeptPrompt(): Promise<void> {
     const {lastEventId, promptParts} = this.terms;
     if (lastEventId === undefined) return;
-    const usable = this.parts.endpoints.listUsable(this.service);
+    const usable = listLive(this.parts, this.service);
     const finder = this.parts.keptPrompts;
     this.keptTokens = await finder.findKept(usable, promptParts);
   }
@@ -107,7 +108,7 @@
     if (this.findHolder(this.copy) !== undefined) return;
     const {endpoints, random} = this.parts;
     const {groups, questions} = endpoints.peers;
-    const usable = endpoints.listUsable(this.service);
+    const usable = listLive(this.parts, this.service);
     const isHome = ({instanceId}: EndpointRecord): boolean =>
       groups.isHome(instanceId);
     const home = usable.filter(isHome);
@@ -142,7 +143,7 @@
   choosePlan(): AttemptPlan | undefined {
     const trial = this.chooseTrial();
     if (trial !== undefined) return trial;
-    const usable = this.parts.endpoints.listUsable(this.service);
+    const usable = listLive(this.parts, this.service);
     const request = this.createEngineRequest();
     const {copy} = this;
     this.copy = undefined;
@@ -242,6 +243,8 @@
   private findHolder(copy: KeptCopy | undefined): EndpointRecord | undefined {
     if (copy?.holder.isUsable !== true) return undefined;
     if (this.isExcluded(copy.holder)) return undefined;
+    const {instanceId} = copy.holder;
+    if (this.parts.crashes.hasCrashed(instanceId)) return undefined;
     return copy.holder;
   }
 
