Start the grace period of a restore at its first sign from any source

Callers were refused for up to two seconds: after a restore hosts dropped endpoints that live, before these could register again.

Cause: only a whole read of the store checked for a new era. A report of another host that its copy is the newest raised the revision of this copy to the new era first; the whole read under way then found no change of era, and rows that the restored store lacks were deleted at once. A whole table from a host that started after the restore did the same.

Two unit tests bring both ways about and failed.

Change: all ways by which a copy advances pass one method that compares eras, starts the grace period and announces the restore, for every table. The whole read at its end is planned by hosts that read the store whole, or got a table that lacks rows of theirs.

--- a/packages/decisions/src/table_replica.ts
+++ b/packages/decisions/src/table_replica.ts
@@ -139,7 +139,7 @@
   }
 
   /** Lists the rows that a whole read as of a revision lacks. */
-  private listMissing(
+  listMissing(
     rows: readonly ReplicaRow[],
     revision: number,
   ): ReplicaRow[] {
--- a/packages/gateway/src/tables/restore_settling.ts
+++ b/packages/gateway/src/tables/restore_settling.ts
@@ -29,9 +29,13 @@
     return now < this.settlesAt;
   }
 
-  /** Starts it; restarts it on another restore. */
+  /** Starts the grace period; restarts it on another restore. */
   start(now: number): void {
     this.settlesAt = now + RETURN_GRACE_MS;
+  }
+
+  /** Plans a whole read of the store for its end. */
+  planRead(): void {
     this.running ??= this.run().finally(() => {
       this.running = undefined;
     });
--- a/packages/gateway/src/tables/table_follower.ts
+++ b/packages/gateway/src/tables/table_follower.ts
@@ -5,7 +5,6 @@
  */
 import {
   CopyAge,
-  formatRevision,
   getEra,
   ReaderTurns,
   StoreContact,
@@ -16,6 +15,7 @@
 import {Channel, type Clock, type Logger} from '@irisdock/kernel';
 import type {FollowerOptions} from './follower_options.js';
 import {RestoreSettling} from './restore_settling.js';
+import {TableLog} from './table_log.js';
 import {
   isSameRole,
   type ReaderRole,
@@ -49,6 +49,7 @@
   private mustReload = true;
   private failedAt = -Infinity;
   private readonly settling: RestoreSettling;
+  private readonly report: TableLog;
   private role: ReaderRole = 'listener';
   private resumeReading: (() => void) | undefined;
   private readonly turns: ReaderTurns;
@@ -65,8 +66,9 @@
     private readonly store: WatchedStore,
     private readonly options: FollowerOptions,
     private readonly clock: Clock,
-    private readonly log: Logger,
+    log: Logger,
   ) {
+    this.report = new TableLog(table, log);
     this.turns = new ReaderTurns(options.waitMs);
     this.settling = new RestoreSettling({
       clock,
@@ -101,10 +103,7 @@
     if (isSameRole(role, this.role)) return;
     this.role = role;
     this.turns.startAnew(0);
-    this.log.writeInfo('Who reads the store has changed.', {
-      table: this.table,
-      role: typeof role === 'object' ? `reader ${role.place}` : role,
-    });
+    this.report.writeRole(role);
     if (this.hasTurn) this.resumeReading?.();
   }
 
@@ -134,11 +133,12 @@
     revision: number,
     isWhole: boolean,
   ): void {
-    const news = isWhole
-      ? this.replica.applyAll(rows, revision)
-      : this.replica.applyChanges(rows, revision);
     if (isWhole) this.mustReload = false;
-    this.publish(news, 'host');
+    this.apply(revision, 'host', () =>
+      isWhole
+        ? this.applyTable(rows, revision, 'host')
+        : this.replica.applyChanges(rows, revision),
+    );
   }
 
   /**
@@ -154,7 +154,7 @@
     const isYounger = this.age.acceptWord({newest, at}, replica.lastChange);
     if (newest > replica.lastChange) return false;
     // Nothing is missing up to there, so no history is needed before it.
-    replica.applyChanges([], revision);
+    this.apply(revision, 'host', () => replica.applyChanges([], revision));
     if (isYounger) this.mustReload = false;
     return isYounger;
   }
@@ -190,9 +190,9 @@
     revision: number,
   ): boolean {
     if (!this.replica.isLoaded || this.replica.lastChange < after) return false;
-    const fresh = this.replica.applyChanges(rows, revision);
-    this.publish(fresh, 'news');
-    return fresh.length > 0;
+    return this.apply(revision, 'news', () =>
+      this.replica.applyChanges(rows, revision),
+    );
   }
 
   private async run(): Promise<void> {
@@ -261,43 +261,73 @@
     // Rows with the value that they had are told too: the next change follows
     // on their revision, and would find a gap at all other hosts.
     const taken = rows.filter((row) => row.revision > after);
-    this.publish(replica.applyChanges(rows, revision), source);
+    this.apply(revision, source, () => replica.applyChanges(rows, revision));
     this.age.recordRead(this.clock.getNow());
     return {rows: taken, after, newest: replica.lastChange, revision};
   }
 
   private applyWhole({rows, revision}: TablePart): number {
     const {replica} = this;
-    // The store may answer from a copy that lags; then it is asked again, unless
-    // another host has given its whole copy since. A table is not read again
-    // because changes came while it was read: with 3,000 rows over 10 Mbit/s that
-    // takes a second, and where changes keep coming it would never end.
+    // A store that lags is asked again, unless another host gave its copy since.
+    // Changes during the read are no reason: where they keep coming, it never ends.
     const lags = replica.isLoaded && revision < replica.revision;
-    if (lags) this.writeLag(revision);
+    if (lags) this.report.writeLag(revision, replica.revision);
     else this.mustReload = false;
     const now = this.clock.getNow();
-    const isRestored =
-      replica.isLoaded && getEra(revision) > getEra(replica.revision);
-    if (isRestored) this.startSettling(revision, now);
-    const isSettling = !lags && this.settling.isUnderWay(now);
-    const news = isSettling
-      ? replica.applyRestored(rows, revision)
-      : replica.applyAll(rows, revision);
-    this.publish(news, 'store');
+    const isRestored = this.isFirstOfEra(revision);
+    this.apply(revision, 'store', () =>
+      this.applyTable(rows, revision, 'store'),
+    );
     if (!lags) this.age.recordRead(now);
-    if (isRestored) this.publishRestored();
+    if (isRestored) this.publishNewest();
     return this.mustReload ? this.options.retryMs : 0;
   }
 
-  private startSettling(revision: number, now: number): void {
-    const {table, replica} = this;
-    this.log.writeWarning('The store was restored from an older copy.', {
-      table,
-      revision: formatRevision(revision),
-      held: formatRevision(replica.revision),
-    });
-    this.contact.recordRestored(now);
-    this.settling.start(now);
+  /**
+   * Applies a whole table. In the grace period after a restore missing rows are kept
+   * and deleted rows stay deleted; a whole read of the store at its end decides.
+   */
+  private applyTable(
+    rows: readonly ReplicaRow[],
+    revision: number,
+    source: 'host' | 'store',
+  ): ReplicaRow[] {
+    const {replica, settling, clock} = this;
+    const isOlder = replica.isLoaded && revision < replica.revision;
+    if (isOlder || !settling.isUnderWay(clock.getNow())) {
+      return replica.applyAll(rows, revision);
+    }
+    const hasMissing = replica.listMissing(rows, revision).length > 0;
+    if (source === 'store' || hasMissing) settling.planRead();
+    return replica.applyRestored(rows, revision);
+  }
+
+  /** Whether a revision is the first one known here of a restored store. */
+  private isFirstOfEra(revision: number): boolean {
+    const {replica} = this;
+    return replica.isLoaded && getEra(revision) > getEra(replica.revision);
+  }
+
+  /**
+   * Applies rows or a revision; true when something changed. The first revision of a
+   * restored store starts the grace period, whatever its source.
+   */
+  private apply(
+    revision: number,
+    source: string,
+    change: () => readonly ReplicaRow[],
+  ): boolean {
+    const isRestored = this.isFirstOfEra(revision);
+    if (isRestored) {
+      const now = this.clock.getNow();
+      this.report.writeRestored(revision, this.replica.revision, source);
+      this.contact.recordRestored(now);
+      this.settling.start(now);
+    }
+    const changed = change();
+    this.publish(changed, source);
+    if (isRestored) this.restoredChannel.post(undefined);
+    return changed.length > 0;
   }
 
   /** Reads the table whole; false when the store did not answer. */
@@ -315,38 +345,21 @@
     return true;
   }
 
-  private publishRestored(): void {
-    this.restoredChannel.post(undefined);
-    this.publishNewest();
-  }
-
   /** Announces the newest change to other hosts, which fetch what they lack. */
   private publishNewest(): void {
     const {lastChange: newest, revision} = this.replica;
     this.storeChannel.post({rows: [], after: newest, newest, revision});
   }
 
-  private writeLag(revision: number): void {
-    const {table, replica} = this;
-    const held = replica.revision;
-    this.log.writeInfo('The store showed an older table; kept.', {
-      table,
-      revision: formatRevision(revision),
-      held: formatRevision(held),
-    });
-  }
-
   private handleError(kind: string, now: number): number {
     if (kind === 'store_history_lost') {
       this.recordContact(now);
       this.mustReload = true;
-      this.log.writeInfo('The store forgot its history; reading anew.', {
-        table: this.table,
-      });
+      this.report.writeForgotten();
       return 0;
     }
     if (!this.contact.isAway) {
-      this.log.writeWarning('The store is away.', {table: this.table, kind});
+      this.report.writeAway(kind);
     }
     this.contact.recordFailure(now);
     this.failedAt = now;
@@ -356,7 +369,7 @@
 
   private recordContact(now: number): void {
     if (this.contact.isAway) {
-      this.log.writeInfo('The store answers again.', {table: this.table});
+      this.report.writeBack();
     }
     this.contact.recordAnswer(now);
   }
@@ -364,12 +377,7 @@
   private publish(news: readonly ReplicaRow[], source: string): void {
     this.age.recordHeld(this.replica.lastChange);
     if (news.length === 0) return;
-    this.log.writeInfo('The table changed.', {
-      table: this.table,
-      rows: news.length,
-      revision: formatRevision(this.replica.revision),
-      source,
-    });
+    this.report.writeChanged(news.length, this.replica.revision, source);
     this.channel.post(news);
   }
 }
--- a/packages/gateway/tests/table_follower.test.ts
+++ b/packages/gateway/tests/table_follower.test.ts
@@ -1,8 +1,9 @@
 /** When a host reads a table whole, and when it does so again. */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import {createRevision, type ReplicaRow} from '@irisdock/decisions';
 import {RoarrLogger, SystemClock} from '@irisdock/kernel';
-import {ok, type Result} from 'neverthrow';
+import {err, ok, type Result} from 'neverthrow';
 import type {
   StoreError,
   TablePart,
@@ -12,7 +13,11 @@
 import {createTables, createTableSettings} from '../src/tables/tables.js';
 import {UnwrittenStore} from './fixtures/unwritten_store.js';
 import {VirtualClock} from './fixtures/virtual_clock.js';
-import {StoreDoor, VirtualStore} from './fixtures/virtual_store.js';
+import {
+  StoreDoor,
+  STORE_ERRORS,
+  VirtualStore,
+} from './fixtures/virtual_store.js';
 
 const OPTIONS = {waitMs: 20, maxAgeMs: 1000, paceMs: 0, retryMs: 10};
 
@@ -163,3 +168,92 @@
     }
   });
 });
+
+/** A store that forgot its history and gives whole tables when it is told to. */
+class RestoredStore extends UnwrittenStore {
+  private readonly waiting: (() => void)[] = [];
+
+  constructor(private readonly part: TablePart) {
+    super();
+  }
+
+  async readAll(): Promise<Result<TablePart, StoreError>> {
+    await new Promise<void>((resolve) => this.waiting.push(resolve));
+    return ok(this.part);
+  }
+
+  readChanges(): Promise<Result<TablePart, StoreError>> {
+    return Promise.resolve(err(STORE_ERRORS.create('store_history_lost')));
+  }
+
+  close(): void {
+    this.resume();
+  }
+
+  /** Answers the reads that wait. */
+  resume(): void {
+    for (const answer of this.waiting.splice(0)) answer();
+  }
+}
+
+describe('rows that a restored store lost', () => {
+  const era = 1;
+  const held: ReplicaRow[] = [
+    {key: 'a', value: 'x', revision: 4},
+    {key: 'b', value: 'y', revision: 5},
+  ];
+  const kept = [{key: 'a', value: 'x', revision: createRevision(era, 4)}];
+  const restored = {rows: kept, revision: createRevision(era, 4)};
+
+  function createBed(): {
+    readonly clock: VirtualClock;
+    readonly store: RestoredStore;
+    readonly follower: TableFollower;
+  } {
+    const clock = new VirtualClock();
+    const store = new RestoredStore(restored);
+    const log = new RoarrLogger('test', 'off');
+    const follower = new TableFollower('endpoints', store, OPTIONS, clock, log);
+    follower.applyFromHost(held, 5, true);
+    return {clock, store, follower};
+  }
+
+  async function checkKept({
+    clock,
+    store,
+    follower,
+  }: ReturnType<typeof createBed>): Promise<void> {
+    assert.equal(follower.replica.find('b')?.value, 'y');
+    for (let steps = 0; steps < 40; steps++) {
+      await clock.run(100);
+      store.resume();
+    }
+    assert.equal(follower.replica.find('b')?.value, undefined);
+    follower.stop();
+    store.close();
+  }
+
+  // Guards against endpoints that are dropped before they can register again.
+  it('are kept for a while when another host reports the restore first', async () => {
+    const bed = createBed();
+    const {clock, store, follower} = bed;
+    follower.setRole({place: 0, count: 1});
+    follower.start();
+    await clock.run(20);
+    const {revision} = restored;
+    follower.applyWord({newest: 5, revision, ageMs: 0, isTurn: true});
+    store.resume();
+    await clock.run(20);
+    await checkKept(bed);
+  });
+
+  it('are kept for a while when a host without them gives its table', async () => {
+    const bed = createBed();
+    const {clock, follower} = bed;
+    follower.setRole('listener');
+    follower.start();
+    follower.applyFromHost(kept, restored.revision, true);
+    await clock.run(20);
+    await checkKept(bed);
+  });
+});
