--- a/packages/gateway/src/tables/table_follower.ts
+++ b/packages/gateway/src/tables/table_follower.ts
@@ -273,12 +273,11 @@
     const lags = replica.isLoaded && revision < replica.revision;
     if (lags) this.report.writeLag(revision, replica.revision);
     else this.mustReload = false;
-    const now = this.clock.getNow();
     const isRestored = this.isFirstOfEra(revision);
     this.apply(revision, 'store', () =>
       this.applyTable(rows, revision, 'store'),
     );
-    if (!lags) this.age.recordRead(now);
+    if (!lags) this.age.recordRead(this.clock.getNow());
     if (isRestored) this.publishNewest();
     return this.mustReload ? this.options.retryMs : 0;
   }
