Listen for the metrics page again when its address was taken

Operators got no metrics and no pages from a host for as long as it ran when another process, such as its own predecessor, held the address at its start.

Cause: one try; its failure was logged and no more followed.

Change: a try each second until the address is free; the start is not delayed by it, and each failure is logged with the address. The new test failed before ('It did not come to this: the page is given').

--- a/packages/decisions/src/table_replica.ts
+++ b/packages/decisions/src/table_replica.ts
@@ -139,10 +139,7 @@
   }
 
   /** Lists the rows that a whole read as of a revision lacks. */
-  listMissing(
-    rows: readonly ReplicaRow[],
-    revision: number,
-  ): ReplicaRow[] {
+  listMissing(rows: readonly ReplicaRow[], revision: number): ReplicaRow[] {
     const present = new Set(rows.map(({key}) => key));
     return this.listAll().filter(
       (row) => !present.has(row.key) && row.revision <= revision,
--- a/packages/gateway/src/services/metrics_page.ts
+++ b/packages/gateway/src/services/metrics_page.ts
@@ -3,12 +3,14 @@
  * figures as text, and the pages of `crash_pages.ts`, `limit_pages.ts` and
  * `host_pages.ts`.
  */
-import {createServer} from 'node:http';
+import {createServer, type Server} from 'node:http';
 import {
   createService,
   createServiceKey,
   getErrorText,
   IP_PORT_SCHEMA,
+  type Clock,
+  type Logger,
 } from '@irisdock/kernel';
 import {collectDefaultMetrics} from 'prom-client';
 import * as z from 'zod';
@@ -28,6 +30,12 @@
 /** The usual 10 ms would wake an idle process a hundred times a second. */
 const LOOP_PRECISION_MS = 2000;
 
+/**
+ * The time between two tries to listen, in ms: the process that had the address
+ * before may still be stopping.
+ */
+const RETRY_MS = 1000;
+
 /** The key of the service. */
 export const METRICS_PAGE = createServiceKey<undefined>('metrics');
 
@@ -75,22 +83,59 @@
           response.writeHead(500).end();
         });
     });
+    const ended = new AbortController();
+    const page = {server, address: settings.listen, clock, log};
+    let running = Promise.resolve();
     return {
       api: undefined,
       async start() {
-        try {
-          await startListening(server, settings.listen);
-        } catch (thrown) {
-          // Requests are served without this page too.
-          const error = getErrorText(thrown);
-          log.writeError('The figures are not given.', {error});
+        if (!(await tryListening(page))) {
+          running = waitListening(page, ended.signal);
         }
       },
-      stop() {
+      async stop() {
+        ended.abort();
+        await running;
         server.close();
         server.closeAllConnections();
-        return Promise.resolve();
       },
     };
   },
 });
+
+/** A page that is to be given at an address. */
+interface ServedPage {
+  readonly server: Server;
+  /** Where, as `ip:port`. */
+  readonly address: string;
+  readonly clock: Clock;
+  readonly log: Logger;
+}
+
+/** Starts to listen; false when the address is taken. */
+async function tryListening({
+  server,
+  address,
+  log,
+}: ServedPage): Promise<boolean> {
+  try {
+    await startListening(server, address);
+    return true;
+  } catch (thrown) {
+    // Requests are served without this page too.
+    const error = getErrorText(thrown);
+    log.writeError('The figures are not given.', {address, error});
+    return false;
+  }
+}
+
+/** Tries until the address is free. */
+async function waitListening(
+  page: ServedPage,
+  signal: AbortSignal,
+): Promise<void> {
+  await page.clock.wait(RETRY_MS, signal);
+  while (!signal.aborted && !(await tryListening(page))) {
+    await page.clock.wait(RETRY_MS, signal);
+  }
+}
