Do not count answers as slow that are later by less than 50 ms

A sound version was rolled back, so its callers stayed on the old one.

Cause: an answer of the new version counts as bad from three times the usual time of the old one. With a usual time of 2 to 11 ms a busy host makes any answer three times slower for some hundred ms, and a trial sends to the new version in one burst that lies within such a stretch.

Change: an answer is slow only if it is also 50 ms later than usual.

--- a/packages/gateway/src/serving/rollout_counts.ts
+++ b/packages/gateway/src/serving/rollout_counts.ts
@@ -23,6 +23,11 @@
 
 /** So many times the usual time is slow. */
 const SLOW_TIMES = 3;
+/**
+ * An answer that is later than usual by less than this is not slow, in ms: a busy
+ * host delays answers of any version by as much, and no caller is harmed.
+ */
+const SLOW_LEAST_MS = 50;
 /** Answers from which the usual time is known. */
 const USUAL_FROM = 8;
 /** The weight of the newest answer in the usual time. */
@@ -40,7 +45,11 @@
 
   add({instanceId, isNew, isFailed, ms}: SeenAnswer): void {
     const isKnown = this.before.answers >= USUAL_FROM;
-    const isSlow = isKnown && ms > SLOW_TIMES * this.usualMs;
+    const slowFrom = Math.max(
+      SLOW_TIMES * this.usualMs,
+      this.usualMs + SLOW_LEAST_MS,
+    );
+    const isSlow = isKnown && ms > slowFrom;
     const count = isNew ? this.getEndpoint(instanceId) : this.before;
     count.answers++;
     if (isFailed || isSlow) count.bad++;
