--- a/packages/gateway/src/channels/answer_check.ts
+++ b/packages/gateway/src/channels/answer_check.ts
@@ -2,6 +2,9 @@
 import type {EndpointAnswer} from './endpoint_client.js';
 import {findHeader} from './header_lines.js';
 
+/** From this status on an answer is a failure of the endpoint. */
+export const FAILED_STATUS = 500;
+
 /** Names what is wrong with an answer; undefined when it can be used. */
 export function findAnswerFault(
   answer: EndpointAnswer,
--- a/packages/gateway/src/channels/endpoint_client.ts
+++ b/packages/gateway/src/channels/endpoint_client.ts
@@ -22,7 +22,7 @@
   SendPermit,
   SendTarget,
 } from '../serving/send_gate.js';
-import {FAILED_STATUS} from '../serving/send_rules.js';
+import {FAILED_STATUS} from './answer_check.js';
 import {EndpointAgent} from './endpoint_agent.js';
 import {
   dropConnectionLines,
--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -4,7 +4,7 @@
  */
 import {choosePlainEndpoint} from '@irisdock/decisions';
 import type {KnownError} from '@irisdock/kernel';
-import {findAnswerFault} from '../channels/answer_check.js';
+import {FAILED_STATUS, findAnswerFault} from '../channels/answer_check.js';
 import type {EndpointAnswer} from '../channels/endpoint_client.js';
 import {GATEWAY_ERRORS} from '../errors.js';
 import type {ServingRoute} from '../model/serving_configuration.js';
@@ -19,7 +19,6 @@
   createBusy,
   createNotRun,
   createRefused,
-  FAILED_STATUS,
   FAILURE_WEIGHTS,
   MAX_BUSY_WAIT_MS,
   recordLoss,
--- a/packages/gateway/src/serving/send_rules.ts
+++ b/packages/gateway/src/serving/send_rules.ts
@@ -7,9 +7,6 @@
 import type {EndpointRecord} from './endpoint_record.js';
 import {decideRetryAfter} from './retry_after.js';
 
-/** From this status on an answer is a failure of the endpoint. */
-export const FAILED_STATUS = 500;
-
 /**
  * How much what became of a send counts against its endpoint, beside 1 for a
  * lost connection: a full endpoint is no failed one, and a failure of its own
--- a/packages/gateway/src/serving/stream_repeats.ts
+++ b/packages/gateway/src/serving/stream_repeats.ts
@@ -3,9 +3,10 @@
  * far: as often as its route allows, within the service's budget of repeats, and
  * never once its content is known to end the engines that run it.
  */
+import {FAILED_STATUS} from '../channels/answer_check.js';
 import type {ServingRoute} from '../model/serving_configuration.js';
 import type {AdmittedRequest} from './caller_exchange.js';
-import {computeRemainingMs, FAILED_STATUS} from './send_rules.js';
+import {computeRemainingMs} from './send_rules.js';
 import type {ServingParts} from './serving_parts.js';
 import {hasPerhapsRun, type AttemptResult} from './stream_attempt.js';
 
