--- a/packages/gateway/src/services/gateway_endpoints.ts
+++ b/packages/gateway/src/services/gateway_endpoints.ts
@@ -254,11 +254,8 @@
 
   private addRecord(entry: EndpointEntry): EndpointRecord {
     const {clock, getMemoryTokens} = this.parts;
-    const {instanceId} = entry;
-    if (entry.state === 'leaving') this.leavingStarts.add(instanceId);
-    const isLeaving = this.leavingStarts.has(instanceId);
     const record = new EndpointRecord(
-      isLeaving ? {...entry, state: 'leaving'} : entry,
+      this.keepLeaving(entry, false),
       () => getMemoryTokens(entry.service),
       () => clock.getNow(),
     );
@@ -270,15 +267,23 @@
     return record;
   }
 
+  /** Who was seen leaving stays so, whatever an older entry says. */
+  private keepLeaving(
+    entry: EndpointEntry,
+    wasLeaving: boolean,
+  ): EndpointEntry {
+    const {instanceId, state} = entry;
+    if (state === 'leaving') this.leavingStarts.add(instanceId);
+    const isLeaving = wasLeaving || this.leavingStarts.has(instanceId);
+    return isLeaving ? {...entry, state: 'leaving'} : entry;
+  }
+
   private updateKnown(record: EndpointRecord, entry: EndpointEntry): void {
     this.vanished.delete(record);
     this.unlisted.delete(record);
-    const {instanceId} = entry;
     const wasLeaving = record.entry.state === 'leaving';
-    if (entry.state === 'leaving') this.leavingStarts.add(instanceId);
     this.addresses.delete(record);
-    // Who was seen leaving stays so, whatever an older entry says.
-    record.entry = wasLeaving ? {...entry, state: 'leaving'} : entry;
+    record.entry = this.keepLeaving(entry, wasLeaving);
     this.addresses.add(record);
     this.handleChange?.();
     if (wasLeaving || entry.state === 'ready') return;
