Compare a table's rows only when the outcome depends on it

After a restore a table read from the store was compared with the copy though a whole read is planned in any case. The lease table tested twice whether a lease has a holder.

--- a/packages/decisions/src/run_lease_table.ts
+++ b/packages/decisions/src/run_lease_table.ts
@@ -76,12 +76,12 @@
 
   /** Drops leases that expired and runs that stopped waiting. */
   dropExpired(now: number): void {
-    for (const [content, {holder, waiters}] of this.entries) {
+    for (const [content, {waiters}] of this.entries) {
       for (const [run, askedAt] of waiters) {
         if (now - askedAt > WAITER_MS) waiters.delete(run);
       }
-      const isHeld = holder !== undefined && this.isHeld(content, now);
-      if (!isHeld && waiters.size === 0) this.entries.delete(content);
+      const isIdle = waiters.size === 0 && !this.isHeld(content, now);
+      if (isIdle) this.entries.delete(content);
     }
   }
 
--- a/packages/gateway/src/tables/table_follower.ts
+++ b/packages/gateway/src/tables/table_follower.ts
@@ -296,8 +296,9 @@
     if (isOlder || !settling.isUnderWay(clock.getNow())) {
       return replica.applyAll(rows, revision);
     }
-    const hasMissing = replica.listMissing(rows, revision).length > 0;
-    if (source === 'store' || hasMissing) settling.planRead();
+    const isUndecided =
+      source === 'store' || replica.listMissing(rows, revision).length > 0;
+    if (isUndecided) settling.planRead();
     return replica.applyRestored(rows, revision);
   }
 
@@ -357,9 +358,7 @@
       this.report.writeForgotten();
       return 0;
     }
-    if (!this.contact.isAway) {
-      this.report.writeAway(kind);
-    }
+    if (!this.contact.isAway) this.report.writeAway(kind);
     this.contact.recordFailure(now);
     this.failedAt = now;
     this.turns.startAnew(0);
@@ -367,9 +366,7 @@
   }
 
   private recordContact(now: number): void {
-    if (this.contact.isAway) {
-      this.report.writeBack();
-    }
+    if (this.contact.isAway) this.report.writeBack();
     this.contact.recordAnswer(now);
   }
 
