Reload a table whose history was lost when its replica is checked

What callers saw: nothing that was traced; a host in this state serves an old configuration for as long as no other host confirms its replica.

Cause: a reader that finds the history lost has to read the whole table. If it stops being a reader before that read succeeds, the mark stays, and pollStore returned at once without a call. FreshnessChecker took that for a failure of the store and paused the checks of all tables, up to 3 s.

Evidence: by forced order (the host is reader, its read of changes gets store_history_lost, the whole read gets no answer, the host becomes listener), pollStore made no call; the new test failed with undefined for revision 9.

Why it works: pollStore now does the read that is due, whole or changes only.

--- a/packages/gateway/src/tables/table_follower.ts
+++ b/packages/gateway/src/tables/table_follower.ts
@@ -167,15 +167,16 @@
    * @returns What the store returned; undefined when it did not respond.
    */
   async pollStore(): Promise<StoreUpdate | undefined> {
-    const {replica, store, table} = this;
-    const {signal} = this.controller;
-    if (!replica.isLoaded || this.mustReload) return undefined;
-    const changes = await store.readChanges(table, replica.revision, 0);
-    if (signal.aborted) return undefined;
-    if (changes.isOk()) return this.applyRead(changes.value, 'poll');
-    if (changes.error.kind !== 'store_history_lost') return undefined;
+    const {replica, store, table, controller} = this;
+    if (!replica.isLoaded) return undefined;
+    if (!this.mustReload) {
+      const changes = await store.readChanges(table, replica.revision, 0);
+      if (controller.signal.aborted) return undefined;
+      if (changes.isOk()) return this.applyRead(changes.value, 'poll');
+      if (changes.error.kind !== 'store_history_lost') return undefined;
+    }
     const whole = await store.readAll(table);
-    if (whole.isErr()) return undefined;
+    if (whole.isErr() || controller.signal.aborted) return undefined;
     this.applyWholeTable(whole.value);
     const {lastChange: newest, revision} = replica;
     return {rows: [], after: newest, newest, revision};
--- a/packages/gateway/tests/table_follower.test.ts
+++ b/packages/gateway/tests/table_follower.test.ts
@@ -196,6 +196,57 @@
   }
 }
 
+/** A store whose history is lost; a read of the whole table fails once. */
+class ForgetfulStore extends ReadOnlyStore {
+  wholeReads = 0;
+
+  constructor(private readonly part: TableRows) {
+    super();
+  }
+
+  readAll(): Promise<Result<TableRows, StoreError>> {
+    this.wholeReads++;
+    return Promise.resolve(
+      this.wholeReads === 1
+        ? err(STORE_ERRORS.create('store_silent', {detail: 'simulated'}))
+        : ok(this.part),
+    );
+  }
+
+  readChanges(): Promise<Result<TableRows, StoreError>> {
+    return Promise.resolve(err(STORE_ERRORS.create('store_history_lost')));
+  }
+
+  close(): void {
+    this.wholeReads = 0;
+  }
+}
+
+/*
+ * Guards against a host that can't check its replica any more: it found the
+ * history lost as a reader and stopped reading before it had the whole table.
+ */
+describe('a host that stopped reading before it reloaded a table', () => {
+  it('reads the whole table when it checks its replica', async () => {
+    const clock = new VirtualClock();
+    const store = new ForgetfulStore(createRows(9));
+    const log = new RoarrLogger('test', 'off');
+    const follower = new TableFollower('endpoints', store, OPTIONS, clock, log);
+    follower.applyFromHost(createRows(5).rows, 5, true);
+    follower.setRole({rank: 0, count: 1});
+    follower.start();
+    await clock.run(1);
+    assert.equal(store.wholeReads, 1);
+    follower.setRole('listener');
+    await clock.run(OPTIONS.retryMs);
+    const update = await follower.pollStore();
+    follower.stop();
+    assert.equal(update?.newest, 9);
+    assert.equal(follower.replica.revision, 9);
+    assert.equal(follower.getAgeMs(clock.getNow()), 0);
+  });
+});
+
 describe('rows that a restored store lost', () => {
   const era = 1;
   const held: ReplicaRow[] = [
