Show when a host is partitioned from the endpoints of a service

A request without a response starts a check: connections to other endpoints of the service are opened, two, four, then six at a time, one failure domain each first. If none opens, a line is logged and irisdock_gateway_partitioned_services counts the service until a connection opens again. Connections to endpoints go through the service endpointNetwork, which tests replace to partition one host. Nothing is decided by it yet.

--- a/packages/gateway/src/channels/endpoint_agent.ts
+++ b/packages/gateway/src/channels/endpoint_agent.ts
@@ -6,6 +6,7 @@
  */
 import {Agent, type ClientRequest, type IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
+import type {ConnectOptions, EndpointNetwork} from './endpoint_network.js';
 
 /** The idle time of connections whose endpoint announces none, in ms. */
 const DEFAULT_KEEP_ALIVE_MS = 4000;
@@ -22,7 +23,7 @@
 
 /** An agent that closes idle connections as described above. */
 export class EndpointAgent extends Agent {
-  constructor() {
+  constructor(private readonly network: EndpointNetwork) {
     super({
       keepAlive: true,
       noDelay: true,
@@ -31,6 +32,11 @@
     });
   }
 
+  /** The hook of Node: opens a connection for a request. */
+  override createConnection(options: ConnectOptions): Socket {
+    return this.network.open(options);
+  }
+
   /** The hook of Node: whether to keep a connection after its request. */
   override keepSocketAlive(socket: RequestSocket): boolean {
     const keepAliveMs = getKeepAliveMs(socket._httpMessage?.res);
--- a/packages/gateway/src/channels/endpoint_client.ts
+++ b/packages/gateway/src/channels/endpoint_client.ts
@@ -24,6 +24,7 @@
 } from '../serving/send_gate.js';
 import {MIN_SERVER_ERROR_STATUS} from './response_check.js';
 import {EndpointAgent} from './endpoint_agent.js';
+import {TcpEndpointNetwork, type EndpointNetwork} from './endpoint_network.js';
 import {
   dropHopByHopHeaders,
   findHeader,
@@ -82,16 +83,38 @@
 const PAUSE_STATUSES: ReadonlySet<number> = new Set([429, 503]);
 /** How long a connection may take to open; a live endpoint needs a few ms. */
 const CONNECT_TIMEOUT_MS = 300;
+/** An aborted request without a response for this long is a failure, in ms. */
+const MIN_SILENCE_MS = 150;
+
+/** The detail of a request that this host aborted. */
+const ABORTED = 'the send was ended';
+
+/** Learns whether connections to endpoints work. */
+export interface ConnectionObserver {
+  /** Records that a new connection to an endpoint opened. */
+  recordConnected(target: SendTarget): void;
+  /** Records that a request to an endpoint got no response. */
+  recordFailure(target: SendTarget): void;
+}
+
+const NO_OBSERVER: ConnectionObserver = {
+  recordConnected: () => undefined,
+  recordFailure: () => undefined,
+};
 
 /** Sends requests to endpoints over persistent connections. */
 export class EndpointClient {
-  private readonly agent = new EndpointAgent();
+  private readonly agent: EndpointAgent;
 
   constructor(
     private readonly codec: HeaderCodec,
     private readonly gate: SendGate,
     private readonly clock: Clock,
-  ) {}
+    network: EndpointNetwork = new TcpEndpointNetwork(),
+    private readonly observer: ConnectionObserver = NO_OBSERVER,
+  ) {
+    this.agent = new EndpointAgent(network);
+  }
 
   /** Requests a permit, without which nothing can be sent. */
   admit(
@@ -105,9 +128,11 @@
   async send(
     outgoing: EndpointRequest,
   ): Promise<EndpointResponse | EndpointFailure> {
+    const {target} = outgoing.permit;
     return new Promise((resolve) => {
       let mayHaveRun = false;
       let failure: string | undefined;
+      let hasResponse = false;
       const clientRequest = this.createRequest(outgoing);
       const sentAt = this.clock.getNow();
       const connectTimer = setTimeout(() => {
@@ -117,7 +142,7 @@
       const abort = (): void => {
         // Destroyed without an error: if the connection was just returned to
         // the pool, an error event would have no listener and be thrown.
-        failure = 'the send was ended';
+        failure = ABORTED;
         clientRequest.destroy();
       };
       clientRequest.once('socket', (socket) => {
@@ -125,8 +150,12 @@
           clearTimeout(connectTimer);
           mayHaveRun = true;
         };
-        if (socket.connecting) socket.once('connect', recordConnected);
-        else recordConnected();
+        if (socket.connecting) {
+          socket.once('connect', () => {
+            recordConnected();
+            this.observer.recordConnected(target);
+          });
+        } else recordConnected();
       });
       clientRequest.once('close', () => {
         clearTimeout(connectTimer);
@@ -134,6 +163,9 @@
       });
       clientRequest.on('error', (error) => {
         const detail = failure ?? getErrorText(error);
+        const silentMs = this.clock.getNow() - sentAt;
+        const isFailure = failure !== ABORTED || silentMs >= MIN_SILENCE_MS;
+        if (isFailure && !hasResponse) this.observer.recordFailure(target);
         resolve({
           kind: 'lost',
           mayHaveRun,
@@ -142,6 +174,7 @@
         });
       });
       clientRequest.once('response', (incoming) => {
+        hasResponse = true;
         const response = this.createResponse(clientRequest, incoming);
         this.reportResponse(outgoing, response, sentAt);
         resolve(response);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,6 +27,7 @@
 import {GATEWAY_CONFIGURATION_SERVICE} from './services/configuration.js';
 import {CRASHES_SERVICE} from './services/crashes.js';
 import {DIRECTORY_SERVICE} from './services/directory.js';
+import {ENDPOINT_NETWORK_SERVICE} from './services/endpoint_network.js';
 import {GATEWAY_ENDPOINTS_SERVICE} from './services/endpoints.js';
 import {FRONT_SERVICE} from './services/front.js';
 import {HOST_PHASE_SERVICE} from './services/host_phase.js';
@@ -56,6 +57,7 @@
   CRASHES_SERVICE,
   RUN_LEASES_SERVICE,
   LIMITS_SERVICE,
+  ENDPOINT_NETWORK_SERVICE,
   FRONT_SERVICE,
   DIRECTORY_SERVICE,
 ];
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,8 @@
 /** The gateway: routes requests and resumable event streams to endpoints. */
+export type {
+  ConnectOptions,
+  EndpointNetwork,
+} from './channels/endpoint_network.js';
 export * from './channels/json_client.js';
 export * from './channels/header_lines.js';
 export * from './errors.js';
@@ -14,6 +18,7 @@
 export * from './model/table_store.js';
 export {CRASHES} from './services/crashes.js';
 export {GATEWAY_CONFIGURATION} from './services/configuration.js';
+export {ENDPOINT_NETWORK} from './services/endpoint_network.js';
 export {GATEWAY_ENDPOINTS} from './services/endpoints.js';
 export * from './services/engine_groups.js';
 export * from './services/host_phase.js';
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -16,6 +16,7 @@
 import {CallerExchange} from '../serving/caller_exchange.js';
 import {EndpointExitCheck} from '../serving/endpoint_exit_check.js';
 import {EndpointProber} from '../serving/endpoint_prober.js';
+import {EndpointPaths} from '../serving/endpoint_paths.js';
 import {EngineClient} from '../serving/engine_client.js';
 import {PromptCacheFinder} from '../serving/prompt_cache_finder.js';
 import {LostRuns} from '../serving/lost_runs.js';
@@ -27,6 +28,7 @@
 import {CRASHES} from './crashes.js';
 import {GATEWAY_CONFIGURATION} from './configuration.js';
 import {EndpointGate} from './endpoint_gate.js';
+import {ENDPOINT_NETWORK} from './endpoint_network.js';
 import {GATEWAY_ENDPOINTS} from './endpoints.js';
 import {LIMITS} from './limits.js';
 import {HOST_PHASE, type HostPhase} from './host_phase.js';
@@ -78,6 +80,7 @@
   needs: [
     CODECS,
     CRASHES,
+    ENDPOINT_NETWORK,
     GATEWAY_CONFIGURATION,
     GATEWAY_ENDPOINTS,
     HOST_PHASE,
@@ -133,6 +136,7 @@
         server.close();
         server.closeAllConnections();
         parts.lostRuns.close();
+        parts.paths.close();
         client.close();
         return Promise.resolve();
       },
@@ -146,12 +150,12 @@
 ): ServingParts {
   const {clock, random, log, metrics} = context;
   const codecs = context.find(CODECS);
-  const {headers: codec, copies: copyCodec, keptPrompts} = codecs;
+  const {headers: codec, copies: copyCodec} = codecs;
   const peers = context.find(PEERS);
   const configuration = context.find(GATEWAY_CONFIGURATION);
-  const endpoints = context.find(GATEWAY_ENDPOINTS);
   const gate = createGate(context);
-  const client = new EndpointClient(codec, gate, clock);
+  const paths = createPaths(context);
+  const client = createClient(context, gate, paths);
   const engineClient = new EngineClient(client);
   const servingMetrics = new ServingMetrics(metrics);
   const crashes = context.find(CRASHES);
@@ -168,18 +172,18 @@
       engineClient,
       codec: codecs.engineReports,
       configuration,
-      endpoints,
+      endpoints: context.find(GATEWAY_ENDPOINTS),
       log,
     }),
     promptCaches: new PromptCacheFinder(
       engineClient,
-      keptPrompts,
+      codecs.keptPrompts,
       peers.place.failureDomain,
       clock,
       log,
     ),
     configuration,
-    endpoints,
+    endpoints: context.find(GATEWAY_ENDPOINTS),
     retryBudgets: new RetryBudgets(
       createBudgetOptions(settings),
       () => peers.countServing(),
@@ -189,6 +193,7 @@
     crashes,
     runLeases: context.find(RUN_LEASES),
     gate,
+    paths,
     lostRuns: new LostRuns({
       exitCheck,
       crashes,
@@ -200,6 +205,24 @@
   };
 }
 
+function createClient(
+  context: ServiceContext,
+  gate: EndpointGate,
+  paths: EndpointPaths,
+): EndpointClient {
+  const {headers} = context.find(CODECS);
+  const network = context.find(ENDPOINT_NETWORK);
+  return new EndpointClient(headers, gate, context.clock, network, paths);
+}
+
+function createPaths(context: ServiceContext): EndpointPaths {
+  return new EndpointPaths({
+    ...context,
+    network: context.find(ENDPOINT_NETWORK),
+    endpoints: context.find(GATEWAY_ENDPOINTS),
+  });
+}
+
 function createGate(context: ServiceContext): EndpointGate {
   const {clock, metrics} = context;
   return new EndpointGate({
--- a/packages/gateway/src/serving/serving_parts.ts
+++ b/packages/gateway/src/serving/serving_parts.ts
@@ -5,6 +5,7 @@
 import type {GatewayConfiguration} from '../services/configuration.js';
 import type {GatewayEndpoints} from '../services/gateway_endpoints.js';
 import type {CrashRecords} from './crash_records.js';
+import type {EndpointPaths} from './endpoint_paths.js';
 import type {EngineClient} from './engine_client.js';
 import type {PromptCacheFinder} from './prompt_cache_finder.js';
 import type {LostRuns} from './lost_runs.js';
@@ -33,6 +34,7 @@
   readonly crashes: CrashRecords;
   readonly runLeases: RunLeases;
   readonly gate: SendGate;
+  readonly paths: EndpointPaths;
   readonly lostRuns: LostRuns;
   readonly metrics: ServingMetrics;
 }
