Count no crash for a run that a partitioned host lost

Cause: a refused connection proves to the exit check that the endpoint exited, and two refusing neighbors only tell apart the loss of the domain. A host that is refused everywhere was not considered.

Why it works: 'ended' needs one other endpoint, of any service, that can be reached. Endpoints known to have crashed are not asked, and where none is left the verdict is as before, so contents that end all engines still count.

--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -12,7 +12,6 @@
 import * as z from 'zod';
 import {EndpointClient} from '../channels/endpoint_client.js';
 import {startListening} from '../channels/listening.js';
-import type {HeaderCodec} from '../model/request_metadata.js';
 import {CallerExchange} from '../serving/caller_exchange.js';
 import {EndpointExitCheck} from '../serving/endpoint_exit_check.js';
 import {EndpointProber} from '../serving/endpoint_prober.js';
@@ -159,7 +158,7 @@
   const engineClient = new EngineClient(client);
   const servingMetrics = new ServingMetrics(metrics);
   const crashes = context.find(CRASHES);
-  const exitCheck = createExitCheck(context, client, codec);
+  const exitCheck = createExitCheck(context, client, paths);
   return {
     clock,
     random,
@@ -236,11 +235,12 @@
 function createExitCheck(
   context: ServiceContext,
   client: EndpointClient,
-  codec: HeaderCodec,
+  paths: EndpointPaths,
 ): EndpointExitCheck {
   return new EndpointExitCheck({
     client,
-    codec,
+    paths,
+    codec: context.find(CODECS).headers,
     configuration: context.find(GATEWAY_CONFIGURATION),
     endpoints: context.find(GATEWAY_ENDPOINTS),
     crashes: context.find(CRASHES),
--- a/packages/gateway/src/serving/endpoint_exit_check.ts
+++ b/packages/gateway/src/serving/endpoint_exit_check.ts
@@ -19,6 +19,7 @@
 import type {GatewayConfiguration} from '../services/configuration.js';
 import type {GatewayEndpoints} from '../services/gateway_endpoints.js';
 import type {CrashRecords} from './crash_records.js';
+import type {EndpointPaths} from './endpoint_paths.js';
 import type {EndpointRecord} from './endpoint_record.js';
 
 /** The result of an exit check. */
@@ -29,6 +30,8 @@
   | 'ended'
   /** The endpoint exited together with others of its failure domain. */
   | 'ended-with-domain'
+  /** This host reaches no endpoint, so the fault is its own network's. */
+  | 'partitioned'
   /** The endpoint neither answered nor refused a connection for long. */
   | 'unknown';
 
@@ -64,7 +67,8 @@
   readonly client: Pick<EndpointClient, 'admit' | 'send'>;
   readonly codec: Pick<HeaderCodec, 'encodeRequest' | 'reportPath'>;
   readonly configuration: Pick<GatewayConfiguration, 'findService'>;
-  readonly endpoints: Pick<GatewayEndpoints, 'listUsable'>;
+  readonly endpoints: Pick<GatewayEndpoints, 'listAll' | 'listUsable'>;
+  readonly paths: Pick<EndpointPaths, 'checkAny'>;
   readonly crashes: Pick<CrashRecords, 'hasCrashed'>;
   readonly clock: Clock;
   readonly random: Random;
@@ -113,10 +117,27 @@
       endpoint: endpoint.instanceId,
       neighbors: described.join(', '),
     });
+    const isAnyAnswering = states.includes('answers');
+    if (!isAnyAnswering && (await this.isPartitioned(endpoint))) {
+      return 'partitioned';
+    }
     const isDomainLost = this.isDomainLost(endpoint, neighbors, states);
     return isDomainLost ? 'ended-with-domain' : 'ended';
   }
 
+  /**
+   * Whether no other endpoint can be reached either, of any service. Those that
+   * crashed are not asked: nothing is known if no others are left.
+   */
+  private async isPartitioned(endpoint: EndpointRecord): Promise<boolean> {
+    const {endpoints, crashes, paths} = this.parts;
+    const others = [...endpoints.listAll()].filter((other) => {
+      if (other === endpoint || !other.isReady) return false;
+      return !crashes.hasCrashed(other.instanceId);
+    });
+    return others.length > 0 && !(await paths.checkAny(others));
+  }
+
   /** Chooses other endpoints of the failure domain to probe. */
   private chooseNeighbors(endpoint: EndpointRecord): EndpointRecord[] {
     const {crashes, random} = this.parts;
--- a/packages/gateway/src/serving/endpoint_paths.ts
+++ b/packages/gateway/src/serving/endpoint_paths.ts
@@ -94,6 +94,19 @@
     return path.checking;
   }
 
+  /** Probes a few of these endpoints; tells whether a connection opened. */
+  async checkAny(endpoints: readonly EndpointRecord[]): Promise<boolean> {
+    const sorted = this.sortByDomain(endpoints);
+    let probed = 0;
+    for (const size of ROUND_SIZES) {
+      const round = sorted.slice(probed, probed + size);
+      if (round.length === 0 || this.closing.signal.aborted) return false;
+      if (await this.probeAny(round)) return true;
+      probed += size;
+    }
+    return false;
+  }
+
   /** Ends the probes. */
   close(): void {
     this.closing.abort();
@@ -124,26 +137,19 @@
     service: string,
     path: ServicePath,
   ): Promise<boolean> {
-    const {clock, log} = this.parts;
+    const {clock, log, endpoints} = this.parts;
     const startedAt = clock.getNow();
-    const endpoints = this.listByDomain(service);
+    const usable = endpoints.listUsable(service);
     // Without endpoints there is no network fault to find.
-    if (endpoints.length === 0) return false;
-    let probed = 0;
-    for (const size of ROUND_SIZES) {
-      const round = endpoints.slice(probed, probed + size);
-      if (round.length === 0) break;
-      probed += round.length;
-      if (await this.probeAny(round)) this.markConnected(service);
-      // Also a connection of a request may have opened meanwhile.
-      const isOver = path.connectedAt >= startedAt;
-      if (isOver || this.closing.signal.aborted) return false;
-    }
+    if (usable.length === 0) return false;
+    if (await this.checkAny(usable)) this.markConnected(service);
+    // Also a connection of a request may have opened meanwhile.
+    const isOver = path.connectedAt >= startedAt;
+    if (isOver || this.closing.signal.aborted) return false;
     path.isPartitioned = true;
     log.writeWarning('No endpoint of a service can be reached.', {
       service,
-      probed,
-      known: endpoints.length,
+      endpoints: usable.length,
       ms: Math.round(clock.getNow() - startedAt),
     });
     void this.waitRecovered(service, path);
@@ -160,17 +166,17 @@
     while (path.isPartitioned && !signal.aborted) {
       const spreadMs = random.getInt(RECOVERY_SPREAD_MS);
       await clock.wait(RECOVERY_PROBE_MS + spreadMs, signal);
-      const probed = this.listByDomain(service).slice(0, RECOVERY_PROBES);
+      const usable = this.parts.endpoints.listUsable(service);
+      const probed = this.sortByDomain(usable).slice(0, RECOVERY_PROBES);
       if (await this.probeAny(probed)) this.markConnected(service);
     }
   }
 
-  /** Lists usable endpoints at random, one of each failure domain first. */
-  private listByDomain(service: string): EndpointRecord[] {
-    const {endpoints, random} = this.parts;
+  /** Shuffles endpoints and puts one of each failure domain first. */
+  private sortByDomain(endpoints: readonly EndpointRecord[]): EndpointRecord[] {
     const counts = new Map<string, number>();
     const places = new Map<EndpointRecord, number>();
-    for (const one of getShuffled(endpoints.listUsable(service), random)) {
+    for (const one of getShuffled(endpoints, this.parts.random)) {
       const place = counts.get(one.failureDomain) ?? 0;
       counts.set(one.failureDomain, place + 1);
       places.set(one, place);
