Separate writing a stream to its caller from driving its attempts

No change of behavior. Attempts through other hosts will write to the same sink, so that each event reaches the caller once whatever attempt it is from.

--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -4,10 +4,9 @@
  * replicates its KV cache to an engine in another failure domain, so that the
  * next attempt need not process the prompt again.
  */
-import {EventProgress, type ServerSentEvent} from '@irisdock/decisions';
+import type {ServerSentEvent} from '@irisdock/decisions';
 import type {KnownError, LogFields} from '@irisdock/kernel';
 import {GATEWAY_ERRORS} from '../errors.js';
-import type {HeaderLines} from '../model/request_metadata.js';
 import type {ServingRoute} from '../model/serving_configuration.js';
 import type {AdmittedRequest, PlainAnswer} from './caller_exchange.js';
 import {KvCacheReplicator} from './kv_cache_replicator.js';
@@ -37,6 +36,7 @@
 import {StreamPlanner} from './stream_planner.js';
 import {StreamRetries, type RetryDenial} from './stream_retries.js';
 import {StreamReport} from './stream_report.js';
+import {StreamSink} from './stream_sink.js';
 import {SuspectRunAdmission} from './suspect_run.js';
 
 /** The longest wait for an engine's exit check, which takes a few ms. */
@@ -49,10 +49,8 @@
   /** The number of attempts so far. */
   sends = 0;
   private readonly planner: StreamPlanner;
-  private readonly progress: EventProgress;
+  private readonly sink: StreamSink;
   private readonly retries: StreamRetries;
-  private head: {status: number; lines: HeaderLines} | undefined;
-  private isAnswerStarted = false;
   private readonly report: StreamReport;
   private lastAnswer: PlainAnswer | undefined;
   private lossDetail = '';
@@ -76,8 +74,9 @@
     const {signal} = request.exchange;
     this.search = new PlanSearch(parts, this.planner, service, signal);
     this.retries = new StreamRetries(parts, request, route, service);
-    this.progress = new EventProgress(metadata.lastEventId);
-    const {startedAt} = request.exchange;
+    const {exchange} = request;
+    this.sink = new StreamSink(exchange, metadata.lastEventId);
+    const {startedAt} = exchange;
     this.report = new StreamReport(parts, request.requestId, startedAt);
     const {rollouts, clock} = parts;
     const {report} = this;
@@ -86,7 +85,7 @@
 
   /** Runs attempts until the stream ends; returns its outcome for metrics. */
   async run(): Promise<string> {
-    if (this.progress.lastEventId === undefined) {
+    if (this.sink.lastEventId === undefined) {
       this.planner.setTrial(this.parts.rollouts.takeTrial(this.service));
     }
     await this.planner.findCachedPrompt();
@@ -101,7 +100,7 @@
     for (;;) {
       const earlyOutcome = await this.waitForAdmission();
       if (earlyOutcome !== undefined) return earlyOutcome;
-      const plan = await this.search.find(this.isAnswerStarted);
+      const plan = await this.search.find(this.sink.isStarted);
       const {exchange} = this.request;
       if (exchange.hasDisconnected()) return 'left';
       if (plan === undefined) return this.finishLost();
@@ -119,8 +118,7 @@
       if (result.kind === 'ended') {
         this.evidence.recordCompletion(plan.endpoint);
         this.parts.lostRuns.recordCompletion(this.request.content);
-        if (!this.isAnswerStarted) this.startAnswer();
-        exchange.endStream();
+        this.sink.end();
         return 'answered';
       }
       this.recordResult(plan, result);
@@ -134,7 +132,7 @@
   /** Waits until the next attempt may run; returns the outcome if it can't. */
   private async waitForAdmission(): Promise<string | undefined> {
     const {exchange} = this.request;
-    const maxWaitMs = this.isAnswerStarted ? Infinity : MAX_BUSY_WAIT_MS;
+    const maxWaitMs = this.sink.isStarted ? Infinity : MAX_BUSY_WAIT_MS;
     const admission = await this.suspect.admit(exchange.signal, maxWaitMs);
     if (exchange.hasDisconnected()) return 'left';
     if (exchange.isExpired) return this.finishExpired();
@@ -150,7 +148,7 @@
   }
 
   private async admit(plan: AttemptPlan): Promise<SendAdmission> {
-    const isResumed = this.progress.lastEventId !== undefined;
+    const isResumed = this.sink.lastEventId !== undefined;
     const {signal} = this.request.exchange;
     return admitAttempt(this.parts, plan, isResumed, signal);
   }
@@ -180,14 +178,14 @@
     const now = this.parts.clock.getNow();
     this.evidence.recordSend();
     const cachedTokens = this.planner.countCachedTokens(endpoint);
-    this.report.recordSend(plan, this.progress.lastEventId, cachedTokens);
+    this.report.recordSend(plan, this.sink.lastEventId, cachedTokens);
     let isReplicaNeeded = true;
     try {
       const lines = this.parts.codec.encodeRequest(exchange.lines, {
         endpointId: endpoint.endpointId,
         team,
         remainingMs: computeRemainingMs(this.request, this.route, now),
-        lastEventId: this.progress.lastEventId,
+        lastEventId: this.sink.lastEventId,
         backupAddress: backup?.address,
         kvCacheSource,
       });
@@ -217,7 +215,7 @@
       this.route,
       {
         handleHead: (status, lines) => {
-          this.head ??= {status, lines};
+          this.sink.setHead(status, lines);
         },
         handleEvents: (events) => {
           this.markPromptRead(plan.endpoint, claim);
@@ -255,35 +253,23 @@
     events: readonly ServerSentEvent[],
     attempt: StreamAttempt,
   ): Promise<void> | undefined {
-    const {exchange} = this.request;
-    const {lastEventId} = this.progress;
+    const {lastEventId} = this.sink;
     const nextId = events[0]?.id;
     const isFirst = this.report.recordEvents(plan, lastEventId, nextId);
     if (isFirst) {
       plan.endpoint.recordSuccess(undefined);
       this.evidence.recordFirstEvent(plan.endpoint);
     }
-    const {newEvents, hasGap} = this.progress.accept(events);
+    const {hasGap, drained} = this.sink.passEvents(events);
     if (hasGap) attempt.end('events are missing');
-    const [first] = newEvents;
-    if (first === undefined) return undefined;
-    if (!this.isAnswerStarted) this.startAnswer();
-    const bytes = newEvents.length === 1 ? first : Buffer.concat(newEvents);
-    const hasRoom = exchange.writeStream(bytes);
-    return hasRoom ? undefined : exchange.waitForDrain();
-  }
-
-  private startAnswer(): void {
-    if (this.head === undefined) return;
-    this.isAnswerStarted = true;
-    this.request.exchange.startStream(this.head.status, this.head.lines);
+    return drained;
   }
 
   private recordResult(plan: AttemptPlan, result: AttemptResult): void {
     const {endpoint} = plan;
     if (result.kind === 'ended') return;
     this.planner.recordAttemptEnd(endpoint, result.kind === 'lost');
-    this.progress.markFailover();
+    this.sink.markFailover();
     this.lossDetail = getAttemptDetail(result);
     const hasRun = hasPossiblyRun(result);
     this.retries.record(result);
@@ -296,7 +282,7 @@
     if (!hasRun && result.kind === 'lost') {
       this.parts.endpoints.peers.usePublisher.publishLoss(endpoint.instanceId);
     }
-    const {lastEventId} = this.progress;
+    const {lastEventId} = this.sink;
     this.report.recordLoss(plan, result, this.lossDetail, lastEventId);
   }
 
@@ -329,7 +315,7 @@
 
   private finishLost(): string {
     const {exchange} = this.request;
-    if (!this.isAnswerStarted && this.lastAnswer !== undefined) {
+    if (!this.sink.isStarted && this.lastAnswer !== undefined) {
       exchange.sendAnswer(this.lastAnswer);
       return 'failed';
     }
@@ -350,14 +336,13 @@
   }
 
   private finishWith(error: KnownError): void {
-    const {exchange, requestId} = this.request;
-    if (this.isAnswerStarted) exchange.failStream();
-    else exchange.refuse(error, false);
+    const {requestId} = this.request;
+    this.sink.fail(error);
     this.parts.log.writeInfo('A stream was not finished.', {
       request: requestId,
       service: this.service,
       kind: error.kind,
-      started: this.isAnswerStarted,
+      started: this.sink.isStarted,
       runs: this.retries.runs,
       notRun: this.retries.notRun,
       detail: this.lossDetail,
--- /dev/null
+++ b/packages/gateway/src/serving/stream_sink.ts
@@ -0,0 +1,81 @@
+/**
+ * Writes the answer of a stream to its caller: the head of the first attempt,
+ * then each event once and in order, whatever attempt it comes from.
+ */
+import {EventProgress, type ServerSentEvent} from '@irisdock/decisions';
+import type {KnownError} from '@irisdock/kernel';
+import type {HeaderLines} from '../model/request_metadata.js';
+import type {CallerExchange} from './caller_exchange.js';
+
+/** The result of passing events on. */
+export interface PassResult {
+  /** Whether events before these are missing. */
+  readonly hasGap: boolean;
+  /** Resolves when the caller can take more; undefined if it can now. */
+  readonly drained: Promise<void> | undefined;
+}
+
+/** Writes one stream to its caller. */
+export class StreamSink {
+  private readonly progress: EventProgress;
+  private head: {status: number; lines: HeaderLines} | undefined;
+  private hasStarted = false;
+
+  /** @param lastEventId The last event that the caller has already. */
+  constructor(
+    private readonly exchange: CallerExchange,
+    lastEventId: number | undefined,
+  ) {
+    this.progress = new EventProgress(lastEventId);
+  }
+
+  /** The last event that the caller has; undefined before the first. */
+  get lastEventId(): number | undefined {
+    return this.progress.lastEventId;
+  }
+
+  /** Whether the caller has received part of the answer. */
+  get isStarted(): boolean {
+    return this.hasStarted;
+  }
+
+  /** Sets status and headers, unless an earlier attempt did. */
+  setHead(status: number, lines: HeaderLines): void {
+    this.head ??= {status, lines};
+  }
+
+  /** Records that the next events come from another attempt. */
+  markFailover(): void {
+    this.progress.markFailover();
+  }
+
+  /** Passes the events that the caller lacks. */
+  passEvents(events: readonly ServerSentEvent[]): PassResult {
+    const {newEvents, hasGap} = this.progress.accept(events);
+    const [first] = newEvents;
+    if (first === undefined) return {hasGap, drained: undefined};
+    if (!this.hasStarted) this.start();
+    const bytes = newEvents.length === 1 ? first : Buffer.concat(newEvents);
+    const hasRoom = this.exchange.writeStream(bytes);
+    const drained = hasRoom ? undefined : this.exchange.waitForDrain();
+    return {hasGap, drained};
+  }
+
+  /** Ends the stream as complete. */
+  end(): void {
+    if (!this.hasStarted) this.start();
+    this.exchange.endStream();
+  }
+
+  /** Ends a started stream as incomplete; refuses the request otherwise. */
+  fail(error: KnownError): void {
+    if (this.hasStarted) this.exchange.failStream();
+    else this.exchange.refuse(error, false);
+  }
+
+  private start(): void {
+    if (this.head === undefined) return;
+    this.hasStarted = true;
+    this.exchange.startStream(this.head.status, this.head.lines);
+  }
+}
