Relay requests while a host is partitioned from all endpoints

Cause: a request can be served by the host that took it alone. Other hosts reach the endpoints and the host itself, but nothing passes a request on, and each request found out anew, 300 ms an endpoint, that none can be reached.

Ruled out: to send callers elsewhere alone. They keep an address answer for its time and some for three times as long, and a refusal is a failed first attempt. A tunnel through another host: the host at its end would send to endpoints without knowing their announcements, limits and pauses.

Change: while a service is partitioned (EndpointPaths), calls and streams go to another host, over its port for hosts, with the caller's key, id and remaining time. That host serves them as its own: its endpoints, permits, leases, retries and verdicts. One hop: a relayed request is never relayed again. A refusal that is due to the host is marked as declined, and up to three more hosts are tried; any other refusal goes to the caller as it is. A stream goes on from the last event that the caller has, also when its first part came from an engine. The runs that the route still allows are told; a request that may have run on a connection to another host is only sent again where its route allows it. Where no host takes it, it is refused at once with a time to return. Losses of engines are not told to other hosts by a partitioned one.

--- a/packages/gateway/src/errors.ts
+++ b/packages/gateway/src/errors.ts
@@ -52,6 +52,13 @@
     message: 'No endpoint of {service} could take the request.',
     remedy: 'Come back after the time in Retry-After.',
   },
+  endpoints_unreachable: {
+    status: 503,
+    outcome: 'not-run',
+    message:
+      'This host cannot reach the endpoints of {service}, and no other host took the request.',
+    remedy: 'Use another host, or come back after the time in Retry-After.',
+  },
   limits_used_up: {
     status: 503,
     outcome: 'not-run',
--- a/packages/gateway/src/model/request_metadata.ts
+++ b/packages/gateway/src/model/request_metadata.ts
@@ -60,6 +60,16 @@
   readonly kvCacheSource: KvCacheSource | undefined;
 }
 
+/** What a host states to another one when it relays a request. */
+export interface RelayMetadata {
+  /** The only host that may serve the request. */
+  readonly hostName: string;
+  /** The time that the host has for the request, in ms. */
+  readonly remainingMs: number;
+  /** The event after which the stream resumes. */
+  readonly lastEventId: number | undefined;
+}
+
 /** The load that an endpoint reported with a response. */
 export interface ReportedLoad {
   readonly running: number;
@@ -137,6 +147,8 @@
   decodeRequest(lines: HeaderLines): RequestMetadata;
   /** Gives the header lines to an endpoint: the caller's and the metadata's. */
   encodeRequest(callerLines: HeaderLines, terms: SendMetadata): HeaderLines;
+  /** Gives the header lines to another host that serves the request. */
+  encodeRelay(callerLines: HeaderLines, metadata: RelayMetadata): HeaderLines;
   decodeResponse(lines: HeaderLines): ResponseMetadata;
   /** Gives the header lines of an endpoint's response that go to the caller. */
   encodeResponse(answerLines: HeaderLines): HeaderLines;
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -1,5 +1,10 @@
 /** The service `front`: the HTTP server for callers. */
-import {createServer, type Server} from 'node:http';
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
 import type {WindowedRetryBudgetOptions} from '@irisdock/decisions';
 import {
   createService,
@@ -12,6 +17,8 @@
 import * as z from 'zod';
 import {EndpointClient} from '../channels/endpoint_client.js';
 import {startListening} from '../channels/listening.js';
+import {PeerFrame} from '../model/peer_frame.js';
+import type {RelayHop} from '../model/relay_path.js';
 import {CallerExchange} from '../serving/caller_exchange.js';
 import {EndpointExitCheck} from '../serving/endpoint_exit_check.js';
 import {EndpointProber} from '../serving/endpoint_prober.js';
@@ -21,6 +28,7 @@
 import {LostRuns} from '../serving/lost_runs.js';
 import {RetryBudgets} from '../serving/retry_budgets.js';
 import {RequestHandler} from '../serving/request_handler.js';
+import {RequestRelay} from '../serving/request_relay.js';
 import {ServingMetrics} from '../serving/serving_metrics.js';
 import type {ServingParts} from '../serving/serving_parts.js';
 import {SuccessorFinder} from '../serving/successors.js';
@@ -31,6 +39,8 @@
 import {GATEWAY_ENDPOINTS} from './endpoints.js';
 import {LIMITS} from './limits.js';
 import {HOST_PHASE, type HostPhase} from './host_phase.js';
+import {HOST_IDENTITY} from './identity.js';
+import {PEER_TABLES} from '../tables/peer_tables.js';
 import {PEERS} from './peers.js';
 import {ROLLOUTS} from './rollouts.js';
 import {RUN_LEASES} from './run_leases.js';
@@ -82,14 +92,16 @@
     ENDPOINT_NETWORK,
     GATEWAY_CONFIGURATION,
     GATEWAY_ENDPOINTS,
+    HOST_IDENTITY,
     HOST_PHASE,
     LIMITS,
+    PEER_TABLES,
     PEERS,
     ROLLOUTS,
     RUN_LEASES,
   ],
   create(context, settings) {
-    const {clock, log} = context;
+    const {clock} = context;
     const configuration = context.find(GATEWAY_CONFIGURATION);
     const phase = context.find(HOST_PHASE);
     const peers = context.find(PEERS);
@@ -97,23 +109,14 @@
     const {client, codec} = parts;
     const prober = new EndpointProber(client, codec.reportPath);
     const handler = new RequestHandler(parts, prober, phase);
-    let inFlight = 0;
+    const inFlight = new Set<CallerExchange>();
+    const serve = createServe(context, handler, inFlight);
+    context.find(PEER_TABLES).handle = serve;
     const server = createServer((message, response) => {
       const {limits} = configuration;
       server.keepAliveTimeout = limits.idleTimeoutMs;
       server.headersTimeout = limits.headerTimeoutMs;
-      const exchange = new CallerExchange(message, response, clock.getNow());
-      inFlight++;
-      handler
-        .handle(exchange)
-        .catch((thrown: unknown) => {
-          const error = getErrorText(thrown);
-          log.writeError('A request failed with an internal error.', {error});
-          response.destroy();
-        })
-        .finally(() => {
-          inFlight--;
-        });
+      serve(message, response);
     });
     server.requestTimeout = REQUEST_TIMEOUT_MS;
     server.on('connection', (socket) => socket.setNoDelay(true));
@@ -129,13 +132,14 @@
       async drain() {
         phase.startLeaving();
         peers.publishState();
-        await waitDrained(server, phase, clock, () => inFlight);
+        await waitDrained(server, phase, clock, () => inFlight.size);
       },
       stop() {
         server.close();
         server.closeAllConnections();
         parts.lostRuns.close();
         parts.paths.close();
+        parts.relay.close();
         client.close();
         return Promise.resolve();
       },
@@ -143,13 +147,40 @@
   },
 });
 
+/** Creates the function that serves requests of callers and of other hosts. */
+function createServe(
+  {clock, log}: ServiceContext,
+  handler: RequestHandler,
+  inFlight: Set<CallerExchange>,
+): (
+  message: IncomingMessage,
+  response: ServerResponse,
+  hop?: RelayHop,
+) => void {
+  return (message, response, hop) => {
+    const now = clock.getNow();
+    const exchange = new CallerExchange(message, response, now, hop);
+    inFlight.add(exchange);
+    handler
+      .handle(exchange)
+      .catch((thrown: unknown) => {
+        const error = getErrorText(thrown);
+        log.writeError('A request failed with an internal error.', {error});
+        response.destroy();
+      })
+      .finally(() => {
+        inFlight.delete(exchange);
+      });
+  };
+}
+
 function createServingParts(
   context: ServiceContext,
   settings: z.infer<typeof SETTINGS>,
 ): ServingParts {
   const {clock, random, log, metrics} = context;
   const codecs = context.find(CODECS);
-  const {headers: codec, copies: copyCodec} = codecs;
+  const codec = codecs.headers;
   const peers = context.find(PEERS);
   const configuration = context.find(GATEWAY_CONFIGURATION);
   const gate = createGate(context);
@@ -164,7 +195,7 @@
     random,
     log,
     codec,
-    copyCodec,
+    copyCodec: codecs.copies,
     client,
     engineClient,
     successors: new SuccessorFinder({
@@ -193,12 +224,12 @@
     runLeases: context.find(RUN_LEASES),
     gate,
     paths,
+    relay: createRelay(context),
     lostRuns: new LostRuns({
+      ...context,
       exitCheck,
       crashes,
       metrics: servingMetrics,
-      clock,
-      log,
     }),
     metrics: servingMetrics,
   };
@@ -214,6 +245,16 @@
   return new EndpointClient(headers, gate, context.clock, network, paths);
 }
 
+function createRelay(context: ServiceContext): RequestRelay {
+  const {deployment} = context.find(HOST_IDENTITY);
+  return new RequestRelay({
+    ...context,
+    codec: context.find(CODECS).headers,
+    peers: context.find(PEERS),
+    deployment: new PeerFrame(deployment).tag,
+  });
+}
+
 function createPaths(context: ServiceContext): EndpointPaths {
   return new EndpointPaths({
     ...context,
--- a/packages/gateway/src/services/peer_hosts.ts
+++ b/packages/gateway/src/services/peer_hosts.ts
@@ -22,6 +22,7 @@
   type HostTrackerParts,
   type PeerState,
 } from './host_tracker.js';
+import type {RelayHost} from '../serving/request_relay.js';
 import {DatagramHandlers} from './datagram_handlers.js';
 import {UpdateBroadcaster} from '../tables/update_broadcaster.js';
 import type {HostSummary} from './host_summaries.js';
@@ -164,6 +165,15 @@
     return places;
   }
 
+  /** Lists the other hosts that serve callers, with their addresses. */
+  listRelayHosts(): RelayHost[] {
+    return this.tracker.view.listServing().map(({record, place}) => ({
+      name: record.name,
+      address: place.tables,
+      failureDomain: place.failureDomain,
+    }));
+  }
+
   /** Lists the hosts that are considered alive, this one first. */
   listAlive(): AliveHost[] {
     return this.tracker.listAlive();
--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -16,11 +16,13 @@
   type PlainAnswerResult,
 } from './plain_answer_reader.js';
 import type {AdmittedRequest, PlainAnswer} from './caller_exchange.js';
+import {passRelayedAnswer, sendRelayedCall} from './relayed_call.js';
 import type {EndpointRecord, UseClaim} from './endpoint_record.js';
 import {listLiveEndpoints} from './live_endpoints.js';
 import type {SendPermit} from './send_gate.js';
 import {SendHolds} from './send_holds.js';
 import {
+  checkPath,
   computeRemainingMs,
   createBusyError,
   createNotRunError,
@@ -73,13 +75,21 @@
 
   private async runSends(): Promise<string> {
     const {signal} = this.request.exchange;
+    const {service} = this;
+    const {paths} = this.parts;
     for (;;) {
+      if (paths.isPartitioned(service)) {
+        const outcome = await this.sendRelayed();
+        if (outcome !== undefined) return outcome;
+        continue;
+      }
       const admission = await this.suspect.admit(signal, MAX_BUSY_WAIT_MS);
       this.isContentBusy = admission === 'busy';
       if (admission !== 'admitted') {
         return this.findEarlyOutcome() ?? this.finish();
       }
       const endpoint = this.chooseEndpoint();
+      if (endpoint === undefined && paths.isPartitioned(service)) continue;
       if (endpoint === undefined) return this.finish();
       const earlyOutcome = this.findEarlyOutcome();
       if (earlyOutcome !== undefined) return earlyOutcome;
@@ -97,9 +107,39 @@
       await this.checkEndpointExit(endpoint, result);
       if (this.request.exchange.isExpired) return this.finishExpired();
       if (!this.isRetryAllowed(result)) return this.finish();
+      await checkPath(this.parts, service, result);
     }
   }
 
+  /**
+   * Sends the call through another host; returns the outcome, or undefined if
+   * the call may be sent again.
+   */
+  private async sendRelayed(): Promise<string | undefined> {
+    const {parts, request, route, service} = this;
+    const {exchange} = request;
+    // The other host needs the lease itself.
+    this.suspect.close();
+    if (exchange.hop !== undefined) return this.finish();
+    const maxRuns = route.maxAttempts - this.runs;
+    const relayed = {request, route, service, maxRuns, lastEventId: undefined};
+    const result = await sendRelayedCall(parts, relayed);
+    const earlyOutcome = this.findEarlyOutcome();
+    if (earlyOutcome !== undefined) return earlyOutcome;
+    if (result.kind === 'none') return this.finish();
+    if (result.kind === 'answer') return passRelayedAnswer(exchange, result);
+    const {detail} = result;
+    this.recordPossibleRun(detail);
+    const lost = {kind: 'lost', mayHaveRun: true, detail} as const;
+    return this.isRetryAllowed(lost) ? undefined : this.finish();
+  }
+
+  private recordPossibleRun(detail: string): void {
+    this.runs++;
+    this.mayHaveRun = true;
+    this.lastResult = GATEWAY_ERRORS.create('answer_lost', {detail});
+  }
+
   /** Returns the outcome if the caller disconnected or the time expired. */
   private findEarlyOutcome(): string | undefined {
     const {exchange} = this.request;
@@ -208,14 +248,8 @@
     }
     const mayHaveRun = result.kind === 'lost' && result.mayHaveRun;
     recordEndpointFailure(this.parts.endpoints, endpoint, result.kind);
-    if (mayHaveRun) {
-      this.runs++;
-      this.mayHaveRun = true;
-      const {detail} = result;
-      this.lastResult = GATEWAY_ERRORS.create('answer_lost', {detail});
-    } else {
-      this.notRun++;
-    }
+    if (mayHaveRun) this.recordPossibleRun(result.detail);
+    else this.notRun++;
     metrics.losses.inc({reason: mayHaveRun ? 'lost' : 'refused'});
     log.writeInfo('A call got no usable answer.', {
       request: this.request.requestId,
@@ -300,7 +334,11 @@
 
   private createNotSentError(): KnownError {
     const {content} = this.request;
-    if (this.isContentBusy) return createBusyError(content, this.parts.random);
+    const {random, paths} = this.parts;
+    if (this.isContentBusy) return createBusyError(content, random);
+    if (paths.isPartitioned(this.service)) {
+      return createNotRunError('endpoints_unreachable', this.service, random);
+    }
     return this.holds.createError(this.service);
   }
 
--- a/packages/gateway/src/serving/caller_exchange.ts
+++ b/packages/gateway/src/serving/caller_exchange.ts
@@ -5,6 +5,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {KnownError} from '@irisdock/kernel';
 import {formatRawHeaders, readHeaderLines} from '../channels/header_lines.js';
+import type {RelayHop} from '../model/relay_path.js';
 import type {HeaderLines, RequestMetadata} from '../model/request_metadata.js';
 
 /** The header that states whether a request without an answer may have run. */
@@ -37,6 +38,8 @@
     private readonly response: ServerResponse,
     /** When the head arrived, on the monotonic clock. */
     readonly startedAt: number,
+    /** The host that relayed the request; undefined if its caller sent it. */
+    readonly hop?: RelayHop,
   ) {
     this.lines = readHeaderLines(message);
     this.signal = this.controller.signal;
@@ -163,8 +166,13 @@
    * Answers with an error.
    *
    * @param mustClose Whether to close the connection after the answer.
+   * @param extraLines Further header lines.
    */
-  refuse(error: KnownError, mustClose: boolean): void {
+  refuse(
+    error: KnownError,
+    mustClose: boolean,
+    extraLines: HeaderLines = [],
+  ): void {
     if (!this.takeFinal()) return;
     const {kind, message, remedy, outcome, retryAfterSeconds} = error;
     const body = Buffer.from(
@@ -174,6 +182,7 @@
       'Content-Type': 'application/json',
       'Content-Length': String(body.length),
       [OUTCOME_HEADER]: outcome,
+      ...Object.fromEntries(extraLines),
     };
     if (retryAfterSeconds !== undefined) {
       headers['Retry-After'] = String(retryAfterSeconds);
--- a/packages/gateway/src/serving/endpoint_paths.ts
+++ b/packages/gateway/src/serving/endpoint_paths.ts
@@ -20,8 +20,8 @@
  * are lost, all rounds together fail in 1 of 70 checks.
  */
 const ROUND_SIZES = [2, 4, 6];
-/** A connection that opened this recently makes a check unnecessary, in ms. */
-const RECENT_MS = 100;
+/** The least time between two checks of a service that can be reached, in ms. */
+const MIN_CHECK_INTERVAL_MS = 200;
 /** The interval between probes while the host is partitioned, in ms. */
 const RECOVERY_PROBE_MS = 250;
 /** The random part that is added to the interval, in ms. */
@@ -44,6 +44,8 @@
   isPartitioned: boolean;
   /** When a connection last opened, in ms. */
   connectedAt: number;
+  /** When a check last found that the service can be reached, in ms. */
+  checkedAt: number;
   /** The check in progress. */
   checking: Promise<boolean> | undefined;
 }
@@ -84,10 +86,9 @@
   /** Checks whether this host is partitioned from a service. */
   async check(service: string): Promise<boolean> {
     const path = this.getPath(service);
-    const connectedMs = this.parts.clock.getNow() - path.connectedAt;
-    if (path.isPartitioned || connectedMs < RECENT_MS) {
-      return path.isPartitioned;
-    }
+    if (path.isPartitioned) return true;
+    const checkedMs = this.parts.clock.getNow() - path.checkedAt;
+    if (checkedMs < MIN_CHECK_INTERVAL_MS) return false;
     path.checking ??= this.checkOnce(service, path).finally(() => {
       path.checking = undefined;
     });
@@ -118,6 +119,7 @@
     const path = {
       isPartitioned: false,
       connectedAt: -Infinity,
+      checkedAt: -Infinity,
       checking: undefined,
     };
     this.paths.set(service, path);
@@ -144,8 +146,11 @@
     if (usable.length === 0) return false;
     if (await this.checkAny(usable)) this.markConnected(service);
     // Also a connection of a request may have opened meanwhile.
-    const isOver = path.connectedAt >= startedAt;
-    if (isOver || this.closing.signal.aborted) return false;
+    if (path.connectedAt >= startedAt) {
+      path.checkedAt = startedAt;
+      return false;
+    }
+    if (this.closing.signal.aborted) return false;
     path.isPartitioned = true;
     log.writeWarning('No endpoint of a service can be reached.', {
       service,
--- a/packages/gateway/src/serving/plan_search.ts
+++ b/packages/gateway/src/serving/plan_search.ts
@@ -17,26 +17,28 @@
   private deadline: number | undefined;
 
   constructor(
-    private readonly parts: Pick<ServingParts, 'clock' | 'endpoints'>,
+    private readonly parts: Pick<ServingParts, 'clock' | 'endpoints' | 'paths'>,
     private readonly planner: StreamPlanner,
     private readonly service: string,
     private readonly signal: AbortSignal,
   ) {}
 
   /**
-   * Finds a place for the next attempt; undefined when there is no engine.
+   * Finds a place for the next attempt; undefined when there is no engine, or
+   * this host is partitioned from all.
    *
    * @param isAnswerStarted Whether the caller has received part of the answer.
    */
   async find(isAnswerStarted: boolean): Promise<AttemptPlan | undefined> {
     const {planner, signal} = this;
-    const {clock} = this.parts;
+    const {clock, paths} = this.parts;
     this.deadline ??= this.computeDeadline(isAnswerStarted);
     const {deadline} = this;
     for (;;) {
       await planner.pollRemoteEngines();
       const plan = planner.choosePlan();
       if (plan !== undefined || signal.aborted) return plan;
+      if (await paths.check(this.service)) return undefined;
       if (clock.getNow() >= deadline) return undefined;
       await clock.wait(SEARCH_INTERVAL_MS, signal);
       planner.dropHolds();
--- /dev/null
+++ b/packages/gateway/src/serving/relayed_call.ts
@@ -0,0 +1,115 @@
+/** Relays one call to another host, and to the next one if it did not run. */
+import {
+  MISDIRECTED_STATUS,
+  type EndpointFailure,
+  type EndpointResponse,
+} from '../channels/endpoint_client.js';
+import {
+  MIN_SERVER_ERROR_STATUS,
+  findResponseFault,
+} from '../channels/response_check.js';
+import {readAnswerBody} from './answer_body.js';
+import type {CallerExchange, PlainAnswer} from './caller_exchange.js';
+import {
+  MAX_RELAY_HOSTS,
+  type RelayedRequest,
+  type RelayHost,
+} from './request_relay.js';
+import type {ServingParts} from './serving_parts.js';
+
+/** The answer or the final refusal of a call, as another host sent it. */
+export interface RelayedAnswer {
+  readonly kind: 'answer';
+  readonly answer: PlainAnswer;
+  /** Whether it is the answer of an endpoint. */
+  readonly isSigned: boolean;
+}
+
+/** The result of relaying a call. */
+export type RelayedCallResult =
+  | RelayedAnswer
+  /** There is no usable answer; the call may have run. */
+  | {readonly kind: 'lost'; readonly detail: string}
+  /** No host could take the call; it has not run. */
+  | {readonly kind: 'none'};
+
+/** Relays a call until a host has taken it. */
+export async function sendRelayedCall(
+  parts: ServingParts,
+  relayed: RelayedRequest,
+): Promise<RelayedCallResult> {
+  const {relay} = parts;
+  const {service, request} = relayed;
+  const tried = new Set<string>();
+  while (tried.size < MAX_RELAY_HOSTS) {
+    const host = relay.choose(service, tried);
+    if (host === undefined || request.exchange.signal.aborted) break;
+    tried.add(host.name);
+    const result = await relay.countSend(host, () =>
+      sendToHost(parts, relayed, host),
+    );
+    if (result !== undefined) return result;
+    relay.recordUnable(host, service);
+  }
+  return {kind: 'none'};
+}
+
+/** Sends the call to one host; undefined if that host did not take it. */
+async function sendToHost(
+  parts: ServingParts,
+  relayed: RelayedRequest,
+  host: RelayHost,
+): Promise<RelayedCallResult | undefined> {
+  const {relay, log, clock} = parts;
+  const {requestId, exchange} = relayed.request;
+  const startedAt = clock.getNow();
+  const {signal} = exchange;
+  const send = relay.createSend(host, relayed);
+  const response = await relay.client.send({...send, signal});
+  const result = await readResult(parts, response, requestId);
+  log.writeInfo('Relayed a call to another host.', {
+    request: requestId,
+    to: host.name,
+    result: result?.kind ?? 'declined',
+    detail: response.kind === 'lost' ? response.detail : response.status,
+    ms: Math.round(clock.getNow() - startedAt),
+  });
+  return result;
+}
+
+async function readResult(
+  {relay}: ServingParts,
+  response: EndpointFailure | EndpointResponse,
+  requestId: string,
+): Promise<RelayedCallResult | undefined> {
+  if (response.kind === 'lost') {
+    const {mayHaveRun, detail} = response;
+    return mayHaveRun ? {kind: 'lost', detail} : undefined;
+  }
+  // Another process may have taken over the address of a lost host.
+  const isMisdirected = response.status === MISDIRECTED_STATUS;
+  if (relay.hasDeclined(response.lines) || isMisdirected) {
+    response.message.resume();
+    return undefined;
+  }
+  const fault = findResponseFault(response, requestId);
+  if (fault !== undefined) {
+    response.close();
+    return {kind: 'lost', detail: fault};
+  }
+  const {status, lines, isFramed, metadata} = response;
+  const body = await readAnswerBody(response);
+  if (body === undefined) return {kind: 'lost', detail: 'its body was cut'};
+  const answer = {status, lines, body, isFramed};
+  return {kind: 'answer', answer, isSigned: metadata.isSigned};
+}
+
+/** Passes an answer to the caller; returns the outcome for metrics. */
+export function passRelayedAnswer(
+  exchange: CallerExchange,
+  {answer, isSigned}: RelayedAnswer,
+): string {
+  exchange.sendAnswer(answer);
+  if (!isSigned) return 'refused';
+  return answer.status >= MIN_SERVER_ERROR_STATUS ? 'failed' : 'answered';
+}
--- a/packages/gateway/src/serving/request_handler.ts
+++ b/packages/gateway/src/serving/request_handler.ts
@@ -5,11 +5,13 @@
 import {chooseShare} from '@irisdock/decisions';
 import type {KnownError} from '@irisdock/kernel';
 import {GATEWAY_ERRORS} from '../errors.js';
+import type {RelayHop} from '../model/relay_path.js';
 import type {ServingRoute} from '../model/serving_configuration.js';
 import {CallDriver} from './call_driver.js';
 import type {AdmittedRequest, CallerExchange} from './caller_exchange.js';
 import type {EndpointProber} from './endpoint_prober.js';
 import {hashContent} from './request_content.js';
+import {DECLINED_LINE} from './request_relay.js';
 import {decideRetryAfter} from './retry_after.js';
 import {createNotRunError, createRefusedError} from './send_rules.js';
 import {getRandomFraction, type ServingParts} from './serving_parts.js';
@@ -17,6 +19,17 @@
 
 const MS_PER_SECOND = 1000;
 
+/** Refusals due to this host; another one may serve a relayed request. */
+const HOST_REFUSALS: ReadonlySet<string> = new Set([
+  'endpoints_unreachable',
+  'leaving',
+  'no_configuration',
+  'no_route',
+  'old_configuration',
+  'starting',
+  'unknown_key',
+]);
+
 /** The state of the host that runs the handler. */
 export interface HostState {
   /** Whether the host will stop before a stream that starts now could end. */
@@ -48,11 +61,12 @@
       this.refuse(exchange, this.createRetryableError('starting'));
       return;
     }
-    const route = configuration.findRoute(exchange.hostHeader, exchange.path);
-    if (route === undefined) {
+    const found = configuration.findRoute(exchange.hostHeader, exchange.path);
+    if (found === undefined) {
       this.refuseUnknown(exchange, 'no_route');
       return;
     }
+    const route = clampRuns(found, exchange.hop);
     const request = await this.admit(exchange, route);
     if (request === undefined) return;
     const service = this.chooseService(route);
@@ -80,8 +94,16 @@
     const {parts} = this;
     const {exchange} = request;
     const startedAt = exchange.startedAt;
-    parts.retryBudgets.recordRequest(service);
-    parts.rollouts.recordRequest(service);
+    const isPartitioned = parts.paths.isPartitioned(service);
+    if (isPartitioned && exchange.hop !== undefined) {
+      const kind = 'endpoints_unreachable';
+      this.refuse(exchange, createNotRunError(kind, service, parts.random));
+      return;
+    }
+    if (!isPartitioned) {
+      parts.retryBudgets.recordRequest(service);
+      parts.rollouts.recordRequest(service);
+    }
     const isStream = route.kind === 'stream';
     if (isStream && this.host.isTooLateForStreams) {
       this.refuse(exchange, this.createRetryableError('leaving'));
@@ -112,6 +134,7 @@
       endpoint: endpoint?.instanceId,
       address: endpoint?.address,
       sends,
+      relayedBy: exchange.hop?.from,
       outcome,
       ms: Math.round(seconds * MS_PER_SECOND),
       ...(driver instanceof StreamDriver ? driver.listFigures() : {}),
@@ -186,7 +209,10 @@
   }
 
   private refuse(exchange: CallerExchange, error: KnownError): void {
-    exchange.refuse(error, this.host.isLeaving);
+    const isDeclined =
+      exchange.hop !== undefined && HOST_REFUSALS.has(error.kind);
+    const lines = isDeclined ? [DECLINED_LINE] : [];
+    exchange.refuse(error, this.host.isLeaving, lines);
     this.parts.metrics.requests.inc({kind: 'none', outcome: error.kind});
     const {requestId} = this.parts.codec.decodeRequest(exchange.lines);
     this.parts.log.writeInfo('A request was refused.', {
@@ -197,3 +223,13 @@
     });
   }
 }
+
+/** Limits the runs of a relayed request to those that are left to it. */
+function clampRuns(
+  route: ServingRoute,
+  hop: RelayHop | undefined,
+): ServingRoute {
+  if (hop === undefined) return route;
+  const maxAttempts = Math.min(route.maxAttempts, hop.maxRuns);
+  return {...route, maxAttempts};
+}
--- /dev/null
+++ b/packages/gateway/src/serving/request_relay.ts
@@ -0,0 +1,185 @@
+/**
+ * Relays requests to other hosts while this one is partitioned from the
+ * endpoints of a service. The other host serves a relayed request as if its
+ * caller had sent it there: with its own choice of endpoints, limits and
+ * retries. It never relays it further.
+ */
+import {getSample, type Clock, type Random} from '@irisdock/kernel';
+import {EndpointClient} from '../channels/endpoint_client.js';
+import {findHeader} from '../channels/header_lines.js';
+import type {HeaderCodec, HeaderLines} from '../model/request_metadata.js';
+import {formatRelayPath} from '../model/relay_path.js';
+import type {ServingRoute} from '../model/serving_configuration.js';
+import type {Peers} from '../services/peer_hosts.js';
+import type {AdmittedRequest} from './caller_exchange.js';
+import {EndpointProber} from './endpoint_prober.js';
+import {EndpointRecord} from './endpoint_record.js';
+import {SendPermit, type SendGate} from './send_gate.js';
+import {computeRemainingMs} from './send_rules.js';
+import type {AttemptSend} from './stream_attempt.js';
+
+/**
+ * The header of a refusal that is due to the host: it cannot reach the
+ * endpoints either, or does not know the route. Another host may serve.
+ */
+export const RELAY_HEADER = 'Irisdock-Relay';
+const DECLINED = 'declined';
+/** The header line that a host adds to such a refusal. */
+export const DECLINED_LINE = [RELAY_HEADER, DECLINED] as const;
+
+/** How many hosts are tried for one request. */
+export const MAX_RELAY_HOSTS = 4;
+/** How long a host that declined or did not accept is not tried, in ms. */
+const UNABLE_MS = 1000;
+/** Of so many hosts the one with the fewest relayed requests is chosen. */
+const CHOICES = 2;
+
+/** Another host that serves callers. */
+export interface RelayHost {
+  readonly name: string;
+  /** Where it accepts relayed requests, as `ip:port`. */
+  readonly address: string;
+  readonly failureDomain: string;
+}
+
+/** Dependencies of the relay. */
+export interface RequestRelayParts {
+  readonly codec: HeaderCodec;
+  readonly peers: Pick<Peers, 'listRelayHosts' | 'name'>;
+  /** The tag of the deployment. */
+  readonly deployment: string;
+  readonly clock: Clock;
+  readonly random: Random;
+}
+
+/** A request to be relayed. */
+export interface RelayedRequest {
+  readonly request: AdmittedRequest;
+  readonly route: ServingRoute;
+  readonly service: string;
+  /** How many runs of the request are still allowed. */
+  readonly maxRuns: number;
+  /** The last event that the caller has; undefined for none. */
+  readonly lastEventId: number | undefined;
+}
+
+/** Hosts have no limits and make no announcements to each other. */
+const OPEN_GATE: SendGate = {
+  admit: (target) => new SendPermit(target),
+  takeUnconfirmed: () => undefined,
+  recordAnswer: () => undefined,
+  decideReturnMs: () => 0,
+};
+
+/** Relays requests to other hosts. */
+export class RequestRelay {
+  /** Sends to other hosts. */
+  readonly client: EndpointClient;
+  /** Probes whether another host answers. */
+  readonly prober: EndpointProber;
+  /** Until when a host is not tried for a service, by both names. */
+  private readonly unable = new Map<string, number>();
+  /** Relayed requests in flight, by host. */
+  private readonly inFlight = new Map<string, number>();
+
+  constructor(private readonly parts: RequestRelayParts) {
+    const {codec, clock} = parts;
+    this.client = new EndpointClient(codec, OPEN_GATE, clock);
+    this.prober = new EndpointProber(this.client, codec.reportPath);
+  }
+
+  /** Chooses a host that has not been tried; undefined if there is none. */
+  choose(service: string, tried: ReadonlySet<string>): RelayHost | undefined {
+    const {peers, clock, random} = this.parts;
+    const now = clock.getNow();
+    const hosts = peers.listRelayHosts().filter(({name}) => {
+      const until = this.unable.get(`${name}/${service}`) ?? -Infinity;
+      return !tried.has(name) && until <= now;
+    });
+    let chosen: RelayHost | undefined;
+    for (const host of getSample(hosts, CHOICES, random)) {
+      if (
+        chosen === undefined ||
+        this.countInFlight(host) < this.countInFlight(chosen)
+      ) {
+        chosen = host;
+      }
+    }
+    return chosen;
+  }
+
+  /** Creates the request to a host. */
+  createSend(host: RelayHost, relayed: RelayedRequest): AttemptSend {
+    const {codec, clock, deployment, peers} = this.parts;
+    const {request, route, maxRuns, lastEventId} = relayed;
+    const {exchange, requestId, body} = request;
+    const now = clock.getNow();
+    const hop = {deployment, from: peers.name, maxRuns};
+    return {
+      permit: new SendPermit(createTarget(host)),
+      requestId,
+      method: exchange.method,
+      path: formatRelayPath(hop, exchange.path),
+      lines: codec.encodeRelay(exchange.lines, {
+        hostName: host.name,
+        remainingMs: computeRemainingMs(request, route, now),
+        lastEventId,
+      }),
+      body,
+    };
+  }
+
+  /** Describes a host as if it were an endpoint, for the attempts there. */
+  createRecord(host: RelayHost, service: string): EndpointRecord {
+    const {address, failureDomain} = host;
+    return new EndpointRecord(
+      {
+        ...createTarget(host),
+        address,
+        failureDomain,
+        service,
+        version: '',
+        slots: Number.MAX_SAFE_INTEGER,
+        state: 'ready',
+      },
+      () => Number.MAX_SAFE_INTEGER,
+      () => this.parts.clock.getNow(),
+    );
+  }
+
+  /** Counts a request to a host until it has ended. */
+  async countSend<T>({name}: RelayHost, send: () => Promise<T>): Promise<T> {
+    this.inFlight.set(name, (this.inFlight.get(name) ?? 0) + 1);
+    try {
+      return await send();
+    } finally {
+      const left = (this.inFlight.get(name) ?? 1) - 1;
+      if (left > 0) this.inFlight.set(name, left);
+      else this.inFlight.delete(name);
+    }
+  }
+
+  /** Records that a host cannot serve a service now. */
+  recordUnable({name}: RelayHost, service: string): void {
+    const until = this.parts.clock.getNow() + UNABLE_MS;
+    this.unable.set(`${name}/${service}`, until);
+  }
+
+  /** Whether the host that sent these lines declined to serve the request. */
+  hasDeclined(lines: HeaderLines): boolean {
+    return findHeader(lines, RELAY_HEADER.toLowerCase()) === DECLINED;
+  }
+
+  /** Closes the idle connections. */
+  close(): void {
+    this.client.close();
+  }
+
+  private countInFlight({name}: RelayHost): number {
+    return this.inFlight.get(name) ?? 0;
+  }
+}
+
+function createTarget({name, address}: RelayHost): SendPermit['target'] {
+  return {instanceId: `host ${name}`, endpointId: name, address};
+}
--- a/packages/gateway/src/serving/send_rules.ts
+++ b/packages/gateway/src/serving/send_rules.ts
@@ -6,6 +6,7 @@
 import type {AdmittedRequest} from './caller_exchange.js';
 import type {EndpointRecord} from './endpoint_record.js';
 import {decideRetryAfter} from './retry_after.js';
+import type {ServingParts} from './serving_parts.js';
 
 /**
  * How much the result of a send adds to the failure score of its endpoint. A
@@ -33,6 +34,19 @@
  */
 export const MAX_BUSY_WAIT_MS = 5000;
 
+/**
+ * Checks before a retry whether this host reaches any endpoint of a service,
+ * unless the last send has reached one.
+ */
+export async function checkPath(
+  {paths}: Pick<ServingParts, 'paths'>,
+  service: string,
+  result: {readonly kind: string; readonly mayHaveRun?: boolean},
+): Promise<void> {
+  if (result.kind !== 'lost' || result.mayHaveRun === true) return;
+  await paths.check(service);
+}
+
 /** Computes the time left for a send by caller and route, in ms. */
 export function computeRemainingMs(
   request: AdmittedRequest,
@@ -60,7 +74,7 @@
 
 /** Creates the error for a request that no endpoint ran. */
 export function createNotRunError(
-  kind: 'no_endpoint' | 'not_run_in_time',
+  kind: 'endpoints_unreachable' | 'no_endpoint' | 'not_run_in_time',
   service: string,
   random: Random,
 ): KnownError {
--- a/packages/gateway/src/serving/serving_parts.ts
+++ b/packages/gateway/src/serving/serving_parts.ts
@@ -10,6 +10,7 @@
 import type {PromptCacheFinder} from './prompt_cache_finder.js';
 import type {LostRuns} from './lost_runs.js';
 import type {RetryBudgets} from './retry_budgets.js';
+import type {RequestRelay} from './request_relay.js';
 import type {Rollouts} from './rollouts.js';
 import type {SendGate} from './send_gate.js';
 import type {ServingMetrics} from './serving_metrics.js';
@@ -35,6 +36,7 @@
   readonly runLeases: RunLeases;
   readonly gate: SendGate;
   readonly paths: EndpointPaths;
+  readonly relay: RequestRelay;
   readonly lostRuns: LostRuns;
   readonly metrics: ServingMetrics;
 }
--- a/packages/gateway/src/serving/silence_detector.ts
+++ b/packages/gateway/src/serving/silence_detector.ts
@@ -17,6 +17,8 @@
 export interface StreamTargets {
   readonly targetGapMs?: number | undefined;
   readonly targetLatencyMs: number;
+  /** Whether a stream is not lost as long as its endpoint answers probes. */
+  readonly toleratesSilence?: boolean;
 }
 
 /** Detects the silence of one stream. */
@@ -115,6 +117,10 @@
       this.handleLost('silent, and no answer to a question');
       return;
     }
+    if (this.targets.toleratesSilence === true) {
+      this.plan(probeAfterMs, () => this.probeInStream());
+      return;
+    }
     this.plan(lostAfterMs - probeAfterMs, () => {
       this.handleLost('silent, though the endpoint answers');
       return Promise.resolve();
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -10,17 +10,19 @@
 import type {ServingRoute} from '../model/serving_configuration.js';
 import type {AdmittedRequest, PlainAnswer} from './caller_exchange.js';
 import {KvCacheReplicator} from './kv_cache_replicator.js';
+import {checkEngineExit, publishUnreached} from './lost_attempt.js';
 import type {EndpointProber} from './endpoint_prober.js';
 import type {EndpointRecord, UseClaim} from './endpoint_record.js';
 import {admitAttempt} from './attempt_admission.js';
 import {PlanSearch} from './plan_search.js';
-import type {SendAdmission, SendPermit} from './send_gate.js';
+import type {SendPermit} from './send_gate.js';
 import {SendHolds} from './send_holds.js';
 import {
   computeRemainingMs,
   createBusyError,
   createNotRunError,
   createRefusedError,
+  checkPath,
   MAX_BUSY_WAIT_MS,
   recordEndpointFailure,
 } from './send_rules.js';
@@ -35,13 +37,11 @@
 import {StreamEvidence} from './stream_evidence.js';
 import {StreamPlanner} from './stream_planner.js';
 import {StreamRetries, type RetryDenial} from './stream_retries.js';
+import {StreamRelay} from './stream_relay.js';
 import {StreamReport} from './stream_report.js';
 import {StreamSink} from './stream_sink.js';
 import {SuspectRunAdmission} from './suspect_run.js';
 
-/** The longest wait for an engine's exit check, which takes a few ms. */
-const MAX_EXIT_CHECK_WAIT_MS = 60;
-
 /** Drives one stream. */
 export class StreamDriver {
   /** The engine of the last attempt; undefined before the first. */
@@ -55,6 +55,7 @@
   private lastAnswer: PlainAnswer | undefined;
   private lossDetail = '';
   private retryDenial: RetryDenial | undefined;
+  private readonly relay: StreamRelay;
   private readonly search: PlanSearch;
   private readonly holds: SendHolds;
   private readonly evidence: StreamEvidence;
@@ -76,6 +77,8 @@
     this.retries = new StreamRetries(parts, request, route, service);
     const {exchange} = request;
     this.sink = new StreamSink(exchange, metadata.lastEventId);
+    const {sink, retries} = this;
+    this.relay = new StreamRelay(parts, request, route, service, sink, retries);
     const {startedAt} = exchange;
     this.report = new StreamReport(parts, request.requestId, startedAt);
     const {rollouts, clock} = parts;
@@ -85,10 +88,7 @@
 
   /** Runs attempts until the stream ends; returns its outcome for metrics. */
   async run(): Promise<string> {
-    if (this.sink.lastEventId === undefined) {
-      this.planner.setTrial(this.parts.rollouts.takeTrial(this.service));
-    }
-    await this.planner.findCachedPrompt();
+    if (!this.isPartitioned()) await this.planner.loadPreferences();
     try {
       return await this.runAttempts();
     } finally {
@@ -96,15 +96,27 @@
     }
   }
 
+  private isPartitioned(): boolean {
+    return this.parts.paths.isPartitioned(this.service);
+  }
+
   private async runAttempts(): Promise<string> {
     for (;;) {
+      if (this.isPartitioned()) {
+        const outcome = await this.runRelayed();
+        if (outcome !== undefined) return outcome;
+        continue;
+      }
       const earlyOutcome = await this.waitForAdmission();
       if (earlyOutcome !== undefined) return earlyOutcome;
       const plan = await this.search.find(this.sink.isStarted);
       const {exchange} = this.request;
       if (exchange.hasDisconnected()) return 'left';
+      if (plan === undefined && this.isPartitioned()) continue;
       if (plan === undefined) return this.finishLost();
-      const permit = await this.admit(plan);
+      const isResumed = this.sink.lastEventId !== undefined;
+      const {signal} = exchange;
+      const permit = await admitAttempt(this.parts, plan, isResumed, signal);
       if (exchange.hasDisconnected()) return 'left';
       if (permit.kind === 'held') {
         this.holds.add(permit);
@@ -122,13 +134,34 @@
         return 'answered';
       }
       this.recordResult(plan, result);
-      await this.checkEndpointExit(plan, result);
+      const {hasReplica} = this.planner;
+      const {request, parts} = this;
+      await checkEngineExit(parts, request, plan.endpoint, result, hasReplica);
       if (exchange.isExpired) return this.finishExpired();
       this.retryDenial = this.retries.findRetryDenial(result);
       if (this.retryDenial !== undefined) return this.finishLost();
+      await checkPath(this.parts, this.service, result);
     }
   }
 
+  /**
+   * Runs the stream through another host; returns the outcome, or undefined if
+   * the stream may be sent again.
+   */
+  private async runRelayed(): Promise<string | undefined> {
+    const {exchange} = this.request;
+    // The other host needs the lease itself.
+    this.suspect.close();
+    const step = await this.relay.run();
+    if (exchange.hasDisconnected()) return 'left';
+    if (exchange.isExpired) return this.finishExpired();
+    if (step.kind === 'retry') return undefined;
+    if (step.kind === 'done') return step.outcome;
+    this.lossDetail = step.detail;
+    this.retryDenial = step.denial;
+    return this.finishLost();
+  }
+
   /** Waits until the next attempt may run; returns the outcome if it can't. */
   private async waitForAdmission(): Promise<string | undefined> {
     const {exchange} = this.request;
@@ -147,12 +180,6 @@
     return this.report.listFigures();
   }
 
-  private async admit(plan: AttemptPlan): Promise<SendAdmission> {
-    const isResumed = this.sink.lastEventId !== undefined;
-    const {signal} = this.request.exchange;
-    return admitAttempt(this.parts, plan, isResumed, signal);
-  }
-
   private async runAttempt(
     plan: AttemptPlan,
     permit: SendPermit,
@@ -280,30 +307,12 @@
     if (result.kind === 'stopped') return;
     recordEndpointFailure(this.parts.endpoints, endpoint, result.kind);
     if (!hasRun && result.kind === 'lost') {
-      this.parts.endpoints.peers.usePublisher.publishLoss(endpoint.instanceId);
+      void publishUnreached(this.parts, this.service, endpoint);
     }
     const {lastEventId} = this.sink;
     this.report.recordLoss(plan, result, this.lossDetail, lastEventId);
   }
 
-  /**
-   * Checks whether the engine of a lost attempt exited. The stream waits for
-   * that only if its next attempt must process the prompt again, which takes
-   * far longer; a stream that resumes from a replica is not delayed.
-   */
-  private async checkEndpointExit(
-    plan: AttemptPlan,
-    result: AttemptResult,
-  ): Promise<void> {
-    if (result.kind !== 'lost' || !result.mayHaveRun) return;
-    const {requestId, content, exchange} = this.request;
-    const {endpoint} = plan;
-    const wasSilent = result.wasSilent ?? false;
-    const run = {requestId, content, endpoint, wasSilent};
-    const maxWaitMs = this.planner.hasReplica ? 0 : MAX_EXIT_CHECK_WAIT_MS;
-    await this.parts.lostRuns.record(run, maxWaitMs, exchange.signal);
-  }
-
   private finishExpired(): string {
     this.finishWith(
       this.retries.mayHaveRun
@@ -332,6 +341,10 @@
     if (this.retryDenial === 'content_busy') {
       return createBusyError(this.request.content, this.parts.random);
     }
+    if (this.isPartitioned()) {
+      const {random} = this.parts;
+      return createNotRunError('endpoints_unreachable', this.service, random);
+    }
     return this.holds.createError(this.service);
   }
 
--- a/packages/gateway/src/serving/stream_planner.ts
+++ b/packages/gateway/src/serving/stream_planner.ts
@@ -89,13 +89,24 @@
     this.replica = replica;
   }
 
+  /**
+   * Finds the engines to prefer for the first attempt: those of a rollout trial
+   * for a new stream, those with the prompt for a reconnecting caller.
+   */
+  async loadPreferences(): Promise<void> {
+    if (this.metadata.lastEventId !== undefined) {
+      await this.findCachedPrompt();
+      return;
+    }
+    this.trialEngines = this.parts.rollouts.takeTrial(this.service);
+  }
+
   /**
    * Finds the engines that have the prompt of a reconnecting caller in their
-   * prompt cache. Does nothing for callers that did not reconnect.
+   * prompt cache.
    */
-  async findCachedPrompt(): Promise<void> {
-    const {lastEventId, promptParts} = this.metadata;
-    if (lastEventId === undefined) return;
+  private async findCachedPrompt(): Promise<void> {
+    const {promptParts} = this.metadata;
     const usable = listLiveEndpoints(this.parts, this.service);
     const finder = this.parts.promptCaches;
     this.cachedTokens = await finder.findCachedTokens(usable, promptParts);
@@ -141,11 +152,6 @@
     this.knownLoadEngines = knownLoadEngines;
   }
 
-  /** Makes the first attempt a trial of a new version on one of the engines. */
-  setTrial(engines: readonly EndpointRecord[] | undefined): void {
-    this.trialEngines = engines;
-  }
-
   /** Places the next attempt; undefined when there is no engine for it. */
   choosePlan(): AttemptPlan | undefined {
     const trialPlan = this.chooseTrial();
--- /dev/null
+++ b/packages/gateway/src/serving/stream_relay.ts
@@ -0,0 +1,91 @@
+/**
+ * Runs one stream through other hosts while this host is partitioned from its
+ * engines, and decides what follows when that fails.
+ */
+import type {ServingRoute} from '../model/serving_configuration.js';
+import type {AdmittedRequest} from './caller_exchange.js';
+import {sendRelayedStream, type RelayedStreamResult} from './relayed_stream.js';
+import type {ServingParts} from './serving_parts.js';
+import {getAttemptDetail, type AttemptResult} from './stream_attempt.js';
+import type {RetryDenial, StreamRetries} from './stream_retries.js';
+import type {StreamSink} from './stream_sink.js';
+
+/** How long a started answer waits for a host that takes it, in ms. */
+const MAX_SEARCH_MS = 1500;
+/** The time between two searches, in ms. */
+const SEARCH_INTERVAL_MS = 50;
+
+/** What follows from an attempt through another host. */
+export type StreamRelayStep =
+  | {readonly kind: 'done'; readonly outcome: 'answered' | 'failed'}
+  | {readonly kind: 'retry'}
+  | {
+      readonly kind: 'given-up';
+      readonly detail: string;
+      readonly denial: RetryDenial | undefined;
+    };
+
+/** Runs one stream through other hosts. */
+export class StreamRelay {
+  /** When a started answer that no host takes is given up. */
+  private deadline: number | undefined;
+
+  constructor(
+    private readonly parts: ServingParts,
+    private readonly request: AdmittedRequest,
+    private readonly route: ServingRoute,
+    private readonly service: string,
+    private readonly sink: StreamSink,
+    private readonly retries: StreamRetries,
+  ) {}
+
+  /** Runs the stream through another host. */
+  async run(): Promise<StreamRelayStep> {
+    const {sink} = this;
+    const result = await this.send();
+    if (result.kind === 'ended') {
+      sink.end();
+      return {kind: 'done', outcome: 'answered'};
+    }
+    if (result.kind === 'failed' && !sink.isStarted) {
+      this.request.exchange.sendAnswer(result.answer);
+      return {kind: 'done', outcome: 'failed'};
+    }
+    if (result.kind === 'none' || result.kind === 'failed') {
+      return this.waitForHost();
+    }
+    return this.decideRetry(result);
+  }
+
+  /** A relayed request is not relayed further. */
+  private async send(): Promise<RelayedStreamResult> {
+    const {parts, request, route, service, sink, retries} = this;
+    if (request.exchange.hop !== undefined) return {kind: 'none'};
+    const maxRuns = route.maxAttempts - retries.runs;
+    const {lastEventId} = sink;
+    const relayed = {request, route, service, maxRuns, lastEventId};
+    return sendRelayedStream(parts, relayed, sink);
+  }
+
+  /** Lets a started answer wait a while; any other is refused at once. */
+  private async waitForHost(): Promise<StreamRelayStep> {
+    const {clock} = this.parts;
+    const now = clock.getNow();
+    this.deadline ??= now + MAX_SEARCH_MS;
+    if (!this.sink.isStarted || now >= this.deadline) {
+      const detail = 'no other host took the stream';
+      return {kind: 'given-up', detail, denial: undefined};
+    }
+    await clock.wait(SEARCH_INTERVAL_MS, this.request.exchange.signal);
+    return {kind: 'retry'};
+  }
+
+  private decideRetry(result: AttemptResult): StreamRelayStep {
+    this.deadline = undefined;
+    this.sink.markFailover();
+    this.retries.record(result);
+    const denial = this.retries.findRetryDenial(result);
+    if (denial === undefined) return {kind: 'retry'};
+    return {kind: 'given-up', detail: getAttemptDetail(result), denial};
+  }
+}
--- a/packages/gateway/src/tables/peer_tables.ts
+++ b/packages/gateway/src/tables/peer_tables.ts
@@ -1,9 +1,13 @@
 /**
  * The service `peerTables`: an HTTP server from which other hosts load this
  * host's table replicas, whole or only the changes after a revision, and the
- * list of live hosts.
+ * list of live hosts. It also receives the requests that other hosts relay.
  */
-import {createServer, type ServerResponse} from 'node:http';
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http';
 import {
   createService,
   createServiceKey,
@@ -18,6 +22,11 @@
   UNKNOWN_AGE_MS,
   type PeerTables,
 } from '../model/peer_tables_message.js';
+import {
+  parseRelayPath,
+  RELAY_PATH,
+  type RelayHop,
+} from '../model/relay_path.js';
 import {REPLICATED_TABLES} from '../model/table_store.js';
 import {PeerFrame} from '../model/peer_frame.js';
 import {HOST_IDENTITY} from '../services/identity.js';
@@ -51,8 +60,39 @@
   return {hosts, parts};
 }
 
+/** Receives requests that other hosts relay. */
+export class RelayReceiver {
+  /** Serves a relayed request; set by the service that serves callers. */
+  handle:
+    | ((
+        message: IncomingMessage,
+        response: ServerResponse,
+        hop: RelayHop,
+      ) => void)
+    | undefined;
+
+  constructor(private readonly deployment: string) {}
+
+  /** Accepts a request whose path is that of a relayed one. */
+  accept(message: IncomingMessage, response: ServerResponse): void {
+    const parsed = parseRelayPath(message.url ?? '');
+    if (parsed === undefined) {
+      response.writeHead(400).end();
+      return;
+    }
+    const {hop, path} = parsed;
+    const {handle} = this;
+    if (hop.deployment !== this.deployment || handle === undefined) {
+      response.writeHead(OTHER_DEPLOYMENT_STATUS).end();
+      return;
+    }
+    message.url = path;
+    handle(message, response, hop);
+  }
+}
+
 /** The key of the service. */
-export const PEER_TABLES = createServiceKey<undefined>('peerTables');
+export const PEER_TABLES = createServiceKey<RelayReceiver>('peerTables');
 
 /** Declares the service. */
 export const PEER_TABLES_SERVICE = createService({
@@ -68,7 +108,12 @@
     const tables = context.find(TABLES_KEY);
     const peers = context.find(PEERS);
     const {tag} = new PeerFrame(context.find(HOST_IDENTITY).deployment);
+    const relays = new RelayReceiver(tag);
     const server = createServer((message, response) => {
+      if (message.url?.startsWith(RELAY_PATH) === true) {
+        relays.accept(message, response);
+        return;
+      }
       const url = new URL(message.url ?? '/', 'http://localhost');
       if (url.pathname !== PEER_TABLES_PATH) {
         response.writeHead(404).end();
@@ -89,7 +134,7 @@
       sendJson(response, {...body, deployment: tag});
     });
     return {
-      api: undefined,
+      api: relays,
       start: () => startListening(server, settings.listen),
       stop() {
         server.close();
