Prefer hosts that took a relayed request before

With nine in ten of 60 hosts partitioned a host chosen at random declines, and four tries find none of the six others in most requests. Hosts that took a request in the last 3 s are preferred, unknown ones fill up two choices, and eight hosts are tried; a refusal takes a few ms.

--- a/packages/gateway/src/serving/relayed_call.ts
+++ b/packages/gateway/src/serving/relayed_call.ts
@@ -48,8 +48,8 @@
     const result = await relay.countSend(host, () =>
       sendToHost(parts, relayed, host),
     );
+    relay.recordResult(host, service, result?.kind === 'answer');
     if (result !== undefined) return result;
-    relay.recordUnable(host, service);
   }
   return {kind: 'none'};
 }
--- a/packages/gateway/src/serving/relayed_stream.ts
+++ b/packages/gateway/src/serving/relayed_stream.ts
@@ -41,8 +41,8 @@
       lastEventId: sink.lastEventId,
       ms: Math.round(clock.getNow() - startedAt),
     });
+    relay.recordResult(host, service, isTaken && result.kind !== 'lost');
     if (isTaken) return result;
-    relay.recordUnable(host, service);
   }
   return {kind: 'none'};
 }
--- a/packages/gateway/src/serving/request_relay.ts
+++ b/packages/gateway/src/serving/request_relay.ts
@@ -27,10 +27,12 @@
 /** The header line that a host adds to such a refusal. */
 export const DECLINED_LINE = [RELAY_HEADER, DECLINED] as const;
 
-/** How many hosts are tried for one request. */
-export const MAX_RELAY_HOSTS = 4;
+/** How many hosts are tried for one request; a refusal takes a few ms. */
+export const MAX_RELAY_HOSTS = 8;
 /** How long a host that declined or did not accept is not tried, in ms. */
-const UNABLE_MS = 1000;
+const UNABLE_MS = 1500;
+/** How long a host that took a request is preferred to unknown ones, in ms. */
+const ABLE_MS = 3000;
 /** Of so many hosts the one with the fewest relayed requests is chosen. */
 const CHOICES = 2;
 
@@ -42,6 +44,12 @@
   readonly failureDomain: string;
 }
 
+/** Whether a host took the last request, and when that was known. */
+interface HostResult {
+  readonly isAble: boolean;
+  readonly at: number;
+}
+
 /** Dependencies of the relay. */
 export interface RequestRelayParts {
   readonly codec: HeaderCodec;
@@ -77,8 +85,8 @@
   readonly client: EndpointClient;
   /** Probes whether another host answers. */
   readonly prober: EndpointProber;
-  /** Until when a host is not tried for a service, by both names. */
-  private readonly unable = new Map<string, number>();
+  /** The last result of a host for a service, by both names. */
+  private readonly results = new Map<string, HostResult>();
   /** Relayed requests in flight, by host. */
   private readonly inFlight = new Map<string, number>();
 
@@ -88,24 +96,23 @@
     this.prober = new EndpointProber(this.client, codec.reportPath);
   }
 
-  /** Chooses a host that has not been tried; undefined if there is none. */
+  /**
+   * Chooses a host that has not been tried; undefined if there is none. When
+   * most hosts are partitioned, those that took a request before save tries.
+   */
   choose(service: string, tried: ReadonlySet<string>): RelayHost | undefined {
-    const {peers, clock, random} = this.parts;
-    const now = clock.getNow();
-    const hosts = peers.listRelayHosts().filter(({name}) => {
-      const until = this.unable.get(`${name}/${service}`) ?? -Infinity;
-      return !tried.has(name) && until <= now;
-    });
-    let chosen: RelayHost | undefined;
-    for (const host of getSample(hosts, CHOICES, random)) {
-      if (
-        chosen === undefined ||
-        this.countInFlight(host) < this.countInFlight(chosen)
-      ) {
-        chosen = host;
-      }
+    const {peers, random} = this.parts;
+    const able: RelayHost[] = [];
+    const unknown: RelayHost[] = [];
+    for (const host of peers.listRelayHosts()) {
+      if (tried.has(host.name)) continue;
+      const isAble = this.findAbility(host, service);
+      if (isAble === true) able.push(host);
+      if (isAble === undefined) unknown.push(host);
     }
-    return chosen;
+    const preferred = getSample(able, CHOICES, random);
+    const others = getSample(unknown, CHOICES - preferred.length, random);
+    return this.findLeastBusy([...preferred, ...others]);
   }
 
   /** Creates the request to a host. */
@@ -159,10 +166,10 @@
     }
   }
 
-  /** Records that a host cannot serve a service now. */
-  recordUnable({name}: RelayHost, service: string): void {
-    const until = this.parts.clock.getNow() + UNABLE_MS;
-    this.unable.set(`${name}/${service}`, until);
+  /** Records whether a host took a request for a service. */
+  recordResult({name}: RelayHost, service: string, isAble: boolean): void {
+    const at = this.parts.clock.getNow();
+    this.results.set(`${name}/${service}`, {isAble, at});
   }
 
   /** Whether the host that sent these lines declined to serve the request. */
@@ -175,6 +182,30 @@
     this.client.close();
   }
 
+  /** Whether a host can serve a service; undefined if that is not known. */
+  private findAbility({name}: RelayHost, service: string): boolean | undefined {
+    const key = `${name}/${service}`;
+    const result = this.results.get(key);
+    if (result === undefined) return undefined;
+    const ageMs = this.parts.clock.getNow() - result.at;
+    if (ageMs < (result.isAble ? ABLE_MS : UNABLE_MS)) return result.isAble;
+    this.results.delete(key);
+    return undefined;
+  }
+
+  /** Finds the host with the fewest relayed requests, the first of equals. */
+  private findLeastBusy(hosts: readonly RelayHost[]): RelayHost | undefined {
+    let found: RelayHost | undefined;
+    let fewest = Infinity;
+    for (const host of hosts) {
+      const inFlight = this.countInFlight(host);
+      if (inFlight >= fewest) continue;
+      found = host;
+      fewest = inFlight;
+    }
+    return found;
+  }
+
   private countInFlight({name}: RelayHost): number {
     return this.inFlight.get(name) ?? 0;
   }
