Send no datagrams after the socket was closed

What callers saw: none; a host that stops while a request is in flight threw ERR_SOCKET_DGRAM_NOT_RUNNING when the request ended, which ends the process with an error.

--- a/packages/gateway/src/channels/datagram_socket.ts
+++ b/packages/gateway/src/channels/datagram_socket.ts
@@ -20,6 +20,7 @@
 /** A datagram port on a UDP socket. */
 export class DatagramSocket implements DatagramPort {
   private readonly socket: Socket = createSocket('udp4');
+  private isClosed = false;
 
   constructor(private readonly handle: DatagramHandler) {
     this.socket.on('message', (bytes, {address, port}) => {
@@ -42,11 +43,14 @@
   }
 
   send(bytes: Uint8Array, address: string): void {
+    // Requests that end after the close still report it; Node would throw.
+    if (this.isClosed) return;
     const {host, port} = splitPlace(address);
     this.socket.send(bytes, port, host, () => undefined);
   }
 
   close(): void {
+    this.isClosed = true;
     this.socket.close();
   }
 }
