Soak: partition hosts from all endpoints

A module that is loaded before the program refuses or silences connections to endpoints on command; the store, other hosts and callers are left alone. Each play partitions some or all hosts once beside its other faults, and some in calm, where their callers must be served at least two thirds as often as those of the other hosts, but for 10 failures and 1 in 50.

--- a/scripts/check_soak.mjs
+++ b/scripts/check_soak.mjs
@@ -57,6 +57,11 @@
     /findEnd\(instanceId\) \{/,
     'findEnd(instanceId) { return void 0;',
   ],
+  [
+    'a partitioned host relays its requests',
+    /isPartitioned\(service\) \{/,
+    'isPartitioned(service) { return false;',
+  ],
 ];
 
 // With a word, only the trials whose mechanism has it.
--- a/soak/src/disturbances.ts
+++ b/soak/src/disturbances.ts
@@ -4,7 +4,8 @@
  */
 
 /** What a fault touches. */
-export type DisturbedPart = 'callers' | 'endpoints' | 'hosts' | 'store';
+export type DisturbedPart =
+  'callers' | 'endpoint paths' | 'endpoints' | 'hosts' | 'store';
 
 /** One disturbance; `until` is open while it lasts. */
 export interface Disturbance {
--- a/soak/src/host_process.ts
+++ b/soak/src/host_process.ts
@@ -8,14 +8,18 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {splitPlace} from '@irisdock/kernel';
+import type {PartitionMode} from '@irisdock/users-platform/fixtures';
 import {DatagramLink} from './datagram_link.js';
 import {takeFreePorts} from './free_ports.js';
+import type {PartitionCommand} from './partition_preload.js';
 import {TcpLink} from './tcp_link.js';
 
 /** The bundle that is deployed, from soak/dist/src/. */
 export const DEPLOYED_PROGRAM = fileURLToPath(
   new URL('../../../target/irisdock-start.mjs', import.meta.url),
 );
+/** Loaded before the program, to partition the host from endpoints. */
+const PRELOAD = new URL('partition_preload.js', import.meta.url).href;
 /** How long a planned stop may take, in seconds. */
 const GRACE_SECONDS = 4;
 /** What the platform kills after, in ms from the signal. */
@@ -71,6 +75,7 @@
   private isEnding = false;
   private isClosed = false;
   private ports: number[] = [];
+  private partition: PartitionCommand = {otherPorts: []};
   private addresses = {store: '', callers: '', tables: '', datagrams: ''};
 
   constructor(private readonly parts: HostParts) {
@@ -155,6 +160,22 @@
     this.startProcess();
   }
 
+  /** Partitions the host from all endpoints; undefined ends that. */
+  setPartition(
+    mode: PartitionMode | undefined,
+    otherPorts: readonly number[],
+  ): void {
+    this.partition = mode === undefined ? {otherPorts} : {mode, otherPorts};
+    this.child?.send(this.partition);
+  }
+
+  /** Lists the ports at which the host and its links listen. */
+  listOwnPorts(): number[] {
+    const {store, callers, tables} = this.addresses;
+    const links = [store, callers, tables].map((one) => splitPlace(one).port);
+    return [...this.ports, ...links];
+  }
+
   /** Writes the settings file anew, and tells the process so. */
   sendReload(): void {
     this.writeSettings();
@@ -185,13 +206,14 @@
     this.life++;
     this.isEnding = false;
     const {directory, name, program} = this.parts;
-    const child = spawn(process.execPath, [program], {
-      stdio: ['ignore', 'pipe', 'pipe'],
+    const child = spawn(process.execPath, ['--import', PRELOAD, program], {
+      stdio: ['ignore', 'pipe', 'pipe', 'ipc'],
       env: createEnvironment(this.writeSettings()),
     });
     const log = createWriteStream(join(directory, `${name}.log`), {flags: 'a'});
-    child.stdout.pipe(log, {end: false});
-    child.stderr.pipe(log, {end: false});
+    child.send(this.partition);
+    child.stdout?.pipe(log, {end: false});
+    child.stderr?.pipe(log, {end: false});
     this.child = child;
     RUNNING.add(child);
     child.once('exit', (code, signal) => {
--- a/soak/src/play.ts
+++ b/soak/src/play.ts
@@ -24,6 +24,7 @@
 import {LimitPlayer} from './limit_player.js';
 import {LimitWitness} from './limit_witness.js';
 import {PAUSE_MS, PausePlayer} from './pause_player.js';
+import {PartitionPlayer} from './partition_player.js';
 import {PauseWitness} from './pause_witness.js';
 import {StoreDrills} from './store_drills.js';
 import {Witness, type RequestKind} from './witness.js';
@@ -127,13 +128,17 @@
     const running = callers.map((caller) => caller.run());
     const asking = this.configuration.run();
     const limits = this.startLimits();
-    const others = [this.startDrills(), ...this.startPauses()];
+    const {seed, hosts, disturbances} = this;
+    const partitions = new PartitionPlayer(seed, hosts, disturbances);
+    const partition = partitions.run();
+    const others = [partition, this.startDrills(), ...this.startPauses()];
     await this.runFaults(plan);
     await Promise.all(others);
     await sleep(RECOVERY_MS - LIMITS_OVER_MS);
     limits.stop();
     await sleep(LIMITS_OVER_MS);
     await Promise.all([this.checkRecovery(), this.drainInCalm()]);
+    await partitions.runInCalm();
     for (const caller of callers) caller.stop();
     this.configuration.stop();
     await Promise.all([...running, asking]);
@@ -143,6 +148,7 @@
       ...this.crashes.listFaults(),
       ...this.limits.listFaults(),
       ...this.pauses.listFaults(),
+      ...partitions.listFaults(this.witness.ended),
     ];
     for (const fault of broken) this.witness.addFault(fault);
     return plan;
--- a/soak/src/witness.ts
+++ b/soak/src/witness.ts
@@ -7,7 +7,9 @@
   formatEventData,
   type ServerRun,
 } from '@irisdock/users-platform/fixtures';
+import {CRASH_PREFIX} from './crash_witness.js';
 import type {Disturbances} from './disturbances.js';
+import type {EndedAttempt} from './partition_player.js';
 import {
   LEAVE_MS,
   STREAM_SHAPE,
@@ -56,6 +58,8 @@
 export class Witness {
   readonly faults: string[] = [];
   readonly counts = {answered: 0, refused: 0, failed: 0, cut: 0};
+  /** Attempts that have ended, in this order. */
+  readonly ended: EndedAttempt[] = [];
   private readonly attempts = new Map<string, Attempt>();
   private readonly runs = new Map<string, number>();
   /** Attempts that were told that they have not run. */
@@ -90,6 +94,7 @@
 
   /** Takes how an attempt ended. */
   recordEnd(attempt: Attempt, end: AttemptEnd): void {
+    this.recordEnded(attempt, end);
     if (end.kind === 'cut') {
       this.counts.cut++;
       if (end.wasSent) this.checkCut(attempt);
@@ -112,6 +117,14 @@
     else this.checkCall(attempt, end);
   }
 
+  /** Contents that end their endpoints are refused everywhere. */
+  private recordEnded({host, startedAt, body}: Attempt, end: AttemptEnd): void {
+    if (body.startsWith(CRASH_PREFIX)) return;
+    const isServed =
+      end.kind === 'answer' && end.status === OK_STATUS && end.isWhole;
+    this.ended.push({host, startedAt, isServed});
+  }
+
   /** Takes a broken promise, in words that name who and what. */
   addFault(fault: string): void {
     this.faults.push(fault);
