Pass no refusal on for a relayed request that may have run

A request that may be repeated and was lost on an endpoint can be refused by the host that it is relayed to then; its refusal says that it has not run. The caller gets the error of the lost answer now. Found by reading; no test forces this order, as a refusal that is not due to the host needs a limit or a pause that only the other host knows.

--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -127,10 +127,13 @@
     const earlyOutcome = this.findEarlyOutcome();
     if (earlyOutcome !== undefined) return earlyOutcome;
     if (result.kind === 'none') return this.finish();
-    if (result.kind === 'answer') return passRelayedAnswer(exchange, result);
-    const {detail} = result;
-    this.recordPossibleRun(detail);
-    const lost = {kind: 'lost', mayHaveRun: true, detail} as const;
+    if (result.kind === 'answer') {
+      // A refusal would say that the call has not run.
+      if (!result.isSigned && this.mayHaveRun) return this.finish();
+      return passRelayedAnswer(exchange, result);
+    }
+    this.recordPossibleRun(result.detail);
+    const lost = {...result, mayHaveRun: true};
     return this.isRetryAllowed(lost) ? undefined : this.finish();
   }
 
--- a/packages/gateway/src/serving/stream_relay.ts
+++ b/packages/gateway/src/serving/stream_relay.ts
@@ -15,6 +15,9 @@
 /** The time between two searches, in ms. */
 const SEARCH_INTERVAL_MS = 50;
 
+/** The statuses by which a host states that a request has not run. */
+const REFUSAL_STATUSES: ReadonlySet<number> = new Set([429, 503]);
+
 /** What follows from an attempt through another host. */
 export type StreamRelayStep =
   | {readonly kind: 'done'; readonly outcome: 'answered' | 'failed'}
@@ -47,7 +50,7 @@
       sink.end();
       return {kind: 'done', outcome: 'answered'};
     }
-    if (result.kind === 'failed' && !sink.isStarted) {
+    if (result.kind === 'failed' && this.isPassedOn(result.answer.status)) {
       this.request.exchange.sendAnswer(result.answer);
       return {kind: 'done', outcome: 'failed'};
     }
@@ -57,6 +60,13 @@
     return this.decideRetry(result);
   }
 
+  /** A refusal says that a stream has not run; an earlier run may have. */
+  private isPassedOn(status: number): boolean {
+    const {sink, retries} = this;
+    if (sink.isStarted) return false;
+    return !(retries.mayHaveRun && REFUSAL_STATUSES.has(status));
+  }
+
   /** A relayed request is not relayed further. */
   private async send(): Promise<RelayedStreamResult> {
     const {parts, request, route, service, sink, retries} = this;
