--- /dev/null
+++ b/scripts/relay_trials.mjs
@@ -0,0 +1,39 @@
+// The mechanisms by which a host without endpoints serves its callers, and their
+// proofs; played by check_proofs.mjs.
+const SERVING = 'packages/gateway/dist/src/serving';
+
+// mechanism; file; what is replaced by what; test file; its name's pattern
+export const RELAY_TRIALS = [
+  [
+    'relay: a host notices that it is partitioned',
+    `${SERVING}/endpoint_paths.js`,
+    'path.isPartitioned = true',
+    'path.isPartitioned = false',
+    'platform/partitioned_host',
+    'are served through other hosts',
+  ],
+  [
+    'relay: a partitioned host counts no crash',
+    `${SERVING}/endpoint_exit_check.js`,
+    "return 'partitioned'",
+    "return 'ended'",
+    'platform/partitioned_host',
+    'counts no crashes',
+  ],
+  [
+    'relay: a host that cannot serve declines',
+    `${SERVING}/request_handler.js`,
+    'HOST_REFUSALS.has(error.kind)',
+    'false',
+    'platform/relayed_requests',
+    'goes to the next host',
+  ],
+  [
+    'relay: what may have run is sent to no other host',
+    `${SERVING}/relayed_call.js`,
+    "mayHaveRun ? { kind: 'lost', detail } : undefined",
+    'undefined',
+    'gateway/relayed_call',
+    'when it may have run',
+  ],
+];
