Hold each crash of an engine against one content

Cause: a crash that two contents shared in their first runs, before either was suspected, counted half for each if they were equally suspect, so each was run a fourth time. If one became more suspect later, the crash moved to it, and the other, already refused, was run again.

Ruled out: refusing from a weight of 2 or 2.5 on. Ties decided by key alone, or sole-suspect crashes compared without a maximum: more engines end in random schedules.

Change: a crash is attributed to the most suspect content; from two crashes without another suspect on all contents rank the same, and a hash decides ties.

--- a/packages/decisions/src/crash_ledger.ts
+++ b/packages/decisions/src/crash_ledger.ts
@@ -5,23 +5,27 @@
  * ran a content. Three crashes are enough to refuse a content, but contents
  * that merely ran on the same instances must still be served.
  *
- * Each crash is therefore weighted by what else ran on the instance: 1 if every
- * other content there is less suspect, one half if one is equally suspect, and
- * 0 if one is more suspect. Suspicion is ordered by the number of crashes
- * without another suspect, then by the number of all crashes. The number of all
- * crashes alone is not enough: a sound content that ran next to two bad ones
- * has more crashes than either of them.
+ * Each crash is therefore attributed to the most suspect of the contents that
+ * ran on the instance. Suspicion is ordered by the number of crashes without
+ * another suspect, then by the number of all crashes. The number of all crashes
+ * alone is not enough: a sound content that ran next to two bad ones has more
+ * crashes than either of them. From two crashes without another suspect on,
+ * contents are equally suspect, so that further crashes of one don't change the
+ * attribution. Among equally suspect ones a hash decides: if a shared crash
+ * counted against none in full, two bad contents would each be run once more.
  *
  * A content is refused only if it was the sole suspect in at least one crash.
  * Suspected contents run isolated from each other, so the next run either
- * provides that evidence or completes. Regardless of the weights, a content
+ * provides that evidence or completes. Regardless of the attribution, a content
  * never ends more than six endpoint instances.
  *
  * A crash is identified by content and endpoint instance. Reports of several
  * hosts can therefore be merged in any order, and duplicates count once.
  */
 
-/** Weighted number of crashes from which a content is refused. */
+import {hashText} from './hash.js';
+
+/** Number of attributed crashes from which a content is refused. */
 export const REFUSAL_THRESHOLD = 3;
 /**
  * Number of crashes from which a content is refused whatever ran beside it. The
@@ -30,8 +34,8 @@
 export const MAX_CRASHES = 6;
 /** Crashes from which a content is a suspect in the crashes of others. */
 const SUSPECT_THRESHOLD = 2;
-/** Weight of a crash that is shared with an equally suspect content. */
-const SHARED_CRASH_WEIGHT = 0.5;
+/** Crashes without another suspect from which all contents rank the same. */
+const MAX_RANKED_SOLE_CRASHES = 2;
 
 /** An endpoint instance that ended while it ran a content. */
 export interface Crash {
@@ -69,8 +73,9 @@
 
 /** How suspect a content is; compared field by field in this order. */
 interface Suspicion {
-  /** Crashes without another suspect on the instance. */
+  /** Crashes without another suspect on the instance, up to the maximum. */
   readonly soleSuspectCrashes: number;
+  /** All crashes; 0 at the maximum of the above. */
   readonly crashes: number;
 }
 
@@ -125,7 +130,7 @@
     if (size < REFUSAL_THRESHOLD) return 'suspected';
     const suspicion = this.computeSuspicion(content);
     if (suspicion.soleSuspectCrashes === 0) return 'suspected';
-    return this.computeWeight(content) >= REFUSAL_THRESHOLD
+    return this.countAttributed(content) >= REFUSAL_THRESHOLD
       ? 'refused'
       : 'suspected';
   }
@@ -135,7 +140,13 @@
    * contents ran on each of the instances.
    */
   hasEvidence(content: string): boolean {
-    return this.computeWeight(content) > 0;
+    const suspicion = this.computeSuspicion(content);
+    return this.listInstances(content).some((instanceId) =>
+      this.listOtherContents(content, instanceId).every((other) => {
+        const otherSuspicion = this.computeSuspicion(other);
+        return compareSuspicions(otherSuspicion, suspicion) <= 0;
+      }),
+    );
   }
 
   /** Whether a recorded crash ended this endpoint instance. */
@@ -196,41 +207,37 @@
     return expired;
   }
 
-  /** Returns the weighted number of crashes of a content. */
-  private computeWeight(content: string): number {
+  /** Counts the crashes that are attributed to a content. */
+  private countAttributed(content: string): number {
     const suspicion = this.computeSuspicion(content);
-    let weight = 0;
-    for (const instanceId of this.entries.get(content)?.instanceIds ?? []) {
-      weight += this.computeCrashWeight(content, suspicion, instanceId);
-    }
-    return weight;
+    const attributed = this.listInstances(content).filter((instanceId) =>
+      this.isAttributed({content, instanceId}, suspicion),
+    );
+    return attributed.length;
   }
 
-  /** Returns how much the crash of one instance counts against a content. */
-  private computeCrashWeight(
-    content: string,
+  private isAttributed(
+    {content, instanceId}: Crash,
     suspicion: Suspicion,
-    instanceId: string,
-  ): number {
-    let weight = 1;
-    for (const other of this.listOtherContents(content, instanceId)) {
-      const comparison = compareSuspicions(
-        this.computeSuspicion(other),
-        suspicion,
-      );
-      if (comparison > 0) return 0;
-      if (comparison === 0) weight = SHARED_CRASH_WEIGHT;
-    }
-    return weight;
+  ): boolean {
+    return this.listOtherContents(content, instanceId).every((other) => {
+      const otherSuspicion = this.computeSuspicion(other);
+      const comparison =
+        compareSuspicions(otherSuspicion, suspicion) ||
+        compareCrashes({content: other, instanceId}, {content, instanceId});
+      return comparison < 0;
+    });
   }
 
   private computeSuspicion(content: string): Suspicion {
-    const instanceIds = this.entries.get(content)?.instanceIds ?? [];
     let soleSuspectCrashes = 0;
     let crashes = 0;
-    for (const instanceId of instanceIds) {
+    for (const instanceId of this.listInstances(content)) {
       crashes++;
       if (!this.hasOtherSuspect(content, instanceId)) soleSuspectCrashes++;
+      if (soleSuspectCrashes === MAX_RANKED_SOLE_CRASHES) {
+        return {soleSuspectCrashes, crashes: 0};
+      }
     }
     return {soleSuspectCrashes, crashes};
   }
@@ -243,6 +250,10 @@
     return false;
   }
 
+  private listInstances(content: string): string[] {
+    return [...(this.entries.get(content)?.instanceIds ?? [])];
+  }
+
   /** Lists the other contents that ran on an instance when it ended. */
   private listOtherContents(content: string, instanceId: string): string[] {
     const contents = this.contentsByInstance.get(instanceId) ?? [];
@@ -260,3 +271,12 @@
 function compareSuspicions(a: Suspicion, b: Suspicion): number {
   return a.soleSuspectCrashes - b.soleSuspectCrashes || a.crashes - b.crashes;
 }
+
+/** Orders contents that are equally suspect in the crash of one instance. */
+function compareCrashes(a: Crash, b: Crash): number {
+  return hashCrash(b) - hashCrash(a) || (a.content < b.content ? 1 : -1);
+}
+
+function hashCrash({content, instanceId}: Crash): number {
+  return hashText(`${instanceId}/${content}`);
+}
--- a/packages/decisions/src/naive/naive_crash_ledger.ts
+++ b/packages/decisions/src/naive/naive_crash_ledger.ts
@@ -2,6 +2,7 @@
  * Reference implementation of `CrashLedger.decide`: recomputes everything from
  * the list of all crashes. Tests compare the ledger with it.
  */
+import {hashText} from '../hash.js';
 import {
   MAX_CRASHES,
   REFUSAL_THRESHOLD,
@@ -20,15 +21,19 @@
   if (instanceIds.length < REFUSAL_THRESHOLD) return 'suspected';
   const rank = computeRank(crashes, content);
   if (rank < SOLE_SUSPECT_RANK) return 'suspected';
-  let weightedCrashes = 0;
-  for (const instanceId of instanceIds) {
-    const others = listOtherContents(crashes, content, instanceId);
-    const ranks = others.map((other) => computeRank(crashes, other));
-    const highestRank = Math.max(0, ...ranks);
-    if (highestRank < rank) weightedCrashes += 1;
-    else if (highestRank === rank) weightedCrashes += 0.5;
-  }
-  return weightedCrashes >= REFUSAL_THRESHOLD ? 'refused' : 'suspected';
+  const attributed = instanceIds.filter((instanceId) => {
+    const contents = [
+      content,
+      ...listOtherContents(crashes, content, instanceId),
+    ];
+    contents.sort(
+      (a, b) =>
+        computeRank(crashes, b) - computeRank(crashes, a) ||
+        hashText(`${instanceId}/${a}`) - hashText(`${instanceId}/${b}`),
+    );
+    return contents[0] === content;
+  });
+  return attributed.length >= REFUSAL_THRESHOLD ? 'refused' : 'suspected';
 }
 
 /** What a crash without another suspect adds to the rank of a content. */
@@ -42,6 +47,7 @@
       (other) => listInstances(crashes, other).length < 2,
     ),
   );
+  if (soleSuspectCrashes.length >= 2) return 2 * SOLE_SUSPECT_RANK;
   return soleSuspectCrashes.length * SOLE_SUSPECT_RANK + instanceIds.length;
 }
 
--- a/packages/decisions/tests/crash_ledger.test.ts
+++ b/packages/decisions/tests/crash_ledger.test.ts
@@ -9,11 +9,18 @@
   CrashLedger,
   decideContentNaively,
   MAX_CRASHES,
+  REFUSAL_THRESHOLD,
   type Crash,
 } from '@irisdock/decisions';
 
 const KEEP_MS = 1000;
 
+/** The instances of the first runs of two or three bad contents. */
+const FIRST_RUNS = fc.array(fc.constantFrom('a', 'b', 'c'), {
+  minLength: 2,
+  maxLength: 3,
+});
+
 function createLedger(maxContents = 100): CrashLedger {
   return new CrashLedger({keepMs: KEEP_MS, maxContents});
 }
@@ -106,6 +113,32 @@
     assert.ok(ledger.countCrashes('two') <= MAX_CRASHES);
   });
 
+  // Guards against a shared crash that counts against none of two bad contents
+  // in full, or moves from a refused one to the other: each was run again.
+  it('refuses bad contents after three ended endpoints each, shared or not', () => {
+    fc.assert(
+      fc.property(FIRST_RUNS, fc.array(fc.nat()), (firstRuns, order) => {
+        const ledger = createLedger();
+        const contents = firstRuns.map((_, number) => `bad ${number}`);
+        for (const [number, instanceId] of firstRuns.entries()) {
+          addAll(ledger, createCrashes(`bad ${number}`, instanceId));
+        }
+        const ended = new Set<string>(firstRuns);
+        for (let turn = 0; ; turn++) {
+          const served = contents.filter((content) => {
+            return ledger.decide(content) !== 'refused';
+          });
+          const content = served[(order[turn] ?? 0) % served.length];
+          if (content === undefined) break;
+          addAll(ledger, createCrashes(content, `alone-${turn}`));
+          ended.add(`alone-${turn}`);
+        }
+        assert.ok(ended.size <= REFUSAL_THRESHOLD * contents.length);
+      }),
+      {seed: 40, numRuns: 500},
+    );
+  });
+
   it('drops contents on request and after the retention time', () => {
     const ledger = createLedger();
     addAll(ledger, createCrashes('bad', 'a b c'));
