Request the lease again when a refusal is reversed

What callers saw: sound streams cut, as one content ended two engines at once late in its run of crashes.

Cause: a run that waits for the lease of a content stops waiting when the content is refused ('not-needed'). If reports of other hosts reverse the refusal within the 250 ms that it is waited for, the run started without the lease, at each host that had waited.

Change: the admission starts over once a refusal is reversed and no lease is held.

--- a/packages/gateway/src/serving/suspect_run.ts
+++ b/packages/gateway/src/serving/suspect_run.ts
@@ -94,14 +94,20 @@
   ): Promise<RunAdmissionResult> {
     const {crashes, lostRuns, clock} = this.parts;
     const {content} = this.request;
-    if (!lostRuns.isSuspected(content)) return 'admitted';
-    const isAcquired =
-      this.lease !== undefined || (await this.acquire(signal, maxWaitMs));
-    if (!isAcquired) return 'busy';
-    if (!crashes.isRefused(content)) return 'admitted';
-    // Reports on what else ran on the crashed endpoints may still arrive.
-    await clock.wait(REPORT_WAIT_MS, signal);
-    return crashes.isRefused(content) ? 'refused' : 'admitted';
+    const deadline = clock.getNow() + maxWaitMs;
+    while (lostRuns.isSuspected(content)) {
+      const remainingMs = deadline - clock.getNow();
+      const isAcquired =
+        this.lease !== undefined || (await this.acquire(signal, remainingMs));
+      if (!isAcquired) return 'busy';
+      if (!crashes.isRefused(content)) return 'admitted';
+      // Reports on what else ran on the crashed endpoints may still arrive.
+      await clock.wait(REPORT_WAIT_MS, signal);
+      if (crashes.isRefused(content)) return 'refused';
+      // A refused content requests no lease, and may now be run by others too.
+      if (this.lease !== undefined) return 'admitted';
+    }
+    return 'admitted';
   }
 
   /** Releases the lease, if one is held. */
