Keep suspects off engines that another one has for itself

What callers saw: sound streams lost with the engine of a suspect, or a suspect run beside another one, although engines were idle.

Two idle engines of five were not preferred either.

Two of the tests failed before.

Change: engines with all slots claimed are used if there are no others, and idle ones are preferred from two of five on. One idle engine of five still draws no suspects: those of several hosts would meet there.

--- a/packages/decisions/src/isolated_placement.ts
+++ b/packages/decisions/src/isolated_placement.ts
@@ -5,7 +5,8 @@
  * the stream's content, so that two suspected streams rarely share an engine:
  * if all chose the engine of least cost, streams that were lost together would
  * run together again, and the sound ones could not be distinguished from the
- * one that crashed the engine.
+ * one that crashed the engine. For the same reason an engine whose slots are
+ * all claimed, as the main suspects claim them, is only used if all are.
  */
 import type {EngineRequest, EngineView} from './engine_placement.js';
 import {sortByRendezvousHash} from './rendezvous_hash.js';
@@ -19,7 +20,7 @@
  * The share of them that must be idle for the others to be left out. Suspected
  * streams that all chose a few idle engines would meet there.
  */
-const MIN_IDLE_SHARE = 0.5;
+const MIN_IDLE_SHARE = 0.4;
 
 /**
  * Chooses an engine; undefined if all are excluded.
@@ -34,8 +35,14 @@
   const allowed = [...engines].filter(
     (engine) => !request.excluded.has(engine.instanceId),
   );
-  const sound = allowed.filter((engine) => engine.failureScore === 0);
-  const candidates = sound.length === 0 ? allowed : sound;
+  const sound = choosePreferred(
+    allowed,
+    ({failureScore}) => failureScore === 0,
+  );
+  const candidates = choosePreferred(
+    sound,
+    ({streams, slots}) => streams < slots,
+  );
   const sorted = candidates
     .map((engine) => ({engine, streams: engine.streams}))
     .sort((a, b) => a.streams - b.streams);
@@ -52,3 +59,12 @@
     content,
   )[0];
 }
+
+/** Returns the engines with a property, or all if none has it. */
+function choosePreferred<V>(
+  engines: readonly V[],
+  hasProperty: (engine: V) => boolean,
+): readonly V[] {
+  const preferred = engines.filter(hasProperty);
+  return preferred.length === 0 ? engines : preferred;
+}
--- a/packages/decisions/tests/isolated_placement.test.ts
+++ b/packages/decisions/tests/isolated_placement.test.ts
@@ -53,6 +53,29 @@
     assert.deepEqual(listChosen(engines), ['a', 'b', 'c']);
   });
 
+  // Guards against sound streams that are lost with the engine of a suspect in
+  // a fleet that has lost most of its idle engines.
+  it('runs on an idle engine if two of five are', () => {
+    const engines = ['a', 'b', 'c', 'd', 'e'].map((name, place) =>
+      createEngine(name, place < 2 ? 0 : 1),
+    );
+    assert.deepEqual(listChosen(engines), ['a', 'b']);
+  });
+
+  // Guards against two suspects on one engine, whose crash then counts in full
+  // against one of them at most.
+  it('does not join a stream that has claimed all slots of its engine', () => {
+    const engines = ['a', 'b', 'c'].map((name, place) =>
+      createEngine(name, place === 0 ? 8 : 2),
+    );
+    assert.deepEqual(listChosen(engines), ['b', 'c']);
+  });
+
+  it('joins one if all slots of all engines are claimed', () => {
+    const engines = ['a', 'b'].map((name) => createEngine(name, 8));
+    assert.deepEqual(listChosen(engines), ['a', 'b']);
+  });
+
   // Guards against suspects that meet on the only idle engine.
   it('does not choose the only idle engine with all others', () => {
     const engines = Array.from({length: 20}, (_, place) =>
