Let one suspected run at a time use an engine

What callers saw: sound streams cut, as a crashing content went on to its sixth engine: on each of them other suspects were lost beside it.

Cause: an engine that crashes under several suspects proves nothing against any of them. The lease keeps runs of one content apart, but each host chose engines for suspects by what it knew itself: two hosts chose the same one within some ms, and a stream went on at the engine that keeps its memory, where another host had sent a suspect. As engines are lost, suspects meet on those that are left.

Evidence: a crashing content lost with a sound one on five engines in a row (spread 8 ms): each resumed where the other was sent.

Ruled out: keeping suspects apart by the claims that hosts announce; they arrive some ms late, and one crash claims one slot.

Change: a run of a content with evidence holds a lease on its engine as well, by the issuers that exist; no message is new. Where another suspect holds it, the attempt takes another engine. Streams without evidence, as those of a lost failure domain, request nothing and do not wait; they request the engine that they run on once a crash of theirs is recorded.

--- a/packages/gateway/src/serving/crash_records.ts
+++ b/packages/gateway/src/serving/crash_records.ts
@@ -58,8 +58,20 @@
    */
   private readonly clearedKeys = new Set<string>();
 
+  private readonly listeners = new Set<() => void>();
+
   constructor(private readonly parts: CrashRecordsParts) {}
 
+  /**
+   * Calls a listener whenever a crash is added.
+   *
+   * @returns A function that ends the watch.
+   */
+  watch(listener: () => void): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
   /** Returns the verdict on a content. */
   getVerdict(content: string): ContentVerdict {
     return this.parts.ledger.decide(content);
@@ -178,6 +190,7 @@
         crashes: ledger.countCrashes(content),
       });
     }
+    for (const listener of [...this.listeners]) listener();
     // A host that observed one crash stores all of them, as the hosts that
     // observed the others may be lost by now.
     const isStored = ledger.countCrashes(content) >= MIN_STORED_CRASHES;
--- a/packages/gateway/src/serving/plan_search.ts
+++ b/packages/gateway/src/serving/plan_search.ts
@@ -1,7 +1,9 @@
 /**
- * Searches for the engine of a stream's next attempt. When there is none, a
- * stream whose answer has started waits a while; any other is refused at once.
+ * Searches for the engine of a stream's next attempt, and requests the lease on
+ * it if the stream is suspected. When there is none, a stream whose answer has
+ * started waits a while; any other is refused at once.
  */
+import type {EngineLease} from './engine_lease.js';
 import type {AttemptPlan} from './stream_attempt.js';
 import type {ServingParts} from './serving_parts.js';
 import type {StreamPlanner} from './stream_planner.js';
@@ -19,6 +21,7 @@
   constructor(
     private readonly parts: Pick<ServingParts, 'clock' | 'endpoints' | 'paths'>,
     private readonly planner: StreamPlanner,
+    private readonly engineLease: Pick<EngineLease, 'acquire'>,
     private readonly service: string,
     private readonly signal: AbortSignal,
   ) {}
@@ -30,14 +33,19 @@
    * @param isAnswerStarted Whether the caller has received part of the answer.
    */
   async find(isAnswerStarted: boolean): Promise<AttemptPlan | undefined> {
-    const {planner, signal} = this;
+    const {planner, engineLease, signal} = this;
     const {clock, paths} = this.parts;
     this.deadline ??= this.computeDeadline(isAnswerStarted);
     const {deadline} = this;
     for (;;) {
       await planner.pollRemoteEngines();
       const plan = planner.choosePlan();
-      if (plan !== undefined || signal.aborted) return plan;
+      if (signal.aborted) return plan;
+      if (plan !== undefined) {
+        if (await engineLease.acquire(plan.endpoint, signal)) return plan;
+        planner.recordTaken(plan);
+        continue;
+      }
       if (await paths.check(this.service)) return undefined;
       if (clock.getNow() >= deadline) return undefined;
       await clock.wait(SEARCH_INTERVAL_MS, signal);
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -14,6 +14,7 @@
 import type {EndpointProber} from './endpoint_prober.js';
 import type {EndpointRecord, UseClaim} from './endpoint_record.js';
 import {admitAttempt} from './attempt_admission.js';
+import {EngineLease} from './engine_lease.js';
 import {PlanSearch} from './plan_search.js';
 import type {SendPermit} from './send_gate.js';
 import {SendHolds} from './send_holds.js';
@@ -60,6 +61,7 @@
   private readonly holds: SendHolds;
   private readonly evidence: StreamEvidence;
   private readonly suspect: SuspectRunAdmission;
+  private readonly engineLease: EngineLease;
 
   constructor(
     private readonly parts: ServingParts,
@@ -68,18 +70,18 @@
     private readonly route: ServingRoute,
     private readonly service: string,
   ) {
-    const {metadata} = request;
+    const {metadata, exchange} = request;
+    const {signal, startedAt} = exchange;
     this.holds = new SendHolds(parts);
     this.suspect = new SuspectRunAdmission(parts, request);
     this.planner = new StreamPlanner(parts, request, service);
-    const {signal} = request.exchange;
-    this.search = new PlanSearch(parts, this.planner, service, signal);
+    this.engineLease = new EngineLease(parts, request);
+    const {planner, engineLease} = this;
+    this.search = new PlanSearch(parts, planner, engineLease, service, signal);
     this.retries = new StreamRetries(parts, request, route, service);
-    const {exchange} = request;
     this.sink = new StreamSink(exchange, metadata.lastEventId);
     const {sink, retries} = this;
     this.relay = new StreamRelay(parts, request, route, service, sink, retries);
-    const {startedAt} = exchange;
     this.report = new StreamReport(parts, request.requestId, startedAt);
     const {rollouts, clock} = parts;
     const {report} = this;
@@ -92,6 +94,7 @@
     try {
       return await this.runAttempts();
     } finally {
+      this.engineLease.release();
       this.suspect.close();
     }
   }
@@ -119,6 +122,7 @@
       const permit = await admitAttempt(this.parts, plan, isResumed, signal);
       if (exchange.hasDisconnected()) return 'left';
       if (permit.kind === 'held') {
+        this.engineLease.release();
         this.holds.add(permit);
         this.planner.recordHold(plan);
         // An engine exists and will admit the stream when its limit allows.
@@ -186,18 +190,12 @@
   ): Promise<AttemptResult> {
     const {endpoint, backup, kvCacheSource} = plan;
     const {exchange, requestId, team, body} = this.request;
-    const {expectedTokens} = this.planner;
     this.lastEndpoint = endpoint;
     this.search.end();
     this.sends++;
-    const claim: UseClaim = {
-      running: this.planner.countClaimedSlots(endpoint),
-      unreadTokens:
-        kvCacheSource === undefined ? this.planner.countUnread(endpoint) : 0,
-      expectedTokens,
-    };
+    const claim = this.planner.createClaim(plan);
     const replicator = this.createReplicator(plan);
-    const backupClaim = {running: 0, unreadTokens: 0, expectedTokens};
+    const backupClaim = {...claim, running: 0, unreadTokens: 0};
     endpoint.addClaim(claim);
     backup?.addClaim(backupClaim);
     this.parts.endpoints.peers.usePublisher.publishPlaced();
@@ -222,6 +220,7 @@
       isReplicaNeeded = result.kind !== 'ended' && result.kind !== 'stopped';
       return result;
     } finally {
+      this.engineLease.release();
       replicator.stop(isReplicaNeeded);
       this.planner.setReplica(replicator.findReplica());
       endpoint.releaseClaim(claim);
--- a/packages/gateway/src/serving/stream_planner.ts
+++ b/packages/gateway/src/serving/stream_planner.ts
@@ -14,7 +14,7 @@
 import type {RequestMetadata} from '../model/request_metadata.js';
 import type {AdmittedRequest} from './caller_exchange.js';
 import type {KvCacheReplica} from './kv_cache_replicator.js';
-import type {EndpointRecord} from './endpoint_record.js';
+import type {EndpointRecord, UseClaim} from './endpoint_record.js';
 import {listLiveEndpoints} from './live_endpoints.js';
 import type {ServingParts} from './serving_parts.js';
 import type {AttemptPlan} from './stream_attempt.js';
@@ -34,6 +34,8 @@
   private readonly avoidedDomains = new Set<string>();
   /** Engines whose limits held this stream back for now. */
   private readonly held = new Set<string>();
+  /** Engines on which another suspected stream runs. */
+  private readonly taken = new Set<string>();
   private replica: KvCacheReplica | undefined;
   /** Engines whose load this host knows; undefined when it knows all. */
   private knownLoadEngines: readonly EndpointRecord[] | undefined;
@@ -68,6 +70,7 @@
   /** Records that an attempt ended early on an engine. */
   recordAttemptEnd(endpoint: EndpointRecord, isLost: boolean): void {
     this.excluded.add(endpoint.instanceId);
+    this.taken.clear();
     // A failure domain may be lost as a whole.
     if (isLost) this.avoidedDomains.add(endpoint.failureDomain);
   }
@@ -79,6 +82,11 @@
     this.replica = {source: kvCacheSource, holder: endpoint};
   }
 
+  /** Records that another suspected stream runs on an engine. */
+  recordTaken({endpoint}: AttemptPlan): void {
+    this.taken.add(endpoint.instanceId);
+  }
+
   /** Makes engines whose limits held the stream back eligible again. */
   dropHolds(): void {
     this.held.clear();
@@ -154,6 +162,13 @@
 
   /** Places the next attempt; undefined when there is no engine for it. */
   choosePlan(): AttemptPlan | undefined {
+    const plan = this.chooseAvailable();
+    if (plan !== undefined || this.taken.size === 0) return plan;
+    this.taken.clear();
+    return this.chooseAvailable();
+  }
+
+  private chooseAvailable(): AttemptPlan | undefined {
     const trialPlan = this.chooseTrial();
     if (trialPlan !== undefined) return trialPlan;
     const usable = listLiveEndpoints(this.parts, this.service);
@@ -194,12 +209,22 @@
     return this.parts.gate.takeUnconfirmed(usable);
   }
 
+  /** Creates the claim of an attempt on its engine. */
+  createClaim({endpoint, kvCacheSource}: AttemptPlan): UseClaim {
+    return {
+      running: this.countClaimedSlots(endpoint),
+      unreadTokens:
+        kvCacheSource === undefined ? this.countUnread(endpoint) : 0,
+      expectedTokens: this.expectedTokens,
+    };
+  }
+
   /**
    * Counts the slots that the stream claims on an engine, as seen by all hosts:
    * all of them if the stream crashed engines repeatedly, so that no other
    * stream is placed beside it.
    */
-  countClaimedSlots(endpoint: EndpointRecord): number {
+  private countClaimedSlots(endpoint: EndpointRecord): number {
     const crashes = this.parts.crashes.countCrashes(this.content);
     return crashes >= MIN_CRASHES_FOR_OWN_ENGINE ? endpoint.slots : 1;
   }
@@ -219,7 +244,7 @@
   }
 
   /** Counts the tokens of the prompt that an engine has to process. */
-  countUnread(endpoint: EndpointRecord): number {
+  private countUnread(endpoint: EndpointRecord): number {
     return Math.max(
       0,
       this.metadata.promptTokens - this.countCachedTokens(endpoint),
@@ -231,7 +256,7 @@
     return {
       expectedTokens: this.expectedTokens,
       promptTokens: this.metadata.promptTokens,
-      excluded: this.held.size === 0 ? this.excluded : this.listExcluded(),
+      excluded: this.listExcluded(),
       avoidedDomains: this.avoidedDomains,
       promptKey: this.metadata.promptParts.at(-1)?.id ?? '',
       keptTokens: this.cachedTokens,
@@ -248,11 +273,12 @@
   }
 
   private listExcluded(): ReadonlySet<string> {
-    return new Set([...this.excluded, ...this.held]);
+    if (this.held.size === 0 && this.taken.size === 0) return this.excluded;
+    return new Set([...this.excluded, ...this.held, ...this.taken]);
   }
 
   private isExcluded({instanceId}: EndpointRecord): boolean {
-    return this.excluded.has(instanceId) || this.held.has(instanceId);
+    return this.listExcluded().has(instanceId);
   }
 
   /** Finds the engine that holds a replica, if it may take requests. */
