Suspect contents until a proven one explains their crashes

What callers saw: a crashing content ran on two engines at once after its first crash, and sound streams were lost with them.

Cause: a content whose crashes a more suspect one explains runs without a lease. A sound content that met two crashing ones has more crashes than either and passed for their cause; so did one whose crash was known some ms before those of other hosts.

Evidence: in the timelines a content with one recorded crash is sent without a request for the lease, while a sound one has two, both shared; e.g. spread 23 ms: crash at 33 ms with "sound 1", sent again at 56 ms, its other run at 52 ms.

Change: only a content that crashed an engine on which nothing else was lost explains crashes of others, and none is cleared within 50 ms of its last crash.

--- a/packages/decisions/src/crash_ledger.ts
+++ b/packages/decisions/src/crash_ledger.ts
@@ -136,16 +136,14 @@
   }
 
   /**
-   * Whether any crash counts against a content: false also if more suspect
-   * contents ran on each of the instances.
+   * Whether any crash counts against a content: false also if on each of the
+   * instances a more suspect content ran that crashed another one alone.
    */
   hasEvidence(content: string): boolean {
-    const suspicion = this.computeSuspicion(content);
     return this.listInstances(content).some((instanceId) =>
-      this.listOtherContents(content, instanceId).every((other) => {
-        const otherSuspicion = this.computeSuspicion(other);
-        return compareSuspicions(otherSuspicion, suspicion) <= 0;
-      }),
+      this.listOtherContents(content, instanceId).every(
+        (other) => !this.isExplainedBy(content, other),
+      ),
     );
   }
 
@@ -159,6 +157,11 @@
     return this.entries.get(content)?.instanceIds.size ?? 0;
   }
 
+  /** Returns when a content's last crash was recorded; undefined for none. */
+  findLastCrashTime(content: string): number | undefined {
+    return this.entries.get(content)?.lastAt;
+  }
+
   /** Lists the crashes of a content. */
   listCrashes(content: string): Crash[] {
     const instanceIds = this.entries.get(content)?.instanceIds ?? [];
@@ -207,6 +210,20 @@
     return expired;
   }
 
+  /**
+   * Whether another content is the proven cause of crashes that both share. A
+   * sound content that met two bad ones is more suspect than either at first,
+   * but was never alone.
+   */
+  private isExplainedBy(content: string, other: string): boolean {
+    const suspicion = this.computeSuspicion(content);
+    const otherSuspicion = this.computeSuspicion(other);
+    if (compareSuspicions(otherSuspicion, suspicion) <= 0) return false;
+    return this.listInstances(other).some((instanceId) => {
+      return this.listOtherContents(other, instanceId).length === 0;
+    });
+  }
+
   /** Counts the crashes that are attributed to a content. */
   private countAttributed(content: string): number {
     const suspicion = this.computeSuspicion(content);
--- a/packages/decisions/tests/crash_ledger.test.ts
+++ b/packages/decisions/tests/crash_ledger.test.ts
@@ -98,6 +98,17 @@
     assert.equal(ledger.hasEvidence('sound'), true);
   });
 
+  // Guards against a bad content that runs without a lease, at several hosts at
+  // once, as a sound one that met two bad ones passes for the cause.
+  it('has evidence against bad contents beside a sound one that met both', () => {
+    const ledger = createLedger();
+    addAll(ledger, createCrashes('sound', 'a b'));
+    addAll(ledger, createCrashes('bad', 'a'));
+    addAll(ledger, createCrashes('bad too', 'b'));
+    assert.equal(ledger.hasEvidence('bad'), true);
+    assert.equal(ledger.hasEvidence('bad too'), true);
+  });
+
   it('refuses two bad contents that always ran together', () => {
     const ledger = createLedger();
     addAll(ledger, createCrashes('one', 'a b c'));
--- a/packages/gateway/src/serving/crash_records.ts
+++ b/packages/gateway/src/serving/crash_records.ts
@@ -43,6 +43,14 @@
  */
 const MIN_STORED_CRASHES = 2;
 
+/**
+ * How long other hosts may take to report on a lost endpoint, in ms. Their runs
+ * on it are lost at the same moment; a busy host notices and reports it later.
+ */
+export const REPORT_WAIT_MS = 250;
+/** How long they usually take, in ms: a check of the exit and a datagram. */
+export const MAX_REPORT_DELAY_MS = 50;
+
 /** How many cleared crashes are remembered; the oldest are evicted first. */
 const MAX_CLEARED_CRASHES = 2000;
 
@@ -87,9 +95,20 @@
     return this.parts.ledger.countCrashes(content);
   }
 
-  /** Whether any crash counts against a content. */
+  /**
+   * Whether any crash counts against a content, or may count: other hosts may
+   * still report what else ran on the endpoint.
+   */
   hasEvidence(content: string): boolean {
-    return this.parts.ledger.hasEvidence(content);
+    const isRecent = this.getLastCrashAge(content) < MAX_REPORT_DELAY_MS;
+    return isRecent || this.parts.ledger.hasEvidence(content);
+  }
+
+  /** Returns the time since the last crash was recorded, in ms. */
+  getLastCrashAge(content: string): number {
+    const {ledger, clock} = this.parts;
+    const crashedAt = ledger.findLastCrashTime(content) ?? -Infinity;
+    return clock.getNow() - crashedAt;
   }
 
   /** Lists the crashes of a content. */
--- a/packages/gateway/src/serving/lost_runs.ts
+++ b/packages/gateway/src/serving/lost_runs.ts
@@ -5,16 +5,11 @@
  * domain, exited for another reason.
  */
 import type {Clock, Logger} from '@irisdock/kernel';
-import type {CrashRecords} from './crash_records.js';
+import {REPORT_WAIT_MS, type CrashRecords} from './crash_records.js';
 import {MAX_CHECK_MS, type EndpointExitCheck} from './endpoint_exit_check.js';
 import type {EndpointRecord} from './endpoint_record.js';
 import type {ServingMetrics} from './serving_metrics.js';
 
-/**
- * How long other hosts may take to report on a lost endpoint, in ms. Their runs
- * on it are lost at the same moment; a busy host notices and reports it later.
- */
-export const REPORT_WAIT_MS = 250;
 /**
  * How long after the removal of its entry the loss of a run still shows a
  * crash, in ms. A busy host may read the removal first. An endpoint that leaves
--- a/packages/gateway/src/serving/suspect_run.ts
+++ b/packages/gateway/src/serving/suspect_run.ts
@@ -4,8 +4,8 @@
  * known before the next starts. Other requests are not delayed.
  */
 import type {Clock, Logger} from '@irisdock/kernel';
-import type {CrashRecords} from './crash_records.js';
-import {REPORT_WAIT_MS, type LostRuns} from './lost_runs.js';
+import {REPORT_WAIT_MS, type CrashRecords} from './crash_records.js';
+import type {LostRuns} from './lost_runs.js';
 
 /**
  * How long the issuer may be silent before a content without crashes runs
