Wait for reports of the same moment before a third run

What callers saw: a crashing content ended a fourth engine, so that one less was left for sound streams.

Cause: the content's second and third crash are seen by two hosts at the same moment; the host that holds the lease ran it again before the other's report, which takes a check of the exit and a datagram, had arrived.

Evidence: spread 30 ms: crashes at 53.3 and 53.5 ms, sent again at 57.8 ms, refused by the report at 62.8 ms. The test "does not start if a third crash is reported at once" failed before.

Contents with one crash are not delayed.

--- a/packages/gateway/src/serving/suspect_run.ts
+++ b/packages/gateway/src/serving/suspect_run.ts
@@ -3,8 +3,13 @@
  * Over all hosts they run one at a time, so that the verdict on one run is
  * known before the next starts. Other requests are not delayed.
  */
+import {REFUSAL_THRESHOLD} from '@irisdock/decisions';
 import type {Clock, Logger} from '@irisdock/kernel';
-import {REPORT_WAIT_MS, type CrashRecords} from './crash_records.js';
+import {
+  MAX_REPORT_DELAY_MS,
+  REPORT_WAIT_MS,
+  type CrashRecords,
+} from './crash_records.js';
 import type {LostRuns} from './lost_runs.js';
 
 /**
@@ -100,6 +105,7 @@
       const isAcquired =
         this.lease !== undefined || (await this.acquire(signal, remainingMs));
       if (!isAcquired) return 'busy';
+      await this.waitForReports(signal);
       if (!crashes.isRefused(content)) return 'admitted';
       // Reports on what else ran on the crashed endpoints may still arrive.
       await clock.wait(REPORT_WAIT_MS, signal);
@@ -116,6 +122,19 @@
     this.lease = undefined;
   }
 
+  /**
+   * Waits for reports of crashes at the moment of the last one, if one more
+   * crash would refuse the content: runs at other hosts that began before the
+   * content was suspected are lost then.
+   */
+  private async waitForReports(signal: AbortSignal): Promise<void> {
+    const {crashes, clock} = this.parts;
+    const {content} = this.request;
+    if (crashes.countCrashes(content) < REFUSAL_THRESHOLD - 1) return;
+    const waitMs = MAX_REPORT_DELAY_MS - crashes.getLastCrashAge(content);
+    if (waitMs > 0) await clock.wait(waitMs, signal);
+  }
+
   private async acquire(
     signal: AbortSignal,
     maxWaitMs: number,
--- a/packages/gateway/tests/suspect_run.test.ts
+++ b/packages/gateway/tests/suspect_run.test.ts
@@ -16,6 +16,8 @@
 const OTHER_CONTENT = 'b'.repeat(32);
 /** When reports of another host revise the verdict, in ms. */
 const REVISION_MS = 100;
+/** When a crash at the same moment is reported, in ms. */
+const REPORT_MS = 10;
 const SETTLE_MS = 10_000;
 const MAX_WAIT_MS = 5000;
 
@@ -87,3 +89,20 @@
     });
   });
 });
+
+describe('a run of a content that crashed two endpoints just now', () => {
+  // Guards against a fourth crash where two hosts see the second and the third
+  // at the same moment.
+  it('does not start if a third crash is reported at once', async () => {
+    const reports = createCrashes(CONTENT, 'z');
+    const {result} = await admitSuspected('xy', reports, REPORT_MS);
+    assert.equal(result, 'refused');
+  });
+
+  it('starts with the lease if no report arrives', async () => {
+    assert.deepEqual(await admitSuspected('xy', [], REPORT_MS), {
+      result: 'admitted',
+      leases: 1,
+    });
+  });
+});
