Count crashes that passed for the loss of a failure domain

What callers saw: sound streams cut, as a crash was not counted and its content ended one engine more ("one end in eight was taken for that of a domain").

Cause: an engine whose two probed neighbors have ended passes for lost with its failure domain. Neighbors that crash under another content at the same moment look the same until their crashes are reported, some ms later; the verdict was final.

--- a/packages/decisions/src/crash_ledger.ts
+++ b/packages/decisions/src/crash_ledger.ts
@@ -152,6 +152,14 @@
     return this.contentsByInstance.has(instanceId);
   }
 
+  /** Whether a content that crashed others too ended this instance. */
+  hasSuspectCrashed(instanceId: string): boolean {
+    const contents = this.contentsByInstance.get(instanceId) ?? [];
+    return [...contents].some((content) => {
+      return this.countCrashes(content) >= SUSPECT_THRESHOLD;
+    });
+  }
+
   /** Returns the number of crashes of a content. */
   countCrashes(content: string): number {
     return this.entries.get(content)?.instanceIds.size ?? 0;
--- a/packages/gateway/src/serving/crash_records.ts
+++ b/packages/gateway/src/serving/crash_records.ts
@@ -126,6 +126,11 @@
     return this.parts.ledger.hasCrashed(instanceId);
   }
 
+  /** Whether a content with further crashes crashed an endpoint instance. */
+  hasSuspectCrashed(instanceId: string): boolean {
+    return this.parts.ledger.hasSuspectCrashed(instanceId);
+  }
+
   /** Lists the contents with recorded crashes. */
   listContents(): ContentCrashes[] {
     return this.parts.ledger.listContents();
--- a/packages/gateway/src/serving/endpoint_exit_check.ts
+++ b/packages/gateway/src/serving/endpoint_exit_check.ts
@@ -69,7 +69,7 @@
   readonly configuration: Pick<GatewayConfiguration, 'findService'>;
   readonly endpoints: Pick<GatewayEndpoints, 'listAll' | 'listUsable'>;
   readonly paths: Pick<EndpointPaths, 'checkAny'>;
-  readonly crashes: Pick<CrashRecords, 'hasCrashed'>;
+  readonly crashes: Pick<CrashRecords, 'hasCrashed' | 'hasSuspectCrashed'>;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Logger;
@@ -78,6 +78,11 @@
 /** Checks whether endpoints exited; concurrent checks of one share a probe. */
 export class EndpointExitCheck {
   private readonly pending = new Map<string, Promise<EndpointExitState>>();
+  /** The neighbors that showed the loss of an endpoint's failure domain. */
+  private readonly domainLosses = new WeakMap<
+    EndpointRecord,
+    readonly EndpointRecord[]
+  >();
   private readonly closing = new AbortController();
 
   constructor(private readonly parts: EndpointExitCheckParts) {}
@@ -94,6 +99,17 @@
     return check;
   }
 
+  /**
+   * Whether a result 'ended-with-domain' proved wrong: a neighbor that showed
+   * the loss crashed under a content that has crashed others too.
+   */
+  isDomainLossRefuted(endpoint: EndpointRecord): boolean {
+    const neighbors = this.domainLosses.get(endpoint) ?? [];
+    return neighbors.some(({instanceId}) =>
+      this.parts.crashes.hasSuspectCrashed(instanceId),
+    );
+  }
+
   /** Ends the pending checks; their results are unknown. */
   close(): void {
     this.closing.abort();
@@ -121,8 +137,9 @@
     if (!isAnyAnswering && (await this.isPartitioned(endpoint))) {
       return 'partitioned';
     }
-    const isDomainLost = this.isDomainLost(endpoint, neighbors, states);
-    return isDomainLost ? 'ended-with-domain' : 'ended';
+    if (!this.isDomainLost(endpoint, neighbors, states)) return 'ended';
+    this.domainLosses.set(endpoint, neighbors);
+    return 'ended-with-domain';
   }
 
   /**
--- a/packages/gateway/src/serving/lost_runs.ts
+++ b/packages/gateway/src/serving/lost_runs.ts
@@ -6,6 +6,7 @@
  */
 import type {Clock, Logger} from '@irisdock/kernel';
 import {REPORT_WAIT_MS, type CrashRecords} from './crash_records.js';
+import {DomainLossReview} from './domain_loss_review.js';
 import {MAX_CHECK_MS, type EndpointExitCheck} from './endpoint_exit_check.js';
 import type {EndpointRecord} from './endpoint_record.js';
 import type {ServingMetrics} from './serving_metrics.js';
@@ -29,7 +30,10 @@
 
 /** Dependencies of the lost runs. */
 export interface LostRunsParts {
-  readonly exitCheck: Pick<EndpointExitCheck, 'check' | 'close'>;
+  readonly exitCheck: Pick<
+    EndpointExitCheck,
+    'check' | 'close' | 'isDomainLossRefuted'
+  >;
   readonly crashes: CrashRecords;
   readonly metrics: ServingMetrics;
   readonly clock: Clock;
@@ -44,16 +48,20 @@
    */
   private readonly checking = new Map<string, Map<LostRun, AbortController>>();
 
-  constructor(private readonly parts: LostRunsParts) {}
+  private readonly domainLosses: DomainLossReview;
+
+  constructor(private readonly parts: LostRunsParts) {
+    this.domainLosses = new DomainLossReview(parts);
+  }
 
   /**
    * Whether a content crashed an endpoint, or may have done so just now. One
    * whose crashes are all explained by more suspect contents is not suspected.
    */
   isSuspected(content: string): boolean {
-    return (
-      this.checking.has(content) || this.parts.crashes.hasEvidence(content)
-    );
+    if (this.checking.has(content)) return true;
+    if (this.domainLosses.isPending(content)) return true;
+    return this.parts.crashes.hasEvidence(content);
   }
 
   /**
@@ -90,12 +98,14 @@
       checked.abort();
     }
     this.checking.delete(content);
+    this.domainLosses.cancel(content);
     this.parts.crashes.recordCompletion(content);
   }
 
   /** Ends the pending checks. */
   close(): void {
     this.parts.exitCheck.close();
+    this.domainLosses.close();
   }
 
   private isWaitNeeded({content, wasSilent}: LostRun): boolean {
@@ -130,8 +140,10 @@
       ownRuns,
     });
     // A content that was run to its end meanwhile is sound.
-    if (end !== 'ended' || !wasServing || signal.aborted) return;
-    crashes.recordCrash({content, instanceId});
+    if (!wasServing || signal.aborted) return;
+    if (end === 'ended') crashes.recordCrash({content, instanceId});
+    if (end !== 'ended-with-domain') return;
+    void this.domainLosses.add({content, endpoint});
   }
 
   private addChecking(run: LostRun): AbortController {
--- a/packages/gateway/tests/endpoint_exit_check.test.ts
+++ b/packages/gateway/tests/endpoint_exit_check.test.ts
@@ -17,6 +17,7 @@
  *
  * @param crashed The endpoints that are known to have crashed.
  * @param silent Endpoints that run but don't answer in time.
+ * @param suspects Those that crashed under a content that crashed others too.
  */
 function createCheck(
   all: readonly EndpointRecord[],
@@ -24,6 +25,7 @@
   seed: number,
   silent: readonly string[] = [],
   clock = new VirtualClock(),
+  suspects: readonly string[] = [],
 ): EndpointExitCheck {
   return new EndpointExitCheck({
     client: {
@@ -40,7 +42,10 @@
     configuration: {findService: () => undefined},
     endpoints: {listAll: () => [...all], listUsable: () => [...all]},
     paths: {checkAny: () => Promise.resolve(true)},
-    crashes: {hasCrashed: (instanceId) => crashed.includes(instanceId)},
+    crashes: {
+      hasCrashed: (instanceId) => crashed.includes(instanceId),
+      hasSuspectCrashed: (instanceId) => suspects.includes(instanceId),
+    },
     clock,
     random: new SeededRandom(seed),
     log: new RoarrLogger('test', 'off'),
@@ -111,6 +116,21 @@
     assert.equal(await state, 'ended-with-domain');
   });
 
+  // Guards against a loss that stands although its neighbors turn out to have
+  // crashed under another content at the same moment.
+  it('is not lost with its domain once suspects crashed its neighbors', async () => {
+    const all = ['a', 'b', 'c'].map((name) => createEndpoint(name));
+    const [ended] = all;
+    assert.ok(ended);
+    const suspects: string[] = [];
+    const clock = new VirtualClock();
+    const check = createCheck(all, [], 1, [], clock, suspects);
+    assert.equal(await check.check(ended), 'ended-with-domain');
+    assert.equal(check.isDomainLossRefuted(ended), false);
+    suspects.push('c');
+    assert.equal(check.isDomainLossRefuted(ended), true);
+  });
+
   // Guards against the next instance that answers for the one that crashed.
   it('has exited when another instance has replaced it', async () => {
     const [ended] = ['a'].map((name) => createEndpoint(name));
--- a/packages/gateway/tests/late_exit.test.ts
+++ b/packages/gateway/tests/late_exit.test.ts
@@ -62,7 +62,7 @@
     clock: new SystemClock(),
     endpoints: {listAll: () => [], listUsable: () => []},
     paths: {checkAny: () => Promise.resolve(true)},
-    crashes: {hasCrashed: () => false},
+    crashes: {hasCrashed: () => false, hasSuspectCrashed: () => false},
     random: new SeededRandom(1),
     log: LOG,
   });
@@ -96,6 +96,7 @@
   const exitCheck = {
     check: () => Promise.resolve(end),
     close: () => undefined,
+    isDomainLossRefuted: () => false,
   };
   const lostRuns = new LostRuns({
     exitCheck,
@@ -131,7 +132,7 @@
     clock: new SystemClock(),
     endpoints: {listAll: () => [], listUsable: () => []},
     paths: {checkAny: () => Promise.resolve(true)},
-    crashes: {hasCrashed: () => false},
+    crashes: {hasCrashed: () => false, hasSuspectCrashed: () => false},
     random: new SeededRandom(1),
     log: LOG,
   });
--- a/packages/gateway/tests/lost_runs.test.ts
+++ b/packages/gateway/tests/lost_runs.test.ts
@@ -31,6 +31,7 @@
   const exitCheck = {
     check: () => Promise.resolve('ended' as const),
     close: () => undefined,
+    isDomainLossRefuted: () => false,
   };
   const lostRuns = new LostRuns({exitCheck, crashes, metrics, clock, log});
   return {clock, crashes, lostRuns};
@@ -93,7 +94,11 @@
     await clock.wait(checkMs);
     return 'ended';
   };
-  const exitCheck = {check, close: () => undefined};
+  const exitCheck = {
+    check,
+    close: () => undefined,
+    isDomainLossRefuted: () => false,
+  };
   const lostRuns = new LostRuns({exitCheck, crashes, metrics, clock, log});
   const {signal} = new AbortController();
   let waitedMs = Infinity;
