Log the software version of each send and the attempt that a caller resumes

Logs could not tell a stream that changed its software version within an answer from one that its caller resumed elsewhere. The lines of a send and of a resumption name the version, and the attempt of the caller's Resumes header; a counter tells resumptions at the same, another or an unknown version. No logic changes.

--- a/packages/gateway/src/model/request_metadata.ts
+++ b/packages/gateway/src/model/request_metadata.ts
@@ -24,6 +24,11 @@
   readonly remainingMs: number | undefined;
   /** The last event that the caller received; undefined for a new stream. */
   readonly lastEventId: number | undefined;
+  /**
+   * The id of the caller's attempt that brought the first event of the stream
+   * that this request resumes; undefined when not given.
+   */
+  readonly resumedRequestId: string | undefined;
   /** The number of tokens of the prompt; 0 when unknown. */
   readonly promptTokens: number;
   /** The maximum number of tokens to generate; 0 when unknown. */
--- a/packages/gateway/src/serving/serving_metrics.ts
+++ b/packages/gateway/src/serving/serving_metrics.ts
@@ -11,6 +11,7 @@
   readonly requests: Counter;
   readonly losses: Counter;
   readonly lostRuns: Counter;
+  readonly resumptions: Counter;
   readonly answerSeconds: Histogram;
   readonly resumeSeconds: Histogram;
 
@@ -34,6 +35,12 @@
       labelNames: ['end'],
       registers,
     });
+    this.resumptions = new Counter({
+      name: 'irisdock_gateway_resumptions_total',
+      help: 'Resumed streams, a count, by software version: same, other than before, or unknown before.',
+      labelNames: ['version'],
+      registers,
+    });
     this.answerSeconds = new Histogram({
       name: 'irisdock_gateway_answer_seconds',
       help: 'Time to a complete answer or a first event, in seconds.',
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -71,7 +71,7 @@
     private readonly service: string,
   ) {
     const {metadata, exchange} = request;
-    const {signal, startedAt} = exchange;
+    const {signal} = exchange;
     this.holds = new SendHolds(parts);
     this.suspect = new SuspectRunAdmission(parts, request);
     this.planner = new StreamPlanner(parts, request, service);
@@ -82,7 +82,7 @@
     this.sink = new StreamSink(exchange, metadata.lastEventId);
     const {sink, retries} = this;
     this.relay = new StreamRelay(parts, request, route, service, sink, retries);
-    this.report = new StreamReport(parts, request.requestId, startedAt);
+    this.report = new StreamReport(parts, request);
     const {rollouts, clock} = parts;
     const {report} = this;
     this.evidence = new StreamEvidence(rollouts, route.name, report, clock);
--- a/packages/gateway/src/serving/stream_report.ts
+++ b/packages/gateway/src/serving/stream_report.ts
@@ -1,5 +1,6 @@
 /** Writes the log lines and metrics of one stream. */
 import type {LogFields} from '@irisdock/kernel';
+import type {AdmittedRequest} from './caller_exchange.js';
 import type {ServingParts} from './serving_parts.js';
 import type {AttemptPlan, AttemptResult} from './stream_attempt.js';
 
@@ -11,12 +12,13 @@
   private lostAt: number | undefined;
   private firstEventMs: number | undefined;
   private longestPauseMs = 0;
+  private lastPlan: AttemptPlan | undefined;
+  /** The software version that began the stream; undefined if unknown. */
+  private firstVersion: string | undefined;
 
   constructor(
     private readonly parts: ServingParts,
-    private readonly requestId: string,
-    /** When the request arrived, on the monotonic clock. */
-    private readonly startedAt: number,
+    private readonly request: AdmittedRequest,
   ) {}
 
   /** Records the start of an attempt. */
@@ -27,8 +29,10 @@
   ): void {
     const {endpoint, backup, kvCacheSource} = plan;
     this.parts.log.writeInfo('A stream is sent to an engine.', {
-      request: this.requestId,
+      request: this.request.requestId,
       endpoint: endpoint.instanceId,
+      softwareVersion: endpoint.entry.version,
+      resumes: this.request.metadata.resumedRequestId,
       domain: endpoint.failureDomain,
       streams: endpoint.streams,
       unreadTokens: endpoint.unreadTokens,
@@ -46,6 +50,8 @@
     nextEventId: number | undefined,
   ): boolean {
     const now = this.parts.clock.getNow();
+    if (plan !== this.lastPlan) this.countVersion(plan, lastEventId);
+    this.lastPlan = plan;
     if (this.lostAt !== undefined) {
       this.recordResumed(plan, now, this.lostAt, {lastEventId, nextEventId});
       this.lostAt = undefined;
@@ -59,7 +65,7 @@
       return false;
     }
     this.firstEventAt = now;
-    this.firstEventMs = now - this.startedAt;
+    this.firstEventMs = now - this.request.exchange.startedAt;
     const seconds = this.firstEventMs / 1000;
     this.parts.metrics.answerSeconds.observe({kind: 'stream'}, seconds);
     return true;
@@ -93,7 +99,7 @@
     this.lostAt ??= clock.getNow();
     metrics.losses.inc({reason: result.kind});
     log.writeInfo('A stream attempt ended early.', {
-      request: this.requestId,
+      request: this.request.requestId,
       endpoint: plan.endpoint.instanceId,
       address: plan.endpoint.address,
       result: result.kind,
@@ -103,6 +109,22 @@
     });
   }
 
+  /** Counts a resumption by whether the software version changed. */
+  private countVersion(
+    {endpoint}: AttemptPlan,
+    lastEventId: number | undefined,
+  ): void {
+    const {version} = endpoint.entry;
+    if (lastEventId === undefined) {
+      this.firstVersion = version;
+      return;
+    }
+    const isSame = this.firstVersion === version;
+    const result = isSame ? 'same' : 'other';
+    const label = this.firstVersion === undefined ? 'unknown' : result;
+    this.parts.metrics.resumptions.inc({version: label});
+  }
+
   private recordResumed(
     plan: AttemptPlan,
     now: number,
@@ -115,8 +137,9 @@
     const since = this.lastEventAt ?? lostAt;
     this.parts.metrics.resumeSeconds.observe((now - since) / 1000);
     this.parts.log.writeInfo('A stream resumed after a loss.', {
-      request: this.requestId,
+      request: this.request.requestId,
       endpoint: plan.endpoint.instanceId,
+      softwareVersion: plan.endpoint.entry.version,
       pauseMs: Math.round(now - since),
       noticedMs: Math.round(lostAt - since),
       ...ids,
