--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -5,10 +5,9 @@
  * next attempt need not process the prompt again.
  */
 import type {ServerSentEvent} from '@irisdock/decisions';
-import type {KnownError, LogFields} from '@irisdock/kernel';
-import {GATEWAY_ERRORS} from '../errors.js';
+import type {LogFields} from '@irisdock/kernel';
 import type {ServingRoute} from '../model/serving_configuration.js';
-import type {AdmittedRequest, PlainAnswer} from './caller_exchange.js';
+import type {AdmittedRequest} from './caller_exchange.js';
 import {KvCacheReplicator} from './kv_cache_replicator.js';
 import {checkEngineExit, publishUnreached} from './lost_attempt.js';
 import type {EndpointProber} from './endpoint_prober.js';
@@ -20,9 +19,6 @@
 import {SendHolds} from './send_holds.js';
 import {
   computeRemainingMs,
-  createBusyError,
-  createNotRunError,
-  createRefusedError,
   checkPath,
   MAX_BUSY_WAIT_MS,
   recordEndpointFailure,
@@ -37,7 +33,8 @@
 } from './stream_attempt.js';
 import {StreamEvidence} from './stream_evidence.js';
 import {StreamPlanner} from './stream_planner.js';
-import {StreamRetries, type RetryDenial} from './stream_retries.js';
+import {StreamFailure} from './stream_failure.js';
+import {StreamRetries} from './stream_retries.js';
 import {StreamRelay} from './stream_relay.js';
 import {StreamReport} from './stream_report.js';
 import {StreamSink} from './stream_sink.js';
@@ -53,9 +50,7 @@
   private readonly sink: StreamSink;
   private readonly retries: StreamRetries;
   private readonly report: StreamReport;
-  private lastAnswer: PlainAnswer | undefined;
-  private lossDetail = '';
-  private retryDenial: RetryDenial | undefined;
+  private readonly failure: StreamFailure;
   private readonly relay: StreamRelay;
   private readonly search: PlanSearch;
   private readonly holds: SendHolds;
@@ -83,6 +78,15 @@
     const {sink, retries} = this;
     this.relay = new StreamRelay(parts, request, route, service, sink, retries);
     this.report = new StreamReport(parts, request);
+    this.failure = new StreamFailure(
+      parts,
+      request,
+      route,
+      service,
+      sink,
+      retries,
+      this.holds,
+    );
     const {rollouts, clock} = parts;
     const {report} = this;
     this.evidence = new StreamEvidence(rollouts, route.name, report, clock);
@@ -116,7 +120,7 @@
       const {exchange} = this.request;
       if (exchange.hasDisconnected()) return 'left';
       if (plan === undefined && this.isPartitioned()) continue;
-      if (plan === undefined) return this.finishLost();
+      if (plan === undefined) return this.failure.finishLost();
       const isResumed = this.sink.lastEventId !== undefined;
       const {signal} = exchange;
       const permit = await admitAttempt(this.parts, plan, isResumed, signal);
@@ -141,9 +145,9 @@
       const {hasReplica} = this.planner;
       const {request, parts} = this;
       await checkEngineExit(parts, request, plan.endpoint, result, hasReplica);
-      if (exchange.isExpired) return this.finishExpired();
-      this.retryDenial = this.retries.findRetryDenial(result);
-      if (this.retryDenial !== undefined) return this.finishLost();
+      if (exchange.isExpired) return this.failure.finishExpired();
+      this.failure.denial = this.retries.findRetryDenial(result);
+      if (this.failure.denial !== undefined) return this.failure.finishLost();
       await checkPath(this.parts, this.service, result);
     }
   }
@@ -158,12 +162,12 @@
     this.suspect.close();
     const step = await this.relay.run();
     if (exchange.hasDisconnected()) return 'left';
-    if (exchange.isExpired) return this.finishExpired();
+    if (exchange.isExpired) return this.failure.finishExpired();
     if (step.kind === 'retry') return undefined;
     if (step.kind === 'done') return step.outcome;
-    this.lossDetail = step.detail;
-    this.retryDenial = step.denial;
-    return this.finishLost();
+    this.failure.detail = step.detail;
+    this.failure.denial = step.denial;
+    return this.failure.finishLost();
   }
 
   /** Waits until the next attempt may run; returns the outcome if it can't. */
@@ -172,11 +176,11 @@
     const maxWaitMs = this.sink.isStarted ? Infinity : MAX_BUSY_WAIT_MS;
     const admission = await this.suspect.admit(exchange.signal, maxWaitMs);
     if (exchange.hasDisconnected()) return 'left';
-    if (exchange.isExpired) return this.finishExpired();
+    if (exchange.isExpired) return this.failure.finishExpired();
     if (admission === 'admitted') return undefined;
-    this.retryDenial =
+    this.failure.denial =
       admission === 'busy' ? 'content_busy' : 'content_refused';
-    return this.finishLost();
+    return this.failure.finishLost();
   }
 
   /** Lists the event timings for the log line of the request's end. */
@@ -296,11 +300,11 @@
     if (result.kind === 'ended') return;
     this.planner.recordAttemptEnd(endpoint, result.kind === 'lost');
     this.sink.markFailover();
-    this.lossDetail = getAttemptDetail(result);
+    this.failure.detail = getAttemptDetail(result);
     const hasRun = hasPossiblyRun(result);
     this.retries.record(result);
     if (result.kind === 'failed') {
-      this.lastAnswer = result.answer;
+      this.failure.lastAnswer = result.answer;
       this.evidence.recordFailure(endpoint);
     }
     if (result.kind === 'stopped') return;
@@ -309,59 +313,6 @@
       void publishUnreached(this.parts, this.service, endpoint);
     }
     const {lastEventId} = this.sink;
-    this.report.recordLoss(plan, result, this.lossDetail, lastEventId);
-  }
-
-  private finishExpired(): string {
-    this.finishWith(
-      this.retries.mayHaveRun
-        ? GATEWAY_ERRORS.create('timed_out', {ms: this.route.timeoutMs})
-        : createNotRunError('not_run_in_time', this.service, this.parts.random),
-    );
-    return 'expired';
-  }
-
-  private finishLost(): string {
-    const {exchange} = this.request;
-    if (!this.sink.isStarted && this.lastAnswer !== undefined) {
-      exchange.sendAnswer(this.lastAnswer);
-      return 'failed';
-    }
-    const {mayHaveRun} = this.retries;
-    this.finishWith(this.createLossError());
-    return mayHaveRun ? 'lost' : 'refused';
-  }
-
-  private createLossError(): KnownError {
-    const {mayHaveRun, isRefused} = this.retries;
-    if (isRefused) return createRefusedError(this.request.content, mayHaveRun);
-    const detail = this.lossDetail;
-    if (mayHaveRun) return GATEWAY_ERRORS.create('stream_lost', {detail});
-    if (this.retryDenial === 'content_busy') {
-      return createBusyError(this.request.content, this.parts.random);
-    }
-    if (this.isPartitioned()) {
-      const {random} = this.parts;
-      return createNotRunError('endpoints_unreachable', this.service, random);
-    }
-    return this.holds.createError(this.service);
-  }
-
-  private finishWith(error: KnownError): void {
-    const {requestId} = this.request;
-    this.sink.fail(error);
-    this.parts.log.writeInfo('A stream was not finished.', {
-      request: requestId,
-      service: this.service,
-      kind: error.kind,
-      started: this.sink.isStarted,
-      runs: this.retries.runs,
-      notRun: this.retries.notRun,
-      detail: this.lossDetail,
-      bar: this.retryDenial ?? 'no_engine',
-      crashes: this.parts.crashes.countCrashes(this.request.content),
-      content: this.request.content,
-      ...this.holds.listFields(),
-    });
+    this.report.recordLoss(plan, result, this.failure.detail, lastEventId);
   }
 }
--- /dev/null
+++ b/packages/gateway/src/serving/stream_failure.ts
@@ -0,0 +1,91 @@
+/** Ends a stream that could not be finished: chooses the error and logs it. */
+import type {KnownError} from '@irisdock/kernel';
+import {GATEWAY_ERRORS} from '../errors.js';
+import type {ServingRoute} from '../model/serving_configuration.js';
+import type {AdmittedRequest, PlainAnswer} from './caller_exchange.js';
+import type {SendHolds} from './send_holds.js';
+import {
+  createBusyError,
+  createNotRunError,
+  createRefusedError,
+} from './send_rules.js';
+import type {ServingParts} from './serving_parts.js';
+import type {RetryDenial, StreamRetries} from './stream_retries.js';
+import type {StreamSink} from './stream_sink.js';
+
+/** Ends one stream as failed. */
+export class StreamFailure {
+  /** The last failure of an engine that the caller may get as its answer. */
+  lastAnswer: PlainAnswer | undefined;
+  /** How the last attempt ended; empty before the first. */
+  detail = '';
+  /** Why the stream is not retried; undefined if no engine was found. */
+  denial: RetryDenial | undefined;
+
+  constructor(
+    private readonly parts: ServingParts,
+    private readonly request: AdmittedRequest,
+    private readonly route: ServingRoute,
+    private readonly service: string,
+    private readonly sink: StreamSink,
+    private readonly retries: StreamRetries,
+    private readonly holds: SendHolds,
+  ) {}
+
+  /** Ends a stream whose time is over; returns its outcome. */
+  finishExpired(): string {
+    const {parts, route, service} = this;
+    this.finishWith(
+      this.retries.mayHaveRun
+        ? GATEWAY_ERRORS.create('timed_out', {ms: route.timeoutMs})
+        : createNotRunError('not_run_in_time', service, parts.random),
+    );
+    return 'expired';
+  }
+
+  /** Ends a stream that gets no further attempt; returns its outcome. */
+  finishLost(): string {
+    const {exchange} = this.request;
+    if (!this.sink.isStarted && this.lastAnswer !== undefined) {
+      exchange.sendAnswer(this.lastAnswer);
+      return 'failed';
+    }
+    const {mayHaveRun} = this.retries;
+    this.finishWith(this.createLossError());
+    return mayHaveRun ? 'lost' : 'refused';
+  }
+
+  private createLossError(): KnownError {
+    const {mayHaveRun, isRefused} = this.retries;
+    const {parts, service, detail} = this;
+    const {content} = this.request;
+    if (isRefused) return createRefusedError(content, mayHaveRun);
+    if (mayHaveRun) return GATEWAY_ERRORS.create('stream_lost', {detail});
+    if (this.denial === 'content_busy') {
+      return createBusyError(content, parts.random);
+    }
+    if (parts.paths.isPartitioned(service)) {
+      return createNotRunError('endpoints_unreachable', service, parts.random);
+    }
+    return this.holds.createError(service);
+  }
+
+  private finishWith(error: KnownError): void {
+    const {parts, request, retries} = this;
+    const {content} = request;
+    this.sink.fail(error);
+    parts.log.writeInfo('A stream was not finished.', {
+      request: request.requestId,
+      service: this.service,
+      kind: error.kind,
+      started: this.sink.isStarted,
+      runs: retries.runs,
+      notRun: retries.notRun,
+      detail: this.detail,
+      bar: this.denial ?? 'no_engine',
+      crashes: parts.crashes.countCrashes(content),
+      content,
+      ...this.holds.listFields(),
+    });
+  }
+}
