Bind a stream to the software version that sent its first event

What callers saw: an answer whose engine was lost held events of two software versions. Cause: no choice within an answer looked at the version.

The first event that is passed on binds the stream; an engine lost before it binds nothing. One list of the engines that may run the stream (live_endpoints) serves every choice: later attempts, standby, replica, isolated placement, unconfirmed limits and polls of remote engines. A rollout that moved its traffic lets begun streams continue at the old version until it is completed, and those of a trial at the new one until it is rolled back; before, they changed version.

Ruled out: filtering only the standby, as an engine of any version was chosen when the replica's holder was gone.

--- a/packages/gateway/src/services/gateway_endpoints.ts
+++ b/packages/gateway/src/services/gateway_endpoints.ts
@@ -94,12 +94,23 @@
 
   /** Lists the endpoints of a service that may get new work. */
   listUsable(service: string): EndpointRecord[] {
-    const usable: EndpointRecord[] = [];
+    return this.listUnpaused(service).filter(({isUsable}) => isUsable);
+  }
+
+  /** Lists the endpoints of a service that may continue begun streams. */
+  listOpenToBegun(service: string): EndpointRecord[] {
+    return this.listUnpaused(service).filter(
+      ({isOpenToBegun}) => isOpenToBegun,
+    );
+  }
+
+  private listUnpaused(service: string): EndpointRecord[] {
+    const unpaused: EndpointRecord[] = [];
     for (const record of this.records.values()) {
-      if (record.entry.service !== service || !record.isUsable) continue;
-      if (!this.isPaused(record)) usable.push(record);
+      if (record.entry.service !== service || !record.isReady) continue;
+      if (!this.isPaused(record)) unpaused.push(record);
     }
-    return usable;
+    return unpaused;
   }
 
   /** The pauses that endpoints requested from this host. */
--- a/packages/gateway/src/serving/endpoint_record.ts
+++ b/packages/gateway/src/serving/endpoint_record.ts
@@ -74,6 +74,8 @@
 export class EndpointRecord implements EngineView, PlainEndpointView {
   /** Whether a rollout keeps usual requests away from it. */
   isExcludedByRollout = false;
+  /** Whether a rollout that excludes it lets begun streams continue there. */
+  isOpenToBegunStreams = false;
   private removalCause: RemovalCause | undefined;
   private removedAt = 0;
   private readonly removalListeners = new Set<(cause: RemovalCause) => void>();
@@ -139,6 +141,12 @@
     return this.isReady && !this.isExcludedByRollout;
   }
 
+  /** Whether the endpoint may continue a stream that began at its version. */
+  get isOpenToBegun(): boolean {
+    if (!this.isReady) return false;
+    return !this.isExcludedByRollout || this.isOpenToBegunStreams;
+  }
+
   get answerMs(): number {
     return this.meanAnswerMs;
   }
--- a/packages/gateway/src/serving/kv_cache_replicator.ts
+++ b/packages/gateway/src/serving/kv_cache_replicator.ts
@@ -8,8 +8,9 @@
 import type {EngineCall, KvCacheSource} from '../model/request_metadata.js';
 import type {EndpointRecord} from './endpoint_record.js';
 import type {EngineAnswer} from './engine_client.js';
-import {listLiveEndpoints} from './live_endpoints.js';
+import {listStreamEngines} from './live_endpoints.js';
 import {getRandomFraction, type ServingParts} from './serving_parts.js';
+import {createOrigin, VersionBinding} from './version_binding.js';
 
 /** The engine that holds a replica, and the replica's source and name. */
 export interface KvCacheReplica {
@@ -114,12 +115,11 @@
   }
 
   private chooseTarget(): EndpointRecord | undefined {
-    const {rollouts} = this.parts;
     const {service} = this.primary.entry;
-    const usable = listLiveEndpoints(this.parts, service).filter((engine) =>
-      rollouts.isSameSide(engine, this.primary),
-    );
-    return chooseBackupEngine(usable, this.primary, this.engineRequest);
+    const binding = new VersionBinding();
+    binding.add(createOrigin(this.primary));
+    const engines = listStreamEngines(this.parts, service, binding);
+    return chooseBackupEngine(engines, this.primary, this.engineRequest);
   }
 
   private async sendCopy(target: EndpointRecord): Promise<boolean> {
--- a/packages/gateway/src/serving/live_endpoints.ts
+++ b/packages/gateway/src/serving/live_endpoints.ts
@@ -5,16 +5,41 @@
  */
 import type {EndpointRecord} from './endpoint_record.js';
 import type {ServingParts} from './serving_parts.js';
+import type {VersionBinding} from './version_binding.js';
+
+/** Dependencies of the lists. */
+type LiveEndpointsParts = Pick<ServingParts, 'crashes' | 'endpoints'>;
 
 /**
  * Lists the usable endpoints of a service except those that are known to have
  * crashed; if no other is left, includes them, as a report may be wrong.
  */
 export function listLiveEndpoints(
-  {endpoints, crashes}: Pick<ServingParts, 'crashes' | 'endpoints'>,
+  parts: LiveEndpointsParts,
+  service: string,
+): readonly EndpointRecord[] {
+  return listLive(parts, parts.endpoints.listUsable(service));
+}
+
+/**
+ * Lists the live engines that may run a stream: for a stream that has begun,
+ * those of its software version.
+ */
+export function listStreamEngines(
+  parts: LiveEndpointsParts,
   service: string,
+  binding: VersionBinding,
+): readonly EndpointRecord[] {
+  if (binding.origin === undefined) return listLiveEndpoints(parts, service);
+  const engines = parts.endpoints.listOpenToBegun(service);
+  const ofVersion = engines.filter((engine) => binding.isOpenTo(engine));
+  return listLive(parts, ofVersion);
+}
+
+function listLive(
+  {crashes}: LiveEndpointsParts,
+  usable: readonly EndpointRecord[],
 ): readonly EndpointRecord[] {
-  const usable = endpoints.listUsable(service);
   if (!crashes.hasCrashes) return usable;
   const live = usable.filter(({instanceId}) => !crashes.hasCrashed(instanceId));
   return live.length === 0 ? usable : live;
--- a/packages/gateway/src/serving/rollout_state.ts
+++ b/packages/gateway/src/serving/rollout_state.ts
@@ -88,6 +88,16 @@
     return this.currentPhase === 'moving' && !hasNew;
   }
 
+  /**
+   * Whether endpoints of a side may continue streams that began at their
+   * version: old ones until they stop, new ones unless they are rolled back.
+   */
+  isOpenToBegunStreams(side: RolloutSide): boolean {
+    if (side === 'other') return true;
+    const phase = side === 'old' ? 'moving' : 'trial';
+    return this.currentPhase === phase;
+  }
+
   /** Takes one trial; false if the exposure bounds allow no more. */
   takeTrial(bounds: ExposureBounds, hosts: number): boolean {
     if (this.currentPhase !== 'trial') return false;
--- a/packages/gateway/src/serving/rollouts.ts
+++ b/packages/gateway/src/serving/rollouts.ts
@@ -105,6 +105,7 @@
         hasNew,
         statesWithOld.has(state),
       );
+      record.isOpenToBegunStreams = state.isOpenToBegunStreams(side);
     }
   }
 
@@ -142,13 +143,6 @@
     if (state.addAnswer(observed)) this.handlePhaseChange(state);
   }
 
-  /** Whether a KV cache may be replicated from one endpoint to the other. */
-  isSameSide(one: EndpointRecord, other: EndpointRecord): boolean {
-    const state = this.states.get(one.entry.service);
-    if (state === undefined) return true;
-    return state.getSide(one) === state.getSide(other);
-  }
-
   /** Lists the endpoints of the new version that can take requests. */
   listNewEndpoints(state: RolloutState): EndpointRecord[] {
     return this.listSide(state, 'new').filter((record) => record.isReady);
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -39,6 +39,7 @@
 import {StreamReport} from './stream_report.js';
 import {StreamSink} from './stream_sink.js';
 import {SuspectRunAdmission} from './suspect_run.js';
+import {createOrigin, VersionBinding} from './version_binding.js';
 
 /** Drives one stream. */
 export class StreamDriver {
@@ -46,6 +47,7 @@
   lastEndpoint: EndpointRecord | undefined;
   /** The number of attempts so far. */
   sends = 0;
+  private readonly binding = new VersionBinding();
   private readonly planner: StreamPlanner;
   private readonly sink: StreamSink;
   private readonly retries: StreamRetries;
@@ -69,7 +71,7 @@
     const {signal} = exchange;
     this.holds = new SendHolds(parts);
     this.suspect = new SuspectRunAdmission(parts, request);
-    this.planner = new StreamPlanner(parts, request, service);
+    this.planner = new StreamPlanner(parts, request, service, this.binding);
     this.engineLease = new EngineLease(parts, request);
     const {planner, engineLease} = this;
     this.search = new PlanSearch(parts, planner, engineLease, service, signal);
@@ -290,6 +292,7 @@
       plan.endpoint.recordSuccess(undefined);
       this.evidence.recordFirstEvent(plan.endpoint);
     }
+    this.binding.add(createOrigin(plan.endpoint));
     const {hasGap, drained} = this.sink.passEvents(events);
     if (hasGap) attempt.end('events are missing');
     return drained;
--- a/packages/gateway/src/serving/stream_planner.ts
+++ b/packages/gateway/src/serving/stream_planner.ts
@@ -15,9 +15,14 @@
 import type {AdmittedRequest} from './caller_exchange.js';
 import type {KvCacheReplica} from './kv_cache_replicator.js';
 import type {EndpointRecord, UseClaim} from './endpoint_record.js';
-import {listLiveEndpoints} from './live_endpoints.js';
+import {listStreamEngines} from './live_endpoints.js';
 import type {ServingParts} from './serving_parts.js';
 import type {AttemptPlan} from './stream_attempt.js';
+import {
+  createOrigin,
+  isOfOrigin,
+  type VersionBinding,
+} from './version_binding.js';
 
 /** Expected fraction of the allowed output tokens without a caller's hint. */
 const EXPECTED_OUTPUT_FRACTION = 0.5;
@@ -48,6 +53,7 @@
     private readonly parts: ServingParts,
     {metadata, content}: AdmittedRequest,
     private readonly service: string,
+    private readonly binding: VersionBinding,
   ) {
     this.metadata = metadata;
     this.content = content;
@@ -115,7 +121,7 @@
    */
   private async findCachedPrompt(): Promise<void> {
     const {promptParts} = this.metadata;
-    const usable = listLiveEndpoints(this.parts, this.service);
+    const usable = this.listEngines();
     const finder = this.parts.promptCaches;
     this.cachedTokens = await finder.findCachedTokens(usable, promptParts);
   }
@@ -130,7 +136,7 @@
     if (this.findReplicaHolder(this.replica) !== undefined) return;
     const {endpoints, random} = this.parts;
     const {groups, useQueries} = endpoints.peers;
-    const usable = listLiveEndpoints(this.parts, this.service);
+    const usable = this.listEngines();
     const isHome = ({instanceId}: EndpointRecord): boolean =>
       groups.isHome(instanceId);
     const home = usable.filter(isHome);
@@ -153,7 +159,7 @@
     const knownLoadEngines = [...home];
     for (const {instanceId, failures, ...use} of await useQueries.poll(ids)) {
       const engine = endpoints.find(instanceId);
-      if (engine?.isUsable !== true) continue;
+      if (engine === undefined || !this.isOpen(engine)) continue;
       engine.setHomeGroupUse(use, failures);
       knownLoadEngines.push(engine);
     }
@@ -171,7 +177,7 @@
   private chooseAvailable(): AttemptPlan | undefined {
     const trialPlan = this.chooseTrial();
     if (trialPlan !== undefined) return trialPlan;
-    const usable = listLiveEndpoints(this.parts, this.service);
+    const usable = this.listEngines();
     const request = this.createEngineRequest();
     const {replica} = this;
     this.replica = undefined;
@@ -183,13 +189,23 @@
       chooseEngine(this.knownLoadEngines ?? usable, request) ??
       chooseEngine(usable, request);
     if (endpoint === undefined) return undefined;
-    const backup = this.isBackupEnabled()
-      ? chooseBackupEngine(usable, endpoint, request)
-      : undefined;
+    const backup = this.chooseBackup(usable, endpoint, request);
     const kvCacheSource = holder === undefined ? undefined : replica?.source;
     return {endpoint, backup, kvCacheSource};
   }
 
+  /** Chooses a standby from which the stream may be continued. */
+  private chooseBackup(
+    engines: readonly EndpointRecord[],
+    endpoint: EndpointRecord,
+    request: EngineRequest,
+  ): EndpointRecord | undefined {
+    if (!this.isBackupEnabled()) return undefined;
+    const origin = this.binding.origin ?? createOrigin(endpoint);
+    const ofVersion = engines.filter((engine) => isOfOrigin(engine, origin));
+    return chooseBackupEngine(ofVersion, endpoint, request);
+  }
+
   /** Chooses the engine of a stream that crashed one; undefined for others. */
   private chooseIsolated(
     usable: readonly EndpointRecord[],
@@ -285,13 +301,25 @@
   private findReplicaHolder(
     replica: KvCacheReplica | undefined,
   ): EndpointRecord | undefined {
-    if (replica?.holder.isUsable !== true) return undefined;
+    if (replica === undefined || !this.isOpen(replica.holder)) return undefined;
     if (this.isExcluded(replica.holder)) return undefined;
     const {instanceId} = replica.holder;
     if (this.parts.crashes.hasCrashed(instanceId)) return undefined;
     return replica.holder;
   }
 
+  /** Lists the live engines that may run the stream. */
+  private listEngines(): readonly EndpointRecord[] {
+    return listStreamEngines(this.parts, this.service, this.binding);
+  }
+
+  /** Whether an engine may run the stream, apart from its own attempts. */
+  private isOpen(engine: EndpointRecord): boolean {
+    const isBegun = this.binding.origin !== undefined;
+    const isOpen = isBegun ? engine.isOpenToBegun : engine.isUsable;
+    return isOpen && this.binding.isOpenTo(engine);
+  }
+
   private isBackupEnabled(): boolean {
     const service = this.parts.configuration.findService(this.service);
     return service?.engine?.takesBackups ?? false;
--- /dev/null
+++ b/packages/gateway/src/serving/version_binding.ts
@@ -0,0 +1,49 @@
+/**
+ * Binds one stream to the software version of the engine that sent its first
+ * event. What two versions write does not fit together, so every later engine
+ * of the stream has the same version.
+ */
+import type {EndpointRecord} from './endpoint_record.js';
+
+/** The engine that sent the first event of a stream. */
+export interface StreamOrigin {
+  readonly service: string;
+  readonly instanceId: string;
+  /** The version of its software. */
+  readonly version: string;
+}
+
+/** Creates the origin of the streams that an engine begins. */
+export function createOrigin({entry}: EndpointRecord): StreamOrigin {
+  const {service, instanceId, version} = entry;
+  return {service, instanceId, version};
+}
+
+/** Whether an engine may continue a stream with this origin. */
+export function isOfOrigin(
+  {entry}: EndpointRecord,
+  origin: StreamOrigin,
+): boolean {
+  if (entry.service !== origin.service) return false;
+  return entry.version === origin.version;
+}
+
+/** The binding of one stream; unbound until its first event. */
+export class VersionBinding {
+  private bound: StreamOrigin | undefined;
+
+  /** The engine that sent the first event; undefined before it. */
+  get origin(): StreamOrigin | undefined {
+    return this.bound;
+  }
+
+  /** Binds the stream; a bound stream keeps its origin. */
+  add(origin: StreamOrigin): void {
+    this.bound ??= origin;
+  }
+
+  /** Whether an engine may run the stream. */
+  isOpenTo(engine: EndpointRecord): boolean {
+    return this.bound === undefined || isOfOrigin(engine, this.bound);
+  }
+}
