Continue a caller's stream at the software version that began it

Cause: what a host knew of a stream ended with the connection. No other host was told, and the attempt that the caller names in Resumes was not read, so the engine was chosen by load and cached prompt.

Before the first event goes to the caller, its host reports attempt, service and version to four other hosts, chosen by rendezvous hash of the attempt's id, the best of each failure domain first; once more 0.3 s later, and again when one of them is lost. A host that resumes asks seven of them at once and takes the first that knows the attempt; failing that, up to 64 at random. The chain keeps the id of the attempt that brought the first event. Records end with the caller's deadline. Nobody knows: engines that have the whole prompt cached, if all of one version, or the only version of the service decide; else 503 origin_unknown, not run, with Retry-After. A version without an engine: 503 version_unavailable.

Ruled out: a version derived from the attempt's id (needs one view of the versions on all hosts), asking engines for runs (they end with the connection), a write to the store for each stream (its price, and it may be down).

--- a/packages/gateway/src/errors.ts
+++ b/packages/gateway/src/errors.ts
@@ -52,6 +52,22 @@
     message: 'No endpoint of {service} could take the request.',
     remedy: 'Come back after the time in Retry-After.',
   },
+  origin_unknown: {
+    status: 503,
+    outcome: 'not-run',
+    message:
+      'It is not known which software version of {service} began the stream.',
+    remedy:
+      'Come back after the time in Retry-After and name the attempt that brought the first event, or send the request again from its start.',
+  },
+  version_unavailable: {
+    status: 503,
+    outcome: 'not-run',
+    message:
+      'No endpoint of {service} has the software version {version} that began the stream.',
+    remedy:
+      'Come back after the time in Retry-After, or send the request again from its start.',
+  },
   endpoints_unreachable: {
     status: 503,
     outcome: 'not-run',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -39,6 +39,7 @@
 import {PEERS_SERVICE} from './services/peers.js';
 import {ROLLOUTS_SERVICE} from './services/rollouts.js';
 import {RUN_LEASES_SERVICE} from './services/run_leases.js';
+import {STREAM_ORIGINS_SERVICE} from './services/stream_origins.js';
 import {TABLES_SERVICE} from './tables/tables.js';
 import {SettingsFileWatcher} from './settings_file_watcher.js';
 
@@ -56,6 +57,7 @@
   ROLLOUTS_SERVICE,
   CRASHES_SERVICE,
   RUN_LEASES_SERVICE,
+  STREAM_ORIGINS_SERVICE,
   LIMITS_SERVICE,
   ENDPOINT_NETWORK_SERVICE,
   FRONT_SERVICE,
--- /dev/null
+++ b/packages/gateway/src/model/membership_datagram.ts
@@ -0,0 +1,110 @@
+/** Encodes and decodes the datagrams by which hosts watch each other. */
+import type {HostRecord, HostUpdate, ReaderReport} from '@irisdock/decisions';
+import type {MembershipDatagram, PeerLocation} from './peer_message.js';
+import type {TupleReader} from './tuple_reader.js';
+
+const HOST_STATES = ['starting', 'ready', 'leaving'] as const;
+const MEMBERSHIP_KINDS = ['answer', 'notice', 'probe', 'relay'] as const;
+
+/** Reads the fields of a membership datagram, without the kind. */
+export function readMembership(fields: TupleReader): MembershipDatagram {
+  return {
+    kind: 'watch',
+    watch: {
+      kind: fields.readEnum(MEMBERSHIP_KINDS),
+      sender: fields.readTuple(readRecord),
+      place: fields.readOptionalTuple(readLocation),
+      asker: fields.readOptionalString(),
+      target: fields.readOptionalString(),
+      updates: fields.readList(readChange),
+      recordsHash: fields.readNumber(),
+    },
+    revisions: fields.readTuple((revisions) => ({
+      configuration: revisions.readNumber(),
+      endpoints: revisions.readNumber(),
+      crashes: revisions.readNumber(),
+    })),
+    reports: fields.readList(readReport),
+    sentAt: fields.readNumber(),
+  };
+}
+
+/** Encodes a membership datagram as a tuple, without the kind. */
+export function encodeMembership({
+  watch,
+  revisions,
+  reports,
+  sentAt,
+}: MembershipDatagram): unknown[] {
+  return [
+    watch.kind,
+    encodeRecord(watch.sender),
+    encodeLocation(watch.place),
+    watch.asker,
+    watch.target,
+    watch.updates.map(({record, isSuspected, place}) => [
+      encodeRecord(record),
+      isSuspected,
+      encodeLocation(place),
+    ]),
+    watch.recordsHash,
+    [revisions.configuration, revisions.endpoints, revisions.crashes],
+    reports.map((report) => [
+      report.name,
+      report.incarnation,
+      report.sequence,
+      report.configurationRevision,
+      Math.round(report.configurationAgeMs),
+      Math.round(report.departureDelayMs),
+    ]),
+    Math.round(sentAt),
+  ];
+}
+
+function readRecord(fields: TupleReader): HostRecord {
+  return {
+    name: fields.readString(),
+    incarnation: fields.readNumber(),
+    version: fields.readNumber(),
+    state: fields.readEnum(HOST_STATES),
+    isStoreAway: fields.readBoolean(),
+  };
+}
+
+function readLocation(fields: TupleReader): PeerLocation {
+  return {
+    failureDomain: fields.readString(),
+    datagrams: fields.readString(),
+    tables: fields.readString(),
+    callers: fields.readString(),
+  };
+}
+
+function readChange(fields: TupleReader): HostUpdate<PeerLocation> {
+  return {
+    record: fields.readTuple(readRecord),
+    isSuspected: fields.readBoolean(),
+    place: fields.readOptionalTuple(readLocation),
+  };
+}
+
+function readReport(fields: TupleReader): ReaderReport {
+  return {
+    name: fields.readString(),
+    incarnation: fields.readNumber(),
+    sequence: fields.readNumber(),
+    configurationRevision: fields.readNumber(),
+    configurationAgeMs: fields.readNumber(),
+    departureDelayMs: fields.readNumber(),
+  };
+}
+
+function encodeRecord(record: HostRecord): unknown[] {
+  const {name, incarnation, version, state, isStoreAway} = record;
+  return [name, incarnation, version, state, isStoreAway];
+}
+
+function encodeLocation(place: PeerLocation | undefined): string[] | undefined {
+  if (place === undefined) return undefined;
+  return [place.failureDomain, place.datagrams, place.tables, place.callers];
+}
--- a/packages/gateway/src/model/peer_codec.ts
+++ b/packages/gateway/src/model/peer_codec.ts
@@ -4,12 +4,7 @@
  * second.
  */
 import {decode, encode} from '@msgpack/msgpack';
-import type {
-  Crash,
-  HostUpdate,
-  HostRecord,
-  ReaderReport,
-} from '@irisdock/decisions';
+import type {Crash} from '@irisdock/decisions';
 import {getErrorText} from '@irisdock/kernel';
 import {err, ok, type Result} from 'neverthrow';
 import {
@@ -24,11 +19,9 @@
   GrantDatagram,
   TableUpdateDatagram,
   PeerDatagram,
-  PeerLocation,
   PeerUsage,
   EndpointUsageReport,
   UsageDatagram,
-  MembershipDatagram,
 } from './peer_message.js';
 import {
   encodeRolloutReport,
@@ -43,16 +36,24 @@
   readLeaseRequest,
   readLeaseRelease,
 } from './run_lease_datagram.js';
+import {encodeMembership, readMembership} from './membership_datagram.js';
+import {
+  encodeOriginRequest,
+  encodeOriginResponse,
+  encodeOrigins,
+  readOriginRequest,
+  readOriginResponse,
+  readOrigins,
+  type OriginDatagram,
+} from './origin_datagram.js';
 import {TupleReader} from './tuple_reader.js';
 import {REPLICATED_TABLES} from './table_store.js';
 
-const HOST_STATES = ['starting', 'ready', 'leaving'] as const;
-const MEMBERSHIP_KINDS = ['answer', 'notice', 'probe', 'relay'] as const;
 /**
  * The codes of the kinds, in the order of `readDatagram`: membership, usage,
  * table update, usage query and reply, unreachable endpoint, report and phase
  * of rollouts, crashes, cleared content, limits, permit request and response,
- * lease request, response and release.
+ * lease request, response and release, origins, origin request and response.
  */
 const KIND_CODES = [
   'w',
@@ -71,6 +72,9 @@
   's',
   't',
   'e',
+  'o',
+  'f',
+  'h',
 ] as const;
 
 /** Decodes a datagram; an error names the malformed field. */
@@ -128,6 +132,12 @@
       return readLeaseResponse(fields);
     case 'e':
       return readLeaseRelease(fields);
+    case 'o':
+      return readOrigins(fields);
+    case 'f':
+      return readOriginRequest(fields);
+    case 'h':
+      return readOriginResponse(fields);
   }
 }
 
@@ -150,66 +160,6 @@
   };
 }
 
-function readMembership(fields: TupleReader): MembershipDatagram {
-  return {
-    kind: 'watch',
-    watch: {
-      kind: fields.readEnum(MEMBERSHIP_KINDS),
-      sender: fields.readTuple(readRecord),
-      place: fields.readOptionalTuple(readLocation),
-      asker: fields.readOptionalString(),
-      target: fields.readOptionalString(),
-      updates: fields.readList(readChange),
-      recordsHash: fields.readNumber(),
-    },
-    revisions: fields.readTuple((revisions) => ({
-      configuration: revisions.readNumber(),
-      endpoints: revisions.readNumber(),
-      crashes: revisions.readNumber(),
-    })),
-    reports: fields.readList(readReport),
-    sentAt: fields.readNumber(),
-  };
-}
-
-function readRecord(fields: TupleReader): HostRecord {
-  return {
-    name: fields.readString(),
-    incarnation: fields.readNumber(),
-    version: fields.readNumber(),
-    state: fields.readEnum(HOST_STATES),
-    isStoreAway: fields.readBoolean(),
-  };
-}
-
-function readLocation(fields: TupleReader): PeerLocation {
-  return {
-    failureDomain: fields.readString(),
-    datagrams: fields.readString(),
-    tables: fields.readString(),
-    callers: fields.readString(),
-  };
-}
-
-function readChange(fields: TupleReader): HostUpdate<PeerLocation> {
-  return {
-    record: fields.readTuple(readRecord),
-    isSuspected: fields.readBoolean(),
-    place: fields.readOptionalTuple(readLocation),
-  };
-}
-
-function readReport(fields: TupleReader): ReaderReport {
-  return {
-    name: fields.readString(),
-    incarnation: fields.readNumber(),
-    sequence: fields.readNumber(),
-    configurationRevision: fields.readNumber(),
-    configurationAgeMs: fields.readNumber(),
-    departureDelayMs: fields.readNumber(),
-  };
-}
-
 function readUsage(fields: TupleReader): UsageDatagram {
   const name = fields.readString();
   const incarnation = fields.readNumber();
@@ -236,7 +186,7 @@
 export function encodePeerDatagram(datagram: PeerDatagram): Uint8Array {
   switch (datagram.kind) {
     case 'watch':
-      return encodeMembership(datagram);
+      return encode(['w', ...encodeMembership(datagram)]);
     case 'uses': {
       const {name, incarnation, sequence, uses} = datagram;
       const reports = Object.entries(uses).map(([instanceId, usage]) =>
@@ -293,7 +243,9 @@
   }
 }
 
-function encodeGrantDatagram(datagram: GrantDatagram): Uint8Array {
+function encodeGrantDatagram(
+  datagram: GrantDatagram | OriginDatagram,
+): Uint8Array {
   switch (datagram.kind) {
     case 'limits':
       return encode(['m', ...encodeLimits(datagram)]);
@@ -307,6 +259,12 @@
       return encode(['t', ...encodeLeaseResponse(datagram)]);
     case 'lease-end':
       return encode(['e', ...encodeLeaseRelease(datagram)]);
+    case 'origins':
+      return encode(['o', ...encodeOrigins(datagram)]);
+    case 'origin-ask':
+      return encode(['f', ...encodeOriginRequest(datagram)]);
+    case 'origin-answer':
+      return encode(['h', ...encodeOriginResponse(datagram)]);
   }
 }
 
@@ -319,45 +277,3 @@
     report.failures,
   ];
 }
-
-function encodeMembership({
-  watch,
-  revisions,
-  reports,
-  sentAt,
-}: MembershipDatagram): Uint8Array {
-  return encode([
-    'w',
-    watch.kind,
-    encodeRecord(watch.sender),
-    encodeLocation(watch.place),
-    watch.asker,
-    watch.target,
-    watch.updates.map(({record, isSuspected, place}) => [
-      encodeRecord(record),
-      isSuspected,
-      encodeLocation(place),
-    ]),
-    watch.recordsHash,
-    [revisions.configuration, revisions.endpoints, revisions.crashes],
-    reports.map((report) => [
-      report.name,
-      report.incarnation,
-      report.sequence,
-      report.configurationRevision,
-      Math.round(report.configurationAgeMs),
-      Math.round(report.departureDelayMs),
-    ]),
-    Math.round(sentAt),
-  ]);
-}
-
-function encodeRecord(record: HostRecord): unknown[] {
-  const {name, incarnation, version, state, isStoreAway} = record;
-  return [name, incarnation, version, state, isStoreAway];
-}
-
-function encodeLocation(place: PeerLocation | undefined): string[] | undefined {
-  if (place === undefined) return undefined;
-  return [place.failureDomain, place.datagrams, place.tables, place.callers];
-}
--- a/packages/gateway/src/services/datagram_handlers.ts
+++ b/packages/gateway/src/services/datagram_handlers.ts
@@ -1,6 +1,6 @@
 /**
- * Passes datagrams of other hosts about rollouts, crashes, limits and leases
- * to the services that handle them. These services register themselves on
+ * Passes datagrams of other hosts about rollouts, crashes, limits, leases
+ * and origins to the services that handle them. These services register themselves on
  * creation.
  */
 import type {Crash} from '@irisdock/decisions';
@@ -21,6 +21,12 @@
   LeaseRequestDatagram,
   LeaseReleaseDatagram,
 } from '../model/run_lease_datagram.js';
+import type {
+  OriginDatagram,
+  OriginRequestDatagram,
+  OriginResponseDatagram,
+  OriginsDatagram,
+} from '../model/origin_datagram.js';
 
 /** Handles datagrams about rollouts. */
 export interface RolloutDatagramHandler {
@@ -50,8 +56,16 @@
   acceptLeaseRelease(datagram: LeaseReleaseDatagram): void;
 }
 
+/** Handles reports and lookups of the origins of streams. */
+export interface OriginDatagramHandler {
+  acceptOrigins(datagram: OriginsDatagram): void;
+  acceptOriginRequest(datagram: OriginRequestDatagram): void;
+  acceptOriginAnswer(datagram: OriginResponseDatagram): void;
+}
+
 /** A datagram that goes to one of the handlers. */
 export type HandledDatagram =
+  | OriginDatagram
   | ContentClearedDatagram
   | CrashesDatagram
   | GrantDatagram
@@ -64,6 +78,7 @@
   crashes: CrashDatagramHandler | undefined;
   limits: LimitDatagramHandler | undefined;
   leases: LeaseDatagramHandler | undefined;
+  origins: OriginDatagramHandler | undefined;
 
   /** Passes a datagram to its handler. */
   accept(datagram: HandledDatagram): void {
@@ -97,6 +112,15 @@
         return;
       case 'lease-end':
         this.leases?.acceptLeaseRelease(datagram);
+        return;
+      case 'origins':
+        this.origins?.acceptOrigins(datagram);
+        return;
+      case 'origin-ask':
+        this.origins?.acceptOriginRequest(datagram);
+        return;
+      case 'origin-answer':
+        this.origins?.acceptOriginAnswer(datagram);
     }
   }
 }
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -44,6 +44,7 @@
 import {PEERS} from './peers.js';
 import {ROLLOUTS} from './rollouts.js';
 import {RUN_LEASES} from './run_leases.js';
+import {STREAM_ORIGINS} from './stream_origins.js';
 import {CODECS} from './store.js';
 
 /** How long callers may still use this host's address during a stop, in ms. */
@@ -99,6 +100,7 @@
     PEERS,
     ROLLOUTS,
     RUN_LEASES,
+    STREAM_ORIGINS,
   ],
   create(context, settings) {
     const {clock} = context;
@@ -198,13 +200,7 @@
     copyCodec: codecs.copies,
     client,
     engineClient,
-    successors: new SuccessorFinder({
-      engineClient,
-      codec: codecs.engineReports,
-      configuration,
-      endpoints: context.find(GATEWAY_ENDPOINTS),
-      log,
-    }),
+    successors: createSuccessors(context, engineClient),
     promptCaches: new PromptCacheFinder(
       engineClient,
       codecs.keptPrompts,
@@ -222,6 +218,7 @@
     rollouts: context.find(ROLLOUTS),
     crashes,
     runLeases: context.find(RUN_LEASES),
+    origins: context.find(STREAM_ORIGINS),
     gate,
     paths,
     relay: createRelay(context),
@@ -235,6 +232,19 @@
   };
 }
 
+function createSuccessors(
+  context: ServiceContext,
+  engineClient: EngineClient,
+): SuccessorFinder {
+  return new SuccessorFinder({
+    engineClient,
+    codec: context.find(CODECS).engineReports,
+    configuration: context.find(GATEWAY_CONFIGURATION),
+    endpoints: context.find(GATEWAY_ENDPOINTS),
+    log: context.log,
+  });
+}
+
 function createClient(
   context: ServiceContext,
   gate: EndpointGate,
--- /dev/null
+++ b/packages/gateway/src/services/stream_origin_client.ts
@@ -0,0 +1,236 @@
+/**
+ * Keeps the origins of streams and exchanges them with other hosts. A host that
+ * runs a stream reports its origin before the first event reaches the caller,
+ * once more with the next heartbeat as datagrams get lost, and again when a
+ * host that keeps it is lost. No answer is waited for.
+ */
+import {
+  chooseOriginHolders,
+  ORIGIN_HOLDERS,
+  ORIGIN_RESPONDERS,
+  OriginTable,
+  type OriginHost,
+  type OriginKey,
+  type OriginRecord,
+} from '@irisdock/decisions';
+import {getShuffled, type Clock, type Random} from '@irisdock/kernel';
+import type {
+  OriginRequestDatagram,
+  OriginResponseDatagram,
+  OriginsDatagram,
+} from '../model/origin_datagram.js';
+import type {StreamOrigins} from '../serving/stream_version.js';
+import type {OriginDatagramHandler} from './datagram_handlers.js';
+import type {Peers} from './peer_hosts.js';
+import {PeerRequests} from './peer_requests.js';
+
+/** The maximum number of origins in a datagram, to fit an Ethernet frame. */
+const MAX_ORIGINS_PER_DATAGRAM = 8;
+/** The maximum number of hosts that are asked at random. */
+const MAX_RANDOM_HOSTS = 64;
+
+/** Dependencies of the client. */
+export interface StreamOriginClientParts {
+  readonly ownName: string;
+  readonly peers: Pick<Peers, 'listAlive' | 'recordsHash' | 'sendToNames'>;
+  readonly clock: Clock;
+  readonly random: Random;
+}
+
+/** An origin that this host reports. */
+interface PublishedOrigin {
+  readonly record: OriginRecord;
+  readonly expiresAt: number;
+  /** The incarnations of the hosts that it was reported to, by name. */
+  readonly holders: Map<string, number>;
+  isRepeated: boolean;
+  isEnded: boolean;
+}
+
+/** Another host that is alive. */
+interface LiveHost extends OriginHost {
+  readonly incarnation: number;
+}
+
+/** Keeps, reports and looks up origins. */
+export class StreamOriginClient
+  implements StreamOrigins, OriginDatagramHandler
+{
+  private readonly table = new OriginTable();
+  private readonly published = new Set<PublishedOrigin>();
+  private readonly requests: PeerRequests<
+    OriginRequestDatagram,
+    OriginResponseDatagram
+  >;
+  private recordsHash: number | undefined;
+
+  constructor(private readonly parts: StreamOriginClientParts) {
+    const {clock, peers} = parts;
+    this.requests = new PeerRequests(clock, (to, request) => {
+      peers.sendToNames([to], request);
+    });
+  }
+
+  /** The number of streams whose origins this host keeps. */
+  get size(): number {
+    return this.table.size;
+  }
+
+  publish(record: OriginRecord): () => void {
+    const now = this.parts.clock.getNow();
+    this.table.add(record, now);
+    const published: PublishedOrigin = {
+      record,
+      expiresAt: now + record.remainingMs,
+      holders: new Map(),
+      isRepeated: false,
+      isEnded: false,
+    };
+    this.published.add(published);
+    const names = this.addHolders(published, this.listHosts());
+    this.sendOrigins(names, [record]);
+    return () => {
+      published.isEnded = true;
+    };
+  }
+
+  async find(key: OriginKey): Promise<readonly OriginRecord[]> {
+    const own = this.table.list(key, this.parts.clock.getNow());
+    const {streamId} = key;
+    if (streamId === undefined) return own;
+    if (own[0]?.streamId === streamId) return own;
+    const hosts = this.listHosts();
+    const names = chooseOriginHolders(streamId, hosts, ORIGIN_RESPONDERS);
+    return this.poll(names, key, own);
+  }
+
+  async findAnywhere(key: OriginKey): Promise<readonly OriginRecord[]> {
+    const hosts = getShuffled(this.listHosts(), this.parts.random);
+    const names = hosts.slice(0, MAX_RANDOM_HOSTS).map(({name}) => name);
+    return this.poll(names, key, []);
+  }
+
+  /** Repeats new reports, replaces lost holders, and drops old records. */
+  startHeartbeat(): void {
+    const {peers, clock} = this.parts;
+    const now = clock.getNow();
+    this.table.dropExpired(now);
+    const hasChanged = peers.recordsHash !== this.recordsHash;
+    this.recordsHash = peers.recordsHash;
+    if (this.published.size === 0) return;
+    const hosts = this.listHosts();
+    const reports = new Map<string, OriginRecord[]>();
+    for (const published of this.published) {
+      const names = this.listDueHolders(published, hosts, hasChanged);
+      const remainingMs = published.expiresAt - now;
+      for (const name of names) {
+        const origins = reports.get(name) ?? [];
+        origins.push({...published.record, remainingMs});
+        reports.set(name, origins);
+      }
+      published.isRepeated = true;
+      const isOver = published.isEnded || remainingMs <= 0;
+      if (isOver) this.published.delete(published);
+    }
+    for (const [name, origins] of reports) this.sendOrigins([name], origins);
+  }
+
+  acceptOrigins({origins}: OriginsDatagram): void {
+    const now = this.parts.clock.getNow();
+    for (const origin of origins) this.table.add(origin, now);
+  }
+
+  acceptOriginRequest(request: OriginRequestDatagram): void {
+    const {peers, clock} = this.parts;
+    const {name, number} = request;
+    const origins = this.table.list(request, clock.getNow());
+    peers.sendToNames([name], {kind: 'origin-answer', number, origins});
+  }
+
+  acceptOriginAnswer(answer: OriginResponseDatagram): void {
+    this.requests.accept(answer);
+  }
+
+  /** Lists the hosts that a published origin has to be sent to now. */
+  private listDueHolders(
+    published: PublishedOrigin,
+    hosts: readonly LiveHost[],
+    hasChanged: boolean,
+  ): readonly string[] {
+    const {holders, isRepeated} = published;
+    const repeated = isRepeated ? [] : [...holders.keys()];
+    if (!hasChanged) return repeated;
+    const incarnations = new Map(
+      hosts.map(({name, incarnation}) => [name, incarnation]),
+    );
+    let hasLost = holders.size < ORIGIN_HOLDERS;
+    for (const [name, incarnation] of holders) {
+      if (incarnations.get(name) === incarnation) continue;
+      holders.delete(name);
+      hasLost = true;
+    }
+    if (!hasLost) return repeated;
+    return [...new Set([...repeated, ...this.addHolders(published, hosts)])];
+  }
+
+  /** Adds the holders that are missing; returns their names. */
+  private addHolders(
+    {record, holders}: PublishedOrigin,
+    hosts: readonly LiveHost[],
+  ): readonly string[] {
+    const chosen = chooseOriginHolders(record.streamId, hosts, ORIGIN_HOLDERS);
+    const added = chosen.filter((name) => !holders.has(name));
+    for (const {name, incarnation} of hosts) {
+      if (added.includes(name)) holders.set(name, incarnation);
+    }
+    return added;
+  }
+
+  private sendOrigins(
+    names: readonly string[],
+    origins: readonly OriginRecord[],
+  ): void {
+    for (let at = 0; at < origins.length; at += MAX_ORIGINS_PER_DATAGRAM) {
+      const some = origins.slice(at, at + MAX_ORIGINS_PER_DATAGRAM);
+      this.parts.peers.sendToNames(names, {kind: 'origins', origins: some});
+    }
+  }
+
+  /** Asks hosts; ends early once one of them knows the attempt itself. */
+  private async poll(
+    names: readonly string[],
+    key: OriginKey,
+    known: readonly OriginRecord[],
+  ): Promise<readonly OriginRecord[]> {
+    const found = [...known];
+    const isNamed = ({streamId}: OriginRecord): boolean =>
+      streamId === key.streamId;
+    await new Promise<void>((resolve) => {
+      const polls = names.map(async (name) => {
+        const answer = await this.requests.poll(name, (number) => ({
+          kind: 'origin-ask',
+          name: this.parts.ownName,
+          number,
+          ...key,
+        }));
+        found.push(...(answer?.origins ?? []));
+        if (found.some(isNamed)) resolve();
+      });
+      void Promise.all(polls).then(() => {
+        resolve();
+      });
+    });
+    const named = found.filter(isNamed);
+    return named.length > 0 ? named : found;
+  }
+
+  private listHosts(): LiveHost[] {
+    const hosts: LiveHost[] = [];
+    for (const {record, place} of this.parts.peers.listAlive()) {
+      const {name, incarnation} = record;
+      if (name === this.parts.ownName) continue;
+      hosts.push({name, incarnation, failureDomain: place.failureDomain});
+    }
+    return hosts;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/services/stream_origins.ts
@@ -0,0 +1,50 @@
+/**
+ * The service `streamOrigins`: which software version began each stream that
+ * callers may resume at another host.
+ */
+import {createService, createServiceKey} from '@irisdock/kernel';
+import {Gauge} from 'prom-client';
+import * as z from 'zod';
+import {HOST_IDENTITY} from './identity.js';
+import {PEERS} from './peers.js';
+import {StreamOriginClient} from './stream_origin_client.js';
+
+/** The key of the service. */
+export const STREAM_ORIGINS =
+  createServiceKey<StreamOriginClient>('streamOrigins');
+
+/** The interval between two reports of new origins, in ms. */
+const HEARTBEAT_MS = 300;
+
+/** Declares the service. */
+export const STREAM_ORIGINS_SERVICE = createService({
+  key: STREAM_ORIGINS,
+  settings: z.object({}),
+  needs: [HOST_IDENTITY, PEERS],
+  create(context) {
+    const {clock, random, metrics} = context;
+    const peers = context.find(PEERS);
+    const {name: ownName} = context.find(HOST_IDENTITY);
+    const api = new StreamOriginClient({ownName, peers, clock, random});
+    peers.handlers.origins = api;
+    new Gauge({
+      name: 'irisdock_gateway_stream_origins',
+      help: 'Streams whose software version this host keeps, a count.',
+      registers: [metrics],
+      collect() {
+        this.set(api.size);
+      },
+    });
+    const timer = setInterval(() => {
+      api.startHeartbeat();
+    }, HEARTBEAT_MS);
+    timer.unref();
+    return {
+      api,
+      stop() {
+        clearInterval(timer);
+        return Promise.resolve();
+      },
+    };
+  },
+});
--- a/packages/gateway/src/serving/request_content.ts
+++ b/packages/gateway/src/serving/request_content.ts
@@ -31,3 +31,20 @@
     .digest('hex')
     .slice(0, CONTENT_HEX_DIGITS);
 }
+
+/** Enough of a digest that the ids of concurrent streams don't collide. */
+const STREAM_ID_LENGTH = 16;
+
+/**
+ * Hashes the id of the caller's attempt that begins a stream. Callers of
+ * different teams may choose the same id.
+ */
+export function hashStreamId(
+  team: string | undefined,
+  requestId: string,
+): string {
+  return createHash('sha256')
+    .update(JSON.stringify([team ?? null, requestId]))
+    .digest('base64url')
+    .slice(0, STREAM_ID_LENGTH);
+}
--- a/packages/gateway/src/serving/serving_metrics.ts
+++ b/packages/gateway/src/serving/serving_metrics.ts
@@ -12,6 +12,8 @@
   readonly losses: Counter;
   readonly lostRuns: Counter;
   readonly resumptions: Counter;
+  readonly origins: Counter;
+  readonly versionRefusals: Counter;
   readonly answerSeconds: Histogram;
   readonly resumeSeconds: Histogram;
 
@@ -41,6 +43,18 @@
       labelNames: ['version'],
       registers,
     });
+    this.origins = new Counter({
+      name: 'irisdock_gateway_origin_lookups_total',
+      help: 'Lookups of the software version that began a stream, a count, by what the result rests on.',
+      labelNames: ['source'],
+      registers,
+    });
+    this.versionRefusals = new Counter({
+      name: 'irisdock_gateway_version_refusals_total',
+      help: 'Resumed streams refused because their software version is unknown or has no endpoint, a count.',
+      labelNames: ['reason'],
+      registers,
+    });
     this.answerSeconds = new Histogram({
       name: 'irisdock_gateway_answer_seconds',
       help: 'Time to a complete answer or a first event, in seconds.',
--- a/packages/gateway/src/serving/serving_parts.ts
+++ b/packages/gateway/src/serving/serving_parts.ts
@@ -15,6 +15,7 @@
 import type {SendGate} from './send_gate.js';
 import type {ServingMetrics} from './serving_metrics.js';
 import type {SuccessorFinder} from './successors.js';
+import type {StreamOrigins} from './stream_version.js';
 import type {RunLeases} from './suspect_run.js';
 
 /** Dependencies of the drivers of requests. */
@@ -34,6 +35,7 @@
   readonly rollouts: Rollouts;
   readonly crashes: CrashRecords;
   readonly runLeases: RunLeases;
+  readonly origins: StreamOrigins;
   readonly gate: SendGate;
   readonly paths: EndpointPaths;
   readonly relay: RequestRelay;
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -38,8 +38,8 @@
 import {StreamRelay} from './stream_relay.js';
 import {StreamReport} from './stream_report.js';
 import {StreamSink} from './stream_sink.js';
+import {StreamVersion} from './stream_version.js';
 import {SuspectRunAdmission} from './suspect_run.js';
-import {createOrigin, VersionBinding} from './version_binding.js';
 
 /** Drives one stream. */
 export class StreamDriver {
@@ -47,7 +47,7 @@
   lastEndpoint: EndpointRecord | undefined;
   /** The number of attempts so far. */
   sends = 0;
-  private readonly binding = new VersionBinding();
+  private readonly version: StreamVersion;
   private readonly planner: StreamPlanner;
   private readonly sink: StreamSink;
   private readonly retries: StreamRetries;
@@ -71,7 +71,9 @@
     const {signal} = exchange;
     this.holds = new SendHolds(parts);
     this.suspect = new SuspectRunAdmission(parts, request);
-    this.planner = new StreamPlanner(parts, request, service, this.binding);
+    this.version = new StreamVersion(parts, request, service);
+    const {binding} = this.version;
+    this.planner = new StreamPlanner(parts, request, service, binding);
     this.engineLease = new EngineLease(parts, request);
     const {planner, engineLease} = this;
     this.search = new PlanSearch(parts, planner, engineLease, service, signal);
@@ -79,7 +81,7 @@
     this.sink = new StreamSink(exchange, metadata.lastEventId);
     const {sink, retries} = this;
     this.relay = new StreamRelay(parts, request, route, service, sink, retries);
-    this.report = new StreamReport(parts, request);
+    this.report = new StreamReport(parts, request, binding);
     this.failure = new StreamFailure(
       parts,
       request,
@@ -88,6 +90,7 @@
       sink,
       retries,
       this.holds,
+      binding,
     );
     const {rollouts, clock} = parts;
     const {report} = this;
@@ -102,6 +105,7 @@
     } finally {
       this.engineLease.release();
       this.suspect.close();
+      this.version.close();
     }
   }
 
@@ -116,6 +120,7 @@
         if (outcome !== undefined) return outcome;
         continue;
       }
+      if (!(await this.resolveVersion())) return this.failure.finishLost();
       const earlyOutcome = await this.waitForAdmission();
       if (earlyOutcome !== undefined) return earlyOutcome;
       const plan = await this.search.find(this.sink.isStarted);
@@ -172,6 +177,15 @@
     return this.failure.finishLost();
   }
 
+  /** Binds a begun stream to its version; false if that is not known. */
+  private async resolveVersion(): Promise<boolean> {
+    if (this.sink.lastEventId === undefined) return true;
+    const cachingEngines = this.planner.listCachingEngines();
+    const isKnown = await this.version.resolve(cachingEngines);
+    this.failure.isOriginUnknown = !isKnown;
+    return isKnown;
+  }
+
   /** Waits until the next attempt may run; returns the outcome if it can't. */
   private async waitForAdmission(): Promise<string | undefined> {
     const {exchange} = this.request;
@@ -292,7 +306,7 @@
       plan.endpoint.recordSuccess(undefined);
       this.evidence.recordFirstEvent(plan.endpoint);
     }
-    this.binding.add(createOrigin(plan.endpoint));
+    this.version.recordEvent(plan.endpoint);
     const {hasGap, drained} = this.sink.passEvents(events);
     if (hasGap) attempt.end('events are missing');
     return drained;
--- a/packages/gateway/src/serving/stream_failure.ts
+++ b/packages/gateway/src/serving/stream_failure.ts
@@ -3,6 +3,8 @@
 import {GATEWAY_ERRORS} from '../errors.js';
 import type {ServingRoute} from '../model/serving_configuration.js';
 import type {AdmittedRequest, PlainAnswer} from './caller_exchange.js';
+import {listStreamEngines} from './live_endpoints.js';
+import {decideRetryAfter} from './retry_after.js';
 import type {SendHolds} from './send_holds.js';
 import {
   createBusyError,
@@ -12,6 +14,7 @@
 import type {ServingParts} from './serving_parts.js';
 import type {RetryDenial, StreamRetries} from './stream_retries.js';
 import type {StreamSink} from './stream_sink.js';
+import type {VersionBinding} from './version_binding.js';
 
 /** Ends one stream as failed. */
 export class StreamFailure {
@@ -21,6 +24,8 @@
   detail = '';
   /** Why the stream is not retried; undefined if no engine was found. */
   denial: RetryDenial | undefined;
+  /** Whether the software version that began the stream is not known. */
+  isOriginUnknown = false;
 
   constructor(
     private readonly parts: ServingParts,
@@ -30,6 +35,7 @@
     private readonly sink: StreamSink,
     private readonly retries: StreamRetries,
     private readonly holds: SendHolds,
+    private readonly binding: VersionBinding,
   ) {}
 
   /** Ends a stream whose time is over; returns its outcome. */
@@ -67,7 +73,24 @@
     if (parts.paths.isPartitioned(service)) {
       return createNotRunError('endpoints_unreachable', service, parts.random);
     }
-    return this.holds.createError(service);
+    return this.createVersionError() ?? this.holds.createError(service);
+  }
+
+  /** Creates the error for a stream whose version has no engine. */
+  private createVersionError(): KnownError | undefined {
+    const {parts, service, binding} = this;
+    const retryAfter = decideRetryAfter(parts.random);
+    const {versionRefusals} = parts.metrics;
+    if (this.isOriginUnknown) {
+      versionRefusals.inc({reason: 'unknown'});
+      return GATEWAY_ERRORS.create('origin_unknown', {service}, retryAfter);
+    }
+    if (binding.origin === undefined) return undefined;
+    const {version} = binding.origin;
+    if (listStreamEngines(parts, service, binding).length > 0) return undefined;
+    versionRefusals.inc({reason: 'unavailable'});
+    const fields = {service, version};
+    return GATEWAY_ERRORS.create('version_unavailable', fields, retryAfter);
   }
 
   private finishWith(error: KnownError): void {
--- a/packages/gateway/src/serving/stream_report.ts
+++ b/packages/gateway/src/serving/stream_report.ts
@@ -3,6 +3,7 @@
 import type {AdmittedRequest} from './caller_exchange.js';
 import type {ServingParts} from './serving_parts.js';
 import type {AttemptPlan, AttemptResult} from './stream_attempt.js';
+import type {VersionBinding} from './version_binding.js';
 
 /** Reports the attempts and events of one stream. */
 export class StreamReport {
@@ -13,12 +14,11 @@
   private firstEventMs: number | undefined;
   private longestPauseMs = 0;
   private lastPlan: AttemptPlan | undefined;
-  /** The software version that began the stream; undefined if unknown. */
-  private firstVersion: string | undefined;
 
   constructor(
     private readonly parts: ServingParts,
     private readonly request: AdmittedRequest,
+    private readonly binding: VersionBinding,
   ) {}
 
   /** Records the start of an attempt. */
@@ -114,15 +114,12 @@
     {endpoint}: AttemptPlan,
     lastEventId: number | undefined,
   ): void {
-    const {version} = endpoint.entry;
-    if (lastEventId === undefined) {
-      this.firstVersion = version;
-      return;
-    }
-    const isSame = this.firstVersion === version;
+    if (lastEventId === undefined) return;
+    const {origin} = this.binding;
+    const isSame = endpoint.entry.version === origin?.version;
     const result = isSame ? 'same' : 'other';
-    const label = this.firstVersion === undefined ? 'unknown' : result;
-    this.parts.metrics.resumptions.inc({version: label});
+    const version = origin === undefined ? 'unknown' : result;
+    this.parts.metrics.resumptions.inc({version});
   }
 
   private recordResumed(
--- /dev/null
+++ b/packages/gateway/src/serving/stream_version.ts
@@ -0,0 +1,137 @@
+/**
+ * The software version of one stream. Its first event binds the stream to the
+ * version of the engine that sent it, and this host reports that to other
+ * hosts before the caller gets the event: the caller may resume the stream at
+ * any of them. A stream that this host did not begin is bound to the version
+ * that other hosts report. See docs/design/software_versions.md.
+ */
+import {
+  decideOriginVersion,
+  type OriginKey,
+  type OriginRecord,
+} from '@irisdock/decisions';
+import type {AdmittedRequest} from './caller_exchange.js';
+import type {EndpointRecord} from './endpoint_record.js';
+import {hashStreamId} from './request_content.js';
+import type {ServingParts} from './serving_parts.js';
+import {createOrigin, VersionBinding} from './version_binding.js';
+
+/** How long an origin is kept for a caller without a deadline, in ms. */
+const MAX_KEPT_MS = 600_000;
+
+/** Reports and looks up origins among all hosts. */
+export interface StreamOrigins {
+  /**
+   * Keeps an origin and reports it to the hosts that also keep it.
+   *
+   * @returns A function to call when this host no longer runs the stream.
+   */
+  publish(record: OriginRecord): () => void;
+  /** Asks the hosts that keep the origin of a stream. */
+  find(key: OriginKey): Promise<readonly OriginRecord[]>;
+  /** Asks hosts at random, as none of those that keep origins had it. */
+  findAnywhere(key: OriginKey): Promise<readonly OriginRecord[]>;
+}
+
+/** Dependencies of a stream's version. */
+type StreamVersionParts = Pick<
+  ServingParts,
+  'clock' | 'endpoints' | 'log' | 'metrics' | 'origins'
+>;
+
+/** The software version of one stream. */
+export class StreamVersion {
+  readonly binding = new VersionBinding();
+  private stopPublishing: (() => void) | undefined;
+
+  constructor(
+    private readonly parts: StreamVersionParts,
+    private readonly request: AdmittedRequest,
+    private readonly service: string,
+  ) {}
+
+  /** The attempt that brought the first event, if it is known. */
+  get firstRequestId(): string | undefined {
+    const {metadata, requestId} = this.request;
+    const isNew = metadata.lastEventId === undefined;
+    return isNew ? requestId : metadata.resumedRequestId;
+  }
+
+  /** Binds the stream to the engine that sent an event, unless it is bound. */
+  recordEvent(engine: EndpointRecord): void {
+    this.binding.add(createOrigin(engine));
+    const {origin} = this.binding;
+    if (this.stopPublishing !== undefined || origin === undefined) return;
+    const {team, requestId, content} = this.request;
+    const {clock, origins} = this.parts;
+    const leftMs = this.request.callerDeadline - clock.getNow();
+    this.stopPublishing = origins.publish({
+      ...origin,
+      streamId: hashStreamId(team, this.firstRequestId ?? requestId),
+      content,
+      remainingMs: Math.min(MAX_KEPT_MS, leftMs),
+    });
+  }
+
+  /**
+   * Binds a stream of which the caller has received events already.
+   *
+   * @param cachingEngines Engines that have the whole prompt in their cache.
+   * @returns False if its version is not known.
+   */
+  async resolve(cachingEngines: readonly EndpointRecord[]): Promise<boolean> {
+    if (this.binding.origin !== undefined) return true;
+    const {metrics, log} = this.parts;
+    const records = await this.findRecords();
+    const cached = cachingEngines.map(({entry}) => entry.version);
+    const decision = decideOriginVersion({
+      recorded: records.map(({version}) => version),
+      cached,
+      listed: this.listVersions(),
+    });
+    const source = decision?.source ?? 'unknown';
+    metrics.origins.inc({source});
+    log.writeInfo('Looked up the software version of a stream.', {
+      request: this.request.requestId,
+      resumes: this.firstRequestId,
+      source,
+      softwareVersion: decision?.version,
+      recorded: records.map(({version}) => version).join(),
+      cached: cached.join(),
+    });
+    if (decision === undefined) return false;
+    const {service, instanceId} = records[0] ?? {
+      service: this.service,
+      instanceId: '',
+    };
+    this.binding.add({service, instanceId, version: decision.version});
+    return true;
+  }
+
+  /** Stops reporting, as this host no longer runs the stream. */
+  close(): void {
+    this.stopPublishing?.();
+  }
+
+  private async findRecords(): Promise<readonly OriginRecord[]> {
+    const {origins} = this.parts;
+    const {team, content} = this.request;
+    const {firstRequestId} = this;
+    const streamId =
+      firstRequestId === undefined
+        ? undefined
+        : hashStreamId(team, firstRequestId);
+    const records = await origins.find({streamId, content});
+    const hasOneVersion = new Set(this.listVersions()).size < 2;
+    if (records.length > 0 || hasOneVersion) return records;
+    return origins.findAnywhere({streamId, content});
+  }
+
+  private listVersions(): string[] {
+    const versions: string[] = [];
+    for (const {entry} of this.parts.endpoints.listAll()) {
+      if (entry.service === this.service) versions.push(entry.version);
+    }
+    return versions;
+  }
+}
