--- /dev/null
+++ b/packages/decisions/tests/stream_origin.test.ts
@@ -0,0 +1,165 @@
+/** Tests of what hosts keep and conclude of the origins of streams. */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  chooseOriginHolders,
+  decideOriginVersion,
+  ORIGIN_HOLDERS,
+  ORIGIN_RESPONDERS,
+  OriginTable,
+  type OriginRecord,
+} from '@irisdock/decisions';
+import fc from 'fast-check';
+import {RUN_OPTIONS} from './run_options.js';
+
+const KEPT_MS = 1000;
+
+function createRecord(change: Partial<OriginRecord> = {}): OriginRecord {
+  return {
+    streamId: 'stream-1',
+    content: 'content-1',
+    service: 'engines',
+    instanceId: 'i-1',
+    version: 'v1',
+    remainingMs: KEPT_MS,
+    ...change,
+  };
+}
+
+function listVersions(records: readonly OriginRecord[]): string[] {
+  return records.map(({version}) => version);
+}
+
+describe('the table of origins', () => {
+  it('finds a stream by its id, and until its time is over', () => {
+    const table = new OriginTable();
+    table.add(createRecord(), 0);
+    const key = {streamId: 'stream-1', content: 'other'};
+    assert.deepEqual(listVersions(table.list(key, KEPT_MS - 1)), ['v1']);
+    assert.deepEqual(table.list(key, KEPT_MS), []);
+    table.dropExpired(KEPT_MS);
+    assert.equal(table.size, 0);
+  });
+
+  it('finds streams by content only if the id is not known', () => {
+    const table = new OriginTable();
+    table.add(createRecord(), 0);
+    table.add(createRecord({streamId: 'stream-2', version: 'v2'}), 0);
+    const content = 'content-1';
+    const named = table.list({streamId: 'stream-2', content}, 1);
+    assert.deepEqual(listVersions(named), ['v2']);
+    const unnamed = table.list({streamId: undefined, content}, 1);
+    assert.deepEqual(listVersions(unnamed), ['v1', 'v2']);
+  });
+
+  it('keeps both versions of contradicting reports', () => {
+    const table = new OriginTable();
+    table.add(createRecord(), 0);
+    table.add(createRecord({version: 'v2'}), 0);
+    table.add(createRecord(), 0);
+    const records = table.list({streamId: 'stream-1', content: ''}, 1);
+    assert.deepEqual(listVersions(records).sort(), ['v1', 'v2']);
+  });
+
+  it('is bounded; the oldest stream is dropped first', () => {
+    const table = new OriginTable(2);
+    for (const streamId of ['a', 'b', 'c']) {
+      table.add(createRecord({streamId}), 0);
+    }
+    assert.equal(table.size, 2);
+    assert.deepEqual(table.list({streamId: 'a', content: ''}, 1), []);
+    const content = 'content-1';
+    const left = table.list({streamId: undefined, content}, 1);
+    assert.deepEqual(
+      left.map(({streamId}) => streamId),
+      ['b', 'c'],
+    );
+  });
+});
+
+describe('the hosts that keep an origin', () => {
+  const HOSTS = fc.uniqueArray(
+    fc.record({
+      name: fc.string({minLength: 1}),
+      failureDomain: fc.constantFrom('a', 'b', 'c'),
+    }),
+    {minLength: 1, maxLength: 40, selector: ({name}) => name},
+  );
+
+  it('cover all failure domains, and are asked by any other host', () => {
+    fc.assert(
+      fc.property(HOSTS, fc.string(), (hosts, streamId) => {
+        const kept = chooseOriginHolders(streamId, hosts, ORIGIN_HOLDERS);
+        assert.equal(kept.length, Math.min(hosts.length, ORIGIN_HOLDERS));
+        const domainOf = new Map(
+          hosts.map(({name, failureDomain}) => [name, failureDomain]),
+        );
+        const covered = new Set(kept.map((name) => domainOf.get(name)));
+        assert.equal(covered.size, new Set(domainOf.values()).size);
+        const shuffled = [...hosts].reverse();
+        const asked = chooseOriginHolders(
+          streamId,
+          shuffled,
+          ORIGIN_RESPONDERS,
+        );
+        for (const name of kept) assert.ok(asked.includes(name));
+      }),
+      RUN_OPTIONS,
+    );
+  });
+
+  it('are asked though the asking host misses or adds two hosts', () => {
+    fc.assert(
+      fc.property(
+        HOSTS,
+        fc.string(),
+        fc.integer({min: 0, max: 39}),
+        (hosts, streamId, at) => {
+          const kept = chooseOriginHolders(streamId, hosts, ORIGIN_HOLDERS);
+          const seen = hosts.filter(
+            (_, index) => index !== at && index !== at + 1,
+          );
+          const asked = chooseOriginHolders(streamId, seen, ORIGIN_RESPONDERS);
+          const reached = kept.filter((name) => asked.includes(name));
+          const present = seen.filter(({name}) => kept.includes(name));
+          assert.equal(reached.length > 0, present.length > 0);
+        },
+      ),
+      RUN_OPTIONS,
+    );
+  });
+});
+
+describe('the version that began a stream', () => {
+  it('is the recorded one, whatever engines have cached', () => {
+    const decision = decideOriginVersion({
+      recorded: ['v1', 'v1'],
+      cached: ['v2'],
+      listed: ['v2'],
+    });
+    assert.deepEqual(decision, {version: 'v1', source: 'recorded'});
+  });
+
+  it('is that of the caching engines if no host recorded it', () => {
+    const listed = ['v1', 'v2'];
+    const decision = decideOriginVersion({
+      recorded: [],
+      cached: ['v2'],
+      listed,
+    });
+    assert.deepEqual(decision, {version: 'v2', source: 'cached'});
+  });
+
+  it('is not known if the evidence contradicts itself', () => {
+    const both = ['v1', 'v2'];
+    const listed = ['v1'];
+    for (const evidence of [
+      {recorded: both, cached: ['v1'], listed},
+      {recorded: [], cached: both, listed},
+      {recorded: [], cached: [], listed: both},
+      {recorded: [], cached: [], listed: []},
+    ]) {
+      assert.equal(decideOriginVersion(evidence), undefined);
+    }
+  });
+});
--- a/packages/gateway/tests/peer_datagrams.test.ts
+++ b/packages/gateway/tests/peer_datagrams.test.ts
@@ -127,6 +127,27 @@
       incarnation: 1_790_000_000_000,
       run: 3,
     },
+    {
+      kind: 'origins',
+      origins: [
+        {
+          streamId: 'stream-1',
+          content: 'a'.repeat(32),
+          service: 'engines',
+          instanceId: 'i-1',
+          version: 'v1.1',
+          remainingMs: 24_000,
+        },
+      ],
+    },
+    {
+      kind: 'origin-ask',
+      name: 'host-1',
+      number: 8,
+      streamId: undefined,
+      content: 'a'.repeat(32),
+    },
+    {kind: 'origin-answer', number: 8, origins: []},
     {
       kind: 'permit-ask',
       name: 'host-1',
@@ -178,6 +199,7 @@
       ],
       [['m', 'host', [['i-1', NaN, 5]]], /is not finite/],
       [['m', 'host', [['i-1', 3, Infinity]]], /is not finite/],
+      [['o', [['s', 'c', 'engines', 'i-1', 'v1', NaN]]], /is not finite/],
     ];
     for (const [value, fault] of malformed) {
       const decoded = decodePeerDatagram(encode(value));
