Name the attempt that began a stream when relaying it to another host

What callers saw: an answer whose host lost its paths to the engines could be cut, as the host it was relayed to found several streams of the same content, begun at different versions. Cause: a relayed stream named no attempt. A relay now names the attempt that brought the first event, as callers do, so the other host looks its version up in the same way; so does this host when its paths are back.

--- a/packages/gateway/src/model/request_metadata.ts
+++ b/packages/gateway/src/model/request_metadata.ts
@@ -73,6 +73,8 @@
   readonly remainingMs: number;
   /** The event after which the stream resumes. */
   readonly lastEventId: number | undefined;
+  /** The caller's attempt that brought the first event of a begun stream. */
+  readonly resumedRequestId: string | undefined;
 }
 
 /** The load that an endpoint reported with a response. */
--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -122,7 +122,7 @@
     this.suspect.close();
     if (exchange.hop !== undefined) return this.finish();
     const maxRuns = route.maxAttempts - this.runs;
-    const relayed = {request, route, service, maxRuns, lastEventId: undefined};
+    const relayed = {request, route, service, maxRuns, resumption: undefined};
     const result = await sendRelayedCall(parts, relayed);
     const earlyOutcome = this.findEarlyOutcome();
     if (earlyOutcome !== undefined) return earlyOutcome;
--- a/packages/gateway/src/serving/relayed_stream.ts
+++ b/packages/gateway/src/serving/relayed_stream.ts
@@ -81,7 +81,6 @@
     },
     request.exchange.signal,
   );
-  const lastEventId = sink.lastEventId;
-  const send: AttemptSend = relay.createSend(host, {...relayed, lastEventId});
+  const send: AttemptSend = relay.createSend(host, relayed);
   return attempt.run(send);
 }
--- a/packages/gateway/src/serving/request_relay.ts
+++ b/packages/gateway/src/serving/request_relay.ts
@@ -60,6 +60,14 @@
   readonly random: Random;
 }
 
+/** Where a begun stream resumes. */
+export interface StreamResumption {
+  /** The last event that the caller has. */
+  readonly lastEventId: number;
+  /** The caller's attempt that brought the first event, if it is known. */
+  readonly requestId: string | undefined;
+}
+
 /** A request to be relayed. */
 export interface RelayedRequest {
   readonly request: AdmittedRequest;
@@ -67,8 +75,8 @@
   readonly service: string;
   /** How many runs of the request are still allowed. */
   readonly maxRuns: number;
-  /** The last event that the caller has; undefined for none. */
-  readonly lastEventId: number | undefined;
+  /** Where a begun stream resumes; undefined if the caller has no event. */
+  readonly resumption: StreamResumption | undefined;
 }
 
 /** Hosts have no limits and make no announcements to each other. */
@@ -118,7 +126,7 @@
   /** Creates the request to a host. */
   createSend(host: RelayHost, relayed: RelayedRequest): AttemptSend {
     const {codec, clock, deployment, peers} = this.parts;
-    const {request, route, maxRuns, lastEventId} = relayed;
+    const {request, route, maxRuns, resumption} = relayed;
     const {exchange, requestId, body} = request;
     const now = clock.getNow();
     const hop = {deployment, from: peers.name, maxRuns};
@@ -130,7 +138,8 @@
       lines: codec.encodeRelay(exchange.lines, {
         hostName: host.name,
         remainingMs: computeRemainingMs(request, route, now),
-        lastEventId,
+        lastEventId: resumption?.lastEventId,
+        resumedRequestId: resumption?.requestId,
       }),
       body,
     };
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -80,7 +80,15 @@
     this.retries = new StreamRetries(parts, request, route, service);
     this.sink = new StreamSink(exchange, metadata.lastEventId);
     const {sink, retries} = this;
-    this.relay = new StreamRelay(parts, request, route, service, sink, retries);
+    this.relay = new StreamRelay(
+      parts,
+      request,
+      route,
+      service,
+      sink,
+      retries,
+      this.version,
+    );
     this.report = new StreamReport(parts, request, binding);
     this.failure = new StreamFailure(
       parts,
--- a/packages/gateway/src/serving/stream_relay.ts
+++ b/packages/gateway/src/serving/stream_relay.ts
@@ -4,11 +4,13 @@
  */
 import type {ServingRoute} from '../model/serving_configuration.js';
 import type {AdmittedRequest} from './caller_exchange.js';
+import type {StreamResumption} from './request_relay.js';
 import {sendRelayedStream, type RelayedStreamResult} from './relayed_stream.js';
 import type {ServingParts} from './serving_parts.js';
 import {getAttemptDetail, type AttemptResult} from './stream_attempt.js';
 import type {RetryDenial, StreamRetries} from './stream_retries.js';
 import type {StreamSink} from './stream_sink.js';
+import type {StreamVersion} from './stream_version.js';
 
 /** How long a started answer waits for a host that takes it, in ms. */
 const MAX_SEARCH_MS = 1500;
@@ -40,6 +42,7 @@
     private readonly service: string,
     private readonly sink: StreamSink,
     private readonly retries: StreamRetries,
+    private readonly version: StreamVersion,
   ) {}
 
   /** Runs the stream through another host. */
@@ -72,11 +75,17 @@
     const {parts, request, route, service, sink, retries} = this;
     if (request.exchange.hop !== undefined) return {kind: 'none'};
     const maxRuns = route.maxAttempts - retries.runs;
-    const {lastEventId} = sink;
-    const relayed = {request, route, service, maxRuns, lastEventId};
+    const resumption = this.findResumption();
+    const relayed = {request, route, service, maxRuns, resumption};
     return sendRelayedStream(parts, relayed, sink);
   }
 
+  private findResumption(): StreamResumption | undefined {
+    const {lastEventId} = this.sink;
+    if (lastEventId === undefined) return undefined;
+    return {lastEventId, requestId: this.version.firstRequestId};
+  }
+
   /** Lets a started answer wait a while; any other is refused at once. */
   private async waitForHost(): Promise<StreamRelayStep> {
     const {clock} = this.parts;
--- a/packages/gateway/tests/relayed_call.test.ts
+++ b/packages/gateway/tests/relayed_call.test.ts
@@ -63,7 +63,7 @@
     route: ROUTE,
     service: 'calls',
     maxRuns: 1,
-    lastEventId: undefined,
+    resumption: undefined,
   });
   return {kind, sends};
 }
