Treat the software version of an unlisted engine as unknown

Cause: the entry of the successor is a copy, its version too. The copied version stays for rollouts, which must not open a version that was rolled back, but is marked as assumed: for streams it equals no other. A stream that begins there continues there, also once the store lists the instance.

--- a/packages/gateway/src/model/endpoint_entry.ts
+++ b/packages/gateway/src/model/endpoint_entry.ts
@@ -14,8 +14,10 @@
   /** `ip:port`; may be reused later by an endpoint of another service. */
   address: z.string(),
   failureDomain: z.string(),
-  /** The version of its software; empty when unknown. */
+  /** The version of its software; empty if its entry names none. */
   version: z.string(),
+  /** Whether the version is that of an earlier instance at its address. */
+  isVersionAssumed: z.boolean().optional(),
   /** The number of requests that it runs at the same time. */
   slots: z.number(),
   /** An endpoint that is leaving accepts no new requests. */
--- a/packages/gateway/src/services/gateway_endpoints.ts
+++ b/packages/gateway/src/services/gateway_endpoints.ts
@@ -184,6 +184,7 @@
       endpointId,
       instanceId,
       state: 'ready',
+      isVersionAssumed: true,
     } as const;
     this.unlisted.add(this.addRecord(entry));
     this.planRemoval();
--- a/packages/gateway/src/serving/stream_report.ts
+++ b/packages/gateway/src/serving/stream_report.ts
@@ -3,7 +3,7 @@
 import type {AdmittedRequest} from './caller_exchange.js';
 import type {ServingParts} from './serving_parts.js';
 import type {AttemptPlan, AttemptResult} from './stream_attempt.js';
-import type {VersionBinding} from './version_binding.js';
+import {getSoftwareVersion, type VersionBinding} from './version_binding.js';
 
 /** Reports the attempts and events of one stream. */
 export class StreamReport {
@@ -31,7 +31,7 @@
     this.parts.log.writeInfo('A stream is sent to an engine.', {
       request: this.request.requestId,
       endpoint: endpoint.instanceId,
-      softwareVersion: endpoint.entry.version,
+      softwareVersion: getSoftwareVersion(endpoint),
       resumes: this.request.metadata.resumedRequestId,
       domain: endpoint.failureDomain,
       streams: endpoint.streams,
@@ -116,7 +116,7 @@
   ): void {
     if (lastEventId === undefined) return;
     const {origin} = this.binding;
-    const isSame = endpoint.entry.version === origin?.version;
+    const isSame = getSoftwareVersion(endpoint) === origin?.version;
     const result = isSame ? 'same' : 'other';
     const version = origin === undefined ? 'unknown' : result;
     this.parts.metrics.resumptions.inc({version});
@@ -136,7 +136,7 @@
     this.parts.log.writeInfo('A stream resumed after a loss.', {
       request: this.request.requestId,
       endpoint: plan.endpoint.instanceId,
-      softwareVersion: plan.endpoint.entry.version,
+      softwareVersion: getSoftwareVersion(plan.endpoint),
       pauseMs: Math.round(now - since),
       noticedMs: Math.round(lostAt - since),
       ...ids,
--- a/packages/gateway/src/serving/stream_version.ts
+++ b/packages/gateway/src/serving/stream_version.ts
@@ -14,7 +14,11 @@
 import type {EndpointRecord} from './endpoint_record.js';
 import {hashStreamId} from './request_content.js';
 import type {ServingParts} from './serving_parts.js';
-import {createOrigin, VersionBinding} from './version_binding.js';
+import {
+  createOrigin,
+  getSoftwareVersion,
+  VersionBinding,
+} from './version_binding.js';
 
 /** How long an origin is kept for a caller without a deadline, in ms. */
 const MAX_KEPT_MS = 600_000;
@@ -83,7 +87,7 @@
     if (this.binding.origin !== undefined) return true;
     const {metrics, log} = this.parts;
     const records = await this.findRecords();
-    const cached = cachingEngines.map(({entry}) => entry.version);
+    const cached = cachingEngines.map(getSoftwareVersion);
     const decision = decideOriginVersion({
       recorded: records.map(({version}) => version),
       cached,
@@ -129,8 +133,9 @@
 
   private listVersions(): string[] {
     const versions: string[] = [];
-    for (const {entry} of this.parts.endpoints.listAll()) {
-      if (entry.service === this.service) versions.push(entry.version);
+    for (const engine of this.parts.endpoints.listAll()) {
+      if (engine.entry.service !== this.service) continue;
+      versions.push(getSoftwareVersion(engine));
     }
     return versions;
   }
--- a/packages/gateway/src/serving/version_binding.ts
+++ b/packages/gateway/src/serving/version_binding.ts
@@ -13,19 +13,29 @@
   readonly version: string;
 }
 
+/**
+ * Gives the software version of an engine for comparison. An engine whose
+ * version is only assumed has one of its own.
+ */
+export function getSoftwareVersion({entry}: EndpointRecord): string {
+  const {version, instanceId, isVersionAssumed} = entry;
+  return isVersionAssumed === true ? `unknown (${instanceId})` : version;
+}
+
 /** Creates the origin of the streams that an engine begins. */
-export function createOrigin({entry}: EndpointRecord): StreamOrigin {
-  const {service, instanceId, version} = entry;
-  return {service, instanceId, version};
+export function createOrigin(engine: EndpointRecord): StreamOrigin {
+  const {service, instanceId} = engine.entry;
+  return {service, instanceId, version: getSoftwareVersion(engine)};
 }
 
 /** Whether an engine may continue a stream with this origin. */
 export function isOfOrigin(
-  {entry}: EndpointRecord,
-  origin: StreamOrigin,
+  engine: EndpointRecord,
+  {service, instanceId, version}: StreamOrigin,
 ): boolean {
-  if (entry.service !== origin.service) return false;
-  return entry.version === origin.version;
+  if (engine.entry.service !== service) return false;
+  if (engine.instanceId === instanceId) return true;
+  return getSoftwareVersion(engine) === version;
 }
 
 /** The binding of one stream; unbound until its first event. */
