--- a/packages/gateway/src/serving/request_handler.ts
+++ b/packages/gateway/src/serving/request_handler.ts
@@ -16,6 +16,7 @@
 import {createNotRunError, createRefusedError} from './send_rules.js';
 import {getRandomFraction, type ServingParts} from './serving_parts.js';
 import {StreamDriver} from './stream_driver.js';
+import {findOriginService} from './stream_version.js';
 
 const MS_PER_SECOND = 1000;
 
@@ -69,7 +70,7 @@
     const route = clampRuns(found, exchange.hop);
     const request = await this.admit(exchange, route);
     if (request === undefined) return;
-    const service = this.chooseService(route);
+    const service = await this.chooseService(route, request);
     if (service === undefined) {
       const {random} = this.parts;
       const error = createNotRunError('no_endpoint', route.name, random);
@@ -179,11 +180,21 @@
     };
   }
 
-  private chooseService(route: ServingRoute): string | undefined {
-    const onlyShare = route.shares[0];
-    if (route.shares.length === 1) return onlyShare?.service;
-    return chooseShare(route.shares, getRandomFraction(this.parts.random))
-      ?.service;
+  /** Chooses a service; a resumed stream stays at the one that began it. */
+  private async chooseService(
+    {shares, kind}: ServingRoute,
+    request: AdmittedRequest,
+  ): Promise<string | undefined> {
+    const [onlyShare] = shares;
+    if (shares.length === 1) return onlyShare?.service;
+    const {origins, random} = this.parts;
+    const {lastEventId} = request.metadata;
+    if (kind === 'stream' && lastEventId !== undefined) {
+      const service = await findOriginService(origins, request);
+      const share = shares.find((one) => one.service === service);
+      if (share !== undefined && share.weight > 0) return service;
+    }
+    return chooseShare(shares, getRandomFraction(random))?.service;
   }
 
   /**
--- a/packages/gateway/src/serving/stream_version.ts
+++ b/packages/gateway/src/serving/stream_version.ts
@@ -43,6 +43,36 @@
   'clock' | 'endpoints' | 'log' | 'metrics' | 'origins'
 >;
 
+/**
+ * Creates the key by which the origin of a begun stream is looked up.
+ *
+ * @param firstRequestId The attempt that brought its first event, if known.
+ */
+function createOriginKey(
+  {team, content}: AdmittedRequest,
+  firstRequestId: string | undefined,
+): OriginKey {
+  const isNamed = firstRequestId !== undefined;
+  const streamId = isNamed ? hashStreamId(team, firstRequestId) : undefined;
+  return {streamId, content};
+}
+
+/**
+ * Finds the service that began the stream that a caller resumes; undefined if
+ * no host recorded it.
+ */
+export async function findOriginService(
+  origins: StreamOrigins,
+  request: AdmittedRequest,
+): Promise<string | undefined> {
+  const {resumedRequestId} = request.metadata;
+  const key = createOriginKey(request, resumedRequestId);
+  const records = await origins.find(key);
+  const [record] =
+    records.length > 0 ? records : await origins.findAnywhere(key);
+  return record?.service;
+}
+
 /** The software version of one stream. */
 export class StreamVersion {
   readonly binding = new VersionBinding();
@@ -119,16 +149,11 @@
 
   private async findRecords(): Promise<readonly OriginRecord[]> {
     const {origins} = this.parts;
-    const {team, content} = this.request;
-    const {firstRequestId} = this;
-    const streamId =
-      firstRequestId === undefined
-        ? undefined
-        : hashStreamId(team, firstRequestId);
-    const records = await origins.find({streamId, content});
+    const key = createOriginKey(this.request, this.firstRequestId);
+    const records = await origins.find(key);
     const hasOneVersion = new Set(this.listVersions()).size < 2;
     if (records.length > 0 || hasOneVersion) return records;
-    return origins.findAnywhere({streamId, content});
+    return origins.findAnywhere(key);
   }
 
   private listVersions(): string[] {
