Let a begun stream wait for room at its software version

What callers would see: an answer was cut when the only other engine of its version refused it once, as full engines do; each engine that refused a stream was excluded for good. Bound to a version, a stream has fewer engines, so this weighs more.

--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -323,7 +323,7 @@
   private recordResult(plan: AttemptPlan, result: AttemptResult): void {
     const {endpoint} = plan;
     if (result.kind === 'ended') return;
-    this.planner.recordAttemptEnd(endpoint, result.kind === 'lost');
+    this.planner.recordAttemptEnd(endpoint, result.kind);
     this.sink.markFailover();
     this.failure.detail = getAttemptDetail(result);
     const hasRun = hasPossiblyRun(result);
--- a/packages/gateway/src/serving/stream_planner.ts
+++ b/packages/gateway/src/serving/stream_planner.ts
@@ -17,7 +17,7 @@
 import type {EndpointRecord, UseClaim} from './endpoint_record.js';
 import {listLiveEndpoints, listStreamEngines} from './live_endpoints.js';
 import type {ServingParts} from './serving_parts.js';
-import type {AttemptPlan} from './stream_attempt.js';
+import type {AttemptPlan, AttemptResult} from './stream_attempt.js';
 import {
   createOrigin,
   isOfOrigin,
@@ -74,11 +74,18 @@
   }
 
   /** Records that an attempt ended early on an engine. */
-  recordAttemptEnd(endpoint: EndpointRecord, isLost: boolean): void {
-    this.excluded.add(endpoint.instanceId);
+  recordAttemptEnd(
+    endpoint: EndpointRecord,
+    kind: AttemptResult['kind'],
+  ): void {
     this.taken.clear();
+    // A begun stream has no engines but those of its version, and one that
+    // refused it may have room again soon.
+    const isBegun = this.binding.origin !== undefined;
+    const isBusy = isBegun && kind === 'refused';
+    (isBusy ? this.held : this.excluded).add(endpoint.instanceId);
     // A failure domain may be lost as a whole.
-    if (isLost) this.avoidedDomains.add(endpoint.failureDomain);
+    if (kind === 'lost') this.avoidedDomains.add(endpoint.failureDomain);
   }
 
   /** Records that an engine's limit held an attempt back. */
