--- a/packages/decisions/src/origin_table.ts
+++ b/packages/decisions/src/origin_table.ts
@@ -26,8 +26,8 @@
   readonly content: string;
 }
 
-/** The maximum number of records, some 15 MB; the oldest are evicted. */
-const MAX_RECORDS = 50_000;
+/** The maximum number of streams; the oldest are evicted. */
+const MAX_STREAMS = 20_000;
 /** The maximum number of records that are found by one content. */
 const MAX_MATCHES = 4;
 
@@ -42,7 +42,7 @@
   private readonly streams = new Map<string, readonly KeptOrigin[]>();
   private readonly contents = new Map<string, Set<string>>();
 
-  constructor(private readonly maxRecords = MAX_RECORDS) {}
+  constructor(private readonly maxStreams = MAX_STREAMS) {}
 
   /** The number of streams. */
   get size(): number {
@@ -59,7 +59,7 @@
     const streamIds = this.contents.get(content) ?? new Set();
     this.contents.set(content, streamIds.add(streamId));
     const [oldest = ''] = this.streams.keys();
-    if (this.streams.size > this.maxRecords) this.drop(oldest);
+    if (this.streams.size > this.maxStreams) this.drop(oldest);
   }
 
   /** Lists the records of a stream, or else those with its content. */
--- a/packages/gateway/src/services/stream_origin_client.ts
+++ b/packages/gateway/src/services/stream_origin_client.ts
@@ -26,6 +26,8 @@
 
 /** The maximum number of origins in a datagram, to fit an Ethernet frame. */
 const MAX_ORIGINS_PER_DATAGRAM = 8;
+/** The time between two removals of old records, in ms. */
+const SWEEP_INTERVAL_MS = 5000;
 /** The maximum number of hosts that are asked at random. */
 const MAX_RANDOM_HOSTS = 64;
 
@@ -63,6 +65,7 @@
     OriginResponseDatagram
   >;
   private recordsHash: number | undefined;
+  private sweptAt = 0;
 
   constructor(private readonly parts: StreamOriginClientParts) {
     const {clock, peers} = parts;
@@ -114,14 +117,25 @@
   startHeartbeat(): void {
     const {peers, clock} = this.parts;
     const now = clock.getNow();
-    this.table.dropExpired(now);
+    if (now - this.sweptAt >= SWEEP_INTERVAL_MS) {
+      this.sweptAt = now;
+      this.table.dropExpired(now);
+    }
     const hasChanged = peers.recordsHash !== this.recordsHash;
     this.recordsHash = peers.recordsHash;
     if (this.published.size === 0) return;
     const hosts = this.listHosts();
+    const incarnations = new Map(
+      hosts.map(({name, incarnation}) => [name, incarnation]),
+    );
     const reports = new Map<string, OriginRecord[]>();
     for (const published of this.published) {
-      const names = this.listDueHolders(published, hosts, hasChanged);
+      const names = new Set(
+        published.isRepeated ? [] : published.holders.keys(),
+      );
+      if (hasChanged && dropLostHolders(published, incarnations)) {
+        for (const name of this.addHolders(published, hosts)) names.add(name);
+      }
       const remainingMs = published.expiresAt - now;
       for (const name of names) {
         const origins = reports.get(name) ?? [];
@@ -151,28 +165,6 @@
     this.requests.accept(answer);
   }
 
-  /** Lists the hosts that a published origin has to be sent to now. */
-  private listDueHolders(
-    published: PublishedOrigin,
-    hosts: readonly LiveHost[],
-    hasChanged: boolean,
-  ): readonly string[] {
-    const {holders, isRepeated} = published;
-    const repeated = isRepeated ? [] : [...holders.keys()];
-    if (!hasChanged) return repeated;
-    const incarnations = new Map(
-      hosts.map(({name, incarnation}) => [name, incarnation]),
-    );
-    let hasLost = holders.size < ORIGIN_HOLDERS;
-    for (const [name, incarnation] of holders) {
-      if (incarnations.get(name) === incarnation) continue;
-      holders.delete(name);
-      hasLost = true;
-    }
-    if (!hasLost) return repeated;
-    return [...new Set([...repeated, ...this.addHolders(published, hosts)])];
-  }
-
   /** Adds the holders that are missing; returns their names. */
   private addHolders(
     {record, holders}: PublishedOrigin,
@@ -234,3 +226,14 @@
     return hosts;
   }
 }
+
+/** Removes holders that are lost or restarted; returns whether some are missing. */
+function dropLostHolders(
+  {holders}: PublishedOrigin,
+  incarnations: ReadonlyMap<string, number>,
+): boolean {
+  for (const [name, incarnation] of holders) {
+    if (incarnations.get(name) !== incarnation) holders.delete(name);
+  }
+  return holders.size < ORIGIN_HOLDERS;
+}
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -107,7 +107,7 @@
 
   /** Runs attempts until the stream ends; returns its outcome for metrics. */
   async run(): Promise<string> {
-    if (!this.isPartitioned()) await this.planner.loadPreferences();
+    if (!this.isPartitioned()) await this.loadPreferences();
     try {
       return await this.runAttempts();
     } finally {
@@ -117,6 +117,13 @@
     }
   }
 
+  /** Only engines of the stream's version are asked for its prompt. */
+  private async loadPreferences(): Promise<void> {
+    const isBegun = this.sink.lastEventId !== undefined;
+    if (isBegun) await this.version.loadRecords();
+    await this.planner.loadPreferences();
+  }
+
   private isPartitioned(): boolean {
     return this.parts.paths.isPartitioned(this.service);
   }
--- a/packages/gateway/src/serving/stream_version.ts
+++ b/packages/gateway/src/serving/stream_version.ts
@@ -9,6 +9,7 @@
   decideOriginVersion,
   type OriginKey,
   type OriginRecord,
+  type OriginSource,
 } from '@irisdock/decisions';
 import type {AdmittedRequest} from './caller_exchange.js';
 import type {EndpointRecord} from './endpoint_record.js';
@@ -77,6 +78,8 @@
 export class StreamVersion {
   readonly binding = new VersionBinding();
   private stopPublishing: (() => void) | undefined;
+  /** What hosts recorded of a begun stream; undefined until looked up. */
+  private records: readonly OriginRecord[] | undefined;
 
   constructor(
     private readonly parts: StreamVersionParts,
@@ -91,6 +94,10 @@
     return isNew ? requestId : metadata.resumedRequestId;
   }
 
+  private get isBound(): boolean {
+    return this.binding.origin !== undefined;
+  }
+
   /** Binds the stream to the engine that sent an event, unless it is bound. */
   recordEvent(engine: EndpointRecord): void {
     this.binding.add(createOrigin(engine));
@@ -107,44 +114,65 @@
     });
   }
 
+  /** Binds a begun stream to the version that hosts recorded, if any did. */
+  async loadRecords(): Promise<void> {
+    this.records = await this.findRecords();
+    this.decide([], []);
+  }
+
   /**
-   * Binds a stream of which the caller has received events already.
+   * Binds a begun stream to its version.
    *
    * @param cachingEngines Engines that have the whole prompt in their cache.
-   * @returns False if its version is not known.
+   * @returns False if the version is not known.
    */
   async resolve(cachingEngines: readonly EndpointRecord[]): Promise<boolean> {
-    if (this.binding.origin !== undefined) return true;
-    const {metrics, log} = this.parts;
-    const records = await this.findRecords();
+    if (this.isBound) return true;
+    if (this.records === undefined) await this.loadRecords();
     const cached = cachingEngines.map(getSoftwareVersion);
-    const decision = decideOriginVersion({
-      recorded: records.map(({version}) => version),
-      cached,
-      listed: this.listVersions(),
-    });
-    const source = decision?.source ?? 'unknown';
-    metrics.origins.inc({source});
-    log.writeInfo('Looked up the software version of a stream.', {
-      request: this.request.requestId,
-      resumes: this.firstRequestId,
-      source,
-      softwareVersion: decision?.version,
-      recorded: records.map(({version}) => version).join(),
-      cached: cached.join(),
-    });
+    if (this.decide(cached, this.listVersions())) return true;
+    this.writeLog('unknown', cached);
+    return false;
+  }
+
+  /** Stops reporting, as this host no longer runs the stream. */
+  close(): void {
+    this.stopPublishing?.();
+  }
+
+  /** Binds the stream if the evidence allows it; returns whether it is. */
+  private decide(
+    cached: readonly string[],
+    listed: readonly string[],
+  ): boolean {
+    if (this.isBound) return true;
+    const {records = []} = this;
+    const recorded = records.map(({version}) => version);
+    const decision = decideOriginVersion({recorded, cached, listed});
     if (decision === undefined) return false;
     const {service, instanceId} = records[0] ?? {
       service: this.service,
       instanceId: '',
     };
     this.binding.add({service, instanceId, version: decision.version});
+    this.writeLog(decision.source, cached);
     return true;
   }
 
-  /** Stops reporting, as this host no longer runs the stream. */
-  close(): void {
-    this.stopPublishing?.();
+  private writeLog(
+    source: OriginSource | 'unknown',
+    cached: readonly string[],
+  ): void {
+    const {metrics, log} = this.parts;
+    metrics.origins.inc({source});
+    log.writeInfo('Looked up the software version of a stream.', {
+      request: this.request.requestId,
+      resumes: this.firstRequestId,
+      source,
+      softwareVersion: this.binding.origin?.version,
+      recorded: this.records?.map(({version}) => version).join(),
+      cached: cached.join(),
+    });
   }
 
   private async findRecords(): Promise<readonly OriginRecord[]> {
