Serve several software versions in the soak, and witness that streams keep theirs

Endpoints of two versions in each failure domain, events that name the version, callers that name the attempt they resume.

--- a/scripts/check_proofs.mjs
+++ b/scripts/check_proofs.mjs
@@ -10,6 +10,7 @@
 import {LIMIT_TRIALS} from './limit_trials.mjs';
 import {RELAY_TRIALS} from './relay_trials.mjs';
 import {RESTORE_TRIALS} from './restore_trials.mjs';
+import {VERSION_TRIALS} from './version_trials.mjs';
 
 const DECISIONS = 'packages/decisions/dist/src';
 const DAEMON = 'packages/daemon/dist/src';
@@ -22,6 +23,7 @@
   ...LIMIT_TRIALS,
   ...RELAY_TRIALS,
   ...RESTORE_TRIALS,
+  ...VERSION_TRIALS,
   [
     'repeated tokens are dropped',
     `${DECISIONS}/answer_assembler.js`,
--- a/scripts/check_soak.mjs
+++ b/scripts/check_soak.mjs
@@ -31,6 +31,11 @@
     /isComplete: \(\) => [^\n]*/,
     'isComplete: () => true,',
   ],
+  [
+    'a begun stream stays at its software version',
+    /isOpenTo\(engine\) \{/,
+    'isOpenTo(engine) { return true;',
+  ],
   ['a planned stop waits for what it has', /, await waitDrained\([^;]*/, ''],
   [
     'a refused caller is told when to come back',
--- a/soak/src/caller.ts
+++ b/soak/src/caller.ts
@@ -74,10 +74,15 @@
   async sendRequest(kind: RequestKind): Promise<boolean> {
     const body = this.body ?? `${this.name}-${this.count}`;
     let lastEventId = 0;
+    let resumes: string | undefined;
     for (let tries = 0; tries < MAX_ATTEMPTS; tries++) {
       const address = await this.chooseAddress();
       if (address === undefined) continue;
-      const attempt = this.createAttempt(kind, address, body, lastEventId);
+      const attempt = this.createAttempt(kind, address, {
+        body,
+        lastEventId,
+        resumes,
+      });
       this.witness.recordAttempt(attempt);
       const end = await this.sendAttempt(attempt, address);
       this.witness.recordEnd(attempt, end);
@@ -86,7 +91,9 @@
       }
       if (!isRepeatRight(kind, end)) return false;
       if (kind === 'stream' && end.kind === 'answer') {
-        lastEventId += countEvents(end);
+        const events = countEvents(end);
+        lastEventId += events;
+        if (events > 0) resumes ??= attempt.attemptId;
       }
       if (end.kind === 'answer' && end.retryAfter !== undefined) {
         await sleep(Number(end.retryAfter) * 1000);
@@ -100,8 +107,7 @@
   private createAttempt(
     kind: RequestKind,
     address: string,
-    body: string,
-    lastEventId: number,
+    rest: Pick<Attempt, 'body' | 'lastEventId' | 'resumes'>,
   ): Attempt {
     this.count++;
     const host = this.hosts.find((one) => one.callerAddress === address);
@@ -109,9 +115,8 @@
       attemptId: `${this.name}-${this.count}`,
       kind,
       host: host?.name ?? address,
-      body,
       startedAt: performance.now(),
-      lastEventId,
+      ...rest,
     };
   }
 
@@ -145,7 +150,7 @@
     attempt: Attempt,
     address: string,
   ): Promise<AttemptEnd> {
-    const {kind, body, attemptId, lastEventId} = attempt;
+    const {kind, body, attemptId, lastEventId, resumes} = attempt;
     const isStream = kind === 'stream';
     const remainingMs = isStream ? STREAM_MS : CALL_MS;
     const head = createCallerHeaders({
@@ -155,6 +160,7 @@
       remainingMs,
       ...(isStream ? {promptTokens: PROMPT_TOKENS} : {}),
       ...(lastEventId > 0 ? {lastEventId} : {}),
+      ...(resumes === undefined ? {} : {resumes}),
     });
     return new Promise((resolve) => {
       let wasSent = false;
--- a/soak/src/endpoint_fleet.ts
+++ b/soak/src/endpoint_fleet.ts
@@ -25,6 +25,8 @@
 /** How long a plain call works, in ms; long enough to be met by a fault. */
 const WORK_MS = 120;
 const SLOTS = 32;
+/** Software versions that serve side by side. */
+const VERSIONS = ['v1', 'v1.1'] as const;
 /** The entry of an endpoint that crashed vanishes after so long, in ms. */
 const ENTRY_LAPSES_MS = 1500;
 /** An endpoint that ended under a run is back after so long, in ms. */
@@ -41,6 +43,8 @@
   readonly id: string;
   readonly service: string;
   readonly failureDomain: string;
+  /** The version of its software. */
+  readonly version: string;
   readonly server: ServerStandin;
   readonly link: TcpLink;
   readonly address: string;
@@ -87,12 +91,14 @@
       this.failureDomains[place % this.failureDomains.length] ?? '';
     this.count++;
     const id = `i-${this.count}`;
+    const version = this.chooseVersion(place);
     let target = {host: '127.0.0.1', port: 0};
     const link = new TcpLink(() => target);
     const address = await link.start();
     const parts = {
       getAddress: () => address,
       copies: this.copies,
+      version,
       listLines: () => listLines(instance),
       findRejection: () => instance.rejectionLines,
       recordRun: (run: ServerRun) => {
@@ -109,6 +115,7 @@
       id,
       service,
       failureDomain,
+      version,
       server,
       link,
       address,
@@ -200,7 +207,13 @@
       ENTRY_STATES[state],
       SLOTS,
     );
-    this.writeEntry(id, entry);
+    this.writeEntry(id, {...entry, version: instance.version});
+  }
+
+  /** Each version has an endpoint in each failure domain. */
+  private chooseVersion(place: number): string {
+    const round = Math.floor(place / this.failureDomains.length);
+    return VERSIONS[round % VERSIONS.length] ?? '';
   }
 
   private writeEntry(
--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -9,4 +9,5 @@
 export * from './pause_witness.js';
 export * from './play.js';
 export * from './tcp_link.js';
+export * from './version_witness.js';
 export * from './witness.js';
--- a/soak/src/witness.ts
+++ b/soak/src/witness.ts
@@ -10,6 +10,7 @@
 import {CRASH_PREFIX} from './crash_witness.js';
 import type {Disturbances} from './disturbances.js';
 import type {EndedAttempt} from './partition_player.js';
+import {VersionWitness} from './version_witness.js';
 import {
   LEAVE_MS,
   STREAM_SHAPE,
@@ -28,6 +29,8 @@
   readonly startedAt: number;
   /** The last event that the caller had before this attempt. */
   readonly lastEventId: number;
+  /** The attempt that brought the first event; undefined before it. */
+  readonly resumes: string | undefined;
 }
 
 /** How an attempt ended. */
@@ -60,6 +63,7 @@
   readonly counts = {answered: 0, refused: 0, failed: 0, cut: 0};
   /** Attempts that have ended, in this order. */
   readonly ended: EndedAttempt[] = [];
+  private readonly versions = new VersionWitness();
   private readonly attempts = new Map<string, Attempt>();
   private readonly runs = new Map<string, number>();
   /** Attempts that were told that they have not run. */
@@ -156,6 +160,8 @@
     attempt: Attempt,
     end: AttemptEnd & {readonly kind: 'answer'},
   ): void {
+    const fault = this.versions.recordEvents(attempt, end.body);
+    if (fault !== undefined) this.addFault(fault);
     const ids = listEventIds(attempt.body, end.body);
     let next = attempt.lastEventId + 1;
     for (const id of ids) {
--- a/soak/tests/witness.test.ts
+++ b/soak/tests/witness.test.ts
@@ -21,6 +21,7 @@
     body: BODY,
     startedAt: performance.now(),
     lastEventId,
+    resumes: lastEventId > 0 ? 'a-0' : undefined,
   };
 }
 
