Kill the first host in the test of fresh origins

The test passed without the report before the first event, as the host that runs the stream answered itself (check_proofs).

--- a/packages/gateway/tests/stream_origins.test.ts
+++ b/packages/gateway/tests/stream_origins.test.ts
@@ -165,6 +165,8 @@
   it('is known at any host within two latencies of the first event', async () => {
     const fleet = new OriginFleet(9);
     fleet.getClient('host-0').publish(RECORD);
+    // What it has sent by now is on its way.
+    fleet.kill('host-0', false);
     for (let index = 1; index < 9; index++) {
       const {versions, ms} = await fleet.find(`host-${index}`);
       assert.deepEqual(versions, ['v1']);
