Bind an answer that is taken over to the model version that began it

An answer that another host took over, by its signed resume data, went on at the model version that its service had by then, if that was changed in between: text of two models. The resume data now names the model version, and the host that takes over keeps it; without one, as from older hosts, the service decides as before. If no engine has that version, the answer ends as for any lack of one.

--- a/packages/daemon/src/answer/answer_driver.ts
+++ b/packages/daemon/src/answer/answer_driver.ts
@@ -343,10 +343,7 @@
   }
 
   private createResume(): string {
-    const {request, generation, endpoint, name: record} = this.record;
-    const {id, digest} = request;
-    const data = {request: id, generation, endpoint, digest, record};
-    return createResumeData(data, this.parts.signer);
+    return createResumeData(this.record.toResumeData(), this.parts.signer);
   }
 
   private end(reason: string): DriveOutcome {
--- a/packages/daemon/src/answer/record_finder.ts
+++ b/packages/daemon/src/answer/record_finder.ts
@@ -122,7 +122,8 @@
     incoming: StreamRequest,
     own: RequestRecord | undefined,
   ): RequestRecord {
-    const {request, fromOffset, resumeData} = incoming;
+    const {fromOffset, resumeData} = incoming;
+    const request = resolveRequest(incoming);
     const text = fromOffset === 0 ? '' : incoming.receivedText;
     const record = this.createRecord(request, fromOffset, text);
     record.mayHaveRun = true;
@@ -161,3 +162,16 @@
 function toLedgerState(record: RequestRecord): 'ended' | 'running' {
   return record.state === 'ended' ? 'ended' : 'running';
 }
+
+/**
+ * Binds a request to the model version that began its answer. The service may
+ * have another one by now, whose text would not fit.
+ */
+function resolveRequest({
+  request,
+  resumeData,
+}: StreamRequest): GenerationRequest {
+  const {spec} = request;
+  const modelVersion = resumeData?.modelVersion ?? spec.modelVersion;
+  return {...request, spec: {...spec, modelVersion}};
+}
--- a/packages/daemon/src/answer/request_record.ts
+++ b/packages/daemon/src/answer/request_record.ts
@@ -3,6 +3,7 @@
  * their endpoint and the request's state. Answers are resumed from it, and
  * requests that were sent twice are recognized by it.
  */
+import type {ResumeData} from '@irisdock/decisions';
 import type {GenerationSpec} from '@irisdock/resources';
 import {DriverLock} from './driver_lock.js';
 
@@ -58,6 +59,21 @@
     private textBefore: string | undefined,
   ) {}
 
+  /** Describes the record for a host that takes the answer over. */
+  toResumeData(): ResumeData {
+    const {request, generation, endpoint, name} = this;
+    const {id, digest, spec} = request;
+    const {modelVersion} = spec;
+    return {
+      request: id,
+      generation,
+      endpoint,
+      digest,
+      record: name,
+      modelVersion,
+    };
+  }
+
   /** The offset of the first token in this record. */
   get firstOffset(): number {
     return this.first;
--- a/packages/decisions/src/resume_data.ts
+++ b/packages/decisions/src/resume_data.ts
@@ -19,6 +19,8 @@
   d: z.string(),
   /** The name of the record from which the caller received tokens. */
   n: z.string(),
+  /** The model version that began the answer; absent from older hosts. */
+  m: z.string().optional(),
 });
 
 /** The contents of resume data. */
@@ -28,12 +30,14 @@
   readonly endpoint: string;
   readonly digest: string;
   readonly record: string;
+  /** The model version that began the answer; undefined if not known. */
+  readonly modelVersion: string | undefined;
 }
 
 /** Formats and signs resume data. */
 export function createResumeData(data: ResumeData, signer: Signer): string {
   const {request: r, generation: g, endpoint: e, digest: d, record: n} = data;
-  const json = JSON.stringify({r, g, e, d, n});
+  const json = JSON.stringify({r, g, e, d, n, m: data.modelVersion});
   const body = Buffer.from(json).toString('base64url');
   return `${body}.${signer.sign(body)}`;
 }
@@ -51,6 +55,6 @@
   const parsed = RESUME_SCHEMA.safeParse(JSON.parse(json));
   if (!parsed.success) return bad;
   const {r: request, g: generation, e: endpoint} = parsed.data;
-  const {d: digest, n: record} = parsed.data;
-  return ok({request, generation, endpoint, digest, record});
+  const {d: digest, n: record, m: modelVersion} = parsed.data;
+  return ok({request, generation, endpoint, digest, record, modelVersion});
 }
--- a/packages/decisions/tests/signed_texts.test.ts
+++ b/packages/decisions/tests/signed_texts.test.ts
@@ -30,6 +30,7 @@
     endpoint: fc.string({maxLength: 40}),
     digest: fc.string({maxLength: 40}),
     record: fc.string({maxLength: 40}),
+    modelVersion: fc.option(fc.string({maxLength: 40}), {nil: undefined}),
   },
   PLAIN,
 );
