Ask other hosts for streams of a content that no attempt names

What callers would see: a caller that names no attempt was bound by the records of the host that it came to, if that kept any stream of the same content, though another stream of that content may have begun at another version. Where the service has one version it is left out.

Test: 'is not taken for that of another stream of the same content', failed before, passes.

--- a/packages/gateway/src/services/stream_origin_client.ts
+++ b/packages/gateway/src/services/stream_origin_client.ts
@@ -98,9 +98,9 @@
   }
 
   async find(key: OriginKey): Promise<readonly OriginRecord[]> {
-    const own = this.table.list(key, this.parts.clock.getNow());
     const {streamId} = key;
-    if (streamId === undefined) return own;
+    if (streamId === undefined) return this.findAnywhere(key);
+    const own = this.table.list(key, this.parts.clock.getNow());
     if (own[0]?.streamId === streamId) return own;
     const hosts = this.listHosts();
     const names = chooseOriginHolders(streamId, hosts, ORIGIN_RESPONDERS);
@@ -110,7 +110,8 @@
   async findAnywhere(key: OriginKey): Promise<readonly OriginRecord[]> {
     const hosts = getShuffled(this.listHosts(), this.parts.random);
     const names = hosts.slice(0, MAX_RANDOM_HOSTS).map(({name}) => name);
-    return this.poll(names, key, []);
+    const own = this.table.list(key, this.parts.clock.getNow());
+    return this.poll(names, key, own);
   }
 
   /** Repeats new reports, replaces lost holders, and drops old records. */
--- a/packages/gateway/src/serving/stream_version.ts
+++ b/packages/gateway/src/serving/stream_version.ts
@@ -32,7 +32,7 @@
    * @returns A function to call when this host no longer runs the stream.
    */
   publish(record: OriginRecord): () => void;
-  /** Asks the hosts that keep the origin of a stream. */
+  /** Asks the hosts that keep a stream's origin, or any if it has no id. */
   find(key: OriginKey): Promise<readonly OriginRecord[]>;
   /** Asks hosts at random, as none of those that keep origins had it. */
   findAnywhere(key: OriginKey): Promise<readonly OriginRecord[]>;
@@ -178,9 +178,12 @@
   private async findRecords(): Promise<readonly OriginRecord[]> {
     const {origins} = this.parts;
     const key = createOriginKey(this.request, this.firstRequestId);
-    const records = await origins.find(key);
+    const isNamed = key.streamId !== undefined;
     const hasOneVersion = new Set(this.listVersions()).size < 2;
-    if (records.length > 0 || hasOneVersion) return records;
+    // A lookup by content asks many hosts, and one version needs none.
+    if (!isNamed && hasOneVersion) return [];
+    const records = await origins.find(key);
+    if (records.length > 0 || hasOneVersion || !isNamed) return records;
     return origins.findAnywhere(key);
   }
 
--- a/packages/gateway/tests/stream_origins.test.ts
+++ b/packages/gateway/tests/stream_origins.test.ts
@@ -223,6 +223,19 @@
     assert.deepEqual(versions, ['v1']);
   });
 
+  it('is not taken for that of another stream of the same content', async () => {
+    const fleet = new OriginFleet(9);
+    const other = {...RECORD, streamId: 'stream-2', version: 'v2'};
+    fleet.getClient('host-0').publish(RECORD);
+    fleet.getClient('host-1').publish(other);
+    await fleet.runHeartbeats(1);
+    const key = {streamId: undefined, content: CONTENT};
+    for (let index = 2; index < 9; index++) {
+      const {versions} = await fleet.find(`host-${index}`, key);
+      assert.deepEqual([...versions].sort(), ['v1', 'v2']);
+    }
+  });
+
   it('is not known once the time of its caller is over', async () => {
     const fleet = new OriginFleet(9);
     fleet.getClient('host-0').publish(RECORD);
