--- a/packages/gateway/src/services/datagram_handlers.ts
+++ b/packages/gateway/src/services/datagram_handlers.ts
@@ -1,7 +1,7 @@
 /**
- * Passes datagrams of other hosts about rollouts, crashes, limits, leases
- * and origins to the services that handle them. These services register themselves on
- * creation.
+ * Passes datagrams of other hosts about rollouts, crashes, limits, leases and
+ * origins to the services that handle them. These services register themselves
+ * on creation.
  */
 import type {Crash} from '@irisdock/decisions';
 import type {
--- a/packages/gateway/src/services/peer_hosts.ts
+++ b/packages/gateway/src/services/peer_hosts.ts
@@ -62,7 +62,7 @@
   readonly usePublisher: UsePublisher;
   readonly useQueries: UseQueries;
   readonly groups: EngineGroups;
-  /** The handlers of datagrams on rollouts, crashes, limits and leases. */
+  /** The handlers of datagrams on rollouts, crashes, limits and the like. */
   readonly handlers = new DatagramHandlers();
   private readonly tracker: HostTracker;
   private readonly socket: DatagramPort;
