Report origins with the heartbeat of the hosts

The service of origins had a timer of its own beside the one that already starts the heartbeat of limits, at another interval where beatMs is set.

--- a/packages/gateway/src/services/datagram_handlers.ts
+++ b/packages/gateway/src/services/datagram_handlers.ts
@@ -58,6 +58,8 @@
 
 /** Handles reports and lookups of the origins of streams. */
 export interface OriginDatagramHandler {
+  /** Does the work of one heartbeat. */
+  startHeartbeat(): void;
   acceptOrigins(datagram: OriginsDatagram): void;
   acceptOriginRequest(datagram: OriginRequestDatagram): void;
   acceptOriginAnswer(datagram: OriginResponseDatagram): void;
--- a/packages/gateway/src/services/peer_hosts.ts
+++ b/packages/gateway/src/services/peer_hosts.ts
@@ -253,6 +253,7 @@
     this.tracker.startHeartbeat(this.parts.clock.getNow());
     this.usePublisher.startHeartbeat();
     this.handlers.limits?.startHeartbeat();
+    this.handlers.origins?.startHeartbeat();
     const known = this.listAlive().map(({place}) => place.tables);
     const seed = this.seeds.chooseNext(known);
     if (seed !== undefined) void this.tracker.loader.loadAll(seed);
--- a/packages/gateway/src/services/stream_origins.ts
+++ b/packages/gateway/src/services/stream_origins.ts
@@ -13,9 +13,6 @@
 export const STREAM_ORIGINS =
   createServiceKey<StreamOriginClient>('streamOrigins');
 
-/** The interval between two reports of new origins, in ms. */
-const HEARTBEAT_MS = 300;
-
 /** Declares the service. */
 export const STREAM_ORIGINS_SERVICE = createService({
   key: STREAM_ORIGINS,
@@ -35,16 +32,6 @@
         this.set(api.size);
       },
     });
-    const timer = setInterval(() => {
-      api.startHeartbeat();
-    }, HEARTBEAT_MS);
-    timer.unref();
-    return {
-      api,
-      stop() {
-        clearInterval(timer);
-        return Promise.resolve();
-      },
-    };
+    return {api};
   },
 });
