Leave a silent engine only once the next attempt is certain

Callers saw streams cut, or refused with 502 before their first event, though their engine was sound and only silent for a second.

Cause: the silence detector ended the attempt at its engine after one or two unanswered probes, and only then was it asked whether the route's attempts, its kind, the retry budget, a version's engines or their limits allow another one. Where one of them did not, the answer was cut while the engine went on to nobody. Class: what is at hand is given up before the next is certain.

Change: a silence is a suspicion. The attempt runs on and is read while StreamHandover looks for the next one: retries allow it, an engine that answers a probe has room and gives its permit (or another host answers, when this one reaches no engine), and the budget grants the retry last. Only then the silent attempt is closed. Events before that end the search. An engine is lost at once when its address refuses connections, its connection fails or it started anew. A suspicion counts as a failure of the engine while it lasts; the failure of an engine that was left is taken back once it answers again. Running an attempt moves from the driver to AttemptRunner. Lines and counters tell silences that ended, were left or were lost from each other, and why a begun stream was cut.

--- a/packages/gateway/src/serving/endpoint_prober.ts
+++ b/packages/gateway/src/serving/endpoint_prober.ts
@@ -5,17 +5,28 @@
 import type {EndpointClient} from '../channels/endpoint_client.js';
 import type {EndpointRecord} from './endpoint_record.js';
 
+/** The result of a probe. */
+export type ProbeAnswer =
+  | 'answers'
+  /** The address refuses connections: the endpoint has exited. */
+  | 'refused'
+  /** There was no answer in time, which proves nothing. */
+  | 'silent';
+
 /** Probes endpoints. */
 export class EndpointProber {
-  private readonly pending = new Map<string, Promise<boolean>>();
+  private readonly pending = new Map<string, Promise<ProbeAnswer>>();
 
   constructor(
     private readonly client: EndpointClient,
     private readonly reportPath: string,
   ) {}
 
-  /** Returns whether the endpoint answers in time. */
-  async probe(endpoint: EndpointRecord, timeoutMs: number): Promise<boolean> {
+  /** Probes an endpoint once. */
+  async probe(
+    endpoint: EndpointRecord,
+    timeoutMs: number,
+  ): Promise<ProbeAnswer> {
     const {instanceId} = endpoint;
     const pending = this.pending.get(instanceId);
     if (pending !== undefined) return pending;
@@ -29,13 +40,13 @@
   private async probeOnce(
     endpoint: EndpointRecord,
     timeoutMs: number,
-  ): Promise<boolean> {
+  ): Promise<ProbeAnswer> {
     const signal = AbortSignal.timeout(timeoutMs);
     const permit = await this.client.admit(endpoint, 'aside');
     // An endpoint that could not be probed does not count as lost. Probes don't
     // go before requests: for the waiting streams of an engine at its limit
     // they would take five of six permits.
-    if (permit.kind === 'held' || signal.aborted) return true;
+    if (permit.kind === 'held' || signal.aborted) return 'answers';
     const answer = await this.client.send({
       permit,
       requestId: undefined,
@@ -45,9 +56,9 @@
       body: Buffer.alloc(0),
       signal,
     });
-    if (answer.kind === 'lost') return false;
+    if (answer.kind === 'lost') return answer.isRefused ? 'refused' : 'silent';
     answer.message.on('error', () => undefined);
     answer.message.resume();
-    return true;
+    return 'answers';
   }
 }
--- a/packages/gateway/src/serving/endpoint_record.ts
+++ b/packages/gateway/src/serving/endpoint_record.ts
@@ -85,6 +85,8 @@
   private sum: CachedSum | undefined;
   private failures = 0;
   private failedAt = 0;
+  /** Streams of this host there that are silent and may be lost. */
+  private suspicions = 0;
   private meanAnswerMs = INITIAL_ANSWER_MS;
   private meanGapMs = 0;
   private reportedLoad: ReportedLoad | undefined;
@@ -181,8 +183,21 @@
     return this.getUse().expectedTokens;
   }
 
-  /** The weighted number of recent failures, which decays over time. */
+  /**
+   * The weighted number of recent failures, which decays over time. A suspicion
+   * counts as one for as long as it lasts.
+   */
   get failureScore(): number {
+    const score = this.recordedFailures + (this.isSuspected ? 1 : 0);
+    return Math.min(MAX_FAILURE_SCORE, score);
+  }
+
+  /** Whether a stream of this host there is silent and may be lost. */
+  get isSuspected(): boolean {
+    return this.suspicions > 0;
+  }
+
+  private get recordedFailures(): number {
     const age = this.getNow() - this.failedAt;
     const score = this.failures * 0.5 ** (age / FAILURE_HALF_LIFE_MS);
     return score < MIN_FAILURE_SCORE ? 0 : score;
@@ -270,7 +285,7 @@
 
   /** Records a usable answer; `answerMs` is undefined for streams. */
   recordSuccess(answerMs: number | undefined): void {
-    this.failures = this.failureScore * SUCCESS_FACTOR;
+    this.failures = this.recordedFailures * SUCCESS_FACTOR;
     this.failedAt = this.getNow();
     if (answerMs === undefined) return;
     this.meanAnswerMs += ANSWER_WEIGHT * (answerMs - this.meanAnswerMs);
@@ -278,10 +293,23 @@
 
   /** Records a failure; `weight` is 1 for a lost connection. */
   recordFailure(weight: number): void {
-    this.failures = Math.min(MAX_FAILURE_SCORE, this.failureScore + weight);
+    const failures = this.recordedFailures + weight;
+    this.failures = Math.min(MAX_FAILURE_SCORE, failures);
     this.failedAt = this.getNow();
   }
 
+  /** Takes a failure back that proved to be none; `ageMs` is its age, in ms. */
+  dropFailure(weight: number, ageMs: number): void {
+    const left = weight * 0.5 ** (ageMs / FAILURE_HALF_LIFE_MS);
+    this.failures = Math.max(0, this.recordedFailures - left);
+    this.failedAt = this.getNow();
+  }
+
+  /** Counts one more (1) or one fewer (-1) suspicion of a loss there. */
+  countSuspicion(change: 1 | -1): void {
+    this.suspicions += change;
+  }
+
   /** Returns what runs there; computes nothing in the usual case of no use. */
   private getUse(): EndpointUse {
     const isIdle = this.claims.size === 0 && this.peerUse.size === 0;
--- a/packages/gateway/src/serving/lost_attempt.ts
+++ b/packages/gateway/src/serving/lost_attempt.ts
@@ -33,8 +33,12 @@
   hasReplica: boolean,
 ): Promise<void> {
   if (result.kind !== 'lost' || !result.mayHaveRun) return;
-  const wasSilent = result.wasSilent ?? false;
-  const run = {requestId, content, endpoint, wasSilent};
-  const maxWaitMs = hasReplica ? 0 : MAX_EXIT_CHECK_WAIT_MS;
+  const {silence} = result;
+  const wasSilent = silence !== undefined;
+  const wasMute = silence?.isAnswering === false;
+  const run = {requestId, content, endpoint, wasSilent, wasMute};
+  // A silent engine was left for another one, which is ready.
+  const isWaitUseful = !hasReplica && !wasSilent;
+  const maxWaitMs = isWaitUseful ? MAX_EXIT_CHECK_WAIT_MS : 0;
   await lostRuns.record(run, maxWaitMs, exchange.signal);
 }
--- a/packages/gateway/src/serving/lost_runs.ts
+++ b/packages/gateway/src/serving/lost_runs.ts
@@ -9,6 +9,7 @@
 import {DomainLossReview} from './domain_loss_review.js';
 import {MAX_CHECK_MS, type EndpointExitCheck} from './endpoint_exit_check.js';
 import type {EndpointRecord} from './endpoint_record.js';
+import {FAILURE_WEIGHTS} from './send_rules.js';
 import type {ServingMetrics} from './serving_metrics.js';
 
 /**
@@ -24,8 +25,10 @@
   /** The hash of the request's content. */
   readonly content: string;
   readonly endpoint: EndpointRecord;
-  /** Whether this host gave it up because the endpoint was silent. */
+  /** Whether this host left it because the endpoint was silent. */
   readonly wasSilent: boolean;
+  /** Whether the silent endpoint answered no probe either. */
+  readonly wasMute?: boolean;
 }
 
 /** Dependencies of the lost runs. */
@@ -124,9 +127,10 @@
   }
 
   private async recordExit(run: LostRun, signal: AbortSignal): Promise<void> {
-    const {exitCheck, crashes, metrics, log} = this.parts;
+    const {exitCheck, crashes, metrics, clock, log} = this.parts;
     const {requestId, content, endpoint} = run;
     const {instanceId} = endpoint;
+    const lostAt = clock.getNow();
     const wasServing = isServing(endpoint);
     const ownRuns = endpoint.getOwnUse().running;
     const end = await exitCheck.check(endpoint);
@@ -139,6 +143,10 @@
       end,
       ownRuns,
     });
+    if (run.wasMute === true && end === 'answers') {
+      const ageMs = clock.getNow() - lostAt;
+      endpoint.dropFailure(FAILURE_WEIGHTS.lost, ageMs);
+    }
     // A content that was run to its end meanwhile is sound.
     if (!wasServing || signal.aborted) return;
     if (end === 'ended') crashes.recordCrash({content, instanceId});
--- a/packages/gateway/src/serving/relayed_stream.ts
+++ b/packages/gateway/src/serving/relayed_stream.ts
@@ -15,11 +15,17 @@
 /** The result of relaying a stream: of its attempt, or no host took it. */
 export type RelayedStreamResult = AttemptResult | {readonly kind: 'none'};
 
-/** Relays a stream until it has ended or was lost on the way. */
+/**
+ * Relays a stream until it has ended or was lost on the way.
+ *
+ * @param canLeave Whether a silent host may be left for another one; takes the
+ *     retry for it.
+ */
 export async function sendRelayedStream(
   parts: ServingParts,
   relayed: RelayedRequest,
   sink: StreamSink,
+  canLeave: () => boolean,
 ): Promise<RelayedStreamResult> {
   const {relay, log, clock} = parts;
   const {service, request} = relayed;
@@ -30,7 +36,7 @@
     tried.add(host.name);
     const startedAt = clock.getNow();
     const result = await relay.countSend(host, () =>
-      runAttempt(parts, relayed, sink, host),
+      runAttempt(parts, relayed, sink, host, canLeave),
     );
     const isTaken = hasTaken(parts, result);
     log.writeInfo('Relayed a stream to another host.', {
@@ -59,6 +65,7 @@
   relayed: RelayedRequest,
   sink: StreamSink,
   host: RelayHost,
+  canLeave: () => boolean,
 ): Promise<AttemptResult> {
   const {relay} = parts;
   const {request, route, service} = relayed;
@@ -78,6 +85,10 @@
         if (hasGap) attempt.end('events are missing');
         return drained;
       },
+      handleSuspected: (silence) => {
+        if (canLeave()) attempt.endSilent(silence);
+      },
+      handleRecovered: () => undefined,
     },
     request.exchange.signal,
   );
--- a/packages/gateway/src/serving/silence_detector.ts
+++ b/packages/gateway/src/serving/silence_detector.ts
@@ -1,30 +1,53 @@
 /**
  * Detects when a stream has gone silent. After a short silence the endpoint is
- * probed: if it does not answer, the stream is lost at once; if it does, the
- * stream gets more time. Before the first event the endpoint is only probed
- * repeatedly, as long prompts take long to process. The time limits follow from
- * the latency targets of the stream's route (silence_limits.ts).
+ * probed. If it does not answer, the stream is suspected to be lost at once; if
+ * it does, the stream gets more time. Before the first event the endpoint is
+ * only probed repeatedly, as long prompts take long to process. The time limits
+ * follow from the latency targets of the stream's route (silence_limits.ts).
+ *
+ * A suspicion is no loss: a sound endpoint may be silent for a second and go
+ * on. It ends with the next event. Only an endpoint whose address refuses
+ * connections has certainly exited.
  */
 import {computeSilenceLimits, type SilenceLimits} from '@irisdock/decisions';
 import type {Clock} from '@irisdock/kernel';
 import type {EndpointProber} from './endpoint_prober.js';
 import type {EndpointRecord} from './endpoint_record.js';
 
-/** Unanswered probes before the first event after which the stream is lost. */
+/** Unanswered probes before the first event until the stream is suspected. */
 const MAX_UNANSWERED_PROBES = 2;
 
 /** The latency targets of a stream's route, in ms. */
 export interface StreamTargets {
   readonly targetGapMs?: number | undefined;
   readonly targetLatencyMs: number;
-  /** Whether a stream is not lost as long as its endpoint answers probes. */
+  /** Whether no stream is suspected whose endpoint answers probes. */
   readonly toleratesSilence?: boolean;
 }
 
+/** A silence that may be a loss. */
+export interface Silence {
+  /** What shows it, for logs. */
+  readonly detail: string;
+  /** Whether the endpoint answers probes though its stream is silent. */
+  readonly isAnswering: boolean;
+}
+
+/** Receives the verdicts on one stream. */
+export interface SilenceListener {
+  /** The stream is silent and may be lost. */
+  handleSuspected(silence: Silence): void;
+  /** A suspected stream goes on; it was silent for this time, in ms. */
+  handleRecovered(silentMs: number): void;
+  /** The endpoint has exited. */
+  handleExited(): void;
+}
+
 /** Detects the silence of one stream. */
 export class SilenceDetector {
   private timer: NodeJS.Timeout | undefined;
   private hasEvents = false;
+  private readonly startedAt: number;
   private lastEventAt = 0;
   private unansweredProbes = 0;
   /** Incremented with each event, to detect probes that are out of date. */
@@ -32,14 +55,17 @@
   private isStopped = false;
   /** Whether the current timer checks for silence between events. */
   private isCheckPlanned = false;
+  private isSuspected = false;
 
   constructor(
     private readonly endpoint: EndpointRecord,
     private readonly prober: EndpointProber,
     private readonly targets: StreamTargets,
     private readonly clock: Clock,
-    private readonly handleLost: (detail: string) => void,
-  ) {}
+    private readonly listener: SilenceListener,
+  ) {
+    this.startedAt = clock.getNow();
+  }
 
   /** Starts to wait for the first event. */
   start(): void {
@@ -51,6 +77,7 @@
   /** Records that events arrived. */
   recordEvents(): void {
     const now = this.clock.getNow();
+    this.endSuspicion(now);
     if (this.hasEvents) this.endpoint.recordGap(now - this.lastEventAt);
     this.lastEventAt = now;
     this.hasEvents = true;
@@ -64,6 +91,7 @@
   stop(): void {
     this.isStopped = true;
     clearTimeout(this.timer);
+    this.setSuspected(false);
   }
 
   private getLimits(): SilenceLimits {
@@ -97,33 +125,62 @@
 
   private async probeBeforeFirst(): Promise<void> {
     const {probeTimeoutMs, probeIntervalMs} = this.getLimits();
-    const isAnswering = await this.prober.probe(this.endpoint, probeTimeoutMs);
+    const result = await this.prober.probe(this.endpoint, probeTimeoutMs);
     if (this.hasEvents || this.isStopped) return;
-    this.unansweredProbes = isAnswering ? 0 : this.unansweredProbes + 1;
-    if (this.unansweredProbes >= MAX_UNANSWERED_PROBES) {
-      this.handleLost('no answer before the first event');
+    if (result === 'refused') {
+      this.listener.handleExited();
       return;
     }
-    const waitMs = isAnswering ? probeIntervalMs : 0;
+    const isAnswering = result === 'answers';
+    this.unansweredProbes = isAnswering ? 0 : this.unansweredProbes + 1;
+    if (isAnswering) this.endSuspicion(this.clock.getNow());
+    if (this.unansweredProbes === MAX_UNANSWERED_PROBES) {
+      this.markSuspected('no answer before the first event', false);
+    }
+    const isFirstUnanswered = this.unansweredProbes === 1;
+    const waitMs = isFirstUnanswered ? 0 : probeIntervalMs;
     this.plan(waitMs, () => this.probeBeforeFirst());
   }
 
   private async probeInStream(): Promise<void> {
     const {eventCount} = this;
     const {probeAfterMs, probeTimeoutMs, lostAfterMs} = this.getLimits();
-    const isAnswering = await this.prober.probe(this.endpoint, probeTimeoutMs);
+    const result = await this.prober.probe(this.endpoint, probeTimeoutMs);
     if (eventCount !== this.eventCount || this.isStopped) return;
-    if (!isAnswering) {
-      this.handleLost('silent, and no answer to a question');
+    if (result === 'refused') {
+      this.listener.handleExited();
       return;
     }
-    if (this.targets.toleratesSilence === true) {
+    if (result === 'silent') {
+      this.markSuspected('silent, and no answer to a question', false);
+    }
+    if (this.isSuspected || this.targets.toleratesSilence === true) {
       this.plan(probeAfterMs, () => this.probeInStream());
       return;
     }
     this.plan(lostAfterMs - probeAfterMs, () => {
-      this.handleLost('silent, though the endpoint answers');
-      return Promise.resolve();
+      this.markSuspected('silent, though the endpoint answers', true);
+      return this.probeInStream();
     });
   }
+
+  private markSuspected(detail: string, isAnswering: boolean): void {
+    if (this.isSuspected || this.isStopped) return;
+    this.setSuspected(true);
+    this.listener.handleSuspected({detail, isAnswering});
+  }
+
+  private endSuspicion(now: number): void {
+    if (!this.isSuspected) return;
+    this.setSuspected(false);
+    const since = this.hasEvents ? this.lastEventAt : this.startedAt;
+    this.listener.handleRecovered(now - since);
+  }
+
+  /** A suspicion also keeps other streams away from the endpoint. */
+  private setSuspected(isSuspected: boolean): void {
+    if (this.isSuspected === isSuspected) return;
+    this.isSuspected = isSuspected;
+    this.endpoint.countSuspicion(isSuspected ? 1 : -1);
+  }
 }
--- a/packages/gateway/src/serving/stream_attempt.ts
+++ b/packages/gateway/src/serving/stream_attempt.ts
@@ -15,7 +15,11 @@
 import type {EndpointProber} from './endpoint_prober.js';
 import type {EndpointRecord} from './endpoint_record.js';
 import type {ServingParts} from './serving_parts.js';
-import {SilenceDetector, type StreamTargets} from './silence_detector.js';
+import {
+  SilenceDetector,
+  type Silence,
+  type StreamTargets,
+} from './silence_detector.js';
 
 /** The engine of an attempt, its standby, and the source of its KV cache. */
 export interface AttemptPlan {
@@ -42,8 +46,8 @@
       readonly kind: 'lost';
       readonly mayHaveRun: boolean;
       readonly detail: string;
-      /** Whether this host gave it up because its engine was silent. */
-      readonly wasSilent?: boolean;
+      /** The silence of its engine for which this host left it. */
+      readonly silence?: Silence | undefined;
     };
 
 /** Receives the answer of an attempt while it runs. */
@@ -52,6 +56,10 @@
   handleHead(status: number, lines: HeaderLines): void;
   /** Receives events; returns a promise if it needs time before the next. */
   handleEvents(events: readonly ServerSentEvent[]): Promise<void> | undefined;
+  /** The engine is silent. The attempt runs on unless it is left. */
+  handleSuspected(silence: Silence): void;
+  /** The engine goes on after a silence of this time, in ms. */
+  handleRecovered(silentMs: number): void;
 }
 
 /** An answer with this status or a higher one is an error, not a stream. */
@@ -62,7 +70,7 @@
   private readonly controller = new AbortController();
   private readonly detector: SilenceDetector;
   private lostDetail: string | undefined;
-  private wasSilent = false;
+  private silence: Silence | undefined;
 
   constructor(
     private readonly parts: ServingParts,
@@ -72,19 +80,19 @@
     private readonly listener: AttemptListener,
     private readonly stopSignal: AbortSignal,
   ) {
-    const handleLost = (detail: string): void => {
-      this.wasSilent = true;
-      this.end(detail);
-    };
     const {endpoint} = plan;
     const {clock} = parts;
-    this.detector = new SilenceDetector(
-      endpoint,
-      prober,
-      targets,
-      clock,
-      handleLost,
-    );
+    this.detector = new SilenceDetector(endpoint, prober, targets, clock, {
+      handleSuspected: (silence) => {
+        listener.handleSuspected(silence);
+      },
+      handleRecovered: (silentMs) => {
+        listener.handleRecovered(silentMs);
+      },
+      handleExited: () => {
+        this.end('its engine refuses connections');
+      },
+    });
   }
 
   /** Ends the attempt as lost. */
@@ -93,6 +101,12 @@
     this.controller.abort();
   }
 
+  /** Leaves a silent engine, which may be sound, for another one. */
+  endSilent(silence: Silence): void {
+    this.silence = silence;
+    this.end(silence.detail);
+  }
+
   /** Runs the attempt; closes its connection unless the answer is complete. */
   async run(send: AttemptSend): Promise<AttemptResult> {
     const signal = AbortSignal.any([this.stopSignal, this.controller.signal]);
@@ -106,8 +120,8 @@
         if (this.stopSignal.aborted) {
           return {kind: 'stopped', mayHaveRun: answer.mayHaveRun};
         }
-        const {lostDetail: detail = answer.detail, wasSilent} = this;
-        return {...answer, detail, wasSilent};
+        const {lostDetail: detail = answer.detail, silence} = this;
+        return {...answer, detail, silence};
       }
       return await this.readAnswer(answer, send.requestId);
     } finally {
@@ -162,8 +176,8 @@
     const isLost = this.lostDetail !== undefined || !answer.isFramed;
     if (isLost || !answer.isComplete() || splitter.pendingBytes > 0) {
       answer.close();
-      const {lostDetail: detail = 'its stream was cut', wasSilent} = this;
-      return {kind: 'lost', mayHaveRun: true, detail, wasSilent};
+      const {lostDetail: detail = 'its stream was cut', silence} = this;
+      return {kind: 'lost', mayHaveRun: true, detail, silence};
     }
     return {kind: 'ended'};
   }
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -4,21 +4,18 @@
  * replicates its KV cache to an engine in another failure domain, so that the
  * next attempt need not process the prompt again.
  */
-import type {ServerSentEvent} from '@irisdock/decisions';
 import type {LogFields} from '@irisdock/kernel';
 import type {ServingRoute} from '../model/serving_configuration.js';
+import {admitAttempt} from './attempt_admission.js';
+import {AttemptRunner} from './attempt_runner.js';
 import type {AdmittedRequest} from './caller_exchange.js';
-import {KvCacheReplicator} from './kv_cache_replicator.js';
-import {checkEngineExit, publishUnreached} from './lost_attempt.js';
 import type {EndpointProber} from './endpoint_prober.js';
-import type {EndpointRecord, UseClaim} from './endpoint_record.js';
-import {admitAttempt} from './attempt_admission.js';
+import type {EndpointRecord} from './endpoint_record.js';
 import {EngineLease} from './engine_lease.js';
+import {checkEngineExit, publishUnreached} from './lost_attempt.js';
 import {PlanSearch} from './plan_search.js';
-import type {SendPermit} from './send_gate.js';
 import {SendHolds} from './send_holds.js';
 import {
-  computeRemainingMs,
   checkPath,
   MAX_BUSY_WAIT_MS,
   recordEndpointFailure,
@@ -27,20 +24,27 @@
 import {
   getAttemptDetail,
   hasPossiblyRun,
-  StreamAttempt,
   type AttemptPlan,
   type AttemptResult,
 } from './stream_attempt.js';
 import {StreamEvidence} from './stream_evidence.js';
-import {StreamPlanner} from './stream_planner.js';
 import {StreamFailure} from './stream_failure.js';
-import {StreamRetries} from './stream_retries.js';
+import {StreamHandover, type PreparedAttempt} from './stream_handover.js';
+import {StreamPlanner} from './stream_planner.js';
 import {StreamRelay} from './stream_relay.js';
 import {StreamReport} from './stream_report.js';
+import {StreamRetries} from './stream_retries.js';
 import {StreamSink} from './stream_sink.js';
 import {StreamVersion} from './stream_version.js';
 import {SuspectRunAdmission} from './suspect_run.js';
 
+/** What a stream does next. */
+type AttemptStep =
+  | {readonly kind: 'ready'; readonly attempt: PreparedAttempt}
+  /** Another engine may have room. */
+  | {readonly kind: 'retry'}
+  | {readonly kind: 'done'; readonly outcome: string};
+
 /** Drives one stream. */
 export class StreamDriver {
   /** The engine of the last attempt; undefined before the first. */
@@ -59,12 +63,14 @@
   private readonly evidence: StreamEvidence;
   private readonly suspect: SuspectRunAdmission;
   private readonly engineLease: EngineLease;
+  private readonly handover: StreamHandover;
+  private readonly runner: AttemptRunner;
 
   constructor(
     private readonly parts: ServingParts,
-    private readonly prober: EndpointProber,
+    prober: EndpointProber,
     private readonly request: AdmittedRequest,
-    private readonly route: ServingRoute,
+    route: ServingRoute,
     private readonly service: string,
   ) {
     const {metadata, exchange} = request;
@@ -103,6 +109,12 @@
     const {rollouts, clock} = parts;
     const {report} = this;
     this.evidence = new StreamEvidence(rollouts, route.name, report, clock);
+    const {suspect, version, evidence} = this;
+    const shared = {serving: parts, prober, request, service, planner};
+    const handover = new StreamHandover({...shared, retries, suspect});
+    const streamParts = {...shared, route, sink, report, version, engineLease};
+    this.runner = new AttemptRunner({...streamParts, evidence, handover});
+    this.handover = handover;
   }
 
   /** Runs attempts until the stream ends; returns its outcome for metrics. */
@@ -135,28 +147,13 @@
         if (outcome !== undefined) return outcome;
         continue;
       }
-      if (!(await this.resolveVersion())) return this.failure.finishLost();
-      const earlyOutcome = await this.waitForAdmission();
-      if (earlyOutcome !== undefined) return earlyOutcome;
-      const plan = await this.search.find(this.sink.isStarted);
+      const step = (await this.takeNext()) ?? (await this.createNextAttempt());
+      if (step.kind === 'retry') continue;
+      if (step.kind === 'done') return step.outcome;
+      const {plan} = step.attempt;
+      const result = await this.runAttempt(step.attempt);
       const {exchange} = this.request;
       if (exchange.hasDisconnected()) return 'left';
-      if (plan === undefined && this.isPartitioned()) continue;
-      if (plan === undefined) return this.failure.finishLost();
-      const isResumed = this.sink.lastEventId !== undefined;
-      const {signal} = exchange;
-      const permit = await admitAttempt(this.parts, plan, isResumed, signal);
-      if (exchange.hasDisconnected()) return 'left';
-      if (permit.kind === 'held') {
-        this.engineLease.release();
-        this.holds.add(permit);
-        this.planner.recordHold(plan);
-        // An engine exists and will admit the stream when its limit allows.
-        this.search.end();
-        continue;
-      }
-      const result = await this.runAttempt(plan, permit);
-      if (exchange.hasDisconnected()) return 'left';
       if (result.kind === 'ended') {
         this.evidence.recordCompletion(plan.endpoint);
         this.parts.lostRuns.recordCompletion(this.request.content);
@@ -174,6 +171,53 @@
     }
   }
 
+  /**
+   * Takes the attempt for which a silent engine was left. Should another suspect
+   * run on its engine by now, the next one is searched for.
+   */
+  private async takeNext(): Promise<AttemptStep | undefined> {
+    const next = this.handover.takeNext();
+    if (next === undefined) return undefined;
+    const {signal} = this.request.exchange;
+    const isAcquired = await this.engineLease.acquire(
+      next.plan.endpoint,
+      signal,
+    );
+    return isAcquired ? {kind: 'ready', attempt: next} : undefined;
+  }
+
+  /** Waits for admission, an engine and its permit. */
+  private async createNextAttempt(): Promise<AttemptStep> {
+    if (!(await this.resolveVersion())) return this.finishLost();
+    const earlyOutcome = await this.waitForAdmission();
+    if (earlyOutcome !== undefined) {
+      return {kind: 'done', outcome: earlyOutcome};
+    }
+    const plan = await this.search.find(this.sink.isStarted);
+    const {exchange} = this.request;
+    if (exchange.hasDisconnected()) return {kind: 'done', outcome: 'left'};
+    if (plan === undefined) {
+      return this.isPartitioned() ? {kind: 'retry'} : this.finishLost();
+    }
+    const isResumed = this.sink.lastEventId !== undefined;
+    const {signal} = exchange;
+    const permit = await admitAttempt(this.parts, plan, isResumed, signal);
+    if (exchange.hasDisconnected()) return {kind: 'done', outcome: 'left'};
+    if (permit.kind === 'permit') {
+      return {kind: 'ready', attempt: {plan, permit}};
+    }
+    this.engineLease.release();
+    this.holds.add(permit);
+    this.planner.recordHold(plan);
+    // An engine exists and will admit the stream when its limit allows.
+    this.search.end();
+    return {kind: 'retry'};
+  }
+
+  private finishLost(): AttemptStep {
+    return {kind: 'done', outcome: this.failure.finishLost()};
+  }
+
   /**
    * Runs the stream through another host; returns the outcome, or undefined if
    * the stream may be sent again.
@@ -182,6 +226,7 @@
     const {exchange} = this.request;
     // The other host needs the lease itself.
     this.suspect.close();
+    this.handover.takeNext();
     const step = await this.relay.run();
     if (exchange.hasDisconnected()) return 'left';
     if (exchange.isExpired) return this.failure.finishExpired();
@@ -219,112 +264,11 @@
     return this.report.listFigures();
   }
 
-  private async runAttempt(
-    plan: AttemptPlan,
-    permit: SendPermit,
-  ): Promise<AttemptResult> {
-    const {endpoint, backup, kvCacheSource} = plan;
-    const {exchange, requestId, team, body} = this.request;
-    this.lastEndpoint = endpoint;
+  private async runAttempt(prepared: PreparedAttempt): Promise<AttemptResult> {
+    this.lastEndpoint = prepared.plan.endpoint;
     this.search.end();
     this.sends++;
-    const claim = this.planner.createClaim(plan);
-    const replicator = this.createReplicator(plan);
-    const backupClaim = {...claim, running: 0, unreadTokens: 0};
-    endpoint.addClaim(claim);
-    backup?.addClaim(backupClaim);
-    this.parts.endpoints.peers.usePublisher.publishPlaced();
-    const attempt = this.createAttempt(plan, claim, replicator);
-    const now = this.parts.clock.getNow();
-    this.evidence.recordSend();
-    const cachedTokens = this.planner.countCachedTokens(endpoint);
-    this.report.recordSend(plan, this.sink.lastEventId, cachedTokens);
-    let isReplicaNeeded = true;
-    try {
-      const lines = this.parts.codec.encodeRequest(exchange.lines, {
-        endpointId: endpoint.endpointId,
-        team,
-        remainingMs: computeRemainingMs(this.request, this.route, now),
-        lastEventId: this.sink.lastEventId,
-        backupAddress: backup?.address,
-        kvCacheSource,
-      });
-      const {method, path} = exchange;
-      const send = {permit, requestId, method, path, lines, body};
-      const result = await attempt.run(send);
-      isReplicaNeeded = result.kind !== 'ended' && result.kind !== 'stopped';
-      return result;
-    } finally {
-      this.engineLease.release();
-      replicator.stop(isReplicaNeeded);
-      this.planner.setReplica(replicator.findReplica());
-      endpoint.releaseClaim(claim);
-      backup?.releaseClaim(backupClaim);
-      this.parts.endpoints.peers.usePublisher.publishChanged();
-    }
-  }
-
-  private createAttempt(
-    plan: AttemptPlan,
-    claim: UseClaim,
-    replicator: KvCacheReplicator,
-  ): StreamAttempt {
-    const attempt: StreamAttempt = new StreamAttempt(
-      this.parts,
-      this.prober,
-      plan,
-      this.route,
-      {
-        handleHead: (status, lines) => {
-          this.sink.setHead(status, lines);
-        },
-        handleEvents: (events) => {
-          this.markPromptRead(plan.endpoint, claim);
-          replicator.start();
-          return this.passToCaller(plan, events, attempt);
-        },
-      },
-      this.request.exchange.signal,
-    );
-    return attempt;
-  }
-
-  /** Marks the prompt as processed, which the first events imply. */
-  private markPromptRead(endpoint: EndpointRecord, claim: UseClaim): void {
-    if (claim.unreadTokens === 0) return;
-    endpoint.markPromptRead(claim);
-    this.parts.endpoints.peers.usePublisher.publishChanged();
-  }
-
-  private createReplicator({endpoint, backup}: AttemptPlan): KvCacheReplicator {
-    const engineRequest = this.planner.createEngineRequest();
-    const {requestId} = this.request;
-    return new KvCacheReplicator(
-      this.parts,
-      requestId,
-      endpoint,
-      backup,
-      engineRequest,
-    );
-  }
-
-  /** Writes events to the caller, each once and in order. */
-  private passToCaller(
-    plan: AttemptPlan,
-    events: readonly ServerSentEvent[],
-    attempt: StreamAttempt,
-  ): Promise<void> | undefined {
-    const {lastEventId} = this.sink;
-    const nextId = events[0]?.id;
-    const isFirst = this.report.recordEvents(plan, lastEventId, nextId);
-    if (isFirst) {
-      plan.endpoint.recordSuccess(undefined);
-      this.evidence.recordFirstEvent(plan.endpoint);
-    }
-    this.version.recordEvent(plan.endpoint);
-    const {hasGap, drained} = this.sink.passEvents(events);
-    if (hasGap) attempt.end('events are missing');
-    return drained;
+    return this.runner.run(prepared);
   }
 
   private recordResult(plan: AttemptPlan, result: AttemptResult): void {
--- a/packages/gateway/src/serving/stream_failure.ts
+++ b/packages/gateway/src/serving/stream_failure.ts
@@ -41,6 +41,7 @@
   /** Ends a stream whose time is over; returns its outcome. */
   finishExpired(): string {
     const {parts, route, service} = this;
+    this.denial = 'time_spent';
     this.finishWith(
       this.retries.mayHaveRun
         ? GATEWAY_ERRORS.create('timed_out', {ms: route.timeoutMs})
@@ -98,6 +99,8 @@
   private finishWith(error: KnownError): void {
     const {parts, request, retries} = this;
     const {content} = request;
+    const reason = this.denial ?? 'no_engine';
+    if (this.sink.isStarted) parts.metrics.cutStreams.inc({reason});
     this.sink.fail(error);
     parts.log.writeInfo('A stream was not finished.', {
       request: request.requestId,
@@ -107,7 +110,7 @@
       runs: retries.runs,
       notRun: retries.notRun,
       detail: this.detail,
-      bar: this.denial ?? 'no_engine',
+      bar: reason,
       crashes: parts.crashes.countCrashes(content),
       content,
       ...this.holds.listFields(),
--- a/packages/gateway/src/serving/stream_planner.ts
+++ b/packages/gateway/src/serving/stream_planner.ts
@@ -41,6 +41,8 @@
   private readonly held = new Set<string>();
   /** Engines on which another suspected stream runs. */
   private readonly taken = new Set<string>();
+  /** Engines that were silent since the current attempt is suspected. */
+  private readonly silent = new Map<string, EndpointRecord>();
   private replica: KvCacheReplica | undefined;
   /** Engines whose load this host knows; undefined when it knows all. */
   private knownLoadEngines: readonly EndpointRecord[] | undefined;
@@ -100,6 +102,16 @@
     this.taken.add(endpoint.instanceId);
   }
 
+  /** Records that an engine is silent and cannot take the stream over. */
+  recordSilence(endpoint: EndpointRecord): void {
+    this.silent.set(endpoint.instanceId, endpoint);
+  }
+
+  /** Makes engines that were silent eligible again. */
+  dropSilences(): void {
+    this.silent.clear();
+  }
+
   /** Makes engines whose limits held the stream back eligible again. */
   dropHolds(): void {
     this.held.clear();
@@ -227,7 +239,7 @@
   private takeUnconfirmed(
     usable: readonly EndpointRecord[],
   ): EndpointRecord | undefined {
-    const isFirst = this.excluded.size === 0 && this.held.size === 0;
+    const isFirst = this.listExcluded().size === 0;
     if (!isFirst || this.metadata.lastEventId !== undefined) return undefined;
     return this.parts.gate.takeUnconfirmed(usable);
   }
@@ -290,7 +302,7 @@
       expectedTokens: this.expectedTokens,
       promptTokens: this.metadata.promptTokens,
       excluded: this.listExcluded(),
-      avoidedDomains: this.avoidedDomains,
+      avoidedDomains: this.listAvoidedDomains(),
       promptKey: this.metadata.promptParts.at(-1)?.id ?? '',
       keptTokens: this.cachedTokens,
     };
@@ -302,17 +314,28 @@
     isHome: (engine: EndpointRecord) => boolean,
   ): boolean {
     if (isHome(engine) || this.isExcluded(engine)) return false;
-    return !this.avoidedDomains.has(engine.failureDomain);
+    return !this.listAvoidedDomains().has(engine.failureDomain);
   }
 
   private listExcluded(): ReadonlySet<string> {
-    if (this.held.size === 0 && this.taken.size === 0) return this.excluded;
-    return new Set([...this.excluded, ...this.held, ...this.taken]);
+    const {held, taken, silent} = this;
+    const passing = [...held, ...taken, ...silent.keys()];
+    if (passing.length === 0) return this.excluded;
+    return new Set([...this.excluded, ...passing]);
+  }
+
+  /** A failure domain with a silent engine may be silent as a whole. */
+  private listAvoidedDomains(): ReadonlySet<string> {
+    if (this.silent.size === 0) return this.avoidedDomains;
+    const domains = [...this.silent.values()].map(
+      ({failureDomain}) => failureDomain,
+    );
+    return new Set([...this.avoidedDomains, ...domains]);
   }
 
   private isExcluded({instanceId}: EndpointRecord): boolean {
     if (this.held.has(instanceId) || this.taken.has(instanceId)) return true;
-    return this.excluded.has(instanceId);
+    return this.silent.has(instanceId) || this.excluded.has(instanceId);
   }
 
   /** Finds the engine that holds a replica, if it may take requests. */
--- a/packages/gateway/src/serving/stream_relay.ts
+++ b/packages/gateway/src/serving/stream_relay.ts
@@ -77,7 +77,12 @@
     const maxRuns = route.maxAttempts - retries.runs;
     const resumption = this.findResumption();
     const relayed = {request, route, service, maxRuns, resumption};
-    return sendRelayedStream(parts, relayed, sink);
+    return sendRelayedStream(
+      parts,
+      relayed,
+      sink,
+      () => retries.takeAhead() === undefined,
+    );
   }
 
   private findResumption(): StreamResumption | undefined {
--- a/packages/gateway/src/serving/stream_report.ts
+++ b/packages/gateway/src/serving/stream_report.ts
@@ -3,6 +3,7 @@
 import type {AdmittedRequest} from './caller_exchange.js';
 import type {ServingParts} from './serving_parts.js';
 import type {AttemptPlan, AttemptResult} from './stream_attempt.js';
+import type {Silence} from './silence_detector.js';
 import {getSoftwareVersion, type VersionBinding} from './version_binding.js';
 
 /** Reports the attempts and events of one stream. */
@@ -14,6 +15,8 @@
   private firstEventMs: number | undefined;
   private longestPauseMs = 0;
   private lastPlan: AttemptPlan | undefined;
+  /** Whether the engine of the current attempt is silent. */
+  private isSilent = false;
 
   constructor(
     private readonly parts: ServingParts,
@@ -88,6 +91,33 @@
     };
   }
 
+  /** Records that the engine of an attempt fell silent. */
+  recordSilence(
+    {endpoint}: AttemptPlan,
+    {detail}: Silence,
+    lastEventId: number | undefined,
+  ): void {
+    this.isSilent = true;
+    this.parts.log.writeInfo('The engine of a stream is silent.', {
+      request: this.request.requestId,
+      endpoint: endpoint.instanceId,
+      detail,
+      lastEventId,
+    });
+  }
+
+  /** Records that a silent engine goes on by itself. */
+  recordSilenceEnd({endpoint}: AttemptPlan, silentMs: number): void {
+    const {log, metrics} = this.parts;
+    this.isSilent = false;
+    metrics.silences.inc({end: 'recovered'});
+    log.writeInfo('A silent engine goes on.', {
+      request: this.request.requestId,
+      endpoint: endpoint.instanceId,
+      silentMs: Math.round(silentMs),
+    });
+  }
+
   /** Records that an attempt ended early. */
   recordLoss(
     plan: AttemptPlan,
@@ -97,6 +127,7 @@
   ): void {
     const {log, metrics, clock} = this.parts;
     this.lostAt ??= clock.getNow();
+    this.countSilence(result);
     metrics.losses.inc({reason: result.kind});
     log.writeInfo('A stream attempt ended early.', {
       request: this.request.requestId,
@@ -109,6 +140,14 @@
     });
   }
 
+  /** Counts a silence that the attempt did not outlast. */
+  private countSilence(result: AttemptResult): void {
+    if (!this.isSilent) return;
+    this.isSilent = false;
+    const wasLeft = result.kind === 'lost' && result.silence !== undefined;
+    this.parts.metrics.silences.inc({end: wasLeft ? 'left' : 'lost'});
+  }
+
   /** Counts a resumption by whether the software version changed. */
   private countVersion(
     {endpoint}: AttemptPlan,
--- a/packages/gateway/src/serving/stream_retries.ts
+++ b/packages/gateway/src/serving/stream_retries.ts
@@ -33,6 +33,8 @@
   runs = 0;
   /** The number of attempts that certainly did not run. */
   notRun = 0;
+  /** Whether a retry was taken while the current attempt still runs. */
+  private isGranted = false;
 
   constructor(
     private readonly parts: ServingParts,
@@ -59,24 +61,54 @@
 
   /** Returns why there is no retry; takes one from the budget otherwise. */
   findRetryDenial(result: AttemptResult): RetryDenial | undefined {
-    const {route, request, parts} = this;
-    if (!route.isResumable && this.mayHaveRun) return 'not_resumable';
     if (this.isRefused) return 'content_refused';
+    if (this.isGranted) {
+      this.isGranted = false;
+      return undefined;
+    }
+    const {route} = this;
+    if (!route.isResumable && this.mayHaveRun) return 'not_resumable';
     if (
       result.kind === 'failed' &&
       result.answer.status < MIN_SERVER_ERROR_STATUS
     ) {
       return 'answered';
     }
-    if (this.runs >= route.maxAttempts) return 'attempts_spent';
+    return this.findSendDenial(this.runs) ?? this.findBudgetDenial();
+  }
+
+  /**
+   * Returns why an attempt that runs and may have been lost must not be left
+   * for another one, apart from the budget.
+   */
+  findLeaveDenial(): RetryDenial | undefined {
+    if (!this.route.isResumable) return 'not_resumable';
+    if (this.isRefused) return 'content_refused';
+    return this.findSendDenial(this.runs + 1);
+  }
+
+  /**
+   * Takes the retry that follows an attempt before the attempt is left; returns
+   * why there is none.
+   */
+  takeAhead(): RetryDenial | undefined {
+    const denial = this.findLeaveDenial() ?? this.findBudgetDenial();
+    this.isGranted = denial === undefined;
+    return denial;
+  }
+
+  private findSendDenial(runs: number): RetryDenial | undefined {
+    const {route, request, parts} = this;
+    if (runs >= route.maxAttempts) return 'attempts_spent';
     if (this.notRun > MAX_NOT_RUN_ATTEMPTS) return 'never_run';
     if (request.exchange.signal.aborted) return 'caller_left';
     const now = parts.clock.getNow();
-    if (computeRemainingMs(request, route, now) < MIN_ATTEMPT_MS) {
-      return 'time_spent';
-    }
-    return parts.retryBudgets.takeRetry(this.service)
-      ? undefined
-      : 'budget_spent';
+    const remainingMs = computeRemainingMs(request, route, now);
+    return remainingMs < MIN_ATTEMPT_MS ? 'time_spent' : undefined;
+  }
+
+  private findBudgetDenial(): RetryDenial | undefined {
+    const isTaken = this.parts.retryBudgets.takeRetry(this.service);
+    return isTaken ? undefined : 'budget_spent';
   }
 }
