--- a/scripts/check_proofs.mjs
+++ b/scripts/check_proofs.mjs
@@ -8,6 +8,7 @@
 import {CHANGE_TRIALS} from './change_trials.mjs';
 import {CRASH_TRIALS} from './crash_trials.mjs';
 import {LIMIT_TRIALS} from './limit_trials.mjs';
+import {SILENCE_TRIALS} from './silence_trials.mjs';
 import {RELAY_TRIALS} from './relay_trials.mjs';
 import {RESTORE_TRIALS} from './restore_trials.mjs';
 import {VERSION_TRIALS} from './version_trials.mjs';
@@ -22,6 +23,7 @@
   ...CRASH_TRIALS,
   ...LIMIT_TRIALS,
   ...RELAY_TRIALS,
+  ...SILENCE_TRIALS,
   ...RESTORE_TRIALS,
   ...VERSION_TRIALS,
   [
--- /dev/null
+++ b/scripts/silence_trials.mjs
@@ -0,0 +1,55 @@
+// The mechanisms by which a silence of an engine ends no answer, and their
+// proofs; played by check_proofs.mjs.
+const SERVING = 'packages/gateway/dist/src/serving';
+
+// mechanism; file; what is replaced by what; test file; its name's pattern
+export const SILENCE_TRIALS = [
+  [
+    'silence: an attempt is left only if its route allows a retry',
+    `${SERVING}/stream_handover.js`,
+    'if (retries.findLeaveDenial() !== undefined)',
+    'if (false)',
+    'platform/silent_engines',
+    'is not cut when it cannot be resumed',
+  ],
+  [
+    'silence: the retry is taken before the attempt is left',
+    `${SERVING}/stream_handover.js`,
+    'if (retries.takeAhead() !== undefined)\n            return false;\n        planner',
+    'planner',
+    'platform/silent_engines',
+    'is not cut when it has no retry budget left',
+  ],
+  [
+    'silence: no stream goes on at an engine that is silent too',
+    `${SERVING}/stream_handover.js`,
+    "if (answer === 'answers')\n            return plan;",
+    'return plan;',
+    'platform/silent_engines',
+    'when all engines are silent',
+  ],
+  [
+    'silence: a host that reaches no engine hands its streams over',
+    `${SERVING}/stream_handover.js`,
+    'return this.tryRelay(silent, signal)',
+    'return false',
+    'platform/partitioned_host',
+    'get the rest of a begun stream',
+  ],
+  [
+    'silence: a silent engine is left for one that answers',
+    `${SERVING}/stream_handover.js`,
+    'attempt.endSilent(silence)',
+    'void 0',
+    'platform/silent_engines',
+    'runs on at an engine that answers',
+  ],
+  [
+    'silence: a failure that proved to be none is taken back',
+    `${SERVING}/lost_runs.js`,
+    'run.wasMute === true',
+    'false',
+    'platform/silent_engines',
+    'that was left does not count as failed',
+  ],
+];
