--- a/scripts/silence_trials.mjs
+++ b/scripts/silence_trials.mjs
@@ -6,8 +6,8 @@
 export const SILENCE_TRIALS = [
   [
     'silence: an attempt is left only if its route allows a retry',
-    `${SERVING}/stream_handover.js`,
-    'if (retries.findLeaveDenial() !== undefined)',
+    `${SERVING}/stream_retries.js`,
+    'if (!this.route.isResumable)',
     'if (false)',
     'platform/silent_engines',
     'is not cut when it cannot be resumed',
