Close connections of refused requests lingeringly

A caller that reads only once it has sent its whole body lost the refusal of its request (no route, unknown key, no id, body too large, no configuration yet), and saw a failed connection instead: neither an answer nor a refusal.

Cause: a request is refused before its body has arrived. The answer says Connection: close, so Node destroys the socket as soon as the answer is written. Bytes that are unread then, or arrive later, make the kernel reset the connection, and the reset discards what the caller has not read.

Ruled out: the framing (Content-Length and chunked lose it alike) and the kind of refusal.

Change: LingeringCloses ends such a response as RFC 9112, section 9.6, says: the refusal is sent at once, the own direction of the connection is ended, and the rest of the request is read and discarded until its end. A request behind the refused one on the same connection can't be answered any more, so it isn't handled. A drain counts lingering connections as open. Reading a body into memory moves to a module of its own and keeps nothing of a body that is too large; before, all parts stayed as long as the message.

--- /dev/null
+++ b/packages/gateway/src/channels/body_reader.ts
@@ -0,0 +1,41 @@
+/** Reads the whole body of a request into memory. */
+import type {IncomingMessage} from 'node:http';
+
+/** Why a body could not be read. */
+export type BodyFault = 'cut' | 'too-large';
+
+/**
+ * Reads a body up to a size. What has arrived of one that can't be read is not
+ * kept, and the rest is left in the message.
+ */
+export async function readBody(
+  message: IncomingMessage,
+  maxBytes: number,
+): Promise<Buffer | BodyFault> {
+  const length = Number(message.headers['content-length'] ?? 0);
+  if (length > maxBytes) return 'too-large';
+  if (message.destroyed) return 'cut';
+  return new Promise((resolve) => {
+    let parts: Buffer[] = [];
+    let size = 0;
+    const finish = (result: Buffer | BodyFault): void => {
+      message.off('data', add).off('end', finishWhole).off('close', finishCut);
+      parts = [];
+      resolve(result);
+    };
+    const add = (part: Buffer): void => {
+      size += part.length;
+      parts.push(part);
+      if (size <= maxBytes) return;
+      message.pause();
+      finish('too-large');
+    };
+    const finishWhole = (): void => {
+      finish(Buffer.concat(parts));
+    };
+    const finishCut = (): void => {
+      finish('cut');
+    };
+    message.on('data', add).once('end', finishWhole).once('close', finishCut);
+  });
+}
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -16,6 +16,7 @@
 } from '@irisdock/kernel';
 import * as z from 'zod';
 import {EndpointClient} from '../channels/endpoint_client.js';
+import {LINGER_BOUNDS, LingeringCloses} from '../channels/lingering_closes.js';
 import {startListening} from '../channels/listening.js';
 import {PeerFrame} from '../model/peer_frame.js';
 import type {RelayHop} from '../model/relay_path.js';
@@ -112,8 +113,14 @@
     const prober = new EndpointProber(client, codec.reportPath);
     const handler = new RequestHandler(parts, prober, phase);
     const inFlight = new Set<CallerExchange>();
-    const serve = createServe(context, handler, inFlight);
+    const lingeringCloses = new LingeringCloses({
+      ...context,
+      bounds: LINGER_BOUNDS,
+      closes: parts.metrics.lingeringCloses,
+    });
+    const serve = createServe(context, handler, inFlight, lingeringCloses);
     context.find(PEER_TABLES).handle = serve;
+    const countOpen = (): number => inFlight.size + lingeringCloses.size;
     const server = createServer((message, response) => {
       const {limits} = configuration;
       server.keepAliveTimeout = limits.idleTimeoutMs;
@@ -134,7 +141,7 @@
       async drain() {
         phase.startLeaving();
         peers.publishState();
-        await waitDrained(server, phase, clock, () => inFlight.size);
+        await waitDrained(server, phase, clock, countOpen);
       },
       stop() {
         server.close();
@@ -154,14 +161,23 @@
   {clock, log}: ServiceContext,
   handler: RequestHandler,
   inFlight: Set<CallerExchange>,
+  lingeringCloses: LingeringCloses,
 ): (
   message: IncomingMessage,
   response: ServerResponse,
   hop?: RelayHop,
 ) => void {
   return (message, response, hop) => {
+    // It could not be answered, so it must not run.
+    if (lingeringCloses.has(message.socket)) return;
     const now = clock.getNow();
-    const exchange = new CallerExchange(message, response, now, hop);
+    const exchange = new CallerExchange(
+      message,
+      response,
+      now,
+      lingeringCloses,
+      hop,
+    );
     inFlight.add(exchange);
     handler
       .handle(exchange)
--- a/packages/gateway/src/serving/caller_exchange.ts
+++ b/packages/gateway/src/serving/caller_exchange.ts
@@ -4,7 +4,9 @@
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {KnownError} from '@irisdock/kernel';
+import {readBody, type BodyFault} from '../channels/body_reader.js';
 import {formatRawHeaders, readHeaderLines} from '../channels/header_lines.js';
+import type {LingeringCloses} from '../channels/lingering_closes.js';
 import type {RelayHop} from '../model/relay_path.js';
 import type {HeaderLines, RequestMetadata} from '../model/request_metadata.js';
 
@@ -20,9 +22,6 @@
   readonly isFramed: boolean;
 }
 
-/** Why a body could not be read. */
-export type BodyFault = 'cut' | 'too-large';
-
 /** One exchange with a caller. */
 export class CallerExchange {
   readonly lines: HeaderLines;
@@ -38,6 +37,7 @@
     private readonly response: ServerResponse,
     /** When the head arrived, on the monotonic clock. */
     readonly startedAt: number,
+    private readonly lingeringCloses: LingeringCloses,
     /** The host that relayed the request; undefined if its caller sent it. */
     readonly hop?: RelayHop,
   ) {
@@ -93,25 +93,7 @@
 
   /** Reads the whole body of the request. */
   async readBody(maxBytes: number): Promise<Buffer | BodyFault> {
-    const {message} = this;
-    if (Number(message.headers['content-length'] ?? 0) > maxBytes) {
-      return 'too-large';
-    }
-    const parts: Buffer[] = [];
-    let size = 0;
-    return new Promise((resolve) => {
-      message.on('data', (part: Buffer) => {
-        size += part.length;
-        if (size <= maxBytes) parts.push(part);
-        else resolve('too-large');
-      });
-      message.once('end', () => {
-        resolve(Buffer.concat(parts));
-      });
-      message.once('close', () => {
-        resolve('cut');
-      });
-    });
+    return readBody(this.message, maxBytes);
   }
 
   /** Sends a complete answer of an endpoint. */
@@ -188,10 +170,11 @@
       headers['Retry-After'] = String(retryAfterSeconds);
     }
     // The rest of an unread body must not be parsed as the next request.
-    if (mustClose || !this.message.complete) headers['Connection'] = 'close';
+    const isArriving = !this.message.complete;
+    if (mustClose || isArriving) headers['Connection'] = 'close';
     this.response.writeHead(error.status, headers);
-    this.response.end(body);
-    if (!this.message.complete) this.message.resume();
+    if (isArriving) this.lingeringCloses.end(this.message, this.response, body);
+    else this.response.end(body);
   }
 
   /** Asks the caller to open a new connection for its next request. */
--- a/packages/gateway/src/serving/serving_metrics.ts
+++ b/packages/gateway/src/serving/serving_metrics.ts
@@ -10,6 +10,7 @@
 export class ServingMetrics {
   readonly requests: Counter;
   readonly losses: Counter;
+  readonly lingeringCloses: Counter;
   readonly lostRuns: Counter;
   readonly resumptions: Counter;
   readonly origins: Counter;
@@ -31,6 +32,12 @@
       labelNames: ['reason'],
       registers,
     });
+    this.lingeringCloses = new Counter({
+      name: 'irisdock_gateway_lingering_closes_total',
+      help: 'Connections closed after a refusal while the request was arriving, a count, by reason.',
+      labelNames: ['reason'],
+      registers,
+    });
     this.lostRuns = new Counter({
       name: 'irisdock_gateway_lost_runs_total',
       help: 'Lost runs, a count, by the result of their endpoint exit checks.',
