Answer requests whose handling fails with an internal error

A caller whose request met an internal error of the host saw its connection closed without an answer, so it learned nothing. An endpoint that answers with status 099 or 042 was enough: writing that head throws.

Cause: the handler's failure was ended by destroying the response, also when no head had been sent.

Ruled out: 503 and 429, as they promise that the request has not run, which the host does not know here.

Change: such a request gets the new error internal_error (500, outcome unknown, no Retry-After) if no head was sent; an answer that has begun is cut, and one that is complete is left alone. What still runs for the request is aborted. An answer counts as final only once it was written, so that a head that can't be written leaves room for the error. The failure is counted in irisdock_gateway_requests_total.

--- a/packages/gateway/src/errors.ts
+++ b/packages/gateway/src/errors.ts
@@ -130,6 +130,13 @@
     message: 'This host is about to stop and could not finish the request.',
     remedy: 'Use another host.',
   },
+  internal_error: {
+    status: 500,
+    outcome: 'unknown',
+    message: 'This host failed to handle the request.',
+    remedy:
+      'It may have run; ask for its result before sending it again. Tell the operators.',
+  },
   timed_out: {
     status: 504,
     outcome: 'unknown',
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -9,7 +9,6 @@
 import {
   createService,
   createServiceKey,
-  getErrorText,
   IP_PORT_SCHEMA,
   type Clock,
   type ServiceContext,
@@ -158,7 +157,7 @@
 
 /** Creates the function that serves requests of callers and of other hosts. */
 function createServe(
-  {clock, log}: ServiceContext,
+  {clock}: ServiceContext,
   handler: RequestHandler,
   inFlight: Set<CallerExchange>,
   lingeringCloses: LingeringCloses,
@@ -182,9 +181,7 @@
     handler
       .handle(exchange)
       .catch((thrown: unknown) => {
-        const error = getErrorText(thrown);
-        log.writeError('A request failed with an internal error.', {error});
-        response.destroy();
+        handler.fail(exchange, thrown);
       })
       .finally(() => {
         inFlight.delete(exchange);
--- a/packages/gateway/src/serving/caller_exchange.ts
+++ b/packages/gateway/src/serving/caller_exchange.ts
@@ -98,7 +98,7 @@
 
   /** Sends a complete answer of an endpoint. */
   sendAnswer(answer: PlainAnswer): void {
-    if (!this.takeFinal()) return;
+    if (this.isFinal) return;
     const {status, lines, body, isFramed} = answer;
     const raw = formatRawHeaders(lines);
     const isBodiless = status === 204 || status === 304;
@@ -108,6 +108,7 @@
     else if (!isBodiless) raw.push('Content-Length', String(body.length));
     this.response.writeHead(status, raw);
     this.response.end(isBodiless ? undefined : body);
+    this.hasFinalAnswer = true;
   }
 
   /** Starts the answer of a stream. */
@@ -155,7 +156,7 @@
     mustClose: boolean,
     extraLines: HeaderLines = [],
   ): void {
-    if (!this.takeFinal()) return;
+    if (this.isFinal) return;
     const {kind, message, remedy, outcome, retryAfterSeconds} = error;
     const body = Buffer.from(
       JSON.stringify({error: {kind, message, remedy, outcome}}),
@@ -175,6 +176,17 @@
     this.response.writeHead(error.status, headers);
     if (isArriving) this.lingeringCloses.end(this.message, this.response, body);
     else this.response.end(body);
+    this.hasFinalAnswer = true;
+  }
+
+  /**
+   * Ends a request whose handling failed: with the error, or as cut if an
+   * answer has begun. What still runs for the request is aborted.
+   */
+  fail(error: KnownError): void {
+    this.controller.abort();
+    if (this.response.headersSent) this.failStream();
+    else this.refuse(error, true);
   }
 
   /** Asks the caller to open a new connection for its next request. */
@@ -184,8 +196,13 @@
     }
   }
 
+  /** Whether nothing may be sent any more. */
+  private get isFinal(): boolean {
+    return this.hasFinalAnswer || this.response.destroyed;
+  }
+
   private takeFinal(): boolean {
-    if (this.hasFinalAnswer || this.response.destroyed) return false;
+    if (this.isFinal) return false;
     this.hasFinalAnswer = true;
     return true;
   }
--- a/packages/gateway/src/serving/request_handler.ts
+++ b/packages/gateway/src/serving/request_handler.ts
@@ -3,7 +3,7 @@
  * and runs the driver for calls or for streams.
  */
 import {chooseShare} from '@irisdock/decisions';
-import type {KnownError} from '@irisdock/kernel';
+import {getErrorText, type KnownError} from '@irisdock/kernel';
 import {GATEWAY_ERRORS} from '../errors.js';
 import type {RelayHop} from '../model/relay_path.js';
 import type {ServingRoute} from '../model/serving_configuration.js';
@@ -87,6 +87,18 @@
     await this.drive(request, route, service);
   }
 
+  /** Ends a request whose handling threw. */
+  fail(exchange: CallerExchange, thrown: unknown): void {
+    const {log, metrics} = this.parts;
+    const error = GATEWAY_ERRORS.create('internal_error');
+    log.writeError('A request failed with an internal error.', {
+      path: exchange.path,
+      error: getErrorText(thrown),
+    });
+    metrics.requests.inc({kind: 'none', outcome: error.kind});
+    exchange.fail(error);
+  }
+
   private async drive(
     request: AdmittedRequest,
     route: ServingRoute,
