--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -9,13 +9,13 @@
 import {
   createService,
   createServiceKey,
-  getErrorText,
   IP_PORT_SCHEMA,
   type Clock,
   type ServiceContext,
 } from '@irisdock/kernel';
 import * as z from 'zod';
 import {EndpointClient} from '../channels/endpoint_client.js';
+import {LINGER_BOUNDS, LingeringCloses} from '../channels/lingering_closes.js';
 import {startListening} from '../channels/listening.js';
 import {PeerFrame} from '../model/peer_frame.js';
 import type {RelayHop} from '../model/relay_path.js';
@@ -112,8 +112,14 @@
     const prober = new EndpointProber(client, codec.reportPath);
     const handler = new RequestHandler(parts, prober, phase);
     const inFlight = new Set<CallerExchange>();
-    const serve = createServe(context, handler, inFlight);
+    const lingeringCloses = new LingeringCloses({
+      ...context,
+      bounds: LINGER_BOUNDS,
+      closes: parts.metrics.lingeringCloses,
+    });
+    const serve = createServe(context, handler, inFlight, lingeringCloses);
     context.find(PEER_TABLES).handle = serve;
+    const countOpen = (): number => inFlight.size + lingeringCloses.size;
     const server = createServer((message, response) => {
       const {limits} = configuration;
       server.keepAliveTimeout = limits.idleTimeoutMs;
@@ -134,7 +140,7 @@
       async drain() {
         phase.startLeaving();
         peers.publishState();
-        await waitDrained(server, phase, clock, () => inFlight.size);
+        await waitDrained(server, phase, clock, countOpen);
       },
       stop() {
         server.close();
@@ -151,24 +157,31 @@
 
 /** Creates the function that serves requests of callers and of other hosts. */
 function createServe(
-  {clock, log}: ServiceContext,
+  {clock}: ServiceContext,
   handler: RequestHandler,
   inFlight: Set<CallerExchange>,
+  lingeringCloses: LingeringCloses,
 ): (
   message: IncomingMessage,
   response: ServerResponse,
   hop?: RelayHop,
 ) => void {
   return (message, response, hop) => {
+    // It could not be answered, so it must not run.
+    if (lingeringCloses.has(message.socket)) return;
     const now = clock.getNow();
-    const exchange = new CallerExchange(message, response, now, hop);
+    const exchange = new CallerExchange(
+      message,
+      response,
+      now,
+      lingeringCloses,
+      hop,
+    );
     inFlight.add(exchange);
     handler
       .handle(exchange)
       .catch((thrown: unknown) => {
-        const error = getErrorText(thrown);
-        log.writeError('A request failed with an internal error.', {error});
-        response.destroy();
+        handler.fail(exchange, thrown);
       })
       .finally(() => {
         inFlight.delete(exchange);
--- a/packages/gateway/src/serving/serving_metrics.ts
+++ b/packages/gateway/src/serving/serving_metrics.ts
@@ -70,18 +70,31 @@
       ['reason'],
       'Resumed streams refused because their software version is unknown or has no endpoint, a count.',
     );
-    this.answerSeconds = new Histogram({
-      registers,
-      name: 'irisdock_gateway_answer_seconds',
-      help: 'Time to a complete answer or a first event, in seconds.',
-      labelNames: ['kind'],
-      buckets: ANSWER_BUCKETS,
-    });
-    this.resumeSeconds = new Histogram({
-      registers,
-      name: 'irisdock_gateway_resume_seconds',
-      help: 'Time from the last event before a loss to the next, in seconds.',
-      buckets: RESUME_BUCKETS,
-    });
+    this.lingeringCloses = createCounter(
+      'irisdock_gateway_lingering_closes_total',
+      ['reason'],
+      'Connections closed after a refusal while the request was arriving, a count, by reason.',
+    );
+    this.answerSeconds = createAnswerHistogram(registry);
+    this.resumeSeconds = createResumeHistogram(registry);
   }
 }
+
+function createAnswerHistogram(registry: Registry): Histogram {
+  return new Histogram({
+    name: 'irisdock_gateway_answer_seconds',
+    help: 'Time to a complete answer or a first event, in seconds.',
+    labelNames: ['kind'],
+    buckets: ANSWER_BUCKETS,
+    registers: [registry],
+  });
+}
+
+function createResumeHistogram(registry: Registry): Histogram {
+  return new Histogram({
+    name: 'irisdock_gateway_resume_seconds',
+    help: 'Time from the last event before a loss to the next, in seconds.',
+    buckets: RESUME_BUCKETS,
+    registers: [registry],
+  });
+}
