Drain until the responses to callers have been flushed

Callers saw: a host that was told to stop cut an answer that its caller was still reading, after 3.5 s of a grace period of 8 s, though the endpoint had given the answer whole.

Cause: a request counted as in flight until its handler returned, which is when the response was ended, not when it was flushed. What stood in the write buffer was destroyed by `closeAllConnections` once the drain took the host for empty, or before by `closeIdleConnections`, which also closes connections whose response has ended but is not flushed.

Ruled out: the caller (it read all that arrived), the endpoint (answered whole, `A request ended.` was logged before the stop) and the time limit of the request.

Change: `CallerConnections` knows for each connection whether a part of a request has arrived or a response is not flushed; only others are idle. A request is in flight until its response is flushed or its connection is closed. The drain waits for that until the grace period less the margin of the kill, and then logs what it cuts. Its last check and the close are one step, so that no request starts between them. The drain is a module of its own.

A caller that reads nothing at all is cut at the end of the grace period, as nothing else is left.

--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -2,7 +2,6 @@
 import {
   createServer,
   type IncomingMessage,
-  type Server,
   type ServerResponse,
 } from 'node:http';
 import type {WindowedRetryBudgetOptions} from '@irisdock/decisions';
@@ -11,10 +10,10 @@
   createServiceKey,
   getErrorText,
   IP_PORT_SCHEMA,
-  type Clock,
   type ServiceContext,
 } from '@irisdock/kernel';
 import * as z from 'zod';
+import {CallerConnections} from '../channels/caller_connections.js';
 import {EndpointClient} from '../channels/endpoint_client.js';
 import {startListening} from '../channels/listening.js';
 import {PeerFrame} from '../model/peer_frame.js';
@@ -37,8 +36,9 @@
 import {EndpointGate} from './endpoint_gate.js';
 import {ENDPOINT_NETWORK} from './endpoint_network.js';
 import {GATEWAY_ENDPOINTS} from './endpoints.js';
+import {waitDrained} from './front_drain.js';
 import {LIMITS} from './limits.js';
-import {HOST_PHASE, type HostPhase} from './host_phase.js';
+import {HOST_PHASE} from './host_phase.js';
 import {HOST_IDENTITY} from './identity.js';
 import {PEER_TABLES} from '../tables/peer_tables.js';
 import {PEERS} from './peers.js';
@@ -47,12 +47,6 @@
 import {STREAM_ORIGINS} from './stream_origins.js';
 import {CODECS} from './store.js';
 
-/** How long callers may still use this host's address during a stop, in ms. */
-const ADDRESS_LINGER_MS = 3500;
-/** How long before the process is killed the drain ends, in ms. */
-const KILL_MARGIN_MS = 600;
-/** The interval between checks for requests in flight during a drain, in ms. */
-const DRAIN_CHECK_MS = 50;
 /** The maximum time for a whole request to arrive, in ms. */
 const REQUEST_TIMEOUT_MS = 60_000;
 /**
@@ -103,7 +97,6 @@
     STREAM_ORIGINS,
   ],
   create(context, settings) {
-    const {clock} = context;
     const configuration = context.find(GATEWAY_CONFIGURATION);
     const phase = context.find(HOST_PHASE);
     const peers = context.find(PEERS);
@@ -118,10 +111,11 @@
       const {limits} = configuration;
       server.keepAliveTimeout = limits.idleTimeoutMs;
       server.headersTimeout = limits.headerTimeoutMs;
+      connections.accept(message, response);
       serve(message, response);
     });
     server.requestTimeout = REQUEST_TIMEOUT_MS;
-    server.on('connection', (socket) => socket.setNoDelay(true));
+    const connections = new CallerConnections(server);
     return {
       api: undefined,
       live: {
@@ -134,11 +128,17 @@
       async drain() {
         phase.startLeaving();
         peers.publishState();
-        await waitDrained(server, phase, clock, () => inFlight.size);
+        await waitDrained({
+          ...context,
+          connections,
+          phase,
+          countInFlight: () => inFlight.size,
+        });
+        // At once, as further requests would start after the check.
+        connections.closeAll();
       },
       stop() {
-        server.close();
-        server.closeAllConnections();
+        connections.closeAll();
         parts.lostRuns.close();
         parts.paths.close();
         parts.relay.close();
@@ -163,13 +163,17 @@
     const now = clock.getNow();
     const exchange = new CallerExchange(message, response, now, hop);
     inFlight.add(exchange);
-    handler
+    const closed = new Promise<void>((resolve) => {
+      response.once('close', resolve);
+    });
+    void handler
       .handle(exchange)
       .catch((thrown: unknown) => {
         const error = getErrorText(thrown);
         log.writeError('A request failed with an internal error.', {error});
         response.destroy();
       })
+      .then(() => closed)
       .finally(() => {
         inFlight.delete(exchange);
       });
@@ -311,22 +315,3 @@
     usedFraction: USED_BUDGET_FRACTION,
   };
 }
-
-/**
- * Waits while callers may still use the address, then until the last request
- * has ended or the grace period is over.
- */
-async function waitDrained(
-  server: Server,
-  phase: HostPhase,
-  clock: Clock,
-  countInFlight: () => number,
-): Promise<void> {
-  const maxMs = phase.graceMs - KILL_MARGIN_MS;
-  while (phase.leavingMs < maxMs) {
-    const hasLingered = phase.leavingMs >= ADDRESS_LINGER_MS;
-    if (hasLingered && countInFlight() === 0) return;
-    if (hasLingered) server.closeIdleConnections();
-    await clock.wait(DRAIN_CHECK_MS);
-  }
-}
