Keep idle connections of callers as long as announced

Callers saw: the header Keep-Alive was one change of the configuration behind. After the idle time fell from 10 s to 1 s the next answer still said timeout=10, and the connection was closed after 2 s; the first answer of a process said 5, whatever was configured; an idle time under a second was announced as timeout=0. A caller that trusts the header sends its next request into the close.

Cause: the idle time was set inside the request listener, when the response had been created with the one before. And the timer of an idle connection was set by the time in force when the response was flushed, which may be shorter than what its head had announced.

Ruled out: rounding (whole seconds are rounded down) and connections that are idle already when the time falls (their timer is not set again).

Change: `GatewayConfiguration` emits its changes, and limits on connections are applied then. A connection is kept as long as its last response announced, and a second longer, for a request sent at the last moment. An idle time under a second counts as one second, the shortest that can be announced.

--- a/packages/gateway/src/channels/caller_connections.ts
+++ b/packages/gateway/src/channels/caller_connections.ts
@@ -1,15 +1,37 @@
 /**
- * The connections of callers: which of them carry a request, and which are
- * idle and may be closed.
+ * The connections of callers: which of them carry a request, which are idle
+ * and may be closed, and how long an idle one is kept.
  */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import type {CallerLimits} from '../model/serving_configuration.js';
+
+/**
+ * The shortest time for which an idle connection is kept, in ms: the header
+ * Keep-Alive has whole seconds, and callers read 0 in different ways.
+ */
+const MIN_IDLE_TIME_MS = 1000;
+/**
+ * How much longer than announced an idle connection is kept, in ms, for a
+ * request that its caller sent at the last moment.
+ */
+const KEEP_ALIVE_MARGIN_MS = 1000;
+
+/** The limits that concern connections. */
+export type ConnectionLimits = Pick<
+  CallerLimits,
+  'headerTimeoutMs' | 'idleTimeoutMs'
+>;
 
 /** Tracks the connections of a server for callers. */
 export class CallerConnections {
   private readonly connections = new Map<Socket, CallerConnection>();
 
-  constructor(private readonly server: Server) {
+  constructor(
+    private readonly server: Server,
+    limits: ConnectionLimits,
+  ) {
+    this.applyLimits(limits);
     server.on('connection', (socket) => {
       socket.setNoDelay(true);
       this.connections.set(socket, new CallerConnection(socket));
@@ -17,9 +39,20 @@
     });
   }
 
+  /**
+   * Puts limits in force. A response announces the idle time that is in force
+   * when its request arrives.
+   */
+  applyLimits({headerTimeoutMs, idleTimeoutMs}: ConnectionLimits): void {
+    this.server.headersTimeout = headerTimeoutMs;
+    this.server.keepAliveTimeout = Math.max(MIN_IDLE_TIME_MS, idleTimeoutMs);
+  }
+
   /** Takes in a request. */
   accept(message: IncomingMessage, response: ServerResponse): void {
-    this.connections.get(message.socket)?.accept(message, response);
+    const announcedMs = this.server.keepAliveTimeout;
+    const connection = this.connections.get(message.socket);
+    connection?.accept(message, response, announcedMs);
   }
 
   /** Counts the connections on which a request is received or answered. */
@@ -67,8 +100,16 @@
     return this.openResponses > 0 || this.socket.bytesRead > this.servedBytes;
   }
 
-  /** Takes in a request. */
-  accept(message: IncomingMessage, response: ServerResponse): void {
+  /**
+   * Takes in a request.
+   *
+   * @param announcedMs The idle time that its response announces.
+   */
+  accept(
+    message: IncomingMessage,
+    response: ServerResponse,
+    announcedMs: number,
+  ): void {
     this.hasServed = true;
     this.openResponses++;
     let isMarked = false;
@@ -77,9 +118,21 @@
       isMarked = true;
     };
     message.once('end', markRead);
+    response.once('finish', () => {
+      this.keepIdle(announcedMs + KEEP_ALIVE_MARGIN_MS);
+    });
     response.once('close', () => {
       markRead();
       this.openResponses--;
     });
   }
+
+  /**
+   * Keeps the connection at least for this time. The server has just set the
+   * timer by the idle time in force now, unless it goes on or closes it.
+   */
+  private keepIdle(ms: number): void {
+    const {timeout = 0} = this.socket;
+    if (timeout > 0 && timeout < ms) this.socket.setTimeout(ms);
+  }
 }
--- a/packages/gateway/src/services/configuration.ts
+++ b/packages/gateway/src/services/configuration.ts
@@ -3,7 +3,12 @@
  * on this host. A process never goes back to an earlier version.
  */
 import {RouteTable, type ReplicaRow} from '@irisdock/decisions';
-import {createService, createServiceKey, type Logger} from '@irisdock/kernel';
+import {
+  Channel,
+  createService,
+  createServiceKey,
+  type Logger,
+} from '@irisdock/kernel';
 import {Gauge} from 'prom-client';
 import * as z from 'zod';
 import type {
@@ -35,6 +40,9 @@
 
 /** Holds the configuration in force. */
 export class GatewayConfiguration {
+  private readonly changeChannel = new Channel<undefined>();
+  /** Emits each time after a newer version has been put in force. */
+  readonly changes = this.changeChannel.stream;
   private current: ServingConfiguration | undefined;
   private routes = new RouteTable<ServingRoute>([]);
   private services = new Map<string, ServingService>();
@@ -130,6 +138,7 @@
     );
     this.teamsByKey =
       next.teams === undefined ? undefined : createTeamsByKey(next.teams);
+    this.changeChannel.post(undefined);
   }
 }
 
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -108,14 +108,14 @@
     const serve = createServe(context, handler, inFlight);
     context.find(PEER_TABLES).handle = serve;
     const server = createServer((message, response) => {
-      const {limits} = configuration;
-      server.keepAliveTimeout = limits.idleTimeoutMs;
-      server.headersTimeout = limits.headerTimeoutMs;
       connections.accept(message, response);
       serve(message, response);
     });
     server.requestTimeout = REQUEST_TIMEOUT_MS;
-    const connections = new CallerConnections(server);
+    const connections = new CallerConnections(server, configuration.limits);
+    void configuration.changes.observe(() => {
+      connections.applyLimits(configuration.limits);
+    });
     return {
       api: undefined,
       live: {
