Read what has arrived before an idle connection is closed

Callers saw: after a pause of the host's process, a request that they had sent in time, on a connection that they had been told to use, met a close without an answer.

Cause: after a pause the event loop runs the timers that are due before it reads. The idle timer of a connection then fires, and the check of a drain closes idle connections, with the request waiting in the kernel.

Ruled out: requests that were passed on. The request was not read, so no endpoint had it, and the caller may send it again; but one that may run only once is lost to a caller that cannot know that.

Change: both wait one turn of the event loop, in which what has arrived is read, and close the connection only if it is still idle.

--- a/packages/gateway/src/channels/caller_connections.ts
+++ b/packages/gateway/src/channels/caller_connections.ts
@@ -4,6 +4,7 @@
  */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {setImmediate as waitForTurn} from 'node:timers/promises';
 import type {CallerLimits} from '../model/serving_configuration.js';
 
 /**
@@ -37,6 +38,7 @@
       this.connections.set(socket, new CallerConnection(socket));
       socket.once('close', () => this.connections.delete(socket));
     });
+    server.on('timeout', (socket: Socket) => void this.closeExpired(socket));
   }
 
   /**
@@ -65,10 +67,11 @@
   }
 
   /**
-   * Closes the connections that have carried requests and are idle now. The
-   * caller of a connection without any request yet is about to send one.
+   * Closes the connections that have carried requests and are idle. The caller
+   * of a connection without any request yet is about to send one.
    */
-  closeIdle(): void {
+  async closeIdle(): Promise<void> {
+    await waitForReads();
     for (const [socket, connection] of this.connections) {
       if (connection.hasServed && !connection.isBusy) socket.destroy();
     }
@@ -79,6 +82,12 @@
     this.server.close();
     for (const socket of this.connections.keys()) socket.destroy();
   }
+
+  /** Closes a connection whose idle time is over. */
+  private async closeExpired(socket: Socket): Promise<void> {
+    await waitForReads();
+    if (this.connections.get(socket)?.isBusy === false) socket.destroy();
+  }
 }
 
 /** One connection of a caller. */
@@ -136,3 +145,11 @@
     if (timeout > 0 && timeout < ms) this.socket.setTimeout(ms);
   }
 }
+
+/**
+ * Waits until what has arrived is read: after a pause of the process, timers
+ * run before it.
+ */
+async function waitForReads(): Promise<void> {
+  await waitForTurn();
+}
--- a/packages/gateway/src/services/front_drain.ts
+++ b/packages/gateway/src/services/front_drain.ts
@@ -32,7 +32,7 @@
   const maxMs = phase.graceMs - KILL_MARGIN_MS;
   while (phase.leavingMs < maxMs) {
     if (phase.leavingMs >= ADDRESS_LINGER_MS) {
-      connections.closeIdle();
+      await connections.closeIdle();
       if (countInFlight() + connections.countBusy() === 0) return;
     }
     await clock.wait(DRAIN_CHECK_MS);
