Serve the requests of a connection one after the other

Callers saw: a request sent behind another one on the same connection was passed on and ran, but its answer could not be given when the answer before it closed the connection. It ended with neither answer nor refusal, and one that may run only once had run.

Cause: requests on one connection were served side by side, whatever became of the connection: a stream before it that is cut, an answer whose end is the end of the connection, the `Connection: close` of a host that stops. Besides, a request behind another one was not told of its caller's disconnection, as its response had no socket yet.

Ruled out: the order of the answers, which was right.

Change: a request is served once the response before it is flushed, and not at all if that closed the connection; its time counts from its arrival. A response whose head is not written leaves the connection open for a request that has been read, and that one's response closes it. A line is logged with the number of requests that were not served.

A request that arrives behind a head with `Connection: close` is still read and neither answered nor passed on; not to read it would also hide that the caller disconnects.

--- a/packages/gateway/src/channels/caller_connections.ts
+++ b/packages/gateway/src/channels/caller_connections.ts
@@ -1,10 +1,12 @@
 /**
  * The connections of callers: which of them carry a request, which are idle
- * and may be closed, and how long an idle one is kept.
+ * and may be closed, and how long an idle one is kept. Requests on the same
+ * connection are served one after the other, as an answer may close it.
  */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {setImmediate as waitForTurn} from 'node:timers/promises';
+import type {Logger} from '@irisdock/kernel';
 import type {CallerLimits} from '../model/serving_configuration.js';
 
 /**
@@ -31,12 +33,11 @@
   constructor(
     private readonly server: Server,
     limits: ConnectionLimits,
+    private readonly log: Logger,
   ) {
     this.applyLimits(limits);
     server.on('connection', (socket) => {
-      socket.setNoDelay(true);
-      this.connections.set(socket, new CallerConnection(socket));
-      socket.once('close', () => this.connections.delete(socket));
+      this.add(socket);
     });
     server.on('timeout', (socket: Socket) => void this.closeExpired(socket));
   }
@@ -50,11 +51,20 @@
     this.server.keepAliveTimeout = Math.max(MIN_IDLE_TIME_MS, idleTimeoutMs);
   }
 
-  /** Takes in a request. */
-  accept(message: IncomingMessage, response: ServerResponse): void {
+  /**
+   * Takes in a request.
+   *
+   * @param serve Serves the request; called once the requests before it on its
+   *     connection have been answered, and never if that closed it.
+   */
+  accept(
+    message: IncomingMessage,
+    response: ServerResponse,
+    serve: () => void,
+  ): void {
     const announcedMs = this.server.keepAliveTimeout;
     const connection = this.connections.get(message.socket);
-    connection?.accept(message, response, announcedMs);
+    connection?.accept({message, response, announcedMs, serve});
   }
 
   /** Counts the connections on which a request is received or answered. */
@@ -83,6 +93,19 @@
     for (const socket of this.connections.keys()) socket.destroy();
   }
 
+  private add(socket: Socket): void {
+    socket.setNoDelay(true);
+    const connection = new CallerConnection(socket);
+    this.connections.set(socket, connection);
+    socket.once('close', () => {
+      this.connections.delete(socket);
+      const requests = connection.waitingCount;
+      if (requests === 0) return;
+      const sentence = 'A connection closed before all its requests had run.';
+      this.log.writeInfo(sentence, {requests});
+    });
+  }
+
   /** Closes a connection whose idle time is over. */
   private async closeExpired(socket: Socket): Promise<void> {
     await waitForReads();
@@ -90,11 +113,21 @@
   }
 }
 
+/** A request on a connection, and its response. */
+interface AcceptedRequest {
+  readonly message: IncomingMessage;
+  readonly response: ServerResponse;
+  /** The idle time that its response announces. */
+  readonly announcedMs: number;
+  readonly serve: () => void;
+}
+
 /** One connection of a caller. */
 class CallerConnection {
   /** Whether it has carried a request. */
   hasServed = false;
-  private openResponses = 0;
+  /** Requests whose response is not flushed; all but the first wait. */
+  private readonly requests: AcceptedRequest[] = [];
   /** How much had been read when the last request was complete, in bytes. */
   private servedBytes = 0;
 
@@ -106,21 +139,19 @@
    * the write buffer for its caller to read.
    */
   get isBusy(): boolean {
-    return this.openResponses > 0 || this.socket.bytesRead > this.servedBytes;
+    if (this.requests.length > 0) return true;
+    return this.socket.bytesRead > this.servedBytes;
   }
 
-  /**
-   * Takes in a request.
-   *
-   * @param announcedMs The idle time that its response announces.
-   */
-  accept(
-    message: IncomingMessage,
-    response: ServerResponse,
-    announcedMs: number,
-  ): void {
+  /** The number of requests that wait for those before them. */
+  get waitingCount(): number {
+    return Math.max(0, this.requests.length - 1);
+  }
+
+  /** Takes in a request. */
+  accept(request: AcceptedRequest): void {
+    const {message, response, announcedMs} = request;
     this.hasServed = true;
-    this.openResponses++;
     let isMarked = false;
     const markRead = (): void => {
       if (!isMarked) this.servedBytes = this.socket.bytesRead;
@@ -132,8 +163,26 @@
     });
     response.once('close', () => {
       markRead();
-      this.openResponses--;
+      this.serveNext();
     });
+    this.keepOpenFor(request);
+    this.requests.push(request);
+    if (this.requests.length === 1) request.serve();
+  }
+
+  /** Lets the response before a request leave the connection open for it. */
+  private keepOpenFor(request: AcceptedRequest): void {
+    const before = this.requests.at(-1);
+    if (before === undefined || before.response.headersSent) return;
+    request.response.shouldKeepAlive &&= before.response.shouldKeepAlive;
+    before.response.shouldKeepAlive = true;
+  }
+
+  /** Serves the next request unless the last response closed the connection. */
+  private serveNext(): void {
+    if (!this.socket.writable) return;
+    this.requests.shift();
+    this.requests[0]?.serve();
   }
 
   /**
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -97,6 +97,7 @@
     STREAM_ORIGINS,
   ],
   create(context, settings) {
+    const {clock, log} = context;
     const configuration = context.find(GATEWAY_CONFIGURATION);
     const phase = context.find(HOST_PHASE);
     const peers = context.find(PEERS);
@@ -108,11 +109,17 @@
     const serve = createServe(context, handler, inFlight);
     context.find(PEER_TABLES).handle = serve;
     const server = createServer((message, response) => {
-      connections.accept(message, response);
-      serve(message, response);
+      const arrivedAt = clock.getNow();
+      connections.accept(message, response, () => {
+        serve(message, response, undefined, arrivedAt);
+      });
     });
     server.requestTimeout = REQUEST_TIMEOUT_MS;
-    const connections = new CallerConnections(server, configuration.limits);
+    const connections = new CallerConnections(
+      server,
+      configuration.limits,
+      log,
+    );
     void configuration.changes.observe(() => {
       connections.applyLimits(configuration.limits);
     });
@@ -158,10 +165,10 @@
   message: IncomingMessage,
   response: ServerResponse,
   hop?: RelayHop,
+  arrivedAt?: number,
 ) => void {
-  return (message, response, hop) => {
-    const now = clock.getNow();
-    const exchange = new CallerExchange(message, response, now, hop);
+  return (message, response, hop, arrivedAt = clock.getNow()) => {
+    const exchange = new CallerExchange(message, response, arrivedAt, hop);
     inFlight.add(exchange);
     const closed = new Promise<void>((resolve) => {
       response.once('close', resolve);
