--- /dev/null
+++ b/packages/gateway/src/channels/caller_connections.ts
@@ -0,0 +1,204 @@
+/**
+ * The connections of callers: which of them carry a request, which are idle
+ * and may be closed, and how long an idle one is kept. Requests on the same
+ * connection are served one after the other, as an answer may close it.
+ */
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import {setImmediate as waitForTurn} from 'node:timers/promises';
+import type {Logger} from '@irisdock/kernel';
+import type {CallerLimits} from '../model/serving_configuration.js';
+
+/**
+ * The shortest time for which an idle connection is kept, in ms: the header
+ * Keep-Alive has whole seconds, and callers read 0 in different ways.
+ */
+const MIN_IDLE_TIME_MS = 1000;
+/**
+ * How much longer than announced an idle connection is kept, in ms, for a
+ * request that its caller sent at the last moment.
+ */
+const KEEP_ALIVE_MARGIN_MS = 1000;
+
+/** The limits that concern connections. */
+export type ConnectionLimits = Pick<
+  CallerLimits,
+  'headerTimeoutMs' | 'idleTimeoutMs'
+>;
+
+/** Tracks the connections of a server for callers. */
+export class CallerConnections {
+  private readonly connections = new Map<Socket, CallerConnection>();
+
+  constructor(
+    private readonly server: Server,
+    limits: ConnectionLimits,
+    private readonly log: Logger,
+  ) {
+    this.applyLimits(limits);
+    server.on('connection', (socket) => {
+      this.add(socket);
+    });
+    server.on('timeout', (socket: Socket) => void this.closeExpired(socket));
+  }
+
+  /**
+   * Puts limits in force. A response announces the idle time that is in force
+   * when its request arrives.
+   */
+  applyLimits({headerTimeoutMs, idleTimeoutMs}: ConnectionLimits): void {
+    this.server.headersTimeout = headerTimeoutMs;
+    this.server.keepAliveTimeout = Math.max(MIN_IDLE_TIME_MS, idleTimeoutMs);
+  }
+
+  /**
+   * Takes in a request.
+   *
+   * @param serve Serves the request; called once the requests before it on its
+   *     connection have been answered, and never if that closed it.
+   */
+  accept(
+    message: IncomingMessage,
+    response: ServerResponse,
+    serve: () => void,
+  ): void {
+    const announcedMs = this.server.keepAliveTimeout;
+    const connection = this.connections.get(message.socket);
+    connection?.accept({message, response, announcedMs, serve});
+  }
+
+  /** Counts the connections on which a request is received or answered. */
+  countBusy(): number {
+    let count = 0;
+    for (const connection of this.connections.values()) {
+      if (connection.isBusy) count++;
+    }
+    return count;
+  }
+
+  /**
+   * Closes the connections that have carried requests and are idle. The caller
+   * of a connection without any request yet is about to send one.
+   */
+  async closeIdle(): Promise<void> {
+    await waitForReads();
+    for (const [socket, connection] of this.connections) {
+      if (connection.hasServed && !connection.isBusy) socket.destroy();
+    }
+  }
+
+  /** Stops listening and closes all connections. */
+  closeAll(): void {
+    this.server.close();
+    for (const socket of this.connections.keys()) socket.destroy();
+  }
+
+  private add(socket: Socket): void {
+    socket.setNoDelay(true);
+    const connection = new CallerConnection(socket);
+    this.connections.set(socket, connection);
+    socket.once('close', () => {
+      this.connections.delete(socket);
+      const requests = connection.waitingCount;
+      if (requests === 0) return;
+      const sentence = 'A connection closed before all its requests had run.';
+      this.log.writeInfo(sentence, {requests});
+    });
+  }
+
+  /** Closes a connection whose idle time is over. */
+  private async closeExpired(socket: Socket): Promise<void> {
+    await waitForReads();
+    if (this.connections.get(socket)?.isBusy === false) socket.destroy();
+  }
+}
+
+/** A request on a connection, and its response. */
+interface AcceptedRequest {
+  readonly message: IncomingMessage;
+  readonly response: ServerResponse;
+  /** The idle time that its response announces. */
+  readonly announcedMs: number;
+  readonly serve: () => void;
+}
+
+/** One connection of a caller. */
+class CallerConnection {
+  /** Whether it has carried a request. */
+  hasServed = false;
+  /** Requests whose response is not flushed; all but the first wait. */
+  private readonly requests: AcceptedRequest[] = [];
+  /** How much had been read when the last request was complete, in bytes. */
+  private servedBytes = 0;
+
+  constructor(private readonly socket: Socket) {}
+
+  /**
+   * Whether a part of a request has arrived, or a response has not been handed
+   * over whole to the kernel. A response that has ended may still be waiting in
+   * the write buffer for its caller to read.
+   */
+  get isBusy(): boolean {
+    if (this.requests.length > 0) return true;
+    return this.socket.bytesRead > this.servedBytes;
+  }
+
+  /** The number of requests that wait for those before them. */
+  get waitingCount(): number {
+    return Math.max(0, this.requests.length - 1);
+  }
+
+  /** Takes in a request. */
+  accept(request: AcceptedRequest): void {
+    const {message, response, announcedMs} = request;
+    this.hasServed = true;
+    let isMarked = false;
+    const markRead = (): void => {
+      if (!isMarked) this.servedBytes = this.socket.bytesRead;
+      isMarked = true;
+    };
+    message.once('end', markRead);
+    response.once('finish', () => {
+      this.keepIdle(announcedMs + KEEP_ALIVE_MARGIN_MS);
+    });
+    response.once('close', () => {
+      markRead();
+      this.serveNext();
+    });
+    this.keepOpenFor(request);
+    this.requests.push(request);
+    if (this.requests.length === 1) request.serve();
+  }
+
+  /** Lets the response before a request leave the connection open for it. */
+  private keepOpenFor(request: AcceptedRequest): void {
+    const before = this.requests.at(-1);
+    if (before === undefined || before.response.headersSent) return;
+    request.response.shouldKeepAlive &&= before.response.shouldKeepAlive;
+    before.response.shouldKeepAlive = true;
+  }
+
+  /** Serves the next request unless the last response closed the connection. */
+  private serveNext(): void {
+    if (!this.socket.writable) return;
+    this.requests.shift();
+    this.requests[0]?.serve();
+  }
+
+  /**
+   * Keeps the connection at least for this time. The server has just set the
+   * timer by the idle time in force now, unless it goes on or closes it.
+   */
+  private keepIdle(ms: number): void {
+    const {timeout = 0} = this.socket;
+    if (timeout > 0 && timeout < ms) this.socket.setTimeout(ms);
+  }
+}
+
+/**
+ * Waits until what has arrived is read: after a pause of the process, timers
+ * run before it.
+ */
+async function waitForReads(): Promise<void> {
+  await waitForTurn();
+}
--- a/packages/gateway/src/serving/serving_metrics.ts
+++ b/packages/gateway/src/serving/serving_metrics.ts
@@ -19,6 +19,7 @@
   readonly losses: Counter;
   readonly silences: Counter;
   readonly cutStreams: Counter;
+  readonly lingeringCloses: Counter;
   readonly lostRuns: Counter;
   readonly resumptions: Counter;
   readonly origins: Counter;
