Bound the bytes before a response and refuse statuses of no answer

What callers saw: an endpoint that sent informational responses (103) or empty lines without end held a call until its deadline, which then ended with 504. A status of 042 or 099 ended the connection of the caller with an internal error, neither answered nor refused; 101, 600 and 999 were passed on as the answer.

Cause: the parser bounds a single head, but not what precedes it, and nothing looked at the status before it was given to writeHead.

Ruled out: a head without end and noise before the head.

A status outside 200 to 599 is a lost answer, which may have run, so a call that may run only once ends with 502.

Conclusion: what comes before an answer is bounded by bytes and no longer takes the caller's time. Bodies and events without end are still open.

--- /dev/null
+++ b/packages/gateway/src/channels/connection_watch.ts
@@ -0,0 +1,39 @@
+/** Watches until a request has a connection on which it can be sent. */
+import type {ClientRequest} from 'node:http';
+
+/** How long a connection may take to open; a live endpoint needs a few ms. */
+const CONNECT_TIMEOUT_MS = 300;
+
+/** Receives what becomes of the connection. */
+export interface ConnectionListener {
+  /** The request is sent on a connection, which may have been opened for it. */
+  handleOpen(isNew: boolean): void;
+  /** The connection did not open in time. */
+  handleTimeout(): void;
+}
+
+/** Watches the connection of a request until it is open. */
+export function watchConnection(
+  clientRequest: ClientRequest,
+  listener: ConnectionListener,
+): void {
+  const timer = setTimeout(() => {
+    listener.handleTimeout();
+  }, CONNECT_TIMEOUT_MS);
+  const handleOpen = (isNew: boolean): void => {
+    clearTimeout(timer);
+    listener.handleOpen(isNew);
+  };
+  clientRequest.once('socket', (socket) => {
+    if (!socket.connecting) {
+      handleOpen(false);
+      return;
+    }
+    socket.once('connect', () => {
+      handleOpen(true);
+    });
+  });
+  clientRequest.once('close', () => {
+    clearTimeout(timer);
+  });
+}
--- a/packages/gateway/src/channels/endpoint_client.ts
+++ b/packages/gateway/src/channels/endpoint_client.ts
@@ -11,26 +11,25 @@
   splitPlace,
   type Clock,
 } from '@irisdock/kernel';
-import type {
-  ResponseMetadata,
-  HeaderCodec,
-  HeaderLines,
-} from '../model/request_metadata.js';
+import type {HeaderCodec, HeaderLines} from '../model/request_metadata.js';
 import type {
   SendAdmission,
   SendGate,
   SendPermit,
   SendTarget,
 } from '../serving/send_gate.js';
-import {MIN_SERVER_ERROR_STATUS} from './response_check.js';
+import {watchConnection} from './connection_watch.js';
+import {isFinalStatus, MIN_SERVER_ERROR_STATUS} from './response_check.js';
 import {EndpointAgent} from './endpoint_agent.js';
 import {TcpEndpointNetwork, type EndpointNetwork} from './endpoint_network.js';
 import {
-  dropHopByHopHeaders,
-  findHeader,
-  formatRawHeaders,
-  readHeaderLines,
-} from './header_lines.js';
+  createEndpointResponse,
+  type EndpointResponse,
+} from './endpoint_response.js';
+import {dropHopByHopHeaders, formatRawHeaders} from './header_lines.js';
+import {watchHead} from './head_watch.js';
+
+export type {EndpointResponse} from './endpoint_response.js';
 
 /** A request to an endpoint. */
 export interface EndpointRequest {
@@ -47,26 +46,6 @@
   readonly signal: AbortSignal;
 }
 
-/** The head of a response, whose body is still to be read. */
-export interface EndpointResponse {
-  readonly kind: 'answer';
-  readonly status: number;
-  readonly metadata: ResponseMetadata;
-  /** The header lines for the caller. */
-  readonly lines: HeaderLines;
-  readonly isEventStream: boolean;
-  readonly message: IncomingMessage;
-  /** Whether the body has a length or is chunked. */
-  readonly isFramed: boolean;
-  /**
-   * Whether the body, once it has ended, is complete. An unframed body ends
-   * with its connection, and is truncated if the connection failed.
-   */
-  isComplete(): boolean;
-  /** Closes the connection. */
-  close(): void;
-}
-
 /** The failure of a request that got no response. */
 export interface EndpointFailure {
   readonly kind: 'lost';
@@ -81,8 +60,6 @@
 export const MISDIRECTED_STATUS = 421;
 /** The statuses with which an endpoint may request a pause. */
 const PAUSE_STATUSES: ReadonlySet<number> = new Set([429, 503]);
-/** How long a connection may take to open; a live endpoint needs a few ms. */
-const CONNECT_TIMEOUT_MS = 300;
 /** An aborted request without a response for this long is a failure, in ms. */
 const MIN_SILENCE_MS = 150;
 
@@ -135,30 +112,28 @@
       let hasResponse = false;
       const clientRequest = this.createRequest(outgoing);
       const sentAt = this.clock.getNow();
-      const connectTimer = setTimeout(() => {
-        failure = 'the connection did not open';
-        clientRequest.destroy();
-      }, CONNECT_TIMEOUT_MS);
-      const abort = (): void => {
+      const close = (detail: string): void => {
         // Destroyed without an error: if the connection was just returned to
         // the pool, an error event would have no listener and be thrown.
-        failure = ABORTED;
+        failure = detail;
         clientRequest.destroy();
       };
-      clientRequest.once('socket', (socket) => {
-        const recordConnected = (): void => {
-          clearTimeout(connectTimer);
+      const abort = (): void => {
+        close(ABORTED);
+      };
+      watchConnection(clientRequest, {
+        handleOpen: (isNew) => {
           mayHaveRun = true;
-        };
-        if (socket.connecting) {
-          socket.once('connect', () => {
-            recordConnected();
-            this.observer.recordConnected(target);
-          });
-        } else recordConnected();
+          if (isNew) this.observer.recordConnected(target);
+        },
+        handleTimeout: () => {
+          close('the connection did not open');
+        },
+      });
+      watchHead(clientRequest, () => {
+        close('its head is too long');
       });
       clientRequest.once('close', () => {
-        clearTimeout(connectTimer);
         outgoing.signal.removeEventListener('abort', abort);
       });
       clientRequest.on('error', (error) => {
@@ -175,9 +150,7 @@
       });
       clientRequest.once('response', (incoming) => {
         hasResponse = true;
-        const response = this.createResponse(clientRequest, incoming);
-        this.reportResponse(outgoing, response, sentAt);
-        resolve(response);
+        resolve(this.acceptResponse(outgoing, clientRequest, incoming, sentAt));
       });
       if (outgoing.signal.aborted) abort();
       else outgoing.signal.addEventListener('abort', abort);
@@ -202,6 +175,20 @@
     });
   }
 
+  private acceptResponse(
+    outgoing: EndpointRequest,
+    clientRequest: ClientRequest,
+    incoming: IncomingMessage,
+    sentAt: number,
+  ): EndpointFailure | EndpointResponse {
+    const fault = refuseStatus(clientRequest, incoming);
+    if (fault !== undefined) return fault;
+    const {codec} = this;
+    const response = createEndpointResponse(codec, clientRequest, incoming);
+    this.reportResponse(outgoing, response, sentAt);
+    return response;
+  }
+
   /**
    * Reports a response to the gate before it is decided whether it can be used:
    * its limits and pauses apply also when the caller has left.
@@ -228,48 +215,19 @@
       pause,
     });
   }
-
-  private createResponse(
-    clientRequest: ClientRequest,
-    incoming: IncomingMessage,
-  ): EndpointResponse {
-    const allLines = readHeaderLines(incoming);
-    const type = findHeader(allLines, 'content-type') ?? '';
-    const isFramed = hasFraming(incoming);
-    let hasFailed = false;
-    clientRequest.on('error', () => {
-      hasFailed = true;
-    });
-    // The reader of the body may have stopped listening; the error still
-    // counts, as isComplete checks for it.
-    incoming.on('error', () => undefined);
-    incoming.once('end', () => {
-      // The endpoint responded before it had read the whole request: the rest
-      // of the request must not be taken for the next one on this connection.
-      if (!clientRequest.writableFinished) clientRequest.destroy();
-    });
-    return {
-      kind: 'answer',
-      status: incoming.statusCode ?? 0,
-      metadata: this.codec.decodeResponse(allLines),
-      lines: dropHopByHopHeaders(this.codec.encodeResponse(allLines)),
-      isEventStream: type.startsWith('text/event-stream'),
-      message: incoming,
-      isFramed,
-      isComplete: () => incoming.complete && (isFramed || !hasFailed),
-      close: () => {
-        clientRequest.destroy();
-      },
-    };
-  }
 }
 
-function hasFraming(incoming: IncomingMessage): boolean {
-  const {headers} = incoming;
-  return (
-    headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined
-  );
+/** Closes the connection of a response whose status is no answer's. */
+function refuseStatus(
+  clientRequest: ClientRequest,
+  incoming: IncomingMessage,
+): EndpointFailure | undefined {
+  const {statusCode: status = 0} = incoming;
+  if (isFinalStatus(status)) return undefined;
+  incoming.on('error', () => undefined);
+  clientRequest.destroy();
+  const detail = `${status} is no status of an answer`;
+  return {kind: 'lost', mayHaveRun: true, detail, isRefused: false};
 }
 
 /** Adds the headers for the body's length and for a persistent connection. */
--- a/packages/gateway/src/channels/response_check.ts
+++ b/packages/gateway/src/channels/response_check.ts
@@ -5,6 +5,15 @@
 /** A response with this status or a higher one is a failure of the endpoint. */
 export const MIN_SERVER_ERROR_STATUS = 500;
 
+/** The range of statuses that end an exchange; lower ones announce others. */
+const MIN_FINAL_STATUS = 200;
+const MAX_STATUS = 599;
+
+/** Whether a status is one that HTTP knows for the answer to a request. */
+export function isFinalStatus(status: number): boolean {
+  return status >= MIN_FINAL_STATUS && status <= MAX_STATUS;
+}
+
 /** Says why a response cannot be used; undefined when it can. */
 export function findResponseFault(
   response: EndpointResponse,
