Bound the bodies of endpoints, one by one and all together

What callers saw: nothing at first. A call that its endpoint refused (503 with the not-run header, or 421) was refused at once, but a body without end after it was read on for ever, and so was the body of a probe's report until the probe timed out. Fifty long answers at once took the memory of several hosts, and all fifty calls ended at their deadlines.

Cause: the reader of bodies stopped keeping bytes beyond 8 MiB but went on reading; probes and declined relays read with resume(), without a bound. The bound was for each answer, so fifty of them could take 400 MB. A body in small chunks took far more than its bytes, as each chunk was kept as an object with the block that it was read into.

Change: `body_reader.ts` reads a body that is needed up to a bound, and one that is not up to 64 KiB and 100 ms, then closes the connection. An endpoint that adds a long body to a refusal counts as lost in its failure score; the refusal itself holds, as the request has not run. `buffer_budget.ts` bounds the bytes of all answers being read to 16 MiB and ends the largest beyond it, so small answers get through. Bytes are collected in one block (`byte_collector.ts`). Answers of engines to management calls are bounded to 1 MiB.

--- a/packages/gateway/src/channels/endpoint_client.ts
+++ b/packages/gateway/src/channels/endpoint_client.ts
@@ -18,6 +18,7 @@
   SendPermit,
   SendTarget,
 } from '../serving/send_gate.js';
+import {BufferBudget} from './buffer_budget.js';
 import {watchConnection} from './connection_watch.js';
 import {isFinalStatus, MIN_SERVER_ERROR_STATUS} from './response_check.js';
 import {EndpointAgent} from './endpoint_agent.js';
@@ -89,6 +90,7 @@
     private readonly clock: Clock,
     network: EndpointNetwork = new TcpEndpointNetwork(),
     private readonly observer: ConnectionObserver = NO_OBSERVER,
+    private readonly buffers: BufferBudget = new BufferBudget(),
   ) {
     this.agent = new EndpointAgent(network);
   }
@@ -183,8 +185,12 @@
   ): EndpointFailure | EndpointResponse {
     const fault = refuseStatus(clientRequest, incoming);
     if (fault !== undefined) return fault;
-    const {codec} = this;
-    const response = createEndpointResponse(codec, clientRequest, incoming);
+    const response = createEndpointResponse(
+      this.codec,
+      this.buffers,
+      clientRequest,
+      incoming,
+    );
     this.reportResponse(outgoing, response, sentAt);
     return response;
   }
--- a/packages/gateway/src/channels/endpoint_response.ts
+++ b/packages/gateway/src/channels/endpoint_response.ts
@@ -1,10 +1,13 @@
 /** The head of an endpoint's response, and the way to its body. */
 import type {ClientRequest, IncomingMessage} from 'node:http';
+import {err, type Result} from 'neverthrow';
 import type {
   HeaderCodec,
   HeaderLines,
   ResponseMetadata,
 } from '../model/request_metadata.js';
+import {dropBody, readBody, type DropResult} from './body_reader.js';
+import type {BufferBudget, BufferHold} from './buffer_budget.js';
 import {
   dropHopByHopHeaders,
   findHeader,
@@ -27,6 +30,12 @@
    * with its connection, and is truncated if the connection failed.
    */
   isComplete(): boolean;
+  /** Reads the whole body; an error says why there is none. */
+  readBody(maxBytes?: number): Promise<Result<Buffer, string>>;
+  /** Reads a body that is not needed, and closes the connection if it is long. */
+  dropBody(): Promise<DropResult>;
+  /** Opens a hold on the memory for answers (see `BufferBudget`). */
+  openHold(handleExcess: () => void): BufferHold;
   /** Closes the connection. */
   close(): void;
 }
@@ -34,6 +43,7 @@
 /** Creates the response to a request from the head that arrived. */
 export function createEndpointResponse(
   codec: HeaderCodec,
+  buffers: BufferBudget,
   clientRequest: ClientRequest,
   incoming: IncomingMessage,
 ): EndpointResponse {
@@ -52,6 +62,8 @@
     // of the request must not be taken for the next one on this connection.
     if (!clientRequest.writableFinished) clientRequest.destroy();
   });
+  const isComplete = (): boolean =>
+    incoming.complete && (isFramed || !hasFailed);
   return {
     kind: 'answer',
     status: incoming.statusCode ?? 0,
@@ -60,7 +72,13 @@
     isEventStream: type.startsWith('text/event-stream'),
     message: incoming,
     isFramed,
-    isComplete: () => incoming.complete && (isFramed || !hasFailed),
+    isComplete,
+    readBody: async (maxBytes) => {
+      const body = await readBody(incoming, buffers, maxBytes);
+      return body.isErr() || isComplete() ? body : err('its body was cut');
+    },
+    dropBody: () => dropBody(incoming),
+    openHold: (handleExcess) => buffers.open(handleExcess),
     close: () => {
       clientRequest.destroy();
     },
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -15,6 +15,7 @@
   type ServiceContext,
 } from '@irisdock/kernel';
 import * as z from 'zod';
+import {BufferBudget} from '../channels/buffer_budget.js';
 import {EndpointClient} from '../channels/endpoint_client.js';
 import {startListening} from '../channels/listening.js';
 import {PeerFrame} from '../model/peer_frame.js';
@@ -187,7 +188,8 @@
   const configuration = context.find(GATEWAY_CONFIGURATION);
   const gate = createGate(context);
   const paths = createPaths(context);
-  const client = createClient(context, gate, paths);
+  const buffers = new BufferBudget();
+  const client = createClient(context, gate, paths, buffers);
   const engineClient = new EngineClient(client);
   const servingMetrics = new ServingMetrics(metrics);
   const crashes = context.find(CRASHES);
@@ -221,7 +223,7 @@
     origins: context.find(STREAM_ORIGINS),
     gate,
     paths,
-    relay: createRelay(context),
+    relay: createRelay(context, buffers),
     lostRuns: new LostRuns({
       ...context,
       exitCheck,
@@ -249,19 +251,25 @@
   context: ServiceContext,
   gate: EndpointGate,
   paths: EndpointPaths,
+  buffers: BufferBudget,
 ): EndpointClient {
   const {headers} = context.find(CODECS);
   const network = context.find(ENDPOINT_NETWORK);
-  return new EndpointClient(headers, gate, context.clock, network, paths);
+  const {clock} = context;
+  return new EndpointClient(headers, gate, clock, network, paths, buffers);
 }
 
-function createRelay(context: ServiceContext): RequestRelay {
+function createRelay(
+  context: ServiceContext,
+  buffers: BufferBudget,
+): RequestRelay {
   const {deployment} = context.find(HOST_IDENTITY);
   return new RequestRelay({
     ...context,
     codec: context.find(CODECS).headers,
     peers: context.find(PEERS),
     deployment: new PeerFrame(deployment).tag,
+    buffers,
   });
 }
 
--- a/packages/gateway/src/serving/endpoint_exit_check.ts
+++ b/packages/gateway/src/serving/endpoint_exit_check.ts
@@ -240,7 +240,7 @@
         signal,
       });
       if (answer.kind === 'answer') {
-        answer.message.resume();
+        void answer.dropBody();
         return this.isOtherProcess(endpoint, answer) ? 'ended' : 'answers';
       }
       if (answer.isRefused) return 'ended';
--- a/packages/gateway/src/serving/endpoint_prober.ts
+++ b/packages/gateway/src/serving/endpoint_prober.ts
@@ -46,8 +46,7 @@
       signal,
     });
     if (answer.kind === 'lost') return false;
-    answer.message.on('error', () => undefined);
-    answer.message.resume();
+    void answer.dropBody();
     return true;
   }
 }
--- a/packages/gateway/src/serving/engine_client.ts
+++ b/packages/gateway/src/serving/engine_client.ts
@@ -5,7 +5,12 @@
 import type {EndpointClient} from '../channels/endpoint_client.js';
 import type {EngineCall} from '../model/request_metadata.js';
 import type {SendTarget} from './send_gate.js';
-import {readAnswerBody} from './answer_body.js';
+
+/**
+ * The longest answer to such a call, in bytes. The longest are lists of cached
+ * prompts, some hundred bytes for each of some thousand parts.
+ */
+const MAX_CALL_BYTES = 1_048_576;
 
 /** The answer of an engine. */
 export interface EngineAnswer {
@@ -40,9 +45,9 @@
       signal,
     });
     if (answer.kind === 'lost') return undefined;
-    const body = await readAnswerBody(answer);
-    if (body === undefined) return undefined;
-    return {status: answer.status, body: body.toString()};
+    const body = await answer.readBody(MAX_CALL_BYTES);
+    if (body.isErr()) return undefined;
+    return {status: answer.status, body: body.value.toString()};
   }
 }
 
--- a/packages/gateway/src/serving/plain_answer_reader.ts
+++ b/packages/gateway/src/serving/plain_answer_reader.ts
@@ -4,9 +4,9 @@
   type EndpointResponse,
 } from '../channels/endpoint_client.js';
 import type {GatewayEndpoints} from '../services/gateway_endpoints.js';
-import {readAnswerBody} from './answer_body.js';
 import type {PlainAnswer} from './caller_exchange.js';
 import type {EndpointRecord} from './endpoint_record.js';
+import {recordEndpointFailure} from './send_rules.js';
 
 /** The result of a request with a plain answer. */
 export type PlainAnswerResult =
@@ -27,15 +27,22 @@
   answer: EndpointResponse,
 ): Promise<PlainAnswerResult> {
   const {status, metadata, lines, isFramed} = answer;
-  const body = await readAnswerBody(answer);
   if (status === MISDIRECTED_STATUS) {
+    await answer.dropBody();
     endpoints.reportReplaced(endpoint, metadata.endpointId);
     return {kind: 'refused', detail: 'another instance answers there'};
   }
-  if (metadata.isNotRun) return {kind: 'refused', detail: `status ${status}`};
-  if (body === undefined) {
-    answer.close();
-    return {kind: 'lost', mayHaveRun: true, detail: 'its body was cut'};
+  if (metadata.isNotRun) {
+    const dropped = await answer.dropBody();
+    if (dropped === 'too-long') {
+      recordEndpointFailure(endpoints, endpoint, 'lost');
+    }
+    const ending = dropped === 'ended' ? '' : ', its body did not end';
+    return {kind: 'refused', detail: `status ${status}${ending}`};
+  }
+  const body = await answer.readBody();
+  if (body.isErr()) {
+    return {kind: 'lost', mayHaveRun: true, detail: body.error};
   }
-  return {kind: 'whole', answer: {status, lines, body, isFramed}};
+  return {kind: 'whole', answer: {status, lines, body: body.value, isFramed}};
 }
--- a/packages/gateway/src/serving/relayed_call.ts
+++ b/packages/gateway/src/serving/relayed_call.ts
@@ -8,7 +8,6 @@
   MIN_SERVER_ERROR_STATUS,
   findResponseFault,
 } from '../channels/response_check.js';
-import {readAnswerBody} from './answer_body.js';
 import type {CallerExchange, PlainAnswer} from './caller_exchange.js';
 import {
   MAX_RELAY_HOSTS,
@@ -89,7 +88,7 @@
   // Another process may have taken over the address of a lost host.
   const isMisdirected = response.status === MISDIRECTED_STATUS;
   if (relay.hasDeclined(response.lines) || isMisdirected) {
-    response.message.resume();
+    await response.dropBody();
     return undefined;
   }
   const fault = findResponseFault(response, requestId);
@@ -98,9 +97,9 @@
     return {kind: 'lost', detail: fault};
   }
   const {status, lines, isFramed, metadata} = response;
-  const body = await readAnswerBody(response);
-  if (body === undefined) return {kind: 'lost', detail: 'its body was cut'};
-  const answer = {status, lines, body, isFramed};
+  const body = await response.readBody();
+  if (body.isErr()) return {kind: 'lost', detail: body.error};
+  const answer = {status, lines, body: body.value, isFramed};
   return {kind: 'answer', answer, isSigned: metadata.isSigned};
 }
 
--- a/packages/gateway/src/serving/request_relay.ts
+++ b/packages/gateway/src/serving/request_relay.ts
@@ -5,6 +5,7 @@
  * retries. It never relays it further.
  */
 import {getSample, type Clock, type Random} from '@irisdock/kernel';
+import type {BufferBudget} from '../channels/buffer_budget.js';
 import {EndpointClient} from '../channels/endpoint_client.js';
 import {findHeader} from '../channels/header_lines.js';
 import type {HeaderCodec, HeaderLines} from '../model/request_metadata.js';
@@ -58,6 +59,8 @@
   readonly deployment: string;
   readonly clock: Clock;
   readonly random: Random;
+  /** The memory for answers; the relay has its own by default. */
+  readonly buffers?: BufferBudget;
 }
 
 /** Where a begun stream resumes. */
@@ -99,8 +102,15 @@
   private readonly inFlight = new Map<string, number>();
 
   constructor(private readonly parts: RequestRelayParts) {
-    const {codec, clock} = parts;
-    this.client = new EndpointClient(codec, OPEN_GATE, clock);
+    const {codec, clock, buffers} = parts;
+    this.client = new EndpointClient(
+      codec,
+      OPEN_GATE,
+      clock,
+      undefined,
+      undefined,
+      buffers,
+    );
     this.prober = new EndpointProber(this.client, codec.reportPath);
   }
 
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -1,4 +1,5 @@
 /** The micro-kernel and what every package builds on. */
+export * from './byte_collector.js';
 export * from './channel.js';
 export * from './clock.js';
 export * from './connection_errors.js';
