Bound the events of streams, and split them in linear time

What callers saw: a stream whose engine sent an event without end was read until the caller's deadline and ended with 504, although another engine could have served it; the host kept all of the event. An event in small chunks held up every other request of the host as well.

Cause: the splitter kept the incomplete event without a bound. For each chunk it copied the whole rest and searched it from its start, which is quadratic.

Ruled out: an answer that is no event stream and the body of a failed stream. Their connections were already closed.

Change: an event of more than 1 MiB is the loss of its attempt, with a failure for the engine and another attempt if the route allows one. The memory of incomplete events counts in the bound on all answers that are being read. The splitter appends to one growing block and searches only what is new.

Conclusion: an event is bounded in bytes and memory. A stream that repeats events for ever is not yet.

--- a/packages/decisions/src/event_splitter.ts
+++ b/packages/decisions/src/event_splitter.ts
@@ -4,6 +4,8 @@
  * on.
  */
 
+import {ByteCollector} from '@irisdock/kernel';
+
 /** A complete server-sent event. */
 export interface ServerSentEvent {
   /** Undefined if the event has no numeric id. */
@@ -16,6 +18,7 @@
 const SEPARATORS = [Buffer.from('\n\n'), Buffer.from('\r\n\r\n')];
 /** The ends of an event in bytes without carriage returns. */
 const LF_SEPARATORS = SEPARATORS.slice(0, 1);
+const MAX_SEPARATOR_LENGTH = 4;
 const ID_LINE = /^id: ?(\d{1,15})\r?$/m;
 const ID_PREFIX = Buffer.from('id: ');
 /** Maximum length of an id. */
@@ -27,30 +30,46 @@
 /** Splits bytes into events. */
 export class EventSplitter {
   /** The bytes of an incomplete event. */
-  private rest: Buffer = Buffer.alloc(0);
+  private readonly rest = new ByteCollector();
+  /** Whether those bytes contain a carriage return. */
+  private hasReturn = false;
 
   /** The number of bytes of an incomplete event. */
   get pendingBytes(): number {
     return this.rest.length;
   }
 
+  /** The bytes of memory that an incomplete event takes. */
+  get pendingCapacity(): number {
+    return this.rest.capacity;
+  }
+
   /** Adds received bytes; returns the events that they complete. */
   add(bytes: Buffer): ServerSentEvent[] {
-    const all =
-      this.rest.length === 0 ? bytes : Buffer.concat([this.rest, bytes]);
-    const hasOnlyLf = !all.includes(CARRIAGE_RETURN);
-    const separators = hasOnlyLf ? LF_SEPARATORS : SEPARATORS;
+    // An end may begin in the bytes before; further back there is none.
+    const from = Math.max(0, this.rest.length - MAX_SEPARATOR_LENGTH + 1);
+    const hasRest = this.rest.length > 0;
+    if (hasRest) this.rest.add(bytes);
+    const all = hasRest ? this.rest.getBytes() : bytes;
+    this.hasReturn ||= bytes.includes(CARRIAGE_RETURN);
+    const separators = this.hasReturn ? SEPARATORS : LF_SEPARATORS;
     const events: ServerSentEvent[] = [];
     let start = 0;
     for (;;) {
-      const end = findEventEnd(all, start, separators);
+      const end = findEventEnd(all, Math.max(start, from), separators);
       if (end === undefined) break;
       events.push(createEvent(all.subarray(start, end)));
       start = end;
     }
-    this.rest = all.subarray(start);
+    if (start > 0 || !hasRest) this.setRest(all.subarray(start));
     return events;
   }
+
+  private setRest(bytes: Buffer): void {
+    this.rest.drop();
+    if (bytes.length > 0) this.rest.add(bytes);
+    this.hasReturn &&= bytes.includes(CARRIAGE_RETURN);
+  }
 }
 
 function findEventEnd(
--- a/packages/decisions/tests/event_stream.test.ts
+++ b/packages/decisions/tests/event_stream.test.ts
@@ -52,6 +52,34 @@
     );
   });
 
+  it('finds ends that small parts bring in pieces', () => {
+    const text = `${'x'.repeat(3000)}\r\n\r\nid: 7\r\ndata: y\r\n\r\nz\n\n`;
+    const splitter = new EventSplitter();
+    const events: ServerSentEvent[] = [];
+    for (const byte of Buffer.from(text)) {
+      events.push(...splitter.add(Buffer.from([byte])));
+    }
+    assert.deepEqual(
+      events.map(({id, bytes}) => [id, bytes.length]),
+      [
+        [undefined, 3004],
+        [7, 18],
+        [undefined, 3],
+      ],
+    );
+    assert.equal(splitter.pendingBytes, 0);
+  });
+
+  it('takes no more memory than twice an incomplete event', () => {
+    const splitter = new EventSplitter();
+    const part = Buffer.from('x');
+    for (let bytes = 1; bytes <= 100_000; bytes++) {
+      splitter.add(part);
+      assert.equal(splitter.pendingBytes, bytes);
+      assert.ok(splitter.pendingCapacity <= 2 * bytes);
+    }
+  });
+
   it('reads ids with LF and CRLF line endings', () => {
     const splitter = new EventSplitter();
     const events = splitter.add(
--- a/packages/gateway/src/channels/buffer_budget.ts
+++ b/packages/gateway/src/channels/buffer_budget.ts
@@ -56,7 +56,7 @@
   }
 
   private setBytes(hold: OpenHold, bytes: number): void {
-    if (!this.holds.has(hold)) return;
+    if (bytes === hold.bytes || !this.holds.has(hold)) return;
     this.heldBytes += bytes - hold.bytes;
     hold.bytes = bytes;
     while (this.heldBytes > this.maxBytes) {
--- a/packages/gateway/src/serving/stream_attempt.ts
+++ b/packages/gateway/src/serving/stream_attempt.ts
@@ -9,6 +9,7 @@
   EndpointResponse,
   EndpointRequest,
 } from '../channels/endpoint_client.js';
+import type {BufferHold} from '../channels/buffer_budget.js';
 import type {HeaderLines, KvCacheSource} from '../model/request_metadata.js';
 import {readPlainAnswer} from './plain_answer_reader.js';
 import type {PlainAnswer} from './caller_exchange.js';
@@ -57,6 +58,12 @@
 /** An answer with this status or a higher one is an error, not a stream. */
 const MIN_FAILURE_STATUS = 400;
 
+/**
+ * The longest event in bytes. An event carries a piece of a text, mostly some
+ * words; one that is longer is not expected to end.
+ */
+const MAX_EVENT_BYTES = 1_048_576;
+
 /** Runs one attempt of a stream. */
 export class StreamAttempt {
   private readonly controller = new AbortController();
@@ -153,7 +160,11 @@
 
   private async readEvents(answer: EndpointResponse): Promise<AttemptResult> {
     const splitter = new EventSplitter();
-    await this.passEvents(answer.message, splitter);
+    const hold = answer.openHold(() => {
+      this.end('its event is the longest of too many');
+    });
+    await this.passEvents(answer.message, splitter, hold);
+    hold.close();
     if (this.stopSignal.aborted) {
       answer.close();
       return {kind: 'stopped', mayHaveRun: true};
@@ -176,6 +187,7 @@
   private async passEvents(
     message: IncomingMessage,
     splitter: EventSplitter,
+    hold: BufferHold,
   ): Promise<void> {
     await new Promise<void>((resolve) => {
       const handleEnd = (): void => {
@@ -183,6 +195,7 @@
       };
       message.on('data', (chunk: Buffer) => {
         this.acceptChunk(message, splitter, chunk);
+        this.checkPending(splitter, hold);
       });
       message.once('end', handleEnd);
       message.once('close', handleEnd);
@@ -203,6 +216,12 @@
     message.pause();
     void drained.then(() => message.resume());
   }
+
+  private checkPending(splitter: EventSplitter, hold: BufferHold): void {
+    hold.set(splitter.pendingCapacity);
+    if (splitter.pendingBytes <= MAX_EVENT_BYTES) return;
+    this.end('an event of its stream is too long');
+  }
 }
 
 /** Describes the end of an attempt, for logs and error messages. */
