Bound the answers of the store and of other hosts

What was seen: no caller was hit. A process at the address of the store or of another host that sends bytes without end was read for the whole timeout of the call, and all of its body was kept: several hundred megabytes at the rate of a local connection.

Cause: the client for JSON calls had a bound in time only.

Ruled out: a call that outlives its timeout.

Change: the client reads bodies and heads by the bounds of the endpoint client: 8 MiB for a body, eight times a page of the store, and 64 KiB before the response. Beyond them the connection is closed and the call has an error.

Conclusion: what answers at an address of the store or of a host costs a bounded amount of memory.

--- a/packages/gateway/src/channels/json_client.ts
+++ b/packages/gateway/src/channels/json_client.ts
@@ -2,9 +2,17 @@
  * An HTTP client for short JSON calls over persistent connections. A call that
  * times out closes its connection, as its response may still arrive on it.
  */
-import {Agent, request, type IncomingHttpHeaders} from 'node:http';
+import {
+  Agent,
+  request,
+  type IncomingHttpHeaders,
+  type IncomingMessage,
+} from 'node:http';
 import {getErrorText, splitPlace} from '@irisdock/kernel';
-import {err, ok, type Result} from 'neverthrow';
+import {err, type Result} from 'neverthrow';
+import {readBody} from './body_reader.js';
+import {BufferBudget} from './buffer_budget.js';
+import {watchHead} from './head_watch.js';
 
 /** A JSON request; without a `body` it is sent with an empty one. */
 export interface JsonRequest {
@@ -24,6 +32,7 @@
 /** Sends JSON requests to any address. */
 export class JsonClient {
   private readonly agent = new Agent({keepAlive: true, noDelay: true});
+  private readonly buffers = new BufferBudget();
 
   /** Sends a request to `ip:port`; an error says why there is no response. */
   async send(
@@ -42,32 +51,43 @@
           'content-length': Buffer.byteLength(body),
         },
       });
+      let failure: string | undefined;
+      const close = (detail: string): void => {
+        failure = detail;
+        clientRequest.destroy();
+      };
       const timer = setTimeout(() => {
-        clientRequest.destroy(new Error(`no answer in ${call.timeoutMs} ms`));
+        close(`no answer in ${call.timeoutMs} ms`);
       }, call.timeoutMs);
       const finish = (result: Result<JsonResponse, string>): void => {
         clearTimeout(timer);
-        resolve(result);
+        resolve(result.mapErr((detail) => failure ?? detail));
       };
+      watchHead(clientRequest, () => {
+        close('its head is too long');
+      });
       clientRequest.on('error', (error) => {
         finish(err(getErrorText(error)));
       });
       clientRequest.on('response', (response) => {
-        const chunks: Buffer[] = [];
-        response.on('data', (chunk: Buffer) => chunks.push(chunk));
-        response.on('error', (error) => {
-          finish(err(getErrorText(error)));
-        });
-        response.on('end', () => {
-          const text = Buffer.concat(chunks).toString();
-          const {statusCode: status = 0, headers} = response;
-          finish(ok({status, body: parseBody(text), headers}));
-        });
+        void this.readResponse(response).then(finish);
       });
       clientRequest.end(body);
     });
   }
 
+  private async readResponse(
+    response: IncomingMessage,
+  ): Promise<Result<JsonResponse, string>> {
+    const {statusCode: status = 0, headers} = response;
+    const body = await readBody(response, this.buffers);
+    return body.map((bytes) => ({
+      status,
+      body: parseBody(bytes.toString()),
+      headers,
+    }));
+  }
+
   /** Closes the idle connections. */
   close(): void {
     this.agent.destroy();
