--- a/packages/gateway/src/serving/caller_exchange.ts
+++ b/packages/gateway/src/serving/caller_exchange.ts
@@ -4,7 +4,7 @@
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {KnownError} from '@irisdock/kernel';
-import {readBody, type BodyFault} from '../channels/body_reader.js';
+import {readRequestBody, type BodyFault} from '../channels/request_body.js';
 import {formatRawHeaders, readHeaderLines} from '../channels/header_lines.js';
 import type {LingeringCloses} from '../channels/lingering_closes.js';
 import type {RelayHop} from '../model/relay_path.js';
@@ -93,7 +93,7 @@
 
   /** Reads the whole body of the request. */
   async readBody(maxBytes: number): Promise<Buffer | BodyFault> {
-    return readBody(this.message, maxBytes);
+    return readRequestBody(this.message, maxBytes);
   }
 
   /** Sends a complete answer of an endpoint. */
--- a/packages/gateway/src/serving/endpoint_prober.ts
+++ b/packages/gateway/src/serving/endpoint_prober.ts
@@ -57,8 +57,7 @@
       signal,
     });
     if (answer.kind === 'lost') return answer.isRefused ? 'refused' : 'silent';
-    answer.message.on('error', () => undefined);
-    answer.message.resume();
+    void answer.dropBody();
     return 'answers';
   }
 }
