Keep a silent engine until another one is reserved for its answer

Callers of irisdockd saw answers end with `generation_lost` although the engine went on a second later: an answer that must not be continued elsewhere was given up at the first unanswered probe of its engine, or at its second limit when the engine answered but generated nothing.

Cause: the stall detector ended the attempt first, and only then was it decided whether the answer may go on, and where. What was given up could not be taken back. Ruled out: the connection (it stays open during the silence) and the engine (it keeps the generation, and its tokens arrive once it goes on).

A stream past its limit is now suspected. The driver reports the engine and tries to reserve another one that answers; only then is the attempt ended. The free or paid retry is taken with the reservation. Until then the attempt is kept and checked again, at most for `--streams-max-silence-ms` (20 s, as for a first token). The counts of losses and the choice of what follows move from the driver into `answer_retries.ts`.

Conclusion: irisdockd gave up what it held before it was certain of the next; plain calls are not affected, as they are only bounded by `callMs`.

--- a/packages/daemon/src/answer/answer_attempt.ts
+++ b/packages/daemon/src/answer/answer_attempt.ts
@@ -37,6 +37,8 @@
   readonly firstTokenMs: number;
   /** The time limit of a probe, in ms. */
   readonly probeTimeoutMs: number;
+  /** How long a silent engine is kept if no other takes the answer, in ms. */
+  readonly maxSilenceMs: number;
 }
 
 /** The dependencies and callbacks of an attempt. */
@@ -51,6 +53,8 @@
   readonly stop: AbortSignal;
   /** Called when the stream makes no progress though probes are answered. */
   handleQuiet(): void;
+  /** Leaves a silent engine; false if no other can take the answer over. */
+  tryLeave(kind: StallKind): boolean;
   /** Called once the engine has accepted the order. */
   handleAccepted(): void;
   /** Passes tokens to the caller; resolves when it can take more. */
@@ -81,6 +85,7 @@
     this.firstTokenMs = options.firstTokenMs;
     this.stallDetector = new StallDetector({
       clock,
+      maxSilenceMs: options.maxSilenceMs,
       getLimits: () => {
         const {gaps, serviceGaps} = parts.endpoint;
         const limits = serviceGaps.getLimits(gaps, options.bounds);
@@ -98,6 +103,7 @@
         this.isQueued = isFull && !parts.endpoint.isQuiet;
         return true;
       },
+      tryLeave: (kind) => parts.tryLeave(kind),
       handleLoss: (kind) => {
         this.stall = kind;
         this.abortController.abort();
--- a/packages/daemon/src/answer/answer_driver.ts
+++ b/packages/daemon/src/answer/answer_driver.ts
@@ -8,8 +8,6 @@
   AnswerAssembler,
   createGenerationNumber,
   createResumeData,
-  decideLossResponse,
-  isLossCounted,
   type LossKind,
   type RetryBudget,
   type Signer,
@@ -25,10 +23,12 @@
   type AttemptOptions,
   type AttemptResult,
 } from './answer_attempt.js';
+import {AnswerRetries} from './answer_retries.js';
 import type {AnswerSink, AnswerToken} from './answer_sink.js';
 import type {EngineChooser} from './engine_chooser.js';
 import {getEndpointOutcome, hasPossiblyRun} from './attempt_outcome.js';
 import type {RequestRecord} from './request_record.js';
+import type {StallKind} from './stall_detector.js';
 import type {StreamMetrics} from './stream_metrics.js';
 import {waitUnlessAborted} from './abortable_wait.js';
 
@@ -72,11 +72,9 @@
 export class AnswerDriver {
   private readonly stop: AbortSignal;
   private readonly assembler: AnswerAssembler;
-  private readonly avoided = new Set<string>();
+  private readonly retries: AnswerRetries;
   private readonly startedAt: number;
   private admitted: AdmittedRequest | undefined;
-  private countedLosses = 0;
-  private attachAttempts = 0;
   private lastTokenAt: number | undefined;
   private lostSince: number | undefined;
   /** End of the search for an endpoint; unset when an order is accepted. */
@@ -89,6 +87,7 @@
   ) {
     this.stop = AbortSignal.any([sink.signal, record.lock.signal]);
     this.startedAt = parts.clock.getNow();
+    this.retries = new AnswerRetries(parts, record);
     const {request, generation, nextOffset} = record;
     this.assembler = new AnswerAssembler(request.id, generation, nextOffset);
   }
@@ -107,6 +106,7 @@
     try {
       return await this.runAttempts(attachTo);
     } finally {
+      this.retries.releaseReserved();
       this.admitted?.release();
     }
   }
@@ -149,6 +149,8 @@
 
   /** Finds an engine: by the queue at first, ahead of it after a loss. */
   private async findEndpoint(): Promise<Result<EndpointRecord, KnownError>> {
+    const reserved = this.retries.takeReserved();
+    if (reserved !== undefined) return ok(reserved);
     if (this.admitted === undefined && !this.record.mayHaveRun) {
       const admitted = await this.parts.admission.submit(this.createEntry());
       if (admitted.isErr()) return err(admitted.error);
@@ -161,7 +163,7 @@
     this.searchUntil ??= clock.getNow() + resumeWaitMs;
     while (!this.stop.aborted && clock.getNow() < this.searchUntil) {
       const resuming = this.record.mayHaveRun;
-      const endpoint = chooser.choose({avoid: this.avoided, resuming});
+      const endpoint = chooser.choose({avoid: this.retries.avoided, resuming});
       endpoint?.startRequest();
       if (endpoint !== undefined) return ok(endpoint);
       await clock.wait(CHOOSE_RETRY_MS, this.stop);
@@ -173,16 +175,13 @@
   private findContinuationError(): KnownError | undefined {
     const {record} = this;
     if (!record.mayHaveRun) return undefined;
-    if (!this.mayContinue) return this.createFinalError('not repeatable');
+    if (!this.retries.mayContinue) {
+      return this.createFinalError('not repeatable');
+    }
     if (record.text !== undefined) return undefined;
     return DAEMON_ERRORS.create('resume_text_needed', {}, 1);
   }
 
-  private get mayContinue(): boolean {
-    const {repeatable, spec} = this.record.request;
-    return repeatable || spec.continuation === 'allowed';
-  }
-
   private createEntry(): Parameters<Admission['submit']>[0] {
     const {id, service, team, weight, maxTokens, spec, maxInFlight} =
       this.record.request;
@@ -198,7 +197,7 @@
       signal: this.stop,
       chooseEndpoint: () =>
         this.parts.chooser.choose({
-          avoid: this.avoided,
+          avoid: this.retries.avoided,
           resuming: false,
         }),
     };
@@ -225,6 +224,7 @@
       handleQuiet: () => {
         parts.directory.reportStall(endpoint);
       },
+      tryLeave: (kind) => this.tryLeave(endpoint, kind),
       handleAccepted: () => {
         this.searchUntil = undefined;
         this.sink.setResume(this.createResume());
@@ -273,8 +273,7 @@
     for (const {text} of tokens) this.record.addToken(text);
     metrics.tokens.inc(tokens.length);
     this.lastTokenAt = now;
-    this.countedLosses = 0;
-    this.attachAttempts = 0;
+    this.retries.recordTokens();
     await this.write(tokens);
   }
 
@@ -293,35 +292,28 @@
     endpoint: EndpointRecord,
     loss: LossKind,
   ): KnownError | 'abandon' | 'attach' | 'continue' {
-    const {metrics, budget, clock, directory} = this.parts;
-    const {record} = this;
+    const {metrics, clock} = this.parts;
     metrics.losses.inc({kind: loss});
     this.lostSince ??= this.lastTokenAt ?? clock.getNow();
-    if (ENDPOINT_LOSSES.has(loss)) directory.reportLost(endpoint, loss);
-    // The first retry after a loss is free; further ones use the retry budget.
-    const isCounted = isLossCounted(loss, record.mayHaveRun);
-    const isFree = !isCounted || this.countedLosses === 0;
-    const budgetLeft = isFree || budget.takeRetry(clock.getNow());
-    const response = decideLossResponse({
-      loss,
-      mayHaveRun: record.mayHaveRun,
-      mayContinue: this.mayContinue,
-      attachAttempts: this.attachAttempts,
-      losses: this.countedLosses,
-      hasRetryBudget: budgetLeft,
-    });
-    if (isCounted) this.countedLosses++;
-    if (response === 'abandon') return 'abandon';
-    if (response === 'attach') {
-      this.attachAttempts++;
-      return 'attach';
-    }
+    this.reportLoss(endpoint, loss);
+    const response = this.retries.decide(endpoint, loss);
+    if (response === 'abandon' || response === 'attach') return response;
     if (response !== 'continue') return this.createFinalError(loss);
-    this.avoided.add(endpoint.address);
     this.cancelLost(endpoint, loss);
     return 'continue';
   }
 
+  /** Leaves a silent engine if another one can take the answer over. */
+  private tryLeave(endpoint: EndpointRecord, kind: StallKind): boolean {
+    this.reportLoss(endpoint, kind);
+    return this.retries.tryReserve(endpoint, kind);
+  }
+
+  private reportLoss(endpoint: EndpointRecord, loss: LossKind): void {
+    if (!ENDPOINT_LOSSES.has(loss)) return;
+    this.parts.directory.reportLost(endpoint, loss);
+  }
+
   /** Cancels a lost generation that its engine may still be running. */
   private cancelLost(endpoint: EndpointRecord, loss: LossKind): void {
     const {engine} = endpoint.clients;
--- /dev/null
+++ b/packages/daemon/src/answer/answer_retries.ts
@@ -0,0 +1,122 @@
+/**
+ * Decides how one answer goes on when the stream from its engine is lost or
+ * silent. A silent engine is left only once another one is reserved for the
+ * answer: most engines that are silent for a while go on, and an answer that
+ * nothing else can continue would be lost by leaving early.
+ */
+import type {Clock} from '@irisdock/kernel';
+import {
+  decideLossResponse,
+  isLossCounted,
+  type LossKind,
+  type LossResponse,
+  type RetryBudget,
+} from '@irisdock/decisions';
+import type {EndpointRecord} from '../endpoint/endpoint_record.js';
+import type {EngineChooser} from './engine_chooser.js';
+import type {RequestRecord} from './request_record.js';
+import type {StallKind} from './stall_detector.js';
+
+/** The dependencies of the retries. */
+export interface AnswerRetriesParts {
+  readonly clock: Clock;
+  readonly budget: RetryBudget;
+  readonly chooser: Pick<EngineChooser, 'choose'>;
+}
+
+/** Decides on the retries of one answer. */
+export class AnswerRetries {
+  /** Addresses of the engines that have just failed the answer. */
+  readonly avoided = new Set<string>();
+  private countedLosses = 0;
+  private attachAttempts = 0;
+  private reserved: EndpointRecord | undefined;
+
+  constructor(
+    private readonly parts: AnswerRetriesParts,
+    private readonly record: RequestRecord,
+  ) {}
+
+  /** Whether the request may be run again or continued elsewhere. */
+  get mayContinue(): boolean {
+    const {repeatable, spec} = this.record.request;
+    return repeatable || spec.continuation === 'allowed';
+  }
+
+  /** Records that tokens arrived, so that the next loss is the first again. */
+  recordTokens(): void {
+    this.countedLosses = 0;
+    this.attachAttempts = 0;
+  }
+
+  /**
+   * Reserves another engine for the answer of a silent one; false if the answer
+   * may not or cannot go on elsewhere now.
+   */
+  tryReserve(silent: EndpointRecord, kind: StallKind): boolean {
+    if (this.record.text === undefined) return false;
+    if (this.decideByBudget(kind, true, true) !== 'continue') return false;
+    const avoid = new Set([...this.avoided, silent.address]);
+    const next = this.parts.chooser.choose({avoid, resuming: true});
+    if (next === undefined || next === silent) return false;
+    // For want of others, the choice includes engines that seem lost as well.
+    if (!next.isAnswering || next.isQuiet) return false;
+    if (!this.takeRetry(true)) return false;
+    next.startRequest();
+    this.reserved = next;
+    return true;
+  }
+
+  /** Takes the reserved engine, if there is one. */
+  takeReserved(): EndpointRecord | undefined {
+    const {reserved} = this;
+    this.reserved = undefined;
+    return reserved;
+  }
+
+  /** Releases a reserved engine that the answer no longer needs. */
+  releaseReserved(): void {
+    this.takeReserved()?.endRequest('neutral');
+  }
+
+  /** Decides what follows a loss, and counts it. */
+  decide(endpoint: EndpointRecord, loss: LossKind): LossResponse {
+    const {mayHaveRun} = this.record;
+    const isCounted = isLossCounted(loss, mayHaveRun);
+    const response = this.decideResponse(loss, isCounted);
+    if (isCounted) this.countedLosses++;
+    if (response === 'attach') this.attachAttempts++;
+    if (response === 'continue') this.avoided.add(endpoint.address);
+    return response;
+  }
+
+  private decideResponse(loss: LossKind, isCounted: boolean): LossResponse {
+    if (loss === 'superseded') return 'abandon';
+    // Its retry was taken from the budget with the reservation.
+    if (this.reserved !== undefined) return 'continue';
+    const hasRetryBudget = this.takeRetry(isCounted);
+    return this.decideByBudget(loss, this.record.mayHaveRun, hasRetryBudget);
+  }
+
+  private decideByBudget(
+    loss: LossKind,
+    mayHaveRun: boolean,
+    hasRetryBudget: boolean,
+  ): LossResponse {
+    return decideLossResponse({
+      loss,
+      mayHaveRun,
+      mayContinue: this.mayContinue,
+      attachAttempts: this.attachAttempts,
+      losses: this.countedLosses,
+      hasRetryBudget,
+    });
+  }
+
+  /** The first retry after a loss is free; further ones use the budget. */
+  private takeRetry(isCounted: boolean): boolean {
+    if (!isCounted || this.countedLosses === 0) return true;
+    const {budget, clock} = this.parts;
+    return budget.takeRetry(clock.getNow());
+  }
+}
--- a/packages/daemon/src/answer/stall_detector.ts
+++ b/packages/daemon/src/answer/stall_detector.ts
@@ -1,7 +1,8 @@
 /**
- * Detects a stalled stream. After a time without events its endpoint is probed;
- * if the probe fails, or if no event arrives for longer still, the stream is
- * reported as lost.
+ * Detects a stalled stream. After a time without events its endpoint is probed.
+ * If the probe fails, or if no event arrives for longer still, the stream is
+ * suspected: it is lost as soon as its answer can be continued elsewhere, and
+ * is kept until then, as the endpoint may go on.
  */
 import type {Clock} from '@irisdock/kernel';
 import type {StallLimits} from '@irisdock/decisions';
@@ -12,10 +13,14 @@
 /** The dependencies and callbacks of a detector. */
 export interface StallDetectorParts {
   readonly clock: Clock;
+  /** How long a suspected stream is kept, in ms. */
+  readonly maxSilenceMs: number;
   /** Returns the current limits. */
   getLimits(): StallLimits;
   /** Probes the endpoint; resolves to true if it answers. */
   probe(): Promise<boolean>;
+  /** Leaves a suspected stream; false if its answer can't go on elsewhere. */
+  tryLeave(kind: StallKind): boolean;
   handleLoss(kind: StallKind): void;
   /** Called once per pause in the stream if the endpoint answers a probe. */
   handleQuiet(): void;
@@ -86,14 +91,14 @@
       return;
     }
     if (silenceMs >= lostMs) {
-      this.reportLoss('stalled');
+      this.handleSuspicion('stalled');
       return;
     }
     const {lastEventAt} = this;
     const isAnswering = await this.parts.probe();
     const isStillSilent = this.lastEventAt === lastEventAt && !this.paused;
     if (isStillSilent && isAnswering) this.reportQuiet();
-    if (!isAnswering && isStillSilent) this.reportLoss('silent');
+    if (!isAnswering && isStillSilent) this.handleSuspicion('silent');
     else this.planCheck(Math.min(probeMs, Math.max(1, lostMs - silenceMs)));
   }
 
@@ -103,8 +108,14 @@
     this.parts.handleQuiet();
   }
 
-  private reportLoss(kind: StallKind): void {
+  private handleSuspicion(kind: StallKind): void {
     if (this.stopped) return;
+    const {clock, maxSilenceMs} = this.parts;
+    const silenceMs = clock.getNow() - this.lastEventAt;
+    if (!this.parts.tryLeave(kind) && silenceMs < maxSilenceMs) {
+      this.planCheck(this.parts.getLimits().probeMs);
+      return;
+    }
     this.stop();
     this.parts.handleLoss(kind);
   }
--- a/packages/daemon/src/answer/streams_settings.ts
+++ b/packages/daemon/src/answer/streams_settings.ts
@@ -52,6 +52,10 @@
     unit: 'ms',
     description: 'Upper bound of the time limit for a first token.',
   }),
+  maxSilenceMs: z.coerce.number().int().min(100).default(20_000).meta({
+    unit: 'ms',
+    description: 'How long a silent engine is kept if no other can take over.',
+  }),
   resumeWaitMs: z.coerce.number().int().min(0).default(8000).meta({
     unit: 'ms',
     description: 'How long to search for an endpoint after a loss.',
--- a/packages/daemon/src/services/streams.ts
+++ b/packages/daemon/src/services/streams.ts
@@ -207,7 +207,7 @@
   create(context, settings) {
     const {minProbeMs, maxProbeMs, minLostMs, maxLostMs} = settings;
     const {probeTimeoutMs, minFirstTokenMs, firstTokenMs} = settings;
-    const {resumeWaitMs, graceMs, keepEndedMs} = settings;
+    const {maxSilenceMs, resumeWaitMs, graceMs, keepEndedMs} = settings;
     const bounds = {minProbeMs, maxProbeMs, minLostMs, maxLostMs};
     const api = new Streams({
       clock: context.clock,
@@ -218,7 +218,13 @@
       configuration: context.find(CONFIGURATION),
       ownership: context.find(OWNERSHIP),
       metrics: new StreamMetrics(context.metrics),
-      attemptOptions: {bounds, minFirstTokenMs, firstTokenMs, probeTimeoutMs},
+      attemptOptions: {
+        bounds,
+        minFirstTokenMs,
+        firstTokenMs,
+        probeTimeoutMs,
+        maxSilenceMs,
+      },
       resumeWaitMs,
       graceMs,
       keepEndedMs,
