Return a stream to an engine that it left when no other is left

Callers saw a begun stream end after two of twelve events although one of its engines was sound: the stream had left that engine while it was silent for a moment, and the engine that took over was lost later.

Cause: an engine whose attempt was lost stayed excluded for the rest of the stream. With no other engine the search found nothing for 1.5 s, and the answer was cut (`no_engine`), however much of the request's time was left. Ruled out: attempts and retry budget (the retry had been granted), and the version binding (both engines have one version).

Engines on which an attempt was lost are now asked again when no other engine is left and none is merely without room, and used once more if that very instance answers. Which engines a stream leaves out moves into `engine_exclusions.ts`, the probe of an instance out of the exit check into `instance_probe.ts`.

Conclusion: what a stream left is not lost to it for good.

--- a/packages/gateway/src/serving/endpoint_exit_check.ts
+++ b/packages/gateway/src/serving/endpoint_exit_check.ts
@@ -10,17 +10,15 @@
   type Logger,
   type Random,
 } from '@irisdock/kernel';
-import {
-  MISDIRECTED_STATUS,
-  type EndpointClient,
-  type EndpointResponse,
-} from '../channels/endpoint_client.js';
-import type {HeaderCodec, HeaderLines} from '../model/request_metadata.js';
-import type {GatewayConfiguration} from '../services/configuration.js';
 import type {GatewayEndpoints} from '../services/gateway_endpoints.js';
 import type {CrashRecords} from './crash_records.js';
 import type {EndpointPaths} from './endpoint_paths.js';
 import type {EndpointRecord} from './endpoint_record.js';
+import {
+  probeInstance,
+  type InstanceProbeParts,
+  type ProbeResult,
+} from './instance_probe.js';
 
 /** The result of an exit check. */
 export type EndpointExitState =
@@ -35,11 +33,6 @@
   /** The endpoint neither answered nor refused a connection for long. */
   | 'unknown';
 
-/** The result of one probe. */
-type ProbeResult = 'answers' | 'ended' | 'unknown';
-
-/** The timeout of a probe, in ms; a running endpoint takes a few ms. */
-const PROBE_TIMEOUT_MS = 200;
 /** The delay before the first repetition of a probe, in ms; then it doubles. */
 const FIRST_RETRY_DELAY_MS = 50;
 const MAX_RETRY_DELAY_MS = 1600;
@@ -54,19 +47,9 @@
  * exits for its own reason has two such neighbors in one of a hundred cases.
  */
 const PROBED_NEIGHBORS = 2;
-/**
- * A probe may use a kept-alive connection to an exited endpoint that this side
- * has not closed yet; the next attempt opens a new connection.
- */
-const MAX_PROBE_ATTEMPTS = 4;
-/** The status of a process that has no report at the path. */
-const NOT_FOUND_STATUS = 404;
 
 /** Dependencies of the check. */
-export interface EndpointExitCheckParts {
-  readonly client: Pick<EndpointClient, 'admit' | 'send'>;
-  readonly codec: Pick<HeaderCodec, 'encodeRequest' | 'reportPath'>;
-  readonly configuration: Pick<GatewayConfiguration, 'findService'>;
+export interface EndpointExitCheckParts extends InstanceProbeParts {
   readonly endpoints: Pick<GatewayEndpoints, 'listAll' | 'listUsable'>;
   readonly paths: Pick<EndpointPaths, 'checkAny'>;
   readonly crashes: Pick<CrashRecords, 'hasCrashed' | 'hasSuspectCrashed'>;
@@ -123,7 +106,7 @@
     const state = await this.probeUntilKnown(endpoint);
     if (state !== 'ended') return state;
     const states = await Promise.all(
-      neighbors.map((neighbor) => this.probe(neighbor)),
+      neighbors.map((neighbor) => probeInstance(this.parts, neighbor)),
     );
     if (this.closing.signal.aborted) return 'unknown';
     const described = neighbors.map(({instanceId}, place) => {
@@ -210,7 +193,7 @@
     const deadline = clock.getNow() + MAX_CHECK_MS;
     let delayMs = FIRST_RETRY_DELAY_MS;
     for (;;) {
-      const state = await this.probe(endpoint);
+      const state = await probeInstance(this.parts, endpoint);
       // The instance that answers is the next one.
       if (endpoint.hasRestarted) return 'ended';
       const isOver = closing.signal.aborted || clock.getNow() >= deadline;
@@ -219,58 +202,4 @@
       delayMs = Math.min(2 * delayMs, MAX_RETRY_DELAY_MS);
     }
   }
-
-  private async probe(endpoint: EndpointRecord): Promise<ProbeResult> {
-    const signal = AbortSignal.timeout(PROBE_TIMEOUT_MS);
-    const {client, codec} = this.parts;
-    for (
-      let tries = 0;
-      tries < MAX_PROBE_ATTEMPTS && !signal.aborted;
-      tries++
-    ) {
-      const permit = await client.admit(endpoint, 'aside');
-      if (permit.kind === 'held') return 'unknown';
-      const answer = await client.send({
-        permit,
-        requestId: undefined,
-        method: 'GET',
-        path: codec.reportPath,
-        lines: this.createHeaderLines(endpoint),
-        body: Buffer.alloc(0),
-        signal,
-      });
-      if (answer.kind === 'answer') {
-        answer.message.resume();
-        return this.isOtherProcess(endpoint, answer) ? 'ended' : 'answers';
-      }
-      if (answer.isRefused) return 'ended';
-    }
-    return 'unknown';
-  }
-
-  private createHeaderLines({
-    endpointId,
-    address,
-  }: EndpointRecord): HeaderLines {
-    return this.parts.codec.encodeRequest([['Host', address]], {
-      endpointId,
-      team: undefined,
-      remainingMs: undefined,
-      lastEventId: undefined,
-      backupAddress: undefined,
-      kvCacheSource: undefined,
-    });
-  }
-
-  /** Whether the address of an exited endpoint was taken by another process. */
-  private isOtherProcess(
-    {endpointId, entry}: EndpointRecord,
-    {status, metadata}: EndpointResponse,
-  ): boolean {
-    if (status === MISDIRECTED_STATUS) return true;
-    if ((metadata.endpointId ?? endpointId) !== endpointId) return true;
-    const service = this.parts.configuration.findService(entry.service);
-    // An engine that serves requests has a report.
-    return service?.engine !== undefined && status === NOT_FOUND_STATUS;
-  }
 }
--- a/packages/gateway/src/serving/plan_search.ts
+++ b/packages/gateway/src/serving/plan_search.ts
@@ -1,9 +1,12 @@
 /**
  * Searches for the engine of a stream's next attempt, and requests the lease on
- * it if the stream is suspected. When there is none, a stream whose answer has
- * started waits a while; any other is refused at once.
+ * it if the stream is suspected. When no other is left, engines on which an
+ * attempt was lost are used again if they answer. When there is none at all, a
+ * stream whose answer has started waits a while; any other is refused at once.
  */
+import type {EndpointRecord} from './endpoint_record.js';
 import type {EngineLease} from './engine_lease.js';
+import {probeInstance, type InstanceProbeParts} from './instance_probe.js';
 import type {AttemptPlan} from './stream_attempt.js';
 import type {ServingParts} from './serving_parts.js';
 import type {StreamPlanner} from './stream_planner.js';
@@ -13,13 +16,17 @@
 /** The time between two searches, in ms. */
 const SEARCH_INTERVAL_MS = 50;
 
+/** Dependencies of the search. */
+type PlanSearchParts = InstanceProbeParts &
+  Pick<ServingParts, 'clock' | 'endpoints' | 'paths'>;
+
 /** Searches for the engines of one stream. */
 export class PlanSearch {
   /** When the current search gives up; undefined while an attempt runs. */
   private deadline: number | undefined;
 
   constructor(
-    private readonly parts: Pick<ServingParts, 'clock' | 'endpoints' | 'paths'>,
+    private readonly parts: PlanSearchParts,
     private readonly planner: StreamPlanner,
     private readonly engineLease: Pick<EngineLease, 'acquire'>,
     private readonly service: string,
@@ -43,13 +50,14 @@
       if (signal.aborted) return plan;
       if (plan !== undefined) {
         if (await engineLease.acquire(plan.endpoint, signal)) return plan;
-        planner.recordTaken(plan);
+        planner.exclusions.recordTaken(plan.endpoint);
         continue;
       }
       if (await paths.check(this.service)) return undefined;
+      if (await this.acceptAnswering(planner.listLost())) continue;
       if (clock.getNow() >= deadline) return undefined;
       await clock.wait(SEARCH_INTERVAL_MS, signal);
-      planner.dropHolds();
+      planner.exclusions.dropHeld();
     }
   }
 
@@ -58,6 +66,19 @@
     this.deadline = undefined;
   }
 
+  /** Makes lost engines eligible that answer; tells whether any does. */
+  private async acceptAnswering(
+    lost: readonly EndpointRecord[],
+  ): Promise<boolean> {
+    const probes = lost.map(async (engine) => {
+      const isAnswering =
+        (await probeInstance(this.parts, engine)) === 'answers';
+      if (isAnswering) this.planner.exclusions.dropLost(engine);
+      return isAnswering;
+    });
+    return (await Promise.all(probes)).includes(true);
+  }
+
   /** A started answer also waits for the end of the first endpoint pause. */
   private computeDeadline(isAnswerStarted: boolean): number {
     const {clock, endpoints} = this.parts;
--- a/packages/gateway/src/serving/stream_planner.ts
+++ b/packages/gateway/src/serving/stream_planner.ts
@@ -13,6 +13,7 @@
 import {getSample} from '@irisdock/kernel';
 import type {RequestMetadata} from '../model/request_metadata.js';
 import type {AdmittedRequest} from './caller_exchange.js';
+import {EngineExclusions} from './engine_exclusions.js';
 import type {KvCacheReplica} from './kv_cache_replicator.js';
 import type {EndpointRecord, UseClaim} from './endpoint_record.js';
 import {listLiveEndpoints, listStreamEngines} from './live_endpoints.js';
@@ -35,12 +36,9 @@
 
 /** Plans the attempts of one stream. */
 export class StreamPlanner {
-  private readonly excluded = new Set<string>();
+  /** The engines that the next attempt does not use. */
+  readonly exclusions = new EngineExclusions();
   private readonly avoidedDomains = new Set<string>();
-  /** Engines whose limits held this stream back for now. */
-  private readonly held = new Set<string>();
-  /** Engines on which another suspected stream runs. */
-  private readonly taken = new Set<string>();
   private replica: KvCacheReplica | undefined;
   /** Engines whose load this host knows; undefined when it knows all. */
   private knownLoadEngines: readonly EndpointRecord[] | undefined;
@@ -78,31 +76,33 @@
     endpoint: EndpointRecord,
     kind: AttemptResult['kind'],
   ): void {
-    this.taken.clear();
+    const {exclusions} = this;
+    exclusions.dropTaken();
+    if (kind === 'lost') {
+      exclusions.recordLost(endpoint);
+      // A failure domain may be lost as a whole.
+      this.avoidedDomains.add(endpoint.failureDomain);
+      return;
+    }
     // A begun stream has no engines but those of its version, and one that
     // refused it may have room again soon.
     const isBegun = this.binding.origin !== undefined;
-    const isBusy = isBegun && kind === 'refused';
-    (isBusy ? this.held : this.excluded).add(endpoint.instanceId);
-    // A failure domain may be lost as a whole.
-    if (kind === 'lost') this.avoidedDomains.add(endpoint.failureDomain);
+    if (isBegun && kind === 'refused') exclusions.recordHeld(endpoint);
+    else exclusions.recordFailed(endpoint);
   }
 
   /** Records that an engine's limit held an attempt back. */
   recordHold({endpoint, kvCacheSource}: AttemptPlan): void {
-    this.held.add(endpoint.instanceId);
+    this.exclusions.recordHeld(endpoint);
     if (kvCacheSource === undefined) return;
     this.replica = {source: kvCacheSource, holder: endpoint};
   }
 
-  /** Records that another suspected stream runs on an engine. */
-  recordTaken({endpoint}: AttemptPlan): void {
-    this.taken.add(endpoint.instanceId);
-  }
-
-  /** Makes engines whose limits held the stream back eligible again. */
-  dropHolds(): void {
-    this.held.clear();
+  /** Lists the engines that lost an attempt and may be used again. */
+  listLost(): EndpointRecord[] {
+    return this.listEngines().filter((engine) =>
+      this.exclusions.isReturnable(engine),
+    );
   }
 
   /** Sets the KV cache replica of the attempt that ended. */
@@ -176,8 +176,8 @@
   /** Places the next attempt; undefined when there is no engine for it. */
   choosePlan(): AttemptPlan | undefined {
     const plan = this.chooseAvailable();
-    if (plan !== undefined || this.taken.size === 0) return plan;
-    this.taken.clear();
+    if (plan !== undefined || !this.exclusions.hasTaken) return plan;
+    this.exclusions.dropTaken();
     return this.chooseAvailable();
   }
 
@@ -227,8 +227,8 @@
   private takeUnconfirmed(
     usable: readonly EndpointRecord[],
   ): EndpointRecord | undefined {
-    const isFirst = this.excluded.size === 0 && this.held.size === 0;
-    if (!isFirst || this.metadata.lastEventId !== undefined) return undefined;
+    if (!this.exclusions.isFirstAttempt) return undefined;
+    if (this.metadata.lastEventId !== undefined) return undefined;
     return this.parts.gate.takeUnconfirmed(usable);
   }
 
@@ -289,7 +289,7 @@
     return {
       expectedTokens: this.expectedTokens,
       promptTokens: this.metadata.promptTokens,
-      excluded: this.listExcluded(),
+      excluded: this.exclusions.listIds(),
       avoidedDomains: this.avoidedDomains,
       promptKey: this.metadata.promptParts.at(-1)?.id ?? '',
       keptTokens: this.cachedTokens,
@@ -301,26 +301,16 @@
     engine: EndpointRecord,
     isHome: (engine: EndpointRecord) => boolean,
   ): boolean {
-    if (isHome(engine) || this.isExcluded(engine)) return false;
+    if (isHome(engine) || this.exclusions.has(engine)) return false;
     return !this.avoidedDomains.has(engine.failureDomain);
   }
 
-  private listExcluded(): ReadonlySet<string> {
-    if (this.held.size === 0 && this.taken.size === 0) return this.excluded;
-    return new Set([...this.excluded, ...this.held, ...this.taken]);
-  }
-
-  private isExcluded({instanceId}: EndpointRecord): boolean {
-    if (this.held.has(instanceId) || this.taken.has(instanceId)) return true;
-    return this.excluded.has(instanceId);
-  }
-
   /** Finds the engine that holds a replica, if it may take requests. */
   private findReplicaHolder(
     replica: KvCacheReplica | undefined,
   ): EndpointRecord | undefined {
     if (replica === undefined || !this.isOpen(replica.holder)) return undefined;
-    if (this.isExcluded(replica.holder)) return undefined;
+    if (this.exclusions.has(replica.holder)) return undefined;
     const {instanceId} = replica.holder;
     if (this.parts.crashes.hasCrashed(instanceId)) return undefined;
     return replica.holder;
