Keep a relayed stream while the other host is silent for a moment

A host that is partitioned from its engines relays streams to another host. When that host stood still for a second, the stream was given up after 0.35 s (0.55 s before the first event), although the other host, its engine and the connection were sound. Where the route allowed no further run, the caller's answer was cut.

Cause: a relayed stream is watched by the probe of engines, with limits that follow from the gap between events; it decided at the first unanswered probe (at the second before the first event). Ruled out: the silence of the engine behind the other host, which that host deals with.

Probes of other hosts now count as answered until the host has given no sign for three seconds, which is as long as hosts suspect a silent one before they consider it lost. Events of any stream there are a sign as well.

Conclusion: a host that is lost without closing its connections now costs its relayed streams three seconds instead of a third of one.

--- a/packages/gateway/src/serving/relayed_stream.ts
+++ b/packages/gateway/src/serving/relayed_stream.ts
@@ -74,6 +74,7 @@
         sink.setHead(status, lines);
       },
       handleEvents: (events) => {
+        relay.prober.recordSign(endpoint);
         const {hasGap, drained} = sink.passEvents(events);
         if (hasGap) attempt.end('events are missing');
         return drained;
--- a/packages/gateway/src/serving/request_relay.ts
+++ b/packages/gateway/src/serving/request_relay.ts
@@ -12,8 +12,8 @@
 import type {ServingRoute} from '../model/serving_configuration.js';
 import type {Peers} from '../services/peer_hosts.js';
 import type {AdmittedRequest} from './caller_exchange.js';
-import {EndpointProber} from './endpoint_prober.js';
 import {EndpointRecord} from './endpoint_record.js';
+import {RelayHostProber} from './relay_host_prober.js';
 import {SendPermit, type SendGate} from './send_gate.js';
 import {computeRemainingMs} from './send_rules.js';
 import type {AttemptSend} from './stream_attempt.js';
@@ -92,7 +92,7 @@
   /** Sends to other hosts. */
   readonly client: EndpointClient;
   /** Probes whether another host answers. */
-  readonly prober: EndpointProber;
+  readonly prober: RelayHostProber;
   /** The last result of a host for a service, by both names. */
   private readonly results = new Map<string, HostResult>();
   /** Relayed requests in flight, by host. */
@@ -101,7 +101,7 @@
   constructor(private readonly parts: RequestRelayParts) {
     const {codec, clock} = parts;
     this.client = new EndpointClient(codec, OPEN_GATE, clock);
-    this.prober = new EndpointProber(this.client, codec.reportPath);
+    this.prober = new RelayHostProber(this.client, codec.reportPath, clock);
   }
 
   /**
