Let a request return to a host whose connection broke

With two hosts, one of them partitioned from its engines, a relayed stream whose connection to the other host broke got no event for 1.5 s, which is also the longest time that it is kept without a host.

Cause: a host that had taken the request counted as unable to serve for 1.5 s once its answer was lost on the way, as if it had declined. Ruled out: a host that is gone; its address refuses the connection, so it counts as unable then.

A loss amid a request now leaves it open whether the host serves; other hosts that are known to serve are still preferred.

The new test (the connection breaks after two of four events; no other host): before the host could not be chosen, after it can, ten times in a row. request_relay (5), relayed_call (2), relayed_requests (6) and partitioned_host (13) pass.

Conclusion: a broken connection says nothing of what its host can do.

--- a/packages/gateway/src/serving/relayed_call.ts
+++ b/packages/gateway/src/serving/relayed_call.ts
@@ -48,7 +48,8 @@
     const result = await relay.countSend(host, () =>
       sendToHost(parts, relayed, host),
     );
-    relay.recordResult(host, service, result?.kind === 'answer');
+    if (result?.kind === 'lost') relay.dropResult(host, service);
+    else relay.recordResult(host, service, result !== undefined);
     if (result !== undefined) return result;
   }
   return {kind: 'none'};
--- a/packages/gateway/src/serving/relayed_stream.ts
+++ b/packages/gateway/src/serving/relayed_stream.ts
@@ -41,7 +41,8 @@
       lastEventId: sink.lastEventId,
       ms: Math.round(clock.getNow() - startedAt),
     });
-    relay.recordResult(host, service, isTaken && result.kind !== 'lost');
+    if (isTaken && result.kind === 'lost') relay.dropResult(host, service);
+    else relay.recordResult(host, service, isTaken);
     if (isTaken) return result;
   }
   return {kind: 'none'};
--- a/packages/gateway/src/serving/request_relay.ts
+++ b/packages/gateway/src/serving/request_relay.ts
@@ -181,6 +181,14 @@
     this.results.set(`${name}/${service}`, {isAble, at});
   }
 
+  /**
+   * Forgets whether a host takes requests: one whose connection broke amid a
+   * request may be sound, but is no better than one that was never tried.
+   */
+  dropResult({name}: RelayHost, service: string): void {
+    this.results.delete(`${name}/${service}`);
+  }
+
   /** Whether the host that sent these lines declined to serve the request. */
   hasDeclined(lines: HeaderLines): boolean {
     return findHeader(lines, RELAY_HEADER.toLowerCase()) === DECLINED;
--- a/packages/gateway/tests/relayed_stream.test.ts
+++ b/packages/gateway/tests/relayed_stream.test.ts
@@ -48,6 +48,8 @@
   private silence: Promise<void> | undefined;
   /** Requests for streams. */
   streams = 0;
+  /** Called when it falls silent. */
+  handlePause: (() => void) | undefined;
 
   /** @param eventsBefore After how many events it falls silent. */
   constructor(
@@ -93,6 +95,7 @@
     this.silence = new Promise((resolve) =>
       setTimeout(resolve, this.silenceMs).unref(),
     );
+    this.handlePause?.();
     await this.silence;
     this.silence = undefined;
   }
@@ -118,6 +121,8 @@
   readonly result: RelayedStreamResult;
   /** What the caller got. */
   readonly text: string;
+  /** Whether the host may be tried again at once. */
+  readonly isEligible: boolean;
 }
 
 /** Relays a stream to the host at an address. */
@@ -161,8 +166,9 @@
   };
   const sink = new StreamSink(request.exchange, undefined);
   const result = await sendRelayedStream(parts as ServingParts, relayed, sink);
+  const isEligible = relay.choose(relayed.service, new Set()) !== undefined;
   relay.close();
-  return {result, text};
+  return {result, text, isEligible};
 }
 
 describe('a relayed stream', () => {
@@ -177,6 +183,18 @@
     });
   }
 
+  // Guards against a second or more without events where no other host is left.
+  it('may return to the host whose connection broke', async () => {
+    const host = new PausingHost(2, STANDSTILL_MS);
+    const answer = sendStream(await host.start());
+    host.handlePause = () => {
+      host.stop();
+    };
+    const {result, isEligible} = await answer;
+    assert.equal(result.kind, 'lost');
+    assert.equal(isEligible, true);
+  });
+
   // Guards against streams that wait for a host until their time is over.
   it('is lost when its host stands still', async () => {
     const host = new PausingHost(2, STANDSTILL_MS);
