--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -107,12 +107,7 @@
     const prober = new EndpointProber(client, codec.reportPath);
     const handler = new RequestHandler(parts, prober, phase);
     const inFlight = new Set<CallerExchange>();
-    const lingeringCloses = new LingeringCloses({
-      ...context,
-      bounds: LINGER_BOUNDS,
-      closes: parts.metrics.lingeringCloses,
-    });
-    const serve = createServe(context, handler, inFlight, lingeringCloses);
+    const serve = createServe(context, handler, inFlight);
     context.find(PEER_TABLES).handle = serve;
     const server = createServer((message, response) => {
       const arrivedAt = clock.getNow();
@@ -164,16 +159,19 @@
 
 /** Creates the function that serves requests of callers and of other hosts. */
 function createServe(
-  {clock}: ServiceContext,
+  context: ServiceContext,
   handler: RequestHandler,
   inFlight: Set<CallerExchange>,
-  lingeringCloses: LingeringCloses,
 ): (
   message: IncomingMessage,
   response: ServerResponse,
   hop?: RelayHop,
   arrivedAt?: number,
 ) => void {
+  const {clock} = context;
+  const {lingeringCloses: closes} = handler.metrics;
+  const bounds = LINGER_BOUNDS;
+  const lingeringCloses = new LingeringCloses({...context, bounds, closes});
   return (message, response, hop, arrivedAt = clock.getNow()) => {
     // It could not be answered, so it must not run.
     if (lingeringCloses.has(message.socket)) return;
--- a/packages/gateway/src/serving/relayed_stream.ts
+++ b/packages/gateway/src/serving/relayed_stream.ts
@@ -47,7 +47,8 @@
       lastEventId: sink.lastEventId,
       ms: Math.round(clock.getNow() - startedAt),
     });
-    relay.recordResult(host, service, isTaken && result.kind !== 'lost');
+    if (isTaken && result.kind === 'lost') relay.dropResult(host, service);
+    else relay.recordResult(host, service, isTaken);
     if (isTaken) return result;
   }
   return {kind: 'none'};
@@ -81,6 +82,7 @@
         sink.setHead(status, lines);
       },
       handleEvents: (events) => {
+        relay.prober.recordSign(endpoint);
         const {hasGap, drained} = sink.passEvents(events);
         if (hasGap) attempt.end('events are missing');
         return drained;
--- a/packages/gateway/src/serving/request_handler.ts
+++ b/packages/gateway/src/serving/request_handler.ts
@@ -14,6 +14,7 @@
 import {DECLINED_LINE} from './request_relay.js';
 import {decideRetryAfter} from './retry_after.js';
 import {createNotRunError, createRefusedError} from './send_rules.js';
+import type {ServingMetrics} from './serving_metrics.js';
 import {getRandomFraction, type ServingParts} from './serving_parts.js';
 import {StreamDriver} from './stream_driver.js';
 import {findOriginService} from './stream_version.js';
@@ -50,6 +51,10 @@
     private readonly host: HostState,
   ) {}
 
+  get metrics(): ServingMetrics {
+    return this.parts.metrics;
+  }
+
   /** Handles one request to its final answer. */
   async handle(exchange: CallerExchange): Promise<void> {
     if (this.host.isLeaving) exchange.closeAfterAnswer();
--- a/packages/gateway/src/serving/request_relay.ts
+++ b/packages/gateway/src/serving/request_relay.ts
@@ -13,8 +13,8 @@
 import type {ServingRoute} from '../model/serving_configuration.js';
 import type {Peers} from '../services/peer_hosts.js';
 import type {AdmittedRequest} from './caller_exchange.js';
-import {EndpointProber} from './endpoint_prober.js';
 import {EndpointRecord} from './endpoint_record.js';
+import {RelayHostProber} from './relay_host_prober.js';
 import {SendPermit, type SendGate} from './send_gate.js';
 import {computeRemainingMs} from './send_rules.js';
 import type {AttemptSend} from './stream_attempt.js';
@@ -95,7 +95,7 @@
   /** Sends to other hosts. */
   readonly client: EndpointClient;
   /** Probes whether another host answers. */
-  readonly prober: EndpointProber;
+  readonly prober: RelayHostProber;
   /** The last result of a host for a service, by both names. */
   private readonly results = new Map<string, HostResult>();
   /** Relayed requests in flight, by host. */
@@ -111,7 +111,7 @@
       undefined,
       buffers,
     );
-    this.prober = new EndpointProber(this.client, codec.reportPath);
+    this.prober = new RelayHostProber(this.client, codec.reportPath, clock);
   }
 
   /**
@@ -191,6 +191,14 @@
     this.results.set(`${name}/${service}`, {isAble, at});
   }
 
+  /**
+   * Forgets whether a host takes requests: one whose connection broke amid a
+   * request may be sound, but is no better than one that was never tried.
+   */
+  dropResult({name}: RelayHost, service: string): void {
+    this.results.delete(`${name}/${service}`);
+  }
+
   /** Whether the host that sent these lines declined to serve the request. */
   hasDeclined(lines: HeaderLines): boolean {
     return findHeader(lines, RELAY_HEADER.toLowerCase()) === DECLINED;
--- a/packages/gateway/src/serving/stream_handover.ts
+++ b/packages/gateway/src/serving/stream_handover.ts
@@ -70,7 +70,7 @@
     if (this.search === undefined) return;
     this.search.abort();
     this.search = undefined;
-    this.parts.planner.dropSilences();
+    this.parts.planner.exclusions.dropSilent();
   }
 
   /** Takes the attempt for which the last one was left, if there is one. */
@@ -82,7 +82,7 @@
 
   private async run(silent: SilentAttempt, signal: AbortSignal): Promise<void> {
     const {clock} = this.parts.serving;
-    this.parts.planner.recordSilence(silent.endpoint);
+    this.parts.planner.exclusions.recordSilent(silent.endpoint);
     while (!signal.aborted) {
       if (await this.tryHandOver(silent, signal)) return;
       await clock.wait(SEARCH_INTERVAL_MS, signal);
@@ -103,7 +103,7 @@
     const permit = await this.admit(plan, silent, signal);
     if (permit === undefined || signal.aborted) return false;
     if (retries.takeAhead() !== undefined) return false;
-    planner.dropSilences();
+    planner.exclusions.dropSilent();
     this.next = {plan, permit};
     this.endSilent(silent, plan.endpoint.instanceId);
     return true;
@@ -123,7 +123,7 @@
     const host = relay.choose(service, new Set());
     if (host === undefined) return false;
     const record = relay.createRecord(host, service);
-    const answer = await relay.prober.probe(record, PROBE_TIMEOUT_MS);
+    const answer = await relay.prober.probeStrictly(record, PROBE_TIMEOUT_MS);
     if (answer !== 'answers' || signal.aborted) return false;
     if (retries.takeAhead() !== undefined) return false;
     this.endSilent(silent, record.instanceId);
@@ -157,14 +157,14 @@
     const plan = planner.choosePlan();
     if (plan === undefined) {
       // Those that were silent may answer by now.
-      planner.dropSilences();
-      planner.dropHolds();
-      planner.recordSilence(endpoint);
+      planner.exclusions.dropSilent();
+      planner.exclusions.dropHeld();
+      planner.exclusions.recordSilent(endpoint);
       return undefined;
     }
     const answer = await prober.probe(plan.endpoint, PROBE_TIMEOUT_MS);
     if (answer === 'answers') return plan;
-    if (this.isCurrent(signal)) planner.recordSilence(plan.endpoint);
+    if (this.isCurrent(signal)) planner.exclusions.recordSilent(plan.endpoint);
     const {serving, service} = this.parts;
     await serving.paths.check(service);
     return undefined;
