--- a/soak/src/caller.ts
+++ b/soak/src/caller.ts
@@ -10,18 +10,37 @@
   createCallerHeaders,
   decodeAddresses,
   HOST_NAME,
-  SOAK_KEY,
-  SOAK_PATHS,
 } from '@irisdock/users-platform/fixtures';
 import type {HostProcess} from './host_process.js';
-import type {Attempt, AttemptEnd, RequestKind, Witness} from './witness.js';
+import {STREAM_MS} from './end_witness.js';
+import {
+  chooseTarget,
+  isRunOnce,
+  isStream,
+  type RequestKind,
+} from './request_kinds.js';
+import type {Attempt, AttemptEnd, Witness} from './witness.js';
+
+/** What a caller works with. */
+export interface CallerParts {
+  readonly hosts: readonly HostProcess[];
+  readonly witness: Witness;
+  readonly random: Random;
+  /** What it sends, each as often as it stands here. */
+  readonly kinds: readonly RequestKind[];
+  /** What each of its requests says; absent when each says another. */
+  readonly body?: string;
+  /** Gives the newest version of the configuration. */
+  getVersion(): number;
+}
 
 /** Callers keep an answer longer than they are told, in ms. */
 const KEEP_MS = 3000;
 const DIRECTORY_MS = 800;
 const CONNECT_MS = 1000;
 const CALL_MS = 3000;
-const STREAM_MS = 12_000;
+/** A host has so much longer than the time it was given to say so, in ms. */
+const PATIENCE_MS = 1500;
 /** Silence after which a caller gives a stream up, in ms. */
 const SILENCE_MS = 4000;
 const PAUSE_MS = 40;
@@ -40,21 +59,16 @@
 
   constructor(
     private readonly name: string,
-    private readonly hosts: readonly HostProcess[],
-    private readonly witness: Witness,
-    private readonly random: Random,
-    /** What it sends, each as often as it stands here. */
-    private readonly kinds: readonly RequestKind[],
-    /** What each of its requests says; undefined when each says another. */
-    private readonly body?: string,
+    private readonly parts: CallerParts,
   ) {}
 
   /** Sends requests until it is stopped. */
   async run(): Promise<void> {
     const {signal} = this.controller;
+    const {kinds, random} = this.parts;
     while (!signal.aborted) {
-      const at = this.random.getInt(this.kinds.length);
-      const kind = this.kinds[at] ?? 'repeatable';
+      const at = random.getInt(kinds.length);
+      const kind = kinds[at] ?? 'repeatable';
       await this.sendRequest(kind);
       await sleep(PAUSE_MS);
     }
@@ -72,7 +86,8 @@
 
   /** Sends one request, again where that is right; true when it is served. */
   async sendRequest(kind: RequestKind): Promise<boolean> {
-    const body = this.body ?? `${this.name}-${this.count}`;
+    const {witness} = this.parts;
+    const body = this.parts.body ?? `${this.name}-${this.count}`;
     let lastEventId = 0;
     let resumes: string | undefined;
     for (let tries = 0; tries < MAX_ATTEMPTS; tries++) {
@@ -83,14 +98,14 @@
         lastEventId,
         resumes,
       });
-      this.witness.recordAttempt(attempt);
+      witness.recordAttempt(attempt);
       const end = await this.sendAttempt(attempt, address);
-      this.witness.recordEnd(attempt, end);
+      witness.recordEnd(attempt, end);
       if (end.kind === 'answer' && end.status === OK_STATUS && end.isWhole) {
         return true;
       }
       if (!isRepeatRight(kind, end)) return false;
-      if (kind === 'stream' && end.kind === 'answer') {
+      if (isStream(kind) && end.kind === 'answer') {
         const events = countEvents(end);
         lastEventId += events;
         if (events > 0) resumes ??= attempt.attemptId;
@@ -110,7 +125,8 @@
     rest: Pick<Attempt, 'body' | 'lastEventId' | 'resumes'>,
   ): Attempt {
     this.count++;
-    const host = this.hosts.find((one) => one.callerAddress === address);
+    const {hosts} = this.parts;
+    const host = hosts.find((one) => one.callerAddress === address);
     return {
       attemptId: `${this.name}-${this.count}`,
       kind,
@@ -124,12 +140,13 @@
   private async chooseAddress(): Promise<string | undefined> {
     const isOld = performance.now() - this.askedAt > KEEP_MS;
     if (isOld || this.addresses.length === 0) await this.loadAddresses();
-    return this.addresses[this.random.getInt(this.addresses.length || 1)];
+    const {random} = this.parts;
+    return this.addresses[random.getInt(this.addresses.length || 1)];
   }
 
   private async loadAddresses(): Promise<void> {
-    const at = this.random.getInt(this.hosts.length);
-    const host = this.hosts[at];
+    const {hosts, random} = this.parts;
+    const host = hosts[random.getInt(hosts.length)];
     if (host === undefined) return;
     const path = createAddressPath(HOST_NAME, 'zone-1');
     try {
@@ -151,14 +168,14 @@
     address: string,
   ): Promise<AttemptEnd> {
     const {kind, body, attemptId, lastEventId, resumes} = attempt;
-    const isStream = kind === 'stream';
-    const remainingMs = isStream ? STREAM_MS : CALL_MS;
+    const {path, key} = chooseTarget(kind, this.parts.getVersion());
+    const remainingMs = isStream(kind) ? STREAM_MS : CALL_MS;
     const head = createCallerHeaders({
       hostName: HOST_NAME,
-      key: SOAK_KEY,
+      key,
       attemptId,
       remainingMs,
-      ...(isStream ? {promptTokens: PROMPT_TOKENS} : {}),
+      ...(isStream(kind) ? {promptTokens: PROMPT_TOKENS} : {}),
       ...(lastEventId > 0 ? {lastEventId} : {}),
       ...(resumes === undefined ? {} : {resumes}),
     });
@@ -168,10 +185,10 @@
       const message = request({
         ...splitPlace(address),
         method: 'POST',
-        path: SOAK_PATHS[kind],
+        path,
         agent: this.agent,
         headers: {...head, 'Content-Length': Buffer.byteLength(body)},
-        signal: AbortSignal.timeout(remainingMs),
+        signal: AbortSignal.timeout(remainingMs + PATIENCE_MS),
       });
       const opening = setTimeout(() => message.destroy(), CONNECT_MS);
       message.once('socket', (socket) => {
@@ -187,7 +204,8 @@
       message.on('error', () => {
         clearTimeout(opening);
         // A link takes connections in the place of a host that is gone.
-        const host = this.hosts.find((one) => one.callerAddress === address);
+        const {hosts} = this.parts;
+        const host = hosts.find((one) => one.callerAddress === address);
         const isGone = host?.callerLink.refusedPorts.has(ownPort) === true;
         resolve({kind: 'cut', wasSent: wasSent && !isGone});
       });
@@ -219,7 +237,7 @@
 
 /** A request that may run once comes again only when it has not run. */
 function isRepeatRight(kind: RequestKind, end: AttemptEnd): boolean {
-  if (kind !== 'once') return true;
+  if (!isRunOnce(kind)) return true;
   return end.kind === 'answer' && NOT_RUN_STATUSES.has(end.status);
 }
 
--- /dev/null
+++ b/soak/src/end_witness.ts
@@ -0,0 +1,132 @@
+/**
+ * Holds ends of requests against the promise that each whole request has
+ * exactly one, and that an answer is cut for a reason only: something befell
+ * the host or its link to the caller, or an endpoint broke the answer off and
+ * it could not be had elsewhere, or the time was up. Neither a silence of
+ * endpoints, nor a change of the configuration, nor a store that is away is a
+ * reason.
+ */
+import type {DisturbedPart, Disturbances} from './disturbances.js';
+import type {EndpointInstance} from './endpoint_fleet.js';
+import {getMaxRuns, isRunOnce, isStream} from './request_kinds.js';
+import type {Attempt} from './witness.js';
+
+/** How attempts ended, each with the number of those that did so. */
+export interface EndCounts {
+  answered: number;
+  refused: number;
+  failed: number;
+  cut: number;
+}
+
+/** What excuses a cut. */
+export type CutReason =
+  | 'caller link'
+  | 'endpoint'
+  | 'endpoint path'
+  | 'host'
+  | 'not taken'
+  | 'time is up'
+  | 'none';
+
+/** What is known of an answer that was cut. */
+export interface Cut {
+  /** Whether the host took the request. */
+  readonly wasSent: boolean;
+  /** Whether the answer had begun. */
+  readonly wasBegun: boolean;
+}
+
+/** An endpoint that ran a request. */
+export type RunningInstance = Pick<EndpointInstance, 'harmedUntil'>;
+
+/** How long a host must have been left alone to be in touch, in ms. */
+const CONTACT_MS = 3000;
+/** How long streams may take on their route, in ms. */
+export const STREAM_MS = 12_000;
+/** A timer of a host may be so much early against the caller's, in ms. */
+const TIMER_MARGIN_MS = 100;
+
+/** What befell a host, and the reason that it is; others are none. */
+const REASONS: ReadonlyMap<DisturbedPart, CutReason> = new Map([
+  ['hosts', 'host'],
+  ['callers', 'caller link'],
+  ['endpoint paths', 'endpoint path'],
+]);
+
+/** The witness. */
+export class EndWitness {
+  readonly counts: EndCounts = {answered: 0, refused: 0, failed: 0, cut: 0};
+  /** Cuts by their reasons. */
+  readonly cuts = new Map<CutReason, number>();
+  private readonly open = new Set<string>();
+  private readonly runs = new Map<string, RunningInstance[]>();
+
+  /** @param hasFewRetries Whether the hosts may hardly send anything again. */
+  constructor(
+    private readonly disturbances: Disturbances,
+    private readonly hasFewRetries: boolean,
+  ) {}
+
+  /** Takes it that a caller begins an attempt. */
+  recordAttempt({attemptId}: Attempt): void {
+    this.open.add(attemptId);
+  }
+
+  /** Takes it that an endpoint began to run an attempt. */
+  recordRun(attemptId: string, instance: RunningInstance): void {
+    const runs = this.runs.get(attemptId) ?? [];
+    runs.push(instance);
+    this.runs.set(attemptId, runs);
+  }
+
+  /** Counts an end; returns the broken promise if it is not the only one. */
+  recordEnd({attemptId}: Attempt, end: keyof EndCounts): string | undefined {
+    this.counts[end]++;
+    if (this.open.delete(attemptId)) return undefined;
+    return `${attemptId} has two ends, the second is ${end}`;
+  }
+
+  /** Counts a cut by its reason; returns the broken promise if it has none. */
+  recordCut(attempt: Attempt, cut: Cut): string | undefined {
+    const reason = this.findReason(attempt, cut);
+    this.cuts.set(reason, (this.cuts.get(reason) ?? 0) + 1);
+    if (reason !== 'none') return undefined;
+    const {attemptId, kind, host} = attempt;
+    return `${attemptId} (${kind}) was cut on ${host}, which was left alone`;
+  }
+
+  /** Lists attempts that have not ended; called when all must have. */
+  listFaults(): string[] {
+    return [...this.open].map((attemptId) => `${attemptId} has no end`);
+  }
+
+  private findReason(attempt: Attempt, cut: Cut): CutReason {
+    const {host, startedAt, attemptId, kind} = attempt;
+    const runs = this.runs.get(attemptId) ?? [];
+    if (!cut.wasSent && runs.length === 0) return 'not taken';
+    const now = performance.now();
+    const from = startedAt - CONTACT_MS;
+    const befell = this.disturbances
+      .listBetween(host, from, now)
+      .filter((one) => !one.isPlanned);
+    for (const {part} of befell) {
+      const reason = REASONS.get(part);
+      if (reason !== undefined) return reason;
+    }
+    const isHarmed = (runs.at(-1)?.harmedUntil ?? -Infinity) >= from;
+    const isDisturbed = befell.some(({part}) => part === 'endpoints');
+    if (isHarmed && (isDisturbed || !this.isRetryDue(attempt, runs.length))) {
+      return 'endpoint';
+    }
+    const endsAt = startedAt + STREAM_MS - TIMER_MARGIN_MS;
+    if (cut.wasBegun && isStream(kind) && now >= endsAt) return 'time is up';
+    return 'none';
+  }
+
+  /** Whether an answer that an endpoint broke off is due from another one. */
+  private isRetryDue({kind}: Attempt, runs: number): boolean {
+    if (this.hasFewRetries || isRunOnce(kind)) return false;
+    return runs < getMaxRuns(kind);
+  }
+}
--- a/soak/src/endpoint_fleet.ts
+++ b/soak/src/endpoint_fleet.ts
@@ -54,6 +54,8 @@
   limitLines: readonly string[];
   /** Lines of its rejections while it rejects requests; undefined else. */
   rejectionLines: readonly string[] | undefined;
+  /** When the last harm to it or its link ended; infinite while one lasts. */
+  harmedUntil: number;
 }
 
 /** Takes it that a request reached an endpoint. */
@@ -101,11 +103,12 @@
       version,
       listLines: () => listLines(instance),
       findRejection: () => instance.rejectionLines,
+      waitUntilAudible: () => server.silence.waitUntilOver(),
       recordRun: (run: ServerRun) => {
         this.handleRun(instance, run);
       },
     };
-    const server = new ServerStandin(
+    const server: ServerStandin = new ServerStandin(
       service === SOAK_SERVICES.streams
         ? createStreamScript(parts, STREAM_SHAPE)
         : createCallScript(parts, WORK_MS),
@@ -122,6 +125,7 @@
       leavingAt: undefined,
       limitLines: [],
       rejectionLines: undefined,
+      harmedUntil: -Infinity,
     };
     server.handleSeen = (request) => {
       this.handleArrival(instance, getId(request));
@@ -135,6 +139,12 @@
     return this.instances.get(place);
   }
 
+  /** Lists the instances of a service. */
+  list(service: string): EndpointInstance[] {
+    const instances = [...this.instances.values()];
+    return instances.filter((one) => one.service === service);
+  }
+
   /** Ends an instance under a run; another one comes after a while. */
   async killUnderRun(instance: EndpointInstance): Promise<void> {
     for (const [place, one] of this.instances) {
@@ -146,6 +156,7 @@
   async kill(place: number, downMs: number): Promise<void> {
     const instance = this.takeOut(place);
     if (instance === undefined) return;
+    instance.harmedUntil = performance.now();
     this.end(instance);
     const lapse = setTimeout(() => {
       this.writeEntry(instance.id, undefined);
--- a/soak/src/fault_player.ts
+++ b/soak/src/fault_player.ts
@@ -165,7 +165,10 @@
         await this.killDomain(fault.target % domains, forMs);
       } else {
         const instance = fleet.find(place);
-        if (instance !== undefined) await applyHarm(instance.link, fault);
+        if (instance === undefined) return;
+        instance.harmedUntil = Infinity;
+        await applyHarm(instance.link, fault);
+        instance.harmedUntil = performance.now();
       }
     });
   }
--- a/soak/src/host_process.ts
+++ b/soak/src/host_process.ts
@@ -27,6 +27,9 @@
 /** The pause before an ended process is started again, in ms. */
 const RESTART_MS = 300;
 const PORTS = 6;
+/** Retries of a service: a share of its requests, and so many more. */
+const MANY_RETRIES = {ratio: 0.8, allowance: 150};
+const FEW_RETRIES = {ratio: 0.1, allowance: 2};
 
 /** Processes that run; none outlives the soak, however that ends. */
 const RUNNING = new Set<ChildProcess>();
@@ -57,6 +60,8 @@
   /** Where its settings file and its log are. */
   readonly directory: string;
   readonly storeAddress: string;
+  /** Whether it may hardly send anything again. */
+  readonly hasFewRetries?: boolean;
   /** Gives where some other hosts answer hosts. */
   getSeeds(): readonly string[];
   /** Takes it that a process ended by itself. */
@@ -228,7 +233,8 @@
   }
 
   private writeSettings(): string {
-    const {name, failureDomain, directory} = this.parts;
+    const {name, failureDomain, directory, hasFewRetries} = this.parts;
+    const retries = hasFewRetries === true ? FEW_RETRIES : MANY_RETRIES;
     const [front = 0, addresses = 0, readiness = 0, tables = 0, datagrams = 0] =
       this.ports;
     const {store, callers, tables: tableAddress} = this.addresses;
@@ -244,7 +250,7 @@
       `seeds = "${this.parts.getSeeds().join(',')}"\nbeatMs = 150`,
       `[peerTables]\nlisten = "127.0.0.1:${tables}"`,
       `[front]\nlisten = "127.0.0.1:${front}"`,
-      'retryRatio = 0.8\nretryAllowance = 150',
+      `retryRatio = ${retries.ratio}\nretryAllowance = ${retries.allowance}`,
       `[metrics]\nlisten = "127.0.0.1:${this.ports[5] ?? 0}"`,
       `[directory]\nlisten = "127.0.0.1:${addresses}"`,
       `readinessListen = "127.0.0.1:${readiness}"`,
--- a/soak/src/witness.ts
+++ b/soak/src/witness.ts
@@ -9,7 +9,14 @@
 } from '@irisdock/users-platform/fixtures';
 import {CRASH_PREFIX} from './crash_witness.js';
 import type {Disturbances} from './disturbances.js';
+import {EndWitness, type EndCounts} from './end_witness.js';
 import type {EndedAttempt} from './partition_player.js';
+import {
+  isRunOnce,
+  isStream,
+  isTemporary,
+  type RequestKind,
+} from './request_kinds.js';
 import {VersionWitness} from './version_witness.js';
 import {
   LEAVE_MS,
@@ -17,9 +24,6 @@
   type EndpointInstance,
 } from './endpoint_fleet.js';
 
-/** What a caller asks for. */
-export type RequestKind = 'once' | 'repeatable' | 'stream';
-
 /** One attempt of a caller, and what came back. */
 export interface Attempt {
   readonly attemptId: string;
@@ -47,7 +51,10 @@
   | {readonly kind: 'cut'; readonly wasSent: boolean};
 
 /** What the witness asks of an instance of an endpoint. */
-export type SeenInstance = Pick<EndpointInstance, 'id' | 'leavingAt'>;
+export type SeenInstance = Pick<
+  EndpointInstance,
+  'harmedUntil' | 'id' | 'leavingAt'
+>;
 
 /** How long a host must have been left alone to be in touch, in ms. */
 const CONTACT_MS = 3000;
@@ -60,20 +67,27 @@
 /** The witness of one play. */
 export class Witness {
   readonly faults: string[] = [];
-  readonly counts = {answered: 0, refused: 0, failed: 0, cut: 0};
   /** Attempts that have ended, in this order. */
   readonly ended: EndedAttempt[] = [];
+  readonly ends: EndWitness;
   private readonly versions = new VersionWitness();
   private readonly attempts = new Map<string, Attempt>();
   private readonly runs = new Map<string, number>();
   /** Attempts that were told that they have not run. */
   private readonly notRun = new Map<string, number>();
 
-  constructor(private readonly disturbances: Disturbances) {}
+  /** @param hasFewRetries Whether the hosts may hardly send anything again. */
+  constructor(
+    private readonly disturbances: Disturbances,
+    hasFewRetries = false,
+  ) {
+    this.ends = new EndWitness(disturbances, hasFewRetries);
+  }
 
   /** Takes it that a caller begins an attempt. */
   recordAttempt(attempt: Attempt): void {
     this.attempts.set(attempt.attemptId, attempt);
+    this.ends.recordAttempt(attempt);
   }
 
   /** Takes it that an endpoint began a run. */
@@ -85,7 +99,8 @@
     }
     const count = (this.runs.get(run.attemptId) ?? 0) + 1;
     this.runs.set(run.attemptId, count);
-    if (attempt.kind === 'once' && count > 1) {
+    this.ends.recordRun(run.attemptId, instance);
+    if (isRunOnce(attempt.kind) && count > 1) {
       this.addFault(`${run.attemptId} ran ${count} times`);
     }
     this.checkLeaving(instance, run);
@@ -99,31 +114,29 @@
   /** Takes how an attempt ended. */
   recordEnd(attempt: Attempt, end: AttemptEnd): void {
     this.recordEnded(attempt, end);
+    this.addFoundFault(this.ends.recordEnd(attempt, getEndKind(end)));
     if (end.kind === 'cut') {
-      this.counts.cut++;
-      if (end.wasSent) this.checkCut(attempt);
+      const cut = {wasSent: end.wasSent, wasBegun: false};
+      this.addFoundFault(this.ends.recordCut(attempt, cut));
       return;
     }
+    if (end.status !== OK_STATUS && !end.isWhole) this.checkCut(attempt);
     if (NOT_RUN_STATUSES.has(end.status)) {
-      this.counts.refused++;
       this.notRun.set(attempt.attemptId, end.status);
       if (end.retryAfter === undefined) {
         this.addFault(`${attempt.attemptId} was not told when to come back`);
       }
       return;
     }
-    if (end.status !== OK_STATUS) {
-      this.counts.failed++;
-      return;
-    }
-    this.counts.answered++;
-    if (attempt.kind === 'stream') this.checkStream(attempt, end);
+    if (end.status !== OK_STATUS) return;
+    if (isStream(attempt.kind)) this.checkStream(attempt, end);
     else this.checkCall(attempt, end);
   }
 
   /** Contents that end their endpoints are refused everywhere. */
-  private recordEnded({host, startedAt, body}: Attempt, end: AttemptEnd): void {
-    if (body.startsWith(CRASH_PREFIX)) return;
+  private recordEnded(attempt: Attempt, end: AttemptEnd): void {
+    const {host, startedAt, body, kind} = attempt;
+    if (body.startsWith(CRASH_PREFIX) || isTemporary(kind)) return;
     const isServed =
       end.kind === 'answer' && end.status === OK_STATUS && end.isWhole;
     this.ended.push({host, startedAt, isServed});
@@ -134,13 +147,17 @@
     this.faults.push(fault);
   }
 
+  private addFoundFault(fault: string | undefined): void {
+    if (fault !== undefined) this.addFault(fault);
+  }
+
   /** Holds refusals against runs; called when nothing can run any more. */
   checkRefusals(): void {
     for (const [attemptId, status] of this.notRun) {
       const runs = this.runs.get(attemptId) ?? 0;
       const kind = this.attempts.get(attemptId)?.kind;
       // What may run again may have run before it was refused.
-      if (runs === 0 || kind !== 'once') continue;
+      if (runs === 0 || kind === undefined || !isRunOnce(kind)) continue;
       this.addFault(`${attemptId} got ${status} and ran`);
     }
   }
@@ -152,7 +169,10 @@
     const wanted = formatCallBody(attempt.attemptId, attempt.body);
     const hasOwn = end.body === wanted;
     if (hasOwn && end.isWhole) return;
-    if (!hasOwn && !end.isWhole) return;
+    if (!hasOwn && !end.isWhole) {
+      this.checkCut(attempt);
+      return;
+    }
     this.addFault(`${attempt.attemptId} got ${JSON.stringify(end.body)}`);
   }
 
@@ -179,15 +199,9 @@
     if (!end.isWhole) this.checkCut(attempt);
   }
 
-  /** Nothing is cut on a host that nothing befell but a planned stop. */
   private checkCut(attempt: Attempt): void {
-    const {host, startedAt, attemptId} = attempt;
-    const now = performance.now();
-    const befell = this.disturbances
-      .listBetween(host, startedAt - CONTACT_MS, now)
-      .filter((one) => !one.isPlanned);
-    if (befell.length > 0) return;
-    this.addFault(`${attemptId} was cut on ${host}, which was left alone`);
+    const cut = {wasSent: true, wasBegun: true};
+    this.addFoundFault(this.ends.recordCut(attempt, cut));
   }
 
   private checkLeaving(instance: SeenInstance, run: ServerRun): void {
@@ -201,6 +215,13 @@
   }
 }
 
+/** An answer that is not whole counts as cut, whatever its status. */
+function getEndKind(end: AttemptEnd): keyof EndCounts {
+  if (end.kind === 'cut' || !end.isWhole) return 'cut';
+  if (NOT_RUN_STATUSES.has(end.status)) return 'refused';
+  return end.status === OK_STATUS ? 'answered' : 'failed';
+}
+
 /** Lists the ids of whole events; another text's event counts as id -1. */
 function listEventIds(body: string, text: string): number[] {
   const ids: number[] = [];
