--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -11,6 +11,7 @@
 export * from './pause_witness.js';
 export * from './play.js';
 export * from './request_kinds.js';
+export * from './slow_caller.js';
 export * from './tcp_link.js';
 export * from './version_witness.js';
 export * from './witness.js';
--- a/soak/src/slow_caller.ts
+++ b/soak/src/slow_caller.ts
@@ -13,9 +13,12 @@
 import {chooseTarget, type RequestKind} from './request_kinds.js';
 import type {Attempt, AttemptEnd, Witness} from './witness.js';
 
+/** A host, as callers reach it. */
+type CalledHost = Pick<HostProcess, 'callerAddress' | 'callerLink' | 'name'>;
+
 /** What a slow caller works with. */
 export interface SlowCallerParts {
-  readonly hosts: readonly HostProcess[];
+  readonly hosts: readonly CalledHost[];
   readonly witness: Witness;
   readonly random: Random;
   /** Gives the newest version of the configuration. */
@@ -55,7 +58,8 @@
     this.controller.abort();
   }
 
-  private async sendRequest(): Promise<void> {
+  /** Sends one request and takes its end. */
+  async sendRequest(): Promise<void> {
     const {hosts, witness, random} = this.parts;
     const host = hosts[random.getInt(hosts.length)];
     if (host === undefined) return;
@@ -75,7 +79,7 @@
 
   private async sendAttempt(
     attempt: Attempt,
-    host: HostProcess,
+    host: CalledHost,
   ): Promise<AttemptEnd> {
     const socket = connect(splitPlace(host.callerAddress));
     socket.pause();
