--- a/scripts/check_soak.mjs
+++ b/scripts/check_soak.mjs
@@ -63,10 +63,9 @@
     'findEnd(instanceId) { return void 0;',
   ],
   [
-    // The text of the bundle that asks whether the retry is granted.
     'a silent attempt is kept until a retry is granted',
-    /TO BE FILLED IN: silent attempt/,
-    '',
+    /listener\.handleSuspected\(silence\);/,
+    'this.endSilent(silence);',
   ],
   [
     // The text of the bundle that reads the rest of a refused request.
