--- a/soak/src/caller.ts
+++ b/soak/src/caller.ts
@@ -6,11 +6,10 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {splitPlace, type Random} from '@irisdock/kernel';
 import {
-  createAddressPath,
   createCallerHeaders,
-  decodeAddresses,
   HOST_NAME,
 } from '@irisdock/users-platform/fixtures';
+import {AddressBook} from './address_book.js';
 import type {HostProcess} from './host_process.js';
 import {STREAM_MS} from './end_witness.js';
 import {
@@ -36,7 +35,6 @@
 
 /** Callers keep an answer longer than they are told, in ms. */
 const KEEP_MS = 3000;
-const DIRECTORY_MS = 800;
 const CONNECT_MS = 1000;
 const CALL_MS = 3000;
 /** A host has so much longer than the time it was given to say so, in ms. */
@@ -53,14 +51,16 @@
 export class Caller {
   private readonly agent = new Agent({keepAlive: true, noDelay: true});
   private readonly controller = new AbortController();
-  private addresses: string[] = [];
-  private askedAt = -Infinity;
+  private readonly addresses: AddressBook;
   private count = 0;
 
   constructor(
     private readonly name: string,
     private readonly parts: CallerParts,
-  ) {}
+  ) {
+    const {hosts, random} = parts;
+    this.addresses = new AddressBook(hosts, random, KEEP_MS);
+  }
 
   /** Sends requests until it is stopped. */
   async run(): Promise<void> {
@@ -91,7 +91,7 @@
     let lastEventId = 0;
     let resumes: string | undefined;
     for (let tries = 0; tries < MAX_ATTEMPTS; tries++) {
-      const address = await this.chooseAddress();
+      const address = await this.addresses.choose();
       if (address === undefined) continue;
       const attempt = this.createAttempt(kind, address, {
         body,
@@ -113,7 +113,7 @@
       if (end.kind === 'answer' && end.retryAfter !== undefined) {
         await sleep(Number(end.retryAfter) * 1000);
       } else if (end.kind === 'cut') {
-        this.addresses = this.addresses.filter((one) => one !== address);
+        this.addresses.drop(address);
       }
     }
     return false;
@@ -136,33 +136,6 @@
     };
   }
 
-  /** Chooses a host by chance among those that the system names. */
-  private async chooseAddress(): Promise<string | undefined> {
-    const isOld = performance.now() - this.askedAt > KEEP_MS;
-    if (isOld || this.addresses.length === 0) await this.loadAddresses();
-    const {random} = this.parts;
-    return this.addresses[random.getInt(this.addresses.length || 1)];
-  }
-
-  private async loadAddresses(): Promise<void> {
-    const {hosts, random} = this.parts;
-    const host = hosts[random.getInt(hosts.length)];
-    if (host === undefined) return;
-    const path = createAddressPath(HOST_NAME, 'zone-1');
-    try {
-      const answer = await fetch(`http://${host.directoryAddress}${path}`, {
-        signal: AbortSignal.timeout(DIRECTORY_MS),
-      });
-      if (answer.status !== OK_STATUS) return;
-      const {addresses} = decodeAddresses(await answer.text());
-      this.addresses = [...addresses];
-      this.askedAt = performance.now();
-    } catch {
-      // This host does not answer; the next try asks another one.
-      await sleep(PAUSE_MS);
-    }
-  }
-
   private async sendAttempt(
     attempt: Attempt,
     address: string,
--- a/soak/src/caller_group.ts
+++ b/soak/src/caller_group.ts
@@ -1,5 +1,6 @@
 /** The callers of a play, and the requests with which it ends. */
 import {SeededRandom, type Random} from '@irisdock/kernel';
+import {AddressBook} from './address_book.js';
 import {Caller} from './caller.js';
 import {CRASH_PREFIX} from './crash_witness.js';
 import type {HostProcess} from './host_process.js';
@@ -113,7 +114,10 @@
   private createSlowCallers(): SlowCaller[] {
     return Array.from({length: SLOW_CALLERS}, (_, index) => {
       const random = new SeededRandom(this.parts.seed + index);
-      return new SlowCaller(`slow-${index + 1}`, {...this.parts, random});
+      // A kept answer could name a host that stops under the slow body.
+      const addresses = new AddressBook(this.parts.hosts, random, 0);
+      const parts = {...this.parts, random, addresses};
+      return new SlowCaller(`slow-${index + 1}`, parts);
     });
   }
 }
--- a/soak/src/slow_caller.ts
+++ b/soak/src/slow_caller.ts
@@ -9,6 +9,7 @@
   createCallerHeaders,
   HOST_NAME,
 } from '@irisdock/users-platform/fixtures';
+import type {AddressBook} from './address_book.js';
 import type {HostProcess} from './host_process.js';
 import {chooseTarget, type RequestKind} from './request_kinds.js';
 import type {Attempt, AttemptEnd, Witness} from './witness.js';
@@ -19,6 +20,8 @@
 /** What a slow caller works with. */
 export interface SlowCallerParts {
   readonly hosts: readonly CalledHost[];
+  /** Names hosts that take callers now. */
+  readonly addresses: Pick<AddressBook, 'choose'>;
   readonly witness: Witness;
   readonly random: Random;
   /** Gives the newest version of the configuration. */
@@ -60,8 +63,9 @@
 
   /** Sends one request and takes its end. */
   async sendRequest(): Promise<void> {
-    const {hosts, witness, random} = this.parts;
-    const host = hosts[random.getInt(hosts.length)];
+    const {hosts, addresses, witness, random} = this.parts;
+    const address = await addresses.choose();
+    const host = hosts.find((one) => one.callerAddress === address);
     if (host === undefined) return;
     this.count++;
     const attempt: Attempt = {
--- a/soak/tests/slow_caller.test.ts
+++ b/soak/tests/slow_caller.test.ts
@@ -29,6 +29,7 @@
   const witness = new Witness(new Disturbances());
   const caller = new SlowCaller('slow', {
     hosts: [{name: 'host-1', callerAddress, callerLink: link}],
+    addresses: {choose: () => Promise.resolve(callerAddress)},
     witness,
     random: new SeededRandom(1),
     getVersion: () => 9,
