Refuse no relayed call as not run whose time is over

Callers of a host that reaches no endpoint got 503, 'not run', for calls that may run once and had run: another host had sent them, and the endpoint did not answer in time.

Cause: after a relayed call was lost, the driver checked the time before it recorded that the call may have run. Ruled out: streams, which record the result first; calls that are sent directly, likewise.

Change: the possible run is recorded before the time is checked, and an answer that is at hand is passed on though the time is over.

'refuses no call as not run that another host has sent' failed four times of four (503 in place of 504), and passes ten times of ten; partitioned_host (14) and plain_calls (22) pass.

--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -76,7 +76,7 @@
   private async runSends(): Promise<string> {
     const {signal} = this.request.exchange;
     const {service} = this;
-    const {paths} = this.parts;
+    const {paths, client} = this.parts;
     for (;;) {
       if (paths.isPartitioned(service)) {
         const outcome = await this.sendRelayed();
@@ -93,7 +93,6 @@
       if (endpoint === undefined) return this.finish();
       const earlyOutcome = this.findEarlyOutcome();
       if (earlyOutcome !== undefined) return earlyOutcome;
-      const {client} = this.parts;
       const permit = await client.admit(endpoint, 'usual');
       if (permit.kind === 'held') {
         // Another endpoint may have capacity; this one is at its limit.
@@ -124,15 +123,16 @@
     const maxRuns = route.maxAttempts - this.runs;
     const relayed = {request, route, service, maxRuns, resumption: undefined};
     const result = await sendRelayedCall(parts, relayed);
-    const earlyOutcome = this.findEarlyOutcome();
-    if (earlyOutcome !== undefined) return earlyOutcome;
-    if (result.kind === 'none') return this.finish();
+    if (exchange.hasDisconnected()) return 'left';
     if (result.kind === 'answer') {
       // A refusal would say that the call has not run.
       if (!result.isSigned && this.mayHaveRun) return this.finish();
       return passRelayedAnswer(exchange, result);
     }
-    this.recordPossibleRun(result.detail);
+    // Before the time is checked, as an expired call may have run.
+    if (result.kind === 'lost') this.recordPossibleRun(result.detail);
+    if (exchange.isExpired) return this.finishExpired();
+    if (result.kind === 'none') return this.finish();
     const lost = {...result, mayHaveRun: true};
     return this.isRetryAllowed(lost) ? undefined : this.finish();
   }
