--- a/scripts/check_soak.mjs
+++ b/scripts/check_soak.mjs
@@ -3,9 +3,12 @@
 // Ends with 1 when none of the seeds does, or a mechanism is not found.
 import {spawnSync} from 'node:child_process';
 import {readFileSync, writeFileSync} from 'node:fs';
+import {basename} from 'node:path';
 
 const BUNDLE = 'target/irisdock-gateway.mjs';
 const MUTATED = 'target/irisdock-gateway-mutated.mjs';
+const START = 'target/irisdock-start.mjs';
+const MUTATED_START = 'target/irisdock-start-mutated.mjs';
 const FIRST_SEED = 1;
 const SEEDS = 12;
 
@@ -68,10 +71,9 @@
     'this.endSilent(silence);',
   ],
   [
-    // The text of the bundle that reads the rest of a refused request.
-    'a refusal is written before its connection is closed',
-    /TO BE FILLED IN: lingering close/,
-    '',
+    'the rest of a refused request is read',
+    /isArriving \? this\.lingeringCloses\.end\([^;]*;/,
+    'this.response.end(body);',
   ],
   [
     'a partitioned host relays its requests',
@@ -96,11 +98,16 @@
   const changed = text.replace(from, to);
   if (changed === text) return 'mechanism not found';
   writeFileSync(MUTATED, changed);
+  const start = readFileSync(START, 'utf8');
+  writeFileSync(
+    MUTATED_START,
+    start.replace(basename(BUNDLE), basename(MUTATED)),
+  );
   for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
     const args = ['--seed', String(seed), '--minutes', '0'];
     const run = spawnSync(
       process.execPath,
-      ['soak/dist/src/main.js', ...args, '--program', MUTATED],
+      ['soak/dist/src/main.js', ...args, '--program', MUTATED_START],
       {encoding: 'utf8'},
     );
     if (run.status === 0) continue;
--- a/soak/src/host_process.ts
+++ b/soak/src/host_process.ts
@@ -79,6 +79,8 @@
   private child: ChildProcess | undefined;
   private isEnding = false;
   private isClosed = false;
+  /** Whether the process takes SIGHUP, which ends it while Node starts. */
+  private takesReload = false;
   private ports: number[] = [];
   private partition: PartitionCommand = {otherPorts: []};
   private addresses = {store: '', callers: '', tables: '', datagrams: ''};
@@ -184,7 +186,7 @@
   /** Writes the settings file anew, and tells the process so. */
   sendReload(): void {
     this.writeSettings();
-    this.sendSignal('SIGHUP');
+    if (this.takesReload) this.sendSignal('SIGHUP');
   }
 
   /** Ends the process and its links for good. */
@@ -220,9 +222,14 @@
     child.stdout?.pipe(log, {end: false});
     child.stderr?.pipe(log, {end: false});
     this.child = child;
+    this.takesReload = false;
+    child.once('message', () => {
+      this.takesReload = this.child === child;
+    });
     RUNNING.add(child);
     child.once('exit', (code, signal) => {
       RUNNING.delete(child);
+      this.takesReload = false;
       this.child = undefined;
       if (this.isEnding) return;
       this.parts.handleUnexpectedExit({host: name, code, signal});
--- a/soak/src/partition_preload.ts
+++ b/soak/src/partition_preload.ts
@@ -1,7 +1,8 @@
 /**
  * Loaded into the process of a host before its program: partitions the host
  * from the endpoints when the soak sends a command. Connections to the store,
- * to other hosts and from callers are left alone.
+ * to other hosts and from callers are left alone. Tells the soak when the
+ * program takes SIGHUP.
  */
 import {Socket, type TcpNetConnectOpts} from 'node:net';
 import {
@@ -69,5 +70,9 @@
     if (command.mode === 'silent') dropTraffic(socket);
   }
 });
+// Node itself takes no SIGHUP while it starts: the signal would end the process.
+process.on('newListener', (name) => {
+  if (name === 'SIGHUP') process.send?.('takes SIGHUP');
+});
 // The channel must not keep the process alive.
 process.channel?.unref();
