--- a/scripts/check_soak.mjs
+++ b/scripts/check_soak.mjs
@@ -3,9 +3,12 @@
 // Ends with 1 when none of the seeds does, or a mechanism is not found.
 import {spawnSync} from 'node:child_process';
 import {readFileSync, writeFileSync} from 'node:fs';
+import {basename} from 'node:path';
 
 const BUNDLE = 'target/irisdock-gateway.mjs';
 const MUTATED = 'target/irisdock-gateway-mutated.mjs';
+const START = 'target/irisdock-start.mjs';
+const MUTATED_START = 'target/irisdock-start-mutated.mjs';
 const FIRST_SEED = 1;
 const SEEDS = 12;
 
@@ -62,6 +65,16 @@
     /findEnd\(instanceId\) \{/,
     'findEnd(instanceId) { return void 0;',
   ],
+  [
+    'a silent attempt is kept until a retry is granted',
+    /listener\.handleSuspected\(silence\);/,
+    'this.endSilent(silence);',
+  ],
+  [
+    'the rest of a refused request is read',
+    /isArriving \? this\.lingeringCloses\.end\([^;]*;/,
+    'this.response.end(body);',
+  ],
   [
     'a partitioned host relays its requests',
     /isPartitioned\(service\) \{/,
@@ -85,11 +98,16 @@
   const changed = text.replace(from, to);
   if (changed === text) return 'mechanism not found';
   writeFileSync(MUTATED, changed);
+  const start = readFileSync(START, 'utf8');
+  writeFileSync(
+    MUTATED_START,
+    start.replace(basename(BUNDLE), basename(MUTATED)),
+  );
   for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
     const args = ['--seed', String(seed), '--minutes', '0'];
     const run = spawnSync(
       process.execPath,
-      ['soak/dist/src/main.js', ...args, '--program', MUTATED],
+      ['soak/dist/src/main.js', ...args, '--program', MUTATED_START],
       {encoding: 'utf8'},
     );
     if (run.status === 0) continue;
