Start the time limit of a request at its head

A caller whose body arrived slowly got no answer at its time limit nor at the one of its route: the host waited for the body up to 60 s, the limit of the server for a whole request.

Cause: the time limit was set only once the body was read, although the head says how long the caller waits and which route it takes.

Change: the limit is set before the body is read, counted from the head as before. A body that is still incomplete at its end is refused with the new error body_late (408, outcome not-run), by a lingering close. That is true: no endpoint is asked before the body is whole, and it is dropped. 503 would ask for a time to retry, which the host has no reason to name. Reading a body ends with the request's signal, and its parts are dropped.

Ruled out: a leak when a caller ends sending within its body. The read ends as cut, and Node answers 400; a test holds it.

--- a/packages/gateway/src/channels/body_reader.ts
+++ b/packages/gateway/src/channels/body_reader.ts
@@ -2,7 +2,7 @@
 import type {IncomingMessage} from 'node:http';
 
 /** Why a body could not be read. */
-export type BodyFault = 'cut' | 'too-large';
+export type BodyFault = 'aborted' | 'cut' | 'too-large';
 
 /**
  * Reads a body up to a size. What has arrived of one that can't be read is not
@@ -11,15 +11,18 @@
 export async function readBody(
   message: IncomingMessage,
   maxBytes: number,
+  signal: AbortSignal,
 ): Promise<Buffer | BodyFault> {
   const length = Number(message.headers['content-length'] ?? 0);
   if (length > maxBytes) return 'too-large';
   if (message.destroyed) return 'cut';
+  if (signal.aborted) return 'aborted';
   return new Promise((resolve) => {
     let parts: Buffer[] = [];
     let size = 0;
     const finish = (result: Buffer | BodyFault): void => {
       message.off('data', add).off('end', finishWhole).off('close', finishCut);
+      signal.removeEventListener('abort', finishAborted);
       parts = [];
       resolve(result);
     };
@@ -33,9 +36,14 @@
     const finishWhole = (): void => {
       finish(Buffer.concat(parts));
     };
+    const finishAborted = (): void => {
+      message.pause();
+      finish('aborted');
+    };
     const finishCut = (): void => {
       finish('cut');
     };
+    signal.addEventListener('abort', finishAborted);
     message.on('data', add).once('end', finishWhole).once('close', finishCut);
   });
 }
--- a/packages/gateway/src/errors.ts
+++ b/packages/gateway/src/errors.ts
@@ -46,6 +46,12 @@
     message: 'The body is larger than {limit} bytes.',
     remedy: 'Send a shorter body, or ask the operators for a higher limit.',
   },
+  body_late: {
+    status: 408,
+    outcome: 'not-run',
+    message: 'The body did not arrive in the time of the request.',
+    remedy: 'Send the request again, or give it more time.',
+  },
   no_endpoint: {
     status: 503,
     outcome: 'not-run',
--- a/packages/gateway/src/serving/caller_exchange.ts
+++ b/packages/gateway/src/serving/caller_exchange.ts
@@ -91,9 +91,9 @@
     );
   }
 
-  /** Reads the whole body of the request. */
+  /** Reads the whole body of the request until it is aborted. */
   async readBody(maxBytes: number): Promise<Buffer | BodyFault> {
-    return readBody(this.message, maxBytes);
+    return readBody(this.message, maxBytes, this.signal);
   }
 
   /** Sends a complete answer of an endpoint. */
@@ -174,8 +174,13 @@
     const isArriving = !this.message.complete;
     if (mustClose || isArriving) headers['Connection'] = 'close';
     this.response.writeHead(error.status, headers);
-    if (isArriving) this.lingeringCloses.end(this.message, this.response, body);
-    else this.response.end(body);
+    if (isArriving) {
+      this.lingeringCloses.end(this.message, this.response, body);
+    } else {
+      this.response.end(body);
+      // Unread parts would hold up the next request on the connection.
+      this.message.resume();
+    }
     this.hasFinalAnswer = true;
   }
 
--- a/packages/gateway/src/serving/request_handler.ts
+++ b/packages/gateway/src/serving/request_handler.ts
@@ -122,11 +122,6 @@
       this.refuse(exchange, this.createRetryableError('leaving'));
       return;
     }
-    const deadline = Math.min(
-      startedAt + route.timeoutMs,
-      request.callerDeadline,
-    );
-    exchange.setTimeLimit(deadline - parts.clock.getNow());
     const driver = isStream
       ? new StreamDriver(parts, this.prober, request, route, service)
       : new CallDriver(parts, request, route, service);
@@ -171,15 +166,13 @@
       this.refuse(exchange, GATEWAY_ERRORS.create('no_request_id'));
       return undefined;
     }
-    const limit = configuration.limits.maxBodyBytes;
-    const body = await exchange.readBody(limit);
-    if (body === 'cut') return undefined;
-    if (body === 'too-large') {
-      this.refuse(exchange, GATEWAY_ERRORS.create('body_too_large', {limit}));
-      return undefined;
-    }
+    const {startedAt} = exchange;
+    const callerDeadline = startedAt + (remainingMs ?? Infinity);
+    const deadline = Math.min(startedAt + route.timeoutMs, callerDeadline);
+    exchange.setTimeLimit(deadline - this.parts.clock.getNow());
+    const body = await this.readBody(exchange);
+    if (body === undefined) return undefined;
     const team = teamLookup.kind === 'known' ? teamLookup.team : undefined;
-    const callerDeadline = exchange.startedAt + (remainingMs ?? Infinity);
     const content = hashContent(team, exchange.path, body);
     return {
       exchange,
@@ -192,6 +185,21 @@
     };
   }
 
+  /** Reads the body; refuses the request if it is too large or too late. */
+  private async readBody(
+    exchange: CallerExchange,
+  ): Promise<Buffer | undefined> {
+    const limit = this.parts.configuration.limits.maxBodyBytes;
+    const body = await exchange.readBody(limit);
+    if (body instanceof Buffer) return body;
+    if (body === 'too-large') {
+      this.refuse(exchange, GATEWAY_ERRORS.create('body_too_large', {limit}));
+    } else if (exchange.isExpired) {
+      this.refuse(exchange, GATEWAY_ERRORS.create('body_late'));
+    }
+    return undefined;
+  }
+
   /** Chooses a service; a resumed stream stays at the one that began it. */
   private async chooseService(
     {shares, kind}: ServingRoute,
