Ask for a body only once its request is accepted

A caller that sends Expect: 100-continue was told to go on before its request was known: it got 100 and then the refusal, and sent a body that nobody read.

Cause: without a listener for checkContinue, Node answers 100 by itself.

Change: the front listens, and 100 is sent when the body is to be read. Refusals for the key, the route, the id, the announced size or the state of the host come instead of it. An HTTP/1.0 caller gets no 100.

--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -126,6 +126,10 @@
       server.headersTimeout = limits.headerTimeoutMs;
       serve(message, response);
     });
+    // Without a listener, Node asks for each body before its request is known.
+    server.on('checkContinue', (message, response) => {
+      server.emit('request', message, response);
+    });
     server.requestTimeout = REQUEST_TIMEOUT_MS;
     server.on('connection', (socket) => socket.setNoDelay(true));
     return {
--- a/packages/gateway/src/serving/caller_exchange.ts
+++ b/packages/gateway/src/serving/caller_exchange.ts
@@ -4,7 +4,12 @@
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {KnownError} from '@irisdock/kernel';
-import {readBody, type BodyFault} from '../channels/body_reader.js';
+import {
+  isContinueExpected,
+  isLargerThan,
+  readBody,
+  type BodyFault,
+} from '../channels/body_reader.js';
 import {formatRawHeaders, readHeaderLines} from '../channels/header_lines.js';
 import type {LingeringCloses} from '../channels/lingering_closes.js';
 import type {RelayHop} from '../model/relay_path.js';
@@ -93,7 +98,10 @@
 
   /** Reads the whole body of the request until it is aborted. */
   async readBody(maxBytes: number): Promise<Buffer | BodyFault> {
-    return readBody(this.message, maxBytes, this.signal);
+    const {message, signal} = this;
+    if (isLargerThan(message, maxBytes)) return 'too-large';
+    if (isContinueExpected(message)) this.response.writeContinue();
+    return readBody(message, maxBytes, signal);
   }
 
   /** Sends a complete answer of an endpoint. */
