--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -115,6 +115,10 @@
         serve(message, response, undefined, arrivedAt);
       });
     });
+    // Without a listener, Node asks for each body before its request is known.
+    server.on('checkContinue', (message, response) => {
+      server.emit('request', message, response);
+    });
     server.requestTimeout = REQUEST_TIMEOUT_MS;
     const connections = new CallerConnections(
       server,
--- a/packages/gateway/src/serving/caller_exchange.ts
+++ b/packages/gateway/src/serving/caller_exchange.ts
@@ -4,7 +4,12 @@
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {KnownError} from '@irisdock/kernel';
-import {readRequestBody, type BodyFault} from '../channels/request_body.js';
+import {
+  isContinueExpected,
+  isLargerThan,
+  readRequestBody,
+  type BodyFault,
+} from '../channels/request_body.js';
 import {formatRawHeaders, readHeaderLines} from '../channels/header_lines.js';
 import type {LingeringCloses} from '../channels/lingering_closes.js';
 import type {RelayHop} from '../model/relay_path.js';
@@ -91,9 +96,12 @@
     );
   }
 
-  /** Reads the whole body of the request. */
+  /** Reads the whole body of the request until it is aborted. */
   async readBody(maxBytes: number): Promise<Buffer | BodyFault> {
-    return readRequestBody(this.message, maxBytes);
+    const {message, signal} = this;
+    if (isLargerThan(message, maxBytes)) return 'too-large';
+    if (isContinueExpected(message)) this.response.writeContinue();
+    return readRequestBody(message, maxBytes, signal);
   }
 
   /** Sends a complete answer of an endpoint. */
@@ -174,8 +182,13 @@
     const isArriving = !this.message.complete;
     if (mustClose || isArriving) headers['Connection'] = 'close';
     this.response.writeHead(error.status, headers);
-    if (isArriving) this.lingeringCloses.end(this.message, this.response, body);
-    else this.response.end(body);
+    if (isArriving) {
+      this.lingeringCloses.end(this.message, this.response, body);
+    } else {
+      this.response.end(body);
+      // Unread parts would hold up the next request on the connection.
+      this.message.resume();
+    }
     this.hasFinalAnswer = true;
   }
 
