Drain the daemon until its responses to callers have been flushed

Callers saw: a host of the daemon that left cut the answer to a plain call that its caller was still reading. Besides, a response that had ended but stood in the write buffer was cut when idle connections were closed.

Cause: a call counted as in flight until its endpoint had begun to answer, not until its body had been passed on and flushed. The drain ended, and the stop destroyed the connection. And `WebServer.closeIdle` closes, by way of Node's `closeIdleConnections` (which `close` calls as well), each connection whose response has ended, flushed or not.

Ruled out: a refusal before the body was read. `sendError` reads the rest of the body for up to two seconds before it closes the connection.

Change: `WebServer` tracks the responses that are not flushed. The drain waits for them too, and idle connections are closed once no ended response waits for its caller. A caller that reads nothing holds the drain up, as one of a stream did before; a second signal ends it.

--- a/packages/daemon/src/services/callers.ts
+++ b/packages/daemon/src/services/callers.ts
@@ -2,7 +2,7 @@
  * The service `callers`: serves the API for callers. It also drains this host:
  * it announces that the host is leaving, keeps serving while callers may still
  * use its address from earlier address responses, and then waits for the
- * requests in flight.
+ * requests in flight, until their callers have taken the responses.
  */
 import {
   createService,
@@ -117,14 +117,17 @@
     });
     await clock.wait(keepSeconds * 1000 * MAX_KEEP_FACTOR + KEEP_MARGIN_MS);
     this.parts.admission.startLeaving();
-    listeners.callers.closeIdle();
+    const {callers} = listeners;
+    callers.closeIdle();
     let loggedAt = clock.getNow();
-    while (this.inFlight > 0) {
+    while (this.inFlight + callers.openResponses > 0) {
       await clock.wait(DRAIN_CHECK_INTERVAL_MS);
+      callers.closeIdle();
       if (clock.getNow() - loggedAt < DRAIN_LOG_INTERVAL_MS) continue;
       loggedAt = clock.getNow();
       log.writeInfo('Waiting for requests in flight.', {
         inFlight: this.inFlight,
+        openResponses: callers.openResponses,
       });
     }
     log.writeInfo('Drained.');
--- a/packages/web/src/web_server.ts
+++ b/packages/web/src/web_server.ts
@@ -12,6 +12,7 @@
 import {getErrorText, splitPlace, type Logger} from '@irisdock/kernel';
 import {sendError} from './answers.js';
 import {WEB_ERRORS} from './errors.js';
+import {OpenResponses} from './open_responses.js';
 import {WebRequest, type BodyLimits} from './web_request.js';
 
 /** A path with `:name` for a segment and a trailing `*` for the rest. */
@@ -39,6 +40,7 @@
 /** An HTTP server. */
 export class WebServer {
   private readonly server: Server;
+  private readonly responses: OpenResponses;
 
   /**
    * @param routes What is served; undefined while it is not known yet, when
@@ -52,6 +54,7 @@
     this.server = createServer((message, response) => {
       void this.handle(message, response);
     });
+    this.responses = new OpenResponses(this.server);
     this.server.headersTimeout = HEADERS_MS;
     this.server.requestTimeout = 0;
     this.server.keepAliveTimeout = KEEP_ALIVE_MS;
@@ -72,8 +75,18 @@
     this.routes = routes;
   }
 
-  /** Takes no new connection and closes those without a request. */
+  /** The number of responses that have not been flushed. */
+  get openResponses(): number {
+    return this.responses.size;
+  }
+
+  /**
+   * Takes no new connection and closes those without a request. Does nothing
+   * while a response that has ended waits for its caller to read, as the server
+   * would close that connection as well.
+   */
   closeIdle(): void {
+    if (this.responses.hasEnded) return;
     this.server.close();
     this.server.closeIdleConnections();
   }
@@ -92,6 +105,7 @@
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    this.responses.add(message, response);
     message.on('error', () => undefined);
     response.on('error', () => undefined);
     const path = new URL(message.url ?? '/', 'http://localhost').pathname;
--- a/packages/web/tests/web_server.test.ts
+++ b/packages/web/tests/web_server.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import {connect} from 'node:net';
 import {after, before, describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {RoarrLogger, splitPlace} from '@irisdock/kernel';
 import {sendError, sendJson, WebServer, type Route} from '@irisdock/web';
 import * as z from 'zod';
@@ -166,3 +167,37 @@
     await early.stop();
   });
 });
+
+describe('a WebServer that closes idle connections', () => {
+  const log = new RoarrLogger('tests', 'off');
+  const limits = {maxBytes: 100, maxMs: 300};
+  const length = 8_000_000;
+  const routes: readonly Route[] = [
+    {
+      method: 'GET',
+      path: '/long',
+      handle: ({response}) => {
+        response.end('a'.repeat(length));
+      },
+    },
+  ];
+
+  it('keeps one whose caller still reads a response that has ended', async () => {
+    const server = new WebServer({listen: '127.0.0.1:0', limits}, routes, log);
+    const socket = connect(splitPlace(await server.start()));
+    let received = 0;
+    socket.on('error', () => undefined);
+    socket.on('data', (part) => (received += part.length));
+    const closed = new Promise((resolve) => socket.once('close', resolve));
+    socket.pause();
+    socket.write('GET /long HTTP/1.1\r\nHost: t\r\n\r\n');
+    while (server.openResponses === 0) await sleep(10);
+    server.closeIdle();
+    socket.resume();
+    while (server.openResponses > 0) await sleep(10);
+    server.closeIdle();
+    await closed;
+    assert.ok(received > length, `cut after ${received} bytes`);
+    await server.stop();
+  });
+});
