Close an idle connection on which only a line break arrived

Callers see nothing of it; a host kept such a connection for as long as its caller did.

The parser skips line breaks before a request, so no time limit of a head applied to them.

Change: the connection is closed unless something arrived while the host waited for reads; reading it starts the timer again.

--- a/packages/gateway/src/channels/caller_connections.ts
+++ b/packages/gateway/src/channels/caller_connections.ts
@@ -106,10 +106,15 @@
     });
   }
 
-  /** Closes a connection whose idle time is over. */
+  /**
+   * Closes a connection that was silent for its idle time, unless something has
+   * arrived meanwhile; reading that starts its timer again.
+   */
   private async closeExpired(socket: Socket): Promise<void> {
+    const bytesBefore = socket.bytesRead;
     await waitForReads();
-    if (this.connections.get(socket)?.isBusy === false) socket.destroy();
+    if (this.connections.get(socket)?.isServing === true) return;
+    if (socket.bytesRead === bytesBefore) socket.destroy();
   }
 }
 
@@ -134,13 +139,16 @@
   constructor(private readonly socket: Socket) {}
 
   /**
-   * Whether a part of a request has arrived, or a response has not been handed
-   * over whole to the kernel. A response that has ended may still be waiting in
-   * the write buffer for its caller to read.
+   * Whether a response has not been handed over whole to the kernel. One that
+   * has ended may still wait in the write buffer for its caller to read.
    */
+  get isServing(): boolean {
+    return this.requests.length > 0;
+  }
+
+  /** Whether it serves a request, or a part of one has arrived. */
   get isBusy(): boolean {
-    if (this.requests.length > 0) return true;
-    return this.socket.bytesRead > this.servedBytes;
+    return this.isServing || this.socket.bytesRead > this.servedBytes;
   }
 
   /** The number of requests that wait for those before them. */
