--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -2,6 +2,7 @@
 import {
   createServer,
   type IncomingMessage,
+  type Server,
   type ServerResponse,
 } from 'node:http';
 import type {WindowedRetryBudgetOptions} from '@irisdock/decisions';
@@ -10,6 +11,7 @@
   createServiceKey,
   getErrorText,
   IP_PORT_SCHEMA,
+  type Logger,
   type ServiceContext,
 } from '@irisdock/kernel';
 import * as z from 'zod';
@@ -32,7 +34,10 @@
 import type {ServingParts} from '../serving/serving_parts.js';
 import {SuccessorFinder} from '../serving/successors.js';
 import {CRASHES} from './crashes.js';
-import {GATEWAY_CONFIGURATION} from './configuration.js';
+import {
+  GATEWAY_CONFIGURATION,
+  type GatewayConfiguration,
+} from './configuration.js';
 import {EndpointGate} from './endpoint_gate.js';
 import {ENDPOINT_NETWORK} from './endpoint_network.js';
 import {GATEWAY_ENDPOINTS} from './endpoints.js';
@@ -115,14 +120,7 @@
       });
     });
     server.requestTimeout = REQUEST_TIMEOUT_MS;
-    const connections = new CallerConnections(
-      server,
-      configuration.limits,
-      log,
-    );
-    void configuration.changes.observe(() => {
-      connections.applyLimits(configuration.limits);
-    });
+    const connections = createConnections(server, configuration, log);
     return {
       api: undefined,
       live: {
@@ -156,6 +154,19 @@
   },
 });
 
+function createConnections(
+  server: Server,
+  configuration: GatewayConfiguration,
+  log: Logger,
+): CallerConnections {
+  const {limits} = configuration;
+  const connections = new CallerConnections(server, limits, log);
+  void configuration.changes.observe(() => {
+    connections.applyLimits(configuration.limits);
+  });
+  return connections;
+}
+
 /** Creates the function that serves requests of callers and of other hosts. */
 function createServe(
   {clock, log}: ServiceContext,
