Give up a stream whose events bring nothing new

What callers saw: an engine that repeats events the caller has already, for ever, held the stream to its deadline. The events were dropped, but each counted as progress, so the engine never seemed silent.

Cause: nothing bounded how much an attempt may repeat.

Ruled out: events without an id, such as comments. They are passed on, so the caller has them, and sees for itself what it gets.

The result of passing events on gives the fault as text in place of the flag for a gap.

Conclusion: repeated events are bounded in bytes. An engine that repeats them slowly still holds its stream to the deadline.

--- a/packages/gateway/src/serving/relayed_stream.ts
+++ b/packages/gateway/src/serving/relayed_stream.ts
@@ -74,8 +74,8 @@
         sink.setHead(status, lines);
       },
       handleEvents: (events) => {
-        const {hasGap, drained} = sink.passEvents(events);
-        if (hasGap) attempt.end('events are missing');
+        const {fault, drained} = sink.passEvents(events);
+        if (fault !== undefined) attempt.end(fault);
         return drained;
       },
     },
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -322,8 +322,8 @@
       this.evidence.recordFirstEvent(plan.endpoint);
     }
     this.version.recordEvent(plan.endpoint);
-    const {hasGap, drained} = this.sink.passEvents(events);
-    if (hasGap) attempt.end('events are missing');
+    const {fault, drained} = this.sink.passEvents(events);
+    if (fault !== undefined) attempt.end(fault);
     return drained;
   }
 
--- a/packages/gateway/src/serving/stream_sink.ts
+++ b/packages/gateway/src/serving/stream_sink.ts
@@ -4,22 +4,31 @@
  */
 import {EventProgress, type ServerSentEvent} from '@irisdock/decisions';
 import type {KnownError} from '@irisdock/kernel';
+import {MAX_BODY_BYTES} from '../channels/body_reader.js';
 import type {HeaderLines} from '../model/request_metadata.js';
 import type {CallerExchange} from './caller_exchange.js';
 
 /** The result of passing events on. */
 export interface PassResult {
-  /** Whether events before these are missing. */
-  readonly hasGap: boolean;
+  /** Why nothing that follows can be passed on; undefined if it can. */
+  readonly fault: string | undefined;
   /** Resolves when the caller can take more; undefined if it can now. */
   readonly drained: Promise<void> | undefined;
 }
 
+/**
+ * The most bytes of events in a row that the caller has already. An engine may
+ * repeat a whole answer before it goes on, which is not longer than a body.
+ */
+const MAX_REPEATED_BYTES = MAX_BODY_BYTES;
+
 /** Writes one stream to its caller. */
 export class StreamSink {
   private readonly progress: EventProgress;
   private head: {status: number; lines: HeaderLines} | undefined;
   private hasStarted = false;
+  /** The bytes of the repeated events since the last new one. */
+  private repeatedBytes = 0;
 
   /** @param lastEventId The last event that the caller has already. */
   constructor(
@@ -47,18 +56,24 @@
   /** Records that the next events come from another attempt. */
   markFailover(): void {
     this.progress.markFailover();
+    this.repeatedBytes = 0;
   }
 
   /** Passes the events that the caller lacks. */
   passEvents(events: readonly ServerSentEvent[]): PassResult {
     const {newEvents, hasGap} = this.progress.accept(events);
     const [first] = newEvents;
-    if (first === undefined) return {hasGap, drained: undefined};
+    const gapFault = hasGap ? 'events are missing' : undefined;
+    if (first === undefined) {
+      const fault = gapFault ?? this.checkRepeated(events);
+      return {fault, drained: undefined};
+    }
+    this.repeatedBytes = 0;
     if (!this.hasStarted) this.start();
     const bytes = newEvents.length === 1 ? first : Buffer.concat(newEvents);
     const hasRoom = this.exchange.writeStream(bytes);
     const drained = hasRoom ? undefined : this.exchange.waitForDrain();
-    return {hasGap, drained};
+    return {fault: gapFault, drained};
   }
 
   /** Ends the stream as complete. */
@@ -73,6 +88,14 @@
     else this.exchange.refuse(error, false);
   }
 
+  private checkRepeated(
+    events: readonly ServerSentEvent[],
+  ): string | undefined {
+    for (const {bytes} of events) this.repeatedBytes += bytes.length;
+    if (this.repeatedBytes <= MAX_REPEATED_BYTES) return undefined;
+    return 'its events bring nothing new';
+  }
+
   private start(): void {
     if (this.head === undefined) return;
     this.hasStarted = true;
