--- a/packages/gateway/src/serving/attempt_runner.ts
+++ b/packages/gateway/src/serving/attempt_runner.ts
@@ -157,8 +157,8 @@
       evidence.recordFirstEvent(plan.endpoint);
     }
     version.recordEvent(plan.endpoint);
-    const {hasGap, drained} = sink.passEvents(events);
-    if (hasGap) attempt.end('events are missing');
+    const {fault, drained} = sink.passEvents(events);
+    if (fault !== undefined) attempt.end(fault);
     return drained;
   }
 }
--- a/packages/gateway/src/serving/relayed_stream.ts
+++ b/packages/gateway/src/serving/relayed_stream.ts
@@ -83,8 +83,8 @@
       },
       handleEvents: (events) => {
         relay.prober.recordSign(endpoint);
-        const {hasGap, drained} = sink.passEvents(events);
-        if (hasGap) attempt.end('events are missing');
+        const {fault, drained} = sink.passEvents(events);
+        if (fault !== undefined) attempt.end(fault);
         return drained;
       },
       handleSuspected: (silence) => {
