Ask an engine before an answer is moved to it

Callers of irisdockd waited for a second prompt to be read when all engines, or those of one domain, were silent at the same moment: the answer left its engine for another one that was just as silent, and back again.

Cause: an engine counted as answering by its last poll, and one that had failed the answer before could be reserved again when all others had too. Ruled out: the retry budget (the first retry after a token is free).

An engine is now probed before it is reserved, and one that failed the answer since its start is not reserved. When events arrive during the probe, the answer stays.

Conclusion: leaving an engine now needs a sign of life of the next.

--- a/packages/daemon/src/answer/answer_attempt.ts
+++ b/packages/daemon/src/answer/answer_attempt.ts
@@ -54,7 +54,7 @@
   /** Called when the stream makes no progress though probes are answered. */
   handleQuiet(): void;
   /** Leaves a silent engine; false if no other can take the answer over. */
-  tryLeave(kind: StallKind): boolean;
+  tryLeave(kind: StallKind, isSilent: () => boolean): Promise<boolean>;
   /** Called once the engine has accepted the order. */
   handleAccepted(): void;
   /** Passes tokens to the caller; resolves when it can take more. */
@@ -103,7 +103,7 @@
         this.isQueued = isFull && !parts.endpoint.isQuiet;
         return true;
       },
-      tryLeave: (kind) => parts.tryLeave(kind),
+      tryLeave: (kind, isSilent) => parts.tryLeave(kind, isSilent),
       handleLoss: (kind) => {
         this.stall = kind;
         this.abortController.abort();
--- a/packages/daemon/src/answer/answer_driver.ts
+++ b/packages/daemon/src/answer/answer_driver.ts
@@ -224,7 +224,7 @@
       handleQuiet: () => {
         parts.directory.reportStall(endpoint);
       },
-      tryLeave: (kind) => this.tryLeave(endpoint, kind),
+      tryLeave: (kind, isSilent) => this.tryLeave(endpoint, kind, isSilent),
       handleAccepted: () => {
         this.searchUntil = undefined;
         this.sink.setResume(this.createResume());
@@ -304,9 +304,13 @@
   }
 
   /** Leaves a silent engine if another one can take the answer over. */
-  private tryLeave(endpoint: EndpointRecord, kind: StallKind): boolean {
+  private async tryLeave(
+    endpoint: EndpointRecord,
+    kind: StallKind,
+    isSilent: () => boolean,
+  ): Promise<boolean> {
     this.reportLoss(endpoint, kind);
-    return this.retries.tryReserve(endpoint, kind);
+    return this.retries.tryReserve(endpoint, kind, isSilent);
   }
 
   private reportLoss(endpoint: EndpointRecord, loss: LossKind): void {
--- a/packages/daemon/src/answer/answer_retries.ts
+++ b/packages/daemon/src/answer/answer_retries.ts
@@ -13,6 +13,7 @@
   type RetryBudget,
 } from '@irisdock/decisions';
 import type {EndpointRecord} from '../endpoint/endpoint_record.js';
+import type {AttemptOptions} from './answer_attempt.js';
 import type {EngineChooser} from './engine_chooser.js';
 import type {RequestRecord} from './request_record.js';
 import type {StallKind} from './stall_detector.js';
@@ -21,6 +22,7 @@
 export interface AnswerRetriesParts {
   readonly clock: Clock;
   readonly budget: RetryBudget;
+  readonly attemptOptions: Pick<AttemptOptions, 'probeTimeoutMs'>;
   readonly chooser: Pick<EngineChooser, 'choose'>;
 }
 
@@ -52,15 +54,18 @@
   /**
    * Reserves another engine for the answer of a silent one; false if the answer
    * may not or cannot go on elsewhere now.
+   *
+   * @param isSilent Whether the engine is still silent.
    */
-  tryReserve(silent: EndpointRecord, kind: StallKind): boolean {
+  async tryReserve(
+    silent: EndpointRecord,
+    kind: StallKind,
+    isSilent: () => boolean,
+  ): Promise<boolean> {
     if (this.record.text === undefined) return false;
     if (this.decideByBudget(kind, true, true) !== 'continue') return false;
-    const avoid = new Set([...this.avoided, silent.address]);
-    const next = this.parts.chooser.choose({avoid, resuming: true});
-    if (next === undefined || next === silent) return false;
-    // For want of others, the choice includes engines that seem lost as well.
-    if (!next.isAnswering || next.isQuiet) return false;
+    const next = await this.findAnswering(silent);
+    if (next === undefined || !isSilent()) return false;
     if (!this.takeRetry(true)) return false;
     next.startRequest();
     this.reserved = next;
@@ -90,6 +95,26 @@
     return response;
   }
 
+  /** Finds another engine that answers now, of those not tried yet. */
+  private async findAnswering(
+    silent: EndpointRecord,
+  ): Promise<EndpointRecord | undefined> {
+    const {chooser, attemptOptions} = this.parts;
+    const avoid = new Set([...this.avoided, silent.address]);
+    for (;;) {
+      const next = chooser.choose({avoid, resuming: true});
+      // For want of others, the choice includes those to avoid.
+      if (next === undefined || avoid.has(next.address)) return undefined;
+      avoid.add(next.address);
+      if (!next.isAnswering || next.isQuiet) continue;
+      // It may be silent as well, as engines of one domain are.
+      const load = await next.clients.engine?.getLoad(
+        attemptOptions.probeTimeoutMs,
+      );
+      if (load?.isOk() === true) return next;
+    }
+  }
+
   private decideResponse(loss: LossKind, isCounted: boolean): LossResponse {
     if (loss === 'superseded') return 'abandon';
     // Its retry was taken from the budget with the reservation.
--- a/packages/daemon/src/answer/stall_detector.ts
+++ b/packages/daemon/src/answer/stall_detector.ts
@@ -19,8 +19,12 @@
   getLimits(): StallLimits;
   /** Probes the endpoint; resolves to true if it answers. */
   probe(): Promise<boolean>;
-  /** Leaves a suspected stream; false if its answer can't go on elsewhere. */
-  tryLeave(kind: StallKind): boolean;
+  /**
+   * Leaves a suspected stream; false if its answer can't go on elsewhere.
+   *
+   * @param isSilent Whether no event has arrived meanwhile.
+   */
+  tryLeave(kind: StallKind, isSilent: () => boolean): Promise<boolean>;
   handleLoss(kind: StallKind): void;
   /** Called once per pause in the stream if the endpoint answers a probe. */
   handleQuiet(): void;
@@ -91,14 +95,15 @@
       return;
     }
     if (silenceMs >= lostMs) {
-      this.handleSuspicion('stalled');
+      await this.handleSuspicion('stalled');
       return;
     }
     const {lastEventAt} = this;
     const isAnswering = await this.parts.probe();
-    const isStillSilent = this.lastEventAt === lastEventAt && !this.paused;
+    const isStillSilent =
+      !this.stopped && this.lastEventAt === lastEventAt && !this.paused;
     if (isStillSilent && isAnswering) this.reportQuiet();
-    if (!isAnswering && isStillSilent) this.handleSuspicion('silent');
+    if (!isAnswering && isStillSilent) await this.handleSuspicion('silent');
     else this.planCheck(Math.min(probeMs, Math.max(1, lostMs - silenceMs)));
   }
 
@@ -108,11 +113,15 @@
     this.parts.handleQuiet();
   }
 
-  private handleSuspicion(kind: StallKind): void {
-    if (this.stopped) return;
+  private async handleSuspicion(kind: StallKind): Promise<void> {
     const {clock, maxSilenceMs} = this.parts;
-    const silenceMs = clock.getNow() - this.lastEventAt;
-    if (!this.parts.tryLeave(kind) && silenceMs < maxSilenceMs) {
+    const {lastEventAt} = this;
+    const isSilent = (): boolean =>
+      !this.stopped && !this.paused && this.lastEventAt === lastEventAt;
+    const isLeft = await this.parts.tryLeave(kind, isSilent);
+    if (this.stopped) return;
+    const isTooLong = clock.getNow() - this.lastEventAt >= maxSilenceMs;
+    if (!isLeft && !isTooLong) {
       this.planCheck(this.parts.getLimits().probeMs);
       return;
     }
--- a/packages/testkit/tests/silent_engines.test.ts
+++ b/packages/testkit/tests/silent_engines.test.ts
@@ -34,6 +34,8 @@
 interface Silence {
   readonly name: string;
   readonly ms: number;
+  /** Runs elsewhere though all engines are silent in the same way. */
+  readonly maxContinues: number;
   readonly start: SilenceStart;
 }
 
@@ -41,6 +43,7 @@
   {
     name: 'an engine that answers nothing',
     ms: SILENCE_MS,
+    maxContinues: 0,
     start: (_deployment, {process}) => {
       process.sendSignal('SIGSTOP');
       return Promise.resolve(() => {
@@ -52,6 +55,8 @@
   {
     name: 'an engine that answers but generates nothing',
     ms: STALL_MS,
+    // That the other one generates nothing is known once an answer runs there.
+    maxContinues: 1,
     start: async (deployment, engine) => {
       await deployment.setFaults(engine, {stall: true});
       return () => deployment.setFaults(engine, {stall: false});
@@ -59,16 +64,26 @@
   },
 ];
 
-/** Streams an answer whose engine is silent for a while amid it. */
+/** Chooses the engines that fall silent, given the one that runs the answer. */
+type ChooseSilent = (
+  deployment: Deployment,
+  running: EndpointNode,
+) => readonly EndpointNode[];
+
+/** Streams an answer amid which engines are silent for a while. */
 async function streamOverSilence(
   deployment: Deployment,
   {start, ms}: Silence,
+  chooseSilent: ChooseSilent = (_deployment, running) => [running],
 ): Promise<CallerState> {
   let silence: Promise<void> | undefined;
-  const runSilence = async (engine: EndpointNode): Promise<void> => {
-    const end = await start(deployment, engine);
+  const runSilence = async (running: EndpointNode): Promise<void> => {
+    const engines = chooseSilent(deployment, running);
+    const ends = await Promise.all(
+      engines.map((engine) => start(deployment, engine)),
+    );
     await new Promise((resolve) => setTimeout(resolve, ms));
-    await end();
+    for (const end of ends) await end();
   };
   const state = await streamWhole(
     deployment.listAddresses(),
@@ -109,6 +124,19 @@
         const runs = await deployment.countRuns(state.requestId);
         assert.deepEqual([runs.starts, runs.continues], [1, 0]);
       });
+
+      it('though all engines are silent', async () => {
+        await declareContinuation(deployment, 'allowed');
+        const state = await streamOverSilence(
+          deployment,
+          silence,
+          ({engines}) => engines,
+        );
+        checkWholeAnswer(state);
+        const runs = await deployment.countRuns(state.requestId);
+        assert.equal(runs.starts, 1);
+        assert.ok(runs.continues <= silence.maxContinues);
+      });
     });
   }
 });
