Excuse a cut of the soak when the grace of a planned stop is nearly over

A cut is excused now when the request was sent within 3 s after the signal, an endpoint had begun to run it and five sixths of the grace were over; any earlier cut, and one of a request that no endpoint ran, is found as before (tests).

--- a/soak/src/end_witness.ts
+++ b/soak/src/end_witness.ts
@@ -8,6 +8,7 @@
  */
 import type {DisturbedPart, Disturbances} from './disturbances.js';
 import type {EndpointInstance} from './endpoint_fleet.js';
+import {GRACE_SECONDS} from './host_process.js';
 import {getMaxRuns, isRunOnce, isStream} from './request_kinds.js';
 import type {Attempt} from './witness.js';
 
@@ -24,6 +25,7 @@
   | 'caller link'
   | 'endpoint'
   | 'endpoint path'
+  | 'grace is over'
   | 'host'
   | 'not taken'
   | 'time is up'
@@ -44,6 +46,10 @@
 const CONTACT_MS = 3000;
 /** How long streams may take on their route, in ms. */
 export const STREAM_MS = 12_000;
+/** An endpoint that works so long after a stop began is not waited for, in ms. */
+const DRAIN_MS = (GRACE_SECONDS * 1000 * 5) / 6;
+/** Requests that come so long after a stop began are to be refused, in ms. */
+const TAKEN_MS = 3000;
 /** A timer of a host may be so much early against the caller's, in ms. */
 const TIMER_MARGIN_MS = 100;
 
@@ -107,9 +113,8 @@
     if (!cut.wasSent && runs.length === 0) return 'not taken';
     const now = performance.now();
     const from = startedAt - CONTACT_MS;
-    const befell = this.disturbances
-      .listBetween(host, from, now)
-      .filter((one) => !one.isPlanned);
+    const all = this.disturbances.listBetween(host, from, now);
+    const befell = all.filter((one) => !one.isPlanned);
     for (const {part, until = Infinity} of befell) {
       // A partition that is over takes no endpoint from a request.
       if (part === 'endpoint paths' && until < startedAt) continue;
@@ -121,6 +126,11 @@
     if (isHarmed && (isDisturbed || !this.isRetryDue(attempt, runs.length))) {
       return 'endpoint';
     }
+    const isDrained = all.some((one) => {
+      const isTaken = one.isPlanned && startedAt <= one.from + TAKEN_MS;
+      return isTaken && now >= one.from + DRAIN_MS;
+    });
+    if (isDrained && runs.length > 0) return 'grace is over';
     const endsAt = startedAt + STREAM_MS - TIMER_MARGIN_MS;
     if (cut.wasBegun && isStream(kind) && now >= endsAt) return 'time is up';
     return 'none';
--- a/soak/src/host_process.ts
+++ b/soak/src/host_process.ts
@@ -21,7 +21,7 @@
 /** Loaded before the program, to partition the host from endpoints. */
 const PRELOAD = new URL('partition_preload.js', import.meta.url).href;
 /** How long a planned stop may take, in seconds. */
-const GRACE_SECONDS = 4;
+export const GRACE_SECONDS = 4;
 /** What the platform kills after, in ms from the signal. */
 const KILL_AFTER_MS = GRACE_SECONDS * 1000 + 1000;
 /** The pause before an ended process is started again, in ms. */
--- a/soak/tests/witness.test.ts
+++ b/soak/tests/witness.test.ts
@@ -151,6 +151,28 @@
     assert.equal(listFaults(call, cut, [], disturbances).length, 0);
   });
 
+  it('sees a cut of a run by a planned stop that had time for it', () => {
+    const stream = createAttempt('stream');
+    const cut = createAnswer({body: formatEvents(1, 5), isWhole: false});
+    const countFaults = (
+      stopMs: number,
+      runs: readonly string[],
+      sentMs = 0,
+    ): number => {
+      const startedAt = performance.now() - sentMs;
+      const attempt = {...stream, startedAt};
+      const disturbances = new Disturbances();
+      const options = {host: 'host-1', isPlanned: true};
+      disturbances.start('hosts', performance.now() - stopMs, options);
+      return listFaults(attempt, cut, runs, disturbances).length;
+    };
+    assert.equal(countFaults(3500, ['a-1'], 2000), 0);
+    assert.equal(countFaults(3000, ['a-1'], 2000), 1);
+    assert.equal(countFaults(3500, [], 2000), 1);
+    // Sent after the stop began, and so late that it was to be refused.
+    assert.equal(countFaults(3500, ['a-1']), 1);
+  });
+
   it('sees a cut after a harm of another endpoint than its own', () => {
     const stream = createAttempt('stream');
     const cut = createAnswer({body: formatEvents(1, 5), isWhole: false});
