Let a begun stream wait for an engine that refuses it

A stream left its silent engine for the only other one, which answered probes but refused it for a second. The caller's answer was cut after the first event.

Cause: an engine that refused a begun stream counted as held back by its limit, so that the engine that the stream had left could not be returned to, and the other one was asked again each 50 ms until seven refusals ended the stream. Ruled out: the retry budget (150 retries) and the attempts of the route.

Engines that refused are now kept apart from those whose limits hold the stream back. While they do, the search asks the engine that was left whether it answers, which takes 200 ms of silence, and goes on there if it does.

--- a/packages/gateway/src/serving/engine_exclusions.ts
+++ b/packages/gateway/src/serving/engine_exclusions.ts
@@ -16,6 +16,8 @@
   private readonly returned = new Set<string>();
   /** Engines whose limits held this stream back for now. */
   private readonly held = new Set<string>();
+  /** Engines that refused the begun stream for now. */
+  private readonly refused = new Set<string>();
   /** Engines on which another suspected stream runs. */
   private readonly taken = new Set<string>();
   /** Engines that are silent while the current attempt is. */
@@ -51,6 +53,12 @@
     this.held.add(instanceId);
   }
 
+  /** Records that an engine refused the begun stream; it may take it soon. */
+  recordRefused({instanceId}: EndpointRecord): void {
+    this.hasAttempts = true;
+    this.refused.add(instanceId);
+  }
+
   /** Records that another suspected stream runs on an engine. */
   recordTaken({instanceId}: EndpointRecord): void {
     this.taken.add(instanceId);
@@ -75,6 +83,7 @@
   /** Makes engines eligible again that had no room. */
   dropHeld(): void {
     this.held.clear();
+    this.refused.clear();
   }
 
   /** Makes engines eligible again on which other suspected streams ran. */
@@ -89,8 +98,8 @@
   }
 
   /**
-   * Whether an engine that lost an attempt may be used again. An engine without
-   * room now is waited for instead.
+   * Whether an engine that lost an attempt may be used again. An engine whose
+   * limit holds the stream back is waited for instead.
    */
   isReturnable({instanceId}: EndpointRecord): boolean {
     if (this.held.size > 0 || this.failed.has(instanceId)) return false;
@@ -113,6 +122,6 @@
   }
 
   private get sets(): readonly ReadonlySet<string>[] {
-    return [this.failed, this.lost, this.held, this.taken];
+    return [this.failed, this.lost, this.held, this.refused, this.taken];
   }
 }
--- a/packages/gateway/src/serving/stream_planner.ts
+++ b/packages/gateway/src/serving/stream_planner.ts
@@ -87,7 +87,7 @@
     // A begun stream has no engines but those of its version, and one that
     // refused it may have room again soon.
     const isBegun = this.binding.origin !== undefined;
-    if (isBegun && kind === 'refused') exclusions.recordHeld(endpoint);
+    if (isBegun && kind === 'refused') exclusions.recordRefused(endpoint);
     else exclusions.recordFailed(endpoint);
   }
 
