Log a failed search for the next engine, and keep the stream

An error in the search would have been an unhandled rejection, which ends the process with all its streams. Found by reading; no such error was seen.

--- a/packages/gateway/src/serving/stream_handover.ts
+++ b/packages/gateway/src/serving/stream_handover.ts
@@ -4,6 +4,7 @@
  * a retry, an engine that answers has room, and the retry budget grants it.
  * Until then events of the silent engine end the search.
  */
+import {getErrorText} from '@irisdock/kernel';
 import {admitAttempt} from './attempt_admission.js';
 import type {AdmittedRequest} from './caller_exchange.js';
 import type {EndpointProber} from './endpoint_prober.js';
@@ -62,7 +63,10 @@
     const search = new AbortController();
     this.search = search;
     const {signal} = this.parts.request.exchange;
-    void this.run(silent, AbortSignal.any([search.signal, signal]));
+    const stopSignal = AbortSignal.any([search.signal, signal]);
+    this.run(silent, stopSignal).catch((thrown: unknown) => {
+      this.writeFailure(thrown);
+    });
   }
 
   /** Ends the search: the engine goes on, or the attempt has ended. */
@@ -186,6 +190,15 @@
     return undefined;
   }
 
+  /** The stream stays at its silent engine, as without a next one. */
+  private writeFailure(thrown: unknown): void {
+    const {serving, request} = this.parts;
+    serving.log.writeError('The search for the next engine failed.', {
+      request: request.requestId,
+      error: getErrorText(thrown),
+    });
+  }
+
   private endSilent(
     {attempt, endpoint, silence}: SilentAttempt,
     successor: string,
