--- a/packages/decisions/src/windowed_retry_budget.ts
+++ b/packages/decisions/src/windowed_retry_budget.ts
@@ -33,13 +33,18 @@
     this.dropOld(nowMs);
   }
 
-  /** Takes one retry; false when this host's share is used up. */
-  takeRetry(nowMs: number, hosts: number): boolean {
+  /** Whether a retry is left of this host's share. */
+  hasRetry(nowMs: number, hosts: number): boolean {
     this.dropOld(nowMs);
     const {ratio, allowance, usedFraction} = this.options;
     const share = allowance / Math.max(1, hosts);
     const max = usedFraction * (ratio * this.requests.length + share);
-    if (this.retries.length + 1 > max) return false;
+    return this.retries.length + 1 <= max;
+  }
+
+  /** Takes one retry; false when this host's share is used up. */
+  takeRetry(nowMs: number, hosts: number): boolean {
+    if (!this.hasRetry(nowMs, hosts)) return false;
     this.retries.push(nowMs);
     return true;
   }
--- a/packages/gateway/src/serving/lost_runs.ts
+++ b/packages/gateway/src/serving/lost_runs.ts
@@ -111,13 +111,21 @@
     this.domainLosses.close();
   }
 
-  private isWaitNeeded({content, wasSilent}: LostRun): boolean {
+  /**
+   * Whether the next run of a content whose endpoint is silent would wait for
+   * the exit check of this or an earlier run.
+   */
+  isExitCheckNeeded(content: string): boolean {
     if (this.parts.crashes.hasEvidence(content)) return true;
     const earlierRuns = [...(this.checking.get(content)?.keys() ?? [])];
-    if (!wasSilent) return earlierRuns.length > 0;
     return earlierRuns.some((earlier) => !earlier.wasSilent);
   }
 
+  private isWaitNeeded({content, wasSilent}: LostRun): boolean {
+    if (this.isExitCheckNeeded(content)) return true;
+    return !wasSilent && this.checking.has(content);
+  }
+
   private async checkExit(run: LostRun, signal: AbortSignal): Promise<void> {
     try {
       await this.recordExit(run, signal);
--- a/packages/gateway/src/serving/plan_search.ts
+++ b/packages/gateway/src/serving/plan_search.ts
@@ -37,12 +37,12 @@
    * Finds a place for the next attempt; undefined when there is no engine, or
    * this host is partitioned from all.
    *
-   * @param isAnswerStarted Whether the caller has received part of the answer.
+   * @param mayWait Whether to wait when there is none now.
    */
-  async find(isAnswerStarted: boolean): Promise<AttemptPlan | undefined> {
+  async find(mayWait: boolean): Promise<AttemptPlan | undefined> {
     const {planner, engineLease, signal} = this;
     const {clock, paths} = this.parts;
-    this.deadline ??= this.computeDeadline(isAnswerStarted);
+    this.deadline ??= this.computeDeadline(mayWait);
     const {deadline} = this;
     for (;;) {
       await planner.pollRemoteEngines();
@@ -79,11 +79,11 @@
     return (await Promise.all(probes)).includes(true);
   }
 
-  /** A started answer also waits for the end of the first endpoint pause. */
-  private computeDeadline(isAnswerStarted: boolean): number {
+  /** A search that may wait also does so until the first endpoint pause ends. */
+  private computeDeadline(mayWait: boolean): number {
     const {clock, endpoints} = this.parts;
     const now = clock.getNow();
-    if (!isAnswerStarted) return now;
+    if (!mayWait) return now;
     const pauseEnd = endpoints.findFirstPauseEnd(this.service) ?? now;
     return Math.max(now, pauseEnd) + MAX_SEARCH_MS;
   }
--- a/packages/gateway/src/serving/retry_budgets.ts
+++ b/packages/gateway/src/serving/retry_budgets.ts
@@ -26,6 +26,12 @@
     this.getBudget(service).addRequest(this.getNow());
   }
 
+  /** Whether a retry is left of this host's share of the budget. */
+  hasRetry(service: string): boolean {
+    const hosts = this.countHosts();
+    return this.getBudget(service).hasRetry(this.getNow(), hosts);
+  }
+
   /** Takes one retry; false when this host's share of the budget is used up. */
   takeRetry(service: string): boolean {
     const hosts = this.countHosts();
--- a/packages/gateway/src/serving/silence_detector.ts
+++ b/packages/gateway/src/serving/silence_detector.ts
@@ -6,8 +6,8 @@
  * follow from the latency targets of the stream's route (silence_limits.ts).
  *
  * A suspicion is no loss: a sound endpoint may be silent for a second and go
- * on. It ends with the next event. Only an endpoint whose address refuses
- * connections has certainly exited.
+ * on, and one that accepts no connections may still serve those it has. It ends
+ * with the next event; an endpoint that exits closes the stream's connection.
  */
 import {computeSilenceLimits, type SilenceLimits} from '@irisdock/decisions';
 import type {Clock} from '@irisdock/kernel';
@@ -39,8 +39,6 @@
   handleSuspected(silence: Silence): void;
   /** A suspected stream goes on; it was silent for this time, in ms. */
   handleRecovered(silentMs: number): void;
-  /** The endpoint has exited. */
-  handleExited(): void;
 }
 
 /** Detects the silence of one stream. */
@@ -127,10 +125,6 @@
     const {probeTimeoutMs, probeIntervalMs} = this.getLimits();
     const result = await this.prober.probe(this.endpoint, probeTimeoutMs);
     if (this.hasEvents || this.isStopped) return;
-    if (result === 'refused') {
-      this.listener.handleExited();
-      return;
-    }
     const isAnswering = result === 'answers';
     this.unansweredProbes = isAnswering ? 0 : this.unansweredProbes + 1;
     if (isAnswering) this.endSuspicion(this.clock.getNow());
@@ -147,11 +141,7 @@
     const {probeAfterMs, probeTimeoutMs, lostAfterMs} = this.getLimits();
     const result = await this.prober.probe(this.endpoint, probeTimeoutMs);
     if (eventCount !== this.eventCount || this.isStopped) return;
-    if (result === 'refused') {
-      this.listener.handleExited();
-      return;
-    }
-    if (result === 'silent') {
+    if (result !== 'answers') {
       this.markSuspected('silent, and no answer to a question', false);
     }
     if (this.isSuspected || this.targets.toleratesSilence === true) {
--- a/packages/gateway/src/serving/stream_attempt.ts
+++ b/packages/gateway/src/serving/stream_attempt.ts
@@ -96,9 +96,6 @@
       handleRecovered: (silentMs) => {
         listener.handleRecovered(silentMs);
       },
-      handleExited: () => {
-        this.end('its engine refuses connections');
-      },
     });
   }
 
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -51,6 +51,8 @@
   lastEndpoint: EndpointRecord | undefined;
   /** The number of attempts so far. */
   sends = 0;
+  /** Whether a silent engine, which may go on, was left. */
+  private hasLeft = false;
   private readonly version: StreamVersion;
   private readonly planner: StreamPlanner;
   private readonly sink: StreamSink;
@@ -178,6 +180,7 @@
   private async takeNext(): Promise<AttemptStep | undefined> {
     const next = this.handover.takeNext();
     if (next === undefined) return undefined;
+    this.hasLeft = true;
     const {signal} = this.request.exchange;
     const isAcquired = await this.engineLease.acquire(
       next.plan.endpoint,
@@ -193,7 +196,8 @@
     if (earlyOutcome !== undefined) {
       return {kind: 'done', outcome: earlyOutcome};
     }
-    const plan = await this.search.find(this.sink.isStarted);
+    const mayWait = this.sink.isStarted || this.hasLeft;
+    const plan = await this.search.find(mayWait);
     const {exchange} = this.request;
     if (exchange.hasDisconnected()) return {kind: 'done', outcome: 'left'};
     if (plan === undefined) {
--- a/packages/gateway/src/serving/stream_handover.ts
+++ b/packages/gateway/src/serving/stream_handover.ts
@@ -140,12 +140,13 @@
   }
 
   /**
-   * Whether another run of the content may start now. Evidence of crashes has
-   * to be settled first, which takes longer than most silences.
+   * Whether another run of the content may start now. Whether an earlier one
+   * crashed its engine has to be settled first, which takes longer than most
+   * silences.
    */
   private async isAdmitted(signal: AbortSignal): Promise<boolean> {
     const {serving, request, suspect} = this.parts;
-    if (serving.crashes.hasEvidence(request.content)) return false;
+    if (serving.lostRuns.isExitCheckNeeded(request.content)) return false;
     return (await suspect.admit(signal, 0)) === 'admitted';
   }
 
@@ -155,9 +156,10 @@
     signal: AbortSignal,
   ): Promise<AttemptPlan | undefined> {
     const {planner, prober} = this.parts;
+    if (signal.aborted) return undefined;
     planner.setReplica(replicator.findReplica());
     await planner.pollRemoteEngines();
-    if (signal.aborted) return undefined;
+    if (!this.isCurrent(signal)) return undefined;
     const plan = planner.choosePlan();
     if (plan === undefined) {
       // Those that were silent may answer by now.
--- a/packages/gateway/src/serving/stream_retries.ts
+++ b/packages/gateway/src/serving/stream_retries.ts
@@ -79,12 +79,15 @@
 
   /**
    * Returns why an attempt that runs and may have been lost must not be left
-   * for another one, apart from the budget.
+   * for another one.
    */
   findLeaveDenial(): RetryDenial | undefined {
     if (!this.route.isResumable) return 'not_resumable';
     if (this.isRefused) return 'content_refused';
-    return this.findSendDenial(this.runs + 1);
+    const denial = this.findSendDenial(this.runs + 1);
+    if (denial !== undefined) return denial;
+    const hasRetry = this.parts.retryBudgets.hasRetry(this.service);
+    return hasRetry ? undefined : 'budget_spent';
   }
 
   /**
--- a/packages/gateway/src/serving/suspect_run.ts
+++ b/packages/gateway/src/serving/suspect_run.ts
@@ -160,6 +160,10 @@
     });
     if (outcome.kind === 'held') return false;
     if (outcome.kind === 'not-needed') return true;
+    if (signal.aborted) {
+      outcome.lease.release();
+      return false;
+    }
     this.lease = outcome.lease;
     const {instanceIds} = outcome;
     crashes.acceptCrashes(
