--- /dev/null
+++ b/packages/gateway/src/serving/answer_gate.ts
@@ -0,0 +1,66 @@
+/**
+ * Holds the answer of an attempt that runs beside a silent one, until it is
+ * certain which of the two continues the stream. At most one chunk of events is
+ * held, as reading stops there.
+ */
+import type {ServerSentEvent} from '@irisdock/decisions';
+import type {HeaderLines} from '../model/request_metadata.js';
+import type {Silence} from './silence_detector.js';
+import type {AttemptListener} from './stream_attempt.js';
+
+/** Passes the answer of one attempt on once it is open. */
+export class AnswerGate implements AttemptListener {
+  private head: {status: number; lines: HeaderLines} | undefined;
+  private events: readonly ServerSentEvent[] = [];
+  private silence: Silence | undefined;
+  private isOpen = false;
+  private resume: (() => void) | undefined;
+
+  /**
+   * @param listener Receives the answer once the gate is open.
+   * @param handleHeld Called with all held events each time that some arrive.
+   */
+  constructor(
+    private readonly listener: AttemptListener,
+    private readonly handleHeld: (events: readonly ServerSentEvent[]) => void,
+  ) {}
+
+  /** Passes on what is held, and all that follows. */
+  open(): void {
+    if (this.isOpen) return;
+    this.isOpen = true;
+    const {head, events, silence, listener} = this;
+    if (head !== undefined) listener.handleHead(head.status, head.lines);
+    const drained =
+      events.length === 0 ? undefined : listener.handleEvents(events);
+    this.events = [];
+    if (silence !== undefined) listener.handleSuspected(silence);
+    if (drained === undefined) this.resume?.();
+    else void drained.then(() => this.resume?.());
+  }
+
+  handleHead(status: number, lines: HeaderLines): void {
+    if (this.isOpen) this.listener.handleHead(status, lines);
+    else this.head = {status, lines};
+  }
+
+  handleEvents(events: readonly ServerSentEvent[]): Promise<void> | undefined {
+    if (this.isOpen) return this.listener.handleEvents(events);
+    this.events = [...this.events, ...events];
+    const resumed = new Promise<void>((resolve) => {
+      this.resume = resolve;
+    });
+    this.handleHeld(this.events);
+    return resumed;
+  }
+
+  handleSuspected(silence: Silence): void {
+    if (this.isOpen) this.listener.handleSuspected(silence);
+    else this.silence = silence;
+  }
+
+  handleRecovered(silentMs: number): void {
+    if (this.isOpen) this.listener.handleRecovered(silentMs);
+    else this.silence = undefined;
+  }
+}
