Keep a relayed stream at its silent host until another one continues it

Callers of a partitioned host saw cut streams, and streams that began a second run at the host they had left. After 3 s of silence the retry was taken and the host left before another one was known. The next one could decline, refuse, fail or reset the stream; the silent one, which would have gone on, was closed.

The silent attempt now stays open. Another host that answers a probe gets the stream beside it, its answer held by an AnswerGate. The first of the two with a new event that follows without a gap continues the stream, the other is closed; without an event of either for 250 ms the next host is taken, as one that cannot serve says so within some ms. A retry of the budget is taken before the send, and kept for the next host if one declined.

--- a/packages/decisions/src/event_progress.ts
+++ b/packages/decisions/src/event_progress.ts
@@ -14,6 +14,15 @@
   readonly hasGap: boolean;
 }
 
+/** How the events of another engine relate to those that the caller has. */
+export type Continuation =
+  /** The first new event follows the last one that the caller has. */
+  | 'continues'
+  /** Events are missing before the first new one. */
+  | 'gap'
+  /** The caller has all of them. */
+  | 'repeats';
+
 /** The progress of one stream. */
 export class EventProgress {
   /** The difference between the ids of consecutive events, once known. */
@@ -53,11 +62,24 @@
     return {newEvents, hasGap: false};
   }
 
+  /** Decides whether events of another engine continue the stream. */
+  decideContinuation(events: readonly ServerSentEvent[]): Continuation {
+    const {last} = this;
+    for (const {id} of events) {
+      if (id === undefined) return 'continues';
+      if (last !== undefined && id <= last) continue;
+      return this.hasGapBefore(id) ? 'gap' : 'continues';
+    }
+    return 'repeats';
+  }
+
   private isGapBefore(id: number): boolean {
+    return this.isAfterFailover && this.hasGapBefore(id);
+  }
+
+  private hasGapBefore(id: number): boolean {
     const {last, step} = this;
-    if (!this.isAfterFailover || last === undefined || step === undefined) {
-      return false;
-    }
+    if (last === undefined || step === undefined) return false;
     return id > last + step;
   }
 }
--- a/packages/decisions/tests/event_stream.test.ts
+++ b/packages/decisions/tests/event_stream.test.ts
@@ -149,6 +149,27 @@
     assert.equal(progress.lastEventId, 4);
   });
 
+  it('decides on the events of another engine as they would be passed', () => {
+    const ids = fc.array(fc.integer({min: 1, max: 9}), {minLength: 1});
+    fc.assert(
+      fc.property(fc.integer({min: 0, max: 5}), ids, (count, nextIds) => {
+        const progress = new EventProgress(undefined);
+        const known = Array.from({length: count}, (_, at) => at + 1);
+        progress.accept(known.map(createEvent));
+        const events = nextIds.map(createEvent);
+        const decided = progress.decideContinuation(events);
+        assert.equal(progress.lastEventId, known.at(-1));
+        progress.markFailover();
+        const {newEvents, hasGap} = progress.accept(events);
+        const isGapFirst = hasGap && newEvents.length === 0;
+        const isNew = newEvents.length > 0;
+        assert.equal(decided === 'continues', isNew);
+        assert.equal(decided === 'gap', isGapFirst);
+      }),
+      RUN_OPTIONS,
+    );
+  });
+
   it('skips the events that the caller already has', () => {
     const progress = new EventProgress(9);
     assert.equal(progress.accept([createEvent(9)]).newEvents.length, 0);
--- /dev/null
+++ b/packages/gateway/src/serving/relay_handover.ts
@@ -0,0 +1,223 @@
+/**
+ * Finds where a relayed stream goes on while its host is silent. The silent
+ * attempt stays open and the next one runs beside it. The first of the two that
+ * brings a new event continues the stream, and the other one is closed.
+ */
+import {getErrorText} from '@irisdock/kernel';
+import {AnswerGate} from './answer_gate.js';
+import {hasTaken, type RelayedAttempt} from './relayed_attempt.js';
+import type {AdmittedRequest} from './caller_exchange.js';
+import type {RelayHost} from './request_relay.js';
+import type {ServingParts} from './serving_parts.js';
+import type {Silence} from './silence_detector.js';
+import type {AttemptListener, AttemptResult} from './stream_attempt.js';
+import type {RetryDenial} from './stream_retries.js';
+import type {StreamSink} from './stream_sink.js';
+
+/** The time between two searches, in ms. */
+const SEARCH_INTERVAL_MS = 50;
+/** How long the next host may take to answer a probe, in ms. */
+const PROBE_TIMEOUT_MS = 150;
+/**
+ * How long two attempts may run beside each other without an event of either,
+ * in ms. A host that cannot serve a stream says so earlier.
+ */
+const MAX_BESIDE_MS = 250;
+
+/** Decides on and counts the attempts that run beside a silent one. */
+export interface RelayRetries {
+  /** Returns why no attempt may run beside the current one. */
+  findDenial(): RetryDenial | undefined;
+  /** Takes a retry from the budget; false if it grants none. */
+  take(): boolean;
+  /** Counts an attempt that ended early. */
+  record(result: AttemptResult): void;
+}
+
+/** Dependencies of the handover. */
+export interface RelayHandoverParts {
+  readonly serving: Pick<ServingParts, 'clock' | 'log' | 'relay'>;
+  readonly request: AdmittedRequest;
+  readonly service: string;
+  readonly sink: Pick<StreamSink, 'decideContinuation'>;
+  readonly retries: RelayRetries;
+  /** Creates an attempt that runs beside the current one. */
+  readonly createBeside: (
+    host: RelayHost,
+    wrap: (listener: AttemptListener) => AttemptListener,
+  ) => RelayedAttempt;
+}
+
+/** An attempt whose answer is held until it takes over. */
+interface BesideAttempt {
+  readonly attempt: RelayedAttempt;
+  readonly gate: AnswerGate;
+  /** Resolves once its events continue the stream. */
+  readonly continued: Promise<undefined>;
+}
+
+/** Hands one relayed stream over from silent hosts. */
+export class RelayHandover {
+  private search: AbortController | undefined;
+  private beside: BesideAttempt | undefined;
+  /** Whether a retry was taken that no attempt has used yet. */
+  private hasRetry = false;
+
+  constructor(private readonly parts: RelayHandoverParts) {}
+
+  /** Starts to look for the host that continues the stream. */
+  start(silent: RelayedAttempt, silence: Silence): void {
+    this.stop();
+    const search = new AbortController();
+    this.search = search;
+    const {signal} = this.parts.request.exchange;
+    const stopSignal = AbortSignal.any([search.signal, signal]);
+    this.run(silent, silence, stopSignal).catch((thrown: unknown) => {
+      this.writeFailure(thrown);
+    });
+  }
+
+  /** Ends the search and the attempt beside the one that goes on. */
+  stop(): void {
+    this.search?.abort();
+    this.search = undefined;
+    const {beside} = this;
+    this.beside = undefined;
+    if (beside === undefined) return;
+    beside.attempt.end('the silent host goes on');
+    void beside.attempt.run().then((result) => {
+      this.record(result);
+    });
+  }
+
+  /**
+   * Takes the attempt that continues the stream after the current one ended;
+   * undefined if there is none.
+   */
+  takeNext(result: AttemptResult): BesideAttempt | undefined {
+    const {beside} = this;
+    const isOver = result.kind === 'ended' || result.kind === 'stopped';
+    if (!isOver) this.beside = undefined;
+    this.stop();
+    return isOver ? undefined : beside;
+  }
+
+  private async run(
+    silent: RelayedAttempt,
+    silence: Silence,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const {clock} = this.parts.serving;
+    const failed = new Set([silent.host.name]);
+    const unanswered = new Set<string>();
+    while (!signal.aborted) {
+      const host = await this.findHost(failed, unanswered, signal);
+      if (host !== undefined && (await this.tryHost(host, failed, signal))) {
+        this.endSilent(silent, silence, host);
+        return;
+      }
+      await clock.wait(SEARCH_INTERVAL_MS, signal);
+    }
+  }
+
+  /** Finds a host that answers a probe and to which a retry may go. */
+  private async findHost(
+    failed: ReadonlySet<string>,
+    unanswered: Set<string>,
+    signal: AbortSignal,
+  ): Promise<RelayHost | undefined> {
+    const {serving, service, retries} = this.parts;
+    const {relay} = serving;
+    if (retries.findDenial() !== undefined) return undefined;
+    const host = relay.choose(service, new Set([...failed, ...unanswered]));
+    if (host === undefined) {
+      // Those that were silent may answer by now.
+      unanswered.clear();
+      return undefined;
+    }
+    const record = relay.createRecord(host, service);
+    const answer = await relay.prober.probeStrictly(record, PROBE_TIMEOUT_MS);
+    if (answer !== 'answers') {
+      unanswered.add(host.name);
+      return undefined;
+    }
+    if (signal.aborted || retries.findDenial() !== undefined) return undefined;
+    this.hasRetry ||= retries.take();
+    return this.hasRetry ? host : undefined;
+  }
+
+  /** Runs an attempt beside the silent one; whether it takes over. */
+  private async tryHost(
+    host: RelayHost,
+    failed: Set<string>,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const {clock} = this.parts.serving;
+    const beside = this.createBeside(host);
+    this.beside = beside;
+    const result = await Promise.race([
+      beside.attempt.run(),
+      beside.continued,
+      clock.wait(MAX_BESIDE_MS, signal).then(() => undefined),
+    ]);
+    if (signal.aborted) return false;
+    if (result === undefined || result.kind === 'ended') return true;
+    this.beside = undefined;
+    this.record(result);
+    // One that declined may take the stream later.
+    if (hasTaken(this.parts.serving, result)) failed.add(host.name);
+    return false;
+  }
+
+  private createBeside(host: RelayHost): BesideAttempt {
+    const {sink, createBeside} = this.parts;
+    let gate: AnswerGate | undefined;
+    let handleContinued = (): void => undefined;
+    const continued = new Promise<undefined>((resolve) => {
+      handleContinued = () => {
+        resolve(undefined);
+      };
+    });
+    const attempt = createBeside(host, (listener) => {
+      gate = new AnswerGate(listener, (events) => {
+        const continuation = sink.decideContinuation(events);
+        if (continuation === 'continues') handleContinued();
+        if (continuation === 'gap') attempt.end('events are missing');
+      });
+      return gate;
+    });
+    if (gate === undefined) throw new Error('the attempt has no gate');
+    return {attempt, gate, continued};
+  }
+
+  /** Counts an attempt that did not take over. */
+  private record(result: AttemptResult): void {
+    if (!hasTaken(this.parts.serving, result)) return;
+    this.hasRetry = false;
+    this.parts.retries.record(result);
+  }
+
+  private endSilent(
+    silent: RelayedAttempt,
+    silence: Silence,
+    next: RelayHost,
+  ): void {
+    this.hasRetry = false;
+    this.parts.serving.log.writeInfo('A relayed stream leaves a silent host.', {
+      request: this.parts.request.requestId,
+      host: silent.host.name,
+      to: next.name,
+      detail: silence.detail,
+    });
+    silent.endSilent(silence);
+  }
+
+  /** The stream stays at its silent host, as without a next one. */
+  private writeFailure(thrown: unknown): void {
+    const {serving, request} = this.parts;
+    serving.log.writeError('The search for the next host failed.', {
+      request: request.requestId,
+      error: getErrorText(thrown),
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/serving/relayed_attempt.ts
@@ -0,0 +1,99 @@
+/** One attempt of a stream at another host. */
+import type {RelayedRequest, RelayHost} from './request_relay.js';
+import type {ServingParts} from './serving_parts.js';
+import type {Silence} from './silence_detector.js';
+import {
+  StreamAttempt,
+  type AttemptListener,
+  type AttemptResult,
+} from './stream_attempt.js';
+import type {StreamSink} from './stream_sink.js';
+
+/** Runs one attempt of a stream at another host. */
+export class RelayedAttempt {
+  private readonly attempt: StreamAttempt;
+  private running: Promise<AttemptResult> | undefined;
+
+  constructor(
+    private readonly parts: ServingParts,
+    private readonly relayed: RelayedRequest,
+    readonly host: RelayHost,
+    private readonly sink: Pick<StreamSink, 'lastEventId'>,
+    listener: AttemptListener,
+  ) {
+    const {relay} = parts;
+    const {request, route, service} = relayed;
+    const endpoint = relay.createRecord(host, service);
+    this.attempt = new StreamAttempt(
+      {...parts, client: relay.client},
+      relay.prober,
+      {endpoint, backup: undefined, kvCacheSource: undefined},
+      // The other host deals with the silence of its endpoints.
+      {...route, toleratesSilence: true},
+      {
+        handleHead: (status, lines) => {
+          listener.handleHead(status, lines);
+        },
+        handleEvents: (events) => {
+          relay.prober.recordSign(endpoint);
+          return listener.handleEvents(events);
+        },
+        handleSuspected: (silence) => {
+          listener.handleSuspected(silence);
+        },
+        handleRecovered: (silentMs) => {
+          listener.handleRecovered(silentMs);
+        },
+      },
+      request.exchange.signal,
+    );
+  }
+
+  /** Runs the attempt to its end; further calls give the same result. */
+  run(): Promise<AttemptResult> {
+    this.running ??= this.runOnce();
+    return this.running;
+  }
+
+  /** Ends the attempt as lost. */
+  end(detail: string): void {
+    this.attempt.end(detail);
+  }
+
+  /** Leaves a silent host, which may be sound, for another one. */
+  endSilent(silence: Silence): void {
+    this.attempt.endSilent(silence);
+  }
+
+  private async runOnce(): Promise<AttemptResult> {
+    const {parts, relayed, host} = this;
+    const {relay, log, clock} = parts;
+    const {request, service} = relayed;
+    const startedAt = clock.getNow();
+    const result = await relay.countSend(host, () =>
+      this.attempt.run(relay.createSend(host, relayed)),
+    );
+    const isTaken = hasTaken(parts, result);
+    log.writeInfo('Relayed a stream to another host.', {
+      request: request.requestId,
+      to: host.name,
+      result: isTaken ? result.kind : 'declined',
+      detail: 'detail' in result ? result.detail : undefined,
+      lastEventId: this.sink.lastEventId,
+      ms: Math.round(clock.getNow() - startedAt),
+    });
+    if (isTaken && result.kind === 'lost') relay.dropResult(host, service);
+    else relay.recordResult(host, service, isTaken);
+    return result;
+  }
+}
+
+/** Whether a host took a stream, or refused it for all hosts. */
+export function hasTaken(
+  {relay}: Pick<ServingParts, 'relay'>,
+  result: AttemptResult,
+): boolean {
+  if (result.kind === 'refused') return false;
+  if (result.kind === 'lost') return result.mayHaveRun;
+  return result.kind !== 'failed' || !relay.hasDeclined(result.answer.lines);
+}
--- a/packages/gateway/src/serving/relayed_stream.ts
+++ b/packages/gateway/src/serving/relayed_stream.ts
@@ -1,99 +1,120 @@
 /**
- * Relays one stream to another host, from the event after the last one that the
+ * Relays one stream to other hosts, from the event after the last one that the
  * caller has.
  */
-import type {AttemptSend, AttemptResult} from './stream_attempt.js';
-import {StreamAttempt} from './stream_attempt.js';
+import type {ServerSentEvent} from '@irisdock/decisions';
+import {RelayHandover, type RelayRetries} from './relay_handover.js';
+import {hasTaken, RelayedAttempt} from './relayed_attempt.js';
 import {
   MAX_RELAY_HOSTS,
   type RelayedRequest,
   type RelayHost,
 } from './request_relay.js';
 import type {ServingParts} from './serving_parts.js';
+import type {AttemptListener, AttemptResult} from './stream_attempt.js';
 import type {StreamSink} from './stream_sink.js';
 
 /** The result of relaying a stream: of its attempt, or no host took it. */
 export type RelayedStreamResult = AttemptResult | {readonly kind: 'none'};
 
-/**
- * Relays a stream until it has ended or was lost on the way.
- *
- * @param canLeave Whether a silent host may be left for another one; takes the
- *     retry for it.
- */
-export async function sendRelayedStream(
-  parts: ServingParts,
-  relayed: RelayedRequest,
-  sink: StreamSink,
-  canLeave: () => boolean,
-): Promise<RelayedStreamResult> {
-  const {relay, log, clock} = parts;
-  const {service, request} = relayed;
-  const tried = new Set<string>();
-  while (tried.size < MAX_RELAY_HOSTS) {
-    const host = relay.choose(service, tried);
-    if (host === undefined || request.exchange.signal.aborted) break;
-    tried.add(host.name);
-    const startedAt = clock.getNow();
-    const result = await relay.countSend(host, () =>
-      runAttempt(parts, relayed, sink, host, canLeave),
-    );
-    const isTaken = hasTaken(parts, result);
-    log.writeInfo('Relayed a stream to another host.', {
-      request: request.requestId,
-      to: host.name,
-      result: isTaken ? result.kind : 'declined',
-      detail: 'detail' in result ? result.detail : undefined,
-      lastEventId: sink.lastEventId,
-      ms: Math.round(clock.getNow() - startedAt),
+/** Dependencies of a relayed stream. */
+export interface RelayedStreamParts {
+  readonly serving: ServingParts;
+  readonly sink: StreamSink;
+  readonly retries: RelayRetries;
+  /**
+   * Creates the request for the next host.
+   *
+   * @param running How many attempts run that are not counted yet.
+   */
+  createRequest(running: number): RelayedRequest;
+}
+
+/** Relays one stream. */
+export class RelayedStream {
+  private readonly relayed: RelayedRequest;
+  private readonly handover: RelayHandover;
+
+  constructor(private readonly parts: RelayedStreamParts) {
+    const {serving, sink, retries} = parts;
+    this.relayed = parts.createRequest(0);
+    const {request, service} = this.relayed;
+    this.handover = new RelayHandover({
+      serving,
+      request,
+      service,
+      sink,
+      retries,
+      createBeside: (host, wrap) =>
+        this.createAttempt(parts.createRequest(1), host, wrap),
     });
-    if (isTaken && result.kind === 'lost') relay.dropResult(host, service);
-    else relay.recordResult(host, service, isTaken);
-    if (isTaken) return result;
   }
-  return {kind: 'none'};
-}
 
-/** Whether the host took the stream, or refused it for all hosts. */
-function hasTaken({relay}: ServingParts, result: AttemptResult): boolean {
-  if (result.kind === 'refused') return false;
-  if (result.kind === 'lost') return result.mayHaveRun;
-  return result.kind !== 'failed' || !relay.hasDeclined(result.answer.lines);
-}
+  /** Relays the stream until it has ended or was lost on the way. */
+  async run(): Promise<RelayedStreamResult> {
+    const {relayed} = this;
+    const {serving} = this.parts;
+    const {service, request} = relayed;
+    const tried = new Set<string>();
+    while (tried.size < MAX_RELAY_HOSTS) {
+      const host = serving.relay.choose(service, tried);
+      if (host === undefined || request.exchange.signal.aborted) break;
+      tried.add(host.name);
+      const result = await this.runFrom(host);
+      if (hasTaken(serving, result)) return result;
+    }
+    return {kind: 'none'};
+  }
 
-async function runAttempt(
-  parts: ServingParts,
-  relayed: RelayedRequest,
-  sink: StreamSink,
-  host: RelayHost,
-  canLeave: () => boolean,
-): Promise<AttemptResult> {
-  const {relay} = parts;
-  const {request, route, service} = relayed;
-  const endpoint = relay.createRecord(host, service);
-  const attempt: StreamAttempt = new StreamAttempt(
-    {...parts, client: relay.client},
-    relay.prober,
-    {endpoint, backup: undefined, kvCacheSource: undefined},
-    // The other host deals with the silence of its endpoints.
-    {...route, toleratesSilence: true},
-    {
+  /** Runs the stream at a host, and at those that take over from it. */
+  private async runFrom(host: RelayHost): Promise<AttemptResult> {
+    const {sink, retries} = this.parts;
+    let attempt = this.createAttempt(this.parts.createRequest(0), host);
+    for (;;) {
+      const result = await attempt.run();
+      const next = this.handover.takeNext(result);
+      if (next === undefined) return result;
+      if (hasTaken(this.parts.serving, result)) retries.record(result);
+      sink.markFailover();
+      next.gate.open();
+      ({attempt} = next);
+    }
+  }
+
+  private createAttempt(
+    relayed: RelayedRequest,
+    host: RelayHost,
+    wrap = (listener: AttemptListener): AttemptListener => listener,
+  ): RelayedAttempt {
+    const {serving, sink} = this.parts;
+    const listener = wrap({
       handleHead: (status, lines) => {
         sink.setHead(status, lines);
       },
-      handleEvents: (events) => {
-        relay.prober.recordSign(endpoint);
-        const {fault, drained} = sink.passEvents(events);
-        if (fault !== undefined) attempt.end(fault);
-        return drained;
-      },
+      handleEvents: (events) => this.passToCaller(attempt, events),
       handleSuspected: (silence) => {
-        if (canLeave()) attempt.endSilent(silence);
+        this.handover.start(attempt, silence);
       },
-      handleRecovered: () => undefined,
-    },
-    request.exchange.signal,
-  );
-  const send: AttemptSend = relay.createSend(host, relayed);
-  return attempt.run(send);
+      handleRecovered: () => {
+        this.handover.stop();
+      },
+    });
+    const attempt: RelayedAttempt = new RelayedAttempt(
+      serving,
+      relayed,
+      host,
+      sink,
+      listener,
+    );
+    return attempt;
+  }
+
+  private passToCaller(
+    attempt: RelayedAttempt,
+    events: readonly ServerSentEvent[],
+  ): Promise<void> | undefined {
+    const {fault, drained} = this.parts.sink.passEvents(events);
+    if (fault !== undefined) attempt.end(fault);
+    return drained;
+  }
 }
--- a/packages/gateway/src/serving/stream_relay.ts
+++ b/packages/gateway/src/serving/stream_relay.ts
@@ -4,8 +4,8 @@
  */
 import type {ServingRoute} from '../model/serving_configuration.js';
 import type {AdmittedRequest} from './caller_exchange.js';
-import type {StreamResumption} from './request_relay.js';
-import {sendRelayedStream, type RelayedStreamResult} from './relayed_stream.js';
+import type {RelayedRequest, StreamResumption} from './request_relay.js';
+import {RelayedStream, type RelayedStreamResult} from './relayed_stream.js';
 import type {ServingParts} from './serving_parts.js';
 import {getAttemptDetail, type AttemptResult} from './stream_attempt.js';
 import type {RetryDenial, StreamRetries} from './stream_retries.js';
@@ -72,17 +72,28 @@
 
   /** A relayed request is not relayed further. */
   private async send(): Promise<RelayedStreamResult> {
-    const {parts, request, route, service, sink, retries} = this;
+    const {parts, request, service, sink, retries} = this;
     if (request.exchange.hop !== undefined) return {kind: 'none'};
-    const maxRuns = route.maxAttempts - retries.runs;
-    const resumption = this.findResumption();
-    const relayed = {request, route, service, maxRuns, resumption};
-    return sendRelayedStream(
-      parts,
-      relayed,
+    const stream = new RelayedStream({
+      serving: parts,
       sink,
-      () => retries.takeAhead() === undefined,
-    );
+      retries: {
+        findDenial: () => retries.findLeaveDenial(),
+        take: () => parts.retryBudgets.takeRetry(service),
+        record: (result) => {
+          retries.record(result);
+        },
+      },
+      createRequest: (running) => this.createRequest(running),
+    });
+    return stream.run();
+  }
+
+  private createRequest(running: number): RelayedRequest {
+    const {request, route, service, retries} = this;
+    const maxRuns = route.maxAttempts - retries.runs - running;
+    const resumption = this.findResumption();
+    return {request, route, service, maxRuns, resumption};
   }
 
   private findResumption(): StreamResumption | undefined {
