Start an answer with the head of the attempt that brings its first event

Callers could get the status and headers of one run above the events of another: the head was kept of the first attempt that sent one, also if that attempt was left or lost before its first event. Until the answer has started, a later head now replaces an earlier one.

Failed before: "with the head of the one that brings the first event" (silent_relay_hosts.test.ts): 'silent' for 'next'.

--- a/packages/gateway/src/serving/stream_sink.ts
+++ b/packages/gateway/src/serving/stream_sink.ts
@@ -1,6 +1,7 @@
 /**
- * Writes the answer of a stream to its caller: the head of the first attempt,
- * then each event once and in order, whatever attempt it comes from.
+ * Writes the answer of a stream to its caller: the head of the attempt that
+ * brings the first event, then each event once and in order, whatever attempt
+ * it comes from.
  */
 import {
   EventProgress,
@@ -52,9 +53,9 @@
     return this.hasStarted;
   }
 
-  /** Sets status and headers, unless an earlier attempt did. */
+  /** Sets status and headers of the answer, unless it has started. */
   setHead(status: number, lines: HeaderLines): void {
-    this.head ??= {status, lines};
+    if (!this.hasStarted) this.head = {status, lines};
   }
 
   /** Records that the next events come from another attempt. */
--- a/packages/gateway/tests/silent_relay_hosts.test.ts
+++ b/packages/gateway/tests/silent_relay_hosts.test.ts
@@ -217,6 +217,27 @@
     }, STANDSTILL_MS);
   });
 
+  // Guards against the head of one run above the events of another.
+  it('with the head of the one that brings the first event', async () => {
+    await runWithHosts(async (hosts) => {
+      const {silent, next} = hosts;
+      silent.script = async (send) => {
+        startEvents(send, {'X-Served-By': 'silent'});
+        await silent.runSilence(STANDSTILL_MS);
+      };
+      next.script = async (send) => {
+        startEvents(send, {'X-Served-By': 'next'});
+        await sendEvents(send, send.firstId, ALL_IDS.length + 1);
+        send.response.end();
+      };
+      const {outcome, ids, lines} = await sendStream(hosts);
+      assert.equal(outcome, 'answered');
+      assert.deepEqual(ids, ALL_IDS);
+      const served = lines.find(([name]) => name === 'X-Served-By');
+      assert.equal(served?.[1], 'next');
+    }, STANDSTILL_MS);
+  });
+
   it('for another one after the first that was tried declined', async () => {
     await runWithHosts(async (hosts) => {
       const third = new RelayHostStandin('third');
