Prove the handover of relayed streams by switching it off

A retry that is taken for a host that takes over when the silent one ends by itself counts as used as well.

--- a/packages/gateway/src/serving/relay_handover.ts
+++ b/packages/gateway/src/serving/relay_handover.ts
@@ -99,7 +99,9 @@
     const isOver = result.kind === 'ended' || result.kind === 'stopped';
     if (!isOver) this.beside = undefined;
     this.stop();
-    return isOver ? undefined : beside;
+    if (isOver || beside === undefined) return undefined;
+    this.hasRetry = false;
+    return beside;
   }
 
   private async run(
@@ -202,7 +204,6 @@
     silence: Silence,
     next: RelayHost,
   ): void {
-    this.hasRetry = false;
     this.parts.serving.log.writeInfo('A relayed stream leaves a silent host.', {
       request: this.parts.request.requestId,
       host: silent.host.name,
--- a/scripts/relay_trials.mjs
+++ b/scripts/relay_trials.mjs
@@ -36,4 +36,28 @@
     'gateway/relayed_call',
     'when it may have run',
   ],
+  [
+    'relay: a silent host is left only for one that goes on',
+    `${SERVING}/relay_handover.js`,
+    "if (result === undefined || result.kind === 'ended')",
+    'if (true)',
+    'gateway/silent_relay_hosts',
+    'though the next one declines it and one retry',
+  ],
+  [
+    'relay: a host that leaves events out does not take over',
+    `${SERVING}/relay_handover.js`,
+    "if (continuation === 'gap')",
+    'if (false)',
+    'gateway/silent_relay_hosts',
+    'though the next one leaves events out and one retry',
+  ],
+  [
+    'relay: a retry is taken for each host that goes on',
+    `${SERVING}/relay_handover.js`,
+    'this.hasRetry ||= retries.take()',
+    'this.hasRetry = true',
+    'gateway/silent_relay_hosts',
+    'for one that continues it',
+  ],
 ];
