Let a begun relayed stream wait for a host until its time is over

Callers of a partitioned host saw begun streams cut 1.5 s after the last host broke off, although their time was not over and a host served again soon after. A cut answer is lost for good; one that waits is served late, or ends when its caller leaves. A host that declined is not asked for 1.5 s by any stream, so the wait costs few sends. A stream that another host relayed here still ends after 1.5 s, as the first host may move it to one that serves it.

--- a/packages/gateway/src/serving/stream_relay.ts
+++ b/packages/gateway/src/serving/stream_relay.ts
@@ -12,8 +12,11 @@
 import type {StreamSink} from './stream_sink.js';
 import type {StreamVersion} from './stream_version.js';
 
-/** How long a started answer waits for a host that takes it, in ms. */
-const MAX_SEARCH_MS = 1500;
+/**
+ * How long a started answer that another host relayed waits for a host that
+ * takes it, in ms. The first host may know one that does.
+ */
+const MAX_RELAYED_SEARCH_MS = 1500;
 /** The time between two searches, in ms. */
 const SEARCH_INTERVAL_MS = 50;
 
@@ -32,8 +35,8 @@
 
 /** Runs one stream through other hosts. */
 export class StreamRelay {
-  /** When a started answer that no host takes is given up. */
-  private deadline: number | undefined;
+  /** When the current wait for a host began. */
+  private searchStart: number | undefined;
 
   constructor(
     private readonly parts: ServingParts,
@@ -102,21 +105,31 @@
     return {lastEventId, requestId: this.version.firstRequestId};
   }
 
-  /** Lets a started answer wait a while; any other is refused at once. */
+  /** Lets a started answer wait; any other is refused at once. */
   private async waitForHost(): Promise<StreamRelayStep> {
-    const {clock} = this.parts;
-    const now = clock.getNow();
-    this.deadline ??= now + MAX_SEARCH_MS;
-    if (!this.sink.isStarted || now >= this.deadline) {
+    if (!this.isWaitAllowed()) {
       const detail = 'no other host took the stream';
       return {kind: 'given-up', detail, denial: undefined};
     }
-    await clock.wait(SEARCH_INTERVAL_MS, this.request.exchange.signal);
+    const {signal} = this.request.exchange;
+    await this.parts.clock.wait(SEARCH_INTERVAL_MS, signal);
     return {kind: 'retry'};
   }
 
+  /**
+   * Whether the answer waits for a host. A host may take it at any time until
+   * the time of the request is over.
+   */
+  private isWaitAllowed(): boolean {
+    if (!this.sink.isStarted) return false;
+    if (this.request.exchange.hop === undefined) return true;
+    const now = this.parts.clock.getNow();
+    this.searchStart ??= now;
+    return now - this.searchStart < MAX_RELAYED_SEARCH_MS;
+  }
+
   private decideRetry(result: AttemptResult): StreamRelayStep {
-    this.deadline = undefined;
+    this.searchStart = undefined;
     this.sink.markFailover();
     this.retries.record(result);
     const denial = this.retries.findRetryDenial(result);
--- a/packages/gateway/tests/silent_relay_hosts.test.ts
+++ b/packages/gateway/tests/silent_relay_hosts.test.ts
@@ -5,17 +5,16 @@
  */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {DECLINED_LINE} from '../src/serving/request_relay.js';
 import {
   ALL_IDS,
   pause,
   runRelayedStream,
   RelayHostStandin,
+  sendDeclined,
   sendEvents,
   startEvents,
   streamToEnd,
   type ReceivedStream,
-  type RelayedSend,
   type RelayOptions,
   type RelayScript,
 } from './fixtures/relay_hosts.js';
@@ -67,11 +66,6 @@
   return runRelayedStream(listHosts, options);
 }
 
-function sendDeclined({response}: RelayedSend): void {
-  const [name, value] = DECLINED_LINE;
-  response.writeHead(503, {[name]: value}).end('{}');
-}
-
 const NEXT_HOSTS: readonly [string, RelayScript][] = [
   ['declines it', sendDeclined],
   [
