Count each send of a begun relayed stream that a host refused or failed

A begun stream whose other host answered 429, 503 or an error was sent there again every 50 ms, without a retry of the budget and beyond the attempts of its route. An answer with an error now counts as a run and is decided on like any other loss; a refusal takes a retry before the next send, and the wait between such sends doubles from 50 to 800 ms, so that one stream cannot use up the budget of its service.

--- a/packages/gateway/src/serving/stream_relay.ts
+++ b/packages/gateway/src/serving/stream_relay.ts
@@ -17,8 +17,9 @@
  * takes it, in ms. The first host may know one that does.
  */
 const MAX_RELAYED_SEARCH_MS = 1500;
-/** The time between two searches, in ms. */
+/** The time between two searches, in ms; doubled with each refusal. */
 const SEARCH_INTERVAL_MS = 50;
+const MAX_SEARCH_INTERVAL_MS = 800;
 
 /** The statuses by which a host states that a request has not run. */
 const REFUSAL_STATUSES: ReadonlySet<number> = new Set([429, 503]);
@@ -37,6 +38,8 @@
 export class StreamRelay {
   /** When the current wait for a host began. */
   private searchStart: number | undefined;
+  /** How often the stream was refused since a host last took it. */
+  private refusals = 0;
 
   constructor(
     private readonly parts: ServingParts,
@@ -51,6 +54,7 @@
   /** Runs the stream through another host. */
   async run(): Promise<StreamRelayStep> {
     const {sink} = this;
+    if (!this.takeRetry()) return this.waitForHost();
     const result = await this.send();
     if (result.kind === 'ended') {
       sink.end();
@@ -60,12 +64,17 @@
       this.request.exchange.sendAnswer(result.answer);
       return {kind: 'done', outcome: 'failed'};
     }
-    if (result.kind === 'none' || result.kind === 'failed') {
-      return this.waitForHost();
-    }
+    if (isRefusal(result)) this.refusals++;
+    if (isRefusal(result) || result.kind === 'none') return this.waitForHost();
     return this.decideRetry(result);
   }
 
+  /** Takes a retry if the stream was refused: an engine may have seen it. */
+  private takeRetry(): boolean {
+    const {parts, service, refusals} = this;
+    return refusals === 0 || parts.retryBudgets.takeRetry(service);
+  }
+
   /** A refusal says that a stream has not run; an earlier run may have. */
   private isPassedOn(status: number): boolean {
     const {sink, retries} = this;
@@ -112,7 +121,9 @@
       return {kind: 'given-up', detail, denial: undefined};
     }
     const {signal} = this.request.exchange;
-    await this.parts.clock.wait(SEARCH_INTERVAL_MS, signal);
+    const waitMs = SEARCH_INTERVAL_MS * 2 ** this.refusals;
+    const {clock} = this.parts;
+    await clock.wait(Math.min(waitMs, MAX_SEARCH_INTERVAL_MS), signal);
     return {kind: 'retry'};
   }
 
@@ -130,6 +141,7 @@
 
   private decideRetry(result: AttemptResult): StreamRelayStep {
     this.searchStart = undefined;
+    this.refusals = 0;
     this.sink.markFailover();
     this.retries.record(result);
     const denial = this.retries.findRetryDenial(result);
@@ -137,3 +149,8 @@
     return {kind: 'given-up', detail: getAttemptDetail(result), denial};
   }
 }
+
+/** Whether a host or its engine refused a stream, which has not run there. */
+function isRefusal(result: RelayedStreamResult): boolean {
+  return result.kind === 'failed' && REFUSAL_STATUSES.has(result.answer.status);
+}
--- a/packages/gateway/tests/begun_relayed_streams.test.ts
+++ b/packages/gateway/tests/begun_relayed_streams.test.ts
@@ -1,6 +1,6 @@
 /**
  * Relayed streams that have begun when no other host takes them. They wait for
- * one as long as their time lasts.
+ * one as long as their time lasts, and are sent no more often than allowed.
  */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -29,7 +29,7 @@
 async function sendBrokenStream(
   script: RelayScript,
   options: RelayOptions = {},
-): Promise<ReceivedStream> {
+): Promise<ReceivedStream & {readonly sends: number}> {
   const host = new RelayHostStandin('other');
   await host.start();
   host.script = async (send) => {
@@ -40,7 +40,7 @@
   };
   const received = await runRelayedStream(() => [host], options);
   host.stop();
-  return received;
+  return {...received, sends: host.sends.length};
 }
 
 /** Handles streams in one way for a while and then serves them. */
@@ -57,6 +57,10 @@
   response.writeHead(503).end('{}');
 };
 
+const sendError: RelayScript = ({response}) => {
+  response.writeHead(500).end('fault');
+};
+
 describe('a begun relayed stream', {concurrency: true}, () => {
   it('waits for a host that declines it for a while', async () => {
     const script = serveAfter(UNABLE_MS, sendDeclined);
@@ -102,6 +106,22 @@
     assert.equal(ids.length, EVENTS_BEFORE);
   });
 
+  // Guards against more sends than the retry budget allows.
+  it('is sent to a full host as often as the budget allows', async () => {
+    const options = {callerMs: CALLER_MS, retries: 3};
+    const {outcome, sends} = await sendBrokenStream(sendRefused, options);
+    assert.equal(outcome, 'expired');
+    assert.equal(sends, 4);
+  });
+
+  // Guards against more runs than its route allows.
+  it('is run by a failing host as often as its route allows', async () => {
+    const options = {route: {maxAttempts: 3}};
+    const {outcome, sends} = await sendBrokenStream(sendError, options);
+    assert.equal(outcome, 'attempts_spent');
+    assert.equal(sends, 3);
+  });
+
   // Guards against streams that wait where the first host could move them.
   it('is given up soon by a host that it was relayed to', async () => {
     const {outcome} = await runRelayedStream(() => [], {isRelayed: true});
