Give callers the failure that an endpoint answered if its retry brings none

A call that may be repeated and was answered 500 is sent again. If that send was lost, or the time was over first, callers got 502 answer_lost or 504 timed_out of the host, although a whole answer of an endpoint was at hand: the loss replaced it. The answer is now kept beside the loss and goes first, unless the content is refused for crashes.

Failed before: "gets the failure of its endpoint when the retry is lost" (502 for 500) and "... outlasts its time" (504 for 500), plain_calls.test.ts.

--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -46,8 +46,9 @@
   private readonly excluded = new Set<string>();
   private runs = 0;
   private notRun = 0;
-  /** The answer or error for the caller if there is no further send. */
-  private lastResult: KnownError | PlainAnswer | undefined;
+  /** The last failure that an endpoint answered, and the last loss. */
+  private lastAnswer: PlainAnswer | undefined;
+  private lastLoss: KnownError | undefined;
   private mayHaveRun = false;
   private hasChosen = false;
   private readonly holds: SendHolds;
@@ -140,7 +141,7 @@
   private recordPossibleRun(detail: string): void {
     this.runs++;
     this.mayHaveRun = true;
-    this.lastResult = GATEWAY_ERRORS.create('answer_lost', {detail});
+    this.lastLoss = GATEWAY_ERRORS.create('answer_lost', {detail});
   }
 
   /** Returns the outcome if the caller disconnected or the time expired. */
@@ -243,7 +244,7 @@
     if (result.kind === 'whole') {
       this.runs++;
       this.mayHaveRun = true;
-      this.lastResult = result.answer;
+      this.lastAnswer = result.answer;
       if (result.answer.status >= MIN_SERVER_ERROR_STATUS) {
         endpoint.recordFailure(FAILURE_WEIGHTS.failed);
       }
@@ -308,31 +309,27 @@
     return this.parts.retryBudgets.takeRetry(this.service);
   }
 
+  /** An answer of an endpoint goes before errors of this host. */
   private finish(): string {
     const {exchange, content} = this.request;
-    const {lastResult} = this;
-    const isLost = lastResult === undefined || !('body' in lastResult);
+    const {lastAnswer, lastLoss} = this;
+    const isLost = lastAnswer === undefined || lastLoss !== undefined;
     if (isLost && this.isRefused) {
       const error = createRefusedError(content, this.mayHaveRun);
       exchange.refuse(error, false);
       this.recordRefusal(error);
       return this.mayHaveRun ? 'lost' : 'refused';
     }
-    if (lastResult === undefined) {
-      const error = this.createNotSentError();
-      exchange.refuse(error, false);
-      this.recordRefusal(error);
-      return 'refused';
-    }
-    if ('body' in lastResult) {
-      exchange.sendAnswer(lastResult);
-      return lastResult.status >= MIN_SERVER_ERROR_STATUS
+    if (lastAnswer !== undefined) {
+      exchange.sendAnswer(lastAnswer);
+      return lastAnswer.status >= MIN_SERVER_ERROR_STATUS
         ? 'failed'
         : 'answered';
     }
-    exchange.refuse(lastResult, false);
-    this.recordRefusal(lastResult);
-    return 'lost';
+    const error = lastLoss ?? this.createNotSentError();
+    exchange.refuse(error, false);
+    this.recordRefusal(error);
+    return lastLoss === undefined ? 'refused' : 'lost';
   }
 
   private createNotSentError(): KnownError {
@@ -346,6 +343,7 @@
   }
 
   private finishExpired(): string {
+    if (this.lastAnswer !== undefined) return this.finish();
     const {service, route, parts} = this;
     const error = this.mayHaveRun
       ? GATEWAY_ERRORS.create('timed_out', {ms: route.timeoutMs})
