Request copies of the KV cache again after a silence of their engine

Four requests without an answer, also without a permit, ended the replication of a stream for its life: the engine may have been silent for a second. A loss much later then processed the whole prompt again. Requests without an answer now only become rarer after four in a row, as often as renewals. Failures that the engine answers still end them, if four come in a row; a copy that succeeds begins the count anew.

--- a/packages/gateway/src/serving/kv_cache_replicator.ts
+++ b/packages/gateway/src/serving/kv_cache_replicator.ts
@@ -27,8 +27,10 @@
 const RENEWAL_INTERVAL_MS = 2000;
 /** The timeout of a copy, in ms: up to 1.3 GB over a slow link. */
 const COPY_TIMEOUT_MS = 1500;
-/** How many copies may fail before no more are requested. */
+/** How many copies in a row an engine may fail before it gets no more. */
 const MAX_FAILED_COPIES = 4;
+/** After so many requests in a row without an answer they become rarer. */
+const MAX_UNANSWERED_COPIES = 4;
 
 /** Maintains the KV cache replica of one attempt. */
 export class KvCacheReplicator {
@@ -36,6 +38,7 @@
   private timer: NodeJS.Timeout | undefined;
   private stopWatching: (() => void) | undefined;
   private failedCopies = 0;
+  private unansweredCopies = 0;
   private isStarted = false;
   private isCopying = false;
   private isStopped = false;
@@ -111,7 +114,12 @@
     this.isCopying = true;
     const isCopied = target !== undefined && (await this.sendCopy(target));
     this.isCopying = false;
-    if (!isCopied) this.plan(MAX_REPLACEMENT_DELAY_MS);
+    if (!isCopied) this.plan(this.getRetryDelayMs());
+  }
+
+  private getRetryDelayMs(): number {
+    const isSilent = this.unansweredCopies >= MAX_UNANSWERED_COPIES;
+    return isSilent ? RENEWAL_INTERVAL_MS : MAX_REPLACEMENT_DELAY_MS;
   }
 
   private chooseTarget(): EndpointRecord | undefined {
@@ -136,10 +144,14 @@
       status: answer?.status ?? 0,
       isCopied: name !== undefined,
     });
+    // An engine without an answer may be silent for a while or have no permit.
+    this.unansweredCopies =
+      answer === undefined ? this.unansweredCopies + 1 : 0;
     if (name === undefined) {
-      this.failedCopies++;
+      if (answer !== undefined) this.failedCopies++;
       return false;
     }
+    this.failedCopies = 0;
     // Nothing resumes from a copy that was completed only after the end.
     if (this.isStopped) {
       this.dropCopy(name);
