Keep a silent attempt until the next one continues the stream

Callers saw streams cut whose engine was sound and only silent for a second.

Cause: the silent attempt was closed when the next one was sent. An engine that answers a probe, has room and gives a permit may still refuse the stream, fail it, reset it or leave events out; the first engine then goes on to nobody, and attempts and retry budget are used up. Class: what is at hand is given up before what follows is certain; a probe was taken for certain.

The next attempt now runs beside the silent one (AttemptRun), and its answer is held (AnswerGate). The first of the two that brings the next event without a gap continues the stream, and the other is closed at once. A next attempt that fails is recorded (AttemptEnds) and the silent one is kept; the next try comes after a pause that doubles. If the silent engine exits, the attempt beside it continues the stream. An engine that was left for its silence may be used again when no other is left.

Nothing is mixed: head, events, software version, rollout evidence and failure scores of an attempt count only once it is open; retry and run count when sent. Each attempt holds its own lease on its engine.

--- a/packages/decisions/src/event_progress.ts
+++ b/packages/decisions/src/event_progress.ts
@@ -14,6 +14,15 @@
   readonly hasGap: boolean;
 }
 
+/** What the first events of another engine are to a stream. */
+export type Continuation =
+  /** They directly follow the last event. */
+  | 'next'
+  /** The caller has received them already. */
+  | 'repeated'
+  /** Events are missing before them. */
+  | 'after-gap';
+
 /** The progress of one stream. */
 export class EventProgress {
   /** The difference between the ids of consecutive events, once known. */
@@ -34,6 +43,16 @@
     this.isAfterFailover = true;
   }
 
+  /** Decides how the first events of another engine continue the stream. */
+  decideContinuation(events: readonly ServerSentEvent[]): Continuation {
+    const {last} = this;
+    for (const {id} of events) {
+      if (id !== undefined && last !== undefined && id <= last) continue;
+      return this.isBeyondNext(id) ? 'after-gap' : 'next';
+    }
+    return 'repeated';
+  }
+
   /** Filters events in the order of their arrival. */
   accept(events: readonly ServerSentEvent[]): AcceptedEvents {
     const newEvents: Buffer[] = [];
@@ -54,8 +73,12 @@
   }
 
   private isGapBefore(id: number): boolean {
+    return this.isAfterFailover && this.isBeyondNext(id);
+  }
+
+  private isBeyondNext(id: number | undefined): boolean {
     const {last, step} = this;
-    if (!this.isAfterFailover || last === undefined || step === undefined) {
+    if (id === undefined || last === undefined || step === undefined) {
       return false;
     }
     return id > last + step;
--- /dev/null
+++ b/packages/gateway/src/serving/attempt_run.ts
@@ -0,0 +1,256 @@
+/**
+ * One attempt of a stream with what it holds: its room on the engine, its
+ * replica of the KV cache, and its lease. Its answer is held until the attempt
+ * is the stream's current one; a second attempt may run beside a silent one.
+ */
+import type {ServerSentEvent} from '@irisdock/decisions';
+import {getErrorText} from '@irisdock/kernel';
+import type {ServingRoute} from '../model/serving_configuration.js';
+import {AnswerGate} from './answer_gate.js';
+import type {AdmittedRequest} from './caller_exchange.js';
+import type {EndpointProber} from './endpoint_prober.js';
+import type {UseClaim} from './endpoint_record.js';
+import type {EngineLease} from './engine_lease.js';
+import {KvCacheReplicator, type KvCacheReplica} from './kv_cache_replicator.js';
+import type {SendPermit} from './send_gate.js';
+import {computeRemainingMs} from './send_rules.js';
+import type {ServingParts} from './serving_parts.js';
+import type {Silence} from './silence_detector.js';
+import {
+  StreamAttempt,
+  type AttemptListener,
+  type AttemptPlan,
+  type AttemptResult,
+} from './stream_attempt.js';
+import type {StreamEvidence} from './stream_evidence.js';
+import type {StreamHandover} from './stream_handover.js';
+import type {StreamPlanner} from './stream_planner.js';
+import type {StreamReport} from './stream_report.js';
+import type {StreamSink} from './stream_sink.js';
+import type {StreamVersion} from './stream_version.js';
+
+/** An attempt with everything that it needs to start. */
+export interface PreparedAttempt {
+  readonly plan: AttemptPlan;
+  readonly permit: SendPermit;
+  /** The lease on its engine, released when the attempt ends. */
+  readonly engineLease: EngineLease;
+}
+
+/** The parts of one stream that its attempts use. */
+export interface AttemptRunParts {
+  readonly serving: ServingParts;
+  readonly prober: EndpointProber;
+  readonly request: AdmittedRequest;
+  readonly route: ServingRoute;
+  readonly planner: StreamPlanner;
+  readonly sink: StreamSink;
+  readonly report: StreamReport;
+  readonly evidence: StreamEvidence;
+  readonly version: StreamVersion;
+  readonly handover: Pick<StreamHandover, 'start' | 'stop'>;
+}
+
+/** One attempt of a stream. */
+export class AttemptRun {
+  /** Resolves when the attempt has ended. */
+  readonly result: Promise<AttemptResult>;
+  private readonly gate: AnswerGate;
+  private readonly attempt: StreamAttempt;
+  private readonly replicator: KvCacheReplicator;
+  private readonly claim: UseClaim;
+  private readonly sentAt: number;
+  private isOpen = false;
+  private isUnneeded = false;
+  private handleContinued: (() => void) | undefined;
+
+  /** Starts the attempt. */
+  constructor(
+    private readonly parts: AttemptRunParts,
+    private readonly prepared: PreparedAttempt,
+  ) {
+    const {serving, prober, request, route, planner} = parts;
+    const {plan} = prepared;
+    const {requestId, exchange} = request;
+    this.claim = planner.createClaim(plan);
+    this.sentAt = serving.clock.getNow();
+    this.gate = new AnswerGate(this.createListener(), (events) => {
+      this.handleHeld(events);
+    });
+    this.attempt = new StreamAttempt(
+      serving,
+      prober,
+      plan,
+      route,
+      this.gate,
+      exchange.signal,
+    );
+    this.replicator = new KvCacheReplicator(
+      serving,
+      requestId,
+      plan.endpoint,
+      plan.backup,
+      planner.createEngineRequest(),
+    );
+    this.result = this.run();
+  }
+
+  get plan(): AttemptPlan {
+    return this.prepared.plan;
+  }
+
+  /** Whether it was closed because the stream does not need it. */
+  get isCancelled(): boolean {
+    return this.isUnneeded;
+  }
+
+  /** Makes it the stream's current attempt, whose answer is passed on. */
+  open(): void {
+    this.isOpen = true;
+    this.gate.open();
+  }
+
+  /** Closes an attempt that the stream does not need. */
+  cancel(): void {
+    this.isUnneeded = true;
+    this.attempt.end('another attempt continued the stream');
+    this.result.catch((thrown: unknown) => {
+      this.parts.serving.log.writeError('An attempt that was closed failed.', {
+        request: this.parts.request.requestId,
+        error: getErrorText(thrown),
+      });
+    });
+  }
+
+  /** Leaves the silent engine of the attempt for another one. */
+  endSilent(silence: Silence): void {
+    this.attempt.endSilent(silence);
+  }
+
+  /** Returns the replica of its KV cache; undefined when there is none. */
+  findReplica(): KvCacheReplica | undefined {
+    return this.replicator.findReplica();
+  }
+
+  /**
+   * Waits until an attempt whose answer is held has ended or has the next events
+   * of the stream.
+   *
+   * @param signal Ends the wait.
+   * @returns Whether it may continue the stream.
+   */
+  async waitForContinuation(signal: AbortSignal): Promise<boolean> {
+    const continued = new Promise<boolean>((resolve) => {
+      this.handleContinued = () => {
+        resolve(true);
+      };
+      const handleAbort = (): void => {
+        resolve(true);
+      };
+      signal.addEventListener('abort', handleAbort, {once: true});
+      if (signal.aborted) handleAbort();
+    });
+    const ended = this.result.then(({kind}) => kind === 'ended');
+    return Promise.race([continued, ended]);
+  }
+
+  /** Runs the attempt to its end. */
+  private async run(): Promise<AttemptResult> {
+    const {endpoint, backup} = this.plan;
+    const {serving, planner, report, sink} = this.parts;
+    const {claim, replicator} = this;
+    const backupClaim = {...claim, running: 0, unreadTokens: 0};
+    endpoint.addClaim(claim);
+    backup?.addClaim(backupClaim);
+    const {usePublisher} = serving.endpoints.peers;
+    usePublisher.publishPlaced();
+    const cachedTokens = planner.countCachedTokens(endpoint);
+    report.recordSend(this.plan, sink.lastEventId, cachedTokens);
+    let isReplicaNeeded = true;
+    try {
+      const result = await this.send();
+      isReplicaNeeded = result.kind !== 'ended' && result.kind !== 'stopped';
+      return result;
+    } finally {
+      this.prepared.engineLease.release();
+      replicator.stop(isReplicaNeeded);
+      if (this.isOpen) planner.setReplica(replicator.findReplica());
+      endpoint.releaseClaim(claim);
+      backup?.releaseClaim(backupClaim);
+      usePublisher.publishChanged();
+    }
+  }
+
+  private async send(): Promise<AttemptResult> {
+    const {serving, request, route, sink} = this.parts;
+    const {exchange, requestId, team, body} = request;
+    const {plan, permit} = this.prepared;
+    const lines = serving.codec.encodeRequest(exchange.lines, {
+      endpointId: plan.endpoint.endpointId,
+      team,
+      remainingMs: computeRemainingMs(request, route, this.sentAt),
+      lastEventId: sink.lastEventId,
+      backupAddress: plan.backup?.address,
+      kvCacheSource: plan.kvCacheSource,
+    });
+    const {method, path} = exchange;
+    const send = {permit, requestId, method, path, lines, body};
+    return this.attempt.run(send);
+  }
+
+  /** Ends a held attempt that leaves events out; another one may not. */
+  private handleHeld(events: readonly ServerSentEvent[]): void {
+    const continuation = this.parts.sink.decideContinuation(events);
+    if (continuation === 'after-gap') this.attempt.end('events are missing');
+    if (continuation === 'next') this.handleContinued?.();
+  }
+
+  private createListener(): AttemptListener {
+    const {plan} = this;
+    const {sink, report, handover} = this.parts;
+    return {
+      handleHead: (status, lines) => {
+        sink.setHead(status, lines);
+      },
+      handleEvents: (events) => {
+        this.markPromptRead();
+        this.replicator.start();
+        return this.passToCaller(events);
+      },
+      handleSuspected: (silence) => {
+        report.recordSilence(plan, silence, sink.lastEventId);
+        handover.start({run: this, silence, isStarted: sink.isStarted});
+      },
+      handleRecovered: (silentMs) => {
+        report.recordSilenceEnd(plan, silentMs);
+        handover.stop();
+      },
+    };
+  }
+
+  /** Marks the prompt as processed, which the first events imply. */
+  private markPromptRead(): void {
+    if (this.claim.unreadTokens === 0) return;
+    this.plan.endpoint.markPromptRead(this.claim);
+    this.parts.serving.endpoints.peers.usePublisher.publishChanged();
+  }
+
+  /** Writes events to the caller, each once and in order. */
+  private passToCaller(
+    events: readonly ServerSentEvent[],
+  ): Promise<void> | undefined {
+    const {sink, report, evidence, version} = this.parts;
+    const {endpoint} = this.plan;
+    const {lastEventId} = sink;
+    const nextId = events[0]?.id;
+    const isFirst = report.recordEvents(this.plan, lastEventId, nextId);
+    if (isFirst) {
+      endpoint.recordSuccess(undefined);
+      evidence.recordFirstEvent(endpoint, this.sentAt);
+    }
+    version.recordEvent(endpoint);
+    const {fault, drained} = sink.passEvents(events);
+    if (fault !== undefined) this.attempt.end(fault);
+    return drained;
+  }
+}
--- a/packages/gateway/src/serving/engine_exclusions.ts
+++ b/packages/gateway/src/serving/engine_exclusions.ts
@@ -42,6 +42,13 @@
     (isAgain ? this.failed : this.lost).add(instanceId);
   }
 
+  /** Records that a silent engine was left; it may be sound. */
+  recordLeft({instanceId}: EndpointRecord): void {
+    this.hasAttempts = true;
+    this.returned.delete(instanceId);
+    this.lost.add(instanceId);
+  }
+
   /** Records that an engine refused the stream or failed it. */
   recordFailed({instanceId}: EndpointRecord): void {
     this.hasAttempts = true;
--- a/packages/gateway/src/serving/serving_metrics.ts
+++ b/packages/gateway/src/serving/serving_metrics.ts
@@ -18,6 +18,7 @@
   readonly requests: Counter;
   readonly losses: Counter;
   readonly silences: Counter;
+  readonly handovers: Counter;
   readonly cutStreams: Counter;
   readonly lingeringCloses: Counter;
   readonly lostRuns: Counter;
@@ -46,6 +47,11 @@
       ['end'],
       'Silences of engines amid streams, a count, by how they ended.',
     );
+    this.handovers = createCounter(
+      'irisdock_gateway_handovers_total',
+      ['result'],
+      'Attempts beside silent ones, a count, by what became of them.',
+    );
     this.cutStreams = createCounter(
       'irisdock_gateway_cut_streams_total',
       ['reason'],
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -7,29 +7,25 @@
 import type {LogFields} from '@irisdock/kernel';
 import type {ServingRoute} from '../model/serving_configuration.js';
 import {admitAttempt} from './attempt_admission.js';
-import {AttemptRunner} from './attempt_runner.js';
+import {AttemptEnds} from './attempt_ends.js';
+import {
+  AttemptRun,
+  type AttemptRunParts,
+  type PreparedAttempt,
+} from './attempt_run.js';
 import type {AdmittedRequest} from './caller_exchange.js';
 import type {EndpointProber} from './endpoint_prober.js';
 import type {EndpointRecord} from './endpoint_record.js';
 import {EngineLease} from './engine_lease.js';
-import {checkEngineExit, publishUnreached} from './lost_attempt.js';
+import {checkEngineExit} from './lost_attempt.js';
 import {PlanSearch} from './plan_search.js';
 import {SendHolds} from './send_holds.js';
-import {
-  checkPath,
-  MAX_BUSY_WAIT_MS,
-  recordEndpointFailure,
-} from './send_rules.js';
+import {checkPath, MAX_BUSY_WAIT_MS} from './send_rules.js';
 import type {ServingParts} from './serving_parts.js';
-import {
-  getAttemptDetail,
-  hasPossiblyRun,
-  type AttemptPlan,
-  type AttemptResult,
-} from './stream_attempt.js';
+import {getAttemptDetail, type AttemptResult} from './stream_attempt.js';
 import {StreamEvidence} from './stream_evidence.js';
 import {StreamFailure} from './stream_failure.js';
-import {StreamHandover, type PreparedAttempt} from './stream_handover.js';
+import {StreamHandover} from './stream_handover.js';
 import {StreamPlanner} from './stream_planner.js';
 import {StreamRelay} from './stream_relay.js';
 import {StreamReport} from './stream_report.js';
@@ -40,7 +36,7 @@
 
 /** What a stream does next. */
 type AttemptStep =
-  | {readonly kind: 'ready'; readonly attempt: PreparedAttempt}
+  | {readonly kind: 'running'; readonly run: AttemptRun}
   /** Another engine may have room. */
   | {readonly kind: 'retry'}
   | {readonly kind: 'done'; readonly outcome: string};
@@ -66,7 +62,8 @@
   private readonly suspect: SuspectRunAdmission;
   private readonly engineLease: EngineLease;
   private readonly handover: StreamHandover;
-  private readonly runner: AttemptRunner;
+  private readonly ends: AttemptEnds;
+  private readonly runParts: AttemptRunParts;
 
   constructor(
     private readonly parts: ServingParts,
@@ -113,10 +110,16 @@
     this.evidence = new StreamEvidence(rollouts, route.name, report, clock);
     const {suspect, version, evidence} = this;
     const shared = {serving: parts, prober, request, service, planner};
-    const handover = new StreamHandover({...shared, retries, suspect});
-    const streamParts = {...shared, route, sink, report, version, engineLease};
-    this.runner = new AttemptRunner({...streamParts, evidence, handover});
-    this.handover = handover;
+    const outcomes = {retries, report, evidence};
+    this.ends = new AttemptEnds({...shared, ...outcomes});
+    const {ends} = this;
+    const startRun = (prepared: PreparedAttempt): AttemptRun =>
+      this.startRun(prepared);
+    const handoverParts = {...shared, retries, suspect, ends, startRun};
+    this.handover = new StreamHandover(handoverParts);
+    const {handover} = this;
+    const answerParts = {route, sink, report, version, evidence, handover};
+    this.runParts = {...shared, ...answerParts};
   }
 
   /** Runs attempts until the stream ends; returns its outcome for metrics. */
@@ -125,6 +128,7 @@
     try {
       return await this.runAttempts();
     } finally {
+      this.handover.close();
       this.engineLease.release();
       this.suspect.close();
       this.version.close();
@@ -144,16 +148,17 @@
 
   private async runAttempts(): Promise<string> {
     for (;;) {
-      if (this.isPartitioned()) {
+      const next = this.handover.takeNext();
+      if (next === undefined && this.isPartitioned()) {
         const outcome = await this.runRelayed();
         if (outcome !== undefined) return outcome;
         continue;
       }
-      const step = (await this.takeNext()) ?? (await this.createNextAttempt());
+      const step = await this.takeStep(next);
       if (step.kind === 'retry') continue;
       if (step.kind === 'done') return step.outcome;
-      const {plan} = step.attempt;
-      const result = await this.runAttempt(step.attempt);
+      const {plan} = step.run;
+      const result = await this.finishRun(step.run);
       const {exchange} = this.request;
       if (exchange.hasDisconnected()) return 'left';
       if (result.kind === 'ended') {
@@ -162,35 +167,34 @@
         this.sink.end();
         return 'answered';
       }
-      this.recordResult(plan, result);
-      const {hasReplica} = this.planner;
-      const {request, parts} = this;
-      await checkEngineExit(parts, request, plan.endpoint, result, hasReplica);
+      this.recordResult(step.run, result);
+      await this.checkEngineExit(plan.endpoint, result);
       if (exchange.isExpired) return this.failure.finishExpired();
       this.failure.denial = this.retries.findRetryDenial(result);
       if (this.failure.denial !== undefined) return this.failure.finishLost();
+      if (this.handover.hasNext) continue;
       await checkPath(this.parts, this.service, result);
     }
   }
 
-  /**
-   * Takes the attempt for which a silent engine was left. Should another suspect
-   * run on its engine by now, the next one is searched for.
-   */
-  private async takeNext(): Promise<AttemptStep | undefined> {
-    const next = this.handover.takeNext();
-    if (next === undefined) return undefined;
-    this.hasLeft = true;
-    const {signal} = this.request.exchange;
-    const isAcquired = await this.engineLease.acquire(
-      next.plan.endpoint,
-      signal,
-    );
-    return isAcquired ? {kind: 'ready', attempt: next} : undefined;
+  private async takeStep(next: AttemptRun | undefined): Promise<AttemptStep> {
+    if (next === undefined) return this.startNextAttempt();
+    return {kind: 'running', run: next};
   }
 
-  /** Waits for admission, an engine and its permit. */
-  private async createNextAttempt(): Promise<AttemptStep> {
+  /** An attempt that runs already does not wait for the check. */
+  private async checkEngineExit(
+    endpoint: EndpointRecord,
+    result: AttemptResult,
+  ): Promise<void> {
+    const {parts, request, planner, handover} = this;
+    const {hasReplica} = planner;
+    const check = checkEngineExit(parts, request, endpoint, result, hasReplica);
+    if (!handover.hasNext) await check;
+  }
+
+  /** Waits for admission, an engine and its permit, and starts the attempt. */
+  private async startNextAttempt(): Promise<AttemptStep> {
     if (!(await this.resolveVersion())) return this.finishLost();
     const earlyOutcome = await this.waitForAdmission();
     if (earlyOutcome !== undefined) {
@@ -208,7 +212,8 @@
     const permit = await admitAttempt(this.parts, plan, isResumed, signal);
     if (exchange.hasDisconnected()) return {kind: 'done', outcome: 'left'};
     if (permit.kind === 'permit') {
-      return {kind: 'ready', attempt: {plan, permit}};
+      const {engineLease} = this;
+      return {kind: 'running', run: this.startRun({plan, permit, engineLease})};
     }
     this.engineLease.release();
     this.holds.add(permit);
@@ -230,7 +235,6 @@
     const {exchange} = this.request;
     // The other host needs the lease itself.
     this.suspect.close();
-    this.handover.takeNext();
     const step = await this.relay.run();
     if (exchange.hasDisconnected()) return 'left';
     if (exchange.isExpired) return this.failure.finishExpired();
@@ -268,29 +272,30 @@
     return this.report.listFigures();
   }
 
-  private async runAttempt(prepared: PreparedAttempt): Promise<AttemptResult> {
-    this.lastEndpoint = prepared.plan.endpoint;
-    this.search.end();
+  private startRun(prepared: PreparedAttempt): AttemptRun {
     this.sends++;
-    return this.runner.run(prepared);
+    return new AttemptRun(this.runParts, prepared);
+  }
+
+  /** Passes the answer of an attempt on until the attempt ends. */
+  private async finishRun(run: AttemptRun): Promise<AttemptResult> {
+    this.lastEndpoint = run.plan.endpoint;
+    this.search.end();
+    run.open();
+    const result = await run.result;
+    this.handover.finish(result);
+    return result;
   }
 
-  private recordResult(plan: AttemptPlan, result: AttemptResult): void {
-    const {endpoint} = plan;
+  private recordResult({plan}: AttemptRun, result: AttemptResult): void {
     if (result.kind === 'ended') return;
-    this.planner.recordAttemptEnd(endpoint, result.kind);
+    this.ends.record(plan, result);
     this.sink.markFailover();
     this.failure.detail = getAttemptDetail(result);
-    const hasRun = hasPossiblyRun(result);
-    this.retries.record(result);
-    if (result.kind === 'failed') {
-      this.failure.lastAnswer = result.answer;
-      this.evidence.recordFailure(endpoint);
-    }
+    if (result.kind === 'failed') this.failure.lastAnswer = result.answer;
     if (result.kind === 'stopped') return;
-    recordEndpointFailure(this.parts.endpoints, endpoint, result.kind);
-    if (!hasRun && result.kind === 'lost') {
-      void publishUnreached(this.parts, this.service, endpoint);
+    if (result.kind === 'lost' && result.silence !== undefined) {
+      this.hasLeft = true;
     }
     const {lastEventId} = this.sink;
     this.report.recordLoss(plan, result, this.failure.detail, lastEventId);
--- a/packages/gateway/src/serving/stream_evidence.ts
+++ b/packages/gateway/src/serving/stream_evidence.ts
@@ -9,8 +9,6 @@
 
 /** Reports the answers to one stream. */
 export class StreamEvidence {
-  private sentAt = 0;
-
   constructor(
     private readonly rollouts: Rollouts,
     private readonly route: string,
@@ -18,14 +16,13 @@
     private readonly clock: Clock,
   ) {}
 
-  /** Records that the stream was sent to an endpoint. */
-  recordSend(): void {
-    this.sentAt = this.clock.getNow();
-  }
-
-  /** Records the first event of the stream. */
-  recordFirstEvent(endpoint: EndpointRecord): void {
-    this.record(endpoint, this.route, false, this.clock.getNow() - this.sentAt);
+  /**
+   * Records the first event of the stream.
+   *
+   * @param sentAt When the stream was sent to the endpoint.
+   */
+  recordFirstEvent(endpoint: EndpointRecord, sentAt: number): void {
+    this.record(endpoint, this.route, false, this.clock.getNow() - sentAt);
   }
 
   /** Records that the endpoint answered with an error status. */
--- a/packages/gateway/src/serving/stream_handover.ts
+++ b/packages/gateway/src/serving/stream_handover.ts
@@ -1,39 +1,44 @@
 /**
  * Finds where a stream goes on while its engine is silent. The silent attempt
- * keeps running and is left only once the next one is certain: its route allows
- * a retry, an engine that answers has room, and the retry budget grants it.
- * Until then events of the silent engine end the search.
+ * keeps running while the stream is also sent to another engine, and whichever
+ * brings the next event first continues it. The next engine must answer a probe
+ * and have room, and route and retry budget must allow the attempt. Should that
+ * engine refuse or fail the stream, the silent attempt is still there.
  */
 import {getErrorText} from '@irisdock/kernel';
 import {admitAttempt} from './attempt_admission.js';
+import type {AttemptEnds} from './attempt_ends.js';
+import type {AttemptRun, PreparedAttempt} from './attempt_run.js';
 import type {AdmittedRequest} from './caller_exchange.js';
 import type {EndpointProber} from './endpoint_prober.js';
-import type {EndpointRecord} from './endpoint_record.js';
-import type {KvCacheReplicator} from './kv_cache_replicator.js';
+import {EngineLease} from './engine_lease.js';
 import type {SendPermit} from './send_gate.js';
 import type {ServingParts} from './serving_parts.js';
 import type {Silence} from './silence_detector.js';
-import type {AttemptPlan, StreamAttempt} from './stream_attempt.js';
+import type {AttemptPlan, AttemptResult} from './stream_attempt.js';
 import type {StreamPlanner} from './stream_planner.js';
 import type {StreamRetries} from './stream_retries.js';
 import type {SuspectRunAdmission} from './suspect_run.js';
 
 /** The time between two searches, in ms. */
 const SEARCH_INTERVAL_MS = 50;
+/**
+ * The time from a failed attempt beside a silent one to the next, in ms; doubled
+ * with each further one, as each takes from the retry budget.
+ */
+const MIN_TRIAL_INTERVAL_MS = 100;
+const MAX_TRIAL_INTERVAL_MS = 800;
 /** How long the next engine may take to answer a probe, in ms. */
 const PROBE_TIMEOUT_MS = 150;
-
-/** An attempt with everything that it needs to start. */
-export interface PreparedAttempt {
-  readonly plan: AttemptPlan;
-  readonly permit: SendPermit;
-}
+/**
+ * How long two engines may work on one stream, in ms. A sound engine refuses or
+ * fails a stream within this time; one that reads a long prompt needs longer.
+ */
+const MAX_OVERLAP_MS = 250;
 
 /** An attempt that runs on a silent engine. */
 export interface SilentAttempt {
-  readonly attempt: Pick<StreamAttempt, 'endSilent'>;
-  readonly endpoint: EndpointRecord;
-  readonly replicator: Pick<KvCacheReplicator, 'findReplica'>;
+  readonly run: Pick<AttemptRun, 'endSilent' | 'findReplica' | 'plan'>;
   readonly silence: Silence;
   /** Whether the caller has received part of the answer. */
   readonly isStarted: boolean;
@@ -48,15 +53,24 @@
   readonly planner: StreamPlanner;
   readonly retries: StreamRetries;
   readonly suspect: SuspectRunAdmission;
+  readonly ends: AttemptEnds;
+  readonly startRun: (prepared: PreparedAttempt) => AttemptRun;
 }
 
 /** Hands one stream over from silent engines. */
 export class StreamHandover {
   private search: AbortController | undefined;
-  private next: PreparedAttempt | undefined;
+  /** The attempt that runs beside the silent one. */
+  private trial: AttemptRun | undefined;
+  private next: AttemptRun | undefined;
 
   constructor(private readonly parts: StreamHandoverParts) {}
 
+  /** Whether an attempt runs that continues the stream. */
+  get hasNext(): boolean {
+    return this.next !== undefined;
+  }
+
   /** Starts the search for the next engine. */
   start(silent: SilentAttempt): void {
     this.stop();
@@ -69,50 +83,143 @@
     });
   }
 
-  /** Ends the search: the engine goes on, or the attempt has ended. */
+  /** Ends the search, as the engine goes on. */
   stop(): void {
-    if (this.search === undefined) return;
-    this.search.abort();
-    this.search = undefined;
-    this.parts.planner.exclusions.dropSilent();
+    if (this.trial !== undefined) {
+      this.trial.cancel();
+      this.trial = undefined;
+      this.parts.retries.dropGrant();
+    }
+    this.endSearch();
+  }
+
+  /**
+   * Ends the search, as the silent attempt has ended. If it was lost, the one
+   * that runs beside it continues the stream.
+   */
+  finish({kind}: AttemptResult): void {
+    const isLost = kind !== 'ended' && kind !== 'stopped';
+    if (isLost && this.trial !== undefined) {
+      this.next = this.trial;
+      this.trial = undefined;
+    }
+    this.stop();
   }
 
   /** Takes the attempt for which the last one was left, if there is one. */
-  takeNext(): PreparedAttempt | undefined {
+  takeNext(): AttemptRun | undefined {
     const {next} = this;
     this.next = undefined;
     return next;
   }
 
+  /** Closes all attempts that the stream has not taken. */
+  close(): void {
+    this.stop();
+    this.takeNext()?.cancel();
+  }
+
+  private endSearch(): void {
+    if (this.search === undefined) return;
+    this.search.abort();
+    this.search = undefined;
+    this.parts.planner.exclusions.dropSilent();
+  }
+
   private async run(silent: SilentAttempt, signal: AbortSignal): Promise<void> {
     const {clock} = this.parts.serving;
-    this.parts.planner.exclusions.recordSilent(silent.endpoint);
+    this.parts.planner.exclusions.recordSilent(silent.run.plan.endpoint);
+    let intervalMs = MIN_TRIAL_INTERVAL_MS;
     while (!signal.aborted) {
-      if (await this.tryHandOver(silent, signal)) return;
-      await clock.wait(SEARCH_INTERVAL_MS, signal);
+      const prepared = await this.findNext(silent, signal);
+      if (prepared === undefined) {
+        await clock.wait(SEARCH_INTERVAL_MS, signal);
+        continue;
+      }
+      if (await this.runTrial(silent, prepared, signal)) return;
+      await clock.wait(intervalMs, signal);
+      intervalMs = Math.min(MAX_TRIAL_INTERVAL_MS, intervalMs * 2);
     }
   }
 
-  /** Prepares the next attempt; leaves the silent one if that succeeds. */
-  private async tryHandOver(
+  /** Prepares the next attempt; undefined if there is none for now. */
+  private async findNext(
     silent: SilentAttempt,
     signal: AbortSignal,
-  ): Promise<boolean> {
-    const {retries, planner} = this.parts;
-    if (retries.findLeaveDenial() !== undefined) return false;
-    if (!(await this.isAdmitted(signal))) return false;
-    if (this.isPartitioned()) return this.tryRelay(silent, signal);
+  ): Promise<PreparedAttempt | undefined> {
+    const {retries, serving, request} = this.parts;
+    if (retries.findLeaveDenial() !== undefined) return undefined;
+    if (!(await this.isAdmitted(signal))) return undefined;
+    if (this.isPartitioned()) {
+      await this.tryRelay(silent, signal);
+      return undefined;
+    }
     const plan = await this.findPlan(silent, signal);
-    if (plan === undefined) return false;
+    if (plan === undefined) return undefined;
     const permit = await this.admit(plan, silent, signal);
-    if (permit === undefined || signal.aborted) return false;
-    if (retries.takeAhead() !== undefined) return false;
+    if (permit === undefined || signal.aborted) return undefined;
+    const engineLease = new EngineLease(serving, request);
+    const isAcquired = await engineLease.acquire(plan.endpoint, signal);
+    const isReady = isAcquired && !signal.aborted;
+    if (isReady && retries.takeAhead() === undefined) {
+      return {plan, permit, engineLease};
+    }
+    engineLease.release();
+    return undefined;
+  }
+
+  /**
+   * Runs the next attempt beside the silent one, which is left unless the next
+   * one fails or the silent engine goes on.
+   *
+   * @returns Whether the search is over.
+   */
+  private async runTrial(
+    silent: SilentAttempt,
+    prepared: PreparedAttempt,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const {planner, serving, retries, ends} = this.parts;
+    const trial = this.parts.startRun(prepared);
+    this.trial = trial;
+    const overlap = new AbortController();
+    const timer = setTimeout(() => {
+      overlap.abort();
+    }, MAX_OVERLAP_MS);
+    const bounds = AbortSignal.any([signal, overlap.signal]);
+    const isContinued = await trial.waitForContinuation(bounds);
+    clearTimeout(timer);
+    if (signal.aborted) {
+      if (trial.isCancelled) await this.recordUnused(trial);
+      return true;
+    }
+    this.trial = undefined;
+    if (!isContinued) {
+      retries.dropGrant();
+      serving.metrics.handovers.inc({result: 'failed'});
+      await ends.recordTrial(prepared.plan, await trial.result);
+      return false;
+    }
     planner.exclusions.dropSilent();
-    this.next = {plan, permit};
-    this.endSilent(silent, plan.endpoint.instanceId);
+    this.next = trial;
+    serving.metrics.handovers.inc({result: 'taken'});
+    this.endSilent(silent, prepared.plan.endpoint.instanceId);
     return true;
   }
 
+  /** Counts an attempt that was closed, as the silent engine went on. */
+  private async recordUnused(trial: AttemptRun): Promise<void> {
+    const {serving, request, retries} = this.parts;
+    const result = await trial.result;
+    retries.recordTrial(result);
+    serving.metrics.handovers.inc({result: 'unused'});
+    serving.log.writeInfo('A silent engine went on before the next one did.', {
+      request: request.requestId,
+      unused: trial.plan.endpoint.instanceId,
+      result: result.kind,
+    });
+  }
+
   /**
    * Leaves the attempt for another host that answers, as this one reaches no
    * engine at all.
@@ -120,18 +227,17 @@
   private async tryRelay(
     silent: SilentAttempt,
     signal: AbortSignal,
-  ): Promise<boolean> {
+  ): Promise<void> {
     const {serving, request, retries, service} = this.parts;
     const {relay} = serving;
-    if (request.exchange.hop !== undefined) return false;
+    if (request.exchange.hop !== undefined) return;
     const host = relay.choose(service, new Set());
-    if (host === undefined) return false;
+    if (host === undefined) return;
     const record = relay.createRecord(host, service);
     const answer = await relay.prober.probeStrictly(record, PROBE_TIMEOUT_MS);
-    if (answer !== 'answers' || signal.aborted) return false;
-    if (retries.takeAhead() !== undefined) return false;
+    if (answer !== 'answers' || signal.aborted) return;
+    if (retries.takeAhead() !== undefined) return;
     this.endSilent(silent, record.instanceId);
-    return true;
   }
 
   private isPartitioned(): boolean {
@@ -152,12 +258,12 @@
 
   /** Finds an engine that has room for the stream and is not silent itself. */
   private async findPlan(
-    {endpoint, replicator}: SilentAttempt,
+    {run}: SilentAttempt,
     signal: AbortSignal,
   ): Promise<AttemptPlan | undefined> {
     const {planner, prober} = this.parts;
     if (signal.aborted) return undefined;
-    planner.setReplica(replicator.findReplica());
+    planner.setReplica(run.findReplica());
     await planner.pollRemoteEngines();
     if (!this.isCurrent(signal)) return undefined;
     const plan = planner.choosePlan();
@@ -165,7 +271,7 @@
       // Those that were silent may answer by now.
       planner.exclusions.dropSilent();
       planner.exclusions.dropHeld();
-      planner.exclusions.recordSilent(endpoint);
+      planner.exclusions.recordSilent(run.plan.endpoint);
       return undefined;
     }
     const answer = await prober.probe(plan.endpoint, PROBE_TIMEOUT_MS);
@@ -201,16 +307,13 @@
     });
   }
 
-  private endSilent(
-    {attempt, endpoint, silence}: SilentAttempt,
-    successor: string,
-  ): void {
+  private endSilent({run, silence}: SilentAttempt, successor: string): void {
     this.parts.serving.log.writeInfo('A stream leaves a silent engine.', {
       request: this.parts.request.requestId,
-      endpoint: endpoint.instanceId,
+      endpoint: run.plan.endpoint.instanceId,
       to: successor,
       detail: silence.detail,
     });
-    attempt.endSilent(silence);
+    run.endSilent(silence);
   }
 }
--- a/packages/gateway/src/serving/stream_planner.ts
+++ b/packages/gateway/src/serving/stream_planner.ts
@@ -72,14 +72,13 @@
   }
 
   /** Records that an attempt ended early on an engine. */
-  recordAttemptEnd(
-    endpoint: EndpointRecord,
-    kind: AttemptResult['kind'],
-  ): void {
+  recordAttemptEnd(endpoint: EndpointRecord, result: AttemptResult): void {
     const {exclusions} = this;
+    const {kind} = result;
     exclusions.dropTaken();
     if (kind === 'lost') {
-      exclusions.recordLost(endpoint);
+      if (result.silence === undefined) exclusions.recordLost(endpoint);
+      else exclusions.recordLeft(endpoint);
       // A failure domain may be lost as a whole.
       this.avoidedDomains.add(endpoint.failureDomain);
       return;
--- a/packages/gateway/src/serving/stream_report.ts
+++ b/packages/gateway/src/serving/stream_report.ts
@@ -140,6 +140,22 @@
     });
   }
 
+  /** Records that an attempt beside a silent one ended early. */
+  recordFailedTrial(
+    {endpoint}: AttemptPlan,
+    result: AttemptResult,
+    detail: string,
+  ): void {
+    const {log, metrics} = this.parts;
+    metrics.losses.inc({reason: result.kind});
+    log.writeInfo('An attempt beside a silent engine failed.', {
+      request: this.request.requestId,
+      endpoint: endpoint.instanceId,
+      result: result.kind,
+      detail,
+    });
+  }
+
   /** Counts a silence that the attempt did not outlast. */
   private countSilence(result: AttemptResult): void {
     if (!this.isSilent) return;
--- a/packages/gateway/src/serving/stream_retries.ts
+++ b/packages/gateway/src/serving/stream_retries.ts
@@ -59,6 +59,16 @@
     else this.notRun++;
   }
 
+  /** Counts an attempt that ran beside a silent one and was not continued. */
+  recordTrial(result: AttemptResult): void {
+    if (hasPossiblyRun(result)) this.runs++;
+  }
+
+  /** Gives up the retry taken ahead, as its attempt has been sent in vain. */
+  dropGrant(): void {
+    this.isGranted = false;
+  }
+
   /** Returns why there is no retry; takes one from the budget otherwise. */
   findRetryDenial(result: AttemptResult): RetryDenial | undefined {
     if (this.isRefused) return 'content_refused';
--- a/packages/gateway/src/serving/stream_sink.ts
+++ b/packages/gateway/src/serving/stream_sink.ts
@@ -2,7 +2,11 @@
  * Writes the answer of a stream to its caller: the head of the first attempt,
  * then each event once and in order, whatever attempt it comes from.
  */
-import {EventProgress, type ServerSentEvent} from '@irisdock/decisions';
+import {
+  EventProgress,
+  type Continuation,
+  type ServerSentEvent,
+} from '@irisdock/decisions';
 import type {KnownError} from '@irisdock/kernel';
 import {MAX_BODY_BYTES} from '../channels/body_reader.js';
 import type {HeaderLines} from '../model/request_metadata.js';
@@ -59,6 +63,11 @@
     this.repeatedBytes = 0;
   }
 
+  /** Decides how the first events of another attempt continue the stream. */
+  decideContinuation(events: readonly ServerSentEvent[]): Continuation {
+    return this.progress.decideContinuation(events);
+  }
+
   /** Passes the events that the caller lacks. */
   passEvents(events: readonly ServerSentEvent[]): PassResult {
     const {newEvents, hasGap} = this.progress.accept(events);
