--- a/scripts/silence_trials.mjs
+++ b/scripts/silence_trials.mjs
@@ -55,8 +55,8 @@
   [
     'silence: a host that reaches no engine hands its streams over',
     `${SERVING}/stream_handover.js`,
-    'return this.tryRelay(silent, signal)',
-    'return false',
+    'await this.tryRelay(silent, signal);',
+    '',
     'platform/partitioned_host',
     'get the rest of a begun stream',
   ],
