--- a/packages/decisions/src/event_progress.ts
+++ b/packages/decisions/src/event_progress.ts
@@ -14,14 +14,14 @@
   readonly hasGap: boolean;
 }
 
-/** How the events of another engine relate to those that the caller has. */
+/** What the first events of another engine are to a stream. */
 export type Continuation =
-  /** The first new event follows the last one that the caller has. */
-  | 'continues'
-  /** Events are missing before the first new one. */
-  | 'gap'
-  /** The caller has all of them. */
-  | 'repeats';
+  /** They directly follow the last event. */
+  | 'next'
+  /** The caller has received them already. */
+  | 'repeated'
+  /** Events are missing before them. */
+  | 'after-gap';
 
 /** The progress of one stream. */
 export class EventProgress {
@@ -43,6 +43,16 @@
     this.isAfterFailover = true;
   }
 
+  /** Decides how the first events of another engine continue the stream. */
+  decideContinuation(events: readonly ServerSentEvent[]): Continuation {
+    const {last} = this;
+    for (const {id} of events) {
+      if (id !== undefined && last !== undefined && id <= last) continue;
+      return this.isBeyondNext(id) ? 'after-gap' : 'next';
+    }
+    return 'repeated';
+  }
+
   /** Filters events in the order of their arrival. */
   accept(events: readonly ServerSentEvent[]): AcceptedEvents {
     const newEvents: Buffer[] = [];
@@ -62,24 +72,15 @@
     return {newEvents, hasGap: false};
   }
 
-  /** Decides whether events of another engine continue the stream. */
-  decideContinuation(events: readonly ServerSentEvent[]): Continuation {
-    const {last} = this;
-    for (const {id} of events) {
-      if (id === undefined) return 'continues';
-      if (last !== undefined && id <= last) continue;
-      return this.hasGapBefore(id) ? 'gap' : 'continues';
-    }
-    return 'repeats';
-  }
-
   private isGapBefore(id: number): boolean {
-    return this.isAfterFailover && this.hasGapBefore(id);
+    return this.isAfterFailover && this.isBeyondNext(id);
   }
 
-  private hasGapBefore(id: number): boolean {
+  private isBeyondNext(id: number | undefined): boolean {
     const {last, step} = this;
-    if (last === undefined || step === undefined) return false;
+    if (id === undefined || last === undefined || step === undefined) {
+      return false;
+    }
     return id > last + step;
   }
 }
--- a/packages/decisions/tests/event_stream.test.ts
+++ b/packages/decisions/tests/event_stream.test.ts
@@ -163,8 +163,8 @@
         const {newEvents, hasGap} = progress.accept(events);
         const isGapFirst = hasGap && newEvents.length === 0;
         const isNew = newEvents.length > 0;
-        assert.equal(decided === 'continues', isNew);
-        assert.equal(decided === 'gap', isGapFirst);
+        assert.equal(decided === 'next', isNew);
+        assert.equal(decided === 'after-gap', isGapFirst);
       }),
       RUN_OPTIONS,
     );
--- a/packages/gateway/src/serving/relay_handover.ts
+++ b/packages/gateway/src/serving/relay_handover.ts
@@ -183,8 +183,8 @@
     const attempt = createBeside(host, (listener) => {
       gate = new AnswerGate(listener, (events) => {
         const continuation = sink.decideContinuation(events);
-        if (continuation === 'continues') handleContinued();
-        if (continuation === 'gap') attempt.end('events are missing');
+        if (continuation === 'next') handleContinued();
+        if (continuation === 'after-gap') attempt.end('events are missing');
       });
       return gate;
     });
--- a/packages/gateway/src/serving/stream_sink.ts
+++ b/packages/gateway/src/serving/stream_sink.ts
@@ -64,7 +64,7 @@
     this.repeatedBytes = 0;
   }
 
-  /** Decides whether events of another attempt continue the answer. */
+  /** Decides how the first events of another attempt continue the stream. */
   decideContinuation(events: readonly ServerSentEvent[]): Continuation {
     return this.progress.decideContinuation(events);
   }
--- a/scripts/relay_trials.mjs
+++ b/scripts/relay_trials.mjs
@@ -47,7 +47,7 @@
   [
     'relay: a host that leaves events out does not take over',
     `${SERVING}/relay_handover.js`,
-    "if (continuation === 'gap')",
+    "if (continuation === 'after-gap')",
     'if (false)',
     'gateway/silent_relay_hosts',
     'though the next one leaves events out and one retry',
