Measure the stalls of a host beside each suspicion

Callers saw streams left at engines that ran. Neither logs nor metrics told whether the engine had been silent or the host had not read: both look like "The engine of a stream is silent."

A timer with a fixed period shows by its lateness how long the process stood still. It runs only while a stream waits for its engine. The line gets `hostStallMs`, and `irisdock_gateway_host_stall_seconds_total` counts the same for all streams.

--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -31,7 +31,10 @@
 import {RetryBudgets} from '../serving/retry_budgets.js';
 import {RequestHandler} from '../serving/request_handler.js';
 import {RequestRelay} from '../serving/request_relay.js';
-import {ServingMetrics} from '../serving/serving_metrics.js';
+import {
+  registerHostStalls,
+  ServingMetrics,
+} from '../serving/serving_metrics.js';
 import type {ServingParts} from '../serving/serving_parts.js';
 import {SuccessorFinder} from '../serving/successors.js';
 import {CRASHES} from './crashes.js';
@@ -228,6 +231,7 @@
   const client = createClient(context, gate, paths, buffers);
   const engineClient = new EngineClient(client);
   const servingMetrics = new ServingMetrics(metrics);
+  registerHostStalls(metrics, clock);
   const crashes = context.find(CRASHES);
   const exitCheck = createExitCheck(context, client, paths);
   return {
--- a/packages/gateway/src/serving/serving_metrics.ts
+++ b/packages/gateway/src/serving/serving_metrics.ts
@@ -1,4 +1,5 @@
 /** Metrics of the requests that this host serves. */
+import type {Clock} from '@irisdock/kernel';
 import {Counter, Histogram, type Registry} from 'prom-client';
 
 /** Bounds of the buckets for answer latency, in seconds. */
@@ -81,6 +82,22 @@
   }
 }
 
+/** Registers the metric of the stalls of this process. */
+export function registerHostStalls(
+  registry: Registry,
+  clock: Pick<Clock, 'getStalledMs'>,
+): void {
+  new Counter({
+    name: 'irisdock_gateway_host_stall_seconds_total',
+    help: 'Time that this process stood still while streams ran, in seconds.',
+    registers: [registry],
+    collect() {
+      this.reset();
+      this.inc(clock.getStalledMs() / 1000);
+    },
+  });
+}
+
 function createAnswerHistogram(registry: Registry): Histogram {
   return new Histogram({
     name: 'irisdock_gateway_answer_seconds',
--- a/packages/gateway/src/serving/silence_detector.ts
+++ b/packages/gateway/src/serving/silence_detector.ts
@@ -31,6 +31,8 @@
   readonly detail: string;
   /** Whether the endpoint answers probes though its stream is silent. */
   readonly isAnswering: boolean;
+  /** How long this process itself stood still since the last event, in ms. */
+  readonly hostStallMs: number;
 }
 
 /** Receives the verdicts on one stream. */
@@ -54,10 +56,13 @@
   /** Whether the current timer checks for silence between events. */
   private isCheckPlanned = false;
   private isSuspected = false;
+  private stopWatching: (() => void) | undefined;
+  /** The stalls of this process until the last event, in ms. */
+  private stalledBeforeMs = 0;
 
   constructor(
     private readonly endpoint: EndpointRecord,
-    private readonly prober: EndpointProber,
+    private readonly prober: Pick<EndpointProber, 'probe'>,
     private readonly targets: StreamTargets,
     private readonly clock: Clock,
     private readonly listener: SilenceListener,
@@ -67,6 +72,8 @@
 
   /** Starts to wait for the first event. */
   start(): void {
+    this.stopWatching = this.clock.watchStalls();
+    this.stalledBeforeMs = this.clock.getStalledMs();
     this.plan(this.getLimits().firstProbeAfterMs, () =>
       this.probeBeforeFirst(),
     );
@@ -78,6 +85,7 @@
     this.endSuspicion(now);
     if (this.hasEvents) this.endpoint.recordGap(now - this.lastEventAt);
     this.lastEventAt = now;
+    this.stalledBeforeMs = this.clock.getStalledMs();
     this.hasEvents = true;
     this.eventCount++;
     // A running timer is not reset; it checks the time of the last event when
@@ -89,6 +97,7 @@
   stop(): void {
     this.isStopped = true;
     clearTimeout(this.timer);
+    this.stopWatching?.();
     this.setSuspected(false);
   }
 
@@ -157,7 +166,8 @@
   private markSuspected(detail: string, isAnswering: boolean): void {
     if (this.isSuspected || this.isStopped) return;
     this.setSuspected(true);
-    this.listener.handleSuspected({detail, isAnswering});
+    const hostStallMs = this.clock.getStalledMs() - this.stalledBeforeMs;
+    this.listener.handleSuspected({detail, isAnswering, hostStallMs});
   }
 
   private endSuspicion(now: number): void {
--- a/packages/gateway/src/serving/stream_report.ts
+++ b/packages/gateway/src/serving/stream_report.ts
@@ -94,7 +94,7 @@
   /** Records that the engine of an attempt fell silent. */
   recordSilence(
     {endpoint}: AttemptPlan,
-    {detail}: Silence,
+    {detail, hostStallMs}: Silence,
     lastEventId: number | undefined,
   ): void {
     this.isSilent = true;
@@ -102,6 +102,7 @@
       request: this.request.requestId,
       endpoint: endpoint.instanceId,
       detail,
+      hostStallMs: Math.round(hostStallMs),
       lastEventId,
     });
   }
--- a/packages/kernel/src/clock.ts
+++ b/packages/kernel/src/clock.ts
@@ -4,6 +4,7 @@
  */
 import {performance} from 'node:perf_hooks';
 import {setTimeout as setTimeoutPromise} from 'node:timers/promises';
+import {HostStalls} from './host_stalls.js';
 
 /** A source of time. */
 export interface Clock {
@@ -20,10 +21,26 @@
   getWallNow(): number;
   /** Resolves after `ms`, or at once when `signal` is aborted. */
   wait(ms: number, signal?: AbortSignal): Promise<void>;
+  /** Measures the stalls of this process until the result is called. */
+  watchStalls(): () => void;
+  /** Milliseconds that this process stood still while stalls were watched. */
+  getStalledMs(): number;
+}
+
+/**
+ * Returns the steady time without the stalls of this process, in ms. Between
+ * two moments at which stalls are watched it grows by the time that this
+ * process ran.
+ */
+export function getRunningNow(
+  clock: Pick<Clock, 'getSteadyNow' | 'getStalledMs'>,
+): number {
+  return clock.getSteadyNow() - clock.getStalledMs();
 }
 
 /** The machine's own clock. */
 export class SystemClock implements Clock {
+  private readonly stalls = new HostStalls();
   private suspendedMs = 0;
 
   getNow(): number {
@@ -49,4 +66,11 @@
       // An aborted wait ends early; the caller looks at the signal.
     }
   }
+  watchStalls(): () => void {
+    return this.stalls.watch();
+  }
+
+  getStalledMs(): number {
+    return this.stalls.getStalledMs();
+  }
 }
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -4,6 +4,7 @@
 export * from './clock.js';
 export * from './connection_errors.js';
 export * from './errors.js';
+export * from './host_stalls.js';
 export * from './kernel.js';
 export * from './line_writer.js';
 export * from './log.js';
