Give a probe its whole time when the host stands still

Callers saw streams leave engines that ran, or whose answer to a probe had arrived in time: a host that stood still fires the probe's timeout before it reads its sockets, and counts the time in which it could not read.

RunningTimer leaves out the stalls of its process and fires one turn of the event loop later, after the sockets have been read. The probes of engines and of other hosts use it.

Failed before: "is answered though this host stands still meanwhile" and "has its whole time though this host stands still meanwhile" in packages/gateway/tests/stalled_host.test.ts, an engine in a thread of its own and a blocked host.

--- a/packages/gateway/src/serving/endpoint_prober.ts
+++ b/packages/gateway/src/serving/endpoint_prober.ts
@@ -2,6 +2,7 @@
  * Probes whether an endpoint answers at all, by a request for its report.
  * Streams that wait for the same endpoint share one probe.
  */
+import {RunningTimeout, type RunningClock} from '@irisdock/kernel';
 import type {EndpointClient} from '../channels/endpoint_client.js';
 import type {EndpointRecord} from './endpoint_record.js';
 
@@ -20,6 +21,7 @@
   constructor(
     private readonly client: EndpointClient,
     private readonly reportPath: string,
+    private readonly runningClock: RunningClock,
   ) {}
 
   /** Probes an endpoint once. */
@@ -41,7 +43,18 @@
     endpoint: EndpointRecord,
     timeoutMs: number,
   ): Promise<ProbeAnswer> {
-    const signal = AbortSignal.timeout(timeoutMs);
+    const timeout = new RunningTimeout(this.runningClock, timeoutMs);
+    try {
+      return await this.send(endpoint, timeout.signal);
+    } finally {
+      timeout.close();
+    }
+  }
+
+  private async send(
+    endpoint: EndpointRecord,
+    signal: AbortSignal,
+  ): Promise<ProbeAnswer> {
     const permit = await this.client.admit(endpoint, 'aside');
     // An endpoint that could not be probed does not count as lost. Probes don't
     // go before requests: for the waiting streams of an engine at its limit
--- a/packages/gateway/src/serving/relay_host_prober.ts
+++ b/packages/gateway/src/serving/relay_host_prober.ts
@@ -30,7 +30,7 @@
     reportPath: string,
     private readonly clock: Clock,
   ) {
-    super(client, reportPath);
+    super(client, reportPath, clock);
   }
 
   /** Probes a host; one that has been silent for a while only answers. */
--- /dev/null
+++ b/packages/gateway/tests/stalled_host.test.ts
@@ -0,0 +1,59 @@
+/**
+ * A host that stands still while its engines go on. Guards against timers that
+ * fire before what arrived meanwhile is read, and against judging engines by a
+ * time in which this host could not read.
+ */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {setTimeout as wait} from 'node:timers/promises';
+import {SystemClock} from '@irisdock/kernel';
+import {
+  EndpointProber,
+  type ProbeAnswer,
+} from '../src/serving/endpoint_prober.js';
+import {createClient} from './fixtures/endpoint_clients.js';
+import {createEndpoint} from './fixtures/endpoints.js';
+import {waitBlocked} from './fixtures/silences.js';
+import {WorkerEngine} from './fixtures/worker_engine.js';
+
+/** The time that an engine has to answer a probe, in ms. */
+const PROBE_TIMEOUT_MS = 250;
+/** After this time a probe has been sent, in ms. */
+const SENT_MS = 30;
+/** Longer than any limit here, in ms. */
+const STALL_MS = 700;
+
+/** Probes an engine; this host stands still once the probe has been sent. */
+async function probeStalled(
+  answerAfterMs: number,
+  stallMs: number,
+): Promise<ProbeAnswer> {
+  const engine = await WorkerEngine.start(answerAfterMs);
+  const clock = new SystemClock();
+  const client = createClient();
+  try {
+    const prober = new EndpointProber(client, '/report', clock);
+    const endpoint = createEndpoint(engine.address);
+    const probe = prober.probe(endpoint, PROBE_TIMEOUT_MS);
+    await wait(SENT_MS);
+    await waitBlocked(stallMs);
+    return await probe;
+  } finally {
+    client.close();
+    await engine.stop();
+  }
+}
+
+describe('a probe of an engine', () => {
+  it('is answered though this host stands still meanwhile', async () => {
+    assert.equal(await probeStalled(100, STALL_MS), 'answers');
+  });
+
+  it('has its whole time though this host stands still meanwhile', async () => {
+    assert.equal(await probeStalled(STALL_MS, STALL_MS), 'answers');
+  });
+
+  it('ends at an engine that does not answer, after a stall too', async () => {
+    assert.equal(await probeStalled(60_000, STALL_MS), 'silent');
+  });
+});
