Let connections open that a stall of the host delays

A request was lost with "the connection did not open" when the host stood still for 300 ms while it connected, although the engine had accepted: the timer fired before the socket was read. It is a RunningTimer now.

Failed before: "opens though this host stands still meanwhile" in packages/gateway/tests/stalled_host.test.ts ('lost' for 'answer').

--- a/packages/gateway/src/channels/connection_watch.ts
+++ b/packages/gateway/src/channels/connection_watch.ts
@@ -1,5 +1,6 @@
 /** Watches until a request has a connection on which it can be sent. */
 import type {ClientRequest} from 'node:http';
+import {RunningTimer, type RunningClock} from '@irisdock/kernel';
 
 /** How long a connection may take to open; a live endpoint needs a few ms. */
 const CONNECT_TIMEOUT_MS = 300;
@@ -15,13 +16,14 @@
 /** Watches the connection of a request until it is open. */
 export function watchConnection(
   clientRequest: ClientRequest,
+  clock: RunningClock,
   listener: ConnectionListener,
 ): void {
-  const timer = setTimeout(() => {
+  const timer = new RunningTimer(clock, CONNECT_TIMEOUT_MS, () => {
     listener.handleTimeout();
-  }, CONNECT_TIMEOUT_MS);
+  });
   const handleOpen = (isNew: boolean): void => {
-    clearTimeout(timer);
+    timer.close();
     listener.handleOpen(isNew);
   };
   clientRequest.once('socket', (socket) => {
@@ -34,6 +36,6 @@
     });
   });
   clientRequest.once('close', () => {
-    clearTimeout(timer);
+    timer.close();
   });
 }
--- a/packages/gateway/src/channels/endpoint_client.ts
+++ b/packages/gateway/src/channels/endpoint_client.ts
@@ -123,7 +123,7 @@
       const abort = (): void => {
         close(ABORTED);
       };
-      watchConnection(clientRequest, {
+      watchConnection(clientRequest, this.clock, {
         handleOpen: (isNew) => {
           mayHaveRun = true;
           if (isNew) this.observer.recordConnected(target);
--- a/packages/gateway/tests/stalled_host.test.ts
+++ b/packages/gateway/tests/stalled_host.test.ts
@@ -11,9 +11,10 @@
   EndpointProber,
   type ProbeAnswer,
 } from '../src/serving/endpoint_prober.js';
+import {SendPermit} from '../src/serving/send_gate.js';
 import {createClient} from './fixtures/endpoint_clients.js';
 import {createEndpoint} from './fixtures/endpoints.js';
-import {waitBlocked} from './fixtures/silences.js';
+import {waitBlocked, waitBlockedNow} from './fixtures/silences.js';
 import {WorkerEngine} from './fixtures/worker_engine.js';
 
 /** The time that an engine has to answer a probe, in ms. */
@@ -57,3 +58,28 @@
     assert.equal(await probeStalled(60_000, STALL_MS), 'silent');
   });
 });
+
+describe('a connection to an engine', () => {
+  it('opens though this host stands still meanwhile', async () => {
+    const engine = await WorkerEngine.start(0);
+    const client = createClient();
+    try {
+      const target = createEndpoint(engine.address);
+      const sent = client.send({
+        permit: new SendPermit(target),
+        requestId: undefined,
+        method: 'GET',
+        path: '/report',
+        lines: [],
+        body: Buffer.alloc(0),
+        signal: new AbortController().signal,
+      });
+      // Node starts to connect at the end of this turn.
+      waitBlockedNow(STALL_MS);
+      assert.equal((await sent).kind, 'answer');
+    } finally {
+      client.close();
+      await engine.stop();
+    }
+  });
+});
