Suspect no engine for the time that its host stood still

Callers saw streams leave engines that went on: after a probe that had been answered, the longer limit on a silence ran out during a stall of the host, and its timer fired before the socket was read.

The limits of the silence detector are in running time, and its timers fire after the sockets have been read. The gaps by which an engine's usual gap is estimated leave the stalls out as well.

Failed before: "is not suspected when its engine goes on during a stall" and "is not suspected for the time that its host stood still" in packages/gateway/tests/stalled_host.test.ts (1 for 0).

--- a/packages/gateway/src/serving/silence_detector.ts
+++ b/packages/gateway/src/serving/silence_detector.ts
@@ -5,12 +5,15 @@
  * only probed repeatedly, as long prompts take long to process. The time limits
  * follow from the latency targets of the stream's route (silence_limits.ts).
  *
+ * All limits are in running time: a process that stood still could not read what
+ * arrived meanwhile, and sockets are read before a limit is over.
+ *
  * A suspicion is no loss: a sound endpoint may be silent for a second and go
  * on, and one that accepts no connections may still serve those it has. It ends
  * with the next event; an endpoint that exits closes the stream's connection.
  */
 import {computeSilenceLimits, type SilenceLimits} from '@irisdock/decisions';
-import type {Clock} from '@irisdock/kernel';
+import {getRunningNow, RunningTimer, type Clock} from '@irisdock/kernel';
 import type {EndpointProber} from './endpoint_prober.js';
 import type {EndpointRecord} from './endpoint_record.js';
 
@@ -45,10 +48,12 @@
 
 /** Detects the silence of one stream. */
 export class SilenceDetector {
-  private timer: NodeJS.Timeout | undefined;
+  private timer: RunningTimer | undefined;
   private hasEvents = false;
   private readonly startedAt: number;
   private lastEventAt = 0;
+  /** The running time at the last event. */
+  private lastEventRunningAt = 0;
   private unansweredProbes = 0;
   /** Incremented with each event, to detect probes that are out of date. */
   private eventCount = 0;
@@ -83,8 +88,11 @@
   recordEvents(): void {
     const now = this.clock.getNow();
     this.endSuspicion(now);
-    if (this.hasEvents) this.endpoint.recordGap(now - this.lastEventAt);
+    const runningNow = getRunningNow(this.clock);
+    const gapMs = runningNow - this.lastEventRunningAt;
+    if (this.hasEvents) this.endpoint.recordGap(gapMs);
     this.lastEventAt = now;
+    this.lastEventRunningAt = runningNow;
     this.stalledBeforeMs = this.clock.getStalledMs();
     this.hasEvents = true;
     this.eventCount++;
@@ -96,7 +104,7 @@
 
   stop(): void {
     this.isStopped = true;
-    clearTimeout(this.timer);
+    this.timer?.close();
     this.stopWatching?.();
     this.setSuspected(false);
   }
@@ -108,9 +116,9 @@
   }
 
   private plan(ms: number, callback: () => Promise<void>): void {
-    clearTimeout(this.timer);
+    this.timer?.close();
     if (this.isStopped) return;
-    this.timer = setTimeout(() => void callback(), ms);
+    this.timer = new RunningTimer(this.clock, ms, () => void callback());
   }
 
   private planCheck(ms: number): void {
@@ -120,8 +128,8 @@
 
   /** Probes the endpoint, unless events arrived since the timer was set. */
   private async checkSilence(): Promise<void> {
-    const dueAt = this.lastEventAt + this.getLimits().probeAfterMs;
-    const leftMs = dueAt - this.clock.getNow();
+    const dueAt = this.lastEventRunningAt + this.getLimits().probeAfterMs;
+    const leftMs = dueAt - getRunningNow(this.clock);
     if (leftMs > 0) {
       this.planCheck(leftMs);
       return;
--- a/packages/gateway/tests/stalled_host.test.ts
+++ b/packages/gateway/tests/stalled_host.test.ts
@@ -5,7 +5,10 @@
  */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {setTimeout as wait} from 'node:timers/promises';
+import {
+  setImmediate as waitForTurn,
+  setTimeout as wait,
+} from 'node:timers/promises';
 import {SystemClock} from '@irisdock/kernel';
 import {
   EndpointProber,
@@ -14,7 +17,12 @@
 import {SendPermit} from '../src/serving/send_gate.js';
 import {createClient} from './fixtures/endpoint_clients.js';
 import {createEndpoint} from './fixtures/endpoints.js';
-import {waitBlocked, waitBlockedNow} from './fixtures/silences.js';
+import {
+  waitBlocked,
+  waitBlockedNow,
+  waitUntil,
+  watchStream,
+} from './fixtures/silences.js';
 import {WorkerEngine} from './fixtures/worker_engine.js';
 
 /** The time that an engine has to answer a probe, in ms. */
@@ -83,3 +91,50 @@
     }
   });
 });
+
+/** Plays a silence of an engine; returns how often it was suspected. */
+async function countSuspicions(
+  play: (engine: WorkerEngine) => Promise<void>,
+): Promise<number> {
+  const engine = await WorkerEngine.start(0);
+  const stream = watchStream(() => 'answers');
+  const socket = await engine.openStream();
+  try {
+    let arrived = 0;
+    socket.on('data', () => {
+      arrived++;
+      stream.detector.recordEvents();
+    });
+    stream.detector.start();
+    stream.detector.recordEvents();
+    await waitUntil(() => stream.countProbes() > 0);
+    await play(engine);
+    await waitUntil(() => arrived > 0);
+    return stream.silences.length;
+  } finally {
+    stream.detector.stop();
+    socket.destroy();
+    await engine.stop();
+  }
+}
+
+describe('a silent stream', () => {
+  it('is not suspected when its engine goes on during a stall', async () => {
+    const count = await countSuspicions(async (engine) => {
+      engine.sendEvent();
+      await waitBlocked(STALL_MS);
+    });
+    assert.equal(count, 0);
+  });
+
+  it('is not suspected for the time that its host stood still', async () => {
+    const count = await countSuspicions(async (engine) => {
+      await waitBlocked(STALL_MS);
+      // Both machines were suspended, so the engine goes on now.
+      await waitForTurn();
+      await waitForTurn();
+      engine.sendEvent();
+    });
+    assert.equal(count, 0);
+  });
+});
