Give the other short probes their whole time when the host stands still

A host that stood still for 150 ms while it checked its paths to the endpoints took itself as partitioned, so callers' requests were relayed or refused. The check of a lost run's endpoint got 'unknown' and management calls to engines no answer. The cause is that of the probes: timers fire before sockets are read. All three use running time now.

Failed before: "are reached though this host stands still meanwhile", "a call to an engine is answered ..." and "the check of an endpoint that a run was lost on is answered ..." in packages/gateway/tests/stalled_host.test.ts.

--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -229,7 +229,7 @@
   const paths = createPaths(context);
   const buffers = new BufferBudget();
   const client = createClient(context, gate, paths, buffers);
-  const engineClient = new EngineClient(client);
+  const engineClient = new EngineClient(client, clock);
   const servingMetrics = new ServingMetrics(metrics);
   registerHostStalls(metrics, clock);
   const crashes = context.find(CRASHES);
--- a/packages/gateway/src/serving/endpoint_paths.ts
+++ b/packages/gateway/src/serving/endpoint_paths.ts
@@ -4,7 +4,7 @@
  * host's own network did. So connections to other endpoints of the service are
  * opened, and if none opens, the host counts as partitioned until one does.
  */
-import {getShuffled, splitPlace} from '@irisdock/kernel';
+import {getShuffled, RunningTimer, splitPlace} from '@irisdock/kernel';
 import type {Clock, Logger, Random} from '@irisdock/kernel';
 import {Gauge, type Registry} from 'prom-client';
 import type {ConnectionObserver} from '../channels/endpoint_client.js';
@@ -210,13 +210,14 @@
     return new Promise((resolve) => {
       const socket = this.parts.network.open(splitPlace(address));
       const finish = (isOpen: boolean): void => {
-        clearTimeout(timer);
+        timer.close();
         socket.destroy();
         resolve(isOpen);
       };
-      const timer = setTimeout(() => {
+      const {clock} = this.parts;
+      const timer = new RunningTimer(clock, CONNECT_TIMEOUT_MS, () => {
         finish(false);
-      }, CONNECT_TIMEOUT_MS);
+      });
       socket.once('connect', () => {
         finish(true);
       });
--- a/packages/gateway/src/serving/engine_client.ts
+++ b/packages/gateway/src/serving/engine_client.ts
@@ -2,6 +2,7 @@
  * Makes short management calls to engines, such as copies of KV caches or
  * reports. Each has one answer, read whole within a timeout.
  */
+import {RunningTimeout, type RunningClock} from '@irisdock/kernel';
 import type {EndpointClient} from '../channels/endpoint_client.js';
 import type {EngineCall} from '../model/request_metadata.js';
 import type {SendTarget} from './send_gate.js';
@@ -20,7 +21,10 @@
 
 /** Makes short management calls to engines. */
 export class EngineClient {
-  constructor(private readonly client: EndpointClient) {}
+  constructor(
+    private readonly client: EndpointClient,
+    private readonly clock: RunningClock,
+  ) {}
 
   /**
    * Makes a call; undefined when no complete answer arrived in time.
@@ -32,7 +36,19 @@
     call: EngineCall,
     timeoutMs: number,
   ): Promise<EngineAnswer | undefined> {
-    const signal = AbortSignal.timeout(timeoutMs);
+    const timeout = new RunningTimeout(this.clock, timeoutMs);
+    try {
+      return await this.sendUntilAborted(target, call, timeout.signal);
+    } finally {
+      timeout.close();
+    }
+  }
+
+  private async sendUntilAborted(
+    target: SendTarget,
+    call: EngineCall,
+    signal: AbortSignal,
+  ): Promise<EngineAnswer | undefined> {
     const permit = await this.client.admit(target, 'aside');
     if (permit.kind === 'held') return undefined;
     const answer = await this.client.send({
--- a/packages/gateway/src/serving/instance_probe.ts
+++ b/packages/gateway/src/serving/instance_probe.ts
@@ -2,6 +2,7 @@
  * Probes whether one instance of an endpoint still runs: it answers, its
  * address refuses connections, or another process answers there.
  */
+import {RunningTimeout, type RunningClock} from '@irisdock/kernel';
 import {
   MISDIRECTED_STATUS,
   type EndpointClient,
@@ -29,6 +30,7 @@
   readonly client: Pick<EndpointClient, 'admit' | 'send'>;
   readonly codec: Pick<HeaderCodec, 'encodeRequest' | 'reportPath'>;
   readonly configuration: Pick<GatewayConfiguration, 'findService'>;
+  readonly clock: RunningClock;
 }
 
 /** Probes an instance once. */
@@ -36,7 +38,19 @@
   parts: InstanceProbeParts,
   endpoint: EndpointRecord,
 ): Promise<ProbeResult> {
-  const signal = AbortSignal.timeout(PROBE_TIMEOUT_MS);
+  const timeout = new RunningTimeout(parts.clock, PROBE_TIMEOUT_MS);
+  try {
+    return await probeUntilAborted(parts, endpoint, timeout.signal);
+  } finally {
+    timeout.close();
+  }
+}
+
+async function probeUntilAborted(
+  parts: InstanceProbeParts,
+  endpoint: EndpointRecord,
+  signal: AbortSignal,
+): Promise<ProbeResult> {
   const {client, codec} = parts;
   for (let tries = 0; tries < MAX_PROBE_ATTEMPTS && !signal.aborted; tries++) {
     const permit = await client.admit(endpoint, 'aside');
--- a/packages/gateway/tests/stalled_host.test.ts
+++ b/packages/gateway/tests/stalled_host.test.ts
@@ -9,7 +9,12 @@
   setImmediate as waitForTurn,
   setTimeout as wait,
 } from 'node:timers/promises';
-import {SystemClock} from '@irisdock/kernel';
+import {RoarrLogger, SeededRandom, SystemClock} from '@irisdock/kernel';
+import {Registry} from 'prom-client';
+import {TcpEndpointNetwork} from '../src/channels/endpoint_network.js';
+import {EndpointPaths} from '../src/serving/endpoint_paths.js';
+import {EngineClient} from '../src/serving/engine_client.js';
+import {probeInstance} from '../src/serving/instance_probe.js';
 import {
   EndpointProber,
   type ProbeAnswer,
@@ -53,6 +58,21 @@
   }
 }
 
+/** Creates the paths to a service of one engine. */
+function createPaths({address}: WorkerEngine): EndpointPaths {
+  return new EndpointPaths({
+    network: new TcpEndpointNetwork(),
+    endpoints: {
+      find: () => undefined,
+      listUsable: () => [createEndpoint(address)],
+    },
+    clock: new SystemClock(),
+    random: new SeededRandom(1),
+    log: new RoarrLogger('test', 'off'),
+    metrics: new Registry(),
+  });
+}
+
 describe('a probe of an engine', () => {
   it('is answered though this host stands still meanwhile', async () => {
     assert.equal(await probeStalled(100, STALL_MS), 'answers');
@@ -138,3 +158,61 @@
     assert.equal(count, 0);
   });
 });
+
+describe('the endpoints of a service', () => {
+  it('are reached though this host stands still meanwhile', async () => {
+    const engine = await WorkerEngine.start(0);
+    const paths = createPaths(engine);
+    try {
+      const checked = paths.check('s');
+      await waitBlocked(STALL_MS);
+      assert.equal(await checked, false);
+    } finally {
+      paths.close();
+      await engine.stop();
+    }
+  });
+});
+
+describe('a call to an engine', () => {
+  it('is answered though this host stands still meanwhile', async () => {
+    const engine = await WorkerEngine.start(100);
+    const client = createClient();
+    try {
+      const engineClient = new EngineClient(client, new SystemClock());
+      const target = createEndpoint(engine.address);
+      const call = {method: 'GET', path: '/report', body: ''} as const;
+      const answer = engineClient.send(target, call, PROBE_TIMEOUT_MS);
+      await wait(SENT_MS);
+      await waitBlocked(STALL_MS);
+      assert.equal((await answer)?.status, 200);
+    } finally {
+      client.close();
+      await engine.stop();
+    }
+  });
+});
+
+describe('the check of an endpoint that a run was lost on', () => {
+  it('is answered though this host stands still meanwhile', async () => {
+    const engine = await WorkerEngine.start(100);
+    const client = createClient();
+    try {
+      const probe = probeInstance(
+        {
+          client,
+          codec: {reportPath: '/report', encodeRequest: (lines) => lines},
+          configuration: {findService: () => undefined},
+          clock: new SystemClock(),
+        },
+        createEndpoint(engine.address),
+      );
+      await wait(SENT_MS);
+      await waitBlocked(STALL_MS);
+      assert.equal(await probe, 'answers');
+    } finally {
+      client.close();
+      await engine.stop();
+    }
+  });
+});
