Count no silence while a caller does not read its stream

A stream with long events whose caller stopped reading was sent to a second engine: the host had paused the response, its engine could not send, and the silence detector took that as silence. The detector is told of the pause, and counts from the moment at which the stream is read again.

--- a/packages/gateway/src/serving/silence_detector.ts
+++ b/packages/gateway/src/serving/silence_detector.ts
@@ -51,9 +51,12 @@
   private timer: RunningTimer | undefined;
   private hasEvents = false;
   private readonly startedAt: number;
-  private lastEventAt = 0;
-  /** The running time at the last event. */
-  private lastEventRunningAt = 0;
+  /** Whether the time since the last event is a gap of the engine. */
+  private isGapMeasured = false;
+  /** When the silence started: at the last event, or when reading resumed. */
+  private silentSince = 0;
+  /** The same in running time. */
+  private silentSinceRunning = 0;
   private unansweredProbes = 0;
   /** Incremented with each event, to detect probes that are out of date. */
   private eventCount = 0;
@@ -86,14 +89,11 @@
 
   /** Records that events arrived. */
   recordEvents(): void {
-    const now = this.clock.getNow();
-    this.endSuspicion(now);
-    const runningNow = getRunningNow(this.clock);
-    const gapMs = runningNow - this.lastEventRunningAt;
-    if (this.hasEvents) this.endpoint.recordGap(gapMs);
-    this.lastEventAt = now;
-    this.lastEventRunningAt = runningNow;
-    this.stalledBeforeMs = this.clock.getStalledMs();
+    this.endSuspicion(this.clock.getNow());
+    const gapMs = getRunningNow(this.clock) - this.silentSinceRunning;
+    if (this.isGapMeasured) this.endpoint.recordGap(gapMs);
+    this.startSilence();
+    this.isGapMeasured = true;
     this.hasEvents = true;
     this.eventCount++;
     // A running timer is not reset; it checks the time of the last event when
@@ -102,6 +102,22 @@
     if (!this.isCheckPlanned) this.planCheck(this.getLimits().probeAfterMs);
   }
 
+  /**
+   * Records that the stream is not read, as its caller is slow. Its engine
+   * cannot send meanwhile, so nothing counts as silence.
+   */
+  pause(): void {
+    this.timer?.close();
+    this.isCheckPlanned = false;
+    this.isGapMeasured = false;
+  }
+
+  /** Records that the stream is read again. */
+  resume(): void {
+    this.startSilence();
+    this.planCheck(this.getLimits().probeAfterMs);
+  }
+
   stop(): void {
     this.isStopped = true;
     this.timer?.close();
@@ -109,6 +125,12 @@
     this.setSuspected(false);
   }
 
+  private startSilence(): void {
+    this.silentSince = this.clock.getNow();
+    this.silentSinceRunning = getRunningNow(this.clock);
+    this.stalledBeforeMs = this.clock.getStalledMs();
+  }
+
   private getLimits(): SilenceLimits {
     const {targetGapMs, targetLatencyMs} = this.targets;
     const {usualGapMs} = this.endpoint;
@@ -128,7 +150,7 @@
 
   /** Probes the endpoint, unless events arrived since the timer was set. */
   private async checkSilence(): Promise<void> {
-    const dueAt = this.lastEventRunningAt + this.getLimits().probeAfterMs;
+    const dueAt = this.silentSinceRunning + this.getLimits().probeAfterMs;
     const leftMs = dueAt - getRunningNow(this.clock);
     if (leftMs > 0) {
       this.planCheck(leftMs);
@@ -181,7 +203,7 @@
   private endSuspicion(now: number): void {
     if (!this.isSuspected) return;
     this.setSuspected(false);
-    const since = this.hasEvents ? this.lastEventAt : this.startedAt;
+    const since = this.hasEvents ? this.silentSince : this.startedAt;
     this.listener.handleRecovered(now - since);
   }
 
--- a/packages/gateway/src/serving/stream_attempt.ts
+++ b/packages/gateway/src/serving/stream_attempt.ts
@@ -225,7 +225,11 @@
     const drained = this.listener.handleEvents(events);
     if (drained === undefined) return;
     message.pause();
-    void drained.then(() => message.resume());
+    this.detector.pause();
+    void drained.then(() => {
+      this.detector.resume();
+      message.resume();
+    });
   }
 
   private checkPending(splitter: EventSplitter, hold: BufferHold): void {
