--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -31,7 +31,10 @@
 import {RetryBudgets} from '../serving/retry_budgets.js';
 import {RequestHandler} from '../serving/request_handler.js';
 import {RequestRelay} from '../serving/request_relay.js';
-import {ServingMetrics} from '../serving/serving_metrics.js';
+import {
+  registerHostStalls,
+  ServingMetrics,
+} from '../serving/serving_metrics.js';
 import type {ServingParts} from '../serving/serving_parts.js';
 import {SuccessorFinder} from '../serving/successors.js';
 import {CRASHES} from './crashes.js';
@@ -109,7 +112,7 @@
     const peers = context.find(PEERS);
     const parts = createServingParts(context, settings);
     const {client, codec} = parts;
-    const prober = new EndpointProber(client, codec.reportPath);
+    const prober = new EndpointProber(client, codec.reportPath, clock);
     const handler = new RequestHandler(parts, prober, phase);
     const inFlight = new Set<CallerExchange>();
     const serve = createServe(context, handler, inFlight);
@@ -226,8 +229,9 @@
   const paths = createPaths(context);
   const buffers = new BufferBudget();
   const client = createClient(context, gate, paths, buffers);
-  const engineClient = new EngineClient(client);
+  const engineClient = new EngineClient(client, clock);
   const servingMetrics = new ServingMetrics(metrics);
+  registerHostStalls(metrics, clock);
   const crashes = context.find(CRASHES);
   const exitCheck = createExitCheck(context, client, paths);
   return {
--- a/packages/gateway/src/serving/silence_detector.ts
+++ b/packages/gateway/src/serving/silence_detector.ts
@@ -5,12 +5,15 @@
  * only probed repeatedly, as long prompts take long to process. The time limits
  * follow from the latency targets of the stream's route (silence_limits.ts).
  *
+ * All limits are in running time: a process that stood still could not read what
+ * arrived meanwhile, and sockets are read before a limit is over.
+ *
  * A suspicion is no loss: a sound endpoint may be silent for a second and go
  * on, and one that accepts no connections may still serve those it has. It ends
  * with the next event; an endpoint that exits closes the stream's connection.
  */
 import {computeSilenceLimits, type SilenceLimits} from '@irisdock/decisions';
-import type {Clock} from '@irisdock/kernel';
+import {getRunningNow, RunningTimer, type Clock} from '@irisdock/kernel';
 import type {EndpointProber} from './endpoint_prober.js';
 import type {EndpointRecord} from './endpoint_record.js';
 
@@ -31,6 +34,8 @@
   readonly detail: string;
   /** Whether the endpoint answers probes though its stream is silent. */
   readonly isAnswering: boolean;
+  /** How long this process itself stood still since the last event, in ms. */
+  readonly hostStallMs: number;
 }
 
 /** Receives the verdicts on one stream. */
@@ -43,10 +48,15 @@
 
 /** Detects the silence of one stream. */
 export class SilenceDetector {
-  private timer: NodeJS.Timeout | undefined;
+  private timer: RunningTimer | undefined;
   private hasEvents = false;
   private readonly startedAt: number;
-  private lastEventAt = 0;
+  /** Whether the time since the last event is a gap of the engine. */
+  private isGapMeasured = false;
+  /** When the silence started: at the last event, or when reading resumed. */
+  private silentSince = 0;
+  /** The same in running time. */
+  private silentSinceRunning = 0;
   private unansweredProbes = 0;
   /** Incremented with each event, to detect probes that are out of date. */
   private eventCount = 0;
@@ -54,10 +64,13 @@
   /** Whether the current timer checks for silence between events. */
   private isCheckPlanned = false;
   private isSuspected = false;
+  private stopWatching: (() => void) | undefined;
+  /** The stalls of this process until the last event, in ms. */
+  private stalledBeforeMs = 0;
 
   constructor(
     private readonly endpoint: EndpointRecord,
-    private readonly prober: EndpointProber,
+    private readonly prober: Pick<EndpointProber, 'probe'>,
     private readonly targets: StreamTargets,
     private readonly clock: Clock,
     private readonly listener: SilenceListener,
@@ -67,6 +80,8 @@
 
   /** Starts to wait for the first event. */
   start(): void {
+    this.stopWatching = this.clock.watchStalls();
+    this.stalledBeforeMs = this.clock.getStalledMs();
     this.plan(this.getLimits().firstProbeAfterMs, () =>
       this.probeBeforeFirst(),
     );
@@ -74,10 +89,11 @@
 
   /** Records that events arrived. */
   recordEvents(): void {
-    const now = this.clock.getNow();
-    this.endSuspicion(now);
-    if (this.hasEvents) this.endpoint.recordGap(now - this.lastEventAt);
-    this.lastEventAt = now;
+    this.endSuspicion(this.clock.getNow());
+    const gapMs = getRunningNow(this.clock) - this.silentSinceRunning;
+    if (this.isGapMeasured) this.endpoint.recordGap(gapMs);
+    this.startSilence();
+    this.isGapMeasured = true;
     this.hasEvents = true;
     this.eventCount++;
     // A running timer is not reset; it checks the time of the last event when
@@ -86,12 +102,35 @@
     if (!this.isCheckPlanned) this.planCheck(this.getLimits().probeAfterMs);
   }
 
+  /**
+   * Records that the stream is not read, as its caller is slow. Its engine
+   * cannot send meanwhile, so nothing counts as silence.
+   */
+  pause(): void {
+    this.timer?.close();
+    this.isCheckPlanned = false;
+    this.isGapMeasured = false;
+  }
+
+  /** Records that the stream is read again. */
+  resume(): void {
+    this.startSilence();
+    this.planCheck(this.getLimits().probeAfterMs);
+  }
+
   stop(): void {
     this.isStopped = true;
-    clearTimeout(this.timer);
+    this.timer?.close();
+    this.stopWatching?.();
     this.setSuspected(false);
   }
 
+  private startSilence(): void {
+    this.silentSince = this.clock.getNow();
+    this.silentSinceRunning = getRunningNow(this.clock);
+    this.stalledBeforeMs = this.clock.getStalledMs();
+  }
+
   private getLimits(): SilenceLimits {
     const {targetGapMs, targetLatencyMs} = this.targets;
     const {usualGapMs} = this.endpoint;
@@ -99,9 +138,9 @@
   }
 
   private plan(ms: number, callback: () => Promise<void>): void {
-    clearTimeout(this.timer);
+    this.timer?.close();
     if (this.isStopped) return;
-    this.timer = setTimeout(() => void callback(), ms);
+    this.timer = new RunningTimer(this.clock, ms, () => void callback());
   }
 
   private planCheck(ms: number): void {
@@ -111,8 +150,8 @@
 
   /** Probes the endpoint, unless events arrived since the timer was set. */
   private async checkSilence(): Promise<void> {
-    const dueAt = this.lastEventAt + this.getLimits().probeAfterMs;
-    const leftMs = dueAt - this.clock.getNow();
+    const dueAt = this.silentSinceRunning + this.getLimits().probeAfterMs;
+    const leftMs = dueAt - getRunningNow(this.clock);
     if (leftMs > 0) {
       this.planCheck(leftMs);
       return;
@@ -157,13 +196,14 @@
   private markSuspected(detail: string, isAnswering: boolean): void {
     if (this.isSuspected || this.isStopped) return;
     this.setSuspected(true);
-    this.listener.handleSuspected({detail, isAnswering});
+    const hostStallMs = this.clock.getStalledMs() - this.stalledBeforeMs;
+    this.listener.handleSuspected({detail, isAnswering, hostStallMs});
   }
 
   private endSuspicion(now: number): void {
     if (!this.isSuspected) return;
     this.setSuspected(false);
-    const since = this.hasEvents ? this.lastEventAt : this.startedAt;
+    const since = this.hasEvents ? this.silentSince : this.startedAt;
     this.listener.handleRecovered(now - since);
   }
 
