Refuse calls that a stopping host cannot answer, and answer the others

Callers saw a connection that closed without an answer when their call reached a host shortly before the end of its drain, or ran longer than it.

Cause: only streams were refused when it was too late for them. When the drain's time was over, all connections were closed, whatever ran on them.

Now a call is refused as not run (503 leaving, Retry-After) if the time left is shorter than both its own limit and the usual time of its route (mean and two mean deviations of the host's own calls). A route of which nothing is known is served: a long limit alone is no reason to refuse. 0.2 s before the drain ends, what still runs is answered: 503 leaving if it has not run, 502 host_stopped (outcome unknown) if it may have. Until the connections close, further requests are refused as not run. The drain ends no later than before.

The part of front.ts that serves requests is in front_requests.ts now.

--- a/packages/gateway/src/errors.ts
+++ b/packages/gateway/src/errors.ts
@@ -136,6 +136,12 @@
     message: 'This host is about to stop and could not finish the request.',
     remedy: 'Use another host.',
   },
+  host_stopped: {
+    status: 502,
+    outcome: 'unknown',
+    message: 'This host had to stop before an endpoint answered the request.',
+    remedy: 'It may have run; ask for its result before sending it again.',
+  },
   internal_error: {
     status: 500,
     outcome: 'unknown',
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -1,10 +1,5 @@
 /** The service `front`: the HTTP server for callers. */
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from 'node:http';
+import {createServer, type Server} from 'node:http';
 import type {WindowedRetryBudgetOptions} from '@irisdock/decisions';
 import {
   createService,
@@ -17,15 +12,13 @@
 import {BufferBudget} from '../channels/buffer_budget.js';
 import {CallerConnections} from '../channels/caller_connections.js';
 import {EndpointClient} from '../channels/endpoint_client.js';
-import {LINGER_BOUNDS, LingeringCloses} from '../channels/lingering_closes.js';
 import {startListening} from '../channels/listening.js';
 import {PeerFrame} from '../model/peer_frame.js';
-import type {RelayHop} from '../model/relay_path.js';
-import {CallerExchange} from '../serving/caller_exchange.js';
 import {EndpointExitCheck} from '../serving/endpoint_exit_check.js';
 import {EndpointProber} from '../serving/endpoint_prober.js';
 import {EndpointPaths} from '../serving/endpoint_paths.js';
 import {EngineClient} from '../serving/engine_client.js';
+import {ExchangesInFlight} from '../serving/exchanges_in_flight.js';
 import {PromptCacheFinder} from '../serving/prompt_cache_finder.js';
 import {LostRuns} from '../serving/lost_runs.js';
 import {RetryBudgets} from '../serving/retry_budgets.js';
@@ -43,6 +36,7 @@
 import {ENDPOINT_NETWORK} from './endpoint_network.js';
 import {GATEWAY_ENDPOINTS} from './endpoints.js';
 import {waitDrained} from './front_drain.js';
+import {createServe} from './front_requests.js';
 import {LIMITS} from './limits.js';
 import {HOST_PHASE} from './host_phase.js';
 import {HOST_IDENTITY} from './identity.js';
@@ -111,7 +105,7 @@
     const {client, codec} = parts;
     const prober = new EndpointProber(client, codec.reportPath);
     const handler = new RequestHandler(parts, prober, phase);
-    const inFlight = new Set<CallerExchange>();
+    const inFlight = new ExchangesInFlight();
     const serve = createServe(context, handler, inFlight);
     context.find(PEER_TABLES).handle = serve;
     const server = createServer((message, response) => {
@@ -138,12 +132,7 @@
       async drain() {
         phase.startLeaving();
         peers.publishState();
-        await waitDrained({
-          ...context,
-          connections,
-          phase,
-          countInFlight: () => inFlight.size,
-        });
+        await waitDrained({...context, connections, phase, inFlight});
         // At once, as further requests would start after the check.
         connections.closeAll();
       },
@@ -172,47 +161,6 @@
   return connections;
 }
 
-/** Creates the function that serves requests of callers and of other hosts. */
-function createServe(
-  context: ServiceContext,
-  handler: RequestHandler,
-  inFlight: Set<CallerExchange>,
-): (
-  message: IncomingMessage,
-  response: ServerResponse,
-  hop?: RelayHop,
-  arrivedAt?: number,
-) => void {
-  const {clock} = context;
-  const {lingeringCloses: closes} = handler.metrics;
-  const bounds = LINGER_BOUNDS;
-  const lingeringCloses = new LingeringCloses({...context, bounds, closes});
-  return (message, response, hop, arrivedAt = clock.getNow()) => {
-    // It could not be answered, so it must not run.
-    if (lingeringCloses.has(message.socket)) return;
-    const exchange = new CallerExchange(
-      message,
-      response,
-      arrivedAt,
-      lingeringCloses,
-      hop,
-    );
-    inFlight.add(exchange);
-    const closed = new Promise<void>((resolve) => {
-      response.once('close', resolve);
-    });
-    void handler
-      .handle(exchange)
-      .catch((thrown: unknown) => {
-        handler.fail(exchange, thrown);
-      })
-      .then(() => closed)
-      .finally(() => {
-        inFlight.delete(exchange);
-      });
-  };
-}
-
 function createServingParts(
   context: ServiceContext,
   settings: z.infer<typeof SETTINGS>,
--- a/packages/gateway/src/services/front_drain.ts
+++ b/packages/gateway/src/services/front_drain.ts
@@ -1,15 +1,15 @@
 /**
  * The drain of the server for callers: it serves on while callers may still
- * use its address, then closes idle connections and waits for the others.
+ * use its address, then closes idle connections and waits for the others. What
+ * still runs when the host must stop is answered with an error.
  */
 import type {Clock, Logger} from '@irisdock/kernel';
 import type {CallerConnections} from '../channels/caller_connections.js';
-import type {HostPhase} from './host_phase.js';
+import type {ExchangesInFlight} from '../serving/exchanges_in_flight.js';
+import {FLUSH_MS, type HostPhase} from './host_phase.js';
 
 /** How long callers may still use this host's address during a stop, in ms. */
 const ADDRESS_LINGER_MS = 3500;
-/** How long before the process is killed the drain ends, in ms. */
-const KILL_MARGIN_MS = 600;
 /** The interval between checks for requests in flight during a drain, in ms. */
 const DRAIN_CHECK_MS = 50;
 
@@ -19,8 +19,8 @@
   readonly phase: HostPhase;
   readonly clock: Clock;
   readonly log: Logger;
-  /** Counts the requests in flight, those of other hosts included. */
-  readonly countInFlight: () => number;
+  /** The requests in flight, those of other hosts included. */
+  readonly inFlight: ExchangesInFlight;
 }
 
 /**
@@ -28,16 +28,36 @@
  * has been flushed or the grace period is over.
  */
 export async function waitDrained(parts: FrontDrainParts): Promise<void> {
-  const {connections, phase, clock, log, countInFlight} = parts;
-  const maxMs = phase.graceMs - KILL_MARGIN_MS;
-  while (phase.leavingMs < maxMs) {
-    if (phase.leavingMs >= ADDRESS_LINGER_MS) {
-      await connections.closeIdle();
-      if (countInFlight() + connections.countBusy() === 0) return;
-    }
+  const {phase, clock} = parts;
+  while (phase.workLeftMs > 0) {
+    const mayClose = phase.leavingMs >= ADDRESS_LINGER_MS;
+    if (mayClose && (await isDrained(parts))) return;
     await clock.wait(DRAIN_CHECK_MS);
   }
-  const requests = countInFlight();
+  await endRequests(parts);
+}
+
+async function isDrained({
+  connections,
+  inFlight,
+}: FrontDrainParts): Promise<boolean> {
+  await connections.closeIdle();
+  return inFlight.size + connections.countBusy() === 0;
+}
+
+/** Ends all requests with an error, and waits until callers have it. */
+async function endRequests(parts: FrontDrainParts): Promise<void> {
+  const {connections, phase, clock, log, inFlight} = parts;
+  const stopped = inFlight.stopAll();
+  if (stopped > 0) {
+    const sentence = 'Answered requests with an error as the host stops.';
+    log.writeWarning(sentence, {requests: stopped});
+  }
+  while (phase.workLeftMs > -FLUSH_MS) {
+    if (await isDrained(parts)) return;
+    await clock.wait(DRAIN_CHECK_MS);
+  }
+  const requests = inFlight.size;
   const busyConnections = connections.countBusy();
   if (requests + busyConnections === 0) return;
   log.writeWarning('The grace period ended before all requests did.', {
--- a/packages/gateway/src/services/host_phase.ts
+++ b/packages/gateway/src/services/host_phase.ts
@@ -21,6 +21,11 @@
  */
 const MAX_CRASHES_WAIT_MS = 500;
 
+/** How long before the process is killed its drain ends, in ms. */
+const KILL_MARGIN_MS = 600;
+/** The end of the drain, in which only final answers are flushed, in ms. */
+export const FLUSH_MS = 200;
+
 /** Dependencies of the life-cycle state. */
 export interface HostPhaseParts {
   readonly clock: Clock;
@@ -61,6 +66,15 @@
     return this.parts.clock.getNow() - this.leavingSince;
   }
 
+  /**
+   * How much longer requests may run, in ms; Infinity if the host was not told
+   * to stop.
+   */
+  get workLeftMs(): number {
+    if (this.leavingSince === undefined) return Infinity;
+    return this.graceMs - KILL_MARGIN_MS - FLUSH_MS - this.leavingMs;
+  }
+
   /** Whether the planned stop would likely cut a stream that starts now. */
   get isTooLateForStreams(): boolean {
     return this.leavingMs > this.graceMs * STREAM_ACCEPT_FRACTION;
--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -27,6 +27,7 @@
   createBusyError,
   createNotRunError,
   createRefusedError,
+  createTimeError,
   FAILURE_WEIGHTS,
   MAX_BUSY_WAIT_MS,
   recordEndpointFailure,
@@ -346,10 +347,9 @@
   }
 
   private finishExpired(): string {
-    const {service, route, parts} = this;
-    const error = this.mayHaveRun
-      ? GATEWAY_ERRORS.create('timed_out', {ms: route.timeoutMs})
-      : createNotRunError('not_run_in_time', service, parts.random);
+    const {service, route, parts, mayHaveRun, request} = this;
+    const {random} = parts;
+    const error = createTimeError(request, route, service, mayHaveRun, random);
     this.request.exchange.refuse(error, false);
     this.recordRefusal(error);
     return 'expired';
--- a/packages/gateway/src/serving/caller_exchange.ts
+++ b/packages/gateway/src/serving/caller_exchange.ts
@@ -30,10 +30,11 @@
 /** One exchange with a caller. */
 export class CallerExchange {
   readonly lines: HeaderLines;
-  /** Aborted when the caller disconnects or the time limit expires. */
+  /** Aborted when the caller disconnects or the time is over. */
   readonly signal: AbortSignal;
   private readonly controller = new AbortController();
   private hasExpired = false;
+  private hasStopped = false;
   private timer: NodeJS.Timeout | undefined;
   private hasFinalAnswer = false;
 
@@ -75,11 +76,16 @@
     return this.response.destroyed && !this.response.writableFinished;
   }
 
-  /** Whether the time limit of the request has expired. */
+  /** Whether the time limit expired, or the host must stop. */
   get isExpired(): boolean {
     return this.hasExpired;
   }
 
+  /** Whether the request has no more time because the host must stop. */
+  get isStopped(): boolean {
+    return this.hasStopped;
+  }
+
   /** Whether the headers of an answer were sent. */
   get isAnswered(): boolean {
     return this.response.headersSent;
@@ -89,13 +95,23 @@
   setTimeLimit(ms: number): void {
     this.timer = setTimeout(
       () => {
-        this.hasExpired = true;
-        this.controller.abort();
+        this.endTime();
       },
       Math.max(0, ms),
     );
   }
 
+  /**
+   * Ends the time of the request, as the host must stop; false if it has its
+   * final answer already.
+   */
+  stop(): boolean {
+    if (this.isFinal || this.isExpired) return false;
+    this.hasStopped = true;
+    this.endTime();
+    return true;
+  }
+
   /** Reads the whole body of the request until it is aborted. */
   async readBody(maxBytes: number): Promise<Buffer | BodyFault> {
     const {message, signal} = this;
@@ -214,6 +230,11 @@
     return this.hasFinalAnswer || this.response.destroyed;
   }
 
+  private endTime(): void {
+    this.hasExpired = true;
+    this.controller.abort();
+  }
+
   private takeFinal(): boolean {
     if (this.isFinal) return false;
     this.hasFinalAnswer = true;
--- a/packages/gateway/src/serving/request_handler.ts
+++ b/packages/gateway/src/serving/request_handler.ts
@@ -7,13 +7,18 @@
 import {GATEWAY_ERRORS} from '../errors.js';
 import type {RelayHop} from '../model/relay_path.js';
 import type {ServingRoute} from '../model/serving_configuration.js';
+import {CallTimes} from './call_times.js';
 import {CallDriver} from './call_driver.js';
 import type {AdmittedRequest, CallerExchange} from './caller_exchange.js';
 import type {EndpointProber} from './endpoint_prober.js';
 import {hashContent} from './request_content.js';
 import {DECLINED_LINE} from './request_relay.js';
 import {decideRetryAfter} from './retry_after.js';
-import {createNotRunError, createRefusedError} from './send_rules.js';
+import {
+  computeRemainingMs,
+  createNotRunError,
+  createRefusedError,
+} from './send_rules.js';
 import type {ServingMetrics} from './serving_metrics.js';
 import {getRandomFraction, type ServingParts} from './serving_parts.js';
 import {StreamDriver} from './stream_driver.js';
@@ -32,10 +37,20 @@
   'unknown_key',
 ]);
 
+/** Outcomes of calls that ended after a send. */
+const TIMED_OUTCOMES: ReadonlySet<string> = new Set([
+  'answered',
+  'expired',
+  'failed',
+  'lost',
+]);
+
 /** The state of the host that runs the handler. */
 export interface HostState {
   /** Whether the host will stop before a stream that starts now could end. */
   readonly isTooLateForStreams: boolean;
+  /** How much longer requests may run, in ms; Infinity if it won't stop. */
+  readonly workLeftMs: number;
   readonly isLeaving: boolean;
   /** Whether this host has what it needs to serve. */
   readonly canServe: boolean;
@@ -45,6 +60,8 @@
 
 /** Handles the requests of callers. */
 export class RequestHandler {
+  private readonly callTimes = new CallTimes();
+
   constructor(
     private readonly parts: ServingParts,
     private readonly prober: EndpointProber,
@@ -58,6 +75,10 @@
   /** Handles one request to its final answer. */
   async handle(exchange: CallerExchange): Promise<void> {
     if (this.host.isLeaving) exchange.closeAfterAnswer();
+    if (this.host.workLeftMs <= 0) {
+      this.refuse(exchange, this.createRetryableError('leaving'));
+      return;
+    }
     const {configuration} = this.parts;
     if (!configuration.isLoaded) {
       this.refuse(exchange, this.createRetryableError('no_configuration'));
@@ -123,7 +144,10 @@
       parts.rollouts.recordRequest(service);
     }
     const isStream = route.kind === 'stream';
-    if (isStream && this.host.isTooLateForStreams) {
+    const isTooLate = isStream
+      ? this.host.isTooLateForStreams
+      : this.isTooLateForCall(request, route);
+    if (isTooLate) {
       this.refuse(exchange, this.createRetryableError('leaving'));
       return;
     }
@@ -135,6 +159,9 @@
     const {kind} = route;
     parts.metrics.requests.inc({kind, outcome});
     const seconds = (parts.clock.getNow() - startedAt) / MS_PER_SECOND;
+    if (!isStream && TIMED_OUTCOMES.has(outcome) && !exchange.isStopped) {
+      this.callTimes.record(route.name, seconds * MS_PER_SECOND);
+    }
     if (!isStream && outcome === 'answered') {
       parts.metrics.answerSeconds.observe({kind}, seconds);
     }
@@ -154,6 +181,19 @@
     });
   }
 
+  /** Whether the host will likely stop before a call that starts now ends. */
+  private isTooLateForCall(
+    request: AdmittedRequest,
+    route: ServingRoute,
+  ): boolean {
+    const {workLeftMs} = this.host;
+    if (workLeftMs === Infinity) return false;
+    const now = this.parts.clock.getNow();
+    const remainingMs = computeRemainingMs(request, route, now);
+    const usualMs = this.callTimes.getUsualMs(route.name);
+    return workLeftMs < Math.min(usualMs, remainingMs);
+  }
+
   /** Validates key, id and body; refuses the request if one is invalid. */
   private async admit(
     exchange: CallerExchange,
@@ -199,6 +239,8 @@
     if (body instanceof Buffer) return body;
     if (body === 'too-large') {
       this.refuse(exchange, GATEWAY_ERRORS.create('body_too_large', {limit}));
+    } else if (exchange.isStopped) {
+      this.refuse(exchange, this.createRetryableError('leaving'));
     } else if (exchange.isExpired) {
       this.refuse(exchange, GATEWAY_ERRORS.create('body_late'));
     }
--- a/packages/gateway/src/serving/send_rules.ts
+++ b/packages/gateway/src/serving/send_rules.ts
@@ -72,9 +72,26 @@
   return GATEWAY_ERRORS.create('content_busy', {content}, retryAfter);
 }
 
+/** Creates the error for a request whose time is over. */
+export function createTimeError(
+  {exchange}: AdmittedRequest,
+  route: ServingRoute,
+  service: string,
+  mayHaveRun: boolean,
+  random: Random,
+): KnownError {
+  const {isStopped} = exchange;
+  if (!mayHaveRun) {
+    const kind = isStopped ? 'leaving' : 'not_run_in_time';
+    return createNotRunError(kind, service, random);
+  }
+  if (isStopped) return GATEWAY_ERRORS.create('host_stopped');
+  return GATEWAY_ERRORS.create('timed_out', {ms: route.timeoutMs});
+}
+
 /** Creates the error for a request that no endpoint ran. */
 export function createNotRunError(
-  kind: 'endpoints_unreachable' | 'no_endpoint' | 'not_run_in_time',
+  kind: 'endpoints_unreachable' | 'leaving' | 'no_endpoint' | 'not_run_in_time',
   service: string,
   random: Random,
 ): KnownError {
--- a/packages/gateway/src/serving/stream_failure.ts
+++ b/packages/gateway/src/serving/stream_failure.ts
@@ -10,6 +10,7 @@
   createBusyError,
   createNotRunError,
   createRefusedError,
+  createTimeError,
 } from './send_rules.js';
 import type {ServingParts} from './serving_parts.js';
 import type {RetryDenial, StreamRetries} from './stream_retries.js';
@@ -42,10 +43,9 @@
   finishExpired(): string {
     const {parts, route, service} = this;
     this.denial = 'time_spent';
+    const {mayHaveRun} = this.retries;
     this.finishWith(
-      this.retries.mayHaveRun
-        ? GATEWAY_ERRORS.create('timed_out', {ms: route.timeoutMs})
-        : createNotRunError('not_run_in_time', service, parts.random),
+      createTimeError(this.request, route, service, mayHaveRun, parts.random),
     );
     return 'expired';
   }
