Keep the connection of a refused request that has arrived whole

Callers that got a refusal of a GET, or of a POST with an empty or a short body, had their connection closed, and a request pipelined behind the refused one was read but got neither an answer nor a refusal.

Cause: the request was refused in the event of its head, before Node had parsed the bytes that arrived with it, so that even a request without a body counted as still arriving. Internal errors and the refusals of a stopping host closed the connection on purpose, also before a request behind them.

Now the refusal of a request that is not complete is sent after the turn in which its head arrived. Then either it is complete, and the connection is kept, or the rest is on its way, and the connection lingers as before. A stopping host still asks for the close in its last answer on a connection.

--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -315,13 +315,13 @@
     const isLost = lastResult === undefined || !('body' in lastResult);
     if (isLost && this.isRefused) {
       const error = createRefusedError(content, this.mayHaveRun);
-      exchange.refuse(error, false);
+      exchange.refuse(error);
       this.recordRefusal(error);
       return this.mayHaveRun ? 'lost' : 'refused';
     }
     if (lastResult === undefined) {
       const error = this.createNotSentError();
-      exchange.refuse(error, false);
+      exchange.refuse(error);
       this.recordRefusal(error);
       return 'refused';
     }
@@ -331,7 +331,7 @@
         ? 'failed'
         : 'answered';
     }
-    exchange.refuse(lastResult, false);
+    exchange.refuse(lastResult);
     this.recordRefusal(lastResult);
     return 'lost';
   }
@@ -350,7 +350,7 @@
     const {service, route, parts, mayHaveRun, request} = this;
     const {random} = parts;
     const error = createTimeError(request, route, service, mayHaveRun, random);
-    this.request.exchange.refuse(error, false);
+    this.request.exchange.refuse(error);
     this.recordRefusal(error);
     return 'expired';
   }
--- a/packages/gateway/src/serving/caller_exchange.ts
+++ b/packages/gateway/src/serving/caller_exchange.ts
@@ -170,42 +170,19 @@
   }
 
   /**
-   * Answers with an error.
-   *
-   * @param mustClose Whether to close the connection after the answer.
-   * @param extraLines Further header lines.
+   * Answers with an error, with further header lines. The connection is closed
+   * only if the rest of the request is still arriving.
    */
-  refuse(
-    error: KnownError,
-    mustClose: boolean,
-    extraLines: HeaderLines = [],
-  ): void {
-    if (this.isFinal) return;
-    const {kind, message, remedy, outcome, retryAfterSeconds} = error;
-    const body = Buffer.from(
-      JSON.stringify({error: {kind, message, remedy, outcome}}),
-    );
-    const headers: Record<string, string> = {
-      'Content-Type': 'application/json',
-      'Content-Length': String(body.length),
-      [OUTCOME_HEADER]: outcome,
-      ...Object.fromEntries(extraLines),
-    };
-    if (retryAfterSeconds !== undefined) {
-      headers['Retry-After'] = String(retryAfterSeconds);
-    }
-    // The rest of an unread body must not be parsed as the next request.
-    const isArriving = !this.message.complete;
-    if (mustClose || isArriving) headers['Connection'] = 'close';
-    this.response.writeHead(error.status, headers);
-    if (isArriving) {
-      this.lingeringCloses.end(this.message, this.response, body);
-    } else {
-      this.response.end(body);
-      // Unread parts would hold up the next request on the connection.
-      this.message.resume();
+  refuse(error: KnownError, extraLines: HeaderLines = []): void {
+    if (!this.takeFinal()) return;
+    if (this.message.complete) {
+      this.sendRefusal(error, extraLines);
+      return;
     }
-    this.hasFinalAnswer = true;
+    // The rest may have arrived with the head, and is parsed in this turn.
+    setImmediate(() => {
+      if (!this.response.destroyed) this.sendRefusal(error, extraLines);
+    });
   }
 
   /**
@@ -215,7 +192,7 @@
   fail(error: KnownError): void {
     this.controller.abort();
     if (this.response.headersSent) this.failStream();
-    else this.refuse(error, true);
+    else this.refuse(error);
   }
 
   /** Asks the caller to open a new connection for its next request. */
@@ -230,6 +207,33 @@
     return this.hasFinalAnswer || this.response.destroyed;
   }
 
+  private sendRefusal(error: KnownError, extraLines: HeaderLines): void {
+    const {kind, message, remedy, outcome, retryAfterSeconds} = error;
+    const body = Buffer.from(
+      JSON.stringify({error: {kind, message, remedy, outcome}}),
+    );
+    const headers: Record<string, string> = {
+      'Content-Type': 'application/json',
+      'Content-Length': String(body.length),
+      [OUTCOME_HEADER]: outcome,
+      ...Object.fromEntries(extraLines),
+    };
+    if (retryAfterSeconds !== undefined) {
+      headers['Retry-After'] = String(retryAfterSeconds);
+    }
+    // The rest of an unread body must not be parsed as the next request.
+    const isArriving = !this.message.complete;
+    if (isArriving) headers['Connection'] = 'close';
+    this.response.writeHead(error.status, headers);
+    if (isArriving) {
+      this.lingeringCloses.end(this.message, this.response, body);
+      return;
+    }
+    this.response.end(body);
+    // Unread parts would hold up the next request on the connection.
+    this.message.resume();
+  }
+
   private endTime(): void {
     this.hasExpired = true;
     this.controller.abort();
--- a/packages/gateway/src/serving/request_handler.ts
+++ b/packages/gateway/src/serving/request_handler.ts
@@ -290,7 +290,7 @@
     const isDeclined =
       exchange.hop !== undefined && HOST_REFUSALS.has(error.kind);
     const lines = isDeclined ? [DECLINED_LINE] : [];
-    exchange.refuse(error, this.host.isLeaving, lines);
+    exchange.refuse(error, lines);
     this.parts.metrics.requests.inc({kind: 'none', outcome: error.kind});
     const {requestId} = this.parts.codec.decodeRequest(exchange.lines);
     this.parts.log.writeInfo('A request was refused.', {
--- a/packages/gateway/src/serving/stream_sink.ts
+++ b/packages/gateway/src/serving/stream_sink.ts
@@ -85,7 +85,7 @@
   /** Ends a started stream as incomplete; refuses the request otherwise. */
   fail(error: KnownError): void {
     if (this.hasStarted) this.exchange.failStream();
-    else this.exchange.refuse(error, false);
+    else this.exchange.refuse(error);
   }
 
   private checkRepeated(
