Bound answers that their callers do not read in time and memory

A caller that reads nothing made its host keep the whole answer for as long as the connection stayed open: 8 MB with a route of 1 s were still there after 10 s, and any number of such answers.

Cause: an answer was handed to the socket in one piece, and its time limit ended with it. The bound on memory covers answers that are being read from endpoints, not those that wait for callers.

Now an answer is written in pieces. Until the time limit the caller may read as it likes; after it, it must take a piece in each 5 s, or the connection is closed. Unread answers have a bound on memory of their own (16 MiB, the largest is given up first), so that slow callers take none from answers that are being read. Both closes write a line and are counted in irisdock_gateway_unread_answers_total. Streams end at their time limit as before; their unread bytes are in the same bound.

--- a/packages/gateway/src/services/front_requests.ts
+++ b/packages/gateway/src/services/front_requests.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {ServiceContext} from '@irisdock/kernel';
 import {LINGER_BOUNDS, LingeringCloses} from '../channels/lingering_closes.js';
+import {UNREAD_BOUNDS, UnreadAnswers} from '../channels/unread_answers.js';
 import type {RelayHop} from '../model/relay_path.js';
 import {CallerExchange} from '../serving/caller_exchange.js';
 import type {ExchangesInFlight} from '../serving/exchanges_in_flight.js';
@@ -22,9 +23,17 @@
   inFlight: ExchangesInFlight,
 ): Serve {
   const {clock} = context;
-  const {lingeringCloses: closes} = handler.metrics;
-  const bounds = LINGER_BOUNDS;
-  const lingeringCloses = new LingeringCloses({...context, bounds, closes});
+  const {metrics} = handler;
+  const lingeringCloses = new LingeringCloses({
+    ...context,
+    bounds: LINGER_BOUNDS,
+    closes: metrics.lingeringCloses,
+  });
+  const unreadAnswers = new UnreadAnswers({
+    ...context,
+    bounds: UNREAD_BOUNDS,
+    closes: metrics.unreadAnswers,
+  });
   return (message, response, hop, arrivedAt = clock.getNow()) => {
     // It could not be answered, so it must not run.
     if (lingeringCloses.has(message.socket)) return;
@@ -33,6 +42,7 @@
       response,
       arrivedAt,
       lingeringCloses,
+      unreadAnswers,
       hop,
     );
     inFlight.add(exchange);
--- a/packages/gateway/src/serving/caller_exchange.ts
+++ b/packages/gateway/src/serving/caller_exchange.ts
@@ -12,6 +12,7 @@
 } from '../channels/request_body.js';
 import {formatRawHeaders, readHeaderLines} from '../channels/header_lines.js';
 import type {LingeringCloses} from '../channels/lingering_closes.js';
+import type {UnreadAnswer, UnreadAnswers} from '../channels/unread_answers.js';
 import type {RelayHop} from '../model/relay_path.js';
 import type {HeaderLines, RequestMetadata} from '../model/request_metadata.js';
 
@@ -32,6 +33,7 @@
   readonly lines: HeaderLines;
   /** Aborted when the caller disconnects or the time is over. */
   readonly signal: AbortSignal;
+  private readonly answer: UnreadAnswer;
   private readonly controller = new AbortController();
   private hasExpired = false;
   private hasStopped = false;
@@ -44,11 +46,13 @@
     /** When the head arrived, on the monotonic clock. */
     readonly startedAt: number,
     private readonly lingeringCloses: LingeringCloses,
+    unreadAnswers: UnreadAnswers,
     /** The host that relayed the request; undefined if its caller sent it. */
     readonly hop?: RelayHop,
   ) {
     this.lines = readHeaderLines(message);
     this.signal = this.controller.signal;
+    this.answer = unreadAnswers.open(response);
     message.on('error', () => undefined);
     response.on('error', () => undefined);
     response.once('close', () => {
@@ -122,7 +126,7 @@
 
   /** Sends a complete answer of an endpoint. */
   sendAnswer(answer: PlainAnswer): void {
-    if (this.isFinal) return;
+    if (!this.takeFinal()) return;
     const {status, lines, body, isFramed} = answer;
     const raw = formatRawHeaders(lines);
     const isBodiless = status === 204 || status === 304;
@@ -131,8 +135,8 @@
     if (!isFramed) this.response.useChunkedEncodingByDefault = false;
     else if (!isBodiless) raw.push('Content-Length', String(body.length));
     this.response.writeHead(status, raw);
-    this.response.end(isBodiless ? undefined : body);
-    this.hasFinalAnswer = true;
+    if (isBodiless) this.answer.end();
+    else this.answer.send(body);
   }
 
   /** Starts the answer of a stream. */
@@ -147,21 +151,24 @@
 
   /** Resolves when the write buffer is drained or the request was aborted. */
   async waitForDrain(): Promise<void> {
+    const {answer, response} = this;
+    answer.markWritten(response.writableLength);
     await new Promise<void>((resolve) => {
       const finish = (): void => {
-        this.response.removeListener('drain', finish);
+        response.removeListener('drain', finish);
         this.signal.removeEventListener('abort', finish);
         resolve();
       };
-      this.response.once('drain', finish);
+      response.once('drain', finish);
       this.signal.addEventListener('abort', finish);
       if (this.signal.aborted) finish();
     });
+    answer.markTaken();
   }
 
   /** Ends a stream as complete. */
   endStream(): void {
-    if (this.takeFinal()) this.response.end();
+    if (this.takeFinal()) this.answer.end();
   }
 
   /** Ends a stream so that the caller sees it as incomplete. */
@@ -229,7 +236,7 @@
       this.lingeringCloses.end(this.message, this.response, body);
       return;
     }
-    this.response.end(body);
+    this.answer.send(body);
     // Unread parts would hold up the next request on the connection.
     this.message.resume();
   }
@@ -237,6 +244,7 @@
   private endTime(): void {
     this.hasExpired = true;
     this.controller.abort();
+    this.answer.markTimeOver();
   }
 
   private takeFinal(): boolean {
--- a/packages/gateway/src/serving/serving_metrics.ts
+++ b/packages/gateway/src/serving/serving_metrics.ts
@@ -20,6 +20,7 @@
   readonly silences: Counter;
   readonly cutStreams: Counter;
   readonly lingeringCloses: Counter;
+  readonly unreadAnswers: Counter;
   readonly lostRuns: Counter;
   readonly resumptions: Counter;
   readonly origins: Counter;
@@ -76,6 +77,11 @@
       ['reason'],
       'Connections closed after a refusal while the request was arriving, a count, by reason.',
     );
+    this.unreadAnswers = createCounter(
+      'irisdock_gateway_unread_answers_total',
+      ['reason'],
+      'Connections closed as their callers did not read the answer, a count, by reason.',
+    );
     this.answerSeconds = createAnswerHistogram(registry);
     this.resumeSeconds = createResumeHistogram(registry);
   }
