Answer malformed requests with a lingering close, behind whole ones

Callers that sent a head over 16 KiB, no HTTP or a bad chunk, and read once they had sent all, got EPIPE in place of the refusal. A whole request that was being served lost its answer when malformed bytes came behind it: its caller got their 400, or nothing.

Cause: without a listener for 'clientError' Node writes the error itself, whatever runs on the connection, and destroys the socket under what is still arriving, which resets it.

Now the requests before the fault are answered first. Then the fault is refused (431 head_too_large, 400 malformed_request, 408 request_late, each as not run), and the connection lingers within the bounds that hold for refused bodies. The linger counts bytes on the socket, as the parser passes none on after a fault.

--- a/packages/gateway/src/channels/caller_connections.ts
+++ b/packages/gateway/src/channels/caller_connections.ts
@@ -4,10 +4,11 @@
  * connection are served one after the other, as an answer may close it.
  */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import type {Socket} from 'node:net';
+import {Socket} from 'node:net';
 import {setImmediate as waitForTurn} from 'node:timers/promises';
-import type {Logger} from '@irisdock/kernel';
+import type {KnownError, Logger} from '@irisdock/kernel';
 import type {CallerLimits} from '../model/serving_configuration.js';
+import {findRequestFault} from './request_faults.js';
 
 /**
  * The shortest time for which an idle connection is kept, in ms: the header
@@ -26,6 +27,18 @@
   'headerTimeoutMs' | 'idleTimeoutMs'
 >;
 
+/** Refuses bytes on a connection that are no request, and closes it. */
+export type FaultHandler = (socket: Socket, fault: KnownError) => void;
+
+/** A request that is being served. */
+export interface ServedRequest {
+  /** Gives up reading the request, whose rest is malformed. */
+  failRequest(fault: KnownError): void;
+}
+
+/** Serves a request; undefined if it can't be answered. */
+type ServeRequest = () => ServedRequest | undefined;
+
 /** Tracks the connections of a server for callers. */
 export class CallerConnections {
   private readonly connections = new Map<Socket, CallerConnection>();
@@ -34,11 +47,15 @@
     private readonly server: Server,
     limits: ConnectionLimits,
     private readonly log: Logger,
+    private readonly refuse: FaultHandler,
   ) {
     this.applyLimits(limits);
     server.on('connection', (socket) => {
       this.add(socket);
     });
+    server.on('clientError', (error, socket) => {
+      if (socket instanceof Socket) this.handleError(error, socket);
+    });
     server.on('timeout', (socket: Socket) => void this.closeExpired(socket));
   }
 
@@ -60,7 +77,7 @@
   accept(
     message: IncomingMessage,
     response: ServerResponse,
-    serve: () => void,
+    serve: ServeRequest,
   ): void {
     const announcedMs = this.server.keepAliveTimeout;
     const connection = this.connections.get(message.socket);
@@ -95,7 +112,7 @@
 
   private add(socket: Socket): void {
     socket.setNoDelay(true);
-    const connection = new CallerConnection(socket);
+    const connection = new CallerConnection(socket, this.refuse);
     this.connections.set(socket, connection);
     socket.once('close', () => {
       this.connections.delete(socket);
@@ -106,6 +123,13 @@
     });
   }
 
+  /** Handles an error of a connection, or of what is read from it. */
+  private handleError(error: NodeJS.ErrnoException, socket: Socket): void {
+    const fault = findRequestFault(error);
+    if (fault === undefined) socket.destroy();
+    else this.connections.get(socket)?.setFault(fault);
+  }
+
   /**
    * Closes a connection that was silent for its idle time, unless something has
    * arrived meanwhile; reading that starts its timer again.
@@ -124,7 +148,7 @@
   readonly response: ServerResponse;
   /** The idle time that its response announces. */
   readonly announcedMs: number;
-  readonly serve: () => void;
+  readonly serve: ServeRequest;
 }
 
 /** One connection of a caller. */
@@ -135,8 +159,14 @@
   private readonly requests: AcceptedRequest[] = [];
   /** How much had been read when the last request was complete, in bytes. */
   private servedBytes = 0;
+  /** What is wrong behind the last complete request. */
+  private fault: KnownError | undefined;
+  private current: ServedRequest | undefined;
 
-  constructor(private readonly socket: Socket) {}
+  constructor(
+    private readonly socket: Socket,
+    private readonly refuse: FaultHandler,
+  ) {}
 
   /**
    * Whether a response has not been handed over whole to the kernel. One that
@@ -175,7 +205,32 @@
     });
     this.keepOpenFor(request);
     this.requests.push(request);
-    if (this.requests.length === 1) request.serve();
+    if (this.requests.length === 1) this.serve(request);
+  }
+
+  /**
+   * Sets what is wrong with what follows the last complete request; the
+   * requests before it are answered first. Only the first fault counts, as the
+   * parser finds one in all that follows.
+   */
+  setFault(fault: KnownError): void {
+    if (this.fault !== undefined) return;
+    this.fault = fault;
+    const [request] = this.requests;
+    if (request === undefined) this.refuseRest();
+    else if (!request.message.complete) this.current?.failRequest(fault);
+  }
+
+  private serve(request: AcceptedRequest): void {
+    this.current = request.serve();
+    if (this.fault === undefined || request.message.complete) return;
+    this.current?.failRequest(this.fault);
+  }
+
+  /** Refuses what follows the last request, unless it was a part of that. */
+  private refuseRest(): void {
+    if (this.fault === undefined || !this.socket.writable) return;
+    this.refuse(this.socket, this.fault);
   }
 
   /** Lets the response before a request leave the connection open for it. */
@@ -190,7 +245,9 @@
   private serveNext(): void {
     if (!this.socket.writable) return;
     this.requests.shift();
-    this.requests[0]?.serve();
+    const [next] = this.requests;
+    if (next === undefined) this.refuseRest();
+    else this.serve(next);
   }
 
   /**
--- a/packages/gateway/src/channels/lingering_closes.ts
+++ b/packages/gateway/src/channels/lingering_closes.ts
@@ -6,7 +6,7 @@
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import type {Clock, Logger} from '@irisdock/kernel';
+import type {Clock, LogFields, Logger} from '@irisdock/kernel';
 import type {Counter} from 'prom-client';
 
 /** How far a host goes to let refusals reach their callers. */
@@ -67,37 +67,117 @@
 
   /** Ends a response whose head is written, while its request arrives. */
   end(message: IncomingMessage, response: ServerResponse, body: Buffer): void {
-    const {socket} = message;
+    const {socket, url} = message;
+    this.start(socket, url, new MessageRefusal(message, response, body));
+  }
+
+  /** Sends a response to a request of which Node made no message. */
+  endUnparsed(socket: Socket, bytes: Buffer): void {
+    this.start(socket, undefined, new UnparsedRefusal(socket, bytes));
+  }
+
+  private start(
+    socket: Socket,
+    path: string | undefined,
+    refusal: Refusal,
+  ): void {
     const {bounds, clock} = this.parts;
     if (socket.destroyed) return;
+    const caller = socket.remoteAddress;
     const startedAt = clock.getNow();
-    const close = new LingeringClose(message, response, bounds, (reason) => {
+    const close = new LingeringClose(socket, refusal, bounds, (reason) => {
       this.open.delete(socket);
-      this.record(reason, message, clock.getNow() - startedAt);
+      const ms = Math.round(clock.getNow() - startedAt);
+      this.record(reason, {path, caller, ms});
     });
     this.closing.add(socket);
     this.open.set(socket, close);
-    close.start(body);
+    close.start();
     if (this.open.size <= bounds.maxConnections) return;
     const [oldest] = this.open.values();
     oldest?.end('count');
   }
 
-  private record(
-    reason: LingerEnd,
-    message: IncomingMessage,
-    ms: number,
-  ): void {
+  private record(reason: LingerEnd, fields: LogFields): void {
     const {closes, log} = this.parts;
     closes.inc({reason});
     if (!EARLY_ENDS.has(reason)) return;
     log.writeInfo('Closed a connection whose request was still arriving.', {
       reason,
-      path: message.url,
-      caller: message.socket.remoteAddress,
-      ms: Math.round(ms),
+      ...fields,
+    });
+  }
+}
+
+/** A refusal whose request is still arriving. */
+interface Refusal {
+  /** Sends the refusal; calls back once it has left. */
+  send(handleSent: () => void): void;
+  /** Watches for the end of the request, by itself or by its caller. */
+  watchEnd(handleEnd: (reason: 'body-ended' | 'caller') => void): void;
+  /** Reads and discards what arrives. */
+  drop(): void;
+  /** Ends the response once the request has ended. */
+  finish(): void;
+}
+
+/** The refusal of a request that Node parses. */
+class MessageRefusal implements Refusal {
+  constructor(
+    private readonly message: IncomingMessage,
+    private readonly response: ServerResponse,
+    private readonly body: Buffer,
+  ) {}
+
+  send(handleSent: () => void): void {
+    // A head without a body, in answer to HEAD, isn't sent by writing.
+    this.response.flushHeaders();
+    // Behind another response on the connection it waits for its turn.
+    this.response.write(this.body, handleSent);
+  }
+
+  watchEnd(handleEnd: (reason: 'body-ended' | 'caller') => void): void {
+    this.message.once('end', () => {
+      handleEnd('body-ended');
+    });
+    this.message.once('close', () => {
+      handleEnd('caller');
     });
   }
+
+  drop(): void {
+    this.message.resume();
+  }
+
+  finish(): void {
+    this.response.end();
+  }
+}
+
+/** The refusal of a request that Node can't parse. */
+class UnparsedRefusal implements Refusal {
+  constructor(
+    private readonly socket: Socket,
+    private readonly bytes: Buffer,
+  ) {}
+
+  send(handleSent: () => void): void {
+    this.socket.write(this.bytes, handleSent);
+  }
+
+  watchEnd(handleEnd: (reason: 'body-ended' | 'caller') => void): void {
+    this.socket.once('close', () => {
+      handleEnd('caller');
+    });
+  }
+
+  drop(): void {
+    this.socket.resume();
+  }
+
+  finish(): void {
+    this.socket.destroy();
+  }
 }
 
 /** One connection that is being closed. */
@@ -107,27 +187,20 @@
   private hasEnded = false;
 
   constructor(
-    private readonly message: IncomingMessage,
-    private readonly response: ServerResponse,
+    private readonly socket: Socket,
+    private readonly refusal: Refusal,
     private readonly bounds: LingerBounds,
     private readonly handleEnd: (reason: LingerEnd) => void,
   ) {
-    this.bytesBefore = message.socket.bytesRead;
+    this.bytesBefore = socket.bytesRead;
   }
 
   /** Sends the rest of the response, then waits for the request to end. */
-  start(body: Buffer): void {
-    const {message, response} = this;
-    message.once('end', () => {
-      this.end('body-ended');
-    });
-    message.once('close', () => {
-      this.end('caller');
+  start(): void {
+    this.refusal.watchEnd((reason) => {
+      this.end(reason);
     });
-    // A head without a body, in answer to HEAD, isn't sent by writing.
-    response.flushHeaders();
-    // Behind another response on the connection it waits for its turn.
-    response.write(body, () => {
+    this.refusal.send(() => {
       this.startDiscarding();
     });
   }
@@ -138,21 +211,22 @@
     this.hasEnded = true;
     clearTimeout(this.timer);
     this.handleEnd(reason);
-    if (reason === 'body-ended') this.response.end();
-    else this.message.socket.destroy();
+    if (reason === 'body-ended') this.refusal.finish();
+    else this.socket.destroy();
   }
 
   private startDiscarding(): void {
-    const {message, bounds} = this;
+    const {socket, bounds} = this;
     if (this.hasEnded) return;
     this.timer = setTimeout(() => {
       this.end('time');
     }, bounds.maxMs);
-    message.socket.end();
-    message.on('data', () => {
-      const bytes = message.socket.bytesRead - this.bytesBefore;
+    socket.end();
+    // Not those of the message: the parser passes none on after a fault.
+    socket.on('data', () => {
+      const bytes = socket.bytesRead - this.bytesBefore;
       if (bytes > bounds.maxBytes) this.end('bytes');
     });
-    message.resume();
+    this.refusal.drop();
   }
 }
--- a/packages/gateway/src/errors.ts
+++ b/packages/gateway/src/errors.ts
@@ -52,6 +52,24 @@
     message: 'The body did not arrive in the time of the request.',
     remedy: 'Send the request again, or give it more time.',
   },
+  request_late: {
+    status: 408,
+    outcome: 'not-run',
+    message: 'The request did not arrive in time.',
+    remedy: 'Send the request again, all of it at once.',
+  },
+  head_too_large: {
+    status: 431,
+    outcome: 'not-run',
+    message: 'The head of the request is larger than 16 KiB.',
+    remedy: 'Send fewer or shorter header lines.',
+  },
+  malformed_request: {
+    status: 400,
+    outcome: 'not-run',
+    message: 'The request is not valid HTTP: {detail}.',
+    remedy: 'Correct the client, or what lies between it and this host.',
+  },
   no_endpoint: {
     status: 503,
     outcome: 'not-run',
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -10,7 +10,10 @@
 } from '@irisdock/kernel';
 import * as z from 'zod';
 import {BufferBudget} from '../channels/buffer_budget.js';
-import {CallerConnections} from '../channels/caller_connections.js';
+import {
+  CallerConnections,
+  type FaultHandler,
+} from '../channels/caller_connections.js';
 import {EndpointClient} from '../channels/endpoint_client.js';
 import {startListening} from '../channels/listening.js';
 import {PeerFrame} from '../model/peer_frame.js';
@@ -36,7 +39,7 @@
 import {ENDPOINT_NETWORK} from './endpoint_network.js';
 import {GATEWAY_ENDPOINTS} from './endpoints.js';
 import {waitDrained} from './front_drain.js';
-import {createServe} from './front_requests.js';
+import {FrontRequests} from './front_requests.js';
 import {LIMITS} from './limits.js';
 import {HOST_PHASE} from './host_phase.js';
 import {HOST_IDENTITY} from './identity.js';
@@ -106,20 +109,23 @@
     const prober = new EndpointProber(client, codec.reportPath);
     const handler = new RequestHandler(parts, prober, phase);
     const inFlight = new ExchangesInFlight();
-    const serve = createServe(context, handler, inFlight);
-    context.find(PEER_TABLES).handle = serve;
+    const requests = new FrontRequests(context, handler, inFlight);
+    context.find(PEER_TABLES).handle = (message, response, hop) => {
+      requests.serve(message, response, hop);
+    };
     const server = createServer((message, response) => {
       const arrivedAt = clock.getNow();
-      connections.accept(message, response, () => {
-        serve(message, response, undefined, arrivedAt);
-      });
+      connections.accept(message, response, () =>
+        requests.serve(message, response, undefined, arrivedAt),
+      );
     });
     // Without a listener, Node asks for each body before its request is known.
     server.on('checkContinue', (message, response) => {
       server.emit('request', message, response);
     });
     server.requestTimeout = REQUEST_TIMEOUT_MS;
-    const connections = createConnections(server, configuration, log);
+    const refuse = requests.refuse.bind(requests);
+    const connections = createConnections(server, configuration, log, refuse);
     return {
       api: undefined,
       live: {
@@ -152,9 +158,10 @@
   server: Server,
   configuration: GatewayConfiguration,
   log: Logger,
+  refuse: FaultHandler,
 ): CallerConnections {
   const {limits} = configuration;
-  const connections = new CallerConnections(server, limits, log);
+  const connections = new CallerConnections(server, limits, log, refuse);
   void configuration.changes.observe(() => {
     connections.applyLimits(configuration.limits);
   });
--- a/packages/gateway/src/serving/caller_exchange.ts
+++ b/packages/gateway/src/serving/caller_exchange.ts
@@ -15,9 +15,7 @@
 import type {UnreadAnswer, UnreadAnswers} from '../channels/unread_answers.js';
 import type {RelayHop} from '../model/relay_path.js';
 import type {HeaderLines, RequestMetadata} from '../model/request_metadata.js';
-
-/** The header that states whether a request without an answer may have run. */
-const OUTCOME_HEADER = 'X-Irisdock-Outcome';
+import {createRefusalResponse} from './refusal_response.js';
 
 /** A complete answer of an endpoint that is not an event stream. */
 export interface PlainAnswer {
@@ -37,6 +35,7 @@
   private readonly controller = new AbortController();
   private hasExpired = false;
   private hasStopped = false;
+  private fault: KnownError | undefined;
   private timer: NodeJS.Timeout | undefined;
   private hasFinalAnswer = false;
 
@@ -90,6 +89,11 @@
     return this.hasStopped;
   }
 
+  /** Why the rest of the request can't be read; undefined if it can. */
+  get requestFault(): KnownError | undefined {
+    return this.fault;
+  }
+
   /** Whether the headers of an answer were sent. */
   get isAnswered(): boolean {
     return this.response.headersSent;
@@ -124,6 +128,13 @@
     return readRequestBody(message, maxBytes, signal);
   }
 
+  /** Gives up reading the request, whose rest is malformed. */
+  failRequest(fault: KnownError): void {
+    if (this.isFinal) return;
+    this.fault = fault;
+    this.controller.abort();
+  }
+
   /** Sends a complete answer of an endpoint. */
   sendAnswer(answer: PlainAnswer): void {
     if (!this.takeFinal()) return;
@@ -215,22 +226,10 @@
   }
 
   private sendRefusal(error: KnownError, extraLines: HeaderLines): void {
-    const {kind, message, remedy, outcome, retryAfterSeconds} = error;
-    const body = Buffer.from(
-      JSON.stringify({error: {kind, message, remedy, outcome}}),
-    );
-    const headers: Record<string, string> = {
-      'Content-Type': 'application/json',
-      'Content-Length': String(body.length),
-      [OUTCOME_HEADER]: outcome,
-      ...Object.fromEntries(extraLines),
-    };
-    if (retryAfterSeconds !== undefined) {
-      headers['Retry-After'] = String(retryAfterSeconds);
-    }
     // The rest of an unread body must not be parsed as the next request.
     const isArriving = !this.message.complete;
-    if (isArriving) headers['Connection'] = 'close';
+    const refusal = createRefusalResponse(error, isArriving, extraLines);
+    const {headers, body} = refusal;
     this.response.writeHead(error.status, headers);
     if (isArriving) {
       this.lingeringCloses.end(this.message, this.response, body);
--- a/packages/gateway/src/serving/request_handler.ts
+++ b/packages/gateway/src/serving/request_handler.ts
@@ -125,6 +125,13 @@
     exchange.fail(error);
   }
 
+  /** Records the refusal of bytes that are no request. */
+  recordMalformed({kind}: KnownError, caller: string | undefined): void {
+    const {log, metrics} = this.parts;
+    metrics.requests.inc({kind: 'none', outcome: kind});
+    log.writeInfo('A request was refused.', {kind, caller});
+  }
+
   private async drive(
     request: AdmittedRequest,
     route: ServingRoute,
@@ -239,6 +246,8 @@
     if (body instanceof Buffer) return body;
     if (body === 'too-large') {
       this.refuse(exchange, GATEWAY_ERRORS.create('body_too_large', {limit}));
+    } else if (exchange.requestFault !== undefined) {
+      this.refuse(exchange, exchange.requestFault);
     } else if (exchange.isStopped) {
       this.refuse(exchange, this.createRetryableError('leaving'));
     } else if (exchange.isExpired) {
--- a/packages/gateway/tests/lingering_closes.test.ts
+++ b/packages/gateway/tests/lingering_closes.test.ts
@@ -4,7 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import {createServer, type Server} from 'node:http';
-import {connect, type AddressInfo, type Socket} from 'node:net';
+import {connect, Socket, type AddressInfo} from 'node:net';
 import {describe, it} from 'node:test';
 import {RoarrLogger, SystemClock} from '@irisdock/kernel';
 import {Counter, Registry} from 'prom-client';
@@ -15,6 +15,7 @@
 } from '../src/channels/lingering_closes.js';
 
 const REFUSAL = 'no';
+const UNPARSED_REFUSAL = `HTTP/1.1 400 Text\r\n\r\n${REFUSAL}`;
 const PART_MS = 5;
 const MAX_WAIT_MS = 5000;
 
@@ -46,6 +47,10 @@
       });
       this.closes.end(message, response, Buffer.from(REFUSAL));
     });
+    this.server.on('clientError', (_, socket) => {
+      if (!(socket instanceof Socket) || this.closes.has(socket)) return;
+      this.closes.endUnparsed(socket, Buffer.from(UNPARSED_REFUSAL));
+    });
   }
 
   async start(): Promise<void> {
@@ -56,12 +61,17 @@
 
   /** Opens a connection and sends a head whose body is to follow. */
   async open(method = 'POST'): Promise<Caller> {
+    return this.openWith(
+      `${method} / HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n`,
+    );
+  }
+
+  /** Opens a connection and sends bytes, to which there is an answer. */
+  async openWith(text: string): Promise<Caller> {
     const {port} = this.server.address() as AddressInfo;
     const socket = connect({host: '127.0.0.1', port, allowHalfOpen: true});
     const caller = new Caller(socket);
-    socket.write(
-      `${method} / HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n`,
-    );
+    socket.write(text);
     await waitUntil(() => caller.text.includes('\r\n\r\n'));
     return caller;
   }
@@ -174,4 +184,20 @@
       caller.socket.destroy();
     });
   });
+
+  const bounds: readonly [Partial<LingerBounds>, number, string][] = [
+    [{maxBytes: 1_000_000}, 100_000, 'bytes'],
+    [{maxMs: 100}, 1, 'time'],
+  ];
+  for (const [bound, size, reason] of bounds) {
+    it(`is closed for its ${reason} when nothing on it can be parsed`, async () => {
+      await runWithServer(bound, async (server) => {
+        const caller = await server.openWith('neither method nor path\r\n\r\n');
+        await caller.sendParts(size);
+        assert.ok(caller.text.endsWith(REFUSAL));
+        assert.deepEqual(await server.getCounts(), {[reason]: 1});
+        assert.equal(server.closes.size, 0);
+      });
+    });
+  }
 });
