--- a/packages/gateway/src/errors.ts
+++ b/packages/gateway/src/errors.ts
@@ -52,6 +52,24 @@
     message: 'The body did not arrive in the time of the request.',
     remedy: 'Send the request again, or give it more time.',
   },
+  request_late: {
+    status: 408,
+    outcome: 'not-run',
+    message: 'The request did not arrive in time.',
+    remedy: 'Send the request again, all of it at once.',
+  },
+  head_too_large: {
+    status: 431,
+    outcome: 'not-run',
+    message: 'The head of the request is larger than 16 KiB.',
+    remedy: 'Send fewer or shorter header lines.',
+  },
+  malformed_request: {
+    status: 400,
+    outcome: 'not-run',
+    message: 'The request is not valid HTTP: {detail}.',
+    remedy: 'Correct the client, or what lies between it and this host.',
+  },
   no_endpoint: {
     status: 503,
     outcome: 'not-run',
@@ -136,6 +154,12 @@
     message: 'This host is about to stop and could not finish the request.',
     remedy: 'Use another host.',
   },
+  host_stopped: {
+    status: 502,
+    outcome: 'unknown',
+    message: 'This host had to stop before an endpoint answered the request.',
+    remedy: 'It may have run; ask for its result before sending it again.',
+  },
   internal_error: {
     status: 500,
     outcome: 'unknown',
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -1,10 +1,5 @@
 /** The service `front`: the HTTP server for callers. */
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from 'node:http';
+import {createServer, type Server} from 'node:http';
 import type {WindowedRetryBudgetOptions} from '@irisdock/decisions';
 import {
   createService,
@@ -15,17 +10,18 @@
 } from '@irisdock/kernel';
 import * as z from 'zod';
 import {BufferBudget} from '../channels/buffer_budget.js';
-import {CallerConnections} from '../channels/caller_connections.js';
+import {
+  CallerConnections,
+  type FaultHandler,
+} from '../channels/caller_connections.js';
 import {EndpointClient} from '../channels/endpoint_client.js';
-import {LINGER_BOUNDS, LingeringCloses} from '../channels/lingering_closes.js';
 import {startListening} from '../channels/listening.js';
 import {PeerFrame} from '../model/peer_frame.js';
-import type {RelayHop} from '../model/relay_path.js';
-import {CallerExchange} from '../serving/caller_exchange.js';
 import {EndpointExitCheck} from '../serving/endpoint_exit_check.js';
 import {EndpointProber} from '../serving/endpoint_prober.js';
 import {EndpointPaths} from '../serving/endpoint_paths.js';
 import {EngineClient} from '../serving/engine_client.js';
+import {ExchangesInFlight} from '../serving/exchanges_in_flight.js';
 import {PromptCacheFinder} from '../serving/prompt_cache_finder.js';
 import {LostRuns} from '../serving/lost_runs.js';
 import {RetryBudgets} from '../serving/retry_budgets.js';
@@ -46,6 +42,7 @@
 import {ENDPOINT_NETWORK} from './endpoint_network.js';
 import {GATEWAY_ENDPOINTS} from './endpoints.js';
 import {waitDrained} from './front_drain.js';
+import {FrontRequests} from './front_requests.js';
 import {LIMITS} from './limits.js';
 import {HOST_PHASE} from './host_phase.js';
 import {HOST_IDENTITY} from './identity.js';
@@ -114,21 +111,24 @@
     const {client, codec} = parts;
     const prober = new EndpointProber(client, codec.reportPath, clock);
     const handler = new RequestHandler(parts, prober, phase);
-    const inFlight = new Set<CallerExchange>();
-    const serve = createServe(context, handler, inFlight);
-    context.find(PEER_TABLES).handle = serve;
+    const inFlight = new ExchangesInFlight();
+    const requests = new FrontRequests(context, handler, inFlight);
+    context.find(PEER_TABLES).handle = (message, response, hop) => {
+      requests.serve(message, response, hop);
+    };
     const server = createServer((message, response) => {
       const arrivedAt = clock.getNow();
-      connections.accept(message, response, () => {
-        serve(message, response, undefined, arrivedAt);
-      });
+      connections.accept(message, response, () =>
+        requests.serve(message, response, undefined, arrivedAt),
+      );
     });
     // Without a listener, Node asks for each body before its request is known.
     server.on('checkContinue', (message, response) => {
       server.emit('request', message, response);
     });
     server.requestTimeout = REQUEST_TIMEOUT_MS;
-    const connections = createConnections(server, configuration, log);
+    const refuse = requests.refuse.bind(requests);
+    const connections = createConnections(server, configuration, log, refuse);
     return {
       api: undefined,
       live: {
@@ -141,12 +141,7 @@
       async drain() {
         phase.startLeaving();
         peers.publishState();
-        await waitDrained({
-          ...context,
-          connections,
-          phase,
-          countInFlight: () => inFlight.size,
-        });
+        await waitDrained({...context, connections, phase, inFlight});
         // At once, as further requests would start after the check.
         connections.closeAll();
       },
@@ -166,56 +161,16 @@
   server: Server,
   configuration: GatewayConfiguration,
   log: Logger,
+  refuse: FaultHandler,
 ): CallerConnections {
   const {limits} = configuration;
-  const connections = new CallerConnections(server, limits, log);
+  const connections = new CallerConnections(server, limits, log, refuse);
   void configuration.changes.observe(() => {
     connections.applyLimits(configuration.limits);
   });
   return connections;
 }
 
-/** Creates the function that serves requests of callers and of other hosts. */
-function createServe(
-  context: ServiceContext,
-  handler: RequestHandler,
-  inFlight: Set<CallerExchange>,
-): (
-  message: IncomingMessage,
-  response: ServerResponse,
-  hop?: RelayHop,
-  arrivedAt?: number,
-) => void {
-  const {clock} = context;
-  const {lingeringCloses: closes} = handler.metrics;
-  const bounds = LINGER_BOUNDS;
-  const lingeringCloses = new LingeringCloses({...context, bounds, closes});
-  return (message, response, hop, arrivedAt = clock.getNow()) => {
-    // It could not be answered, so it must not run.
-    if (lingeringCloses.has(message.socket)) return;
-    const exchange = new CallerExchange(
-      message,
-      response,
-      arrivedAt,
-      lingeringCloses,
-      hop,
-    );
-    inFlight.add(exchange);
-    const closed = new Promise<void>((resolve) => {
-      response.once('close', resolve);
-    });
-    void handler
-      .handle(exchange)
-      .catch((thrown: unknown) => {
-        handler.fail(exchange, thrown);
-      })
-      .then(() => closed)
-      .finally(() => {
-        inFlight.delete(exchange);
-      });
-  };
-}
-
 function createServingParts(
   context: ServiceContext,
   settings: z.infer<typeof SETTINGS>,
--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -27,6 +27,7 @@
   createBusyError,
   createNotRunError,
   createRefusedError,
+  createTimeError,
   FAILURE_WEIGHTS,
   MAX_BUSY_WAIT_MS,
   recordEndpointFailure,
@@ -316,7 +317,7 @@
     const isLost = lastAnswer === undefined || lastLoss !== undefined;
     if (isLost && this.isRefused) {
       const error = createRefusedError(content, this.mayHaveRun);
-      exchange.refuse(error, false);
+      exchange.refuse(error);
       this.recordRefusal(error);
       return this.mayHaveRun ? 'lost' : 'refused';
     }
@@ -327,7 +328,7 @@
         : 'answered';
     }
     const error = lastLoss ?? this.createNotSentError();
-    exchange.refuse(error, false);
+    exchange.refuse(error);
     this.recordRefusal(error);
     return lastLoss === undefined ? 'refused' : 'lost';
   }
@@ -344,11 +345,10 @@
 
   private finishExpired(): string {
     if (this.lastAnswer !== undefined) return this.finish();
-    const {service, route, parts} = this;
-    const error = this.mayHaveRun
-      ? GATEWAY_ERRORS.create('timed_out', {ms: route.timeoutMs})
-      : createNotRunError('not_run_in_time', service, parts.random);
-    this.request.exchange.refuse(error, false);
+    const {service, route, parts, mayHaveRun, request} = this;
+    const {random} = parts;
+    const error = createTimeError(request, route, service, mayHaveRun, random);
+    this.request.exchange.refuse(error);
     this.recordRefusal(error);
     return 'expired';
   }
--- a/packages/gateway/src/serving/caller_exchange.ts
+++ b/packages/gateway/src/serving/caller_exchange.ts
@@ -12,11 +12,10 @@
 } from '../channels/request_body.js';
 import {formatRawHeaders, readHeaderLines} from '../channels/header_lines.js';
 import type {LingeringCloses} from '../channels/lingering_closes.js';
+import type {UnreadAnswer, UnreadAnswers} from '../channels/unread_answers.js';
 import type {RelayHop} from '../model/relay_path.js';
 import type {HeaderLines, RequestMetadata} from '../model/request_metadata.js';
-
-/** The header that states whether a request without an answer may have run. */
-const OUTCOME_HEADER = 'X-Irisdock-Outcome';
+import {createRefusalResponse} from './refusal_response.js';
 
 /** A complete answer of an endpoint that is not an event stream. */
 export interface PlainAnswer {
@@ -30,10 +29,13 @@
 /** One exchange with a caller. */
 export class CallerExchange {
   readonly lines: HeaderLines;
-  /** Aborted when the caller disconnects or the time limit expires. */
+  /** Aborted when the caller disconnects or the time is over. */
   readonly signal: AbortSignal;
+  private readonly answer: UnreadAnswer;
   private readonly controller = new AbortController();
   private hasExpired = false;
+  private hasStopped = false;
+  private fault: KnownError | undefined;
   private timer: NodeJS.Timeout | undefined;
   private hasFinalAnswer = false;
 
@@ -43,11 +45,13 @@
     /** When the head arrived, on the monotonic clock. */
     readonly startedAt: number,
     private readonly lingeringCloses: LingeringCloses,
+    unreadAnswers: UnreadAnswers,
     /** The host that relayed the request; undefined if its caller sent it. */
     readonly hop?: RelayHop,
   ) {
     this.lines = readHeaderLines(message);
     this.signal = this.controller.signal;
+    this.answer = unreadAnswers.open(response);
     message.on('error', () => undefined);
     response.on('error', () => undefined);
     response.once('close', () => {
@@ -75,11 +79,21 @@
     return this.response.destroyed && !this.response.writableFinished;
   }
 
-  /** Whether the time limit of the request has expired. */
+  /** Whether the time limit expired, or the host must stop. */
   get isExpired(): boolean {
     return this.hasExpired;
   }
 
+  /** Whether the request has no more time because the host must stop. */
+  get isStopped(): boolean {
+    return this.hasStopped;
+  }
+
+  /** Why the rest of the request can't be read; undefined if it can. */
+  get requestFault(): KnownError | undefined {
+    return this.fault;
+  }
+
   /** Whether the headers of an answer were sent. */
   get isAnswered(): boolean {
     return this.response.headersSent;
@@ -89,13 +103,23 @@
   setTimeLimit(ms: number): void {
     this.timer = setTimeout(
       () => {
-        this.hasExpired = true;
-        this.controller.abort();
+        this.endTime();
       },
       Math.max(0, ms),
     );
   }
 
+  /**
+   * Ends the time of the request, as the host must stop; false if it has its
+   * final answer already.
+   */
+  stop(): boolean {
+    if (this.isFinal || this.isExpired) return false;
+    this.hasStopped = true;
+    this.endTime();
+    return true;
+  }
+
   /** Reads the whole body of the request until it is aborted. */
   async readBody(maxBytes: number): Promise<Buffer | BodyFault> {
     const {message, signal} = this;
@@ -104,9 +128,16 @@
     return readRequestBody(message, maxBytes, signal);
   }
 
+  /** Gives up reading the request, whose rest is malformed. */
+  failRequest(fault: KnownError): void {
+    if (this.isFinal) return;
+    this.fault = fault;
+    this.controller.abort();
+  }
+
   /** Sends a complete answer of an endpoint. */
   sendAnswer(answer: PlainAnswer): void {
-    if (this.isFinal) return;
+    if (!this.takeFinal()) return;
     const {status, lines, body, isFramed} = answer;
     const raw = formatRawHeaders(lines);
     const isBodiless = status === 204 || status === 304;
@@ -115,8 +146,8 @@
     if (!isFramed) this.response.useChunkedEncodingByDefault = false;
     else if (!isBodiless) raw.push('Content-Length', String(body.length));
     this.response.writeHead(status, raw);
-    this.response.end(isBodiless ? undefined : body);
-    this.hasFinalAnswer = true;
+    if (isBodiless) this.answer.end();
+    else this.answer.send(body);
   }
 
   /** Starts the answer of a stream. */
@@ -131,21 +162,24 @@
 
   /** Resolves when the write buffer is drained or the request was aborted. */
   async waitForDrain(): Promise<void> {
+    const {answer, response} = this;
+    answer.markWritten(response.writableLength);
     await new Promise<void>((resolve) => {
       const finish = (): void => {
-        this.response.removeListener('drain', finish);
+        response.removeListener('drain', finish);
         this.signal.removeEventListener('abort', finish);
         resolve();
       };
-      this.response.once('drain', finish);
+      response.once('drain', finish);
       this.signal.addEventListener('abort', finish);
       if (this.signal.aborted) finish();
     });
+    answer.markTaken();
   }
 
   /** Ends a stream as complete. */
   endStream(): void {
-    if (this.takeFinal()) this.response.end();
+    if (this.takeFinal()) this.answer.end();
   }
 
   /** Ends a stream so that the caller sees it as incomplete. */
@@ -154,42 +188,19 @@
   }
 
   /**
-   * Answers with an error.
-   *
-   * @param mustClose Whether to close the connection after the answer.
-   * @param extraLines Further header lines.
+   * Answers with an error, with further header lines. The connection is closed
+   * only if the rest of the request is still arriving.
    */
-  refuse(
-    error: KnownError,
-    mustClose: boolean,
-    extraLines: HeaderLines = [],
-  ): void {
-    if (this.isFinal) return;
-    const {kind, message, remedy, outcome, retryAfterSeconds} = error;
-    const body = Buffer.from(
-      JSON.stringify({error: {kind, message, remedy, outcome}}),
-    );
-    const headers: Record<string, string> = {
-      'Content-Type': 'application/json',
-      'Content-Length': String(body.length),
-      [OUTCOME_HEADER]: outcome,
-      ...Object.fromEntries(extraLines),
-    };
-    if (retryAfterSeconds !== undefined) {
-      headers['Retry-After'] = String(retryAfterSeconds);
+  refuse(error: KnownError, extraLines: HeaderLines = []): void {
+    if (!this.takeFinal()) return;
+    if (this.message.complete) {
+      this.sendRefusal(error, extraLines);
+      return;
     }
-    // The rest of an unread body must not be parsed as the next request.
-    const isArriving = !this.message.complete;
-    if (mustClose || isArriving) headers['Connection'] = 'close';
-    this.response.writeHead(error.status, headers);
-    if (isArriving) {
-      this.lingeringCloses.end(this.message, this.response, body);
-    } else {
-      this.response.end(body);
-      // Unread parts would hold up the next request on the connection.
-      this.message.resume();
-    }
-    this.hasFinalAnswer = true;
+    // The rest may have arrived with the head, and is parsed in this turn.
+    setImmediate(() => {
+      if (!this.response.destroyed) this.sendRefusal(error, extraLines);
+    });
   }
 
   /**
@@ -199,7 +210,7 @@
   fail(error: KnownError): void {
     this.controller.abort();
     if (this.response.headersSent) this.failStream();
-    else this.refuse(error, true);
+    else this.refuse(error);
   }
 
   /** Asks the caller to open a new connection for its next request. */
@@ -214,6 +225,27 @@
     return this.hasFinalAnswer || this.response.destroyed;
   }
 
+  private sendRefusal(error: KnownError, extraLines: HeaderLines): void {
+    // The rest of an unread body must not be parsed as the next request.
+    const isArriving = !this.message.complete;
+    const refusal = createRefusalResponse(error, isArriving, extraLines);
+    const {headers, body} = refusal;
+    this.response.writeHead(error.status, headers);
+    if (isArriving) {
+      this.lingeringCloses.end(this.message, this.response, body);
+      return;
+    }
+    this.answer.send(body);
+    // Unread parts would hold up the next request on the connection.
+    this.message.resume();
+  }
+
+  private endTime(): void {
+    this.hasExpired = true;
+    this.controller.abort();
+    this.answer.markTimeOver();
+  }
+
   private takeFinal(): boolean {
     if (this.isFinal) return false;
     this.hasFinalAnswer = true;
--- a/packages/gateway/src/serving/serving_metrics.ts
+++ b/packages/gateway/src/serving/serving_metrics.ts
@@ -22,6 +22,7 @@
   readonly handovers: Counter;
   readonly cutStreams: Counter;
   readonly lingeringCloses: Counter;
+  readonly unreadAnswers: Counter;
   readonly lostRuns: Counter;
   readonly resumptions: Counter;
   readonly origins: Counter;
@@ -30,9 +31,7 @@
   readonly resumeSeconds: Histogram;
 
   constructor(registry: Registry) {
-    const registers = [registry];
-    const createCounter: CounterFactory = (name, labelNames, help) =>
-      new Counter({name, help, labelNames, registers});
+    const createCounter = createCounterFactory(registry);
     this.requests = createCounter(
       'irisdock_gateway_requests_total',
       ['kind', 'outcome'],
@@ -83,6 +82,11 @@
       ['reason'],
       'Connections closed after a refusal while the request was arriving, a count, by reason.',
     );
+    this.unreadAnswers = createCounter(
+      'irisdock_gateway_unread_answers_total',
+      ['reason'],
+      'Connections closed as their callers did not read the answer, a count, by reason.',
+    );
     this.answerSeconds = createAnswerHistogram(registry);
     this.resumeSeconds = createResumeHistogram(registry);
   }
@@ -104,6 +108,12 @@
   });
 }
 
+function createCounterFactory(registry: Registry): CounterFactory {
+  const registers = [registry];
+  return (name, labelNames, help) =>
+    new Counter({name, help, labelNames, registers});
+}
+
 function createAnswerHistogram(registry: Registry): Histogram {
   return new Histogram({
     name: 'irisdock_gateway_answer_seconds',
