Give callers the failure that an engine answered if the time is over

A stream that an engine answered 500 is sent to another one. If the time was over before that one answered, callers got 504 timed_out of the host, although a whole answer of an engine was at hand, as they get it where no retry is left.

Failed before: "gets the failure of its engine when the retry outlasts its time" (streams.test.ts): 504 for 500.

--- a/packages/gateway/src/serving/stream_failure.ts
+++ b/packages/gateway/src/serving/stream_failure.ts
@@ -40,6 +40,7 @@
 
   /** Ends a stream whose time is over; returns its outcome. */
   finishExpired(): string {
+    if (this.trySendLastAnswer()) return 'failed';
     const {parts, route, service} = this;
     this.denial = 'time_spent';
     this.finishWith(
@@ -52,16 +53,19 @@
 
   /** Ends a stream that gets no further attempt; returns its outcome. */
   finishLost(): string {
-    const {exchange} = this.request;
-    if (!this.sink.isStarted && this.lastAnswer !== undefined) {
-      exchange.sendAnswer(this.lastAnswer);
-      return 'failed';
-    }
+    if (this.trySendLastAnswer()) return 'failed';
     const {mayHaveRun} = this.retries;
     this.finishWith(this.createLossError());
     return mayHaveRun ? 'lost' : 'refused';
   }
 
+  /** An answer of an engine goes before errors of this host. */
+  private trySendLastAnswer(): boolean {
+    if (this.sink.isStarted || this.lastAnswer === undefined) return false;
+    this.request.exchange.sendAnswer(this.lastAnswer);
+    return true;
+  }
+
   private createLossError(): KnownError {
     const {mayHaveRun, isRefused} = this.retries;
     const {parts, service, detail} = this;
