Let begun streams of a stopping host go on to the end of the drain

Requests without an answer are ended 0.2 s before the drain, so that callers still get their errors. Begun streams were ended with them, though no error can reach their callers, and lost time in which they may end.

Now only requests whose answer has not begun are ended early.

--- a/packages/gateway/src/services/front_drain.ts
+++ b/packages/gateway/src/services/front_drain.ts
@@ -45,7 +45,10 @@
   return inFlight.size + connections.countBusy() === 0;
 }
 
-/** Ends all requests with an error, and waits until callers have it. */
+/**
+ * Answers requests whose answer has not begun with an error, and waits until
+ * callers have it.
+ */
 async function endRequests(parts: FrontDrainParts): Promise<void> {
   const {connections, phase, clock, log, inFlight} = parts;
   const stopped = inFlight.stopAll();
--- a/packages/gateway/src/serving/caller_exchange.ts
+++ b/packages/gateway/src/serving/caller_exchange.ts
@@ -110,11 +110,11 @@
   }
 
   /**
-   * Ends the time of the request, as the host must stop; false if it has its
-   * final answer already.
+   * Ends the time of the request, as the host must stop; false if its answer
+   * has begun, which may still end by itself.
    */
   stop(): boolean {
-    if (this.isFinal || this.isExpired) return false;
+    if (this.isFinal || this.isExpired || this.isAnswered) return false;
     this.hasStopped = true;
     this.endTime();
     return true;
--- a/packages/gateway/src/serving/exchanges_in_flight.ts
+++ b/packages/gateway/src/serving/exchanges_in_flight.ts
@@ -20,7 +20,7 @@
     this.exchanges.delete(exchange);
   }
 
-  /** Stops those without a final answer; returns their number. */
+  /** Stops those whose answer has not begun; returns their number. */
   stopAll(): number {
     let count = 0;
     for (const exchange of this.exchanges) {
