Refuse requests for tunnels behind the whole ones before them

A caller that sent CONNECT had its connection closed without an answer, and a whole request before it on the connection, which was running, lost its answer with it: Node destroys the socket of a CONNECT that nobody listens for.

Now it is refused like what cannot be parsed (405 no_tunnel, not run), once the requests before it are answered.

--- a/packages/gateway/src/channels/caller_connections.ts
+++ b/packages/gateway/src/channels/caller_connections.ts
@@ -7,6 +7,7 @@
 import {Socket} from 'node:net';
 import {setImmediate as waitForTurn} from 'node:timers/promises';
 import type {KnownError, Logger} from '@irisdock/kernel';
+import {GATEWAY_ERRORS} from '../errors.js';
 import type {CallerLimits} from '../model/serving_configuration.js';
 import {findRequestFault} from './request_faults.js';
 
@@ -56,6 +57,11 @@
     server.on('clientError', (error, socket) => {
       if (socket instanceof Socket) this.handleError(error, socket);
     });
+    // Without a listener, Node closes the connection without an answer.
+    server.on('connect', (_, socket) => {
+      const fault = GATEWAY_ERRORS.create('no_tunnel');
+      if (socket instanceof Socket) this.setFault(socket, fault);
+    });
     server.on('timeout', (socket: Socket) => void this.closeExpired(socket));
   }
 
@@ -127,7 +133,11 @@
   private handleError(error: NodeJS.ErrnoException, socket: Socket): void {
     const fault = findRequestFault(error);
     if (fault === undefined) socket.destroy();
-    else this.connections.get(socket)?.setFault(fault);
+    else this.setFault(socket, fault);
+  }
+
+  private setFault(socket: Socket, fault: KnownError): void {
+    this.connections.get(socket)?.setFault(fault);
   }
 
   /**
--- a/packages/gateway/src/errors.ts
+++ b/packages/gateway/src/errors.ts
@@ -70,6 +70,12 @@
     message: 'The request is not valid HTTP: {detail}.',
     remedy: 'Correct the client, or what lies between it and this host.',
   },
+  no_tunnel: {
+    status: 405,
+    outcome: 'not-run',
+    message: 'This host opens no tunnels.',
+    remedy: 'Send requests to this host, not through it.',
+  },
   no_endpoint: {
     status: 503,
     outcome: 'not-run',
