Serve unknown expectations, and refuse requests without Host ourselves

Callers whose request had no Host header got EPIPE in place of the refusal if they read once they had sent their body: Node answers it and destroys the socket. A request with an Expect other than 100-continue got Node's 417, which names no remedy and is in no log line or metric.

Now the former is refused like any other request (400 malformed_request, with a lingering close, a line and a count), and an unknown expectation is ignored, as RFC 9110, section 10.1.1, allows; the header is not passed on.

--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -113,16 +113,21 @@
     context.find(PEER_TABLES).handle = (message, response, hop) => {
       requests.serve(message, response, hop);
     };
-    const server = createServer((message, response) => {
+    // Node's refusal of requests without it resets their connection.
+    const options = {requireHostHeader: false};
+    const server = createServer(options, (message, response) => {
       const arrivedAt = clock.getNow();
       connections.accept(message, response, () =>
         requests.serve(message, response, undefined, arrivedAt),
       );
     });
-    // Without a listener, Node asks for each body before its request is known.
-    server.on('checkContinue', (message, response) => {
-      server.emit('request', message, response);
-    });
+    // Without listeners, Node asks for each body before its request is known,
+    // and answers requests that expect anything else.
+    for (const event of ['checkContinue', 'checkExpectation'] as const) {
+      server.on(event, (message, response) => {
+        server.emit('request', message, response);
+      });
+    }
     server.requestTimeout = REQUEST_TIMEOUT_MS;
     const refuse = requests.refuse.bind(requests);
     const connections = createConnections(server, configuration, log, refuse);
--- a/packages/gateway/src/serving/caller_exchange.ts
+++ b/packages/gateway/src/serving/caller_exchange.ts
@@ -74,6 +74,12 @@
     return this.message.headers.host ?? '';
   }
 
+  /** Whether the Host header is missing, without which HTTP/1.1 is invalid. */
+  get lacksHost(): boolean {
+    const {headers, httpVersion} = this.message;
+    return headers.host === undefined && httpVersion !== '1.0';
+  }
+
   /** Whether the caller disconnected before its answer was complete. */
   hasDisconnected(): boolean {
     return this.response.destroyed && !this.response.writableFinished;
--- a/packages/gateway/src/serving/request_handler.ts
+++ b/packages/gateway/src/serving/request_handler.ts
@@ -79,6 +79,11 @@
       this.refuse(exchange, this.createRetryableError('leaving'));
       return;
     }
+    if (exchange.lacksHost) {
+      const fields = {detail: 'it has no Host header'};
+      this.refuse(exchange, GATEWAY_ERRORS.create('malformed_request', fields));
+      return;
+    }
     const {configuration} = this.parts;
     if (!configuration.isLoaded) {
       this.refuse(exchange, this.createRetryableError('no_configuration'));
