--- a/packages/gateway/src/serving/caller_exchange.ts
+++ b/packages/gateway/src/serving/caller_exchange.ts
@@ -74,6 +74,12 @@
     return this.message.headers.host ?? '';
   }
 
+  /** Whether the Host header is missing, without which HTTP/1.1 is invalid. */
+  get lacksHost(): boolean {
+    const {headers, httpVersion} = this.message;
+    return headers.host === undefined && httpVersion !== '1.0';
+  }
+
   /** Whether the caller disconnected before its answer was complete. */
   hasDisconnected(): boolean {
     return this.response.destroyed && !this.response.writableFinished;
@@ -110,11 +116,11 @@
   }
 
   /**
-   * Ends the time of the request, as the host must stop; false if it has its
-   * final answer already.
+   * Ends the time of the request, as the host must stop; false if its answer
+   * has begun, which may still end by itself.
    */
   stop(): boolean {
-    if (this.isFinal || this.isExpired) return false;
+    if (this.isFinal || this.isExpired || this.isAnswered) return false;
     this.hasStopped = true;
     this.endTime();
     return true;
