Keep a silent engine open until the next one continues the answer

Seen by callers of irisdockd: an answer ended with generation_lost although its engine was sound, silent for a second, and would have gone on.

Cause: the silent attempt was closed and cancelled once another engine had answered a probe, before that one was sent the answer. An engine that then refused it, answered 500 or closed the connection used up the losses of the answer within milliseconds.

The next attempt is now sent while the silent one stays open and is read. The first that brings the next token goes on, by the generation number that the assembler accepts, so that tokens of both never mix; the other one is cancelled at once. A failed next attempt is recorded and the silent one kept. Engines fence generations by their own numbers only, so the protocol allows two on different engines.

--- a/packages/daemon/src/answer/answer_attempt.ts
+++ b/packages/daemon/src/answer/answer_attempt.ts
@@ -12,13 +12,16 @@
 } from '@irisdock/decisions';
 import type {
   EndpointErrorKind,
+  EndpointError,
   Engine,
   EngineStream,
   StreamEvent,
   StreamOrder,
 } from '@irisdock/endpoints';
+import type {Result} from 'neverthrow';
 import type {EndpointRecord} from '../endpoint/endpoint_record.js';
 import type {AnswerToken} from './answer_sink.js';
+import {getOpenLoss} from './attempt_outcome.js';
 import {StallDetector, type StallKind} from './stall_detector.js';
 import type {StreamMetrics} from './stream_metrics.js';
 
@@ -41,6 +44,15 @@
   readonly maxSilenceMs: number;
 }
 
+/** Where the stream of an attempt comes from. */
+export interface AttemptSource {
+  readonly order: StreamOrder;
+  /** When the order was sent, on the clock. */
+  readonly sentAt: number;
+  /** Opens the stream; resolves when the engine has accepted the order. */
+  open(signal: AbortSignal): Promise<Result<EngineStream, EndpointError>>;
+}
+
 /** The dependencies and callbacks of an attempt. */
 export interface AttemptParts {
   readonly clock: Clock;
@@ -61,14 +73,6 @@
   handleTokens(tokens: readonly AnswerToken[]): Promise<void>;
 }
 
-/** The kind of loss for each error kind; all others count as a reset. */
-const LOSSES: Partial<Record<EndpointErrorKind, LossKind>> = {
-  endpoint_unreachable: 'unreachable',
-  endpoint_full: 'refused',
-  endpoint_superseded: 'superseded',
-  endpoint_unknown_stream: 'gone',
-};
-
 /** Runs one attempt. */
 export class AnswerAttempt {
   private readonly abortController = new AbortController();
@@ -114,21 +118,17 @@
     });
   }
 
-  /** Sends the order and reads its stream to the end or to its loss. */
-  async run(order: StreamOrder): Promise<AttemptResult> {
-    const {engine, stop, metrics} = this.parts;
+  /** Opens the stream and reads it to the end or to its loss. */
+  async run(source: AttemptSource): Promise<AttemptResult> {
+    const {stop} = this.parts;
     if (stop.aborted) return {kind: 'stopped', sent: false};
-    metrics.orders.inc({mode: order.mode});
-    this.startStallDetector(order);
+    this.startStallDetector(source);
     const cancel = (): void => {
       this.abortController.abort();
     };
     stop.addEventListener('abort', cancel);
     try {
-      const opened = await engine.openStream(
-        order,
-        this.abortController.signal,
-      );
+      const opened = await source.open(this.abortController.signal);
       if (opened.isErr()) return this.createOpenLoss(opened.error.kind);
       this.parts.handleAccepted();
       return await this.read(opened.value);
@@ -138,7 +138,7 @@
     }
   }
 
-  private startStallDetector(order: StreamOrder): void {
+  private startStallDetector({order, sentAt}: AttemptSource): void {
     const {minFirstTokenMs, firstTokenMs} = this.parts.options;
     const {serviceGaps} = this.parts.endpoint;
     this.promptChars = order.prompt.length + order.received.length;
@@ -148,7 +148,7 @@
       minMs: minFirstTokenMs,
       maxMs: firstTokenMs,
     });
-    this.stallDetector.start();
+    this.stallDetector.start(sentAt);
   }
 
   private recordGap(gapMs: number): void {
@@ -220,10 +220,11 @@
 
   /** Creates the result of an order whose stream could not be opened. */
   private createOpenLoss(error: EndpointErrorKind): AttemptResult {
-    if (error !== 'endpoint_unreachable') return this.createLoss(LOSSES[error]);
+    const loss = getOpenLoss(error);
+    if (loss !== 'unreachable') return this.createLoss(loss);
     // Nothing was sent, no matter which side ended the attempt.
     if (this.parts.stop.aborted) return {kind: 'stopped', sent: false};
-    return {kind: 'lost', loss: 'unreachable'};
+    return {kind: 'lost', loss};
   }
 
   private createLoss(loss: LossKind | undefined): AttemptResult {
--- a/packages/daemon/src/answer/answer_driver.ts
+++ b/packages/daemon/src/answer/answer_driver.ts
@@ -1,18 +1,18 @@
 /**
  * Drives one answer to its end through successive attempts on engines. After
  * a lost attempt it attaches to the generation again, continues on another
- * engine, or fails the answer.
+ * engine, or fails the answer. A silent engine is left once the next attempt
+ * continues the answer.
  */
 import type {Clock, KnownError, Random} from '@irisdock/kernel';
 import {
   AnswerAssembler,
-  createGenerationNumber,
   createResumeData,
   type LossKind,
   type RetryBudget,
   type Signer,
 } from '@irisdock/decisions';
-import type {StreamOrder} from '@irisdock/endpoints';
+import type {Engine} from '@irisdock/endpoints';
 import {err, ok, type Result} from 'neverthrow';
 import type {EndpointRecord} from '../endpoint/endpoint_record.js';
 import {DAEMON_ERRORS} from '../errors.js';
@@ -22,14 +22,18 @@
   AnswerAttempt,
   type AttemptOptions,
   type AttemptResult,
+  type AttemptSource,
 } from './answer_attempt.js';
 import {AnswerRetries} from './answer_retries.js';
 import type {AnswerSink, AnswerToken} from './answer_sink.js';
 import type {EngineChooser} from './engine_chooser.js';
 import {getEndpointOutcome, hasPossiblyRun} from './attempt_outcome.js';
+import {EngineHandover} from './engine_handover.js';
+import {cancelLost, reportLoss} from './lost_attempt.js';
+import type {NextAttempt} from './next_attempt.js';
 import type {RequestRecord} from './request_record.js';
-import type {StallKind} from './stall_detector.js';
 import type {StreamMetrics} from './stream_metrics.js';
+import {createOrder} from './stream_order.js';
 import {waitUnlessAborted} from './abortable_wait.js';
 
 /** The dependencies and options of a driver. */
@@ -51,28 +55,13 @@
 export type DriveOutcome = 'ended' | 'failed' | 'stopped' | 'superseded';
 
 const CHOOSE_RETRY_MS = 20;
-/** Added to a continued request's priority; above any declared priority. */
-const RESUMING_PRIORITY = 100;
-/** Losses after which the engine may still be running the generation. */
-const LOSSES_TO_CANCEL: ReadonlySet<LossKind> = new Set<LossKind>([
-  'gap',
-  // An earlier order may still be in transit to the engine.
-  'gone',
-  'reset',
-  'silent',
-  'stalled',
-]);
-/** Losses that mean that the endpoint itself is unavailable. */
-const ENDPOINT_LOSSES: ReadonlySet<LossKind> = new Set<LossKind>([
-  'silent',
-  'unreachable',
-]);
 
 /** Drives one answer for one caller. */
 export class AnswerDriver {
   private readonly stop: AbortSignal;
   private readonly assembler: AnswerAssembler;
   private readonly retries: AnswerRetries;
+  private readonly handover: EngineHandover;
   private readonly startedAt: number;
   private admitted: AdmittedRequest | undefined;
   private lastTokenAt: number | undefined;
@@ -90,6 +79,8 @@
     this.retries = new AnswerRetries(parts, record);
     const {request, generation, nextOffset} = record;
     this.assembler = new AnswerAssembler(request.id, generation, nextOffset);
+    const {retries, assembler} = this;
+    this.handover = new EngineHandover({...parts, record, retries, assembler});
   }
 
   /**
@@ -106,7 +97,7 @@
     try {
       return await this.runAttempts(attachTo);
     } finally {
-      this.retries.releaseReserved();
+      this.handover.dropNext();
       this.admitted?.release();
     }
   }
@@ -126,10 +117,11 @@
   ): Promise<DriveOutcome> {
     let attach = attachTo;
     for (;;) {
-      const found =
-        attach === undefined ? await this.findEndpoint() : ok(attach);
+      const {next} = this.handover;
+      const known = next?.endpoint ?? attach;
+      const found = known === undefined ? await this.findEndpoint() : ok(known);
       if (this.stop.aborted) {
-        if (attach === undefined && found.isOk()) {
+        if (known === undefined && found.isOk()) {
           found.value.endRequest('neutral');
         }
         return 'stopped';
@@ -137,20 +129,23 @@
       if (found.isErr()) return this.fail(found.error);
       const endpoint = found.value;
       if (attach !== undefined) endpoint.startRequest();
-      const result = await this.runAttempt(endpoint, attach !== undefined);
+      this.handover.takeNext();
+      const result = await this.runAttempt(
+        endpoint,
+        attach !== undefined,
+        next,
+      );
       if (result.kind === 'ended') return this.end(result.reason);
       if (result.kind === 'stopped') return 'stopped';
-      const next = this.decideNext(endpoint, result.loss);
-      if (next === 'abandon') return 'superseded';
-      if (typeof next !== 'string') return this.fail(next);
-      attach = next === 'attach' ? endpoint : undefined;
+      const response = this.decideNext(endpoint, result.loss);
+      if (response === 'abandon') return 'superseded';
+      if (typeof response !== 'string') return this.fail(response);
+      attach = response === 'attach' ? endpoint : undefined;
     }
   }
 
   /** Finds an engine: by the queue at first, ahead of it after a loss. */
   private async findEndpoint(): Promise<Result<EndpointRecord, KnownError>> {
-    const reserved = this.retries.takeReserved();
-    if (reserved !== undefined) return ok(reserved);
     if (this.admitted === undefined && !this.record.mayHaveRun) {
       const admitted = await this.parts.admission.submit(this.createEntry());
       if (admitted.isErr()) return err(admitted.error);
@@ -203,16 +198,20 @@
     };
   }
 
+  /** @param next The attempt on this endpoint, if it has been sent already. */
   private async runAttempt(
     endpoint: EndpointRecord,
     attaching: boolean,
+    next: NextAttempt | undefined,
   ): Promise<AttemptResult> {
     const {engine} = endpoint.clients;
     if (engine === undefined) return {kind: 'lost', loss: 'unreachable'};
     const {record, parts} = this;
-    const order = this.createOrder(attaching);
+    const source = next ?? this.createSource(engine, attaching);
+    const {generation} = source.order;
     record.endpoint = endpoint.address;
-    this.assembler.setGeneration(order.generation);
+    record.generation = generation;
+    this.assembler.setGeneration(generation);
     const attempt = new AnswerAttempt({
       clock: parts.clock,
       options: parts.attemptOptions,
@@ -224,43 +223,40 @@
       handleQuiet: () => {
         parts.directory.reportStall(endpoint);
       },
-      tryLeave: (kind, isSilent) => this.tryLeave(endpoint, kind, isSilent),
+      tryLeave: (kind, isSilent) =>
+        this.handover.tryLeave(endpoint, kind, isSilent),
       handleAccepted: () => {
         this.searchUntil = undefined;
         this.sink.setResume(this.createResume());
       },
       handleTokens: (tokens) => this.passTokens(tokens),
     });
-    const result = await attempt.run(order);
+    const result = await attempt.run(source);
     if (hasPossiblyRun(result)) record.mayHaveRun = true;
     endpoint.endRequest(getEndpointOutcome(result));
     return result;
   }
 
-  private createOrder(attaching: boolean): StreamOrder {
-    const {record} = this;
-    const {request} = record;
-    record.attempts++;
-    record.generation = createGenerationNumber(
-      record.takeover,
-      record.attempts,
+  private createSource(engine: Engine, attaching: boolean): AttemptSource {
+    const {clock, metrics} = this.parts;
+    const modeUnattached = this.record.mayHaveRun ? 'continue' : 'start';
+    const order = createOrder(
+      this.record,
+      attaching ? 'attach' : modeUnattached,
     );
-    const modeUnattached = record.mayHaveRun ? 'continue' : 'start';
     return {
-      mode: attaching ? 'attach' : modeUnattached,
-      request: request.id,
-      generation: record.generation,
-      prompt: request.prompt,
-      received: attaching ? '' : (record.text ?? ''),
-      offset: record.nextOffset,
-      maxTokens: request.maxTokens,
-      priority: request.priority + (record.mayHaveRun ? RESUMING_PRIORITY : 0),
-      model: request.spec.modelVersion,
-      ...(request.adapter === undefined ? {} : {adapter: request.adapter}),
+      order,
+      sentAt: clock.getNow(),
+      open: (signal) => {
+        metrics.orders.inc({mode: order.mode});
+        return engine.openStream(order, signal);
+      },
     };
   }
 
   private async passTokens(tokens: readonly AnswerToken[]): Promise<void> {
+    // The silent engine went on before the next one continued the answer.
+    this.handover.dropNext();
     const {clock, metrics} = this.parts;
     const now = clock.getNow();
     if (this.record.nextOffset === 0) {
@@ -295,41 +291,15 @@
     const {metrics, clock} = this.parts;
     metrics.losses.inc({kind: loss});
     this.lostSince ??= this.lastTokenAt ?? clock.getNow();
-    this.reportLoss(endpoint, loss);
-    const response = this.retries.decide(endpoint, loss);
+    reportLoss(this.parts.directory, endpoint, loss);
+    const hasNext = this.handover.next !== undefined;
+    const response = this.retries.decide(endpoint, loss, hasNext);
     if (response === 'abandon' || response === 'attach') return response;
     if (response !== 'continue') return this.createFinalError(loss);
-    this.cancelLost(endpoint, loss);
+    cancelLost(this.record, metrics, endpoint, loss);
     return 'continue';
   }
 
-  /** Leaves a silent engine if another one can take the answer over. */
-  private async tryLeave(
-    endpoint: EndpointRecord,
-    kind: StallKind,
-    isSilent: () => boolean,
-  ): Promise<boolean> {
-    this.reportLoss(endpoint, kind);
-    return this.retries.tryReserve(endpoint, kind, isSilent);
-  }
-
-  private reportLoss(endpoint: EndpointRecord, loss: LossKind): void {
-    if (!ENDPOINT_LOSSES.has(loss)) return;
-    this.parts.directory.reportLost(endpoint, loss);
-  }
-
-  /** Cancels a lost generation that its engine may still be running. */
-  private cancelLost(endpoint: EndpointRecord, loss: LossKind): void {
-    const {engine} = endpoint.clients;
-    if (engine === undefined || !LOSSES_TO_CANCEL.has(loss)) return;
-    const {record, parts} = this;
-    const limit = createGenerationNumber(record.takeover, record.attempts + 1);
-    void engine.cancel(record.request.id, limit).then((result) => {
-      const isStall = loss === 'silent' || loss === 'stalled';
-      if (isStall && result.isOk()) parts.metrics.falseAlarms.inc();
-    });
-  }
-
   private createFinalError(loss: string): KnownError {
     const {service} = this.record.request;
     if (!this.record.mayHaveRun) {
--- a/packages/daemon/src/answer/answer_retries.ts
+++ b/packages/daemon/src/answer/answer_retries.ts
@@ -1,8 +1,8 @@
 /**
  * Decides how one answer goes on when the stream from its engine is lost or
- * silent. A silent engine is left only once another one is reserved for the
- * answer: most engines that are silent for a while go on, and an answer that
- * nothing else can continue would be lost by leaving early.
+ * silent. For the answer of a silent engine another one is reserved, to which
+ * the next attempt is sent while the silent one stays open: most engines that
+ * are silent for a while go on, and the reserved one may fail the answer.
  */
 import type {Clock} from '@irisdock/kernel';
 import {
@@ -30,9 +30,10 @@
 export class AnswerRetries {
   /** Addresses of the engines that have just failed the answer. */
   readonly avoided = new Set<string>();
+  /** Addresses of the engines that had no room for it beside a silent one. */
+  private readonly refusing = new Set<string>();
   private countedLosses = 0;
   private attachAttempts = 0;
-  private reserved: EndpointRecord | undefined;
 
   constructor(
     private readonly parts: AnswerRetriesParts,
@@ -52,8 +53,8 @@
   }
 
   /**
-   * Reserves another engine for the answer of a silent one; false if the answer
-   * may not or cannot go on elsewhere now.
+   * Reserves another engine for the answer of a silent one; undefined if the
+   * answer may not or cannot go on elsewhere now.
    *
    * @param isSilent Whether the engine is still silent.
    */
@@ -61,46 +62,52 @@
     silent: EndpointRecord,
     kind: StallKind,
     isSilent: () => boolean,
-  ): Promise<boolean> {
-    if (this.record.text === undefined) return false;
-    if (this.decideByBudget(kind, true, true) !== 'continue') return false;
-    const next = await this.findAnswering(silent);
-    if (next === undefined || !isSilent()) return false;
-    if (!this.takeRetry(true)) return false;
+  ): Promise<EndpointRecord | undefined> {
+    if (this.record.text === undefined) return undefined;
+    if (this.decideByBudget(kind, true, true) !== 'continue') return undefined;
+    const failed = [...this.avoided, silent.address];
+    const next =
+      (await this.findAnswering([...failed, ...this.refusing])) ??
+      (await this.findAnswering(failed));
+    if (next === undefined || !isSilent()) return undefined;
+    if (!this.takeRetry(true)) return undefined;
     next.startRequest();
-    this.reserved = next;
-    return true;
-  }
-
-  /** Takes the reserved engine, if there is one. */
-  takeReserved(): EndpointRecord | undefined {
-    const {reserved} = this;
-    this.reserved = undefined;
-    return reserved;
+    return next;
   }
 
-  /** Releases a reserved engine that the answer no longer needs. */
-  releaseReserved(): void {
-    this.takeReserved()?.endRequest('neutral');
+  /** Records that an engine failed the answer beside a silent one. */
+  recordFailure(endpoint: EndpointRecord, loss: LossKind): void {
+    if (isLossCounted(loss, this.record.mayHaveRun)) this.countedLosses++;
+    // One without room may have room at the next check.
+    const failed = loss === 'refused' ? this.refusing : this.avoided;
+    failed.add(endpoint.address);
   }
 
-  /** Decides what follows a loss, and counts it. */
-  decide(endpoint: EndpointRecord, loss: LossKind): LossResponse {
+  /**
+   * Decides what follows a loss, and counts it.
+   *
+   * @param hasNext Whether the next attempt has been sent already.
+   */
+  decide(
+    endpoint: EndpointRecord,
+    loss: LossKind,
+    hasNext: boolean,
+  ): LossResponse {
     const {mayHaveRun} = this.record;
     const isCounted = isLossCounted(loss, mayHaveRun);
-    const response = this.decideResponse(loss, isCounted);
+    const response = this.decideResponse(loss, isCounted, hasNext);
     if (isCounted) this.countedLosses++;
     if (response === 'attach') this.attachAttempts++;
     if (response === 'continue') this.avoided.add(endpoint.address);
     return response;
   }
 
-  /** Finds another engine that answers now, of those not tried yet. */
+  /** Finds an engine that answers now, other than those to avoid. */
   private async findAnswering(
-    silent: EndpointRecord,
+    addresses: readonly string[],
   ): Promise<EndpointRecord | undefined> {
     const {chooser, attemptOptions} = this.parts;
-    const avoid = new Set([...this.avoided, silent.address]);
+    const avoid = new Set(addresses);
     for (;;) {
       const next = chooser.choose({avoid, resuming: true});
       // For want of others, the choice includes those to avoid.
@@ -115,10 +122,14 @@
     }
   }
 
-  private decideResponse(loss: LossKind, isCounted: boolean): LossResponse {
+  private decideResponse(
+    loss: LossKind,
+    isCounted: boolean,
+    hasNext: boolean,
+  ): LossResponse {
     if (loss === 'superseded') return 'abandon';
     // Its retry was taken from the budget with the reservation.
-    if (this.reserved !== undefined) return 'continue';
+    if (hasNext) return 'continue';
     const hasRetryBudget = this.takeRetry(isCounted);
     return this.decideByBudget(loss, this.record.mayHaveRun, hasRetryBudget);
   }
--- a/packages/daemon/src/answer/stall_detector.ts
+++ b/packages/daemon/src/answer/stall_detector.ts
@@ -46,9 +46,13 @@
     this.lastEventAt = parts.clock.getNow();
   }
 
-  /** Starts the detection. */
-  start(): void {
-    this.markActive();
+  /**
+   * Starts the detection.
+   *
+   * @param since From when on events are due.
+   */
+  start(since: number): void {
+    this.lastEventAt = since;
     this.planCheck(this.parts.getLimits().probeMs);
   }
 
--- a/packages/standins/src/engine/faults.ts
+++ b/packages/standins/src/engine/faults.ts
@@ -1,6 +1,11 @@
 /** The switches by which a test makes the engine stand-in misbehave. */
 import * as z from 'zod';
 
+/** What an engine does with a new stream, though it answers probes. */
+const STREAM_HANDLING = z.enum(['accept', 'cut', 'fail', 'refuse', 'reset']);
+/** What an engine does with a new stream. */
+export type StreamHandling = z.infer<typeof STREAM_HANDLING>;
+
 /** All switches; each counts down as it is used up. */
 export const ENGINE_FAULTS_SCHEMA = z.object({
   /** Cuts the connection after so many more tokens. */
@@ -19,6 +24,8 @@
   stepMs: z.number().min(1).optional(),
   /** Makes no more tokens while true, but answers everything else. */
   stall: z.boolean().optional(),
+  /** What it does with new streams from now on. */
+  streams: STREAM_HANDLING.optional(),
 });
 type EngineFaultsChange = z.infer<typeof ENGINE_FAULTS_SCHEMA>;
 
@@ -33,12 +40,14 @@
 /** The present faults. */
 export class EngineFaults {
   stall = false;
+  streams: StreamHandling = 'accept';
   private left: EngineFaultsChange = {};
 
   /** Sets the named switches. */
   set(change: EngineFaultsChange): void {
     this.left = {...this.left, ...change};
     this.stall = change.stall ?? this.stall;
+    this.streams = change.streams ?? this.streams;
   }
 
   /** Gives what is sent in place of a token. */
--- a/packages/standins/src/engine/main.ts
+++ b/packages/standins/src/engine/main.ts
@@ -1,4 +1,5 @@
 /** The engine stand-in as a process: HTTP around the engine's core. */
+import type {ServerResponse} from 'node:http';
 import {sendJson, WebServer, type Route, type WebRequest} from '@irisdock/web';
 import * as z from 'zod';
 import {runProgram} from '../program.js';
@@ -31,6 +32,14 @@
   superseded: 409,
   unknown_stream: 404,
 };
+const FAULT_STATUS = 500;
+
+/** Sends the head, and breaks the connection before any event. */
+function closeAfterHead(response: ServerResponse): void {
+  response.write(':\n\n', () => {
+    response.destroy();
+  });
+}
 
 class EngineServer {
   private readonly engine: Engine;
@@ -103,11 +112,32 @@
       sendJson(request.response, 400, {error: order.error});
       return;
     }
+    if (this.applyStreamFault(request.response)) return;
     const refusal = this.engine.acceptStream(order.value, request.response);
-    if (refusal === undefined) return;
+    if (refusal === undefined) {
+      const isCut = this.engine.faults.streams === 'cut';
+      if (isCut) closeAfterHead(request.response);
+      return;
+    }
     sendJson(request.response, REFUSAL_STATUS[refusal], {error: refusal});
   }
 
+  /** Applies a fault to a new stream; returns whether that ends it. */
+  private applyStreamFault(response: ServerResponse): boolean {
+    const {streams} = this.engine.faults;
+    if (streams === 'refuse') {
+      sendJson(response, REFUSAL_STATUS.full, {error: 'full'});
+      return true;
+    }
+    if (streams === 'fail') {
+      sendJson(response, FAULT_STATUS, {error: 'fault'});
+      return true;
+    }
+    if (streams !== 'reset') return false;
+    response.socket?.resetAndDestroy();
+    return true;
+  }
+
   private async cancel(request: WebRequest): Promise<void> {
     const body = await request.readJson(CANCEL_SCHEMA);
     if (body.isOk()) this.engine.cancel(body.value.request, body.value.below);
