--- a/packages/daemon/src/answer/answer_driver.ts
+++ b/packages/daemon/src/answer/answer_driver.ts
@@ -41,9 +41,9 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly signer: Signer;
-  readonly admission: Admission;
-  readonly directory: EndpointDirectory;
-  readonly chooser: EngineChooser;
+  readonly admission: Pick<Admission, 'submit'>;
+  readonly directory: Pick<EndpointDirectory, 'reportLost' | 'reportStall'>;
+  readonly chooser: Pick<EngineChooser, 'choose'>;
   readonly budget: RetryBudget;
   readonly metrics: StreamMetrics;
   readonly attemptOptions: AttemptOptions;
