Count no probe that was under way while the daemon stood still

A host without a processor amid a probe found the probe's time over before it read the answer: a sound stream was suspected, its engine reported as lost and its answer sent to another engine.

The detector measures during each probe whether this process stood still, and begins again if it did.

--- a/packages/daemon/src/answer/stall_detector.ts
+++ b/packages/daemon/src/answer/stall_detector.ts
@@ -2,10 +2,12 @@
  * Detects a stalled stream. After a time without events its endpoint is probed.
  * If the probe fails, or if no event arrives for longer still, the stream is
  * suspected: it is lost as soon as its answer can be continued elsewhere, and
- * is kept until then, as the endpoint may go on.
+ * is kept until then, as the endpoint may go on. Time in which this process
+ * itself stood still does not count, nor does a probe that was under way then.
  */
 import type {Clock} from '@irisdock/kernel';
 import type {StallLimits} from '@irisdock/decisions';
+import {MAX_TIMER_DELAY_MS, PauseWatch} from './pause_watch.js';
 
 /** Why a stream without events was lost: the probe failed, or time ran out. */
 export type StallKind = 'silent' | 'stalled';
@@ -30,9 +32,6 @@
   handleQuiet(): void;
 }
 
-/** A timer that fires later than this means that this process was paused. */
-const MAX_TIMER_DELAY_MS = 100;
-
 /** Detects stalls of one stream. */
 export class StallDetector {
   private lastEventAt: number;
@@ -103,7 +102,13 @@
       return;
     }
     const {lastEventAt} = this;
+    const pauseWatch = new PauseWatch(this.parts.clock);
     const isAnswering = await this.parts.probe();
+    if (pauseWatch.stop()) {
+      this.markActive();
+      this.planCheck(probeMs);
+      return;
+    }
     const isStillSilent =
       !this.stopped && this.lastEventAt === lastEventAt && !this.paused;
     if (isStillSilent && isAnswering) this.reportQuiet();
