Read what has arrived before a silent engine is left after its 400 ms

A host that stood still while two engines ran an answer found the 400 ms over before it read its sockets, and left an engine whose tokens had arrived.

Sockets are read once more before the next attempt is taken for want of a decision.

--- a/packages/daemon/src/answer/next_attempt.ts
+++ b/packages/daemon/src/answer/next_attempt.ts
@@ -3,6 +3,7 @@
  * while the silent one stays open, and its events are held until it is certain
  * which of the two continues the answer.
  */
+import {setImmediate} from 'node:timers/promises';
 import type {Clock} from '@irisdock/kernel';
 import {AnswerAssembler, type LossKind} from '@irisdock/decisions';
 import type {
@@ -60,9 +61,7 @@
   /** Waits until the engine continues the answer or fails, within a limit. */
   async waitVerdict(): Promise<NextVerdict> {
     const timeout = new AbortController();
-    const expired = this.parts.clock
-      .wait(MAX_SIDE_BY_SIDE_MS, timeout.signal)
-      .then((): NextVerdict => 'unknown');
+    const expired = this.waitExpired(timeout.signal);
     const verdict = await Promise.race([this.verdict, expired]);
     timeout.abort();
     return verdict;
@@ -97,6 +96,13 @@
     void engine.cancel(order.request, order.generation + 1);
   }
 
+  private async waitExpired(signal: AbortSignal): Promise<NextVerdict> {
+    await this.parts.clock.wait(MAX_SIDE_BY_SIDE_MS, signal);
+    // After a pause of this process timers run before its sockets are read.
+    await setImmediate();
+    return 'unknown';
+  }
+
   private async readFirst(): Promise<NextVerdict> {
     const opened = await this.opened;
     if (opened.isErr()) return getOpenLoss(opened.error.kind);
--- a/packages/daemon/tests/engine_handover.test.ts
+++ b/packages/daemon/tests/engine_handover.test.ts
@@ -9,6 +9,7 @@
   type DrivenAnswer,
 } from './fixtures/driven_answer.js';
 import {MemoryEngine, type MemoryStream} from './fixtures/memory_engine.js';
+import {pauseProcess} from './fixtures/paused_process.js';
 
 /** The time limit of a test. */
 const LIMIT = {timeout: 5000};
@@ -18,6 +19,8 @@
 /** Exceeds the time until a silence is noticed, in ms. */
 const SILENCE_MS = 200;
 
+/** Exceeds the time in which two engines run one answer, in ms. */
+const PAUSE_MS = 600;
 const ANSWERS: DrivenAnswer[] = [];
 
 interface SilentAnswer {
@@ -229,6 +232,23 @@
     await checkAnswer(answer, 'aaabbb');
   });
 
+  it(
+    'stays there if its token arrived while this process stood still',
+    LIMIT,
+    async () => {
+      const {answer, silent, next} = await startSilentAnswer();
+      await waitForNext(next);
+      // Like a socket that is read after the timers of the next iteration.
+      setImmediate(() => {
+        pauseProcess(PAUSE_MS);
+        setImmediate(() => {
+          endStream(silent);
+        });
+      });
+      await checkAnswer(answer, 'aaaaaa');
+    },
+  );
+
   it(
     'goes on at the next engine when its connection breaks',
     LIMIT,
--- a/packages/daemon/tests/stall_detector.test.ts
+++ b/packages/daemon/tests/stall_detector.test.ts
@@ -7,6 +7,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {SystemClock} from '@irisdock/kernel';
 import {StallDetector} from '../src/answer/stall_detector.js';
+import {pauseProcess} from './fixtures/paused_process.js';
 
 const PROBE_MS = 20;
 /** Exceeds the length of a test, in ms. */
@@ -15,12 +16,6 @@
 const STOP_MS = 400;
 const PROBE_TIMEOUT_MS = 100;
 
-/** Stops this process as a signal would: no timer runs and nothing is read. */
-function pauseProcess(ms: number): void {
-  const until = performance.now() + ms;
-  while (performance.now() < until);
-}
-
 interface DetectorRun {
   readonly detector: StallDetector;
   readonly suspicions: string[];
