Keep a silent engine open until another host continues its stream

A host without endpoints left its silent engine for another host as soon as that one answered a probe. Where it then declined, a sound answer was lost to its caller. The stream is now sent to the other host beside the silent engine, by the handover of relayed streams: the first of the two with the next event goes on, a host that declines or fails leaves the engine where it is.

--- a/packages/gateway/src/serving/relay_handover.ts
+++ b/packages/gateway/src/serving/relay_handover.ts
@@ -34,6 +34,14 @@
   record(result: AttemptResult): void;
 }
 
+/** An attempt that is silent, at another host or at an engine. */
+export interface LeavableAttempt {
+  /** The host that runs it; undefined if this one does. */
+  readonly host: RelayHost | undefined;
+  /** Closes the attempt, as it is left for another host. */
+  endSilent(silence: Silence, next: RelayHost): void;
+}
+
 /** Dependencies of the handover. */
 export interface RelayHandoverParts {
   readonly serving: Pick<ServingParts, 'clock' | 'log' | 'relay'>;
@@ -65,8 +73,13 @@
 
   constructor(private readonly parts: RelayHandoverParts) {}
 
+  /** Whether an attempt runs beside the current one, or after it. */
+  get hasBeside(): boolean {
+    return this.beside !== undefined;
+  }
+
   /** Starts to look for the host that continues the stream. */
-  start(silent: RelayedAttempt, silence: Silence): void {
+  start(silent: LeavableAttempt, silence: Silence): void {
     this.stop();
     const search = new AbortController();
     this.search = search;
@@ -95,27 +108,36 @@
    * undefined if there is none.
    */
   takeNext(result: AttemptResult): BesideAttempt | undefined {
-    const {beside} = this;
     const isOver = result.kind === 'ended' || result.kind === 'stopped';
-    if (!isOver) this.beside = undefined;
+    if (isOver) {
+      this.stop();
+      return undefined;
+    }
+    return this.takeBeside();
+  }
+
+  /** Takes the attempt that ran beside one that has ended, if there is one. */
+  takeBeside(): BesideAttempt | undefined {
+    const {beside} = this;
+    this.beside = undefined;
     this.stop();
-    if (isOver || beside === undefined) return undefined;
-    this.hasRetry = false;
+    if (beside !== undefined) this.hasRetry = false;
     return beside;
   }
 
   private async run(
-    silent: RelayedAttempt,
+    silent: LeavableAttempt,
     silence: Silence,
     signal: AbortSignal,
   ): Promise<void> {
     const {clock} = this.parts.serving;
-    const failed = new Set([silent.host.name]);
+    const failed = new Set<string>();
+    if (silent.host !== undefined) failed.add(silent.host.name);
     const unanswered = new Set<string>();
     while (!signal.aborted) {
       const host = await this.findHost(failed, unanswered, signal);
       if (host !== undefined && (await this.tryHost(host, failed, signal))) {
-        this.endSilent(silent, silence, host);
+        silent.endSilent(silence, host);
         return;
       }
       await clock.wait(SEARCH_INTERVAL_MS, signal);
@@ -199,20 +221,6 @@
     this.parts.retries.record(result);
   }
 
-  private endSilent(
-    silent: RelayedAttempt,
-    silence: Silence,
-    next: RelayHost,
-  ): void {
-    this.parts.serving.log.writeInfo('A relayed stream leaves a silent host.', {
-      request: this.parts.request.requestId,
-      host: silent.host.name,
-      to: next.name,
-      detail: silence.detail,
-    });
-    silent.endSilent(silence);
-  }
-
   /** The stream stays at its silent host, as without a next one. */
   private writeFailure(thrown: unknown): void {
     const {serving, request} = this.parts;
--- a/packages/gateway/src/serving/relayed_attempt.ts
+++ b/packages/gateway/src/serving/relayed_attempt.ts
@@ -61,7 +61,13 @@
   }
 
   /** Leaves a silent host, which may be sound, for another one. */
-  endSilent(silence: Silence): void {
+  endSilent(silence: Silence, next: RelayHost): void {
+    this.parts.log.writeInfo('A relayed stream leaves a silent host.', {
+      request: this.relayed.request.requestId,
+      host: this.host.name,
+      to: next.name,
+      detail: silence.detail,
+    });
     this.attempt.endSilent(silence);
   }
 
--- a/packages/gateway/src/serving/relayed_stream.ts
+++ b/packages/gateway/src/serving/relayed_stream.ts
@@ -3,7 +3,11 @@
  * caller has.
  */
 import type {ServerSentEvent} from '@irisdock/decisions';
-import {RelayHandover, type RelayRetries} from './relay_handover.js';
+import {
+  RelayHandover,
+  type LeavableAttempt,
+  type RelayRetries,
+} from './relay_handover.js';
 import {hasTaken, RelayedAttempt} from './relayed_attempt.js';
 import {
   MAX_RELAY_HOSTS,
@@ -12,6 +16,7 @@
 } from './request_relay.js';
 import type {ServingParts} from './serving_parts.js';
 import type {AttemptListener, AttemptResult} from './stream_attempt.js';
+import type {Silence} from './silence_detector.js';
 import type {StreamSink} from './stream_sink.js';
 
 /** The result of relaying a stream: of its attempt, or no host took it. */
@@ -27,7 +32,7 @@
    *
    * @param running How many attempts run that are not counted yet.
    */
-  createRequest(running: number): RelayedRequest;
+  readonly createRequest: (running: number) => RelayedRequest;
 }
 
 /** Relays one stream. */
@@ -50,26 +55,48 @@
     });
   }
 
+  /** Whether an attempt runs that no other one precedes any more. */
+  get hasNext(): boolean {
+    return this.handover.hasBeside;
+  }
+
+  /** Starts to look for a host that continues a stream of a silent engine. */
+  startBeside(silent: LeavableAttempt, silence: Silence): void {
+    this.handover.start(silent, silence);
+  }
+
+  /** Ends the search and the attempt beside the one that goes on. */
+  stopBeside(): void {
+    this.handover.stop();
+  }
+
   /** Relays the stream until it has ended or was lost on the way. */
   async run(): Promise<RelayedStreamResult> {
     const {relayed} = this;
-    const {serving} = this.parts;
+    const {serving, createRequest} = this.parts;
+    const next = this.handover.takeBeside();
+    if (next !== undefined) {
+      next.gate.open();
+      const result = await this.runFrom(next.attempt);
+      if (hasTaken(serving, result)) return result;
+    }
     const {service, request} = relayed;
     const tried = new Set<string>();
     while (tried.size < MAX_RELAY_HOSTS) {
       const host = serving.relay.choose(service, tried);
       if (host === undefined || request.exchange.signal.aborted) break;
       tried.add(host.name);
-      const result = await this.runFrom(host);
+      const attempt = this.createAttempt(createRequest(0), host);
+      const result = await this.runFrom(attempt);
       if (hasTaken(serving, result)) return result;
     }
     return {kind: 'none'};
   }
 
-  /** Runs the stream at a host, and at those that take over from it. */
-  private async runFrom(host: RelayHost): Promise<AttemptResult> {
+  /** Runs an attempt to its end, and those that take over from it. */
+  private async runFrom(first: RelayedAttempt): Promise<AttemptResult> {
     const {sink, retries} = this.parts;
-    let attempt = this.createAttempt(this.parts.createRequest(0), host);
+    let attempt = first;
     for (;;) {
       const result = await attempt.run();
       const next = this.handover.takeNext(result);
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -115,7 +115,8 @@
     const {ends} = this;
     const startRun = (prepared: PreparedAttempt): AttemptRun =>
       this.startRun(prepared);
-    const handoverParts = {...shared, retries, suspect, ends, startRun};
+    const {relay} = this;
+    const handoverParts = {...shared, retries, suspect, ends, startRun, relay};
     this.handover = new StreamHandover(handoverParts);
     const {handover} = this;
     const answerParts = {route, sink, report, version, evidence, handover};
@@ -129,6 +130,7 @@
       return await this.runAttempts();
     } finally {
       this.handover.close();
+      this.relay.stopBeside();
       this.engineLease.release();
       this.suspect.close();
       this.version.close();
@@ -146,10 +148,15 @@
     return this.parts.paths.isPartitioned(this.service);
   }
 
+  /** Whether other hosts run the stream, or one of them does already. */
+  private isRelayNeeded(): boolean {
+    return this.relay.hasNext || this.isPartitioned();
+  }
+
   private async runAttempts(): Promise<string> {
     for (;;) {
       const next = this.handover.takeNext();
-      if (next === undefined && this.isPartitioned()) {
+      if (next === undefined && this.isRelayNeeded()) {
         const outcome = await this.runRelayed();
         if (outcome !== undefined) return outcome;
         continue;
@@ -170,6 +177,7 @@
       this.recordResult(step.run, result);
       await this.checkEngineExit(plan.endpoint, result);
       if (exchange.isExpired) return this.failure.finishExpired();
+      if (this.relay.hasNext && !this.retries.isRefused) continue;
       this.failure.denial = this.retries.findRetryDenial(result);
       if (this.failure.denial !== undefined) return this.failure.finishLost();
       if (this.handover.hasNext) continue;
@@ -187,10 +195,10 @@
     endpoint: EndpointRecord,
     result: AttemptResult,
   ): Promise<void> {
-    const {parts, request, planner, handover} = this;
+    const {parts, request, planner, handover, relay} = this;
     const {hasReplica} = planner;
     const check = checkEngineExit(parts, request, endpoint, result, hasReplica);
-    if (!handover.hasNext) await check;
+    if (!handover.hasNext && !relay.hasNext) await check;
   }
 
   /** Waits for admission, an engine and its permit, and starts the attempt. */
--- a/packages/gateway/src/serving/stream_handover.ts
+++ b/packages/gateway/src/serving/stream_handover.ts
@@ -12,11 +12,13 @@
 import type {AdmittedRequest} from './caller_exchange.js';
 import type {EndpointProber} from './endpoint_prober.js';
 import {EngineLease} from './engine_lease.js';
+import type {RelayHost} from './request_relay.js';
 import type {SendPermit} from './send_gate.js';
 import type {ServingParts} from './serving_parts.js';
 import type {Silence} from './silence_detector.js';
 import type {AttemptPlan, AttemptResult} from './stream_attempt.js';
 import type {StreamPlanner} from './stream_planner.js';
+import type {StreamRelay} from './stream_relay.js';
 import type {StreamRetries} from './stream_retries.js';
 import type {SuspectRunAdmission} from './suspect_run.js';
 
@@ -54,6 +56,7 @@
   readonly retries: StreamRetries;
   readonly suspect: SuspectRunAdmission;
   readonly ends: AttemptEnds;
+  readonly relay: Pick<StreamRelay, 'hasNext' | 'startBeside' | 'stopBeside'>;
   readonly startRun: (prepared: PreparedAttempt) => AttemptRun;
 }
 
@@ -63,6 +66,8 @@
   /** The attempt that runs beside the silent one. */
   private trial: AttemptRun | undefined;
   private next: AttemptRun | undefined;
+  /** Whether other hosts are looked for, as this one reaches no engine. */
+  private isRelaying = false;
 
   constructor(private readonly parts: StreamHandoverParts) {}
 
@@ -90,6 +95,7 @@
       this.trial = undefined;
       this.parts.retries.dropGrant();
     }
+    this.stopRelay();
     this.endSearch();
   }
 
@@ -98,12 +104,15 @@
    * that runs beside it continues the stream.
    */
   finish({kind}: AttemptResult): void {
-    const isLost = kind !== 'ended' && kind !== 'stopped';
-    if (isLost && this.trial !== undefined) {
-      this.next = this.trial;
-      this.trial = undefined;
+    if (kind === 'ended' || kind === 'stopped') {
+      this.stop();
+      return;
     }
-    this.stop();
+    this.next = this.trial ?? this.next;
+    this.trial = undefined;
+    if (this.parts.relay.hasNext) this.isRelaying = false;
+    else this.stopRelay();
+    this.endSearch();
   }
 
   /** Takes the attempt for which the last one was left, if there is one. */
@@ -151,9 +160,10 @@
     if (retries.findLeaveDenial() !== undefined) return undefined;
     if (!(await this.isAdmitted(signal))) return undefined;
     if (this.isPartitioned()) {
-      await this.tryRelay(silent, signal);
+      this.startRelay(silent);
       return undefined;
     }
+    this.stopRelay();
     const plan = await this.findPlan(silent, signal);
     if (plan === undefined) return undefined;
     const permit = await this.admit(plan, silent, signal);
@@ -221,24 +231,23 @@
     });
   }
 
-  /**
-   * Leaves the attempt for another host that answers, as this one reaches no
-   * engine at all.
-   */
-  private async tryRelay(
-    silent: SilentAttempt,
-    signal: AbortSignal,
-  ): Promise<void> {
-    const {serving, request, retries, service} = this.parts;
-    const {relay} = serving;
-    if (request.exchange.hop !== undefined) return;
-    const host = relay.choose(service, new Set());
-    if (host === undefined) return;
-    const record = relay.createRecord(host, service);
-    const answer = await relay.prober.probeStrictly(record, PROBE_TIMEOUT_MS);
-    if (answer !== 'answers' || signal.aborted) return;
-    if (retries.takeAhead() !== undefined) return;
-    this.endSilent(silent, record.instanceId);
+  /** Looks for another host, as this one reaches no engine at all. */
+  private startRelay(silent: SilentAttempt): void {
+    if (this.isRelaying) return;
+    this.isRelaying = true;
+    const leavable = {
+      host: undefined,
+      endSilent: (_silence: Silence, {name}: RelayHost) => {
+        this.endSilent(silent, `host ${name}`);
+      },
+    };
+    this.parts.relay.startBeside(leavable, silent.silence);
+  }
+
+  private stopRelay(): void {
+    if (!this.isRelaying) return;
+    this.isRelaying = false;
+    this.parts.relay.stopBeside();
   }
 
   private isPartitioned(): boolean {
--- a/packages/gateway/src/serving/stream_relay.ts
+++ b/packages/gateway/src/serving/stream_relay.ts
@@ -5,6 +5,8 @@
 import type {ServingRoute} from '../model/serving_configuration.js';
 import type {AdmittedRequest} from './caller_exchange.js';
 import type {RelayedRequest, StreamResumption} from './request_relay.js';
+import type {LeavableAttempt} from './relay_handover.js';
+import type {Silence} from './silence_detector.js';
 import {RelayedStream, type RelayedStreamResult} from './relayed_stream.js';
 import type {ServingParts} from './serving_parts.js';
 import {getAttemptDetail, type AttemptResult} from './stream_attempt.js';
@@ -40,6 +42,7 @@
   private searchStart: number | undefined;
   /** How often the stream was refused since a host last took it. */
   private refusals = 0;
+  private readonly stream: RelayedStream;
 
   constructor(
     private readonly parts: ServingParts,
@@ -49,12 +52,41 @@
     private readonly sink: StreamSink,
     private readonly retries: StreamRetries,
     private readonly version: StreamVersion,
-  ) {}
+  ) {
+    this.stream = new RelayedStream({
+      serving: parts,
+      sink,
+      retries: {
+        findDenial: () => retries.findLeaveDenial(),
+        take: () => parts.retryBudgets.takeRetry(service),
+        record: (result) => {
+          retries.record(result);
+        },
+      },
+      createRequest: (running) => this.createRequest(running),
+    });
+  }
+
+  /** Whether an attempt runs at another host that continues the stream. */
+  get hasNext(): boolean {
+    return this.stream.hasNext;
+  }
+
+  /** Starts to look for a host that goes on while an engine is silent. */
+  startBeside(silent: LeavableAttempt, silence: Silence): void {
+    if (this.request.exchange.hop !== undefined) return;
+    this.stream.startBeside(silent, silence);
+  }
+
+  /** Ends the search, as the engine goes on or others can be reached. */
+  stopBeside(): void {
+    this.stream.stopBeside();
+  }
 
   /** Runs the stream through another host. */
   async run(): Promise<StreamRelayStep> {
     const {sink} = this;
-    if (!this.takeRetry()) return this.waitForHost();
+    if (!this.hasNext && !this.takeRetry()) return this.waitForHost();
     const result = await this.send();
     if (result.kind === 'ended') {
       sink.end();
@@ -84,21 +116,8 @@
 
   /** A relayed request is not relayed further. */
   private async send(): Promise<RelayedStreamResult> {
-    const {parts, request, service, sink, retries} = this;
-    if (request.exchange.hop !== undefined) return {kind: 'none'};
-    const stream = new RelayedStream({
-      serving: parts,
-      sink,
-      retries: {
-        findDenial: () => retries.findLeaveDenial(),
-        take: () => parts.retryBudgets.takeRetry(service),
-        record: (result) => {
-          retries.record(result);
-        },
-      },
-      createRequest: (running) => this.createRequest(running),
-    });
-    return stream.run();
+    if (this.request.exchange.hop !== undefined) return {kind: 'none'};
+    return this.stream.run();
   }
 
   private createRequest(running: number): RelayedRequest {
--- a/scripts/silence_trials.mjs
+++ b/scripts/silence_trials.mjs
@@ -55,7 +55,7 @@
   [
     'silence: a host that reaches no engine hands its streams over',
     `${SERVING}/stream_handover.js`,
-    'await this.tryRelay(silent, signal);',
+    'this.startRelay(silent);',
     '',
     'platform/partitioned_host',
     'get the rest of a begun stream',
