Leave no engine for one lost probe

A stream was sent to a second engine although the first one was sound: its first probe was reset or got lost, which was taken for an engine that does not answer, and the answer to the next probe changed nothing.

A probe is sent again when its connection is reset, and once more when half of its time is over without an answer; its timeout is the same as before. A suspicion that rests on an unanswered probe ends with the next answer, unless the longer limit has passed, and that next probe is sent at once.

--- a/packages/gateway/src/serving/endpoint_prober.ts
+++ b/packages/gateway/src/serving/endpoint_prober.ts
@@ -1,8 +1,14 @@
 /**
- * Probes whether an endpoint answers at all, by a request for its report.
- * Streams that wait for the same endpoint share one probe.
+ * Probes whether an endpoint answers at all, by requests for its report.
+ * Streams that wait for the same endpoint share one probe. One lost request
+ * says little: a probe sends another when the connection of the first is reset,
+ * and when half of the time has gone by without an answer.
  */
-import {RunningTimeout, type RunningClock} from '@irisdock/kernel';
+import {
+  RunningTimeout,
+  RunningTimer,
+  type RunningClock,
+} from '@irisdock/kernel';
 import type {EndpointClient} from '../channels/endpoint_client.js';
 import type {EndpointRecord} from './endpoint_record.js';
 
@@ -14,6 +20,11 @@
   /** There was no answer in time, which proves nothing. */
   | 'silent';
 
+/** When a probe that is not answered is repeated, as a part of its timeout. */
+const REPEAT_FRACTION = 0.5;
+/** Requests that are sent one after the other as connections are reset. */
+const MAX_RESETS = 3;
+
 /** Probes endpoints. */
 export class EndpointProber {
   private readonly pending = new Map<string, Promise<ProbeAnswer>>();
@@ -24,7 +35,7 @@
     private readonly runningClock: RunningClock,
   ) {}
 
-  /** Probes an endpoint once. */
+  /** Probes an endpoint. */
   async probe(
     endpoint: EndpointRecord,
     timeoutMs: number,
@@ -44,17 +55,58 @@
     timeoutMs: number,
   ): Promise<ProbeAnswer> {
     const timeout = new RunningTimeout(this.runningClock, timeoutMs);
+    const answered = new AbortController();
+    const signal = AbortSignal.any([timeout.signal, answered.signal]);
     try {
-      return await this.send(endpoint, timeout.signal);
+      return await this.sendTwice(endpoint, timeoutMs, signal);
     } finally {
       timeout.close();
+      answered.abort();
     }
   }
 
-  private async send(
+  /** Sends a request, and another one if it is not answered for long. */
+  private async sendTwice(
+    endpoint: EndpointRecord,
+    timeoutMs: number,
+    signal: AbortSignal,
+  ): Promise<ProbeAnswer> {
+    return new Promise((resolve, reject) => {
+      let open = 0;
+      const start = (): void => {
+        open++;
+        this.sendUntilAnswered(endpoint, signal)
+          .then((answer) => {
+            open--;
+            if (answer === 'silent' && open > 0) return;
+            repeat.close();
+            resolve(answer);
+          })
+          .catch(reject);
+      };
+      const repeatMs = REPEAT_FRACTION * timeoutMs;
+      const repeat = new RunningTimer(this.runningClock, repeatMs, start);
+      start();
+    });
+  }
+
+  /** Sends a request, and others as long as their connections are reset. */
+  private async sendUntilAnswered(
     endpoint: EndpointRecord,
     signal: AbortSignal,
   ): Promise<ProbeAnswer> {
+    for (let resets = 0; resets < MAX_RESETS; resets++) {
+      const answer = await this.send(endpoint, signal);
+      if (answer !== 'reset') return answer;
+      if (signal.aborted) break;
+    }
+    return 'silent';
+  }
+
+  private async send(
+    endpoint: EndpointRecord,
+    signal: AbortSignal,
+  ): Promise<ProbeAnswer | 'reset'> {
     const permit = await this.client.admit(endpoint, 'aside');
     // An endpoint that could not be probed does not count as lost. Probes don't
     // go before requests: for the waiting streams of an engine at its limit
@@ -69,8 +121,12 @@
       body: Buffer.alloc(0),
       signal,
     });
-    if (answer.kind === 'lost') return answer.isRefused ? 'refused' : 'silent';
-    void answer.dropBody();
-    return 'answers';
+    if (answer.kind === 'answer') {
+      void answer.dropBody();
+      return 'answers';
+    }
+    if (answer.isRefused) return 'refused';
+    // A connection that does not open has taken its time already.
+    return answer.mayHaveRun ? 'reset' : 'silent';
   }
 }
--- a/packages/gateway/src/serving/silence_detector.ts
+++ b/packages/gateway/src/serving/silence_detector.ts
@@ -1,7 +1,7 @@
 /**
  * Detects when a stream has gone silent. After a short silence the endpoint is
- * probed. If it does not answer, the stream is suspected to be lost at once; if
- * it does, the stream gets more time. Before the first event the endpoint is
+ * probed. If it does not answer, the stream is suspected to be lost at once,
+ * until a later probe is answered; if it does, the stream gets more time. Before the first event the endpoint is
  * only probed repeatedly, as long prompts take long to process. The time limits
  * follow from the latency targets of the stream's route (silence_limits.ts).
  *
@@ -181,13 +181,19 @@
     const result = await this.prober.probe(this.endpoint, probeTimeoutMs);
     if (eventCount !== this.eventCount || this.isStopped) return;
     if (result !== 'answers') {
+      // The next probe may end the suspicion, so the first one is sent at once.
+      const waitMs = this.isSuspected ? probeAfterMs : 0;
       this.markSuspected('silent, and no answer to a question', false);
+      this.plan(waitMs, () => this.probeInStream());
+      return;
     }
+    const silentMs = getRunningNow(this.clock) - this.silentSinceRunning;
+    if (silentMs < lostAfterMs) this.endSuspicion(this.clock.getNow());
     if (this.isSuspected || this.targets.toleratesSilence === true) {
       this.plan(probeAfterMs, () => this.probeInStream());
       return;
     }
-    this.plan(lostAfterMs - probeAfterMs, () => {
+    this.plan(lostAfterMs - silentMs, () => {
       this.markSuspected('silent, though the endpoint answers', true);
       return this.probeInStream();
     });
--- a/packages/gateway/tests/silence_detector.test.ts
+++ b/packages/gateway/tests/silence_detector.test.ts
@@ -8,39 +8,71 @@
 const PAUSE_MS = 800;
 
 describe('a suspicion', () => {
-  it('names the stall of the host since the last event', async () => {
+  it('names the stall of the host since the last event', async (test) => {
     const clock = new StalledClock();
     const stream = watchStream(() => 'silent', clock);
+    test.after(() => {
+      stream.detector.stop();
+    });
     stream.detector.start();
     clock.stalledMs = 400;
     stream.detector.recordEvents();
     clock.stalledMs = 430;
     await waitUntil(() => stream.silences.length > 0);
-    stream.detector.stop();
     assert.equal(stream.silences[0]?.hostStallMs, 30);
   });
+
+  it('ends when the endpoint answers its next probe', async (test) => {
+    const stream = watchStream((place) => (place === 0 ? 'silent' : 'answers'));
+    test.after(() => {
+      stream.detector.stop();
+    });
+    stream.detector.start();
+    stream.detector.recordEvents();
+    await waitUntil(() => stream.countRecoveries() > 0);
+    await waitUntil(() => stream.silences.length === 2);
+    const answering = stream.silences.map(({isAnswering}) => isAnswering);
+    assert.deepEqual(answering, [false, true]);
+  });
+
+  it('does not end with an answer after the longer limit', async (test) => {
+    const stream = watchStream(() => 'answers');
+    test.after(() => {
+      stream.detector.stop();
+    });
+    stream.detector.start();
+    stream.detector.recordEvents();
+    await waitUntil(() => stream.silences.length === 1);
+    const probes = stream.countProbes();
+    await waitUntil(() => stream.countProbes() >= probes + 2);
+    assert.equal(stream.countRecoveries(), 0);
+  });
 });
 
 describe('a stream that its caller does not read', () => {
-  it('is not suspected meanwhile', async () => {
+  it('is not suspected meanwhile', async (test) => {
     const stream = watchStream(() => 'silent');
+    test.after(() => {
+      stream.detector.stop();
+    });
     stream.detector.start();
     stream.detector.recordEvents();
     stream.detector.pause();
     await wait(PAUSE_MS);
-    stream.detector.stop();
     assert.equal(stream.countProbes(), 0);
     assert.equal(stream.silences.length, 0);
   });
 
-  it('is watched once its caller reads again', async () => {
+  it('is watched once its caller reads again', async (test) => {
     const stream = watchStream(() => 'silent');
+    test.after(() => {
+      stream.detector.stop();
+    });
     stream.detector.start();
     stream.detector.recordEvents();
     stream.detector.pause();
     await wait(PAUSE_MS);
     stream.detector.resume();
     await waitUntil(() => stream.silences.length > 0);
-    stream.detector.stop();
   });
 });
