Attach for three seconds to an answer that nothing else may continue

Seen by callers of irisdockd: an answer of a service with `continuation: never` ended with generation_lost when its connection broke three times within milliseconds, although the engine keeps such a generation for seconds.

Such an answer is attached to up to seven times since its last token, the first two at once, the others after 100 ms to 1.6 s. An answer that may go on elsewhere is attached to twice, as before. An attempt to attach runs nothing and takes no retry of the budget any more.

--- a/packages/daemon/src/answer/answer_driver.ts
+++ b/packages/daemon/src/answer/answer_driver.ts
@@ -141,9 +141,16 @@
       if (response === 'abandon') return 'superseded';
       if (typeof response !== 'string') return this.fail(response);
       attach = response === 'attach' ? endpoint : undefined;
+      if (attach !== undefined) await this.waitToAttach();
     }
   }
 
+  private async waitToAttach(): Promise<void> {
+    const {attachPauseMs} = this.retries;
+    if (attachPauseMs === 0) return;
+    await this.parts.clock.wait(attachPauseMs, this.stop);
+  }
+
   /** Finds an engine: by the queue at first, ahead of it after a loss. */
   private async findEndpoint(): Promise<Result<EndpointRecord, KnownError>> {
     if (this.admitted === undefined && !this.record.mayHaveRun) {
--- a/packages/daemon/src/answer/answer_retries.ts
+++ b/packages/daemon/src/answer/answer_retries.ts
@@ -6,6 +6,7 @@
  */
 import type {Clock} from '@irisdock/kernel';
 import {
+  computeAttachPauseMs,
   decideLossResponse,
   isLossCounted,
   type LossKind,
@@ -46,6 +47,11 @@
     return repeatable || spec.continuation === 'allowed';
   }
 
+  /** The pause before the decided attempt to attach, in ms. */
+  get attachPauseMs(): number {
+    return computeAttachPauseMs(this.attachAttempts);
+  }
+
   /** Records that tokens arrived, so that the next loss is the first again. */
   recordTokens(): void {
     this.countedLosses = 0;
@@ -130,8 +136,11 @@
     if (loss === 'superseded') return 'abandon';
     // Its retry was taken from the budget with the reservation.
     if (hasNext) return 'continue';
-    const hasRetryBudget = this.takeRetry(isCounted);
-    return this.decideByBudget(loss, this.record.mayHaveRun, hasRetryBudget);
+    const {mayHaveRun} = this.record;
+    // An attempt to attach runs nothing, so it needs no retry.
+    const free = this.decideByBudget(loss, mayHaveRun, true);
+    if (free === 'attach') return free;
+    return this.decideByBudget(loss, mayHaveRun, this.takeRetry(isCounted));
   }
 
   private decideByBudget(
--- a/packages/decisions/src/loss_response.ts
+++ b/packages/decisions/src/loss_response.ts
@@ -44,6 +44,10 @@
 
 /** Attempts to attach to one engine without a new token. */
 const MAX_ATTACHES = 2;
+/** The same for an answer that nothing else may continue. */
+const MAX_ONLY_ATTACHES = 7;
+/** The first pause before an attempt to attach beyond `MAX_ATTACHES`, in ms. */
+const ATTACH_PAUSE_MS = 100;
 /** Counted losses without a new token. */
 const MAX_LOSSES = 8;
 
@@ -68,7 +72,20 @@
   return 'continue';
 }
 
+/**
+ * Returns the pause before an attempt to attach, in ms. The first attempts
+ * follow at once; the pauses of all others together last some seconds, for which
+ * an engine keeps a generation that nothing reads.
+ *
+ * @param attempt The number of the attempt since the last token, from 1.
+ */
+export function computeAttachPauseMs(attempt: number): number {
+  if (attempt <= MAX_ATTACHES) return 0;
+  return ATTACH_PAUSE_MS * 2 ** (attempt - MAX_ATTACHES - 1);
+}
+
 function isWorthAttaching(state: LossState): boolean {
-  if (!state.mayHaveRun || state.attachAttempts >= MAX_ATTACHES) return false;
+  const maxAttaches = state.mayContinue ? MAX_ATTACHES : MAX_ONLY_ATTACHES;
+  if (!state.mayHaveRun || state.attachAttempts >= maxAttaches) return false;
   return state.loss === 'reset' || state.loss === 'gap';
 }
--- a/packages/decisions/tests/loss_response.test.ts
+++ b/packages/decisions/tests/loss_response.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
+  computeAttachPauseMs,
   decideLossResponse,
   isLossCounted,
   type LossKind,
@@ -50,6 +51,16 @@
     state: {attachAttempts: 2},
     want: 'continue',
   },
+  {
+    name: 'attaches a third time if nothing else may continue the answer',
+    state: {attachAttempts: 2, mayContinue: false},
+    want: 'attach',
+  },
+  {
+    name: 'gives up attaching to an answer that may not continue',
+    state: {attachAttempts: 7, mayContinue: false},
+    want: 'give_up_unknown',
+  },
   {
     name: 'abandons a request that another host took over',
     state: {loss: 'superseded', mayContinue: false},
@@ -117,6 +128,13 @@
   });
 });
 
+describe('computeAttachPauseMs', () => {
+  it('pauses only before attempts beyond the first two', () => {
+    const pauses = [1, 2, 3, 4, 7].map(computeAttachPauseMs);
+    assert.deepEqual(pauses, [0, 0, 100, 200, 1600]);
+  });
+});
+
 describe('isLossCounted', () => {
   for (const loss of KINDS) {
     const isFree = loss === 'unreachable';
