--- a/soak/src/end_witness.ts
+++ b/soak/src/end_witness.ts
@@ -9,6 +9,7 @@
 import type {DisturbedPart, Disturbances} from './disturbances.js';
 import type {EndpointInstance} from './endpoint_fleet.js';
 import {GRACE_SECONDS} from './host_process.js';
+import {CRASH_PREFIX} from './crash_witness.js';
 import {getMaxRuns, isRunOnce, isStream} from './request_kinds.js';
 import type {Attempt} from './witness.js';
 
@@ -20,6 +21,11 @@
   cut: number;
 }
 
+/** How requests of one kind ended, and how often endpoints ran them. */
+export interface KindCounts extends EndCounts {
+  ran: number;
+}
+
 /** What excuses a cut. */
 export type CutReason =
   | 'caller link'
@@ -63,6 +69,8 @@
 /** The witness. */
 export class EndWitness {
   readonly counts: EndCounts = {answered: 0, refused: 0, failed: 0, cut: 0};
+  /** Ends and runs by the kind of request. */
+  readonly kinds = new Map<string, KindCounts>();
   /** Cuts by their reasons. */
   readonly cuts = new Map<CutReason, number>();
   private readonly open = new Set<string>();
@@ -80,15 +88,19 @@
   }
 
   /** Takes it that an endpoint began to run an attempt. */
-  recordRun(attemptId: string, instance: RunningInstance): void {
+  recordRun(attempt: Attempt, instance: RunningInstance): void {
+    const {attemptId} = attempt;
+    this.getKind(attempt).ran++;
     const runs = this.runs.get(attemptId) ?? [];
     runs.push(instance);
     this.runs.set(attemptId, runs);
   }
 
   /** Counts an end; returns the broken promise if it is not the only one. */
-  recordEnd({attemptId}: Attempt, end: keyof EndCounts): string | undefined {
+  recordEnd(attempt: Attempt, end: keyof EndCounts): string | undefined {
+    const {attemptId} = attempt;
     this.counts[end]++;
+    this.getKind(attempt)[end]++;
     if (this.open.delete(attemptId)) return undefined;
     return `${attemptId} has two ends, the second is ${end}`;
   }
@@ -107,6 +119,16 @@
     return [...this.open].map((attemptId) => `${attemptId} has no end`);
   }
 
+  private getKind({kind, body}: Attempt): KindCounts {
+    const name = body.startsWith(CRASH_PREFIX) ? 'crashing' : kind;
+    let counts = this.kinds.get(name);
+    if (counts === undefined) {
+      counts = {answered: 0, refused: 0, failed: 0, cut: 0, ran: 0};
+      this.kinds.set(name, counts);
+    }
+    return counts;
+  }
+
   private findReason(attempt: Attempt, cut: Cut): CutReason {
     const {host, startedAt, attemptId, kind} = attempt;
     const runs = this.runs.get(attemptId) ?? [];
--- a/soak/src/play.ts
+++ b/soak/src/play.ts
@@ -17,7 +17,7 @@
 import {ConfigurationWitness} from './configuration_witness.js';
 import {CRASH_PREFIX, CrashWitness} from './crash_witness.js';
 import {Disturbances} from './disturbances.js';
-import type {EndCounts} from './end_witness.js';
+import type {EndCounts, KindCounts} from './end_witness.js';
 import {EndpointFleet, type EndpointInstance} from './endpoint_fleet.js';
 import {planFaults, type PlannedFault} from './fault_plan.js';
 import {FaultPlayer} from './fault_player.js';
@@ -49,6 +49,8 @@
   /** How requests ended; cuts also by their reasons. */
   readonly counts: EndCounts;
   readonly cuts: Readonly<Record<string, number>>;
+  /** Ends and runs by the kind of request. */
+  readonly kinds: Readonly<Record<string, KindCounts>>;
   readonly versions: number;
   /** The latest that a change was seen on a host that was left alone, in ms. */
   readonly mostDelayMs: number;
@@ -318,6 +320,7 @@
     seed,
     counts,
     cuts: Object.fromEntries(ends.cuts),
+    kinds: Object.fromEntries(ends.kinds),
     versions,
     mostDelayMs,
     limited,
--- a/soak/src/witness.ts
+++ b/soak/src/witness.ts
@@ -99,7 +99,7 @@
     }
     const count = (this.runs.get(run.attemptId) ?? 0) + 1;
     this.runs.set(run.attemptId, count);
-    this.ends.recordRun(run.attemptId, instance);
+    this.ends.recordRun(attempt, instance);
     if (isRunOnce(attempt.kind) && count > 1) {
       this.addFault(`${run.attemptId} ran ${count} times`);
     }
--- a/soak/tests/witness.test.ts
+++ b/soak/tests/witness.test.ts
@@ -228,4 +228,18 @@
       'a-1 has two ends, the second is answered',
     ]);
   });
+
+  it('counts ends and runs by the kind of request', () => {
+    const witness = new Witness(new Disturbances());
+    const attempt = createAttempt('repeatable');
+    witness.recordAttempt(attempt);
+    witness.recordRun(
+      {id: 'i-1', leavingAt: undefined, harmedUntil: -Infinity},
+      {attemptId: 'a-1', path: '/', body: BODY},
+    );
+    witness.recordEnd(attempt, createAnswer({}));
+    assert.deepEqual(Object.fromEntries(witness.ends.kinds), {
+      repeatable: {answered: 1, refused: 0, failed: 0, cut: 0, ran: 1},
+    });
+  });
 });
