Let the soak's callers wait after failures, and stream most of the time

A failure without Retry-After is followed by 0.5 s now, seven of eight of the 48 callers stream, and calls come less often.

--- a/soak/src/caller.ts
+++ b/soak/src/caller.ts
@@ -41,7 +41,11 @@
 const PATIENCE_MS = 1500;
 /** Silence after which a caller gives a stream up, in ms. */
 const SILENCE_MS = 4000;
-const PAUSE_MS = 40;
+/** Pauses after a stream and after a call, which ends sooner, in ms. */
+const STREAM_PAUSE_MS = 40;
+const CALL_PAUSE_MS = 200;
+/** The pause after a failure that names none, in ms. */
+const FAILED_PAUSE_MS = 500;
 const PROMPT_TOKENS = 4000;
 const MAX_ATTEMPTS = 4;
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([429, 503]);
@@ -70,7 +74,7 @@
       const at = random.getInt(kinds.length);
       const kind = kinds[at] ?? 'repeatable';
       await this.sendRequest(kind);
-      await sleep(PAUSE_MS);
+      await sleep(isStream(kind) ? STREAM_PAUSE_MS : CALL_PAUSE_MS);
     }
   }
 
@@ -104,17 +108,14 @@
       if (end.kind === 'answer' && end.status === OK_STATUS && end.isWhole) {
         return true;
       }
+      if (end.kind === 'answer') await sleep(getPauseMs(end));
+      else this.addresses.drop(address);
       if (!isRepeatRight(kind, end)) return false;
       if (isStream(kind) && end.kind === 'answer') {
         const events = countEvents(end);
         lastEventId += events;
         if (events > 0) resumes ??= attempt.attemptId;
       }
-      if (end.kind === 'answer' && end.retryAfter !== undefined) {
-        await sleep(Number(end.retryAfter) * 1000);
-      } else if (end.kind === 'cut') {
-        this.addresses.drop(address);
-      }
     }
     return false;
   }
@@ -214,6 +215,12 @@
   return end.kind === 'answer' && NOT_RUN_STATUSES.has(end.status);
 }
 
+/** How long a caller waits after an answer that it cannot use, in ms. */
+function getPauseMs(end: AttemptEnd & {readonly kind: 'answer'}): number {
+  if (end.retryAfter !== undefined) return Number(end.retryAfter) * 1000;
+  return end.status === OK_STATUS ? 0 : FAILED_PAUSE_MS;
+}
+
 function countEvents(end: AttemptEnd & {readonly kind: 'answer'}): number {
   if (end.status !== OK_STATUS) return 0;
   return end.body.split('\n\n').length - 1;
--- a/soak/src/caller_group.ts
+++ b/soak/src/caller_group.ts
@@ -19,12 +19,23 @@
   getVersion(): number;
 }
 
+const CALLS: readonly RequestKind[] = ['once', 'repeatable', 'moving', 'brief'];
+const STREAMS: readonly RequestKind[] = ['streamOnce', 'stream'];
+const LIMITED_STREAMS: readonly RequestKind[] = [
+  'streamOnce',
+  'streamFew',
+  'briefStream',
+];
 /** What each caller sends, in turn. */
 const KINDS: readonly (readonly RequestKind[])[] = [
-  ['once', 'repeatable', 'moving'],
-  ['streamOnce', 'stream'],
-  ['once', 'repeatable', 'brief'],
-  ['streamOnce', 'streamFew', 'briefStream'],
+  CALLS,
+  STREAMS,
+  LIMITED_STREAMS,
+  STREAMS,
+  LIMITED_STREAMS,
+  STREAMS,
+  LIMITED_STREAMS,
+  STREAMS,
 ];
 const CRASH_KINDS: readonly RequestKind[] = ['stream', 'repeatable'];
 const SLOW_CALLERS = 2;
--- a/soak/src/play.ts
+++ b/soak/src/play.ts
@@ -68,7 +68,7 @@
 export const USUAL_PLAY: PlayOptions = {
   program: DEPLOYED_PROGRAM,
   hosts: 4,
-  callers: 12,
+  callers: 48,
   lengthMs: 9000,
   faults: 12,
 };
