Let the soak's engines fail new streams while others are silent

The witness excuses a cut by the endpoint that held the answer only: one that failed the request while another held it excuses nothing, nor does a harm that was over before the run began. The tests fail with the former rules.

--- a/soak/src/end_witness.ts
+++ b/soak/src/end_witness.ts
@@ -3,10 +3,10 @@
  * exactly one, and that an answer is cut for a reason only: something befell
  * the host or its link to the caller, or an endpoint broke the answer off and
  * it could not be had elsewhere, or the time was up. Neither a silence of
- * endpoints, nor a change of the configuration, nor a store that is away is a
+ * endpoints, nor another one that refuses or fails the request meanwhile, nor a change of the configuration, nor a store that is away is a
  * reason.
  */
-import type {DisturbedPart, Disturbances} from './disturbances.js';
+import {Disturbances, type DisturbedPart} from './disturbances.js';
 import type {EndpointInstance} from './endpoint_fleet.js';
 import {GRACE_SECONDS} from './host_process.js';
 import {CRASH_PREFIX} from './crash_witness.js';
@@ -48,6 +48,15 @@
 /** An endpoint that ran a request. */
 export type RunningInstance = Pick<EndpointInstance, 'harmedUntil'>;
 
+/** A run of a request at an endpoint. */
+interface Run {
+  readonly instance: RunningInstance;
+  readonly startedAt: number;
+  /** Whether it ended by the endpoint's fault, without an event. */
+  readonly hasFailed: boolean;
+  hasEvents: boolean;
+}
+
 /** How long a host must have been left alone to be in touch, in ms. */
 const CONTACT_MS = 3000;
 /** How long streams may take on their route, in ms. */
@@ -56,6 +65,8 @@
 const DRAIN_MS = (GRACE_SECONDS * 1000 * 5) / 6;
 /** Requests that come so long after a stop began are to be refused, in ms. */
 const TAKEN_MS = 3000;
+/** A request may arrive at an endpoint so long after its link's harm, in ms. */
+const UNDER_WAY_MS = 500;
 /** A timer of a host may be so much early against the caller's, in ms. */
 const TIMER_MARGIN_MS = 100;
 
@@ -73,8 +84,10 @@
   readonly kinds = new Map<string, KindCounts>();
   /** Cuts by their reasons. */
   readonly cuts = new Map<CutReason, number>();
+  /** When new streams failed at some endpoints. */
+  readonly streamFaults = new Disturbances();
   private readonly open = new Set<string>();
-  private readonly runs = new Map<string, RunningInstance[]>();
+  private readonly runs = new Map<string, Run[]>();
 
   /** @param hasFewRetries Whether the hosts may hardly send anything again. */
   constructor(
@@ -88,14 +101,26 @@
   }
 
   /** Takes it that an endpoint began to run an attempt. */
-  recordRun(attempt: Attempt, instance: RunningInstance): void {
+  recordRun(
+    attempt: Attempt,
+    instance: RunningInstance,
+    hasFailed = false,
+  ): void {
     const {attemptId} = attempt;
     this.getKind(attempt).ran++;
     const runs = this.runs.get(attemptId) ?? [];
-    runs.push(instance);
+    const startedAt = performance.now();
+    runs.push({instance, startedAt, hasFailed, hasEvents: false});
     this.runs.set(attemptId, runs);
   }
 
+  /** Takes it that a stream's run sent its first event. */
+  recordFirstEvent(attemptId: string, instance: RunningInstance): void {
+    const runs = this.runs.get(attemptId) ?? [];
+    const run = runs.findLast((one) => one.instance === instance);
+    if (run !== undefined) run.hasEvents = true;
+  }
+
   /** Counts an end; returns the broken promise if it is not the only one. */
   recordEnd(attempt: Attempt, end: keyof EndCounts): string | undefined {
     const {attemptId} = attempt;
@@ -143,11 +168,11 @@
       const reason = REASONS.get(part);
       if (reason !== undefined) return reason;
     }
-    const isHarmed = (runs.at(-1)?.harmedUntil ?? -Infinity) >= from;
-    const isDisturbed = befell.some(({part}) => part === 'endpoints');
-    if (isHarmed && (isDisturbed || !this.isRetryDue(attempt, runs.length))) {
-      return 'endpoint';
-    }
+    const isDisturbed =
+      befell.some(({part}) => part === 'endpoints') ||
+      !this.streamFaults.isCalm(from, now);
+    const isRetryDue = !isDisturbed && this.isRetryDue(attempt, runs.length);
+    if (hasBrokenOff(runs) && !isRetryDue) return 'endpoint';
     const isDrained = all.some((one) => {
       const isTaken = one.isPlanned && startedAt <= one.from + TAKEN_MS;
       return isTaken && now >= one.from + DRAIN_MS;
@@ -164,3 +189,18 @@
     return runs < getMaxRuns(kind);
   }
 }
+
+/**
+ * Tells whether the endpoint that held an answer broke it off. Another one to
+ * which the request was sent meanwhile, and which did not continue it, holds
+ * nothing.
+ */
+function hasBrokenOff(runs: readonly Run[]): boolean {
+  const run =
+    runs.findLast(({hasEvents}) => hasEvents) ??
+    runs.findLast(({hasFailed}) => !hasFailed) ??
+    runs.at(-1);
+  if (run === undefined) return false;
+  const {hasFailed, instance, startedAt} = run;
+  return hasFailed || instance.harmedUntil >= startedAt - UNDER_WAY_MS;
+}
--- a/soak/src/endpoint_fleet.ts
+++ b/soak/src/endpoint_fleet.ts
@@ -13,9 +13,11 @@
   getId,
   putEntry,
   ServerStandin,
+  Silence,
   SOAK_SERVICES,
   type ServerRun,
   type StoreStandin,
+  type StreamFault,
   type StreamShape,
 } from '@irisdock/users-platform/fixtures';
 import {TcpLink} from './tcp_link.js';
@@ -54,6 +56,10 @@
   limitLines: readonly string[];
   /** Lines of its rejections while it rejects requests; undefined else. */
   rejectionLines: readonly string[] | undefined;
+  /** While it is on, streams pause and probes are answered. */
+  readonly streamPause: Silence;
+  /** How new streams fail; the last one counts. */
+  readonly streamFaults: StreamFault[];
   /** When the last harm to it or its link ended; infinite while one lasts. */
   harmedUntil: number;
 }
@@ -64,9 +70,20 @@
   attemptId: string,
 ) => void;
 
-/** Takes it that an endpoint began a run. */
+/** Takes what became of a run at an endpoint. */
 export type RunListener = (instance: EndpointInstance, run: ServerRun) => void;
 
+/** Receives what endpoints see of requests. */
+export interface FleetListener {
+  /** An endpoint began a run. */
+  readonly handleRun: RunListener;
+  /** A stream's run sent its first event. */
+  readonly handleFirstEvent?: RunListener;
+  /** A new stream failed without an event. */
+  readonly handleFailedRun?: RunListener;
+  readonly handleArrival: ArrivalListener;
+}
+
 /** The endpoints. */
 export class EndpointFleet {
   private readonly instances = new Map<number, EndpointInstance>();
@@ -83,8 +100,7 @@
   constructor(
     private readonly store: StoreStandin,
     private readonly failureDomains: readonly string[],
-    private readonly handleRun: RunListener,
-    private readonly handleArrival: ArrivalListener,
+    private readonly listener: FleetListener,
   ) {}
 
   /** Adds an endpoint of a service in the next failure domain. */
@@ -97,15 +113,27 @@
     let target = {host: '127.0.0.1', port: 0};
     const link = new TcpLink(() => target);
     const address = await link.start();
+    const streamPause = new Silence(new Set());
+    const {listener} = this;
     const parts = {
       getAddress: () => address,
       copies: this.copies,
       version,
       listLines: () => listLines(instance),
       findRejection: () => instance.rejectionLines,
-      waitUntilAudible: () => server.silence.waitUntilOver(),
+      findStreamFault: () => instance.streamFaults.at(-1),
+      waitUntilAudible: async () => {
+        await streamPause.waitUntilOver();
+        await server.silence.waitUntilOver();
+      },
       recordRun: (run: ServerRun) => {
-        this.handleRun(instance, run);
+        listener.handleRun(instance, run);
+      },
+      recordFirstEvent: (run: ServerRun) => {
+        listener.handleFirstEvent?.(instance, run);
+      },
+      recordFailedRun: (run: ServerRun) => {
+        listener.handleFailedRun?.(instance, run);
       },
     };
     const server: ServerStandin = new ServerStandin(
@@ -125,10 +153,12 @@
       leavingAt: undefined,
       limitLines: [],
       rejectionLines: undefined,
+      streamPause,
+      streamFaults: [],
       harmedUntil: -Infinity,
     };
     server.handleSeen = (request) => {
-      this.handleArrival(instance, getId(request));
+      listener.handleArrival(instance, getId(request));
     };
     this.instances.set(place, instance);
     this.putEntry(instance, 'ready');
--- a/soak/src/harmless_player.ts
+++ b/soak/src/harmless_player.ts
@@ -2,7 +2,8 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {SOAK_SERVICES} from '@irisdock/users-platform/fixtures';
 import type {ConfigurationWitness} from './configuration_witness.js';
-import type {EndpointFleet, EndpointInstance} from './endpoint_fleet.js';
+import type {EndpointFleet} from './endpoint_fleet.js';
+import type {EndpointSilences} from './endpoint_silences.js';
 import type {HarmlessEvent} from './harmless_plan.js';
 import type {HostProcess} from './host_process.js';
 
@@ -12,16 +13,11 @@
   readonly fleet: EndpointFleet;
   readonly failureDomains: readonly string[];
   readonly configuration: ConfigurationWitness;
+  readonly silences: EndpointSilences;
 }
 
-/** Between two silences an endpoint goes on for so long at least, in ms. */
-const AUDIBLE_MS = 500;
-
 /** Carries harmless events out. */
 export class HarmlessPlayer {
-  /** When the silences of endpoints end, by their ids. */
-  private readonly silentUntil = new Map<string, number>();
-
   constructor(private readonly parts: HarmlessParts) {}
 
   /** Carries out a plan; resolves when all of it is over. */
@@ -65,23 +61,11 @@
     service: string,
     domain?: string,
   ): Promise<void> {
-    const silent: EndpointInstance[] = [];
-    for (const instance of this.parts.fleet.list(service)) {
-      if (domain !== undefined && instance.failureDomain !== domain) continue;
-      if (this.trySilence(instance, forMs)) silent.push(instance);
-    }
-    await sleep(forMs);
-    for (const {server} of silent) server.silence.end();
-  }
-
-  private trySilence(instance: EndpointInstance, forMs: number): boolean {
-    const {id, limitLines, server} = instance;
-    // What waits for its end would be counted as sent at once.
-    if (limitLines.length > 0) return false;
-    const now = performance.now();
-    const lastEnd = this.silentUntil.get(id) ?? -Infinity;
-    if (now < lastEnd + AUDIBLE_MS) return false;
-    this.silentUntil.set(id, now + forMs);
-    return server.silence.start();
+    const {fleet, silences} = this.parts;
+    const all = fleet.list(service);
+    const silent = all.filter(
+      ({failureDomain}) => domain === undefined || failureDomain === domain,
+    );
+    await silences.run(silent, 'frozen', forMs);
   }
 }
--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -4,6 +4,7 @@
 export * from './endpoint_fleet.js';
 export * from './end_witness.js';
 export * from './fault_plan.js';
+export * from './handover_plan.js';
 export * from './harmless_plan.js';
 export * from './free_ports.js';
 export * from './host_process.js';
--- a/soak/src/play.ts
+++ b/soak/src/play.ts
@@ -6,9 +6,8 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {getErrorText, SeededRandom} from '@irisdock/kernel';
+import {SeededRandom} from '@irisdock/kernel';
 import {
-  READINESS_PATH,
   SOAK_SERVICES,
   StoreStandin,
   type ServerRun,
@@ -19,8 +18,11 @@
 import {Disturbances} from './disturbances.js';
 import type {EndCounts, KindCounts} from './end_witness.js';
 import {EndpointFleet, type EndpointInstance} from './endpoint_fleet.js';
+import {EndpointSilences} from './endpoint_silences.js';
 import {planFaults, type PlannedFault} from './fault_plan.js';
 import {FaultPlayer} from './fault_player.js';
+import {planHandovers, type HandoverEvent} from './handover_plan.js';
+import {HandoverPlayer} from './handover_player.js';
 import {planHarmless, type HarmlessEvent} from './harmless_plan.js';
 import {HarmlessPlayer} from './harmless_player.js';
 import {DEPLOYED_PROGRAM, HostProcess} from './host_process.js';
@@ -29,6 +31,7 @@
 import {PAUSE_MS, PausePlayer} from './pause_player.js';
 import {PartitionPlayer} from './partition_player.js';
 import {PauseWitness} from './pause_witness.js';
+import {findReadinessFault} from './readiness.js';
 import {StoreDrills} from './store_drills.js';
 import {Witness} from './witness.js';
 
@@ -57,7 +60,7 @@
   /** Arrivals that were held against a limit. */
   readonly limited: number;
   /** The faults and the harmless events. */
-  readonly faults: readonly (HarmlessEvent | PlannedFault)[];
+  readonly faults: readonly (HandoverEvent | HarmlessEvent | PlannedFault)[];
   /** Promises that were broken. */
   readonly broken: readonly string[];
   /** Where the logs of the hosts are; removed when nothing was broken. */
@@ -96,22 +99,27 @@
   readonly crashes = new CrashWitness(this.disturbances);
   readonly limits = new LimitWitness(this.disturbances);
   readonly pauses = new PauseWitness(this.disturbances);
-  readonly fleet = new EndpointFleet(
-    this.store,
-    DOMAINS,
-    (instance, run) => {
+  readonly fleet = new EndpointFleet(this.store, DOMAINS, {
+    handleRun: (instance, run) => {
       this.witness.recordRun(instance, run);
       if (run.body.startsWith(CRASH_PREFIX)) this.endUnderRun(instance, run);
     },
-    (instance, attemptId) => {
+    handleFirstEvent: (instance, {attemptId}) => {
+      this.witness.ends.recordFirstEvent(attemptId, instance);
+    },
+    handleFailedRun: (instance, run) => {
+      this.witness.recordRun(instance, run, true);
+    },
+    handleArrival: (instance, attemptId) => {
       const host = this.witness.findAttempt(attemptId)?.host ?? '';
       const at = performance.now();
       this.limits.recordArrival(instance.id, host, at);
       if (instance.rejectionLines === undefined) return;
       this.pauses.recordRejected(instance.id, host, at, PAUSE_MS);
     },
-  );
+  });
   readonly configuration: ConfigurationWitness;
+  private readonly silences = new EndpointSilences();
   private readonly random: SeededRandom;
   /** For what came later; seeds stand for the play's own numbers. */
   private readonly harmlessRandom: SeededRandom;
@@ -148,11 +156,13 @@
     const partitions = new PartitionPlayer(seed, hosts, disturbances);
     const partition = partitions.run();
     const harmless = planHarmless(this.harmlessRandom, this.options.lengthMs);
+    const handovers = this.planHandovers();
     const others = [
       partition,
       this.startDrills(),
       ...this.startPauses(),
       this.startHarmless(harmless),
+      this.startHandovers(handovers),
     ];
     await this.runFaults(plan);
     await Promise.all(others);
@@ -172,15 +182,35 @@
       ...partitions.listFaults(this.witness.ended),
     ];
     for (const fault of broken) this.witness.addFault(fault);
-    return [...plan, ...harmless].sort((a, b) => a.at - b.at);
+    const all = [...plan, ...harmless, ...handovers];
+    return all.sort((a, b) => a.at - b.at);
   }
 
   private async startHarmless(plan: readonly HarmlessEvent[]): Promise<void> {
-    const {hosts, fleet, configuration} = this;
-    const parts = {hosts, fleet, failureDomains: DOMAINS, configuration};
+    const {hosts, fleet, configuration, silences} = this;
+    const parts = {
+      hosts,
+      fleet,
+      failureDomains: DOMAINS,
+      configuration,
+      silences,
+    };
     await new HarmlessPlayer(parts).runAll(plan);
   }
 
+  /** Not from the play's own numbers, which seeds stand for. */
+  private planHandovers(): HandoverEvent[] {
+    const random = new SeededRandom(this.seed + 2 ** 25);
+    return planHandovers(random, this.options.lengthMs);
+  }
+
+  private async startHandovers(plan: readonly HandoverEvent[]): Promise<void> {
+    const {fleet, silences, witness} = this;
+    const {streamFaults} = witness.ends;
+    const parts = {fleet, failureDomains: DOMAINS, silences, streamFaults};
+    await new HandoverPlayer(parts).runAll(plan);
+  }
+
   /** Lets endpoints of both services name limits while faults are played. */
   private startLimits(): LimitPlayer {
     const player = new LimitPlayer(this.seed, this.fleet, this.limits);
@@ -329,16 +359,3 @@
     directory,
   };
 }
-
-/** Says why a host is not ready; undefined when it is. */
-async function findReadinessFault(
-  host: HostProcess,
-): Promise<string | undefined> {
-  try {
-    const url = `http://${host.readinessAddress}${READINESS_PATH}`;
-    const answer = await fetch(url, {signal: AbortSignal.timeout(1000)});
-    return answer.ok ? undefined : `status ${answer.status}`;
-  } catch (thrown) {
-    return getErrorText(thrown);
-  }
-}
--- a/soak/src/witness.ts
+++ b/soak/src/witness.ts
@@ -90,8 +90,12 @@
     this.ends.recordAttempt(attempt);
   }
 
-  /** Takes it that an endpoint began a run. */
-  recordRun(instance: SeenInstance, run: ServerRun): void {
+  /**
+   * Takes it that an endpoint began a run.
+   *
+   * @param hasFailed Whether the endpoint failed it without an event.
+   */
+  recordRun(instance: SeenInstance, run: ServerRun, hasFailed = false): void {
     const attempt = this.attempts.get(run.attemptId);
     if (attempt?.body !== run.body) {
       this.addFault(`${instance.id} ran ${formatRun(run)}, which nobody sent`);
@@ -99,7 +103,7 @@
     }
     const count = (this.runs.get(run.attemptId) ?? 0) + 1;
     this.runs.set(run.attemptId, count);
-    this.ends.recordRun(attempt, instance);
+    this.ends.recordRun(attempt, instance, hasFailed);
     if (isRunOnce(attempt.kind) && count > 1) {
       this.addFault(`${run.attemptId} ran ${count} times`);
     }
--- a/soak/tests/endpoint_fleet.test.ts
+++ b/soak/tests/endpoint_fleet.test.ts
@@ -1,19 +1,23 @@
 /** The endpoints of a play. */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {EndpointFleet} from '@irisdock/soak';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {EndpointFleet, STREAM_SHAPE} from '@irisdock/soak';
 import {SOAK_SERVICES, StoreStandin} from '@irisdock/users-platform/fixtures';
 
 const DOWN_MS = 50;
+/** Longer than a whole stream, in ms. */
+const PAUSED_MS = 2000;
 
-async function startFleet(store: StoreStandin): Promise<EndpointFleet> {
-  const fleet = new EndpointFleet(
-    store,
-    ['zone-1'],
-    () => undefined,
-    () => undefined,
-  );
-  await fleet.add(SOAK_SERVICES.calls, 0);
+async function startFleet(
+  store: StoreStandin,
+  service: string = SOAK_SERVICES.calls,
+): Promise<EndpointFleet> {
+  const fleet = new EndpointFleet(store, ['zone-1'], {
+    handleRun: () => undefined,
+    handleArrival: () => undefined,
+  });
+  await fleet.add(service, 0);
   return fleet;
 }
 
@@ -38,4 +42,44 @@
     fleet.stop();
     store.stop();
   });
+
+  it('fail new streams, go on with begun ones and answer probes', async () => {
+    const store = new StoreStandin();
+    const fleet = await startFleet(store, SOAK_SERVICES.streams);
+    const instance = fleet.find(0);
+    assert.ok(instance);
+    const url = `http://${instance.address}`;
+    const begun = await fetch(`${url}/x`, {method: 'POST', body: 'one'});
+    instance.streamFaults.push('fail');
+    assert.equal((await fetch(`${url}/x`, {method: 'POST'})).status, 500);
+    assert.equal((await fetch(`${url}/-/report`)).status, 200);
+    assert.equal(
+      (await begun.text()).match(/^id: /gmu)?.length,
+      STREAM_SHAPE.events,
+    );
+    fleet.stop();
+    store.stop();
+  });
+
+  it('pause their streams and answer probes', async () => {
+    const store = new StoreStandin();
+    const fleet = await startFleet(store, SOAK_SERVICES.streams);
+    const instance = fleet.find(0);
+    assert.ok(instance);
+    const url = `http://${instance.address}`;
+    let isEnded = false;
+    const begun = await fetch(`${url}/x`, {method: 'POST', body: 'one'});
+    const text = begun.text().then((all) => {
+      isEnded = true;
+      return all;
+    });
+    instance.streamPause.start();
+    await sleep(PAUSED_MS);
+    assert.equal((await fetch(`${url}/-/report`)).status, 200);
+    assert.ok(!isEnded);
+    instance.streamPause.end();
+    assert.equal((await text).match(/^id: /gmu)?.length, STREAM_SHAPE.events);
+    fleet.stop();
+    store.stop();
+  });
 });
--- a/soak/tests/witness.test.ts
+++ b/soak/tests/witness.test.ts
@@ -206,6 +206,44 @@
     assert.equal(countFaults('streamOnce', ['a-1']), 0);
   });
 
+  it('sees a cut of a silent stream that the next endpoint failed', () => {
+    const attempt = createAttempt('stream');
+    const cut = createAnswer({body: formatEvents(1, 5), isWhole: false});
+    const countFaults = (
+      runs: readonly ('begun' | 'failed' | 'harmed' | 'unbegun')[],
+    ): number => {
+      const witness = new Witness(new Disturbances());
+      witness.recordAttempt(attempt);
+      witness.ends.streamFaults.start('endpoints', performance.now());
+      for (const [index, kind] of runs.entries()) {
+        const harmedUntil = kind === 'harmed' ? Infinity : -Infinity;
+        const instance = {id: `i-${index}`, leavingAt: undefined, harmedUntil};
+        const run = {attemptId: 'a-1', path: '/', body: BODY};
+        witness.recordRun(instance, run, kind === 'failed');
+        if (kind === 'unbegun' || kind === 'failed') continue;
+        witness.ends.recordFirstEvent('a-1', instance);
+      }
+      witness.recordEnd(attempt, cut);
+      return witness.faults.length;
+    };
+    assert.equal(countFaults(['begun', 'failed']), 1);
+    assert.equal(countFaults(['unbegun', 'failed']), 1);
+    assert.equal(countFaults(['harmed', 'begun', 'failed']), 1);
+    assert.equal(countFaults(['failed']), 0);
+    assert.equal(countFaults(['harmed', 'failed']), 0);
+    assert.equal(countFaults(['begun', 'harmed']), 0);
+  });
+
+  it('sees a cut of a run that began after the harm was over', () => {
+    const stream = createAttempt('stream');
+    const cut = createAnswer({body: formatEvents(1, 5), isWhole: false});
+    const disturbances = new Disturbances();
+    disturbances.start('endpoints', performance.now());
+    const harm = {harmedUntil: performance.now() - 2000};
+    const faults = listFaults(stream, cut, ['a-1'], disturbances, harm);
+    assert.equal(faults.length, 1);
+  });
+
   it('sees a cut refusal, and a cut on a kept connection after a run', () => {
     const refusal = createAnswer({status: 404, isWhole: false});
     assert.equal(listFaults(createAttempt('brief'), refusal).length, 1);
