Refuse to start a soak whose hosts have no program

node soak/dist/src/main.js without target/irisdock-start.mjs started processes that ended at once, again and again, and said after 30 s only that a host did not get ready. The program is looked for before any host is started; the error names it and npm run prepare:all.

--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -5,6 +5,7 @@
 import {runProgram} from '@irisdock/kernel';
 import {err, ok} from 'neverthrow';
 import {runPlay, USUAL_PLAY, type PlayOptions} from './play.js';
+import {findProgramFault} from './program_file.js';
 
 const MINUTE_MS = 60_000;
 const MAX_HOSTS = 150;
@@ -52,6 +53,8 @@
     const [seed, hosts] = [Number(values.seed), Number(values.hosts)];
     const minutes = Number(values.minutes);
     const isSize = Number.isInteger(hosts) && hosts >= 1 && hosts <= MAX_HOSTS;
+    const programFault = findProgramFault(program);
+    if (programFault !== undefined) return err(programFault);
     if (Number.isInteger(seed) && minutes >= 0 && isSize) {
       const options = {...USUAL_PLAY, hosts, program};
       return ok(await runSeeds(seed, minutes, options));
--- a/soak/src/play.ts
+++ b/soak/src/play.ts
@@ -31,6 +31,7 @@
 import {PAUSE_MS, PausePlayer} from './pause_player.js';
 import {PartitionPlayer} from './partition_player.js';
 import {PauseWitness} from './pause_witness.js';
+import {findProgramFault} from './program_file.js';
 import {findReadinessFault} from './readiness.js';
 import {StoreDrills} from './store_drills.js';
 import {Witness} from './witness.js';
@@ -337,6 +338,8 @@
   seed: number,
   options: PlayOptions,
 ): Promise<PlayReport> {
+  const programFault = findProgramFault(options.program);
+  if (programFault !== undefined) throw new Error(programFault);
   const directory = mkdtempSync(join(tmpdir(), `irisdock-soak-${seed}-`));
   const play = new Play(seed, options, directory);
   const faults = await play.run().finally(() => play.stop());
