Claim the ports of a soak's hosts for as long as it runs

No fault of the gateway.

A port is claimed by a listener on 127.0.0.2 that stays open until the soak ends, so that ports of hosts that are down stay theirs.

Failed before: 'are not those of a stopped host of another soak' got 14325 for 14326, the port of the other process.

--- a/soak/src/free_ports.ts
+++ b/soak/src/free_ports.ts
@@ -1,11 +1,13 @@
 /**
  * Ports for hosts. They lie below those that the kernel gives to outgoing
  * connections, as a host that is started again needs its own back, and none is
- * given twice, as a host takes a while to listen at its own.
+ * given twice, as a host takes a while to listen at its own. Soaks beside each
+ * other claim theirs for as long as they run, as a host that is down does not
+ * listen.
  */
 import {randomInt} from 'node:crypto';
 import {createSocket} from 'node:dgram';
-import {createServer} from 'node:net';
+import {createServer, type Server} from 'node:net';
 
 /** Linux gives ports from 32,768 on to outgoing connections. */
 const LEAST_PORT = 10_000;
@@ -16,6 +18,10 @@
  */
 const BLOCKED_PORT = 10_080;
 
+const HOST_ADDRESS = '127.0.0.1';
+/** Who listens at a port of this address has claimed it for hosts. */
+const CLAIM_ADDRESS = '127.0.0.2';
+
 const GIVEN = new Set<number>();
 
 /**
@@ -32,7 +38,8 @@
     const port = LEAST_PORT + draw(PORT_RANGE);
     if (port === BLOCKED_PORT || GIVEN.has(port)) continue;
     GIVEN.add(port);
-    // Hosts listen for datagrams too, and other soaks may run beside this one.
+    if (!(await tryClaim(port))) continue;
+    // Hosts listen for datagrams too.
     if ((await isFree(port)) && (await isFreeForDatagrams(port))) {
       ports.push(port);
     }
@@ -40,16 +47,35 @@
   return ports;
 }
 
+/** Claims a port until this process ends; returns false if another one has. */
+async function tryClaim(port: number): Promise<boolean> {
+  const claim = await tryListen(port, CLAIM_ADDRESS);
+  claim?.unref();
+  return claim !== undefined;
+}
+
 async function isFree(port: number): Promise<boolean> {
+  const server = await tryListen(port, HOST_ADDRESS);
+  if (server === undefined) return false;
   return new Promise((resolve) => {
+    server.close(() => {
+      resolve(true);
+    });
+  });
+}
+
+async function tryListen(
+  port: number,
+  address: string,
+): Promise<Server | undefined> {
+  return new Promise((resolve, reject) => {
     const server = createServer();
-    server.once('error', () => {
-      resolve(false);
+    server.once('error', (error: NodeJS.ErrnoException) => {
+      if (error.code === 'EADDRINUSE') resolve(undefined);
+      else reject(error);
     });
-    server.listen(port, '127.0.0.1', () => {
-      server.close(() => {
-        resolve(true);
-      });
+    server.listen(port, address, () => {
+      resolve(server);
     });
   });
 }
@@ -61,7 +87,7 @@
       socket.close();
       resolve(false);
     });
-    socket.bind(port, '127.0.0.1', () => {
+    socket.bind(port, HOST_ADDRESS, () => {
       socket.close(() => {
         resolve(true);
       });
