Let the soak see two endpoints work on one stream

Nothing held runs of one stream against each other, so that an attempt that goes on beside the next one was seen by no witness.

--- a/soak/src/endpoint_fleet.ts
+++ b/soak/src/endpoint_fleet.ts
@@ -15,6 +15,7 @@
   ServerStandin,
   Silence,
   SOAK_SERVICES,
+  type ScriptContext,
   type ServerRun,
   type StoreStandin,
   type StreamFault,
@@ -60,6 +61,8 @@
   readonly streamPause: Silence;
   /** How new streams fail; the last one counts. */
   readonly streamFaults: StreamFault[];
+  /** When it last went on to read after a silence; infinite in one. */
+  deafUntil: number;
   /** When the last harm to it or its link ended; infinite while one lasts. */
   harmedUntil: number;
 }
@@ -79,11 +82,19 @@
   readonly handleRun: RunListener;
   /** A stream's run sent its first event. */
   readonly handleFirstEvent?: RunListener;
+  /** A stream's run has ended, or was closed. */
+  readonly handleRunEnd?: RunListener;
   /** A new stream failed without an event. */
   readonly handleFailedRun?: RunListener;
   readonly handleArrival: ArrivalListener;
 }
 
+/** What the scripts of endpoints call. */
+type RunHooks = Pick<
+  ScriptContext,
+  'recordFailedRun' | 'recordFirstEvent' | 'recordRun' | 'recordRunEnd'
+>;
+
 /** The endpoints. */
 export class EndpointFleet {
   private readonly instances = new Map<number, EndpointInstance>();
@@ -114,7 +125,6 @@
     const link = new TcpLink(() => target);
     const address = await link.start();
     const streamPause = new Silence(new Set());
-    const {listener} = this;
     const parts = {
       getAddress: () => address,
       copies: this.copies,
@@ -126,15 +136,7 @@
         await streamPause.waitUntilOver();
         await server.silence.waitUntilOver();
       },
-      recordRun: (run: ServerRun) => {
-        listener.handleRun(instance, run);
-      },
-      recordFirstEvent: (run: ServerRun) => {
-        listener.handleFirstEvent?.(instance, run);
-      },
-      recordFailedRun: (run: ServerRun) => {
-        listener.handleFailedRun?.(instance, run);
-      },
+      ...this.createRunHooks(() => instance),
     };
     const server: ServerStandin = new ServerStandin(
       service === SOAK_SERVICES.streams
@@ -155,10 +157,11 @@
       rejectionLines: undefined,
       streamPause,
       streamFaults: [],
+      deafUntil: -Infinity,
       harmedUntil: -Infinity,
     };
     server.handleSeen = (request) => {
-      listener.handleArrival(instance, getId(request));
+      this.listener.handleArrival(instance, getId(request));
     };
     this.instances.set(place, instance);
     this.putEntry(instance, 'ready');
@@ -223,6 +226,24 @@
     }
   }
 
+  private createRunHooks(getInstance: () => EndpointInstance): RunHooks {
+    const {listener} = this;
+    return {
+      recordRun: (run: ServerRun) => {
+        listener.handleRun(getInstance(), run);
+      },
+      recordFirstEvent: (run: ServerRun) => {
+        listener.handleFirstEvent?.(getInstance(), run);
+      },
+      recordRunEnd: (run: ServerRun) => {
+        listener.handleRunEnd?.(getInstance(), run);
+      },
+      recordFailedRun: (run: ServerRun) => {
+        listener.handleFailedRun?.(getInstance(), run);
+      },
+    };
+  }
+
   private takeOut(place: number): EndpointInstance | undefined {
     const instance = this.instances.get(place);
     if (instance === undefined) return undefined;
--- a/soak/src/endpoint_silences.ts
+++ b/soak/src/endpoint_silences.ts
@@ -26,16 +26,20 @@
     kind: SilenceKind,
     forMs: number,
   ): Promise<void> {
-    const begun: Silence[] = [];
+    const begun: [EndpointInstance, Silence][] = [];
     for (const instance of instances) {
       const {server, streamPause} = instance;
       const silence = kind === 'frozen' ? server.silence : streamPause;
       if (!this.isSilenceDue(instance, kind) || !silence.start()) continue;
       this.silentUntil.set(instance.id, performance.now() + forMs);
-      begun.push(silence);
+      if (kind === 'frozen') instance.deafUntil = Infinity;
+      begun.push([instance, silence]);
     }
     await sleep(forMs);
-    for (const silence of begun) silence.end();
+    for (const [instance, silence] of begun) {
+      silence.end();
+      if (kind === 'frozen') instance.deafUntil = performance.now();
+    }
   }
 
   private isSilenceDue(
--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -9,6 +9,7 @@
 export * from './free_ports.js';
 export * from './host_process.js';
 export * from './limit_witness.js';
+export * from './overlap_witness.js';
 export * from './pause_witness.js';
 export * from './play.js';
 export * from './request_kinds.js';
--- a/soak/src/play.ts
+++ b/soak/src/play.ts
@@ -28,11 +28,12 @@
 import {DEPLOYED_PROGRAM, HostProcess} from './host_process.js';
 import {LimitPlayer} from './limit_player.js';
 import {LimitWitness} from './limit_witness.js';
+import {OverlapWitness} from './overlap_witness.js';
 import {PAUSE_MS, PausePlayer} from './pause_player.js';
 import {PartitionPlayer} from './partition_player.js';
 import {PauseWitness} from './pause_witness.js';
 import {findProgramFault} from './program_file.js';
-import {findReadinessFault} from './readiness.js';
+import {waitReady} from './readiness.js';
 import {StoreDrills} from './store_drills.js';
 import {Witness} from './witness.js';
 
@@ -79,8 +80,6 @@
 
 const DOMAINS = ['zone-1', 'zone-2', 'zone-3'];
 const PLACES_A_SERVICE = 6;
-const START_TRIES = 600;
-const START_STEP_MS = 50;
 /** All is to be served again after so long, in ms. */
 const RECOVERY_MS = 6000;
 /** Limits that were named are over so long before that, in ms. */
@@ -100,14 +99,19 @@
   readonly crashes = new CrashWitness(this.disturbances);
   readonly limits = new LimitWitness(this.disturbances);
   readonly pauses = new PauseWitness(this.disturbances);
+  readonly overlaps = new OverlapWitness(this.disturbances);
   readonly fleet = new EndpointFleet(this.store, DOMAINS, {
     handleRun: (instance, run) => {
       this.witness.recordRun(instance, run);
+      this.recordWork(instance, run);
       if (run.body.startsWith(CRASH_PREFIX)) this.endUnderRun(instance, run);
     },
     handleFirstEvent: (instance, {attemptId}) => {
       this.witness.ends.recordFirstEvent(attemptId, instance);
     },
+    handleRunEnd: (instance, {attemptId}) => {
+      this.overlaps.recordEnd(attemptId, instance, performance.now());
+    },
     handleFailedRun: (instance, run) => {
       this.witness.recordRun(instance, run, true);
     },
@@ -180,6 +184,7 @@
       ...this.crashes.listFaults(),
       ...this.limits.listFaults(),
       ...this.pauses.listFaults(),
+      ...this.overlaps.listFaults((id) => this.witness.findAttempt(id)?.host),
       ...partitions.listFaults(this.witness.ended),
     ];
     for (const fault of broken) this.witness.addFault(fault);
@@ -259,7 +264,9 @@
       this.hosts.push(this.createHost(index, door.address));
     }
     for (const host of this.hosts) await host.start();
-    await Promise.all(this.hosts.map((host) => this.waitReady(host)));
+    await Promise.all(
+      this.hosts.map((host) => waitReady(host, this.directory)),
+    );
   }
 
   private createHost(index: number, storeAddress: string): HostProcess {
@@ -293,6 +300,12 @@
     void this.fleet.killUnderRun(instance);
   }
 
+  /** Plain calls do not tell when they end. */
+  private recordWork(instance: EndpointInstance, {attemptId}: ServerRun): void {
+    if (instance.service !== SOAK_SERVICES.streams) return;
+    this.overlaps.recordStart(attemptId, instance, performance.now());
+  }
+
   private async runFaults(plan: readonly PlannedFault[]): Promise<void> {
     const player = new FaultPlayer({
       hosts: this.hosts,
@@ -319,18 +332,6 @@
       this.fleet.drain(PLACES_A_SERVICE),
     ]);
   }
-
-  private async waitReady(host: HostProcess): Promise<void> {
-    let fault: string | undefined;
-    for (let tries = 0; tries < START_TRIES; tries++) {
-      fault = await findReadinessFault(host);
-      if (fault === undefined) return;
-      await sleep(START_STEP_MS);
-    }
-    throw new Error(
-      `${host.name} did not get ready (${fault}); see ${this.directory}.`,
-    );
-  }
 }
 
 /** Plays one seed. */
