Count relayed requests against no pause of the host that relayed them

The witness of pauses takes the host that a caller asked for the sender. Arrivals of a host's callers count neither as rejected nor as sent while it is partitioned and for 3 s after; all others are held against the bound as before.

--- a/soak/src/pause_witness.ts
+++ b/soak/src/pause_witness.ts
@@ -8,6 +8,8 @@
 /** Requests that were under way may still arrive for so long, in ms. */
 const UNDER_WAY_MS = 500;
 const MOST_IN_PAUSE = 2;
+/** Others send what a partitioned host relayed until so much later, in ms. */
+const RELAYED_MS = 3000;
 
 /** What one endpoint asked one host for. */
 interface AskedPause {
@@ -32,6 +34,7 @@
     at: number,
     pauseMs: number,
   ): void {
+    if (this.isRelaying(host, at)) return;
     const key = `${endpoint} ${host}`;
     const pause = this.pauses.get(key);
     if (pause !== undefined && at < pause.until) {
@@ -55,6 +58,13 @@
     return faults;
   }
 
+  /** Whether another host may have sent what callers sent to this one. */
+  private isRelaying(host: string, at: number): boolean {
+    return this.disturbances
+      .listBetween(host, at - RELAYED_MS, at)
+      .some(({part}) => part === 'endpoint paths');
+  }
+
   private isDisturbed(host: string, from: number, until: number): boolean {
     return this.disturbances
       .listBetween(host, from, until)
--- a/soak/tests/pause_witness.test.ts
+++ b/soak/tests/pause_witness.test.ts
@@ -36,4 +36,20 @@
     disturbances.start('hosts', 100, {host: 'one'});
     assert.deepEqual(witness.listFaults(), []);
   });
+
+  it('takes what a partitioned host relays for nothing that it sent', () => {
+    const disturbances = new Disturbances();
+    const partition = disturbances.start('endpoint paths', 0, {host: 'one'});
+    partition.until = 500;
+    const witness = new PauseWitness(disturbances);
+    witness.recordRejected('i-1', 'one', 400, PAUSE_MS);
+    for (const at of [1000, 1100, 1200]) {
+      witness.recordRejected('i-1', 'one', at, PAUSE_MS);
+    }
+    assert.deepEqual(witness.listFaults(), []);
+    for (const at of [4000, 4600, 4700, 4800]) {
+      witness.recordRejected('i-1', 'one', at, PAUSE_MS);
+    }
+    assert.equal(witness.listFaults().length, 1);
+  });
 });
