--- a/soak/tests/endpoint_fleet.test.ts
+++ b/soak/tests/endpoint_fleet.test.ts
@@ -51,7 +51,10 @@
     const url = `http://${instance.address}`;
     const begun = await fetch(`${url}/x`, {method: 'POST', body: 'one'});
     instance.streamFaults.push('fail');
-    assert.equal((await fetch(`${url}/x`, {method: 'POST'})).status, 500);
+    instance.limitLines = ['X-Irisdock-Server-Limit: 2'];
+    const failed = await fetch(`${url}/x`, {method: 'POST'});
+    assert.equal(failed.status, 500);
+    assert.equal(failed.headers.get('x-irisdock-server-limit'), '2');
     assert.equal((await fetch(`${url}/-/report`)).status, 200);
     assert.equal(
       (await begun.text()).match(/^id: /gmu)?.length,
