--- a/scripts/check_soak.mjs
+++ b/scripts/check_soak.mjs
@@ -70,6 +70,16 @@
     /listener\.handleSuspected\(silence\);/,
     'this.endSilent(silence);',
   ],
+  [
+    'a silent attempt is kept until the next one continues the stream',
+    /isContinued = await trial\.waitForContinuation\([^)]*\)/,
+    'isContinued = true',
+  ],
+  [
+    'a silent attempt is closed when the next one continues the stream',
+    /run\d*\.endSilent\(silence\)/,
+    'void 0',
+  ],
   [
     'the rest of a refused request is read',
     /isArriving \? this\.lingeringCloses\.end\([^)]*\) : /,
