Take the endpoint of the last event for the one that held a cut answer

A frozen engine reads a request after its host has closed it and sends one event to nobody; the witness took it for the endpoint that held the answer. Events carry the name of their endpoint, and the last that the caller got names the holder.

--- a/soak/src/end_witness.ts
+++ b/soak/src/end_witness.ts
@@ -43,10 +43,12 @@
   readonly wasSent: boolean;
   /** Whether the answer had begun. */
   readonly wasBegun: boolean;
+  /** The endpoint whose event came last; undefined if none came. */
+  readonly lastServer?: string | undefined;
 }
 
 /** An endpoint that ran a request. */
-export type RunningInstance = Pick<EndpointInstance, 'harmedUntil'>;
+export type RunningInstance = Pick<EndpointInstance, 'harmedUntil' | 'id'>;
 
 /** A run of a request at an endpoint. */
 interface Run {
@@ -54,7 +56,6 @@
   readonly startedAt: number;
   /** Whether it ended by the endpoint's fault, without an event. */
   readonly hasFailed: boolean;
-  hasEvents: boolean;
 }
 
 /** How long a host must have been left alone to be in touch, in ms. */
@@ -110,17 +111,10 @@
     this.getKind(attempt).ran++;
     const runs = this.runs.get(attemptId) ?? [];
     const startedAt = performance.now();
-    runs.push({instance, startedAt, hasFailed, hasEvents: false});
+    runs.push({instance, startedAt, hasFailed});
     this.runs.set(attemptId, runs);
   }
 
-  /** Takes it that a stream's run sent its first event. */
-  recordFirstEvent(attemptId: string, instance: RunningInstance): void {
-    const runs = this.runs.get(attemptId) ?? [];
-    const run = runs.findLast((one) => one.instance === instance);
-    if (run !== undefined) run.hasEvents = true;
-  }
-
   /** Counts an end; returns the broken promise if it is not the only one. */
   recordEnd(attempt: Attempt, end: keyof EndCounts): string | undefined {
     const {attemptId} = attempt;
@@ -172,7 +166,7 @@
       befell.some(({part}) => part === 'endpoints') ||
       !this.streamFaults.isCalm(from, now);
     const isRetryDue = !isDisturbed && this.isRetryDue(attempt, runs.length);
-    if (hasBrokenOff(runs) && !isRetryDue) return 'endpoint';
+    if (hasBrokenOff(runs, cut.lastServer) && !isRetryDue) return 'endpoint';
     const isDrained = all.some((one) => {
       const isTaken = one.isPlanned && startedAt <= one.from + TAKEN_MS;
       return isTaken && now >= one.from + DRAIN_MS;
@@ -195,9 +189,12 @@
  * which the request was sent meanwhile, and which did not continue it, holds
  * nothing.
  */
-function hasBrokenOff(runs: readonly Run[]): boolean {
+function hasBrokenOff(
+  runs: readonly Run[],
+  lastServer: string | undefined,
+): boolean {
   const run =
-    runs.findLast(({hasEvents}) => hasEvents) ??
+    runs.findLast(({instance}) => instance.id === lastServer) ??
     runs.findLast(({hasFailed}) => !hasFailed) ??
     runs.at(-1);
   if (run === undefined) return false;
--- a/soak/src/endpoint_fleet.ts
+++ b/soak/src/endpoint_fleet.ts
@@ -80,8 +80,6 @@
 export interface FleetListener {
   /** An endpoint began a run. */
   readonly handleRun: RunListener;
-  /** A stream's run sent its first event. */
-  readonly handleFirstEvent?: RunListener;
   /** A stream's run has ended, or was closed. */
   readonly handleRunEnd?: RunListener;
   /** A new stream failed without an event. */
@@ -92,7 +90,7 @@
 /** What the scripts of endpoints call. */
 type RunHooks = Pick<
   ScriptContext,
-  'recordFailedRun' | 'recordFirstEvent' | 'recordRun' | 'recordRunEnd'
+  'recordFailedRun' | 'recordRun' | 'recordRunEnd'
 >;
 
 /** The endpoints. */
@@ -129,6 +127,7 @@
       getAddress: () => address,
       copies: this.copies,
       version,
+      name: id,
       listLines: () => listLines(instance),
       findRejection: () => instance.rejectionLines,
       findStreamFault: () => instance.streamFaults.at(-1),
@@ -232,9 +231,6 @@
       recordRun: (run: ServerRun) => {
         listener.handleRun(getInstance(), run);
       },
-      recordFirstEvent: (run: ServerRun) => {
-        listener.handleFirstEvent?.(getInstance(), run);
-      },
       recordRunEnd: (run: ServerRun) => {
         listener.handleRunEnd?.(getInstance(), run);
       },
--- a/soak/src/play.ts
+++ b/soak/src/play.ts
@@ -106,9 +106,6 @@
       this.recordWork(instance, run);
       if (run.body.startsWith(CRASH_PREFIX)) this.endUnderRun(instance, run);
     },
-    handleFirstEvent: (instance, {attemptId}) => {
-      this.witness.ends.recordFirstEvent(attemptId, instance);
-    },
     handleRunEnd: (instance, {attemptId}) => {
       this.overlaps.recordEnd(attemptId, instance, performance.now());
     },
--- a/soak/src/witness.ts
+++ b/soak/src/witness.ts
@@ -3,6 +3,7 @@
  * nothing of the hosts but their answers.
  */
 import {
+  findLastServer,
   formatCallBody,
   formatEventData,
   type ServerRun,
@@ -124,7 +125,7 @@
       this.addFoundFault(this.ends.recordCut(attempt, cut));
       return;
     }
-    if (end.status !== OK_STATUS && !end.isWhole) this.checkCut(attempt);
+    if (end.status !== OK_STATUS && !end.isWhole) this.checkCut(attempt, end);
     if (NOT_RUN_STATUSES.has(end.status)) {
       this.notRun.set(attempt.attemptId, end.status);
       if (end.retryAfter === undefined) {
@@ -174,7 +175,7 @@
     const hasOwn = end.body === wanted;
     if (hasOwn && end.isWhole) return;
     if (!hasOwn && !end.isWhole) {
-      this.checkCut(attempt);
+      this.checkCut(attempt, end);
       return;
     }
     this.addFault(`${attempt.attemptId} got ${JSON.stringify(end.body)}`);
@@ -200,11 +201,15 @@
     if (end.isWhole && !isAll) {
       this.addFault(`${attempt.attemptId} looks whole, next is ${next}`);
     }
-    if (!end.isWhole) this.checkCut(attempt);
+    if (!end.isWhole) this.checkCut(attempt, end);
   }
 
-  private checkCut(attempt: Attempt): void {
-    const cut = {wasSent: true, wasBegun: true};
+  private checkCut(
+    attempt: Attempt,
+    {body}: AttemptEnd & {readonly kind: 'answer'},
+  ): void {
+    const lastServer = findLastServer(body);
+    const cut = {wasSent: true, wasBegun: true, lastServer};
     this.addFoundFault(this.ends.recordCut(attempt, cut));
   }
 
--- a/soak/tests/witness.test.ts
+++ b/soak/tests/witness.test.ts
@@ -208,9 +208,9 @@
 
   it('sees a cut of a silent stream that the next endpoint failed', () => {
     const attempt = createAttempt('stream');
-    const cut = createAnswer({body: formatEvents(1, 5), isWhole: false});
     const countFaults = (
-      runs: readonly ('begun' | 'failed' | 'harmed' | 'unbegun')[],
+      runs: readonly ('failed' | 'harmed' | 'sound')[],
+      lastServer?: string,
     ): number => {
       const witness = new Witness(new Disturbances());
       witness.recordAttempt(attempt);
@@ -220,18 +220,21 @@
         const instance = {id: `i-${index}`, leavingAt: undefined, harmedUntil};
         const run = {attemptId: 'a-1', path: '/', body: BODY};
         witness.recordRun(instance, run, kind === 'failed');
-        if (kind === 'unbegun' || kind === 'failed') continue;
-        witness.ends.recordFirstEvent('a-1', instance);
       }
-      witness.recordEnd(attempt, cut);
+      const server = lastServer === undefined ? '' : `: server ${lastServer}\n`;
+      const body = `${server}${formatEvents(1, 5)}`;
+      witness.recordEnd(attempt, createAnswer({body, isWhole: false}));
       return witness.faults.length;
     };
-    assert.equal(countFaults(['begun', 'failed']), 1);
-    assert.equal(countFaults(['unbegun', 'failed']), 1);
-    assert.equal(countFaults(['harmed', 'begun', 'failed']), 1);
+    assert.equal(countFaults(['sound', 'failed'], 'i-0'), 1);
+    assert.equal(countFaults(['sound', 'harmed'], 'i-0'), 1);
+    assert.equal(countFaults(['harmed', 'sound', 'failed'], 'i-1'), 1);
+    assert.equal(countFaults(['sound', 'failed']), 1);
     assert.equal(countFaults(['failed']), 0);
-    assert.equal(countFaults(['harmed', 'failed']), 0);
-    assert.equal(countFaults(['begun', 'harmed']), 0);
+    assert.equal(countFaults(['harmed', 'failed'], 'i-0'), 0);
+    assert.equal(countFaults(['sound', 'harmed'], 'i-1'), 0);
+    // One that was frozen reads a request that was closed meanwhile.
+    assert.equal(countFaults(['harmed', 'sound'], 'i-0'), 0);
   });
 
   it('sees a cut of a run that began after the harm was over', () => {
