Take the end of a replaced endpoint for a break-off, and report stalls

An endpoint that was replaced ends 7 s after it left, whatever it still runs; the witness excused no cut by that.

--- a/soak/src/endpoint_fleet.ts
+++ b/soak/src/endpoint_fleet.ts
@@ -188,7 +188,6 @@
   async kill(place: number, downMs: number): Promise<void> {
     const instance = this.takeOut(place);
     if (instance === undefined) return;
-    instance.harmedUntil = performance.now();
     this.end(instance);
     const lapse = setTimeout(() => {
       this.writeEntry(instance.id, undefined);
@@ -248,7 +247,9 @@
     return instance;
   }
 
+  /** Ends an instance; what it still runs is broken off. */
   private end(instance: EndpointInstance): void {
+    instance.harmedUntil = performance.now();
     instance.server.stop();
     instance.link.stop();
   }
--- a/soak/src/play.ts
+++ b/soak/src/play.ts
@@ -5,6 +5,7 @@
 import {mkdtempSync, rmSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
+import {monitorEventLoopDelay} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {SeededRandom} from '@irisdock/kernel';
 import {
@@ -59,6 +60,8 @@
   readonly versions: number;
   /** The latest that a change was seen on a host that was left alone, in ms. */
   readonly mostDelayMs: number;
+  /** The longest that the soak itself stood still, in ms. */
+  readonly longestStallMs: number;
   /** Arrivals that were held against a limit. */
   readonly limited: number;
   /** The faults and the harmless events. */
@@ -87,6 +90,7 @@
 const SERVICES = 2;
 /** Endpoints of the service to which a route moves. */
 const SPARE_PLACES = 3;
+const NANOSECONDS_PER_MS = 1_000_000;
 /** One play in so many has hosts that may hardly send anything again. */
 const FEW_RETRIES_ONE_IN = 3;
 
@@ -340,12 +344,15 @@
   if (programFault !== undefined) throw new Error(programFault);
   const directory = mkdtempSync(join(tmpdir(), `irisdock-soak-${seed}-`));
   const play = new Play(seed, options, directory);
+  const stalls = monitorEventLoopDelay();
+  stalls.enable();
   const faults = await play.run().finally(() => play.stop());
   const {ends, faults: broken} = play.witness;
   const {counts} = ends;
   if (broken.length === 0) rmSync(directory, {recursive: true});
   const versions = play.configuration.version;
   const limited = play.limits.countChecked();
+  const longestStallMs = Math.round(stalls.max / NANOSECONDS_PER_MS);
   const mostDelayMs = Math.round(Math.max(0, ...play.configuration.delaysMs));
   return {
     seed,
@@ -354,6 +361,7 @@
     kinds: Object.fromEntries(ends.kinds),
     versions,
     mostDelayMs,
+    longestStallMs,
     limited,
     faults,
     broken,
