--- a/scripts/check_soak.mjs
+++ b/scripts/check_soak.mjs
@@ -26,8 +26,9 @@
   ],
   [
     'an endpoint that leaves gets no work',
-    /return !this\.isRemoved && this\.entry\.state === "ready"/,
-    'return true',
+    /!this\.isRemoved && this\.entry\.state === "ready"|priority !== "aside" && \w+\.find\(instanceId\)\?\.entry\.state === "leaving"/g,
+    // The gate before a send refuses such an endpoint as well.
+    (found) => String(found.startsWith('!')),
   ],
   [
     'a cut answer does not look whole',
