--- a/scripts/check_soak.mjs
+++ b/scripts/check_soak.mjs
@@ -26,8 +26,9 @@
   ],
   [
     'an endpoint that leaves gets no work',
-    /return !this\.isRemoved && this\.entry\.state === "ready"/,
-    'return true',
+    /!this\.isRemoved && this\.entry\.state === "ready"|priority !== "aside" && \w+\.find\(instanceId\)\?\.entry\.state === "leaving"/g,
+    // The gate before a send refuses such an endpoint as well.
+    (found) => String(found.startsWith('!')),
   ],
   [
     'a cut answer does not look whole',
@@ -70,6 +71,16 @@
     /listener\.handleSuspected\(silence\);/,
     'this.endSilent(silence);',
   ],
+  [
+    'a silent attempt is kept until the next one continues the stream',
+    /isContinued = await trial\.waitForContinuation\([^)]*\)/,
+    'isContinued = true',
+  ],
+  [
+    'a silent attempt is closed when the next one continues the stream',
+    /run\d*\.endSilent\(silence\)/,
+    'void 0',
+  ],
   [
     'the rest of a refused request is read',
     /isArriving \? this\.lingeringCloses\.end\([^)]*\) : /,
--- a/soak/src/end_witness.ts
+++ b/soak/src/end_witness.ts
@@ -3,12 +3,13 @@
  * exactly one, and that an answer is cut for a reason only: something befell
  * the host or its link to the caller, or an endpoint broke the answer off and
  * it could not be had elsewhere, or the time was up. Neither a silence of
- * endpoints, nor a change of the configuration, nor a store that is away is a
+ * endpoints, nor another one that refuses or fails the request meanwhile, nor a change of the configuration, nor a store that is away is a
  * reason.
  */
-import type {DisturbedPart, Disturbances} from './disturbances.js';
+import {Disturbances, type DisturbedPart} from './disturbances.js';
 import type {EndpointInstance} from './endpoint_fleet.js';
 import {GRACE_SECONDS} from './host_process.js';
+import {CRASH_PREFIX} from './crash_witness.js';
 import {getMaxRuns, isRunOnce, isStream} from './request_kinds.js';
 import type {Attempt} from './witness.js';
 
@@ -20,6 +21,11 @@
   cut: number;
 }
 
+/** How requests of one kind ended, and how often endpoints ran them. */
+export interface KindCounts extends EndCounts {
+  ran: number;
+}
+
 /** What excuses a cut. */
 export type CutReason =
   | 'caller link'
@@ -37,10 +43,20 @@
   readonly wasSent: boolean;
   /** Whether the answer had begun. */
   readonly wasBegun: boolean;
+  /** The endpoint whose event came last; undefined if none came. */
+  readonly lastServer?: string | undefined;
 }
 
 /** An endpoint that ran a request. */
-export type RunningInstance = Pick<EndpointInstance, 'harmedUntil'>;
+export type RunningInstance = Pick<EndpointInstance, 'harmedUntil' | 'id'>;
+
+/** A run of a request at an endpoint. */
+interface Run {
+  readonly instance: RunningInstance;
+  readonly startedAt: number;
+  /** Whether it ended by the endpoint's fault, without an event. */
+  readonly hasFailed: boolean;
+}
 
 /** How long a host must have been left alone to be in touch, in ms. */
 const CONTACT_MS = 3000;
@@ -50,6 +66,8 @@
 const DRAIN_MS = (GRACE_SECONDS * 1000 * 5) / 6;
 /** Requests that come so long after a stop began are to be refused, in ms. */
 const TAKEN_MS = 3000;
+/** A request may arrive at an endpoint so long after its link's harm, in ms. */
+const UNDER_WAY_MS = 500;
 /** A timer of a host may be so much early against the caller's, in ms. */
 const TIMER_MARGIN_MS = 100;
 
@@ -63,10 +81,14 @@
 /** The witness. */
 export class EndWitness {
   readonly counts: EndCounts = {answered: 0, refused: 0, failed: 0, cut: 0};
+  /** Ends and runs by the kind of request. */
+  readonly kinds = new Map<string, KindCounts>();
   /** Cuts by their reasons. */
   readonly cuts = new Map<CutReason, number>();
+  /** When new streams failed at some endpoints. */
+  readonly streamFaults = new Disturbances();
   private readonly open = new Set<string>();
-  private readonly runs = new Map<string, RunningInstance[]>();
+  private readonly runs = new Map<string, Run[]>();
 
   /** @param hasFewRetries Whether the hosts may hardly send anything again. */
   constructor(
@@ -80,15 +102,24 @@
   }
 
   /** Takes it that an endpoint began to run an attempt. */
-  recordRun(attemptId: string, instance: RunningInstance): void {
+  recordRun(
+    attempt: Attempt,
+    instance: RunningInstance,
+    hasFailed = false,
+  ): void {
+    const {attemptId} = attempt;
+    this.getKind(attempt).ran++;
     const runs = this.runs.get(attemptId) ?? [];
-    runs.push(instance);
+    const startedAt = performance.now();
+    runs.push({instance, startedAt, hasFailed});
     this.runs.set(attemptId, runs);
   }
 
   /** Counts an end; returns the broken promise if it is not the only one. */
-  recordEnd({attemptId}: Attempt, end: keyof EndCounts): string | undefined {
+  recordEnd(attempt: Attempt, end: keyof EndCounts): string | undefined {
+    const {attemptId} = attempt;
     this.counts[end]++;
+    this.getKind(attempt)[end]++;
     if (this.open.delete(attemptId)) return undefined;
     return `${attemptId} has two ends, the second is ${end}`;
   }
@@ -107,6 +138,16 @@
     return [...this.open].map((attemptId) => `${attemptId} has no end`);
   }
 
+  private getKind({kind, body}: Attempt): KindCounts {
+    const name = body.startsWith(CRASH_PREFIX) ? 'crashing' : kind;
+    let counts = this.kinds.get(name);
+    if (counts === undefined) {
+      counts = {answered: 0, refused: 0, failed: 0, cut: 0, ran: 0};
+      this.kinds.set(name, counts);
+    }
+    return counts;
+  }
+
   private findReason(attempt: Attempt, cut: Cut): CutReason {
     const {host, startedAt, attemptId, kind} = attempt;
     const runs = this.runs.get(attemptId) ?? [];
@@ -121,11 +162,11 @@
       const reason = REASONS.get(part);
       if (reason !== undefined) return reason;
     }
-    const isHarmed = (runs.at(-1)?.harmedUntil ?? -Infinity) >= from;
-    const isDisturbed = befell.some(({part}) => part === 'endpoints');
-    if (isHarmed && (isDisturbed || !this.isRetryDue(attempt, runs.length))) {
-      return 'endpoint';
-    }
+    const isDisturbed =
+      befell.some(({part}) => part === 'endpoints') ||
+      !this.streamFaults.isCalm(from, now);
+    const isRetryDue = !isDisturbed && this.isRetryDue(attempt, runs.length);
+    if (hasBrokenOff(runs, cut.lastServer) && !isRetryDue) return 'endpoint';
     const isDrained = all.some((one) => {
       const isTaken = one.isPlanned && startedAt <= one.from + TAKEN_MS;
       return isTaken && now >= one.from + DRAIN_MS;
@@ -142,3 +183,21 @@
     return runs < getMaxRuns(kind);
   }
 }
+
+/**
+ * Tells whether the endpoint that held an answer broke it off. Another one to
+ * which the request was sent meanwhile, and which did not continue it, holds
+ * nothing.
+ */
+function hasBrokenOff(
+  runs: readonly Run[],
+  lastServer: string | undefined,
+): boolean {
+  const run =
+    runs.findLast(({instance}) => instance.id === lastServer) ??
+    runs.findLast(({hasFailed}) => !hasFailed) ??
+    runs.at(-1);
+  if (run === undefined) return false;
+  const {hasFailed, instance, startedAt} = run;
+  return hasFailed || instance.harmedUntil >= startedAt - UNDER_WAY_MS;
+}
--- a/soak/src/endpoint_fleet.ts
+++ b/soak/src/endpoint_fleet.ts
@@ -13,9 +13,12 @@
   getId,
   putEntry,
   ServerStandin,
+  Silence,
   SOAK_SERVICES,
+  type ScriptContext,
   type ServerRun,
   type StoreStandin,
+  type StreamFault,
   type StreamShape,
 } from '@irisdock/users-platform/fixtures';
 import {TcpLink} from './tcp_link.js';
@@ -54,6 +57,12 @@
   limitLines: readonly string[];
   /** Lines of its rejections while it rejects requests; undefined else. */
   rejectionLines: readonly string[] | undefined;
+  /** While it is on, streams pause and probes are answered. */
+  readonly streamPause: Silence;
+  /** How new streams fail; the last one counts. */
+  readonly streamFaults: StreamFault[];
+  /** When it last went on to read after a silence; infinite in one. */
+  deafUntil: number;
   /** When the last harm to it or its link ended; infinite while one lasts. */
   harmedUntil: number;
 }
@@ -64,9 +73,26 @@
   attemptId: string,
 ) => void;
 
-/** Takes it that an endpoint began a run. */
+/** Takes what became of a run at an endpoint. */
 export type RunListener = (instance: EndpointInstance, run: ServerRun) => void;
 
+/** Receives what endpoints see of requests. */
+export interface FleetListener {
+  /** An endpoint began a run. */
+  readonly handleRun: RunListener;
+  /** A stream's run has ended, or was closed. */
+  readonly handleRunEnd?: RunListener;
+  /** A new stream failed without an event. */
+  readonly handleFailedRun?: RunListener;
+  readonly handleArrival: ArrivalListener;
+}
+
+/** What the scripts of endpoints call. */
+type RunHooks = Pick<
+  ScriptContext,
+  'recordFailedRun' | 'recordRun' | 'recordRunEnd'
+>;
+
 /** The endpoints. */
 export class EndpointFleet {
   private readonly instances = new Map<number, EndpointInstance>();
@@ -83,8 +109,7 @@
   constructor(
     private readonly store: StoreStandin,
     private readonly failureDomains: readonly string[],
-    private readonly handleRun: RunListener,
-    private readonly handleArrival: ArrivalListener,
+    private readonly listener: FleetListener,
   ) {}
 
   /** Adds an endpoint of a service in the next failure domain. */
@@ -97,16 +122,20 @@
     let target = {host: '127.0.0.1', port: 0};
     const link = new TcpLink(() => target);
     const address = await link.start();
+    const streamPause = new Silence(new Set());
     const parts = {
       getAddress: () => address,
       copies: this.copies,
       version,
+      name: id,
       listLines: () => listLines(instance),
       findRejection: () => instance.rejectionLines,
-      waitUntilAudible: () => server.silence.waitUntilOver(),
-      recordRun: (run: ServerRun) => {
-        this.handleRun(instance, run);
+      findStreamFault: () => instance.streamFaults.at(-1),
+      waitUntilAudible: async () => {
+        await streamPause.waitUntilOver();
+        await server.silence.waitUntilOver();
       },
+      ...this.createRunHooks(() => instance),
     };
     const server: ServerStandin = new ServerStandin(
       service === SOAK_SERVICES.streams
@@ -125,10 +154,13 @@
       leavingAt: undefined,
       limitLines: [],
       rejectionLines: undefined,
+      streamPause,
+      streamFaults: [],
+      deafUntil: -Infinity,
       harmedUntil: -Infinity,
     };
     server.handleSeen = (request) => {
-      this.handleArrival(instance, getId(request));
+      this.listener.handleArrival(instance, getId(request));
     };
     this.instances.set(place, instance);
     this.putEntry(instance, 'ready');
@@ -156,7 +188,6 @@
   async kill(place: number, downMs: number): Promise<void> {
     const instance = this.takeOut(place);
     if (instance === undefined) return;
-    instance.harmedUntil = performance.now();
     this.end(instance);
     const lapse = setTimeout(() => {
       this.writeEntry(instance.id, undefined);
@@ -193,6 +224,21 @@
     }
   }
 
+  private createRunHooks(getInstance: () => EndpointInstance): RunHooks {
+    const {listener} = this;
+    return {
+      recordRun: (run: ServerRun) => {
+        listener.handleRun(getInstance(), run);
+      },
+      recordRunEnd: (run: ServerRun) => {
+        listener.handleRunEnd?.(getInstance(), run);
+      },
+      recordFailedRun: (run: ServerRun) => {
+        listener.handleFailedRun?.(getInstance(), run);
+      },
+    };
+  }
+
   private takeOut(place: number): EndpointInstance | undefined {
     const instance = this.instances.get(place);
     if (instance === undefined) return undefined;
@@ -201,7 +247,9 @@
     return instance;
   }
 
+  /** Ends an instance; what it still runs is broken off. */
   private end(instance: EndpointInstance): void {
+    instance.harmedUntil = performance.now();
     instance.server.stop();
     instance.link.stop();
   }
--- a/soak/src/play.ts
+++ b/soak/src/play.ts
@@ -5,10 +5,10 @@
 import {mkdtempSync, rmSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
+import {monitorEventLoopDelay} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {getErrorText, SeededRandom} from '@irisdock/kernel';
+import {SeededRandom} from '@irisdock/kernel';
 import {
-  READINESS_PATH,
   SOAK_SERVICES,
   StoreStandin,
   type ServerRun,
@@ -17,18 +17,24 @@
 import {ConfigurationWitness} from './configuration_witness.js';
 import {CRASH_PREFIX, CrashWitness} from './crash_witness.js';
 import {Disturbances} from './disturbances.js';
-import type {EndCounts} from './end_witness.js';
+import type {EndCounts, KindCounts} from './end_witness.js';
 import {EndpointFleet, type EndpointInstance} from './endpoint_fleet.js';
+import {EndpointSilences} from './endpoint_silences.js';
 import {planFaults, type PlannedFault} from './fault_plan.js';
 import {FaultPlayer} from './fault_player.js';
+import {planHandovers, type HandoverEvent} from './handover_plan.js';
+import {HandoverPlayer} from './handover_player.js';
 import {planHarmless, type HarmlessEvent} from './harmless_plan.js';
 import {HarmlessPlayer} from './harmless_player.js';
 import {DEPLOYED_PROGRAM, HostProcess} from './host_process.js';
 import {LimitPlayer} from './limit_player.js';
 import {LimitWitness} from './limit_witness.js';
+import {OverlapWitness} from './overlap_witness.js';
 import {PAUSE_MS, PausePlayer} from './pause_player.js';
 import {PartitionPlayer} from './partition_player.js';
 import {PauseWitness} from './pause_witness.js';
+import {findProgramFault} from './program_file.js';
+import {waitReady} from './readiness.js';
 import {StoreDrills} from './store_drills.js';
 import {Witness} from './witness.js';
 
@@ -49,13 +55,17 @@
   /** How requests ended; cuts also by their reasons. */
   readonly counts: EndCounts;
   readonly cuts: Readonly<Record<string, number>>;
+  /** Ends and runs by the kind of request. */
+  readonly kinds: Readonly<Record<string, KindCounts>>;
   readonly versions: number;
   /** The latest that a change was seen on a host that was left alone, in ms. */
   readonly mostDelayMs: number;
+  /** The longest that the soak itself stood still, in ms. */
+  readonly longestStallMs: number;
   /** Arrivals that were held against a limit. */
   readonly limited: number;
   /** The faults and the harmless events. */
-  readonly faults: readonly (HarmlessEvent | PlannedFault)[];
+  readonly faults: readonly (HandoverEvent | HarmlessEvent | PlannedFault)[];
   /** Promises that were broken. */
   readonly broken: readonly string[];
   /** Where the logs of the hosts are; removed when nothing was broken. */
@@ -66,15 +76,13 @@
 export const USUAL_PLAY: PlayOptions = {
   program: DEPLOYED_PROGRAM,
   hosts: 4,
-  callers: 12,
+  callers: 48,
   lengthMs: 9000,
   faults: 12,
 };
 
 const DOMAINS = ['zone-1', 'zone-2', 'zone-3'];
 const PLACES_A_SERVICE = 6;
-const START_TRIES = 600;
-const START_STEP_MS = 50;
 /** All is to be served again after so long, in ms. */
 const RECOVERY_MS = 6000;
 /** Limits that were named are over so long before that, in ms. */
@@ -82,6 +90,7 @@
 const SERVICES = 2;
 /** Endpoints of the service to which a route moves. */
 const SPARE_PLACES = 3;
+const NANOSECONDS_PER_MS = 1_000_000;
 /** One play in so many has hosts that may hardly send anything again. */
 const FEW_RETRIES_ONE_IN = 3;
 
@@ -94,22 +103,29 @@
   readonly crashes = new CrashWitness(this.disturbances);
   readonly limits = new LimitWitness(this.disturbances);
   readonly pauses = new PauseWitness(this.disturbances);
-  readonly fleet = new EndpointFleet(
-    this.store,
-    DOMAINS,
-    (instance, run) => {
+  readonly overlaps = new OverlapWitness(this.disturbances);
+  readonly fleet = new EndpointFleet(this.store, DOMAINS, {
+    handleRun: (instance, run) => {
       this.witness.recordRun(instance, run);
+      this.recordWork(instance, run);
       if (run.body.startsWith(CRASH_PREFIX)) this.endUnderRun(instance, run);
     },
-    (instance, attemptId) => {
+    handleRunEnd: (instance, {attemptId}) => {
+      this.overlaps.recordEnd(attemptId, instance, performance.now());
+    },
+    handleFailedRun: (instance, run) => {
+      this.witness.recordRun(instance, run, true);
+    },
+    handleArrival: (instance, attemptId) => {
       const host = this.witness.findAttempt(attemptId)?.host ?? '';
       const at = performance.now();
       this.limits.recordArrival(instance.id, host, at);
       if (instance.rejectionLines === undefined) return;
       this.pauses.recordRejected(instance.id, host, at, PAUSE_MS);
     },
-  );
+  });
   readonly configuration: ConfigurationWitness;
+  private readonly silences = new EndpointSilences();
   private readonly random: SeededRandom;
   /** For what came later; seeds stand for the play's own numbers. */
   private readonly harmlessRandom: SeededRandom;
@@ -146,11 +162,13 @@
     const partitions = new PartitionPlayer(seed, hosts, disturbances);
     const partition = partitions.run();
     const harmless = planHarmless(this.harmlessRandom, this.options.lengthMs);
+    const handovers = this.planHandovers();
     const others = [
       partition,
       this.startDrills(),
       ...this.startPauses(),
       this.startHarmless(harmless),
+      this.startHandovers(handovers),
     ];
     await this.runFaults(plan);
     await Promise.all(others);
@@ -167,18 +185,39 @@
       ...this.crashes.listFaults(),
       ...this.limits.listFaults(),
       ...this.pauses.listFaults(),
+      ...this.overlaps.listFaults((id) => this.witness.findAttempt(id)?.host),
       ...partitions.listFaults(this.witness.ended),
     ];
     for (const fault of broken) this.witness.addFault(fault);
-    return [...plan, ...harmless].sort((a, b) => a.at - b.at);
+    const all = [...plan, ...harmless, ...handovers];
+    return all.sort((a, b) => a.at - b.at);
   }
 
   private async startHarmless(plan: readonly HarmlessEvent[]): Promise<void> {
-    const {hosts, fleet, configuration} = this;
-    const parts = {hosts, fleet, failureDomains: DOMAINS, configuration};
+    const {hosts, fleet, configuration, silences} = this;
+    const parts = {
+      hosts,
+      fleet,
+      failureDomains: DOMAINS,
+      configuration,
+      silences,
+    };
     await new HarmlessPlayer(parts).runAll(plan);
   }
 
+  /** Not from the play's own numbers, which seeds stand for. */
+  private planHandovers(): HandoverEvent[] {
+    const random = new SeededRandom(this.seed + 2 ** 25);
+    return planHandovers(random, this.options.lengthMs);
+  }
+
+  private async startHandovers(plan: readonly HandoverEvent[]): Promise<void> {
+    const {fleet, silences, witness} = this;
+    const {streamFaults} = witness.ends;
+    const parts = {fleet, failureDomains: DOMAINS, silences, streamFaults};
+    await new HandoverPlayer(parts).runAll(plan);
+  }
+
   /** Lets endpoints of both services name limits while faults are played. */
   private startLimits(): LimitPlayer {
     const player = new LimitPlayer(this.seed, this.fleet, this.limits);
@@ -226,7 +265,9 @@
       this.hosts.push(this.createHost(index, door.address));
     }
     for (const host of this.hosts) await host.start();
-    await Promise.all(this.hosts.map((host) => this.waitReady(host)));
+    await Promise.all(
+      this.hosts.map((host) => waitReady(host, this.directory)),
+    );
   }
 
   private createHost(index: number, storeAddress: string): HostProcess {
@@ -260,6 +301,12 @@
     void this.fleet.killUnderRun(instance);
   }
 
+  /** Plain calls do not tell when they end. */
+  private recordWork(instance: EndpointInstance, {attemptId}: ServerRun): void {
+    if (instance.service !== SOAK_SERVICES.streams) return;
+    this.overlaps.recordStart(attemptId, instance, performance.now());
+  }
+
   private async runFaults(plan: readonly PlannedFault[]): Promise<void> {
     const player = new FaultPlayer({
       hosts: this.hosts,
@@ -286,18 +333,6 @@
       this.fleet.drain(PLACES_A_SERVICE),
     ]);
   }
-
-  private async waitReady(host: HostProcess): Promise<void> {
-    let fault: string | undefined;
-    for (let tries = 0; tries < START_TRIES; tries++) {
-      fault = await findReadinessFault(host);
-      if (fault === undefined) return;
-      await sleep(START_STEP_MS);
-    }
-    throw new Error(
-      `${host.name} did not get ready (${fault}); see ${this.directory}.`,
-    );
-  }
 }
 
 /** Plays one seed. */
@@ -305,37 +340,31 @@
   seed: number,
   options: PlayOptions,
 ): Promise<PlayReport> {
+  const programFault = findProgramFault(options.program);
+  if (programFault !== undefined) throw new Error(programFault);
   const directory = mkdtempSync(join(tmpdir(), `irisdock-soak-${seed}-`));
   const play = new Play(seed, options, directory);
+  const stalls = monitorEventLoopDelay();
+  stalls.enable();
   const faults = await play.run().finally(() => play.stop());
   const {ends, faults: broken} = play.witness;
   const {counts} = ends;
   if (broken.length === 0) rmSync(directory, {recursive: true});
   const versions = play.configuration.version;
   const limited = play.limits.countChecked();
+  const longestStallMs = Math.round(stalls.max / NANOSECONDS_PER_MS);
   const mostDelayMs = Math.round(Math.max(0, ...play.configuration.delaysMs));
   return {
     seed,
     counts,
     cuts: Object.fromEntries(ends.cuts),
+    kinds: Object.fromEntries(ends.kinds),
     versions,
     mostDelayMs,
+    longestStallMs,
     limited,
     faults,
     broken,
     directory,
   };
 }
-
-/** Says why a host is not ready; undefined when it is. */
-async function findReadinessFault(
-  host: HostProcess,
-): Promise<string | undefined> {
-  try {
-    const url = `http://${host.readinessAddress}${READINESS_PATH}`;
-    const answer = await fetch(url, {signal: AbortSignal.timeout(1000)});
-    return answer.ok ? undefined : `status ${answer.status}`;
-  } catch (thrown) {
-    return getErrorText(thrown);
-  }
-}
--- a/soak/tests/witness.test.ts
+++ b/soak/tests/witness.test.ts
@@ -206,6 +206,47 @@
     assert.equal(countFaults('streamOnce', ['a-1']), 0);
   });
 
+  it('sees a cut of a silent stream that the next endpoint failed', () => {
+    const attempt = createAttempt('stream');
+    const countFaults = (
+      runs: readonly ('failed' | 'harmed' | 'sound')[],
+      lastServer?: string,
+    ): number => {
+      const witness = new Witness(new Disturbances());
+      witness.recordAttempt(attempt);
+      witness.ends.streamFaults.start('endpoints', performance.now());
+      for (const [index, kind] of runs.entries()) {
+        const harmedUntil = kind === 'harmed' ? Infinity : -Infinity;
+        const instance = {id: `i-${index}`, leavingAt: undefined, harmedUntil};
+        const run = {attemptId: 'a-1', path: '/', body: BODY};
+        witness.recordRun(instance, run, kind === 'failed');
+      }
+      const server = lastServer === undefined ? '' : `: server ${lastServer}\n`;
+      const body = `${server}${formatEvents(1, 5)}`;
+      witness.recordEnd(attempt, createAnswer({body, isWhole: false}));
+      return witness.faults.length;
+    };
+    assert.equal(countFaults(['sound', 'failed'], 'i-0'), 1);
+    assert.equal(countFaults(['sound', 'harmed'], 'i-0'), 1);
+    assert.equal(countFaults(['harmed', 'sound', 'failed'], 'i-1'), 1);
+    assert.equal(countFaults(['sound', 'failed']), 1);
+    assert.equal(countFaults(['failed']), 0);
+    assert.equal(countFaults(['harmed', 'failed'], 'i-0'), 0);
+    assert.equal(countFaults(['sound', 'harmed'], 'i-1'), 0);
+    // One that was frozen reads a request that was closed meanwhile.
+    assert.equal(countFaults(['harmed', 'sound'], 'i-0'), 0);
+  });
+
+  it('sees a cut of a run that began after the harm was over', () => {
+    const stream = createAttempt('stream');
+    const cut = createAnswer({body: formatEvents(1, 5), isWhole: false});
+    const disturbances = new Disturbances();
+    disturbances.start('endpoints', performance.now());
+    const harm = {harmedUntil: performance.now() - 2000};
+    const faults = listFaults(stream, cut, ['a-1'], disturbances, harm);
+    assert.equal(faults.length, 1);
+  });
+
   it('sees a cut refusal, and a cut on a kept connection after a run', () => {
     const refusal = createAnswer({status: 404, isWhole: false});
     assert.equal(listFaults(createAttempt('brief'), refusal).length, 1);
@@ -228,4 +269,18 @@
       'a-1 has two ends, the second is answered',
     ]);
   });
+
+  it('counts ends and runs by the kind of request', () => {
+    const witness = new Witness(new Disturbances());
+    const attempt = createAttempt('repeatable');
+    witness.recordAttempt(attempt);
+    witness.recordRun(
+      {id: 'i-1', leavingAt: undefined, harmedUntil: -Infinity},
+      {attemptId: 'a-1', path: '/', body: BODY},
+    );
+    witness.recordEnd(attempt, createAnswer({}));
+    assert.deepEqual(Object.fromEntries(witness.ends.kinds), {
+      repeatable: {answered: 1, refused: 0, failed: 0, cut: 0, ran: 1},
+    });
+  });
 });
