Read what has arrived before a silent engine is left

Callers saw: a stream is cut though its silent engine is sound, when its host stood still while the next attempt ran beside the silent one.

Cause: the timer that ends the overlap of the two attempts fires before the sockets are read. After a stall of the host longer than the overlap the silent engine is left although the failure of the next one has arrived; with no further attempt or retry allowed, nothing is left of the stream.

Why it works: the overlap ends in an immediate, which runs after the sockets have been read, so an attempt that has failed by then is no continuation.

--- a/packages/gateway/src/serving/stream_handover.ts
+++ b/packages/gateway/src/serving/stream_handover.ts
@@ -195,7 +195,10 @@
     this.trial = trial;
     const overlap = new AbortController();
     const timer = setTimeout(() => {
-      overlap.abort();
+      // Immediates run after the sockets have been read.
+      setImmediate(() => {
+        overlap.abort();
+      });
     }, MAX_OVERLAP_MS);
     const bounds = AbortSignal.any([signal, overlap.signal]);
     const isContinued = await trial.waitForContinuation(bounds);
