Read what has arrived before a silent host is left

The overlap of two relayed attempts ended by a timer as well, which fires before the sockets are read, so after a stall a host that had declined by then could still be taken. Both handovers share one wait now.

--- a/packages/gateway/src/serving/relay_handover.ts
+++ b/packages/gateway/src/serving/relay_handover.ts
@@ -5,6 +5,7 @@
  */
 import {getErrorText} from '@irisdock/kernel';
 import {AnswerGate} from './answer_gate.js';
+import {waitOverlap} from './attempt_overlap.js';
 import {hasTaken, type RelayedAttempt} from './relayed_attempt.js';
 import type {AdmittedRequest} from './caller_exchange.js';
 import type {RelayHost} from './request_relay.js';
@@ -18,11 +19,6 @@
 const SEARCH_INTERVAL_MS = 50;
 /** How long the next host may take to answer a probe, in ms. */
 const PROBE_TIMEOUT_MS = 150;
-/**
- * How long two attempts may run beside each other without an event of either,
- * in ms. A host that cannot serve a stream says so earlier.
- */
-const MAX_BESIDE_MS = 250;
 
 /** Decides on and counts the attempts that run beside a silent one. */
 export interface RelayRetries {
@@ -182,7 +178,7 @@
     const result = await Promise.race([
       beside.attempt.run(),
       beside.continued,
-      clock.wait(MAX_BESIDE_MS, signal).then(() => undefined),
+      waitOverlap(clock, signal).then(() => undefined),
     ]);
     if (signal.aborted) return false;
     if (result === undefined || result.kind === 'ended') return true;
--- a/packages/gateway/src/serving/stream_handover.ts
+++ b/packages/gateway/src/serving/stream_handover.ts
@@ -8,6 +8,7 @@
 import {getErrorText} from '@irisdock/kernel';
 import {admitAttempt} from './attempt_admission.js';
 import type {AttemptEnds} from './attempt_ends.js';
+import {waitOverlap} from './attempt_overlap.js';
 import type {AttemptRun, PreparedAttempt} from './attempt_run.js';
 import type {AdmittedRequest} from './caller_exchange.js';
 import type {EndpointProber} from './endpoint_prober.js';
@@ -32,11 +33,6 @@
 const MAX_TRIAL_INTERVAL_MS = 800;
 /** How long the next engine may take to answer a probe, in ms. */
 const PROBE_TIMEOUT_MS = 150;
-/**
- * How long two engines may work on one stream, in ms. A sound engine refuses or
- * fails a stream within this time; one that reads a long prompt needs longer.
- */
-const MAX_OVERLAP_MS = 250;
 
 /** An attempt that runs on a silent engine. */
 export interface SilentAttempt {
@@ -193,16 +189,10 @@
     }
     const trial = this.parts.startRun(prepared);
     this.trial = trial;
-    const overlap = new AbortController();
-    const timer = setTimeout(() => {
-      // Immediates run after the sockets have been read.
-      setImmediate(() => {
-        overlap.abort();
-      });
-    }, MAX_OVERLAP_MS);
-    const bounds = AbortSignal.any([signal, overlap.signal]);
-    const isContinued = await trial.waitForContinuation(bounds);
-    clearTimeout(timer);
+    const isContinued = await Promise.race([
+      trial.waitForContinuation(signal),
+      waitOverlap(serving.clock, signal).then(() => true),
+    ]);
     if (!this.isCurrent(signal)) {
       if (trial.isCancelled) await this.recordUnused(trial);
       return true;
--- a/scripts/silence_trials.mjs
+++ b/scripts/silence_trials.mjs
@@ -38,9 +38,9 @@
   ],
   [
     'silence: two engines do not work on one stream for long',
-    `${SERVING}/stream_handover.js`,
-    '}, MAX_OVERLAP_MS)',
-    '}, 60_000)',
+    `${SERVING}/attempt_overlap.js`,
+    'clock.wait(MAX_OVERLAP_MS',
+    'clock.wait(60_000',
     'platform/next_engines',
     'is closed at the silent one before',
   ],
