Bound the stalls that a silence leaves out, and keep a silent engine for its last retry

A stall is 50 ms or more now, and at most half of a time counts as stalls. What has arrived is read first in any case. RunningStopwatch holds the rule for timers and for the silence detector. The timer's test stalls for less than its time now, and a new one holds the bound.

--- a/packages/gateway/src/serving/silence_detector.ts
+++ b/packages/gateway/src/serving/silence_detector.ts
@@ -1,9 +1,10 @@
 /**
  * Detects when a stream has gone silent. After a short silence the endpoint is
  * probed. If it does not answer, the stream is suspected to be lost at once,
- * until a later probe is answered; if it does, the stream gets more time. Before the first event the endpoint is
- * only probed repeatedly, as long prompts take long to process. The time limits
- * follow from the latency targets of the stream's route (silence_limits.ts).
+ * until a later probe is answered; if it does, the stream gets more time. Before
+ * the first event the endpoint is only probed repeatedly, as long prompts take
+ * long to process. The time limits follow from the latency targets of the
+ * stream's route (silence_limits.ts).
  *
  * All limits are in running time: a process that stood still could not read what
  * arrived meanwhile, and sockets are read before a limit is over.
@@ -13,7 +14,7 @@
  * with the next event; an endpoint that exits closes the stream's connection.
  */
 import {computeSilenceLimits, type SilenceLimits} from '@irisdock/decisions';
-import {getRunningNow, RunningTimer, type Clock} from '@irisdock/kernel';
+import {RunningStopwatch, RunningTimer, type Clock} from '@irisdock/kernel';
 import type {EndpointProber} from './endpoint_prober.js';
 import type {EndpointRecord} from './endpoint_record.js';
 
@@ -55,8 +56,8 @@
   private isGapMeasured = false;
   /** When the silence started: at the last event, or when reading resumed. */
   private silentSince = 0;
-  /** The same in running time. */
-  private silentSinceRunning = 0;
+  /** Measures the silence in running time. */
+  private readonly silenceWatch: RunningStopwatch;
   private unansweredProbes = 0;
   /** Incremented with each event, to detect probes that are out of date. */
   private eventCount = 0;
@@ -65,8 +66,6 @@
   private isCheckPlanned = false;
   private isSuspected = false;
   private stopWatching: (() => void) | undefined;
-  /** The stalls of this process until the last event, in ms. */
-  private stalledBeforeMs = 0;
 
   constructor(
     private readonly endpoint: EndpointRecord,
@@ -76,12 +75,13 @@
     private readonly listener: SilenceListener,
   ) {
     this.startedAt = clock.getNow();
+    this.silenceWatch = new RunningStopwatch(clock);
   }
 
   /** Starts to wait for the first event. */
   start(): void {
     this.stopWatching = this.clock.watchStalls();
-    this.stalledBeforeMs = this.clock.getStalledMs();
+    this.silenceWatch.start();
     this.plan(this.getLimits().firstProbeAfterMs, () =>
       this.probeBeforeFirst(),
     );
@@ -90,8 +90,9 @@
   /** Records that events arrived. */
   recordEvents(): void {
     this.endSuspicion(this.clock.getNow());
-    const gapMs = getRunningNow(this.clock) - this.silentSinceRunning;
-    if (this.isGapMeasured) this.endpoint.recordGap(gapMs);
+    if (this.isGapMeasured) {
+      this.endpoint.recordGap(this.silenceWatch.getElapsedMs());
+    }
     this.startSilence();
     this.isGapMeasured = true;
     this.hasEvents = true;
@@ -127,8 +128,7 @@
 
   private startSilence(): void {
     this.silentSince = this.clock.getNow();
-    this.silentSinceRunning = getRunningNow(this.clock);
-    this.stalledBeforeMs = this.clock.getStalledMs();
+    this.silenceWatch.start();
   }
 
   private getLimits(): SilenceLimits {
@@ -150,8 +150,8 @@
 
   /** Probes the endpoint, unless events arrived since the timer was set. */
   private async checkSilence(): Promise<void> {
-    const dueAt = this.silentSinceRunning + this.getLimits().probeAfterMs;
-    const leftMs = dueAt - getRunningNow(this.clock);
+    const {probeAfterMs} = this.getLimits();
+    const leftMs = probeAfterMs - this.silenceWatch.getElapsedMs();
     if (leftMs > 0) {
       this.planCheck(leftMs);
       return;
@@ -187,7 +187,7 @@
       this.plan(waitMs, () => this.probeInStream());
       return;
     }
-    const silentMs = getRunningNow(this.clock) - this.silentSinceRunning;
+    const silentMs = this.silenceWatch.getElapsedMs();
     if (silentMs < lostAfterMs) this.endSuspicion(this.clock.getNow());
     if (this.isSuspected || this.targets.toleratesSilence === true) {
       this.plan(probeAfterMs, () => this.probeInStream());
@@ -202,7 +202,7 @@
   private markSuspected(detail: string, isAnswering: boolean): void {
     if (this.isSuspected || this.isStopped) return;
     this.setSuspected(true);
-    const hostStallMs = this.clock.getStalledMs() - this.stalledBeforeMs;
+    const hostStallMs = this.silenceWatch.getStalledMs();
     this.listener.handleSuspected({detail, isAnswering, hostStallMs});
   }
 
--- a/packages/gateway/src/serving/stream_handover.ts
+++ b/packages/gateway/src/serving/stream_handover.ts
@@ -86,11 +86,7 @@
 
   /** Ends the search, as the engine goes on. */
   stop(): void {
-    if (this.trial !== undefined) {
-      this.trial.cancel();
-      this.trial = undefined;
-      this.parts.retries.dropGrant();
-    }
+    this.cancelTrial();
     this.stopRelay();
     this.endSearch();
   }
@@ -124,6 +120,22 @@
     this.takeNext()?.cancel();
   }
 
+  private cancelTrial(): void {
+    if (this.trial === undefined) return;
+    this.trial.cancel();
+    this.trial = undefined;
+    this.parts.retries.dropGrant();
+  }
+
+  /**
+   * Whether a silent attempt is kept although the next one has not failed: its
+   * engine answers probes, and if the next one failed later, no other attempt
+   * would be allowed.
+   */
+  private isKept({silence}: SilentAttempt): boolean {
+    return silence.isAnswering && !this.parts.retries.hasFurtherRetry;
+  }
+
   private endSearch(): void {
     if (this.search === undefined) return;
     this.search.abort();
@@ -191,14 +203,19 @@
     this.trial = trial;
     const isContinued = await Promise.race([
       trial.waitForContinuation(signal),
-      waitOverlap(serving.clock, signal).then(() => true),
+      waitOverlap(serving.clock, signal).then(() => undefined),
     ]);
     if (!this.isCurrent(signal)) {
       if (trial.isCancelled) await this.recordUnused(trial);
       return true;
     }
+    if (isContinued === undefined && this.isKept(silent)) {
+      this.cancelTrial();
+      await this.recordUnused(trial);
+      return false;
+    }
     this.trial = undefined;
-    if (!isContinued) {
+    if (isContinued === false) {
       retries.dropGrant();
       serving.metrics.handovers.inc({result: 'failed'});
       await ends.recordTrial(prepared.plan, await trial.result);
--- a/packages/gateway/src/serving/stream_retries.ts
+++ b/packages/gateway/src/serving/stream_retries.ts
@@ -92,12 +92,12 @@
    * for another one.
    */
   findLeaveDenial(): RetryDenial | undefined {
-    if (!this.route.isResumable) return 'not_resumable';
-    if (this.isRefused) return 'content_refused';
-    const denial = this.findSendDenial(this.runs + 1);
-    if (denial !== undefined) return denial;
-    const hasRetry = this.parts.retryBudgets.hasRetry(this.service);
-    return hasRetry ? undefined : 'budget_spent';
+    return this.findDenialAfter(1);
+  }
+
+  /** Whether one more attempt is allowed when two that run are lost. */
+  get hasFurtherRetry(): boolean {
+    return this.findDenialAfter(2) === undefined;
   }
 
   /**
@@ -110,6 +110,16 @@
     return denial;
   }
 
+  /** @param running How many attempts run that are not counted yet. */
+  private findDenialAfter(running: number): RetryDenial | undefined {
+    if (!this.route.isResumable) return 'not_resumable';
+    if (this.isRefused) return 'content_refused';
+    const denial = this.findSendDenial(this.runs + running);
+    if (denial !== undefined) return denial;
+    const hasRetry = this.parts.retryBudgets.hasRetry(this.service);
+    return hasRetry ? undefined : 'budget_spent';
+  }
+
   private findSendDenial(runs: number): RetryDenial | undefined {
     const {route, request, parts} = this;
     if (runs >= route.maxAttempts) return 'attempts_spent';
--- a/packages/kernel/src/clock.ts
+++ b/packages/kernel/src/clock.ts
@@ -27,17 +27,6 @@
   getStalledMs(): number;
 }
 
-/**
- * Returns the steady time without the stalls of this process, in ms. Between
- * two moments at which stalls are watched it grows by the time that this
- * process ran.
- */
-export function getRunningNow(
-  clock: Pick<Clock, 'getSteadyNow' | 'getStalledMs'>,
-): number {
-  return clock.getSteadyNow() - clock.getStalledMs();
-}
-
 /** The machine's own clock. */
 export class SystemClock implements Clock {
   private readonly stalls = new HostStalls();
--- a/packages/kernel/src/host_stalls.ts
+++ b/packages/kernel/src/host_stalls.ts
@@ -11,8 +11,8 @@
 
 /** The period of the timer, in ms. */
 const PERIOD_MS = 20;
-/** Less than this is the usual lateness of a timer, in ms. */
-const MIN_STALL_MS = 10;
+/** Less than this is the usual lateness of a timer on a busy host, in ms. */
+const MIN_STALL_MS = 50;
 
 /** Measures the stalls of this process. */
 export class HostStalls {
--- a/packages/kernel/src/running_timer.ts
+++ b/packages/kernel/src/running_timer.ts
@@ -4,7 +4,7 @@
  * event loop's phases that of timers comes first, so a timer that is due after
  * a stall would otherwise fire before answers that arrived in time.
  */
-import {getRunningNow, type Clock} from './clock.js';
+import type {Clock} from './clock.js';
 
 /** What the timers need of a clock. */
 export type RunningClock = Pick<
@@ -12,21 +12,57 @@
   'getStalledMs' | 'getSteadyNow' | 'watchStalls'
 >;
 
+/**
+ * The most that counts as stalls, as a part of the time that has passed. A host
+ * that always lacks a processor has to judge its peers as well.
+ */
+const MAX_STALLED_FRACTION = 0.5;
+
+/** Measures how long this process ran. */
+export class RunningStopwatch {
+  private startedAt = 0;
+  private stalledBeforeMs = 0;
+
+  constructor(
+    private readonly clock: Pick<Clock, 'getStalledMs' | 'getSteadyNow'>,
+  ) {
+    this.start();
+  }
+
+  /** Measures from now on. */
+  start(): void {
+    this.startedAt = this.clock.getSteadyNow();
+    this.stalledBeforeMs = this.clock.getStalledMs();
+  }
+
+  /** Returns how long this process stood still, in ms. */
+  getStalledMs(): number {
+    return this.clock.getStalledMs() - this.stalledBeforeMs;
+  }
+
+  /** Returns how long it ran, in ms. */
+  getElapsedMs(): number {
+    const passedMs = this.clock.getSteadyNow() - this.startedAt;
+    const mostMs = MAX_STALLED_FRACTION * passedMs;
+    return passedMs - Math.min(this.getStalledMs(), mostMs);
+  }
+}
+
 /** Calls back once, after a time during which this process ran. */
 export class RunningTimer {
   private timer: NodeJS.Timeout | undefined;
   private turn: NodeJS.Immediate | undefined;
   private readonly stopWatching: () => void;
-  private readonly dueAt: number;
+  private readonly stopwatch: RunningStopwatch;
 
   /** @param ms The time until `handleDue` is called, in ms. */
   constructor(
-    private readonly clock: RunningClock,
-    ms: number,
+    clock: RunningClock,
+    private readonly ms: number,
     private readonly handleDue: () => void,
   ) {
     this.stopWatching = clock.watchStalls();
-    this.dueAt = getRunningNow(clock) + ms;
+    this.stopwatch = new RunningStopwatch(clock);
     this.plan(ms);
   }
 
@@ -47,7 +83,7 @@
   }
 
   private check(): void {
-    const leftMs = this.dueAt - getRunningNow(this.clock);
+    const leftMs = this.ms - this.stopwatch.getElapsedMs();
     if (leftMs > 0) {
       this.plan(leftMs);
       return;
--- a/packages/kernel/tests/running_timer.test.ts
+++ b/packages/kernel/tests/running_timer.test.ts
@@ -1,10 +1,15 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {setTimeout as wait} from 'node:timers/promises';
-import {RunningTimeout, RunningTimer, SystemClock} from '@irisdock/kernel';
+import {
+  RunningStopwatch,
+  RunningTimeout,
+  RunningTimer,
+  SystemClock,
+} from '@irisdock/kernel';
 
 const TIMER_MS = 30;
-const STALL_MS = 100;
+const STALL_MS = 25;
 
 /** A clock that counts who watches it, and whose stalls tests set. */
 class WatchedClock extends SystemClock {
@@ -46,6 +51,17 @@
     assert.ok((await fired) >= TIMER_MS + STALL_MS);
   });
 
+  it('waits twice as long at most on a host that always stands still', async () => {
+    const clock = new WatchedClock();
+    const stopwatch = new RunningStopwatch(clock);
+    clock.stalledMs = 1e6;
+    await wait(TIMER_MS);
+    assert.ok(stopwatch.getElapsedMs() >= TIMER_MS / 2 - 1);
+    const fired = runTimer(clock, TIMER_MS);
+    clock.stalledMs = 2e6;
+    await fired;
+  });
+
   it('does not fire once it is closed, and watches no longer', async () => {
     const clock = new WatchedClock();
     let count = 0;
