Keep relaying to a host that knows no route of another request

Cause, by the hosts' logs: a begun stream whose route had been dropped was declined with 404 by the only host with endpoints. That marked the host as unable for the whole service for 1.5 s, and as begun streams wait until their time is over, again and again. A decline with 401 or 404 concerns the request alone now; the stream waits longer after each try.

The test of request_relay fails without the change by construction, as recordDecline is new; it was not run on the old code.

--- a/packages/gateway/src/serving/relayed_attempt.ts
+++ b/packages/gateway/src/serving/relayed_attempt.ts
@@ -88,8 +88,10 @@
       lastEventId: this.sink.lastEventId,
       ms: Math.round(clock.getNow() - startedAt),
     });
-    if (isTaken && result.kind === 'lost') relay.dropResult(host, service);
-    else relay.recordResult(host, service, isTaken);
+    const status = result.kind === 'failed' ? result.answer.status : undefined;
+    if (!isTaken) relay.recordDecline(host, service, status);
+    else if (result.kind === 'lost') relay.dropResult(host, service);
+    else relay.recordResult(host, service, true);
     return result;
   }
 }
--- a/packages/gateway/src/serving/relayed_call.ts
+++ b/packages/gateway/src/serving/relayed_call.ts
@@ -47,19 +47,30 @@
     const result = await relay.countSend(host, () =>
       sendToHost(parts, relayed, host),
     );
-    if (result?.kind === 'lost') relay.dropResult(host, service);
-    else relay.recordResult(host, service, result !== undefined);
-    if (result !== undefined) return result;
+    if (result.kind === 'declined') {
+      relay.recordDecline(host, service, result.status);
+      continue;
+    }
+    if (result.kind === 'lost') relay.dropResult(host, service);
+    else relay.recordResult(host, service, true);
+    return result;
   }
   return {kind: 'none'};
 }
 
-/** Sends the call to one host; undefined if that host did not take it. */
+/** A call that a host did not take. */
+interface DeclinedCall {
+  readonly kind: 'declined';
+  /** Undefined if the host did not answer. */
+  readonly status: number | undefined;
+}
+
+/** Sends the call to one host. */
 async function sendToHost(
   parts: ServingParts,
   relayed: RelayedRequest,
   host: RelayHost,
-): Promise<RelayedCallResult | undefined> {
+): Promise<RelayedCallResult | DeclinedCall> {
   const {relay, log, clock} = parts;
   const {requestId, exchange} = relayed.request;
   const startedAt = clock.getNow();
@@ -70,7 +81,7 @@
   log.writeInfo('Relayed a call to another host.', {
     request: requestId,
     to: host.name,
-    result: result?.kind ?? 'declined',
+    result: result.kind,
     detail: response.kind === 'lost' ? response.detail : response.status,
     ms: Math.round(clock.getNow() - startedAt),
   });
@@ -81,16 +92,18 @@
   {relay}: ServingParts,
   response: EndpointFailure | EndpointResponse,
   requestId: string,
-): Promise<RelayedCallResult | undefined> {
+): Promise<RelayedCallResult | DeclinedCall> {
   if (response.kind === 'lost') {
     const {mayHaveRun, detail} = response;
-    return mayHaveRun ? {kind: 'lost', detail} : undefined;
+    if (mayHaveRun) return {kind: 'lost', detail};
+    return {kind: 'declined', status: undefined};
   }
   // Another process may have taken over the address of a lost host.
   const isMisdirected = response.status === MISDIRECTED_STATUS;
   if (relay.hasDeclined(response.lines) || isMisdirected) {
     await response.dropBody();
-    return undefined;
+    const status = isMisdirected ? undefined : response.status;
+    return {kind: 'declined', status};
   }
   const fault = findResponseFault(response, requestId);
   if (fault !== undefined) {
--- a/packages/gateway/src/serving/request_relay.ts
+++ b/packages/gateway/src/serving/request_relay.ts
@@ -30,6 +30,8 @@
 
 /** How many hosts are tried for one request; a refusal takes a few ms. */
 export const MAX_RELAY_HOSTS = 8;
+/** The statuses of requests whose route or key a host does not know. */
+const UNKNOWN_STATUSES: ReadonlySet<number> = new Set([401, 404]);
 /** How long a host that declined or did not accept is not tried, in ms. */
 const UNABLE_MS = 1500;
 /** How long a host that took a request is preferred to unknown ones, in ms. */
@@ -185,6 +187,21 @@
     }
   }
 
+  /**
+   * Records that a host declined a request for a service. One that knows no such
+   * route or key says nothing about other requests for the service.
+   *
+   * @param status Undefined if the host did not answer.
+   */
+  recordDecline(
+    host: RelayHost,
+    service: string,
+    status: number | undefined,
+  ): void {
+    if (status !== undefined && UNKNOWN_STATUSES.has(status)) return;
+    this.recordResult(host, service, false);
+  }
+
   /** Records whether a host took a request for a service. */
   recordResult({name}: RelayHost, service: string, isAble: boolean): void {
     const at = this.parts.clock.getNow();
--- a/packages/gateway/src/serving/stream_relay.ts
+++ b/packages/gateway/src/serving/stream_relay.ts
@@ -19,7 +19,7 @@
  * takes it, in ms. The first host may know one that does.
  */
 const MAX_RELAYED_SEARCH_MS = 1500;
-/** The time between two searches, in ms; doubled with each refusal. */
+/** The time between two searches, in ms; doubled with each in vain. */
 const SEARCH_INTERVAL_MS = 50;
 const MAX_SEARCH_INTERVAL_MS = 800;
 
@@ -42,6 +42,8 @@
   private searchStart: number | undefined;
   /** How often the stream was refused since a host last took it. */
   private refusals = 0;
+  /** How often the stream waited since a host last took it. */
+  private waits = 0;
   private readonly stream: RelayedStream;
 
   constructor(
@@ -140,7 +142,8 @@
       return {kind: 'given-up', detail, denial: undefined};
     }
     const {signal} = this.request.exchange;
-    const waitMs = SEARCH_INTERVAL_MS * 2 ** this.refusals;
+    const waitMs = SEARCH_INTERVAL_MS * 2 ** this.waits;
+    this.waits++;
     const {clock} = this.parts;
     await clock.wait(Math.min(waitMs, MAX_SEARCH_INTERVAL_MS), signal);
     return {kind: 'retry'};
@@ -161,6 +164,7 @@
   private decideRetry(result: AttemptResult): StreamRelayStep {
     this.searchStart = undefined;
     this.refusals = 0;
+    this.waits = 0;
     this.sink.markFailover();
     this.retries.record(result);
     const denial = this.retries.findRetryDenial(result);
--- a/packages/gateway/tests/request_relay.test.ts
+++ b/packages/gateway/tests/request_relay.test.ts
@@ -30,10 +30,14 @@
   readonly isAble: (host: RelayHost) => boolean;
 }
 
+function listNames(): string[] {
+  return Array.from({length: HOSTS}, (_, index) => `host-${index}`);
+}
+
 function createFixture(seed: number, partitioned: number): Fixture {
   const clock = new VirtualClock();
-  const hosts = Array.from({length: HOSTS}, (_, index) => ({
-    name: `host-${index}`,
+  const hosts = listNames().map((name) => ({
+    name,
     address: '127.0.0.1:1',
     failureDomain: 'domain',
   }));
@@ -107,6 +111,17 @@
     assert.ok(most <= 4 * mean, `${most} of ${mean} in the mean`);
   });
 
+  it('goes to a host that knew no route of another one', () => {
+    const {relay} = createFixture(1, HOSTS - 1);
+    const host = relay.choose(SERVICE, new Set());
+    assert.ok(host);
+    const others = new Set(listNames().filter((name) => name !== host.name));
+    relay.recordDecline(host, SERVICE, 404);
+    assert.equal(relay.choose(SERVICE, others)?.name, host.name);
+    relay.recordDecline(host, SERVICE, 503);
+    assert.equal(relay.choose(SERVICE, others), undefined);
+  });
+
   it('tries a host again that was partitioned before', async () => {
     const able = new Set<string>();
     const fixture = {
