Log failed checks of left engines and closed attempts, and wrap comments

Found by the review, read and not run: two promises had no handler for a rejection. 78 of 78 tests of next_engines, silent_engines, partitioned_host and silent_relay_hosts pass.

--- a/packages/gateway/src/serving/attempt_run.ts
+++ b/packages/gateway/src/serving/attempt_run.ts
@@ -137,7 +137,7 @@
    * of the stream.
    *
    * @param signal Ends the wait.
-   * @returns Whether it may continue the stream.
+   * @returns False if the attempt failed; it may continue the stream otherwise.
    */
   async waitForContinuation(signal: AbortSignal): Promise<boolean> {
     const continued = new Promise<boolean>((resolve) => {
--- a/packages/gateway/src/serving/relay_handover.ts
+++ b/packages/gateway/src/serving/relay_handover.ts
@@ -94,9 +94,14 @@
     this.beside = undefined;
     if (beside === undefined) return;
     beside.attempt.end('the silent host goes on');
-    void beside.attempt.run().then((result) => {
-      this.record(result);
-    });
+    beside.attempt
+      .run()
+      .then((result) => {
+        this.record(result);
+      })
+      .catch((thrown: unknown) => {
+        this.writeFailure(thrown);
+      });
   }
 
   /**
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -4,7 +4,7 @@
  * replicates its KV cache to an engine in another failure domain, so that the
  * next attempt need not process the prompt again.
  */
-import type {LogFields} from '@irisdock/kernel';
+import {getErrorText, type LogFields} from '@irisdock/kernel';
 import type {ServingRoute} from '../model/serving_configuration.js';
 import {admitAttempt} from './attempt_admission.js';
 import {AttemptEnds} from './attempt_ends.js';
@@ -198,7 +198,16 @@
     const {parts, request, planner, handover, relay} = this;
     const {hasReplica} = planner;
     const check = checkEngineExit(parts, request, endpoint, result, hasReplica);
-    if (!handover.hasNext && !relay.hasNext) await check;
+    if (!handover.hasNext && !relay.hasNext) {
+      await check;
+      return;
+    }
+    check.catch((thrown: unknown) => {
+      parts.log.writeError('The check of a left engine failed.', {
+        request: request.requestId,
+        error: getErrorText(thrown),
+      });
+    });
   }
 
   /** Waits for admission, an engine and its permit, and starts the attempt. */
--- a/soak/src/end_witness.ts
+++ b/soak/src/end_witness.ts
@@ -3,8 +3,8 @@
  * exactly one, and that an answer is cut for a reason only: something befell
  * the host or its link to the caller, or an endpoint broke the answer off and
  * it could not be had elsewhere, or the time was up. Neither a silence of
- * endpoints, nor another one that refuses or fails the request meanwhile, nor a change of the configuration, nor a store that is away is a
- * reason.
+ * endpoints, nor another one that refuses or fails the request meanwhile, nor a
+ * change of the configuration, nor a store that is away is a reason.
  */
 import {Disturbances, type DisturbedPart} from './disturbances.js';
 import type {EndpointInstance} from './endpoint_fleet.js';
