--- a/packages/gateway/tests/silent_relay_hosts.test.ts
+++ b/packages/gateway/tests/silent_relay_hosts.test.ts
@@ -18,11 +18,14 @@
   type RelayOptions,
   type RelayScript,
 } from './fixtures/relay_hosts.js';
+import {waitBlockedNow} from './fixtures/silences.js';
 
 /** How many events the silent host sends before it falls silent. */
 const EVENTS_BEFORE = 2;
 /** Longer than a host may be silent before its streams look for another. */
 const SILENCE_MS = 4500;
+/** Longer than two attempts may run beside each other, in ms. */
+const STALL_MS = 400;
 /** Longer than any stream of these tests lasts, in ms. */
 const STANDSTILL_MS = 20_000;
 
@@ -252,3 +255,22 @@
     }, STANDSTILL_MS);
   });
 });
+
+// Apart from the others, as it blocks their event loop as well.
+describe('a relayed stream stays at its silent host', () => {
+  it('though this host stands still while the next one fails', async () => {
+    await runWithHosts(async (hosts) => {
+      hosts.next.script = ({response}) => {
+        response.writeHead(500).end('fault');
+        // The answer is sent at the end of this turn.
+        setImmediate(() => {
+          waitBlockedNow(STALL_MS);
+        });
+      };
+      const {outcome, ids} = await sendStream(hosts, {retries: 1});
+      assert.equal(outcome, 'answered');
+      assert.deepEqual(ids, ALL_IDS);
+      assert.equal(hosts.next.sends.length, 1);
+    });
+  });
+});
