--- a/packages/gateway/tests/silence_detector.test.ts
+++ b/packages/gateway/tests/silence_detector.test.ts
@@ -1,20 +1,26 @@
 /** The silence of one stream: when it is suspected, and when it is not. */
 import assert from 'node:assert/strict';
-import {describe, it} from 'node:test';
+import {describe, it, type TestContext} from 'node:test';
 import {setTimeout as wait} from 'node:timers/promises';
+import type {SilenceDetector} from '../src/serving/silence_detector.js';
 import {StalledClock, waitUntil, watchStream} from './fixtures/silences.js';
 
 /** Longer than any limit on a silence here, in ms. */
 const PAUSE_MS = 800;
 
+/** Starts a detector, and stops it after the test even if that fails. */
+function startDetector(detector: SilenceDetector, test: TestContext): void {
+  test.after(() => {
+    detector.stop();
+  });
+  detector.start();
+}
+
 describe('a suspicion', () => {
   it('names the stall of the host since the last event', async (test) => {
     const clock = new StalledClock();
     const stream = watchStream(() => 'silent', clock);
-    test.after(() => {
-      stream.detector.stop();
-    });
-    stream.detector.start();
+    startDetector(stream.detector, test);
     clock.stalledMs = 400;
     stream.detector.recordEvents();
     clock.stalledMs = 430;
@@ -24,10 +30,7 @@
 
   it('ends when the endpoint answers its next probe', async (test) => {
     const stream = watchStream((place) => (place === 0 ? 'silent' : 'answers'));
-    test.after(() => {
-      stream.detector.stop();
-    });
-    stream.detector.start();
+    startDetector(stream.detector, test);
     stream.detector.recordEvents();
     await waitUntil(() => stream.countRecoveries() > 0);
     await waitUntil(() => stream.silences.length === 2);
@@ -37,10 +40,7 @@
 
   it('does not end with an answer after the longer limit', async (test) => {
     const stream = watchStream(() => 'answers');
-    test.after(() => {
-      stream.detector.stop();
-    });
-    stream.detector.start();
+    startDetector(stream.detector, test);
     stream.detector.recordEvents();
     await waitUntil(() => stream.silences.length === 1);
     const probes = stream.countProbes();
@@ -52,10 +52,7 @@
 describe('a stream that its caller does not read', () => {
   it('is not suspected meanwhile', async (test) => {
     const stream = watchStream(() => 'silent');
-    test.after(() => {
-      stream.detector.stop();
-    });
-    stream.detector.start();
+    startDetector(stream.detector, test);
     stream.detector.recordEvents();
     stream.detector.pause();
     await wait(PAUSE_MS);
@@ -65,10 +62,7 @@
 
   it('is watched once its caller reads again', async (test) => {
     const stream = watchStream(() => 'silent');
-    test.after(() => {
-      stream.detector.stop();
-    });
-    stream.detector.start();
+    startDetector(stream.detector, test);
     stream.detector.recordEvents();
     stream.detector.pause();
     await wait(PAUSE_MS);
