--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -9,6 +9,8 @@
 export * from './gateway.js';
 export * from './model/endpoint_entry.js';
 export * from './model/peer_codec.js';
+export * from './model/platform_api.js';
+export * from './model/singleton_task.js';
 export * from './model/peer_frame.js';
 export * from './model/peer_message.js';
 export * from './model/request_metadata.js';
