Add singleton tasks under leases in the store

Two tasks towards the platform (usage reports and scaling) may be performed by one host at a time. The service `tasks` holds a lease per task as a row of the new table `irisdock-tasks`; it is idle while `[tasks] names` is empty. The lease decision, which the orders of the daemon use too, now counts elapsed time by both clocks, a takeover from the end of the read, waits for calls that may still arrive before it acquires again, and keeps its fencing tokens above those of earlier eras of the store.

--- a/packages/daemon/src/services/orders.ts
+++ b/packages/daemon/src/services/orders.ts
@@ -7,6 +7,7 @@
 import {
   createService,
   createServiceKey,
+  readClocks,
   Repeater,
   type Clock,
   type Logger,
@@ -69,7 +70,8 @@
 
   /** Whether this host holds the lease now. */
   get isLeaseHolder(): boolean {
-    return this.lease.getFencingToken(this.parts.clock.getNow()) !== undefined;
+    const now = readClocks(this.parts.clock);
+    return this.lease.getFencingToken(now) !== undefined;
   }
 
   /** Acquires or renews the lease, then sends the orders that are due. */
@@ -96,13 +98,12 @@
   private async renewLease(): Promise<void> {
     const {table, clock} = this.parts;
     const key = getLeaseRowKey(LEASE_NAME);
-    const readAt = clock.getNow();
     const rows = await table.readRows([key]);
     if (rows.isErr()) return;
     const found = rows.value[0];
-    const leaseStep = this.lease.decide(readLease(found), readAt);
+    const leaseStep = this.lease.decide(readLease(found), readClocks(clock));
     if (leaseStep.step === 'wait') return;
-    const writtenAt = clock.getNow();
+    const begun = readClocks(clock);
     const result = await table.commit({
       conditions: [{key, version: found?.version ?? 0}],
       writes: [{key, value: JSON.stringify(leaseStep.row)}],
@@ -113,7 +114,7 @@
         fence: leaseStep.row.fence,
       });
     }
-    this.lease.recordWrite(leaseStep.row, writtenAt);
+    this.lease.recordWrite(leaseStep.row, begun);
   }
 
   private listDueOrders(): PlannedOrder[] {
@@ -157,11 +158,15 @@
 
   private async send(order: PlannedOrder): Promise<void> {
     const {clock, directory, log, sentOrders} = this.parts;
-    const fence = this.lease.getFencingToken(clock.getNow());
+    const fence = this.lease.getFencingToken(readClocks(clock));
     const engine = directory.find(order.address)?.clients.engine;
     if (fence === undefined || engine === undefined) return;
     const {action, target, address} = order;
+    this.lease.recordOrderStart();
     const result = await engine.sendOrder({fence, action, target});
+    // An order without a response may still arrive.
+    const isSettled = result.isOk() || result.error.outcome === 'not-run';
+    this.lease.recordOrderEnd(readClocks(clock), isSettled);
     const outcome = result.isOk() ? 'done' : result.error.kind;
     sentOrders.inc({action, outcome});
     log.writeInfo('Sent an order to an endpoint.', {
--- a/packages/decisions/tests/limits.test.ts
+++ b/packages/decisions/tests/limits.test.ts
@@ -4,7 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {SeededRandom} from '@irisdock/kernel';
+import {SeededRandom, type ClockTimes} from '@irisdock/kernel';
 import {
   chooseAddresses,
   chooseLeaderCandidates,
@@ -55,6 +55,11 @@
   });
 });
 
+/** The clocks of a machine that was never suspended or set. */
+function createTimes(ms: number): ClockTimes {
+  return {nowMs: ms, steadyMs: ms, wallMs: ms};
+}
+
 /** Simulates two hosts that compete for one lease row. */
 class LeaseSimulation {
   row: LeaseRow | undefined;
@@ -74,16 +79,17 @@
     const host = this.hosts[index];
     if (host === undefined) return;
     const read = this.row;
-    const step = host.state.decide(read, host.clock);
+    const step = host.state.decide(read, createTimes(host.clock));
     if (step.step === 'wait') return;
     if (this.row !== read) return;
     this.row = step.row;
-    if (!isAnswerLost) host.state.recordWrite(step.row, host.clock);
+    if (isAnswerLost) return;
+    host.state.recordWrite(step.row, createTimes(host.clock));
   }
 
   listFences(): number[] {
     return this.hosts.flatMap(
-      (host) => host.state.getFencingToken(host.clock) ?? [],
+      (host) => host.state.getFencingToken(createTimes(host.clock)) ?? [],
     );
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -40,6 +40,7 @@
 import {ROLLOUTS_SERVICE} from './services/rollouts.js';
 import {RUN_LEASES_SERVICE} from './services/run_leases.js';
 import {STREAM_ORIGINS_SERVICE} from './services/stream_origins.js';
+import {TASKS_SERVICE} from './services/tasks.js';
 import {TABLES_SERVICE} from './tables/tables.js';
 import {SettingsFileWatcher} from './settings_file_watcher.js';
 
@@ -53,6 +54,7 @@
   PEERS_SERVICE,
   PEER_TABLES_SERVICE,
   PEER_DISCOVERY_SERVICE,
+  TASKS_SERVICE,
   METRICS_PAGE_SERVICE,
   ROLLOUTS_SERVICE,
   CRASHES_SERVICE,
--- a/packages/gateway/src/model/table_store.ts
+++ b/packages/gateway/src/model/table_store.ts
@@ -31,6 +31,7 @@
   'endpoints',
   'hosts',
   'rollouts',
+  'tasks',
 ] as const;
 /** The name of a table. */
 export type TableName = (typeof TABLE_NAMES)[number];
--- a/packages/gateway/src/services/peer_hosts.ts
+++ b/packages/gateway/src/services/peer_hosts.ts
@@ -194,6 +194,17 @@
     return this.listNames((state) => state === 'ready');
   }
 
+  /** Lists the names of live hosts that are ready and reach the store. */
+  listStoreReachingNames(): string[] {
+    const names: string[] = [];
+    for (const {record} of this.listAlive()) {
+      if (record.state === 'ready' && !record.isStoreAway) {
+        names.push(record.name);
+      }
+    }
+    return names;
+  }
+
   /**
    * Counts the hosts that may be alive, including suspected ones and this one,
    * except those that are leaving.
--- a/packages/gateway/src/services/store.ts
+++ b/packages/gateway/src/services/store.ts
@@ -12,6 +12,7 @@
 } from '../model/request_metadata.js';
 import type {RolloutCodec} from '../model/rollout_order.js';
 import type {ServingConfiguration} from '../model/serving_configuration.js';
+import type {TaskStore} from '../model/singleton_task.js';
 import type {RowCodec, TableStore} from '../model/table_store.js';
 
 /** The adapter's codecs for headers, rows and messages of other programs. */
@@ -35,6 +36,6 @@
 }
 
 /** The key of the store. */
-export const STORE = createServiceKey<TableStore>('store');
+export const STORE = createServiceKey<TableStore & TaskStore>('store');
 /** The key of the codecs. */
 export const CODECS = createServiceKey<Codecs>('codecs');
--- a/packages/kernel/src/clock.ts
+++ b/packages/kernel/src/clock.ts
@@ -27,6 +27,27 @@
   getStalledMs(): number;
 }
 
+/** The clocks of a machine at one moment, in ms. */
+export interface ClockTimes {
+  /** The monotonic clock, with the suspensions that are known. */
+  readonly nowMs: number;
+  /** The monotonic clock, which stands still during a suspension. */
+  readonly steadyMs: number;
+  /** The wall clock, which may be set. */
+  readonly wallMs: number;
+}
+
+/** Reads all clocks. */
+export function readClocks(
+  clock: Pick<Clock, 'getNow' | 'getSteadyNow' | 'getWallNow'>,
+): ClockTimes {
+  return {
+    nowMs: clock.getNow(),
+    steadyMs: clock.getSteadyNow(),
+    wallMs: clock.getWallNow(),
+  };
+}
+
 /** The machine's own clock. */
 export class SystemClock implements Clock {
   private readonly stalls = new HostStalls();
