--- a/packages/gateway/src/model/platform_api.ts
+++ b/packages/gateway/src/model/platform_api.ts
@@ -5,6 +5,7 @@
  */
 import {createServiceKey} from '@irisdock/kernel';
 import * as z from 'zod';
+import type {TaskName} from './singleton_task.js';
 
 /** The right to make one call. */
 export interface CallAuthority {
@@ -56,6 +57,8 @@
 export interface PlatformApi {
   /** Whether the deployment's settings name the address of an API. */
   readonly isConfigured: boolean;
+  /** The tasks that the platform asks this deployment for. */
+  readonly requestedTasks: readonly TaskName[];
   reportUsage(
     authority: CallAuthority,
     report: UsageReport,
