Count begun requests and report usage by window

The platform asks for the requests that endpoints began, by window and team. Hosts count streams at their first event and plain calls at their send, and send cumulative counts to the hosts that may hold the task. The holder writes the counts of a window as a row that is created only once, and sends that row.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,6 +24,7 @@
 import {err, type Result} from 'neverthrow';
 import {Registry} from 'prom-client';
 import * as z from 'zod';
+import {BEGUN_REQUESTS_SERVICE} from './services/begun_requests.js';
 import {GATEWAY_CONFIGURATION_SERVICE} from './services/configuration.js';
 import {CRASHES_SERVICE} from './services/crashes.js';
 import {DIRECTORY_SERVICE} from './services/directory.js';
@@ -60,6 +61,7 @@
   STREAM_ORIGINS_SERVICE,
   LIMITS_SERVICE,
   ENDPOINT_NETWORK_SERVICE,
+  BEGUN_REQUESTS_SERVICE,
   FRONT_SERVICE,
   DIRECTORY_SERVICE,
 ];
--- /dev/null
+++ b/packages/gateway/src/model/begun_datagram.ts
@@ -0,0 +1,70 @@
+/**
+ * Datagrams about the requests that endpoints began, by window and team: the
+ * counts of one host, and the request of a collector for them.
+ */
+import type {WindowCount} from '@irisdock/decisions';
+import {TupleError, type TupleReader} from './tuple_reader.js';
+
+/** Cumulative counts of one incarnation of a host. */
+export interface BegunReportDatagram {
+  readonly kind: 'begun-report';
+  readonly name: string;
+  readonly incarnation: number;
+  readonly counts: readonly WindowCount[];
+}
+
+/** Asks a host for all its counts of a window and later ones. */
+export interface BegunRequestDatagram {
+  readonly kind: 'begun-ask';
+  /** The host that asks, which collects the counts of all hosts. */
+  readonly name: string;
+  readonly fromWindow: number;
+}
+
+/** A datagram about begun requests. */
+export type BegunDatagram = BegunReportDatagram | BegunRequestDatagram;
+
+/** Reads the fields of a report, without the kind. */
+export function readBegunReport(fields: TupleReader): BegunReportDatagram {
+  return {
+    kind: 'begun-report',
+    name: fields.readString(),
+    incarnation: readInteger(fields),
+    counts: fields.readList(readCount),
+  };
+}
+
+/** Encodes a report as a tuple, without the kind. */
+export function encodeBegunReport(report: BegunReportDatagram): unknown[] {
+  const {name, incarnation, counts} = report;
+  const encoded = counts.map(({window, team, count}) => [window, team, count]);
+  return [name, incarnation, encoded];
+}
+
+/** Reads the fields of a request, without the kind. */
+export function readBegunRequest(fields: TupleReader): BegunRequestDatagram {
+  return {
+    kind: 'begun-ask',
+    name: fields.readString(),
+    fromWindow: readInteger(fields),
+  };
+}
+
+/** Encodes a request as a tuple, without the kind. */
+export function encodeBegunRequest(request: BegunRequestDatagram): unknown[] {
+  return [request.name, request.fromWindow];
+}
+
+function readCount(fields: TupleReader): WindowCount {
+  return {
+    window: readInteger(fields),
+    team: fields.readString(),
+    count: readInteger(fields),
+  };
+}
+
+function readInteger(fields: TupleReader): number {
+  const value = fields.readNumber();
+  if (Number.isSafeInteger(value) && value >= 0) return value;
+  throw new TupleError('a number is not a non-negative integer');
+}
--- a/packages/gateway/src/model/peer_codec.ts
+++ b/packages/gateway/src/model/peer_codec.ts
@@ -7,6 +7,13 @@
 import type {Crash} from '@irisdock/decisions';
 import {getErrorText} from '@irisdock/kernel';
 import {err, ok, type Result} from 'neverthrow';
+import {
+  encodeBegunReport,
+  encodeBegunRequest,
+  readBegunReport,
+  readBegunRequest,
+  type BegunDatagram,
+} from './begun_datagram.js';
 import {
   encodeLimits,
   encodePermitResponse,
@@ -53,7 +60,8 @@
  * The codes of the kinds, in the order of `readDatagram`: membership, usage,
  * table update, usage query and reply, unreachable endpoint, report and phase
  * of rollouts, crashes, cleared content, limits, permit request and response,
- * lease request, response and release, origins, origin request and response.
+ * lease request, response and release, origins, origin request and response, report of
+ * begun requests and request for it.
  */
 const KIND_CODES = [
   'w',
@@ -75,6 +83,8 @@
   'o',
   'f',
   'h',
+  'b',
+  'k',
 ] as const;
 
 /** Decodes a datagram; an error names the malformed field. */
@@ -138,6 +148,10 @@
       return readOriginRequest(fields);
     case 'h':
       return readOriginResponse(fields);
+    case 'b':
+      return readBegunReport(fields);
+    case 'k':
+      return readBegunRequest(fields);
   }
 }
 
@@ -244,7 +258,7 @@
 }
 
 function encodeGrantDatagram(
-  datagram: GrantDatagram | OriginDatagram,
+  datagram: BegunDatagram | GrantDatagram | OriginDatagram,
 ): Uint8Array {
   switch (datagram.kind) {
     case 'limits':
@@ -265,6 +279,10 @@
       return encode(['f', ...encodeOriginRequest(datagram)]);
     case 'origin-answer':
       return encode(['h', ...encodeOriginResponse(datagram)]);
+    case 'begun-report':
+      return encode(['b', ...encodeBegunReport(datagram)]);
+    case 'begun-ask':
+      return encode(['k', ...encodeBegunRequest(datagram)]);
   }
 }
 
--- a/packages/gateway/src/model/peer_message.ts
+++ b/packages/gateway/src/model/peer_message.ts
@@ -8,6 +8,7 @@
   RolloutPhase,
   GossipMessage,
 } from '@irisdock/decisions';
+import type {BegunDatagram} from './begun_datagram.js';
 import type {
   LimitsDatagram,
   PermitResponseDatagram,
@@ -159,6 +160,7 @@
 
 /** Any datagram between hosts. */
 export type PeerDatagram =
+  | BegunDatagram
   | UsageReplyDatagram
   | ContentClearedDatagram
   | CrashesDatagram
--- a/packages/gateway/src/services/datagram_handlers.ts
+++ b/packages/gateway/src/services/datagram_handlers.ts
@@ -1,9 +1,14 @@
 /**
- * Passes datagrams of other hosts about rollouts, crashes, limits, leases and
- * origins to the services that handle them. These services register themselves
+ * Passes datagrams of other hosts about rollouts, crashes, limits, leases,
+ * origins and begun requests to the services that handle them. These services register themselves
  * on creation.
  */
 import type {Crash} from '@irisdock/decisions';
+import type {
+  BegunDatagram,
+  BegunReportDatagram,
+  BegunRequestDatagram,
+} from '../model/begun_datagram.js';
 import type {
   LimitsDatagram,
   PermitResponseDatagram,
@@ -65,8 +70,15 @@
   acceptOriginAnswer(datagram: OriginResponseDatagram): void;
 }
 
+/** Handles reports of begun requests, and requests for them. */
+export interface BegunDatagramHandler {
+  acceptBegunReport(datagram: BegunReportDatagram): void;
+  acceptBegunRequest(datagram: BegunRequestDatagram): void;
+}
+
 /** A datagram that goes to one of the handlers. */
 export type HandledDatagram =
+  | BegunDatagram
   | OriginDatagram
   | ContentClearedDatagram
   | CrashesDatagram
@@ -81,6 +93,7 @@
   limits: LimitDatagramHandler | undefined;
   leases: LeaseDatagramHandler | undefined;
   origins: OriginDatagramHandler | undefined;
+  begun: BegunDatagramHandler | undefined;
 
   /** Passes a datagram to its handler. */
   accept(datagram: HandledDatagram): void {
@@ -123,6 +136,12 @@
         return;
       case 'origin-answer':
         this.origins?.acceptOriginAnswer(datagram);
+        return;
+      case 'begun-report':
+        this.begun?.acceptBegunReport(datagram);
+        return;
+      case 'begun-ask':
+        this.begun?.acceptBegunRequest(datagram);
     }
   }
 }
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -33,6 +33,7 @@
 } from '../serving/serving_metrics.js';
 import type {ServingParts} from '../serving/serving_parts.js';
 import {SuccessorFinder} from '../serving/successors.js';
+import {BEGUN_REQUESTS} from './begun_requests.js';
 import {CRASHES} from './crashes.js';
 import {
   GATEWAY_CONFIGURATION,
@@ -88,6 +89,7 @@
   key: FRONT,
   settings: SETTINGS,
   needs: [
+    BEGUN_REQUESTS,
     CODECS,
     CRASHES,
     ENDPOINT_NETWORK,
@@ -231,6 +233,7 @@
       metrics: servingMetrics,
     }),
     metrics: servingMetrics,
+    begunRequests: context.find(BEGUN_REQUESTS),
   };
 }
 
--- /dev/null
+++ b/packages/gateway/src/services/usage_exchange.ts
@@ -0,0 +1,183 @@
+/**
+ * Counts the requests that endpoints began for this host, sends the counts to
+ * the hosts that may report them, and keeps what other hosts send. A host that
+ * takes the task `usage` over asks all hosts for their counts, which also tells
+ * them where to send further ones.
+ */
+import {
+  ClockFilter,
+  computeWindow,
+  computeWindowEnd,
+  MAX_FIRST_REPORT_AGE_MS,
+  UsageCounts,
+  UsageTotals,
+  type WindowCount,
+} from '@irisdock/decisions';
+import type {Clock} from '@irisdock/kernel';
+import type {
+  BegunReportDatagram,
+  BegunRequestDatagram,
+} from '../model/begun_datagram.js';
+import type {TaskRegistry} from '../model/singleton_task.js';
+import type {BegunDatagramHandler} from './datagram_handlers.js';
+import type {Peers} from './peer_hosts.js';
+
+/** The interval between two sends of changed counts, in ms. */
+export const USAGE_TICK_MS = 250;
+/** The interval between two samples of the clocks, in ms. */
+const CLOCK_SAMPLE_MS = 1000;
+/**
+ * The delay after the end of a window until its counts are sent once more, in
+ * ms, by which most plain calls of the window have their answer.
+ */
+const FINAL_SEND_DELAY_MS = 600;
+/** The maximum length of the counts in a datagram, to fit an Ethernet frame. */
+const MAX_COUNTS_BYTES = 1000;
+/** The length of an encoded count without the name of its team, in bytes. */
+const COUNT_BYTES = 14;
+
+/** Dependencies of the exchange. */
+export interface UsageExchangeParts {
+  readonly name: string;
+  readonly incarnation: number;
+  readonly windowMs: number;
+  readonly peers: Pick<Peers, 'sendToAll' | 'sendToNames'>;
+  readonly tasks: Pick<TaskRegistry, 'listCandidates'>;
+  readonly clock: Clock;
+}
+
+/** Counts, sends and collects begun requests. */
+export class UsageExchange implements BegunDatagramHandler {
+  /** What this host received, its own counts included. */
+  readonly totals = new UsageTotals();
+  /** The window in which this host started. */
+  readonly startWindow: number;
+  private readonly counts = new UsageCounts();
+  private readonly filter = new ClockFilter();
+  private sampledAt = -Infinity;
+  private holder: string | undefined;
+  /** The first window whose counts were not sent after its end. */
+  private openWindow: number;
+
+  constructor(private readonly parts: UsageExchangeParts) {
+    this.measureClocks();
+    this.startWindow = computeWindow(this.getTime(), parts.windowMs);
+    this.openWindow = this.startWindow;
+  }
+
+  /** Returns the time in ms since 1970, which steps of the clock don't move. */
+  getTime(): number {
+    return this.filter.getTime(this.parts.clock.getNow());
+  }
+
+  /** Counts a request that began at a time of the monotonic clock. */
+  recordBegun(team: string, at: number): void {
+    const timeMs = this.filter.getTime(at);
+    this.counts.add(computeWindow(timeMs, this.parts.windowMs), team);
+  }
+
+  /** Samples the clocks, sends what changed, and drops old windows. */
+  startTick(): void {
+    this.measureClocks();
+    this.markEnded();
+    this.dropOld();
+    const due = this.counts.takeDue();
+    if (due.length === 0) return;
+    const {name, tasks} = this.parts;
+    const targets = new Set(tasks.listCandidates('usage'));
+    if (this.holder !== undefined) targets.add(this.holder);
+    targets.delete(name);
+    this.sendCounts([...targets], due);
+  }
+
+  /** Asks all hosts for their counts, from a window on. */
+  pollCounts(fromWindow: number): void {
+    const {name, peers} = this.parts;
+    this.holder = name;
+    peers.sendToAll({kind: 'begun-ask', name, fromWindow});
+    this.acceptOwn(this.counts.listFrom(fromWindow));
+  }
+
+  acceptBegunReport(report: BegunReportDatagram): void {
+    const {name: host, incarnation, counts} = report;
+    this.totals.accept({host, incarnation, counts});
+  }
+
+  acceptBegunRequest({name, fromWindow}: BegunRequestDatagram): void {
+    this.holder = name;
+    const counts = this.counts.listFrom(fromWindow);
+    if (counts.length > 0) this.sendCounts([name], counts);
+  }
+
+  /** Takes all counts of this host into the totals. */
+  acceptOwnCounts(): void {
+    this.acceptOwn(this.counts.listFrom(0));
+  }
+
+  private acceptOwn(counts: readonly WindowCount[]): void {
+    const {name: host, incarnation} = this.parts;
+    if (counts.length > 0) this.totals.accept({host, incarnation, counts});
+  }
+
+  private sendCounts(
+    names: readonly string[],
+    counts: readonly WindowCount[],
+  ): void {
+    this.acceptOwn(counts);
+    if (names.length === 0) return;
+    const {name, incarnation, peers} = this.parts;
+    for (const part of splitCounts(counts)) {
+      const kind = 'begun-report';
+      peers.sendToNames(names, {kind, name, incarnation, counts: part});
+    }
+  }
+
+  private measureClocks(): void {
+    const {clock} = this.parts;
+    const now = clock.getNow();
+    if (now - this.sampledAt < CLOCK_SAMPLE_MS) return;
+    this.sampledAt = now;
+    this.filter.addSample(clock.getWallNow(), now);
+  }
+
+  private markEnded(): void {
+    const {windowMs} = this.parts;
+    const endedBefore = this.getTime() - FINAL_SEND_DELAY_MS;
+    // After a long stall, only windows that are still kept are visited.
+    const oldest = computeWindow(
+      endedBefore - MAX_FIRST_REPORT_AGE_MS,
+      windowMs,
+    );
+    this.openWindow = Math.max(this.openWindow, oldest);
+    while (computeWindowEnd(this.openWindow, windowMs) <= endedBefore) {
+      this.counts.markChanged(this.openWindow);
+      this.openWindow++;
+    }
+  }
+
+  private dropOld(): void {
+    const {windowMs} = this.parts;
+    const keptFrom = this.getTime() - MAX_FIRST_REPORT_AGE_MS - windowMs;
+    const window = computeWindow(keptFrom, windowMs);
+    this.counts.dropBefore(window);
+    this.totals.dropBefore(window);
+  }
+}
+
+/** Splits counts into parts that fit into a datagram. */
+function splitCounts(counts: readonly WindowCount[]): WindowCount[][] {
+  const parts: WindowCount[][] = [];
+  let part: WindowCount[] = [];
+  let bytes = 0;
+  for (const count of counts) {
+    const length = COUNT_BYTES + Buffer.byteLength(count.team);
+    if (part.length > 0 && bytes + length > MAX_COUNTS_BYTES) {
+      parts.push(part);
+      part = [];
+      bytes = 0;
+    }
+    part.push(count);
+    bytes += length;
+  }
+  return part.length === 0 ? parts : [...parts, part];
+}
--- /dev/null
+++ b/packages/gateway/src/services/usage_task.ts
@@ -0,0 +1,320 @@
+/**
+ * The task `usage`: its holder finalizes the counts of each window as a row of
+ * the store that is created only if there is none, and sends exactly that row
+ * to the platform until it is accepted. Each renewal of the lease writes a
+ * checkpoint of the windows that are not final.
+ */
+import {
+  UsageSchedule,
+  WINDOW_ROW_RETENTION_MS,
+  computeWindowEnd,
+  type UsageTimes,
+} from '@irisdock/decisions';
+import type {Logger} from '@irisdock/kernel';
+import type {PlatformApi, UsageReport} from '../model/platform_api.js';
+import type {HeldLease, SingletonTask} from '../model/singleton_task.js';
+import type {RowChange, TableRow} from '../model/table_store.js';
+import {
+  decodeUsageReport,
+  decodeUsageState,
+  formatWindowKey,
+  parseWindowKey,
+  USAGE_STATE_KEY,
+  type UsageState,
+} from '../model/usage_state.js';
+import type {UsageExchange} from './usage_exchange.js';
+import type {UsageMetrics} from './usage_metrics.js';
+
+/**
+ * How long a new holder waits for the counts of the other hosts before it
+ * finalizes a window, in ms: two intervals in which hosts send changes.
+ */
+const SETTLE_MS = 600;
+/** The pause after a row could not be written, in ms. */
+const WRITE_PAUSE_MS = 500;
+/** How long after the first request for counts it is repeated, in ms. */
+const REPEAT_REQUEST_MS = 250;
+/** The shortest time between requests when the hosts change, in ms. */
+const REQUEST_INTERVAL_MS = 2000;
+/** The maximum number of rows that are deleted with one write. */
+const MAX_DELETED_ROWS = 20;
+
+/** Dependencies of the task. */
+export interface UsageTaskParts {
+  readonly exchange: Pick<
+    UsageExchange,
+    'acceptOwnCounts' | 'getTime' | 'pollCounts' | 'startWindow' | 'totals'
+  >;
+  readonly api: Pick<PlatformApi, 'reportUsage'>;
+  readonly times: UsageTimes;
+  /** Changes whenever the live hosts do. */
+  readonly getHostsHash: () => number;
+  readonly metrics: UsageMetrics;
+  readonly log: Logger;
+}
+
+/** Reports usage while this host holds the lease. */
+export class UsageTask implements SingletonTask {
+  readonly name = 'usage';
+  private schedule: UsageSchedule | undefined;
+  private isStarted = false;
+  /** The windows whose rows are known to exist. */
+  private readonly rows = new Set<number>();
+  private readonly sent = new Set<number>();
+  /** Before this time no window is finalized, in ms since 1970. */
+  private finalizeFrom = -Infinity;
+  private requestedAt = -Infinity;
+  private hostsHash: number | undefined;
+  private isRequestRepeated = true;
+
+  constructor(private readonly parts: UsageTaskParts) {}
+
+  /** The reports that are final and not accepted, a count. */
+  get unsentCount(): number {
+    return this.isStarted ? (this.schedule?.unsentWindows.length ?? 0) : 0;
+  }
+
+  async start(lease: HeldLease): Promise<boolean> {
+    this.isStarted = false;
+    const loaded = await lease.load('');
+    if (loaded.isErr()) {
+      this.writeStoreFailure('The state of usage reports was not read.', {
+        error: loaded.error.kind,
+      });
+      return false;
+    }
+    const state = this.findState(loaded.value);
+    if (state !== undefined) this.parts.exchange.totals.setCheckpoint(state);
+    this.schedule = this.createSchedule(loaded.value, state);
+    this.pollHosts(this.schedule.nextWindow);
+    this.isRequestRepeated = false;
+    this.finalizeFrom = this.parts.exchange.getTime() + SETTLE_MS;
+    this.isStarted = true;
+    this.parts.log.writeInfo('This host reports usage.', {
+      fence: lease.fence,
+      nextWindow: this.schedule.nextWindow,
+      unsent: this.schedule.unsentWindows.join(),
+    });
+    return true;
+  }
+
+  async step(lease: HeldLease): Promise<void> {
+    const {schedule} = this;
+    if (schedule === undefined || !this.isStarted) return;
+    this.pollAgain(schedule.nextWindow);
+    await this.finalizeDue(lease, schedule);
+    if (lease.isHeld) await this.sendDue(lease, schedule);
+  }
+
+  listRenewalChanges(): readonly RowChange[] {
+    const {schedule, isStarted} = this;
+    // Another holder may have written the state since this host's last tenure.
+    if (schedule === undefined || !isStarted) return [];
+    const {exchange} = this.parts;
+    const {nextWindow: next, unsentWindows: unsent} = schedule;
+    exchange.acceptOwnCounts();
+    const checkpoint = exchange.totals.createCheckpoint(
+      next,
+      exchange.getTime(),
+    );
+    const state: UsageState = {
+      takenAt: checkpoint.takenAt,
+      next,
+      unsent,
+      windows: {...checkpoint.windows},
+    };
+    return [{key: USAGE_STATE_KEY, value: JSON.stringify(state)}];
+  }
+
+  stop(): void {
+    this.isStarted = false;
+  }
+
+  /** Asks again as the first request may be lost, and when hosts change. */
+  private pollAgain(fromWindow: number): void {
+    const {exchange, getHostsHash} = this.parts;
+    const elapsedMs = exchange.getTime() - this.requestedAt;
+    const isRepeat = !this.isRequestRepeated && elapsedMs >= REPEAT_REQUEST_MS;
+    const hasChanged = getHostsHash() !== this.hostsHash;
+    const isDue = hasChanged && elapsedMs >= REQUEST_INTERVAL_MS;
+    if (!isRepeat && !isDue) return;
+    this.isRequestRepeated = true;
+    this.pollHosts(fromWindow);
+  }
+
+  private pollHosts(fromWindow: number): void {
+    const {exchange, getHostsHash} = this.parts;
+    this.requestedAt = exchange.getTime();
+    this.hostsHash = getHostsHash();
+    exchange.pollCounts(fromWindow);
+  }
+
+  private findState(rows: readonly TableRow[]): UsageState | undefined {
+    const row = rows.find(({key}) => key === USAGE_STATE_KEY);
+    if (row?.value === undefined) return undefined;
+    const decoded = decodeUsageState(row.value);
+    if (decoded.isOk()) return decoded.value;
+    this.writeRowFault(row.key, decoded.error);
+    return undefined;
+  }
+
+  private createSchedule(
+    rows: readonly TableRow[],
+    state: UsageState | undefined,
+  ): UsageSchedule {
+    const {exchange, times} = this.parts;
+    const {startWindow, totals} = exchange;
+    const first = Math.min(
+      startWindow,
+      totals.findFirstWindow() ?? startWindow,
+    );
+    // A row that vanished with a restored store may have been reported.
+    const known = this.schedule?.nextWindow ?? -Infinity;
+    const next = Math.max(known, state?.next ?? first);
+    const schedule = new UsageSchedule(times, next);
+    for (const row of rows) this.addRow(schedule, row, state);
+    return schedule;
+  }
+
+  private addRow(
+    schedule: UsageSchedule,
+    {key, value}: TableRow,
+    state: UsageState | undefined,
+  ): void {
+    const window = parseWindowKey(key);
+    if (window === undefined || value === undefined) return;
+    this.rows.add(window);
+    const isUnsent =
+      state === undefined ||
+      window >= state.next ||
+      state.unsent.includes(window);
+    schedule.addFinal(window, undefined);
+    if (!isUnsent || this.sent.has(window)) return;
+    const decoded = decodeUsageReport(value);
+    if (decoded.isOk() && decoded.value.window === window) {
+      schedule.addFinal(window, decoded.value);
+    } else {
+      this.writeRowFault(key, decoded.isErr() ? decoded.error : 'its window');
+    }
+  }
+
+  private async finalizeDue(
+    lease: HeldLease,
+    schedule: UsageSchedule,
+  ): Promise<void> {
+    const {exchange, metrics, log} = this.parts;
+    const now = exchange.getTime();
+    if (now < this.finalizeFrom) return;
+    const step = schedule.decideWindow(now);
+    if (step?.kind === 'skip') {
+      const count = schedule.applySkip(now);
+      metrics.windows.inc({result: 'missing'}, count);
+      const {window} = step;
+      log.writeWarning('Windows were too old to be reported.', {window, count});
+    }
+    if (step?.kind !== 'finalize') return;
+    await this.finalize(lease, schedule, step.window);
+  }
+
+  private async finalize(
+    lease: HeldLease,
+    schedule: UsageSchedule,
+    window: number,
+  ): Promise<void> {
+    const {exchange} = this.parts;
+    exchange.acceptOwnCounts();
+    const counts = {...exchange.totals.computeTotals(window)};
+    const report: UsageReport = {window, counts};
+    const key = formatWindowKey(window);
+    const expired = this.listExpiredRows();
+    const deletions = expired.map((one) => ({
+      key: formatWindowKey(one),
+      value: undefined,
+    }));
+    const saved = await lease.save(
+      [{key, value: JSON.stringify(report)}, ...deletions],
+      [{key, revision: 0}],
+    );
+    if (saved.isOk()) {
+      for (const one of expired) this.rows.delete(one);
+      this.rows.add(window);
+      schedule.addFinal(window, report);
+      return;
+    }
+    const {kind} = saved.error;
+    this.finalizeFrom = exchange.getTime() + WRITE_PAUSE_MS;
+    this.writeStoreFailure('A window was not written.', {window, error: kind});
+    // An earlier write without an answer may have created the row.
+    if (kind === 'store_conflict') await this.readBack(lease, schedule, key);
+  }
+
+  private async readBack(
+    lease: HeldLease,
+    schedule: UsageSchedule,
+    key: string,
+  ): Promise<void> {
+    if (!lease.isHeld) return;
+    const loaded = await lease.load(key);
+    if (loaded.isErr()) return;
+    for (const row of loaded.value) this.addRow(schedule, row, undefined);
+  }
+
+  private listExpiredRows(): number[] {
+    const {exchange, times} = this.parts;
+    const oldest = exchange.getTime() - WINDOW_ROW_RETENTION_MS;
+    const expired = [...this.rows].filter(
+      (window) => computeWindowEnd(window, times.windowMs) < oldest,
+    );
+    return expired.slice(0, MAX_DELETED_ROWS);
+  }
+
+  private async sendDue(
+    lease: HeldLease,
+    schedule: UsageSchedule,
+  ): Promise<void> {
+    const {exchange, api, metrics, log} = this.parts;
+    for (const window of schedule.dropExpired(exchange.getTime())) {
+      log.writeWarning('A report was never accepted.', {window});
+    }
+    const report = schedule.chooseReport(exchange.getTime());
+    if (report === undefined) return;
+    const {window} = report;
+    const body = {window, counts: {...report.counts}};
+    const outcome = await lease.sendCall((authority) =>
+      api.reportUsage(authority, body),
+    );
+    const now = exchange.getTime();
+    metrics.calls.inc({outcome: outcome.kind});
+    if (outcome.kind !== 'accepted') {
+      schedule.recordFailure(now);
+      log.writeInfo('A usage report was not accepted.', {window, ...outcome});
+      return;
+    }
+    const result = schedule.isLate(window, now) ? 'late' : 'sent';
+    schedule.recordSent(window);
+    this.recordSent(window);
+    metrics.windows.inc({result});
+    log.writeInfo('A usage report was accepted.', {window, result});
+  }
+
+  private recordSent(window: number): void {
+    const {exchange, times} = this.parts;
+    this.sent.add(window);
+    const oldest = exchange.getTime() - 2 * WINDOW_ROW_RETENTION_MS;
+    for (const one of this.sent) {
+      if (computeWindowEnd(one, times.windowMs) < oldest) this.sent.delete(one);
+    }
+  }
+
+  private writeStoreFailure(
+    message: string,
+    fields: Readonly<Record<string, string | number>>,
+  ): void {
+    this.parts.log.writeWarning(message, fields);
+  }
+
+  private writeRowFault(key: string, fault: string): void {
+    const message = 'A row of usage reports is not readable.';
+    this.parts.log.writeWarning(message, {key, fault});
+  }
+}
--- a/packages/gateway/src/serving/attempt_run.ts
+++ b/packages/gateway/src/serving/attempt_run.ts
@@ -220,11 +220,15 @@
   private passToCaller(
     events: readonly ServerSentEvent[],
   ): Promise<void> | undefined {
-    const {sink, report, evidence, version} = this.parts;
+    const {sink, report, evidence, version, serving, request} = this.parts;
     const {endpoint} = this.plan;
     const {lastEventId} = sink;
     const nextId = events[0]?.id;
     const isFirst = report.recordEvents(this.plan, lastEventId, nextId);
+    // A stream that another host began has events already.
+    if (isFirst && lastEventId === undefined && !sink.isStarted) {
+      serving.begunRequests.recordStream(request.team);
+    }
     if (isFirst) {
       endpoint.recordSuccess(undefined);
       evidence.recordFirstEvent(endpoint, this.sentAt);
--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -178,6 +178,8 @@
     const claim: UseClaim = {running: 1, unreadTokens: 0, expectedTokens: 0};
     endpoint.addClaim(claim);
     const sentAt = this.parts.clock.getNow();
+    const sentCall = this.parts.begunRequests.startCall(team);
+    let mayHaveRun = true;
     try {
       const answer = await this.parts.client.send({
         permit,
@@ -195,8 +197,12 @@
         body,
         signal: exchange.signal,
       });
-      if (answer.kind === 'lost') return answer;
+      if (answer.kind === 'lost') {
+        ({mayHaveRun} = answer);
+        return answer;
+      }
       const result = await this.readAnswer(endpoint, answer, requestId);
+      mayHaveRun = result.kind !== 'refused';
       if (result.kind !== 'lost') {
         const ms = this.parts.clock.getNow() - sentAt;
         endpoint.recordSuccess(ms);
@@ -204,6 +210,7 @@
       }
       return result;
     } finally {
+      sentCall.finish(mayHaveRun);
       endpoint.releaseClaim(claim);
     }
   }
--- a/packages/gateway/src/serving/serving_parts.ts
+++ b/packages/gateway/src/serving/serving_parts.ts
@@ -4,6 +4,7 @@
 import type {KvCacheCopyCodec, HeaderCodec} from '../model/request_metadata.js';
 import type {GatewayConfiguration} from '../services/configuration.js';
 import type {GatewayEndpoints} from '../services/gateway_endpoints.js';
+import type {BegunRequests} from './begun_requests.js';
 import type {CrashRecords} from './crash_records.js';
 import type {EndpointPaths} from './endpoint_paths.js';
 import type {EngineClient} from './engine_client.js';
@@ -41,6 +42,7 @@
   readonly relay: RequestRelay;
   readonly lostRuns: LostRuns;
   readonly metrics: ServingMetrics;
+  readonly begunRequests: BegunRequests;
 }
 
 /** The number of distinct values of a random fraction. */
