--- a/packages/gateway/src/services/usage_task.ts
+++ b/packages/gateway/src/services/usage_task.ts
@@ -102,7 +102,7 @@
     const {schedule} = this;
     if (schedule === undefined || !this.isStarted) return;
     this.pollAgain(schedule.nextWindow);
-    await this.finalizeDue(lease, schedule);
+    await this.bindDue(lease, schedule);
     if (lease.isHeld) await this.sendDue(lease, schedule);
   }
 
@@ -198,7 +198,7 @@
     }
   }
 
-  private async finalizeDue(
+  private async bindDue(
     lease: HeldLease,
     schedule: UsageSchedule,
   ): Promise<void> {
@@ -213,10 +213,10 @@
       log.writeWarning('Windows were too old to be reported.', {window, count});
     }
     if (step?.kind !== 'finalize') return;
-    await this.finalize(lease, schedule, step.window);
+    await this.bindWindow(lease, schedule, step.window);
   }
 
-  private async finalize(
+  private async bindWindow(
     lease: HeldLease,
     schedule: UsageSchedule,
     window: number,
--- a/packages/gateway/src/serving/begun_requests.ts
+++ b/packages/gateway/src/serving/begun_requests.ts
@@ -4,6 +4,7 @@
  * left out.
  */
 import type {Clock} from '@irisdock/kernel';
+import type {PlainAnswerResult} from './plain_answer_reader.js';
 
 /**
  * A plain call without an answer counts after this time, in ms, so that a long
@@ -15,14 +16,6 @@
 /** Receives the team and the time of a request on the monotonic clock. */
 export type BegunListener = (team: string, at: number) => void;
 
-/** A plain call that was sent to an endpoint. */
-export interface SentCall {
-  /** Counts the call if it may have run, unless it is counted. */
-  finish(mayHaveRun: boolean): void;
-}
-
-const UNCOUNTED_CALL: SentCall = {finish: () => undefined};
-
 /** Records begun requests; does nothing without a listener. */
 export class BegunRequests {
   listener: BegunListener | undefined;
@@ -34,22 +27,31 @@
     if (team !== undefined) this.listener?.(team, this.clock.getNow());
   }
 
-  /** Starts to watch a plain call that is being sent. */
-  startCall(team: string | undefined): SentCall {
+  /** Runs a plain call, and counts it if it may have run. */
+  async watchCall(
+    team: string | undefined,
+    send: () => Promise<PlainAnswerResult>,
+  ): Promise<PlainAnswerResult> {
     const {listener} = this;
-    if (listener === undefined || team === undefined) return UNCOUNTED_CALL;
+    if (listener === undefined || team === undefined) return send();
     const sentAt = this.clock.getNow();
     let isCounted = false;
-    const record = (): void => {
+    const count = (): void => {
       if (!isCounted) listener(team, sentAt);
       isCounted = true;
     };
-    const timer = setTimeout(record, LONG_CALL_MS);
-    return {
-      finish(mayHaveRun) {
-        clearTimeout(timer);
-        if (mayHaveRun) record();
-      },
-    };
+    const timer = setTimeout(count, LONG_CALL_MS);
+    try {
+      const result = await send();
+      if (hasPossiblyRun(result)) count();
+      return result;
+    } finally {
+      clearTimeout(timer);
+    }
   }
 }
+
+function hasPossiblyRun(result: PlainAnswerResult): boolean {
+  if (result.kind === 'refused') return false;
+  return result.kind === 'whole' || result.mayHaveRun;
+}
--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -78,7 +78,7 @@
   private async runSends(): Promise<string> {
     const {signal} = this.request.exchange;
     const {service} = this;
-    const {paths, client} = this.parts;
+    const {paths, client, begunRequests} = this.parts;
     for (;;) {
       if (paths.isPartitioned(service)) {
         const outcome = await this.sendRelayed();
@@ -102,7 +102,10 @@
         this.excluded.add(endpoint.instanceId);
         continue;
       }
-      const result = await this.send(endpoint, permit);
+      const {team} = this.request;
+      const result = await begunRequests.watchCall(team, () =>
+        this.send(endpoint, permit),
+      );
       if (this.request.exchange.hasDisconnected()) return 'left';
       this.recordResult(endpoint, result);
       await this.checkEndpointExit(endpoint, result);
@@ -178,8 +181,6 @@
     const claim: UseClaim = {running: 1, unreadTokens: 0, expectedTokens: 0};
     endpoint.addClaim(claim);
     const sentAt = this.parts.clock.getNow();
-    const sentCall = this.parts.begunRequests.startCall(team);
-    let mayHaveRun = true;
     try {
       const answer = await this.parts.client.send({
         permit,
@@ -197,12 +198,8 @@
         body,
         signal: exchange.signal,
       });
-      if (answer.kind === 'lost') {
-        ({mayHaveRun} = answer);
-        return answer;
-      }
+      if (answer.kind === 'lost') return answer;
       const result = await this.readAnswer(endpoint, answer, requestId);
-      mayHaveRun = result.kind !== 'refused';
       if (result.kind !== 'lost') {
         const ms = this.parts.clock.getNow() - sentAt;
         endpoint.recordSuccess(ms);
@@ -210,7 +207,6 @@
       }
       return result;
     } finally {
-      sentCall.finish(mayHaveRun);
       endpoint.releaseClaim(claim);
     }
   }
