--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -76,8 +76,8 @@
   }
 
   private async runSends(): Promise<string> {
-    const {signal} = this.request.exchange;
-    const {service} = this;
+    const {request, service} = this;
+    const {signal} = request.exchange;
     const {paths, client, begunRequests} = this.parts;
     for (;;) {
       if (paths.isPartitioned(service)) {
@@ -102,14 +102,13 @@
         this.excluded.add(endpoint.instanceId);
         continue;
       }
-      const {team} = this.request;
-      const result = await begunRequests.watchCall(team, () =>
+      const result = await begunRequests.watchCall(request.team, () =>
         this.send(endpoint, permit),
       );
-      if (this.request.exchange.hasDisconnected()) return 'left';
+      if (request.exchange.hasDisconnected()) return 'left';
       this.recordResult(endpoint, result);
       await this.checkEndpointExit(endpoint, result);
-      if (this.request.exchange.isExpired) return this.finishExpired();
+      if (request.exchange.isExpired) return this.finishExpired();
       if (!this.isRetryAllowed(result)) return this.finish();
       await checkPath(this.parts, service, result);
     }
