--- a/packages/decisions/src/usage_window.ts
+++ b/packages/decisions/src/usage_window.ts
@@ -3,7 +3,9 @@
  * them. Windows are numbered from the start of 1970 in true time. Wall clocks
  * of hosts step by seconds, so a host takes its monotonic clock plus the median
  * of the recent differences between both clocks: a step that lasts for less
- * than half of the samples does not move its windows.
+ * than half of the samples does not move its windows. A host that collects the
+ * counts of others corrects its time by the median of their times, so that it
+ * does not finalize windows early when its own clock is wrong for longer.
  */
 
 /** Samples of the last minute, at one a second. */
@@ -19,6 +21,9 @@
   return (window + 1) * windowMs;
 }
 
+/** The age at which the time of another host is forgotten, in ms. */
+const MAX_HOST_TIME_AGE_MS = 60_000;
+
 /** Estimates true time from the wall clock and the monotonic clock. */
 export class ClockFilter {
   /** Differences between wall and monotonic clock in ms, oldest first. */
@@ -29,8 +34,7 @@
   addSample(wallMs: number, monotonicMs: number): void {
     this.offsets.push(wallMs - monotonicMs);
     if (this.offsets.length > MAX_CLOCK_SAMPLES) this.offsets.shift();
-    const sorted = [...this.offsets].sort((a, b) => a - b);
-    this.offsetMs = sorted[(sorted.length - 1) >> 1] ?? 0;
+    this.offsetMs = computeMedian(this.offsets);
   }
 
   /** Converts a reading of the monotonic clock to ms since 1970. */
@@ -38,3 +42,30 @@
     return monotonicMs + this.offsetMs;
   }
 }
+
+/** Compares the times of other hosts with the time of this host. */
+export class HostTimes {
+  private readonly differences = new Map<string, {ms: number; at: number}>();
+
+  /** Takes the time of a host when it arrives, both in ms since 1970. */
+  accept(host: string, hostTimeMs: number, ownTimeMs: number): void {
+    this.differences.set(host, {ms: hostTimeMs - ownTimeMs, at: ownTimeMs});
+  }
+
+  /** Computes by how much most hosts are ahead of this one, in ms. */
+  computeCorrection(ownTimeMs: number): number {
+    // The difference of this host to itself.
+    const recent = [0];
+    for (const [host, {ms, at}] of this.differences) {
+      const isOld = Math.abs(ownTimeMs - at) > MAX_HOST_TIME_AGE_MS;
+      if (isOld) this.differences.delete(host);
+      else recent.push(ms);
+    }
+    return computeMedian(recent);
+  }
+}
+
+function computeMedian(values: readonly number[]): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  return sorted[(sorted.length - 1) >> 1] ?? 0;
+}
--- /dev/null
+++ b/packages/decisions/tests/usage_reports.test.ts
@@ -0,0 +1,112 @@
+/** Windows, totals and the order of usage reports. */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  ClockFilter,
+  HostTimes,
+  MAX_FIRST_REPORT_AGE_MS,
+  UsageCounts,
+  UsageSchedule,
+  UsageTotals,
+  type WindowCount,
+} from '@irisdock/decisions';
+
+const TIMES = {windowMs: 5000, finalizeMs: 2000, delayMs: 10_000};
+
+function createCounts(window: number, count: number): WindowCount[] {
+  return [{window, team: 'first', count}];
+}
+
+describe('the time of usage reports', () => {
+  // Requests would be assigned to the windows of another time.
+  it('does not follow a step of the wall clock of half a minute', () => {
+    const filter = new ClockFilter();
+    for (let second = 0; second < 120; second++) {
+      const stepMs = second >= 90 ? 2000 : 0;
+      filter.addSample(1_000_000 + 1000 * second + stepMs, 1000 * second);
+    }
+    assert.equal(filter.getTime(0), 1_000_000);
+  });
+
+  // A holder whose clock is ahead would finalize before the counts arrive.
+  it('is corrected by the times of most hosts', () => {
+    const times = new HostTimes();
+    for (const host of ['a', 'b', 'c']) times.accept(host, 8000, 10_000);
+    times.accept('late', 3000, 10_000);
+    assert.equal(times.computeCorrection(10_000), -2000);
+    assert.equal(times.computeCorrection(80_000), 0);
+  });
+});
+
+describe('the totals of all hosts', () => {
+  it('count a repeated or overtaken report once', () => {
+    const totals = new UsageTotals();
+    for (const count of [2, 5, 3, 5]) {
+      const counts = createCounts(7, count);
+      totals.accept({host: 'a', incarnation: 1, counts});
+    }
+    totals.accept({host: 'a', incarnation: 2, counts: createCounts(7, 4)});
+    totals.accept({host: 'b', incarnation: 1, counts: createCounts(7, 1)});
+    assert.deepEqual(totals.computeTotals(7), {first: 10});
+    assert.deepEqual(totals.computeTotals(8), {});
+  });
+
+  // Counts of lost hosts would be left out, or counts of live ones doubled.
+  it('build on a checkpoint of an earlier holder', () => {
+    const totals = new UsageTotals();
+    const windows = {7: {first: 10, second: 3}};
+    totals.setCheckpoint({takenAt: 100, windows});
+    totals.accept({host: 'a', incarnation: 50, counts: createCounts(7, 4)});
+    assert.deepEqual(totals.computeTotals(7), {first: 10, second: 3});
+    totals.accept({host: 'b', incarnation: 50, counts: createCounts(7, 8)});
+    totals.accept({host: 'b', incarnation: 150, counts: createCounts(7, 2)});
+    assert.deepEqual(totals.computeTotals(7), {first: 14, second: 3});
+    const later = new UsageTotals();
+    later.setCheckpoint(totals.createCheckpoint(7, 200));
+    assert.deepEqual(later.computeTotals(7), {first: 14, second: 3});
+  });
+});
+
+describe('the counts of a host', () => {
+  // Otherwise one lost datagram would leave the last requests out.
+  it('are sent twice after each change and after the window', () => {
+    const counts = new UsageCounts();
+    counts.add(7, 'first');
+    counts.add(7, 'first');
+    assert.deepEqual(counts.takeDue(), createCounts(7, 2));
+    assert.deepEqual(counts.takeDue(), createCounts(7, 2));
+    assert.deepEqual(counts.takeDue(), []);
+    counts.markChanged(7);
+    assert.deepEqual(counts.takeDue(), createCounts(7, 2));
+  });
+});
+
+describe('the schedule of usage reports', () => {
+  it('finalizes windows in order and skips those that are too old', () => {
+    const schedule = new UsageSchedule(TIMES, 10);
+    assert.equal(schedule.decideWindow(56_999), undefined);
+    const window = 10;
+    assert.deepEqual(schedule.decideWindow(57_000), {kind: 'finalize', window});
+    const now = 55_001 + MAX_FIRST_REPORT_AGE_MS;
+    assert.deepEqual(schedule.decideWindow(now), {kind: 'skip', window});
+    assert.equal(schedule.applySkip(now), 1);
+    assert.equal(schedule.decideWindow(now)?.kind, 'finalize');
+  });
+
+  // After an outage, a late report would make the next ones late too.
+  it('sends reports that are still in time first, and pauses', () => {
+    const schedule = new UsageSchedule(TIMES, 0);
+    for (const window of [0, 1, 2]) {
+      schedule.addFinal(window, {window, counts: {}});
+    }
+    assert.equal(schedule.nextWindow, 3);
+    const now = 18_000;
+    assert.equal(schedule.chooseReport(now)?.window, 1);
+    schedule.recordFailure(now);
+    assert.equal(schedule.chooseReport(now + 249), undefined);
+    assert.equal(schedule.chooseReport(now + 250)?.window, 1);
+    schedule.recordSent(1);
+    schedule.recordSent(2);
+    assert.equal(schedule.chooseReport(now)?.window, 0);
+  });
+});
--- a/packages/gateway/src/model/begun_datagram.ts
+++ b/packages/gateway/src/model/begun_datagram.ts
@@ -10,6 +10,8 @@
   readonly kind: 'begun-report';
   readonly name: string;
   readonly incarnation: number;
+  /** The sender's time, in ms since 1970. */
+  readonly time: number;
   readonly counts: readonly WindowCount[];
 }
 
@@ -30,15 +32,16 @@
     kind: 'begun-report',
     name: fields.readString(),
     incarnation: readInteger(fields),
+    time: readInteger(fields),
     counts: fields.readList(readCount),
   };
 }
 
 /** Encodes a report as a tuple, without the kind. */
 export function encodeBegunReport(report: BegunReportDatagram): unknown[] {
-  const {name, incarnation, counts} = report;
+  const {name, incarnation, time, counts} = report;
   const encoded = counts.map(({window, team, count}) => [window, team, count]);
-  return [name, incarnation, encoded];
+  return [name, incarnation, Math.round(time), encoded];
 }
 
 /** Reads the fields of a request, without the kind. */
--- a/packages/gateway/src/services/usage_exchange.ts
+++ b/packages/gateway/src/services/usage_exchange.ts
@@ -8,6 +8,7 @@
   ClockFilter,
   computeWindow,
   computeWindowEnd,
+  HostTimes,
   MAX_FIRST_REPORT_AGE_MS,
   UsageCounts,
   UsageTotals,
@@ -54,6 +55,8 @@
   readonly startWindow: number;
   private readonly counts = new UsageCounts();
   private readonly filter = new ClockFilter();
+  private readonly hostTimes = new HostTimes();
+  private correctionMs = 0;
   private sampledAt = -Infinity;
   private holder: string | undefined;
   /** The first window whose counts were not sent after its end. */
@@ -67,13 +70,12 @@
 
   /** Returns the time in ms since 1970, which steps of the clock don't move. */
   getTime(): number {
-    return this.filter.getTime(this.parts.clock.getNow());
+    return this.toTime(this.parts.clock.getNow());
   }
 
   /** Counts a request that began at a time of the monotonic clock. */
   recordBegun(team: string, at: number): void {
-    const timeMs = this.filter.getTime(at);
-    this.counts.add(computeWindow(timeMs, this.parts.windowMs), team);
+    this.counts.add(computeWindow(this.toTime(at), this.parts.windowMs), team);
   }
 
   /** Samples the clocks, sends what changed, and drops old windows. */
@@ -99,7 +101,9 @@
   }
 
   acceptBegunReport(report: BegunReportDatagram): void {
-    const {name: host, incarnation, counts} = report;
+    const {name: host, incarnation, time, counts} = report;
+    const ownTime = this.filter.getTime(this.parts.clock.getNow());
+    this.hostTimes.accept(host, time, ownTime);
     this.totals.accept({host, incarnation, counts});
   }
 
@@ -125,10 +129,13 @@
   ): void {
     this.acceptOwn(counts);
     if (names.length === 0) return;
-    const {name, incarnation, peers} = this.parts;
+    const {name, incarnation, peers, clock} = this.parts;
+    // Without the correction, which the times of these hosts have caused.
+    const time = this.filter.getTime(clock.getNow());
+    const sender = {name, incarnation, time};
     for (const part of splitCounts(counts)) {
       const kind = 'begun-report';
-      peers.sendToNames(names, {kind, name, incarnation, counts: part});
+      peers.sendToNames(names, {kind, ...sender, counts: part});
     }
   }
 
@@ -138,6 +145,12 @@
     if (now - this.sampledAt < CLOCK_SAMPLE_MS) return;
     this.sampledAt = now;
     this.filter.addSample(clock.getWallNow(), now);
+    const ownTime = this.filter.getTime(now);
+    this.correctionMs = this.hostTimes.computeCorrection(ownTime);
+  }
+
+  private toTime(monotonicMs: number): number {
+    return this.filter.getTime(monotonicMs) + this.correctionMs;
   }
 
   private markEnded(): void {
