Test usage reports under the loss of holders and hosts

Hosts, a store and an API in simulated time fail at each step. The checkpoint took a process that started at its very time for one that it contained.

--- a/packages/decisions/src/usage_totals.ts
+++ b/packages/decisions/src/usage_totals.ts
@@ -66,7 +66,7 @@
     const earlier = new Map<string, number>();
     const later = new Map<string, number>();
     for (const {incarnation, windows} of this.reports.values()) {
-      const isLater = incarnation > this.checkpoint.takenAt;
+      const isLater = incarnation >= this.checkpoint.takenAt;
       addCounts(isLater ? later : earlier, windows.get(window));
     }
     const stored = this.checkpoint.windows[window] ?? {};
--- /dev/null
+++ b/packages/gateway/tests/usage_reports.test.ts
@@ -0,0 +1,179 @@
+/** Usage reports of a few hosts under failures, in simulated time. */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {SeededRandom, type Random} from '@irisdock/kernel';
+import {
+  UsageFleet,
+  type CallFault,
+  type WriteFault,
+} from './fixtures/usage_fleet.js';
+
+const HOSTS = ['a', 'b', 'c', 'd'];
+const TEAMS = ['first', 'second'];
+const SEED = 20_261_204;
+const RUNS = 60;
+const FAULTS = ['late', 'none', 'rejected', 'unanswered'] as const;
+
+/** Starts hosts of which the first reports usage. */
+async function startFleet(): Promise<UsageFleet> {
+  const fleet = new UsageFleet(HOSTS);
+  await fleet.acquire('a');
+  return fleet;
+}
+
+function beginRequests(fleet: UsageFleet, count: number): void {
+  for (let i = 0; i < count; i++) {
+    fleet.beginRequest(HOSTS[i % HOSTS.length] ?? '', 'first');
+  }
+}
+
+/** Lets the first window end, and all reports that are due be sent. */
+async function runToFirstReport(fleet: UsageFleet): Promise<void> {
+  await fleet.run(10_000);
+}
+
+describe('usage reports', () => {
+  it('are exact and sent for each window, also without requests', async () => {
+    const fleet = await startFleet();
+    beginRequests(fleet, 10);
+    await fleet.run(6000);
+    beginRequests(fleet, 3);
+    await fleet.run(17_000);
+    assert.deepEqual(fleet.listReports(), [{first: 10}, {first: 3}, {}, {}]);
+  });
+
+  // Each loss of the holder could give a window two bodies or none.
+  const steps: readonly (readonly [string, WriteFault, CallFault])[] = [
+    ['before the window is final', 'rejected', 'none'],
+    ['after a write without an answer', 'unanswered', 'none'],
+    ['while its write is on its way', 'late', 'none'],
+    ['after a call without an answer', 'none', 'unanswered'],
+    ['while its call is on its way', 'none', 'late'],
+  ];
+  for (const [step, writeFault, callFault] of steps) {
+    for (const isLateFirst of [true, false]) {
+      const order = isLateFirst ? 'before' : 'after';
+      it(`keep one body if the holder is lost ${step}, ${order}`, async () => {
+        const fleet = await startFleet();
+        beginRequests(fleet, 10);
+        // The last step before the first window is made final.
+        await fleet.run(6950);
+        fleet.writeFault = writeFault;
+        fleet.callFault = callFault;
+        await fleet.run(50);
+        fleet.hosts.delete('a');
+        if (isLateFirst) fleet.applyLate();
+        await fleet.acquire('b');
+        fleet.applyLate();
+        await fleet.run(3000);
+        assert.deepEqual(fleet.listContradictions(), []);
+        assert.deepEqual(fleet.listReports()[0], {first: 10});
+      });
+    }
+  }
+
+  // The new processes know nothing of the requests before the loss.
+  it('contain the checkpoint after all hosts were lost', async () => {
+    const fleet = await startFleet();
+    beginRequests(fleet, 10);
+    await fleet.run(2000);
+    for (const name of HOSTS) fleet.startHost(name);
+    await fleet.run(1000);
+    await fleet.acquire('c');
+    beginRequests(fleet, 5);
+    await runToFirstReport(fleet);
+    assert.deepEqual(fleet.listReports()[0], {first: 15});
+  });
+
+  it('lose only what a killed host had not sent yet', async () => {
+    const fleet = await startFleet();
+    beginRequests(fleet, 8);
+    await fleet.run(300);
+    fleet.beginRequest('d', 'first');
+    fleet.startHost('d');
+    fleet.beginRequest('d', 'first');
+    await runToFirstReport(fleet);
+    assert.deepEqual(fleet.listReports()[0], {first: 9});
+  });
+
+  // A step would move the requests of the host to another window.
+  it('are exact when the clocks of hosts step', async () => {
+    const fleet = await startFleet();
+    await fleet.run(4000);
+    for (const name of ['a', 'd']) {
+      const host = fleet.hosts.get(name);
+      if (host !== undefined) host.stepMs = 2000;
+    }
+    beginRequests(fleet, 10);
+    await fleet.run(500);
+    beginRequests(fleet, 10);
+    await runToFirstReport(fleet);
+    assert.deepEqual(fleet.listReports()[0], {first: 20});
+  });
+
+  it('reach a holder that is no candidate', async () => {
+    const fleet = await startFleet();
+    beginRequests(fleet, 6);
+    await fleet.run(1000);
+    await fleet.acquire('d');
+    beginRequests(fleet, 5);
+    await runToFirstReport(fleet);
+    assert.deepEqual(fleet.listReports()[0], {first: 11});
+  });
+
+  it('have one body for ever, and are exact without a loss', async () => {
+    for (let run = 0; run < RUNS; run++) {
+      const random = new SeededRandom(SEED + run);
+      const fleet = await startFleet();
+      const hasLosses = run % 2 === 0;
+      for (let i = 0; i < 60; i++) {
+        await runRandomStep(fleet, random, hasLosses);
+      }
+      fleet.applyLate();
+      await fleet.run(15_000);
+      assert.deepEqual(fleet.listContradictions(), [], `run ${run}`);
+      if (!hasLosses) assertExact(fleet, run);
+    }
+  });
+});
+
+async function runRandomStep(
+  fleet: UsageFleet,
+  random: Random,
+  hasLosses: boolean,
+): Promise<void> {
+  const name = HOSTS[random.getInt(HOSTS.length)] ?? '';
+  switch (random.getInt(hasLosses ? 8 : 6)) {
+    case 0:
+      await fleet.acquire(name);
+      break;
+    case 1:
+      fleet.writeFault = FAULTS[random.getInt(FAULTS.length)] ?? 'none';
+      break;
+    case 2:
+      fleet.callFault = FAULTS[random.getInt(FAULTS.length)] ?? 'none';
+      break;
+    case 3:
+      fleet.applyLate();
+      break;
+    case 6:
+      if (name !== fleet.holder) fleet.startHost(name);
+      break;
+    case 7:
+      fleet.startHost(fleet.holder);
+      await fleet.acquire(name);
+      break;
+    default:
+      fleet.beginRequest(name, TEAMS[random.getInt(TEAMS.length)] ?? '');
+  }
+  await fleet.run(50 * random.getInt(30));
+}
+
+/** Each window between the first and the last report has its true counts. */
+function assertExact(fleet: UsageFleet, run: number): void {
+  const windows = [...fleet.accepted.keys()].sort((a, b) => a - b);
+  const [first = 0] = windows;
+  const expected = windows.map((_, i) => fleet.truth.get(first + i) ?? {});
+  assert.deepEqual(fleet.listReports(), expected, `run ${run}`);
+  assert.ok(windows.length > 3, `run ${run} has ${windows.length} windows`);
+}
