--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -76,9 +76,9 @@
   }
 
   private async runSends(): Promise<string> {
-    const {signal} = this.request.exchange;
-    const {service} = this;
-    const {paths, client} = this.parts;
+    const {request, service} = this;
+    const {signal} = request.exchange;
+    const {paths, client, begunRequests} = this.parts;
     for (;;) {
       if (paths.isPartitioned(service)) {
         const outcome = await this.sendRelayed();
@@ -102,11 +102,13 @@
         this.excluded.add(endpoint.instanceId);
         continue;
       }
-      const result = await this.send(endpoint, permit);
-      if (this.request.exchange.hasDisconnected()) return 'left';
+      const result = await begunRequests.watchCall(request.team, () =>
+        this.send(endpoint, permit),
+      );
+      if (request.exchange.hasDisconnected()) return 'left';
       this.recordResult(endpoint, result);
       await this.checkEndpointExit(endpoint, result);
-      if (this.request.exchange.isExpired) return this.finishExpired();
+      if (request.exchange.isExpired) return this.finishExpired();
       if (!this.isRetryAllowed(result)) return this.finish();
       await checkPath(this.parts, service, result);
     }
