--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -42,6 +42,7 @@
 import {RUN_LEASES_SERVICE} from './services/run_leases.js';
 import {STREAM_ORIGINS_SERVICE} from './services/stream_origins.js';
 import {TASKS_SERVICE} from './services/tasks.js';
+import {USAGE_REPORTS_SERVICE} from './services/usage_reports.js';
 import {TABLES_SERVICE} from './tables/tables.js';
 import {SettingsFileWatcher} from './settings_file_watcher.js';
 
@@ -64,6 +65,7 @@
   LIMITS_SERVICE,
   ENDPOINT_NETWORK_SERVICE,
   BEGUN_REQUESTS_SERVICE,
+  USAGE_REPORTS_SERVICE,
   FRONT_SERVICE,
   DIRECTORY_SERVICE,
 ];
--- a/packages/gateway/src/services/tasks.ts
+++ b/packages/gateway/src/services/tasks.ts
@@ -18,6 +18,7 @@
   type TaskRegistry,
   type TaskStore,
 } from '../model/singleton_task.js';
+import {PLATFORM_API} from '../model/platform_api.js';
 import {HOST_PHASE} from './host_phase.js';
 import {HOST_IDENTITY, type HostIdentity} from './identity.js';
 import {PEERS} from './peers.js';
@@ -161,14 +162,16 @@
 export const TASKS_SERVICE = createService({
   key: TASKS,
   settings: SETTINGS,
-  needs: [HOST_IDENTITY, HOST_PHASE, PEERS, STORE],
+  needs: [HOST_IDENTITY, HOST_PHASE, PEERS, PLATFORM_API, STORE],
   create(context, settings) {
     const {clock, log} = context;
     const peers = context.find(PEERS);
     const phase = context.find(HOST_PHASE);
     const metrics = new TaskMetrics(context.metrics);
+    const {requestedTasks} = context.find(PLATFORM_API);
     const api = new Tasks({
-      ...settings,
+      names: [...new Set([...settings.names, ...requestedTasks])],
+      leaseMs: settings.leaseMs,
       identity: context.find(HOST_IDENTITY),
       store: context.find(STORE),
       listHosts: () => peers.listStoreReachingNames(),
