--- a/packages/decisions/src/usage_counts.ts
+++ b/packages/decisions/src/usage_counts.ts
@@ -1,7 +1,8 @@
 /**
  * The requests that endpoints began for one host, by window and team, and which
  * of these counts the host must still send. Counts are cumulative, so that a
- * lost or repeated datagram does no harm, and each change is sent twice.
+ * repeated or overtaken datagram does no harm, and a lost one is made up for by
+ * the next one or by those after the end of the window.
  */
 
 /** Counts of begun requests, by team. */
@@ -14,8 +15,8 @@
   readonly count: number;
 }
 
-/** How often a changed count is sent; twice, as datagrams are lost. */
-const SENDS_PER_CHANGE = 2;
+/** How often the counts of an ended window are sent, as datagrams are lost. */
+const FINAL_SENDS = 2;
 
 interface Entry {
   readonly window: number;
@@ -41,13 +42,13 @@
       teams.set(team, entry);
     }
     entry.count++;
-    entry.sendsLeft = SENDS_PER_CHANGE;
+    entry.sendsLeft = Math.max(entry.sendsLeft, 1);
   }
 
-  /** Makes all counts of a window due again. */
-  markChanged(window: number): void {
+  /** Makes all counts of a window that has ended due again. */
+  markEnded(window: number): void {
     for (const entry of this.windows.get(window)?.values() ?? []) {
-      entry.sendsLeft = SENDS_PER_CHANGE;
+      entry.sendsLeft = FINAL_SENDS;
     }
   }
 
--- a/packages/gateway/src/services/usage_exchange.ts
+++ b/packages/gateway/src/services/usage_exchange.ts
@@ -163,7 +163,7 @@
     );
     this.openWindow = Math.max(this.openWindow, oldest);
     while (computeWindowEnd(this.openWindow, windowMs) <= endedBefore) {
-      this.counts.markChanged(this.openWindow);
+      this.counts.markEnded(this.openWindow);
       this.openWindow++;
     }
   }
