Read scaling of services and spot endpoints

Cause: services may be scaled, and spot endpoints leave at short notice. Change: the configuration's `scaling` and an entry's `spot` and `leaves_ms` are decoded, all optional. A record keeps the earliest announced end of its endpoint; an entry that differs only in the remaining time does not touch the indexes.

--- a/packages/gateway/src/model/endpoint_entry.ts
+++ b/packages/gateway/src/model/endpoint_entry.ts
@@ -22,6 +22,10 @@
   slots: z.number(),
   /** An endpoint that is leaving accepts no new requests. */
   state: z.enum(['ready', 'leaving']),
+  /** Whether the platform may reclaim it at short notice. */
+  isSpot: z.boolean().optional(),
+  /** For a leaving endpoint, the time until it ends, in ms. */
+  leavesMs: z.number().optional(),
 });
 
 /**
--- a/packages/gateway/src/model/serving_configuration.ts
+++ b/packages/gateway/src/model/serving_configuration.ts
@@ -48,6 +48,24 @@
   memoryTokens: z.number(),
   /** Whether a running request's KV cache can be copied to another engine. */
   takesBackups: z.boolean(),
+  /** The number of streams that one engine runs at a time. */
+  slots: z.number().optional(),
+});
+
+/** How a service may be scaled; absent for services of a fixed size. */
+export const SCALING_SCHEMA = z.object({
+  /** The least and the most endpoints of both kinds in a failure domain. */
+  minimum: z.number(),
+  maximum: z.number(),
+  /** The time from an order to the readiness of its endpoints, in ms. */
+  bootMs: z.number(),
+  /**
+   * The price of a spot endpoint relative to an ordinary one; absent when there
+   * is no spot capacity.
+   */
+  spotPrice: z.number().optional(),
+  /** The relative price of an ordinary endpoint, by failure domain. */
+  prices: z.record(z.string(), z.number()),
 });
 
 /** A service: a set of interchangeable endpoints. */
@@ -56,6 +74,7 @@
   /** The connections that one endpoint accepts from all hosts together. */
   connectionLimit: z.number(),
   engine: ENGINE_SCHEMA.optional(),
+  scaling: SCALING_SCHEMA.optional(),
 });
 
 /** A team and the API keys of its callers. */
@@ -89,6 +108,8 @@
 export type ServingService = z.infer<typeof SERVICE_SCHEMA>;
 /** The capabilities of a service's engines. */
 export type EngineCapabilities = z.infer<typeof ENGINE_SCHEMA>;
+/** How a service may be scaled. */
+export type ServiceScaling = z.infer<typeof SCALING_SCHEMA>;
 /** A team. */
 export type ServingTeam = z.infer<typeof TEAM_SCHEMA>;
 /** Limits on the requests of callers. */
--- a/packages/gateway/src/services/endpoints.ts
+++ b/packages/gateway/src/services/endpoints.ts
@@ -36,6 +36,8 @@
       getMemoryTokens: (service) =>
         configuration.findService(service)?.engine?.memoryTokens ??
         UNKNOWN_MEMORY_TOKENS,
+      isScaled: (service) =>
+        configuration.findService(service)?.scaling !== undefined,
       findRow: (endpointId) => table.replica.find(endpointId),
       isServiceConfigured: (service) => configuration.hasService(service),
       unreadableEntries: new Counter({
--- a/packages/gateway/src/services/gateway_endpoints.ts
+++ b/packages/gateway/src/services/gateway_endpoints.ts
@@ -5,6 +5,7 @@
  * vanished while the store was unavailable is kept until the store had time to
  * list it again. An entry that is rejected does not affect other endpoints.
  */
+import {isDeepStrictEqual} from 'node:util';
 import type {ReplicaRow} from '@irisdock/decisions';
 import type {Clock, Logger} from '@irisdock/kernel';
 import {err, ok, type Result} from 'neverthrow';
@@ -23,6 +24,8 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly getMemoryTokens: (service: string) => number;
+  /** Whether the endpoints of a service are ordered and drained on order. */
+  readonly isScaled: (service: string) => boolean;
   /** Whether the current configuration contains a service. */
   readonly isServiceConfigured: (service: string) => boolean;
   /** Finds an endpoint's row in the table, by the endpoint's id. */
@@ -41,6 +44,12 @@
 /** The interval between checks of delayed removals, in ms. */
 const REMOVAL_CHECK_MS = 200;
 
+/**
+ * The time from the announcement of an endpoint that leaves on an order to its
+ * end, in ms; its entry does not name it.
+ */
+const ORDERED_DRAIN_MS = 3000;
+
 /** Keeps the records of all known endpoints. */
 export class GatewayEndpoints {
   /** Increases whenever an endpoint is added or removed. */
@@ -249,7 +258,8 @@
     }
     const entry = decoded.value;
     if (known?.instanceId === entry.instanceId) {
-      this.updateRecord(known, entry);
+      if (isSameButEnd(known.entry, entry)) recordEnd(known, entry);
+      else this.updateRecord(known, entry);
       return;
     }
     if (known !== undefined) {
@@ -281,6 +291,7 @@
     this.records.set(record.instanceId, record);
     this.instances.set(record.endpointId, record);
     this.addresses.add(record);
+    this.recordDrain(record, entry);
     this.version++;
     this.handleChange?.();
     return record;
@@ -304,11 +315,20 @@
     this.addresses.delete(record);
     record.entry = this.keepLeaving(entry, wasLeaving);
     this.addresses.add(record);
+    this.recordDrain(record, entry);
     this.handleChange?.();
     if (wasLeaving || entry.state === 'ready') return;
     this.writeLeavingLog(record, 'entry');
   }
 
+  /** Records when a leaving endpoint ends, if its entry or its service says. */
+  private recordDrain(record: EndpointRecord, entry: EndpointEntry): void {
+    if (record.entry.state !== 'leaving') return;
+    recordEnd(record, entry);
+    if (record.endsAt !== undefined) return;
+    if (this.parts.isScaled(entry.service)) record.recordEnd(ORDERED_DRAIN_MS);
+  }
+
   private writeLeavingLog(
     {instanceId, address}: EndpointRecord,
     source: LeavingSource,
@@ -366,3 +386,18 @@
   if (!hostAddresses.has(entry.address)) return ok(entry);
   return err('its address is that of a host');
 }
+
+function recordEnd(record: EndpointRecord, {leavesMs}: EndpointEntry): void {
+  if (leavesMs !== undefined) record.recordEnd(leavesMs);
+}
+
+/**
+ * Whether an entry differs at most in the time until its end. That time counts
+ * down in the entries of a leaving endpoint, and nothing else follows from it.
+ */
+function isSameButEnd(before: EndpointEntry, after: EndpointEntry): boolean {
+  if (after.leavesMs === undefined || before.leavesMs === undefined) {
+    return false;
+  }
+  return isDeepStrictEqual({...before, leavesMs: after.leavesMs}, after);
+}
--- a/packages/gateway/src/serving/endpoint_record.ts
+++ b/packages/gateway/src/serving/endpoint_record.ts
@@ -79,6 +79,8 @@
   private removalCause: RemovalCause | undefined;
   private removedAt = 0;
   private readonly removalListeners = new Set<(cause: RemovalCause) => void>();
+  private end: number | undefined;
+  private readonly endListeners = new Set<(endsAt: number) => void>();
   private readonly claims = new Set<UseClaim>();
   private readonly peerUse = new Map<string, ReportedUse>();
   private homeGroupUse: ReportedUse | undefined;
@@ -228,6 +230,35 @@
     return () => this.removalListeners.delete(listener);
   }
 
+  /** When it ends, in ms of the clock; undefined if no end was announced. */
+  get endsAt(): number | undefined {
+    return this.end;
+  }
+
+  /**
+   * Records the announced time until the endpoint ends, in ms. The earliest end
+   * counts, as an announcement may arrive late.
+   */
+  recordEnd(leavesMs: number): void {
+    const end = this.getNow() + leavesMs;
+    this.end = Math.min(this.end ?? end, end);
+    const listeners = [...this.endListeners];
+    this.endListeners.clear();
+    for (const listener of listeners) listener(this.end);
+  }
+
+  /**
+   * Calls a listener once when the end of the endpoint is announced, or now if
+   * it was.
+   *
+   * @returns A function that ends the watch.
+   */
+  watchEnd(listener: (endsAt: number) => void): () => void {
+    if (this.end === undefined) this.endListeners.add(listener);
+    else listener(this.end);
+    return () => this.endListeners.delete(listener);
+  }
+
   /** Returns what this host alone has running there. */
   getOwnUse(): EndpointUse {
     return computeUse(this.claims);
