Plan the endpoints of scaled services

Change: a pure plan of orders by failure domain and kind, from the need of the load, the endpoints, refusals and time.

--- /dev/null
+++ b/packages/decisions/src/scaling_plan.ts
@@ -0,0 +1,270 @@
+/**
+ * Plans the orders by which a service gets the endpoints that its load needs,
+ * most of them spot endpoints. See docs/design/scaling.md.
+ *
+ * Orders of more come first, and those of fewer only when what is ready without
+ * the endpoints taken carries the need. Before any load was seen, the need is
+ * that for which the first endpoints were provided, and their number is not
+ * reduced: the load may begin at once, and only the kind of capacity changes.
+ */
+import {planCover} from './scaling_cover.js';
+import {computeMix, isSufficient, type MixGoal} from './scaling_mix.js';
+import {
+  countEndpoints,
+  getDomainCounts,
+  type DomainCounts,
+  type PoolOrder,
+  type PoolView,
+  type ScalingLimits,
+} from './scaling_model.js';
+import {NeedLevel} from './scaling_need.js';
+import type {ScalingPool, PoolState} from './scaling_pool.js';
+import {ScalingPools} from './scaling_pools.js';
+
+/** What is planned for one service. */
+export interface ScalingView {
+  readonly limits: ScalingLimits;
+  /** The pools with endpoints; others are empty. */
+  readonly pools: readonly PoolView[];
+  /** The endpoints that the load needs; undefined if that is unknown. */
+  readonly need: number | undefined;
+  /** Whether what runs on a leaving endpoint ends well or elsewhere. */
+  readonly isMovable: boolean;
+}
+
+/** What outlasts a change of the holder. */
+export interface ScalingState {
+  /** The need in endpoints. */
+  readonly level: number;
+  /** Endpoints before the first order. */
+  readonly initial: number;
+  /** Whether any load was seen. */
+  readonly hasDemand: boolean;
+  readonly pools: readonly PoolState[];
+}
+
+/**
+ * How long the first endpoints are counted before the first order, in ms: some
+ * may be away for 1.2 s.
+ */
+const SETTLE_MS = 1500;
+/**
+ * The time between two orders of fewer while requests run, in ms. The endpoints
+ * of the first are gone by then.
+ */
+const REDUCTION_INTERVAL_MS = 5000;
+/** The endpoints that one order takes at most while requests run. */
+const MAX_REDUCTION = 3;
+
+/** Plans the orders for one service. */
+export class ScalingPlan {
+  private readonly pools = new ScalingPools();
+  private need: NeedLevel | undefined;
+  private initial = 0;
+  private hasDemand = false;
+  private firstSeenAt: number | undefined;
+  private reducedAt = -Infinity;
+
+  /** Creates the plan that an earlier holder left. */
+  static createFrom(state: ScalingState, now: number): ScalingPlan {
+    const plan = new ScalingPlan();
+    plan.need = new NeedLevel(state.level, now);
+    plan.initial = state.initial;
+    plan.hasDemand = state.hasDemand;
+    plan.firstSeenAt = now;
+    plan.reducedAt = now;
+    plan.pools.addStates(state.pools, now);
+    return plan;
+  }
+
+  getState(): ScalingState {
+    const pools = this.pools.listStates();
+    const {initial, hasDemand} = this;
+    return {level: this.need?.value ?? 0, initial, hasDemand, pools};
+  }
+
+  /** Lists the mix that is aimed at. */
+  listWanted(
+    {limits}: Pick<ScalingView, 'limits'>,
+    now: number,
+  ): DomainCounts[] {
+    const {pools} = this;
+    const caps = pools.listSpotCaps(limits, now);
+    return computeMix(this.createGoal(), pools.listDomains(), limits, caps);
+  }
+
+  /** Plans the orders that are due now, the most urgent first. */
+  plan(view: ScalingView, now: number): PoolOrder[] {
+    this.pools.update(view.pools, view.limits, now);
+    if (view.pools.some(({ready}) => ready > 0)) this.firstSeenAt ??= now;
+    if (now - (this.firstSeenAt ?? now) < SETTLE_MS) return [];
+    this.updateNeed(view, now);
+    const wanted = this.listWanted(view, now);
+    const increases = this.planIncreases(wanted, view, now);
+    if (increases.length > 0) return increases;
+    return this.planReductions(wanted, view, now);
+  }
+
+  /** Records that the platform accepted an order. */
+  recordAccepted(order: PoolOrder, now: number): void {
+    const pool = this.pools.find(order);
+    if (pool === undefined) return;
+    if (order.count < pool.count) this.reducedAt = now;
+    pool.recordAccepted(order.count, now);
+  }
+
+  /** Records that the platform has no such endpoints now. */
+  recordRefused(order: PoolOrder, now: number): void {
+    this.pools.find(order)?.recordRefused(now);
+  }
+
+  private updateNeed({need}: ScalingView, now: number): void {
+    if (this.need === undefined) {
+      this.initial = countEndpoints(this.pools.listCounts(({count}) => count));
+      this.need = new NeedLevel(this.computeFirstNeed(), now);
+    }
+    if (need === undefined) return;
+    if (need > 0) this.hasDemand = true;
+    if (this.hasDemand) this.need.record(need, now);
+  }
+
+  /** The first endpoints carry the load without those of one domain. */
+  private computeFirstNeed(): number {
+    const domains = this.pools.listDomains().length;
+    return (this.initial * Math.max(1, domains - 1)) / Math.max(1, domains);
+  }
+
+  private createGoal(): MixGoal {
+    const floor = this.hasDemand ? 0 : this.initial;
+    return {need: this.need?.value ?? 0, floor};
+  }
+
+  /** Plans orders of more, and repeats those whose endpoints lack. */
+  private planIncreases(
+    wanted: readonly DomainCounts[],
+    view: ScalingView,
+    now: number,
+  ): PoolOrder[] {
+    const orders: PoolOrder[] = [];
+    for (const {domain, spot} of wanted) {
+      const pool = this.pools.getPool(domain, 'spot');
+      const order = this.planPool(pool, spot, 'the load needs it', view, now);
+      if (order !== undefined) orders.push(order);
+    }
+    const {need} = this.createGoal();
+    const {pools} = this;
+    const {limits} = view;
+    const cover = planCover({pools, need, limits, wanted, orders, now});
+    for (const entry of cover) {
+      const pool = this.pools.getPool(entry.domain, 'ordinary');
+      const reason = 'the load needs it, and spot capacity is missing';
+      const order = this.planPool(pool, entry.ordinary, reason, view, now);
+      if (order !== undefined) orders.push(order);
+    }
+    return orders;
+  }
+
+  private planPool(
+    pool: ScalingPool,
+    wanted: number,
+    reason: string,
+    {limits}: ScalingView,
+    now: number,
+  ): PoolOrder | undefined {
+    if (!pool.isAskable(now)) return undefined;
+    const count = Math.max(
+      pool.count,
+      this.pools.clampCount(pool, wanted, limits),
+    );
+    if (count > pool.count) return {...pool.key, count, reason};
+    if (!pool.isRepeatDue(now, limits.bootMs)) return undefined;
+    return {...pool.key, count, reason: 'endpoints of it are missing'};
+  }
+
+  /** Plans orders of fewer; one at a time while requests run. */
+  private planReductions(
+    wanted: readonly DomainCounts[],
+    view: ScalingView,
+    now: number,
+  ): PoolOrder[] {
+    const pools = this.pools.listAll();
+    const isIdle = !this.hasDemand && pools.every(({running}) => running === 0);
+    if (!isIdle && now - this.reducedAt < REDUCTION_INTERVAL_MS) return [];
+    if (!isIdle && pools.some(({isLeaving}) => isLeaving)) return [];
+    const orders: PoolOrder[] = [];
+    const firm = this.pools.listCounts(({firm}) => firm);
+    for (const pool of this.listReducible(wanted, view, now)) {
+      const least = this.getLeast(pool, wanted, view.limits);
+      const most = isIdle ? Infinity : MAX_REDUCTION;
+      const count = this.findSafeCount(pool, firm, least, most);
+      if (count >= pool.count) continue;
+      orders.push({...pool.key, count, reason: this.getReason(pool, isIdle)});
+      if (!isIdle) break;
+      setCount(firm, pool, pool.firm - (pool.count - count));
+    }
+    return orders;
+  }
+
+  /** Lists the pools with more than is wanted, the largest excess first. */
+  private listReducible(
+    wanted: readonly DomainCounts[],
+    {limits, isMovable}: ScalingView,
+    now: number,
+  ): ScalingPool[] {
+    const getExcess = (pool: ScalingPool): number =>
+      pool.count - this.getLeast(pool, wanted, limits);
+    return this.pools
+      .listAll()
+      .filter((pool) => getExcess(pool) > 0 && pool.isReducible(now))
+      .filter((pool) => isMovable || pool.running === 0)
+      .sort((a, b) => getExcess(b) - getExcess(a));
+  }
+
+  private getLeast(
+    pool: ScalingPool,
+    wanted: readonly DomainCounts[],
+    {minimum}: ScalingLimits,
+  ): number {
+    const {domain, kind} = pool.key;
+    const target = getDomainCounts(wanted, domain)[kind];
+    const otherKind = kind === 'spot' ? 'ordinary' : 'spot';
+    const other = this.pools.getPool(domain, otherKind).count;
+    return Math.max(target, minimum - other);
+  }
+
+  /** Finds the least count with which what is ready carries the need. */
+  private findSafeCount(
+    pool: ScalingPool,
+    firm: readonly DomainCounts[],
+    least: number,
+    most: number,
+  ): number {
+    const goal = this.createGoal();
+    let count = pool.count;
+    while (count > least && pool.count - count < most) {
+      const taken = pool.count - (count - 1);
+      const rest = firm.map((entry) => ({...entry}));
+      setCount(rest, pool, pool.firm - taken);
+      if (!isSufficient(rest, goal)) break;
+      count--;
+    }
+    return count;
+  }
+
+  private getReason({key}: ScalingPool, isIdle: boolean): string {
+    if (key.kind === 'spot') return 'the load fell';
+    return isIdle
+      ? 'spot endpoints take over before the load begins'
+      : 'spot endpoints carry the load';
+  }
+}
+
+function setCount(
+  counts: DomainCounts[],
+  {key: {domain, kind}}: ScalingPool,
+  count: number,
+): void {
+  const index = counts.findIndex((entry) => entry.domain === domain);
+  const entry = counts[index];
+  if (entry !== undefined) counts[index] = {...entry, [kind]: count};
+}
--- /dev/null
+++ b/packages/decisions/src/scaling_pool.ts
@@ -0,0 +1,157 @@
+/**
+ * What is known of one pool over time: what was ordered, whether the platform
+ * has such endpoints, and whether the pool has what was ordered.
+ */
+import type {PoolKey, PoolView} from './scaling_model.js';
+
+/** What outlasts a change of the holder. */
+export interface PoolState extends PoolKey {
+  /** The number in force: ordered last, or seen before the first order. */
+  readonly count: number;
+  /** Whether the platform is not known to have the endpoints now. */
+  readonly isUnavailable: boolean;
+}
+
+/** How long a pool that was refused is not asked for again, in ms. */
+const REFUSAL_PAUSE_MS = 3000;
+/** How long a pool that grew is not reduced, in ms. */
+const GROWTH_HOLD_MS = 20_000;
+/**
+ * The time beyond that of the boot after which a pool that lacks endpoints is
+ * ordered again, in ms. Endpoints that were lost return by themselves sooner.
+ */
+const REPEAT_DELAY_MS = 3000;
+/** After refusals over this time, a pool is taken to have no more, in ms. */
+const LONG_REFUSAL_MS = 15_000;
+
+/** One pool. */
+export class ScalingPool {
+  private refusedAt = -Infinity;
+  /** When the first of the refusals without an accepted order was. */
+  private firstRefusedAt: number | undefined;
+  private grownAt = -Infinity;
+  private orderedAt = -Infinity;
+  private shortSince: number | undefined;
+  /** Whether endpoints of this pool were reclaimed and are not gone yet. */
+  private isBeingReclaimed = false;
+
+  private constructor(
+    readonly key: PoolKey,
+    private inForce: number,
+    /** Whether an order of ours set the number in force. */
+    private isOrdered: boolean,
+    private isReclaimed: boolean,
+    private view: PoolView,
+  ) {}
+
+  /** Creates a pool for which nothing was ordered. */
+  static createSeen(view: PoolView): ScalingPool {
+    const {domain, kind} = view;
+    return new ScalingPool({domain, kind}, view.ready, false, false, view);
+  }
+
+  /** Creates a pool as an earlier holder left it. */
+  static createFrom(state: PoolState, now: number): ScalingPool {
+    const {domain, kind, count, isUnavailable} = state;
+    const key = {domain, kind};
+    const view = {...key, ready: 0, leaving: 0, running: 0};
+    const pool = new ScalingPool(key, count, true, isUnavailable, view);
+    pool.grownAt = now;
+    pool.orderedAt = now;
+    if (isUnavailable) pool.refusedAt = now;
+    return pool;
+  }
+
+  /** The number in force. */
+  get count(): number {
+    return this.inForce;
+  }
+
+  /** The endpoints that serve now and stay, as far as is known. */
+  get firm(): number {
+    return Math.min(this.inForce, this.view.ready);
+  }
+
+  /** The endpoints that will be there without another order. */
+  get coming(): number {
+    return this.isReclaimed ? this.firm : this.inForce;
+  }
+
+  /** Requests that run there. */
+  get running(): number {
+    return this.view.running;
+  }
+
+  /** Whether endpoints of it are leaving. */
+  get isLeaving(): boolean {
+    return this.view.leaving > 0;
+  }
+
+  /** Takes the endpoints as they are now. */
+  update(view: PoolView, now: number): void {
+    this.view = view;
+    // Before the first order, some endpoints may be away for a moment.
+    if (!this.isOrdered) this.inForce = Math.max(this.inForce, view.ready);
+    const isShort = view.ready < this.inForce;
+    this.shortSince = isShort ? (this.shortSince ?? now) : undefined;
+    if (this.key.kind !== 'spot') return;
+    if (isShort && view.leaving > 0) {
+      this.isBeingReclaimed = true;
+      this.isReclaimed = true;
+    }
+    if (!isShort) this.isReclaimed = false;
+    if (view.leaving === 0 && this.isBeingReclaimed) {
+      this.isBeingReclaimed = false;
+      this.shortSince = -Infinity;
+    }
+  }
+
+  /** Whether an order of more may be sent now. */
+  isAskable(now: number): boolean {
+    return now - this.refusedAt >= REFUSAL_PAUSE_MS;
+  }
+
+  /** Whether it was refused for so long that others must replace it. */
+  isLongRefused(now: number): boolean {
+    const {firstRefusedAt} = this;
+    if (firstRefusedAt === undefined) return false;
+    return now - firstRefusedAt >= LONG_REFUSAL_MS;
+  }
+
+  /** Whether what is in force should be ordered again, as endpoints lack. */
+  isRepeatDue(now: number, bootMs: number): boolean {
+    const {shortSince} = this;
+    if (shortSince === undefined || this.isBeingReclaimed) return false;
+    if (!this.isAskable(now)) return false;
+    const since = Math.max(shortSince, this.orderedAt);
+    return now - since >= bootMs + REPEAT_DELAY_MS;
+  }
+
+  /** Whether it may be reduced. */
+  isReducible(now: number): boolean {
+    return now - this.grownAt >= GROWTH_HOLD_MS && !this.isLeaving;
+  }
+
+  /** Records that the platform accepted an order. */
+  recordAccepted(count: number, now: number): void {
+    if (count > this.inForce) this.grownAt = now;
+    this.inForce = count;
+    this.isOrdered = true;
+    this.orderedAt = now;
+    this.isReclaimed = false;
+    this.firstRefusedAt = undefined;
+  }
+
+  /** Records that the platform has no such endpoints now. */
+  recordRefused(now: number): void {
+    this.refusedAt = now;
+    this.firstRefusedAt ??= now;
+    // What is missing does not come without another order.
+    if (this.view.ready < this.inForce) this.isReclaimed = true;
+  }
+
+  getState(): PoolState {
+    const {inForce, isReclaimed} = this;
+    return {...this.key, count: inForce, isUnavailable: isReclaimed};
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/scaling_pools.ts
@@ -0,0 +1,121 @@
+/** All pools of one service. */
+import {
+  type CapacityKind,
+  type DomainCounts,
+  type PoolKey,
+  type PoolView,
+  type ScalingLimits,
+} from './scaling_model.js';
+import {ScalingPool, type PoolState} from './scaling_pool.js';
+
+/** Keeps the pools of one service, one for each failure domain and kind. */
+export class ScalingPools {
+  private readonly pools = new Map<string, ScalingPool>();
+
+  /** Adds pools as an earlier holder left them. */
+  addStates(states: readonly PoolState[], now: number): void {
+    for (const state of states) {
+      this.pools.set(formatKey(state), ScalingPool.createFrom(state, now));
+    }
+  }
+
+  listStates(): PoolState[] {
+    return this.listAll().map((pool) => pool.getState());
+  }
+
+  listAll(): ScalingPool[] {
+    return [...this.pools.values()];
+  }
+
+  /** Takes the endpoints as they are now. */
+  update(views: readonly PoolView[], limits: ScalingLimits, now: number): void {
+    const domains = new Set(Object.keys(limits.prices));
+    for (const {domain} of views) domains.add(domain);
+    for (const domain of this.listDomains()) domains.add(domain);
+    for (const domain of domains) {
+      for (const kind of ['ordinary', 'spot'] as const) {
+        this.updatePool(findView(views, domain, kind), now);
+      }
+    }
+  }
+
+  private updatePool(view: PoolView, now: number): void {
+    const key = formatKey(view);
+    const pool = this.pools.get(key) ?? ScalingPool.createSeen(view);
+    this.pools.set(key, pool);
+    pool.update(view, now);
+  }
+
+  /** Lists all failure domains. */
+  listDomains(): string[] {
+    const domains = [...this.pools.values()].map(({key}) => key.domain);
+    return [...new Set(domains)].sort();
+  }
+
+  /** Counts something of each pool. */
+  listCounts(count: (pool: ScalingPool) => number): DomainCounts[] {
+    return this.listDomains().map((domain) => ({
+      domain,
+      ordinary: count(this.getPool(domain, 'ordinary')),
+      spot: count(this.getPool(domain, 'spot')),
+    }));
+  }
+
+  /** Returns a pool of a known failure domain. */
+  getPool(domain: string, kind: CapacityKind): ScalingPool {
+    const pool = this.pools.get(formatKey({domain, kind}));
+    if (pool === undefined) throw new Error(`no pool ${kind} in ${domain}`);
+    return pool;
+  }
+
+  /** Finds a pool. */
+  find(key: PoolKey): ScalingPool | undefined {
+    return this.pools.get(formatKey(key));
+  }
+
+  /**
+   * Lists the most spot endpoints of each domain: one that was refused for long
+   * gets no more.
+   */
+  listSpotCaps(
+    {spotPrice, maximum}: ScalingLimits,
+    now: number,
+  ): Map<string, number> {
+    const caps = new Map<string, number>();
+    if (spotPrice === undefined || spotPrice >= 1) return caps;
+    for (const domain of this.listDomains()) {
+      const pool = this.getPool(domain, 'spot');
+      caps.set(domain, pool.isLongRefused(now) ? pool.firm : maximum);
+    }
+    return caps;
+  }
+
+  /** Limits a count so that both kinds stay within the maximum. */
+  clampCount(
+    {key}: ScalingPool,
+    wanted: number,
+    {maximum}: ScalingLimits,
+  ): number {
+    const otherKind = key.kind === 'spot' ? 'ordinary' : 'spot';
+    const other = this.getPool(key.domain, otherKind);
+    return Math.max(0, Math.min(wanted, maximum - other.count));
+  }
+}
+
+function findView(
+  views: readonly PoolView[],
+  domain: string,
+  kind: CapacityKind,
+): PoolView {
+  const found = views.find((pool) => isSamePool(pool, {domain, kind}));
+  return found ?? {domain, kind, ready: 0, leaving: 0, running: 0};
+}
+
+/** Whether two keys name the same pool. */
+export function isSamePool(a: PoolKey, b: PoolKey): boolean {
+  return a.domain === b.domain && a.kind === b.kind;
+}
+
+function formatKey({domain, kind}: PoolKey): string {
+  return `${domain}/${kind}`;
+}
