Order the endpoints of scaled services from one host

Cause: the orders of scaling need one holder, the load of all hosts, and state that a new holder continues from. Change: the task `scaling` saves planned orders with its lease and sends them one after another; unanswered ones are repeated.

--- a/packages/decisions/src/scaling_demand.ts
+++ b/packages/decisions/src/scaling_demand.ts
@@ -26,8 +26,8 @@
   readonly at: number;
 }
 
-/** How long a host's report is valid, in ms; three reports may be lost. */
-export const HOST_DEMAND_TTL_MS = 4000;
+/** How long a host's report is valid, in ms; two reports may be lost. */
+export const HOST_DEMAND_TTL_MS = 7000;
 /**
  * The windows of the rate of prompt tokens, in ms. At 20 streams a second, the
  * rate over the long window varies by 8% and over the short one by 16%; the
@@ -58,6 +58,7 @@
     now: number,
   ): void {
     const known = this.reports.get(host);
+    if (known !== undefined && isOlder(known, incarnation, demand)) return;
     this.reports.set(host, {incarnation, demand, at: now});
     // The totals of a host that was not known may be old.
     if (known?.incarnation !== incarnation) return;
@@ -72,6 +73,15 @@
     this.idleMs /= 2;
   }
 
+  /** Counts the hosts whose reports are valid. */
+  countHosts(now: number): number {
+    let count = 0;
+    for (const {at} of this.reports.values()) {
+      if (now - at <= HOST_DEMAND_TTL_MS) count++;
+    }
+    return count;
+  }
+
   /** Returns the load over all hosts. */
   getDemand(now: number): ServiceDemand {
     let inFlight = 0;
@@ -108,3 +118,14 @@
     return (sum * MS_PER_SECOND) / windowMs;
   }
 }
+
+/** Whether a report was overtaken by one that is known. */
+function isOlder(
+  known: KnownReport,
+  incarnation: number,
+  {promptTokens, idleMs}: HostDemand,
+): boolean {
+  if (incarnation !== known.incarnation) return incarnation < known.incarnation;
+  const {demand} = known;
+  return promptTokens < demand.promptTokens || idleMs < demand.idleMs;
+}
--- a/packages/decisions/src/scaling_need.ts
+++ b/packages/decisions/src/scaling_need.ts
@@ -1,6 +1,6 @@
 /**
  * How many endpoints a service's load needs. The need counts by its maximum
- * over some seconds and moves in levels that are a tenth apart: it grows at
+ * over some seconds and moves in levels that are a twentieth apart: it grows at
  * once and falls a level at a time, so that the noise of the load changes no
  * order.
  */
@@ -54,7 +54,7 @@
 /** The time between two falls of the level, in ms. */
 const FALL_INTERVAL_MS = 5000;
 /** The ratio of one level to the next lower one. */
-const LEVEL_RATIO = 1.1;
+const LEVEL_RATIO = 1.05;
 
 /** Follows the need of a service. */
 export class NeedLevel {
--- a/packages/decisions/src/scaling_plan.ts
+++ b/packages/decisions/src/scaling_plan.ts
@@ -26,8 +26,10 @@
   readonly limits: ScalingLimits;
   /** The pools with endpoints; others are empty. */
   readonly pools: readonly PoolView[];
-  /** The endpoints that the load needs; undefined if that is unknown. */
-  readonly need: number | undefined;
+  /** The endpoints that the load needs. */
+  readonly need: number;
+  /** Whether the whole load is known; otherwise, the need may be higher. */
+  readonly isNeedCertain: boolean;
   /** Whether what runs on a leaving endpoint ends well or elsewhere. */
   readonly isMovable: boolean;
 }
@@ -85,10 +87,17 @@
     return plan;
   }
 
-  getState(): ScalingState {
+  /** Returns what a new holder continues from; undefined before it is known. */
+  findState(): ScalingState | undefined {
+    if (this.need === undefined) return undefined;
     const pools = this.pools.listStates();
     const {initial, hasDemand} = this;
-    return {level: this.need?.value ?? 0, initial, hasDemand, pools};
+    return {level: this.need.value, initial, hasDemand, pools};
+  }
+
+  /** Lists the counts in force. */
+  listOrdered(): DomainCounts[] {
+    return this.pools.listCounts(({count}) => count);
   }
 
   /** Lists the mix that is aimed at. */
@@ -126,14 +135,18 @@
     this.pools.find(order)?.recordRefused(now);
   }
 
-  private updateNeed({need}: ScalingView, now: number): void {
-    if (this.need === undefined) {
-      this.initial = countEndpoints(this.pools.listCounts(({count}) => count));
-      this.need = new NeedLevel(this.computeFirstNeed(), now);
-    }
-    if (need === undefined) return;
+  private updateNeed(view: ScalingView, now: number): void {
+    const {need, isNeedCertain} = view;
+    this.need ??= new NeedLevel(0, now);
     if (need > 0) this.hasDemand = true;
-    if (this.hasDemand) this.need.record(need, now);
+    if (!this.hasDemand) {
+      const seen = this.pools.listCounts(({firstCount}) => firstCount);
+      this.initial = Math.max(this.initial, countEndpoints(seen));
+      this.need.record(this.computeFirstNeed(), now);
+      return;
+    }
+    const least = isNeedCertain ? 0 : this.need.value;
+    this.need.record(Math.max(least, need), now);
   }
 
   /** The first endpoints carry the load without those of one domain. */
--- a/packages/decisions/src/scaling_pool.ts
+++ b/packages/decisions/src/scaling_pool.ts
@@ -12,8 +12,13 @@
   readonly isUnavailable: boolean;
 }
 
-/** How long a pool that was refused is not asked for again, in ms. */
+/**
+ * How long a pool that was refused is not asked for again, in ms: short during a
+ * usual shortage of some 10 s, longer after as many refusals in a row.
+ */
 const REFUSAL_PAUSE_MS = 3000;
+const LONG_REFUSAL_PAUSE_MS = 15_000;
+const MAX_SHORT_PAUSES = 5;
 /** How long a pool that grew is not reduced, in ms. */
 const GROWTH_HOLD_MS = 20_000;
 /**
@@ -27,10 +32,14 @@
  * domains, and less again after it.
  */
 const LONG_REFUSAL_MS = 30_000;
+/** The time between two orders of a pool that was refused for long, in ms. */
+const TRIAL_INTERVAL_MS = 30_000;
 
 /** One pool. */
 export class ScalingPool {
   private refusedAt = -Infinity;
+  /** Refusals since the last accepted order. */
+  private refusals = 0;
   /** When the first of the refusals without an accepted order was. */
   private firstRefusedAt: number | undefined;
   private grownAt = -Infinity;
@@ -71,6 +80,11 @@
     return this.inForce;
   }
 
+  /** The endpoints seen before the first order; 0 after it. */
+  get firstCount(): number {
+    return this.isOrdered ? 0 : this.inForce;
+  }
+
   /** The endpoints that serve now and stay, as far as is known. */
   get firm(): number {
     return Math.min(this.inForce, this.view.ready);
@@ -112,7 +126,9 @@
 
   /** Whether an order of more may be sent now. */
   isAskable(now: number): boolean {
-    return now - this.refusedAt >= REFUSAL_PAUSE_MS;
+    const isLong = this.refusals > MAX_SHORT_PAUSES;
+    const pauseMs = isLong ? LONG_REFUSAL_PAUSE_MS : REFUSAL_PAUSE_MS;
+    return now - this.refusedAt >= pauseMs;
   }
 
   /** Whether it was refused for so long that others must replace it. */
@@ -122,6 +138,14 @@
     return now - firstRefusedAt >= LONG_REFUSAL_MS;
   }
 
+  /**
+   * Whether it may be tried again after long refusals. Capacity returns without
+   * notice.
+   */
+  isTrialDue(now: number): boolean {
+    return now - this.refusedAt >= TRIAL_INTERVAL_MS;
+  }
+
   /** Whether what is in force should be ordered again, as endpoints lack. */
   isRepeatDue(now: number, bootMs: number): boolean {
     const {shortSince} = this;
@@ -133,7 +157,8 @@
 
   /** Whether it may be reduced. */
   isReducible(now: number): boolean {
-    return now - this.grownAt >= GROWTH_HOLD_MS && !this.isLeaving;
+    if (!this.isAskable(now) || this.isLeaving) return false;
+    return now - this.grownAt >= GROWTH_HOLD_MS;
   }
 
   /** Records that the platform accepted an order. */
@@ -145,12 +170,14 @@
     this.orderedAt = now;
     this.isReclaimed = false;
     this.firstRefusedAt = undefined;
+    this.refusals = 0;
   }
 
   /** Records that the platform has no such endpoints now. */
   recordRefused(now: number): void {
     this.refusedAt = now;
     this.firstRefusedAt ??= now;
+    this.refusals++;
     // What is missing does not come without another order.
     if (this.view.ready < this.inForce) this.isReclaimed = true;
   }
--- a/packages/decisions/src/scaling_pools.ts
+++ b/packages/decisions/src/scaling_pools.ts
@@ -85,7 +85,8 @@
     if (spotPrice === undefined || spotPrice >= 1) return caps;
     for (const domain of this.listDomains()) {
       const pool = this.getPool(domain, 'spot');
-      caps.set(domain, pool.isLongRefused(now) ? pool.firm : maximum);
+      const isCapped = pool.isLongRefused(now) && !pool.isTrialDue(now);
+      caps.set(domain, isCapped ? pool.firm : maximum);
     }
     return caps;
   }
--- a/packages/decisions/tests/scaling_plan.test.ts
+++ b/packages/decisions/tests/scaling_plan.test.ts
@@ -146,7 +146,8 @@
         {...pool, ready: isAway ? 0 : 16},
         {...pool, domain: 'b', ready: 16},
       ];
-      const view = {limits, pools, need: 0, isMovable: true};
+      const known = {need: 0, isNeedCertain: true, isMovable: true};
+      const view = {limits, pools, ...known};
       assert.deepEqual(plan.plan(view, now), []);
     }
   });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,6 +26,7 @@
 import * as z from 'zod';
 import {GATEWAY_CONFIGURATION_SERVICE} from './services/configuration.js';
 import {CRASHES_SERVICE} from './services/crashes.js';
+import {DEMAND_SERVICE} from './services/demand.js';
 import {DIRECTORY_SERVICE} from './services/directory.js';
 import {ENDPOINT_NETWORK_SERVICE} from './services/endpoint_network.js';
 import {GATEWAY_ENDPOINTS_SERVICE} from './services/endpoints.js';
@@ -56,6 +57,7 @@
   METRICS_PAGE_SERVICE,
   ROLLOUTS_SERVICE,
   CRASHES_SERVICE,
+  DEMAND_SERVICE,
   RUN_LEASES_SERVICE,
   STREAM_ORIGINS_SERVICE,
   LIMITS_SERVICE,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -28,6 +28,7 @@
 export {LIMITS} from './services/limits.js';
 export type {LimitStatus as ShownLimit} from './services/send_limits.js';
 export {PEERS} from './services/peers.js';
+export {SCALING, SCALING_SERVICE} from './services/scaling.js';
 export * from './services/seed_schedule.js';
 export * from './services/store.js';
 export {TABLES_KEY} from './tables/tables.js';
--- a/packages/gateway/src/model/peer_codec.ts
+++ b/packages/gateway/src/model/peer_codec.ts
@@ -7,6 +7,11 @@
 import type {Crash} from '@irisdock/decisions';
 import {getErrorText} from '@irisdock/kernel';
 import {err, ok, type Result} from 'neverthrow';
+import {
+  encodeDemand,
+  readDemand,
+  type DemandDatagram,
+} from './demand_datagram.js';
 import {
   encodeLimits,
   encodePermitResponse,
@@ -53,7 +58,8 @@
  * The codes of the kinds, in the order of `readDatagram`: membership, usage,
  * table update, usage query and reply, unreachable endpoint, report and phase
  * of rollouts, crashes, cleared content, limits, permit request and response,
- * lease request, response and release, origins, origin request and response.
+ * lease request, response and release, origins, origin request and response,
+ * demand.
  */
 const KIND_CODES = [
   'w',
@@ -75,6 +81,7 @@
   'o',
   'f',
   'h',
+  'k',
 ] as const;
 
 /** Decodes a datagram; an error names the malformed field. */
@@ -138,6 +145,8 @@
       return readOriginRequest(fields);
     case 'h':
       return readOriginResponse(fields);
+    case 'k':
+      return readDemand(fields);
   }
 }
 
@@ -244,7 +253,7 @@
 }
 
 function encodeGrantDatagram(
-  datagram: GrantDatagram | OriginDatagram,
+  datagram: DemandDatagram | GrantDatagram | OriginDatagram,
 ): Uint8Array {
   switch (datagram.kind) {
     case 'limits':
@@ -265,6 +274,8 @@
       return encode(['f', ...encodeOriginRequest(datagram)]);
     case 'origin-answer':
       return encode(['h', ...encodeOriginResponse(datagram)]);
+    case 'demand':
+      return encode(['k', ...encodeDemand(datagram)]);
   }
 }
 
--- a/packages/gateway/src/model/peer_message.ts
+++ b/packages/gateway/src/model/peer_message.ts
@@ -13,6 +13,7 @@
   PermitResponseDatagram,
   PermitRequestDatagram,
 } from './limit_datagram.js';
+import type {DemandDatagram} from './demand_datagram.js';
 import type {OriginDatagram} from './origin_datagram.js';
 import type {
   LeaseResponseDatagram,
@@ -162,6 +163,7 @@
   | UsageReplyDatagram
   | ContentClearedDatagram
   | CrashesDatagram
+  | DemandDatagram
   | GrantDatagram
   | OriginDatagram
   | EndpointUnreachableDatagram
--- a/packages/gateway/src/services/configuration.ts
+++ b/packages/gateway/src/services/configuration.ts
@@ -104,6 +104,12 @@
     return names;
   }
 
+  /** Lists the services that may be scaled. */
+  listScaledServices(): ServingService[] {
+    const services = [...this.services.values()];
+    return services.filter(({scaling}) => scaling !== undefined);
+  }
+
   /** Finds the team of a key; public routes need none. */
   findTeam(key: string | undefined, route: ServingRoute): TeamLookup {
     if (this.teamsByKey === undefined) return {kind: 'none-needed'};
--- a/packages/gateway/src/services/datagram_handlers.ts
+++ b/packages/gateway/src/services/datagram_handlers.ts
@@ -4,6 +4,7 @@
  * on creation.
  */
 import type {Crash} from '@irisdock/decisions';
+import type {DemandDatagram} from '../model/demand_datagram.js';
 import type {
   LimitsDatagram,
   PermitResponseDatagram,
@@ -65,11 +66,17 @@
   acceptOriginAnswer(datagram: OriginResponseDatagram): void;
 }
 
+/** Handles reports of the load of scaled services. */
+export interface DemandDatagramHandler {
+  accept(datagram: DemandDatagram): void;
+}
+
 /** A datagram that goes to one of the handlers. */
 export type HandledDatagram =
   | OriginDatagram
   | ContentClearedDatagram
   | CrashesDatagram
+  | DemandDatagram
   | GrantDatagram
   | RolloutPhaseDatagram
   | RolloutReportDatagram;
@@ -81,6 +88,7 @@
   limits: LimitDatagramHandler | undefined;
   leases: LeaseDatagramHandler | undefined;
   origins: OriginDatagramHandler | undefined;
+  demand: DemandDatagramHandler | undefined;
 
   /** Passes a datagram to its handler. */
   accept(datagram: HandledDatagram): void {
@@ -123,6 +131,9 @@
         return;
       case 'origin-answer':
         this.origins?.acceptOriginAnswer(datagram);
+        return;
+      case 'demand':
+        this.demand?.accept(datagram);
     }
   }
 }
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -38,6 +38,7 @@
   GATEWAY_CONFIGURATION,
   type GatewayConfiguration,
 } from './configuration.js';
+import {DEMAND} from './demand.js';
 import {EndpointGate} from './endpoint_gate.js';
 import {ENDPOINT_NETWORK} from './endpoint_network.js';
 import {GATEWAY_ENDPOINTS} from './endpoints.js';
@@ -90,6 +91,7 @@
   needs: [
     CODECS,
     CRASHES,
+    DEMAND,
     ENDPOINT_NETWORK,
     GATEWAY_CONFIGURATION,
     GATEWAY_ENDPOINTS,
@@ -231,6 +233,7 @@
       metrics: servingMetrics,
     }),
     metrics: servingMetrics,
+    demand: context.find(DEMAND),
   };
 }
 
--- /dev/null
+++ b/packages/gateway/src/services/scaled_service.ts
@@ -0,0 +1,212 @@
+/**
+ * The orders for one service: planned, saved with the lease of the task, and
+ * sent one after another. An order whose outcome is not known is repeated until
+ * it is, before anything else is planned.
+ */
+import {
+  ScalingPlan,
+  type DomainCounts,
+  type PoolOrder,
+  type PoolView,
+  type ScalingView,
+} from '@irisdock/decisions';
+import type {Clock, Logger} from '@irisdock/kernel';
+import type {CallOutcome, PlatformApi} from '../model/platform_api.js';
+import {formatScalingKey, type ScalingRow} from '../model/scaling_state.js';
+import type {HeldLease} from '../model/singleton_task.js';
+import type {RowChange} from '../model/table_store.js';
+
+/** Dependencies of the orders. */
+export interface ScaledServiceParts {
+  readonly api: Pick<PlatformApi, 'sendOrder'>;
+  readonly clock: Clock;
+  readonly log: Logger;
+  /** Counts an order by what became of it. */
+  readonly countOrder: (
+    service: string,
+    order: PoolOrder,
+    outcome: CallOutcome['kind'],
+  ) => void;
+}
+
+/** How often the orders are planned, in ms. */
+const PLAN_INTERVAL_MS = 250;
+/** The pause after a call that was not accepted for a passing reason, in ms. */
+const RETRY_PAUSE_MS = 500;
+const MAX_RETRY_PAUSE_MS = 8000;
+/** The status of a call beyond the rate of calls. */
+const RATE_STATUS = 429;
+/** Statuses from this one on are faults of the platform, which may pass. */
+const MIN_SERVER_ERROR_STATUS = 500;
+/** How many renewals of the lease write a change, as one may be lost. */
+const CHANGE_WRITES = 2;
+
+/** Plans and sends the orders of one service. */
+export class ScaledService {
+  private pending: PoolOrder[] = [];
+  private view: ScalingView | undefined;
+  private nextAt = -Infinity;
+  private pauseMs = RETRY_PAUSE_MS;
+  private lastListed: string | undefined;
+  private writesLeft = 0;
+
+  constructor(
+    readonly name: string,
+    private readonly parts: ScaledServiceParts,
+    private readonly plan: ScalingPlan,
+  ) {}
+
+  /** Creates the service as an earlier holder left it. */
+  static createFrom(
+    name: string,
+    parts: ScaledServiceParts,
+    row: ScalingRow,
+  ): ScaledService {
+    const plan = ScalingPlan.createFrom(row.plan, parts.clock.getNow());
+    const service = new ScaledService(name, parts, plan);
+    service.pending = row.pending;
+    return service;
+  }
+
+  /** The pools as they were in the last step. */
+  get present(): readonly PoolView[] {
+    return this.view?.pools ?? [];
+  }
+
+  /** The counts in force and those that are aimed at. */
+  listCounts(): Record<'ordered' | 'wanted', readonly DomainCounts[]> {
+    const now = this.parts.clock.getNow();
+    const {view} = this;
+    const wanted = view === undefined ? [] : this.plan.listWanted(view, now);
+    return {ordered: this.plan.listOrdered(), wanted};
+  }
+
+  /** Plans what is due, and sends it. */
+  async step(lease: HeldLease, view: ScalingView): Promise<void> {
+    const now = this.parts.clock.getNow();
+    this.view = view;
+    if (now < this.nextAt) return;
+    this.nextAt = now + PLAN_INTERVAL_MS;
+    if (this.pending.length === 0 && !(await this.planOrders(lease, view))) {
+      return;
+    }
+    await this.sendPending(lease);
+  }
+
+  /** The row, if it changed since the last renewals. */
+  listChanges(): readonly RowChange[] {
+    const change = this.createChange();
+    if (change === undefined) return [];
+    if (change.value !== this.lastListed) this.writesLeft = CHANGE_WRITES;
+    if (this.writesLeft === 0) return [];
+    this.writesLeft--;
+    this.lastListed = change.value;
+    return [change];
+  }
+
+  /** Plans and saves orders; tells whether there are any to send. */
+  private async planOrders(
+    lease: HeldLease,
+    view: ScalingView,
+  ): Promise<boolean> {
+    const orders = this.plan.plan(view, this.parts.clock.getNow());
+    if (orders.length === 0) return false;
+    this.pending = orders;
+    const change = this.createChange();
+    if (change === undefined) return false;
+    const saved = await lease.save([change]);
+    if (saved.isOk()) return true;
+    // The rows may be written later; then a new holder gives these orders.
+    this.pending = [];
+    this.pause();
+    const {kind} = saved.error;
+    this.parts.log.writeWarning('Orders could not be saved.', {
+      service: this.name,
+      kind,
+    });
+    return false;
+  }
+
+  private async sendPending(lease: HeldLease): Promise<void> {
+    for (;;) {
+      const [order] = this.pending;
+      if (order === undefined || !lease.isHeld) return;
+      const outcome = await this.send(lease, order);
+      if (!this.handleOutcome(order, outcome)) {
+        this.pause();
+        return;
+      }
+      this.pauseMs = RETRY_PAUSE_MS;
+      this.pending = this.pending.filter((entry) => entry !== order);
+    }
+  }
+
+  private async send(
+    lease: HeldLease,
+    {domain, kind, count}: PoolOrder,
+  ): Promise<CallOutcome> {
+    const order = {
+      service: this.name,
+      failureDomain: domain,
+      count,
+      isSpot: kind === 'spot',
+    };
+    return lease.sendCall((authority) =>
+      this.parts.api.sendOrder(authority, order),
+    );
+  }
+
+  /** Records what became of an order; tells whether it is settled. */
+  private handleOutcome(order: PoolOrder, outcome: CallOutcome): boolean {
+    const now = this.parts.clock.getNow();
+    this.parts.countOrder(this.name, order, outcome.kind);
+    this.writeLog(order, outcome);
+    switch (outcome.kind) {
+      case 'accepted':
+        this.plan.recordAccepted(order, now);
+        return true;
+      case 'none-available':
+        this.plan.recordRefused(order, now);
+        return true;
+      case 'rejected':
+        if (isPassing(outcome.status)) return false;
+        this.plan.recordRefused(order, now);
+        return true;
+      case 'not-sent':
+      case 'unanswered':
+        return false;
+    }
+  }
+
+  private pause(): void {
+    this.nextAt = this.parts.clock.getNow() + this.pauseMs;
+    this.pauseMs = Math.min(MAX_RETRY_PAUSE_MS, this.pauseMs * 2);
+  }
+
+  private createChange(): RowChange | undefined {
+    const {pending} = this;
+    const plan = this.plan.findState();
+    if (plan === undefined) return undefined;
+    const row = {plan, pending};
+    return {key: formatScalingKey(this.name), value: JSON.stringify(row)};
+  }
+
+  private writeLog(order: PoolOrder, outcome: CallOutcome): void {
+    const {domain, kind, count, reason} = order;
+    this.parts.log.writeInfo('Ordered endpoints.', {
+      service: this.name,
+      domain,
+      kind,
+      count,
+      reason,
+      outcome: outcome.kind,
+      ...('status' in outcome ? {status: outcome.status} : {}),
+      ...('detail' in outcome ? {detail: outcome.detail} : {}),
+    });
+  }
+}
+
+/** Whether a rejected call may be accepted when it is repeated. */
+function isPassing(status: number): boolean {
+  return status === RATE_STATUS || status >= MIN_SERVER_ERROR_STATUS;
+}
--- /dev/null
+++ b/packages/gateway/src/services/scaling_view.ts
@@ -0,0 +1,93 @@
+/** What the plan of a service's endpoints sees: its endpoints and its load. */
+import {
+  CAPACITY_KINDS,
+  computeNeed,
+  type CapacityKind,
+  type EndpointCapacity,
+  type PoolView,
+  type ScalingView,
+} from '@irisdock/decisions';
+import type {Clock} from '@irisdock/kernel';
+import type {ServingService} from '../model/serving_configuration.js';
+import type {EndpointRecord} from '../serving/endpoint_record.js';
+import type {DemandReports} from './demand_reports.js';
+import type {GatewayEndpoints} from './gateway_endpoints.js';
+
+/** Dependencies of the view. */
+export interface ScalingViewParts {
+  readonly endpoints: Pick<GatewayEndpoints, 'listAll'>;
+  readonly demand: Pick<DemandReports, 'getTracker' | 'isComplete'>;
+  readonly clock: Clock;
+}
+
+/** Creates the view of a service; undefined if it is not scaled. */
+export function createScalingView(
+  parts: ScalingViewParts,
+  service: ServingService,
+): ScalingView | undefined {
+  const {scaling, engine, name} = service;
+  if (scaling === undefined) return undefined;
+  const records: EndpointRecord[] = [];
+  for (const record of parts.endpoints.listAll()) {
+    if (record.entry.service === name) records.push(record);
+  }
+  const tracker = parts.demand.getTracker(name);
+  const demand = tracker.getDemand(parts.clock.getNow());
+  const capacity = createCapacity(service, records, tracker.findPrefillRate());
+  const hasPrompts = engine !== undefined && demand.promptTokensPerSecond > 0;
+  const isSpeedKnown = capacity.promptTokensPerSecond !== undefined;
+  const isComplete = parts.demand.isComplete(name);
+  return {
+    limits: scaling,
+    pools: listPools(records, !isComplete || demand.inFlight > 0),
+    need: computeNeed(demand, capacity),
+    isNeedCertain: isComplete && (isSpeedKnown || !hasPrompts),
+    // Calls of plain services end while their endpoint drains.
+    isMovable: engine?.takesBackups ?? true,
+  };
+}
+
+function createCapacity(
+  {engine}: ServingService,
+  records: readonly EndpointRecord[],
+  promptTokensPerSecond: number | undefined,
+): EndpointCapacity {
+  let slots = 0;
+  for (const record of records) slots += record.slots;
+  const meanSlots = records.length === 0 ? 1 : slots / records.length;
+  return {
+    slots: engine?.slots ?? meanSlots,
+    memoryTokens: engine?.memoryTokens,
+    promptTokensPerSecond,
+  };
+}
+
+/**
+ * Counts endpoints by pool.
+ *
+ * @param isBusy Whether requests run at all. This host knows only some of them,
+ *     so that any endpoint may run one.
+ */
+function listPools(
+  records: readonly EndpointRecord[],
+  isBusy: boolean,
+): PoolView[] {
+  const domains = new Set(records.map(({failureDomain}) => failureDomain));
+  const pools: PoolView[] = [];
+  for (const domain of domains) {
+    const inDomain = records.filter((one) => one.failureDomain === domain);
+    for (const kind of CAPACITY_KINDS) {
+      const ofPool = inDomain.filter((one) => getKind(one) === kind);
+      if (ofPool.length === 0) continue;
+      const ready = ofPool.filter(({isReady}) => isReady);
+      const leaving = ofPool.length - ready.length;
+      const running = isBusy ? ready.length : 0;
+      pools.push({domain, kind, ready: ready.length, leaving, running});
+    }
+  }
+  return pools;
+}
+
+function getKind({entry}: EndpointRecord): CapacityKind {
+  return entry.isSpot === true ? 'spot' : 'ordinary';
+}
--- a/packages/gateway/src/serving/attempt_run.ts
+++ b/packages/gateway/src/serving/attempt_run.ts
@@ -60,6 +60,8 @@
   private readonly replicator: KvCacheReplicator;
   private readonly claim: UseClaim;
   private readonly sentAt: number;
+  /** Whether its engine had no other prompt to read when it was sent. */
+  private readonly isReadAlone: boolean;
   private isOpen = false;
   private isUnneeded = false;
 
@@ -73,6 +75,7 @@
     const {requestId, exchange} = request;
     this.claim = planner.createClaim(plan);
     this.sentAt = serving.clock.getNow();
+    this.isReadAlone = plan.endpoint.unreadTokens === 0;
     this.gate = new AnswerGate(this.createListener(), sink, (detail) => {
       this.attempt.end(detail);
     });
@@ -147,6 +150,7 @@
     const {endpoint, backup} = this.plan;
     const {serving, planner, report, sink} = this.parts;
     const {claim, replicator} = this;
+    serving.demand.recordPrompt(endpoint.entry.service, claim.unreadTokens);
     const backupClaim = {...claim, running: 0, unreadTokens: 0};
     endpoint.addClaim(claim);
     backup?.addClaim(backupClaim);
@@ -211,8 +215,15 @@
 
   /** Marks the prompt as processed, which the first events imply. */
   private markPromptRead(): void {
-    if (this.claim.unreadTokens === 0) return;
-    this.plan.endpoint.markPromptRead(this.claim);
+    const {unreadTokens} = this.claim;
+    if (unreadTokens === 0) return;
+    const {endpoint} = this.plan;
+    const {demand, clock} = this.parts.serving;
+    if (this.isReadAlone) {
+      const ms = clock.getNow() - this.sentAt;
+      demand.recordIdleRead(endpoint.entry.service, unreadTokens, ms);
+    }
+    endpoint.markPromptRead(this.claim);
     this.parts.serving.endpoints.peers.usePublisher.publishChanged();
   }
 
--- a/packages/gateway/src/serving/request_handler.ts
+++ b/packages/gateway/src/serving/request_handler.ts
@@ -166,7 +166,8 @@
     const driver = isStream
       ? new StreamDriver(parts, this.prober, request, route, service)
       : new CallDriver(parts, request, route, service);
-    const outcome = await driver.run();
+    const endRequest = parts.demand.startRequest(service);
+    const outcome = await driver.run().finally(endRequest);
     const {lastEndpoint: endpoint, sends} = driver;
     const {kind} = route;
     parts.metrics.requests.inc({kind, outcome});
@@ -174,6 +175,10 @@
     if (!isStream && TIMED_OUTCOMES.has(outcome) && !exchange.isStopped) {
       this.callTimes.record(route.name, seconds * MS_PER_SECOND);
     }
+    if (isStream && sends === 0) {
+      // It would have been read if there had been an engine for it.
+      parts.demand.recordPrompt(service, request.metadata.promptTokens);
+    }
     if (!isStream && outcome === 'answered') {
       parts.metrics.answerSeconds.observe({kind}, seconds);
     }
--- a/packages/gateway/src/serving/serving_parts.ts
+++ b/packages/gateway/src/serving/serving_parts.ts
@@ -5,6 +5,7 @@
 import type {GatewayConfiguration} from '../services/configuration.js';
 import type {GatewayEndpoints} from '../services/gateway_endpoints.js';
 import type {CrashRecords} from './crash_records.js';
+import type {DemandMeter} from './demand_meter.js';
 import type {EndpointPaths} from './endpoint_paths.js';
 import type {EngineClient} from './engine_client.js';
 import type {PromptCacheFinder} from './prompt_cache_finder.js';
@@ -41,6 +42,7 @@
   readonly relay: RequestRelay;
   readonly lostRuns: LostRuns;
   readonly metrics: ServingMetrics;
+  readonly demand: DemandMeter;
 }
 
 /** The number of distinct values of a random fraction. */
