Move streams off engines that announced their end

Cause: spot engines end 2.4 to 2.7 s after their notice, and ordinary ones 3 s after an order; a stream that runs longer was cut there. Change: 0.9 to 1.5 s before the announced end, a stream looks for its next engine as it does beside a silent one, and leaves when the next one has sent its first events. A replica whose holder is about to end is replaced.

--- a/packages/gateway/src/serving/answer_gate.ts
+++ b/packages/gateway/src/serving/answer_gate.ts
@@ -18,6 +18,13 @@
       resolve(undefined);
     };
   });
+  private handleAnswered = (): void => undefined;
+  /** Resolves once the first events are held. */
+  readonly answered = new Promise<undefined>((resolve) => {
+    this.handleAnswered = () => {
+      resolve(undefined);
+    };
+  });
   private head: {status: number; lines: HeaderLines} | undefined;
   private events: readonly ServerSentEvent[] = [];
   private silence: Silence | undefined;
@@ -61,6 +68,7 @@
     const resumed = new Promise<void>((resolve) => {
       this.resume = resolve;
     });
+    this.handleAnswered();
     this.checkHeld();
     return resumed;
   }
--- a/packages/gateway/src/serving/attempt_run.ts
+++ b/packages/gateway/src/serving/attempt_run.ts
@@ -10,6 +10,7 @@
 import type {AdmittedRequest} from './caller_exchange.js';
 import type {EndpointProber} from './endpoint_prober.js';
 import type {UseClaim} from './endpoint_record.js';
+import {EndpointEndWatch} from './endpoint_end_watch.js';
 import type {EngineLease} from './engine_lease.js';
 import {KvCacheReplicator, type KvCacheReplica} from './kv_cache_replicator.js';
 import type {SendPermit} from './send_gate.js';
@@ -59,11 +60,13 @@
   private readonly attempt: StreamAttempt;
   private readonly replicator: KvCacheReplicator;
   private readonly claim: UseClaim;
+  private readonly endWatch: EndpointEndWatch;
   private readonly sentAt: number;
   /** Whether its engine had no other prompt to read when it was sent. */
   private readonly isReadAlone: boolean;
   private isOpen = false;
   private isUnneeded = false;
+  private hasEnded = false;
 
   /** Starts the attempt. */
   constructor(
@@ -94,6 +97,14 @@
       plan.backup,
       planner.createEngineRequest(),
     );
+    this.endWatch = new EndpointEndWatch(
+      plan.endpoint,
+      serving.clock,
+      serving.random,
+      (endsAt) => {
+        this.startLeaving(endsAt);
+      },
+    );
     this.result = this.run();
   }
 
@@ -110,6 +121,7 @@
   open(): void {
     this.isOpen = true;
     this.gate.open();
+    if (!this.hasEnded) this.endWatch.start();
   }
 
   /** Closes an attempt that the stream does not need. */
@@ -145,6 +157,26 @@
     ]);
   }
 
+  /** Waits until an attempt has ended or has events; tells whether it has. */
+  async waitForAnswer(): Promise<boolean> {
+    return Promise.race([
+      this.gate.answered.then(() => true),
+      this.result.then(({kind}) => kind === 'ended'),
+    ]);
+  }
+
+  /** Leaves an endpoint that ends soon, while its attempt goes on. */
+  private startLeaving(endsAt: number): void {
+    const {sink, handover} = this.parts;
+    const silence = {
+      detail: 'its endpoint ends soon',
+      isAnswering: true,
+      hostStallMs: 0,
+    };
+    const {isStarted} = sink;
+    handover.start({run: this, silence, isStarted, endsAt});
+  }
+
   /** Runs the attempt to its end. */
   private async run(): Promise<AttemptResult> {
     const {endpoint, backup} = this.plan;
@@ -164,6 +196,8 @@
       isReplicaNeeded = result.kind !== 'ended' && result.kind !== 'stopped';
       return result;
     } finally {
+      this.hasEnded = true;
+      this.endWatch.stop();
       this.prepared.engineLease.release();
       replicator.stop(isReplicaNeeded);
       if (this.isOpen) planner.setReplica(replicator.findReplica());
@@ -209,6 +243,7 @@
       handleRecovered: (silentMs) => {
         report.recordSilenceEnd(plan, silentMs);
         handover.stop();
+        this.endWatch.resume();
       },
     };
   }
--- a/packages/gateway/src/serving/kv_cache_replicator.ts
+++ b/packages/gateway/src/serving/kv_cache_replicator.ts
@@ -1,8 +1,9 @@
 /**
  * Maintains a replica of a running stream's KV cache on another engine. The
  * engine itself replicates to the standby that was named when the stream was
- * sent. If there is no standby or it is removed, this class requests copies to
- * another engine, repeatedly so that the replica stays up to date.
+ * sent. If there is no standby, or it is removed or about to end, this class
+ * requests copies to another engine, repeatedly so that the replica stays up to
+ * date.
  */
 import {chooseBackupEngine, type EngineRequest} from '@irisdock/decisions';
 import type {EngineCall, KvCacheSource} from '../model/request_metadata.js';
@@ -90,11 +91,17 @@
   private setReplica(replica: KvCacheReplica): void {
     this.replica = replica;
     this.stopWatching?.();
-    this.stopWatching = replica.holder.watchRemoval(() => {
-      this.plan(
-        MAX_REPLACEMENT_DELAY_MS * getRandomFraction(this.parts.random),
-      );
-    });
+    const planReplacement = (): void => {
+      const fraction = getRandomFraction(this.parts.random);
+      this.plan(MAX_REPLACEMENT_DELAY_MS * fraction);
+    };
+    const stops = [
+      replica.holder.watchRemoval(planReplacement),
+      replica.holder.watchEnd(planReplacement),
+    ];
+    this.stopWatching = () => {
+      for (const stop of stops) stop();
+    };
     const isEngineMaintained = replica.source.name === this.requestId;
     if (!isEngineMaintained) this.plan(RENEWAL_INTERVAL_MS);
   }
@@ -108,9 +115,9 @@
   /** Copies to the holder again, or to another engine if it was removed. */
   private async renewReplica(): Promise<void> {
     if (this.isCopying) return;
-    const {replica} = this;
-    const isHolderPresent = replica !== undefined && !replica.holder.isRemoved;
-    const target = isHolderPresent ? replica.holder : this.chooseTarget();
+    const holder = this.replica?.holder;
+    const isKept = holder !== undefined && !isGoing(holder);
+    const target = isKept ? holder : this.chooseTarget();
     this.isCopying = true;
     const isCopied = target !== undefined && (await this.sendCopy(target));
     this.isCopying = false;
@@ -173,3 +180,8 @@
     return this.parts.engineClient.send(this.primary, call, COPY_TIMEOUT_MS);
   }
 }
+
+/** Whether an engine is gone or about to end. */
+function isGoing({isRemoved, endsAt}: EndpointRecord): boolean {
+  return isRemoved || endsAt !== undefined;
+}
--- a/packages/gateway/src/serving/stream_handover.ts
+++ b/packages/gateway/src/serving/stream_handover.ts
@@ -1,5 +1,6 @@
 /**
- * Finds where a stream goes on while its engine is silent. The silent attempt
+ * Finds where a stream goes on while its engine is silent, or before its engine
+ * ends as announced. The silent attempt
  * keeps running while the stream is also sent to another engine, and whichever
  * brings the next event first continues it. The next engine must answer a probe
  * and have room, and route and retry budget must allow the attempt. Should that
@@ -40,6 +41,8 @@
   readonly silence: Silence;
   /** Whether the caller has received part of the answer. */
   readonly isStarted: boolean;
+  /** When its engine ends, if the attempt is not silent and left for that. */
+  readonly endsAt?: number;
 }
 
 /** Dependencies of the handover. */
@@ -201,10 +204,7 @@
     }
     const trial = this.parts.startRun(prepared);
     this.trial = trial;
-    const isContinued = await Promise.race([
-      trial.waitForContinuation(),
-      waitOverlap(serving.clock, signal).then(() => undefined),
-    ]);
+    const isContinued = await this.waitForTrial(silent, trial, signal);
     if (!this.isCurrent(signal)) {
       if (trial.isCancelled) await this.recordUnused(trial);
       return true;
@@ -228,6 +228,28 @@
     return true;
   }
 
+  /**
+   * Waits until it is known whether the next attempt continues the stream;
+   * undefined if it is not in time. An attempt that is left before its engine
+   * ends goes on, so the next one is never ahead of it: its first events show
+   * that it can continue.
+   */
+  private async waitForTrial(
+    {endsAt}: SilentAttempt,
+    trial: AttemptRun,
+    signal: AbortSignal,
+  ): Promise<boolean | undefined> {
+    const {clock} = this.parts.serving;
+    const noAnswer = (): undefined => undefined;
+    if (endsAt === undefined) {
+      const overlap = waitOverlap(clock, signal).then(noAnswer);
+      return Promise.race([trial.waitForContinuation(), overlap]);
+    }
+    const leftMs = Math.max(0, endsAt - clock.getNow());
+    const end = clock.wait(leftMs, signal).then(noAnswer);
+    return Promise.race([trial.waitForAnswer(), end]);
+  }
+
   /** Counts an attempt that was closed, as the silent engine went on. */
   private async recordUnused(trial: AttemptRun): Promise<void> {
     const {serving, request, retries} = this.parts;
@@ -327,8 +349,13 @@
     });
   }
 
-  private endSilent({run, silence}: SilentAttempt, successor: string): void {
-    this.parts.serving.log.writeInfo('A stream leaves a silent engine.', {
+  private endSilent(silent: SilentAttempt, successor: string): void {
+    const {run, silence, endsAt} = silent;
+    const message =
+      endsAt === undefined
+        ? 'A stream leaves a silent engine.'
+        : 'A stream leaves an engine that ends soon.';
+    this.parts.serving.log.writeInfo(message, {
       request: this.parts.request.requestId,
       endpoint: run.plan.endpoint.instanceId,
       to: successor,
