--- a/packages/gateway/tests/peer_datagrams.test.ts
+++ b/packages/gateway/tests/peer_datagrams.test.ts
@@ -167,6 +167,21 @@
       lastReturnMs: 1400,
       limit: {instanceId: 'i-1', perSecond: 0.2, ageMs: 900},
     },
+    {
+      kind: 'demand',
+      name: 'host-1',
+      incarnation: 1_790_000_000_000,
+      services: [
+        {
+          service: 'engines',
+          inFlight: 3,
+          expectedTokens: 12_240,
+          promptTokens: 5_000_000,
+          idleTokens: 40_000,
+          idleMs: 8010,
+        },
+      ],
+    },
     {
       kind: 'news',
       table: 'endpoints',
@@ -200,6 +215,8 @@
       [['m', 'host', [['i-1', NaN, 5]]], /is not finite/],
       [['m', 'host', [['i-1', 3, Infinity]]], /is not finite/],
       [['o', [['s', 'c', 'engines', 'i-1', 'v1', NaN]]], /is not finite/],
+      [['k', 'host', 1, [['s', 1, 0, Infinity, 0, 0]]], /not finite/],
+      [['k', 'host', 1, [['s', -1, 0, 0, 0, 0]]], /is negative/],
     ];
     for (const [value, fault] of malformed) {
       const decoded = decodePeerDatagram(encode(value));
