--- a/packages/decisions/src/scaling_mix.ts
+++ b/packages/decisions/src/scaling_mix.ts
@@ -81,6 +81,7 @@
     (a, b) => getPrice(limits, a) - getPrice(limits, b) || (a < b ? -1 : 1),
   );
   const counts = createBase(goal, byPrice, limits);
+  for (const entry of counts) addMinimum(entry, limits, spotCaps);
   while (!isSufficient(counts, goal)) {
     const grown = chooseDomain(counts, limits, spotCaps);
     if (grown === undefined) break;
@@ -118,15 +119,22 @@
   const each = Math.floor(base / byPrice.length);
   const remainder = base - each * byPrice.length;
   return byPrice.map((domain, index) => {
-    const wanted = Math.max(
-      1,
-      limits.minimum,
-      each + Number(index < remainder),
-    );
+    const wanted = Math.max(1, each + Number(index < remainder));
     return {domain, ordinary: Math.min(limits.maximum, wanted), spot: 0};
   });
 }
 
+function addMinimum(
+  entry: MutableCounts,
+  {minimum}: ScalingLimits,
+  spotCaps: SpotCaps,
+): void {
+  while (countIn(entry) < minimum) {
+    if (hasSpotRoom(entry, spotCaps)) entry.spot++;
+    else entry.ordinary++;
+  }
+}
+
 /** Finds the domain with the fewest endpoints that may have one more. */
 function findSmallest(
   counts: readonly MutableCounts[],
--- a/packages/gateway/tests/kv_cache_replicator.test.ts
+++ b/packages/gateway/tests/kv_cache_replicator.test.ts
@@ -47,15 +47,17 @@
   }
 }
 
-function createReplicator(engine: CopyingEngine): KvCacheReplicator {
+function createReplicator(
+  engine: CopyingEngine,
+  others: readonly EndpointRecord[] = [createEngine('other')],
+): KvCacheReplicator {
   const primary = createEngine('primary');
-  const other = createEngine('other');
   const engineClient: Partial<ServingParts['engineClient']> = {
     send: () => engine.send(),
   };
   const crashes: Partial<ServingParts['crashes']> = {hasCrashes: false};
   const endpoints: Partial<ServingParts['endpoints']> = {
-    listOpenToBegun: () => [other],
+    listOpenToBegun: () => others.filter((other) => other.isReady),
   };
   const call = {method: 'POST', path: '/copy', body: ''} as const;
   const parts: Partial<ServingParts> = {
@@ -115,6 +117,28 @@
     assert.equal(hasReplica, true);
   });
 
+  // Guards against streams without a replica when its holder is reclaimed.
+  it('is made elsewhere when the end of its holder is announced', async () => {
+    const others = [createEngine('other'), createEngine('another')];
+    const replicator = createReplicator(new CopyingEngine([copied]), others);
+    replicator.start();
+    const findHolder = (): EndpointRecord | undefined =>
+      replicator.findReplica()?.holder;
+    const until = performance.now() + TEST_MS;
+    while (findHolder() === undefined && performance.now() < until) {
+      await pause(CHECK_MS);
+    }
+    const first = findHolder();
+    assert.ok(first);
+    first.entry = {...first.entry, state: 'leaving'};
+    first.recordEnd(TEST_MS);
+    while (findHolder() === first && performance.now() < until) {
+      await pause(CHECK_MS);
+    }
+    assert.notEqual(findHolder(), first);
+    replicator.stop(true);
+  });
+
   // Guards against requests without end to engines that make no copies.
   it('is not requested any more after several failures', async () => {
     const {hasReplica, sends} = await runReplicator([failed]);
