--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,6 +27,7 @@
 import {BEGUN_REQUESTS_SERVICE} from './services/begun_requests.js';
 import {GATEWAY_CONFIGURATION_SERVICE} from './services/configuration.js';
 import {CRASHES_SERVICE} from './services/crashes.js';
+import {DEMAND_SERVICE} from './services/demand.js';
 import {DIRECTORY_SERVICE} from './services/directory.js';
 import {ENDPOINT_NETWORK_SERVICE} from './services/endpoint_network.js';
 import {GATEWAY_ENDPOINTS_SERVICE} from './services/endpoints.js';
@@ -40,6 +41,7 @@
 import {PEERS_SERVICE} from './services/peers.js';
 import {ROLLOUTS_SERVICE} from './services/rollouts.js';
 import {RUN_LEASES_SERVICE} from './services/run_leases.js';
+import {SCALING_SERVICE} from './services/scaling.js';
 import {STREAM_ORIGINS_SERVICE} from './services/stream_origins.js';
 import {TASKS_SERVICE} from './services/tasks.js';
 import {USAGE_REPORTS_SERVICE} from './services/usage_reports.js';
@@ -60,12 +62,14 @@
   METRICS_PAGE_SERVICE,
   ROLLOUTS_SERVICE,
   CRASHES_SERVICE,
+  DEMAND_SERVICE,
   RUN_LEASES_SERVICE,
   STREAM_ORIGINS_SERVICE,
   LIMITS_SERVICE,
   ENDPOINT_NETWORK_SERVICE,
   BEGUN_REQUESTS_SERVICE,
   USAGE_REPORTS_SERVICE,
+  SCALING_SERVICE,
   FRONT_SERVICE,
   DIRECTORY_SERVICE,
 ];
--- a/packages/gateway/src/model/peer_codec.ts
+++ b/packages/gateway/src/model/peer_codec.ts
@@ -14,6 +14,11 @@
   readBegunRequest,
   type BegunDatagram,
 } from './begun_datagram.js';
+import {
+  encodeDemand,
+  readDemand,
+  type DemandDatagram,
+} from './demand_datagram.js';
 import {
   encodeLimits,
   encodePermitResponse,
@@ -60,8 +65,8 @@
  * The codes of the kinds, in the order of `readDatagram`: membership, usage,
  * table update, usage query and reply, unreachable endpoint, report and phase
  * of rollouts, crashes, cleared content, limits, permit request and response,
- * lease request, response and release, origins, origin request and response, report of
- * begun requests and request for it.
+ * lease request, response and release, origins, origin request and response,
+ * report of begun requests and request for it, demand.
  */
 const KIND_CODES = [
   'w',
@@ -85,6 +90,7 @@
   'h',
   'b',
   'k',
+  'x',
 ] as const;
 
 /** Decodes a datagram; an error names the malformed field. */
@@ -152,6 +158,8 @@
       return readBegunReport(fields);
     case 'k':
       return readBegunRequest(fields);
+    case 'x':
+      return readDemand(fields);
   }
 }
 
@@ -258,7 +266,7 @@
 }
 
 function encodeGrantDatagram(
-  datagram: BegunDatagram | GrantDatagram | OriginDatagram,
+  datagram: BegunDatagram | DemandDatagram | GrantDatagram | OriginDatagram,
 ): Uint8Array {
   switch (datagram.kind) {
     case 'limits':
@@ -283,6 +291,8 @@
       return encode(['b', ...encodeBegunReport(datagram)]);
     case 'begun-ask':
       return encode(['k', ...encodeBegunRequest(datagram)]);
+    case 'demand':
+      return encode(['x', ...encodeDemand(datagram)]);
   }
 }
 
--- a/packages/gateway/src/services/datagram_handlers.ts
+++ b/packages/gateway/src/services/datagram_handlers.ts
@@ -4,6 +4,7 @@
  * on creation.
  */
 import type {Crash} from '@irisdock/decisions';
+import type {DemandDatagram} from '../model/demand_datagram.js';
 import type {
   BegunDatagram,
   BegunReportDatagram,
@@ -76,12 +77,18 @@
   acceptBegunRequest(datagram: BegunRequestDatagram): void;
 }
 
+/** Handles reports of the load of scaled services. */
+export interface DemandDatagramHandler {
+  accept(datagram: DemandDatagram): void;
+}
+
 /** A datagram that goes to one of the handlers. */
 export type HandledDatagram =
   | BegunDatagram
   | OriginDatagram
   | ContentClearedDatagram
   | CrashesDatagram
+  | DemandDatagram
   | GrantDatagram
   | RolloutPhaseDatagram
   | RolloutReportDatagram;
@@ -94,6 +101,7 @@
   leases: LeaseDatagramHandler | undefined;
   origins: OriginDatagramHandler | undefined;
   begun: BegunDatagramHandler | undefined;
+  demand: DemandDatagramHandler | undefined;
 
   /** Passes a datagram to its handler. */
   accept(datagram: HandledDatagram): void {
@@ -142,6 +150,9 @@
         return;
       case 'begun-ask':
         this.begun?.acceptBegunRequest(datagram);
+        return;
+      case 'demand':
+        this.demand?.accept(datagram);
     }
   }
 }
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -39,6 +39,7 @@
   GATEWAY_CONFIGURATION,
   type GatewayConfiguration,
 } from './configuration.js';
+import {DEMAND} from './demand.js';
 import {EndpointGate} from './endpoint_gate.js';
 import {ENDPOINT_NETWORK} from './endpoint_network.js';
 import {GATEWAY_ENDPOINTS} from './endpoints.js';
@@ -92,6 +93,7 @@
     BEGUN_REQUESTS,
     CODECS,
     CRASHES,
+    DEMAND,
     ENDPOINT_NETWORK,
     GATEWAY_CONFIGURATION,
     GATEWAY_ENDPOINTS,
@@ -234,6 +236,7 @@
     }),
     metrics: servingMetrics,
     begunRequests: context.find(BEGUN_REQUESTS),
+    demand: context.find(DEMAND),
   };
 }
 
--- a/packages/gateway/src/services/gateway_endpoints.ts
+++ b/packages/gateway/src/services/gateway_endpoints.ts
@@ -13,6 +13,7 @@
 import type {RowCodec} from '../model/table_store.js';
 import {EndpointRecord, type RemovalCause} from '../serving/endpoint_record.js';
 import {AddressIndex} from './address_index.js';
+import {isSameButEnd, recordAnnouncedEnd} from './announced_end.js';
 import type {EndpointPauses} from './endpoint_pauses.js';
 import {LeavingInstances} from './leaving_instances.js';
 import type {Peers} from './peer_hosts.js';
@@ -23,6 +24,8 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly getMemoryTokens: (service: string) => number;
+  /** Whether the endpoints of a service are ordered and drained on order. */
+  readonly isScaled: (service: string) => boolean;
   /** Whether the current configuration contains a service. */
   readonly isServiceConfigured: (service: string) => boolean;
   /** Finds an endpoint's row in the table, by the endpoint's id. */
@@ -249,7 +252,9 @@
     }
     const entry = decoded.value;
     if (known?.instanceId === entry.instanceId) {
-      this.updateRecord(known, entry);
+      if (isSameButEnd(known.entry, entry)) {
+        recordAnnouncedEnd(known, entry, false);
+      } else this.updateRecord(known, entry);
       return;
     }
     if (known !== undefined) {
@@ -281,6 +286,7 @@
     this.records.set(record.instanceId, record);
     this.instances.set(record.endpointId, record);
     this.addresses.add(record);
+    this.recordDrain(record, entry);
     this.version++;
     this.handleChange?.();
     return record;
@@ -304,11 +310,19 @@
     this.addresses.delete(record);
     record.entry = this.keepLeaving(entry, wasLeaving);
     this.addresses.add(record);
+    this.recordDrain(record, entry);
     this.handleChange?.();
     if (wasLeaving || entry.state === 'ready') return;
     this.writeLeavingLog(record, 'entry');
   }
 
+  /** Records when a leaving endpoint ends, if its entry or its service says. */
+  private recordDrain(record: EndpointRecord, entry: EndpointEntry): void {
+    const {isScaled} = this.parts;
+    if (record.entry.state !== 'leaving') return;
+    recordAnnouncedEnd(record, entry, isScaled(entry.service));
+  }
+
   private writeLeavingLog(
     {instanceId, address}: EndpointRecord,
     source: LeavingSource,
--- a/packages/gateway/src/serving/serving_parts.ts
+++ b/packages/gateway/src/serving/serving_parts.ts
@@ -6,6 +6,7 @@
 import type {GatewayEndpoints} from '../services/gateway_endpoints.js';
 import type {BegunRequests} from './begun_requests.js';
 import type {CrashRecords} from './crash_records.js';
+import type {DemandMeter} from './demand_meter.js';
 import type {EndpointPaths} from './endpoint_paths.js';
 import type {EngineClient} from './engine_client.js';
 import type {PromptCacheFinder} from './prompt_cache_finder.js';
@@ -43,6 +44,7 @@
   readonly lostRuns: LostRuns;
   readonly metrics: ServingMetrics;
   readonly begunRequests: BegunRequests;
+  readonly demand: DemandMeter;
 }
 
 /** The number of distinct values of a random fraction. */
