Plan again what the platform did not take, and look at endpoints when due

Cause: orders behind one that failed grew stale, and the endpoints were counted in every step of the task. Change: only an order without an answer is kept; the others are planned again. An endpoint whose entry outlasts its end does not block orders of fewer.

--- a/packages/gateway/src/services/scaled_service.ts
+++ b/packages/gateway/src/services/scaled_service.ts
@@ -1,7 +1,7 @@
 /**
  * The orders for one service: planned, saved with the lease of the task, and
  * sent one after another. An order whose outcome is not known is repeated until
- * it is, before anything else is planned.
+ * it is, before anything else is planned; one that did nothing is planned again.
  */
 import {
   ScalingPlan,
@@ -81,12 +81,15 @@
     return {ordered: this.plan.listOrdered(), wanted};
   }
 
+  /** Whether the next step is due. */
+  get isDue(): boolean {
+    return this.parts.clock.getNow() >= this.nextAt;
+  }
+
   /** Plans what is due, and sends it. */
   async step(lease: HeldLease, view: ScalingView): Promise<void> {
-    const now = this.parts.clock.getNow();
     this.view = view;
-    if (now < this.nextAt) return;
-    this.nextAt = now + PLAN_INTERVAL_MS;
+    this.nextAt = this.parts.clock.getNow() + PLAN_INTERVAL_MS;
     if (this.pending.length === 0 && !(await this.planOrders(lease, view))) {
       return;
     }
@@ -133,6 +136,8 @@
       if (order === undefined || !lease.isHeld) return;
       const outcome = await this.send(lease, order);
       if (!this.handleOutcome(order, outcome)) {
+        // The others were not sent, and are planned again when this passes.
+        this.pending = outcome.kind === 'unanswered' ? [order] : [];
         this.pause();
         return;
       }
--- a/packages/gateway/src/services/scaling_view.ts
+++ b/packages/gateway/src/services/scaling_view.ts
@@ -13,6 +13,9 @@
 import type {DemandReports} from './demand_reports.js';
 import type {GatewayEndpoints} from './gateway_endpoints.js';
 
+/** How long after the announced end an endpoint is surely gone, in ms. */
+const END_DELAY_MS = 2000;
+
 /** Dependencies of the view. */
 export interface ScalingViewParts {
   readonly endpoints: Pick<GatewayEndpoints, 'listAll'>;
@@ -31,15 +34,16 @@
   for (const record of parts.endpoints.listAll()) {
     if (record.entry.service === name) records.push(record);
   }
+  const now = parts.clock.getNow();
   const tracker = parts.demand.getTracker(name);
-  const demand = tracker.getDemand(parts.clock.getNow());
+  const demand = tracker.getDemand(now);
   const capacity = createCapacity(service, records, tracker.findPrefillRate());
   const hasPrompts = engine !== undefined && demand.promptTokensPerSecond > 0;
   const isSpeedKnown = capacity.promptTokensPerSecond !== undefined;
   const isComplete = parts.demand.isComplete(name);
   return {
     limits: scaling,
-    pools: listPools(records, !isComplete || demand.inFlight > 0),
+    pools: listPools(records, !isComplete || demand.inFlight > 0, now),
     need: computeNeed(demand, capacity),
     isNeedCertain: isComplete && (isSpeedKnown || !hasPrompts),
     // Calls of plain services end while their endpoint drains.
@@ -71,6 +75,7 @@
 function listPools(
   records: readonly EndpointRecord[],
   isBusy: boolean,
+  now: number,
 ): PoolView[] {
   const domains = new Set(records.map(({failureDomain}) => failureDomain));
   const pools: PoolView[] = [];
@@ -80,7 +85,7 @@
       const ofPool = inDomain.filter((one) => getKind(one) === kind);
       if (ofPool.length === 0) continue;
       const ready = ofPool.filter(({isReady}) => isReady);
-      const leaving = ofPool.length - ready.length;
+      const leaving = ofPool.filter((one) => isLeaving(one, now)).length;
       const running = isBusy ? ready.length : 0;
       pools.push({domain, kind, ready: ready.length, leaving, running});
     }
@@ -88,6 +93,11 @@
   return pools;
 }
 
+/** The entry of an endpoint that has ended may stay for some time. */
+function isLeaving({isReady, endsAt}: EndpointRecord, now: number): boolean {
+  return !isReady && now < (endsAt ?? Infinity) + END_DELAY_MS;
+}
+
 function getKind({entry}: EndpointRecord): CapacityKind {
   return entry.isSpot === true ? 'spot' : 'ordinary';
 }
