Weight address answers by capacity and choose by region

Callers choose uniformly among the listed hosts, so with equal lists a host of 0.3 cores got as many connections as one of 1.35, and most remote hosts were of other regions. Hosts now tell their capacity in their place (optional on the wire), answers draw hosts by systematic sampling, and list the own domain, its region and one host of another region. Retry budget shares follow capacity.

Without regions and with equal hosts the former choice runs unchanged.

--- a/packages/decisions/src/address_answer.ts
+++ b/packages/decisions/src/address_answer.ts
@@ -5,9 +5,23 @@
  * choice is random for each answer, so that callers spread over all hosts. The
  * time for which an answer may be kept is random as well, so that callers do
  * not all ask again at the same time.
+ *
+ * Callers choose one of the listed hosts uniformly for each connection. Where
+ * hosts are unequal, an answer therefore lists only some of them: a host is
+ * listed the more often, the more it can carry. Where there are several
+ * regions, an answer lists hosts of the caller's region and one of another.
+ * docs/design/host_capacity.md works out the load of each kind of host.
  */
 import {getShuffled, type Random} from '@irisdock/kernel';
+import {
+  computeHostWeights,
+  computeSum,
+  hasUnequalWeights,
+  type SizedHost,
+} from './host_capacity.js';
 import type {MemberNote} from './member.js';
+import {SINGLE_REGION, type Located, type RegionMap} from './proximity.js';
+import {getWeightedSample} from './weighted_sample.js';
 
 /** How many hosts an answer lists. */
 export interface AnswerLimits {
@@ -33,17 +47,48 @@
 }
 
 const LIMITS: AnswerLimits = {maxHosts: 4, minOtherDomain: 1, minHosts: 4};
+/**
+ * The number of hosts in an answer where hosts are unequal or regions several.
+ * With fewer hosts of the own domain, large hosts would be listed hardly more
+ * often than small ones in proportion to their size, but too few would be left
+ * for callers when some of them fail. One of nine connections goes to another
+ * region; an answer without such a host would be useless if a region is lost.
+ */
+const NEAR_LIMITS = {
+  /** Hosts of the own domain, if they are unequal: at least so many. */
+  minOwnDomain: 6,
+  /** Hosts of other domains of the region, at least. */
+  minOtherDomain: 2,
+  /** Hosts of other regions, at least. */
+  minOtherRegion: 1,
+  /** Hosts in total, if so many serve. */
+  minHosts: 9,
+} as const;
 /** Number of distinct values of the random factor of the keep time. */
 const JITTER_STEPS = 1000;
 
 /**
- * Chooses the hosts of an answer, in random order, those of the caller's
- * failure domain first.
+ * Chooses the hosts of an answer, in random order, the nearest to the caller
+ * first.
  *
  * @param callerDomain The caller's failure domain; undefined if unknown, so
  *     that all hosts count as those of other domains.
  */
-export function chooseHosts<H extends {readonly failureDomain: string}>(
+export function chooseHosts<H extends Located & SizedHost>(
+  serving: readonly H[],
+  callerDomain: string | undefined,
+  limits: AnswerLimits,
+  random: Random,
+  regions: RegionMap = SINGLE_REGION,
+): H[] {
+  const isUnequal = hasUnequalWeights(computeHostWeights(serving));
+  return isUnequal || regions.hasSeveral
+    ? chooseNearHosts(serving, callerDomain, limits, random, regions)
+    : chooseEqualHosts(serving, callerDomain, limits, random);
+}
+
+/** Chooses among equal hosts of one region. */
+function chooseEqualHosts<H extends Located>(
   serving: readonly H[],
   callerDomain: string | undefined,
   limits: AnswerLimits,
@@ -63,6 +108,43 @@
   return [...local.slice(0, localCount), ...remote.slice(0, remoteCount)];
 }
 
+/** Chooses by weight: the own domain, then its region, then other regions. */
+function chooseNearHosts<H extends Located & SizedHost>(
+  serving: readonly H[],
+  callerDomain: string | undefined,
+  limits: AnswerLimits,
+  random: Random,
+  regions: RegionMap,
+): H[] {
+  const {minOtherDomain, minOtherRegion, minHosts} = NEAR_LIMITS;
+  const {domain, region, elsewhere} = regions.splitByProximity(
+    serving,
+    callerDomain ?? '',
+    ({failureDomain}) => failureDomain,
+  );
+  const chooseSome = (hosts: readonly H[], count: number): H[] =>
+    getWeightedSample(hosts, computeHostWeights(hosts), count, random);
+  const maxOwn = limits.maxHosts - minOtherDomain - minOtherRegion;
+  const own = chooseSome(domain, computeOwnCount(domain, maxOwn));
+  const reserved = Math.min(minOtherRegion, elsewhere.length);
+  const regionCount = minHosts - own.length - reserved;
+  const near = chooseSome(region, Math.max(minOtherDomain, regionCount));
+  const farCount = minHosts - own.length - near.length;
+  const far = chooseSome(elsewhere, Math.max(minOtherRegion, farCount));
+  return [...own, ...near, ...far];
+}
+
+/**
+ * Computes how many hosts of the caller's domain are listed: as many as leave
+ * the heaviest host its whole share, as it is listed once at most.
+ */
+function computeOwnCount(hosts: readonly SizedHost[], maxOwn: number): number {
+  const weights = computeHostWeights(hosts);
+  if (!hasUnequalWeights(weights)) return maxOwn;
+  const fairCount = Math.floor(computeSum(weights) / Math.max(...weights));
+  return Math.min(maxOwn, Math.max(NEAR_LIMITS.minOwnDomain, fairCount));
+}
+
 /**
  * Creates an answer from the hosts that serve.
  *
--- a/packages/gateway/src/model/membership_datagram.ts
+++ b/packages/gateway/src/model/membership_datagram.ts
@@ -1,9 +1,16 @@
 /** Encodes and decodes the datagrams by which hosts watch each other. */
-import type {HostRecord, HostUpdate, ReaderReport} from '@irisdock/decisions';
+import type {
+  HostCapacity,
+  HostRecord,
+  HostUpdate,
+  ReaderReport,
+} from '@irisdock/decisions';
 import type {MembershipDatagram, PeerLocation} from './peer_message.js';
 import type {TupleReader} from './tuple_reader.js';
 
 const HOST_STATES = ['starting', 'ready', 'leaving'] as const;
+/** Cores and link rates are whole numbers of a thousandth and a tenth. */
+const CAPACITY_UNITS = {cores: 1000, linkMbps: 10} as const;
 const MEMBERSHIP_KINDS = ['answer', 'notice', 'probe', 'relay'] as const;
 
 /** Reads the fields of a membership datagram, without the kind. */
@@ -77,9 +84,24 @@
     datagrams: fields.readString(),
     tables: fields.readString(),
     callers: fields.readString(),
+    ...readCapacity(fields),
   };
 }
 
+/** Reads the capacity, which hosts of older versions do not send. */
+function readCapacity(fields: TupleReader): Pick<PeerLocation, 'capacity'> {
+  const cores = fields.readOptionalNumber();
+  const linkMbps = fields.readOptionalNumber();
+  const memoryMb = fields.readOptionalNumber();
+  if (cores === undefined) return {};
+  const capacity: HostCapacity = {
+    cores: cores / CAPACITY_UNITS.cores,
+    linkMbps: (linkMbps ?? 0) / CAPACITY_UNITS.linkMbps,
+    memoryMb: memoryMb ?? 0,
+  };
+  return {capacity};
+}
+
 function readChange(fields: TupleReader): HostUpdate<PeerLocation> {
   return {
     record: fields.readTuple(readRecord),
@@ -104,7 +126,19 @@
   return [name, incarnation, version, state, isStoreAway];
 }
 
-function encodeLocation(place: PeerLocation | undefined): string[] | undefined {
+function encodeLocation(place: PeerLocation | undefined): unknown {
   if (place === undefined) return undefined;
-  return [place.failureDomain, place.datagrams, place.tables, place.callers];
+  const {failureDomain, datagrams, tables, callers, capacity} = place;
+  const fields = [failureDomain, datagrams, tables, callers];
+  return capacity === undefined
+    ? fields
+    : [...fields, ...encodeCapacity(capacity)];
+}
+
+function encodeCapacity({cores, linkMbps, memoryMb}: HostCapacity): number[] {
+  return [
+    Math.round(cores * CAPACITY_UNITS.cores),
+    Math.round(linkMbps * CAPACITY_UNITS.linkMbps),
+    Math.round(memoryMb),
+  ];
 }
--- a/packages/gateway/src/model/peer_message.ts
+++ b/packages/gateway/src/model/peer_message.ts
@@ -4,6 +4,7 @@
  */
 import type {
   Crash,
+  HostCapacity,
   ReaderReport,
   RolloutPhase,
   GossipMessage,
@@ -22,7 +23,10 @@
 import type {RolloutReport} from './rollout_order.js';
 import type {ReplicatedTable} from './table_store.js';
 
-/** The failure domain of a host and the addresses on which it listens. */
+/**
+ * The failure domain of a host, the addresses on which it listens, and what it
+ * can carry.
+ */
 export interface PeerLocation {
   readonly failureDomain: string;
   /** The address for datagrams, as `ip:port`. */
@@ -31,6 +35,8 @@
   readonly tables: string;
   /** The address for callers, as `ip:port`. */
   readonly callers: string;
+  /** Undefined for a host that tells none, as one of an older version. */
+  readonly capacity?: HostCapacity | undefined;
 }
 
 /** The requests and tokens that a host has in progress on one endpoint. */
--- a/packages/gateway/src/model/peer_tables_message.ts
+++ b/packages/gateway/src/model/peer_tables_message.ts
@@ -39,6 +39,14 @@
         datagrams: z.string(),
         tables: z.string(),
         callers: z.string(),
+        /** Absent for a host that tells none. */
+        capacity: z
+          .object({
+            cores: z.number(),
+            linkMbps: z.number(),
+            memoryMb: z.number(),
+          })
+          .optional(),
       }),
     }),
   ),
--- a/packages/gateway/src/services/directory.ts
+++ b/packages/gateway/src/services/directory.ts
@@ -21,7 +21,8 @@
 /**
  * The number of hosts in an answer. Callers choose one of them at random for
  * each connection, so about one in eight connections goes to another failure
- * domain. A deployment of up to 16 hosts is listed completely.
+ * domain. A deployment of up to 16 hosts is listed completely, unless hosts are
+ * unequal or there are several regions.
  */
 const ANSWER_SIZE: AnswerLimits = {
   maxHosts: 64,
@@ -58,7 +59,8 @@
     const answerAddresses = (response: ServerResponse, query: string): void => {
       const domain = codecs.decodeCallerDomain(query);
       const serving = peers.listServing();
-      const hosts = chooseHosts(serving, domain, ANSWER_SIZE, random);
+      const {regions} = peers.position;
+      const hosts = chooseHosts(serving, domain, ANSWER_SIZE, random, regions);
       const addresses = hosts.map(({callers}) => callers);
       if (addresses.length === 0) {
         sendBody(response, 503, '');
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -214,7 +214,7 @@
     endpoints: context.find(GATEWAY_ENDPOINTS),
     retryBudgets: new RetryBudgets(
       createBudgetOptions(settings),
-      () => peers.countServing(),
+      () => peers.computeServingShares(),
       () => clock.getNow(),
     ),
     rollouts: context.find(ROLLOUTS),
--- a/packages/gateway/src/services/host_tracker.ts
+++ b/packages/gateway/src/services/host_tracker.ts
@@ -8,6 +8,7 @@
   FailureDetector,
   ReaderReports,
   SuspensionDetector,
+  type HostPosition,
   type HostRecord,
   type HostView,
   type OutgoingGossip,
@@ -40,6 +41,8 @@
   readonly incarnation: number;
   /** The addresses and the failure domain of this host. */
   readonly place: PeerLocation;
+  /** Which other hosts are near. */
+  readonly position: HostPosition;
   /** The time between two heartbeats, in ms. */
   readonly heartbeatMs: number;
   /** Whether seeds are set: other hosts may run that are not known yet. */
--- a/packages/gateway/src/services/peer_hosts.ts
+++ b/packages/gateway/src/services/peer_hosts.ts
@@ -4,7 +4,11 @@
  * runs on endpoints (`use_publisher.ts`, `use_queries.ts`), and the rest
  * through `datagram_handlers.ts`.
  */
-import type {KnownHost} from '@irisdock/decisions';
+import {
+  computeHostShares,
+  type HostPosition,
+  type KnownHost,
+} from '@irisdock/decisions';
 import {getShuffled} from '@irisdock/kernel';
 import type {
   DatagramPort,
@@ -140,6 +144,11 @@
     return this.parts.place;
   }
 
+  /** Where this host is among the regions. */
+  get position(): HostPosition {
+    return this.parts.position;
+  }
+
   /** Starts to listen; resolves after the seeds were asked. */
   async start(): Promise<void> {
     await this.socket.start(this.parts.listen);
@@ -153,6 +162,15 @@
     return this.tracker.view.listServing().length + 1;
   }
 
+  /**
+   * Computes by how much this host divides what all hosts that serve share:
+   * their number, or less for a host that carries more than others.
+   */
+  computeServingShares(): number {
+    const others = this.tracker.view.listServing().map(({place}) => place);
+    return computeHostShares(this.place, others);
+  }
+
   /** Whether any other host was heard from recently. */
   hasHeardAny(now: number): boolean {
     return this.tracker.hasHeardAny(now);
--- a/packages/gateway/src/services/peers.ts
+++ b/packages/gateway/src/services/peers.ts
@@ -1,6 +1,7 @@
 /**
  * The service `peers`: communication with the other hosts (`peer_hosts.ts`).
  */
+import {HostPosition} from '@irisdock/decisions';
 import {
   createService,
   createServiceKey,
@@ -88,7 +89,7 @@
   settings: SETTINGS,
   needs: [HOST_IDENTITY, TABLES_KEY],
   create(context, settings) {
-    const {name, deployment, failureDomain, incarnation} =
+    const {name, deployment, failureDomain, incarnation, regions, capacity} =
       context.find(HOST_IDENTITY);
     const drops = createDropCounter(context.metrics);
     const api = new Peers({
@@ -99,7 +100,9 @@
         datagrams: settings.datagramAddress,
         tables: settings.tableAddress,
         callers: settings.callerAddress,
+        ...(capacity === undefined ? {} : {capacity}),
       },
+      position: new HostPosition(failureDomain, regions),
       listen: settings.listen,
       heartbeatMs: settings.beatMs,
       incarnation,
--- a/packages/gateway/src/services/run_lease_client.ts
+++ b/packages/gateway/src/services/run_lease_client.ts
@@ -30,7 +30,7 @@
 
 /** Dependencies of the client. */
 export interface RunLeaseClientParts {
-  readonly identity: HostIdentity;
+  readonly identity: Pick<HostIdentity, 'incarnation' | 'name'>;
   readonly peers: Pick<Peers, 'sendToNames'>;
   readonly issuer: RunLeaseIssuer;
   readonly clock: Clock;
--- a/packages/gateway/src/services/send_limits.ts
+++ b/packages/gateway/src/services/send_limits.ts
@@ -44,7 +44,7 @@
 
 /** Dependencies of the limits. */
 export interface SendLimitsParts {
-  readonly identity: HostIdentity;
+  readonly identity: Pick<HostIdentity, 'incarnation' | 'name'>;
   readonly peers: Pick<
     Peers,
     | 'countPossiblyAlive'
--- a/packages/gateway/src/serving/retry_budgets.ts
+++ b/packages/gateway/src/serving/retry_budgets.ts
@@ -8,7 +8,10 @@
 export class RetryBudgets {
   private readonly budgets = new Map<string, WindowedRetryBudget>();
 
-  /** @param countHosts Returns the number of hosts that share each budget. */
+  /**
+   * @param countHosts Returns the number of hosts that share each budget; less
+   *     on a host that carries more than others, more on a smaller one.
+   */
   constructor(
     private options: WindowedRetryBudgetOptions,
     private readonly countHosts: () => number,
--- a/packages/gateway/tests/peer_datagrams.test.ts
+++ b/packages/gateway/tests/peer_datagrams.test.ts
@@ -19,6 +19,14 @@
 };
 /** Larger datagrams may be fragmented or truncated on the way, in bytes. */
 const MAX_DATAGRAM_BYTES = 1300;
+const CAPACITY = {cores: 0.324, linkMbps: 7.5, memoryMb: 250};
+
+const PLACE = {
+  failureDomain: 'zone-a',
+  datagrams: '10.1.0.40:7340',
+  tables: '10.1.0.40:8229',
+  callers: '10.1.0.40:8227',
+};
 
 function createMembership(
   change: Partial<MembershipDatagram['watch']>,
@@ -30,12 +38,7 @@
     state: 'ready',
     isStoreAway: false,
   } as const;
-  const place = {
-    failureDomain: 'zone-a',
-    datagrams: '10.1.0.40:7340',
-    tables: '10.1.0.40:8229',
-    callers: '10.1.0.40:8227',
-  };
+  const place = PLACE;
   return {
     kind: 'watch',
     watch: {
@@ -69,6 +72,7 @@
 describe('the datagrams of hosts', () => {
   const datagrams: readonly PeerDatagram[] = [
     createMembership({}),
+    createMembership({place: {...PLACE, capacity: CAPACITY}}),
     createMembership({kind: 'relay', target: 'host-2', place: undefined}),
     createMembership({kind: 'answer', asker: 'host-3', updates: []}),
     {
@@ -207,6 +211,24 @@
     }
   });
 
+  it('stay small when new hosts tell their capacity', () => {
+    const {watch} = createMembership({});
+    const record = {...watch.sender, name: 'front-some-region-a-12'};
+    const place = {
+      failureDomain: 'some-region-a',
+      datagrams: '10.128.240.160:17340',
+      tables: '10.128.240.160:18229',
+      callers: '10.128.240.160:18227',
+      capacity: {cores: 1.35, linkMbps: 140, memoryMb: 16_000},
+    };
+    const update = {record, isSuspected: false, place};
+    // As many as the failure detector puts into a datagram.
+    const updates = Array<typeof update>(6).fill(update);
+    const full = createMembership({sender: record, place, updates});
+    const bytes = encodePeerDatagram(full).length;
+    assert.ok(bytes <= 1200, `${bytes}`);
+  });
+
   it('never make the decoder throw, whatever arrives', () => {
     const bytes = fc.uint8Array({maxLength: 80});
     fc.assert(
