Keep membership datagrams and table updates within regions

Two thirds of all probes, notices and table updates of 72 hosts in 3 regions went to another region. Probes now include few hosts of other regions until one of them is silent, notices go there in one round of four, and two hosts of each other region relay table updates to the groups of theirs. Tables are loaded from hosts of the own region first. Without regions nothing changes.

--- a/packages/decisions/src/failure_detector.ts
+++ b/packages/decisions/src/failure_detector.ts
@@ -70,6 +70,11 @@
 const RELAYS_PER_PROBE = 3;
 /** Hosts to which new updates are sent at once. */
 const NOTICE_TARGETS = 3;
+/**
+ * Where there are several regions, one round of notices in so many goes to a
+ * host of another region as well; the others stay within the region.
+ */
+const ROUNDS_PER_FAR_NOTICE = 4;
 /**
  * Space for updates in a message, in bytes; a whole message stays below 1,300
  * bytes.
@@ -112,9 +117,14 @@
     private readonly beatMs: number,
     private readonly random: Random,
     hashRecord: (record: HostRecord) => number,
+    /** Whether a place belongs to the region of this host. */
+    private readonly isNear: (place: P) => boolean = () => true,
   ) {
     this.view = new HostView(own, ownPlace, timeouts, hashRecord);
-    this.schedule = new ProbeSchedule(random);
+    this.schedule = new ProbeSchedule(random, (name) => {
+      const host = this.view.find(name);
+      return host === undefined || isNear(host.place);
+    });
     // A starting host is announced by its own probes. The others only need to
     // hear of it at once when it accepts callers.
     if (own.state !== 'starting') this.addUpdate(own.name);
@@ -175,10 +185,20 @@
   /** Creates messages that spread new updates to a few hosts at once. */
   createNotices(): OutgoingGossip<P>[] {
     this.isNoticePending = false;
+    return this.chooseNoticeTargets().map((to) =>
+      this.createMessage(to, 'notice', {}),
+    );
+  }
+
+  private chooseNoticeTargets(): KnownHost<P>[] {
     const targets = getShuffled(this.view.listAlive(), this.random);
-    return targets
-      .slice(0, NOTICE_TARGETS)
-      .map((to) => this.createMessage(to, 'notice', {}));
+    const near = targets.filter(({place}) => this.isNear(place));
+    const [far] = targets.filter(({place}) => !this.isNear(place));
+    if (far === undefined) return targets.slice(0, NOTICE_TARGETS);
+    const isFarNotified =
+      near.length === 0 || this.random.getInt(ROUNDS_PER_FAR_NOTICE) === 0;
+    if (!isFarNotified) return near.slice(0, NOTICE_TARGETS);
+    return [...near.slice(0, NOTICE_TARGETS - 1), far];
   }
 
   /** Handles a message; returns the messages to send in response. */
@@ -265,7 +285,11 @@
     const others = this.view
       .listAlive()
       .filter(({record}) => record.name !== target);
-    return getShuffled(others, this.random)
+    const near = others.filter(({place}) => this.isNear(place));
+    const host = this.view.find(target);
+    const isNearTarget = host !== undefined && this.isNear(host.place);
+    const hasNearRelays = isNearTarget && near.length >= RELAYS_PER_PROBE;
+    return getShuffled(hasNearRelays ? near : others, this.random)
       .slice(0, RELAYS_PER_PROBE)
       .map((to) => this.createMessage(to, 'relay', {target}));
   }
--- a/packages/decisions/src/home_groups.ts
+++ b/packages/decisions/src/home_groups.ts
@@ -4,12 +4,14 @@
  * what they run, so each knows the load of the group's engines, and the state
  * that a host keeps does not grow with the number of hosts.
  *
- * The engines of a failure domain are divided among the groups of its hosts, or
- * among all groups if it has no hosts. All hosts compute the same assignment
+ * The engines of a failure domain are divided among the groups of its hosts. If
+ * it has no hosts, they are divided among the groups of its region or, if that
+ * has none either, among all groups. All hosts compute the same assignment
  * from the names alone, and adding or removing an engine moves few others.
  */
 import {hashText} from './hash.js';
 import type {HostGroup} from './host_group.js';
+import {SINGLE_REGION, type RegionMap} from './proximity.js';
 
 /** An engine to be assigned, and its failure domain. */
 export interface EngineLocation {
@@ -21,6 +23,7 @@
 export function computeHomeGroups(
   groups: readonly HostGroup[],
   engines: readonly EngineLocation[],
+  regions: RegionMap = SINGLE_REGION,
 ): ReadonlyMap<string, HostGroup> {
   const homes = new Map<string, HostGroup>();
   const [firstGroup] = groups;
@@ -36,14 +39,25 @@
     else local.push(engine);
   }
   for (const [domain, local] of byDomain) {
-    const domainGroups = groups.filter(
-      ({failureDomain}) => failureDomain === domain,
-    );
-    addEvenly(domainGroups.length > 0 ? domainGroups : groups, local, homes);
+    addEvenly(chooseNearestGroups(groups, domain, regions), local, homes);
   }
   return homes;
 }
 
+function chooseNearestGroups(
+  groups: readonly HostGroup[],
+  domain: string,
+  regions: RegionMap,
+): readonly HostGroup[] {
+  const split = regions.splitByProximity(
+    groups,
+    domain,
+    ({failureDomain}) => failureDomain,
+  );
+  if (split.domain.length > 0) return split.domain;
+  return split.region.length > 0 ? split.region : groups;
+}
+
 /**
  * Divides engines evenly among groups. In the order of the engines' hashes,
  * each goes to the group with the lowest rendezvous hash that has room.
--- a/packages/decisions/src/probe_schedule.ts
+++ b/packages/decisions/src/probe_schedule.ts
@@ -7,8 +7,12 @@
  * A host that didn't answer by the next round is probed again, also indirectly
  * through other hosts, as a datagram or a network path may have failed. It is
  * reported as unresponsive if it still hasn't answered one round later.
+ *
+ * Hosts of other regions are probed less often, as bytes between regions are
+ * expensive and those hosts are watched by the hosts near them. Once one of
+ * them is silent, all are probed alike: the links between regions may be gone.
  */
-import {getShuffled, type Random} from '@irisdock/kernel';
+import {getSample, getShuffled, type Random} from '@irisdock/kernel';
 
 /** The actions of one round. */
 export interface ProbeRound {
@@ -24,14 +28,24 @@
 const INDIRECT_AFTER = 1;
 /** Rounds without an answer until a host is unresponsive. */
 const SILENT_AFTER = 2;
+/** In a turn, the number of near hosts for each host of another region. */
+const NEAR_PER_FAR = 8;
+/** Hosts of other regions that are probed in a turn, at least. */
+const MIN_FAR_PER_TURN = 2;
 
 /** The probe schedule of one host. */
 export class ProbeSchedule {
   private turn: string[] = [];
   /** Rounds since the first probe, for each host that hasn't answered. */
   private readonly waiting = new Map<string, number>();
+  /** Whether a host of another region did not answer in the last round. */
+  private isFarSilent = false;
 
-  constructor(private readonly random: Random) {}
+  /** @param isNear Whether a host belongs to the region of this one. */
+  constructor(
+    private readonly random: Random,
+    private readonly isNear: (name: string) => boolean = () => true,
+  ) {}
 
   /**
    * Plans a round.
@@ -64,6 +78,8 @@
       probed.push(name);
       if (passed >= INDIRECT_AFTER) indirect.push(name);
     }
+    const silent = [...indirect, ...unresponsive];
+    this.updateFarSilence(silent.some((name) => !this.isNear(name)));
     for (let added = 0; added < count; added++) {
       const next = this.takeNext(alive);
       if (next === undefined) break;
@@ -85,8 +101,25 @@
         if (name === undefined) break;
         if (alive.has(name) && !this.waiting.has(name)) return name;
       }
-      this.turn = getShuffled([...alive.keys()], this.random);
+      this.turn = this.createTurn([...alive.keys()]);
     }
     return undefined;
   }
+
+  /** A turn that was made for the other case is not continued. */
+  private updateFarSilence(isFarSilent: boolean): void {
+    if (isFarSilent === this.isFarSilent) return;
+    this.isFarSilent = isFarSilent;
+    this.turn = [];
+  }
+
+  private createTurn(names: readonly string[]): string[] {
+    const {random, isNear} = this;
+    const far = names.filter((name) => !isNear(name));
+    if (far.length === 0 || this.isFarSilent) return getShuffled(names, random);
+    const near = names.filter(isNear);
+    const farCount = Math.ceil(near.length / NEAR_PER_FAR);
+    const count = Math.max(MIN_FAR_PER_TURN, farCount);
+    return getShuffled([...near, ...getSample(far, count, random)], random);
+  }
 }
--- a/packages/decisions/src/update_sources.ts
+++ b/packages/decisions/src/update_sources.ts
@@ -1,7 +1,8 @@
 /**
  * Tracks which hosts announced a newer revision of a table and chooses the one
  * to fetch it from: the last to announce, as it is the most likely to be
- * reachable. A host that didn't answer isn't asked again until it announces
+ * reachable, but a host of another region only if none of the own region has
+ * announced it. A host that didn't answer isn't asked again until it announces
  * anew.
  */
 
@@ -13,6 +14,11 @@
   /** The announced revisions by address, the latest announcement last. */
   private readonly announced = new Map<string, number>();
 
+  /** @param isNear Whether the host at an address is in the own region. */
+  constructor(
+    private readonly isNear: (address: string) => boolean = () => true,
+  ) {}
+
   /** Tells whether any host announced a revision above the held one. */
   hasUpdate(held: number): boolean {
     return this.choose(held, new Set()) !== undefined;
@@ -46,8 +52,13 @@
    */
   choose(held: number, asked: ReadonlySet<string>): string | undefined {
     let chosen: string | undefined;
+    let isChosenNear = false;
     for (const [address, revision] of this.announced) {
-      if (revision > held && !asked.has(address)) chosen = address;
+      if (revision <= held || asked.has(address)) continue;
+      const isNear = this.isNear(address);
+      if (isChosenNear && !isNear) continue;
+      chosen = address;
+      isChosenNear = isNear;
     }
     return chosen;
   }
--- a/packages/gateway/src/model/peer_codec.ts
+++ b/packages/gateway/src/model/peer_codec.ts
@@ -157,6 +157,8 @@
     source: fields.readString(),
     isForGroup: fields.readBoolean(),
     packedRows: fields.readBytes(),
+    // Absent without regions, and from hosts of older versions.
+    ...(fields.readOptionalBoolean() === true ? {isForRegion: true} : {}),
   };
 }
 
@@ -194,23 +196,8 @@
       );
       return encode(['u', name, incarnation, sequence, reports]);
     }
-    case 'news': {
-      const {table, after, revision, newest, source} = datagram;
-      const {isScheduledPoll, isForGroup, packedRows} = datagram;
-      const ageMs = Math.round(datagram.ageMs);
-      return encode([
-        'n',
-        table,
-        after,
-        revision,
-        newest,
-        ageMs,
-        isScheduledPoll,
-        source,
-        isForGroup,
-        packedRows,
-      ]);
-    }
+    case 'news':
+      return encodeTableUpdate(datagram);
     case 'question': {
       const {name, number, instanceIds} = datagram;
       return encode(['q', name, number, instanceIds.map((id) => [id])]);
@@ -243,6 +230,26 @@
   }
 }
 
+function encodeTableUpdate(datagram: TableUpdateDatagram): Uint8Array {
+  const {table, after, revision, newest, source} = datagram;
+  const {isScheduledPoll, isForGroup, packedRows} = datagram;
+  const {isForRegion = false} = datagram;
+  const ageMs = Math.round(datagram.ageMs);
+  return encode([
+    'n',
+    table,
+    after,
+    revision,
+    newest,
+    ageMs,
+    isScheduledPoll,
+    source,
+    isForGroup,
+    packedRows,
+    ...(isForRegion ? [true] : []),
+  ]);
+}
+
 function encodeGrantDatagram(
   datagram: GrantDatagram | OriginDatagram,
 ): Uint8Array {
--- a/packages/gateway/src/model/peer_message.ts
+++ b/packages/gateway/src/model/peer_message.ts
@@ -80,6 +80,8 @@
   readonly source: string;
   /** Whether the receiver relays it to the hosts of its group. */
   readonly isForGroup: boolean;
+  /** Whether the receiver also relays it to the other groups of its region. */
+  readonly isForRegion?: boolean;
   /** The compressed rows (`table_update.ts`); empty for none. */
   readonly packedRows: Uint8Array;
 }
--- a/packages/gateway/src/model/tuple_reader.ts
+++ b/packages/gateway/src/model/tuple_reader.ts
@@ -60,6 +60,11 @@
     return this.isNextAbsent() ? undefined : this.readNumber();
   }
 
+  /** Reads a boolean that may be absent. */
+  readOptionalBoolean(): boolean | undefined {
+    return this.isNextAbsent() ? undefined : this.readBoolean();
+  }
+
   /** Reads a nested tuple. */
   readTuple<T>(read: (fields: TupleReader) => T): T {
     return read(new TupleReader(this.readNext()));
--- a/packages/gateway/src/services/engine_groups.ts
+++ b/packages/gateway/src/services/engine_groups.ts
@@ -7,7 +7,11 @@
 import {
   computeHomeGroups,
   createHostGroups,
+  computeHostWeights,
+  getWeightedSample,
+  hasUnequalWeights,
   type HostGroup,
+  type HostPosition,
   type HostView,
   type EngineLocation,
   type KnownHost,
@@ -33,6 +37,9 @@
 /** Hosts per group that relay a datagram within it; two, as one may be lost. */
 const RELAYS_PER_GROUP = 2;
 
+/** Hosts per other region that relay a datagram within it. */
+const RELAYS_PER_REGION = 2;
+
 const NO_ENGINES: EngineList = {version: -1, listEngines: () => []};
 
 /** Keeps the groups of hosts and the home group of each engine. */
@@ -46,6 +53,7 @@
     private readonly ownPlace: PeerLocation,
     private readonly view: HostView<PeerLocation>,
     private readonly random: Random,
+    private readonly position: HostPosition,
   ) {}
 
   /** Lists the other hosts in this host's group. */
@@ -53,18 +61,56 @@
     return this.listHosts(this.getHomeGroups().group);
   }
 
-  /** Lists a few hosts of each other group, chosen at random. */
+  /**
+   * Lists a few hosts of each other group of this host's region, chosen at
+   * random.
+   */
   listRelays(): KnownHost<PeerLocation>[] {
     const {groups, group: own} = this.getHomeGroups();
     const relays: KnownHost<PeerLocation>[] = [];
     for (const group of groups) {
-      if (group === own) continue;
-      const hosts = getShuffled(this.listHosts(group), this.random);
-      relays.push(...hosts.slice(0, RELAYS_PER_GROUP));
+      if (group === own || !this.isNear(group)) continue;
+      const hosts = this.listHosts(group);
+      relays.push(...this.chooseRelays(hosts, RELAYS_PER_GROUP));
+    }
+    return relays;
+  }
+
+  /** Lists a few hosts of each other region, chosen at random. */
+  listRegionRelays(): KnownHost<PeerLocation>[] {
+    const hostsByRegion = new Map<string, KnownHost<PeerLocation>[]>();
+    for (const group of this.getHomeGroups().groups) {
+      if (this.isNear(group)) continue;
+      const {failureDomain} = group;
+      const region = this.position.regions.find(failureDomain);
+      const key = region ?? `domain ${failureDomain}`;
+      const hosts = hostsByRegion.get(key) ?? [];
+      hosts.push(...this.listHosts(group));
+      hostsByRegion.set(key, hosts);
+    }
+    const relays: KnownHost<PeerLocation>[] = [];
+    for (const hosts of hostsByRegion.values()) {
+      relays.push(...this.chooseRelays(hosts, RELAYS_PER_REGION));
     }
     return relays;
   }
 
+  /** A single group of all hosts is near, wherever they are. */
+  private isNear({failureDomain}: HostGroup): boolean {
+    return failureDomain === '' || this.position.isNear(failureDomain);
+  }
+
+  private chooseRelays(
+    hosts: readonly KnownHost<PeerLocation>[],
+    count: number,
+  ): KnownHost<PeerLocation>[] {
+    const weights = computeHostWeights(hosts.map(({place}) => place));
+    if (!hasUnequalWeights(weights)) {
+      return getShuffled(hosts, this.random).slice(0, count);
+    }
+    return getWeightedSample(hosts, weights, count, this.random);
+  }
+
   /** Whether this host's group is the home group of an engine. */
   isHome(instanceId: string): boolean {
     const {group, homes} = this.getHomeGroups();
@@ -99,7 +145,11 @@
     }
     const groups = createHostGroups(hosts);
     const group = groups.find(({names}) => names.includes(this.ownName));
-    const homes = computeHomeGroups(groups, this.engines.listEngines());
+    const homes = computeHomeGroups(
+      groups,
+      this.engines.listEngines(),
+      this.position.regions,
+    );
     this.cached = {recordsHash, version, groups, group, homes};
     return this.cached;
   }
--- a/packages/gateway/src/services/host_tracker.ts
+++ b/packages/gateway/src/services/host_tracker.ts
@@ -119,6 +119,7 @@
       heartbeatMs,
       random,
       hashRecord,
+      ({failureDomain}) => parts.position.isNear(failureDomain),
     );
     this.loader = new PeerTableLoader(
       tables,
@@ -129,6 +130,7 @@
         this.detector.acceptHostList(changes, clock.getNow());
         this.planUpdate();
       },
+      (address) => this.isNearAddress(address),
     );
     this.standing = new StoreStatus(this.view, tables, this.reports);
   }
@@ -263,6 +265,15 @@
     log.writeWarning('This machine was suspended.', {ms: Math.round(ms)});
   }
 
+  /** Whether the host with this table address is of this host's region. */
+  private isNearAddress(tables: string): boolean {
+    const {position} = this.parts;
+    if (!position.hasSeveralRegions) return true;
+    const known = this.view.listKnown();
+    const host = known.find(({place}) => place.tables === tables);
+    return host !== undefined && position.isNear(host.place.failureDomain);
+  }
+
   private get isAlone(): boolean {
     return !this.parts.hasSeeds && this.view.countKnown() === 0;
   }
--- a/packages/gateway/src/services/peer_hosts.ts
+++ b/packages/gateway/src/services/peer_hosts.ts
@@ -75,14 +75,14 @@
   private readonly freshnessChecker: FreshnessChecker;
 
   constructor(private readonly parts: PeersParts) {
-    const {name, place, tables, random, log, clock} = parts;
+    const {name, place, position, tables, random, log, clock} = parts;
     const send: SendToHosts = (hosts, datagram) => {
       this.sendTo(hosts, datagram);
     };
     const hasSeeds = parts.seeds.some((seed) => seed !== place.tables);
     this.tracker = new HostTracker({...parts, hasSeeds}, send);
     const {view} = this.tracker;
-    this.groups = new EngineGroups(name, place, view, random);
+    this.groups = new EngineGroups(name, place, view, random, position);
     this.broadcaster = new UpdateBroadcaster({
       tables,
       loader: this.tracker.loader,
--- a/packages/gateway/src/tables/peer_table_loader.ts
+++ b/packages/gateway/src/tables/peer_table_loader.ts
@@ -38,12 +38,9 @@
 
 /** Loads tables from other hosts. */
 export class PeerTableLoader {
-  private readonly loads: Readonly<Record<ReplicatedTable, TableLoad>> = {
-    configuration: createLoad(),
-    endpoints: createLoad(),
-    crashes: createLoad(),
-  };
+  private readonly loads: Readonly<Record<ReplicatedTable, TableLoad>>;
 
+  /** @param isNear Whether the host at an address is in the own region. */
   constructor(
     private readonly tables: Tables,
     private readonly source: PeerTableSource,
@@ -52,7 +49,14 @@
     private readonly acceptHosts: (
       updates: readonly HostUpdate<PeerLocation>[],
     ) => void,
-  ) {}
+    isNear: (address: string) => boolean = () => true,
+  ) {
+    this.loads = {
+      configuration: createLoad(isNear),
+      endpoints: createLoad(isNear),
+      crashes: createLoad(isNear),
+    };
+  }
 
   close(): void {
     this.source.close();
@@ -216,9 +220,9 @@
   }
 }
 
-function createLoad(): TableLoad {
+function createLoad(isNear: (address: string) => boolean): TableLoad {
   return {
-    sources: new UpdateSources(),
+    sources: new UpdateSources(isNear),
     pending: new Set(),
     behindSince: undefined,
     running: undefined,
--- a/packages/gateway/src/tables/update_broadcaster.ts
+++ b/packages/gateway/src/tables/update_broadcaster.ts
@@ -6,6 +6,10 @@
  * the host that read it, 44 of them in other domains, instead of 194 and 162 (a
  * test counts them).
  *
+ * Where there are several regions, two hosts of each other region get the update
+ * and relay it to the groups of their region: of 72 hosts in 3 regions, 4 get
+ * it from another region instead of 16.
+ *
  * An update whose rows do not fit into a datagram is sent without rows, with
  * the address of a host that has them. Receivers that lack the rows request
  * them at once; a relay passes the update on after it has loaded them itself,
@@ -26,8 +30,10 @@
 export interface UpdateTargets {
   /** Lists the other hosts of this host's group. */
   listGroup(): KnownHost<PeerLocation>[];
-  /** Lists a few hosts of each other group, drawn at random. */
+  /** Lists a few hosts of each other group of the region, drawn at random. */
   listRelays(): KnownHost<PeerLocation>[];
+  /** Lists a few hosts of each other region, drawn at random. */
+  listRegionRelays(): KnownHost<PeerLocation>[];
 }
 
 /** Dependencies of the broadcaster. */
@@ -89,8 +95,8 @@
     if (isBehind) void this.loadMissing(datagram, follower);
     // Relayed after loading, when the group can load the rows from this host.
     if (isBehind && !hasRows) return;
-    // Otherwise the group's other relay may have sent it on already.
-    if (isBehind || hasChanged || isFresher) this.passToGroup(datagram);
+    // Otherwise another relay may have sent it on already.
+    if (isBehind || hasChanged || isFresher) this.passOn(datagram);
   }
 
   /** Sends what this host has just read from the store to the other hosts. */
@@ -125,13 +131,16 @@
     if (!isLoaded || this.relayedRevisions[table] >= newest) return;
     this.relayedRevisions[table] = newest;
     const ageMs = datagram.ageMs + clock.getNow() - receivedAt;
-    this.passToGroup({...datagram, source: this.parts.source, ageMs});
+    this.passOn({...datagram, source: this.parts.source, ageMs});
   }
 
-  private passToGroup(datagram: TableUpdateDatagram): void {
-    if (!datagram.isForGroup) return;
+  /** Passes an update to this host's group and region, as its sender asks. */
+  private passOn(datagram: TableUpdateDatagram): void {
+    const {isForRegion = false, ...update} = datagram;
+    if (!update.isForGroup) return;
     const {send, targets} = this.parts;
-    send(targets.listGroup(), {...datagram, isForGroup: false});
+    send(targets.listGroup(), {...update, isForGroup: false});
+    if (isForRegion) send(targets.listRelays(), update);
   }
 
   /** Decodes packed rows; undefined when they are malformed. */
@@ -150,7 +159,9 @@
 
   private sendToAll(datagram: Omit<TableUpdateDatagram, 'isForGroup'>): void {
     const {send, targets} = this.parts;
+    const toRelay = {...datagram, isForGroup: true};
     send(targets.listGroup(), {...datagram, isForGroup: false});
-    send(targets.listRelays(), {...datagram, isForGroup: true});
+    send(targets.listRelays(), toRelay);
+    send(targets.listRegionRelays(), {...toRelay, isForRegion: true});
   }
 }
--- a/packages/gateway/tests/engine_groups.test.ts
+++ b/packages/gateway/tests/engine_groups.test.ts
@@ -1,7 +1,13 @@
 /** Which hosts receive messages for a group, all groups, or an engine. */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {HostView, type EngineLocation} from '@irisdock/decisions';
+import {
+  HostPosition,
+  HostView,
+  RegionMap,
+  SINGLE_REGION,
+  type EngineLocation,
+} from '@irisdock/decisions';
 import {EngineGroups, type PeerLocation} from '@irisdock/gateway';
 import {SeededRandom} from '@irisdock/kernel';
 
@@ -39,10 +45,21 @@
   return view;
 }
 
-function createGroups(hosts: number, engines: number): EngineGroups {
+/** Two domains in each of three regions. */
+const REGIONS = new RegionMap(
+  new Map([0, 1, 2, 3, 4, 5].map((at) => [`domain-${at}`, `r${at % 3}`])),
+);
+
+function createGroups(
+  hosts: number,
+  engines: number,
+  regions = SINGLE_REGION,
+): EngineGroups {
   const view = createView(hosts);
   const random = new SeededRandom(4);
-  const groups = new EngineGroups('host-0', createPlace(0), view, random);
+  const place = createPlace(0);
+  const position = new HostPosition(place.failureDomain, regions);
+  const groups = new EngineGroups('host-0', place, view, random, position);
   const housed: EngineLocation[] = [];
   for (let at = 0; at < engines; at++) {
     const failureDomain = `domain-${at % DOMAINS}`;
@@ -69,6 +86,21 @@
     assert.equal(new Set(relays).size, relays.length);
   });
 
+  it('need few datagrams to other regions', () => {
+    const groups = createGroups(72, 0, REGIONS);
+    const domains = new Set(
+      groups.listRelays().map(({place}) => place.failureDomain),
+    );
+    assert.deepEqual([...domains].sort(), ['domain-0', 'domain-3']);
+    const regions = groups
+      .listRegionRelays()
+      .map(({place}) => REGIONS.find(place.failureDomain))
+      .sort();
+    assert.deepEqual(regions, ['r1', 'r1', 'r2', 'r2']);
+    assert.deepEqual(createGroups(72, 0).listRegionRelays(), []);
+    assert.equal(createGroups(72, 0).listRelays().length, 22);
+  });
+
   it('contain all hosts if there are few', () => {
     const groups = createGroups(9, 4);
     assert.equal(groups.listGroup().length, 8);
--- /dev/null
+++ b/packages/gateway/tests/region_updates.test.ts
@@ -0,0 +1,66 @@
+/**
+ * Changes reach all hosts of several regions in time, with few bytes between
+ * the regions, and each region goes on without links to the others.
+ */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {TableFleet} from './fixtures/table_fleet.js';
+
+const SIZE = {hosts: 72, domains: 6, regions: 3};
+const SETTLE_MS = 8000;
+const CHANGES = 10;
+const MAX_DELAY_MS = 2000;
+const MAX_UNDISTURBED_DELAY_MS = 500;
+
+interface Figures {
+  readonly farBytes: number;
+  readonly maxDelayMs: number;
+}
+
+async function writeChanges(fleet: TableFleet): Promise<Figures> {
+  const bytesBefore = fleet.farBytes;
+  const versions: number[] = [];
+  for (let round = 0; round < CHANGES; round++) {
+    versions.push(fleet.writeChange());
+    await fleet.clock.run(1000 + fleet.random.getInt(300));
+  }
+  await fleet.clock.run(SETTLE_MS);
+  const delays = fleet.hosts.flatMap((host) =>
+    versions.map((version) => fleet.getDelayMs(host, version)),
+  );
+  return {
+    farBytes: fleet.farBytes - bytesBefore,
+    maxDelayMs: Math.max(...delays),
+  };
+}
+
+async function measureChanges(isRegionAware: boolean): Promise<Figures> {
+  const fleet = new TableFleet({...SIZE, seed: 1, isRegionAware});
+  await fleet.start(SETTLE_MS);
+  const figures = await writeChanges(fleet);
+  fleet.stop();
+  return figures;
+}
+
+describe('changes of a table in several regions', () => {
+  it('arrive in time with a fraction of the bytes between regions', async () => {
+    const aware = await measureChanges(true);
+    const unaware = await measureChanges(false);
+    assert.ok(aware.maxDelayMs <= MAX_UNDISTURBED_DELAY_MS);
+    assert.ok(aware.farBytes < unaware.farBytes / 3);
+  });
+
+  it('arrive in time in each region without links between them', async () => {
+    const fleet = new TableFleet({...SIZE, seed: 2});
+    await fleet.start(SETTLE_MS);
+    fleet.isPartitioned = (one, other) => fleet.isFar(one, other);
+    await fleet.clock.run(SETTLE_MS);
+    const split = await writeChanges(fleet);
+    assert.ok(split.maxDelayMs <= MAX_DELAY_MS, `${split.maxDelayMs}`);
+    for (const {peers} of fleet.hosts) assert.equal(peers.countServing(), 24);
+    fleet.isPartitioned = () => false;
+    await fleet.clock.run(SETTLE_MS);
+    for (const {peers} of fleet.hosts) assert.equal(peers.countServing(), 72);
+    fleet.stop();
+  });
+});
