--- a/packages/cli/src/api_client.ts
+++ b/packages/cli/src/api_client.ts
@@ -56,6 +56,14 @@
     z.object({
       name: z.string(),
       failureDomain: z.string(),
+      region: z.string().optional(),
+      capacity: z
+        .object({
+          cores: z.number(),
+          linkMbps: z.number(),
+          memoryMb: z.number(),
+        })
+        .optional(),
       standing: z.string(),
       state: z.string(),
       isStoreAway: z.boolean(),
@@ -65,6 +73,8 @@
     }),
   ),
 });
+/** A host as one gateway knows it. */
+export type HostEntry = z.infer<typeof HOSTS_SCHEMA>['hosts'][number];
 /** Contents under which endpoints ended. */
 const CRASHES_SCHEMA = z.object({
   contents: z.array(
--- a/packages/cli/src/commands/hosts.ts
+++ b/packages/cli/src/commands/hosts.ts
@@ -1,6 +1,7 @@
 /** `irisdock hosts`: the hosts of a deployment as one gateway knows them. */
 import {err, ok} from 'neverthrow';
 import * as z from 'zod';
+import type {HostEntry} from '../api_client.js';
 import {createCommand} from '../command.js';
 
 const COLUMNS = [
@@ -13,6 +14,8 @@
   'CONFIGURATION',
   'HEARD',
 ];
+/** Shown if any host has a region or tells its capacity. */
+const PLACE_COLUMNS = ['REGION', 'CORES', 'MBIT/S', 'MB'];
 const WORDS = z.tuple([], 'give no words');
 const ABSENT = '-';
 
@@ -26,7 +29,10 @@
   async run({client, output}) {
     const list = await client.listHosts();
     if (list.isErr()) return err(list.error);
-    const rows = list.value.hosts.map((host) => [
+    const {hosts} = list.value;
+    const hasPlaces = hosts.some(({region, capacity}) => region ?? capacity);
+    const columns = hasPlaces ? [...COLUMNS, ...PLACE_COLUMNS] : COLUMNS;
+    const rows = hosts.map((host) => [
       host.name,
       host.failureDomain,
       host.standing,
@@ -35,8 +41,23 @@
       host.role,
       String(host.configuration ?? ABSENT),
       host.heardSecondsAgo === null ? ABSENT : `${host.heardSecondsAgo} s ago`,
+      ...(hasPlaces ? formatPlace(host) : []),
     ]);
-    output.print(list.value, COLUMNS, rows);
+    output.print(list.value, columns, rows);
     return ok();
   },
 });
+
+function formatPlace({region, capacity}: HostEntry): string[] {
+  return [
+    region ?? ABSENT,
+    formatFigure(capacity?.cores),
+    formatFigure(capacity?.linkMbps),
+    formatFigure(capacity?.memoryMb),
+  ];
+}
+
+/** Hosts tell 0 for what they do not know. */
+function formatFigure(figure = 0): string {
+  return figure === 0 ? ABSENT : String(Number(figure.toFixed(3)));
+}
--- a/packages/gateway/src/services/host_summaries.ts
+++ b/packages/gateway/src/services/host_summaries.ts
@@ -3,7 +3,7 @@
  * are alive, which read the store, and which configuration each has according
  * to its last message. Hosts with faults come first.
  */
-import type {HostRecord, HostStanding} from '@irisdock/decisions';
+import type {HostCapacity, HostRecord, HostStanding} from '@irisdock/decisions';
 import type {TableRevisions} from '../model/peer_message.js';
 
 /** The revisions that a host last sent. */
@@ -17,6 +17,10 @@
 export interface HostSummary {
   readonly name: string;
   readonly failureDomain: string;
+  /** Undefined without regions. */
+  readonly region: string | undefined;
+  /** Undefined if the host tells none. */
+  readonly capacity: HostCapacity | undefined;
   readonly standing: HostStanding;
   readonly state: HostRecord['state'];
   readonly isStoreAway: boolean;
--- a/packages/gateway/src/services/host_tracker.ts
+++ b/packages/gateway/src/services/host_tracker.ts
@@ -155,17 +155,22 @@
   /** Lists all known hosts, those with faults first. */
   listHostSummaries(now: number): HostSummary[] {
     const {view, standing, loader} = this;
+    const {position} = this.parts;
     const readers = standing.listReaders();
     const createSummary = (
       record: HostRecord,
-      status: Pick<HostSummary, 'failureDomain' | 'standing'>,
+      place: PeerLocation,
+      standing: HostSummary['standing'],
       lastHeard: LastHeard | undefined,
     ): HostSummary => {
       const {name, state, isStoreAway} = record;
       const rank = readers.indexOf(name);
       return {
         name,
-        ...status,
+        failureDomain: place.failureDomain,
+        region: position.regions.find(place.failureDomain),
+        capacity: place.capacity,
+        standing,
         state,
         isStoreAway,
         role: rank < 0 ? 'listener' : `reader ${rank}`,
@@ -173,16 +178,13 @@
         heardMs: lastHeard === undefined ? undefined : now - lastHeard.at,
       };
     };
-    const {failureDomain} = this.parts.place;
     const own = {revisions: loader.listRevisions(), at: now};
     const hosts = [
-      createSummary(view.ownRecord, {failureDomain, standing: 'alive'}, own),
+      createSummary(view.ownRecord, this.parts.place, 'alive', own),
     ];
     for (const {record, place, standing} of view.listKnown()) {
-      const status = {failureDomain: place.failureDomain, standing};
-      hosts.push(
-        createSummary(record, status, this.lastHeard.get(record.name)),
-      );
+      const lastHeard = this.lastHeard.get(record.name);
+      hosts.push(createSummary(record, place, standing, lastHeard));
     }
     return sortHostSummaries(hosts);
   }
--- a/packages/testkit/tests/command_line.test.ts
+++ b/packages/testkit/tests/command_line.test.ts
@@ -300,6 +300,12 @@
         /^host-1 +zone-a +suspected +ready +away +reader 0 +114 +3 s ago$/m;
       assert.match(list.stdout, row);
       assert.match(list.stdout, /^host-2 .* 114 +-$/m);
+      Object.assign(host, {
+        region: 'north',
+        capacity: {cores: 0.324, linkMbps: 0, memoryMb: 250},
+      });
+      const wide = await runProcess('irisdock', ['hosts', '-s', address]);
+      assert.match(wide.stdout, /^host-1 .* 3 s ago +north +0\.324 +- +250$/m);
       const bad = await runProcess('irisdock', ['hosts', 'x', '-s', address]);
       assert.equal(bad.code, 2);
     });
