Keep a reader of the store in each region

The three readers were the hosts that have run longest, wherever they are; when the links between regions were gone, a region without one waited for its replicas to grow old. The best sound host of each region now comes first. Without regions the choice is unchanged.

--- a/packages/decisions/src/store_readers.ts
+++ b/packages/decisions/src/store_readers.ts
@@ -8,6 +8,9 @@
  * Hosts that have run longest come first. In an order by name alone, a starting
  * host could displace a reader, so many of the hosts that start one after
  * another would read for a while.
+ *
+ * Where there are several regions, readers are in different ones, so that each
+ * region still has a reader when the links between regions are gone.
  */
 import {hashText} from './hash.js';
 import type {HostState} from './host_record.js';
@@ -23,6 +26,8 @@
   readonly state: HostState;
   /** Whether its latest calls to the store failed. */
   readonly isStoreAway: boolean;
+  /** The host's region; undefined if it is not known or there is only one. */
+  readonly region?: string | undefined;
 }
 
 /**
@@ -35,13 +40,14 @@
   candidates: readonly ReaderCandidate[],
   count: number,
 ): string[] {
-  const ranked = candidates.map(({name, incarnation, state, isStoreAway}) => ({
-    name,
-    incarnation,
+  const ranked = candidates.map((candidate) => ({
+    name: candidate.name,
+    incarnation: candidate.incarnation,
+    region: candidate.region,
     faults:
-      (isStoreAway ? STORE_UNAVAILABLE_FAULTS : 0) +
-      (state === 'ready' ? 0 : 1),
-    hash: hashText(name),
+      (candidate.isStoreAway ? STORE_UNAVAILABLE_FAULTS : 0) +
+      (candidate.state === 'ready' ? 0 : 1),
+    hash: hashText(candidate.name),
   }));
   ranked.sort(
     (a, b) =>
@@ -50,5 +56,13 @@
       a.hash - b.hash ||
       (a.name < b.name ? -1 : 1),
   );
-  return ranked.slice(0, count).map(({name}) => name);
+  const regions = new Set<string>();
+  const best: string[] = [];
+  const others: string[] = [];
+  for (const {name, region, faults} of ranked) {
+    const isBest = region !== undefined && faults === 0 && !regions.has(region);
+    if (isBest) regions.add(region);
+    (isBest ? best : others).push(name);
+  }
+  return [...best, ...others].slice(0, count);
 }
--- a/packages/decisions/tests/region_placement.test.ts
+++ b/packages/decisions/tests/region_placement.test.ts
@@ -6,6 +6,7 @@
   chooseEngine,
   chooseOriginHolders,
   choosePlainEndpoint,
+  chooseStoreReaders,
   computeHomeGroups,
   createHostGroups,
   HostPosition,
@@ -208,3 +209,21 @@
     assert.equal(sources.choose(7, new Set(['near-1', 'near-2'])), 'far');
   });
 });
+
+describe('the readers of the store', () => {
+  it('are in different regions, unless one has no sound host', () => {
+    const candidates = ['a', 'a', 'b', 'b', 'c'].map((region, at) => ({
+      name: `${region}${at}`,
+      region,
+      incarnation: at,
+      state: 'ready' as const,
+      isStoreAway: false,
+    }));
+    assert.deepEqual(chooseStoreReaders(candidates, 3), ['a0', 'b2', 'c4']);
+    const away = candidates.map((one) => ({
+      ...one,
+      isStoreAway: one.region === 'c',
+    }));
+    assert.deepEqual(chooseStoreReaders(away, 3), ['a0', 'b2', 'a1']);
+  });
+});
--- a/packages/gateway/src/services/host_tracker.ts
+++ b/packages/gateway/src/services/host_tracker.ts
@@ -132,7 +132,12 @@
       },
       (address) => this.isNearAddress(address),
     );
-    this.standing = new StoreStatus(this.view, tables, this.reports);
+    this.standing = new StoreStatus(
+      this.view,
+      tables,
+      this.reports,
+      parts.position,
+    );
   }
 
   /** What this host knows of the other hosts. */
--- a/packages/gateway/src/tables/store_status.ts
+++ b/packages/gateway/src/tables/store_status.ts
@@ -5,8 +5,10 @@
  */
 import {
   chooseStoreReaders,
+  type HostPosition,
   type HostRecord,
   type HostView,
+  type ReaderCandidate,
   type ReaderReport,
   type ReaderReports,
 } from '@irisdock/decisions';
@@ -38,6 +40,7 @@
     private readonly view: HostView<PeerLocation>,
     private readonly tables: Tables,
     private readonly readerReports: ReaderReports,
+    private readonly position: HostPosition,
   ) {}
 
   /** Whether this host has a replica of all tables, however old. */
@@ -72,11 +75,21 @@
 
   /** Lists the names of the hosts that read the store, in order of rank. */
   listReaders(): string[] {
-    const candidates = [this.view.ownRecord];
-    for (const {record} of this.view.listAlive()) candidates.push(record);
+    const {ownRecord} = this.view;
+    const ownDomain = this.position.failureDomain;
+    const candidates = [this.createCandidate(ownRecord, ownDomain)];
+    for (const {record, place} of this.view.listAlive()) {
+      candidates.push(this.createCandidate(record, place.failureDomain));
+    }
     return chooseStoreReaders(candidates, READER_COUNT);
   }
 
+  private createCandidate(record: HostRecord, domain: string): ReaderCandidate {
+    const {hasSeveral} = this.position.regions;
+    const region = hasSeveral ? this.position.regions.find(domain) : undefined;
+    return {...record, region};
+  }
+
   private setRoles(role: ReaderRole): void {
     for (const name of REPLICATED_TABLES) this.tables[name].setRole(role);
   }
--- a/packages/gateway/tests/region_updates.test.ts
+++ b/packages/gateway/tests/region_updates.test.ts
@@ -7,6 +7,8 @@
 import {TableFleet} from './fixtures/table_fleet.js';
 
 const SIZE = {hosts: 72, domains: 6, regions: 3};
+/** One domain of each region. */
+const DOMAINS_GONE = new Set(['domain-1', 'domain-3', 'domain-5']);
 const SETTLE_MS = 8000;
 const CHANGES = 10;
 const MAX_DELAY_MS = 2000;
@@ -55,7 +57,7 @@
     await fleet.start(SETTLE_MS);
     const readers = fleet.listReaders(fleet.hosts[0]);
     const gone = fleet.hosts.filter(
-      (host) => host.failureDomain >= 'domain-3' && !readers.includes(host),
+      (host) => DOMAINS_GONE.has(host.failureDomain) && !readers.includes(host),
     );
     for (const host of gone) host.kill('unreachable');
     const version = fleet.writeChange();
@@ -71,6 +73,11 @@
   it('arrive in time in each region without links between them', async () => {
     const fleet = new TableFleet({...SIZE, seed: 2});
     await fleet.start(SETTLE_MS);
+    const readers = fleet.listReaders(fleet.hosts[0]);
+    const regions = readers.map(({failureDomain}) =>
+      fleet.regions.find(failureDomain),
+    );
+    assert.equal(new Set(regions).size, SIZE.regions);
     fleet.isPartitioned = (one, other) => fleet.isFar(one, other);
     await fleet.clock.run(SETTLE_MS);
     const split = await writeChanges(fleet);
