--- a/packages/gateway/src/model/peer_message.ts
+++ b/packages/gateway/src/model/peer_message.ts
@@ -4,6 +4,7 @@
  */
 import type {
   Crash,
+  HostCapacity,
   ReaderReport,
   RolloutPhase,
   GossipMessage,
@@ -24,7 +25,10 @@
 import type {RolloutReport} from './rollout_order.js';
 import type {ReplicatedTable} from './table_store.js';
 
-/** The failure domain of a host and the addresses on which it listens. */
+/**
+ * The failure domain of a host, the addresses on which it listens, and what it
+ * can carry.
+ */
 export interface PeerLocation {
   readonly failureDomain: string;
   /** The address for datagrams, as `ip:port`. */
@@ -33,6 +37,8 @@
   readonly tables: string;
   /** The address for callers, as `ip:port`. */
   readonly callers: string;
+  /** Undefined for a host that tells none, as one of an older version. */
+  readonly capacity?: HostCapacity | undefined;
 }
 
 /** The requests and tokens that a host has in progress on one endpoint. */
@@ -76,6 +82,8 @@
   readonly source: string;
   /** Whether the receiver relays it to the hosts of its group. */
   readonly isForGroup: boolean;
+  /** Whether the receiver also relays it to the other groups of its region. */
+  readonly isForRegion?: boolean;
   /** The compressed rows (`table_update.ts`); empty for none. */
   readonly packedRows: Uint8Array;
 }
--- a/packages/gateway/src/services/engine_groups.ts
+++ b/packages/gateway/src/services/engine_groups.ts
@@ -7,7 +7,11 @@
 import {
   computeHomeGroups,
   createHostGroups,
+  computeHostWeights,
+  getWeightedSample,
+  hasUnequalWeights,
   type HostGroup,
+  type HostPosition,
   type HostView,
   type EngineLocation,
   type KnownHost,
@@ -33,6 +37,9 @@
 /** Hosts per group that relay a datagram within it; two, as one may be lost. */
 const RELAYS_PER_GROUP = 2;
 
+/** Hosts per other region that relay a datagram within it. */
+const RELAYS_PER_REGION = 2;
+
 const NO_ENGINES: EngineList = {version: -1, listEngines: () => []};
 
 /** Keeps the groups of hosts and the home group of each engine. */
@@ -46,6 +53,7 @@
     private readonly ownPlace: PeerLocation,
     private readonly view: HostView<PeerLocation>,
     private readonly random: Random,
+    private readonly position: HostPosition,
   ) {}
 
   /** Lists the other hosts in this host's group. */
@@ -53,18 +61,75 @@
     return this.listHosts(this.getHomeGroups().group);
   }
 
-  /** Lists a few hosts of each other group, chosen at random. */
+  /**
+   * Lists a few hosts of each other group of this host's region, chosen at
+   * random.
+   */
   listRelays(): KnownHost<PeerLocation>[] {
     const {groups, group: own} = this.getHomeGroups();
     const relays: KnownHost<PeerLocation>[] = [];
     for (const group of groups) {
-      if (group === own) continue;
-      const hosts = getShuffled(this.listHosts(group), this.random);
-      relays.push(...hosts.slice(0, RELAYS_PER_GROUP));
+      if (group === own || !this.isNear(group)) continue;
+      const hosts = this.listHosts(group);
+      relays.push(...this.chooseRelays(hosts, RELAYS_PER_GROUP));
+    }
+    return relays;
+  }
+
+  /**
+   * Lists a few hosts of each other region, chosen at random and from different
+   * failure domains, as all hosts of a domain may be lost at once.
+   */
+  listRegionRelays(): KnownHost<PeerLocation>[] {
+    const relays: KnownHost<PeerLocation>[] = [];
+    for (const domains of this.listFarDomains().values()) {
+      const chosen = getShuffled(domains, this.random);
+      const count = Math.ceil(RELAYS_PER_REGION / domains.length);
+      for (const domain of chosen.slice(0, RELAYS_PER_REGION)) {
+        const hosts = this.listDomainHosts(domain);
+        relays.push(...this.chooseRelays(hosts, count));
+      }
     }
     return relays;
   }
 
+  /** Lists the failure domains of each other region, by region. */
+  private listFarDomains(): ReadonlyMap<string, readonly string[]> {
+    const domainsByRegion = new Map<string, string[]>();
+    const {groups} = this.getHomeGroups();
+    const far = groups.filter((group) => !this.isNear(group));
+    for (const domain of new Set(far.map((group) => group.failureDomain))) {
+      const region = this.position.regions.find(domain);
+      const key = region ?? `domain ${domain}`;
+      const domains = domainsByRegion.get(key) ?? [];
+      domains.push(domain);
+      domainsByRegion.set(key, domains);
+    }
+    return domainsByRegion;
+  }
+
+  private listDomainHosts(domain: string): KnownHost<PeerLocation>[] {
+    return this.getHomeGroups()
+      .groups.filter(({failureDomain}) => failureDomain === domain)
+      .flatMap((group) => this.listHosts(group));
+  }
+
+  /** A single group of all hosts is near, wherever they are. */
+  private isNear({failureDomain}: HostGroup): boolean {
+    return failureDomain === '' || this.position.isNear(failureDomain);
+  }
+
+  private chooseRelays(
+    hosts: readonly KnownHost<PeerLocation>[],
+    count: number,
+  ): KnownHost<PeerLocation>[] {
+    const weights = computeHostWeights(hosts.map(({place}) => place));
+    if (!hasUnequalWeights(weights)) {
+      return getShuffled(hosts, this.random).slice(0, count);
+    }
+    return getWeightedSample(hosts, weights, count, this.random);
+  }
+
   /** Whether this host's group is the home group of an engine. */
   isHome(instanceId: string): boolean {
     const {group, homes} = this.getHomeGroups();
@@ -99,7 +164,11 @@
     }
     const groups = createHostGroups(hosts);
     const group = groups.find(({names}) => names.includes(this.ownName));
-    const homes = computeHomeGroups(groups, this.engines.listEngines());
+    const homes = computeHomeGroups(
+      groups,
+      this.engines.listEngines(),
+      this.position.regions,
+    );
     this.cached = {recordsHash, version, groups, group, homes};
     return this.cached;
   }
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -210,7 +210,7 @@
     promptCaches: new PromptCacheFinder(
       engineClient,
       codecs.keptPrompts,
-      peers.place.failureDomain,
+      peers.position,
       clock,
       log,
     ),
@@ -218,7 +218,7 @@
     endpoints: context.find(GATEWAY_ENDPOINTS),
     retryBudgets: new RetryBudgets(
       createBudgetOptions(settings),
-      () => peers.countServing(),
+      () => peers.computeServingShares(),
       () => clock.getNow(),
     ),
     rollouts: context.find(ROLLOUTS),
--- a/packages/gateway/src/services/host_tracker.ts
+++ b/packages/gateway/src/services/host_tracker.ts
@@ -8,6 +8,7 @@
   FailureDetector,
   ReaderReports,
   SuspensionDetector,
+  type HostPosition,
   type HostRecord,
   type HostView,
   type OutgoingGossip,
@@ -40,6 +41,8 @@
   readonly incarnation: number;
   /** The addresses and the failure domain of this host. */
   readonly place: PeerLocation;
+  /** Which other hosts are near. */
+  readonly position: HostPosition;
   /** The time between two heartbeats, in ms. */
   readonly heartbeatMs: number;
   /** Whether seeds are set: other hosts may run that are not known yet. */
@@ -116,6 +119,7 @@
       heartbeatMs,
       random,
       hashRecord,
+      ({failureDomain}) => parts.position.isNear(failureDomain),
     );
     this.loader = new PeerTableLoader(
       tables,
@@ -126,8 +130,14 @@
         this.detector.acceptHostList(changes, clock.getNow());
         this.planUpdate();
       },
+      (address) => this.isNearAddress(address),
+    );
+    this.standing = new StoreStatus(
+      this.view,
+      tables,
+      this.reports,
+      parts.position,
     );
-    this.standing = new StoreStatus(this.view, tables, this.reports);
   }
 
   /** What this host knows of the other hosts. */
@@ -150,17 +160,22 @@
   /** Lists all known hosts, those with faults first. */
   listHostSummaries(now: number): HostSummary[] {
     const {view, standing, loader} = this;
+    const {position} = this.parts;
     const readers = standing.listReaders();
     const createSummary = (
       record: HostRecord,
-      status: Pick<HostSummary, 'failureDomain' | 'standing'>,
+      place: PeerLocation,
+      standing: HostSummary['standing'],
       lastHeard: LastHeard | undefined,
     ): HostSummary => {
       const {name, state, isStoreAway} = record;
       const rank = readers.indexOf(name);
       return {
         name,
-        ...status,
+        failureDomain: place.failureDomain,
+        region: position.regions.find(place.failureDomain),
+        capacity: place.capacity,
+        standing,
         state,
         isStoreAway,
         role: rank < 0 ? 'listener' : `reader ${rank}`,
@@ -168,16 +183,13 @@
         heardMs: lastHeard === undefined ? undefined : now - lastHeard.at,
       };
     };
-    const {failureDomain} = this.parts.place;
     const own = {revisions: loader.listRevisions(), at: now};
     const hosts = [
-      createSummary(view.ownRecord, {failureDomain, standing: 'alive'}, own),
+      createSummary(view.ownRecord, this.parts.place, 'alive', own),
     ];
     for (const {record, place, standing} of view.listKnown()) {
-      const status = {failureDomain: place.failureDomain, standing};
-      hosts.push(
-        createSummary(record, status, this.lastHeard.get(record.name)),
-      );
+      const lastHeard = this.lastHeard.get(record.name);
+      hosts.push(createSummary(record, place, standing, lastHeard));
     }
     return sortHostSummaries(hosts);
   }
@@ -260,6 +272,15 @@
     log.writeWarning('This machine was suspended.', {ms: Math.round(ms)});
   }
 
+  /** Whether the host with this table address is of this host's region. */
+  private isNearAddress(tables: string): boolean {
+    const {position} = this.parts;
+    if (!position.hasSeveralRegions) return true;
+    const known = this.view.listKnown();
+    const host = known.find(({place}) => place.tables === tables);
+    return host !== undefined && position.isNear(host.place.failureDomain);
+  }
+
   private get isAlone(): boolean {
     return !this.parts.hasSeeds && this.view.countKnown() === 0;
   }
