--- a/packages/gateway/src/model/peer_codec.ts
+++ b/packages/gateway/src/model/peer_codec.ts
@@ -90,7 +90,7 @@
   'h',
   'b',
   'k',
-  'x',
+  'v',
 ] as const;
 
 /** Decodes a datagram; an error names the malformed field. */
@@ -158,7 +158,7 @@
       return readBegunReport(fields);
     case 'k':
       return readBegunRequest(fields);
-    case 'x':
+    case 'v':
       return readDemand(fields);
   }
 }
@@ -299,7 +299,7 @@
     case 'begun-ask':
       return encode(['k', ...encodeBegunRequest(datagram)]);
     case 'demand':
-      return encode(['x', ...encodeDemand(datagram)]);
+      return encode(['v', ...encodeDemand(datagram)]);
   }
 }
 
--- a/packages/gateway/tests/peer_datagrams.test.ts
+++ b/packages/gateway/tests/peer_datagrams.test.ts
@@ -219,8 +219,8 @@
       [['m', 'host', [['i-1', NaN, 5]]], /is not finite/],
       [['m', 'host', [['i-1', 3, Infinity]]], /is not finite/],
       [['o', [['s', 'c', 'engines', 'i-1', 'v1', NaN]]], /is not finite/],
-      [['k', 'host', 1, [['s', 1, 0, Infinity, 0, 0]]], /not finite/],
-      [['k', 'host', 1, [['s', -1, 0, 0, 0, 0]]], /is negative/],
+      [['v', 'host', 1, [['s', 1, 0, Infinity, 0, 0]]], /not finite/],
+      [['v', 'host', 1, [['s', -1, 0, 0, 0, 0]]], /is negative/],
     ];
     for (const [value, fault] of malformed) {
       const decoded = decodePeerDatagram(encode(value));
