Lend retries between hosts, and count none whose engine was not reached

Cause: with 91 hosts each host's share of a retry budget is about half a retry, so that begun streams of a lost failure domain are cut although the budget of all hosts is hardly used; and a new stream whose engine accepts no connection is refused for want of a retry while most engines have room.

Change, both only where settings ask for it: [front] retryLenders (0) is how many other hosts are asked for a part of a retry, four at a time, when one is missing; a loan counts at the lender. [front] unreachableRetries = "free" ("counted") takes nothing from the budget for a retry after a connection that never opened, as no endpoint has seen the request.

Tests: retry_loans (40 hosts in simulated time, some lost; the bound of all hosts), domain_outages (a stream goes on by a retry of other hosts, and is cut without lenders; six new streams beside a lost engine, none refused, and some refused without the setting).

--- a/packages/gateway/src/model/peer_codec.ts
+++ b/packages/gateway/src/model/peer_codec.ts
@@ -36,6 +36,13 @@
   readLeaseRequest,
   readLeaseRelease,
 } from './run_lease_datagram.js';
+import {
+  encodeLoanRequest,
+  encodeLoanResponse,
+  readLoanRequest,
+  readLoanResponse,
+  type LoanDatagram,
+} from './loan_datagram.js';
 import {encodeMembership, readMembership} from './membership_datagram.js';
 import {
   encodeOriginRequest,
@@ -53,7 +60,8 @@
  * The codes of the kinds, in the order of `readDatagram`: membership, usage,
  * table update, usage query and reply, unreachable endpoint, report and phase
  * of rollouts, crashes, cleared content, limits, permit request and response,
- * lease request, response and release, origins, origin request and response.
+ * lease request, response and release, origins, origin request and response,
+ * loan request and response.
  */
 const KIND_CODES = [
   'w',
@@ -75,6 +83,8 @@
   'o',
   'f',
   'h',
+  'b',
+  'k',
 ] as const;
 
 /** Decodes a datagram; an error names the malformed field. */
@@ -138,6 +148,10 @@
       return readOriginRequest(fields);
     case 'h':
       return readOriginResponse(fields);
+    case 'b':
+      return readLoanRequest(fields);
+    case 'k':
+      return readLoanResponse(fields);
   }
 }
 
@@ -244,7 +258,7 @@
 }
 
 function encodeGrantDatagram(
-  datagram: GrantDatagram | OriginDatagram,
+  datagram: GrantDatagram | LoanDatagram | OriginDatagram,
 ): Uint8Array {
   switch (datagram.kind) {
     case 'limits':
@@ -265,6 +279,10 @@
       return encode(['f', ...encodeOriginRequest(datagram)]);
     case 'origin-answer':
       return encode(['h', ...encodeOriginResponse(datagram)]);
+    case 'loan-ask':
+      return encode(['b', ...encodeLoanRequest(datagram)]);
+    case 'loan-answer':
+      return encode(['k', ...encodeLoanResponse(datagram)]);
   }
 }
 
--- a/packages/gateway/src/model/peer_message.ts
+++ b/packages/gateway/src/model/peer_message.ts
@@ -13,6 +13,7 @@
   PermitResponseDatagram,
   PermitRequestDatagram,
 } from './limit_datagram.js';
+import type {LoanDatagram} from './loan_datagram.js';
 import type {OriginDatagram} from './origin_datagram.js';
 import type {
   LeaseResponseDatagram,
@@ -163,6 +164,7 @@
   | ContentClearedDatagram
   | CrashesDatagram
   | GrantDatagram
+  | LoanDatagram
   | OriginDatagram
   | EndpointUnreachableDatagram
   | TableUpdateDatagram
--- a/packages/gateway/src/services/datagram_handlers.ts
+++ b/packages/gateway/src/services/datagram_handlers.ts
@@ -21,6 +21,11 @@
   LeaseRequestDatagram,
   LeaseReleaseDatagram,
 } from '../model/run_lease_datagram.js';
+import type {
+  LoanDatagram,
+  LoanRequestDatagram,
+  LoanResponseDatagram,
+} from '../model/loan_datagram.js';
 import type {
   OriginDatagram,
   OriginRequestDatagram,
@@ -56,6 +61,12 @@
   acceptLeaseRelease(datagram: LeaseReleaseDatagram): void;
 }
 
+/** Handles requests and answers by which hosts lend retries. */
+export interface LoanDatagramHandler {
+  acceptLoanRequest(datagram: LoanRequestDatagram): void;
+  acceptLoanAnswer(datagram: LoanResponseDatagram): void;
+}
+
 /** Handles reports and lookups of the origins of streams. */
 export interface OriginDatagramHandler {
   /** Does the work of one heartbeat. */
@@ -71,6 +82,7 @@
   | ContentClearedDatagram
   | CrashesDatagram
   | GrantDatagram
+  | LoanDatagram
   | RolloutPhaseDatagram
   | RolloutReportDatagram;
 
@@ -81,6 +93,7 @@
   limits: LimitDatagramHandler | undefined;
   leases: LeaseDatagramHandler | undefined;
   origins: OriginDatagramHandler | undefined;
+  loans: LoanDatagramHandler | undefined;
 
   /** Passes a datagram to its handler. */
   accept(datagram: HandledDatagram): void {
@@ -123,6 +136,12 @@
         return;
       case 'origin-answer':
         this.origins?.acceptOriginAnswer(datagram);
+        return;
+      case 'loan-ask':
+        this.loans?.acceptLoanRequest(datagram);
+        return;
+      case 'loan-answer':
+        this.loans?.acceptLoanAnswer(datagram);
     }
   }
 }
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -22,6 +22,7 @@
 import {EndpointPaths} from '../serving/endpoint_paths.js';
 import {EngineClient} from '../serving/engine_client.js';
 import {ExchangesInFlight} from '../serving/exchanges_in_flight.js';
+import {OutageMetrics} from '../serving/outage_metrics.js';
 import {PromptCacheFinder} from '../serving/prompt_cache_finder.js';
 import {LostRuns} from '../serving/lost_runs.js';
 import {RetryBudgets} from '../serving/retry_budgets.js';
@@ -48,6 +49,7 @@
 import {HOST_IDENTITY} from './identity.js';
 import {PEER_TABLES} from '../tables/peer_tables.js';
 import {PEERS} from './peers.js';
+import {RetryLoans} from './retry_loans.js';
 import {ROLLOUTS} from './rollouts.js';
 import {RUN_LEASES} from './run_leases.js';
 import {STREAM_ORIGINS} from './stream_origins.js';
@@ -81,6 +83,16 @@
     unit: 's',
     description: 'The window in which retries are counted.',
   }),
+  retryLenders: z.coerce.number().int().min(0).default(0).meta({
+    unit: 'hosts',
+    description:
+      "How many hosts are asked for a part of their retries when this host's are used up; 0 for none.",
+  }),
+  unreachableRetries: z.enum(['counted', 'free']).default('counted').meta({
+    unit: 'counted|free',
+    description:
+      'Whether a retry counts as one if the last endpoint accepted no connection.',
+  }),
 });
 
 /** Declares the service. */
@@ -191,6 +203,7 @@
   const client = createClient(context, gate, paths, buffers);
   const engineClient = new EngineClient(client, clock);
   const servingMetrics = new ServingMetrics(metrics);
+  const outageMetrics = new OutageMetrics(metrics);
   registerHostStalls(metrics, clock);
   const crashes = context.find(CRASHES);
   const exitCheck = createExitCheck(context, client, paths);
@@ -212,11 +225,7 @@
     ),
     configuration,
     endpoints: context.find(GATEWAY_ENDPOINTS),
-    retryBudgets: new RetryBudgets(
-      createBudgetOptions(settings),
-      () => peers.countServing(),
-      () => clock.getNow(),
-    ),
+    retryBudgets: createRetryBudgets(context, settings, outageMetrics),
     rollouts: context.find(ROLLOUTS),
     crashes,
     runLeases: context.find(RUN_LEASES),
@@ -234,6 +243,28 @@
   };
 }
 
+/** Creates the retry budgets, parts of which hosts may lend each other. */
+function createRetryBudgets(
+  context: ServiceContext,
+  settings: z.infer<typeof SETTINGS>,
+  {retryLoans: loans}: OutageMetrics,
+): RetryBudgets {
+  const {clock} = context;
+  const {retryLenders: maxLenders, unreachableRetries} = settings;
+  const peers = context.find(PEERS);
+  const budgets = new RetryBudgets(
+    createBudgetOptions(settings),
+    () => peers.countServing(),
+    () => clock.getNow(),
+    unreachableRetries,
+  );
+  const parts = {...context, budgets, peers, loans, maxLenders};
+  const retryLoans = new RetryLoans(parts);
+  peers.handlers.loans = retryLoans;
+  if (maxLenders > 0) budgets.lender = retryLoans;
+  return budgets;
+}
+
 function createSuccessors(
   context: ServiceContext,
   engineClient: EngineClient,
--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -307,7 +307,9 @@
     if (computeRemainingMs(this.request, route, now) < MIN_REMAINING_MS) {
       return false;
     }
-    return this.parts.retryBudgets.takeRetry(this.service);
+    const {retryBudgets} = this.parts;
+    if (!retryBudgets.isCounted(result)) return true;
+    return retryBudgets.takeRetry(this.service);
   }
 
   /** An answer of an endpoint goes before errors of this host. */
--- a/packages/gateway/src/serving/retry_budgets.ts
+++ b/packages/gateway/src/serving/retry_budgets.ts
@@ -4,8 +4,26 @@
   type WindowedRetryBudgetOptions,
 } from '@irisdock/decisions';
 
+/** Gets parts of retries from other hosts. */
+export interface RetryLender {
+  /** Borrows what is missing for one retry, which may fail. */
+  acquire(service: string): Promise<void>;
+}
+
+/** How a send ended that may be retried. */
+interface SendEnd {
+  readonly kind: string;
+  /** Whether the endpoint may have seen a lost send. */
+  readonly mayHaveRun?: boolean;
+}
+
+/** Whether retries count whose first send reached no endpoint. */
+export type UnreachableRetries = 'counted' | 'free';
+
 /** Keeps one retry budget per service. */
 export class RetryBudgets {
+  /** Set where hosts lend each other what is left of their budgets. */
+  lender: RetryLender | undefined;
   private readonly budgets = new Map<string, WindowedRetryBudget>();
 
   /** @param countHosts Returns the number of hosts that share each budget. */
@@ -13,6 +31,7 @@
     private options: WindowedRetryBudgetOptions,
     private readonly countHosts: () => number,
     private readonly getNow: () => number,
+    private readonly unreachableRetries: UnreachableRetries = 'counted',
   ) {}
 
   /** Replaces the bounds; earlier requests and retries count against them. */
@@ -38,6 +57,38 @@
     return this.getBudget(service).takeRetry(this.getNow(), hosts);
   }
 
+  /**
+   * Whether a retry after a send counts against the budget. A send whose
+   * connection never opened has reached no endpoint, so the retry repeats
+   * nothing there.
+   */
+  isCounted({kind, mayHaveRun}: SendEnd): boolean {
+    if (this.unreachableRetries === 'counted') return true;
+    return kind !== 'lost' || mayHaveRun === true;
+  }
+
+  /** Borrows from other hosts if this host's share is used up. */
+  async tryBorrow(service: string): Promise<void> {
+    await this.lender?.acquire(service);
+  }
+
+  /** Returns the fraction of a retry that is missing for one; 0 if none is. */
+  getMissing(service: string): number {
+    const hosts = this.countHosts();
+    return this.getBudget(service).getMissing(this.getNow(), hosts);
+  }
+
+  /** Takes a part of a retry for another host; returns how much. */
+  offerLoan(service: string, wanted: number): number {
+    const hosts = this.countHosts();
+    return this.getBudget(service).offerLoan(wanted, this.getNow(), hosts);
+  }
+
+  /** Adds a part of a retry that another host lent. */
+  addLoan(service: string, amount: number): void {
+    this.getBudget(service).addLoan(amount, this.getNow());
+  }
+
   private getBudget(service: string): WindowedRetryBudget {
     let budget = this.budgets.get(service);
     if (budget === undefined) {
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -178,6 +178,7 @@
       await this.checkEngineExit(plan.endpoint, result);
       if (exchange.isExpired) return this.failure.finishExpired();
       if (this.relay.hasNext && !this.retries.isRefused) continue;
+      await this.retries.tryBorrow(result);
       this.failure.denial = this.retries.findRetryDenial(result);
       if (this.failure.denial !== undefined) return this.failure.finishLost();
       if (this.handover.hasNext) continue;
--- a/packages/gateway/src/serving/stream_handover.ts
+++ b/packages/gateway/src/serving/stream_handover.ts
@@ -165,6 +165,7 @@
     signal: AbortSignal,
   ): Promise<PreparedAttempt | undefined> {
     const {retries, serving, request, planner} = this.parts;
+    await retries.tryBorrowToLeave();
     if (retries.findLeaveDenial() !== undefined) return undefined;
     if (!(await this.isAdmitted(signal))) return undefined;
     if (this.isPartitioned()) {
--- a/packages/gateway/src/serving/stream_retries.ts
+++ b/packages/gateway/src/serving/stream_retries.ts
@@ -76,6 +76,34 @@
       this.isGranted = false;
       return undefined;
     }
+    const denial = this.findResultDenial(result);
+    if (denial !== undefined || !this.isCounted(result)) return denial;
+    return this.findBudgetDenial();
+  }
+
+  /**
+   * Borrows a retry from other hosts if nothing but this host's budget denies
+   * one after an attempt that ended early.
+   */
+  async tryBorrow(result: AttemptResult): Promise<void> {
+    if (this.isRefused || this.isGranted || !this.isCounted(result)) return;
+    if (this.findResultDenial(result) !== undefined) return;
+    await this.parts.retryBudgets.tryBorrow(this.service);
+  }
+
+  /** Borrows a retry if nothing else keeps a silent attempt from being left. */
+  async tryBorrowToLeave(): Promise<void> {
+    if (this.findLeaveDenial() !== 'budget_spent') return;
+    await this.parts.retryBudgets.tryBorrow(this.service);
+  }
+
+  /** Whether a retry after an attempt counts against the budget. */
+  private isCounted(result: AttemptResult): boolean {
+    return this.parts.retryBudgets.isCounted(result);
+  }
+
+  /** Returns why there is no retry, apart from the budget. */
+  private findResultDenial(result: AttemptResult): RetryDenial | undefined {
     const {route} = this;
     if (!route.isResumable && this.mayHaveRun) return 'not_resumable';
     if (
@@ -84,7 +112,7 @@
     ) {
       return 'answered';
     }
-    return this.findSendDenial(this.runs) ?? this.findBudgetDenial();
+    return this.findSendDenial(this.runs);
   }
 
   /**
