Decide which new streams are refused as their first event would be late

Change: a pure decision (first_event_estimate). The estimate is an engine's unread tokens at the median rate of prefill that was observed; engines without a place have none. A new stream is refused when its first event is expected after a multiple of its target at each known engine, and only while more than about half of the places are taken or streams wait for one.

--- /dev/null
+++ b/packages/decisions/src/first_event_estimate.ts
@@ -0,0 +1,149 @@
+/**
+ * Estimates when a new stream would have its first event, and refuses one whose
+ * first event would come clearly after its target. Such a stream is worth
+ * little to its caller, and its prompt delays all others; refused at once, the
+ * caller returns when it can be served in time.
+ *
+ * The estimate is the unread tokens of an engine, the stream's own included,
+ * at the rate at which engines were seen to prefill. The rate is observed, not
+ * declared, as decode steps of other streams slow the prefill down.
+ */
+import type {EngineRequest, EngineView} from './engine_placement.js';
+
+/** How many observations the rate is computed from. */
+const MAX_SAMPLES = 21;
+/** With fewer observations the rate is unknown, and nothing is refused. */
+const MIN_SAMPLES = 5;
+/**
+ * The share of the places of known engines that must be taken for a refusal.
+ * The others are only sampled, so this is above one half, below which callers
+ * regard a refusal as unfounded.
+ */
+const MIN_TAKEN_SHARE = 0.55;
+/** The part of the target that is kept free of the return, for its prefill. */
+const RETURN_FRACTION = 0.5;
+/** The relative spread of the return, so that callers don't return together. */
+const RETURN_SPREAD = 0.5;
+/** The shortest and the longest time until the return, in ms. */
+const MIN_RETURN_MS = 500;
+const MAX_RETURN_MS = 5000;
+
+/** Observes how fast the engines of a service prefill. */
+export class PrefillRate {
+  /** The last rates, in tokens per ms. */
+  private readonly rates: number[] = [];
+
+  /**
+   * Records a first event.
+   *
+   * @param tokens Unread tokens on the engine when the stream was sent there,
+   *     the stream's own included.
+   * @param ms The time from then to the first event.
+   */
+  record(tokens: number, ms: number): void {
+    if (tokens <= 0 || ms <= 0) return;
+    this.rates.push(tokens / ms);
+    if (this.rates.length > MAX_SAMPLES) this.rates.shift();
+  }
+
+  /** Returns the median rate in tokens per ms; undefined if unknown. */
+  getTokensPerMs(): number | undefined {
+    const {rates} = this;
+    if (rates.length < MIN_SAMPLES) return undefined;
+    const sorted = [...rates].sort((a, b) => a - b);
+    return sorted[Math.floor(sorted.length / 2)];
+  }
+}
+
+/** The state in which a new stream is admitted or refused. */
+export interface LateRefusalState {
+  /** The engines whose load this host knows. */
+  readonly engines: readonly EngineView[];
+  readonly request: EngineRequest;
+  /** The observed rate of prefill; undefined if unknown. */
+  readonly tokensPerMs: number | undefined;
+  /** The time since the request arrived, in ms. */
+  readonly elapsedMs: number;
+  /** The target for the first event, in ms. */
+  readonly targetMs: number;
+  /** How many times its target the first event may take. */
+  readonly maxTargets: number;
+}
+
+/**
+ * Estimates the time to the first event at an engine, in ms; Infinity if the
+ * stream would wait there for a place.
+ */
+export function computeFirstEventMs(
+  engine: EngineView,
+  request: EngineRequest,
+  tokensPerMs: number,
+): number {
+  if (engine.streams >= countPlaces(engine, request)) return Infinity;
+  const keptTokens = request.keptTokens.get(engine.instanceId) ?? 0;
+  const prefillTokens = Math.max(0, request.promptTokens - keptTokens);
+  return (engine.unreadTokens + prefillTokens) / tokensPerMs;
+}
+
+/**
+ * Returns the expected time to the first event, in ms, if the stream is to be
+ * refused for it; undefined if it is admitted. It is admitted while the rate is
+ * not known, and while many places are free and nothing waits for one.
+ */
+export function findLateRefusal(state: LateRefusalState): number | undefined {
+  const {engines, request, tokensPerMs, elapsedMs, targetMs} = state;
+  if (tokensPerMs === undefined || request.promptTokens === 0) return undefined;
+  const usable = engines.filter(
+    ({instanceId}) => !request.excluded.has(instanceId),
+  );
+  if (!isCrowded(usable, request)) return undefined;
+  let earliestMs = Infinity;
+  for (const engine of usable) {
+    // A failed engine is not expected to be chosen.
+    if (engine.failureScore > 0) continue;
+    const ms = computeFirstEventMs(engine, request, tokensPerMs);
+    earliestMs = Math.min(earliestMs, ms);
+  }
+  const expectedMs = elapsedMs + earliestMs;
+  return expectedMs > state.maxTargets * targetMs ? expectedMs : undefined;
+}
+
+/**
+ * Computes when the caller of a refused stream is to return, in ms: when the
+ * prompts that wait now are read, spread out.
+ *
+ * @param randomFraction A random number from 0 to 1.
+ */
+export function computeReturnMs(
+  expectedMs: number,
+  targetMs: number,
+  randomFraction: number,
+): number {
+  const excessMs = expectedMs - RETURN_FRACTION * targetMs;
+  const ms = Math.min(MAX_RETURN_MS, Math.max(MIN_RETURN_MS, excessMs));
+  return ms * (1 + RETURN_SPREAD * randomFraction);
+}
+
+/** Counts the streams like the requested one that an engine can run. */
+function countPlaces(
+  {slots, memoryTokens}: EngineView,
+  {expectedTokens}: EngineRequest,
+): number {
+  const inMemory = Math.floor(memoryTokens / Math.max(1, expectedTokens));
+  return Math.min(slots, inMemory);
+}
+
+/** Whether more than half of the places are taken, or streams wait for one. */
+function isCrowded(
+  engines: readonly EngineView[],
+  request: EngineRequest,
+): boolean {
+  let streams = 0;
+  let slots = 0;
+  for (const engine of engines) {
+    if (engine.streams > countPlaces(engine, request)) return true;
+    streams += engine.streams;
+    slots += engine.slots;
+  }
+  return slots > 0 && streams >= MIN_TAKEN_SHARE * slots;
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -22,6 +22,7 @@
 export * from './event_progress.js';
 export * from './event_splitter.js';
 export * from './fair_queue.js';
+export * from './first_event_estimate.js';
 export * from './generation_number.js';
 export * from './hash.js';
 export * from './host_group.js';
--- a/packages/decisions/tests/outage_losses.test.ts
+++ b/packages/decisions/tests/outage_losses.test.ts
@@ -66,4 +66,24 @@
     const after = runOutages({...ONE_REGION, ...LENDING});
     assert.ok(after.refused < 0.3 * before.refused);
   });
+
+  // Guards against first events that are all late beyond the capacity.
+  it('are refused at once where they would be late', () => {
+    const load = {...ONE_REGION, ...LENDING, engines: 26};
+    for (const outages of ['none', 'restart'] as const) {
+      const before = runOutages({...load, outages});
+      const after = runOutages({...load, outages, maxTargets: 1.25});
+      assert.ok(before.late > 0.2 * before.streams, `${before.late}`);
+      assert.ok(after.late < 0.4 * before.late, `${after.late}`);
+      assert.ok(countLost(after) < 0.8 * countLost(before));
+    }
+  });
+
+  it('are not refused while there is capacity', () => {
+    for (const outages of ['none', 'restart', 'silence'] as const) {
+      const load = {...SIX_DOMAINS, ...LENDING, outages};
+      const before = runOutages(load);
+      assert.deepEqual(runOutages({...load, maxTargets: 1.25}), before);
+    }
+  });
 });
