Refuse a new stream at once where its first event would be late

Cause: beyond the capacity of its engines a stream waits behind all earlier prompts and its first event is late; nothing was refused before it waited.

Begun, resumed and relayed streams are never refused by it. Counter irisdock_gateway_late_refusals_total, a log line with the expected and the target time.

--- a/packages/gateway/src/errors.ts
+++ b/packages/gateway/src/errors.ts
@@ -119,6 +119,13 @@
       'The endpoints of {service} that could take the request are overloaded and asked for a pause; it was not run.',
     remedy: 'Come back after the time in Retry-After.',
   },
+  first_event_late: {
+    status: 503,
+    outcome: 'not-run',
+    message:
+      'The engines of {service} could not begin the answer near its target time; the request was not sent to any.',
+    remedy: 'Come back after the time in Retry-After.',
+  },
   not_run_in_time: {
     status: 503,
     outcome: 'not-run',
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -24,6 +24,7 @@
 import {ExchangesInFlight} from '../serving/exchanges_in_flight.js';
 import {OutageMetrics} from '../serving/outage_metrics.js';
 import {PromptCacheFinder} from '../serving/prompt_cache_finder.js';
+import {LateRefusals} from '../serving/late_refusals.js';
 import {LostRuns} from '../serving/lost_runs.js';
 import {RetryBudgets} from '../serving/retry_budgets.js';
 import {RequestHandler} from '../serving/request_handler.js';
@@ -88,6 +89,11 @@
     description:
       "How many hosts are asked for a part of their retries when this host's are used up; 0 for none.",
   }),
+  lateRefusalTargets: z.coerce.number().min(0).default(0).meta({
+    unit: 'times the target',
+    description:
+      'A new stream is refused at once if its first event is expected later than this many times its target; 0 refuses none.',
+  }),
   unreachableRetries: z.enum(['counted', 'free']).default('counted').meta({
     unit: 'counted|free',
     description:
@@ -233,6 +239,11 @@
     gate,
     paths,
     relay: createRelay(context, buffers),
+    lateRefusals: new LateRefusals({
+      ...context,
+      refusals: outageMetrics.lateRefusals,
+      maxTargets: settings.lateRefusalTargets,
+    }),
     lostRuns: new LostRuns({
       ...context,
       exitCheck,
--- a/packages/gateway/src/serving/attempt_run.ts
+++ b/packages/gateway/src/serving/attempt_run.ts
@@ -42,6 +42,7 @@
   readonly serving: ServingParts;
   readonly prober: EndpointProber;
   readonly request: AdmittedRequest;
+  readonly service: string;
   readonly route: ServingRoute;
   readonly planner: StreamPlanner;
   readonly sink: StreamSink;
@@ -60,6 +61,8 @@
   private readonly replicator: KvCacheReplicator;
   private readonly claim: UseClaim;
   private readonly sentAt: number;
+  /** Unread tokens on its engine, its own included, when it was sent. */
+  private readonly unreadAtSend: number;
   private isOpen = false;
   private isUnneeded = false;
 
@@ -72,6 +75,7 @@
     const {plan} = prepared;
     const {requestId, exchange} = request;
     this.claim = planner.createClaim(plan);
+    this.unreadAtSend = plan.endpoint.unreadTokens + this.claim.unreadTokens;
     this.sentAt = serving.clock.getNow();
     this.gate = new AnswerGate(this.createListener(), sink, (detail) => {
       this.attempt.end(detail);
@@ -212,8 +216,11 @@
   /** Marks the prompt as processed, which the first events imply. */
   private markPromptRead(): void {
     if (this.claim.unreadTokens === 0) return;
+    const {serving, service} = this.parts;
+    const ms = serving.clock.getNow() - this.sentAt;
+    serving.lateRefusals.recordFirstEvent(service, this.unreadAtSend, ms);
     this.plan.endpoint.markPromptRead(this.claim);
-    this.parts.serving.endpoints.peers.usePublisher.publishChanged();
+    serving.endpoints.peers.usePublisher.publishChanged();
   }
 
   /** Writes events to the caller, each once and in order. */
--- a/packages/gateway/src/serving/outage_metrics.ts
+++ b/packages/gateway/src/serving/outage_metrics.ts
@@ -4,6 +4,7 @@
 /** Metrics of lent retries and of refusals by an estimate. */
 export class OutageMetrics {
   readonly retryLoans: Counter;
+  readonly lateRefusals: Counter;
 
   constructor(registry: Registry) {
     const registers = [registry];
@@ -13,5 +14,11 @@
       labelNames: ['result'],
       registers,
     });
+    this.lateRefusals = new Counter({
+      name: 'irisdock_gateway_late_refusals_total',
+      help: 'New streams refused as their first event would be late, a count.',
+      labelNames: ['service'],
+      registers,
+    });
   }
 }
--- a/packages/gateway/src/serving/serving_parts.ts
+++ b/packages/gateway/src/serving/serving_parts.ts
@@ -8,6 +8,7 @@
 import type {EndpointPaths} from './endpoint_paths.js';
 import type {EngineClient} from './engine_client.js';
 import type {PromptCacheFinder} from './prompt_cache_finder.js';
+import type {LateRefusals} from './late_refusals.js';
 import type {LostRuns} from './lost_runs.js';
 import type {RetryBudgets} from './retry_budgets.js';
 import type {RequestRelay} from './request_relay.js';
@@ -39,6 +40,7 @@
   readonly gate: SendGate;
   readonly paths: EndpointPaths;
   readonly relay: RequestRelay;
+  readonly lateRefusals: LateRefusals;
   readonly lostRuns: LostRuns;
   readonly metrics: ServingMetrics;
 }
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -226,6 +226,7 @@
       return this.isPartitioned() ? {kind: 'retry'} : this.finishLost();
     }
     const isResumed = this.sink.lastEventId !== undefined;
+    if (!isResumed && this.isLate()) return this.finishLost();
     const {signal} = exchange;
     const permit = await admitAttempt(this.parts, plan, isResumed, signal);
     if (exchange.hasDisconnected()) return {kind: 'done', outcome: 'left'};
@@ -241,6 +242,20 @@
     return {kind: 'retry'};
   }
 
+  /** Whether a new stream is refused, as its first event would be late. */
+  private isLate(): boolean {
+    const {parts, request, planner, service} = this;
+    const {route} = this.runParts;
+    const isFirst = this.sends === 0 && planner.exclusions.isFirstAttempt;
+    // The host that relays the stream would only try others.
+    if (!isFirst || request.exchange.hop !== undefined) return false;
+    const stream = {request, route, service, planner};
+    this.failure.refusal = parts.lateRefusals.findError(stream);
+    if (this.failure.refusal === undefined) return false;
+    this.failure.denial = 'first_event_late';
+    return true;
+  }
+
   private finishLost(): AttemptStep {
     return {kind: 'done', outcome: this.failure.finishLost()};
   }
--- a/packages/gateway/src/serving/stream_failure.ts
+++ b/packages/gateway/src/serving/stream_failure.ts
@@ -25,6 +25,8 @@
   detail = '';
   /** Why the stream is not retried; undefined if no engine was found. */
   denial: RetryDenial | undefined;
+  /** Why the stream is refused before anything was sent. */
+  refusal: KnownError | undefined;
   /** Whether the software version that began the stream is not known. */
   isOriginUnknown = false;
 
@@ -71,6 +73,7 @@
     const {parts, service, detail} = this;
     const {content} = this.request;
     if (isRefused) return createRefusedError(content, mayHaveRun);
+    if (this.refusal !== undefined) return this.refusal;
     if (mayHaveRun) return GATEWAY_ERRORS.create('stream_lost', {detail});
     if (this.denial === 'content_busy') {
       return createBusyError(content, parts.random);
--- a/packages/gateway/src/serving/stream_planner.ts
+++ b/packages/gateway/src/serving/stream_planner.ts
@@ -322,6 +322,11 @@
     return replica.holder;
   }
 
+  /** Lists the engines whose load this host knows. */
+  listKnownEngines(): readonly EndpointRecord[] {
+    return this.knownLoadEngines ?? this.listEngines();
+  }
+
   /** Lists the live engines that may run the stream. */
   private listEngines(): readonly EndpointRecord[] {
     return listStreamEngines(this.parts, this.service, this.binding.origin);
--- a/packages/gateway/src/serving/stream_retries.ts
+++ b/packages/gateway/src/serving/stream_retries.ts
@@ -23,6 +23,7 @@
   | 'caller_left'
   | 'content_busy'
   | 'content_refused'
+  | 'first_event_late'
   | 'never_run'
   | 'not_resumable'
   | 'time_spent';
