--- a/packages/decisions/tests/outage_losses.test.ts
+++ b/packages/decisions/tests/outage_losses.test.ts
@@ -14,6 +14,7 @@
   domains: 4,
   slots: 16,
   memoryTokens: 55_000,
+  streamTokens: 6120,
   stepMs: 3.41,
   prefillTokensPerMs: 5,
   streamsPerSecond: 20,
