--- a/packages/gateway/src/model/peer_codec.ts
+++ b/packages/gateway/src/model/peer_codec.ts
@@ -48,6 +48,13 @@
   readLeaseRequest,
   readLeaseRelease,
 } from './run_lease_datagram.js';
+import {
+  encodeLoanRequest,
+  encodeLoanResponse,
+  readLoanRequest,
+  readLoanResponse,
+  type LoanDatagram,
+} from './loan_datagram.js';
 import {encodeMembership, readMembership} from './membership_datagram.js';
 import {
   encodeOriginRequest,
@@ -62,11 +69,12 @@
 import {REPLICATED_TABLES} from './table_store.js';
 
 /**
- * The codes of the kinds, in the order of `readDatagram`: membership, usage,
+ * The codes of the kinds, in the order of `READERS`: membership, usage,
  * table update, usage query and reply, unreachable endpoint, report and phase
  * of rollouts, crashes, cleared content, limits, permit request and response,
  * lease request, response and release, origins, origin request and response,
- * report of begun requests and request for it, demand.
+ * report of begun requests and request for it, demand, loan request and
+ * response.
  */
 const KIND_CODES = [
   'w',
@@ -91,6 +99,8 @@
   'b',
   'k',
   'v',
+  'y',
+  'z',
 ] as const;
 
 /** Decodes a datagram; an error names the malformed field. */
@@ -105,62 +115,50 @@
 }
 
 function readDatagram(fields: TupleReader): PeerDatagram {
-  const code = fields.readEnum(KIND_CODES);
-  switch (code) {
-    case 'w':
-      return readMembership(fields);
-    case 'u':
-      return readUsage(fields);
-    case 'n':
-      return readTableUpdate(fields);
-    case 'q':
-      return {
-        kind: 'question',
-        name: fields.readString(),
-        number: fields.readNumber(),
-        instanceIds: fields.readList((one) => one.readString()),
-      };
-    case 'a':
-      return {
-        kind: 'answer',
-        number: fields.readNumber(),
-        uses: fields.readList(readUsageReport),
-      };
-    case 'l':
-      return {kind: 'loss', instanceId: fields.readString()};
-    case 'r':
-      return readRolloutReport(fields);
-    case 'p':
-      return readRolloutPhase(fields);
-    case 'c':
-      return {kind: 'crashes', crashes: fields.readList(readCrash)};
-    case 'd':
-      return {kind: 'cleared', content: fields.readString()};
-    case 'm':
-      return readLimits(fields);
-    case 'i':
-      return readPermitRequest(fields);
-    case 'g':
-      return readPermitResponse(fields);
-    case 's':
-      return readLeaseRequest(fields);
-    case 't':
-      return readLeaseResponse(fields);
-    case 'e':
-      return readLeaseRelease(fields);
-    case 'o':
-      return readOrigins(fields);
-    case 'f':
-      return readOriginRequest(fields);
-    case 'h':
-      return readOriginResponse(fields);
-    case 'b':
-      return readBegunReport(fields);
-    case 'k':
-      return readBegunRequest(fields);
-    case 'v':
-      return readDemand(fields);
-  }
+  return READERS[fields.readEnum(KIND_CODES)](fields);
+}
+
+/** Reads the fields of a datagram after its code. */
+const READERS: Readonly<
+  Record<(typeof KIND_CODES)[number], (fields: TupleReader) => PeerDatagram>
+> = {
+  w: readMembership,
+  u: readUsage,
+  n: readTableUpdate,
+  q: readUsageQuery,
+  a: (fields) => ({
+    kind: 'answer',
+    number: fields.readNumber(),
+    uses: fields.readList(readUsageReport),
+  }),
+  l: (fields) => ({kind: 'loss', instanceId: fields.readString()}),
+  r: readRolloutReport,
+  p: readRolloutPhase,
+  c: (fields) => ({kind: 'crashes', crashes: fields.readList(readCrash)}),
+  d: (fields) => ({kind: 'cleared', content: fields.readString()}),
+  m: readLimits,
+  i: readPermitRequest,
+  g: readPermitResponse,
+  s: readLeaseRequest,
+  t: readLeaseResponse,
+  e: readLeaseRelease,
+  o: readOrigins,
+  f: readOriginRequest,
+  h: readOriginResponse,
+  b: readBegunReport,
+  k: readBegunRequest,
+  v: readDemand,
+  y: readLoanRequest,
+  z: readLoanResponse,
+};
+
+function readUsageQuery(fields: TupleReader): PeerDatagram {
+  return {
+    kind: 'question',
+    name: fields.readString(),
+    number: fields.readNumber(),
+    instanceIds: fields.readList((one) => one.readString()),
+  };
 }
 
 function readCrash(fields: TupleReader): Crash {
@@ -273,7 +271,12 @@
 }
 
 function encodeGrantDatagram(
-  datagram: BegunDatagram | DemandDatagram | GrantDatagram | OriginDatagram,
+  datagram:
+    | BegunDatagram
+    | DemandDatagram
+    | GrantDatagram
+    | LoanDatagram
+    | OriginDatagram,
 ): Uint8Array {
   switch (datagram.kind) {
     case 'limits':
@@ -300,6 +303,10 @@
       return encode(['k', ...encodeBegunRequest(datagram)]);
     case 'demand':
       return encode(['v', ...encodeDemand(datagram)]);
+    case 'loan-ask':
+      return encode(['y', ...encodeLoanRequest(datagram)]);
+    case 'loan-answer':
+      return encode(['z', ...encodeLoanResponse(datagram)]);
   }
 }
 
--- a/packages/gateway/src/model/peer_message.ts
+++ b/packages/gateway/src/model/peer_message.ts
@@ -16,6 +16,7 @@
   PermitRequestDatagram,
 } from './limit_datagram.js';
 import type {DemandDatagram} from './demand_datagram.js';
+import type {LoanDatagram} from './loan_datagram.js';
 import type {OriginDatagram} from './origin_datagram.js';
 import type {
   LeaseResponseDatagram,
@@ -175,6 +176,7 @@
   | CrashesDatagram
   | DemandDatagram
   | GrantDatagram
+  | LoanDatagram
   | OriginDatagram
   | EndpointUnreachableDatagram
   | TableUpdateDatagram
--- a/packages/gateway/src/services/datagram_handlers.ts
+++ b/packages/gateway/src/services/datagram_handlers.ts
@@ -27,6 +27,11 @@
   LeaseRequestDatagram,
   LeaseReleaseDatagram,
 } from '../model/run_lease_datagram.js';
+import type {
+  LoanDatagram,
+  LoanRequestDatagram,
+  LoanResponseDatagram,
+} from '../model/loan_datagram.js';
 import type {
   OriginDatagram,
   OriginRequestDatagram,
@@ -62,6 +67,12 @@
   acceptLeaseRelease(datagram: LeaseReleaseDatagram): void;
 }
 
+/** Handles requests and answers by which hosts lend retries. */
+export interface LoanDatagramHandler {
+  acceptLoanRequest(datagram: LoanRequestDatagram): void;
+  acceptLoanAnswer(datagram: LoanResponseDatagram): void;
+}
+
 /** Handles reports and lookups of the origins of streams. */
 export interface OriginDatagramHandler {
   /** Does the work of one heartbeat. */
@@ -90,6 +101,7 @@
   | CrashesDatagram
   | DemandDatagram
   | GrantDatagram
+  | LoanDatagram
   | RolloutPhaseDatagram
   | RolloutReportDatagram;
 
@@ -102,6 +114,7 @@
   origins: OriginDatagramHandler | undefined;
   begun: BegunDatagramHandler | undefined;
   demand: DemandDatagramHandler | undefined;
+  loans: LoanDatagramHandler | undefined;
 
   /** Passes a datagram to its handler. */
   accept(datagram: HandledDatagram): void {
@@ -153,6 +166,12 @@
         return;
       case 'demand':
         this.demand?.accept(datagram);
+        return;
+      case 'loan-ask':
+        this.loans?.acceptLoanRequest(datagram);
+        return;
+      case 'loan-answer':
+        this.loans?.acceptLoanAnswer(datagram);
     }
   }
 }
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -1,6 +1,5 @@
 /** The service `front`: the HTTP server for callers. */
 import {createServer, type Server} from 'node:http';
-import type {WindowedRetryBudgetOptions} from '@irisdock/decisions';
 import {
   createService,
   createServiceKey,
@@ -22,9 +21,10 @@
 import {EndpointPaths} from '../serving/endpoint_paths.js';
 import {EngineClient} from '../serving/engine_client.js';
 import {ExchangesInFlight} from '../serving/exchanges_in_flight.js';
+import {OutageMetrics} from '../serving/outage_metrics.js';
 import {PromptCacheFinder} from '../serving/prompt_cache_finder.js';
+import {LateRefusals} from '../serving/late_refusals.js';
 import {LostRuns} from '../serving/lost_runs.js';
-import {RetryBudgets} from '../serving/retry_budgets.js';
 import {RequestHandler} from '../serving/request_handler.js';
 import {RequestRelay} from '../serving/request_relay.js';
 import {
@@ -50,6 +50,7 @@
 import {HOST_IDENTITY} from './identity.js';
 import {PEER_TABLES} from '../tables/peer_tables.js';
 import {PEERS} from './peers.js';
+import {createBudgetOptions, createRetryBudgets} from './retry_budget_setup.js';
 import {ROLLOUTS} from './rollouts.js';
 import {RUN_LEASES} from './run_leases.js';
 import {STREAM_ORIGINS} from './stream_origins.js';
@@ -57,11 +58,6 @@
 
 /** The maximum time for a whole request to arrive, in ms. */
 const REQUEST_TIMEOUT_MS = 60_000;
-/**
- * The used fraction of the retry budget; the rest is slack for sliding windows.
- */
-const USED_BUDGET_FRACTION = 0.8;
-
 /** The key of the service. */
 export const FRONT = createServiceKey<undefined>('front');
 
@@ -83,6 +79,21 @@
     unit: 's',
     description: 'The window in which retries are counted.',
   }),
+  retryLenders: z.coerce.number().int().min(0).default(0).meta({
+    unit: 'hosts',
+    description:
+      "How many hosts are asked for a part of their retries when this host's are used up; 0 for none.",
+  }),
+  lateRefusalTargets: z.coerce.number().min(0).default(0).meta({
+    unit: 'times the target',
+    description:
+      'A new stream is refused at once if its first event is expected later than this many times its target; 0 refuses none.',
+  }),
+  unreachableRetries: z.enum(['counted', 'free']).default('counted').meta({
+    unit: 'counted|free',
+    description:
+      'Whether a retry counts as one if the last endpoint accepted no connection.',
+  }),
 });
 
 /** Declares the service. */
@@ -195,6 +206,7 @@
   const client = createClient(context, gate, paths, buffers);
   const engineClient = new EngineClient(client, clock);
   const servingMetrics = new ServingMetrics(metrics);
+  const outageMetrics = new OutageMetrics(metrics);
   registerHostStalls(metrics, clock);
   const crashes = context.find(CRASHES);
   const exitCheck = createExitCheck(context, client, paths);
@@ -216,11 +228,7 @@
     ),
     configuration,
     endpoints: context.find(GATEWAY_ENDPOINTS),
-    retryBudgets: new RetryBudgets(
-      createBudgetOptions(settings),
-      () => peers.computeServingShares(),
-      () => clock.getNow(),
-    ),
+    retryBudgets: createRetryBudgets(context, settings, outageMetrics),
     rollouts: context.find(ROLLOUTS),
     crashes,
     runLeases: context.find(RUN_LEASES),
@@ -228,6 +236,7 @@
     gate,
     paths,
     relay: createRelay(context, buffers),
+    lateRefusals: createLateRefusals(context, settings, outageMetrics),
     lostRuns: new LostRuns({
       ...context,
       exitCheck,
@@ -315,13 +324,10 @@
   });
 }
 
-function createBudgetOptions(
-  settings: z.infer<typeof SETTINGS>,
-): WindowedRetryBudgetOptions {
-  return {
-    windowMs: settings.retryWindowSeconds * 1000,
-    ratio: settings.retryRatio,
-    allowance: settings.retryAllowance,
-    usedFraction: USED_BUDGET_FRACTION,
-  };
+function createLateRefusals(
+  context: ServiceContext,
+  {lateRefusalTargets: maxTargets}: z.infer<typeof SETTINGS>,
+  {lateRefusals: refusals}: OutageMetrics,
+): LateRefusals {
+  return new LateRefusals({...context, refusals, maxTargets});
 }
--- a/packages/gateway/src/serving/attempt_run.ts
+++ b/packages/gateway/src/serving/attempt_run.ts
@@ -43,6 +43,7 @@
   readonly serving: ServingParts;
   readonly prober: EndpointProber;
   readonly request: AdmittedRequest;
+  readonly service: string;
   readonly route: ServingRoute;
   readonly planner: StreamPlanner;
   readonly sink: StreamSink;
@@ -64,6 +65,8 @@
   private readonly sentAt: number;
   /** Whether its engine had no other prompt to read when it was sent. */
   private readonly isReadAlone: boolean;
+  /** Unread tokens on its engine, its own included, when it was sent. */
+  private readonly unreadAtSend: number;
   private isOpen = false;
   private isUnneeded = false;
   private hasEnded = false;
@@ -77,6 +80,7 @@
     const {plan} = prepared;
     const {requestId, exchange} = request;
     this.claim = planner.createClaim(plan);
+    this.unreadAtSend = plan.endpoint.unreadTokens + this.claim.unreadTokens;
     this.sentAt = serving.clock.getNow();
     this.isReadAlone = plan.endpoint.unreadTokens === 0;
     this.gate = new AnswerGate(this.createListener(), sink, (detail) => {
@@ -253,13 +257,14 @@
     const {unreadTokens} = this.claim;
     if (unreadTokens === 0) return;
     const {endpoint} = this.plan;
-    const {demand, clock} = this.parts.serving;
+    const {serving, service} = this.parts;
+    const ms = serving.clock.getNow() - this.sentAt;
+    serving.lateRefusals.recordFirstEvent(service, this.unreadAtSend, ms);
     if (this.isReadAlone) {
-      const ms = clock.getNow() - this.sentAt;
-      demand.recordIdleRead(endpoint.entry.service, unreadTokens, ms);
+      serving.demand.recordIdleRead(service, unreadTokens, ms);
     }
     endpoint.markPromptRead(this.claim);
-    this.parts.serving.endpoints.peers.usePublisher.publishChanged();
+    serving.endpoints.peers.usePublisher.publishChanged();
   }
 
   /** Writes events to the caller, each once and in order. */
--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -13,6 +13,7 @@
 import type {ServingRoute} from '../model/serving_configuration.js';
 import {
   readPlainAnswer,
+  recordRolloutAnswer,
   type PlainAnswerResult,
 } from './plain_answer_reader.js';
 import type {AdmittedRequest, PlainAnswer} from './caller_exchange.js';
@@ -203,7 +204,8 @@
       if (result.kind !== 'lost') {
         const ms = this.parts.clock.getNow() - sentAt;
         endpoint.recordSuccess(ms);
-        this.recordAnswer(endpoint, result, ms);
+        const {rollouts} = this.parts;
+        recordRolloutAnswer(rollouts, endpoint, this.route.name, result, ms);
       }
       return result;
     } finally {
@@ -227,17 +229,6 @@
     return readPlainAnswer(this.parts.endpoints, endpoint, answer);
   }
 
-  private recordAnswer(
-    endpoint: EndpointRecord,
-    result: PlainAnswerResult,
-    ms: number,
-  ): void {
-    if (result.kind !== 'whole') return;
-    const isFailed = result.answer.status >= MIN_SERVER_ERROR_STATUS;
-    const {name: route} = this.route;
-    this.parts.rollouts.recordAnswer(endpoint, {route, isFailed, ms});
-  }
-
   /** Updates the state of endpoint and request with the result of a send. */
   private recordResult(
     endpoint: EndpointRecord,
@@ -310,7 +301,9 @@
     if (computeRemainingMs(this.request, route, now) < MIN_REMAINING_MS) {
       return false;
     }
-    return this.parts.retryBudgets.takeRetry(this.service);
+    const {retryBudgets} = this.parts;
+    if (!retryBudgets.isCounted(result)) return true;
+    return retryBudgets.takeRetry(this.service);
   }
 
   /** An answer of an endpoint goes before errors of this host. */
--- a/packages/gateway/src/serving/plain_answer_reader.ts
+++ b/packages/gateway/src/serving/plain_answer_reader.ts
@@ -3,9 +3,11 @@
   MISDIRECTED_STATUS,
   type EndpointResponse,
 } from '../channels/endpoint_client.js';
+import {MIN_SERVER_ERROR_STATUS} from '../channels/response_check.js';
 import type {GatewayEndpoints} from '../services/gateway_endpoints.js';
 import type {PlainAnswer} from './caller_exchange.js';
 import type {EndpointRecord} from './endpoint_record.js';
+import type {Rollouts} from './rollouts.js';
 import {recordEndpointFailure} from './send_rules.js';
 
 /** The result of a request with a plain answer. */
@@ -46,3 +48,16 @@
   }
   return {kind: 'whole', answer: {status, lines, body: body.value, isFramed}};
 }
+
+/** Counts a whole answer for the rollout of its service, if there is one. */
+export function recordRolloutAnswer(
+  rollouts: Rollouts,
+  endpoint: EndpointRecord,
+  route: string,
+  result: PlainAnswerResult,
+  ms: number,
+): void {
+  if (result.kind !== 'whole') return;
+  const isFailed = result.answer.status >= MIN_SERVER_ERROR_STATUS;
+  rollouts.recordAnswer(endpoint, {route, isFailed, ms});
+}
--- a/packages/gateway/src/serving/serving_parts.ts
+++ b/packages/gateway/src/serving/serving_parts.ts
@@ -10,6 +10,7 @@
 import type {EndpointPaths} from './endpoint_paths.js';
 import type {EngineClient} from './engine_client.js';
 import type {PromptCacheFinder} from './prompt_cache_finder.js';
+import type {LateRefusals} from './late_refusals.js';
 import type {LostRuns} from './lost_runs.js';
 import type {RetryBudgets} from './retry_budgets.js';
 import type {RequestRelay} from './request_relay.js';
@@ -41,6 +42,7 @@
   readonly gate: SendGate;
   readonly paths: EndpointPaths;
   readonly relay: RequestRelay;
+  readonly lateRefusals: LateRefusals;
   readonly lostRuns: LostRuns;
   readonly metrics: ServingMetrics;
   readonly begunRequests: BegunRequests;
