--- a/packages/decisions/src/lease.ts
+++ b/packages/decisions/src/lease.ts
@@ -62,6 +62,12 @@
  */
 const FENCES_PER_ERA = 1_000_000;
 
+/**
+ * How far the wall and the monotonic clock may drift apart during a lease, in
+ * ms. Corrections of a clock's rate are below 1 ms per s.
+ */
+const MAX_CLOCK_DIFFERENCE_MS = 50;
+
 /** The next step of a host that wants the lease. */
 export type LeaseStep =
   | {readonly step: 'acquire'; readonly row: LeaseRow}
@@ -105,8 +111,8 @@
    */
   decide(row: LeaseRow | undefined, now: ClockTimes, era = 0): LeaseStep {
     this.highestFence = Math.max(this.highestFence, row?.fence ?? 0);
-    const isOwn = row?.holder === this.self && this.ownEra === era;
-    if (isOwn && this.getFencingToken(now) === row.fence) {
+    const isOwn = this.isOwnRow(row, era);
+    if (isOwn && row && this.getFencingToken(now) === row.fence) {
       return {step: 'renew', row: {...row, renewal: row.renewal + 1}};
     }
     this.held = undefined;
@@ -168,10 +174,15 @@
 
   /**
    * Computes for how long the lease may have been held, in ms. A suspended
-   * machine's monotonic clock stood still, but its wall clock did not.
+   * machine's monotonic clock stood still, but its wall clock did not. A wall
+   * clock that was set back can hide a part of a suspension, so the lease is
+   * over once the clocks differ.
    */
   protected computeHeldMs(since: ClockTimes, now: ClockTimes): number {
-    return Math.max(now.nowMs - since.nowMs, now.wallMs - since.wallMs);
+    const monotonicMs = now.nowMs - since.nowMs;
+    const wallMs = now.wallMs - since.wallMs;
+    const isSure = Math.abs(wallMs - monotonicMs) <= MAX_CLOCK_DIFFERENCE_MS;
+    return isSure ? Math.max(monotonicMs, wallMs) : Infinity;
   }
 
   /**
@@ -182,12 +193,24 @@
     return now.steadyMs - since.steadyMs;
   }
 
-  /** How long orders of this process may still arrive, in ms. */
+  /**
+   * Whether the row names this process, and no other one can have held the
+   * lease since: a store that was restored shows an old row.
+   */
+  protected isOwnRow(row: LeaseRow | undefined, era: number): boolean {
+    return row?.holder === this.self && this.ownEra === era;
+  }
+
+  /**
+   * How long orders of this process may still arrive, in ms. The margin covers
+   * differences between clocks, as in a takeover.
+   */
   protected getOrdersLeftMs(now: ClockTimes): number {
-    const {maxOrderMs} = this.times;
+    const {maxOrderMs, marginMs} = this.times;
     if (this.ordersInFlight > 0) return maxOrderMs;
     if (this.unansweredAt === undefined) return 0;
-    return maxOrderMs - this.computeWaitedMs(this.unansweredAt, now);
+    const waitedMs = this.computeWaitedMs(this.unansweredAt, now);
+    return maxOrderMs + marginMs - waitedMs;
   }
 
   /** How long the row of another process must still stay unchanged, in ms. */
