Show singleton tasks to operators and let their last holder reacquire

The page /v1/tasks and `irisdock tasks` list holder, fencing token and age. The last holder may acquire again though it is no candidate, and a host whose calls for a task fail says so in its record, so that others become candidates.

--- a/packages/cli/src/api_client.ts
+++ b/packages/cli/src/api_client.ts
@@ -47,6 +47,19 @@
     }),
   ),
 });
+/** Tasks that one host performs, as a gateway last saw them. */
+const TASKS_SCHEMA = z.object({
+  tasks: z.array(
+    z.object({
+      task: z.string(),
+      holder: z.string().nullable(),
+      fence: z.number(),
+      ageSeconds: z.number().nullable(),
+      isHolder: z.boolean(),
+      candidates: z.array(z.string()),
+    }),
+  ),
+});
 /** The hosts as one gateway knows them. */
 const HOSTS_SCHEMA = z.object({
   shownBy: z.string(),
@@ -226,6 +239,11 @@
     return this.sendChecked({method: 'GET', path}, LIMITS_SCHEMA);
   }
 
+  /** Lists the singleton tasks as a gateway last saw them. */
+  async listTasks(): Promise<Result<z.infer<typeof TASKS_SCHEMA>, KnownError>> {
+    return this.sendChecked({method: 'GET', path: '/v1/tasks'}, TASKS_SCHEMA);
+  }
+
   /** Lists the hosts as one gateway knows them. */
   async listHosts(): Promise<Result<z.infer<typeof HOSTS_SCHEMA>, KnownError>> {
     return this.sendChecked({method: 'GET', path: '/v1/hosts'}, HOSTS_SCHEMA);
--- a/packages/cli/src/command_table.ts
+++ b/packages/cli/src/command_table.ts
@@ -11,6 +11,7 @@
 import {LIST_COMMAND} from './commands/list.js';
 import {STATUS_COMMAND} from './commands/status.js';
 import {STREAMS_COMMAND} from './commands/streams.js';
+import {TASKS_COMMAND} from './commands/tasks.js';
 import {WATCH_COMMAND} from './commands/watch.js';
 
 /** All commands, in the order of help. */
@@ -24,6 +25,7 @@
   AUDIT_COMMAND,
   CRASHES_COMMAND,
   LIMITS_COMMAND,
+  TASKS_COMMAND,
   HOSTS_COMMAND,
   EXPLAIN_COMMAND,
   STREAMS_COMMAND,
--- a/packages/decisions/src/lease.ts
+++ b/packages/decisions/src/lease.ts
@@ -97,7 +97,7 @@
    *     orders of the process before may still be in flight.
    */
   constructor(
-    protected readonly self: string,
+    readonly self: string,
     protected readonly times: LeaseTimings,
   ) {}
 
--- a/packages/gateway/src/services/metrics_page.ts
+++ b/packages/gateway/src/services/metrics_page.ts
@@ -1,7 +1,7 @@
 /**
  * The service `metrics`: the operators' HTTP server of this process. It serves
- * the metrics as text and the pages of `crash_pages.ts`, `limit_pages.ts` and
- * `host_pages.ts`.
+ * the metrics as text and the pages of `crash_pages.ts`, `limit_pages.ts`,
+ * `host_pages.ts` and `task_pages.ts`.
  */
 import {createServer, type Server} from 'node:http';
 import {
@@ -23,6 +23,8 @@
 import {handleLimitPages} from './limit_pages.js';
 import {LIMITS} from './limits.js';
 import {PEERS} from './peers.js';
+import {handleTaskPages} from './task_pages.js';
+import {TASK_SUMMARIES} from './tasks.js';
 
 /** The path of the metrics. */
 export const METRICS_PATH = '/metrics';
@@ -51,7 +53,14 @@
       description: 'Where the metrics are served, at /metrics.',
     }),
   }),
-  needs: [CRASHES, GATEWAY_CONFIGURATION, GATEWAY_ENDPOINTS, LIMITS, PEERS],
+  needs: [
+    CRASHES,
+    GATEWAY_CONFIGURATION,
+    GATEWAY_ENDPOINTS,
+    LIMITS,
+    PEERS,
+    TASK_SUMMARIES,
+  ],
   create(context, settings) {
     const {metrics, log, clock} = context;
     const crashes = context.find(CRASHES);
@@ -59,6 +68,7 @@
     const endpoints = context.find(GATEWAY_ENDPOINTS);
     const configuration = context.find(GATEWAY_CONFIGURATION);
     const peers = context.find(PEERS);
+    const tasks = context.find(TASK_SUMMARIES);
     collectDefaultMetrics({
       register: metrics,
       prefix: 'irisdock_process_',
@@ -70,6 +80,7 @@
       if (handleLimitPages(message, response, limitParts)) return;
       const hostParts = {peers, configuration, clock};
       if (handleHostPages(message, response, hostParts)) return;
+      if (handleTaskPages(message, response, tasks)) return;
       if (message.url !== METRICS_PATH) {
         response.writeHead(404).end();
         return;
--- a/packages/gateway/src/services/task_lease.ts
+++ b/packages/gateway/src/services/task_lease.ts
@@ -73,6 +73,11 @@
     return this.writtenAt;
   }
 
+  /** Whether this process was the last holder, as far as it knows. */
+  get isLastHolder(): boolean {
+    return this.shown.holder === this.parts.state.self;
+  }
+
   /** The lease row as this process last saw it. */
   get summary(): LeaseSummary {
     return this.shown;
--- a/packages/gateway/src/services/task_runner.ts
+++ b/packages/gateway/src/services/task_runner.ts
@@ -5,8 +5,10 @@
  */
 import type {LeaseTimings} from '@irisdock/decisions';
 import {Repeater, type Clock, type Logger} from '@irisdock/kernel';
+import type {Result} from 'neverthrow';
 import type {CallAuthority, CallOutcome} from '../model/platform_api.js';
 import type {HeldLease, SingletonTask} from '../model/singleton_task.js';
+import type {StoreError} from '../model/table_store.js';
 import {LeaseTerm} from './lease_term.js';
 import type {TaskLease} from './task_lease.js';
 
@@ -34,6 +36,8 @@
   /** Whether this host was told to stop. */
   readonly isLeaving: () => boolean;
   readonly recordLoss: () => void;
+  /** Records whether the store answered this host. */
+  readonly recordStoreCall: (isReached: boolean) => void;
   readonly recordCall: (outcome: CallOutcome) => void;
 }
 
@@ -99,7 +103,9 @@
       this.checkTerm();
     }
     if (this.term !== undefined || isLeaving() || isExcluded) return;
-    if (clock.getNow() < this.pollAt || !isCandidate()) return;
+    // The last holder need not wait as the others do.
+    const mayAcquire = isCandidate() || lease.isLastHolder;
+    if (clock.getNow() < this.pollAt || !mayAcquire) return;
     await this.acquire();
     this.checkTerm();
   }
@@ -108,6 +114,7 @@
     const {lease, clock, timings, log, task} = this.parts;
     const {leaseMs} = timings;
     const result = await lease.tryAcquire();
+    this.recordStoreCall(result);
     const retryMs = result.isOk() ? result.value : leaseMs / RENEWAL_DIVISOR;
     const pauseMs = Math.max(leaseMs / RETRY_DIVISOR, retryMs);
     this.pollAt = clock.getNow() + Math.min(leaseMs, pauseMs);
@@ -126,6 +133,7 @@
     const dueAt = lease.confirmedAt + leaseMs / RENEWAL_DIVISOR;
     if (clock.getNow() < Math.max(dueAt, this.renewAt)) return;
     const result = await term.save(task.listRenewalChanges());
+    this.recordStoreCall(result);
     this.renewAt = clock.getNow() + leaseMs / RETRY_DIVISOR;
     if (result.isOk()) return;
     const {kind} = result.error;
@@ -135,6 +143,11 @@
     });
   }
 
+  private recordStoreCall(result: Result<unknown, StoreError>): void {
+    const isReached = result.isOk() || result.error.kind === 'store_conflict';
+    this.parts.recordStoreCall(isReached);
+  }
+
   /** Notes an acquisition or a loss of the lease. */
   private checkTerm(): void {
     const {lease, log, task, recordLoss} = this.parts;
--- a/packages/gateway/src/services/tasks.ts
+++ b/packages/gateway/src/services/tasks.ts
@@ -8,7 +8,12 @@
   computeLeaseTimings,
   LeaseState,
 } from '@irisdock/decisions';
-import {createService, type Clock, type Logger} from '@irisdock/kernel';
+import {
+  createService,
+  createServiceKey,
+  type Clock,
+  type Logger,
+} from '@irisdock/kernel';
 import * as z from 'zod';
 import {
   TASK_NAMES,
@@ -58,6 +63,8 @@
   readonly listHosts: () => readonly string[];
   /** Whether this host was told to stop. */
   readonly isLeaving: () => boolean;
+  /** Records whether the store answered this host. */
+  readonly recordStoreCall: (isReached: boolean) => void;
   readonly clock: Clock;
   readonly log: Logger;
   readonly metrics: Pick<TaskMetrics, 'recordCall' | 'recordLoss'>;
@@ -71,7 +78,10 @@
   readonly fence: number;
   /** How long ago that was seen, in ms. */
   readonly ageMs: number | undefined;
+  /** Whether this host holds the task now. */
   readonly isHolder: boolean;
+  /** The hosts that may acquire it, best first. */
+  readonly candidates: readonly string[];
 }
 
 interface RunningTask {
@@ -117,7 +127,9 @@
     return [...this.running].map(([task, {lease}]) => {
       const {holder, fence, seenAt} = lease.summary;
       const ageMs = seenAt === undefined ? undefined : now - seenAt;
-      return {task, holder, fence, ageMs, isHolder: this.isHolder(task)};
+      const candidates = this.listCandidates(task);
+      const isHolder = this.isHolder(task);
+      return {task, holder, fence, ageMs, isHolder, candidates};
     });
   }
 
@@ -137,7 +149,8 @@
   }
 
   private createRunner(task: SingletonTask, lease: TaskLease): TaskRunner {
-    const {identity, clock, log, metrics, leaseMs, isLeaving} = this.parts;
+    const {identity, clock, log, metrics, leaseMs} = this.parts;
+    const {isLeaving, recordStoreCall} = this.parts;
     const {name} = task;
     return new TaskRunner({
       task,
@@ -147,6 +160,7 @@
       log,
       isCandidate: () => this.listCandidates(name).includes(identity.name),
       isLeaving,
+      recordStoreCall,
       recordLoss: () => {
         metrics.recordLoss(name);
       },
@@ -157,6 +171,11 @@
   }
 }
 
+/** The key of the service for those that show the tasks to operators. */
+export const TASK_SUMMARIES = createServiceKey<Pick<Tasks, 'listTasks'>>(
+  TASKS.name,
+);
+
 /** Declares the service. */
 export const TASKS_SERVICE = createService({
   key: TASKS,
@@ -173,6 +192,9 @@
       store: context.find(STORE),
       listHosts: () => peers.listStoreReachingNames(),
       isLeaving: () => phase.isLeaving,
+      recordStoreCall: (isReached) => {
+        peers.standing.recordTaskCall(isReached, clock.getNow());
+      },
       clock,
       log,
       metrics,
--- a/packages/testkit/tests/command_line.test.ts
+++ b/packages/testkit/tests/command_line.test.ts
@@ -278,6 +278,25 @@
   });
 });
 
+describe('irisdock tasks', () => {
+  it('lists the tasks with their holders', async () => {
+    const task = {
+      task: 'usage',
+      holder: 'host-1 7',
+      fence: 12,
+      ageSeconds: 1,
+      isHolder: true,
+      candidates: ['host-1', 'host-2'],
+    };
+    const answer = (): object => ({tasks: [task]});
+    await runWithGateway(answer, async (address) => {
+      const list = await runProcess('irisdock', ['tasks', '-s', address]);
+      const row = /^usage +host-1 7 +12 +1 s ago +yes +host-1,host-2$/m;
+      assert.match(list.stdout, row);
+    });
+  });
+});
+
 describe('irisdock hosts', () => {
   it('lists the hosts as a gateway knows them', async () => {
     const host = {
