--- a/packages/gateway/tests/task_lease_mutants.test.ts
+++ b/packages/gateway/tests/task_lease_mutants.test.ts
@@ -16,6 +16,8 @@
 
 const ONE_FAULT_IN = 60;
 const MAX_NTH_WRITE = 7;
+/** The writes of a holder in some 2 s of a dense run. */
+const MAX_DENSE_WRITE = 40;
 /** In how many runs of each plan a version must be caught. */
 const MAX_RUNS = 200;
 
@@ -27,8 +29,12 @@
   const nth = 1 + (seed % MAX_NTH_WRITE);
   const frozen = createForcedFault('write-answered', 'freeze', nth);
   const random = createRandomFaults(ONE_FAULT_IN);
+  const denseNth = 1 + (seed % MAX_DENSE_WRITE);
+  const close = createAdverseFaults(denseNth, false);
+  const adverse = createAdverseFaults(denseNth, true);
   const runs = [
-    new TaskSimulation(seed, variant, createAdverseFaults(nth), DENSE_RUN),
+    new TaskSimulation(seed, variant, close, DENSE_RUN),
+    new TaskSimulation(seed, variant, adverse, DENSE_RUN),
     new TaskSimulation(seed, variant, frozen),
     new TaskSimulation(seed, variant, random),
   ];
