--- a/packages/gateway/src/services/task_runner.ts
+++ b/packages/gateway/src/services/task_runner.ts
@@ -8,7 +8,7 @@
 import type {Result} from 'neverthrow';
 import type {CallAuthority, CallOutcome} from '../model/platform_api.js';
 import type {HeldLease, SingletonTask} from '../model/singleton_task.js';
-import type {StoreError} from '../model/table_store.js';
+import type {StoreError, StoreErrorKind} from '../model/table_store.js';
 import {LeaseTerm} from './lease_term.js';
 import type {TaskLease} from './task_lease.js';
 
@@ -24,6 +24,13 @@
 /** For how long a host that gave a task up is no candidate, in leases. */
 const EXCLUSION_LEASES = 5;
 
+/** Errors of a store that this host does not reach, or that refuses it. */
+const FAILURES: ReadonlySet<StoreErrorKind> = new Set([
+  'store_busy',
+  'store_silent',
+  'store_unavailable',
+]);
+
 /** Dependencies of the runner. */
 export interface TaskRunnerParts {
   readonly task: SingletonTask;
@@ -45,6 +52,9 @@
 export class TaskRunner {
   private term: LeaseTerm | undefined;
   private startedTerm: LeaseTerm | undefined;
+  /** The lease as the task uses it, for the present term. */
+  private watched: HeldLease | undefined;
+  private isStopped = false;
   private pollAt = -Infinity;
   private renewAt = -Infinity;
   private excludedUntil = -Infinity;
@@ -79,6 +89,7 @@
   /** Stops using the lease; waits at most as long as a call may take. */
   async stop(): Promise<void> {
     const {lease, clock, timings} = this.parts;
+    this.isStopped = true;
     lease.drop();
     this.checkTerm();
     const rounds = [this.leaseRounds.stop(), this.stepRounds.stop()];
@@ -92,17 +103,23 @@
     lease.drop();
   }
 
+  /** Whether this host may use a lease, or acquire one. */
+  private get mayHold(): boolean {
+    const {clock, isLeaving} = this.parts;
+    if (this.isStopped || isLeaving()) return false;
+    return clock.getNow() >= this.excludedUntil;
+  }
+
   /** Takes one step with the lease. */
   private async runLeaseRound(): Promise<void> {
-    const {lease, clock, isLeaving, isCandidate} = this.parts;
-    const isExcluded = clock.getNow() < this.excludedUntil;
-    if (isLeaving() || isExcluded) lease.drop();
+    const {lease, clock, isCandidate} = this.parts;
+    if (!this.mayHold) lease.drop();
     this.checkTerm();
     if (this.term !== undefined) {
       await this.renew(this.term);
       this.checkTerm();
     }
-    if (this.term !== undefined || isLeaving() || isExcluded) return;
+    if (this.term !== undefined || !this.mayHold) return;
     // The last holder need not wait as the others do.
     const mayAcquire = isCandidate() || lease.isLastHolder;
     if (clock.getNow() < this.pollAt || !mayAcquire) return;
@@ -144,8 +161,8 @@
   }
 
   private recordStoreCall(result: Result<unknown, StoreError>): void {
-    const isReached = result.isOk() || result.error.kind === 'store_conflict';
-    this.parts.recordStoreCall(isReached);
+    const kind = result.isErr() ? result.error.kind : undefined;
+    this.parts.recordStoreCall(kind === undefined || !FAILURES.has(kind));
   }
 
   /** Notes an acquisition or a loss of the lease. */
@@ -166,13 +183,13 @@
     log.writeInfo('Acquired the lease of a task.', {task: task.name, fence});
     this.failingSince = undefined;
     this.term = new LeaseTerm(lease, fence);
+    this.watched = this.createWatched(this.term);
   }
 
   private async runStep(): Promise<void> {
     const {task} = this.parts;
-    const {term} = this;
-    if (term?.isHeld !== true) return;
-    const lease = this.createWatched(term);
+    const {term, watched: lease} = this;
+    if (term?.isHeld !== true || lease === undefined) return;
     if (this.startedTerm !== term) {
       if (!(await task.start(lease))) return;
       this.startedTerm = term;
