--- a/packages/gateway/src/services/task_runner.ts
+++ b/packages/gateway/src/services/task_runner.ts
@@ -5,8 +5,10 @@
  */
 import type {LeaseTimings} from '@irisdock/decisions';
 import {Repeater, type Clock, type Logger} from '@irisdock/kernel';
+import type {Result} from 'neverthrow';
 import type {CallAuthority, CallOutcome} from '../model/platform_api.js';
 import type {HeldLease, SingletonTask} from '../model/singleton_task.js';
+import type {StoreError, StoreErrorKind} from '../model/table_store.js';
 import {LeaseTerm} from './lease_term.js';
 import type {TaskLease} from './task_lease.js';
 
@@ -28,6 +30,13 @@
 /** For how long a host that gave a task up is no candidate, in leases. */
 const EXCLUSION_LEASES = 5;
 
+/** Errors of a store that this host does not reach, or that refuses it. */
+const FAILURES: ReadonlySet<StoreErrorKind> = new Set([
+  'store_busy',
+  'store_silent',
+  'store_unavailable',
+]);
+
 /** Dependencies of the runner. */
 export interface TaskRunnerParts {
   readonly task: SingletonTask;
@@ -40,6 +49,8 @@
   /** Whether this host was told to stop. */
   readonly isLeaving: () => boolean;
   readonly recordLoss: () => void;
+  /** Records whether the store answered this host. */
+  readonly recordStoreCall: (isReached: boolean) => void;
   readonly recordCall: (outcome: CallOutcome) => void;
 }
 
@@ -47,6 +58,9 @@
 export class TaskRunner {
   private term: LeaseTerm | undefined;
   private startedTerm: LeaseTerm | undefined;
+  /** The lease as the task uses it, for the present term. */
+  private watched: HeldLease | undefined;
+  private isStopped = false;
   private pollAt = -Infinity;
   private renewAt = -Infinity;
   private excludedUntil = -Infinity;
@@ -81,6 +95,7 @@
   /** Stops using the lease; waits at most as long as a call may take. */
   async stop(): Promise<void> {
     const {lease, clock, timings} = this.parts;
+    this.isStopped = true;
     lease.drop();
     this.checkTerm();
     const rounds = [this.leaseRounds.stop(), this.stepRounds.stop()];
@@ -98,18 +113,26 @@
     return this.isHolder ? heldMs : IDLE_ROUND_MS;
   }
 
+  /** Whether this host may use a lease, or acquire one. */
+  private get mayHold(): boolean {
+    const {clock, isLeaving} = this.parts;
+    if (this.isStopped || isLeaving()) return false;
+    return clock.getNow() >= this.excludedUntil;
+  }
+
   /** Takes one step with the lease. */
   private async runLeaseRound(): Promise<void> {
-    const {lease, clock, isLeaving, isCandidate} = this.parts;
-    const isExcluded = clock.getNow() < this.excludedUntil;
-    if (isLeaving() || isExcluded) lease.drop();
+    const {lease, clock, isCandidate} = this.parts;
+    if (!this.mayHold) lease.drop();
     this.checkTerm();
     if (this.term !== undefined) {
       await this.renew(this.term);
       this.checkTerm();
     }
-    if (this.term !== undefined || isLeaving() || isExcluded) return;
-    if (clock.getNow() < this.pollAt || !isCandidate()) return;
+    if (this.term !== undefined || !this.mayHold) return;
+    // The last holder need not wait as the others do.
+    const mayAcquire = isCandidate() || lease.isLastHolder;
+    if (clock.getNow() < this.pollAt || !mayAcquire) return;
     await this.acquire();
     this.checkTerm();
   }
@@ -118,6 +141,7 @@
     const {lease, clock, timings, log, task} = this.parts;
     const {leaseMs} = timings;
     const result = await lease.tryAcquire();
+    this.recordStoreCall(result);
     const retryMs = result.isOk() ? result.value : leaseMs / RENEWAL_DIVISOR;
     const pauseMs = Math.max(leaseMs / RETRY_DIVISOR, retryMs);
     this.pollAt = clock.getNow() + Math.min(leaseMs, pauseMs);
@@ -136,6 +160,7 @@
     const dueAt = lease.confirmedAt + leaseMs / RENEWAL_DIVISOR;
     if (clock.getNow() < Math.max(dueAt, this.renewAt)) return;
     const result = await term.save(task.listRenewalChanges());
+    this.recordStoreCall(result);
     this.renewAt = clock.getNow() + leaseMs / RETRY_DIVISOR;
     if (result.isOk()) return;
     const {kind} = result.error;
@@ -145,6 +170,11 @@
     });
   }
 
+  private recordStoreCall(result: Result<unknown, StoreError>): void {
+    const kind = result.isErr() ? result.error.kind : undefined;
+    this.parts.recordStoreCall(kind === undefined || !FAILURES.has(kind));
+  }
+
   /** Notes an acquisition or a loss of the lease. */
   private checkTerm(): void {
     const {lease, log, task, recordLoss} = this.parts;
@@ -163,13 +193,13 @@
     log.writeInfo('Acquired the lease of a task.', {task: task.name, fence});
     this.failingSince = undefined;
     this.term = new LeaseTerm(lease, fence);
+    this.watched = this.createWatched(this.term);
   }
 
   private async runStep(): Promise<void> {
     const {task} = this.parts;
-    const {term} = this;
-    if (term?.isHeld !== true) return;
-    const lease = this.createWatched(term);
+    const {term, watched: lease} = this;
+    if (term?.isHeld !== true || lease === undefined) return;
     if (this.startedTerm !== term) {
       if (!(await task.start(lease))) return;
       this.startedTerm = term;
