--- a/packages/decisions/src/usage_schedule.ts
+++ b/packages/decisions/src/usage_schedule.ts
@@ -31,7 +31,7 @@
 /** A window that ended this long ago is not reported for the first time. */
 export const MAX_FIRST_REPORT_AGE_MS = 60_000;
 /** How long the row of a window is kept, and its report repeated. */
-export const WINDOW_ROW_RETENTION_MS = 15 * 60_000;
+export const WINDOW_ROW_RETENTION_MS = 11 * 60_000;
 /** The pause after the first failed call, in ms; it doubles with each. */
 const MIN_RETRY_PAUSE_MS = 250;
 /** The longest pause between two calls, in ms. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -31,4 +31,5 @@
 export {PEERS} from './services/peers.js';
 export * from './services/seed_schedule.js';
 export * from './services/store.js';
+export {USAGE_REPORTS_SERVICE} from './services/usage_reports.js';
 export {TABLES_KEY} from './tables/tables.js';
