Check the lease again after the state of usage reports was read

A lease that was lost and acquired again during the read would let a renewal write the state of the former tenure.

--- a/packages/gateway/src/services/usage_task.ts
+++ b/packages/gateway/src/services/usage_task.ts
@@ -83,6 +83,8 @@
       });
       return false;
     }
+    // Without this, a task that was stopped meanwhile would count as started.
+    if (!lease.isHeld) return false;
     const state = this.findState(loaded.value);
     if (state !== undefined) this.parts.exchange.totals.setCheckpoint(state);
     this.schedule = this.createSchedule(loaded.value, state);
