Take the time of a collector from all hosts that report to it

The correction followed the reports that wait while the host is suspended, and moved its time by seconds for up to a second. The median over 15 s leaves such moments out, and the own clock is one of many.

--- a/packages/decisions/src/usage_window.ts
+++ b/packages/decisions/src/usage_window.ts
@@ -4,8 +4,8 @@
  * of hosts step by seconds, so a host takes its monotonic clock plus the median
  * of the recent differences between both clocks: a step that lasts for less
  * than half of the samples does not move its windows. A host that collects the
- * counts of others corrects its time by the median of their times, so that it
- * does not finalize windows early when its own clock is wrong for longer.
+ * counts of others takes the median of their times and its own, so that it does
+ * not finalize windows early when its own clock is wrong for longer.
  */
 
 /** Samples of the last minute, at one a second. */
@@ -21,6 +21,8 @@
   return (window + 1) * windowMs;
 }
 
+/** Medians of the times of all hosts, at one a second. */
+const MAX_HOST_SAMPLES = 15;
 /** The age at which the time of another host is forgotten, in ms. */
 const MAX_HOST_TIME_AGE_MS = 60_000;
 
@@ -43,25 +45,38 @@
   }
 }
 
-/** Compares the times of other hosts with the time of this host. */
+/**
+ * Combines the time of this host with the times that other hosts report. Times
+ * that arrive late, as after a suspension of this host, look as if these hosts
+ * were behind; the median of several seconds leaves them out.
+ */
 export class HostTimes {
-  private readonly differences = new Map<string, {ms: number; at: number}>();
+  /** By how much the time of a host is ahead of the monotonic clock, in ms. */
+  private readonly offsets = new Map<string, {ms: number; at: number}>();
+  private readonly medians: number[] = [];
+  private offsetMs = 0;
 
-  /** Takes the time of a host when it arrives, both in ms since 1970. */
-  accept(host: string, hostTimeMs: number, ownTimeMs: number): void {
-    this.differences.set(host, {ms: hostTimeMs - ownTimeMs, at: ownTimeMs});
+  /** Takes the time of another host on arrival, in ms since 1970. */
+  accept(host: string, hostTimeMs: number, monotonicMs: number): void {
+    this.offsets.set(host, {ms: hostTimeMs - monotonicMs, at: monotonicMs});
   }
 
-  /** Computes by how much most hosts are ahead of this one, in ms. */
-  computeCorrection(ownTimeMs: number): number {
-    // The difference of this host to itself.
-    const recent = [0];
-    for (const [host, {ms, at}] of this.differences) {
-      const isOld = Math.abs(ownTimeMs - at) > MAX_HOST_TIME_AGE_MS;
-      if (isOld) this.differences.delete(host);
+  /** Takes the time of this host, in ms since 1970; called once a second. */
+  addSample(ownTimeMs: number, monotonicMs: number): void {
+    const recent = [ownTimeMs - monotonicMs];
+    for (const [host, {ms, at}] of this.offsets) {
+      const isOld = monotonicMs - at > MAX_HOST_TIME_AGE_MS;
+      if (isOld) this.offsets.delete(host);
       else recent.push(ms);
     }
-    return computeMedian(recent);
+    this.medians.push(computeMedian(recent));
+    if (this.medians.length > MAX_HOST_SAMPLES) this.medians.shift();
+    this.offsetMs = computeMedian(this.medians);
+  }
+
+  /** Converts a reading of the monotonic clock to ms since 1970. */
+  getTime(monotonicMs: number): number {
+    return monotonicMs + this.offsetMs;
   }
 }
 
--- a/packages/decisions/tests/usage_reports.test.ts
+++ b/packages/decisions/tests/usage_reports.test.ts
@@ -29,12 +29,18 @@
   });
 
   // A holder whose clock is ahead would finalize before the counts arrive.
-  it('is corrected by the times of most hosts', () => {
+  it('is that of most hosts, also after a suspension of this one', () => {
     const times = new HostTimes();
-    for (const host of ['a', 'b', 'c']) times.accept(host, 8000, 10_000);
-    times.accept('late', 3000, 10_000);
-    assert.equal(times.computeCorrection(10_000), -2000);
-    assert.equal(times.computeCorrection(80_000), 0);
+    for (let second = 0; second < 60; second++) {
+      const now = 1000 * second;
+      // The reports of 3 s arrive at once when the suspension ends.
+      const lateMs = second >= 40 && second < 43 ? 3000 : 0;
+      for (const host of ['a', 'b']) times.accept(host, now - lateMs, now);
+      times.addSample(now + 2000, now);
+      assert.equal(times.getTime(now), now);
+    }
+    times.addSample(200_000, 200_000);
+    assert.equal(times.getTime(200_000), 200_000);
   });
 });
 
--- a/packages/gateway/src/services/usage_exchange.ts
+++ b/packages/gateway/src/services/usage_exchange.ts
@@ -56,7 +56,6 @@
   private readonly counts = new UsageCounts();
   private readonly filter = new ClockFilter();
   private readonly hostTimes = new HostTimes();
-  private correctionMs = 0;
   private sampledAt = -Infinity;
   private holder: string | undefined;
   /** The first window whose counts were not sent after its end. */
@@ -70,12 +69,13 @@
 
   /** Returns the time in ms since 1970, which steps of the clock don't move. */
   getTime(): number {
-    return this.toTime(this.parts.clock.getNow());
+    return this.hostTimes.getTime(this.parts.clock.getNow());
   }
 
   /** Counts a request that began at a time of the monotonic clock. */
   recordBegun(team: string, at: number): void {
-    this.counts.add(computeWindow(this.toTime(at), this.parts.windowMs), team);
+    const timeMs = this.hostTimes.getTime(at);
+    this.counts.add(computeWindow(timeMs, this.parts.windowMs), team);
   }
 
   /** Samples the clocks, sends what changed, and drops old windows. */
@@ -102,8 +102,7 @@
 
   acceptBegunReport(report: BegunReportDatagram): void {
     const {name: host, incarnation, time, counts} = report;
-    const ownTime = this.filter.getTime(this.parts.clock.getNow());
-    this.hostTimes.accept(host, time, ownTime);
+    this.hostTimes.accept(host, time, this.parts.clock.getNow());
     this.totals.accept({host, incarnation, counts});
   }
 
@@ -130,7 +129,7 @@
     this.acceptOwn(counts);
     if (names.length === 0) return;
     const {name, incarnation, peers, clock} = this.parts;
-    // Without the correction, which the times of these hosts have caused.
+    // The time by its own clocks: the times of these hosts are no evidence.
     const time = this.filter.getTime(clock.getNow());
     const sender = {name, incarnation, time};
     for (const part of splitCounts(counts)) {
@@ -145,12 +144,7 @@
     if (now - this.sampledAt < CLOCK_SAMPLE_MS) return;
     this.sampledAt = now;
     this.filter.addSample(clock.getWallNow(), now);
-    const ownTime = this.filter.getTime(now);
-    this.correctionMs = this.hostTimes.computeCorrection(ownTime);
-  }
-
-  private toTime(monotonicMs: number): number {
-    return this.filter.getTime(monotonicMs) + this.correctionMs;
+    this.hostTimes.addSample(this.filter.getTime(now), now);
   }
 
   private markEnded(): void {
