--- a/packages/gateway/tests/usage_reports.test.ts
+++ b/packages/gateway/tests/usage_reports.test.ts
@@ -149,6 +149,20 @@
     assert.deepEqual(fleet.listReports()[0], {first: 20});
   });
 
+  // The holder would make windows final before all counts are there.
+  it('are exact when the clock of the holder stays ahead', async () => {
+    const fleet = await startFleet();
+    const holder = fleet.hosts.get('a');
+    for (let at = 0; at < 90_000; at += 1000) {
+      if (at === 10_000 && holder !== undefined) holder.stepMs = 2000;
+      startRequests(fleet, 4);
+      await fleet.run(1000);
+    }
+    const reports = fleet.listReports().slice(0, -2);
+    assert.equal(reports.length, 15);
+    for (const report of reports) assert.deepEqual(report, {first: 20});
+  });
+
   it('reach a holder that is no candidate', async () => {
     const fleet = await startFleet();
     startRequests(fleet, 6);
