--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -32,4 +32,5 @@
 export {SCALING, SCALING_SERVICE} from './services/scaling.js';
 export * from './services/seed_schedule.js';
 export * from './services/store.js';
+export {USAGE_REPORTS_SERVICE} from './services/usage_reports.js';
 export {TABLES_KEY} from './tables/tables.js';
--- a/packages/gateway/src/services/task_runner.ts
+++ b/packages/gateway/src/services/task_runner.ts
@@ -88,6 +88,10 @@
   }
 
   start(): void {
+    const {clock, timings} = this.parts;
+    // A host that has just started knows few others and takes itself for a
+    // candidate: each of 91 hosts that started together read the lease.
+    this.pollAt = clock.getNow() + timings.leaseMs;
     this.leaseRounds.start();
     this.stepRounds.start();
   }
--- a/packages/gateway/src/services/tasks.ts
+++ b/packages/gateway/src/services/tasks.ts
@@ -58,7 +58,7 @@
 export interface TasksParts {
   readonly names: readonly TaskName[];
   readonly leaseMs: number;
-  readonly identity: HostIdentity;
+  readonly identity: Pick<HostIdentity, 'incarnation' | 'name'>;
   readonly store: TaskStore;
   /** Lists the hosts that are ready and reach the store. */
   readonly listHosts: () => readonly string[];
--- a/packages/gateway/tests/task_runner.test.ts
+++ b/packages/gateway/tests/task_runner.test.ts
@@ -50,7 +50,7 @@
     this.tasks = new Tasks({
       names,
       leaseMs: LEASE_MS,
-      identity: {name: host, deployment: '', failureDomain: 'z', incarnation},
+      identity: {name: host, incarnation},
       store: this.createStore(),
       listHosts: () => HOSTS,
       isLeaving: () => this.isLeaving,
