Steady the scaling plan and spread its base by price

Ordinary endpoints are spread by price. An answer that announces leaving gives an endpoint of a scaled service an end.

--- a/packages/decisions/src/scaling_mix.ts
+++ b/packages/decisions/src/scaling_mix.ts
@@ -109,19 +109,40 @@
   return countIn(withSpot) > most ? smallest : withSpot;
 }
 
-/** Creates the ordinary base; the cheapest domains get the remainder. */
+/**
+ * Creates the ordinary base. Its endpoints are spread by price: a domain at half
+ * the price gets twice as many. Spot endpoints make the domains equal again, so
+ * that none is worse to lose.
+ */
 function createBase(
   {need}: MixGoal,
   byPrice: readonly string[],
   limits: ScalingLimits,
 ): MutableCounts[] {
-  const base = Math.ceil(need * BASE_SHARE);
-  const each = Math.floor(base / byPrice.length);
-  const remainder = base - each * byPrice.length;
-  return byPrice.map((domain, index) => {
-    const wanted = Math.max(1, each + Number(index < remainder));
-    return {domain, ordinary: Math.min(limits.maximum, wanted), spot: 0};
-  });
+  const counts = byPrice.map((domain) => ({domain, ordinary: 1, spot: 0}));
+  let left = Math.ceil(need * BASE_SHARE) - counts.length;
+  for (; left > 0; left--) {
+    const cheapest = findCheapest(counts, limits);
+    if (cheapest === undefined) break;
+    cheapest.ordinary++;
+  }
+  return counts;
+}
+
+/** Finds the domain whose ordinary endpoints cost least with one more. */
+function findCheapest(
+  counts: readonly MutableCounts[],
+  limits: ScalingLimits,
+): MutableCounts | undefined {
+  let cheapest: MutableCounts | undefined;
+  let least = Infinity;
+  for (const entry of counts) {
+    const price = (entry.ordinary + 1) * getPrice(limits, entry.domain);
+    if (entry.ordinary >= limits.maximum || price >= least) continue;
+    cheapest = entry;
+    least = price;
+  }
+  return cheapest;
 }
 
 function addMinimum(
--- a/packages/decisions/src/scaling_need.ts
+++ b/packages/decisions/src/scaling_need.ts
@@ -52,7 +52,7 @@
 /** How long the need is lower before the level falls, in ms. */
 const FALL_DELAY_MS = 20_000;
 /** The time between two falls of the level, in ms. */
-const FALL_INTERVAL_MS = 5000;
+const FALL_INTERVAL_MS = 10_000;
 /** The ratio of one level to the next lower one. */
 const LEVEL_RATIO = 1.05;
 
@@ -90,8 +90,9 @@
     );
     if (highest > this.level) this.level = highest;
     const lower = findLowerLevel(this.level);
-    // A level of distance keeps a need at the edge of a level from moving it.
-    if (highest >= lower) {
+    // The level stays above the need when it falls. Without that distance, the
+    // noise of 20 streams a second raised it again within 4 s.
+    if (highest >= lower || highest > findLowerLevel(lower)) {
       this.neededAt = now;
       return;
     }
--- a/packages/decisions/src/scaling_plan.ts
+++ b/packages/decisions/src/scaling_plan.ts
@@ -61,7 +61,13 @@
  */
 const MIN_BASE_SHARE = 0.75;
 /** The endpoints that one order takes at most while requests run. */
-const MAX_REDUCTION = 3;
+const MAX_REDUCTION = 4;
+
+/**
+ * The excess from which a pool is reduced. One or two spot endpoints cost less
+ * than the orders that would follow each small change of the need.
+ */
+const MIN_EXCESS = {ordinary: 1, spot: 3} as const;
 
 const BASE_REASON = 'the base of ordinary endpoints is too small';
 const COVER_REASON = 'the load needs it, and spot endpoints are missing';
@@ -259,7 +265,8 @@
       pool.count - this.getLeast(pool, wanted, limits);
     return this.pools
       .listAll()
-      .filter((pool) => getExcess(pool) > 0 && pool.isReducible(now))
+      .filter((pool) => getExcess(pool) >= MIN_EXCESS[pool.key.kind])
+      .filter((pool) => pool.isReducible(now))
       .filter((pool) => isMovable || pool.running === 0)
       .sort((a, b) => getExcess(b) - getExcess(a));
   }
--- a/packages/decisions/src/scaling_pool.ts
+++ b/packages/decisions/src/scaling_pool.ts
@@ -14,11 +14,12 @@
 
 /**
  * How long a pool that was refused is not asked for again, in ms: short during a
- * usual shortage of some 10 s, longer after as many refusals in a row.
+ * usual shortage, also of two domains in a row (17 s), and longer after more
+ * refusals than that.
  */
 const REFUSAL_PAUSE_MS = 3000;
 const LONG_REFUSAL_PAUSE_MS = 15_000;
-const MAX_SHORT_PAUSES = 5;
+const MAX_SHORT_PAUSES = 8;
 /** How long a pool that grew is not reduced, in ms. */
 const GROWTH_HOLD_MS = 20_000;
 /**
--- a/packages/gateway/src/services/gateway_endpoints.ts
+++ b/packages/gateway/src/services/gateway_endpoints.ts
@@ -5,7 +5,6 @@
  * vanished while the store was unavailable is kept until the store had time to
  * list it again. An entry that is rejected does not affect other endpoints.
  */
-import {isDeepStrictEqual} from 'node:util';
 import type {ReplicaRow} from '@irisdock/decisions';
 import type {Clock, Logger} from '@irisdock/kernel';
 import {err, ok, type Result} from 'neverthrow';
@@ -14,6 +13,7 @@
 import type {RowCodec} from '../model/table_store.js';
 import {EndpointRecord, type RemovalCause} from '../serving/endpoint_record.js';
 import {AddressIndex} from './address_index.js';
+import {isSameButEnd, recordAnnouncedEnd} from './endpoint_ends.js';
 import type {EndpointPauses} from './endpoint_pauses.js';
 import {LeavingInstances} from './leaving_instances.js';
 import type {Peers} from './peer_hosts.js';
@@ -44,12 +44,6 @@
 /** The interval between checks of delayed removals, in ms. */
 const REMOVAL_CHECK_MS = 200;
 
-/**
- * The time from the announcement of an endpoint that leaves on an order to its
- * end, in ms; its entry does not name it.
- */
-const ORDERED_DRAIN_MS = 3000;
-
 /** Keeps the records of all known endpoints. */
 export class GatewayEndpoints {
   /** Increases whenever an endpoint is added or removed. */
@@ -173,6 +167,7 @@
     const record = this.records.get(instanceId);
     if (record?.entry.state !== 'ready') return;
     record.entry = {...record.entry, state: 'leaving'};
+    this.recordEnd(record, undefined);
     this.handleChange?.();
     this.writeLeavingLog(record, source);
   }
@@ -258,7 +253,7 @@
     }
     const entry = decoded.value;
     if (known?.instanceId === entry.instanceId) {
-      if (isSameButEnd(known.entry, entry)) recordEnd(known, entry);
+      if (isSameButEnd(known.entry, entry)) this.recordEnd(known, entry);
       else this.updateRecord(known, entry);
       return;
     }
@@ -291,7 +286,7 @@
     this.records.set(record.instanceId, record);
     this.instances.set(record.endpointId, record);
     this.addresses.add(record);
-    this.recordDrain(record, entry);
+    this.recordEnd(record, entry);
     this.version++;
     this.handleChange?.();
     return record;
@@ -315,18 +310,17 @@
     this.addresses.delete(record);
     record.entry = this.keepLeaving(entry, wasLeaving);
     this.addresses.add(record);
-    this.recordDrain(record, entry);
+    this.recordEnd(record, entry);
     this.handleChange?.();
     if (wasLeaving || entry.state === 'ready') return;
     this.writeLeavingLog(record, 'entry');
   }
 
-  /** Records when a leaving endpoint ends, if its entry or its service says. */
-  private recordDrain(record: EndpointRecord, entry: EndpointEntry): void {
-    if (record.entry.state !== 'leaving') return;
-    recordEnd(record, entry);
-    if (record.endsAt !== undefined) return;
-    if (this.parts.isScaled(entry.service)) record.recordEnd(ORDERED_DRAIN_MS);
+  private recordEnd(
+    record: EndpointRecord,
+    entry: EndpointEntry | undefined,
+  ): void {
+    recordAnnouncedEnd(record, entry, this.parts.isScaled);
   }
 
   private writeLeavingLog(
@@ -386,18 +380,3 @@
   if (!hostAddresses.has(entry.address)) return ok(entry);
   return err('its address is that of a host');
 }
-
-function recordEnd(record: EndpointRecord, {leavesMs}: EndpointEntry): void {
-  if (leavesMs !== undefined) record.recordEnd(leavesMs);
-}
-
-/**
- * Whether an entry differs at most in the time until its end. That time counts
- * down in the entries of a leaving endpoint, and nothing else follows from it.
- */
-function isSameButEnd(before: EndpointEntry, after: EndpointEntry): boolean {
-  if (after.leavesMs === undefined || before.leavesMs === undefined) {
-    return false;
-  }
-  return isDeepStrictEqual({...before, leavesMs: after.leavesMs}, after);
-}
