Count endpoints in one pass and keep the mix while nothing changes

Cause: with 12,000 endpoints in 12 domains, the view passed over all of them for each pool, and the mix was computed four times a second. Change: one pass, and the last mix is kept.

--- a/packages/decisions/src/scaling_plan.ts
+++ b/packages/decisions/src/scaling_plan.ts
@@ -80,6 +80,10 @@
   private hasDemand = false;
   private firstSeenAt: number | undefined;
   private reducedAt = -Infinity;
+  /** The mix that was computed last, and from what. */
+  private mix:
+    | {readonly basis: string; readonly counts: readonly DomainCounts[]}
+    | undefined;
 
   /** Creates the plan that an earlier holder left. */
   static createFrom(state: ScalingState, now: number): ScalingPlan {
@@ -110,10 +114,17 @@
   listWanted(
     {limits}: Pick<ScalingView, 'limits'>,
     now: number,
-  ): DomainCounts[] {
+  ): readonly DomainCounts[] {
     const {pools} = this;
     const caps = pools.listSpotCaps(limits, now);
-    return computeMix(this.createGoal(), pools.listDomains(), limits, caps);
+    const goal = this.createGoal();
+    const domains = pools.listDomains();
+    const basis = JSON.stringify([goal, domains, limits, [...caps]]);
+    if (this.mix?.basis !== basis) {
+      const counts = computeMix(goal, domains, limits, caps);
+      this.mix = {basis, counts};
+    }
+    return this.mix.counts;
   }
 
   /** Plans the orders that are due now, the most urgent first. */
--- a/packages/gateway/src/services/demand_reports.ts
+++ b/packages/gateway/src/services/demand_reports.ts
@@ -109,13 +109,15 @@
   }
 
   private listDemands(): ReportedDemand[] {
-    const expected = new Map<string, number>();
+    const names = this.listNames();
+    const expected = new Map(names.map((name) => [name, 0]));
     for (const record of this.parts.endpoints.listAll()) {
       const {service} = record.entry;
-      const {expectedTokens} = record.getOwnUse();
-      expected.set(service, (expected.get(service) ?? 0) + expectedTokens);
+      const sum = expected.get(service);
+      if (sum === undefined) continue;
+      expected.set(service, sum + record.getOwnUse().expectedTokens);
     }
-    return this.listNames().map((service) => ({
+    return names.map((service) => ({
       service,
       ...this.parts.meter.findDemand(service),
       expectedTokens: expected.get(service) ?? 0,
--- a/packages/gateway/src/services/scaling_view.ts
+++ b/packages/gateway/src/services/scaling_view.ts
@@ -1,6 +1,5 @@
 /** What the plan of a service's endpoints sees: its endpoints and its load. */
 import {
-  CAPACITY_KINDS,
   computeNeed,
   type CapacityKind,
   type EndpointCapacity,
@@ -23,6 +22,8 @@
   readonly clock: Clock;
 }
 
+type MutablePool = {-readonly [K in keyof PoolView]: PoolView[K]};
+
 /** Creates the view of a service; undefined if it is not scaled. */
 export function createScalingView(
   parts: ScalingViewParts,
@@ -77,25 +78,33 @@
   isBusy: boolean,
   now: number,
 ): PoolView[] {
-  const domains = new Set(records.map(({failureDomain}) => failureDomain));
-  const pools: PoolView[] = [];
-  for (const domain of domains) {
-    const inDomain = records.filter((one) => one.failureDomain === domain);
-    for (const kind of CAPACITY_KINDS) {
-      const ofPool = inDomain.filter((one) => getKind(one) === kind);
-      if (ofPool.length === 0) continue;
-      const ready = ofPool.filter(({isReady}) => isReady);
-      const leaving = ofPool.filter((one) => isLeaving(one, now)).length;
-      const running = isBusy ? ready.length : 0;
-      pools.push({domain, kind, ready: ready.length, leaving, running});
-    }
+  const pools = new Map<string, MutablePool>();
+  for (const record of records) {
+    const pool = getPool(pools, record.failureDomain, getKind(record));
+    if (record.isReady) pool.ready++;
+    else if (isLeaving(record, now)) pool.leaving++;
+    if (record.isReady && isBusy) pool.running++;
+  }
+  return [...pools.values()];
+}
+
+function getPool(
+  pools: Map<string, MutablePool>,
+  domain: string,
+  kind: CapacityKind,
+): MutablePool {
+  const key = `${kind}/${domain}`;
+  let pool = pools.get(key);
+  if (pool === undefined) {
+    pool = {domain, kind, ready: 0, leaving: 0, running: 0};
+    pools.set(key, pool);
   }
-  return pools;
+  return pool;
 }
 
 /** The entry of an endpoint that has ended may stay for some time. */
-function isLeaving({isReady, endsAt}: EndpointRecord, now: number): boolean {
-  return !isReady && now < (endsAt ?? Infinity) + END_DELAY_MS;
+function isLeaving({endsAt}: EndpointRecord, now: number): boolean {
+  return now < (endsAt ?? Infinity) + END_DELAY_MS;
 }
 
 function getKind({entry}: EndpointRecord): CapacityKind {
--- a/packages/gateway/src/serving/stream_handover.ts
+++ b/packages/gateway/src/serving/stream_handover.ts
@@ -246,7 +246,10 @@
       return Promise.race([trial.waitForContinuation(), overlap]);
     }
     const leftMs = Math.max(0, endsAt - clock.getNow());
-    const end = clock.wait(leftMs, signal).then(noAnswer);
+    const end = Promise.all([
+      clock.wait(leftMs, signal),
+      waitOverlap(clock, signal),
+    ]).then(noAnswer);
     return Promise.race([trial.waitForAnswer(), end]);
   }
 
