--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -77,6 +77,7 @@
 export * from './scaling_plan.js';
 export * from './scaling_pool.js';
 export * from './scaling_pools.js';
+export * from './scaling_reductions.js';
 export * from './serving_decision.js';
 export * from './signature.js';
 export * from './silence_limits.js';
--- a/packages/decisions/src/scaling_plan.ts
+++ b/packages/decisions/src/scaling_plan.ts
@@ -8,10 +8,9 @@
  * reduced: the load may begin at once, and only the kind of capacity changes.
  */
 import {planCover} from './scaling_cover.js';
-import {computeMix, isSufficient, type MixGoal} from './scaling_mix.js';
+import {computeMix, type MixGoal} from './scaling_mix.js';
 import {
   countEndpoints,
-  getDomainCounts,
   type DomainCounts,
   type PoolOrder,
   type PoolView,
@@ -20,6 +19,7 @@
 import {NeedLevel} from './scaling_need.js';
 import type {ScalingPool, PoolState} from './scaling_pool.js';
 import {ScalingPools} from './scaling_pools.js';
+import {planReductions} from './scaling_reductions.js';
 
 /** What is planned for one service. */
 export interface ScalingView {
@@ -60,14 +60,6 @@
  * somewhat larger need moves no order, as spot endpoints carry it.
  */
 const MIN_BASE_SHARE = 0.75;
-/** The endpoints that one order takes at most while requests run. */
-const MAX_REDUCTION = 4;
-
-/**
- * The excess from which a pool is reduced. One or two spot endpoints cost less
- * than the orders that would follow each small change of the need.
- */
-const MIN_EXCESS = {ordinary: 1, spot: 3} as const;
 
 const BASE_REASON = 'the base of ordinary endpoints is too small';
 const COVER_REASON = 'the load needs it, and spot endpoints are missing';
@@ -136,7 +128,7 @@
     const wanted = this.listWanted(view, now);
     const increases = this.planIncreases(wanted, view, now);
     if (increases.length > 0) return increases;
-    return this.planReductions(wanted, view, now);
+    return this.planFewer(wanted, view, now);
   }
 
   /** Records that the platform accepted an order. */
@@ -243,90 +235,19 @@
   }
 
   /** Plans orders of fewer; one at a time while requests run. */
-  private planReductions(
+  private planFewer(
     wanted: readonly DomainCounts[],
     view: ScalingView,
     now: number,
   ): PoolOrder[] {
-    const pools = this.pools.listAll();
-    const isIdle = !this.hasDemand && pools.every(({running}) => running === 0);
-    if (!isIdle && now - this.reducedAt < REDUCTION_INTERVAL_MS) return [];
-    if (!isIdle && pools.some(({isLeaving}) => isLeaving)) return [];
-    const orders: PoolOrder[] = [];
-    const firm = this.pools.listCounts(({firm}) => firm);
-    for (const pool of this.listReducible(wanted, view, now)) {
-      const least = this.getLeast(pool, wanted, view.limits);
-      const most = isIdle ? Infinity : MAX_REDUCTION;
-      const count = this.findSafeCount(pool, firm, least, most);
-      if (count >= pool.count) continue;
-      orders.push({...pool.key, count, reason: this.getReason(pool, isIdle)});
-      if (!isIdle) break;
-      setCount(firm, pool, pool.firm - (pool.count - count));
-    }
-    return orders;
-  }
-
-  /** Lists the pools with more than is wanted, the largest excess first. */
-  private listReducible(
-    wanted: readonly DomainCounts[],
-    {limits, isMovable}: ScalingView,
-    now: number,
-  ): ScalingPool[] {
-    const getExcess = (pool: ScalingPool): number =>
-      pool.count - this.getLeast(pool, wanted, limits);
-    return this.pools
-      .listAll()
-      .filter((pool) => getExcess(pool) >= MIN_EXCESS[pool.key.kind])
-      .filter((pool) => pool.isReducible(now))
-      .filter((pool) => isMovable || pool.running === 0)
-      .sort((a, b) => getExcess(b) - getExcess(a));
-  }
-
-  private getLeast(
-    pool: ScalingPool,
-    wanted: readonly DomainCounts[],
-    {minimum}: ScalingLimits,
-  ): number {
-    const {domain, kind} = pool.key;
-    const target = getDomainCounts(wanted, domain)[kind];
-    const otherKind = kind === 'spot' ? 'ordinary' : 'spot';
-    const other = this.pools.getPool(domain, otherKind).count;
-    return Math.max(target, minimum - other);
-  }
-
-  /** Finds the least count with which what is ready carries the need. */
-  private findSafeCount(
-    pool: ScalingPool,
-    firm: readonly DomainCounts[],
-    least: number,
-    most: number,
-  ): number {
+    const {pools, hasDemand, reducedAt} = this;
+    const all = pools.listAll();
+    const isIdle = !hasDemand && all.every(({running}) => running === 0);
+    if (!isIdle && now - reducedAt < REDUCTION_INTERVAL_MS) return [];
+    if (!isIdle && all.some(({isLeaving}) => isLeaving)) return [];
     const goal = this.createGoal();
-    let count = pool.count;
-    while (count > least && pool.count - count < most) {
-      const taken = pool.count - (count - 1);
-      const rest = firm.map((entry) => ({...entry}));
-      setCount(rest, pool, pool.firm - taken);
-      if (!isSufficient(rest, goal)) break;
-      count--;
-    }
-    return count;
-  }
-
-  private getReason({key}: ScalingPool, isIdle: boolean): string {
-    if (key.kind === 'spot') return 'the load fell';
-    return isIdle
-      ? 'spot endpoints take over before the load begins'
-      : 'spot endpoints carry the load';
+    const {limits, isMovable} = view;
+    const input = {pools, wanted, goal, limits, isMovable, isIdle, now};
+    return planReductions(input);
   }
 }
-
-function setCount(
-  counts: DomainCounts[],
-  {key: {domain, kind}}: ScalingPool,
-  count: number,
-): void {
-  const index = counts.findIndex((entry) => entry.domain === domain);
-  const entry = counts[index];
-  if (entry !== undefined) counts[index] = {...entry, [kind]: count};
-}
--- /dev/null
+++ b/packages/decisions/src/scaling_reductions.ts
@@ -0,0 +1,108 @@
+/**
+ * Orders of fewer endpoints: those of pools with more than is wanted, as far as
+ * what is ready without them carries the need after losses.
+ */
+import {isSufficient, type MixGoal} from './scaling_mix.js';
+import {
+  getDomainCounts,
+  type DomainCounts,
+  type PoolOrder,
+  type ScalingLimits,
+} from './scaling_model.js';
+import type {ScalingPool} from './scaling_pool.js';
+import type {ScalingPools} from './scaling_pools.js';
+
+/** The endpoints that one order takes at most while requests run. */
+const MAX_REDUCTION = 4;
+/**
+ * The excess from which a pool is reduced. One or two spot endpoints cost less
+ * than the orders that would follow each small change of the need.
+ */
+const MIN_EXCESS = {ordinary: 1, spot: 3} as const;
+
+/** What is known when reductions are planned. */
+export interface ReductionInput {
+  readonly pools: ScalingPools;
+  /** The mix that is aimed at. */
+  readonly wanted: readonly DomainCounts[];
+  readonly goal: MixGoal;
+  readonly limits: ScalingLimits;
+  /** Whether what runs on a leaving endpoint ends well or elsewhere. */
+  readonly isMovable: boolean;
+  /** Whether no request was seen yet, so that nothing can be cut. */
+  readonly isIdle: boolean;
+  readonly now: number;
+}
+
+/** Plans orders of fewer; only one, of few endpoints, unless idle. */
+export function planReductions(input: ReductionInput): PoolOrder[] {
+  const {pools, isIdle} = input;
+  const orders: PoolOrder[] = [];
+  const firm = pools.listCounts((pool) => pool.firm);
+  for (const pool of listReducible(input)) {
+    const count = findSafeCount(input, pool, firm);
+    if (count >= pool.count) continue;
+    orders.push({...pool.key, count, reason: getReason(pool, isIdle)});
+    if (!isIdle) break;
+    setCount(firm, pool, pool.firm - (pool.count - count));
+  }
+  return orders;
+}
+
+/** Lists the pools that may be reduced, the largest excess first. */
+function listReducible(input: ReductionInput): ScalingPool[] {
+  const getExcess = (pool: ScalingPool): number =>
+    pool.count - getLeast(input, pool);
+  return input.pools
+    .listAll()
+    .filter((pool) => getExcess(pool) >= MIN_EXCESS[pool.key.kind])
+    .filter((pool) => pool.isReducible(input.now))
+    .filter((pool) => input.isMovable || pool.running === 0)
+    .sort((a, b) => getExcess(b) - getExcess(a));
+}
+
+function getLeast(
+  {pools, wanted, limits}: ReductionInput,
+  {key: {domain, kind}}: ScalingPool,
+): number {
+  const target = getDomainCounts(wanted, domain)[kind];
+  const otherKind = kind === 'spot' ? 'ordinary' : 'spot';
+  const other = pools.getPool(domain, otherKind).count;
+  return Math.max(target, limits.minimum - other);
+}
+
+/** Finds the least count with which what is ready carries the need. */
+function findSafeCount(
+  input: ReductionInput,
+  pool: ScalingPool,
+  firm: readonly DomainCounts[],
+): number {
+  const least = getLeast(input, pool);
+  const most = input.isIdle ? Infinity : MAX_REDUCTION;
+  let count = pool.count;
+  while (count > least && pool.count - count < most) {
+    const taken = pool.count - (count - 1);
+    const rest = firm.map((entry) => ({...entry}));
+    setCount(rest, pool, pool.firm - taken);
+    if (!isSufficient(rest, input.goal)) break;
+    count--;
+  }
+  return count;
+}
+
+function getReason({key}: ScalingPool, isIdle: boolean): string {
+  if (key.kind === 'spot') return 'the load fell';
+  return isIdle
+    ? 'spot endpoints take over before the load begins'
+    : 'spot endpoints carry the load';
+}
+
+function setCount(
+  counts: DomainCounts[],
+  {key: {domain, kind}}: ScalingPool,
+  count: number,
+): void {
+  const index = counts.findIndex((entry) => entry.domain === domain);
+  const entry = counts[index];
+  if (entry !== undefined) counts[index] = {...entry, [kind]: count};
+}
