Bound the time in which a step of scaling starts calls

Cause: several orders to a slow platform could keep the task's runner from renewing the lease for seconds. Change: a step starts no further call after 300 ms; the next step goes on.

--- a/packages/gateway/src/services/scaled_service.ts
+++ b/packages/gateway/src/services/scaled_service.ts
@@ -31,6 +31,11 @@
 
 /** How often the orders are planned, in ms. */
 const PLAN_INTERVAL_MS = 250;
+/**
+ * How long a step starts further calls, in ms. A slow platform must not keep the
+ * runner of the task from its other work.
+ */
+const MAX_STEP_MS = 300;
 /** The pause after a call that was not accepted for a passing reason, in ms. */
 const RETRY_PAUSE_MS = 500;
 const MAX_RETRY_PAUSE_MS = 8000;
@@ -131,9 +136,15 @@
   }
 
   private async sendPending(lease: HeldLease): Promise<void> {
+    const {clock} = this.parts;
+    const until = clock.getNow() + MAX_STEP_MS;
     for (;;) {
       const [order] = this.pending;
       if (order === undefined || !lease.isHeld) return;
+      if (clock.getNow() >= until) {
+        this.nextAt = clock.getNow();
+        return;
+      }
       const outcome = await this.send(lease, order);
       if (!this.handleOutcome(order, outcome)) {
         // The others were not sent, and are planned again when this passes.
