--- a/packages/gateway/src/services/gateway_endpoints.ts
+++ b/packages/gateway/src/services/gateway_endpoints.ts
@@ -13,7 +13,7 @@
 import type {RowCodec} from '../model/table_store.js';
 import {EndpointRecord, type RemovalCause} from '../serving/endpoint_record.js';
 import {AddressIndex} from './address_index.js';
-import {isSameButEnd, recordAnnouncedEnd} from './announced_end.js';
+import {isSameButEnd, recordAnnouncedEnd} from './endpoint_ends.js';
 import type {EndpointPauses} from './endpoint_pauses.js';
 import {LeavingInstances} from './leaving_instances.js';
 import type {Peers} from './peer_hosts.js';
@@ -167,6 +167,7 @@
     const record = this.records.get(instanceId);
     if (record?.entry.state !== 'ready') return;
     record.entry = {...record.entry, state: 'leaving'};
+    this.recordEnd(record, undefined);
     this.handleChange?.();
     this.writeLeavingLog(record, source);
   }
@@ -252,9 +253,8 @@
     }
     const entry = decoded.value;
     if (known?.instanceId === entry.instanceId) {
-      if (isSameButEnd(known.entry, entry)) {
-        recordAnnouncedEnd(known, entry, false);
-      } else this.updateRecord(known, entry);
+      if (isSameButEnd(known.entry, entry)) this.recordEnd(known, entry);
+      else this.updateRecord(known, entry);
       return;
     }
     if (known !== undefined) {
@@ -286,7 +286,7 @@
     this.records.set(record.instanceId, record);
     this.instances.set(record.endpointId, record);
     this.addresses.add(record);
-    this.recordDrain(record, entry);
+    this.recordEnd(record, entry);
     this.version++;
     this.handleChange?.();
     return record;
@@ -310,17 +310,17 @@
     this.addresses.delete(record);
     record.entry = this.keepLeaving(entry, wasLeaving);
     this.addresses.add(record);
-    this.recordDrain(record, entry);
+    this.recordEnd(record, entry);
     this.handleChange?.();
     if (wasLeaving || entry.state === 'ready') return;
     this.writeLeavingLog(record, 'entry');
   }
 
-  /** Records when a leaving endpoint ends, if its entry or its service says. */
-  private recordDrain(record: EndpointRecord, entry: EndpointEntry): void {
-    const {isScaled} = this.parts;
-    if (record.entry.state !== 'leaving') return;
-    recordAnnouncedEnd(record, entry, isScaled(entry.service));
+  private recordEnd(
+    record: EndpointRecord,
+    entry: EndpointEntry | undefined,
+  ): void {
+    recordAnnouncedEnd(record, entry, this.parts.isScaled);
   }
 
   private writeLeavingLog(
