--- a/packages/decisions/src/address_answer.ts
+++ b/packages/decisions/src/address_answer.ts
@@ -49,20 +49,20 @@
 const LIMITS: AnswerLimits = {maxHosts: 4, minOtherDomain: 1, minHosts: 4};
 /**
  * The number of hosts in an answer where hosts are unequal or regions several.
- * With fewer hosts of the own domain, large hosts would be listed hardly more
- * often than small ones in proportion to their size, but too few would be left
- * for callers when some of them fail. One of nine connections goes to another
- * region; an answer without such a host would be useless if a region is lost.
+ * With fewer hosts of the own domain, large hosts get a larger part of the
+ * connections, but more connections go to other domains and regions, whose
+ * bytes are expensive. One of eleven connections goes to another region; an
+ * answer without such a host would be useless when a region is lost.
  */
 const NEAR_LIMITS = {
   /** Hosts of the own domain, if they are unequal: at least so many. */
-  minOwnDomain: 6,
+  minOwnDomain: 8,
   /** Hosts of other domains of the region, at least. */
   minOtherDomain: 2,
   /** Hosts of other regions, at least. */
   minOtherRegion: 1,
-  /** Hosts in total, if so many serve. */
-  minHosts: 9,
+  /** Hosts in total, those of other regions included, if so many serve. */
+  minHosts: 11,
 } as const;
 /** Number of distinct values of the random factor of the keep time. */
 const JITTER_STEPS = 1000;
@@ -126,8 +126,7 @@
     getWeightedSample(hosts, computeHostWeights(hosts), count, random);
   const maxOwn = limits.maxHosts - minOtherDomain - minOtherRegion;
   const own = chooseSome(domain, computeOwnCount(domain, maxOwn));
-  const reserved = Math.min(minOtherRegion, elsewhere.length);
-  const regionCount = minHosts - own.length - reserved;
+  const regionCount = minHosts - own.length - minOtherRegion;
   const near = chooseSome(region, Math.max(minOtherDomain, regionCount));
   const farCount = minHosts - own.length - near.length;
   const far = chooseSome(elsewhere, Math.max(minOtherRegion, farCount));
