Give no window a second body after a restore of the store, and lose fewer counts

Found in review: a new holder trusted the rows of a store that was restored from an older copy and made a window final that had been reported. It now skips the windows that have ended when the era of the rows differs from that of the checkpoint. The new test fails without it. Besides: the write of a window takes the checkpoint along (it had postponed it by up to a second), a planned stop sends the last counts, a request for counts is repeated after each change of the hosts, and scaling is not registered without an API.

--- a/packages/gateway/src/model/usage_state.ts
+++ b/packages/gateway/src/model/usage_state.ts
@@ -11,6 +11,8 @@
 const WINDOW_KEY_PREFIX = 'window/';
 
 const USAGE_STATE_SCHEMA = z.object({
+  /** The era of the store when the holder read its rows. */
+  era: z.number().int().default(0),
   /** When the sums were taken, in ms since 1970. */
   takenAt: z.number(),
   /** The first window that was not final. */
--- a/packages/gateway/src/services/scaling.ts
+++ b/packages/gateway/src/services/scaling.ts
@@ -46,9 +46,10 @@
       peers,
       clock,
     });
+    const platformApi = context.find(PLATFORM_API);
     const orders = createOrderCounter(metrics);
     const api = new ScalingTask({
-      api: context.find(PLATFORM_API),
+      api: platformApi,
       configuration,
       endpoints,
       demand,
@@ -60,7 +61,7 @@
     });
     createEndpointGauge(api, metrics);
     peers.handlers.demand = demand;
-    tasks.register(api);
+    if (platformApi.isConfigured) tasks.register(api);
     return {
       api,
       start() {
--- a/packages/gateway/src/services/usage_reports.ts
+++ b/packages/gateway/src/services/usage_reports.ts
@@ -79,6 +79,8 @@
       },
       stop() {
         clearInterval(timer);
+        // A planned stop would lose the counts since the last tick.
+        exchange.startTick();
         return Promise.resolve();
       },
     };
--- a/packages/gateway/src/services/usage_task.ts
+++ b/packages/gateway/src/services/usage_task.ts
@@ -5,6 +5,8 @@
  * checkpoint of the windows that are not final.
  */
 import {
+  computeWindow,
+  getEra,
   UsageSchedule,
   WINDOW_ROW_RETENTION_MS,
   computeWindowEnd,
@@ -66,6 +68,8 @@
   private requestedAt = -Infinity;
   private hostsHash: number | undefined;
   private isRequestRepeated = true;
+  /** The era of the store when the rows were read. */
+  private era = 0;
 
   constructor(private readonly parts: UsageTaskParts) {}
 
@@ -85,6 +89,10 @@
     }
     // Without this, a task that was stopped meanwhile would count as started.
     if (!lease.isHeld) return false;
+    this.era = Math.max(
+      0,
+      ...loaded.value.map(({revision}) => getEra(revision)),
+    );
     const state = this.findState(loaded.value);
     if (state !== undefined) this.parts.exchange.totals.setCheckpoint(state);
     this.schedule = this.createSchedule(loaded.value, state);
@@ -120,6 +128,7 @@
       exchange.getTime(),
     );
     const state: UsageState = {
+      era: this.era,
       takenAt: checkpoint.takenAt,
       next,
       unsent,
@@ -140,7 +149,8 @@
     const hasChanged = getHostsHash() !== this.hostsHash;
     const isDue = hasChanged && elapsedMs >= REQUEST_INTERVAL_MS;
     if (!isRepeat && !isDue) return;
-    this.isRequestRepeated = true;
+    // The request to hosts that are new may be lost as well.
+    this.isRequestRepeated = isRepeat;
     this.pollHosts(fromWindow);
   }
 
@@ -173,11 +183,28 @@
     // A row that vanished with a restored store may have been reported.
     const known = this.schedule?.nextWindow ?? -Infinity;
     const next = Math.max(known, state?.next ?? first);
-    const schedule = new UsageSchedule(times, next);
+    const schedule = new UsageSchedule(
+      times,
+      this.isRestored(state) ? this.chooseFromNow(next) : next,
+    );
     for (const row of rows) this.addRow(schedule, row, state);
     return schedule;
   }
 
+  /** Whether rows of windows may be missing: the store is an older copy. */
+  private isRestored(state: UsageState | undefined): boolean {
+    return this.era !== (state?.era ?? 0);
+  }
+
+  /**
+   * Skips the windows that ended: an earlier holder may have reported them, and
+   * a second body for one is worse than none.
+   */
+  private chooseFromNow(next: number): number {
+    const {exchange, times} = this.parts;
+    return Math.max(next, computeWindow(exchange.getTime(), times.windowMs));
+  }
+
   private addRow(
     schedule: UsageSchedule,
     {key, value}: TableRow,
@@ -234,7 +261,12 @@
       value: undefined,
     }));
     const saved = await lease.save(
-      [{key, value: JSON.stringify(report)}, ...deletions],
+      [
+        {key, value: JSON.stringify(report)},
+        ...deletions,
+        // The write renews the lease and so delays the next checkpoint.
+        ...this.listRenewalChanges(),
+      ],
       [{key, revision: 0}],
     );
     if (saved.isOk()) {
--- a/packages/gateway/tests/usage_reports.test.ts
+++ b/packages/gateway/tests/usage_reports.test.ts
@@ -47,6 +47,23 @@
     assert.deepEqual(fleet.listReports(), [{first: 10}, {first: 3}, {}, {}]);
   });
 
+  // A holder that trusted the restored rows would report a window once more.
+  it('keep one body when the store is restored and the holder changes', async () => {
+    const fleet = await startFleet();
+    startRequests(fleet, 10);
+    await fleet.run(4000);
+    const backup = new Map(fleet.rows);
+    await fleet.run(6000);
+    fleet.putBackup(backup);
+    countLate(fleet);
+    fleet.hosts.delete('a');
+    await fleet.acquire('b');
+    await fleet.run(15_000);
+    assert.deepEqual(fleet.listContradictions(), []);
+    // The restore costs a window, and the reports go on after it.
+    assert.equal(fleet.accepted.size, 3);
+  });
+
   // Each loss of the holder could give a window two bodies or none.
   const steps: readonly (readonly [string, WriteFault, CallFault])[] = [
     ['before the window is final', 'rejected', 'none'],
