--- a/packages/gateway/tests/scaling_service.test.ts
+++ b/packages/gateway/tests/scaling_service.test.ts
@@ -59,7 +59,7 @@
         sent++;
       },
     }),
-    createFake(PLATFORM_API, {}),
+    createFake(PLATFORM_API, {isConfigured: true}),
     createFake(TASKS, {
       isEnabled: () => isEnabled,
       listCandidates: () => ['h2'],
