Check an order of fewer again before it is repeated

Operators would have seen a service lose ready endpoints when it lacked them: an order "20 to 16" had no answer, the platform was silent, two domains lost their spot endpoints, and the reduction was the first call that the platform then got. A reclaim's notice that fell into a pause of up to 8 s was missed, and the pool was ordered again only after the boot time and 3 s.

Cause: orders that were not settled were repeated as they were, also by the next holder, and nothing took in the endpoints meanwhile.

Each step now takes in the endpoints and the load, also in a pause. Counts are absolute, so this also undoes an order that was carried out without an answer. Endpoints that already leave are not taken off twice.

--- a/packages/decisions/src/scaling_plan.ts
+++ b/packages/decisions/src/scaling_plan.ts
@@ -19,7 +19,7 @@
 import {NeedLevel} from './scaling_need.js';
 import type {ScalingPool, PoolState} from './scaling_pool.js';
 import {ScalingPools} from './scaling_pools.js';
-import {planReductions} from './scaling_reductions.js';
+import {planReductions, updateReductions} from './scaling_reductions.js';
 
 /** What is planned for one service. */
 export interface ScalingView {
@@ -119,12 +119,49 @@
     return this.mix.counts;
   }
 
-  /** Plans the orders that are due now, the most urgent first. */
-  plan(view: ScalingView, now: number): PoolOrder[] {
+  /**
+   * Takes the endpoints and the load as they are now; tells whether they are
+   * known well enough to plan with.
+   */
+  update(view: ScalingView, now: number): boolean {
     this.pools.update(view.pools, view.limits, now);
     if (view.pools.some(({ready}) => ready > 0)) this.firstSeenAt ??= now;
-    if (now - (this.firstSeenAt ?? now) < SETTLE_MS) return [];
+    if (now - (this.firstSeenAt ?? now) < SETTLE_MS) return false;
     this.updateNeed(view, now);
+    return true;
+  }
+
+  /**
+   * Checks orders that were planned earlier and are not settled: in place of one
+   * that would take too many endpoints by now, what is in force is ordered. The
+   * other orders are returned as they are.
+   */
+  updateOrders(
+    orders: readonly PoolOrder[],
+    view: ScalingView,
+    now: number,
+  ): PoolOrder[] {
+    this.update(view, now);
+    const {pools} = this;
+    const goal = this.createGoal();
+    const {isMovable} = view;
+    return updateReductions(orders, {
+      pools,
+      goal,
+      isMovable,
+      isIdle: this.isIdle,
+    });
+  }
+
+  /** Whether no request was seen yet and none runs. */
+  private get isIdle(): boolean {
+    const all = this.pools.listAll();
+    return !this.hasDemand && all.every(({running}) => running === 0);
+  }
+
+  /** Plans the orders that are due now, the most urgent first. */
+  plan(view: ScalingView, now: number): PoolOrder[] {
+    if (!this.update(view, now)) return [];
     const wanted = this.listWanted(view, now);
     const increases = this.planIncreases(wanted, view, now);
     if (increases.length > 0) return increases;
@@ -240,9 +277,8 @@
     view: ScalingView,
     now: number,
   ): PoolOrder[] {
-    const {pools, hasDemand, reducedAt} = this;
+    const {pools, isIdle, reducedAt} = this;
     const all = pools.listAll();
-    const isIdle = !hasDemand && all.every(({running}) => running === 0);
     if (!isIdle && now - reducedAt < REDUCTION_INTERVAL_MS) return [];
     if (!isIdle && all.some(({isLeaving}) => isLeaving)) return [];
     const goal = this.createGoal();
--- a/packages/decisions/src/scaling_pool.ts
+++ b/packages/decisions/src/scaling_pool.ts
@@ -101,9 +101,14 @@
     return this.view.running;
   }
 
+  /** Endpoints that are leaving. */
+  get leaving(): number {
+    return this.view.leaving;
+  }
+
   /** Whether endpoints of it are leaving. */
   get isLeaving(): boolean {
-    return this.view.leaving > 0;
+    return this.leaving > 0;
   }
 
   /** Takes the endpoints as they are now. */
--- a/packages/decisions/src/scaling_reductions.ts
+++ b/packages/decisions/src/scaling_reductions.ts
@@ -20,6 +20,8 @@
  */
 const MIN_EXCESS = {ordinary: 1, spot: 3} as const;
 
+const UNSAFE_REASON = 'an order of fewer is not safe any more';
+
 /** What is known when reductions are planned. */
 export interface ReductionInput {
   readonly pools: ScalingPools;
@@ -34,6 +36,43 @@
   readonly now: number;
 }
 
+/** What decides whether an order of fewer is safe. */
+export type SafetyInput = Pick<
+  ReductionInput,
+  'pools' | 'goal' | 'isMovable' | 'isIdle'
+>;
+
+/** Replaces orders of fewer that are not safe any more by the count in force. */
+export function updateReductions(
+  orders: readonly PoolOrder[],
+  input: SafetyInput,
+): PoolOrder[] {
+  const firm = input.pools.listCounts((pool) => pool.firm);
+  return orders.map((order) => {
+    const pool = input.pools.find(order);
+    if (pool === undefined || order.count >= pool.count) return order;
+    // What is leaving is not firm, and the platform does not take it again.
+    const taken = Math.max(0, pool.count - pool.leaving - order.count);
+    const rest = firm.map((entry) => ({...entry}));
+    setCount(rest, pool, pool.firm - taken);
+    if (!isTakeable(input, pool, taken) || !isSufficient(rest, input.goal)) {
+      return {...pool.key, count: pool.count, reason: UNSAFE_REASON};
+    }
+    setCount(firm, pool, pool.firm - taken);
+    return order;
+  });
+}
+
+/** Whether what runs in a pool allows that so many endpoints are taken. */
+function isTakeable(
+  {isIdle, isMovable}: SafetyInput,
+  {running}: ScalingPool,
+  taken: number,
+): boolean {
+  if (taken === 0 || isIdle) return true;
+  return taken <= MAX_REDUCTION && (isMovable || running === 0);
+}
+
 /** Plans orders of fewer; only one, of few endpoints, unless idle. */
 export function planReductions(input: ReductionInput): PoolOrder[] {
   const {pools, isIdle} = input;
--- a/packages/gateway/src/services/scaled_service.ts
+++ b/packages/gateway/src/services/scaled_service.ts
@@ -51,6 +51,8 @@
   private pending: PoolOrder[] = [];
   private view: ScalingView | undefined;
   private nextAt = -Infinity;
+  /** Until when no order is planned or sent after one that failed. */
+  private pausedUntil = -Infinity;
   private pauseMs = RETRY_PAUSE_MS;
   private lastListed: string | undefined;
   private writesLeft = 0;
@@ -94,11 +96,14 @@
   /** Plans what is due, and sends it. */
   async step(lease: HeldLease, view: ScalingView): Promise<void> {
     this.view = view;
-    this.nextAt = this.parts.clock.getNow() + PLAN_INTERVAL_MS;
-    if (this.pending.length === 0 && !(await this.planOrders(lease, view))) {
+    const now = this.parts.clock.getNow();
+    this.nextAt = now + PLAN_INTERVAL_MS;
+    if (now < this.pausedUntil) {
+      // A notice of some seconds must not be missed in a pause of 8 s.
+      this.plan.update(view, now);
       return;
     }
-    await this.sendPending(lease);
+    if (await this.planOrders(lease, view)) await this.sendPending(lease);
   }
 
   /** The row, if it changed since the last renewals. */
@@ -112,20 +117,30 @@
     return [change];
   }
 
-  /** Plans and saves orders; tells whether there are any to send. */
+  /**
+   * Plans orders, or checks those that are not settled, and saves them if they
+   * are new; tells whether there are any to send.
+   */
   private async planOrders(
     lease: HeldLease,
     view: ScalingView,
   ): Promise<boolean> {
-    const orders = this.plan.plan(view, this.parts.clock.getNow());
-    if (orders.length === 0) return false;
+    const now = this.parts.clock.getNow();
+    const {pending} = this;
+    const orders =
+      pending.length === 0
+        ? this.plan.plan(view, now)
+        : this.plan.updateOrders(pending, view, now);
+    if (orders.every((order) => pending.includes(order))) {
+      return orders.length > 0;
+    }
     this.pending = orders;
     const change = this.createChange();
     if (change === undefined) return false;
     const saved = await lease.save([change]);
     if (saved.isOk()) return true;
     // The rows may be written later; then a new holder gives these orders.
-    this.pending = [];
+    this.pending = pending;
     this.pause();
     const {kind} = saved.error;
     this.parts.log.writeWarning('Orders could not be saved.', {
@@ -195,7 +210,7 @@
   }
 
   private pause(): void {
-    this.nextAt = this.parts.clock.getNow() + this.pauseMs;
+    this.pausedUntil = this.parts.clock.getNow() + this.pauseMs;
     this.pauseMs = Math.min(MAX_RETRY_PAUSE_MS, this.pauseMs * 2);
   }
 
--- a/packages/gateway/tests/scaling_task.test.ts
+++ b/packages/gateway/tests/scaling_task.test.ts
@@ -66,6 +66,29 @@
     assert.equal(fleet.listCalls()[0], first);
   });
 
+  // Guards against an order of fewer that was safe when it was planned, and is
+  // sent again after capacity was lost.
+  for (const isNewHolder of [false, true]) {
+    const who = isNewHolder ? 'a new holder' : 'the holder';
+    it(`lets ${who} take back an order of fewer after a loss`, async () => {
+      const fleet = new ScalingFleet();
+      const unanswered = {kind: 'unanswered', detail: 'silent'} as const;
+      fleet.decideOutcome = ({isSpot}) =>
+        isSpot ? {kind: 'accepted'} : unanswered;
+      const task = fleet.createTask();
+      await fleet.run(task, 2 * FIRST_ORDERS_MS);
+      const last = fleet.listCalls().at(-1) ?? '';
+      assert.match(last, /^[abc] ordinary [1-5]$/u);
+      fleet.endSpot();
+      fleet.events.length = 0;
+      if (isNewHolder) await fleet.run(fleet.createTask(), FIRST_ORDERS_MS);
+      else await fleet.resume(task, 4 * FIRST_ORDERS_MS);
+      const whole = last.replace(/\d$/u, '6');
+      assert.deepEqual(fleet.events.slice(0, 2), ['save', whole]);
+      assert.equal(fleet.events.includes(last), false);
+    });
+  }
+
   it('starts over if it cannot read the row of an earlier holder', async () => {
     const fleet = new ScalingFleet();
     fleet.rows.set('state/s', '{"plan":7}');
