Order no fewer endpoints than are ready when more are needed

Operators would have seen loaded endpoints drain on an order of more: a holder counted a domain while most of its endpoints were away, saved 1, and was replaced. The next one saw 16 ready, took 1 for the count in force, and ordered "4, the base is too small". Twelve endpoints drained, without the limit of four and without a check of what remains.

Cause: a pool from a row counted as ordered, so that its count did not follow what is ready, and orders of more compared with that count only.

The row now keeps whether an order set the count (rows without it count as ordered, as before), and an order of more holds at least what is ready, within the maximum. Either alone prevents the drain.

The two new cases in scaling_plan.test.ts fail before the change (both order "a 4") and pass with it; scaling_plan, scaling_demand and scaling_task: 28 pass.

--- a/packages/decisions/src/scaling_plan.ts
+++ b/packages/decisions/src/scaling_plan.ts
@@ -262,13 +262,15 @@
     now: number,
   ): PoolOrder | undefined {
     if (!pool.isAskable(now)) return undefined;
-    const count = Math.max(
-      pool.count,
-      this.pools.clampCount(pool, wanted, limits),
-    );
-    if (count > pool.count) return {...pool.key, count, reason};
+    const {key, count, ready} = pool;
+    if (this.pools.clampCount(pool, wanted, limits) > count) {
+      // More may be ready than is known to be in force. Counts are absolute: an
+      // order of less than is ready would take endpoints.
+      const most = Math.max(wanted, ready);
+      return {...key, count: this.pools.clampCount(pool, most, limits), reason};
+    }
     if (!pool.isRepeatDue(now, limits.bootMs)) return undefined;
-    return {...pool.key, count, reason: 'endpoints of it are missing'};
+    return {...key, count, reason: 'endpoints of it are missing'};
   }
 
   /** Plans orders of fewer; one at a time while requests run. */
--- a/packages/decisions/src/scaling_pool.ts
+++ b/packages/decisions/src/scaling_pool.ts
@@ -8,6 +8,8 @@
 export interface PoolState extends PoolKey {
   /** The number in force: ordered last, or seen before the first order. */
   readonly count: number;
+  /** Whether an order set that number; otherwise, more may be seen. */
+  readonly isOrdered: boolean;
   /** Whether the platform is not known to have the endpoints now. */
   readonly isUnavailable: boolean;
 }
@@ -66,10 +68,10 @@
 
   /** Creates a pool as an earlier holder left it. */
   static createFrom(state: PoolState, now: number): ScalingPool {
-    const {domain, kind, count, isUnavailable} = state;
+    const {domain, kind, count, isOrdered, isUnavailable} = state;
     const key = {domain, kind};
     const view = {...key, ready: 0, leaving: 0, running: 0};
-    const pool = new ScalingPool(key, count, true, isUnavailable, view);
+    const pool = new ScalingPool(key, count, isOrdered, isUnavailable, view);
     pool.grownAt = now;
     pool.orderedAt = now;
     if (isUnavailable) pool.refusedAt = now;
@@ -86,6 +88,11 @@
     return this.isOrdered ? 0 : this.inForce;
   }
 
+  /** The endpoints that serve now. */
+  get ready(): number {
+    return this.view.ready;
+  }
+
   /** The endpoints that serve now and stay, as far as is known. */
   get firm(): number {
     return Math.min(this.inForce, this.view.ready);
@@ -189,7 +196,7 @@
   }
 
   getState(): PoolState {
-    const {inForce, isReclaimed} = this;
-    return {...this.key, count: inForce, isUnavailable: isReclaimed};
+    const {key, inForce, isOrdered, isReclaimed} = this;
+    return {...key, count: inForce, isOrdered, isUnavailable: isReclaimed};
   }
 }
--- a/packages/decisions/tests/scaling_plan.test.ts
+++ b/packages/decisions/tests/scaling_plan.test.ts
@@ -148,6 +148,35 @@
   });
 });
 
+describe('the plan of a new holder', () => {
+  const pools = ['a', 'b', 'c', 'd'].map((domain) => ({
+    ...{domain, kind: 'ordinary' as const},
+    ...{ready: 16, leaving: 0, running: 0},
+  }));
+  const view: ScalingView = {
+    limits: {minimum: 1, maximum: 34, bootMs: 1, spotPrice: 0.2, prices: {}},
+    pools,
+    ...{need: 45, isNeedCertain: true, isMovable: true},
+  };
+
+  // Guards against an order of more that drains loaded endpoints, as the count
+  // in the row is from an outage.
+  for (const isOrdered of [false, true]) {
+    const expected = isOrdered ? ['a 16'] : [];
+    it(`takes no endpoints if isOrdered is ${isOrdered}`, () => {
+      const states = pools.map(({domain, kind}) => {
+        const count = domain === 'a' ? 1 : 16;
+        return {domain, kind, count, isOrdered, isUnavailable: false};
+      });
+      const state = {level: 45, initial: 64, hasDemand: true, pools: states};
+      const orders = ScalingPlan.createFrom(state, 0).plan(view, 2000);
+      const ordinary = orders.filter(({kind}) => kind === 'ordinary');
+      const counts = ordinary.map(({domain, count}) => `${domain} ${count}`);
+      assert.deepEqual(counts, expected);
+    });
+  }
+});
+
 describe('the mix of capacity', () => {
   it('carries each need within the limits, or uses them up', () => {
     const domains = ['a', 'b', 'c', 'd'];
--- a/packages/gateway/src/model/scaling_state.ts
+++ b/packages/gateway/src/model/scaling_state.ts
@@ -12,6 +12,12 @@
 
 const COUNT = z.number().int().min(0);
 const POOL = {domain: z.string(), kind: z.enum(CAPACITY_KINDS), count: COUNT};
+const POOL_STATE = {
+  ...POOL,
+  // Rows of earlier versions do not have it.
+  isOrdered: z.boolean().default(true),
+  isUnavailable: z.boolean(),
+};
 
 /** The schema of a row. */
 export const SCALING_ROW_SCHEMA = z.object({
@@ -19,7 +25,7 @@
     level: z.number().min(0),
     initial: COUNT,
     hasDemand: z.boolean(),
-    pools: z.array(z.object({...POOL, isUnavailable: z.boolean()})),
+    pools: z.array(z.object(POOL_STATE)),
   }),
   pending: z.array(z.object({...POOL, reason: z.string()})),
 });
