Count prompts over the time of their report, not at its arrival

Operators would have seen a service grow by half or more after the holder or a candidate stood still: after 4 s, the prompts of the pause counted as those of one moment, 1.5 times the true rate, and after 10 s 3.4 times.

Cause: the tokens of a report counted at the time of its arrival, and all reports of a pause arrive together in a window of 2 s.

The tokens of a report now count at the times at which reports at the usual interval would have come since the host's last one. A report less than 0.2 s after the host's last one was held up, and counts over the same time as that one. This needs no detection of a pause, and keeps the true rate, where a new baseline would have lost the load of the pause. Reports at the usual interval count exactly as before.

--- a/packages/decisions/src/scaling_demand.ts
+++ b/packages/decisions/src/scaling_demand.ts
@@ -24,6 +24,11 @@
   readonly incarnation: number;
   readonly demand: HostDemand;
   readonly at: number;
+  /**
+   * The beginning of the time that the report covers; undefined if not known, as
+   * after the first report of a host.
+   */
+  readonly since?: number | undefined;
 }
 
 /** How long a host's report is valid, in ms; two reports may be lost. */
@@ -36,6 +41,13 @@
 const LONG_WINDOW_MS = 8000;
 const SHORT_WINDOW_MS = 2000;
 const SHORT_WINDOW_WEIGHT = 0.75;
+/** The time between two reports of a host in a usual fleet, in ms. */
+const REPORT_INTERVAL_MS = 1000;
+/**
+ * A report that follows the host's last one sooner was held up, in ms: after this
+ * process was stopped, the reports of the whole time arrive together.
+ */
+const MIN_REPORT_GAP_MS = 200;
 /** The reading time after which older observations count half, in ms. */
 const MAX_IDLE_MS = 100_000;
 /** The least reading time from which a speed is derived, in ms. */
@@ -59,12 +71,19 @@
   ): void {
     const known = this.reports.get(host);
     if (known !== undefined && isOlder(known, incarnation, demand)) return;
-    this.reports.set(host, {incarnation, demand, at: now});
     // The totals of a host that was not known may be old.
-    if (known?.incarnation !== incarnation) return;
+    if (known?.incarnation !== incarnation) {
+      this.reports.set(host, {incarnation, demand, at: now});
+      return;
+    }
+    const isHeldUp = now - known.at < MIN_REPORT_GAP_MS;
+    const since = isHeldUp ? known.since : known.at;
+    this.reports.set(host, {incarnation, demand, at: now, since});
     const before = known.demand;
     const tokens = demand.promptTokens - before.promptTokens;
-    if (tokens > 0) this.arrivals.push({tokens, at: now});
+    if (tokens > 0 && since !== undefined) {
+      this.addArrivals(tokens, since, now);
+    }
     if (demand.idleMs <= before.idleMs) return;
     this.idleTokens += Math.max(0, demand.idleTokens - before.idleTokens);
     this.idleMs += demand.idleMs - before.idleMs;
@@ -110,6 +129,17 @@
     return (this.idleTokens * MS_PER_SECOND) / this.idleMs;
   }
 
+  /** Adds tokens as if reports had come at the usual interval. */
+  private addArrivals(tokens: number, since: number, now: number): void {
+    const elapsedMs = now - since;
+    const count = Math.max(1, Math.round(elapsedMs / REPORT_INTERVAL_MS));
+    for (let index = 0; index < count; index++) {
+      const ageMs = (index * elapsedMs) / count;
+      if (ageMs >= LONG_WINDOW_MS) return;
+      this.arrivals.push({tokens: tokens / count, at: now - ageMs});
+    }
+  }
+
   private computeRate(windowMs: number, now: number): number {
     let sum = 0;
     for (const {tokens, at} of this.arrivals) {
