Do not take the drain of an own order for a reclaim

Operators would have seen ordinary endpoints ordered in place of spot endpoints that were away for 1.2 s, if an order of fewer for the same pool was being carried out at that time. Ordinary endpoints cost five times as much and take 4 s to boot.

Cause: any leaving endpoint of a pool that lacked some marked it as reclaimed, also those that our own order took.

A pool now keeps how many endpoints its orders took, until none is leaving and 5 s have passed since the last order. Only leaving endpoints beyond that number are a reclaim. The number is not in the row: a new holder may still take its predecessor's last reduction for a reclaim.

The case with 4 leaving in scaling_plan.test.ts fails before the change (10 coming in place of 16); those of a reclaim beside the order and after it guard the other side. scaling_plan, scaling_demand and scaling_task: 34 pass.

--- a/packages/decisions/src/scaling_pool.ts
+++ b/packages/decisions/src/scaling_pool.ts
@@ -29,6 +29,11 @@
  * ordered again, in ms. Endpoints that were lost return by themselves sooner.
  */
 const REPEAT_DELAY_MS = 3000;
+/**
+ * How long endpoints that an order of ours takes may be seen as leaving, in ms:
+ * they drain for 3 s, which begins and ends with some delay.
+ */
+const OWN_DRAIN_MS = 5000;
 /**
  * After refusals over this time, a pool is taken to have no more, in ms. After
  * 15 s, other domains were ordered more for the rest of a usual shortage of two
@@ -47,6 +52,8 @@
   private firstRefusedAt: number | undefined;
   private grownAt = -Infinity;
   private orderedAt = -Infinity;
+  /** Endpoints that orders took, until they are gone. */
+  private taken = 0;
   private shortSince: number | undefined;
   /** Whether endpoints of this pool were reclaimed and are not gone yet. */
   private isBeingReclaimed = false;
@@ -126,7 +133,9 @@
     const isShort = view.ready < this.inForce;
     this.shortSince = isShort ? (this.shortSince ?? now) : undefined;
     if (this.key.kind !== 'spot') return;
-    if (isShort && view.leaving > 0) {
+    const isDrained = now - this.orderedAt >= OWN_DRAIN_MS;
+    if (view.leaving === 0 && isDrained) this.taken = 0;
+    if (isShort && view.leaving > this.taken) {
       this.isBeingReclaimed = true;
       this.isReclaimed = true;
     }
@@ -178,6 +187,7 @@
   recordAccepted(count: number, now: number): void {
     const isGrowing = count > this.inForce || count > this.view.ready;
     if (isGrowing) this.grownAt = now;
+    this.taken += Math.max(0, this.inForce - count);
     this.inForce = count;
     this.isOrdered = true;
     this.orderedAt = now;
--- a/packages/decisions/tests/scaling_plan.test.ts
+++ b/packages/decisions/tests/scaling_plan.test.ts
@@ -5,6 +5,7 @@
   computeMix,
   isSufficient,
   ScalingPlan,
+  ScalingPool,
   type ScalingView,
 } from '@irisdock/decisions';
 import fc from 'fast-check';
@@ -177,6 +178,33 @@
   }
 });
 
+describe('a pool of spot endpoints', () => {
+  const view = {domain: 'a', kind: 'spot', running: 0} as const;
+
+  // Guards against ordinary endpoints in place of spot endpoints that are away
+  // for a moment while others drain on an order of ours.
+  for (const [leaving, coming] of [
+    [4, 16],
+    [5, 10],
+  ] as const) {
+    it(`with ${leaving} leaving after an order for 4 less`, () => {
+      const pool = ScalingPool.createSeen({...view, ready: 20, leaving: 0});
+      pool.recordAccepted(16, 0);
+      pool.update({...view, ready: 10, leaving}, 1000);
+      assert.equal(pool.coming, coming);
+    });
+  }
+
+  // Guards against a reclaim that is taken for an order of ours long after it.
+  it('is reclaimed once the endpoints of the order are gone', () => {
+    const pool = ScalingPool.createSeen({...view, ready: 20, leaving: 0});
+    pool.recordAccepted(16, 0);
+    pool.update({...view, ready: 16, leaving: 0}, 6000);
+    pool.update({...view, ready: 13, leaving: 3}, 7000);
+    assert.equal(pool.coming, 13);
+  });
+});
+
 describe('the mix of capacity', () => {
   it('carries each need within the limits, or uses them up', () => {
     const domains = ['a', 'b', 'c', 'd'];
