--- a/packages/decisions/src/scaling_pool.ts
+++ b/packages/decisions/src/scaling_pool.ts
@@ -8,6 +8,8 @@
 export interface PoolState extends PoolKey {
   /** The number in force: ordered last, or seen before the first order. */
   readonly count: number;
+  /** Whether an order set that number; otherwise, more may be seen. */
+  readonly isOrdered: boolean;
   /** Whether the platform is not known to have the endpoints now. */
   readonly isUnavailable: boolean;
 }
@@ -27,6 +29,11 @@
  * ordered again, in ms. Endpoints that were lost return by themselves sooner.
  */
 const REPEAT_DELAY_MS = 3000;
+/**
+ * How long endpoints that an order of ours takes may be seen as leaving, in ms:
+ * they drain for 3 s, which begins and ends with some delay.
+ */
+const OWN_DRAIN_MS = 5000;
 /**
  * After refusals over this time, a pool is taken to have no more, in ms. After
  * 15 s, other domains were ordered more for the rest of a usual shortage of two
@@ -45,6 +52,8 @@
   private firstRefusedAt: number | undefined;
   private grownAt = -Infinity;
   private orderedAt = -Infinity;
+  /** Endpoints that orders took, until they are gone. */
+  private taken = 0;
   private shortSince: number | undefined;
   /** Whether endpoints of this pool were reclaimed and are not gone yet. */
   private isBeingReclaimed = false;
@@ -66,10 +75,10 @@
 
   /** Creates a pool as an earlier holder left it. */
   static createFrom(state: PoolState, now: number): ScalingPool {
-    const {domain, kind, count, isUnavailable} = state;
+    const {domain, kind, count, isOrdered, isUnavailable} = state;
     const key = {domain, kind};
     const view = {...key, ready: 0, leaving: 0, running: 0};
-    const pool = new ScalingPool(key, count, true, isUnavailable, view);
+    const pool = new ScalingPool(key, count, isOrdered, isUnavailable, view);
     pool.grownAt = now;
     pool.orderedAt = now;
     if (isUnavailable) pool.refusedAt = now;
@@ -86,6 +95,11 @@
     return this.isOrdered ? 0 : this.inForce;
   }
 
+  /** The endpoints that serve now. */
+  get ready(): number {
+    return this.view.ready;
+  }
+
   /** The endpoints that serve now and stay, as far as is known. */
   get firm(): number {
     return Math.min(this.inForce, this.view.ready);
@@ -101,9 +115,14 @@
     return this.view.running;
   }
 
+  /** Endpoints that are leaving. */
+  get leaving(): number {
+    return this.view.leaving;
+  }
+
   /** Whether endpoints of it are leaving. */
   get isLeaving(): boolean {
-    return this.view.leaving > 0;
+    return this.leaving > 0;
   }
 
   /** Takes the endpoints as they are now. */
@@ -114,7 +133,9 @@
     const isShort = view.ready < this.inForce;
     this.shortSince = isShort ? (this.shortSince ?? now) : undefined;
     if (this.key.kind !== 'spot') return;
-    if (isShort && view.leaving > 0) {
+    const isDrained = now - this.orderedAt >= OWN_DRAIN_MS;
+    if (view.leaving === 0 && isDrained) this.taken = 0;
+    if (isShort && view.leaving > this.taken) {
       this.isBeingReclaimed = true;
       this.isReclaimed = true;
     }
@@ -166,6 +187,7 @@
   recordAccepted(count: number, now: number): void {
     const isGrowing = count > this.inForce || count > this.view.ready;
     if (isGrowing) this.grownAt = now;
+    this.taken += Math.max(0, this.inForce - count);
     this.inForce = count;
     this.isOrdered = true;
     this.orderedAt = now;
@@ -184,7 +206,7 @@
   }
 
   getState(): PoolState {
-    const {inForce, isReclaimed} = this;
-    return {...this.key, count: inForce, isUnavailable: isReclaimed};
+    const {key, inForce, isOrdered, isReclaimed} = this;
+    return {...key, count: inForce, isOrdered, isUnavailable: isReclaimed};
   }
 }
--- a/packages/decisions/tests/scaling_plan.test.ts
+++ b/packages/decisions/tests/scaling_plan.test.ts
@@ -5,6 +5,7 @@
   computeMix,
   isSufficient,
   ScalingPlan,
+  ScalingPool,
   type ScalingView,
 } from '@irisdock/decisions';
 import fc from 'fast-check';
@@ -148,6 +149,62 @@
   });
 });
 
+describe('the plan of a new holder', () => {
+  const pools = ['a', 'b', 'c', 'd'].map((domain) => ({
+    ...{domain, kind: 'ordinary' as const},
+    ...{ready: 16, leaving: 0, running: 0},
+  }));
+  const view: ScalingView = {
+    limits: {minimum: 1, maximum: 34, bootMs: 1, spotPrice: 0.2, prices: {}},
+    pools,
+    ...{need: 45, isNeedCertain: true, isMovable: true},
+  };
+
+  // Guards against an order of more that drains loaded endpoints, as the count
+  // in the row is from an outage.
+  for (const isOrdered of [false, true]) {
+    const expected = isOrdered ? ['a 16'] : [];
+    it(`takes no endpoints if isOrdered is ${isOrdered}`, () => {
+      const states = pools.map(({domain, kind}) => {
+        const count = domain === 'a' ? 1 : 16;
+        return {domain, kind, count, isOrdered, isUnavailable: false};
+      });
+      const state = {level: 45, initial: 64, hasDemand: true, pools: states};
+      const orders = ScalingPlan.createFrom(state, 0).plan(view, 2000);
+      const ordinary = orders.filter(({kind}) => kind === 'ordinary');
+      const counts = ordinary.map(({domain, count}) => `${domain} ${count}`);
+      assert.deepEqual(counts, expected);
+    });
+  }
+});
+
+describe('a pool of spot endpoints', () => {
+  const view = {domain: 'a', kind: 'spot', running: 0} as const;
+
+  // Guards against ordinary endpoints in place of spot endpoints that are away
+  // for a moment while others drain on an order of ours.
+  for (const [leaving, coming] of [
+    [4, 16],
+    [5, 10],
+  ] as const) {
+    it(`with ${leaving} leaving after an order for 4 less`, () => {
+      const pool = ScalingPool.createSeen({...view, ready: 20, leaving: 0});
+      pool.recordAccepted(16, 0);
+      pool.update({...view, ready: 10, leaving}, 1000);
+      assert.equal(pool.coming, coming);
+    });
+  }
+
+  // Guards against a reclaim that is taken for an order of ours long after it.
+  it('is reclaimed once the endpoints of the order are gone', () => {
+    const pool = ScalingPool.createSeen({...view, ready: 20, leaving: 0});
+    pool.recordAccepted(16, 0);
+    pool.update({...view, ready: 16, leaving: 0}, 6000);
+    pool.update({...view, ready: 13, leaving: 3}, 7000);
+    assert.equal(pool.coming, 13);
+  });
+});
+
 describe('the mix of capacity', () => {
   it('carries each need within the limits, or uses them up', () => {
     const domains = ['a', 'b', 'c', 'd'];
