Don't refuse new streams since one engine is full

Callers could get 503 first_event_late while under half of the places of the known engines were taken: 16 streams on 48 slots sufficed if one engine had more streams than it has memory for.

The cause: isCrowded returned true as soon as one known engine had more streams than places, whatever the others held. Now the share of taken slots is required in every case. An engine without a place counts with all of its slots, as those without memory can't be used, or with its streams if they are more, so that a service whose engines are full still refuses.

Before the change the new test of first_event_estimate fails (Infinity for undefined). After it, first_event_estimate and outage_losses pass (16 tests).

--- a/packages/decisions/src/first_event_estimate.ts
+++ b/packages/decisions/src/first_event_estimate.ts
@@ -88,7 +88,7 @@
 /**
  * Returns the expected time to the first event, in ms, if the stream is to be
  * refused for it; undefined if it is admitted. It is admitted while the rate is
- * not known, and while many places are free and nothing waits for one.
+ * not known, and while many places are free.
  */
 export function findLateRefusal(state: LateRefusalState): number | undefined {
   const {engines, request, tokensPerMs, elapsedMs, targetMs} = state;
@@ -133,17 +133,22 @@
   return Math.min(slots, inMemory);
 }
 
-/** Whether more than half of the places are taken, or streams wait for one. */
+/**
+ * Whether more than half of the slots are taken. Slots of an engine without a
+ * place, for which it has no memory, count as taken, and so do streams that
+ * wait there.
+ */
 function isCrowded(
   engines: readonly EngineView[],
   request: EngineRequest,
 ): boolean {
-  let streams = 0;
+  let taken = 0;
   let slots = 0;
   for (const engine of engines) {
-    if (engine.streams > countPlaces(engine, request)) return true;
-    streams += engine.streams;
+    const {streams} = engine;
+    const isFull = streams >= countPlaces(engine, request);
+    taken += isFull ? Math.max(streams, engine.slots) : streams;
     slots += engine.slots;
   }
-  return slots > 0 && streams >= MIN_TAKEN_SHARE * slots;
+  return slots > 0 && taken >= MIN_TAKEN_SHARE * slots;
 }
--- a/packages/decisions/tests/first_event_estimate.test.ts
+++ b/packages/decisions/tests/first_event_estimate.test.ts
@@ -65,6 +65,14 @@
     });
   }
 
+  // Guards against refusals since streams wait at one engine of several.
+  it('is admitted if only one engine is full', () => {
+    const full = createEngine({streams: 9, memoryTokens: 50_000});
+    const failed = createEngine({streams: 4, failureScore: 0.3});
+    assert.equal(findRefusal([full, failed, failed]), undefined);
+    assert.equal(findRefusal([full, full, failed]), Infinity);
+  });
+
   it('is admitted while the rate or the prompt is not known', () => {
     const engines = [createEngine()];
     assert.equal(findRefusal(engines, {tokensPerMs: undefined}), undefined);
