Count a loan until the borrowed retry has left its window

Operators would have seen more retries in one window than the budget of all hosts allows, by up to what hosts lend within 0.8 s.

A loan counted at its lender from when it was given, but the borrower may use it 500 ms after an answer that takes up to 300 ms. It therefore left the lender's window before the retry left its own, and the lender could spend it again. Now the lender counts it from its last possible use. As the times of the used amounts are no longer in order, old ones are filtered out.

Before the change the new test of gateway_limits fails (the lender has a retry at 1,800 ms).

--- a/packages/decisions/src/windowed_retry_budget.ts
+++ b/packages/decisions/src/windowed_retry_budget.ts
@@ -27,10 +27,15 @@
 }
 
 /**
- * How long a loan may be used, in ms. Short, as it counts at the lender from
- * when it was given. The streams of a lost failure domain need it at once.
+ * How long a loan may be used, in ms. Short, as it counts longer at the lender
+ * by this time. The streams of a lost failure domain need it at once.
  */
 const LOAN_TTL_MS = 500;
+/**
+ * The maximum time from a loan to the arrival of its answer, in ms. Borrowers
+ * discard later answers (`peer_requests.ts` of the gateway).
+ */
+const MAX_ANSWER_MS = 300;
 /** Sums of fractions are compared with this tolerance. */
 const TOLERANCE = 1e-9;
 
@@ -67,7 +72,7 @@
 export class WindowedRetryBudget {
   private readonly requests: number[] = [];
   /** Retries, and loans to other hosts. */
-  private readonly used: TimedAmount[] = [];
+  private used: TimedAmount[] = [];
   /** Loans from other hosts that are not used yet. */
   private loans: TimedAmount[] = [];
 
@@ -104,11 +109,16 @@
     return missing > TOLERANCE ? Math.min(1, missing) : 0;
   }
 
-  /** Takes a part of a retry for another host; returns how much. */
+  /**
+   * Takes a part of a retry for another host; returns how much. It counts from
+   * its last possible use, as the retry must not stay longer in the borrower's
+   * window than the loan in this one.
+   */
   offerLoan(wanted: number, nowMs: number, hosts: number): number {
     const spare = this.getSpare(nowMs, hosts);
     const amount = Math.max(0, Math.min(wanted, 1, spare));
-    if (amount > 0) this.used.push({at: nowMs, amount});
+    const at = nowMs + MAX_ANSWER_MS + LOAN_TTL_MS;
+    if (amount > 0) this.used.push({at, amount});
     return amount;
   }
 
@@ -147,7 +157,7 @@
   private dropOld(nowMs: number): void {
     const from = nowMs - this.options.windowMs;
     while ((this.requests[0] ?? nowMs) < from) this.requests.shift();
-    while ((this.used[0]?.at ?? nowMs) < from) this.used.shift();
+    this.used = this.used.filter(({at}) => at >= from);
     this.loans = this.loans.filter(({at}) => nowMs - at <= LOAN_TTL_MS);
   }
 }
--- a/packages/decisions/tests/gateway_limits.test.ts
+++ b/packages/decisions/tests/gateway_limits.test.ts
@@ -107,6 +107,22 @@
     assert.equal(borrower.takeRetry(WINDOW_MS - 1, HOSTS), false);
   });
 
+  // Guards against loans that leave the lender's window before the retries for
+  // which they are used leave the borrower's.
+  it('counts a loan for a window after its last possible use', () => {
+    const [borrower, lender] = [createBudget(), createBudget()];
+    for (let at = 0; at < 3; at++) borrower.takeRetry(0, 2);
+    for (let at = 0; at < 3; at++) {
+      // The answer arrives 300 ms after the loan.
+      borrower.addLoan(lender.offerLoan(1, 0, 2), 300);
+    }
+    let retries = 0;
+    while (borrower.takeRetry(800, 2)) retries++;
+    assert.equal(retries, 3);
+    assert.equal(lender.takeRetry(WINDOW_MS + 800, 2), false);
+    assert.equal(lender.takeRetry(WINDOW_MS + 801, 2), true);
+  });
+
   it('is fully available again after a window', () => {
     const budget = new WindowedRetryBudget(BUDGET);
     for (let at = 0; at < 6; at++) assert.equal(budget.takeRetry(0, 1), true);
