Lend once for a repeated request

Hosts that borrow from lenders slower than 25 ms found fewer retries than there were, so streams could be cut while the budget of all hosts was not used up.

A request for a loan is sent again after 25 ms, three times in all, and the lender took a new loan from its budget for each, of which the borrower uses one; the rest was lost for the retry window (10 s).

Before the change the new test of retry_loans fails (with a latency of 30 ms a lender has nothing left of 0.4 retries, of which 0.3 were asked for).

--- a/packages/gateway/src/services/retry_loans.ts
+++ b/packages/gateway/src/services/retry_loans.ts
@@ -13,6 +13,7 @@
 } from '../model/loan_datagram.js';
 import type {RetryBudgets, RetryLender} from '../serving/retry_budgets.js';
 import type {LoanDatagramHandler} from './datagram_handlers.js';
+import {GivenLoans} from './given_loans.js';
 import type {Peers} from './peer_hosts.js';
 import {PeerRequests} from './peer_requests.js';
 
@@ -40,11 +41,13 @@
     LoanRequestDatagram,
     LoanResponseDatagram
   >;
+  private readonly given: GivenLoans;
   /** When other hosts may be asked again, in ms, by service. */
   private readonly pausedUntil = new Map<string, number>();
 
   constructor(private readonly parts: RetryLoansParts) {
     const {clock, peers} = parts;
+    this.given = new GivenLoans(clock);
     this.requests = new PeerRequests(clock, (to, request) => {
       peers.sendToNames([to], request);
     });
@@ -64,21 +67,23 @@
     if (!isFound) this.pausedUntil.set(service, clock.getNow() + PAUSE_MS);
   }
 
-  acceptLoanRequest({
-    name,
-    number,
-    service,
-    wanted,
-  }: LoanRequestDatagram): void {
-    const {budgets, peers} = this.parts;
-    const amount = budgets.offerLoan(service, wanted);
-    peers.sendToNames([name], {kind: 'loan-answer', number, amount});
+  acceptLoanRequest(request: LoanRequestDatagram): void {
+    const {name, number} = request;
+    const amount = this.given.findAmount(request) ?? this.offerLoan(request);
+    this.parts.peers.sendToNames([name], {kind: 'loan-answer', number, amount});
   }
 
   acceptLoanAnswer(answer: LoanResponseDatagram): void {
     this.requests.accept(answer);
   }
 
+  private offerLoan(request: LoanRequestDatagram): number {
+    const {service, wanted} = request;
+    const amount = this.parts.budgets.offerLoan(service, wanted);
+    this.given.record(request, amount);
+    return amount;
+  }
+
   private isMissing(service: string): boolean {
     return this.parts.budgets.getMissing(service) > 0;
   }
--- a/packages/gateway/tests/retry_loans.test.ts
+++ b/packages/gateway/tests/retry_loans.test.ts
@@ -32,6 +32,7 @@
   readonly budgets: RetryBudgets[] = [];
   readonly lost = new Set<string>();
   datagrams = 0;
+  latencyMs = LATENCY_MS;
   private readonly loans = new Map<string, RetryLoans>();
 
   constructor(maxLenders: number) {
@@ -79,7 +80,7 @@
     this.datagrams += names.length;
     const decoded = decodePeerDatagram(encodePeerDatagram(datagram));
     const received = decoded._unsafeUnwrap();
-    this.clock.plan(LATENCY_MS, () => {
+    this.clock.plan(this.latencyMs, () => {
       for (const name of names) {
         const loans = this.lost.has(name) ? undefined : this.loans.get(name);
         if (received.kind === 'loan-ask') loans?.acceptLoanRequest(received);
@@ -115,6 +116,18 @@
     assert.equal(fleet.datagrams, 0);
   });
 
+  // Guards against a loan for each repeat of a request that is answered late.
+  it('are lent once for a repeated request', async () => {
+    const fleet = new LoanFleet(HOSTS);
+    fleet.latencyMs = 30;
+    assert.equal(await fleet.takeRetries(1), 1);
+    // Each lender has 0.4 of a retry, of which it lends half of 0.6.
+    for (const lender of fleet.budgets.slice(1)) {
+      const missing = lender.getMissing(SERVICE);
+      assert.ok(missing < 0.95, `${missing}`);
+    }
+  });
+
   // Guards against a silent stream that asks all hosts every 50 ms.
   it('are not asked for again at once', async () => {
     const fleet = new LoanFleet(HOSTS);
