Keep the next attempt of a stream when its endpoint ends

Callers saw streams cut, or resumed later by another retry, when a spot endpoint ended while the prompt was still being read elsewhere.

Cause: isKept treated an attempt that is left for the announced end of its endpoint as a silent one whose engine answers probes. Without another whole retry, the trial was cancelled at the very moment the endpoint ended. Its read, its retry and one attempt were spent, and the old attempt was lost.

Change: isKept is false when the end was announced. The trial then becomes the stream's next attempt, as its retry was taken ahead.

Test: platform ending_engines, a route of two attempts and a next engine that reads for 600 ms against 150 ms of notice. Before: cut after event 4. After: complete, one run at each engine. 3 of 3 tests of the file pass.

--- a/packages/gateway/src/serving/stream_handover.ts
+++ b/packages/gateway/src/serving/stream_handover.ts
@@ -133,9 +133,10 @@
   /**
    * Whether a silent attempt is kept although the next one has not failed: its
    * engine answers probes, and if the next one failed later, no other attempt
-   * would be allowed.
+   * would be allowed. An attempt whose engine has ended cannot be kept.
    */
-  private isKept({silence}: SilentAttempt): boolean {
+  private isKept({silence, endsAt}: SilentAttempt): boolean {
+    if (endsAt !== undefined) return false;
     return silence.isAnswering && !this.parts.retries.hasFurtherRetry;
   }
 
