Let the soak hold singleton tasks and usage reports to their rules

The soak had no platform API, so no host of it held a task. Each play now has a stand-in of the API that is slow, silent or unavailable as drawn from the seed; hosts do both duties. One play of two has two regions. The new draws use their own numbers, so that seeds keep their faults.

A request on a public route with a key is of the team of the key (findTeam), so it counts.

Measured: the three tests of the witnesses pass.

--- a/soak/src/host_process.ts
+++ b/soak/src/host_process.ts
@@ -12,7 +12,9 @@
 import {DatagramLink} from './datagram_link.js';
 import {takeFreePorts} from './free_ports.js';
 import type {PartitionCommand} from './partition_preload.js';
+import {LEASE_MS} from './task_call_witness.js';
 import {TcpLink} from './tcp_link.js';
+import {DUE_SECONDS, WINDOW_SECONDS} from './usage_witness.js';
 
 /** The bundle that is deployed, from soak/dist/src/. */
 export const DEPLOYED_PROGRAM = fileURLToPath(
@@ -60,6 +62,10 @@
   /** Where its settings file and its log are. */
   readonly directory: string;
   readonly storeAddress: string;
+  /** The platform's API, for which hosts do tasks; none if absent. */
+  readonly platformApiAddress?: string;
+  /** The regions of the failure domains; none if absent. */
+  readonly regions?: Readonly<Record<string, string>>;
   /** Whether it may hardly send anything again. */
   readonly hasFewRetries?: boolean;
   /** Gives where some other hosts answer hosts. */
@@ -176,11 +182,13 @@
     this.child?.send(this.partition);
   }
 
-  /** Lists the ports at which the host and its links listen. */
+  /** Lists the ports of the host, its links and the platform's API. */
   listOwnPorts(): number[] {
     const {store, callers, tables} = this.addresses;
     const links = [store, callers, tables].map((one) => splitPlace(one).port);
-    return [...this.ports, ...links];
+    const {platformApiAddress: api} = this.parts;
+    const apiPorts = api === undefined ? [] : [splitPlace(api).port];
+    return [...this.ports, ...links, ...apiPorts];
   }
 
   /** Writes the settings file anew, and tells the process so. */
@@ -248,6 +256,7 @@
     const text = [
       `[host]\nname = "${name}"\nfailureDomain = "${failureDomain}"`,
       `deployment = "${basename(directory)}"`,
+      ...this.listRegionLines(),
       `[store]\naddress = "${store}"\ntimeoutMs = 400`,
       '[tables]\nwaitMs = 500\nretryMs = 150',
       `[phase]\ngraceSeconds = ${GRACE_SECONDS}`,
@@ -261,11 +270,33 @@
       `[metrics]\nlisten = "127.0.0.1:${this.ports[5] ?? 0}"`,
       `[directory]\nlisten = "127.0.0.1:${addresses}"`,
       `readinessListen = "127.0.0.1:${readiness}"`,
+      ...this.listTaskLines(),
     ];
     const path = join(directory, `${name}.toml`);
     writeFileSync(path, `${text.join('\n')}\n`);
     return path;
   }
+
+  private listRegionLines(): string[] {
+    const {failureDomain, regions} = this.parts;
+    if (regions === undefined) return [];
+    const pairs = Object.entries(regions);
+    return [
+      `region = "${regions[failureDomain] ?? ''}"\n[host.regions]`,
+      ...pairs.map(([domain, region]) => `"${domain}" = "${region}"`),
+    ];
+  }
+
+  private listTaskLines(): string[] {
+    const {platformApiAddress} = this.parts;
+    if (platformApiAddress === undefined) return [];
+    return [
+      `[platformApi]\naddress = "${platformApiAddress}"`,
+      `duties = ["usage_report","scaling"]\n[tasks]\nleaseMs = ${LEASE_MS}`,
+      `[usageReports]\nwindowSeconds = ${WINDOW_SECONDS}`,
+      `delaySeconds = ${DUE_SECONDS}`,
+    ];
+  }
 }
 
 /** Creates the variables of a host; the platform passes no others on. */
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -4,7 +4,8 @@
  */
 import {runProgram} from '@irisdock/kernel';
 import {err, ok} from 'neverthrow';
-import {runPlay, USUAL_PLAY, type PlayOptions} from './play.js';
+import {runPlay} from './play.js';
+import {USUAL_PLAY, type PlayOptions} from './play_report.js';
 import {findProgramFault} from './program_file.js';
 
 const MINUTE_MS = 60_000;
--- a/soak/src/play.ts
+++ b/soak/src/play.ts
@@ -17,7 +17,6 @@
 import {ConfigurationWitness} from './configuration_witness.js';
 import {CRASH_PREFIX, CrashWitness} from './crash_witness.js';
 import {Disturbances} from './disturbances.js';
-import type {EndCounts, KindCounts} from './end_witness.js';
 import {EndpointFleet, type EndpointInstance} from './endpoint_fleet.js';
 import {EndpointSilences} from './endpoint_silences.js';
 import {planFaults, type PlannedFault} from './fault_plan.js';
@@ -26,67 +25,36 @@
 import {HandoverPlayer} from './handover_player.js';
 import {planHarmless, type HarmlessEvent} from './harmless_plan.js';
 import {HarmlessPlayer} from './harmless_player.js';
-import {DEPLOYED_PROGRAM, HostProcess} from './host_process.js';
+import {HostProcess} from './host_process.js';
 import {LimitPlayer} from './limit_player.js';
 import {LimitWitness} from './limit_witness.js';
 import {OverlapWitness} from './overlap_witness.js';
 import {PAUSE_MS, PausePlayer} from './pause_player.js';
 import {PartitionPlayer} from './partition_player.js';
 import {PauseWitness} from './pause_witness.js';
+import {PlatformApiPlayer} from './platform_api_player.js';
+import type {PlayOptions, PlayReport} from './play_report.js';
 import {findProgramFault} from './program_file.js';
 import {waitReady} from './readiness.js';
 import {StoreDrills} from './store_drills.js';
 import {Witness} from './witness.js';
 
-/** How large a play is. */
-export interface PlayOptions {
-  /** The program that the hosts run. */
-  readonly program: string;
-  readonly hosts: number;
-  readonly callers: number;
-  readonly lengthMs: number;
-  /** The most faults that are drawn; two at least. */
-  readonly faults: number;
-}
-
-/** What a play showed. */
-export interface PlayReport {
-  readonly seed: number;
-  /** How requests ended; cuts also by their reasons. */
-  readonly counts: EndCounts;
-  readonly cuts: Readonly<Record<string, number>>;
-  /** Ends and runs by the kind of request. */
-  readonly kinds: Readonly<Record<string, KindCounts>>;
-  readonly versions: number;
-  /** The latest that a change was seen on a host that was left alone, in ms. */
-  readonly mostDelayMs: number;
-  /** The longest that the soak itself stood still, in ms. */
-  readonly longestStallMs: number;
-  /** Arrivals that were held against a limit. */
-  readonly limited: number;
-  /** The faults and the harmless events. */
-  readonly faults: readonly (HandoverEvent | HarmlessEvent | PlannedFault)[];
-  /** Promises that were broken. */
-  readonly broken: readonly string[];
-  /** Where the logs of the hosts are; removed when nothing was broken. */
-  readonly directory: string;
-}
-
-/** The size of a usual play. */
-export const USUAL_PLAY: PlayOptions = {
-  program: DEPLOYED_PROGRAM,
-  hosts: 4,
-  callers: 48,
-  lengthMs: 9000,
-  faults: 12,
-};
-
 const DOMAINS = ['zone-1', 'zone-2', 'zone-3'];
+/** The regions of the failure domains, in plays that have regions. */
+const REGIONS = {
+  'zone-1': 'region-1',
+  'zone-2': 'region-1',
+  'zone-3': 'region-2',
+};
+/** One play in so many has regions. */
+const REGIONS_ONE_IN = 2;
 const PLACES_A_SERVICE = 6;
 /** All is to be served again after so long, in ms. */
 const RECOVERY_MS = 6000;
 /** Limits that were named are over so long before that, in ms. */
 const LIMITS_OVER_MS = 2000;
+/** Usage is reported right from so long after the faults on, in ms. */
+const USAGE_RIGHT_MS = 3000;
 const SERVICES = 2;
 /** Endpoints of the service to which a route moves. */
 const SPARE_PLACES = 3;
@@ -107,6 +75,7 @@
   readonly fleet = new EndpointFleet(this.store, DOMAINS, {
     handleRun: (instance, run) => {
       this.witness.recordRun(instance, run);
+      this.recordUsage(run);
       this.recordWork(instance, run);
       if (run.body.startsWith(CRASH_PREFIX)) this.endUnderRun(instance, run);
     },
@@ -125,6 +94,8 @@
     },
   });
   readonly configuration: ConfigurationWitness;
+  readonly platformApi: PlatformApiPlayer;
+  readonly hasRegions: boolean;
   private readonly silences = new EndpointSilences();
   private readonly random: SeededRandom;
   /** For what came later; seeds stand for the play's own numbers. */
@@ -140,6 +111,10 @@
     this.harmlessRandom = new SeededRandom(seed + 2 ** 24);
     this.hasFewRetries = this.harmlessRandom.getInt(FEW_RETRIES_ONE_IN) === 0;
     this.witness = new Witness(this.disturbances, this.hasFewRetries);
+    const regionRandom = new SeededRandom(seed + 2 ** 27);
+    this.hasRegions = regionRandom.getInt(REGIONS_ONE_IN) === 0;
+    const {lengthMs} = options;
+    this.platformApi = new PlatformApiPlayer(seed, lengthMs, this.disturbances);
     this.configuration = new ConfigurationWitness(
       this.store,
       this.hosts,
@@ -169,13 +144,17 @@
       ...this.startPauses(),
       this.startHarmless(harmless),
       this.startHandovers(handovers),
+      this.platformApi.runFaults(),
     ];
     await this.runFaults(plan);
     await Promise.all(others);
+    const usageRightAt = Date.now() + USAGE_RIGHT_MS;
     await sleep(RECOVERY_MS - LIMITS_OVER_MS);
     limits.stop();
     await sleep(LIMITS_OVER_MS);
     await Promise.all([callers.checkRecovery(), this.drainInCalm()]);
+    // A call into the partition counts as begun, as it may have run.
+    const calm = {from: usageRightAt, until: Date.now()};
     await partitions.runInCalm();
     this.configuration.stop();
     await Promise.all([callers.stop(), asking]);
@@ -187,9 +166,10 @@
       ...this.pauses.listFaults(),
       ...this.overlaps.listFaults((id) => this.witness.findAttempt(id)?.host),
       ...partitions.listFaults(this.witness.ended),
+      ...this.platformApi.listFaults(calm),
     ];
     for (const fault of broken) this.witness.addFault(fault);
-    const all = [...plan, ...harmless, ...handovers];
+    const all = [...plan, ...harmless, ...handovers, ...this.platformApi.plan];
     return all.sort((a, b) => a.at - b.at);
   }
 
@@ -246,10 +226,12 @@
     await Promise.all(this.hosts.map((host) => host.close()));
     this.fleet.stop();
     this.store.stop();
+    this.platformApi.api.stop();
   }
 
   private async start(): Promise<void> {
     const door = await this.store.startListener();
+    const apiAddress = await this.platformApi.api.start();
     this.configuration.commitNext();
     const services = [SOAK_SERVICES.calls, SOAK_SERVICES.streams];
     for (const [index, service] of services.entries()) {
@@ -262,7 +244,7 @@
       await this.fleet.add(SOAK_SERVICES.spare, firstSpare + at);
     }
     for (let index = 0; index < this.options.hosts; index++) {
-      this.hosts.push(this.createHost(index, door.address));
+      this.hosts.push(this.createHost(index, door.address, apiAddress));
     }
     for (const host of this.hosts) await host.start();
     await Promise.all(
@@ -270,13 +252,19 @@
     );
   }
 
-  private createHost(index: number, storeAddress: string): HostProcess {
+  private createHost(
+    index: number,
+    storeAddress: string,
+    platformApiAddress: string,
+  ): HostProcess {
     return new HostProcess({
       name: `host-${index + 1}`,
       failureDomain: DOMAINS[index % DOMAINS.length] ?? '',
       program: this.options.program,
       directory: this.directory,
       storeAddress,
+      platformApiAddress,
+      ...(this.hasRegions ? {regions: REGIONS} : {}),
       hasFewRetries: this.hasFewRetries,
       getSeeds: () => this.hosts.slice(0, 3).map((host) => host.seedAddress),
       handleUnexpectedExit: ({host, code, signal}) => {
@@ -301,6 +289,13 @@
     void this.fleet.killUnderRun(instance);
   }
 
+  private recordUsage({attemptId}: ServerRun): void {
+    const attempt = this.witness.findAttempt(attemptId);
+    if (attempt !== undefined) {
+      this.platformApi.usage.recordRun(attempt, Date.now());
+    }
+  }
+
   /** Plain calls do not tell when they end. */
   private recordWork(instance: EndpointInstance, {attemptId}: ServerRun): void {
     if (instance.service !== SOAK_SERVICES.streams) return;
@@ -363,6 +358,9 @@
     mostDelayMs,
     longestStallMs,
     limited,
+    apiCalls: play.platformApi.calls,
+    checkedWindows: play.platformApi.checkedWindows,
+    hasRegions: play.hasRegions,
     faults,
     broken,
     directory,
