--- a/soak/tests/soak.test.ts
+++ b/soak/tests/soak.test.ts
@@ -21,9 +21,11 @@
 describe('the soak', () => {
   for (const [seed, found] of SEEDS) {
     it(`breaks no promise with seed ${seed}, which found: ${found}`, async () => {
-      const {broken, counts} = await runPlay(seed, USUAL_PLAY);
+      const report = await runPlay(seed, USUAL_PLAY);
+      const {broken, counts, checkedWindows} = report;
       assert.deepEqual(broken, []);
       assert.ok(counts.answered > 0);
+      assert.ok(checkedWindows > 0, 'windows of usage were checked');
     });
   }
 
