--- a/packages/decisions/src/scaling_demand.ts
+++ b/packages/decisions/src/scaling_demand.ts
@@ -82,6 +82,7 @@
     const before = known.demand;
     const tokens = demand.promptTokens - before.promptTokens;
     if (tokens > 0 && since !== undefined) {
+      this.dropArrivals(now);
       this.addArrivals(tokens, since, now);
     }
     if (demand.idleMs <= before.idleMs) return;
@@ -112,7 +113,6 @@
         expectedTokens += demand.expectedTokens;
       }
     }
-    this.arrivals = this.arrivals.filter(({at}) => now - at < LONG_WINDOW_MS);
     const promptTokensPerSecond = Math.max(
       this.computeRate(LONG_WINDOW_MS, now),
       SHORT_WINDOW_WEIGHT * this.computeRate(SHORT_WINDOW_MS, now),
@@ -140,6 +140,15 @@
     }
   }
 
+  /** Drops what left the windows, also at hosts that never ask for the load. */
+  private dropArrivals(now: number): void {
+    for (;;) {
+      const [first] = this.arrivals;
+      if (first === undefined || now - first.at < LONG_WINDOW_MS) return;
+      this.arrivals.shift();
+    }
+  }
+
   private computeRate(windowMs: number, now: number): number {
     let sum = 0;
     for (const {tokens, at} of this.arrivals) {
--- a/packages/gateway/src/serving/kv_cache_replicator.ts
+++ b/packages/gateway/src/serving/kv_cache_replicator.ts
@@ -95,6 +95,9 @@
       const fraction = getRandomFraction(this.parts.random);
       this.plan(MAX_REPLACEMENT_DELAY_MS * fraction);
     };
+    const isEngineMaintained = replica.source.name === this.requestId;
+    if (!isEngineMaintained) this.plan(RENEWAL_INTERVAL_MS);
+    // Last, as the watches of a holder that already ends plan at once.
     const stops = [
       replica.holder.watchRemoval(planReplacement),
       replica.holder.watchEnd(planReplacement),
@@ -102,8 +105,6 @@
     this.stopWatching = () => {
       for (const stop of stops) stop();
     };
-    const isEngineMaintained = replica.source.name === this.requestId;
-    if (!isEngineMaintained) this.plan(RENEWAL_INTERVAL_MS);
   }
 
   private plan(ms: number): void {
