--- a/soak/src/usage_witness.ts
+++ b/soak/src/usage_witness.ts
@@ -41,7 +41,7 @@
   /** Records a call that arrived. */
   recordCall({report, isAccepted}: ApiCall): void {
     if (report === undefined) return;
-    const {window_number: window, counts} = report;
+    const {window, counts} = report;
     const bodies = this.bodies.get(window) ?? new Set();
     bodies.add(JSON.stringify(Object.entries(counts).sort()));
     this.bodies.set(window, bodies);
--- a/soak/tests/task_witnesses.test.ts
+++ b/soak/tests/task_witnesses.test.ts
@@ -32,7 +32,7 @@
     witness.recordRun({kind: 'once'} as Attempt, 7.5 * WINDOW_MS);
   }
   for (const team of reports) {
-    const report = {window_number: 7, counts: {team}};
+    const report = {window: 7, counts: {team}};
     const call = {holder: 'a', fence: 1, subject: 'usage', isAccepted: true};
     witness.recordCall({...call, report});
   }
