--- a/packages/gateway/src/services/demand_reports.ts
+++ b/packages/gateway/src/services/demand_reports.ts
@@ -84,8 +84,8 @@
   /** Whether nearly all serving hosts report the load of a service. */
   isComplete(service: string): boolean {
     const {clock, peers} = this.parts;
-    const heard = this.getTracker(service).countHosts(clock.getNow());
-    return heard >= peers.countServing() * MIN_HOST_SHARE;
+    const reporting = this.getTracker(service).countHosts(clock.getNow());
+    return reporting >= peers.countServing() * MIN_HOST_SHARE;
   }
 
   /** Sends this host's load to the candidates; itself may be one of them. */
--- a/packages/gateway/src/services/given_loans.ts
+++ b/packages/gateway/src/services/given_loans.ts
@@ -1,5 +1,5 @@
 /**
- * Remembers which parts of retries were lent lately. A borrower whose answer is
+ * Remembers which parts of retries were lent recently. A borrower whose answer is
  * late sends its request again, and only one of the answers is used, so a
  * repeated request must not take another loan.
  */
@@ -17,7 +17,7 @@
   readonly givenAt: number;
 }
 
-/** The loans that this host gave within the last moments. */
+/** The loans that this host gave recently. */
 export class GivenLoans {
   /** By request, the oldest first. */
   private readonly loans = new Map<string, GivenLoan>();
