--- a/packages/gateway/src/services/usage_task.ts
+++ b/packages/gateway/src/services/usage_task.ts
@@ -82,7 +82,7 @@
     this.isStarted = false;
     const loaded = await lease.load('');
     if (loaded.isErr()) {
-      this.writeStoreFailure('The state of usage reports was not read.', {
+      this.parts.log.writeWarning('The state of usage reports was not read.', {
         error: loaded.error.kind,
       });
       return false;
@@ -277,7 +277,10 @@
     }
     const {kind} = saved.error;
     this.finalizeFrom = exchange.getTime() + WRITE_PAUSE_MS;
-    this.writeStoreFailure('A window was not written.', {window, error: kind});
+    this.parts.log.writeWarning('A window was not written.', {
+      window,
+      error: kind,
+    });
     // An earlier write without an answer may have created the row.
     if (kind === 'store_conflict') await this.readBack(lease, schedule, key);
   }
@@ -340,13 +343,6 @@
     }
   }
 
-  private writeStoreFailure(
-    message: string,
-    fields: Readonly<Record<string, string | number>>,
-  ): void {
-    this.parts.log.writeWarning(message, fields);
-  }
-
   private writeRowFault(key: string, fault: string): void {
     const message = 'A row of usage reports is not readable.';
     this.parts.log.writeWarning(message, {key, fault});
