--- a/packages/gateway/src/services/scaling_task.ts
+++ b/packages/gateway/src/services/scaling_task.ts
@@ -4,7 +4,6 @@
  */
 import {ScalingPlan} from '@irisdock/decisions';
 import {parseScalingRow, SCALING_STATE_PREFIX} from '../model/scaling_state.js';
-import type {PlatformApi} from '../model/platform_api.js';
 import type {HeldLease, SingletonTask} from '../model/singleton_task.js';
 import type {RowChange} from '../model/table_store.js';
 import type {GatewayConfiguration} from './configuration.js';
@@ -13,7 +12,6 @@
 
 /** Dependencies of the task. */
 export interface ScalingTaskParts extends ScaledServiceParts, ScalingViewParts {
-  readonly api: Pick<PlatformApi, 'isConfigured' | 'sendOrder'>;
   readonly configuration: Pick<GatewayConfiguration, 'listScaledServices'>;
 }
 
@@ -55,7 +53,6 @@
     for (const name of this.services.keys()) {
       if (!names.has(name)) this.services.delete(name);
     }
-    if (!this.parts.api.isConfigured) return;
     for (const service of scaled) {
       if (!lease.isHeld) return;
       const state = this.getService(service.name);
