Ask for the settings of lost domains where there are several regions

A deployment of several regions loses a failure domain every few seconds as well, but the settings template gives retryLenders, lateRefusalTargets and unreachableRetries only where there is an API of the platform. Without them no retry was lent, no late stream refused and refused connections counted.

--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -48,9 +48,18 @@
 import {LIMITS} from './limits.js';
 import {HOST_PHASE} from './host_phase.js';
 import {HOST_IDENTITY} from './identity.js';
+import {
+  OUTAGE_SETTINGS,
+  resolveOutageSettings,
+  type OutageValues,
+} from './outage_settings.js';
 import {PEER_TABLES} from '../tables/peer_tables.js';
 import {PEERS} from './peers.js';
-import {createBudgetOptions, createRetryBudgets} from './retry_budget_setup.js';
+import {
+  createBudgetOptions,
+  createRetryBudgets,
+  type RetryBounds,
+} from './retry_budget_setup.js';
 import {ROLLOUTS} from './rollouts.js';
 import {RUN_LEASES} from './run_leases.js';
 import {STREAM_ORIGINS} from './stream_origins.js';
@@ -79,21 +88,7 @@
     unit: 's',
     description: 'The window in which retries are counted.',
   }),
-  retryLenders: z.coerce.number().int().min(0).default(0).meta({
-    unit: 'hosts',
-    description:
-      "How many hosts are asked for a part of their retries when this host's are used up; 0 for none.",
-  }),
-  lateRefusalTargets: z.coerce.number().min(0).default(0).meta({
-    unit: 'times the target',
-    description:
-      'A new stream is refused at once if its first event is expected later than this many times its target; 0 refuses none.',
-  }),
-  unreachableRetries: z.enum(['counted', 'free']).default('counted').meta({
-    unit: 'counted|free',
-    description:
-      'Whether a retry counts as one if the last endpoint accepted no connection.',
-  }),
+  ...OUTAGE_SETTINGS.shape,
 });
 
 /** Declares the service. */
@@ -210,6 +205,7 @@
   registerHostStalls(metrics, clock);
   const crashes = context.find(CRASHES);
   const exitCheck = createExitCheck(context, client, paths);
+  const outages = resolveOutages(context, settings);
   return {
     clock,
     random,
@@ -228,7 +224,7 @@
     ),
     configuration,
     endpoints: context.find(GATEWAY_ENDPOINTS),
-    retryBudgets: createRetryBudgets(context, settings, outageMetrics),
+    retryBudgets: createRetryBudgets(context, outages, outageMetrics),
     rollouts: context.find(ROLLOUTS),
     crashes,
     runLeases: context.find(RUN_LEASES),
@@ -236,7 +232,7 @@
     gate,
     paths,
     relay: createRelay(context, buffers),
-    lateRefusals: createLateRefusals(context, settings, outageMetrics),
+    lateRefusals: createLateRefusals(context, outages, outageMetrics),
     lostRuns: new LostRuns({
       ...context,
       exitCheck,
@@ -249,6 +245,14 @@
   };
 }
 
+function resolveOutages(
+  context: ServiceContext,
+  settings: z.infer<typeof SETTINGS>,
+): RetryBounds & OutageValues {
+  const {hasSeveral} = context.find(HOST_IDENTITY).regions;
+  return {...settings, ...resolveOutageSettings(settings, hasSeveral)};
+}
+
 function createSuccessors(
   context: ServiceContext,
   engineClient: EngineClient,
@@ -326,7 +330,7 @@
 
 function createLateRefusals(
   context: ServiceContext,
-  {lateRefusalTargets: maxTargets}: z.infer<typeof SETTINGS>,
+  {lateRefusalTargets: maxTargets}: OutageValues,
   {lateRefusals: refusals}: OutageMetrics,
 ): LateRefusals {
   return new LateRefusals({...context, refusals, maxTargets});
--- a/packages/gateway/src/services/retry_budget_setup.ts
+++ b/packages/gateway/src/services/retry_budget_setup.ts
@@ -3,6 +3,7 @@
 import type {ServiceContext} from '@irisdock/kernel';
 import {RetryBudgets} from '../serving/retry_budgets.js';
 import type {OutageMetrics} from '../serving/outage_metrics.js';
+import type {OutageValues} from './outage_settings.js';
 import {PEERS} from './peers.js';
 import {RetryLoans} from './retry_loans.js';
 
@@ -11,19 +12,17 @@
  */
 const USED_BUDGET_FRACTION = 0.8;
 
-/** The settings of retry budgets. */
-export interface RetryBudgetSettings {
+/** The bounds of retry budgets. */
+export interface RetryBounds {
   readonly retryRatio: number;
   readonly retryAllowance: number;
   readonly retryWindowSeconds: number;
-  readonly retryLenders: number;
-  readonly unreachableRetries: 'counted' | 'free';
 }
 
 /** Creates the retry budgets, parts of which hosts may lend each other. */
 export function createRetryBudgets(
   context: ServiceContext,
-  settings: RetryBudgetSettings,
+  settings: RetryBounds & OutageValues,
   {retryLoans: loans}: OutageMetrics,
 ): RetryBudgets {
   const {clock} = context;
@@ -44,7 +43,7 @@
 
 /** Creates the options of the budgets from the settings. */
 export function createBudgetOptions(
-  settings: RetryBudgetSettings,
+  settings: RetryBounds,
 ): WindowedRetryBudgetOptions {
   return {
     windowMs: settings.retryWindowSeconds * 1000,
