Call the API in time for a usage report that is due soon

The pause between failed calls grew to 2 s.

A pause is now at most half of the time until the next unsent report is due, and at least 500 ms. So a call is made at least half a second before the due time if the API is back a second before it.

In a simulated schedule with outages of 7 to 60 s that end a second before the due time, the first outage that failed before was sent 170 ms before that time (the test asks for 200 ms); now all are sent at least 200 ms before.

--- a/packages/decisions/src/usage_schedule.ts
+++ b/packages/decisions/src/usage_schedule.ts
@@ -3,7 +3,7 @@
  * report it sends next. Windows are finalized in order; a window that ended too
  * long ago is skipped, as the row that would prevent a second body for it may
  * have been deleted. Reports that can still arrive in time are sent before
- * those that are late.
+ * those that are late, and with shorter pauses the sooner they are due.
  */
 import type {TeamCounts} from './usage_counts.js';
 import {computeWindow, computeWindowEnd} from './usage_window.js';
@@ -36,6 +36,13 @@
 const MIN_RETRY_PAUSE_MS = 250;
 /** The longest pause between two calls, in ms. */
 const MAX_RETRY_PAUSE_MS = 2000;
+/**
+ * The shortest pause, in ms, to which the time that a report has left shortens
+ * a longer one. If the API accepts calls again a second before a report is due,
+ * half a second is left for the next call; shorter pauses would only add calls
+ * to a long outage.
+ */
+const MIN_URGENT_PAUSE_MS = 500;
 
 /** The windows that are not finalized and the reports that are not sent. */
 export class UsageSchedule {
@@ -113,7 +120,7 @@
 
   /** Records a failed call, after which all calls pause. */
   recordFailure(now: number): void {
-    this.retryAt = now + this.pauseMs;
+    this.retryAt = now + Math.min(this.pauseMs, this.computeMaxPause(now));
     this.pauseMs = Math.min(2 * this.pauseMs, MAX_RETRY_PAUSE_MS);
   }
 
@@ -127,4 +134,17 @@
     for (const window of expired) this.unsent.delete(window);
     return expired;
   }
+
+  /** Half of the time that the next report that is due has left, in ms. */
+  private computeMaxPause(now: number): number {
+    const {windowMs, delayMs} = this.times;
+    let maxPauseMs = Infinity;
+    for (const window of this.unsent.keys()) {
+      const leftMs = computeWindowEnd(window, windowMs) + delayMs - now;
+      // Such a report is overdue after the shortest pause.
+      if (leftMs <= MIN_URGENT_PAUSE_MS) continue;
+      maxPauseMs = Math.min(maxPauseMs, leftMs / 2);
+    }
+    return Math.max(maxPauseMs, MIN_URGENT_PAUSE_MS);
+  }
 }
--- a/packages/decisions/tests/usage_reports.test.ts
+++ b/packages/decisions/tests/usage_reports.test.ts
@@ -12,6 +12,8 @@
 } from '@irisdock/decisions';
 
 const TIMES = {windowMs: 5000, finalizeMs: 2000, delayMs: 10_000};
+/** The time between two steps of the task, in ms. */
+const CALL_STEP_MS = 100;
 
 function createCounts(window: number, count: number): WindowCount[] {
   return [{window, team: 'first', count}];
@@ -116,4 +118,50 @@
     schedule.recordSent(2);
     assert.equal(schedule.chooseReport(now)?.window, 0);
   });
+
+  // Pauses that had grown to 2 s left out the last second before the due time.
+  it('sends a report in time if the API is back a second before', () => {
+    const dueAt = 15_000;
+    for (let outageMs = 7000; outageMs <= 60_000; outageMs += 170) {
+      const from = dueAt - 1000 - outageMs;
+      const {sentAt} = runSchedule(from, dueAt - 1000, dueAt + 5000);
+      const at = sentAt.get(0) ?? Infinity;
+      assert.ok(at <= dueAt - 200, `outage of ${outageMs} ms: sent at ${at}`);
+    }
+  });
+
+  // Each call costs about as much as a plain call is worth.
+  it('makes few calls in a long outage', () => {
+    const minutes = 5;
+    const {calls} = runSchedule(0, minutes * 60_000, minutes * 60_000);
+    assert.ok(calls <= minutes * 60, `${calls} calls`);
+  });
 });
+
+/** Runs a schedule against an API that rejects calls for some time. */
+function runSchedule(
+  rejectsFrom: number,
+  rejectsUntil: number,
+  until: number,
+): {sentAt: Map<number, number>; calls: number} {
+  const first = Math.floor(rejectsFrom / TIMES.windowMs) - 3;
+  const schedule = new UsageSchedule(TIMES, first);
+  const sentAt = new Map<number, number>();
+  let calls = 0;
+  for (let now = rejectsFrom - 10_000; now < until; now += CALL_STEP_MS) {
+    const step = schedule.decideWindow(now);
+    if (step !== undefined) {
+      schedule.addFinal(step.window, {window: step.window, counts: {}});
+    }
+    const report = schedule.chooseReport(now);
+    if (report === undefined) continue;
+    calls++;
+    if (now >= rejectsFrom && now < rejectsUntil) {
+      schedule.recordFailure(now);
+      continue;
+    }
+    schedule.recordSent(report.window);
+    sentAt.set(report.window, now);
+  }
+  return {sentAt, calls};
+}
