Let a takeover wait by the lease of the row's holder

A candidate waited by its own lease. While a rolling restart shortens leaseMs, a restarted host waited 4 s for a holder whose lease of 12 s it did not know, and both held the task. The lease row now has the holder's leaseMs, and a candidate waits by the longer of both; rows without the field stand for its own. After a restore of the store, or when the row vanished, the longest lease seen counts on. The rows of the daemon's orders are as before.

--- a/packages/decisions/src/lease.ts
+++ b/packages/decisions/src/lease.ts
@@ -4,8 +4,9 @@
  * start orders until a margin before its lease expires, counted from the begin
  * of the last confirmed write. Another host acquires the lease only after it
  * has seen the row unchanged for the lease plus the longest order, counted from
- * the end of the read that first showed it. Clocks of different hosts are never
- * compared. docs/design/singleton_tasks.md.
+ * the end of the read that first showed it; of its own lease and that of the
+ * row, the longer one counts. Clocks of different hosts are never compared.
+ * docs/design/singleton_tasks.md.
  */
 import type {ClockTimes} from '@irisdock/kernel';
 
@@ -16,6 +17,12 @@
   readonly fence: number;
   /** Grows with each renewal. */
   readonly renewal: number;
+  /**
+   * The duration of the holder's lease, in ms; it differs from that of the
+   * reader while a rolling restart changes it. Undefined in rows of versions
+   * that do not write it, which stand for the reader's own duration.
+   */
+  readonly leaseMs?: number | undefined;
 }
 
 /** Durations of a lease, in milliseconds. */
@@ -91,6 +98,8 @@
   private ownEra: number | undefined;
   private ordersInFlight = 0;
   private unansweredAt: ClockTimes | undefined;
+  /** The longest lease that another process may still hold, in ms. */
+  protected otherLeaseMs = 0;
 
   /**
    * @param self Names this process: a restarted one needs another name, as
@@ -110,6 +119,7 @@
    * @param era The era of the store; a change means that it was restored.
    */
   decide(row: LeaseRow | undefined, now: ClockTimes, era = 0): LeaseStep {
+    this.recordLeaseMs(row, era);
     this.highestFence = Math.max(this.highestFence, row?.fence ?? 0);
     const isOwn = this.isOwnRow(row, era);
     if (isOwn && row && this.getFencingToken(now) === row.fence) {
@@ -134,6 +144,7 @@
   recordWrite(row: LeaseRow, begun: ClockTimes, era = 0): void {
     if (era !== this.ownEra) return;
     this.seen = undefined;
+    this.otherLeaseMs = 0;
     this.highestFence = Math.max(this.highestFence, row.fence);
     this.held = {fence: row.fence, since: begun};
   }
@@ -222,12 +233,33 @@
     const isKnown = this.seen !== undefined && isSame(this.seen, row, era);
     const seen = isKnown && this.seen ? this.seen : {row, era, since: now};
     this.seen = seen;
-    const {leaseMs, maxOrderMs, absentRowWaitMs} = this.times;
+    const {absentRowWaitMs} = this.times;
     const isFirst = row === undefined && this.highestFence === 0 && era === 0;
-    const waitMs = isFirst ? absentRowWaitMs : leaseMs + maxOrderMs;
+    const waitMs = isFirst ? absentRowWaitMs : this.computeTakeoverMs();
     return waitMs - this.computeWaitedMs(seen.since, now);
   }
 
+  /** The lease and the longest order of any process that may hold it, in ms. */
+  protected computeTakeoverMs(): number {
+    const {leaseMs, maxOrderMs} = this.times;
+    const other = computeLeaseTimings(this.otherLeaseMs);
+    return Math.max(leaseMs + maxOrderMs, other.leaseMs + other.maxOrderMs);
+  }
+
+  /**
+   * Records the lease of the row's holder. A holder that acquired in the same
+   * era has waited out the ones before. After a restore of the store, or when
+   * the row vanished, a holder whose row is gone may still be within its lease.
+   */
+  protected recordLeaseMs(row: LeaseRow | undefined, era: number): void {
+    const isNext =
+      row !== undefined &&
+      row.fence > this.highestFence &&
+      (this.seen === undefined || this.seen.era === era);
+    const earlierMs = isNext ? 0 : this.otherLeaseMs;
+    this.otherLeaseMs = Math.max(earlierMs, row?.leaseMs ?? 0);
+  }
+
   protected createRow(row: LeaseRow | undefined, era: number): LeaseRow {
     const highest = Math.max(this.highestFence, era * FENCES_PER_ERA);
     const renewal = (row?.renewal ?? 0) + 1;
--- a/packages/gateway/src/model/lease_row.ts
+++ b/packages/gateway/src/model/lease_row.ts
@@ -9,6 +9,7 @@
   holder: z.string(),
   fence: z.number().int(),
   renewal: z.number().int(),
+  leaseMs: z.number().int().positive().optional(),
 });
 
 const LEASE_ERRORS = createErrorTable({
--- a/packages/gateway/src/services/task_lease.ts
+++ b/packages/gateway/src/services/task_lease.ts
@@ -3,7 +3,12 @@
  * the store, and guards calls to the platform's API. `LeaseState` decides; this
  * module makes the calls, one at a time. docs/design/singleton_tasks.md.
  */
-import {getEra, type LeaseRow, type LeaseState} from '@irisdock/decisions';
+import {
+  getEra,
+  type LeaseRow,
+  type LeaseState,
+  type LeaseTimings,
+} from '@irisdock/decisions';
 import {getErrorText, readClocks, type Clock} from '@irisdock/kernel';
 import {err, ok, type Result} from 'neverthrow';
 import {createLostError, parseLease} from '../model/lease_row.js';
@@ -23,8 +28,8 @@
   readonly state: LeaseState;
   readonly store: TaskStore;
   readonly clock: Clock;
-  /** The timeout of a call to the platform's API, in ms. */
-  readonly callTimeoutMs: number;
+  /** The longest order is the timeout of a call to the platform's API. */
+  readonly timings: Pick<LeaseTimings, 'leaseMs' | 'maxOrderMs'>;
 }
 
 /** A lease row as it stands in the store. */
@@ -132,7 +137,8 @@
     fence: number,
     send: (authority: CallAuthority) => Promise<CallOutcome>,
   ): Promise<CallOutcome> {
-    const {host, state, clock, callTimeoutMs: timeoutMs} = this.parts;
+    const {host, state, clock, timings} = this.parts;
+    const {maxOrderMs: timeoutMs} = timings;
     if (this.isCalling) {
       return {kind: 'not-sent', detail: 'another call is in flight'};
     }
@@ -174,12 +180,13 @@
   }
 
   private async writeRow(
-    row: LeaseRow,
+    decided: LeaseRow,
     {revision}: StoredLease,
     changes: readonly RowChange[],
     conditions: readonly RowCondition[],
   ): Promise<Result<void, StoreError>> {
-    const {state, store, clock} = this.parts;
+    const {state, store, clock, timings} = this.parts;
+    const row: LeaseRow = {...decided, leaseMs: timings.leaseMs};
     // Until the response is there, nobody knows whether the row was written.
     this.stored = undefined;
     const {drops} = this;
--- a/packages/gateway/src/services/tasks.ts
+++ b/packages/gateway/src/services/tasks.ts
@@ -50,7 +50,7 @@
   leaseMs: z.coerce.number().int().min(MIN_LEASE_MS).default(3000).meta({
     unit: 'ms',
     description:
-      'The duration of the lease of a task; the same on all hosts of a deployment.',
+      'The duration of the lease of a task; the same on all hosts of a deployment, except while a rolling restart changes it.',
   }),
 });
 
@@ -145,8 +145,7 @@
     const timings = computeLeaseTimings(leaseMs);
     // Calls of the process before may be in flight: it was another holder.
     const state = new LeaseState(`${host} ${incarnation}`, timings);
-    const callTimeoutMs = timings.maxOrderMs;
-    return new TaskLease({task, host, state, store, clock, callTimeoutMs});
+    return new TaskLease({task, host, state, store, clock, timings});
   }
 
   private createRunner(task: SingletonTask, lease: TaskLease): TaskRunner {
