Keep the readers of the store when a call of a task fails

One call of a task that the store refused or did not answer marked the store as away in the host's record for 10 s, so that another host became a reader. The record has a field of its own for this now, isTaskExcluded, which only the candidates of tasks depend on. It is absent unless set: records of deployments without tasks are the same bytes as before.

--- a/packages/decisions/src/failure_detector.ts
+++ b/packages/decisions/src/failure_detector.ts
@@ -15,6 +15,7 @@
   compareRecords,
   type HostUpdate,
   type HostRecord,
+  type OwnHostState,
 } from './host_record.js';
 import {
   HostView,
@@ -141,7 +142,7 @@
   }
 
   /** Sets the state that this host publishes of itself. */
-  updateOwn(next: Pick<HostRecord, 'isStoreAway' | 'state'>): void {
+  updateOwn(next: OwnHostState): void {
     if (this.view.updateOwn(next)) this.addUpdate(this.view.ownRecord.name);
   }
 
--- a/packages/decisions/src/host_record.ts
+++ b/packages/decisions/src/host_record.ts
@@ -17,8 +17,19 @@
   readonly state: HostState;
   /** Whether the host currently fails to reach the store. */
   readonly isStoreAway: boolean;
+  /**
+   * Whether the host's calls for singleton tasks fail, so that it is none of
+   * their candidates. Absent unless true: most deployments have no tasks.
+   */
+  readonly isTaskExcluded?: boolean | undefined;
 }
 
+/** What a host changes in its own record. */
+export type OwnHostState = Pick<
+  HostRecord,
+  'isStoreAway' | 'isTaskExcluded' | 'state'
+>;
+
 /**
  * What one host tells another about a third host, or about itself.
  *
--- a/packages/decisions/src/host_view.ts
+++ b/packages/decisions/src/host_view.ts
@@ -12,6 +12,7 @@
   compareRecords,
   type HostUpdate,
   type HostRecord,
+  type OwnHostState,
 } from './host_record.js';
 
 /** Whether a host is believed to run. */
@@ -131,10 +132,20 @@
   }
 
   /** Creates a newer record of this host; false if nothing has changed. */
-  updateOwn(next: Pick<HostRecord, 'isStoreAway' | 'state'>): boolean {
-    const {state, isStoreAway} = this.own;
-    if (next.state === state && next.isStoreAway === isStoreAway) return false;
-    this.own = {...this.own, ...next, version: this.own.version + 1};
+  updateOwn(next: OwnHostState): boolean {
+    const {state, isStoreAway, isTaskExcluded} = this.own;
+    const isSame =
+      next.state === state &&
+      next.isStoreAway === isStoreAway &&
+      next.isTaskExcluded === isTaskExcluded;
+    if (isSame) return false;
+    this.own = {
+      ...this.own,
+      state: next.state,
+      isStoreAway: next.isStoreAway,
+      isTaskExcluded: next.isTaskExcluded,
+      version: this.own.version + 1,
+    };
     return true;
   }
 
--- a/packages/gateway/src/model/membership_datagram.ts
+++ b/packages/gateway/src/model/membership_datagram.ts
@@ -75,6 +75,7 @@
     version: fields.readNumber(),
     state: fields.readEnum(HOST_STATES),
     isStoreAway: fields.readBoolean(),
+    ...(fields.readOptionalBoolean() === true ? {isTaskExcluded: true} : {}),
   };
 }
 
@@ -123,7 +124,8 @@
 
 function encodeRecord(record: HostRecord): unknown[] {
   const {name, incarnation, version, state, isStoreAway} = record;
-  return [name, incarnation, version, state, isStoreAway];
+  const fields = [name, incarnation, version, state, isStoreAway];
+  return record.isTaskExcluded === true ? [...fields, true] : fields;
 }
 
 function encodeLocation(place: PeerLocation | undefined): unknown {
--- a/packages/gateway/src/model/peer_tables_message.ts
+++ b/packages/gateway/src/model/peer_tables_message.ts
@@ -33,6 +33,8 @@
         version: z.number(),
         state: z.enum(['starting', 'ready', 'leaving']),
         isStoreAway: z.boolean(),
+        /** Absent unless true. */
+        isTaskExcluded: z.boolean().optional(),
       }),
       place: z.object({
         failureDomain: z.string(),
--- a/packages/gateway/src/services/host_tracker.ts
+++ b/packages/gateway/src/services/host_tracker.ts
@@ -85,6 +85,8 @@
 export class HostTracker {
   /** Returns this host's state; set by the service that knows it. */
   getState: () => PeerState = () => 'starting';
+  /** Whether calls of this host for tasks fail; set by the service `tasks`. */
+  isTaskExcluded: () => boolean = () => false;
   readonly standing: StoreStatus;
   readonly loader: PeerTableLoader;
   private readonly detector: FailureDetector<PeerLocation>;
@@ -291,7 +293,8 @@
     if (state !== this.view.ownRecord.state) {
       this.parts.log.writeInfo('The state of this host changed.', {state});
     }
-    this.detector.updateOwn({state, isStoreAway});
+    const isTaskExcluded = this.isTaskExcluded() ? true : undefined;
+    this.detector.updateOwn({state, isStoreAway, isTaskExcluded});
   }
 
   /** Schedules a message with urgent host updates. */
--- a/packages/gateway/src/services/peer_hosts.ts
+++ b/packages/gateway/src/services/peer_hosts.ts
@@ -122,6 +122,11 @@
     this.tracker.getState = getState;
   }
 
+  /** Sets how it is read whether calls of this host for tasks fail. */
+  set isTaskExcluded(isTaskExcluded: () => boolean) {
+    this.tracker.isTaskExcluded = isTaskExcluded;
+  }
+
   /** Sets the registry of what runs on endpoints. */
   set useRegistry(registry: UseRegistry) {
     this.usePublisher.registry = registry;
@@ -213,13 +218,16 @@
     return this.listNames((state) => state === 'ready');
   }
 
-  /** Lists the names of live hosts that are ready and reach the store. */
-  listStoreReachingNames(): string[] {
+  /**
+   * Lists the names of live hosts that may hold tasks: those that are ready,
+   * reach the store, and whose calls for tasks do not fail.
+   */
+  listTaskHostNames(): string[] {
     const names: string[] = [];
     for (const {record} of this.listAlive()) {
-      if (record.state === 'ready' && !record.isStoreAway) {
-        names.push(record.name);
-      }
+      const {name, state, isStoreAway, isTaskExcluded} = record;
+      if (state !== 'ready' || isStoreAway || isTaskExcluded === true) continue;
+      names.push(name);
     }
     return names;
   }
--- a/packages/gateway/src/services/task_runner.ts
+++ b/packages/gateway/src/services/task_runner.ts
@@ -10,6 +10,7 @@
 import type {HeldLease, SingletonTask} from '../model/singleton_task.js';
 import type {StoreError, StoreErrorKind} from '../model/table_store.js';
 import {LeaseTerm} from './lease_term.js';
+import type {TaskExclusion} from './task_exclusion.js';
 import type {TaskLease} from './task_lease.js';
 
 /** The renewal interval and the pause after a failed write, as lease parts. */
@@ -49,8 +50,8 @@
   /** Whether this host was told to stop. */
   readonly isLeaving: () => boolean;
   readonly recordLoss: () => void;
-  /** Records whether the store answered this host. */
-  readonly recordStoreCall: (isReached: boolean) => void;
+  /** Whether this host's calls for tasks fail. */
+  readonly exclusion: TaskExclusion;
   readonly recordCall: (outcome: CallOutcome) => void;
 }
 
@@ -176,7 +177,8 @@
 
   private recordStoreCall(result: Result<unknown, StoreError>): void {
     const kind = result.isErr() ? result.error.kind : undefined;
-    this.parts.recordStoreCall(kind === undefined || !FAILURES.has(kind));
+    const isReached = kind === undefined || !FAILURES.has(kind);
+    this.parts.exclusion.recordStoreCall(isReached);
   }
 
   /** Notes an acquisition or a loss of the lease. */
--- a/packages/gateway/src/services/tasks.ts
+++ b/packages/gateway/src/services/tasks.ts
@@ -28,6 +28,7 @@
 import {HOST_IDENTITY, type HostIdentity} from './identity.js';
 import {PEERS} from './peers.js';
 import {STORE} from './store.js';
+import {TaskExclusion} from './task_exclusion.js';
 import {TaskLease} from './task_lease.js';
 import {TaskMetrics} from './task_metrics.js';
 import {TaskRunner} from './task_runner.js';
@@ -60,12 +61,12 @@
   readonly leaseMs: number;
   readonly identity: Pick<HostIdentity, 'incarnation' | 'name'>;
   readonly store: TaskStore;
-  /** Lists the hosts that are ready and reach the store. */
+  /** Lists the hosts that may hold tasks. */
   readonly listHosts: () => readonly string[];
   /** Whether this host was told to stop. */
   readonly isLeaving: () => boolean;
-  /** Records whether the store answered this host. */
-  readonly recordStoreCall: (isReached: boolean) => void;
+  /** Whether this host's calls for tasks fail. */
+  readonly exclusion: TaskExclusion;
   readonly clock: Clock;
   readonly log: Logger;
   readonly metrics: Pick<TaskMetrics, 'recordCall' | 'recordLoss'>;
@@ -150,7 +151,7 @@
 
   private createRunner(task: SingletonTask, lease: TaskLease): TaskRunner {
     const {identity, clock, log, metrics, leaseMs} = this.parts;
-    const {isLeaving, recordStoreCall} = this.parts;
+    const {isLeaving, exclusion} = this.parts;
     const {name} = task;
     return new TaskRunner({
       task,
@@ -160,7 +161,7 @@
       log,
       isCandidate: () => this.listCandidates(name).includes(identity.name),
       isLeaving,
-      recordStoreCall,
+      exclusion,
       recordLoss: () => {
         metrics.recordLoss(name);
       },
@@ -185,6 +186,8 @@
     const {clock, log} = context;
     const peers = context.find(PEERS);
     const phase = context.find(HOST_PHASE);
+    const exclusion = new TaskExclusion(clock);
+    peers.isTaskExcluded = () => exclusion.isExcluded;
     const metrics = new TaskMetrics(context.metrics);
     const {requestedTasks} = context.find(PLATFORM_API);
     const api = new Tasks({
@@ -192,11 +195,9 @@
       leaseMs: settings.leaseMs,
       identity: context.find(HOST_IDENTITY),
       store: context.find(STORE),
-      listHosts: () => peers.listStoreReachingNames(),
+      listHosts: () => peers.listTaskHostNames(),
       isLeaving: () => phase.isLeaving,
-      recordStoreCall: (isReached) => {
-        peers.standing.recordTaskCall(isReached, clock.getNow());
-      },
+      exclusion,
       clock,
       log,
       metrics,
--- a/packages/gateway/src/tables/store_status.ts
+++ b/packages/gateway/src/tables/store_status.ts
@@ -29,19 +29,12 @@
  */
 const MAX_REPORTED_MS = 60_000;
 
-/**
- * For how long a host whose call for a task failed is none of its candidates,
- * in ms; it makes no calls meanwhile that could succeed.
- */
-const TASK_FAILURE_MS = 10_000;
-
 /** The status of the store as this host and the others see it. */
 export class StoreStatus {
   private reportCount = 0;
   /** The hash of the host records from which the readers were last chosen. */
   private readersHash: number | undefined;
   private hadTables = false;
-  private taskFailedAt = -Infinity;
 
   constructor(
     private readonly view: HostView<PeerLocation>,
@@ -159,14 +152,8 @@
 
   /** Whether a call of this host to the store failed recently. */
   hasStoreFailedRecently(now: number): boolean {
-    if (now - this.taskFailedAt < TASK_FAILURE_MS) return true;
     return REPLICATED_TABLES.some((name) =>
       this.tables[name].hasStoreFailedRecently(now),
     );
   }
-
-  /** Records whether the store answered a call for a singleton task. */
-  recordTaskCall(isReached: boolean, now: number): void {
-    this.taskFailedAt = isReached ? -Infinity : now;
-  }
 }
--- a/packages/gateway/tests/peer_datagrams.test.ts
+++ b/packages/gateway/tests/peer_datagrams.test.ts
@@ -28,16 +28,18 @@
   callers: '10.1.0.40:8227',
 };
 
+const RECORD = {
+  name: 'host-1',
+  incarnation: 1_790_000_000_000,
+  version: 3,
+  state: 'ready',
+  isStoreAway: false,
+} as const;
+
 function createMembership(
   change: Partial<MembershipDatagram['watch']>,
 ): MembershipDatagram {
-  const record = {
-    name: 'host-1',
-    incarnation: 1_790_000_000_000,
-    version: 3,
-    state: 'ready',
-    isStoreAway: false,
-  } as const;
+  const record = RECORD;
   const place = PLACE;
   return {
     kind: 'watch',
@@ -73,6 +75,7 @@
   const datagrams: readonly PeerDatagram[] = [
     createMembership({}),
     createMembership({place: {...PLACE, capacity: CAPACITY}}),
+    createMembership({sender: {...RECORD, isTaskExcluded: true}}),
     createMembership({kind: 'relay', target: 'host-2', place: undefined}),
     createMembership({kind: 'answer', asker: 'host-3', updates: []}),
     {
@@ -228,6 +231,14 @@
     }
   });
 
+  it('have no field for tasks unless a host is excluded from them', () => {
+    const plain = createMembership({});
+    const without = createMembership({
+      sender: {...RECORD, isTaskExcluded: undefined},
+    });
+    assert.deepEqual(encodePeerDatagram(without), encodePeerDatagram(plain));
+  });
+
   it('stay small when new hosts tell their capacity', () => {
     const {watch} = createMembership({});
     const record = {...watch.sender, name: 'front-some-region-a-12'};
--- a/packages/gateway/tests/task_runner.test.ts
+++ b/packages/gateway/tests/task_runner.test.ts
@@ -14,6 +14,7 @@
   TaskName,
   TaskStore,
 } from '../src/model/singleton_task.js';
+import {TaskExclusion} from '../src/services/task_exclusion.js';
 import {Tasks} from '../src/services/tasks.js';
 import {SimulatedTaskStore} from './fixtures/task_store.js';
 import {VirtualClock} from './fixtures/virtual_clock.js';
@@ -54,7 +55,7 @@
       store: this.createStore(),
       listHosts: () => HOSTS,
       isLeaving: () => this.isLeaving,
-      recordStoreCall: () => undefined,
+      exclusion: new TaskExclusion(fleet.clock),
       clock: fleet.clock,
       log: new RoarrLogger('test', 'error'),
       metrics: {recordCall: () => undefined, recordLoss: () => undefined},
