Tell other hosts that a host gave a task up

A holder whose calls to the platform's API got no answer for longer than two leases gave the task up and left itself out for five leases, but only it knew: where none of the three candidates reached the API, the task went round among them and no other host tried. The host's record now has isTaskExcluded for that time, and all hosts choose another candidate.

The new test failed before the change: after 42 s without an answer for the three candidates, one of them ("c") still held the task; now a fourth host does.

--- a/packages/gateway/src/services/task_runner.ts
+++ b/packages/gateway/src/services/task_runner.ts
@@ -240,7 +240,7 @@
   }
 
   private handleFailedCall(term: LeaseTerm, outcome: CallOutcome): void {
-    const {clock, log, task, lease, timings} = this.parts;
+    const {clock, log, task, lease, timings, exclusion} = this.parts;
     const {fence} = term;
     const place = {task: task.name, fence};
     log.writeWarning('A call of a task got no answer.', {...place, ...outcome});
@@ -249,7 +249,9 @@
     this.failingSince ??= now;
     const {leaseMs} = timings;
     if (now - this.failingSince <= MAX_FAILING_LEASES * leaseMs) return;
-    this.excludedUntil = now + EXCLUSION_LEASES * leaseMs;
+    const excludedMs = EXCLUSION_LEASES * leaseMs;
+    this.excludedUntil = now + excludedMs;
+    exclusion.recordGivenUp(excludedMs);
     log.writeWarning('Gave up a task: its calls get no answer.', place);
     lease.drop();
     this.checkTerm();
--- a/packages/gateway/tests/task_runner.test.ts
+++ b/packages/gateway/tests/task_runner.test.ts
@@ -35,6 +35,7 @@
 class TaskHost implements SingletonTask {
   readonly name = 'usage';
   readonly tasks: Tasks;
+  readonly exclusion: TaskExclusion;
   isLeaving = false;
   isApiSilent = false;
   startFailures = 0;
@@ -48,14 +49,15 @@
     names: readonly TaskName[],
     incarnation: number,
   ) {
+    this.exclusion = new TaskExclusion(fleet.clock);
     this.tasks = new Tasks({
       names,
       leaseMs: LEASE_MS,
       identity: {name: host, incarnation},
       store: this.createStore(),
-      listHosts: () => HOSTS,
+      listHosts: () => fleet.listTaskHosts(),
       isLeaving: () => this.isLeaving,
-      exclusion: new TaskExclusion(fleet.clock),
+      exclusion: this.exclusion,
       clock: fleet.clock,
       log: new RoarrLogger('test', 'error'),
       metrics: {recordCall: () => undefined, recordLoss: () => undefined},
@@ -135,6 +137,13 @@
     return host;
   }
 
+  /** The hosts that may hold tasks by what they say of themselves. */
+  listTaskHosts(): string[] {
+    return HOSTS.filter(
+      (host) => this.hosts.get(host)?.exclusion.isExcluded !== true,
+    );
+  }
+
   /** Runs for a time; returns the calls made meanwhile. */
   async run(ms: number): Promise<SentCall[]> {
     const before = this.calls.length;
@@ -229,6 +238,21 @@
     fleet.checkCalls();
   });
 
+  it('passes to a fourth host when the API answers no candidate', async () => {
+    const fleet = new TaskFleet();
+    await fleet.run(TAKEOVER_MS);
+    const candidates = fleet.last.tasks.listCandidates('usage');
+    for (const [name, host] of fleet.hosts) {
+      host.isApiSilent = candidates.includes(name);
+    }
+    await fleet.run(3 * (2 * LEASE_MS + TAKEOVER_MS));
+    const calls = await fleet.run(TAKEOVER_MS);
+    const [host, ...others] = new Set(calls.map((call) => call.host));
+    assert.ok(host !== undefined && !candidates.includes(host), host);
+    assert.deepEqual(others, []);
+    fleet.checkCalls();
+  });
+
   it('is started again until it has loaded its state', async () => {
     const fleet = new TaskFleet();
     for (const host of fleet.hosts.values()) host.startFailures = 2;
