Show at a task's holder its last windows and orders

irisdock tasks showed who holds a task, but not what came of it: a late or an open usage report and the orders in force could only be found in the log. GET /v1/tasks has now, at the holder, the last twelve windows (sent, late, missing, uncertain, unsent) and the orders by service, failure domain and kind with the time since the platform accepted them; the command prints them as further tables. They are kept in memory by the holder, and cost no call and no datagram. A new holder does not know when an earlier one gave an order.

--- a/packages/cli/src/api_client.ts
+++ b/packages/cli/src/api_client.ts
@@ -16,6 +16,7 @@
 import {request} from 'undici';
 import * as z from 'zod';
 import {CLI_ERRORS} from './errors.js';
+import {TASKS_SCHEMA} from './task_list.js';
 
 const CALL_MS = 15_000;
 // How long a change that was refused for the moment is sent again.
@@ -47,19 +48,6 @@
     }),
   ),
 });
-/** Tasks that one host performs, as a gateway last saw them. */
-const TASKS_SCHEMA = z.object({
-  tasks: z.array(
-    z.object({
-      task: z.string(),
-      holder: z.string().nullable(),
-      fence: z.number(),
-      ageSeconds: z.number().nullable(),
-      isHolder: z.boolean(),
-      candidates: z.array(z.string()),
-    }),
-  ),
-});
 /** The hosts as one gateway knows them. */
 const HOSTS_SCHEMA = z.object({
   shownBy: z.string(),
--- a/packages/cli/src/output.ts
+++ b/packages/cli/src/output.ts
@@ -8,10 +8,18 @@
 /** A row of a table: its cells in the order of the columns. */
 export type Row = readonly (boolean | number | string)[];
 
+/** A table with its columns. */
+export interface Table {
+  readonly columns: readonly string[];
+  readonly rows: readonly Row[];
+}
+
 /** Where a command writes. */
 export interface Output {
   /** Prints one JSON value, or a table with the given columns. */
   print(value: unknown, columns: readonly string[], rows: readonly Row[]): void;
+  /** Prints one JSON value, or tables with an empty line between them. */
+  printTables(value: unknown, tables: readonly Table[]): void;
   /** Prints a line of progress; in JSON one value a line. */
   printLine(value: unknown, line: string): void;
   /** Prints to standard error. */
@@ -27,11 +35,12 @@
     columns: readonly string[],
     rows: readonly Row[],
   ): void {
-    const json = this.format === 'json';
-    const text = json
-      ? JSON.stringify(value, null, 2)
-      : formatTable(columns, rows);
-    process.stdout.write(`${text}\n`);
+    this.write(value, formatTable(columns, rows));
+  }
+
+  printTables(value: unknown, tables: readonly Table[]): void {
+    const texts = tables.map(({columns, rows}) => formatTable(columns, rows));
+    this.write(value, texts.join('\n\n'));
   }
 
   printLine(value: unknown, line: string): void {
@@ -39,6 +48,12 @@
     process.stdout.write(`${text}\n`);
   }
 
+  private write(value: unknown, table: string): void {
+    const json = this.format === 'json';
+    const text = json ? JSON.stringify(value, null, 2) : table;
+    process.stdout.write(`${text}\n`);
+  }
+
   printError(line: string): void {
     process.stderr.write(`${line}\n`);
   }
--- a/packages/decisions/src/scaling_model.ts
+++ b/packages/decisions/src/scaling_model.ts
@@ -45,6 +45,16 @@
   readonly reason: string;
 }
 
+/** An order that the platform accepted last for a pool. */
+export interface StandingOrder extends PoolKey {
+  readonly count: number;
+  /**
+   * When it was accepted, in ms by the monotonic clock; undefined if an earlier
+   * holder of the task gave it.
+   */
+  readonly givenAt: number | undefined;
+}
+
 /** Numbers of endpoints in the failure domains of a service. */
 export interface DomainCounts {
   readonly domain: string;
--- a/packages/decisions/src/scaling_plan.ts
+++ b/packages/decisions/src/scaling_plan.ts
@@ -15,6 +15,7 @@
   type PoolOrder,
   type PoolView,
   type ScalingLimits,
+  type StandingOrder,
 } from './scaling_model.js';
 import {NeedLevel} from './scaling_need.js';
 import type {ScalingPool, PoolState} from './scaling_pool.js';
@@ -102,6 +103,11 @@
     return this.pools.listCounts(({count}) => count);
   }
 
+  /** Lists the orders that the platform accepted last, one for each pool. */
+  listOrders(): StandingOrder[] {
+    return this.pools.listAll().flatMap(({order}) => order ?? []);
+  }
+
   /** Lists the mix that is aimed at. */
   listWanted(
     {limits}: Pick<ScalingView, 'limits'>,
--- a/packages/decisions/src/scaling_pool.ts
+++ b/packages/decisions/src/scaling_pool.ts
@@ -2,7 +2,7 @@
  * What is known of one pool over time: what was ordered, whether the platform
  * has such endpoints, and whether the pool has what was ordered.
  */
-import type {PoolKey, PoolView} from './scaling_model.js';
+import type {PoolKey, PoolView, StandingOrder} from './scaling_model.js';
 
 /** What outlasts a change of the holder. */
 export interface PoolState extends PoolKey {
@@ -52,6 +52,8 @@
   private firstRefusedAt: number | undefined;
   private grownAt = -Infinity;
   private orderedAt = -Infinity;
+  /** When this process gave the order in force; undefined if it did not. */
+  private givenAt: number | undefined;
   /** Endpoints that orders took, until they are gone. */
   private taken = 0;
   private shortSince: number | undefined;
@@ -95,6 +97,12 @@
     return this.isOrdered ? 0 : this.inForce;
   }
 
+  /** The order in force; undefined before the first one. */
+  get order(): StandingOrder | undefined {
+    const {key, inForce, isOrdered, givenAt} = this;
+    return isOrdered ? {...key, count: inForce, givenAt} : undefined;
+  }
+
   /** The endpoints that serve now. */
   get ready(): number {
     return this.view.ready;
@@ -191,6 +199,7 @@
     this.inForce = count;
     this.isOrdered = true;
     this.orderedAt = now;
+    this.givenAt = now;
     this.isReclaimed = false;
     this.firstRefusedAt = undefined;
     this.refusals = 0;
--- a/packages/gateway/src/model/singleton_task.ts
+++ b/packages/gateway/src/model/singleton_task.ts
@@ -2,6 +2,7 @@
  * Tasks that only one host of the deployment performs at a time: the interfaces
  * between a task, the runner that holds its lease, and the store.
  */
+import type {CapacityKind} from '@irisdock/decisions';
 import {createServiceKey} from '@irisdock/kernel';
 import type {Result} from 'neverthrow';
 import type {CallAuthority, CallOutcome} from './platform_api.js';
@@ -60,6 +61,45 @@
   ): Promise<CallOutcome>;
 }
 
+/**
+ * What is known of the report of a window: accepted in time (`sent`) or after it
+ * was due (`late`); not reported (`missing`); final, and the platform may or may
+ * not have it (`uncertain`) or has not got it (`unsent`).
+ */
+export type WindowResult = 'late' | 'missing' | 'sent' | 'uncertain' | 'unsent';
+
+/** A window of usage reports as operators see it. */
+export interface WindowSummary {
+  /** The number of the window since the start of 1970. */
+  readonly window: number;
+  readonly result: WindowResult;
+  /** How long ago it ended, in ms. */
+  readonly endedMs: number;
+}
+
+/** An order of endpoints as operators see it. */
+export interface OrderSummary {
+  readonly service: string;
+  readonly failureDomain: string;
+  readonly kind: CapacityKind;
+  /** How many endpoints the pool shall hold. */
+  readonly count: number;
+  /** Whether the platform accepted it; otherwise it is about to be sent. */
+  readonly isAccepted: boolean;
+  /**
+   * How long ago it was accepted, in ms; undefined for one of an earlier holder
+   * or one that is not accepted.
+   */
+  readonly ageMs: number | undefined;
+}
+
+/** What the holder of a task has done; empty at other hosts. */
+export interface TaskActivity {
+  /** The last windows, oldest first. */
+  readonly windows: readonly WindowSummary[];
+  readonly orders: readonly OrderSummary[];
+}
+
 /** A task. */
 export interface SingletonTask {
   readonly name: TaskName;
@@ -72,6 +112,8 @@
   step(lease: HeldLease): Promise<void>;
   /** The rows to be written with the next renewal of the lease. */
   listRenewalChanges(): readonly RowChange[];
+  /** What this host has done as the holder, for operators. */
+  getActivity(): TaskActivity;
   /** The lease was lost; no more calls are made. */
   stop(): void;
 }
--- a/packages/gateway/src/services/scaled_service.ts
+++ b/packages/gateway/src/services/scaled_service.ts
@@ -13,7 +13,7 @@
 import type {Clock, Logger} from '@irisdock/kernel';
 import type {CallOutcome, PlatformApi} from '../model/platform_api.js';
 import {formatScalingKey, type ScalingRow} from '../model/scaling_state.js';
-import type {HeldLease} from '../model/singleton_task.js';
+import type {HeldLease, OrderSummary} from '../model/singleton_task.js';
 import type {RowChange} from '../model/table_store.js';
 
 /** Dependencies of the orders. */
@@ -88,6 +88,20 @@
     return {ordered: this.plan.listOrdered(), wanted};
   }
 
+  /** Lists the orders in force and those that are about to be sent. */
+  listOrders(): OrderSummary[] {
+    const now = this.parts.clock.getNow();
+    const accepted = this.plan.listOrders().map((order) => {
+      const {givenAt} = order;
+      const ageMs = givenAt === undefined ? undefined : now - givenAt;
+      return this.createSummary(order, true, ageMs);
+    });
+    const pending = this.pending.map((order) =>
+      this.createSummary(order, false, undefined),
+    );
+    return [...accepted, ...pending];
+  }
+
   /** Whether the next step is due. */
   get isDue(): boolean {
     return this.parts.clock.getNow() >= this.nextAt;
@@ -209,6 +223,15 @@
     }
   }
 
+  private createSummary(
+    {domain, kind, count}: Omit<PoolOrder, 'reason'>,
+    isAccepted: boolean,
+    ageMs: number | undefined,
+  ): OrderSummary {
+    const {name: service} = this;
+    return {service, failureDomain: domain, kind, count, isAccepted, ageMs};
+  }
+
   private pause(): void {
     this.pausedUntil = this.parts.clock.getNow() + this.pauseMs;
     this.pauseMs = Math.min(MAX_RETRY_PAUSE_MS, this.pauseMs * 2);
--- a/packages/gateway/src/services/scaling_task.ts
+++ b/packages/gateway/src/services/scaling_task.ts
@@ -4,7 +4,11 @@
  */
 import {ScalingPlan} from '@irisdock/decisions';
 import {parseScalingRow, SCALING_STATE_PREFIX} from '../model/scaling_state.js';
-import type {HeldLease, SingletonTask} from '../model/singleton_task.js';
+import type {
+  HeldLease,
+  SingletonTask,
+  TaskActivity,
+} from '../model/singleton_task.js';
 import type {RowChange} from '../model/table_store.js';
 import type {GatewayConfiguration} from './configuration.js';
 import {ScaledService, type ScaledServiceParts} from './scaled_service.js';
@@ -66,6 +70,12 @@
     return [...this.services.values()].flatMap((one) => one.listChanges());
   }
 
+  getActivity(): TaskActivity {
+    const services = [...this.services.values()];
+    const orders = services.flatMap((service) => service.listOrders());
+    return {windows: [], orders};
+  }
+
   stop(): void {
     this.services.clear();
   }
--- a/packages/gateway/src/services/task_pages.ts
+++ b/packages/gateway/src/services/task_pages.ts
@@ -1,4 +1,7 @@
-/** The operators' list of singleton tasks: `GET /v1/tasks`. */
+/**
+ * The operators' list of singleton tasks: `GET /v1/tasks`. At the holder it has
+ * the last windows of usage reports and the orders of endpoints.
+ */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {sendJson} from './json_response.js';
 import type {Tasks} from './tasks.js';
@@ -16,11 +19,21 @@
   if (path !== PATH || message.method !== 'GET') return false;
   const shown = tasks.listTasks().map((summary) => {
     const {task, holder, fence, ageMs, isHolder, candidates} = summary;
-    const ageSeconds =
-      ageMs === undefined ? null : Math.round(ageMs / MS_PER_SECOND);
+    const ageSeconds = toSeconds(ageMs);
     const place = {holder: holder ?? null, fence, ageSeconds};
-    return {task, ...place, isHolder, candidates};
+    const windows = summary.windows.map(({window, result, endedMs}) => {
+      return {window, result, endedSecondsAgo: toSeconds(endedMs)};
+    });
+    const orders = summary.orders.map(({ageMs, ...order}) => {
+      return {...order, acceptedSecondsAgo: toSeconds(ageMs)};
+    });
+    return {task, ...place, isHolder, candidates, windows, orders};
   });
   sendJson(response, 200, {tasks: shown});
   return true;
 }
+
+/** Rounds to whole seconds; null for what is not known. */
+function toSeconds(ms: number | undefined): number | null {
+  return ms === undefined ? null : Math.round(ms / MS_PER_SECOND);
+}
--- a/packages/gateway/src/services/tasks.ts
+++ b/packages/gateway/src/services/tasks.ts
@@ -19,6 +19,7 @@
   TASK_NAMES,
   TASKS,
   type SingletonTask,
+  type TaskActivity,
   type TaskName,
   type TaskRegistry,
   type TaskStore,
@@ -73,7 +74,7 @@
 }
 
 /** A task as operators see it. */
-export interface TaskSummary {
+export interface TaskSummary extends TaskActivity {
   readonly task: TaskName;
   /** The holder as last seen in the store; undefined if none is known. */
   readonly holder: string | undefined;
@@ -87,6 +88,7 @@
 }
 
 interface RunningTask {
+  readonly task: SingletonTask;
   readonly lease: TaskLease;
   readonly runner: TaskRunner;
 }
@@ -109,7 +111,7 @@
     }
     const lease = this.createLease(name);
     const runner = this.createRunner(task, lease);
-    this.running.set(name, {lease, runner});
+    this.running.set(name, {task, lease, runner});
     runner.start();
   }
 
@@ -126,12 +128,13 @@
   /** Lists the tasks that run on this host or may do so. */
   listTasks(): TaskSummary[] {
     const now = this.parts.clock.getNow();
-    return [...this.running].map(([task, {lease}]) => {
+    return [...this.running].map(([name, {task, lease}]) => {
       const {holder, fence, seenAt} = lease.summary;
       const ageMs = seenAt === undefined ? undefined : now - seenAt;
-      const candidates = this.listCandidates(task);
-      const isHolder = this.isHolder(task);
-      return {task, holder, fence, ageMs, isHolder, candidates};
+      const candidates = this.listCandidates(name);
+      const isHolder = this.isHolder(name);
+      const place = {holder, fence, ageMs, isHolder, candidates};
+      return {task: name, ...place, ...task.getActivity()};
     });
   }
 
--- a/packages/gateway/src/services/usage_task.ts
+++ b/packages/gateway/src/services/usage_task.ts
@@ -14,7 +14,11 @@
 } from '@irisdock/decisions';
 import type {Logger} from '@irisdock/kernel';
 import type {PlatformApi, UsageReport} from '../model/platform_api.js';
-import type {HeldLease, SingletonTask} from '../model/singleton_task.js';
+import type {
+  HeldLease,
+  SingletonTask,
+  TaskActivity,
+} from '../model/singleton_task.js';
 import type {RowChange, TableRow} from '../model/table_store.js';
 import {
   decodeUsageReport,
@@ -25,6 +29,7 @@
   type UsageState,
 } from '../model/usage_state.js';
 import type {UsageExchange} from './usage_exchange.js';
+import {UsageHistory} from './usage_history.js';
 import type {UsageMetrics} from './usage_metrics.js';
 
 /**
@@ -71,7 +76,11 @@
   /** The era of the store when the rows were read. */
   private era = 0;
 
-  constructor(private readonly parts: UsageTaskParts) {}
+  private readonly history: UsageHistory;
+
+  constructor(private readonly parts: UsageTaskParts) {
+    this.history = new UsageHistory(parts.times.windowMs);
+  }
 
   /** The reports that are final and not accepted, a count. */
   get unsentCount(): number {
@@ -80,6 +89,7 @@
 
   async start(lease: HeldLease): Promise<boolean> {
     this.isStarted = false;
+    this.history.drop();
     const loaded = await lease.load('');
     if (loaded.isErr()) {
       this.parts.log.writeWarning('The state of usage reports was not read.', {
@@ -137,8 +147,14 @@
     return [{key: USAGE_STATE_KEY, value: JSON.stringify(state)}];
   }
 
+  getActivity(): TaskActivity {
+    const windows = this.history.listWindows(this.parts.exchange.getTime());
+    return {windows, orders: []};
+  }
+
   stop(): void {
     this.isStarted = false;
+    this.history.drop();
   }
 
   /** Asks again as the first request may be lost, and when hosts change. */
@@ -222,6 +238,8 @@
     const decoded = decodeUsageReport(value);
     if (decoded.isOk() && decoded.value.window === window) {
       schedule.addFinal(window, decoded.value);
+      // An earlier holder may have sent it.
+      this.history.record(window, 'uncertain');
     } else {
       this.writeRowFault(key, decoded.isErr() ? decoded.error : 'its window');
     }
@@ -237,6 +255,7 @@
     const step = schedule.decideWindow(now);
     if (step?.kind === 'skip') {
       const count = schedule.applySkip(now);
+      this.history.recordMissing(step.window, count);
       metrics.windows.inc({result: 'missing'}, count);
       const {window} = step;
       log.writeWarning('Windows were too old to be reported.', {window, count});
@@ -273,6 +292,7 @@
       for (const one of expired) this.rows.delete(one);
       this.rows.add(window);
       schedule.addFinal(window, report);
+      this.history.record(window, 'unsent');
       return;
     }
     const {kind} = saved.error;
@@ -324,12 +344,16 @@
     metrics.calls.inc({outcome: outcome.kind});
     if (outcome.kind !== 'accepted') {
       schedule.recordFailure(now);
+      if (outcome.kind === 'unanswered') {
+        this.history.record(window, 'uncertain');
+      }
       log.writeInfo('A usage report was not accepted.', {window, ...outcome});
       return;
     }
     const result = schedule.isLate(window, now) ? 'late' : 'sent';
     schedule.recordSent(window);
     this.recordSent(window);
+    this.history.record(window, result);
     metrics.windows.inc({result});
     log.writeInfo('A usage report was accepted.', {window, result});
   }
--- a/packages/gateway/tests/scaling_task.test.ts
+++ b/packages/gateway/tests/scaling_task.test.ts
@@ -36,6 +36,32 @@
     assert.notEqual(fourth, first);
   });
 
+  // Guards against an operator who takes an order for given that is not.
+  it('shows the orders that were accepted, and those that were not', async () => {
+    const fleet = new ScalingFleet();
+    setFirstOutcomes(fleet, [
+      {kind: 'accepted'},
+      {kind: 'unanswered', detail: 'silent'},
+    ]);
+    const task = fleet.createTask();
+    await fleet.run(task, FIRST_ORDERS_MS);
+    const [first, second] = fleet.listCalls();
+    const shown = task.getActivity().orders.map((order) => {
+      const {failureDomain, kind, count, isAccepted, ageMs} = order;
+      return {
+        call: `${failureDomain} ${kind} ${count}`,
+        isAccepted,
+        isAgeKnown: ageMs !== undefined,
+      };
+    });
+    assert.deepEqual(shown, [
+      {call: first, isAccepted: true, isAgeKnown: true},
+      {call: second, isAccepted: false, isAgeKnown: false},
+    ]);
+    task.stop();
+    assert.deepEqual(task.getActivity().orders, []);
+  });
+
   it('repeats what the platform rejects for its rate of calls', async () => {
     const fleet = new ScalingFleet();
     setFirstOutcomes(fleet, [{kind: 'rejected', status: 429}]);
--- a/packages/gateway/tests/task_runner.test.ts
+++ b/packages/gateway/tests/task_runner.test.ts
@@ -11,6 +11,7 @@
 import type {
   HeldLease,
   SingletonTask,
+  TaskActivity,
   TaskName,
   TaskStore,
 } from '../src/model/singleton_task.js';
@@ -86,6 +87,10 @@
     return [];
   }
 
+  getActivity(): TaskActivity {
+    return {windows: [], orders: []};
+  }
+
   stop(): void {
     this.stops++;
   }
--- a/packages/gateway/tests/usage_reports.test.ts
+++ b/packages/gateway/tests/usage_reports.test.ts
@@ -47,6 +47,34 @@
     assert.deepEqual(fleet.listReports(), [{first: 10}, {first: 3}, {}, {}]);
   });
 
+  // Guards against an operator who takes an open report for a settled one.
+  it('are shown at the holder with what became of each window', async () => {
+    const fleet = await startFleet();
+    const list = (name: string): string[] => {
+      const {windows = []} = fleet.hosts.get(name)?.task.getActivity() ?? {};
+      return windows.map(({result}) => result);
+    };
+    await fleet.run(8000);
+    assert.deepEqual(list('a'), ['sent']);
+    fleet.isApiBusy = true;
+    await fleet.run(5000);
+    assert.deepEqual(list('a'), ['sent', 'unsent']);
+    fleet.isApiBusy = false;
+    fleet.callFault = 'unanswered';
+    await fleet.run(1500);
+    assert.deepEqual(list('a'), ['sent', 'uncertain']);
+    await fleet.run(2000);
+    assert.deepEqual(list('a'), ['sent', 'sent']);
+    fleet.isApiBusy = true;
+    await fleet.run(5000);
+    await fleet.acquire('b');
+    assert.deepEqual([list('a'), list('b')], [[], ['uncertain']]);
+    await fleet.run(10_000);
+    fleet.isApiBusy = false;
+    await fleet.run(3000);
+    assert.equal(list('b')[0], 'late');
+  });
+
   // A holder that trusted the restored rows would report a window once more.
   it('keep one body when the store is restored and the holder changes', async () => {
     const fleet = await startFleet();
