--- a/packages/gateway/src/services/tasks.ts
+++ b/packages/gateway/src/services/tasks.ts
@@ -19,6 +19,7 @@
   TASK_NAMES,
   TASKS,
   type SingletonTask,
+  type TaskActivity,
   type TaskName,
   type TaskRegistry,
   type TaskStore,
@@ -28,6 +29,7 @@
 import {HOST_IDENTITY, type HostIdentity} from './identity.js';
 import {PEERS} from './peers.js';
 import {STORE} from './store.js';
+import {TaskExclusion} from './task_exclusion.js';
 import {TaskLease} from './task_lease.js';
 import {TaskMetrics} from './task_metrics.js';
 import {TaskRunner} from './task_runner.js';
@@ -50,7 +52,7 @@
   leaseMs: z.coerce.number().int().min(MIN_LEASE_MS).default(3000).meta({
     unit: 'ms',
     description:
-      'The duration of the lease of a task; the same on all hosts of a deployment.',
+      'The duration of the lease of a task; the same on all hosts of a deployment, except while a rolling restart changes it.',
   }),
 });
 
@@ -60,19 +62,19 @@
   readonly leaseMs: number;
   readonly identity: Pick<HostIdentity, 'incarnation' | 'name'>;
   readonly store: TaskStore;
-  /** Lists the hosts that are ready and reach the store. */
+  /** Lists the hosts that may hold tasks. */
   readonly listHosts: () => readonly string[];
   /** Whether this host was told to stop. */
   readonly isLeaving: () => boolean;
-  /** Records whether the store answered this host. */
-  readonly recordStoreCall: (isReached: boolean) => void;
+  /** Whether this host's calls for tasks fail. */
+  readonly exclusion: TaskExclusion;
   readonly clock: Clock;
   readonly log: Logger;
   readonly metrics: Pick<TaskMetrics, 'recordCall' | 'recordLoss'>;
 }
 
 /** A task as operators see it. */
-export interface TaskSummary {
+export interface TaskSummary extends TaskActivity {
   readonly task: TaskName;
   /** The holder as last seen in the store; undefined if none is known. */
   readonly holder: string | undefined;
@@ -86,6 +88,7 @@
 }
 
 interface RunningTask {
+  readonly task: SingletonTask;
   readonly lease: TaskLease;
   readonly runner: TaskRunner;
 }
@@ -108,7 +111,7 @@
     }
     const lease = this.createLease(name);
     const runner = this.createRunner(task, lease);
-    this.running.set(name, {lease, runner});
+    this.running.set(name, {task, lease, runner});
     runner.start();
   }
 
@@ -125,12 +128,13 @@
   /** Lists the tasks that run on this host or may do so. */
   listTasks(): TaskSummary[] {
     const now = this.parts.clock.getNow();
-    return [...this.running].map(([task, {lease}]) => {
+    return [...this.running].map(([name, {task, lease}]) => {
       const {holder, fence, seenAt} = lease.summary;
       const ageMs = seenAt === undefined ? undefined : now - seenAt;
-      const candidates = this.listCandidates(task);
-      const isHolder = this.isHolder(task);
-      return {task, holder, fence, ageMs, isHolder, candidates};
+      const candidates = this.listCandidates(name);
+      const isHolder = this.isHolder(name);
+      const place = {holder, fence, ageMs, isHolder, candidates};
+      return {task: name, ...place, ...task.getActivity()};
     });
   }
 
@@ -145,13 +149,12 @@
     const timings = computeLeaseTimings(leaseMs);
     // Calls of the process before may be in flight: it was another holder.
     const state = new LeaseState(`${host} ${incarnation}`, timings);
-    const callTimeoutMs = timings.maxOrderMs;
-    return new TaskLease({task, host, state, store, clock, callTimeoutMs});
+    return new TaskLease({task, host, state, store, clock, timings});
   }
 
   private createRunner(task: SingletonTask, lease: TaskLease): TaskRunner {
     const {identity, clock, log, metrics, leaseMs} = this.parts;
-    const {isLeaving, recordStoreCall} = this.parts;
+    const {isLeaving, exclusion} = this.parts;
     const {name} = task;
     return new TaskRunner({
       task,
@@ -161,7 +164,7 @@
       log,
       isCandidate: () => this.listCandidates(name).includes(identity.name),
       isLeaving,
-      recordStoreCall,
+      exclusion,
       recordLoss: () => {
         metrics.recordLoss(name);
       },
@@ -186,6 +189,8 @@
     const {clock, log} = context;
     const peers = context.find(PEERS);
     const phase = context.find(HOST_PHASE);
+    const exclusion = new TaskExclusion(clock);
+    peers.isTaskExcluded = () => exclusion.isExcluded;
     const metrics = new TaskMetrics(context.metrics);
     const {requestedTasks} = context.find(PLATFORM_API);
     const api = new Tasks({
@@ -193,11 +198,9 @@
       leaseMs: settings.leaseMs,
       identity: context.find(HOST_IDENTITY),
       store: context.find(STORE),
-      listHosts: () => peers.listStoreReachingNames(),
+      listHosts: () => peers.listTaskHostNames(),
       isLeaving: () => phase.isLeaving,
-      recordStoreCall: (isReached) => {
-        peers.standing.recordTaskCall(isReached, clock.getNow());
-      },
+      exclusion,
       clock,
       log,
       metrics,
