Keep the counts of lost hosts in a checkpoint of usage reports apart

The total of the incarnations that started before a checkpoint was the larger of the stored sum and the sum of their reports.

A checkpoint now also has the part of its sums that belongs to lost incarnations: what the holder found stored and nobody had reported 600 ms after its takeover, and the reports of processes whose hosts report as new ones. The names of the latter are stored too, so that a collector that has their reports does not add them again. Totals add the lost part to the larger of the rest. Rows of the former form are read as ones without a lost part.

The row grows by the sums of lost incarnations and some 25 bytes for each of them that reported, for as long as their windows are open; otherwise by some 30 bytes.

--- a/packages/decisions/src/usage_totals.ts
+++ b/packages/decisions/src/usage_totals.ts
@@ -2,8 +2,10 @@
  * The requests of all hosts by window and team, from the reports of hosts and a
  * checkpoint of an earlier collector. Reports of hosts that have died stay. The
  * checkpoint contains what incarnations that started before it had reported, in
- * one sum: their total is the larger of that sum and the sum of their reports.
- * Incarnations that started later are added to it.
+ * two sums: that of lost incarnations, whose reports may be known to nobody any
+ * more, and that of all others. The total of the others is the larger of their
+ * sum and the sum of their reports. To it the sum of lost incarnations and the
+ * reports of incarnations that started later are added.
  */
 import type {TeamCounts, WindowCount} from './usage_counts.js';
 
@@ -22,28 +24,54 @@
 export interface UsageCheckpoint {
   /** When the sums were taken, in ms since 1970. */
   readonly takenAt: number;
+  /** The sums of all incarnations. */
   readonly windows: WindowCounts;
+  /** The part of these sums that belongs to lost incarnations. */
+  readonly lost: WindowCounts;
+  /**
+   * The lost incarnations of which the collector had reports; a collector that
+   * has them too must not add them again.
+   */
+  readonly lostIds: readonly string[];
 }
 
 /** The counts of one incarnation. */
 interface ReportedCounts {
+  readonly host: string;
   readonly incarnation: number;
   readonly windows: Map<number, Map<string, number>>;
 }
 
-const NO_CHECKPOINT: UsageCheckpoint = {takenAt: -Infinity, windows: {}};
+/** The sums of a window by team, in the parts of which a total consists. */
+interface WindowSums {
+  /** Of lost incarnations, as the checkpoint has them. */
+  readonly lost: Map<string, number>;
+  /** What the checkpoint has more of other incarnations than they reported. */
+  readonly unreported: Map<string, number>;
+  /** Of all reports that are not in the sum of lost incarnations. */
+  readonly reported: Map<string, number>;
+}
+
+const NO_CHECKPOINT: UsageCheckpoint = {
+  takenAt: -Infinity,
+  windows: {},
+  lost: {},
+  lostIds: [],
+};
 
 /** Merges the counts of all hosts. */
 export class UsageTotals {
   private readonly reports = new Map<string, ReportedCounts>();
   private checkpoint = NO_CHECKPOINT;
+  /** The lost incarnations of the checkpoint. */
+  private lostIds: ReadonlySet<string> = new Set();
 
   /** Takes cumulative counts, in any order and any number of times. */
   accept({host, incarnation, counts}: HostUsageReport): void {
     const id = `${incarnation} ${host}`;
     let report = this.reports.get(id);
     if (report === undefined) {
-      report = {incarnation, windows: new Map()};
+      report = {host, incarnation, windows: new Map()};
       this.reports.set(id, report);
     }
     for (const {window, team, count} of counts) {
@@ -59,31 +87,43 @@
   /** Replaces the checkpoint on which the totals build. */
   setCheckpoint(checkpoint: UsageCheckpoint): void {
     this.checkpoint = checkpoint;
+    this.lostIds = new Set(checkpoint.lostIds);
   }
 
   /** Computes the total of each team with any request in a window. */
   computeTotals(window: number): TeamCounts {
-    const earlier = new Map<string, number>();
-    const later = new Map<string, number>();
-    for (const {incarnation, windows} of this.reports.values()) {
-      const isLater = incarnation >= this.checkpoint.takenAt;
-      addCounts(isLater ? later : earlier, windows.get(window));
-    }
-    const stored = this.checkpoint.windows[window] ?? {};
-    for (const [team, count] of Object.entries(stored)) {
-      earlier.set(team, Math.max(count, earlier.get(team) ?? 0));
-    }
-    addCounts(earlier, later);
-    return Object.fromEntries([...earlier].sort(compareTeams));
+    const {lost, unreported, reported} = this.computeSums(window);
+    addCounts(reported, lost);
+    addCounts(reported, unreported);
+    return toTeamCounts(reported);
   }
 
-  /** Takes the sums of a window and all later ones. */
-  createCheckpoint(fromWindow: number, takenAt: number): UsageCheckpoint {
+  /**
+   * Takes the sums of a window and all later ones.
+   *
+   * @param isSettled Whether all live hosts have had the time to report: then
+   *     what the checkpoint has more belongs to lost incarnations.
+   */
+  createCheckpoint(
+    fromWindow: number,
+    takenAt: number,
+    isSettled: boolean,
+  ): UsageCheckpoint {
     const windows: Record<string, TeamCounts> = {};
+    const lost: Record<string, TeamCounts> = {};
+    const replaced = this.listReplaced();
     for (const window of this.listWindows()) {
-      if (window >= fromWindow) windows[window] = this.computeTotals(window);
+      if (window < fromWindow) continue;
+      windows[window] = this.computeTotals(window);
+      const sums = this.computeSums(window);
+      if (isSettled) addCounts(sums.lost, sums.unreported);
+      for (const report of replaced.values()) {
+        addCounts(sums.lost, report.windows.get(window));
+      }
+      if (sums.lost.size > 0) lost[window] = toTeamCounts(sums.lost);
     }
-    return {takenAt, windows};
+    const lostIds = this.listLostIds(fromWindow, replaced);
+    return {takenAt, windows, lost, lostIds};
   }
 
   /** Returns the earliest window with a count; undefined if there is none. */
@@ -102,6 +142,54 @@
     }
   }
 
+  private computeSums(window: number): WindowSums {
+    const {takenAt, windows, lost} = this.checkpoint;
+    const earlier = new Map<string, number>();
+    const later = new Map<string, number>();
+    for (const [id, report] of this.reports) {
+      if (this.lostIds.has(id)) continue;
+      const isLater = report.incarnation >= takenAt;
+      addCounts(isLater ? later : earlier, report.windows.get(window));
+    }
+    const lostSums = new Map(Object.entries(lost[window] ?? {}));
+    const unreported = new Map<string, number>();
+    for (const [team, count] of Object.entries(windows[window] ?? {})) {
+      const known = (lostSums.get(team) ?? 0) + (earlier.get(team) ?? 0);
+      if (count > known) unreported.set(team, count - known);
+    }
+    addCounts(earlier, later);
+    return {lost: lostSums, unreported, reported: earlier};
+  }
+
+  /** Lists the incarnations after which their hosts reported as new ones. */
+  private listReplaced(): Map<string, ReportedCounts> {
+    const newest = new Map<string, number>();
+    for (const {host, incarnation} of this.reports.values()) {
+      newest.set(host, Math.max(incarnation, newest.get(host) ?? incarnation));
+    }
+    const replaced = new Map<string, ReportedCounts>();
+    for (const [id, report] of this.reports) {
+      const isReplaced = report.incarnation < (newest.get(report.host) ?? 0);
+      if (isReplaced && !this.lostIds.has(id)) replaced.set(id, report);
+    }
+    return replaced;
+  }
+
+  /** Lists the lost incarnations with counts from a window on. */
+  private listLostIds(
+    fromWindow: number,
+    replaced: ReadonlyMap<string, ReportedCounts>,
+  ): string[] {
+    const {lost} = this.checkpoint;
+    const isOpen = (window: number): boolean => window >= fromWindow;
+    const hasOpen = Object.keys(lost).map(Number).some(isOpen);
+    const ids = hasOpen ? [...this.lostIds] : [];
+    for (const [id, {windows}] of replaced) {
+      if ([...windows.keys()].some(isOpen)) ids.push(id);
+    }
+    return ids;
+  }
+
   private listWindows(): Set<number> {
     const listed = new Set(Object.keys(this.checkpoint.windows).map(Number));
     for (const {windows} of this.reports.values()) {
@@ -120,6 +208,10 @@
   }
 }
 
+function toTeamCounts(sums: ReadonlyMap<string, number>): TeamCounts {
+  return Object.fromEntries([...sums].sort(compareTeams));
+}
+
 function compareTeams(
   [one]: readonly [string, number],
   [other]: readonly [string, number],
--- a/packages/decisions/tests/usage_reports.test.ts
+++ b/packages/decisions/tests/usage_reports.test.ts
@@ -8,6 +8,8 @@
   UsageCounts,
   UsageSchedule,
   UsageTotals,
+  type HostUsageReport,
+  type UsageCheckpoint,
   type WindowCount,
 } from '@irisdock/decisions';
 
@@ -63,16 +65,63 @@
   it('build on a checkpoint of an earlier holder', () => {
     const totals = new UsageTotals();
     const windows = {7: {first: 10, second: 3}};
-    totals.setCheckpoint({takenAt: 100, windows});
+    totals.setCheckpoint({takenAt: 100, windows, lost: {}, lostIds: []});
     totals.accept({host: 'a', incarnation: 50, counts: createCounts(7, 4)});
     assert.deepEqual(totals.computeTotals(7), {first: 10, second: 3});
     totals.accept({host: 'b', incarnation: 50, counts: createCounts(7, 8)});
     totals.accept({host: 'b', incarnation: 150, counts: createCounts(7, 2)});
     assert.deepEqual(totals.computeTotals(7), {first: 14, second: 3});
     const later = new UsageTotals();
-    later.setCheckpoint(totals.createCheckpoint(7, 200));
+    later.setCheckpoint(totals.createCheckpoint(7, 200, true));
     assert.deepEqual(later.computeTotals(7), {first: 14, second: 3});
   });
+
+  // The growth of others took the place of what lost hosts had counted.
+  it('keep the counts of lost hosts when those of others grow', () => {
+    const reports = new Map<string, HostUsageReport>();
+    const report = (host: string, incarnation: number, count: number): void => {
+      const counts = createCounts(7, count);
+      reports.set(`${incarnation} ${host}`, {host, incarnation, counts});
+    };
+    const startCollector = (checkpoint?: UsageCheckpoint): UsageTotals => {
+      const totals = new UsageTotals();
+      if (checkpoint !== undefined) totals.setCheckpoint(checkpoint);
+      for (const one of reports.values()) totals.accept(one);
+      return totals;
+    };
+    report('a', 1, 4);
+    report('b', 1, 6);
+    const first = startCollector().createCheckpoint(7, 100, true);
+    // All hosts start anew, and nobody knows their earlier reports.
+    reports.clear();
+    report('a', 110, 2);
+    report('b', 110, 3);
+    const second = startCollector(first).createCheckpoint(7, 200, true);
+    report('a', 110, 5);
+    report('b', 110, 5);
+    const third = startCollector(second);
+    assert.deepEqual(third.computeTotals(7), {first: 20});
+    // One host starts anew; its former counts are known to some only.
+    report('a', 210, 1);
+    for (const one of reports.values()) third.accept(one);
+    const fourth = third.createCheckpoint(7, 300, true);
+    assert.deepEqual(startCollector(fourth).computeTotals(7), {first: 21});
+    reports.delete('110 a');
+    report('b', 110, 9);
+    assert.deepEqual(startCollector(fourth).computeTotals(7), {first: 25});
+  });
+
+  // What a host reports later would be added to what it had reported.
+  it('count no host twice that reports late to a new holder', () => {
+    const totals = new UsageTotals();
+    const windows = {7: {first: 10}};
+    totals.setCheckpoint({takenAt: 100, windows, lost: {}, lostIds: []});
+    const early = totals.createCheckpoint(7, 200, false);
+    const next = new UsageTotals();
+    next.setCheckpoint(early);
+    next.accept({host: 'a', incarnation: 1, counts: createCounts(7, 10)});
+    assert.deepEqual(next.computeTotals(7), {first: 10});
+  });
 });
 
 describe('the counts of a host', () => {
--- a/packages/gateway/src/model/usage_state.ts
+++ b/packages/gateway/src/model/usage_state.ts
@@ -21,6 +21,10 @@
   unsent: z.array(z.number().int()),
   /** The sums of the windows that were not final, by window and team. */
   windows: z.record(z.string(), USAGE_REPORT_SCHEMA.shape.counts),
+  /** The part of the sums that belongs to lost incarnations. */
+  lost: z.record(z.string(), USAGE_REPORT_SCHEMA.shape.counts).default({}),
+  /** The lost incarnations that had reported to the holder. */
+  lostIds: z.array(z.string()).default([]),
 });
 /** The checkpoint of the task. */
 export type UsageState = z.infer<typeof USAGE_STATE_SCHEMA>;
--- a/packages/gateway/src/services/usage_task.ts
+++ b/packages/gateway/src/services/usage_task.ts
@@ -65,6 +65,8 @@
   private readonly sent = new Set<number>();
   /** Before this time no window is finalized, in ms since 1970. */
   private finalizeFrom = -Infinity;
+  /** From then on the hosts have answered the request for counts. */
+  private settledAt = -Infinity;
   private requestedAt = -Infinity;
   private hostsHash: number | undefined;
   private isRequestRepeated = true;
@@ -98,7 +100,8 @@
     this.schedule = this.createSchedule(loaded.value, state);
     this.pollHosts(this.schedule.nextWindow);
     this.isRequestRepeated = false;
-    this.finalizeFrom = this.parts.exchange.getTime() + SETTLE_MS;
+    this.settledAt = this.parts.exchange.getTime() + SETTLE_MS;
+    this.finalizeFrom = this.settledAt;
     this.isStarted = true;
     this.parts.log.writeInfo('This host reports usage.', {
       fence: lease.fence,
@@ -123,16 +126,17 @@
     const {exchange} = this.parts;
     const {nextWindow: next, unsentWindows: unsent} = schedule;
     exchange.acceptOwnCounts();
-    const checkpoint = exchange.totals.createCheckpoint(
-      next,
-      exchange.getTime(),
-    );
+    const now = exchange.getTime();
+    const isSettled = now >= this.settledAt;
+    const checkpoint = exchange.totals.createCheckpoint(next, now, isSettled);
     const state: UsageState = {
       era: this.era,
       takenAt: checkpoint.takenAt,
       next,
       unsent,
       windows: {...checkpoint.windows},
+      lost: {...checkpoint.lost},
+      lostIds: [...checkpoint.lostIds],
     };
     return [{key: USAGE_STATE_KEY, value: JSON.stringify(state)}];
   }
--- a/packages/gateway/tests/usage_reports.test.ts
+++ b/packages/gateway/tests/usage_reports.test.ts
@@ -140,6 +140,22 @@
     assert.deepEqual(fleet.listReports()[0], {first: 15});
   });
 
+  // The growth of the new processes hid what the lost ones had counted.
+  it('contain it also when the holder changes once more', async () => {
+    const fleet = await startFleet();
+    startRequests(fleet, 10);
+    await fleet.run(2000);
+    for (const name of HOSTS) fleet.startHost(name);
+    await fleet.acquire('c');
+    startRequests(fleet, 5);
+    await fleet.run(1000);
+    startRequests(fleet, 5);
+    await fleet.run(300);
+    await fleet.acquire('b');
+    await runToFirstReport(fleet);
+    assert.deepEqual(fleet.listReports()[0], {first: 20});
+  });
+
   it('lose only what a killed host had not sent yet', async () => {
     const fleet = await startFleet();
     startRequests(fleet, 8);
