Count a plain call without an answer only shortly before its window is final

A plain call counted 500 ms after its send if it had no answer by then, and a count is never taken back. So a call that its endpoint rejected later with 'not run' counted as begun.

Such a call now counts when its answer arrives, or else 750 ms before its window is final: two ticks in which the count is sent, and the time that a datagram needs. A count that is added to a window which has ended is sent twice, like the other counts of that window.

The new test rejects a call after 700 ms: with the former wait of 500 ms it was counted, now it is not.

--- a/packages/decisions/src/usage_counts.ts
+++ b/packages/decisions/src/usage_counts.ts
@@ -28,6 +28,8 @@
 /** The counts of one host. */
 export class UsageCounts {
   private readonly windows = new Map<number, Map<string, Entry>>();
+  /** The windows before this one have ended. */
+  private endedBefore = -Infinity;
 
   /** Counts one request. */
   add(window: number, team: string): void {
@@ -42,11 +44,13 @@
       teams.set(team, entry);
     }
     entry.count++;
-    entry.sendsLeft = Math.max(entry.sendsLeft, 1);
+    const sends = window < this.endedBefore ? FINAL_SENDS : 1;
+    entry.sendsLeft = Math.max(entry.sendsLeft, sends);
   }
 
   /** Makes all counts of a window that has ended due again. */
   markEnded(window: number): void {
+    this.endedBefore = Math.max(this.endedBefore, window + 1);
     for (const entry of this.windows.get(window)?.values() ?? []) {
       entry.sendsLeft = FINAL_SENDS;
     }
--- a/packages/decisions/tests/usage_reports.test.ts
+++ b/packages/decisions/tests/usage_reports.test.ts
@@ -136,6 +136,11 @@
     assert.deepEqual(counts.takeDue(), createCounts(7, 2));
     assert.deepEqual(counts.takeDue(), createCounts(7, 2));
     assert.deepEqual(counts.takeDue(), []);
+    // A long call is counted after the end of its window.
+    counts.add(7, 'first');
+    assert.deepEqual(counts.takeDue(), createCounts(7, 3));
+    assert.deepEqual(counts.takeDue(), createCounts(7, 3));
+    assert.deepEqual(counts.takeDue(), []);
   });
 });
 
--- a/packages/gateway/src/services/usage_exchange.ts
+++ b/packages/gateway/src/services/usage_exchange.ts
@@ -32,6 +32,11 @@
  * ms, by which most plain calls of the window have their answer.
  */
 const FINAL_SEND_DELAY_MS = 600;
+/**
+ * How long before a window becomes final the last counts of it are taken, in ms:
+ * two ticks, as a datagram may be lost, and the time that it needs.
+ */
+const LAST_COUNT_MS = 2 * USAGE_TICK_MS + 250;
 /** The maximum length of the counts in a datagram, to fit an Ethernet frame. */
 const MAX_COUNTS_BYTES = 1000;
 /** The length of an encoded count without the name of its team, in bytes. */
@@ -42,6 +47,8 @@
   readonly name: string;
   readonly incarnation: number;
   readonly windowMs: number;
+  /** How long after its end a window is finalized, in ms. */
+  readonly finalizeMs: number;
   readonly peers: Pick<Peers, 'sendToAll' | 'sendToNames'>;
   readonly tasks: Pick<TaskRegistry, 'listCandidates'>;
   readonly clock: Clock;
@@ -78,6 +85,18 @@
     this.counts.add(computeWindow(timeMs, this.parts.windowMs), team);
   }
 
+  /**
+   * Computes when a request that was sent at a time must be counted, both on the
+   * monotonic clock in ms, to be in its window.
+   */
+  computeLatestCount(sentAt: number): number {
+    const {windowMs, finalizeMs} = this.parts;
+    const timeMs = this.hostTimes.getTime(sentAt);
+    const endMs = computeWindowEnd(computeWindow(timeMs, windowMs), windowMs);
+    const delayMs = Math.max(0, finalizeMs - LAST_COUNT_MS);
+    return sentAt + (endMs - timeMs) + delayMs;
+  }
+
   /** Samples the clocks, sends what changed, and drops old windows. */
   startTick(): void {
     this.measureClocks();
--- a/packages/gateway/src/services/usage_reports.ts
+++ b/packages/gateway/src/services/usage_reports.ts
@@ -49,14 +49,15 @@
     }
     const windowMs = settings.windowSeconds * MS_PER_SECOND;
     const {name, incarnation} = context.find(HOST_IDENTITY);
-    const shared = {name, incarnation, windowMs, peers, tasks, clock};
-    const exchange = new UsageExchange(shared);
+    const finalizeMs = settings.finalizeSeconds * MS_PER_SECOND;
+    const shared = {name, incarnation, windowMs, finalizeMs, peers};
+    const exchange = new UsageExchange({...shared, tasks, clock});
     const task: UsageTask = new UsageTask({
       exchange,
       api,
       times: {
         windowMs,
-        finalizeMs: settings.finalizeSeconds * MS_PER_SECOND,
+        finalizeMs,
         delayMs: settings.delaySeconds * MS_PER_SECOND,
       },
       getHostsHash: () => peers.recordsHash,
@@ -64,9 +65,12 @@
       log,
     });
     peers.handlers.begun = exchange;
-    context.find(BEGUN_REQUESTS).listener = (team, at) => {
+    const begunRequests = context.find(BEGUN_REQUESTS);
+    begunRequests.listener = (team, at) => {
       exchange.recordBegun(team, at);
     };
+    begunRequests.computeLatestCount = (sentAt) =>
+      exchange.computeLatestCount(sentAt);
     tasks.register(task);
     let timer: NodeJS.Timeout | undefined;
     return {
--- a/packages/gateway/src/serving/begun_requests.ts
+++ b/packages/gateway/src/serving/begun_requests.ts
@@ -7,9 +7,9 @@
 import type {PlainAnswerResult} from './plain_answer_reader.js';
 
 /**
- * A plain call without an answer counts after this time, in ms, so that a long
- * call is counted before its window is final. It is longer than a connection
- * takes to open: until then, the call may not have been sent.
+ * The shortest time after which a plain call without an answer counts, in ms. It
+ * is longer than a connection takes to open: until then, the call may not have
+ * been sent.
  */
 const LONG_CALL_MS = 500;
 
@@ -19,6 +19,12 @@
 /** Records begun requests; does nothing without a listener. */
 export class BegunRequests {
   listener: BegunListener | undefined;
+  /**
+   * Computes when a call that was sent at a time counts though it has no answer,
+   * both on the monotonic clock in ms. It must count before its window is final,
+   * and not sooner than needed: the endpoint may still say that it did not run.
+   */
+  computeLatestCount: (sentAt: number) => number = (sentAt) => sentAt;
 
   constructor(private readonly clock: Pick<Clock, 'getNow'>) {}
 
@@ -40,7 +46,8 @@
       if (!isCounted) listener(team, sentAt);
       isCounted = true;
     };
-    const timer = setTimeout(count, LONG_CALL_MS);
+    const waitMs = this.computeLatestCount(sentAt) - sentAt;
+    const timer = setTimeout(count, Math.max(waitMs, LONG_CALL_MS));
     try {
       const result = await send();
       if (hasPossiblyRun(result)) count();
--- a/packages/gateway/tests/usage_service.test.ts
+++ b/packages/gateway/tests/usage_service.test.ts
@@ -1,6 +1,7 @@
 /** Where the service of usage reports takes effect, and what it sends. */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {encode} from '@msgpack/msgpack';
 import type {ServiceContext} from '@irisdock/kernel';
 import {Registry} from 'prom-client';
@@ -79,6 +80,7 @@
       name: 'host-with-a-name-of-usual-length',
       incarnation: 1_700_000_000_000,
       windowMs: 5000,
+      finalizeMs: 2000,
       peers: {
         sendToAll: () => undefined,
         sendToNames: (_names, datagram) => sent.push(datagram),
@@ -100,6 +102,27 @@
     assert.equal(count, 200);
   });
 
+  // The platform expects no count of a call that an endpoint refused to run.
+  it('does not count a call that is rejected late', async () => {
+    const {begunRequests} = createService(true, true);
+    const begun: string[] = [];
+    begunRequests.listener = (team) => void begun.push(team);
+    const result = {kind: 'refused', detail: ''} as const;
+    await begunRequests.watchCall('first', () => sleep(700, result));
+    assert.deepEqual(begun, []);
+  });
+
+  // A longer wait would miss the window, a shorter one count rejected calls.
+  it('counts a call without an answer shortly before it is too late', () => {
+    const {begunRequests} = createService(true, true);
+    const offsetMs = new VirtualClock().getWallNow();
+    for (const sentAt of [0, 1700, 4999, 5000]) {
+      const end = (Math.floor((offsetMs + sentAt) / 5000) + 1) * 5000;
+      const at = begunRequests.computeLatestCount(sentAt);
+      assert.equal(at, end + 1250 - offsetMs);
+    }
+  });
+
   // A count that is no number would make the sums of all hosts invalid.
   it('drops a datagram with an invalid count', () => {
     for (const count of [-1, 0.5, NaN, Infinity, '1']) {
