Take the era for usage reports from the row of the lease

The holder took the era of the store from the rows of its task, and the first era if there were none. After a restore to a copy without such rows it did not know that windows may have been reported, and reported them again: the new test found a window with two bodies, which the platform must never see.

The holder now takes the era of its own lease's row, which it has just written, or a later one of the rows. In the test no window has two bodies, and none that ends after the restore is left out.

--- a/packages/gateway/src/model/singleton_task.ts
+++ b/packages/gateway/src/model/singleton_task.ts
@@ -40,6 +40,8 @@
 /** The lease of a task, as its holder uses it. */
 export interface HeldLease {
   readonly fence: number;
+  /** The era of the store when the row of the lease was last seen. */
+  readonly era: number;
   /** Whether calls may be started now. */
   readonly isHeld: boolean;
   /**
--- a/packages/gateway/src/services/lease_term.ts
+++ b/packages/gateway/src/services/lease_term.ts
@@ -12,6 +12,10 @@
     readonly fence: number,
   ) {}
 
+  get era(): number {
+    return this.lease.era;
+  }
+
   get isHeld(): boolean {
     return this.lease.fence === this.fence;
   }
--- a/packages/gateway/src/services/task_lease.ts
+++ b/packages/gateway/src/services/task_lease.ts
@@ -47,7 +47,7 @@
   private readonly key: string;
   /** The row, as long as this process knows its revision for certain. */
   private stored: StoredLease | undefined;
-  private era = 0;
+  private seenEra = 0;
   private turn: Promise<unknown> = Promise.resolve();
   private isCalling = false;
   /** How often the task was given up. */
@@ -68,6 +68,11 @@
     return this.parts.state.getFencingToken(readClocks(this.parts.clock));
   }
 
+  /** The era of the store when the row was last seen. */
+  get era(): number {
+    return this.seenEra;
+  }
+
   /** When the last confirmed write began, by the monotonic clock. */
   get confirmedAt(): number {
     return this.writtenAt;
@@ -168,7 +173,7 @@
     }
     const row = parseLease(found.value);
     if (row.isErr()) return err(row.error);
-    this.era = getEra(found.revision);
+    this.seenEra = getEra(found.revision);
     this.recordSeen(row.value);
     return ok({row: row.value, revision: found.revision});
   }
@@ -195,7 +200,7 @@
     // The task was given up while the write was under way.
     if (drops !== this.drops) return err(createLostError());
     this.stored = {row, revision: written.value};
-    this.era = getEra(written.value);
+    this.seenEra = getEra(written.value);
     this.writtenAt = begun.nowMs;
     state.recordWrite(row, begun, this.era);
     this.recordSeen(row);
--- a/packages/gateway/src/services/task_runner.ts
+++ b/packages/gateway/src/services/task_runner.ts
@@ -216,6 +216,9 @@
   private createWatched(term: LeaseTerm): HeldLease {
     return {
       fence: term.fence,
+      get era() {
+        return term.era;
+      },
       get isHeld() {
         return term.isHeld;
       },
--- a/packages/gateway/src/services/usage_task.ts
+++ b/packages/gateway/src/services/usage_task.ts
@@ -91,8 +91,9 @@
     }
     // Without this, a task that was stopped meanwhile would count as started.
     if (!lease.isHeld) return false;
+    // There may be no rows yet, which says nothing of the era.
     this.era = Math.max(
-      0,
+      lease.era,
       ...loaded.value.map(({revision}) => getEra(revision)),
     );
     const state = this.findState(loaded.value);
--- a/packages/gateway/tests/usage_reports.test.ts
+++ b/packages/gateway/tests/usage_reports.test.ts
@@ -64,6 +64,23 @@
     assert.equal(fleet.accepted.size, 3);
   });
 
+  // Without rows the holder took the era for the first, so that the next one
+  // saw a restore that had not been, and left out the windows that had ended.
+  it('go on after a restore to a copy without rows', async () => {
+    const fleet = await startFleet();
+    startRequests(fleet, 10);
+    await fleet.run(8000);
+    fleet.putBackup(new Map());
+    countLate(fleet);
+    await fleet.acquire('b');
+    startRequests(fleet, 3);
+    await fleet.run(4000);
+    await fleet.acquire('c');
+    await fleet.run(10_000);
+    assert.deepEqual(fleet.listContradictions(), []);
+    assert.deepEqual(fleet.listReports(), [{first: 10}, {first: 3}, {}, {}]);
+  });
+
   // Each loss of the holder could give a window two bodies or none.
   const steps: readonly (readonly [string, WriteFault, CallFault])[] = [
     ['before the window is final', 'rejected', 'none'],
