Don't take the times of usage reports that were delayed

A host assigns its requests to windows by the median of its own time and the times in the reports of other hosts. Reports that had waited while the host stood still, or on a slow link, made the others look behind, and the last one of each host counted for up to a minute: a host that was no candidate any more got no newer ones.

Times are now taken only if the host's last tick was punctual and the next one is not overdue, and of each host the least delayed time of 15 s counts.

Both new tests failed before: one exchange was 700 ms behind, the median of the other test 200 ms.

--- a/packages/decisions/src/usage_window.ts
+++ b/packages/decisions/src/usage_window.ts
@@ -23,6 +23,11 @@
 
 /** Medians of the times of all hosts, at one a second. */
 const MAX_HOST_SAMPLES = 15;
+/**
+ * How long the least delayed time of a host is preferred to later ones, in ms:
+ * delays on the way only make a host look behind.
+ */
+const PREFERRED_HOST_TIME_MS = 15_000;
 /** The age at which the time of another host is forgotten, in ms. */
 const MAX_HOST_TIME_AGE_MS = 60_000;
 
@@ -48,7 +53,9 @@
 /**
  * Combines the time of this host with the times that other hosts report. Times
  * that arrive late, as after a suspension of this host, look as if these hosts
- * were behind; the median of several seconds leaves them out.
+ * were behind: the caller leaves those out of which it knows, the least delayed
+ * time of some seconds counts, and the median of several seconds leaves out those
+ * that were followed by others.
  */
 export class HostTimes {
   /** By how much the time of a host is ahead of the monotonic clock, in ms. */
@@ -58,7 +65,13 @@
 
   /** Takes the time of another host on arrival, in ms since 1970. */
   accept(host: string, hostTimeMs: number, monotonicMs: number): void {
-    this.offsets.set(host, {ms: hostTimeMs - monotonicMs, at: monotonicMs});
+    const ms = hostTimeMs - monotonicMs;
+    const known = this.offsets.get(host);
+    const isPreferred =
+      known !== undefined &&
+      known.ms > ms &&
+      monotonicMs - known.at <= PREFERRED_HOST_TIME_MS;
+    if (!isPreferred) this.offsets.set(host, {ms, at: monotonicMs});
   }
 
   /** Takes the time of this host, in ms since 1970; called once a second. */
--- a/packages/decisions/tests/usage_reports.test.ts
+++ b/packages/decisions/tests/usage_reports.test.ts
@@ -46,6 +46,18 @@
     times.addSample(200_000, 200_000);
     assert.equal(times.getTime(200_000), 200_000);
   });
+
+  // The requests of a host behind a slow link went to earlier windows.
+  it('is not behind when the reports of all hosts are late for a while', () => {
+    const times = new HostTimes();
+    for (let second = 0; second < 60; second++) {
+      const now = 1000 * second;
+      const lateMs = second % 10 === 0 ? 0 : 200;
+      for (const host of ['a', 'b']) times.accept(host, now - lateMs, now);
+      times.addSample(now, now);
+      assert.equal(times.getTime(now), now);
+    }
+  });
 });
 
 describe('the totals of all hosts', () => {
--- a/packages/gateway/src/services/usage_exchange.ts
+++ b/packages/gateway/src/services/usage_exchange.ts
@@ -25,6 +25,11 @@
 
 /** The interval between two sends of changed counts, in ms. */
 export const USAGE_TICK_MS = 250;
+/**
+ * A longer delay of a tick, in ms, shows that this host stood still: datagrams
+ * that waited meanwhile would make the clocks of their senders look behind.
+ */
+const MAX_TICK_DELAY_MS = 50;
 /** The interval between two samples of the clocks, in ms. */
 const CLOCK_SAMPLE_MS = 1000;
 /**
@@ -51,7 +56,7 @@
   readonly finalizeMs: number;
   readonly peers: Pick<Peers, 'sendToAll' | 'sendToNames'>;
   readonly tasks: Pick<TaskRegistry, 'listCandidates'>;
-  readonly clock: Clock;
+  readonly clock: Pick<Clock, 'getNow' | 'getWallNow'>;
 }
 
 /** Counts, sends and collects begun requests. */
@@ -64,6 +69,9 @@
   private readonly filter = new ClockFilter();
   private readonly hostTimes = new HostTimes();
   private sampledAt = -Infinity;
+  private tickedAt = -Infinity;
+  /** Whether the last tick came in time. */
+  private isTickPunctual = false;
   private holder: string | undefined;
   /** The first window whose counts were not sent after its end. */
   private openWindow: number;
@@ -99,6 +107,9 @@
 
   /** Samples the clocks, sends what changed, and drops old windows. */
   startTick(): void {
+    const now = this.parts.clock.getNow();
+    this.isTickPunctual = this.isWithinTick(now);
+    this.tickedAt = now;
     this.measureClocks();
     this.markEnded();
     this.dropOld();
@@ -121,7 +132,10 @@
 
   acceptBegunReport(report: BegunReportDatagram): void {
     const {name: host, incarnation, time, counts} = report;
-    this.hostTimes.accept(host, time, this.parts.clock.getNow());
+    const now = this.parts.clock.getNow();
+    if (this.isTickPunctual && this.isWithinTick(now)) {
+      this.hostTimes.accept(host, time, now);
+    }
     this.totals.accept({host, incarnation, counts});
   }
 
@@ -157,6 +171,10 @@
     }
   }
 
+  private isWithinTick(now: number): boolean {
+    return now - this.tickedAt <= USAGE_TICK_MS + MAX_TICK_DELAY_MS;
+  }
+
   private measureClocks(): void {
     const {clock} = this.parts;
     const now = clock.getNow();
--- a/packages/gateway/tests/usage_service.test.ts
+++ b/packages/gateway/tests/usage_service.test.ts
@@ -3,7 +3,7 @@
 import {describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {encode} from '@msgpack/msgpack';
-import type {ServiceContext} from '@irisdock/kernel';
+import type {Clock, ServiceContext} from '@irisdock/kernel';
 import {Registry} from 'prom-client';
 import {
   decodePeerDatagram,
@@ -21,6 +21,25 @@
 /** The maximum length of a datagram, in bytes. */
 const MAX_DATAGRAM_BYTES = 1200;
 
+/** Creates the exchange of a host that sends to another one. */
+function createExchange(
+  clock: Pick<Clock, 'getNow' | 'getWallNow'>,
+  sent: PeerDatagram[] = [],
+): UsageExchange {
+  return new UsageExchange({
+    name: 'host-with-a-name-of-usual-length',
+    incarnation: 1_700_000_000_000,
+    windowMs: 5000,
+    finalizeMs: 2000,
+    peers: {
+      sendToAll: () => undefined,
+      sendToNames: (_names, datagram) => sent.push(datagram),
+    },
+    tasks: {listCandidates: () => ['b']},
+    clock,
+  });
+}
+
 interface ServiceParts {
   readonly tasks: readonly SingletonTask[];
   readonly begunRequests: BegunRequests;
@@ -76,18 +95,7 @@
   // A longer datagram would be split on the way and lost as a whole.
   it('splits the counts of many teams over several datagrams', () => {
     const sent: PeerDatagram[] = [];
-    const exchange = new UsageExchange({
-      name: 'host-with-a-name-of-usual-length',
-      incarnation: 1_700_000_000_000,
-      windowMs: 5000,
-      finalizeMs: 2000,
-      peers: {
-        sendToAll: () => undefined,
-        sendToNames: (_names, datagram) => sent.push(datagram),
-      },
-      tasks: {listCandidates: () => ['b']},
-      clock: new VirtualClock(),
-    });
+    const exchange = createExchange(new VirtualClock(), sent);
     for (let i = 0; i < 200; i++) exchange.recordBegun(`team-${i}`, 0);
     exchange.startTick();
     assert.ok(sent.length > 1);
@@ -123,6 +131,32 @@
     }
   });
 
+  // A host that took the times of reports which had waited assigned its requests
+  // to earlier windows for a minute, unless newer reports followed.
+  it('does not follow the times of reports that waited', () => {
+    for (const isTickFirst of [false, true]) {
+      let now = 0;
+      const getNow = (): number => now;
+      const exchange = createExchange({getNow, getWallNow: getNow});
+      const runTicks = (count: number): void => {
+        for (let tick = 0; tick < count; tick++) {
+          now += 250;
+          exchange.startTick();
+        }
+      };
+      runTicks(8);
+      const time = now;
+      now += 700;
+      if (isTickFirst) exchange.startTick();
+      for (const name of ['b', 'c', 'd']) {
+        const report = {kind: 'begun-report', name, incarnation: 1} as const;
+        exchange.acceptBegunReport({...report, time, counts: []});
+      }
+      runTicks(80);
+      assert.equal(exchange.getTime(), now);
+    }
+  });
+
   // A count that is no number would make the sums of all hosts invalid.
   it('drops a datagram with an invalid count', () => {
     for (const count of [-1, 0.5, NaN, Infinity, '1']) {
