--- a/packages/gateway/src/services/usage_exchange.ts
+++ b/packages/gateway/src/services/usage_exchange.ts
@@ -25,6 +25,11 @@
 
 /** The interval between two sends of changed counts, in ms. */
 export const USAGE_TICK_MS = 250;
+/**
+ * A longer delay of a tick, in ms, shows that this host stood still: datagrams
+ * that waited meanwhile would make the clocks of their senders look behind.
+ */
+const MAX_TICK_DELAY_MS = 50;
 /** The interval between two samples of the clocks, in ms. */
 const CLOCK_SAMPLE_MS = 1000;
 /**
@@ -32,6 +37,11 @@
  * ms, by which most plain calls of the window have their answer.
  */
 const FINAL_SEND_DELAY_MS = 600;
+/**
+ * How long before a window becomes final the last counts of it are taken, in ms:
+ * two ticks, as a datagram may be lost, and the time that it needs.
+ */
+const LAST_COUNT_MS = 2 * USAGE_TICK_MS + 250;
 /** The maximum length of the counts in a datagram, to fit an Ethernet frame. */
 const MAX_COUNTS_BYTES = 1000;
 /** The length of an encoded count without the name of its team, in bytes. */
@@ -42,9 +52,11 @@
   readonly name: string;
   readonly incarnation: number;
   readonly windowMs: number;
+  /** How long after its end a window is finalized, in ms. */
+  readonly finalizeMs: number;
   readonly peers: Pick<Peers, 'sendToAll' | 'sendToNames'>;
   readonly tasks: Pick<TaskRegistry, 'listCandidates'>;
-  readonly clock: Clock;
+  readonly clock: Pick<Clock, 'getNow' | 'getWallNow'>;
 }
 
 /** Counts, sends and collects begun requests. */
@@ -57,6 +69,9 @@
   private readonly filter = new ClockFilter();
   private readonly hostTimes = new HostTimes();
   private sampledAt = -Infinity;
+  private tickedAt = -Infinity;
+  /** Whether the last tick came in time. */
+  private isTickPunctual = false;
   private holder: string | undefined;
   /** The first window whose counts were not sent after its end. */
   private openWindow: number;
@@ -78,8 +93,23 @@
     this.counts.add(computeWindow(timeMs, this.parts.windowMs), team);
   }
 
+  /**
+   * Computes when a request that was sent at a time must be counted, both on the
+   * monotonic clock in ms, to be in its window.
+   */
+  computeLatestCount(sentAt: number): number {
+    const {windowMs, finalizeMs} = this.parts;
+    const timeMs = this.hostTimes.getTime(sentAt);
+    const endMs = computeWindowEnd(computeWindow(timeMs, windowMs), windowMs);
+    const delayMs = Math.max(0, finalizeMs - LAST_COUNT_MS);
+    return sentAt + (endMs - timeMs) + delayMs;
+  }
+
   /** Samples the clocks, sends what changed, and drops old windows. */
   startTick(): void {
+    const now = this.parts.clock.getNow();
+    this.isTickPunctual = this.isWithinTick(now);
+    this.tickedAt = now;
     this.measureClocks();
     this.markEnded();
     this.dropOld();
@@ -102,7 +132,10 @@
 
   acceptBegunReport(report: BegunReportDatagram): void {
     const {name: host, incarnation, time, counts} = report;
-    this.hostTimes.accept(host, time, this.parts.clock.getNow());
+    const now = this.parts.clock.getNow();
+    if (this.isTickPunctual && this.isWithinTick(now)) {
+      this.hostTimes.accept(host, time, now);
+    }
     this.totals.accept({host, incarnation, counts});
   }
 
@@ -138,6 +171,10 @@
     }
   }
 
+  private isWithinTick(now: number): boolean {
+    return now - this.tickedAt <= USAGE_TICK_MS + MAX_TICK_DELAY_MS;
+  }
+
   private measureClocks(): void {
     const {clock} = this.parts;
     const now = clock.getNow();
--- a/packages/gateway/tests/usage_reports.test.ts
+++ b/packages/gateway/tests/usage_reports.test.ts
@@ -92,6 +92,23 @@
     assert.equal(fleet.accepted.size, 3);
   });
 
+  // Without rows the holder took the era for the first, so that the next one
+  // saw a restore that had not been, and left out the windows that had ended.
+  it('go on after a restore to a copy without rows', async () => {
+    const fleet = await startFleet();
+    startRequests(fleet, 10);
+    await fleet.run(8000);
+    fleet.putBackup(new Map());
+    countLate(fleet);
+    await fleet.acquire('b');
+    startRequests(fleet, 3);
+    await fleet.run(4000);
+    await fleet.acquire('c');
+    await fleet.run(10_000);
+    assert.deepEqual(fleet.listContradictions(), []);
+    assert.deepEqual(fleet.listReports(), [{first: 10}, {first: 3}, {}, {}]);
+  });
+
   // Each loss of the holder could give a window two bodies or none.
   const steps: readonly (readonly [string, WriteFault, CallFault])[] = [
     ['before the window is final', 'rejected', 'none'],
@@ -168,6 +185,22 @@
     assert.deepEqual(fleet.listReports()[0], {first: 15});
   });
 
+  // The growth of the new processes hid what the lost ones had counted.
+  it('contain it also when the holder changes once more', async () => {
+    const fleet = await startFleet();
+    startRequests(fleet, 10);
+    await fleet.run(2000);
+    for (const name of HOSTS) fleet.startHost(name);
+    await fleet.acquire('c');
+    startRequests(fleet, 5);
+    await fleet.run(1000);
+    startRequests(fleet, 5);
+    await fleet.run(300);
+    await fleet.acquire('b');
+    await runToFirstReport(fleet);
+    assert.deepEqual(fleet.listReports()[0], {first: 20});
+  });
+
   it('lose only what a killed host had not sent yet', async () => {
     const fleet = await startFleet();
     startRequests(fleet, 8);
--- a/packages/gateway/tests/usage_service.test.ts
+++ b/packages/gateway/tests/usage_service.test.ts
@@ -1,8 +1,9 @@
 /** Where the service of usage reports takes effect, and what it sends. */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {encode} from '@msgpack/msgpack';
-import type {ServiceContext} from '@irisdock/kernel';
+import type {Clock, ServiceContext} from '@irisdock/kernel';
 import {Registry} from 'prom-client';
 import {
   decodePeerDatagram,
@@ -20,6 +21,25 @@
 /** The maximum length of a datagram, in bytes. */
 const MAX_DATAGRAM_BYTES = 1200;
 
+/** Creates the exchange of a host that sends to another one. */
+function createExchange(
+  clock: Pick<Clock, 'getNow' | 'getWallNow'>,
+  sent: PeerDatagram[] = [],
+): UsageExchange {
+  return new UsageExchange({
+    name: 'host-with-a-name-of-usual-length',
+    incarnation: 1_700_000_000_000,
+    windowMs: 5000,
+    finalizeMs: 2000,
+    peers: {
+      sendToAll: () => undefined,
+      sendToNames: (_names, datagram) => sent.push(datagram),
+    },
+    tasks: {listCandidates: () => ['b']},
+    clock,
+  });
+}
+
 interface ServiceParts {
   readonly tasks: readonly SingletonTask[];
   readonly begunRequests: BegunRequests;
@@ -75,17 +95,7 @@
   // A longer datagram would be split on the way and lost as a whole.
   it('splits the counts of many teams over several datagrams', () => {
     const sent: PeerDatagram[] = [];
-    const exchange = new UsageExchange({
-      name: 'host-with-a-name-of-usual-length',
-      incarnation: 1_700_000_000_000,
-      windowMs: 5000,
-      peers: {
-        sendToAll: () => undefined,
-        sendToNames: (_names, datagram) => sent.push(datagram),
-      },
-      tasks: {listCandidates: () => ['b']},
-      clock: new VirtualClock(),
-    });
+    const exchange = createExchange(new VirtualClock(), sent);
     for (let i = 0; i < 200; i++) exchange.recordBegun(`team-${i}`, 0);
     exchange.startTick();
     assert.ok(sent.length > 1);
@@ -100,6 +110,53 @@
     assert.equal(count, 200);
   });
 
+  // The platform expects no count of a call that an endpoint refused to run.
+  it('does not count a call that is rejected late', async () => {
+    const {begunRequests} = createService(true, true);
+    const begun: string[] = [];
+    begunRequests.listener = (team) => void begun.push(team);
+    const result = {kind: 'refused', detail: ''} as const;
+    await begunRequests.watchCall('first', () => sleep(700, result));
+    assert.deepEqual(begun, []);
+  });
+
+  // A longer wait would miss the window, a shorter one count rejected calls.
+  it('counts a call without an answer shortly before it is too late', () => {
+    const {begunRequests} = createService(true, true);
+    const offsetMs = new VirtualClock().getWallNow();
+    for (const sentAt of [0, 1700, 4999, 5000]) {
+      const end = (Math.floor((offsetMs + sentAt) / 5000) + 1) * 5000;
+      const at = begunRequests.computeLatestCount(sentAt);
+      assert.equal(at, end + 1250 - offsetMs);
+    }
+  });
+
+  // A host that took the times of reports which had waited assigned its requests
+  // to earlier windows for a minute, unless newer reports followed.
+  it('does not follow the times of reports that waited', () => {
+    for (const isTickFirst of [false, true]) {
+      let now = 0;
+      const getNow = (): number => now;
+      const exchange = createExchange({getNow, getWallNow: getNow});
+      const runTicks = (count: number): void => {
+        for (let tick = 0; tick < count; tick++) {
+          now += 250;
+          exchange.startTick();
+        }
+      };
+      runTicks(8);
+      const time = now;
+      now += 700;
+      if (isTickFirst) exchange.startTick();
+      for (const name of ['b', 'c', 'd']) {
+        const report = {kind: 'begun-report', name, incarnation: 1} as const;
+        exchange.acceptBegunReport({...report, time, counts: []});
+      }
+      runTicks(80);
+      assert.equal(exchange.getTime(), now);
+    }
+  });
+
   // A count that is no number would make the sums of all hosts invalid.
   it('drops a datagram with an invalid count', () => {
     for (const count of [-1, 0.5, NaN, Infinity, '1']) {
