Load host lists and first tables within the region

Whole host lists (50 KB) were loaded from the host whose records differed, and a starting host loaded tables and hosts from any seed, in whatever region. Where the hosts of a region agreed with each other, their messages also ended the count of differing ones from elsewhere, so a lasting difference between regions was never loaded.

Messages of the own region and of others are now counted apart. A list comes from another region only if no host of the own one had the same records, and the region agrees on others or is silent. A host without tables gives its failure domain; a host of another region answers with ready hosts of that one, which are asked first, and the seed itself when they do not respond. Without regions nothing is counted, sent or drawn otherwise.

--- a/packages/gateway/src/model/peer_tables_message.ts
+++ b/packages/gateway/src/model/peer_tables_message.ts
@@ -61,6 +61,11 @@
       isWhole: z.boolean(),
     }),
   ),
+  /**
+   * The table addresses of hosts of the requesting host's region, in place of
+   * hosts and tables; absent in other answers and from older versions.
+   */
+  nearer: z.array(z.string()).optional(),
 });
 
 /** The response with the tag of the responding host's deployment. */
--- a/packages/gateway/src/services/host_tracker.ts
+++ b/packages/gateway/src/services/host_tracker.ts
@@ -11,6 +11,7 @@
   type HostPosition,
   type HostRecord,
   type HostView,
+  type KnownHost,
   type OutgoingGossip,
 } from '@irisdock/decisions';
 import type {Clock, Logger, Random} from '@irisdock/kernel';
@@ -22,6 +23,7 @@
   type LastHeard,
   type HostSummary,
 } from './host_summaries.js';
+import {RecordDifferences} from './record_differences.js';
 import {StoreStatus} from '../tables/store_status.js';
 import type {Tables} from '../tables/tables.js';
 import type {SendToHosts} from './use_publisher.js';
@@ -68,12 +70,6 @@
  * 150.
  */
 const MIN_UPDATE_INTERVAL_MS = 80;
-/**
- * The number of consecutive messages with differing host records after which
- * the full host list is loaded. A few are tolerated, as one host may lag
- * behind.
- */
-const MAX_DIFFS = 8;
 /**
  * The minimum time between two loads of the full list, in ms. Where hosts come
  * and go all the time, records always differ, and a list is 50 KB with 195
@@ -93,8 +89,7 @@
   private readonly closing = new AbortController();
   private isUpdatePlanned = false;
   private updatesSentAt = -Infinity;
-  /** Consecutive messages whose sender's host records differ. */
-  private diffCount = 0;
+  private readonly differences: RecordDifferences;
   private listLoadedAt = -Infinity;
   /** The last revisions received from each host, by name. */
   private readonly lastHeard = new Map<string, LastHeard>();
@@ -112,6 +107,7 @@
       state: 'starting',
       isStoreAway: false,
     };
+    this.differences = new RecordDifferences(parts.position);
     this.detector = new FailureDetector(
       record,
       place,
@@ -206,6 +202,7 @@
     }
     for (const host of this.view.dropLost(now)) {
       this.suspensionDetector.drop(host);
+      this.differences.drop(host);
       this.lastHeard.delete(host);
       this.parts.log.writeInfo('Host removed: it was silent for too long.', {
         host,
@@ -244,7 +241,7 @@
       now,
       isStarting,
     );
-    this.compareRecords(watch.recordsHash, sender.place.tables, now);
+    this.compareRecords(watch.recordsHash, sender, now);
   }
 
   close(): void {
@@ -331,13 +328,20 @@
   }
 
   /** Loads the full host list if other hosts' records differ for long. */
-  private compareRecords(hash: number, tables: string, now: number): void {
-    const isSame = hash === this.view.recordsHash;
-    this.diffCount = isSame ? 0 : this.diffCount + 1;
-    if (this.diffCount < MAX_DIFFS || this.detector.hasUrgentUpdates) return;
+  private compareRecords(
+    recordsHash: number,
+    sender: KnownHost<PeerLocation>,
+    now: number,
+  ): void {
+    const ownRecordsHash = this.view.recordsHash;
+    const message = {sender, recordsHash, ownRecordsHash};
+    const source = this.differences.accept(message, () =>
+      this.view.listAlive(),
+    );
+    if (source === undefined || this.detector.hasUrgentUpdates) return;
     if (now - this.listLoadedAt < MIN_LIST_INTERVAL_MS) return;
     this.listLoadedAt = now;
-    void this.loader.loadAll(tables);
+    void this.loader.loadAll(source);
   }
 }
 
--- a/packages/gateway/src/services/peer_hosts.ts
+++ b/packages/gateway/src/services/peer_hosts.ts
@@ -270,7 +270,7 @@
   /** Loads all tables from a host unless that host is known already. */
   async loadFrom(tables: string): Promise<void> {
     const isKnown = this.listAlive().some(({place}) => place.tables === tables);
-    if (!isKnown) await this.tracker.loader.loadAll(tables);
+    if (!isKnown) await this.loadAll(tables);
   }
 
   /** Sets the addresses of some other hosts; they may be outdated. */
@@ -286,7 +286,7 @@
     this.handlers.origins?.startHeartbeat();
     const known = this.listAlive().map(({place}) => place.tables);
     const seed = this.seeds.chooseNext(known);
-    if (seed !== undefined) void this.tracker.loader.loadAll(seed);
+    if (seed !== undefined) void this.loadAll(seed);
   }
 
   /** Sends this host's state to some other hosts at once. */
@@ -308,14 +308,27 @@
    */
   private async loadFromSeeds(): Promise<void> {
     const {seeds, place, clock, random} = this.parts;
-    const {loader, standing} = this.tracker;
     for (const seed of getShuffled(seeds, random)) {
       if (seed === place.tables) continue;
-      await Promise.race([loader.loadAll(seed), clock.wait(SEED_TIMEOUT_MS)]);
-      if (standing.hasTables) return;
+      await Promise.race([this.loadAll(seed), clock.wait(SEED_TIMEOUT_MS)]);
+      if (this.standing.hasTables) return;
     }
   }
 
+  /**
+   * Loads all tables and the list of hosts; the first time from a host of the
+   * own region where there are several. Later the host at the address itself
+   * is asked, as it may know hosts that the others of the region do not.
+   */
+  private async loadAll(address: string): Promise<void> {
+    const {place, position} = this.parts;
+    const {loader} = this.tracker;
+    const isFirst = position.hasSeveralRegions && !this.standing.hasTables;
+    await (isFirst
+      ? loader.loadNearest(address, place)
+      : loader.loadAll(address));
+  }
+
   private listNames(isWanted: (state: PeerState) => boolean): string[] {
     const names: string[] = [];
     for (const {record} of this.listAlive()) {
--- a/packages/gateway/src/tables/peer_table_loader.ts
+++ b/packages/gateway/src/tables/peer_table_loader.ts
@@ -36,6 +36,16 @@
   running: Promise<void> | undefined;
 }
 
+/** Where a host is that loads from the nearest ones. */
+export type NearPlace = Pick<PeerLocation, 'failureDomain' | 'tables'>;
+
+interface LoadOutcome {
+  /** Whether any table came. */
+  readonly isLoaded: boolean;
+  /** The addresses to load from instead. */
+  readonly nearer: readonly string[];
+}
+
 /** Loads tables from other hosts. */
 export class PeerTableLoader {
   private readonly loads: Readonly<Record<ReplicatedTable, TableLoad>>;
@@ -118,6 +128,25 @@
     await this.loadFrom(address, REPLICATED_TABLES, true);
   }
 
+  /**
+   * Loads the same, but from a host of this host's region if the one at the
+   * address is elsewhere and names any; from that one if they do not respond.
+   */
+  async loadNearest(address: string, own: NearPlace): Promise<void> {
+    const domain = own.failureDomain;
+    const first = await this.loadFrom(address, REPLICATED_TABLES, true, domain);
+    if (first.nearer.length === 0) return;
+    for (const nearer of first.nearer) {
+      // Others may not know yet that this host was lost and starts anew.
+      if (nearer === own.tables) continue;
+      const response = this.loadFrom(nearer, REPLICATED_TABLES, true);
+      const wait = this.clock.wait(SECOND_SOURCE_DELAY_MS);
+      const outcome = await Promise.race([response, wait]);
+      if (outcome?.isLoaded === true) return;
+    }
+    await this.loadAll(address);
+  }
+
   private recordNewer(
     table: ReplicatedTable,
     revision: number,
@@ -186,23 +215,25 @@
     address: string,
     requested: readonly ReplicatedTable[],
     withHosts: boolean,
-  ): Promise<void> {
+    domain?: string,
+  ): Promise<LoadOutcome> {
     const {tables, log, clock} = this;
     const startedAt = clock.getNow();
     const after: Partial<Record<ReplicatedTable, number>> = {};
     for (const table of requested) {
       after[table] = getStartRevision(tables[table].replica);
     }
-    const response = await this.source.load(address, {after, withHosts});
+    const request = {after, withHosts, ...(domain ? {domain} : {})};
+    const response = await this.source.load(address, request);
     if (response.isErr()) {
       const fault = response.error;
       const ms = Math.round(clock.getNow() - startedAt);
       const table = requested.join(' ');
       const fields = {address, table, fault, ms};
       log.writeInfo('Loading tables from a host failed.', fields);
-      return;
+      return {isLoaded: false, nearer: []};
     }
-    const {parts, hosts} = response.value;
+    const {parts, hosts, nearer = []} = response.value;
     for (const part of parts) {
       const rows = decodeTableRows(part.rows);
       const follower = tables[part.table];
@@ -217,6 +248,7 @@
       });
     }
     this.acceptHosts(hosts.map((host) => ({...host, isSuspected: false})));
+    return {isLoaded: parts.length > 0, nearer};
   }
 }
 
--- a/packages/gateway/src/tables/peer_table_source.ts
+++ b/packages/gateway/src/tables/peer_table_source.ts
@@ -18,6 +18,11 @@
   readonly after: Partial<TableRevisions>;
   /** Whether to include the list of hosts. */
   readonly withHosts: boolean;
+  /**
+   * The failure domain of this host, if the answer may name hosts of its region
+   * instead of having the tables.
+   */
+  readonly domain?: string | undefined;
 }
 
 /** Loads the tables of other hosts. */
@@ -44,6 +49,7 @@
     const {deployment} = this;
     const query = new URLSearchParams({deployment});
     if (request.withHosts) query.set('hosts', 'all');
+    if (request.domain !== undefined) query.set('domain', request.domain);
     for (const [table, after] of Object.entries(request.after)) {
       query.set(table, String(after));
     }
--- a/packages/gateway/src/tables/peer_tables.ts
+++ b/packages/gateway/src/tables/peer_tables.ts
@@ -8,10 +8,13 @@
   type IncomingMessage,
   type ServerResponse,
 } from 'node:http';
+import type {HostPosition} from '@irisdock/decisions';
 import {
   createService,
   createServiceKey,
+  getShuffled,
   IP_PORT_SCHEMA,
+  type Random,
 } from '@irisdock/kernel';
 import * as z from 'zod';
 import {startListening} from '../channels/listening.js';
@@ -30,9 +33,13 @@
 import {REPLICATED_TABLES} from '../model/table_store.js';
 import {PeerFrame} from '../model/peer_frame.js';
 import {HOST_IDENTITY} from '../services/identity.js';
+import type {AliveHost} from '../services/host_tracker.js';
 import {PEERS} from '../services/peers.js';
 import {TABLES_KEY, type Tables} from './tables.js';
 
+/** Hosts that a starting host of another region is sent to; some may be lost. */
+const MAX_NEARER_HOSTS = 3;
+
 /** Creates the response to a request: the tables that its query names. */
 export function createPeerTables(
   tables: Tables,
@@ -60,6 +67,29 @@
   return {hosts, parts};
 }
 
+/**
+ * Lists a few hosts to load from instead, if the requesting host is of another
+ * region: ready hosts of its region, chosen at random.
+ *
+ * @param domain The failure domain that the request names.
+ */
+export function listNearerHosts(
+  position: HostPosition,
+  alive: readonly AliveHost[],
+  domain: string | null,
+  random: Random,
+): string[] {
+  if (domain === null || position.isNear(domain)) return [];
+  const nearer = alive.filter(
+    ({record, place}) =>
+      record.state === 'ready' &&
+      position.regions.isSameRegion(place.failureDomain, domain),
+  );
+  return getShuffled(nearer, random)
+    .slice(0, MAX_NEARER_HOSTS)
+    .map(({place}) => place.tables);
+}
+
 /** Receives requests that other hosts relay. */
 export class RelayReceiver {
   /** Serves a relayed request; set by the service that serves callers. */
@@ -124,6 +154,16 @@
         response.writeHead(OTHER_DEPLOYMENT_STATUS).end();
         return;
       }
+      const nearer = listNearerHosts(
+        peers.position,
+        peers.listAlive(),
+        query.get('domain'),
+        context.random,
+      );
+      if (nearer.length > 0) {
+        sendJson(response, {hosts: [], parts: [], nearer, deployment: tag});
+        return;
+      }
       const hosts = query.has('hosts') ? peers.listAlive() : [];
       const body = createPeerTables(
         tables,
