Choose isolated engines in the own region first

The engine of a stream that crashed one was chosen among all engines that the host knew with room, whatever their region, so its whole prompt and answer could cross, and a content that crashes engines could end those of each region.

Engines of the own region are taken if at least five of them are sound and have a free slot. With fewer, all are candidates as before: suspected streams would meet on the same few engines, and their crashes would then not count in full. Without regions the choice is the same. The new test fails without the change: engines of the other region were chosen as they were idle.

--- a/packages/decisions/src/isolated_placement.ts
+++ b/packages/decisions/src/isolated_placement.ts
@@ -6,7 +6,9 @@
  * if all chose the engine of least cost, streams that were lost together would
  * run together again, and the sound ones could not be distinguished from the
  * one that crashed the engine. For the same reason an engine whose slots are
- * all claimed, as the main suspects claim them, is only used if all are.
+ * all claimed, as the main suspects claim them, is only used if all are. For the
+ * same reason engines of other regions are only left out where the own region
+ * has enough to choose from.
  */
 import type {EngineRequest, EngineView} from './engine_placement.js';
 import {sortByRendezvousHash} from './rendezvous_hash.js';
@@ -39,10 +41,9 @@
     allowed,
     ({failureScore}) => failureScore === 0,
   );
-  const candidates = choosePreferred(
-    sound,
-    ({streams, slots}) => streams < slots,
-  );
+  const free = choosePreferred(sound, ({streams, slots}) => streams < slots);
+  const near = request.position?.splitByRegion(free).near ?? free;
+  const candidates = near.length < MIN_CANDIDATES ? free : near;
   const sorted = candidates
     .map((engine) => ({engine, streams: engine.streams}))
     .sort((a, b) => a.streams - b.streams);
--- a/packages/decisions/tests/isolated_placement.test.ts
+++ b/packages/decisions/tests/isolated_placement.test.ts
@@ -1,15 +1,20 @@
 /** Where streams run that are suspected of crashing engines. */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import {HostPosition, RegionMap} from '@irisdock/decisions';
 import type {EngineRequest, EngineView} from '../src/engine_placement.js';
 import {chooseIsolatedEngine} from '../src/isolated_placement.js';
 
 const CONTENT_COUNT = 200;
 
-function createEngine(instanceId: string, streams: number): EngineView {
+function createEngine(
+  instanceId: string,
+  streams: number,
+  failureDomain = 'zone-a',
+): EngineView {
   return {
     instanceId,
-    failureDomain: 'zone-a',
+    failureDomain,
     slots: 8,
     memoryTokens: 1000,
     streams,
@@ -95,4 +100,25 @@
     const engines = [createEngine('a', 0), createEngine('b', 3)];
     assert.deepEqual(listChosen(engines, createRequest(['a'])), ['b']);
   });
+
+  // Guards against suspects of one region that end engines of the others, and
+  // against suspects that meet on the few engines of a small region.
+  it('runs in its region if that has five engines with room', () => {
+    const regions = new RegionMap(
+      new Map([
+        ['zone-a', 'near'],
+        ['zone-b', 'far'],
+      ]),
+    );
+    const position = new HostPosition('zone-a', regions);
+    const request = {...createRequest(), position};
+    const far = ['v', 'w', 'x', 'y', 'z'].map((name) =>
+      createEngine(name, 0, 'zone-b'),
+    );
+    const near = ['a', 'b', 'c', 'd', 'e'].map((name) => createEngine(name, 1));
+    const names = near.map(({instanceId}) => instanceId);
+    assert.deepEqual(listChosen([...near, ...far], request), names);
+    const few = [...near.slice(1), createEngine('a', 8), ...far];
+    assert.deepEqual(listChosen(few, request), ['v', 'w', 'x', 'y', 'z']);
+  });
 });
