Form a group of hosts in each region of a small deployment

Up to 17 hosts formed a single group, so each report of a placed or ended stream went to the hosts of all regions. They now form one group in each region; a domain without a known region is a group of its own. Engines are homed in the group of their region. Relays of updates are drawn from the failure domains of hosts, as a group may now have several domains; the draws for groups of one domain are the same. With a single region the groups are as before.

--- a/packages/gateway/src/services/engine_groups.ts
+++ b/packages/gateway/src/services/engine_groups.ts
@@ -34,6 +34,8 @@
   readonly homes: ReadonlyMap<string, HostGroup>;
 }
 
+type HostsByDomain = Map<string, KnownHost<PeerLocation>[]>;
+
 /** Hosts per group that relay a datagram within it; two, as one may be lost. */
 const RELAYS_PER_GROUP = 2;
 
@@ -82,36 +84,33 @@
    */
   listRegionRelays(): KnownHost<PeerLocation>[] {
     const relays: KnownHost<PeerLocation>[] = [];
-    for (const domains of this.listFarDomains().values()) {
-      const chosen = getShuffled(domains, this.random);
+    for (const hostsByDomain of this.listFarHosts().values()) {
+      const domains = getShuffled([...hostsByDomain.values()], this.random);
       const count = Math.ceil(RELAYS_PER_REGION / domains.length);
-      for (const domain of chosen.slice(0, RELAYS_PER_REGION)) {
-        const hosts = this.listDomainHosts(domain);
+      for (const hosts of domains.slice(0, RELAYS_PER_REGION)) {
         relays.push(...this.chooseRelays(hosts, count));
       }
     }
     return relays;
   }
 
-  /** Lists the failure domains of each other region, by region. */
-  private listFarDomains(): ReadonlyMap<string, readonly string[]> {
-    const domainsByRegion = new Map<string, string[]>();
+  /** Lists the hosts of each other region, by region and failure domain. */
+  private listFarHosts(): ReadonlyMap<string, HostsByDomain> {
+    const regions = new Map<string, HostsByDomain>();
     const {groups} = this.getHomeGroups();
     const far = groups.filter((group) => !this.isNear(group));
-    for (const domain of new Set(far.map((group) => group.failureDomain))) {
-      const region = this.position.regions.find(domain);
-      const key = region ?? `domain ${domain}`;
-      const domains = domainsByRegion.get(key) ?? [];
-      domains.push(domain);
-      domainsByRegion.set(key, domains);
+    for (const host of far.flatMap((group) => this.listHosts(group))) {
+      const {failureDomain} = host.place;
+      const region = this.position.regions.find(failureDomain);
+      const key = region ?? `domain ${failureDomain}`;
+      const hostsByDomain =
+        regions.get(key) ?? new Map<string, KnownHost<PeerLocation>[]>();
+      regions.set(key, hostsByDomain);
+      const hosts = hostsByDomain.get(failureDomain);
+      if (hosts === undefined) hostsByDomain.set(failureDomain, [host]);
+      else hosts.push(host);
     }
-    return domainsByRegion;
-  }
-
-  private listDomainHosts(domain: string): KnownHost<PeerLocation>[] {
-    return this.getHomeGroups()
-      .groups.filter(({failureDomain}) => failureDomain === domain)
-      .flatMap((group) => this.listHosts(group));
+    return regions;
   }
 
   /** A single group of all hosts is near, wherever they are. */
@@ -162,12 +161,13 @@
     for (const {record, place} of this.view.listAlive()) {
       hosts.push({name: record.name, failureDomain: place.failureDomain});
     }
-    const groups = createHostGroups(hosts);
+    const {regions} = this.position;
+    const groups = createHostGroups(hosts, regions);
     const group = groups.find(({names}) => names.includes(this.ownName));
     const homes = computeHomeGroups(
       groups,
       this.engines.listEngines(),
-      this.position.regions,
+      regions,
     );
     this.cached = {recordsHash, version, groups, group, homes};
     return this.cached;
--- a/packages/gateway/tests/engine_groups.test.ts
+++ b/packages/gateway/tests/engine_groups.test.ts
@@ -108,6 +108,30 @@
     assert.ok(groups.isHome('i-3'));
   });
 
+  // Guards against reports on each stream that cross regions, which the single
+  // group of a small deployment sent.
+  it('are those of a region if there are few hosts in several', () => {
+    const groups = createGroups(12, 6, REGIONS);
+    const names = groups.listGroup().map(({record}) => record.name);
+    assert.deepEqual(names, ['host-6', 'host-3', 'host-9']);
+    assert.deepEqual(groups.listRelays(), []);
+    assert.ok(groups.isHome('i-0') && groups.isHome('i-3'));
+    const homes = groups.listHomeHosts('i-4').map(({place}) => place);
+    const domains = homes.map(({failureDomain}) => failureDomain);
+    const expected = ['domain-1', 'domain-1', 'domain-4', 'domain-4'];
+    assert.deepEqual(domains, expected);
+    // A change reaches each other region through two of its domains.
+    const relays = groups
+      .listRegionRelays()
+      .map(({place}) => place.failureDomain);
+    assert.deepEqual(relays.sort(), [
+      'domain-1',
+      'domain-2',
+      'domain-4',
+      'domain-5',
+    ]);
+  });
+
   it('know the home hosts of each engine', () => {
     const groups = createGroups(195, 174);
     const homes = new Set<string>();
--- a/packages/gateway/tests/region_updates.test.ts
+++ b/packages/gateway/tests/region_updates.test.ts
@@ -88,4 +88,14 @@
     for (const {peers} of fleet.hosts) assert.equal(peers.countServing(), 72);
     fleet.stop();
   });
+
+  // Guards against regions of few hosts that have a single reader each: their
+  // changes pass through relays as those of large ones do.
+  it('arrive at once where few hosts form a group in each region', async () => {
+    const fleet = new TableFleet({hosts: 12, domains: 6, regions: 3, seed: 4});
+    await fleet.start(SETTLE_MS);
+    const {maxDelayMs} = await writeChanges(fleet);
+    fleet.stop();
+    assert.ok(maxDelayMs <= MAX_UNDISTURBED_DELAY_MS, `${maxDelayMs} ms`);
+  });
 });
