Keep orders of both kinds in one plan within the maximum

Orders of ordinary and of spot endpoints that are planned together were each limited by the other kind's count in force, so that both together exceeded the maximum of the failure domain once accepted.

An order is now limited by the larger of the other kind's count in force and the count about to be ordered, as the platform may refuse that.

The new test failed before it: 4 spot and 3 ordinary with a maximum of 6.

--- a/packages/decisions/src/scaling_cover.ts
+++ b/packages/decisions/src/scaling_cover.ts
@@ -15,7 +15,7 @@
   readonly domain: string;
   ordinary: number;
   readonly spot: number;
-  /** The most ordinary endpoints beside the spot endpoints in force. */
+  /** The most ordinary endpoints beside the spot endpoints. */
   readonly room: number;
   /** Whether more may be ordered now. */
   readonly isOpen: boolean;
@@ -53,13 +53,13 @@
 }
 
 function createCovered(
-  {pools, limits, now}: CoverInput,
+  {pools, limits, orders, now}: CoverInput,
   domain: string,
   wanted: number,
   spot: number,
 ): CoveredDomain {
   const pool = pools.getPool(domain, 'ordinary');
-  const room = limits.maximum - pools.getPool(domain, 'spot').count;
+  const room = pools.computeRoom(pool.key, limits, orders);
   const ordinary = Math.max(wanted, pool.count);
   return {domain, ordinary, spot, room, isOpen: pool.isAskable(now)};
 }
--- a/packages/decisions/src/scaling_plan.ts
+++ b/packages/decisions/src/scaling_plan.ts
@@ -215,7 +215,8 @@
     const orders: PoolOrder[] = [];
     for (const {domain, spot} of wanted) {
       const pool = this.pools.getPool(domain, 'spot');
-      const order = this.planPool(pool, spot, 'the load needs it', view, now);
+      const reason = 'the load needs it';
+      const order = this.planPool(pool, {count: spot, reason}, [], view, now);
       if (order !== undefined) orders.push(order);
     }
     for (const order of this.planOrdinary(wanted, orders, view, now)) {
@@ -248,26 +249,29 @@
         (entry) => entry.domain === domain && entry.ordinary >= ordinary,
       );
       const reason = isBase ? BASE_REASON : COVER_REASON;
-      const order = this.planPool(pool, ordinary, reason, view, now);
+      const goal = {count: ordinary, reason};
+      const order = this.planPool(pool, goal, orders, view, now);
       if (order !== undefined) planned.push(order);
     }
     return planned;
   }
 
+  /** @param orders Orders of the other kind that are sent before. */
   private planPool(
     pool: ScalingPool,
-    wanted: number,
-    reason: string,
+    {count: wanted, reason}: Pick<PoolOrder, 'count' | 'reason'>,
+    orders: readonly PoolOrder[],
     {limits}: ScalingView,
     now: number,
   ): PoolOrder | undefined {
     if (!pool.isAskable(now)) return undefined;
     const {key, count, ready} = pool;
-    if (this.pools.clampCount(pool, wanted, limits) > count) {
+    const room = this.pools.computeRoom(key, limits, orders);
+    if (Math.min(wanted, room) > count) {
       // More may be ready than is known to be in force. Counts are absolute: an
       // order of less than is ready would take endpoints.
       const most = Math.max(wanted, ready);
-      return {...key, count: this.pools.clampCount(pool, most, limits), reason};
+      return {...key, count: Math.min(most, room), reason};
     }
     if (!pool.isRepeatDue(now, limits.bootMs)) return undefined;
     return {...key, count, reason: 'endpoints of it are missing'};
--- a/packages/decisions/src/scaling_pools.ts
+++ b/packages/decisions/src/scaling_pools.ts
@@ -3,6 +3,7 @@
   type CapacityKind,
   type DomainCounts,
   type PoolKey,
+  type PoolOrder,
   type PoolView,
   type ScalingLimits,
 } from './scaling_model.js';
@@ -91,15 +92,27 @@
     return caps;
   }
 
-  /** Limits a count so that both kinds stay within the maximum. */
-  clampCount(
-    {key}: ScalingPool,
-    wanted: number,
+  /**
+   * Computes the most endpoints that a pool may have, so that both kinds stay
+   * within the maximum.
+   *
+   * @param orders Orders that are about to be sent. The platform may accept or
+   *     refuse them, so the larger count is kept free.
+   */
+  computeRoom(
+    {domain, kind}: PoolKey,
     {maximum}: ScalingLimits,
+    orders: readonly PoolOrder[],
   ): number {
-    const otherKind = key.kind === 'spot' ? 'ordinary' : 'spot';
-    const other = this.getPool(key.domain, otherKind);
-    return Math.max(0, Math.min(wanted, maximum - other.count));
+    const other = {
+      domain,
+      kind: kind === 'spot' ? 'ordinary' : 'spot',
+    } as const;
+    let most = this.getPool(domain, other.kind).count;
+    for (const order of orders) {
+      if (isSamePool(order, other)) most = Math.max(most, order.count);
+    }
+    return Math.max(0, maximum - most);
   }
 }
 
--- a/packages/decisions/tests/scaling_plan.test.ts
+++ b/packages/decisions/tests/scaling_plan.test.ts
@@ -178,6 +178,39 @@
   }
 });
 
+describe('the scaling plan at the limit of a failure domain', () => {
+  // Guards against orders of both kinds in one plan that together exceed the
+  // maximum: each was held against the other kind's count in force alone.
+  it('keeps what is ordered at once within the maximum', () => {
+    const limits = {
+      ...{minimum: 2, maximum: 6, bootMs: 1000, spotPrice: 0.2},
+      prices: {},
+    };
+    const counts = {ordinary: 1, spot: 1};
+    const pools = ['a', 'b', 'c'].flatMap((domain) =>
+      (['ordinary', 'spot'] as const).map((kind) => {
+        const ready = counts[kind];
+        return {domain, kind, ready, leaving: 0, running: ready};
+      }),
+    );
+    const states = pools.map(({domain, kind, ready: count}) => {
+      return {domain, kind, count, isOrdered: true, isUnavailable: false};
+    });
+    const state = {level: 4, initial: 6, hasDemand: true, pools: states};
+    const view = {limits, pools, need: 20, isNeedCertain: true};
+    const plan = ScalingPlan.createFrom(state, 0);
+    const orders = plan.plan({...view, isMovable: true}, 2000);
+    assert.ok(new Set(orders.map(({kind}) => kind)).size === 2);
+    for (const domain of ['a', 'b', 'c']) {
+      const ordered = {...counts};
+      for (const order of orders) {
+        if (order.domain === domain) ordered[order.kind] = order.count;
+      }
+      assert.ok(ordered.ordinary + ordered.spot <= limits.maximum, domain);
+    }
+  });
+});
+
 describe('a pool of spot endpoints', () => {
   const view = {domain: 'a', kind: 'spot', running: 0} as const;
 
