--- a/soak/src/configuration_witness.ts
+++ b/soak/src/configuration_witness.ts
@@ -16,6 +16,7 @@
   putConfiguration,
   SOAK_TEMPORARY_VERSIONS,
   SOAK_KEYED_PATH,
+  type SoakScaling,
   type StoreStandin,
 } from '@irisdock/users-platform/fixtures';
 import type {Disturbances} from './disturbances.js';
@@ -59,6 +60,7 @@
     private readonly hosts: readonly HostProcess[],
     private readonly disturbances: Disturbances,
     private readonly witness: Witness,
+    private readonly scaling?: SoakScaling,
   ) {}
 
   /** The newest version; 0 before the first. */
@@ -70,12 +72,12 @@
   commitNext(): void {
     const version = this.version + 1;
     this.changes.push({version, at: performance.now()});
-    putConfiguration(this.store, createSoakConfiguration(version));
+    this.putVersion(version);
   }
 
   /** Puts the newest version again, as after a restore of the store. */
   commitAgain(): void {
-    putConfiguration(this.store, createSoakConfiguration(this.version));
+    this.putVersion(this.version);
   }
 
   /** Changes the configuration and asks all hosts until it is stopped. */
@@ -91,6 +93,11 @@
     this.isStopped = true;
   }
 
+  private putVersion(version: number): void {
+    const {store, scaling} = this;
+    putConfiguration(store, createSoakConfiguration(version, scaling));
+  }
+
   /** Asks for the newest version, and for the newest that is due. */
   private async checkHost(host: HostProcess): Promise<void> {
     const now = performance.now();
--- a/soak/src/end_witness.ts
+++ b/soak/src/end_witness.ts
@@ -48,7 +48,10 @@
 }
 
 /** An endpoint that ran a request. */
-export type RunningInstance = Pick<EndpointInstance, 'harmedUntil' | 'id'>;
+export type RunningInstance = Pick<
+  EndpointInstance,
+  'harmedUntil' | 'id' | 'leavingAt'
+>;
 
 /** A run of a request at an endpoint. */
 interface Run {
@@ -165,8 +168,14 @@
     const isDisturbed =
       befell.some(({part}) => part === 'endpoints') ||
       !this.streamFaults.isCalm(from, now);
-    const isRetryDue = !isDisturbed && this.isRetryDue(attempt, runs.length);
-    if (hasBrokenOff(runs, cut.lastServer) && !isRetryDue) return 'endpoint';
+    const brokenOff = findBrokenOff(runs, cut.lastServer);
+    // A host that cannot read the store may learn of an announced end too late.
+    const isUntold =
+      brokenOff?.instance.leavingAt !== undefined &&
+      befell.some(({part}) => part === 'store');
+    const isRetryDue =
+      !isDisturbed && !isUntold && this.isRetryDue(attempt, runs.length);
+    if (brokenOff !== undefined && !isRetryDue) return 'endpoint';
     const isDrained = all.some((one) => {
       const isTaken = one.isPlanned && startedAt <= one.from + TAKEN_MS;
       return isTaken && now >= one.from + DRAIN_MS;
@@ -185,19 +194,20 @@
 }
 
 /**
- * Tells whether the endpoint that held an answer broke it off. Another one to
+ * Finds the run that held an answer, if its endpoint broke it off. Another one to
  * which the request was sent meanwhile, and which did not continue it, holds
  * nothing.
  */
-function hasBrokenOff(
+function findBrokenOff(
   runs: readonly Run[],
   lastServer: string | undefined,
-): boolean {
+): Run | undefined {
   const run =
     runs.findLast(({instance}) => instance.id === lastServer) ??
     runs.findLast(({hasFailed}) => !hasFailed) ??
     runs.at(-1);
-  if (run === undefined) return false;
+  if (run === undefined) return undefined;
   const {hasFailed, instance, startedAt} = run;
-  return hasFailed || instance.harmedUntil >= startedAt - UNDER_WAY_MS;
+  const isHarmed = instance.harmedUntil >= startedAt - UNDER_WAY_MS;
+  return hasFailed || isHarmed ? run : undefined;
 }
--- a/soak/src/endpoint_fleet.ts
+++ b/soak/src/endpoint_fleet.ts
@@ -28,6 +28,8 @@
 /** How long a plain call works, in ms; long enough to be met by a fault. */
 const WORK_MS = 120;
 const SLOTS = 32;
+/** How often the entry of one that leaves says how much time is left, in ms. */
+const LEAVES_STEP_MS = 250;
 /** Software versions that serve side by side. */
 const VERSIONS = ['v1', 'v1.1'] as const;
 /** The entry of an endpoint that crashed vanishes after so long, in ms. */
@@ -39,6 +41,12 @@
 /** And so much longer: what comes then came too late. */
 const LINGER_MS = 5000;
 
+/**
+ * Places of ordered endpoints, beyond those of all others. The failure domain of a
+ * place is that of its remainder by their number.
+ */
+export const FIRST_ORDERED_PLACE = 300;
+
 const LEAVING_LINE = 'Server-Leaving: 1';
 
 /** One instance of an endpoint. */
@@ -46,6 +54,8 @@
   readonly id: string;
   readonly service: string;
   readonly failureDomain: string;
+  /** Whether the platform may reclaim it. */
+  readonly isSpot: boolean;
   /** The version of its software. */
   readonly version: string;
   readonly server: ServerStandin;
@@ -87,6 +97,15 @@
   readonly handleArrival: ArrivalListener;
 }
 
+/** How the endpoints of streams serve. */
+export interface FleetOptions {
+  readonly shape: StreamShape;
+  readonly slots: number;
+}
+
+/** How they serve in plays that are not scaled. */
+export const USUAL_FLEET: FleetOptions = {shape: STREAM_SHAPE, slots: SLOTS};
+
 /** What the scripts of endpoints call. */
 type RunHooks = Pick<
   ScriptContext,
@@ -103,6 +122,8 @@
     Readonly<Record<string, unknown>> | undefined
   >();
   private readonly copies = new CopyRegistry();
+  /** Places to which nothing comes back. */
+  private readonly removed = new Set<number>();
   private count = 0;
   private isStopped = false;
 
@@ -110,10 +131,11 @@
     private readonly store: StoreStandin,
     private readonly failureDomains: readonly string[],
     private readonly listener: FleetListener,
+    private readonly options: FleetOptions = USUAL_FLEET,
   ) {}
 
-  /** Adds an endpoint of a service in the next failure domain. */
-  async add(service: string, place: number): Promise<void> {
+  /** Adds an endpoint of a service in the failure domain of a place. */
+  async add(service: string, place: number, isSpot = false): Promise<void> {
     const failureDomain =
       this.failureDomains[place % this.failureDomains.length] ?? '';
     this.count++;
@@ -139,7 +161,7 @@
     };
     const server: ServerStandin = new ServerStandin(
       service === SOAK_SERVICES.streams
-        ? createStreamScript(parts, STREAM_SHAPE)
+        ? createStreamScript(parts, this.options.shape)
         : createCallScript(parts, WORK_MS),
     );
     target = splitPlace(await server.start());
@@ -147,6 +169,7 @@
       id,
       service,
       failureDomain,
+      isSpot,
       version,
       server,
       link,
@@ -162,6 +185,11 @@
     server.handleSeen = (request) => {
       this.listener.handleArrival(instance, getId(request));
     };
+    // What came now would never end.
+    if (this.isStopped || this.removed.has(place)) {
+      this.end(instance);
+      return;
+    }
     this.instances.set(place, instance);
     this.putEntry(instance, 'ready');
   }
@@ -177,6 +205,11 @@
     return instances.filter((one) => one.service === service);
   }
 
+  /** Lists the places with instances. */
+  listPlaces(): number[] {
+    return [...this.instances.keys()];
+  }
+
   /** Ends an instance under a run; another one comes after a while. */
   async killUnderRun(instance: EndpointInstance): Promise<void> {
     for (const [place, one] of this.instances) {
@@ -197,14 +230,15 @@
     // The play may have ended meanwhile; what came now would never end.
     if (this.isStopped) return;
     this.writeEntry(instance.id, undefined);
-    await this.add(instance.service, place);
+    if (this.removed.has(place)) return;
+    await this.add(instance.service, place, instance.isSpot);
   }
 
   /** Replaces an instance: the new one comes first, the old one leaves. */
   async drain(place: number): Promise<void> {
     const old = this.takeOut(place);
     if (old === undefined) return;
-    await this.add(old.service, place);
+    await this.add(old.service, place, old.isSpot);
     this.putEntry(old, 'leaving');
     old.leavingAt = performance.now();
     await sleep(LEAVE_MS + LINGER_MS);
@@ -212,6 +246,27 @@
     this.end(old);
   }
 
+  /**
+   * Lets the instance at a place leave as the platform announces it; nothing
+   * comes back there. The entries of spot instances name the time that is left.
+   */
+  async removeAnnounced(place: number, noticeMs: number): Promise<void> {
+    this.removed.add(place);
+    const instance = this.takeOut(place);
+    if (instance === undefined) return;
+    instance.leavingAt = performance.now();
+    const endsAt = instance.leavingAt + noticeMs;
+    for (;;) {
+      const leavesMs = Math.max(0, Math.round(endsAt - performance.now()));
+      if (leavesMs === 0) break;
+      const left = instance.isSpot ? {leaves_ms: leavesMs} : {};
+      this.putEntry(instance, 'leaving', left);
+      await sleep(Math.min(leavesMs, LEAVES_STEP_MS));
+    }
+    this.writeEntry(instance.id, undefined);
+    this.end(instance);
+  }
+
   /** Writes the entries again, as after a restore of the store. */
   putEntriesAgain(): void {
     for (const [id, entry] of this.entries) putEntry(this.store, id, entry);
@@ -257,16 +312,18 @@
   private putEntry(
     instance: EndpointInstance,
     state: keyof typeof ENTRY_STATES,
+    more: Readonly<Record<string, unknown>> = {},
   ): void {
-    const {id, service, address, failureDomain} = instance;
+    const {id, service, address, failureDomain, isSpot, version} = instance;
     const entry = createEntry(
       service,
       address,
       failureDomain,
       ENTRY_STATES[state],
-      SLOTS,
+      this.options.slots,
     );
-    this.writeEntry(id, {...entry, version: instance.version});
+    const kind = isSpot ? {spot: true} : {};
+    this.writeEntry(id, {...entry, version, ...kind, ...more});
   }
 
   /** Each version has an endpoint in each failure domain. */
--- a/soak/src/fault_player.ts
+++ b/soak/src/fault_player.ts
@@ -6,7 +6,7 @@
 } from '@irisdock/users-platform/fixtures';
 import type {ConfigurationWitness} from './configuration_witness.js';
 import type {DisturbedPart, Disturbances} from './disturbances.js';
-import type {EndpointFleet} from './endpoint_fleet.js';
+import {FIRST_ORDERED_PLACE, type EndpointFleet} from './endpoint_fleet.js';
 import {FAULT_KINDS, type FaultKind, type PlannedFault} from './fault_plan.js';
 import type {HostProcess} from './host_process.js';
 import type {LinkHarm, TcpLink} from './tcp_link.js';
@@ -176,7 +176,9 @@
   private async killDomain(domain: number, forMs: number): Promise<void> {
     const {fleet, places, domains} = this.parts;
     const crashes: Promise<void>[] = [];
-    for (let place = domain; place < places; place += domains) {
+    for (const place of fleet.listPlaces()) {
+      const isHit = place < places || place >= FIRST_ORDERED_PLACE;
+      if (!isHit || place % domains !== domain) continue;
       crashes.push(fleet.kill(place, forMs));
     }
     await Promise.all(crashes);
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -4,7 +4,7 @@
  */
 import {runProgram} from '@irisdock/kernel';
 import {err, ok} from 'neverthrow';
-import {runPlay} from './play.js';
+import {runPlay} from './run_play.js';
 import {USUAL_PLAY, type PlayOptions} from './play_report.js';
 import {findProgramFault} from './program_file.js';
 
--- a/soak/src/platform_api_player.ts
+++ b/soak/src/platform_api_player.ts
@@ -10,6 +10,7 @@
   type ApiFault,
 } from '@irisdock/users-platform/fixtures';
 import type {Disturbances} from './disturbances.js';
+import type {ScalingPlayer} from './scaling_player.js';
 import {TaskCallWitness} from './task_call_witness.js';
 import {UsageWitness, type CheckedSpan} from './usage_witness.js';
 
@@ -35,13 +36,26 @@
   /** Windows whose counts were checked. */
   checkedWindows = 0;
   private readonly taskCalls: TaskCallWitness;
-  readonly api = new PlatformApiStandin((call) => {
-    this.calls++;
-    this.taskCalls.recordCall(call, performance.now());
-    this.usage.recordCall(call);
-  });
+  readonly api = new PlatformApiStandin(
+    (call) => {
+      this.calls++;
+      this.taskCalls.recordCall(call, performance.now());
+      this.usage.recordCall(call);
+      if (this.scaling !== undefined) this.scaling.handleCall(call);
+      else if (call.order !== undefined) this.unwanted.push(call.subject);
+    },
+    (order) => this.scaling?.hasCapacity(order) ?? true,
+  );
+  /** Orders that came though no service is scaled. */
+  private readonly unwanted: string[] = [];
 
-  constructor(seed: number, lengthMs: number, disturbances: Disturbances) {
+  /** @param scaling Carries orders out; absent if no service is scaled. */
+  constructor(
+    seed: number,
+    lengthMs: number,
+    disturbances: Disturbances,
+    private readonly scaling?: ScalingPlayer,
+  ) {
     this.taskCalls = new TaskCallWitness(disturbances);
     // Not from the play's own numbers, which seeds stand for.
     this.plan = planApiFaults(new SeededRandom(seed + 2 ** 26), lengthMs);
@@ -63,7 +77,12 @@
   listFaults(calm: CheckedSpan): string[] {
     const checked = this.usage.listChecked(calm, Date.now());
     this.checkedWindows = checked.length;
-    return [...this.taskCalls.faults, ...this.usage.listFaults(checked)];
+    return [
+      ...this.taskCalls.faults,
+      ...this.usage.listFaults(checked),
+      ...(this.scaling?.witness.faults ?? []),
+      ...this.unwanted.map((subject) => `${subject}: an order was sent`),
+    ];
   }
 }
 
--- a/soak/src/play.ts
+++ b/soak/src/play.ts
@@ -2,10 +2,6 @@
  * Plays one seed: the deployment, its callers and its faults, then calm in
  * which everything has to be served again.
  */
-import {mkdtempSync, rmSync} from 'node:fs';
-import {tmpdir} from 'node:os';
-import {join} from 'node:path';
-import {monitorEventLoopDelay} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {SeededRandom} from '@irisdock/kernel';
 import {
@@ -17,7 +13,12 @@
 import {ConfigurationWitness} from './configuration_witness.js';
 import {CRASH_PREFIX, CrashWitness} from './crash_witness.js';
 import {Disturbances} from './disturbances.js';
-import {EndpointFleet, type EndpointInstance} from './endpoint_fleet.js';
+import {
+  EndpointFleet,
+  USUAL_FLEET,
+  type EndpointInstance,
+  type FleetListener,
+} from './endpoint_fleet.js';
 import {EndpointSilences} from './endpoint_silences.js';
 import {planFaults, type PlannedFault} from './fault_plan.js';
 import {FaultPlayer} from './fault_player.js';
@@ -34,8 +35,8 @@
 import {PauseWitness} from './pause_witness.js';
 import {PlatformApiPlayer} from './platform_api_player.js';
 import type {PlayOptions, PlayReport} from './play_report.js';
-import {findProgramFault} from './program_file.js';
 import {waitReady} from './readiness.js';
+import {planScaling, SCALED_FLEET, ScalingPlayer} from './scaling_player.js';
 import {StoreDrills} from './store_drills.js';
 import {Witness} from './witness.js';
 
@@ -58,12 +59,11 @@
 const SERVICES = 2;
 /** Endpoints of the service to which a route moves. */
 const SPARE_PLACES = 3;
-const NANOSECONDS_PER_MS = 1_000_000;
 /** One play in so many has hosts that may hardly send anything again. */
 const FEW_RETRIES_ONE_IN = 3;
 
 /** One play. */
-class Play {
+export class Play {
   readonly disturbances = new Disturbances();
   readonly witness: Witness;
   readonly store = new StoreStandin();
@@ -72,7 +72,10 @@
   readonly limits = new LimitWitness(this.disturbances);
   readonly pauses = new PauseWitness(this.disturbances);
   readonly overlaps = new OverlapWitness(this.disturbances);
-  readonly fleet = new EndpointFleet(this.store, DOMAINS, {
+  readonly fleet: EndpointFleet;
+  /** The platform's side of scaling; absent if no service is scaled. */
+  readonly scaling: ScalingPlayer | undefined;
+  private readonly listener: FleetListener = {
     handleRun: (instance, run) => {
       this.witness.recordRun(instance, run);
       this.recordUsage(run);
@@ -80,7 +83,9 @@
       if (run.body.startsWith(CRASH_PREFIX)) this.endUnderRun(instance, run);
     },
     handleRunEnd: (instance, {attemptId}) => {
-      this.overlaps.recordEnd(attemptId, instance, performance.now());
+      const now = performance.now();
+      this.overlaps.recordEnd(attemptId, instance, now);
+      this.scaling?.witness.recordEnd(attemptId, now);
     },
     handleFailedRun: (instance, run) => {
       this.witness.recordRun(instance, run, true);
@@ -92,7 +97,7 @@
       if (instance.rejectionLines === undefined) return;
       this.pauses.recordRejected(instance.id, host, at, PAUSE_MS);
     },
-  });
+  };
   readonly configuration: ConfigurationWitness;
   readonly platformApi: PlatformApiPlayer;
   readonly hasRegions: boolean;
@@ -114,12 +119,30 @@
     const regionRandom = new SeededRandom(seed + 2 ** 27);
     this.hasRegions = regionRandom.getInt(REGIONS_ONE_IN) === 0;
     const {lengthMs} = options;
-    this.platformApi = new PlatformApiPlayer(seed, lengthMs, this.disturbances);
+    const {store, listener, disturbances} = this;
+    const scaled = planScaling(seed, lengthMs, DOMAINS);
+    const fleet = scaled === undefined ? USUAL_FLEET : SCALED_FLEET;
+    this.fleet = new EndpointFleet(store, DOMAINS, listener, fleet);
+    if (scaled !== undefined) {
+      this.scaling = new ScalingPlayer(
+        scaled,
+        this.fleet,
+        DOMAINS,
+        disturbances,
+      );
+    }
+    this.platformApi = new PlatformApiPlayer(
+      seed,
+      lengthMs,
+      disturbances,
+      this.scaling,
+    );
     this.configuration = new ConfigurationWitness(
       this.store,
       this.hosts,
       this.disturbances,
       this.witness,
+      scaled?.scaling,
     );
   }
 
@@ -145,14 +168,20 @@
       this.startHarmless(harmless),
       this.startHandovers(handovers),
       this.platformApi.runFaults(),
+      this.startReclaims(),
     ];
     await this.runFaults(plan);
     await Promise.all(others);
     const usageRightAt = Date.now() + USAGE_RIGHT_MS;
+    const calmScaling = this.scaling?.runInCalm();
     await sleep(RECOVERY_MS - LIMITS_OVER_MS);
     limits.stop();
     await sleep(LIMITS_OVER_MS);
-    await Promise.all([callers.checkRecovery(), this.drainInCalm()]);
+    await Promise.all([
+      callers.checkRecovery(),
+      this.drainInCalm(),
+      calmScaling,
+    ]);
     // A call into the partition counts as begun, as it may have run.
     const calm = {from: usageRightAt, until: Date.now()};
     await partitions.runInCalm();
@@ -169,7 +198,10 @@
       ...this.platformApi.listFaults(calm),
     ];
     for (const fault of broken) this.witness.addFault(fault);
-    const all = [...plan, ...harmless, ...handovers, ...this.platformApi.plan];
+    const {platformApi, scaling} = this;
+    const reclaims = scaling?.reclaims ?? [];
+    const more = [...platformApi.plan, ...reclaims];
+    const all = [...plan, ...harmless, ...handovers, ...more];
     return all.sort((a, b) => a.at - b.at);
   }
 
@@ -207,6 +239,10 @@
     return player;
   }
 
+  private async startReclaims(): Promise<void> {
+    await this.scaling?.runReclaims();
+  }
+
   private startDrills(): Promise<void> {
     const {store, fleet, configuration, disturbances} = this;
     const parts = {store, fleet, configuration, disturbances};
@@ -239,6 +275,7 @@
         await this.fleet.add(service, index * PLACES_A_SERVICE + at);
       }
     }
+    this.scaling?.addFirst(PLACES_A_SERVICE, PLACES_A_SERVICE);
     const firstSpare = SERVICES * PLACES_A_SERVICE;
     for (let at = 0; at < SPARE_PLACES; at++) {
       await this.fleet.add(SOAK_SERVICES.spare, firstSpare + at);
@@ -299,7 +336,9 @@
   /** Plain calls do not tell when they end. */
   private recordWork(instance: EndpointInstance, {attemptId}: ServerRun): void {
     if (instance.service !== SOAK_SERVICES.streams) return;
-    this.overlaps.recordStart(attemptId, instance, performance.now());
+    const now = performance.now();
+    this.overlaps.recordStart(attemptId, instance, now);
+    this.scaling?.witness.recordStart(attemptId, now);
   }
 
   private async runFaults(plan: readonly PlannedFault[]): Promise<void> {
@@ -329,40 +368,3 @@
     ]);
   }
 }
-
-/** Plays one seed. */
-export async function runPlay(
-  seed: number,
-  options: PlayOptions,
-): Promise<PlayReport> {
-  const programFault = findProgramFault(options.program);
-  if (programFault !== undefined) throw new Error(programFault);
-  const directory = mkdtempSync(join(tmpdir(), `irisdock-soak-${seed}-`));
-  const play = new Play(seed, options, directory);
-  const stalls = monitorEventLoopDelay();
-  stalls.enable();
-  const faults = await play.run().finally(() => play.stop());
-  const {ends, faults: broken} = play.witness;
-  const {counts} = ends;
-  if (broken.length === 0) rmSync(directory, {recursive: true});
-  const versions = play.configuration.version;
-  const limited = play.limits.countChecked();
-  const longestStallMs = Math.round(stalls.max / NANOSECONDS_PER_MS);
-  const mostDelayMs = Math.round(Math.max(0, ...play.configuration.delaysMs));
-  return {
-    seed,
-    counts,
-    cuts: Object.fromEntries(ends.cuts),
-    kinds: Object.fromEntries(ends.kinds),
-    versions,
-    mostDelayMs,
-    longestStallMs,
-    limited,
-    apiCalls: play.platformApi.calls,
-    checkedWindows: play.platformApi.checkedWindows,
-    hasRegions: play.hasRegions,
-    faults,
-    broken,
-    directory,
-  };
-}
--- a/soak/src/play_report.ts
+++ b/soak/src/play_report.ts
@@ -5,6 +5,7 @@
 import type {HarmlessEvent} from './harmless_plan.js';
 import {DEPLOYED_PROGRAM} from './host_process.js';
 import type {ApiFaultEvent} from './platform_api_player.js';
+import type {ReclaimEvent} from './scaling_player.js';
 
 /** How large a play is. */
 export interface PlayOptions {
@@ -38,9 +39,12 @@
   readonly checkedWindows: number;
   /** Whether the failure domains are in two regions. */
   readonly hasRegions: boolean;
+  /** Whether the service of streams is scaled, and the orders accepted. */
+  readonly isScaled: boolean;
+  readonly orders: number;
   /** The faults and the harmless events. */
   readonly faults: readonly (
-    ApiFaultEvent | HandoverEvent | HarmlessEvent | PlannedFault
+    ApiFaultEvent | HandoverEvent | HarmlessEvent | PlannedFault | ReclaimEvent
   )[];
   /** Promises that were broken. */
   readonly broken: readonly string[];
--- /dev/null
+++ b/soak/src/scaling_witness.ts
@@ -0,0 +1,166 @@
+/**
+ * Holds the orders of endpoints, as the platform's API accepted them, against
+ * what is promised: the number in a failure domain stays within its limits, an
+ * order of fewer leaves what the load needs also without any one domain, and
+ * after the faults each pool holds what was ordered.
+ */
+import type {
+  ApiCall,
+  ApiOrder,
+  SoakScaling,
+} from '@irisdock/users-platform/fixtures';
+import type {Disturbances} from './disturbances.js';
+
+/** The endpoints of one kind in a failure domain, as the platform has them. */
+export interface PlatformPool {
+  readonly failureDomain: string;
+  readonly isSpot: boolean;
+  /** The number in force. */
+  readonly ordered: number;
+  /** Endpoints that serve and were not told to leave. */
+  readonly ready: number;
+}
+
+/** The share of the slots that the load may take, as docs/design/scaling.md says. */
+const MAX_SLOT_SHARE = 0.7;
+/** The least load over this time counts, in ms; hosts report once a second. */
+const LOAD_MS = 2500;
+/** A host knows of endpoints that were lost or announced after so long, in ms. */
+const CONTACT_MS = 3000;
+
+/** The witness. */
+export class ScalingWitness {
+  /** What broke a promise, in words that name who and what. */
+  readonly faults: string[] = [];
+  private readonly running = new Map<string, number>();
+  private readonly loads: {readonly load: number; readonly at: number}[] = [];
+  private reclaimedAt = -Infinity;
+
+  constructor(
+    private readonly disturbances: Disturbances,
+    private readonly scaling: SoakScaling,
+  ) {}
+
+  /** Records that an endpoint begins to work on an attempt. */
+  recordStart(attemptId: string, at: number): void {
+    this.running.set(attemptId, (this.running.get(attemptId) ?? 0) + 1);
+    this.recordLoad(at);
+  }
+
+  /** Records that an endpoint no longer works on an attempt. */
+  recordEnd(attemptId: string, at: number): void {
+    const left = (this.running.get(attemptId) ?? 0) - 1;
+    if (left > 0) this.running.set(attemptId, left);
+    else this.running.delete(attemptId);
+    this.recordLoad(at);
+  }
+
+  /** Records that the platform announced the end of spot endpoints. */
+  recordReclaim(at: number): void {
+    this.reclaimedAt = at;
+  }
+
+  /**
+   * Records an order that the platform accepted.
+   *
+   * @param pools The pools as they were before it.
+   */
+  recordOrder(
+    {order, holder}: Pick<ApiCall, 'order' | 'holder'>,
+    pools: readonly PlatformPool[],
+    at: number,
+  ): void {
+    if (order === undefined) return;
+    this.checkLimits(order, pools);
+    if (!this.isInTouch(holder, at)) return;
+    const rest = pools.map((pool) =>
+      isPoolOf(pool, order) ? applyOrder(pool, order.count) : pool,
+    );
+    const isFewer = pools.some(
+      (pool) => isPoolOf(pool, order) && order.count < pool.ordered,
+    );
+    const need = this.computeNeed(at);
+    const left = countWithoutOneDomain(rest);
+    if (!isFewer || left >= need) return;
+    const what = `${formatOrder(order)} leaves ${left} without one domain`;
+    this.faults.push(`${what}, the load needs ${need.toFixed(1)}`);
+  }
+
+  /** Lists what lacks for the load, and in each pool. */
+  listMissing(pools: readonly PlatformPool[], at: number): string[] {
+    const missing: string[] = [];
+    for (const {failureDomain, isSpot, ordered, ready} of pools) {
+      if (ready >= ordered) continue;
+      const kind = isSpot ? 'spot' : 'ordinary';
+      missing.push(`${ready} of ${ordered} ${kind} in ${failureDomain}`);
+    }
+    const ready = pools.reduce((sum, pool) => sum + pool.ready, 0);
+    const need = this.computeNeed(at);
+    if (ready < need) {
+      missing.push(`${ready} in all, the load needs ${need.toFixed(1)}`);
+    }
+    return missing;
+  }
+
+  /** The endpoints that the least load of the last time needs; a fraction. */
+  private computeNeed(at: number): number {
+    this.recordLoad(at);
+    const least = Math.min(...this.loads.map(({load}) => load));
+    return least / (this.scaling.slots * MAX_SLOT_SHARE);
+  }
+
+  private recordLoad(at: number): void {
+    this.loads.push({load: this.running.size, at});
+    // The first one kept is the load at the beginning of the time.
+    while ((this.loads[1]?.at ?? Infinity) <= at - LOAD_MS) this.loads.shift();
+  }
+
+  private checkLimits(order: ApiOrder, pools: readonly PlatformPool[]): void {
+    const {minimum, maximum} = this.scaling;
+    let sum = order.count;
+    for (const pool of pools) {
+      const isOther = pool.isSpot !== order.isSpot;
+      const isThere = pool.failureDomain === order.failureDomain;
+      if (isThere && isOther) sum += pool.ordered;
+    }
+    if (sum >= minimum && sum <= maximum) return;
+    const limits = `${minimum} to ${maximum}`;
+    this.faults.push(`${formatOrder(order)} makes ${sum}, not ${limits}`);
+  }
+
+  /** Whether the sender of an order can know what endpoints there are. */
+  private isInTouch(holder: string, at: number): boolean {
+    const from = at - CONTACT_MS;
+    if (this.reclaimedAt >= from) return false;
+    const parts = ['endpoints', 'hosts', 'store'];
+    return !this.disturbances
+      .listBetween(holder, from, at)
+      .some(({part}) => parts.includes(part));
+  }
+}
+
+function isPoolOf(
+  {failureDomain, isSpot}: PlatformPool,
+  order: ApiOrder,
+): boolean {
+  return failureDomain === order.failureDomain && isSpot === order.isSpot;
+}
+
+/** The platform may end any endpoint, also a ready one while others boot. */
+function applyOrder(pool: PlatformPool, count: number): PlatformPool {
+  const taken = Math.max(0, pool.ordered - count);
+  return {...pool, ordered: count, ready: Math.max(0, pool.ready - taken)};
+}
+
+function countWithoutOneDomain(pools: readonly PlatformPool[]): number {
+  const byDomain = new Map<string, number>();
+  for (const {failureDomain, ready} of pools) {
+    byDomain.set(failureDomain, (byDomain.get(failureDomain) ?? 0) + ready);
+  }
+  const counts = [...byDomain.values()];
+  return counts.reduce((sum, one) => sum + one, 0) - Math.max(0, ...counts);
+}
+
+function formatOrder({failureDomain, isSpot, count}: ApiOrder): string {
+  return `an order of ${count} ${isSpot ? 'spot' : 'ordinary'} in ${failureDomain}`;
+}
