Take the drain time of endpoints from the platform's bounds

An endpoint of a scaled service that leaves on an order was taken to end 3 s after the announcement, as a constant, and 1.5 s after an answer that alone told of it; the plan of scaling took its own drains for over after 5 s. The platform's drain time is a bound of the deployment. [endpoints] drainMs is a setting now, filled from bounds.drain_ms where the platform gives it, and the three times derive from it. Without it they are 3, 1.5 and 5 s as before; services that are not scaled do not use it.

Tests: with a drain of 4.2 s the end is 4.2 s after the announcement (before: 3 s), and four endpoints that leave 7 s after an order that drains for 6 s are no reclaim (before, after 5 s they were).

--- a/packages/decisions/src/scaling_plan.ts
+++ b/packages/decisions/src/scaling_plan.ts
@@ -13,20 +13,15 @@
   countEndpoints,
   type DomainCounts,
   type PoolOrder,
-  type PoolView,
-  type ScalingLimits,
   type StandingOrder,
 } from './scaling_model.js';
 import {NeedLevel} from './scaling_need.js';
 import type {ScalingPool, PoolState} from './scaling_pool.js';
-import {ScalingPools} from './scaling_pools.js';
+import {ScalingPools, type PoolsView} from './scaling_pools.js';
 import {planReductions, updateReductions} from './scaling_reductions.js';
 
 /** What is planned for one service. */
-export interface ScalingView {
-  readonly limits: ScalingLimits;
-  /** The pools with endpoints; others are empty. */
-  readonly pools: readonly PoolView[];
+export interface ScalingView extends PoolsView {
   /** The endpoints that the load needs. */
   readonly need: number;
   /** Whether the whole load is known; otherwise, the need may be higher. */
@@ -130,7 +125,7 @@
    * known well enough to plan with.
    */
   update(view: ScalingView, now: number): boolean {
-    this.pools.update(view.pools, view.limits, now);
+    this.pools.update(view, now);
     if (view.pools.some(({ready}) => ready > 0)) this.firstSeenAt ??= now;
     if (now - (this.firstSeenAt ?? now) < SETTLE_MS) return false;
     this.updateNeed(view, now);
--- a/packages/decisions/src/scaling_pool.ts
+++ b/packages/decisions/src/scaling_pool.ts
@@ -30,10 +30,10 @@
  */
 const REPEAT_DELAY_MS = 3000;
 /**
- * How long endpoints that an order of ours takes may be seen as leaving, in ms:
- * they drain for 3 s, which begins and ends with some delay.
+ * How much longer than they drain, endpoints that an order of ours takes may be
+ * seen as leaving, in ms: the drain begins and ends with some delay.
  */
-const OWN_DRAIN_MS = 5000;
+const DRAIN_DELAY_MS = 2000;
 /**
  * After refusals over this time, a pool is taken to have no more, in ms. After
  * 15 s, other domains were ordered more for the rest of a usual shortage of two
@@ -133,15 +133,19 @@
     return this.leaving > 0;
   }
 
-  /** Takes the endpoints as they are now. */
-  update(view: PoolView, now: number): void {
+  /**
+   * Takes the endpoints as they are now.
+   *
+   * @param drainMs How long endpoints drain that an order takes.
+   */
+  update(view: PoolView, now: number, drainMs: number): void {
     this.view = view;
     // Before the first order, some endpoints may be away for a moment.
     if (!this.isOrdered) this.inForce = Math.max(this.inForce, view.ready);
     const isShort = view.ready < this.inForce;
     this.shortSince = isShort ? (this.shortSince ?? now) : undefined;
     if (this.key.kind !== 'spot') return;
-    const isDrained = now - this.orderedAt >= OWN_DRAIN_MS;
+    const isDrained = now - this.orderedAt >= drainMs + DRAIN_DELAY_MS;
     if (view.leaving === 0 && isDrained) this.taken = 0;
     if (isShort && view.leaving > this.taken) {
       this.isBeingReclaimed = true;
--- a/packages/decisions/src/scaling_pools.ts
+++ b/packages/decisions/src/scaling_pools.ts
@@ -8,6 +8,15 @@
 } from './scaling_model.js';
 import {ScalingPool, type PoolState} from './scaling_pool.js';
 
+/** What the pools of a service are updated from. */
+export interface PoolsView {
+  readonly limits: ScalingLimits;
+  /** The pools with endpoints; others are empty. */
+  readonly pools: readonly PoolView[];
+  /** How long endpoints drain that an order takes, in ms. */
+  readonly drainMs: number;
+}
+
 /** Keeps the pools of one service, one for each failure domain and kind. */
 export class ScalingPools {
   private readonly pools = new Map<string, ScalingPool>();
@@ -28,22 +37,22 @@
   }
 
   /** Takes the endpoints as they are now. */
-  update(views: readonly PoolView[], limits: ScalingLimits, now: number): void {
+  update({pools: views, limits, drainMs}: PoolsView, now: number): void {
     const domains = new Set(Object.keys(limits.prices));
     for (const {domain} of views) domains.add(domain);
     for (const domain of this.listDomains()) domains.add(domain);
     for (const domain of domains) {
       for (const kind of ['ordinary', 'spot'] as const) {
-        this.updatePool(findView(views, domain, kind), now);
+        this.updatePool(findView(views, domain, kind), now, drainMs);
       }
     }
   }
 
-  private updatePool(view: PoolView, now: number): void {
+  private updatePool(view: PoolView, now: number, drainMs: number): void {
     const key = formatKey(view);
     const pool = this.pools.get(key) ?? ScalingPool.createSeen(view);
     this.pools.set(key, pool);
-    pool.update(view, now);
+    pool.update(view, now, drainMs);
   }
 
   /** Lists all failure domains. */
--- a/packages/decisions/tests/scaling_plan.test.ts
+++ b/packages/decisions/tests/scaling_plan.test.ts
@@ -16,6 +16,7 @@
 } from './fixtures/scaling_simulation.js';
 import {RUN_OPTIONS} from './run_options.js';
 
+const DRAIN_MS = 3000;
 /** One reclaim after the other within a shortage, and a single one. */
 const RECLAIMS = [
   {domain: 'b', at: 60_000},
@@ -143,7 +144,7 @@
         {...pool, domain: 'b', ready: 16},
       ];
       const known = {need: 0, isNeedCertain: true, isMovable: true};
-      const view = {limits, pools, ...known};
+      const view = {limits, pools, ...known, drainMs: DRAIN_MS};
       assert.deepEqual(plan.plan(view, now), []);
     }
   });
@@ -157,6 +158,7 @@
   const view: ScalingView = {
     limits: {minimum: 1, maximum: 34, bootMs: 1, spotPrice: 0.2, prices: {}},
     pools,
+    drainMs: DRAIN_MS,
     ...{need: 45, isNeedCertain: true, isMovable: true},
   };
 
@@ -190,7 +192,7 @@
     it(`with ${leaving} leaving after an order for 4 less`, () => {
       const pool = ScalingPool.createSeen({...view, ready: 20, leaving: 0});
       pool.recordAccepted(16, 0);
-      pool.update({...view, ready: 10, leaving}, 1000);
+      pool.update({...view, ready: 10, leaving}, 1000, DRAIN_MS);
       assert.equal(pool.coming, coming);
     });
   }
@@ -199,10 +201,19 @@
   it('is reclaimed once the endpoints of the order are gone', () => {
     const pool = ScalingPool.createSeen({...view, ready: 20, leaving: 0});
     pool.recordAccepted(16, 0);
-    pool.update({...view, ready: 16, leaving: 0}, 6000);
-    pool.update({...view, ready: 13, leaving: 3}, 7000);
+    pool.update({...view, ready: 16, leaving: 0}, 6000, DRAIN_MS);
+    pool.update({...view, ready: 13, leaving: 3}, 7000, DRAIN_MS);
     assert.equal(pool.coming, 13);
   });
+
+  // Guards against a longer drain on order that is taken for a reclaim.
+  it('with endpoints that drain for longer than usual', () => {
+    const pool = ScalingPool.createSeen({...view, ready: 20, leaving: 0});
+    pool.recordAccepted(16, 0);
+    pool.update({...view, ready: 16, leaving: 0}, 6000, 2 * DRAIN_MS);
+    pool.update({...view, ready: 12, leaving: 4}, 7000, 2 * DRAIN_MS);
+    assert.equal(pool.coming, 16);
+  });
 });
 
 describe('the mix of capacity', () => {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -22,7 +22,10 @@
 export {CRASHES} from './services/crashes.js';
 export {GATEWAY_CONFIGURATION} from './services/configuration.js';
 export {ENDPOINT_NETWORK} from './services/endpoint_network.js';
-export {GATEWAY_ENDPOINTS} from './services/endpoints.js';
+export {
+  GATEWAY_ENDPOINTS,
+  GATEWAY_ENDPOINTS_SERVICE,
+} from './services/endpoints.js';
 export * from './services/engine_groups.js';
 export * from './services/host_phase.js';
 export * from './services/identity.js';
--- a/packages/gateway/src/services/endpoint_ends.ts
+++ b/packages/gateway/src/services/endpoint_ends.ts
@@ -8,33 +8,36 @@
 import type {EndpointRecord} from '../serving/endpoint_record.js';
 
 /**
- * The time from the announcement of an endpoint that leaves on an order to its
- * end, in ms; its entry does not name it.
+ * The share of the drain that is left to an endpoint of which only an answer
+ * tells that it is leaving. Some of its time has passed by then, and its entry
+ * may come late when the store is slow.
  */
-const ORDERED_DRAIN_MS = 3000;
-/**
- * The time until the end of an endpoint of which only an answer tells that it is
- * leaving, in ms. Some of its time has passed by then, and its entry may come
- * late when the store is slow.
- */
-const ANSWERED_END_MS = 1500;
+const ANSWERED_SHARE = 0.5;
+
+/** Which endpoints end without saying when, and after which time. */
+export interface DrainParts {
+  /** Whether the endpoints of a service are ordered and drained on order. */
+  readonly isScaled: (service: string) => boolean;
+  /** The time from the announcement to the end, in ms. */
+  readonly drainMs: number;
+}
 
 /**
  * Records the end of an endpoint, if it is leaving and its end is known.
  *
  * @param entry The entry as it was read; undefined if only an answer of the
  *     endpoint tells that it is leaving.
- * @param isScaled Whether the endpoints of a service are drained on order.
  */
 export function recordAnnouncedEnd(
   record: EndpointRecord,
   entry: EndpointEntry | undefined,
-  isScaled: (service: string) => boolean,
+  {isScaled, drainMs}: DrainParts,
 ): void {
   if (record.entry.state !== 'leaving') return;
   if (entry?.leavesMs !== undefined) record.recordEnd(entry.leavesMs);
   if (record.endsAt !== undefined || !isScaled(record.entry.service)) return;
-  record.recordEnd(entry === undefined ? ANSWERED_END_MS : ORDERED_DRAIN_MS);
+  // The entry of an endpoint that leaves on an order does not name the time.
+  record.recordEnd(entry === undefined ? drainMs * ANSWERED_SHARE : drainMs);
 }
 
 /**
--- a/packages/gateway/src/services/endpoints.ts
+++ b/packages/gateway/src/services/endpoints.ts
@@ -19,12 +19,20 @@
 /** The memory of an engine whose service does not configure it, in tokens. */
 const UNKNOWN_MEMORY_TOKENS = Number.MAX_SAFE_INTEGER;
 
+const SETTINGS = z.object({
+  drainMs: z.coerce.number().min(0).default(3000).meta({
+    unit: 'ms',
+    description:
+      'How long endpoints of a scaled service drain that the platform ends on order.',
+  }),
+});
+
 /** Declares the service. */
 export const GATEWAY_ENDPOINTS_SERVICE = createService({
   key: GATEWAY_ENDPOINTS,
-  settings: z.object({}),
+  settings: SETTINGS,
   needs: [CODECS, TABLES_KEY, GATEWAY_CONFIGURATION, PEERS],
-  create(context) {
+  create(context, settings) {
     const {endpoints: table} = context.find(TABLES_KEY);
     const configuration = context.find(GATEWAY_CONFIGURATION);
     const peers = context.find(PEERS);
@@ -36,6 +44,7 @@
       getMemoryTokens: (service) =>
         configuration.findService(service)?.engine?.memoryTokens ??
         UNKNOWN_MEMORY_TOKENS,
+      drainMs: settings.drainMs,
       isScaled: (service) =>
         configuration.findService(service)?.scaling !== undefined,
       findRow: (endpointId) => table.replica.find(endpointId),
--- a/packages/gateway/src/services/gateway_endpoints.ts
+++ b/packages/gateway/src/services/gateway_endpoints.ts
@@ -13,19 +13,21 @@
 import type {RowCodec} from '../model/table_store.js';
 import {EndpointRecord, type RemovalCause} from '../serving/endpoint_record.js';
 import {AddressIndex} from './address_index.js';
-import {isSameButEnd, recordAnnouncedEnd} from './endpoint_ends.js';
+import {
+  isSameButEnd,
+  recordAnnouncedEnd,
+  type DrainParts,
+} from './endpoint_ends.js';
 import type {EndpointPauses} from './endpoint_pauses.js';
 import {LeavingInstances} from './leaving_instances.js';
 import type {Peers} from './peer_hosts.js';
 
 /** Dependencies of the endpoints. */
-export interface GatewayEndpointsParts {
+export interface GatewayEndpointsParts extends DrainParts {
   readonly codec: RowCodec<EndpointEntry>;
   readonly clock: Clock;
   readonly log: Logger;
   readonly getMemoryTokens: (service: string) => number;
-  /** Whether the endpoints of a service are ordered and drained on order. */
-  readonly isScaled: (service: string) => boolean;
   /** Whether the current configuration contains a service. */
   readonly isServiceConfigured: (service: string) => boolean;
   /** Finds an endpoint's row in the table, by the endpoint's id. */
@@ -75,6 +77,11 @@
     return this.parts.getDepartureDelayMs() > 0;
   }
 
+  /** How long endpoints drain that the platform ends on order, in ms. */
+  get drainMs(): number {
+    return this.parts.drainMs;
+  }
+
   /** Finds an endpoint by its instance id. */
   find(instanceId: string): EndpointRecord | undefined {
     return this.records.get(instanceId);
@@ -167,7 +174,7 @@
     const record = this.records.get(instanceId);
     if (record?.entry.state !== 'ready') return;
     record.entry = {...record.entry, state: 'leaving'};
-    this.recordEnd(record, undefined);
+    recordAnnouncedEnd(record, undefined, this.parts);
     this.handleChange?.();
     this.writeLeavingLog(record, source);
   }
@@ -253,7 +260,8 @@
     }
     const entry = decoded.value;
     if (known?.instanceId === entry.instanceId) {
-      if (isSameButEnd(known.entry, entry)) this.recordEnd(known, entry);
+      const isSame = isSameButEnd(known.entry, entry);
+      if (isSame) recordAnnouncedEnd(known, entry, this.parts);
       else this.updateRecord(known, entry);
       return;
     }
@@ -286,7 +294,7 @@
     this.records.set(record.instanceId, record);
     this.instances.set(record.endpointId, record);
     this.addresses.add(record);
-    this.recordEnd(record, entry);
+    recordAnnouncedEnd(record, entry, this.parts);
     this.version++;
     this.handleChange?.();
     return record;
@@ -310,19 +318,12 @@
     this.addresses.delete(record);
     record.entry = this.keepLeaving(entry, wasLeaving);
     this.addresses.add(record);
-    this.recordEnd(record, entry);
+    recordAnnouncedEnd(record, entry, this.parts);
     this.handleChange?.();
     if (wasLeaving || entry.state === 'ready') return;
     this.writeLeavingLog(record, 'entry');
   }
 
-  private recordEnd(
-    record: EndpointRecord,
-    entry: EndpointEntry | undefined,
-  ): void {
-    recordAnnouncedEnd(record, entry, this.parts.isScaled);
-  }
-
   private writeLeavingLog(
     {instanceId, address}: EndpointRecord,
     source: LeavingSource,
--- a/packages/gateway/src/services/scaling_view.ts
+++ b/packages/gateway/src/services/scaling_view.ts
@@ -17,7 +17,7 @@
 
 /** Dependencies of the view. */
 export interface ScalingViewParts {
-  readonly endpoints: Pick<GatewayEndpoints, 'listAll'>;
+  readonly endpoints: Pick<GatewayEndpoints, 'drainMs' | 'listAll'>;
   readonly demand: Pick<DemandReports, 'getTracker' | 'isComplete'>;
   readonly clock: Clock;
 }
@@ -44,6 +44,7 @@
   const isComplete = parts.demand.isComplete(name);
   return {
     limits: scaling,
+    drainMs: parts.endpoints.drainMs,
     pools: listPools(records, !isComplete || demand.inFlight > 0, now),
     need: computeNeed(demand, capacity),
     isNeedCertain: isComplete && (isSpeedKnown || !hasPrompts),
--- a/packages/gateway/tests/endpoint_ends.test.ts
+++ b/packages/gateway/tests/endpoint_ends.test.ts
@@ -10,6 +10,9 @@
 } from '../src/services/gateway_endpoints.js';
 import {createEndpoint} from './fixtures/endpoints.js';
 
+/** Not the default, in ms. */
+const DRAIN_MS = 4200;
+
 /** Endpoints whose rows hold entries as JSON. */
 function createEndpoints(isScaled: boolean): GatewayEndpoints {
   const clock: Partial<Clock> = {getNow: () => 0};
@@ -21,6 +24,7 @@
     getMemoryTokens: () => 1000,
     isServiceConfigured: () => true,
     isScaled: () => isScaled,
+    drainMs: DRAIN_MS,
     peers: peers as GatewayEndpointsParts['peers'],
   };
   return new GatewayEndpoints(parts as GatewayEndpointsParts);
@@ -56,8 +60,8 @@
       const endpoints = createEndpoints(isScaled);
       putEntry(endpoints, {});
       putEntry(endpoints, {state: 'leaving'});
-      const hasEnd = endpoints.find('e')?.endsAt !== undefined;
-      assert.equal(hasEnd, isScaled);
+      const endsAt = endpoints.find('e')?.endsAt;
+      assert.equal(endsAt, isScaled ? DRAIN_MS : undefined);
     }
   });
 
