Keep the next attempt through a silence of an engine that ends

Callers saw: no failure of its own; a stream that leaves an ending engine lost its next attempt, that attempt's retry and one of its attempts when the engine fell silent or went on, and again when the end of a silent engine was announced, so it could be cut with none left.

Cause: StreamHandover.start() began with stop() for either reason, and a recovery stopped a search for an announced end, which was then started anew (EndpointEndWatch.resume()).

Change: one search has one attempt that is left, with the end of its engine if that is announced. While it is, suspicion and recovery change nothing; an end that is announced beside a silent engine only sets its time. The wait for the next attempt then lasts to the end. What prepares the next attempt is now in next_attempt_search.ts.

--- a/packages/gateway/src/serving/attempt_run.ts
+++ b/packages/gateway/src/serving/attempt_run.ts
@@ -50,7 +50,10 @@
   readonly report: StreamReport;
   readonly evidence: StreamEvidence;
   readonly version: StreamVersion;
-  readonly handover: Pick<StreamHandover, 'start' | 'stop'>;
+  readonly handover: Pick<
+    StreamHandover,
+    'finishSilence' | 'start' | 'startLeaving'
+  >;
 }
 
 /** One attempt of a stream. */
@@ -178,7 +181,7 @@
       hostStallMs: 0,
     };
     const {isStarted} = sink;
-    handover.start({run: this, silence, isStarted, endsAt});
+    handover.startLeaving({run: this, silence, isStarted}, endsAt);
   }
 
   /** Runs the attempt to its end. */
@@ -246,8 +249,7 @@
       },
       handleRecovered: (silentMs) => {
         report.recordSilenceEnd(plan, silentMs);
-        handover.stop();
-        this.endWatch.resume();
+        handover.finishSilence();
       },
     };
   }
--- a/packages/gateway/src/serving/endpoint_end_watch.ts
+++ b/packages/gateway/src/serving/endpoint_end_watch.ts
@@ -19,7 +19,6 @@
 export class EndpointEndWatch {
   private stopWatching: (() => void) | undefined;
   private timer: NodeJS.Timeout | undefined;
-  private dueEnd: number | undefined;
 
   constructor(
     private readonly endpoint: Pick<EndpointRecord, 'watchEnd'>,
@@ -35,15 +34,9 @@
     });
   }
 
-  /** Calls the handler again if the stream has to leave already. */
-  resume(): void {
-    if (this.dueEnd !== undefined) this.handleDue(this.dueEnd);
-  }
-
   stop(): void {
     this.stopWatching?.();
     clearTimeout(this.timer);
-    this.dueEnd = undefined;
   }
 
   private plan(endsAt: number): void {
@@ -52,7 +45,6 @@
     const delayMs = endsAt - leadMs - this.clock.getNow();
     this.timer = setTimeout(
       () => {
-        this.dueEnd = endsAt;
         this.handleDue(endsAt);
       },
       Math.max(0, delayMs),
--- a/packages/gateway/src/serving/stream_handover.ts
+++ b/packages/gateway/src/serving/stream_handover.ts
@@ -1,28 +1,24 @@
 /**
- * Finds where a stream goes on while its engine is silent, or before its engine
- * ends as announced. The silent attempt
- * keeps running while the stream is also sent to another engine, and whichever
- * brings the next event first continues it. The next engine must answer a probe
- * and have room, and route and retry budget must allow the attempt. Should that
- * engine refuse or fail the stream, the silent attempt is still there.
+ * Hands a stream over while its engine is silent, or before its engine ends as
+ * announced. The silent attempt keeps running while the stream is also sent to
+ * another engine, and whichever brings the next event first continues it.
+ * Should that engine refuse or fail the stream, the silent attempt is still
+ * there. While the end of its engine is announced, whether the engine is silent
+ * changes nothing: the stream has to leave it anyway, and a next attempt that
+ * were closed would have taken a retry and an attempt.
  */
 import {getErrorText} from '@irisdock/kernel';
-import {admitAttempt} from './attempt_admission.js';
 import type {AttemptEnds} from './attempt_ends.js';
 import {waitOverlap} from './attempt_overlap.js';
 import type {AttemptRun, PreparedAttempt} from './attempt_run.js';
-import type {AdmittedRequest} from './caller_exchange.js';
-import type {EndpointProber} from './endpoint_prober.js';
-import {EngineLease} from './engine_lease.js';
+import {
+  NextAttemptSearch,
+  type NextAttemptSearchParts,
+} from './next_attempt_search.js';
 import type {RelayHost} from './request_relay.js';
-import type {SendPermit} from './send_gate.js';
-import type {ServingParts} from './serving_parts.js';
 import type {Silence} from './silence_detector.js';
-import type {AttemptPlan, AttemptResult} from './stream_attempt.js';
-import type {StreamPlanner} from './stream_planner.js';
+import type {AttemptResult} from './stream_attempt.js';
 import type {StreamRelay} from './stream_relay.js';
-import type {StreamRetries} from './stream_retries.js';
-import type {SuspectRunAdmission} from './suspect_run.js';
 
 /** The time between two searches, in ms. */
 const SEARCH_INTERVAL_MS = 50;
@@ -32,28 +28,26 @@
  */
 const MIN_TRIAL_INTERVAL_MS = 100;
 const MAX_TRIAL_INTERVAL_MS = 800;
-/** How long the next engine may take to answer a probe, in ms. */
-const PROBE_TIMEOUT_MS = 150;
 
-/** An attempt that runs on a silent engine. */
-export interface SilentAttempt {
+/** An attempt that is left once the next one can continue the stream. */
+export interface LeavableAttempt {
   readonly run: Pick<AttemptRun, 'endSilent' | 'findReplica' | 'plan'>;
+  /** Why it is left. */
   readonly silence: Silence;
   /** Whether the caller has received part of the answer. */
   readonly isStarted: boolean;
-  /** When its engine ends, if the attempt is not silent and left for that. */
-  readonly endsAt?: number;
+}
+
+interface LeavingAttempt extends LeavableAttempt {
+  /**
+   * When its engine ends as announced, in ms of the clock; undefined if it is
+   * only silent.
+   */
+  endsAt: number | undefined;
 }
 
 /** Dependencies of the handover. */
-export interface StreamHandoverParts {
-  readonly serving: ServingParts;
-  readonly prober: EndpointProber;
-  readonly request: AdmittedRequest;
-  readonly service: string;
-  readonly planner: StreamPlanner;
-  readonly retries: StreamRetries;
-  readonly suspect: SuspectRunAdmission;
+export interface StreamHandoverParts extends NextAttemptSearchParts {
   readonly ends: AttemptEnds;
   readonly relay: Pick<StreamRelay, 'hasNext' | 'startBeside' | 'stopBeside'>;
   readonly startRun: (prepared: PreparedAttempt) => AttemptRun;
@@ -61,37 +55,48 @@
 
 /** Hands one stream over from silent engines. */
 export class StreamHandover {
+  private readonly nextAttempts: NextAttemptSearch;
   private search: AbortController | undefined;
+  /** The attempt for which the search runs; undefined if the search failed. */
+  private leaving: LeavingAttempt | undefined;
   /** The attempt that runs beside the silent one. */
   private trial: AttemptRun | undefined;
   private next: AttemptRun | undefined;
   /** Whether other hosts are looked for, as this one reaches no engine. */
   private isRelaying = false;
 
-  constructor(private readonly parts: StreamHandoverParts) {}
+  constructor(private readonly parts: StreamHandoverParts) {
+    this.nextAttempts = new NextAttemptSearch(parts);
+  }
 
   /** Whether an attempt runs that continues the stream. */
   get hasNext(): boolean {
     return this.next !== undefined;
   }
 
-  /** Starts the search for the next engine. */
-  start(silent: SilentAttempt): void {
-    this.stop();
-    const search = new AbortController();
-    this.search = search;
-    const {signal} = this.parts.request.exchange;
-    const stopSignal = AbortSignal.any([search.signal, signal]);
-    this.run(silent, stopSignal).catch((thrown: unknown) => {
-      this.writeFailure(thrown);
-    });
+  /**
+   * Starts the search for the next engine, as the engine is silent. A search
+   * for the announced end goes on.
+   */
+  start(silent: LeavableAttempt): void {
+    if (isEnding(this.leaving)) return;
+    this.startSearch({...silent, endsAt: undefined});
   }
 
-  /** Ends the search, as the engine goes on. */
-  stop(): void {
-    this.cancelTrial();
-    this.stopRelay();
-    this.endSearch();
+  /**
+   * Starts the search for the next engine, as the engine ends soon. A search
+   * for the silence of the engine goes on.
+   *
+   * @param endsAt When the engine ends, in ms of the clock.
+   */
+  startLeaving(attempt: LeavableAttempt, endsAt: number): void {
+    if (this.leaving === undefined) this.startSearch({...attempt, endsAt});
+    else this.leaving.endsAt = endsAt;
+  }
+
+  /** Ends the search, as the silent engine goes on, unless it ends soon. */
+  finishSilence(): void {
+    if (!isEnding(this.leaving)) this.stop();
   }
 
   /**
@@ -123,6 +128,25 @@
     this.takeNext()?.cancel();
   }
 
+  private startSearch(leaving: LeavingAttempt): void {
+    this.stop();
+    const search = new AbortController();
+    this.search = search;
+    this.leaving = leaving;
+    const {signal} = this.parts.request.exchange;
+    const stopSignal = AbortSignal.any([search.signal, signal]);
+    this.run(leaving, stopSignal).catch((thrown: unknown) => {
+      if (this.leaving === leaving) this.leaving = undefined;
+      this.writeFailure(thrown);
+    });
+  }
+
+  private stop(): void {
+    this.cancelTrial();
+    this.stopRelay();
+    this.endSearch();
+  }
+
   private cancelTrial(): void {
     if (this.trial === undefined) return;
     this.trial.cancel();
@@ -135,7 +159,7 @@
    * engine answers probes, and if the next one failed later, no other attempt
    * would be allowed. An attempt whose engine has ended cannot be kept.
    */
-  private isKept({silence, endsAt}: SilentAttempt): boolean {
+  private isKept({silence, endsAt}: LeavingAttempt): boolean {
     if (endsAt !== undefined) return false;
     return silence.isAnswering && !this.parts.retries.hasFurtherRetry;
   }
@@ -144,20 +168,24 @@
     if (this.search === undefined) return;
     this.search.abort();
     this.search = undefined;
+    this.leaving = undefined;
     this.parts.planner.exclusions.dropSilent();
   }
 
-  private async run(silent: SilentAttempt, signal: AbortSignal): Promise<void> {
+  private async run(
+    leaving: LeavingAttempt,
+    signal: AbortSignal,
+  ): Promise<void> {
     const {clock} = this.parts.serving;
-    this.parts.planner.exclusions.recordSilent(silent.run.plan.endpoint);
+    this.parts.planner.exclusions.recordSilent(leaving.run.plan.endpoint);
     let intervalMs = MIN_TRIAL_INTERVAL_MS;
     while (!signal.aborted) {
-      const prepared = await this.findNext(silent, signal);
+      const prepared = await this.findNext(leaving, signal);
       if (prepared === undefined) {
         await clock.wait(SEARCH_INTERVAL_MS, signal);
         continue;
       }
-      if (await this.runTrial(silent, prepared, signal)) return;
+      if (await this.runTrial(leaving, prepared, signal)) return;
       await clock.wait(intervalMs, signal);
       intervalMs = Math.min(MAX_TRIAL_INTERVAL_MS, intervalMs * 2);
     }
@@ -165,27 +193,16 @@
 
   /** Prepares the next attempt; undefined if there is none for now. */
   private async findNext(
-    silent: SilentAttempt,
+    leaving: LeavingAttempt,
     signal: AbortSignal,
   ): Promise<PreparedAttempt | undefined> {
-    const {retries, serving, request, planner} = this.parts;
-    await retries.tryBorrowToLeave();
-    if (retries.findLeaveDenial() !== undefined) return undefined;
-    if (!(await this.isAdmitted(signal))) return undefined;
+    if (!(await this.nextAttempts.isAllowed(signal))) return undefined;
     if (this.isPartitioned()) {
-      this.startRelay(silent);
+      this.startRelay(leaving);
       return undefined;
     }
     this.stopRelay();
-    const plan = await this.findPlan(silent, signal);
-    if (plan === undefined) return undefined;
-    const permit = await this.admit(plan, silent, signal);
-    if (permit === undefined || signal.aborted) return undefined;
-    const engineLease = new EngineLease(serving, request);
-    const isAcquired = await engineLease.acquire(plan.endpoint, signal);
-    if (isAcquired) return {plan, permit, engineLease};
-    planner.exclusions.recordTaken(plan.endpoint);
-    return undefined;
+    return this.nextAttempts.find(leaving, signal);
   }
 
   /**
@@ -195,7 +212,7 @@
    * @returns Whether the search is over.
    */
   private async runTrial(
-    silent: SilentAttempt,
+    leaving: LeavingAttempt,
     prepared: PreparedAttempt,
     signal: AbortSignal,
   ): Promise<boolean> {
@@ -206,12 +223,12 @@
     }
     const trial = this.parts.startRun(prepared);
     this.trial = trial;
-    const isContinued = await this.waitForTrial(silent, trial, signal);
+    const isContinued = await this.waitForTrial(leaving, trial, signal);
     if (!this.isCurrent(signal)) {
       if (trial.isCancelled) await this.recordUnused(trial);
       return true;
     }
-    if (isContinued === undefined && this.isKept(silent)) {
+    if (isContinued === undefined && this.isKept(leaving)) {
       this.cancelTrial();
       await this.recordUnused(trial);
       return false;
@@ -226,32 +243,46 @@
     planner.exclusions.dropSilent();
     this.next = trial;
     serving.metrics.handovers.inc({result: 'taken'});
-    this.endSilent(silent, prepared.plan.endpoint.instanceId);
+    this.endSilent(leaving, prepared.plan.endpoint.instanceId);
     return true;
   }
 
   /**
    * Waits until it is known whether the next attempt continues the stream;
-   * undefined if it is not in time. An attempt that is left before its engine
-   * ends goes on, so the next one is never ahead of it: its first events show
-   * that it can continue.
+   * undefined if it is not in time.
    */
   private async waitForTrial(
-    {endsAt}: SilentAttempt,
+    leaving: LeavingAttempt,
     trial: AttemptRun,
     signal: AbortSignal,
   ): Promise<boolean | undefined> {
     const {clock} = this.parts.serving;
-    const noAnswer = (): undefined => undefined;
-    if (endsAt === undefined) {
-      const overlap = waitOverlap(clock, signal).then(noAnswer);
-      return Promise.race([trial.waitForContinuation(), overlap]);
+    if (leaving.endsAt === undefined) {
+      const overlap = waitOverlap(clock, signal).then(() => undefined);
+      const isContinued = trial.waitForContinuation();
+      const result = await Promise.race([isContinued, overlap]);
+      // The end may have been announced meanwhile.
+      if (result !== undefined || !isEnding(leaving)) return result;
     }
+    return this.waitForEnd(leaving, trial, signal);
+  }
+
+  /**
+   * Waits for the next attempt until the engine ends. The attempt there goes
+   * on, so the next one is never ahead of it: its first events show that it can
+   * continue.
+   */
+  private async waitForEnd(
+    {endsAt = 0}: LeavingAttempt,
+    trial: AttemptRun,
+    signal: AbortSignal,
+  ): Promise<boolean | undefined> {
+    const {clock} = this.parts.serving;
     const leftMs = Math.max(0, endsAt - clock.getNow());
     const end = Promise.all([
       clock.wait(leftMs, signal),
       waitOverlap(clock, signal),
-    ]).then(noAnswer);
+    ]).then(() => undefined);
     return Promise.race([trial.waitForAnswer(), end]);
   }
 
@@ -269,16 +300,16 @@
   }
 
   /** Looks for another host, as this one reaches no engine at all. */
-  private startRelay(silent: SilentAttempt): void {
+  private startRelay(leaving: LeavingAttempt): void {
     if (this.isRelaying) return;
     this.isRelaying = true;
     const leavable = {
       host: undefined,
       endSilent: (_silence: Silence, {name}: RelayHost) => {
-        this.endSilent(silent, `host ${name}`);
+        this.endSilent(leaving, `host ${name}`);
       },
     };
-    this.parts.relay.startBeside(leavable, silent.silence);
+    this.parts.relay.startBeside(leavable, leaving.silence);
   }
 
   private stopRelay(): void {
@@ -292,59 +323,10 @@
     return serving.paths.isPartitioned(service);
   }
 
-  /**
-   * Whether another run of the content may start now. Whether an earlier one
-   * crashed its engine has to be settled first, which takes longer than most
-   * silences.
-   */
-  private async isAdmitted(signal: AbortSignal): Promise<boolean> {
-    const {serving, request, suspect} = this.parts;
-    if (serving.lostRuns.isExitCheckNeeded(request.content)) return false;
-    return (await suspect.admit(signal, 0)) === 'admitted';
-  }
-
-  /** Finds an engine that has room for the stream and is not silent itself. */
-  private async findPlan(
-    {run}: SilentAttempt,
-    signal: AbortSignal,
-  ): Promise<AttemptPlan | undefined> {
-    const {planner, prober} = this.parts;
-    if (signal.aborted) return undefined;
-    planner.setReplica(run.findReplica());
-    await planner.pollRemoteEngines();
-    if (!this.isCurrent(signal)) return undefined;
-    const plan = planner.choosePlan();
-    if (plan === undefined) {
-      // Those that were silent may answer by now.
-      planner.exclusions.dropSilent();
-      planner.exclusions.dropHeld();
-      planner.exclusions.recordSilent(run.plan.endpoint);
-      return undefined;
-    }
-    const answer = await prober.probe(plan.endpoint, PROBE_TIMEOUT_MS);
-    if (answer === 'answers') return plan;
-    if (this.isCurrent(signal)) planner.exclusions.recordSilent(plan.endpoint);
-    const {serving, service} = this.parts;
-    await serving.paths.check(service);
-    return undefined;
-  }
-
   private isCurrent(search: AbortSignal): boolean {
     return !search.aborted;
   }
 
-  private async admit(
-    plan: AttemptPlan,
-    {isStarted}: SilentAttempt,
-    signal: AbortSignal,
-  ): Promise<SendPermit | undefined> {
-    const {serving, planner} = this.parts;
-    const permit = await admitAttempt(serving, plan, isStarted, signal);
-    if (permit.kind === 'permit') return permit;
-    if (!signal.aborted) planner.recordHold(plan);
-    return undefined;
-  }
-
   /** The stream stays at its silent engine, as without a next one. */
   private writeFailure(thrown: unknown): void {
     const {serving, request} = this.parts;
@@ -354,8 +336,8 @@
     });
   }
 
-  private endSilent(silent: SilentAttempt, successor: string): void {
-    const {run, silence, endsAt} = silent;
+  private endSilent(leaving: LeavingAttempt, successor: string): void {
+    const {run, silence, endsAt} = leaving;
     const message =
       endsAt === undefined
         ? 'A stream leaves a silent engine.'
@@ -369,3 +351,8 @@
     run.endSilent(silence);
   }
 }
+
+/** Whether an attempt is left as the end of its engine is announced. */
+function isEnding(leaving: LeavingAttempt | undefined): boolean {
+  return leaving?.endsAt !== undefined;
+}
