Keep the standby replica of a stream that leaves an ending engine near

Callers saw nothing; the standby replica of a stream that had left an engine with an announced end went to another region, and so did its copy of the KV cache, though the region had room.

Cause: the attempt was recorded like one that is left for a silence, so the domain of the engine counted as lost to the stream, already while its next engine and the standby replica there were chosen. With two domains in a region no domain of the region was left.

Change: the domain of an engine whose end was announced is not avoided when the stream leaves it. A domain in which an attempt was lost or fell silent is avoided as before.

--- a/packages/gateway/src/serving/engine_exclusions.ts
+++ b/packages/gateway/src/serving/engine_exclusions.ts
@@ -81,9 +81,14 @@
     this.silent.clear();
   }
 
-  /** Lists the failure domains of silent engines. */
+  /**
+   * Lists the failure domains of silent engines. One whose end was announced is
+   * left for that, which tells nothing of its domain.
+   */
   listSilentDomains(): string[] {
-    const engines = [...this.silent.values()];
+    const engines = [...this.silent.values()].filter(
+      ({endsAt}) => endsAt === undefined,
+    );
     return engines.map(({failureDomain}) => failureDomain);
   }
 
--- a/packages/gateway/src/serving/stream_planner.ts
+++ b/packages/gateway/src/serving/stream_planner.ts
@@ -78,9 +78,12 @@
     const {kind} = result;
     exclusions.dropTaken();
     if (kind === 'lost') {
-      if (result.silence === undefined) exclusions.recordLost(endpoint);
-      else exclusions.recordLeft(endpoint);
-      // A failure domain may be lost as a whole.
+      const isLeft = result.silence !== undefined;
+      if (isLeft) exclusions.recordLeft(endpoint);
+      else exclusions.recordLost(endpoint);
+      // A failure domain may be lost as a whole, but not as the stream left an
+      // engine whose end was announced.
+      if (isLeft && endpoint.endsAt !== undefined) return;
       this.avoidedDomains.add(endpoint.failureDomain);
       return;
     }
