Test the whole time of a probe with a stall that is left out whole

Cause of the failures: the engine's answer was due 700 ms after the request and the stall of 700 ms ended 730 ms after it, so an engine whose thread was 30 ms late answered after the stall. The probe was over then: at most half of the time that has passed counts as stalls, so of 730 ms 365 ms count as running, more than its timeout of 250 ms, and it only gets one more read of its sockets. The product does what running_timer.ts says; nothing of it changes, and callers saw nothing.

It now stalls for 250 ms, which is left out whole, and the answer comes at 330 ms: 50 ms after the stall and 160 ms before the probe's end. That an answer which arrived during a stall beyond all limits is read is what the test before it checks, unchanged.

--- a/packages/gateway/tests/stalled_host.test.ts
+++ b/packages/gateway/tests/stalled_host.test.ts
@@ -36,6 +36,16 @@
 const SENT_MS = 30;
 /** Longer than any limit here, in ms. */
 const STALL_MS = 700;
+/**
+ * A stall that a probe leaves out whole, in ms: at most half of the time that
+ * has passed counts as stalls (`running_timer.ts`).
+ */
+const SHORT_STALL_MS = 250;
+/**
+ * An answer after this time comes 50 ms after the short stall and the timeout
+ * without it, and 160 ms before the timeout in running time.
+ */
+const LATE_ANSWER_MS = 330;
 
 /** Probes an engine; this host stands still once the probe has been sent. */
 async function probeStalled(
@@ -78,8 +88,10 @@
     assert.equal(await probeStalled(100, STALL_MS), 'answers');
   });
 
+  // Guards against probes whose time is over at the end of a stall.
   it('has its whole time though this host stands still meanwhile', async () => {
-    assert.equal(await probeStalled(STALL_MS, STALL_MS), 'answers');
+    const answer = await probeStalled(LATE_ANSWER_MS, SHORT_STALL_MS);
+    assert.equal(answer, 'answers');
   });
 
   it('ends at an engine that does not answer, after a stall too', async () => {
