Split long checkpoints and reports of usage over several rows

The checkpoint of 7,100 teams was one row of some 110 KB for each open window, and the report of a window one of as much; a row of the store takes 64 KB, so neither could have been written.

A text of more than 45,000 bytes is now split over rows that are written in the same transaction as the row of its key, which has their number. Shorter ones are written as before. Old windows are deleted with all their rows, as far as the 100 entries of a transaction allow; a checkpoint of more than 61 rows, as after a long outage of the store, leaves out the latest windows. Checkpoints compute the sums of a window once.

--- a/packages/decisions/src/usage_totals.ts
+++ b/packages/decisions/src/usage_totals.ts
@@ -92,10 +92,7 @@
 
   /** Computes the total of each team with any request in a window. */
   computeTotals(window: number): TeamCounts {
-    const {lost, unreported, reported} = this.computeSums(window);
-    addCounts(reported, lost);
-    addCounts(reported, unreported);
-    return toTeamCounts(reported);
+    return toTeamCounts(computeTotal(this.computeSums(window)));
   }
 
   /**
@@ -114,8 +111,8 @@
     const replaced = this.listReplaced();
     for (const window of this.listWindows()) {
       if (window < fromWindow) continue;
-      windows[window] = this.computeTotals(window);
       const sums = this.computeSums(window);
+      windows[window] = toTeamCounts(computeTotal(sums));
       if (isSettled) addCounts(sums.lost, sums.unreported);
       for (const report of replaced.values()) {
         addCounts(sums.lost, report.windows.get(window));
@@ -199,6 +196,18 @@
   }
 }
 
+/** Adds the parts up. */
+function computeTotal({
+  lost,
+  unreported,
+  reported,
+}: WindowSums): Map<string, number> {
+  const total = new Map(reported);
+  addCounts(total, lost);
+  addCounts(total, unreported);
+  return total;
+}
+
 function addCounts(
   sums: Map<string, number>,
   counts: ReadonlyMap<string, number> = new Map(),
--- a/packages/gateway/src/model/usage_state.ts
+++ b/packages/gateway/src/model/usage_state.ts
@@ -1,14 +1,22 @@
 /**
  * The rows of the task `usage`: its checkpoint, and the final report of each
- * window.
+ * window. Each may need several rows, as it has a count for each team.
  */
 import {err, ok, type Result} from 'neverthrow';
 import * as z from 'zod';
 import {USAGE_REPORT_SCHEMA, type UsageReport} from './platform_api.js';
+import {createTextRows} from './row_chunks.js';
+import type {RowChange} from './table_store.js';
 
 /** The key of the checkpoint. */
 export const USAGE_STATE_KEY = 'state';
 const WINDOW_KEY_PREFIX = 'window/';
+/**
+ * The maximum number of rows of the checkpoint. The store takes 100 entries in a
+ * transaction, which also has the lease, the report of a window, conditions and
+ * the deletion of old rows.
+ */
+export const MAX_STATE_ROWS = 61;
 
 const USAGE_STATE_SCHEMA = z.object({
   /** The era of the store when the holder read its rows. */
@@ -41,6 +49,35 @@
   return Number.isSafeInteger(window) ? window : undefined;
 }
 
+/** Returns the key of one of several rows of a window. */
+export function formatWindowPartKey(window: number, index: number): string {
+  return `${formatWindowKey(window)}/${index}`;
+}
+
+/** Creates the rows of the report of a window. */
+export function createReportRows(report: UsageReport): RowChange[] {
+  return createTextRows(formatWindowKey(report.window), JSON.stringify(report));
+}
+
+/**
+ * Creates the rows of the checkpoint. If there would be too many, as after a
+ * long outage of the store, the latest windows are left out: their hosts are the
+ * likeliest to be asked before these windows are final.
+ */
+export function createStateRows(state: UsageState): RowChange[] {
+  const rows = createTextRows(USAGE_STATE_KEY, JSON.stringify(state));
+  const windows = Object.keys(state.windows).map(Number);
+  if (rows.length <= MAX_STATE_ROWS || windows.length === 0) return rows;
+  const latest = Math.max(...windows);
+  const isKept = ([window]: readonly [string, unknown]): boolean =>
+    Number(window) !== latest;
+  return createStateRows({
+    ...state,
+    windows: Object.fromEntries(Object.entries(state.windows).filter(isKept)),
+    lost: Object.fromEntries(Object.entries(state.lost).filter(isKept)),
+  });
+}
+
 /** Decodes the checkpoint; an error says what is wrong with it. */
 export function decodeUsageState(value: string): Result<UsageState, string> {
   return decodeJson(USAGE_STATE_SCHEMA, value);
--- a/packages/gateway/src/services/usage_task.ts
+++ b/packages/gateway/src/services/usage_task.ts
@@ -15,8 +15,11 @@
 import type {Logger} from '@irisdock/kernel';
 import type {PlatformApi, UsageReport} from '../model/platform_api.js';
 import type {HeldLease, SingletonTask} from '../model/singleton_task.js';
+import {findText} from '../model/row_chunks.js';
 import type {RowChange, TableRow} from '../model/table_store.js';
 import {
+  createReportRows,
+  createStateRows,
   decodeUsageReport,
   decodeUsageState,
   formatWindowKey,
@@ -26,6 +29,7 @@
 } from '../model/usage_state.js';
 import type {UsageExchange} from './usage_exchange.js';
 import type {UsageMetrics} from './usage_metrics.js';
+import {UsageRows} from './usage_rows.js';
 
 /**
  * How long a new holder waits for the counts of the other hosts before it
@@ -38,8 +42,11 @@
 const REPEAT_REQUEST_MS = 250;
 /** The shortest time between requests when the hosts change, in ms. */
 const REQUEST_INTERVAL_MS = 2000;
-/** The maximum number of rows that are deleted with one write. */
-const MAX_DELETED_ROWS = 20;
+/**
+ * The maximum number of rows that are written or deleted at once: the store
+ * takes 100 entries, of which the lease and two conditions are three.
+ */
+const MAX_CHANGED_ROWS = 97;
 
 /** Dependencies of the task. */
 export interface UsageTaskParts {
@@ -60,8 +67,7 @@
   readonly name = 'usage';
   private schedule: UsageSchedule | undefined;
   private isStarted = false;
-  /** The windows whose rows are known to exist. */
-  private readonly rows = new Set<number>();
+  private readonly rows = new UsageRows();
   private readonly sent = new Set<number>();
   /** Before this time no window is finalized, in ms since 1970. */
   private finalizeFrom = -Infinity;
@@ -139,7 +145,7 @@
       lost: {...checkpoint.lost},
       lostIds: [...checkpoint.lostIds],
     };
-    return [{key: USAGE_STATE_KEY, value: JSON.stringify(state)}];
+    return createStateRows(state);
   }
 
   stop(): void {
@@ -167,11 +173,11 @@
   }
 
   private findState(rows: readonly TableRow[]): UsageState | undefined {
-    const row = rows.find(({key}) => key === USAGE_STATE_KEY);
-    if (row?.value === undefined) return undefined;
-    const decoded = decodeUsageState(row.value);
+    const text = findText(rows, USAGE_STATE_KEY);
+    if (text === undefined) return undefined;
+    const decoded = decodeUsageState(text);
     if (decoded.isOk()) return decoded.value;
-    this.writeRowFault(row.key, decoded.error);
+    this.writeRowFault(USAGE_STATE_KEY, decoded.error);
     return undefined;
   }
 
@@ -192,7 +198,7 @@
       times,
       this.isRestored(state) ? this.chooseFromNow(next) : next,
     );
-    for (const row of rows) this.addRow(schedule, row, state);
+    this.addRows(schedule, rows, state);
     return schedule;
   }
 
@@ -210,25 +216,38 @@
     return Math.max(next, computeWindow(exchange.getTime(), times.windowMs));
   }
 
-  private addRow(
+  private addRows(
     schedule: UsageSchedule,
-    {key, value}: TableRow,
+    rows: readonly TableRow[],
+    state: UsageState | undefined,
+  ): void {
+    for (const {key, value} of rows) {
+      const window = parseWindowKey(key);
+      if (window === undefined || value === undefined) continue;
+      const parts = rows.filter((row) => row.key.startsWith(`${key}/`));
+      this.rows.add(window, 1 + parts.length);
+      this.addWindow(schedule, window, findText(rows, key) ?? value, state);
+    }
+  }
+
+  private addWindow(
+    schedule: UsageSchedule,
+    window: number,
+    text: string,
     state: UsageState | undefined,
   ): void {
-    const window = parseWindowKey(key);
-    if (window === undefined || value === undefined) return;
-    this.rows.add(window);
     const isUnsent =
       state === undefined ||
       window >= state.next ||
       state.unsent.includes(window);
     schedule.addFinal(window, undefined);
     if (!isUnsent || this.sent.has(window)) return;
-    const decoded = decodeUsageReport(value);
+    const decoded = decodeUsageReport(text);
     if (decoded.isOk() && decoded.value.window === window) {
       schedule.addFinal(window, decoded.value);
     } else {
-      this.writeRowFault(key, decoded.isErr() ? decoded.error : 'its window');
+      const fault = decoded.isErr() ? decoded.error : 'its window';
+      this.writeRowFault(formatWindowKey(window), fault);
     }
   }
 
@@ -255,28 +274,25 @@
     schedule: UsageSchedule,
     window: number,
   ): Promise<void> {
-    const {exchange} = this.parts;
+    const {exchange, times} = this.parts;
     exchange.acceptOwnCounts();
     const counts = {...exchange.totals.computeTotals(window)};
     const report: UsageReport = {window, counts};
     const key = formatWindowKey(window);
-    const expired = this.listExpiredRows();
-    const deletions = expired.map((one) => ({
-      key: formatWindowKey(one),
-      value: undefined,
-    }));
+    const reportRows = createReportRows(report);
+    // The write renews the lease and so delays the next checkpoint.
+    const changes = [...reportRows, ...this.listRenewalChanges()];
+    const maxRows = MAX_CHANGED_ROWS - changes.length;
+    const now = exchange.getTime();
+    const expired = this.rows.listExpired(now, times.windowMs, maxRows);
+    const deletions = expired.flatMap((one) => this.rows.listDeletions(one));
     const saved = await lease.save(
-      [
-        {key, value: JSON.stringify(report)},
-        ...deletions,
-        // The write renews the lease and so delays the next checkpoint.
-        ...this.listRenewalChanges(),
-      ],
+      [...changes, ...deletions],
       [{key, revision: 0}],
     );
     if (saved.isOk()) {
-      for (const one of expired) this.rows.delete(one);
-      this.rows.add(window);
+      this.rows.removeAll(expired);
+      this.rows.add(window, reportRows.length);
       schedule.addFinal(window, report);
       return;
     }
@@ -298,16 +314,7 @@
     if (!lease.isHeld) return;
     const loaded = await lease.load(key);
     if (loaded.isErr()) return;
-    for (const row of loaded.value) this.addRow(schedule, row, undefined);
-  }
-
-  private listExpiredRows(): number[] {
-    const {exchange, times} = this.parts;
-    const oldest = exchange.getTime() - WINDOW_ROW_RETENTION_MS;
-    const expired = [...this.rows].filter(
-      (window) => computeWindowEnd(window, times.windowMs) < oldest,
-    );
-    return expired.slice(0, MAX_DELETED_ROWS);
+    this.addRows(schedule, loaded.value, undefined);
   }
 
   private async sendDue(
