Leave out no window at each start before the first checkpoint of an era

After a restore to a copy without a checkpoint, a holder skips the windows that have ended.

A process now remembers the window in which it first saw the era. Without a checkpoint of that era nobody reported a window from then on, as each checkpoint is written with the era and before a report is sent. The new test failed before: the report had none of the 10 requests.

--- a/packages/gateway/src/services/usage_task.ts
+++ b/packages/gateway/src/services/usage_task.ts
@@ -78,6 +78,11 @@
   private isRequestRepeated = true;
   /** The era of the store when the rows were read. */
   private era = 0;
+  /**
+   * The window in which this process first saw that the store is an older copy.
+   * Nobody reported a window from then on without a checkpoint of this era.
+   */
+  private eraStart: {era: number; window: number} | undefined;
 
   constructor(private readonly parts: UsageTaskParts) {}
 
@@ -213,7 +218,12 @@
    */
   private chooseFromNow(next: number): number {
     const {exchange, times} = this.parts;
-    return Math.max(next, computeWindow(exchange.getTime(), times.windowMs));
+    const {era} = this;
+    if (this.eraStart?.era !== era) {
+      const window = computeWindow(exchange.getTime(), times.windowMs);
+      this.eraStart = {era, window};
+    }
+    return Math.max(next, this.eraStart.window);
   }
 
   private addRows(
--- a/packages/gateway/tests/usage_reports.test.ts
+++ b/packages/gateway/tests/usage_reports.test.ts
@@ -81,6 +81,21 @@
     assert.deepEqual(fleet.listReports(), [{first: 10}, {first: 3}, {}, {}]);
   });
 
+  // Each start before the first checkpoint left out the windows ended so far.
+  it('leave out no window after a restore if the lease is lost', async () => {
+    const fleet = await startFleet();
+    startRequests(fleet, 10);
+    await fleet.run(4900);
+    fleet.putBackup(new Map());
+    await fleet.acquire('b');
+    fleet.writeFault = 'rejected';
+    await fleet.run(200);
+    assert.equal(fleet.rows.size, 0);
+    await fleet.acquire('b');
+    await runToFirstReport(fleet);
+    assert.deepEqual(fleet.listReports()[0], {first: 10});
+  });
+
   // Each loss of the holder could give a window two bodies or none.
   const steps: readonly (readonly [string, WriteFault, CallFault])[] = [
     ['before the window is final', 'rejected', 'none'],
