--- a/soak/src/play.ts
+++ b/soak/src/play.ts
@@ -173,6 +173,7 @@
     await this.runFaults(plan);
     await Promise.all(others);
     const usageRightAt = Date.now() + USAGE_RIGHT_MS;
+    this.platformApi.startCalm();
     const calmScaling = this.scaling?.runInCalm();
     await sleep(RECOVERY_MS - LIMITS_OVER_MS);
     limits.stop();
