Share relayed requests and load questions by what hosts can carry

Of the hosts drawn for a relayed request, by weight, the one with fewer such requests in flight got it, whatever its size, so under load small hosts got nearly as many as large ones. The hosts asked for the load of an engine, and those that a starting host of another region is sent to, were drawn alike.

Requests in flight now count by weight, and these hosts are drawn by weight. With hosts that count as equal, the draws and choices are the same.

--- a/packages/decisions/src/weighted_sample.ts
+++ b/packages/decisions/src/weighted_sample.ts
@@ -7,7 +7,12 @@
  * the light ones.
  */
 import {getShuffled, type Random} from '@irisdock/kernel';
-import {computeSum} from './host_capacity.js';
+import {
+  computeHostWeights,
+  computeSum,
+  hasUnequalWeights,
+  type SizedHost,
+} from './host_capacity.js';
 
 interface WeightedItem<T> {
   readonly item: T;
@@ -38,6 +43,21 @@
   return getShuffled(sample, random);
 }
 
+/**
+ * Draws some hosts, each at most once: by what they can carry if they are
+ * unequal, else all alike.
+ */
+export function getHostSample<H extends {readonly place: SizedHost}>(
+  hosts: readonly H[],
+  count: number,
+  random: Random,
+): H[] {
+  const weights = computeHostWeights(hosts.map(({place}) => place));
+  return hasUnequalWeights(weights)
+    ? getWeightedSample(hosts, weights, count, random)
+    : getShuffled(hosts, random).slice(0, count);
+}
+
 /** Splits off the items that are in every sample, the heaviest first. */
 function splitCertain<T>(
   weighted: readonly WeightedItem<T>[],
--- a/packages/gateway/src/services/engine_groups.ts
+++ b/packages/gateway/src/services/engine_groups.ts
@@ -7,9 +7,7 @@
 import {
   computeHomeGroups,
   createHostGroups,
-  computeHostWeights,
-  getWeightedSample,
-  hasUnequalWeights,
+  getHostSample,
   type HostGroup,
   type HostPosition,
   type HostView,
@@ -73,7 +71,7 @@
     for (const group of groups) {
       if (group === own || !this.isNear(group)) continue;
       const hosts = this.listHosts(group);
-      relays.push(...this.chooseRelays(hosts, RELAYS_PER_GROUP));
+      relays.push(...getHostSample(hosts, RELAYS_PER_GROUP, this.random));
     }
     return relays;
   }
@@ -88,7 +86,7 @@
       const domains = getShuffled([...hostsByDomain.values()], this.random);
       const count = Math.ceil(RELAYS_PER_REGION / domains.length);
       for (const hosts of domains.slice(0, RELAYS_PER_REGION)) {
-        relays.push(...this.chooseRelays(hosts, count));
+        relays.push(...getHostSample(hosts, count, this.random));
       }
     }
     return relays;
@@ -118,17 +116,6 @@
     return failureDomain === '' || this.position.isNear(failureDomain);
   }
 
-  private chooseRelays(
-    hosts: readonly KnownHost<PeerLocation>[],
-    count: number,
-  ): KnownHost<PeerLocation>[] {
-    const weights = computeHostWeights(hosts.map(({place}) => place));
-    if (!hasUnequalWeights(weights)) {
-      return getShuffled(hosts, this.random).slice(0, count);
-    }
-    return getWeightedSample(hosts, weights, count, this.random);
-  }
-
   /** Whether this host's group is the home group of an engine. */
   isHome(instanceId: string): boolean {
     const {group, homes} = this.getHomeGroups();
--- a/packages/gateway/src/services/use_queries.ts
+++ b/packages/gateway/src/services/use_queries.ts
@@ -3,8 +3,8 @@
  * group is informed of every stream that is placed on its engines, so one of
  * its hosts can answer for an engine without a connection to it.
  */
-import type {HostView} from '@irisdock/decisions';
-import {getShuffled, type Clock, type Random} from '@irisdock/kernel';
+import {getHostSample, type HostView} from '@irisdock/decisions';
+import type {Clock, Random} from '@irisdock/kernel';
 import type {
   UsageReplyDatagram,
   PeerDatagram,
@@ -75,7 +75,7 @@
     instanceId: string,
   ): Promise<EndpointUsageReport | undefined> {
     const homes = this.groups.listHomeHosts(instanceId);
-    const [host] = getShuffled(homes, this.random);
+    const [host] = getHostSample(homes, 1, this.random);
     if (host === undefined) return undefined;
     this.lastNumber++;
     const {lastNumber: number} = this;
--- a/packages/gateway/src/serving/request_relay.ts
+++ b/packages/gateway/src/serving/request_relay.ts
@@ -276,14 +276,18 @@
   }
 
   /** Finds the host with the fewest relayed requests, the first of equals. */
+  /** Finds the host with the fewest relayed requests for what it can carry. */
   private findLeastBusy(hosts: readonly RelayHost[]): RelayHost | undefined {
+    const weights = computeHostWeights(hosts);
+    const isUnequal = hasUnequalWeights(weights);
     let found: RelayHost | undefined;
     let fewest = Infinity;
-    for (const host of hosts) {
-      const inFlight = this.countInFlight(host);
-      if (inFlight >= fewest) continue;
+    for (const [at, host] of hosts.entries()) {
+      const weight = isUnequal ? (weights[at] ?? 1) : 1;
+      const load = this.countInFlight(host) / weight;
+      if (load >= fewest) continue;
       found = host;
-      fewest = inFlight;
+      fewest = load;
     }
     return found;
   }
--- a/packages/gateway/src/tables/peer_tables.ts
+++ b/packages/gateway/src/tables/peer_tables.ts
@@ -8,11 +8,10 @@
   type IncomingMessage,
   type ServerResponse,
 } from 'node:http';
-import type {HostPosition} from '@irisdock/decisions';
+import {getHostSample, type HostPosition} from '@irisdock/decisions';
 import {
   createService,
   createServiceKey,
-  getShuffled,
   IP_PORT_SCHEMA,
   type Random,
 } from '@irisdock/kernel';
@@ -69,7 +68,7 @@
 
 /**
  * Lists a few hosts to load from instead, if the requesting host is of another
- * region: ready hosts of its region, chosen at random.
+ * region: ready hosts of its region, drawn by what they can carry.
  *
  * @param domain The failure domain that the request names.
  */
@@ -85,9 +84,9 @@
       record.state === 'ready' &&
       position.regions.isSameRegion(place.failureDomain, domain),
   );
-  return getShuffled(nearer, random)
-    .slice(0, MAX_NEARER_HOSTS)
-    .map(({place}) => place.tables);
+  return getHostSample(nearer, MAX_NEARER_HOSTS, random).map(
+    ({place}) => place.tables,
+  );
 }
 
 /** Receives requests that other hosts relay. */
--- a/packages/gateway/tests/engine_groups.test.ts
+++ b/packages/gateway/tests/engine_groups.test.ts
@@ -7,6 +7,7 @@
   RegionMap,
   SINGLE_REGION,
   type EngineLocation,
+  type HostCapacity,
 } from '@irisdock/decisions';
 import {EngineGroups, type PeerLocation} from '@irisdock/gateway';
 import {SeededRandom} from '@irisdock/kernel';
@@ -14,8 +15,11 @@
 const DOMAINS = 6;
 const TIMES = {lostAfterMs: 3000, forgetAfterMs: 60_000};
 
-function createPlace(at: number): PeerLocation {
+type GetCapacity = (at: number) => HostCapacity | undefined;
+
+function createPlace(at: number, capacity?: HostCapacity): PeerLocation {
   return {
+    capacity,
     failureDomain: `domain-${at % DOMAINS}`,
     datagrams: `10.0.0.1:${at}`,
     tables: `10.0.0.2:${at}`,
@@ -23,7 +27,10 @@
   };
 }
 
-function createView(hosts: number): HostView<PeerLocation> {
+function createView(
+  hosts: number,
+  getCapacity: GetCapacity,
+): HostView<PeerLocation> {
   const createRecord = (at: number) =>
     ({
       name: `host-${at}`,
@@ -40,7 +47,8 @@
   );
   for (let at = 1; at < hosts; at++) {
     const record = createRecord(at);
-    view.accept({record, isSuspected: false, place: createPlace(at)}, 0);
+    const place = createPlace(at, getCapacity(at));
+    view.accept({record, isSuspected: false, place}, 0);
   }
   return view;
 }
@@ -54,8 +62,9 @@
   hosts: number,
   engines: number,
   regions = SINGLE_REGION,
+  getCapacity: GetCapacity = () => undefined,
 ): EngineGroups {
-  const view = createView(hosts);
+  const view = createView(hosts, getCapacity);
   const random = new SeededRandom(4);
   const place = createPlace(0);
   const position = new HostPosition(place.failureDomain, regions);
@@ -101,6 +110,26 @@
     assert.equal(createGroups(72, 0).listRelays().length, 22);
   });
 
+  // Guards against small hosts that pass on as many changes as large ones.
+  it('are reached through the hosts that can carry most', () => {
+    const createCapacity = (at: number): HostCapacity => ({
+      cores: at < 2 * DOMAINS ? 1.35 : 0.27,
+      linkMbps: 140,
+      memoryMb: 602,
+    });
+    const groups = createGroups(72, 0, SINGLE_REGION, createCapacity);
+    let large = 0;
+    let all = 0;
+    for (let change = 0; change < 100; change++) {
+      for (const {record} of groups.listRelays()) {
+        if (Number(record.name.slice('host-'.length)) < 2 * DOMAINS) large++;
+        all++;
+      }
+    }
+    // A sixth of the hosts have half of the cores.
+    assert.ok(large > 0.4 * all && large < 0.6 * all, `${large} of ${all}`);
+  });
+
   it('contain all hosts if there are few', () => {
     const groups = createGroups(9, 4);
     assert.equal(groups.listGroup().length, 8);
--- a/packages/gateway/tests/request_relay.test.ts
+++ b/packages/gateway/tests/request_relay.test.ts
@@ -4,7 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {HostPosition, RegionMap} from '@irisdock/decisions';
+import {HostPosition, RegionMap, type HostCapacity} from '@irisdock/decisions';
 import {SeededRandom} from '@irisdock/kernel';
 import type {HeaderCodec} from '../src/model/request_metadata.js';
 import {
@@ -45,12 +45,14 @@
   seed: number,
   partitioned: number,
   nearHosts = HOSTS,
+  getCapacity: (at: number) => HostCapacity | undefined = () => undefined,
 ): Fixture {
   const clock = new VirtualClock();
   const hosts = listNames().map((name, at) => ({
     name,
     address: '127.0.0.1:1',
     failureDomain: at < nearHosts ? 'domain' : 'elsewhere',
+    capacity: getCapacity(at),
   }));
   const codec: Partial<HeaderCodec> = {reportPath: '/report'};
   const relay = new RequestRelay({
@@ -159,4 +161,26 @@
     await fixture.clock.run(2000);
     assert.equal(await countRefused(fixture, FIRST_REQUESTS), 0);
   });
+
+  // Guards against small hosts with as many relayed requests as large ones: of
+  // two hosts drawn, the one with fewer got the next, whatever their sizes.
+  it('goes to hosts by what they can carry while others are in flight', () => {
+    const isLarge = (at: number): boolean => at < HOSTS / 6;
+    const {relay} = createFixture(1, 0, HOSTS, (at) =>
+      isLarge(at)
+        ? {cores: 1.35, linkMbps: 140, memoryMb: 602}
+        : {cores: 0.27, linkMbps: 140, memoryMb: 250},
+    );
+    const counts = {large: 0, small: 0};
+    for (let sent = 0; sent < 20 * HOSTS; sent++) {
+      const host = relay.choose(SERVICE, new Set());
+      assert.ok(host);
+      void relay.countSend(host, () => new Promise(() => undefined));
+      const at = listNames().indexOf(host.name);
+      counts[isLarge(at) ? 'large' : 'small']++;
+    }
+    // By the weights, a tenth of the hosts' cores are in each of ten large.
+    const ratio = (5 * counts.large) / counts.small;
+    assert.ok(ratio > 4 && ratio < 6, `${ratio} times as many`);
+  });
 });
