Find streams that stay at an endpoint until its announced end

A stream whose endpoint ended continues elsewhere also when its host ignored the announcement, so that no cut showed it. In calm, a stream that may run again and is not somewhere else when its endpoint ends is now a finding.

--- a/soak/src/end_witness.ts
+++ b/soak/src/end_witness.ts
@@ -136,6 +136,14 @@
     return `${attemptId} (${kind}) was cut on ${host}, which was left alone`;
   }
 
+  /** Whether a stream may run at one more endpoint, if its hosts may retry. */
+  isMovable(attempt: Attempt): boolean {
+    const runs = this.runs.get(attempt.attemptId)?.length ?? 0;
+    return (
+      !attempt.body.startsWith(CRASH_PREFIX) && this.isRetryDue(attempt, runs)
+    );
+  }
+
   /** Lists attempts that have not ended; called when all must have. */
   listFaults(): string[] {
     return [...this.open].map((attemptId) => `${attemptId} has no end`);
--- a/soak/src/endpoint_fleet.ts
+++ b/soak/src/endpoint_fleet.ts
@@ -92,6 +92,8 @@
   readonly handleRun: RunListener;
   /** A stream's run has ended, or was closed. */
   readonly handleRunEnd?: RunListener;
+  /** An endpoint ends as it announced. */
+  readonly handleAnnouncedEnd?: (instance: EndpointInstance) => void;
   /** A new stream failed without an event. */
   readonly handleFailedRun?: RunListener;
   readonly handleArrival: ArrivalListener;
@@ -263,6 +265,7 @@
       await sleep(Math.min(leavesMs, LEAVES_STEP_MS));
       leavesMs = Math.round(endsAt - performance.now());
     }
+    this.listener.handleAnnouncedEnd?.(instance);
     this.writeEntry(instance.id, undefined);
     this.end(instance);
   }
--- a/soak/src/play.ts
+++ b/soak/src/play.ts
@@ -85,7 +85,10 @@
     handleRunEnd: (instance, {attemptId}) => {
       const now = performance.now();
       this.overlaps.recordEnd(attemptId, instance, now);
-      this.scaling?.witness.recordEnd(attemptId, now);
+      this.scaling?.witness.recordEnd(attemptId, instance.id, now);
+    },
+    handleAnnouncedEnd: ({id}) => {
+      this.scaling?.handleAnnouncedEnd(id, this.witness);
     },
     handleFailedRun: (instance, run) => {
       this.witness.recordRun(instance, run, true);
@@ -168,7 +171,7 @@
       this.startHarmless(harmless),
       this.startHandovers(handovers),
       this.platformApi.runFaults(),
-      this.startReclaims(),
+      this.scaling?.runReclaims() ?? Promise.resolve(),
     ];
     await this.runFaults(plan);
     await Promise.all(others);
@@ -239,10 +242,6 @@
     return player;
   }
 
-  private async startReclaims(): Promise<void> {
-    await this.scaling?.runReclaims();
-  }
-
   private startDrills(): Promise<void> {
     const {store, fleet, configuration, disturbances} = this;
     const parts = {store, fleet, configuration, disturbances};
@@ -338,7 +337,7 @@
     if (instance.service !== SOAK_SERVICES.streams) return;
     const now = performance.now();
     this.overlaps.recordStart(attemptId, instance, now);
-    this.scaling?.witness.recordStart(attemptId, now);
+    this.scaling?.witness.recordStart(attemptId, instance.id, now);
   }
 
   private async runFaults(plan: readonly PlannedFault[]): Promise<void> {
--- a/soak/src/scaling_player.ts
+++ b/soak/src/scaling_player.ts
@@ -18,6 +18,7 @@
   STREAM_SHAPE,
   type EndpointFleet,
 } from './endpoint_fleet.js';
+import type {Witness} from './witness.js';
 import {ScalingWitness, type PlatformPool} from './scaling_witness.js';
 
 /** A reclaim of the spot endpoints of a failure domain. */
@@ -120,6 +121,8 @@
   private readonly pools: readonly Pool[];
   private places = 0;
   private noSpotUntil = -Infinity;
+  /** Whether the last reclaim has begun, while nothing else happens. */
+  private isCalm = false;
 
   constructor(
     private readonly events: ScalingEvents,
@@ -185,6 +188,14 @@
     }
   }
 
+  /** Takes it that an endpoint ends as it announced. */
+  handleAnnouncedEnd(
+    endpoint: string,
+    attempts: Pick<Witness, 'isMovable'>,
+  ): void {
+    if (this.isCalm) this.witness.recordAnnouncedEnd(endpoint, attempts);
+  }
+
   /** Reclaims spot endpoints beside the faults. */
   async runReclaims(): Promise<void> {
     await Promise.all(
@@ -201,6 +212,7 @@
    */
   async runInCalm(): Promise<void> {
     await sleep(CALM_RECLAIM_MS);
+    this.isCalm = true;
     this.endSpot(this.events.calmDomain);
     const until = this.noSpotUntil + RESTORED_MS;
     for (;;) {
--- a/soak/src/scaling_witness.ts
+++ b/soak/src/scaling_witness.ts
@@ -10,6 +10,7 @@
   SoakScaling,
 } from '@irisdock/users-platform/fixtures';
 import type {Disturbances} from './disturbances.js';
+import type {Witness} from './witness.js';
 
 /** The endpoints of one kind in a failure domain, as the platform has them. */
 export interface PlatformPool {
@@ -34,7 +35,8 @@
 export class ScalingWitness {
   /** What broke a promise, in words that name who and what. */
   readonly faults: string[] = [];
-  private readonly running = new Map<string, number>();
+  /** The endpoints that work on each attempt. */
+  private readonly running = new Map<string, string[]>();
   private readonly loads: {readonly load: number; readonly at: number}[] = [];
   private reclaimedAt = -Infinity;
 
@@ -44,19 +46,37 @@
   ) {}
 
   /** Records that an endpoint begins to work on an attempt. */
-  recordStart(attemptId: string, at: number): void {
-    this.running.set(attemptId, (this.running.get(attemptId) ?? 0) + 1);
+  recordStart(attemptId: string, endpoint: string, at: number): void {
+    const endpoints = this.running.get(attemptId) ?? [];
+    this.running.set(attemptId, [...endpoints, endpoint]);
     this.recordLoad(at);
   }
 
   /** Records that an endpoint no longer works on an attempt. */
-  recordEnd(attemptId: string, at: number): void {
-    const left = (this.running.get(attemptId) ?? 0) - 1;
-    if (left > 0) this.running.set(attemptId, left);
+  recordEnd(attemptId: string, endpoint: string, at: number): void {
+    const endpoints = [...(this.running.get(attemptId) ?? [])];
+    const index = endpoints.indexOf(endpoint);
+    if (index >= 0) endpoints.splice(index, 1);
+    if (endpoints.length > 0) this.running.set(attemptId, endpoints);
     else this.running.delete(attemptId);
     this.recordLoad(at);
   }
 
+  /**
+   * Records that an endpoint ends as announced, after the faults. A stream there
+   * that may run again has to run elsewhere by then.
+   */
+  recordAnnouncedEnd(
+    endpoint: string,
+    attempts: Pick<Witness, 'isMovable'>,
+  ): void {
+    for (const [attemptId, endpoints] of this.running) {
+      const isOnlyThere = endpoints.every((one) => one === endpoint);
+      if (!isOnlyThere || !attempts.isMovable(attemptId)) continue;
+      this.faults.push(`${attemptId} was still at ${endpoint} when it ended`);
+    }
+  }
+
   /** Records that the platform announced the end of spot endpoints. */
   recordReclaim(at: number): void {
     this.reclaimedAt = at;
--- a/soak/src/witness.ts
+++ b/soak/src/witness.ts
@@ -116,6 +116,12 @@
     return this.attempts.get(attemptId);
   }
 
+  /** Whether a running attempt may run at one more endpoint. */
+  isMovable(attemptId: string): boolean {
+    const attempt = this.attempts.get(attemptId);
+    return attempt !== undefined && this.ends.isMovable(attempt);
+  }
+
   /** Takes how an attempt ended. */
   recordEnd(attempt: Attempt, end: AttemptEnd): void {
     this.recordEnded(attempt, end);
--- a/soak/tests/scaling_witness.test.ts
+++ b/soak/tests/scaling_witness.test.ts
@@ -28,7 +28,7 @@
 ): ScalingWitness {
   const witness = new ScalingWitness(disturbances, SCALING);
   for (let index = 0; index < load; index++) {
-    witness.recordStart(`stream-${index}`, 0);
+    witness.recordStart(`stream-${index}`, 'i-1', 0);
   }
   return witness;
 }
@@ -93,15 +93,34 @@
     const few = createPools(1, 0).map((pool) => ({...pool, ordered: 0}));
     assert.equal(witness.listMissing(few, AT).length, 1);
     // A stream that moves runs at two endpoints for a moment, and counts once.
-    witness.recordStart('stream-0', AT);
-    witness.recordEnd('stream-0', AT);
-    for (let index = 0; index < 30; index++) {
-      witness.recordEnd(`stream-${index}`, AT);
+    witness.recordStart('stream-0', 'i-2', AT);
+    witness.recordEnd('stream-0', 'i-1', AT);
+    witness.recordEnd('stream-0', 'i-2', AT);
+    for (let index = 1; index < 30; index++) {
+      witness.recordEnd(`stream-${index}`, 'i-1', AT);
     }
     assert.deepEqual(witness.listMissing(few, AT), []);
   });
 });
 
+describe('the witness of announced ends', () => {
+  // Guards against a witness that passes hosts which ignore announced ends, as
+  // a stream on an endpoint that ended continues elsewhere all the same.
+  it('finds streams that are nowhere else when their endpoint ends', () => {
+    const witness = createWitness(3);
+    witness.recordStart('stream-0', 'i-2', AT);
+    const attempts = {
+      isMovable: (attemptId: string): boolean => attemptId !== 'stream-1',
+    };
+    witness.recordAnnouncedEnd('i-2', attempts);
+    assert.deepEqual(witness.faults, []);
+    witness.recordAnnouncedEnd('i-1', attempts);
+    assert.deepEqual(witness.faults, [
+      'stream-2 was still at i-1 when it ended',
+    ]);
+  });
+});
+
 describe('the witness of ends', () => {
   const attempt = {
     attemptId: 'x',
