--- a/soak/src/endpoint_fleet.ts
+++ b/soak/src/endpoint_fleet.ts
@@ -92,6 +92,8 @@
   readonly handleRun: RunListener;
   /** A stream's run has ended, or was closed. */
   readonly handleRunEnd?: RunListener;
+  /** An endpoint ends as it announced. */
+  readonly handleAnnouncedEnd?: (instance: EndpointInstance) => void;
   /** A new stream failed without an event. */
   readonly handleFailedRun?: RunListener;
   readonly handleArrival: ArrivalListener;
@@ -256,13 +258,14 @@
     if (instance === undefined) return;
     instance.leavingAt = performance.now();
     const endsAt = instance.leavingAt + noticeMs;
-    for (;;) {
-      const leavesMs = Math.max(0, Math.round(endsAt - performance.now()));
-      if (leavesMs === 0) break;
+    let leavesMs = noticeMs;
+    while (leavesMs > 0) {
       const left = instance.isSpot ? {leaves_ms: leavesMs} : {};
       this.putEntry(instance, 'leaving', left);
       await sleep(Math.min(leavesMs, LEAVES_STEP_MS));
+      leavesMs = Math.round(endsAt - performance.now());
     }
+    this.listener.handleAnnouncedEnd?.(instance);
     this.writeEntry(instance.id, undefined);
     this.end(instance);
   }
--- a/soak/src/scaling_player.ts
+++ b/soak/src/scaling_player.ts
@@ -18,6 +18,7 @@
   STREAM_SHAPE,
   type EndpointFleet,
 } from './endpoint_fleet.js';
+import type {Witness} from './witness.js';
 import {ScalingWitness, type PlatformPool} from './scaling_witness.js';
 
 /** A reclaim of the spot endpoints of a failure domain. */
@@ -64,7 +65,10 @@
 interface Pool {
   readonly failureDomain: string;
   readonly isSpot: boolean;
+  /** The number of the last order that was accepted. */
   ordered: number;
+  /** Whether its sender got the answer in time. */
+  isAnswered: boolean;
   /** The places of what is there, boots or crashed and will come back. */
   readonly places: Set<number>;
 }
@@ -117,6 +121,8 @@
   private readonly pools: readonly Pool[];
   private places = 0;
   private noSpotUntil = -Infinity;
+  /** Whether the last reclaim has begun, while nothing else happens. */
+  private isCalm = false;
 
   constructor(
     private readonly events: ScalingEvents,
@@ -127,7 +133,8 @@
     this.witness = new ScalingWitness(disturbances, events.scaling);
     this.pools = failureDomains.flatMap((failureDomain) =>
       [false, true].map((isSpot) => {
-        return {failureDomain, isSpot, ordered: 0, places: new Set<number>()};
+        const places = new Set<number>();
+        return {failureDomain, isSpot, ordered: 0, isAnswered: true, places};
       }),
     );
   }
@@ -156,24 +163,39 @@
     return performance.now() >= this.noSpotUntil;
   }
 
-  /** Carries an order out that was accepted. */
+  /** Carries an order out if it was accepted. */
   handleCall(call: ApiCall): void {
-    const {order, isAccepted} = call;
-    if (order === undefined || !isAccepted) return;
+    const {order, isAccepted, isAnswered} = call;
+    if (order === undefined) return;
     const pool = this.findPool(order);
     if (pool === undefined || order.service !== SOAK_SERVICES.streams) {
       this.witness.faults.push(`an order of ${order.service} was sent`);
       return;
     }
+    if (!isAccepted) {
+      // To a host, a refused repetition of an order whose answer was lost looks
+      // as if that had been refused too.
+      if (!pool.isAnswered && isAnswered) pool.ordered = pool.places.size;
+      return;
+    }
     this.orders++;
     this.witness.recordOrder(call, this.listPools(), performance.now());
     pool.ordered = order.count;
+    pool.isAnswered = isAnswered;
     while (pool.places.size < order.count) void this.startEndpoint(pool);
     for (const place of [...pool.places].slice(order.count)) {
       this.removeEndpoint(pool, place, DRAIN_MS);
     }
   }
 
+  /** Takes it that an endpoint ends as it announced. */
+  handleAnnouncedEnd(
+    endpoint: string,
+    attempts: Pick<Witness, 'isMovable'>,
+  ): void {
+    if (this.isCalm) this.witness.recordAnnouncedEnd(endpoint, attempts);
+  }
+
   /** Reclaims spot endpoints beside the faults. */
   async runReclaims(): Promise<void> {
     await Promise.all(
@@ -190,8 +212,21 @@
    */
   async runInCalm(): Promise<void> {
     await sleep(CALM_RECLAIM_MS);
+    // What was reclaimed beside the faults may not be back yet, and faults may
+    // have kept the first order from being sent.
+    const pool = this.findPool({
+      failureDomain: this.events.calmDomain,
+      isSpot: true,
+    });
+    if (pool !== undefined) pool.ordered = Math.max(pool.ordered, 1);
+    await this.waitRestored();
+    this.isCalm = true;
     this.endSpot(this.events.calmDomain);
-    const until = this.noSpotUntil + RESTORED_MS;
+    await this.waitRestored();
+  }
+
+  private async waitRestored(): Promise<void> {
+    const until = Math.max(performance.now(), this.noSpotUntil) + RESTORED_MS;
     for (;;) {
       const now = performance.now();
       const missing = this.witness.listMissing(this.listPools(), now);
@@ -240,10 +275,9 @@
 
   private listPools(): PlatformPool[] {
     return this.pools.map(({failureDomain, isSpot, ordered, places}) => {
-      const ready = [...places].filter((place) =>
-        this.fleet.find(place),
-      ).length;
-      return {failureDomain, isSpot, ordered, ready};
+      const here = [...places].filter((place) => this.fleet.find(place));
+      const present = places.size;
+      return {failureDomain, isSpot, ordered, present, ready: here.length};
     });
   }
 }
--- a/soak/src/scaling_witness.ts
+++ b/soak/src/scaling_witness.ts
@@ -10,13 +10,16 @@
   SoakScaling,
 } from '@irisdock/users-platform/fixtures';
 import type {Disturbances} from './disturbances.js';
+import type {Witness} from './witness.js';
 
 /** The endpoints of one kind in a failure domain, as the platform has them. */
 export interface PlatformPool {
   readonly failureDomain: string;
   readonly isSpot: boolean;
-  /** The number in force. */
+  /** The number of the last order. */
   readonly ordered: number;
+  /** Endpoints that are there, boot or come back; none that were told to leave. */
+  readonly present: number;
   /** Endpoints that serve and were not told to leave. */
   readonly ready: number;
 }
@@ -32,7 +35,8 @@
 export class ScalingWitness {
   /** What broke a promise, in words that name who and what. */
   readonly faults: string[] = [];
-  private readonly running = new Map<string, number>();
+  /** The endpoints that work on each attempt. */
+  private readonly running = new Map<string, string[]>();
   private readonly loads: {readonly load: number; readonly at: number}[] = [];
   private reclaimedAt = -Infinity;
 
@@ -42,19 +46,37 @@
   ) {}
 
   /** Records that an endpoint begins to work on an attempt. */
-  recordStart(attemptId: string, at: number): void {
-    this.running.set(attemptId, (this.running.get(attemptId) ?? 0) + 1);
+  recordStart(attemptId: string, endpoint: string, at: number): void {
+    const endpoints = this.running.get(attemptId) ?? [];
+    this.running.set(attemptId, [...endpoints, endpoint]);
     this.recordLoad(at);
   }
 
   /** Records that an endpoint no longer works on an attempt. */
-  recordEnd(attemptId: string, at: number): void {
-    const left = (this.running.get(attemptId) ?? 0) - 1;
-    if (left > 0) this.running.set(attemptId, left);
+  recordEnd(attemptId: string, endpoint: string, at: number): void {
+    const endpoints = [...(this.running.get(attemptId) ?? [])];
+    const index = endpoints.indexOf(endpoint);
+    if (index >= 0) endpoints.splice(index, 1);
+    if (endpoints.length > 0) this.running.set(attemptId, endpoints);
     else this.running.delete(attemptId);
     this.recordLoad(at);
   }
 
+  /**
+   * Records that an endpoint ends as announced, after the faults. A stream there
+   * that may run again has to run elsewhere by then.
+   */
+  recordAnnouncedEnd(
+    endpoint: string,
+    attempts: Pick<Witness, 'isMovable'>,
+  ): void {
+    for (const [attemptId, endpoints] of this.running) {
+      const isOnlyThere = endpoints.every((one) => one === endpoint);
+      if (!isOnlyThere || !attempts.isMovable(attemptId)) continue;
+      this.faults.push(`${attemptId} was still at ${endpoint} when it ended`);
+    }
+  }
+
   /** Records that the platform announced the end of spot endpoints. */
   recordReclaim(at: number): void {
     this.reclaimedAt = at;
@@ -71,13 +93,14 @@
     at: number,
   ): void {
     if (order === undefined) return;
-    this.checkLimits(order, pools);
-    if (!this.isInTouch(holder, at)) return;
+    const isInTouch = this.isInTouch(holder, at);
+    this.checkLimits(order, pools, isInTouch);
+    if (!isInTouch) return;
     const rest = pools.map((pool) =>
       isPoolOf(pool, order) ? applyOrder(pool, order.count) : pool,
     );
     const isFewer = pools.some(
-      (pool) => isPoolOf(pool, order) && order.count < pool.ordered,
+      (pool) => isPoolOf(pool, order) && order.count < pool.present,
     );
     const need = this.computeNeed(at);
     const left = countWithoutOneDomain(rest);
@@ -115,15 +138,20 @@
     while ((this.loads[1]?.at ?? Infinity) <= at - LOAD_MS) this.loads.shift();
   }
 
-  private checkLimits(order: ApiOrder, pools: readonly PlatformPool[]): void {
+  /** Endpoints that were reclaimed count no more. */
+  private checkLimits(
+    order: ApiOrder,
+    pools: readonly PlatformPool[],
+    isInTouch: boolean,
+  ): void {
     const {minimum, maximum} = this.scaling;
     let sum = order.count;
     for (const pool of pools) {
       const isOther = pool.isSpot !== order.isSpot;
       const isThere = pool.failureDomain === order.failureDomain;
-      if (isThere && isOther) sum += pool.ordered;
+      if (isThere && isOther) sum += pool.present;
     }
-    if (sum >= minimum && sum <= maximum) return;
+    if ((sum >= minimum || !isInTouch) && sum <= maximum) return;
     const limits = `${minimum} to ${maximum}`;
     this.faults.push(`${formatOrder(order)} makes ${sum}, not ${limits}`);
   }
@@ -148,8 +176,8 @@
 
 /** The platform may end any endpoint, also a ready one while others boot. */
 function applyOrder(pool: PlatformPool, count: number): PlatformPool {
-  const taken = Math.max(0, pool.ordered - count);
-  return {...pool, ordered: count, ready: Math.max(0, pool.ready - taken)};
+  const taken = Math.max(0, pool.present - count);
+  return {...pool, ready: Math.max(0, pool.ready - taken)};
 }
 
 function countWithoutOneDomain(pools: readonly PlatformPool[]): number {
