--- a/packages/decisions/tests/scaling_plan.test.ts
+++ b/packages/decisions/tests/scaling_plan.test.ts
@@ -199,7 +199,8 @@
       return {domain, kind, count, isOrdered: true, isUnavailable: false};
     });
     const state = {level: 4, initial: 6, hasDemand: true, pools: states};
-    const view = {limits, pools, need: 20, isNeedCertain: true};
+    const known = {need: 20, isNeedCertain: true};
+    const view = {limits, pools, ...known, drainMs: DRAIN_MS};
     const plan = ScalingPlan.createFrom(state, 0);
     const orders = plan.plan({...view, isMovable: true}, 2000);
     assert.ok(new Set(orders.map(({kind}) => kind)).size === 2);
--- a/packages/gateway/src/serving/request_relay.ts
+++ b/packages/gateway/src/serving/request_relay.ts
@@ -275,7 +275,6 @@
     return undefined;
   }
 
-  /** Finds the host with the fewest relayed requests, the first of equals. */
   /** Finds the host with the fewest relayed requests for what it can carry. */
   private findLeastBusy(hosts: readonly RelayHost[]): RelayHost | undefined {
     const weights = computeHostWeights(hosts);
