--- a/packages/decisions/src/host_record.ts
+++ b/packages/decisions/src/host_record.ts
@@ -43,6 +43,12 @@
   readonly place: P | undefined;
 }
 
+/** Whether a live host with this record may hold singleton tasks. */
+export function isTaskHost(record: HostRecord): boolean {
+  const {state, isStoreAway, isTaskExcluded} = record;
+  return state === 'ready' && !isStoreAway && isTaskExcluded !== true;
+}
+
 /** Orders two records of one host; positive if the first is newer. */
 export function compareRecords(a: HostRecord, b: HostRecord): number {
   return a.incarnation - b.incarnation || a.version - b.version;
--- a/packages/gateway/src/services/peer_hosts.ts
+++ b/packages/gateway/src/services/peer_hosts.ts
@@ -6,6 +6,7 @@
  */
 import {
   computeHostShares,
+  isTaskHost,
   type HostPosition,
   type KnownHost,
 } from '@irisdock/decisions';
@@ -223,13 +224,8 @@
    * reach the store, and whose calls for tasks do not fail.
    */
   listTaskHostNames(): string[] {
-    const names: string[] = [];
-    for (const {record} of this.listAlive()) {
-      const {name, state, isStoreAway, isTaskExcluded} = record;
-      if (state !== 'ready' || isStoreAway || isTaskExcluded === true) continue;
-      names.push(name);
-    }
-    return names;
+    const records = this.listAlive().map(({record}) => record);
+    return records.filter(isTaskHost).map(({name}) => name);
   }
 
   /**
--- a/soak/src/play.ts
+++ b/soak/src/play.ts
@@ -211,13 +211,8 @@
 
   private async startHarmless(plan: readonly HarmlessEvent[]): Promise<void> {
     const {hosts, fleet, configuration, silences} = this;
-    const parts = {
-      hosts,
-      fleet,
-      failureDomains: DOMAINS,
-      configuration,
-      silences,
-    };
+    const players = {hosts, fleet, configuration, silences};
+    const parts = {...players, failureDomains: DOMAINS};
     await new HarmlessPlayer(parts).runAll(plan);
   }
 
