--- a/packages/gateway/src/services/tasks.ts
+++ b/packages/gateway/src/services/tasks.ts
@@ -38,6 +38,12 @@
 const MAX_CANDIDATES = 3;
 /** The shortest lease that leaves time for renewals, in ms. */
 const MIN_LEASE_MS = 1000;
+/**
+ * The longest lease, in ms. All hosts wait out the lease in the row of a lost
+ * holder, so a duration that was set too long by mistake would leave the task
+ * without a holder for as long.
+ */
+const MAX_LEASE_MS = 60_000;
 
 const SETTINGS = z.object({
   names: z
@@ -49,11 +55,17 @@
       unit: 'name,...',
       description: `The tasks that one host of the deployment performs: ${TASK_NAMES.join(', ')}; none if empty.`,
     }),
-  leaseMs: z.coerce.number().int().min(MIN_LEASE_MS).default(3000).meta({
-    unit: 'ms',
-    description:
-      'The duration of the lease of a task; the same on all hosts of a deployment, except while a rolling restart changes it.',
-  }),
+  leaseMs: z.coerce
+    .number()
+    .int()
+    .min(MIN_LEASE_MS)
+    .max(MAX_LEASE_MS)
+    .default(3000)
+    .meta({
+      unit: 'ms',
+      description:
+        'The duration of the lease of a task, at most a minute; the same on all hosts of a deployment, except while a rolling restart changes it.',
+    }),
 });
 
 /** Dependencies of the tasks. */
