--- a/soak/src/scaling_player.ts
+++ b/soak/src/scaling_player.ts
@@ -212,19 +212,27 @@
    */
   async runInCalm(): Promise<void> {
     await sleep(CALM_RECLAIM_MS);
-    // What was reclaimed beside the faults may not be back yet, and faults may
-    // have kept the first order from being sent.
-    const pool = this.findPool({
-      failureDomain: this.events.calmDomain,
-      isSpot: true,
-    });
-    if (pool !== undefined) pool.ordered = Math.max(pool.ordered, 1);
     await this.waitRestored();
+    // Faults may have kept the first order from being sent. A domain that got the
+    // most ordinary endpoints meanwhile has none until those are given up.
+    const until = performance.now() + RESTORED_MS;
+    while (!this.hasSpot(this.events.calmDomain)) {
+      if (performance.now() >= until) break;
+      await sleep(CHECK_MS);
+    }
     this.isCalm = true;
     this.endSpot(this.events.calmDomain);
     await this.waitRestored();
   }
 
+  private hasSpot(failureDomain: string): boolean {
+    const pools = this.listPools();
+    return pools.some(
+      (pool) =>
+        pool.isSpot && pool.ready > 0 && pool.failureDomain === failureDomain,
+    );
+  }
+
   private async waitRestored(): Promise<void> {
     const until = Math.max(performance.now(), this.noSpotUntil) + RESTORED_MS;
     for (;;) {
