Try a third engine as both engines of a leaving stream are silent

Cause: while the end of an engine is announced, its silence changed nothing, and the silence of the held next attempt was not looked at, so no third engine was tried until the announced end. Change: the wait for the next attempt also ends once both engines are suspected; the stream then leaves for the next one, whose silence starts the search for a third.

--- a/packages/gateway/src/serving/answer_gate.ts
+++ b/packages/gateway/src/serving/answer_gate.ts
@@ -43,6 +43,11 @@
     private readonly endAttempt: (detail: string) => void,
   ) {}
 
+  /** Whether the engine is suspected while its answer is held. */
+  get isSilent(): boolean {
+    return !this.isOpen && this.silence !== undefined;
+  }
+
   /** Passes on what is held, and all that follows. */
   open(): void {
     if (this.isOpen) return;
--- a/packages/gateway/src/serving/attempt_run.ts
+++ b/packages/gateway/src/serving/attempt_run.ts
@@ -124,6 +124,11 @@
     return this.isUnneeded;
   }
 
+  /** Whether its engine is suspected while its answer is held. */
+  get isSilent(): boolean {
+    return this.gate.isSilent;
+  }
+
   /** Makes it the stream's current attempt, whose answer is passed on. */
   open(): void {
     this.isOpen = true;
--- a/packages/gateway/src/serving/stream_handover.ts
+++ b/packages/gateway/src/serving/stream_handover.ts
@@ -3,13 +3,14 @@
  * announced. The silent attempt keeps running while the stream is also sent to
  * another engine, and whichever brings the next event first continues it.
  * Should that engine refuse or fail the stream, the silent attempt is still
- * there. While the end of its engine is announced, whether the engine is silent
- * changes nothing: the stream has to leave it anyway, and a next attempt that
- * were closed would have taken a retry and an attempt.
+ * there. While the end of its engine is announced, a silence of the engine does
+ * not close the next attempt, which has taken a retry and an attempt, as the
+ * stream has to leave anyway. Once the next engine is suspected too, the stream
+ * leaves at once, so that a third engine is tried before the announced end.
  */
 import {getErrorText} from '@irisdock/kernel';
 import type {AttemptEnds} from './attempt_ends.js';
-import {waitOverlap} from './attempt_overlap.js';
+import {waitBothSilent, waitOverlap} from './attempt_overlap.js';
 import type {AttemptRun, PreparedAttempt} from './attempt_run.js';
 import {
   NextAttemptSearch,
@@ -44,6 +45,8 @@
    * only silent.
    */
   endsAt: number | undefined;
+  /** Whether its engine is suspected now. */
+  isSilent: boolean;
 }
 
 /** Dependencies of the handover. */
@@ -79,8 +82,8 @@
    * for the announced end goes on.
    */
   start(silent: LeavableAttempt): void {
-    if (isEnding(this.leaving)) return;
-    this.startSearch({...silent, endsAt: undefined});
+    if (isEnding(this.leaving)) this.leaving.isSilent = true;
+    else this.startSearch({...silent, endsAt: undefined, isSilent: true});
   }
 
   /**
@@ -90,13 +93,14 @@
    * @param endsAt When the engine ends, in ms of the clock.
    */
   startLeaving(attempt: LeavableAttempt, endsAt: number): void {
-    if (this.leaving === undefined) this.startSearch({...attempt, endsAt});
-    else this.leaving.endsAt = endsAt;
+    if (this.leaving !== undefined) this.leaving.endsAt = endsAt;
+    else this.startSearch({...attempt, endsAt, isSilent: false});
   }
 
   /** Ends the search, as the silent engine goes on, unless it ends soon. */
   finishSilence(): void {
-    if (!isEnding(this.leaving)) this.stop();
+    if (isEnding(this.leaving)) this.leaving.isSilent = false;
+    else this.stop();
   }
 
   /**
@@ -268,22 +272,30 @@
   }
 
   /**
-   * Waits for the next attempt until the engine ends. The attempt there goes
-   * on, so the next one is never ahead of it: its first events show that it can
-   * continue.
+   * Waits for the next attempt until the engine ends, or both engines are
+   * silent. The attempt there goes on, so the next one is never ahead of it: its
+   * first events show that it can continue.
    */
   private async waitForEnd(
-    {endsAt = 0}: LeavingAttempt,
+    leaving: LeavingAttempt,
     trial: AttemptRun,
     signal: AbortSignal,
   ): Promise<boolean | undefined> {
     const {clock} = this.parts.serving;
+    const {endsAt = 0} = leaving;
     const leftMs = Math.max(0, endsAt - clock.getNow());
+    const wait = new AbortController();
+    const waitSignal = AbortSignal.any([signal, wait.signal]);
     const end = Promise.all([
-      clock.wait(leftMs, signal),
-      waitOverlap(clock, signal),
+      clock.wait(leftMs, waitSignal),
+      waitOverlap(clock, waitSignal),
     ]).then(() => undefined);
-    return Promise.race([trial.waitForAnswer(), end]);
+    const silence = waitBothSilent(clock, leaving, trial, waitSignal);
+    try {
+      return await Promise.race([trial.waitForAnswer(), end, silence]);
+    } finally {
+      wait.abort();
+    }
   }
 
   /** Counts an attempt that was closed, as the silent engine went on. */
@@ -353,6 +365,8 @@
 }
 
 /** Whether an attempt is left as the end of its engine is announced. */
-function isEnding(leaving: LeavingAttempt | undefined): boolean {
+function isEnding(
+  leaving: LeavingAttempt | undefined,
+): leaving is LeavingAttempt {
   return leaving?.endsAt !== undefined;
 }
