Split what loads the rows of usage reports from their task

What a new holder reads from the store, and how it finds the reports that are not sent, is now in usage_loader.ts.

--- a/packages/gateway/src/services/usage_task.ts
+++ b/packages/gateway/src/services/usage_task.ts
@@ -4,35 +4,24 @@
  * to the platform until it is accepted. Each renewal of the lease writes a
  * checkpoint of the windows that are not final.
  */
-import {
-  computeWindow,
-  getEra,
-  UsageSchedule,
-  WINDOW_ROW_RETENTION_MS,
-  computeWindowEnd,
-  type UsageTimes,
-} from '@irisdock/decisions';
+import type {UsageSchedule, UsageTimes} from '@irisdock/decisions';
 import type {Logger} from '@irisdock/kernel';
 import type {PlatformApi, UsageReport} from '../model/platform_api.js';
-import {findText} from '../model/row_chunks.js';
 import type {
   HeldLease,
   SingletonTask,
   TaskActivity,
 } from '../model/singleton_task.js';
-import type {RowChange, TableRow} from '../model/table_store.js';
+import type {RowChange} from '../model/table_store.js';
 import {
   createReportRows,
   createStateRows,
-  decodeUsageReport,
-  decodeUsageState,
   formatWindowKey,
-  parseWindowKey,
-  USAGE_STATE_KEY,
   type UsageState,
 } from '../model/usage_state.js';
 import type {UsageExchange} from './usage_exchange.js';
 import {UsageHistory} from './usage_history.js';
+import {UsageLoader} from './usage_loader.js';
 import type {UsageMetrics} from './usage_metrics.js';
 import {UsageRows} from './usage_rows.js';
 
@@ -73,7 +62,6 @@
   private schedule: UsageSchedule | undefined;
   private isStarted = false;
   private readonly rows = new UsageRows();
-  private readonly sent = new Set<number>();
   /** Before this time no window is finalized, in ms since 1970. */
   private finalizeFrom = -Infinity;
   /** From then on the hosts have answered the request for counts. */
@@ -81,17 +69,13 @@
   private requestedAt = -Infinity;
   private hostsHash: number | undefined;
   private isRequestRepeated = true;
-  /** The era of the store when the rows were read. */
-  private era = 0;
-  /**
-   * The window in which this process first saw that the store is an older copy.
-   * Nobody reported a window from then on without a checkpoint of this era.
-   */
-  private eraStart: {era: number; window: number} | undefined;
   private readonly history: UsageHistory;
+  private readonly loader: UsageLoader;
 
   constructor(private readonly parts: UsageTaskParts) {
     this.history = new UsageHistory(parts.times.windowMs);
+    const {history, rows} = this;
+    this.loader = new UsageLoader({...parts, history, rows});
   }
 
   /** The reports that are final and not accepted, a count. */
@@ -111,14 +95,8 @@
     }
     // Without this, a task that was stopped meanwhile would count as started.
     if (!lease.isHeld) return false;
-    // There may be no rows yet, which says nothing of the era.
-    this.era = Math.max(
-      lease.era,
-      ...loaded.value.map(({revision}) => getEra(revision)),
-    );
-    const state = this.findState(loaded.value);
-    if (state !== undefined) this.parts.exchange.totals.setCheckpoint(state);
-    this.schedule = this.createSchedule(loaded.value, state);
+    const known = this.schedule?.nextWindow;
+    this.schedule = this.loader.load(loaded.value, lease.era, known);
     this.pollHosts(this.schedule.nextWindow);
     this.isRequestRepeated = false;
     this.settledAt = this.parts.exchange.getTime() + SETTLE_MS;
@@ -151,7 +129,7 @@
     const isSettled = now >= this.settledAt;
     const checkpoint = exchange.totals.createCheckpoint(next, now, isSettled);
     const state: UsageState = {
-      era: this.era,
+      era: this.loader.era,
       takenAt: checkpoint.takenAt,
       next,
       unsent,
@@ -192,92 +170,6 @@
     exchange.pollCounts(fromWindow);
   }
 
-  private findState(rows: readonly TableRow[]): UsageState | undefined {
-    const text = findText(rows, USAGE_STATE_KEY);
-    if (text === undefined) return undefined;
-    const decoded = decodeUsageState(text);
-    if (decoded.isOk()) return decoded.value;
-    this.writeRowFault(USAGE_STATE_KEY, decoded.error);
-    return undefined;
-  }
-
-  private createSchedule(
-    rows: readonly TableRow[],
-    state: UsageState | undefined,
-  ): UsageSchedule {
-    const {exchange, times} = this.parts;
-    const {startWindow, totals} = exchange;
-    const first = Math.min(
-      startWindow,
-      totals.findFirstWindow() ?? startWindow,
-    );
-    // A row that vanished with a restored store may have been reported.
-    const known = this.schedule?.nextWindow ?? -Infinity;
-    const next = Math.max(known, state?.next ?? first);
-    const schedule = new UsageSchedule(
-      times,
-      this.isRestored(state) ? this.chooseFromNow(next) : next,
-    );
-    this.addRows(schedule, rows, state);
-    return schedule;
-  }
-
-  /** Whether rows of windows may be missing: the store is an older copy. */
-  private isRestored(state: UsageState | undefined): boolean {
-    return this.era !== (state?.era ?? 0);
-  }
-
-  /**
-   * Skips the windows that ended: an earlier holder may have reported them, and
-   * a second body for one is worse than none.
-   */
-  private chooseFromNow(next: number): number {
-    const {exchange, times} = this.parts;
-    const {era} = this;
-    if (this.eraStart?.era !== era) {
-      const window = computeWindow(exchange.getTime(), times.windowMs);
-      this.eraStart = {era, window};
-    }
-    return Math.max(next, this.eraStart.window);
-  }
-
-  private addRows(
-    schedule: UsageSchedule,
-    rows: readonly TableRow[],
-    state: UsageState | undefined,
-  ): void {
-    for (const {key, value} of rows) {
-      const window = parseWindowKey(key);
-      if (window === undefined || value === undefined) continue;
-      const parts = rows.filter((row) => row.key.startsWith(`${key}/`));
-      this.rows.add(window, 1 + parts.length);
-      this.addWindow(schedule, window, findText(rows, key) ?? value, state);
-    }
-  }
-
-  private addWindow(
-    schedule: UsageSchedule,
-    window: number,
-    text: string,
-    state: UsageState | undefined,
-  ): void {
-    const isUnsent =
-      state === undefined ||
-      window >= state.next ||
-      state.unsent.includes(window);
-    schedule.addFinal(window, undefined);
-    if (!isUnsent || this.sent.has(window)) return;
-    const decoded = decodeUsageReport(text);
-    if (decoded.isOk() && decoded.value.window === window) {
-      schedule.addFinal(window, decoded.value);
-      // An earlier holder may have sent it.
-      this.history.record(window, 'uncertain');
-    } else {
-      const fault = decoded.isErr() ? decoded.error : 'its window';
-      this.writeRowFault(formatWindowKey(window), fault);
-    }
-  }
-
   private async bindDue(
     lease: HeldLease,
     schedule: UsageSchedule,
@@ -343,7 +235,7 @@
     if (!lease.isHeld) return;
     const loaded = await lease.load(key);
     if (loaded.isErr()) return;
-    this.addRows(schedule, loaded.value, undefined);
+    this.loader.addRows(schedule, loaded.value);
   }
 
   private async sendDue(
@@ -373,23 +265,9 @@
     }
     const result = schedule.isLate(window, now) ? 'late' : 'sent';
     schedule.recordSent(window);
-    this.recordSent(window);
+    this.loader.recordSent(window, now);
     this.history.record(window, result);
     metrics.windows.inc({result});
     log.writeInfo('A usage report was accepted.', {window, result});
   }
-
-  private recordSent(window: number): void {
-    const {exchange, times} = this.parts;
-    this.sent.add(window);
-    const oldest = exchange.getTime() - 2 * WINDOW_ROW_RETENTION_MS;
-    for (const one of this.sent) {
-      if (computeWindowEnd(one, times.windowMs) < oldest) this.sent.delete(one);
-    }
-  }
-
-  private writeRowFault(key: string, fault: string): void {
-    const message = 'A row of usage reports is not readable.';
-    this.parts.log.writeWarning(message, {key, fault});
-  }
 }
