Send what the row of a usage report decodes to, at every holder

The holder that made a window final sent its object in memory, and the next one sent the decoded row. The decoder drops the team name __proto__, so the platform could get two bodies of a window. Now the first holder decodes the text of its row as well. The count of such a team is not reported.

The new test in usage_losses.test.ts failed before: two bodies of the first window.

--- a/packages/gateway/src/model/usage_state.ts
+++ b/packages/gateway/src/model/usage_state.ts
@@ -54,9 +54,9 @@
   return `${formatWindowKey(window)}/${index}`;
 }
 
-/** Creates the rows of the report of a window. */
-export function createReportRows(report: UsageReport): RowChange[] {
-  return createTextRows(formatWindowKey(report.window), JSON.stringify(report));
+/** Creates the rows of the report of a window, which is given as JSON. */
+export function createReportRows(window: number, text: string): RowChange[] {
+  return createTextRows(formatWindowKey(window), text);
 }
 
 /**
--- a/packages/gateway/src/services/usage_task.ts
+++ b/packages/gateway/src/services/usage_task.ts
@@ -6,7 +6,7 @@
  */
 import type {UsageSchedule, UsageTimes} from '@irisdock/decisions';
 import type {Logger} from '@irisdock/kernel';
-import type {PlatformApi, UsageReport} from '../model/platform_api.js';
+import type {PlatformApi} from '../model/platform_api.js';
 import type {
   HeldLease,
   SingletonTask,
@@ -16,6 +16,7 @@
 import {
   createReportRows,
   createStateRows,
+  decodeUsageReport,
   formatWindowKey,
   type UsageState,
 } from '../model/usage_state.js';
@@ -197,9 +198,17 @@
     const {exchange, times} = this.parts;
     exchange.acceptOwnCounts();
     const counts = {...exchange.totals.computeTotals(window)};
-    const report: UsageReport = {window, counts};
+    // The next holder sends what the row decodes to, which may lack teams.
+    const text = JSON.stringify({window, counts});
+    const report = decodeUsageReport(text);
+    if (report.isErr()) {
+      this.finalizeFrom = exchange.getTime() + WRITE_PAUSE_MS;
+      const fault = report.error;
+      this.parts.log.writeWarning('A window was not valid.', {window, fault});
+      return;
+    }
     const key = formatWindowKey(window);
-    const reportRows = createReportRows(report);
+    const reportRows = createReportRows(window, text);
     // The write renews the lease and so delays the next checkpoint.
     const changes = [...reportRows, ...this.listRenewalChanges()];
     const maxRows = MAX_CHANGED_ROWS - changes.length;
@@ -213,7 +222,7 @@
     if (saved.isOk()) {
       this.rows.removeAll(expired);
       this.rows.add(window, reportRows.length);
-      schedule.addFinal(window, report);
+      schedule.addFinal(window, report.value);
       this.history.record(window, 'unsent');
       return;
     }
