Keep the counts of lost hosts apart once a new holder has its answers

After it had settled, a holder still computed its totals from the checkpoint that it had loaded, as the larger of the stored sum and the sum of reports. So the growth of hosts that went on hid the counts of lost ones.

The new test, of a lost host that the new holder never heard, failed before with too few requests.

--- a/packages/decisions/src/usage_totals.ts
+++ b/packages/decisions/src/usage_totals.ts
@@ -90,6 +90,17 @@
     this.lostIds = new Set(checkpoint.lostIds);
   }
 
+  /**
+   * Assigns what the checkpoint has more than live hosts reported to lost
+   * incarnations, from a window on, once these hosts have had the time to report.
+   * Otherwise the growth of live hosts would hide these counts.
+   */
+  markSettled(fromWindow: number): void {
+    const {lost, lostIds} = this.createCheckpoint(fromWindow, -Infinity, true);
+    // All other counts are in the reports of this collector.
+    this.setCheckpoint({takenAt: -Infinity, windows: lost, lost, lostIds});
+  }
+
   /** Computes the total of each team with any request in a window. */
   computeTotals(window: number): TeamCounts {
     return toTeamCounts(computeTotal(this.computeSums(window)));
--- a/packages/gateway/src/services/usage_task.ts
+++ b/packages/gateway/src/services/usage_task.ts
@@ -67,6 +67,8 @@
   private finalizeFrom = -Infinity;
   /** From then on the hosts have answered the request for counts. */
   private settledAt = -Infinity;
+  /** Whether the totals of this tenure are marked as settled. */
+  private isSettled = false;
   private requestedAt = -Infinity;
   private hostsHash: number | undefined;
   private isRequestRepeated = true;
@@ -100,6 +102,7 @@
     this.schedule = this.loader.load(loaded.value, lease.era, known);
     this.pollHosts(this.schedule.nextWindow);
     this.isRequestRepeated = false;
+    this.isSettled = false;
     this.settledAt = this.parts.exchange.getTime() + SETTLE_MS;
     this.finalizeFrom = this.settledAt;
     this.isStarted = true;
@@ -115,6 +118,7 @@
     const {schedule} = this;
     if (schedule === undefined || !this.isStarted) return;
     this.pollAgain(schedule.nextWindow);
+    this.trySettle(schedule.nextWindow);
     await this.bindDue(lease, schedule);
     if (lease.isHeld) await this.sendDue(lease, schedule);
   }
@@ -126,9 +130,10 @@
     const {exchange} = this.parts;
     const {nextWindow: next, unsentWindows: unsent} = schedule;
     exchange.acceptOwnCounts();
+    this.trySettle(next);
     const now = exchange.getTime();
     // Which counts belong to lost hosts is known only once the others answered.
-    if (now < this.settledAt) return [];
+    if (!this.isSettled) return [];
     const checkpoint = exchange.totals.createCheckpoint(next, now, true);
     const state: UsageState = {
       era: this.loader.era,
@@ -152,6 +157,15 @@
     this.history.drop();
   }
 
+  /** Marks the totals as settled once the hosts have had time to answer. */
+  private trySettle(fromWindow: number): void {
+    const {exchange} = this.parts;
+    if (this.isSettled || exchange.getTime() < this.settledAt) return;
+    this.isSettled = true;
+    exchange.acceptOwnCounts();
+    exchange.totals.markSettled(fromWindow);
+  }
+
   /** Asks again as the first request may be lost, and when hosts change. */
   private pollAgain(fromWindow: number): void {
     const {exchange, getHostsHash} = this.parts;
--- a/packages/gateway/tests/usage_losses.test.ts
+++ b/packages/gateway/tests/usage_losses.test.ts
@@ -63,4 +63,20 @@
     assert.ok(reported >= begun - 8, `${reported} of ${begun}`);
     assert.ok(reported <= begun, `${reported} of ${begun}`);
   });
+
+  // The growth of the hosts that went on took the place of the lost counts.
+  it('contain a lost host that the new holder never heard', async () => {
+    const fleet = new UsageFleet(HOSTS);
+    await fleet.acquire('a');
+    await runRequests(fleet, HOSTS, 10);
+    await fleet.run(150);
+    fleet.hosts.delete('d');
+    fleet.startHost('b');
+    await fleet.acquire('b');
+    await fleet.run(700);
+    await runRequests(fleet, ['a', 'c'], 20);
+    await fleet.run(8000);
+    const {reported, begun} = countAll(fleet);
+    assert.equal(reported, begun);
+  });
 });
