Tell the incarnations of a usage checkpoint by name, not by clock

A checkpoint told later incarnations from its own ones by comparing the wall clock at their start with the time of the holder, and of two processes of a host the one with the lower incarnation passed for the replaced one. With clocks set back by 2 s, new hosts hid the stored sum, and a live process was counted as lost. Now the checkpoint names its incarnations, and the order of first reports tells which process of a host is the live one.

--- a/packages/decisions/src/usage_totals.ts
+++ b/packages/decisions/src/usage_totals.ts
@@ -1,11 +1,11 @@
 /**
  * The requests of all hosts by window and team, from the reports of hosts and a
  * checkpoint of an earlier collector. Reports of hosts that have died stay. The
- * checkpoint contains what incarnations that started before it had reported, in
+ * checkpoint contains what the incarnations that it names had reported, in
  * two sums: that of lost incarnations, whose reports may be known to nobody any
  * more, and that of all others. The total of the others is the larger of their
  * sum and the sum of their reports. To it the sum of lost incarnations and the
- * reports of incarnations that started later are added.
+ * reports of incarnations that it does not name are added.
  */
 import type {TeamCounts, WindowCount} from './usage_counts.js';
 
@@ -22,8 +22,6 @@
 
 /** Sums over all hosts. */
 export interface UsageCheckpoint {
-  /** When the sums were taken, in ms since 1970. */
-  readonly takenAt: number;
   /** The sums of all incarnations. */
   readonly windows: WindowCounts;
   /** The part of these sums that belongs to lost incarnations. */
@@ -33,12 +31,13 @@
    * has them too must not add them again.
    */
   readonly lostIds: readonly string[];
+  /** The incarnations that are not lost and whose reports are in the sums. */
+  readonly reportedIds: readonly string[];
 }
 
 /** The counts of one incarnation. */
 interface ReportedCounts {
   readonly host: string;
-  readonly incarnation: number;
   readonly windows: Map<number, Map<string, number>>;
 }
 
@@ -53,10 +52,10 @@
 }
 
 const NO_CHECKPOINT: UsageCheckpoint = {
-  takenAt: -Infinity,
   windows: {},
   lost: {},
   lostIds: [],
+  reportedIds: [],
 };
 
 /** Merges the counts of all hosts. */
@@ -65,13 +64,15 @@
   private checkpoint = NO_CHECKPOINT;
   /** The lost incarnations of the checkpoint. */
   private lostIds: ReadonlySet<string> = new Set();
+  /** The other incarnations of the checkpoint. */
+  private reportedIds: ReadonlySet<string> = new Set();
 
   /** Takes cumulative counts, in any order and any number of times. */
   accept({host, incarnation, counts}: HostUsageReport): void {
     const id = `${incarnation} ${host}`;
     let report = this.reports.get(id);
     if (report === undefined) {
-      report = {host, incarnation, windows: new Map()};
+      report = {host, windows: new Map()};
       this.reports.set(id, report);
     }
     for (const {window, team, count} of counts) {
@@ -88,6 +89,7 @@
   setCheckpoint(checkpoint: UsageCheckpoint): void {
     this.checkpoint = checkpoint;
     this.lostIds = new Set(checkpoint.lostIds);
+    this.reportedIds = new Set(checkpoint.reportedIds);
   }
 
   /**
@@ -96,9 +98,9 @@
    * Otherwise the growth of live hosts would hide these counts.
    */
   markSettled(fromWindow: number): void {
-    const {lost, lostIds} = this.createCheckpoint(fromWindow, -Infinity, true);
+    const {lost, lostIds} = this.createCheckpoint(fromWindow);
     // All other counts are in the reports of this collector.
-    this.setCheckpoint({takenAt: -Infinity, windows: lost, lost, lostIds});
+    this.setCheckpoint({windows: lost, lost, lostIds, reportedIds: []});
   }
 
   /** Computes the total of each team with any request in a window. */
@@ -107,16 +109,11 @@
   }
 
   /**
-   * Takes the sums of a window and all later ones.
-   *
-   * @param isSettled Whether all live hosts have had the time to report: then
-   *     what the checkpoint has more belongs to lost incarnations.
+   * Takes the sums of a window and all later ones, once all live hosts have had
+   * the time to report: what the loaded checkpoint has more belongs to lost
+   * incarnations.
    */
-  createCheckpoint(
-    fromWindow: number,
-    takenAt: number,
-    isSettled: boolean,
-  ): UsageCheckpoint {
+  createCheckpoint(fromWindow: number): UsageCheckpoint {
     const windows: Record<string, TeamCounts> = {};
     const lost: Record<string, TeamCounts> = {};
     const replaced = this.listReplaced();
@@ -124,14 +121,15 @@
       if (window < fromWindow) continue;
       const sums = this.computeSums(window);
       windows[window] = toTeamCounts(computeTotal(sums));
-      if (isSettled) addCounts(sums.lost, sums.unreported);
+      addCounts(sums.lost, sums.unreported);
       for (const report of replaced.values()) {
         addCounts(sums.lost, report.windows.get(window));
       }
       if (sums.lost.size > 0) lost[window] = toTeamCounts(sums.lost);
     }
     const lostIds = this.listLostIds(fromWindow, replaced);
-    return {takenAt, windows, lost, lostIds};
+    const reportedIds = this.listReportedIds(fromWindow, replaced);
+    return {windows, lost, lostIds, reportedIds};
   }
 
   /** Returns the earliest window with a count; undefined if there is none. */
@@ -151,13 +149,13 @@
   }
 
   private computeSums(window: number): WindowSums {
-    const {takenAt, windows, lost} = this.checkpoint;
+    const {windows, lost} = this.checkpoint;
     const earlier = new Map<string, number>();
     const later = new Map<string, number>();
     for (const [id, report] of this.reports) {
       if (this.lostIds.has(id)) continue;
-      const isLater = report.incarnation >= takenAt;
-      addCounts(isLater ? later : earlier, report.windows.get(window));
+      const sums = this.reportedIds.has(id) ? earlier : later;
+      addCounts(sums, report.windows.get(window));
     }
     const lostSums = new Map(Object.entries(lost[window] ?? {}));
     const unreported = new Map<string, number>();
@@ -169,15 +167,17 @@
     return {lost: lostSums, unreported, reported: earlier};
   }
 
-  /** Lists the incarnations after which their hosts reported as new ones. */
+  /**
+   * Lists the incarnations after which their hosts reported as new ones. The
+   * order of the first reports decides: a host whose wall clock was set back has
+   * a lower incarnation after its restart.
+   */
   private listReplaced(): Map<string, ReportedCounts> {
-    const newest = new Map<string, number>();
-    for (const {host, incarnation} of this.reports.values()) {
-      newest.set(host, Math.max(incarnation, newest.get(host) ?? incarnation));
-    }
+    const newest = new Map<string, string>();
+    for (const [id, {host}] of this.reports) newest.set(host, id);
     const replaced = new Map<string, ReportedCounts>();
     for (const [id, report] of this.reports) {
-      const isReplaced = report.incarnation < (newest.get(report.host) ?? 0);
+      const isReplaced = id !== newest.get(report.host);
       if (isReplaced && !this.lostIds.has(id)) replaced.set(id, report);
     }
     return replaced;
@@ -198,6 +198,19 @@
     return ids;
   }
 
+  /** Lists the other incarnations with counts from a window on. */
+  private listReportedIds(
+    fromWindow: number,
+    replaced: ReadonlyMap<string, ReportedCounts>,
+  ): string[] {
+    const ids: string[] = [];
+    for (const [id, {windows}] of this.reports) {
+      if (this.lostIds.has(id) || replaced.has(id)) continue;
+      if (Math.max(...windows.keys()) >= fromWindow) ids.push(id);
+    }
+    return ids;
+  }
+
   private listWindows(): Set<number> {
     const listed = new Set(Object.keys(this.checkpoint.windows).map(Number));
     for (const {windows} of this.reports.values()) {
--- a/packages/gateway/src/model/usage_state.ts
+++ b/packages/gateway/src/model/usage_state.ts
@@ -33,6 +33,8 @@
   lost: z.record(z.string(), USAGE_REPORT_SCHEMA.shape.counts).default({}),
   /** The lost incarnations that had reported to the holder. */
   lostIds: z.array(z.string()).default([]),
+  /** The other incarnations whose reports are in the sums. */
+  reportedIds: z.array(z.string()).default([]),
 });
 /** The checkpoint of the task. */
 export type UsageState = z.infer<typeof USAGE_STATE_SCHEMA>;
--- a/packages/gateway/src/services/usage_task.ts
+++ b/packages/gateway/src/services/usage_task.ts
@@ -131,18 +131,18 @@
     const {nextWindow: next, unsentWindows: unsent} = schedule;
     exchange.acceptOwnCounts();
     this.trySettle(next);
-    const now = exchange.getTime();
     // Which counts belong to lost hosts is known only once the others answered.
     if (!this.isSettled) return [];
-    const checkpoint = exchange.totals.createCheckpoint(next, now, true);
+    const checkpoint = exchange.totals.createCheckpoint(next);
     const state: UsageState = {
       era: this.loader.era,
-      takenAt: checkpoint.takenAt,
+      takenAt: exchange.getTime(),
       next,
       unsent,
       windows: {...checkpoint.windows},
       lost: {...checkpoint.lost},
       lostIds: [...checkpoint.lostIds],
+      reportedIds: [...checkpoint.reportedIds],
     };
     return createStateRows(state);
   }
--- a/packages/gateway/tests/usage_losses.test.ts
+++ b/packages/gateway/tests/usage_losses.test.ts
@@ -79,4 +79,36 @@
     const {reported, begun} = countAll(fleet);
     assert.equal(reported, begun);
   });
+
+  // New hosts passed for the ones of the checkpoint, so their growth hid it.
+  it('contain the checkpoint if all clocks are behind after it', async () => {
+    const fleet = new UsageFleet(HOSTS);
+    await fleet.acquire('a');
+    await runRequests(fleet, HOSTS, 10);
+    await fleet.run(1100);
+    fleet.setBackMs = 2000;
+    for (const name of HOSTS) fleet.startHost(name);
+    await fleet.acquire('b');
+    await runRequests(fleet, HOSTS, 20);
+    await fleet.run(8000);
+    const {reported, begun} = countAll(fleet);
+    assert.equal(reported, begun);
+  });
+
+  // The live process passed for the one that it had replaced.
+  it('count a host that started anew with a lower incarnation', async () => {
+    const fleet = new UsageFleet(HOSTS);
+    await fleet.acquire('a');
+    await runRequests(fleet, HOSTS, 5);
+    await fleet.run(500);
+    fleet.setBackMs = 2000;
+    fleet.startHost('d');
+    await runRequests(fleet, HOSTS, 15);
+    await fleet.run(1000);
+    await fleet.acquire('b');
+    await runRequests(fleet, HOSTS, 100);
+    await fleet.run(8000);
+    const {reported, begun} = countAll(fleet);
+    assert.equal(reported, begun);
+  });
 });
