--- a/packages/gateway/src/model/usage_state.ts
+++ b/packages/gateway/src/model/usage_state.ts
@@ -33,6 +33,8 @@
   lost: z.record(z.string(), USAGE_REPORT_SCHEMA.shape.counts).default({}),
   /** The lost incarnations that had reported to the holder. */
   lostIds: z.array(z.string()).default([]),
+  /** The other incarnations whose reports are in the sums. */
+  reportedIds: z.array(z.string()).default([]),
 });
 /** The checkpoint of the task. */
 export type UsageState = z.infer<typeof USAGE_STATE_SCHEMA>;
@@ -54,9 +56,9 @@
   return `${formatWindowKey(window)}/${index}`;
 }
 
-/** Creates the rows of the report of a window. */
-export function createReportRows(report: UsageReport): RowChange[] {
-  return createTextRows(formatWindowKey(report.window), JSON.stringify(report));
+/** Creates the rows of the report of a window, which is given as JSON. */
+export function createReportRows(window: number, text: string): RowChange[] {
+  return createTextRows(formatWindowKey(window), text);
 }
 
 /**
