--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -8,6 +8,7 @@
 export * from './errors.js';
 export * from './gateway.js';
 export * from './model/endpoint_entry.js';
+export * from './model/json_value.js';
 export * from './model/peer_codec.js';
 export * from './model/platform_api.js';
 export * from './model/singleton_task.js';
--- a/packages/gateway/src/model/scaling_state.ts
+++ b/packages/gateway/src/model/scaling_state.ts
@@ -4,8 +4,9 @@
  * holder repeats one whose outcome is not known.
  */
 import {CAPACITY_KINDS} from '@irisdock/decisions';
-import {err, ok, type Result} from 'neverthrow';
+import type {Result} from 'neverthrow';
 import * as z from 'zod';
+import {decodeJson} from './json_value.js';
 
 /** The prefix of the keys, relative to the task. */
 export const SCALING_STATE_PREFIX = 'state/';
@@ -39,12 +40,5 @@
 
 /** Reads a row; an error says what is wrong. */
 export function parseScalingRow(text: string): Result<ScalingRow, string> {
-  let json: unknown;
-  try {
-    json = JSON.parse(text);
-  } catch {
-    return err('it is not valid JSON');
-  }
-  const parsed = SCALING_ROW_SCHEMA.safeParse(json);
-  return parsed.success ? ok(parsed.data) : err(z.prettifyError(parsed.error));
+  return decodeJson(SCALING_ROW_SCHEMA, text);
 }
--- a/packages/gateway/src/model/usage_state.ts
+++ b/packages/gateway/src/model/usage_state.ts
@@ -2,8 +2,9 @@
  * The rows of the task `usage`: its checkpoint, and the final report of each
  * window. Each may need several rows, as it has a count for each team.
  */
-import {err, ok, type Result} from 'neverthrow';
+import type {Result} from 'neverthrow';
 import * as z from 'zod';
+import {decodeJson} from './json_value.js';
 import {USAGE_REPORT_SCHEMA, type UsageReport} from './platform_api.js';
 import {createTextRows} from './row_chunks.js';
 import type {RowChange} from './table_store.js';
@@ -89,14 +90,3 @@
 export function decodeUsageReport(value: string): Result<UsageReport, string> {
   return decodeJson(USAGE_REPORT_SCHEMA, value);
 }
-
-function decodeJson<T>(schema: z.ZodType<T>, value: string): Result<T, string> {
-  let json: unknown;
-  try {
-    json = JSON.parse(value);
-  } catch {
-    return err('it is not valid JSON');
-  }
-  const parsed = schema.safeParse(json);
-  return parsed.success ? ok(parsed.data) : err(z.prettifyError(parsed.error));
-}
