--- a/packages/decisions/src/scaling_model.ts
+++ b/packages/decisions/src/scaling_model.ts
@@ -9,6 +9,11 @@
 /** A kind of capacity. */
 export type CapacityKind = (typeof CAPACITY_KINDS)[number];
 
+/** Returns the kind that shares the limits of a failure domain with a kind. */
+export function getOtherKind(kind: CapacityKind): CapacityKind {
+  return kind === 'spot' ? 'ordinary' : 'spot';
+}
+
 /** Identifies a pool of a service. */
 export interface PoolKey {
   readonly domain: string;
--- a/packages/decisions/src/scaling_pools.ts
+++ b/packages/decisions/src/scaling_pools.ts
@@ -1,5 +1,6 @@
 /** All pools of one service. */
 import {
+  getOtherKind,
   type CapacityKind,
   type DomainCounts,
   type PoolKey,
@@ -113,10 +114,7 @@
     {maximum}: ScalingLimits,
     orders: readonly PoolOrder[],
   ): number {
-    const other = {
-      domain,
-      kind: kind === 'spot' ? 'ordinary' : 'spot',
-    } as const;
+    const other: PoolKey = {domain, kind: getOtherKind(kind)};
     let most = this.getPool(domain, other.kind).count;
     for (const order of orders) {
       if (isSamePool(order, other)) most = Math.max(most, order.count);
--- a/packages/decisions/src/scaling_reductions.ts
+++ b/packages/decisions/src/scaling_reductions.ts
@@ -5,6 +5,7 @@
 import {isSufficient, type MixGoal} from './scaling_mix.js';
 import {
   getDomainCounts,
+  getOtherKind,
   type DomainCounts,
   type PoolOrder,
   type ScalingLimits,
@@ -105,8 +106,7 @@
   {key: {domain, kind}}: ScalingPool,
 ): number {
   const target = getDomainCounts(wanted, domain)[kind];
-  const otherKind = kind === 'spot' ? 'ordinary' : 'spot';
-  const other = pools.getPool(domain, otherKind).count;
+  const other = pools.getPool(domain, getOtherKind(kind)).count;
   return Math.max(target, limits.minimum - other);
 }
 
