--- a/packages/gateway/src/services/outage_settings.ts
+++ b/packages/gateway/src/services/outage_settings.ts
@@ -68,14 +68,18 @@
     : SINGLE_REGION_VALUES;
   const {retryLenders, lateRefusalTargets, unreachableRetries} = settings;
   return {
-    retryLenders: retryLenders === 'auto' ? values.retryLenders : retryLenders,
-    lateRefusalTargets:
-      lateRefusalTargets === 'auto'
-        ? values.lateRefusalTargets
-        : lateRefusalTargets,
-    unreachableRetries:
-      unreachableRetries === 'auto'
-        ? values.unreachableRetries
-        : unreachableRetries,
+    retryLenders: resolveAuto(retryLenders, values.retryLenders),
+    lateRefusalTargets: resolveAuto(
+      lateRefusalTargets,
+      values.lateRefusalTargets,
+    ),
+    unreachableRetries: resolveAuto(
+      unreachableRetries,
+      values.unreachableRetries,
+    ),
   };
 }
+
+function resolveAuto<T>(given: T | 'auto', value: T): T {
+  return given === 'auto' ? value : given;
+}
