Read the rows of each window once when usage reports are loaded

For each window a new holder searched all rows for those that continue it, and mapped all rows by key again to find its text.

--- a/packages/gateway/src/model/usage_state.ts
+++ b/packages/gateway/src/model/usage_state.ts
@@ -7,7 +7,7 @@
 import {decodeJson} from './json_value.js';
 import {USAGE_REPORT_SCHEMA, type UsageReport} from './platform_api.js';
 import {createTextRows} from './row_chunks.js';
-import type {RowChange} from './table_store.js';
+import type {RowChange, TableRow} from './table_store.js';
 
 /** The key of the checkpoint. */
 export const USAGE_STATE_KEY = 'state';
@@ -45,8 +45,28 @@
   return `${WINDOW_KEY_PREFIX}${window}`;
 }
 
-/** Returns the window of a row; undefined if the row is no window's. */
-export function parseWindowKey(key: string): number | undefined {
+/**
+ * Splits the rows of windows by window, each the first of its window with those
+ * that continue it.
+ */
+export function splitWindowRows(
+  rows: readonly TableRow[],
+): ReadonlyMap<number, readonly TableRow[]> {
+  const windows = new Map<number, TableRow[]>();
+  for (const row of rows) {
+    const window = parseWindowKey(row.key);
+    if (window !== undefined) windows.set(window, [row]);
+  }
+  for (const row of rows) {
+    const firstKey = row.key.slice(0, row.key.lastIndexOf('/'));
+    const window = parseWindowKey(firstKey);
+    if (window !== undefined) windows.get(window)?.push(row);
+  }
+  return windows;
+}
+
+/** Returns the window of a row; undefined if the row is not its first. */
+function parseWindowKey(key: string): number | undefined {
   if (!key.startsWith(WINDOW_KEY_PREFIX)) return undefined;
   const window = Number(key.slice(WINDOW_KEY_PREFIX.length));
   return Number.isSafeInteger(window) ? window : undefined;
--- a/packages/gateway/src/services/usage_loader.ts
+++ b/packages/gateway/src/services/usage_loader.ts
@@ -17,7 +17,7 @@
   decodeUsageReport,
   decodeUsageState,
   formatWindowKey,
-  parseWindowKey,
+  splitWindowRows,
   USAGE_STATE_KEY,
   type UsageState,
 } from '../model/usage_state.js';
@@ -77,12 +77,11 @@
     rows: readonly TableRow[],
     state?: UsageState,
   ): void {
-    for (const {key, value} of rows) {
-      const window = parseWindowKey(key);
-      if (window === undefined || value === undefined) continue;
-      const parts = rows.filter((row) => row.key.startsWith(`${key}/`));
-      this.parts.rows.add(window, 1 + parts.length);
-      this.addWindow(schedule, window, findText(rows, key) ?? value, state);
+    for (const [window, own] of splitWindowRows(rows)) {
+      const text = findText(own, formatWindowKey(window));
+      if (text === undefined) continue;
+      this.parts.rows.add(window, own.length);
+      this.addWindow(schedule, window, text, state);
     }
   }
 
