Drop reading of rows and answers that no landed version wrote

Checkpoints of usage, rows of scaling and the list of tasks first land with this change, so none lacks a field: the defaults for missing ones, and the time of a checkpoint, which nothing reads, were for intermediate states of it. A test of the list of tasks now gives the two lists that a gateway always sends.

--- a/packages/cli/src/task_list.ts
+++ b/packages/cli/src/task_list.ts
@@ -11,28 +11,23 @@
       ageSeconds: z.number().nullable(),
       isHolder: z.boolean(),
       candidates: z.array(z.string()),
-      // Hosts of earlier versions do not send the rest.
-      windows: z
-        .array(
-          z.object({
-            window: z.number(),
-            result: z.string(),
-            endedSecondsAgo: z.number(),
-          }),
-        )
-        .default([]),
-      orders: z
-        .array(
-          z.object({
-            service: z.string(),
-            failureDomain: z.string(),
-            kind: z.string(),
-            count: z.number(),
-            isAccepted: z.boolean(),
-            acceptedSecondsAgo: z.number().nullable(),
-          }),
-        )
-        .default([]),
+      windows: z.array(
+        z.object({
+          window: z.number(),
+          result: z.string(),
+          endedSecondsAgo: z.number(),
+        }),
+      ),
+      orders: z.array(
+        z.object({
+          service: z.string(),
+          failureDomain: z.string(),
+          kind: z.string(),
+          count: z.number(),
+          isAccepted: z.boolean(),
+          acceptedSecondsAgo: z.number().nullable(),
+        }),
+      ),
     }),
   ),
 });
--- a/packages/gateway/src/model/scaling_state.ts
+++ b/packages/gateway/src/model/scaling_state.ts
@@ -15,8 +15,7 @@
 const POOL = {domain: z.string(), kind: z.enum(CAPACITY_KINDS), count: COUNT};
 const POOL_STATE = {
   ...POOL,
-  // Rows of earlier versions do not have it.
-  isOrdered: z.boolean().default(true),
+  isOrdered: z.boolean(),
   isUnavailable: z.boolean(),
 };
 
--- a/packages/gateway/src/model/usage_state.ts
+++ b/packages/gateway/src/model/usage_state.ts
@@ -21,9 +21,7 @@
 
 const USAGE_STATE_SCHEMA = z.object({
   /** The era of the store when the holder read its rows. */
-  era: z.number().int().default(0),
-  /** When the sums were taken, in ms since 1970. */
-  takenAt: z.number(),
+  era: z.number().int(),
   /** The first window that was not final. */
   next: z.number().int(),
   /** The final windows that were not known to be sent. */
@@ -31,11 +29,11 @@
   /** The sums of the windows that were not final, by window and team. */
   windows: z.record(z.string(), USAGE_REPORT_SCHEMA.shape.counts),
   /** The part of the sums that belongs to lost incarnations. */
-  lost: z.record(z.string(), USAGE_REPORT_SCHEMA.shape.counts).default({}),
+  lost: z.record(z.string(), USAGE_REPORT_SCHEMA.shape.counts),
   /** The lost incarnations that had reported to the holder. */
-  lostIds: z.array(z.string()).default([]),
+  lostIds: z.array(z.string()),
   /** The other incarnations whose reports are in the sums. */
-  reportedIds: z.array(z.string()).default([]),
+  reportedIds: z.array(z.string()),
 });
 /** The checkpoint of the task. */
 export type UsageState = z.infer<typeof USAGE_STATE_SCHEMA>;
--- a/packages/gateway/src/services/usage_task.ts
+++ b/packages/gateway/src/services/usage_task.ts
@@ -136,7 +136,6 @@
     const checkpoint = exchange.totals.createCheckpoint(next);
     const state: UsageState = {
       era: this.loader.era,
-      takenAt: exchange.getTime(),
       next,
       unsent,
       windows: {...checkpoint.windows},
--- a/packages/gateway/tests/usage_rows.test.ts
+++ b/packages/gateway/tests/usage_rows.test.ts
@@ -93,7 +93,7 @@
       windows[window] = counts;
     }
     const ids = {lostIds: [], reportedIds: []};
-    const head = {era: 0, takenAt: 0, next: 0, unsent: [], ...ids};
+    const head = {era: 0, next: 0, unsent: [], ...ids};
     const rows = createStateRows({...head, windows, lost: {}});
     assert.ok(rows.length <= MAX_STATE_ROWS);
     const text = findText(readRows(rows), USAGE_STATE_KEY) ?? '';
--- a/packages/testkit/tests/gateway_commands.test.ts
+++ b/packages/testkit/tests/gateway_commands.test.ts
@@ -81,6 +81,8 @@
       ageSeconds: 1,
       isHolder: true,
       candidates: ['host-1', 'host-2'],
+      windows: [],
+      orders: [],
     };
     const answer = (): object => ({tasks: [task]});
     await runWithGateway(answer, async (address) => {
