--- a/packages/decisions/src/weighted_sample.ts
+++ b/packages/decisions/src/weighted_sample.ts
@@ -6,7 +6,7 @@
  * is in every sample. Drawing one item after another by weight would favour
  * the light ones.
  */
-import {getShuffled, type Random} from '@irisdock/kernel';
+import {getSample, getShuffled, type Random} from '@irisdock/kernel';
 import {
   computeHostWeights,
   computeSum,
@@ -46,16 +46,29 @@
 /**
  * Draws some hosts, each at most once: by what they can carry if they are
  * unequal, else all alike.
+ *
+ * @param sizes What each host can carry.
  */
-export function getHostSample<H extends {readonly place: SizedHost}>(
+export function getSizedSample<H>(
   hosts: readonly H[],
+  sizes: readonly SizedHost[],
   count: number,
   random: Random,
 ): H[] {
-  const weights = computeHostWeights(hosts.map(({place}) => place));
+  const weights = computeHostWeights(sizes);
   return hasUnequalWeights(weights)
     ? getWeightedSample(hosts, weights, count, random)
-    : getShuffled(hosts, random).slice(0, count);
+    : getSample(hosts, count, random);
+}
+
+/** Draws some hosts by what is known of their places, as `getSizedSample`. */
+export function getHostSample<H extends {readonly place: SizedHost}>(
+  hosts: readonly H[],
+  count: number,
+  random: Random,
+): H[] {
+  const sizes = hosts.map(({place}) => place);
+  return getSizedSample(hosts, sizes, count, random);
 }
 
 /** Splits off the items that are in every sample, the heaviest first. */
--- a/packages/gateway/src/serving/request_relay.ts
+++ b/packages/gateway/src/serving/request_relay.ts
@@ -6,11 +6,11 @@
  */
 import {
   computeHostWeights,
-  getWeightedSample,
+  getSizedSample,
   hasUnequalWeights,
   type HostCapacity,
 } from '@irisdock/decisions';
-import {getSample, type Clock, type Random} from '@irisdock/kernel';
+import type {Clock, Random} from '@irisdock/kernel';
 import type {BufferBudget} from '../channels/buffer_budget.js';
 import {EndpointClient} from '../channels/endpoint_client.js';
 import {findHeader} from '../channels/header_lines.js';
@@ -160,17 +160,11 @@
       if (isAble === true) able.push(host);
       if (isAble === undefined) unknown.push(host);
     }
-    const preferred = this.takeSample(able, CHOICES);
-    const others = this.takeSample(unknown, CHOICES - preferred.length);
-    return this.findLeastBusy([...preferred, ...others]);
-  }
-
-  private takeSample(hosts: readonly RelayHost[], count: number): RelayHost[] {
     const {random} = this.parts;
-    const weights = computeHostWeights(hosts);
-    return hasUnequalWeights(weights)
-      ? getWeightedSample(hosts, weights, count, random)
-      : getSample(hosts, count, random);
+    const preferred = getSizedSample(able, able, CHOICES, random);
+    const left = CHOICES - preferred.length;
+    const others = getSizedSample(unknown, unknown, left, random);
+    return this.findLeastBusy([...preferred, ...others]);
   }
 
   /** Creates the request to a host. */
