Take the codes of datagrams from their readers

Since the readers stand in a record by code, the list of codes beside it, with a comment that named each again, said the same. The order and the texts of errors are as before. The encoder of the datagrams of services no longer has the name of one kind, and the head of their handlers names all of them.

--- a/packages/gateway/src/model/peer_codec.ts
+++ b/packages/gateway/src/model/peer_codec.ts
@@ -68,41 +68,6 @@
 import {TupleReader} from './tuple_reader.js';
 import {REPLICATED_TABLES} from './table_store.js';
 
-/**
- * The codes of the kinds, in the order of `READERS`: membership, usage,
- * table update, usage query and reply, unreachable endpoint, report and phase
- * of rollouts, crashes, cleared content, limits, permit request and response,
- * lease request, response and release, origins, origin request and response,
- * report of begun requests and request for it, demand, loan request and
- * response.
- */
-const KIND_CODES = [
-  'w',
-  'u',
-  'n',
-  'q',
-  'a',
-  'l',
-  'r',
-  'p',
-  'c',
-  'd',
-  'm',
-  'i',
-  'g',
-  's',
-  't',
-  'e',
-  'o',
-  'f',
-  'h',
-  'b',
-  'k',
-  'v',
-  'y',
-  'z',
-] as const;
-
 /** Decodes a datagram; an error names the malformed field. */
 export function decodePeerDatagram(
   bytes: Uint8Array,
@@ -118,10 +83,8 @@
   return READERS[fields.readEnum(KIND_CODES)](fields);
 }
 
-/** Reads the fields of a datagram after its code. */
-const READERS: Readonly<
-  Record<(typeof KIND_CODES)[number], (fields: TupleReader) => PeerDatagram>
-> = {
+/** What reads the fields of a datagram after its code, by code. */
+const READERS = {
   w: readMembership,
   u: readUsage,
   n: readTableUpdate,
@@ -150,7 +113,11 @@
   v: readDemand,
   y: readLoanRequest,
   z: readLoanResponse,
-};
+} as const satisfies Record<string, (fields: TupleReader) => PeerDatagram>;
+
+type KindCode = keyof typeof READERS;
+
+const KIND_CODES = Object.keys(READERS) as KindCode[];
 
 function readUsageQuery(fields: TupleReader): PeerDatagram {
   return {
@@ -246,7 +213,7 @@
     case 'cleared':
       return encode(['d', datagram.content]);
     default:
-      return encodeGrantDatagram(datagram);
+      return encodeServiceDatagram(datagram);
   }
 }
 
@@ -270,7 +237,8 @@
   ]);
 }
 
-function encodeGrantDatagram(
+/** Encodes a datagram of a service that registers a handler. */
+function encodeServiceDatagram(
   datagram:
     | BegunDatagram
     | DemandDatagram
--- a/packages/gateway/src/services/datagram_handlers.ts
+++ b/packages/gateway/src/services/datagram_handlers.ts
@@ -1,7 +1,7 @@
 /**
  * Passes datagrams of other hosts about rollouts, crashes, limits, leases,
- * origins and begun requests to the services that handle them. These services register themselves
- * on creation.
+ * loans, origins, begun requests and demand to the services that handle them.
+ * These services register themselves on creation.
  */
 import type {Crash} from '@irisdock/decisions';
 import type {DemandDatagram} from '../model/demand_datagram.js';
