--- a/packages/gateway/src/serving/demand_meter.ts
+++ b/packages/gateway/src/serving/demand_meter.ts
@@ -1,18 +1,8 @@
 /** Counts the load of this host by service, whether it is served or waits. */
+import type {HostDemand} from '@irisdock/decisions';
 
-/** The load of one service; totals since the start of the process. */
-export interface MeteredDemand {
-  /** Requests that run or wait now. */
-  readonly inFlight: number;
-  /** Prompt tokens for engines to read, in total. */
-  readonly promptTokens: number;
-  /**
-   * Prompt tokens that were read while no other prompt was known to wait at
-   * their engine, and how long that took in ms, in total.
-   */
-  readonly idleTokens: number;
-  readonly idleMs: number;
-}
+/** The load of one service, but for what the endpoints' records tell. */
+export type MeteredDemand = Omit<HostDemand, 'expectedTokens'>;
 
 type MutableDemand = {-readonly [K in keyof MeteredDemand]: MeteredDemand[K]};
 
