Count a host once that does not answer a new holder of usage reports

A new holder assigned what the checkpoint has more than the hosts had reported to lost incarnations, although some had only not answered within 600 ms. Such a host counted once more when it answered this holder or the next one, so a window had too many requests.

These counts now belong to the incarnations that did not answer: the larger of what is stored of them and what they report later counts. A report says whether it answers a request for counts, as a report of what changed does not show that the collector has all counts of a host. Fields are optional in both directions, so versions may be mixed.

--- a/packages/decisions/src/usage_totals.ts
+++ b/packages/decisions/src/usage_totals.ts
@@ -2,10 +2,12 @@
  * The requests of all hosts by window and team, from the reports of hosts and a
  * checkpoint of an earlier collector. Reports of hosts that have died stay. The
  * checkpoint contains what the incarnations that it names had reported, in
- * two sums: that of lost incarnations, whose reports may be known to nobody any
- * more, and that of all others. The total of the others is the larger of their
- * sum and the sum of their reports. To it the sum of lost incarnations and the
- * reports of incarnations that it does not name are added.
+ * three sums: that of lost incarnations, whose reports may be known to nobody
+ * any more, that of unheard ones, which did not answer a collector and may be
+ * lost or cut off, and that of all others. The totals of the unheard ones and of
+ * the others are each the larger of their sum and the sum of their reports. To
+ * these the sum of lost incarnations and the reports of incarnations that the
+ * checkpoint does not name are added.
  */
 import type {TeamCounts, WindowCount} from './usage_counts.js';
 
@@ -18,6 +20,8 @@
   /** The wall clock at the start of its process, in ms since 1970. */
   readonly incarnation: number;
   readonly counts: readonly WindowCount[];
+  /** Whether it answers a request for all counts of open windows. */
+  readonly isAnswer?: boolean;
 }
 
 /** Sums over all hosts. */
@@ -33,6 +37,10 @@
   readonly lostIds: readonly string[];
   /** The incarnations that are not lost and whose reports are in the sums. */
   readonly reportedIds: readonly string[];
+  /** The part of the sums that belongs to unheard incarnations. */
+  readonly unheard?: WindowCounts;
+  /** The unheard incarnations, which are among the reported ones. */
+  readonly unheardIds?: readonly string[];
 }
 
 /** The counts of one incarnation. */
@@ -43,11 +51,15 @@
 
 /** The sums of a window by team, in the parts of which a total consists. */
 interface WindowSums {
-  /** Of lost incarnations, as the checkpoint has them. */
+  /** Of lost incarnations. */
   readonly lost: Map<string, number>;
   /** What the checkpoint has more of other incarnations than they reported. */
   readonly unreported: Map<string, number>;
-  /** Of all reports that are not in the sum of lost incarnations. */
+  /** What the checkpoint has more of unheard incarnations than they reported. */
+  readonly unheardUnreported: Map<string, number>;
+  /** Of the reports of unheard incarnations. */
+  readonly unheardReported: Map<string, number>;
+  /** Of all other reports that are not in the sum of lost incarnations. */
   readonly reported: Map<string, number>;
 }
 
@@ -66,10 +78,16 @@
   private lostIds: ReadonlySet<string> = new Set();
   /** The other incarnations of the checkpoint. */
   private reportedIds: ReadonlySet<string> = new Set();
+  /** Those of the other incarnations that are unheard. */
+  private unheardIds: ReadonlySet<string> = new Set();
+  /** The incarnations that answered since the checkpoint was set. */
+  private readonly answeredIds = new Set<string>();
+  private isSettled = false;
 
   /** Takes cumulative counts, in any order and any number of times. */
-  accept({host, incarnation, counts}: HostUsageReport): void {
+  accept({host, incarnation, counts, isAnswer}: HostUsageReport): void {
     const id = `${incarnation} ${host}`;
+    if (isAnswer === true) this.answeredIds.add(id);
     let report = this.reports.get(id);
     if (report === undefined) {
       report = {host, windows: new Map()};
@@ -87,20 +105,54 @@
 
   /** Replaces the checkpoint on which the totals build. */
   setCheckpoint(checkpoint: UsageCheckpoint): void {
-    this.checkpoint = checkpoint;
-    this.lostIds = new Set(checkpoint.lostIds);
-    this.reportedIds = new Set(checkpoint.reportedIds);
+    this.answeredIds.clear();
+    this.isSettled = false;
+    this.putCheckpoint(checkpoint);
   }
 
   /**
-   * Assigns what the checkpoint has more than live hosts reported to lost
-   * incarnations, from a window on, once these hosts have had the time to report.
-   * Otherwise the growth of live hosts would hide these counts.
+   * Assigns what the checkpoint has more than hosts reported to lost or unheard
+   * incarnations, from a window on, once all hosts have had the time to answer.
+   * Otherwise the growth of live hosts would hide these counts. They belong to
+   * the incarnations that did not answer. One that is cut off would count twice
+   * as a lost one as soon as it answers this collector or the next one.
    */
   markSettled(fromWindow: number): void {
-    const {lost, lostIds} = this.createCheckpoint(fromWindow);
+    if (this.isSettled) return;
+    this.isSettled = true;
+    const unheardNow = this.listUnheardNow();
+    const isUnheardAgain = unheardNow.some((id) => this.unheardIds.has(id));
+    const isUnheardOther = unheardNow.some((id) => !this.unheardIds.has(id));
+    const windows: Record<string, TeamCounts> = {};
+    const lost: Record<string, TeamCounts> = {};
+    const unheard: Record<string, TeamCounts> = {};
+    for (const window of this.listWindows()) {
+      if (window < fromWindow) continue;
+      const sums = this.computeSums(window);
+      const unheardSums = new Map<string, number>();
+      addCounts(isUnheardOther ? unheardSums : sums.lost, sums.unreported);
+      addCounts(
+        isUnheardAgain ? unheardSums : sums.lost,
+        sums.unheardUnreported,
+      );
+      for (const id of unheardNow) {
+        addCounts(unheardSums, this.reports.get(id)?.windows.get(window));
+      }
+      putCounts(lost, window, sums.lost);
+      putCounts(unheard, window, unheardSums);
+      addCounts(unheardSums, sums.lost);
+      putCounts(windows, window, unheardSums);
+    }
+    const {lostIds} = this.checkpoint;
     // All other counts are in the reports of this collector.
-    this.setCheckpoint({windows: lost, lost, lostIds, reportedIds: []});
+    this.putCheckpoint({
+      windows,
+      lost,
+      lostIds,
+      reportedIds: unheardNow,
+      unheard,
+      unheardIds: unheardNow,
+    });
   }
 
   /** Computes the total of each team with any request in a window. */
@@ -110,26 +162,31 @@
 
   /**
    * Takes the sums of a window and all later ones, once all live hosts have had
-   * the time to report: what the loaded checkpoint has more belongs to lost
-   * incarnations.
+   * the time to answer: the totals are settled.
    */
   createCheckpoint(fromWindow: number): UsageCheckpoint {
+    this.markSettled(fromWindow);
     const windows: Record<string, TeamCounts> = {};
     const lost: Record<string, TeamCounts> = {};
+    const unheard: Record<string, TeamCounts> = {};
     const replaced = this.listReplaced();
     for (const window of this.listWindows()) {
       if (window < fromWindow) continue;
       const sums = this.computeSums(window);
       windows[window] = toTeamCounts(computeTotal(sums));
-      addCounts(sums.lost, sums.unreported);
       for (const report of replaced.values()) {
         addCounts(sums.lost, report.windows.get(window));
       }
-      if (sums.lost.size > 0) lost[window] = toTeamCounts(sums.lost);
+      putCounts(lost, window, sums.lost);
+      addCounts(sums.unheardReported, sums.unheardUnreported);
+      putCounts(unheard, window, sums.unheardReported);
     }
     const lostIds = this.listLostIds(fromWindow, replaced);
-    const reportedIds = this.listReportedIds(fromWindow, replaced);
-    return {windows, lost, lostIds, reportedIds};
+    const unheardIds =
+      Object.keys(unheard).length > 0 ? [...this.unheardIds] : [];
+    const heardIds = this.listReportedIds(fromWindow, replaced);
+    const reportedIds = [...new Set([...heardIds, ...unheardIds])];
+    return {windows, lost, lostIds, reportedIds, unheard, unheardIds};
   }
 
   /** Returns the earliest window with a count; undefined if there is none. */
@@ -144,45 +201,71 @@
       for (const one of windows.keys()) {
         if (one < window) windows.delete(one);
       }
-      if (windows.size === 0) this.reports.delete(id);
+      if (windows.size > 0) continue;
+      this.reports.delete(id);
+      this.answeredIds.delete(id);
     }
   }
 
+  private putCheckpoint(checkpoint: UsageCheckpoint): void {
+    this.checkpoint = checkpoint;
+    this.lostIds = new Set(checkpoint.lostIds);
+    this.reportedIds = new Set(checkpoint.reportedIds);
+    this.unheardIds = new Set(checkpoint.unheardIds);
+  }
+
   private computeSums(window: number): WindowSums {
-    const {windows, lost} = this.checkpoint;
+    const {windows, lost, unheard = {}} = this.checkpoint;
     const earlier = new Map<string, number>();
     const later = new Map<string, number>();
+    const unheardReported = new Map<string, number>();
     for (const [id, report] of this.reports) {
       if (this.lostIds.has(id)) continue;
-      const sums = this.reportedIds.has(id) ? earlier : later;
+      let sums = this.reportedIds.has(id) ? earlier : later;
+      if (this.unheardIds.has(id)) sums = unheardReported;
       addCounts(sums, report.windows.get(window));
     }
-    const lostSums = new Map(Object.entries(lost[window] ?? {}));
-    const unreported = new Map<string, number>();
-    for (const [team, count] of Object.entries(windows[window] ?? {})) {
-      const known = (lostSums.get(team) ?? 0) + (earlier.get(team) ?? 0);
-      if (count > known) unreported.set(team, count - known);
-    }
+    const lostSums = toSums(lost[window]);
+    const unheardSums = toSums(unheard[window]);
+    const known = new Map(lostSums);
+    addCounts(known, unheardSums);
+    addCounts(known, earlier);
     addCounts(earlier, later);
-    return {lost: lostSums, unreported, reported: earlier};
+    return {
+      lost: lostSums,
+      unreported: computeExcess(toSums(windows[window]), known),
+      unheardUnreported: computeExcess(unheardSums, unheardReported),
+      unheardReported,
+      reported: earlier,
+    };
   }
 
   /**
-   * Lists the incarnations after which their hosts reported as new ones. The
-   * order of the first reports decides: a host whose wall clock was set back has
-   * a lower incarnation after its restart.
+   * Lists the incarnations after which their hosts reported as new ones, without
+   * those in the sums of lost and unheard ones. The order of the first reports
+   * decides: a host whose wall clock was set back has a lower incarnation after
+   * its restart.
    */
   private listReplaced(): Map<string, ReportedCounts> {
     const newest = new Map<string, string>();
     for (const [id, {host}] of this.reports) newest.set(host, id);
     const replaced = new Map<string, ReportedCounts>();
     for (const [id, report] of this.reports) {
-      const isReplaced = id !== newest.get(report.host);
-      if (isReplaced && !this.lostIds.has(id)) replaced.set(id, report);
+      if (id === newest.get(report.host)) continue;
+      const isSummed = this.lostIds.has(id) || this.unheardIds.has(id);
+      if (!isSummed) replaced.set(id, report);
     }
     return replaced;
   }
 
+  /** Lists the incarnations that may be cut off: not replaced, no answer. */
+  private listUnheardNow(): string[] {
+    const replaced = this.listReplaced();
+    return [...this.reportedIds].filter(
+      (id) => !this.answeredIds.has(id) && !replaced.has(id),
+    );
+  }
+
   /** Lists the lost incarnations with counts from a window on. */
   private listLostIds(
     fromWindow: number,
@@ -221,17 +304,29 @@
 }
 
 /** Adds the parts up. */
-function computeTotal({
-  lost,
-  unreported,
-  reported,
-}: WindowSums): Map<string, number> {
-  const total = new Map(reported);
-  addCounts(total, lost);
-  addCounts(total, unreported);
+function computeTotal(sums: WindowSums): Map<string, number> {
+  const total = new Map<string, number>();
+  addCounts(total, sums.lost);
+  addCounts(total, sums.unreported);
+  addCounts(total, sums.unheardUnreported);
+  addCounts(total, sums.unheardReported);
+  addCounts(total, sums.reported);
   return total;
 }
 
+/** Computes by how much counts are larger than those that are known. */
+function computeExcess(
+  counts: ReadonlyMap<string, number>,
+  known: ReadonlyMap<string, number>,
+): Map<string, number> {
+  const excess = new Map<string, number>();
+  for (const [team, count] of counts) {
+    const knownCount = known.get(team) ?? 0;
+    if (count > knownCount) excess.set(team, count - knownCount);
+  }
+  return excess;
+}
+
 function addCounts(
   sums: Map<string, number>,
   counts: ReadonlyMap<string, number> = new Map(),
@@ -241,6 +336,19 @@
   }
 }
 
+/** Puts the sums of a window in their place, if there are any. */
+function putCounts(
+  counts: Record<string, TeamCounts>,
+  window: number,
+  sums: ReadonlyMap<string, number>,
+): void {
+  if (sums.size > 0) counts[window] = toTeamCounts(sums);
+}
+
+function toSums(counts: TeamCounts = {}): Map<string, number> {
+  return new Map(Object.entries(counts));
+}
+
 function toTeamCounts(sums: ReadonlyMap<string, number>): TeamCounts {
   return Object.fromEntries([...sums].sort(compareTeams));
 }
--- a/packages/decisions/tests/usage_reports.test.ts
+++ b/packages/decisions/tests/usage_reports.test.ts
@@ -94,7 +94,8 @@
     const reports = new Map<string, HostUsageReport>();
     const report = (host: string, incarnation: number, count: number): void => {
       const counts = createCounts(7, count);
-      reports.set(`${incarnation} ${host}`, {host, incarnation, counts});
+      const id = `${incarnation} ${host}`;
+      reports.set(id, {host, incarnation, counts, isAnswer: true});
     };
     const startCollector = (checkpoint?: UsageCheckpoint): UsageTotals => {
       const totals = new UsageTotals();
--- a/packages/gateway/src/model/begun_datagram.ts
+++ b/packages/gateway/src/model/begun_datagram.ts
@@ -13,6 +13,8 @@
   /** The sender's time, in ms since 1970. */
   readonly time: number;
   readonly counts: readonly WindowCount[];
+  /** Whether it answers a request for all counts; absent if not. */
+  readonly isAnswer?: true;
 }
 
 /** Asks a host for all its counts of a window and later ones. */
@@ -28,20 +30,23 @@
 
 /** Reads the fields of a report, without the kind. */
 export function readBegunReport(fields: TupleReader): BegunReportDatagram {
-  return {
+  const report = {
     kind: 'begun-report',
     name: fields.readString(),
     incarnation: readInteger(fields),
     time: readInteger(fields),
     counts: fields.readList(readCount),
-  };
+  } as const;
+  const isAnswer = fields.readOptionalBoolean();
+  return isAnswer === true ? {...report, isAnswer} : report;
 }
 
 /** Encodes a report as a tuple, without the kind. */
 export function encodeBegunReport(report: BegunReportDatagram): unknown[] {
-  const {name, incarnation, time, counts} = report;
+  const {name, incarnation, time, counts, isAnswer} = report;
   const encoded = counts.map(({window, team, count}) => [window, team, count]);
-  return [name, incarnation, Math.round(time), encoded];
+  const fields = [name, incarnation, Math.round(time), encoded];
+  return isAnswer === true ? [...fields, true] : fields;
 }
 
 /** Reads the fields of a request, without the kind. */
--- a/packages/gateway/src/model/usage_state.ts
+++ b/packages/gateway/src/model/usage_state.ts
@@ -2,6 +2,7 @@
  * The rows of the task `usage`: its checkpoint, and the final report of each
  * window. Each may need several rows, as it has a count for each team.
  */
+import type {UsageCheckpoint, WindowCounts} from '@irisdock/decisions';
 import type {Result} from 'neverthrow';
 import * as z from 'zod';
 import {decodeJson} from './json_value.js';
@@ -34,9 +35,17 @@
   lostIds: z.array(z.string()),
   /** The other incarnations whose reports are in the sums. */
   reportedIds: z.array(z.string()),
+  /** The part of the sums that belongs to unheard incarnations. */
+  unheard: z
+    .record(z.string(), USAGE_REPORT_SCHEMA.shape.counts)
+    .default(() => ({})),
+  /** The unheard incarnations, which are among the reported ones. */
+  unheardIds: z.array(z.string()).default(() => []),
 });
 /** The checkpoint of the task. */
 export type UsageState = z.infer<typeof USAGE_STATE_SCHEMA>;
+/** What a checkpoint is written from. */
+type TakenState = Pick<UsageState, 'era' | 'next' | 'unsent'> & UsageCheckpoint;
 
 /** Returns the key of the row of a window. */
 export function formatWindowKey(window: number): string {
@@ -85,17 +94,20 @@
  * long outage of the store, the latest windows are left out: their hosts are the
  * likeliest to be asked before these windows are final.
  */
-export function createStateRows(state: UsageState): RowChange[] {
+export function createStateRows(state: TakenState): RowChange[] {
   const rows = createTextRows(USAGE_STATE_KEY, JSON.stringify(state));
   const windows = Object.keys(state.windows).map(Number);
   if (rows.length <= MAX_STATE_ROWS || windows.length === 0) return rows;
   const latest = Math.max(...windows);
   const isKept = ([window]: readonly [string, unknown]): boolean =>
     Number(window) !== latest;
+  const dropLatest = (counts: WindowCounts = {}): WindowCounts =>
+    Object.fromEntries(Object.entries(counts).filter(isKept));
   return createStateRows({
     ...state,
-    windows: Object.fromEntries(Object.entries(state.windows).filter(isKept)),
-    lost: Object.fromEntries(Object.entries(state.lost).filter(isKept)),
+    windows: dropLatest(state.windows),
+    lost: dropLatest(state.lost),
+    unheard: dropLatest(state.unheard),
   });
 }
 
--- a/packages/gateway/src/services/usage_exchange.ts
+++ b/packages/gateway/src/services/usage_exchange.ts
@@ -131,18 +131,18 @@
   }
 
   acceptBegunReport(report: BegunReportDatagram): void {
-    const {name: host, incarnation, time, counts} = report;
+    const {name: host, time} = report;
     const now = this.parts.clock.getNow();
     if (this.isTickPunctual && this.isWithinTick(now)) {
       this.hostTimes.accept(host, time, now);
     }
-    this.totals.accept({host, incarnation, counts});
+    this.totals.accept({host, ...report});
   }
 
   acceptBegunRequest({name, fromWindow}: BegunRequestDatagram): void {
     this.holder = name;
     const counts = this.counts.listFrom(fromWindow);
-    if (counts.length > 0) this.sendCounts([name], counts);
+    if (counts.length > 0) this.sendCounts([name], counts, {isAnswer: true});
   }
 
   /** Takes all counts of this host into the totals. */
@@ -152,12 +152,14 @@
 
   private acceptOwn(counts: readonly WindowCount[]): void {
     const {name: host, incarnation} = this.parts;
-    if (counts.length > 0) this.totals.accept({host, incarnation, counts});
+    if (counts.length === 0) return;
+    this.totals.accept({host, incarnation, counts, isAnswer: true});
   }
 
   private sendCounts(
     names: readonly string[],
     counts: readonly WindowCount[],
+    options: {readonly isAnswer?: true} = {},
   ): void {
     this.acceptOwn(counts);
     if (names.length === 0) return;
@@ -167,7 +169,7 @@
     const sender = {name, incarnation, time};
     for (const part of splitCounts(counts)) {
       const kind = 'begun-report';
-      peers.sendToNames(names, {kind, ...sender, counts: part});
+      peers.sendToNames(names, {kind, ...sender, counts: part, ...options});
     }
   }
 
--- a/packages/gateway/src/services/usage_task.ts
+++ b/packages/gateway/src/services/usage_task.ts
@@ -18,7 +18,6 @@
   createStateRows,
   decodeUsageReport,
   formatWindowKey,
-  type UsageState,
 } from '../model/usage_state.js';
 import type {UsageExchange} from './usage_exchange.js';
 import {UsageHistory} from './usage_history.js';
@@ -134,16 +133,7 @@
     // Which counts belong to lost hosts is known only once the others answered.
     if (!this.isSettled) return [];
     const checkpoint = exchange.totals.createCheckpoint(next);
-    const state: UsageState = {
-      era: this.loader.era,
-      next,
-      unsent,
-      windows: {...checkpoint.windows},
-      lost: {...checkpoint.lost},
-      lostIds: [...checkpoint.lostIds],
-      reportedIds: [...checkpoint.reportedIds],
-    };
-    return createStateRows(state);
+    return createStateRows({era: this.loader.era, next, unsent, ...checkpoint});
   }
 
   getActivity(): TaskActivity {
@@ -182,7 +172,9 @@
     const {exchange, getHostsHash} = this.parts;
     this.requestedAt = exchange.getTime();
     this.hostsHash = getHostsHash();
-    exchange.pollCounts(fromWindow);
+    // The checkpoint may name hosts whose only counts are of the window that
+    // became final with it. Without an answer they would pass for unheard ones.
+    exchange.pollCounts(fromWindow - 1);
   }
 
   private async bindDue(
--- a/packages/gateway/tests/usage_losses.test.ts
+++ b/packages/gateway/tests/usage_losses.test.ts
@@ -111,4 +111,52 @@
     const {reported, begun} = countAll(fleet);
     assert.equal(reported, begun);
   });
+
+  // What the checkpoint had of an unheard host counted as that of a lost one, and
+  // once more when the host answered the next holder.
+  for (const isKnown of [true, false]) {
+    const known = isKnown ? 'knew' : 'did not know';
+    it(`count a host once that its new holder ${known}`, async () => {
+      const fleet = new UsageFleet(HOSTS);
+      await fleet.acquire('a');
+      await runRequests(fleet, HOSTS, 5);
+      await fleet.run(500);
+      fleet.cutOff.add('a');
+      if (isKnown) await runRequests(fleet, ['a'], 8);
+      else fleet.startHost('b');
+      await fleet.run(1000);
+      await fleet.acquire('b');
+      await runRequests(fleet, ['b'], 15);
+      fleet.cutOff.clear();
+      // A report of what changed is no answer to the request for all counts.
+      fleet.startRequest('a', 'first');
+      await fleet.run(500);
+      await fleet.acquire('c');
+      await runRequests(fleet, HOSTS, 40);
+      await fleet.run(8000);
+      const {reported, begun} = countAll(fleet);
+      assert.equal(reported, begun);
+    });
+  }
+
+  // The excess of the checkpoint was hidden by the growth of the one host that
+  // came back, or counted twice.
+  it('count a lost host beside one that comes back', async () => {
+    const fleet = new UsageFleet(HOSTS);
+    await fleet.acquire('a');
+    await runRequests(fleet, HOSTS, 10);
+    await fleet.run(150);
+    fleet.hosts.delete('d');
+    fleet.cutOff.add('c');
+    fleet.startHost('b');
+    await fleet.acquire('b');
+    await fleet.run(1000);
+    fleet.cutOff.clear();
+    await fleet.acquire('c');
+    await fleet.run(700);
+    await runRequests(fleet, ['a', 'b', 'c'], 10);
+    await fleet.run(8000);
+    const {reported, begun} = countAll(fleet);
+    assert.equal(reported, begun);
+  });
 });
