Count lost hosts in windows that a checkpoint of usage leaves out

Reports of lost incarnations are now left out only in windows for which the checkpoint has a sum of lost ones.

--- a/packages/decisions/src/usage_totals.ts
+++ b/packages/decisions/src/usage_totals.ts
@@ -219,13 +219,18 @@
     const earlier = new Map<string, number>();
     const later = new Map<string, number>();
     const unheardReported = new Map<string, number>();
+    const lostSums = toSums(lost[window]);
+    // A checkpoint that is too long leaves out the latest windows.
+    const hasLost = lost[window] !== undefined;
     for (const [id, report] of this.reports) {
-      if (this.lostIds.has(id)) continue;
       let sums = this.reportedIds.has(id) ? earlier : later;
       if (this.unheardIds.has(id)) sums = unheardReported;
+      if (this.lostIds.has(id)) {
+        if (hasLost) continue;
+        sums = lostSums;
+      }
       addCounts(sums, report.windows.get(window));
     }
-    const lostSums = toSums(lost[window]);
     const unheardSums = toSums(unheard[window]);
     const known = new Map(lostSums);
     addCounts(known, unheardSums);
--- a/packages/gateway/tests/usage_rows.test.ts
+++ b/packages/gateway/tests/usage_rows.test.ts
@@ -1,6 +1,7 @@
 /** The rows of usage reports at the largest size of a deployment. */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import {UsageTotals} from '@irisdock/decisions';
 import {
   createTextRows,
   findText,
@@ -9,6 +10,7 @@
 import type {RowChange, TableRow} from '../src/model/table_store.js';
 import {
   createStateRows,
+  decodeUsageState,
   MAX_STATE_ROWS,
   USAGE_STATE_KEY,
   type UsageState,
@@ -16,6 +18,8 @@
 import {UsageFleet} from './fixtures/usage_fleet.js';
 
 const TEAMS = 7100;
+/** More than a checkpoint has room for. */
+const WINDOWS = 30;
 /** What the store takes in a transaction. */
 const MAX_ENTRIES = 100;
 
@@ -86,12 +90,7 @@
 
   // A write with more entries would fail each time, and the lease be lost.
   it('are a bounded number after an outage of the store', () => {
-    const windows: Record<string, Record<string, number>> = {};
-    for (let window = 0; window < 30; window++) {
-      const counts: Record<string, number> = {};
-      for (let index = 0; index < TEAMS; index++) counts[getTeam(index)] = 99;
-      windows[window] = counts;
-    }
+    const windows = createWindows();
     const ids = {lostIds: [], reportedIds: []};
     const head = {era: 0, next: 0, unsent: [], ...ids};
     const rows = createStateRows({...head, windows, lost: {}});
@@ -102,4 +101,42 @@
     assert.ok(kept.length > 12, `${kept.length} windows`);
     assert.ok(kept.includes('0'));
   });
+
+  // A lost host's reports were left out as if the checkpoint contained them.
+  it('do not hide lost hosts of the windows that they leave out', () => {
+    const windows = createWindows();
+    const ids = {lostIds: ['1 a'], reportedIds: []};
+    const head = {era: 0, next: 0, unsent: [], ...ids};
+    const rows = createStateRows({...head, windows, lost: windows});
+    const text = findText(readRows(rows), USAGE_STATE_KEY) ?? '';
+    const totals = new UsageTotals();
+    totals.setCheckpoint(decodeUsageState(text)._unsafeUnwrap());
+    const counts = [0, WINDOWS - 1].map((window) => {
+      return {window, team: getTeam(0), count: 99};
+    });
+    totals.accept({host: 'a', incarnation: 1, counts});
+    const checkTotals = (collector: UsageTotals): void => {
+      assert.equal(collector.computeTotals(0)[getTeam(0)], 99);
+      const leftOut = collector.computeTotals(WINDOWS - 1);
+      assert.deepEqual(leftOut, {[getTeam(0)]: 99});
+    };
+    checkTotals(totals);
+    // The next holder, which knows the lost host too, or doesn't.
+    for (const isKnown of [true, false]) {
+      const next = new UsageTotals();
+      next.setCheckpoint(totals.createCheckpoint(0));
+      if (isKnown) next.accept({host: 'a', incarnation: 1, counts});
+      checkTotals(next);
+    }
+  });
 });
+
+function createWindows(): Record<string, Record<string, number>> {
+  const windows: Record<string, Record<string, number>> = {};
+  for (let window = 0; window < WINDOWS; window++) {
+    const counts: Record<string, number> = {};
+    for (let index = 0; index < TEAMS; index++) counts[getTeam(index)] = 99;
+    windows[window] = counts;
+  }
+  return windows;
+}
