Remove the metric of calls with usage reports

irisdock_gateway_usage_calls_total counted the outcomes of the same calls as irisdock_gateway_task_calls_total with the label task=usage, which the task runner counts for each call that a task sends.

--- a/packages/gateway/src/services/usage_metrics.ts
+++ b/packages/gateway/src/services/usage_metrics.ts
@@ -4,7 +4,6 @@
 /** Counters of usage reports. */
 export class UsageMetrics {
   readonly windows: Counter<'result'>;
-  readonly calls: Counter<'outcome'>;
 
   /** @param getUnsent Counts the final reports that are not accepted. */
   constructor(registry: Registry, getUnsent: () => number) {
@@ -15,12 +14,6 @@
       labelNames: ['result'],
       registers,
     });
-    this.calls = new Counter({
-      name: 'irisdock_gateway_usage_calls_total',
-      help: "Usage reports sent to the platform's API by outcome, a count.",
-      labelNames: ['outcome'],
-      registers,
-    });
     new Gauge({
       name: 'irisdock_gateway_usage_unsent_windows',
       help: 'Final reports that the platform has not accepted, a count.',
--- a/packages/gateway/src/services/usage_task.ts
+++ b/packages/gateway/src/services/usage_task.ts
@@ -269,7 +269,6 @@
       api.reportUsage(authority, body),
     );
     const now = exchange.getTime();
-    metrics.calls.inc({outcome: outcome.kind});
     if (outcome.kind !== 'accepted') {
       schedule.recordFailure(now);
       if (outcome.kind === 'unanswered') {
