Replace the settings file of a host of the soak at once

A host of a soak play ended with code 2, as all required settings were missing: its file was written in place while it started. The file is written under another name and renamed.

--- a/soak/src/host_process.ts
+++ b/soak/src/host_process.ts
@@ -3,7 +3,7 @@
  * before its ports that can be harmed, and what became of its lives.
  */
 import {spawn, type ChildProcess} from 'node:child_process';
-import {createWriteStream, writeFileSync} from 'node:fs';
+import {createWriteStream, renameSync, writeFileSync} from 'node:fs';
 import {basename, join} from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
@@ -274,7 +274,9 @@
       ...this.listTaskLines(),
     ];
     const path = join(directory, `${name}.toml`);
-    writeFileSync(path, `${text.join('\n')}\n`);
+    // A host that is starting may read the file at this moment.
+    writeFileSync(`${path}.new`, `${text.join('\n')}\n`);
+    renameSync(`${path}.new`, path);
     return path;
   }
 
