Search again after the search for a stream's next engine failed

Callers could see: a stream that is cut or pauses as its engine ends, as announced, or stays at a silent engine until its time is over.

Cause: an error in the search (a probe, a permit, the start of an attempt) ended it, and nothing started it again: the suspicion of a silent engine and the moment to leave an ending one are told once.

Change: an error counts as a failed attempt.

--- a/packages/gateway/src/serving/attempt_overlap.ts
+++ b/packages/gateway/src/serving/attempt_overlap.ts
@@ -8,14 +8,6 @@
  * this time; one that reads a long prompt needs longer.
  */
 const MAX_OVERLAP_MS = 250;
-/** The time between two checks whether both engines are silent, in ms. */
-const SILENCE_CHECK_MS = 50;
-
-/** An attempt whose engine may be silent. */
-interface WatchedAttempt {
-  /** Whether its engine is suspected now. */
-  readonly isSilent: boolean;
-}
 
 /**
  * Waits until the overlap of two attempts is over. After a stall of this process
@@ -28,15 +20,3 @@
   await clock.wait(MAX_OVERLAP_MS, signal);
   await waitForTurn();
 }
-
-/** Waits until the engines of both attempts are silent. */
-export async function waitBothSilent(
-  clock: Clock,
-  first: WatchedAttempt,
-  second: WatchedAttempt,
-  signal: AbortSignal,
-): Promise<undefined> {
-  while (!signal.aborted && !(first.isSilent && second.isSilent)) {
-    await clock.wait(SILENCE_CHECK_MS, signal);
-  }
-}
--- a/packages/gateway/src/serving/stream_handover.ts
+++ b/packages/gateway/src/serving/stream_handover.ts
@@ -7,10 +7,12 @@
  * not close the next attempt, which has taken a retry and an attempt, as the
  * stream has to leave anyway. Once the next engine is suspected too, the stream
  * leaves at once, so that a third engine is tried before the announced end.
+ *
+ * An error in the search counts as a failed attempt: the search goes on until
+ * the engine recovers or its attempt ends.
  */
 import {getErrorText} from '@irisdock/kernel';
 import type {AttemptEnds} from './attempt_ends.js';
-import {waitBothSilent, waitOverlap} from './attempt_overlap.js';
 import type {AttemptRun, PreparedAttempt} from './attempt_run.js';
 import {
   NextAttemptSearch,
@@ -20,6 +22,7 @@
 import type {Silence} from './silence_detector.js';
 import type {AttemptResult} from './stream_attempt.js';
 import type {StreamRelay} from './stream_relay.js';
+import {isEnding, waitForTrial} from './trial_wait.js';
 
 /** The time between two searches, in ms. */
 const SEARCH_INTERVAL_MS = 50;
@@ -49,6 +52,9 @@
   isSilent: boolean;
 }
 
+/** How one step of the search ended; 'over' if the search did. */
+type SearchStep = 'failed' | 'none' | 'over';
+
 /** Dependencies of the handover. */
 export interface StreamHandoverParts extends NextAttemptSearchParts {
   readonly ends: AttemptEnds;
@@ -60,7 +66,7 @@
 export class StreamHandover {
   private readonly nextAttempts: NextAttemptSearch;
   private search: AbortController | undefined;
-  /** The attempt for which the search runs; undefined if the search failed. */
+  /** The attempt for which the search runs. */
   private leaving: LeavingAttempt | undefined;
   /** The attempt that runs beside the silent one. */
   private trial: AttemptRun | undefined;
@@ -82,7 +88,8 @@
    * for the announced end goes on.
    */
   start(silent: LeavableAttempt): void {
-    if (isEnding(this.leaving)) this.leaving.isSilent = true;
+    const {leaving} = this;
+    if (leaving !== undefined && isEnding(leaving)) leaving.isSilent = true;
     else this.startSearch({...silent, endsAt: undefined, isSilent: true});
   }
 
@@ -99,7 +106,8 @@
 
   /** Ends the search, as the silent engine goes on, unless it ends soon. */
   finishSilence(): void {
-    if (isEnding(this.leaving)) this.leaving.isSilent = false;
+    const {leaving} = this;
+    if (leaving !== undefined && isEnding(leaving)) leaving.isSilent = false;
     else this.stop();
   }
 
@@ -140,7 +148,6 @@
     const {signal} = this.parts.request.exchange;
     const stopSignal = AbortSignal.any([search.signal, signal]);
     this.run(leaving, stopSignal).catch((thrown: unknown) => {
-      if (this.leaving === leaving) this.leaving = undefined;
       this.writeFailure(thrown);
     });
   }
@@ -158,6 +165,13 @@
     this.parts.retries.dropGrant();
   }
 
+  /** Closes the trial after an error, which may have run at its engine. */
+  private failTrial(): void {
+    if (this.trial === undefined) return;
+    this.parts.retries.recordTrial({kind: 'stopped', mayHaveRun: true});
+    this.cancelTrial();
+  }
+
   /**
    * Whether a silent attempt is kept although the next one has not failed: its
    * engine answers probes, and if the next one failed later, no other attempt
@@ -183,18 +197,36 @@
     const {clock} = this.parts.serving;
     this.parts.planner.exclusions.recordSilent(leaving.run.plan.endpoint);
     let intervalMs = MIN_TRIAL_INTERVAL_MS;
-    while (!signal.aborted) {
-      const prepared = await this.findNext(leaving, signal);
-      if (prepared === undefined) {
+    while (!signal.aborted && !this.hasNext) {
+      const step = await this.tryNext(leaving, signal);
+      if (step === 'over') return;
+      if (step === 'none') {
         await clock.wait(SEARCH_INTERVAL_MS, signal);
         continue;
       }
-      if (await this.runTrial(leaving, prepared, signal)) return;
       await clock.wait(intervalMs, signal);
       intervalMs = Math.min(MAX_TRIAL_INTERVAL_MS, intervalMs * 2);
     }
   }
 
+  /** Looks for the next attempt and runs it; a throw counts as its failure. */
+  private async tryNext(
+    leaving: LeavingAttempt,
+    signal: AbortSignal,
+  ): Promise<SearchStep> {
+    try {
+      const prepared = await this.findNext(leaving, signal);
+      if (prepared === undefined) return 'none';
+      const isOver = await this.runTrial(leaving, prepared, signal);
+      return isOver ? 'over' : 'failed';
+    } catch (thrown) {
+      // A trial that runs after the abort belongs to a later search.
+      if (this.isCurrent(signal)) this.failTrial();
+      this.writeFailure(thrown);
+      return 'failed';
+    }
+  }
+
   /** Prepares the next attempt; undefined if there is none for now. */
   private async findNext(
     leaving: LeavingAttempt,
@@ -227,7 +259,9 @@
     }
     const trial = this.parts.startRun(prepared);
     this.trial = trial;
-    const isContinued = await this.waitForTrial(leaving, trial, signal);
+    const {clock} = serving;
+    const wait = {owner: leaving, trial, clock};
+    const isContinued = await waitForTrial(wait, signal);
     if (!this.isCurrent(signal)) {
       if (trial.isCancelled) await this.recordUnused(trial);
       return true;
@@ -251,53 +285,6 @@
     return true;
   }
 
-  /**
-   * Waits until it is known whether the next attempt continues the stream;
-   * undefined if it is not in time.
-   */
-  private async waitForTrial(
-    leaving: LeavingAttempt,
-    trial: AttemptRun,
-    signal: AbortSignal,
-  ): Promise<boolean | undefined> {
-    const {clock} = this.parts.serving;
-    if (leaving.endsAt === undefined) {
-      const overlap = waitOverlap(clock, signal).then(() => undefined);
-      const isContinued = trial.waitForContinuation();
-      const result = await Promise.race([isContinued, overlap]);
-      // The end may have been announced meanwhile.
-      if (result !== undefined || !isEnding(leaving)) return result;
-    }
-    return this.waitForEnd(leaving, trial, signal);
-  }
-
-  /**
-   * Waits for the next attempt until the engine ends, or both engines are
-   * silent. The attempt there goes on, so the next one is never ahead of it: its
-   * first events show that it can continue.
-   */
-  private async waitForEnd(
-    leaving: LeavingAttempt,
-    trial: AttemptRun,
-    signal: AbortSignal,
-  ): Promise<boolean | undefined> {
-    const {clock} = this.parts.serving;
-    const {endsAt = 0} = leaving;
-    const leftMs = Math.max(0, endsAt - clock.getNow());
-    const wait = new AbortController();
-    const waitSignal = AbortSignal.any([signal, wait.signal]);
-    const end = Promise.all([
-      clock.wait(leftMs, waitSignal),
-      waitOverlap(clock, waitSignal),
-    ]).then(() => undefined);
-    const silence = waitBothSilent(clock, leaving, trial, waitSignal);
-    try {
-      return await Promise.race([trial.waitForAnswer(), end, silence]);
-    } finally {
-      wait.abort();
-    }
-  }
-
   /** Counts an attempt that was closed, as the silent engine went on. */
   private async recordUnused(trial: AttemptRun): Promise<void> {
     const {serving, request, retries} = this.parts;
@@ -339,7 +326,6 @@
     return !search.aborted;
   }
 
-  /** The stream stays at its silent engine, as without a next one. */
   private writeFailure(thrown: unknown): void {
     const {serving, request} = this.parts;
     serving.log.writeError('The search for the next engine failed.', {
@@ -363,10 +349,3 @@
     run.endSilent(silence);
   }
 }
-
-/** Whether an attempt is left as the end of its engine is announced. */
-function isEnding(
-  leaving: LeavingAttempt | undefined,
-): leaving is LeavingAttempt {
-  return leaving?.endsAt !== undefined;
-}
--- /dev/null
+++ b/packages/gateway/tests/stream_handover.test.ts
@@ -0,0 +1,132 @@
+/** The search for the next engine of a stream while its engine is left. */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {EngineExclusions} from '../src/serving/engine_exclusions.js';
+import {
+  StreamHandover,
+  type LeavableAttempt,
+  type StreamHandoverParts,
+} from '../src/serving/stream_handover.js';
+import {createEndpoint} from './fixtures/endpoints.js';
+import {SILENT_LOG} from './fixtures/silent_log.js';
+import {VirtualClock} from './fixtures/virtual_clock.js';
+
+/** When the engine ends, in ms. */
+const ENDS_AT_MS = 1200;
+const STEPS = ['probe', 'take', 'start', 'answer'] as const;
+
+type Step = (typeof STEPS)[number];
+
+/** A stream of a suspected content whose next attempts fail at a step. */
+class LeavingStream {
+  readonly clock = new VirtualClock();
+  /** The next attempts, in their order. */
+  readonly trials: {isCancelled: boolean}[] = [];
+  /** Attempts that were counted as run. */
+  runs = 0;
+  /** Leases on engines that are held. */
+  heldLeases = 0;
+  readonly leavable: LeavableAttempt = {
+    run: {
+      plan: createPlan('first'),
+      endSilent: () => undefined,
+      findReplica: () => undefined,
+    },
+    silence: {detail: 'silent', isAnswering: false, hostStallMs: 0},
+    isStarted: true,
+  };
+  readonly handover = new StreamHandover(this.createParts());
+
+  /** @param failuresLeft How often the step throws. */
+  constructor(
+    private readonly failing: Step,
+    private failuresLeft: number,
+  ) {}
+
+  private run<T>(step: Step, result?: T): T | undefined {
+    if (step !== this.failing || this.failuresLeft-- <= 0) return result;
+    throw new Error(`the step ${step} failed`);
+  }
+
+  private createParts(): StreamHandoverParts {
+    const lease = {release: () => this.heldLeases--};
+    const serving = {
+      clock: this.clock,
+      log: SILENT_LOG,
+      metrics: {handovers: {inc: () => undefined}},
+      paths: {isPartitioned: () => false},
+      client: {admit: () => ({kind: 'permit'})},
+      crashes: {hasEvidence: () => true, countCrashes: () => 1},
+      lostRuns: {isExitCheckNeeded: () => false},
+      runLeases: {
+        acquire: () => ({kind: 'granted', lease, held: this.heldLeases++}),
+      },
+    };
+    const parts = {
+      serving,
+      prober: {probe: () => this.run('probe', 'answers')},
+      request: {exchange: {signal: new AbortController().signal}},
+      planner: {
+        exclusions: new EngineExclusions(),
+        setReplica: () => undefined,
+        pollRemoteEngines: () => undefined,
+        choosePlan: () => createPlan('next'),
+      },
+      retries: {
+        tryBorrowToLeave: () => undefined,
+        findLeaveDenial: () => undefined,
+        takeAhead: () => this.run('take'),
+        recordTrial: () => this.runs++,
+        dropGrant: () => undefined,
+      },
+      suspect: {admit: () => 'admitted'},
+      startRun: () => this.run('start', this.createTrial()),
+    };
+    return parts as unknown as StreamHandoverParts;
+  }
+
+  private createTrial(): unknown {
+    const trial = {
+      isCancelled: false,
+      cancel: () => (trial.isCancelled = true),
+      waitForAnswer: async () => {
+        this.trials.push(trial);
+        return Promise.resolve().then(() => this.run('answer', true));
+      },
+      waitForContinuation: async () => trial.waitForAnswer(),
+    };
+    return trial;
+  }
+}
+
+function createPlan(name: string): LeavableAttempt['run']['plan'] {
+  const endpoint = createEndpoint(name);
+  return {endpoint, backup: undefined, kvCacheSource: undefined};
+}
+
+// Guards against streams that are cut, as nothing searches for an engine any
+// more after one failure of the host itself.
+describe('a stream whose search for the next engine failed', () => {
+  for (const step of STEPS) {
+    it(`searches again before its engine ends: ${step}`, async () => {
+      const stream = new LeavingStream(step, 2);
+      stream.handover.startLeaving(stream.leavable, ENDS_AT_MS);
+      await stream.clock.run(ENDS_AT_MS - 1);
+      assert.ok(stream.handover.hasNext);
+      assert.equal(stream.trials.pop()?.isCancelled, false);
+      assert.ok(stream.trials.every(({isCancelled}) => isCancelled));
+      assert.equal(stream.runs, stream.trials.length);
+    });
+  }
+
+  // Guards against a busy loop, and against a search that outlives its cause.
+  it('searches at growing intervals, until its engine goes on', async () => {
+    const stream = new LeavingStream('answer', Infinity);
+    stream.handover.start(stream.leavable);
+    await stream.clock.run(ENDS_AT_MS);
+    assert.equal(stream.trials.length, 4);
+    stream.handover.finishSilence();
+    await stream.clock.run(ENDS_AT_MS);
+    assert.equal(stream.trials.length, 4);
+  });
+});
