Release the lease on an engine whose attempt does not start

Callers could see: streams of suspected contents that go to other engines or wait up to a second, as one engine counts as taken by a stream that is not there.

Cause: the lease of a next attempt is released by the attempt at its end. If the retry could not be taken or the attempt not be created, as that threw, no attempt had it.

Change: the handover releases the lease unless the attempt runs.

Result: two new tests failed before (4 leases held after 4 errors, 0 expected) and pass.

--- a/packages/gateway/src/serving/stream_handover.ts
+++ b/packages/gateway/src/serving/stream_handover.ts
@@ -253,12 +253,8 @@
     signal: AbortSignal,
   ): Promise<boolean> {
     const {planner, serving, retries, ends} = this.parts;
-    if (signal.aborted || retries.takeAhead() !== undefined) {
-      prepared.engineLease.release();
-      return false;
-    }
-    const trial = this.parts.startRun(prepared);
-    this.trial = trial;
+    const trial = this.startTrial(prepared, signal);
+    if (trial === undefined) return false;
     const {clock} = serving;
     const wait = {owner: leaving, trial, clock};
     const isContinued = await waitForTrial(wait, signal);
@@ -285,6 +281,27 @@
     return true;
   }
 
+  /**
+   * Starts the next attempt; undefined if there is no retry for it. The attempt
+   * releases the lease on its engine at its end, once it runs.
+   */
+  private startTrial(
+    prepared: PreparedAttempt,
+    signal: AbortSignal,
+  ): AttemptRun | undefined {
+    try {
+      if (!signal.aborted && this.parts.retries.takeAhead() === undefined) {
+        this.trial = this.parts.startRun(prepared);
+        return this.trial;
+      }
+      prepared.engineLease.release();
+      return undefined;
+    } catch (thrown) {
+      prepared.engineLease.release();
+      throw thrown;
+    }
+  }
+
   /** Counts an attempt that was closed, as the silent engine went on. */
   private async recordUnused(trial: AttemptRun): Promise<void> {
     const {serving, request, retries} = this.parts;
--- a/packages/gateway/tests/stream_handover.test.ts
+++ b/packages/gateway/tests/stream_handover.test.ts
@@ -129,4 +129,14 @@
     await stream.clock.run(ENDS_AT_MS);
     assert.equal(stream.trials.length, 4);
   });
+
+  // Guards against engines that other suspected streams avoid for ever.
+  for (const step of ['take', 'start'] as const) {
+    it(`holds no lease on an engine: ${step}`, async () => {
+      const stream = new LeavingStream(step, Infinity);
+      stream.handover.start(stream.leavable);
+      await stream.clock.run(ENDS_AT_MS);
+      assert.equal(stream.heldLeases, 0);
+    });
+  }
 });
