Leave a next attempt that is silent before its stream's engine ends

Callers could see: a pause after the announced end of an engine, as the stream moved to a silent one though a third engine was there.

Cause: while the end of an engine is announced, the wait for the next attempt ended by its answer, by the end, or once both engines were silent. If only the engine of the next attempt was, the stream took it at the end.

Change: such an attempt is left as any other for a silence, and a third engine tried beside the ending one. It is kept if attempts, the retry budget or the known engines allow no other, as its engine may go on.

--- a/packages/gateway/src/serving/answer_gate.ts
+++ b/packages/gateway/src/serving/answer_gate.ts
@@ -43,9 +43,9 @@
     private readonly endAttempt: (detail: string) => void,
   ) {}
 
-  /** Whether the engine is suspected while its answer is held. */
-  get isSilent(): boolean {
-    return !this.isOpen && this.silence !== undefined;
+  /** The silence for which the engine is suspected while its answer is held. */
+  get heldSilence(): Silence | undefined {
+    return this.isOpen ? undefined : this.silence;
   }
 
   /** Passes on what is held, and all that follows. */
--- a/packages/gateway/src/serving/attempt_run.ts
+++ b/packages/gateway/src/serving/attempt_run.ts
@@ -124,9 +124,9 @@
     return this.isUnneeded;
   }
 
-  /** Whether its engine is suspected while its answer is held. */
-  get isSilent(): boolean {
-    return this.gate.isSilent;
+  /** The silence for which its engine is suspected while its answer is held. */
+  get heldSilence(): Silence | undefined {
+    return this.gate.heldSilence;
   }
 
   /** Makes it the stream's current attempt, whose answer is passed on. */
--- a/packages/gateway/src/serving/next_attempt_search.ts
+++ b/packages/gateway/src/serving/next_attempt_search.ts
@@ -7,6 +7,7 @@
 import type {AttemptRun, PreparedAttempt} from './attempt_run.js';
 import type {AdmittedRequest} from './caller_exchange.js';
 import type {EndpointProber} from './endpoint_prober.js';
+import type {EndpointRecord} from './endpoint_record.js';
 import {EngineLease} from './engine_lease.js';
 import type {SendPermit} from './send_gate.js';
 import type {ServingParts} from './serving_parts.js';
@@ -48,6 +49,19 @@
     return this.isAdmitted(signal);
   }
 
+  /**
+   * Whether one more attempt is allowed if an engine loses the next one, and
+   * another engine is known for it.
+   */
+  hasAlternative(engine: EndpointRecord): boolean {
+    const {planner, retries} = this.parts;
+    if (!retries.hasFurtherRetry) return false;
+    for (const other of planner.listKnownEngines()) {
+      if (other !== engine && !planner.exclusions.has(other)) return true;
+    }
+    return false;
+  }
+
   /** Prepares the next attempt; undefined if there is none for now. */
   async find(
     current: CurrentAttempt,
--- a/packages/gateway/src/serving/stream_handover.ts
+++ b/packages/gateway/src/serving/stream_handover.ts
@@ -6,7 +6,8 @@
  * there. While the end of its engine is announced, a silence of the engine does
  * not close the next attempt, which has taken a retry and an attempt, as the
  * stream has to leave anyway. Once the next engine is suspected too, the stream
- * leaves at once, so that a third engine is tried before the announced end.
+ * leaves at once, so that a third engine is tried before the announced end. If
+ * only the next one is, that attempt is left and another one tried meanwhile.
  *
  * An error in the search counts as a failed attempt: the search goes on until
  * the engine recovers or its attempt ends.
@@ -256,7 +257,10 @@
     const trial = this.startTrial(prepared, signal);
     if (trial === undefined) return false;
     const {clock} = serving;
-    const wait = {owner: leaving, trial, clock};
+    const {endpoint} = prepared.plan;
+    const hasAlternative = (): boolean =>
+      this.nextAttempts.hasAlternative(endpoint);
+    const wait = {owner: leaving, trial, clock, hasAlternative};
     const isContinued = await waitForTrial(wait, signal);
     if (!this.isCurrent(signal)) {
       if (trial.isCancelled) await this.recordUnused(trial);
--- a/packages/gateway/src/serving/trial_wait.ts
+++ b/packages/gateway/src/serving/trial_wait.ts
@@ -23,7 +23,7 @@
 /** An attempt beside the stream's own one. */
 export type Trial = Pick<
   AttemptRun,
-  'isSilent' | 'waitForAnswer' | 'waitForContinuation'
+  'endSilent' | 'heldSilence' | 'waitForAnswer' | 'waitForContinuation'
 >;
 
 /** A trial and what the wait for it depends on. */
@@ -31,6 +31,8 @@
   readonly owner: TrialOwner;
   readonly trial: Trial;
   readonly clock: Clock;
+  /** Whether another attempt is allowed and has an engine. */
+  readonly hasAlternative: () => boolean;
 }
 
 /**
@@ -75,7 +77,7 @@
     clock.wait(leftMs, waitSignal),
     waitOverlap(clock, waitSignal),
   ]).then(() => undefined);
-  const silence = waitBothSilent(wait, waitSignal);
+  const silence = watchSilence(wait, waitSignal);
   try {
     return await Promise.race([trial.waitForAnswer(), end, silence]);
   } finally {
@@ -83,12 +85,25 @@
   }
 }
 
-/** Waits until the engines of both attempts are silent. */
-async function waitBothSilent(
-  {owner, trial, clock}: TrialWait,
+/**
+ * Waits until the engines of both attempts are silent. A trial that alone is
+ * silent would take the stream over at the announced end, so it is left if
+ * another one can be tried before that.
+ *
+ * @returns False if the trial was left.
+ */
+async function watchSilence(
+  {owner, trial, clock, hasAlternative}: TrialWait,
   signal: AbortSignal,
-): Promise<undefined> {
-  while (!signal.aborted && !(owner.isSilent && trial.isSilent)) {
+): Promise<false | undefined> {
+  while (!signal.aborted) {
+    const {heldSilence} = trial;
+    if (heldSilence !== undefined && owner.isSilent) return undefined;
+    if (heldSilence !== undefined && hasAlternative()) {
+      trial.endSilent(heldSilence);
+      return false;
+    }
     await clock.wait(SILENCE_CHECK_MS, signal);
   }
+  return undefined;
 }
