Count orders of endpoints that may stand against the limits

An order of spot endpoints that the platform accepted without an answer was taken as not given when its repetition got 409. Ordinary endpoints were then ordered in its place, so that both kinds together exceeded the maximum of the failure domain. The platform keeps the number of an order that it accepted, and a 409 settles only the call that it answers.

Each pool now keeps the numbers of its orders without an answer, or with a fault of the platform, until an order of it is accepted. The highest one counts against the maximum, the lowest one against the minimum and as ready; such a pool is not reduced, and is ordered again after the boot time and 3 s. The numbers are in the row of the service. A new holder takes the orders that the row names as sent. After an order without an answer, nothing is sent for the timeout of a call, so that no other order is overtaken by it.

States of pools in scaling_plan.test.ts have the new field.

--- a/packages/decisions/src/scaling_plan.ts
+++ b/packages/decisions/src/scaling_plan.ts
@@ -58,6 +58,8 @@
 const MIN_BASE_SHARE = 0.75;
 
 const BASE_REASON = 'the base of ordinary endpoints is too small';
+const MISSING_REASON = 'endpoints of it are missing';
+const UNCONFIRMED_REASON = 'an order without an answer may be in force';
 const COVER_REASON = 'the load needs it, and spot endpoints are missing';
 
 /** Plans the orders for one service. */
@@ -177,6 +179,14 @@
     pool.recordAccepted(order.count, now);
   }
 
+  /**
+   * Records that an order has no answer: the platform may have accepted it, or may
+   * do so yet.
+   */
+  recordUnconfirmed(order: PoolOrder, now: number): void {
+    this.pools.find(order)?.recordUnconfirmed(order.count, now);
+  }
+
   /** Records that the platform has no such endpoints now. */
   recordRefused(order: PoolOrder, now: number): void {
     this.pools.find(order)?.recordRefused(now);
@@ -266,16 +276,18 @@
     now: number,
   ): PoolOrder | undefined {
     if (!pool.isAskable(now)) return undefined;
-    const {key, count, ready} = pool;
+    const {key, count, isUnconfirmed} = pool;
     const room = this.pools.computeRoom(key, limits, orders);
+    // More may be ready than is known to be in force. Counts are absolute: an
+    // order of less than is ready would take endpoints.
+    const kept = pool.getKeptCount(now, limits.bootMs);
     if (Math.min(wanted, room) > count) {
-      // More may be ready than is known to be in force. Counts are absolute: an
-      // order of less than is ready would take endpoints.
-      const most = Math.max(wanted, ready);
+      const most = Math.max(wanted, kept);
       return {...key, count: Math.min(most, room), reason};
     }
     if (!pool.isRepeatDue(now, limits.bootMs)) return undefined;
-    return {...key, count, reason: 'endpoints of it are missing'};
+    if (!isUnconfirmed) return {...key, count, reason: MISSING_REASON};
+    return {...key, count: Math.min(kept, room), reason: UNCONFIRMED_REASON};
   }
 
   /** Plans orders of fewer; one at a time while requests run. */
--- a/packages/decisions/src/scaling_pool.ts
+++ b/packages/decisions/src/scaling_pool.ts
@@ -12,6 +12,11 @@
   readonly isOrdered: boolean;
   /** Whether the platform is not known to have the endpoints now. */
   readonly isUnavailable: boolean;
+  /**
+   * Numbers of orders whose outcome is not known. Each may stand in place of
+   * `count`, until an order of this pool is accepted.
+   */
+  readonly unconfirmed: readonly number[];
 }
 
 /**
@@ -57,6 +62,9 @@
   /** Endpoints that orders took, until they are gone. */
   private taken = 0;
   private shortSince: number | undefined;
+  /** The numbers that may stand in place of the one in force. */
+  private readonly unconfirmed = new Set<number>();
+  private unconfirmedAt = -Infinity;
   /** Whether endpoints of this pool were reclaimed and are not gone yet. */
   private isBeingReclaimed = false;
 
@@ -78,12 +86,14 @@
   /** Creates a pool as an earlier holder left it. */
   static createFrom(state: PoolState, now: number): ScalingPool {
     const {domain, kind, count, isOrdered, isUnavailable} = state;
+    const {unconfirmed} = state;
     const key = {domain, kind};
     const view = {...key, ready: 0, leaving: 0, running: 0};
     const pool = new ScalingPool(key, count, isOrdered, isUnavailable, view);
     pool.grownAt = now;
     pool.orderedAt = now;
     if (isUnavailable) pool.refusedAt = now;
+    for (const number of unconfirmed) pool.recordUnconfirmed(number, now);
     return pool;
   }
 
@@ -92,9 +102,24 @@
     return this.inForce;
   }
 
+  /** The least number that may be in force. */
+  get leastCount(): number {
+    return Math.min(this.inForce, ...this.unconfirmed);
+  }
+
+  /** The highest number that may be in force. */
+  get mostCount(): number {
+    return Math.max(this.inForce, ...this.unconfirmed);
+  }
+
+  /** Whether another number than the known one may be in force. */
+  get isUnconfirmed(): boolean {
+    return this.unconfirmed.size > 0;
+  }
+
   /** The endpoints seen before the first order; 0 after it. */
   get firstCount(): number {
-    return this.isOrdered ? 0 : this.inForce;
+    return this.isOrdered || this.isUnconfirmed ? 0 : this.inForce;
   }
 
   /** The order in force; undefined before the first one. */
@@ -110,12 +135,12 @@
 
   /** The endpoints that serve now and stay, as far as is known. */
   get firm(): number {
-    return Math.min(this.inForce, this.view.ready);
+    return Math.min(this.leastCount, this.view.ready);
   }
 
   /** The endpoints that will be there without another order. */
   get coming(): number {
-    return this.isReclaimed ? this.firm : this.inForce;
+    return this.isReclaimed ? this.firm : this.leastCount;
   }
 
   /** Requests that run there. */
@@ -180,18 +205,33 @@
     return now - this.refusedAt >= TRIAL_INTERVAL_MS;
   }
 
-  /** Whether what is in force should be ordered again, as endpoints lack. */
+  /**
+   * Whether what is in force should be ordered again, as endpoints lack or another
+   * number may be in force.
+   */
   isRepeatDue(now: number, bootMs: number): boolean {
+    if (this.isBeingReclaimed || !this.isAskable(now)) return false;
+    if (this.isUnconfirmed && this.isBooted(now, bootMs)) return true;
     const {shortSince} = this;
-    if (shortSince === undefined || this.isBeingReclaimed) return false;
-    if (!this.isAskable(now)) return false;
+    if (shortSince === undefined) return false;
     const since = Math.max(shortSince, this.orderedAt);
     return now - since >= bootMs + REPEAT_DELAY_MS;
   }
 
+  /**
+   * Returns the least number that takes no endpoint which is ready or may boot, as
+   * far as is known.
+   */
+  getKeptCount(now: number, bootMs: number): number {
+    const known = Math.max(this.inForce, this.view.ready);
+    return this.isBooted(now, bootMs) ? known : Math.max(known, this.mostCount);
+  }
+
   /** Whether it may be reduced. */
   isReducible(now: number): boolean {
     if (!this.isAskable(now) || this.isLeaving) return false;
+    // How many endpoints an order would take is not known.
+    if (this.isUnconfirmed) return false;
     return now - this.grownAt >= GROWTH_HOLD_MS;
   }
 
@@ -199,8 +239,9 @@
   recordAccepted(count: number, now: number): void {
     const isGrowing = count > this.inForce || count > this.view.ready;
     if (isGrowing) this.grownAt = now;
-    this.taken += Math.max(0, this.inForce - count);
+    this.taken += Math.max(0, this.mostCount - count);
     this.inForce = count;
+    this.unconfirmed.clear();
     this.isOrdered = true;
     this.orderedAt = now;
     this.givenAt = now;
@@ -209,7 +250,16 @@
     this.refusals = 0;
   }
 
-  /** Records that the platform has no such endpoints now. */
+  /** Records that the platform may have accepted an order, or may do so yet. */
+  recordUnconfirmed(count: number, now: number): void {
+    this.unconfirmed.add(count);
+    this.unconfirmedAt = now;
+  }
+
+  /**
+   * Records that the platform has no such endpoints now. What may be in force
+   * stays: a refusal changes no earlier order.
+   */
   recordRefused(now: number): void {
     this.refusedAt = now;
     this.firstRefusedAt ??= now;
@@ -220,6 +270,13 @@
 
   getState(): PoolState {
     const {key, inForce, isOrdered, isReclaimed} = this;
-    return {...key, count: inForce, isOrdered, isUnavailable: isReclaimed};
+    const unconfirmed = [...this.unconfirmed];
+    const isUnavailable = isReclaimed;
+    return {...key, count: inForce, isOrdered, isUnavailable, unconfirmed};
+  }
+
+  /** Whether endpoints of an order without an answer are ready, if any come. */
+  private isBooted(now: number, bootMs: number): boolean {
+    return now - this.unconfirmedAt >= bootMs + REPEAT_DELAY_MS;
   }
 }
--- a/packages/decisions/src/scaling_pools.ts
+++ b/packages/decisions/src/scaling_pools.ts
@@ -104,7 +104,8 @@
 
   /**
    * Computes the most endpoints that a pool may have, so that both kinds stay
-   * within the maximum.
+   * within the maximum. Of the other kind, the highest number counts that may be
+   * in force.
    *
    * @param orders Orders that are about to be sent. The platform may accept or
    *     refuse them, so the larger count is kept free.
@@ -115,7 +116,7 @@
     orders: readonly PoolOrder[],
   ): number {
     const other: PoolKey = {domain, kind: getOtherKind(kind)};
-    let most = this.getPool(domain, other.kind).count;
+    let most = this.getPool(domain, other.kind).mostCount;
     for (const order of orders) {
       if (isSamePool(order, other)) most = Math.max(most, order.count);
     }
--- a/packages/decisions/src/scaling_reductions.ts
+++ b/packages/decisions/src/scaling_reductions.ts
@@ -54,12 +54,14 @@
     if (pool === undefined || order.count >= pool.count) return order;
     // What is leaving is not firm, and the platform does not take it again.
     const taken = Math.max(0, pool.count - pool.leaving - order.count);
+    // The order itself may be in force already, so that it counts only once.
+    const left = Math.min(pool.firm, Math.min(pool.count, pool.ready) - taken);
     const rest = firm.map((entry) => ({...entry}));
-    setCount(rest, pool, pool.firm - taken);
+    setCount(rest, pool, left);
     if (!isTakeable(input, pool, taken) || !isSufficient(rest, input.goal)) {
       return {...pool.key, count: pool.count, reason: UNSAFE_REASON};
     }
-    setCount(firm, pool, pool.firm - taken);
+    setCount(firm, pool, left);
     return order;
   });
 }
@@ -106,7 +108,7 @@
   {key: {domain, kind}}: ScalingPool,
 ): number {
   const target = getDomainCounts(wanted, domain)[kind];
-  const other = pools.getPool(domain, getOtherKind(kind)).count;
+  const other = pools.getPool(domain, getOtherKind(kind)).leastCount;
   return Math.max(target, limits.minimum - other);
 }
 
--- a/packages/decisions/tests/scaling_plan.test.ts
+++ b/packages/decisions/tests/scaling_plan.test.ts
@@ -169,7 +169,14 @@
     it(`takes no endpoints if isOrdered is ${isOrdered}`, () => {
       const states = pools.map(({domain, kind}) => {
         const count = domain === 'a' ? 1 : 16;
-        return {domain, kind, count, isOrdered, isUnavailable: false};
+        return {
+          domain,
+          kind,
+          count,
+          isOrdered,
+          isUnavailable: false,
+          unconfirmed: [],
+        };
       });
       const state = {level: 45, initial: 64, hasDemand: true, pools: states};
       const orders = ScalingPlan.createFrom(state, 0).plan(view, 2000);
@@ -196,7 +203,14 @@
       }),
     );
     const states = pools.map(({domain, kind, ready: count}) => {
-      return {domain, kind, count, isOrdered: true, isUnavailable: false};
+      return {
+        domain,
+        kind,
+        count,
+        isOrdered: true,
+        isUnavailable: false,
+        unconfirmed: [],
+      };
     });
     const state = {level: 4, initial: 6, hasDemand: true, pools: states};
     const known = {need: 20, isNeedCertain: true};
--- a/packages/gateway/src/model/platform_api.ts
+++ b/packages/gateway/src/model/platform_api.ts
@@ -46,7 +46,10 @@
   | {readonly kind: 'accepted'}
   /** The platform has no endpoints of that kind there now. */
   | {readonly kind: 'none-available'}
-  /** The platform rejected the call and did nothing. */
+  /**
+   * The platform rejected the call. It did nothing, unless the status is one of
+   * its own faults (500 or more).
+   */
   | {readonly kind: 'rejected'; readonly status: number}
   /** Nothing was sent: no connection, or the authority had ended. */
   | {readonly kind: 'not-sent'; readonly detail: string}
--- a/packages/gateway/src/model/scaling_state.ts
+++ b/packages/gateway/src/model/scaling_state.ts
@@ -17,6 +17,8 @@
   ...POOL,
   isOrdered: z.boolean(),
   isUnavailable: z.boolean(),
+  // Absent in rows of earlier versions.
+  unconfirmed: z.array(COUNT).default([]),
 };
 
 /** The schema of a row. */
--- a/packages/gateway/src/services/scaled_service.ts
+++ b/packages/gateway/src/services/scaled_service.ts
@@ -54,6 +54,8 @@
   /** Until when no order is planned or sent after one that failed. */
   private pausedUntil = -Infinity;
   private pauseMs = RETRY_PAUSE_MS;
+  /** How long the last call might take, in ms. */
+  private callTimeoutMs = 0;
   private lastListed: string | undefined;
   private writesLeft = 0;
 
@@ -72,6 +74,9 @@
     const plan = ScalingPlan.createFrom(row.plan, parts.clock.getNow());
     const service = new ScaledService(name, parts, plan);
     service.pending = row.pending;
+    // The earlier holder may have sent them and got no answer.
+    const now = parts.clock.getNow();
+    for (const order of row.pending) plan.recordUnconfirmed(order, now);
     return service;
   }
 
@@ -177,8 +182,10 @@
       const outcome = await this.send(lease, order);
       if (!this.handleOutcome(order, outcome)) {
         // The others were not sent, and are planned again when this passes.
-        this.pending = outcome.kind === 'unanswered' ? [order] : [];
-        this.pause();
+        const isOpen = outcome.kind === 'unanswered';
+        this.pending = isOpen ? [order] : [];
+        // Another order must not arrive before a call that was given up.
+        this.pause(isOpen ? this.callTimeoutMs : 0);
         return;
       }
       this.pauseMs = RETRY_PAUSE_MS;
@@ -196,9 +203,10 @@
       count,
       isSpot: kind === 'spot',
     };
-    return lease.sendCall((authority) =>
-      this.parts.api.sendOrder(authority, order),
-    );
+    return lease.sendCall((authority) => {
+      this.callTimeoutMs = authority.timeoutMs;
+      return this.parts.api.sendOrder(authority, order);
+    });
   }
 
   /** Records what became of an order; tells whether it is settled. */
@@ -214,11 +222,14 @@
         this.plan.recordRefused(order, now);
         return true;
       case 'rejected':
+        if (isFault(outcome.status)) this.plan.recordUnconfirmed(order, now);
         if (isPassing(outcome.status)) return false;
         this.plan.recordRefused(order, now);
         return true;
-      case 'not-sent':
       case 'unanswered':
+        this.plan.recordUnconfirmed(order, now);
+        return false;
+      case 'not-sent':
         return false;
     }
   }
@@ -232,8 +243,10 @@
     return {service, failureDomain: domain, kind, count, isAccepted, ageMs};
   }
 
-  private pause(): void {
-    this.pausedUntil = this.parts.clock.getNow() + this.pauseMs;
+  /** Pauses for longer after each failure, and at least for some time, in ms. */
+  private pause(leastMs = 0): void {
+    const pauseMs = Math.max(leastMs, this.pauseMs);
+    this.pausedUntil = this.parts.clock.getNow() + pauseMs;
     this.pauseMs = Math.min(MAX_RETRY_PAUSE_MS, this.pauseMs * 2);
   }
 
@@ -262,5 +275,10 @@
 
 /** Whether a rejected call may be accepted when it is repeated. */
 function isPassing(status: number): boolean {
-  return status === RATE_STATUS || status >= MIN_SERVER_ERROR_STATUS;
+  return status === RATE_STATUS || isFault(status);
+}
+
+/** Whether a rejected call may have been carried out before it failed. */
+function isFault(status: number): boolean {
+  return status >= MIN_SERVER_ERROR_STATUS;
 }
