Send orders of fewer endpoints only by what is known now

Four ways were found in which an order of fewer could take endpoints that streams needed:

- It was sent by the view from before it was saved.
Spot endpoints that were reclaimed during the write still counted.
It is checked again before each send, and dropped if it is not safe any more.
- A new holder repeated the order of an earlier one at once, by the need in the row.
- Orders of fewer were planned while the load was not known, for instance at a holder that hosts do not report to after its call to the store failed.
- They were planned by endpoints from before an outage of the store.

Five tests fail when the check, the wait, each of the two conditions or the count alone is taken out again, and pass with them.

--- a/packages/decisions/src/scaling_plan.ts
+++ b/packages/decisions/src/scaling_plan.ts
@@ -12,6 +12,7 @@
 import {
   countEndpoints,
   type DomainCounts,
+  type PoolKey,
   type PoolOrder,
   type StandingOrder,
 } from './scaling_model.js';
@@ -127,6 +128,8 @@
    * known well enough to plan with.
    */
   update(view: ScalingView, now: number): boolean {
+    // Endpoints that are gone would count as ordered.
+    if (this.need === undefined && !view.areEndpointsCurrent) return false;
     this.pools.update(view, now);
     if (view.pools.some(({ready}) => ready > 0)) this.firstSeenAt ??= now;
     if (now - (this.firstSeenAt ?? now) < SETTLE_MS) return false;
@@ -137,23 +140,33 @@
   /**
    * Checks orders that were planned earlier and are not settled: in place of one
    * that would take too many endpoints by now, what is in force is ordered. The
-   * other orders are returned as they are.
+   * other orders are returned as they are; all are undefined if there is one of
+   * fewer and the load is not known yet.
    */
   updateOrders(
     orders: readonly PoolOrder[],
     view: ScalingView,
     now: number,
-  ): PoolOrder[] {
-    this.update(view, now);
-    const {pools} = this;
+  ): PoolOrder[] | undefined {
+    const isKnown = this.update(view, now);
+    if (!isKnown && orders.some((one) => this.isReduction(one))) return;
+    const {pools, isIdle} = this;
     const goal = this.createGoal();
     const {isMovable} = view;
-    return updateReductions(orders, {
-      pools,
-      goal,
-      isMovable,
-      isIdle: this.isIdle,
-    });
+    const isCertain = isViewCertain(view);
+    const input = {pools, goal, isMovable, isIdle, isCertain};
+    return updateReductions(orders, input);
+  }
+
+  /** Whether an order asks for fewer endpoints than are in force. */
+  isReduction(order: PoolOrder): boolean {
+    const pool = this.pools.find(order);
+    return pool !== undefined && order.count < pool.count;
+  }
+
+  /** Whether another number than the known one may be in force for a pool. */
+  isUnconfirmed(key: PoolKey): boolean {
+    return this.pools.find(key)?.isUnconfirmed ?? false;
   }
 
   /** Whether no request was seen yet and none runs. */
@@ -272,7 +285,7 @@
     pool: ScalingPool,
     {count: wanted, reason}: Pick<PoolOrder, 'count' | 'reason'>,
     orders: readonly PoolOrder[],
-    {limits}: ScalingView,
+    {limits, areEndpointsCurrent}: ScalingView,
     now: number,
   ): PoolOrder | undefined {
     if (!pool.isAskable(now)) return undefined;
@@ -287,6 +300,7 @@
     }
     if (!pool.isRepeatDue(now, limits.bootMs)) return undefined;
     if (!isUnconfirmed) return {...key, count, reason: MISSING_REASON};
+    if (!areEndpointsCurrent) return undefined;
     return {...key, count: Math.min(kept, room), reason: UNCONFIRMED_REASON};
   }
 
@@ -296,6 +310,7 @@
     view: ScalingView,
     now: number,
   ): PoolOrder[] {
+    if (!isViewCertain(view)) return [];
     const {pools, isIdle, reducedAt} = this;
     const all = pools.listAll();
     if (!isIdle && now - reducedAt < REDUCTION_INTERVAL_MS) return [];
@@ -306,3 +321,8 @@
     return planReductions(input);
   }
 }
+
+/** Whether load and endpoints are known well enough to take endpoints. */
+function isViewCertain(view: ScalingView): boolean {
+  return view.isNeedCertain && view.areEndpointsCurrent;
+}
--- a/packages/decisions/src/scaling_pool.ts
+++ b/packages/decisions/src/scaling_pool.ts
@@ -158,6 +158,12 @@
     return this.leaving > 0;
   }
 
+  /** Records that so many endpoints are ready for certain. */
+  recordSeen(ready: number): void {
+    // Before the first order, some endpoints may be away for a moment.
+    if (!this.isOrdered) this.inForce = Math.max(this.inForce, ready);
+  }
+
   /**
    * Takes the endpoints as they are now.
    *
@@ -165,8 +171,6 @@
    */
   update(view: PoolView, now: number, drainMs: number): void {
     this.view = view;
-    // Before the first order, some endpoints may be away for a moment.
-    if (!this.isOrdered) this.inForce = Math.max(this.inForce, view.ready);
     const isShort = view.ready < this.inForce;
     this.shortSince = isShort ? (this.shortSince ?? now) : undefined;
     if (this.key.kind !== 'spot') return;
--- a/packages/decisions/src/scaling_pools.ts
+++ b/packages/decisions/src/scaling_pools.ts
@@ -17,6 +17,8 @@
   readonly pools: readonly PoolView[];
   /** How long endpoints drain that an order takes, in ms. */
   readonly drainMs: number;
+  /** Whether the endpoints are known as the store has them now. */
+  readonly areEndpointsCurrent: boolean;
 }
 
 /** Keeps the pools of one service, one for each failure domain and kind. */
@@ -39,21 +41,27 @@
   }
 
   /** Takes the endpoints as they are now. */
-  update({pools: views, limits, drainMs}: PoolsView, now: number): void {
+  update(view: PoolsView, now: number): void {
+    const {pools: views, limits} = view;
     const domains = new Set(Object.keys(limits.prices));
     for (const {domain} of views) domains.add(domain);
     for (const domain of this.listDomains()) domains.add(domain);
     for (const domain of domains) {
       for (const kind of ['ordinary', 'spot'] as const) {
-        this.updatePool(findView(views, domain, kind), now, drainMs);
+        this.updatePool(findView(views, domain, kind), now, view);
       }
     }
   }
 
-  private updatePool(view: PoolView, now: number, drainMs: number): void {
+  private updatePool(
+    view: PoolView,
+    now: number,
+    {drainMs, areEndpointsCurrent}: PoolsView,
+  ): void {
     const key = formatKey(view);
     const pool = this.pools.get(key) ?? ScalingPool.createSeen(view);
     this.pools.set(key, pool);
+    if (areEndpointsCurrent) pool.recordSeen(view.ready);
     pool.update(view, now, drainMs);
   }
 
--- a/packages/decisions/src/scaling_reductions.ts
+++ b/packages/decisions/src/scaling_reductions.ts
@@ -41,7 +41,10 @@
 export type SafetyInput = Pick<
   ReductionInput,
   'pools' | 'goal' | 'isMovable' | 'isIdle'
->;
+> & {
+  /** Whether load and endpoints are known well enough to take endpoints. */
+  readonly isCertain: boolean;
+};
 
 /** Replaces orders of fewer that are not safe any more by the count in force. */
 export function updateReductions(
@@ -68,11 +71,13 @@
 
 /** Whether what runs in a pool allows that so many endpoints are taken. */
 function isTakeable(
-  {isIdle, isMovable}: SafetyInput,
+  {isIdle, isMovable, isCertain}: SafetyInput,
   {running}: ScalingPool,
   taken: number,
 ): boolean {
-  if (taken === 0 || isIdle) return true;
+  if (taken === 0) return true;
+  if (!isCertain) return false;
+  if (isIdle) return true;
   return taken <= MAX_REDUCTION && (isMovable || running === 0);
 }
 
--- a/packages/decisions/tests/scaling_plan.test.ts
+++ b/packages/decisions/tests/scaling_plan.test.ts
@@ -143,7 +143,12 @@
         {...pool, ready: isAway ? 0 : 16},
         {...pool, domain: 'b', ready: 16},
       ];
-      const known = {need: 0, isNeedCertain: true, isMovable: true};
+      const known = {
+        need: 0,
+        isNeedCertain: true,
+        areEndpointsCurrent: true,
+        isMovable: true,
+      };
       const view = {limits, pools, ...known, drainMs: DRAIN_MS};
       assert.deepEqual(plan.plan(view, now), []);
     }
@@ -159,7 +164,12 @@
     limits: {minimum: 1, maximum: 34, bootMs: 1, spotPrice: 0.2, prices: {}},
     pools,
     drainMs: DRAIN_MS,
-    ...{need: 45, isNeedCertain: true, isMovable: true},
+    ...{
+      need: 45,
+      isNeedCertain: true,
+      areEndpointsCurrent: true,
+      isMovable: true,
+    },
   };
 
   // Guards against an order of more that drains loaded endpoints, as the count
@@ -213,7 +223,7 @@
       };
     });
     const state = {level: 4, initial: 6, hasDemand: true, pools: states};
-    const known = {need: 20, isNeedCertain: true};
+    const known = {need: 20, isNeedCertain: true, areEndpointsCurrent: true};
     const view = {limits, pools, ...known, drainMs: DRAIN_MS};
     const plan = ScalingPlan.createFrom(state, 0);
     const orders = plan.plan({...view, isMovable: true}, 2000);
--- a/packages/gateway/src/services/gateway_endpoints.ts
+++ b/packages/gateway/src/services/gateway_endpoints.ts
@@ -77,6 +77,14 @@
     return this.parts.getDepartureDelayMs() > 0;
   }
 
+  /**
+   * Whether the known endpoints are those that the store lists. Otherwise, some
+   * may be gone, and their successors are known beside them.
+   */
+  get isCurrent(): boolean {
+    return !this.isStoreAway && this.removalTimer === undefined;
+  }
+
   /** How long endpoints drain that the platform ends on order, in ms. */
   get drainMs(): number {
     return this.parts.drainMs;
@@ -325,14 +333,11 @@
   }
 
   private writeLeavingLog(
-    {instanceId, address}: EndpointRecord,
+    {instanceId: endpoint, address}: EndpointRecord,
     source: LeavingSource,
   ): void {
-    this.parts.log.writeInfo('Endpoint is leaving.', {
-      endpoint: instanceId,
-      address,
-      source,
-    });
+    const fields = {endpoint, address, source};
+    this.parts.log.writeInfo('Endpoint is leaving.', fields);
   }
 
   /**
@@ -362,11 +367,8 @@
     record.markRemoved(cause);
     this.handleChange?.();
     const {instanceId: endpoint, address} = record;
-    this.parts.log.writeInfo('Endpoint removed.', {
-      endpoint,
-      address,
-      reason,
-    });
+    const fields = {endpoint, address, reason};
+    this.parts.log.writeInfo('Endpoint removed.', fields);
   }
 }
 
--- a/packages/gateway/src/services/scaled_service.ts
+++ b/packages/gateway/src/services/scaled_service.ts
@@ -46,6 +46,9 @@
 /** How many renewals of the lease write a change, as one may be lost. */
 const CHANGE_WRITES = 2;
 
+/** Creates the view of the service as it is now; undefined if it is not scaled. */
+export type CreateView = () => ScalingView | undefined;
+
 /** Plans and sends the orders of one service. */
 export class ScaledService {
   private pending: PoolOrder[] = [];
@@ -113,7 +116,9 @@
   }
 
   /** Plans what is due, and sends it. */
-  async step(lease: HeldLease, view: ScalingView): Promise<void> {
+  async step(lease: HeldLease, createView: CreateView): Promise<void> {
+    const view = createView();
+    if (view === undefined) return;
     this.view = view;
     const now = this.parts.clock.getNow();
     this.nextAt = now + PLAN_INTERVAL_MS;
@@ -122,7 +127,8 @@
       this.plan.update(view, now);
       return;
     }
-    if (await this.planOrders(lease, view)) await this.sendPending(lease);
+    if (!(await this.planOrders(lease, view))) return;
+    await this.sendPending(lease, createView);
   }
 
   /** The row, if it changed since the last renewals. */
@@ -150,6 +156,7 @@
       pending.length === 0
         ? this.plan.plan(view, now)
         : this.plan.updateOrders(pending, view, now);
+    if (orders === undefined) return false;
     if (orders.every((order) => pending.includes(order))) {
       return orders.length > 0;
     }
@@ -169,7 +176,10 @@
     return false;
   }
 
-  private async sendPending(lease: HeldLease): Promise<void> {
+  private async sendPending(
+    lease: HeldLease,
+    createView: CreateView,
+  ): Promise<void> {
     const {clock} = this.parts;
     const until = clock.getNow() + MAX_STEP_MS;
     for (;;) {
@@ -179,6 +189,13 @@
         this.nextAt = clock.getNow();
         return;
       }
+      if (!this.isSafe(order, createView)) {
+        // Those that may stand already are taken back in the next step.
+        this.pending = this.pending.filter((one) =>
+          this.plan.isUnconfirmed(one),
+        );
+        return;
+      }
       const outcome = await this.send(lease, order);
       if (!this.handleOutcome(order, outcome)) {
         // The others were not sent, and are planned again when this passes.
@@ -193,6 +210,19 @@
     }
   }
 
+  /**
+   * Whether an order may still be sent. Saving it may have taken as long as a
+   * call to the store, in which endpoints were reclaimed or requests came.
+   */
+  private isSafe(order: PoolOrder, createView: CreateView): boolean {
+    if (!this.plan.isReduction(order)) return true;
+    const view = createView();
+    if (view === undefined) return false;
+    const now = this.parts.clock.getNow();
+    const checked = this.plan.updateOrders([order], view, now);
+    return checked?.includes(order) ?? false;
+  }
+
   private async send(
     lease: HeldLease,
     {domain, kind, count}: PoolOrder,
--- a/packages/gateway/src/services/scaling_task.ts
+++ b/packages/gateway/src/services/scaling_task.ts
@@ -61,8 +61,7 @@
       if (!lease.isHeld) return;
       const state = this.getService(service.name);
       if (!state.isDue) continue;
-      const view = createScalingView(this.parts, service);
-      if (view !== undefined) await state.step(lease, view);
+      await state.step(lease, () => createScalingView(this.parts, service));
     }
   }
 
--- a/packages/gateway/src/services/scaling_view.ts
+++ b/packages/gateway/src/services/scaling_view.ts
@@ -17,7 +17,10 @@
 
 /** Dependencies of the view. */
 export interface ScalingViewParts {
-  readonly endpoints: Pick<GatewayEndpoints, 'drainMs' | 'listAll'>;
+  readonly endpoints: Pick<
+    GatewayEndpoints,
+    'drainMs' | 'isCurrent' | 'listAll'
+  >;
   readonly demand: Pick<DemandReports, 'getTracker' | 'isComplete'>;
   readonly clock: Clock;
 }
@@ -47,6 +50,7 @@
     drainMs: parts.endpoints.drainMs,
     pools: listPools(records, !isComplete || demand.inFlight > 0, now),
     need: computeNeed(demand, capacity),
+    areEndpointsCurrent: parts.endpoints.isCurrent,
     isNeedCertain: isComplete && (isSpeedKnown || !hasPrompts),
     // Calls of plain services end while their endpoint drains.
     isMovable: engine?.takesBackups ?? true,
--- a/packages/gateway/tests/scaling_task.test.ts
+++ b/packages/gateway/tests/scaling_task.test.ts
@@ -1,11 +1,14 @@
 /** The task that orders endpoints: what it saves, sends and repeats. */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import type {PoolOrder} from '@irisdock/decisions';
 import type {CallOutcome} from '@irisdock/gateway';
 import {ScalingFleet} from './fixtures/scaling_fleet.js';
 
 /** Longer than until the first order, in ms. */
 const FIRST_ORDERS_MS = 2000;
+/** Longer than a new holder waits before it orders fewer, in ms. */
+const SETTLED_MS = 26_000;
 
 /** Answers the first calls as given, and accepts the others. */
 function setFirstOutcomes(
@@ -16,6 +19,67 @@
   fleet.decideOutcome = () => left.shift() ?? {kind: 'accepted'};
 }
 
+/** Puts the row of an earlier holder, for a load that one engine carries. */
+function putRow(fleet: ScalingFleet, pending: readonly PoolOrder[]): void {
+  const pools = ['a', 'b', 'c'].map((domain) => {
+    const state = {isOrdered: true, isUnavailable: false, unconfirmed: []};
+    return {domain, kind: 'ordinary', count: 6, ...state};
+  });
+  const plan = {level: 1, initial: 18, hasDemand: true, pools};
+  fleet.rows.set('state/s', JSON.stringify({plan, pending}));
+}
+
+/** Lists the calls for fewer ordinary endpoints than there are at first. */
+function listFewer(fleet: ScalingFleet): string[] {
+  return fleet.listCalls().filter((call) => / ordinary [1-5]$/u.test(call));
+}
+
+describe('orders of fewer endpoints', () => {
+  // Guards against streams that lose their engine and the one to go on at, as
+  // spot endpoints were reclaimed while the order was saved.
+  it('are checked again after they were saved', async () => {
+    const fleet = new ScalingFleet();
+    const task = fleet.createTask();
+    let isReclaimed = false;
+    fleet.handleSave = () => {
+      if (fleet.listCalls().length < 3) return;
+      isReclaimed = true;
+      fleet.endSpot();
+    };
+    await fleet.run(task, 1.5 * FIRST_ORDERS_MS);
+    assert.ok(isReclaimed);
+    assert.deepEqual(listFewer(fleet), []);
+  });
+
+  // Guards against a new holder that repeats one for the load of another time.
+  it('of an earlier holder wait until the load is known', async () => {
+    const fleet = new ScalingFleet();
+    const order = {domain: 'a', kind: 'ordinary', count: 4} as const;
+    putRow(fleet, [{...order, reason: 'the load fell'}]);
+    fleet.load = 36;
+    await fleet.run(fleet.createTask(), 2 * FIRST_ORDERS_MS);
+    assert.deepEqual(fleet.listCalls().slice(0, 1), ['a ordinary 6']);
+    assert.deepEqual(listFewer(fleet), []);
+  });
+
+  // Guards against decisions by reports and entries from before an outage.
+  for (const known of [{isComplete: false}, {isCurrent: false}]) {
+    it(`are not sent with ${JSON.stringify(known)}`, async () => {
+      const fleet = new ScalingFleet();
+      putRow(fleet, []);
+      fleet.load = 2;
+      const usual = {...fleet.known};
+      Object.assign(fleet.known, known);
+      const task = fleet.createTask();
+      await fleet.run(task, SETTLED_MS);
+      assert.deepEqual(listFewer(fleet), []);
+      Object.assign(fleet.known, usual);
+      await fleet.resume(task, SETTLED_MS);
+      assert.ok(listFewer(fleet).length > 0);
+    });
+  }
+});
+
 describe('the task scaling', () => {
   // Guards against an order that no later holder knows of.
   it('saves orders before it sends the first of them', async () => {
@@ -115,6 +179,23 @@
     });
   }
 
+  // Guards against endpoints that vanished from a restored store and count, with
+  // their successors, as ordered: more than the maximum were ordered then.
+  it('counts endpoints without a row only once they are current', async () => {
+    const fleet = new ScalingFleet({minimum: 1, maximum: 6, bootMs: 0});
+    fleet.known.isCurrent = false;
+    fleet.setOrdinary('a', 9);
+    const task = fleet.createTask();
+    await fleet.run(task, FIRST_ORDERS_MS);
+    fleet.setOrdinary('a', 6);
+    fleet.known.isCurrent = true;
+    await fleet.resume(task, FIRST_ORDERS_MS);
+    fleet.setOrdinary('a', 3);
+    await fleet.resume(task, 5 * FIRST_ORDERS_MS);
+    const ofDomain = fleet.listCalls().filter((call) => call.startsWith('a o'));
+    assert.deepEqual([...new Set(ofDomain)], ['a ordinary 6']);
+  });
+
   it('starts over if it cannot read the row of an earlier holder', async () => {
     const fleet = new ScalingFleet();
     fleet.rows.set('state/s', '{"plan":7}');
