--- a/packages/gateway/src/channels/json_client.ts
+++ b/packages/gateway/src/channels/json_client.ts
@@ -10,6 +10,7 @@
 } from 'node:http';
 import {getErrorText, splitPlace} from '@irisdock/kernel';
 import {err, type Result} from 'neverthrow';
+import {tryParseJson} from '../model/json_value.js';
 import {readBody} from './body_reader.js';
 import {BufferBudget} from './buffer_budget.js';
 import {watchHead} from './head_watch.js';
@@ -83,7 +84,7 @@
     const body = await readBody(response, this.buffers);
     return body.map((bytes) => ({
       status,
-      body: parseBody(bytes.toString()),
+      body: tryParseJson(bytes.toString()),
       headers,
     }));
   }
@@ -93,11 +94,3 @@
     this.agent.destroy();
   }
 }
-
-function parseBody(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/gateway/src/model/lease_row.ts
+++ b/packages/gateway/src/model/lease_row.ts
@@ -1,8 +1,9 @@
 /** The lease row of a task in the store, and the errors of leases. */
 import type {LeaseRow} from '@irisdock/decisions';
 import {createErrorTable} from '@irisdock/kernel';
-import {err, ok, type Result} from 'neverthrow';
+import type {Result} from 'neverthrow';
 import * as z from 'zod';
+import {decodeJson} from './json_value.js';
 import type {StoreError} from './table_store.js';
 
 const LEASE_ROW_SCHEMA = z.object({
@@ -34,16 +35,7 @@
 
 /** Decodes the value of a lease row. */
 export function parseLease(value: string): Result<LeaseRow, StoreError> {
-  const parsed = LEASE_ROW_SCHEMA.safeParse(parseJson(value));
-  if (parsed.success) return ok(parsed.data);
-  const detail = z.prettifyError(parsed.error);
-  return err(LEASE_ERRORS.create('store_unreadable', {detail}));
-}
-
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
+  return decodeJson(LEASE_ROW_SCHEMA, value).mapErr((detail) =>
+    LEASE_ERRORS.create('store_unreadable', {detail}),
+  );
 }
--- a/packages/gateway/src/model/row_chunks.ts
+++ b/packages/gateway/src/model/row_chunks.ts
@@ -5,6 +5,7 @@
  * text left behind are not read.
  */
 import * as z from 'zod';
+import {tryParseJson} from './json_value.js';
 import type {RowChange, TableRow} from './table_store.js';
 
 /**
@@ -56,12 +57,7 @@
 
 function tryParse(text = ''): unknown {
   // A longer text is no first row of several.
-  if (text.length > MAX_HEAD_LENGTH) return undefined;
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
+  return text.length > MAX_HEAD_LENGTH ? undefined : tryParseJson(text);
 }
 
 function isInsideCharacter(byte = 0): boolean {
--- a/packages/gateway/src/services/identity.ts
+++ b/packages/gateway/src/services/identity.ts
@@ -6,6 +6,7 @@
 } from '@irisdock/decisions';
 import {createService, createServiceKey} from '@irisdock/kernel';
 import * as z from 'zod';
+import {tryParseJson} from '../model/json_value.js';
 
 /** The name, place, size and incarnation of this host. */
 export interface HostIdentity {
@@ -117,11 +118,3 @@
 function parseRegions(text: string): Readonly<Record<string, string>> {
   return text === '' ? {} : REGIONS_SCHEMA.parse(tryParseJson(text));
 }
-
-function tryParseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
