Keep the orders of a service that is not scaled for a moment

The holder of the task dropped what it knew of a service as soon as the configuration did not scale it. When it was scaled again, the plan started over from the endpoints that were seen, and spot endpoints that were reclaimed counted as not ordered, though their numbers are in force. The state is kept now; orders of a service that is not scaled are neither sent nor shown.

The new test fails without the change (no orders are known afterwards) and passes with it.

--- a/packages/gateway/src/services/scaling_task.ts
+++ b/packages/gateway/src/services/scaling_task.ts
@@ -27,8 +27,10 @@
   constructor(private readonly parts: ScalingTaskParts) {}
 
   /** Lists the services that this host orders endpoints for. */
-  listServices(): Iterable<ScaledService> {
-    return this.services.values();
+  listServices(): ScaledService[] {
+    const scaled = this.parts.configuration.listScaledServices();
+    const names = new Set(scaled.map(({name}) => name));
+    return [...this.services.values()].filter(({name}) => names.has(name));
   }
 
   async start(lease: HeldLease): Promise<boolean> {
@@ -52,12 +54,9 @@
   }
 
   async step(lease: HeldLease): Promise<void> {
-    const scaled = this.parts.configuration.listScaledServices();
-    const names = new Set(scaled.map(({name}) => name));
-    for (const name of this.services.keys()) {
-      if (!names.has(name)) this.services.delete(name);
-    }
-    for (const service of scaled) {
+    // A service that is not scaled any more is kept: if it is again, its numbers
+    // are in force still, though no endpoints may show them.
+    for (const service of this.parts.configuration.listScaledServices()) {
       if (!lease.isHeld) return;
       const state = this.getService(service.name);
       if (!state.isDue) continue;
@@ -70,8 +69,7 @@
   }
 
   getActivity(): TaskActivity {
-    const services = [...this.services.values()];
-    const orders = services.flatMap((service) => service.listOrders());
+    const orders = this.listServices().flatMap((one) => one.listOrders());
     return {windows: [], orders};
   }
 
--- a/packages/gateway/tests/scaling_task.test.ts
+++ b/packages/gateway/tests/scaling_task.test.ts
@@ -196,6 +196,23 @@
     assert.deepEqual([...new Set(ofDomain)], ['a ordinary 6']);
   });
 
+  // Guards against spot endpoints that were reclaimed and count as not ordered
+  // after the service was missing in the configuration for a moment.
+  it('keeps the numbers in force when the service is scaled again', async () => {
+    const fleet = new ScalingFleet();
+    const task = fleet.createTask();
+    await fleet.run(task, 2 * FIRST_ORDERS_MS);
+    const before = task.getActivity().orders.map(({count}) => count);
+    fleet.endSpot();
+    fleet.isScaled = false;
+    await fleet.resume(task, FIRST_ORDERS_MS);
+    assert.deepEqual(task.getActivity().orders, []);
+    fleet.isScaled = true;
+    const after = task.getActivity().orders.map(({count}) => count);
+    assert.ok(before.length > 0);
+    assert.deepEqual(after, before);
+  });
+
   it('starts over if it cannot read the row of an earlier holder', async () => {
     const fleet = new ScalingFleet();
     fleet.rows.set('state/s', '{"plan":7}');
