Hold orders of the soak against numbers that the platform keeps

The witness held an order against the endpoints of the other kind that are there, and a refused repetition of an order without an answer counted as if the order had not been given. The platform keeps the number of such an order, so the witness now counts the higher of both against the maximum. After a restore of the store, which may lose the row that names the numbers, it counts the endpoints that are there, as before; the minimum is held against those as before.

--- a/soak/src/scaling_player.ts
+++ b/soak/src/scaling_player.ts
@@ -65,10 +65,8 @@
 interface Pool {
   readonly failureDomain: string;
   readonly isSpot: boolean;
-  /** The number of the last order that was accepted. */
+  /** The number of the last order that was accepted; a reclaim keeps it. */
   ordered: number;
-  /** Whether its sender got the answer in time. */
-  isAnswered: boolean;
   /** The places of what is there, boots or crashed and will come back. */
   readonly places: Set<number>;
 }
@@ -134,7 +132,7 @@
     this.pools = failureDomains.flatMap((failureDomain) =>
       [false, true].map((isSpot) => {
         const places = new Set<number>();
-        return {failureDomain, isSpot, ordered: 0, isAnswered: true, places};
+        return {failureDomain, isSpot, ordered: 0, places};
       }),
     );
   }
@@ -165,23 +163,17 @@
 
   /** Carries an order out if it was accepted. */
   handleCall(call: ApiCall): void {
-    const {order, isAccepted, isAnswered} = call;
+    const {order, isAccepted} = call;
     if (order === undefined) return;
     const pool = this.findPool(order);
     if (pool === undefined || order.service !== SOAK_SERVICES.streams) {
       this.witness.faults.push(`an order of ${order.service} was sent`);
       return;
     }
-    if (!isAccepted) {
-      // To a host, a refused repetition of an order whose answer was lost looks
-      // as if that had been refused too.
-      if (!pool.isAnswered && isAnswered) pool.ordered = pool.places.size;
-      return;
-    }
+    if (!isAccepted) return;
     this.orders++;
     this.witness.recordOrder(call, this.listPools(), performance.now());
     pool.ordered = order.count;
-    pool.isAnswered = isAnswered;
     while (pool.places.size < order.count) void this.startEndpoint(pool);
     for (const place of [...pool.places].slice(order.count)) {
       this.removeEndpoint(pool, place, DRAIN_MS);
--- a/soak/src/scaling_witness.ts
+++ b/soak/src/scaling_witness.ts
@@ -94,7 +94,7 @@
   ): void {
     if (order === undefined) return;
     const isInTouch = this.isInTouch(holder, at);
-    this.checkLimits(order, pools, isInTouch);
+    this.checkLimits(order, pools, isInTouch, this.isRestored(at));
     if (!isInTouch) return;
     const rest = pools.map((pool) =>
       isPoolOf(pool, order) ? applyOrder(pool, order.count) : pool,
@@ -138,24 +138,38 @@
     while ((this.loads[1]?.at ?? Infinity) <= at - LOAD_MS) this.loads.shift();
   }
 
-  /** Endpoints that were reclaimed count no more. */
+  /**
+   * The platform keeps the number of an order whose endpoints it reclaims, so that
+   * it counts against the maximum.
+   */
   private checkLimits(
     order: ApiOrder,
     pools: readonly PlatformPool[],
     isInTouch: boolean,
+    isRestored: boolean,
   ): void {
     const {minimum, maximum} = this.scaling;
-    let sum = order.count;
-    for (const pool of pools) {
-      const isOther = pool.isSpot !== order.isSpot;
-      const isThere = pool.failureDomain === order.failureDomain;
-      if (isThere && isOther) sum += pool.present;
+    let least = order.count;
+    let most = order.count;
+    for (const {failureDomain, isSpot, present, ordered} of pools) {
+      if (failureDomain !== order.failureDomain) continue;
+      if (isSpot === order.isSpot) continue;
+      least += present;
+      most += isRestored ? present : Math.max(present, ordered);
     }
-    if ((sum >= minimum || !isInTouch) && sum <= maximum) return;
+    if ((least >= minimum || !isInTouch) && most <= maximum) return;
+    const sum = most > maximum ? most : least;
     const limits = `${minimum} to ${maximum}`;
     this.faults.push(`${formatOrder(order)} makes ${sum}, not ${limits}`);
   }
 
+  /** A restored store may have lost the row that names the orders in force. */
+  private isRestored(at: number): boolean {
+    return this.disturbances
+      .listBetween('', 0, at)
+      .some(({part, host}) => part === 'store' && host === undefined);
+  }
+
   /** Whether the sender of an order can know what endpoints there are. */
   private isInTouch(holder: string, at: number): boolean {
     const from = at - CONTACT_MS;
--- a/soak/tests/scaling_witness.test.ts
+++ b/soak/tests/scaling_witness.test.ts
@@ -58,6 +58,20 @@
     assert.equal(countFaults(createWitness(0), 0, false, few), 1);
   });
 
+  // Guards against a witness that takes the number of reclaimed endpoints for
+  // given up; only a restored store lets a host forget it.
+  it('counts the numbers of reclaimed endpoints', () => {
+    const gone = createPools(2, 0).map((pool) =>
+      pool.isSpot ? {...pool, present: 0} : pool,
+    );
+    assert.equal(countFaults(createWitness(0), 3, false, gone), 0);
+    assert.equal(countFaults(createWitness(0), 4, false, gone), 1);
+    const disturbances = new Disturbances();
+    disturbances.start('store', 1);
+    const restored = createWitness(0, disturbances);
+    assert.equal(countFaults(restored, 4, false, gone), 0);
+  });
+
   // Guards against a witness that passes draining before others are there.
   it('finds orders of fewer that leave too little for the load', () => {
     // Seven streams an endpoint; three spot endpoints are booting.
