Wait until an order of fewer endpoints is carried out

Five seconds after an order of fewer, the next one could follow although the platform had not carried the first one out: nothing was leaving yet, and all endpoints were still ready. Both together then took up to eight endpoints at once, where four are allowed. A pool is not reduced now while more endpoints are ready than were ordered within the last 20 s.

The new test fails without the condition and passes with it.

--- a/packages/decisions/src/scaling_pool.ts
+++ b/packages/decisions/src/scaling_pool.ts
@@ -34,6 +34,12 @@
  * ordered again, in ms. Endpoints that were lost return by themselves sooner.
  */
 const REPEAT_DELAY_MS = 3000;
+/**
+ * How long more endpoints than were ordered are taken for ones that the last order
+ * takes and that are not announced yet, in ms. A slow platform answers within the
+ * timeout of a call and may carry an order out seconds later.
+ */
+const CARRY_OUT_MS = 20_000;
 /**
  * How much longer than they drain, endpoints that an order of ours takes may be
  * seen as leaving, in ms: the drain begins and ends with some delay.
@@ -236,6 +242,8 @@
     if (!this.isAskable(now) || this.isLeaving) return false;
     // How many endpoints an order would take is not known.
     if (this.isUnconfirmed) return false;
+    const isCarriedOut = this.view.ready <= this.inForce;
+    if (!isCarriedOut && now - this.orderedAt < CARRY_OUT_MS) return false;
     return now - this.grownAt >= GROWTH_HOLD_MS;
   }
 
--- a/packages/decisions/tests/scaling_plan.test.ts
+++ b/packages/decisions/tests/scaling_plan.test.ts
@@ -264,6 +264,21 @@
     assert.equal(pool.coming, 13);
   });
 
+  // Guards against a second order of fewer while the first one is not carried out:
+  // both together took twice as many endpoints at once as are allowed.
+  for (const [ready, at, isReducible] of [
+    [20, 6000, false],
+    [16, 6000, true],
+    [20, 21_000, true],
+  ] as const) {
+    it(`may be reduced: ${isReducible}, with ${ready} after ${at} ms`, () => {
+      const pool = ScalingPool.createSeen({...view, ready: 20, leaving: 0});
+      pool.recordAccepted(16, 0);
+      pool.update({...view, ready, leaving: 0}, at, DRAIN_MS);
+      assert.equal(pool.isReducible(at), isReducible);
+    });
+  }
+
   // Guards against a longer drain on order that is taken for a reclaim.
   it('with endpoints that drain for longer than usual', () => {
     const pool = ScalingPool.createSeen({...view, ready: 20, leaving: 0});
