--- a/packages/decisions/src/scaling_plan.ts
+++ b/packages/decisions/src/scaling_plan.ts
@@ -12,6 +12,7 @@
 import {
   countEndpoints,
   type DomainCounts,
+  type PoolKey,
   type PoolOrder,
   type StandingOrder,
 } from './scaling_model.js';
@@ -58,6 +59,8 @@
 const MIN_BASE_SHARE = 0.75;
 
 const BASE_REASON = 'the base of ordinary endpoints is too small';
+const MISSING_REASON = 'endpoints of it are missing';
+const UNCONFIRMED_REASON = 'an order without an answer may be in force';
 const COVER_REASON = 'the load needs it, and spot endpoints are missing';
 
 /** Plans the orders for one service. */
@@ -125,6 +128,8 @@
    * known well enough to plan with.
    */
   update(view: ScalingView, now: number): boolean {
+    // Endpoints that are gone would count as ordered.
+    if (this.need === undefined && !view.areEndpointsCurrent) return false;
     this.pools.update(view, now);
     if (view.pools.some(({ready}) => ready > 0)) this.firstSeenAt ??= now;
     if (now - (this.firstSeenAt ?? now) < SETTLE_MS) return false;
@@ -135,23 +140,33 @@
   /**
    * Checks orders that were planned earlier and are not settled: in place of one
    * that would take too many endpoints by now, what is in force is ordered. The
-   * other orders are returned as they are.
+   * other orders are returned as they are; all are undefined if there is one of
+   * fewer and the load is not known yet.
    */
   updateOrders(
     orders: readonly PoolOrder[],
     view: ScalingView,
     now: number,
-  ): PoolOrder[] {
-    this.update(view, now);
-    const {pools} = this;
+  ): PoolOrder[] | undefined {
+    const isKnown = this.update(view, now);
+    if (!isKnown && orders.some((one) => this.isReduction(one))) return;
+    const {pools, isIdle} = this;
     const goal = this.createGoal();
     const {isMovable} = view;
-    return updateReductions(orders, {
-      pools,
-      goal,
-      isMovable,
-      isIdle: this.isIdle,
-    });
+    const isCertain = isViewCertain(view);
+    const input = {pools, goal, isMovable, isIdle, isCertain};
+    return updateReductions(orders, input);
+  }
+
+  /** Whether an order asks for fewer endpoints than are in force. */
+  isReduction(order: PoolOrder): boolean {
+    const pool = this.pools.find(order);
+    return pool !== undefined && order.count < pool.count;
+  }
+
+  /** Whether another number than the known one may be in force for a pool. */
+  isUnconfirmed(key: PoolKey): boolean {
+    return this.pools.find(key)?.isUnconfirmed ?? false;
   }
 
   /** Whether no request was seen yet and none runs. */
@@ -177,6 +192,14 @@
     pool.recordAccepted(order.count, now);
   }
 
+  /**
+   * Records that an order has no answer: the platform may have accepted it, or may
+   * do so yet.
+   */
+  recordUnconfirmed(order: PoolOrder, now: number): void {
+    this.pools.find(order)?.recordUnconfirmed(order.count, now);
+  }
+
   /** Records that the platform has no such endpoints now. */
   recordRefused(order: PoolOrder, now: number): void {
     this.pools.find(order)?.recordRefused(now);
@@ -262,20 +285,23 @@
     pool: ScalingPool,
     {count: wanted, reason}: Pick<PoolOrder, 'count' | 'reason'>,
     orders: readonly PoolOrder[],
-    {limits}: ScalingView,
+    {limits, areEndpointsCurrent}: ScalingView,
     now: number,
   ): PoolOrder | undefined {
     if (!pool.isAskable(now)) return undefined;
-    const {key, count, ready} = pool;
+    const {key, count, isUnconfirmed} = pool;
     const room = this.pools.computeRoom(key, limits, orders);
+    // More may be ready than is known to be in force. Counts are absolute: an
+    // order of less than is ready would take endpoints.
+    const kept = pool.getKeptCount(now, limits.bootMs);
     if (Math.min(wanted, room) > count) {
-      // More may be ready than is known to be in force. Counts are absolute: an
-      // order of less than is ready would take endpoints.
-      const most = Math.max(wanted, ready);
+      const most = Math.max(wanted, kept);
       return {...key, count: Math.min(most, room), reason};
     }
     if (!pool.isRepeatDue(now, limits.bootMs)) return undefined;
-    return {...key, count, reason: 'endpoints of it are missing'};
+    if (!isUnconfirmed) return {...key, count, reason: MISSING_REASON};
+    if (!areEndpointsCurrent) return undefined;
+    return {...key, count: Math.min(kept, room), reason: UNCONFIRMED_REASON};
   }
 
   /** Plans orders of fewer; one at a time while requests run. */
@@ -284,6 +310,7 @@
     view: ScalingView,
     now: number,
   ): PoolOrder[] {
+    if (!isViewCertain(view)) return [];
     const {pools, isIdle, reducedAt} = this;
     const all = pools.listAll();
     if (!isIdle && now - reducedAt < REDUCTION_INTERVAL_MS) return [];
@@ -294,3 +321,8 @@
     return planReductions(input);
   }
 }
+
+/** Whether load and endpoints are known well enough to take endpoints. */
+function isViewCertain(view: ScalingView): boolean {
+  return view.isNeedCertain && view.areEndpointsCurrent;
+}
--- a/packages/decisions/src/scaling_reductions.ts
+++ b/packages/decisions/src/scaling_reductions.ts
@@ -41,7 +41,10 @@
 export type SafetyInput = Pick<
   ReductionInput,
   'pools' | 'goal' | 'isMovable' | 'isIdle'
->;
+> & {
+  /** Whether load and endpoints are known well enough to take endpoints. */
+  readonly isCertain: boolean;
+};
 
 /** Replaces orders of fewer that are not safe any more by the count in force. */
 export function updateReductions(
@@ -54,23 +57,27 @@
     if (pool === undefined || order.count >= pool.count) return order;
     // What is leaving is not firm, and the platform does not take it again.
     const taken = Math.max(0, pool.count - pool.leaving - order.count);
+    // The order itself may be in force already, so that it counts only once.
+    const left = Math.min(pool.firm, Math.min(pool.count, pool.ready) - taken);
     const rest = firm.map((entry) => ({...entry}));
-    setCount(rest, pool, pool.firm - taken);
+    setCount(rest, pool, left);
     if (!isTakeable(input, pool, taken) || !isSufficient(rest, input.goal)) {
       return {...pool.key, count: pool.count, reason: UNSAFE_REASON};
     }
-    setCount(firm, pool, pool.firm - taken);
+    setCount(firm, pool, left);
     return order;
   });
 }
 
 /** Whether what runs in a pool allows that so many endpoints are taken. */
 function isTakeable(
-  {isIdle, isMovable}: SafetyInput,
+  {isIdle, isMovable, isCertain}: SafetyInput,
   {running}: ScalingPool,
   taken: number,
 ): boolean {
-  if (taken === 0 || isIdle) return true;
+  if (taken === 0) return true;
+  if (!isCertain) return false;
+  if (isIdle) return true;
   return taken <= MAX_REDUCTION && (isMovable || running === 0);
 }
 
@@ -106,7 +113,7 @@
   {key: {domain, kind}}: ScalingPool,
 ): number {
   const target = getDomainCounts(wanted, domain)[kind];
-  const other = pools.getPool(domain, getOtherKind(kind)).count;
+  const other = pools.getPool(domain, getOtherKind(kind)).leastCount;
   return Math.max(target, limits.minimum - other);
 }
 
--- a/packages/decisions/tests/scaling_plan.test.ts
+++ b/packages/decisions/tests/scaling_plan.test.ts
@@ -143,7 +143,12 @@
         {...pool, ready: isAway ? 0 : 16},
         {...pool, domain: 'b', ready: 16},
       ];
-      const known = {need: 0, isNeedCertain: true, isMovable: true};
+      const known = {
+        need: 0,
+        isNeedCertain: true,
+        areEndpointsCurrent: true,
+        isMovable: true,
+      };
       const view = {limits, pools, ...known, drainMs: DRAIN_MS};
       assert.deepEqual(plan.plan(view, now), []);
     }
@@ -159,7 +164,12 @@
     limits: {minimum: 1, maximum: 34, bootMs: 1, spotPrice: 0.2, prices: {}},
     pools,
     drainMs: DRAIN_MS,
-    ...{need: 45, isNeedCertain: true, isMovable: true},
+    ...{
+      need: 45,
+      isNeedCertain: true,
+      areEndpointsCurrent: true,
+      isMovable: true,
+    },
   };
 
   // Guards against an order of more that drains loaded endpoints, as the count
@@ -169,7 +179,14 @@
     it(`takes no endpoints if isOrdered is ${isOrdered}`, () => {
       const states = pools.map(({domain, kind}) => {
         const count = domain === 'a' ? 1 : 16;
-        return {domain, kind, count, isOrdered, isUnavailable: false};
+        return {
+          domain,
+          kind,
+          count,
+          isOrdered,
+          isUnavailable: false,
+          unconfirmed: [],
+        };
       });
       const state = {level: 45, initial: 64, hasDemand: true, pools: states};
       const orders = ScalingPlan.createFrom(state, 0).plan(view, 2000);
@@ -196,10 +213,17 @@
       }),
     );
     const states = pools.map(({domain, kind, ready: count}) => {
-      return {domain, kind, count, isOrdered: true, isUnavailable: false};
+      return {
+        domain,
+        kind,
+        count,
+        isOrdered: true,
+        isUnavailable: false,
+        unconfirmed: [],
+      };
     });
     const state = {level: 4, initial: 6, hasDemand: true, pools: states};
-    const known = {need: 20, isNeedCertain: true};
+    const known = {need: 20, isNeedCertain: true, areEndpointsCurrent: true};
     const view = {limits, pools, ...known, drainMs: DRAIN_MS};
     const plan = ScalingPlan.createFrom(state, 0);
     const orders = plan.plan({...view, isMovable: true}, 2000);
@@ -240,6 +264,21 @@
     assert.equal(pool.coming, 13);
   });
 
+  // Guards against a second order of fewer while the first one is not carried out:
+  // both together took twice as many endpoints at once as are allowed.
+  for (const [ready, at, isReducible] of [
+    [20, 6000, false],
+    [16, 6000, true],
+    [20, 21_000, true],
+  ] as const) {
+    it(`may be reduced: ${isReducible}, with ${ready} after ${at} ms`, () => {
+      const pool = ScalingPool.createSeen({...view, ready: 20, leaving: 0});
+      pool.recordAccepted(16, 0);
+      pool.update({...view, ready, leaving: 0}, at, DRAIN_MS);
+      assert.equal(pool.isReducible(at), isReducible);
+    });
+  }
+
   // Guards against a longer drain on order that is taken for a reclaim.
   it('with endpoints that drain for longer than usual', () => {
     const pool = ScalingPool.createSeen({...view, ready: 20, leaving: 0});
--- a/packages/gateway/src/services/scaled_service.ts
+++ b/packages/gateway/src/services/scaled_service.ts
@@ -46,6 +46,9 @@
 /** How many renewals of the lease write a change, as one may be lost. */
 const CHANGE_WRITES = 2;
 
+/** Creates the view of the service as it is now; undefined if it is not scaled. */
+export type CreateView = () => ScalingView | undefined;
+
 /** Plans and sends the orders of one service. */
 export class ScaledService {
   private pending: PoolOrder[] = [];
@@ -54,6 +57,8 @@
   /** Until when no order is planned or sent after one that failed. */
   private pausedUntil = -Infinity;
   private pauseMs = RETRY_PAUSE_MS;
+  /** How long the last call might take, in ms. */
+  private callTimeoutMs = 0;
   private lastListed: string | undefined;
   private writesLeft = 0;
 
@@ -72,6 +77,9 @@
     const plan = ScalingPlan.createFrom(row.plan, parts.clock.getNow());
     const service = new ScaledService(name, parts, plan);
     service.pending = row.pending;
+    // The earlier holder may have sent them and got no answer.
+    const now = parts.clock.getNow();
+    for (const order of row.pending) plan.recordUnconfirmed(order, now);
     return service;
   }
 
@@ -108,7 +116,9 @@
   }
 
   /** Plans what is due, and sends it. */
-  async step(lease: HeldLease, view: ScalingView): Promise<void> {
+  async step(lease: HeldLease, createView: CreateView): Promise<void> {
+    const view = createView();
+    if (view === undefined) return;
     this.view = view;
     const now = this.parts.clock.getNow();
     this.nextAt = now + PLAN_INTERVAL_MS;
@@ -117,7 +127,8 @@
       this.plan.update(view, now);
       return;
     }
-    if (await this.planOrders(lease, view)) await this.sendPending(lease);
+    if (!(await this.planOrders(lease, view))) return;
+    await this.sendPending(lease, createView);
   }
 
   /** The row, if it changed since the last renewals. */
@@ -145,6 +156,7 @@
       pending.length === 0
         ? this.plan.plan(view, now)
         : this.plan.updateOrders(pending, view, now);
+    if (orders === undefined) return false;
     if (orders.every((order) => pending.includes(order))) {
       return orders.length > 0;
     }
@@ -164,7 +176,10 @@
     return false;
   }
 
-  private async sendPending(lease: HeldLease): Promise<void> {
+  private async sendPending(
+    lease: HeldLease,
+    createView: CreateView,
+  ): Promise<void> {
     const {clock} = this.parts;
     const until = clock.getNow() + MAX_STEP_MS;
     for (;;) {
@@ -174,11 +189,20 @@
         this.nextAt = clock.getNow();
         return;
       }
+      if (!this.isSafe(order, createView)) {
+        // Those that may stand already are taken back in the next step.
+        this.pending = this.pending.filter((one) =>
+          this.plan.isUnconfirmed(one),
+        );
+        return;
+      }
       const outcome = await this.send(lease, order);
       if (!this.handleOutcome(order, outcome)) {
         // The others were not sent, and are planned again when this passes.
-        this.pending = outcome.kind === 'unanswered' ? [order] : [];
-        this.pause();
+        const isOpen = outcome.kind === 'unanswered';
+        this.pending = isOpen ? [order] : [];
+        // Another order must not arrive before a call that was given up.
+        this.pause(isOpen ? this.callTimeoutMs : 0);
         return;
       }
       this.pauseMs = RETRY_PAUSE_MS;
@@ -186,6 +210,19 @@
     }
   }
 
+  /**
+   * Whether an order may still be sent. Saving it may have taken as long as a
+   * call to the store, in which endpoints were reclaimed or requests came.
+   */
+  private isSafe(order: PoolOrder, createView: CreateView): boolean {
+    if (!this.plan.isReduction(order)) return true;
+    const view = createView();
+    if (view === undefined) return false;
+    const now = this.parts.clock.getNow();
+    const checked = this.plan.updateOrders([order], view, now);
+    return checked?.includes(order) ?? false;
+  }
+
   private async send(
     lease: HeldLease,
     {domain, kind, count}: PoolOrder,
@@ -196,9 +233,10 @@
       count,
       isSpot: kind === 'spot',
     };
-    return lease.sendCall((authority) =>
-      this.parts.api.sendOrder(authority, order),
-    );
+    return lease.sendCall((authority) => {
+      this.callTimeoutMs = authority.timeoutMs;
+      return this.parts.api.sendOrder(authority, order);
+    });
   }
 
   /** Records what became of an order; tells whether it is settled. */
@@ -214,11 +252,14 @@
         this.plan.recordRefused(order, now);
         return true;
       case 'rejected':
+        if (isFault(outcome.status)) this.plan.recordUnconfirmed(order, now);
         if (isPassing(outcome.status)) return false;
         this.plan.recordRefused(order, now);
         return true;
-      case 'not-sent':
       case 'unanswered':
+        this.plan.recordUnconfirmed(order, now);
+        return false;
+      case 'not-sent':
         return false;
     }
   }
@@ -232,8 +273,10 @@
     return {service, failureDomain: domain, kind, count, isAccepted, ageMs};
   }
 
-  private pause(): void {
-    this.pausedUntil = this.parts.clock.getNow() + this.pauseMs;
+  /** Pauses for longer after each failure, and at least for some time, in ms. */
+  private pause(leastMs = 0): void {
+    const pauseMs = Math.max(leastMs, this.pauseMs);
+    this.pausedUntil = this.parts.clock.getNow() + pauseMs;
     this.pauseMs = Math.min(MAX_RETRY_PAUSE_MS, this.pauseMs * 2);
   }
 
@@ -262,5 +305,10 @@
 
 /** Whether a rejected call may be accepted when it is repeated. */
 function isPassing(status: number): boolean {
-  return status === RATE_STATUS || status >= MIN_SERVER_ERROR_STATUS;
+  return status === RATE_STATUS || isFault(status);
+}
+
+/** Whether a rejected call may have been carried out before it failed. */
+function isFault(status: number): boolean {
+  return status >= MIN_SERVER_ERROR_STATUS;
 }
