Move the schedule of reads out of the table follower

Change: ReadSchedule holds the role of the host, its turn and its pace; RestoreGracePeriod applies whole tables, which it alone decides about. Behavior is unchanged.

--- a/packages/gateway/src/tables/restore_grace_period.ts
+++ b/packages/gateway/src/tables/restore_grace_period.ts
@@ -3,11 +3,16 @@
  * time to write lost rows again, so missing rows do not count as deleted until
  * the table is read once more at the end of the period.
  */
-import {RECOVERY_GRACE_MS} from '@irisdock/decisions';
+import {
+  RECOVERY_GRACE_MS,
+  type ReplicaRow,
+  type TableReplica,
+} from '@irisdock/decisions';
 import type {Clock} from '@irisdock/kernel';
 
 /** Dependencies of the grace period. */
 export interface RestoreGracePeriodParts {
+  readonly replica: TableReplica;
   readonly clock: Clock;
   /** Ends the grace period early. */
   readonly signal: AbortSignal;
@@ -34,11 +39,25 @@
     this.endsAt = now + RECOVERY_GRACE_MS;
   }
 
-  /** Schedules a read of the whole table for the end of the period. */
-  planRead(): void {
-    this.running ??= this.run().finally(() => {
-      this.running = undefined;
-    });
+  /**
+   * Applies a whole table to the replica; returns the rows that changed. In the
+   * grace period, missing rows are kept and deleted rows stay deleted; a read of
+   * the whole table at its end settles which rows exist.
+   */
+  applyTable(
+    rows: readonly ReplicaRow[],
+    revision: number,
+    source: 'host' | 'store',
+  ): ReplicaRow[] {
+    const {replica, clock} = this.parts;
+    const isOlder = replica.isLoaded && revision < replica.revision;
+    if (isOlder || !this.isActive(clock.getNow())) {
+      return replica.applyAll(rows, revision);
+    }
+    const isUndecided =
+      source === 'store' || replica.listMissing(rows, revision).length > 0;
+    if (isUndecided) this.planRead();
+    return replica.applyRestored(rows, revision);
   }
 
   /** Resolves when the scheduled read has ended. */
@@ -46,6 +65,13 @@
     await this.running;
   }
 
+  /** Schedules a read of the whole table for the end of the period. */
+  private planRead(): void {
+    this.running ??= this.run().finally(() => {
+      this.running = undefined;
+    });
+  }
+
   private async run(): Promise<void> {
     const {clock, signal, retryMs, readWhole} = this.parts;
     while (!signal.aborted) {
--- a/packages/gateway/src/tables/table_follower.ts
+++ b/packages/gateway/src/tables/table_follower.ts
@@ -7,32 +7,25 @@
 import {
   ReplicaAge,
   getEra,
-  PollStagger,
   StoreReachability,
   TableReplica,
-  type ReaderRank,
   type ReplicaRow,
 } from '@irisdock/decisions';
 import {Channel, type Clock, type Logger} from '@irisdock/kernel';
 import type {FollowerOptions} from './follower_options.js';
+import {ReadSchedule} from './read_schedule.js';
 import {RestoreGracePeriod} from './restore_grace_period.js';
 import {TableLog} from './table_log.js';
-import {
-  isSameRole,
-  type ReaderRole,
-  type StoreUpdate,
-  type TableFreshnessReport,
+import type {
+  ReaderRole,
+  StoreUpdate,
+  TableFreshnessReport,
 } from './store_update.js';
 import type {TableName, TableRows, TableStore} from '../model/table_store.js';
 
 /** How long a failed call counts as recent, in ms. */
 const RECENT_FAILURE_MS = 2500;
 
-/** The pace is this many times slower on all readers but the first. */
-const STANDBY_PACE_FACTOR = 2;
-/** The rank of a host that reads for itself only. */
-const SOLE_READER: ReaderRank = {rank: 0, count: 1};
-
 /** Keeps the replica of one table up to date. */
 export class TableFollower {
   readonly replica = new TableReplica();
@@ -47,9 +40,7 @@
   private failedAt = -Infinity;
   private readonly gracePeriod: RestoreGracePeriod;
   private readonly tableLog: TableLog;
-  private role: ReaderRole = 'listener';
-  private resumeReading: (() => void) | undefined;
-  private readonly stagger: PollStagger;
+  private readonly schedule: ReadSchedule;
   private readonly updates = new Channel<StoreUpdate>();
   /** What this host itself reads from the store. */
   readonly storeUpdates = this.updates.stream;
@@ -66,8 +57,9 @@
     log: Logger,
   ) {
     this.tableLog = new TableLog(table, log);
-    this.stagger = new PollStagger(options.waitMs);
+    this.schedule = new ReadSchedule(options, () => this.isLoading);
     this.gracePeriod = new RestoreGracePeriod({
+      replica: this.replica,
       clock,
       signal: this.controller.signal,
       retryMs: options.retryMs,
@@ -87,7 +79,7 @@
 
   /** Whether this host is one of the readers that poll the store for all. */
   get isReading(): boolean {
-    return typeof this.role === 'object';
+    return this.schedule.isReading;
   }
 
   /** Whether the last call to the store failed, and did so recently. */
@@ -97,11 +89,7 @@
 
   /** Sets how this host follows the store. */
   setRole(role: ReaderRole): void {
-    if (isSameRole(role, this.role)) return;
-    this.role = role;
-    this.stagger.startCycle(0);
-    this.tableLog.writeRole(role);
-    if (this.mustRead) this.resumeReading?.();
+    if (this.schedule.setRole(role)) this.tableLog.writeRole(role);
   }
 
   /** Starts to follow. */
@@ -112,7 +100,7 @@
   /** Stops; the result of a call in progress is ignored. */
   stop(): void {
     this.controller.abort();
-    this.resumeReading?.();
+    this.schedule.stop();
     this.changeChannel.close();
     this.updates.close();
     this.restoredChannel.close();
@@ -133,7 +121,7 @@
     if (isWhole) this.mustReload = false;
     this.apply(revision, 'host', () =>
       isWhole
-        ? this.applyTable(rows, revision, 'host')
+        ? this.gracePeriod.applyTable(rows, revision, 'host')
         : this.replica.applyChanges(rows, revision),
     );
   }
@@ -148,7 +136,7 @@
     const {replica} = this;
     if (!replica.isLoaded) return false;
     const at = this.clock.getNow() - ageMs;
-    if (isScheduledPoll) this.stagger.recordPeerAnswer(at);
+    if (isScheduledPoll) this.schedule.stagger.recordPeerAnswer(at);
     const isFresher = this.age.acceptReport(
       {latestRevision: newest, at},
       replica.lastChange,
@@ -200,7 +188,7 @@
   private async run(): Promise<void> {
     const {signal} = this.controller;
     while (!signal.aborted) {
-      await this.waitForRead();
+      await this.schedule.waitForRead();
       const startedAt = this.clock.getNow();
       const intervalMs = await this.readOnce();
       const leftMs = startedAt + intervalMs - this.clock.getNow();
@@ -208,28 +196,17 @@
     }
   }
 
-  /** Whether this host has to read the store. */
-  private get mustRead(): boolean {
-    if (this.role !== 'loader') return this.isReading;
+  /** Whether the whole table has to be read. */
+  private get isLoading(): boolean {
     return this.mustReload || !this.replica.isLoaded;
   }
 
-  /** Waits until this host has to read the store. */
-  private async waitForRead(): Promise<void> {
-    if (this.mustRead) return;
-    await new Promise<void>((resolve) => {
-      this.resumeReading = resolve;
-    });
-    this.resumeReading = undefined;
-  }
-
   /** Makes one call; returns the minimum interval to the next one, in ms. */
   private async readOnce(): Promise<number> {
     const {replica, store, table} = this;
-    const isWhole = this.mustReload || !replica.isLoaded;
+    const isWhole = this.isLoading;
     const startedAt = this.clock.getNow();
-    const rank = typeof this.role === 'object' ? this.role : SOLE_READER;
-    const waitMs = isWhole ? 0 : this.stagger.takePollWaitMs(rank, startedAt);
+    const waitMs = isWhole ? 0 : this.schedule.takePollWaitMs(startedAt);
     const result = isWhole
       ? await store.readAll(table)
       : await store.readChanges(table, replica.revision, waitMs);
@@ -243,17 +220,10 @@
     if (this.isReading || update.rows.length > 0) this.updates.post(update);
     const hasChanged = result.value.rows.length > 0;
     // Also when another reader reported it first: all calls return at once.
-    if (hasChanged) this.stagger.startCycle(this.paceMs);
+    if (hasChanged) this.schedule.stagger.startCycle(this.schedule.paceMs);
     // A store that does not wait as requested is not polled in a busy loop.
     const hasWaited = now - startedAt >= waitMs / 2;
-    return hasChanged || !hasWaited ? this.paceMs : 0;
-  }
-
-  /** The least time between two calls while the table keeps changing, in ms. */
-  private get paceMs(): number {
-    const {role, options} = this;
-    const isFirst = typeof role !== 'object' || role.rank === 0;
-    return isFirst ? options.paceMs : options.paceMs * STANDBY_PACE_FACTOR;
+    return hasChanged || !hasWaited ? this.schedule.paceMs : 0;
   }
 
   /** Applies changes that this host read from the store. */
@@ -277,34 +247,13 @@
     else this.mustReload = false;
     const isRestored = this.isFirstOfEra(revision);
     this.apply(revision, 'store', () =>
-      this.applyTable(rows, revision, 'store'),
+      this.gracePeriod.applyTable(rows, revision, 'store'),
     );
     if (!isStale) this.age.recordStoreRead(this.clock.getNow());
     if (isRestored) this.publishNewest();
     return this.mustReload ? this.options.retryMs : 0;
   }
 
-  /**
-   * Applies a whole table. In the grace period after a restore, missing rows
-   * are kept and deleted rows stay deleted; a read of the whole table at its
-   * end settles which rows exist.
-   */
-  private applyTable(
-    rows: readonly ReplicaRow[],
-    revision: number,
-    source: 'host' | 'store',
-  ): ReplicaRow[] {
-    const {replica, gracePeriod, clock} = this;
-    const isOlder = replica.isLoaded && revision < replica.revision;
-    if (isOlder || !gracePeriod.isActive(clock.getNow())) {
-      return replica.applyAll(rows, revision);
-    }
-    const isUndecided =
-      source === 'store' || replica.listMissing(rows, revision).length > 0;
-    if (isUndecided) gracePeriod.planRead();
-    return replica.applyRestored(rows, revision);
-  }
-
   /** Whether a revision is the first one seen after a restore of the store. */
   private isFirstOfEra(revision: number): boolean {
     const {replica} = this;
@@ -364,7 +313,7 @@
     if (!this.reachability.isAway) this.tableLog.writeUnavailable(kind);
     this.reachability.recordFailure(now);
     this.failedAt = now;
-    this.stagger.startCycle(0);
+    this.schedule.stagger.startCycle(0);
     return this.options.retryMs;
   }
 
