Apply answers of the store that come after the time limit

Cause: a read that was not answered within the time limit (500 ms by default) was dropped and sent again with the same limit. Where the store needs more than the limit for every answer, each read costs the store its work and no answer is ever used: a host that starts does not get ready for as long as that lasts, and other hosts get no changes.

Change: a read of a replicated table counts as failed at its time limit and is repeated at the same pace as before, but goes on for up to four limits, and its answer is applied when it comes. It vouches for the replica as of the beginning of the read. The store still counts as unavailable meanwhile, as writes fail. The limit does not grow: a read that a silent store has lost would be awaited longer after the store's return. The last read of a grace period after a restore waits for up to four limits at once.

--- a/packages/gateway/src/model/table_store.ts
+++ b/packages/gateway/src/model/table_store.ts
@@ -65,17 +65,31 @@
 
 /** The client of the store. */
 export interface TableStore {
-  /** Reads all rows of a table. */
-  readAll(table: TableName): Promise<Result<TableRows, StoreError>>;
+  /**
+   * The time after which a call fails that the store has not answered, beyond a
+   * requested wait, in ms; undefined if calls end in time by other means.
+   */
+  readonly timeoutMs?: number;
+  /**
+   * Reads all rows of a table.
+   *
+   * @param extraMs How long an answer is awaited beyond the timeout, in ms.
+   */
+  readAll(
+    table: TableName,
+    extraMs?: number,
+  ): Promise<Result<TableRows, StoreError>>;
   /**
    * Reads the changes after a revision; without any, waits for one.
    *
    * @param waitMs How long the store may wait for a change.
+   * @param extraMs As for `readAll`.
    */
   readChanges(
     table: TableName,
     after: number,
     waitMs: number,
+    extraMs?: number,
   ): Promise<Result<TableRows, StoreError>>;
   /** Writes a row. */
   write(
--- a/packages/gateway/src/tables/store_update.ts
+++ b/packages/gateway/src/tables/store_update.ts
@@ -19,6 +19,8 @@
   readonly newest: number;
   /** The store's revision. */
   readonly revision: number;
+  /** How long ago the read began if it was answered late, in ms; else absent. */
+  readonly ageMs?: number;
 }
 
 /** What another host reports about the state of the store at some time. */
--- a/packages/gateway/src/tables/table_follower.ts
+++ b/packages/gateway/src/tables/table_follower.ts
@@ -7,29 +7,31 @@
 import {
   ReplicaAge,
   getEra,
-  StoreReachability,
   TableReplica,
   type ReplicaRow,
+  type StoreReachability,
 } from '@irisdock/decisions';
 import {Channel, type Clock, type Logger} from '@irisdock/kernel';
 import type {FollowerOptions} from './follower_options.js';
 import {ReadSchedule} from './read_schedule.js';
 import {RestoreGracePeriod} from './restore_grace_period.js';
+import {StoreReads, type LateAnswer} from './store_reads.js';
 import {TableLog} from './table_log.js';
 import type {
   ReaderRole,
   StoreUpdate,
   TableFreshnessReport,
 } from './store_update.js';
-import type {TableName, TableRows, TableStore} from '../model/table_store.js';
-
-/** How long a failed call counts as recent, in ms. */
-const RECENT_FAILURE_MS = 2500;
+import type {
+  StoreErrorKind,
+  TableName,
+  TableRows,
+  TableStore,
+} from '../model/table_store.js';
 
 /** Keeps the replica of one table up to date. */
 export class TableFollower {
   readonly replica = new TableReplica();
-  readonly reachability = new StoreReachability();
   private readonly age = new ReplicaAge();
   private readonly changeChannel = new Channel<readonly ReplicaRow[]>();
   /** Rows that changed in the replica, in the order of their revisions. */
@@ -37,7 +39,7 @@
   private readonly controller = new AbortController();
   private running: Promise<void> = Promise.resolve();
   private mustReload = true;
-  private failedAt = -Infinity;
+  private readonly reads: StoreReads;
   private readonly gracePeriod: RestoreGracePeriod;
   private readonly tableLog: TableLog;
   private readonly schedule: ReadSchedule;
@@ -51,12 +53,22 @@
 
   constructor(
     readonly table: TableName,
-    private readonly store: TableStore,
+    store: TableStore,
     private readonly options: FollowerOptions,
     private readonly clock: Clock,
     log: Logger,
   ) {
     this.tableLog = new TableLog(table, log);
+    this.reads = new StoreReads({
+      table,
+      store,
+      clock,
+      log: this.tableLog,
+      signal: this.controller.signal,
+      handleLate: (late) => {
+        this.acceptLate(late);
+      },
+    });
     this.schedule = new ReadSchedule(options, () => this.isLoading);
     this.gracePeriod = new RestoreGracePeriod({
       replica: this.replica,
@@ -82,9 +94,14 @@
     return this.schedule.isReading;
   }
 
+  /** Whether calls to the store succeed, and since when. */
+  get reachability(): StoreReachability {
+    return this.reads.reachability;
+  }
+
   /** Whether the last call to the store failed, and did so recently. */
   hasStoreFailedRecently(now: number): boolean {
-    return this.reachability.isAway && now - this.failedAt < RECENT_FAILURE_MS;
+    return this.reads.hasFailedRecently(now);
   }
 
   /** Sets how this host follows the store. */
@@ -155,15 +172,15 @@
    * @returns What the store returned; undefined when it did not respond.
    */
   async pollStore(): Promise<StoreUpdate | undefined> {
-    const {replica, store, table, controller} = this;
+    const {replica, reads, controller} = this;
     if (!replica.isLoaded) return undefined;
     if (!this.mustReload) {
-      const changes = await store.readChanges(table, replica.revision, 0);
+      const changes = await reads.readChanges(replica.revision, 0);
       if (controller.signal.aborted) return undefined;
       if (changes.isOk()) return this.applyRead(changes.value, 'poll');
-      if (changes.error.kind !== 'store_history_lost') return undefined;
+      if (changes.error !== 'store_history_lost') return undefined;
     }
-    const whole = await store.readAll(table);
+    const whole = await reads.readAll();
     if (whole.isErr() || controller.signal.aborted) return undefined;
     this.applyWholeTable(whole.value);
     const {lastChange: newest, revision} = replica;
@@ -203,17 +220,17 @@
 
   /** Makes one call; returns the minimum interval to the next one, in ms. */
   private async readOnce(): Promise<number> {
-    const {replica, store, table} = this;
+    const {replica, reads} = this;
     const isWhole = this.isLoading;
     const startedAt = this.clock.getNow();
     const waitMs = isWhole ? 0 : this.schedule.takePollWaitMs(startedAt);
     const result = isWhole
-      ? await store.readAll(table)
-      : await store.readChanges(table, replica.revision, waitMs);
+      ? await reads.readAll()
+      : await reads.readChanges(replica.revision, waitMs);
     const now = this.clock.getNow();
     if (this.controller.signal.aborted) return 0;
-    if (result.isErr()) return this.handleError(result.error.kind, now);
-    this.recordSuccess(now);
+    if (result.isErr()) return this.handleError(result.error, now);
+    reads.recordSuccess(now);
     if (isWhole) return this.applyWholeTable(result.value);
     const update = this.applyRead(result.value, 'store');
     // The role may have changed since the call began.
@@ -227,18 +244,25 @@
   }
 
   /** Applies changes that this host read from the store. */
-  private applyRead({rows, revision}: TableRows, source: string): StoreUpdate {
+  private applyRead(
+    {rows, revision}: TableRows,
+    source: string,
+    readAt = this.clock.getNow(),
+  ): StoreUpdate {
     const {replica} = this;
     const after = replica.lastChange;
     // Rows that were written again with the same value are included: the next
     // update starts at their revision, and other hosts would see a gap.
     const newRows = rows.filter((row) => row.revision > after);
     this.apply(revision, source, () => replica.applyChanges(rows, revision));
-    this.age.recordStoreRead(this.clock.getNow());
+    this.age.recordStoreRead(readAt);
     return {rows: newRows, after, newest: replica.lastChange, revision};
   }
 
-  private applyWholeTable({rows, revision}: TableRows): number {
+  private applyWholeTable(
+    {rows, revision}: TableRows,
+    readAt = this.clock.getNow(),
+  ): number {
     const {replica} = this;
     // A stale table is read again, unless another host's rows arrive before.
     // Mere changes during the read are no reason: the table may keep changing.
@@ -249,7 +273,7 @@
     this.apply(revision, 'store', () =>
       this.gracePeriod.applyTable(rows, revision, 'store'),
     );
-    if (!isStale) this.age.recordStoreRead(this.clock.getNow());
+    if (!isStale) this.age.recordStoreRead(readAt);
     if (isRestored) this.publishNewest();
     return this.mustReload ? this.options.retryMs : 0;
   }
@@ -284,8 +308,8 @@
 
   /** Reads the whole table; false when the store did not respond. */
   private async readAfterGracePeriod(): Promise<boolean> {
-    const {replica, store, table} = this;
-    const whole = await store.readAll(table);
+    const {replica, reads} = this;
+    const whole = await reads.readAllUnhurried();
     if (whole.isErr() || this.controller.signal.aborted) return false;
     const {rows, revision} = whole.value;
     if (getEra(revision) !== getEra(replica.revision)) {
@@ -303,23 +327,41 @@
     this.updates.post({rows: [], after: newest, newest, revision});
   }
 
-  private handleError(kind: string, now: number): number {
+  private handleError(kind: StoreErrorKind, now: number): number {
     if (kind === 'store_history_lost') {
-      this.recordSuccess(now);
+      this.reads.recordSuccess(now);
       this.mustReload = true;
       this.tableLog.writeHistoryLost();
       return 0;
     }
-    if (!this.reachability.isAway) this.tableLog.writeUnavailable(kind);
-    this.reachability.recordFailure(now);
-    this.failedAt = now;
+    this.reads.recordFailure(kind, now);
     this.schedule.stagger.startCycle(0);
     return this.options.retryMs;
   }
 
-  private recordSuccess(now: number): void {
-    if (this.reachability.isAway) this.tableLog.writeAvailable();
-    this.reachability.recordSuccess(now);
+  /**
+   * Applies an answer that came after the time limit of its read. It confirms
+   * the replica as of the beginning of the read. The store still counts as
+   * unavailable: calls that are not repeated fail as long as it is so slow.
+   */
+  private acceptLate({result, after, startedAt}: LateAnswer): void {
+    const {replica} = this;
+    if (result.isErr()) {
+      const isLost = result.error.kind === 'store_history_lost';
+      if (isLost && after === replica.revision) this.mustReload = true;
+      return;
+    }
+    const {isLoading} = this;
+    // Another read or another host was sooner.
+    if (isLoading !== (after === undefined)) return;
+    if (isLoading) {
+      this.applyWholeTable(result.value, startedAt);
+      return;
+    }
+    const update = this.applyRead(result.value, 'store', startedAt);
+    if (!this.isReading && update.rows.length === 0) return;
+    const ageMs = this.clock.getNow() - startedAt;
+    this.updates.post({...update, ageMs});
   }
 
   private publish(changed: readonly ReplicaRow[], source: string): void {
--- a/packages/gateway/src/tables/table_log.ts
+++ b/packages/gateway/src/tables/table_log.ts
@@ -57,6 +57,12 @@
     this.log.writeWarning('The store is unavailable.', {table, kind});
   }
 
+  /** The store answered a read after the time limit. */
+  writeLateAnswer(ms: number): void {
+    const {table} = this;
+    this.log.writeInfo('The store answered late.', {table, ms: Math.round(ms)});
+  }
+
   /** A call to the store succeeded after a failure. */
   writeAvailable(): void {
     this.log.writeInfo('The store is available again.', {table: this.table});
