--- a/packages/gateway/src/tables/table_follower.ts
+++ b/packages/gateway/src/tables/table_follower.ts
@@ -7,36 +7,31 @@
 import {
   ReplicaAge,
   getEra,
-  PollStagger,
-  StoreReachability,
   TableReplica,
-  type ReaderRank,
   type ReplicaRow,
+  type StoreReachability,
 } from '@irisdock/decisions';
 import {Channel, type Clock, type Logger} from '@irisdock/kernel';
 import type {FollowerOptions} from './follower_options.js';
+import {ReadSchedule} from './read_schedule.js';
 import {RestoreGracePeriod} from './restore_grace_period.js';
+import {StoreReads, type LateAnswer} from './store_reads.js';
 import {TableLog} from './table_log.js';
-import {
-  isSameRole,
-  type ReaderRole,
-  type StoreUpdate,
-  type TableFreshnessReport,
+import type {
+  ReaderRole,
+  StoreUpdate,
+  TableFreshnessReport,
 } from './store_update.js';
-import type {TableName, TableRows, TableStore} from '../model/table_store.js';
-
-/** How long a failed call counts as recent, in ms. */
-const RECENT_FAILURE_MS = 2500;
-
-/** The pace is this many times slower on all readers but the first. */
-const STANDBY_PACE_FACTOR = 2;
-/** The rank of a host that reads for itself only. */
-const SOLE_READER: ReaderRank = {rank: 0, count: 1};
+import type {
+  StoreErrorKind,
+  TableName,
+  TableRows,
+  TableStore,
+} from '../model/table_store.js';
 
 /** Keeps the replica of one table up to date. */
 export class TableFollower {
   readonly replica = new TableReplica();
-  readonly reachability = new StoreReachability();
   private readonly age = new ReplicaAge();
   private readonly changeChannel = new Channel<readonly ReplicaRow[]>();
   /** Rows that changed in the replica, in the order of their revisions. */
@@ -44,12 +39,10 @@
   private readonly controller = new AbortController();
   private running: Promise<void> = Promise.resolve();
   private mustReload = true;
-  private failedAt = -Infinity;
+  private readonly reads: StoreReads;
   private readonly gracePeriod: RestoreGracePeriod;
   private readonly tableLog: TableLog;
-  private role: ReaderRole = 'listener';
-  private resumeReading: (() => void) | undefined;
-  private readonly stagger: PollStagger;
+  private readonly schedule: ReadSchedule;
   private readonly updates = new Channel<StoreUpdate>();
   /** What this host itself reads from the store. */
   readonly storeUpdates = this.updates.stream;
@@ -60,14 +53,25 @@
 
   constructor(
     readonly table: TableName,
-    private readonly store: TableStore,
+    store: TableStore,
     private readonly options: FollowerOptions,
     private readonly clock: Clock,
     log: Logger,
   ) {
     this.tableLog = new TableLog(table, log);
-    this.stagger = new PollStagger(options.waitMs);
+    this.reads = new StoreReads({
+      table,
+      store,
+      clock,
+      log: this.tableLog,
+      signal: this.controller.signal,
+      handleLate: (late) => {
+        this.acceptLate(late);
+      },
+    });
+    this.schedule = new ReadSchedule(options, () => this.isLoading);
     this.gracePeriod = new RestoreGracePeriod({
+      replica: this.replica,
       clock,
       signal: this.controller.signal,
       retryMs: options.retryMs,
@@ -87,21 +91,22 @@
 
   /** Whether this host is one of the readers that poll the store for all. */
   get isReading(): boolean {
-    return typeof this.role === 'object';
+    return this.schedule.isReading;
+  }
+
+  /** Whether calls to the store succeed, and since when. */
+  get reachability(): StoreReachability {
+    return this.reads.reachability;
   }
 
   /** Whether the last call to the store failed, and did so recently. */
   hasStoreFailedRecently(now: number): boolean {
-    return this.reachability.isAway && now - this.failedAt < RECENT_FAILURE_MS;
+    return this.reads.hasFailedRecently(now);
   }
 
   /** Sets how this host follows the store. */
   setRole(role: ReaderRole): void {
-    if (isSameRole(role, this.role)) return;
-    this.role = role;
-    this.stagger.startCycle(0);
-    this.tableLog.writeRole(role);
-    if (this.mustRead) this.resumeReading?.();
+    if (this.schedule.setRole(role)) this.tableLog.writeRole(role);
   }
 
   /** Starts to follow. */
@@ -112,7 +117,7 @@
   /** Stops; the result of a call in progress is ignored. */
   stop(): void {
     this.controller.abort();
-    this.resumeReading?.();
+    this.schedule.stop();
     this.changeChannel.close();
     this.updates.close();
     this.restoredChannel.close();
@@ -133,7 +138,7 @@
     if (isWhole) this.mustReload = false;
     this.apply(revision, 'host', () =>
       isWhole
-        ? this.applyTable(rows, revision, 'host')
+        ? this.gracePeriod.applyTable(rows, revision, 'host')
         : this.replica.applyChanges(rows, revision),
     );
   }
@@ -148,7 +153,7 @@
     const {replica} = this;
     if (!replica.isLoaded) return false;
     const at = this.clock.getNow() - ageMs;
-    if (isScheduledPoll) this.stagger.recordPeerAnswer(at);
+    if (isScheduledPoll) this.schedule.stagger.recordPeerAnswer(at);
     const isFresher = this.age.acceptReport(
       {latestRevision: newest, at},
       replica.lastChange,
@@ -167,15 +172,15 @@
    * @returns What the store returned; undefined when it did not respond.
    */
   async pollStore(): Promise<StoreUpdate | undefined> {
-    const {replica, store, table, controller} = this;
+    const {replica, reads, controller} = this;
     if (!replica.isLoaded) return undefined;
     if (!this.mustReload) {
-      const changes = await store.readChanges(table, replica.revision, 0);
+      const changes = await reads.readChanges(replica.revision, 0);
       if (controller.signal.aborted) return undefined;
       if (changes.isOk()) return this.applyRead(changes.value, 'poll');
-      if (changes.error.kind !== 'store_history_lost') return undefined;
+      if (changes.error !== 'store_history_lost') return undefined;
     }
-    const whole = await store.readAll(table);
+    const whole = await reads.readAll();
     if (whole.isErr() || controller.signal.aborted) return undefined;
     this.applyWholeTable(whole.value);
     const {lastChange: newest, revision} = replica;
@@ -200,7 +205,7 @@
   private async run(): Promise<void> {
     const {signal} = this.controller;
     while (!signal.aborted) {
-      await this.waitForRead();
+      await this.schedule.waitForRead();
       const startedAt = this.clock.getNow();
       const intervalMs = await this.readOnce();
       const leftMs = startedAt + intervalMs - this.clock.getNow();
@@ -208,67 +213,56 @@
     }
   }
 
-  /** Whether this host has to read the store. */
-  private get mustRead(): boolean {
-    if (this.role !== 'loader') return this.isReading;
+  /** Whether the whole table has to be read. */
+  private get isLoading(): boolean {
     return this.mustReload || !this.replica.isLoaded;
   }
 
-  /** Waits until this host has to read the store. */
-  private async waitForRead(): Promise<void> {
-    if (this.mustRead) return;
-    await new Promise<void>((resolve) => {
-      this.resumeReading = resolve;
-    });
-    this.resumeReading = undefined;
-  }
-
   /** Makes one call; returns the minimum interval to the next one, in ms. */
   private async readOnce(): Promise<number> {
-    const {replica, store, table} = this;
-    const isWhole = this.mustReload || !replica.isLoaded;
+    const {replica, reads} = this;
+    const isWhole = this.isLoading;
     const startedAt = this.clock.getNow();
-    const rank = typeof this.role === 'object' ? this.role : SOLE_READER;
-    const waitMs = isWhole ? 0 : this.stagger.takePollWaitMs(rank, startedAt);
+    const waitMs = isWhole ? 0 : this.schedule.takePollWaitMs(startedAt);
     const result = isWhole
-      ? await store.readAll(table)
-      : await store.readChanges(table, replica.revision, waitMs);
+      ? await reads.readAll()
+      : await reads.readChanges(replica.revision, waitMs);
     const now = this.clock.getNow();
     if (this.controller.signal.aborted) return 0;
-    if (result.isErr()) return this.handleError(result.error.kind, now);
-    this.recordSuccess(now);
+    if (result.isErr()) return this.handleError(result.error, now);
+    reads.recordSuccess(now);
     if (isWhole) return this.applyWholeTable(result.value);
     const update = this.applyRead(result.value, 'store');
     // The role may have changed since the call began.
     if (this.isReading || update.rows.length > 0) this.updates.post(update);
     const hasChanged = result.value.rows.length > 0;
     // Also when another reader reported it first: all calls return at once.
-    if (hasChanged) this.stagger.startCycle(this.paceMs);
+    if (hasChanged) this.schedule.stagger.startCycle(this.schedule.paceMs);
     // A store that does not wait as requested is not polled in a busy loop.
     const hasWaited = now - startedAt >= waitMs / 2;
-    return hasChanged || !hasWaited ? this.paceMs : 0;
-  }
-
-  /** The least time between two calls while the table keeps changing, in ms. */
-  private get paceMs(): number {
-    const {role, options} = this;
-    const isFirst = typeof role !== 'object' || role.rank === 0;
-    return isFirst ? options.paceMs : options.paceMs * STANDBY_PACE_FACTOR;
+    return hasChanged || !hasWaited ? this.schedule.paceMs : 0;
   }
 
   /** Applies changes that this host read from the store. */
-  private applyRead({rows, revision}: TableRows, source: string): StoreUpdate {
+  private applyRead(
+    {rows, revision}: TableRows,
+    source: string,
+    readAt = this.clock.getNow(),
+  ): StoreUpdate {
     const {replica} = this;
     const after = replica.lastChange;
     // Rows that were written again with the same value are included: the next
     // update starts at their revision, and other hosts would see a gap.
     const newRows = rows.filter((row) => row.revision > after);
     this.apply(revision, source, () => replica.applyChanges(rows, revision));
-    this.age.recordStoreRead(this.clock.getNow());
+    this.age.recordStoreRead(readAt);
     return {rows: newRows, after, newest: replica.lastChange, revision};
   }
 
-  private applyWholeTable({rows, revision}: TableRows): number {
+  private applyWholeTable(
+    {rows, revision}: TableRows,
+    readAt = this.clock.getNow(),
+  ): number {
     const {replica} = this;
     // A stale table is read again, unless another host's rows arrive before.
     // Mere changes during the read are no reason: the table may keep changing.
@@ -277,34 +271,13 @@
     else this.mustReload = false;
     const isRestored = this.isFirstOfEra(revision);
     this.apply(revision, 'store', () =>
-      this.applyTable(rows, revision, 'store'),
+      this.gracePeriod.applyTable(rows, revision, 'store'),
     );
-    if (!isStale) this.age.recordStoreRead(this.clock.getNow());
+    if (!isStale) this.age.recordStoreRead(readAt);
     if (isRestored) this.publishNewest();
     return this.mustReload ? this.options.retryMs : 0;
   }
 
-  /**
-   * Applies a whole table. In the grace period after a restore, missing rows
-   * are kept and deleted rows stay deleted; a read of the whole table at its
-   * end settles which rows exist.
-   */
-  private applyTable(
-    rows: readonly ReplicaRow[],
-    revision: number,
-    source: 'host' | 'store',
-  ): ReplicaRow[] {
-    const {replica, gracePeriod, clock} = this;
-    const isOlder = replica.isLoaded && revision < replica.revision;
-    if (isOlder || !gracePeriod.isActive(clock.getNow())) {
-      return replica.applyAll(rows, revision);
-    }
-    const isUndecided =
-      source === 'store' || replica.listMissing(rows, revision).length > 0;
-    if (isUndecided) gracePeriod.planRead();
-    return replica.applyRestored(rows, revision);
-  }
-
   /** Whether a revision is the first one seen after a restore of the store. */
   private isFirstOfEra(revision: number): boolean {
     const {replica} = this;
@@ -335,8 +308,8 @@
 
   /** Reads the whole table; false when the store did not respond. */
   private async readAfterGracePeriod(): Promise<boolean> {
-    const {replica, store, table} = this;
-    const whole = await store.readAll(table);
+    const {replica, reads} = this;
+    const whole = await reads.readAllUnhurried();
     if (whole.isErr() || this.controller.signal.aborted) return false;
     const {rows, revision} = whole.value;
     if (getEra(revision) !== getEra(replica.revision)) {
@@ -354,23 +327,41 @@
     this.updates.post({rows: [], after: newest, newest, revision});
   }
 
-  private handleError(kind: string, now: number): number {
+  private handleError(kind: StoreErrorKind, now: number): number {
     if (kind === 'store_history_lost') {
-      this.recordSuccess(now);
+      this.reads.recordSuccess(now);
       this.mustReload = true;
       this.tableLog.writeHistoryLost();
       return 0;
     }
-    if (!this.reachability.isAway) this.tableLog.writeUnavailable(kind);
-    this.reachability.recordFailure(now);
-    this.failedAt = now;
-    this.stagger.startCycle(0);
+    this.reads.recordFailure(kind, now);
+    this.schedule.stagger.startCycle(0);
     return this.options.retryMs;
   }
 
-  private recordSuccess(now: number): void {
-    if (this.reachability.isAway) this.tableLog.writeAvailable();
-    this.reachability.recordSuccess(now);
+  /**
+   * Applies an answer that came after the time limit of its read. It confirms
+   * the replica as of the beginning of the read. The store still counts as
+   * unavailable: calls that are not repeated fail as long as it is so slow.
+   */
+  private acceptLate({result, after, startedAt}: LateAnswer): void {
+    const {replica} = this;
+    if (result.isErr()) {
+      const isLost = result.error.kind === 'store_history_lost';
+      if (isLost && after === replica.revision) this.mustReload = true;
+      return;
+    }
+    const {isLoading} = this;
+    // Another read or another host was sooner.
+    if (isLoading !== (after === undefined)) return;
+    if (isLoading) {
+      this.applyWholeTable(result.value, startedAt);
+      return;
+    }
+    const update = this.applyRead(result.value, 'store', startedAt);
+    if (!this.isReading && update.rows.length === 0) return;
+    const ageMs = this.clock.getNow() - startedAt;
+    this.updates.post({...update, ageMs});
   }
 
   private publish(changed: readonly ReplicaRow[], source: string): void {
