--- a/soak/src/play.ts
+++ b/soak/src/play.ts
@@ -97,7 +97,8 @@
       const host = this.witness.findAttempt(attemptId)?.host ?? '';
       const at = performance.now();
       this.limits.recordArrival(instance.id, host, at);
-      if (instance.rejectionLines === undefined) return;
+      // Calls without an attempt, such as moves of KV caches, are not rejected.
+      if (instance.rejectionLines === undefined || attemptId === '') return;
       this.pauses.recordRejected(instance.id, host, at, PAUSE_MS);
     },
   };
