Count a host as heard after all parts of one answer

A new holder of the task `usage` took a host for heard after the first datagram of its answer. Of an answer of several datagrams the other parts could be lost, or arrive after the totals were settled. What the checkpoint had of them went to the sum of lost hosts, and the reports after the end of the window added it again.

A part of an answer now carries the number of the answer, its index and the number of parts, and a host is heard once all parts of one answer arrived before the totals are settled. Parts of two answers are not put together, although counts are cumulative: the second answer may be split at other places, so that a count is in neither of the parts that arrived. Reports of an earlier version, which have only a flag, are no answers. An earlier version still accepts the reports, and takes an answer of one part for a whole one.

The tests of totals pass one-part answers in place of the flag `isAnswer`.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -89,6 +89,7 @@
 export * from './store_revision.js';
 export * from './suspension_detector.js';
 export * from './table_replica.js';
+export * from './usage_answers.js';
 export * from './usage_counts.js';
 export * from './usage_schedule.js';
 export * from './usage_totals.js';
--- a/packages/decisions/src/usage_totals.ts
+++ b/packages/decisions/src/usage_totals.ts
@@ -9,6 +9,7 @@
  * these the sum of lost incarnations and the reports of incarnations that the
  * checkpoint does not name are added.
  */
+import {UsageAnswers, type AnswerPart} from './usage_answers.js';
 import type {TeamCounts, WindowCount} from './usage_counts.js';
 
 /** Counts of windows that are not final yet, by the number of the window. */
@@ -20,8 +21,8 @@
   /** The wall clock at the start of its process, in ms since 1970. */
   readonly incarnation: number;
   readonly counts: readonly WindowCount[];
-  /** Whether it answers a request for all counts of open windows. */
-  readonly isAnswer?: boolean;
+  /** Its part in an answer to a request for all counts of open windows. */
+  readonly answerPart?: AnswerPart;
 }
 
 /** Sums over all hosts. */
@@ -81,13 +82,16 @@
   /** Those of the other incarnations that are unheard. */
   private unheardIds: ReadonlySet<string> = new Set();
   /** The incarnations that answered since the checkpoint was set. */
-  private readonly answeredIds = new Set<string>();
+  private readonly answers = new UsageAnswers();
   private isSettled = false;
 
   /** Takes cumulative counts, in any order and any number of times. */
-  accept({host, incarnation, counts, isAnswer}: HostUsageReport): void {
+  accept({host, incarnation, counts, answerPart}: HostUsageReport): void {
     const id = `${incarnation} ${host}`;
-    if (isAnswer === true) this.answeredIds.add(id);
+    // Answers decide nothing after the totals are settled.
+    if (answerPart !== undefined && !this.isSettled) {
+      this.answers.accept(id, answerPart);
+    }
     let report = this.reports.get(id);
     if (report === undefined) {
       report = {host, windows: new Map()};
@@ -105,7 +109,7 @@
 
   /** Replaces the checkpoint on which the totals build. */
   setCheckpoint(checkpoint: UsageCheckpoint): void {
-    this.answeredIds.clear();
+    this.answers.dropAll();
     this.isSettled = false;
     this.putCheckpoint(checkpoint);
   }
@@ -203,7 +207,7 @@
       }
       if (windows.size > 0) continue;
       this.reports.delete(id);
-      this.answeredIds.delete(id);
+      this.answers.drop(id);
     }
   }
 
@@ -267,7 +271,7 @@
   private listUnheardNow(): string[] {
     const replaced = this.listReplaced();
     return [...this.reportedIds].filter(
-      (id) => !this.answeredIds.has(id) && !replaced.has(id),
+      (id) => !this.answers.has(id) && !replaced.has(id),
     );
   }
 
--- a/packages/decisions/tests/usage_reports.test.ts
+++ b/packages/decisions/tests/usage_reports.test.ts
@@ -8,6 +8,7 @@
   UsageCounts,
   UsageSchedule,
   UsageTotals,
+  WHOLE_ANSWER,
   type HostUsageReport,
   type UsageCheckpoint,
   type WindowCount,
@@ -95,7 +96,7 @@
     const report = (host: string, incarnation: number, count: number): void => {
       const counts = createCounts(7, count);
       const id = `${incarnation} ${host}`;
-      reports.set(id, {host, incarnation, counts, isAnswer: true});
+      reports.set(id, {host, incarnation, counts, answerPart: WHOLE_ANSWER});
     };
     const startCollector = (checkpoint?: UsageCheckpoint): UsageTotals => {
       const totals = new UsageTotals();
@@ -137,6 +138,46 @@
     totals.markSettled(7);
     assert.deepEqual(totals.computeTotals(7), {first: 10});
   });
+
+  // Counts in neither part went to the lost hosts, and were added once more.
+  it('take only all parts of one answer for an answer', () => {
+    const cases = [
+      {
+        parts: [
+          [1, 0],
+          [2, 1],
+        ],
+        isAnswered: false,
+      },
+      {
+        parts: [
+          [1, 0],
+          [1, 0],
+        ],
+        isAnswered: false,
+      },
+      {
+        parts: [
+          [1, 1],
+          [2, 0],
+          [1, 0],
+        ],
+        isAnswered: true,
+      },
+    ];
+    for (const {parts, isAnswered} of cases) {
+      const totals = new UsageTotals();
+      const windows = {7: {first: 10}};
+      const reportedIds = ['1 a'];
+      totals.setCheckpoint({windows, lost: {}, lostIds: [], reportedIds});
+      const report = {host: 'a', incarnation: 1, counts: createCounts(7, 4)};
+      for (const [answer = 0, index = 0] of parts) {
+        totals.accept({...report, answerPart: {answer, index, count: 2}});
+      }
+      const {lost} = totals.createCheckpoint(7);
+      assert.deepEqual(lost, isAnswered ? {7: {first: 6}} : {});
+    }
+  });
 });
 
 describe('the counts of a host', () => {
--- a/packages/gateway/src/model/begun_datagram.ts
+++ b/packages/gateway/src/model/begun_datagram.ts
@@ -2,7 +2,7 @@
  * Datagrams about the requests that endpoints began, by window and team: the
  * counts of one host, and the request of a collector for them.
  */
-import type {WindowCount} from '@irisdock/decisions';
+import type {AnswerPart, WindowCount} from '@irisdock/decisions';
 import {TupleError, type TupleReader} from './tuple_reader.js';
 
 /** Cumulative counts of one incarnation of a host. */
@@ -13,8 +13,8 @@
   /** The sender's time, in ms since 1970. */
   readonly time: number;
   readonly counts: readonly WindowCount[];
-  /** Whether it answers a request for all counts; absent if not. */
-  readonly isAnswer?: true;
+  /** Its part in an answer to a request for all counts; absent if none. */
+  readonly answerPart?: AnswerPart;
 }
 
 /** Asks a host for all its counts of a window and later ones. */
@@ -37,16 +37,22 @@
     time: readInteger(fields),
     counts: fields.readList(readCount),
   } as const;
-  const isAnswer = fields.readOptionalBoolean();
-  return isAnswer === true ? {...report, isAnswer} : report;
+  // An earlier version marks each part of an answer with this flag and nothing
+  // else, so it does not tell whether the answer is complete.
+  fields.readOptionalBoolean();
+  const answerPart = fields.readOptionalTuple(readAnswerPart);
+  return answerPart === undefined ? report : {...report, answerPart};
 }
 
 /** Encodes a report as a tuple, without the kind. */
 export function encodeBegunReport(report: BegunReportDatagram): unknown[] {
-  const {name, incarnation, time, counts, isAnswer} = report;
+  const {name, incarnation, time, counts, answerPart} = report;
   const encoded = counts.map(({window, team, count}) => [window, team, count]);
   const fields = [name, incarnation, Math.round(time), encoded];
-  return isAnswer === true ? [...fields, true] : fields;
+  if (answerPart === undefined) return fields;
+  const {answer, index, count} = answerPart;
+  // An earlier version takes a report with a flag of true for a whole answer.
+  return [...fields, count === 1, [answer, index, count]];
 }
 
 /** Reads the fields of a request, without the kind. */
@@ -63,6 +69,14 @@
   return [request.name, request.fromWindow];
 }
 
+function readAnswerPart(fields: TupleReader): AnswerPart {
+  const answer = readInteger(fields);
+  const index = readInteger(fields);
+  const count = readInteger(fields);
+  if (index < count) return {answer, index, count};
+  throw new TupleError('the index of a part is not below the number of parts');
+}
+
 function readCount(fields: TupleReader): WindowCount {
   return {
     window: readInteger(fields),
--- a/packages/gateway/src/services/usage_exchange.ts
+++ b/packages/gateway/src/services/usage_exchange.ts
@@ -12,6 +12,7 @@
   MAX_FIRST_REPORT_AGE_MS,
   UsageCounts,
   UsageTotals,
+  WHOLE_ANSWER,
   type WindowCount,
 } from '@irisdock/decisions';
 import type {Clock} from '@irisdock/kernel';
@@ -73,6 +74,8 @@
   /** Whether the last tick came in time. */
   private isTickPunctual = false;
   private holder: string | undefined;
+  /** The number of the last answer to a request for counts. */
+  private lastAnswer = 0;
   /** The first window whose counts were not sent after its end. */
   private openWindow: number;
 
@@ -142,7 +145,7 @@
   acceptBegunRequest({name, fromWindow}: BegunRequestDatagram): void {
     this.holder = name;
     const counts = this.counts.listFrom(fromWindow);
-    if (counts.length > 0) this.sendCounts([name], counts, {isAnswer: true});
+    if (counts.length > 0) this.sendCounts([name], counts, ++this.lastAnswer);
   }
 
   /** Takes all counts of this host into the totals. */
@@ -153,23 +156,26 @@
   private acceptOwn(counts: readonly WindowCount[]): void {
     const {name: host, incarnation} = this.parts;
     if (counts.length === 0) return;
-    this.totals.accept({host, incarnation, counts, isAnswer: true});
+    this.totals.accept({host, incarnation, counts, answerPart: WHOLE_ANSWER});
   }
 
   private sendCounts(
     names: readonly string[],
     counts: readonly WindowCount[],
-    options: {readonly isAnswer?: true} = {},
+    answer?: number,
   ): void {
     this.acceptOwn(counts);
     if (names.length === 0) return;
     const {name, incarnation, peers, clock} = this.parts;
     // The time by its own clocks: the times of these hosts are no evidence.
     const time = this.filter.getTime(clock.getNow());
-    const sender = {name, incarnation, time};
-    for (const part of splitCounts(counts)) {
-      const kind = 'begun-report';
-      peers.sendToNames(names, {kind, ...sender, counts: part, ...options});
+    const sender = {kind: 'begun-report', name, incarnation, time} as const;
+    const parts = splitCounts(counts);
+    const count = parts.length;
+    for (const [index, part] of parts.entries()) {
+      const isAnswer = answer !== undefined;
+      const fields = isAnswer ? {answerPart: {answer, index, count}} : {};
+      peers.sendToNames(names, {...sender, counts: part, ...fields});
     }
   }
 
--- a/packages/gateway/tests/usage_losses.test.ts
+++ b/packages/gateway/tests/usage_losses.test.ts
@@ -159,4 +159,30 @@
     const {reported, begun} = countAll(fleet);
     assert.equal(reported, begun);
   });
+
+  // The host passed for heard after one part of its answer, so its other counts
+  // went to the sum of lost hosts, and its next report added them again.
+  it('count a host once of whose answer one part arrives', async () => {
+    const fleet = new UsageFleet(HOSTS);
+    await fleet.acquire('a');
+    for (let index = 0; index < 100; index++) {
+      fleet.startRequest('d', `team-${index}`);
+    }
+    await fleet.run(1500);
+    // Only the first parts of both answers to the new holder arrive.
+    fleet.isDatagramLost = (datagram) =>
+      datagram.kind === 'begun-report' &&
+      datagram.counts.every(({team}) => team !== 'team-0');
+    fleet.startHost('b');
+    await fleet.acquire('b');
+    await fleet.run(700);
+    fleet.isDatagramLost = () => false;
+    await fleet.run(8000);
+    const [report = {}] = fleet.listReports();
+    const [begun = {}] = fleet.truth.values();
+    assert.deepEqual(
+      new Map(Object.entries(report)),
+      new Map(Object.entries(begun)),
+    );
+  });
 });
--- a/packages/gateway/tests/usage_service.test.ts
+++ b/packages/gateway/tests/usage_service.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {encode} from '@msgpack/msgpack';
+import {decode, encode} from '@msgpack/msgpack';
 import type {Clock, ServiceContext} from '@irisdock/kernel';
 import {Registry} from 'prom-client';
 import {
@@ -110,6 +110,32 @@
     assert.equal(count, 200);
   });
 
+  // A host of an earlier version would drop the report, or would take a part of
+  // an answer for all of it, and so would this version with a report of that one.
+  it('tells whole answers from parts, also to an earlier version', () => {
+    const sent: PeerDatagram[] = [];
+    const exchange = createExchange(new VirtualClock(), sent);
+    exchange.recordBegun('first', 0);
+    const request = {kind: 'begun-ask', name: 'b', fromWindow: 0} as const;
+    exchange.acceptBegunRequest(request);
+    for (let i = 0; i < 60; i++) exchange.recordBegun(`team-${i}`, 0);
+    exchange.acceptBegunRequest(request);
+    const places: unknown[] = [];
+    for (const datagram of sent) {
+      const bytes = encodePeerDatagram(datagram);
+      assert.ok(bytes.length <= MAX_DATAGRAM_BYTES, `${bytes.length} bytes`);
+      const fields = decode(bytes) as unknown[];
+      places.push(fields.slice(-2));
+      assert.deepEqual(decodePeerDatagram(bytes)._unsafeUnwrap(), datagram);
+      const earlier = encode([...fields.slice(0, -2), true]);
+      const decoded = decodePeerDatagram(earlier)._unsafeUnwrap();
+      assert.ok(!('answerPart' in decoded));
+    }
+    const whole = [true, [1, 0, 1]];
+    const parts = [0, 1].map((index) => [false, [2, index, 2]]);
+    assert.deepEqual(places, [whole, ...parts]);
+  });
+
   // The platform expects no count of a call that an endpoint refused to run.
   it('does not count a call that is rejected late', async () => {
     const {begunRequests} = createService(true, true);
