Count only endpoints that were there as taken by an order

An accepted order counted all endpoints between the highest number that might stand and its own as taken, also those that never came. The next notice of a reclaim passed for the order's drain, so that no cover was ordered while the endpoints drained.

At most the ready and leaving endpoints beyond the new number count now, without those that earlier orders took. With 14 unconfirmed, 5 ready and 5 accepted, a notice of all 5 leaves 0 coming, where it left 5.

--- a/packages/decisions/src/scaling_pool.ts
+++ b/packages/decisions/src/scaling_pool.ts
@@ -251,7 +251,10 @@
   recordAccepted(count: number, now: number): void {
     const isGrowing = count > this.inForce || count > this.view.ready;
     if (isGrowing) this.grownAt = now;
-    this.taken += Math.max(0, this.mostCount - count);
+    // Numbers without endpoints take none, and would hide a later reclaim.
+    const there = this.view.ready + this.view.leaving - this.taken;
+    const most = Math.min(this.mostCount, there);
+    this.taken += Math.max(0, most - count);
     this.inForce = count;
     this.unconfirmed.clear();
     this.isOrdered = true;
--- a/packages/decisions/tests/scaling_plan.test.ts
+++ b/packages/decisions/tests/scaling_plan.test.ts
@@ -264,6 +264,16 @@
     assert.equal(pool.coming, 13);
   });
 
+  // Guards against a reclaim that is taken for an order of ours, as a number that
+  // might stand had no endpoints.
+  it('is reclaimed after an order below a number without endpoints', () => {
+    const pool = ScalingPool.createSeen({...view, ready: 5, leaving: 0});
+    pool.recordUnconfirmed(14, 0);
+    pool.recordAccepted(5, 8000);
+    pool.update({...view, ready: 0, leaving: 5}, 9000, DRAIN_MS);
+    assert.equal(pool.coming, 0);
+  });
+
   // Guards against a second order of fewer while the first one is not carried out:
   // both together took twice as many endpoints at once as are allowed.
   for (const [ready, at, isReducible] of [
