Settle a refused order by an order of what is ready

A spot order without an answer counted against the maximum of its domain until a spot order succeeded, so for the whole shortage: its repetitions asked for at least the number in force, and a 409 settles nothing. With 3 domains, a maximum of 20 and a need of 40, 5 ordinary endpoints in each domain stayed for 600 s.

Once a repetition was refused, what is ready is ordered, which needs no capacity and settles the number. The order waits until for the boot time and 3 s the endpoints were current, none was leaving and as many were ready, and it keeps the minimum of both kinds. It may be below the number in force, so the check of orders of fewer passes it while these conditions hold.

--- a/packages/decisions/src/scaling_plan.ts
+++ b/packages/decisions/src/scaling_plan.ts
@@ -61,6 +61,7 @@
 const BASE_REASON = 'the base of ordinary endpoints is too small';
 const MISSING_REASON = 'endpoints of it are missing';
 const UNCONFIRMED_REASON = 'an order without an answer may be in force';
+const SETTLE_REASON = 'a refused order may be in force, and nothing boots';
 const COVER_REASON = 'the load needs it, and spot endpoints are missing';
 
 /** Plans the orders for one service. */
@@ -152,9 +153,9 @@
     if (!isKnown && orders.some((one) => this.isReduction(one))) return;
     const {pools, isIdle} = this;
     const goal = this.createGoal();
-    const {isMovable} = view;
+    const {isMovable, limits} = view;
     const isCertain = isViewCertain(view);
-    const input = {pools, goal, isMovable, isIdle, isCertain};
+    const input = {pools, goal, limits, isMovable, isIdle, isCertain, now};
     return updateReductions(orders, input);
   }
 
@@ -291,6 +292,11 @@
     if (!pool.isAskable(now)) return undefined;
     const {key, count, isUnconfirmed} = pool;
     const room = this.pools.computeRoom(key, limits, orders);
+    if (pool.isSettleable(now, limits.bootMs)) {
+      const least = this.pools.computeLeast(key, limits, orders);
+      const settled = Math.min(Math.max(pool.ready, least), room);
+      return {...key, count: settled, reason: SETTLE_REASON};
+    }
     // More may be ready than is known to be in force. Counts are absolute: an
     // order of less than is ready would take endpoints.
     const kept = pool.getKeptCount(now, limits.bootMs);
--- a/packages/decisions/src/scaling_pool.ts
+++ b/packages/decisions/src/scaling_pool.ts
@@ -71,6 +71,8 @@
   /** The numbers that may stand in place of the one in force. */
   private readonly unconfirmed = new Set<number>();
   private unconfirmedAt = -Infinity;
+  /** When the number of ready endpoints changed last, or was not current. */
+  private changedAt = -Infinity;
   /** Whether endpoints of this pool were reclaimed and are not gone yet. */
   private isBeingReclaimed = false;
 
@@ -98,6 +100,7 @@
     const pool = new ScalingPool(key, count, isOrdered, isUnavailable, view);
     pool.grownAt = now;
     pool.orderedAt = now;
+    pool.changedAt = now;
     if (isUnavailable) pool.refusedAt = now;
     for (const number of unconfirmed) pool.recordUnconfirmed(number, now);
     return pool;
@@ -170,12 +173,19 @@
     if (!this.isOrdered) this.inForce = Math.max(this.inForce, ready);
   }
 
+  /** Records that the endpoints may have changed without being seen. */
+  recordOutdated(now: number): void {
+    this.changedAt = now;
+  }
+
   /**
    * Takes the endpoints as they are now.
    *
    * @param drainMs How long endpoints drain that an order takes.
    */
   update(view: PoolView, now: number, drainMs: number): void {
+    const isChanged = view.ready !== this.view.ready || view.leaving > 0;
+    if (isChanged) this.changedAt = now;
     this.view = view;
     const isShort = view.ready < this.inForce;
     this.shortSince = isShort ? (this.shortSince ?? now) : undefined;
@@ -228,6 +238,19 @@
     return now - since >= bootMs + REPEAT_DELAY_MS;
   }
 
+  /**
+   * Whether an order of what is ready takes nothing and settles which number is in
+   * force. Such an order needs no capacity. Before the boot time and 3 s without a
+   * change, endpoints may boot or be away for a moment.
+   */
+  isSettleable(now: number, bootMs: number): boolean {
+    if (!this.isUnconfirmed || this.isLeaving) return false;
+    if (this.refusedAt <= this.unconfirmedAt) return false;
+    const {unconfirmedAt, orderedAt, changedAt} = this;
+    const since = Math.max(unconfirmedAt, orderedAt, changedAt);
+    return now - since >= bootMs + REPEAT_DELAY_MS;
+  }
+
   /**
    * Returns the least number that takes no endpoint which is ready or may boot, as
    * far as is known.
--- a/packages/decisions/src/scaling_pools.ts
+++ b/packages/decisions/src/scaling_pools.ts
@@ -62,6 +62,7 @@
     const pool = this.pools.get(key) ?? ScalingPool.createSeen(view);
     this.pools.set(key, pool);
     if (areEndpointsCurrent) pool.recordSeen(view.ready);
+    else pool.recordOutdated(now);
     pool.update(view, now, drainMs);
   }
 
@@ -130,6 +131,25 @@
     }
     return Math.max(0, maximum - most);
   }
+
+  /**
+   * Computes the fewest endpoints that a pool may have, so that both kinds keep the
+   * minimum. Of the other kind, the lowest number counts that may be in force.
+   *
+   * @param orders Orders that are about to be sent, which may be refused.
+   */
+  computeLeast(
+    {domain, kind}: PoolKey,
+    {minimum}: ScalingLimits,
+    orders: readonly PoolOrder[],
+  ): number {
+    const other: PoolKey = {domain, kind: getOtherKind(kind)};
+    let least = this.getPool(domain, other.kind).leastCount;
+    for (const order of orders) {
+      if (isSamePool(order, other)) least = Math.min(least, order.count);
+    }
+    return Math.max(0, minimum - least);
+  }
 }
 
 function findView(
--- a/packages/decisions/src/scaling_reductions.ts
+++ b/packages/decisions/src/scaling_reductions.ts
@@ -40,7 +40,7 @@
 /** What decides whether an order of fewer is safe. */
 export type SafetyInput = Pick<
   ReductionInput,
-  'pools' | 'goal' | 'isMovable' | 'isIdle'
+  'pools' | 'goal' | 'limits' | 'isMovable' | 'isIdle' | 'now'
 > & {
   /** Whether load and endpoints are known well enough to take endpoints. */
   readonly isCertain: boolean;
@@ -51,10 +51,13 @@
   orders: readonly PoolOrder[],
   input: SafetyInput,
 ): PoolOrder[] {
-  const firm = input.pools.listCounts((pool) => pool.firm);
+  const {pools, limits, now} = input;
+  const firm = pools.listCounts((pool) => pool.firm);
   return orders.map((order) => {
-    const pool = input.pools.find(order);
+    const pool = pools.find(order);
     if (pool === undefined || order.count >= pool.count) return order;
+    const isSettled = pool.isSettleable(now, limits.bootMs);
+    if (isSettled && order.count >= pool.ready) return order;
     // What is leaving is not firm, and the platform does not take it again.
     const taken = Math.max(0, pool.count - pool.leaving - order.count);
     // The order itself may be in force already, so that it counts only once.
--- a/packages/decisions/tests/scaling_plan.test.ts
+++ b/packages/decisions/tests/scaling_plan.test.ts
@@ -6,6 +6,7 @@
   isSufficient,
   ScalingPlan,
   ScalingPool,
+  type PoolState,
   type ScalingView,
 } from '@irisdock/decisions';
 import fc from 'fast-check';
@@ -17,6 +18,7 @@
 import {RUN_OPTIONS} from './run_options.js';
 
 const DRAIN_MS = 3000;
+const STATE = {isOrdered: true, isUnavailable: false, unconfirmed: []};
 /** One reclaim after the other within a shortage, and a single one. */
 const RECLAIMS = [
   {domain: 'b', at: 60_000},
@@ -179,14 +181,7 @@
     it(`takes no endpoints if isOrdered is ${isOrdered}`, () => {
       const states = pools.map(({domain, kind}) => {
         const count = domain === 'a' ? 1 : 16;
-        return {
-          domain,
-          kind,
-          count,
-          isOrdered,
-          isUnavailable: false,
-          unconfirmed: [],
-        };
+        return {...STATE, domain, kind, count, isOrdered};
       });
       const state = {level: 45, initial: 64, hasDemand: true, pools: states};
       const orders = ScalingPlan.createFrom(state, 0).plan(view, 2000);
@@ -213,14 +208,7 @@
       }),
     );
     const states = pools.map(({domain, kind, ready: count}) => {
-      return {
-        domain,
-        kind,
-        count,
-        isOrdered: true,
-        isUnavailable: false,
-        unconfirmed: [],
-      };
+      return {...STATE, domain, kind, count};
     });
     const state = {level: 4, initial: 6, hasDemand: true, pools: states};
     const known = {need: 20, isNeedCertain: true, areEndpointsCurrent: true};
@@ -238,6 +226,48 @@
   });
 });
 
+/** Lists the numbers after a minute in which no spot endpoint can be had. */
+function runShortage(spot: number, currentMs = Infinity): string[] {
+  const states = ['a', 'b', 'c'].flatMap((domain): PoolState[] => [
+    {...STATE, domain, kind: 'ordinary', count: 5},
+    {...STATE, domain, kind: 'spot', count: 3, unconfirmed: [15]},
+  ]);
+  const state = {level: 40, initial: 15, hasDemand: true, pools: states};
+  const plan = ScalingPlan.createFrom(state, 0);
+  const limits = {minimum: 3, maximum: 20, bootMs: 4000, spotPrice: 0.2};
+  const known = {isNeedCertain: true, isMovable: true, need: 40};
+  for (let now = 0; now < 60_000; now += 250) {
+    const view: ScalingView = {
+      ...{...known, drainMs: DRAIN_MS, limits: {...limits, prices: {}}},
+      areEndpointsCurrent: now < currentMs,
+      pools: plan.listOrdered().flatMap(({domain, ordinary}) => [
+        {domain, kind: 'ordinary', ready: ordinary, leaving: 0, running: 0},
+        {domain, kind: 'spot', ready: spot, leaving: 0, running: 0},
+      ]),
+    };
+    for (const order of plan.plan(view, now)) {
+      if (order.kind === 'ordinary' || order.count <= spot) {
+        plan.recordAccepted(order, now);
+      } else plan.recordRefused(order, now);
+    }
+  }
+  return plan.listOrdered().map((sum) => `${sum.ordinary}+${sum.spot}`);
+}
+
+// Guards against a number that keeps ordinary endpoints out for a whole shortage,
+// and against an order of 0 while endpoints may be there.
+describe('a spot order without an answer', () => {
+  for (const [title, numbers, expected] of [
+    ['is settled by an order of 0', () => runShortage(0), '20+0'],
+    ['is settled by an order of what is ready', () => runShortage(2), '18+2'],
+    ['stays while endpoints are not known', () => runShortage(0, 2000), '5+3'],
+  ] as const) {
+    it(title, () => {
+      assert.deepEqual(numbers(), [expected, expected, expected]);
+    });
+  }
+});
+
 describe('a pool of spot endpoints', () => {
   const view = {domain: 'a', kind: 'spot', running: 0} as const;
 
@@ -274,6 +304,19 @@
     assert.equal(pool.coming, 0);
   });
 
+  // Guards against an order of what is ready that takes endpoints which boot, or
+  // are away for a moment, as the last change is from 7000 ms.
+  it('is settled some time after its endpoints changed', () => {
+    const pool = ScalingPool.createSeen({...view, ready: 3, leaving: 0});
+    pool.recordUnconfirmed(14, 0);
+    pool.recordRefused(1000);
+    pool.update({...view, ready: 3, leaving: 0}, 4000, DRAIN_MS);
+    assert.equal(pool.isSettleable(4000, 1000), true);
+    pool.update({...view, ready: 5, leaving: 0}, 7000, DRAIN_MS);
+    assert.equal(pool.isSettleable(10_999, 1000), false);
+    assert.equal(pool.isSettleable(11_000, 1000), true);
+  });
+
   // Guards against a second order of fewer while the first one is not carried out:
   // both together took twice as many endpoints at once as are allowed.
   for (const [ready, at, isReducible] of [
--- a/packages/gateway/tests/scaling_task.test.ts
+++ b/packages/gateway/tests/scaling_task.test.ts
@@ -20,11 +20,16 @@
 }
 
 /** Puts the row of an earlier holder, for a load that one engine carries. */
-function putRow(fleet: ScalingFleet, pending: readonly PoolOrder[]): void {
-  const pools = ['a', 'b', 'c'].map((domain) => {
-    const state = {isOrdered: true, isUnavailable: false, unconfirmed: []};
-    return {domain, kind: 'ordinary', count: 6, ...state};
+function putRow(
+  fleet: ScalingFleet,
+  pending: readonly PoolOrder[],
+  others: readonly object[] = [],
+): void {
+  const state = {isOrdered: true, isUnavailable: false, unconfirmed: []};
+  const ordinary = ['a', 'b', 'c'].map((domain) => {
+    return {domain, kind: 'ordinary', count: 6};
   });
+  const pools = [...ordinary, ...others].map((pool) => ({...state, ...pool}));
   const plan = {level: 1, initial: 18, hasDemand: true, pools};
   fleet.rows.set('state/s', JSON.stringify({plan, pending}));
 }
@@ -179,6 +184,19 @@
     });
   }
 
+  // Guards against an order that would settle which number is in force and is
+  // replaced before it is sent, as it is lower than the one in force.
+  it('settles a number that may stand without capacity', async () => {
+    const fleet = new ScalingFleet();
+    const spot = {domain: 'a', kind: 'spot', count: 3} as const;
+    putRow(fleet, [], [{...spot, unconfirmed: [14]}]);
+    fleet.load = 300;
+    fleet.decideOutcome = ({isSpot, count}) =>
+      isSpot && count > 0 ? {kind: 'none-available'} : {kind: 'accepted'};
+    await fleet.run(fleet.createTask(), 4 * FIRST_ORDERS_MS);
+    assert.ok(fleet.listCalls().includes('a spot 0'));
+  });
+
   // Guards against endpoints that vanished from a restored store and count, with
   // their successors, as ordered: more than the maximum were ordered then.
   it('counts endpoints without a row only once they are current', async () => {
