Repeat the limits in force to hosts that missed them

A change of a limit was sent twice within 0.7 s to the hosts that were known then.

The issuer of a limit now repeats it to all hosts each second. A host that hears nothing of it from the issuer for 1.5 s tells the issuer, which may have started itself; an issuer that is told something older than it knows answers with the newer. There is no datagram while no limit is in force.

--- a/packages/gateway/src/services/limit_publisher.ts
+++ b/packages/gateway/src/services/limit_publisher.ts
@@ -47,20 +47,23 @@
     });
   }
 
-  close(): void {
-    this.tasks.close();
+  /** Sends an endpoint's limit to one host now. */
+  sendTo(host: string, instanceId: string): void {
+    const summary = this.parts.createLimitSummary(instanceId);
+    this.parts.sendTo(host, this.createDatagram([summary]));
   }
 
-  private sendAll(instanceIds: readonly string[]): void {
+  /**
+   * Sends limits now: to all hosts where this one is the issuer, else to the
+   * issuer.
+   */
+  sendAll(instanceIds: readonly string[]): void {
     const {ownName, findIssuer, createLimitSummary} = this.parts;
     const broadcast: ReportedLimit[] = [];
     for (const instanceId of instanceIds) {
       const issuer = findIssuer(instanceId);
-      const summary = createLimitSummary(instanceId);
-      if (issuer === ownName) broadcast.push(summary);
-      else if (issuer !== undefined) {
-        this.parts.sendTo(issuer, this.createDatagram([summary]));
-      }
+      if (issuer === ownName) broadcast.push(createLimitSummary(instanceId));
+      else if (issuer !== undefined) this.sendTo(issuer, instanceId);
     }
     for (let from = 0; from < broadcast.length; from += MAX_PER_DATAGRAM) {
       const part = broadcast.slice(from, from + MAX_PER_DATAGRAM);
@@ -68,6 +71,10 @@
     }
   }
 
+  close(): void {
+    this.tasks.close();
+  }
+
   private createDatagram(limits: readonly ReportedLimit[]): LimitsDatagram {
     return {kind: 'limits', name: this.parts.ownName, limits};
   }
--- /dev/null
+++ b/packages/gateway/src/services/limit_repeater.ts
@@ -0,0 +1,78 @@
+/**
+ * Repeats the limits in force, so that every host keeps them: also one that
+ * started after they were announced, or that was out of touch when they were.
+ * The issuer of a limit repeats it to all hosts. A host that no longer hears it
+ * from there tells the issuer, which may have started since itself.
+ */
+import type {Clock} from '@irisdock/kernel';
+import type {KnownLimits} from './known_limits.js';
+import type {LimitPublisher} from './limit_publisher.js';
+
+/**
+ * The time between two repeats by the issuer, in ms. At 350 hosts a limit then
+ * costs 350 datagrams of 37 bytes per second. Hosts must know a limit
+ * within 3 s, which leaves time for a lost datagram.
+ */
+const REPEAT_INTERVAL_MS = 1000;
+/**
+ * After this time without a report of the issuer, a host tells it the limit, in
+ * ms. It is longer than the interval, so that issuers which know the limit are
+ * not told.
+ */
+const ISSUER_SILENCE_MS = 1500;
+
+/** Dependencies of the repeater. */
+export interface LimitRepeaterParts {
+  readonly known: Pick<KnownLimits, 'count' | 'listLimits'>;
+  readonly clock: Pick<Clock, 'getNow'>;
+  /** Whether this host is the issuer that informs all other hosts. */
+  readonly isIssuer: (instanceId: string) => boolean;
+  readonly publisher: Pick<LimitPublisher, 'sendAll'>;
+}
+
+/** Repeats the limits in force. */
+export class LimitRepeater {
+  private repeatedAt = -Infinity;
+  /** When the issuer last reported a limit, or was told it, by instance id. */
+  private readonly heardAt = new Map<string, number>();
+
+  constructor(private readonly parts: LimitRepeaterParts) {}
+
+  /** Does the work of one heartbeat. */
+  startHeartbeat(): void {
+    const {known, clock, isIssuer, publisher} = this.parts;
+    if (known.count === 0) return;
+    const now = clock.getNow();
+    const mustRepeat = now - this.repeatedAt >= REPEAT_INTERVAL_MS;
+    if (mustRepeat) this.repeatedAt = now;
+    const due: string[] = [];
+    for (const {instanceId} of known.listLimits()) {
+      const isDue = isIssuer(instanceId)
+        ? mustRepeat
+        : this.isIssuerSilent(instanceId, now);
+      if (isDue) due.push(instanceId);
+    }
+    if (due.length > 0) publisher.sendAll(due);
+  }
+
+  /** Records that the issuer of a limit has reported it to this host. */
+  recordIssuerReport(instanceId: string): void {
+    this.heardAt.set(instanceId, this.parts.clock.getNow());
+  }
+
+  /** Removes an endpoint. */
+  drop(instanceId: string): void {
+    this.heardAt.delete(instanceId);
+  }
+
+  /** Whether the issuer is to be told now; counts it as told. */
+  private isIssuerSilent(instanceId: string, now: number): boolean {
+    const heardAt = this.heardAt.get(instanceId);
+    if (heardAt !== undefined && now - heardAt < ISSUER_SILENCE_MS) {
+      return false;
+    }
+    this.heardAt.set(instanceId, now);
+    // A limit that this host has just learned: the issuer has time to report.
+    return heardAt !== undefined;
+  }
+}
--- a/packages/gateway/src/services/send_limits.ts
+++ b/packages/gateway/src/services/send_limits.ts
@@ -32,6 +32,7 @@
   type ReportOutcome,
 } from './known_limits.js';
 import {LimitPublisher} from './limit_publisher.js';
+import {LimitRepeater} from './limit_repeater.js';
 import type {LimitDatagramHandler} from './datagram_handlers.js';
 import type {Peers} from './peer_hosts.js';
 import {PeerRequests} from './peer_requests.js';
@@ -93,6 +94,7 @@
     PermitResponseDatagram
   >;
   private readonly publisher: LimitPublisher;
+  private readonly repeater: LimitRepeater;
   private readonly queues = new Map<string, PermitQueue>();
   private recordsHash: number | undefined;
   private possiblyAlive = 0;
@@ -119,6 +121,12 @@
         peers.sendToNames([host], datagram);
       },
     });
+    this.repeater = new LimitRepeater({
+      known: this.known,
+      clock,
+      isIssuer: (instanceId) => this.isIssuer(instanceId),
+      publisher: this.publisher,
+    });
   }
 
   /** Lists the limits in force with this host's counts. */
@@ -189,6 +197,7 @@
 
   startHeartbeat(): void {
     this.heartbeats++;
+    this.repeater.startHeartbeat();
     if (this.heartbeats % SWEEP_HEARTBEATS === 0) this.dropExpired();
   }
 
@@ -196,7 +205,15 @@
     for (const limit of limits) {
       const {instanceId} = limit;
       const outcome = this.acceptRemoteReport(limit, name);
-      this.handleOutcome(instanceId, outcome, this.isIssuer(instanceId));
+      const isIssuer = this.isIssuer(instanceId);
+      this.handleOutcome(instanceId, outcome, isIssuer);
+      if (this.findFirstIssuer(instanceId) === name) {
+        this.repeater.recordIssuerReport(instanceId);
+      }
+      // The sender has missed a later report.
+      if (isIssuer && outcome === 'older') {
+        this.publisher.sendTo(name, instanceId);
+      }
     }
   }
 
@@ -352,6 +369,7 @@
       this.known.drop(instanceId);
       this.issuers.drop(instanceId);
       this.grants.drop(instanceId);
+      this.repeater.drop(instanceId);
       this.queues.delete(instanceId);
     }
   }
--- a/scripts/limit_trials.mjs
+++ b/scripts/limit_trials.mjs
@@ -3,6 +3,7 @@
 const GATEWAY = 'packages/gateway/dist/src';
 const DECISIONS = 'packages/decisions/dist/src';
 const SUM = 'platform/endpoint_limits';
+const NEWCOMERS = 'platform/limit_newcomers';
 const PURE = 'decisions/endpoint_limits';
 
 // mechanism; file; what is replaced by what; test file; its name's pattern
@@ -79,6 +80,30 @@
     SUM,
     'never heard it from',
   ],
+  [
+    'limit: the issuer repeats limits',
+    `${GATEWAY}/services/limit_repeater.js`,
+    'now - this.repeatedAt >= REPEAT_INTERVAL_MS',
+    'false',
+    NEWCOMERS,
+    'told again',
+  ],
+  [
+    'limit: a silent issuer is told',
+    `${GATEWAY}/services/limit_repeater.js`,
+    'return heardAt !== undefined',
+    'return false',
+    NEWCOMERS,
+    'told again',
+  ],
+  [
+    'limit: a host that missed a change is told',
+    `${GATEWAY}/services/send_limits.js`,
+    "isIssuer && outcome === 'older'",
+    'false',
+    NEWCOMERS,
+    'missed its end',
+  ],
   [
     'limit: who was told to come back counts',
     `${DECISIONS}/retry_schedule.js`,
