Hold arrivals against a limit once a host was told of it

The soak counted arrivals from 3 s after an endpoint had named its limit, also where no answer had told any host, or where all hosts that were told had been killed together. Only an answer tells of a limit, and only hosts keep it, so the promise does not cover those arrivals. The check now counts from 3 s after an answer to a host that was left alone for these 3 s, while one host at least has lived on since the answer. The bound, the windows and the hosts left out are as before.

--- a/soak/src/endpoint_fleet.ts
+++ b/soak/src/endpoint_fleet.ts
@@ -97,6 +97,8 @@
   /** A new stream failed without an event. */
   readonly handleFailedRun?: RunListener;
   readonly handleArrival: ArrivalListener;
+  /** An endpoint answers with the lines that it adds, over a link in order. */
+  readonly handleAnswer?: ArrivalListener;
 }
 
 /** How the endpoints of streams serve. */
@@ -111,7 +113,7 @@
 /** What the scripts of endpoints call. */
 type RunHooks = Pick<
   ScriptContext,
-  'recordFailedRun' | 'recordRun' | 'recordRunEnd'
+  'recordAnswer' | 'recordFailedRun' | 'recordRun' | 'recordRunEnd'
 >;
 
 /** The endpoints. */
@@ -285,6 +287,11 @@
   private createRunHooks(getInstance: () => EndpointInstance): RunHooks {
     const {listener} = this;
     return {
+      recordAnswer: (attemptId: string) => {
+        const instance = getInstance();
+        if (instance.harmedUntil > performance.now()) return;
+        listener.handleAnswer?.(instance, attemptId);
+      },
       recordRun: (run: ServerRun) => {
         listener.handleRun(getInstance(), run);
       },
--- a/soak/src/play.ts
+++ b/soak/src/play.ts
@@ -93,6 +93,10 @@
     handleFailedRun: (instance, run) => {
       this.witness.recordRun(instance, run, true);
     },
+    handleAnswer: ({id}, attemptId) => {
+      const host = this.witness.findAttempt(attemptId)?.host ?? '';
+      this.limits.recordAnswer(id, host, performance.now());
+    },
     handleArrival: (instance, attemptId) => {
       const host = this.witness.findAttempt(attemptId)?.host ?? '';
       const at = performance.now();
