Bound the times of reports that the repeater of limits keeps

The repeater recorded when the issuer had reported a limit also for endpoints without a known limit. Such entries were removed only with a known limit, so those of evicted or never stored limits were kept for good.

A time is recorded only for a limit in force, and times of other limits are removed at a heartbeat once there are more of them than limits.

--- a/packages/gateway/src/services/limit_repeater.ts
+++ b/packages/gateway/src/services/limit_repeater.ts
@@ -23,7 +23,7 @@
 
 /** Dependencies of the repeater. */
 export interface LimitRepeaterParts {
-  readonly known: Pick<KnownLimits, 'count' | 'listLimits'>;
+  readonly known: Pick<KnownLimits, 'count' | 'findRate' | 'listLimits'>;
   readonly clock: Pick<Clock, 'getNow'>;
   /** Whether this host is the issuer that informs all other hosts. */
   readonly isIssuer: (instanceId: string) => boolean;
@@ -33,7 +33,10 @@
 /** Repeats the limits in force. */
 export class LimitRepeater {
   private repeatedAt = -Infinity;
-  /** When the issuer last reported a limit, or was told it, by instance id. */
+  /**
+   * When the issuer last reported a limit, or was told it, by instance id. Only
+   * limits in force have an entry, so `KnownLimits` bounds their number.
+   */
   private readonly heardAt = new Map<string, number>();
 
   constructor(private readonly parts: LimitRepeaterParts) {}
@@ -41,6 +44,7 @@
   /** Does the work of one heartbeat. */
   startHeartbeat(): void {
     const {known, clock, isIssuer, publisher} = this.parts;
+    this.dropEnded();
     if (known.count === 0) return;
     const now = clock.getNow();
     const mustRepeat = now - this.repeatedAt >= REPEAT_INTERVAL_MS;
@@ -57,12 +61,23 @@
 
   /** Records that the issuer of a limit has reported it to this host. */
   recordIssuerReport(instanceId: string): void {
-    this.heardAt.set(instanceId, this.parts.clock.getNow());
+    const {known, clock} = this.parts;
+    if (known.findRate(instanceId) === undefined) return;
+    this.heardAt.set(instanceId, clock.getNow());
   }
 
-  /** Removes an endpoint. */
-  drop(instanceId: string): void {
-    this.heardAt.delete(instanceId);
+  /**
+   * Removes limits that are no longer in force. It reads all entries only if
+   * there are more of them than limits.
+   */
+  private dropEnded(): void {
+    const {known} = this.parts;
+    if (this.heardAt.size <= known.count) return;
+    for (const instanceId of this.heardAt.keys()) {
+      if (known.findRate(instanceId) === undefined) {
+        this.heardAt.delete(instanceId);
+      }
+    }
   }
 
   /** Whether the issuer is to be told now; counts it as told. */
--- a/packages/gateway/src/services/send_limits.ts
+++ b/packages/gateway/src/services/send_limits.ts
@@ -369,7 +369,6 @@
       this.known.drop(instanceId);
       this.issuers.drop(instanceId);
       this.grants.drop(instanceId);
-      this.repeater.drop(instanceId);
       this.queues.delete(instanceId);
     }
   }
