Send the limits of one issuer in one datagram

A host sent its issuers one datagram for each limit, and an issuer sent one for each limit that the sender of a batch had missed. Limits are now grouped by issuer, up to 24 in a datagram, as broadcasts already were.

--- a/packages/gateway/src/services/limit_publisher.ts
+++ b/packages/gateway/src/services/limit_publisher.ts
@@ -47,27 +47,33 @@
     });
   }
 
-  /** Sends an endpoint's limit to one host now. */
-  sendTo(host: string, instanceId: string): void {
-    const summary = this.parts.createLimitSummary(instanceId);
-    this.parts.sendTo(host, this.createDatagram([summary]));
+  /** Sends limits to one host now. */
+  sendTo(host: string, instanceIds: readonly string[]): void {
+    for (const datagram of this.createDatagrams(instanceIds)) {
+      this.parts.sendTo(host, datagram);
+    }
   }
 
   /**
-   * Sends limits now: to all hosts where this one is the issuer, else to the
-   * issuer.
+   * Sends limits now: to all hosts where this one is the issuer, else to their
+   * issuers.
    */
   sendAll(instanceIds: readonly string[]): void {
-    const {ownName, findIssuer, createLimitSummary} = this.parts;
-    const broadcast: ReportedLimit[] = [];
+    const {ownName, findIssuer, sendToAll} = this.parts;
+    const byIssuer = new Map<string, string[]>();
     for (const instanceId of instanceIds) {
       const issuer = findIssuer(instanceId);
-      if (issuer === ownName) broadcast.push(createLimitSummary(instanceId));
-      else if (issuer !== undefined) this.sendTo(issuer, instanceId);
+      if (issuer === undefined) continue;
+      const group = byIssuer.get(issuer);
+      if (group === undefined) byIssuer.set(issuer, [instanceId]);
+      else group.push(instanceId);
     }
-    for (let from = 0; from < broadcast.length; from += MAX_PER_DATAGRAM) {
-      const part = broadcast.slice(from, from + MAX_PER_DATAGRAM);
-      this.parts.sendToAll(this.createDatagram(part));
+    for (const [issuer, group] of byIssuer) {
+      if (issuer !== ownName) {
+        this.sendTo(issuer, group);
+        continue;
+      }
+      for (const datagram of this.createDatagrams(group)) sendToAll(datagram);
     }
   }
 
@@ -75,7 +81,14 @@
     this.tasks.close();
   }
 
-  private createDatagram(limits: readonly ReportedLimit[]): LimitsDatagram {
-    return {kind: 'limits', name: this.parts.ownName, limits};
+  private createDatagrams(instanceIds: readonly string[]): LimitsDatagram[] {
+    const {ownName, createLimitSummary} = this.parts;
+    const limits = instanceIds.map(createLimitSummary);
+    const datagrams: LimitsDatagram[] = [];
+    for (let from = 0; from < limits.length; from += MAX_PER_DATAGRAM) {
+      const part = limits.slice(from, from + MAX_PER_DATAGRAM);
+      datagrams.push({kind: 'limits', name: ownName, limits: part});
+    }
+    return datagrams;
   }
 }
--- a/packages/gateway/src/services/send_limits.ts
+++ b/packages/gateway/src/services/send_limits.ts
@@ -202,6 +202,7 @@
   }
 
   acceptLimits({name, limits}: LimitsDatagram): void {
+    const missed: string[] = [];
     for (const limit of limits) {
       const {instanceId} = limit;
       const outcome = this.acceptRemoteReport(limit, name);
@@ -210,11 +211,10 @@
       if (this.findFirstIssuer(instanceId) === name) {
         this.repeater.recordIssuerReport(instanceId);
       }
-      // The sender has missed a later report.
-      if (isIssuer && outcome === 'older') {
-        this.publisher.sendTo(name, instanceId);
-      }
+      if (isIssuer && outcome === 'older') missed.push(instanceId);
     }
+    // The sender has missed later reports.
+    this.publisher.sendTo(name, missed);
   }
 
   acceptPermitRequest(request: PermitRequestDatagram): void {
