Ignore reports of limits that outlived their endpoint or their end

Hosts drop the limits of gone endpoints every 16 heartbeats, at different times. A host that had not dropped one heard nothing of it and told the issuer, which took it as changed and repeated it to all. A host that had been out of touch for over 60 s revived an ended limit in the same way, as ended reports are dropped after that time and a report of any age was taken up.

Hosts no longer tell limits of endpoints that they do not know. Where nothing is known of a limit, a report older than 60 s is ignored, and one of an unknown endpoint if it is older than 5 s and the host has loaded the endpoints. Permit requests count at any age, as the response to the send settles the limit. RemoteLimits holds these rules.

Four hosts in virtual time, started 1.1 s apart, heartbeat 300 ms: 10 s after the entry was removed 4 of 4 knew the limit, now none, and no datagram about it is sent. After an absence of 70 s 4 of 4 knew the ended limit, now only the host that was absent. Both tests fail without the change. Those of a host without loaded endpoints and of a new endpoint fail without the exceptions for them.

--- a/packages/gateway/src/services/limit_publisher.ts
+++ b/packages/gateway/src/services/limit_publisher.ts
@@ -20,13 +20,18 @@
 export interface LimitPublisherParts {
   readonly ownName: string;
   readonly findIssuer: (instanceId: string) => string | undefined;
+  readonly isEndpointKnown: (instanceId: string) => boolean;
   /** Returns the currently known limit of an endpoint. */
   readonly createLimitSummary: (instanceId: string) => ReportedLimit;
   readonly sendToAll: (datagram: LimitsDatagram) => void;
   readonly sendTo: (host: string, datagram: LimitsDatagram) => void;
 }
 
-/** Sends limits to their issuers or to all hosts. */
+/**
+ * Sends limits to their issuers or to all hosts. Limits of endpoints that this
+ * host does not know are not sent: hosts drop the limits of an endpoint that is
+ * gone at different times, and would otherwise tell them to each other again.
+ */
 export class LimitPublisher {
   private batch = new Set<string>();
   private readonly tasks = new DelayedTasks();
@@ -82,8 +87,8 @@
   }
 
   private createDatagrams(instanceIds: readonly string[]): LimitsDatagram[] {
-    const {ownName, createLimitSummary} = this.parts;
-    const limits = instanceIds.map(createLimitSummary);
+    const {ownName, isEndpointKnown, createLimitSummary} = this.parts;
+    const limits = instanceIds.filter(isEndpointKnown).map(createLimitSummary);
     const datagrams: LimitsDatagram[] = [];
     for (let from = 0; from < limits.length; from += MAX_PER_DATAGRAM) {
       const part = limits.slice(from, from + MAX_PER_DATAGRAM);
--- a/packages/gateway/src/services/limits.ts
+++ b/packages/gateway/src/services/limits.ts
@@ -9,6 +9,7 @@
 import {HOST_IDENTITY} from './identity.js';
 import {PEERS} from './peers.js';
 import {SendLimits} from './send_limits.js';
+import {TABLES_KEY} from '../tables/tables.js';
 
 /** The key of the service. */
 export const LIMITS = createServiceKey<SendLimits>('limits');
@@ -17,15 +18,17 @@
 export const LIMITS_SERVICE = createService({
   key: LIMITS,
   settings: z.object({}),
-  needs: [GATEWAY_ENDPOINTS, HOST_IDENTITY, PEERS],
+  needs: [GATEWAY_ENDPOINTS, HOST_IDENTITY, PEERS, TABLES_KEY],
   create(context) {
     const {clock, log, metrics} = context;
     const peers = context.find(PEERS);
     const endpoints = context.find(GATEWAY_ENDPOINTS);
+    const {replica} = context.find(TABLES_KEY).endpoints;
     const api = new SendLimits({
       identity: context.find(HOST_IDENTITY),
       peers,
       isEndpointKnown: (instanceId) => endpoints.find(instanceId) !== undefined,
+      hasLoadedEndpoints: () => replica.isLoaded,
       clock,
       log,
     });
--- a/packages/gateway/src/services/send_limits.ts
+++ b/packages/gateway/src/services/send_limits.ts
@@ -3,19 +3,12 @@
  * connections by permits, and issues permits where this host is the issuer.
  * docs/design/endpoint_limits.md.
  */
-import {
-  computeEnforcedRate,
-  hashText,
-  PermitIssuers,
-  type LimitReport,
-  type SendPriority,
-} from '@irisdock/decisions';
+import {hashText, PermitIssuers, type SendPriority} from '@irisdock/decisions';
 import {getErrorText, type Clock, type Logger} from '@irisdock/kernel';
 import type {
   LimitsDatagram,
   PermitResponseDatagram,
   PermitRequestDatagram,
-  ReportedLimit,
 } from '../model/limit_datagram.js';
 import {
   SendPermit,
@@ -33,6 +26,11 @@
 } from './known_limits.js';
 import {LimitPublisher} from './limit_publisher.js';
 import {LimitRepeater} from './limit_repeater.js';
+import {
+  ENDED_LIMIT_KEEP_MS,
+  RemoteLimits,
+  type RemoteLimitsParts,
+} from './remote_limits.js';
 import type {LimitDatagramHandler} from './datagram_handlers.js';
 import type {Peers} from './peer_hosts.js';
 import {PeerRequests} from './peer_requests.js';
@@ -44,7 +42,7 @@
 } from './permit_queue.js';
 
 /** Dependencies of the limits. */
-export interface SendLimitsParts {
+export interface SendLimitsParts extends RemoteLimitsParts {
   readonly identity: Pick<HostIdentity, 'incarnation' | 'name'>;
   readonly peers: Pick<
     Peers,
@@ -54,7 +52,6 @@
     | 'sendToAll'
     | 'sendToNames'
   >;
-  readonly isEndpointKnown: (instanceId: string) => boolean;
   readonly clock: Clock;
   readonly log: Logger;
 }
@@ -79,14 +76,11 @@
 const RECHECK_MS = 3000;
 /** Heartbeats between two removals of old entries. */
 const SWEEP_HEARTBEATS = 16;
-/**
- * How long an ended limit is kept so that no older report revives it, in ms.
- */
-const ENDED_LIMIT_KEEP_MS = 60_000;
 
 /** Admits sends within the limits of endpoints. */
 export class SendLimits implements LimitDatagramHandler, SendGate {
   readonly known: KnownLimits;
+  private readonly remote: RemoteLimits;
   private readonly issuers: PermitIssuers;
   private readonly grants: PermitGrants;
   private readonly requests: PeerRequests<
@@ -104,6 +98,7 @@
   constructor(private readonly parts: SendLimitsParts) {
     const {identity, peers, clock, log} = parts;
     this.known = new KnownLimits(clock, log);
+    this.remote = new RemoteLimits(this.known, parts);
     this.issuers = new PermitIssuers(identity.name, clock.getNow());
     this.grants = new PermitGrants(this.issuers, this.known, clock);
     this.requests = new PeerRequests(clock, (to, request) => {
@@ -112,6 +107,7 @@
     this.publisher = new LimitPublisher({
       ownName: identity.name,
       findIssuer: (instanceId) => this.findFirstIssuer(instanceId),
+      isEndpointKnown: parts.isEndpointKnown,
       createLimitSummary: (instanceId) =>
         this.grants.createLimitSummary(instanceId),
       sendToAll: (datagram) => {
@@ -204,8 +200,9 @@
   acceptLimits({name, limits}: LimitsDatagram): void {
     const missed: string[] = [];
     for (const limit of limits) {
+      if (!this.remote.isUsable(limit)) continue;
       const {instanceId} = limit;
-      const outcome = this.acceptRemoteReport(limit, name);
+      const outcome = this.remote.accept(limit, name);
       const isIssuer = this.isIssuer(instanceId);
       this.handleOutcome(instanceId, outcome, isIssuer);
       if (this.findFirstIssuer(instanceId) === name) {
@@ -219,7 +216,10 @@
 
   acceptPermitRequest(request: PermitRequestDatagram): void {
     const {instanceId} = request.limit;
-    const outcome = this.acceptRemoteReport(request.limit, request.name);
+    // A report of any age counts here: the response to the send that is asked
+    // for confirms or ends the limit. Without the report this host would answer
+    // that there is no limit, and the sender would send without permits.
+    const outcome = this.remote.accept(request.limit, request.name);
     this.handleOutcome(instanceId, outcome, this.isIssuer(instanceId));
     const answer = this.grants.decide(instanceId, request);
     this.parts.peers.sendToNames([request.name], answer);
@@ -309,8 +309,8 @@
             return {...request, kind: 'permit-ask', number};
           });
     if (answer === undefined) return {kind: 'silent', waitMs: RETRY_DELAY_MS};
-    if (issuer !== name) {
-      const outcome = this.acceptRemoteReport(answer.limit, issuer);
+    if (issuer !== name && this.remote.isUsable(answer.limit)) {
+      const outcome = this.remote.accept(answer.limit, issuer);
       this.handleOutcome(instanceId, outcome, false);
     }
     if (this.known.findRate(instanceId) === undefined) return {kind: 'free'};
@@ -325,23 +325,6 @@
     return this.localRequests;
   }
 
-  private acceptRemoteReport(
-    {instanceId, perSecond, ageMs}: ReportedLimit,
-    source: string,
-  ): ReportOutcome {
-    const at = this.parts.clock.getNow() - ageMs;
-    const isLimited = perSecond !== undefined;
-    // Endpoints without a limit are not stored.
-    if (!isLimited && this.known.findRate(instanceId) === undefined) {
-      return 'known';
-    }
-    const rate = isLimited
-      ? computeEnforcedRate({kind: 'rate', perSecond}, undefined)
-      : undefined;
-    const report: LimitReport = {perSecond: rate, at};
-    return this.known.accept(instanceId, report, source);
-  }
-
   /**
    * Updates the issuers if the known hosts changed. It reads all hosts, so it
    * runs on use and not in each heartbeat: most hosts have no limit to enforce.
--- a/packages/gateway/tests/limit_repeats.test.ts
+++ b/packages/gateway/tests/limit_repeats.test.ts
@@ -49,6 +49,7 @@
         },
       },
       isEndpointKnown: (instanceId) => endpoints.has(instanceId),
+      hasLoadedEndpoints: () => endpoints.size > 0,
       clock: this.clock,
       log: SILENT_LOG,
     });
@@ -117,6 +118,76 @@
     fleet.close();
     mock.timers.reset();
   });
+  const [first = '', last = ''] = sortIssuers(ID, NAMES);
+
+  // Guards against hosts that tell each other a limit after each has dropped
+  // it: it was still known to all of them 48 s after the endpoint was gone.
+  it('is forgotten when its endpoint is gone', async () => {
+    fleet.recordAnswer(last, 3);
+    await fleet.run(6000);
+    assert.equal(fleet.countKnowing(), NAMES.length);
+    fleet.endpoints.clear();
+    fleet.endpoints.add('other');
+    const before = {...fleet.sent};
+    await fleet.run(10_000);
+    assert.equal(fleet.countKnowing(), 0);
+    assert.deepEqual(fleet.sent, before);
+  });
+
+  // Guards against a host that ignores limits until it has loaded endpoints,
+  // and then sends as if there were none.
+  it('is learned by a host that has not loaded the endpoints', async () => {
+    fleet.recordAnswer(last, 3);
+    await fleet.run(6000);
+    fleet.addHost(first, new Set());
+    await fleet.run(3000);
+    assert.equal(fleet.countKnowing(), NAMES.length);
+  });
+
+  // Guards against limits of new endpoints that are lost as the report arrives
+  // before the entry of the endpoint.
+  it('is learned before the entry of its endpoint', async () => {
+    fleet.addHost(first, new Set(['other']));
+    fleet.recordAnswer(last, 3);
+    await fleet.run(2 * STEP_MS);
+    assert.equal(fleet.getHost(first).known.findRate(ID), 3);
+  });
+
+  // Guards against an ended limit that a host revives at all others, which
+  // have dropped their ended reports.
+  it('stays ended when a host was out of touch', async () => {
+    fleet.recordAnswer(first, 3);
+    await fleet.run(3000);
+    fleet.cutOff.add(last);
+    fleet.recordAnswer(first);
+    await fleet.run(70_000);
+    assert.equal(fleet.countKnowing(), 1);
+    fleet.cutOff.delete(last);
+    await fleet.run(5000);
+    assert.equal(fleet.countKnowing(), 1);
+  });
+
+  // Guards against sends without permits to an idle endpoint, whose limit the
+  // issuer does not know because its last response is too old to be told.
+  it('is enforced by an issuer that is asked for permits', async () => {
+    const {clock} = fleet;
+    fleet.recordAnswer(last, 3);
+    await fleet.run(70_000);
+    fleet.addHost(first);
+    await fleet.run(3000);
+    const issuer = fleet.getHost(first);
+    assert.equal(issuer.known.findRate(ID), undefined);
+    issuer.acceptPermitRequest({
+      kind: 'permit-ask',
+      name: last,
+      incarnation: 1,
+      number: 1,
+      wanted: {begun: 0, usual: 1, aside: 0},
+      refused: 0,
+      limit: {instanceId: ID, perSecond: 3, ageMs: clock.getNow()},
+    });
+    assert.equal(issuer.known.findRate(ID), 3);
+  });
 
   // Guards against one datagram for each limit.
   it('is told to its issuer together with others of this issuer', () => {
