--- a/packages/gateway/src/services/limit_publisher.ts
+++ b/packages/gateway/src/services/limit_publisher.ts
@@ -20,13 +20,18 @@
 export interface LimitPublisherParts {
   readonly ownName: string;
   readonly findIssuer: (instanceId: string) => string | undefined;
+  readonly isEndpointKnown: (instanceId: string) => boolean;
   /** Returns the currently known limit of an endpoint. */
   readonly createLimitSummary: (instanceId: string) => ReportedLimit;
   readonly sendToAll: (datagram: LimitsDatagram) => void;
   readonly sendTo: (host: string, datagram: LimitsDatagram) => void;
 }
 
-/** Sends limits to their issuers or to all hosts. */
+/**
+ * Sends limits to their issuers or to all hosts. Limits of endpoints that this
+ * host does not know are not sent: hosts drop the limits of an endpoint that is
+ * gone at different times, and would otherwise tell them to each other again.
+ */
 export class LimitPublisher {
   private batch = new Set<string>();
   private readonly tasks = new DelayedTasks();
@@ -47,27 +52,33 @@
     });
   }
 
-  /** Sends an endpoint's limit to one host now. */
-  sendTo(host: string, instanceId: string): void {
-    const summary = this.parts.createLimitSummary(instanceId);
-    this.parts.sendTo(host, this.createDatagram([summary]));
+  /** Sends limits to one host now. */
+  sendTo(host: string, instanceIds: readonly string[]): void {
+    for (const datagram of this.createDatagrams(instanceIds)) {
+      this.parts.sendTo(host, datagram);
+    }
   }
 
   /**
-   * Sends limits now: to all hosts where this one is the issuer, else to the
-   * issuer.
+   * Sends limits now: to all hosts where this one is the issuer, else to their
+   * issuers.
    */
   sendAll(instanceIds: readonly string[]): void {
-    const {ownName, findIssuer, createLimitSummary} = this.parts;
-    const broadcast: ReportedLimit[] = [];
+    const {ownName, findIssuer, sendToAll} = this.parts;
+    const byIssuer = new Map<string, string[]>();
     for (const instanceId of instanceIds) {
       const issuer = findIssuer(instanceId);
-      if (issuer === ownName) broadcast.push(createLimitSummary(instanceId));
-      else if (issuer !== undefined) this.sendTo(issuer, instanceId);
+      if (issuer === undefined) continue;
+      const group = byIssuer.get(issuer);
+      if (group === undefined) byIssuer.set(issuer, [instanceId]);
+      else group.push(instanceId);
     }
-    for (let from = 0; from < broadcast.length; from += MAX_PER_DATAGRAM) {
-      const part = broadcast.slice(from, from + MAX_PER_DATAGRAM);
-      this.parts.sendToAll(this.createDatagram(part));
+    for (const [issuer, group] of byIssuer) {
+      if (issuer !== ownName) {
+        this.sendTo(issuer, group);
+        continue;
+      }
+      for (const datagram of this.createDatagrams(group)) sendToAll(datagram);
     }
   }
 
@@ -75,7 +86,14 @@
     this.tasks.close();
   }
 
-  private createDatagram(limits: readonly ReportedLimit[]): LimitsDatagram {
-    return {kind: 'limits', name: this.parts.ownName, limits};
+  private createDatagrams(instanceIds: readonly string[]): LimitsDatagram[] {
+    const {ownName, isEndpointKnown, createLimitSummary} = this.parts;
+    const limits = instanceIds.filter(isEndpointKnown).map(createLimitSummary);
+    const datagrams: LimitsDatagram[] = [];
+    for (let from = 0; from < limits.length; from += MAX_PER_DATAGRAM) {
+      const part = limits.slice(from, from + MAX_PER_DATAGRAM);
+      datagrams.push({kind: 'limits', name: ownName, limits: part});
+    }
+    return datagrams;
   }
 }
