Count attempts that could not be started beside a silent one

Cause: a retry was taken from the service's budget before the next attempt was started. If the start threw, the number of runs stayed the same, so the search took another retry each 100 to 800 ms for as long as the engine was silent, and the last grant stayed with the stream, which then passed over the checks of its next retry.

Change: a failed start gives up its grant and counts as an attempt for further retries that are taken ahead. The retry after the loss of the silent engine is decided as before. The fixture of the test uses the real StreamRetries with a counted budget in place of a stand-in that allowed everything.

--- a/packages/gateway/src/serving/stream_handover.ts
+++ b/packages/gateway/src/serving/stream_handover.ts
@@ -301,6 +301,7 @@
       prepared.engineLease.release();
       return undefined;
     } catch (thrown) {
+      this.parts.retries.recordFailedStart();
       prepared.engineLease.release();
       throw thrown;
     }
--- a/packages/gateway/src/serving/stream_retries.ts
+++ b/packages/gateway/src/serving/stream_retries.ts
@@ -34,6 +34,8 @@
   runs = 0;
   /** The number of attempts that certainly did not run. */
   notRun = 0;
+  /** Retries that were taken ahead for attempts that could not be started. */
+  private failedStarts = 0;
   /** Whether a retry was taken while the current attempt still runs. */
   private isGranted = false;
 
@@ -70,6 +72,17 @@
     this.isGranted = false;
   }
 
+  /**
+   * Gives up the retry taken ahead, as its attempt could not be started. It
+   * counts as an attempt for further retries that are taken ahead, as each
+   * takes from the budget that all streams share. The retry after the loss of
+   * the current attempt stays allowed.
+   */
+  recordFailedStart(): void {
+    if (this.isGranted) this.failedStarts++;
+    this.isGranted = false;
+  }
+
   /** Returns why there is no retry; takes one from the budget otherwise. */
   findRetryDenial(result: AttemptResult): RetryDenial | undefined {
     if (this.isRefused) return 'content_refused';
@@ -143,7 +156,8 @@
   private findDenialAfter(running: number): RetryDenial | undefined {
     if (!this.route.isResumable) return 'not_resumable';
     if (this.isRefused) return 'content_refused';
-    const denial = this.findSendDenial(this.runs + running);
+    const runs = this.runs + this.failedStarts + running;
+    const denial = this.findSendDenial(runs);
     if (denial !== undefined) return denial;
     const hasRetry = this.parts.retryBudgets.hasRetry(this.service);
     return hasRetry ? undefined : 'budget_spent';
--- a/packages/gateway/tests/stream_handover.test.ts
+++ b/packages/gateway/tests/stream_handover.test.ts
@@ -7,12 +7,14 @@
   type LeavableAttempt,
   type StreamHandoverParts,
 } from '../src/serving/stream_handover.js';
+import {StreamRetries} from '../src/serving/stream_retries.js';
 import {createEndpoint} from './fixtures/endpoints.js';
 import {SILENT_LOG} from './fixtures/silent_log.js';
 import {VirtualClock} from './fixtures/virtual_clock.js';
 
 /** When the engine ends, in ms. */
 const ENDS_AT_MS = 1200;
+const MAX_ATTEMPTS = 8;
 const STEPS = ['probe', 'take', 'start', 'answer'] as const;
 
 type Step = (typeof STEPS)[number];
@@ -22,8 +24,8 @@
   readonly clock = new VirtualClock();
   /** The next attempts, in their order. */
   readonly trials: {isCancelled: boolean}[] = [];
-  /** Attempts that were counted as run. */
-  runs = 0;
+  /** Retries that were taken from the budget. */
+  retriesTaken = 0;
   /** Leases on engines that are held. */
   heldLeases = 0;
   readonly leavable: LeavableAttempt = {
@@ -35,6 +37,7 @@
     silence: {detail: 'silent', isAnswering: false, hostStallMs: 0},
     isStarted: true,
   };
+  readonly retries = this.createRetries();
   readonly handover = new StreamHandover(this.createParts());
 
   /** @param failuresLeft How often the step throws. */
@@ -48,6 +51,34 @@
     throw new Error(`the step ${step} failed`);
   }
 
+  private createRetries(): StreamRetries {
+    const takeRetry = (): boolean => {
+      this.run('take');
+      this.retriesTaken++;
+      return true;
+    };
+    const serving = {
+      clock: this.clock,
+      crashes: {isRefused: () => false},
+      retryBudgets: {
+        hasRetry: () => true,
+        isCounted: () => true,
+        takeRetry,
+        tryBorrow: () => undefined,
+      },
+    };
+    const exchange = {signal: new AbortController().signal, startedAt: 0};
+    const request = {exchange, callerDeadline: Infinity};
+    const route = {
+      isResumable: true,
+      maxAttempts: MAX_ATTEMPTS,
+      timeoutMs: Infinity,
+    };
+    type Parts = ConstructorParameters<typeof StreamRetries>;
+    const parts = [serving, request, route, 's'];
+    return new StreamRetries(...(parts as unknown as Parts));
+  }
+
   private createParts(): StreamHandoverParts {
     const lease = {release: () => this.heldLeases--};
     const serving = {
@@ -72,13 +103,7 @@
         pollRemoteEngines: () => undefined,
         choosePlan: () => createPlan('next'),
       },
-      retries: {
-        tryBorrowToLeave: () => undefined,
-        findLeaveDenial: () => undefined,
-        takeAhead: () => this.run('take'),
-        recordTrial: () => this.runs++,
-        dropGrant: () => undefined,
-      },
+      retries: this.retries,
       suspect: {admit: () => 'admitted'},
       startRun: () => this.run('start', this.createTrial()),
     };
@@ -115,7 +140,7 @@
       assert.ok(stream.handover.hasNext);
       assert.equal(stream.trials.pop()?.isCancelled, false);
       assert.ok(stream.trials.every(({isCancelled}) => isCancelled));
-      assert.equal(stream.runs, stream.trials.length);
+      assert.equal(stream.retries.runs, stream.trials.length);
     });
   }
 
@@ -139,4 +164,16 @@
       assert.equal(stream.heldLeases, 0);
     });
   }
+
+  // Guards against a retry budget that is spent on attempts that never start,
+  // and against a free retry that is left of one.
+  it('takes no more retries than attempts that are allowed', async () => {
+    const stream = new LeavingStream('start', Infinity);
+    stream.handover.start(stream.leavable);
+    await stream.clock.run(20 * ENDS_AT_MS);
+    assert.equal(stream.retriesTaken, MAX_ATTEMPTS - 1);
+    const lost = {kind: 'lost', detail: '', mayHaveRun: true} as const;
+    stream.retries.findRetryDenial(lost);
+    assert.equal(stream.retriesTaken, MAX_ATTEMPTS);
+  });
 });
