Use the free slots of a failed engine that answers a probe

Cause: a new stream that would be refused as late gets an idle failed engine that answers a probe. From then on the engine is not idle, so following streams were refused while its other slots were free; those that shared the probe all got it before any of them was counted there.

Change: for 1 s from the answer, or until its failure score rises, the host estimates the engine like a sound one, by slots, memory and expected first event, with the streams that it has sent there and that are not counted yet. The place is taken in the same step in which it is found.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -3,6 +3,7 @@
  * naive implementations of some decisions that tests and benchmarks compare
  * them with.
  */
+export * from './answering_engines.js';
 export * from './address_answer.js';
 export * from './answer_assembler.js';
 export * from './isolated_placement.js';
--- a/packages/gateway/src/serving/late_refusals.ts
+++ b/packages/gateway/src/serving/late_refusals.ts
@@ -2,9 +2,10 @@
  * Refuses new streams whose first events would come clearly after their target,
  * by the load of engines that this host knows and the rate of prefill that it
  * observed. An idle engine that failed lately is probed before that, as it may
- * serve again. docs/design/domain_outages.md.
+ * serve again; once it answers, further streams may follow. docs/design/domain_outages.md.
  */
 import {
+  AnsweringEngines,
   computeReturnMs,
   findLateRefusal,
   findReturningEngine,
@@ -63,6 +64,7 @@
 /** Observes first events and decides on new streams. */
 export class LateRefusals {
   private readonly rates = new Map<string, PrefillRate>();
+  private readonly answering = new AnsweringEngines();
 
   constructor(private readonly parts: LateRefusalsParts) {}
 
@@ -90,11 +92,18 @@
     const state = this.createState(stream);
     const expectedMs = findLateRefusal(state);
     if (expectedMs === undefined) return undefined;
-    const engine = findReturningEngine(state);
-    if (engine !== undefined && (await this.isAnswering(stream, engine))) {
-      return {kind: 'served', engine};
+    const engine =
+      this.takeAnswering(state) ?? (await this.probeReturning(stream, state));
+    if (engine === undefined) {
+      return {kind: 'refused', error: this.refuse(stream, expectedMs)};
     }
-    return {kind: 'refused', error: this.refuse(stream, expectedMs)};
+    return {kind: 'served', engine};
+  }
+
+  private takeAnswering(
+    state: LateRefusalState<EndpointRecord>,
+  ): EndpointRecord | undefined {
+    return this.answering.takePlace(state, this.parts.clock.getNow());
   }
 
   private createState(stream: NewStream): LateRefusalState<EndpointRecord> {
@@ -111,17 +120,29 @@
   }
 
   /**
-   * Whether an engine answers and is still idle: streams that arrive together
-   * may share the probe, which therefore runs on after the wait.
+   * Probes an idle engine that failed lately; returns it if it answers and has
+   * room. Streams that arrive together share the probe, which therefore runs on
+   * after the wait.
    */
-  private async isAnswering(
+  private async probeReturning(
+    stream: NewStream,
+    state: LateRefusalState<EndpointRecord>,
+  ): Promise<EndpointRecord | undefined> {
+    const engine = findReturningEngine(state);
+    if (engine === undefined) return undefined;
+    const wait = this.parts.clock.wait(MAX_PROBE_WAIT_MS);
+    await Promise.race([this.probe(stream, engine), wait]);
+    return this.takeAnswering(this.createState(stream));
+  }
+
+  /** Records the answer of an engine that is still idle when it comes. */
+  private async probe(
     {prober}: NewStream,
     engine: EndpointRecord,
-  ): Promise<boolean> {
-    const wait = this.parts.clock.wait(MAX_PROBE_WAIT_MS);
-    const probe = prober.probe(engine, PROBE_TIMEOUT_MS);
-    const answer = await Promise.race([probe, wait]);
-    return answer === 'answers' && engine.streams === 0;
+  ): Promise<void> {
+    const answer = await prober.probe(engine, PROBE_TIMEOUT_MS);
+    if (answer !== 'answers' || engine.streams > 0) return;
+    this.answering.record(engine, this.parts.clock.getNow());
   }
 
   private refuse(stream: NewStream, expectedMs: number): KnownError {
