--- a/soak/src/play.ts
+++ b/soak/src/play.ts
@@ -94,16 +94,16 @@
       this.witness.recordRun(instance, run, true);
     },
     handleAnswer: ({id}, attemptId) => {
-      const host = this.witness.findAttempt(attemptId)?.host ?? '';
+      const host = this.witness.findHost(attemptId);
       this.limits.recordAnswer(id, host, performance.now());
     },
-    handleArrival: (instance, attemptId) => {
-      const host = this.witness.findAttempt(attemptId)?.host ?? '';
+    handleArrival: ({id, rejectionLines}, attemptId) => {
+      const host = this.witness.findHost(attemptId);
       const at = performance.now();
-      this.limits.recordArrival(instance.id, host, at);
+      this.limits.recordArrival(id, host, at);
       // Calls without an attempt, such as moves of KV caches, are not rejected.
-      if (instance.rejectionLines === undefined || attemptId === '') return;
-      this.pauses.recordRejected(instance.id, host, at, PAUSE_MS);
+      if (rejectionLines === undefined || attemptId === '') return;
+      this.pauses.recordRejected(id, host, at, PAUSE_MS);
     },
   };
   readonly configuration: ConfigurationWitness;
@@ -208,8 +208,7 @@
     ];
     for (const fault of broken) this.witness.addFault(fault);
     const {platformApi, scaling} = this;
-    const reclaims = scaling?.reclaims ?? [];
-    const more = [...platformApi.plan, ...reclaims];
+    const more = [...platformApi.plan, ...(scaling?.reclaims ?? [])];
     const all = [...plan, ...harmless, ...handovers, ...more];
     return all.sort((a, b) => a.at - b.at);
   }
@@ -320,7 +319,7 @@
 
   private endUnderRun(instance: EndpointInstance, run: ServerRun): void {
     const {body, attemptId} = run;
-    const host = this.witness.findAttempt(attemptId)?.host ?? '';
+    const host = this.witness.findHost(attemptId);
     const at = performance.now();
     this.crashes.recordRun({body, endpoint: instance.id, host, at});
     void this.fleet.killUnderRun(instance);
--- a/soak/src/witness.ts
+++ b/soak/src/witness.ts
@@ -116,6 +116,11 @@
     return this.attempts.get(attemptId);
   }
 
+  /** Finds the host to which an attempt was sent; '' if it is not known. */
+  findHost(attemptId: string): string {
+    return this.findAttempt(attemptId)?.host ?? '';
+  }
+
   /** Whether a running attempt may run at one more endpoint. */
   isMovable(attemptId: string): boolean {
     const attempt = this.attempts.get(attemptId);
