--- a/packages/decisions/src/usage_totals.ts
+++ b/packages/decisions/src/usage_totals.ts
@@ -3,14 +3,21 @@
  * checkpoint of an earlier collector. Reports of hosts that have died stay. The
  * checkpoint contains what the incarnations that it names had reported, in
  * three sums: that of lost incarnations, whose reports may be known to nobody
- * any more, that of unheard ones, which did not answer a collector and may be
- * lost or cut off, and that of all others. The totals of the unheard ones and of
- * the others are each the larger of their sum and the sum of their reports. To
- * these the sum of lost incarnations and the reports of incarnations that the
- * checkpoint does not name are added.
+ * any more, that of unresponsive ones, which did not answer a collector and may
+ * be lost or cut off, and that of all others. The totals of the unresponsive
+ * ones and of the others are each the larger of their sum and the sum of their
+ * reports. To these the sum of lost incarnations and the reports of incarnations
+ * that the checkpoint does not name are added.
  */
 import {UsageAnswers, type AnswerPart} from './usage_answers.js';
 import type {TeamCounts, WindowCount} from './usage_counts.js';
+import {
+  addCounts,
+  computeExcess,
+  putCounts,
+  toSums,
+  toTeamCounts,
+} from './usage_sums.js';
 
 /** Counts of windows that are not final yet, by the number of the window. */
 export type WindowCounts = Readonly<Record<string, TeamCounts>>;
@@ -38,10 +45,10 @@
   readonly lostIds: readonly string[];
   /** The incarnations that are not lost and whose reports are in the sums. */
   readonly reportedIds: readonly string[];
-  /** The part of the sums that belongs to unheard incarnations. */
-  readonly unheard?: WindowCounts;
-  /** The unheard incarnations, which are among the reported ones. */
-  readonly unheardIds?: readonly string[];
+  /** The part of the sums that belongs to unresponsive incarnations. */
+  readonly unresponsive?: WindowCounts;
+  /** The unresponsive incarnations, which are among the reported ones. */
+  readonly unresponsiveIds?: readonly string[];
 }
 
 /** The counts of one incarnation. */
@@ -56,10 +63,10 @@
   readonly lost: Map<string, number>;
   /** What the checkpoint has more of other incarnations than they reported. */
   readonly unreported: Map<string, number>;
-  /** What the checkpoint has more of unheard incarnations than they reported. */
-  readonly unheardUnreported: Map<string, number>;
-  /** Of the reports of unheard incarnations. */
-  readonly unheardReported: Map<string, number>;
+  /** What the checkpoint has more of unresponsive ones than they reported. */
+  readonly unresponsiveUnreported: Map<string, number>;
+  /** Of the reports of unresponsive incarnations. */
+  readonly unresponsiveReported: Map<string, number>;
   /** Of all other reports that are not in the sum of lost incarnations. */
   readonly reported: Map<string, number>;
 }
@@ -79,8 +86,8 @@
   private lostIds: ReadonlySet<string> = new Set();
   /** The other incarnations of the checkpoint. */
   private reportedIds: ReadonlySet<string> = new Set();
-  /** Those of the other incarnations that are unheard. */
-  private unheardIds: ReadonlySet<string> = new Set();
+  /** Those of the other incarnations that are unresponsive. */
+  private unresponsiveIds: ReadonlySet<string> = new Set();
   /** The incarnations that answered since the checkpoint was set. */
   private readonly answers = new UsageAnswers();
   private isSettled = false;
@@ -115,8 +122,9 @@
   }
 
   /**
-   * Assigns what the checkpoint has more than hosts reported to lost or unheard
-   * incarnations, from a window on, once all hosts have had the time to answer.
+   * Assigns what the checkpoint has more than hosts reported to lost or
+   * unresponsive incarnations, from a window on, once all hosts have had the
+   * time to answer.
    * Otherwise the growth of live hosts would hide these counts. They belong to
    * the incarnations that did not answer. One that is cut off would count twice
    * as a lost one as soon as it answers this collector or the next one.
@@ -124,28 +132,35 @@
   markSettled(fromWindow: number): void {
     if (this.isSettled) return;
     this.isSettled = true;
-    const unheardNow = this.listUnheardNow();
-    const isUnheardAgain = unheardNow.some((id) => this.unheardIds.has(id));
-    const isUnheardOther = unheardNow.some((id) => !this.unheardIds.has(id));
+    const unresponsiveNow = this.listUnresponsiveNow();
+    const isUnresponsiveAgain = unresponsiveNow.some((id) =>
+      this.unresponsiveIds.has(id),
+    );
+    const isUnresponsiveOther = unresponsiveNow.some(
+      (id) => !this.unresponsiveIds.has(id),
+    );
     const windows: Record<string, TeamCounts> = {};
     const lost: Record<string, TeamCounts> = {};
-    const unheard: Record<string, TeamCounts> = {};
+    const unresponsive: Record<string, TeamCounts> = {};
     for (const window of this.listWindows()) {
       if (window < fromWindow) continue;
       const sums = this.computeSums(window);
-      const unheardSums = new Map<string, number>();
-      addCounts(isUnheardOther ? unheardSums : sums.lost, sums.unreported);
+      const unresponsiveSums = new Map<string, number>();
       addCounts(
-        isUnheardAgain ? unheardSums : sums.lost,
-        sums.unheardUnreported,
+        isUnresponsiveOther ? unresponsiveSums : sums.lost,
+        sums.unreported,
       );
-      for (const id of unheardNow) {
-        addCounts(unheardSums, this.reports.get(id)?.windows.get(window));
+      addCounts(
+        isUnresponsiveAgain ? unresponsiveSums : sums.lost,
+        sums.unresponsiveUnreported,
+      );
+      for (const id of unresponsiveNow) {
+        addCounts(unresponsiveSums, this.reports.get(id)?.windows.get(window));
       }
       putCounts(lost, window, sums.lost);
-      putCounts(unheard, window, unheardSums);
-      addCounts(unheardSums, sums.lost);
-      putCounts(windows, window, unheardSums);
+      putCounts(unresponsive, window, unresponsiveSums);
+      addCounts(unresponsiveSums, sums.lost);
+      putCounts(windows, window, unresponsiveSums);
     }
     const {lostIds} = this.checkpoint;
     // All other counts are in the reports of this collector.
@@ -153,9 +168,9 @@
       windows,
       lost,
       lostIds,
-      reportedIds: unheardNow,
-      unheard,
-      unheardIds: unheardNow,
+      reportedIds: unresponsiveNow,
+      unresponsive,
+      unresponsiveIds: unresponsiveNow,
     });
   }
 
@@ -172,7 +187,7 @@
     this.markSettled(fromWindow);
     const windows: Record<string, TeamCounts> = {};
     const lost: Record<string, TeamCounts> = {};
-    const unheard: Record<string, TeamCounts> = {};
+    const unresponsive: Record<string, TeamCounts> = {};
     const replaced = this.listReplaced();
     for (const window of this.listWindows()) {
       if (window < fromWindow) continue;
@@ -182,15 +197,15 @@
         addCounts(sums.lost, report.windows.get(window));
       }
       putCounts(lost, window, sums.lost);
-      addCounts(sums.unheardReported, sums.unheardUnreported);
-      putCounts(unheard, window, sums.unheardReported);
+      addCounts(sums.unresponsiveReported, sums.unresponsiveUnreported);
+      putCounts(unresponsive, window, sums.unresponsiveReported);
     }
     const lostIds = this.listLostIds(fromWindow, replaced);
-    const unheardIds =
-      Object.keys(unheard).length > 0 ? [...this.unheardIds] : [];
+    const unresponsiveIds =
+      Object.keys(unresponsive).length > 0 ? [...this.unresponsiveIds] : [];
     const heardIds = this.listReportedIds(fromWindow, replaced);
-    const reportedIds = [...new Set([...heardIds, ...unheardIds])];
-    return {windows, lost, lostIds, reportedIds, unheard, unheardIds};
+    const reportedIds = [...new Set([...heardIds, ...unresponsiveIds])];
+    return {windows, lost, lostIds, reportedIds, unresponsive, unresponsiveIds};
   }
 
   /** Returns the earliest window with a count; undefined if there is none. */
@@ -215,45 +230,48 @@
     this.checkpoint = checkpoint;
     this.lostIds = new Set(checkpoint.lostIds);
     this.reportedIds = new Set(checkpoint.reportedIds);
-    this.unheardIds = new Set(checkpoint.unheardIds);
+    this.unresponsiveIds = new Set(checkpoint.unresponsiveIds);
   }
 
   private computeSums(window: number): WindowSums {
-    const {windows, lost, unheard = {}} = this.checkpoint;
+    const {windows, lost, unresponsive = {}} = this.checkpoint;
     const earlier = new Map<string, number>();
     const later = new Map<string, number>();
-    const unheardReported = new Map<string, number>();
+    const unresponsiveReported = new Map<string, number>();
     const lostSums = toSums(lost[window]);
     // A checkpoint that is too long leaves out the latest windows.
     const hasLost = lost[window] !== undefined;
     for (const [id, report] of this.reports) {
       let sums = this.reportedIds.has(id) ? earlier : later;
-      if (this.unheardIds.has(id)) sums = unheardReported;
+      if (this.unresponsiveIds.has(id)) sums = unresponsiveReported;
       if (this.lostIds.has(id)) {
         if (hasLost) continue;
         sums = lostSums;
       }
       addCounts(sums, report.windows.get(window));
     }
-    const unheardSums = toSums(unheard[window]);
+    const unresponsiveSums = toSums(unresponsive[window]);
     const known = new Map(lostSums);
-    addCounts(known, unheardSums);
+    addCounts(known, unresponsiveSums);
     addCounts(known, earlier);
     addCounts(earlier, later);
     return {
       lost: lostSums,
       unreported: computeExcess(toSums(windows[window]), known),
-      unheardUnreported: computeExcess(unheardSums, unheardReported),
-      unheardReported,
+      unresponsiveUnreported: computeExcess(
+        unresponsiveSums,
+        unresponsiveReported,
+      ),
+      unresponsiveReported,
       reported: earlier,
     };
   }
 
   /**
    * Lists the incarnations after which their hosts reported as new ones, without
-   * those in the sums of lost and unheard ones. The order of the first reports
-   * decides: a host whose wall clock was set back has a lower incarnation after
-   * its restart.
+   * those in the sums of lost and unresponsive ones. The order of the first
+   * reports decides: a host whose wall clock was set back has a lower
+   * incarnation after its restart.
    */
   private listReplaced(): Map<string, ReportedCounts> {
     const newest = new Map<string, string>();
@@ -261,14 +279,14 @@
     const replaced = new Map<string, ReportedCounts>();
     for (const [id, report] of this.reports) {
       if (id === newest.get(report.host)) continue;
-      const isSummed = this.lostIds.has(id) || this.unheardIds.has(id);
+      const isSummed = this.lostIds.has(id) || this.unresponsiveIds.has(id);
       if (!isSummed) replaced.set(id, report);
     }
     return replaced;
   }
 
   /** Lists the incarnations that may be cut off: not replaced, no answer. */
-  private listUnheardNow(): string[] {
+  private listUnresponsiveNow(): string[] {
     const replaced = this.listReplaced();
     return [...this.reportedIds].filter(
       (id) => !this.answers.has(id) && !replaced.has(id),
@@ -317,54 +335,8 @@
   const total = new Map<string, number>();
   addCounts(total, sums.lost);
   addCounts(total, sums.unreported);
-  addCounts(total, sums.unheardUnreported);
-  addCounts(total, sums.unheardReported);
+  addCounts(total, sums.unresponsiveUnreported);
+  addCounts(total, sums.unresponsiveReported);
   addCounts(total, sums.reported);
   return total;
 }
-
-/** Computes by how much counts are larger than those that are known. */
-function computeExcess(
-  counts: ReadonlyMap<string, number>,
-  known: ReadonlyMap<string, number>,
-): Map<string, number> {
-  const excess = new Map<string, number>();
-  for (const [team, count] of counts) {
-    const knownCount = known.get(team) ?? 0;
-    if (count > knownCount) excess.set(team, count - knownCount);
-  }
-  return excess;
-}
-
-function addCounts(
-  sums: Map<string, number>,
-  counts: ReadonlyMap<string, number> = new Map(),
-): void {
-  for (const [team, count] of counts) {
-    sums.set(team, count + (sums.get(team) ?? 0));
-  }
-}
-
-/** Puts the sums of a window in their place, if there are any. */
-function putCounts(
-  counts: Record<string, TeamCounts>,
-  window: number,
-  sums: ReadonlyMap<string, number>,
-): void {
-  if (sums.size > 0) counts[window] = toTeamCounts(sums);
-}
-
-function toSums(counts: TeamCounts = {}): Map<string, number> {
-  return new Map(Object.entries(counts));
-}
-
-function toTeamCounts(sums: ReadonlyMap<string, number>): TeamCounts {
-  return Object.fromEntries([...sums].sort(compareTeams));
-}
-
-function compareTeams(
-  [one]: readonly [string, number],
-  [other]: readonly [string, number],
-): number {
-  return one < other ? -1 : 1;
-}
--- a/packages/gateway/src/model/usage_state.ts
+++ b/packages/gateway/src/model/usage_state.ts
@@ -35,12 +35,12 @@
   lostIds: z.array(z.string()),
   /** The other incarnations whose reports are in the sums. */
   reportedIds: z.array(z.string()),
-  /** The part of the sums that belongs to unheard incarnations. */
-  unheard: z
+  /** The part of the sums that belongs to unresponsive incarnations. */
+  unresponsive: z
     .record(z.string(), USAGE_REPORT_SCHEMA.shape.counts)
     .default(() => ({})),
-  /** The unheard incarnations, which are among the reported ones. */
-  unheardIds: z.array(z.string()).default(() => []),
+  /** The unresponsive incarnations, which are among the reported ones. */
+  unresponsiveIds: z.array(z.string()).default(() => []),
 });
 /** The checkpoint of the task. */
 export type UsageState = z.infer<typeof USAGE_STATE_SCHEMA>;
@@ -107,7 +107,7 @@
     ...state,
     windows: dropLatest(state.windows),
     lost: dropLatest(state.lost),
-    unheard: dropLatest(state.unheard),
+    unresponsive: dropLatest(state.unresponsive),
   });
 }
 
--- a/packages/gateway/src/services/limit_repeater.ts
+++ b/packages/gateway/src/services/limit_repeater.ts
@@ -1,8 +1,8 @@
 /**
  * Repeats the limits in force, so that every host keeps them: also one that
- * started after they were announced, or that was out of touch when they were.
- * The issuer of a limit repeats it to all hosts. A host that no longer hears it
- * from there tells the issuer, which may have started since itself.
+ * started after they were announced, or that was cut off when they were. The
+ * issuer of a limit repeats it to all hosts. A host that no longer receives it
+ * from there reports it to the issuer, which may have restarted meanwhile.
  */
 import type {Clock} from '@irisdock/kernel';
 import type {KnownLimits} from './known_limits.js';
@@ -15,9 +15,9 @@
  */
 const REPEAT_INTERVAL_MS = 1000;
 /**
- * After this time without a report of the issuer, a host tells it the limit, in
- * ms. It is longer than the interval, so that issuers which know the limit are
- * not told.
+ * After this time without a report of the issuer, a host reports the limit to
+ * it, in ms. It is longer than the interval, so that nothing is reported to
+ * issuers which know the limit.
  */
 const ISSUER_SILENCE_MS = 1500;
 
@@ -34,10 +34,11 @@
 export class LimitRepeater {
   private repeatedAt = -Infinity;
   /**
-   * When the issuer last reported a limit, or was told it, by instance id. Only
-   * limits in force have an entry, so `KnownLimits` bounds their number.
+   * When the issuer last reported a limit, or it was reported to the issuer, by
+   * instance id. Only limits in force have an entry, so `KnownLimits` bounds
+   * their number.
    */
-  private readonly heardAt = new Map<string, number>();
+  private readonly reportedAt = new Map<string, number>();
 
   constructor(private readonly parts: LimitRepeaterParts) {}
 
@@ -63,7 +64,7 @@
   recordIssuerReport(instanceId: string): void {
     const {known, clock} = this.parts;
     if (known.findRate(instanceId) === undefined) return;
-    this.heardAt.set(instanceId, clock.getNow());
+    this.reportedAt.set(instanceId, clock.getNow());
   }
 
   /**
@@ -72,22 +73,22 @@
    */
   private dropEnded(): void {
     const {known} = this.parts;
-    if (this.heardAt.size <= known.count) return;
-    for (const instanceId of this.heardAt.keys()) {
+    if (this.reportedAt.size <= known.count) return;
+    for (const instanceId of this.reportedAt.keys()) {
       if (known.findRate(instanceId) === undefined) {
-        this.heardAt.delete(instanceId);
+        this.reportedAt.delete(instanceId);
       }
     }
   }
 
-  /** Whether the issuer is to be told now; counts it as told. */
+  /** Whether to report a limit to the issuer now; counts it as reported. */
   private isIssuerSilent(instanceId: string, now: number): boolean {
-    const heardAt = this.heardAt.get(instanceId);
-    if (heardAt !== undefined && now - heardAt < ISSUER_SILENCE_MS) {
+    const reportedAt = this.reportedAt.get(instanceId);
+    if (reportedAt !== undefined && now - reportedAt < ISSUER_SILENCE_MS) {
       return false;
     }
-    this.heardAt.set(instanceId, now);
+    this.reportedAt.set(instanceId, now);
     // A limit that this host has just learned: the issuer has time to report.
-    return heardAt !== undefined;
+    return reportedAt !== undefined;
   }
 }
--- a/packages/gateway/src/services/usage_task.ts
+++ b/packages/gateway/src/services/usage_task.ts
@@ -173,7 +173,7 @@
     this.requestedAt = exchange.getTime();
     this.hostsHash = getHostsHash();
     // The checkpoint may name hosts whose only counts are of the window that
-    // became final with it. Without an answer they would pass for unheard ones.
+    // became final with it. Without an answer they would count as unresponsive.
     exchange.pollCounts(fromWindow - 1);
   }
 
--- a/packages/gateway/src/serving/late_refusals.ts
+++ b/packages/gateway/src/serving/late_refusals.ts
@@ -2,7 +2,8 @@
  * Refuses new streams whose first events would come clearly after their target,
  * by the load of engines that this host knows and the rate of prefill that it
  * observed. An idle engine that failed lately is probed before that, as it may
- * serve again; once it answers, further streams may follow. docs/design/domain_outages.md.
+ * serve again; once it answers, further streams may follow.
+ * docs/design/domain_outages.md.
  */
 import {
   AnsweringEngines,
--- a/packages/gateway/tests/usage_losses.test.ts
+++ b/packages/gateway/tests/usage_losses.test.ts
@@ -112,8 +112,8 @@
     assert.equal(reported, begun);
   });
 
-  // What the checkpoint had of an unheard host counted as that of a lost one, and
-  // once more when the host answered the next holder.
+  // What the checkpoint had of an unresponsive host counted as that of a lost
+  // one, and once more when the host answered the next holder.
   for (const isKnown of [true, false]) {
     const known = isKnown ? 'knew' : 'did not know';
     it(`count a host once that its new holder ${known}`, async () => {
--- a/scripts/limit_trials.mjs
+++ b/scripts/limit_trials.mjs
@@ -86,15 +86,15 @@
     'now - this.repeatedAt >= REPEAT_INTERVAL_MS',
     'false',
     NEWCOMERS,
-    'told again',
+    'reported again',
   ],
   [
     'limit: a silent issuer is told',
     `${GATEWAY}/services/limit_repeater.js`,
-    'return heardAt !== undefined',
+    'return reportedAt !== undefined',
     'return false',
     NEWCOMERS,
-    'told again',
+    'reported again',
   ],
   [
     'limit: a host that missed a change is told',
