--- a/packages/decisions/src/scaling_pool.ts
+++ b/packages/decisions/src/scaling_pool.ts
@@ -231,11 +231,13 @@
    */
   isRepeatDue(now: number, bootMs: number): boolean {
     if (this.isBeingReclaimed || !this.isAskable(now)) return false;
-    if (this.isUnconfirmed && this.isBooted(now, bootMs)) return true;
+    if (this.isUnconfirmed && isBooted(this.unconfirmedAt, now, bootMs)) {
+      return true;
+    }
     const {shortSince} = this;
     if (shortSince === undefined) return false;
     const since = Math.max(shortSince, this.orderedAt);
-    return now - since >= bootMs + REPEAT_DELAY_MS;
+    return isBooted(since, now, bootMs);
   }
 
   /**
@@ -248,7 +250,7 @@
     if (this.refusedAt <= this.unconfirmedAt) return false;
     const {unconfirmedAt, orderedAt, changedAt} = this;
     const since = Math.max(unconfirmedAt, orderedAt, changedAt);
-    return now - since >= bootMs + REPEAT_DELAY_MS;
+    return isBooted(since, now, bootMs);
   }
 
   /**
@@ -257,7 +259,8 @@
    */
   getKeptCount(now: number, bootMs: number): number {
     const known = Math.max(this.inForce, this.view.ready);
-    return this.isBooted(now, bootMs) ? known : Math.max(known, this.mostCount);
+    const mayBoot = !isBooted(this.unconfirmedAt, now, bootMs);
+    return mayBoot ? Math.max(known, this.mostCount) : known;
   }
 
   /** Whether it may be reduced. */
@@ -312,9 +315,9 @@
     const isUnavailable = isReclaimed;
     return {...key, count: inForce, isOrdered, isUnavailable, unconfirmed};
   }
+}
 
-  /** Whether endpoints of an order without an answer are ready, if any come. */
-  private isBooted(now: number, bootMs: number): boolean {
-    return now - this.unconfirmedAt >= bootMs + REPEAT_DELAY_MS;
-  }
+/** Whether endpoints that an order at some time added are ready, if any come. */
+function isBooted(since: number, now: number, bootMs: number): boolean {
+  return now - since >= bootMs + REPEAT_DELAY_MS;
 }
--- a/packages/gateway/src/services/send_limits.ts
+++ b/packages/gateway/src/services/send_limits.ts
@@ -203,11 +203,10 @@
       if (!this.remote.isUsable(limit)) continue;
       const {instanceId} = limit;
       const outcome = this.remote.accept(limit, name);
-      const isIssuer = this.isIssuer(instanceId);
+      const issuer = this.findFirstIssuer(instanceId);
+      const isIssuer = issuer === this.parts.identity.name;
       this.handleOutcome(instanceId, outcome, isIssuer);
-      if (this.findFirstIssuer(instanceId) === name) {
-        this.repeater.recordIssuerReport(instanceId);
-      }
+      if (issuer === name) this.repeater.recordIssuerReport(instanceId);
       if (isIssuer && outcome === 'older') missed.push(instanceId);
     }
     // The sender has missed later reports.
