Log whom a lookup of a stream's origin asked and what the host knew

Streams that were resumed after all hosts were lost held events of two software versions.

The line now lists the known engines of each version, how many hosts were asked and answered, how long this host has been up and how old its replica of the endpoints is. The counter of lookups has the same for hosts as a label. No decision changes.

An existing fixture (stream_origins.test.ts) reads the records out of the new result; its checks are the same.

--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -208,6 +208,7 @@
   const outages = resolveOutages(context, settings);
   return {
     clock,
+    startedAt: clock.getNow(),
     random,
     log,
     codec,
--- a/packages/gateway/src/services/stream_origin_client.ts
+++ b/packages/gateway/src/services/stream_origin_client.ts
@@ -19,7 +19,7 @@
   OriginResponseDatagram,
   OriginsDatagram,
 } from '../model/origin_datagram.js';
-import type {StreamOrigins} from '../serving/stream_version.js';
+import type {OriginLookup, StreamOrigins} from '../serving/stream_version.js';
 import type {OriginDatagramHandler} from './datagram_handlers.js';
 import type {Peers} from './peer_hosts.js';
 import {PeerRequests} from './peer_requests.js';
@@ -50,6 +50,12 @@
   isEnded: boolean;
 }
 
+/** The names of the hosts that one lookup asked, and of those that answered. */
+interface AskedHosts {
+  readonly asked: Set<string>;
+  readonly answered: Set<string>;
+}
+
 /** Another host that is alive. */
 interface LiveHost extends OriginHost {
   readonly incarnation: number;
@@ -98,15 +104,16 @@
     };
   }
 
-  async find(
-    key: OriginKey,
-    isThorough: boolean,
-  ): Promise<readonly OriginRecord[]> {
-    const kept = await this.findAtHolders(key);
-    if (kept.length > 0 || !isThorough) return kept;
-    const hosts = getShuffled(this.listHosts(), this.parts.random);
-    const names = hosts.slice(0, MAX_RANDOM_HOSTS).map(({name}) => name);
-    return this.poll(names, key);
+  async find(key: OriginKey, isThorough: boolean): Promise<OriginLookup> {
+    const hosts: AskedHosts = {asked: new Set(), answered: new Set()};
+    const kept = await this.findAtHolders(key, hosts);
+    const isFound = kept.length > 0 || !isThorough;
+    const records = isFound ? kept : await this.findAtRandom(key, hosts);
+    return {
+      records,
+      hostsAsked: hosts.asked.size,
+      hostsAnswered: hosts.answered.size,
+    };
   }
 
   /** Repeats new reports, replaces lost holders, and drops old records. */
@@ -163,6 +170,7 @@
 
   private async findAtHolders(
     key: OriginKey,
+    asked: AskedHosts,
   ): Promise<readonly OriginRecord[]> {
     const {streamId} = key;
     if (streamId === undefined) return [];
@@ -173,7 +181,16 @@
       ORIGIN_RESPONDERS,
       this.parts.peers.position,
     );
-    return this.poll(names, key);
+    return this.poll(names, key, asked);
+  }
+
+  private async findAtRandom(
+    key: OriginKey,
+    asked: AskedHosts,
+  ): Promise<readonly OriginRecord[]> {
+    const hosts = getShuffled(this.listHosts(), this.parts.random);
+    const names = hosts.slice(0, MAX_RANDOM_HOSTS).map(({name}) => name);
+    return this.poll(names, key, asked);
   }
 
   /** Adds the holders that are missing; returns their names. */
@@ -208,6 +225,7 @@
   private async poll(
     names: readonly string[],
     key: OriginKey,
+    {asked, answered}: AskedHosts,
   ): Promise<readonly OriginRecord[]> {
     const found = this.table.list(key, this.parts.clock.getNow());
     const isNamed = ({streamId}: OriginRecord): boolean =>
@@ -215,12 +233,14 @@
     if (found.some(isNamed)) return found;
     await new Promise<void>((resolve) => {
       const polls = names.map(async (name) => {
+        asked.add(name);
         const answer = await this.requests.poll(name, (number) => ({
           kind: 'origin-ask',
           name: this.parts.ownName,
           number,
           ...key,
         }));
+        if (answer !== undefined) answered.add(name);
         found.push(...(answer?.origins ?? []));
         if (found.some(isNamed)) resolve();
       });
--- a/packages/gateway/src/serving/serving_metrics.ts
+++ b/packages/gateway/src/serving/serving_metrics.ts
@@ -69,8 +69,8 @@
     );
     this.origins = createCounter(
       'irisdock_gateway_origin_lookups_total',
-      ['source'],
-      'Lookups of the software version that began a stream, a count, by what the result rests on.',
+      ['source', 'hosts'],
+      'Lookups of the software version that began a stream, a count, by what the result rests on and whether other hosts answered.',
     );
     this.versionRefusals = createCounter(
       'irisdock_gateway_version_refusals_total',
--- a/packages/gateway/src/serving/serving_parts.ts
+++ b/packages/gateway/src/serving/serving_parts.ts
@@ -24,6 +24,8 @@
 /** Dependencies of the drivers of requests. */
 export interface ServingParts {
   readonly clock: Clock;
+  /** When this host started, in ms of the clock. */
+  readonly startedAt: number;
   readonly random: Random;
   readonly log: Logger;
   readonly codec: HeaderCodec;
--- a/packages/gateway/src/serving/stream_version.ts
+++ b/packages/gateway/src/serving/stream_version.ts
@@ -24,6 +24,18 @@
 /** How long an origin is kept for a caller without a deadline, in ms. */
 const MAX_KEPT_MS = 600_000;
 
+/** What a lookup of an origin found, and whom it asked. */
+export interface OriginLookup {
+  readonly records: readonly OriginRecord[];
+  /** The number of other hosts that were asked. */
+  readonly hostsAsked: number;
+  /** The number of those that answered before the lookup ended. */
+  readonly hostsAnswered: number;
+}
+
+/** Whether the hosts that a lookup asked answered, as a metric's label. */
+type HostAnswers = 'answered' | 'none_asked' | 'silent';
+
 /** Reports and looks up origins among all hosts. */
 export interface StreamOrigins {
   /**
@@ -38,13 +50,13 @@
    * @param isThorough Whether to ask hosts at random if none of these knows it,
    *     or if the key names no stream.
    */
-  find(key: OriginKey, isThorough: boolean): Promise<readonly OriginRecord[]>;
+  find(key: OriginKey, isThorough: boolean): Promise<OriginLookup>;
 }
 
 /** Dependencies of a stream's version. */
 type StreamVersionParts = Pick<
   ServingParts,
-  'clock' | 'endpoints' | 'log' | 'metrics' | 'origins'
+  'clock' | 'endpoints' | 'log' | 'metrics' | 'origins' | 'startedAt'
 >;
 
 /**
@@ -71,16 +83,16 @@
 ): Promise<string | undefined> {
   const {resumedRequestId} = request.metadata;
   const key = createOriginKey(request, resumedRequestId);
-  const [record] = await origins.find(key, true);
-  return record?.service;
+  const {records} = await origins.find(key, true);
+  return records[0]?.service;
 }
 
 /** The software version of one stream. */
 export class StreamVersion {
   readonly binding = new VersionBinding();
   private stopPublishing: (() => void) | undefined;
-  /** What hosts recorded of a begun stream; undefined until looked up. */
-  private records: readonly OriginRecord[] | undefined;
+  /** What hosts know of a begun stream; undefined until looked up. */
+  private lookup: OriginLookup | undefined;
 
   constructor(
     private readonly parts: StreamVersionParts,
@@ -118,7 +130,7 @@
   async loadRecords(): Promise<void> {
     const key = createOriginKey(this.request, this.firstRequestId);
     const hasSeveralVersions = new Set(this.listVersions()).size > 1;
-    this.records = await this.parts.origins.find(key, hasSeveralVersions);
+    this.lookup = await this.parts.origins.find(key, hasSeveralVersions);
     this.decide([], []);
   }
 
@@ -130,7 +142,7 @@
    */
   async resolve(cachingEngines: readonly EndpointRecord[]): Promise<boolean> {
     if (this.isBound) return true;
-    if (this.records === undefined) await this.loadRecords();
+    if (this.lookup === undefined) await this.loadRecords();
     const cached = cachingEngines.map(getSoftwareVersion);
     if (this.decide(cached, this.listVersions())) return true;
     this.writeLog('unknown', cached);
@@ -148,7 +160,7 @@
     listed: readonly string[],
   ): boolean {
     if (this.isBound) return true;
-    const {records = []} = this;
+    const records = this.lookup?.records ?? [];
     const recorded = records.map(({version}) => version);
     const decision = decideOriginVersion({recorded, cached, listed});
     if (decision === undefined) return false;
@@ -165,15 +177,23 @@
     source: OriginSource | 'unknown',
     cached: readonly string[],
   ): void {
-    const {metrics, log} = this.parts;
-    metrics.origins.inc({source});
+    const {metrics, log, clock, endpoints, startedAt} = this.parts;
+    const {lookup} = this;
+    const now = clock.getNow();
+    const {standing} = endpoints.peers;
+    metrics.origins.inc({source, hosts: getHostAnswers(lookup)});
     log.writeInfo('Looked up the software version of a stream.', {
       request: this.request.requestId,
       resumes: this.firstRequestId,
       source,
       softwareVersion: this.binding.origin?.version,
-      recorded: this.records?.map(({version}) => version).join(),
+      recorded: lookup?.records.map(({version}) => version).join(),
       cached: cached.join(),
+      listed: formatCounts(this.listVersions()),
+      hostsAsked: lookup?.hostsAsked,
+      hostsAnswered: lookup?.hostsAnswered,
+      hostUpMs: Math.round(now - startedAt),
+      endpointsAgeMs: Math.round(standing.getAgeMs('endpoints', now)),
     });
   }
 
@@ -186,3 +206,17 @@
     return versions;
   }
 }
+
+function getHostAnswers(lookup: OriginLookup | undefined): HostAnswers {
+  if (lookup === undefined || lookup.hostsAsked === 0) return 'none_asked';
+  return lookup.hostsAnswered > 0 ? 'answered' : 'silent';
+}
+
+/** Formats versions with how many engines have each, such as `v1:3,v2:1`. */
+function formatCounts(versions: readonly string[]): string {
+  const counts = new Map<string, number>();
+  for (const version of versions) {
+    counts.set(version, (counts.get(version) ?? 0) + 1);
+  }
+  return [...counts].map(([version, count]) => `${version}:${count}`).join();
+}
--- a/packages/gateway/tests/stream_origins.test.ts
+++ b/packages/gateway/tests/stream_origins.test.ts
@@ -120,7 +120,7 @@
     const client = this.getClient(name);
     const startedAt = this.clock.getNow();
     let ms = -1;
-    const timed = client.find(key, isThorough).then((records) => {
+    const timed = client.find(key, isThorough).then(({records}) => {
       ms = this.clock.getNow() - startedAt;
       return records;
     });
