Provide the versions of a service that may have begun a stream

Which versions a service had decides whether a stream whose origin no host knows can only belong to one. `VersionHistory` gives them to the drivers of requests; for now it lists the versions of the known endpoints, as `stream_version.ts` does, so that its users can be built beside the durable history. No behaviour changes.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -45,6 +45,7 @@
 import {STREAM_ORIGINS_SERVICE} from './services/stream_origins.js';
 import {TASKS_SERVICE} from './services/tasks.js';
 import {USAGE_REPORTS_SERVICE} from './services/usage_reports.js';
+import {VERSION_HISTORY_SERVICE} from './services/version_histories.js';
 import {TABLES_SERVICE} from './tables/tables.js';
 import {SettingsFileWatcher} from './settings_file_watcher.js';
 
@@ -65,6 +66,7 @@
   DEMAND_SERVICE,
   RUN_LEASES_SERVICE,
   STREAM_ORIGINS_SERVICE,
+  VERSION_HISTORY_SERVICE,
   LIMITS_SERVICE,
   ENDPOINT_NETWORK_SERVICE,
   BEGUN_REQUESTS_SERVICE,
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -64,6 +64,7 @@
 import {RUN_LEASES} from './run_leases.js';
 import {STREAM_ORIGINS} from './stream_origins.js';
 import {CODECS} from './store.js';
+import {VERSION_HISTORY} from './version_histories.js';
 
 /** The maximum time for a whole request to arrive, in ms. */
 const REQUEST_TIMEOUT_MS = 60_000;
@@ -111,6 +112,7 @@
     ROLLOUTS,
     RUN_LEASES,
     STREAM_ORIGINS,
+    VERSION_HISTORY,
   ],
   create(context, settings) {
     const {clock, log} = context;
@@ -229,6 +231,7 @@
     crashes,
     runLeases: context.find(RUN_LEASES),
     origins: context.find(STREAM_ORIGINS),
+    versions: context.find(VERSION_HISTORY),
     gate,
     paths,
     relay: createRelay(context, buffers),
--- a/packages/gateway/src/serving/serving_parts.ts
+++ b/packages/gateway/src/serving/serving_parts.ts
@@ -20,6 +20,7 @@
 import type {SuccessorFinder} from './successors.js';
 import type {StreamOrigins} from './stream_version.js';
 import type {RunLeases} from './suspect_run.js';
+import type {VersionHistory} from './version_history.js';
 
 /** Dependencies of the drivers of requests. */
 export interface ServingParts {
@@ -39,6 +40,7 @@
   readonly crashes: CrashRecords;
   readonly runLeases: RunLeases;
   readonly origins: StreamOrigins;
+  readonly versions: VersionHistory;
   readonly gate: SendGate;
   readonly paths: EndpointPaths;
   readonly relay: RequestRelay;
