Close idle connections that got a line break on older versions of Node 20

Callers see nothing of it; on Node 20.19 a host kept such a connection for as long as its caller did. Supported are 20.11 and later.

Cause: up to Node 20.19 any byte stops the timer of an idle connection. A line break before a request begins no head for the parser, so no time limit of a head starts either. Newer versions of Node 20 leave the timer alone, which is why the test passed on other machines.

Change: the time from a response to the next request has a limit of its own, the idle time and the time limit of a head.

--- a/packages/gateway/src/channels/caller_connections.ts
+++ b/packages/gateway/src/channels/caller_connections.ts
@@ -9,6 +9,7 @@
 import type {KnownError, Logger} from '@irisdock/kernel';
 import {GATEWAY_ERRORS} from '../errors.js';
 import type {CallerLimits} from '../model/serving_configuration.js';
+import {IdleLimit} from './idle_limit.js';
 import {findRequestFault} from './request_faults.js';
 
 /**
@@ -118,7 +119,11 @@
 
   private add(socket: Socket): void {
     socket.setNoDelay(true);
-    const connection = new CallerConnection(socket, this.refuse);
+    const connection = new CallerConnection(
+      socket,
+      this.refuse,
+      () => this.server.headersTimeout,
+    );
     this.connections.set(socket, connection);
     socket.once('close', () => {
       this.connections.delete(socket);
@@ -172,11 +177,15 @@
   /** What is wrong behind the last complete request. */
   private fault: KnownError | undefined;
   private current: ServedRequest | undefined;
+  private readonly idleLimit: IdleLimit;
 
   constructor(
     private readonly socket: Socket,
     private readonly refuse: FaultHandler,
-  ) {}
+    private readonly getHeaderTimeoutMs: () => number,
+  ) {
+    this.idleLimit = new IdleLimit(socket);
+  }
 
   /**
    * Whether a response has not been handed over whole to the kernel. One that
@@ -200,6 +209,7 @@
   accept(request: AcceptedRequest): void {
     const {message, response, announcedMs} = request;
     this.hasServed = true;
+    this.idleLimit.stop();
     let isMarked = false;
     const markRead = (): void => {
       if (!isMarked) this.servedBytes = this.socket.bytesRead;
@@ -266,7 +276,12 @@
    */
   private keepIdle(ms: number): void {
     const {timeout = 0} = this.socket;
-    if (timeout > 0 && timeout < ms) this.socket.setTimeout(ms);
+    if (timeout === 0) return;
+    if (timeout < ms) this.socket.setTimeout(ms);
+    // The head of a request that began within the idle time is complete when
+    // its own time limit has passed.
+    if (this.waitingCount > 0) return;
+    this.idleLimit.start(Math.max(timeout, ms) + this.getHeaderTimeoutMs());
   }
 }
 
