Take an unframed answer for whole only if its connection was not reset

Callers saw a 200 with an empty or short body, ended in order, where the endpoint had reset the connection of an answer without a length.

Cause: a reset that reaches the host together with the last bytes is polled as a hang-up after a partial read. libuv reports that as the end of the stream and never reads the error of the socket, so Node emits `end` and no `error`; a reset that arrives later gives ECONNRESET. `complete` is true in both, and the check asked for an error, so it depended on timing. The class of fault: the absence of an error was taken for a proof of an orderly end.

Ruled out: a different order of the same events (no error event comes at all, in any order); waiting for a late error (none comes); answers with a length or in chunks, whose framing tells a cut at every byte; heads that are not whole, which give no response.

Change: a response watches how its connection ends. In the turn of `end` it asks for the peer's address: a reset socket has none any more, one whose peer ended its direction has. Only such an end, with no error of the request, completes a body without framing; 204, 304 and answers to HEAD end with their heads. The JSON client (store) uses the same check.

--- /dev/null
+++ b/packages/gateway/src/channels/body_framing.ts
@@ -0,0 +1,33 @@
+/** Tells from the framing of a response whether its body is complete. */
+import type {ClientRequest, IncomingMessage} from 'node:http';
+import type {ConnectionEnd} from './connection_end.js';
+
+/** Whether the body has a length or is chunked. */
+export function hasFraming({headers}: IncomingMessage): boolean {
+  return (
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined
+  );
+}
+
+/**
+ * Whether the body, once it has ended, is complete. Without framing it ends
+ * with its connection, and is truncated unless that ended in order.
+ */
+export function isBodyComplete(
+  clientRequest: ClientRequest,
+  incoming: IncomingMessage,
+  connectionEnd: ConnectionEnd,
+): boolean {
+  if (!incoming.complete) return false;
+  if (hasFraming(incoming) || isBodiless(clientRequest, incoming)) return true;
+  return connectionEnd.isOrderly;
+}
+
+/** Whether the response ends with its head. */
+function isBodiless(
+  {method}: ClientRequest,
+  {statusCode}: IncomingMessage,
+): boolean {
+  return method === 'HEAD' || statusCode === 204 || statusCode === 304;
+}
--- a/packages/gateway/src/channels/endpoint_client.ts
+++ b/packages/gateway/src/channels/endpoint_client.ts
@@ -19,6 +19,7 @@
   SendTarget,
 } from '../serving/send_gate.js';
 import {BufferBudget} from './buffer_budget.js';
+import {watchConnectionEnd, type ConnectionEnd} from './connection_end.js';
 import {watchConnection} from './connection_watch.js';
 import {isFinalStatus, MIN_SERVER_ERROR_STATUS} from './response_check.js';
 import {EndpointAgent} from './endpoint_agent.js';
@@ -80,6 +81,14 @@
   recordFailure: () => undefined,
 };
 
+/** A request whose response is awaited. */
+interface SentRequest {
+  readonly clientRequest: ClientRequest;
+  readonly connectionEnd: ConnectionEnd;
+  /** When it was sent, on the monotonic clock. */
+  readonly sentAt: number;
+}
+
 /** Sends requests to endpoints over persistent connections. */
 export class EndpointClient {
   private readonly agent: EndpointAgent;
@@ -113,6 +122,7 @@
       let failure: string | undefined;
       let hasResponse = false;
       const clientRequest = this.createRequest(outgoing);
+      const connectionEnd = watchConnectionEnd(clientRequest);
       const sentAt = this.clock.getNow();
       const close = (detail: string): void => {
         // Destroyed without an error: if the connection was just returned to
@@ -152,7 +162,8 @@
       });
       clientRequest.once('response', (incoming) => {
         hasResponse = true;
-        resolve(this.acceptResponse(outgoing, clientRequest, incoming, sentAt));
+        const sent = {clientRequest, connectionEnd, sentAt};
+        resolve(this.acceptResponse(outgoing, sent, incoming));
       });
       if (outgoing.signal.aborted) abort();
       else outgoing.signal.addEventListener('abort', abort);
@@ -179,9 +190,8 @@
 
   private acceptResponse(
     outgoing: EndpointRequest,
-    clientRequest: ClientRequest,
+    {clientRequest, connectionEnd, sentAt}: SentRequest,
     incoming: IncomingMessage,
-    sentAt: number,
   ): EndpointFailure | EndpointResponse {
     const fault = refuseStatus(clientRequest, incoming);
     if (fault !== undefined) return fault;
@@ -190,6 +200,7 @@
       this.buffers,
       clientRequest,
       incoming,
+      connectionEnd,
     );
     this.reportResponse(outgoing, response, sentAt);
     return response;
--- a/packages/gateway/src/channels/endpoint_response.ts
+++ b/packages/gateway/src/channels/endpoint_response.ts
@@ -6,8 +6,10 @@
   HeaderLines,
   ResponseMetadata,
 } from '../model/request_metadata.js';
+import {hasFraming, isBodyComplete} from './body_framing.js';
 import {dropBody, readBody, type DropResult} from './body_reader.js';
 import type {BufferBudget, BufferHold} from './buffer_budget.js';
+import type {ConnectionEnd} from './connection_end.js';
 import {
   dropHopByHopHeaders,
   findHeader,
@@ -27,7 +29,7 @@
   readonly isFramed: boolean;
   /**
    * Whether the body, once it has ended, is complete. An unframed body ends
-   * with its connection, and is truncated if the connection failed.
+   * with its connection, and is truncated unless that ended in order.
    */
   isComplete(): boolean;
   /** Reads the whole body; an error says why there is none. */
@@ -46,14 +48,11 @@
   buffers: BufferBudget,
   clientRequest: ClientRequest,
   incoming: IncomingMessage,
+  connectionEnd: ConnectionEnd,
 ): EndpointResponse {
   const allLines = readHeaderLines(incoming);
   const type = findHeader(allLines, 'content-type') ?? '';
   const isFramed = hasFraming(incoming);
-  let hasFailed = false;
-  clientRequest.on('error', () => {
-    hasFailed = true;
-  });
   // The reader of the body may have stopped listening; the error still
   // counts, as isComplete checks for it.
   incoming.on('error', () => undefined);
@@ -63,7 +62,7 @@
     if (!clientRequest.writableFinished) clientRequest.destroy();
   });
   const isComplete = (): boolean =>
-    incoming.complete && (isFramed || !hasFailed);
+    isBodyComplete(clientRequest, incoming, connectionEnd);
   return {
     kind: 'answer',
     status: incoming.statusCode ?? 0,
@@ -84,11 +83,3 @@
     },
   };
 }
-
-function hasFraming(incoming: IncomingMessage): boolean {
-  const {headers} = incoming;
-  return (
-    headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined
-  );
-}
--- a/packages/gateway/src/channels/json_client.ts
+++ b/packages/gateway/src/channels/json_client.ts
@@ -11,8 +11,10 @@
 import {getErrorText, splitPlace} from '@irisdock/kernel';
 import {err, type Result} from 'neverthrow';
 import {tryParseJson} from '../model/json_value.js';
+import {isBodyComplete} from './body_framing.js';
 import {readBody} from './body_reader.js';
 import {BufferBudget} from './buffer_budget.js';
+import {watchConnectionEnd} from './connection_end.js';
 import {watchHead} from './head_watch.js';
 
 /** A JSON request; without a `body` it is sent with an empty one. */
@@ -52,6 +54,7 @@
           'content-length': Buffer.byteLength(body),
         },
       });
+      const connectionEnd = watchConnectionEnd(clientRequest);
       let failure: string | undefined;
       const close = (detail: string): void => {
         failure = detail;
@@ -71,7 +74,16 @@
         finish(err(getErrorText(error)));
       });
       clientRequest.on('response', (response) => {
-        void this.readResponse(response).then(finish);
+        void this.readResponse(response).then((result) => {
+          const isComplete = isBodyComplete(
+            clientRequest,
+            response,
+            connectionEnd,
+          );
+          finish(
+            result.isErr() || isComplete ? result : err('its body was cut'),
+          );
+        });
       });
       clientRequest.end(body);
     });
