Frame no answer that ends with its connection in another transfer coding

Callers could get a truncated body with a Content-Length, framed as whole, when an endpoint named a transfer coding whose last one is not chunked.

Cause: any Transfer-Encoding counted as framing. Such a body ends with its connection (RFC 9112, section 6.3), so neither its end nor its length is known. Ruled out: `chunked`, whose last chunk proves the end; a length next to a transfer coding, which the parser rejects.

Change: only a length, or chunked as the last coding, is framing.

Measured: the case `coded` of cut_responses fails before (a reset body is taken as whole) and passes now.

--- a/packages/gateway/src/channels/body_framing.ts
+++ b/packages/gateway/src/channels/body_framing.ts
@@ -4,10 +4,8 @@
 
 /** Whether the body has a length or is chunked. */
 export function hasFraming({headers}: IncomingMessage): boolean {
-  return (
-    headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined
-  );
+  if (headers['content-length'] !== undefined) return true;
+  return isChunked(headers['transfer-encoding'] ?? '');
 }
 
 /**
@@ -24,6 +22,12 @@
   return connectionEnd.isOrderly;
 }
 
+/** With another last coding, a body ends with its connection (RFC 9112, 6.3). */
+function isChunked(transferEncoding: string): boolean {
+  const last = transferEncoding.split(',').at(-1) ?? '';
+  return last.trim().toLowerCase() === 'chunked';
+}
+
 /** Whether the response ends with its head. */
 function isBodiless(
   {method}: ClientRequest,
--- a/packages/gateway/tests/cut_responses.test.ts
+++ b/packages/gateway/tests/cut_responses.test.ts
@@ -41,6 +41,7 @@
   chunked: `${HEAD}Transfer-Encoding: chunked\r\n\r\n${CHUNKED}`,
   none: `${HEAD}X: y\r\n\r\n${BODY}`,
   interim: `HTTP/1.1 103 Hints\r\nLink: x\r\n\r\n${HEAD}X: y\r\n\r\n${BODY}`,
+  coded: `${HEAD}Transfer-Encoding: other\r\n\r\n${BODY}`,
 } as const;
 
 type Framing = keyof typeof TEXTS;
