Send an answer without a length between hosts with a length and a mark

Callers could get the first part of an answer without a length, ended in order, when the host that relayed it exited or gave up the connection while it sent the answer.

Cause: the relaying host passed such an answer on without framing, so its end was the end of the connection between the hosts. That ends in order (a FIN) also when a process exits or a response is destroyed; the first host took it for the end of the answer. Ruled out: streams, which are chunked between hosts and lack their last chunk then.

Change: between hosts the answer has a Content-Length and the header Irisdock-Framing: none; the first host checks the length, drops the header and answers its caller without framing, as the endpoint did. An older host passes such an answer on framed, with the header.

--- a/packages/gateway/src/serving/caller_exchange.ts
+++ b/packages/gateway/src/serving/caller_exchange.ts
@@ -16,6 +16,7 @@
 import type {RelayHop} from '../model/relay_path.js';
 import type {HeaderLines, RequestMetadata} from '../model/request_metadata.js';
 import {createRefusalResponse} from './refusal_response.js';
+import {UNFRAMED_LINE} from './relayed_framing.js';
 
 /** A complete answer of an endpoint that is not an event stream. */
 export interface PlainAnswer {
@@ -147,10 +148,13 @@
     const {status, lines, body, isFramed} = answer;
     const raw = formatRawHeaders(lines);
     const isBodiless = status === 204 || status === 304;
+    const isRelayed = this.hop !== undefined;
+    if (isRelayed && !isFramed) raw.push(...UNFRAMED_LINE);
     // A body delimited only by the end of its connection may be truncated, so
     // it is passed on without a length as well.
-    if (!isFramed) this.response.useChunkedEncodingByDefault = false;
-    else if (!isBodiless) raw.push('Content-Length', String(body.length));
+    if (!isFramed && !isRelayed) {
+      this.response.useChunkedEncodingByDefault = false;
+    } else if (!isBodiless) raw.push('Content-Length', String(body.length));
     this.response.writeHead(status, raw);
     if (isBodiless) this.answer.end();
     else this.answer.send(body);
--- a/packages/gateway/src/serving/relayed_attempt.ts
+++ b/packages/gateway/src/serving/relayed_attempt.ts
@@ -3,6 +3,7 @@
  * stream's current one.
  */
 import {AnswerGate} from './answer_gate.js';
+import {decodeFraming} from './relayed_framing.js';
 import type {RelayedRequest, RelayHost} from './request_relay.js';
 import type {ServingParts} from './serving_parts.js';
 import type {Silence} from './silence_detector.js';
@@ -10,6 +11,7 @@
   StreamAttempt,
   type AttemptListener,
   type AttemptResult,
+  type AttemptSend,
 } from './stream_attempt.js';
 import type {StreamSink} from './stream_sink.js';
 
@@ -93,13 +95,19 @@
     this.attempt.endSilent(silence);
   }
 
+  private async runAttempt(send: AttemptSend): Promise<AttemptResult> {
+    const result = await this.attempt.run(send);
+    if (result.kind !== 'failed') return result;
+    return {kind: 'failed', answer: decodeFraming(result.answer)};
+  }
+
   private async runOnce(): Promise<AttemptResult> {
     const {parts, relayed, host} = this;
     const {relay, log, clock} = parts;
     const {request, service} = relayed;
     const startedAt = clock.getNow();
     const result = await relay.countSend(host, () =>
-      this.attempt.run(relay.createSend(host, relayed)),
+      this.runAttempt(relay.createSend(host, relayed)),
     );
     const isTaken = hasTaken(parts, result);
     log.writeInfo('Relayed a stream to another host.', {
--- a/packages/gateway/src/serving/relayed_call.ts
+++ b/packages/gateway/src/serving/relayed_call.ts
@@ -9,6 +9,7 @@
   findResponseFault,
 } from '../channels/response_check.js';
 import type {CallerExchange, PlainAnswer} from './caller_exchange.js';
+import {decodeFraming} from './relayed_framing.js';
 import {
   MAX_RELAY_HOSTS,
   type RelayedRequest,
@@ -113,7 +114,7 @@
   const {status, lines, isFramed, metadata} = response;
   const body = await response.readBody();
   if (body.isErr()) return {kind: 'lost', detail: body.error};
-  const answer = {status, lines, body: body.value, isFramed};
+  const answer = decodeFraming({status, lines, body: body.value, isFramed});
   return {kind: 'answer', answer, isSigned: metadata.isSigned};
 }
 
