Separate the writer of rows from the store of crashes

The history of software versions writes rows in the same way: many in a call, one call at a time, repeated until they are saved. `RowWriter` does that for any table. Log lines of crashes that cannot be saved now name the table instead of the crashes. No behaviour changes; crashing_requests, shared_crashes and restored_writes pass (platform), crash_ledger (decisions).

--- a/packages/gateway/src/services/crash_store.ts
+++ b/packages/gateway/src/services/crash_store.ts
@@ -5,16 +5,11 @@
 import type {Crash} from '@irisdock/decisions';
 import type {Clock, Logger} from '@irisdock/kernel';
 import {formatCrashKey, formatCrashValue} from '../model/crash_row.js';
-import type {RowChange, TableStore} from '../model/table_store.js';
+import type {TableStore} from '../model/table_store.js';
+import {RowWriter} from './row_writer.js';
 
-/** The minimum time between two calls of one host to the store, in ms. */
-const MIN_CALL_INTERVAL_MS = 100;
 /** The retry delay after a failed call, in ms. */
 const RETRY_MS = 300;
-/** The maximum number of rows in one call; the store accepts 100. */
-const MAX_ROWS = 50;
-/** The maximum number of rows that wait; the oldest are evicted. */
-const MAX_PENDING = 1000;
 
 /** Dependencies of the crash store. */
 export interface CrashStoreParts {
@@ -30,12 +25,15 @@
 
 /** Writes and deletes the rows of crashes. */
 export class CrashStore {
-  /** Values to write by key; undefined for a row to delete. */
-  private readonly pending = new Map<string, string | undefined>();
-  private readonly controller = new AbortController();
-  private running: Promise<void> | undefined;
+  private readonly writer: RowWriter;
 
-  constructor(private readonly parts: CrashStoreParts) {}
+  constructor(private readonly parts: CrashStoreParts) {
+    this.writer = new RowWriter({
+      ...parts,
+      table: 'crashes',
+      retryMs: RETRY_MS,
+    });
+  }
 
   /** Writes the rows of crashes that the store lacks. */
   saveCrashes(crashes: readonly Crash[]): void {
@@ -43,77 +41,26 @@
     const note = formatCrashValue({host, at: clock.getWallNow()});
     for (const crash of crashes) {
       const key = formatCrashKey(crash);
-      if (this.pending.get(key) === undefined && !hasRow(key)) {
-        this.put(key, note);
+      if (!this.writer.hasValue(key) && !hasRow(key)) {
+        this.writer.put(key, note);
       }
     }
-    this.start();
+    this.writer.start();
   }
 
   /** Deletes the rows of a content. */
   deleteCrashes(content: string): void {
     const prefix = `${content}/`;
-    for (const key of [...this.pending.keys()]) {
-      if (key.startsWith(prefix)) this.pending.delete(key);
+    for (const key of this.writer.listKeys()) {
+      if (key.startsWith(prefix)) this.writer.cancel(key);
     }
-    for (const key of this.parts.listKeys(content)) this.put(key, undefined);
-    this.start();
-  }
-
-  async stop(): Promise<void> {
-    this.controller.abort();
-    await this.running;
-  }
-
-  private put(key: string, value: string | undefined): void {
-    this.pending.set(key, value);
-    if (this.pending.size <= MAX_PENDING) return;
-    const [oldest = ''] = this.pending.keys();
-    this.pending.delete(oldest);
-    this.parts.log.writeWarning('Dropped a crash: too many wait to be saved.', {
-      key: oldest,
-    });
-  }
-
-  private start(): void {
-    if (this.pending.size === 0) return;
-    this.running ??= this.run().finally(() => {
-      this.running = undefined;
-      // Rows may have been added after the loop had ended.
-      if (!this.controller.signal.aborted) this.start();
-    });
-  }
-
-  private async run(): Promise<void> {
-    const {clock} = this.parts;
-    const {signal} = this.controller;
-    while (this.pending.size > 0 && !signal.aborted) {
-      const pauseMs = await this.writeBatch();
-      await clock.wait(pauseMs, signal);
+    for (const key of this.parts.listKeys(content)) {
+      this.writer.put(key, undefined);
     }
+    this.writer.start();
   }
 
-  /** Makes one call; returns the minimum delay before the next one, in ms. */
-  private async writeBatch(): Promise<number> {
-    const changes: RowChange[] = [];
-    for (const [key, value] of this.pending) {
-      if (changes.length === MAX_ROWS) break;
-      changes.push({key, value});
-    }
-    const result = await this.parts.store.writeAll('crashes', changes);
-    if (result.isErr()) {
-      const {kind} = result.error;
-      const {size: waiting} = this.pending;
-      this.parts.log.writeWarning('Failed to save crashes; retrying.', {
-        kind,
-        waiting,
-      });
-      return RETRY_MS;
-    }
-    for (const {key, value} of changes) {
-      // The value may have changed while the call was under way.
-      if (this.pending.get(key) === value) this.pending.delete(key);
-    }
-    return MIN_CALL_INTERVAL_MS;
+  async stop(): Promise<void> {
+    await this.writer.stop();
   }
 }
