Replicate a table of software versions

Its rows survive the loss of all hosts; like the crashes it changes rarely, so the readers ask for it every 5 s. Hosts of an older version send no revision of it and ignore the one that they get. Nothing writes to the table yet.

--- a/bench/src/standin_hosts.ts
+++ b/bench/src/standin_hosts.ts
@@ -130,7 +130,7 @@
       updates: [],
       recordsHash: (this.hashSum + ownHash) >>> 0,
     };
-    const revisions = {configuration: 1, endpoints: 1, crashes: 0};
+    const revisions = {configuration: 1, endpoints: 1, crashes: 0, versions: 0};
     const sentAt = performance.now();
     const datagram = {
       kind: 'watch',
--- a/packages/gateway/src/model/membership_datagram.ts
+++ b/packages/gateway/src/model/membership_datagram.ts
@@ -30,6 +30,8 @@
       configuration: revisions.readNumber(),
       endpoints: revisions.readNumber(),
       crashes: revisions.readNumber(),
+      // Absent in datagrams of hosts of an older version.
+      versions: revisions.readOptionalNumber() ?? 0,
     })),
     reports: fields.readList(readReport),
     sentAt: fields.readNumber(),
@@ -55,7 +57,12 @@
       encodeLocation(place),
     ]),
     watch.recordsHash,
-    [revisions.configuration, revisions.endpoints, revisions.crashes],
+    [
+      revisions.configuration,
+      revisions.endpoints,
+      revisions.crashes,
+      revisions.versions,
+    ],
     reports.map((report) => [
       report.name,
       report.incarnation,
--- a/packages/gateway/src/model/table_store.ts
+++ b/packages/gateway/src/model/table_store.ts
@@ -32,6 +32,7 @@
   'hosts',
   'rollouts',
   'tasks',
+  'versions',
 ] as const;
 /** The name of a table. */
 export type TableName = (typeof TABLE_NAMES)[number];
@@ -41,6 +42,7 @@
   'configuration',
   'endpoints',
   'crashes',
+  'versions',
 ] as const;
 /** The name of a replicated table. */
 export type ReplicatedTable = (typeof REPLICATED_TABLES)[number];
--- a/packages/gateway/src/tables/peer_table_loader.ts
+++ b/packages/gateway/src/tables/peer_table_loader.ts
@@ -65,6 +65,7 @@
       configuration: createLoad(isNear),
       endpoints: createLoad(isNear),
       crashes: createLoad(isNear),
+      versions: createLoad(isNear),
     };
   }
 
@@ -74,11 +75,12 @@
 
   /** Lists, by table, the newest change in this host's replica. */
   listRevisions(): TableRevisions {
-    const {configuration, endpoints, crashes} = this.tables;
+    const {configuration, endpoints, crashes, versions} = this.tables;
     return {
       configuration: configuration.replica.lastChange,
       endpoints: endpoints.replica.lastChange,
       crashes: crashes.replica.lastChange,
+      versions: versions.replica.lastChange,
     };
   }
 
--- a/packages/gateway/src/tables/tables.ts
+++ b/packages/gateway/src/tables/tables.ts
@@ -20,6 +20,7 @@
   readonly configuration: TableFollower;
   readonly endpoints: TableFollower;
   readonly crashes: TableFollower;
+  readonly versions: TableFollower;
 }
 
 /** The key of the service. */
@@ -52,6 +53,14 @@
     unit: 'ms',
     description: 'As `maxAgeMs`, for crashes.',
   }),
+  versionsWaitMs: z.coerce.number().int().min(100).default(5000).meta({
+    unit: 'ms',
+    description: 'As `waitMs`, for the history of software versions.',
+  }),
+  versionsMaxAgeMs: z.coerce.number().int().min(100).default(8000).meta({
+    unit: 'ms',
+    description: 'As `maxAgeMs`, for the history of software versions.',
+  }),
   retryMs: z.coerce.number().int().min(10).default(300).meta({
     unit: 'ms',
     description: 'The time between retries while the store is unavailable.',
@@ -98,6 +107,12 @@
       paceMs: configurationPaceMs,
       retryMs,
     }),
+    versions: createFollower('versions', {
+      waitMs: settings.versionsWaitMs,
+      maxAgeMs: settings.versionsMaxAgeMs,
+      paceMs: configurationPaceMs,
+      retryMs,
+    }),
   };
 }
 
--- a/packages/gateway/src/tables/update_broadcaster.ts
+++ b/packages/gateway/src/tables/update_broadcaster.ts
@@ -62,6 +62,7 @@
     configuration: 0,
     endpoints: 0,
     crashes: 0,
+    versions: 0,
   };
 
   constructor(private readonly parts: UpdateBroadcasterParts) {}
--- a/packages/gateway/tests/peer_datagrams.test.ts
+++ b/packages/gateway/tests/peer_datagrams.test.ts
@@ -56,7 +56,7 @@
       recordsHash: 4_000_000_000,
       ...change,
     },
-    revisions: {configuration: 7, endpoints: 900, crashes: 3},
+    revisions: {configuration: 7, endpoints: 900, crashes: 3, versions: 2},
     sentAt: 12_345,
     reports: [
       {
--- a/packages/gateway/tests/peer_table_loader.test.ts
+++ b/packages/gateway/tests/peer_table_loader.test.ts
@@ -26,7 +26,7 @@
 const LIVE_HOST = '10.0.0.2:1';
 const TIMEOUT_MS = 800;
 const HEARTBEAT_MS = 300;
-const OLD_REVISIONS = {configuration: 1, endpoints: 1, crashes: 1};
+const OLD_REVISIONS = {configuration: 1, endpoints: 1, crashes: 1, versions: 1};
 
 function createResponse(revision: number): PeerTables {
   const rows = [{key: 'config', value: `${revision}`, revision}];
@@ -108,7 +108,12 @@
 });
 
 describe('a host without tables', () => {
-  const emptyRevisions = {configuration: 0, endpoints: 0, crashes: 0};
+  const emptyRevisions = {
+    configuration: 0,
+    endpoints: 0,
+    crashes: 0,
+    versions: 0,
+  };
 
   // Guards against a host that never becomes ready: the revision of an empty
   // table is not newer than that of a table that was never loaded.
