Show each version among many streams of one content

A caller that names no attempt is found by the content of its request, if all streams of that content have one version. A lookup gave the last four records of a content, so with five or more streams an earlier one of another version was cut off, and the stream went on at the version of the later ones.

Of many records one of each version is given now. The test failed before: seven streams of v2 hid one of v1.

--- a/packages/decisions/src/origin_table.ts
+++ b/packages/decisions/src/origin_table.ts
@@ -67,10 +67,17 @@
     const ofStream = this.listOfStream(streamId ?? '', now);
     if (ofStream.length > 0) return ofStream;
     const records: OriginRecord[] = [];
+    const distinct: OriginRecord[] = [];
     for (const other of this.contents.get(content) ?? []) {
-      records.push(...this.listOfStream(other, now));
+      for (const record of this.listOfStream(other, now)) {
+        records.push(record);
+        const isKnown = distinct.some((one) => isSameOrigin(one, record));
+        if (!isKnown) distinct.push(record);
+      }
     }
-    return records.slice(-MAX_MATCHES);
+    // Of many, one of each version is enough, and none may be left out.
+    if (records.length <= MAX_MATCHES) return records;
+    return distinct.slice(0, MAX_MATCHES);
   }
 
   /** Removes records whose time is over. */
--- a/packages/decisions/tests/stream_origin.test.ts
+++ b/packages/decisions/tests/stream_origin.test.ts
@@ -61,6 +61,19 @@
     assert.deepEqual(listVersions(records).sort(), ['v1', 'v2']);
   });
 
+  // The last few records hid an earlier one of another version.
+  it('shows each version among many streams of one content', () => {
+    const table = new OriginTable();
+    table.add(createRecord(), 0);
+    for (let index = 2; index < 9; index++) {
+      const streamId = `stream-${index}`;
+      table.add(createRecord({streamId, version: 'v2'}), 0);
+    }
+    const key = {streamId: undefined, content: 'content-1'};
+    const versions = listVersions(table.list(key, 1));
+    assert.deepEqual([...new Set(versions)].sort(), ['v1', 'v2']);
+  });
+
   it('is bounded; the oldest stream is dropped first', () => {
     const table = new OriginTable(2);
     for (const streamId of ['a', 'b', 'c']) {
