Save the origins of streams in the store while versions are in doubt

Cause: which version began a stream is kept by hosts alone, and is guessed or refused once all are lost. Ruled out: a row for each stream (1,800 writes a second of 400 at 350 hosts), and waiting for the store before the first event.

A lookup reads all rows, shared by concurrent lookups, and waits 500 ms for them.

Not used yet.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -39,6 +39,7 @@
 export * from './origin_decision.js';
 export * from './origin_holders.js';
 export * from './origin_table.js';
+export * from './origin_write_pace.js';
 export * from './permit_bucket.js';
 export * from './permit_issuer.js';
 export * from './retry_schedule.js';
--- a/packages/gateway/src/model/table_store.ts
+++ b/packages/gateway/src/model/table_store.ts
@@ -30,6 +30,7 @@
   'crashes',
   'endpoints',
   'hosts',
+  'origins',
   'rollouts',
   'tasks',
 ] as const;
--- /dev/null
+++ b/packages/gateway/src/services/origin_reader.ts
@@ -0,0 +1,217 @@
+/**
+ * Reads the origins of streams from the store, for streams that no live host
+ * knows. All rows are read at once, as a row has streams of many callers;
+ * concurrent lookups share a read, and reads have a bounded rate. So the return
+ * of thousands of callers after the loss of all hosts costs a few reads.
+ */
+import type {OriginKey, OriginRecord} from '@irisdock/decisions';
+import type {Clock, Logger} from '@irisdock/kernel';
+import {parseOriginRow, type SavedOrigin} from '../model/origin_row.js';
+import type {RowChange, TableRow, TableStore} from '../model/table_store.js';
+
+/** How long a lookup waits for a read, in ms; callers wait meanwhile. */
+const MAX_WAIT_MS = 500;
+/** The delay after a failed read, in ms. */
+const RETRY_MS = 100;
+/** How many times a read is tried before it counts as failed. */
+const MAX_TRIES = 5;
+/** How long rows are kept in memory without a lookup, in ms. */
+const KEPT_MS = 60_000;
+/** The maximum number of streams in memory, some 250 bytes each. */
+const MAX_STREAMS = 150_000;
+/** After so many rows, other work of this host gets its turn. */
+const ROWS_PER_TURN = 20;
+/** How far the clocks of two hosts may differ, in ms. */
+const MAX_CLOCK_DIFFERENCE_MS = 60_000;
+/** The maximum number of expired rows that one read deletes. */
+const MAX_DELETED_ROWS = 100;
+const MS_PER_SECOND = 1000;
+
+/** What a lookup found in the store. */
+export interface StoredOrigins {
+  readonly records: readonly OriginRecord[];
+  /** Whether the rows were read, in time for the lookup. */
+  readonly isRead: boolean;
+  /** The number of rows that the last read gave. */
+  readonly rows: number;
+}
+
+/** Dependencies of the reader. */
+export interface OriginReaderParts {
+  readonly store: Pick<TableStore, 'readAll' | 'writeAll'>;
+  readonly clock: Clock;
+  readonly log: Logger;
+  /** Computes the minimum time between two reads, in ms. */
+  readonly getIntervalMs: () => number;
+  /** Counts a read. */
+  readonly recordCall: (isOk: boolean) => void;
+}
+
+/** The streams of one read. */
+interface ReadOrigins {
+  readonly streams: ReadonlyMap<string, readonly SavedOrigin[]>;
+  readonly rows: number;
+}
+
+/** Looks up origins in the store. */
+export class OriginReader {
+  private origins: ReadOrigins | undefined;
+  /** By content; created by the first lookup that names no attempt. */
+  private contents: ReadonlyMap<string, readonly SavedOrigin[]> | undefined;
+  private reading: Promise<boolean> | undefined;
+  private readAt = -Infinity;
+  private isRead = false;
+  private usedAt = -Infinity;
+
+  constructor(private readonly parts: OriginReaderParts) {}
+
+  /** Looks a stream up; reads the rows if none that were read tells. */
+  async find(key: OriginKey): Promise<StoredOrigins> {
+    const {clock} = this.parts;
+    this.usedAt = clock.getNow();
+    const known = this.list(key);
+    if (key.streamId !== undefined && known.length > 0) {
+      return this.createResult(known, true);
+    }
+    const isRead = await Promise.race([
+      this.loadAgain(),
+      clock.wait(MAX_WAIT_MS).then(() => false),
+    ]);
+    return this.createResult(this.list(key), isRead);
+  }
+
+  /** Frees the memory of rows that no lookup has used for a while. */
+  dropUnused(): void {
+    if (this.parts.clock.getNow() - this.usedAt < KEPT_MS) return;
+    this.origins = undefined;
+    this.contents = undefined;
+  }
+
+  private createResult(
+    records: readonly OriginRecord[],
+    isRead: boolean,
+  ): StoredOrigins {
+    return {records, isRead, rows: this.origins?.rows ?? 0};
+  }
+
+  /** Reads the rows unless that was done just now; false if it failed. */
+  private loadAgain(): Promise<boolean> {
+    const {clock, getIntervalMs} = this.parts;
+    if (this.reading !== undefined) return this.reading;
+    const isRecent = clock.getNow() - this.readAt < getIntervalMs();
+    if (isRecent) return Promise.resolve(this.isRead);
+    this.readAt = clock.getNow();
+    this.reading = this.load().finally(() => {
+      this.reading = undefined;
+    });
+    return this.reading;
+  }
+
+  private async load(): Promise<boolean> {
+    const {store, clock, log, recordCall} = this.parts;
+    this.isRead = false;
+    for (let tries = 1; ; tries++) {
+      const result = await store.readAll('origins');
+      recordCall(result.isOk());
+      if (result.isOk()) {
+        await this.accept(result.value.rows);
+        this.isRead = true;
+        return true;
+      }
+      const {kind} = result.error;
+      log.writeWarning('Failed to read origins of streams.', {kind, tries});
+      if (tries === MAX_TRIES) {
+        this.readAt = clock.getNow();
+        return false;
+      }
+      await clock.wait(RETRY_MS * tries);
+    }
+  }
+
+  private async accept(rows: readonly TableRow[]): Promise<void> {
+    const {clock, log} = this.parts;
+    const streams = new Map<string, readonly SavedOrigin[]>();
+    const expired: RowChange[] = [];
+    let faults = 0;
+    let skipped = 0;
+    for (const [index, {key, value}] of rows.entries()) {
+      if (index % ROWS_PER_TURN === ROWS_PER_TURN - 1) await clock.wait(0);
+      if (value === undefined) continue;
+      const parsed = parseOriginRow(value);
+      if (parsed.isErr()) {
+        faults++;
+        continue;
+      }
+      const origins = parsed.value.filter((one) => this.isNeeded(one));
+      if (origins.length === 0) expired.push({key, value: undefined});
+      for (const origin of origins) {
+        const {streamId} = origin;
+        const others = streams.get(streamId) ?? [];
+        if (streams.size < MAX_STREAMS || others.length > 0) {
+          streams.set(streamId, [...others, origin]);
+        } else {
+          skipped++;
+        }
+      }
+    }
+    this.origins = {streams, rows: rows.length};
+    this.contents = undefined;
+    log.writeInfo('Read the origins of streams.', {
+      rows: rows.length,
+      streams: streams.size,
+      expired: expired.length,
+      faults,
+      skipped,
+    });
+    void this.deleteRows(expired.slice(0, MAX_DELETED_ROWS));
+  }
+
+  /** Deletes rows that their hosts, perhaps lost ones, did not delete. */
+  private async deleteRows(changes: readonly RowChange[]): Promise<void> {
+    if (changes.length === 0) return;
+    const result = await this.parts.store.writeAll('origins', changes);
+    if (result.isOk()) return;
+    const {kind} = result.error;
+    this.parts.log.writeInfo('Failed to delete expired origins of streams.', {
+      kind,
+    });
+  }
+
+  private list({streamId, content}: OriginKey): OriginRecord[] {
+    const found =
+      streamId === undefined
+        ? this.listContent(content)
+        : this.origins?.streams.get(streamId);
+    const wallNow = this.parts.clock.getWallNow();
+    const records: OriginRecord[] = [];
+    for (const {until, ...origin} of found ?? []) {
+      const remainingMs = Math.max(0, until * MS_PER_SECOND - wallNow);
+      records.push({...origin, remainingMs});
+    }
+    return records;
+  }
+
+  private listContent(content: string): readonly SavedOrigin[] {
+    this.contents ??= createContents(this.origins);
+    return this.contents.get(content) ?? [];
+  }
+
+  private isNeeded({until}: SavedOrigin): boolean {
+    const wallNow = this.parts.clock.getWallNow();
+    return until * MS_PER_SECOND + MAX_CLOCK_DIFFERENCE_MS > wallNow;
+  }
+}
+
+function createContents(
+  origins: ReadOrigins | undefined,
+): ReadonlyMap<string, readonly SavedOrigin[]> {
+  const contents = new Map<string, SavedOrigin[]>();
+  for (const ofStream of origins?.streams.values() ?? []) {
+    for (const origin of ofStream) {
+      const others = contents.get(origin.content) ?? [];
+      others.push(origin);
+      contents.set(origin.content, others);
+    }
+  }
+  return contents;
+}
