Resume streams by saved origins, not by cached prompts

Cause: a host without records took an engine with the prompt in its cache for the one that began the stream. The last part of a prompt belongs to its session: a later request, a lost attempt or a shared prefix puts it elsewhere. A named attempt that no host knew was also found by its content, which another stream shares. Ruled out: asking more engines, as a cache only proves that the prompt was read.

Records of live hosts decide first, then rows of the store, then the only version that the history gives. Contradictions and an unknown past decide nothing. Records of other attempts count only if the caller named none. Cached prompts only choose among the engines of the decided version.

Tests of the old decision by cached prompts are replaced by those of the new one, among them a comparison with a naive version; a fixture of stream_origins has a store.

--- a/packages/decisions/tests/stream_origin.test.ts
+++ b/packages/decisions/tests/stream_origin.test.ts
@@ -3,10 +3,14 @@
 import {describe, it} from 'node:test';
 import {
   chooseOriginHolders,
+  computeOriginIntervalMs,
+  decideOriginService,
   decideOriginVersion,
+  listMatchingOrigins,
   ORIGIN_HOLDERS,
   ORIGIN_RESPONDERS,
   OriginTable,
+  type OriginEvidence,
   type OriginRecord,
 } from '@irisdock/decisions';
 import fc from 'fast-check';
@@ -143,36 +147,140 @@
   });
 });
 
+/** Decides as the design says it, one source after the other. */
+function decideNaively({
+  recorded,
+  stored,
+  possible,
+}: OriginEvidence): string | undefined {
+  const known = new Set<string>();
+  for (const version of recorded) known.add(version);
+  for (const version of stored) known.add(version);
+  if (known.size > 0) return known.size === 1 ? [...known][0] : undefined;
+  if (possible === undefined) return undefined;
+  return new Set(possible).size === 1 ? possible[0] : undefined;
+}
+
 describe('the version that began a stream', () => {
-  it('is the recorded one, whatever engines have cached', () => {
+  const VERSIONS = fc.array(fc.constantFrom('v1', 'v1.1', 'v2'), {
+    maxLength: 3,
+  });
+  const EVIDENCE = fc.record({
+    recorded: VERSIONS,
+    stored: VERSIONS,
+    possible: fc.option(VERSIONS, {nil: undefined}),
+  });
+
+  it('is the recorded one, though others are possible', () => {
     const decision = decideOriginVersion({
       recorded: ['v1', 'v1'],
-      cached: ['v2'],
-      listed: ['v2'],
+      stored: [],
+      possible: ['v2'],
     });
     assert.deepEqual(decision, {version: 'v1', source: 'recorded'});
   });
 
-  it('is that of the caching engines if no host recorded it', () => {
-    const listed = ['v1', 'v2'];
+  it('is the saved one if no live host recorded it', () => {
     const decision = decideOriginVersion({
       recorded: [],
-      cached: ['v2'],
-      listed,
+      stored: ['v2'],
+      possible: ['v1', 'v2'],
     });
-    assert.deepEqual(decision, {version: 'v2', source: 'cached'});
+    assert.deepEqual(decision, {version: 'v2', source: 'stored'});
+  });
+
+  it('is the only possible one if no host recorded or saved it', () => {
+    const evidence = {recorded: [], stored: [], possible: ['v1', 'v1']};
+    const decision = decideOriginVersion(evidence);
+    assert.deepEqual(decision, {version: 'v1', source: 'only'});
   });
 
   it('is not known if the evidence contradicts itself', () => {
     const both = ['v1', 'v2'];
-    const listed = ['v1'];
+    const possible = ['v1'];
     for (const evidence of [
-      {recorded: both, cached: ['v1'], listed},
-      {recorded: [], cached: both, listed},
-      {recorded: [], cached: [], listed: both},
-      {recorded: [], cached: [], listed: []},
+      {recorded: both, stored: ['v1'], possible},
+      {recorded: ['v1'], stored: ['v2'], possible},
+      {recorded: [], stored: both, possible},
     ]) {
-      assert.equal(decideOriginVersion(evidence), undefined);
+      const decision = decideOriginVersion(evidence);
+      assert.deepEqual(decision, {version: undefined, doubt: 'contradiction'});
+    }
+  });
+
+  // A version whose endpoints have just left counted as never served.
+  it('is not concluded from an unknown past', () => {
+    const evidence = {recorded: [], stored: [], possible: undefined};
+    const decision = decideOriginVersion(evidence);
+    assert.deepEqual(decision, {version: undefined, doubt: 'past_unknown'});
+  });
+
+  it('is not concluded from several possible ones, or none', () => {
+    for (const possible of [['v1', 'v2'], []]) {
+      const evidence = {recorded: [], stored: [], possible};
+      const decision = decideOriginVersion(evidence);
+      assert.deepEqual(decision, {version: undefined, doubt: 'no_record'});
+    }
+  });
+
+  it('is decided as by a naive reading of the evidence', () => {
+    fc.assert(
+      fc.property(EVIDENCE, (evidence) => {
+        const {version} = decideOriginVersion(evidence);
+        assert.equal(version, decideNaively(evidence));
+      }),
+      RUN_OPTIONS,
+    );
+  });
+
+  it('never changes by further evidence, but may become unknown', () => {
+    fc.assert(
+      fc.property(EVIDENCE, fc.constantFrom('v1', 'v2'), (evidence, more) => {
+        const {version} = decideOriginVersion(evidence);
+        if (evidence.recorded.length === 0 || version === undefined) return;
+        const stored = [...evidence.stored, more];
+        const later = decideOriginVersion({...evidence, stored}).version;
+        assert.equal(later, more === version ? version : undefined);
+      }),
+      RUN_OPTIONS,
+    );
+  });
+});
+
+describe('the records that tell of a stream', () => {
+  // A later stream of the same content may have begun at another version.
+  it('are not those of another attempt with its content', () => {
+    const others = [createRecord({streamId: 'stream-2'})];
+    const key = {streamId: 'stream-1', content: 'content-1'};
+    assert.deepEqual(listMatchingOrigins(key, others), []);
+  });
+
+  it('are all with its content if no attempt is named', () => {
+    const records = [createRecord(), createRecord({content: 'content-2'})];
+    const key = {streamId: undefined, content: 'content-1'};
+    assert.deepEqual(listMatchingOrigins(key, records), [createRecord()]);
+  });
+});
+
+describe('the service that began a stream', () => {
+  it('is the recorded one, or else the only possible one', () => {
+    assert.equal(decideOriginService(['a', 'a'], ['a', 'b']), 'a');
+    assert.equal(decideOriginService([], ['b']), 'b');
+  });
+
+  it('is not known if records contradict or several are possible', () => {
+    assert.equal(decideOriginService(['a', 'b'], ['a']), undefined);
+    assert.equal(decideOriginService([], ['a', 'b']), undefined);
+    assert.equal(decideOriginService([], []), undefined);
+  });
+});
+
+describe('the calls of all hosts for origins', () => {
+  it('stay under 40 a second for any number of hosts', () => {
+    for (const hosts of [1, 9, 60, 91, 350]) {
+      const intervalMs = computeOriginIntervalMs(hosts);
+      assert.ok((hosts * 1000) / intervalMs <= 40);
+      assert.ok(intervalMs >= 250);
     }
   });
 });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -40,6 +40,7 @@
 import {PEER_TABLES_SERVICE} from './tables/peer_tables.js';
 import {PEERS_SERVICE} from './services/peers.js';
 import {ROLLOUTS_SERVICE} from './services/rollouts.js';
+import {ORIGIN_STORE_SERVICE} from './services/origin_stores.js';
 import {RUN_LEASES_SERVICE} from './services/run_leases.js';
 import {SCALING_SERVICE} from './services/scaling.js';
 import {STREAM_ORIGINS_SERVICE} from './services/stream_origins.js';
@@ -65,6 +66,7 @@
   CRASHES_SERVICE,
   DEMAND_SERVICE,
   RUN_LEASES_SERVICE,
+  ORIGIN_STORE_SERVICE,
   STREAM_ORIGINS_SERVICE,
   VERSION_HISTORY_SERVICE,
   LIMITS_SERVICE,
--- a/packages/gateway/src/services/stream_origin_client.ts
+++ b/packages/gateway/src/services/stream_origin_client.ts
@@ -6,6 +6,7 @@
  */
 import {
   chooseOriginHolders,
+  listMatchingOrigins,
   ORIGIN_HOLDERS,
   ORIGIN_RESPONDERS,
   OriginTable,
@@ -19,8 +20,10 @@
   OriginResponseDatagram,
   OriginsDatagram,
 } from '../model/origin_datagram.js';
-import type {OriginLookup, StreamOrigins} from '../serving/stream_version.js';
+import type {OriginLookup, StreamOrigins} from '../serving/origin_lookup.js';
 import type {OriginDatagramHandler} from './datagram_handlers.js';
+import type {StoredOrigins} from './origin_reader.js';
+import type {OriginStore} from './origin_store.js';
 import type {Peers} from './peer_hosts.js';
 import {PeerRequests} from './peer_requests.js';
 
@@ -34,6 +37,7 @@
 /** Dependencies of the client. */
 export interface StreamOriginClientParts {
   readonly ownName: string;
+  readonly store: Pick<OriginStore, 'find' | 'save' | 'startHeartbeat'>;
   readonly peers: Pick<Peers, 'listAlive' | 'recordsHash' | 'sendToNames'> &
     Partial<Pick<Peers, 'position'>>;
   readonly clock: Clock;
@@ -99,6 +103,7 @@
     this.published.add(published);
     const names = this.addHolders(published, this.listHosts());
     this.sendOrigins(names, [record]);
+    this.parts.store.save(record);
     return () => {
       published.isEnded = true;
     };
@@ -116,9 +121,14 @@
     };
   }
 
+  async findStored(key: OriginKey): Promise<StoredOrigins> {
+    return this.parts.store.find(key);
+  }
+
   /** Repeats new reports, replaces lost holders, and drops old records. */
   startHeartbeat(): void {
-    const {peers, clock} = this.parts;
+    const {peers, clock, store} = this.parts;
+    store.startHeartbeat();
     const now = clock.getNow();
     if (now - this.sweptAt >= SWEEP_INTERVAL_MS) {
       this.sweptAt = now;
@@ -248,8 +258,7 @@
         resolve();
       });
     });
-    const named = found.filter(isNamed);
-    return named.length > 0 ? named : found;
+    return listMatchingOrigins(key, found);
   }
 
   private listHosts(): LiveHost[] {
--- a/packages/gateway/src/services/stream_origins.ts
+++ b/packages/gateway/src/services/stream_origins.ts
@@ -6,6 +6,7 @@
 import {Gauge} from 'prom-client';
 import * as z from 'zod';
 import {HOST_IDENTITY} from './identity.js';
+import {ORIGIN_STORE} from './origin_stores.js';
 import {PEERS} from './peers.js';
 import {StreamOriginClient} from './stream_origin_client.js';
 
@@ -17,12 +18,18 @@
 export const STREAM_ORIGINS_SERVICE = createService({
   key: STREAM_ORIGINS,
   settings: z.object({}),
-  needs: [HOST_IDENTITY, PEERS],
+  needs: [HOST_IDENTITY, ORIGIN_STORE, PEERS],
   create(context) {
     const {clock, random, metrics} = context;
     const peers = context.find(PEERS);
     const {name: ownName} = context.find(HOST_IDENTITY);
-    const api = new StreamOriginClient({ownName, peers, clock, random});
+    const api = new StreamOriginClient({
+      ownName,
+      peers,
+      store: context.find(ORIGIN_STORE),
+      clock,
+      random,
+    });
     peers.handlers.origins = api;
     new Gauge({
       name: 'irisdock_gateway_stream_origins',
--- a/packages/gateway/src/serving/serving_parts.ts
+++ b/packages/gateway/src/serving/serving_parts.ts
@@ -18,7 +18,7 @@
 import type {SendGate} from './send_gate.js';
 import type {ServingMetrics} from './serving_metrics.js';
 import type {SuccessorFinder} from './successors.js';
-import type {StreamOrigins} from './stream_version.js';
+import type {StreamOrigins} from './origin_lookup.js';
 import type {RunLeases} from './suspect_run.js';
 import type {VersionHistory} from './version_history.js';
 
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -144,7 +144,7 @@
   /** Only engines of the stream's version are asked for its prompt. */
   private async loadPreferences(): Promise<void> {
     const isBegun = this.sink.lastEventId !== undefined;
-    if (isBegun) await this.version.loadRecords();
+    if (isBegun && (await this.version.resolve()) !== undefined) return;
     await this.planner.loadPreferences();
   }
 
@@ -299,10 +299,8 @@
   /** Binds a begun stream to its version; false if that is not known. */
   private async resolveVersion(): Promise<boolean> {
     if (this.sink.lastEventId === undefined) return true;
-    const cachingEngines = this.planner.listCachingEngines();
-    const isKnown = await this.version.resolve(cachingEngines);
-    this.failure.isOriginUnknown = !isKnown;
-    return isKnown;
+    this.failure.versionDoubt = await this.version.resolve();
+    return this.failure.versionDoubt === undefined;
   }
 
   /** Waits until the next attempt may run; returns the outcome if it can't. */
--- a/packages/gateway/src/serving/stream_failure.ts
+++ b/packages/gateway/src/serving/stream_failure.ts
@@ -15,6 +15,7 @@
 import type {ServingParts} from './serving_parts.js';
 import type {RetryDenial, StreamRetries} from './stream_retries.js';
 import type {StreamSink} from './stream_sink.js';
+import type {VersionDoubt} from './stream_version.js';
 import type {VersionBinding} from './version_binding.js';
 
 /** Ends one stream as failed. */
@@ -27,8 +28,8 @@
   denial: RetryDenial | undefined;
   /** Why the stream is refused before anything was sent. */
   refusal: KnownError | undefined;
-  /** Whether the software version that began the stream is not known. */
-  isOriginUnknown = false;
+  /** Why the software version that began the stream is not known. */
+  versionDoubt: VersionDoubt | undefined;
 
   constructor(
     private readonly parts: ServingParts,
@@ -89,8 +90,8 @@
     const {parts, service, binding} = this;
     const retryAfter = decideRetryAfter(parts.random);
     const {versionRefusals} = parts.metrics;
-    if (this.isOriginUnknown) {
-      versionRefusals.inc({reason: 'unknown'});
+    if (this.versionDoubt !== undefined) {
+      versionRefusals.inc({reason: this.versionDoubt});
       return GATEWAY_ERRORS.create('origin_unknown', {service}, retryAfter);
     }
     if (binding.origin === undefined) return undefined;
--- a/packages/gateway/src/serving/stream_planner.ts
+++ b/packages/gateway/src/serving/stream_planner.ts
@@ -17,7 +17,7 @@
 import {EngineExclusions} from './engine_exclusions.js';
 import type {KvCacheReplica} from './kv_cache_replicator.js';
 import type {EndpointRecord, UseClaim} from './endpoint_record.js';
-import {listLiveEndpoints, listStreamEngines} from './live_endpoints.js';
+import {listStreamEngines} from './live_endpoints.js';
 import type {ServingParts} from './serving_parts.js';
 import type {AttemptPlan, AttemptResult} from './stream_attempt.js';
 import {
@@ -291,16 +291,6 @@
     return this.cachedTokens.get(endpoint.instanceId) ?? 0;
   }
 
-  /** Lists the engines that have the whole prompt in their cache. */
-  listCachingEngines(): EndpointRecord[] {
-    const {promptTokens, promptParts} = this.metadata;
-    const ownTokens = promptParts.at(-1)?.tokens ?? promptTokens;
-    const sharedTokens = promptTokens - ownTokens;
-    return listLiveEndpoints(this.parts, this.service).filter(
-      (engine) => this.countCachedTokens(engine) > sharedTokens,
-    );
-  }
-
   /** Counts the tokens of the prompt that an engine has to process. */
   private countUnread(endpoint: EndpointRecord): number {
     return Math.max(
--- a/packages/gateway/src/serving/stream_version.ts
+++ b/packages/gateway/src/serving/stream_version.ts
@@ -7,12 +7,19 @@
  */
 import {
   decideOriginVersion,
-  type OriginKey,
+  type OriginDoubt,
   type OriginRecord,
   type OriginSource,
 } from '@irisdock/decisions';
 import type {AdmittedRequest} from './caller_exchange.js';
 import type {EndpointRecord} from './endpoint_record.js';
+import {
+  createOriginKey,
+  findOrigins,
+  type KnownOrigins,
+  type OriginLookup,
+  type StreamOrigins,
+} from './origin_lookup.js';
 import {hashStreamId} from './request_content.js';
 import type {ServingParts} from './serving_parts.js';
 import {
@@ -24,54 +31,23 @@
 /** How long an origin is kept for a caller without a deadline, in ms. */
 const MAX_KEPT_MS = 600_000;
 
-/** What a lookup of an origin found, and whom it asked. */
-export interface OriginLookup {
-  readonly records: readonly OriginRecord[];
-  /** The number of other hosts that were asked. */
-  readonly hostsAsked: number;
-  /** The number of those that answered before the lookup ended. */
-  readonly hostsAnswered: number;
-}
-
 /** Whether the hosts that a lookup asked answered, as a metric's label. */
 type HostAnswers = 'answered' | 'none_asked' | 'silent';
 
-/** Reports and looks up origins among all hosts. */
-export interface StreamOrigins {
-  /**
-   * Keeps an origin and reports it to the hosts that also keep it.
-   *
-   * @returns A function to call when this host no longer runs the stream.
-   */
-  publish(record: OriginRecord): () => void;
-  /**
-   * Looks an origin up at the hosts that keep it.
-   *
-   * @param isThorough Whether to ask hosts at random if none of these knows it,
-   *     or if the key names no stream.
-   */
-  find(key: OriginKey, isThorough: boolean): Promise<OriginLookup>;
-}
-
 /** Dependencies of a stream's version. */
 type StreamVersionParts = Pick<
   ServingParts,
-  'clock' | 'endpoints' | 'log' | 'metrics' | 'origins' | 'startedAt'
+  | 'clock'
+  | 'endpoints'
+  | 'log'
+  | 'metrics'
+  | 'origins'
+  | 'startedAt'
+  | 'versions'
 >;
 
-/**
- * Creates the key by which the origin of a begun stream is looked up.
- *
- * @param firstRequestId The attempt that brought its first event, if known.
- */
-function createOriginKey(
-  {team, content}: AdmittedRequest,
-  firstRequestId: string | undefined,
-): OriginKey {
-  const isNamed = firstRequestId !== undefined;
-  const streamId = isNamed ? hashStreamId(team, firstRequestId) : undefined;
-  return {streamId, content};
-}
+/** Why a stream's version is not known. */
+export type VersionDoubt = OriginDoubt | 'read_failed';
 
 /**
  * Finds the service that began the stream that a caller resumes; undefined if
@@ -91,8 +67,9 @@
 export class StreamVersion {
   readonly binding = new VersionBinding();
   private stopPublishing: (() => void) | undefined;
-  /** What hosts know of a begun stream; undefined until looked up. */
-  private lookup: OriginLookup | undefined;
+  /** What is known of a begun stream; undefined until looked up. */
+  private known: KnownOrigins | undefined;
+  private doubt: VersionDoubt | undefined;
 
   constructor(
     private readonly parts: StreamVersionParts,
@@ -126,27 +103,39 @@
     });
   }
 
-  /** Binds a begun stream to the version that hosts recorded, if any did. */
-  async loadRecords(): Promise<void> {
-    const key = createOriginKey(this.request, this.firstRequestId);
-    const hasSeveralVersions = new Set(this.listVersions()).size > 1;
-    this.lookup = await this.parts.origins.find(key, hasSeveralVersions);
-    this.decide([], []);
-  }
-
   /**
-   * Binds a begun stream to its version.
+   * Binds a begun stream to its version, looked up once.
    *
-   * @param cachingEngines Engines that have the whole prompt in their cache.
-   * @returns False if the version is not known.
+   * @returns Why its version is not known; undefined if it is.
    */
-  async resolve(cachingEngines: readonly EndpointRecord[]): Promise<boolean> {
-    if (this.isBound) return true;
-    if (this.lookup === undefined) await this.loadRecords();
-    const cached = cachingEngines.map(getSoftwareVersion);
-    if (this.decide(cached, this.listVersions())) return true;
-    this.writeLog('unknown', cached);
-    return false;
+  async resolve(): Promise<VersionDoubt | undefined> {
+    if (this.isBound || this.doubt !== undefined) return this.doubt;
+    const {origins} = this.parts;
+    const key = createOriginKey(this.request, this.firstRequestId);
+    const isCertain = this.listPossible()?.length === 1;
+    const known = await findOrigins(origins, key, isCertain);
+    this.known = known;
+    // The past of the service may have become known meanwhile.
+    const decision = decideOriginVersion({
+      recorded: listVersions(known.recorded),
+      stored: listVersions(known.stored?.records ?? []),
+      possible: this.listPossible(),
+    });
+    if (decision.version === undefined) {
+      const isUnread = known.stored?.isRead === false;
+      const isOpen = decision.doubt !== 'contradiction';
+      this.doubt = isUnread && isOpen ? 'read_failed' : decision.doubt;
+      this.writeLog('unknown');
+      return this.doubt;
+    }
+    const [record] = [...known.recorded, ...(known.stored?.records ?? [])];
+    const {service, instanceId} = record ?? {
+      service: this.service,
+      instanceId: '',
+    };
+    this.binding.bind({service, instanceId, version: decision.version});
+    this.writeLog(decision.source);
+    return undefined;
   }
 
   /** Stops reporting, as this host no longer runs the stream. */
@@ -154,31 +143,9 @@
     this.stopPublishing?.();
   }
 
-  /** Binds the stream if the evidence allows it; returns whether it is. */
-  private decide(
-    cached: readonly string[],
-    listed: readonly string[],
-  ): boolean {
-    if (this.isBound) return true;
-    const records = this.lookup?.records ?? [];
-    const recorded = records.map(({version}) => version);
-    const decision = decideOriginVersion({recorded, cached, listed});
-    if (decision === undefined) return false;
-    const {service, instanceId} = records[0] ?? {
-      service: this.service,
-      instanceId: '',
-    };
-    this.binding.bind({service, instanceId, version: decision.version});
-    this.writeLog(decision.source, cached);
-    return true;
-  }
-
-  private writeLog(
-    source: OriginSource | 'unknown',
-    cached: readonly string[],
-  ): void {
+  private writeLog(source: OriginSource | 'unknown'): void {
     const {metrics, log, clock, endpoints, startedAt} = this.parts;
-    const {lookup} = this;
+    const {lookup, recorded, stored} = this.known ?? {};
     const now = clock.getNow();
     const {standing} = endpoints.peers;
     metrics.origins.inc({source, hosts: getHostAnswers(lookup)});
@@ -186,10 +153,14 @@
       request: this.request.requestId,
       resumes: this.firstRequestId,
       source,
+      doubt: this.doubt,
       softwareVersion: this.binding.origin?.version,
-      recorded: lookup?.records.map(({version}) => version).join(),
-      cached: cached.join(),
-      listed: formatCounts(this.listVersions()),
+      recorded: listVersions(recorded ?? []).join(),
+      stored: stored && listVersions(stored.records).join(),
+      storeRead: stored?.isRead,
+      rows: stored?.rows,
+      possible: this.listPossible()?.join() ?? 'unknown',
+      listed: formatCounts(this.listEngineVersions()),
       hostsAsked: lookup?.hostsAsked,
       hostsAnswered: lookup?.hostsAnswered,
       hostUpMs: Math.round(now - startedAt),
@@ -197,7 +168,11 @@
     });
   }
 
-  private listVersions(): string[] {
+  private listPossible(): readonly string[] | undefined {
+    return this.parts.versions.listPossible(this.service);
+  }
+
+  private listEngineVersions(): string[] {
     const versions: string[] = [];
     for (const engine of this.parts.endpoints.listAll()) {
       if (engine.entry.service !== this.service) continue;
@@ -207,6 +182,12 @@
   }
 }
 
+function listVersions(
+  records: readonly Pick<OriginRecord, 'version'>[],
+): string[] {
+  return records.map(({version}) => version);
+}
+
 function getHostAnswers(lookup: OriginLookup | undefined): HostAnswers {
   if (lookup === undefined || lookup.hostsAsked === 0) return 'none_asked';
   return lookup.hostsAnswered > 0 ? 'answered' : 'silent';
--- a/packages/gateway/tests/stream_origins.test.ts
+++ b/packages/gateway/tests/stream_origins.test.ts
@@ -143,6 +143,11 @@
       ownName,
       peers: peers as typeof peers & {readonly recordsHash: number},
       clock,
+      store: {
+        find: () => Promise.resolve({records: [], isRead: true, rows: 0}),
+        save: () => undefined,
+        startHeartbeat: () => undefined,
+      },
       random: this.random,
     });
   }
