Keep a durable history of the software versions of each service

A host that has just started took the versions that it sees for all that there were: a stream of a version whose entries went a second ago was taken for one of the version that is left.

Each pair of a service and a version has a row in the store. The first reader writes it when the version appears and deletes it when no host needs it any more; another host writes it only if it is missing for some seconds. A host concludes from the history only if it has read it, and if its replicas are current or it reaches every host that it knew while they were.

Ruled out: a time in the row at which a version ended. It needs a clock that hosts share (their wall clocks jump), and a write more. Instead, each host counts the absence of a version itself, anew when it starts or has a gap, and a version that comes back is written again.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -95,6 +95,7 @@
 export * from './usage_schedule.js';
 export * from './usage_totals.js';
 export * from './usage_window.js';
+export * from './version_ledger.js';
 export * from './wait_estimate.js';
 export * from './watch_targets.js';
 export * from './weighted_sample.js';
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -37,4 +37,5 @@
 export * from './services/seed_schedule.js';
 export * from './services/store.js';
 export {USAGE_REPORTS_SERVICE} from './services/usage_reports.js';
+export {VERSION_HISTORY} from './services/version_histories.js';
 export {TABLES_KEY} from './tables/tables.js';
--- /dev/null
+++ b/packages/gateway/src/services/history_currency.ts
@@ -0,0 +1,85 @@
+/**
+ * Decides whether this host may conclude from its replicas which versions a
+ * service had. It may if both were current a moment ago. While the store is
+ * away they grow old on all hosts; then it may as long as it reaches all hosts
+ * that it knew while they were current: none of these reads the store, or its
+ * updates would arrive here, and nobody can register a new version. A host that
+ * is cut off from the store and from other hosts concludes nothing.
+ */
+import type {ReplicatedTable} from '../model/table_store.js';
+import type {PeerState} from './host_tracker.js';
+
+/** Another host, or this one, as far as it is known here. */
+export interface ReachedHost {
+  readonly name: string;
+  readonly state: PeerState;
+}
+
+/** Dependencies of the decision. */
+export interface HistoryCurrencyParts {
+  /** Whether a table was ever read by this process. */
+  readonly isLoaded: (table: ReplicatedTable) => boolean;
+  /** The time since a table's replica was known to be current, in ms. */
+  readonly getAgeMs: (table: ReplicatedTable, now: number) => number;
+  /** Lists the hosts that are considered alive. */
+  readonly listAlive: () => readonly ReachedHost[];
+  /** How long a host is remembered that is no longer reached, in ms. */
+  readonly keepMs: number;
+}
+
+/**
+ * The ages up to which replicas count as current, in ms. All versions that have
+ * endpoints are in the replica of the endpoints, so only its age bounds how
+ * long a new version may be unknown here; other hosts confirm it each second.
+ */
+const MAX_AGES_MS = {endpoints: 1500, versions: 30_000} as const;
+
+/** Tracks whether the replicas are evidence of all versions. */
+export class HistoryCurrency {
+  /** When each host was last reached, by its name. */
+  private readonly reachedAt = new Map<string, number>();
+  private wasCurrent = false;
+
+  constructor(private readonly parts: HistoryCurrencyParts) {}
+
+  /** Whether both replicas were read by this process. */
+  get isLoaded(): boolean {
+    const {isLoaded} = this.parts;
+    return isLoaded('versions') && isLoaded('endpoints');
+  }
+
+  /** Whether the replicas were current a moment ago. */
+  isCurrent(now: number): boolean {
+    if (!this.isLoaded) return false;
+    const {getAgeMs} = this.parts;
+    return (
+      getAgeMs('endpoints', now) <= MAX_AGES_MS.endpoints &&
+      getAgeMs('versions', now) <= MAX_AGES_MS.versions
+    );
+  }
+
+  /** Whether the replicas are evidence of all versions. */
+  isKnown(now: number): boolean {
+    if (this.isCurrent(now)) return true;
+    if (!this.wasCurrent) return false;
+    const alive = new Set(this.parts.listAlive().map(({name}) => name));
+    for (const name of this.reachedAt.keys()) {
+      if (!alive.has(name)) return false;
+    }
+    return true;
+  }
+
+  /** Records which hosts are reached; to be called about each second. */
+  update(now: number): void {
+    for (const {name, state} of this.parts.listAlive()) {
+      // A host that leaves takes no new streams.
+      if (state === 'leaving') this.reachedAt.delete(name);
+      else this.reachedAt.set(name, now);
+    }
+    if (!this.isCurrent(now)) return;
+    this.wasCurrent = true;
+    for (const [name, at] of this.reachedAt) {
+      if (now - at > this.parts.keepMs) this.reachedAt.delete(name);
+    }
+  }
+}
--- a/packages/gateway/src/services/version_histories.ts
+++ b/packages/gateway/src/services/version_histories.ts
@@ -2,27 +2,142 @@
  * The service `versionHistory`: the software versions of each service over
  * time. docs/design/software_versions.md.
  */
-import {createService, createServiceKey} from '@irisdock/kernel';
+import {
+  createService,
+  createServiceKey,
+  type Random,
+  type ServiceContext,
+} from '@irisdock/kernel';
+import {Gauge} from 'prom-client';
 import * as z from 'zod';
-import {listEndpointVersions} from '../serving/listed_versions.js';
 import type {VersionHistory} from '../serving/version_history.js';
+import {getRandomFraction} from '../serving/serving_parts.js';
+import type {StoreStatus} from '../tables/store_status.js';
+import {TABLES_KEY, type Tables} from '../tables/tables.js';
 import {GATEWAY_ENDPOINTS} from './endpoints.js';
+import {HistoryCurrency} from './history_currency.js';
+import {HOST_IDENTITY} from './identity.js';
+import type {Peers} from './peer_hosts.js';
+import {PEERS} from './peers.js';
+import {RowWriter} from './row_writer.js';
+import {
+  KEEP_VERSION_MS,
+  ServiceVersions,
+  type VersionWriters,
+} from './service_versions.js';
+import {STORE} from './store.js';
 
 /** The key of the service. */
 export const VERSION_HISTORY =
   createServiceKey<VersionHistory>('versionHistory');
 
+/** The interval between checks of what has to be saved, in ms. */
+const SWEEP_MS = 1000;
+/** The retry delay after a failed call, in ms. */
+const RETRY_MS = 2000;
+/**
+ * A host that is not the first reader leaves a row to others for this time, in
+ * ms, and up to the second time more for each host, so that few write it.
+ */
+const MIN_DELAY_MS = 2000;
+const DELAY_PER_HOST_MS = 200;
+const MS_PER_SECOND = 1000;
+
 /** Declares the service. */
 export const VERSION_HISTORY_SERVICE = createService({
   key: VERSION_HISTORY,
   settings: z.object({}),
-  needs: [GATEWAY_ENDPOINTS],
+  needs: [STORE, TABLES_KEY, PEERS, GATEWAY_ENDPOINTS, HOST_IDENTITY],
   create(context) {
-    const endpoints = context.find(GATEWAY_ENDPOINTS);
-    const api: VersionHistory = {
-      listPossible: (service) =>
-        listEndpointVersions(endpoints.listAll(), service),
+    const {clock, log, random} = context;
+    const tables = context.find(TABLES_KEY);
+    const {versions: table} = tables;
+    const peers = context.find(PEERS);
+    const {standing} = peers;
+    const writer = new RowWriter({
+      table: 'versions',
+      store: context.find(STORE),
+      clock,
+      log,
+      retryMs: RETRY_MS,
+    });
+    const api = new ServiceVersions({
+      host: context.find(HOST_IDENTITY).name,
+      clock,
+      endpoints: context.find(GATEWAY_ENDPOINTS),
+      currency: createCurrency(tables, peers),
+      writer,
+      writers: createWriters(peers, random),
+      hasRow: (key) => table.replica.isInCurrentEra(key),
+    });
+    api.applyRows(table.replica.listAll());
+    void table.changes.observe((rows) => {
+      api.applyRows(rows);
+    });
+    void table.restored.observe(() => {
+      api.handleRestored();
+    });
+    void tables.endpoints.changes.observe(() => {
+      api.update();
+    });
+    const timer = setInterval(() => {
+      api.runSweep();
+    }, SWEEP_MS);
+    timer.unref();
+    createGauges(context, api, standing);
+    return {
+      api,
+      async stop() {
+        clearInterval(timer);
+        await writer.stop();
+      },
     };
-    return {api};
   },
 });
+
+function createCurrency(tables: Tables, peers: Peers): HistoryCurrency {
+  return new HistoryCurrency({
+    isLoaded: (name) => tables[name].replica.isLoaded,
+    getAgeMs: (name, now) => peers.standing.getAgeMs(name, now),
+    listAlive: () => peers.listAlive().map(({record}) => record),
+    keepMs: KEEP_VERSION_MS,
+  });
+}
+
+function createWriters(peers: Peers, random: Random): VersionWriters {
+  const fraction = getRandomFraction(random);
+  return {
+    isFirst: () => peers.isFirstReader,
+    getDelayMs: () => {
+      const spreadMs = peers.countPossiblyAlive() * DELAY_PER_HOST_MS;
+      return MIN_DELAY_MS + fraction * spreadMs;
+    },
+    isStoreAway: (now) => peers.standing.hasStoreFailedRecently(now),
+  };
+}
+
+function createGauges(
+  {clock, metrics}: ServiceContext,
+  versions: ServiceVersions,
+  standing: StoreStatus,
+): void {
+  new Gauge({
+    name: 'irisdock_gateway_software_versions',
+    help: 'Software versions whose streams may be resumed, a count, by whether the store is known to have them.',
+    labelNames: ['state'],
+    registers: [metrics],
+    collect() {
+      const {saved, unsaved} = versions.countVersions();
+      this.set({state: 'saved'}, saved);
+      this.set({state: 'unsaved'}, unsaved);
+    },
+  });
+  new Gauge({
+    name: 'irisdock_gateway_version_history_age_seconds',
+    help: 'The time since the history of software versions was last known to be current, in s; 60 at most.',
+    registers: [metrics],
+    collect() {
+      this.set(standing.getAgeMs('versions', clock.getNow()) / MS_PER_SECOND);
+    },
+  });
+}
