Refuse a resumed stream of a split route whose service is not known

Callers saw answers joined from two services: a route that is split between services drew the service of a resumed stream again if no live host had a record of it, as after the loss of all hosts.

Saved origins are looked up as well, and a service that had no endpoints while the stream can have begun is excluded. If more than one is left, the stream is refused (origin_unknown, 503, with Retry-After), and so is at once one whose service takes no streams of the route any more; it was refused before by a second lookup, unless that failed.

--- a/packages/gateway/src/serving/request_handler.ts
+++ b/packages/gateway/src/serving/request_handler.ts
@@ -2,7 +2,6 @@
  * Handles a caller's request: validates it against the current configuration
  * and runs the driver for calls or for streams.
  */
-import {chooseShare} from '@irisdock/decisions';
 import {getErrorText, type KnownError} from '@irisdock/kernel';
 import {GATEWAY_ERRORS} from '../errors.js';
 import type {RelayHop} from '../model/relay_path.js';
@@ -20,9 +19,9 @@
   createRefusedError,
 } from './send_rules.js';
 import type {ServingMetrics} from './serving_metrics.js';
-import {getRandomFraction, type ServingParts} from './serving_parts.js';
+import {chooseService} from './service_choice.js';
+import type {ServingParts} from './serving_parts.js';
 import {StreamDriver} from './stream_driver.js';
-import {findOriginService} from './stream_version.js';
 
 const MS_PER_SECOND = 1000;
 
@@ -101,11 +100,9 @@
     const route = clampRuns(found, exchange.hop);
     const request = await this.admit(exchange, route);
     if (request === undefined) return;
-    const service = await this.chooseService(route, request);
-    if (service === undefined) {
-      const {random} = this.parts;
-      const error = createNotRunError('no_endpoint', route.name, random);
-      this.refuse(exchange, error);
+    const chosen = await chooseService(this.parts, route, request);
+    if (chosen.isErr()) {
+      this.refuse(exchange, chosen.error);
       return;
     }
     // The content may have crashed endpoints under other request ids, here or
@@ -115,7 +112,7 @@
       this.refuse(exchange, createRefusedError(content, false));
       return;
     }
-    await this.drive(request, route, service);
+    await this.drive(request, route, chosen.value);
   }
 
   /** Ends a request whose handling threw. */
@@ -266,23 +263,6 @@
     return undefined;
   }
 
-  /** Chooses a service; a resumed stream stays at the one that began it. */
-  private async chooseService(
-    {shares, kind}: ServingRoute,
-    request: AdmittedRequest,
-  ): Promise<string | undefined> {
-    const [onlyShare] = shares;
-    if (shares.length === 1) return onlyShare?.service;
-    const {origins, random} = this.parts;
-    const {lastEventId} = request.metadata;
-    if (kind === 'stream' && lastEventId !== undefined) {
-      const service = await findOriginService(origins, request);
-      const share = shares.find((one) => one.service === service);
-      if (share !== undefined && share.weight > 0) return service;
-    }
-    return chooseShare(shares, getRandomFraction(random))?.service;
-  }
-
   /**
    * Refuses a request that matches no route or key. A host whose configuration
    * may be out of date sends a retryable error, as another host may know it.
--- a/packages/gateway/src/serving/stream_version.ts
+++ b/packages/gateway/src/serving/stream_version.ts
@@ -18,7 +18,6 @@
   findOrigins,
   type KnownOrigins,
   type OriginLookup,
-  type StreamOrigins,
 } from './origin_lookup.js';
 import {hashStreamId} from './request_content.js';
 import type {ServingParts} from './serving_parts.js';
@@ -49,20 +48,6 @@
 /** Why a stream's version is not known. */
 export type VersionDoubt = OriginDoubt | 'read_failed';
 
-/**
- * Finds the service that began the stream that a caller resumes; undefined if
- * no host recorded it.
- */
-export async function findOriginService(
-  origins: StreamOrigins,
-  request: AdmittedRequest,
-): Promise<string | undefined> {
-  const {resumedRequestId} = request.metadata;
-  const key = createOriginKey(request, resumedRequestId);
-  const {records} = await origins.find(key, true);
-  return records[0]?.service;
-}
-
 /** The software version of one stream. */
 export class StreamVersion {
   readonly binding = new VersionBinding();
