--- a/packages/gateway/src/services/origin_segments.ts
+++ b/packages/gateway/src/services/origin_segments.ts
@@ -12,8 +12,11 @@
 } from '../model/origin_row.js';
 import type {RowChange} from '../model/table_store.js';
 
-/** How long streams are added to one row, in ms. */
-const SEGMENT_MS = 10_000;
+/**
+ * How long streams are added to one row, in ms. Each write sends the row whole,
+ * so a longer time costs bytes, a shorter one rows to read.
+ */
+const SEGMENT_MS = 2500;
 /** The size from which a row gets no more streams, in bytes of JSON. */
 const MAX_SEGMENT_BYTES = 8000;
 /** The maximum number of rows that one call writes. */
