Reset an unframed answer that is broken off

Callers that read slowly, callers of a host that stopped, and callers of HTTP/1.0 streams that failed could get the first part of an answer that ends with its connection, ended in order.

Cause: the host destroyed the response, which closes the connection with a FIN when nothing is unread on it; for an answer without framing that is its end. Ruled out: chunked streams, which lack their last chunk, and answers with a length. They are closed as before, as a reset would drop events that are still on their way.

Change: one function breaks answers off, for the bounds of unread answers, failed streams and the end of a host's grace. It resets the connection if the answer has no chunks to tell the cut.

A host killed by a signal still ends such an answer in order: its kernel sends the FIN.

--- a/packages/gateway/src/channels/caller_connections.ts
+++ b/packages/gateway/src/channels/caller_connections.ts
@@ -9,6 +9,7 @@
 import type {KnownError, Logger} from '@irisdock/kernel';
 import {GATEWAY_ERRORS} from '../errors.js';
 import type {CallerLimits} from '../model/serving_configuration.js';
+import {closeIncomplete} from './incomplete_answer.js';
 import {findRequestFault} from './request_faults.js';
 
 /**
@@ -113,7 +114,7 @@
   /** Stops listening and closes all connections. */
   closeAll(): void {
     this.server.close();
-    for (const socket of this.connections.keys()) socket.destroy();
+    for (const connection of this.connections.values()) connection.close();
   }
 
   private add(socket: Socket): void {
@@ -231,6 +232,13 @@
     else if (!request.message.complete) this.current?.failRequest(fault);
   }
 
+  /** Closes the connection; an answer that is under way is broken off. */
+  close(): void {
+    const [request] = this.requests;
+    if (request !== undefined) closeIncomplete(request.response);
+    this.socket.destroy();
+  }
+
   private serve(request: AcceptedRequest): void {
     this.current = request.serve();
     if (this.fault === undefined || request.message.complete) return;
--- a/packages/gateway/src/channels/unread_answers.ts
+++ b/packages/gateway/src/channels/unread_answers.ts
@@ -7,6 +7,7 @@
 import type {Logger} from '@irisdock/kernel';
 import type {Counter} from 'prom-client';
 import {BufferBudget, type BufferHold} from './buffer_budget.js';
+import {closeIncomplete} from './incomplete_answer.js';
 
 /** How far a host waits for callers to read. */
 export interface UnreadBounds {
@@ -164,6 +165,6 @@
   private close(reason: UnreadEnd): void {
     if (this.response.destroyed) return;
     this.handleEnd(reason);
-    this.response.destroy();
+    closeIncomplete(this.response);
   }
 }
--- a/packages/gateway/src/serving/caller_exchange.ts
+++ b/packages/gateway/src/serving/caller_exchange.ts
@@ -11,6 +11,7 @@
   type BodyFault,
 } from '../channels/request_body.js';
 import {formatRawHeaders, readHeaderLines} from '../channels/header_lines.js';
+import {closeIncomplete} from '../channels/incomplete_answer.js';
 import type {LingeringCloses} from '../channels/lingering_closes.js';
 import type {UnreadAnswer, UnreadAnswers} from '../channels/unread_answers.js';
 import type {RelayHop} from '../model/relay_path.js';
@@ -194,7 +195,7 @@
 
   /** Ends a stream so that the caller sees it as incomplete. */
   failStream(): void {
-    if (this.takeFinal()) this.response.destroy();
+    if (this.takeFinal()) closeIncomplete(this.response);
   }
 
   /**
