Grant no lease of a suspected content just after a host started

The issuer of the leases on suspected contents restarted, or a host started that became the issuer, while a run held a lease. It took its empty table for the state of all hosts and granted the lease to a second run at once: for the first host list that it saw, it counted as the earlier issuer. Two runs of a content that crashes its engines then ran beside each other, so one request could crash more engines than its bound allows, and a crash no longer showed its cause.

A host now grants no new lease for 1.5 s after its start, in which the holders renew theirs with it (each 450 ms), and for 1.5 s after it first knew another host. A host that knows no other one grants at once: holders are hosts, and none is left. Ruled out by tests: waiting without that exception, and waiting from the first request, each failed 'goes on at a third engine' (twice) and 'is refused for a plain service too' of deployments with one host.

Two tests in simulated time, 'is kept when its issuer restarts' and 'is kept when a host starts that becomes its issuer', failed before (2 of 2) and pass after. ending_engines, crashing_requests, shared_crashes, suspect_run and engine_lease pass, one run each at load 8 to 12.

--- a/packages/gateway/src/services/run_lease_issuer.ts
+++ b/packages/gateway/src/services/run_lease_issuer.ts
@@ -27,11 +27,17 @@
   private readonly table = new RunLeaseTable();
   private recordsHash: number | undefined;
   private names: readonly string[] = [];
-  /** The hosts before the first change within the last lease duration. */
+  /**
+   * The hosts before the first change within the last lease duration; none if
+   * they are not known.
+   */
   private earlierNames: readonly string[] = [];
-  private hostsChangedAt = -Infinity;
+  /** A host that has just started does not know which leases are held. */
+  private hostsChangedAt: number;
 
-  constructor(private readonly parts: RunLeaseIssuerParts) {}
+  constructor(private readonly parts: RunLeaseIssuerParts) {
+    this.hostsChangedAt = parts.clock.getNow();
+  }
 
   /** Finds the issuer of a content; undefined when no host is ready. */
   findIssuer(content: string): string | undefined {
@@ -76,16 +82,23 @@
   }
 
   private updateHosts(): void {
-    const {peers, ownName, clock} = this.parts;
+    const {peers, clock} = this.parts;
     if (peers.recordsHash === this.recordsHash) return;
     this.recordsHash = peers.recordsHash;
     const names = peers.listReadyNames().sort();
     if (names.join() === this.names.join()) return;
+    const previous = this.names;
+    this.names = names;
+    if (previous.length === 0) {
+      this.earlierNames = names.length === 1 ? names : [];
+      return;
+    }
     const now = clock.getNow();
-    const previous = this.names.length === 0 ? [ownName] : this.names;
-    if (now - this.hostsChangedAt >= RUN_LEASE_MS) this.earlierNames = previous;
+    const isSettled = now - this.hostsChangedAt >= RUN_LEASE_MS;
+    // While this host knew no other one, they had another issuer.
+    if (previous.length === 1) this.earlierNames = [];
+    else if (isSettled) this.earlierNames = previous;
     this.hostsChangedAt = now;
-    this.names = names;
   }
 }
 
--- a/packages/gateway/tests/run_leases.test.ts
+++ b/packages/gateway/tests/run_leases.test.ts
@@ -30,7 +30,7 @@
   private recordsHash = 0;
 
   constructor(names: readonly string[]) {
-    for (const name of names) this.add(name);
+    for (const name of names) this.add(name, 1);
   }
 
   /** The host that grants the leases of the content. */
@@ -51,6 +51,12 @@
     this.recordsHash++;
   }
 
+  /** Replaces a host by one that remembers nothing. */
+  startAgain(name: string): void {
+    this.kill(name, true);
+    this.add(name, 2);
+  }
+
   acquire(
     {client}: FleetHost,
     maxWaitMs = EXPIRY_WAIT_MS,
@@ -73,7 +79,13 @@
     return outcome;
   }
 
-  private add(name: string): void {
+  /** Waits until leases that were granted before a change have expired. */
+  async waitForExpiry(): Promise<void> {
+    for (const {client} of this.hosts.values()) client.dropExpired();
+    await this.clock.run(EXPIRY_WAIT_MS);
+  }
+
+  private add(name: string, incarnation: number): void {
     const {clock} = this;
     const peers = {
       listReadyNames: () => [...this.alive],
@@ -95,7 +107,7 @@
     });
     const identity = {
       name,
-      incarnation: 1,
+      incarnation,
       deployment: '',
       failureDomain: 'zone-a',
     };
@@ -118,8 +130,7 @@
 /** Creates a fleet of which every host may grant leases at once. */
 async function createFleet(): Promise<LeaseFleet> {
   const fleet = new LeaseFleet(['h-1', 'h-2', 'h-3', 'h-4']);
-  for (const {client} of fleet.hosts.values()) client.dropExpired();
-  await fleet.clock.run(EXPIRY_WAIT_MS);
+  await fleet.waitForExpiry();
   return fleet;
 }
 
@@ -180,6 +191,29 @@
     await checkWaitsFor(fleet, first, two);
   });
 
+  // Guards against a restarted issuer that grants a lease which is held.
+  it('is kept when its issuer restarts', async () => {
+    const fleet = await createFleet();
+    const [one, two] = fleet.listOthers();
+    assert.ok(one && two);
+    const first = await fleet.waitFor(fleet.acquire(one));
+    fleet.startAgain(fleet.issuer);
+    await checkWaitsFor(fleet, first, two);
+  });
+
+  // Guards against a started host that takes leases over without waiting.
+  it('is kept when a host starts that becomes its issuer', async () => {
+    const fleet = await createFleet();
+    const {issuer} = fleet;
+    fleet.kill(issuer, true);
+    await fleet.waitForExpiry();
+    const [one, two] = fleet.listOthers();
+    assert.ok(one && two);
+    const first = await fleet.waitFor(fleet.acquire(one));
+    fleet.startAgain(issuer);
+    await checkWaitsFor(fleet, first, two);
+  });
+
   // Guards against harmless streams that wait for a lost host.
   it('is not waited for when its issuer is silent', async () => {
     const fleet = await createFleet();
