Kill all hosts of the soak while two versions serve streams

A play that is not scaled now ends with a loss of all hosts in calm: while two software versions serve, or 0.3 s after the endpoints of one began to leave, with empty prompt caches. The witness of versions finds streams that are joined; a new one counts resumed streams whose version serves against new ones, as refusing all of them would satisfy the first. A caller whose stream has begun comes again 12 times, 0.2 s after a host that is gone, as four attempts were used up before a host ran again.

The failure domains of a play moved to a file of their own.

--- a/soak/src/caller.ts
+++ b/soak/src/caller.ts
@@ -50,6 +50,10 @@
 const FAILED_PAUSE_MS = 500;
 const PROMPT_TOKENS = 4000;
 const MAX_ATTEMPTS = 4;
+/** The most attempts at a stream that has begun. */
+const MAX_RESUMED_ATTEMPTS = 12;
+/** The pause of such a stream's caller after a host that is gone, in ms. */
+const GONE_PAUSE_MS = 200;
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([429, 503]);
 const OK_STATUS = 200;
 
@@ -96,7 +100,10 @@
     const body = this.parts.body ?? `${this.name}-${this.count}`;
     let lastEventId = 0;
     let resumes: string | undefined;
-    for (let tries = 0; tries < MAX_ATTEMPTS; tries++) {
+    const endsAt = performance.now() + STREAM_MS;
+    for (let tries = 0; ; tries++) {
+      const isBegun = resumes !== undefined && performance.now() < endsAt;
+      if (tries >= (isBegun ? MAX_RESUMED_ATTEMPTS : MAX_ATTEMPTS)) break;
       const address = await this.addresses.choose();
       if (address === undefined) continue;
       const attempt = this.createAttempt(kind, address, {
@@ -111,7 +118,10 @@
         return true;
       }
       if (end.kind === 'answer') await sleep(getPauseMs(end));
-      else this.addresses.drop(address);
+      else {
+        this.addresses.drop(address);
+        if (isBegun) await sleep(GONE_PAUSE_MS);
+      }
       if (!isRepeatRight(kind, end)) return false;
       if (isStream(kind) && end.kind === 'answer') {
         const events = countEvents(end);
--- a/soak/src/endpoint_fleet.ts
+++ b/soak/src/endpoint_fleet.ts
@@ -126,6 +126,8 @@
     Readonly<Record<string, unknown>> | undefined
   >();
   private readonly copies = new CopyRegistry();
+  /** The versions of the places that were released, by place. */
+  private readonly releases = new Map<number, string>();
   /** Places to which nothing comes back. */
   private readonly removed = new Set<number>();
   private count = 0;
@@ -238,14 +240,28 @@
     await this.add(instance.service, place, instance.isSpot);
   }
 
-  /** Replaces an instance: the new one comes first, the old one leaves. */
-  async drain(place: number): Promise<void> {
+  /** Replaces the instances at some places by others of a version. */
+  async release(
+    places: readonly number[],
+    version: string,
+    servesMs: number,
+  ): Promise<void> {
+    for (const place of places) this.releases.set(place, version);
+    await Promise.all(places.map((place) => this.drain(place, servesMs)));
+  }
+
+  /**
+   * Replaces an instance: the new one comes first, the old one leaves.
+   *
+   * @param servesMs How long the old one serves once it has said so, in ms.
+   */
+  async drain(place: number, servesMs = LEAVE_MS + LINGER_MS): Promise<void> {
     const old = this.takeOut(place);
     if (old === undefined) return;
     await this.add(old.service, place, old.isSpot);
     this.putEntry(old, 'leaving');
     old.leavingAt = performance.now();
-    await sleep(LEAVE_MS + LINGER_MS);
+    await sleep(servesMs);
     this.writeEntry(old.id, undefined);
     this.end(old);
   }
@@ -338,6 +354,8 @@
 
   /** Each version has an endpoint in each failure domain. */
   private chooseVersion(place: number): string {
+    const released = this.releases.get(place);
+    if (released !== undefined) return released;
     const round = Math.floor(place / this.failureDomains.length);
     return VERSIONS[round % VERSIONS.length] ?? '';
   }
--- a/soak/src/partition_player.ts
+++ b/soak/src/partition_player.ts
@@ -26,6 +26,11 @@
   readonly host: string;
   readonly startedAt: number;
   readonly isServed: boolean;
+  /** The same for all attempts of one request. */
+  readonly request: string;
+  readonly isStream: boolean;
+  /** The software version that began the stream that it resumes, if any. */
+  readonly version: string | undefined;
 }
 
 interface Partition {
--- a/soak/src/play.ts
+++ b/soak/src/play.ts
@@ -20,6 +20,7 @@
   type FleetListener,
 } from './endpoint_fleet.js';
 import {EndpointSilences} from './endpoint_silences.js';
+import {DOMAINS, hasRegions, REGIONS} from './failure_domains.js';
 import {planFaults, type PlannedFault} from './fault_plan.js';
 import {FaultPlayer} from './fault_player.js';
 import {planHandovers, type HandoverEvent} from './handover_plan.js';
@@ -29,6 +30,7 @@
 import {HostProcess} from './host_process.js';
 import {LimitPlayer} from './limit_player.js';
 import {LimitWitness} from './limit_witness.js';
+import {LossPlayer} from './loss_player.js';
 import {OverlapWitness} from './overlap_witness.js';
 import {PAUSE_MS, PausePlayer} from './pause_player.js';
 import {PartitionPlayer} from './partition_player.js';
@@ -40,15 +42,6 @@
 import {StoreDrills} from './store_drills.js';
 import {Witness} from './witness.js';
 
-const DOMAINS = ['zone-1', 'zone-2', 'zone-3'];
-/** The regions of the failure domains, in plays that have regions. */
-const REGIONS = {
-  'zone-1': 'region-1',
-  'zone-2': 'region-1',
-  'zone-3': 'region-2',
-};
-/** One play in so many has regions. */
-const REGIONS_ONE_IN = 2;
 const PLACES_A_SERVICE = 6;
 /** All is to be served again after so long, in ms. */
 const RECOVERY_MS = 6000;
@@ -73,6 +66,7 @@
   readonly pauses = new PauseWitness(this.disturbances);
   readonly overlaps = new OverlapWitness(this.disturbances);
   readonly fleet: EndpointFleet;
+  readonly losses: LossPlayer;
   /** The platform's side of scaling; absent if no service is scaled. */
   readonly scaling: ScalingPlayer | undefined;
   private readonly listener: FleetListener = {
@@ -124,8 +118,7 @@
     this.harmlessRandom = new SeededRandom(seed + 2 ** 24);
     this.hasFewRetries = this.harmlessRandom.getInt(FEW_RETRIES_ONE_IN) === 0;
     this.witness = new Witness(this.disturbances, this.hasFewRetries);
-    const regionRandom = new SeededRandom(seed + 2 ** 27);
-    this.hasRegions = regionRandom.getInt(REGIONS_ONE_IN) === 0;
+    this.hasRegions = hasRegions(seed);
     const {lengthMs} = options;
     const {store, listener, disturbances} = this;
     const scaled = planScaling(seed, lengthMs, DOMAINS);
@@ -139,6 +132,9 @@
         disturbances,
       );
     }
+    const lossParts = {hosts: this.hosts, fleet: this.fleet, disturbances};
+    const isScaled = scaled !== undefined;
+    this.losses = new LossPlayer(seed, isScaled, lossParts);
     this.platformApi = new PlatformApiPlayer(
       seed,
       lengthMs,
@@ -194,6 +190,7 @@
     // A call into the partition counts as begun, as it may have run.
     const calm = {from: usageRightAt, until: Date.now()};
     await partitions.runInCalm();
+    await this.losses.run();
     this.configuration.stop();
     await Promise.all([callers.stop(), asking]);
     this.witness.checkRefusals();
@@ -204,6 +201,7 @@
       ...this.pauses.listFaults(),
       ...this.overlaps.listFaults((id) => this.witness.findAttempt(id)?.host),
       ...partitions.listFaults(this.witness.ended),
+      ...this.losses.listFaults(this.witness.ended),
       ...this.platformApi.listFaults(calm),
     ];
     for (const fault of broken) this.witness.addFault(fault);
--- a/soak/src/play_report.ts
+++ b/soak/src/play_report.ts
@@ -4,6 +4,7 @@
 import type {HandoverEvent} from './handover_plan.js';
 import type {HarmlessEvent} from './harmless_plan.js';
 import {DEPLOYED_PROGRAM} from './host_process.js';
+import type {LossReport} from './loss_witness.js';
 import type {ApiFaultEvent} from './platform_api_player.js';
 import type {ReclaimEvent} from './scaling_player.js';
 
@@ -37,6 +38,8 @@
   readonly apiCalls: number;
   /** Windows of usage whose counts were checked. */
   readonly checkedWindows: number;
+  /** Streams after a loss of all hosts; absent in a play without one. */
+  readonly loss?: LossReport | undefined;
   /** Whether the failure domains are in two regions. */
   readonly hasRegions: boolean;
   /** Whether the service of streams is scaled, and the orders accepted. */
--- a/soak/src/run_play.ts
+++ b/soak/src/run_play.ts
@@ -39,6 +39,7 @@
     limited,
     apiCalls: play.platformApi.calls,
     checkedWindows: play.platformApi.checkedWindows,
+    loss: play.losses.createReport(play.witness.ended),
     hasRegions: play.hasRegions,
     isScaled: play.scaling !== undefined,
     orders: play.scaling?.orders ?? 0,
--- a/soak/src/version_witness.ts
+++ b/soak/src/version_witness.ts
@@ -10,6 +10,12 @@
   /** The version that sent the first event, by the first attempt. */
   private readonly versions = new Map<string, string>();
 
+  /** Finds the version that began the stream of a first attempt. */
+  find(firstAttemptId: string | undefined): string | undefined {
+    if (firstAttemptId === undefined) return undefined;
+    return this.versions.get(firstAttemptId);
+  }
+
   /** Takes the events of an attempt; returns the broken promise, if any. */
   recordEvents(
     {attemptId, resumes}: Pick<Attempt, 'attemptId' | 'resumes'>,
--- a/soak/src/witness.ts
+++ b/soak/src/witness.ts
@@ -151,11 +151,18 @@
 
   /** Contents that end their endpoints are refused everywhere. */
   private recordEnded(attempt: Attempt, end: AttemptEnd): void {
-    const {host, startedAt, body, kind} = attempt;
+    const {host, startedAt, body, kind, resumes} = attempt;
     if (body.startsWith(CRASH_PREFIX) || isTemporary(kind)) return;
     const isServed =
       end.kind === 'answer' && end.status === OK_STATUS && end.isWhole;
-    this.ended.push({host, startedAt, isServed});
+    this.ended.push({
+      host,
+      startedAt,
+      isServed,
+      request: body,
+      isStream: isStream(kind),
+      version: this.versions.find(resumes),
+    });
   }
 
   /** Takes a broken promise, in words that name who and what. */
