--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -40,11 +40,13 @@
 import {PEER_TABLES_SERVICE} from './tables/peer_tables.js';
 import {PEERS_SERVICE} from './services/peers.js';
 import {ROLLOUTS_SERVICE} from './services/rollouts.js';
+import {ORIGIN_STORE_SERVICE} from './services/origin_stores.js';
 import {RUN_LEASES_SERVICE} from './services/run_leases.js';
 import {SCALING_SERVICE} from './services/scaling.js';
 import {STREAM_ORIGINS_SERVICE} from './services/stream_origins.js';
 import {TASKS_SERVICE} from './services/tasks.js';
 import {USAGE_REPORTS_SERVICE} from './services/usage_reports.js';
+import {VERSION_HISTORY_SERVICE} from './services/version_histories.js';
 import {TABLES_SERVICE} from './tables/tables.js';
 import {SettingsFileWatcher} from './settings_file_watcher.js';
 
@@ -64,7 +66,9 @@
   CRASHES_SERVICE,
   DEMAND_SERVICE,
   RUN_LEASES_SERVICE,
+  ORIGIN_STORE_SERVICE,
   STREAM_ORIGINS_SERVICE,
+  VERSION_HISTORY_SERVICE,
   LIMITS_SERVICE,
   ENDPOINT_NETWORK_SERVICE,
   BEGUN_REQUESTS_SERVICE,
--- a/packages/gateway/src/serving/serving_parts.ts
+++ b/packages/gateway/src/serving/serving_parts.ts
@@ -18,8 +18,9 @@
 import type {SendGate} from './send_gate.js';
 import type {ServingMetrics} from './serving_metrics.js';
 import type {SuccessorFinder} from './successors.js';
-import type {StreamOrigins} from './stream_version.js';
+import type {StreamOrigins} from './origin_lookup.js';
 import type {RunLeases} from './suspect_run.js';
+import type {VersionHistory} from './version_history.js';
 
 /** Dependencies of the drivers of requests. */
 export interface ServingParts {
@@ -41,6 +42,7 @@
   readonly crashes: CrashRecords;
   readonly runLeases: RunLeases;
   readonly origins: StreamOrigins;
+  readonly versions: VersionHistory;
   readonly gate: SendGate;
   readonly paths: EndpointPaths;
   readonly relay: RequestRelay;
