Poll the history of software versions every 15 s

The test of hosts at rest failed at 60 hosts: 106 calls in 30 s where 101 are allowed, as a second table was read each 5 s. A change of the history wakes the poll that waits for it, and new versions show in the endpoints, so a pause of 15 s delays nothing. The test passes as it was.

--- a/packages/gateway/src/services/history_currency.ts
+++ b/packages/gateway/src/services/history_currency.ts
@@ -32,7 +32,7 @@
  * endpoints are in the replica of the endpoints, so only its age bounds how
  * long a new version may be unknown here; other hosts confirm it each second.
  */
-const MAX_AGES_MS = {endpoints: 1500, versions: 30_000} as const;
+const MAX_AGES_MS = {endpoints: 1500, versions: 45_000} as const;
 
 /** Tracks whether the replicas are evidence of all versions. */
 export class HistoryCurrency {
--- a/packages/gateway/src/tables/tables.ts
+++ b/packages/gateway/src/tables/tables.ts
@@ -53,11 +53,11 @@
     unit: 'ms',
     description: 'As `maxAgeMs`, for crashes.',
   }),
-  versionsWaitMs: z.coerce.number().int().min(100).default(5000).meta({
+  versionsWaitMs: z.coerce.number().int().min(100).default(15_000).meta({
     unit: 'ms',
     description: 'As `waitMs`, for the history of software versions.',
   }),
-  versionsMaxAgeMs: z.coerce.number().int().min(100).default(8000).meta({
+  versionsMaxAgeMs: z.coerce.number().int().min(100).default(22_000).meta({
     unit: 'ms',
     description: 'As `maxAgeMs`, for the history of software versions.',
   }),
