--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -210,6 +210,7 @@
   const outages = resolveOutages(context, settings);
   return {
     clock,
+    startedAt: clock.getNow(),
     random,
     log,
     codec,
--- a/packages/gateway/src/services/stream_origin_client.ts
+++ b/packages/gateway/src/services/stream_origin_client.ts
@@ -6,6 +6,7 @@
  */
 import {
   chooseOriginHolders,
+  listMatchingOrigins,
   ORIGIN_HOLDERS,
   ORIGIN_RESPONDERS,
   OriginTable,
@@ -19,8 +20,10 @@
   OriginResponseDatagram,
   OriginsDatagram,
 } from '../model/origin_datagram.js';
-import type {StreamOrigins} from '../serving/stream_version.js';
+import type {OriginLookup, StreamOrigins} from '../serving/origin_lookup.js';
 import type {OriginDatagramHandler} from './datagram_handlers.js';
+import type {StoredOrigins} from './origin_reader.js';
+import type {OriginStore} from './origin_store.js';
 import type {Peers} from './peer_hosts.js';
 import {PeerRequests} from './peer_requests.js';
 
@@ -34,6 +37,7 @@
 /** Dependencies of the client. */
 export interface StreamOriginClientParts {
   readonly ownName: string;
+  readonly store: Pick<OriginStore, 'find' | 'save' | 'startHeartbeat'>;
   readonly peers: Pick<Peers, 'listAlive' | 'recordsHash' | 'sendToNames'> &
     Partial<Pick<Peers, 'position'>>;
   readonly clock: Clock;
@@ -50,6 +54,12 @@
   isEnded: boolean;
 }
 
+/** The names of the hosts that one lookup asked, and of those that answered. */
+interface AskedHosts {
+  readonly asked: Set<string>;
+  readonly answered: Set<string>;
+}
+
 /** Another host that is alive. */
 interface LiveHost extends OriginHost {
   readonly incarnation: number;
@@ -93,25 +103,32 @@
     this.published.add(published);
     const names = this.addHolders(published, this.listHosts());
     this.sendOrigins(names, [record]);
+    this.parts.store.save(record);
     return () => {
       published.isEnded = true;
     };
   }
 
-  async find(
-    key: OriginKey,
-    isThorough: boolean,
-  ): Promise<readonly OriginRecord[]> {
-    const kept = await this.findAtHolders(key);
-    if (kept.length > 0 || !isThorough) return kept;
-    const hosts = getShuffled(this.listHosts(), this.parts.random);
-    const names = hosts.slice(0, MAX_RANDOM_HOSTS).map(({name}) => name);
-    return this.poll(names, key);
+  async find(key: OriginKey, isThorough: boolean): Promise<OriginLookup> {
+    const hosts: AskedHosts = {asked: new Set(), answered: new Set()};
+    const kept = await this.findAtHolders(key, hosts);
+    const isFound = kept.length > 0 || !isThorough;
+    const records = isFound ? kept : await this.findAtRandom(key, hosts);
+    return {
+      records,
+      hostsAsked: hosts.asked.size,
+      hostsAnswered: hosts.answered.size,
+    };
+  }
+
+  async findStored(key: OriginKey): Promise<StoredOrigins> {
+    return this.parts.store.find(key);
   }
 
   /** Repeats new reports, replaces lost holders, and drops old records. */
   startHeartbeat(): void {
-    const {peers, clock} = this.parts;
+    const {peers, clock, store} = this.parts;
+    store.startHeartbeat();
     const now = clock.getNow();
     if (now - this.sweptAt >= SWEEP_INTERVAL_MS) {
       this.sweptAt = now;
@@ -163,6 +180,7 @@
 
   private async findAtHolders(
     key: OriginKey,
+    asked: AskedHosts,
   ): Promise<readonly OriginRecord[]> {
     const {streamId} = key;
     if (streamId === undefined) return [];
@@ -173,7 +191,16 @@
       ORIGIN_RESPONDERS,
       this.parts.peers.position,
     );
-    return this.poll(names, key);
+    return this.poll(names, key, asked);
+  }
+
+  private async findAtRandom(
+    key: OriginKey,
+    asked: AskedHosts,
+  ): Promise<readonly OriginRecord[]> {
+    const hosts = getShuffled(this.listHosts(), this.parts.random);
+    const names = hosts.slice(0, MAX_RANDOM_HOSTS).map(({name}) => name);
+    return this.poll(names, key, asked);
   }
 
   /** Adds the holders that are missing; returns their names. */
@@ -208,6 +235,7 @@
   private async poll(
     names: readonly string[],
     key: OriginKey,
+    {asked, answered}: AskedHosts,
   ): Promise<readonly OriginRecord[]> {
     const found = this.table.list(key, this.parts.clock.getNow());
     const isNamed = ({streamId}: OriginRecord): boolean =>
@@ -215,12 +243,14 @@
     if (found.some(isNamed)) return found;
     await new Promise<void>((resolve) => {
       const polls = names.map(async (name) => {
+        asked.add(name);
         const answer = await this.requests.poll(name, (number) => ({
           kind: 'origin-ask',
           name: this.parts.ownName,
           number,
           ...key,
         }));
+        if (answer !== undefined) answered.add(name);
         found.push(...(answer?.origins ?? []));
         if (found.some(isNamed)) resolve();
       });
@@ -228,8 +258,7 @@
         resolve();
       });
     });
-    const named = found.filter(isNamed);
-    return named.length > 0 ? named : found;
+    return listMatchingOrigins(key, found);
   }
 
   private listHosts(): LiveHost[] {
--- a/packages/gateway/src/serving/serving_parts.ts
+++ b/packages/gateway/src/serving/serving_parts.ts
@@ -18,13 +18,15 @@
 import type {SendGate} from './send_gate.js';
 import type {ServingMetrics} from './serving_metrics.js';
 import type {SuccessorFinder} from './successors.js';
-import type {StreamOrigins} from './stream_version.js';
+import type {StreamOrigins} from './origin_lookup.js';
 import type {RunLeases} from './suspect_run.js';
 import type {VersionHistory} from './version_history.js';
 
 /** Dependencies of the drivers of requests. */
 export interface ServingParts {
   readonly clock: Clock;
+  /** When this host started, in ms of the clock. */
+  readonly startedAt: number;
   readonly random: Random;
   readonly log: Logger;
   readonly codec: HeaderCodec;
--- a/packages/gateway/tests/stream_origins.test.ts
+++ b/packages/gateway/tests/stream_origins.test.ts
@@ -120,7 +120,7 @@
     const client = this.getClient(name);
     const startedAt = this.clock.getNow();
     let ms = -1;
-    const timed = client.find(key, isThorough).then((records) => {
+    const timed = client.find(key, isThorough).then(({records}) => {
       ms = this.clock.getNow() - startedAt;
       return records;
     });
@@ -143,6 +143,11 @@
       ownName,
       peers: peers as typeof peers & {readonly recordsHash: number},
       clock,
+      store: {
+        find: () => Promise.resolve({records: [], isRead: true, rows: 0}),
+        save: () => undefined,
+        startHeartbeat: () => undefined,
+      },
       random: this.random,
     });
   }
