Save the first versions as soon as the tables are read

A deployment that starts for the first time waited up to a second for the next check before its versions had rows; its past was unknown meanwhile, and the origins of its first streams were saved (all_hosts_lost, `writes no origins to the store`, failed).

A service without rows and endpoints had no version if other services have rows, so a split route can exclude it.

--- a/packages/decisions/src/version_ledger.ts
+++ b/packages/decisions/src/version_ledger.ts
@@ -110,10 +110,11 @@
     return versions;
   }
 
-  /** Whether any version of a service has a row. */
-  hasRow(service: string): boolean {
+  /** Whether any version has a row; of a service, if one is given. */
+  hasRow(service?: string): boolean {
     for (const entry of this.entries.values()) {
-      if (entry.service === service && entry.savedAt !== undefined) return true;
+      const isWanted = service === undefined || entry.service === service;
+      if (isWanted && entry.savedAt !== undefined) return true;
     }
     return false;
   }
--- a/packages/gateway/src/services/service_versions.ts
+++ b/packages/gateway/src/services/service_versions.ts
@@ -93,10 +93,12 @@
     const {clock, currency, endpoints} = this.parts;
     if (!currency.isKnown(clock.getNow())) return undefined;
     if (endpoints.version !== this.observedVersion) this.updateLedger();
-    // A service without rows may have had others before rows were written.
+    const known = this.ledger.listVersions(service);
+    // Before the first row was written, others may have served unrecorded.
+    if (known.length === 0) return this.ledger.hasRow() ? [] : undefined;
     if (!this.ledger.hasRow(service)) return undefined;
     const versions: string[] = [];
-    for (const version of this.ledger.listVersions(service)) {
+    for (const version of known) {
       if (version === undefined) return undefined;
       versions.push(version);
     }
@@ -145,6 +147,11 @@
     }
   }
 
+  /** Whether the rows were read, so that new versions can be told. */
+  get isLoaded(): boolean {
+    return this.parts.currency.isLoaded;
+  }
+
   /** Counts the versions by whether their rows are up to date. */
   countVersions(): {readonly saved: number; readonly unsaved: number} {
     return this.ledger.countVersions();
--- a/packages/gateway/src/services/version_histories.ts
+++ b/packages/gateway/src/services/version_histories.ts
@@ -33,6 +33,12 @@
 
 /** The interval between checks of what has to be saved, in ms. */
 const SWEEP_MS = 1000;
+/**
+ * The interval between the first checks, until the tables are read, in ms. A
+ * deployment that starts for the first time does not know its past before its
+ * versions have rows.
+ */
+const LOADING_MS = 50;
 /** The retry delay after a failed call, in ms. */
 const RETRY_MS = 2000;
 /**
@@ -84,11 +90,17 @@
       api.runSweep();
     }, SWEEP_MS);
     timer.unref();
+    const loading = setInterval(() => {
+      if (api.isLoaded) clearInterval(loading);
+      api.update();
+    }, LOADING_MS);
+    loading.unref();
     createGauges(context, api, standing);
     return {
       api,
       async stop() {
         clearInterval(timer);
+        clearInterval(loading);
         await writer.stop();
       },
     };
--- a/packages/gateway/src/serving/version_history.ts
+++ b/packages/gateway/src/serving/version_history.ts
@@ -8,7 +8,7 @@
 export interface VersionHistory {
   /**
    * Lists the versions that may have begun a stream of a service that a caller
-   * may resume now, those that serve now included.
+   * may resume now, those that serve now included; empty if it had none.
    *
    * @returns Undefined if this host does not know the past of the service.
    */
