--- a/packages/gateway/src/serving/caller_exchange.ts
+++ b/packages/gateway/src/serving/caller_exchange.ts
@@ -11,11 +11,13 @@
   type BodyFault,
 } from '../channels/request_body.js';
 import {formatRawHeaders, readHeaderLines} from '../channels/header_lines.js';
+import {closeIncomplete} from '../channels/incomplete_answer.js';
 import type {LingeringCloses} from '../channels/lingering_closes.js';
 import type {UnreadAnswer, UnreadAnswers} from '../channels/unread_answers.js';
 import type {RelayHop} from '../model/relay_path.js';
 import type {HeaderLines, RequestMetadata} from '../model/request_metadata.js';
 import {createRefusalResponse} from './refusal_response.js';
+import {UNFRAMED_LINE} from './relayed_framing.js';
 
 /** A complete answer of an endpoint that is not an event stream. */
 export interface PlainAnswer {
@@ -147,10 +149,13 @@
     const {status, lines, body, isFramed} = answer;
     const raw = formatRawHeaders(lines);
     const isBodiless = status === 204 || status === 304;
+    const isRelayed = this.hop !== undefined;
+    if (isRelayed && !isFramed) raw.push(...UNFRAMED_LINE);
     // A body delimited only by the end of its connection may be truncated, so
     // it is passed on without a length as well.
-    if (!isFramed) this.response.useChunkedEncodingByDefault = false;
-    else if (!isBodiless) raw.push('Content-Length', String(body.length));
+    if (!isFramed && !isRelayed) {
+      this.response.useChunkedEncodingByDefault = false;
+    } else if (!isBodiless) raw.push('Content-Length', String(body.length));
     this.response.writeHead(status, raw);
     if (isBodiless) this.answer.end();
     else this.answer.send(body);
@@ -190,7 +195,7 @@
 
   /** Ends a stream so that the caller sees it as incomplete. */
   failStream(): void {
-    if (this.takeFinal()) this.response.destroy();
+    if (this.takeFinal()) closeIncomplete(this.response);
   }
 
   /**
