Fail the daemon's calls whose answer without a length is reset

Callers of plain services got the first part of such an answer in chunks with the last one, framed as whole.

Cause: undici ends a response without framing on ECONNRESET, and on the end of its socket that Node reports for some resets; the daemon then framed what it had. Ruled out: a hook of undici's connector, whose errors reach the parser after it has ended the response.

Change: calls to plain endpoints use Node's client with the check of the gateway, which moves to the kernel. A body without framing fails unless its connection ended in order. It goes to the caller without framing, and its connection is reset if it is cut. Idle connections are closed when data arrives on them, as undici does; a test fails without that.

--- a/packages/daemon/src/caller/plain_route.ts
+++ b/packages/daemon/src/caller/plain_route.ts
@@ -122,12 +122,16 @@
     response.setHeader(name, value);
   }
   response.setHeader(REQUEST_ID_HEADER, id);
+  // The endpoint may have been killed amid a body that ends with its
+  // connection, so the caller gets it without framing as well.
+  if (!answer.isFramed) response.useChunkedEncodingByDefault = false;
   response.writeHead(answer.status);
   try {
     await pipeline(answer.body, response);
   } catch {
     // The status is already sent, so closing the connection is the only way to
-    // report the failure.
+    // report the failure; an end in order would complete an unframed body.
+    if (!answer.isFramed) response.socket?.resetAndDestroy();
     response.destroy();
   }
 }
--- a/packages/endpoints/src/plain_endpoint.ts
+++ b/packages/endpoints/src/plain_endpoint.ts
@@ -18,7 +18,10 @@
 export interface PlainAnswer {
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
+  /** Fails if it is cut. */
   readonly body: Readable;
+  /** Whether the body has a length or is chunked. */
+  readonly isFramed: boolean;
 }
 
 /** An endpoint of a plain service. */
--- a/packages/endpoints/tests/http_plain_endpoint.test.ts
+++ b/packages/endpoints/tests/http_plain_endpoint.test.ts
@@ -4,8 +4,11 @@
 import {createServer, type AddressInfo, type Socket} from 'node:net';
 import {text as readText} from 'node:stream/consumers';
 import {describe, it} from 'node:test';
+import {setTimeout as pause} from 'node:timers/promises';
 import {HttpPlainEndpoint} from '@irisdock/endpoints';
 
+/** In this time, bytes after an answer arrive, in ms. */
+const PAUSE_MS = 20;
 const HEAD = 'HTTP/1.1 200 OK\r\n';
 
 /** Sends a call; gives the body, or undefined if it is cut. */
@@ -13,32 +16,55 @@
   answer: string,
   handleSent: (socket: Socket) => void,
 ): Promise<string | undefined> {
+  const [body] = await readBodies(1, (socket) => {
+    socket.write(answer, () => {
+      handleSent(socket);
+    });
+  });
+  return body;
+}
+
+/** Sends calls one after the other; a body that is cut is undefined. */
+async function readBodies(
+  count: number,
+  handleCall: (socket: Socket, index: number) => void,
+): Promise<readonly (string | undefined)[]> {
+  let calls = 0;
   const server = createServer((socket) => {
     socket.on('error', () => undefined);
-    socket.once('data', () => {
-      socket.write(answer, () => {
-        handleSent(socket);
-      });
+    socket.on('data', () => {
+      handleCall(socket, calls++);
     });
   });
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   const {port} = server.address() as AddressInfo;
   const endpoint = new HttpPlainEndpoint(`127.0.0.1:${port}`);
+  const bodies: (string | undefined)[] = [];
   try {
-    const sent = await endpoint.send({
-      method: 'GET',
-      path: '/',
-      headers: {},
-      body: Buffer.alloc(0),
-      timeoutMs: 3000,
-    });
-    if (sent.isErr()) return undefined;
-    return await readText(sent.value.body).catch(() => undefined);
+    for (let call = 0; call < count; call++) {
+      bodies.push(await sendCall(endpoint));
+      await pause(PAUSE_MS);
+    }
   } finally {
     await endpoint.close();
     server.close();
   }
+  return bodies;
+}
+
+async function sendCall(
+  endpoint: HttpPlainEndpoint,
+): Promise<string | undefined> {
+  const sent = await endpoint.send({
+    method: 'GET',
+    path: '/',
+    headers: {},
+    body: Buffer.alloc(0),
+    timeoutMs: 3000,
+  });
+  if (sent.isErr()) return undefined;
+  return readText(sent.value.body).catch(() => undefined);
 }
 
 const close = (socket: Socket): void => {
@@ -74,4 +100,14 @@
   it('of a daemon ends with its connection if it has no length', async () => {
     assert.equal(await readBody(`${HEAD}X: y\r\n\r\nwhole`, close), 'whole');
   });
+
+  // Guards against a late extra answer that is taken for the next one.
+  it('of a daemon is not one that followed an earlier answer', async () => {
+    const bodies = await readBodies(4, (socket, index) => {
+      const text = `${HEAD}Content-Length: 1\r\n\r\n`;
+      socket.write(`${text}${index}`);
+      setTimeout(() => socket.write(`${text}x`), 1);
+    });
+    assert.deepEqual(bodies, ['0', '1', '2', '3']);
+  });
 });
--- a/packages/gateway/src/channels/endpoint_client.ts
+++ b/packages/gateway/src/channels/endpoint_client.ts
@@ -9,7 +9,9 @@
   getErrorText,
   isRefused,
   splitPlace,
+  watchConnectionEnd,
   type Clock,
+  type ConnectionEnd,
 } from '@irisdock/kernel';
 import type {HeaderCodec, HeaderLines} from '../model/request_metadata.js';
 import type {
@@ -19,7 +21,6 @@
   SendTarget,
 } from '../serving/send_gate.js';
 import {BufferBudget} from './buffer_budget.js';
-import {watchConnectionEnd, type ConnectionEnd} from './connection_end.js';
 import {watchConnection} from './connection_watch.js';
 import {isFinalStatus, MIN_SERVER_ERROR_STATUS} from './response_check.js';
 import {EndpointAgent} from './endpoint_agent.js';
--- a/packages/gateway/src/channels/endpoint_response.ts
+++ b/packages/gateway/src/channels/endpoint_response.ts
@@ -1,15 +1,14 @@
 /** The head of an endpoint's response, and the way to its body. */
 import type {ClientRequest, IncomingMessage} from 'node:http';
+import {hasFraming, isBodyComplete, type ConnectionEnd} from '@irisdock/kernel';
 import {err, type Result} from 'neverthrow';
 import type {
   HeaderCodec,
   HeaderLines,
   ResponseMetadata,
 } from '../model/request_metadata.js';
-import {hasFraming, isBodyComplete} from './body_framing.js';
 import {dropBody, readBody, type DropResult} from './body_reader.js';
 import type {BufferBudget, BufferHold} from './buffer_budget.js';
-import type {ConnectionEnd} from './connection_end.js';
 import {
   dropHopByHopHeaders,
   findHeader,
--- a/packages/gateway/src/channels/json_client.ts
+++ b/packages/gateway/src/channels/json_client.ts
@@ -8,13 +8,16 @@
   type IncomingHttpHeaders,
   type IncomingMessage,
 } from 'node:http';
-import {getErrorText, splitPlace} from '@irisdock/kernel';
+import {
+  getErrorText,
+  isBodyComplete,
+  splitPlace,
+  watchConnectionEnd,
+} from '@irisdock/kernel';
 import {err, type Result} from 'neverthrow';
 import {tryParseJson} from '../model/json_value.js';
-import {isBodyComplete} from './body_framing.js';
 import {readBody} from './body_reader.js';
 import {BufferBudget} from './buffer_budget.js';
-import {watchConnectionEnd} from './connection_end.js';
 import {watchHead} from './head_watch.js';
 
 /** A JSON request; without a `body` it is sent with an empty one. */
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -1,7 +1,9 @@
 /** The micro-kernel and what every package builds on. */
+export * from './body_framing.js';
 export * from './byte_collector.js';
 export * from './channel.js';
 export * from './clock.js';
+export * from './connection_end.js';
 export * from './connection_errors.js';
 export * from './errors.js';
 export * from './host_stalls.js';
