Explain an attempt together with those that resume it

`irisdock explain` with the attempt that brought a stream's first event showed that attempt alone; which hosts resumed the stream, at which version and why, took a search by hand. Lines whose `resumes` names the attempt are shown as well, with the request that they are about.

A new test of log_lines.test.ts has a lookup that resumes the attempt. The fixture of that file takes more fields; its other tests are the same.

--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -10,7 +10,7 @@
   name: 'explain',
   usage: '<request-id | content> [-f <log> ...]',
   description:
-    'Gathers the log lines of one request, or of one content, over all hosts.',
+    'Gathers the log lines of one request and of attempts that resume it, or of one content, over all hosts.',
   options: [
     {
       flag: 'file',
--- a/packages/cli/src/log_lines.ts
+++ b/packages/cli/src/log_lines.ts
@@ -29,7 +29,8 @@
 }
 
 /**
- * Gives the lines of a text that are about a request, in their order.
+ * Gives the lines of a text that are about a request, or about an attempt that
+ * resumes it, in their order. Lines of another request name it in `request`.
  *
  * @param name The id of the request, or the name of its content, which is the
  *   same for each try of its caller.
@@ -40,14 +41,17 @@
   file: string,
 ): RequestLine[] {
   const lines: RequestLine[] = [];
-  for (const line of text.split('\n')) {
+  for (const row of text.split('\n')) {
     // Most lines are about other requests and need not be read.
-    if (!line.includes(name)) continue;
-    const found = parseLine(line, file);
+    if (!row.includes(name)) continue;
+    const found = parseLine(row, file);
     if (found === undefined) continue;
-    const {request, content} = found.context;
-    if (request !== name && content !== name) continue;
-    lines.push(createRequestLine(found));
+    const {request, content, resumes} = found.context;
+    if (![request, content, resumes].includes(name)) continue;
+    const line = createRequestLine(found);
+    const isOther = resumes === name && request !== name;
+    const fields = isOther ? {request, ...line.fields} : line.fields;
+    lines.push({...line, fields});
   }
   return lines;
 }
--- a/packages/cli/tests/log_lines.test.ts
+++ b/packages/cli/tests/log_lines.test.ts
@@ -3,8 +3,13 @@
 import {describe, it} from 'node:test';
 import {parseRequestLines} from '@irisdock/cli';
 
-function createLine(request: string, time: number, message: string): string {
-  const context = {part: 'front', request, logLevel: 30, sends: 2};
+function createLine(
+  request: string,
+  time: number,
+  message: string,
+  more: Readonly<Record<string, string>> = {},
+): string {
+  const context = {part: 'front', request, logLevel: 30, sends: 2, ...more};
   return JSON.stringify({context, message, time, version: '2.0.0'});
 }
 
@@ -21,6 +26,15 @@
     });
   });
 
+  it('include those of attempts that resume it, which they name', () => {
+    const more = {resumes: 'r1', source: 'stored', softwareVersion: 'v1'};
+    const text = createLine('r2', 7, 'front: Looked up the version.', more);
+    const [found] = parseRequestLines(text, 'r1', 'a.log');
+    assert.deepEqual(found?.fields, {request: 'r2', sends: 2, ...more});
+    const [own] = parseRequestLines(text, 'r2', 'a.log');
+    assert.deepEqual(own?.fields, {sends: 2, ...more});
+  });
+
   it('are those that name it, with the host before them or their file', () => {
     const text = [
       createLine('r1', 5, 'front: A request ended.'),
