Prove that the soak finds streams joined or refused after all hosts were lost

check_soak.mjs switches off that a version that left may have begun a stream, and that origins are read from the store.

--- a/scripts/check_soak.mjs
+++ b/scripts/check_soak.mjs
@@ -41,6 +41,20 @@
     /getSoftwareVersion\(engine\) === version\d*/,
     'true',
   ],
+  [
+    'a version that left may have begun a lost stream',
+    /listPossible\((service\d*)\) \{/,
+    // The versions that are listed now.
+    (found, name) =>
+      `${found} return [...new Set([...this.parts.endpoints.listAll()]` +
+      `.filter(({entry}) => entry.service === ${name})` +
+      '.map(({entry}) => entry.version))];',
+  ],
+  [
+    'the origin of a lost stream is read from the store',
+    'stored = isCertain || isFound ?',
+    'stored = true ?',
+  ],
   ['a planned stop waits for what it has', /, await waitDrained\([^;]*/, ''],
   [
     'a refused caller is told when to come back',
