Reset the daemon's unframed answer before its pipeline destroys it

Callers of a plain service could still get the first part of a cut answer without a length, ended in order: a failing pipeline destroys the response, so the reset in the handler of its error came too late.

Change: the reset is made on the error of the body, before the pipeline's own listener.

--- a/packages/daemon/src/caller/plain_route.ts
+++ b/packages/daemon/src/caller/plain_route.ts
@@ -124,14 +124,18 @@
   response.setHeader(REQUEST_ID_HEADER, id);
   // The endpoint may have been killed amid a body that ends with its
   // connection, so the caller gets it without framing as well.
-  if (!answer.isFramed) response.useChunkedEncodingByDefault = false;
+  if (!answer.isFramed) {
+    response.useChunkedEncodingByDefault = false;
+    // An end in order would complete it. The pipeline, which listens later,
+    // destroys the response.
+    answer.body.once('error', () => response.socket?.resetAndDestroy());
+  }
   response.writeHead(answer.status);
   try {
     await pipeline(answer.body, response);
   } catch {
     // The status is already sent, so closing the connection is the only way to
-    // report the failure; an end in order would complete an unframed body.
-    if (!answer.isFramed) response.socket?.resetAndDestroy();
+    // report the failure.
     response.destroy();
   }
 }
