--- a/packages/gateway/src/tables/tables.ts
+++ b/packages/gateway/src/tables/tables.ts
@@ -53,7 +53,7 @@
     unit: 'ms',
     description: 'As `maxAgeMs`, for crashes.',
   }),
-  versionsWaitMs: z.coerce.number().int().min(100).default(15_000).meta({
+  versionsWaitMs: z.coerce.number().int().min(100).default(10_000).meta({
     unit: 'ms',
     description: 'As `waitMs`, for the history of software versions.',
   }),
