End or cut the body of plain_route's answers once a part has arrived

The test waited 20 ms before it cut the body; beside other suites (load 11) the cut came before the part was read, and "lacks its last chunk when it is cut" failed once of 2 runs.

--- a/packages/daemon/tests/plain_route.test.ts
+++ b/packages/daemon/tests/plain_route.test.ts
@@ -9,15 +9,23 @@
 import {ok} from 'neverthrow';
 import {PlainRoute, type PlainParts} from '../src/caller/plain_route.js';
 
-/** Gives a part of a body, and then fails or ends. */
-function createAnswer(isFramed: boolean, isCut: boolean): PlainAnswer {
+/** An answer of which a part has come. */
+interface BegunAnswer {
+  readonly answer: PlainAnswer;
+  /** Ends or cuts the body. */
+  readonly finish: () => void;
+}
+
+function createAnswer(isFramed: boolean, isCut: boolean): BegunAnswer {
   const body = new PassThrough();
   body.write('part');
-  setTimeout(() => {
-    if (isCut) body.destroy(new Error('cut'));
-    else body.end();
-  }, 20);
-  return {status: 200, headers: {}, body, isFramed};
+  return {
+    answer: {status: 200, headers: {}, body, isFramed},
+    finish: () => {
+      if (isCut) body.destroy(new Error('cut'));
+      else body.end();
+    },
+  };
 }
 
 function createRoute(answer: PlainAnswer): PlainRoute {
@@ -39,9 +47,10 @@
 }
 
 /** Calls the route; gives what arrived, and whether the end was a reset. */
-async function sendCall(
-  answer: PlainAnswer,
-): Promise<{text: string; isReset: boolean}> {
+async function sendCall({
+  answer,
+  finish,
+}: BegunAnswer): Promise<{text: string; isReset: boolean}> {
   const route = createRoute(answer);
   const limits = {maxBytes: 1000, maxMs: 1000};
   const server = createServer((message, response) => {
@@ -56,7 +65,10 @@
   socket.write(`${head}X-Irisdock-Team: one\r\n\r\n`);
   let text = '';
   let isReset = false;
-  socket.on('data', (part) => (text += part.toString()));
+  socket.on('data', (part) => {
+    text += part.toString();
+    if (text.includes('part')) finish();
+  });
   socket.on('error', () => (isReset = true));
   // A reset socket has no peer, also where Node reports an end in order.
   socket.once('end', () => (isReset = socket.remoteAddress === undefined));
