Know no past of a service just after this host was paused

Cause: while its replicas are too old, a host takes its history for current as long as it reaches all hosts that it knew. Just after a pause these still count as alive, as their silence has not been noticed yet, so a host that was stopped for 30 s gave a history from before the pause as all versions that were possible, and one version as the only one.

Ruled out: the age of the replicas, which the pause does raise; only the second branch, for a store that is away, was taken.

Change: without an update for more than 5 s, the bound of the ledger, the past is unknown until both replicas are current again.

Measured: history_currency.test.js, 1 of 2 tests failed before ('before the first check'), 0 of 2 after; version_history.test.js and version_history_play.test.js pass.

--- a/packages/gateway/src/services/history_currency.ts
+++ b/packages/gateway/src/services/history_currency.ts
@@ -33,12 +33,15 @@
  * long a new version may be unknown here; other hosts confirm it each second.
  */
 const MAX_AGES_MS = {endpoints: 1500, versions: 45_000} as const;
+/** The longest time between two updates in which this host was not paused, in ms. */
+const MAX_GAP_MS = 5000;
 
 /** Tracks whether the replicas are evidence of all versions. */
 export class HistoryCurrency {
   /** When each host was last reached, by its name. */
   private readonly reachedAt = new Map<string, number>();
   private wasCurrent = false;
+  private updatedAt: number | undefined;
 
   constructor(private readonly parts: HistoryCurrencyParts) {}
 
@@ -61,7 +64,8 @@
   /** Whether the replicas are evidence of all versions. */
   isKnown(now: number): boolean {
     if (this.isCurrent(now)) return true;
-    if (!this.wasCurrent) return false;
+    // After a pause, hosts that cannot be reached still count as alive.
+    if (!this.wasCurrent || this.hasPaused(now)) return false;
     const alive = new Set(this.parts.listAlive().map(({name}) => name));
     for (const name of this.reachedAt.keys()) {
       if (!alive.has(name)) return false;
@@ -71,6 +75,8 @@
 
   /** Records which hosts are reached; to be called about each second. */
   update(now: number): void {
+    if (this.hasPaused(now)) this.wasCurrent = false;
+    this.updatedAt = now;
     for (const {name, state} of this.parts.listAlive()) {
       // A host that leaves takes no new streams.
       if (state === 'leaving') this.reachedAt.delete(name);
@@ -82,4 +88,8 @@
       if (now - at > this.parts.keepMs) this.reachedAt.delete(name);
     }
   }
+
+  private hasPaused(now: number): boolean {
+    return this.updatedAt !== undefined && now - this.updatedAt > MAX_GAP_MS;
+  }
 }
--- /dev/null
+++ b/packages/gateway/tests/history_currency.test.ts
@@ -0,0 +1,58 @@
+/** When a host may conclude from its replicas which versions a service had. */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {HistoryCurrency} from '../src/services/history_currency.js';
+
+const SECOND_MS = 1000;
+const KEEP_MS = 660_000;
+/** The host stops for this time; other hosts take it for lost, in ms. */
+const PAUSE_MS = 30 * SECOND_MS;
+
+/** A host that considers another one alive until it notices otherwise. */
+class SimulatedCurrency {
+  now = 0;
+  /** When the replicas were last current. */
+  currentAt = 0;
+  readonly currency = new HistoryCurrency({
+    isLoaded: () => true,
+    getAgeMs: (_, now) => now - this.currentAt,
+    listAlive: () => [{name: 'h-2', state: 'ready'}],
+    keepMs: KEEP_MS,
+  });
+
+  get isKnown(): boolean {
+    return this.currency.isKnown(this.now);
+  }
+
+  /** Runs for some seconds, with the store in reach or not. */
+  run(seconds: number, isStoreAway = false): void {
+    for (let second = 0; second < seconds; second++) {
+      this.now += SECOND_MS;
+      if (!isStoreAway) this.currentAt = this.now;
+      this.currency.update(this.now);
+    }
+  }
+}
+
+describe('the history of a host', () => {
+  it('stays known while the store is away', () => {
+    const host = new SimulatedCurrency();
+    host.run(3);
+    host.run(60, true);
+    assert.ok(host.isKnown);
+  });
+
+  // Guards against a host that was stopped and, before it notices that it
+  // reaches no other host, takes a history from before the pause for current:
+  // another version may have begun streams meanwhile.
+  it('is unknown after a pause, until it is current again', () => {
+    const host = new SimulatedCurrency();
+    host.run(3);
+    host.now += PAUSE_MS;
+    assert.ok(!host.isKnown, 'before the first check');
+    host.run(3, true);
+    assert.ok(!host.isKnown, 'before the replicas are current');
+    host.run(1);
+    assert.ok(host.isKnown);
+  });
+});
