Delete saved origins by the steady clock of their host

Cause: a host decided by its wall clock which of its rows of origins had expired. Once that clock jumped ahead, the next write deleted the rows of streams that callers may still resume; after a loss of all hosts these were refused although their version served.

Ruled out: `until` in the row, which other hosts read, is written once and is not changed by a later jump.

Change: each row keeps when it expires on the steady clock, and the wall clock is only used for `until`.

Measured: origin_store.test.js, 'keeps what it saved before its clock jumped' failed before (none found for v1) and passes after; the other tests of the file pass.

--- a/packages/gateway/src/services/origin_reader.ts
+++ b/packages/gateway/src/services/origin_reader.ts
@@ -39,7 +39,7 @@
 /** Dependencies of the reader. */
 export interface OriginReaderParts {
   readonly store: Pick<TableStore, 'readAll' | 'writeAll'>;
-  readonly clock: Clock;
+  readonly clock: Pick<Clock, 'getNow' | 'getWallNow' | 'wait'>;
   readonly log: Logger;
   /** Computes the minimum time between two reads, in ms. */
   readonly getIntervalMs: () => number;
--- a/packages/gateway/src/services/origin_segments.ts
+++ b/packages/gateway/src/services/origin_segments.ts
@@ -25,7 +25,6 @@
 const MAX_DELETED_ROWS = 50;
 /** The maximum number of streams; those of the oldest rows are dropped. */
 const MAX_STREAMS = 20_000;
-const MS_PER_SECOND = 1000;
 
 /** The streams of one row. */
 interface Segment {
@@ -35,8 +34,8 @@
   bytes: number;
   isUnsaved: boolean;
   isClosed: boolean;
-  /** When none of its streams is needed any more, in s since 1970. */
-  until: number;
+  /** When none of its streams is needed any more, by the steady clock. */
+  expiresAt: number;
 }
 
 /** One call to the store. */
@@ -69,12 +68,17 @@
     return count;
   }
 
-  /** Adds a stream. */
-  add(origin: SavedOrigin, now: number): void {
+  /**
+   * Adds a stream.
+   *
+   * @param expiresAt When it is no longer needed, by the steady clock: the wall
+   *     clock may jump.
+   */
+  add(origin: SavedOrigin, now: number, expiresAt: number): void {
     const segment = this.findOpen(now) ?? this.createSegment(now);
     segment.origins = [...segment.origins, origin];
     segment.bytes += Buffer.byteLength(formatOriginRow([origin]));
-    segment.until = Math.max(segment.until, origin.until);
+    segment.expiresAt = Math.max(segment.expiresAt, expiresAt);
     segment.isUnsaved = true;
     this.streams++;
     this.dropOldest();
@@ -89,16 +93,16 @@
   }
 
   /** Whether rows are to be deleted, with no stream needed since a time. */
-  hasExpired(wallNow: number): boolean {
-    return this.segments.some(({until}) => isExpired(until, wallNow));
+  hasExpired(now: number): boolean {
+    return this.segments.some(({expiresAt}) => expiresAt <= now);
   }
 
   /** Takes the changes of the next call; undefined if there are none. */
-  takeBatch(wallNow: number): OriginBatch | undefined {
+  takeBatch(now: number): OriginBatch | undefined {
     const expired: Segment[] = [];
     const written: Segment[] = [];
     for (const segment of this.segments) {
-      if (isExpired(segment.until, wallNow)) {
+      if (segment.expiresAt <= now) {
         if (expired.length < MAX_DELETED_ROWS) expired.push(segment);
       } else if (segment.isUnsaved && written.length < MAX_WRITTEN_ROWS) {
         written.push(segment);
@@ -133,7 +137,8 @@
     segment.isUnsaved = true;
     segment.isClosed = true;
     this.streams -= later.length;
-    for (const origin of later) this.add(origin, segment.startedAt);
+    const {startedAt, expiresAt} = segment;
+    for (const origin of later) this.add(origin, startedAt, expiresAt);
   }
 
   private findOpen(now: number): Segment | undefined {
@@ -152,7 +157,7 @@
       bytes: 0,
       isUnsaved: false,
       isClosed: false,
-      until: 0,
+      expiresAt: -Infinity,
     };
     this.segments.push(segment);
     return segment;
@@ -174,7 +179,3 @@
     }
   }
 }
-
-function isExpired(until: number, wallNow: number): boolean {
-  return until * MS_PER_SECOND <= wallNow;
-}
--- a/packages/gateway/src/services/origin_store.ts
+++ b/packages/gateway/src/services/origin_store.ts
@@ -27,7 +27,7 @@
   readonly incarnation: number;
   readonly store: Pick<TableStore, 'readAll' | 'writeAll'>;
   readonly versions: VersionHistory;
-  readonly clock: Clock;
+  readonly clock: Pick<Clock, 'getNow' | 'getWallNow' | 'wait'>;
   readonly log: Logger;
   /** Counts the live hosts, this one included. */
   readonly countHosts: () => number;
--- a/packages/gateway/src/services/origin_writer.ts
+++ b/packages/gateway/src/services/origin_writer.ts
@@ -23,7 +23,7 @@
   readonly host: string;
   readonly incarnation: number;
   readonly store: Pick<TableStore, 'writeAll'>;
-  readonly clock: Clock;
+  readonly clock: Pick<Clock, 'getNow' | 'getWallNow' | 'wait'>;
   readonly log: Logger;
   /** Computes the minimum time between two calls, in ms. */
   readonly getIntervalMs: () => number;
@@ -55,7 +55,7 @@
     const [now, wallNow] = [clock.getNow(), clock.getWallNow()];
     for (const {remainingMs, ...record} of records) {
       const until = Math.ceil((wallNow + remainingMs) / MS_PER_SECOND);
-      this.segments.add({...record, until}, now);
+      this.segments.add({...record, until}, now, now + remainingMs);
     }
     if (this.segments.unsaved > 0) this.start();
   }
@@ -68,7 +68,7 @@
 
   /** Deletes rows that no write has deleted since they expired. */
   deleteExpired(): void {
-    const expiredBy = this.parts.clock.getWallNow() - CLEANUP_DELAY_MS;
+    const expiredBy = this.parts.clock.getNow() - CLEANUP_DELAY_MS;
     if (this.segments.hasExpired(expiredBy)) this.start();
   }
 
@@ -101,7 +101,7 @@
   /** Makes one call; returns false if there was nothing to write. */
   private async writeBatch(): Promise<boolean> {
     const {store, clock, log, getIntervalMs, recordCall} = this.parts;
-    const batch = this.segments.takeBatch(clock.getWallNow());
+    const batch = this.segments.takeBatch(clock.getNow());
     if (batch === undefined) return false;
     const startedAt = clock.getNow();
     this.nextCallAt = startedAt + getIntervalMs();
--- a/packages/gateway/tests/origin_store.test.ts
+++ b/packages/gateway/tests/origin_store.test.ts
@@ -284,3 +284,23 @@
     assert.equal(hosts.store.rows.size, 0);
   });
 });
+
+describe('a host whose wall clock is an hour ahead', () => {
+  const HOUR_MS = 3_600_000;
+
+  // Guards against a writer that deletes what it saved before its clock jumped.
+  it('keeps what it saved before its clock jumped', async () => {
+    const hosts = new OriginHosts();
+    let skewMs = 0;
+    const host = hosts.start('host-1', () => skewMs);
+    host.save(createOriginRecord('s-1'));
+    // Later streams go to another row.
+    await hosts.clock.run(3 * SECOND_MS);
+    skewMs = HOUR_MS;
+    host.save(createOriginRecord('s-2'));
+    host.startHeartbeat();
+    await hosts.clock.run(SECOND_MS);
+    const {versions} = await hosts.find(hosts.start(), 's-1');
+    assert.deepEqual(versions, ['v1']);
+  });
+});
