Test that a host with a wrong wall clock keeps saved origins

A reader takes each origin for expired that its wall clock puts more than 60 s in the past. With a clock an hour ahead it finds none, and deletes up to 100 rows of other hosts with each read, so that streams are refused everywhere after a loss of all hosts. A writer whose clock is an hour behind saves rows that all readers take for expired in the same way.

Not fixed: which rows no stream needs must then be told without wall clocks.

An origin that is not found is refused.

--- a/packages/gateway/tests/origin_store.test.ts
+++ b/packages/gateway/tests/origin_store.test.ts
@@ -288,6 +288,18 @@
 describe('a host whose wall clock is an hour ahead', () => {
   const HOUR_MS = 3_600_000;
 
+  // Guards against a reader that takes all origins for expired.
+  it('finds the origins that others saved, and keeps their rows', async () => {
+    const hosts = new OriginHosts();
+    hosts.start().save(createOriginRecord('s-1'));
+    await hosts.clock.run(ROUND_TRIP_MS);
+    const ahead = hosts.start('host-2', () => HOUR_MS);
+    const {versions} = await hosts.find(ahead, 's-1');
+    await hosts.clock.run(SECOND_MS);
+    assert.equal(hosts.store.rows.size, 1, 'rows');
+    assert.deepEqual(versions, ['v1']);
+  });
+
   // Guards against a writer that deletes what it saved before its clock jumped.
   it('keeps what it saved before its clock jumped', async () => {
     const hosts = new OriginHosts();
