Let attempts end before the soak loses all hosts

Cause: the loss of all hosts at the end of a play followed the partition in calm at once, and cut the attempts that had begun in it, of all hosts.

The loss waits 4 s, as long as a caller waits for an event.

--- a/soak/src/loss_player.ts
+++ b/soak/src/loss_player.ts
@@ -17,6 +17,11 @@
 } from './loss_witness.js';
 import type {EndedAttempt} from './partition_player.js';
 
+/**
+ * How long attempts that began in the partition before may last, in ms; the
+ * loss would cut them, and they would count against the partition.
+ */
+const SETTLE_MS = 4000;
 /** How long the hosts are down, in ms; no entry of the old version is left. */
 const DOWN_MS = 400;
 /** The version's endpoints leave so long before the hosts are lost, in ms. */
@@ -52,6 +57,7 @@
   async run(): Promise<void> {
     const {kind} = this;
     if (kind === undefined) return;
+    await sleep(SETTLE_MS);
     const {fleet} = this.parts;
     const engines = fleet.list(SOAK_SERVICES.streams);
     const [old, other] = listVersions(engines);
