Accept endpoints at the port number of a host's datagrams

What was seen: one of eight plays of shared_crashes on the landed code failed with 'Timed out waiting until the hosts know the engines.' Its log has 'Rejected an endpoint entry. its address is that of a host': the engine listened on the TCP port with the number of a host's UDP port.

Cause: an endpoint is rejected at any address at which a host listens, as a request sent there would be forwarded again. That holds for the addresses at which hosts accept connections; datagrams arrive at a port of UDP, and another process may have the TCP port of that number.

Change: only addresses of connections are compared.

--- a/packages/gateway/src/services/gateway_endpoints.ts
+++ b/packages/gateway/src/services/gateway_endpoints.ts
@@ -280,14 +280,14 @@
     this.addRecord(entry);
   }
 
-  /** Lists the addresses at which this host and its live peers listen. */
+  /**
+   * Lists the addresses at which this host and its live peers accept
+   * connections. An endpoint may have the port of a host's datagrams.
+   */
   private listHostAddresses(): ReadonlySet<string> {
     const addresses = new Set<string>();
     for (const {place} of this.parts.peers.listAlive()) {
-      const {callers, tables, datagrams} = place;
-      for (const address of [callers, tables, datagrams]) {
-        addresses.add(address);
-      }
+      addresses.add(place.callers).add(place.tables);
     }
     return addresses;
   }
