Know no past of streams whose routes have changed

With hosts that ran all along none was joined: their records name the service.

A host that has just started took the service to which the route leads now for the one that began the stream, and the only version of that service for the stream's.

Ruled out: records and rows of other hosts; the streams were not in doubt when they began, so none were saved.

Change: the routing of streams (the service, if all go to one, else a digest of paths and services; weights don't count) is kept like a version, with a row in the table of versions. While several routings may have begun a stream, the past of all services is unknown: origins are saved, and a resumed stream without a record is refused. A deployment whose streams all go to one service has one row more and is otherwise as before.

--- a/packages/decisions/src/version_ledger.ts
+++ b/packages/decisions/src/version_ledger.ts
@@ -119,6 +119,14 @@
     return false;
   }
 
+  /** Whether any version of another service has a row. */
+  hasRowOfOther(service: string): boolean {
+    for (const entry of this.entries.values()) {
+      if (entry.service !== service && entry.savedAt !== undefined) return true;
+    }
+    return false;
+  }
+
   /** Lists versions whose rows have to be written, for this long, in ms. */
   listUnsaved(minMs: number, now: number): KeyedVersion[] {
     return [...this.entries.values()].filter(
--- a/packages/gateway/src/services/configuration.ts
+++ b/packages/gateway/src/services/configuration.ts
@@ -17,6 +17,7 @@
   ServingRoute,
   ServingService,
 } from '../model/serving_configuration.js';
+import {formatStreamRouting} from '../model/stream_routing.js';
 import type {RowCodec} from '../model/table_store.js';
 import {CODECS} from './store.js';
 import {TABLES_KEY} from '../tables/tables.js';
@@ -44,6 +45,7 @@
   /** Emits each time after a newer version has been put in force. */
   readonly changes = this.changeChannel.stream;
   private current: ServingConfiguration | undefined;
+  private routing: string | undefined;
   private routes = new RouteTable<ServingRoute>([]);
   private services = new Map<string, ServingService>();
   private teamsByKey: Map<string, string> | undefined;
@@ -63,6 +65,14 @@
     return this.current?.version ?? 0;
   }
 
+  /**
+   * Identifies which streams go to which services; empty without routes of
+   * streams, undefined before the first configuration.
+   */
+  get streamRouting(): string | undefined {
+    return this.routing;
+  }
+
   get limits(): CallerLimits {
     return this.current?.limits ?? DEFAULT_LIMITS;
   }
@@ -138,6 +148,7 @@
       routes: next.routes.length,
     });
     this.current = next;
+    this.routing = formatStreamRouting(next.routes);
     this.routes = new RouteTable(next.routes);
     this.services = new Map(
       next.services.map((service) => [service.name, service]),
--- a/packages/gateway/src/services/service_versions.ts
+++ b/packages/gateway/src/services/service_versions.ts
@@ -5,6 +5,10 @@
  * resumed any more; in between, nothing is written. The first reader of the
  * store writes; another host only writes a row that is still missing after a
  * while, so that a version that only that host saw is saved as well.
+ *
+ * The routes of streams are kept in the same way, as one more service whose
+ * versions are its routings: after a change, a stream may have begun at another
+ * service than the one that its route leads to now.
  */
 import {
   VersionLedger,
@@ -33,6 +37,9 @@
 /** A row is not written again until the store had this time to list it, in ms. */
 const REPEAT_MS = 10_000;
 
+/** The service whose versions are the routings of streams. */
+const ROUTING = '=routes';
+
 /** What is known of the other hosts and the store. */
 export interface VersionWriters {
   /** Whether this host writes at once. */
@@ -66,6 +73,11 @@
   readonly host: string;
   readonly clock: Clock;
   readonly endpoints: ObservedEndpoints;
+  /**
+   * Identifies which streams go to which services; empty without routes of
+   * streams, undefined without a configuration.
+   */
+  readonly getRouting: () => string | undefined;
   readonly currency: HistoryCurrency;
   readonly writer: Pick<RowWriter, 'cancel' | 'put' | 'start'>;
   readonly writers: VersionWriters;
@@ -73,7 +85,7 @@
   readonly hasRow: (key: string) => boolean;
 }
 
-/** Keeps and saves the versions of all services. */
+/** Keeps and saves the versions of all services, and the routes of streams. */
 export class ServiceVersions implements VersionHistory {
   private readonly ledger = new VersionLedger({
     keepMs: KEEP_VERSION_MS,
@@ -85,17 +97,21 @@
   private readonly putAt = new Map<string, number>();
   private readonly deletedAt = new Map<string, number>();
   private observedVersion = -1;
+  private observedRouting: string | undefined;
   private writeCount = 0;
 
   constructor(private readonly parts: ServiceVersionsParts) {}
 
   listPossible(service: string): readonly string[] | undefined {
-    const {clock, currency, endpoints} = this.parts;
+    const {clock, currency} = this.parts;
     if (!currency.isKnown(clock.getNow())) return undefined;
-    if (endpoints.version !== this.observedVersion) this.updateLedger();
+    if (this.hasObservedChange) this.updateLedger();
+    if (!this.isRoutingKnown) return undefined;
     const known = this.ledger.listVersions(service);
     // Before the first row was written, others may have served unrecorded.
-    if (known.length === 0) return this.ledger.hasRow() ? [] : undefined;
+    if (known.length === 0) {
+      return this.ledger.hasRowOfOther(ROUTING) ? [] : undefined;
+    }
     if (!this.ledger.hasRow(service)) return undefined;
     const versions: string[] = [];
     for (const version of known) {
@@ -157,13 +173,34 @@
     return this.ledger.countVersions();
   }
 
+  private get hasObservedChange(): boolean {
+    const {endpoints, getRouting} = this.parts;
+    if (endpoints.version !== this.observedVersion) return true;
+    return getRouting() !== this.observedRouting;
+  }
+
+  /** Whether streams have had the same routes for as long as is kept. */
+  private get isRoutingKnown(): boolean {
+    const routing = this.observedRouting;
+    if (routing === undefined) return false;
+    const known = this.ledger.listVersions(ROUTING);
+    if (routing === '') return known.length === 0;
+    return known.length === 1 && this.ledger.hasRow(ROUTING);
+  }
+
   private updateLedger(): void {
-    const {clock, currency, endpoints} = this.parts;
+    const {clock, currency, endpoints, getRouting} = this.parts;
     // Without the rows, each version would look new.
     if (!currency.isLoaded) return;
     this.observedVersion = endpoints.version;
+    const routing = getRouting();
+    this.observedRouting = routing;
     const now = clock.getNow();
     const present = this.listPresent();
+    if (routing !== undefined && routing !== '') {
+      const version = {service: ROUTING, version: routing};
+      present.set(formatVersionKey(version), version);
+    }
     this.ledger.update(present, currency.isKnown(now), now);
   }
 
--- a/packages/gateway/src/services/version_histories.ts
+++ b/packages/gateway/src/services/version_histories.ts
@@ -14,6 +14,7 @@
 import {getRandomFraction} from '../serving/serving_parts.js';
 import type {StoreStatus} from '../tables/store_status.js';
 import {TABLES_KEY, type Tables} from '../tables/tables.js';
+import {GATEWAY_CONFIGURATION} from './configuration.js';
 import {GATEWAY_ENDPOINTS} from './endpoints.js';
 import {HistoryCurrency} from './history_currency.js';
 import {HOST_IDENTITY} from './identity.js';
@@ -53,13 +54,21 @@
 export const VERSION_HISTORY_SERVICE = createService({
   key: VERSION_HISTORY,
   settings: z.object({}),
-  needs: [STORE, TABLES_KEY, PEERS, GATEWAY_ENDPOINTS, HOST_IDENTITY],
+  needs: [
+    STORE,
+    TABLES_KEY,
+    PEERS,
+    GATEWAY_CONFIGURATION,
+    GATEWAY_ENDPOINTS,
+    HOST_IDENTITY,
+  ],
   create(context) {
     const {clock, log, random} = context;
     const tables = context.find(TABLES_KEY);
     const {versions: table} = tables;
     const peers = context.find(PEERS);
     const {standing} = peers;
+    const configuration = context.find(GATEWAY_CONFIGURATION);
     const writer = new RowWriter({
       table: 'versions',
       store: context.find(STORE),
@@ -71,6 +80,7 @@
       host: context.find(HOST_IDENTITY).name,
       clock,
       endpoints: context.find(GATEWAY_ENDPOINTS),
+      getRouting: () => configuration.streamRouting,
       currency: createCurrency(tables, peers),
       writer,
       writers: createWriters(peers, random),
@@ -86,6 +96,9 @@
     void tables.endpoints.changes.observe(() => {
       api.update();
     });
+    void configuration.changes.observe(() => {
+      api.update();
+    });
     const timer = setInterval(() => {
       api.runSweep();
     }, SWEEP_MS);
--- a/packages/gateway/tests/version_history.test.ts
+++ b/packages/gateway/tests/version_history.test.ts
@@ -228,6 +228,66 @@
   });
 });
 
+describe('the history of the routes of streams', () => {
+  function createRoutedWorld(): VersionWorld {
+    const world = new VersionWorld();
+    world.addEndpoint('a', 'v1');
+    world.addEndpoint('b', 'v1');
+    world.routing = 'a';
+    for (let index = 0; index < 3; index++) world.addHost();
+    world.step();
+    return world;
+  }
+
+  // Guards against a host that takes the service to which a route leads now
+  // for the one that began a stream.
+  it('leaves the past unknown to a host that starts after a change', () => {
+    const world = createRoutedWorld();
+    assert.deepEqual(listSorted(getHost(world)), ['v1']);
+    world.removeAllHosts();
+    world.routing = 'b';
+    const host = world.addHost();
+    world.step();
+    for (const service of ['a', 'b']) {
+      assert.equal(listSorted(host, service), undefined);
+    }
+  });
+
+  it('leaves the past unknown at once on hosts that saw the change', () => {
+    const world = createRoutedWorld();
+    world.routing = 'b';
+    for (const host of world.hosts) assert.equal(listSorted(host), undefined);
+  });
+
+  it('is over when no stream of the former routes can be resumed', () => {
+    const world = createRoutedWorld();
+    world.routing = 'b';
+    world.step(KEEP_STEPS);
+    assert.deepEqual(listSorted(getHost(world), 'b'), ['v1']);
+    assert.equal(world.store.size, 3);
+  });
+
+  it('makes no service without a row one that had no version', () => {
+    const world = new VersionWorld();
+    world.routing = 'a';
+    const host = world.addHost();
+    world.step(2);
+    assert.equal(world.store.size, 1);
+    assert.equal(listSorted(host), undefined);
+  });
+
+  it('leaves the past unknown until its first row is written', () => {
+    const world = createWorld();
+    world.isReadOnly = true;
+    world.routing = 'a';
+    world.step(2);
+    assert.equal(listSorted(getHost(world)), undefined);
+    world.isReadOnly = false;
+    world.step(6);
+    assert.deepEqual(listSorted(getHost(world)), ['v1']);
+  });
+});
+
 describe('the history while the store is away', () => {
   // Guards against refusals in a deployment with one version.
   it('is known to hosts that reach each other', () => {
