Take the history for current only once it was confirmed after a gap

Callers: a resumed stream could join events of two software versions at a host that was cut off, or stopped, for up to 45 s, if a version had come and gone meanwhile and the hosts that recorded its streams were lost.

Cause: the endpoints count as current again as soon as they are confirmed, and the history of versions counts for 45 s.

Change: after the endpoints were out of date, or the host was paused, the history has to be confirmed after they were current again. The first read after a start is as before.

--- a/packages/gateway/src/services/history_currency.ts
+++ b/packages/gateway/src/services/history_currency.ts
@@ -4,7 +4,9 @@
  * away they grow old on all hosts; then it may as long as it reaches all hosts
  * that it knew while they were current: none of these reads the store, or its
  * updates would arrive here, and nobody can register a new version. A host that
- * is cut off from the store and from other hosts concludes nothing.
+ * is cut off from the store and from other hosts concludes nothing; afterwards
+ * it does once the history was confirmed, as versions may have come and gone
+ * that its replica of the endpoints never had.
  */
 import type {ReplicatedTable} from '../model/table_store.js';
 import type {PeerState} from './host_tracker.js';
@@ -41,6 +43,12 @@
   /** When each host was last reached, by its name. */
   private readonly reachedAt = new Map<string, number>();
   private wasCurrent = false;
+  /** Whether the replica of the endpoints was ever current. */
+  private hasBeenFresh = false;
+  /** Whether it was not current since then, or this host was paused. */
+  private isInterrupted = false;
+  /** When it was current again after the last interruption. */
+  private resumedAt = -Infinity;
   private updatedAt: number | undefined;
 
   constructor(private readonly parts: HistoryCurrencyParts) {}
@@ -55,10 +63,11 @@
   isCurrent(now: number): boolean {
     if (!this.isLoaded) return false;
     const {getAgeMs} = this.parts;
-    return (
-      getAgeMs('endpoints', now) <= MAX_AGES_MS.endpoints &&
-      getAgeMs('versions', now) <= MAX_AGES_MS.versions
-    );
+    const isFresh = getAgeMs('endpoints', now) <= MAX_AGES_MS.endpoints;
+    this.recordFreshness(isFresh, now);
+    const ageMs = getAgeMs('versions', now);
+    if (now - ageMs < this.resumedAt) return false;
+    return isFresh && ageMs <= MAX_AGES_MS.versions;
   }
 
   /** Whether the replicas are evidence of all versions. */
@@ -75,7 +84,10 @@
 
   /** Records which hosts are reached; to be called about each second. */
   update(now: number): void {
-    if (this.hasPaused(now)) this.wasCurrent = false;
+    if (this.hasPaused(now)) {
+      this.wasCurrent = false;
+      this.recordFreshness(false, now);
+    }
     this.updatedAt = now;
     for (const {name, state} of this.parts.listAlive()) {
       // A host that leaves takes no new streams.
@@ -89,6 +101,15 @@
     }
   }
 
+  private recordFreshness(isFresh: boolean, now: number): void {
+    const isContinuous = isFresh && !this.hasPaused(now);
+    if (!isContinuous) this.isInterrupted = this.hasBeenFresh;
+    if (this.isInterrupted) this.resumedAt = now;
+    if (!isContinuous) return;
+    this.isInterrupted = false;
+    this.hasBeenFresh = true;
+  }
+
   private hasPaused(now: number): boolean {
     return this.updatedAt !== undefined && now - this.updatedAt > MAX_GAP_MS;
   }
--- a/packages/gateway/tests/history_currency.test.ts
+++ b/packages/gateway/tests/history_currency.test.ts
@@ -34,7 +34,48 @@
   }
 }
 
+/** The ages of replicas, in ms. */
+interface Ages {
+  endpoints: number;
+  versions: number;
+}
+
 describe('the history of a host', () => {
+  // Guards against a host that was cut off or stopped, reads the endpoints
+  // again and takes its history from before for current: a version may have
+  // come and gone meanwhile.
+  for (const fault of ['cut off', 'stopped'] as const) {
+    it(`is read again once it is no longer ${fault}`, () => {
+      const ages: Ages = {endpoints: 0, versions: 0};
+      const reached = [{name: 'h-2', state: 'ready'} as const];
+      const currency = new HistoryCurrency({
+        isLoaded: () => true,
+        getAgeMs: (table) =>
+          table === 'versions' ? ages.versions : ages.endpoints,
+        listAlive: () => reached,
+        keepMs: KEEP_MS,
+      });
+      currency.update(0);
+      assert.ok(currency.isKnown(0));
+      reached.length = 0;
+      if (fault === 'cut off') {
+        for (let now = 0; now <= PAUSE_MS; now += SECOND_MS) {
+          ages.endpoints = now;
+          ages.versions = now;
+          currency.update(now);
+        }
+      }
+      Object.assign(ages, {endpoints: 0, versions: PAUSE_MS});
+      const now = PAUSE_MS + SECOND_MS;
+      assert.ok(!currency.isKnown(now), 'before the first check');
+      currency.update(now);
+      assert.ok(!currency.isKnown(now), 'before the history was read');
+      ages.versions = 100;
+      assert.ok(!currency.isKnown(now + 50), 'read before the endpoints');
+      assert.ok(currency.isKnown(now + 200));
+    });
+  }
+
   it('stays known while the store is away', () => {
     const host = new SimulatedCurrency();
     host.run(3);
