Conclude nothing from an old history once other hosts were out of reach

Callers: while the store is away, a resumed stream could join events of two versions at a host that had been cut off from the others and reached them again.

Cause: while the store is away, a host takes its replicas for evidence as long as it reaches the hosts that it knew. It did so as well when these had been out of reach: they may have read versions, before the store went away, that have come and gone.

Change: a break lasts until the replicas are current again.

Cost: a host that loses sight of another one for a moment during an outage of the store refuses resumed streams of which no host and no row has a record, until the store is back.

--- a/packages/gateway/src/services/history_currency.ts
+++ b/packages/gateway/src/services/history_currency.ts
@@ -2,11 +2,11 @@
  * Decides whether this host may conclude from its replicas which versions a
  * service had. It may if both were current a moment ago. While the store is
  * away they grow old on all hosts; then it may as long as it reaches all hosts
- * that it knew while they were current: none of these reads the store, or its
- * updates would arrive here, and nobody can register a new version. A host that
- * is cut off from the store and from other hosts concludes nothing; afterwards
- * it does once the history was confirmed, as versions may have come and gone
- * that its replica of the endpoints never had.
+ * that it knew while they were current, without a break: none of these reads
+ * the store, or its updates would arrive here, and nobody can register a new
+ * version. A host that is cut off from the store and from other hosts concludes
+ * nothing; afterwards it does once the history was confirmed, as versions may
+ * have come and gone that its replica of the endpoints never had.
  */
 import type {ReplicatedTable} from '../model/table_store.js';
 import type {PeerState} from './host_tracker.js';
@@ -75,6 +75,10 @@
     if (this.isCurrent(now)) return true;
     // After a pause, hosts that cannot be reached still count as alive.
     if (!this.wasCurrent || this.hasPaused(now)) return false;
+    return this.isReachingAll;
+  }
+
+  private get isReachingAll(): boolean {
     const alive = new Set(this.parts.listAlive().map(({name}) => name));
     for (const name of this.reachedAt.keys()) {
       if (!alive.has(name)) return false;
@@ -89,6 +93,8 @@
       this.recordFreshness(false, now);
     }
     this.updatedAt = now;
+    // A host that was out of reach may have learned what this one has not.
+    if (!this.isCurrent(now) && !this.isReachingAll) this.wasCurrent = false;
     for (const {name, state} of this.parts.listAlive()) {
       // A host that leaves takes no new streams.
       if (state === 'leaving') this.reachedAt.delete(name);
--- a/packages/gateway/tests/history_currency.test.ts
+++ b/packages/gateway/tests/history_currency.test.ts
@@ -13,10 +13,11 @@
   now = 0;
   /** When the replicas were last current. */
   currentAt = 0;
+  isAlone = false;
   readonly currency = new HistoryCurrency({
     isLoaded: () => true,
     getAgeMs: (_, now) => now - this.currentAt,
-    listAlive: () => [{name: 'h-2', state: 'ready'}],
+    listAlive: () => (this.isAlone ? [] : [{name: 'h-2', state: 'ready'}]),
     keepMs: KEEP_MS,
   });
 
@@ -83,6 +84,21 @@
     assert.ok(host.isKnown);
   });
 
+  // Guards against a host that was cut off while the store went away: the hosts
+  // that it reaches again have read versions that it never saw.
+  it('is unknown after other hosts were out of reach, until it is current', () => {
+    const host = new SimulatedCurrency();
+    host.run(3);
+    host.isAlone = true;
+    host.run(10, true);
+    assert.ok(!host.isKnown, 'while it reaches no host');
+    host.isAlone = false;
+    host.run(3, true);
+    assert.ok(!host.isKnown, 'while the store is away');
+    host.run(2);
+    assert.ok(host.isKnown);
+  });
+
   // Guards against a host that was stopped and, before it notices that it
   // reaches no other host, takes a history from before the pause for current:
   // another version may have begun streams meanwhile.
