Count what an earlier release served before the first row

Cause: the history concluded from its first rows that no other version had served. An empty table is either a new deployment or one whose hosts wrote no history; nothing told the two apart.

Change: a host that finds no row reads the tables of hosts, tasks, crashes and rollouts once before it writes. Rows of hosts and leases of this release have a mark. One mark for all services answers the same question for a service whose first row comes later than those of others.

Ruled out: rows of usage and scaling as evidence of their own (each has a lease beside it); sequence numbers of endpoints, which rise without callers.

Left: an earlier release of which no row is left, as all its hosts stopped in order in a deployment without tasks, crashes and rollouts.

--- a/packages/decisions/src/version_ledger.ts
+++ b/packages/decisions/src/version_ledger.ts
@@ -96,6 +96,17 @@
     this.updatedAt = now;
   }
 
+  /** Adds a version without endpoints whose row is about to be written. */
+  addAbsent(version: KeyedVersion, now: number): void {
+    if (this.entries.has(version.key)) return;
+    this.add(version, now).unsavedSince = now;
+  }
+
+  /** Whether a version, by the key of its row, may have begun a stream. */
+  has(key: string): boolean {
+    return this.entries.has(key);
+  }
+
   /** Forgets a version without a row that turned out not to be one. */
   dropUnsaved(key: string): void {
     if (this.entries.get(key)?.savedAt === undefined) this.entries.delete(key);
--- a/packages/gateway/src/model/version_row.ts
+++ b/packages/gateway/src/model/version_row.ts
@@ -23,6 +23,12 @@
 /** Stands for an unknown version; encoded texts don't contain the character. */
 const UNKNOWN = '=';
 
+/**
+ * The key of the row that counts as a version of any service which is not
+ * known: others may have served before the first row of the history.
+ */
+export const UNKNOWN_PAST_KEY = `${UNKNOWN}${SEPARATOR}${UNKNOWN}`;
+
 /** Formats the key of a version's row. */
 export function formatVersionKey({service, version}: ServiceVersion): string {
   const part = version === undefined ? UNKNOWN : formatPart(version);
--- a/packages/gateway/src/services/peer_discovery.ts
+++ b/packages/gateway/src/services/peer_discovery.ts
@@ -15,6 +15,7 @@
   type Logger,
 } from '@irisdock/kernel';
 import * as z from 'zod';
+import {RELEASE_MARK} from '../model/release_mark.js';
 import type {TableStore} from '../model/table_store.js';
 import {HOST_IDENTITY} from './identity.js';
 import type {Peers} from './peer_hosts.js';
@@ -80,7 +81,7 @@
 
   private async registerHost(): Promise<boolean> {
     const {tables} = this.peers.place;
-    const row = JSON.stringify({tables});
+    const row = JSON.stringify({tables, ...RELEASE_MARK});
     const result = await this.store.write('hosts', this.hostName, row);
     if (result.isOk()) return true;
     const {kind} = result.error;
--- a/packages/gateway/src/services/service_versions.ts
+++ b/packages/gateway/src/services/service_versions.ts
@@ -17,6 +17,7 @@
   formatVersionKey,
   formatVersionValue,
   parseVersionKey,
+  UNKNOWN_PAST_KEY,
 } from '../model/version_row.js';
 import type {VersionHistory} from '../serving/version_history.js';
 import type {HistoryCurrency} from './history_currency.js';
@@ -71,6 +72,11 @@
   readonly writers: VersionWriters;
   /** Whether the store is known to have a row. */
   readonly hasRow: (key: string) => boolean;
+  /**
+   * Finds out whether a release without the history may have served; undefined
+   * until that is known.
+   */
+  readonly findEarlierRelease: () => boolean | undefined;
 }
 
 /** Keeps and saves the versions of all services. */
@@ -86,6 +92,9 @@
   private readonly deletedAt = new Map<string, number>();
   private observedVersion = -1;
   private writeCount = 0;
+  /** When the table was first known, by this host's clock. */
+  private loadedAt: number | undefined;
+  private isStarted = false;
 
   constructor(private readonly parts: ServiceVersionsParts) {}
 
@@ -93,6 +102,7 @@
     const {clock, currency, endpoints} = this.parts;
     if (!currency.isKnown(clock.getNow())) return undefined;
     if (endpoints.version !== this.observedVersion) this.updateLedger();
+    if (this.ledger.has(UNKNOWN_PAST_KEY)) return undefined;
     const known = this.ledger.listVersions(service);
     // Before the first row was written, others may have served unrecorded.
     if (known.length === 0) return this.ledger.hasRow() ? [] : undefined;
@@ -120,6 +130,33 @@
     }
   }
 
+  /**
+   * Decides before the first row what served before it. Rows of the history
+   * show that the hosts that wrote them have decided.
+   */
+  private tryBegin(): void {
+    const {clock, currency, findEarlierRelease, writers} = this.parts;
+    if (this.isStarted || !currency.isLoaded) return;
+    const now = clock.getNow();
+    this.loadedAt ??= now;
+    const waitMs = writers.isFirst() ? 0 : writers.getDelayMs();
+    if (!this.ledger.hasRow()) {
+      if (now - this.loadedAt < waitMs) return;
+      const hasEarlierRelease = findEarlierRelease();
+      if (hasEarlierRelease === undefined) return;
+      if (hasEarlierRelease) this.saveUnknownPast(now);
+    }
+    this.isStarted = true;
+  }
+
+  /** Writes the row ahead of those of versions, so that none is without it. */
+  private saveUnknownPast(now: number): void {
+    const version = parseVersionKey(UNKNOWN_PAST_KEY);
+    if (version === undefined) return;
+    this.ledger.addAbsent({key: UNKNOWN_PAST_KEY, ...version}, now);
+    this.put(UNKNOWN_PAST_KEY, now);
+  }
+
   /** Saves again what the store lost when it was restored. */
   handleRestored(): void {
     const {clock, hasRow} = this.parts;
@@ -147,9 +184,9 @@
     }
   }
 
-  /** Whether the rows were read, so that new versions can be told. */
-  get isLoaded(): boolean {
-    return this.parts.currency.isLoaded;
+  /** Whether the history has begun, so that new versions are saved at once. */
+  get hasBegun(): boolean {
+    return this.isStarted;
   }
 
   /** Counts the versions by whether their rows are up to date. */
@@ -196,23 +233,29 @@
   }
 
   private save(): void {
-    const {host, clock, endpoints, writer, writers} = this.parts;
+    const {clock, endpoints, writer, writers} = this.parts;
+    this.tryBegin();
+    if (!this.isStarted) return;
     const now = clock.getNow();
     if (writers.isStoreAway(now)) return;
     const minMs = writers.isFirst() ? 0 : writers.getDelayMs();
     for (const {key, version} of this.ledger.listUnsaved(minMs, now)) {
       // The store lists the version of such an endpoint soon after its return.
       if (version === undefined && endpoints.isStoreAway) continue;
-      if (this.putAt.has(key)) continue;
-      this.putAt.set(key, now);
-      this.deletedAt.delete(key);
-      const write = ++this.writeCount;
-      const value = {host, at: clock.getWallNow(), write};
-      writer.put(key, formatVersionValue(value));
+      if (!this.putAt.has(key)) this.put(key, now);
     }
     writer.start();
   }
 
+  private put(key: string, now: number): void {
+    const {host, clock, writer} = this.parts;
+    this.putAt.set(key, now);
+    this.deletedAt.delete(key);
+    const write = ++this.writeCount;
+    const value = {host, at: clock.getWallNow(), write};
+    writer.put(key, formatVersionValue(value));
+  }
+
   private deleteExpired(now: number): void {
     const {currency, writer, writers} = this.parts;
     if (!writers.isFirst() || !currency.isCurrent(now)) return;
--- a/packages/gateway/src/services/task_lease.ts
+++ b/packages/gateway/src/services/task_lease.ts
@@ -13,6 +13,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {createLostError, parseLease} from '../model/lease_row.js';
 import type {CallAuthority, CallOutcome} from '../model/platform_api.js';
+import {RELEASE_MARK} from '../model/release_mark.js';
 import type {
   RowCondition,
   TaskName,
@@ -199,7 +200,7 @@
     const written = await store.commitTaskRows(
       [{key: this.key, revision}, ...this.listStored(conditions)],
       [
-        {key: this.key, value: JSON.stringify(row)},
+        {key: this.key, value: JSON.stringify({...row, ...RELEASE_MARK})},
         ...this.listStored(changes),
       ],
     );
--- a/packages/gateway/src/services/version_histories.ts
+++ b/packages/gateway/src/services/version_histories.ts
@@ -14,6 +14,7 @@
 import {getRandomFraction} from '../serving/serving_parts.js';
 import type {StoreStatus} from '../tables/store_status.js';
 import {TABLES_KEY, type Tables} from '../tables/tables.js';
+import {EarlierRelease} from './earlier_release.js';
 import {GATEWAY_ENDPOINTS} from './endpoints.js';
 import {HistoryCurrency} from './history_currency.js';
 import {HOST_IDENTITY} from './identity.js';
@@ -60,13 +61,15 @@
     const {versions: table} = tables;
     const peers = context.find(PEERS);
     const {standing} = peers;
+    const store = context.find(STORE);
     const writer = new RowWriter({
       table: 'versions',
-      store: context.find(STORE),
+      store,
       clock,
       log,
       retryMs: RETRY_MS,
     });
+    const earlier = new EarlierRelease({store, clock, log});
     const api = new ServiceVersions({
       host: context.find(HOST_IDENTITY).name,
       clock,
@@ -75,6 +78,7 @@
       writer,
       writers: createWriters(peers, random),
       hasRow: (key) => table.replica.isInCurrentEra(key),
+      findEarlierRelease: () => earlier.find(),
     });
     api.applyRows(table.replica.listAll());
     void table.changes.observe((rows) => {
@@ -91,7 +95,7 @@
     }, SWEEP_MS);
     timer.unref();
     const loading = setInterval(() => {
-      if (api.isLoaded) clearInterval(loading);
+      if (api.hasBegun) clearInterval(loading);
       api.update();
     }, LOADING_MS);
     loading.unref();
--- a/packages/gateway/tests/version_history.test.ts
+++ b/packages/gateway/tests/version_history.test.ts
@@ -228,6 +228,54 @@
   });
 });
 
+describe('the history after an upgrade from a release without it', () => {
+  // Guards against the first rows taken for all versions that served.
+  it('is not known until no earlier stream can be resumed', () => {
+    const world = new VersionWorld();
+    world.hasEarlierRows = true;
+    world.addEndpoint('a', 'v2');
+    world.addHost();
+    world.addHost();
+    world.step(Math.floor(RESUMABLE_MS / STEP_MS));
+    for (const service of ['a', 'b']) {
+      assert.equal(listSorted(getHost(world), service), undefined);
+    }
+    world.step(KEEP_STEPS);
+    assert.deepEqual(listSorted(getHost(world), 'a'), ['v2']);
+    assert.deepEqual(listSorted(getHost(world, 1), 'b'), []);
+    assert.equal(world.store.size, 1);
+  });
+
+  it('is not known when all hosts are lost, and counted anew', () => {
+    const world = new VersionWorld();
+    world.hasEarlierRows = true;
+    world.addEndpoint('a', 'v2');
+    world.addHost();
+    world.step();
+    // By now hosts of this release have replaced the earlier rows.
+    world.hasEarlierRows = false;
+    world.step(KEEP_STEPS - 10);
+    const host = startAnew(world);
+    world.step(KEEP_STEPS - 10);
+    assert.equal(listSorted(host), undefined);
+    world.step(10);
+    assert.deepEqual(listSorted(host), ['v2']);
+  });
+
+  it('saves no version while it is not known what was before', () => {
+    const world = new VersionWorld();
+    world.hasEarlierRows = undefined;
+    world.addEndpoint('a', 'v2');
+    const host = world.addHost();
+    world.step(5);
+    assert.equal(world.store.size, 0);
+    assert.equal(listSorted(host), undefined);
+    world.hasEarlierRows = false;
+    world.step();
+    assert.deepEqual(listSorted(host), ['v2']);
+  });
+});
+
 describe('the history while the store is away', () => {
   // Guards against refusals in a deployment with one version.
   it('is known to hosts that reach each other', () => {
