Find streams of callers that name no attempt by their deadline

Cause: content was the only key of such a stream, and several streams may have it. A caller names with each attempt how long it still waits, so its deadline is its own, and each record and row already has it. Records now count for a caller that names no attempt if content and deadline match to a second; callers give up an attempt that is not read within a second. Hosts are asked with the deadline, so that the few records in an answer include the stream's; rows have it to the millisecond (a second before). Without a deadline nothing tells, and the stream is refused where several versions are possible.

Ruled out: how far the stream was passed on and whether it still runs are known only to the host that ran it, and are lost with it.

"are all with its content if no attempt is named" stated the fault; it is replaced by one with deadlines and by two for records that must not match.

--- a/packages/decisions/src/origin_decision.ts
+++ b/packages/decisions/src/origin_decision.ts
@@ -4,7 +4,11 @@
  * that contradicts itself decides nothing. A cached prompt is no evidence: it
  * proves that an engine read the prompt, not that it wrote the answer.
  */
-import type {OriginKey, OriginRecord} from './origin_table.js';
+import {
+  isFromCaller,
+  type OriginKey,
+  type OriginRecord,
+} from './origin_table.js';
 
 /** What a host knows of the origin of a stream; versions may repeat. */
 export interface OriginEvidence {
@@ -59,15 +63,16 @@
 
 /**
  * Lists the records that tell of a stream: those of its attempt. Those of other
- * attempts with the same content count only if the caller named none, as each
- * may belong to a stream of another version.
+ * attempts with the same content count only if the caller named none and has
+ * their deadline, as each may belong to a stream of another version.
  */
 export function listMatchingOrigins(
-  {streamId, content}: OriginKey,
+  key: OriginKey,
   records: readonly OriginRecord[],
 ): OriginRecord[] {
+  const {streamId} = key;
   if (streamId === undefined) {
-    return records.filter((record) => record.content === content);
+    return records.filter((record) => isFromCaller(key, record));
   }
   return records.filter((record) => record.streamId === streamId);
 }
--- a/packages/decisions/src/origin_table.ts
+++ b/packages/decisions/src/origin_table.ts
@@ -24,6 +24,11 @@
   /** Undefined if the caller did not name the attempt. */
   readonly streamId: string | undefined;
   readonly content: string;
+  /**
+   * The time to the caller's deadline, in ms, by which the streams of callers
+   * that name no attempt are told apart; undefined without a deadline.
+   */
+  readonly remainingMs?: number | undefined;
 }
 
 /** The maximum number of streams; the oldest are evicted. */
@@ -31,6 +36,13 @@
 /** The maximum number of records that are found by one content. */
 const MAX_MATCHES = 4;
 
+/**
+ * How far the deadlines of two attempts of one caller may differ, in ms. An
+ * attempt that arrives late has a later deadline, and callers give up one that
+ * takes more than a second to be read.
+ */
+const MAX_DEADLINE_DIFFERENCE_MS = 1000;
+
 interface KeptOrigin {
   readonly record: OriginRecord;
   readonly expiresAt: number;
@@ -63,13 +75,17 @@
   }
 
   /** Lists the records of a stream, or else those with its content. */
-  list({streamId, content}: OriginKey, now: number): OriginRecord[] {
+  list(key: OriginKey, now: number): OriginRecord[] {
+    const {streamId, content, remainingMs} = key;
+    // Hosts of earlier versions name no deadline and expect all records.
+    const isAnyCaller = remainingMs === undefined;
     const ofStream = this.listOfStream(streamId ?? '', now);
     if (ofStream.length > 0) return ofStream;
     const records: OriginRecord[] = [];
     const distinct: OriginRecord[] = [];
     for (const other of this.contents.get(content) ?? []) {
       for (const record of this.listOfStream(other, now)) {
+        if (!isAnyCaller && !isFromCaller(key, record)) continue;
         records.push(record);
         const isKnown = distinct.some((one) => isSameOrigin(one, record));
         if (!isKnown) distinct.push(record);
@@ -107,6 +123,19 @@
   }
 }
 
+/**
+ * Whether a record may be that of a stream whose caller names no attempt: each
+ * attempt of a caller names what is left to one deadline.
+ */
+export function isFromCaller(
+  {content, remainingMs}: OriginKey,
+  record: OriginRecord,
+): boolean {
+  if (record.content !== content || remainingMs === undefined) return false;
+  const differenceMs = Math.abs(record.remainingMs - remainingMs);
+  return differenceMs <= MAX_DEADLINE_DIFFERENCE_MS;
+}
+
 /** Whether two records name the same software of the same service. */
 export function isSameOrigin(one: OriginRecord, other: OriginRecord): boolean {
   return one.service === other.service && one.version === other.version;
--- a/packages/decisions/tests/stream_origin.test.ts
+++ b/packages/decisions/tests/stream_origin.test.ts
@@ -78,6 +78,21 @@
     assert.deepEqual([...new Set(versions)].sort(), ['v1', 'v2']);
   });
 
+  // A host answers with a few records, which must not leave out this one.
+  it('finds the stream of a caller among many of one content', () => {
+    const table = new OriginTable();
+    for (let index = 0; index < 9; index++) {
+      const streamId = `stream-${index}`;
+      const remainingMs = 20_000 + 3000 * index;
+      table.add(createRecord({streamId, remainingMs}), 0);
+    }
+    const remainingMs = 20_000 + 3000 * 7 - 1500;
+    const key = {streamId: undefined, content: 'content-1', remainingMs};
+    const [found, ...others] = table.list(key, 1500);
+    assert.equal(found?.streamId, 'stream-7');
+    assert.deepEqual(others, []);
+  });
+
   it('is bounded; the oldest stream is dropped first', () => {
     const table = new OriginTable(2);
     for (const streamId of ['a', 'b', 'c']) {
@@ -255,10 +270,35 @@
     assert.deepEqual(listMatchingOrigins(key, others), []);
   });
 
-  it('are all with its content if no attempt is named', () => {
-    const records = [createRecord(), createRecord({content: 'content-2'})];
+  it('are all of its caller with its content if no attempt is named', () => {
+    const record = createRecord({remainingMs: 20_000});
+    const later = createRecord({streamId: 'stream-2', remainingMs: 20_900});
+    const other = createRecord({content: 'content-2', remainingMs: 20_000});
+    const key = {
+      streamId: undefined,
+      content: 'content-1',
+      remainingMs: 20_100,
+    };
+    const found = listMatchingOrigins(key, [record, later, other]);
+    assert.deepEqual(found, [record, later]);
+  });
+
+  // The record of another caller's stream decided, as its own was lost.
+  it('are not those of a caller with another deadline', () => {
+    const others = [15_000, 18_900, 21_100].map((remainingMs) =>
+      createRecord({remainingMs}),
+    );
+    const key = {
+      streamId: undefined,
+      content: 'content-1',
+      remainingMs: 20_000,
+    };
+    assert.deepEqual(listMatchingOrigins(key, others), []);
+  });
+
+  it('are none if neither an attempt nor a deadline is named', () => {
     const key = {streamId: undefined, content: 'content-1'};
-    assert.deepEqual(listMatchingOrigins(key, records), [createRecord()]);
+    assert.deepEqual(listMatchingOrigins(key, [createRecord()]), []);
   });
 });
 
--- a/packages/gateway/src/model/origin_datagram.ts
+++ b/packages/gateway/src/model/origin_datagram.ts
@@ -46,13 +46,14 @@
     number: fields.readNumber(),
     streamId: fields.readOptionalString(),
     content: fields.readString(),
+    remainingMs: fields.readOptionalNumber(),
   };
 }
 
 /** Encodes a request as a tuple, without the kind. */
 export function encodeOriginRequest(request: OriginRequestDatagram): unknown[] {
-  const {name, number, streamId, content} = request;
-  return [name, number, streamId, content];
+  const {name, number, streamId, content, remainingMs} = request;
+  return [name, number, streamId, content, remainingMs];
 }
 
 /** Reads the fields of a response, without the kind. */
--- a/packages/gateway/src/model/origin_row.ts
+++ b/packages/gateway/src/model/origin_row.ts
@@ -11,7 +11,10 @@
 
 /** The origin of a stream as the store has it. */
 export interface SavedOrigin extends Omit<OriginRecord, 'remainingMs'> {
-  /** When it is no longer needed, in s since 1970 by its host's clock. */
+  /**
+   * When it is no longer needed, in s since 1970 by its host's clock, to the
+   * millisecond: a caller that names no attempt is told by its deadline.
+   */
   readonly until: number;
 }
 
--- a/packages/gateway/src/services/origin_reader.ts
+++ b/packages/gateway/src/services/origin_reader.ts
@@ -4,7 +4,11 @@
  * concurrent lookups share a read, and reads have a bounded rate. So the return
  * of thousands of callers after the loss of all hosts costs a few reads.
  */
-import type {OriginKey, OriginRecord} from '@irisdock/decisions';
+import {
+  listMatchingOrigins,
+  type OriginKey,
+  type OriginRecord,
+} from '@irisdock/decisions';
 import type {Clock, Logger} from '@irisdock/kernel';
 import {parseOriginRow, type SavedOrigin} from '../model/origin_row.js';
 import type {RowChange, TableRow, TableStore} from '../model/table_store.js';
@@ -68,7 +72,8 @@
   /** Looks a stream up; reads the rows if none that were read tells. */
   async find(key: OriginKey): Promise<StoredOrigins> {
     const {clock} = this.parts;
-    this.usedAt = clock.getNow();
+    const startedAt = clock.getNow();
+    this.usedAt = startedAt;
     const known = this.list(key);
     if (key.streamId !== undefined && known.length > 0) {
       return this.createResult(known, true);
@@ -77,7 +82,8 @@
       this.loadAgain(),
       clock.wait(MAX_WAIT_MS).then(() => false),
     ]);
-    return this.createResult(this.list(key), isRead);
+    const found = this.list(createLaterKey(key, clock.getNow() - startedAt));
+    return this.createResult(found, isRead);
   }
 
   /** Frees the memory of rows that no lookup has used for a while. */
@@ -177,7 +183,8 @@
     });
   }
 
-  private list({streamId, content}: OriginKey): OriginRecord[] {
+  private list(key: OriginKey): OriginRecord[] {
+    const {streamId, content} = key;
     const found =
       streamId === undefined
         ? this.listContent(content)
@@ -188,7 +195,7 @@
       const remainingMs = Math.max(0, until * MS_PER_SECOND - wallNow);
       records.push({...origin, remainingMs});
     }
-    return records;
+    return listMatchingOrigins(key, records);
   }
 
   private listContent(content: string): readonly SavedOrigin[] {
@@ -202,6 +209,13 @@
   }
 }
 
+/** Gives the key of a lookup some time after it began. */
+function createLaterKey(key: OriginKey, waitedMs: number): OriginKey {
+  const {remainingMs} = key;
+  if (remainingMs === undefined) return key;
+  return {...key, remainingMs: remainingMs - waitedMs};
+}
+
 function createContents(
   origins: ReadOrigins | undefined,
 ): ReadonlyMap<string, readonly SavedOrigin[]> {
--- a/packages/gateway/src/services/origin_writer.ts
+++ b/packages/gateway/src/services/origin_writer.ts
@@ -54,7 +54,7 @@
     const {clock} = this.parts;
     const [now, wallNow] = [clock.getNow(), clock.getWallNow()];
     for (const {remainingMs, ...record} of records) {
-      const until = Math.ceil((wallNow + remainingMs) / MS_PER_SECOND);
+      const until = Math.ceil(wallNow + remainingMs) / MS_PER_SECOND;
       this.segments.add({...record, until}, now, now + remainingMs);
     }
     if (this.segments.unsaved > 0) this.start();
--- a/packages/gateway/src/serving/origin_lookup.ts
+++ b/packages/gateway/src/serving/origin_lookup.ts
@@ -52,14 +52,18 @@
  * Creates the key by which the origin of a begun stream is looked up.
  *
  * @param firstRequestId The attempt that brought its first event, if known.
+ * @param now The current time on the monotonic clock, in ms.
  */
 export function createOriginKey(
-  {team, content}: AdmittedRequest,
+  {team, content, callerDeadline}: AdmittedRequest,
   firstRequestId: string | undefined,
+  now: number,
 ): OriginKey {
   const isNamed = firstRequestId !== undefined;
   const streamId = isNamed ? hashStreamId(team, firstRequestId) : undefined;
-  return {streamId, content};
+  const hasDeadline = Number.isFinite(callerDeadline);
+  const remainingMs = hasDeadline ? callerDeadline - now : undefined;
+  return {streamId, content, remainingMs};
 }
 
 /**
--- a/packages/gateway/src/serving/service_choice.ts
+++ b/packages/gateway/src/serving/service_choice.ts
@@ -18,7 +18,7 @@
 /** Dependencies of the choice. */
 type ServiceChoiceParts = Pick<
   ServingParts,
-  'log' | 'metrics' | 'origins' | 'random' | 'versions'
+  'clock' | 'log' | 'metrics' | 'origins' | 'random' | 'versions'
 >;
 
 /** Chooses a service; an error says why there is none. */
@@ -47,13 +47,13 @@
   {shares, name}: ServingRoute,
   request: AdmittedRequest,
 ): Promise<Result<string, KnownError>> {
-  const {origins, versions, metrics, random, log} = parts;
+  const {origins, versions, metrics, random, log, clock} = parts;
   // A service that had no endpoints has begun no stream.
   const possible = shares
     .map(({service}) => service)
     .filter((service) => versions.listPossible(service)?.length !== 0);
   const {resumedRequestId} = request.metadata;
-  const key = createOriginKey(request, resumedRequestId);
+  const key = createOriginKey(request, resumedRequestId, clock.getNow());
   const isCertain = possible.length === 1;
   const known = await findOrigins(origins, key, isCertain);
   const {stored} = known;
--- a/packages/gateway/src/serving/stream_version.ts
+++ b/packages/gateway/src/serving/stream_version.ts
@@ -95,8 +95,9 @@
    */
   async resolve(): Promise<VersionDoubt | undefined> {
     if (this.isBound || this.doubt !== undefined) return this.doubt;
-    const {origins} = this.parts;
-    const key = createOriginKey(this.request, this.firstRequestId);
+    const {origins, clock} = this.parts;
+    const now = clock.getNow();
+    const key = createOriginKey(this.request, this.firstRequestId, now);
     const isCertain = this.listPossible()?.length === 1;
     const known = await findOrigins(origins, key, isCertain);
     this.known = known;
--- a/packages/gateway/tests/origin_store.test.ts
+++ b/packages/gateway/tests/origin_store.test.ts
@@ -260,10 +260,30 @@
     }
     host.save(createOriginRecord('s-9', {content: 'other', version: 'v3'}));
     await hosts.clock.run(SECOND_MS);
-    const {versions} = await hosts.find(hosts.start(), undefined);
+    const remainingMs = 19_000;
+    const {versions} = await hosts.find(hosts.start(), undefined, remainingMs);
     assert.deepEqual(versions.sort(), ['v1', 'v2']);
   });
 
+  // A row of seconds, or a wait for the store, must not hide the stream.
+  it('tells callers that name no attempt apart by their deadline', async () => {
+    const hosts = new OriginHosts();
+    const host = hosts.start();
+    for (let index = 0; index < 9; index++) {
+      const remainingMs = 20_000 + 2500 * index;
+      const version = index === 4 ? 'v2' : 'v1';
+      host.save(createOriginRecord(`s-${index}`, {version, remainingMs}));
+    }
+    await hosts.clock.run(3 * SECOND_MS);
+    const other = hosts.start();
+    for (const differenceMs of [-900, 0, 900]) {
+      const remainingMs = 27_000 + differenceMs;
+      const {versions} = await hosts.find(other, undefined, remainingMs);
+      assert.deepEqual(versions, ['v2'], `${differenceMs} ms`);
+    }
+    assert.deepEqual((await hosts.find(other, undefined)).versions, []);
+  });
+
   it('ignores rows that it cannot read', async () => {
     const hosts = new OriginHosts();
     hosts.store.rows.set('other/1/0', '{"engines": 5}');
--- a/packages/gateway/tests/peer_datagrams.test.ts
+++ b/packages/gateway/tests/peer_datagrams.test.ts
@@ -153,6 +153,7 @@
       number: 8,
       streamId: undefined,
       content: 'a'.repeat(32),
+      remainingMs: 24_000,
     },
     {kind: 'origin-answer', number: 8, origins: []},
     {
--- a/packages/gateway/tests/stream_origins.test.ts
+++ b/packages/gateway/tests/stream_origins.test.ts
@@ -222,7 +222,7 @@
     const fleet = new OriginFleet(9);
     fleet.getClient('host-0').publish(RECORD);
     await fleet.runHeartbeats(1);
-    const key = {streamId: undefined, content: CONTENT};
+    const key = {...KEY, streamId: undefined, remainingMs: KEPT_MS};
     const {versions} = await fleet.find('host-1', key, true);
     assert.deepEqual(versions, ['v1']);
   });
@@ -232,9 +232,11 @@
     const other = {...RECORD, streamId: 'stream-2', version: 'v2'};
     fleet.getClient('host-0').publish(RECORD);
     fleet.getClient('host-1').publish(other);
+    const startedAt = fleet.clock.getNow();
     await fleet.runHeartbeats(1);
-    const key = {streamId: undefined, content: CONTENT};
     for (let index = 2; index < 9; index++) {
+      const remainingMs = KEPT_MS - (fleet.clock.getNow() - startedAt);
+      const key = {...KEY, streamId: undefined, remainingMs};
       const {versions} = await fleet.find(`host-${index}`, key, true);
       assert.deepEqual([...versions].sort(), ['v1', 'v2']);
     }
