Delete the origins of gone hosts by the steady clock of their reader

What callers saw: after all hosts were lost, a host whose wall clock was an hour ahead took all saved origins for expired: it found none of them, refused their streams and deleted the rows for all others (LOST).

Cause: an expiry by the writer's wall clock was compared with the reader's, with a minute of tolerance. A row now tells how long its streams may be needed, and a reader deletes it once it has itself seen it unchanged for that long on its steady clock; 11 minutes for rows of earlier versions. What a reader finds counts. The wall clock only chooses what is left out beyond 150,000 streams. The number of rows stays bounded without lookups: each host reads them 11 to 12 minutes after its start and as often while there are any, deletes 100 a read, and hosts that read together begin at different rows.

Ruled out: taking the writer's time of writing into account still compares two wall clocks; deleting by a host that has not seen a row before can't tell its age.

--- a/packages/gateway/src/model/origin_row.ts
+++ b/packages/gateway/src/model/origin_row.ts
@@ -18,6 +18,22 @@
   readonly until: number;
 }
 
+/** The streams of a row. */
+export interface SavedRow {
+  readonly origins: readonly SavedOrigin[];
+  /**
+   * How long its streams may be needed after it was written, in ms; undefined
+   * in rows of hosts of earlier versions.
+   */
+  readonly lifeMs: number | undefined;
+}
+
+/**
+ * The longest time that streams of a row may be needed after it was written, in
+ * ms: origins are kept for 10 minutes, and a row is filled for a few seconds.
+ */
+export const MAX_ROW_LIFE_MS = 660_000;
+
 const ENGINE_SCHEMA = z.tuple([z.string(), z.string(), z.string()]);
 const STREAM_SCHEMA = z.tuple([
   z.int().min(0),
@@ -30,6 +46,7 @@
   engines: z.array(ENGINE_SCHEMA),
   /** The index of the engine, the stream, its content, and until when. */
   streams: z.array(STREAM_SCHEMA),
+  lifeMs: z.number().min(0).optional(),
 });
 type OriginRow = z.infer<typeof ROW_SCHEMA>;
 
@@ -43,8 +60,8 @@
 }
 
 /** Formats the value of a row. */
-export function formatOriginRow(origins: Iterable<SavedOrigin>): string {
-  const row: OriginRow = {engines: [], streams: []};
+export function formatOriginRow({origins, lifeMs}: SavedRow): string {
+  const row: OriginRow = {engines: [], streams: [], lifeMs};
   const indexes = new Map<string, number>();
   for (const {service, instanceId, version, ...stream} of origins) {
     const engine = JSON.stringify([service, instanceId, version]);
@@ -58,8 +75,8 @@
 }
 
 /** Parses the value of a row; an error says what is wrong with it. */
-export function parseOriginRow(value: string): Result<SavedOrigin[], string> {
-  return decodeJson(ROW_SCHEMA, value).map(({engines, streams}) => {
+export function parseOriginRow(value: string): Result<SavedRow, string> {
+  return decodeJson(ROW_SCHEMA, value).map(({engines, streams, lifeMs}) => {
     const origins: SavedOrigin[] = [];
     for (const [index, streamId, content, until] of streams) {
       const [service, instanceId, version] = engines[index] ?? [];
@@ -67,6 +84,6 @@
       if (instanceId === undefined || version === undefined) continue;
       origins.push({streamId, content, service, instanceId, version, until});
     }
-    return origins;
+    return {origins, lifeMs};
   });
 }
--- a/packages/gateway/src/services/origin_reader.ts
+++ b/packages/gateway/src/services/origin_reader.ts
@@ -9,9 +9,14 @@
   type OriginKey,
   type OriginRecord,
 } from '@irisdock/decisions';
-import type {Clock, Logger} from '@irisdock/kernel';
-import {parseOriginRow, type SavedOrigin} from '../model/origin_row.js';
+import type {Clock, Logger, Random} from '@irisdock/kernel';
+import {
+  MAX_ROW_LIFE_MS,
+  parseOriginRow,
+  type SavedOrigin,
+} from '../model/origin_row.js';
 import type {RowChange, TableRow, TableStore} from '../model/table_store.js';
+import {SeenRows} from './seen_rows.js';
 
 /** How long a lookup waits for a read, in ms; callers wait meanwhile. */
 const MAX_WAIT_MS = 500;
@@ -23,12 +28,17 @@
 const KEPT_MS = 60_000;
 /** The maximum number of streams in memory, some 250 bytes each. */
 const MAX_STREAMS = 150_000;
-/** After so many rows, other work of this host gets its turn. */
+/** After so many rows, or origins, other work of this host gets its turn. */
 const ROWS_PER_TURN = 20;
-/** How far the clocks of two hosts may differ, in ms. */
+const ORIGINS_PER_TURN = 300;
+/** How far the clocks of two hosts usually differ, in ms. */
 const MAX_CLOCK_DIFFERENCE_MS = 60_000;
 /** The maximum number of expired rows that one read deletes. */
 const MAX_DELETED_ROWS = 100;
+/** The time between reads that only look for expired rows, in ms. */
+const CLEANUP_INTERVAL_MS = MAX_ROW_LIFE_MS;
+/** By up to this much that time differs, as hosts may start together, in ms. */
+const MAX_CLEANUP_DELAY_MS = 60_000;
 const MS_PER_SECOND = 1000;
 
 /** What a lookup found in the store. */
@@ -45,6 +55,7 @@
   readonly store: Pick<TableStore, 'readAll' | 'writeAll'>;
   readonly clock: Pick<Clock, 'getNow' | 'getWallNow' | 'wait'>;
   readonly log: Logger;
+  readonly random: Random;
   /** Computes the minimum time between two reads, in ms. */
   readonly getIntervalMs: () => number;
   /** Counts a read. */
@@ -66,8 +77,12 @@
   private readAt = -Infinity;
   private isRead = false;
   private usedAt = -Infinity;
+  private readonly seenRows = new SeenRows();
+  private cleanupAt: number;
 
-  constructor(private readonly parts: OriginReaderParts) {}
+  constructor(private readonly parts: OriginReaderParts) {
+    this.cleanupAt = this.computeCleanupAt();
+  }
 
   /** Looks a stream up; reads the rows if none that were read tells. */
   async find(key: OriginKey): Promise<StoredOrigins> {
@@ -93,6 +108,17 @@
     this.contents = undefined;
   }
 
+  /**
+   * Reads the rows if that is due to find expired ones: some time after this
+   * host started, as a lost host may have left some, and while there are rows.
+   */
+  async checkExpired(): Promise<void> {
+    const {clock} = this.parts;
+    if (clock.getNow() < this.cleanupAt) return;
+    this.cleanupAt = this.computeCleanupAt();
+    await this.loadAgain();
+  }
+
   private createResult(
     records: readonly OriginRecord[],
     isRead: boolean,
@@ -136,7 +162,10 @@
 
   private async accept(rows: readonly TableRow[]): Promise<void> {
     const {clock, log} = this.parts;
+    const startedAt = clock.getNow();
     const streams = new Map<string, readonly SavedOrigin[]>();
+    // Only the wall clock of this host says that these are over.
+    const doubtful: SavedOrigin[] = [];
     const expired: RowChange[] = [];
     let faults = 0;
     let skipped = 0;
@@ -148,20 +177,25 @@
         faults++;
         continue;
       }
-      const origins = parsed.value.filter((one) => this.isNeeded(one));
-      if (origins.length === 0) expired.push({key, value: undefined});
-      for (const origin of origins) {
-        const {streamId} = origin;
-        const others = streams.get(streamId) ?? [];
-        if (streams.size < MAX_STREAMS || others.length > 0) {
-          streams.set(streamId, [...others, origin]);
-        } else {
-          skipped++;
-        }
+      const {value: row} = parsed;
+      const isOver = this.seenRows.add(key, value.length, row, startedAt);
+      if (isOver) {
+        expired.push({key, value: undefined});
+        continue;
+      }
+      for (const origin of row.origins) {
+        if (!this.isNeeded(origin)) doubtful.push(origin);
+        else if (!addOrigin(streams, origin)) skipped++;
       }
     }
+    this.seenRows.endRead();
+    for (const [index, origin] of doubtful.entries()) {
+      if (index % ORIGINS_PER_TURN === 0) await clock.wait(0);
+      if (!addOrigin(streams, origin)) skipped++;
+    }
     this.origins = {streams, rows: rows.length};
     this.contents = undefined;
+    this.planCleanup(rows.length, expired.length);
     log.writeInfo('Read the origins of streams.', {
       rows: rows.length,
       streams: streams.size,
@@ -169,7 +203,27 @@
       faults,
       skipped,
     });
-    void this.deleteRows(expired.slice(0, MAX_DELETED_ROWS));
+    void this.deleteRows(this.chooseDeleted(expired));
+  }
+
+  private computeCleanupAt(): number {
+    const {clock, random} = this.parts;
+    const delayMs = random.getInt(MAX_CLEANUP_DELAY_MS);
+    return clock.getNow() + CLEANUP_INTERVAL_MS + delayMs;
+  }
+
+  private planCleanup(rows: number, expired: number): void {
+    if (rows === expired) this.cleanupAt = Infinity;
+    else this.cleanupAt = this.computeCleanupAt();
+    if (expired > MAX_DELETED_ROWS) this.cleanupAt = this.readAt;
+  }
+
+  /** Chooses at random, so that hosts that read together delete others. */
+  private chooseDeleted(expired: readonly RowChange[]): readonly RowChange[] {
+    if (expired.length <= MAX_DELETED_ROWS) return expired;
+    const first = this.parts.random.getInt(expired.length);
+    const rotated = [...expired.slice(first), ...expired.slice(0, first)];
+    return rotated.slice(0, MAX_DELETED_ROWS);
   }
 
   /** Deletes rows that their hosts, perhaps lost ones, did not delete. */
@@ -216,6 +270,18 @@
   return {...key, remainingMs: remainingMs - waitedMs};
 }
 
+/** Adds an origin; returns false if there are too many streams. */
+function addOrigin(
+  streams: Map<string, readonly SavedOrigin[]>,
+  origin: SavedOrigin,
+): boolean {
+  const {streamId} = origin;
+  const others = streams.get(streamId) ?? [];
+  if (streams.size >= MAX_STREAMS && others.length === 0) return false;
+  streams.set(streamId, [...others, origin]);
+  return true;
+}
+
 function createContents(
   origins: ReadOrigins | undefined,
 ): ReadonlyMap<string, readonly SavedOrigin[]> {
--- a/packages/gateway/src/services/origin_segments.ts
+++ b/packages/gateway/src/services/origin_segments.ts
@@ -77,7 +77,7 @@
   add(origin: SavedOrigin, now: number, expiresAt: number): void {
     const segment = this.findOpen(now) ?? this.createSegment(now);
     segment.origins = [...segment.origins, origin];
-    segment.bytes += Buffer.byteLength(formatOriginRow([origin]));
+    segment.bytes += measureOrigin(origin);
     segment.expiresAt = Math.max(segment.expiresAt, expiresAt);
     segment.isUnsaved = true;
     this.streams++;
@@ -111,8 +111,10 @@
     if (expired.length + written.length === 0) return undefined;
     const changes: RowChange[] = [];
     for (const {key} of expired) changes.push({key, value: undefined});
-    for (const {key, origins} of written) {
-      changes.push({key, value: formatOriginRow(origins)});
+    for (const segment of written) {
+      const {key, origins, startedAt, expiresAt} = segment;
+      const lifeMs = Math.ceil(expiresAt - startedAt);
+      changes.push({key, value: formatOriginRow({origins, lifeMs})});
     }
     const counts = new Map<Segment, number>();
     for (const segment of written) {
@@ -179,3 +181,9 @@
     }
   }
 }
+
+/** Measures a stream in a row, in bytes of JSON. */
+function measureOrigin(origin: SavedOrigin): number {
+  const row = {origins: [origin], lifeMs: undefined};
+  return Buffer.byteLength(formatOriginRow(row));
+}
--- a/packages/gateway/src/services/origin_store.ts
+++ b/packages/gateway/src/services/origin_store.ts
@@ -10,7 +10,7 @@
   type OriginKey,
   type OriginRecord,
 } from '@irisdock/decisions';
-import type {Clock, Logger} from '@irisdock/kernel';
+import type {Clock, Logger, Random} from '@irisdock/kernel';
 import type {TableStore} from '../model/table_store.js';
 import type {VersionHistory} from '../serving/version_history.js';
 import {OriginReader, type StoredOrigins} from './origin_reader.js';
@@ -29,6 +29,7 @@
   readonly versions: VersionHistory;
   readonly clock: Pick<Clock, 'getNow' | 'getWallNow' | 'wait'>;
   readonly log: Logger;
+  readonly random: Random;
   /** Counts the live hosts, this one included. */
   readonly countHosts: () => number;
   /** Counts a call to the store. */
@@ -112,6 +113,7 @@
     }
     this.writer.deleteExpired();
     this.reader.dropUnused();
+    void this.reader.checkExpired();
   }
 
   /** Writes all origins again, as the store was restored from a backup. */
--- a/packages/gateway/src/services/origin_stores.ts
+++ b/packages/gateway/src/services/origin_stores.ts
@@ -21,7 +21,7 @@
   settings: z.object({}),
   needs: [HOST_IDENTITY, PEERS, STORE, TABLES_KEY, VERSION_HISTORY],
   create(context) {
-    const {clock, log, metrics} = context;
+    const {clock, log, metrics, random} = context;
     const peers = context.find(PEERS);
     const {name: host, incarnation} = context.find(HOST_IDENTITY);
     const calls = new Counter({
@@ -37,6 +37,7 @@
       versions: context.find(VERSION_HISTORY),
       clock,
       log,
+      random,
       countHosts: () => peers.listAlive().length + 1,
       recordCall: (call, isOk) => {
         calls.inc({call, outcome: isOk ? 'ok' : 'failed'});
