Report the origin of a resumed stream under the resuming attempt too

What callers saw: a caller whose third attempt named its second one, which had resumed the first, was refused while several versions were possible, though all hosts knew the stream (LOST).

Cause: a host that resumed a stream reported its origin only under the attempt that began it. It reports and saves it under its own attempt as well, once it knows the version: the caller may name either, also if the attempt brings no event. One more record for each resumption, within the bounds of streams.

Ruled out: a record that points to the earlier attempt needs a second lookup, and the first record may be lost by then.

--- a/packages/gateway/src/serving/stream_version.ts
+++ b/packages/gateway/src/serving/stream_version.ts
@@ -25,6 +25,7 @@
   createOrigin,
   getSoftwareVersion,
   VersionBinding,
+  type StreamOrigin,
 } from './version_binding.js';
 
 /** How long an origin is kept for a caller without a deadline, in ms. */
@@ -51,7 +52,8 @@
 /** The software version of one stream. */
 export class StreamVersion {
   readonly binding = new VersionBinding();
-  private stopPublishing: (() => void) | undefined;
+  /** Ends the reports on the stream, by the attempt that names it. */
+  private readonly published = new Map<string, () => void>();
   /** What is known of a begun stream; undefined until looked up. */
   private known: KnownOrigins | undefined;
   private doubt: VersionDoubt | undefined;
@@ -75,17 +77,10 @@
 
   /** Binds the stream to the engine that sent an event, unless it is bound. */
   recordEvent(engine: EndpointRecord): void {
-    if (this.stopPublishing !== undefined) return;
-    const origin = this.binding.bind(createOrigin(engine));
-    const {team, requestId, content} = this.request;
-    const {clock, origins} = this.parts;
-    const leftMs = this.request.callerDeadline - clock.getNow();
-    this.stopPublishing = origins.publish({
-      ...origin,
-      streamId: hashStreamId(team, this.firstRequestId ?? requestId),
-      content,
-      remainingMs: Math.min(MAX_KEPT_MS, leftMs),
-    });
+    const {requestId} = this.request;
+    const name = this.firstRequestId ?? requestId;
+    if (this.published.has(name)) return;
+    this.publish(this.binding.bind(createOrigin(engine)), name);
   }
 
   /**
@@ -119,14 +114,31 @@
       service: this.service,
       instanceId: '',
     };
-    this.binding.bind({service, instanceId, version: decision.version});
+    const {version} = decision;
+    const origin = this.binding.bind({service, instanceId, version});
+    // The caller may name this attempt when it resumes the stream again.
+    this.publish(origin, this.request.requestId);
     this.writeLog(decision.source);
     return undefined;
   }
 
   /** Stops reporting, as this host no longer runs the stream. */
   close(): void {
-    this.stopPublishing?.();
+    for (const endReports of this.published.values()) endReports();
+  }
+
+  /** Reports the origin of the stream under the id of one of its attempts. */
+  private publish(origin: StreamOrigin, requestId: string): void {
+    const {team, content, callerDeadline} = this.request;
+    const {clock, origins} = this.parts;
+    const leftMs = callerDeadline - clock.getNow();
+    const endReports = origins.publish({
+      ...origin,
+      streamId: hashStreamId(team, requestId),
+      content,
+      remainingMs: Math.min(MAX_KEPT_MS, leftMs),
+    });
+    this.published.set(requestId, endReports);
   }
 
   private writeLog(source: OriginSource | 'unknown'): void {
