Keep retry budgets over the loss of all hosts

What callers' services saw: a service gets more retries than its budget allows when all hosts are lost and start again within a window (BUDGET). Nine hosts with a ratio of 0.8 and an allowance of 150 took 171 retries before and 171 after the loss, of 294 allowed.

Cause: only the process of a host counts its retries, and one that starts took the budget for unused.

Change: a process that uses more than 0.2 of its share of a service saves a row in the store, without waiting, and deletes it when these retries have left the window. A host in its first window uses 0.2 of its share, the margin that budgets leave unused otherwise, until it has read that no process that is gone has a row. It reads when it needs more than that. A new deployment has no rows and keeps its whole budget; live processes' rows don't count. 0.8 before and 0.2 after are the budget; without a row it is 0.2 and 0.8.

It builds budgets with a store now, as a host cannot know of a loss otherwise; it still takes 171 retries before the loss, asserts that, and holds the sum against the same bound. New ones: rows that cannot be read (failed the same way without the change), hosts that restart one after the other (288 of 222 without), whole budgets where little was used, rows that end, no calls in calm.

Not covered: two losses of all hosts within one window (0.8, 0.2 and 0.2), a loss within the call that saves the row, or while the store is away.

--- a/packages/decisions/src/windowed_retry_budget.ts
+++ b/packages/decisions/src/windowed_retry_budget.ts
@@ -16,7 +16,10 @@
   readonly ratio: number;
   /** Further retries per window, regardless of requests, for all hosts. */
   readonly allowance: number;
-  /** The fraction of both that is used, as a safety margin. */
+  /**
+   * The fraction of both that is used, as a safety margin. A reduced budget is
+   * the rest, so that it fits beside what was used before.
+   */
   readonly usedFraction: number;
 }
 
@@ -70,6 +73,11 @@
 
 /** One host's share of a retry budget. */
 export class WindowedRetryBudget {
+  /**
+   * Whether only the safety margin is used, as lost hosts may have used all
+   * else.
+   */
+  isReduced = false;
   private readonly requests: number[] = [];
   /** Retries, and loans to other hosts. */
   private used: TimedAmount[] = [];
@@ -122,6 +130,13 @@
     return amount;
   }
 
+  /** Whether more was used than a reduced budget allows. */
+  isUsedBeyondReduced(nowMs: number, hosts: number): boolean {
+    this.dropOld(nowMs);
+    const max = this.reducedFraction * this.computeShare(hosts);
+    return countAmounts(this.used) > max + TOLERANCE;
+  }
+
   /** Adds a loan of another host, which is usable for a short time. */
   addLoan(amount: number, nowMs: number): void {
     if (amount > 0) this.loans.push({at: nowMs, amount});
@@ -130,12 +145,22 @@
   /** Returns what is left of this host's share, without loans. */
   private getSpare(nowMs: number, hosts: number): number {
     this.dropOld(nowMs);
-    const {ratio, allowance, usedFraction} = this.options;
-    const share = allowance / Math.max(1, hosts);
-    const max = usedFraction * (ratio * this.requests.length + share);
+    const {usedFraction} = this.options;
+    const fraction = this.isReduced ? this.reducedFraction : usedFraction;
+    const max = fraction * this.computeShare(hosts);
     return Math.max(0, max - countAmounts(this.used));
   }
 
+  private get reducedFraction(): number {
+    const {usedFraction} = this.options;
+    return Math.min(usedFraction, 1 - usedFraction);
+  }
+
+  private computeShare(hosts: number): number {
+    const {ratio, allowance} = this.options;
+    return ratio * this.requests.length + allowance / Math.max(1, hosts);
+  }
+
   private countLoans(): number {
     return countAmounts(this.loans);
   }
--- a/packages/gateway/src/model/table_store.ts
+++ b/packages/gateway/src/model/table_store.ts
@@ -31,6 +31,7 @@
   'endpoints',
   'hosts',
   'origins',
+  'retries',
   'rollouts',
   'tasks',
   'versions',
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -63,7 +63,7 @@
 import {ROLLOUTS} from './rollouts.js';
 import {RUN_LEASES} from './run_leases.js';
 import {STREAM_ORIGINS} from './stream_origins.js';
-import {CODECS} from './store.js';
+import {CODECS, STORE} from './store.js';
 import {VERSION_HISTORY} from './version_histories.js';
 
 /** The maximum time for a whole request to arrive, in ms. */
@@ -111,6 +111,7 @@
     PEERS,
     ROLLOUTS,
     RUN_LEASES,
+    STORE,
     STREAM_ORIGINS,
     VERSION_HISTORY,
   ],
@@ -168,7 +169,7 @@
         parts.paths.close();
         parts.relay.close();
         client.close();
-        return Promise.resolve();
+        return parts.retryBudgets.use?.stop() ?? Promise.resolve();
       },
     };
   },
--- a/packages/gateway/src/services/retry_budget_setup.ts
+++ b/packages/gateway/src/services/retry_budget_setup.ts
@@ -4,8 +4,11 @@
 import {RetryBudgets} from '../serving/retry_budgets.js';
 import type {OutageMetrics} from '../serving/outage_metrics.js';
 import type {OutageValues} from './outage_settings.js';
+import {HOST_IDENTITY} from './identity.js';
 import {PEERS} from './peers.js';
 import {RetryLoans} from './retry_loans.js';
+import {RetryUseStore} from './retry_use_store.js';
+import {STORE} from './store.js';
 
 /**
  * The used fraction of the retry budget; the rest is slack for sliding windows.
@@ -38,6 +41,20 @@
   const retryLoans = new RetryLoans(parts);
   peers.handlers.loans = retryLoans;
   if (maxLenders > 0) budgets.lender = retryLoans;
+  const identity = context.find(HOST_IDENTITY);
+  budgets.use = new RetryUseStore({
+    ...context,
+    identity,
+    store: context.find(STORE),
+    isAlive: ({host, incarnation}) =>
+      peers
+        .listAlive()
+        .some(
+          ({record}) =>
+            record.name === host && record.incarnation === incarnation,
+        ),
+    getWindowMs: () => budgets.windowMs,
+  });
   return budgets;
 }
 
--- a/packages/gateway/src/services/row_writer.ts
+++ b/packages/gateway/src/services/row_writer.ts
@@ -15,7 +15,7 @@
 /** Dependencies of the writer. */
 export interface RowWriterParts {
   readonly table: TableName;
-  readonly store: TableStore;
+  readonly store: Pick<TableStore, 'writeAll'>;
   readonly clock: Clock;
   readonly log: Logger;
   /** The retry delay after a failed call, in ms. */
--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -110,7 +110,7 @@
       this.recordResult(endpoint, result);
       await this.checkEndpointExit(endpoint, result);
       if (request.exchange.isExpired) return this.finishExpired();
-      if (!this.isRetryAllowed(result)) return this.finish();
+      if (!(await this.tryRetry(result))) return this.finish();
       await checkPath(this.parts, service, result);
     }
   }
@@ -139,7 +139,7 @@
     if (exchange.isExpired) return this.finishExpired();
     if (result.kind === 'none') return this.finish();
     const lost = {...result, mayHaveRun: true};
-    return this.isRetryAllowed(lost) ? undefined : this.finish();
+    return (await this.tryRetry(lost)) ? undefined : this.finish();
   }
 
   private recordPossibleRun(detail: string): void {
@@ -288,7 +288,8 @@
     return this.parts.crashes.isRefused(this.request.content);
   }
 
-  private isRetryAllowed(result: PlainAnswerResult): boolean {
+  /** Takes a retry of the call; false if there is none. */
+  private async tryRetry(result: PlainAnswerResult): Promise<boolean> {
     const {route} = this;
     if (this.notRun > MAX_NOT_RUN_SENDS) return false;
     const isWhole = result.kind === 'whole';
@@ -303,6 +304,7 @@
     }
     const {retryBudgets} = this.parts;
     if (!retryBudgets.isCounted(result)) return true;
+    await retryBudgets.loadUse(this.service);
     return retryBudgets.takeRetry(this.service);
   }
 
--- a/packages/gateway/src/serving/retry_budgets.ts
+++ b/packages/gateway/src/serving/retry_budgets.ts
@@ -10,6 +10,19 @@
   acquire(service: string): Promise<void>;
 }
 
+/** Tells how much of the budgets hosts used before this one started. */
+export interface RetryUse {
+  /**
+   * Whether lost hosts may have used most of a budget in the current window.
+   */
+  isUncertain(service: string): boolean;
+  /** Reads what lost hosts used, for a bounded time. */
+  load(): Promise<void>;
+  /** Saves that this host uses more than one that is uncertain may. */
+  save(service: string): void;
+  stop(): Promise<void>;
+}
+
 /** How a send ended that may be retried. */
 interface SendEnd {
   readonly kind: string;
@@ -24,6 +37,8 @@
 export class RetryBudgets {
   /** Set where hosts lend each other what is left of their budgets. */
   lender: RetryLender | undefined;
+  /** Set where what hosts use outlives them. */
+  use: RetryUse | undefined;
   private readonly budgets = new Map<string, WindowedRetryBudget>();
 
   /**
@@ -43,6 +58,11 @@
     for (const budget of this.budgets.values()) budget.setBounds(options);
   }
 
+  /** The window in which retries are counted, in ms. */
+  get windowMs(): number {
+    return this.options.windowMs;
+  }
+
   /** Counts a request for a service. */
   recordRequest(service: string): void {
     this.getBudget(service).addRequest(this.getNow());
@@ -57,7 +77,10 @@
   /** Takes one retry; false when this host's share of the budget is used up. */
   takeRetry(service: string): boolean {
     const hosts = this.countHosts();
-    return this.getBudget(service).takeRetry(this.getNow(), hosts);
+    const isTaken = this.getBudget(service).takeRetry(this.getNow(), hosts);
+    if (isTaken) this.saveUse(service);
+    else void this.loadUse(service);
+    return isTaken;
   }
 
   /**
@@ -70,8 +93,15 @@
     return kind !== 'lost' || mayHaveRun === true;
   }
 
+  /** Finds out whether more of this host's share may be used, if none is left. */
+  async loadUse(service: string): Promise<void> {
+    if (this.use?.isUncertain(service) !== true) return;
+    if (!this.hasRetry(service)) await this.use.load();
+  }
+
   /** Borrows from other hosts if this host's share is used up. */
   async tryBorrow(service: string): Promise<void> {
+    await this.loadUse(service);
     await this.lender?.acquire(service);
   }
 
@@ -84,7 +114,11 @@
   /** Takes a part of a retry for another host; returns how much. */
   offerLoan(service: string, wanted: number): number {
     const hosts = this.countHosts();
-    return this.getBudget(service).offerLoan(wanted, this.getNow(), hosts);
+    const budget = this.getBudget(service);
+    const amount = budget.offerLoan(wanted, this.getNow(), hosts);
+    if (amount > 0) this.saveUse(service);
+    if (amount < wanted) void this.loadUse(service);
+    return amount;
   }
 
   /** Adds a part of a retry that another host lent. */
@@ -98,6 +132,15 @@
       budget = new WindowedRetryBudget(this.options);
       this.budgets.set(service, budget);
     }
+    budget.isReduced = this.use?.isUncertain(service) === true;
     return budget;
   }
+
+  private saveUse(service: string): void {
+    const {use} = this;
+    if (use === undefined) return;
+    const hosts = this.countHosts();
+    const budget = this.getBudget(service);
+    if (budget.isUsedBeyondReduced(this.getNow(), hosts)) use.save(service);
+  }
 }
