Read the used retries with the first request of a host

Cause: a host read whether lost hosts had used retries only when it needed more than a fifth of its share. Several streams lose their engine at the same moment, and one that is taken to another host takes its retry without waiting.

Change: the first request in a host's first window starts the read, so that the rows are known a round trip later; a retry that comes before still waits for them where it can. Ruled out: waiting in each place that takes a retry, as some decide without a wait.

--- a/packages/gateway/src/services/retry_use_store.ts
+++ b/packages/gateway/src/services/retry_use_store.ts
@@ -2,8 +2,8 @@
  * Keeps in the store which hosts used more than a small part of a retry budget.
  * Only the process of a host counts its retries, so one that starts cannot tell
  * how many were used in the current window. It uses only as small a part itself
- * until it has read that no process which is gone used more. Hosts read and
- * write nothing while they need no retries.
+ * until it has read that no process which is gone used more, once with its first
+ * request. Hosts write nothing while they need few retries.
  */
 import type {Clock, Logger, Random} from '@irisdock/kernel';
 import {
@@ -71,14 +71,18 @@
     return usedBefore.has(service) || usedBefore.has(undefined);
   }
 
-  async load(): Promise<void> {
-    const {clock} = this.parts;
+  startLoading(): void {
     if (this.usedBefore !== undefined) return;
-    if (clock.getNow() - this.failedAt < RETRY_MS) return;
+    if (this.parts.clock.getNow() - this.failedAt < RETRY_MS) return;
     this.reading ??= this.read().finally(() => {
       this.reading = undefined;
     });
-    await Promise.race([this.reading, clock.wait(MAX_WAIT_MS)]);
+  }
+
+  async load(): Promise<void> {
+    this.startLoading();
+    if (this.reading === undefined) return;
+    await Promise.race([this.reading, this.parts.clock.wait(MAX_WAIT_MS)]);
   }
 
   save(service: string): void {
--- a/packages/gateway/src/serving/retry_budgets.ts
+++ b/packages/gateway/src/serving/retry_budgets.ts
@@ -16,7 +16,9 @@
    * Whether lost hosts may have used most of a budget in the current window.
    */
   isUncertain(service: string): boolean;
-  /** Reads what lost hosts used, for a bounded time. */
+  /** Reads what lost hosts used, unless that is done or was tried just now. */
+  startLoading(): void;
+  /** Does so, and waits for it for a bounded time. */
   load(): Promise<void>;
   /** Saves that this host uses more than one that is uncertain may. */
   save(service: string): void;
@@ -66,6 +68,8 @@
   /** Counts a request for a service. */
   recordRequest(service: string): void {
     this.getBudget(service).addRequest(this.getNow());
+    // Streams that need a retry at the same moment cannot all wait for it.
+    if (this.use?.isUncertain(service) === true) this.use.startLoading();
   }
 
   /** Whether a retry is left of this host's share of the budget. */
@@ -79,7 +83,6 @@
     const hosts = this.countHosts();
     const isTaken = this.getBudget(service).takeRetry(this.getNow(), hosts);
     if (isTaken) this.saveUse(service);
-    else void this.loadUse(service);
     return isTaken;
   }
 
@@ -117,7 +120,6 @@
     const budget = this.getBudget(service);
     const amount = budget.offerLoan(wanted, this.getNow(), hosts);
     if (amount > 0) this.saveUse(service);
-    if (amount < wanted) void this.loadUse(service);
     return amount;
   }
 
