Tell why a resumed stream is refused

What operators saw: a refused resumption told that the past of a service is not known (past_unknown) or that its version has no engine (unavailable), and no more. A host that had not read its tables, one that misses another host and a version of which all engines drain looked like one another.

Change: `Looked up the software version of a stream.` has `pastDoubt`, the reason why the versions that the service had are not known: tables_unread, tables_old, host_paused, host_missing, no_first_row, version_unknown. Refusals that a known past might have avoided are counted by it (irisdock_gateway_unknown_pasts_total). `A stream was not finished.` has `lack`, and the reason of version_refusals_total is the same: no_engine, draining, or unavailable (paused, lost or closed by a rollout); a route that went elsewhere counts as route_moved. A decision rests on what it did before, the reasons are found by the same conditions.

`irisdock explain` prints all fields of a line, so these as well.

--- a/packages/gateway/src/services/history_currency.ts
+++ b/packages/gateway/src/services/history_currency.ts
@@ -7,6 +7,7 @@
  * is cut off from the store and from other hosts concludes nothing.
  */
 import type {ReplicatedTable} from '../model/table_store.js';
+import type {PastDoubt} from '../serving/version_history.js';
 import type {PeerState} from './host_tracker.js';
 
 /** Another host, or this one, as far as it is known here. */
@@ -63,14 +64,21 @@
 
   /** Whether the replicas are evidence of all versions. */
   isKnown(now: number): boolean {
-    if (this.isCurrent(now)) return true;
+    return this.findDoubt(now) === undefined;
+  }
+
+  /** Finds why the replicas are no such evidence; undefined if they are. */
+  findDoubt(now: number): PastDoubt | undefined {
+    if (this.isCurrent(now)) return undefined;
+    if (!this.isLoaded) return 'tables_unread';
     // After a pause, hosts that cannot be reached still count as alive.
-    if (!this.wasCurrent || this.hasPaused(now)) return false;
+    if (this.hasPaused(now)) return 'host_paused';
+    if (!this.wasCurrent) return 'tables_old';
     const alive = new Set(this.parts.listAlive().map(({name}) => name));
     for (const name of this.reachedAt.keys()) {
-      if (!alive.has(name)) return false;
+      if (!alive.has(name)) return 'host_missing';
     }
-    return true;
+    return undefined;
   }
 
   /** Records which hosts are reached; to be called about each second. */
--- a/packages/gateway/src/services/service_versions.ts
+++ b/packages/gateway/src/services/service_versions.ts
@@ -18,7 +18,7 @@
   formatVersionValue,
   parseVersionKey,
 } from '../model/version_row.js';
-import type {VersionHistory} from '../serving/version_history.js';
+import type {PastDoubt, VersionHistory} from '../serving/version_history.js';
 import type {HistoryCurrency} from './history_currency.js';
 import type {RowWriter} from './row_writer.js';
 
@@ -105,6 +105,14 @@
     return versions;
   }
 
+  findDoubt(service: string): PastDoubt | undefined {
+    const {clock, currency} = this.parts;
+    const doubt = currency.findDoubt(clock.getNow());
+    if (doubt !== undefined) return doubt;
+    if (this.listPossible(service) !== undefined) return undefined;
+    return this.ledger.hasRow(service) ? 'version_unknown' : 'no_first_row';
+  }
+
   /** Applies changed rows of the table. */
   applyRows(rows: readonly ReplicaRow[]): void {
     const now = this.parts.clock.getNow();
--- a/packages/gateway/src/serving/service_choice.ts
+++ b/packages/gateway/src/serving/service_choice.ts
@@ -79,7 +79,7 @@
     const fields = {service: name};
     return err(GATEWAY_ERRORS.create('origin_unknown', fields, retryAfter));
   }
-  metrics.versionRefusals.inc({reason: 'unavailable'});
+  metrics.versionRefusals.inc({reason: 'route_moved'});
   const {version} = record;
   const fields = {service, version};
   return err(GATEWAY_ERRORS.create('version_unavailable', fields, retryAfter));
--- a/packages/gateway/src/serving/serving_metrics.ts
+++ b/packages/gateway/src/serving/serving_metrics.ts
@@ -27,6 +27,7 @@
   readonly resumptions: Counter;
   readonly origins: Counter;
   readonly versionRefusals: Counter;
+  readonly unknownPasts: Counter;
   readonly answerSeconds: Histogram;
   readonly resumeSeconds: Histogram;
 
@@ -72,11 +73,8 @@
       ['source', 'hosts'],
       'Lookups of the software version that began a stream, a count, by what the result rests on and whether other hosts answered.',
     );
-    this.versionRefusals = createCounter(
-      'irisdock_gateway_version_refusals_total',
-      ['reason'],
-      'Resumed streams refused because their software version is unknown or has no endpoint, a count.',
-    );
+    this.versionRefusals = createVersionRefusals(createCounter);
+    this.unknownPasts = createUnknownPasts(createCounter);
     this.lingeringCloses = createCounter(
       'irisdock_gateway_lingering_closes_total',
       ['reason'],
@@ -114,6 +112,22 @@
     new Counter({name, help, labelNames, registers});
 }
 
+function createVersionRefusals(createCounter: CounterFactory): Counter {
+  return createCounter(
+    'irisdock_gateway_version_refusals_total',
+    ['reason'],
+    'Resumed streams refused because their software version is unknown or has no endpoint, a count.',
+  );
+}
+
+function createUnknownPasts(createCounter: CounterFactory): Counter {
+  return createCounter(
+    'irisdock_gateway_unknown_pasts_total',
+    ['cause'],
+    'Resumed streams refused because the software versions that their service had are not known, a count, by cause.',
+  );
+}
+
 function createAnswerHistogram(registry: Registry): Histogram {
   return new Histogram({
     name: 'irisdock_gateway_answer_seconds',
--- a/packages/gateway/src/serving/stream_failure.ts
+++ b/packages/gateway/src/serving/stream_failure.ts
@@ -3,6 +3,7 @@
 import {GATEWAY_ERRORS} from '../errors.js';
 import type {ServingRoute} from '../model/serving_configuration.js';
 import type {AdmittedRequest, PlainAnswer} from './caller_exchange.js';
+import {decideEngineLack, type EngineLack} from './engine_lack.js';
 import {listStreamEngines} from './live_endpoints.js';
 import {decideRetryAfter} from './retry_after.js';
 import type {SendHolds} from './send_holds.js';
@@ -30,6 +31,8 @@
   refusal: KnownError | undefined;
   /** Why the software version that began the stream is not known. */
   versionDoubt: VersionDoubt | undefined;
+  /** Why the stream's version has no engine. */
+  private lack: EngineLack | undefined;
 
   constructor(
     private readonly parts: ServingParts,
@@ -99,7 +102,8 @@
     if (listStreamEngines(parts, service, binding.origin).length > 0) {
       return undefined;
     }
-    versionRefusals.inc({reason: 'unavailable'});
+    this.lack = decideEngineLack(parts.endpoints.listAll(), binding.origin);
+    versionRefusals.inc({reason: this.lack});
     const fields = {service, version};
     return GATEWAY_ERRORS.create('version_unavailable', fields, retryAfter);
   }
@@ -119,6 +123,7 @@
       notRun: retries.notRun,
       detail: this.detail,
       bar: reason,
+      lack: this.lack,
       crashes: parts.crashes.countCrashes(content),
       content,
       ...this.holds.listFields(),
--- a/packages/gateway/src/serving/stream_version.ts
+++ b/packages/gateway/src/serving/stream_version.ts
@@ -134,6 +134,12 @@
     const now = clock.getNow();
     const {standing} = endpoints.peers;
     metrics.origins.inc({source, hosts: getHostAnswers(lookup)});
+    const pastDoubt = this.parts.versions.findDoubt(this.service);
+    // A known past decides nothing about records that contradict each other.
+    const isOpen = source === 'unknown' && this.doubt !== 'contradiction';
+    if (isOpen && pastDoubt !== undefined) {
+      metrics.unknownPasts.inc({cause: pastDoubt});
+    }
     log.writeInfo('Looked up the software version of a stream.', {
       request: this.request.requestId,
       resumes: this.firstRequestId,
@@ -145,6 +151,7 @@
       storeRead: stored?.isRead,
       rows: stored?.rows,
       possible: this.listPossible()?.join() ?? 'unknown',
+      pastDoubt,
       listed: formatCounts(this.listEngineVersions()),
       hostsAsked: lookup?.hostsAsked,
       hostsAnswered: lookup?.hostsAnswered,
--- a/packages/gateway/src/serving/version_history.ts
+++ b/packages/gateway/src/serving/version_history.ts
@@ -4,6 +4,21 @@
  * any more. See docs/design/software_versions.md.
  */
 
+/** Why the versions that a service had are not known, as a metric's label. */
+export type PastDoubt =
+  /** A host that may have seen another version is not reached. */
+  | 'host_missing'
+  /** This process was stopped for a while and has not read the store since. */
+  | 'host_paused'
+  /** The history has no row of the service yet. */
+  | 'no_first_row'
+  /** The tables of this host are too old. */
+  | 'tables_old'
+  /** This process has not read the tables yet. */
+  | 'tables_unread'
+  /** Endpoints served whose version is not known. */
+  | 'version_unknown';
+
 /** Finds the software versions that a service had. */
 export interface VersionHistory {
   /**
@@ -13,4 +28,6 @@
    * @returns Undefined if this host does not know the past of the service.
    */
   listPossible(service: string): readonly string[] | undefined;
+  /** Finds why the past of a service is not known; undefined if it is. */
+  findDoubt(service: string): PastDoubt | undefined;
 }
