--- a/packages/gateway/src/services/history_currency.ts
+++ b/packages/gateway/src/services/history_currency.ts
@@ -9,6 +9,7 @@
  * have come and gone that its replica of the endpoints never had.
  */
 import type {ReplicatedTable} from '../model/table_store.js';
+import type {PastDoubt} from '../serving/version_history.js';
 import type {PeerState} from './host_tracker.js';
 
 /** Another host, or this one, as far as it is known here. */
@@ -72,10 +73,17 @@
 
   /** Whether the replicas are evidence of all versions. */
   isKnown(now: number): boolean {
-    if (this.isCurrent(now)) return true;
+    return this.findDoubt(now) === undefined;
+  }
+
+  /** Finds why the replicas are no such evidence; undefined if they are. */
+  findDoubt(now: number): PastDoubt | undefined {
+    if (this.isCurrent(now)) return undefined;
+    if (!this.isLoaded) return 'tables_unread';
     // After a pause, hosts that cannot be reached still count as alive.
-    if (!this.wasCurrent || this.hasPaused(now)) return false;
-    return this.isReachingAll;
+    if (this.hasPaused(now)) return 'host_paused';
+    if (!this.wasCurrent) return 'tables_old';
+    return this.isReachingAll ? undefined : 'host_missing';
   }
 
   private get isReachingAll(): boolean {
--- a/packages/gateway/src/services/service_versions.ts
+++ b/packages/gateway/src/services/service_versions.ts
@@ -23,7 +23,7 @@
   parseVersionKey,
   UNKNOWN_PAST_KEY,
 } from '../model/version_row.js';
-import type {VersionHistory} from '../serving/version_history.js';
+import type {PastDoubt, VersionHistory} from '../serving/version_history.js';
 import type {HistoryCurrency} from './history_currency.js';
 import type {RowWriter} from './row_writer.js';
 
@@ -131,6 +131,18 @@
     return versions;
   }
 
+  findDoubt(service: string): PastDoubt | undefined {
+    const {clock, currency} = this.parts;
+    const doubt = currency.findDoubt(clock.getNow());
+    if (doubt !== undefined) return doubt;
+    if (this.listPossible(service) !== undefined) return undefined;
+    if (this.ledger.has(UNKNOWN_PAST_KEY)) return 'earlier_release';
+    if (!this.isRoutingKnown) {
+      return this.ledger.hasRow(ROUTING) ? 'routes_changed' : 'no_first_row';
+    }
+    return this.ledger.hasRow(service) ? 'version_unknown' : 'no_first_row';
+  }
+
   /** Applies changed rows of the table. */
   applyRows(rows: readonly ReplicaRow[]): void {
     const now = this.parts.clock.getNow();
