Close the next attempt of another version once a stream is bound

Cause: a new stream on an engine that announces its end is sent to a next engine beside it. Before the first event any version may be chosen. If the engine that ends sends the first event meanwhile, the stream is bound to its version, but the next attempt stayed and continued the stream as soon as it had events. A silence does not show it: the first event ends that search.

Evidence: leaving_versions with the only next engine at another version; no log line names the version of the next attempt.

Change: the first event closes an attempt beside it whose engine the stream is not bound to, and one that was prepared before is not started. The search goes on, at engines of the version. A search through other hosts starts anew, with the attempt that began the stream.

Before: leaving_versions fails, 2 of 2. The fixture of stream_handover gets the binding as a part.

--- a/packages/gateway/src/serving/attempt_run.ts
+++ b/packages/gateway/src/serving/attempt_run.ts
@@ -52,7 +52,7 @@
   readonly version: StreamVersion;
   readonly handover: Pick<
     StreamHandover,
-    'finishSilence' | 'start' | 'startLeaving'
+    'finishSilence' | 'handleBound' | 'start' | 'startLeaving'
   >;
 }
 
@@ -278,7 +278,8 @@
   private passToCaller(
     events: readonly ServerSentEvent[],
   ): Promise<void> | undefined {
-    const {sink, report, evidence, version, serving, request} = this.parts;
+    const {sink, report, evidence, version, serving, request, handover} =
+      this.parts;
     const {endpoint} = this.plan;
     const {lastEventId} = sink;
     const nextId = events[0]?.id;
@@ -291,7 +292,9 @@
       endpoint.recordSuccess(undefined);
       evidence.recordFirstEvent(endpoint, this.sentAt);
     }
+    const isBound = version.binding.origin !== undefined;
     version.recordEvent(endpoint);
+    if (!isBound) handover.handleBound();
     const {fault, drained} = sink.passEvents(events);
     if (fault !== undefined) this.attempt.end(fault);
     return drained;
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -120,8 +120,8 @@
     const startRun = (prepared: PreparedAttempt): AttemptRun =>
       this.startRun(prepared);
     const {relay} = this;
-    const handoverParts = {...shared, retries, suspect, ends, startRun, relay};
-    this.handover = new StreamHandover(handoverParts);
+    const attempts = {suspect, ends, startRun, relay, binding};
+    this.handover = new StreamHandover({...shared, retries, ...attempts});
     const {handover} = this;
     const answerParts = {route, sink, report, version, evidence, handover};
     this.runParts = {...shared, ...answerParts};
--- a/packages/gateway/src/serving/stream_handover.ts
+++ b/packages/gateway/src/serving/stream_handover.ts
@@ -8,13 +8,15 @@
  * stream has to leave anyway. Once the next engine is suspected too, the stream
  * leaves at once, so that a third engine is tried before the announced end. If
  * only the next one is, that attempt is left and another one tried meanwhile.
+ * An attempt that was sent before the first event may run at another software
+ * version than that event binds the stream to; it is closed then.
  *
  * An error in the search counts as a failed attempt: the search goes on until
  * the engine recovers or its attempt ends.
  */
-import {getErrorText} from '@irisdock/kernel';
 import type {AttemptEnds} from './attempt_ends.js';
 import type {AttemptRun, PreparedAttempt} from './attempt_run.js';
+import {writeLeave, writeSearchFailure, writeUnused} from './handover_log.js';
 import {
   NextAttemptSearch,
   type NextAttemptSearchParts,
@@ -24,6 +26,7 @@
 import type {AttemptResult} from './stream_attempt.js';
 import type {StreamRelay} from './stream_relay.js';
 import {isEnding, waitForTrial} from './trial_wait.js';
+import type {VersionBinding} from './version_binding.js';
 
 /** The time between two searches, in ms. */
 const SEARCH_INTERVAL_MS = 50;
@@ -59,6 +62,7 @@
 /** Dependencies of the handover. */
 export interface StreamHandoverParts extends NextAttemptSearchParts {
   readonly ends: AttemptEnds;
+  readonly binding: Pick<VersionBinding, 'isOpenTo'>;
   readonly relay: Pick<StreamRelay, 'hasNext' | 'startBeside' | 'stopBeside'>;
   readonly startRun: (prepared: PreparedAttempt) => AttemptRun;
 }
@@ -112,6 +116,17 @@
     else this.stop();
   }
 
+  /** Closes attempts of another version, as the first event bound the stream. */
+  handleBound(): void {
+    const {trial} = this;
+    const {binding} = this.parts;
+    if (trial !== undefined && !binding.isOpenTo(trial.plan.endpoint)) {
+      this.cancelTrial();
+    }
+    // Another host learns the version when it is asked again.
+    this.stopRelay();
+  }
+
   /**
    * Ends the search, as the silent attempt has ended. If it was lost, the one
    * that runs beside it continues the stream.
@@ -149,7 +164,7 @@
     const {signal} = this.parts.request.exchange;
     const stopSignal = AbortSignal.any([search.signal, signal]);
     this.run(leaving, stopSignal).catch((thrown: unknown) => {
-      this.writeFailure(thrown);
+      writeSearchFailure(this.parts, thrown);
     });
   }
 
@@ -223,7 +238,7 @@
     } catch (thrown) {
       // A trial that runs after the abort belongs to a later search.
       if (this.isCurrent(signal)) this.failTrial();
-      this.writeFailure(thrown);
+      writeSearchFailure(this.parts, thrown);
       return 'failed';
     }
   }
@@ -266,6 +281,10 @@
       if (trial.isCancelled) await this.recordUnused(trial);
       return true;
     }
+    if (trial.isCancelled) {
+      await this.recordUnused(trial);
+      return false;
+    }
     if (isContinued === undefined && this.isKept(leaving)) {
       this.cancelTrial();
       await this.recordUnused(trial);
@@ -293,15 +312,18 @@
     prepared: PreparedAttempt,
     signal: AbortSignal,
   ): AttemptRun | undefined {
+    const {binding, retries} = this.parts;
+    // The first event may have come since it was placed.
+    const isOpen = binding.isOpenTo(prepared.plan.endpoint);
     try {
-      if (!signal.aborted && this.parts.retries.takeAhead() === undefined) {
+      if (isOpen && !signal.aborted && retries.takeAhead() === undefined) {
         this.trial = this.parts.startRun(prepared);
         return this.trial;
       }
       prepared.engineLease.release();
       return undefined;
     } catch (thrown) {
-      this.parts.retries.recordFailedStart();
+      retries.recordFailedStart();
       prepared.engineLease.release();
       throw thrown;
     }
@@ -309,15 +331,11 @@
 
   /** Counts an attempt that was closed, as the silent engine went on. */
   private async recordUnused(trial: AttemptRun): Promise<void> {
-    const {serving, request, retries} = this.parts;
+    const {serving, retries} = this.parts;
     const result = await trial.result;
     retries.recordTrial(result);
     serving.metrics.handovers.inc({result: 'unused'});
-    serving.log.writeInfo('A silent engine went on before the next one did.', {
-      request: request.requestId,
-      unused: trial.plan.endpoint.instanceId,
-      result: result.kind,
-    });
+    writeUnused(this.parts, trial.plan, result);
   }
 
   /** Looks for another host, as this one reaches no engine at all. */
@@ -348,26 +366,9 @@
     return !search.aborted;
   }
 
-  private writeFailure(thrown: unknown): void {
-    const {serving, request} = this.parts;
-    serving.log.writeError('The search for the next engine failed.', {
-      request: request.requestId,
-      error: getErrorText(thrown),
-    });
-  }
-
   private endSilent(leaving: LeavingAttempt, successor: string): void {
-    const {run, silence, endsAt} = leaving;
-    const message =
-      endsAt === undefined
-        ? 'A stream leaves a silent engine.'
-        : 'A stream leaves an engine that ends soon.';
-    this.parts.serving.log.writeInfo(message, {
-      request: this.parts.request.requestId,
-      endpoint: run.plan.endpoint.instanceId,
-      to: successor,
-      detail: silence.detail,
-    });
+    const {run, silence} = leaving;
+    writeLeave(this.parts, leaving, successor);
     run.endSilent(silence);
   }
 }
--- a/packages/gateway/tests/stream_handover.test.ts
+++ b/packages/gateway/tests/stream_handover.test.ts
@@ -105,6 +105,7 @@
       },
       retries: this.retries,
       suspect: {admit: () => 'admitted'},
+      binding: {isOpenTo: () => true},
       startRun: () => this.run('start', this.createTrial()),
     };
     return parts as unknown as StreamHandoverParts;
