Confirm the only version after a stream is resumed

What callers saw: in the seconds after a host was cut off from the store and all other hosts, a stream that another host had begun at a new version and that its caller resumed there got its rest from the old version, with 200 (ORDER).

Cause: the version that is the only one in this host's replicas decided, if these were at most 1.5 s old or all hosts still counted as alive. Both hold for a while after a cut; no answer of a host that keeps origins and its answer that it knows none were the same.

Change: such a decision, and that on the only service of a split route, needs a confirmation after the request's arrival: all hosts asked for the origin answered, or a read of both tables that began later. If calls to the store have just failed, the stream is refused at once. A caller that names no attempt has its content asked for at seven hosts, as it asked none before.

Ruled out: waiting for the next regular confirmation (up to 0.7 s for a caller); a read for each decision (calls in each recovery of all hosts); a bound on the replicas' age (a stream may begin and break within any age that they have).

--- a/packages/decisions/src/origin_decision.ts
+++ b/packages/decisions/src/origin_decision.ts
@@ -34,7 +34,11 @@
 /** The version that began a stream and how that is known, or why it is not. */
 export type OriginDecision =
   | {readonly version: string; readonly source: OriginSource}
-  | {readonly version: undefined; readonly doubt: OriginDoubt};
+  | {
+      readonly version: undefined;
+      readonly source?: undefined;
+      readonly doubt: OriginDoubt;
+    };
 
 /** Decides on the version by the strongest evidence there is. */
 export function decideOriginVersion({
--- a/packages/gateway/src/services/origin_store.ts
+++ b/packages/gateway/src/services/origin_store.ts
@@ -26,7 +26,7 @@
   readonly host: string;
   readonly incarnation: number;
   readonly store: Pick<TableStore, 'readAll' | 'writeAll'>;
-  readonly versions: VersionHistory;
+  readonly versions: Pick<VersionHistory, 'listPossible'>;
   readonly clock: Pick<Clock, 'getNow' | 'getWallNow' | 'wait'>;
   readonly log: Logger;
   /** Counts the live hosts, this one included. */
--- a/packages/gateway/src/services/service_versions.ts
+++ b/packages/gateway/src/services/service_versions.ts
@@ -22,6 +22,7 @@
 import type {VersionHistory} from '../serving/version_history.js';
 import type {HistoryCurrency} from './history_currency.js';
 import type {RowWriter} from './row_writer.js';
+import type {StoreConfirmation} from './store_confirmation.js';
 
 /**
  * How long a version is kept after its last endpoint, in ms: the longest time
@@ -77,6 +78,7 @@
    * until that is known.
    */
   readonly findEarlierRelease: () => boolean | undefined;
+  readonly confirmation: Pick<StoreConfirmation, 'run'>;
 }
 
 /** Keeps and saves the versions of all services. */
@@ -115,6 +117,10 @@
     return versions;
   }
 
+  async tryConfirm(): Promise<boolean> {
+    return this.parts.confirmation.run();
+  }
+
   /** Applies changed rows of the table. */
   applyRows(rows: readonly ReplicaRow[]): void {
     const now = this.parts.clock.getNow();
--- a/packages/gateway/src/services/stream_origin_client.ts
+++ b/packages/gateway/src/services/stream_origin_client.ts
@@ -111,7 +111,8 @@
 
   async find(key: OriginKey, isThorough: boolean): Promise<OriginLookup> {
     const hosts: AskedHosts = {asked: new Set(), answered: new Set()};
-    const kept = await this.findAtHolders(key, hosts);
+    const isAtHolders = key.streamId !== undefined || !isThorough;
+    const kept = isAtHolders ? await this.findAtHolders(key, hosts) : [];
     const isFound = kept.length > 0 || !isThorough;
     const records = isFound ? kept : await this.findAtRandom(key, hosts);
     return {
@@ -182,11 +183,9 @@
     key: OriginKey,
     asked: AskedHosts,
   ): Promise<readonly OriginRecord[]> {
-    const {streamId} = key;
-    if (streamId === undefined) return [];
     const hosts = this.listHosts();
     const names = chooseOriginHolders(
-      streamId,
+      key.streamId ?? key.content,
       hosts,
       ORIGIN_RESPONDERS,
       this.parts.peers.position,
--- a/packages/gateway/src/services/version_histories.ts
+++ b/packages/gateway/src/services/version_histories.ts
@@ -27,6 +27,7 @@
   type VersionWriters,
 } from './service_versions.js';
 import {STORE} from './store.js';
+import {StoreConfirmation} from './store_confirmation.js';
 
 /** The key of the service. */
 export const VERSION_HISTORY =
@@ -79,6 +80,12 @@
       writers: createWriters(peers, random),
       hasRow: (key) => table.replica.isInCurrentEra(key),
       findEarlierRelease: () => earlier.find(),
+      confirmation: new StoreConfirmation({
+        read: () => readTables(tables),
+        isStoreAway: (now) => standing.hasStoreFailedRecently(now),
+        clock,
+        log,
+      }),
     });
     api.applyRows(table.replica.listAll());
     void table.changes.observe((rows) => {
@@ -111,6 +118,13 @@
   },
 });
 
+/** Reads what changed in both tables; false if the store did not respond. */
+async function readTables({endpoints, versions}: Tables): Promise<boolean> {
+  const reads = [endpoints.pollStore(), versions.pollStore()];
+  const updates = await Promise.all(reads);
+  return updates.every((update) => update !== undefined);
+}
+
 function createCurrency(tables: Tables, peers: Peers): HistoryCurrency {
   return new HistoryCurrency({
     isLoaded: (name) => tables[name].replica.isLoaded,
--- a/packages/gateway/src/serving/service_choice.ts
+++ b/packages/gateway/src/serving/service_choice.ts
@@ -11,9 +11,11 @@
 import type {ServingRoute} from '../model/serving_configuration.js';
 import type {AdmittedRequest} from './caller_exchange.js';
 import {createOriginKey, findOrigins} from './origin_lookup.js';
+import {tryConfirmPast} from './past_confirmation.js';
 import {decideRetryAfter} from './retry_after.js';
 import {createNotRunError} from './send_rules.js';
 import {getRandomFraction, type ServingParts} from './serving_parts.js';
+import type {VersionHistory} from './version_history.js';
 
 /** Dependencies of the choice. */
 type ServiceChoiceParts = Pick<
@@ -42,20 +44,32 @@
   return err(createNotRunError('no_endpoint', name, random));
 }
 
+/** Lists the services that may have begun a stream of a route. */
+function listPossible(
+  versions: VersionHistory,
+  shares: ServingRoute['shares'],
+): string[] {
+  // A service that had no endpoints has begun no stream.
+  return shares
+    .map(({service}) => service)
+    .filter((service) => versions.listPossible(service)?.length !== 0);
+}
+
 async function chooseOriginService(
   parts: ServiceChoiceParts,
   {shares, name}: ServingRoute,
   request: AdmittedRequest,
 ): Promise<Result<string, KnownError>> {
   const {origins, versions, metrics, random, log} = parts;
-  // A service that had no endpoints has begun no stream.
-  const possible = shares
-    .map(({service}) => service)
-    .filter((service) => versions.listPossible(service)?.length !== 0);
+  let possible = listPossible(versions, shares);
   const {resumedRequestId} = request.metadata;
   const key = createOriginKey(request, resumedRequestId);
-  const isCertain = possible.length === 1;
-  const known = await findOrigins(origins, key, isCertain);
+  let known = await findOrigins(origins, key, possible.length === 1);
+  if (possible.length === 1 && known.recorded.length === 0) {
+    const isConfirmed = await tryConfirmPast(versions, known.lookup);
+    possible = isConfirmed ? listPossible(versions, shares) : [];
+    if (possible.length > 1) known = await findOrigins(origins, key, false);
+  }
   const {stored} = known;
   const records = [...known.recorded, ...(stored?.records ?? [])];
   const recorded = records.map(({service}) => service);
--- a/packages/gateway/src/serving/stream_version.ts
+++ b/packages/gateway/src/serving/stream_version.ts
@@ -7,6 +7,7 @@
  */
 import {
   decideOriginVersion,
+  type OriginDecision,
   type OriginDoubt,
   type OriginRecord,
   type OriginSource,
@@ -21,6 +22,7 @@
 } from './origin_lookup.js';
 import {hashStreamId} from './request_content.js';
 import type {ServingParts} from './serving_parts.js';
+import {tryConfirmPast} from './past_confirmation.js';
 import {
   createOrigin,
   getSoftwareVersion,
@@ -95,17 +97,19 @@
    */
   async resolve(): Promise<VersionDoubt | undefined> {
     if (this.isBound || this.doubt !== undefined) return this.doubt;
-    const {origins} = this.parts;
-    const key = createOriginKey(this.request, this.firstRequestId);
-    const isCertain = this.listPossible()?.length === 1;
-    const known = await findOrigins(origins, key, isCertain);
-    this.known = known;
+    let known = await this.findKnown();
     // The past of the service may have become known meanwhile.
-    const decision = decideOriginVersion({
-      recorded: listVersions(known.recorded),
-      stored: listVersions(known.stored?.records ?? []),
-      possible: this.listPossible(),
-    });
+    let decision = decide(known, this.listPossible());
+    if (decision.source === 'only') {
+      const isConfirmed = await tryConfirmPast(
+        this.parts.versions,
+        known.lookup,
+      );
+      // Another version may have become known, and hosts that know the origin.
+      if (isConfirmed && !this.isCertain) known = await this.findKnown();
+      decision = decide(known, isConfirmed ? this.listPossible() : undefined);
+    }
+    this.known = known;
     if (decision.version === undefined) {
       const isUnread = known.stored?.isRead === false;
       const isOpen = decision.doubt !== 'contradiction';
@@ -153,6 +157,16 @@
     });
   }
 
+  private async findKnown(): Promise<KnownOrigins> {
+    const key = createOriginKey(this.request, this.firstRequestId);
+    return findOrigins(this.parts.origins, key, this.isCertain);
+  }
+
+  /** Whether one version alone can have begun the stream, as far as known. */
+  private get isCertain(): boolean {
+    return this.listPossible()?.length === 1;
+  }
+
   private listPossible(): readonly string[] | undefined {
     return this.parts.versions.listPossible(this.service);
   }
@@ -167,6 +181,17 @@
   }
 }
 
+function decide(
+  {recorded, stored}: KnownOrigins,
+  possible: readonly string[] | undefined,
+): OriginDecision {
+  return decideOriginVersion({
+    recorded: listVersions(recorded),
+    stored: listVersions(stored?.records ?? []),
+    possible,
+  });
+}
+
 function listVersions(
   records: readonly Pick<OriginRecord, 'version'>[],
 ): string[] {
--- a/packages/gateway/src/serving/version_history.ts
+++ b/packages/gateway/src/serving/version_history.ts
@@ -13,4 +13,11 @@
    * @returns Undefined if this host does not know the past of the service.
    */
   listPossible(service: string): readonly string[] | undefined;
+  /**
+   * Reads the store anew, so that `listPossible` includes what began before
+   * this call.
+   *
+   * @returns False if the store did not respond within a bounded time.
+   */
+  tryConfirm(): Promise<boolean>;
 }
