Let begun streams go on at leaving engines within their drain time

Callers that resumed a stream whose engines all said `draining` got 503 version_unavailable, though these engines serve on for the drain time after the store took that. Seen at hosts that ran all along as well.

Cause: an entry that says that it is leaving closed the endpoint to every request, as its time is nowhere: the entry has none, and a host that hears of it does not know how late it does.

Change: the store took the change after the last read by which the entry was ready. Answers of the store name its steady clock (`now_ms`), updates between hosts pass that time on, and each host bounds the difference to its own clock by its own reads, so neither a late poll nor a late update makes the bound too late. From that read on the drain time counts, less 150 ms; a begun stream that has no other engine of its version left may go there until then. The permit names the end, and a connection that opens later is closed. Another version is never chosen, nor an engine whose answer said that it is leaving, nor one for a stream that crashed engines.

Ruled out: the time of the host's own previous poll alone. With three readers a poll is held for 2.1 s, so it bounds the change by up to 4.2 s, more than the drain; hosts that do not read the store have none.

Conclusion: hosts that saw the change let these streams go on.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -10,6 +10,7 @@
 export * from './permit_retry_delay.js';
 export * from './gossip_queue.js';
 export * from './configuration_state.js';
+export * from './read_confirmations.js';
 export * from './replica_age.js';
 export * from './replica_check_schedule.js';
 export * from './crash_ledger.js';
--- a/packages/decisions/src/table_replica.ts
+++ b/packages/decisions/src/table_replica.ts
@@ -133,6 +133,11 @@
     return [...this.rows.values()].filter((row) => row.revision > revision);
   }
 
+  /** Whether a revision is the first one seen after a restore of the store. */
+  isFirstOfEra(revision: number): boolean {
+    return this.loaded && getEra(revision) > getEra(this.known);
+  }
+
   /** Finds a row or its tombstone. */
   find(key: string): ReplicaRow | undefined {
     return this.rows.get(key);
--- a/packages/gateway/src/channels/connection_watch.ts
+++ b/packages/gateway/src/channels/connection_watch.ts
@@ -13,17 +13,28 @@
   handleTimeout(): void;
 }
 
-/** Watches the connection of a request until it is open. */
+/**
+ * Watches the connection of a request until it is open.
+ *
+ * @param maxOpenMs How long it may take to open, in ms, whether or not the
+ *     process runs all the while.
+ */
 export function watchConnection(
   clientRequest: ClientRequest,
   clock: RunningClock,
   listener: ConnectionListener,
+  maxOpenMs = Infinity,
 ): void {
   const timer = new RunningTimer(clock, CONNECT_TIMEOUT_MS, () => {
     listener.handleTimeout();
   });
-  const handleOpen = (isNew: boolean): void => {
+  const lateTimer = startLateTimer(listener, maxOpenMs);
+  const stop = (): void => {
     timer.close();
+    clearTimeout(lateTimer);
+  };
+  const handleOpen = (isNew: boolean): void => {
+    stop();
     listener.handleOpen(isNew);
   };
   clientRequest.once('socket', (socket) => {
@@ -35,7 +46,15 @@
       handleOpen(true);
     });
   });
-  clientRequest.once('close', () => {
-    timer.close();
-  });
+  clientRequest.once('close', stop);
+}
+
+function startLateTimer(
+  listener: ConnectionListener,
+  maxOpenMs: number,
+): NodeJS.Timeout | undefined {
+  if (maxOpenMs === Infinity) return undefined;
+  return setTimeout(() => {
+    listener.handleTimeout();
+  }, maxOpenMs);
 }
--- a/packages/gateway/src/channels/endpoint_client.ts
+++ b/packages/gateway/src/channels/endpoint_client.ts
@@ -134,15 +134,17 @@
       const abort = (): void => {
         close(ABORTED);
       };
-      watchConnection(clientRequest, this.clock, {
-        handleOpen: (isNew) => {
+      const listener = {
+        handleOpen: (isNew: boolean) => {
           mayHaveRun = true;
           if (isNew) this.observer.recordConnected(target);
         },
         handleTimeout: () => {
           close('the connection did not open');
         },
-      });
+      };
+      const maxOpenMs = outgoing.permit.sendBy - sentAt;
+      watchConnection(clientRequest, this.clock, listener, maxOpenMs);
       watchHead(clientRequest, () => {
         close('its head is too long');
       });
--- a/packages/gateway/src/model/peer_codec.ts
+++ b/packages/gateway/src/model/peer_codec.ts
@@ -146,9 +146,18 @@
     packedRows: fields.readBytes(),
     // Absent without regions, and from hosts of older versions.
     ...(fields.readOptionalBoolean() === true ? {isForRegion: true} : {}),
+    // Absent from hosts of older versions.
+    ...readStoreNow(fields),
   };
 }
 
+function readStoreNow(
+  fields: TupleReader,
+): Pick<TableUpdateDatagram, 'storeNow'> {
+  const storeNow = fields.readOptionalNumber();
+  return storeNow === undefined ? {} : {storeNow};
+}
+
 function readUsage(fields: TupleReader): UsageDatagram {
   const name = fields.readString();
   const incarnation = fields.readNumber();
@@ -220,7 +229,7 @@
 function encodeTableUpdate(datagram: TableUpdateDatagram): Uint8Array {
   const {table, after, revision, newest, source} = datagram;
   const {isScheduledPoll, isForGroup, packedRows} = datagram;
-  const {isForRegion = false} = datagram;
+  const {isForRegion = false, storeNow} = datagram;
   const ageMs = Math.round(datagram.ageMs);
   return encode([
     'n',
@@ -233,7 +242,8 @@
     source,
     isForGroup,
     packedRows,
-    ...(isForRegion ? [true] : []),
+    ...(isForRegion || storeNow !== undefined ? [isForRegion] : []),
+    ...(storeNow === undefined ? [] : [storeNow]),
   ]);
 }
 
--- a/packages/gateway/src/model/peer_message.ts
+++ b/packages/gateway/src/model/peer_message.ts
@@ -77,6 +77,8 @@
   readonly newest: number;
   /** How long ago the store was read, in ms. */
   readonly ageMs: number;
+  /** The time of the store's clock when it was read, in ms; absent if unknown. */
+  readonly storeNow?: number | undefined;
   /** Whether it was a reader's scheduled poll, not a freshness check. */
   readonly isScheduledPoll: boolean;
   /** The address of a host that has the newest change, as `ip:port`. */
--- a/packages/gateway/src/model/table_store.ts
+++ b/packages/gateway/src/model/table_store.ts
@@ -22,6 +22,11 @@
 export interface TableRows {
   readonly rows: readonly TableRow[];
   readonly revision: number;
+  /**
+   * The time of the store's steady clock, in ms, at most that of the revision;
+   * undefined if the store does not tell.
+   */
+  readonly storeNow?: number | undefined;
 }
 
 /** The names of the tables. */
--- a/packages/gateway/src/services/address_index.ts
+++ b/packages/gateway/src/services/address_index.ts
@@ -1,4 +1,6 @@
 /** Finds endpoints by the address in their entries. */
+import {err, ok, type Result} from 'neverthrow';
+import type {EndpointEntry} from '../model/endpoint_entry.js';
 import type {EndpointRecord} from '../serving/endpoint_record.js';
 
 /** Maps addresses to endpoints; several endpoints may have the same address. */
@@ -24,3 +26,15 @@
     return [...(this.records.get(address) ?? [])];
   }
 }
+
+/**
+ * Rejects an entry with the address of a host: a request sent there would be
+ * forwarded to the endpoints again.
+ */
+export function checkAddress(
+  entry: EndpointEntry,
+  hostAddresses: ReadonlySet<string>,
+): Result<EndpointEntry, string> {
+  if (!hostAddresses.has(entry.address)) return ok(entry);
+  return err('its address is that of a host');
+}
--- a/packages/gateway/src/services/endpoint_ends.ts
+++ b/packages/gateway/src/services/endpoint_ends.ts
@@ -14,11 +14,20 @@
  */
 const ANSWERED_SHARE = 0.5;
 
+/**
+ * How long before the end of its drain the last request is sent to an endpoint,
+ * in ms: the time on the link, and in the buffers of the sockets.
+ */
+const SEND_MARGIN_MS = 150;
+
 /** Which endpoints end without saying when, and after which time. */
 export interface DrainParts {
   /** Whether the endpoints of a service are ordered and drained on order. */
   readonly isScaled: (service: string) => boolean;
-  /** The time from the announcement to the end, in ms. */
+  /**
+   * How long an endpoint serves on after the store took that it is leaving, in
+   * ms.
+   */
   readonly drainMs: number;
 }
 
@@ -40,6 +49,19 @@
   record.recordEnd(entry === undefined ? drainMs * ANSWERED_SHARE : drainMs);
 }
 
+/**
+ * Computes until when a leaving endpoint may get requests, in ms of the clock.
+ *
+ * @param readyAt When it was still ready by a read of the store: the store took
+ *     the change later. -Infinity if that is not known.
+ */
+export function computeDrainEnd(
+  readyAt: number,
+  {drainMs}: Pick<DrainParts, 'drainMs'>,
+): number {
+  return readyAt + drainMs - SEND_MARGIN_MS;
+}
+
 /**
  * Whether an entry differs at most in the time until its end. That time counts
  * down in the entries of a leaving endpoint, and nothing else follows from it.
--- a/packages/gateway/src/services/endpoint_gate.ts
+++ b/packages/gateway/src/services/endpoint_gate.ts
@@ -6,13 +6,14 @@
 import type {SendPriority} from '@irisdock/decisions';
 import type {Clock} from '@irisdock/kernel';
 import {Counter, Gauge, type Registry} from 'prom-client';
-import type {
-  AnswerReport,
-  LimitHold,
-  SendAdmission,
-  SendGate,
-  SendHold,
-  SendTarget,
+import {
+  SendPermit,
+  type AnswerReport,
+  type LimitHold,
+  type SendAdmission,
+  type SendGate,
+  type SendHold,
+  type SendTarget,
 } from '../serving/send_gate.js';
 import type {GatewayEndpoints} from './gateway_endpoints.js';
 
@@ -54,9 +55,14 @@
     const hold = this.findHold(target, priority);
     if (hold !== undefined) return hold;
     const admission = limits.admit(target, priority);
-    if (!(admission instanceof Promise)) return admission;
+    if (!(admission instanceof Promise)) {
+      return this.clampTime(admission, priority);
+    }
     // The endpoint may have made an announcement while the send waited.
-    return admission.then((later) => this.findHold(target, priority) ?? later);
+    return admission.then(
+      (later) =>
+        this.findHold(target, priority) ?? this.clampTime(later, priority),
+    );
   }
 
   takeUnconfirmed<T extends SendTarget>(targets: Iterable<T>): T | undefined {
@@ -81,6 +87,18 @@
     return this.parts.limits.decideReturnMs(holds);
   }
 
+  /** Limits the permit of a leaving endpoint to the time that it serves on. */
+  private clampTime(
+    admission: SendAdmission,
+    priority: SendPriority,
+  ): SendAdmission {
+    if (admission.kind !== 'permit' || priority !== 'begun') return admission;
+    const {target} = admission;
+    const record = this.parts.endpoints.find(target.instanceId);
+    if (record?.entry.state !== 'leaving') return admission;
+    return new SendPermit(target, record.servesUntil);
+  }
+
   private findHold(
     target: SendTarget,
     priority: SendPriority,
@@ -94,7 +112,9 @@
     }
     // Calls about requests that run there still reach a leaving endpoint.
     if (priority === 'aside') return undefined;
-    if (endpoints.find(instanceId)?.entry.state !== 'leaving') return undefined;
+    const record = endpoints.find(instanceId);
+    if (record?.entry.state !== 'leaving') return undefined;
+    if (priority === 'begun' && record.isServingOut) return undefined;
     return {kind: 'held', target, reason: 'leaving', waitMs: Infinity};
   }
 }
--- a/packages/gateway/src/services/endpoints.ts
+++ b/packages/gateway/src/services/endpoints.ts
@@ -5,6 +5,7 @@
 import {Counter, Gauge} from 'prom-client';
 import * as z from 'zod';
 import {GATEWAY_CONFIGURATION} from './configuration.js';
+import {DrainingEndpoints} from './draining_endpoints.js';
 import {EndpointPauses} from './endpoint_pauses.js';
 import {EndpointUses} from './endpoint_uses.js';
 import {GatewayEndpoints} from './gateway_endpoints.js';
@@ -23,7 +24,7 @@
   drainMs: z.coerce.number().min(0).default(3000).meta({
     unit: 'ms',
     description:
-      'How long endpoints of a scaled service drain that the platform ends on order.',
+      'How long endpoints serve on after the store took that they are leaving.',
   }),
 });
 
@@ -37,7 +38,14 @@
     const configuration = context.find(GATEWAY_CONFIGURATION);
     const peers = context.find(PEERS);
     const {clock, log} = context;
+    const draining = new DrainingEndpoints({
+      confirmations: table.confirmations,
+      pollStore: () => table.pollStore(),
+      drainMs: settings.drainMs,
+      clock,
+    });
     const api = new GatewayEndpoints({
+      draining,
       codec: context.find(CODECS).endpoints,
       clock,
       log,
--- a/packages/gateway/src/services/gateway_endpoints.ts
+++ b/packages/gateway/src/services/gateway_endpoints.ts
@@ -7,19 +7,19 @@
  */
 import type {ReplicaRow} from '@irisdock/decisions';
 import type {Clock, Logger} from '@irisdock/kernel';
-import {err, ok, type Result} from 'neverthrow';
 import type {Counter} from 'prom-client';
 import {formatInstanceId, type EndpointEntry} from '../model/endpoint_entry.js';
 import type {RowCodec} from '../model/table_store.js';
 import {EndpointRecord, type RemovalCause} from '../serving/endpoint_record.js';
-import {AddressIndex} from './address_index.js';
+import {AddressIndex, checkAddress} from './address_index.js';
+import type {DrainingEndpoints} from './draining_endpoints.js';
 import {
   isSameButEnd,
   recordAnnouncedEnd,
   type DrainParts,
 } from './endpoint_ends.js';
 import type {EndpointPauses} from './endpoint_pauses.js';
-import {LeavingInstances} from './leaving_instances.js';
+import {LeavingInstances, type LeavingSource} from './leaving_instances.js';
 import type {Peers} from './peer_hosts.js';
 
 /** Dependencies of the endpoints. */
@@ -38,11 +38,9 @@
   readonly getDepartureDelayMs: () => number;
   readonly peers: Peers;
   readonly pauses: EndpointPauses;
+  readonly draining: DrainingEndpoints;
 }
 
-/** How this host learned that an endpoint is leaving. */
-export type LeavingSource = 'answer' | 'entry';
-
 /** The interval between checks of delayed removals, in ms. */
 const REMOVAL_CHECK_MS = 200;
 
@@ -122,6 +120,12 @@
     );
   }
 
+  /** Lists the leaving endpoints of a service that still serve begun streams. */
+  async listServingOut(service: string): Promise<EndpointRecord[]> {
+    const serving = await this.parts.draining.listServing(service);
+    return serving.filter((record) => !this.isPaused(record));
+  }
+
   private listUnpaused(service: string): EndpointRecord[] {
     const unpaused: EndpointRecord[] = [];
     for (const record of this.records.values()) {
@@ -155,9 +159,9 @@
   /** Applies changed rows of the table. */
   applyRows(rows: readonly ReplicaRow[]): void {
     const hostAddresses = this.listHostAddresses();
-    for (const {key, value} of rows) {
-      if (value === undefined) this.handleDeletedRow(key);
-      else this.applyEntry(key, value, hostAddresses);
+    for (const row of rows) {
+      if (row.value === undefined) this.handleDeletedRow(row.key);
+      else this.applyEntry(row, row.value, hostAddresses);
     }
   }
 
@@ -171,16 +175,18 @@
   reportReplaced(record: EndpointRecord, answeredBy: string | undefined): void {
     this.remove(record, 'another endpoint answers at its address');
     if (answeredBy === undefined || this.hasEndpoint(answeredBy)) return;
-    const value = this.parts.findRow(answeredBy)?.value;
-    if (value === undefined) return;
-    this.applyEntry(answeredBy, value, this.listHostAddresses());
+    const row = this.parts.findRow(answeredBy);
+    if (row?.value === undefined) return;
+    this.applyEntry(row, row.value, this.listHostAddresses());
   }
 
   /** Marks an instance as leaving for good; it gets no new work. */
   markLeaving(instanceId: string, source: LeavingSource): void {
     this.leavingInstances.add(instanceId);
     const record = this.records.get(instanceId);
-    if (record?.entry.state !== 'ready') return;
+    if (record === undefined) return;
+    this.parts.draining.end(record);
+    if (record.entry.state !== 'ready') return;
     record.entry = {...record.entry, state: 'leaving'};
     recordAnnouncedEnd(record, undefined, this.parts);
     this.handleChange?.();
@@ -248,7 +254,7 @@
   }
 
   private applyEntry(
-    key: string,
+    {key, revision}: ReplicaRow,
     value: string,
     hostAddresses: ReadonlySet<string>,
   ): void {
@@ -270,7 +276,7 @@
     if (known?.instanceId === entry.instanceId) {
       const isSame = isSameButEnd(known.entry, entry);
       if (isSame) recordAnnouncedEnd(known, entry, this.parts);
-      else this.updateRecord(known, entry);
+      else this.updateRecord(known, entry, revision);
       return;
     }
     if (known !== undefined) {
@@ -319,9 +325,13 @@
     return isLeaving ? {...entry, state: 'leaving'} : entry;
   }
 
-  private updateRecord(record: EndpointRecord, entry: EndpointEntry): void {
-    this.vanished.delete(record);
-    this.unlisted.delete(record);
+  private updateRecord(
+    record: EndpointRecord,
+    entry: EndpointEntry,
+    revision: number,
+  ): void {
+    const wasUnlisted = this.unlisted.delete(record);
+    const isListed = !this.vanished.delete(record) && !wasUnlisted;
     const wasLeaving = record.entry.state === 'leaving';
     this.addresses.delete(record);
     record.entry = this.keepLeaving(entry, wasLeaving);
@@ -329,6 +339,7 @@
     recordAnnouncedEnd(record, entry, this.parts);
     this.handleChange?.();
     if (wasLeaving || entry.state === 'ready') return;
+    if (isListed) this.parts.draining.start(record, revision);
     this.writeLeavingLog(record, 'entry');
   }
 
@@ -363,6 +374,7 @@
     this.addresses.delete(record);
     this.vanished.delete(record);
     this.unlisted.delete(record);
+    this.parts.draining.end(record);
     this.version++;
     record.markRemoved(cause);
     this.handleChange?.();
@@ -371,15 +383,3 @@
     this.parts.log.writeInfo('Endpoint removed.', fields);
   }
 }
-
-/**
- * Rejects an entry with the address of a host: a request sent there would be
- * forwarded to the endpoints again.
- */
-function checkAddress(
-  entry: EndpointEntry,
-  hostAddresses: ReadonlySet<string>,
-): Result<EndpointEntry, string> {
-  if (!hostAddresses.has(entry.address)) return ok(entry);
-  return err('its address is that of a host');
-}
--- a/packages/gateway/src/services/leaving_instances.ts
+++ b/packages/gateway/src/services/leaving_instances.ts
@@ -3,6 +3,9 @@
  * a restored store lists them as ready again.
  */
 
+/** How this host learned that an endpoint is leaving. */
+export type LeavingSource = 'answer' | 'entry';
+
 /** The maximum number of instances, some 2 MB; the oldest are evicted. */
 const MAX_INSTANCES = 20_000;
 
--- a/packages/gateway/src/serving/endpoint_record.ts
+++ b/packages/gateway/src/serving/endpoint_record.ts
@@ -80,6 +80,7 @@
   private removedAt = 0;
   private readonly removalListeners = new Set<(cause: RemovalCause) => void>();
   private end: number | undefined;
+  private drainEnd = -Infinity;
   private readonly endListeners = new Set<(endsAt: number) => void>();
   private readonly claims = new Set<UseClaim>();
   private readonly peerUse = new Map<string, ReportedUse>();
@@ -147,7 +148,29 @@
 
   /** Whether the endpoint may continue a stream that began at its version. */
   get isOpenToBegun(): boolean {
-    if (!this.isReady) return false;
+    return this.isReady && this.isOpenInRollout;
+  }
+
+  /**
+   * Whether it is leaving and still serves: it may continue a stream that began
+   * at its version and has no other endpoint.
+   */
+  get isServingOut(): boolean {
+    if (this.isRemoved || this.isReady) return false;
+    return this.isOpenInRollout && this.getNow() < this.servesUntil;
+  }
+
+  /** While it is leaving, until when it may get requests, in ms of the clock. */
+  get servesUntil(): number {
+    return Math.min(this.drainEnd, this.end ?? Infinity);
+  }
+
+  /** Sets until when it may get requests while it is leaving. */
+  setDrainEnd(drainEnd: number): void {
+    this.drainEnd = drainEnd;
+  }
+
+  private get isOpenInRollout(): boolean {
     return !this.isExcludedByRollout || this.isOpenToBegunStreams;
   }
 
--- a/packages/gateway/src/serving/live_endpoints.ts
+++ b/packages/gateway/src/serving/live_endpoints.ts
@@ -38,6 +38,21 @@
   return listLive(parts, ofVersion);
 }
 
+/**
+ * Lists the leaving engines that still serve and may continue a begun stream,
+ * for one that has no other engine.
+ */
+export async function listServingOut(
+  {crashes, endpoints}: LiveEndpointsParts,
+  service: string,
+  origin: StreamOrigin,
+): Promise<readonly EndpointRecord[]> {
+  const engines = await endpoints.listServingOut(service);
+  return engines
+    .filter((engine) => isOfOrigin(engine, origin))
+    .filter(({instanceId}) => !crashes.hasCrashed(instanceId));
+}
+
 function listLive(
   {crashes}: LiveEndpointsParts,
   usable: readonly EndpointRecord[],
--- a/packages/gateway/src/serving/send_gate.ts
+++ b/packages/gateway/src/serving/send_gate.ts
@@ -38,7 +38,11 @@
 export class SendPermit {
   readonly kind = 'permit';
 
-  constructor(readonly target: SendTarget) {}
+  /** @param sendBy By when it is sent, in ms of the clock. */
+  constructor(
+    readonly target: SendTarget,
+    readonly sendBy = Infinity,
+  ) {}
 }
 
 /** Why the limit of an endpoint holds a send back. */
--- a/packages/gateway/src/serving/stream_planner.ts
+++ b/packages/gateway/src/serving/stream_planner.ts
@@ -17,7 +17,7 @@
 import {EngineExclusions} from './engine_exclusions.js';
 import type {KvCacheReplica} from './kv_cache_replicator.js';
 import type {EndpointRecord, UseClaim} from './endpoint_record.js';
-import {listStreamEngines} from './live_endpoints.js';
+import {listServingOut, listStreamEngines} from './live_endpoints.js';
 import type {ServingParts} from './serving_parts.js';
 import type {AttemptPlan, AttemptResult} from './stream_attempt.js';
 import {
@@ -219,6 +219,20 @@
     return {endpoint, backup, kvCacheSource};
   }
 
+  /**
+   * Places the next attempt of a begun stream on a leaving engine that still
+   * serves. A stream that crashed engines must not end those of others there.
+   */
+  async findServingOut(): Promise<AttemptPlan | undefined> {
+    const {parts, service, binding, content} = this;
+    const {origin} = binding;
+    if (origin === undefined) return undefined;
+    if (parts.crashes.countCrashes(content) > 0) return undefined;
+    const engines = await listServingOut(parts, service, origin);
+    const endpoint = chooseEngine(engines, this.createEngineRequest());
+    return endpoint === undefined ? undefined : this.createPlan(endpoint);
+  }
+
   /** Places the next attempt on a given engine, which reads the prompt. */
   createPlan(endpoint: EndpointRecord): AttemptPlan {
     const request = this.createEngineRequest();
--- a/packages/gateway/src/tables/store_reads.ts
+++ b/packages/gateway/src/tables/store_reads.ts
@@ -16,6 +16,7 @@
   TableRows,
   TableStore,
 } from '../model/table_store.js';
+import type {DatedRows, TableConfirmations} from './table_confirmations.js';
 import type {TableLog} from './table_log.js';
 
 /** How long a failed call counts as recent, in ms. */
@@ -28,7 +29,7 @@
 
 /** An answer that came after the time limit of its read. */
 export interface LateAnswer {
-  readonly result: Result<TableRows, StoreError>;
+  readonly result: Result<DatedRows, StoreError>;
   /** The revision after which changes were read; undefined for a whole table. */
   readonly after: number | undefined;
   /** When the read began. */
@@ -41,13 +42,14 @@
   readonly store: TableStore;
   readonly clock: Clock;
   readonly log: TableLog;
+  readonly confirmations: TableConfirmations;
   /** Aborted when answers are ignored from now on. */
   readonly signal: AbortSignal;
   readonly handleLate: (late: LateAnswer) => void;
 }
 
 /** The result of a read; an error says why it failed. */
-export type ReadResult = Result<TableRows, StoreErrorKind>;
+export type ReadResult = Result<DatedRows, StoreErrorKind>;
 
 /** The reads of one table. */
 export class StoreReads {
@@ -81,9 +83,10 @@
   }
 
   /** Reads the whole table; the time limit includes the time of late answers. */
-  readAllUnhurried(): Promise<Result<TableRows, StoreError>> {
+  readAllUnhurried(): Promise<Result<DatedRows, StoreError>> {
     const {store, table} = this.parts;
-    return store.readAll(table, EXTRA_TIMEOUTS * (store.timeoutMs ?? 0));
+    const extraMs = EXTRA_TIMEOUTS * (store.timeoutMs ?? 0);
+    return this.sendDated(() => store.readAll(table, extraMs));
   }
 
   /** Reads the changes after a revision, for which the store may wait. */
@@ -101,9 +104,12 @@
   ): Promise<ReadResult> {
     const {store, clock, log, signal, handleLate} = this.parts;
     const {timeoutMs} = store;
-    if (timeoutMs === undefined) return toResult(await send(0));
+    if (timeoutMs === undefined) {
+      return toResult(await this.sendDated(() => send(0)));
+    }
     const startedAt = clock.getNow();
-    const answer = send(EXTRA_TIMEOUTS * timeoutMs);
+    const extraMs = EXTRA_TIMEOUTS * timeoutMs;
+    const answer = this.sendDated(() => send(extraMs));
     const timer = new AbortController();
     const limit = clock.wait(waitMs + timeoutMs, timer.signal);
     const first = await Promise.race([answer, limit]);
@@ -116,8 +122,18 @@
     });
     return err('store_silent');
   }
+
+  /** Makes a call and records the clocks in its answer. */
+  private async sendDated(
+    send: () => Promise<Result<TableRows, StoreError>>,
+  ): Promise<Result<DatedRows, StoreError>> {
+    const {clock, confirmations} = this.parts;
+    const begunAt = clock.getNow();
+    const answer = await send();
+    return answer.map((rows) => confirmations.recordAnswer(rows, begunAt));
+  }
 }
 
-function toResult(result: Result<TableRows, StoreError>): ReadResult {
+function toResult(result: Result<DatedRows, StoreError>): ReadResult {
   return result.mapErr(({kind}) => kind);
 }
--- a/packages/gateway/src/tables/store_update.ts
+++ b/packages/gateway/src/tables/store_update.ts
@@ -19,6 +19,8 @@
   readonly newest: number;
   /** The store's revision. */
   readonly revision: number;
+  /** The time of the store's clock, in ms; undefined if it named none. */
+  readonly storeNow?: number | undefined;
   /** How long ago the read began if it was answered late, in ms; else absent. */
   readonly ageMs?: number;
 }
@@ -31,6 +33,8 @@
   readonly revision: number;
   /** How long ago that was, in ms. */
   readonly ageMs: number;
+  /** The time of the store's clock then, in ms; absent if unknown. */
+  readonly storeNow?: number | undefined;
   /** Whether it results from a reader's scheduled poll. */
   readonly isScheduledPoll: boolean;
 }
--- a/packages/gateway/src/tables/table_follower.ts
+++ b/packages/gateway/src/tables/table_follower.ts
@@ -16,6 +16,7 @@
 import {ReadSchedule} from './read_schedule.js';
 import {RestoreGracePeriod} from './restore_grace_period.js';
 import {StoreReads, type LateAnswer} from './store_reads.js';
+import {TableConfirmations, type DatedRows} from './table_confirmations.js';
 import {TableLog} from './table_log.js';
 import type {
   ReaderRole,
@@ -25,13 +26,13 @@
 import type {
   StoreErrorKind,
   TableName,
-  TableRows,
   TableStore,
 } from '../model/table_store.js';
 
 /** Keeps the replica of one table up to date. */
 export class TableFollower {
   readonly replica = new TableReplica();
+  readonly confirmations: TableConfirmations;
   private readonly age = new ReplicaAge();
   private readonly changeChannel = new Channel<readonly ReplicaRow[]>();
   /** Rows that changed in the replica, in the order of their revisions. */
@@ -59,9 +60,11 @@
     log: Logger,
   ) {
     this.tableLog = new TableLog(table, log);
+    this.confirmations = new TableConfirmations(clock, () => this.gracePeriod);
     this.reads = new StoreReads({
       table,
       store,
+      confirmations: this.confirmations,
       clock,
       log: this.tableLog,
       signal: this.controller.signal,
@@ -149,6 +152,7 @@
     revision,
     ageMs,
     isScheduledPoll,
+    storeNow,
   }: TableFreshnessReport): boolean {
     const {replica} = this;
     if (!replica.isLoaded) return false;
@@ -161,6 +165,7 @@
     if (newest > replica.lastChange) return false;
     // The replica is complete up to this revision: later reads can start there.
     this.apply(revision, 'host', () => replica.applyChanges([], revision));
+    this.confirmations.record({revision, storeNow});
     if (isFresher) this.mustReload = false;
     return isFresher;
   }
@@ -245,45 +250,43 @@
 
   /** Applies changes that this host read from the store. */
   private applyRead(
-    {rows, revision}: TableRows,
+    read: DatedRows,
     source: string,
     readAt = this.clock.getNow(),
   ): StoreUpdate {
     const {replica} = this;
+    const {rows, revision} = read;
     const after = replica.lastChange;
     // Rows that were written again with the same value are included: the next
     // update starts at their revision, and other hosts would see a gap.
     const newRows = rows.filter((row) => row.revision > after);
     this.apply(revision, source, () => replica.applyChanges(rows, revision));
     this.age.recordStoreRead(readAt);
-    return {rows: newRows, after, newest: replica.lastChange, revision};
+    this.confirmations.record(read);
+    return {...read, rows: newRows, after, newest: replica.lastChange};
   }
 
   private applyWholeTable(
-    {rows, revision}: TableRows,
+    read: DatedRows,
     readAt = this.clock.getNow(),
   ): number {
     const {replica} = this;
+    const {rows, revision} = read;
     // A stale table is read again, unless another host's rows arrive before.
     // Mere changes during the read are no reason: the table may keep changing.
     const isStale = replica.isLoaded && revision < replica.revision;
     if (isStale) this.tableLog.writeStaleRead(revision, replica.revision);
     else this.mustReload = false;
-    const isRestored = this.isFirstOfEra(revision);
+    const isRestored = this.replica.isFirstOfEra(revision);
     this.apply(revision, 'store', () =>
       this.gracePeriod.applyTable(rows, revision, 'store'),
     );
     if (!isStale) this.age.recordStoreRead(readAt);
+    if (!isStale) this.confirmations.record(read);
     if (isRestored) this.publishNewest();
     return this.mustReload ? this.options.retryMs : 0;
   }
 
-  /** Whether a revision is the first one seen after a restore of the store. */
-  private isFirstOfEra(revision: number): boolean {
-    const {replica} = this;
-    return replica.isLoaded && getEra(revision) > getEra(replica.revision);
-  }
-
   /**
    * Applies rows or a revision; returns whether a row changed. The first
    * revision after a restore starts the grace period, whatever its source.
@@ -293,7 +296,7 @@
     source: string,
     change: () => readonly ReplicaRow[],
   ): boolean {
-    const isRestored = this.isFirstOfEra(revision);
+    const isRestored = this.replica.isFirstOfEra(revision);
     if (isRestored) {
       const now = this.clock.getNow();
       this.tableLog.writeRestored(revision, this.replica.revision, source);
--- a/packages/gateway/src/tables/update_broadcaster.ts
+++ b/packages/gateway/src/tables/update_broadcaster.ts
@@ -108,8 +108,8 @@
   ): void {
     if (this.isClosed) return;
     const {source} = this.parts;
-    const {rows, after, revision, newest, ageMs = 0} = update;
-    const freshness = {newest, ageMs, isScheduledPoll, source};
+    const {rows, after, revision, newest, ageMs = 0, storeNow} = update;
+    const freshness = {newest, ageMs, isScheduledPoll, storeNow, source};
     const header = {kind: 'news', table, ...freshness} as const;
     const parts = createUpdateParts(rows, after, revision) ?? [];
     for (const part of parts) this.sendToAll({...header, ...part});
--- a/packages/gateway/tests/endpoint_ends.test.ts
+++ b/packages/gateway/tests/endpoint_ends.test.ts
@@ -4,6 +4,7 @@
 import {RoarrLogger, type Clock} from '@irisdock/kernel';
 import {ok} from 'neverthrow';
 import type {EndpointEntry} from '../src/model/endpoint_entry.js';
+import {DrainingEndpoints} from '../src/services/draining_endpoints.js';
 import {
   GatewayEndpoints,
   type GatewayEndpointsParts,
@@ -25,6 +26,15 @@
     isServiceConfigured: () => true,
     isScaled: () => isScaled,
     drainMs: DRAIN_MS,
+    draining: new DrainingEndpoints({
+      confirmations: {
+        findBefore: () => undefined,
+        computeTime: () => -Infinity,
+      },
+      pollStore: () => Promise.resolve(),
+      drainMs: DRAIN_MS,
+      clock: clock as Clock,
+    }),
     peers: peers as GatewayEndpointsParts['peers'],
   };
   return new GatewayEndpoints(parts as GatewayEndpointsParts);
