Let a stream return to its leaving engine after a lost connection

A stream ran at the only engine of its version, the engine's entry said `draining`, and the connection was reset: the caller's stream was cut after 1.5 s of search, though the engine served on.

Cause: an engine on which an attempt was lost is used again if it answers a probe, but only among the engines that are ready.

Change: leaving engines that still serve begun streams count, too.

Before: draining_engines.test.ts, "goes on at the same engine when its connection is reset", cut at the reset. After: all 30 events.

--- a/packages/gateway/src/serving/plan_search.ts
+++ b/packages/gateway/src/serving/plan_search.ts
@@ -54,7 +54,7 @@
         continue;
       }
       if (await paths.check(this.service)) return undefined;
-      if (await this.acceptAnswering(planner.listLost())) continue;
+      if (await this.acceptAnswering(await planner.listLost())) continue;
       if (clock.getNow() >= deadline) return undefined;
       await clock.wait(SEARCH_INTERVAL_MS, signal);
       planner.exclusions.dropHeld();
--- a/packages/gateway/src/serving/stream_planner.ts
+++ b/packages/gateway/src/serving/stream_planner.ts
@@ -102,10 +102,9 @@
   }
 
   /** Lists the engines that lost an attempt and may be used again. */
-  listLost(): EndpointRecord[] {
-    return this.listEngines().filter((engine) =>
-      this.exclusions.isReturnable(engine),
-    );
+  async listLost(): Promise<EndpointRecord[]> {
+    const engines = [...this.listEngines(), ...(await this.listServingOut())];
+    return engines.filter((engine) => this.exclusions.isReturnable(engine));
   }
 
   /** Sets the KV cache replica of the attempt that ended. */
@@ -224,15 +223,19 @@
    * serves. A stream that crashed engines must not end those of others there.
    */
   async findServingOut(): Promise<AttemptPlan | undefined> {
-    const {parts, service, binding, content} = this;
-    const {origin} = binding;
-    if (origin === undefined) return undefined;
-    if (parts.crashes.countCrashes(content) > 0) return undefined;
-    const engines = await listServingOut(parts, service, origin);
+    const engines = await this.listServingOut();
     const endpoint = chooseEngine(engines, this.createEngineRequest());
     return endpoint === undefined ? undefined : this.createPlan(endpoint);
   }
 
+  private async listServingOut(): Promise<readonly EndpointRecord[]> {
+    const {parts, service, binding, content} = this;
+    const {origin} = binding;
+    if (origin === undefined) return [];
+    if (parts.crashes.countCrashes(content) > 0) return [];
+    return listServingOut(parts, service, origin);
+  }
+
   /** Places the next attempt on a given engine, which reads the prompt. */
   createPlan(endpoint: EndpointRecord): AttemptPlan {
     const request = this.createEngineRequest();
