Tell starting hosts when leaving engines were ready at last

A host that started after the entries changed refused begun streams whose engines serve on for the drain time, though hosts beside it let them go on.

Cause: it sees an entry that is leaving and no read by which it was ready.

Change: the tables that a host loads from another one name the time of the store's clock at which each leaving endpoint was ready at last. The time is absolute, so neither the age of the answer nor further hops move it. What a host saw itself comes first. A time that lies ahead of this host's clock, as after a store whose clock was set back, is not used.

--- a/packages/decisions/src/read_confirmations.ts
+++ b/packages/decisions/src/read_confirmations.ts
@@ -34,6 +34,8 @@
  * after it, at 100 millionths.
  */
 const MAX_DIFFERENCE_AGE_MS = 300_000;
+/** The error of clocks that are read in whole ms and drift apart, in ms. */
+const MAX_CLOCK_ERROR_MS = 40;
 /** The store's clock does not go back, except by a new store. */
 const MAX_STEP_BACK_MS = 1000;
 
@@ -95,8 +97,9 @@
   computeTime({storeNow, begunAt, receivedAt}: ConfirmingRead): number {
     const {difference} = this;
     if (storeNow === undefined || difference === undefined) return begunAt;
-    // A clock that jumped must not move the time beyond that of the answer.
-    const at = Math.min(receivedAt, storeNow + difference.ms);
+    const at = storeNow + difference.ms;
+    // The store's clock was set back since.
+    if (at > receivedAt + MAX_CLOCK_ERROR_MS) return begunAt;
     return Math.max(begunAt, at);
   }
 
--- a/packages/gateway/src/model/peer_tables_message.ts
+++ b/packages/gateway/src/model/peer_tables_message.ts
@@ -59,6 +59,13 @@
       revision: z.number(),
       /** The time since the replica was last known to be current, in ms. */
       ageMs: z.number().default(UNKNOWN_AGE_MS),
+      /**
+       * For the endpoints that are leaving, the time of the store's clock at
+       * which the entry was ready at last, in ms; absent if there is none.
+       */
+      lastReady: z
+        .array(z.object({instanceId: z.string(), storeNow: z.number()}))
+        .optional(),
       /** Whether these are all rows of the table, not only the changed ones. */
       isWhole: z.boolean(),
     }),
@@ -78,6 +85,11 @@
 /** The content of a response. */
 export type PeerTables = z.infer<typeof PEER_TABLES_SCHEMA>;
 
+/** When a leaving endpoint was ready at last, as another host tells it. */
+export type LastReady = NonNullable<
+  PeerTables['parts'][number]['lastReady']
+>[number];
+
 /** Decodes rows of the JSON into rows of a replica. */
 export function decodeTableRows(
   rows: readonly z.infer<typeof TABLE_ROW_SCHEMA>[],
--- a/packages/gateway/src/services/draining_endpoints.ts
+++ b/packages/gateway/src/services/draining_endpoints.ts
@@ -15,7 +15,11 @@
   /** The reads of the store that confirmed the table. */
   readonly confirmations: Pick<
     TableConfirmations,
-    'computeTime' | 'findBefore'
+    | 'computeTime'
+    | 'dropLastReady'
+    | 'findBefore'
+    | 'findLastReady'
+    | 'recordLastReady'
   >;
   /** Reads the store at once. */
   readonly pollStore: () => Promise<unknown>;
@@ -28,6 +32,8 @@
 /** The last reads by which leaving endpoints were ready. */
 export class DrainingEndpoints {
   private readonly lastReadyReads = new Map<EndpointRecord, ConfirmingRead>();
+  /** Endpoints that were leaving when this host first heard of them. */
+  private readonly undecided = new Set<EndpointRecord>();
   private lastPoll: Promise<unknown> = Promise.resolve();
   private polledAt = -Infinity;
 
@@ -37,24 +43,49 @@
   start(record: EndpointRecord, revision: number): void {
     const read = this.parts.confirmations.findBefore(revision);
     if (read === undefined) return;
+    const {instanceId} = record;
+    const {storeNow} = read;
+    if (storeNow !== undefined) {
+      this.parts.confirmations.recordLastReady(instanceId, storeNow);
+    }
     this.lastReadyReads.set(record, read);
     this.updateEnd(record, read);
   }
 
+  /** Adds an endpoint that is leaving already; another host may know since when. */
+  add(record: EndpointRecord): void {
+    this.undecided.add(record);
+  }
+
   /** Ends the drain: the endpoint gets no more requests. */
   end(record: EndpointRecord): void {
     this.lastReadyReads.delete(record);
+    this.undecided.delete(record);
+    this.parts.confirmations.dropLastReady(record.instanceId);
     record.setDrainEnd(-Infinity);
   }
 
   /** Lists the endpoints of a service that still serve begun streams. */
   async listServing(service: string): Promise<EndpointRecord[]> {
+    this.applyReports();
     await this.loadEnds(service);
     return [...this.lastReadyReads.keys()].filter(
       ({entry, isServingOut}) => entry.service === service && isServingOut,
     );
   }
 
+  /** Applies what other hosts told of endpoints that are leaving. */
+  private applyReports(): void {
+    for (const record of this.undecided) {
+      const {confirmations} = this.parts;
+      const read = confirmations.findLastReady(record.instanceId);
+      if (read === undefined) continue;
+      this.undecided.delete(record);
+      this.lastReadyReads.set(record, read);
+      this.updateEnd(record, read);
+    }
+  }
+
   /**
    * Learns the ends of a service's drains if this host has no bound on the
    * store's clock: one read of the store gives it.
--- a/packages/gateway/src/services/gateway_endpoints.ts
+++ b/packages/gateway/src/services/gateway_endpoints.ts
@@ -1,9 +1,7 @@
 /**
- * The endpoints of all services as this host knows them, one record per
- * instance: an endpoint that restarts under the same id is a new instance. An
- * instance that was seen leaving never gets new work again. One whose entry
- * vanished while the store was unavailable is kept until the store had time to
- * list it again. An entry that is rejected does not affect other endpoints.
+ * The known endpoints, one record per instance. One that was seen leaving gets no
+ * new work again; one whose entry vanished while the store was unavailable is kept
+ * for a while. A rejected entry does not affect other endpoints.
  */
 import type {ReplicaRow} from '@irisdock/decisions';
 import type {Clock, Logger} from '@irisdock/kernel';
@@ -299,7 +297,8 @@
   }
 
   private addRecord(entry: EndpointEntry): EndpointRecord {
-    const {clock, getMemoryTokens} = this.parts;
+    const {clock, draining, getMemoryTokens} = this.parts;
+    const wasLeaving = this.leavingInstances.has(entry.instanceId);
     const record = new EndpointRecord(
       this.keepLeaving(entry, false),
       () => getMemoryTokens(entry.service),
@@ -309,6 +308,7 @@
     this.instances.set(record.endpointId, record);
     this.addresses.add(record);
     recordAnnouncedEnd(record, entry, this.parts);
+    if (!wasLeaving && !record.isReady) draining.add(record);
     this.version++;
     this.handleChange?.();
     return record;
--- a/packages/gateway/src/tables/peer_table_loader.ts
+++ b/packages/gateway/src/tables/peer_table_loader.ts
@@ -239,6 +239,8 @@
     for (const part of parts) {
       const rows = decodeTableRows(part.rows);
       const follower = tables[part.table];
+      // Known when the rows are applied.
+      follower.confirmations.acceptLastReady(part.lastReady ?? []);
       follower.applyFromHost(rows, part.revision, part.isWhole);
       // Counted from the request: the response may have taken long to arrive.
       const ageMs = clock.getNow() - startedAt + part.ageMs;
--- a/packages/gateway/src/tables/peer_tables.ts
+++ b/packages/gateway/src/tables/peer_tables.ts
@@ -55,12 +55,14 @@
     const after = Number(requested);
     const changes = after < 0 ? undefined : replica.listAfter(after);
     const rows = changes ?? replica.listAll();
+    const lastReady = tables[table].confirmations.listLastReady();
     parts.push({
       table,
       rows: encodeTableRows(rows),
       revision: replica.revision,
       ageMs: Math.min(UNKNOWN_AGE_MS, Math.round(ageMs)),
       isWhole: changes === undefined,
+      ...(lastReady.length > 0 ? {lastReady} : {}),
     });
   }
   return {hosts, parts};
--- a/packages/gateway/tests/draining_endpoints.test.ts
+++ b/packages/gateway/tests/draining_endpoints.test.ts
@@ -135,6 +135,27 @@
       });
     });
 
+    // Guards against refusals at hosts that heard of the leaving after the fact.
+    it(`serves begun streams of a host that starts, seed ${seed}`, async () => {
+      await runFleet(seed, async (fleet, all) => {
+        const name = 'e-0';
+        const takenAt = await startLeaving(fleet, name);
+        await fleet.clock.run(300);
+        const host = fleet.hosts.at(-1);
+        assert.ok(host);
+        host.kill();
+        void host.start(fleet.listSeeds(host));
+        await fleet.clock.run(500);
+        const started = createEndpoints(host, fleet);
+        const [end = -Infinity] = await listServesUntil(fleet, [started], name);
+        started.close();
+        const lastAt = takenAt + DRAIN_MS - MARGIN_MS;
+        assert.ok(end <= lastAt, `${end - lastAt} ms late`);
+        assert.ok(end >= lastAt - MAX_READ_GAP_MS, `${lastAt - end} ms`);
+        assert.equal(all.length, SIZE.hosts);
+      });
+    });
+
     // Guards against hosts that do not read the store and refuse such streams.
     it(`serves begun streams of all hosts for most of its drain, seed ${seed}`, async () => {
       await runFleet(seed, async (fleet, all) => {
--- a/packages/gateway/tests/endpoint_ends.test.ts
+++ b/packages/gateway/tests/endpoint_ends.test.ts
@@ -30,6 +30,9 @@
       confirmations: {
         findBefore: () => undefined,
         computeTime: () => -Infinity,
+        dropLastReady: () => undefined,
+        findLastReady: () => undefined,
+        recordLastReady: () => undefined,
       },
       pollStore: () => Promise.resolve(),
       drainMs: DRAIN_MS,
