--- a/packages/gateway/src/serving/plan_search.ts
+++ b/packages/gateway/src/serving/plan_search.ts
@@ -46,7 +46,7 @@
     const {deadline} = this;
     for (;;) {
       await planner.pollRemoteEngines();
-      const plan = planner.choosePlan();
+      const plan = planner.choosePlan() ?? (await planner.findServingOut());
       if (signal.aborted) return plan;
       if (plan !== undefined) {
         if (await engineLease.acquire(plan.endpoint, signal)) return plan;
@@ -54,7 +54,7 @@
         continue;
       }
       if (await paths.check(this.service)) return undefined;
-      if (await this.acceptAnswering(planner.listLost())) continue;
+      if (await this.acceptAnswering(await planner.listLost())) continue;
       if (clock.getNow() >= deadline) return undefined;
       await clock.wait(SEARCH_INTERVAL_MS, signal);
       planner.exclusions.dropHeld();
