End the store of used retries without waiting when a host stops

A host that stops in order waited for a call that saves which retries it used, up to the call's timeout while the store is silent, before its other services could end. Nobody needs that row in time: a host that stops in order has stopped taking retries. The store is ended without a wait. The tests of restarted budgets pass.

--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -169,7 +169,8 @@
         parts.paths.close();
         parts.relay.close();
         client.close();
-        return parts.retryBudgets.use?.stop() ?? Promise.resolve();
+        parts.retryBudgets.use?.stop();
+        return Promise.resolve();
       },
     };
   },
--- a/packages/gateway/src/services/retry_use_store.ts
+++ b/packages/gateway/src/services/retry_use_store.ts
@@ -95,9 +95,9 @@
     void this.deleteLater(service);
   }
 
-  async stop(): Promise<void> {
+  stop(): void {
     this.closing.abort();
-    await this.writer.stop();
+    void this.writer.stop();
   }
 
   private get isClosed(): boolean {
--- a/packages/gateway/src/serving/retry_budgets.ts
+++ b/packages/gateway/src/serving/retry_budgets.ts
@@ -22,7 +22,8 @@
   load(): Promise<void>;
   /** Saves that this host uses more than one that is uncertain may. */
   save(service: string): void;
-  stop(): Promise<void>;
+  /** Ends it without waiting for calls to the store. */
+  stop(): void;
 }
 
 /** How a send ended that may be retried. */
