Lose all hosts beside a version that drains or is gone in the soak

Change: the soak killed all hosts while two versions serve, or 0.3 s after the endpoints of one began to leave, which were gone when the hosts came back. It also does so while the endpoints of one say that they leave and serve on, and just after they ended and their entries were deleted, by the seed's remainder by 6.

--- a/soak/src/loss_player.ts
+++ b/soak/src/loss_player.ts
@@ -1,7 +1,8 @@
 /**
- * Kills all hosts at once while two software versions serve streams, or just
- * after the endpoints of one of them were replaced by the other. Hosts that
- * start again remember no stream. Nothing else happens meanwhile.
+ * Kills all hosts at once while two software versions serve streams, or while
+ * the endpoints of one of them are replaced by the other: their entries are
+ * deleted just before the loss, during it or after it. Hosts that start again
+ * remember no stream. Nothing else happens meanwhile.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {SOAK_SERVICES} from '@irisdock/users-platform/fixtures';
@@ -22,14 +23,30 @@
  * loss would cut them, and they would count against the partition.
  */
 const SETTLE_MS = 4000;
-/** How long the hosts are down, in ms; no entry of the old version is left. */
+/** How long the hosts are down, in ms. */
 const DOWN_MS = 400;
-/** The version's endpoints leave so long before the hosts are lost, in ms. */
+/**
+ * The hosts are lost so long after the version's endpoints began to leave, in
+ * ms, or as soon as these have ended.
+ */
 const LEAVES_BEFORE_MS = 300;
-/** How long those endpoints serve once they leave, in ms. */
-const LEAVES_FOR_MS = 600;
 /** Streams that are sent within this time after a loss count, in ms. */
 const COUNTED_MS = 3500;
+/** How long the version's endpoints serve once they leave, in ms. */
+const SERVES_MS = {
+  'one version drains': 8000,
+  'one version is gone': 0,
+  'one version leaves': 600,
+} as const;
+/** By the seed's remainder; no version is gone after it with even seeds. */
+const KINDS: readonly LossKind[] = [
+  'both versions serve',
+  'one version leaves',
+  'one version drains',
+  'one version is gone',
+  'both versions serve',
+  'one version leaves',
+];
 
 /** What a loss is played on. */
 export interface LossParts {
@@ -50,7 +67,7 @@
   ) {
     // A scaled service would order endpoints anew.
     if (isScaled) return;
-    this.kind = seed % 2 === 0 ? 'both versions serve' : 'one version leaves';
+    this.kind = KINDS[seed % KINDS.length];
   }
 
   /** Plays the loss, if the play has one; resolves when streams have counted. */
@@ -62,14 +79,15 @@
     const engines = fleet.list(SOAK_SERVICES.streams);
     const [old, other] = listVersions(engines);
     if (old === undefined || other === undefined) return;
-    const isLeaving = kind === 'one version leaves';
-    const places = isLeaving ? this.listPlaces(old) : [];
-    const released = fleet.release(places, other, LEAVES_FOR_MS);
-    if (isLeaving) await sleep(LEAVES_BEFORE_MS);
+    const isReplaced = kind !== 'both versions serve';
+    const places = isReplaced ? this.listPlaces(old) : [];
+    const servesMs = isReplaced ? SERVES_MS[kind] : 0;
+    const released = fleet.release(places, other, servesMs);
+    await Promise.race([released, sleep(LEAVES_BEFORE_MS)]);
     for (const {server} of engines) server.cachedPromptTokens.clear();
     await this.killHosts(kind);
     await Promise.all([released, sleep(COUNTED_MS)]);
-    await fleet.release(places, old, LEAVES_FOR_MS);
+    await fleet.release(places, old, SERVES_MS['one version leaves']);
   }
 
   /** Creates the report; undefined if no loss was played. */
--- a/soak/src/loss_witness.ts
+++ b/soak/src/loss_witness.ts
@@ -5,8 +5,15 @@
  */
 import type {EndedAttempt} from './partition_player.js';
 
-/** Whether one of the versions leaves before the hosts are lost. */
-export type LossKind = 'both versions serve' | 'one version leaves';
+/** Whether one of the versions leaves, and what is left of it after the loss. */
+export type LossKind =
+  | 'both versions serve'
+  /** Its endpoints are leaving before, during and after the loss. */
+  | 'one version drains'
+  /** Its endpoints ended, without entries, before the loss. */
+  | 'one version is gone'
+  /** Its endpoints were leaving before the loss, and are gone after it. */
+  | 'one version leaves';
 
 /** A loss of all hosts. */
 export interface Loss {
--- a/soak/tests/soak.test.ts
+++ b/soak/tests/soak.test.ts
@@ -19,17 +19,32 @@
   ],
 ];
 
+/** How versions stood at the losses of all hosts. */
+const LOSS_KINDS = [
+  'both versions serve',
+  'one version drains',
+  'one version is gone',
+  'one version leaves',
+];
+
 describe('the soak', () => {
+  const lossKinds = new Set<string>();
   for (const [seed, found] of SEEDS) {
     it(`breaks no promise with seed ${seed}, which found: ${found}`, async () => {
       const report = await runPlay(seed, USUAL_PLAY);
-      const {broken, counts, checkedWindows} = report;
+      const {broken, counts, checkedWindows, loss} = report;
+      if (loss !== undefined) lossKinds.add(loss.kind);
       assert.deepEqual(broken, []);
       assert.ok(counts.answered > 0);
       assert.ok(checkedWindows > 0, 'windows of usage were checked');
     });
   }
 
+  // Guards against seeds that leave out the version that a loss joined.
+  it('loses all hosts beside versions that serve, drain, leave and are gone', () => {
+    assert.deepEqual([...lossKinds].sort(), LOSS_KINDS);
+  });
+
   it('draws the same faults from a seed, and all kinds from many', () => {
     const options = {lengthMs: 9000, faults: 9};
     const createPlan = (seed: number): ReturnType<typeof planFaults> =>
