Read the rows of origins again until none is left

A host that found only expired rows planned no further read, so rows whose deletion failed stayed until a lookup or the start of another host. It reads again while there are any rows. The test "deletes them in the end though the store refused a deletion" has 1 row for 0 without the change.

--- a/packages/gateway/src/services/origin_reader.ts
+++ b/packages/gateway/src/services/origin_reader.ts
@@ -213,7 +213,7 @@
   }
 
   private planCleanup(rows: number, expired: number): void {
-    if (rows === expired) this.cleanupAt = Infinity;
+    if (rows === 0) this.cleanupAt = Infinity;
     else this.cleanupAt = this.computeCleanupAt();
     if (expired > MAX_DELETED_ROWS) this.cleanupAt = this.readAt;
   }
--- a/packages/gateway/tests/origin_expiry.test.ts
+++ b/packages/gateway/tests/origin_expiry.test.ts
@@ -43,6 +43,27 @@
     assert.ok(hosts.store.reads <= 6, `${hosts.store.reads} reads`);
   });
 
+  // A deletion that failed was not tried again without a lookup.
+  it('deletes them in the end though the store refused a deletion', async () => {
+    const hosts = new OriginHosts();
+    hosts.start('host-1').save(createOriginRecord('s-1'));
+    await hosts.clock.run(ROUND_TRIP_MS);
+    const other = hosts.start('host-2');
+    await hosts.find(other, 's-2');
+    await hosts.clock.run(EXPIRED_MS);
+    const found = hosts.find(other, 's-2');
+    hosts.store.state = 'busy-writes';
+    await found;
+    await hosts.clock.run(SECOND_MS);
+    assert.equal(hosts.store.rows.size, 1);
+    hosts.store.state = 'open';
+    for (let second = 0; second < 30 * 60; second += 5) {
+      other.startHeartbeat();
+      await hosts.clock.run(5 * SECOND_MS);
+    }
+    assert.equal(hosts.store.rows.size, 0);
+  });
+
   // The time of a row that was read starts again with each stream added.
   it('keeps a row that got a stream since it was read', async () => {
     const hosts = new OriginHosts();
