--- a/packages/gateway/src/services/version_histories.ts
+++ b/packages/gateway/src/services/version_histories.ts
@@ -74,7 +74,7 @@
       retryMs: RETRY_MS,
     });
     const api = createVersions(context, writer);
-    observeChanges(context, api);
+    watchChanges(context, api);
     const stopTimers = startTimers(api);
     createGauges(context, api, context.find(PEERS).standing);
     return {
@@ -117,7 +117,7 @@
 }
 
 /** Applies the rows that are known and every change that the history shows. */
-function observeChanges(context: ServiceContext, api: ServiceVersions): void {
+function watchChanges(context: ServiceContext, api: ServiceVersions): void {
   const {versions, endpoints} = context.find(TABLES_KEY);
   api.applyRows(versions.replica.listAll());
   void versions.changes.observe((rows) => {
