Wait longer for repeated reads of the origins of streams

Cause: by the hosts' logs the store answered after 0.4 to 3 s, and each read of the origins was given up after 500 ms and sent anew, five times. A store that is slower than the limit of a call is never read that way; the tables of the hosts use such answers, this read did not. 15 MB at 350 hosts take longer, too.

Change: the second read is awaited 500 ms beyond the limit of a call, each later one twice as long, up to 4 s. Callers are still refused after 500 ms, and served when they come back. Ruled out: a long wait for the first read, as an answer that was lost would delay all.

Before: the added test (a store that takes 1.5 s, limit 300 ms) finds nothing; after: found.

--- a/packages/gateway/src/services/origin_reader.ts
+++ b/packages/gateway/src/services/origin_reader.ts
@@ -24,6 +24,12 @@
 const RETRY_MS = 100;
 /** How many times a read is tried before it counts as failed. */
 const MAX_TRIES = 5;
+/**
+ * How long the second read is awaited beyond the timeout of a call, in ms; each
+ * later one is awaited twice as long. A store that is overloaded, or that has
+ * many rows, may need seconds.
+ */
+const EXTRA_WAIT_MS = 500;
 /** How long rows are kept in memory without a lookup, in ms. */
 const KEPT_MS = 60_000;
 /** The maximum number of streams in memory, some 250 bytes each. */
@@ -143,7 +149,8 @@
     const {store, clock, log, recordCall} = this.parts;
     this.isRead = false;
     for (let tries = 1; ; tries++) {
-      const result = await store.readAll('origins');
+      const extraMs = tries === 1 ? 0 : EXTRA_WAIT_MS * 2 ** (tries - 2);
+      const result = await store.readAll('origins', extraMs);
       recordCall(result.isOk());
       if (result.isOk()) {
         await this.accept(result.value.rows);
--- a/packages/gateway/tests/origin_store.test.ts
+++ b/packages/gateway/tests/origin_store.test.ts
@@ -16,6 +16,10 @@
 const INTERVAL_MS = 250;
 /** By then rows have expired by any clock, in ms. */
 const EXPIRED_MS = 100_000;
+/** How long a read may take in a slow store, in ms. */
+const SLOW_READ_MS = 1500;
+/** How long a lookup may take, in ms, with a step of the simulation. */
+const MAX_WAIT_MS = 500 + ROUND_TRIP_MS;
 const RUN_OPTIONS = {seed: 20261204, numRuns: 60};
 
 describe('the origins that a host saves', () => {
@@ -28,6 +32,20 @@
     assert.ok(isRead);
   });
 
+  // Guards against reads that are dropped and sent again as long as the store is
+  // slower than the limit of a call: no resumed stream goes on then.
+  it('are found once a slow store has answered', async () => {
+    const hosts = new OriginHosts();
+    hosts.start().save(createOriginRecord('s-1'));
+    await hosts.clock.run(ROUND_TRIP_MS);
+    hosts.store.readMs = SLOW_READ_MS;
+    const host = hosts.start();
+    const refused = await hosts.find(host, 's-1');
+    assert.ok(!refused.isRead && refused.ms <= MAX_WAIT_MS);
+    await hosts.clock.run(5 * SLOW_READ_MS);
+    assert.deepEqual((await hosts.find(host, 's-1')).versions, ['v1']);
+  });
+
   it('are neither written nor read while one version is possible', async () => {
     const hosts = new OriginHosts();
     hosts.possible.set('engines', ['v1']);
