Name draining endpoints by the usual term, and log closed attempts

Read as a newcomer would: leaving endpoints that still serve begun streams are called draining. A next attempt that is closed, as the first event came from another software version, was logged as one whose silent engine went on; a line of its own names its version now. 36 tests of handovers, draining and leaving engines pass.

--- a/packages/gateway/src/services/draining_endpoints.ts
+++ b/packages/gateway/src/services/draining_endpoints.ts
@@ -65,12 +65,12 @@
     record.setDrainEnd(-Infinity);
   }
 
-  /** Lists the endpoints of a service that still serve begun streams. */
-  async listServing(service: string): Promise<EndpointRecord[]> {
+  /** Lists the leaving endpoints of a service that still serve begun streams. */
+  async listDraining(service: string): Promise<EndpointRecord[]> {
     this.applyReports();
     await this.loadEnds(service);
     return [...this.lastReadyReads.keys()].filter(
-      ({entry, isServingOut}) => entry.service === service && isServingOut,
+      ({entry, isDraining}) => entry.service === service && isDraining,
     );
   }
 
--- a/packages/gateway/src/services/endpoint_gate.ts
+++ b/packages/gateway/src/services/endpoint_gate.ts
@@ -114,7 +114,7 @@
     if (priority === 'aside') return undefined;
     const record = endpoints.find(instanceId);
     if (record?.entry.state !== 'leaving') return undefined;
-    if (priority === 'begun' && record.isServingOut) return undefined;
+    if (priority === 'begun' && record.isDraining) return undefined;
     return {kind: 'held', target, reason: 'leaving', waitMs: Infinity};
   }
 }
--- a/packages/gateway/src/services/gateway_endpoints.ts
+++ b/packages/gateway/src/services/gateway_endpoints.ts
@@ -119,8 +119,8 @@
   }
 
   /** Lists the leaving endpoints of a service that still serve begun streams. */
-  async listServingOut(service: string): Promise<EndpointRecord[]> {
-    const serving = await this.parts.draining.listServing(service);
+  async listDraining(service: string): Promise<EndpointRecord[]> {
+    const serving = await this.parts.draining.listDraining(service);
     return serving.filter((record) => !this.isPaused(record));
   }
 
--- a/packages/gateway/src/serving/endpoint_record.ts
+++ b/packages/gateway/src/serving/endpoint_record.ts
@@ -155,7 +155,7 @@
    * Whether it is leaving and still serves: it may continue a stream that began
    * at its version and has no other endpoint.
    */
-  get isServingOut(): boolean {
+  get isDraining(): boolean {
     if (this.isRemoved || this.isReady) return false;
     return this.isOpenInRollout && this.getNow() < this.servesUntil;
   }
--- a/packages/gateway/src/serving/handover_log.ts
+++ b/packages/gateway/src/serving/handover_log.ts
@@ -2,6 +2,7 @@
 import {getErrorText, type Logger} from '@irisdock/kernel';
 import type {AttemptPlan, AttemptResult} from './stream_attempt.js';
 import type {Silence} from './silence_detector.js';
+import {getSoftwareVersion} from './version_binding.js';
 
 /** Where lines are written, and for which request. */
 interface HandoverLogParts {
@@ -35,6 +36,18 @@
   });
 }
 
+/** Logs that the first event bound a stream to another version than this one. */
+export function writeOtherVersion(
+  {serving, request}: HandoverLogParts,
+  {endpoint}: Pick<AttemptPlan, 'endpoint'>,
+): void {
+  serving.log.writeInfo('Closing the next attempt: another software version.', {
+    request: request.requestId,
+    endpoint: endpoint.instanceId,
+    softwareVersion: getSoftwareVersion(endpoint),
+  });
+}
+
 /** Logs that an attempt beside another one was closed. */
 export function writeUnused(
   {serving, request}: HandoverLogParts,
--- a/packages/gateway/src/serving/live_endpoints.ts
+++ b/packages/gateway/src/serving/live_endpoints.ts
@@ -42,12 +42,12 @@
  * Lists the leaving engines that still serve and may continue a begun stream,
  * for one that has no other engine.
  */
-export async function listServingOut(
+export async function listDraining(
   {crashes, endpoints}: LiveEndpointsParts,
   service: string,
   origin: StreamOrigin,
 ): Promise<readonly EndpointRecord[]> {
-  const engines = await endpoints.listServingOut(service);
+  const engines = await endpoints.listDraining(service);
   return engines
     .filter((engine) => isOfOrigin(engine, origin))
     .filter(({instanceId}) => !crashes.hasCrashed(instanceId));
--- a/packages/gateway/src/serving/plan_search.ts
+++ b/packages/gateway/src/serving/plan_search.ts
@@ -46,7 +46,7 @@
     const {deadline} = this;
     for (;;) {
       await planner.pollRemoteEngines();
-      const plan = planner.choosePlan() ?? (await planner.findServingOut());
+      const plan = planner.choosePlan() ?? (await planner.findDraining());
       if (signal.aborted) return plan;
       if (plan !== undefined) {
         if (await engineLease.acquire(plan.endpoint, signal)) return plan;
--- a/packages/gateway/src/serving/stream_handover.ts
+++ b/packages/gateway/src/serving/stream_handover.ts
@@ -16,7 +16,12 @@
  */
 import type {AttemptEnds} from './attempt_ends.js';
 import type {AttemptRun, PreparedAttempt} from './attempt_run.js';
-import {writeLeave, writeSearchFailure, writeUnused} from './handover_log.js';
+import {
+  writeLeave,
+  writeOtherVersion,
+  writeSearchFailure,
+  writeUnused,
+} from './handover_log.js';
 import {
   NextAttemptSearch,
   type NextAttemptSearchParts,
@@ -121,6 +126,7 @@
     const {trial} = this;
     const {binding} = this.parts;
     if (trial !== undefined && !binding.isOpenTo(trial.plan.endpoint)) {
+      writeOtherVersion(this.parts, trial.plan);
       this.cancelTrial();
     }
     // Another host learns the version when it is asked again.
--- a/packages/gateway/src/serving/stream_planner.ts
+++ b/packages/gateway/src/serving/stream_planner.ts
@@ -17,7 +17,7 @@
 import {EngineExclusions} from './engine_exclusions.js';
 import type {KvCacheReplica} from './kv_cache_replicator.js';
 import type {EndpointRecord, UseClaim} from './endpoint_record.js';
-import {listServingOut, listStreamEngines} from './live_endpoints.js';
+import {listDraining, listStreamEngines} from './live_endpoints.js';
 import type {ServingParts} from './serving_parts.js';
 import type {AttemptPlan, AttemptResult} from './stream_attempt.js';
 import {
@@ -103,7 +103,7 @@
 
   /** Lists the engines that lost an attempt and may be used again. */
   async listLost(): Promise<EndpointRecord[]> {
-    const engines = [...this.listEngines(), ...(await this.listServingOut())];
+    const engines = [...this.listEngines(), ...(await this.listDraining())];
     return engines.filter((engine) => this.exclusions.isReturnable(engine));
   }
 
@@ -222,18 +222,18 @@
    * Places the next attempt of a begun stream on a leaving engine that still
    * serves. A stream that crashed engines must not end those of others there.
    */
-  async findServingOut(): Promise<AttemptPlan | undefined> {
-    const engines = await this.listServingOut();
+  async findDraining(): Promise<AttemptPlan | undefined> {
+    const engines = await this.listDraining();
     const endpoint = chooseEngine(engines, this.createEngineRequest());
     return endpoint === undefined ? undefined : this.createPlan(endpoint);
   }
 
-  private async listServingOut(): Promise<readonly EndpointRecord[]> {
+  private async listDraining(): Promise<readonly EndpointRecord[]> {
     const {parts, service, binding, content} = this;
     const {origin} = binding;
     if (origin === undefined) return [];
     if (parts.crashes.countCrashes(content) > 0) return [];
-    return listServingOut(parts, service, origin);
+    return listDraining(parts, service, origin);
   }
 
   /** Places the next attempt on a given engine, which reads the prompt. */
--- a/packages/gateway/tests/draining_endpoints.test.ts
+++ b/packages/gateway/tests/draining_endpoints.test.ts
@@ -105,7 +105,7 @@
   all: readonly GatewayEndpoints[],
   name: string,
 ): Promise<number[]> {
-  for (const endpoints of all) void endpoints.listServingOut('s');
+  for (const endpoints of all) void endpoints.listDraining('s');
   await fleet.clock.run(100);
   const ends: number[] = [];
   for (const endpoints of all) {
