--- a/packages/gateway/src/model/release_mark.ts
+++ b/packages/gateway/src/model/release_mark.ts
@@ -4,6 +4,7 @@
  * fields that they don't know.
  */
 import * as z from 'zod';
+import {tryParseJson} from './json_value.js';
 import type {TableName, TableRow} from './table_store.js';
 
 /** The fields that hosts add to the rows in which releases are told apart. */
@@ -33,13 +34,5 @@
   if (table === 'crashes' || table === 'rollouts') return true;
   // The state of a task has a lease beside it.
   if (table === 'tasks' && !key.endsWith(LEASE_SUFFIX)) return false;
-  return !isMarked(value);
-}
-
-function isMarked(value: string): boolean {
-  try {
-    return MARK_SCHEMA.safeParse(JSON.parse(value)).success;
-  } catch {
-    return false;
-  }
+  return !MARK_SCHEMA.safeParse(tryParseJson(value)).success;
 }
--- a/packages/gateway/src/model/retry_use_row.ts
+++ b/packages/gateway/src/model/retry_use_row.ts
@@ -3,9 +3,9 @@
  * service of which it used more than a small part of its share. A row whose
  * value cannot be read may belong to any service.
  */
-import {createHash} from 'node:crypto';
 import * as z from 'zod';
 import {tryParseJson} from './json_value.js';
+import {hashToHex} from './text_digest.js';
 
 const RETRY_USE_ROW_SCHEMA = z.object({
   service: z.string(),
@@ -18,8 +18,7 @@
 /** Formats the key of a row; a digest, as names may be longer than a key. */
 export function formatRetryUseKey(row: RetryUseRow): string {
   const {service, host, incarnation} = row;
-  const text = JSON.stringify([service, host, incarnation]);
-  return createHash('sha256').update(text).digest('hex');
+  return hashToHex(JSON.stringify([service, host, incarnation]));
 }
 
 /** Formats the value of a row. */
--- a/packages/gateway/src/model/stream_routing.ts
+++ b/packages/gateway/src/model/stream_routing.ts
@@ -3,8 +3,8 @@
  * the routes of streams have changed. Weights do not count: a service with any
  * share of a route may have begun its streams.
  */
-import {createHash} from 'node:crypto';
 import type {ServingRoute} from './serving_configuration.js';
+import {hashToHex} from './text_digest.js';
 
 /** What of a route decides where a stream may begin. */
 export type StreamRoute = Pick<
@@ -29,6 +29,5 @@
   }
   const [only = '', ...others] = services;
   if (others.length === 0) return only;
-  const text = lines.sort().join('\n');
-  return createHash('sha256').update(text).digest('hex');
+  return hashToHex(lines.sort().join('\n'));
 }
--- a/packages/gateway/src/model/version_row.ts
+++ b/packages/gateway/src/model/version_row.ts
@@ -4,8 +4,8 @@
  * each other. The key alone identifies the version, so that a row whose value
  * cannot be read still counts. Rows with another key are ignored.
  */
-import {createHash} from 'node:crypto';
 import type {ServiceVersion} from '@irisdock/decisions';
+import {hashToHex} from './text_digest.js';
 
 /** The value of a row, for operators; only that it changes has a meaning. */
 export interface VersionRowValue {
@@ -65,6 +65,5 @@
   const wellFormed = Buffer.from(text).toString();
   const encoded = encodeURIComponent(wellFormed);
   if (encoded.length <= MAX_PART_LENGTH) return encoded;
-  const digest = createHash('sha256').update(text).digest('hex');
-  return `${UNKNOWN}${digest}`;
+  return `${UNKNOWN}${hashToHex(text)}`;
 }
--- a/packages/gateway/src/services/origin_stores.ts
+++ b/packages/gateway/src/services/origin_stores.ts
@@ -38,7 +38,7 @@
       clock,
       log,
       random,
-      countHosts: () => peers.listAlive().length + 1,
+      countHosts: () => peers.listAlive().length,
       recordCall: (call, isOk) => {
         calls.inc({call, outcome: isOk ? 'ok' : 'failed'});
       },
--- a/packages/gateway/src/services/peer_discovery.ts
+++ b/packages/gateway/src/services/peer_discovery.ts
@@ -15,6 +15,7 @@
   type Logger,
 } from '@irisdock/kernel';
 import * as z from 'zod';
+import {tryParseJson} from '../model/json_value.js';
 import {RELEASE_MARK} from '../model/release_mark.js';
 import type {TableStore} from '../model/table_store.js';
 import {HOST_IDENTITY} from './identity.js';
@@ -108,11 +109,7 @@
 }
 
 function parseRow(value: string): string | undefined {
-  try {
-    return ROW_SCHEMA.safeParse(JSON.parse(value)).data?.tables;
-  } catch {
-    return undefined;
-  }
+  return ROW_SCHEMA.safeParse(tryParseJson(value)).data?.tables;
 }
 
 /** The key of the service. */
--- a/packages/gateway/src/services/service_versions.ts
+++ b/packages/gateway/src/services/service_versions.ts
@@ -23,7 +23,11 @@
   parseVersionKey,
   UNKNOWN_PAST_KEY,
 } from '../model/version_row.js';
-import type {PastDoubt, VersionHistory} from '../serving/version_history.js';
+import type {
+  PastDoubt,
+  ServicePast,
+  VersionHistory,
+} from '../serving/version_history.js';
 import type {HistoryCurrency} from './history_currency.js';
 import type {RowWriter} from './row_writer.js';
 import type {StoreConfirmation} from './store_confirmation.js';
@@ -114,41 +118,45 @@
   constructor(private readonly parts: ServiceVersionsParts) {}
 
   listPossible(service: string): readonly string[] | undefined {
-    const {clock, currency} = this.parts;
-    if (!currency.isKnown(clock.getNow())) return undefined;
-    if (this.hasObservedChange) this.updateLedger();
-    if (!this.isRoutingKnown) return undefined;
-    if (this.ledger.has(UNKNOWN_PAST_KEY)) return undefined;
-    const known = this.ledger.listVersions(service);
-    // Before the first row was written, others may have served unrecorded.
-    if (known.length === 0) {
-      return this.ledger.hasRowOfOther(ROUTING) ? [] : undefined;
-    }
-    if (!this.ledger.hasRow(service)) return undefined;
-    const versions: string[] = [];
-    for (const version of known) {
-      if (version === undefined) return undefined;
-      versions.push(version);
-    }
-    return versions;
+    const past = this.resolvePast(service);
+    return 'versions' in past ? past.versions : undefined;
   }
 
   findDoubt(service: string): PastDoubt | undefined {
-    const {clock, currency} = this.parts;
-    const doubt = currency.findDoubt(clock.getNow());
-    if (doubt !== undefined) return doubt;
-    if (this.listPossible(service) !== undefined) return undefined;
-    if (this.ledger.has(UNKNOWN_PAST_KEY)) return 'earlier_release';
-    if (!this.isRoutingKnown) {
-      return this.ledger.hasRow(ROUTING) ? 'routes_changed' : 'no_first_row';
-    }
-    return this.ledger.hasRow(service) ? 'version_unknown' : 'no_first_row';
+    const past = this.resolvePast(service);
+    return 'doubt' in past ? past.doubt : undefined;
   }
 
   async tryConfirm(): Promise<boolean> {
     return this.parts.confirmation.run();
   }
 
+  private resolvePast(service: string): ServicePast {
+    const {clock, currency} = this.parts;
+    const tableDoubt = currency.findDoubt(clock.getNow());
+    if (tableDoubt !== undefined) return {doubt: tableDoubt};
+    if (this.hasObservedChange) this.updateLedger();
+    const {ledger} = this;
+    if (ledger.has(UNKNOWN_PAST_KEY)) return {doubt: 'earlier_release'};
+    if (!this.isRoutingKnown) {
+      const hasRouting = ledger.hasRow(ROUTING);
+      return {doubt: hasRouting ? 'routes_changed' : 'no_first_row'};
+    }
+    const known = ledger.listVersions(service);
+    // A service without endpoints had no version if others have rows.
+    const hasRow =
+      known.length === 0
+        ? ledger.hasRowOfOther(ROUTING)
+        : ledger.hasRow(service);
+    if (!hasRow) return {doubt: 'no_first_row'};
+    const versions: string[] = [];
+    for (const version of known) {
+      if (version === undefined) return {doubt: 'version_unknown'};
+      versions.push(version);
+    }
+    return {versions};
+  }
+
   /** Applies changed rows of the table. */
   applyRows(rows: readonly ReplicaRow[]): void {
     const now = this.parts.clock.getNow();
--- a/packages/gateway/src/serving/origin_lookup.ts
+++ b/packages/gateway/src/serving/origin_lookup.ts
@@ -48,6 +48,14 @@
   readonly stored: StoredOrigins | undefined;
 }
 
+/** Lists the records of an origin, those of live hosts first. */
+export function listOriginRecords({
+  recorded,
+  stored,
+}: KnownOrigins): OriginRecord[] {
+  return [...recorded, ...(stored?.records ?? [])];
+}
+
 /**
  * Creates the key by which the origin of a begun stream is looked up.
  *
--- a/packages/gateway/src/serving/past_confirmation.ts
+++ b/packages/gateway/src/serving/past_confirmation.ts
@@ -1,20 +1,65 @@
 /**
- * Confirms that this host's replicas show the past of a service before it
- * concludes from them alone. A host that was just cut off still takes them for
- * current and other hosts for alive.
+ * Looks up the origin of a stream together with what the past leaves possible.
+ * If nobody knows the origin and only one candidate is possible, this host's
+ * replicas alone would decide: a host that was just cut off still takes them for
+ * current, and other hosts for alive. So the past is confirmed first.
  */
-import type {OriginLookup} from './origin_lookup.js';
+import type {OriginKey} from '@irisdock/decisions';
+import {
+  findOrigins,
+  listOriginRecords,
+  type KnownOrigins,
+  type OriginLookup,
+  type StreamOrigins,
+} from './origin_lookup.js';
 import type {VersionHistory} from './version_history.js';
 
+/** Dependencies of the lookup. */
+export interface ConfirmedLookupParts {
+  readonly origins: StreamOrigins;
+  readonly versions: Pick<VersionHistory, 'tryConfirm'>;
+}
+
+/** What is known of an origin, and what may have begun the stream. */
+export interface ConfirmedOrigins {
+  readonly known: KnownOrigins;
+  /** Undefined if the past is not known or was not confirmed. */
+  readonly possible: readonly string[] | undefined;
+}
+
+/**
+ * Looks an origin up.
+ *
+ * @param createKey Creates the key of a lookup that starts now.
+ * @param listPossible Lists the versions, or services, that may have begun the
+ *     stream, as far as this host knows; undefined if the past is not known.
+ */
+export async function findConfirmedOrigins(
+  {origins, versions}: ConfirmedLookupParts,
+  createKey: () => OriginKey,
+  listPossible: () => readonly string[] | undefined,
+): Promise<ConfirmedOrigins> {
+  const isCertain = (): boolean => listPossible()?.length === 1;
+  const known = await findOrigins(origins, createKey(), isCertain());
+  // The past may have become known meanwhile.
+  if (listOriginRecords(known).length > 0 || !isCertain()) {
+    return {known, possible: listPossible()};
+  }
+  const isConfirmed = await tryConfirmPast(versions, known.lookup);
+  if (!isConfirmed) return {known, possible: undefined};
+  if (isCertain()) return {known, possible: listPossible()};
+  // Another candidate has become known, and hosts that know the origin.
+  const found = await findOrigins(origins, createKey(), false);
+  return {known: found, possible: listPossible()};
+}
+
 /**
  * Confirms the past by other hosts, or else by the store. If all hosts that
  * keep the origin of a stream answered a lookup, and none knows it, no version
  * that is missing in the replicas can have begun it.
- *
- * @returns Whether it is confirmed; the past may be another one then.
  */
-export async function tryConfirmPast(
-  versions: Pick<VersionHistory, 'tryConfirm'>,
+async function tryConfirmPast(
+  versions: ConfirmedLookupParts['versions'],
   {hostsAsked, hostsAnswered}: OriginLookup,
 ): Promise<boolean> {
   if (hostsAsked > 0 && hostsAnswered === hostsAsked) return true;
--- a/packages/gateway/src/serving/service_choice.ts
+++ b/packages/gateway/src/serving/service_choice.ts
@@ -10,8 +10,8 @@
 import {GATEWAY_ERRORS} from '../errors.js';
 import type {ServingRoute} from '../model/serving_configuration.js';
 import type {AdmittedRequest} from './caller_exchange.js';
-import {createOriginKey, findOrigins} from './origin_lookup.js';
-import {tryConfirmPast} from './past_confirmation.js';
+import {createOriginKey, listOriginRecords} from './origin_lookup.js';
+import {findConfirmedOrigins} from './past_confirmation.js';
 import {decideRetryAfter} from './retry_after.js';
 import {createNotRunError} from './send_rules.js';
 import {getRandomFraction, type ServingParts} from './serving_parts.js';
@@ -60,18 +60,15 @@
   {shares, name}: ServingRoute,
   request: AdmittedRequest,
 ): Promise<Result<string, KnownError>> {
-  const {origins, versions, metrics, random, log, clock} = parts;
-  let possible = listPossible(versions, shares);
+  const {versions, metrics, random, log, clock} = parts;
   const {resumedRequestId} = request.metadata;
-  const key = createOriginKey(request, resumedRequestId, clock.getNow());
-  let known = await findOrigins(origins, key, possible.length === 1);
-  if (possible.length === 1 && known.recorded.length === 0) {
-    const isConfirmed = await tryConfirmPast(versions, known.lookup);
-    possible = isConfirmed ? listPossible(versions, shares) : [];
-    if (possible.length > 1) known = await findOrigins(origins, key, false);
-  }
+  const {known, possible = []} = await findConfirmedOrigins(
+    parts,
+    () => createOriginKey(request, resumedRequestId, clock.getNow()),
+    () => listPossible(versions, shares),
+  );
   const {stored} = known;
-  const records = [...known.recorded, ...(stored?.records ?? [])];
+  const records = listOriginRecords(known);
   const recorded = records.map(({service}) => service);
   const service = decideOriginService(recorded, possible);
   const share = shares.find((one) => one.service === service);
--- a/packages/gateway/src/serving/stream_version.ts
+++ b/packages/gateway/src/serving/stream_version.ts
@@ -9,6 +9,7 @@
   decideOriginVersion,
   type OriginDecision,
   type OriginDoubt,
+  type OriginKey,
   type OriginRecord,
   type OriginSource,
 } from '@irisdock/decisions';
@@ -16,13 +17,13 @@
 import type {EndpointRecord} from './endpoint_record.js';
 import {
   createOriginKey,
-  findOrigins,
+  listOriginRecords,
   type KnownOrigins,
   type OriginLookup,
 } from './origin_lookup.js';
 import {hashStreamId} from './request_content.js';
 import type {ServingParts} from './serving_parts.js';
-import {tryConfirmPast} from './past_confirmation.js';
+import {findConfirmedOrigins} from './past_confirmation.js';
 import type {PastDoubt} from './version_history.js';
 import {
   createOrigin,
@@ -93,19 +94,13 @@
    */
   async resolve(): Promise<VersionDoubt | undefined> {
     if (this.isBound || this.doubt !== undefined) return this.doubt;
-    let known = await this.findKnown();
-    // The past of the service may have become known meanwhile.
-    let decision = decide(known, this.listPossible());
-    if (decision.source === 'only') {
-      const isConfirmed = await tryConfirmPast(
-        this.parts.versions,
-        known.lookup,
-      );
-      // Another version may have become known, and hosts that know the origin.
-      if (isConfirmed && !this.isCertain) known = await this.findKnown();
-      decision = decide(known, isConfirmed ? this.listPossible() : undefined);
-    }
+    const {known, possible} = await findConfirmedOrigins(
+      this.parts,
+      () => this.createKey(),
+      () => this.listPossible(),
+    );
     this.known = known;
+    const decision = decide(known, possible);
     if (decision.version === undefined) {
       const isUnread = known.stored?.isRead === false;
       const isOpen = decision.doubt !== 'contradiction';
@@ -113,7 +108,7 @@
       this.writeLog('unknown');
       return this.doubt;
     }
-    const [record] = [...known.recorded, ...(known.stored?.records ?? [])];
+    const [record] = listOriginRecords(known);
     const {service, instanceId} = record ?? {
       service: this.service,
       instanceId: '',
@@ -183,16 +178,9 @@
     return 'unconfirmed';
   }
 
-  private async findKnown(): Promise<KnownOrigins> {
-    const {origins, clock} = this.parts;
-    const now = clock.getNow();
-    const key = createOriginKey(this.request, this.firstRequestId, now);
-    return findOrigins(origins, key, this.isCertain);
-  }
-
-  /** Whether one version alone can have begun the stream, as far as known. */
-  private get isCertain(): boolean {
-    return this.listPossible()?.length === 1;
+  private createKey(): OriginKey {
+    const now = this.parts.clock.getNow();
+    return createOriginKey(this.request, this.firstRequestId, now);
   }
 
   private listPossible(): readonly string[] | undefined {
--- a/packages/gateway/src/serving/version_history.ts
+++ b/packages/gateway/src/serving/version_history.ts
@@ -25,6 +25,10 @@
   /** Endpoints served whose version is not known. */
   | 'version_unknown';
 
+/** The versions that may have begun a stream, or why they are not known. */
+export type ServicePast =
+  {readonly versions: readonly string[]} | {readonly doubt: PastDoubt};
+
 /** Finds the software versions that a service had. */
 export interface VersionHistory {
   /**
--- a/packages/gateway/tests/replaced_hosts.test.ts
+++ b/packages/gateway/tests/replaced_hosts.test.ts
@@ -1,7 +1,7 @@
 /** Origins of streams while hosts are replaced one after the other. */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {createOriginRecord, ReplacedFleet} from './fixtures/replaced_fleet.js';
+import {createLongOrigin, ReplacedFleet} from './fixtures/replaced_fleet.js';
 
 const HOSTS = 9;
 const DOMAINS = ['zone-a', 'zone-b', 'zone-c'];
@@ -16,7 +16,7 @@
 async function createFleet(): Promise<ReplacedFleet> {
   const fleet = new ReplacedFleet(HOSTS, DOMAINS);
   const client = fleet.getClient(RUNNER);
-  for (const id of STREAM_IDS) client.publish(createOriginRecord(id));
+  for (const id of STREAM_IDS) client.publish(createLongOrigin(id));
   await fleet.run(REPORTED_MS);
   return fleet;
 }
