Aim a proof of the soak at the present check of whole answers

The check of a body's end moved to the kernel with the answers that a reset completed, so check_soak.mjs reported 'mechanism not found' for 'a cut answer does not look whole'.

--- a/scripts/check_soak.mjs
+++ b/scripts/check_soak.mjs
@@ -33,7 +33,7 @@
   ],
   [
     'a cut answer does not look whole',
-    'isComplete = () => incoming.complete && (isFramed || !hasFailed)',
+    'isComplete = () => isBodyComplete(clientRequest, incoming, connectionEnd)',
     'isComplete = () => true',
   ],
   [
