Resume streams after ids of any form, and cut those without one

Cause: ids of more than 15 digits were read as no id. The events were passed on, but the stream kept no last event, and the drivers took that for a stream that had not begun. No code checked that the position of a begun stream is known. Last-Event-Id of callers was read as a number: rounded above 2^53, dropped if it was none.

Ruled out: the engine's own repeat.

Change: an id is the text that the engine sent and is sent back unchanged. Whole numbers of any length are ordered; an attempt may continue a stream with other ids only if it resumed after the last event. After data without a usable id a stream has no position: no attempt follows, here or through another host, and events of one that runs already are rejected. The stream is cut, bar=position_unknown. Comments held back by an attempt beside a silent engine no longer count as its continuation.

--- a/packages/decisions/src/event_splitter.ts
+++ b/packages/decisions/src/event_splitter.ts
@@ -5,11 +5,17 @@
  */
 
 import {ByteCollector} from '@irisdock/kernel';
+import {MAX_EVENT_ID_LENGTH, parseEventId, type EventId} from './event_id.js';
 
 /** A complete server-sent event. */
 export interface ServerSentEvent {
-  /** Undefined if the event has no numeric id. */
-  readonly id: number | undefined;
+  /** Undefined if the event has no id after which a stream can resume. */
+  readonly id: EventId | undefined;
+  /**
+   * Whether the event has neither data nor an id, such as a comment. The
+   * position in the stream is the same before and after it.
+   */
+  readonly isEmpty: boolean;
   /** The event as received, including the empty line at its end. */
   readonly bytes: Buffer;
 }
@@ -19,11 +25,14 @@
 /** The ends of an event in bytes without carriage returns. */
 const LF_SEPARATORS = SEPARATORS.slice(0, 1);
 const MAX_SEPARATOR_LENGTH = 4;
-const ID_LINE = /^id: ?(\d{1,15})\r?$/m;
+const LINE_END = /\r\n|\n|\r/;
+/** A field of an event; the blank after the colon is not part of its value. */
+const FIELD = /^([^:]+)(?:: ?(.*))?$/;
+const BYTE_ORDER_MARK = /^\xef\xbb\xbf/;
 const ID_PREFIX = Buffer.from('id: ');
-/** Maximum length of an id. */
-const MAX_DIGITS = 15;
+const NEXT_ID_LINE = Buffer.from('\nid');
 const ZERO = 0x30;
+const NINE = 0x39;
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 
@@ -87,32 +96,40 @@
 }
 
 function createEvent(bytes: Buffer): ServerSentEvent {
-  const id = readLeadingId(bytes) ?? findId(bytes);
-  return {id, bytes};
+  const leadingId = readLeadingId(bytes);
+  if (leadingId !== undefined) return {id: leadingId, isEmpty: false, bytes};
+  return parseEvent(bytes);
 }
 
-/** Reads the id of an event that begins with it, as most events do. */
-function readLeadingId(bytes: Buffer): number | undefined {
-  for (let index = 0; index < ID_PREFIX.length; index++) {
-    if (bytes[index] !== ID_PREFIX[index]) return undefined;
-  }
-  let id = 0;
-  const last = ID_PREFIX.length + MAX_DIGITS;
-  for (let index = ID_PREFIX.length; index <= last; index++) {
-    const digit = (bytes[index] ?? 0) - ZERO;
-    const isDigit = digit >= 0 && digit <= 9;
-    if (isDigit && index < last) {
-      id = id * 10 + digit;
-      continue;
-    }
-    const isLineEnd = bytes[index] === LINE_FEED;
-    return isLineEnd && index > ID_PREFIX.length ? id : undefined;
-  }
-  return undefined;
+/**
+ * Reads the id of an event that begins with its only id, a whole number, as most
+ * events do.
+ */
+function readLeadingId(bytes: Buffer): EventId | undefined {
+  const start = ID_PREFIX.length;
+  if (!bytes.subarray(0, start).equals(ID_PREFIX)) return undefined;
+  let end = start;
+  while (isDigit(bytes[end])) end++;
+  const length = end - start;
+  const isId = length > 0 && length <= MAX_EVENT_ID_LENGTH;
+  if (!isId || bytes[end] !== LINE_FEED) return undefined;
+  if (bytes.includes(NEXT_ID_LINE, end)) return undefined;
+  return bytes.toString('latin1', start, end);
+}
+
+function isDigit(byte = 0): boolean {
+  return byte >= ZERO && byte <= NINE;
 }
 
-/** Finds the id of an event wherever its line is. */
-function findId(bytes: Buffer): number | undefined {
-  const id = ID_LINE.exec(bytes.toString('latin1'))?.[1];
-  return id === undefined ? undefined : Number(id);
+/** Parses the fields of an event. If several are ids, the last one counts. */
+function parseEvent(bytes: Buffer): ServerSentEvent {
+  let id: EventId | undefined;
+  let isEmpty = true;
+  const text = bytes.toString('latin1').replace(BYTE_ORDER_MARK, '');
+  for (const line of text.split(LINE_END)) {
+    const [, name, value = ''] = FIELD.exec(line) ?? [];
+    if (name === 'id') id = parseEventId(value);
+    if (name === 'id' || name === 'data') isEmpty = false;
+  }
+  return {id, isEmpty, bytes};
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -22,6 +22,7 @@
 export * from './host_capacity.js';
 export * from './engine_placement.js';
 export * from './errors.js';
+export * from './event_id.js';
 export * from './event_progress.js';
 export * from './event_splitter.js';
 export * from './fair_queue.js';
--- a/packages/decisions/tests/event_stream.test.ts
+++ b/packages/decisions/tests/event_stream.test.ts
@@ -10,8 +10,19 @@
 import fc from 'fast-check';
 import {RUN_OPTIONS} from './run_options.js';
 
-function createEvent(id: number): ServerSentEvent {
-  return {id, bytes: Buffer.from(`id: ${id}\ndata: x\n\n`)};
+function createEvent(id: number | string): ServerSentEvent {
+  return splitEvent(`id: ${id}\ndata: x\n\n`);
+}
+
+/** Creates an event with data and without an id. */
+function createPlainEvent(): ServerSentEvent {
+  return splitEvent('data: x\n\n');
+}
+
+function splitEvent(text: string): ServerSentEvent {
+  const [event] = new EventSplitter().add(Buffer.from(text, 'latin1'));
+  assert.ok(event);
+  return event;
 }
 
 const texts = fc
@@ -63,7 +74,7 @@
       events.map(({id, bytes}) => [id, bytes.length]),
       [
         [undefined, 3004],
-        [7, 18],
+        ['7', 18],
         [undefined, 3],
       ],
     );
@@ -87,12 +98,24 @@
     );
     assert.deepEqual(
       events.map(({id}) => id),
-      [4, undefined, 12],
+      ['4', undefined, '12'],
     );
   });
 });
 
-const ID_LINE = /^id: ?(\d{1,15})\r?$/m;
+/** Finds the id of an event as the format of event streams defines it. */
+function findIdNaively(lines: readonly string[]): string | undefined {
+  let id: string | undefined;
+  for (const line of lines) {
+    const [name, ...rest] = line.replace(/\r$/, '').split(':');
+    const value = rest.join(':').replace(/^ /, '');
+    if (name === 'id') id = value;
+  }
+  const isUsable =
+    id !== undefined && id.length <= 256 && /^[\w-]+( [\w-]+)*$/.test(id);
+  return isUsable ? id : undefined;
+}
+
 const eventLines = fc.array(
   fc.constantFrom(
     'id: 4',
@@ -101,7 +124,15 @@
     'id: 7x',
     'id: 123456789012345',
     'id: 1234567890123456',
+    `id: ${'9'.repeat(256)}`,
+    `id: ${'9'.repeat(257)}`,
     'id: 9\r',
+    'id',
+    'id: two words',
+    'id: ends blank ',
+    'id: \u0007',
+    'idle: 5',
+    ': id: 6',
     'data: id: 3',
   ),
   {minLength: 1, maxLength: 4},
@@ -113,8 +144,7 @@
       fc.property(eventLines, (lines) => {
         const text = `${lines.join('\n')}\n\n`;
         const [event] = new EventSplitter().add(Buffer.from(text));
-        const id = ID_LINE.exec(text)?.[1];
-        assert.equal(event?.id, id === undefined ? undefined : Number(id));
+        assert.equal(event?.id, findIdNaively(lines));
       }),
       RUN_OPTIONS,
     );
@@ -146,7 +176,7 @@
     assert.deepEqual(repeated, {newEvents: [], hasGap: false});
     assert.equal(progress.accept([createEvent(5)]).hasGap, true);
     assert.equal(progress.accept([createEvent(4)]).hasGap, false);
-    assert.equal(progress.lastEventId, 4);
+    assert.equal(progress.lastEventId, '4');
   });
 
   it('decides on the events of another engine as they would be passed', () => {
@@ -157,8 +187,10 @@
         const known = Array.from({length: count}, (_, at) => at + 1);
         progress.accept(known.map(createEvent));
         const events = nextIds.map(createEvent);
-        const decided = progress.decideContinuation(events);
-        assert.equal(progress.lastEventId, known.at(-1));
+        const {lastEventId} = progress;
+        const decided = progress.decideContinuation(events, lastEventId);
+        assert.equal(lastEventId, known.at(-1)?.toString());
+        progress.setResumedAfter(lastEventId);
         progress.markFailover();
         const {newEvents, hasGap} = progress.accept(events);
         const isGapFirst = hasGap && newEvents.length === 0;
@@ -171,8 +203,102 @@
   });
 
   it('skips the events that the caller already has', () => {
-    const progress = new EventProgress(9);
+    const progress = new EventProgress('9');
     assert.equal(progress.accept([createEvent(9)]).newEvents.length, 0);
     assert.equal(progress.accept([createEvent(10)]).newEvents.length, 1);
   });
+
+  // Guards against a stream that starts over within its answer.
+  it('passes each event once whatever the form of the ids', () => {
+    const offsets = fc.constantFrom(0n, 10n ** 15n, 2n ** 53n, 10n ** 40n);
+    const forms = fc.constantFrom<(id: bigint) => string>(
+      (id) => `${id}`,
+      (id) => `${id}`.padStart(45, '0'),
+      (id) => `ev-${id}`,
+      (id) => `1764901234567-${id}`,
+    );
+    const counts = fc.array(fc.integer({min: 0, max: 4}), {minLength: 1});
+    fc.assert(
+      fc.property(offsets, forms, counts, (offset, form, parts) => {
+        const ids = Array.from({length: 40}, (_, at) =>
+          form(offset + BigInt(at)),
+        );
+        const progress = new EventProgress(undefined);
+        const passed: string[] = [];
+        for (const count of parts) {
+          const {lastEventId} = progress;
+          progress.setResumedAfter(lastEventId);
+          const from = ids.indexOf(lastEventId ?? '') + 1;
+          for (const id of ids.slice(from, from + count)) {
+            const event = createEvent(id);
+            const {newEvents, hasGap} = progress.accept([event]);
+            assert.deepEqual([newEvents, hasGap], [[event.bytes], false]);
+            passed.push(id);
+          }
+          progress.markFailover();
+        }
+        assert.deepEqual(passed, ids.slice(0, passed.length));
+        assert.equal(progress.lastEventId, passed.at(-1));
+      }),
+      RUN_OPTIONS,
+    );
+  });
+
+  it('cannot resume after data without an id until an event has one', () => {
+    const progress = new EventProgress(undefined);
+    assert.equal(progress.isResumable, true);
+    progress.accept([createEvent(1), createPlainEvent()]);
+    assert.equal(progress.isResumable, false);
+    progress.accept([createEvent(2)]);
+    assert.equal(progress.isResumable, true);
+    progress.accept([createPlainEvent()]);
+    progress.markFailover();
+    for (const event of [createEvent(1), createEvent(3), createPlainEvent()]) {
+      const expected = {newEvents: [], hasGap: true};
+      assert.deepEqual(progress.accept([event]), expected);
+      assert.equal(progress.decideContinuation([event], '2'), 'after-gap');
+    }
+  });
+
+  // The event may repeat one that the caller has, or follow one that it lacks.
+  it('accepts no data without an id after a failover', () => {
+    const progress = new EventProgress(undefined);
+    progress.accept([createEvent(1)]);
+    progress.markFailover();
+    assert.equal(progress.accept([createPlainEvent()]).hasGap, true);
+  });
+
+  // The caller received events after the one that the attempt resumes after.
+  it('accepts ids without an order only after the last event', () => {
+    const progress = new EventProgress(undefined);
+    progress.accept([createEvent('a'), createEvent('b')]);
+    const events = [createEvent('c')];
+    assert.equal(progress.decideContinuation(events, 'a'), 'after-gap');
+    assert.equal(progress.decideContinuation(events, 'b'), 'next');
+    progress.markFailover();
+    progress.setResumedAfter('a');
+    assert.equal(progress.accept(events).hasGap, true);
+    progress.setResumedAfter('b');
+    assert.equal(progress.accept(events).hasGap, false);
+  });
+
+  it('detects missing events by ids of any length', () => {
+    const base = 2n ** 53n;
+    const progress = new EventProgress(undefined);
+    progress.accept([createEvent(`${base}`), createEvent(`${base + 1n}`)]);
+    progress.markFailover();
+    assert.equal(progress.accept([createEvent(`${base + 3n}`)]).hasGap, true);
+    assert.equal(progress.accept([createEvent(`${base + 2n}`)]).hasGap, false);
+  });
+
+  it('passes comments at any time without a change of the position', () => {
+    const comment = splitEvent(': ping\n\n');
+    const progress = new EventProgress(undefined);
+    progress.accept([createEvent(1), comment]);
+    assert.equal(progress.isResumable, true);
+    progress.markFailover();
+    assert.equal(progress.decideContinuation([comment], '1'), 'repeated');
+    assert.equal(progress.accept([comment]).newEvents.length, 1);
+    assert.equal(progress.accept([createEvent(1)]).newEvents.length, 0);
+  });
 });
--- a/packages/gateway/src/model/request_metadata.ts
+++ b/packages/gateway/src/model/request_metadata.ts
@@ -4,7 +4,7 @@
  * header names.
  */
 
-import type {AdvertisedLimit, PauseRequest} from '@irisdock/decisions';
+import type {AdvertisedLimit, EventId, PauseRequest} from '@irisdock/decisions';
 
 export type {AdvertisedLimit, PauseRequest} from '@irisdock/decisions';
 
@@ -23,7 +23,7 @@
   /** The time until the caller's deadline, in ms; undefined without one. */
   readonly remainingMs: number | undefined;
   /** The last event that the caller received; undefined for a new stream. */
-  readonly lastEventId: number | undefined;
+  readonly lastEventId: EventId | undefined;
   /**
    * The id of the caller's attempt that brought the first event of the stream
    * that this request resumes; undefined when not given.
@@ -59,7 +59,7 @@
   /** The time that the endpoint has for the request, in ms. */
   readonly remainingMs: number | undefined;
   /** The event after which the stream resumes. */
-  readonly lastEventId: number | undefined;
+  readonly lastEventId: EventId | undefined;
   /** The address to which the engine copies the KV cache while it runs. */
   readonly backupAddress: string | undefined;
   readonly kvCacheSource: KvCacheSource | undefined;
@@ -72,7 +72,7 @@
   /** The time that the host has for the request, in ms. */
   readonly remainingMs: number;
   /** The event after which the stream resumes. */
-  readonly lastEventId: number | undefined;
+  readonly lastEventId: EventId | undefined;
   /** The caller's attempt that brought the first event of a begun stream. */
   readonly resumedRequestId: string | undefined;
 }
--- a/packages/gateway/src/serving/answer_gate.ts
+++ b/packages/gateway/src/serving/answer_gate.ts
@@ -3,7 +3,7 @@
  * certain which of the two continues the stream. At most one chunk of events is
  * held, as reading stops there.
  */
-import type {ServerSentEvent} from '@irisdock/decisions';
+import type {EventId, ServerSentEvent} from '@irisdock/decisions';
 import type {HeaderLines} from '../model/request_metadata.js';
 import type {Silence} from './silence_detector.js';
 import type {AttemptListener} from './stream_attempt.js';
@@ -34,12 +34,18 @@
   /**
    * @param listener Receives the answer once the gate is open.
    * @param sink Decides whether held events continue the stream.
+   * @param resumedAfter The event after which the attempt was to resume;
+   *     undefined for a new stream.
    * @param endAttempt Ends an attempt that leaves events out; another one may
    *     not.
    */
   constructor(
     private readonly listener: AttemptListener,
-    private readonly sink: Pick<StreamSink, 'decideContinuation'>,
+    private readonly sink: Pick<
+      StreamSink,
+      'decideContinuation' | 'setResumedAfter'
+    >,
+    private readonly resumedAfter: EventId | undefined,
     private readonly endAttempt: (detail: string) => void,
   ) {}
 
@@ -53,6 +59,7 @@
     if (this.isOpen) return;
     this.isOpen = true;
     const {head, events, silence, listener} = this;
+    this.sink.setResumedAfter(this.resumedAfter);
     if (head !== undefined) listener.handleHead(head.status, head.lines);
     const drained =
       events.length === 0 ? undefined : listener.handleEvents(events);
@@ -69,6 +76,8 @@
 
   handleEvents(events: readonly ServerSentEvent[]): Promise<void> | undefined {
     if (this.isOpen) return this.listener.handleEvents(events);
+    // Empty ones don't show that the attempt continues the stream.
+    if (events.every(({isEmpty}) => isEmpty)) return undefined;
     this.events = [...this.events, ...events];
     const resumed = new Promise<void>((resolve) => {
       this.resume = resolve;
@@ -89,7 +98,8 @@
   }
 
   private checkHeld(): void {
-    const continuation = this.sink.decideContinuation(this.events);
+    const {sink, events, resumedAfter} = this;
+    const continuation = sink.decideContinuation(events, resumedAfter);
     if (continuation === 'after-gap') this.endAttempt('events are missing');
     if (continuation === 'next') this.handleContinued();
   }
--- a/packages/gateway/src/serving/attempt_run.ts
+++ b/packages/gateway/src/serving/attempt_run.ts
@@ -3,7 +3,7 @@
  * replica of the KV cache, and its lease. Its answer is held until the attempt
  * is the stream's current one; a second attempt may run beside a silent one.
  */
-import type {ServerSentEvent} from '@irisdock/decisions';
+import type {EventId, ServerSentEvent} from '@irisdock/decisions';
 import {getErrorText} from '@irisdock/kernel';
 import type {ServingRoute} from '../model/serving_configuration.js';
 import {AnswerGate} from './answer_gate.js';
@@ -66,6 +66,8 @@
   private readonly claim: UseClaim;
   private readonly endWatch: EndpointEndWatch;
   private readonly sentAt: number;
+  /** The event after which it resumes; undefined for a new stream. */
+  private readonly resumedAfter: EventId | undefined;
   /** Whether its engine had no other prompt to read when it was sent. */
   private readonly isReadAlone: boolean;
   /** Unread tokens on its engine, its own included, when it was sent. */
@@ -85,10 +87,16 @@
     this.claim = planner.createClaim(plan);
     this.unreadAtSend = plan.endpoint.unreadTokens + this.claim.unreadTokens;
     this.sentAt = serving.clock.getNow();
+    this.resumedAfter = sink.lastEventId;
     this.isReadAlone = plan.endpoint.unreadTokens === 0;
-    this.gate = new AnswerGate(this.createListener(), sink, (detail) => {
-      this.attempt.end(detail);
-    });
+    this.gate = new AnswerGate(
+      this.createListener(),
+      sink,
+      this.resumedAfter,
+      (detail) => {
+        this.attempt.end(detail);
+      },
+    );
     this.attempt = new StreamAttempt(
       serving,
       prober,
@@ -192,7 +200,7 @@
   /** Runs the attempt to its end. */
   private async run(): Promise<AttemptResult> {
     const {endpoint, backup} = this.plan;
-    const {serving, planner, report, sink} = this.parts;
+    const {serving, planner, report} = this.parts;
     const {claim, replicator} = this;
     serving.demand.recordPrompt(endpoint.entry.service, claim.unreadTokens);
     const backupClaim = {...claim, running: 0, unreadTokens: 0};
@@ -201,7 +209,7 @@
     const {usePublisher} = serving.endpoints.peers;
     usePublisher.publishPlaced();
     const cachedTokens = planner.countCachedTokens(endpoint);
-    report.recordSend(this.plan, sink.lastEventId, cachedTokens);
+    report.recordSend(this.plan, this.resumedAfter, cachedTokens);
     let isReplicaNeeded = true;
     try {
       const result = await this.send();
@@ -220,14 +228,14 @@
   }
 
   private async send(): Promise<AttemptResult> {
-    const {serving, request, route, sink} = this.parts;
+    const {serving, request, route} = this.parts;
     const {exchange, requestId, team, body} = request;
     const {plan, permit} = this.prepared;
     const lines = serving.codec.encodeRequest(exchange.lines, {
       endpointId: plan.endpoint.endpointId,
       team,
       remainingMs: computeRemainingMs(request, route, this.sentAt),
-      lastEventId: sink.lastEventId,
+      lastEventId: this.resumedAfter,
       backupAddress: plan.backup?.address,
       kvCacheSource: plan.kvCacheSource,
     });
--- a/packages/gateway/src/serving/relayed_attempt.ts
+++ b/packages/gateway/src/serving/relayed_attempt.ts
@@ -27,14 +27,15 @@
     readonly host: RelayHost,
     private readonly sink: Pick<
       StreamSink,
-      'decideContinuation' | 'lastEventId'
+      'decideContinuation' | 'lastEventId' | 'setResumedAfter'
     >,
     listener: AttemptListener,
   ) {
     const {relay} = parts;
-    const {request, route, service} = relayed;
+    const {request, route, service, resumption} = relayed;
     const endpoint = relay.createRecord(host, service);
-    const gate = new AnswerGate(listener, sink, (detail) => {
+    const resumedAfter = resumption?.lastEventId;
+    const gate = new AnswerGate(listener, sink, resumedAfter, (detail) => {
       this.end(detail);
     });
     this.gate = gate;
--- a/packages/gateway/src/serving/relayed_stream.ts
+++ b/packages/gateway/src/serving/relayed_stream.ts
@@ -100,6 +100,10 @@
       const next = this.handover.takeNext(result);
       if (next === undefined) return result;
       if (hasTaken(this.parts.serving, result)) retries.record(result);
+      if (!sink.isResumable) {
+        next.end('the stream cannot resume');
+        return result;
+      }
       sink.markFailover();
       attempt = next;
     }
--- a/packages/gateway/src/serving/request_relay.ts
+++ b/packages/gateway/src/serving/request_relay.ts
@@ -8,6 +8,7 @@
   computeHostWeights,
   getSizedSample,
   hasUnequalWeights,
+  type EventId,
   type HostCapacity,
 } from '@irisdock/decisions';
 import type {Clock, Random} from '@irisdock/kernel';
@@ -81,7 +82,7 @@
 /** Where a begun stream resumes. */
 export interface StreamResumption {
   /** The last event that the caller has. */
-  readonly lastEventId: number;
+  readonly lastEventId: EventId;
   /** The caller's attempt that brought the first event, if it is known. */
   readonly requestId: string | undefined;
 }
--- a/packages/gateway/src/serving/stream_driver.ts
+++ b/packages/gateway/src/serving/stream_driver.ts
@@ -86,9 +86,10 @@
     this.engineLease = new EngineLease(parts, request);
     const {planner, engineLease} = this;
     this.search = new PlanSearch(parts, planner, engineLease, service, signal);
-    this.retries = new StreamRetries(parts, request, route, service);
     this.sink = new StreamSink(exchange, metadata.lastEventId);
-    const {sink, retries} = this;
+    const {sink} = this;
+    this.retries = new StreamRetries(parts, request, route, service, sink);
+    const {retries} = this;
     this.relay = new StreamRelay(
       parts,
       request,
--- a/packages/gateway/src/serving/stream_relay.ts
+++ b/packages/gateway/src/serving/stream_relay.ts
@@ -88,6 +88,10 @@
   /** Runs the stream through another host. */
   async run(): Promise<StreamRelayStep> {
     const {sink} = this;
+    if (!sink.isResumable) {
+      const detail = 'the last event has no id';
+      return {kind: 'given-up', detail, denial: 'position_unknown'};
+    }
     if (!this.hasNext && !this.takeRetry()) return this.waitForHost();
     const result = await this.send();
     if (result.kind === 'ended') {
--- a/packages/gateway/src/serving/stream_report.ts
+++ b/packages/gateway/src/serving/stream_report.ts
@@ -1,4 +1,5 @@
 /** Writes the log lines and metrics of one stream. */
+import type {EventId} from '@irisdock/decisions';
 import type {LogFields} from '@irisdock/kernel';
 import type {AdmittedRequest} from './caller_exchange.js';
 import type {ServingParts} from './serving_parts.js';
@@ -27,7 +28,7 @@
   /** Records the start of an attempt. */
   recordSend(
     plan: AttemptPlan,
-    lastEventId: number | undefined,
+    lastEventId: EventId | undefined,
     cachedTokens: number,
   ): void {
     const {endpoint, backup, kvCacheSource} = plan;
@@ -49,8 +50,8 @@
   /** Records that events arrived; true for the first events of the stream. */
   recordEvents(
     plan: AttemptPlan,
-    lastEventId: number | undefined,
-    nextEventId: number | undefined,
+    lastEventId: EventId | undefined,
+    nextEventId: EventId | undefined,
   ): boolean {
     const now = this.parts.clock.getNow();
     if (plan !== this.lastPlan) this.countVersion(plan, lastEventId);
@@ -95,7 +96,7 @@
   recordSilence(
     {endpoint}: AttemptPlan,
     {detail, hostStallMs}: Silence,
-    lastEventId: number | undefined,
+    lastEventId: EventId | undefined,
   ): void {
     this.isSilent = true;
     this.parts.log.writeInfo('The engine of a stream is silent.', {
@@ -124,7 +125,7 @@
     plan: AttemptPlan,
     result: AttemptResult,
     detail: string,
-    lastEventId: number | undefined,
+    lastEventId: EventId | undefined,
   ): void {
     const {log, metrics, clock} = this.parts;
     this.lostAt ??= clock.getNow();
@@ -168,7 +169,7 @@
   /** Counts a resumption by whether the software version changed. */
   private countVersion(
     {endpoint}: AttemptPlan,
-    lastEventId: number | undefined,
+    lastEventId: EventId | undefined,
   ): void {
     if (lastEventId === undefined) return;
     const {origin} = this.binding;
@@ -183,8 +184,8 @@
     now: number,
     lostAt: number,
     ids: {
-      readonly lastEventId: number | undefined;
-      readonly nextEventId: number | undefined;
+      readonly lastEventId: EventId | undefined;
+      readonly nextEventId: EventId | undefined;
     },
   ): void {
     const since = this.lastEventAt ?? lostAt;
--- a/packages/gateway/src/serving/stream_retries.ts
+++ b/packages/gateway/src/serving/stream_retries.ts
@@ -9,6 +9,7 @@
 import {computeRemainingMs} from './send_rules.js';
 import type {ServingParts} from './serving_parts.js';
 import {hasPossiblyRun, type AttemptResult} from './stream_attempt.js';
+import type {StreamSink} from './stream_sink.js';
 
 /** How many attempts that certainly did not run may be retried. */
 const MAX_NOT_RUN_ATTEMPTS = 6;
@@ -26,6 +27,8 @@
   | 'first_event_late'
   | 'never_run'
   | 'not_resumable'
+  /** The last event has no id after which another attempt could resume. */
+  | 'position_unknown'
   | 'time_spent';
 
 /** Counts the attempts of one stream and decides on retries. */
@@ -44,6 +47,7 @@
     private readonly request: AdmittedRequest,
     private readonly route: ServingRoute,
     private readonly service: string,
+    private readonly sink: Pick<StreamSink, 'isResumable'>,
   ) {}
 
   /** Whether any attempt may have run. */
@@ -86,6 +90,7 @@
   /** Returns why there is no retry; takes one from the budget otherwise. */
   findRetryDenial(result: AttemptResult): RetryDenial | undefined {
     if (this.isRefused) return 'content_refused';
+    if (!this.sink.isResumable) return 'position_unknown';
     if (this.isGranted) {
       this.isGranted = false;
       return undefined;
@@ -165,6 +170,7 @@
 
   private findSendDenial(runs: number): RetryDenial | undefined {
     const {route, request, parts} = this;
+    if (!this.sink.isResumable) return 'position_unknown';
     if (runs >= route.maxAttempts) return 'attempts_spent';
     if (this.notRun > MAX_NOT_RUN_ATTEMPTS) return 'never_run';
     if (request.exchange.signal.aborted) return 'caller_left';
--- a/packages/gateway/src/serving/stream_sink.ts
+++ b/packages/gateway/src/serving/stream_sink.ts
@@ -6,6 +6,7 @@
 import {
   EventProgress,
   type Continuation,
+  type EventId,
   type ServerSentEvent,
 } from '@irisdock/decisions';
 import type {KnownError} from '@irisdock/kernel';
@@ -38,16 +39,21 @@
   /** @param lastEventId The last event that the caller has already. */
   constructor(
     private readonly exchange: CallerExchange,
-    lastEventId: number | undefined,
+    lastEventId: EventId | undefined,
   ) {
     this.progress = new EventProgress(lastEventId);
   }
 
-  /** The last event that the caller has; undefined before the first. */
-  get lastEventId(): number | undefined {
+  /** The last event with an id that the caller has, if there is one. */
+  get lastEventId(): EventId | undefined {
     return this.progress.lastEventId;
   }
 
+  /** Whether another attempt can continue the stream without a gap. */
+  get isResumable(): boolean {
+    return this.progress.isResumable;
+  }
+
   /** Whether the caller has received part of the answer. */
   get isStarted(): boolean {
     return this.hasStarted;
@@ -64,9 +70,21 @@
     this.repeatedBytes = 0;
   }
 
-  /** Decides how the first events of another attempt continue the stream. */
-  decideContinuation(events: readonly ServerSentEvent[]): Continuation {
-    return this.progress.decideContinuation(events);
+  /** Sets the event after which the stream's current attempt was to resume. */
+  setResumedAfter(lastEventId: EventId | undefined): void {
+    this.progress.setResumedAfter(lastEventId);
+  }
+
+  /**
+   * Decides how the first events of another attempt continue the stream.
+   *
+   * @param resumedAfter The event after which that attempt was to resume.
+   */
+  decideContinuation(
+    events: readonly ServerSentEvent[],
+    resumedAfter: EventId | undefined,
+  ): Continuation {
+    return this.progress.decideContinuation(events, resumedAfter);
   }
 
   /** Passes the events that the caller lacks. */
--- a/packages/gateway/tests/stream_handover.test.ts
+++ b/packages/gateway/tests/stream_handover.test.ts
@@ -75,7 +75,8 @@
       timeoutMs: Infinity,
     };
     type Parts = ConstructorParameters<typeof StreamRetries>;
-    const parts = [serving, request, route, 's'];
+    const sink = {isResumable: true};
+    const parts = [serving, request, route, 's', sink];
     return new StreamRetries(...(parts as unknown as Parts));
   }
 
