Settle each request when its connection ends or its time is over

Cause: a send was settled by 'response' or 'error'. For a 101 with Upgrade Node destroys the socket and emits 'close' alone, and the listener for the time limit was removed on 'close'.

Ruled out: the status. A 101 without Upgrade was a failure before, too.

Change: watchRequestFailure settles a request without a response at its first error, on 'close', or when its sender gives it up, without waiting for an event of Node. Used by the clients for endpoints and hosts, for JSON calls to the store and hosts, and for plain endpoints in irisdockd.

--- a/packages/endpoints/src/http_plain_endpoint.ts
+++ b/packages/endpoints/src/http_plain_endpoint.ts
@@ -6,6 +6,7 @@
   isBodyComplete,
   splitPlace,
   watchConnectionEnd,
+  watchRequestFailure,
 } from '@irisdock/kernel';
 import {err, ok, type Result} from 'neverthrow';
 import type {EndpointError, LoadReport} from './engine.js';
@@ -39,7 +40,7 @@
       watchConnect(clientRequest, () => {
         isConnected = true;
       });
-      clientRequest.on('error', (error) => {
+      watchRequestFailure(clientRequest, (error) => {
         const create = isConnected ? createCallError : createUnsentError;
         resolve(err(create(address, error)));
       });
--- a/packages/endpoints/tests/http_plain_endpoint.test.ts
+++ b/packages/endpoints/tests/http_plain_endpoint.test.ts
@@ -97,6 +97,13 @@
     });
   }
 
+  // Guards against a call that never ends, not even at its time limit.
+  it('of a daemon fails when it switches protocols', async () => {
+    const head = 'HTTP/1.1 101 Switching Protocols\r\n';
+    const answer = `${head}Connection: Upgrade\r\nUpgrade: x\r\n\r\n`;
+    assert.equal(await readBody(answer, () => undefined), undefined);
+  });
+
   it('of a daemon ends with its connection if it has no length', async () => {
     assert.equal(await readBody(`${HEAD}X: y\r\n\r\nwhole`, close), 'whole');
   });
--- a/packages/gateway/src/channels/endpoint_client.ts
+++ b/packages/gateway/src/channels/endpoint_client.ts
@@ -10,6 +10,7 @@
   isRefused,
   splitPlace,
   watchConnectionEnd,
+  watchRequestFailure,
   type Clock,
   type ConnectionEnd,
 } from '@irisdock/kernel';
@@ -66,8 +67,8 @@
 /** An aborted request without a response for this long is a failure, in ms. */
 const MIN_SILENCE_MS = 150;
 
-/** The detail of a request that this host aborted. */
-const ABORTED = 'the send was ended';
+/** The error of a request that this host aborted. */
+const ABORTED = new Error('the send was ended');
 
 /** Learns whether connections to endpoints work. */
 export interface ConnectionObserver {
@@ -120,19 +121,23 @@
     const {target} = outgoing.permit;
     return new Promise((resolve) => {
       let mayHaveRun = false;
-      let failure: string | undefined;
-      let hasResponse = false;
       const clientRequest = this.createRequest(outgoing);
       const connectionEnd = watchConnectionEnd(clientRequest);
       const sentAt = this.clock.getNow();
-      const close = (detail: string): void => {
-        // Destroyed without an error: if the connection was just returned to
-        // the pool, an error event would have no listener and be thrown.
-        failure = detail;
-        clientRequest.destroy();
-      };
+      const watched = watchRequestFailure(clientRequest, (error) => {
+        const detail = getErrorText(error);
+        const silentMs = this.clock.getNow() - sentAt;
+        const isFailure = error !== ABORTED || silentMs >= MIN_SILENCE_MS;
+        if (isFailure) this.observer.recordFailure(target);
+        resolve({
+          kind: 'lost',
+          mayHaveRun,
+          detail,
+          isRefused: isRefused(error),
+        });
+      });
       const abort = (): void => {
-        close(ABORTED);
+        watched.fail(ABORTED);
       };
       const listener = {
         handleOpen: (isNew: boolean) => {
@@ -140,31 +145,18 @@
           if (isNew) this.observer.recordConnected(target);
         },
         handleTimeout: () => {
-          close('the connection did not open');
+          watched.fail(new Error('the connection did not open'));
         },
       };
       const maxOpenMs = outgoing.permit.sendBy - sentAt;
       watchConnection(clientRequest, this.clock, listener, maxOpenMs);
       watchHead(clientRequest, () => {
-        close('its head is too long');
+        watched.fail(new Error('its head is too long'));
       });
       clientRequest.once('close', () => {
         outgoing.signal.removeEventListener('abort', abort);
       });
-      clientRequest.on('error', (error) => {
-        const detail = failure ?? getErrorText(error);
-        const silentMs = this.clock.getNow() - sentAt;
-        const isFailure = failure !== ABORTED || silentMs >= MIN_SILENCE_MS;
-        if (isFailure && !hasResponse) this.observer.recordFailure(target);
-        resolve({
-          kind: 'lost',
-          mayHaveRun,
-          detail,
-          isRefused: isRefused(error),
-        });
-      });
       clientRequest.once('response', (incoming) => {
-        hasResponse = true;
         const sent = {clientRequest, connectionEnd, sentAt};
         resolve(this.acceptResponse(outgoing, sent, incoming));
       });
--- a/packages/gateway/src/channels/json_client.ts
+++ b/packages/gateway/src/channels/json_client.ts
@@ -13,6 +13,7 @@
   isBodyComplete,
   splitPlace,
   watchConnectionEnd,
+  watchRequestFailure,
 } from '@irisdock/kernel';
 import {err, type Result} from 'neverthrow';
 import {tryParseJson} from '../model/json_value.js';
@@ -58,24 +59,23 @@
         },
       });
       const connectionEnd = watchConnectionEnd(clientRequest);
-      let failure: string | undefined;
+      const finish = (result: Result<JsonResponse, string>): void => {
+        clearTimeout(timer);
+        resolve(result);
+      };
+      const watched = watchRequestFailure(clientRequest, (error) => {
+        finish(err(getErrorText(error)));
+      });
       const close = (detail: string): void => {
-        failure = detail;
-        clientRequest.destroy();
+        watched.fail(new Error(detail));
+        finish(err(detail));
       };
       const timer = setTimeout(() => {
         close(`no answer in ${call.timeoutMs} ms`);
       }, call.timeoutMs);
-      const finish = (result: Result<JsonResponse, string>): void => {
-        clearTimeout(timer);
-        resolve(result.mapErr((detail) => failure ?? detail));
-      };
       watchHead(clientRequest, () => {
         close('its head is too long');
       });
-      clientRequest.on('error', (error) => {
-        finish(err(getErrorText(error)));
-      });
       clientRequest.on('response', (response) => {
         void this.readResponse(response).then((result) => {
           const isComplete = isBodyComplete(
