Confirm the past of a stream by the store alone

Cause: a host that knows one possible version and no record of a stream took the answers of all hosts that it asked as proof that no other version began it. A host that is cut off together with others asks only these once the rest counts as lost, while its replica still counts as current.

Change: only a read of the store that begins after the stream was resumed confirms the past.

--- a/packages/gateway/src/serving/past_confirmation.ts
+++ b/packages/gateway/src/serving/past_confirmation.ts
@@ -2,14 +2,13 @@
  * Looks up the origin of a stream together with what the past leaves possible.
  * If nobody knows the origin and only one candidate is possible, this host's
  * replicas alone would decide: a host that was just cut off still takes them for
- * current, and other hosts for alive. So the past is confirmed first.
+ * current, and other hosts for alive. So the store confirms the past first.
  */
 import type {OriginKey} from '@irisdock/decisions';
 import {
   findOrigins,
   listOriginRecords,
   type KnownOrigins,
-  type OriginLookup,
   type StreamOrigins,
 } from './origin_lookup.js';
 import type {VersionHistory} from './version_history.js';
@@ -45,23 +44,12 @@
   if (listOriginRecords(known).length > 0 || !isCertain()) {
     return {known, possible: listPossible()};
   }
-  const isConfirmed = await tryConfirmPast(versions, known.lookup);
+  // Answers of other hosts prove nothing here: the host that began the stream
+  // and those that it reported to may be out of reach, and not be asked.
+  const isConfirmed = await versions.tryConfirm();
   if (!isConfirmed) return {known, possible: undefined};
   if (isCertain()) return {known, possible: listPossible()};
   // Another candidate has become known, and hosts that know the origin.
   const found = await findOrigins(origins, createKey(), false);
   return {known: found, possible: listPossible()};
 }
-
-/**
- * Confirms the past by other hosts, or else by the store. If all hosts that
- * keep the origin of a stream answered a lookup, and none knows it, no version
- * that is missing in the replicas can have begun it.
- */
-async function tryConfirmPast(
-  versions: ConfirmedLookupParts['versions'],
-  {hostsAsked, hostsAnswered}: OriginLookup,
-): Promise<boolean> {
-  if (hostsAsked > 0 && hostsAnswered === hostsAsked) return true;
-  return versions.tryConfirm();
-}
