--- a/packages/gateway/src/services/peer_discovery.ts
+++ b/packages/gateway/src/services/peer_discovery.ts
@@ -10,6 +10,7 @@
 import {
   createService,
   createServiceKey,
+  REMOTE_PLACE_SCHEMA,
   Repeater,
   type Clock,
   type Logger,
@@ -34,7 +35,7 @@
 /** The time between two reads while no other host is heard from, in ms. */
 const READ_INTERVAL_MS = 2000;
 
-const ROW_SCHEMA = z.object({tables: z.string()});
+const ROW_SCHEMA = z.object({tables: REMOTE_PLACE_SCHEMA});
 
 /** Registers this host in the store and finds the others there. */
 class PeerDiscovery {
--- a/packages/kernel/src/settings.ts
+++ b/packages/kernel/src/settings.ts
@@ -8,6 +8,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import * as z from 'zod';
 import {getErrorText} from './errors.js';
+import {isPlace, isRemotePlace} from './place.js';
 import type {SettingsFile} from './settings_file.js';
 
 /** A named group of settings; a service's, or the process's own. */
@@ -31,12 +32,15 @@
 /** Checked values by group. */
 export type SettingsValues = ReadonlyMap<string, unknown>;
 
-const IP_PORT = /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):(\d{1,5})$/;
-
 /** A listening or remote place as `ip:port`; IPv6 numbers in brackets. */
 export const IP_PORT_SCHEMA = z
   .string()
-  .regex(IP_PORT, 'Give an IP number and a port, as in 127.0.0.1:8080.');
+  .refine(isPlace, 'Give an IP number and a port, as in 127.0.0.1:8080.');
+
+/** A place to which a connection can be opened, as `ip:port`. */
+export const REMOTE_PLACE_SCHEMA = z
+  .string()
+  .refine(isRemotePlace, 'Give the IP number and the port of another process.');
 
 /** Lists the settings of the groups. */
 export function listSettings(groups: readonly SettingsGroup[]): SettingInfo[] {
