Apply a caller's Connection options to its own headers only

Cause: the listed headers were dropped from the lines to the endpoint, after the gateway had added its own.

Headers of the platform are kept even if they are listed: without its key no host would take a relayed request, and a model that differs from the caller's must not run.

--- a/packages/gateway/src/channels/header_lines.ts
+++ b/packages/gateway/src/channels/header_lines.ts
@@ -29,15 +29,21 @@
 /**
  * Drops the hop-by-hop headers, those that the Connection header lists
  * included, and Content-Length, as each connection frames its bodies itself.
+ *
+ * @param isEndToEnd Which headers are kept even if the Connection header lists
+ *     them, by their name in lower case.
  */
-export function dropHopByHopHeaders(lines: HeaderLines): HeaderLines {
+export function dropHopByHopHeaders(
+  lines: HeaderLines,
+  isEndToEnd: (name: string) => boolean = () => false,
+): HeaderLines {
   const options = listConnectionOptions(lines);
   const kept: (readonly [string, string])[] = [];
   for (const line of lines) {
     const name = line[0].toLowerCase();
     if (name === 'content-length') continue;
-    if (HOP_BY_HOP_HEADERS.has(name) || options.has(name)) continue;
-    kept.push(line);
+    if (HOP_BY_HOP_HEADERS.has(name)) continue;
+    if (!options.has(name) || isEndToEnd(name)) kept.push(line);
   }
   return kept;
 }
