Handle errors of the sockets of CONNECT requests

Cause: Node removes its own listener for errors from the socket before it emits 'connect', and the gateway added none while it refused the request.

Change: errors of such a socket are handled as those of other connections.

--- a/packages/gateway/src/channels/caller_connections.ts
+++ b/packages/gateway/src/channels/caller_connections.ts
@@ -61,8 +61,12 @@
     });
     // Without a listener, Node closes the connection without an answer.
     server.on('connect', (_, socket) => {
-      const fault = GATEWAY_ERRORS.create('no_tunnel');
-      if (socket instanceof Socket) this.setFault(socket, fault);
+      if (!(socket instanceof Socket)) return;
+      // Node has removed its own listener, which emits `clientError`.
+      socket.on('error', (error) => {
+        this.handleError(error, socket);
+      });
+      this.setFault(socket, GATEWAY_ERRORS.create('no_tunnel'));
     });
     server.on('timeout', (socket: Socket) => void this.closeExpired(socket));
   }
