Believe a rejection on a kept connection only if it names its request

Cause: only successes had to name their request. Bytes that arrived after the next request was sent on the connection passed for its rejection, and it was sent to another server.

Change: on a connection that has brought an answer, a response that says that the request has not run (X-Irisdock-Not-Executed or 421) has to name it, or the request counts as one that may have run. Refusals of other hosts don't name requests and are told apart by their outcome header.

--- a/packages/gateway/src/channels/endpoint_client.ts
+++ b/packages/gateway/src/channels/endpoint_client.ts
@@ -23,7 +23,11 @@
 } from '../serving/send_gate.js';
 import {BufferBudget} from './buffer_budget.js';
 import {watchConnection} from './connection_watch.js';
-import {isFinalStatus, MIN_SERVER_ERROR_STATUS} from './response_check.js';
+import {
+  isFinalStatus,
+  MIN_SERVER_ERROR_STATUS,
+  MISDIRECTED_STATUS,
+} from './response_check.js';
 import {EndpointAgent} from './endpoint_agent.js';
 import {TcpEndpointNetwork, type EndpointNetwork} from './endpoint_network.js';
 import {
@@ -60,8 +64,6 @@
   readonly isRefused: boolean;
 }
 
-/** The status of a request that reached another endpoint at the address. */
-export const MISDIRECTED_STATUS = 421;
 /** The statuses with which an endpoint may request a pause. */
 const PAUSE_STATUSES: ReadonlySet<number> = new Set([429, 503]);
 /** An aborted request without a response for this long is a failure, in ms. */
--- a/packages/gateway/src/channels/endpoint_response.ts
+++ b/packages/gateway/src/channels/endpoint_response.ts
@@ -23,6 +23,8 @@
   /** The header lines for the caller. */
   readonly lines: HeaderLines;
   readonly isEventStream: boolean;
+  /** Whether its connection has brought the response to an earlier request. */
+  readonly isOnReusedConnection: boolean;
   readonly message: IncomingMessage;
   /** Whether the body has a length or is chunked. */
   readonly isFramed: boolean;
@@ -68,6 +70,7 @@
     metadata: codec.decodeResponse(allLines),
     lines: dropHopByHopHeaders(codec.encodeResponse(allLines)),
     isEventStream: type.startsWith('text/event-stream'),
+    isOnReusedConnection: clientRequest.reusedSocket,
     message: incoming,
     isFramed,
     isComplete,
--- a/packages/gateway/src/channels/response_check.ts
+++ b/packages/gateway/src/channels/response_check.ts
@@ -1,10 +1,15 @@
 /** Checks that a response is the endpoint's own, and to the request sent. */
-import type {EndpointResponse} from './endpoint_client.js';
+import type {EndpointResponse} from './endpoint_response.js';
 import {findHeader} from './header_lines.js';
+import {OUTCOME_HEADER} from './outcome_header.js';
 
 /** A response with this status or a higher one is a failure of the endpoint. */
 export const MIN_SERVER_ERROR_STATUS = 500;
 
+const OUTCOME_NAME = OUTCOME_HEADER.toLowerCase();
+/** The status of a request that reached another endpoint at the address. */
+export const MISDIRECTED_STATUS = 421;
+
 /** The range of statuses that end an exchange; lower ones announce others. */
 const MIN_FINAL_STATUS = 200;
 const MAX_STATUS = 599;
@@ -14,6 +19,18 @@
   return status >= MIN_FINAL_STATUS && status <= MAX_STATUS;
 }
 
+/**
+ * Whether a response may be bytes that an endpoint sent after an earlier answer
+ * on the connection. They name no request, and must not be taken for a proof
+ * that this one did not run. Other hosts refuse requests without naming them.
+ */
+function isStray(response: EndpointResponse): boolean {
+  const {status, metadata, lines, isOnReusedConnection} = response;
+  if (!isOnReusedConnection || metadata.requestId !== undefined) return false;
+  if (findHeader(lines, OUTCOME_NAME) !== undefined) return false;
+  return metadata.isNotRun || status === MISDIRECTED_STATUS;
+}
+
 /** Says why a response cannot be used; undefined when it can. */
 export function findResponseFault(
   response: EndpointResponse,
@@ -23,6 +40,7 @@
   if (metadata.requestId !== undefined && metadata.requestId !== requestId) {
     return 'it answers another request';
   }
+  if (isStray(response)) return 'it may follow an earlier answer';
   // Requests ask for unencoded bodies, so an encoded one is not the endpoint's.
   if (findHeader(lines, 'content-encoding') !== undefined) {
     return 'its body is encoded';
--- a/packages/gateway/src/serving/instance_probe.ts
+++ b/packages/gateway/src/serving/instance_probe.ts
@@ -3,11 +3,11 @@
  * address refuses connections, or another process answers there.
  */
 import {RunningTimeout, type RunningClock} from '@irisdock/kernel';
-import {
-  MISDIRECTED_STATUS,
-  type EndpointClient,
-  type EndpointResponse,
+import type {
+  EndpointClient,
+  EndpointResponse,
 } from '../channels/endpoint_client.js';
+import {MISDIRECTED_STATUS} from '../channels/response_check.js';
 import type {HeaderCodec, HeaderLines} from '../model/request_metadata.js';
 import type {GatewayConfiguration} from '../services/configuration.js';
 import type {EndpointRecord} from './endpoint_record.js';
--- a/packages/gateway/src/serving/plain_answer_reader.ts
+++ b/packages/gateway/src/serving/plain_answer_reader.ts
@@ -1,9 +1,9 @@
 /** Reads answers that are not event streams, and whether their requests ran. */
+import type {EndpointResponse} from '../channels/endpoint_client.js';
 import {
+  MIN_SERVER_ERROR_STATUS,
   MISDIRECTED_STATUS,
-  type EndpointResponse,
-} from '../channels/endpoint_client.js';
-import {MIN_SERVER_ERROR_STATUS} from '../channels/response_check.js';
+} from '../channels/response_check.js';
 import type {GatewayEndpoints} from '../services/gateway_endpoints.js';
 import type {PlainAnswer} from './caller_exchange.js';
 import type {EndpointRecord} from './endpoint_record.js';
--- a/packages/gateway/src/serving/refusal_response.ts
+++ b/packages/gateway/src/serving/refusal_response.ts
@@ -1,11 +1,9 @@
 /** The response that carries an error of the gateway to a caller. */
 import {STATUS_CODES} from 'node:http';
 import type {KnownError} from '@irisdock/kernel';
+import {OUTCOME_HEADER} from '../channels/outcome_header.js';
 import type {HeaderLines} from '../model/request_metadata.js';
 
-/** The header that states whether a request without an answer may have run. */
-const OUTCOME_HEADER = 'X-Irisdock-Outcome';
-
 /** A response that carries an error. */
 export interface RefusalResponse {
   readonly headers: Readonly<Record<string, string>>;
--- a/packages/gateway/src/serving/relayed_call.ts
+++ b/packages/gateway/src/serving/relayed_call.ts
@@ -1,11 +1,11 @@
 /** Relays one call to another host, and to the next one if it did not run. */
-import {
-  MISDIRECTED_STATUS,
-  type EndpointFailure,
-  type EndpointResponse,
+import type {
+  EndpointFailure,
+  EndpointResponse,
 } from '../channels/endpoint_client.js';
 import {
   MIN_SERVER_ERROR_STATUS,
+  MISDIRECTED_STATUS,
   findResponseFault,
 } from '../channels/response_check.js';
 import type {CallerExchange, PlainAnswer} from './caller_exchange.js';
