--- a/packages/gateway/src/channels/response_check.ts
+++ b/packages/gateway/src/channels/response_check.ts
@@ -6,10 +6,11 @@
 /** A response with this status or a higher one is a failure of the endpoint. */
 export const MIN_SERVER_ERROR_STATUS = 500;
 
-const OUTCOME_NAME = OUTCOME_HEADER.toLowerCase();
 /** The status of a request that reached another endpoint at the address. */
 export const MISDIRECTED_STATUS = 421;
 
+const OUTCOME_NAME = OUTCOME_HEADER.toLowerCase();
+
 /** The range of statuses that end an exchange; lower ones announce others. */
 const MIN_FINAL_STATUS = 200;
 const MAX_STATUS = 599;
