Keep what a recipient needs whatever a Connection header lists

Callers and endpoints could still take away headers that the other side needs. An endpoint that listed its signature and the id had successes reach callers without them; through a host that is cut off from the endpoints, callers got 502 answer_lost though the request had run. A caller that listed Host had its request reach the endpoint without it, or refused with 400 by the next host.

The daemon had a list of its own, without Proxy-Connection, and did not read Connection at all.

Change: one predicate in the kernel, used by the gateway and the daemon. The gateway filters each message once, before it adds or interprets anything; the second filter on each send is gone. Host and the headers that describe the body are kept, and those that the adapter names as promised (isEndToEnd).

--- a/packages/daemon/src/caller/headers.ts
+++ b/packages/daemon/src/caller/headers.ts
@@ -12,3 +12,19 @@
 export const DEADLINE_HEADER = 'x-irisdock-deadline-ms';
 /** The offset of the last token that the caller received. */
 export const LAST_EVENT_ID_HEADER = 'last-event-id';
+/** When a refused request may be sent again, in seconds. */
+const RETRY_AFTER_HEADER = 'retry-after';
+
+const END_TO_END: ReadonlySet<string> = new Set([
+  REQUEST_ID_HEADER,
+  RESUME_HEADER,
+  REPEATABLE_HEADER,
+  DEADLINE_HEADER,
+  LAST_EVENT_ID_HEADER,
+  RETRY_AFTER_HEADER,
+]);
+
+/** Whether a header is forwarded even if a Connection header lists it. */
+export function isEndToEnd(name: string): boolean {
+  return END_TO_END.has(name);
+}
--- a/packages/daemon/src/caller/plain_route.ts
+++ b/packages/daemon/src/caller/plain_route.ts
@@ -1,7 +1,12 @@
 /** `/s/<service>/...`: forwards calls to plain services. */
+import type {IncomingHttpHeaders} from 'node:http';
 import {pipeline} from 'node:stream/promises';
 import {err, ok, type Result} from 'neverthrow';
-import type {KnownError} from '@irisdock/kernel';
+import {
+  createHopByHopPredicate,
+  type HeaderPredicate,
+  type KnownError,
+} from '@irisdock/kernel';
 import type {PlainAnswer} from '@irisdock/endpoints';
 import {sendError, type WebRequest} from '@irisdock/web';
 import {createCallerSignal} from '../answer/caller_signal.js';
@@ -9,27 +14,12 @@
 import type {Configuration} from '../services/configuration.js';
 import type {Ownership} from '../services/ownership.js';
 import type {PlainRequest, PlainCalls} from '../services/plain_calls.js';
-import {REQUEST_ID_HEADER, TEAM_HEADER} from './headers.js';
+import {isEndToEnd, REQUEST_ID_HEADER, TEAM_HEADER} from './headers.js';
 import {sendOwnerRefusal} from './owner_refusal.js';
 import {readRequestParts} from './request_reader.js';
 import type {RequestHeaders} from './request_headers.js';
 import {findTeamPolicy} from './team_policy.js';
 
-/** Hop-by-hop headers, and headers that are set again when forwarding. */
-const NOT_FORWARDED = new Set([
-  'connection',
-  'content-length',
-  'expect',
-  'host',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
-
 /** The dependencies of the route. */
 export interface PlainParts {
   readonly configuration: Configuration;
@@ -101,11 +91,23 @@
   }
 }
 
-function listForwardedHeaders(request: WebRequest): Record<string, string> {
+/** Headers of callers that endpoints don't get, or get with another value. */
+const REPLACED: ReadonlySet<string> = new Set(['host', TEAM_HEADER]);
+
+/** Creates a filter for the headers of a message that are not forwarded. */
+function createHopByHopFilter({
+  connection = '',
+}: IncomingHttpHeaders): HeaderPredicate {
+  return createHopByHopPredicate([connection], isEndToEnd);
+}
+
+function listForwardedHeaders({message}: WebRequest): Record<string, string> {
+  const {headers} = message;
+  const isHopByHop = createHopByHopFilter(headers);
   const forwarded: Record<string, string> = {};
-  for (const [name, value] of Object.entries(request.message.headers)) {
-    if (value === undefined || NOT_FORWARDED.has(name)) continue;
-    if (name === TEAM_HEADER) continue;
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined || isHopByHop(name)) continue;
+    if (REPLACED.has(name)) continue;
     forwarded[name] = Array.isArray(value) ? value.join(', ') : value;
   }
   return forwarded;
@@ -117,8 +119,9 @@
   id: string,
 ): Promise<void> {
   const {response} = request;
+  const isHopByHop = createHopByHopFilter(answer.headers);
   for (const [name, value] of Object.entries(answer.headers)) {
-    if (value === undefined || NOT_FORWARDED.has(name)) continue;
+    if (value === undefined || isHopByHop(name)) continue;
     response.setHeader(name, value);
   }
   response.setHeader(REQUEST_ID_HEADER, id);
--- a/packages/gateway/src/channels/endpoint_client.ts
+++ b/packages/gateway/src/channels/endpoint_client.ts
@@ -34,7 +34,7 @@
   createEndpointResponse,
   type EndpointResponse,
 } from './endpoint_response.js';
-import {dropHopByHopHeaders, formatRawHeaders} from './header_lines.js';
+import {formatRawHeaders} from './header_lines.js';
 import {watchHead} from './head_watch.js';
 
 export type {EndpointResponse} from './endpoint_response.js';
@@ -48,6 +48,7 @@
   readonly method: string;
   /** The path with the query, as the caller sent it. */
   readonly path: string;
+  /** The header lines without those of a connection. */
   readonly lines: HeaderLines;
   readonly body: Buffer;
   /** Aborts the request and closes its connection. */
@@ -174,7 +175,7 @@
   }
 
   private createRequest(outgoing: EndpointRequest): ClientRequest {
-    const lines = addFraming(dropHopByHopHeaders(outgoing.lines), outgoing);
+    const lines = addFraming(outgoing.lines, outgoing);
     return request({
       ...splitPlace(outgoing.permit.target.address),
       method: outgoing.method,
--- a/packages/gateway/src/channels/endpoint_response.ts
+++ b/packages/gateway/src/channels/endpoint_response.ts
@@ -53,6 +53,9 @@
 ): EndpointResponse {
   const allLines = readHeaderLines(incoming);
   const type = findHeader(allLines, 'content-type') ?? '';
+  const endToEndLines = dropHopByHopHeaders(allLines, (name) =>
+    codec.isEndToEnd(name),
+  );
   const isFramed = hasFraming(incoming);
   // The reader of the body may have stopped listening; the error still
   // counts, as isComplete checks for it.
@@ -68,7 +71,7 @@
     kind: 'answer',
     status: incoming.statusCode ?? 0,
     metadata: codec.decodeResponse(allLines),
-    lines: dropHopByHopHeaders(codec.encodeResponse(allLines)),
+    lines: codec.encodeResponse(endToEndLines),
     isEventStream: type.startsWith('text/event-stream'),
     isOnReusedConnection: clientRequest.reusedSocket,
     message: incoming,
--- a/packages/gateway/src/channels/header_lines.ts
+++ b/packages/gateway/src/channels/header_lines.ts
@@ -1,21 +1,8 @@
 /** Reads, filters and formats raw HTTP header lines. */
 import type {IncomingMessage} from 'node:http';
+import {createHopByHopPredicate, type HeaderPredicate} from '@irisdock/kernel';
 import type {HeaderLines} from '../model/request_metadata.js';
 
-/** Headers that apply to one connection only and are never forwarded. */
-const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
-  'connection',
-  'expect',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
-
 /** Reads the header lines of a message; names keep their case. */
 export function readHeaderLines(message: IncomingMessage): HeaderLines {
   const raw = message.rawHeaders;
@@ -27,25 +14,18 @@
 }
 
 /**
- * Drops the hop-by-hop headers, those that the Connection header lists
- * included, and Content-Length, as each connection frames its bodies itself.
+ * Drops the headers that concern the connection of a message only.
  *
  * @param isEndToEnd Which headers are kept even if the Connection header lists
- *     them, by their name in lower case.
+ *     them.
  */
 export function dropHopByHopHeaders(
   lines: HeaderLines,
-  isEndToEnd: (name: string) => boolean = () => false,
+  isEndToEnd: HeaderPredicate,
 ): HeaderLines {
-  const options = listConnectionOptions(lines);
-  const kept: (readonly [string, string])[] = [];
-  for (const line of lines) {
-    const name = line[0].toLowerCase();
-    if (name === 'content-length') continue;
-    if (HOP_BY_HOP_HEADERS.has(name)) continue;
-    if (!options.has(name) || isEndToEnd(name)) kept.push(line);
-  }
-  return kept;
+  const options = listHeaderValues(lines, 'connection');
+  const isHopByHop = createHopByHopPredicate(options, isEndToEnd);
+  return lines.filter(([name]) => !isHopByHop(name.toLowerCase()));
 }
 
 /** Gives the first value of a header; its name is given in lower case. */
@@ -66,13 +46,14 @@
   return raw;
 }
 
-function listConnectionOptions(lines: HeaderLines): ReadonlySet<string> {
-  const options = new Set<string>();
+/** Lists the trimmed values of all lines with one of the lower-case names. */
+export function listHeaderValues(
+  lines: HeaderLines,
+  ...names: readonly string[]
+): string[] {
+  const values: string[] = [];
   for (const [name, value] of lines) {
-    if (name.toLowerCase() !== 'connection') continue;
-    for (const token of value.split(',')) {
-      options.add(token.trim().toLowerCase());
-    }
+    if (names.includes(name.toLowerCase())) values.push(value.trim());
   }
-  return options;
+  return values;
 }
--- a/packages/gateway/src/model/request_metadata.ts
+++ b/packages/gateway/src/model/request_metadata.ts
@@ -151,12 +151,26 @@
 export interface HeaderCodec {
   /** The path at which an engine reports its state. */
   readonly reportPath: string;
+  /**
+   * Whether a header, by its name in lower case, concerns the whole exchange,
+   * even if the Connection header of its message lists it.
+   */
+  isEndToEnd(name: string): boolean;
   decodeRequest(lines: HeaderLines): RequestMetadata;
-  /** Gives the header lines to an endpoint: the caller's and the metadata's. */
+  /**
+   * Gives the header lines to an endpoint: the metadata's, and those of the
+   * caller without its connection's.
+   */
   encodeRequest(callerLines: HeaderLines, terms: SendMetadata): HeaderLines;
-  /** Gives the header lines to another host that serves the request. */
+  /**
+   * Gives the header lines to another host that serves the request, from those
+   * of the caller without its connection's.
+   */
   encodeRelay(callerLines: HeaderLines, metadata: RelayMetadata): HeaderLines;
   decodeResponse(lines: HeaderLines): ResponseMetadata;
-  /** Gives the header lines of an endpoint's response that go to the caller. */
+  /**
+   * Gives the header lines of an endpoint's response that go to the caller, from
+   * those without its connection's.
+   */
   encodeResponse(answerLines: HeaderLines): HeaderLines;
 }
--- a/packages/gateway/src/serving/attempt_run.ts
+++ b/packages/gateway/src/serving/attempt_run.ts
@@ -231,7 +231,7 @@
     const {serving, request, route} = this.parts;
     const {exchange, requestId, team, body} = request;
     const {plan, permit} = this.prepared;
-    const lines = serving.codec.encodeRequest(exchange.lines, {
+    const lines = serving.codec.encodeRequest(request.lines, {
       endpointId: plan.endpoint.endpointId,
       team,
       remainingMs: computeRemainingMs(request, route, this.sentAt),
--- a/packages/gateway/src/serving/call_driver.ts
+++ b/packages/gateway/src/serving/call_driver.ts
@@ -176,7 +176,7 @@
     endpoint: EndpointRecord,
     permit: SendPermit,
   ): Promise<PlainAnswerResult> {
-    const {exchange, requestId, metadata, team, body} = this.request;
+    const {exchange, requestId, lines, metadata, team, body} = this.request;
     this.lastEndpoint = endpoint;
     this.sends++;
     const claim: UseClaim = {running: 1, unreadTokens: 0, expectedTokens: 0};
@@ -188,7 +188,7 @@
         requestId,
         method: exchange.method,
         path: exchange.path,
-        lines: this.parts.codec.encodeRequest(exchange.lines, {
+        lines: this.parts.codec.encodeRequest(lines, {
           endpointId: endpoint.endpointId,
           team,
           remainingMs: computeRemainingMs(this.request, this.route, sentAt),
--- a/packages/gateway/src/serving/caller_exchange.ts
+++ b/packages/gateway/src/serving/caller_exchange.ts
@@ -268,6 +268,8 @@
 export interface AdmittedRequest {
   readonly exchange: CallerExchange;
   readonly requestId: string;
+  /** The header lines of the caller without those of its connection. */
+  readonly lines: HeaderLines;
   readonly metadata: RequestMetadata;
   readonly team: string | undefined;
   readonly body: Buffer;
--- a/packages/gateway/src/serving/request_handler.ts
+++ b/packages/gateway/src/serving/request_handler.ts
@@ -3,6 +3,7 @@
  * and runs the driver for calls or for streams.
  */
 import {getErrorText, type KnownError} from '@irisdock/kernel';
+import {dropHopByHopHeaders} from '../channels/header_lines.js';
 import {GATEWAY_ERRORS} from '../errors.js';
 import type {RelayHop} from '../model/relay_path.js';
 import type {ServingRoute} from '../model/serving_configuration.js';
@@ -233,9 +234,13 @@
     if (body === undefined) return undefined;
     const team = teamLookup.kind === 'known' ? teamLookup.team : undefined;
     const content = hashContent(team, exchange.path, body);
+    const lines = dropHopByHopHeaders(exchange.lines, (name) =>
+      codec.isEndToEnd(name),
+    );
     return {
       exchange,
       requestId,
+      lines,
       metadata,
       team,
       body,
--- a/packages/gateway/src/serving/request_relay.ts
+++ b/packages/gateway/src/serving/request_relay.ts
@@ -172,7 +172,7 @@
   createSend(host: RelayHost, relayed: RelayedRequest): AttemptSend {
     const {codec, clock, deployment, peers} = this.parts;
     const {request, route, maxRuns, resumption} = relayed;
-    const {exchange, requestId, body} = request;
+    const {exchange, requestId, lines, body} = request;
     const now = clock.getNow();
     const hop = {deployment, from: peers.name, maxRuns};
     return {
@@ -180,7 +180,7 @@
       requestId,
       method: exchange.method,
       path: formatRelayPath(hop, exchange.path),
-      lines: codec.encodeRelay(exchange.lines, {
+      lines: codec.encodeRelay(lines, {
         hostName: host.name,
         remainingMs: computeRemainingMs(request, route, now),
         lastEventId: resumption?.lastEventId,
--- a/packages/gateway/tests/relayed_call.test.ts
+++ b/packages/gateway/tests/relayed_call.test.ts
@@ -45,21 +45,21 @@
   };
   const exchange: Partial<CallerExchange> = {
     signal: new AbortController().signal,
-    lines: [],
     method: 'POST',
     path: '/calls/x',
     startedAt: 0,
   };
-  const request = {
+  const request: Partial<AdmittedRequest> = {
     exchange: exchange as CallerExchange,
     requestId: 'one',
+    lines: [],
     body: Buffer.alloc(0),
     callerDeadline: 1000,
-  } as AdmittedRequest;
+  };
   const log = new RoarrLogger('test', 'off');
   const parts: Partial<ServingParts> = {relay, log, clock};
   const {kind} = await sendRelayedCall(parts as ServingParts, {
-    request,
+    request: request as AdmittedRequest,
     route: ROUTE,
     service: 'calls',
     maxRuns: 1,
--- a/packages/gateway/tests/relayed_framing.test.ts
+++ b/packages/gateway/tests/relayed_framing.test.ts
@@ -96,7 +96,6 @@
   });
   const exchange: Partial<CallerExchange> = {
     signal: new AbortController().signal,
-    lines: [['Host', 'x']],
     method: 'POST',
     path: '/calls/x',
     startedAt: 0,
@@ -104,6 +103,7 @@
   const request: Partial<AdmittedRequest> = {
     exchange: exchange as CallerExchange,
     requestId: 'one',
+    lines: [['Host', 'x']],
     body: Buffer.alloc(0),
     callerDeadline: Infinity,
   };
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -6,6 +6,7 @@
 export * from './connection_end.js';
 export * from './connection_errors.js';
 export * from './errors.js';
+export * from './hop_by_hop.js';
 export * from './host_stalls.js';
 export * from './kernel.js';
 export * from './line_writer.js';
