Refuse messages whose headers contradict each other

A caller that sent two different ids had its request run under one of them and got 502 answer_lost. Of two ids or signatures of an endpoint, both reached the caller. With two Host headers, the first chose the route and both were sent on.

Cause: the gateway decides by the first value of a header and forwarded all lines, so that the next reader could take another value.

Change: different values of a header with one value are refused before the request runs (400 conflicting_header; several Host headers are malformed, as RFC 9112, 3.2 asks), and make an answer unusable, as its request may have run.

--- a/packages/gateway/src/channels/response_check.ts
+++ b/packages/gateway/src/channels/response_check.ts
@@ -41,6 +41,8 @@
   if (metadata.requestId !== undefined && metadata.requestId !== requestId) {
     return 'it answers another request';
   }
+  const {conflictingHeader: header} = metadata;
+  if (header !== undefined) return `it has different values of ${header}`;
   if (isStray(response)) return 'it may follow an earlier answer';
   // Requests ask for unencoded bodies, so an encoded one is not the endpoint's.
   if (findHeader(lines, 'content-encoding') !== undefined) {
--- a/packages/gateway/src/errors.ts
+++ b/packages/gateway/src/errors.ts
@@ -40,6 +40,12 @@
     message: 'The request carries no id.',
     remedy: 'Give each request an id of its own.',
   },
+  conflicting_header: {
+    status: 400,
+    outcome: 'not-run',
+    message: 'The header {header} is given with different values.',
+    remedy: 'Send the header once.',
+  },
   body_too_large: {
     status: 413,
     outcome: 'not-run',
--- a/packages/gateway/src/model/request_metadata.ts
+++ b/packages/gateway/src/model/request_metadata.ts
@@ -37,6 +37,8 @@
   readonly estimatedOutputTokens: number | undefined;
   /** The parts of the prompt in order; the last is not shared. */
   readonly promptParts: readonly PromptPart[];
+  /** A header with one value that was given several; undefined if none was. */
+  readonly conflictingHeader: string | undefined;
 }
 
 /** Header lines in order, as pairs of a name and a value. */
@@ -88,6 +90,8 @@
 export interface ResponseMetadata {
   /** The id of the request that was answered; undefined when not given. */
   readonly requestId: string | undefined;
+  /** A header with one value that was given several; undefined if none was. */
+  readonly conflictingHeader: string | undefined;
   /** Whether the response has the endpoint's signature. */
   readonly isSigned: boolean;
   /** Whether the endpoint states that the request did not run. */
--- a/packages/gateway/src/serving/caller_exchange.ts
+++ b/packages/gateway/src/serving/caller_exchange.ts
@@ -10,7 +10,11 @@
   readRequestBody,
   type BodyFault,
 } from '../channels/request_body.js';
-import {formatRawHeaders, readHeaderLines} from '../channels/header_lines.js';
+import {
+  formatRawHeaders,
+  listHeaderValues,
+  readHeaderLines,
+} from '../channels/header_lines.js';
 import {closeIncomplete} from '../channels/incomplete_answer.js';
 import type {LingeringCloses} from '../channels/lingering_closes.js';
 import type {UnreadAnswer, UnreadAnswers} from '../channels/unread_answers.js';
@@ -76,10 +80,12 @@
     return this.message.headers.host ?? '';
   }
 
-  /** Whether the Host header is missing, without which HTTP/1.1 is invalid. */
-  get lacksHost(): boolean {
-    const {headers, httpVersion} = this.message;
-    return headers.host === undefined && httpVersion !== '1.0';
+  /** What makes the Host header invalid (RFC 9112, 3.2), if anything does. */
+  get hostFault(): string | undefined {
+    const count = listHeaderValues(this.lines, 'host').length;
+    if (count > 1) return 'it has several Host headers';
+    const isNeeded = this.message.httpVersion !== '1.0';
+    return isNeeded && count === 0 ? 'it has no Host header' : undefined;
   }
 
   /** Whether the caller disconnected before its answer was complete. */
--- a/packages/gateway/src/serving/request_handler.ts
+++ b/packages/gateway/src/serving/request_handler.ts
@@ -79,9 +79,12 @@
       this.refuse(exchange, this.createRetryableError('leaving'));
       return;
     }
-    if (exchange.lacksHost) {
-      const fields = {detail: 'it has no Host header'};
-      this.refuse(exchange, GATEWAY_ERRORS.create('malformed_request', fields));
+    const {hostFault: detail} = exchange;
+    if (detail !== undefined) {
+      this.refuse(
+        exchange,
+        GATEWAY_ERRORS.create('malformed_request', {detail}),
+      );
       return;
     }
     const {configuration} = this.parts;
@@ -216,6 +219,14 @@
   ): Promise<AdmittedRequest | undefined> {
     const {codec, configuration} = this.parts;
     const metadata = codec.decodeRequest(exchange.lines);
+    const {conflictingHeader: header} = metadata;
+    if (header !== undefined) {
+      this.refuse(
+        exchange,
+        GATEWAY_ERRORS.create('conflicting_header', {header}),
+      );
+      return undefined;
+    }
     const teamLookup = configuration.findTeam(metadata.key, route);
     if (teamLookup.kind === 'unknown') {
       this.refuseUnknown(exchange, 'unknown_key');
--- a/packages/gateway/tests/relayed_stream.test.ts
+++ b/packages/gateway/tests/relayed_stream.test.ts
@@ -109,6 +109,7 @@
   encodeResponse: (lines) => lines,
   decodeResponse: () => ({
     requestId: REQUEST_ID,
+    conflictingHeader: undefined,
     isSigned: true,
     isNotRun: false,
     endpointId: undefined,
