Take no success for a rejection

A call that may run once was sent to a second endpoint when the first one answered 200 with its signature and X-Irisdock-Not-Executed.

Cause: that header was believed with any status.

Change: a response below 400 that says that its request did not run contradicts itself. It is not used, and its request may have run: 502 for a call that may run once. To pass it on as a success would be wrong if the header is right, to send the call again if the status is.

--- a/packages/gateway/src/channels/response_check.ts
+++ b/packages/gateway/src/channels/response_check.ts
@@ -6,6 +6,9 @@
 /** A response with this status or a higher one is a failure of the endpoint. */
 export const MIN_SERVER_ERROR_STATUS = 500;
 
+/** Responses that say that their request did not run have at least this. */
+const MIN_REJECTION_STATUS = 400;
+
 /** The status of a request that reached another endpoint at the address. */
 export const MISDIRECTED_STATUS = 421;
 
@@ -43,6 +46,9 @@
   }
   const {conflictingHeader: header} = metadata;
   if (header !== undefined) return `it has different values of ${header}`;
+  if (metadata.isNotRun && status < MIN_REJECTION_STATUS) {
+    return 'it says both that the request ran and that it did not';
+  }
   if (isStray(response)) return 'it may follow an earlier answer';
   // Requests ask for unencoded bodies, so an encoded one is not the endpoint's.
   if (findHeader(lines, 'content-encoding') !== undefined) {
