Drop the headers of relaying hosts from answers of endpoints

An endpoint that failed a relayed call with Irisdock-Relay: declined had the call sent to the next host, where it ran again, also on a route that may run once; in the end its caller got 503, which says that it has not run. With Irisdock-Framing: none, its answer lost its length.

Cause: the headers by which hosts mark answers to each other were passed on from endpoints, and believed by the host that had relayed.

Change: a host drops them from each answer that it passes on, before it adds its own.

--- a/packages/gateway/src/serving/caller_exchange.ts
+++ b/packages/gateway/src/serving/caller_exchange.ts
@@ -20,6 +20,7 @@
 import type {UnreadAnswer, UnreadAnswers} from '../channels/unread_answers.js';
 import type {RelayHop} from '../model/relay_path.js';
 import type {HeaderLines, RequestMetadata} from '../model/request_metadata.js';
+import {dropHostHeaders} from './host_headers.js';
 import {createRefusalResponse} from './refusal_response.js';
 import {UNFRAMED_LINE} from './relayed_framing.js';
 
@@ -153,7 +154,7 @@
   sendAnswer(answer: PlainAnswer): void {
     if (!this.takeFinal()) return;
     const {status, lines, body, isFramed} = answer;
-    const raw = formatRawHeaders(lines);
+    const raw = formatRawHeaders(dropHostHeaders(lines));
     const isBodiless = status === 204 || status === 304;
     const isRelayed = this.hop !== undefined;
     if (isRelayed && !isFramed) raw.push(...UNFRAMED_LINE);
@@ -169,7 +170,7 @@
 
   /** Starts the answer of a stream. */
   startStream(status: number, lines: HeaderLines): void {
-    this.response.writeHead(status, formatRawHeaders(lines));
+    this.response.writeHead(status, formatRawHeaders(dropHostHeaders(lines)));
   }
 
   /** Sends a part of a stream; false when the write buffer is full. */
--- a/packages/gateway/src/serving/relayed_framing.ts
+++ b/packages/gateway/src/serving/relayed_framing.ts
@@ -6,8 +6,8 @@
  */
 import type {HeaderLines} from '../model/request_metadata.js';
 import type {PlainAnswer} from './caller_exchange.js';
+import {FRAMING_HEADER} from './host_headers.js';
 
-const FRAMING_HEADER = 'Irisdock-Framing';
 const LOWER_CASE_HEADER = FRAMING_HEADER.toLowerCase();
 
 /** Marks an answer that its endpoint sent without framing. */
--- a/packages/gateway/src/serving/request_relay.ts
+++ b/packages/gateway/src/serving/request_relay.ts
@@ -21,16 +21,12 @@
 import type {Peers} from '../services/peer_hosts.js';
 import type {AdmittedRequest} from './caller_exchange.js';
 import {EndpointRecord} from './endpoint_record.js';
+import {RELAY_HEADER} from './host_headers.js';
 import {RelayHostProber} from './relay_host_prober.js';
 import {SendPermit, type SendGate} from './send_gate.js';
 import {computeRemainingMs} from './send_rules.js';
 import type {AttemptSend} from './stream_attempt.js';
 
-/**
- * The header of a refusal that is due to the host: it cannot reach the
- * endpoints either, or does not know the route. Another host may serve.
- */
-export const RELAY_HEADER = 'Irisdock-Relay';
 const DECLINED = 'declined';
 /** The header line that a host adds to such a refusal. */
 export const DECLINED_LINE = [RELAY_HEADER, DECLINED] as const;
