Serve requests whose target names their host

POST http://calls.example/orders/x got 404. RFC 9112, 3.2.2 requires servers to accept that form, which clients use that take a host for a proxy.

Cause: the whole target was looked up as a path.

Change: the host of such a target replaces the Host header; path and query go on as in any other request, to endpoints and other hosts.

--- a/packages/gateway/src/serving/caller_exchange.ts
+++ b/packages/gateway/src/serving/caller_exchange.ts
@@ -11,11 +11,13 @@
   type BodyFault,
 } from '../channels/request_body.js';
 import {
+  findHeader,
   formatRawHeaders,
   listHeaderValues,
   readHeaderLines,
 } from '../channels/header_lines.js';
 import {closeIncomplete} from '../channels/incomplete_answer.js';
+import {parseRequestTarget} from '../channels/request_target.js';
 import type {LingeringCloses} from '../channels/lingering_closes.js';
 import type {UnreadAnswer, UnreadAnswers} from '../channels/unread_answers.js';
 import type {RelayHop} from '../model/relay_path.js';
@@ -36,6 +38,8 @@
 /** One exchange with a caller. */
 export class CallerExchange {
   readonly lines: HeaderLines;
+  /** Path and query as the caller sent them. */
+  readonly path: string;
   /** Aborted when the caller disconnects or the time is over. */
   readonly signal: AbortSignal;
   private readonly answer: UnreadAnswer;
@@ -56,7 +60,10 @@
     /** The host that relayed the request; undefined if its caller sent it. */
     readonly hop?: RelayHop,
   ) {
-    this.lines = readHeaderLines(message);
+    const {path, host} = parseRequestTarget(message.url ?? '/');
+    const lines = readHeaderLines(message);
+    this.path = path;
+    this.lines = host === undefined ? lines : setHost(lines, host);
     this.signal = this.controller.signal;
     this.answer = unreadAnswers.open(response);
     message.on('error', () => undefined);
@@ -71,14 +78,9 @@
     return this.message.method ?? 'GET';
   }
 
-  /** Path and query as the caller sent them. */
-  get path(): string {
-    return this.message.url ?? '/';
-  }
-
   /** The value of the Host header; empty if there is none. */
   get hostHeader(): string {
-    return this.message.headers.host ?? '';
+    return findHeader(this.lines, 'host') ?? '';
   }
 
   /** What makes the Host header invalid (RFC 9112, 3.2), if anything does. */
@@ -271,6 +273,14 @@
   }
 }
 
+/** Puts a host in place of the one that the Host header names. */
+function setHost(lines: HeaderLines, host: string): HeaderLines {
+  return lines.map(([name, value]) => [
+    name,
+    name.toLowerCase() === 'host' ? host : value,
+  ]);
+}
+
 /** A request that passed validation and may be sent to endpoints. */
 export interface AdmittedRequest {
   readonly exchange: CallerExchange;
