Read no further requests while too many wait on a connection

Cause: Node parses all that arrives, and each parsed request was kept until those before it were answered.

Change: above 100 waiting requests, the connection is paused until some have been answered. Node resumes it after each message, so it is paused again then.

--- a/packages/gateway/src/channels/caller_connections.ts
+++ b/packages/gateway/src/channels/caller_connections.ts
@@ -24,6 +24,12 @@
  */
 const KEEP_ALIVE_MARGIN_MS = 1000;
 
+/**
+ * Above this number of requests that wait for those before them, nothing more
+ * is read from their connection.
+ */
+const MAX_WAITING_REQUESTS = 100;
+
 /** The limits that concern connections. */
 export type ConnectionLimits = Pick<
   CallerLimits,
@@ -182,6 +188,8 @@
   /** What is wrong behind the last complete request. */
   private fault: KnownError | undefined;
   private current: ServedRequest | undefined;
+  /** Whether it was paused as too many requests wait. */
+  private hasPaused = false;
   private readonly idleLimit: IdleLimit;
 
   constructor(
@@ -190,6 +198,10 @@
     private readonly getHeaderTimeoutMs: () => number,
   ) {
     this.idleLimit = new IdleLimit(socket);
+    // Node resumes the connection whenever it has parsed or reads a message.
+    socket.on('resume', () => {
+      this.checkWaiting();
+    });
   }
 
   /**
@@ -210,6 +222,10 @@
     return Math.max(0, this.requests.length - 1);
   }
 
+  private get isFull(): boolean {
+    return this.waitingCount >= MAX_WAITING_REQUESTS;
+  }
+
   /** Takes in a request. */
   accept(request: AcceptedRequest): void {
     const {message, response, announcedMs} = request;
@@ -231,6 +247,12 @@
     this.keepOpenFor(request);
     this.requests.push(request);
     if (this.requests.length === 1) this.serve(request);
+    // Within this turn, Node resumes the connection after each message.
+    if (this.isFull) {
+      process.nextTick(() => {
+        this.checkWaiting();
+      });
+    }
   }
 
   /**
@@ -280,6 +302,16 @@
     const [next] = this.requests;
     if (next === undefined) this.refuseRest();
     else this.serve(next);
+    if (this.isFull || !this.hasPaused) return;
+    this.hasPaused = false;
+    this.socket.resume();
+  }
+
+  /** Reads no further requests while too many wait. */
+  private checkWaiting(): void {
+    if (!this.isFull) return;
+    this.hasPaused = true;
+    this.socket.pause();
   }
 
   /**
