Leave no earlier program behind a build that fails

Cause: esbuild leaves the output of the last build where it fails.

Change: bundle.sh removes the outputs if it fails.

After: in the same place the build fails, review/build.sh fails, and nothing is started. Whether the users' runs had this cause is not known.

--- a/scripts/bundle.sh
+++ b/scripts/bundle.sh
@@ -5,6 +5,8 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target
+# A build that fails leaves no program of earlier sources to be started.
+trap 'test $? -eq 0 || rm -f target/irisdock-*.mjs' EXIT
 node_modules/.bin/esbuild platform/src/main.ts --bundle --platform=node \
   --target=node20 --format=esm --minify-syntax --log-level=error \
   --alias:@irisdock/decisions=./packages/decisions/src/index.ts \
