--- a/packages/testkit/src/deployment.ts
+++ b/packages/testkit/src/deployment.ts
@@ -114,7 +114,7 @@
         ...args,
       ],
       PLACES_SCHEMA,
-      {IRISDOCK_HOST_CLUSTER_KEY: KEY},
+      {IRISDOCK_HOST_CLUSTER_KEY: KEY, ...this.options.daemonEnv},
     );
     const {process, place: places} = started;
     const node = {process, places, failureDomain};
--- a/packages/testkit/src/deployment_types.ts
+++ b/packages/testkit/src/deployment_types.ts
@@ -37,6 +37,8 @@
   /** Engines that share one process, for measurements of many endpoints. */
   readonly manyEngines?: number;
   readonly daemonArgs?: readonly string[];
+  /** Further environment variables of the daemons. */
+  readonly daemonEnv?: Readonly<Record<string, string>>;
   readonly engineArgs?: readonly string[];
   readonly platformArgs?: readonly string[];
   /** Failure domains, given to daemons and endpoints in turn. */
--- a/packages/testkit/src/process.ts
+++ b/packages/testkit/src/process.ts
@@ -43,7 +43,7 @@
   private errorText = '';
 
   constructor(
-    readonly name: ProgramName,
+    readonly name: string,
     private readonly child: ChildProcess,
   ) {
     RUNNING.add(child);
