--- a/packages/gateway/src/channels/body_reader.ts
+++ b/packages/gateway/src/channels/body_reader.ts
@@ -4,9 +4,8 @@
  * since reading on would serve nobody.
  */
 import type {IncomingMessage} from 'node:http';
-import {ByteCollector} from '@irisdock/kernel';
+import {ByteCollector, type BufferBudget} from '@irisdock/kernel';
 import {err, ok, type Result} from 'neverthrow';
-import type {BufferBudget} from './buffer_budget.js';
 
 /** The longest body in bytes; no caller needs a longer answer. */
 export const MAX_BODY_BYTES = 8_388_608;
--- a/packages/gateway/src/channels/endpoint_client.ts
+++ b/packages/gateway/src/channels/endpoint_client.ts
@@ -6,6 +6,7 @@
 import {request, type ClientRequest, type IncomingMessage} from 'node:http';
 import type {SendPriority} from '@irisdock/decisions';
 import {
+  BufferBudget,
   getErrorText,
   isRefused,
   splitPlace,
@@ -21,7 +22,6 @@
   SendPermit,
   SendTarget,
 } from '../serving/send_gate.js';
-import {BufferBudget} from './buffer_budget.js';
 import {watchConnection} from './connection_watch.js';
 import {
   isFinalStatus,
--- a/packages/gateway/src/channels/endpoint_response.ts
+++ b/packages/gateway/src/channels/endpoint_response.ts
@@ -1,6 +1,12 @@
 /** The head of an endpoint's response, and the way to its body. */
 import type {ClientRequest, IncomingMessage} from 'node:http';
-import {hasFraming, isBodyComplete, type ConnectionEnd} from '@irisdock/kernel';
+import {
+  hasFraming,
+  isBodyComplete,
+  type BufferBudget,
+  type BufferHold,
+  type ConnectionEnd,
+} from '@irisdock/kernel';
 import {err, type Result} from 'neverthrow';
 import type {
   HeaderCodec,
@@ -8,7 +14,6 @@
   ResponseMetadata,
 } from '../model/request_metadata.js';
 import {dropBody, readBody, type DropResult} from './body_reader.js';
-import type {BufferBudget, BufferHold} from './buffer_budget.js';
 import {
   dropHopByHopHeaders,
   findHeader,
--- a/packages/gateway/src/channels/json_client.ts
+++ b/packages/gateway/src/channels/json_client.ts
@@ -9,6 +9,7 @@
   type IncomingMessage,
 } from 'node:http';
 import {
+  BufferBudget,
   getErrorText,
   isBodyComplete,
   splitPlace,
@@ -18,7 +19,6 @@
 import {err, type Result} from 'neverthrow';
 import {tryParseJson} from '../model/json_value.js';
 import {readBody} from './body_reader.js';
-import {BufferBudget} from './buffer_budget.js';
 import {watchHead} from './head_watch.js';
 
 /** A JSON request; without a `body` it is sent with an empty one. */
--- a/packages/gateway/src/channels/unread_answers.ts
+++ b/packages/gateway/src/channels/unread_answers.ts
@@ -4,9 +4,8 @@
  * every few seconds, and all that waits on a host fits a fixed memory.
  */
 import type {ServerResponse} from 'node:http';
-import type {Logger} from '@irisdock/kernel';
+import {BufferBudget, type BufferHold, type Logger} from '@irisdock/kernel';
 import type {Counter} from 'prom-client';
-import {BufferBudget, type BufferHold} from './buffer_budget.js';
 import {closeIncomplete} from './incomplete_answer.js';
 
 /** How far a host waits for callers to read. */
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -1,6 +1,7 @@
 /** The service `front`: the HTTP server for callers. */
 import {createServer, type Server} from 'node:http';
 import {
+  BufferBudget,
   createService,
   createServiceKey,
   IP_PORT_SCHEMA,
@@ -8,7 +9,6 @@
   type ServiceContext,
 } from '@irisdock/kernel';
 import * as z from 'zod';
-import {BufferBudget} from '../channels/buffer_budget.js';
 import {
   CallerConnections,
   type FaultHandler,
--- a/packages/gateway/src/serving/request_relay.ts
+++ b/packages/gateway/src/serving/request_relay.ts
@@ -11,8 +11,7 @@
   type EventId,
   type HostCapacity,
 } from '@irisdock/decisions';
-import type {Clock, Random} from '@irisdock/kernel';
-import type {BufferBudget} from '../channels/buffer_budget.js';
+import type {BufferBudget, Clock, Random} from '@irisdock/kernel';
 import {EndpointClient} from '../channels/endpoint_client.js';
 import {findHeader} from '../channels/header_lines.js';
 import type {HeaderCodec, HeaderLines} from '../model/request_metadata.js';
--- a/packages/gateway/src/serving/stream_attempt.ts
+++ b/packages/gateway/src/serving/stream_attempt.ts
@@ -4,12 +4,12 @@
  */
 import type {IncomingMessage} from 'node:http';
 import {EventSplitter, type ServerSentEvent} from '@irisdock/decisions';
+import type {BufferHold} from '@irisdock/kernel';
 import {findResponseFault} from '../channels/response_check.js';
 import type {
   EndpointResponse,
   EndpointRequest,
 } from '../channels/endpoint_client.js';
-import type {BufferHold} from '../channels/buffer_budget.js';
 import type {HeaderLines, KvCacheSource} from '../model/request_metadata.js';
 import {readPlainAnswer} from './plain_answer_reader.js';
 import type {PlainAnswer} from './caller_exchange.js';
--- a/packages/gateway/tests/buffer_budget.test.ts
+++ b/packages/kernel/tests/buffer_budget.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
-import {BufferBudget, type BufferHold} from '../src/channels/buffer_budget.js';
+import {BufferBudget, type BufferHold} from '../src/buffer_budget.js';
 
 const RUN_OPTIONS = {seed: 4101, numRuns: 300};
 const MAX_BYTES = 100;
