Collect the body of a request in one block of memory

One body of 4,186,112 bytes in chunks of one byte, inside every limit, ended the process of a host or of a daemon, heap full.

Cause: a body was kept as a list of its parts; Node passes on each chunk as an object of its own.

Change: one reader for gateway and daemon, in the kernel, which collects into one block that grows to the longest body at most.

--- a/packages/gateway/src/serving/caller_exchange.ts
+++ b/packages/gateway/src/serving/caller_exchange.ts
@@ -3,13 +3,13 @@
  * limit, the caller's disconnection, and the single final answer.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {KnownError} from '@irisdock/kernel';
 import {
   isContinueExpected,
   isLargerThan,
   readRequestBody,
   type BodyFault,
-} from '../channels/request_body.js';
+  type KnownError,
+} from '@irisdock/kernel';
 import {
   findHeader,
   formatRawHeaders,
--- a/packages/kernel/src/byte_collector.ts
+++ b/packages/kernel/src/byte_collector.ts
@@ -11,6 +11,9 @@
   private block = NO_BYTES;
   private size = 0;
 
+  /** @param maxBytes The longest message that is expected, in bytes. */
+  constructor(private readonly maxBytes = Infinity) {}
+
   /** The number of bytes collected. */
   get length(): number {
     return this.size;
@@ -25,7 +28,8 @@
   add(part: Buffer): void {
     const needed = this.size + part.length;
     if (needed > this.block.length) {
-      const larger = Buffer.allocUnsafe(Math.max(needed, 2 * this.size));
+      const doubled = Math.min(2 * this.size, this.maxBytes);
+      const larger = Buffer.allocUnsafe(Math.max(needed, doubled));
       this.block.copy(larger, 0, 0, this.size);
       this.block = larger;
     }
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -15,6 +15,7 @@
 export * from './place.js';
 export * from './program_options.js';
 export * from './random.js';
+export * from './request_body.js';
 export * from './request_failure.js';
 export * from './running_timer.js';
 export * from './service.js';
--- a/packages/gateway/src/channels/request_body.ts
+++ b/packages/kernel/src/request_body.ts
@@ -1,5 +1,6 @@
 /** Reads the whole body of a request into memory. */
 import type {IncomingMessage} from 'node:http';
+import {ByteCollector} from './byte_collector.js';
 
 /** Matches the expectation among those of a request. */
 const CONTINUE_EXPECTATION = /(?:^|\W)100-continue(?:$|\W)/iu;
@@ -9,10 +10,10 @@
 
 /** Whether a body is known to be larger than this before it arrives. */
 export function isLargerThan(
-  {headers}: IncomingMessage,
+  message: IncomingMessage,
   maxBytes: number,
 ): boolean {
-  return Number(headers['content-length'] ?? 0) > maxBytes;
+  return getDeclaredBytes(message) > maxBytes;
 }
 
 /** Whether the caller sends the body only once it is asked to go on. */
@@ -34,27 +35,26 @@
   if (message.destroyed) return 'cut';
   if (signal.aborted) return 'aborted';
   return new Promise((resolve) => {
-    let parts: Buffer[] = [];
-    let size = 0;
+    const collector = createCollector(message, maxBytes);
     const finish = (result: Buffer | BodyFault): void => {
       message.off('data', add).off('end', finishWhole).off('close', finishCut);
       signal.removeEventListener('abort', finishAborted);
-      parts = [];
       resolve(result);
     };
-    const add = (part: Buffer): void => {
-      size += part.length;
-      parts.push(part);
-      if (size <= maxBytes) return;
+    const stop = (fault: BodyFault): void => {
       message.pause();
-      finish('too-large');
+      collector.drop();
+      finish(fault);
+    };
+    const add = (part: Buffer): void => {
+      if (collector.length + part.length > maxBytes) stop('too-large');
+      else collector.add(part);
     };
     const finishWhole = (): void => {
-      finish(Buffer.concat(parts));
+      finish(collector.getBytes());
     };
     const finishAborted = (): void => {
-      message.pause();
-      finish('aborted');
+      stop('aborted');
     };
     const finishCut = (): void => {
       finish('cut');
@@ -63,3 +63,17 @@
     message.on('data', add).once('end', finishWhole).once('close', finishCut);
   });
 }
+
+/** Creates a collector that takes no more memory than the body may need. */
+function createCollector(
+  message: IncomingMessage,
+  maxBytes: number,
+): ByteCollector {
+  const declared = getDeclaredBytes(message);
+  return new ByteCollector(declared > 0 ? declared : maxBytes);
+}
+
+/** Gives the Content-Length of a message; 0 if it has none. */
+function getDeclaredBytes({headers}: IncomingMessage): number {
+  return Number(headers['content-length'] ?? 0);
+}
--- a/packages/web/src/web_request.ts
+++ b/packages/web/src/web_request.ts
@@ -1,6 +1,11 @@
 /** One HTTP request as a handler sees it: its parts read and checked. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {KnownError} from '@irisdock/kernel';
+import {
+  isLargerThan,
+  readRequestBody,
+  type BodyFault,
+  type KnownError,
+} from '@irisdock/kernel';
 import {err, ok, type Result} from 'neverthrow';
 import type * as z from 'zod';
 import {WEB_ERRORS} from './errors.js';
@@ -39,33 +44,15 @@
   /** Reads the whole body within the limits. */
   async readBody(): Promise<Result<Buffer, KnownError>> {
     const {message, limits} = this;
-    const declared = Number(message.headers['content-length'] ?? 0);
-    if (declared > limits.maxBytes) return err(this.createTooLarge());
-    return new Promise((resolve) => {
-      const parts: Buffer[] = [];
-      let size = 0;
-      const finish = (result: Result<Buffer, KnownError>): void => {
-        clearTimeout(timer);
-        message.removeAllListeners('data');
-        message.pause();
-        resolve(result);
-      };
-      const seconds = limits.maxMs / 1000;
-      const timer = setTimeout(() => {
-        finish(err(WEB_ERRORS.create('body_too_slow', {seconds})));
-      }, limits.maxMs);
-      message.on('data', (part: Buffer) => {
-        size += part.length;
-        if (size > limits.maxBytes) finish(err(this.createTooLarge()));
-        else parts.push(part);
-      });
-      message.once('end', () => {
-        finish(ok(Buffer.concat(parts)));
-      });
-      message.once('close', () => {
-        finish(err(WEB_ERRORS.create('body_cut')));
-      });
-    });
+    if (isLargerThan(message, limits.maxBytes)) return this.failBody('too-large');
+    const controller = new AbortController();
+    const timer = setTimeout(() => {
+      controller.abort();
+    }, limits.maxMs);
+    const {signal} = controller;
+    const body = await readRequestBody(message, limits.maxBytes, signal);
+    clearTimeout(timer);
+    return typeof body === 'string' ? this.failBody(body) : ok(body);
   }
 
   /** Reads the body as JSON of the given shape. */
@@ -77,8 +64,18 @@
     return parseJson(schema, body.value.toString('utf8'));
   }
 
-  private createTooLarge(): KnownError {
-    return WEB_ERRORS.create('body_too_large', {limit: this.limits.maxBytes});
+  private failBody(fault: BodyFault): Result<Buffer, KnownError> {
+    const {maxBytes, maxMs} = this.limits;
+    switch (fault) {
+      case 'aborted':
+        return err(
+          WEB_ERRORS.create('body_too_slow', {seconds: maxMs / 1000}),
+        );
+      case 'cut':
+        return err(WEB_ERRORS.create('body_cut'));
+      case 'too-large':
+        return err(WEB_ERRORS.create('body_too_large', {limit: maxBytes}));
+    }
   }
 }
 
