Bound the memory of the bodies of all requests

160 callers whose bodies of 1 MiB stop just short of their end took a host of 160 MB to 228 MB, 160 whole bodies of unanswered requests to 262 MB; a daemon of 200 MB had 256 MB.

Cause: each body was bounded, not all together, neither while they arrive nor while their requests run.

Change: BodyMemory bounds them until their requests have ended. Beyond it the largest that is still arriving is refused with 503, not run, with Retry-After; none that has been read is given up, and small ones have a part to themselves. One body of the configured limit always fits. Settings: `[requestMemory] bodiesMb`, 8 to 32 MB by the memory of the host, and the daemon's `bodiesMb`. Ruled out: refusing the newest, which are ordinary requests while a crowd holds the memory, or the slowest, which a trickle evades.

--- a/packages/daemon/src/services/listeners.ts
+++ b/packages/daemon/src/services/listeners.ts
@@ -4,6 +4,7 @@
  * to the other services, which set their routes and handlers later.
  */
 import {
+  BodyMemory,
   createService,
   createServiceKey,
   IP_PORT_SCHEMA,
@@ -24,6 +25,7 @@
 /** The key of the service. */
 export const LISTENERS = createServiceKey<Listeners>('listen');
 
+const BYTES_PER_MB = 1_000_000;
 const ADVERTISE_SCHEMA = z.union([z.literal(''), IP_PORT_SCHEMA]).default('');
 
 const SETTINGS = z.object({
@@ -56,6 +58,11 @@
     .max(64 * 1024 * 1024)
     .default(4 * 1024 * 1024)
     .meta({unit: 'bytes', description: 'Maximum size of a request body.'}),
+  bodiesMb: z.coerce.number().min(1).default(16).meta({
+    unit: 'MB',
+    description:
+      'Memory for the bodies of all requests together, beyond which the largest that is still arriving is refused with 503; one body of the maximum size always fits.',
+  }),
   maxBodyMs: z.coerce.number().int().min(100).default(10_000).meta({
     unit: 'ms',
     description: 'Maximum time to receive a request body.',
@@ -69,8 +76,9 @@
   needs: [],
   create(context, settings) {
     const limits = {maxBytes: settings.maxBodyBytes, maxMs: settings.maxBodyMs};
+    const memory = new BodyMemory(settings.bodiesMb * BYTES_PER_MB);
     const createServer = (listen: string): WebServer =>
-      new WebServer({listen, limits}, undefined, context.log);
+      new WebServer({listen, limits, memory}, undefined, context.log);
     const api: Listeners = {
       callers: createServer(settings.callers),
       operators: createServer(settings.operators),
--- a/packages/gateway/src/errors.ts
+++ b/packages/gateway/src/errors.ts
@@ -52,6 +52,13 @@
     message: 'The body is larger than {limit} bytes.',
     remedy: 'Send a shorter body, or ask the operators for a higher limit.',
   },
+  memory_full: {
+    status: 503,
+    outcome: 'not-run',
+    message:
+      'The bodies of all requests at this host are larger than its memory allows.',
+    remedy: 'Use another host, or come back after the time in Retry-After.',
+  },
   body_late: {
     status: 408,
     outcome: 'not-run',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -39,6 +39,7 @@
 import {METRICS_PAGE_SERVICE} from './services/metrics_page.js';
 import {PEER_TABLES_SERVICE} from './tables/peer_tables.js';
 import {PEERS_SERVICE} from './services/peers.js';
+import {REQUEST_MEMORY_SERVICE} from './services/request_memory.js';
 import {ROLLOUTS_SERVICE} from './services/rollouts.js';
 import {ORIGIN_STORE_SERVICE} from './services/origin_stores.js';
 import {RUN_LEASES_SERVICE} from './services/run_leases.js';
@@ -53,6 +54,7 @@
 /** The services of the gateway except those that an adapter adds. */
 export const GATEWAY_SERVICES: readonly AnyServiceDefinition[] = [
   HOST_IDENTITY_SERVICE,
+  REQUEST_MEMORY_SERVICE,
   TABLES_SERVICE,
   GATEWAY_CONFIGURATION_SERVICE,
   GATEWAY_ENDPOINTS_SERVICE,
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -60,6 +60,7 @@
   createRetryBudgets,
   type RetryBounds,
 } from './retry_budget_setup.js';
+import {REQUEST_MEMORY} from './request_memory.js';
 import {ROLLOUTS} from './rollouts.js';
 import {RUN_LEASES} from './run_leases.js';
 import {STREAM_ORIGINS} from './stream_origins.js';
@@ -109,6 +110,7 @@
     LIMITS,
     PEER_TABLES,
     PEERS,
+    REQUEST_MEMORY,
     ROLLOUTS,
     RUN_LEASES,
     STORE,
@@ -216,6 +218,7 @@
     random,
     log,
     codec,
+    bodies: context.find(REQUEST_MEMORY).bodies,
     copyCodec: codecs.copies,
     client,
     engineClient,
--- a/packages/gateway/src/services/identity.ts
+++ b/packages/gateway/src/services/identity.ts
@@ -18,6 +18,8 @@
   readonly regions: RegionMap;
   /** What this host can carry; undefined if the settings do not tell. */
   readonly capacity: HostCapacity | undefined;
+  /** The memory of this host, in MB; 0 if it is not known. */
+  readonly memoryMb: number;
   /** Increases with each start of this host. */
   readonly incarnation: number;
 }
@@ -80,6 +82,7 @@
         failureDomain,
         regions: createRegionMap(settings),
         capacity: createCapacity(settings),
+        memoryMb: settings.memoryMb,
         incarnation: context.clock.getWallNow(),
       },
     };
--- a/packages/gateway/src/serving/caller_exchange.ts
+++ b/packages/gateway/src/serving/caller_exchange.ts
@@ -8,6 +8,7 @@
   isLargerThan,
   readRequestBody,
   type BodyFault,
+  type BodyMemory,
   type KnownError,
 } from '@irisdock/kernel';
 import {
@@ -138,11 +139,14 @@
   }
 
   /** Reads the whole body of the request until it is aborted. */
-  async readBody(maxBytes: number): Promise<Buffer | BodyFault> {
-    const {message, signal} = this;
+  async readBody(
+    maxBytes: number,
+    memory: BodyMemory,
+  ): Promise<Buffer | BodyFault> {
+    const {message, response, signal} = this;
     if (isLargerThan(message, maxBytes)) return 'too-large';
-    if (isContinueExpected(message)) this.response.writeContinue();
-    return readRequestBody(message, maxBytes, signal);
+    if (isContinueExpected(message)) response.writeContinue();
+    return readRequestBody(message, response, {maxBytes, signal, memory});
   }
 
   /** Gives up reading the request, whose rest is malformed. */
--- a/packages/gateway/src/serving/request_handler.ts
+++ b/packages/gateway/src/serving/request_handler.ts
@@ -30,6 +30,7 @@
 const HOST_REFUSALS: ReadonlySet<string> = new Set([
   'endpoints_unreachable',
   'leaving',
+  'memory_full',
   'no_configuration',
   'no_route',
   'old_configuration',
@@ -265,10 +266,12 @@
     exchange: CallerExchange,
   ): Promise<Buffer | undefined> {
     const limit = this.parts.configuration.limits.maxBodyBytes;
-    const body = await exchange.readBody(limit);
+    const body = await exchange.readBody(limit, this.parts.bodies);
     if (body instanceof Buffer) return body;
     if (body === 'too-large') {
       this.refuse(exchange, GATEWAY_ERRORS.create('body_too_large', {limit}));
+    } else if (body === 'no-memory') {
+      this.refuse(exchange, this.createRetryableError('memory_full'));
     } else if (exchange.requestFault !== undefined) {
       this.refuse(exchange, exchange.requestFault);
     } else if (exchange.isStopped) {
@@ -296,7 +299,12 @@
   }
 
   private createRetryableError(
-    kind: 'starting' | 'leaving' | 'no_configuration' | 'old_configuration',
+    kind:
+      | 'starting'
+      | 'leaving'
+      | 'memory_full'
+      | 'no_configuration'
+      | 'old_configuration',
   ): KnownError {
     return GATEWAY_ERRORS.create(kind, {}, decideRetryAfter(this.parts.random));
   }
--- a/packages/gateway/src/serving/serving_parts.ts
+++ b/packages/gateway/src/serving/serving_parts.ts
@@ -1,5 +1,5 @@
 /** Dependencies that the drivers of requests share. */
-import type {Clock, Logger, Random} from '@irisdock/kernel';
+import type {BodyMemory, Clock, Logger, Random} from '@irisdock/kernel';
 import type {EndpointClient} from '../channels/endpoint_client.js';
 import type {KvCacheCopyCodec, HeaderCodec} from '../model/request_metadata.js';
 import type {GatewayConfiguration} from '../services/configuration.js';
@@ -30,6 +30,8 @@
   readonly random: Random;
   readonly log: Logger;
   readonly codec: HeaderCodec;
+  /** The memory for the bodies of requests. */
+  readonly bodies: BodyMemory;
   readonly copyCodec: KvCacheCopyCodec;
   readonly client: EndpointClient;
   readonly engineClient: EngineClient;
--- a/packages/kernel/src/buffer_budget.ts
+++ b/packages/kernel/src/buffer_budget.ts
@@ -1,7 +1,7 @@
 /**
- * Bounds the memory of all answers that are being read, however many there are.
- * Beyond the bound the largest one is ended: most answers are small, and an
- * endpoint that sends without end soon has the largest.
+ * Bounds the memory of all messages that are being read, however many there
+ * are. Beyond the bound the largest one is ended: most messages are small, and
+ * a sender without end soon has the largest.
  */
 
 /**
@@ -10,45 +10,56 @@
  */
 const MAX_BUFFERED_BYTES = 16_777_216;
 
-/** The part of the memory that one answer holds. */
+/** The part of the memory that one message holds. */
 export interface BufferHold {
-  /** Sets how many bytes the answer holds now. */
+  /** Sets how many bytes the message holds now. */
   set(bytes: number): void;
+  /** Keeps the bytes until the hold is closed; the message is not ended. */
+  keep(): void;
   /** Gives them all back. */
   close(): void;
 }
 
 interface OpenHold {
   bytes: number;
+  isKept: boolean;
   readonly handleExcess: () => void;
 }
 
-/** The memory for answers that are being read. */
+/** The memory for messages that are being read. */
 export class BufferBudget {
   private readonly holds = new Set<OpenHold>();
   private heldBytes = 0;
 
   /** @param maxBytes The most bytes that all holds may have together. */
-  constructor(private readonly maxBytes: number = MAX_BUFFERED_BYTES) {}
+  constructor(private maxBytes: number = MAX_BUFFERED_BYTES) {}
 
   /** The bytes of all holds. */
   get totalBytes(): number {
     return this.heldBytes;
   }
 
+  /** Sets the most bytes that all holds may have; in force from the next set. */
+  setMaxBytes(bytes: number): void {
+    this.maxBytes = bytes;
+  }
+
   /**
    * Opens a hold without any bytes.
    *
-   * @param handleExcess Called when the answer must end, as it is the largest;
-   *     its hold is closed by then.
+   * @param handleExcess Called when the message must end, as it is the largest
+   *     of those that are not kept; its hold is closed by then.
    */
   open(handleExcess: () => void): BufferHold {
-    const hold: OpenHold = {bytes: 0, handleExcess};
+    const hold: OpenHold = {bytes: 0, isKept: false, handleExcess};
     this.holds.add(hold);
     return {
       set: (bytes) => {
         this.setBytes(hold, bytes);
       },
+      keep: () => {
+        hold.isKept = true;
+      },
       close: () => {
         this.drop(hold);
       },
@@ -75,7 +86,8 @@
   private findLargest(): OpenHold | undefined {
     let largest: OpenHold | undefined;
     for (const hold of this.holds) {
-      if (hold.bytes > (largest?.bytes ?? -1)) largest = hold;
+      if (hold.isKept) continue;
+      if (hold.bytes > (largest?.bytes ?? 0)) largest = hold;
     }
     return largest;
   }
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -1,5 +1,6 @@
 /** The micro-kernel and what every package builds on. */
 export * from './body_framing.js';
+export * from './body_memory.js';
 export * from './buffer_budget.js';
 export * from './byte_collector.js';
 export * from './channel.js';
--- a/packages/kernel/src/request_body.ts
+++ b/packages/kernel/src/request_body.ts
@@ -1,12 +1,23 @@
 /** Reads the whole body of a request into memory. */
-import type {IncomingMessage} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {BodyMemory} from './body_memory.js';
 import {ByteCollector} from './byte_collector.js';
 
 /** Matches the expectation among those of a request. */
 const CONTINUE_EXPECTATION = /(?:^|\W)100-continue(?:$|\W)/iu;
 
 /** Why a body could not be read. */
-export type BodyFault = 'aborted' | 'cut' | 'too-large';
+export type BodyFault = 'aborted' | 'cut' | 'no-memory' | 'too-large';
+
+/** How a body is read. */
+export interface BodyReading {
+  /** The longest body that is accepted, in bytes. */
+  readonly maxBytes: number;
+  /** Ends the reading. */
+  readonly signal: AbortSignal;
+  /** The memory for the bodies of all requests. */
+  readonly memory: BodyMemory;
+}
 
 /** Whether a body is known to be larger than this before it arrives. */
 export function isLargerThan(
@@ -25,12 +36,13 @@
 
 /**
  * Reads a body up to a size. What has arrived of one that can't be read is not
- * kept, and the rest is left in the message.
+ * kept, and the rest is left in the message. A body that was read holds its
+ * memory until the response is closed.
  */
 export async function readRequestBody(
   message: IncomingMessage,
-  maxBytes: number,
-  signal: AbortSignal,
+  response: ServerResponse,
+  {maxBytes, signal, memory}: BodyReading,
 ): Promise<Buffer | BodyFault> {
   if (message.destroyed) return 'cut';
   if (signal.aborted) return 'aborted';
@@ -44,20 +56,32 @@
     const stop = (fault: BodyFault): void => {
       message.pause();
       collector.drop();
+      hold.close();
       finish(fault);
     };
+    const hold = memory.open(maxBytes, () => {
+      stop('no-memory');
+    });
     const add = (part: Buffer): void => {
-      if (collector.length + part.length > maxBytes) stop('too-large');
-      else collector.add(part);
+      if (collector.length + part.length > maxBytes) {
+        stop('too-large');
+        return;
+      }
+      collector.add(part);
+      hold.set(collector.capacity);
     };
     const finishWhole = (): void => {
+      hold.keep();
+      response.once('close', () => {
+        hold.close();
+      });
       finish(collector.getBytes());
     };
     const finishAborted = (): void => {
       stop('aborted');
     };
     const finishCut = (): void => {
-      finish('cut');
+      stop('cut');
     };
     signal.addEventListener('abort', finishAborted);
     message.on('data', add).once('end', finishWhole).once('close', finishCut);
--- a/packages/web/src/errors.ts
+++ b/packages/web/src/errors.ts
@@ -27,6 +27,13 @@
     message: 'The body did not arrive whole in {seconds} s.',
     remedy: 'Send the body without pauses.',
   },
+  memory_full: {
+    status: 503,
+    outcome: 'not-run',
+    message:
+      'The bodies of all requests at this host are larger than its memory allows.',
+    remedy: 'Use another host, or come back after the time in Retry-After.',
+  },
   body_cut: {
     status: 400,
     outcome: 'not-run',
--- a/packages/web/src/web_request.ts
+++ b/packages/web/src/web_request.ts
@@ -1,6 +1,7 @@
 /** One HTTP request as a handler sees it: its parts read and checked. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
+  BodyMemory,
   isLargerThan,
   readRequestBody,
   type BodyFault,
@@ -17,6 +18,9 @@
   readonly maxMs: number;
 }
 
+/** When a request that found no memory may come back, in seconds. */
+const MEMORY_RETRY_S = 1;
+
 /** A request with its route's parameters. */
 export class WebRequest {
   readonly url: URL;
@@ -26,6 +30,7 @@
     readonly response: ServerResponse,
     readonly parameters: Readonly<Record<string, string>>,
     private readonly limits: BodyLimits,
+    private readonly memory = new BodyMemory(),
   ) {
     this.url = new URL(message.url ?? '/', 'http://localhost');
   }
@@ -43,14 +48,16 @@
 
   /** Reads the whole body within the limits. */
   async readBody(): Promise<Result<Buffer, KnownError>> {
-    const {message, limits} = this;
-    if (isLargerThan(message, limits.maxBytes)) return this.failBody('too-large');
+    const {message, response, memory} = this;
+    const {maxBytes, maxMs} = this.limits;
+    if (isLargerThan(message, maxBytes)) return this.failBody('too-large');
     const controller = new AbortController();
     const timer = setTimeout(() => {
       controller.abort();
-    }, limits.maxMs);
+    }, maxMs);
     const {signal} = controller;
-    const body = await readRequestBody(message, limits.maxBytes, signal);
+    const reading = {maxBytes, signal, memory};
+    const body = await readRequestBody(message, response, reading);
     clearTimeout(timer);
     return typeof body === 'string' ? this.failBody(body) : ok(body);
   }
@@ -68,11 +75,11 @@
     const {maxBytes, maxMs} = this.limits;
     switch (fault) {
       case 'aborted':
-        return err(
-          WEB_ERRORS.create('body_too_slow', {seconds: maxMs / 1000}),
-        );
+        return err(WEB_ERRORS.create('body_too_slow', {seconds: maxMs / 1000}));
       case 'cut':
         return err(WEB_ERRORS.create('body_cut'));
+      case 'no-memory':
+        return err(WEB_ERRORS.create('memory_full', {}, MEMORY_RETRY_S));
       case 'too-large':
         return err(WEB_ERRORS.create('body_too_large', {limit: maxBytes}));
     }
--- a/packages/web/src/web_server.ts
+++ b/packages/web/src/web_server.ts
@@ -9,7 +9,12 @@
   type ServerResponse,
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {getErrorText, splitPlace, type Logger} from '@irisdock/kernel';
+import {
+  BodyMemory,
+  getErrorText,
+  splitPlace,
+  type Logger,
+} from '@irisdock/kernel';
 import {sendError} from './answers.js';
 import {WEB_ERRORS} from './errors.js';
 import {OpenResponses} from './open_responses.js';
@@ -27,6 +32,8 @@
   /** The place to listen at, as `ip:port`; port 0 takes a free one. */
   readonly listen: string;
   readonly limits: BodyLimits;
+  /** The memory for the bodies of all requests; one of its own if absent. */
+  readonly memory?: BodyMemory;
 }
 
 interface FoundRoute {
@@ -41,6 +48,7 @@
 export class WebServer {
   private readonly server: Server;
   private readonly responses: OpenResponses;
+  private readonly memory: BodyMemory;
 
   /**
    * @param routes What is served; undefined while it is not known yet, when
@@ -51,6 +59,7 @@
     private routes: readonly Route[] | undefined,
     private readonly log: Logger,
   ) {
+    this.memory = options.memory ?? new BodyMemory();
     this.server = createServer((message, response) => {
       void this.handle(message, response);
     });
@@ -117,7 +126,13 @@
     const {route, parameters} = found;
     try {
       await route.handle(
-        new WebRequest(message, response, parameters, this.options.limits),
+        new WebRequest(
+          message,
+          response,
+          parameters,
+          this.options.limits,
+          this.memory,
+        ),
       );
     } catch (thrown) {
       const detail = getErrorText(thrown);
