Serve the requests of a connection in turn at all servers

One client that sent GET /metrics again and again and read nothing ended a host; so did 60 at the address for callers. 20 to 60 at readiness or the directory kept others from any answer.

Cause: waiting requests were bounded for each connection for callers only. All other servers answered each parsed request at once, read or not, and what one read brings, some 2,500 requests, was served before anything else.

Change: RequestQueue, used for callers and by createGuardedServer, which now makes the servers of the directory, readiness, metrics, tables with relayed requests, and of the daemon. Requests are served one after the other, and other connections between them. What waits on all connections is bounded by `[requestMemory] backlogMb`; beyond it the connection with the most is closed, before any of those that wait has run. A destroyed connection keeps what was parsed until the end of the turn, so nothing is read from any until then; without this, 250 connections that arrive at once still filled the heap. A chunked body behind another request is collected as it arrives. An answer that nothing is taken of for 10 s (daemon: 30 s) closes its connection.

--- a/packages/daemon/src/services/listeners.ts
+++ b/packages/daemon/src/services/listeners.ts
@@ -8,9 +8,11 @@
   createService,
   createServiceKey,
   IP_PORT_SCHEMA,
+  RequestBacklog,
 } from '@irisdock/kernel';
 import {PeerServer} from '@irisdock/peer';
-import {WebServer} from '@irisdock/web';
+import {createGuard, WebServer} from '@irisdock/web';
+import {Counter, type Registry} from 'prom-client';
 import * as z from 'zod';
 
 /** The listening sockets and their advertised addresses. */
@@ -63,6 +65,11 @@
     description:
       'Memory for the bodies of all requests together, beyond which the largest that is still arriving is refused with 503; one body of the maximum size always fits.',
   }),
+  backlogMb: z.coerce.number().min(1).default(10).meta({
+    unit: 'MB',
+    description:
+      'Memory for requests that wait for those before them on their connection, beyond which the connection with the most is closed.',
+  }),
   maxBodyMs: z.coerce.number().int().min(100).default(10_000).meta({
     unit: 'ms',
     description: 'Maximum time to receive a request body.',
@@ -77,8 +84,13 @@
   create(context, settings) {
     const limits = {maxBytes: settings.maxBodyBytes, maxMs: settings.maxBodyMs};
     const memory = new BodyMemory(settings.bodiesMb * BYTES_PER_MB);
+    const closes = createCloseCounter(context.metrics);
+    const backlog = new RequestBacklog(settings.backlogMb * BYTES_PER_MB);
+    const guard = createGuard(backlog, (reason) => {
+      closes.inc({reason});
+    });
     const createServer = (listen: string): WebServer =>
-      new WebServer({listen, limits, memory}, undefined, context.log);
+      new WebServer({listen, limits, memory, guard}, undefined, context.log);
     const api: Listeners = {
       callers: createServer(settings.callers),
       operators: createServer(settings.operators),
@@ -104,3 +116,12 @@
     };
   },
 });
+
+function createCloseCounter(registry: Registry): Counter<'reason'> {
+  return new Counter({
+    name: 'irisdock_guarded_closes_total',
+    help: 'Connections closed as their clients sent too many requests ahead or did not read an answer, a count, by reason.',
+    labelNames: ['reason'],
+    registers: [registry],
+  });
+}
--- a/packages/gateway/src/channels/caller_connections.ts
+++ b/packages/gateway/src/channels/caller_connections.ts
@@ -6,7 +6,14 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {Socket} from 'node:net';
 import {setImmediate as waitForTurn} from 'node:timers/promises';
-import type {KnownError, Logger} from '@irisdock/kernel';
+import {
+  RequestBacklog,
+  RequestQueue,
+  type KnownError,
+  type Logger,
+  type QueuedRequest,
+  type ServerGuard,
+} from '@irisdock/kernel';
 import {GATEWAY_ERRORS} from '../errors.js';
 import type {CallerLimits} from '../model/serving_configuration.js';
 import {IdleLimit} from './idle_limit.js';
@@ -24,11 +31,8 @@
  */
 const KEEP_ALIVE_MARGIN_MS = 1000;
 
-/**
- * Above this number of requests that wait for those before them, nothing more
- * is read from their connection.
- */
-const MAX_WAITING_REQUESTS = 100;
+/** What connections share with those of other servers of the host. */
+type ConnectionGuard = Pick<ServerGuard, 'backlog' | 'handleClose'>;
 
 /** The limits that concern connections. */
 export type ConnectionLimits = Pick<
@@ -57,6 +61,7 @@
     limits: ConnectionLimits,
     private readonly log: Logger,
     private readonly refuse: FaultHandler,
+    private readonly guard: ConnectionGuard = createGuard(),
   ) {
     this.applyLimits(limits);
     server.on('connection', (socket) => {
@@ -133,6 +138,7 @@
     const connection = new CallerConnection(
       socket,
       this.refuse,
+      this.guard,
       () => this.server.headersTimeout,
     );
     this.connections.set(socket, connection);
@@ -169,9 +175,7 @@
 }
 
 /** A request on a connection, and its response. */
-interface AcceptedRequest {
-  readonly message: IncomingMessage;
-  readonly response: ServerResponse;
+interface AcceptedRequest extends QueuedRequest {
   /** The idle time that its response announces. */
   readonly announcedMs: number;
   readonly serve: ServeRequest;
@@ -182,25 +186,27 @@
   /** Whether it has carried a request. */
   hasServed = false;
   /** Requests whose response is not flushed; all but the first wait. */
-  private readonly requests: AcceptedRequest[] = [];
+  private readonly queue: RequestQueue<AcceptedRequest>;
   /** How much had been read when the last request was complete, in bytes. */
   private servedBytes = 0;
   /** What is wrong behind the last complete request. */
   private fault: KnownError | undefined;
   private current: ServedRequest | undefined;
-  /** Whether it was paused as too many requests wait. */
-  private hasPaused = false;
+  private turn: NodeJS.Immediate | undefined;
   private readonly idleLimit: IdleLimit;
 
   constructor(
     private readonly socket: Socket,
     private readonly refuse: FaultHandler,
+    guard: ConnectionGuard,
     private readonly getHeaderTimeoutMs: () => number,
   ) {
+    this.queue = new RequestQueue(socket, guard.backlog, () => {
+      guard.handleClose('backlog');
+    });
     this.idleLimit = new IdleLimit(socket);
-    // Node resumes the connection whenever it has parsed or reads a message.
-    socket.on('resume', () => {
-      this.checkWaiting();
+    socket.once('close', () => {
+      clearImmediate(this.turn);
     });
   }
 
@@ -209,7 +215,7 @@
    * has ended may still wait in the write buffer for its caller to read.
    */
   get isServing(): boolean {
-    return this.requests.length > 0;
+    return this.queue.first !== undefined;
   }
 
   /** Whether it serves a request, or a part of one has arrived. */
@@ -219,16 +225,13 @@
 
   /** The number of requests that wait for those before them. */
   get waitingCount(): number {
-    return Math.max(0, this.requests.length - 1);
-  }
-
-  private get isFull(): boolean {
-    return this.waitingCount >= MAX_WAITING_REQUESTS;
+    return this.queue.waitingCount;
   }
 
   /** Takes in a request. */
   accept(request: AcceptedRequest): void {
     const {message, response, announcedMs} = request;
+    if (this.socket.destroyed) return;
     this.hasServed = true;
     this.idleLimit.stop();
     let isMarked = false;
@@ -245,14 +248,7 @@
       this.serveNext();
     });
     this.keepOpenFor(request);
-    this.requests.push(request);
-    if (this.requests.length === 1) this.serve(request);
-    // Within this turn, Node resumes the connection after each message.
-    if (this.isFull) {
-      process.nextTick(() => {
-        this.checkWaiting();
-      });
-    }
+    if (this.queue.add(request)) this.serve(request);
   }
 
   /**
@@ -263,14 +259,14 @@
   setFault(fault: KnownError): void {
     if (this.fault !== undefined) return;
     this.fault = fault;
-    const [request] = this.requests;
+    const request = this.queue.first;
     if (request === undefined) this.refuseRest();
     else if (!request.message.complete) this.current?.failRequest(fault);
   }
 
   /** Closes the connection; an answer that is under way is broken off. */
   close(): void {
-    const [request] = this.requests;
+    const request = this.queue.first;
     if (request !== undefined) closeIncomplete(request.response);
     this.socket.destroy();
   }
@@ -289,7 +285,7 @@
 
   /** Lets the response before a request leave the connection open for it. */
   private keepOpenFor(request: AcceptedRequest): void {
-    const before = this.requests.at(-1);
+    const before = this.queue.last;
     if (before === undefined || before.response.headersSent) return;
     request.response.shouldKeepAlive &&= before.response.shouldKeepAlive;
     before.response.shouldKeepAlive = true;
@@ -298,20 +294,16 @@
   /** Serves the next request unless the last response closed the connection. */
   private serveNext(): void {
     if (!this.socket.writable) return;
-    this.requests.shift();
-    const [next] = this.requests;
-    if (next === undefined) this.refuseRest();
-    else this.serve(next);
-    if (this.isFull || !this.hasPaused) return;
-    this.hasPaused = false;
-    this.socket.resume();
-  }
-
-  /** Reads no further requests while too many wait. */
-  private checkWaiting(): void {
-    if (!this.isFull) return;
-    this.hasPaused = true;
-    this.socket.pause();
+    this.current = undefined;
+    const next = this.queue.takeNext();
+    if (next === undefined) {
+      this.refuseRest();
+      return;
+    }
+    // Other connections have their turn between two requests of this one.
+    this.turn = setImmediate(() => {
+      if (this.socket.writable) this.serve(next);
+    });
   }
 
   /**
@@ -336,3 +328,7 @@
 async function waitForReads(): Promise<void> {
   await waitForTurn();
 }
+
+function createGuard(): ConnectionGuard {
+  return {backlog: new RequestBacklog(), handleClose: () => undefined};
+}
--- a/packages/gateway/src/channels/lingering_closes.ts
+++ b/packages/gateway/src/channels/lingering_closes.ts
@@ -215,12 +215,17 @@
     else this.socket.destroy();
   }
 
+  private startTimer(): void {
+    clearTimeout(this.timer);
+    this.timer = setTimeout(() => {
+      this.end('time');
+    }, this.bounds.maxMs);
+  }
+
   private startDiscarding(): void {
     const {socket, bounds} = this;
     if (this.hasEnded) return;
-    this.timer = setTimeout(() => {
-      this.end('time');
-    }, bounds.maxMs);
+    this.startTimer();
     socket.end();
     // Not those of the message: the parser passes none on after a fault.
     socket.on('data', () => {
--- a/packages/gateway/src/services/directory.ts
+++ b/packages/gateway/src/services/directory.ts
@@ -2,9 +2,10 @@
  * The service `directory`: answers callers which hosts to use, and readiness
  * checks of this host.
  */
-import {createServer, type ServerResponse} from 'node:http';
+import type {ServerResponse} from 'node:http';
 import {chooseHosts, type AnswerLimits} from '@irisdock/decisions';
 import {
+  createGuardedServer,
   createService,
   createServiceKey,
   IP_PORT_SCHEMA,
@@ -13,6 +14,7 @@
 import {startListening} from '../channels/listening.js';
 import {HOST_PHASE} from './host_phase.js';
 import {PEERS} from './peers.js';
+import {REQUEST_MEMORY} from './request_memory.js';
 import {CODECS} from './store.js';
 
 /** The key of the service. */
@@ -49,7 +51,7 @@
 export const DIRECTORY_SERVICE = createService({
   key: DIRECTORY,
   settings: SETTINGS,
-  needs: [CODECS, HOST_PHASE, PEERS],
+  needs: [CODECS, HOST_PHASE, PEERS, REQUEST_MEMORY],
   create(context, settings) {
     let {keepSeconds} = settings;
     const codecs = context.find(CODECS);
@@ -72,13 +74,14 @@
     const answerReadiness = (response: ServerResponse): void => {
       sendBody(response, phase.state === 'ready' ? 200 : 503, '');
     };
-    const server = createServer((message, response) => {
+    const {guard} = context.find(REQUEST_MEMORY);
+    const server = createGuardedServer(guard, (message, response) => {
       const [path, query = ''] = (message.url ?? '/').split('?');
       if (path === codecs.paths.addresses) answerAddresses(response, query);
       else if (path === codecs.paths.readiness) answerReadiness(response);
       else sendBody(response, 404, '');
     });
-    const readiness = createServer((message, response) => {
+    const readiness = createGuardedServer(guard, (message, response) => {
       const path = (message.url ?? '/').split('?')[0];
       if (path === codecs.paths.readiness) answerReadiness(response);
       else sendBody(response, 404, '');
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -5,7 +5,6 @@
   createService,
   createServiceKey,
   IP_PORT_SCHEMA,
-  type Logger,
   type ServiceContext,
 } from '@irisdock/kernel';
 import * as z from 'zod';
@@ -35,10 +34,7 @@
 import {SuccessorFinder} from '../serving/successors.js';
 import {BEGUN_REQUESTS} from './begun_requests.js';
 import {CRASHES} from './crashes.js';
-import {
-  GATEWAY_CONFIGURATION,
-  type GatewayConfiguration,
-} from './configuration.js';
+import {GATEWAY_CONFIGURATION} from './configuration.js';
 import {DEMAND} from './demand.js';
 import {EndpointGate} from './endpoint_gate.js';
 import {ENDPOINT_NETWORK} from './endpoint_network.js';
@@ -118,8 +114,7 @@
     VERSION_HISTORY,
   ],
   create(context, settings) {
-    const {clock, log} = context;
-    const configuration = context.find(GATEWAY_CONFIGURATION);
+    const {clock} = context;
     const phase = context.find(HOST_PHASE);
     const peers = context.find(PEERS);
     const parts = createServingParts(context, settings);
@@ -148,7 +143,7 @@
     }
     server.requestTimeout = REQUEST_TIMEOUT_MS;
     const refuse = requests.refuse.bind(requests);
-    const connections = createConnections(server, configuration, log, refuse);
+    const connections = createConnections(server, context, refuse);
     return {
       api: undefined,
       live: {
@@ -180,12 +175,14 @@
 
 function createConnections(
   server: Server,
-  configuration: GatewayConfiguration,
-  log: Logger,
+  context: ServiceContext,
   refuse: FaultHandler,
 ): CallerConnections {
+  const configuration = context.find(GATEWAY_CONFIGURATION);
+  const {guard} = context.find(REQUEST_MEMORY);
   const {limits} = configuration;
-  const connections = new CallerConnections(server, limits, log, refuse);
+  const {log} = context;
+  const connections = new CallerConnections(server, limits, log, refuse, guard);
   void configuration.changes.observe(() => {
     connections.applyLimits(configuration.limits);
   });
@@ -199,7 +196,6 @@
   const {clock, random, log, metrics} = context;
   const codecs = context.find(CODECS);
   const codec = codecs.headers;
-  const peers = context.find(PEERS);
   const configuration = context.find(GATEWAY_CONFIGURATION);
   const gate = createGate(context);
   const paths = createPaths(context);
@@ -226,7 +222,7 @@
     promptCaches: new PromptCacheFinder(
       engineClient,
       codecs.keptPrompts,
-      peers.position,
+      context.find(PEERS).position,
       clock,
       log,
     ),
--- a/packages/gateway/src/services/metrics_page.ts
+++ b/packages/gateway/src/services/metrics_page.ts
@@ -3,8 +3,9 @@
  * the metrics as text and the pages of `crash_pages.ts`, `limit_pages.ts`,
  * `host_pages.ts` and `task_pages.ts`.
  */
-import {createServer, type Server} from 'node:http';
+import type {Server} from 'node:http';
 import {
+  createGuardedServer,
   createService,
   createServiceKey,
   getErrorText,
@@ -24,6 +25,7 @@
 import {LIMITS} from './limits.js';
 import {PEERS} from './peers.js';
 import {handleTaskPages} from './task_pages.js';
+import {REQUEST_MEMORY} from './request_memory.js';
 import {TASK_SUMMARIES} from './tasks.js';
 
 /** The path of the metrics. */
@@ -59,6 +61,7 @@
     GATEWAY_ENDPOINTS,
     LIMITS,
     PEERS,
+    REQUEST_MEMORY,
     TASK_SUMMARIES,
   ],
   create(context, settings) {
@@ -74,7 +77,8 @@
       prefix: 'irisdock_process_',
       eventLoopMonitoringPrecision: EVENT_LOOP_RESOLUTION_MS,
     });
-    const server = createServer((message, response) => {
+    const {guard} = context.find(REQUEST_MEMORY);
+    const server = createGuardedServer(guard, (message, response) => {
       if (handleCrashPages(message, response, {crashes, clock, log})) return;
       const limitParts = {limits, endpoints, clock};
       if (handleLimitPages(message, response, limitParts)) return;
--- a/packages/gateway/src/services/request_memory.ts
+++ b/packages/gateway/src/services/request_memory.ts
@@ -2,7 +2,15 @@
  * The service `requestMemory`: the memory that this host gives to what callers
  * and other hosts send to it. It depends on the memory of the host.
  */
-import {BodyMemory, createService, createServiceKey} from '@irisdock/kernel';
+import {
+  BodyMemory,
+  createService,
+  createServiceKey,
+  DEFAULT_BACKLOG_BYTES,
+  RequestBacklog,
+  type ServerGuard,
+} from '@irisdock/kernel';
+import {Counter, type Registry} from 'prom-client';
 import * as z from 'zod';
 import {HOST_IDENTITY} from './identity.js';
 
@@ -22,9 +30,17 @@
 /** The bodies of requests. */
 const BODIES: MemoryPart = {divisor: 3, minMb: 8, maxMb: 32};
 
+/**
+ * How long a client of a guarded server may take nothing of its answer, in ms:
+ * callers on slow links may pause for some seconds while packets are lost.
+ */
+const MAX_STALL_MS = 10_000;
+
 /** The memory for requests. */
 export interface RequestMemory {
   readonly bodies: BodyMemory;
+  /** Guards the servers of this host. */
+  readonly guard: ServerGuard;
 }
 
 /** The key of the service. */
@@ -45,17 +61,42 @@
       description:
         'The memory for the bodies of all requests together, beyond which the largest that is still arriving is refused with 503; one body of the configured limit always fits. auto is a third of what `[host] memoryMb` leaves beside 96 MB, from 8 to 32.',
     }),
+    backlogMb: z.coerce
+      .number()
+      .min(1)
+      .default(DEFAULT_BACKLOG_BYTES / BYTES_PER_MB)
+      .meta({
+        unit: 'MB',
+        description:
+          'The memory for requests that wait for those before them on their connection, beyond which the connection with the most is closed.',
+      }),
   }),
   needs: [HOST_IDENTITY],
   create(context, settings) {
     const {memoryMb} = context.find(HOST_IDENTITY);
-    const bodies = new BodyMemory(
-      computeBytes(settings.bodiesMb, BODIES, memoryMb),
-    );
-    return {api: {bodies}};
+    const {bodiesMb, backlogMb} = settings;
+    const closes = createCloseCounter(context.metrics);
+    const guard: ServerGuard = {
+      backlog: new RequestBacklog(backlogMb * BYTES_PER_MB),
+      maxStallMs: MAX_STALL_MS,
+      handleClose: (reason) => {
+        closes.inc({reason});
+      },
+    };
+    const bodies = new BodyMemory(computeBytes(bodiesMb, BODIES, memoryMb));
+    return {api: {bodies, guard}};
   },
 });
 
+function createCloseCounter(registry: Registry): Counter<'reason'> {
+  return new Counter({
+    name: 'irisdock_gateway_guarded_closes_total',
+    help: 'Connections closed as their clients sent too many requests ahead or did not read an answer, a count, by reason.',
+    labelNames: ['reason'],
+    registers: [registry],
+  });
+}
+
 /** Computes a part of the memory in bytes; 0 MB if the host's is not known. */
 function computeBytes(
   setting: number | 'auto',
--- a/packages/gateway/src/serving/caller_exchange.ts
+++ b/packages/gateway/src/serving/caller_exchange.ts
@@ -221,6 +221,8 @@
       this.sendRefusal(error, extraLines);
       return;
     }
+    // Nobody reads what Node would keep of it meanwhile.
+    this.message.resume();
     // The rest may have arrived with the head, and is parsed in this turn.
     setImmediate(() => {
       if (!this.response.destroyed) this.sendRefusal(error, extraLines);
--- a/packages/gateway/src/tables/peer_tables.ts
+++ b/packages/gateway/src/tables/peer_tables.ts
@@ -3,13 +3,10 @@
  * host's table replicas, whole or only the changes after a revision, and the
  * list of live hosts. It also receives the requests that other hosts relay.
  */
-import {
-  createServer,
-  type IncomingMessage,
-  type ServerResponse,
-} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {getHostSample, type HostPosition} from '@irisdock/decisions';
 import {
+  createGuardedServer,
   createService,
   createServiceKey,
   IP_PORT_SCHEMA,
@@ -34,6 +31,7 @@
 import {HOST_IDENTITY} from '../services/identity.js';
 import type {AliveHost} from '../services/host_tracker.js';
 import {PEERS} from '../services/peers.js';
+import {REQUEST_MEMORY} from '../services/request_memory.js';
 import {TABLES_KEY, type Tables} from './tables.js';
 
 /** Hosts that a starting host of another region is sent to; some may be lost. */
@@ -134,13 +132,14 @@
       description: 'The address at which other hosts load the tables.',
     }),
   }),
-  needs: [HOST_IDENTITY, TABLES_KEY, PEERS],
+  needs: [HOST_IDENTITY, TABLES_KEY, PEERS, REQUEST_MEMORY],
   create(context, settings) {
     const tables = context.find(TABLES_KEY);
     const peers = context.find(PEERS);
     const {tag} = new PeerFrame(context.find(HOST_IDENTITY).deployment);
     const relays = new RelayReceiver(tag);
-    const server = createServer((message, response) => {
+    const {guard} = context.find(REQUEST_MEMORY);
+    const server = createGuardedServer(guard, (message, response) => {
       if (message.url?.startsWith(RELAY_PATH) === true) {
         relays.accept(message, response);
         return;
--- a/packages/kernel/src/request_body.ts
+++ b/packages/kernel/src/request_body.ts
@@ -1,7 +1,9 @@
 /** Reads the whole body of a request into memory. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {BodyMemory} from './body_memory.js';
+import type {BufferHold} from './buffer_budget.js';
 import {ByteCollector} from './byte_collector.js';
+import {EarlyBody} from './early_body.js';
 
 /** Matches the expectation among those of a request. */
 const CONTINUE_EXPECTATION = /(?:^|\W)100-continue(?:$|\W)/iu;
@@ -42,50 +44,97 @@
 export async function readRequestBody(
   message: IncomingMessage,
   response: ServerResponse,
-  {maxBytes, signal, memory}: BodyReading,
+  reading: BodyReading,
 ): Promise<Buffer | BodyFault> {
-  if (message.destroyed) return 'cut';
-  if (signal.aborted) return 'aborted';
+  const early = EarlyBody.takeFrom(message);
+  if (message.destroyed && early?.isWhole !== true) return 'cut';
+  if (reading.signal.aborted) return 'aborted';
   return new Promise((resolve) => {
-    const collector = createCollector(message, maxBytes);
-    const finish = (result: Buffer | BodyFault): void => {
-      message.off('data', add).off('end', finishWhole).off('close', finishCut);
-      signal.removeEventListener('abort', finishAborted);
-      resolve(result);
-    };
-    const stop = (fault: BodyFault): void => {
-      message.pause();
-      collector.drop();
+    new BodyReader(message, response, reading, resolve).start(early);
+  });
+}
+
+/** Reads one body. */
+class BodyReader {
+  private readonly collector: ByteCollector;
+  private readonly hold: BufferHold;
+  private isFinished = false;
+
+  constructor(
+    private readonly message: IncomingMessage,
+    private readonly response: ServerResponse,
+    private readonly reading: BodyReading,
+    private readonly handleEnd: (result: Buffer | BodyFault) => void,
+  ) {
+    const {maxBytes, memory} = reading;
+    this.collector = createCollector(message, maxBytes);
+    this.hold = memory.open(maxBytes, () => {
+      this.fail('no-memory');
+    });
+  }
+
+  /** Reads what follows the part that has arrived early, if there is one. */
+  start(early: EarlyBody | undefined): void {
+    const {message, reading} = this;
+    reading.signal.addEventListener('abort', this.failAborted);
+    message
+      .on('data', this.add)
+      .once('end', this.finish)
+      .once('close', this.failCut);
+    if (early === undefined) return;
+    this.add(early.bytes);
+    if (early.isWhole) this.finish();
+    else if (!this.isFinished) message.resume();
+  }
+
+  private readonly add = (part: Buffer): void => {
+    const {collector, hold, reading} = this;
+    if (collector.length + part.length > reading.maxBytes) {
+      this.fail('too-large');
+      return;
+    }
+    const {capacity} = collector;
+    collector.add(part);
+    if (collector.capacity === capacity) return;
+    hold.set(collector.capacity);
+  };
+
+  private readonly finish = (): void => {
+    if (this.isFinished) return;
+    const {collector, hold, response} = this;
+    hold.keep();
+    response.once('close', () => {
       hold.close();
-      finish(fault);
-    };
-    const hold = memory.open(maxBytes, () => {
-      stop('no-memory');
     });
-    const add = (part: Buffer): void => {
-      if (collector.length + part.length > maxBytes) {
-        stop('too-large');
-        return;
-      }
-      collector.add(part);
-      hold.set(collector.capacity);
-    };
-    const finishWhole = (): void => {
-      hold.keep();
-      response.once('close', () => {
-        hold.close();
-      });
-      finish(collector.getBytes());
-    };
-    const finishAborted = (): void => {
-      stop('aborted');
-    };
-    const finishCut = (): void => {
-      stop('cut');
-    };
-    signal.addEventListener('abort', finishAborted);
-    message.on('data', add).once('end', finishWhole).once('close', finishCut);
-  });
+    this.end(collector.getBytes());
+  };
+
+  private readonly failAborted = (): void => {
+    this.fail('aborted');
+  };
+
+  private readonly failCut = (): void => {
+    this.fail('cut');
+  };
+
+  private fail(fault: BodyFault): void {
+    const {collector, hold, message} = this;
+    message.pause();
+    collector.drop();
+    hold.close();
+    this.end(fault);
+  }
+
+  private end(result: Buffer | BodyFault): void {
+    const {message, reading} = this;
+    this.isFinished = true;
+    message
+      .off('data', this.add)
+      .off('end', this.finish)
+      .off('close', this.failCut);
+    reading.signal.removeEventListener('abort', this.failAborted);
+    this.handleEnd(result);
+  }
 }
 
 /** Creates a collector that takes no more memory than the body may need. */
--- a/packages/web/src/web_server.ts
+++ b/packages/web/src/web_server.ts
@@ -2,18 +2,16 @@
  * An HTTP server with a table of routes. It owns its listening socket, gives
  * each request to the handler of its route and answers what fits none.
  */
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {
   BodyMemory,
+  createGuardedServer,
   getErrorText,
+  RequestBacklog,
   splitPlace,
   type Logger,
+  type ServerGuard,
 } from '@irisdock/kernel';
 import {sendError} from './answers.js';
 import {WEB_ERRORS} from './errors.js';
@@ -34,6 +32,8 @@
   readonly limits: BodyLimits;
   /** The memory for the bodies of all requests; one of its own if absent. */
   readonly memory?: BodyMemory;
+  /** Guards the server; one of its own if absent. */
+  readonly guard?: ServerGuard;
 }
 
 interface FoundRoute {
@@ -43,6 +43,8 @@
 
 const HEADERS_MS = 10_000;
 const KEEP_ALIVE_MS = 15_000;
+/** How long a client may take nothing of its answer, in ms. */
+const MAX_STALL_MS = 30_000;
 
 /** An HTTP server. */
 export class WebServer {
@@ -60,10 +62,17 @@
     private readonly log: Logger,
   ) {
     this.memory = options.memory ?? new BodyMemory();
-    this.server = createServer((message, response) => {
-      void this.handle(message, response);
-    });
+    this.server = createGuardedServer(
+      options.guard ?? createGuard(),
+      (message, response) => {
+        void this.handle(message, response);
+      },
+    );
     this.responses = new OpenResponses(this.server);
+    // Those that wait for others on their connection are open as well.
+    this.server.on('request', (message, response: ServerResponse) => {
+      this.responses.add(message, response);
+    });
     this.server.headersTimeout = HEADERS_MS;
     this.server.requestTimeout = 0;
     this.server.keepAliveTimeout = KEEP_ALIVE_MS;
@@ -114,7 +123,6 @@
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    this.responses.add(message, response);
     message.on('error', () => undefined);
     response.on('error', () => undefined);
     const path = new URL(message.url ?? '/', 'http://localhost').pathname;
@@ -178,6 +186,14 @@
   }
 }
 
+/** Creates the guard of the servers of a process. */
+export function createGuard(
+  backlog = new RequestBacklog(),
+  handleClose: ServerGuard['handleClose'] = () => undefined,
+): ServerGuard {
+  return {backlog, maxStallMs: MAX_STALL_MS, handleClose};
+}
+
 function formatPlace(info: AddressInfo): string {
   const host = info.family === 'IPv6' ? `[${info.address}]` : info.address;
   return `${host}:${info.port}`;
