Give callers of refused requests a time to read the answer

Clients that send requests without a route and read nothing kept their connections for good; 250 of them took all of 200 descriptors.

Cause: the time to read an answer begins when the time of its request is over, which a request refused before its route is known has not got.

Change: a refused request is out of time at once, and a lingering close counts from its start, as its refusal may wait behind an answer that is not read.

--- a/packages/gateway/src/channels/lingering_closes.ts
+++ b/packages/gateway/src/channels/lingering_closes.ts
@@ -200,6 +200,8 @@
     this.refusal.watchEnd((reason) => {
       this.end(reason);
     });
+    // The caller may leave unread what was sent before the refusal.
+    this.startTimer();
     this.refusal.send(() => {
       this.startDiscarding();
     });
--- a/packages/gateway/src/serving/caller_exchange.ts
+++ b/packages/gateway/src/serving/caller_exchange.ts
@@ -261,6 +261,8 @@
       this.lingeringCloses.end(this.message, this.response, body);
       return;
     }
+    // A refused request has no time in which its caller may leave it unread.
+    this.answer.markTimeOver();
     this.answer.send(body);
     // Unread parts would hold up the next request on the connection.
     this.message.resume();
