Collect the buffers of bodies that are no longer used

Hosts within all bounds of what they keep had far more resident memory while large bodies arrived.

Cause: V8 frees unused buffers as its heap grows, or once some 60 MB of them have been allocated; a small host has less to spare.

--- a/packages/gateway/src/channels/lingering_closes.ts
+++ b/packages/gateway/src/channels/lingering_closes.ts
@@ -6,7 +6,12 @@
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import type {Clock, LogFields, Logger} from '@irisdock/kernel';
+import {
+  BUFFER_COLLECTION,
+  type Clock,
+  type LogFields,
+  type Logger,
+} from '@irisdock/kernel';
 import type {Counter} from 'prom-client';
 
 /** How far a host goes to let refusals reach their callers. */
@@ -230,7 +235,8 @@
     this.startTimer();
     socket.end();
     // Not those of the message: the parser passes none on after a fault.
-    socket.on('data', () => {
+    socket.on('data', (part: Buffer) => {
+      BUFFER_COLLECTION.recordRead(part.length);
       const bytes = socket.bytesRead - this.bytesBefore;
       if (bytes > bounds.maxBytes) this.end('bytes');
     });
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -2,6 +2,7 @@
 export * from './body_framing.js';
 export * from './body_memory.js';
 export * from './buffer_budget.js';
+export * from './buffer_collection.js';
 export * from './byte_collector.js';
 export * from './channel.js';
 export * from './clock.js';
--- a/packages/kernel/src/request_body.ts
+++ b/packages/kernel/src/request_body.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {BodyMemory} from './body_memory.js';
 import type {BufferHold} from './buffer_budget.js';
+import {BUFFER_COLLECTION} from './buffer_collection.js';
 import {ByteCollector} from './byte_collector.js';
 import {EarlyBody} from './early_body.js';
 
@@ -89,6 +90,7 @@
 
   private readonly add = (part: Buffer): void => {
     const {collector, hold, reading} = this;
+    BUFFER_COLLECTION.recordRead(part.length);
     if (collector.length + part.length > reading.maxBytes) {
       this.fail('too-large');
       return;
@@ -96,6 +98,7 @@
     const {capacity} = collector;
     collector.add(part);
     if (collector.capacity === capacity) return;
+    BUFFER_COLLECTION.recordRead(capacity);
     hold.set(collector.capacity);
   };
 
@@ -105,6 +108,7 @@
     hold.keep();
     response.once('close', () => {
       hold.close();
+      BUFFER_COLLECTION.recordDropped(collector.capacity);
     });
     this.end(collector.getBytes());
   };
@@ -120,6 +124,7 @@
   private fail(fault: BodyFault): void {
     const {collector, hold, message} = this;
     message.pause();
+    BUFFER_COLLECTION.recordDropped(collector.capacity);
     collector.drop();
     hold.close();
     this.end(fault);
