Read large messages in turn

While 160 callers sent bodies in chunks of one byte to a path without a route, an ordinary request was not answered within 30 s; before the bounds on memory the host had 269 MB.

Cause: one read holds some 11,000 such chunks and takes many ms to parse, and all connections were read in each turn of the event loop.

--- a/packages/gateway/src/channels/lingering_closes.ts
+++ b/packages/gateway/src/channels/lingering_closes.ts
@@ -8,6 +8,7 @@
 import type {Socket} from 'node:net';
 import {
   BUFFER_COLLECTION,
+  READ_TURNS,
   type Clock,
   type LogFields,
   type Logger,
@@ -237,6 +238,7 @@
     // Not those of the message: the parser passes none on after a fault.
     socket.on('data', (part: Buffer) => {
       BUFFER_COLLECTION.recordRead(part.length);
+      READ_TURNS.pause(socket);
       const bytes = socket.bytesRead - this.bytesBefore;
       if (bytes > bounds.maxBytes) this.end('bytes');
     });
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -18,6 +18,7 @@
 export * from './place.js';
 export * from './program_options.js';
 export * from './random.js';
+export * from './read_turns.js';
 export * from './request_backlog.js';
 export * from './request_body.js';
 export * from './request_failure.js';
--- a/packages/kernel/src/request_body.ts
+++ b/packages/kernel/src/request_body.ts
@@ -5,10 +5,16 @@
 import {BUFFER_COLLECTION} from './buffer_collection.js';
 import {ByteCollector} from './byte_collector.js';
 import {EarlyBody} from './early_body.js';
+import {READ_TURNS} from './read_turns.js';
 
 /** Matches the expectation among those of a request. */
 const CONTINUE_EXPECTATION = /(?:^|\W)100-continue(?:$|\W)/iu;
 
+/** What is read of a body before other connections have their turn, in bytes. */
+const TURN_BYTES = 65_536;
+/** A part takes as long to parse as so many bytes, however short it is. */
+const PART_BYTES = 64;
+
 /** Why a body could not be read. */
 export type BodyFault = 'aborted' | 'cut' | 'no-memory' | 'too-large';
 
@@ -60,6 +66,8 @@
   private readonly collector: ByteCollector;
   private readonly hold: BufferHold;
   private isFinished = false;
+  /** What was read in this turn. */
+  private turnBytes = 0;
 
   constructor(
     private readonly message: IncomingMessage,
@@ -91,6 +99,7 @@
   private readonly add = (part: Buffer): void => {
     const {collector, hold, reading} = this;
     BUFFER_COLLECTION.recordRead(part.length);
+    this.takeTurn(part.length + PART_BYTES);
     if (collector.length + part.length > reading.maxBytes) {
       this.fail('too-large');
       return;
@@ -102,6 +111,13 @@
     hold.set(collector.capacity);
   };
 
+  private takeTurn(bytes: number): void {
+    this.turnBytes += bytes;
+    if (this.turnBytes < TURN_BYTES) return;
+    this.turnBytes = 0;
+    READ_TURNS.pause(this.message.socket);
+  }
+
   private readonly finish = (): void => {
     if (this.isFinished) return;
     const {collector, hold, response} = this;
