Close the connection of a caller that has left amid a second request

A caller that left while a second request was arriving kept its connection and the run of its first one until the time of that was over.

Cause: an end amid a request is an error of the parser, which was answered as a malformed request, after the one before it.

Change: if a whole request is being served, the connection is closed, as Node does when a caller ends between two requests.

Tests: "survives 20 bodies in chunks of one byte behind unanswered requests" fails without this change ("Never came about: the connections of the crowd are closed") and passes with it.

--- a/packages/gateway/src/channels/caller_connections.ts
+++ b/packages/gateway/src/channels/caller_connections.ts
@@ -34,6 +34,9 @@
 /** What connections share with those of other servers of the host. */
 type ConnectionGuard = Pick<ServerGuard, 'backlog' | 'handleClose'>;
 
+/** The error of the parser when a caller ends amid a request. */
+const ENDED_AMID_REQUEST = 'HPE_INVALID_EOF_STATE';
+
 /** The limits that concern connections. */
 export type ConnectionLimits = Pick<
   CallerLimits,
@@ -154,7 +157,11 @@
   /** Handles an error of a connection, or of what is read from it. */
   private handleError(error: NodeJS.ErrnoException, socket: Socket): void {
     const fault = findRequestFault(error);
-    if (fault === undefined) socket.destroy();
+    const hasLeft =
+      error.code === ENDED_AMID_REQUEST &&
+      this.connections.get(socket)?.isServingWhole === true;
+    // Like one that leaves between two requests, it gets no answer any more.
+    if (fault === undefined || hasLeft) socket.destroy();
     else this.setFault(socket, fault);
   }
 
@@ -218,6 +225,11 @@
     return this.queue.first !== undefined;
   }
 
+  /** Whether it serves a request that has arrived whole. */
+  get isServingWhole(): boolean {
+    return this.queue.first?.message.complete === true;
+  }
+
   /** Whether it serves a request, or a part of one has arrived. */
   get isBusy(): boolean {
     return this.isServing || this.socket.bytesRead > this.servedBytes;
