Bound the messages that a daemon reads from others

20 connections with one call of 32 MiB each took a daemon of 200 MB to 787 MB.

Cause: the RPC library reads messages of up to 4 GiB unless it is told otherwise.

Change: a daemon reads messages of up to 1 MiB, the notes of some thousand hosts.

--- a/packages/peer/src/peer_server.ts
+++ b/packages/peer/src/peer_server.ts
@@ -12,6 +12,12 @@
 import {PeerService, type PeerMessage} from './gen/peer_pb.js';
 import type {PeerHandler} from './peer_news.js';
 
+/**
+ * The longest message that another host may send, in bytes: the notes of some
+ * thousand hosts.
+ */
+const MAX_MESSAGE_BYTES = 1_048_576;
+
 /** An RPC server; refuses all calls until it has a handler. */
 export class PeerServer {
   private readonly server: Http2Server;
@@ -21,6 +27,7 @@
 
   constructor(private readonly listen: string) {
     const adapter = connectNodeAdapter({
+      readMaxBytes: MAX_MESSAGE_BYTES,
       routes: (router) => {
         router.service(PeerService, {
           watch: (request, context) =>
