Review: hosts never load tables of a store whose counter is past 2^40

Cause: a revision keeps the era above 2^40, and a larger record_version is taken for another era, so that each read begins again without an end.

--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -15,6 +15,7 @@
 /** Keeps the rows and serves them to the hosts. */
 export class Store {
   rows = new Map();
+  /** The counter of transactions, which gives rows their versions. */
   version = 1;
   feeds = new Set();
   server = createServer((message, response) => {
@@ -51,6 +52,11 @@
     this.#wake();
   }
 
+  /** Counts a transaction that changes no row, such as a heartbeat. */
+  countHeartbeat() {
+    this.version++;
+  }
+
   #set(table, part, key, value) {
     this.rows.set(JSON.stringify([table, part, key]), {
       table,
