Review: rows of other parts of a table are taken for those in force

Cause: the feed of changes is of a table, and the part of its rows is not read, so a draft under another part is put in force by all hosts.

--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -45,10 +45,10 @@
   }
 
   /** Writes a row as the operator or a server does; undefined deletes it. */
-  put(table, key, value) {
+  put(table, key, value, part = '') {
     this.version++;
     const text = value === undefined ? undefined : JSON.stringify(value);
-    this.#set(table, '', key, text && Buffer.from(text).toString('base64'));
+    this.#set(table, part, key, text && Buffer.from(text).toString('base64'));
     this.#wake();
   }
 
