--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -18,6 +18,7 @@
 import {join} from 'node:path';
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
+import {setTimeout} from 'node:timers';
 import {setTimeout as wait} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {Store} from './store.mjs';
@@ -29,6 +30,9 @@
 /** An entry goes after three pings without a write. */
 const LAPSE_MS = 3 * HEARTBEAT_MS;
 const RESTART_MS = 500;
+/** A case that takes longer has not run; it has 120 s. */
+const MAX_CASE_MS = 110_000;
+const EXIT_NOT_RUN = 2;
 const PORT_NAMES = ['front', 'ready', 'control', 'directory', 'internal'];
 const METRICS_PORT = 9464;
 
@@ -86,9 +90,18 @@
     for (const signal of ['SIGINT', 'SIGTERM']) {
       process.once(signal, () => {
         this.#killAll();
-        process.exit(2);
+        process.exit(EXIT_NOT_RUN);
       });
     }
+    // An error of the case itself says nothing of the rule.
+    process.once('uncaughtException', (error) => {
+      process.stdout.write(`the case could not run: ${error.stack}\n`);
+      process.exit(EXIT_NOT_RUN);
+    });
+    setTimeout(() => {
+      process.stdout.write('the case did not end in its time\n');
+      process.exit(EXIT_NOT_RUN);
+    }, MAX_CASE_MS).unref();
     process.once('exit', () => this.#killAll());
   }
 
