Send names of teams to endpoints in UTF-8, refuse those no header carries

What callers saw: all requests of a team whose name has a letter beyond Latin-1 got 500 internal_error from every host, although nothing had been sent to an endpoint; a name with a line break likewise. A name with a letter of Latin-1 reached endpoints as one byte, which is not the name that the configuration holds.

Cause: the header codec put the name into a header line as it is. Node writes each character of a header as one byte and throws for characters that do not fit, so that creating the request failed.

Change: texts are encoded as UTF-8 where they become header lines, by one function of the kernel. Names that no header can carry are found when a configuration comes into force: their requests get 503 team_unusable as not run; a log line, irisdock_gateway_unusable_teams and `irisdock hosts` name the teams; others are served. Such a name can't be corrected by the gateway, as a changed name is another team's.

--- a/packages/cli/src/api_client.ts
+++ b/packages/cli/src/api_client.ts
@@ -53,6 +53,8 @@
   shownBy: z.string(),
   version: z.number(),
   ageMs: z.number(),
+  /** Teams whose requests are refused; absent before this was told. */
+  unusableTeams: z.array(z.string()).default([]),
   hosts: z.array(
     z.object({
       name: z.string(),
--- a/packages/cli/src/commands/hosts.ts
+++ b/packages/cli/src/commands/hosts.ts
@@ -16,6 +16,8 @@
 ];
 /** Shown if any host has a region or tells its capacity. */
 const PLACE_COLUMNS = ['REGION', 'CORES', 'MBIT/S', 'MB'];
+/** Shown if no header can give the names of some teams to endpoints. */
+const TEAM_COLUMNS = ['REFUSED TEAM'];
 const WORDS = z.tuple([], 'give no words');
 const ABSENT = '-';
 
@@ -29,7 +31,7 @@
   async run({client, output}) {
     const list = await client.listHosts();
     if (list.isErr()) return err(list.error);
-    const {hosts} = list.value;
+    const {hosts, unusableTeams} = list.value;
     const hasPlaces = hosts.some(({region, capacity}) => region ?? capacity);
     const columns = hasPlaces ? [...COLUMNS, ...PLACE_COLUMNS] : COLUMNS;
     const rows = hosts.map((host) => [
@@ -43,7 +45,11 @@
       host.heardSecondsAgo === null ? ABSENT : `${host.heardSecondsAgo} s ago`,
       ...(hasPlaces ? formatPlace(host) : []),
     ]);
-    output.print(list.value, columns, rows);
+    const teams = unusableTeams.map((team) => [JSON.stringify(team)]);
+    output.printTables(list.value, [
+      {columns, rows},
+      ...(teams.length === 0 ? [] : [{columns: TEAM_COLUMNS, rows: teams}]),
+    ]);
     return ok();
   },
 });
--- a/packages/gateway/src/errors.ts
+++ b/packages/gateway/src/errors.ts
@@ -34,6 +34,13 @@
     message: 'The request carries no key that is known.',
     remedy: 'Send the key of a team, or ask the operators for one.',
   },
+  team_unusable: {
+    status: 503,
+    outcome: 'not-run',
+    message:
+      'The name of the team has characters that no header can carry, so that its requests are not run.',
+    remedy: 'Ask the operators to change the name of the team.',
+  },
   no_request_id: {
     status: 400,
     outcome: 'not-run',
--- a/packages/gateway/src/services/configuration.ts
+++ b/packages/gateway/src/services/configuration.ts
@@ -7,6 +7,7 @@
   Channel,
   createService,
   createServiceKey,
+  isHeaderText,
   type Logger,
 } from '@irisdock/kernel';
 import {Gauge} from 'prom-client';
@@ -33,9 +34,14 @@
   idleTimeoutMs: 15_000,
 };
 
+/** The most names of teams in one log line. */
+const MAX_LOGGED_TEAMS = 10;
+
 /** The result of finding the team of an API key. */
 export type TeamLookup =
   | {readonly kind: 'known'; readonly team: string}
+  /** No header can give the name of the team to an endpoint. */
+  | {readonly kind: 'unusable'; readonly team: string}
   | {readonly kind: 'none-needed'}
   | {readonly kind: 'unknown'};
 
@@ -49,6 +55,7 @@
   private routes = new RouteTable<ServingRoute>([]);
   private services = new Map<string, ServingService>();
   private teamsByKey: Map<string, string> | undefined;
+  private unusable: ReadonlySet<string> = new Set();
 
   constructor(
     private readonly codec: RowCodec<ServingConfiguration>,
@@ -73,6 +80,11 @@
     return this.routing;
   }
 
+  /** The names of teams that no header can give to an endpoint. */
+  get unusableTeams(): ReadonlySet<string> {
+    return this.unusable;
+  }
+
   get limits(): CallerLimits {
     return this.current?.limits ?? DEFAULT_LIMITS;
   }
@@ -124,7 +136,9 @@
   findTeam(key: string | undefined, route: ServingRoute): TeamLookup {
     if (this.teamsByKey === undefined) return {kind: 'none-needed'};
     const team = key === undefined ? undefined : this.teamsByKey.get(key);
-    if (team !== undefined) return {kind: 'known', team};
+    if (team !== undefined) {
+      return {kind: this.unusable.has(team) ? 'unusable' : 'known', team};
+    }
     return {kind: route.isPublic ? 'none-needed' : 'unknown'};
   }
 
@@ -153,10 +167,20 @@
     this.services = new Map(
       next.services.map((service) => [service.name, service]),
     );
-    this.teamsByKey =
-      next.teams === undefined ? undefined : createTeamsByKey(next.teams);
+    this.applyTeams(next);
     this.changeChannel.post(undefined);
   }
+
+  private applyTeams({teams, version}: ServingConfiguration): void {
+    this.teamsByKey = teams === undefined ? undefined : createTeamsByKey(teams);
+    this.unusable = findUnusableTeams(teams ?? []);
+    if (this.unusable.size === 0) return;
+    const names = JSON.stringify([...this.unusable].slice(0, MAX_LOGGED_TEAMS));
+    this.log.writeError(
+      'The requests of some teams are refused: no header can give their names to an endpoint.',
+      {version, teams: this.unusable.size, names},
+    );
+  }
 }
 
 function createTeamsByKey(
@@ -169,6 +193,13 @@
   return teamsByKey;
 }
 
+function findUnusableTeams(
+  teams: NonNullable<ServingConfiguration['teams']>,
+): Set<string> {
+  const names = teams.map(({name}) => name);
+  return new Set(names.filter((name) => !isHeaderText(name)));
+}
+
 /** The key of the service. */
 export const GATEWAY_CONFIGURATION =
   createServiceKey<GatewayConfiguration>('configuration');
@@ -194,6 +225,14 @@
         this.set(api.version);
       },
     });
+    new Gauge({
+      name: 'irisdock_gateway_unusable_teams',
+      help: 'Teams whose requests are refused as no header can give their names to an endpoint, a number.',
+      registers: [context.metrics],
+      collect() {
+        this.set(api.unusableTeams.size);
+      },
+    });
     return {api};
   },
 });
--- a/packages/gateway/src/services/host_pages.ts
+++ b/packages/gateway/src/services/host_pages.ts
@@ -38,6 +38,7 @@
     shownBy: peers.name,
     version: configuration.version,
     ageMs: Math.round(ageMs),
+    unusableTeams: [...configuration.unusableTeams],
     hosts,
   });
   return true;
--- a/packages/gateway/src/serving/request_handler.ts
+++ b/packages/gateway/src/serving/request_handler.ts
@@ -233,6 +233,10 @@
       this.refuseUnknown(exchange, 'unknown_key');
       return undefined;
     }
+    if (teamLookup.kind === 'unusable') {
+      this.refuse(exchange, this.createRetryableError('team_unusable'));
+      return undefined;
+    }
     const {requestId, remainingMs} = metadata;
     if (requestId === undefined) {
       this.refuse(exchange, GATEWAY_ERRORS.create('no_request_id'));
@@ -304,7 +308,8 @@
       | 'leaving'
       | 'memory_full'
       | 'no_configuration'
-      | 'old_configuration',
+      | 'old_configuration'
+      | 'team_unusable',
   ): KnownError {
     return GATEWAY_ERRORS.create(kind, {}, decideRetryAfter(this.parts.random));
   }
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -10,6 +10,7 @@
 export * from './connection_errors.js';
 export * from './errors.js';
 export * from './guarded_server.js';
+export * from './header_text.js';
 export * from './hop_by_hop.js';
 export * from './host_stalls.js';
 export * from './kernel.js';
