--- a/packages/gateway/src/services/identity.ts
+++ b/packages/gateway/src/services/identity.ts
@@ -4,7 +4,7 @@
   RegionMap,
   type HostCapacity,
 } from '@irisdock/decisions';
-import {createService, createServiceKey} from '@irisdock/kernel';
+import {createService, createServiceKey, isHeaderText} from '@irisdock/kernel';
 import * as z from 'zod';
 import {tryParseJson} from '../model/json_value.js';
 
@@ -28,11 +28,14 @@
 export const HOST_IDENTITY = createServiceKey<HostIdentity>('host');
 
 const REGIONS_SCHEMA = z.record(z.string(), z.string().min(1));
+const NAME_FAULT =
+  'Give a name without control characters and without blanks at either end.';
 const REGIONS_FAULT = 'Give a JSON object with the region of each domain.';
 
 /** The settings of the service; log lines contain the name as well. */
 export const HOST_SETTINGS = z.object({
-  name: z.string().min(1).meta({
+  // Other hosts and the platform get it in headers.
+  name: z.string().min(1).refine(isHeaderText, NAME_FAULT).meta({
     unit: 'name',
     description: 'The unique name of this host.',
   }),
