Bound the time that the answers of faulty servers take

What callers saw: sound calls at a host timed out while a server sent another one's answer as events, comments, blank lines or one-byte chunks without end; one such stream a second was enough. A chunk size of endless zeros was read until the caller's limit.

Cause: answers were bounded by their bytes, but cost time by their parts. A read of 64 KiB holds 32,000 blank lines or 11,000 chunks, some 20 ms, and libuv reads a connection up to 32 times in a row, so that each fast sender held the event loop for most of a second. What carries no content had no bound after the head. Ruled out: memory (no process ended), callers that read slowly.

Change: ResponseWatch, in the kernel, watches all responses of endpoints, hosts, the store and the platform's API and takes the place of the watch for heads. Bytes without content are bounded by the content and a fixed amount that grows with time. A response with very many parts waits for its turn; all of them share a quarter of the process's time (ReadShare). A counter and a log line name the reason.

--- a/packages/gateway/src/channels/body_reader.ts
+++ b/packages/gateway/src/channels/body_reader.ts
@@ -4,7 +4,11 @@
  * since reading on would serve nobody.
  */
 import type {IncomingMessage} from 'node:http';
-import {ByteCollector, type BufferBudget} from '@irisdock/kernel';
+import {
+  ByteCollector,
+  type BufferBudget,
+  type ResponseWatch,
+} from '@irisdock/kernel';
 import {err, ok, type Result} from 'neverthrow';
 
 /** The longest body in bytes; no caller needs a longer answer. */
@@ -33,6 +37,7 @@
  */
 export async function readBody(
   message: IncomingMessage,
+  watch: ResponseWatch,
   buffers: BufferBudget,
   maxBytes = MAX_BODY_BYTES,
 ): Promise<Result<Buffer, string>> {
@@ -48,6 +53,7 @@
       finish(err('its body is the longest of too many'));
     });
     const accept = (part: Buffer): void => {
+      watch.recordPart(part);
       if (collector.length + part.length > maxBytes) {
         finish(err('its body is too long'));
         return;
@@ -56,7 +62,7 @@
       hold.set(collector.capacity);
     };
     const handleCut = (): void => {
-      finish(err('its body was cut'));
+      finish(err(watch.fault ?? 'its body was cut'));
     };
     message.on('data', accept);
     message.once('end', () => {
@@ -69,7 +75,10 @@
 }
 
 /** Reads a body that is not needed to its end, if that is near. */
-export async function dropBody(message: IncomingMessage): Promise<DropResult> {
+export async function dropBody(
+  message: IncomingMessage,
+  watch: ResponseWatch,
+): Promise<DropResult> {
   return new Promise((resolve) => {
     let bytes = 0;
     const finish = (result: DropResult): void => {
@@ -82,6 +91,7 @@
       finish('late');
     }, MAX_DROP_MS);
     const count = (part: Buffer): void => {
+      watch.recordPart(part);
       bytes += part.length;
       if (bytes > MAX_DROPPED_BYTES) finish('too-long');
     };
--- a/packages/gateway/src/channels/endpoint_client.ts
+++ b/packages/gateway/src/channels/endpoint_client.ts
@@ -9,11 +9,13 @@
   BufferBudget,
   getErrorText,
   isRefused,
+  ResponseWatch,
   splitPlace,
   watchConnectionEnd,
   watchRequestFailure,
   type Clock,
   type ConnectionEnd,
+  type ResponseExcess,
 } from '@irisdock/kernel';
 import type {HeaderCodec, HeaderLines} from '../model/request_metadata.js';
 import type {
@@ -35,7 +37,6 @@
   type EndpointResponse,
 } from './endpoint_response.js';
 import {formatRawHeaders} from './header_lines.js';
-import {watchHead} from './head_watch.js';
 
 export type {EndpointResponse} from './endpoint_response.js';
 
@@ -81,6 +82,14 @@
   recordFailure(target: SendTarget): void;
 }
 
+/** What responses may cost a host. */
+export interface AnswerBounds {
+  /** The memory for responses that are being read. */
+  readonly buffers: BufferBudget;
+  /** Records that a response exceeded a bound. */
+  recordExcess(target: SendTarget, excess: ResponseExcess): void;
+}
+
 const NO_OBSERVER: ConnectionObserver = {
   recordConnected: () => undefined,
   recordFailure: () => undefined,
@@ -90,6 +99,7 @@
 interface SentRequest {
   readonly clientRequest: ClientRequest;
   readonly connectionEnd: ConnectionEnd;
+  readonly watch: ResponseWatch;
   /** When it was sent, on the monotonic clock. */
   readonly sentAt: number;
 }
@@ -104,7 +114,10 @@
     private readonly clock: Clock,
     network: EndpointNetwork = new TcpEndpointNetwork(),
     private readonly observer: ConnectionObserver = NO_OBSERVER,
-    private readonly buffers: BufferBudget = new BufferBudget(),
+    private readonly bounds: AnswerBounds = {
+      buffers: new BufferBudget(),
+      recordExcess: () => undefined,
+    },
   ) {
     this.agent = new EndpointAgent(network);
   }
@@ -153,14 +166,20 @@
       };
       const maxOpenMs = outgoing.permit.sendBy - sentAt;
       watchConnection(clientRequest, this.clock, listener, maxOpenMs);
-      watchHead(clientRequest, () => {
-        watched.fail(new Error('its head is too long'));
+      const watch = new ResponseWatch(clientRequest, {
+        handleExcess: (excess) => {
+          this.bounds.recordExcess(target, excess);
+          watched.fail(new Error(watch.fault));
+        },
+        recordPaced: () => {
+          this.bounds.recordExcess(target, 'paced');
+        },
       });
       clientRequest.once('close', () => {
         outgoing.signal.removeEventListener('abort', abort);
       });
       clientRequest.once('response', (incoming) => {
-        const sent = {clientRequest, connectionEnd, sentAt};
+        const sent = {clientRequest, connectionEnd, watch, sentAt};
         resolve(this.acceptResponse(outgoing, sent, incoming));
       });
       if (outgoing.signal.aborted) abort();
@@ -188,17 +207,18 @@
 
   private acceptResponse(
     outgoing: EndpointRequest,
-    {clientRequest, connectionEnd, sentAt}: SentRequest,
+    {clientRequest, connectionEnd, watch, sentAt}: SentRequest,
     incoming: IncomingMessage,
   ): EndpointFailure | EndpointResponse {
     const fault = refuseStatus(clientRequest, incoming);
     if (fault !== undefined) return fault;
     const response = createEndpointResponse(
       this.codec,
-      this.buffers,
+      this.bounds.buffers,
       clientRequest,
       incoming,
       connectionEnd,
+      watch,
     );
     this.reportResponse(outgoing, response, sentAt);
     return response;
--- a/packages/gateway/src/channels/endpoint_response.ts
+++ b/packages/gateway/src/channels/endpoint_response.ts
@@ -6,6 +6,7 @@
   type BufferBudget,
   type BufferHold,
   type ConnectionEnd,
+  type ResponseWatch,
 } from '@irisdock/kernel';
 import {err, type Result} from 'neverthrow';
 import type {
@@ -31,6 +32,8 @@
   /** Whether its connection has brought the response to an earlier request. */
   readonly isOnReusedConnection: boolean;
   readonly message: IncomingMessage;
+  /** Must be told what is read of the message by other means than below. */
+  readonly watch: ResponseWatch;
   /** Whether the body has a length or is chunked. */
   readonly isFramed: boolean;
   /**
@@ -55,6 +58,7 @@
   clientRequest: ClientRequest,
   incoming: IncomingMessage,
   connectionEnd: ConnectionEnd,
+  watch: ResponseWatch,
 ): EndpointResponse {
   const allLines = readHeaderLines(incoming);
   const type = findHeader(allLines, 'content-type') ?? '';
@@ -80,13 +84,14 @@
     isEventStream: type.startsWith('text/event-stream'),
     isOnReusedConnection: clientRequest.reusedSocket,
     message: incoming,
+    watch,
     isFramed,
     isComplete,
     readBody: async (maxBytes) => {
-      const body = await readBody(incoming, buffers, maxBytes);
+      const body = await readBody(incoming, watch, buffers, maxBytes);
       return body.isErr() || isComplete() ? body : err('its body was cut');
     },
-    dropBody: () => dropBody(incoming),
+    dropBody: () => dropBody(incoming, watch),
     openHold: (handleExcess) => buffers.open(handleExcess),
     close: () => {
       clientRequest.destroy();
--- a/packages/gateway/src/channels/json_client.ts
+++ b/packages/gateway/src/channels/json_client.ts
@@ -12,6 +12,7 @@
   BufferBudget,
   getErrorText,
   isBodyComplete,
+  ResponseWatch,
   splitPlace,
   watchConnectionEnd,
   watchRequestFailure,
@@ -19,7 +20,6 @@
 import {err, type Result} from 'neverthrow';
 import {tryParseJson} from '../model/json_value.js';
 import {readBody} from './body_reader.js';
-import {watchHead} from './head_watch.js';
 
 /** A JSON request; without a `body` it is sent with an empty one. */
 export interface JsonRequest {
@@ -73,11 +73,13 @@
       const timer = setTimeout(() => {
         close(`no answer in ${call.timeoutMs} ms`);
       }, call.timeoutMs);
-      watchHead(clientRequest, () => {
-        close('its head is too long');
+      const watch = new ResponseWatch(clientRequest, {
+        handleExcess: () => {
+          close(watch.fault ?? '');
+        },
       });
       clientRequest.on('response', (response) => {
-        void this.readResponse(response).then((result) => {
+        void this.readResponse(response, watch).then((result) => {
           const isComplete = isBodyComplete(
             clientRequest,
             response,
@@ -94,9 +96,10 @@
 
   private async readResponse(
     response: IncomingMessage,
+    watch: ResponseWatch,
   ): Promise<Result<JsonResponse, string>> {
     const {statusCode: status = 0, headers} = response;
-    const body = await readBody(response, this.buffers);
+    const body = await readBody(response, watch, this.buffers);
     return body.map((bytes) => ({
       status,
       body: tryParseJson(bytes.toString()),
--- a/packages/gateway/src/services/front.ts
+++ b/packages/gateway/src/services/front.ts
@@ -1,7 +1,6 @@
 /** The service `front`: the HTTP server for callers. */
 import {createServer, type Server} from 'node:http';
 import {
-  BufferBudget,
   createService,
   createServiceKey,
   IP_PORT_SCHEMA,
@@ -12,7 +11,10 @@
   CallerConnections,
   type FaultHandler,
 } from '../channels/caller_connections.js';
-import {EndpointClient} from '../channels/endpoint_client.js';
+import {
+  EndpointClient,
+  type AnswerBounds,
+} from '../channels/endpoint_client.js';
 import {startListening} from '../channels/listening.js';
 import {PeerFrame} from '../model/peer_frame.js';
 import {EndpointExitCheck} from '../serving/endpoint_exit_check.js';
@@ -32,6 +34,7 @@
 } from '../serving/serving_metrics.js';
 import type {ServingParts} from '../serving/serving_parts.js';
 import {SuccessorFinder} from '../serving/successors.js';
+import {createAnswerBounds} from './answer_bounds.js';
 import {BEGUN_REQUESTS} from './begun_requests.js';
 import {CRASHES} from './crashes.js';
 import {GATEWAY_CONFIGURATION} from './configuration.js';
@@ -199,8 +202,8 @@
   const configuration = context.find(GATEWAY_CONFIGURATION);
   const gate = createGate(context);
   const paths = createPaths(context);
-  const buffers = new BufferBudget();
-  const client = createClient(context, gate, paths, buffers);
+  const answers = createAnswerBounds(context);
+  const client = createClient(context, gate, paths, answers);
   const engineClient = new EngineClient(client, clock);
   const servingMetrics = new ServingMetrics(metrics);
   const outageMetrics = new OutageMetrics(metrics);
@@ -236,7 +239,7 @@
     versions: context.find(VERSION_HISTORY),
     gate,
     paths,
-    relay: createRelay(context, buffers),
+    relay: createRelay(context, answers),
     lateRefusals: createLateRefusals(context, outages, outageMetrics),
     lostRuns: new LostRuns({
       ...context,
@@ -275,17 +278,17 @@
   context: ServiceContext,
   gate: EndpointGate,
   paths: EndpointPaths,
-  buffers: BufferBudget,
+  answers: AnswerBounds,
 ): EndpointClient {
   const {headers} = context.find(CODECS);
   const network = context.find(ENDPOINT_NETWORK);
   const {clock} = context;
-  return new EndpointClient(headers, gate, clock, network, paths, buffers);
+  return new EndpointClient(headers, gate, clock, network, paths, answers);
 }
 
 function createRelay(
   context: ServiceContext,
-  buffers: BufferBudget,
+  answers: AnswerBounds,
 ): RequestRelay {
   const {deployment} = context.find(HOST_IDENTITY);
   return new RequestRelay({
@@ -293,7 +296,7 @@
     codec: context.find(CODECS).headers,
     peers: context.find(PEERS),
     deployment: new PeerFrame(deployment).tag,
-    buffers,
+    answers,
   });
 }
 
--- a/packages/gateway/src/serving/request_relay.ts
+++ b/packages/gateway/src/serving/request_relay.ts
@@ -11,8 +11,11 @@
   type EventId,
   type HostCapacity,
 } from '@irisdock/decisions';
-import type {BufferBudget, Clock, Random} from '@irisdock/kernel';
-import {EndpointClient} from '../channels/endpoint_client.js';
+import type {Clock, Random} from '@irisdock/kernel';
+import {
+  EndpointClient,
+  type AnswerBounds,
+} from '../channels/endpoint_client.js';
 import {findHeader} from '../channels/header_lines.js';
 import type {HeaderCodec, HeaderLines} from '../model/request_metadata.js';
 import {formatRelayPath} from '../model/relay_path.js';
@@ -70,8 +73,8 @@
   readonly deployment: string;
   readonly clock: Clock;
   readonly random: Random;
-  /** The memory for answers; the relay has its own by default. */
-  readonly buffers?: BufferBudget;
+  /** What answers may cost; the relay has its own memory by default. */
+  readonly answers?: AnswerBounds;
 }
 
 /** Where a begun stream resumes. */
@@ -113,14 +116,14 @@
   private readonly inFlight = new Map<string, number>();
 
   constructor(private readonly parts: RequestRelayParts) {
-    const {codec, clock, buffers} = parts;
+    const {codec, clock, answers} = parts;
     this.client = new EndpointClient(
       codec,
       OPEN_GATE,
       clock,
       undefined,
       undefined,
-      buffers,
+      answers,
     );
     this.prober = new RelayHostProber(this.client, codec.reportPath, clock);
   }
--- a/packages/gateway/src/serving/stream_attempt.ts
+++ b/packages/gateway/src/serving/stream_attempt.ts
@@ -4,7 +4,7 @@
  */
 import type {IncomingMessage} from 'node:http';
 import {EventSplitter, type ServerSentEvent} from '@irisdock/decisions';
-import type {BufferHold} from '@irisdock/kernel';
+import type {BufferHold, ResponseWatch} from '@irisdock/kernel';
 import {findResponseFault} from '../channels/response_check.js';
 import type {
   EndpointResponse,
@@ -174,7 +174,7 @@
     const hold = answer.openHold(() => {
       this.end('its event is the longest of too many');
     });
-    await this.passEvents(answer.message, splitter, hold);
+    await this.passEvents(answer, splitter, hold);
     hold.close();
     if (this.stopSignal.aborted) {
       answer.close();
@@ -184,7 +184,8 @@
     const isLost = this.lostDetail !== undefined || !answer.isFramed;
     if (isLost || !answer.isComplete() || splitter.pendingBytes > 0) {
       answer.close();
-      const {lostDetail: detail = 'its stream was cut', silence} = this;
+      const {fault = 'its stream was cut'} = answer.watch;
+      const {lostDetail: detail = fault, silence} = this;
       return {kind: 'lost', mayHaveRun: true, detail, silence};
     }
     return {kind: 'ended'};
@@ -196,7 +197,7 @@
    * each event.
    */
   private async passEvents(
-    message: IncomingMessage,
+    {message, watch}: EndpointResponse,
     splitter: EventSplitter,
     hold: BufferHold,
   ): Promise<void> {
@@ -205,7 +206,8 @@
         resolve();
       };
       message.on('data', (chunk: Buffer) => {
-        this.acceptChunk(message, splitter, chunk);
+        watch.recordPart(chunk);
+        this.acceptChunk(message, watch, splitter, chunk);
         this.checkPending(splitter, hold);
       });
       message.once('end', handleEnd);
@@ -215,12 +217,14 @@
 
   private acceptChunk(
     message: IncomingMessage,
+    watch: ResponseWatch,
     splitter: EventSplitter,
     chunk: Buffer,
   ): void {
     if (this.stopSignal.aborted || this.lostDetail !== undefined) return;
     const events = splitter.add(chunk);
     if (events.length === 0) return;
+    recordEvents(watch, events);
     this.detector.recordEvents();
     const drained = this.listener.handleEvents(events);
     if (drained === undefined) return;
@@ -239,6 +243,16 @@
   }
 }
 
+function recordEvents(
+  watch: ResponseWatch,
+  events: readonly ServerSentEvent[],
+): void {
+  watch.recordEvents(events.length);
+  for (const {isEmpty, bytes} of events) {
+    if (isEmpty) watch.recordEmptyEvent(bytes);
+  }
+}
+
 /** Describes the end of an attempt, for logs and error messages. */
 export function getAttemptDetail(result: AttemptResult): string {
   if (result.kind === 'ended') return '';
