Let answers of a server that floods wait from their first byte

What callers saw: at 60 answers a second of events in one-byte chunks, 54 of 60 sound calls at the host were still lost.

Cause: an answer waits for its turn after the read that brought very many parts; the first read is free and takes some 25 ms, whatever follows. Change: an address whose answer had to wait is remembered for 10 s, and what it sends next waits from its first byte.

--- a/packages/gateway/src/channels/endpoint_client.ts
+++ b/packages/gateway/src/channels/endpoint_client.ts
@@ -37,6 +37,7 @@
   type EndpointResponse,
 } from './endpoint_response.js';
 import {formatRawHeaders} from './header_lines.js';
+import {PacedAddresses} from './paced_addresses.js';
 
 export type {EndpointResponse} from './endpoint_response.js';
 
@@ -107,6 +108,7 @@
 /** Sends requests to endpoints over persistent connections. */
 export class EndpointClient {
   private readonly agent: EndpointAgent;
+  private readonly paced: PacedAddresses;
 
   constructor(
     private readonly codec: HeaderCodec,
@@ -120,6 +122,7 @@
     },
   ) {
     this.agent = new EndpointAgent(network);
+    this.paced = new PacedAddresses(clock);
   }
 
   /** Requests a permit, without which nothing can be sent. */
@@ -166,14 +169,8 @@
       };
       const maxOpenMs = outgoing.permit.sendBy - sentAt;
       watchConnection(clientRequest, this.clock, listener, maxOpenMs);
-      const watch = new ResponseWatch(clientRequest, {
-        handleExcess: (excess) => {
-          this.bounds.recordExcess(target, excess);
-          watched.fail(new Error(watch.fault));
-        },
-        recordPaced: () => {
-          this.bounds.recordExcess(target, 'paced');
-        },
+      const watch = this.watchResponse(clientRequest, target, (error) => {
+        watched.fail(error);
       });
       clientRequest.once('close', () => {
         outgoing.signal.removeEventListener('abort', abort);
@@ -205,6 +202,26 @@
     });
   }
 
+  private watchResponse(
+    clientRequest: ClientRequest,
+    target: SendTarget,
+    fail: (error: Error) => void,
+  ): ResponseWatch {
+    const {bounds, paced} = this;
+    const watch = new ResponseWatch(clientRequest, {
+      handleExcess: (excess) => {
+        bounds.recordExcess(target, excess);
+        fail(new Error(watch.fault));
+      },
+      recordPaced: () => {
+        bounds.recordExcess(target, 'paced');
+        paced.record(target.address);
+      },
+    });
+    if (paced.has(target.address)) watch.pace();
+    return watch;
+  }
+
   private acceptResponse(
     outgoing: EndpointRequest,
     {clientRequest, connectionEnd, watch, sentAt}: SentRequest,
--- a/packages/kernel/src/response_watch.ts
+++ b/packages/kernel/src/response_watch.ts
@@ -87,6 +87,13 @@
     return isHead ? 'its head is too long' : 'it has too little content';
   }
 
+  /** Reads nothing of the response until its turn; before it has begun. */
+  pace(): void {
+    this.clientRequest.once('socket', (socket) => {
+      this.share.pause(socket, 0);
+    });
+  }
+
   /** Records a part of the body that its reader has taken. */
   recordPart(part: Buffer): void {
     this.contentBytes += part.length;
--- a/packages/kernel/tests/response_watch.test.ts
+++ b/packages/kernel/tests/response_watch.test.ts
@@ -30,7 +30,7 @@
   private readonly request = new EventEmitter();
   private readonly watch: ResponseWatch;
 
-  constructor() {
+  constructor(isPaced = false) {
     const share = {
       pause: () => this.pauses++,
       release: () => undefined,
@@ -44,6 +44,7 @@
       share,
       () => this.now,
     );
+    if (isPaced) this.watch.pace();
     this.request.emit('socket', this.socket);
   }
 
@@ -119,6 +120,14 @@
   });
 });
 
+// Guards against many answers that each take much time by their first read.
+describe('a response of a server whose responses had very many parts', () => {
+  it('waits for its turn before its first read', () => {
+    const response = new WatchedResponse(true);
+    assert.equal(response.pauses, 1);
+  });
+});
+
 const SOUND: readonly (readonly [string, Read, number, number])[] = [
   ['a long body', {wireBytes: READ_BYTES, parts: [READ_BYTES]}, 1000, 0],
   ['a long body in small reads', {wireBytes: 1400, parts: [1400]}, 6000, 0],
