Tie the memory for answers to that of the machine

What was seen: a host of 88 MB took 138 MB while 60 requests a second had endless bodies; no process ended.

Cause: the bound on all answers together was the same on all machines, unlike that on requests, and blocks that larger ones had replaced were collected late.

Change: [requestMemory] answersMb bounds the answers being read and, apart from them, those that wait for callers: a sixth of what the machine leaves beside 96 MB, from one longest answer to two; unchanged if the memory is not known. Replaced blocks and given-up bodies count for collection. A body's block no longer grows beyond the longest body.

--- a/packages/gateway/src/channels/body_reader.ts
+++ b/packages/gateway/src/channels/body_reader.ts
@@ -5,6 +5,7 @@
  */
 import type {IncomingMessage} from 'node:http';
 import {
+  BUFFER_COLLECTION,
   ByteCollector,
   type BufferBudget,
   type ResponseWatch,
@@ -42,12 +43,14 @@
   maxBytes = MAX_BODY_BYTES,
 ): Promise<Result<Buffer, string>> {
   return new Promise((resolve) => {
-    const collector = new ByteCollector();
+    const collector = new ByteCollector(maxBytes);
     const finish = (result: Result<Buffer, string>): void => {
       message.removeListener('data', accept);
       hold.close();
       resolve(result);
-      if (result.isErr()) message.destroy();
+      if (result.isOk()) return;
+      BUFFER_COLLECTION.recordDropped(collector.capacity);
+      message.destroy();
     };
     const hold = buffers.open(() => {
       finish(err('its body is the longest of too many'));
@@ -58,7 +61,11 @@
         finish(err('its body is too long'));
         return;
       }
+      const {capacity} = collector;
       collector.add(part);
+      if (collector.capacity === capacity) return;
+      // The block that was replaced.
+      BUFFER_COLLECTION.recordRead(capacity);
       hold.set(collector.capacity);
     };
     const handleCut = (): void => {
--- a/packages/gateway/src/services/answer_bounds.ts
+++ b/packages/gateway/src/services/answer_bounds.ts
@@ -3,9 +3,10 @@
  * for those that are being read, and the log and the counter of those that
  * exceed a bound (see `ResponseWatch`).
  */
-import {BufferBudget, type ServiceContext} from '@irisdock/kernel';
+import type {ServiceContext} from '@irisdock/kernel';
 import {Counter} from 'prom-client';
 import type {AnswerBounds} from '../channels/endpoint_client.js';
+import {REQUEST_MEMORY} from './request_memory.js';
 
 /** Creates the bounds of this host. */
 export function createAnswerBounds(context: ServiceContext): AnswerBounds {
@@ -17,7 +18,7 @@
     registers: [metrics],
   });
   return {
-    buffers: new BufferBudget(),
+    buffers: context.find(REQUEST_MEMORY).answers,
     recordExcess: ({instanceId: endpoint, address}, reason) => {
       excesses.inc({reason});
       const sentence =
--- a/packages/gateway/src/services/front_requests.ts
+++ b/packages/gateway/src/services/front_requests.ts
@@ -9,6 +9,7 @@
 import type {ExchangesInFlight} from '../serving/exchanges_in_flight.js';
 import {formatRefusalResponse} from '../serving/refusal_response.js';
 import type {RequestHandler} from '../serving/request_handler.js';
+import {REQUEST_MEMORY} from './request_memory.js';
 
 /** Serves requests, and refuses what is none. */
 export class FrontRequests {
@@ -21,6 +22,7 @@
     private readonly inFlight: ExchangesInFlight,
   ) {
     const {metrics} = handler;
+    const {maxUnreadBytes} = context.find(REQUEST_MEMORY);
     this.lingeringCloses = new LingeringCloses({
       ...context,
       bounds: LINGER_BOUNDS,
@@ -28,7 +30,7 @@
     });
     this.unreadAnswers = new UnreadAnswers({
       ...context,
-      bounds: UNREAD_BOUNDS,
+      bounds: {...UNREAD_BOUNDS, maxBytes: maxUnreadBytes},
       closes: metrics.unreadAnswers,
     });
   }
--- a/packages/gateway/src/services/request_memory.ts
+++ b/packages/gateway/src/services/request_memory.ts
@@ -1,9 +1,10 @@
 /**
- * The service `requestMemory`: the memory that this host gives to what callers
- * and other hosts send to it. It depends on the memory of the host.
+ * The service `requestMemory`: the memory that this host gives to what callers,
+ * endpoints and other hosts send to it. It depends on the memory of the host.
  */
 import {
   BodyMemory,
+  BufferBudget,
   createService,
   createServiceKey,
   DEFAULT_BACKLOG_BYTES,
@@ -12,6 +13,7 @@
 } from '@irisdock/kernel';
 import {Counter, type Registry} from 'prom-client';
 import * as z from 'zod';
+import {MAX_BODY_BYTES} from '../channels/body_reader.js';
 import {HOST_IDENTITY} from './identity.js';
 
 const BYTES_PER_MB = 1_000_000;
@@ -29,6 +31,15 @@
 
 /** The bodies of requests. */
 const BODIES: MemoryPart = {divisor: 3, minMb: 8, maxMb: 32};
+/**
+ * The answers that are being read, and as much for those that wait for callers.
+ * One of the longest fits at least, and two at most.
+ */
+const ANSWERS: MemoryPart = {
+  divisor: 6,
+  minMb: MAX_BODY_BYTES / BYTES_PER_MB,
+  maxMb: (2 * MAX_BODY_BYTES) / BYTES_PER_MB,
+};
 
 /**
  * How long a client of a guarded server may take nothing of its answer, in ms:
@@ -39,6 +50,10 @@
 /** The memory for requests. */
 export interface RequestMemory {
   readonly bodies: BodyMemory;
+  /** Bounds the answers that are being read. */
+  readonly answers: BufferBudget;
+  /** The most bytes of answers that wait for their callers. */
+  readonly maxUnreadBytes: number;
   /** Guards the servers of this host. */
   readonly guard: ServerGuard;
 }
@@ -61,6 +76,11 @@
       description:
         'The memory for the bodies of all requests together, beyond which the largest that is still arriving is refused with 503; one body of the configured limit always fits. auto is a third of what `[host] memoryMb` leaves beside 96 MB, from 8 to 32.',
     }),
+    answersMb: SIZE_SCHEMA.meta({
+      unit: 'MB|auto',
+      description:
+        'The memory for the answers of endpoints that are being read, beyond which the largest is given up, and as much for answers that wait for their callers. auto is a sixth of what `[host] memoryMb` leaves beside 96 MB, from 8.4 to 16.8; 16.8 if that is not known.',
+    }),
     backlogMb: z.coerce
       .number()
       .min(1)
@@ -74,7 +94,7 @@
   needs: [HOST_IDENTITY],
   create(context, settings) {
     const {memoryMb} = context.find(HOST_IDENTITY);
-    const {bodiesMb, backlogMb} = settings;
+    const {answersMb, bodiesMb, backlogMb} = settings;
     const closes = createCloseCounter(context.metrics);
     const guard: ServerGuard = {
       backlog: new RequestBacklog(backlogMb * BYTES_PER_MB),
@@ -84,7 +104,10 @@
       },
     };
     const bodies = new BodyMemory(computeBytes(bodiesMb, BODIES, memoryMb));
-    return {api: {bodies, guard}};
+    const answersOf = memoryMb === 0 ? Infinity : memoryMb;
+    const maxUnreadBytes = computeBytes(answersMb, ANSWERS, answersOf);
+    const answers = new BufferBudget(maxUnreadBytes);
+    return {api: {bodies, answers, maxUnreadBytes, guard}};
   },
 });
 
