Bound what a daemon reads of endpoints and the platform

What was seen (in tests only): a daemon kept whatever an engine sent as the report of its load until the call timed out; it read streams without events, and plain answers whose framing never ended, until the caller's limit.

Cause: the daemon's HTTP client gives bodies without a bound, and the parser of events keeps an unfinished one.

Change: short calls are read up to 8 MiB, answers of the platform up to 32 MiB. A stream that brings 1 MiB without an event fails like a cut one. Plain calls have the gateway's ResponseWatch.

--- a/packages/endpoints/src/http_client.ts
+++ b/packages/endpoints/src/http_client.ts
@@ -1,4 +1,5 @@
 /** What the clients of endpoints share: short JSON calls on a pool. */
+import {readBoundedText} from '@irisdock/kernel';
 import {err, ok, type Result} from 'neverthrow';
 import {Pool} from 'undici';
 import type * as z from 'zod';
@@ -7,6 +8,8 @@
 
 const CONNECT_MS = 1000;
 const OK = 200;
+/** The longest answer to a short call; the longest list cached prompts. */
+const MAX_JSON_BYTES = 8_388_608;
 
 /** A short call. */
 export interface JsonCall {
@@ -42,7 +45,7 @@
         headers: {'content-type': 'application/json'},
         signal: AbortSignal.timeout(call.timeoutMs),
       });
-      const text = await response.body.text();
+      const text = await readBoundedText(response.body, MAX_JSON_BYTES);
       if (response.statusCode !== OK) {
         return err(createStatusError(this.address, response.statusCode));
       }
--- a/packages/endpoints/src/http_plain_endpoint.ts
+++ b/packages/endpoints/src/http_plain_endpoint.ts
@@ -4,6 +4,7 @@
 import {
   hasFraming,
   isBodyComplete,
+  ResponseWatch,
   splitPlace,
   watchConnectionEnd,
   watchRequestFailure,
@@ -40,13 +41,18 @@
       watchConnect(clientRequest, () => {
         isConnected = true;
       });
-      watchRequestFailure(clientRequest, (error) => {
+      const watched = watchRequestFailure(clientRequest, (error) => {
         const create = isConnected ? createCallError : createUnsentError;
         resolve(err(create(address, error)));
       });
+      const watch = new ResponseWatch(clientRequest, {
+        handleExcess: () => {
+          watched.fail(new Error(watch.fault));
+        },
+      });
       clientRequest.once('response', (incoming) => {
         const {statusCode: status = 0, headers} = incoming;
-        const body = createBody(incoming, () =>
+        const body = createBody(incoming, watch, () =>
           isBodyComplete(clientRequest, incoming, connectionEnd),
         );
         resolve(ok({status, headers, body, isFramed: hasFraming(incoming)}));
@@ -109,15 +115,16 @@
 /** Gives the body of a response, which fails if it is not complete. */
 function createBody(
   incoming: IncomingMessage,
+  watch: ResponseWatch,
   isComplete: () => boolean,
 ): Readable {
-  if (hasFraming(incoming)) return incoming;
   const body = new Transform({
-    transform: (chunk, _, finish) => {
+    transform: (chunk: Buffer, _, finish) => {
+      watch.recordPart(chunk);
       finish(null, chunk);
     },
     flush: (finish) => {
-      finish(isComplete() ? null : new Error('the body was cut by a reset'));
+      finish(isComplete() ? null : new Error('the body was cut'));
     },
   });
   // Its reader may not listen yet when it fails.
--- a/packages/endpoints/src/stream_reader.ts
+++ b/packages/endpoints/src/stream_reader.ts
@@ -17,7 +17,16 @@
   reason: z.string(),
 });
 
-/** Gives the events of a body, those that arrived together in one batch. */
+/**
+ * The most bytes that may arrive without completing an event. An event carries
+ * a token; between events there may be comments that keep a connection alive.
+ */
+const MAX_EVENTLESS_BYTES = 1_048_576;
+
+/**
+ * Gives the events of a body, those that arrived together in one batch. Throws
+ * if too many bytes bring no event.
+ */
 export async function* readStream(
   body: Readable,
 ): AsyncGenerator<readonly StreamEvent[]> {
@@ -29,9 +38,15 @@
     },
   });
   const decoder = new TextDecoder();
+  let eventlessBytes = 0;
   for await (const chunk of body as AsyncIterable<Buffer>) {
+    eventlessBytes += chunk.length;
+    if (eventlessBytes > MAX_EVENTLESS_BYTES) {
+      throw new Error('its stream brings no events');
+    }
     parser.feed(decoder.decode(chunk, {stream: true}));
     if (batch.length === 0) continue;
+    eventlessBytes = 0;
     yield batch;
     batch = [];
   }
--- a/packages/gateway/src/channels/endpoint_client.ts
+++ b/packages/gateway/src/channels/endpoint_client.ts
@@ -218,7 +218,7 @@
         paced.record(target.address);
       },
     });
-    if (paced.has(target.address)) watch.pace();
+    if (paced.has(target.address)) watch.pause();
     return watch;
   }
 
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -1,6 +1,7 @@
 /** The micro-kernel and what every package builds on. */
 export * from './body_framing.js';
 export * from './body_memory.js';
+export * from './bounded_text.js';
 export * from './buffer_budget.js';
 export * from './buffer_collection.js';
 export * from './byte_collector.js';
--- a/packages/kernel/src/response_watch.ts
+++ b/packages/kernel/src/response_watch.ts
@@ -88,7 +88,7 @@
   }
 
   /** Reads nothing of the response until its turn; before it has begun. */
-  pace(): void {
+  pause(): void {
     this.clientRequest.once('socket', (socket) => {
       this.share.pause(socket, 0);
     });
--- a/packages/kernel/tests/response_watch.test.ts
+++ b/packages/kernel/tests/response_watch.test.ts
@@ -44,7 +44,7 @@
       share,
       () => this.now,
     );
-    if (isPaced) this.watch.pace();
+    if (isPaced) this.watch.pause();
     this.request.emit('socket', this.socket);
   }
 
--- a/packages/storage/src/http_platform.ts
+++ b/packages/storage/src/http_platform.ts
@@ -3,7 +3,7 @@
  * told apart from an answer that was lost, since only the first proves that
  * nothing happened.
  */
-import {getErrorText, isNeverSent} from '@irisdock/kernel';
+import {getErrorText, isNeverSent, readBoundedText} from '@irisdock/kernel';
 import {err, ok, type Result} from 'neverthrow';
 import {Pool} from 'undici';
 import * as z from 'zod';
@@ -37,6 +37,8 @@
 const THROTTLED = 429;
 const NOT_FOUND = 404;
 const CONNECTIONS = 8;
+/** The longest answer, in bytes: an object, or all rows of a table. */
+const MAX_ANSWER_BYTES = 33_554_432;
 interface Call {
   readonly method: 'GET' | 'POST' | 'PUT';
   readonly path: string;
@@ -137,7 +139,7 @@
         headers: {'content-type': 'application/json'},
         signal: AbortSignal.timeout(this.timeoutMs),
       });
-      const text = await response.body.text();
+      const text = await readBoundedText(response.body, MAX_ANSWER_BYTES);
       return checkStatus({status: response.statusCode, text});
     } catch (thrown) {
       return err(createCallError(thrown));
