Refuse late calls that the slowest recent call would outlast

What callers saw: in a planned stop, calls that may run once ran and ended with 502 host_stopped at the end of the grace period.

Cause: a late call was taken by the mean and the mean deviation of the times of its route, in which a slow call has no weight after some fast ones. Ruled out: cut connections (each had an answer), a relay (the connection to the caller ends with this host in any case).

--- a/packages/gateway/src/serving/request_handler.ts
+++ b/packages/gateway/src/serving/request_handler.ts
@@ -200,7 +200,7 @@
     });
   }
 
-  /** Whether the host will likely stop before a call that starts now ends. */
+  /** Whether the host may stop before a call that starts now ends. */
   private isTooLateForCall(
     request: AdmittedRequest,
     route: ServingRoute,
@@ -209,8 +209,8 @@
     if (workLeftMs === Infinity) return false;
     const now = this.parts.clock.getNow();
     const remainingMs = computeRemainingMs(request, route, now);
-    const usualMs = this.callTimes.getUsualMs(route.name);
-    return workLeftMs < Math.min(usualMs, remainingMs);
+    const longestMs = this.callTimes.getLongestMs(route.name);
+    return workLeftMs < Math.min(longestMs, remainingMs);
   }
 
   /** Validates key, id and body; refuses the request if one is invalid. */
