Stop listening before the last connections of a stopping host close

What callers saw: as a stopping host ended, some connections were reset. None of their requests had run, but a caller can't know that.

Cause: the listener was closed together with the last connections, and the kernel resets what waits to be accepted then.

Change: the listener closes a fortieth of the grace period before the drain ends, in a turn of the event loop that brought no connection; what was accepted is read and answered.

Test: stopping_calls, the new one failed before.

--- a/packages/gateway/src/channels/caller_connections.ts
+++ b/packages/gateway/src/channels/caller_connections.ts
@@ -4,7 +4,7 @@
  * connection are served one after the other, as an answer may close it.
  */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import {Socket} from 'node:net';
+import {Server as NetServer, Socket} from 'node:net';
 import {setImmediate as waitForTurn} from 'node:timers/promises';
 import {
   RequestBacklog,
@@ -31,6 +31,9 @@
  */
 const KEEP_ALIVE_MARGIN_MS = 1000;
 
+/** How many turns of the event loop a turn without connections is awaited. */
+const MAX_ACCEPT_TURNS = 100;
+
 /** What connections share with those of other servers of the host. */
 type ConnectionGuard = Pick<ServerGuard, 'backlog' | 'handleClose'>;
 
@@ -58,6 +61,7 @@
 /** Tracks the connections of a server for callers. */
 export class CallerConnections {
   private readonly connections = new Map<Socket, CallerConnection>();
+  private acceptedCount = 0;
 
   constructor(
     private readonly server: Server,
@@ -130,6 +134,22 @@
     }
   }
 
+  /**
+   * Refuses further connections; those that are open go on. The kernel resets
+   * what waits to be accepted, so it does so in a turn in which nothing came.
+   */
+  async stopListening(): Promise<void> {
+    for (let turn = 0; turn < MAX_ACCEPT_TURNS; turn++) {
+      const before = this.acceptedCount;
+      await waitForReads();
+      if (this.acceptedCount === before) break;
+    }
+    if (!this.server.listening) return;
+    // Node's HTTP server would close idle connections, too, on which a request
+    // may be arriving.
+    NetServer.prototype.close.call(this.server);
+  }
+
   /** Stops listening and closes all connections. */
   closeAll(): void {
     this.server.close();
@@ -137,6 +157,7 @@
   }
 
   private add(socket: Socket): void {
+    this.acceptedCount++;
     socket.setNoDelay(true);
     const connection = new CallerConnection(
       socket,
--- a/packages/gateway/src/services/front_drain.ts
+++ b/packages/gateway/src/services/front_drain.ts
@@ -10,6 +10,12 @@
 
 /** How long callers may still use this host's address during a stop, in ms. */
 const ADDRESS_LINGER_MS = 3500;
+/**
+ * How long before the end of the drain the host stops listening, as a part of
+ * the grace period. A caller whose connection is refused can use another host;
+ * one whose connection is reset can't know whether its request was read.
+ */
+const LAST_ACCEPT_FRACTION = 1 / 40;
 /** The interval between checks for requests in flight during a drain, in ms. */
 const DRAIN_CHECK_MS = 50;
 
@@ -28,10 +34,12 @@
  * has been flushed or the grace period is over.
  */
 export async function waitDrained(parts: FrontDrainParts): Promise<void> {
-  const {phase, clock} = parts;
+  const {connections, phase, clock} = parts;
+  const lastAcceptMs = phase.graceMs * LAST_ACCEPT_FRACTION;
   while (phase.workLeftMs > 0) {
     const mayClose = phase.leavingMs >= ADDRESS_LINGER_MS;
     if (mayClose && (await isDrained(parts))) return;
+    if (phase.workLeftMs <= lastAcceptMs) await connections.stopListening();
     await clock.wait(DRAIN_CHECK_MS);
   }
   await endRequests(parts);
