--- a/packages/cli/src/api_client.ts
+++ b/packages/cli/src/api_client.ts
@@ -53,7 +53,7 @@
   shownBy: z.string(),
   version: z.number(),
   ageMs: z.number(),
-  /** Teams whose requests are refused; absent before this was told. */
+  /** Teams whose requests are refused; hosts of older versions tell none. */
   unusableTeams: z.array(z.string()).default([]),
   hosts: z.array(
     z.object({
--- a/packages/endpoints/src/http_client.ts
+++ b/packages/endpoints/src/http_client.ts
@@ -8,7 +8,7 @@
 
 const CONNECT_MS = 1000;
 const OK = 200;
-/** The longest answer to a short call; the longest list cached prompts. */
+/** The longest answer to a short call, in bytes; lists of cached prompts. */
 const MAX_JSON_BYTES = 8_388_608;
 
 /** A short call. */
--- a/packages/gateway/src/channels/caller_connections.ts
+++ b/packages/gateway/src/channels/caller_connections.ts
@@ -31,7 +31,7 @@
  */
 const KEEP_ALIVE_MARGIN_MS = 1000;
 
-/** How many turns of the event loop a turn without connections is awaited. */
+/** The most turns of the event loop in which a quiet one is awaited. */
 const MAX_ACCEPT_TURNS = 100;
 
 /** What connections share with those of other servers of the host. */
@@ -136,7 +136,7 @@
 
   /**
    * Refuses further connections; those that are open go on. The kernel resets
-   * what waits to be accepted, so it does so in a turn in which nothing came.
+   * what waits to be accepted, so the listener closes in a turn in which no connection came.
    */
   async stopListening(): Promise<void> {
     for (let turn = 0; turn < MAX_ACCEPT_TURNS; turn++) {
--- a/packages/kernel/src/response_watch.ts
+++ b/packages/kernel/src/response_watch.ts
@@ -87,7 +87,7 @@
     return isHead ? 'its head is too long' : 'it has too little content';
   }
 
-  /** Reads nothing of the response until its turn; before it has begun. */
+  /** Lets the response wait for its turn from its first byte on. */
   pause(): void {
     this.clientRequest.once('socket', (socket) => {
       this.share.pause(socket, 0);
